--- /dev/null
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' command line.
+ */
+@NullMarked
+package io.flamingogap.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Budgets and limits that refuse work early.
+ */
+@NullMarked
+package io.flamingogap.core.limits;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' manifest: services, versions, backend servers, accounts and operators.
+ */
+@NullMarked
+package io.flamingogap.core.manifest;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/node/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Identity and addresses of entry nodes.
+ */
+@NullMarked
+package io.flamingogap.core.node;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
@@ -0,0 +1,139 @@
+package io.flamingogap.core.request;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import io.flamingogap.core.node.NodeId;
+
+/**
+ * The keys under one issuer's prefixes, at one node.
+ */
+final class KeySpace {
+
+	/** Whether this node may dispatch keys of the space. */
+	enum Ownership {
+
+		/** Offered by the owner, who has not committed. */
+		INERT,
+		/** This node is the only one that may dispatch. */
+		OWNED,
+		/** Committed to a successor; this node never dispatches again. */
+		PASSED_ON
+
+	}
+
+	private final NodeId issuer;
+
+	private final Map<String, LedgerEntry> entries = new LinkedHashMap<>();
+
+	private final Map<String, KeyState> offered = new LinkedHashMap<>();
+
+	private Ownership ownership;
+
+	private @Nullable NodeId successor;
+
+	private long forgottenThroughMillis = -1;
+
+	private long keptBytes;
+
+	KeySpace(NodeId issuer, Ownership ownership) {
+		this.issuer = issuer;
+		this.ownership = ownership;
+	}
+
+	NodeId issuer() {
+		return this.issuer;
+	}
+
+	Ownership ownership() {
+		return this.ownership;
+	}
+
+	@Nullable NodeId successor() {
+		return this.successor;
+	}
+
+	long forgottenThroughMillis() {
+		return this.forgottenThroughMillis;
+	}
+
+	long keptBytes() {
+		return this.keptBytes;
+	}
+
+	int size() {
+		return this.entries.size();
+	}
+
+	void own() {
+		this.ownership = Ownership.OWNED;
+	}
+
+	void passOn(NodeId next) {
+		this.ownership = Ownership.PASSED_ON;
+		this.successor = next;
+	}
+
+	@Nullable LedgerEntry get(RequestKey key) {
+		return this.entries.get(key.toString());
+	}
+
+	List<LedgerEntry> entries() {
+		return List.copyOf(this.entries.values());
+	}
+
+	void put(LedgerEntry entry) {
+		LedgerEntry before = this.entries.put(entry.key().toString(), entry);
+		this.keptBytes += entry.sizeBytes() - ((before != null) ? before.sizeBytes() : 0);
+	}
+
+	void forgetThrough(long issuedAtMillis) {
+		this.forgottenThroughMillis = Math.max(this.forgottenThroughMillis, issuedAtMillis);
+	}
+
+	/**
+	 * Forget ended keys whose prefix was issued before a time. The time of the latest
+	 * forgotten key is kept, so that no forgotten key can begin again.
+	 * @param issuedBeforeMillis the time
+	 */
+	void forgetIssuedBefore(long issuedBeforeMillis) {
+		Iterator<LedgerEntry> iterator = this.entries.values().iterator();
+		while (iterator.hasNext()) {
+			LedgerEntry entry = iterator.next();
+			if (entry.state().isTerminal() && entry.key().issuedAtMillis() < issuedBeforeMillis) {
+				iterator.remove();
+				this.offered.remove(entry.key().toString());
+				this.keptBytes -= entry.sizeBytes();
+				forgetThrough(entry.key().issuedAtMillis());
+			}
+		}
+	}
+
+	/**
+	 * Return the entries that the successor doesn't hold in their present state, and take
+	 * them as offered.
+	 * @return the changed entries
+	 */
+	List<LedgerEntry> takeUnoffered() {
+		List<LedgerEntry> changed = new ArrayList<>();
+		for (LedgerEntry entry : this.entries.values()) {
+			if (this.offered.put(entry.key().toString(), entry.state()) != entry.state()) {
+				changed.add(entry);
+			}
+		}
+		return changed;
+	}
+
+	/**
+	 * Forget what was offered, because another successor is tried.
+	 */
+	void restartOffer() {
+		this.offered.clear();
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
@@ -0,0 +1,22 @@
+package io.flamingogap.core.request;
+
+import java.util.List;
+import java.util.Objects;
+
+import io.flamingogap.core.node.NodeId;
+
+/**
+ * Part of the entries under one issuer's prefixes, on its way to a successor.
+ *
+ * @param issuer the node run that the prefixes name
+ * @param forgottenThroughMillis the latest issue time of a forgotten key
+ * @param entries the entries of this part
+ */
+public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries) {
+
+	public KeySpacePart {
+		Objects.requireNonNull(issuer, "issuer must not be null");
+		entries = List.copyOf(entries);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * At-most-once execution of keyed requests.
+ */
+@NullMarked
+package io.flamingogap.core.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerChoice.java
@@ -0,0 +1,64 @@
+package io.flamingogap.core.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.flamingogap.core.manifest.BackendServer;
+import io.flamingogap.core.manifest.Manifest;
+
+/**
+ * Chooses a backend server for a request.
+ */
+public final class ServerChoice {
+
+	/** Work that a dispatch to another zone of the region is taken to add. */
+	private static final int OTHER_ZONE_REQUESTS = 1;
+
+	/** Work that a dispatch to another region is taken to add. */
+	private static final int OTHER_REGION_REQUESTS = 4;
+
+	private ServerChoice() {
+	}
+
+	/**
+	 * Choose the server with the least estimated work, the links to it included.
+	 * @param manifest the manifest in force
+	 * @param service the service
+	 * @param version the version to use
+	 * @param ownZone the zone of the entry node
+	 * @param loads the known loads
+	 * @param leaving the servers that get no new work
+	 * @param tried the names of the servers that this request has tried
+	 * @param nowMillis the present time
+	 * @return the server, if one can take the request
+	 */
+	public static Optional<BackendServer> choose(Manifest manifest, String service, String version, String ownZone,
+			ServerLoads loads, LeavingServers leaving, Set<String> tried, long nowMillis) {
+		List<BackendServer> ready = manifest.servers(service, version)
+			.stream()
+			.filter((server) -> !leaving.isLeaving(server.name(), nowMillis) && !tried.contains(server.name()))
+			.toList();
+		Optional<BackendServer> preferred = least(
+				ready.stream().filter((server) -> !loads.isAvoided(server.name(), nowMillis)).toList(), manifest,
+				ownZone, loads);
+		return preferred.isPresent() ? preferred : least(ready, manifest, ownZone, loads);
+	}
+
+	private static Optional<BackendServer> least(List<BackendServer> servers, Manifest manifest, String ownZone,
+			ServerLoads loads) {
+		return servers.stream()
+			.min(Comparator
+				.comparingLong((server) -> loads.estimate(server.name()) + linkCost(manifest, ownZone, server.zone())));
+	}
+
+	private static long linkCost(Manifest manifest, String ownZone, String zone) {
+		if (zone.equals(ownZone)) {
+			return 0;
+		}
+		boolean sameRegion = manifest.regionOf(zone).equals(manifest.regionOf(ownZone));
+		return sameRegion ? OTHER_ZONE_REQUESTS : OTHER_REGION_REQUESTS;
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
@@ -0,0 +1,72 @@
+package io.flamingogap.core.text;
+
+import java.nio.charset.StandardCharsets;
+import java.security.InvalidKeyException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Digests and message authentication codes.
+ */
+public final class Digests {
+
+	private static final String MAC_ALGORITHM = "HmacSHA256";
+
+	private Digests() {
+	}
+
+	/**
+	 * Return the SHA-256 digest of a text.
+	 * @param text the text, taken as UTF-8
+	 * @return 64 lower-case hexadecimal digits
+	 */
+	public static String sha256(String text) {
+		return sha256(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Return the SHA-256 digest of some bytes.
+	 * @param bytes the bytes
+	 * @return 64 lower-case hexadecimal digits
+	 */
+	public static String sha256(byte[] bytes) {
+		try {
+			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("every Java platform has SHA-256", ex);
+		}
+	}
+
+	/**
+	 * Return the HMAC-SHA-256 of some bytes.
+	 * @param secret the shared secret
+	 * @param bytes the bytes
+	 * @return 32 bytes
+	 */
+	public static byte[] hmac(String secret, byte[] bytes) {
+		try {
+			Mac mac = Mac.getInstance(MAC_ALGORITHM);
+			mac.init(new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), MAC_ALGORITHM));
+			return mac.doFinal(bytes);
+		}
+		catch (NoSuchAlgorithmException | InvalidKeyException ex) {
+			throw new IllegalStateException("every Java platform has " + MAC_ALGORITHM, ex);
+		}
+	}
+
+	/**
+	 * Compare two codes in a time that doesn't depend on where they differ.
+	 * @param first the first code
+	 * @param second the second code
+	 * @return {@code true} if they are equal
+	 */
+	public static boolean isEqual(byte[] first, byte[] second) {
+		return MessageDigest.isEqual(first, second);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/ArchitectureTests.java
@@ -0,0 +1,46 @@
+package io.flamingogap.core;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+
+/**
+ * The decisions are free of input, output, threads and clocks.
+ */
+@AnalyzeClasses(packages = "io.flamingogap.core", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTests {
+
+	@ArchTest
+	void decisionsUseNoNetwork(JavaClasses classes) {
+		ArchRuleDefinition.noClasses()
+			.should()
+			.dependOnClassesThat()
+			.resideInAnyPackage("java.net..", "java.nio.channels..", "com.sun.net..", "org.apache.thrift..")
+			.check(classes);
+	}
+
+	@ArchTest
+	void decisionsUseNoThreads(JavaClasses classes) {
+		ArchRuleDefinition.noClasses()
+			.should()
+			.dependOnClassesThat()
+			.resideInAnyPackage("java.util.concurrent..")
+			.check(classes);
+	}
+
+	@ArchTest
+	void decisionsReadNoClock(JavaClasses classes) {
+		ArchRuleDefinition.noClasses()
+			.should()
+			.callMethod(System.class, "currentTimeMillis")
+			.orShould()
+			.callMethod(System.class, "nanoTime")
+			.orShould()
+			.dependOnClassesThat()
+			.haveFullyQualifiedName("java.time.Clock")
+			.check(classes);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
@@ -0,0 +1,234 @@
+package io.flamingogap.core.request;
+
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.core.error.Execution;
+import io.flamingogap.core.error.ProblemType;
+import io.flamingogap.core.node.NodeId;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link RequestLedger}.
+ */
+class RequestLedgerTests {
+
+	private static final NodeId FIRST = LedgerFixtures.node(1);
+
+	private static final NodeId SECOND = LedgerFixtures.node(2);
+
+	private static final NodeId THIRD = LedgerFixtures.node(3);
+
+	private RequestLedger ledger;
+
+	private RequestKey key;
+
+	private KeyedRequest request;
+
+	@BeforeEach
+	void createLedger() {
+		this.ledger = new RequestLedger(FIRST, LedgerFixtures.LIMITS);
+		this.key = LedgerFixtures.key(FIRST, 0, 1);
+		this.request = LedgerFixtures.request(this.key);
+	}
+
+	private static @Nullable RuntimeException thrownBy(Runnable step) {
+		try {
+			step.run();
+			return null;
+		}
+		catch (RuntimeException ex) {
+			return ex;
+		}
+	}
+
+	private ProblemType refusal(KeyedRequest attempt, long nowMillis) {
+		Admission admission = this.ledger.admit(attempt, nowMillis);
+		assertThat(admission, instanceOf(Admission.Refuse.class));
+		return ((Admission.Refuse) admission).failure().type();
+	}
+
+	@Nested
+	class Attempts {
+
+		@Test
+		void firstAttemptIsDispatchedOnce() {
+			assertThat(RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0),
+					instanceOf(Admission.Dispatch.class));
+			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(true));
+			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
+		}
+
+		@Test
+		void retryJoinsTheAttemptUnderWay() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			assertThat(RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 1),
+					instanceOf(Admission.Join.class));
+		}
+
+		@Test
+		void retryGetsTheKeptAnswer() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
+			Admission admission = RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 2);
+			assertThat(admission, equalTo(new Admission.Replay(LedgerFixtures.ANSWER)));
+		}
+
+		@Test
+		void otherBodyUnderTheSameKeyIsRefused() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			KeyedRequest other = LedgerFixtures.request(RequestLedgerTests.this.key, "{\"lot\":2}");
+			assertThat(refusal(other, 1), is(ProblemType.KEY_REUSED));
+		}
+
+		@Test
+		void lostAnswerIsNeverCalledNotRun() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			RequestLedgerTests.this.ledger.recordUnknown(RequestLedgerTests.this.key);
+			Admission.Refuse refuse = (Admission.Refuse) RequestLedgerTests.this.ledger
+				.admit(RequestLedgerTests.this.request, 1);
+			assertThat(refuse.failure().execution(), is(Execution.UNKNOWN));
+		}
+
+		@Test
+		void givenUpRequestIsNeverDispatched() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			assertThat(RequestLedgerTests.this.ledger.giveUp(RequestLedgerTests.this.key), is(true));
+			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
+			assertThat(refusal(RequestLedgerTests.this.request, 1), is(ProblemType.DEADLINE_EXCEEDED));
+		}
+
+		@Test
+		void keyOfAnotherNodeIsSentThere() {
+			KeyedRequest other = LedgerFixtures.request(LedgerFixtures.key(SECOND, 0, 1));
+			assertThat(RequestLedgerTests.this.ledger.admit(other, 0), equalTo(new Admission.Elsewhere(SECOND)));
+		}
+
+	}
+
+	@Nested
+	class Windows {
+
+		@Test
+		void oldPrefixBeginsNothing() {
+			assertThat(refusal(RequestLedgerTests.this.request, LedgerFixtures.FIRST_USE_MILLIS + 1),
+					is(ProblemType.KEY_EXPIRED));
+		}
+
+		@Test
+		void prefixFromTheFutureBeginsNothing() {
+			KeyedRequest early = LedgerFixtures.request(LedgerFixtures.key(FIRST, 1_000, 1));
+			assertThat(refusal(early, 0), is(ProblemType.KEY_EXPIRED));
+		}
+
+		@Test
+		void forgottenKeyBeginsNothingWhenTheClockGoesBack() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
+			long laterMillis = LedgerFixtures.RETENTION_MILLIS + 1;
+			RequestLedgerTests.this.ledger.admit(LedgerFixtures.request(LedgerFixtures.key(FIRST, laterMillis, 2)),
+					laterMillis);
+			assertThat(RequestLedgerTests.this.ledger.find(RequestLedgerTests.this.key).isPresent(), is(false));
+			assertThat(refusal(RequestLedgerTests.this.request, 0), is(ProblemType.KEY_EXPIRED));
+		}
+
+		@Test
+		void fullLedgerRefusesNewWorkAndKeepsTheOld() {
+			RequestLedger small = new RequestLedger(FIRST, new LedgerLimits(1, 1_000, 1_000, 5_000, 100));
+			small.admit(RequestLedgerTests.this.request, 0);
+			Admission.Refuse refuse = (Admission.Refuse) small
+				.admit(LedgerFixtures.request(LedgerFixtures.key(FIRST, 0, 2)), 0);
+			assertThat(refuse.failure().type(), is(ProblemType.OVERLOADED));
+			assertThat(refuse.failure().execution(), is(Execution.NOT_RUN));
+			assertThat(small.startDispatch(RequestLedgerTests.this.key), is(true));
+		}
+
+	}
+
+	@Nested
+	class Handover {
+
+		private final RequestLedger successor = new RequestLedger(SECOND, LedgerFixtures.LIMITS);
+
+		@Test
+		void offerGivesNoRightToDispatch() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
+			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(false));
+			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(true));
+		}
+
+		@Test
+		void commitMovesTheRightForGood() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
+			List<LedgerEntry> taken = this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
+			assertThat(taken.size(), is(1));
+			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
+			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(true));
+		}
+
+		@Test
+		void commitGoesToOneSuccessorOnly() {
+			RequestLedgerTests.this.ledger.commit(SECOND);
+			assertThat(thrownBy(() -> RequestLedgerTests.this.ledger.commit(THIRD)),
+					instanceOf(IllegalStateException.class));
+		}
+
+		@Test
+		void doubledCommitDispatchesNothingTwice() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
+			this.successor.receiveCommit(parts);
+			assertThat(this.successor.receiveCommit(parts), is(empty()));
+		}
+
+		@Test
+		void successorAnswersWithTheKeptAnswer() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
+			this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
+			assertThat(this.successor.admit(RequestLedgerTests.this.request, 1),
+					equalTo(new Admission.Replay(LedgerFixtures.ANSWER)));
+		}
+
+		@Test
+		void outcomeOfACallInFlightReachesTheSuccessor() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
+			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
+			this.successor.receiveOutcomes(RequestLedgerTests.this.ledger.outcomesSinceCommit());
+			assertThat(this.successor.admit(RequestLedgerTests.this.request, 1),
+					equalTo(new Admission.Replay(LedgerFixtures.ANSWER)));
+		}
+
+		@Test
+		void doubledNotSentOutcomeDispatchesOnce() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
+			RequestLedgerTests.this.ledger.recordNotSent(RequestLedgerTests.this.key);
+			List<KeySpacePart> outcomes = RequestLedgerTests.this.ledger.outcomesSinceCommit();
+			this.successor.receiveOutcomes(outcomes);
+			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(true));
+			assertThat(this.successor.receiveOutcomes(outcomes), is(empty()));
+			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(false));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -0,0 +1,252 @@
+package io.flamingogap.daemon;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import com.google.common.flogger.FluentLogger;
+import com.sun.net.httpserver.HttpExchange;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.apache.thrift.TException;
+
+import io.flamingogap.core.membership.Member;
+import io.flamingogap.core.membership.MemberState;
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.request.LedgerLimits;
+import io.flamingogap.core.request.RequestLedger;
+import io.flamingogap.daemon.admin.AdminHandler;
+import io.flamingogap.daemon.admin.RequestMetrics;
+import io.flamingogap.daemon.backends.BackendClient;
+import io.flamingogap.daemon.backends.BackendServers;
+import io.flamingogap.daemon.backends.ModelStreams;
+import io.flamingogap.daemon.backends.PlainCalls;
+import io.flamingogap.daemon.callers.CallerHandler;
+import io.flamingogap.daemon.callers.CompletionsHandler;
+import io.flamingogap.daemon.callers.KeyStatusHandler;
+import io.flamingogap.daemon.callers.PlainServiceHandler;
+import io.flamingogap.daemon.cloud.CloudClient;
+import io.flamingogap.daemon.cloud.CloudWatcher;
+import io.flamingogap.daemon.http.HttpListener;
+import io.flamingogap.daemon.nodes.Membership;
+import io.flamingogap.daemon.nodes.NodeClients;
+import io.flamingogap.daemon.nodes.NodeServer;
+import io.flamingogap.daemon.nodes.PeerLinks;
+import io.flamingogap.daemon.operators.OperatorApi;
+import io.flamingogap.daemon.operators.OperatorHandler;
+import io.flamingogap.daemon.platformlog.AuditTrail;
+import io.flamingogap.daemon.platformlog.ConfigFollower;
+import io.flamingogap.daemon.platformlog.ConfigPublisher;
+import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.platformlog.PlatformLog;
+import io.flamingogap.daemon.requests.Dispatcher;
+import io.flamingogap.daemon.requests.KeyedRequests;
+import io.flamingogap.daemon.settings.Settings;
+
+/**
+ * One entry node: its parts, wired together.
+ */
+public final class EntryNode implements AutoCloseable {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final int ADMIN_THREADS = 4;
+
+	/** Threads for operators and for callers that are about to be refused. */
+	private static final int SPARE_THREADS = 64;
+
+	/** A neighbour's connection is closed after this many silent times. */
+	private static final int IDLE_SILENT_TIMES = 30;
+
+	private final Membership membership;
+
+	private final Configuration configuration;
+
+	private final ConfigFollower follower;
+
+	private final AuditTrail audit;
+
+	private final CloudWatcher cloudWatcher;
+
+	private final NodeServer nodeServer;
+
+	private final PeerLinks links;
+
+	private final HttpListener callerListener;
+
+	private final HttpListener adminListener;
+
+	private final CallerHandler callerHandler;
+
+	private final NodeLifecycle lifecycle;
+
+	private final ExecutorService executor;
+
+	private EntryNode(Settings settings, Clock clock, long incarnation) throws IOException, TException {
+		NodeId self = new NodeId(settings.node().name(), incarnation);
+		this.executor = Executors.newCachedThreadPool();
+		HttpClient platformClient = HttpClient.newBuilder()
+			.version(HttpClient.Version.HTTP_1_1)
+			.connectTimeout(Duration.ofMillis(settings.platform().logTimeoutMillis()))
+			.executor(this.executor)
+			.build();
+		PlatformLog log = new PlatformLog(platformClient, Address.parse(settings.platform().logAddress()),
+				settings.platform().logTimeoutMillis());
+		this.configuration = new Configuration(Set.of(settings.operators().bootstrapName()), (state) -> {
+		});
+		this.follower = new ConfigFollower(log, this.configuration, settings.platform().logWaitMillis());
+		this.audit = new AuditTrail(log);
+		this.membership = new Membership(ownRow(settings, self), clock);
+		NodeClients nodeClients = new NodeClients(self, settings.nodes().sharedSecret(), clock);
+		BackendServers servers = new BackendServers(this.configuration::manifest, settings.node().zone());
+		BackendClient backendClient = new BackendClient(this.executor, settings.requests().connectTimeoutMillis());
+		Dispatcher dispatcher = new Dispatcher(this.configuration, servers, backendClient,
+				settings.requests().answerTimeoutMillis(), () -> lifecycle().lastDispatchMillis(), clock);
+		KeyedRequests requests = new KeyedRequests(new RequestLedger(self, limits(settings.requests())), dispatcher,
+				this.membership, nodeClients, this.executor, clock);
+		this.lifecycle = new NodeLifecycle(settings, this.membership, requests, nodeClients, this.audit, clock);
+		this.callerHandler = new CallerHandler(this.configuration, this.membership,
+				new CompletionsHandler(this.configuration, new ModelStreams(backendClient, servers, clock),
+						this.lifecycle::isMoving),
+				new PlainServiceHandler(this.configuration, new PlainCalls(backendClient, servers, clock), requests,
+						clock),
+				new KeyStatusHandler(requests, this.membership, nodeClients), settings.callers(), clock);
+		this.cloudWatcher = new CloudWatcher(
+				new CloudClient(platformClient, Address.parse(settings.platform().cloudAddress())), servers,
+				settings.node().name(), settings.platform().cloudPollMillis(), clock,
+				(notice) -> this.lifecycle.reclaim(notice, this.callerHandler::openRequests));
+		this.nodeServer = NodeServer.create(settings.nodes(), Address.parse(settings.listen().nodeAddress()),
+				(int) settings.nodes().silentMillis() * IDLE_SILENT_TIMES, this.membership, this.configuration,
+				requests, clock);
+		this.links = new PeerLinks(settings.nodes(), this.membership, this.configuration,
+				this.cloudWatcher::seedAddresses);
+		OperatorApi api = new OperatorApi(this.configuration, this.follower,
+				new ConfigPublisher(log, this.configuration, this.follower), this.membership, requests, this.audit, log,
+				this::stop, clock);
+		OperatorHandler operators = new OperatorHandler(this.configuration, settings.operators(), api);
+		PrometheusMeterRegistry registry = registry(requests);
+		this.callerListener = new HttpListener(Address.parse(settings.listen().callerAddress()),
+				settings.callers().maxOpenRequests() + SPARE_THREADS,
+				new RequestMetrics(registry, (exchange) -> route(exchange, operators)));
+		this.adminListener = new HttpListener(Address.parse(settings.listen().adminAddress()), ADMIN_THREADS,
+				new AdminHandler(registry, this::isReady));
+	}
+
+	/**
+	 * Create a node under a new incarnation.
+	 * @param settings the settings
+	 * @param clock tells the present time
+	 * @return the node, which answers after {@link #start()}
+	 * @throws IOException if an address can't be bound
+	 * @throws TException if the address for other nodes can't be bound
+	 */
+	public static EntryNode create(Settings settings, Clock clock) throws IOException, TException {
+		return new EntryNode(settings, clock, new SecureRandom().nextLong());
+	}
+
+	private NodeLifecycle lifecycle() {
+		return this.lifecycle;
+	}
+
+	private static Member ownRow(Settings settings, NodeId self) {
+		return new Member(self, settings.node().zone(), Address.parse(settings.listen().callerAddress()),
+				Address.parse(settings.listen().nodeAddress()), MemberState.SERVING, 1, false, null);
+	}
+
+	private static LedgerLimits limits(Settings.Requests requests) {
+		return new LedgerLimits(requests.maxEntries(), requests.maxKeptBytes(), requests.firstUseMillis(),
+				requests.retentionMillis(), requests.firstUseMillis());
+	}
+
+	private PrometheusMeterRegistry registry(KeyedRequests requests) {
+		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		Gauge.builder("flamingogap.config.offset", this.configuration, (held) -> held.state().acceptedOffset())
+			.description("Offset of the manifest in force")
+			.register(registry);
+		Gauge.builder("flamingogap.ledger.keys", requests, (held) -> held.withLedger(RequestLedger::size))
+			.description("Keys in the ledger")
+			.register(registry);
+		Gauge.builder("flamingogap.ledger.bytes", requests, (held) -> held.withLedger(RequestLedger::keptBytes))
+			.description("Bytes of kept requests and answers")
+			.register(registry);
+		Gauge
+			.builder("flamingogap.members.serving", this.membership,
+					(held) -> held.members().stream().filter(Member::isServing).count())
+			.description("Entry nodes that serve and are heard")
+			.register(registry);
+		Gauge.builder("flamingogap.log.reachable", this.follower, (held) -> held.isLogReachable() ? 1 : 0)
+			.description("1 if the last read of the platform log was answered")
+			.register(registry);
+		return registry;
+	}
+
+	private void route(HttpExchange exchange, OperatorHandler operators) throws IOException {
+		if (exchange.getRequestURI().getPath().startsWith(OperatorHandler.PREFIX)) {
+			operators.handle(exchange);
+		}
+		else {
+			this.callerHandler.handle(exchange);
+		}
+	}
+
+	private boolean isReady() {
+		return this.membership.own().isServing() && this.configuration.state().acceptedOffset() > 0;
+	}
+
+	/**
+	 * Begin to answer.
+	 */
+	public void start() {
+		this.audit.start();
+		this.follower.start();
+		this.cloudWatcher.start();
+		this.nodeServer.start();
+		this.links.start();
+		this.adminListener.start();
+		this.callerListener.start();
+		logger.atInfo().log("node %s serves", this.membership.own().node());
+	}
+
+	/**
+	 * Begin a planned stop.
+	 * @param who who asked for it
+	 * @param cause why
+	 */
+	public void stop(String who, String cause) {
+		this.lifecycle.stop(who, cause, this.callerHandler::openRequests);
+	}
+
+	/**
+	 * Wait for the end of a stop.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void awaitStopped() throws InterruptedException {
+		this.lifecycle.awaitStopped();
+	}
+
+	@Override
+	public void close() {
+		List.<AutoCloseable>of(this.callerListener, this.adminListener, this.links, this.nodeServer, this.cloudWatcher,
+				this.follower, this.audit)
+			.forEach(EntryNode::closeQuietly);
+		this.executor.shutdownNow();
+	}
+
+	private static void closeQuietly(AutoCloseable part) {
+		try {
+			part.close();
+		}
+		catch (Exception ex) {
+			logger.atWarning().withCause(ex).log("a part of the node didn't close");
+		}
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/RequestMetrics.java
@@ -0,0 +1,62 @@
+package io.flamingogap.daemon.admin;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+import com.sun.net.httpserver.HttpExchange;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+import io.flamingogap.daemon.http.HttpListener;
+
+/**
+ * Times each exchange by the kind of its path and its status.
+ */
+public final class RequestMetrics implements HttpListener.Handler {
+
+	private final MeterRegistry registry;
+
+	private final HttpListener.Handler next;
+
+	/**
+	 * Create the timer.
+	 * @param registry the metrics
+	 * @param next what answers
+	 */
+	public RequestMetrics(MeterRegistry registry, HttpListener.Handler next) {
+		this.registry = registry;
+		this.next = next;
+	}
+
+	@Override
+	public void handle(HttpExchange exchange) throws IOException {
+		long startNanos = System.nanoTime();
+		try {
+			this.next.handle(exchange);
+		}
+		finally {
+			Timer.builder("flamingogap.requests")
+				.description("Time to answer callers and operators")
+				.tag("kind", kind(exchange.getRequestURI().getPath()))
+				.tag("status", String.valueOf(exchange.getResponseCode()))
+				.register(this.registry)
+				.record(System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	private static String kind(String path) {
+		String[] parts = path.split("/", 4);
+		if (parts.length < 3) {
+			return "other";
+		}
+		return switch (parts[1]) {
+			case "v1" -> switch (parts[2]) {
+				case "entry", "requests", "completions", "chat" -> parts[2];
+				default -> "other";
+			};
+			case "services", "operator" -> parts[1];
+			default -> "other";
+		};
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendClient.java
@@ -0,0 +1,138 @@
+package io.flamingogap.daemon.backends;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.flamingogap.core.error.Execution;
+import io.flamingogap.core.error.Failure;
+import io.flamingogap.core.error.ProblemType;
+import io.flamingogap.core.error.Step;
+import io.flamingogap.core.manifest.BackendServer;
+import io.flamingogap.core.request.Answer;
+
+/**
+ * Calls plain services over HTTP/1.1.
+ * <p>
+ * Unrepeatable calls use a client of their own whose connections are closed after one
+ * call: each goes over a connection that was opened for it, so a pooled connection that
+ * has gone silent can't swallow it, and a failure to open one proves that nothing was
+ * sent.
+ */
+public final class BackendClient {
+
+	private final HttpClient pooled;
+
+	private final HttpClient unpooled;
+
+	/**
+	 * Create a client.
+	 * @param executor runs the callbacks of both HTTP clients
+	 * @param connectTimeoutMillis how long opening a connection may take
+	 */
+	public BackendClient(ExecutorService executor, long connectTimeoutMillis) {
+		this.pooled = client(executor, connectTimeoutMillis);
+		this.unpooled = client(executor, connectTimeoutMillis);
+	}
+
+	private static HttpClient client(ExecutorService executor, long connectTimeoutMillis) {
+		return HttpClient.newBuilder()
+			.version(HttpClient.Version.HTTP_1_1)
+			.connectTimeout(Duration.ofMillis(connectTimeoutMillis))
+			.followRedirects(HttpClient.Redirect.NEVER)
+			.executor(executor)
+			.build();
+	}
+
+	/**
+	 * Return the client for calls that may be repeated.
+	 * @return a client that pools connections
+	 */
+	HttpClient pooled() {
+		return this.pooled;
+	}
+
+	/**
+	 * Send a call that may be repeated.
+	 * @param server the backend server
+	 * @param call the call
+	 * @param timeoutMillis how long to wait for the whole answer
+	 * @return what became of it
+	 */
+	public CallResult call(BackendServer server, BackendCall call, long timeoutMillis) {
+		return send(this.pooled, server, request(server, call).build(), timeoutMillis);
+	}
+
+	/**
+	 * Send a call that must not be repeated.
+	 * @param server the backend server
+	 * @param call the call
+	 * @param timeoutMillis how long to wait for the whole answer
+	 * @return what became of it
+	 */
+	public CallResult callOnce(BackendServer server, BackendCall call, long timeoutMillis) {
+		HttpRequest request = request(server, call).header("Connection", "close").build();
+		return send(this.unpooled, server, request, timeoutMillis);
+	}
+
+	private static HttpRequest.Builder request(BackendServer server, BackendCall call) {
+		HttpRequest.BodyPublisher body = (call.body().length > 0) ? HttpRequest.BodyPublishers.ofByteArray(call.body())
+				: HttpRequest.BodyPublishers.noBody();
+		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + server.address() + call.path()))
+			.method(call.method(), body)
+			.header("X-Account", call.account())
+			.header("X-Deadline-Millis", String.valueOf(call.remainingMillis()));
+		if (call.body().length > 0) {
+			request.header("Content-Type", call.contentType());
+		}
+		if (call.idempotencyKey() != null) {
+			request.header("Idempotency-Key", call.idempotencyKey());
+		}
+		return request;
+	}
+
+	private static CallResult send(HttpClient client, BackendServer server, HttpRequest request, long timeoutMillis) {
+		Future<HttpResponse<byte[]>> pending = client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+		try {
+			HttpResponse<byte[]> response = pending.get(timeoutMillis, TimeUnit.MILLISECONDS);
+			String contentType = response.headers().firstValue("Content-Type").orElse("application/octet-stream");
+			return new CallResult.Answered(new Answer(response.statusCode(), contentType, response.body()));
+		}
+		catch (ExecutionException ex) {
+			return failed(server, ex.getCause());
+		}
+		catch (TimeoutException ex) {
+			pending.cancel(true);
+			return new CallResult.Lost(lost(server, "no answer within " + timeoutMillis + " ms"));
+		}
+		catch (InterruptedException ex) {
+			pending.cancel(true);
+			Thread.currentThread().interrupt();
+			return new CallResult.Lost(lost(server, "interrupted while waiting for the answer"));
+		}
+	}
+
+	private static CallResult failed(BackendServer server, Throwable cause) {
+		if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
+			return new CallResult.NotSent(Failure.notRun(ProblemType.NO_BACKEND, Step.CONNECT, server.name(),
+					"no connection to " + server.address() + ": " + cause.getMessage()));
+		}
+		String what = (cause instanceof IOException) ? "connection broke" : cause.getClass().getSimpleName();
+		return new CallResult.Lost(lost(server, what + ": " + cause.getMessage()));
+	}
+
+	private static Failure lost(BackendServer server, String detail) {
+		return new Failure(ProblemType.OUTCOME_UNKNOWN, Step.DISPATCH, server.name(), Execution.UNKNOWN, detail);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
@@ -0,0 +1,30 @@
+package io.flamingogap.daemon.backends;
+
+import java.util.Objects;
+
+import io.flamingogap.core.manifest.Service;
+
+/**
+ * A request for a token stream.
+ *
+ * @param service the model
+ * @param requestId the id of the request, the same at each engine that works on it
+ * @param path the path at the engine
+ * @param body the request as JSON
+ * @param account the account that it is for
+ * @param priority 0 for the most urgent work
+ * @param firstPosition the position of the first token that the caller lacks
+ * @param deadlineMillis when the caller stops waiting
+ */
+public record StreamCall(Service service, String requestId, String path, byte[] body, String account, int priority,
+		long firstPosition, long deadlineMillis) {
+
+	public StreamCall {
+		Objects.requireNonNull(service, "service must not be null");
+		Objects.requireNonNull(requestId, "requestId must not be null");
+		Objects.requireNonNull(path, "path must not be null");
+		Objects.requireNonNull(body, "body must not be null");
+		Objects.requireNonNull(account, "account must not be null");
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
@@ -0,0 +1,212 @@
+package io.flamingogap.daemon.callers;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import io.vavr.control.Either;
+
+import io.flamingogap.core.error.Failure;
+import io.flamingogap.core.error.ProblemType;
+import io.flamingogap.core.error.Step;
+import io.flamingogap.core.manifest.Service;
+import io.flamingogap.core.manifest.ServiceKind;
+import io.flamingogap.core.stream.EventId;
+import io.flamingogap.daemon.backends.ModelStreams;
+import io.flamingogap.daemon.backends.StreamCall;
+import io.flamingogap.daemon.backends.TokenEvent;
+import io.flamingogap.daemon.backends.TokenSink;
+import io.flamingogap.daemon.http.Exchanges;
+import io.flamingogap.daemon.platformlog.Configuration;
+
+/**
+ * Serves {@code /v1/chat/completions} and {@code /v1/completions}, as a stream of
+ * server-sent events or as one document.
+ */
+public final class CompletionsHandler {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final Configuration configuration;
+
+	private final ModelStreams streams;
+
+	private final BooleanSupplier moving;
+
+	/**
+	 * Create a handler.
+	 * @param configuration the configuration in force
+	 * @param streams the streams of model engines
+	 * @param moving whether open streams are to go on at another entry node
+	 */
+	public CompletionsHandler(Configuration configuration, ModelStreams streams, BooleanSupplier moving) {
+		this.configuration = configuration;
+		this.streams = streams;
+		this.moving = moving;
+	}
+
+	static boolean serves(String path) {
+		return "/v1/chat/completions".equals(path) || "/v1/completions".equals(path);
+	}
+
+	void handle(HttpExchange exchange, CallerRequest request) throws IOException {
+		Either<Failure, ObjectNode> document = Exchanges.parseObject(request.body());
+		if (document.isLeft()) {
+			Exchanges.sendProblem(exchange, document.getLeft());
+			return;
+		}
+		Either<Failure, StreamCall> call = call(exchange, request, document.get());
+		if (call.isLeft()) {
+			Exchanges.sendProblem(exchange, call.getLeft());
+			return;
+		}
+		try {
+			if (document.get().path("stream").asBoolean(false)) {
+				stream(exchange, call.get());
+			}
+			else {
+				answerWhole(exchange, call.get());
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private Either<Failure, StreamCall> call(HttpExchange exchange, CallerRequest request, ObjectNode document) {
+		String model = document.path("model").asText();
+		Optional<Service> service = this.configuration.manifest()
+			.findService(model)
+			.filter((found) -> found.kind() == ServiceKind.MODEL);
+		if (service.isEmpty()) {
+			return Either
+				.left(Failure.notRun(ProblemType.NOT_FOUND, Step.ROUTE, "caller", "no model is named '" + model + "'"));
+		}
+		Optional<String> lastEvent = Exchanges.header(exchange, "Last-Event-ID");
+		Optional<EventId> resume = lastEvent.flatMap(EventId::parse);
+		if (lastEvent.isPresent() && resume.isEmpty()) {
+			return Either.left(Exchanges.malformed("Last-Event-ID isn't the id of an event of this system"));
+		}
+		String requestId = resume.map(EventId::requestId).orElseGet(() -> UUID.randomUUID().toString());
+		long first = resume.map((event) -> event.position() + 1).orElse(0L);
+		return Either.right(new StreamCall(service.get(), requestId, exchange.getRequestURI().getPath(), request.body(),
+				request.account().name(), request.account().priority(), first, request.deadlineMillis()));
+	}
+
+	private void stream(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
+		EventSink sink = new EventSink(exchange, call, this.moving);
+		Optional<Failure> failure = this.streams.stream(call, sink);
+		sink.end(failure);
+	}
+
+	private void answerWhole(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
+		TextSink sink = new TextSink();
+		Optional<Failure> failure = this.streams.stream(call, sink);
+		if (failure.isPresent()) {
+			Exchanges.sendProblem(exchange, failure.get());
+			return;
+		}
+		Exchanges.sendJson(exchange, 200, sink.document(call));
+	}
+
+	/**
+	 * Writes tokens as server-sent events. The status is sent with the first token, so
+	 * that a request which fails before it gets a problem document.
+	 */
+	private static final class EventSink implements TokenSink {
+
+		private final HttpExchange exchange;
+
+		private final StreamCall call;
+
+		private final BooleanSupplier moving;
+
+		private boolean begun;
+
+		private EventSink(HttpExchange exchange, StreamCall call, BooleanSupplier moving) {
+			this.exchange = exchange;
+			this.call = call;
+			this.moving = moving;
+		}
+
+		@Override
+		public void accept(TokenEvent event) throws IOException {
+			EventId id = new EventId(this.call.requestId(), this.call.service().version(), event.position());
+			write("id: " + id + "\ndata: " + event.data() + "\n\n");
+		}
+
+		@Override
+		public boolean isMoving() {
+			return this.moving.getAsBoolean();
+		}
+
+		private void end(Optional<Failure> failure) throws IOException {
+			if (failure.isEmpty() && !isMoving()) {
+				write("data: [DONE]\n\n");
+			}
+			else if (failure.isEmpty()) {
+				write("event: moved\ndata: {}\n\n");
+			}
+			else if (this.begun) {
+				byte[] problem = Exchanges.problemAnswer(failure.get()).body();
+				write("event: problem\ndata: " + new String(problem, StandardCharsets.UTF_8) + "\n\n");
+			}
+			else {
+				Exchanges.sendProblem(this.exchange, failure.get());
+			}
+		}
+
+		private void write(String text) throws IOException {
+			if (!this.begun) {
+				this.exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+				this.exchange.getResponseHeaders().set("Cache-Control", "no-store");
+				this.exchange.sendResponseHeaders(200, 0);
+				this.begun = true;
+			}
+			OutputStream out = this.exchange.getResponseBody();
+			out.write(text.getBytes(StandardCharsets.UTF_8));
+			out.flush();
+		}
+
+	}
+
+	/**
+	 * Gathers tokens into one document.
+	 */
+	private static final class TextSink implements TokenSink {
+
+		private final StringBuilder text = new StringBuilder();
+
+		@Override
+		public void accept(TokenEvent event) throws IOException {
+			JsonNode choice = MAPPER.readTree(event.data()).path("choices").path(0);
+			this.text.append(choice.path("delta").path("content").asText(choice.path("text").asText()));
+		}
+
+		@Override
+		public boolean isMoving() {
+			return false;
+		}
+
+		private ObjectNode document(StreamCall call) {
+			ObjectNode document = MAPPER.createObjectNode();
+			document.put("id", call.requestId());
+			document.put("object", "chat.completion");
+			document.put("model", call.service().name());
+			ObjectNode choice = document.putArray("choices").addObject();
+			choice.put("index", 0);
+			choice.putObject("message").put("role", "assistant").put("content", this.text.toString());
+			choice.put("finish_reason", "stop");
+			return document;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyStatusHandler.java
@@ -0,0 +1,74 @@
+package io.flamingogap.daemon.callers;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import com.sun.net.httpserver.HttpExchange;
+import io.vavr.control.Either;
+
+import io.flamingogap.core.error.Failure;
+import io.flamingogap.core.membership.Member;
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.request.LedgerEntry;
+import io.flamingogap.core.request.RequestKey;
+import io.flamingogap.daemon.http.Exchanges;
+import io.flamingogap.daemon.nodes.Membership;
+import io.flamingogap.daemon.nodes.NodeClients;
+import io.flamingogap.daemon.requests.KeyedRequests;
+
+/**
+ * Serves {@code GET /v1/requests/KEY}: what is known of a keyed request.
+ */
+public final class KeyStatusHandler {
+
+	static final String PREFIX = "/v1/requests/";
+
+	private final KeyedRequests keyedRequests;
+
+	private final Membership membership;
+
+	private final NodeClients nodeClients;
+
+	/**
+	 * Create a handler.
+	 * @param keyedRequests the requests of this node
+	 * @param membership the membership table
+	 * @param nodeClients calls other nodes
+	 */
+	public KeyStatusHandler(KeyedRequests keyedRequests, Membership membership, NodeClients nodeClients) {
+		this.keyedRequests = keyedRequests;
+		this.membership = membership;
+		this.nodeClients = nodeClients;
+	}
+
+	void handle(HttpExchange exchange, CallerRequest request) throws IOException {
+		String text = exchange.getRequestURI().getPath().substring(PREFIX.length());
+		Either<Failure, RequestKey> key = RequestKey.parse(text);
+		if (key.isLeft()) {
+			Exchanges.sendProblem(exchange, key.getLeft());
+			return;
+		}
+		Exchanges.sendJson(exchange, 200, status(key.get(), request.account().name()));
+	}
+
+	private KeyReport status(RequestKey key, String account) {
+		Optional<LedgerEntry> own = this.keyedRequests.find(key, account);
+		if (own.isPresent() && own.get().state().isTerminal()) {
+			return KeyReport.of(key, own.get().state().name(), this.membership.own().node());
+		}
+		NodeId owner = this.membership.ownerOf(key.issuer());
+		if (owner.equals(this.membership.own().node())) {
+			return KeyReport.of(key, own.map((entry) -> entry.state().name()).orElse(KeyReport.ABSENT), owner);
+		}
+		return this.membership.find(owner)
+			.map((member) -> ask(member, key, account))
+			.orElseGet(() -> KeyReport.unknown(key, owner));
+	}
+
+	private KeyReport ask(Member owner, RequestKey key, String account) {
+		return this.nodeClients.keyStatus(owner, key, account)
+			.fold((failure) -> KeyReport.unknown(key, owner.node()),
+					(status) -> KeyReport.of(key, status.state(), owner.node()));
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
@@ -0,0 +1,206 @@
+package io.flamingogap.daemon.nodes;
+
+import java.time.Clock;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingDeque;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingDeque;
+
+import io.vavr.control.Either;
+import org.apache.thrift.TException;
+import org.apache.thrift.transport.TTransportException;
+
+import io.flamingogap.core.error.Execution;
+import io.flamingogap.core.error.Failure;
+import io.flamingogap.core.error.ProblemType;
+import io.flamingogap.core.error.Step;
+import io.flamingogap.core.membership.Member;
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.request.Answer;
+import io.flamingogap.core.request.KeySpacePart;
+import io.flamingogap.core.request.KeyedRequest;
+import io.flamingogap.core.request.RequestKey;
+import io.flamingogap.wire.KeyStatus;
+import io.flamingogap.wire.NodeFault;
+import io.flamingogap.wire.NodeService;
+
+/**
+ * Calls other entry nodes over a small pool of connections to each. Every call may be
+ * repeated: what it does at the peer is idempotent.
+ */
+public final class NodeClients {
+
+	private static final int MAX_IDLE_CONNECTIONS = 8;
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+	private static final long REPLY_MARGIN_MILLIS = 500;
+
+	private static final long STATUS_TIMEOUT_MILLIS = 1_000;
+
+	private final Map<Address, BlockingDeque<NodeConnection>> idle = new ConcurrentHashMap<>();
+
+	private final NodeId self;
+
+	private final String sharedSecret;
+
+	private final Clock clock;
+
+	/**
+	 * Create the clients.
+	 * @param self this node
+	 * @param sharedSecret what nodes prove to know
+	 * @param clock tells the present time
+	 */
+	public NodeClients(NodeId self, String sharedSecret, Clock clock) {
+		this.self = self;
+		this.sharedSecret = sharedSecret;
+		this.clock = clock;
+	}
+
+	/**
+	 * Pass a keyed request to the node that owns the key.
+	 * @param owner the owner
+	 * @param request the request
+	 * @return the owner's answer, or why none came
+	 */
+	public Either<Failure, Answer> forward(Member owner, KeyedRequest request) {
+		long nowMillis = this.clock.millis();
+		long timeoutMillis = Math.max(1, request.deadlineMillis() - nowMillis) + REPLY_MARGIN_MILLIS;
+		return call(owner, Step.FORWARD, timeoutMillis,
+				(client) -> WireCodec.fromWire(client.forward(WireCodec.toWire(request, nowMillis))));
+	}
+
+	/**
+	 * Ask the owner of a key for its state.
+	 * @param owner the owner
+	 * @param key the key
+	 * @param account the account that asks
+	 * @return the state
+	 */
+	public Either<Failure, RemoteKeyStatus> keyStatus(Member owner, RequestKey key, String account) {
+		return call(owner, Step.READ, STATUS_TIMEOUT_MILLIS, (client) -> {
+			KeyStatus status = client.keyStatus(key.toString(), account);
+			return new RemoteKeyStatus(status.getState());
+		});
+	}
+
+	/**
+	 * Offer requests to a successor.
+	 * @param successor the successor
+	 * @param parts the parts
+	 * @param timeoutMillis how long it may take
+	 * @return nothing, or why it is not known to have been received
+	 */
+	public Either<Failure, Boolean> offer(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
+		return handOver(successor, parts, timeoutMillis,
+				(client, wire) -> client.offer(WireCodec.toWire(this.self), wire));
+	}
+
+	/**
+	 * Commit requests to a successor.
+	 * @param successor the successor
+	 * @param parts the parts
+	 * @param timeoutMillis how long it may take
+	 * @return nothing, or why it is not known to have been received
+	 */
+	public Either<Failure, Boolean> commit(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
+		return handOver(successor, parts, timeoutMillis,
+				(client, wire) -> client.commit(WireCodec.toWire(this.self), wire));
+	}
+
+	/**
+	 * Tell a successor the outcomes of calls that were in flight at the commit.
+	 * @param successor the successor
+	 * @param parts the changed entries
+	 * @param timeoutMillis how long it may take
+	 * @return nothing, or why it is not known to have been received
+	 */
+	public Either<Failure, Boolean> outcomes(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
+		return handOver(successor, parts, timeoutMillis,
+				(client, wire) -> client.outcomes(WireCodec.toWire(this.self), wire));
+	}
+
+	private Either<Failure, Boolean> handOver(Member successor, List<KeySpacePart> parts, long timeoutMillis,
+			PartsCall sender) {
+		List<io.flamingogap.wire.KeySpacePart> wire = WireCodec.partsToWire(parts, this.clock.millis());
+		return call(successor, Step.HANDOVER, timeoutMillis, (client) -> {
+			sender.send(client, wire);
+			return true;
+		});
+	}
+
+	private <T> Either<Failure, T> call(Member peer, Step step, long timeoutMillis, NodeCall<T> call) {
+		BlockingDeque<NodeConnection> pool = this.idle.computeIfAbsent(peer.nodeAddress(),
+				(address) -> new LinkedBlockingDeque<>(MAX_IDLE_CONNECTIONS));
+		NodeConnection pooled = pool.pollFirst();
+		if (pooled != null) {
+			Either<TException, T> first = attempt(pooled, peer, pool, timeoutMillis, call);
+			if (first.isRight() || first.getLeft() instanceof NodeFault) {
+				return first.mapLeft((fault) -> unknown(peer, step, fault));
+			}
+		}
+		NodeConnection fresh;
+		try {
+			fresh = NodeConnection.open(peer.nodeAddress(), this.self, this.sharedSecret, CONNECT_TIMEOUT_MILLIS);
+		}
+		catch (TException ex) {
+			return Either.left((pooled != null) ? unknown(peer, step, ex) : notSent(peer, step, ex));
+		}
+		return attempt(fresh, peer, pool, timeoutMillis, call).mapLeft((fault) -> unknown(peer, step, fault));
+	}
+
+	private <T> Either<TException, T> attempt(NodeConnection connection, Member peer,
+			BlockingDeque<NodeConnection> pool, long timeoutMillis, NodeCall<T> call) {
+		try {
+			if (!connection.peer().equals(peer.node())) {
+				throw new TTransportException("another node run, " + connection.peer() + ", answers at the address");
+			}
+			connection.setTimeoutMillis((int) timeoutMillis);
+			T result = call.call(connection.client());
+			if (!pool.offerFirst(connection)) {
+				connection.close();
+			}
+			return Either.right(result);
+		}
+		catch (TException ex) {
+			connection.close();
+			return Either.left(ex);
+		}
+	}
+
+	private static Failure unknown(Member peer, Step step, TException fault) {
+		String detail = (fault instanceof NodeFault nodeFault) ? nodeFault.getMessage() : String.valueOf(fault);
+		return new Failure(ProblemType.OUTCOME_UNKNOWN, step, peer.node().toString(), Execution.UNKNOWN, detail);
+	}
+
+	private static Failure notSent(Member peer, Step step, TException fault) {
+		return new Failure(ProblemType.OUTCOME_UNKNOWN, Step.CONNECT, peer.node().toString(), Execution.NOT_RUN,
+				"no connection for " + step + ": " + fault.getMessage());
+	}
+
+	/**
+	 * The state of a key at its owner.
+	 *
+	 * @param state the name of the state, or ABSENT
+	 */
+	public record RemoteKeyStatus(String state) {
+	}
+
+	@FunctionalInterface
+	private interface NodeCall<T> {
+
+		T call(NodeService.Client client) throws TException;
+
+	}
+
+	@FunctionalInterface
+	private interface PartsCall {
+
+		void send(NodeService.Client client, List<io.flamingogap.wire.KeySpacePart> parts) throws TException;
+
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
@@ -0,0 +1,159 @@
+package io.flamingogap.daemon.nodes;
+
+import java.nio.ByteBuffer;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.request.LedgerEntry;
+import io.flamingogap.core.request.RequestKey;
+import io.flamingogap.core.text.Digests;
+import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.wire.Answer;
+import io.flamingogap.wire.ConfigRecord;
+import io.flamingogap.wire.Heartbeat;
+import io.flamingogap.wire.HeartbeatReply;
+import io.flamingogap.wire.KeySpacePart;
+import io.flamingogap.wire.KeyStatus;
+import io.flamingogap.wire.KeyedRequest;
+import io.flamingogap.wire.NodeFault;
+import io.flamingogap.wire.NodeRef;
+import io.flamingogap.wire.NodeService;
+import io.flamingogap.wire.Proof;
+
+/**
+ * The receiving end of one connection from another entry node. Nothing but the proof of
+ * the shared secret is taken before that proof.
+ */
+final class NodeSession implements NodeService.Iface {
+
+	private static final int NONCE_BYTES = 32;
+
+	private static final int MAX_RECORDS = 500;
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private final String sharedSecret;
+
+	private final Membership membership;
+
+	private final Configuration configuration;
+
+	private final NodeRequests requests;
+
+	private final Clock clock;
+
+	private byte[] nonce = new byte[0];
+
+	private @Nullable NodeId peer;
+
+	private long sentSequence;
+
+	NodeSession(String sharedSecret, Membership membership, Configuration configuration, NodeRequests requests,
+			Clock clock) {
+		this.sharedSecret = sharedSecret;
+		this.membership = membership;
+		this.configuration = configuration;
+		this.requests = requests;
+		this.clock = clock;
+	}
+
+	@Override
+	public ByteBuffer challenge() {
+		this.nonce = new byte[NONCE_BYTES];
+		RANDOM.nextBytes(this.nonce);
+		return ByteBuffer.wrap(this.nonce);
+	}
+
+	@Override
+	public NodeRef authenticate(Proof proof) throws NodeFault {
+		NodeId claimed = WireCodec.fromWire(proof.getNode());
+		byte[] expected = NodeProof.mac(this.sharedSecret, this.nonce, claimed);
+		boolean proven = this.nonce.length == NONCE_BYTES && Digests.isEqual(expected, proof.getMac());
+		this.nonce = new byte[0];
+		if (!proven) {
+			throw new NodeFault("authenticate", claimed.toString(), "the shared secret is not proven");
+		}
+		this.peer = claimed;
+		return WireCodec.toWire(this.membership.own().node());
+	}
+
+	private void requireProof(String step) throws NodeFault {
+		if (this.peer == null) {
+			throw new NodeFault(step, "unknown", "the connection has not proven the shared secret");
+		}
+	}
+
+	@Override
+	public HeartbeatReply heartbeat(Heartbeat heartbeat) throws NodeFault {
+		requireProof("heartbeat");
+		this.membership.mergeAll(WireCodec.fromWire(heartbeat.getChanges()));
+		Membership.Changes changes = this.membership.changesAfter(this.sentSequence);
+		this.sentSequence = changes.sequence();
+		return new HeartbeatReply(heartbeat.getSequence(), this.configuration.state().headOffset(),
+				WireCodec.toWire(changes.members()), List.of());
+	}
+
+	@Override
+	public List<ConfigRecord> configRecords(long firstOffset, int limit) throws NodeFault {
+		requireProof("read");
+		return this.configuration.recordsFrom(firstOffset, Math.min(limit, MAX_RECORDS))
+			.stream()
+			.map((logRecord) -> new ConfigRecord(logRecord.offset(), logRecord.body()))
+			.toList();
+	}
+
+	@Override
+	public Answer forward(KeyedRequest request) throws NodeFault {
+		requireProof("forward");
+		return WireCodec.toWire(this.requests.answerForwarded(WireCodec.fromWire(request, this.clock.millis())));
+	}
+
+	@Override
+	public KeyStatus keyStatus(String key, String account) throws NodeFault {
+		requireProof("read");
+		Optional<LedgerEntry> entry = RequestKey.parse(key)
+			.toJavaOptional()
+			.flatMap((parsed) -> this.requests.find(parsed, account));
+		if (entry.isEmpty()) {
+			return new KeyStatus("ABSENT");
+		}
+		KeyStatus status = new KeyStatus(entry.get().state().name());
+		Optional.ofNullable(entry.get().answer()).ifPresent((answer) -> status.setAnswer(WireCodec.toWire(answer)));
+		return status;
+	}
+
+	@Override
+	public void offer(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
+		requireProof("offer");
+		this.requests.receiveOffer(WireCodec.partsFromWire(parts, this.clock.millis()));
+	}
+
+	@Override
+	public void commit(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
+		requireProof("commit");
+		try {
+			this.requests.receiveCommit(WireCodec.partsFromWire(parts, this.clock.millis()));
+		}
+		catch (IllegalStateException ex) {
+			throw new NodeFault("commit", Objects.requireNonNull(this.peer).toString(), ex.getMessage());
+		}
+	}
+
+	@Override
+	public void outcomes(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
+		requireProof("outcomes");
+		this.requests.receiveOutcomes(WireCodec.partsFromWire(parts, this.clock.millis()));
+	}
+
+	@Override
+	public void notify(List<String> facts) {
+		// Facts other than membership rows and configuration records don't exist yet.
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
@@ -0,0 +1,124 @@
+package io.flamingogap.daemon.nodes;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.flamingogap.core.membership.Member;
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.settings.Settings;
+
+/**
+ * Keeps a connection with each neighbour, and with seed addresses at which no member is
+ * known yet.
+ */
+public final class PeerLinks implements AutoCloseable {
+
+	private final NodeId self;
+
+	private final Settings.Nodes settings;
+
+	private final Membership membership;
+
+	private final Configuration configuration;
+
+	private final Supplier<Set<String>> listedAddresses;
+
+	private final Map<Address, PeerLink> links = new HashMap<>();
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	/**
+	 * Create the links; they open after {@link #start()}.
+	 * @param settings how nodes talk to each other
+	 * @param membership the membership table
+	 * @param configuration the configuration in force
+	 * @param listedAddresses the node addresses on the cloud's instance list
+	 */
+	public PeerLinks(Settings.Nodes settings, Membership membership, Configuration configuration,
+			Supplier<Set<String>> listedAddresses) {
+		this.self = membership.own().node();
+		this.settings = settings;
+		this.membership = membership;
+		this.configuration = configuration;
+		this.listedAddresses = listedAddresses;
+		this.thread = new Thread(this::maintain, "peer-links");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Open the links.
+	 */
+	public void start() {
+		this.membership.addListener(this::wakeAll);
+		this.thread.start();
+	}
+
+	private void maintain() {
+		while (!this.closed) {
+			reconcile(wanted());
+			try {
+				Thread.sleep(this.settings.heartbeatMillis());
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
+	}
+
+	private Set<Address> wanted() {
+		Set<Address> known = new HashSet<>();
+		this.membership.members()
+			.stream()
+			.filter(Member::isReachable)
+			.forEach((member) -> known.add(member.nodeAddress()));
+		Set<Address> wanted = new HashSet<>();
+		this.membership.neighbours(this.settings.fanOut()).forEach((member) -> wanted.add(member.nodeAddress()));
+		Set<String> seeds = new HashSet<>(this.settings.seedAddresses());
+		seeds.addAll(this.listedAddresses.get());
+		seeds.stream()
+			.map(Address::parse)
+			.filter((address) -> !known.contains(address))
+			.limit(this.settings.fanOut())
+			.forEach(wanted::add);
+		wanted.remove(this.membership.own().nodeAddress());
+		return wanted;
+	}
+
+	private synchronized void reconcile(Set<Address> wanted) {
+		this.links.entrySet().removeIf((entry) -> {
+			boolean drop = !wanted.contains(entry.getKey());
+			if (drop) {
+				entry.getValue().close();
+			}
+			return drop;
+		});
+		for (Address address : wanted) {
+			this.links.computeIfAbsent(address, this::open);
+		}
+	}
+
+	private PeerLink open(Address address) {
+		PeerLink link = new PeerLink(address, this.self, this.settings, this.membership, this.configuration);
+		link.start();
+		return link;
+	}
+
+	private synchronized void wakeAll() {
+		this.links.values().forEach(PeerLink::wake);
+	}
+
+	@Override
+	public synchronized void close() {
+		this.closed = true;
+		this.thread.interrupt();
+		this.links.values().forEach(PeerLink::close);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
@@ -0,0 +1,94 @@
+package io.flamingogap.daemon.operators;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.Set;
+
+import com.sun.net.httpserver.HttpExchange;
+import io.vavr.control.Either;
+
+import io.flamingogap.core.error.Failure;
+import io.flamingogap.core.error.ProblemType;
+import io.flamingogap.core.error.Step;
+import io.flamingogap.core.manifest.Operator;
+import io.flamingogap.core.text.Digests;
+import io.flamingogap.daemon.http.Exchanges;
+import io.flamingogap.daemon.http.HttpListener;
+import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.settings.Settings;
+
+/**
+ * Answers operators under {@code /operator/v1/}.
+ */
+public final class OperatorHandler implements HttpListener.Handler {
+
+	/** What paths for operators begin with. */
+	public static final String PREFIX = "/operator/v1/";
+
+	private final Configuration configuration;
+
+	private final Settings.Operators bootstrap;
+
+	private final OperatorApi api;
+
+	/**
+	 * Create a handler.
+	 * @param configuration the configuration in force
+	 * @param bootstrap who may publish the first manifest
+	 * @param api what operators may do
+	 */
+	public OperatorHandler(Configuration configuration, Settings.Operators bootstrap, OperatorApi api) {
+		this.configuration = configuration;
+		this.bootstrap = bootstrap;
+		this.api = api;
+	}
+
+	@Override
+	public void handle(HttpExchange exchange) throws IOException {
+		Either<Failure, String> operator = operator(exchange);
+		if (operator.isLeft()) {
+			Exchanges.sendProblem(exchange, operator.getLeft());
+			return;
+		}
+		String resource = exchange.getRequestURI().getPath().substring(PREFIX.length());
+		serve(exchange, operator.get(), resource);
+	}
+
+	private Either<Failure, String> operator(HttpExchange exchange) {
+		Optional<String> digest = Exchanges.bearerKey(exchange).map(Digests::sha256);
+		Optional<String> named = digest.flatMap((found) -> this.configuration.manifest().findOperatorByDigest(found))
+			.map(Operator::name);
+		if (named.isPresent()) {
+			return Either.right(named.get());
+		}
+		if (digest.filter(this.bootstrap.bootstrapKeyDigest()::equals).isPresent()) {
+			return Either.right(this.bootstrap.bootstrapName());
+		}
+		boolean isAccount = digest.flatMap((found) -> this.configuration.manifest().findAccountByDigest(found))
+			.isPresent();
+		ProblemType type = isAccount ? ProblemType.FORBIDDEN : ProblemType.UNAUTHENTICATED;
+		return Either.left(Failure.notRun(type, Step.AUTHENTICATE, "operator", "no operator has this bearer key"));
+	}
+
+	private void serve(HttpExchange exchange, String operator, String resource) throws IOException {
+		String method = exchange.getRequestMethod();
+		switch (method + " " + resource.split("/", 2)[0]) {
+			case "GET status" -> Exchanges.sendJson(exchange, 200, this.api.status());
+			case "GET nodes" -> Exchanges.sendJson(exchange, 200, this.api.nodes());
+			case "GET manifest" -> Exchanges.sendJson(exchange, 200, this.api.manifest());
+			case "GET audit" -> this.api.audit(exchange);
+			case "GET requests" -> this.api.request(exchange, resource);
+			case "POST manifests" -> this.api.publish(exchange, operator);
+			case "POST drain" -> this.api.drain(exchange, operator);
+			default -> Exchanges.sendProblem(exchange, unsupported(method, resource));
+		}
+	}
+
+	private static Failure unsupported(String method, String resource) {
+		Set<String> known = Set.of("status", "nodes", "manifest", "audit", "requests", "manifests", "drain");
+		ProblemType type = known.contains(resource.split("/", 2)[0]) ? ProblemType.METHOD_NOT_ALLOWED
+				: ProblemType.NOT_FOUND;
+		return Failure.notRun(type, Step.PARSE, "operator", "no " + method + " of " + PREFIX + resource);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
@@ -0,0 +1,107 @@
+package io.flamingogap.daemon.platformlog;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+
+import io.flamingogap.core.error.Failure;
+import io.flamingogap.daemon.platformlog.PlatformLog.LogPage;
+
+/**
+ * Follows the configuration stream of the platform log on a thread of its own.
+ */
+public final class ConfigFollower implements AutoCloseable {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final int PAGE_RECORDS = 100;
+
+	private static final long RETRY_MILLIS = 250;
+
+	private final PlatformLog log;
+
+	private final Configuration configuration;
+
+	private final long waitMillis;
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	private volatile boolean logReachable;
+
+	/**
+	 * Create a follower; it reads after {@link #start()}.
+	 * @param log the platform log
+	 * @param configuration where records are applied
+	 * @param waitMillis how long a read waits for a new record
+	 */
+	public ConfigFollower(PlatformLog log, Configuration configuration, long waitMillis) {
+		this.log = log;
+		this.configuration = configuration;
+		this.waitMillis = waitMillis;
+		this.thread = new Thread(this::follow, "config-follower");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Begin to read.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	private void follow() {
+		while (!this.closed) {
+			boolean read = readPage(this.waitMillis);
+			if (!read || this.waitMillis == 0) {
+				pause();
+			}
+		}
+	}
+
+	/**
+	 * Read the next records without waiting for new ones.
+	 * @return {@code true} if the log answered
+	 */
+	public boolean readNow() {
+		return readPage(0);
+	}
+
+	private boolean readPage(long pageWaitMillis) {
+		long next = this.configuration.state().headOffset() + 1;
+		Either<Failure, LogPage> page = this.log.read(PlatformLog.CONFIG_STREAM, next, PAGE_RECORDS, pageWaitMillis);
+		if (page.isRight()) {
+			this.configuration.apply(page.get().records());
+		}
+		else if (this.logReachable) {
+			logger.atWarning().log("platform log can't be read: %s", page.getLeft());
+		}
+		this.logReachable = page.isRight();
+		return page.isRight();
+	}
+
+	/**
+	 * Return whether the last read was answered.
+	 * @return {@code true} if it was
+	 */
+	public boolean isLogReachable() {
+		return this.logReachable;
+	}
+
+	private void pause() {
+		try {
+			Thread.sleep(RETRY_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			this.closed = true;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Talks to the platform log.
+ */
+@NullMarked
+package io.flamingogap.daemon.platformlog;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The settings of an entry node.
+ */
+@NullMarked
+package io.flamingogap.daemon.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
@@ -0,0 +1,69 @@
+package io.flamingogap.testkit;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.flamingogap.testkit.backends.FakeEngine;
+import io.flamingogap.testkit.backends.FakePlainService;
+import io.flamingogap.testkit.check.LocalCheck;
+import io.flamingogap.testkit.platform.FakeCloud;
+import io.flamingogap.testkit.platform.FakeLog;
+
+/**
+ * Starts one stand-in or driver, named by the first argument.
+ */
+public final class TestkitMain {
+
+	private static final String USAGE = "usage: log PORT | cloud PORT | engine PORT FIRST_TOKEN_MILLIS TOKEN_GAP_MILLIS"
+			+ " | service PORT ANSWER_MILLIS | ports COUNT | check OPTIONS";
+
+	private TestkitMain() {
+	}
+
+	/**
+	 * Run the command.
+	 * @param args the name of the stand-in and its arguments
+	 * @throws Exception if it can't be started
+	 */
+	public static void main(String[] args) throws Exception {
+		if (args.length < 1) {
+			System.err.println(USAGE);
+			System.exit(2);
+		}
+		switch (args[0]) {
+			case "log" -> report("log", new FakeLog(port(args)).address());
+			case "cloud" -> report("cloud", new FakeCloud(port(args)).address());
+			case "engine" -> report("engine",
+					new FakeEngine(port(args), Long.parseLong(args[2]), Long.parseLong(args[3])).address());
+			case "service" -> report("service", new FakePlainService(port(args), Long.parseLong(args[2])).address());
+			case "ports" -> printFreePorts(Integer.parseInt(args[1]));
+			case "check" -> System.exit(LocalCheck.run(List.of(args).subList(1, args.length)));
+			default -> {
+				System.err.println(USAGE);
+				System.exit(2);
+			}
+		}
+	}
+
+	private static int port(String[] args) {
+		return Integer.parseInt(args[1]);
+	}
+
+	private static void report(String name, String address) {
+		System.out.println(name + " listens on " + address);
+	}
+
+	private static void printFreePorts(int count) throws IOException {
+		List<ServerSocket> sockets = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			sockets.add(new ServerSocket(0));
+		}
+		for (ServerSocket socket : sockets) {
+			System.out.println(socket.getLocalPort());
+			socket.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakePlainService.java
@@ -0,0 +1,100 @@
+package io.flamingogap.testkit.backends;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.sun.net.httpserver.HttpExchange;
+
+import io.flamingogap.testkit.http.Json;
+import io.flamingogap.testkit.http.StandInServer;
+
+/**
+ * Stand-in for a plain service. {@code GET /lots/ID} looks a lot up;
+ * {@code POST /bookings} books and counts each execution under its
+ * {@code Idempotency-Key}, without looking for doubles; {@code GET /control/executions}
+ * answers the counts and {@code POST /control} sets {@code {"answerMillis"}}.
+ */
+public final class FakePlainService implements AutoCloseable {
+
+	private final StandInServer server;
+
+	private final Map<String, Integer> executions = new ConcurrentSkipListMap<>();
+
+	private final AtomicLong bookings = new AtomicLong();
+
+	private volatile long answerMillis;
+
+	/**
+	 * Start a service.
+	 * @param port the port; 0 for a free one
+	 * @param answerMillis how long a booking takes
+	 */
+	public FakePlainService(int port, long answerMillis) {
+		this.answerMillis = answerMillis;
+		this.server = new StandInServer(port, this::handle);
+	}
+
+	private void handle(HttpExchange exchange) throws IOException {
+		String path = exchange.getRequestURI().getPath();
+		if ("/control/executions".equals(path)) {
+			Json.answer(exchange, 200, new TreeMap<>(this.executions));
+		}
+		else if ("/control".equals(path)) {
+			this.answerMillis = Json.parse(Json.body(exchange)).get("answerMillis").asLong();
+			Json.answer(exchange, 200, Map.of());
+		}
+		else if ("POST".equals(exchange.getRequestMethod())) {
+			book(exchange);
+		}
+		else {
+			Json.answer(exchange, 200, Map.of("lot", path, "balance", Math.abs(path.hashCode() % 1_000)));
+		}
+	}
+
+	private void book(HttpExchange exchange) throws IOException {
+		String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+		Json.body(exchange);
+		this.executions.merge((key != null) ? key : "none", 1, Integer::sum);
+		long number = this.bookings.incrementAndGet();
+		try {
+			Thread.sleep(this.answerMillis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		Json.answer(exchange, 201, Map.of("booking", number));
+	}
+
+	/**
+	 * Return how often each key was executed.
+	 * @return the counts by idempotency key
+	 */
+	public Map<String, Integer> executions() {
+		return new TreeMap<>(this.executions);
+	}
+
+	/**
+	 * Set how long a booking takes.
+	 * @param newAnswerMillis the time
+	 */
+	public void setAnswerMillis(long newAnswerMillis) {
+		this.answerMillis = newAnswerMillis;
+	}
+
+	/**
+	 * Return the address that the service listens on.
+	 * @return the IP number and port
+	 */
+	public String address() {
+		return this.server.address();
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+}
--- /dev/null
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/Json.java
@@ -0,0 +1,96 @@
+package io.flamingogap.testkit.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+
+/**
+ * Reads and writes JSON over HTTP exchanges.
+ */
+public final class Json {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private Json() {
+	}
+
+	/**
+	 * Write a value as JSON.
+	 * @param value a record, map or list
+	 * @return the document
+	 */
+	public static String write(Object value) {
+		try {
+			return MAPPER.writeValueAsString(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Parse a document.
+	 * @param text the document
+	 * @return the root
+	 */
+	public static JsonNode parse(String text) {
+		try {
+			return MAPPER.readTree(text);
+		}
+		catch (JsonProcessingException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Read the body of an exchange.
+	 * @param exchange the exchange
+	 * @return the body as UTF-8
+	 * @throws IOException if the connection breaks
+	 */
+	public static String body(HttpExchange exchange) throws IOException {
+		return new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Answer an exchange.
+	 * @param exchange the exchange
+	 * @param status the HTTP status
+	 * @param value a record, map or list
+	 * @throws IOException if the connection breaks
+	 */
+	public static void answer(HttpExchange exchange, int status, Object value) throws IOException {
+		byte[] bytes = write(value).getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Content-Type", "application/json");
+		exchange.sendResponseHeaders(status, bytes.length);
+		exchange.getResponseBody().write(bytes);
+	}
+
+	/**
+	 * Return a number from the query of an exchange.
+	 * @param exchange the exchange
+	 * @param name the parameter
+	 * @param fallback the value if it is absent
+	 * @return the number
+	 */
+	public static long query(HttpExchange exchange, String name, long fallback) {
+		String query = exchange.getRequestURI().getRawQuery();
+		if (query == null) {
+			return fallback;
+		}
+		for (String pair : query.split("&")) {
+			if (pair.startsWith(name + "=")) {
+				String value = pair.substring(name.length() + 1);
+				return Long.parseLong(URLDecoder.decode(value, StandardCharsets.UTF_8));
+			}
+		}
+		return fallback;
+	}
+
+}
--- /dev/null
+++ b/flamingogap-wire/src/main/thrift/node.thrift
@@ -0,0 +1,123 @@
+/** Messages between entry nodes. Times are in milliseconds, sizes in bytes. */
+namespace java io.flamingogap.wire
+
+/** One run of one entry node. */
+struct NodeRef {
+  1: required string name
+  2: required i64 incarnation
+}
+
+/** What a node says of its own life; later states never go back. */
+enum MemberState {
+  SERVING = 1
+  DRAINING = 2
+  HANDED_OVER = 3
+  GONE = 4
+}
+
+/** One row of the membership table. */
+struct Member {
+  1: required NodeRef node
+  2: required string zone
+  3: required string callerAddress
+  4: required string nodeAddress
+  5: required MemberState state
+  /** Raised by the member itself at each change. */
+  6: required i64 version
+  /** Set by a monitor that lost its connection; cleared by a higher version. */
+  7: required bool unreachable
+  8: optional NodeRef successor
+}
+
+/** Sent on each connection at an interval, and at once when the sender has news. */
+struct Heartbeat {
+  1: required i64 sequence
+  2: required i64 configHead
+  /** Rows changed since the last acknowledged heartbeat on this connection. */
+  3: required list<Member> changes
+  /** Notes of taken-back versions and of evidence, encoded by the sender's core. */
+  4: required list<string> facts
+}
+
+struct HeartbeatReply {
+  1: required i64 sequence
+  2: required i64 configHead
+  3: required list<Member> changes
+  4: required list<string> facts
+}
+
+struct Proof {
+  1: required NodeRef node
+  2: required binary mac
+}
+
+/** A record of the configuration stream with its offset in the platform's log. */
+struct ConfigRecord {
+  1: required i64 offset
+  2: required string body
+}
+
+/** A keyed request on its way to the node that may dispatch the key. */
+struct KeyedRequest {
+  1: required string key
+  2: required string account
+  3: required string method
+  4: required string path
+  5: required string contentType
+  6: required binary body
+  7: required i64 remainingMillis
+}
+
+struct Answer {
+  1: required i32 status
+  2: required string contentType
+  3: required binary body
+}
+
+/** State of a key at the node that owns it. */
+struct KeyStatus {
+  1: required string state
+  2: optional Answer answer
+}
+
+/** One entry of a ledger that is passed on. */
+struct LedgerEntry {
+  1: required string key
+  2: required string account
+  3: required string bodyDigest
+  4: required string state
+  5: optional KeyedRequest request
+  6: optional Answer answer
+  7: optional NodeRef dispatchedBy
+}
+
+/** Entries of one issuer's keys; a key space is passed on in several parts. */
+struct KeySpacePart {
+  1: required NodeRef issuer
+  2: required i64 forgottenThroughMillis
+  3: required list<LedgerEntry> entries
+}
+
+exception NodeFault {
+  1: required string step
+  2: required string peer
+  3: required string message
+}
+
+service NodeService {
+  /** Returns a nonce that the caller signs with the shared secret. */
+  binary challenge()
+  NodeRef authenticate(1: Proof proof) throws (1: NodeFault fault)
+  HeartbeatReply heartbeat(1: Heartbeat heartbeat) throws (1: NodeFault fault)
+  list<ConfigRecord> configRecords(1: i64 firstOffset, 2: i32 limit) throws (1: NodeFault fault)
+  Answer forward(1: KeyedRequest request) throws (1: NodeFault fault)
+  KeyStatus keyStatus(1: string key, 2: string account) throws (1: NodeFault fault)
+  /** Stores entries that stay inert until the commit. */
+  void offer(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
+  /** The sender dispatches no key of these issuers any more; the receiver may. */
+  void commit(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
+  /** Outcomes of calls that were in flight at the commit. */
+  void outcomes(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
+  /** Sent without acknowledgement; the heartbeat on the same connection vouches for it. */
+  oneway void notify(1: list<string> facts)
+}
