--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/Command.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/Command.java
@@ -20,6 +20,8 @@
 	STATUS("", "show the status of the node", Commands::status),
 	/** Shows the membership table of a node. */
 	NODES("", "show the entry nodes", Commands::nodes),
+	/** Shows or takes back rollouts. */
+	ROLLOUT("show | take-back SERVICE", "show the rollouts, or take one back for good", Commands::rollout),
 	/** Begins a planned stop. */
 	DRAIN("NODE", "begin a planned stop of a node; --wait until it has left", Commands::drain),
 	/** Shows the audit trail. */
@@ -50,7 +52,7 @@
 	}
 
 	String usage() {
-		return String.format("  %-20s %s", name().toLowerCase(Locale.ROOT) + " " + this.argument, this.summary);
+		return String.format("  %-34s %s", name().toLowerCase(Locale.ROOT) + " " + this.argument, this.summary);
 	}
 
 }
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
@@ -92,6 +92,16 @@
 		return this.line.node().get("nodes");
 	}
 
+	JsonNode rollout() {
+		String action = this.line.argument(0, "show or take-back");
+		return switch (action) {
+			case "show" -> this.line.node().get("rollouts");
+			case "take-back" ->
+				this.line.node().post("rollouts/" + this.line.argument(1, "SERVICE") + "/take-back", "");
+			default -> throw new CliException(ExitStatus.USAGE, "rollout takes show or take-back, not " + action);
+		};
+	}
+
 	JsonNode drain() {
 		String name = this.line.argument(0, "NODE");
 		NodeClient node = this.line.node();
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
@@ -22,8 +22,18 @@
 		INERT,
 		/** This node is the only one that may dispatch. */
 		OWNED,
-		/** Committed to a successor; this node never dispatches again. */
-		PASSED_ON
+		/** Committed to a successor; this node dispatches again only if it refuses. */
+		PASSED_ON,
+		/** Refused when the owner committed it to this node; never taken. */
+		REFUSED;
+
+		/**
+		 * Return whether this node owns the keys or knows who took them over from it.
+		 * @return {@code true} if it does
+		 */
+		boolean isDecisive() {
+			return this == OWNED || this == PASSED_ON;
+		}
 
 	}
 
@@ -41,6 +51,9 @@
 
 	private long keptBytes;
 
+	/** Independent of the order in which entries came. */
+	private long fingerprint;
+
 	KeySpace(NodeId issuer, Ownership ownership) {
 		this.issuer = issuer;
 		this.ownership = ownership;
@@ -72,6 +85,14 @@
 
 	void own() {
 		this.ownership = Ownership.OWNED;
+		this.successor = null;
+	}
+
+	void refuse() {
+		this.ownership = Ownership.REFUSED;
+		this.entries.clear();
+		this.keptBytes = 0;
+		this.fingerprint = 0;
 	}
 
 	void passOn(NodeId next) {
@@ -90,6 +111,7 @@
 	void put(LedgerEntry entry) {
 		LedgerEntry before = this.entries.put(entry.key().toString(), entry);
 		this.keptBytes += entry.sizeBytes() - ((before != null) ? before.sizeBytes() : 0);
+		this.fingerprint ^= entry.fingerprint() ^ ((before != null) ? before.fingerprint() : 0);
 	}
 
 	void forgetThrough(long issuedAtMillis) {
@@ -109,24 +131,56 @@
 				iterator.remove();
 				this.offered.remove(entry.key().toString());
 				this.keptBytes -= entry.sizeBytes();
+				this.fingerprint ^= entry.fingerprint();
 				forgetThrough(entry.key().issuedAtMillis());
 			}
 		}
 	}
 
 	/**
-	 * Return the entries that the successor doesn't hold in their present state, and take
-	 * them as offered.
+	 * Return the entries that were not offered in their present state, and take them as
+	 * offered.
 	 * @return the changed entries
 	 */
-	List<LedgerEntry> takeUnoffered() {
+	KeySpacePart takeUnoffered() {
 		List<LedgerEntry> changed = new ArrayList<>();
 		for (LedgerEntry entry : this.entries.values()) {
 			if (this.offered.put(entry.key().toString(), entry.state()) != entry.state()) {
 				changed.add(entry);
 			}
 		}
-		return changed;
+		return new KeySpacePart(this.issuer, this.forgottenThroughMillis, changed, false, this.fingerprint);
+	}
+
+	/**
+	 * Return every entry.
+	 * @return a whole part
+	 */
+	KeySpacePart whole() {
+		return new KeySpacePart(this.issuer, this.forgottenThroughMillis, entries(), true, this.fingerprint);
+	}
+
+	/**
+	 * Take in a part of the same key space.
+	 * @param part the part
+	 */
+	void merge(KeySpacePart part) {
+		if (part.whole()) {
+			this.entries.clear();
+			this.keptBytes = 0;
+			this.fingerprint = 0;
+		}
+		forgetThrough(part.forgottenThroughMillis());
+		part.entries().forEach(this::put);
+	}
+
+	/**
+	 * Return whether this node holds what the sender of a part holds.
+	 * @param part the part
+	 * @return {@code true} if the fingerprints are equal
+	 */
+	boolean matches(KeySpacePart part) {
+		return this.fingerprint == part.fingerprint();
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 
 import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.text.Digests;
 
 /**
  * What a ledger holds of one key.
@@ -71,6 +72,14 @@
 				|| (this.state == KeyState.UNKNOWN && update.state == KeyState.DONE));
 	}
 
+	/**
+	 * Return a fingerprint of the key and its state.
+	 * @return 64 bits of a digest
+	 */
+	long fingerprint() {
+		return Digests.sha256Prefix(this.key + " " + this.state + " " + this.dispatchedBy);
+	}
+
 	/**
 	 * Return the size counted against the limit of kept bytes.
 	 * @return the size in bytes
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -56,7 +56,7 @@
 	public Admission admit(KeyedRequest request, long nowMillis) {
 		RequestKey key = request.key();
 		KeySpace space = this.spaces.get(key.issuer());
-		if (space == null || space.ownership() == Ownership.INERT) {
+		if (space == null || !space.ownership().isDecisive()) {
 			return new Admission.Elsewhere(key.issuer());
 		}
 		LedgerEntry entry = space.get(key);
@@ -212,6 +212,36 @@
 		return parts;
 	}
 
+	/**
+	 * Return every entry of the committed key spaces, for a successor that lacks some.
+	 * @return the parts, to be committed to the same successor
+	 */
+	public List<KeySpacePart> wholeCommit() {
+		return this.spaces.values()
+			.stream()
+			.filter((space) -> space.ownership() == Ownership.PASSED_ON)
+			.map(KeySpace::whole)
+			.toList();
+	}
+
+	/**
+	 * Take the right to dispatch back after a successor has refused the commit for good.
+	 * @param successor the node that refused
+	 * @return {@code true} if another successor may be tried
+	 */
+	public boolean recordCommitRefused(NodeId successor) {
+		if (!successor.equals(this.committedTo)) {
+			return false;
+		}
+		this.committedTo = null;
+		this.spaces.values()
+			.stream()
+			.filter((space) -> space.ownership() == Ownership.PASSED_ON)
+			.forEach(KeySpace::own);
+		restartOffer();
+		return true;
+	}
+
 	/**
 	 * Return the outcomes that became known since the commit.
 	 * @return the changed entries
@@ -224,7 +254,7 @@
 		List<KeySpacePart> parts = new ArrayList<>();
 		for (KeySpace space : this.spaces.values()) {
 			if (space.ownership() == ownership) {
-				parts.add(new KeySpacePart(space.issuer(), space.forgottenThroughMillis(), space.takeUnoffered()));
+				parts.add(space.takeUnoffered());
 			}
 		}
 		return parts;
@@ -239,31 +269,37 @@
 			KeySpace space = this.spaces.computeIfAbsent(part.issuer(),
 					(issuer) -> new KeySpace(issuer, Ownership.INERT));
 			if (space.ownership() == Ownership.INERT) {
-				merge(space, part);
+				space.merge(part);
 			}
 		}
 	}
 
 	/**
-	 * Take over the right to dispatch. Doing so twice changes nothing.
+	 * Take over the right to dispatch. Doing so twice changes nothing. Nothing is taken
+	 * over unless this node then holds every entry of the sender: an offer may have been
+	 * lost or overtaken, and a key without its entry would be taken for a new one.
 	 * @param parts the committed parts
-	 * @return the accepted entries that this node now has to dispatch
+	 * @return what this node did
 	 */
-	public List<LedgerEntry> receiveCommit(List<KeySpacePart> parts) {
-		if (this.committedTo != null) {
-			throw new IllegalStateException("this node has passed its own requests on to " + this.committedTo);
+	public CommitResult receiveCommit(List<KeySpacePart> parts) {
+		receiveOffer(parts);
+		List<KeySpacePart> pending = parts.stream()
+			.filter((part) -> this.spaces.get(part.issuer()).ownership() == Ownership.INERT)
+			.toList();
+		if (parts.stream().anyMatch((part) -> this.spaces.get(part.issuer()).ownership() == Ownership.REFUSED)
+				|| (this.committedTo != null && !pending.isEmpty())) {
+			pending.forEach((part) -> this.spaces.get(part.issuer()).refuse());
+			return new CommitResult.Refused();
 		}
-		List<LedgerEntry> toDispatch = new ArrayList<>();
-		for (KeySpacePart part : parts) {
-			KeySpace space = this.spaces.computeIfAbsent(part.issuer(),
-					(issuer) -> new KeySpace(issuer, Ownership.INERT));
-			if (space.ownership() == Ownership.INERT) {
-				merge(space, part);
-				space.own();
-				space.entries().stream().filter((entry) -> entry.state() == KeyState.ACCEPTED).forEach(toDispatch::add);
-			}
+		if (!pending.stream().allMatch((part) -> this.spaces.get(part.issuer()).matches(part))) {
+			return new CommitResult.Incomplete();
 		}
-		return toDispatch;
+		List<KeySpace> taken = pending.stream().map((part) -> this.spaces.get(part.issuer())).toList();
+		taken.forEach(KeySpace::own);
+		return new CommitResult.Taken(taken.stream()
+			.flatMap((space) -> space.entries().stream())
+			.filter((entry) -> entry.state() == KeyState.ACCEPTED)
+			.toList());
 	}
 
 	/**
@@ -310,11 +346,6 @@
 		return lost;
 	}
 
-	private static void merge(KeySpace space, KeySpacePart part) {
-		space.forgetThrough(part.forgottenThroughMillis());
-		part.entries().forEach(space::put);
-	}
-
 	/**
 	 * Return what the ledger holds of a key.
 	 * @param key the key
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerChoice.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerChoice.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import io.flamingogap.core.manifest.BackendServer;
 import io.flamingogap.core.manifest.Manifest;
@@ -25,20 +24,18 @@
 	/**
 	 * Choose the server with the least estimated work, the links to it included.
 	 * @param manifest the manifest in force
-	 * @param service the service
-	 * @param version the version to use
+	 * @param query which servers may take the request
 	 * @param ownZone the zone of the entry node
 	 * @param loads the known loads
 	 * @param leaving the servers that get no new work
-	 * @param tried the names of the servers that this request has tried
 	 * @param nowMillis the present time
 	 * @return the server, if one can take the request
 	 */
-	public static Optional<BackendServer> choose(Manifest manifest, String service, String version, String ownZone,
-			ServerLoads loads, LeavingServers leaving, Set<String> tried, long nowMillis) {
-		List<BackendServer> ready = manifest.servers(service, version)
+	public static Optional<BackendServer> choose(Manifest manifest, ServerQuery query, String ownZone,
+			ServerLoads loads, LeavingServers leaving, long nowMillis) {
+		List<BackendServer> ready = manifest.servers(query.service(), query.version())
 			.stream()
-			.filter((server) -> !leaving.isLeaving(server.name(), nowMillis) && !tried.contains(server.name()))
+			.filter((server) -> query.allows(server) && !leaving.isLeaving(server.name(), nowMillis))
 			.toList();
 		Optional<BackendServer> preferred = least(
 				ready.stream().filter((server) -> !loads.isAvoided(server.name(), nowMillis)).toList(), manifest,
--- a/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
@@ -1,5 +1,6 @@
 package io.flamingogap.core.text;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.InvalidKeyException;
 import java.security.MessageDigest;
@@ -34,14 +35,27 @@
 	 * @return 64 lower-case hexadecimal digits
 	 */
 	public static String sha256(byte[] bytes) {
+		return HexFormat.of().formatHex(sha256Bytes(bytes));
+	}
+
+	private static byte[] sha256Bytes(byte[] bytes) {
 		try {
-			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+			return MessageDigest.getInstance("SHA-256").digest(bytes);
 		}
 		catch (NoSuchAlgorithmException ex) {
 			throw new IllegalStateException("every Java platform has SHA-256", ex);
 		}
 	}
 
+	/**
+	 * Return the beginning of the SHA-256 digest of a text.
+	 * @param text the text, taken as UTF-8
+	 * @return the first 64 bits
+	 */
+	public static long sha256Prefix(String text) {
+		return ByteBuffer.wrap(sha256Bytes(text.getBytes(StandardCharsets.UTF_8))).getLong();
+	}
+
 	/**
 	 * Return the HMAC-SHA-256 of some bytes.
 	 * @param secret the shared secret
--- /dev/null
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerPropertyTests.java
@@ -0,0 +1,42 @@
+package io.flamingogap.core.request;
+
+import java.util.List;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+/**
+ * Properties of {@link RequestLedger} under random orders of steps and faults.
+ */
+class LedgerPropertyTests {
+
+	private static final int NODE_SHIFT = 4;
+
+	private static final int CHOICE_SHIFT = 6;
+
+	private static final int MAX_STEP = 1 << 14;
+
+	@Property(tries = 20_000, seed = "20261204", edgeCases = EdgeCasesMode.NONE)
+	void keysAreExecutedAtMostOnceAndNotRunIsTrue(@ForAll("steps") List<Integer> steps) {
+		LedgerFleet fleet = new LedgerFleet();
+		for (int step : steps) {
+			int action = (step & ((1 << NODE_SHIFT) - 1)) % LedgerFleet.ACTIONS;
+			int node = ((step >> NODE_SHIFT) & ((1 << (CHOICE_SHIFT - NODE_SHIFT)) - 1)) % 3;
+			fleet.step(action, node, step >> CHOICE_SHIFT);
+		}
+		assertThat(fleet.violations(), empty());
+	}
+
+	@Provide
+	Arbitrary<List<Integer>> steps() {
+		return Arbitraries.integers().between(0, MAX_STEP - 1).withoutEdgeCases().list().ofMinSize(20).ofMaxSize(120);
+	}
+
+}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
@@ -174,8 +174,8 @@
 		void commitMovesTheRightForGood() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
-			List<LedgerEntry> taken = this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
-			assertThat(taken.size(), is(1));
+			CommitResult result = this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
+			assertThat(((CommitResult.Taken) result).toDispatch().size(), is(1));
 			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
 			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(true));
 		}
@@ -187,12 +187,54 @@
 					instanceOf(IllegalStateException.class));
 		}
 
+		@Test
+		void commitAfterALostOfferTakesEffectOnlyWhenWhole() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
+			RequestLedgerTests.this.ledger.offer();
+			List<KeySpacePart> changes = RequestLedgerTests.this.ledger.commit(SECOND);
+			assertThat(this.successor.receiveCommit(changes), instanceOf(CommitResult.Incomplete.class));
+			assertThat(this.successor.isOwner(FIRST), is(false));
+			this.successor.receiveCommit(RequestLedgerTests.this.ledger.wholeCommit());
+			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(false));
+			assertThat(this.successor.admit(RequestLedgerTests.this.request, 1), instanceOf(Admission.Join.class));
+		}
+
+		@Test
+		void refusedCommitMayGoToAnotherSuccessor() {
+			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
+			this.successor.commit(THIRD);
+			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
+			assertThat(this.successor.receiveCommit(parts), instanceOf(CommitResult.Refused.class));
+			assertThat(RequestLedgerTests.this.ledger.recordCommitRefused(SECOND), is(true));
+			RequestLedger third = new RequestLedger(THIRD, LedgerFixtures.LIMITS);
+			third.receiveCommit(RequestLedgerTests.this.ledger.commit(THIRD));
+			assertThat(third.startDispatch(RequestLedgerTests.this.key), is(true));
+		}
+
+		@Test
+		void refusalIsFinal() {
+			this.successor.commit(THIRD);
+			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
+			this.successor.receiveCommit(parts);
+			this.successor.recordCommitRefused(THIRD);
+			assertThat(this.successor.receiveCommit(parts), instanceOf(CommitResult.Refused.class));
+		}
+
+		@Test
+		void repeatedCommitToANodeThatPassedTheKeysOnIsNotRefused() {
+			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
+			this.successor.receiveCommit(parts);
+			this.successor.commit(THIRD);
+			assertThat(this.successor.receiveCommit(parts), equalTo(new CommitResult.Taken(List.of())));
+		}
+
 		@Test
 		void doubledCommitDispatchesNothingTwice() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
 			this.successor.receiveCommit(parts);
-			assertThat(this.successor.receiveCommit(parts), is(empty()));
+			assertThat(this.successor.receiveCommit(parts), equalTo(new CommitResult.Taken(List.of())));
 		}
 
 		@Test
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -23,6 +23,7 @@
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.request.LedgerLimits;
 import io.flamingogap.core.request.RequestLedger;
+import io.flamingogap.core.rollout.TakeBack;
 import io.flamingogap.daemon.admin.AdminHandler;
 import io.flamingogap.daemon.admin.RequestMetrics;
 import io.flamingogap.daemon.backends.BackendClient;
@@ -42,6 +43,7 @@
 import io.flamingogap.daemon.nodes.PeerLinks;
 import io.flamingogap.daemon.operators.OperatorApi;
 import io.flamingogap.daemon.operators.OperatorHandler;
+import io.flamingogap.daemon.platformlog.AuditEntry;
 import io.flamingogap.daemon.platformlog.AuditTrail;
 import io.flamingogap.daemon.platformlog.ConfigFollower;
 import io.flamingogap.daemon.platformlog.ConfigPublisher;
@@ -49,6 +51,8 @@
 import io.flamingogap.daemon.platformlog.PlatformLog;
 import io.flamingogap.daemon.requests.Dispatcher;
 import io.flamingogap.daemon.requests.KeyedRequests;
+import io.flamingogap.daemon.rollouts.RolloutJudge;
+import io.flamingogap.daemon.rollouts.Rollouts;
 import io.flamingogap.daemon.settings.Settings;
 
 /**
@@ -74,6 +78,10 @@
 
 	private final AuditTrail audit;
 
+	private final Rollouts rollouts;
+
+	private final RolloutJudge judge;
+
 	private final CloudWatcher cloudWatcher;
 
 	private final NodeServer nodeServer;
@@ -108,16 +116,20 @@
 		NodeClients nodeClients = new NodeClients(self, settings.nodes().sharedSecret(), clock);
 		BackendServers servers = new BackendServers(this.configuration::manifest, settings.node().zone());
 		BackendClient backendClient = new BackendClient(this.executor, settings.requests().connectTimeoutMillis());
+		this.rollouts = new Rollouts(self, this.configuration::manifest, clock);
+		this.judge = new RolloutJudge(this.rollouts, log);
 		Dispatcher dispatcher = new Dispatcher(this.configuration, servers, backendClient,
-				settings.requests().answerTimeoutMillis(), () -> lifecycle().lastDispatchMillis(), clock);
+				settings.requests().answerTimeoutMillis(), this.rollouts, () -> lifecycle().lastDispatchMillis(),
+				clock);
 		KeyedRequests requests = new KeyedRequests(new RequestLedger(self, limits(settings.requests())), dispatcher,
 				this.membership, nodeClients, this.executor, clock);
 		this.lifecycle = new NodeLifecycle(settings, this.membership, requests, nodeClients, this.audit, clock);
 		this.callerHandler = new CallerHandler(this.configuration, this.membership,
-				new CompletionsHandler(this.configuration, new ModelStreams(backendClient, servers, clock),
+				new CompletionsHandler(this.configuration,
+						new ModelStreams(backendClient, servers, this.rollouts, clock), this.rollouts,
 						this.lifecycle::isMoving),
-				new PlainServiceHandler(this.configuration, new PlainCalls(backendClient, servers, clock), requests,
-						clock),
+				new PlainServiceHandler(this.configuration,
+						new PlainCalls(backendClient, servers, this.rollouts, clock), requests, this.rollouts, clock),
 				new KeyStatusHandler(requests, this.membership, nodeClients), settings.callers(), clock);
 		this.cloudWatcher = new CloudWatcher(
 				new CloudClient(platformClient, Address.parse(settings.platform().cloudAddress())), servers,
@@ -125,12 +137,12 @@
 				(notice) -> this.lifecycle.reclaim(notice, this.callerHandler::openRequests));
 		this.nodeServer = NodeServer.create(settings.nodes(), Address.parse(settings.listen().nodeAddress()),
 				(int) settings.nodes().silentMillis() * IDLE_SILENT_TIMES, this.membership, this.configuration,
-				requests, clock);
-		this.links = new PeerLinks(settings.nodes(), this.membership, this.configuration,
+				this.rollouts, requests, clock);
+		this.links = new PeerLinks(settings.nodes(), this.membership, this.configuration, this.rollouts,
 				this.cloudWatcher::seedAddresses);
 		OperatorApi api = new OperatorApi(this.configuration, this.follower,
-				new ConfigPublisher(log, this.configuration, this.follower), this.membership, requests, this.audit, log,
-				this::stop, clock);
+				new ConfigPublisher(log, this.configuration, this.follower), this.membership, requests, this.rollouts,
+				this.audit, log, this::stop, clock);
 		OperatorHandler operators = new OperatorHandler(this.configuration, settings.operators(), api);
 		PrometheusMeterRegistry registry = registry(requests);
 		this.callerListener = new HttpListener(Address.parse(settings.listen().callerAddress()),
@@ -207,6 +219,8 @@
 	public void start() {
 		this.audit.start();
 		this.follower.start();
+		this.rollouts.addListener(this::tellOfTakeBack);
+		this.judge.start();
 		this.cloudWatcher.start();
 		this.nodeServer.start();
 		this.links.start();
@@ -215,6 +229,21 @@
 		logger.atInfo().log("node %s serves", this.membership.own().node());
 	}
 
+	/**
+	 * Spread a take-back at once; the node that decided it also keeps it.
+	 * @param decision the decision
+	 */
+	private void tellOfTakeBack(TakeBack decision) {
+		this.links.wakeAll();
+		String own = this.membership.own().node().toString();
+		if (decision.by().equals(own) || decision.by().endsWith("@" + own)) {
+			this.judge.keep(decision);
+			this.audit.record(new AuditEntry(decision.atMillis(), this.membership.own().node().name(), decision.by(),
+					"take back", decision.rollout().service() + " " + decision.rollout().candidate(), decision.reason(),
+					this.configuration.state().acceptedOffset()));
+		}
+	}
+
 	/**
 	 * Begin a planned stop.
 	 * @param who who asked for it
@@ -235,7 +264,7 @@
 	@Override
 	public void close() {
 		List.<AutoCloseable>of(this.callerListener, this.adminListener, this.links, this.nodeServer, this.cloudWatcher,
-				this.follower, this.audit)
+				this.judge, this.follower, this.audit)
 			.forEach(EntryNode::closeQuietly);
 		this.executor.shutdownNow();
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -25,6 +25,7 @@
 import io.flamingogap.daemon.platformlog.AuditTrail;
 import io.flamingogap.daemon.requests.KeyedRequests;
 import io.flamingogap.daemon.settings.Settings;
+import io.flamingogap.wire.CommitReply;
 
 /**
  * The end of a node's life: a planned stop, or a reclaim with a deadline. The node leaves
@@ -160,7 +161,7 @@
 	private void handOver() throws InterruptedException {
 		Set<NodeId> tried = new HashSet<>();
 		Optional<Member> successor = choose(tried);
-		while (successor.isPresent() && !offer(successor.get())) {
+		while (successor.isPresent() && !passOnTo(successor.get())) {
 			tried.add(successor.get().node());
 			this.requests.withLedger((ledger) -> {
 				ledger.restartOffer();
@@ -171,39 +172,56 @@
 		if (successor.isEmpty()) {
 			logger.atWarning().log("no successor: keys of this node end with it");
 			record(this.membership.own().node().toString(), "handover", "no successor could be reached");
-			return;
 		}
-		commit(successor.get());
 	}
 
 	private Optional<Member> choose(Set<NodeId> tried) {
 		return SuccessorChoice.choose(this.membership.own(), this.membership.members(), tried);
 	}
 
-	private boolean offer(Member successor) {
-		List<KeySpacePart> parts = this.requests.withLedger(RequestLedger::offer);
-		return this.nodeClients.offer(successor, parts, STEP_TIMEOUT_MILLIS).isRight();
+	/**
+	 * Pass all keys on to one node.
+	 * @param successor the node
+	 * @return {@code false} if another node may be tried
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	private boolean passOnTo(Member successor) throws InterruptedException {
+		List<KeySpacePart> offered = this.requests.withLedger(RequestLedger::offer);
+		if (this.nodeClients.offer(successor, offered, STEP_TIMEOUT_MILLIS).isLeft()) {
+			return false;
+		}
+		Optional<CommitReply> reply = commit(successor);
+		if (reply.filter((done) -> done == CommitReply.REFUSED).isPresent()) {
+			return !this.requests.withLedger((ledger) -> ledger.recordCommitRefused(successor.node()));
+		}
+		record(this.membership.own().node().toString(), "handover",
+				"to " + successor.node() + (reply.isPresent() ? "" : ", not confirmed"));
+		this.membership.announce(MemberState.HANDED_OVER, successor.node());
+		sendOutcomes(successor);
+		this.requests.redirectWaiting(successor);
+		return true;
 	}
 
 	/**
-	 * Commit to one successor. Without a confirmation the same commit is sent again, and
-	 * never to another node.
+	 * Commit to a successor. Without a reply the commit is sent again, and never to
+	 * another node.
 	 * @param successor the node that holds the offer
+	 * @return what the successor did, if it became known in time
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	private void commit(Member successor) throws InterruptedException {
+	private Optional<CommitReply> commit(Member successor) throws InterruptedException {
 		List<KeySpacePart> parts = this.requests.withLedger((ledger) -> ledger.commit(successor.node()));
 		long latestMillis = this.clock.millis() + this.settings.requests().stopMarginMillis();
-		boolean confirmed = this.nodeClients.commit(successor, parts, STEP_TIMEOUT_MILLIS).isRight();
-		while (!confirmed && this.clock.millis() < latestMillis) {
+		while (this.clock.millis() < latestMillis) {
+			Optional<CommitReply> reply = this.nodeClients.commit(successor, parts, STEP_TIMEOUT_MILLIS)
+				.toJavaOptional();
+			if (reply.filter((done) -> done != CommitReply.INCOMPLETE).isPresent()) {
+				return reply;
+			}
+			parts = this.requests.withLedger(RequestLedger::wholeCommit);
 			Thread.sleep(LOOK_MILLIS);
-			confirmed = this.nodeClients.commit(successor, parts, STEP_TIMEOUT_MILLIS).isRight();
 		}
-		record(this.membership.own().node().toString(), "handover",
-				"to " + successor.node() + (confirmed ? "" : ", not confirmed"));
-		this.membership.announce(MemberState.HANDED_OVER, successor.node());
-		sendOutcomes(successor);
-		this.requests.redirectWaiting(successor);
+		return Optional.empty();
 	}
 
 	private void sendOutcomes(Member successor) throws InterruptedException {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
@@ -3,16 +3,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
 import io.flamingogap.core.limits.RetryBudget;
 import io.flamingogap.core.manifest.BackendServer;
 import io.flamingogap.core.manifest.Manifest;
-import io.flamingogap.core.manifest.Service;
 import io.flamingogap.core.routing.LeavingServers;
 import io.flamingogap.core.routing.ServerChoice;
 import io.flamingogap.core.routing.ServerLoads;
+import io.flamingogap.core.routing.ServerQuery;
 
 /**
  * What this node knows of the backend servers, shared by its threads.
@@ -49,14 +48,13 @@
 
 	/**
 	 * Choose a server and count a dispatch to it. The caller reports the end.
-	 * @param service the service
-	 * @param tried the names of the servers that the request has tried
+	 * @param query which servers may take the request
 	 * @param nowMillis the present time
 	 * @return the server, if one can take the request
 	 */
-	public synchronized Optional<BackendServer> acquire(Service service, Set<String> tried, long nowMillis) {
-		Optional<BackendServer> chosen = ServerChoice.choose(this.manifest.get(), service.name(), service.version(),
-				this.ownZone, this.loads, this.leaving, tried, nowMillis);
+	public synchronized Optional<BackendServer> acquire(ServerQuery query, long nowMillis) {
+		Optional<BackendServer> chosen = ServerChoice.choose(this.manifest.get(), query, this.ownZone, this.loads,
+				this.leaving, nowMillis);
 		chosen.ifPresent((server) -> this.loads.recordDispatch(server.name()));
 		return chosen;
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/EngineConnection.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/EngineConnection.java
@@ -126,7 +126,8 @@
 		try {
 			long position = Long.parseLong(id.substring(separator + 1));
 			boolean last = data.contains("\"finish_reason\":\"");
-			return Either.right(new TokenEvent(id.substring(0, separator), position, data, last));
+			return Either
+				.right(new TokenEvent(id.substring(0, separator), position, this.server.version(), data, last));
 		}
 		catch (NumberFormatException ex) {
 			return Either.left(broken("event id '" + id + "' without a position"));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/PlainCalls.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/PlainCalls.java
@@ -13,6 +13,9 @@
 import io.flamingogap.core.manifest.BackendServer;
 import io.flamingogap.core.manifest.Service;
 import io.flamingogap.core.request.Answer;
+import io.flamingogap.core.rollout.Arm;
+import io.flamingogap.daemon.rollouts.Rollouts;
+import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
  * Makes repeatable calls of plain services, with retries at other servers within the
@@ -26,34 +29,41 @@
 
 	private final BackendServers servers;
 
+	private final Rollouts rollouts;
+
 	private final Clock clock;
 
 	/**
 	 * Create the calls.
 	 * @param client the client of backend servers
 	 * @param servers what is known of them
+	 * @param rollouts counts outcomes by version
 	 * @param clock tells the present time
 	 */
-	public PlainCalls(BackendClient client, BackendServers servers, Clock clock) {
+	public PlainCalls(BackendClient client, BackendServers servers, Rollouts rollouts, Clock clock) {
 		this.client = client;
 		this.servers = servers;
+		this.rollouts = rollouts;
 		this.clock = clock;
 	}
 
 	/**
 	 * Make a call.
-	 * @param service the service
+	 * @param pick the version that answers
 	 * @param call the call
 	 * @param deadlineMillis when the caller stops waiting
 	 * @return the answer, or why there is none
 	 */
-	public Either<Failure, Answer> call(Service service, BackendCall call, long deadlineMillis) {
-		this.servers.recordFirstTry(service.name());
+	public Either<Failure, Answer> call(VersionPick pick, BackendCall call, long deadlineMillis) {
+		String service = pick.service().name();
+		this.servers.recordFirstTry(service);
 		Set<String> tried = new HashSet<>();
-		Either<Failure, Answer> outcome = tryOnce(service, call, tried, deadlineMillis);
-		while (shouldRetry(outcome) && this.clock.millis() < deadlineMillis
-				&& this.servers.trySpendRetry(service.name())) {
-			Either<Failure, Answer> again = tryOnce(service, call, tried, deadlineMillis);
+		VersionPick next = pick;
+		Either<Failure, Answer> outcome = tryOnce(next, call, tried, deadlineMillis);
+		while (shouldRetry(outcome, next) && this.clock.millis() < deadlineMillis
+				&& this.servers.trySpendRetry(service)) {
+			next = next.current();
+			Either<Failure, Answer> again = tryOnce(next, call, tried, deadlineMillis);
 			if (again.isLeft() && again.getLeft().step() == Step.ROUTE) {
 				return outcome;
 			}
@@ -62,21 +72,27 @@
 		return outcome;
 	}
 
-	private static boolean shouldRetry(Either<Failure, Answer> outcome) {
-		return outcome.fold((failure) -> failure.step() != Step.ROUTE, (answer) -> answer.status() >= SERVER_ERROR);
+	private static boolean shouldRetry(Either<Failure, Answer> outcome, VersionPick pick) {
+		return outcome.fold((failure) -> failure.step() != Step.ROUTE || pick.arm() == Arm.CANDIDATE,
+				(answer) -> answer.status() >= SERVER_ERROR);
 	}
 
-	private Either<Failure, Answer> tryOnce(Service service, BackendCall call, Set<String> tried, long deadlineMillis) {
-		Optional<BackendServer> acquired = this.servers.acquire(service, tried, this.clock.millis());
+	private Either<Failure, Answer> tryOnce(VersionPick pick, BackendCall call, Set<String> tried,
+			long deadlineMillis) {
+		Optional<BackendServer> acquired = this.servers.acquire(pick.query(tried), this.clock.millis());
 		if (acquired.isEmpty()) {
-			return Either.left(Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, service.name(),
-					"no backend server of version " + service.version() + " is ready"));
+			this.rollouts.report(pick, true, 0);
+			return Either.left(Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, pick.service().name(),
+					"no backend server of version " + pick.version() + " is ready"));
 		}
 		BackendServer server = acquired.get();
 		tried.add(server.name());
-		long timeoutMillis = attemptTimeoutMillis(service, deadlineMillis);
+		long startMillis = this.clock.millis();
 		try {
-			return outcome(server, this.client.call(server, call, timeoutMillis));
+			CallResult result = this.client.call(server, call, attemptTimeoutMillis(pick.service(), deadlineMillis));
+			this.rollouts.report(pick, result, this.servers.isLeaving(server.name(), this.clock.millis()),
+					this.clock.millis() - startMillis);
+			return outcome(server, result);
 		}
 		finally {
 			this.servers.release(server);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
@@ -3,11 +3,12 @@
 import java.util.Objects;
 
 import io.flamingogap.core.manifest.Service;
+import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
  * A request for a token stream.
  *
- * @param service the model
+ * @param pick the version that answers
  * @param requestId the id of the request, the same at each engine that works on it
  * @param path the path at the engine
  * @param body the request as JSON
@@ -16,15 +17,33 @@
  * @param firstPosition the position of the first token that the caller lacks
  * @param deadlineMillis when the caller stops waiting
  */
-public record StreamCall(Service service, String requestId, String path, byte[] body, String account, int priority,
+public record StreamCall(VersionPick pick, String requestId, String path, byte[] body, String account, int priority,
 		long firstPosition, long deadlineMillis) {
 
 	public StreamCall {
-		Objects.requireNonNull(service, "service must not be null");
+		Objects.requireNonNull(pick, "pick must not be null");
 		Objects.requireNonNull(requestId, "requestId must not be null");
 		Objects.requireNonNull(path, "path must not be null");
 		Objects.requireNonNull(body, "body must not be null");
 		Objects.requireNonNull(account, "account must not be null");
 	}
 
+	/**
+	 * Return the model.
+	 * @return the service
+	 */
+	public Service service() {
+		return this.pick.service();
+	}
+
+	/**
+	 * Return the same request answered by another version.
+	 * @param other the version
+	 * @return the request
+	 */
+	StreamCall with(VersionPick other) {
+		return new StreamCall(other, this.requestId, this.path, this.body, this.account, this.priority,
+				this.firstPosition, this.deadlineMillis);
+	}
+
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
@@ -25,6 +25,8 @@
 import io.flamingogap.daemon.backends.TokenSink;
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.rollouts.Rollouts;
+import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
  * Serves {@code /v1/chat/completions} and {@code /v1/completions}, as a stream of
@@ -38,17 +40,22 @@
 
 	private final ModelStreams streams;
 
+	private final Rollouts rollouts;
+
 	private final BooleanSupplier moving;
 
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
 	 * @param streams the streams of model engines
+	 * @param rollouts chooses the version
 	 * @param moving whether open streams are to go on at another entry node
 	 */
-	public CompletionsHandler(Configuration configuration, ModelStreams streams, BooleanSupplier moving) {
+	public CompletionsHandler(Configuration configuration, ModelStreams streams, Rollouts rollouts,
+			BooleanSupplier moving) {
 		this.configuration = configuration;
 		this.streams = streams;
+		this.rollouts = rollouts;
 		this.moving = moving;
 	}
 
@@ -96,8 +103,11 @@
 		}
 		String requestId = resume.map(EventId::requestId).orElseGet(() -> UUID.randomUUID().toString());
 		long first = resume.map((event) -> event.position() + 1).orElse(0L);
-		return Either.right(new StreamCall(service.get(), requestId, exchange.getRequestURI().getPath(), request.body(),
-				request.account().name(), request.account().priority(), first, request.deadlineMillis()));
+		String path = exchange.getRequestURI().getPath();
+		VersionPick pick = resume.map((event) -> this.rollouts.resume(service.get(), event.version(), path))
+			.orElseGet(() -> this.rollouts.pick(service.get(), requestId, path, true));
+		return Either.right(new StreamCall(pick, requestId, path, request.body(), request.account().name(),
+				request.account().priority(), first, request.deadlineMillis()));
 	}
 
 	private void stream(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
@@ -138,7 +148,7 @@
 
 		@Override
 		public void accept(TokenEvent event) throws IOException {
-			EventId id = new EventId(this.call.requestId(), this.call.service().version(), event.position());
+			EventId id = new EventId(this.call.requestId(), event.version(), event.position());
 			write("id: " + id + "\ndata: " + event.data() + "\n\n");
 		}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Clock;
 import java.util.Optional;
+import java.util.UUID;
 
 import com.sun.net.httpserver.HttpExchange;
 import io.vavr.control.Either;
@@ -23,6 +24,8 @@
 import io.flamingogap.daemon.requests.KeyedRequests;
 import io.flamingogap.daemon.requests.Outcome;
 import io.flamingogap.daemon.requests.ServicePath;
+import io.flamingogap.daemon.rollouts.Rollouts;
+import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
  * Serves plain services under {@code /services/NAME/}.
@@ -41,6 +44,8 @@
 
 	private final KeyedRequests keyedRequests;
 
+	private final Rollouts rollouts;
+
 	private final Clock clock;
 
 	/**
@@ -48,13 +53,15 @@
 	 * @param configuration the configuration in force
 	 * @param plainCalls makes repeatable calls
 	 * @param keyedRequests runs unrepeatable calls
+	 * @param rollouts chooses the version
 	 * @param clock tells the present time
 	 */
 	public PlainServiceHandler(Configuration configuration, PlainCalls plainCalls, KeyedRequests keyedRequests,
-			Clock clock) {
+			Rollouts rollouts, Clock clock) {
 		this.configuration = configuration;
 		this.plainCalls = plainCalls;
 		this.keyedRequests = keyedRequests;
+		this.rollouts = rollouts;
 		this.clock = clock;
 	}
 
@@ -70,18 +77,20 @@
 					"no route serves " + exchange.getRequestMethod() + " " + path));
 		}
 		else if (route.get().repeatable()) {
-			answerRepeatable(exchange, request, service.get());
+			answerRepeatable(exchange, request, service.get(), route.get());
 		}
 		else {
 			answerOnce(exchange, request);
 		}
 	}
 
-	private void answerRepeatable(HttpExchange exchange, CallerRequest request, Service service) throws IOException {
+	private void answerRepeatable(HttpExchange exchange, CallerRequest request, Service service, Route route)
+			throws IOException {
 		BackendCall call = new BackendCall(exchange.getRequestMethod(), ServicePath.rest(pathWithQuery(exchange)),
 				contentType(exchange), request.body(), request.account().name(), null,
 				Math.max(0, request.deadlineMillis() - this.clock.millis()));
-		Either<Failure, Answer> answer = this.plainCalls.call(service, call, request.deadlineMillis());
+		VersionPick pick = this.rollouts.pick(service, UUID.randomUUID().toString(), route.toString(), true);
+		Either<Failure, Answer> answer = this.plainCalls.call(pick, call, request.deadlineMillis());
 		if (answer.isLeft()) {
 			Exchanges.sendProblem(exchange, answer.getLeft());
 			return;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
@@ -22,6 +22,7 @@
 import io.flamingogap.core.request.KeySpacePart;
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.RequestKey;
+import io.flamingogap.wire.CommitReply;
 import io.flamingogap.wire.KeyStatus;
 import io.flamingogap.wire.NodeFault;
 import io.flamingogap.wire.NodeService;
@@ -104,11 +105,12 @@
 	 * @param successor the successor
 	 * @param parts the parts
 	 * @param timeoutMillis how long it may take
-	 * @return nothing, or why it is not known to have been received
+	 * @return what the successor did, or why that isn't known
 	 */
-	public Either<Failure, Boolean> commit(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		return handOver(successor, parts, timeoutMillis,
-				(client, wire) -> client.commit(WireCodec.toWire(this.self), wire));
+	public Either<Failure, CommitReply> commit(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
+		List<io.flamingogap.wire.KeySpacePart> wire = WireCodec.partsToWire(parts, this.clock.millis());
+		return call(successor, Step.HANDOVER, timeoutMillis,
+				(client) -> client.commit(WireCodec.toWire(this.self), wire));
 	}
 
 	/**
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeRequests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.flamingogap.core.request.Answer;
+import io.flamingogap.core.request.CommitResult;
 import io.flamingogap.core.request.KeySpacePart;
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.LedgerEntry;
@@ -38,8 +39,9 @@
 	/**
 	 * Take requests over.
 	 * @param parts the committed parts
+	 * @return what this node did
 	 */
-	void receiveCommit(List<KeySpacePart> parts);
+	CommitResult receiveCommit(List<KeySpacePart> parts);
 
 	/**
 	 * Learn outcomes of calls that were in flight at a commit.
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
@@ -18,7 +18,9 @@
 import org.apache.thrift.transport.layered.TFramedTransport;
 
 import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
 import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.rollouts.Rollouts;
 import io.flamingogap.daemon.settings.Settings;
 import io.flamingogap.wire.NodeService;
 
@@ -47,15 +49,18 @@
 	 * @param idleMillis how long a connection may be silent before it is closed
 	 * @param membership the membership table
 	 * @param configuration the configuration in force
+	 * @param rollouts the rollouts under way
 	 * @param requests the keyed requests of this node
 	 * @param clock tells the present time
 	 * @return the listener
 	 * @throws TException if the address can't be bound
 	 */
 	public static NodeServer create(Settings.Nodes settings, Address address, int idleMillis, Membership membership,
-			Configuration configuration, NodeRequests requests, Clock clock) throws TException {
+			Configuration configuration, Rollouts rollouts, NodeRequests requests, Clock clock) throws TException {
+		Gossip gossip = new Gossip(membership, configuration, rollouts);
+		NodeId self = membership.own().node();
 		return new NodeServer(address, idleMillis,
-				() -> new NodeSession(settings.sharedSecret(), membership, configuration, requests, clock));
+				() -> new NodeSession(settings.sharedSecret(), self, gossip, configuration, requests, clock));
 	}
 
 	NodeServer(Address address, int idleMillis, Supplier<NodeService.Iface> sessions) throws TException {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
@@ -4,17 +4,18 @@
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
 
 import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.request.CommitResult;
 import io.flamingogap.core.request.LedgerEntry;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.core.text.Digests;
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.wire.Answer;
+import io.flamingogap.wire.CommitReply;
 import io.flamingogap.wire.ConfigRecord;
 import io.flamingogap.wire.Heartbeat;
 import io.flamingogap.wire.HeartbeatReply;
@@ -40,7 +41,9 @@
 
 	private final String sharedSecret;
 
-	private final Membership membership;
+	private final NodeId self;
+
+	private final Gossip gossip;
 
 	private final Configuration configuration;
 
@@ -52,12 +55,13 @@
 
 	private @Nullable NodeId peer;
 
-	private long sentSequence;
+	private Gossip.Sent sent = Gossip.Sent.NOTHING;
 
-	NodeSession(String sharedSecret, Membership membership, Configuration configuration, NodeRequests requests,
+	NodeSession(String sharedSecret, NodeId self, Gossip gossip, Configuration configuration, NodeRequests requests,
 			Clock clock) {
 		this.sharedSecret = sharedSecret;
-		this.membership = membership;
+		this.self = self;
+		this.gossip = gossip;
 		this.configuration = configuration;
 		this.requests = requests;
 		this.clock = clock;
@@ -80,7 +84,7 @@
 			throw new NodeFault("authenticate", claimed.toString(), "the shared secret is not proven");
 		}
 		this.peer = claimed;
-		return WireCodec.toWire(this.membership.own().node());
+		return WireCodec.toWire(this.self);
 	}
 
 	private void requireProof(String step) throws NodeFault {
@@ -92,11 +96,10 @@
 	@Override
 	public HeartbeatReply heartbeat(Heartbeat heartbeat) throws NodeFault {
 		requireProof("heartbeat");
-		this.membership.mergeAll(WireCodec.fromWire(heartbeat.getChanges()));
-		Membership.Changes changes = this.membership.changesAfter(this.sentSequence);
-		this.sentSequence = changes.sequence();
-		return new HeartbeatReply(heartbeat.getSequence(), this.configuration.state().headOffset(),
-				WireCodec.toWire(changes.members()), List.of());
+		this.gossip.receive(heartbeat);
+		Gossip.News news = this.gossip.newsAfter(this.sent);
+		this.sent = news.sent();
+		return this.gossip.reply(heartbeat.getSequence(), news);
 	}
 
 	@Override
@@ -135,14 +138,13 @@
 	}
 
 	@Override
-	public void commit(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
+	public CommitReply commit(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
 		requireProof("commit");
-		try {
-			this.requests.receiveCommit(WireCodec.partsFromWire(parts, this.clock.millis()));
-		}
-		catch (IllegalStateException ex) {
-			throw new NodeFault("commit", Objects.requireNonNull(this.peer).toString(), ex.getMessage());
+		CommitResult result = this.requests.receiveCommit(WireCodec.partsFromWire(parts, this.clock.millis()));
+		if (result instanceof CommitResult.Taken) {
+			return CommitReply.TAKEN;
 		}
+		return (result instanceof CommitResult.Incomplete) ? CommitReply.INCOMPLETE : CommitReply.REFUSED;
 	}
 
 	@Override
@@ -151,9 +153,4 @@
 		this.requests.receiveOutcomes(WireCodec.partsFromWire(parts, this.clock.millis()));
 	}
 
-	@Override
-	public void notify(List<String> facts) {
-		// Facts other than membership rows and configuration records don't exist yet.
-	}
-
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLink.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLink.java
@@ -11,7 +11,6 @@
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
 import io.flamingogap.daemon.settings.Settings;
-import io.flamingogap.wire.Heartbeat;
 import io.flamingogap.wire.HeartbeatReply;
 
 /**
@@ -33,6 +32,8 @@
 
 	private final Settings.Nodes settings;
 
+	private final Gossip gossip;
+
 	private final Membership membership;
 
 	private final Configuration configuration;
@@ -45,15 +46,14 @@
 
 	private volatile boolean closed;
 
-	private long sentSequence;
-
 	private long heartbeats;
 
-	PeerLink(Address address, NodeId self, Settings.Nodes settings, Membership membership,
+	PeerLink(Address address, NodeId self, Settings.Nodes settings, Gossip gossip, Membership membership,
 			Configuration configuration) {
 		this.address = address;
 		this.self = self;
 		this.settings = settings;
+		this.gossip = gossip;
 		this.membership = membership;
 		this.configuration = configuration;
 		this.thread = new Thread(this::run, "peer-link-" + address);
@@ -79,7 +79,6 @@
 					(int) this.settings.silentMillis())) {
 				failures = 0;
 				this.lastPeer = connection.peer();
-				this.sentSequence = 0;
 				exchange(connection);
 			}
 			catch (TException ex) {
@@ -102,14 +101,13 @@
 	}
 
 	private void exchange(NodeConnection connection) throws TException, InterruptedException {
+		Gossip.Sent sent = Gossip.Sent.NOTHING;
 		while (!this.closed) {
-			Membership.Changes changes = this.membership.changesAfter(this.sentSequence);
+			Gossip.News news = this.gossip.newsAfter(sent);
 			this.heartbeats++;
-			Heartbeat heartbeat = new Heartbeat(this.heartbeats, this.configuration.state().headOffset(),
-					WireCodec.toWire(changes.members()), List.of());
-			HeartbeatReply reply = connection.client().heartbeat(heartbeat);
-			this.sentSequence = changes.sequence();
-			this.membership.mergeAll(WireCodec.fromWire(reply.getChanges()));
+			HeartbeatReply reply = connection.client().heartbeat(this.gossip.heartbeat(this.heartbeats, news));
+			sent = news.sent();
+			this.gossip.receive(reply);
 			fetchRecords(connection, reply.getConfigHead());
 			sleepUntilNews();
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
@@ -10,6 +10,7 @@
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.rollouts.Rollouts;
 import io.flamingogap.daemon.settings.Settings;
 
 /**
@@ -22,6 +23,8 @@
 
 	private final Settings.Nodes settings;
 
+	private final Gossip gossip;
+
 	private final Membership membership;
 
 	private final Configuration configuration;
@@ -39,12 +42,14 @@
 	 * @param settings how nodes talk to each other
 	 * @param membership the membership table
 	 * @param configuration the configuration in force
+	 * @param rollouts the rollouts under way
 	 * @param listedAddresses the node addresses on the cloud's instance list
 	 */
-	public PeerLinks(Settings.Nodes settings, Membership membership, Configuration configuration,
+	public PeerLinks(Settings.Nodes settings, Membership membership, Configuration configuration, Rollouts rollouts,
 			Supplier<Set<String>> listedAddresses) {
 		this.self = membership.own().node();
 		this.settings = settings;
+		this.gossip = new Gossip(membership, configuration, rollouts);
 		this.membership = membership;
 		this.configuration = configuration;
 		this.listedAddresses = listedAddresses;
@@ -105,12 +110,16 @@
 	}
 
 	private PeerLink open(Address address) {
-		PeerLink link = new PeerLink(address, this.self, this.settings, this.membership, this.configuration);
+		PeerLink link = new PeerLink(address, this.self, this.settings, this.gossip, this.membership,
+				this.configuration);
 		link.start();
 		return link;
 	}
 
-	private synchronized void wakeAll() {
+	/**
+	 * Send news to all neighbours at once.
+	 */
+	public synchronized void wakeAll() {
 		this.links.values().forEach(PeerLink::wake);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/WireCodec.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/WireCodec.java
@@ -15,6 +15,12 @@
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.LedgerEntry;
 import io.flamingogap.core.request.RequestKey;
+import io.flamingogap.core.rollout.Arm;
+import io.flamingogap.core.rollout.EvidenceKey;
+import io.flamingogap.core.rollout.EvidenceRow;
+import io.flamingogap.core.rollout.RolloutKey;
+import io.flamingogap.core.rollout.TakeBack;
+import io.flamingogap.core.rollout.Tally;
 import io.flamingogap.wire.NodeRef;
 
 /**
@@ -89,12 +95,14 @@
 
 	private static io.flamingogap.wire.KeySpacePart toWire(KeySpacePart part, long nowMillis) {
 		return new io.flamingogap.wire.KeySpacePart(toWire(part.issuer()), part.forgottenThroughMillis(),
-				part.entries().stream().map((entry) -> toWire(entry, nowMillis)).toList());
+				part.entries().stream().map((entry) -> toWire(entry, nowMillis)).toList(), part.whole(),
+				part.fingerprint());
 	}
 
 	private static KeySpacePart fromWire(io.flamingogap.wire.KeySpacePart wire, long nowMillis) {
 		return new KeySpacePart(fromWire(wire.getIssuer()), wire.getForgottenThroughMillis(),
-				wire.getEntries().stream().map((entry) -> fromWire(entry, nowMillis)).toList());
+				wire.getEntries().stream().map((entry) -> fromWire(entry, nowMillis)).toList(), wire.isWhole(),
+				wire.getFingerprint());
 	}
 
 	private static io.flamingogap.wire.LedgerEntry toWire(LedgerEntry entry, long nowMillis) {
@@ -123,6 +131,50 @@
 				wire.isSetDispatchedBy() ? fromWire(wire.getDispatchedBy()) : null);
 	}
 
+	static List<io.flamingogap.wire.EvidenceRow> evidenceToWire(List<EvidenceRow> rows) {
+		return rows.stream().map(WireCodec::toWire).toList();
+	}
+
+	static List<EvidenceRow> evidenceFromWire(List<io.flamingogap.wire.EvidenceRow> rows) {
+		return rows.stream().map(WireCodec::fromWire).toList();
+	}
+
+	private static io.flamingogap.wire.EvidenceRow toWire(EvidenceRow row) {
+		EvidenceKey key = row.key();
+		Tally tally = row.tally();
+		return new io.flamingogap.wire.EvidenceRow(toWire(key.rollout()), toWire(key.node()),
+				io.flamingogap.wire.Arm.valueOf(key.arm().name()), key.route(), key.period(), tally.requests(),
+				tally.failures(), tally.slow());
+	}
+
+	private static EvidenceRow fromWire(io.flamingogap.wire.EvidenceRow wire) {
+		EvidenceKey key = new EvidenceKey(fromWire(wire.getRollout()), fromWire(wire.getNode()),
+				Arm.valueOf(wire.getArm().name()), wire.getRoute(), wire.getPeriod());
+		return new EvidenceRow(key, new Tally(wire.getRequests(), wire.getFailures(), wire.getSlow()));
+	}
+
+	private static io.flamingogap.wire.RolloutKey toWire(RolloutKey key) {
+		return new io.flamingogap.wire.RolloutKey(key.service(), key.candidate(), key.startsAtEpochSeconds());
+	}
+
+	private static RolloutKey fromWire(io.flamingogap.wire.RolloutKey wire) {
+		return new RolloutKey(wire.getServiceName(), wire.getCandidate(), wire.getStartsAtEpochSeconds());
+	}
+
+	static List<io.flamingogap.wire.TakeBack> takeBacksToWire(List<TakeBack> decisions) {
+		return decisions.stream()
+			.map((decision) -> new io.flamingogap.wire.TakeBack(toWire(decision.rollout()), decision.by(),
+					decision.reason(), decision.atMillis()))
+			.toList();
+	}
+
+	static List<TakeBack> takeBacksFromWire(List<io.flamingogap.wire.TakeBack> decisions) {
+		return decisions.stream()
+			.map((wire) -> new TakeBack(fromWire(wire.getRollout()), wire.getBy(), wire.getReason(),
+					wire.getAtMillis()))
+			.toList();
+	}
+
 	private static RequestKey key(String text) {
 		return RequestKey.parse(text)
 			.getOrElseThrow((failure) -> new IllegalArgumentException("a peer sent a key that can't be read: " + text));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
@@ -22,6 +22,8 @@
 import io.flamingogap.core.membership.Member;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.core.request.RequestLedger;
+import io.flamingogap.core.rollout.RolloutKey;
+import io.flamingogap.core.rollout.TakeBack;
 import io.flamingogap.core.text.Digests;
 import io.flamingogap.core.toml.Fault;
 import io.flamingogap.daemon.http.Exchanges;
@@ -34,6 +36,7 @@
 import io.flamingogap.daemon.platformlog.PlatformLog;
 import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
 import io.flamingogap.daemon.requests.KeyedRequests;
+import io.flamingogap.daemon.rollouts.Rollouts;
 
 /**
  * What operators may ask of a node.
@@ -57,6 +60,8 @@
 
 	private final KeyedRequests requests;
 
+	private final Rollouts rollouts;
+
 	private final AuditTrail audit;
 
 	private final PlatformLog log;
@@ -72,19 +77,21 @@
 	 * @param publisher publishes changes
 	 * @param membership the membership table
 	 * @param requests the keyed requests of this node
+	 * @param rollouts the rollouts under way
 	 * @param audit the audit trail
 	 * @param log the platform log
 	 * @param drain begins a planned stop of this node
 	 * @param clock tells the present time
 	 */
 	public OperatorApi(Configuration configuration, ConfigFollower follower, ConfigPublisher publisher,
-			Membership membership, KeyedRequests requests, AuditTrail audit, PlatformLog log, Drain drain,
-			Clock clock) {
+			Membership membership, KeyedRequests requests, Rollouts rollouts, AuditTrail audit, PlatformLog log,
+			Drain drain, Clock clock) {
 		this.configuration = configuration;
 		this.follower = follower;
 		this.publisher = publisher;
 		this.membership = membership;
 		this.requests = requests;
+		this.rollouts = rollouts;
 		this.audit = audit;
 		this.log = log;
 		this.drain = drain;
@@ -183,6 +190,31 @@
 		Exchanges.sendJson(exchange, 202, status());
 	}
 
+	List<Rollouts.RolloutReport> rollouts() {
+		return this.rollouts.reports();
+	}
+
+	/**
+	 * Take back the rollout named by a path {@code rollouts/SERVICE/take-back}.
+	 * @param exchange the exchange
+	 * @param operator the operator
+	 * @param resource the path
+	 * @throws IOException if the connection breaks
+	 */
+	void takeBack(HttpExchange exchange, String operator, String resource) throws IOException {
+		String[] parts = resource.split("/");
+		Optional<RolloutKey> rollout = (parts.length == 3 && "take-back".equals(parts[2]))
+				? this.rollouts.find(parts[1]) : Optional.empty();
+		if (rollout.isEmpty()) {
+			Exchanges.sendProblem(exchange,
+					Failure.notRun(ProblemType.NOT_FOUND, Step.PARSE, "operator", "no rollout under " + resource));
+			return;
+		}
+		String by = operator + "@" + this.membership.own().node();
+		this.rollouts.takeBack(new TakeBack(rollout.get(), by, "asked by operator " + operator, this.clock.millis()));
+		Exchanges.sendJson(exchange, 200, this.rollouts.reports());
+	}
+
 	/**
 	 * Begins a planned stop.
 	 */
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
@@ -78,6 +78,8 @@
 			case "GET manifest" -> Exchanges.sendJson(exchange, 200, this.api.manifest());
 			case "GET audit" -> this.api.audit(exchange);
 			case "GET requests" -> this.api.request(exchange, resource);
+			case "GET rollouts" -> Exchanges.sendJson(exchange, 200, this.api.rollouts());
+			case "POST rollouts" -> this.api.takeBack(exchange, operator, resource);
 			case "POST manifests" -> this.api.publish(exchange, operator);
 			case "POST drain" -> this.api.drain(exchange, operator);
 			default -> Exchanges.sendProblem(exchange, unsupported(method, resource));
@@ -85,7 +87,8 @@
 	}
 
 	private static Failure unsupported(String method, String resource) {
-		Set<String> known = Set.of("status", "nodes", "manifest", "audit", "requests", "manifests", "drain");
+		Set<String> known = Set.of("status", "nodes", "manifest", "audit", "requests", "manifests", "rollouts",
+				"drain");
 		ProblemType type = known.contains(resource.split("/", 2)[0]) ? ProblemType.METHOD_NOT_ALLOWED
 				: ProblemType.NOT_FOUND;
 		return Failure.notRun(type, Step.PARSE, "operator", "no " + method + " of " + PREFIX + resource);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/PlatformLog.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/PlatformLog.java
@@ -28,6 +28,9 @@
 	/** The stream of accepted, dispatched and ended keyed requests. */
 	public static final String REQUEST_STREAM = "requests";
 
+	/** The stream of take-backs. */
+	public static final String ROLLOUT_STREAM = "rollouts";
+
 	/** The stream of the audit trail. */
 	public static final String AUDIT_STREAM = "audit";
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
@@ -17,6 +17,8 @@
 import io.flamingogap.daemon.backends.BackendServers;
 import io.flamingogap.daemon.backends.CallResult;
 import io.flamingogap.daemon.platformlog.Configuration;
+import io.flamingogap.daemon.rollouts.Rollouts;
+import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
  * Sends a keyed request to a backend server, at most once. A server that refuses the
@@ -36,6 +38,8 @@
 
 	private final long answerTimeoutMillis;
 
+	private final Rollouts rollouts;
+
 	private final LongSupplier lastDispatchMillis;
 
 	private final Clock clock;
@@ -46,15 +50,17 @@
 	 * @param servers what is known of the backend servers
 	 * @param client the client of backend servers
 	 * @param answerTimeoutMillis how long a backend server may take
+	 * @param rollouts chooses the version and counts outcomes by it
 	 * @param lastDispatchMillis until when new dispatches are made, before a reclaim
 	 * @param clock tells the present time
 	 */
 	public Dispatcher(Configuration configuration, BackendServers servers, BackendClient client,
-			long answerTimeoutMillis, LongSupplier lastDispatchMillis, Clock clock) {
+			long answerTimeoutMillis, Rollouts rollouts, LongSupplier lastDispatchMillis, Clock clock) {
 		this.configuration = configuration;
 		this.servers = servers;
 		this.client = client;
 		this.answerTimeoutMillis = answerTimeoutMillis;
+		this.rollouts = rollouts;
 		this.lastDispatchMillis = lastDispatchMillis;
 		this.clock = clock;
 	}
@@ -71,12 +77,14 @@
 				transitions.giveUp();
 				return;
 			}
-			Optional<BackendServer> server = acquire(request, tried);
+			Optional<VersionPick> pick = pick(request, !tried.isEmpty());
+			Optional<BackendServer> server = pick
+				.flatMap((found) -> this.servers.acquire(found.query(tried), this.clock.millis()));
 			if (server.isEmpty()) {
 				tried.clear();
 				sleep();
 			}
-			else if (dispatch(server.get(), request, transitions)) {
+			else if (dispatch(server.get(), pick.get(), request, transitions)) {
 				return;
 			}
 			else {
@@ -85,19 +93,23 @@
 		}
 	}
 
-	private Optional<BackendServer> acquire(KeyedRequest request, Set<String> tried) {
+	private Optional<VersionPick> pick(KeyedRequest request, boolean afterFailure) {
 		Optional<Service> service = this.configuration.manifest().findService(ServicePath.service(request.path()));
-		return service.flatMap((found) -> this.servers.acquire(found, tried, this.clock.millis()));
+		String rest = ServicePath.rest(request.path());
+		Optional<VersionPick> pick = service.map((found) -> this.rollouts.pick(found, request.key().toString(),
+				found.route(request.method(), rest).map(Object::toString).orElse(rest), false));
+		return afterFailure ? pick.map(VersionPick::current) : pick;
 	}
 
 	/**
 	 * Send the request to one server.
 	 * @param server the server
+	 * @param pick the version it runs
 	 * @param request the request
 	 * @param transitions the transitions of its key
 	 * @return {@code true} if the request is not to be sent to another one
 	 */
-	private boolean dispatch(BackendServer server, KeyedRequest request, Transitions transitions) {
+	private boolean dispatch(BackendServer server, VersionPick pick, KeyedRequest request, Transitions transitions) {
 		try {
 			if (!transitions.startDispatch()) {
 				return true;
@@ -106,7 +118,10 @@
 			BackendCall call = new BackendCall(request.method(), ServicePath.rest(request.path()),
 					request.contentType(), request.body(), request.account(), request.key().toString(),
 					remainingMillis);
+			long startMillis = this.clock.millis();
 			CallResult result = this.client.callOnce(server, call, this.answerTimeoutMillis);
+			this.rollouts.report(pick, result, this.servers.isLeaving(server.name(), this.clock.millis()),
+					this.clock.millis() - startMillis);
 			return conclude(server, request, result, transitions);
 		}
 		finally {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -22,6 +22,7 @@
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.request.Admission;
 import io.flamingogap.core.request.Answer;
+import io.flamingogap.core.request.CommitResult;
 import io.flamingogap.core.request.KeySpacePart;
 import io.flamingogap.core.request.KeyState;
 import io.flamingogap.core.request.KeyedRequest;
@@ -260,10 +261,13 @@
 	}
 
 	@Override
-	public void receiveCommit(List<KeySpacePart> parts) {
-		List<LedgerEntry> toDispatch = withLedger((held) -> held.receiveCommit(parts));
-		logger.atInfo().log("took over %d key spaces, %d requests to dispatch", parts.size(), toDispatch.size());
-		toDispatch.forEach(this::dispatchTakenOver);
+	public CommitResult receiveCommit(List<KeySpacePart> parts) {
+		CommitResult result = withLedger((held) -> held.receiveCommit(parts));
+		logger.atInfo().log("commit of %d key spaces: %s", parts.size(), result.getClass().getSimpleName());
+		if (result instanceof CommitResult.Taken taken) {
+			taken.toDispatch().forEach(this::dispatchTakenOver);
+		}
+		return result;
 	}
 
 	@Override
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Applies the rollout decisions to requests and keeps the evidence.
+ */
+@NullMarked
+package io.flamingogap.daemon.rollouts;
+
+import org.jspecify.annotations.NullMarked;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/Heartbeat.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/Heartbeat.java
@@ -16,7 +16,8 @@
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField CONFIG_HEAD_FIELD_DESC = new org.apache.thrift.protocol.TField("configHead", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CHANGES_FIELD_DESC = new org.apache.thrift.protocol.TField("changes", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField FACTS_FIELD_DESC = new org.apache.thrift.protocol.TField("facts", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField EVIDENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("evidence", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField TAKE_BACKS_FIELD_DESC = new org.apache.thrift.protocol.TField("takeBacks", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HeartbeatTupleSchemeFactory();
@@ -24,7 +25,8 @@
   private long sequence; // required
   private long configHead; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Member> changes; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> facts; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<EvidenceRow> evidence; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<TakeBack> takeBacks; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,9 +37,13 @@
      */
     CHANGES((short)3, "changes"),
     /**
-     * Notes of taken-back versions and of evidence, encoded by the sender's core.
+     * Rows changed since the last acknowledged heartbeat, as many as fit.
      */
-    FACTS((short)4, "facts");
+    EVIDENCE((short)4, "evidence"),
+    /**
+     * Every decision that the sender knows.
+     */
+    TAKE_BACKS((short)5, "takeBacks");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -59,8 +65,10 @@
           return CONFIG_HEAD;
         case 3: // CHANGES
           return CHANGES;
-        case 4: // FACTS
-          return FACTS;
+        case 4: // EVIDENCE
+          return EVIDENCE;
+        case 5: // TAKE_BACKS
+          return TAKE_BACKS;
         default:
           return null;
       }
@@ -117,9 +125,12 @@
     tmpMap.put(_Fields.CHANGES, new org.apache.thrift.meta_data.FieldMetaData("changes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Member.class))));
-    tmpMap.put(_Fields.FACTS, new org.apache.thrift.meta_data.FieldMetaData("facts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.EVIDENCE, new org.apache.thrift.meta_data.FieldMetaData("evidence", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EvidenceRow.class))));
+    tmpMap.put(_Fields.TAKE_BACKS, new org.apache.thrift.meta_data.FieldMetaData("takeBacks", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TakeBack.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Heartbeat.class, metaDataMap);
   }
@@ -131,7 +142,8 @@
     long sequence,
     long configHead,
     java.util.List<Member> changes,
-    java.util.List<java.lang.String> facts)
+    java.util.List<EvidenceRow> evidence,
+    java.util.List<TakeBack> takeBacks)
   {
     this();
     this.sequence = sequence;
@@ -139,7 +151,8 @@
     this.configHead = configHead;
     setConfigHeadIsSet(true);
     this.changes = changes;
-    this.facts = facts;
+    this.evidence = evidence;
+    this.takeBacks = takeBacks;
   }
 
   /**
@@ -156,9 +169,19 @@
       }
       this.changes = __this__changes;
     }
-    if (other.isSetFacts()) {
-      java.util.List<java.lang.String> __this__facts = new java.util.ArrayList<java.lang.String>(other.facts);
-      this.facts = __this__facts;
+    if (other.isSetEvidence()) {
+      java.util.List<EvidenceRow> __this__evidence = new java.util.ArrayList<EvidenceRow>(other.evidence.size());
+      for (EvidenceRow other_element : other.evidence) {
+        __this__evidence.add(new EvidenceRow(other_element));
+      }
+      this.evidence = __this__evidence;
+    }
+    if (other.isSetTakeBacks()) {
+      java.util.List<TakeBack> __this__takeBacks = new java.util.ArrayList<TakeBack>(other.takeBacks.size());
+      for (TakeBack other_element : other.takeBacks) {
+        __this__takeBacks.add(new TakeBack(other_element));
+      }
+      this.takeBacks = __this__takeBacks;
     }
   }
 
@@ -174,7 +197,8 @@
     setConfigHeadIsSet(false);
     this.configHead = 0;
     this.changes = null;
-    this.facts = null;
+    this.evidence = null;
+    this.takeBacks = null;
   }
 
   public long getSequence() {
@@ -270,50 +294,97 @@
     }
   }
 
-  public int getFactsSize() {
-    return (this.facts == null) ? 0 : this.facts.size();
+  public int getEvidenceSize() {
+    return (this.evidence == null) ? 0 : this.evidence.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.String> getFactsIterator() {
-    return (this.facts == null) ? null : this.facts.iterator();
+  public java.util.Iterator<EvidenceRow> getEvidenceIterator() {
+    return (this.evidence == null) ? null : this.evidence.iterator();
   }
 
-  public void addToFacts(java.lang.String elem) {
-    if (this.facts == null) {
-      this.facts = new java.util.ArrayList<java.lang.String>();
+  public void addToEvidence(EvidenceRow elem) {
+    if (this.evidence == null) {
+      this.evidence = new java.util.ArrayList<EvidenceRow>();
     }
-    this.facts.add(elem);
+    this.evidence.add(elem);
   }
 
   /**
-   * Notes of taken-back versions and of evidence, encoded by the sender's core.
+   * Rows changed since the last acknowledged heartbeat, as many as fit.
    */
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.String> getFacts() {
-    return this.facts;
+  public java.util.List<EvidenceRow> getEvidence() {
+    return this.evidence;
   }
 
   /**
-   * Notes of taken-back versions and of evidence, encoded by the sender's core.
+   * Rows changed since the last acknowledged heartbeat, as many as fit.
    */
-  public Heartbeat setFacts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> facts) {
-    this.facts = facts;
+  public Heartbeat setEvidence(@org.apache.thrift.annotation.Nullable java.util.List<EvidenceRow> evidence) {
+    this.evidence = evidence;
     return this;
   }
 
-  public void unsetFacts() {
-    this.facts = null;
+  public void unsetEvidence() {
+    this.evidence = null;
   }
 
-  /** Returns true if field facts is set (has been assigned a value) and false otherwise */
-  public boolean isSetFacts() {
-    return this.facts != null;
+  /** Returns true if field evidence is set (has been assigned a value) and false otherwise */
+  public boolean isSetEvidence() {
+    return this.evidence != null;
   }
 
-  public void setFactsIsSet(boolean value) {
+  public void setEvidenceIsSet(boolean value) {
     if (!value) {
-      this.facts = null;
+      this.evidence = null;
+    }
+  }
+
+  public int getTakeBacksSize() {
+    return (this.takeBacks == null) ? 0 : this.takeBacks.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TakeBack> getTakeBacksIterator() {
+    return (this.takeBacks == null) ? null : this.takeBacks.iterator();
+  }
+
+  public void addToTakeBacks(TakeBack elem) {
+    if (this.takeBacks == null) {
+      this.takeBacks = new java.util.ArrayList<TakeBack>();
+    }
+    this.takeBacks.add(elem);
+  }
+
+  /**
+   * Every decision that the sender knows.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TakeBack> getTakeBacks() {
+    return this.takeBacks;
+  }
+
+  /**
+   * Every decision that the sender knows.
+   */
+  public Heartbeat setTakeBacks(@org.apache.thrift.annotation.Nullable java.util.List<TakeBack> takeBacks) {
+    this.takeBacks = takeBacks;
+    return this;
+  }
+
+  public void unsetTakeBacks() {
+    this.takeBacks = null;
+  }
+
+  /** Returns true if field takeBacks is set (has been assigned a value) and false otherwise */
+  public boolean isSetTakeBacks() {
+    return this.takeBacks != null;
+  }
+
+  public void setTakeBacksIsSet(boolean value) {
+    if (!value) {
+      this.takeBacks = null;
     }
   }
 
@@ -344,11 +415,19 @@
       }
       break;
 
-    case FACTS:
+    case EVIDENCE:
+      if (value == null) {
+        unsetEvidence();
+      } else {
+        setEvidence((java.util.List<EvidenceRow>)value);
+      }
+      break;
+
+    case TAKE_BACKS:
       if (value == null) {
-        unsetFacts();
+        unsetTakeBacks();
       } else {
-        setFacts((java.util.List<java.lang.String>)value);
+        setTakeBacks((java.util.List<TakeBack>)value);
       }
       break;
 
@@ -368,8 +447,11 @@
     case CHANGES:
       return getChanges();
 
-    case FACTS:
-      return getFacts();
+    case EVIDENCE:
+      return getEvidence();
+
+    case TAKE_BACKS:
+      return getTakeBacks();
 
     }
     throw new java.lang.IllegalStateException();
@@ -389,8 +471,10 @@
       return isSetConfigHead();
     case CHANGES:
       return isSetChanges();
-    case FACTS:
-      return isSetFacts();
+    case EVIDENCE:
+      return isSetEvidence();
+    case TAKE_BACKS:
+      return isSetTakeBacks();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -435,12 +519,21 @@
         return false;
     }
 
-    boolean this_present_facts = true && this.isSetFacts();
-    boolean that_present_facts = true && that.isSetFacts();
-    if (this_present_facts || that_present_facts) {
-      if (!(this_present_facts && that_present_facts))
+    boolean this_present_evidence = true && this.isSetEvidence();
+    boolean that_present_evidence = true && that.isSetEvidence();
+    if (this_present_evidence || that_present_evidence) {
+      if (!(this_present_evidence && that_present_evidence))
         return false;
-      if (!this.facts.equals(that.facts))
+      if (!this.evidence.equals(that.evidence))
+        return false;
+    }
+
+    boolean this_present_takeBacks = true && this.isSetTakeBacks();
+    boolean that_present_takeBacks = true && that.isSetTakeBacks();
+    if (this_present_takeBacks || that_present_takeBacks) {
+      if (!(this_present_takeBacks && that_present_takeBacks))
+        return false;
+      if (!this.takeBacks.equals(that.takeBacks))
         return false;
     }
 
@@ -459,9 +552,13 @@
     if (isSetChanges())
       hashCode = hashCode * 8191 + changes.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetFacts()) ? 131071 : 524287);
-    if (isSetFacts())
-      hashCode = hashCode * 8191 + facts.hashCode();
+    hashCode = hashCode * 8191 + ((isSetEvidence()) ? 131071 : 524287);
+    if (isSetEvidence())
+      hashCode = hashCode * 8191 + evidence.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetTakeBacks()) ? 131071 : 524287);
+    if (isSetTakeBacks())
+      hashCode = hashCode * 8191 + takeBacks.hashCode();
 
     return hashCode;
   }
@@ -504,12 +601,22 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetFacts(), other.isSetFacts());
+    lastComparison = java.lang.Boolean.compare(isSetEvidence(), other.isSetEvidence());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEvidence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.evidence, other.evidence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTakeBacks(), other.isSetTakeBacks());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetFacts()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.facts, other.facts);
+    if (isSetTakeBacks()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.takeBacks, other.takeBacks);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -554,11 +661,19 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("facts:");
-    if (this.facts == null) {
+    sb.append("evidence:");
+    if (this.evidence == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.evidence);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("takeBacks:");
+    if (this.takeBacks == null) {
       sb.append("null");
     } else {
-      sb.append(this.facts);
+      sb.append(this.takeBacks);
     }
     first = false;
     sb.append(")");
@@ -572,8 +687,11 @@
     if (changes == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'changes' was not present! Struct: " + toString());
     }
-    if (facts == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'facts' was not present! Struct: " + toString());
+    if (evidence == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'evidence' was not present! Struct: " + toString());
+    }
+    if (takeBacks == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'takeBacks' was not present! Struct: " + toString());
     }
     // check for sub-struct validity
   }
@@ -651,20 +769,40 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // FACTS
+          case 4: // EVIDENCE
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
-                struct.facts = new java.util.ArrayList<java.lang.String>(_list3.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem4;
+                struct.evidence = new java.util.ArrayList<EvidenceRow>(_list3.size);
+                @org.apache.thrift.annotation.Nullable EvidenceRow _elem4;
                 for (int _i5 = 0; _i5 < _list3.size; ++_i5)
                 {
-                  _elem4 = iprot.readString();
-                  struct.facts.add(_elem4);
+                  _elem4 = new EvidenceRow();
+                  _elem4.read(iprot);
+                  struct.evidence.add(_elem4);
+                }
+                iprot.readListEnd();
+              }
+              struct.setEvidenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // TAKE_BACKS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list6 = iprot.readListBegin();
+                struct.takeBacks = new java.util.ArrayList<TakeBack>(_list6.size);
+                @org.apache.thrift.annotation.Nullable TakeBack _elem7;
+                for (int _i8 = 0; _i8 < _list6.size; ++_i8)
+                {
+                  _elem7 = new TakeBack();
+                  _elem7.read(iprot);
+                  struct.takeBacks.add(_elem7);
                 }
                 iprot.readListEnd();
               }
-              struct.setFactsIsSet(true);
+              struct.setTakeBacksIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -701,21 +839,33 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (Member _iter6 : struct.changes)
+          for (Member _iter9 : struct.changes)
+          {
+            _iter9.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.evidence != null) {
+        oprot.writeFieldBegin(EVIDENCE_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.evidence.size()));
+          for (EvidenceRow _iter10 : struct.evidence)
           {
-            _iter6.write(oprot);
+            _iter10.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
-      if (struct.facts != null) {
-        oprot.writeFieldBegin(FACTS_FIELD_DESC);
+      if (struct.takeBacks != null) {
+        oprot.writeFieldBegin(TAKE_BACKS_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.facts.size()));
-          for (java.lang.String _iter7 : struct.facts)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.takeBacks.size()));
+          for (TakeBack _iter11 : struct.takeBacks)
           {
-            oprot.writeString(_iter7);
+            _iter11.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -743,16 +893,23 @@
       oprot.writeI64(struct.configHead);
       {
         oprot.writeI32(struct.changes.size());
-        for (Member _iter8 : struct.changes)
+        for (Member _iter12 : struct.changes)
+        {
+          _iter12.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.evidence.size());
+        for (EvidenceRow _iter13 : struct.evidence)
         {
-          _iter8.write(oprot);
+          _iter13.write(oprot);
         }
       }
       {
-        oprot.writeI32(struct.facts.size());
-        for (java.lang.String _iter9 : struct.facts)
+        oprot.writeI32(struct.takeBacks.size());
+        for (TakeBack _iter14 : struct.takeBacks)
         {
-          oprot.writeString(_iter9);
+          _iter14.write(oprot);
         }
       }
     }
@@ -765,28 +922,41 @@
       struct.configHead = iprot.readI64();
       struct.setConfigHeadIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.changes = new java.util.ArrayList<Member>(_list10.size);
-        @org.apache.thrift.annotation.Nullable Member _elem11;
-        for (int _i12 = 0; _i12 < _list10.size; ++_i12)
+        org.apache.thrift.protocol.TList _list15 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.changes = new java.util.ArrayList<Member>(_list15.size);
+        @org.apache.thrift.annotation.Nullable Member _elem16;
+        for (int _i17 = 0; _i17 < _list15.size; ++_i17)
         {
-          _elem11 = new Member();
-          _elem11.read(iprot);
-          struct.changes.add(_elem11);
+          _elem16 = new Member();
+          _elem16.read(iprot);
+          struct.changes.add(_elem16);
         }
       }
       struct.setChangesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.facts = new java.util.ArrayList<java.lang.String>(_list13.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
-        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.evidence = new java.util.ArrayList<EvidenceRow>(_list18.size);
+        @org.apache.thrift.annotation.Nullable EvidenceRow _elem19;
+        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
+        {
+          _elem19 = new EvidenceRow();
+          _elem19.read(iprot);
+          struct.evidence.add(_elem19);
+        }
+      }
+      struct.setEvidenceIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.takeBacks = new java.util.ArrayList<TakeBack>(_list21.size);
+        @org.apache.thrift.annotation.Nullable TakeBack _elem22;
+        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
         {
-          _elem14 = iprot.readString();
-          struct.facts.add(_elem14);
+          _elem22 = new TakeBack();
+          _elem22.read(iprot);
+          struct.takeBacks.add(_elem22);
         }
       }
-      struct.setFactsIsSet(true);
+      struct.setTakeBacksIsSet(true);
     }
   }
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/HeartbeatReply.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/HeartbeatReply.java
@@ -13,7 +13,8 @@
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField CONFIG_HEAD_FIELD_DESC = new org.apache.thrift.protocol.TField("configHead", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CHANGES_FIELD_DESC = new org.apache.thrift.protocol.TField("changes", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField FACTS_FIELD_DESC = new org.apache.thrift.protocol.TField("facts", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField EVIDENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("evidence", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField TAKE_BACKS_FIELD_DESC = new org.apache.thrift.protocol.TField("takeBacks", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HeartbeatReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HeartbeatReplyTupleSchemeFactory();
@@ -21,14 +22,16 @@
   private long sequence; // required
   private long configHead; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Member> changes; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> facts; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<EvidenceRow> evidence; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<TakeBack> takeBacks; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SEQUENCE((short)1, "sequence"),
     CONFIG_HEAD((short)2, "configHead"),
     CHANGES((short)3, "changes"),
-    FACTS((short)4, "facts");
+    EVIDENCE((short)4, "evidence"),
+    TAKE_BACKS((short)5, "takeBacks");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,8 +53,10 @@
           return CONFIG_HEAD;
         case 3: // CHANGES
           return CHANGES;
-        case 4: // FACTS
-          return FACTS;
+        case 4: // EVIDENCE
+          return EVIDENCE;
+        case 5: // TAKE_BACKS
+          return TAKE_BACKS;
         default:
           return null;
       }
@@ -108,9 +113,12 @@
     tmpMap.put(_Fields.CHANGES, new org.apache.thrift.meta_data.FieldMetaData("changes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Member.class))));
-    tmpMap.put(_Fields.FACTS, new org.apache.thrift.meta_data.FieldMetaData("facts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.EVIDENCE, new org.apache.thrift.meta_data.FieldMetaData("evidence", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EvidenceRow.class))));
+    tmpMap.put(_Fields.TAKE_BACKS, new org.apache.thrift.meta_data.FieldMetaData("takeBacks", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TakeBack.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HeartbeatReply.class, metaDataMap);
   }
@@ -122,7 +130,8 @@
     long sequence,
     long configHead,
     java.util.List<Member> changes,
-    java.util.List<java.lang.String> facts)
+    java.util.List<EvidenceRow> evidence,
+    java.util.List<TakeBack> takeBacks)
   {
     this();
     this.sequence = sequence;
@@ -130,7 +139,8 @@
     this.configHead = configHead;
     setConfigHeadIsSet(true);
     this.changes = changes;
-    this.facts = facts;
+    this.evidence = evidence;
+    this.takeBacks = takeBacks;
   }
 
   /**
@@ -147,9 +157,19 @@
       }
       this.changes = __this__changes;
     }
-    if (other.isSetFacts()) {
-      java.util.List<java.lang.String> __this__facts = new java.util.ArrayList<java.lang.String>(other.facts);
-      this.facts = __this__facts;
+    if (other.isSetEvidence()) {
+      java.util.List<EvidenceRow> __this__evidence = new java.util.ArrayList<EvidenceRow>(other.evidence.size());
+      for (EvidenceRow other_element : other.evidence) {
+        __this__evidence.add(new EvidenceRow(other_element));
+      }
+      this.evidence = __this__evidence;
+    }
+    if (other.isSetTakeBacks()) {
+      java.util.List<TakeBack> __this__takeBacks = new java.util.ArrayList<TakeBack>(other.takeBacks.size());
+      for (TakeBack other_element : other.takeBacks) {
+        __this__takeBacks.add(new TakeBack(other_element));
+      }
+      this.takeBacks = __this__takeBacks;
     }
   }
 
@@ -165,7 +185,8 @@
     setConfigHeadIsSet(false);
     this.configHead = 0;
     this.changes = null;
-    this.facts = null;
+    this.evidence = null;
+    this.takeBacks = null;
   }
 
   public long getSequence() {
@@ -255,44 +276,85 @@
     }
   }
 
-  public int getFactsSize() {
-    return (this.facts == null) ? 0 : this.facts.size();
+  public int getEvidenceSize() {
+    return (this.evidence == null) ? 0 : this.evidence.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<EvidenceRow> getEvidenceIterator() {
+    return (this.evidence == null) ? null : this.evidence.iterator();
+  }
+
+  public void addToEvidence(EvidenceRow elem) {
+    if (this.evidence == null) {
+      this.evidence = new java.util.ArrayList<EvidenceRow>();
+    }
+    this.evidence.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<EvidenceRow> getEvidence() {
+    return this.evidence;
+  }
+
+  public HeartbeatReply setEvidence(@org.apache.thrift.annotation.Nullable java.util.List<EvidenceRow> evidence) {
+    this.evidence = evidence;
+    return this;
+  }
+
+  public void unsetEvidence() {
+    this.evidence = null;
+  }
+
+  /** Returns true if field evidence is set (has been assigned a value) and false otherwise */
+  public boolean isSetEvidence() {
+    return this.evidence != null;
+  }
+
+  public void setEvidenceIsSet(boolean value) {
+    if (!value) {
+      this.evidence = null;
+    }
+  }
+
+  public int getTakeBacksSize() {
+    return (this.takeBacks == null) ? 0 : this.takeBacks.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.String> getFactsIterator() {
-    return (this.facts == null) ? null : this.facts.iterator();
+  public java.util.Iterator<TakeBack> getTakeBacksIterator() {
+    return (this.takeBacks == null) ? null : this.takeBacks.iterator();
   }
 
-  public void addToFacts(java.lang.String elem) {
-    if (this.facts == null) {
-      this.facts = new java.util.ArrayList<java.lang.String>();
+  public void addToTakeBacks(TakeBack elem) {
+    if (this.takeBacks == null) {
+      this.takeBacks = new java.util.ArrayList<TakeBack>();
     }
-    this.facts.add(elem);
+    this.takeBacks.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.String> getFacts() {
-    return this.facts;
+  public java.util.List<TakeBack> getTakeBacks() {
+    return this.takeBacks;
   }
 
-  public HeartbeatReply setFacts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> facts) {
-    this.facts = facts;
+  public HeartbeatReply setTakeBacks(@org.apache.thrift.annotation.Nullable java.util.List<TakeBack> takeBacks) {
+    this.takeBacks = takeBacks;
     return this;
   }
 
-  public void unsetFacts() {
-    this.facts = null;
+  public void unsetTakeBacks() {
+    this.takeBacks = null;
   }
 
-  /** Returns true if field facts is set (has been assigned a value) and false otherwise */
-  public boolean isSetFacts() {
-    return this.facts != null;
+  /** Returns true if field takeBacks is set (has been assigned a value) and false otherwise */
+  public boolean isSetTakeBacks() {
+    return this.takeBacks != null;
   }
 
-  public void setFactsIsSet(boolean value) {
+  public void setTakeBacksIsSet(boolean value) {
     if (!value) {
-      this.facts = null;
+      this.takeBacks = null;
     }
   }
 
@@ -323,11 +385,19 @@
       }
       break;
 
-    case FACTS:
+    case EVIDENCE:
       if (value == null) {
-        unsetFacts();
+        unsetEvidence();
       } else {
-        setFacts((java.util.List<java.lang.String>)value);
+        setEvidence((java.util.List<EvidenceRow>)value);
+      }
+      break;
+
+    case TAKE_BACKS:
+      if (value == null) {
+        unsetTakeBacks();
+      } else {
+        setTakeBacks((java.util.List<TakeBack>)value);
       }
       break;
 
@@ -347,8 +417,11 @@
     case CHANGES:
       return getChanges();
 
-    case FACTS:
-      return getFacts();
+    case EVIDENCE:
+      return getEvidence();
+
+    case TAKE_BACKS:
+      return getTakeBacks();
 
     }
     throw new java.lang.IllegalStateException();
@@ -368,8 +441,10 @@
       return isSetConfigHead();
     case CHANGES:
       return isSetChanges();
-    case FACTS:
-      return isSetFacts();
+    case EVIDENCE:
+      return isSetEvidence();
+    case TAKE_BACKS:
+      return isSetTakeBacks();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -414,12 +489,21 @@
         return false;
     }
 
-    boolean this_present_facts = true && this.isSetFacts();
-    boolean that_present_facts = true && that.isSetFacts();
-    if (this_present_facts || that_present_facts) {
-      if (!(this_present_facts && that_present_facts))
+    boolean this_present_evidence = true && this.isSetEvidence();
+    boolean that_present_evidence = true && that.isSetEvidence();
+    if (this_present_evidence || that_present_evidence) {
+      if (!(this_present_evidence && that_present_evidence))
         return false;
-      if (!this.facts.equals(that.facts))
+      if (!this.evidence.equals(that.evidence))
+        return false;
+    }
+
+    boolean this_present_takeBacks = true && this.isSetTakeBacks();
+    boolean that_present_takeBacks = true && that.isSetTakeBacks();
+    if (this_present_takeBacks || that_present_takeBacks) {
+      if (!(this_present_takeBacks && that_present_takeBacks))
+        return false;
+      if (!this.takeBacks.equals(that.takeBacks))
         return false;
     }
 
@@ -438,9 +522,13 @@
     if (isSetChanges())
       hashCode = hashCode * 8191 + changes.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetFacts()) ? 131071 : 524287);
-    if (isSetFacts())
-      hashCode = hashCode * 8191 + facts.hashCode();
+    hashCode = hashCode * 8191 + ((isSetEvidence()) ? 131071 : 524287);
+    if (isSetEvidence())
+      hashCode = hashCode * 8191 + evidence.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetTakeBacks()) ? 131071 : 524287);
+    if (isSetTakeBacks())
+      hashCode = hashCode * 8191 + takeBacks.hashCode();
 
     return hashCode;
   }
@@ -483,12 +571,22 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetFacts(), other.isSetFacts());
+    lastComparison = java.lang.Boolean.compare(isSetEvidence(), other.isSetEvidence());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetFacts()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.facts, other.facts);
+    if (isSetEvidence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.evidence, other.evidence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTakeBacks(), other.isSetTakeBacks());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTakeBacks()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.takeBacks, other.takeBacks);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -533,11 +631,19 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("facts:");
-    if (this.facts == null) {
+    sb.append("evidence:");
+    if (this.evidence == null) {
       sb.append("null");
     } else {
-      sb.append(this.facts);
+      sb.append(this.evidence);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("takeBacks:");
+    if (this.takeBacks == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.takeBacks);
     }
     first = false;
     sb.append(")");
@@ -551,8 +657,11 @@
     if (changes == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'changes' was not present! Struct: " + toString());
     }
-    if (facts == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'facts' was not present! Struct: " + toString());
+    if (evidence == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'evidence' was not present! Struct: " + toString());
+    }
+    if (takeBacks == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'takeBacks' was not present! Struct: " + toString());
     }
     // check for sub-struct validity
   }
@@ -614,14 +723,14 @@
           case 3: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<Member>(_list16.size);
-                @org.apache.thrift.annotation.Nullable Member _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<Member>(_list24.size);
+                @org.apache.thrift.annotation.Nullable Member _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new Member();
-                  _elem17.read(iprot);
-                  struct.changes.add(_elem17);
+                  _elem25 = new Member();
+                  _elem25.read(iprot);
+                  struct.changes.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -630,20 +739,40 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // FACTS
+          case 4: // EVIDENCE
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                struct.facts = new java.util.ArrayList<java.lang.String>(_list19.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem20;
-                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.evidence = new java.util.ArrayList<EvidenceRow>(_list27.size);
+                @org.apache.thrift.annotation.Nullable EvidenceRow _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
                 {
-                  _elem20 = iprot.readString();
-                  struct.facts.add(_elem20);
+                  _elem28 = new EvidenceRow();
+                  _elem28.read(iprot);
+                  struct.evidence.add(_elem28);
                 }
                 iprot.readListEnd();
               }
-              struct.setFactsIsSet(true);
+              struct.setEvidenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // TAKE_BACKS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list30 = iprot.readListBegin();
+                struct.takeBacks = new java.util.ArrayList<TakeBack>(_list30.size);
+                @org.apache.thrift.annotation.Nullable TakeBack _elem31;
+                for (int _i32 = 0; _i32 < _list30.size; ++_i32)
+                {
+                  _elem31 = new TakeBack();
+                  _elem31.read(iprot);
+                  struct.takeBacks.add(_elem31);
+                }
+                iprot.readListEnd();
+              }
+              struct.setTakeBacksIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -680,21 +809,33 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (Member _iter22 : struct.changes)
+          for (Member _iter33 : struct.changes)
+          {
+            _iter33.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.evidence != null) {
+        oprot.writeFieldBegin(EVIDENCE_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.evidence.size()));
+          for (EvidenceRow _iter34 : struct.evidence)
           {
-            _iter22.write(oprot);
+            _iter34.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
-      if (struct.facts != null) {
-        oprot.writeFieldBegin(FACTS_FIELD_DESC);
+      if (struct.takeBacks != null) {
+        oprot.writeFieldBegin(TAKE_BACKS_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.facts.size()));
-          for (java.lang.String _iter23 : struct.facts)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.takeBacks.size()));
+          for (TakeBack _iter35 : struct.takeBacks)
           {
-            oprot.writeString(_iter23);
+            _iter35.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -722,16 +863,23 @@
       oprot.writeI64(struct.configHead);
       {
         oprot.writeI32(struct.changes.size());
-        for (Member _iter24 : struct.changes)
+        for (Member _iter36 : struct.changes)
+        {
+          _iter36.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.evidence.size());
+        for (EvidenceRow _iter37 : struct.evidence)
         {
-          _iter24.write(oprot);
+          _iter37.write(oprot);
         }
       }
       {
-        oprot.writeI32(struct.facts.size());
-        for (java.lang.String _iter25 : struct.facts)
+        oprot.writeI32(struct.takeBacks.size());
+        for (TakeBack _iter38 : struct.takeBacks)
         {
-          oprot.writeString(_iter25);
+          _iter38.write(oprot);
         }
       }
     }
@@ -744,28 +892,41 @@
       struct.configHead = iprot.readI64();
       struct.setConfigHeadIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.changes = new java.util.ArrayList<Member>(_list26.size);
-        @org.apache.thrift.annotation.Nullable Member _elem27;
-        for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+        org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.changes = new java.util.ArrayList<Member>(_list39.size);
+        @org.apache.thrift.annotation.Nullable Member _elem40;
+        for (int _i41 = 0; _i41 < _list39.size; ++_i41)
         {
-          _elem27 = new Member();
-          _elem27.read(iprot);
-          struct.changes.add(_elem27);
+          _elem40 = new Member();
+          _elem40.read(iprot);
+          struct.changes.add(_elem40);
         }
       }
       struct.setChangesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.facts = new java.util.ArrayList<java.lang.String>(_list29.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
-        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+        org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.evidence = new java.util.ArrayList<EvidenceRow>(_list42.size);
+        @org.apache.thrift.annotation.Nullable EvidenceRow _elem43;
+        for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+        {
+          _elem43 = new EvidenceRow();
+          _elem43.read(iprot);
+          struct.evidence.add(_elem43);
+        }
+      }
+      struct.setEvidenceIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.takeBacks = new java.util.ArrayList<TakeBack>(_list45.size);
+        @org.apache.thrift.annotation.Nullable TakeBack _elem46;
+        for (int _i47 = 0; _i47 < _list45.size; ++_i47)
         {
-          _elem30 = iprot.readString();
-          struct.facts.add(_elem30);
+          _elem46 = new TakeBack();
+          _elem46.read(iprot);
+          struct.takeBacks.add(_elem46);
         }
       }
-      struct.setFactsIsSet(true);
+      struct.setTakeBacksIsSet(true);
     }
   }
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/KeySpacePart.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/KeySpacePart.java
@@ -16,6 +16,8 @@
   private static final org.apache.thrift.protocol.TField ISSUER_FIELD_DESC = new org.apache.thrift.protocol.TField("issuer", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField FORGOTTEN_THROUGH_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("forgottenThroughMillis", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField WHOLE_FIELD_DESC = new org.apache.thrift.protocol.TField("whole", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new KeySpacePartStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new KeySpacePartTupleSchemeFactory();
@@ -23,12 +25,22 @@
   private @org.apache.thrift.annotation.Nullable NodeRef issuer; // required
   private long forgottenThroughMillis; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<LedgerEntry> entries; // required
+  private boolean whole; // required
+  private long fingerprint; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ISSUER((short)1, "issuer"),
     FORGOTTEN_THROUGH_MILLIS((short)2, "forgottenThroughMillis"),
-    ENTRIES((short)3, "entries");
+    ENTRIES((short)3, "entries"),
+    /**
+     * Set if this part holds every entry and replaces what was offered.
+     */
+    WHOLE((short)4, "whole"),
+    /**
+     * Fingerprint of every entry at the sender; a commit takes effect only on a match.
+     */
+    FINGERPRINT((short)5, "fingerprint");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +62,10 @@
           return FORGOTTEN_THROUGH_MILLIS;
         case 3: // ENTRIES
           return ENTRIES;
+        case 4: // WHOLE
+          return WHOLE;
+        case 5: // FINGERPRINT
+          return FINGERPRINT;
         default:
           return null;
       }
@@ -94,6 +110,8 @@
 
   // isset id assignments
   private static final int __FORGOTTENTHROUGHMILLIS_ISSET_ID = 0;
+  private static final int __WHOLE_ISSET_ID = 1;
+  private static final int __FINGERPRINT_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -105,6 +123,10 @@
     tmpMap.put(_Fields.ENTRIES, new org.apache.thrift.meta_data.FieldMetaData("entries", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LedgerEntry.class))));
+    tmpMap.put(_Fields.WHOLE, new org.apache.thrift.meta_data.FieldMetaData("whole", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(KeySpacePart.class, metaDataMap);
   }
@@ -115,13 +137,19 @@
   public KeySpacePart(
     NodeRef issuer,
     long forgottenThroughMillis,
-    java.util.List<LedgerEntry> entries)
+    java.util.List<LedgerEntry> entries,
+    boolean whole,
+    long fingerprint)
   {
     this();
     this.issuer = issuer;
     this.forgottenThroughMillis = forgottenThroughMillis;
     setForgottenThroughMillisIsSet(true);
     this.entries = entries;
+    this.whole = whole;
+    setWholeIsSet(true);
+    this.fingerprint = fingerprint;
+    setFingerprintIsSet(true);
   }
 
   /**
@@ -140,6 +168,8 @@
       }
       this.entries = __this__entries;
     }
+    this.whole = other.whole;
+    this.fingerprint = other.fingerprint;
   }
 
   @Override
@@ -153,6 +183,10 @@
     setForgottenThroughMillisIsSet(false);
     this.forgottenThroughMillis = 0;
     this.entries = null;
+    setWholeIsSet(false);
+    this.whole = false;
+    setFingerprintIsSet(false);
+    this.fingerprint = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -244,6 +278,64 @@
     }
   }
 
+  /**
+   * Set if this part holds every entry and replaces what was offered.
+   */
+  public boolean isWhole() {
+    return this.whole;
+  }
+
+  /**
+   * Set if this part holds every entry and replaces what was offered.
+   */
+  public KeySpacePart setWhole(boolean whole) {
+    this.whole = whole;
+    setWholeIsSet(true);
+    return this;
+  }
+
+  public void unsetWhole() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WHOLE_ISSET_ID);
+  }
+
+  /** Returns true if field whole is set (has been assigned a value) and false otherwise */
+  public boolean isSetWhole() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WHOLE_ISSET_ID);
+  }
+
+  public void setWholeIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WHOLE_ISSET_ID, value);
+  }
+
+  /**
+   * Fingerprint of every entry at the sender; a commit takes effect only on a match.
+   */
+  public long getFingerprint() {
+    return this.fingerprint;
+  }
+
+  /**
+   * Fingerprint of every entry at the sender; a commit takes effect only on a match.
+   */
+  public KeySpacePart setFingerprint(long fingerprint) {
+    this.fingerprint = fingerprint;
+    setFingerprintIsSet(true);
+    return this;
+  }
+
+  public void unsetFingerprint() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FINGERPRINT_ISSET_ID);
+  }
+
+  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprint() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FINGERPRINT_ISSET_ID);
+  }
+
+  public void setFingerprintIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FINGERPRINT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -271,6 +363,22 @@
       }
       break;
 
+    case WHOLE:
+      if (value == null) {
+        unsetWhole();
+      } else {
+        setWhole((java.lang.Boolean)value);
+      }
+      break;
+
+    case FINGERPRINT:
+      if (value == null) {
+        unsetFingerprint();
+      } else {
+        setFingerprint((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -287,6 +395,12 @@
     case ENTRIES:
       return getEntries();
 
+    case WHOLE:
+      return isWhole();
+
+    case FINGERPRINT:
+      return getFingerprint();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -305,6 +419,10 @@
       return isSetForgottenThroughMillis();
     case ENTRIES:
       return isSetEntries();
+    case WHOLE:
+      return isSetWhole();
+    case FINGERPRINT:
+      return isSetFingerprint();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -349,6 +467,24 @@
         return false;
     }
 
+    boolean this_present_whole = true;
+    boolean that_present_whole = true;
+    if (this_present_whole || that_present_whole) {
+      if (!(this_present_whole && that_present_whole))
+        return false;
+      if (this.whole != that.whole)
+        return false;
+    }
+
+    boolean this_present_fingerprint = true;
+    boolean that_present_fingerprint = true;
+    if (this_present_fingerprint || that_present_fingerprint) {
+      if (!(this_present_fingerprint && that_present_fingerprint))
+        return false;
+      if (this.fingerprint != that.fingerprint)
+        return false;
+    }
+
     return true;
   }
 
@@ -366,6 +502,10 @@
     if (isSetEntries())
       hashCode = hashCode * 8191 + entries.hashCode();
 
+    hashCode = hashCode * 8191 + ((whole) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fingerprint);
+
     return hashCode;
   }
 
@@ -407,6 +547,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWhole(), other.isSetWhole());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWhole()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.whole, other.whole);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprint()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -450,6 +610,14 @@
       sb.append(this.entries);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("whole:");
+    sb.append(this.whole);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("fingerprint:");
+    sb.append(this.fingerprint);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -463,6 +631,8 @@
     if (entries == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'entries' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'whole' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'fingerprint' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
     if (issuer != null) {
       issuer.validate();
@@ -527,14 +697,14 @@
           case 3: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<LedgerEntry>(_list32.size);
-                @org.apache.thrift.annotation.Nullable LedgerEntry _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<LedgerEntry>(_list48.size);
+                @org.apache.thrift.annotation.Nullable LedgerEntry _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem33 = new LedgerEntry();
-                  _elem33.read(iprot);
-                  struct.entries.add(_elem33);
+                  _elem49 = new LedgerEntry();
+                  _elem49.read(iprot);
+                  struct.entries.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -543,6 +713,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // WHOLE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.whole = iprot.readBool();
+              struct.setWholeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // FINGERPRINT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.fingerprint = iprot.readI64();
+              struct.setFingerprintIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -554,6 +740,12 @@
       if (!struct.isSetForgottenThroughMillis()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'forgottenThroughMillis' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetWhole()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'whole' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetFingerprint()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'fingerprint' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -574,14 +766,20 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (LedgerEntry _iter35 : struct.entries)
+          for (LedgerEntry _iter51 : struct.entries)
           {
-            _iter35.write(oprot);
+            _iter51.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(WHOLE_FIELD_DESC);
+      oprot.writeBool(struct.whole);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
+      oprot.writeI64(struct.fingerprint);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -604,11 +802,13 @@
       oprot.writeI64(struct.forgottenThroughMillis);
       {
         oprot.writeI32(struct.entries.size());
-        for (LedgerEntry _iter36 : struct.entries)
+        for (LedgerEntry _iter52 : struct.entries)
         {
-          _iter36.write(oprot);
+          _iter52.write(oprot);
         }
       }
+      oprot.writeBool(struct.whole);
+      oprot.writeI64(struct.fingerprint);
     }
 
     @Override
@@ -620,17 +820,21 @@
       struct.forgottenThroughMillis = iprot.readI64();
       struct.setForgottenThroughMillisIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.entries = new java.util.ArrayList<LedgerEntry>(_list37.size);
-        @org.apache.thrift.annotation.Nullable LedgerEntry _elem38;
-        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+        org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.entries = new java.util.ArrayList<LedgerEntry>(_list53.size);
+        @org.apache.thrift.annotation.Nullable LedgerEntry _elem54;
+        for (int _i55 = 0; _i55 < _list53.size; ++_i55)
         {
-          _elem38 = new LedgerEntry();
-          _elem38.read(iprot);
-          struct.entries.add(_elem38);
+          _elem54 = new LedgerEntry();
+          _elem54.read(iprot);
+          struct.entries.add(_elem54);
         }
       }
       struct.setEntriesIsSet(true);
+      struct.whole = iprot.readBool();
+      struct.setWholeIsSet(true);
+      struct.fingerprint = iprot.readI64();
+      struct.setFingerprintIsSet(true);
     }
   }
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/NodeService.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/NodeService.java
@@ -40,7 +40,7 @@
      * @param sender
      * @param parts
      */
-    public void commit(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException;
+    public CommitReply commit(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException;
 
     /**
      * Outcomes of calls that were in flight at the commit.
@@ -50,13 +50,6 @@
      */
     public void outcomes(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException;
 
-    /**
-     * Sent without acknowledgement; the heartbeat on the same connection vouches for it.
-     * 
-     * @param facts
-     */
-    public void notify(java.util.List<java.lang.String> facts) throws org.apache.thrift.TException;
-
   }
 
   public interface AsyncIface {
@@ -75,12 +68,10 @@
 
     public void offer(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
 
-    public void commit(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
+    public void commit(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<CommitReply> resultHandler) throws org.apache.thrift.TException;
 
     public void outcomes(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
 
-    public void notify(java.util.List<java.lang.String> facts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
-
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -291,10 +282,10 @@
     }
 
     @Override
-    public void commit(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException
+    public CommitReply commit(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException
     {
       send_commit(sender, parts);
-      recv_commit();
+      return recv_commit();
     }
 
     public void send_commit(NodeRef sender, java.util.List<KeySpacePart> parts) throws org.apache.thrift.TException
@@ -305,14 +296,17 @@
       sendBase("commit", args);
     }
 
-    public void recv_commit() throws NodeFault, org.apache.thrift.TException
+    public CommitReply recv_commit() throws NodeFault, org.apache.thrift.TException
     {
       commit_result result = new commit_result();
       receiveBase(result, "commit");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
       if (result.fault != null) {
         throw result.fault;
       }
-      return;
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "commit failed: unknown result");
     }
 
     @Override
@@ -340,19 +334,6 @@
       return;
     }
 
-    @Override
-    public void notify(java.util.List<java.lang.String> facts) throws org.apache.thrift.TException
-    {
-      send_notify(facts);
-    }
-
-    public void send_notify(java.util.List<java.lang.String> facts) throws org.apache.thrift.TException
-    {
-      notify_args args = new notify_args();
-      args.setFacts(facts);
-      sendBaseOneway("notify", args);
-    }
-
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -625,17 +606,17 @@
     }
 
     @Override
-    public void commit(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+    public void commit(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<CommitReply> resultHandler) throws org.apache.thrift.TException {
       checkReady();
       commit_call method_call = new commit_call(sender, parts, resultHandler, this, ___protocolFactory, ___transport);
       this.___currentMethod = method_call;
       ___manager.call(method_call);
     }
 
-    public static class commit_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
+    public static class commit_call extends org.apache.thrift.async.TAsyncMethodCall<CommitReply> {
       private NodeRef sender;
       private java.util.List<KeySpacePart> parts;
-      public commit_call(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+      public commit_call(NodeRef sender, java.util.List<KeySpacePart> parts, org.apache.thrift.async.AsyncMethodCallback<CommitReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
         super(client, protocolFactory, transport, resultHandler, false);
         this.sender = sender;
         this.parts = parts;
@@ -652,14 +633,13 @@
       }
 
       @Override
-      public Void getResult() throws NodeFault, org.apache.thrift.TException {
+      public CommitReply getResult() throws NodeFault, org.apache.thrift.TException {
         if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
           throw new java.lang.IllegalStateException("Method call not finished!");
         }
         org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
         org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
-        (new Client(prot)).recv_commit();
-        return null;
+        return (new Client(prot)).recv_commit();
       }
     }
 
@@ -702,41 +682,6 @@
       }
     }
 
-    @Override
-    public void notify(java.util.List<java.lang.String> facts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
-      checkReady();
-      notify_call method_call = new notify_call(facts, resultHandler, this, ___protocolFactory, ___transport);
-      this.___currentMethod = method_call;
-      ___manager.call(method_call);
-    }
-
-    public static class notify_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
-      private java.util.List<java.lang.String> facts;
-      public notify_call(java.util.List<java.lang.String> facts, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
-        super(client, protocolFactory, transport, resultHandler, true);
-        this.facts = facts;
-      }
-
-      @Override
-      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
-        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("notify", org.apache.thrift.protocol.TMessageType.ONEWAY, 0));
-        notify_args args = new notify_args();
-        args.setFacts(facts);
-        args.write(prot);
-        prot.writeMessageEnd();
-      }
-
-      @Override
-      public Void getResult() throws org.apache.thrift.TException {
-        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
-          throw new java.lang.IllegalStateException("Method call not finished!");
-        }
-        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
-        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
-        return null;
-      }
-    }
-
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -759,7 +704,6 @@
       processMap.put("offer", new offer());
       processMap.put("commit", new commit());
       processMap.put("outcomes", new outcomes());
-      processMap.put("notify", new notify());
       return processMap;
     }
 
@@ -1007,7 +951,7 @@
       public commit_result getResult(I iface, commit_args args) throws org.apache.thrift.TException {
         commit_result result = new commit_result();
         try {
-          iface.commit(args.sender, args.parts);
+          result.success = iface.commit(args.sender, args.parts);
         } catch (NodeFault fault) {
           result.fault = fault;
         }
@@ -1047,33 +991,6 @@
       }
     }
 
-    public static class notify<I extends Iface> extends org.apache.thrift.ProcessFunction<I, notify_args> {
-      public notify() {
-        super("notify");
-      }
-
-      @Override
-      public notify_args getEmptyArgsInstance() {
-        return new notify_args();
-      }
-
-      @Override
-      protected boolean isOneway() {
-        return true;
-      }
-
-      @Override
-      protected boolean rethrowUnhandledExceptions() {
-        return false;
-      }
-
-      @Override
-      public org.apache.thrift.TBase getResult(I iface, notify_args args) throws org.apache.thrift.TException {
-        iface.notify(args.facts);
-        return null;
-      }
-    }
-
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -1096,7 +1013,6 @@
       processMap.put("offer", new offer());
       processMap.put("commit", new commit());
       processMap.put("outcomes", new outcomes());
-      processMap.put("notify", new notify());
       return processMap;
     }
 
@@ -1592,7 +1508,7 @@
       }
     }
 
-    public static class commit<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, commit_args, Void> {
+    public static class commit<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, commit_args, CommitReply> {
       public commit() {
         super("commit");
       }
@@ -1603,12 +1519,13 @@
       }
 
       @Override
-      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+      public org.apache.thrift.async.AsyncMethodCallback<CommitReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
         final org.apache.thrift.AsyncProcessFunction fcall = this;
-        return new org.apache.thrift.async.AsyncMethodCallback<Void>() { 
+        return new org.apache.thrift.async.AsyncMethodCallback<CommitReply>() { 
           @Override
-          public void onComplete(Void o) {
+          public void onComplete(CommitReply o) {
             commit_result result = new commit_result();
+            result.success = o;
             try {
               fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
             } catch (org.apache.thrift.transport.TTransportException e) {
@@ -1657,7 +1574,7 @@
       }
 
       @Override
-      public void start(I iface, commit_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+      public void start(I iface, commit_args args, org.apache.thrift.async.AsyncMethodCallback<CommitReply> resultHandler) throws org.apache.thrift.TException {
         iface.commit(args.sender, args.parts,resultHandler);
       }
     }
@@ -1732,46 +1649,6 @@
       }
     }
 
-    public static class notify<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, notify_args, Void> {
-      public notify() {
-        super("notify");
-      }
-
-      @Override
-      public notify_args getEmptyArgsInstance() {
-        return new notify_args();
-      }
-
-      @Override
-      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
-        final org.apache.thrift.AsyncProcessFunction fcall = this;
-        return new org.apache.thrift.async.AsyncMethodCallback<Void>() { 
-          @Override
-          public void onComplete(Void o) {
-          }
-          @Override
-          public void onError(java.lang.Exception e) {
-            if (e instanceof org.apache.thrift.transport.TTransportException) {
-              _LOGGER.error("TTransportException inside handler", e);
-              fb.close();
-            } else {
-              _LOGGER.error("Exception inside oneway handler", e);
-            }
-          }
-        };
-      }
-
-      @Override
-      protected boolean isOneway() {
-        return true;
-      }
-
-      @Override
-      public void start(I iface, notify_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
-        iface.notify(args.facts,resultHandler);
-      }
-    }
-
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -5060,14 +4937,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<ConfigRecord>(_list40.size);
-                  @org.apache.thrift.annotation.Nullable ConfigRecord _elem41;
-                  for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                  org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<ConfigRecord>(_list56.size);
+                  @org.apache.thrift.annotation.Nullable ConfigRecord _elem57;
+                  for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                   {
-                    _elem41 = new ConfigRecord();
-                    _elem41.read(iprot);
-                    struct.success.add(_elem41);
+                    _elem57 = new ConfigRecord();
+                    _elem57.read(iprot);
+                    struct.success.add(_elem57);
                   }
                   iprot.readListEnd();
                 }
@@ -5105,9 +4982,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (ConfigRecord _iter43 : struct.success)
+            for (ConfigRecord _iter59 : struct.success)
             {
-              _iter43.write(oprot);
+              _iter59.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -5147,9 +5024,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (ConfigRecord _iter44 : struct.success)
+            for (ConfigRecord _iter60 : struct.success)
             {
-              _iter44.write(oprot);
+              _iter60.write(oprot);
             }
           }
         }
@@ -5164,14 +5041,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<ConfigRecord>(_list45.size);
-            @org.apache.thrift.annotation.Nullable ConfigRecord _elem46;
-            for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+            org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<ConfigRecord>(_list61.size);
+            @org.apache.thrift.annotation.Nullable ConfigRecord _elem62;
+            for (int _i63 = 0; _i63 < _list61.size; ++_i63)
             {
-              _elem46 = new ConfigRecord();
-              _elem46.read(iprot);
-              struct.success.add(_elem46);
+              _elem62 = new ConfigRecord();
+              _elem62.read(iprot);
+              struct.success.add(_elem62);
             }
           }
           struct.setSuccessIsSet(true);
@@ -7461,14 +7338,14 @@
             case 2: // PARTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                  struct.parts = new java.util.ArrayList<KeySpacePart>(_list48.size);
-                  @org.apache.thrift.annotation.Nullable KeySpacePart _elem49;
-                  for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                  org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                  struct.parts = new java.util.ArrayList<KeySpacePart>(_list64.size);
+                  @org.apache.thrift.annotation.Nullable KeySpacePart _elem65;
+                  for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                   {
-                    _elem49 = new KeySpacePart();
-                    _elem49.read(iprot);
-                    struct.parts.add(_elem49);
+                    _elem65 = new KeySpacePart();
+                    _elem65.read(iprot);
+                    struct.parts.add(_elem65);
                   }
                   iprot.readListEnd();
                 }
@@ -7502,9 +7379,9 @@
           oprot.writeFieldBegin(PARTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.parts.size()));
-            for (KeySpacePart _iter51 : struct.parts)
+            for (KeySpacePart _iter67 : struct.parts)
             {
-              _iter51.write(oprot);
+              _iter67.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -7542,9 +7419,9 @@
         if (struct.isSetParts()) {
           {
             oprot.writeI32(struct.parts.size());
-            for (KeySpacePart _iter52 : struct.parts)
+            for (KeySpacePart _iter68 : struct.parts)
             {
-              _iter52.write(oprot);
+              _iter68.write(oprot);
             }
           }
         }
@@ -7561,14 +7438,14 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.parts = new java.util.ArrayList<KeySpacePart>(_list53.size);
-            @org.apache.thrift.annotation.Nullable KeySpacePart _elem54;
-            for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+            org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.parts = new java.util.ArrayList<KeySpacePart>(_list69.size);
+            @org.apache.thrift.annotation.Nullable KeySpacePart _elem70;
+            for (int _i71 = 0; _i71 < _list69.size; ++_i71)
             {
-              _elem54 = new KeySpacePart();
-              _elem54.read(iprot);
-              struct.parts.add(_elem54);
+              _elem70 = new KeySpacePart();
+              _elem70.read(iprot);
+              struct.parts.add(_elem70);
             }
           }
           struct.setPartsIsSet(true);
@@ -8385,14 +8262,14 @@
             case 2: // PARTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                  struct.parts = new java.util.ArrayList<KeySpacePart>(_list56.size);
-                  @org.apache.thrift.annotation.Nullable KeySpacePart _elem57;
-                  for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                  org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                  struct.parts = new java.util.ArrayList<KeySpacePart>(_list72.size);
+                  @org.apache.thrift.annotation.Nullable KeySpacePart _elem73;
+                  for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                   {
-                    _elem57 = new KeySpacePart();
-                    _elem57.read(iprot);
-                    struct.parts.add(_elem57);
+                    _elem73 = new KeySpacePart();
+                    _elem73.read(iprot);
+                    struct.parts.add(_elem73);
                   }
                   iprot.readListEnd();
                 }
@@ -8426,9 +8303,9 @@
           oprot.writeFieldBegin(PARTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.parts.size()));
-            for (KeySpacePart _iter59 : struct.parts)
+            for (KeySpacePart _iter75 : struct.parts)
             {
-              _iter59.write(oprot);
+              _iter75.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -8466,9 +8343,9 @@
         if (struct.isSetParts()) {
           {
             oprot.writeI32(struct.parts.size());
-            for (KeySpacePart _iter60 : struct.parts)
+            for (KeySpacePart _iter76 : struct.parts)
             {
-              _iter60.write(oprot);
+              _iter76.write(oprot);
             }
           }
         }
@@ -8485,14 +8362,14 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.parts = new java.util.ArrayList<KeySpacePart>(_list61.size);
-            @org.apache.thrift.annotation.Nullable KeySpacePart _elem62;
-            for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+            org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.parts = new java.util.ArrayList<KeySpacePart>(_list77.size);
+            @org.apache.thrift.annotation.Nullable KeySpacePart _elem78;
+            for (int _i79 = 0; _i79 < _list77.size; ++_i79)
             {
-              _elem62 = new KeySpacePart();
-              _elem62.read(iprot);
-              struct.parts.add(_elem62);
+              _elem78 = new KeySpacePart();
+              _elem78.read(iprot);
+              struct.parts.add(_elem78);
             }
           }
           struct.setPartsIsSet(true);
@@ -8509,15 +8386,22 @@
   public static class commit_result implements org.apache.thrift.TBase<commit_result, commit_result._Fields>, java.io.Serializable, Cloneable, Comparable<commit_result>   {
     private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("commit_result");
 
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.I32, (short)0);
     private static final org.apache.thrift.protocol.TField FAULT_FIELD_DESC = new org.apache.thrift.protocol.TField("fault", org.apache.thrift.protocol.TType.STRUCT, (short)1);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new commit_resultStandardSchemeFactory();
     private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new commit_resultTupleSchemeFactory();
 
+    private @org.apache.thrift.annotation.Nullable CommitReply success; // required
     private @org.apache.thrift.annotation.Nullable NodeFault fault; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      /**
+       * 
+       * @see CommitReply
+       */
+      SUCCESS((short)0, "success"),
       FAULT((short)1, "fault");
 
       private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -8534,6 +8418,8 @@
       @org.apache.thrift.annotation.Nullable
       public static _Fields findByThriftId(int fieldId) {
         switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
           case 1: // FAULT
             return FAULT;
           default:
@@ -8582,6 +8468,8 @@
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
     static {
       java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, CommitReply.class)));
       tmpMap.put(_Fields.FAULT, new org.apache.thrift.meta_data.FieldMetaData("fault", org.apache.thrift.TFieldRequirementType.DEFAULT, 
           new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, NodeFault.class)));
       metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
@@ -8592,9 +8480,11 @@
     }
 
     public commit_result(
+      CommitReply success,
       NodeFault fault)
     {
       this();
+      this.success = success;
       this.fault = fault;
     }
 
@@ -8602,6 +8492,9 @@
      * Performs a deep copy on <i>other</i>.
      */
     public commit_result(commit_result other) {
+      if (other.isSetSuccess()) {
+        this.success = other.success;
+      }
       if (other.isSetFault()) {
         this.fault = new NodeFault(other.fault);
       }
@@ -8614,9 +8507,43 @@
 
     @Override
     public void clear() {
+      this.success = null;
       this.fault = null;
     }
 
+    /**
+     * 
+     * @see CommitReply
+     */
+    @org.apache.thrift.annotation.Nullable
+    public CommitReply getSuccess() {
+      return this.success;
+    }
+
+    /**
+     * 
+     * @see CommitReply
+     */
+    public commit_result setSuccess(@org.apache.thrift.annotation.Nullable CommitReply success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
     @org.apache.thrift.annotation.Nullable
     public NodeFault getFault() {
       return this.fault;
@@ -8645,6 +8572,14 @@
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
       switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((CommitReply)value);
+        }
+        break;
+
       case FAULT:
         if (value == null) {
           unsetFault();
@@ -8660,6 +8595,9 @@
     @Override
     public java.lang.Object getFieldValue(_Fields field) {
       switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
       case FAULT:
         return getFault();
 
@@ -8675,6 +8613,8 @@
       }
 
       switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
       case FAULT:
         return isSetFault();
       }
@@ -8694,6 +8634,15 @@
       if (this == that)
         return true;
 
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
       boolean this_present_fault = true && this.isSetFault();
       boolean that_present_fault = true && that.isSetFault();
       if (this_present_fault || that_present_fault) {
@@ -8710,6 +8659,10 @@
     public int hashCode() {
       int hashCode = 1;
 
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.getValue();
+
       hashCode = hashCode * 8191 + ((isSetFault()) ? 131071 : 524287);
       if (isSetFault())
         hashCode = hashCode * 8191 + fault.hashCode();
@@ -8725,6 +8678,16 @@
 
       int lastComparison = 0;
 
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
       lastComparison = java.lang.Boolean.compare(isSetFault(), other.isSetFault());
       if (lastComparison != 0) {
         return lastComparison;
@@ -8758,6 +8721,14 @@
       java.lang.StringBuilder sb = new java.lang.StringBuilder("commit_result(");
       boolean first = true;
 
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      if (!first) sb.append(", ");
       sb.append("fault:");
       if (this.fault == null) {
         sb.append("null");
@@ -8810,6 +8781,14 @@
             break;
           }
           switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+                struct.success = io.flamingogap.wire.CommitReply.findByValue(iprot.readI32());
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
             case 1: // FAULT
               if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
                 struct.fault = new NodeFault();
@@ -8835,6 +8814,11 @@
         struct.validate();
 
         oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          oprot.writeI32(struct.success.getValue());
+          oprot.writeFieldEnd();
+        }
         if (struct.fault != null) {
           oprot.writeFieldBegin(FAULT_FIELD_DESC);
           struct.fault.write(oprot);
@@ -8859,10 +8843,16 @@
       public void write(org.apache.thrift.protocol.TProtocol prot, commit_result struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
         java.util.BitSet optionals = new java.util.BitSet();
-        if (struct.isSetFault()) {
+        if (struct.isSetSuccess()) {
           optionals.set(0);
         }
-        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetFault()) {
+          optionals.set(1);
+        }
+        oprot.writeBitSet(optionals, 2);
+        if (struct.isSetSuccess()) {
+          oprot.writeI32(struct.success.getValue());
+        }
         if (struct.isSetFault()) {
           struct.fault.write(oprot);
         }
@@ -8871,8 +8861,12 @@
       @Override
       public void read(org.apache.thrift.protocol.TProtocol prot, commit_result struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-        java.util.BitSet incoming = iprot.readBitSet(1);
+        java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
+          struct.success = io.flamingogap.wire.CommitReply.findByValue(iprot.readI32());
+          struct.setSuccessIsSet(true);
+        }
+        if (incoming.get(1)) {
           struct.fault = new NodeFault();
           struct.fault.read(iprot);
           struct.setFaultIsSet(true);
@@ -9309,14 +9303,14 @@
             case 2: // PARTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
-                  struct.parts = new java.util.ArrayList<KeySpacePart>(_list64.size);
-                  @org.apache.thrift.annotation.Nullable KeySpacePart _elem65;
-                  for (int _i66 = 0; _i66 < _list64.size; ++_i66)
+                  org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
+                  struct.parts = new java.util.ArrayList<KeySpacePart>(_list80.size);
+                  @org.apache.thrift.annotation.Nullable KeySpacePart _elem81;
+                  for (int _i82 = 0; _i82 < _list80.size; ++_i82)
                   {
-                    _elem65 = new KeySpacePart();
-                    _elem65.read(iprot);
-                    struct.parts.add(_elem65);
+                    _elem81 = new KeySpacePart();
+                    _elem81.read(iprot);
+                    struct.parts.add(_elem81);
                   }
                   iprot.readListEnd();
                 }
@@ -9350,9 +9344,9 @@
           oprot.writeFieldBegin(PARTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.parts.size()));
-            for (KeySpacePart _iter67 : struct.parts)
+            for (KeySpacePart _iter83 : struct.parts)
             {
-              _iter67.write(oprot);
+              _iter83.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9390,9 +9384,9 @@
         if (struct.isSetParts()) {
           {
             oprot.writeI32(struct.parts.size());
-            for (KeySpacePart _iter68 : struct.parts)
+            for (KeySpacePart _iter84 : struct.parts)
             {
-              _iter68.write(oprot);
+              _iter84.write(oprot);
             }
           }
         }
@@ -9409,14 +9403,14 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.parts = new java.util.ArrayList<KeySpacePart>(_list69.size);
-            @org.apache.thrift.annotation.Nullable KeySpacePart _elem70;
-            for (int _i71 = 0; _i71 < _list69.size; ++_i71)
+            org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.parts = new java.util.ArrayList<KeySpacePart>(_list85.size);
+            @org.apache.thrift.annotation.Nullable KeySpacePart _elem86;
+            for (int _i87 = 0; _i87 < _list85.size; ++_i87)
             {
-              _elem70 = new KeySpacePart();
-              _elem70.read(iprot);
-              struct.parts.add(_elem70);
+              _elem86 = new KeySpacePart();
+              _elem86.read(iprot);
+              struct.parts.add(_elem86);
             }
           }
           struct.setPartsIsSet(true);
@@ -9809,433 +9803,4 @@
     }
   }
 
-  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-  public static class notify_args implements org.apache.thrift.TBase<notify_args, notify_args._Fields>, java.io.Serializable, Cloneable, Comparable<notify_args>   {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("notify_args");
-
-    private static final org.apache.thrift.protocol.TField FACTS_FIELD_DESC = new org.apache.thrift.protocol.TField("facts", org.apache.thrift.protocol.TType.LIST, (short)1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new notify_argsStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new notify_argsTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> facts; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-      FACTS((short)1, "facts");
-
-      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
-
-      static {
-        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-          byName.put(field.getFieldName(), field);
-        }
-      }
-
-      /**
-       * Find the _Fields constant that matches fieldId, or null if its not found.
-       */
-      @org.apache.thrift.annotation.Nullable
-      public static _Fields findByThriftId(int fieldId) {
-        switch(fieldId) {
-          case 1: // FACTS
-            return FACTS;
-          default:
-            return null;
-        }
-      }
-
-      /**
-       * Find the _Fields constant that matches fieldId, throwing an exception
-       * if it is not found.
-       */
-      public static _Fields findByThriftIdOrThrow(int fieldId) {
-        _Fields fields = findByThriftId(fieldId);
-        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-        return fields;
-      }
-
-      /**
-       * Find the _Fields constant that matches name, or null if its not found.
-       */
-      @org.apache.thrift.annotation.Nullable
-      public static _Fields findByName(java.lang.String name) {
-        return byName.get(name);
-      }
-
-      private final short _thriftId;
-      private final java.lang.String _fieldName;
-
-      _Fields(short thriftId, java.lang.String fieldName) {
-        _thriftId = thriftId;
-        _fieldName = fieldName;
-      }
-
-      @Override
-      public short getThriftFieldId() {
-        return _thriftId;
-      }
-
-      @Override
-      public java.lang.String getFieldName() {
-        return _fieldName;
-      }
-    }
-
-    // isset id assignments
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-    static {
-      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-      tmpMap.put(_Fields.FACTS, new org.apache.thrift.meta_data.FieldMetaData("facts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-          new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-              new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
-      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(notify_args.class, metaDataMap);
-    }
-
-    public notify_args() {
-    }
-
-    public notify_args(
-      java.util.List<java.lang.String> facts)
-    {
-      this();
-      this.facts = facts;
-    }
-
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public notify_args(notify_args other) {
-      if (other.isSetFacts()) {
-        java.util.List<java.lang.String> __this__facts = new java.util.ArrayList<java.lang.String>(other.facts);
-        this.facts = __this__facts;
-      }
-    }
-
-    @Override
-    public notify_args deepCopy() {
-      return new notify_args(this);
-    }
-
-    @Override
-    public void clear() {
-      this.facts = null;
-    }
-
-    public int getFactsSize() {
-      return (this.facts == null) ? 0 : this.facts.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.lang.String> getFactsIterator() {
-      return (this.facts == null) ? null : this.facts.iterator();
-    }
-
-    public void addToFacts(java.lang.String elem) {
-      if (this.facts == null) {
-        this.facts = new java.util.ArrayList<java.lang.String>();
-      }
-      this.facts.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<java.lang.String> getFacts() {
-      return this.facts;
-    }
-
-    public notify_args setFacts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> facts) {
-      this.facts = facts;
-      return this;
-    }
-
-    public void unsetFacts() {
-      this.facts = null;
-    }
-
-    /** Returns true if field facts is set (has been assigned a value) and false otherwise */
-    public boolean isSetFacts() {
-      return this.facts != null;
-    }
-
-    public void setFactsIsSet(boolean value) {
-      if (!value) {
-        this.facts = null;
-      }
-    }
-
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-      switch (field) {
-      case FACTS:
-        if (value == null) {
-          unsetFacts();
-        } else {
-          setFacts((java.util.List<java.lang.String>)value);
-        }
-        break;
-
-      }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-      switch (field) {
-      case FACTS:
-        return getFacts();
-
-      }
-      throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-      if (field == null) {
-        throw new java.lang.IllegalArgumentException();
-      }
-
-      switch (field) {
-      case FACTS:
-        return isSetFacts();
-      }
-      throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-      if (that instanceof notify_args)
-        return this.equals((notify_args)that);
-      return false;
-    }
-
-    public boolean equals(notify_args that) {
-      if (that == null)
-        return false;
-      if (this == that)
-        return true;
-
-      boolean this_present_facts = true && this.isSetFacts();
-      boolean that_present_facts = true && that.isSetFacts();
-      if (this_present_facts || that_present_facts) {
-        if (!(this_present_facts && that_present_facts))
-          return false;
-        if (!this.facts.equals(that.facts))
-          return false;
-      }
-
-      return true;
-    }
-
-    @Override
-    public int hashCode() {
-      int hashCode = 1;
-
-      hashCode = hashCode * 8191 + ((isSetFacts()) ? 131071 : 524287);
-      if (isSetFacts())
-        hashCode = hashCode * 8191 + facts.hashCode();
-
-      return hashCode;
-    }
-
-    @Override
-    public int compareTo(notify_args other) {
-      if (!getClass().equals(other.getClass())) {
-        return getClass().getName().compareTo(other.getClass().getName());
-      }
-
-      int lastComparison = 0;
-
-      lastComparison = java.lang.Boolean.compare(isSetFacts(), other.isSetFacts());
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-      if (isSetFacts()) {
-        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.facts, other.facts);
-        if (lastComparison != 0) {
-          return lastComparison;
-        }
-      }
-      return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-      return _Fields.findByThriftId(fieldId);
-    }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-      scheme(iprot).read(iprot, this);
-    }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-      scheme(oprot).write(oprot, this);
-    }
-
-    @Override
-    public java.lang.String toString() {
-      java.lang.StringBuilder sb = new java.lang.StringBuilder("notify_args(");
-      boolean first = true;
-
-      sb.append("facts:");
-      if (this.facts == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.facts);
-      }
-      first = false;
-      sb.append(")");
-      return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-      // check for required fields
-      // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-      try {
-        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
-      } catch (org.apache.thrift.TException te) {
-        throw new java.io.IOException(te);
-      }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-      try {
-        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
-      } catch (org.apache.thrift.TException te) {
-        throw new java.io.IOException(te);
-      }
-    }
-
-    private static class notify_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-      @Override
-      public notify_argsStandardScheme getScheme() {
-        return new notify_argsStandardScheme();
-      }
-    }
-
-    private static class notify_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<notify_args> {
-
-      @Override
-      public void read(org.apache.thrift.protocol.TProtocol iprot, notify_args struct) throws org.apache.thrift.TException {
-        org.apache.thrift.protocol.TField schemeField;
-        iprot.readStructBegin();
-        while (true)
-        {
-          schemeField = iprot.readFieldBegin();
-          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
-            break;
-          }
-          switch (schemeField.id) {
-            case 1: // FACTS
-              if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                {
-                  org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
-                  struct.facts = new java.util.ArrayList<java.lang.String>(_list72.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _elem73;
-                  for (int _i74 = 0; _i74 < _list72.size; ++_i74)
-                  {
-                    _elem73 = iprot.readString();
-                    struct.facts.add(_elem73);
-                  }
-                  iprot.readListEnd();
-                }
-                struct.setFactsIsSet(true);
-              } else { 
-                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-              }
-              break;
-            default:
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-          }
-          iprot.readFieldEnd();
-        }
-        iprot.readStructEnd();
-
-        // check for required fields of primitive type, which can't be checked in the validate method
-        struct.validate();
-      }
-
-      @Override
-      public void write(org.apache.thrift.protocol.TProtocol oprot, notify_args struct) throws org.apache.thrift.TException {
-        struct.validate();
-
-        oprot.writeStructBegin(STRUCT_DESC);
-        if (struct.facts != null) {
-          oprot.writeFieldBegin(FACTS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.facts.size()));
-            for (java.lang.String _iter75 : struct.facts)
-            {
-              oprot.writeString(_iter75);
-            }
-            oprot.writeListEnd();
-          }
-          oprot.writeFieldEnd();
-        }
-        oprot.writeFieldStop();
-        oprot.writeStructEnd();
-      }
-
-    }
-
-    private static class notify_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-      @Override
-      public notify_argsTupleScheme getScheme() {
-        return new notify_argsTupleScheme();
-      }
-    }
-
-    private static class notify_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<notify_args> {
-
-      @Override
-      public void write(org.apache.thrift.protocol.TProtocol prot, notify_args struct) throws org.apache.thrift.TException {
-        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-        java.util.BitSet optionals = new java.util.BitSet();
-        if (struct.isSetFacts()) {
-          optionals.set(0);
-        }
-        oprot.writeBitSet(optionals, 1);
-        if (struct.isSetFacts()) {
-          {
-            oprot.writeI32(struct.facts.size());
-            for (java.lang.String _iter76 : struct.facts)
-            {
-              oprot.writeString(_iter76);
-            }
-          }
-        }
-      }
-
-      @Override
-      public void read(org.apache.thrift.protocol.TProtocol prot, notify_args struct) throws org.apache.thrift.TException {
-        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-        java.util.BitSet incoming = iprot.readBitSet(1);
-        if (incoming.get(0)) {
-          {
-            org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-            struct.facts = new java.util.ArrayList<java.lang.String>(_list77.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _elem78;
-            for (int _i79 = 0; _i79 < _list77.size; ++_i79)
-            {
-              _elem78 = iprot.readString();
-              struct.facts.add(_elem78);
-            }
-          }
-          struct.setFactsIsSet(true);
-        }
-      }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
-    }
-  }
-
 }
--- a/flamingogap-wire/src/main/thrift/node.thrift
+++ b/flamingogap-wire/src/main/thrift/node.thrift
@@ -29,21 +29,56 @@
   8: optional NodeRef successor
 }
 
+/** Identity of a rollout; the start is in seconds since 1970 UTC. */
+struct RolloutKey {
+  1: required string serviceName
+  2: required string candidate
+  3: required i64 startsAtEpochSeconds
+}
+
+enum Arm {
+  CURRENT = 1
+  CANDIDATE = 2
+}
+
+/** Counts of one node run; they only grow. */
+struct EvidenceRow {
+  1: required RolloutKey rollout
+  2: required NodeRef node
+  3: required Arm arm
+  4: required string route
+  5: required i32 period
+  6: required i64 requests
+  7: required i64 failures
+  8: required i64 slow
+}
+
+/** The final decision to end a rollout in favour of the version in use. */
+struct TakeBack {
+  1: required RolloutKey rollout
+  2: required string by
+  3: required string reason
+  4: required i64 atMillis
+}
+
 /** Sent on each connection at an interval, and at once when the sender has news. */
 struct Heartbeat {
   1: required i64 sequence
   2: required i64 configHead
   /** Rows changed since the last acknowledged heartbeat on this connection. */
   3: required list<Member> changes
-  /** Notes of taken-back versions and of evidence, encoded by the sender's core. */
-  4: required list<string> facts
+  /** Rows changed since the last acknowledged heartbeat, as many as fit. */
+  4: required list<EvidenceRow> evidence
+  /** Every decision that the sender knows. */
+  5: required list<TakeBack> takeBacks
 }
 
 struct HeartbeatReply {
   1: required i64 sequence
   2: required i64 configHead
   3: required list<Member> changes
-  4: required list<string> facts
+  4: required list<EvidenceRow> evidence
+  5: required list<TakeBack> takeBacks
 }
 
 struct Proof {
@@ -96,6 +131,17 @@
   1: required NodeRef issuer
   2: required i64 forgottenThroughMillis
   3: required list<LedgerEntry> entries
+  /** Set if this part holds every entry and replaces what was offered. */
+  4: required bool whole
+  /** Fingerprint of every entry at the sender; a commit takes effect only on a match. */
+  5: required i64 fingerprint
+}
+
+/** What a node did with a commit; a refusal is final. */
+enum CommitReply {
+  TAKEN = 1
+  INCOMPLETE = 2
+  REFUSED = 3
 }
 
 exception NodeFault {
@@ -115,9 +161,7 @@
   /** Stores entries that stay inert until the commit. */
   void offer(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
   /** The sender dispatches no key of these issuers any more; the receiver may. */
-  void commit(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
+  CommitReply commit(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
   /** Outcomes of calls that were in flight at the commit. */
   void outcomes(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
-  /** Sent without acknowledgement; the heartbeat on the same connection vouches for it. */
-  oneway void notify(1: list<string> facts)
 }
