Prove requests, handovers, streams and configuration with real daemons under faults

Cause: the promises had been proved for the ledger alone. Thirty tests start daemons as processes and kill, freeze, cut, silence and refuse for real; executions are counted at the stand-in. They found: a request whose deadline passed before anything was sent was told "unknown" although it was not run; it is now given up under the ledger's lock and told "not run".

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -175,7 +175,7 @@
 
 	private static Member ownRow(Settings settings, NodeId self) {
 		return new Member(self, settings.node().zone(), Address.parse(settings.listen().callerAddress()),
-				Address.parse(settings.listen().nodeAddress()), MemberState.SERVING, 1, false, null);
+				Address.parse(settings.listen().reachableNodeAddress()), MemberState.SERVING, 1, false, null);
 	}
 
 	private static LedgerLimits limits(Settings.Requests requests) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -155,6 +155,9 @@
 			return pending.get(leftMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException ex) {
+			if (giveUpExpired(request.key())) {
+				return outcomeOf(find(request.key()).orElseThrow());
+			}
 			return new Outcome.Failed(Failure.outcomeUnknown(Step.DISPATCH, "backend server",
 					"no answer before the deadline; the request may still be executed"));
 		}
@@ -168,6 +171,20 @@
 		}
 	}
 
+	/**
+	 * Give a request up if its first attempt's deadline has passed and nothing was sent.
+	 * @param key the key
+	 * @return {@code true} if it will never be run
+	 */
+	private synchronized boolean giveUpExpired(RequestKey key) {
+		long nowMillis = this.clock.millis();
+		return this.ledger.find(key)
+			.map(LedgerEntry::request)
+			.filter((accepted) -> accepted.deadlineMillis() <= nowMillis)
+			.filter((accepted) -> this.ledger.giveUp(key))
+			.isPresent();
+	}
+
 	private CompletableFuture<Outcome> future(RequestKey key) {
 		return this.waiting.computeIfAbsent(key.toString(), (text) -> new CompletableFuture<>());
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
@@ -36,9 +36,21 @@
 	 * @param callerAddress for callers and operators
 	 * @param nodeAddress for other entry nodes
 	 * @param adminAddress for health, readiness and metrics
+	 * @param advertisedNodeAddress what other entry nodes are told to connect to; empty
+	 * for nodeAddress
 	 */
 	public record Listen(@Form(Form.ADDRESS) String callerAddress, @Form(Form.ADDRESS) String nodeAddress,
-			@Form(Form.ADDRESS) String adminAddress) {
+			@Form(Form.ADDRESS) String adminAddress,
+			@Default("") @Form("|" + Form.ADDRESS) String advertisedNodeAddress) {
+
+		/**
+		 * Return what other entry nodes are told to connect to.
+		 * @return the IP number and port
+		 */
+		public String reachableNodeAddress() {
+			return this.advertisedNodeAddress.isEmpty() ? this.nodeAddress : this.advertisedNodeAddress;
+		}
+
 	}
 
 	/**
--- /dev/null
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
@@ -0,0 +1,413 @@
+package io.flamingogap.daemon.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import io.flamingogap.core.text.Digests;
+import io.flamingogap.daemon.FlamingogapDaemon;
+import io.flamingogap.testkit.backends.FakeEngine;
+import io.flamingogap.testkit.backends.FakePlainService;
+import io.flamingogap.testkit.check.CallerClient;
+import io.flamingogap.testkit.check.CallerClient.EntryNodeReply;
+import io.flamingogap.testkit.http.Json;
+import io.flamingogap.testkit.net.FaultyLink;
+import io.flamingogap.testkit.net.FreePorts;
+import io.flamingogap.testkit.platform.FakeCloud;
+import io.flamingogap.testkit.platform.FakeLog;
+
+/**
+ * Daemons as processes on loopback, with the stand-ins in the test's own process and a
+ * link that can misbehave before each peer.
+ */
+final class Fleet implements AutoCloseable {
+
+	static final String ACCOUNT_KEY = "account-key";
+
+	static final String OPERATOR_KEY = "operator-key";
+
+	private static final long PATIENCE_MILLIS = 20_000;
+
+	private static final int ENGINES = 2;
+
+	private final HttpClient http = HttpClient.newHttpClient();
+
+	private final Path directory;
+
+	private final FakeLog log = new FakeLog(0);
+
+	private final FakeCloud cloud = new FakeCloud(0);
+
+	private final FaultyLink logLink = new FaultyLink(this.log.address());
+
+	private final List<FakeEngine> engines = new ArrayList<>();
+
+	private final List<FaultyLink> engineLinks = new ArrayList<>();
+
+	private final FakePlainService desk = new FakePlainService(0, 20);
+
+	private final FaultyLink deskLink = new FaultyLink(this.desk.address());
+
+	private final List<Daemon> daemons = new ArrayList<>();
+
+	private final List<FaultyLink> nodeLinks = new ArrayList<>();
+
+	private Fleet(Path directory) {
+		this.directory = directory;
+		for (int i = 0; i < ENGINES; i++) {
+			this.engines.add(new FakeEngine(0, 30, 10));
+			this.engineLinks.add(new FaultyLink(this.engines.get(i).address()));
+		}
+	}
+
+	/**
+	 * Start daemons, each in a zone of its own, and wait until a manifest is in force.
+	 * @param count the number of daemons
+	 * @return the fleet
+	 */
+	static Fleet start(int count) throws Exception {
+		Fleet fleet = new Fleet(Files.createTempDirectory("flamingogap-fleet"));
+		for (int i = 0; i < count; i++) {
+			fleet.addDaemon(i);
+		}
+		fleet.await("all nodes know each other", () -> fleet.servingNodesEverywhere(count));
+		fleet.apply(fleet.manifest());
+		return fleet;
+	}
+
+	private void addDaemon(int number) throws IOException {
+		List<Integer> ports = FreePorts.take(3);
+		FaultyLink link = new FaultyLink("127.0.0.1:" + ports.get(1));
+		this.nodeLinks.add(link);
+		String seeds = (number == 0) ? "" : "\"" + this.nodeLinks.get(0).address() + "\"";
+		Path settings = this.directory.resolve("entry-" + number + ".toml");
+		Files.writeString(settings, """
+				[node]
+				name = "entry-%d"
+				zone = "zone-%d"
+				[listen]
+				callerAddress = "127.0.0.1:%d"
+				nodeAddress = "127.0.0.1:%d"
+				adminAddress = "127.0.0.1:%d"
+				advertisedNodeAddress = "%s"
+				[nodes]
+				sharedSecret = "a-secret-for-the-tests"
+				seedAddresses = [%s]
+				heartbeatMillis = 200
+				silentMillis = 600
+				[platform]
+				logAddress = "%s"
+				cloudAddress = "%s"
+				cloudPollMillis = 100
+				logTimeoutMillis = 500
+				logWaitMillis = 300
+				[callers]
+				entryTtlMillis = 1000
+				[requests]
+				answerTimeoutMillis = 3000
+				connectTimeoutMillis = 500
+				stopMarginMillis = 1500
+				[operators]
+				bootstrapName = "release-pipeline"
+				bootstrapKeyDigest = "%s"
+				[log]
+				""".formatted(number, number, ports.get(0), ports.get(1), ports.get(2), link.address(), seeds,
+				this.logLink.address(), this.cloud.address(), Digests.sha256(OPERATOR_KEY)));
+		this.daemons.add(Daemon.start(settings, "127.0.0.1:" + ports.get(0), this.directory));
+	}
+
+	/**
+	 * Start one more daemon.
+	 * @return its number
+	 */
+	int startAnother() throws IOException {
+		int number = this.daemons.size();
+		addDaemon(number);
+		return number;
+	}
+
+	String manifest() {
+		StringBuilder text = new StringBuilder();
+		for (int i = 0; i < this.daemons.size(); i++) {
+			text.append("[[zone]]\nname = \"zone-%d\"\nregion = \"cariri\"\n".formatted(i));
+		}
+		text.append("""
+				[[service]]
+				name = "assistant"
+				kind = "model"
+				version = "v1"
+				targetMillis = 500
+				tokenGapMillis = 300
+				[[service]]
+				name = "desk"
+				kind = "plain"
+				version = "v1"
+				targetMillis = 500
+				[[service.routes]]
+				method = "GET"
+				path = "/lots"
+				repeatable = true
+				[[service.routes]]
+				method = "POST"
+				path = "/bookings"
+				repeatable = false
+				""");
+		for (int i = 0; i < ENGINES; i++) {
+			text.append(server("engine-" + i, "assistant", this.engineLinks.get(i).address()));
+		}
+		text.append(server("desk-0", "desk", this.deskLink.address()));
+		text.append("[[account]]\nname = \"buyers\"\nkeyDigest = \"%s\"\n".formatted(Digests.sha256(ACCOUNT_KEY)));
+		text.append("[[operator]]\nname = \"release-pipeline\"\nkeyDigest = \"%s\"\n"
+			.formatted(Digests.sha256(OPERATOR_KEY)));
+		return text.toString();
+	}
+
+	private static String server(String name, String service, String address) {
+		return "[[server]]\nname = \"%s\"\nservice = \"%s\"\nversion = \"v1\"\nzone = \"zone-0\"\naddress = \"%s\"\n"
+			.formatted(name, service, address);
+	}
+
+	/**
+	 * Publish a manifest through the first daemon and wait until it is in force
+	 * everywhere.
+	 * @param manifest the manifest
+	 */
+	void apply(String manifest) throws Exception {
+		long base = operatorGet(0, "manifest").get("offset").asLong();
+		JsonNode verdict = publish(0, "change-" + System.nanoTime(), base, manifest);
+		long offset = verdict.path("offset").asLong();
+		for (int i = 0; i < this.daemons.size(); i++) {
+			int number = i;
+			await("offset " + offset + " in force at node " + number, () -> configOffset(number) >= offset);
+		}
+	}
+
+	JsonNode publish(int daemon, String id, long base, String manifest) throws Exception {
+		Map<String, Object> change = Map.of("id", id, "baseOffset", base, "manifest", manifest);
+		return operator(daemon, "manifests",
+				HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.ofString(Json.write(change))));
+	}
+
+	long configOffset(int daemon) throws Exception {
+		return operatorGet(daemon, "status").get("configOffset").asLong();
+	}
+
+	private boolean servingNodesEverywhere(int count) throws Exception {
+		for (int i = 0; i < count; i++) {
+			if (servingNodes(i) != count) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Return how many serving nodes a daemon knows.
+	 * @param daemon the daemon
+	 * @return the number
+	 */
+	int servingNodes(int daemon) throws Exception {
+		int serving = 0;
+		for (JsonNode row : operatorGet(daemon, "nodes")) {
+			if (row.get("reachable").asBoolean() && "SERVING".equals(row.get("state").asText())) {
+				serving++;
+			}
+		}
+		return serving;
+	}
+
+	JsonNode operatorGet(int daemon, String resource) throws Exception {
+		return operator(daemon, resource, HttpRequest.newBuilder().GET());
+	}
+
+	JsonNode operatorPost(int daemon, String resource) throws Exception {
+		return operator(daemon, resource, HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.noBody()));
+	}
+
+	JsonNode operatorAs(String key, int daemon, String resource) throws Exception {
+		return operator(key, daemon, resource, HttpRequest.newBuilder().GET());
+	}
+
+	private JsonNode operator(int daemon, String resource, HttpRequest.Builder request) throws Exception {
+		return operator(OPERATOR_KEY, daemon, resource, request);
+	}
+
+	private JsonNode operator(String key, int daemon, String resource, HttpRequest.Builder request) throws Exception {
+		HttpRequest built = request.uri(URI.create("http://" + address(daemon) + "/operator/v1/" + resource))
+			.header("Authorization", "Bearer " + key)
+			.build();
+		return Json.parse(this.http.send(built, HttpResponse.BodyHandlers.ofString()).body());
+	}
+
+	/**
+	 * Wait for a condition that has to become true.
+	 * @param what what is waited for
+	 * @param condition the condition; failures to reach a node count as false
+	 */
+	void await(String what, Callable<Boolean> condition) throws Exception {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+		while (!holds(condition)) {
+			if (System.nanoTime() > deadlineNanos) {
+				throw new AssertionError(what + ": not within " + PATIENCE_MILLIS + " ms; logs in " + this.directory);
+			}
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+	}
+
+	private static boolean holds(Callable<Boolean> condition) throws Exception {
+		try {
+			return condition.call();
+		}
+		catch (IOException | UncheckedIOException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * Return which daemon owns a key.
+	 * @param daemon the daemon to ask
+	 * @param key the key
+	 * @param fallback the number to return if the owner can't be told
+	 * @return the number of the owner
+	 */
+	int ownerNumber(int daemon, String key, int fallback) throws Exception {
+		String owner = operatorGet(daemon, "requests/" + key).path("owner").asText();
+		for (int i = 0; i < this.daemons.size(); i++) {
+			if (owner.startsWith("entry-" + i + "~")) {
+				return i;
+			}
+		}
+		return fallback;
+	}
+
+	/**
+	 * Return a daemon's own row of its entry answers, which take turns.
+	 * @param daemon the daemon
+	 * @return the row, with a key prefix
+	 */
+	EntryNodeReply entryOf(int daemon) {
+		for (int turn = 0; turn < 2 * size(); turn++) {
+			for (EntryNodeReply node : caller().entry(address(daemon)).nodes()) {
+				if (node.address().equals(address(daemon))) {
+					return node;
+				}
+			}
+		}
+		throw new IllegalStateException("node " + daemon + " isn't in its own entry answers");
+	}
+
+	int size() {
+		return this.daemons.size();
+	}
+
+	CallerClient caller() {
+		return new CallerClient(ACCOUNT_KEY);
+	}
+
+	String address(int daemon) {
+		return this.daemons.get(daemon).callerAddress();
+	}
+
+	Daemon daemon(int number) {
+		return this.daemons.get(number);
+	}
+
+	FakeLog log() {
+		return this.log;
+	}
+
+	FaultyLink logLink() {
+		return this.logLink;
+	}
+
+	FakeCloud cloud() {
+		return this.cloud;
+	}
+
+	FakeEngine engine(int number) {
+		return this.engines.get(number);
+	}
+
+	FaultyLink engineLink(int number) {
+		return this.engineLinks.get(number);
+	}
+
+	FakePlainService desk() {
+		return this.desk;
+	}
+
+	FaultyLink deskLink() {
+		return this.deskLink;
+	}
+
+	FaultyLink nodeLink(int daemon) {
+		return this.nodeLinks.get(daemon);
+	}
+
+	@Override
+	public void close() {
+		this.daemons.forEach(Daemon::kill);
+		this.nodeLinks.forEach(FaultyLink::close);
+		this.engineLinks.forEach(FaultyLink::close);
+		this.engines.forEach(FakeEngine::close);
+		this.deskLink.close();
+		this.desk.close();
+		this.logLink.close();
+		this.log.close();
+		this.cloud.close();
+	}
+
+	/**
+	 * One daemon process.
+	 *
+	 * @param process the process
+	 * @param callerAddress where callers connect
+	 */
+	record Daemon(Process process, String callerAddress) {
+
+		static Daemon start(Path settings, String callerAddress, Path directory) throws IOException {
+			String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+			ProcessBuilder builder = new ProcessBuilder(java, "-Xmx128m", "-XX:TieredStopAtLevel=1", "-cp",
+					System.getProperty("java.class.path"), FlamingogapDaemon.class.getName(), "--settings",
+					settings.toString());
+			builder.redirectErrorStream(true);
+			builder.redirectOutput(directory.resolve(settings.getFileName() + ".log").toFile());
+			return new Daemon(builder.start(), callerAddress);
+		}
+
+		void kill() {
+			this.process.destroyForcibly();
+			this.process.onExit().join();
+		}
+
+		void freeze() throws IOException, InterruptedException {
+			signal("STOP");
+		}
+
+		void resume() throws IOException, InterruptedException {
+			signal("CONT");
+		}
+
+		void terminate() throws IOException, InterruptedException {
+			signal("TERM");
+		}
+
+		private void signal(String name) throws IOException, InterruptedException {
+			new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
@@ -0,0 +1,152 @@
+package io.flamingogap.daemon.fleet;
+
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.testkit.check.CallerClient;
+import io.flamingogap.testkit.check.CallerClient.Reply;
+import io.flamingogap.testkit.net.LinkMode;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Accepted requests through announced reclaims and planned stops.
+ */
+class HandoverFaultTests {
+
+	private static final String BODY = "{\"lot\":17}";
+
+	private static final String PATH = "/services/desk/bookings";
+
+	private static final long NOTICE_MILLIS = 5_000;
+
+	private final ExecutorService executor = Executors.newCachedThreadPool();
+
+	private Fleet fleet;
+
+	private CallerClient caller;
+
+	private void startFleet(int nodes) throws Exception {
+		this.fleet = Fleet.start(nodes);
+		this.caller = this.fleet.caller();
+	}
+
+	@AfterEach
+	void stopFleet() {
+		this.fleet.close();
+		this.executor.shutdownNow();
+	}
+
+	private String newKey(int daemon) {
+		return this.caller.newKey(this.fleet.entryOf(daemon));
+	}
+
+	/**
+	 * Book as the interface page tells callers to: follow redirects, and ask again at
+	 * another node with the same key while the outcome is unknown.
+	 */
+	private Reply bookPatiently(int daemon, String key) throws Exception {
+		Reply reply = null;
+		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(12);
+		for (int node = daemon; System.nanoTime() < deadlineNanos; node = (node + 1) % this.fleet.size()) {
+			try {
+				reply = this.caller.call(this.fleet.address(node), "POST", PATH, Optional.of(key), BODY);
+				if (reply.status() == 201) {
+					return reply;
+				}
+			}
+			catch (UncheckedIOException ex) {
+				TimeUnit.MILLISECONDS.sleep(50);
+			}
+		}
+		return reply;
+	}
+
+	private int executions(String key) {
+		return this.fleet.desk().executions().getOrDefault(key, 0);
+	}
+
+	private void giveNotice(int daemon, long atMillis) {
+		this.fleet.cloud().giveNotice("entry-" + daemon, atMillis);
+	}
+
+	@Test
+	void reclaimOfANodeKeepsItsAcceptedRequests() throws Exception {
+		startFleet(3);
+		this.fleet.deskLink().setMode(LinkMode.REFUSE);
+		String key = newKey(0);
+		Future<Reply> accepted = this.executor.submit(() -> bookPatiently(0, key));
+		this.fleet.await("accepted", () -> this.fleet.operatorGet(0, "status").get("openRequests").asInt() == 1);
+		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
+		giveNotice(0, reclaimAtMillis);
+		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 2);
+		TimeUnit.MILLISECONDS.sleep(reclaimAtMillis - System.currentTimeMillis());
+		this.fleet.daemon(0).kill();
+		this.fleet.deskLink().setMode(LinkMode.PASS);
+		assertThat(accepted.get().status(), is(201));
+		assertThat(executions(key), is(1));
+	}
+
+	@Test
+	void reclaimOfASuccessorAsWellKeepsTheRequests() throws Exception {
+		startFleet(3);
+		String key = newKey(0);
+		assertThat(bookPatiently(0, key).status(), is(201));
+		this.fleet.operatorPost(0, "drain");
+		this.fleet.await("first node left", () -> !this.fleet.daemon(0).process().isAlive());
+		int successor = this.fleet.ownerNumber(1, key, 2);
+		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
+		giveNotice(successor, reclaimAtMillis);
+		int last = 3 - successor;
+		this.fleet.await("passed on", () -> this.fleet.ownerNumber(last, key, successor) == last);
+		this.fleet.daemon(successor).kill();
+		assertThat(this.caller.call(this.fleet.address(last), "POST", PATH, Optional.of(key), BODY).status(), is(201));
+		assertThat(executions(key), is(1));
+	}
+
+	@Test
+	void reclaimOfAZoneWithTwoOfSixNodesKeepsTheRequests() throws Exception {
+		startFleet(6);
+		this.fleet.desk().setAnswerMillis(500);
+		String first = newKey(0);
+		String second = newKey(1);
+		Future<Reply> firstReply = this.executor.submit(() -> bookPatiently(0, first));
+		Future<Reply> secondReply = this.executor.submit(() -> bookPatiently(1, second));
+		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
+		giveNotice(0, reclaimAtMillis);
+		giveNotice(1, reclaimAtMillis);
+		TimeUnit.MILLISECONDS.sleep(reclaimAtMillis - System.currentTimeMillis());
+		this.fleet.daemon(0).kill();
+		this.fleet.daemon(1).kill();
+		assertThat(firstReply.get().status(), is(201));
+		assertThat(secondReply.get().status(), is(201));
+		assertThat(bookPatiently(2, first), is(firstReply.get()));
+		assertThat(bookPatiently(3, second), is(secondReply.get()));
+		assertThat(executions(first), is(1));
+		assertThat(executions(second), is(1));
+	}
+
+	@Test
+	void plannedStopWaitsForTheBookingInFlight() throws Exception {
+		startFleet(2);
+		this.fleet.desk().setAnswerMillis(2_500);
+		String key = newKey(0);
+		Future<Reply> inFlight = this.executor
+			.submit(() -> this.caller.call(this.fleet.address(0), "POST", PATH, Optional.of(key), BODY));
+		this.fleet.await("in flight", () -> executions(key) == 1);
+		this.fleet.daemon(0).terminate();
+		assertThat(inFlight.get().status(), is(201));
+		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
+		assertThat(this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY), is(inFlight.get()));
+		assertThat(executions(key), is(1));
+	}
+
+}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
@@ -1,13 +1,11 @@
 package io.flamingogap.testkit;
 
-import java.io.IOException;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.List;
 
 import io.flamingogap.testkit.backends.FakeEngine;
 import io.flamingogap.testkit.backends.FakePlainService;
 import io.flamingogap.testkit.check.LocalCheck;
+import io.flamingogap.testkit.net.FreePorts;
 import io.flamingogap.testkit.platform.FakeCloud;
 import io.flamingogap.testkit.platform.FakeLog;
 
@@ -38,7 +36,7 @@
 			case "engine" -> report("engine",
 					new FakeEngine(port(args), Long.parseLong(args[2]), Long.parseLong(args[3])).address());
 			case "service" -> report("service", new FakePlainService(port(args), Long.parseLong(args[2])).address());
-			case "ports" -> printFreePorts(Integer.parseInt(args[1]));
+			case "ports" -> FreePorts.take(Integer.parseInt(args[1])).forEach(System.out::println);
 			case "check" -> System.exit(LocalCheck.run(List.of(args).subList(1, args.length)));
 			default -> {
 				System.err.println(USAGE);
@@ -55,15 +53,4 @@
 		System.out.println(name + " listens on " + address);
 	}
 
-	private static void printFreePorts(int count) throws IOException {
-		List<ServerSocket> sockets = new ArrayList<>();
-		for (int i = 0; i < count; i++) {
-			sockets.add(new ServerSocket(0));
-		}
-		for (ServerSocket socket : sockets) {
-			System.out.println(socket.getLocalPort());
-			socket.close();
-		}
-	}
-
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/CallerClient.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/CallerClient.java
@@ -84,6 +84,25 @@
 		return new Reply(response.statusCode(), response.body());
 	}
 
+	/**
+	 * Send a call to a plain service with a deadline.
+	 * @param address the caller address of a node
+	 * @param method the HTTP method
+	 * @param path the path
+	 * @param idempotencyKey the key of an unrepeatable call
+	 * @param body the body
+	 * @param deadlineMillis how long the caller waits
+	 * @return the reply
+	 */
+	public Reply callWithin(String address, String method, String path, Optional<String> idempotencyKey, String body,
+			long deadlineMillis) {
+		HttpRequest.Builder request = request(address, path).method(method, HttpRequest.BodyPublishers.ofString(body));
+		request.header("X-Deadline-Millis", String.valueOf(deadlineMillis));
+		idempotencyKey.ifPresent((value) -> request.header("Idempotency-Key", value));
+		HttpResponse<String> response = send(request.build());
+		return new Reply(response.statusCode(), response.body());
+	}
+
 	/**
 	 * Ask a model for a streamed answer.
 	 * @param address the caller address of a node
--- /dev/null
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FaultyLink.java
@@ -0,0 +1,191 @@
+package io.flamingogap.testkit.net;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Predicate;
+
+/**
+ * Relays TCP connections from a port of its own to a server, and misbehaves on demand. A
+ * mode is for all connections, or for those that are open while new ones work.
+ */
+public final class FaultyLink implements AutoCloseable {
+
+	private static final int BACKLOG = 128;
+
+	private static final int BUFFER_BYTES = 16_384;
+
+	private final int port = FreePorts.take(1).get(0);
+
+	private final int targetPort;
+
+	private final ExecutorService executor = Executors.newCachedThreadPool();
+
+	private final List<Relay> relays = new CopyOnWriteArrayList<>();
+
+	private volatile LinkMode mode = LinkMode.PASS;
+
+	private ServerSocket listener;
+
+	/**
+	 * Start a link on a free port.
+	 * @param target the server, as IP number and port
+	 */
+	public FaultyLink(String target) {
+		this.targetPort = Integer.parseInt(target.substring(target.lastIndexOf(':') + 1));
+		this.listener = listen();
+	}
+
+	private ServerSocket listen() {
+		try {
+			ServerSocket socket = new ServerSocket(this.port, BACKLOG, InetAddress.getLoopbackAddress());
+			this.executor.execute(() -> accept(socket));
+			return socket;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void accept(ServerSocket socket) {
+		while (!socket.isClosed()) {
+			try {
+				Socket client = socket.accept();
+				if (this.mode == LinkMode.CUT) {
+					client.close();
+				}
+				else {
+					open(client);
+				}
+			}
+			catch (IOException ex) {
+				if (socket.isClosed()) {
+					return;
+				}
+			}
+		}
+	}
+
+	private void open(Socket client) throws IOException {
+		Socket server;
+		try {
+			server = new Socket(InetAddress.getLoopbackAddress(), this.targetPort);
+		}
+		catch (IOException ex) {
+			client.close();
+			return;
+		}
+		client.setTcpNoDelay(true);
+		server.setTcpNoDelay(true);
+		Relay relay = new Relay(client, server, this.mode);
+		this.relays.add(relay);
+		this.executor.execute(() -> relay.copy(client, server, LinkMode.DROP_REQUESTS));
+		this.executor.execute(() -> relay.copy(server, client, LinkMode.DROP_REPLIES));
+	}
+
+	/**
+	 * Set the mode of all connections, present and future.
+	 * @param newMode the mode
+	 */
+	public synchronized void setMode(LinkMode newMode) {
+		this.mode = newMode;
+		if (newMode == LinkMode.REFUSE) {
+			closeListener();
+		}
+		else if (this.listener.isClosed()) {
+			this.listener = listen();
+		}
+		this.relays.forEach((relay) -> relay.mode = newMode);
+		if (newMode == LinkMode.CUT || newMode == LinkMode.REFUSE) {
+			this.relays.forEach(Relay::close);
+		}
+		this.relays.removeIf((relay) -> relay.client.isClosed());
+	}
+
+	/**
+	 * Make the open connections go silent for good while new ones work.
+	 */
+	public void silenceOpen() {
+		this.relays.forEach((relay) -> relay.mode = LinkMode.SILENT);
+	}
+
+	/**
+	 * Return the address of the link.
+	 * @return the IP number and port
+	 */
+	public String address() {
+		return "127.0.0.1:" + this.port;
+	}
+
+	@Override
+	public synchronized void close() {
+		closeListener();
+		this.relays.forEach(Relay::close);
+		this.executor.shutdownNow();
+	}
+
+	private void closeListener() {
+		try {
+			this.listener.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static final class Relay {
+
+		private final Socket client;
+
+		private final Socket server;
+
+		private volatile LinkMode mode;
+
+		private Relay(Socket client, Socket server, LinkMode mode) {
+			this.client = client;
+			this.server = server;
+			this.mode = mode;
+		}
+
+		private void copy(Socket from, Socket to, LinkMode dropping) {
+			Predicate<LinkMode> drops = (now) -> now == dropping || now == LinkMode.SILENT;
+			try {
+				InputStream in = from.getInputStream();
+				OutputStream out = to.getOutputStream();
+				byte[] buffer = new byte[BUFFER_BYTES];
+				for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+					if (!drops.test(this.mode)) {
+						out.write(buffer, 0, count);
+						out.flush();
+					}
+				}
+				if (!drops.test(this.mode)) {
+					to.shutdownOutput();
+				}
+			}
+			catch (IOException ex) {
+				close();
+			}
+		}
+
+		private void close() {
+			try {
+				this.client.close();
+				this.server.close();
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+	}
+
+}
