Judge candidates period by period, and measure 200 rollouts of each kind

Ruled out: a lower error rate alone (the estimate was wrong, not the threshold); a fixed window of recent periods (each window is one more chance to be wrong). Chosen: both versions are compared within each period, a period borrows from the share over all periods, the estimate is raised by 2.5 standard errors, the worst stretch up to now is taken against a threshold for many stretches, the last step is taken at 85 % of the time, and a candidate that isn't done at its deadline is taken back if the evidence leans against it.

Conclusion: keep.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceTable.java
@@ -6,8 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.function.IntPredicate;
+import java.util.function.BiConsumer;
 
 /**
  * Evidence from all nodes. Each row is counted by one node run and only grows, so rows
@@ -72,20 +71,16 @@
 	}
 
 	/**
-	 * Add up the evidence of a rollout by route.
+	 * Visit the evidence of a rollout.
 	 * @param rollout the rollout
-	 * @param arm the version
-	 * @param periods the periods to take
-	 * @return the sums by route
+	 * @param visitor takes each row
 	 */
-	public Map<String, Tally> byRoute(RolloutKey rollout, Arm arm, IntPredicate periods) {
-		Map<String, Tally> sums = new TreeMap<>();
+	public void forEach(RolloutKey rollout, BiConsumer<EvidenceKey, Tally> visitor) {
 		this.rows.forEach((key, stored) -> {
-			if (key.rollout().equals(rollout) && key.arm() == arm && periods.test(key.period())) {
-				sums.merge(key.route(), stored.tally, Tally::plus);
+			if (key.rollout().equals(rollout)) {
+				visitor.accept(key, stored.tally);
 			}
 		});
-		return sums;
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
@@ -1,10 +1,8 @@
 package io.flamingogap.core.rollout;
 
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntPredicate;
-import java.util.function.ToLongFunction;
+import java.util.TreeMap;
 
 import org.jspecify.annotations.Nullable;
 
@@ -23,15 +21,12 @@
 	private static final int[] STEPS_PERMILLE = { EXPLORATION_PERMILLE, 50, 200, 500, RolloutDecision.ALL_PERMILLE };
 
 	/** The part of the time until the deadline by which the last step may be taken. */
-	private static final double LAST_STEP_AT = 0.6;
+	private static final double LAST_STEP_AT = 0.85;
 
 	private static final int PERIODS = 64;
 
 	private static final long MIN_PERIOD_MILLIS = 2_000;
 
-	/** The periods that are also judged alone, to see a change late in a rollout. */
-	private static final int RECENT_PERIODS = 4;
-
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	private RolloutPolicy() {
@@ -77,7 +72,8 @@
 		if (nowMillis < startMillis(rollout)) {
 			return new RolloutDecision(RolloutPhase.WAITING, 0, "before the start");
 		}
-		Sums all = Sums.of(evidence, RolloutKey.of(rollout), (period) -> true);
+		Comparison all = new Comparison();
+		evidence.forEach(RolloutKey.of(rollout), (key, tally) -> all.add(key.period(), key.arm(), tally));
 		int step = Math.min(stepByEvidence(all), stepByTime(rollout, nowMillis));
 		return decision(step, all, isLate(rollout, nowMillis));
 	}
@@ -86,7 +82,7 @@
 		return nowMillis >= rollout.deadlineEpochSeconds() * MILLIS_PER_SECOND;
 	}
 
-	private static RolloutDecision decision(int step, Sums all, boolean late) {
+	private static RolloutDecision decision(int step, Comparison all, boolean late) {
 		int sharePermille = STEPS_PERMILLE[step];
 		if (sharePermille == RolloutDecision.ALL_PERMILLE) {
 			return new RolloutDecision(RolloutPhase.DONE, sharePermille, all.toString());
@@ -102,8 +98,8 @@
 	 * @param all the evidence so far
 	 * @return the highest step that the evidence allows
 	 */
-	private static int stepByEvidence(Sums all) {
-		double strength = Math.min(all.goodness(Tally::failures), all.goodness(Tally::slow));
+	private static int stepByEvidence(Comparison all) {
+		double strength = all.goodness();
 		int step = (int) Math.floor(strength / SequentialTest.THRESHOLD);
 		return Math.max(0, Math.min(step, STEPS_PERMILLE.length - 1));
 	}
@@ -115,78 +111,30 @@
 	}
 
 	/**
-	 * Look for evidence that a candidate is bad: in all, in the recent periods, and on
-	 * each route alone.
+	 * Look for evidence that a candidate is bad, on all routes together and on each
+	 * alone.
 	 * @param rollout the rollout
 	 * @param evidence the merged evidence
 	 * @param nowMillis the present time
 	 * @return why the candidate is bad, if it is
 	 */
 	public static Optional<String> findBadness(Rollout rollout, EvidenceTable evidence, long nowMillis) {
-		RolloutKey key = RolloutKey.of(rollout);
-		int firstRecent = period(rollout, nowMillis) - RECENT_PERIODS + 1;
-		return findBadness("in all", evidence, key, (period) -> true)
-			.or(() -> findBadness("recently", evidence, key, (period) -> period >= firstRecent));
-	}
-
-	private static Optional<String> findBadness(String when, EvidenceTable evidence, RolloutKey key,
-			IntPredicate periods) {
-		Map<String, Tally> current = evidence.byRoute(key, Arm.CURRENT, periods);
-		Map<String, Tally> candidate = evidence.byRoute(key, Arm.CANDIDATE, periods);
-		Sums total = new Sums(sum(current), sum(candidate));
-		Optional<String> found = total.badness(when);
-		for (Map.Entry<String, Tally> route : candidate.entrySet()) {
-			Sums alone = new Sums(current.getOrDefault(route.getKey(), Tally.NONE), route.getValue());
-			found = found.or(() -> alone.badness(when + " on " + route.getKey()));
+		Comparison all = new Comparison();
+		Map<String, Comparison> byRoute = new TreeMap<>();
+		evidence.forEach(RolloutKey.of(rollout), (key, tally) -> {
+			all.add(key.period(), key.arm(), tally);
+			byRoute.computeIfAbsent(key.route(), (route) -> new Comparison()).add(key.period(), key.arm(), tally);
+		});
+		boolean undecided = isLate(rollout, nowMillis) && stepByEvidence(all) < STEPS_PERMILLE.length - 1;
+		Optional<String> found = all
+			.findBadness(undecided ? SequentialTest.LATE_THRESHOLD : SequentialTest.BAD_THRESHOLD)
+			.map((what) -> what + " in all: " + all);
+		for (Map.Entry<String, Comparison> route : byRoute.entrySet()) {
+			Comparison alone = route.getValue();
+			found = found.or(() -> alone.findBadness(SequentialTest.BAD_THRESHOLD)
+				.map((what) -> what + " on " + route.getKey() + ": " + alone));
 		}
 		return found;
 	}
 
-	private static Tally sum(Map<String, Tally> byRoute) {
-		return byRoute.values().stream().reduce(Tally.NONE, Tally::plus);
-	}
-
-	/**
-	 * The evidence of both versions, added up.
-	 *
-	 * @param current the version in use
-	 * @param candidate the version that takes over
-	 */
-	private record Sums(Tally current, Tally candidate) {
-
-		static Sums of(EvidenceTable evidence, RolloutKey key, IntPredicate periods) {
-			return new Sums(sum(evidence.byRoute(key, Arm.CURRENT, periods)),
-					sum(evidence.byRoute(key, Arm.CANDIDATE, periods)));
-		}
-
-		double goodness(ToLongFunction<Tally> bad) {
-			return SequentialTest.goodness(this.current.requests(), bad.applyAsLong(this.current),
-					this.candidate.requests(), bad.applyAsLong(this.candidate));
-		}
-
-		private boolean isBad(ToLongFunction<Tally> bad) {
-			return SequentialTest.badness(this.current.requests(), bad.applyAsLong(this.current),
-					this.candidate.requests(), bad.applyAsLong(this.candidate)) > SequentialTest.THRESHOLD;
-		}
-
-		Optional<String> badness(String where) {
-			if (isBad(Tally::failures)) {
-				return Optional.of("failures " + where + ": " + this);
-			}
-			if (isBad(Tally::slow)) {
-				return Optional.of("slow answers " + where + ": " + this);
-			}
-			return Optional.empty();
-		}
-
-		@Override
-		public String toString() {
-			return String.format(Locale.ROOT,
-					"candidate %d requests, %d failed, %d slow; current %d requests, %d failed, %d slow",
-					this.candidate.requests(), this.candidate.failures(), this.candidate.slow(),
-					this.current.requests(), this.current.failures(), this.current.slow());
-		}
-
-	}
-
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Tally.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Tally.java
@@ -34,7 +34,7 @@
 	 * @param other the other counts
 	 * @return the sum
 	 */
-	Tally plus(Tally other) {
+	public Tally plus(Tally other) {
 		return new Tally(this.requests + other.requests, this.failures + other.failures, this.slow + other.slow);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
@@ -20,6 +20,7 @@
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.request.Answer;
 import io.flamingogap.core.request.KeySpacePart;
+import io.flamingogap.core.request.KeySpaceParts;
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.wire.CommitReply;
@@ -41,6 +42,9 @@
 
 	private static final long STATUS_TIMEOUT_MILLIS = 1_000;
 
+	/** Well below the largest message between entry nodes. */
+	private static final long PARTS_BYTES = 4_194_304;
+
 	private final Map<Address, BlockingDeque<NodeConnection>> idle = new ConcurrentHashMap<>();
 
 	private final NodeId self;
@@ -96,8 +100,18 @@
 	 * @return nothing, or why it is not known to have been received
 	 */
 	public Either<Failure, Boolean> offer(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		return handOver(successor, parts, timeoutMillis,
-				(client, wire) -> client.offer(WireCodec.toWire(this.self), wire));
+		return offerAll(successor, KeySpaceParts.split(parts, PARTS_BYTES), timeoutMillis);
+	}
+
+	private Either<Failure, Boolean> offerAll(Member successor, List<List<KeySpacePart>> messages, long timeoutMillis) {
+		for (List<KeySpacePart> message : messages) {
+			Either<Failure, Boolean> sent = handOver(successor, message, timeoutMillis,
+					(client, wire) -> client.offer(WireCodec.toWire(this.self), wire));
+			if (sent.isLeft()) {
+				return sent;
+			}
+		}
+		return Either.right(true);
 	}
 
 	/**
@@ -108,6 +122,13 @@
 	 * @return what the successor did, or why that isn't known
 	 */
 	public Either<Failure, CommitReply> commit(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
+		List<List<KeySpacePart>> messages = KeySpaceParts.split(parts, PARTS_BYTES);
+		int last = messages.size() - 1;
+		return offerAll(successor, messages.subList(0, last), timeoutMillis)
+			.flatMap((offered) -> commitLast(successor, messages.get(last), timeoutMillis));
+	}
+
+	private Either<Failure, CommitReply> commitLast(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
 		List<io.flamingogap.wire.KeySpacePart> wire = WireCodec.partsToWire(parts, this.clock.millis());
 		return call(successor, Step.HANDOVER, timeoutMillis,
 				(client) -> client.commit(WireCodec.toWire(this.self), wire));
--- /dev/null
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
@@ -0,0 +1,40 @@
+package io.flamingogap.measure;
+
+import java.util.Arrays;
+import java.util.List;
+
+import io.flamingogap.daemon.http.JdkHttp;
+
+/**
+ * Runs one measurement, named by the first argument.
+ */
+public final class MeasureMain {
+
+	private MeasureMain() {
+	}
+
+	/**
+	 * Run a measurement.
+	 * @param args its name and options
+	 * @throws Exception if it can't be run
+	 */
+	public static void main(String[] args) throws Exception {
+		JdkHttp.configure();
+		List<String> options = Arrays.asList(args).subList(1, args.length);
+		switch (args[0]) {
+			case "path" ->
+				new PathMeasure(options.get(0), options.get(1), options.get(2), Long.parseLong(options.get(3))).run();
+			case "keepalive" -> new KeepaliveMeasure().run();
+			case "once" -> new OnceMeasure().run();
+			case "handover" -> new HandoverMeasure().run();
+			case "capacity" -> new CapacityMeasure(options.get(0), options.get(1)).run();
+			case "rollout" -> new RolloutMeasure().run();
+			default -> {
+				System.err.println("no measurement " + args[0]);
+				System.exit(2);
+			}
+		}
+		System.exit(0);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Measurements of the system, each a command of its own.
+ */
+@NullMarked
+package io.flamingogap.measure;
+
+import org.jspecify.annotations.NullMarked;
