--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
@@ -159,7 +159,15 @@
 	}
 
 	JsonNode requests() {
-		return this.line.node().get("requests/" + this.line.argument(0, "KEY"));
+		String key = this.line.argument(0, "KEY");
+		NodeClient node = this.line.node();
+		JsonNode report = node.get("requests/" + key);
+		for (JsonNode member : node.get("nodes")) {
+			if (member.get("node").equals(report.get("owner")) && member.get("reachable").asBoolean()) {
+				return node.at(member.get("callerAddress").asText()).get("requests/" + key);
+			}
+		}
+		return report;
 	}
 
 	private void await(String what, BooleanSupplier condition) {
--- /dev/null
+++ b/flamingogap-cli/src/test/java/io/flamingogap/cli/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the command line.
+ */
+@NullMarked
+package io.flamingogap.cli;
+
+import org.jspecify.annotations.NullMarked;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
@@ -24,6 +24,8 @@
 
 	private static final int MAX_VERDICTS = 1_000;
 
+	private static final int SNAPSHOT_VERDICTS = 100;
+
 	private final long headOffset;
 
 	private final long acceptedOffset;
@@ -91,6 +93,34 @@
 		return (offset <= this.headOffset) ? this : withHead(offset);
 	}
 
+	/**
+	 * Return the state as a snapshot.
+	 * @return the snapshot
+	 */
+	public ConfigSnapshot snapshot() {
+		return new ConfigSnapshot(this.headOffset, this.acceptedOffset, Digests.sha256(this.manifestText),
+				this.manifestText, this.verdicts.values().takeRight(SNAPSHOT_VERDICTS).toJavaList());
+	}
+
+	/**
+	 * Go on from a snapshot that is ahead of this state.
+	 * @param snapshot the snapshot
+	 * @return the state as of the snapshot; this state if it isn't ahead or isn't intact
+	 */
+	public ConfigState restore(ConfigSnapshot snapshot) {
+		if (snapshot.asOfOffset() <= this.headOffset || !snapshot.isIntact()) {
+			return this;
+		}
+		Manifest restored = (snapshot.acceptedOffset() > 0)
+				? ManifestReader.read(snapshot.manifest()).getOrElse(Manifest.empty()) : Manifest.empty();
+		Map<String, ConfigVerdict> held = LinkedHashMap.empty();
+		for (ConfigVerdict verdict : snapshot.verdicts()) {
+			held = held.put(verdict.id(), verdict);
+		}
+		return new ConfigState(snapshot.asOfOffset(), snapshot.acceptedOffset(), restored, snapshot.manifest(), held,
+				this.bootstrapOperators);
+	}
+
 	private ConfigState withHead(long offset) {
 		return new ConfigState(offset, this.acceptedOffset, this.manifest, this.manifestText, this.verdicts,
 				this.bootstrapOperators);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Service.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Service.java
@@ -17,13 +17,11 @@
  * @param targetMillis the latency target for the first token or the whole answer
  * @param tokenGapMillis the longest time between two tokens before another engine is
  * asked
- * @param answerLookup whether a backend server tells the outcome of a key
  * @param routes the routes of a plain service
  */
 public record Service(@Form(Form.NAME) String name, ServiceKind kind, @Form(Form.NAME) String version,
 		@Range(min = 1, max = 600_000) long targetMillis,
-		@Default("2000") @Range(min = 10, max = 60_000) long tokenGapMillis, @Default("false") boolean answerLookup,
-		@Default("") List<Route> routes) {
+		@Default("2000") @Range(min = 10, max = 60_000) long tokenGapMillis, @Default("") List<Route> routes) {
 
 	/**
 	 * Return the route that serves a call.
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/Neighbours.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/Neighbours.java
@@ -40,8 +40,12 @@
 		}
 		int others = ring.size() - 1;
 		int wanted = Math.min(fanOut, others);
-		for (int distance = 1; distance <= others && chosen.size() < wanted; distance *= 2) {
-			chosen.add(ring.get((own + distance) % ring.size()));
+		for (int i = 0; i < wanted; i++) {
+			int distance = (int) Math.round(Math.pow(ring.size(), (double) i / fanOut));
+			Member next = ring.get((own + distance) % ring.size());
+			if (!next.node().equals(self) && !chosen.contains(next)) {
+				chosen.add(next);
+			}
 		}
 		for (int distance = 1; distance <= others && chosen.size() < wanted; distance++) {
 			Member next = ring.get((own + distance) % ring.size());
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -28,6 +28,8 @@
  */
 public final class RequestLedger {
 
+	private static final int FORGETTING_ROUNDS = 64;
+
 	private final NodeId self;
 
 	private final LedgerLimits limits;
@@ -36,6 +38,8 @@
 
 	private @Nullable NodeId committedTo;
 
+	private long forgottenAtMillis;
+
 	/**
 	 * Create a ledger that owns the keys of its own node run.
 	 * @param self the node run
@@ -94,7 +98,7 @@
 					"the prefix is " + (early ? "from the future" : "too old to begin a request")
 							+ "; this attempt was not run, an earlier attempt may have been"));
 		}
-		forgetEnded(nowMillis);
+		forgetEnded(nowMillis, request.body().length);
 		if (isFull(request.body().length)) {
 			return new Admission.Refuse(Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, this.self.toString(),
 					"the ledger is full: " + size() + " keys, " + keptBytes() + " bytes"));
@@ -108,7 +112,19 @@
 		return size() >= this.limits.maxEntries() || keptBytes() + moreBytes > this.limits.maxBytes();
 	}
 
-	private void forgetEnded(long nowMillis) {
+	/**
+	 * Forget ended keys, at most {@link #FORGETTING_ROUNDS} times in a retention time
+	 * unless the ledger is full, since each round looks at every entry.
+	 * @param nowMillis the present time
+	 * @param moreBytes the size of what is to be kept next
+	 */
+	private void forgetEnded(long nowMillis, long moreBytes) {
+		long roundMillis = Math.max(1, this.limits.retentionMillis() / FORGETTING_ROUNDS);
+		boolean isRoundOver = Math.abs(nowMillis - this.forgottenAtMillis) >= roundMillis;
+		if (!isRoundOver && !isFull(moreBytes)) {
+			return;
+		}
+		this.forgottenAtMillis = nowMillis;
 		long issuedBeforeMillis = nowMillis - this.limits.retentionMillis();
 		this.spaces.values().forEach((space) -> space.forgetIssuedBefore(issuedBeforeMillis));
 	}
--- /dev/null
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/manifest/ManifestReaderTests.java
@@ -0,0 +1,98 @@
+package io.flamingogap.core.manifest;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.core.text.Digests;
+import io.flamingogap.core.toml.Fault;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link ManifestReader}.
+ */
+class ManifestReaderTests {
+
+	private static final String DIGEST = Digests.sha256("key");
+
+	private static final String VALID = """
+			[[zone]]
+			name = "zone-0"
+			region = "cariri"
+			[[service]]
+			name = "desk"
+			kind = "plain"
+			version = "v1"
+			targetMillis = 500
+			[[service.routes]]
+			method = "POST"
+			path = "/bookings"
+			repeatable = false
+			[[server]]
+			name = "desk-0"
+			service = "desk"
+			version = "v1"
+			zone = "zone-0"
+			address = "127.0.0.1:8000"
+			[[account]]
+			name = "buyers"
+			keyDigest = "%s"
+			[[operator]]
+			name = "ops"
+			keyDigest = "%s"
+			""".formatted(DIGEST, DIGEST);
+
+	private static List<String> faultKeys(String text) {
+		return ManifestReader.read(text).getLeft().stream().map(Fault::key).toList();
+	}
+
+	@Test
+	void readsAValidManifest() {
+		Manifest manifest = ManifestReader.read(VALID).get();
+		assertThat(manifest.servers("desk", "v1").size(), is(1));
+		assertThat(manifest.findAccountByDigest(DIGEST).orElseThrow().priority(), is(5));
+	}
+
+	@Test
+	void reportsReferencesToWhatIsNotThere() {
+		String text = VALID.replace("zone = \"zone-0\"", "zone = \"zone-9\"")
+			.replace("service = \"desk\"", "service = \"disk\"");
+		assertThat(faultKeys(text), containsInAnyOrder("server[0].zone", "server[0].service"));
+	}
+
+	@Test
+	void refusesNamesUsedTwice() {
+		String again = "[[operator]]\nname = \"ops\"\nkeyDigest = \"" + DIGEST + "\"\n";
+		assertThat(faultKeys(VALID + again), hasItem("operator[1]"));
+	}
+
+	@Test
+	void refusesUnrepeatableRoutesThatCannotBeSentOnce() {
+		assertThat(faultKeys(VALID.replace("\"POST\"", "\"PATCH\"")), hasItem("service[0].routes[0].method"));
+	}
+
+	@Test
+	void refusesAManifestThatNobodyCouldChange() {
+		String text = VALID.substring(0, VALID.indexOf("[[operator]]")) + "operator = []\n";
+		assertThat(ManifestReader.read(text).isLeft(), is(true));
+	}
+
+	@Test
+	void refusesARolloutToTheVersionInUse() {
+		String rollout = "[[rollout]]\nservice = \"desk\"\ncandidate = \"v1\"\nstartsAtEpochSeconds = 5\n"
+				+ "deadlineEpochSeconds = 5\n";
+		assertThat(faultKeys(VALID + rollout),
+				containsInAnyOrder("rollout[0].deadlineEpochSeconds", "rollout[0].candidate"));
+	}
+
+	@Test
+	void refusesWhatIsTooLarge() {
+		String text = VALID + "# " + "x".repeat(ManifestReader.MAX_BYTES);
+		assertThat(faultKeys(text), hasItem("document"));
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
@@ -0,0 +1,129 @@
+package io.flamingogap.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests of {@link MembershipTable}, {@link Neighbours} and {@link SuccessorChoice}.
+ */
+class MembershipTableTests {
+
+	private static final Address ADDRESS = new Address("127.0.0.1", 80);
+
+	private static NodeId node(int number) {
+		return new NodeId("entry-" + number, number);
+	}
+
+	private static Member row(int number, MemberState state, long version, @Nullable NodeId successor) {
+		return new Member(node(number), "zone-" + number % 3, ADDRESS, ADDRESS, state, version, false, successor);
+	}
+
+	private static Member serving(int number) {
+		return row(number, MemberState.SERVING, 1, null);
+	}
+
+	@Property(tries = 500, seed = "20261204")
+	void tablesThatSawTheSameRowsAgreeWhateverTheOrder(@ForAll @Size(max = 20) List<@IntRange(max = 23) Integer> rows) {
+		MembershipTable first = new MembershipTable(serving(9), 0);
+		MembershipTable second = new MembershipTable(serving(9), 0);
+		List<Member> members = new ArrayList<>();
+		for (int row : rows) {
+			Member member = row(row % 3, MemberState.values()[row % 4], 1 + row / 4, null);
+			members.add((row % 2 == 0) ? member : member.lost());
+		}
+		members.sort((left, right) -> left.state().compareTo(right.state()));
+		members.forEach((member) -> first.merge(member, 0));
+		for (int i = members.size() - 1; i >= 0; i--) {
+			second.merge(members.get(i), 0);
+		}
+		members.forEach((member) -> second.merge(member, 0));
+		first.members().forEach((member) -> second.merge(member, 0));
+		second.members().forEach((member) -> first.merge(member, 0));
+		assertThat(versions(first), is(versions(second)));
+	}
+
+	private static List<String> versions(MembershipTable table) {
+		return table.members()
+			.stream()
+			.map((member) -> member.node() + " " + member.version() + " " + member.unreachable())
+			.toList();
+	}
+
+	@Test
+	void newsReachAllNodesInFewSteps() {
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < 330; i++) {
+			members.add(serving(i));
+		}
+		Set<NodeId> reached = new HashSet<>(Set.of(node(0)));
+		int steps = 0;
+		while (reached.size() < members.size()) {
+			Set<NodeId> next = new HashSet<>(reached);
+			reached.forEach((from) -> Neighbours.choose(from, members, 4).forEach((to) -> next.add(to.node())));
+			reached = next;
+			steps++;
+		}
+		assertThat(steps, lessThanOrEqualTo(25));
+	}
+
+	@Test
+	void successorIsInAnotherZoneAndServes() {
+		List<Member> members = List.of(serving(0), serving(3), row(1, MemberState.DRAINING, 2, null), serving(2));
+		assertThat(SuccessorChoice.choose(serving(0), members, Set.of()).orElseThrow().node(), is(node(2)));
+		assertThat(SuccessorChoice.choose(serving(0), members, Set.of(node(2))).orElseThrow().node(), is(node(3)));
+	}
+
+	@Nested
+	class Merging {
+
+		private final MembershipTable table = new MembershipTable(serving(0), 0);
+
+		@Test
+		void laterVersionReplacesAnEarlierOne() {
+			this.table.merge(row(1, MemberState.DRAINING, 2, null), 1);
+			this.table.merge(serving(1), 2);
+			assertThat(this.table.find(node(1)).orElseThrow().state(), is(MemberState.DRAINING));
+		}
+
+		@Test
+		void nodeThatIsCalledUnreachableAnnouncesItselfAgain() {
+			this.table.merge(serving(0).lost(), 1);
+			assertThat(this.table.own().isServing(), is(true));
+			assertThat(this.table.own().version(), is(2L));
+		}
+
+		@Test
+		void chainOfSuccessorsLeadsToTheOwner() {
+			this.table.merge(row(1, MemberState.HANDED_OVER, 2, node(2)), 1);
+			this.table.merge(row(2, MemberState.GONE, 3, node(0)), 1);
+			assertThat(this.table.ownerOf(node(1)), is(node(0)));
+		}
+
+		@Test
+		void silentNodesAreForgotten() {
+			this.table.merge(serving(1), 1);
+			this.table.reportLost(node(1), 2);
+			this.table.forgetSilentSince(3);
+			assertThat(this.table.find(node(1)).isPresent(), is(false));
+		}
+
+	}
+
+}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -28,6 +28,7 @@
 import io.flamingogap.daemon.admin.RequestMetrics;
 import io.flamingogap.daemon.backends.BackendClient;
 import io.flamingogap.daemon.backends.BackendServers;
+import io.flamingogap.daemon.backends.LoadReports;
 import io.flamingogap.daemon.backends.ModelStreams;
 import io.flamingogap.daemon.backends.PlainCalls;
 import io.flamingogap.daemon.callers.CallerHandler;
@@ -50,6 +51,7 @@
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.platformlog.PlatformLog;
 import io.flamingogap.daemon.platformlog.RequestRecords;
+import io.flamingogap.daemon.platformlog.SnapshotPublisher;
 import io.flamingogap.daemon.requests.Dispatcher;
 import io.flamingogap.daemon.requests.KeyedRequests;
 import io.flamingogap.daemon.rollouts.RolloutJudge;
@@ -85,6 +87,10 @@
 
 	private final RequestRecords records;
 
+	private final SnapshotPublisher snapshots;
+
+	private final LoadReports loadReports;
+
 	private final CloudWatcher cloudWatcher;
 
 	private final NodeServer nodeServer;
@@ -121,7 +127,10 @@
 		BackendClient backendClient = new BackendClient(this.executor, settings.requests().connectTimeoutMillis());
 		this.rollouts = new Rollouts(self, this.configuration::manifest, clock);
 		this.judge = new RolloutJudge(this.rollouts, log);
+		this.snapshots = new SnapshotPublisher(log, this.configuration, this::rank,
+				settings.platform().snapshotMillis(), clock);
 		this.records = new RequestRecords(log, () -> this.membership.members().size());
+		this.loadReports = new LoadReports(this.configuration::manifest, servers, backendClient);
 		Dispatcher dispatcher = new Dispatcher(this.configuration, servers, backendClient,
 				settings.requests().answerTimeoutMillis(), this.rollouts, () -> lifecycle().lastDispatchMillis(),
 				clock);
@@ -214,6 +223,14 @@
 		}
 	}
 
+	private int rank() {
+		return (int) this.membership.members()
+			.stream()
+			.filter(Member::isServing)
+			.takeWhile((member) -> !member.equals(this.membership.own()))
+			.count();
+	}
+
 	private boolean isReady() {
 		return this.membership.own().isServing() && this.configuration.state().acceptedOffset() > 0;
 	}
@@ -227,6 +244,8 @@
 		this.rollouts.addListener(this::tellOfTakeBack);
 		this.judge.start();
 		this.records.start();
+		this.snapshots.start();
+		this.loadReports.start();
 		this.cloudWatcher.start();
 		this.nodeServer.start();
 		this.links.start();
@@ -270,7 +289,7 @@
 	@Override
 	public void close() {
 		List.<AutoCloseable>of(this.callerListener, this.adminListener, this.links, this.nodeServer, this.cloudWatcher,
-				this.judge, this.records, this.follower, this.audit)
+				this.judge, this.records, this.snapshots, this.loadReports, this.follower, this.audit)
 			.forEach(EntryNode::closeQuietly);
 		this.executor.shutdownNow();
 	}
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/LoadReports.java
@@ -0,0 +1,121 @@
+package io.flamingogap.daemon.backends;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
+
+import io.flamingogap.core.manifest.BackendServer;
+import io.flamingogap.core.manifest.Manifest;
+import io.flamingogap.core.manifest.Service;
+import io.flamingogap.core.manifest.ServiceKind;
+
+/**
+ * Asks model engines for their load, a bounded number of them a round, in turns.
+ */
+public final class LoadReports implements AutoCloseable {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final long ROUND_MILLIS = 1_000;
+
+	/** Bounds what the reports cost, whatever the number of servers. */
+	private static final int SERVERS_PER_ROUND = 32;
+
+	private static final int OK = 200;
+
+	private final Supplier<Manifest> manifest;
+
+	private final BackendServers servers;
+
+	private final BackendClient client;
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	private int next;
+
+	/**
+	 * Create the reports; they are read after {@link #start()}.
+	 * @param manifest the manifest in force
+	 * @param servers takes the reports
+	 * @param client the client of backend servers
+	 */
+	public LoadReports(Supplier<Manifest> manifest, BackendServers servers, BackendClient client) {
+		this.manifest = manifest;
+		this.servers = servers;
+		this.client = client;
+		this.thread = new Thread(this::run, "load-reports");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Begin to read.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	private void run() {
+		while (!this.closed) {
+			askSome(engines(this.manifest.get()));
+			try {
+				Thread.sleep(ROUND_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
+	}
+
+	private static List<BackendServer> engines(Manifest manifest) {
+		Set<String> models = manifest.service()
+			.stream()
+			.filter((service) -> service.kind() == ServiceKind.MODEL)
+			.map(Service::name)
+			.collect(Collectors.toSet());
+		return manifest.server().stream().filter((server) -> models.contains(server.service())).toList();
+	}
+
+	private void askSome(List<BackendServer> engines) {
+		for (int i = 0; i < Math.min(SERVERS_PER_ROUND, engines.size()); i++) {
+			BackendServer server = engines.get(this.next++ % engines.size());
+			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + server.address() + "/v1/load"))
+				.timeout(Duration.ofMillis(ROUND_MILLIS))
+				.build();
+			this.client.pooled()
+				.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+				.thenAccept((response) -> take(server, response));
+		}
+		this.next = engines.isEmpty() ? 0 : this.next % engines.size();
+	}
+
+	private void take(BackendServer server, HttpResponse<String> response) {
+		try {
+			if (response.statusCode() == OK) {
+				this.servers.reportLoad(server.name(), MAPPER.readTree(response.body()).path("running").asLong());
+			}
+		}
+		catch (IOException ex) {
+			logger.atFine().withCause(ex).log("load report of %s can't be read", server.name());
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+	}
+
+}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
@@ -36,6 +36,8 @@
 
 	private static final long IDLE_THREAD_SECONDS = 30;
 
+	private static final int STOP_TIMEOUT_SECONDS = 1;
+
 	private final TThreadPoolServer server;
 
 	private final Thread thread;
@@ -72,7 +74,8 @@
 		TThreadPoolServer.Args args = new TThreadPoolServer.Args(socket).processorFactory(new SessionFactory(sessions))
 			.transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
 			.protocolFactory(new TCompactProtocol.Factory())
-			.executorService(this.executor);
+			.executorService(this.executor)
+			.stopTimeoutVal(STOP_TIMEOUT_SECONDS);
 		this.server = new TThreadPoolServer(args);
 		this.thread = new Thread(this.server::serve, "node-server");
 		this.thread.setDaemon(true);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
@@ -117,7 +117,9 @@
 	}
 
 	void audit(HttpExchange exchange) throws IOException {
-		Either<Failure, PlatformLog.LogPage> page = this.log.read(PlatformLog.AUDIT_STREAM, 1, AUDIT_PAGE, 0);
+		Either<Failure, PlatformLog.LogPage> page = this.log.read(PlatformLog.AUDIT_STREAM, 1, 1, 0)
+			.map((first) -> Math.max(1, first.headOffset() - AUDIT_PAGE + 1))
+			.flatMap((from) -> this.log.read(PlatformLog.AUDIT_STREAM, from, AUDIT_PAGE, 0));
 		if (page.isLeft()) {
 			Exchanges.sendProblem(exchange, page.getLeft());
 			return;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
@@ -29,6 +29,8 @@
 
 	private volatile boolean logReachable;
 
+	private volatile long scanOffset;
+
 	/**
 	 * Create a follower; it reads after {@link #start()}.
 	 * @param log the platform log
@@ -68,10 +70,10 @@
 	}
 
 	private boolean readPage(long pageWaitMillis) {
-		long next = this.configuration.state().headOffset() + 1;
+		long next = Math.max(this.configuration.state().headOffset() + 1, this.scanOffset);
 		Either<Failure, LogPage> page = this.log.read(PlatformLog.CONFIG_STREAM, next, PAGE_RECORDS, pageWaitMillis);
 		if (page.isRight()) {
-			this.configuration.apply(page.get().records());
+			apply(page.get());
 		}
 		else if (this.logReachable) {
 			logger.atWarning().log("platform log can't be read: %s", page.getLeft());
@@ -80,6 +82,19 @@
 		return page.isRight();
 	}
 
+	/**
+	 * Apply a page. While the log has dropped the next record, the pages after it are
+	 * looked through for a snapshot; once one is taken, reading goes on behind what it
+	 * covers.
+	 * @param page the page
+	 */
+	private void apply(LogPage page) {
+		long before = this.configuration.state().headOffset();
+		this.configuration.apply(page.records());
+		boolean stuck = this.configuration.state().headOffset() == before && !page.records().isEmpty();
+		this.scanOffset = stuck ? page.records().get(page.records().size() - 1).offset() + 1 : 0;
+	}
+
 	/**
 	 * Return whether the last read was answered.
 	 * @return {@code true} if it was
--- /dev/null
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/SnapshotPublisher.java
@@ -0,0 +1,111 @@
+package io.flamingogap.daemon.platformlog;
+
+import java.time.Clock;
+import java.util.function.IntSupplier;
+
+import com.google.common.flogger.FluentLogger;
+
+import io.flamingogap.core.config.ConfigState;
+import io.flamingogap.core.config.SnapshotSchedule;
+
+/**
+ * Publishes a snapshot of the configuration before the log drops the records behind it.
+ */
+public final class SnapshotPublisher implements AutoCloseable {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final long MAX_RECORDS = 200;
+
+	private static final long TURN_MILLIS = 5_000;
+
+	private static final long LOOK_MILLIS = 500;
+
+	private final PlatformLog log;
+
+	private final Configuration configuration;
+
+	private final IntSupplier rank;
+
+	private final long intervalMillis;
+
+	private final Clock clock;
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	private long uncoveredSinceMillis = -1;
+
+	private long uncoveredOffset;
+
+	/**
+	 * Create a publisher; it looks after {@link #start()}.
+	 * @param log the platform log
+	 * @param configuration the configuration in force
+	 * @param rank the place of this node among the serving ones
+	 * @param intervalMillis the time after which a change without a snapshot gets one
+	 * @param clock tells the present time
+	 */
+	public SnapshotPublisher(PlatformLog log, Configuration configuration, IntSupplier rank, long intervalMillis,
+			Clock clock) {
+		this.log = log;
+		this.configuration = configuration;
+		this.rank = rank;
+		this.intervalMillis = intervalMillis;
+		this.clock = clock;
+		this.thread = new Thread(this::run, "snapshot-publisher");
+		this.thread.setDaemon(true);
+	}
+
+	/**
+	 * Begin to look.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	private void run() {
+		while (!this.closed) {
+			look(this.clock.millis());
+			try {
+				Thread.sleep(LOOK_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
+	}
+
+	private void look(long nowMillis) {
+		ConfigState state = this.configuration.state();
+		long snapshotOffset = this.configuration.lastSnapshotOffset();
+		if (state.acceptedOffset() <= snapshotOffset) {
+			this.uncoveredSinceMillis = -1;
+			return;
+		}
+		if (this.uncoveredSinceMillis < 0 || this.uncoveredOffset > state.acceptedOffset()) {
+			this.uncoveredSinceMillis = nowMillis;
+			this.uncoveredOffset = state.acceptedOffset();
+		}
+		long uncoveredMillis = nowMillis - this.uncoveredSinceMillis;
+		if (SnapshotSchedule.isDue(state.headOffset(), snapshotOffset, MAX_RECORDS, uncoveredMillis,
+				this.intervalMillis, this.rank.getAsInt(), TURN_MILLIS)) {
+			publish(state);
+		}
+	}
+
+	private void publish(ConfigState state) {
+		boolean appended = this.log.append(PlatformLog.CONFIG_STREAM, this.configuration.snapshotBody()).isRight();
+		logger.atInfo()
+			.log("snapshot as of offset %d %s", state.headOffset(), appended ? "published" : "not confirmed");
+		this.uncoveredSinceMillis = -1;
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+	}
+
+}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
@@ -76,11 +76,14 @@
 	 * @param cloudPollMillis the time between two looks at notices and instances
 	 * @param logTimeoutMillis how long one call of the log may take
 	 * @param logWaitMillis how long a read waits for a new record
+	 * @param snapshotMillis how long a change stays without a snapshot in the log; well
+	 * below the time for which the log keeps records
 	 */
 	public record Platform(@Form(Form.ADDRESS) String logAddress, @Form(Form.ADDRESS) String cloudAddress,
 			@Default("500") @Range(min = 50, max = 60_000) long cloudPollMillis,
 			@Default("2000") @Range(min = 50, max = 60_000) long logTimeoutMillis,
-			@Default("1000") @Range(min = 0, max = 30_000) long logWaitMillis) {
+			@Default("1000") @Range(min = 0, max = 30_000) long logWaitMillis,
+			@Default("3600000") @Range(min = 100, max = 604_800_000) long snapshotMillis) {
 	}
 
 	/**
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConfigFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConfigFaultTests.java
@@ -96,6 +96,44 @@
 		assertThat(this.fleet.configOffset(started), is(offset));
 	}
 
+	@Test
+	void changeIsInForceWithinTheBoundWhileTheLogIsSlow() throws Exception {
+		this.fleet.log().setDelayMillis(300);
+		long startNanos = System.nanoTime();
+		this.fleet.apply(changed("slow"));
+		assertThat((System.nanoTime() - startNanos) / 1_000_000, lessThan(IN_FORCE_MILLIS));
+	}
+
+	@Test
+	void publishingWhileTheLogIsDownIsRefusedAndChangesNothing() throws Exception {
+		long base = base();
+		this.fleet.log().setMode(LogMode.DOWN);
+		JsonNode refused = this.fleet.publish(0, "change-down", base, changed("down"));
+		assertThat(refused.path("status").asInt(), is(503));
+		this.fleet.log().setMode(LogMode.UP);
+		assertThat(this.fleet.configOffset(0), is(base));
+	}
+
+	@Test
+	void freshFleetStartsWithTheWholeStateAfterTheLogDroppedEarlyRecords() throws Exception {
+		this.fleet.apply(changed("kept"));
+		long offset = base();
+		this.fleet.await("a snapshot was published",
+				() -> this.fleet.log()
+					.read("config", 1, 100, 0)
+					.records()
+					.stream()
+					.anyMatch((found) -> found.offset() > offset && found.body().contains("asOfOffset")));
+		this.fleet.killAll();
+		this.fleet.log().truncate("config", offset + 1);
+		int started = this.fleet.startAnother();
+		this.fleet.await("in force at a fresh node", () -> this.fleet.configOffset(started) == offset);
+		String manifest = this.fleet.operatorGet(started, "manifest").get("manifest").asText();
+		assertThat(manifest, containsString("# kept"));
+		JsonNode next = this.fleet.publish(started, "change-after", offset, manifest + "# after\n");
+		assertThat(next.path("accepted").asBoolean(), is(true));
+	}
+
 	@Test
 	void invalidAndUnauthorisedChangesDoNothing() throws Exception {
 		long base = base();
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
@@ -79,12 +79,23 @@
 	 */
 	static Fleet start(int count) throws Exception {
 		Fleet fleet = new Fleet(Files.createTempDirectory("flamingogap-fleet"));
+		try {
+			fleet.startDaemons(count);
+			return fleet;
+		}
+		catch (Exception | AssertionError ex) {
+			fleet.close();
+			throw ex;
+		}
+
+	}
+
+	private void startDaemons(int count) throws Exception {
 		for (int i = 0; i < count; i++) {
-			fleet.addDaemon(i);
+			addDaemon(i);
 		}
-		fleet.await("all nodes know each other", () -> fleet.servingNodesEverywhere(count));
-		fleet.apply(fleet.manifest());
-		return fleet;
+		await("all nodes know each other", () -> servingNodesEverywhere(count));
+		apply(manifest());
 	}
 
 	private void addDaemon(int number) throws IOException {
@@ -113,6 +124,7 @@
 				cloudPollMillis = 100
 				logTimeoutMillis = 500
 				logWaitMillis = 300
+				snapshotMillis = 300
 				[callers]
 				entryTtlMillis = 1000
 				[requests]
@@ -128,6 +140,10 @@
 		this.daemons.add(Daemon.start(settings, "127.0.0.1:" + ports.get(0), this.directory));
 	}
 
+	void killAll() {
+		this.daemons.forEach(Daemon::kill);
+	}
+
 	/**
 	 * Start one more daemon.
 	 * @return its number
@@ -174,6 +190,23 @@
 		return text.toString();
 	}
 
+	/**
+	 * Return the manifest with a rollout of the desk that starts now.
+	 * @param candidateAddress where the candidate listens
+	 * @param lengthSeconds the time until the deadline
+	 * @return the manifest
+	 */
+	String manifestWithRollout(String candidateAddress, long lengthSeconds) {
+		long nowSeconds = System.currentTimeMillis() / 1_000;
+		return manifest() + server("desk-1", "desk", candidateAddress).replace("\"v1\"", "\"v2\"") + """
+				[[rollout]]
+				service = "desk"
+				candidate = "v2"
+				startsAtEpochSeconds = %d
+				deadlineEpochSeconds = %d
+				""".formatted(nowSeconds, nowSeconds + lengthSeconds);
+	}
+
 	private static String server(String name, String service, String address) {
 		return "[[server]]\nname = \"%s\"\nservice = \"%s\"\nversion = \"v1\"\nzone = \"zone-0\"\naddress = \"%s\"\n"
 			.formatted(name, service, address);
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
@@ -15,6 +15,7 @@
 import io.flamingogap.testkit.net.LinkMode;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -149,4 +150,54 @@
 		assertThat(executions(key), is(1));
 	}
 
+	@Test
+	void commitWhoseReplyIsLostTakesEffectOnce() throws Exception {
+		startFleet(2);
+		String key = newKey(0);
+		assertThat(bookPatiently(0, key).status(), is(201));
+		this.fleet.operatorPost(0, "drain");
+		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 1);
+		TimeUnit.MILLISECONDS.sleep(700);
+		this.fleet.nodeLink(1).setMode(LinkMode.DROP_REPLIES);
+		TimeUnit.MILLISECONDS.sleep(1_200);
+		this.fleet.nodeLink(1).setMode(LinkMode.REFUSE);
+		this.fleet.nodeLink(1).setMode(LinkMode.PASS);
+		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
+		Reply again = this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY);
+		assertThat(again.status(), anyOf(is(201), is(502)));
+		assertThat(executions(key), is(1));
+	}
+
+	@Test
+	void frozenSuccessorResumesAndNothingIsExecutedTwice() throws Exception {
+		startFleet(3);
+		String key = newKey(0);
+		assertThat(bookPatiently(0, key).status(), is(201));
+		this.fleet.operatorPost(0, "drain");
+		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 2);
+		this.fleet.daemon(1).freeze();
+		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
+		this.fleet.daemon(1).resume();
+		this.fleet.await("heard again", () -> this.fleet.servingNodes(2) == 2);
+		Reply again = bookPatiently(2, key);
+		assertThat(again.status(), is(201));
+		assertThat(executions(key), is(1));
+	}
+
+	@Test
+	void secondNoticeThatIsShorterIsHonoured() throws Exception {
+		startFleet(2);
+		String key = newKey(0);
+		assertThat(bookPatiently(0, key).status(), is(201));
+		long nowMillis = System.currentTimeMillis();
+		giveNotice(0, nowMillis + 60_000);
+		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 1);
+		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
+		giveNotice(0, reclaimAtMillis);
+		this.fleet.await("passed on", () -> this.fleet.ownerNumber(1, key, 0) == 1);
+		assertThat(System.currentTimeMillis() < reclaimAtMillis, is(true));
+		assertThat(bookPatiently(1, key).status(), is(201));
+		assertThat(executions(key), is(1));
+	}
+
 }
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/StreamFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/StreamFaultTests.java
@@ -20,6 +20,7 @@
 import io.flamingogap.testkit.check.CallerClient;
 import io.flamingogap.testkit.check.CallerClient.StreamReply;
 import io.flamingogap.testkit.net.LinkMode;
+import io.flamingogap.testkit.platform.LogMode;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -129,4 +130,34 @@
 		assertThat(reply.whole(), is(true));
 	}
 
+	@Test
+	void plannedStopCutsOffNoStream() throws Exception {
+		Future<StreamReply> pending = this.executor.submit(() -> stream(0, Optional.empty()));
+		this.fleet.await("the stream has begun",
+				() -> this.fleet.engine(0).tokens() + this.fleet.engine(1).tokens() > 3);
+		this.fleet.daemon(0).terminate();
+		StreamReply reply = pending.get();
+		assertThat(reply.text(), is(tokens(0, TOKENS)));
+		assertThat(reply.whole(), is(true));
+	}
+
+	@Test
+	void streamGoesOnWhileTheLogIsDown() {
+		this.fleet.log().setMode(LogMode.DOWN);
+		assertThat(stream(0, Optional.empty()).whole(), is(true));
+	}
+
+	@Test
+	void frozenNodeGoesOnWithTheWholeAnswer() throws Exception {
+		Future<StreamReply> pending = this.executor.submit(() -> stream(0, Optional.empty()));
+		this.fleet.await("the stream has begun",
+				() -> this.fleet.engine(0).tokens() + this.fleet.engine(1).tokens() > 3);
+		this.fleet.daemon(0).freeze();
+		TimeUnit.MILLISECONDS.sleep(1_000);
+		this.fleet.daemon(0).resume();
+		StreamReply reply = pending.get();
+		assertThat(reply.text(), is(tokens(0, TOKENS)));
+		assertThat(reply.whole(), is(true));
+	}
+
 }
--- /dev/null
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the daemon as a whole.
+ */
+@NullMarked
+package io.flamingogap.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/KeepaliveMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/KeepaliveMeasure.java
@@ -121,12 +121,12 @@
 	private String detectionTimes(boolean acknowledge) throws Exception {
 		StringBuilder times = new StringBuilder();
 		for (int i = 0; i < SILENCES; i++) {
-			times.append(detectionMillis(acknowledge)).append(" ms ");
+			times.append(detectionMillis(acknowledge, i)).append(" ms ");
 		}
 		return times.toString();
 	}
 
-	private long detectionMillis(boolean acknowledge) throws Exception {
+	private long detectionMillis(boolean acknowledge, int trial) throws Exception {
 		try (FaultyLink link = new FaultyLink("127.0.0.1:" + this.port)) {
 			int linkPort = Integer.parseInt(link.address().substring(link.address().lastIndexOf(':') + 1));
 			try (TSocket socket = new TSocket("127.0.0.1", linkPort, SILENT_MILLIS)) {
@@ -137,7 +137,7 @@
 				long silentNanos = System.nanoTime();
 				link.setMode(LinkMode.SILENT);
 				try {
-					for (int i = 0;; i++) {
+					for (int i = 1 + trial * HEARTBEAT_MILLIS / MESSAGE_MILLIS / SILENCES;; i++) {
 						step(client, acknowledge, i);
 					}
 				}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakePlainService.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakePlainService.java
@@ -25,8 +25,12 @@
 
 	private final AtomicLong bookings = new AtomicLong();
 
+	private final AtomicLong requests = new AtomicLong();
+
 	private volatile long answerMillis;
 
+	private volatile boolean failing;
+
 	/**
 	 * Start a service.
 	 * @param port the port; 0 for a free one
@@ -39,6 +43,7 @@
 
 	private void handle(HttpExchange exchange) throws IOException {
 		String path = exchange.getRequestURI().getPath();
+		this.requests.incrementAndGet();
 		if ("/control/executions".equals(path)) {
 			Json.answer(exchange, 200, new TreeMap<>(this.executions));
 		}
@@ -46,6 +51,9 @@
 			this.answerMillis = Json.parse(Json.body(exchange)).get("answerMillis").asLong();
 			Json.answer(exchange, 200, Map.of());
 		}
+		else if (this.failing) {
+			Json.answer(exchange, 500, Map.of("error", "failing"));
+		}
 		else if ("POST".equals(exchange.getRequestMethod())) {
 			book(exchange);
 		}
@@ -84,6 +92,22 @@
 		this.answerMillis = newAnswerMillis;
 	}
 
+	/**
+	 * Set whether calls fail.
+	 * @param newFailing {@code true} to answer 500
+	 */
+	public void setFailing(boolean newFailing) {
+		this.failing = newFailing;
+	}
+
+	/**
+	 * Return the number of requests since the start.
+	 * @return the number
+	 */
+	public long requests() {
+		return this.requests.get();
+	}
+
 	/**
 	 * Return the address that the service listens on.
 	 * @return the IP number and port
