Serve the users' platform through a gateway on one event loop and an adapter

Thin path: Netty on one event loop, store followed by long poll, config, servers, nodes, quotas, retries, streams piece by piece. FaultyLink waits for its accepting thread, which kept the port bound after close; a test with 500 rounds failed at once before and passes now.

--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -0,0 +1,107 @@
+package io.flamingogap.core.duty;
+
+import java.util.OptionalLong;
+
+/**
+ * Whether this node may act as the holder of the duties. The store's group names the
+ * holder; a claim in the store gives it a fencing token. A new holder waits for the lease
+ * of the one before, and every holder stops when it has not been confirmed for a while.
+ * <p>
+ * Not safe for use by several threads.
+ */
+public final class DutyTerm {
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
+	private final long leaseMillis;
+
+	private final long confirmMillis;
+
+	private long heldSinceMillis = NEVER;
+
+	private long confirmedAtMillis = NEVER;
+
+	private long notBeforeMillis = NEVER;
+
+	private OptionalLong fencingToken = OptionalLong.empty();
+
+	/**
+	 * Create a term that is not held.
+	 * @param leaseMillis the time in which two holders must not act by turns
+	 * @param confirmMillis how long a confirmation by the store counts
+	 */
+	public DutyTerm(long leaseMillis, long confirmMillis) {
+		this.leaseMillis = leaseMillis;
+		this.confirmMillis = confirmMillis;
+	}
+
+	/**
+	 * Record what the store says of the group.
+	 * @param holds whether this node holds the duties
+	 * @param askedAtMillis when the store was asked
+	 */
+	public void recordMembership(boolean holds, long askedAtMillis) {
+		if (!holds) {
+			lose();
+			return;
+		}
+		if (this.heldSinceMillis == NEVER || askedAtMillis - this.confirmedAtMillis > this.confirmMillis) {
+			this.heldSinceMillis = askedAtMillis;
+			this.fencingToken = OptionalLong.empty();
+		}
+		this.confirmedAtMillis = askedAtMillis;
+	}
+
+	/**
+	 * End the term: another node holds the duties, or this one can't be sure.
+	 */
+	public void lose() {
+		this.heldSinceMillis = NEVER;
+		this.fencingToken = OptionalLong.empty();
+	}
+
+	/**
+	 * Return whether the node should claim the duties in the store.
+	 * @param nowMillis the present time
+	 * @return {@code true} if it holds them, the lease before has passed, and it has no
+	 * token
+	 */
+	public boolean shouldClaim(long nowMillis) {
+		return isHeld(nowMillis) && this.fencingToken.isEmpty() && nowMillis - this.heldSinceMillis >= this.leaseMillis
+				&& nowMillis >= this.notBeforeMillis;
+	}
+
+	/**
+	 * Record that the store has accepted the claim.
+	 * @param token the fencing token that goes with it
+	 * @param nowMillis the present time
+	 */
+	public void recordClaim(long token, long nowMillis) {
+		if (isHeld(nowMillis)) {
+			this.fencingToken = OptionalLong.of(token);
+		}
+	}
+
+	/**
+	 * Record that a higher fencing token was seen: another node has acted since.
+	 * @param nowMillis the present time
+	 */
+	public void recordFenced(long nowMillis) {
+		this.fencingToken = OptionalLong.empty();
+		this.notBeforeMillis = nowMillis + this.leaseMillis;
+	}
+
+	/**
+	 * Return the token to act with.
+	 * @param nowMillis the present time
+	 * @return the token, if the node may act
+	 */
+	public OptionalLong tokenToActWith(long nowMillis) {
+		return isHeld(nowMillis) ? this.fencingToken : OptionalLong.empty();
+	}
+
+	private boolean isHeld(long nowMillis) {
+		return this.heldSinceMillis != NEVER && nowMillis - this.confirmedAtMillis <= this.confirmMillis;
+	}
+
+}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/Failure.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/Failure.java
@@ -44,6 +44,17 @@
 		return new Failure(ProblemType.OUTCOME_UNKNOWN, step, peer, Execution.UNKNOWN, detail);
 	}
 
+	/**
+	 * Create a failure of an attempt that ran out of time and may have been executed.
+	 * @param step the step that failed
+	 * @param peer the other side of the step
+	 * @param detail what happened
+	 * @return the failure
+	 */
+	public static Failure deadlineExceeded(Step step, String peer, String detail) {
+		return new Failure(ProblemType.DEADLINE_EXCEEDED, step, peer, Execution.UNKNOWN, detail);
+	}
+
 	@Override
 	public String toString() {
 		return this.step + " " + this.peer + ": " + this.detail;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/ProblemType.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/ProblemType.java
@@ -17,6 +17,8 @@
 	NOT_FOUND("not-found", 404, "Nothing is served under this path"),
 	/** The method isn't supported under this path. */
 	METHOD_NOT_ALLOWED("method-not-allowed", 405, "The path doesn't support this method"),
+	/** The head of the request is larger than its limit. */
+	HEAD_TOO_LARGE("head-too-large", 431, "The head of the request is larger than its limit"),
 	/** Another change was accepted first. */
 	CONFLICT("conflict", 409, "Another change was accepted first"),
 	/** The key is too old to be used for the first time. */
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
@@ -0,0 +1,49 @@
+package io.flamingogap.core.quota;
+
+/**
+ * One node's share of an account's quota: a token bucket that may go into debt by one
+ * request, so that requests larger than the share still pass.
+ * <p>
+ * Not safe for use by several threads.
+ */
+final class QuotaBucket {
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private double level;
+
+	private long updatedAtMillis;
+
+	QuotaBucket(double level, long nowMillis) {
+		this.level = level;
+		this.updatedAtMillis = nowMillis;
+	}
+
+	void refill(double ratePerSecond, double capacity, long nowMillis) {
+		double gained = ratePerSecond * Math.max(0, nowMillis - this.updatedAtMillis) / MILLIS_PER_SECOND;
+		this.level = Math.min(capacity, this.level + gained);
+		this.updatedAtMillis = nowMillis;
+	}
+
+	boolean trySpend(long cost) {
+		if (this.level <= 0) {
+			return false;
+		}
+		this.level -= cost;
+		return true;
+	}
+
+	void refund(long cost) {
+		this.level += cost;
+	}
+
+	/**
+	 * Return the time until the bucket is out of debt.
+	 * @param ratePerSecond the units gained each second
+	 * @return the time in milliseconds
+	 */
+	long waitMillis(double ratePerSecond) {
+		return (this.level > 0) ? 0 : (long) Math.ceil((1 - this.level) / ratePerSecond * MILLIS_PER_SECOND);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
@@ -0,0 +1,99 @@
+package io.flamingogap.core.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.TokenQuota;
+
+/**
+ * Admits requests within this node's shares of the accounts' quotas. The shares of all
+ * nodes add up to one: a part is split evenly, the rest by the demand that nodes report.
+ * A node that hears nothing keeps the last reports, so the sum stays bounded.
+ * <p>
+ * Not safe for use by several threads.
+ */
+public final class QuotaGate {
+
+	/** The part of each quota that is split evenly, for nodes whose demand just began. */
+	private static final double EVEN_PART = 0.3;
+
+	private final Map<String, QuotaBucket> buckets = new HashMap<>();
+
+	private final Map<String, DemandMeter> demands = new HashMap<>();
+
+	private final double toleranceUnits;
+
+	private final boolean startsFull;
+
+	/**
+	 * Create a gate.
+	 * @param toleranceUnits the units over all nodes by which a quota may be exceeded
+	 * @param startsFull whether the buckets start with their burst; a node that restarts
+	 * may have spent it before
+	 */
+	public QuotaGate(double toleranceUnits, boolean startsFull) {
+		this.toleranceUnits = toleranceUnits;
+		this.startsFull = startsFull;
+	}
+
+	/**
+	 * Admit a request or refuse it.
+	 * @param account the account
+	 * @param cost the units that the request uses
+	 * @param fleet what other nodes report
+	 * @param nowMillis the present time
+	 * @return 0 if the request is admitted, otherwise the milliseconds until one may be
+	 */
+	public long admit(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
+		TokenQuota quota = account.quota();
+		if (!quota.isLimited()) {
+			return 0;
+		}
+		DemandMeter demand = this.demands.computeIfAbsent(account.name(), (name) -> new DemandMeter());
+		demand.add(cost, nowMillis);
+		double share = share(account.name(), demand.perSecond(nowMillis), fleet);
+		double rate = quota.ratePerSecond() * share;
+		double capacity = quota.burst() * share + this.toleranceUnits / fleet.nodes();
+		QuotaBucket bucket = this.buckets.computeIfAbsent(account.name(),
+				(name) -> new QuotaBucket(this.startsFull ? capacity : rate, nowMillis));
+		bucket.refill(rate, capacity, nowMillis);
+		return bucket.trySpend(cost) ? 0 : bucket.waitMillis(rate);
+	}
+
+	/**
+	 * Give back what an admitted request did not use.
+	 * @param account the account
+	 * @param cost the units
+	 */
+	public void refund(ClientAccount account, long cost) {
+		QuotaBucket bucket = this.buckets.get(account.name());
+		if (bucket != null) {
+			bucket.refund(cost);
+		}
+	}
+
+	private static double share(String account, double own, FleetDemand fleet) {
+		double even = 1.0 / fleet.nodes();
+		double others = fleet.othersPerSecond(account);
+		double total = own + others;
+		return (total > 0) ? EVEN_PART * even + (1 - EVEN_PART) * own / total : even;
+	}
+
+	/**
+	 * Return the demand that this node reports to the others.
+	 * @param nowMillis the present time
+	 * @return units a second by account
+	 */
+	public Map<String, Long> demandPerSecond(long nowMillis) {
+		Map<String, Long> report = new HashMap<>();
+		this.demands.forEach((account, meter) -> {
+			long perSecond = Math.round(meter.perSecond(nowMillis));
+			if (perSecond > 0) {
+				report.put(account, perSecond);
+			}
+		});
+		return report;
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/JsonLogHandler.java
@@ -0,0 +1,129 @@
+package io.flamingogap.gateway.log;
+
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log records as JSON lines from a thread of its own. When the reader of the
+ * output is slow, lines are dropped and counted; a caller never waits.
+ */
+public final class JsonLogHandler extends Handler {
+
+	/** Lines that wait for the writer; some seconds of a busy node. */
+	private static final int MAX_WAITING_LINES = 2_048;
+
+	/** How long the writer collects lines, so that it wakes seldom. */
+	private static final long COLLECT_MILLIS = 100;
+
+	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private final PrintStream out;
+
+	private final String node;
+
+	private JsonLogHandler(PrintStream out, String node) {
+		this.out = out;
+		this.node = node;
+	}
+
+	/**
+	 * Replace the handlers of the root logger.
+	 * @param out where lines are written
+	 * @param node the name of the node, which each line bears
+	 * @param level the least level that is written
+	 * @return the handler
+	 */
+	public static JsonLogHandler install(PrintStream out, String node, Level level) {
+		JsonLogHandler handler = new JsonLogHandler(out, node);
+		LogManager.getLogManager().reset();
+		Logger root = Logger.getLogger("");
+		root.setLevel(level);
+		root.addHandler(handler);
+		Thread writer = new Thread(handler::writeLines, "log-writer");
+		writer.setDaemon(true);
+		writer.start();
+		return handler;
+	}
+
+	@Override
+	public void publish(LogRecord entry) {
+		if (isLoggable(entry) && !this.lines.offer(format(entry))) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	private String format(LogRecord entry) {
+		String message = entry.getMessage();
+		String fields = message.startsWith("\"event\":") ? message
+				: LogLine.of("message").with("text", message).toString();
+		StringBuilder line = new StringBuilder(fields.length() + 96);
+		line.append("{\"atMillis\":").append(entry.getMillis());
+		line.append(",\"level\":\"").append(entry.getLevel()).append("\",\"node\":\"").append(this.node).append("\",");
+		line.append(fields);
+		if (entry.getThrown() != null) {
+			StringWriter trace = new StringWriter();
+			entry.getThrown().printStackTrace(new PrintWriter(trace));
+			String cause = LogLine.of("thrown").with("cause", trace.toString()).toString();
+			line.append(cause, cause.indexOf(','), cause.length());
+		}
+		return line.append("}\n").toString();
+	}
+
+	private void writeLines() {
+		try {
+			while (!Thread.currentThread().isInterrupted()) {
+				StringBuilder batch = new StringBuilder(this.lines.take());
+				TimeUnit.MILLISECONDS.sleep(COLLECT_MILLIS);
+				drainTo(batch);
+				write(batch);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private synchronized void drainTo(StringBuilder batch) {
+		for (String line = this.lines.poll(); line != null; line = this.lines.poll()) {
+			batch.append(line);
+		}
+		long lost = this.dropped.getAndSet(0);
+		if (lost > 0) {
+			batch.append("{\"event\":\"log lines dropped\",\"count\":").append(lost).append("}\n");
+		}
+	}
+
+	private void write(StringBuilder batch) {
+		byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+		this.out.write(bytes, 0, bytes.length);
+		this.out.flush();
+	}
+
+	@Override
+	public void flush() {
+		StringBuilder batch = new StringBuilder();
+		drainTo(batch);
+		if (!batch.isEmpty()) {
+			write(batch);
+		}
+	}
+
+	@Override
+	public void close() {
+		flush();
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Gateway.java
@@ -0,0 +1,179 @@
+package io.flamingogap.gateway.node;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+
+import io.flamingogap.core.duty.UsageCounts;
+import io.flamingogap.core.fleet.FleetClock;
+import io.flamingogap.core.fleet.FleetView;
+import io.flamingogap.core.fleet.NodeReport;
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.quota.QuotaGate;
+import io.flamingogap.core.servers.Placement;
+import io.flamingogap.core.servers.ServerSelector;
+import io.flamingogap.core.servers.ServerTable;
+import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.ConfigHolder;
+import io.flamingogap.core.serving.ListenerLimits;
+import io.flamingogap.core.serving.ServingConfig;
+import io.flamingogap.gateway.backends.BackendPool;
+import io.flamingogap.gateway.callers.CallerListener;
+import io.flamingogap.gateway.http.PageServer;
+import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.relay.RelayMetrics;
+import io.flamingogap.gateway.relay.RelayParts;
+import io.flamingogap.gateway.relay.RequestRelay;
+
+/**
+ * One entry node: its parts, wired together on one event loop.
+ */
+public final class Gateway {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** How long callers may keep an answer of where to connect. */
+	private static final int DIRECTORY_TTL_SECONDS = 2;
+
+	/** Windows of usage that a report carries, so that a lost report does no harm. */
+	private static final int REPORTED_WINDOWS = 3;
+
+	private static final long TRIM_EACH_MILLIS = 1_000;
+
+	private static final long DECIDE_EACH_MILLIS = 250;
+
+	private final EventLoop loop;
+
+	private final GatewaySettings settings;
+
+	private final PlatformPorts ports;
+
+	private final NodeClock clock;
+
+	private final NodeId self;
+
+	private final ConfigHolder config = new ConfigHolder();
+
+	private final ServerTable servers = new ServerTable();
+
+	private final UsageCounts usage = new UsageCounts();
+
+	private final FleetClock fleetClock = new FleetClock();
+
+	private final RelayMetrics metrics = new RelayMetrics();
+
+	private final FleetView fleet;
+
+	private final Rollouts rollouts;
+
+	private final QuotaGate quotas;
+
+	private final BackendPool pool;
+
+	private final RequestRelay relay;
+
+	private final NodeBoard board;
+
+	private final ServerWatch serverWatch;
+
+	private final OperatorWatch operatorWatch;
+
+	private boolean leaving;
+
+	/**
+	 * Create a node that doesn't answer yet.
+	 * @param loop the event loop
+	 * @param settings the settings
+	 * @param ports what the platform provides
+	 * @param clock tells the present time
+	 * @param incarnation a random number that no other run of the node has
+	 */
+	public Gateway(EventLoop loop, GatewaySettings settings, PlatformPorts ports, NodeClock clock, long incarnation) {
+		this.loop = loop;
+		this.settings = settings;
+		this.ports = ports;
+		this.clock = clock;
+		this.self = new NodeId(settings.node(), incarnation);
+		this.fleet = new FleetView(this.self, NodeBoard.REPORT_MILLIS);
+		SplittableRandom random = new SplittableRandom(incarnation);
+		this.rollouts = new Rollouts(this.servers, this.fleet, random, settings.duties().exposedShare());
+		this.quotas = new QuotaGate(settings.bounds().quotaToleranceUnits(), settings.firstStart());
+		this.pool = new BackendPool(loop, ports.backends(), clock::steadyMillis);
+		RelayParts parts = new RelayParts(loop, clock, this.config, this.servers,
+				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
+				this.quotas, this.fleet, this.metrics, random);
+		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
+		this.board = new NodeBoard(loop, ports.store(), this.fleet, this.fleetClock, clock, this::report);
+		this.serverWatch = new ServerWatch(loop, ports.store(), ports.records(), this.servers, clock);
+		this.operatorWatch = new OperatorWatch(loop, ports.store(), ports.records(), this.config, this.rollouts,
+				clock);
+	}
+
+	/**
+	 * Begin to answer.
+	 */
+	public void start() {
+		GatewaySettings.Listen listen = this.settings.listen();
+		listen.readiness().ifPresent((address) -> PageServer.listen(this.loop, address, (request) -> readiness()));
+		listen.directory().ifPresent((address) -> PageServer.listen(this.loop, address, this::directory));
+		this.operatorWatch.start();
+		this.serverWatch.start();
+		this.board.start();
+		listen.callers()
+			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.ports.callers(), this.relay,
+					() -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
+		this.loop.scheduleWithFixedDelay(this.pool::trim, TRIM_EACH_MILLIS, TRIM_EACH_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(() -> this.rollouts.decide(this.clock.steadyMillis()), DECIDE_EACH_MILLIS,
+				DECIDE_EACH_MILLIS, TimeUnit.MILLISECONDS);
+		logger.atInfo()
+			.log("%s", LogLine.of("node started")
+				.with("zone", this.settings.zone())
+				.with("incarnation", this.self.incarnation())
+				.with("firstStart", this.settings.firstStart()));
+	}
+
+	private boolean isReady() {
+		return !this.leaving && this.config.current().isPresent() && this.serverWatch.isListed();
+	}
+
+	private PageServer.Page readiness() {
+		return isReady() ? new PageServer.Page(200, "text/plain", "ready\n")
+				: new PageServer.Page(503, "text/plain", this.leaving ? "leaving\n" : "starting\n");
+	}
+
+	private PageServer.Page directory(PageServer.PageRequest request) {
+		Optional<String> zone = this.ports.directory().zoneOf(request);
+		if (zone.isEmpty()) {
+			return new PageServer.Page(404, "text/plain", "no such page\n");
+		}
+		this.fleet.advance(this.clock.steadyMillis());
+		List<Address> addresses = this.fleet.addressesFor(zone.get(), report());
+		return addresses.isEmpty() ? new PageServer.Page(503, "text/plain", "no node serves\n")
+				: this.ports.directory().write(addresses, DIRECTORY_TTL_SECONDS);
+	}
+
+	private NodeReport report() {
+		long nowMillis = this.clock.steadyMillis();
+		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
+		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
+				this.quotas.demandPerSecond(nowMillis), this.usage.newest(REPORTED_WINDOWS), List.of(),
+				this.rollouts.tallies());
+	}
+
+	private void onStarted(Optional<ClientAccount> account, long agoMillis) {
+		long windowMillis = this.settings.duties().usageWindowMillis();
+		if (account.isPresent() && windowMillis > 0) {
+			this.usage.count((trueMillis() - agoMillis) / windowMillis, account.get().name());
+		}
+	}
+
+	private long trueMillis() {
+		return this.fleetClock.trueMillis(this.clock.timeOfDayMillis(), this.clock.steadyMillis());
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/GatewaySettings.java
@@ -0,0 +1,54 @@
+package io.flamingogap.gateway.node;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.flamingogap.core.node.Address;
+import io.flamingogap.gateway.relay.RelayBounds;
+
+/**
+ * What a process learns when it starts.
+ *
+ * @param node the name of the node
+ * @param zone its availability zone
+ * @param regionsByZone the region of each zone
+ * @param listen where the node listens
+ * @param firstStart whether the whole fleet starts for the first time
+ * @param bounds the bounds of the request path
+ * @param stopMillis how long a planned stop may take
+ * @param duties the bounds of the duties
+ */
+public record GatewaySettings(String node, String zone, Map<String, String> regionsByZone, Listen listen,
+		boolean firstStart, RelayBounds bounds, long stopMillis, DutyBounds duties) {
+
+	public GatewaySettings {
+		Objects.requireNonNull(node, "node must not be null");
+		Objects.requireNonNull(zone, "zone must not be null");
+		Objects.requireNonNull(listen, "listen must not be null");
+		regionsByZone = Map.copyOf(regionsByZone);
+	}
+
+	/**
+	 * Where a node listens. A node may lack any of these.
+	 *
+	 * @param callers for callers' requests
+	 * @param readiness for questions of whether the node is ready
+	 * @param directory for questions of where to connect
+	 * @param metrics for metrics
+	 */
+	public record Listen(Optional<Address> callers, Optional<Address> readiness, Optional<Address> directory,
+			Optional<Address> metrics) {
+	}
+
+	/**
+	 * Bounds of the duties.
+	 *
+	 * @param leaseMillis the time in which two holders must not act by turns
+	 * @param usageWindowMillis the length of a window of usage; 0 if usage isn't reported
+	 * @param exposedShare the most requests that a version under trial gets, as a share
+	 */
+	public record DutyBounds(long leaseMillis, long usageWindowMillis, double exposedShare) {
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -0,0 +1,142 @@
+package io.flamingogap.gateway.node;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+
+import io.flamingogap.core.fleet.FleetClock;
+import io.flamingogap.core.fleet.FleetView;
+import io.flamingogap.core.fleet.NodeReport;
+import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.store.RecordFollower;
+import io.flamingogap.gateway.store.RecordListener;
+import io.flamingogap.gateway.store.RecordStore;
+import io.flamingogap.gateway.store.StoreStream;
+import io.flamingogap.gateway.store.StoredRecord;
+
+/**
+ * What nodes tell each other through the store: publishes this node's reports and reads
+ * those of the others.
+ */
+public final class NodeBoard implements RecordListener {
+
+	/** The time between reports; quotas and orders follow the demand this closely. */
+	public static final long REPORT_MILLIS = 1_000;
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** The pause between reads, so that reports of several nodes come in one answer. */
+	private static final long READ_PAUSE_MILLIS = 400;
+
+	/** A node that reported nothing for so long was removed, or its successor will report. */
+	private static final long REMOVED_MILLIS = 8_000;
+
+	/** The store must have been undisturbed for so long before silence tells anything. */
+	private static final long STEADY_MILLIS = 8_000;
+
+	private final EventLoop loop;
+
+	private final RecordStore store;
+
+	private final FleetView fleet;
+
+	private final FleetClock fleetClock;
+
+	private final NodeClock clock;
+
+	private final Supplier<NodeReport> ownReport;
+
+	private final RecordFollower follower;
+
+	/**
+	 * Create a board.
+	 * @param loop the event loop
+	 * @param store the store
+	 * @param fleet takes the reports of other nodes
+	 * @param fleetClock takes the clocks of other nodes
+	 * @param clock tells the present time
+	 * @param ownReport makes this node's report
+	 */
+	public NodeBoard(EventLoop loop, RecordStore store, FleetView fleet, FleetClock fleetClock, NodeClock clock,
+			Supplier<NodeReport> ownReport) {
+		this.loop = loop;
+		this.store = store;
+		this.fleet = fleet;
+		this.fleetClock = fleetClock;
+		this.clock = clock;
+		this.ownReport = ownReport;
+		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this,
+				clock::steadyMillis);
+	}
+
+	/**
+	 * Begin to report and to read.
+	 */
+	public void start() {
+		this.follower.start();
+		this.loop.scheduleWithFixedDelay(this::tick, 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void tick() {
+		long nowMillis = this.clock.steadyMillis();
+		this.fleet.advance(nowMillis);
+		if (nowMillis - this.follower.disturbedAtMillis() > STEADY_MILLIS) {
+			this.fleet.silentFor(REMOVED_MILLIS).forEach(this::forget);
+		}
+		publish();
+	}
+
+	private void forget(String node) {
+		this.fleet.forget(node);
+		this.fleetClock.forget(node);
+		logger.atInfo().log("%s", LogLine.of("node removed").with("peer", node).with("silentMillis", REMOVED_MILLIS));
+	}
+
+	/**
+	 * Publish this node's report now.
+	 */
+	public void publish() {
+		NodeReport report = this.ownReport.get();
+		this.store
+			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.write(report)),
+					OptionalLong.empty())
+			.exceptionally((failure) -> {
+				logger.atFine().log("%s", LogLine.of("report not kept").with("reason", failure.getMessage()));
+				return -1L;
+			});
+	}
+
+	@Override
+	public void onRecord(StoredRecord entry) {
+		if (entry.value().isEmpty()) {
+			forget(entry.key());
+			return;
+		}
+		Either<String, NodeReport> report = ReportCodec.read(entry.value().get());
+		if (report.isLeft()) {
+			logger.atWarning()
+				.log("%s", LogLine.of("report unreadable").with("peer", entry.key()).with("reason", report.getLeft()));
+			return;
+		}
+		long nowMillis = this.clock.steadyMillis();
+		long ageMillis = this.follower.isListed() ? 0
+				: Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
+		this.fleet.advance(nowMillis);
+		this.fleet.record(report.get(), nowMillis - ageMillis);
+		if (this.follower.isListed()) {
+			this.fleetClock.record(entry.key(), report.get().timeOfDayMillis(), nowMillis);
+		}
+	}
+
+	@Override
+	public void onListed(Set<String> keys, long end) {
+		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", end));
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/PlatformPorts.java
@@ -0,0 +1,20 @@
+package io.flamingogap.gateway.node;
+
+import io.flamingogap.gateway.backends.BackendProtocol;
+import io.flamingogap.gateway.callers.CallerProtocol;
+import io.flamingogap.gateway.callers.DirectoryProtocol;
+import io.flamingogap.gateway.store.RecordCodec;
+import io.flamingogap.gateway.store.RecordStore;
+
+/**
+ * What a platform provides to a node.
+ *
+ * @param callers what callers speak
+ * @param directory how callers ask where to connect
+ * @param backends what backend servers speak
+ * @param records how records of operators and servers are spelled
+ * @param store the store
+ */
+public record PlatformPorts(CallerProtocol callers, DirectoryProtocol directory, BackendProtocol backends,
+		RecordCodec records, RecordStore store) {
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
@@ -0,0 +1,33 @@
+package io.flamingogap.gateway.relay;
+
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+
+import io.flamingogap.core.quota.FleetDemand;
+import io.flamingogap.core.quota.QuotaGate;
+import io.flamingogap.core.servers.ServerSelector;
+import io.flamingogap.core.servers.ServerTable;
+import io.flamingogap.core.serving.ConfigHolder;
+import io.flamingogap.gateway.backends.BackendPool;
+import io.flamingogap.gateway.node.NodeClock;
+
+/**
+ * What the request path works with.
+ *
+ * @param loop the event loop
+ * @param clock tells the present time
+ * @param config the configuration in force
+ * @param servers the backend servers
+ * @param selector chooses a server
+ * @param versions chooses between versions that are compared
+ * @param pool connections to servers
+ * @param quotas admits requests
+ * @param fleet what other nodes report
+ * @param metrics counts what happens
+ * @param random draws shares of traffic
+ */
+public record RelayParts(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
+		ServerSelector selector, VersionGate versions, BackendPool pool, QuotaGate quotas, FleetDemand fleet,
+		RelayMetrics metrics, RandomGenerator random) {
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionGate.java
@@ -0,0 +1,32 @@
+package io.flamingogap.gateway.relay;
+
+import java.util.function.Predicate;
+
+import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.serving.RouteRule;
+
+/**
+ * Chooses the versions of a service that a request may go to while a rollout is under
+ * way, and takes the outcomes.
+ */
+public interface VersionGate {
+
+	/**
+	 * Choose the versions for a request.
+	 * @param service the service
+	 * @param route the route of the request
+	 * @return which servers may get the request
+	 */
+	Predicate<KnownServer> choose(String service, RouteRule route);
+
+	/**
+	 * Record the outcome of a dispatch.
+	 * @param server the server
+	 * @param route the route of the request
+	 * @param failed whether the server failed
+	 * @param latencyMillis the time to the answer or its first event
+	 */
+	void record(ServerEntry server, RouteRule route, boolean failed, long latencyMillis);
+
+}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FaultyLink.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FaultyLink.java
@@ -9,8 +9,12 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Predicate;
 
 /**
@@ -23,6 +27,9 @@
 
 	private static final int BUFFER_BYTES = 16_384;
 
+	/** Bounds the wait for the accepting thread, which has no work that lasts. */
+	private static final long RELEASE_TIMEOUT_MILLIS = 5_000;
+
 	private final int port = FreePorts.take(1).get(0);
 
 	private final int targetPort;
@@ -35,6 +42,8 @@
 
 	private ServerSocket listener;
 
+	private Future<?> acceptor;
+
 	/**
 	 * Start a link on a free port.
 	 * @param target the server, as IP number and port
@@ -47,7 +56,7 @@
 	private ServerSocket listen() {
 		try {
 			ServerSocket socket = new ServerSocket(this.port, BACKLOG, InetAddress.getLoopbackAddress());
-			this.executor.execute(() -> accept(socket));
+			this.acceptor = this.executor.submit(() -> accept(socket));
 			return socket;
 		}
 		catch (IOException ex) {
@@ -132,13 +141,24 @@
 		this.executor.shutdownNow();
 	}
 
+	/**
+	 * Close the listener and wait until the accepting thread has left it: the kernel
+	 * keeps the port bound for as long as a call on the socket is under way.
+	 */
 	private void closeListener() {
 		try {
 			this.listener.close();
+			this.acceptor.get(RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			throw new IllegalStateException("the accepting thread of port " + this.port + " did not end", ex);
+		}
 	}
 
 	private static final class Relay {
--- /dev/null
+++ b/flamingogap-testkit/src/test/java/io/flamingogap/testkit/net/FaultyLinkTests.java
@@ -0,0 +1,64 @@
+package io.flamingogap.testkit.net;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/**
+ * A link that refuses connections and takes them again on the same port.
+ */
+class FaultyLinkTests {
+
+	private static final int ROUNDS = 500;
+
+	private ServerSocket target;
+
+	private FaultyLink link;
+
+	@BeforeEach
+	void startLink() throws IOException {
+		this.target = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		this.link = new FaultyLink("127.0.0.1:" + this.target.getLocalPort());
+	}
+
+	@AfterEach
+	void stopLink() throws IOException {
+		this.link.close();
+		this.target.close();
+	}
+
+	private Socket connect() throws IOException {
+		String address = this.link.address();
+		return new Socket(InetAddress.getLoopbackAddress(),
+				Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+	}
+
+	@Test
+	void takesItsPortAgainAtOnceAfterEachRefusal() {
+		for (int round = 0; round < ROUNDS; round++) {
+			this.link.setMode(LinkMode.REFUSE);
+			this.link.setMode(LinkMode.PASS);
+		}
+		assertThat(this.link.address().startsWith("127.0.0.1:"), is(true));
+	}
+
+	@Test
+	void refusesWhileItsPortIsKept() throws IOException {
+		connect().close();
+		this.link.setMode(LinkMode.REFUSE);
+		assertThrows(ConnectException.class, this::connect);
+		this.link.setMode(LinkMode.PASS);
+		connect().close();
+	}
+
+}
--- /dev/null
+++ b/flamingogap-wire/src/main/thrift/report.thrift
@@ -0,0 +1,46 @@
+/** What entry nodes keep in the platform's store for each other. Times are in milliseconds. */
+namespace java io.flamingogap.wire.report
+
+/** Requests that backend servers began in one window of time, by client account. */
+struct UsageWindow {
+  1: required i64 number
+  2: required map<string, i64> requests
+}
+
+/** Outcomes of one version of a service on one route since the rollout began. */
+struct VersionTally {
+  1: required string serviceName
+  2: required string version
+  3: required string route
+  4: required i64 requests
+  5: required i64 failures
+  6: required i64 slow
+}
+
+/** What the callers of one node ask of a service. */
+struct ServiceDemand {
+  1: required string serviceName
+  2: required i32 openRequests
+  3: required i64 promptTokensPerSecond
+  4: required i64 requestsPerMinute
+}
+
+/** The state of one run of an entry node; replaces its earlier reports. */
+struct NodeReport {
+  1: required string node
+  2: required i64 incarnation
+  3: required string callerAddress
+  4: required string zone
+  5: required bool serving
+  6: required i64 timeOfDayMillis
+  7: required map<string, i64> demandPerSecond
+  8: required list<UsageWindow> usage
+  9: required list<ServiceDemand> services
+  10: required list<VersionTally> tallies
+}
+
+/** A report of usage that must not change once it may have been sent. */
+struct UsageIntent {
+  1: required i64 window
+  2: required map<string, i64> requests
+}
