--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
@@ -15,13 +15,13 @@
 public final class FleetClock {
 
 	/** Clocks of machines differ by less; a larger difference is a jump. */
-	private static final long MAX_DIFFERENCE_MILLIS = 1_000;
+	private static final long MAX_DIFFERENCE_MILLIS = 1_500;
 
 	/** Fewer clocks can't outvote a node's own. */
 	private static final int MIN_CLOCKS = 2;
 
 	/** Reports reach other nodes about this late: the pause between reads, halved. */
-	private static final long REPORT_DELAY_MILLIS = 200;
+	private static final long REPORT_DELAY_MILLIS = 750;
 
 	private final Map<String, Long> offsets = new HashMap<>();
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -20,7 +20,7 @@
 public final class FleetView implements FleetDemand {
 
 	/** Reports that a node may miss before it counts as silent. */
-	private static final int MISSED_REPORTS = 4;
+	private static final int MISSED_REPORTS = 3;
 
 	private final Map<String, Heard> byName = new HashMap<>();
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
@@ -16,24 +16,24 @@
 public final class QuotaGate {
 
 	/** The part of each quota that is split evenly, for nodes whose demand just began. */
-	private static final double EVEN_PART = 0.3;
+	private static final double EVEN_PART = 0.15;
 
 	private final Map<String, QuotaBucket> buckets = new HashMap<>();
 
 	private final Map<String, DemandMeter> demands = new HashMap<>();
 
-	private final double toleranceUnits;
+	private final QuotaTolerance tolerance;
 
 	private final boolean startsFull;
 
 	/**
 	 * Create a gate.
-	 * @param toleranceUnits the units over all nodes by which a quota may be exceeded
+	 * @param tolerance by how much a quota may be exceeded, over all nodes
 	 * @param startsFull whether the buckets start with their burst; a node that restarts
 	 * may have spent it before
 	 */
-	public QuotaGate(double toleranceUnits, boolean startsFull) {
-		this.toleranceUnits = toleranceUnits;
+	public QuotaGate(QuotaTolerance tolerance, boolean startsFull) {
+		this.tolerance = tolerance;
 		this.startsFull = startsFull;
 	}
 
@@ -54,7 +54,7 @@
 		demand.add(cost, nowMillis);
 		double share = share(account.name(), demand.perSecond(nowMillis), fleet);
 		double rate = quota.ratePerSecond() * share;
-		double capacity = quota.burst() * share + this.toleranceUnits / fleet.nodes();
+		double capacity = quota.burst() * share + this.tolerance.units(quota) / fleet.nodes();
 		QuotaBucket bucket = this.buckets.computeIfAbsent(account.name(),
 				(name) -> new QuotaBucket(this.startsFull ? capacity : rate, nowMillis));
 		bucket.refill(rate, capacity, nowMillis);
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
@@ -0,0 +1,36 @@
+package io.flamingogap.core.quota;
+
+import io.flamingogap.core.serving.TokenQuota;
+
+/**
+ * By how much an account may exceed its quota in a window, over all nodes together.
+ *
+ * @param share the excess as a share of what the quota allows in a window
+ * @param units the excess besides, in units of the quota
+ * @param windowMillis the length of the window
+ */
+public record QuotaTolerance(double share, double units, long windowMillis) {
+
+	/** The part of the tolerance that nodes use; the rest is for reports that come late. */
+	private static final double USED_PART = 0.7;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	public QuotaTolerance {
+		if (!(share >= 0) || !(units >= 0) || windowMillis < 0) {
+			throw new IllegalArgumentException("share, units and windowMillis must not be negative but were " + share
+					+ ", " + units + ", " + windowMillis);
+		}
+	}
+
+	/**
+	 * Return the units that nodes may spend beyond a quota.
+	 * @param quota the quota
+	 * @return the units, over all nodes
+	 */
+	double units(TokenQuota quota) {
+		double allowed = quota.ratePerSecond() * this.windowMillis / MILLIS_PER_SECOND + quota.burst();
+		return (allowed * this.share + (quota.countsTokens() ? this.units : 0)) * USED_PART;
+	}
+
+}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -1,9 +1,10 @@
-package io.flamingogap.gateway.node;
+package io.flamingogap.gateway;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
@@ -24,11 +25,22 @@
 import io.flamingogap.core.serving.ServingConfig;
 import io.flamingogap.gateway.backends.BackendPool;
 import io.flamingogap.gateway.callers.CallerListener;
+import io.flamingogap.gateway.cloud.CloudApi;
+import io.flamingogap.gateway.cloud.DutyParts;
+import io.flamingogap.gateway.cloud.DutyRunner;
+import io.flamingogap.gateway.cloud.FleetDemandOf;
 import io.flamingogap.gateway.http.PageServer;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.node.NodeBoard;
+import io.flamingogap.gateway.node.OperatorWatch;
+import io.flamingogap.gateway.node.Rollouts;
+import io.flamingogap.gateway.node.ServerWatch;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RelayParts;
 import io.flamingogap.gateway.relay.RequestRelay;
+import io.flamingogap.gateway.relay.ServiceDemands;
+import io.flamingogap.gateway.store.StoreStream;
+import io.flamingogap.gateway.time.NodeClock;
 
 /**
  * One entry node: its parts, wired together on one event loop.
@@ -43,10 +55,21 @@
 	/** Windows of usage that a report carries, so that a lost report does no harm. */
 	private static final int REPORTED_WINDOWS = 3;
 
+	/** New requests are taken for so long after a stop began: answers of where to connect end. */
+	private static final long TAKE_MILLIS = 2_800;
+
+	/** A stop takes at least so long, so that callers that kept an answer are told to go. */
+	private static final long MIN_STOP_MILLIS = 4_000;
+
+	private static final long STOP_POLL_MILLIS = 50;
+
 	private static final long TRIM_EACH_MILLIS = 1_000;
 
 	private static final long DECIDE_EACH_MILLIS = 250;
 
+	/** How often the end of a rollout is looked for; well within the bound to take one back. */
+	private static final long STATUS_EACH_MILLIS = 1_000;
+
 	private final EventLoop loop;
 
 	private final GatewaySettings settings;
@@ -67,6 +90,8 @@
 
 	private final RelayMetrics metrics = new RelayMetrics();
 
+	private final ServiceDemands demands = new ServiceDemands();
+
 	private final FleetView fleet;
 
 	private final Rollouts rollouts;
@@ -83,8 +108,12 @@
 
 	private final OperatorWatch operatorWatch;
 
+	private final Optional<DutyRunner> duties;
+
 	private boolean leaving;
 
+	private boolean stopped;
+
 	/**
 	 * Create a node that doesn't answer yet.
 	 * @param loop the event loop
@@ -102,16 +131,49 @@
 		this.fleet = new FleetView(this.self, NodeBoard.REPORT_MILLIS);
 		SplittableRandom random = new SplittableRandom(incarnation);
 		this.rollouts = new Rollouts(this.servers, this.fleet, random, settings.duties().exposedShare());
-		this.quotas = new QuotaGate(settings.bounds().quotaToleranceUnits(), settings.firstStart());
+		this.quotas = new QuotaGate(settings.bounds().quotaTolerance(), settings.firstStart());
 		this.pool = new BackendPool(loop, ports.backends(), clock::steadyMillis);
 		RelayParts parts = new RelayParts(loop, clock, this.config, this.servers,
 				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
-				this.quotas, this.fleet, this.metrics, random);
+				this.quotas, this.fleet, this.metrics, this.demands, random);
 		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
 		this.board = new NodeBoard(loop, ports.store(), this.fleet, this.fleetClock, clock, this::report);
 		this.serverWatch = new ServerWatch(loop, ports.store(), ports.records(), this.servers, clock);
 		this.operatorWatch = new OperatorWatch(loop, ports.store(), ports.records(), this.config, this.rollouts,
 				clock);
+		this.duties = ports.cloud()
+			.map((cloud) -> new DutyRunner(dutyParts(cloud), settings.duties().leaseMillis(),
+					settings.duties().usageWindowMillis()));
+	}
+
+	private DutyParts dutyParts(CloudApi cloud) {
+		return new DutyParts(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock, this::trueMillis,
+				this.config, this.rollouts, this.servers, (window) -> this.fleet.usageOf(window, this.usage),
+				new FleetDemandOf() {
+					@Override
+					public double promptTokensPerSecond(String service) {
+						return sumOver(service, NodeReport.ServiceDemand::promptTokensPerSecond);
+					}
+
+					@Override
+					public double openRequests(String service) {
+						return sumOver(service, NodeReport.ServiceDemand::openRequests);
+					}
+				}, this.self.toString());
+	}
+
+	private double sumOver(String service, ToLongFunction<NodeReport.ServiceDemand> figure) {
+		long own = sum(this.demands.report(this.clock.steadyMillis()), service, figure);
+		long others = this.fleet.reports()
+			.stream()
+			.mapToLong((report) -> sum(report.services(), service, figure))
+			.sum();
+		return (double) own + others;
+	}
+
+	private static long sum(List<NodeReport.ServiceDemand> rows, String service,
+			ToLongFunction<NodeReport.ServiceDemand> figure) {
+		return rows.stream().filter((row) -> row.service().equals(service)).mapToLong(figure).sum();
 	}
 
 	/**
@@ -130,6 +192,8 @@
 		this.loop.scheduleWithFixedDelay(this.pool::trim, TRIM_EACH_MILLIS, TRIM_EACH_MILLIS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(() -> this.rollouts.decide(this.clock.steadyMillis()), DECIDE_EACH_MILLIS,
 				DECIDE_EACH_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::readStatuses, 0, STATUS_EACH_MILLIS, TimeUnit.MILLISECONDS);
+		this.duties.ifPresent(DutyRunner::start);
 		logger.atInfo()
 			.log("%s", LogLine.of("node started")
 				.with("zone", this.settings.zone())
@@ -137,6 +201,50 @@
 				.with("firstStart", this.settings.firstStart()));
 	}
 
+	/**
+	 * Begin a planned stop: callers are sent elsewhere, open requests are finished.
+	 * @param end runs when the process may end
+	 */
+	public void stop(Runnable end) {
+		if (this.leaving) {
+			return;
+		}
+		this.leaving = true;
+		long startedAtMillis = this.clock.steadyMillis();
+		logger.atInfo().log("%s", LogLine.of("stopping").with("openRequests", this.metrics.open()));
+		this.relay.setAdmission(RequestRelay.AdmissionState.LEAVING);
+		this.board.publish();
+		this.duties.ifPresent(DutyRunner::stop);
+		this.loop.schedule(() -> this.relay.setAdmission(RequestRelay.AdmissionState.CLOSED), TAKE_MILLIS,
+				TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(() -> {
+			long passedMillis = this.clock.steadyMillis() - startedAtMillis;
+			boolean idle = this.metrics.open() == 0 && passedMillis >= MIN_STOP_MILLIS;
+			if (!this.stopped && (idle || passedMillis >= this.settings.stopMillis())) {
+				this.stopped = true;
+				logger.atInfo()
+					.log("%s", LogLine.of("stopped")
+						.with("openRequests", this.metrics.open())
+						.with("tookMillis", passedMillis));
+				end.run();
+			}
+		}, STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void readStatuses() {
+		if (!this.rollouts.isUnderWay()) {
+			return;
+		}
+		this.ports.store().newest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
+			page.records()
+				.forEach((entry) -> this.ports.records().readStatus(entry).peek(this.rollouts::takeStatus));
+			this.rollouts.statusesRead();
+		}).exceptionally((failure) -> {
+			logger.atInfo().log("%s", LogLine.of("rollout statuses not read").with("reason", failure.getMessage()));
+			return null;
+		});
+	}
+
 	private boolean isReady() {
 		return !this.leaving && this.config.current().isPresent() && this.serverWatch.isListed();
 	}
@@ -161,7 +269,8 @@
 		long nowMillis = this.clock.steadyMillis();
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
-				this.quotas.demandPerSecond(nowMillis), this.usage.newest(REPORTED_WINDOWS), List.of(),
+				this.quotas.demandPerSecond(nowMillis), this.usage.newest(REPORTED_WINDOWS),
+				this.demands.report(nowMillis),
 				this.rollouts.tallies());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/GatewaySettings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
@@ -1,4 +1,4 @@
-package io.flamingogap.gateway.node;
+package io.flamingogap.gateway;
 
 import java.util.Map;
 import java.util.Objects;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/PlatformPorts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformPorts.java
@@ -1,8 +1,11 @@
-package io.flamingogap.gateway.node;
+package io.flamingogap.gateway;
+
+import java.util.Optional;
 
 import io.flamingogap.gateway.backends.BackendProtocol;
 import io.flamingogap.gateway.callers.CallerProtocol;
 import io.flamingogap.gateway.callers.DirectoryProtocol;
+import io.flamingogap.gateway.cloud.CloudApi;
 import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.store.RecordStore;
 
@@ -14,7 +17,8 @@
  * @param backends what backend servers speak
  * @param records how records of operators and servers are spelled
  * @param store the store
+ * @param cloud the cloud's calls; empty if the node may not call it
  */
 public record PlatformPorts(CallerProtocol callers, DirectoryProtocol directory, BackendProtocol backends,
-		RecordCodec records, RecordStore store) {
+		RecordCodec records, RecordStore store, Optional<CloudApi> cloud) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -14,6 +14,7 @@
 import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.NodeReport;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.time.NodeClock;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
 import io.flamingogap.gateway.store.RecordStore;
@@ -27,12 +28,12 @@
 public final class NodeBoard implements RecordListener {
 
 	/** The time between reports; quotas and orders follow the demand this closely. */
-	public static final long REPORT_MILLIS = 1_000;
+	public static final long REPORT_MILLIS = 2_000;
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/** The pause between reads, so that reports of several nodes come in one answer. */
-	private static final long READ_PAUSE_MILLIS = 400;
+	private static final long READ_PAUSE_MILLIS = 1_500;
 
 	/** A node that reported nothing for so long was removed, or its successor will report. */
 	private static final long REMOVED_MILLIS = 8_000;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorWatch.java
@@ -9,6 +9,7 @@
 import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.core.serving.ServingConfig;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.time.NodeClock;
 import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
@@ -19,7 +20,7 @@
 /**
  * Puts configurations in force as operators publish them, and takes their rollout orders.
  */
-final class OperatorWatch implements RecordListener {
+public final class OperatorWatch implements RecordListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -33,7 +34,16 @@
 
 	private final RecordFollower follower;
 
-	OperatorWatch(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config, Rollouts rollouts,
+	/**
+	 * Create a watch.
+	 * @param loop the event loop
+	 * @param store the store
+	 * @param codec reads operators' records
+	 * @param config takes configurations
+	 * @param rollouts takes orders of rollouts
+	 * @param clock tells the present time
+	 */
+	public OperatorWatch(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config, Rollouts rollouts,
 			NodeClock clock) {
 		this.codec = codec;
 		this.config = config;
@@ -42,7 +52,10 @@
 		this.follower = new RecordFollower(loop, store, StoreStream.OPERATOR, 0, this, clock::steadyMillis);
 	}
 
-	void start() {
+	/**
+	 * Begin to follow.
+	 */
+	public void start() {
 		this.follower.start();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
@@ -38,6 +38,8 @@
 
 	private final Map<String, RolloutStatus> statuses = new HashMap<>();
 
+	private boolean statusesKnown;
+
 	private final ServerTable servers;
 
 	private final FleetView fleet;
@@ -86,6 +88,22 @@
 				.with("offset", offset));
 	}
 
+	/**
+	 * Return whether operators' statuses should be read again.
+	 * @return {@code true} while a rollout is under way
+	 */
+	public boolean isUnderWay() {
+		return this.moves.values().stream().anyMatch((move) -> move.state == RolloutStatus.State.RUNNING);
+	}
+
+	/**
+	 * Record that all statuses were read. Until then no version is explored, since a
+	 * rollout may have ended before this node started.
+	 */
+	public void statusesRead() {
+		this.statusesKnown = true;
+	}
+
 	/**
 	 * Take what operators were told.
 	 * @param status the status
@@ -104,6 +122,9 @@
 	 * @param nowMillis the present time
 	 */
 	public void decide(long nowMillis) {
+		if (!this.statusesKnown) {
+			return;
+		}
 		for (Move move : this.moves.values()) {
 			if (move.state != RolloutStatus.State.RUNNING) {
 				continue;
@@ -116,16 +137,16 @@
 				continue;
 			}
 			move.share = trial.share(part);
-			if (trial.mayEnd(part) && hasServers(move)) {
+			if (trial.mayEnd(part) && hasServers(move, true)) {
 				end(move, RolloutStatus.State.DONE, trial.toString());
 			}
 		}
 	}
 
-	private boolean hasServers(Move move) {
+	private boolean hasServers(Move move, boolean target) {
 		return this.servers.ofService(move.order.service())
 			.stream()
-			.anyMatch((server) -> server.takesRequests() && move.isTarget(server.entry()));
+			.anyMatch((server) -> server.takesRequests() && move.isTarget(server.entry()) == target);
 	}
 
 	private TimedTrial trial(Move move) {
@@ -156,6 +177,9 @@
 	 * @return the statuses
 	 */
 	public List<RolloutStatus> untold() {
+		if (!this.statusesKnown) {
+			return List.of();
+		}
 		List<RolloutStatus> untold = new ArrayList<>();
 		this.moves.forEach((service, move) -> {
 			RolloutStatus status = new RolloutStatus(service, move.order.target(), move.state);
@@ -192,8 +216,8 @@
 			case REVERTED -> false;
 			case RUNNING -> this.random.nextDouble() < move.share;
 		};
-		if (toTarget && !hasServers(move)) {
-			return (server) -> move.state == RolloutStatus.State.DONE || !move.isTarget(server.entry());
+		if (move.state != RolloutStatus.State.REVERTED && !hasServers(move, toTarget)) {
+			return (server) -> true;
 		}
 		return (server) -> move.isTarget(server.entry()) == toTarget;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
@@ -10,6 +10,7 @@
 import io.flamingogap.core.servers.ServerEntry;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.time.NodeClock;
 import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
@@ -20,12 +21,12 @@
 /**
  * Keeps the table of backend servers in step with their registrations.
  */
-final class ServerWatch implements RecordListener {
+public final class ServerWatch implements RecordListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/** The pause between reads, so that registrations of several servers come at once. */
-	private static final long READ_PAUSE_MILLIS = 250;
+	private static final long READ_PAUSE_MILLIS = 900;
 
 	/** Servers that live register again within this time after the store has returned. */
 	private static final long DOUBT_MILLIS = 2_500;
@@ -42,7 +43,15 @@
 
 	private final RecordFollower follower;
 
-	ServerWatch(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers, NodeClock clock) {
+	/**
+	 * Create a watch.
+	 * @param loop the event loop
+	 * @param store the store
+	 * @param codec reads registrations
+	 * @param servers the table to keep
+	 * @param clock tells the present time
+	 */
+	public ServerWatch(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers, NodeClock clock) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
@@ -51,12 +60,19 @@
 				clock::steadyMillis);
 	}
 
-	void start() {
+	/**
+	 * Begin to follow.
+	 */
+	public void start() {
 		this.follower.start();
 		this.loop.scheduleWithFixedDelay(this::expire, EXPIRE_EACH_MILLIS, EXPIRE_EACH_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	boolean isListed() {
+	/**
+	 * Return whether all registrations were read once.
+	 * @return {@code true} after the first listing
+	 */
+	public boolean isListed() {
 		return this.follower.isListed();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayBounds.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayBounds.java
@@ -1,16 +1,18 @@
 package io.flamingogap.gateway.relay;
 
+import io.flamingogap.core.quota.QuotaTolerance;
+
 /**
  * Bounds of the request path.
  *
  * @param retryShare the retries at a service for each request, over all nodes
  * @param retryAllowance the retries in a window that are allowed besides, over all nodes
  * @param retryWindowMillis the length of the window
- * @param quotaToleranceUnits the units by which a quota may be exceeded, over all nodes
+ * @param quotaTolerance by how much a quota may be exceeded, over all nodes
  * @param maxBufferedBytes the most bytes of requests and answers that are held
  */
 public record RelayBounds(double retryShare, double retryAllowance, long retryWindowMillis,
-		double quotaToleranceUnits, long maxBufferedBytes) {
+		QuotaTolerance quotaTolerance, long maxBufferedBytes) {
 
 	public RelayBounds {
 		if (retryWindowMillis < 1 || maxBufferedBytes < 1) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
@@ -10,7 +10,7 @@
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.gateway.backends.BackendPool;
-import io.flamingogap.gateway.node.NodeClock;
+import io.flamingogap.gateway.time.NodeClock;
 
 /**
  * What the request path works with.
@@ -25,9 +25,10 @@
  * @param quotas admits requests
  * @param fleet what other nodes report
  * @param metrics counts what happens
+ * @param demands counts what callers ask of services
  * @param random draws shares of traffic
  */
 public record RelayParts(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
 		ServerSelector selector, VersionGate versions, BackendPool pool, QuotaGate quotas, FleetDemand fleet,
-		RelayMetrics metrics, RandomGenerator random) {
+		RelayMetrics metrics, ServiceDemands demands, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -96,6 +96,7 @@
 
 	void start() {
 		this.parts.metrics().requestOpened(this.bytes);
+		this.parts.demands().opened(this.service, this.request.prompt(), nowMillis());
 		this.deadline = this.parts.loop()
 			.schedule(this::onDeadline, this.attempt.leftMillis(nowMillis()), TimeUnit.MILLISECONDS);
 		dispatch("first");
@@ -183,6 +184,7 @@
 		}
 		this.request.body().release();
 		this.parts.metrics().requestClosed(this.bytes);
+		this.parts.demands().closed(this.service);
 		if (!this.attempt.mayHaveRun()) {
 			this.hooks.refund().run();
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -19,8 +19,11 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** How long the store may hold a read; bounds how long a dead connection stays unnoticed. */
-	private static final long WAIT_MILLIS = 1_000;
+	/**
+	 * How long the store may hold a read. Each read is priced; a connection that went
+	 * silent stays unnoticed for so long, within the time that nodes have after a reset.
+	 */
+	private static final long WAIT_MILLIS = 3_000;
 
 	/** The pause after a failed call; doubles up to the most. */
 	private static final long MIN_RETRY_MILLIS = 100;
@@ -98,7 +101,7 @@
 	}
 
 	private void read(long from) {
-		this.store.read(this.stream, from, WAIT_MILLIS).whenComplete((batch, failure) -> {
+		this.store.read(this.stream, from, this.reachable ? WAIT_MILLIS : 0).whenComplete((batch, failure) -> {
 			if (failure instanceof StoreException dropped && dropped.reason() == StoreException.Reason.DROPPED) {
 				logger.atInfo()
 					.log("%s", LogLine.of("records dropped by the store")
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeClock.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/NodeClock.java
@@ -1,4 +1,4 @@
-package io.flamingogap.gateway.node;
+package io.flamingogap.gateway.time;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
