--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetPlanner.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetPlanner.java
@@ -19,10 +19,10 @@
 	private static final double PROMPT_TOKENS_PER_SECOND = 66_200;
 
 	/** The part of an engine's time that prompts may take; the rest generates tokens. */
-	private static final double PROMPT_UTILIZATION = 0.35;
+	private static final double PROMPT_UTILIZATION = 0.3;
 
 	/** The part of its slots that an engine should have open at the mean load. */
-	private static final double SLOT_UTILIZATION = 0.5;
+	private static final double SLOT_UTILIZATION = 0.4;
 
 	/** Fewer engines can't carry a burst. */
 	private static final int MIN_NEED = 6;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
@@ -33,6 +33,10 @@
 		return true;
 	}
 
+	double level() {
+		return this.level;
+	}
+
 	void refund(long cost) {
 		this.level += cost;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
@@ -48,12 +48,12 @@
 	 * @param cost the units that the request uses
 	 * @param fleet what other nodes report
 	 * @param nowMillis the present time
-	 * @return 0 if the request is admitted, otherwise the milliseconds until one may be
+	 * @return the verdict
 	 */
-	public long admit(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
+	public QuotaVerdict admit(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
 		TokenQuota quota = account.quota();
 		if (!quota.isLimited()) {
-			return 0;
+			return QuotaVerdict.UNLIMITED;
 		}
 		DemandMeter demand = this.demands.computeIfAbsent(account.name(), (name) -> new DemandMeter());
 		demand.add(cost, nowMillis);
@@ -63,7 +63,8 @@
 		QuotaBucket bucket = this.buckets.computeIfAbsent(account.name(),
 				(name) -> new QuotaBucket(this.startsFull ? capacity : rate, nowMillis));
 		bucket.refill(rate, capacity, nowMillis);
-		return bucket.trySpend(cost) ? 0 : bucket.waitMillis(rate);
+		double level = bucket.level();
+		return new QuotaVerdict(bucket.trySpend(cost) ? 0 : bucket.waitMillis(rate), share, rate, level);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
@@ -1,8 +1,11 @@
 package io.flamingogap.core.servers;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /**
- * How loaded a backend server seems: the requests of this node, and those of other nodes
- * by what the server's last answer reported.
+ * How loaded a backend server seems: the requests of this node, those that the nodes of
+ * its zone tell of, and the others by what the server's last answer reported.
  * <p>
  * Not safe for use by several threads.
  */
@@ -11,6 +14,11 @@
 	/** Time in which a report loses most of its worth; about the length of a stream. */
 	private static final double REPORT_DECAY_MILLIS = 1_500;
 
+	/** What a node told lapses after this time, in case the news of the end was lost. */
+	private static final long PEER_LAPSE_MILLIS = 2_500;
+
+	private final Map<String, PeerLoad> peers = new HashMap<>();
+
 	private int open;
 
 	private long unreadTokens;
@@ -57,13 +65,33 @@
 		this.reportedAtMillis = nowMillis;
 	}
 
+	/**
+	 * Record what another node told of its load here.
+	 * @param node the name of the node
+	 * @param openRequests its open requests
+	 * @param tokens the prompt tokens that it sent and the server has not read yet
+	 * @param nowMillis the present time
+	 */
+	public void recordPeer(String node, int openRequests, long tokens, long nowMillis) {
+		this.peers.put(node, new PeerLoad(openRequests, tokens, nowMillis));
+	}
+
+	private int peersOpen(long nowMillis) {
+		int sum = 0;
+		for (PeerLoad peer : this.peers.values()) {
+			sum += peer.isFresh(nowMillis) ? peer.open : 0;
+		}
+		return sum;
+	}
+
 	/**
 	 * Estimate the requests that the server runs or queues.
 	 * @param nowMillis the present time
 	 * @return the estimate
 	 */
 	public double estimateOpen(long nowMillis) {
-		return this.open + (this.othersRunning + this.othersWaiting) * freshness(nowMillis);
+		double reported = (this.othersRunning + this.othersWaiting) * freshness(nowMillis);
+		return this.open + Math.max(peersOpen(nowMillis), reported);
 	}
 
 	/**
@@ -95,4 +123,26 @@
 		return this.unreadTokens;
 	}
 
+	/**
+	 * Estimate the prompt tokens that the server has to read, for this node and those
+	 * that told of theirs.
+	 * @param nowMillis the present time
+	 * @return the estimate
+	 */
+	public long estimateUnread(long nowMillis) {
+		long sum = this.unreadTokens;
+		for (PeerLoad peer : this.peers.values()) {
+			sum += peer.isFresh(nowMillis) ? peer.unreadTokens : 0;
+		}
+		return sum;
+	}
+
+	private record PeerLoad(int open, long unreadTokens, long toldAtMillis) {
+
+		private boolean isFresh(long nowMillis) {
+			return nowMillis - this.toldAtMillis < PEER_LAPSE_MILLIS;
+		}
+
+	}
+
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -88,7 +88,7 @@
 		double excess = Math.max(0, open + 1 - server.entry().slots());
 		long sharedTokens = prompt.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
 		long heldTokens = isHome ? sharedTokens : server.prompts().heldTokens(prompt);
-		double readMillis = (load.unreadTokens() + Math.max(0, prompt.promptTokens() - heldTokens))
+		double readMillis = (load.estimateUnread(nowMillis) + Math.max(0, prompt.promptTokens() - heldTokens))
 				/ PROMPT_TOKENS_PER_MILLI;
 		return readMillis + open * OPEN_COST_MILLIS + (excess + load.estimateWaiting(nowMillis)) * WAIT_COST_MILLIS
 				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
@@ -38,7 +38,7 @@
 	void accountWithoutALimitIsAlwaysAdmitted() {
 		ClientAccount free = new ClientAccount("free", List.of("k"), OptionalInt.empty(), TokenQuota.UNLIMITED);
 		QuotaGate gate = new QuotaGate(TOLERANCE, true);
-		assertThat(gate.admit(free, 1_000_000, new Fleet(1), 0), is(0L));
+		assertThat(gate.admit(free, 1_000_000, new Fleet(1), 0).isAdmitted(), is(true));
 	}
 
 	@Test
@@ -46,9 +46,9 @@
 		QuotaGate gate = new QuotaGate(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
 		gate.admit(ACCOUNT, 100_000, alone, 0);
-		long waitMillis = gate.admit(ACCOUNT, 1, alone, 0);
+		long waitMillis = gate.admit(ACCOUNT, 1, alone, 0).waitMillis();
 		assertThat(waitMillis, greaterThan(0L));
-		assertThat(gate.admit(ACCOUNT, 1, alone, waitMillis + 1), is(0L));
+		assertThat(gate.admit(ACCOUNT, 1, alone, waitMillis + 1).isAdmitted(), is(true));
 	}
 
 	@Test
@@ -57,7 +57,7 @@
 		Fleet alone = new Fleet(1);
 		gate.admit(ACCOUNT, 100_000, alone, 0);
 		gate.refund(ACCOUNT, 100_000);
-		assertThat(gate.admit(ACCOUNT, 1, alone, 0), is(0L));
+		assertThat(gate.admit(ACCOUNT, 1, alone, 0).isAdmitted(), is(true));
 	}
 
 	/**
@@ -80,7 +80,7 @@
 			int node = random.nextInt(nodes);
 			boolean asks = now >= jumpMillis || random.nextInt(15) == 0;
 			long cost = 100 + random.nextInt(700);
-			if (asks && gates.get(node).admit(ACCOUNT, cost, fleets.get(node), now) == 0 && now >= 0) {
+			if (asks && gates.get(node).admit(ACCOUNT, cost, fleets.get(node), now).isAdmitted() && now >= 0) {
 				admitted += cost;
 			}
 			exchange(gates, fleets, now);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 import com.google.common.flogger.FluentLogger;
@@ -37,6 +38,7 @@
 import io.flamingogap.gateway.node.OperatorWatch;
 import io.flamingogap.gateway.node.Rollouts;
 import io.flamingogap.gateway.node.ServerWatch;
+import io.flamingogap.gateway.peers.LoadGossip;
 import io.flamingogap.gateway.peers.PeerBackedStore;
 import io.flamingogap.gateway.peers.PeerService;
 import io.flamingogap.gateway.relay.RelayMetrics;
@@ -117,6 +119,8 @@
 
 	private final RecordStore store;
 
+	private final LoadGossip gossip;
+
 	private final NodeBoard board;
 
 	private final ServerWatch serverWatch;
@@ -148,9 +152,10 @@
 		this.rollouts = new Rollouts(this.servers, this.fleet, random, settings.duties().exposedShare());
 		this.quotas = new QuotaGate(settings.bounds().quotaTolerance(), settings.firstStart());
 		this.pool = new BackendPool(loop, ports.backends(), clock::steadyMillis);
+		this.gossip = new LoadGossip(loop, settings.node(), this.servers, this::zonePeerAddresses, clock::steadyMillis);
 		RelayParts parts = new RelayParts(loop, clock, this.config, this.servers,
 				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
-				this.quotas, this.fleet, this.metrics, this.demands, random);
+				this.quotas, this.fleet, this.metrics, this.demands, this.gossip, random);
 		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
 		this.store = new PeerBackedStore(loop, ports.store(), this::peerAddresses, clock::steadyMillis);
 		this.board = new NodeBoard(loop, this.store, this.fleet, this.fleetClock, clock, this::report);
@@ -203,7 +208,10 @@
 			.ifPresent((address) -> PageServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(directory(request))));
 		PeerService peerService = new PeerService(this.ports.store());
-		listen.peers().ifPresent((address) -> PageServer.listen(this.loop, address, peerService::answer));
+		listen.peers().ifPresent((address) -> {
+			PageServer.listen(this.loop, address, peerService::answer);
+			this.gossip.start(address);
+		});
 		this.operatorWatch.start();
 		this.serverWatch.start();
 		this.board.start();
@@ -273,10 +281,19 @@
 	}
 
 	private List<Address> peerAddresses() {
+		return peerAddresses((report) -> true);
+	}
+
+	private List<Address> zonePeerAddresses() {
+		return peerAddresses((report) -> report.zone().equals(this.settings.zone()));
+	}
+
+	private List<Address> peerAddresses(Predicate<NodeReport> which) {
 		return this.settings.listen()
 			.peers()
 			.map((own) -> this.fleet.reports()
 				.stream()
+				.filter(which)
 				.map((report) -> new Address(report.callerAddress().host(), own.port()))
 				.toList())
 			.orElse(List.of());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
@@ -164,12 +164,16 @@
 	 */
 	private static final class Need {
 
-		private int held;
+		/** What a service starts with, before its demand is known: the load of a busy day. */
+		private static final int INITIAL = 10;
+
+		private int held = INITIAL;
 
 		private long lowerSinceMillis;
 
 		private int follow(int wanted, long nowMillis) {
-			if (wanted >= this.held) {
+			if (this.lowerSinceMillis == 0 || wanted >= this.held) {
+				wanted = Math.max(wanted, this.held);
 				this.held = wanted;
 				this.lowerSinceMillis = nowMillis;
 			}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/LoadListener.java
@@ -0,0 +1,17 @@
+package io.flamingogap.gateway.relay;
+
+import io.flamingogap.core.servers.KnownServer;
+
+/**
+ * Hears that this node's load at a backend server has changed.
+ */
+@FunctionalInterface
+public interface LoadListener {
+
+	/**
+	 * The load has changed.
+	 * @param server the server
+	 */
+	void onChanged(KnownServer server);
+
+}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
@@ -26,9 +26,10 @@
  * @param fleet what other nodes report
  * @param metrics counts what happens
  * @param demands counts what callers ask of services
+ * @param loads hears of changes of this node's load at servers
  * @param random draws shares of traffic
  */
 public record RelayParts(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
 		ServerSelector selector, VersionGate versions, BackendPool pool, QuotaGate quotas, FleetDemand fleet,
-		RelayMetrics metrics, ServiceDemands demands, RandomGenerator random) {
+		RelayMetrics metrics, ServiceDemands demands, LoadListener loads, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -267,6 +267,7 @@
 			RelayedRequest outer = RelayedRequest.this;
 			outer.attempt.recordDispatch(this.server.entry().id());
 			this.server.load().recordSent(this.promptTokens);
+			outer.parts.loads().onChanged(this.server);
 			this.server.prompts().record(outer.request.prompt());
 			Dispatch dispatch = new Dispatch(outer.request, this.server.entry(),
 					outer.attempt.leftMillis(this.sentAtMillis), outer.account.map(ClientAccount::name), urgency(),
@@ -319,6 +320,7 @@
 			}
 			markPromptRead();
 			this.server.load().recordEnd();
+			RelayedRequest.this.parts.loads().onChanged(this.server);
 			this.held.release();
 			this.held = Unpooled.EMPTY_BUFFER;
 		}
@@ -327,6 +329,7 @@
 			if (!this.promptRead) {
 				this.promptRead = true;
 				this.server.load().recordPromptRead(this.promptTokens);
+				RelayedRequest.this.parts.loads().onChanged(this.server);
 			}
 		}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -1,6 +1,7 @@
 package io.flamingogap.gateway.relay;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -11,6 +12,7 @@
 import io.flamingogap.core.error.ProblemType;
 import io.flamingogap.core.error.Step;
 import io.flamingogap.core.limits.RetryWindow;
+import io.flamingogap.core.quota.QuotaVerdict;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RouteRule;
 import io.flamingogap.core.serving.ServingConfig;
@@ -40,6 +42,8 @@
 	 */
 	private static final double ALLOWANCE_PART = 0.6;
 
+	private static final double PERCENT = 100;
+
 	private static final OpenRequest CLOSED = new OpenRequest() {
 		@Override
 		public void callerLeft() {
@@ -124,10 +128,9 @@
 		long nowMillis = this.parts.clock().steadyMillis();
 		long cost = account.map((found) -> found.quota().cost(request.statedTokens())).orElse(0L);
 		if (account.isPresent()) {
-			long waitMillis = this.parts.quotas().admit(account.get(), cost, this.parts.fleet(), nowMillis);
-			if (waitMillis > 0) {
-				return refuse(request, exchange, Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller",
-						"the quota of " + account.get().name() + " is used up"), waitMillis);
+			QuotaVerdict verdict = this.parts.quotas().admit(account.get(), cost, this.parts.fleet(), nowMillis);
+			if (!verdict.isAdmitted()) {
+				return refuse(request, exchange, usedUp(account.get(), verdict), verdict.waitMillis());
 			}
 		}
 		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(NO_BUDGET), nowMillis);
@@ -141,6 +144,12 @@
 		return relayed;
 	}
 
+	private static Failure usedUp(ClientAccount account, QuotaVerdict verdict) {
+		String detail = String.format(Locale.ROOT, "quota of %s: %.0f units left, %.0f a second, %.1f %% of the quota",
+				account.name(), verdict.levelUnits(), verdict.ratePerSecond(), PERCENT * verdict.share());
+		return Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller", detail);
+	}
+
 	private boolean mayRetry(RetryWindow window) {
 		double allowance = this.bounds.retryAllowance() * ALLOWANCE_PART / this.parts.fleet().nodes();
 		return window.trySpend(allowance, this.parts.clock().steadyMillis());
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -47,3 +47,16 @@
   /** NEWEST: whether another page follows. */
   4: required bool hasMore
 }
+
+/** What one node has open at a backend server. */
+struct OpenLoad {
+  1: required string serverId
+  2: required i32 openRequests
+  3: required i64 unreadTokens
+}
+
+/** Loads of one node that changed; sent to the nodes of its zone as a datagram. */
+struct LoadNews {
+  1: required string node
+  2: required list<OpenLoad> loads
+}
