--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Duties that one entry node has at a time: reports of usage, orders of servers, decisions
- * of rollouts.
+ * Duties that one entry node has at a time: reports of usage, orders of servers,
+ * decisions of rollouts.
  */
 @NullMarked
 package io.flamingogap.core.duty;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
@@ -12,6 +12,10 @@
 
 	private double level;
 
+	private double ratePerSecond;
+
+	private double capacity;
+
 	private long updatedAtMillis;
 
 	QuotaBucket(double level, long nowMillis) {
@@ -19,9 +23,19 @@
 		this.updatedAtMillis = nowMillis;
 	}
 
-	void refill(double ratePerSecond, double capacity, long nowMillis) {
-		double gained = ratePerSecond * Math.max(0, nowMillis - this.updatedAtMillis) / MILLIS_PER_SECOND;
-		this.level = Math.min(capacity, this.level + gained);
+	void refill(double newRatePerSecond, double newCapacity, long nowMillis) {
+		this.ratePerSecond = newRatePerSecond;
+		this.capacity = newCapacity;
+		refillAsBefore(nowMillis);
+	}
+
+	/**
+	 * Refill at the rate and up to the capacity of the last refill.
+	 * @param nowMillis the present time
+	 */
+	void refillAsBefore(long nowMillis) {
+		double gained = this.ratePerSecond * Math.max(0, nowMillis - this.updatedAtMillis) / MILLIS_PER_SECOND;
+		this.level = Math.min(this.capacity, this.level + gained);
 		this.updatedAtMillis = nowMillis;
 	}
 
@@ -43,11 +57,10 @@
 
 	/**
 	 * Return the time until the bucket is out of debt.
-	 * @param ratePerSecond the units gained each second
 	 * @return the time in milliseconds
 	 */
-	long waitMillis(double ratePerSecond) {
-		return (this.level > 0) ? 0 : (long) Math.ceil((1 - this.level) / ratePerSecond * MILLIS_PER_SECOND);
+	long waitMillis() {
+		return (this.level > 0) ? 0 : (long) Math.ceil((1 - this.level) / this.ratePerSecond * MILLIS_PER_SECOND);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
@@ -18,11 +18,16 @@
 	/** The part of each quota that is split evenly, for nodes whose demand just began. */
 	private static final double EVEN_PART = 0.15;
 
+	/** The part of what is left that is lent at once. */
+	private static final double LENT_PART = 0.5;
+
 	private final Map<String, QuotaBucket> buckets = new HashMap<>();
 
 	private final Map<String, DemandMeter> demands = new HashMap<>();
 
-	/** What this node reported last but one: the newest that all other nodes have heard. */
+	/**
+	 * What this node reported last but one: the newest that all other nodes have heard.
+	 */
 	private Map<String, Long> heardByAll = Map.of();
 
 	private Map<String, Long> reported = Map.of();
@@ -55,16 +60,28 @@
 		if (!quota.isLimited()) {
 			return QuotaVerdict.UNLIMITED;
 		}
-		DemandMeter demand = this.demands.computeIfAbsent(account.name(), (name) -> new DemandMeter());
-		demand.add(cost, nowMillis);
+		this.demands.computeIfAbsent(account.name(), (name) -> new DemandMeter()).add(cost, nowMillis);
+		return admitAgain(account, cost, fleet, nowMillis);
+	}
+
+	/**
+	 * Admit a request or refuse it that was refused before and is counted as demand.
+	 * @param account the account
+	 * @param cost the units that the request uses
+	 * @param fleet what other nodes report
+	 * @param nowMillis the present time
+	 * @return the verdict
+	 */
+	public QuotaVerdict admitAgain(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
+		TokenQuota quota = account.quota();
 		double share = share(account.name(), this.heardByAll.getOrDefault(account.name(), 0L), fleet);
-		double rate = quota.ratePerSecond() * share;
-		double capacity = quota.burst() * share + this.tolerance.units(quota) / fleet.nodes();
+		double rate = (quota.ratePerSecond() + this.tolerance.ratePerSecond(quota)) * share;
+		double capacity = quota.burst() * share;
 		QuotaBucket bucket = this.buckets.computeIfAbsent(account.name(),
 				(name) -> new QuotaBucket(this.startsFull ? capacity : rate, nowMillis));
 		bucket.refill(rate, capacity, nowMillis);
 		double level = bucket.level();
-		return new QuotaVerdict(bucket.trySpend(cost) ? 0 : bucket.waitMillis(rate), share, rate, level);
+		return new QuotaVerdict(bucket.trySpend(cost) ? 0 : bucket.waitMillis(), share, rate, level);
 	}
 
 	/**
@@ -79,6 +96,36 @@
 		}
 	}
 
+	/**
+	 * Take units out of this node's share for another node.
+	 * @param account the account
+	 * @param units the units that the other node asks for
+	 * @param nowMillis the present time
+	 * @return the units that were taken; at most half of what is left
+	 */
+	public long lend(ClientAccount account, long units, long nowMillis) {
+		QuotaBucket bucket = this.buckets.get(account.name());
+		if (bucket == null || !account.quota().isLimited()) {
+			return 0;
+		}
+		bucket.refillAsBefore(nowMillis);
+		long lent = Math.max(0, Math.min(units, (long) (bucket.level() * LENT_PART)));
+		bucket.refund(-lent);
+		return lent;
+	}
+
+	/**
+	 * Take units that another node lent.
+	 * @param account the name of the account
+	 * @param units the units
+	 */
+	public void receive(String account, long units) {
+		QuotaBucket bucket = this.buckets.get(account);
+		if (bucket != null) {
+			bucket.refund(units);
+		}
+	}
+
 	private static double share(String account, double own, FleetDemand fleet) {
 		double even = 1.0 / fleet.nodes();
 		double others = fleet.othersPerSecond(account);
@@ -87,8 +134,8 @@
 	}
 
 	/**
-	 * Make the next report of this node's demand. Its own shares follow the report before,
-	 * so that nodes don't count a jump twice that others have not heard of.
+	 * Make the next report of this node's demand. Its own shares follow the report
+	 * before, so that nodes don't count a jump twice that others have not heard of.
 	 * @param nowMillis the present time
 	 * @return units a second by account
 	 */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
@@ -26,13 +26,18 @@
 	}
 
 	/**
-	 * Return the units that nodes may spend beyond a quota.
+	 * Return the units that nodes regain beyond a quota. They make up for shares that lie
+	 * at nodes where an account's callers don't ask.
 	 * @param quota the quota
-	 * @return the units, over all nodes
+	 * @return units a second, over all nodes
 	 */
-	double units(TokenQuota quota) {
-		double allowed = quota.ratePerSecond() * this.windowMillis / MILLIS_PER_SECOND + quota.burst();
-		return (allowed * this.share + (quota.countsTokens() ? this.units : 0)) * USED_PART;
+	double ratePerSecond(TokenQuota quota) {
+		if (this.windowMillis == 0) {
+			return 0;
+		}
+		double windowSeconds = this.windowMillis / MILLIS_PER_SECOND;
+		double allowed = quota.ratePerSecond() * windowSeconds + quota.burst();
+		return (allowed * this.share + (quota.countsTokens() ? this.units : 0)) * USED_PART / windowSeconds;
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -83,7 +83,8 @@
 	@Test
 	void serverThatReadThePartsAlreadyIsCheaper() {
 		KnownServer away = server("away", "z2", 8);
-		PromptShape prompt = new PromptShape(9_000, 10, List.of(new PromptPart("aa", 8_000), new PromptPart("x", 1_000)));
+		PromptShape prompt = new PromptShape(9_000, 10,
+				List.of(new PromptPart("aa", 8_000), new PromptPart("x", 1_000)));
 		server("home", "z1", 8);
 		away.prompts().record(prompt);
 		for (int i = 0; i < 3; i++) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -40,7 +40,9 @@
 import io.flamingogap.gateway.node.ServerWatch;
 import io.flamingogap.gateway.peers.LoadGossip;
 import io.flamingogap.gateway.peers.PeerBackedStore;
+import io.flamingogap.gateway.peers.PeerDatagrams;
 import io.flamingogap.gateway.peers.PeerService;
+import io.flamingogap.gateway.peers.QuotaLoans;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RelayParts;
 import io.flamingogap.gateway.relay.RequestRelay;
@@ -119,6 +121,8 @@
 
 	private final RecordStore store;
 
+	private final PeerDatagrams datagrams;
+
 	private final LoadGossip gossip;
 
 	private final NodeBoard board;
@@ -152,10 +156,14 @@
 		this.rollouts = new Rollouts(this.servers, this.fleet, random, settings.duties().exposedShare());
 		this.quotas = new QuotaGate(settings.bounds().quotaTolerance(), settings.firstStart());
 		this.pool = new BackendPool(loop, ports.backends(), clock::steadyMillis);
-		this.gossip = new LoadGossip(loop, settings.node(), this.servers, this::zonePeerAddresses, clock::steadyMillis);
+		this.datagrams = new PeerDatagrams(loop);
+		this.gossip = new LoadGossip(loop, this.datagrams, settings.node(), this.servers, this::zonePeerAddresses,
+				clock::steadyMillis);
+		QuotaLoans lender = new QuotaLoans(loop, this.datagrams, this.quotas, this::findAccount, this::peerAddresses,
+				clock::steadyMillis);
 		RelayParts parts = new RelayParts(loop, clock, this.config, this.servers,
 				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
-				this.quotas, this.fleet, this.metrics, this.demands, this.gossip, random);
+				this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
 		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
 		this.store = new PeerBackedStore(loop, ports.store(), this::peerAddresses, clock::steadyMillis);
 		this.board = new NodeBoard(loop, this.store, this.fleet, this.fleetClock, clock, this::report);
@@ -210,7 +218,7 @@
 		PeerService peerService = new PeerService(this.ports.store());
 		listen.peers().ifPresent((address) -> {
 			PageServer.listen(this.loop, address, peerService::answer);
-			this.gossip.start(address);
+			this.datagrams.start(address);
 		});
 		this.operatorWatch.start();
 		this.serverWatch.start();
@@ -232,8 +240,8 @@
 	}
 
 	/**
-	 * Begin a planned stop: callers are sent elsewhere, open requests are finished. May be
-	 * called on any thread.
+	 * Begin a planned stop: callers are sent elsewhere, open requests are finished. May
+	 * be called on any thread.
 	 * @param end runs when the process may end
 	 */
 	public void stop(Runnable end) {
@@ -280,6 +288,11 @@
 		});
 	}
 
+	private Optional<ClientAccount> findAccount(String name) {
+		return this.config.current()
+			.flatMap((held) -> held.accounts().stream().filter((account) -> account.name().equals(name)).findFirst());
+	}
+
 	private List<Address> peerAddresses() {
 		return peerAddresses((report) -> true);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
@@ -164,7 +164,9 @@
 	 */
 	private static final class Need {
 
-		/** What a service starts with, before its demand is known: the load of a busy day. */
+		/**
+		 * What a service starts with, before its demand is known: the load of a busy day.
+		 */
 		private static final int INITIAL = 10;
 
 		private int held = INITIAL;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
@@ -23,6 +23,7 @@
  * @param versions chooses between versions that are compared
  * @param pool connections to servers
  * @param quotas admits requests
+ * @param lender borrows from other nodes' shares
  * @param fleet what other nodes report
  * @param metrics counts what happens
  * @param demands counts what callers ask of services
@@ -30,6 +31,6 @@
  * @param random draws shares of traffic
  */
 public record RelayParts(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
-		ServerSelector selector, VersionGate versions, BackendPool pool, QuotaGate quotas, FleetDemand fleet,
-		RelayMetrics metrics, ServiceDemands demands, LoadListener loads, RandomGenerator random) {
+		ServerSelector selector, VersionGate versions, BackendPool pool, QuotaGate quotas, QuotaLender lender,
+		FleetDemand fleet, RelayMetrics metrics, ServiceDemands demands, LoadListener loads, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -125,14 +125,40 @@
 		if (this.parts.metrics().bufferedBytes() + bytes > this.bounds.maxBufferedBytes()) {
 			return refuse(request, exchange, notNow("the node holds too many bytes"), RETRY_AFTER_MILLIS);
 		}
-		long nowMillis = this.parts.clock().steadyMillis();
-		long cost = account.map((found) -> found.quota().cost(request.statedTokens())).orElse(0L);
-		if (account.isPresent()) {
-			QuotaVerdict verdict = this.parts.quotas().admit(account.get(), cost, this.parts.fleet(), nowMillis);
-			if (!verdict.isAdmitted()) {
-				return refuse(request, exchange, usedUp(account.get(), verdict), verdict.waitMillis());
-			}
+		long cost = costOf(request, account);
+		if (account.isEmpty()) {
+			return relay(request, exchange, route, account, cost);
+		}
+		QuotaVerdict verdict = spend(account.get(), cost);
+		if (verdict.isAdmitted()) {
+			return relay(request, exchange, route, account, cost);
 		}
+		PendingAdmission pending = new PendingAdmission(() -> request.body().release());
+		boolean asked = this.parts.lender()
+			.borrow(account.get(), cost,
+					() -> pending.resume(() -> admitOrRefuse(request, exchange, route, account.get(), cost)));
+		return asked ? pending : refuse(request, exchange, usedUp(account.get(), verdict), verdict.waitMillis());
+	}
+
+	private static long costOf(CallerRequest request, Optional<ClientAccount> account) {
+		return account.map((found) -> found.quota().cost(request.statedTokens())).orElse(0L);
+	}
+
+	private QuotaVerdict spend(ClientAccount account, long cost) {
+		return this.parts.quotas().admit(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
+	}
+
+	private OpenRequest admitOrRefuse(CallerRequest request, CallerExchange exchange, RouteRule route,
+			ClientAccount account, long cost) {
+		QuotaVerdict verdict = this.parts.quotas()
+			.admitAgain(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
+		return verdict.isAdmitted() ? relay(request, exchange, route, Optional.of(account), cost)
+				: refuse(request, exchange, usedUp(account, verdict), verdict.waitMillis());
+	}
+
+	private OpenRequest relay(CallerRequest request, CallerExchange exchange, RouteRule route,
+			Optional<ClientAccount> account, long cost) {
+		long nowMillis = this.parts.clock().steadyMillis();
 		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(NO_BUDGET), nowMillis);
 		String service = route.chooseService(this.parts.random().nextDouble());
 		RetryWindow window = this.retries.computeIfAbsent(service,
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
@@ -230,8 +230,8 @@
 		}
 		List<Object> parts = group.holder.equals(member) ? List.of(List.of(body.get("topics").get(0).asText(), 0, 0))
 				: List.of();
-		return Reply.json(200, Map.of("generation", group.generation, "ttlMs", body.get("ttlMs").asLong(), "parts",
-				parts));
+		return Reply.json(200,
+				Map.of("generation", group.generation, "ttlMs", body.get("ttlMs").asLong(), "parts", parts));
 	}
 
 	private synchronized Reply leave(JsonNode body) {
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -60,3 +60,22 @@
   1: required string node
   2: required list<OpenLoad> loads
 }
+
+/** Asks another node to lend units of an account's quota. */
+struct QuotaAsk {
+  1: required string account
+  2: required i64 units
+}
+
+/** Units that a node lends; they leave its own share. */
+struct QuotaGrant {
+  1: required string account
+  2: required i64 units
+}
+
+/** What a datagram carries; one of these. */
+struct PeerDatagram {
+  1: optional LoadNews loads
+  2: optional QuotaAsk ask
+  3: optional QuotaGrant grant
+}
