--- a/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
@@ -29,6 +29,20 @@
 				false, resumable, false);
 	}
 
+	@Property(tries = 10_000, seed = "20261204")
+	void refusalIsTrueAndNothingRunsTwice(@ForAll @Size(max = 8) List<@IntRange(max = 5) Integer> outcomes) {
+		Attempt attempt = new Attempt(route(RequestKind.AT_MOST_ONCE, 3, false), 5_000, 0);
+		int possibleRuns = 0;
+		for (int i = 0; i < outcomes.size() && attempt.mayTryAnother(1); i++) {
+			DispatchOutcome outcome = DispatchOutcome.values()[outcomes.get(i)];
+			attempt.recordDispatch("server-" + i);
+			attempt.recordOutcome(outcome);
+			possibleRuns += outcome.mayHaveRun() ? 1 : 0;
+		}
+		assertThat(possibleRuns, lessThanOrEqualTo(1));
+		assertThat(attempt.failure("end", 1).execution() == Execution.NOT_RUN, is(possibleRuns == 0));
+	}
+
 	@Nested
 	class AtMostOnce {
 
@@ -87,18 +101,4 @@
 
 	}
 
-	@Property(tries = 10_000, seed = "20261204")
-	void refusalIsTrueAndNothingRunsTwice(@ForAll @Size(max = 8) List<@IntRange(max = 5) Integer> outcomes) {
-		Attempt attempt = new Attempt(route(RequestKind.AT_MOST_ONCE, 3, false), 5_000, 0);
-		int possibleRuns = 0;
-		for (int i = 0; i < outcomes.size() && attempt.mayTryAnother(1); i++) {
-			DispatchOutcome outcome = DispatchOutcome.values()[outcomes.get(i)];
-			attempt.recordDispatch("server-" + i);
-			attempt.recordOutcome(outcome);
-			possibleRuns += outcome.mayHaveRun() ? 1 : 0;
-		}
-		assertThat(possibleRuns, lessThanOrEqualTo(1));
-		assertThat(attempt.failure("end", 1).execution() == Execution.NOT_RUN, is(possibleRuns == 0));
-	}
-
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -34,6 +34,7 @@
 import io.flamingogap.gateway.cloud.FleetDemandOf;
 import io.flamingogap.gateway.http.PageServer;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.node.MetricsPage;
 import io.flamingogap.gateway.node.NodeBoard;
 import io.flamingogap.gateway.node.OperatorWatch;
 import io.flamingogap.gateway.node.Rollouts;
@@ -220,6 +221,10 @@
 			PageServer.listen(this.loop, address, peerService::answer);
 			this.datagrams.start(address);
 		});
+		MetricsPage metricsPage = new MetricsPage(this.metrics, figures());
+		listen.metrics()
+			.ifPresent((address) -> PageServer.listen(this.loop, address,
+					(request) -> CompletableFuture.completedFuture(metricsPage.write())));
 		this.operatorWatch.start();
 		this.serverWatch.start();
 		this.board.start();
@@ -275,6 +280,35 @@
 		}, STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	private MetricsPage.NodeFigures figures() {
+		return new MetricsPage.NodeFigures() {
+			@Override
+			public long configVersion() {
+				return Gateway.this.config.current().map(ServingConfig::version).orElse(-1L);
+			}
+
+			@Override
+			public int servers() {
+				return Gateway.this.servers.size();
+			}
+
+			@Override
+			public int nodes() {
+				return Gateway.this.fleet.nodes();
+			}
+
+			@Override
+			public long storeSilentMillis() {
+				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatch.contactAtMillis();
+			}
+
+			@Override
+			public long connectionsOpened() {
+				return Gateway.this.pool.opened();
+			}
+		};
+	}
+
 	private void readStatuses() {
 		if (!this.rollouts.isUnderWay()) {
 			return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
@@ -76,6 +76,14 @@
 		return this.follower.isListed();
 	}
 
+	/**
+	 * Return when the store last answered.
+	 * @return the time
+	 */
+	public long contactAtMillis() {
+		return this.follower.contactAtMillis();
+	}
+
 	private void expire() {
 		this.servers.expire(this.clock.steadyMillis())
 			.forEach((id) -> logger.atInfo()
