--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -78,6 +78,12 @@
 
 	private static final long STOP_POLL_MILLIS = 50;
 
+	/**
+	 * The part of the share that a version under trial may get; the rest allows for
+	 * chance.
+	 */
+	private static final double EXPLORED_PART = 0.8;
+
 	private static final long TRIM_EACH_MILLIS = 1_000;
 
 	private static final long DECIDE_EACH_MILLIS = 250;
@@ -154,7 +160,8 @@
 		this.self = new NodeId(settings.node(), incarnation);
 		this.fleet = new FleetView(this.self, NodeBoard.REPORT_MILLIS);
 		SplittableRandom random = new SplittableRandom(incarnation);
-		this.rollouts = new Rollouts(this.servers, this.fleet, random, settings.duties().exposedShare());
+		this.rollouts = new Rollouts(this.servers, this.fleet, random,
+				settings.duties().exposedShare() * EXPLORED_PART);
 		this.quotas = new QuotaGate(settings.bounds().quotaTolerance(), settings.firstStart());
 		this.pool = new BackendPool(loop, ports.backends(), clock::steadyMillis);
 		this.datagrams = new PeerDatagrams(loop);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
@@ -223,6 +223,16 @@
 		return (server) -> move.isTarget(server.entry()) == toTarget;
 	}
 
+	@Override
+	public Predicate<KnownServer> chooseAgain(String service) {
+		Move move = this.moves.get(service);
+		if (move == null || (move.state == RolloutStatus.State.RUNNING && !hasServers(move, false))) {
+			return (server) -> true;
+		}
+		boolean toTarget = move.state == RolloutStatus.State.DONE;
+		return (server) -> move.isTarget(server.entry()) == toTarget;
+	}
+
 	@Override
 	public void record(ServerEntry server, RouteRule route, boolean failed, long latencyMillis) {
 		Move move = this.moves.get(server.service());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -48,6 +48,8 @@
 	 */
 	private static final double SILENT_GOAL_PART = 0.6;
 
+	private static final double PERCENT = 100;
+
 	/** Lower urgencies are left for requests that may wait. */
 	private static final int LEAST_URGENCY = 9;
 
@@ -65,7 +67,7 @@
 
 	private final Hooks hooks;
 
-	private final Predicate<KnownServer> versions;
+	private Predicate<KnownServer> versions;
 
 	private final EventSplitter events = new EventSplitter();
 
@@ -75,6 +77,8 @@
 
 	private @Nullable ScheduledFuture<?> deadline;
 
+	private String lastServer = "";
+
 	private boolean startReported;
 
 	private boolean finished;
@@ -135,6 +139,7 @@
 		}
 		else if (this.attempt.mayTryAnother(nowMillis())) {
 			this.events.dropIncomplete();
+			this.versions = this.parts.versions().chooseAgain(this.service);
 			dispatch(outcome + ": " + reason);
 		}
 		else {
@@ -195,12 +200,11 @@
 	}
 
 	private LogLine line(String event) {
-		Try open = this.current;
 		return LogLine.of(event)
 			.with("request", this.request.attemptId())
 			.with("route", this.attempt.route().name())
 			.with("service", this.service)
-			.with("server", (open != null) ? open.server.entry().id() : "")
+			.with("server", this.lastServer)
 			.with("dispatches", this.attempt.dispatches())
 			.with("ageMillis", this.attempt.ageMillis(nowMillis()))
 			.with("configVersion", this.parts.config().current().map((held) -> held.version()).orElse(-1L));
@@ -266,12 +270,14 @@
 		private void send() {
 			RelayedRequest outer = RelayedRequest.this;
 			outer.attempt.recordDispatch(this.server.entry().id());
+			outer.lastServer = this.server.entry().id();
 			this.server.load().recordSent(this.promptTokens);
 			outer.parts.loads().onChanged(this.server);
 			this.server.prompts().record(outer.request.prompt());
 			Dispatch dispatch = new Dispatch(outer.request, this.server.entry(),
 					outer.attempt.leftMillis(this.sentAtMillis), outer.account.map(ClientAccount::name), urgency(),
 					outer.events.lastId());
+			logger.atInfo().log("%s", describeChoice(dispatch.leftMillis()));
 			boolean repeatable = outer.attempt.route().isRepeatable();
 			this.call = outer.parts.pool().send(dispatch, repeatable, this);
 			if (outer.attempt.route().kind() == RequestKind.IDEMPOTENT) {
@@ -280,6 +286,16 @@
 			}
 		}
 
+		private LogLine describeChoice(long leftMillis) {
+			RelayedRequest outer = RelayedRequest.this;
+			return outer.line("dispatched")
+				.with("openEstimate", Math.round(this.server.load().estimateOpen(this.sentAtMillis)))
+				.with("unreadTokens", this.server.load().estimateUnread(this.sentAtMillis))
+				.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
+				.with("doubtful", this.server.isDoubtful())
+				.with("leftMillis", leftMillis);
+		}
+
 		private int urgency() {
 			int priority = RelayedRequest.this.account.flatMap((found) -> found.priority().stream().boxed().findFirst())
 				.orElse(RelayedRequest.this.attempt.route().priority());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionGate.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionGate.java
@@ -20,6 +20,13 @@
 	 */
 	Predicate<KnownServer> choose(String service, RouteRule route);
 
+	/**
+	 * Choose the versions for a request that failed before: not the one under trial.
+	 * @param service the service
+	 * @return which servers may get the request
+	 */
+	Predicate<KnownServer> chooseAgain(String service);
+
 	/**
 	 * Record the outcome of a dispatch.
 	 * @param server the server
