Claim the duties at once unless this node acted within a lease, and report when stopping

The test that a new holder waits is replaced by one that a holder which lost the duties waits for a lease since it acted, as strict about turns.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -4,8 +4,9 @@
 
 /**
  * Whether this node may act as the holder of the duties. The store's group names the
- * holder; a claim in the store gives it a fencing token. A new holder waits for the lease
- * of the one before, and every holder stops when it has not been confirmed for a while.
+ * holder; a claim in the store gives it a fencing token. A holder stops when it has not
+ * been confirmed for a while, and one that lost the duties and holds them again waits
+ * until a lease has passed since it acted, so that two holders never act by turns.
  * <p>
  * Not safe for use by several threads.
  */
@@ -17,7 +18,9 @@
 
 	private final long confirmMillis;
 
-	private long heldSinceMillis = NEVER;
+	private boolean held;
+
+	private long actedAtMillis = NEVER;
 
 	private long confirmedAtMillis = NEVER;
 
@@ -45,8 +48,8 @@
 			lose();
 			return;
 		}
-		if (this.heldSinceMillis == NEVER || askedAtMillis - this.confirmedAtMillis > this.confirmMillis) {
-			this.heldSinceMillis = askedAtMillis;
+		if (!this.held || askedAtMillis - this.confirmedAtMillis > this.confirmMillis) {
+			this.held = true;
 			this.fencingToken = OptionalLong.empty();
 		}
 		this.confirmedAtMillis = askedAtMillis;
@@ -56,18 +59,17 @@
 	 * End the term: another node holds the duties, or this one can't be sure.
 	 */
 	public void lose() {
-		this.heldSinceMillis = NEVER;
+		this.held = false;
 		this.fencingToken = OptionalLong.empty();
 	}
 
 	/**
 	 * Return whether the node should claim the duties in the store.
 	 * @param nowMillis the present time
-	 * @return {@code true} if it holds them, the lease before has passed, and it has no
-	 * token
+	 * @return {@code true} if it holds them without a token and didn't act within a lease
 	 */
 	public boolean shouldClaim(long nowMillis) {
-		return isHeld(nowMillis) && this.fencingToken.isEmpty() && nowMillis - this.heldSinceMillis >= this.leaseMillis
+		return isHeld(nowMillis) && this.fencingToken.isEmpty() && nowMillis - this.actedAtMillis >= this.leaseMillis
 				&& nowMillis >= this.notBeforeMillis;
 	}
 
@@ -91,6 +93,14 @@
 		this.notBeforeMillis = nowMillis + this.leaseMillis;
 	}
 
+	/**
+	 * Record that the node acts as the holder.
+	 * @param nowMillis the present time
+	 */
+	public void recordActed(long nowMillis) {
+		this.actedAtMillis = nowMillis;
+	}
+
 	/**
 	 * Return the token to act with.
 	 * @param nowMillis the present time
@@ -101,7 +111,7 @@
 	}
 
 	private boolean isHeld(long nowMillis) {
-		return this.heldSinceMillis != NEVER && nowMillis - this.confirmedAtMillis <= this.confirmMillis;
+		return this.held && nowMillis - this.confirmedAtMillis <= this.confirmMillis;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
@@ -21,7 +21,7 @@
 	private static final int MIN_CLOCKS = 2;
 
 	/** Reports reach other nodes about this late: the pause between reads, halved. */
-	private static final long REPORT_DELAY_MILLIS = 750;
+	private static final long REPORT_DELAY_MILLIS = 500;
 
 	private final Map<String, Long> offsets = new HashMap<>();
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -282,7 +282,8 @@
 							LogLine.of("stopped")
 								.with("openRequests", this.metrics.open())
 								.with("tookMillis", passedMillis));
-				end.run();
+				// The last report carries what servers began since the one before.
+				this.board.publish().whenComplete((offset, failure) -> end.run());
 			}
 		}, STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -210,6 +210,7 @@
 	private void act(long token, long nowMillis) {
 		Optional<UsageDuty.Report> open = this.usage.intended();
 		if (open.isPresent()) {
+			this.term.recordActed(nowMillis);
 			sendUsage(token, open.get());
 			return;
 		}
@@ -270,6 +271,7 @@
 	}
 
 	private void order(long token, ServerPlan order) {
+		this.term.recordActed(this.clock.steadyMillis());
 		this.calling = true;
 		this.parts.cloud().orderServers(token, order).whenComplete((verdict, failure) -> {
 			this.calling = false;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageDuty.java
@@ -18,7 +18,7 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/** Nodes report their counts within this time after the end of a window. */
-	private static final long SETTLE_MILLIS = 3_500;
+	private static final long SETTLE_MILLIS = 2_700;
 
 	/** Windows that are reported late after a change of the holder. */
 	private static final long MAX_LATE_WINDOWS = 3;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -28,12 +29,12 @@
 public final class NodeBoard implements RecordListener {
 
 	/** The time between reports; quotas and orders follow the demand this closely. */
-	public static final long REPORT_MILLIS = 2_000;
+	public static final long REPORT_MILLIS = 1_500;
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/** The pause between reads, so that reports of several nodes come in one answer. */
-	private static final long READ_PAUSE_MILLIS = 1_500;
+	private static final long READ_PAUSE_MILLIS = 1_000;
 
 	/**
 	 * A node that reported nothing for so long was removed, or its successor will report.
@@ -103,10 +104,11 @@
 
 	/**
 	 * Publish this node's report now.
+	 * @return completes when the store has answered, or failed to
 	 */
-	public void publish() {
+	public CompletableFuture<Long> publish() {
 		NodeReport report = this.ownReport.get();
-		this.store
+		return this.store
 			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.write(report)),
 					OptionalLong.empty())
 			.exceptionally((failure) -> {
