--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -36,6 +36,12 @@
 	/** The pause between reads, so that reports of several nodes come in one answer. */
 	private static final long READ_PAUSE_MILLIS = 1_000;
 
+	/**
+	 * Earlier reports that a node reads when it starts: usage of runs that have ended
+	 * stands there only. About fifteen seconds of ten nodes.
+	 */
+	private static final long REPLAYED_REPORTS = 100;
+
 	/**
 	 * A node that reported nothing for so long was removed, or its successor will report.
 	 */
@@ -58,6 +64,9 @@
 
 	private final RecordFollower follower;
 
+	/** Reports before this offset were written before this node first listed them. */
+	private long listedEnd = Long.MAX_VALUE;
+
 	/**
 	 * Create a board.
 	 * @param loop the event loop
@@ -75,8 +84,8 @@
 		this.fleetClock = fleetClock;
 		this.clock = clock;
 		this.ownReport = ownReport;
-		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this,
-				clock::steadyMillis);
+		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
+			.replaying(REPLAYED_REPORTS);
 	}
 
 	/**
@@ -130,17 +139,18 @@
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
-		long ageMillis = this.follower.isListed() ? 0
-				: Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
+		boolean isNew = entry.offset() >= this.listedEnd;
+		long ageMillis = isNew ? 0 : Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
 		this.fleet.advance(nowMillis);
 		this.fleet.record(report.get(), nowMillis - ageMillis);
-		if (this.follower.isListed()) {
+		if (isNew) {
 			this.fleetClock.record(entry.key(), report.get().timeOfDayMillis(), nowMillis);
 		}
 	}
 
 	@Override
 	public void onListed(Set<String> keys, long end) {
+		this.listedEnd = end;
 		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", end));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -38,6 +38,8 @@
 
 	private final long pauseMillis;
 
+	private long replayRecords;
+
 	private final RecordListener listener;
 
 	private final LongSupplier steadyMillis;
@@ -71,6 +73,16 @@
 		this.steadyMillis = steadyMillis;
 	}
 
+	/**
+	 * Read records again that came before the first listing, if the store still has them.
+	 * @param records the number of records
+	 * @return this follower
+	 */
+	public RecordFollower replaying(long records) {
+		this.replayRecords = records;
+		return this;
+	}
+
 	/**
 	 * Begin to follow.
 	 */
@@ -96,7 +108,9 @@
 			}
 			this.listener.onListed(keys, firstEnd);
 			this.listed = true;
-			read(firstEnd);
+			long from = Math.max(0, firstEnd - this.replayRecords);
+			this.replayRecords = 0;
+			read(from);
 		});
 	}
 
--- /dev/null
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the package of the same name.
+ */
+@NullMarked
+package io.flamingogap.gateway.store;
+
+import org.jspecify.annotations.NullMarked;
