Keep one name in the group for each run of a node

All nodes had been killed, and the group kept the dead run of the holder until its membership lapsed, which a store outage drew out. A node that starts again now goes on under its name.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -195,7 +195,7 @@
 					public double openRequests(String service) {
 						return sumOver(service, NodeReport.ServiceDemand::openRequests);
 					}
-				}, this.self.toString());
+				}, this.self.name());
 	}
 
 	private double sumOver(String service, ToLongFunction<NodeReport.ServiceDemand> figure) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
@@ -27,7 +27,8 @@
  * @param servers the backend servers
  * @param usageOfWindow the requests of a window by account, over all nodes
  * @param demand what callers ask of services, over all nodes
- * @param member the name of this run of the node in the group
+ * @param member the name of the node in the group, the same for each run, so that a node
+ * that starts again holds at once what it held
  */
 public record DutyParts(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
 		LongSupplier trueMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
