--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -65,19 +65,6 @@
 	/** Windows of usage that a report carries, so that a lost report does no harm. */
 	private static final int REPORTED_WINDOWS = 3;
 
-	/**
-	 * New requests are taken for so long after a stop began: answers of where to connect
-	 * end.
-	 */
-	private static final long TAKE_MILLIS = 2_800;
-
-	/**
-	 * A stop takes at least so long, so that callers that kept an answer are told to go.
-	 */
-	private static final long MIN_STOP_MILLIS = 4_000;
-
-	private static final long STOP_POLL_MILLIS = 50;
-
 	/**
 	 * The part of the share that a version under trial may get; the rest allows for
 	 * chance.
@@ -142,8 +129,6 @@
 
 	private boolean leaving;
 
-	private boolean stopped;
-
 	/**
 	 * Create a node that doesn't answer yet.
 	 * @param loop the event loop
@@ -261,31 +246,13 @@
 	}
 
 	private void beginStop(Runnable end) {
-		if (this.leaving) {
-			return;
+		if (!this.leaving) {
+			this.leaving = true;
+			this.duties.ifPresent(DutyRunner::stop);
+			new PlannedStop(this.loop, this.clock, this.relay, this.board, this.metrics::open,
+					this.settings.stopMillis())
+				.start(end);
 		}
-		this.leaving = true;
-		long startedAtMillis = this.clock.steadyMillis();
-		logger.atInfo().log("%s", LogLine.of("stopping").with("openRequests", this.metrics.open()));
-		this.relay.setAdmission(RequestRelay.AdmissionState.LEAVING);
-		this.board.publish();
-		this.duties.ifPresent(DutyRunner::stop);
-		this.loop.schedule(() -> this.relay.setAdmission(RequestRelay.AdmissionState.CLOSED), TAKE_MILLIS,
-				TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(() -> {
-			long passedMillis = this.clock.steadyMillis() - startedAtMillis;
-			boolean idle = this.metrics.open() == 0 && passedMillis >= MIN_STOP_MILLIS;
-			if (!this.stopped && (idle || passedMillis >= this.settings.stopMillis())) {
-				this.stopped = true;
-				logger.atInfo()
-					.log("%s",
-							LogLine.of("stopped")
-								.with("openRequests", this.metrics.open())
-								.with("tookMillis", passedMillis));
-				// The last report carries what servers began since the one before.
-				this.board.publish().whenComplete((offset, failure) -> end.run());
-			}
-		}, STOP_POLL_MILLIS, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private MetricsPage.NodeFigures figures() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -194,14 +194,14 @@
 		this.parts.metrics().count("refused." + failure.type().status());
 		long configVersion = this.parts.config().current().map(ServingConfig::version).orElse(-1L);
 		logger.atInfo()
-			.log("%s",
-					LogLine.of("request refused")
-						.with("request", request.attemptId())
-						.with("status", failure.type().status())
-						.with("step", failure.step().name())
-						.with("reason", failure.detail())
-						.with("configVersion", configVersion)
-						.with("configAgeMillis", this.parts.config().ageMillis(this.parts.clock().steadyMillis())));
+			.log("%s", LogLine.of("request refused")
+				.with("request", request.attemptId())
+				.with("status", failure.type().status())
+				.with("step", failure.step().name())
+				.with("reason", failure.detail())
+				.with("configVersion", configVersion)
+				.with("configAgeMillis",
+						(configVersion >= 0) ? this.parts.config().ageMillis(this.parts.clock().steadyMillis()) : -1));
 		exchange.fail(failure, retryAfterMillis);
 		return CLOSED;
 	}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerTry.java
@@ -0,0 +1,333 @@
+package io.flamingogap.gateway.relay;
+
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+import io.flamingogap.core.attempt.DispatchOutcome;
+import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.PromptShape;
+import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.RequestKind;
+import io.flamingogap.gateway.backends.AnswerListener;
+import io.flamingogap.gateway.backends.BackendAnswer;
+import io.flamingogap.gateway.backends.BackendCall;
+import io.flamingogap.gateway.backends.Dispatch;
+import io.flamingogap.gateway.log.LogLine;
+
+/**
+ * One dispatch to one server.
+ */
+final class ServerTry implements AnswerListener {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Plain answers up to this size are held back until they are whole. */
+	private static final int MAX_HELD_ANSWER_BYTES = 262_144;
+
+	/**
+	 * The part of the goal after which a silent server of a repeatable request is left.
+	 */
+	private static final double SILENT_GOAL_PART = 0.6;
+
+	private static final double PERCENT = 100;
+
+	/** Lower urgencies are left for requests that may wait. */
+	private static final int LEAST_URGENCY = 9;
+
+	private final RelayParts parts;
+
+	private final RelayedRequest owner;
+
+	private final KnownServer server;
+
+	private final long sentAtMillis;
+
+	private final long promptTokens;
+
+	private @Nullable BackendCall call;
+
+	private @Nullable BackendAnswer answer;
+
+	private @Nullable ScheduledFuture<?> silence;
+
+	private ByteBuf held = Unpooled.EMPTY_BUFFER;
+
+	private boolean promptRead;
+
+	private boolean closed;
+
+	ServerTry(RelayParts parts, RelayedRequest owner, KnownServer server, long sentAtMillis) {
+		this.parts = parts;
+		this.owner = owner;
+		this.server = server;
+		this.sentAtMillis = sentAtMillis;
+		PromptShape prompt = owner.request().prompt();
+		this.promptTokens = Math.max(0, prompt.promptTokens() - server.prompts().heldTokens(prompt));
+	}
+
+	void send() {
+		this.owner.attempt().recordDispatch(this.server.entry().id());
+		this.owner.noteServer(this.server.entry().id());
+		this.server.load().recordSent(this.promptTokens);
+		this.parts.loads().onChanged(this.server);
+		this.server.prompts().record(this.owner.request().prompt());
+		Dispatch dispatch = new Dispatch(this.owner.request(), this.server.entry(),
+				this.owner.attempt().leftMillis(this.sentAtMillis), this.owner.account().map(ClientAccount::name),
+				urgency(), this.owner.events().lastId());
+		logger.atInfo().log("%s", describeChoice(dispatch.leftMillis()));
+		boolean repeatable = this.owner.attempt().route().isRepeatable();
+		this.call = this.parts.pool().send(dispatch, repeatable, this);
+		if (this.owner.attempt().route().kind() == RequestKind.IDEMPOTENT) {
+			long patienceMillis = (long) (this.owner.attempt().route().goalMillis() * SILENT_GOAL_PART);
+			this.silence = this.parts.loop().schedule(this::onSilence, patienceMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private LogLine describeChoice(long leftMillis) {
+		return this.owner.line("dispatched")
+			.with("openEstimate", Math.round(this.server.load().estimateOpen(this.sentAtMillis)))
+			.with("unreadTokens", this.server.load().estimateUnread(this.sentAtMillis))
+			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
+			.with("doubtful", this.server.isDoubtful())
+			.with("leftMillis", leftMillis);
+	}
+
+	private int urgency() {
+		int priority = this.owner.account()
+			.flatMap((found) -> found.priority().stream().boxed().findFirst())
+			.orElse(this.owner.attempt().route().priority());
+		return Math.max(0, Math.min(LEAST_URGENCY, priority));
+	}
+
+	private void onSilence() {
+		if (this.answer == null && !this.closed && this.owner.attempt().mayTryAnother(nowMillis())
+				&& this.owner.attempt().route().maxServers() > 1) {
+			DispatchOutcome outcome = giveUp(DispatchOutcome.SILENT);
+			this.server.health().recordFailure(nowMillis());
+			this.owner.retryOrFail(outcome, "no answer within the patience for a server");
+		}
+	}
+
+	/**
+	 * Close the connection, so that the server stops, and account for the load.
+	 * @param outcome what is known of the run if bytes were sent
+	 * @return what is known of the run
+	 */
+	DispatchOutcome giveUp(DispatchOutcome outcome) {
+		boolean sent = this.call != null && this.call.isSent();
+		if (this.call != null && !this.closed) {
+			this.call.cancel();
+		}
+		close();
+		return sent ? outcome : DispatchOutcome.NOT_SENT;
+	}
+
+	private void close() {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		if (this.silence != null) {
+			this.silence.cancel(false);
+		}
+		markPromptRead();
+		this.server.load().recordEnd();
+		this.parts.loads().onChanged(this.server);
+		this.held.release();
+		this.held = Unpooled.EMPTY_BUFFER;
+	}
+
+	private void markPromptRead() {
+		if (!this.promptRead) {
+			this.promptRead = true;
+			this.server.load().recordPromptRead(this.promptTokens);
+			this.parts.loads().onChanged(this.server);
+		}
+	}
+
+	/**
+	 * The caller reads again.
+	 */
+	void resumeReading() {
+		if (this.call != null) {
+			this.call.setReading(true);
+		}
+	}
+
+	private long nowMillis() {
+		return this.parts.clock().steadyMillis();
+	}
+
+	@Override
+	public void onHead(BackendAnswer head) {
+		this.answer = head;
+		head.load().ifPresent((load) -> this.server.load().recordReport(load.running(), load.waiting(), nowMillis()));
+		switch (head.verdict()) {
+			case REJECTED -> reject(DispatchOutcome.REJECTED, "rejected with " + head.status().code());
+			case MISDIRECTED -> {
+				this.parts.servers().remove(this.server.entry().id());
+				reject(DispatchOutcome.MISDIRECTED, "another server has the address");
+			}
+			case UNPROVEN, FOREIGN -> reject(DispatchOutcome.BROKEN, "answer without proof of its origin");
+			case ANSWERED -> onAnswered(head);
+		}
+	}
+
+	private void reject(DispatchOutcome outcome, String reason) {
+		giveUp(outcome);
+		this.server.health().recordFailure(nowMillis());
+		this.parts.versions().record(this.server.entry(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
+		this.owner.retryOrFail(outcome, reason);
+	}
+
+	private void onAnswered(BackendAnswer head) {
+		if (this.owner.exchange().hasBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
+			reject(DispatchOutcome.FAILED, "answered the rest of a stream with " + head.status().code());
+			return;
+		}
+		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+		if (failed && !this.owner.exchange().hasBegun() && this.owner.attempt().mayTryAnother(nowMillis())
+				&& this.owner.attempt().route().maxServers() > 1) {
+			reject(DispatchOutcome.FAILED, "answered with " + head.status().code());
+			return;
+		}
+		if (!isStreamed()) {
+			started(nowMillis() - this.sentAtMillis);
+		}
+	}
+
+	private void started(long agoMillis) {
+		markPromptRead();
+		this.owner.reportStart(agoMillis);
+		this.parts.metrics().recordLatency("first", this.owner.attempt().ageMillis(nowMillis()));
+	}
+
+	private boolean isStreamed() {
+		return this.owner.attempt().route().kind() == RequestKind.STREAM && this.answer != null
+				&& this.answer.status().codeClass() == HttpStatusClass.SUCCESS;
+	}
+
+	@Override
+	public void onPiece(ByteBuf piece) {
+		if (this.closed) {
+			return;
+		}
+		if (isStreamed()) {
+			passOn(this.owner.events().add(piece));
+		}
+		else {
+			hold(piece);
+		}
+	}
+
+	private void passOn(ByteBuf complete) {
+		if (!complete.isReadable()) {
+			complete.release();
+			return;
+		}
+		if (!this.promptRead) {
+			started(0);
+			this.parts.versions()
+				.record(this.server.entry(), this.owner.attempt().route(), false, nowMillis() - this.sentAtMillis);
+		}
+		begin();
+		this.owner.exchange().write(complete);
+		if (this.owner.exchange().isCongested() && this.call != null) {
+			this.call.setReading(false);
+		}
+	}
+
+	private void begin() {
+		BackendAnswer head = this.answer;
+		if (!this.owner.exchange().hasBegun() && head != null) {
+			this.owner.exchange().begin(head.status(), head.headers());
+		}
+	}
+
+	private void hold(ByteBuf piece) {
+		if (this.held.readableBytes() + piece.readableBytes() > MAX_HELD_ANSWER_BYTES) {
+			begin();
+			this.owner.exchange().write(this.held);
+			this.held = Unpooled.EMPTY_BUFFER;
+			this.owner.exchange().write(piece.copy());
+		}
+		else {
+			ByteBuf all = Unpooled.buffer(this.held.readableBytes() + piece.readableBytes());
+			all.writeBytes(this.held).writeBytes(piece);
+			this.held.release();
+			this.held = all;
+		}
+	}
+
+	@Override
+	public void onEnd() {
+		if (this.closed) {
+			return;
+		}
+		BackendAnswer head = this.answer;
+		ByteBuf body = this.held;
+		this.held = Unpooled.EMPTY_BUFFER;
+		boolean failed = head == null || head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+		recordOutcome(failed);
+		close();
+		if (isStreamed()) {
+			ByteBuf rest = this.owner.events().rest();
+			begin();
+			if (rest.isReadable()) {
+				this.owner.exchange().write(rest);
+			}
+		}
+		this.owner.finish("request answered", (head != null) ? head.status().code() : 0, "answered by the server");
+		this.owner.tryEnded();
+		if (this.owner.exchange().hasBegun()) {
+			body.release();
+			this.owner.exchange().end();
+		}
+		else if (head != null) {
+			this.owner.exchange().respond(head.status(), head.headers(), body);
+		}
+	}
+
+	private void recordOutcome(boolean failed) {
+		long nowMillis = nowMillis();
+		if (failed) {
+			this.server.health().recordFailure(nowMillis);
+		}
+		else {
+			this.server.health().recordSuccess(nowMillis);
+		}
+		if (failed || !isStreamed()) {
+			this.parts.versions()
+				.record(this.server.entry(), this.owner.attempt().route(), failed, nowMillis - this.sentAtMillis);
+		}
+	}
+
+	@Override
+	public void onBroken(String reason) {
+		if (this.closed) {
+			return;
+		}
+		close();
+		this.server.health().recordFailure(nowMillis());
+		this.parts.versions()
+			.record(this.server.entry(), this.owner.attempt().route(), true, nowMillis() - this.sentAtMillis);
+		this.owner.retryOrFail(DispatchOutcome.BROKEN, reason);
+	}
+
+	@Override
+	public void onNotSent(String reason) {
+		if (this.closed) {
+			return;
+		}
+		close();
+		this.server.health().recordUnreachable(nowMillis());
+		this.owner.retryOrFail(DispatchOutcome.NOT_SENT, reason);
+	}
+
+}
