--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/FaultMatrixTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/FaultMatrixTests.java
@@ -24,6 +24,8 @@
 
 	private static final Pattern CELL = Pattern.compile("\\| [^|]+ \\| (`[A-Za-z.]+`|not proved|does not apply) \\|");
 
+	private static final Pattern RULE = Pattern.compile("^\\| [A-Z]{3,}");
+
 	private static final Pattern TEST = Pattern.compile("`([A-Za-z]+)\\.([A-Za-z]+)`");
 
 	private static final int FAULTS = 13;
@@ -46,6 +48,13 @@
 		assertThat(cells, is(steps * FAULTS));
 	}
 
+	@Test
+	void everyRuleOfThePlatformNamesATest() throws IOException {
+		List<String> rules = matrix().stream().filter((line) -> RULE.matcher(line).find()).toList();
+		assertThat(rules.size(), greaterThan(0));
+		assertThat(rules.stream().filter((line) -> !TEST.matcher(line).find()).toList(), empty());
+	}
+
 	@Test
 	void namedTestsExist() throws IOException {
 		List<String> missing = new ArrayList<>();
