--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -69,15 +69,6 @@
 		return Optional.ofNullable(best);
 	}
 
-	/**
-	 * Return whether a service has a server that could take requests if it had room.
-	 * @param servers the servers of the service
-	 * @return {@code true} if there is one
-	 */
-	public static boolean hasServer(List<KnownServer> servers) {
-		return servers.stream().anyMatch(KnownServer::takesRequests);
-	}
-
 	private static boolean isFull(KnownServer server, long nowMillis) {
 		return server.load().estimateOpen(nowMillis) >= server.entry().slots() * MAX_OVERCOMMIT;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -75,7 +76,7 @@
 			}
 		}
 		finally {
-			io.netty.util.ReferenceCountUtil.release(message);
+			ReferenceCountUtil.release(message);
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -1,5 +1,6 @@
 package io.flamingogap.gateway.cloud;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -167,17 +168,16 @@
 				.filter((entry) -> entry.key().equals(USAGE_KEY))
 				.findFirst()
 				.flatMap(DutyRunner::readUsage);
-			append(HOLDER_KEY, this.parts.member().getBytes(java.nio.charset.StandardCharsets.UTF_8), page.end(),
-					() -> {
-						this.term.recordClaim(this.dutiesEnd, this.clock.steadyMillis());
-						this.usage.takeOver(last, this.parts.trueMillis().getAsLong());
-						this.scale.takeOver();
-						logger.atInfo()
-							.log("%s",
-									LogLine.of("duties claimed")
-										.with("token", this.dutiesEnd)
-										.with("generation", this.generation));
-					});
+			append(HOLDER_KEY, this.parts.member().getBytes(StandardCharsets.UTF_8), page.end(), () -> {
+				this.term.recordClaim(this.dutiesEnd, this.clock.steadyMillis());
+				this.usage.takeOver(last, this.parts.trueMillis().getAsLong());
+				this.scale.takeOver();
+				logger.atInfo()
+					.log("%s",
+							LogLine.of("duties claimed")
+								.with("token", this.dutiesEnd)
+								.with("generation", this.generation));
+			});
 		});
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCaller.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCaller.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -100,7 +101,7 @@
 		}
 		this.bootstrap.connect(this.peer.host(), this.peer.port()).addListener((connected) -> {
 			if (connected.isSuccess()) {
-				Channel channel = ((io.netty.channel.ChannelFuture) connected).channel();
+				Channel channel = ((ChannelFuture) connected).channel();
 				channel.pipeline().get(Connection.class).send(request, reply, timeoutMillis);
 			}
 			else {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
@@ -1,5 +1,6 @@
 package io.flamingogap.gateway.peers;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -120,7 +122,7 @@
 	}
 
 	private <T> CompletableFuture<T> orThroughPeers(Supplier<CompletableFuture<T>> direct, PeerCall call,
-			java.util.function.Function<PeerReply, T> decoder) {
+			Function<PeerReply, T> decoder) {
 		CompletableFuture<T> result = new CompletableFuture<>();
 		if (this.steadyMillis.getAsLong() - this.failedAtMillis < TRY_AGAIN_MILLIS && !this.peers.get().isEmpty()) {
 			throughPeers(call, shuffledPeers(), decoder, result, new StoreException(Reason.UNAVAILABLE, "store lost"));
@@ -146,12 +148,12 @@
 	}
 
 	private List<Address> shuffledPeers() {
-		List<Address> shuffled = new java.util.ArrayList<>(this.peers.get());
+		List<Address> shuffled = new ArrayList<>(this.peers.get());
 		Collections.shuffle(shuffled, this.order);
 		return shuffled.subList(0, Math.min(MAX_PEERS, shuffled.size()));
 	}
 
-	private <T> void throughPeers(PeerCall call, List<Address> left, java.util.function.Function<PeerReply, T> decoder,
+	private <T> void throughPeers(PeerCall call, List<Address> left, Function<PeerReply, T> decoder,
 			CompletableFuture<T> result, StoreException last) {
 		if (left.isEmpty()) {
 			result.completeExceptionally(last);
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -281,7 +282,7 @@
 		private void append(byte[] content) {
 			int keyLength = Byte.toUnsignedInt(content[0]);
 			String key = new String(content, 1, keyLength, StandardCharsets.UTF_8);
-			byte[] value = java.util.Arrays.copyOfRange(content, 1 + keyLength, content.length);
+			byte[] value = Arrays.copyOfRange(content, 1 + keyLength, content.length);
 			if (value.length > 0) {
 				this.newest.put(key, new Entry(value, end()));
 			}
