Order full-price servers before the next zone is taken, and growth before shrinkage

At the start, two full-price zones were ordered up and down again, since reclaimable servers on order didn't count.

Now: while a zone is dry, full-price servers stand in for the zone with the most reclaimable ones; servers that are there keep their places; what was granted counts as booting; growth goes first and servers are given back only when nothing is missing, the dearest first; a loss is noticed although an order is recent; the next order follows an accepted or refused one at once; nobody's demand is assumed at the first start; a node orders nothing before it has listed the servers. Failures of joining, of listing before a claim and of telling a status are logged.

Ruled out: routing (the busiest engine had 1.04 to 1.06 of the mean load).

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetPlanner.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetPlanner.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import io.flamingogap.core.serving.ScaleBounds;
 
@@ -47,36 +46,61 @@
 	}
 
 	/**
-	 * Plan the servers of a service.
+	 * Plan the servers of a service. While reclaimable servers are refused anywhere, the
+	 * zone with the most of them may be taken next, so full-price servers stand in for it
+	 * beforehand, and no reclaimable server that is there is given back.
 	 * @param service the service
 	 * @param bounds the bounds for orders
 	 * @param need the servers that the demand needs
-	 * @param ready the reclaimable servers that take requests, by zone
-	 * @param dryZones the zones where no reclaimable servers are to be had at the moment
+	 * @param stock the reclaimable servers that are there and those to be had
 	 * @return the plan, for each zone and kind; nothing for reclaimable servers in dry
 	 * zones
 	 */
-	public static List<ServerPlan> plan(String service, ScaleBounds bounds, int need, Map<String, Integer> ready,
-			Set<String> dryZones) {
+	public static List<ServerPlan> plan(String service, ScaleBounds bounds, FleetNeed need, FleetStock stock) {
 		List<String> zones = new ArrayList<>(bounds.zonePrices().keySet());
 		zones.sort(Comparator.comparingDouble((String zone) -> bounds.zonePrices().get(zone))
 			.thenComparing(Comparator.naturalOrder()));
-		List<String> open = zones.stream().filter((zone) -> !dryZones.contains(zone)).toList();
-		int perZone = reclaimablePerZone(bounds, need, open.size());
-		int covered = ready.values().stream().mapToInt(Integer::intValue).sum();
-		Map<String, Integer> fullPrice = spread(zones, Math.max(FULL_PRICE_FLOOR, need - covered), bounds);
+		Map<String, Integer> reclaimable = planReclaimable(zones, bounds, need.planned(), stock);
+		Map<String, Integer> places = new HashMap<>();
+		for (String zone : zones) {
+			int taken = Math.max(stock.present(zone), reclaimable.getOrDefault(zone, 0));
+			places.put(zone, Math.max(0, bounds.maxPerZone() - taken));
+		}
+		Map<String, Integer> fullPrice = spread(zones, fullPriceServers(bounds, need, stock), places);
 		List<ServerPlan> plan = new ArrayList<>();
 		for (String zone : zones) {
-			int full = fullPrice.getOrDefault(zone, 0);
+			int full = fullPrice.get(zone);
 			plan.add(new ServerPlan(service, zone, false, full));
-			if (open.contains(zone)) {
-				int reclaimable = Math.min(Math.max(perZone, bounds.minPerZone() - full), bounds.maxPerZone() - full);
-				plan.add(new ServerPlan(service, zone, true, Math.max(0, reclaimable)));
+			if (reclaimable.containsKey(zone)) {
+				plan.add(new ServerPlan(service, zone, true,
+						Math.max(reclaimable.get(zone), bounds.minPerZone() - full)));
 			}
 		}
 		return plan;
 	}
 
+	/**
+	 * Return how many full-price servers a service needs.
+	 * @param bounds the bounds for orders
+	 * @param need the servers that the demand needs
+	 * @param stock the reclaimable servers that are there
+	 * @return the number, over all zones
+	 */
+	public static int fullPriceServers(ScaleBounds bounds, FleetNeed need, FleetStock stock) {
+		return Math.max(FULL_PRICE_FLOOR, need.present() - stock.lasting(bounds.zonePrices().keySet()));
+	}
+
+	private static Map<String, Integer> planReclaimable(List<String> zones, ScaleBounds bounds, int need,
+			FleetStock stock) {
+		List<String> open = zones.stream().filter((zone) -> !stock.dryZones().contains(zone)).toList();
+		int perZone = reclaimablePerZone(bounds, need, open.size());
+		Map<String, Integer> planned = new HashMap<>();
+		for (String zone : open) {
+			planned.put(zone, stock.isScarce() ? Math.max(perZone, stock.present(zone)) : perZone);
+		}
+		return planned;
+	}
+
 	private static int reclaimablePerZone(ScaleBounds bounds, int need, int openZones) {
 		int shared = Math.max(1, openZones - 1);
 		return Math.min(bounds.maxPerZone(), (need + shared - 1) / shared);
@@ -86,14 +110,14 @@
 	 * Fill the cheapest zone first.
 	 * @param zones the zones, the cheapest first
 	 * @param servers the servers to spread
-	 * @param bounds the bounds for orders
+	 * @param places the places left, by zone
 	 * @return servers by zone
 	 */
-	private static Map<String, Integer> spread(List<String> zones, int servers, ScaleBounds bounds) {
+	private static Map<String, Integer> spread(List<String> zones, int servers, Map<String, Integer> places) {
 		Map<String, Integer> spread = new HashMap<>();
 		int left = servers;
 		for (String zone : zones) {
-			int here = Math.min(left, bounds.maxPerZone());
+			int here = Math.min(left, places.get(zone));
 			spread.put(zone, here);
 			left -= here;
 		}
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetStock.java
@@ -0,0 +1,54 @@
+package io.flamingogap.core.fleet;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The reclaimable servers of a service.
+ *
+ * @param ready those that take requests, by zone
+ * @param booting those that were granted and will take requests soon, by zone
+ * @param dryZones the zones where none are to be had at the moment
+ */
+public record FleetStock(Map<String, Integer> ready, Map<String, Integer> booting, Set<String> dryZones) {
+
+	public FleetStock {
+		ready = Map.copyOf(ready);
+		booting = Map.copyOf(booting);
+		dryZones = Set.copyOf(dryZones);
+	}
+
+	/**
+	 * Return the stock as if nothing was booting.
+	 * @return the servers that take requests only
+	 */
+	public FleetStock readyOnly() {
+		return new FleetStock(this.ready, Map.of(), this.dryZones);
+	}
+
+	int present(String zone) {
+		return this.ready.getOrDefault(zone, 0) + this.booting.getOrDefault(zone, 0);
+	}
+
+	/**
+	 * Return whether servers that are taken away can't be replaced.
+	 * @return {@code true} if a zone is dry
+	 */
+	boolean isScarce() {
+		return !this.dryZones.isEmpty();
+	}
+
+	/**
+	 * Return the servers that can be counted on: while they are scarce, all but those of
+	 * the zone with the most.
+	 * @param zones the zones
+	 * @return the number
+	 */
+	int lasting(Collection<String> zones) {
+		int all = zones.stream().mapToInt(this::present).sum();
+		int most = zones.stream().mapToInt(this::present).max().orElse(0);
+		return isScarce() ? all - most : all;
+	}
+
+}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerPlan.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerPlan.java
@@ -20,4 +20,13 @@
 		}
 	}
 
+	/**
+	 * Return the plan with another number.
+	 * @param number the number of servers
+	 * @return a plan for the same zone and kind
+	 */
+	public ServerPlan withServers(int number) {
+		return new ServerPlan(this.service, this.zone, this.reclaimable, number);
+	}
+
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetPlannerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetPlannerTests.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.serving.ScaleBounds;
@@ -11,6 +12,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * The plan of servers.
@@ -31,10 +33,21 @@
 		return plan.stream().filter(ServerPlan::reclaimable).mapToInt(ServerPlan::servers).sum();
 	}
 
+	private static List<ServerPlan> plan(int need, Map<String, Integer> ready, Set<String> dryZones) {
+		return plan(new FleetNeed(need, need), new FleetStock(ready, Map.of(), dryZones));
+	}
+
+	private static List<ServerPlan> plan(FleetNeed need, FleetStock stock) {
+		return FleetPlanner.plan("engine", BOUNDS, need, stock);
+	}
+
+	private static int fullPrice(List<ServerPlan> plan) {
+		return plan.stream().filter((row) -> !row.reclaimable()).mapToInt(ServerPlan::servers).sum();
+	}
+
 	@Test
 	void lossOfAZoneLeavesEnoughServers() {
-		Map<String, Integer> ready = Map.of("dear", 3, "middle", 3, "cheap", 3);
-		List<ServerPlan> plan = FleetPlanner.plan("engine", BOUNDS, 6, ready, Set.of());
+		List<ServerPlan> plan = plan(6, Map.of("dear", 3, "middle", 3, "cheap", 3), Set.of());
 		for (String zone : BOUNDS.zonePrices().keySet()) {
 			assertThat(reclaimable(plan) - servers(plan, true, zone), greaterThanOrEqualTo(6));
 		}
@@ -42,21 +55,62 @@
 
 	@Test
 	void fullPriceServersStandInTheCheapestZoneForWhatIsMissing() {
-		List<ServerPlan> plan = FleetPlanner.plan("engine", BOUNDS, 6, Map.of("dear", 2), Set.of());
+		List<ServerPlan> plan = plan(6, Map.of("dear", 2), Set.of());
 		assertThat(servers(plan, false, "cheap"), is(4));
 		assertThat(servers(plan, false, "dear"), is(0));
 	}
 
+	@Test
+	void serversThatWereGrantedCountAsPresent() {
+		List<ServerPlan> plan = plan(new FleetNeed(9, 9),
+				new FleetStock(Map.of("dear", 2), Map.of("cheap", 4, "middle", 3), Set.of()));
+		assertThat(fullPrice(plan), is(2));
+	}
+
 	@Test
 	void nothingReclaimableIsOrderedInADryZone() {
-		List<ServerPlan> plan = FleetPlanner.plan("engine", BOUNDS, 6, Map.of(), Set.of("cheap"));
+		List<ServerPlan> plan = plan(6, Map.of(), Set.of("cheap"));
 		assertThat(plan.stream().anyMatch((row) -> row.reclaimable() && row.zone().equals("cheap")), is(false));
 	}
 
+	@Test
+	void nobodyNeedsMoreThanTheFloorOfFullPriceServersBeforeAnybodyAsks() {
+		List<ServerPlan> plan = plan(new FleetNeed(10, 0), new FleetStock(Map.of(), Map.of(), Set.of()));
+		assertThat(fullPrice(plan), is(2));
+		assertThat(servers(plan, true, "dear"), is(5));
+	}
+
 	@Test
 	void demandOfPromptsOrOfSlotsDecidesTheNeed() {
 		assertThat(FleetPlanner.need(331_000, 0, 48), greaterThanOrEqualTo(10));
 		assertThat(FleetPlanner.need(0, 480, 48), greaterThanOrEqualTo(10));
 	}
 
+	@Nested
+	class WhileReclaimableServersAreScarce {
+
+		private final Map<String, Integer> ready = Map.of("cheap", 6, "middle", 6);
+
+		@Test
+		void fullPriceServersStandInForTheZoneThatMayBeTakenNext() {
+			List<ServerPlan> plan = plan(12, this.ready, Set.of("dear"));
+			assertThat(fullPrice(plan), greaterThanOrEqualTo(6));
+		}
+
+		@Test
+		void reclaimableServersKeepTheirPlaces() {
+			List<ServerPlan> plan = plan(36, this.ready, Set.of("dear", "middle", "cheap"));
+			this.ready.forEach((zone, servers) -> assertThat(servers + servers(plan, false, zone),
+					lessThanOrEqualTo(BOUNDS.maxPerZone())));
+			assertThat(fullPrice(plan), is(3 * BOUNDS.maxPerZone() - 12));
+		}
+
+		@Test
+		void noneAreGivenBack() {
+			List<ServerPlan> plan = plan(2, Map.of("cheap", 7, "middle", 4), Set.of("dear"));
+			assertThat(servers(plan, true, "cheap"), is(7));
+		}
+
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -169,8 +169,8 @@
 
 	private DutyParts dutyParts(CloudApi cloud) {
 		return new DutyParts(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock, this::trueMillis,
-				this.config, this.rollouts, this.servers, (window) -> this.fleet.usageOf(window, this.usage),
-				new FleetDemandOf() {
+				this.config, this.rollouts, this.servers, this.serverWatch::isListed,
+				(window) -> this.fleet.usageOf(window, this.usage), new FleetDemandOf() {
 					@Override
 					public double promptTokensPerSecond(String service) {
 						return sumOver(service, NodeReport.ServiceDemand::promptTokensPerSecond);
@@ -180,7 +180,7 @@
 					public double openRequests(String service) {
 						return sumOver(service, NodeReport.ServiceDemand::openRequests);
 					}
-				}, this.self.name());
+				}, this.self.name(), this.settings.firstStart());
 	}
 
 	private double sumOver(String service, ToLongFunction<NodeReport.ServiceDemand> figure) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
@@ -1,6 +1,7 @@
 package io.flamingogap.gateway.cloud;
 
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 
@@ -25,12 +26,15 @@
  * @param config the configuration in force
  * @param rollouts the rollouts, whose end operators are told
  * @param servers the backend servers
+ * @param serversKnown whether all registrations were read once
  * @param usageOfWindow the requests of a window by account, over all nodes
  * @param demand what callers ask of services, over all nodes
  * @param member the name of the node in the group, the same for each run, so that a node
  * that starts again holds at once what it held
+ * @param firstStart whether the whole system starts for the first time
  */
 public record DutyParts(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
 		LongSupplier trueMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
-		LongFunction<Map<String, Long>> usageOfWindow, FleetDemandOf demand, String member) {
+		BooleanSupplier serversKnown, LongFunction<Map<String, Long>> usageOfWindow, FleetDemandOf demand,
+		String member, boolean firstStart) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -85,7 +85,7 @@
 		this.clock = parts.clock();
 		this.term = new DutyTerm(leaseMillis, CONFIRM_MILLIS);
 		this.usage = new UsageDuty(usageWindowMillis, parts.usageOfWindow());
-		this.scale = new ScaleDuty(parts.servers());
+		this.scale = new ScaleDuty(parts.servers(), parts.firstStart());
 	}
 
 	/**
@@ -103,11 +103,15 @@
 		this.stopped = true;
 		this.term.lose();
 		this.store.leave(this.parts.member()).exceptionally((failure) -> {
-			logger.atInfo().log("%s", LogLine.of("group not left").with("reason", failure.getMessage()));
+			logFailure("group not left", failure);
 			return null;
 		});
 	}
 
+	private static void logFailure(String event, Throwable failure) {
+		logger.atInfo().log("%s", LogLine.of(event).with("reason", String.valueOf(failure.getMessage())));
+	}
+
 	private long clockDifferenceMillis() {
 		return this.clock.timeOfDayMillis() - this.clock.steadyMillis();
 	}
@@ -148,7 +152,11 @@
 		this.joinedAtMillis = nowMillis;
 		this.store.join(this.parts.member(), this.generation, MEMBER_TTL_MILLIS).whenComplete((view, failure) -> {
 			this.joining = false;
-			if (failure != null || this.stopped) {
+			if (this.stopped) {
+				return;
+			}
+			if (failure != null) {
+				logFailure("membership not kept", failure);
 				return;
 			}
 			this.generation = view.generation();
@@ -161,6 +169,7 @@
 		this.store.newest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
 			if (failure != null) {
 				this.calling = false;
+				logFailure("duties not listed before a claim", failure);
 				return;
 			}
 			Optional<UsageDuty.Report> last = page.records()
@@ -177,6 +186,7 @@
 							LogLine.of("duties claimed")
 								.with("token", this.dutiesEnd)
 								.with("generation", this.generation));
+				this.loop.execute(this::tick);
 			});
 		});
 	}
@@ -226,6 +236,7 @@
 		}
 		this.parts.config()
 			.current()
+			.filter((held) -> this.parts.serversKnown().getAsBoolean())
 			.flatMap((held) -> this.scale.nextDue(held, this.parts.demand(), nowMillis))
 			.ifPresent((order) -> order(token, order));
 	}
@@ -258,15 +269,17 @@
 		this.store.append(StoreStream.STATUS, entry.key(), entry.value(), OptionalLong.empty())
 			.whenComplete((offset, failure) -> {
 				this.calling = false;
-				if (failure == null) {
-					this.parts.rollouts().takeStatus(status);
-					logger.atInfo()
-						.log("%s",
-								LogLine.of("rollout status told")
-									.with("service", status.service())
-									.with("target", status.target())
-									.with("state", status.state().name()));
+				if (failure != null) {
+					logFailure("rollout status not told", failure);
+					return;
 				}
+				this.parts.rollouts().takeStatus(status);
+				logger.atInfo()
+					.log("%s",
+							LogLine.of("rollout status told")
+								.with("service", status.service())
+								.with("target", status.target())
+								.with("state", status.state().name()));
 			});
 	}
 
@@ -276,7 +289,7 @@
 		this.parts.cloud().orderServers(token, order).whenComplete((verdict, failure) -> {
 			this.calling = false;
 			this.scale.record(order, verdict, this.clock.steadyMillis());
-			if (verdict == CloudApi.Verdict.ACCEPTED) {
+			if (verdict == CloudApi.Verdict.ACCEPTED || verdict == CloudApi.Verdict.NONE_AVAILABLE) {
 				this.loop.execute(this::tick);
 			}
 			else {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
@@ -1,8 +1,7 @@
 package io.flamingogap.gateway.cloud;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,51 +9,56 @@
 
 import com.google.common.flogger.FluentLogger;
 
+import io.flamingogap.core.fleet.FleetNeed;
 import io.flamingogap.core.fleet.FleetPlanner;
+import io.flamingogap.core.fleet.FleetStock;
+import io.flamingogap.core.fleet.NeedTrend;
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.BackendService;
+import io.flamingogap.core.serving.EngineProfile;
 import io.flamingogap.core.serving.ScaleBounds;
 import io.flamingogap.core.serving.ServingConfig;
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * The orders of servers that are due. Servers are given back only when those that replace
- * them take requests.
+ * The orders of servers that are due. What is missing is ordered first; servers are given
+ * back only when nothing is missing and those that replace them take requests.
  */
 final class ScaleDuty {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** An order that shows no effect after its boot time and this time is repeated. */
-	private static final long REPEAT_MILLIS = 6_000;
-
 	/** How long a zone counts as dry after an order found nothing. */
 	private static final long DRY_MILLIS = 5_000;
 
-	/** A smaller fleet must be enough for so long before servers are given back. */
-	private static final long SHRINK_AFTER_MILLIS = 12_000;
-
-	private static final long MILLIS_PER_SECOND = 1_000;
-
 	private final ServerTable servers;
 
-	private final Map<Subject, Ordered> ordered = new HashMap<>();
+	private final boolean firstStart;
+
+	private final Map<Subject, PlacedOrder> placed = new HashMap<>();
 
 	private final Map<String, Long> dryUntilMillis = new HashMap<>();
 
-	private final Map<String, Need> needs = new HashMap<>();
+	private final Map<String, NeedTrend> needs = new HashMap<>();
 
-	ScaleDuty(ServerTable servers) {
+	/**
+	 * Create a duty that has ordered nothing.
+	 * @param servers the backend servers
+	 * @param firstStart whether the whole system starts for the first time, so that
+	 * nobody asks yet
+	 */
+	ScaleDuty(ServerTable servers, boolean firstStart) {
 		this.servers = servers;
+		this.firstStart = firstStart;
 	}
 
 	/**
 	 * Forget what was ordered, since another holder may have ordered since.
 	 */
 	void takeOver() {
-		this.ordered.clear();
+		this.placed.clear();
 	}
 
 	/**
@@ -65,64 +69,105 @@
 	 * @return the order
 	 */
 	Optional<ServerPlan> nextDue(ServingConfig config, FleetDemandOf demand, long nowMillis) {
-		for (BackendService service : config.services()) {
-			if (service.scale().isEmpty() || service.engine().isEmpty()) {
-				continue;
-			}
-			Optional<ServerPlan> due = nextDue(service, service.scale().get(), demand, nowMillis);
-			if (due.isPresent()) {
-				return due;
-			}
+		return config.services()
+			.stream()
+			.filter((service) -> service.scale().isPresent() && service.engine().isPresent())
+			.flatMap((service) -> nextDue(service, service.engine().get(), service.scale().get(), demand, nowMillis)
+				.stream())
+			.findFirst();
+	}
+
+	private Optional<ServerPlan> nextDue(BackendService service, EngineProfile engine, ScaleBounds bounds,
+			FleetDemandOf demand, long nowMillis) {
+		String name = service.name();
+		FleetNeed need = this.needs.computeIfAbsent(name, (each) -> new NeedTrend(this.firstStart))
+			.follow(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
+		Map<Subject, Integer> present = countPresent(name);
+		FleetStock stock = stock(name, bounds, present, nowMillis);
+		List<ServerPlan> least = FleetPlanner.plan(name, bounds, need, stock);
+		Optional<ServerPlan> growth = least.stream()
+			.sorted(Comparator.comparing((ServerPlan row) -> !row.reclaimable()))
+			.filter((row) -> isGrowthDue(row, present, bounds, nowMillis))
+			.findFirst();
+		if (growth.isPresent()) {
+			return growth;
 		}
-		return Optional.empty();
+		int neededAtFullPrice = FleetPlanner.fullPriceServers(bounds, need, stock.readyOnly());
+		return findShrinkage(least, neededAtFullPrice, present, bounds, nowMillis);
 	}
 
-	private Optional<ServerPlan> nextDue(BackendService service, ScaleBounds bounds, FleetDemandOf demand,
-			long nowMillis) {
-		int slots = service.engine().map((engine) -> engine.slots()).orElse(1);
-		int need = this.needs.computeIfAbsent(service.name(), (name) -> new Need())
-			.follow(FleetPlanner.need(demand.promptTokensPerSecond(service.name()), demand.openRequests(service.name()),
-					slots), nowMillis);
-		Map<String, Integer> ready = count(service.name(), true);
-		Map<String, Integer> fullPrice = count(service.name(), false);
-		List<ServerPlan> plan = FleetPlanner.plan(service.name(), bounds, need, ready, dryZones(nowMillis));
-		List<ServerPlan> changes = new ArrayList<>();
-		for (ServerPlan wanted : plan) {
-			int present = (wanted.reclaimable() ? ready : fullPrice).getOrDefault(wanted.zone(), 0);
-			if (isDue(wanted, present, bounds, nowMillis)) {
-				changes.add(wanted);
+	/**
+	 * Find servers to give back, full-price ones of the dearest zone first.
+	 * @param plan the plan, the cheapest zone first
+	 * @param neededAtFullPrice the full-price servers needed while others are booting
+	 * @param present the servers that take requests
+	 * @param bounds the bounds for orders
+	 * @param nowMillis the present time
+	 * @return the order
+	 */
+	private Optional<ServerPlan> findShrinkage(List<ServerPlan> plan, int neededAtFullPrice,
+			Map<Subject, Integer> present, ScaleBounds bounds, long nowMillis) {
+		int excess = -neededAtFullPrice;
+		for (ServerPlan row : plan) {
+			excess += row.reclaimable() ? 0 : held(row, present, bounds, nowMillis);
+		}
+		for (int i = plan.size() - 1; i >= 0; i--) {
+			ServerPlan row = plan.get(i);
+			int held = held(row, present, bounds, nowMillis);
+			int surplus = Math.min(held - row.servers(), row.reclaimable() ? Integer.MAX_VALUE : excess);
+			if (surplus > 0) {
+				return Optional.of(row.withServers(held - surplus));
 			}
 		}
-		return changes.stream()
-			.filter((change) -> change.reclaimable() || change.servers() > 0 || !ready.isEmpty())
-			.findFirst();
+		return Optional.empty();
 	}
 
-	private boolean isDue(ServerPlan wanted, int present, ScaleBounds bounds, long nowMillis) {
-		Ordered last = this.ordered.get(Subject.of(wanted));
+	private int held(ServerPlan row, Map<Subject, Integer> present, ScaleBounds bounds, long nowMillis) {
+		PlacedOrder last = this.placed.get(Subject.of(row));
+		return (last != null && !last.isSettled(bounds.bootSeconds(), nowMillis)) ? last.servers()
+				: present.getOrDefault(Subject.of(row), 0);
+	}
+
+	private boolean isGrowthDue(ServerPlan wanted, Map<Subject, Integer> present, ScaleBounds bounds, long nowMillis) {
+		int there = present.getOrDefault(Subject.of(wanted), 0);
+		PlacedOrder last = this.placed.get(Subject.of(wanted));
 		if (last == null) {
-			return present != wanted.servers();
+			return there < wanted.servers();
 		}
-		if (last.servers != wanted.servers()) {
-			return true;
-		}
-		long settledMillis = last.atMillis + (long) (bounds.bootSeconds() * MILLIS_PER_SECOND) + REPEAT_MILLIS;
-		return present != wanted.servers() && nowMillis > settledMillis;
+		return last.servers() < wanted.servers() || (there < wanted.servers()
+				&& (last.isSettled(bounds.bootSeconds(), nowMillis) || there < last.mostSeen()));
 	}
 
-	private Map<String, Integer> count(String service, boolean reclaimable) {
-		Map<String, Integer> byZone = new HashMap<>();
+	private Map<Subject, Integer> countPresent(String service) {
+		Map<Subject, Integer> present = new HashMap<>();
 		for (KnownServer server : this.servers.ofService(service)) {
-			if (server.takesRequests() && server.entry().reclaimable() == reclaimable) {
-				byZone.merge(server.entry().zone(), 1, Integer::sum);
+			if (server.takesRequests()) {
+				present.merge(new Subject(service, server.entry().zone(), server.entry().reclaimable()), 1,
+						Integer::sum);
+			}
+		}
+		this.placed.replaceAll((subject, order) -> order.seen(present.getOrDefault(subject, 0)));
+		return present;
+	}
+
+	private FleetStock stock(String service, ScaleBounds bounds, Map<Subject, Integer> present, long nowMillis) {
+		Map<String, Integer> ready = new HashMap<>();
+		Map<String, Integer> booting = new HashMap<>();
+		for (String zone : bounds.zonePrices().keySet()) {
+			Subject subject = new Subject(service, zone, true);
+			int there = present.getOrDefault(subject, 0);
+			PlacedOrder last = this.placed.get(subject);
+			ready.put(zone, there);
+			if (last != null && there >= last.mostSeen() && !last.isSettled(bounds.bootSeconds(), nowMillis)) {
+				booting.put(zone, Math.max(0, last.servers() - there));
 			}
 		}
-		return byZone;
+		return new FleetStock(ready, booting, dryZones(nowMillis));
 	}
 
 	private Set<String> dryZones(long nowMillis) {
 		this.dryUntilMillis.values().removeIf((untilMillis) -> nowMillis >= untilMillis);
-		return new HashSet<>(this.dryUntilMillis.keySet());
+		return this.dryUntilMillis.keySet();
 	}
 
 	/**
@@ -141,9 +186,11 @@
 						.with("servers", order.servers())
 						.with("verdict", verdict.name()));
 		if (verdict == CloudApi.Verdict.ACCEPTED) {
-			this.ordered.put(Subject.of(order), new Ordered(order.servers(), nowMillis));
+			int there = countPresent(order.service()).getOrDefault(Subject.of(order), 0);
+			this.placed.put(Subject.of(order), new PlacedOrder(order.servers(), nowMillis, there));
 		}
 		else if (verdict == CloudApi.Verdict.NONE_AVAILABLE && order.reclaimable()) {
+			this.placed.remove(Subject.of(order));
 			this.dryUntilMillis.put(order.zone(), nowMillis + DRY_MILLIS);
 		}
 	}
@@ -156,34 +203,29 @@
 
 	}
 
-	private record Ordered(int servers, long atMillis) {
-	}
-
 	/**
-	 * Rises at once and falls late.
+	 * An order that the cloud accepted.
+	 *
+	 * @param servers the number ordered
+	 * @param atMillis when it was accepted
+	 * @param mostSeen the most servers that were there since; fewer means that some are
+	 * lost
 	 */
-	private static final class Need {
+	private record PlacedOrder(int servers, long atMillis, int mostSeen) {
 
 		/**
-		 * What a service starts with, before its demand is known: the load of a busy day.
+		 * An order that shows no effect after its boot time and this time is repeated.
 		 */
-		private static final int INITIAL = 10;
+		private static final long REPEAT_MILLIS = 6_000;
 
-		private int held = INITIAL;
+		private static final long MILLIS_PER_SECOND = 1_000;
 
-		private long lowerSinceMillis;
+		private PlacedOrder seen(int present) {
+			return new PlacedOrder(this.servers, this.atMillis, Math.max(this.mostSeen, present));
+		}
 
-		private int follow(int wanted, long nowMillis) {
-			if (this.lowerSinceMillis == 0 || wanted >= this.held) {
-				wanted = Math.max(wanted, this.held);
-				this.held = wanted;
-				this.lowerSinceMillis = nowMillis;
-			}
-			else if (nowMillis - this.lowerSinceMillis > SHRINK_AFTER_MILLIS) {
-				this.held--;
-				this.lowerSinceMillis = nowMillis;
-			}
-			return this.held;
+		private boolean isSettled(double bootSeconds, long nowMillis) {
+			return nowMillis > this.atMillis + (long) (bootSeconds * MILLIS_PER_SECOND) + REPEAT_MILLIS;
 		}
 
 	}
