Read the store through one node of a zone, and append a zone's reports in one call

Bytes within a zone are free.

The serving node whose name comes first in a zone reads for it: it keeps what it read from the store itself, answers the others from memory or when records arrive, and refuses as soon as it loses the store; they then call the store themselves and leave it alone for a while. Nodes relay through names before their own only, and pass on only what came from the store, so stale records can't be confirmed in a circle. Reports wait up to a second to be appended together; a stopping node's last ones don't wait. A window of usage is reported once every node was heard after its end, or after seven seconds.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -120,6 +120,15 @@
 			.toList();
 	}
 
+	/**
+	 * Return whether every node that is not forgotten reported since a time.
+	 * @param sinceMillis the time
+	 * @return {@code true} if no report is older
+	 */
+	public boolean heardAllSince(long sinceMillis) {
+		return this.byName.values().stream().allMatch((heard) -> heard.atMillis >= sinceMillis);
+	}
+
 	/**
 	 * Add up the requests that servers began in a window, of all runs of all nodes.
 	 * @param window the number of the window
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -41,9 +41,14 @@
 import io.flamingogap.gateway.node.ServerWatch;
 import io.flamingogap.gateway.peers.LoadGossip;
 import io.flamingogap.gateway.peers.PeerBackedStore;
+import io.flamingogap.gateway.peers.PeerCaller;
 import io.flamingogap.gateway.peers.PeerDatagrams;
 import io.flamingogap.gateway.peers.PeerService;
 import io.flamingogap.gateway.peers.QuotaLoans;
+import io.flamingogap.gateway.peers.ReportBatch;
+import io.flamingogap.gateway.peers.SharedReads;
+import io.flamingogap.gateway.peers.ZoneBackedStore;
+import io.flamingogap.gateway.peers.ZoneRelay;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RelayParts;
 import io.flamingogap.gateway.relay.RequestRelay;
@@ -115,6 +120,8 @@
 
 	private final RecordStore store;
 
+	private final PeerService peerService;
+
 	private final PeerDatagrams datagrams;
 
 	private final LoadGossip gossip;
@@ -158,8 +165,15 @@
 				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
 				this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
 		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
-		this.store = new PeerBackedStore(loop, ports.store(), this::peerAddresses, clock::steadyMillis);
-		this.board = new NodeBoard(loop, this.store, this.fleet, this.fleetClock, clock, this::report);
+		SharedReads direct = new SharedReads(loop, ports.store(), clock::steadyMillis);
+		ReportBatch reports = new ReportBatch(loop, direct);
+		this.peerService = new PeerService(direct, reports);
+		PeerCaller peerCaller = new PeerCaller(loop);
+		ZoneBackedStore zoneStore = new ZoneBackedStore(peerCaller,
+				new PeerBackedStore(peerCaller, direct, this::peerAddresses, clock::steadyMillis), zoneRelay(),
+				reports);
+		this.store = zoneStore;
+		this.board = new NodeBoard(loop, this.store, zoneStore, this.fleet, this.fleetClock, clock, this::report);
 		this.serverWatch = new ServerWatch(loop, this.store, ports.records(), this.servers, clock);
 		this.operatorWatch = new OperatorWatch(loop, this.store, ports.records(), this.config, this.rollouts, clock);
 		this.duties = ports.cloud()
@@ -167,10 +181,16 @@
 					settings.duties().usageWindowMillis()));
 	}
 
+	private ZoneRelay zoneRelay() {
+		Optional<Integer> port = this.settings.listen().peers().map(Address::port);
+		return new ZoneRelay(this.fleet, this.settings.zone(), this.self.name(), port, this.clock::steadyMillis);
+	}
+
 	private DutyParts dutyParts(CloudApi cloud) {
 		return new DutyParts(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock, this::trueMillis,
 				this.config, this.rollouts, this.servers, this.serverWatch::isListed,
-				(window) -> this.fleet.usageOf(window, this.usage), new FleetDemandOf() {
+				(window) -> this.fleet.usageOf(window, this.usage),
+				(millis) -> this.fleet.heardAllSince(this.clock.steadyMillis() - millis), new FleetDemandOf() {
 					@Override
 					public double promptTokensPerSecond(String service) {
 						return sumOver(service, NodeReport.ServiceDemand::promptTokensPerSecond);
@@ -208,9 +228,8 @@
 		listen.directory()
 			.ifPresent((address) -> PageServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(directory(request))));
-		PeerService peerService = new PeerService(this.ports.store());
 		listen.peers().ifPresent((address) -> {
-			PageServer.listen(this.loop, address, peerService::answer);
+			PageServer.listen(this.loop, address, this.peerService::answer);
 			this.datagrams.start(address);
 		});
 		MetricsPage metricsPage = new MetricsPage(this.metrics, figures());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -84,7 +84,7 @@
 		this.store = parts.store();
 		this.clock = parts.clock();
 		this.term = new DutyTerm(leaseMillis, CONFIRM_MILLIS);
-		this.usage = new UsageDuty(usageWindowMillis, parts.usageOfWindow());
+		this.usage = new UsageDuty(usageWindowMillis, parts.usageOfWindow(), parts.heardAllWithin());
 		this.scale = new ScaleDuty(parts.servers(), parts.firstStart());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageDuty.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongFunction;
+import java.util.function.LongPredicate;
 
 import com.google.common.flogger.FluentLogger;
 import org.jspecify.annotations.Nullable;
@@ -17,8 +18,17 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Nodes report their counts within this time after the end of a window. */
-	private static final long SETTLE_MILLIS = 2_700;
+	/**
+	 * A report that is heard this long after the end of a window holds all of it: the
+	 * time to collect a zone's reports, the pause between reads, and 0.7 s of margin.
+	 */
+	private static final long HEARD_AFTER_MILLIS = 2_700;
+
+	/**
+	 * How long a window waits for nodes that are not heard; the rest of the time until it
+	 * is due is for the call and a change of the holder.
+	 */
+	private static final long MAX_SETTLE_MILLIS = 7_000;
 
 	/** Windows that are reported late after a change of the holder. */
 	private static final long MAX_LATE_WINDOWS = 3;
@@ -29,13 +39,23 @@
 
 	private final LongFunction<Map<String, Long>> counts;
 
+	private final LongPredicate heardAllWithin;
+
 	private long reportedWindow = NONE;
 
 	private @Nullable Report intended;
 
-	UsageDuty(long windowMillis, LongFunction<Map<String, Long>> counts) {
+	/**
+	 * Create a duty without reports.
+	 * @param windowMillis the length of a window
+	 * @param counts the requests of a window by account, over all nodes
+	 * @param heardAllWithin whether every other node was heard within a time in
+	 * milliseconds
+	 */
+	UsageDuty(long windowMillis, LongFunction<Map<String, Long>> counts, LongPredicate heardAllWithin) {
 		this.windowMillis = windowMillis;
 		this.counts = counts;
+		this.heardAllWithin = heardAllWithin;
 	}
 
 	/**
@@ -54,7 +74,12 @@
 	}
 
 	private long lastSettled(long trueMillis) {
-		return Math.floorDiv(trueMillis - SETTLE_MILLIS, this.windowMillis) - 1;
+		long ended = Math.floorDiv(trueMillis - HEARD_AFTER_MILLIS, this.windowMillis) - 1;
+		long endedAtMillis = (ended + 1) * this.windowMillis;
+		long sinceHeardMillis = trueMillis - endedAtMillis - HEARD_AFTER_MILLIS;
+		boolean isSettled = this.heardAllWithin.test(sinceHeardMillis)
+				|| trueMillis - endedAtMillis >= MAX_SETTLE_MILLIS;
+		return isSettled ? ended : ended - 1;
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -15,6 +15,7 @@
 import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.NodeReport;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.peers.ReportSink;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
 import io.flamingogap.gateway.store.RecordStore;
@@ -54,6 +55,8 @@
 
 	private final RecordStore store;
 
+	private final ReportSink reports;
+
 	private final FleetView fleet;
 
 	private final FleetClock fleetClock;
@@ -71,15 +74,17 @@
 	 * Create a board.
 	 * @param loop the event loop
 	 * @param store the store
+	 * @param reports takes the reports that may wait a little
 	 * @param fleet takes the reports of other nodes
 	 * @param fleetClock takes the clocks of other nodes
 	 * @param clock tells the present time
 	 * @param ownReport makes this node's report
 	 */
-	public NodeBoard(EventLoop loop, RecordStore store, FleetView fleet, FleetClock fleetClock, NodeClock clock,
-			Supplier<NodeReport> ownReport) {
+	public NodeBoard(EventLoop loop, RecordStore store, ReportSink reports, FleetView fleet, FleetClock fleetClock,
+			NodeClock clock, Supplier<NodeReport> ownReport) {
 		this.loop = loop;
 		this.store = store;
+		this.reports = reports;
 		this.fleet = fleet;
 		this.fleetClock = fleetClock;
 		this.clock = clock;
@@ -102,7 +107,8 @@
 		if (nowMillis - this.follower.disturbedAtMillis() > STEADY_MILLIS) {
 			this.fleet.silentFor(REMOVED_MILLIS).forEach(this::forget);
 		}
-		publish();
+		NodeReport report = this.ownReport.get();
+		this.reports.offer(report.node().name(), ReportCodec.write(report)).exceptionally(NodeBoard::logNotKept);
 	}
 
 	private void forget(String node) {
@@ -120,10 +126,12 @@
 		return this.store
 			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.write(report)),
 					OptionalLong.empty())
-			.exceptionally((failure) -> {
-				logger.atFine().log("%s", LogLine.of("report not kept").with("reason", failure.getMessage()));
-				return -1L;
-			});
+			.exceptionally(NodeBoard::logNotKept);
+	}
+
+	private static Long logNotKept(Throwable failure) {
+		logger.atFine().log("%s", LogLine.of("report not kept").with("reason", failure.getMessage()));
+		return -1L;
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -13,15 +11,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-import com.google.common.flogger.FluentLogger;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpMethod;
-import org.apache.thrift.TException;
-
 import io.flamingogap.core.node.Address;
-import io.flamingogap.gateway.http.HttpCaller;
-import io.flamingogap.gateway.http.HttpReply;
-import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
@@ -29,7 +19,6 @@
 import io.flamingogap.wire.peer.PeerCall;
 import io.flamingogap.wire.peer.PeerReply;
 import io.flamingogap.wire.peer.StoreCall;
-import io.flamingogap.wire.peer.StoreOutcome;
 
 /**
  * The store, reached through other nodes while it turns this one away. Conditional
@@ -38,23 +27,16 @@
  */
 public final class PeerBackedStore implements RecordStore {
 
-	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
 	/**
 	 * Nodes that are asked, one after the other; more than half of the nodes may be
 	 * turned away.
 	 */
 	private static final int MAX_PEERS = 3;
 
-	/**
-	 * The bound on a call through a node, besides the time that the store may hold it.
-	 */
-	private static final long PEER_TIMEOUT_MILLIS = 700;
-
 	/** After the store failed, it is tried again after this time. */
 	private static final long TRY_AGAIN_MILLIS = 1_500;
 
-	private final EventLoop loop;
+	private final PeerCaller caller;
 
 	private final RecordStore store;
 
@@ -62,22 +44,20 @@
 
 	private final LongSupplier steadyMillis;
 
-	private final Map<Address, HttpCaller> callers = new HashMap<>();
-
 	private final Random order = new Random();
 
 	private long failedAtMillis = Long.MIN_VALUE / 2;
 
 	/**
 	 * Create a store.
-	 * @param loop the event loop
+	 * @param caller calls other nodes
 	 * @param store the store as this node reaches it
 	 * @param peers the addresses of other nodes
 	 * @param steadyMillis tells the present time
 	 */
-	public PeerBackedStore(EventLoop loop, RecordStore store, Supplier<List<Address>> peers,
+	public PeerBackedStore(PeerCaller caller, RecordStore store, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
-		this.loop = loop;
+		this.caller = caller;
 		this.store = store;
 		this.peers = peers;
 		this.steadyMillis = steadyMillis;
@@ -87,7 +67,7 @@
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		PeerCall call = new PeerCall(StoreCall.READ, stream.name(), from, waitMillis);
 		return this.<Batch>orThroughPeers(() -> this.store.read(stream, from, waitMillis), call,
-				(reply) -> new Batch(PeerCodec.read(reply), reply.getPosition()));
+				(reply) -> new Batch(PeerCodec.read(reply), reply.getPosition(), false));
 	}
 
 	@Override
@@ -111,6 +91,11 @@
 				PeerReply::getPosition);
 	}
 
+	@Override
+	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
+		return this.store.appendAll(stream, records);
+	}
+
 	@Override
 	public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
 		return this.store.join(member, generation, ttlMillis);
@@ -132,17 +117,24 @@
 			if (failure == null) {
 				result.complete(value);
 			}
-			else if (!(failure instanceof StoreException refused) || !isUnreachable(refused.reason())) {
-				result.completeExceptionally(failure);
-			}
 			else {
-				this.failedAtMillis = this.steadyMillis.getAsLong();
-				throughPeers(call, shuffledPeers(), decoder, result, refused);
+				throughPeersIfTurnedAway(call, StoreException.of(failure), decoder, result);
 			}
 		});
 		return result;
 	}
 
+	private <T> void throughPeersIfTurnedAway(PeerCall call, StoreException refused, Function<PeerReply, T> decoder,
+			CompletableFuture<T> result) {
+		if (isUnreachable(refused.reason())) {
+			this.failedAtMillis = this.steadyMillis.getAsLong();
+			throughPeers(call, shuffledPeers(), decoder, result, refused);
+		}
+		else {
+			result.completeExceptionally(refused);
+		}
+	}
+
 	private static boolean isUnreachable(Reason reason) {
 		return reason == Reason.UNAVAILABLE || reason == Reason.UNKNOWN;
 	}
@@ -159,48 +151,20 @@
 			result.completeExceptionally(last);
 			return;
 		}
-		Address peer = left.get(0);
-		this.callers.computeIfAbsent(peer, (address) -> new HttpCaller(this.loop, address))
-			.call(HttpMethod.POST, "/store", Map.of(), ThriftBytes.write(call),
-					call.getWaitMillis() + PEER_TIMEOUT_MILLIS)
-			.whenComplete((reply, failure) -> {
-				StoreException refused;
-				try {
-					PeerReply answer = readReply(peer, reply, failure);
-					if (answer.getOutcome() == StoreOutcome.DONE) {
-						result.complete(decoder.apply(answer));
-						return;
-					}
-					refused = new StoreException(PeerCodec.reasonOf(answer.getOutcome()),
-							"through " + peer + ": " + answer.getOutcome());
-				}
-				catch (StoreException ex) {
-					refused = ex;
-				}
+		this.caller.call(left.get(0), call).whenComplete((answer, failure) -> {
+			if (failure == null) {
+				result.complete(decoder.apply(answer));
+			}
+			else {
+				StoreException refused = StoreException.of(failure);
 				if (isUnreachable(refused.reason())) {
 					throughPeers(call, left.subList(1, left.size()), decoder, result, refused);
 				}
 				else {
 					result.completeExceptionally(refused);
 				}
-			});
-	}
-
-	private static PeerReply readReply(Address peer, HttpReply reply, Throwable failure) {
-		if (failure != null) {
-			throw new StoreException(Reason.UNKNOWN, "through " + peer + ": " + failure.getMessage());
-		}
-		try {
-			return ThriftBytes.read(reply.body(), new PeerReply());
-		}
-		catch (TException ex) {
-			logger.atWarning()
-				.log("%s",
-						LogLine.of("peer answered with status")
-							.with("peer", peer.toString())
-							.with("status", reply.status()));
-			throw new StoreException(Reason.UNKNOWN, "through " + peer + ": unreadable answer");
-		}
+			}
+		});
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
 
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
@@ -20,10 +19,7 @@
 	}
 
 	static PeerReply failed(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		StoreOutcome outcome = (cause instanceof StoreException refused) ? outcomeOf(refused.reason())
-				: StoreOutcome.UNKNOWN;
-		return new PeerReply(outcome, List.of(), 0, false);
+		return new PeerReply(outcomeOf(StoreException.of(failure).reason()), List.of(), 0, false);
 	}
 
 	private static StoreOutcome outcomeOf(Reason reason) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerService.java
@@ -8,7 +8,6 @@
 import org.apache.thrift.TException;
 
 import io.flamingogap.gateway.http.PageServer;
-import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.wire.peer.PeerCall;
 import io.flamingogap.wire.peer.PeerReply;
@@ -20,14 +19,18 @@
  */
 public final class PeerService {
 
-	private final RecordStore store;
+	private final SharedReads store;
+
+	private final ReportBatch reports;
 
 	/**
 	 * Create a service.
 	 * @param store the store as this node reaches it
+	 * @param reports collects the reports of other nodes
 	 */
-	public PeerService(RecordStore store) {
+	public PeerService(SharedReads store, ReportBatch reports) {
 		this.store = store;
+		this.reports = reports;
 	}
 
 	/**
@@ -49,17 +52,29 @@
 
 	private CompletableFuture<PeerReply> make(PeerCall call, StoreStream stream) {
 		return switch (call.getCall()) {
-			case READ -> this.store.read(stream, call.getFromOffset(), call.getWaitMillis())
+			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
 				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(batch.records()), batch.next(),
 						false));
 			case NEWEST -> this.store.newest(stream, Optional.ofNullable(call.getKey()))
 				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(page.records()), page.end(),
 						page.hasMore()));
-			case APPEND -> this.store
-				.append(stream, call.getKey(), call.isSetContent() ? Optional.of(call.getContent()) : Optional.empty(),
-						OptionalLong.empty())
-				.thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
+			case APPEND ->
+				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
 		};
 	}
 
+	/**
+	 * Append a record, together with other reports if the other node allows it to wait.
+	 * @param call the call
+	 * @param stream the stream
+	 * @return the offset
+	 */
+	private CompletableFuture<Long> append(PeerCall call, StoreStream stream) {
+		if (stream == StoreStream.NODES && call.getWaitMillis() > 0 && call.isSetContent()) {
+			return this.reports.offer(call.getKey(), call.getContent());
+		}
+		return this.store.append(stream, call.getKey(),
+				call.isSetContent() ? Optional.of(call.getContent()) : Optional.empty(), OptionalLong.empty());
+	}
+
 }
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatch.java
@@ -0,0 +1,66 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+
+import io.flamingogap.gateway.store.RecordStore;
+import io.flamingogap.gateway.store.RecordStore.NewRecord;
+import io.flamingogap.gateway.store.StoreStream;
+
+/**
+ * Collects the reports of a zone's nodes and appends them in one call. Used on the event
+ * loop only.
+ */
+public final class ReportBatch implements ReportSink {
+
+	/** How long reports are collected: shorter than the time between two of a node. */
+	static final long COLLECT_MILLIS = 1_000;
+
+	private final EventLoop loop;
+
+	private final RecordStore store;
+
+	private final Map<String, NewRecord> collected = new LinkedHashMap<>();
+
+	private CompletableFuture<Long> appended = new CompletableFuture<>();
+
+	/**
+	 * Create an empty batch.
+	 * @param loop the event loop
+	 * @param store the store
+	 */
+	public ReportBatch(EventLoop loop, RecordStore store) {
+		this.loop = loop;
+		this.store = store;
+	}
+
+	@Override
+	public CompletableFuture<Long> offer(String key, byte[] value) {
+		if (this.collected.isEmpty()) {
+			this.loop.schedule(this::append, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		this.collected.put(key, new NewRecord(key, value));
+		return this.appended;
+	}
+
+	private void append() {
+		List<NewRecord> records = List.copyOf(this.collected.values());
+		CompletableFuture<Long> told = this.appended;
+		this.collected.clear();
+		this.appended = new CompletableFuture<>();
+		this.store.appendAll(StoreStream.NODES, records).whenComplete((offset, failure) -> {
+			if (failure != null) {
+				told.completeExceptionally(failure);
+			}
+			else {
+				told.complete(offset);
+			}
+		});
+	}
+
+}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -59,7 +59,8 @@
 	 * @param loop the event loop
 	 * @param store the store
 	 * @param stream the stream
-	 * @param pauseMillis the pause after records were read, so that several come at once
+	 * @param pauseMillis the pause after records were read from the store itself, so that
+	 * several come at once
 	 * @param listener takes the records
 	 * @param steadyMillis tells the present time
 	 */
@@ -116,7 +117,7 @@
 
 	private void read(long from) {
 		this.store.read(this.stream, from, this.reachable ? WAIT_MILLIS : 0).whenComplete((batch, failure) -> {
-			if (failure instanceof StoreException dropped && dropped.reason() == StoreException.Reason.DROPPED) {
+			if (failure != null && StoreException.of(failure).reason() == StoreException.Reason.DROPPED) {
 				logger.atInfo()
 					.log("%s",
 							LogLine.of("records dropped by the store")
@@ -130,7 +131,8 @@
 			else {
 				onContact();
 				batch.records().forEach(this.listener::onRecord);
-				later(() -> read(batch.next()), batch.records().isEmpty() ? 0 : this.pauseMillis);
+				boolean isPriced = !batch.records().isEmpty() && !batch.relayed();
+				later(() -> read(batch.next()), isPriced ? this.pauseMillis : 0);
 			}
 		});
 	}
@@ -154,7 +156,7 @@
 				.log("%s",
 						LogLine.of("store lost")
 							.with("stream", this.stream.name())
-							.with("reason", String.valueOf(failure.getMessage())));
+							.with("reason", String.valueOf(StoreException.of(failure).getMessage())));
 		}
 		later(retry, this.retryMillis);
 		this.retryMillis = Math.min(MAX_RETRY_MILLIS, this.retryMillis * 2);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -38,6 +38,14 @@
 	 */
 	CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value, OptionalLong expectedEnd);
 
+	/**
+	 * Append records in one call.
+	 * @param stream the stream
+	 * @param records the records
+	 * @return the offset that the first one got
+	 */
+	CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records);
+
 	/**
 	 * Join the group that shares the duties, or stay in it.
 	 * @param member the name of this run of the node
@@ -59,8 +67,19 @@
 	 *
 	 * @param records the records
 	 * @param next the offset to go on from
+	 * @param relayed whether another node of the zone passed them on, which costs no call
+	 * of the store
+	 */
+	record Batch(List<StoredRecord> records, long next, boolean relayed) {
+	}
+
+	/**
+	 * A record to append.
+	 *
+	 * @param key the key
+	 * @param value the content
 	 */
-	record Batch(List<StoredRecord> records, long next) {
+	record NewRecord(String key, byte[] value) {
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
@@ -1,5 +1,7 @@
 package io.flamingogap.gateway.store;
 
+import java.util.concurrent.CompletionException;
+
 /**
  * A call to the store that did not do what it should.
  */
@@ -19,6 +21,18 @@
 		this.reason = reason;
 	}
 
+	/**
+	 * Find the failure of a call of the store, which dependent futures wrap.
+	 * @param failure the failure as a future tells it
+	 * @return the store's own failure, or one with an unknown outcome
+	 */
+	public static StoreException of(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException wrapped && wrapped.getCause() != null)
+				? wrapped.getCause() : failure;
+		return (cause instanceof StoreException own) ? own
+				: new StoreException(Reason.UNKNOWN, String.valueOf(cause.getMessage()));
+	}
+
 	/**
 	 * Return why the call failed.
 	 * @return the reason
--- /dev/null
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatchTests.java
@@ -0,0 +1,62 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.gateway.store.RecordStore.NewRecord;
+import io.flamingogap.gateway.store.ScriptedStore;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Reports that reach the store together.
+ */
+class ReportBatchTests {
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final ScriptedStore store = new ScriptedStore();
+
+	private final ReportBatch batch = new ReportBatch(this.channel.eventLoop(), this.store);
+
+	private void passTime() {
+		this.channel.advanceTimeBy(ReportBatch.COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+	}
+
+	@Test
+	void reportsOfSeveralNodesAreAppendedInOneCall() {
+		CompletableFuture<Long> first = this.batch.offer("a", new byte[1]);
+		this.batch.offer("b", new byte[1]);
+		assertThat(first.isDone(), is(false));
+		passTime();
+		assertThat(this.store.appended(), hasSize(1));
+		assertThat(this.store.appended().get(0).stream().map(NewRecord::key).toList(), contains("a", "b"));
+		assertThat(first.join(), is(7L));
+	}
+
+	@Test
+	void laterReportOfANodeReplacesItsEarlierOne() {
+		this.batch.offer("a", new byte[1]);
+		this.batch.offer("a", new byte[2]);
+		passTime();
+		assertThat(this.store.appended().get(0), hasSize(1));
+		assertThat(this.store.appended().get(0).get(0).value().length, is(2));
+	}
+
+	@Test
+	void nextReportBeginsANewBatch() {
+		this.batch.offer("a", new byte[1]);
+		passTime();
+		this.batch.offer("a", new byte[1]);
+		passTime();
+		assertThat(this.store.appended(), hasSize(2));
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/SharedReadsTests.java
@@ -0,0 +1,110 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.gateway.store.RecordStore.Batch;
+import io.flamingogap.gateway.store.ScriptedStore;
+import io.flamingogap.gateway.store.StoreException;
+import io.flamingogap.gateway.store.StoreStream;
+import io.flamingogap.gateway.store.StoredRecord;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Reads that one node makes for its zone.
+ */
+class SharedReadsTests {
+
+	private static final long WAIT_MILLIS = 1_000;
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final ScriptedStore store = new ScriptedStore();
+
+	private long nowMillis = 100_000;
+
+	private final SharedReads reads = new SharedReads(this.channel.eventLoop(), this.store, () -> this.nowMillis);
+
+	private static StoredRecord entry(long offset) {
+		return new StoredRecord("key", Optional.of(new byte[1]), offset);
+	}
+
+	private CompletableFuture<Batch> readForPeer(long from) {
+		return this.reads.readForPeer(StoreStream.SERVERS, from, WAIT_MILLIS);
+	}
+
+	private static List<Long> offsets(CompletableFuture<Batch> read) {
+		return read.join().records().stream().map(StoredRecord::offset).toList();
+	}
+
+	@BeforeEach
+	void readOwnRecords() {
+		this.reads.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
+		this.store.openRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
+		this.reads.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
+	}
+
+	@Test
+	void peerGetsWhatThisNodeHasReadWithoutACallOfTheStore() {
+		assertThat(offsets(readForPeer(8)), contains(8L));
+		assertThat(this.store.readFrom(), contains(7L, 9L));
+	}
+
+	@Test
+	void peerThatWaitsIsAnsweredWhenARecordArrives() {
+		CompletableFuture<Batch> peer = readForPeer(9);
+		assertThat(peer.isDone(), is(false));
+		this.store.openRead().complete(new Batch(List.of(entry(9)), 10, false));
+		assertThat(offsets(peer), contains(9L));
+		assertThat(peer.join().next(), is(10L));
+	}
+
+	@Test
+	void peerThatWaitsInVainGetsAnEmptyAnswerInTime() {
+		CompletableFuture<Batch> peer = readForPeer(9);
+		this.channel.advanceTimeBy(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(peer.join(), is(new Batch(List.of(), 9, false)));
+	}
+
+	@Test
+	void peerThatWaitsIsRefusedOnceThisNodeLosesTheStore() {
+		CompletableFuture<Batch> peer = readForPeer(9);
+		this.store.openRead()
+			.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "turned away"));
+		assertThat(peer.isCompletedExceptionally(), is(true));
+	}
+
+	@Test
+	void recordsOfANodeThatHasNotHeardFromTheStoreAreNotPassedOn() {
+		this.nowMillis += 3_000;
+		CompletableFuture<Batch> peer = readForPeer(8);
+		assertThat(peer.isDone(), is(false));
+		assertThat(this.store.readFrom(), contains(7L, 9L, 8L));
+	}
+
+	@Test
+	void recordsFromBeforeThisNodeReadAreReadFromTheStore() {
+		readForPeer(3);
+		assertThat(this.store.readFrom(), contains(7L, 9L, 3L));
+	}
+
+	@Test
+	void recordsAfterAGapAreNotJoinedToThoseBefore() {
+		this.reads.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
+		this.store.openRead().complete(new Batch(List.of(entry(20)), 21, false));
+		assertThat(offsets(readForPeer(20)), contains(20L));
+		readForPeer(8);
+		assertThat(this.store.readFrom(), contains(7L, 9L, 20L, 8L));
+	}
+
+}
