Keep shares and usage over a restart, borrow what is missing, and limit credit

It also left out the usage that its run before had reported. A node in debt asked others for the units of the request only, which didn't bring it out of debt, and what they lent was lost.

Now the run before's report gives shares and usage; what is missing is asked for.

So a request passes on credit only beyond half of a node's share, and reports are heard within their period again: collected for 400 ms, read each 800 ms (1,000 and 1,000 exceeded 1,500).

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -48,12 +48,22 @@
 	 * @param heardAtMillis the present time
 	 */
 	public void record(NodeReport report, long heardAtMillis) {
-		if (report.node().name().equals(this.self.name())) {
-			return;
+		if (!report.node().name().equals(this.self.name())) {
+			this.byName.put(report.node().name(), new Heard(report, heardAtMillis));
 		}
-		this.byName.put(report.node().name(), new Heard(report, heardAtMillis));
-		UsageCounts counts = this.usage.computeIfAbsent(report.node(), (node) -> new UsageCounts());
-		report.usage().forEach(counts::merge);
+		if (!report.node().equals(this.self)) {
+			UsageCounts counts = this.usage.computeIfAbsent(report.node(), (node) -> new UsageCounts());
+			report.usage().forEach(counts::merge);
+		}
+	}
+
+	/**
+	 * Return whether a report is of an earlier run of this node.
+	 * @param report the report
+	 * @return {@code true} if it has this node's name and another incarnation
+	 */
+	public boolean isOfPreviousRun(NodeReport report) {
+		return report.node().name().equals(this.self.name()) && !report.node().equals(this.self);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/DemandMeter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/DemandMeter.java
@@ -20,6 +20,16 @@
 		this.perSecond += cost * 1_000 / AVERAGE_MILLIS;
 	}
 
+	/**
+	 * Go on from an average that was kept elsewhere.
+	 * @param unitsPerSecond the average
+	 * @param nowMillis the present time
+	 */
+	void resume(double unitsPerSecond, long nowMillis) {
+		decay(nowMillis);
+		this.perSecond += unitsPerSecond;
+	}
+
 	double perSecond(long nowMillis) {
 		decay(nowMillis);
 		return this.perSecond;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.quota;
 
 /**
- * One node's share of an account's quota: a token bucket that may go into debt by one
- * request, so that requests larger than the share still pass.
+ * One node's share of an account's quota: a token bucket that may go into debt for a
+ * request larger than half of the share, so that such requests still pass.
  * <p>
  * Not safe for use by several threads.
  */
@@ -10,6 +10,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	/**
+	 * The part of the capacity that suffices for a request of any size. The debts of all
+	 * nodes together must stay within the tolerance of the quota.
+	 */
+	private static final double ENOUGH_PART = 0.5;
+
 	private double level;
 
 	private double ratePerSecond;
@@ -40,7 +46,7 @@
 	}
 
 	boolean trySpend(long cost) {
-		if (this.level <= 0) {
+		if (missing(cost) > 0) {
 			return false;
 		}
 		this.level -= cost;
@@ -56,11 +62,22 @@
 	}
 
 	/**
-	 * Return the time until the bucket is out of debt.
+	 * Return what is missing for a request.
+	 * @param cost the units that it uses
+	 * @return the units, 0 if it may pass
+	 */
+	long missing(long cost) {
+		double enough = Math.min(cost, this.capacity * ENOUGH_PART);
+		return (this.level > 0 && this.level >= enough) ? 0 : Math.max(1, (long) Math.ceil(enough - this.level));
+	}
+
+	/**
+	 * Return the time until a request may pass.
+	 * @param cost the units that it uses
 	 * @return the time in milliseconds
 	 */
-	long waitMillis() {
-		return (this.level > 0) ? 0 : (long) Math.ceil((1 - this.level) / this.ratePerSecond * MILLIS_PER_SECOND);
+	long waitMillis(long cost) {
+		return (long) Math.ceil(missing(cost) / this.ratePerSecond * MILLIS_PER_SECOND);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
@@ -81,7 +81,10 @@
 				(name) -> new QuotaBucket(this.startsFull ? capacity : rate, nowMillis));
 		bucket.refill(rate, capacity, nowMillis);
 		double level = bucket.level();
-		return new QuotaVerdict(bucket.trySpend(cost) ? 0 : bucket.waitMillis(), share, rate, level);
+		if (bucket.trySpend(cost)) {
+			return new QuotaVerdict(0, 0, share, rate, level);
+		}
+		return new QuotaVerdict(bucket.waitMillis(cost), bucket.missing(cost), share, rate, level);
 	}
 
 	/**
@@ -126,6 +129,20 @@
 		}
 	}
 
+	/**
+	 * Go on from what the run of this node before reported, which all others have heard.
+	 * Without it a node that starts again would refuse nearly everything until its second
+	 * report.
+	 * @param unitsPerSecond its demand, by account
+	 * @param nowMillis the present time
+	 */
+	public void resume(Map<String, Long> unitsPerSecond, long nowMillis) {
+		unitsPerSecond.forEach((account, units) -> this.demands.computeIfAbsent(account, (name) -> new DemandMeter())
+			.resume(units, nowMillis));
+		this.heardByAll = Map.copyOf(unitsPerSecond);
+		this.reported = this.heardByAll;
+	}
+
 	private static double share(String account, double own, FleetDemand fleet) {
 		double even = 1.0 / fleet.nodes();
 		double others = fleet.othersPerSecond(account);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaVerdict.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaVerdict.java
@@ -4,14 +4,15 @@
  * Whether a request is admitted within a quota, with the figures that decided it.
  *
  * @param waitMillis 0 if the request is admitted, otherwise the time until one may be
+ * @param missingUnits the units that would have admitted the request
  * @param share this node's share of the quota, from 0 to 1
  * @param ratePerSecond the units that the share regains each second
  * @param levelUnits the units that were left
  */
-public record QuotaVerdict(long waitMillis, double share, double ratePerSecond, double levelUnits) {
+public record QuotaVerdict(long waitMillis, long missingUnits, double share, double ratePerSecond, double levelUnits) {
 
 	/** There is no limit. */
-	static final QuotaVerdict UNLIMITED = new QuotaVerdict(0, 1, 0, 0);
+	static final QuotaVerdict UNLIMITED = new QuotaVerdict(0, 0, 1, 0, 0);
 
 	/**
 	 * Return whether the request is admitted.
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -76,6 +76,13 @@
 			assertThat(FleetViewTests.this.fleet.usageOf(7, own), is(Map.of("growers", 8L)));
 		}
 
+		@Test
+		void countsOfTheRunBeforeOfThisNodeStay() {
+			FleetViewTests.this.fleet.record(report("self", 0, "z1", 1, true, Map.of(7L, Map.of("growers", 4L))), 0);
+			assertThat(FleetViewTests.this.fleet.usageOf(7, new UsageCounts()), is(Map.of("growers", 4L)));
+			assertThat(FleetViewTests.this.fleet.nodes(), is(1));
+		}
+
 		@Test
 		void repeatedReportsCountOnce() {
 			NodeReport report = report("a", 1, "z1", 2, true, Map.of(7L, Map.of("growers", 4L)));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
@@ -60,6 +60,36 @@
 		assertThat(gate.admit(ACCOUNT, 1, alone, 0).isAdmitted(), is(true));
 	}
 
+	@Test
+	void nodeThatStartsAgainKeepsTheShareThatItHad() {
+		Fleet others = new Fleet(9);
+		others.others.put(ACCOUNT.name(), 8_000L);
+		QuotaGate restarted = new QuotaGate(TOLERANCE, false);
+		restarted.resume(Map.of(ACCOUNT.name(), 8_000L), 0);
+		assertThat(restarted.admit(ACCOUNT, 1, others, 0).share(), greaterThan(0.4));
+		restarted.reportDemand(1_500);
+		assertThat(restarted.admit(ACCOUNT, 1, others, 1_500).share(), greaterThan(0.3));
+	}
+
+	@Test
+	void refusalTellsHowManyUnitsAreMissing() {
+		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		Fleet alone = new Fleet(1);
+		gate.admit(ACCOUNT, 100_000, alone, 0);
+		QuotaVerdict refused = gate.admit(ACCOUNT, 50, alone, 0);
+		assertThat(refused.isAdmitted(), is(false));
+		gate.receive(ACCOUNT.name(), refused.missingUnits());
+		assertThat(gate.admitAgain(ACCOUNT, 50, alone, 0).isAdmitted(), is(true));
+	}
+
+	@Test
+	void requestThatFitsTheShareIsNotAdmittedOnCredit() {
+		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		Fleet alone = new Fleet(1);
+		gate.admit(ACCOUNT, 9_000, alone, 0);
+		assertThat(gate.admit(ACCOUNT, 2_000, alone, 0).missingUnits(), is(1_000L));
+	}
+
 	/**
 	 * Nodes report each two seconds, each at a moment of its own, and hear each other up
 	 * to a second and a half later. The demand jumps in the first seconds.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -173,7 +173,8 @@
 				new PeerBackedStore(peerCaller, direct, this::peerAddresses, clock::steadyMillis), zoneRelay(),
 				reports);
 		this.store = zoneStore;
-		this.board = new NodeBoard(loop, this.store, zoneStore, this.fleet, this.fleetClock, clock, this::report);
+		this.board = new NodeBoard(loop, this.store, zoneStore, this.fleet, this.fleetClock, clock, this::report,
+				(previous) -> this.quotas.resume(previous.demandPerSecond(), clock.steadyMillis()));
 		this.serverWatch = new ServerWatch(loop, this.store, ports.records(), this.servers, clock);
 		this.operatorWatch = new OperatorWatch(loop, this.store, ports.records(), this.config, this.rollouts, clock);
 		this.duties = ports.cloud()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -35,7 +36,7 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/** The pause between reads, so that reports of several nodes come in one answer. */
-	private static final long READ_PAUSE_MILLIS = 1_000;
+	private static final long READ_PAUSE_MILLIS = 800;
 
 	/**
 	 * Earlier reports that a node reads when it starts: usage of runs that have ended
@@ -65,11 +66,15 @@
 
 	private final Supplier<NodeReport> ownReport;
 
+	private final Consumer<NodeReport> previousRun;
+
 	private final RecordFollower follower;
 
 	/** Reports before this offset were written before this node first listed them. */
 	private long listedEnd = Long.MAX_VALUE;
 
+	private boolean listed;
+
 	/**
 	 * Create a board.
 	 * @param loop the event loop
@@ -79,9 +84,10 @@
 	 * @param fleetClock takes the clocks of other nodes
 	 * @param clock tells the present time
 	 * @param ownReport makes this node's report
+	 * @param previousRun takes the newest report of the run of this node before
 	 */
 	public NodeBoard(EventLoop loop, RecordStore store, ReportSink reports, FleetView fleet, FleetClock fleetClock,
-			NodeClock clock, Supplier<NodeReport> ownReport) {
+			NodeClock clock, Supplier<NodeReport> ownReport, Consumer<NodeReport> previousRun) {
 		this.loop = loop;
 		this.store = store;
 		this.reports = reports;
@@ -89,6 +95,7 @@
 		this.fleetClock = fleetClock;
 		this.clock = clock;
 		this.ownReport = ownReport;
+		this.previousRun = previousRun;
 		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
 			.replaying(REPLAYED_REPORTS);
 	}
@@ -151,6 +158,9 @@
 		long ageMillis = isNew ? 0 : Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
 		this.fleet.advance(nowMillis);
 		this.fleet.record(report.get(), nowMillis - ageMillis);
+		if (!this.listed && this.fleet.isOfPreviousRun(report.get())) {
+			this.previousRun.accept(report.get());
+		}
 		if (isNew) {
 			this.fleetClock.record(entry.key(), report.get().timeOfDayMillis(), nowMillis);
 		}
@@ -159,6 +169,7 @@
 	@Override
 	public void onListed(Set<String> keys, long end) {
 		this.listedEnd = end;
+		this.listed = true;
 		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", end));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatch.java
@@ -18,8 +18,12 @@
  */
 public final class ReportBatch implements ReportSink {
 
-	/** How long reports are collected: shorter than the time between two of a node. */
-	static final long COLLECT_MILLIS = 1_000;
+	/**
+	 * How long reports are collected. Together with the pause between reads it is shorter
+	 * than the time between two reports of a node: shares of quotas assume that all nodes
+	 * have heard a report when its node makes the next one.
+	 */
+	static final long COLLECT_MILLIS = 400;
 
 	private final EventLoop loop;
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -135,7 +135,7 @@
 		}
 		PendingAdmission pending = new PendingAdmission(() -> request.body().release());
 		boolean asked = this.parts.lender()
-			.borrow(account.get(), cost,
+			.borrow(account.get(), verdict.missingUnits(),
 					() -> pending.resume(() -> admitOrRefuse(request, exchange, route, account.get(), cost)));
 		return asked ? pending : refuse(request, exchange, usedUp(account.get(), verdict), verdict.waitMillis());
 	}
