--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.function.ToLongFunction;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
@@ -31,7 +30,7 @@
 import io.flamingogap.gateway.cloud.CloudApi;
 import io.flamingogap.gateway.cloud.DutyParts;
 import io.flamingogap.gateway.cloud.DutyRunner;
-import io.flamingogap.gateway.cloud.FleetDemandOf;
+import io.flamingogap.gateway.cloud.FleetTotals;
 import io.flamingogap.gateway.http.PageServer;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.node.MetricsPage;
@@ -40,14 +39,9 @@
 import io.flamingogap.gateway.node.Rollouts;
 import io.flamingogap.gateway.node.ServerWatch;
 import io.flamingogap.gateway.peers.LoadGossip;
-import io.flamingogap.gateway.peers.PeerBackedStore;
-import io.flamingogap.gateway.peers.PeerCaller;
 import io.flamingogap.gateway.peers.PeerDatagrams;
-import io.flamingogap.gateway.peers.PeerService;
 import io.flamingogap.gateway.peers.QuotaLoans;
-import io.flamingogap.gateway.peers.ReportBatch;
-import io.flamingogap.gateway.peers.SharedReads;
-import io.flamingogap.gateway.peers.ZoneBackedStore;
+import io.flamingogap.gateway.peers.StoreAccess;
 import io.flamingogap.gateway.peers.ZoneRelay;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RelayParts;
@@ -120,7 +114,7 @@
 
 	private final RecordStore store;
 
-	private final PeerService peerService;
+	private final StoreAccess access;
 
 	private final PeerDatagrams datagrams;
 
@@ -165,16 +159,10 @@
 				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
 				this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
 		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
-		SharedReads direct = new SharedReads(loop, ports.store(), clock::steadyMillis);
-		ReportBatch reports = new ReportBatch(loop, direct);
-		this.peerService = new PeerService(direct, reports);
-		PeerCaller peerCaller = new PeerCaller(loop);
-		ZoneBackedStore zoneStore = new ZoneBackedStore(peerCaller,
-				new PeerBackedStore(peerCaller, direct, this::peerAddresses, clock::steadyMillis), zoneRelay(),
-				reports);
-		this.store = zoneStore;
-		this.board = new NodeBoard(loop, this.store, zoneStore, this.fleet, this.fleetClock, clock, this::report,
-				(previous) -> this.quotas.resume(previous.demandPerSecond(), clock.steadyMillis()));
+		this.access = new StoreAccess(loop, ports.store(), zoneRelay(), this::peerAddresses, clock::steadyMillis);
+		this.store = this.access.store();
+		this.board = new NodeBoard(loop, this.store, this.access.reports(), this.fleet, this.fleetClock, clock,
+				this::report, (previous) -> this.quotas.resume(previous.demandPerSecond(), clock.steadyMillis()));
 		this.serverWatch = new ServerWatch(loop, this.store, ports.records(), this.servers, clock);
 		this.operatorWatch = new OperatorWatch(loop, this.store, ports.records(), this.config, this.rollouts, clock);
 		this.duties = ports.cloud()
@@ -190,32 +178,8 @@
 	private DutyParts dutyParts(CloudApi cloud) {
 		return new DutyParts(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock, this::trueMillis,
 				this.config, this.rollouts, this.servers, this.serverWatch::isListed,
-				(window) -> this.fleet.usageOf(window, this.usage),
-				(millis) -> this.fleet.heardAllSince(this.clock.steadyMillis() - millis), new FleetDemandOf() {
-					@Override
-					public double promptTokensPerSecond(String service) {
-						return sumOver(service, NodeReport.ServiceDemand::promptTokensPerSecond);
-					}
-
-					@Override
-					public double openRequests(String service) {
-						return sumOver(service, NodeReport.ServiceDemand::openRequests);
-					}
-				}, this.self.name(), this.settings.firstStart());
-	}
-
-	private double sumOver(String service, ToLongFunction<NodeReport.ServiceDemand> figure) {
-		long own = sum(this.demands.report(this.clock.steadyMillis()), service, figure);
-		long others = this.fleet.reports()
-			.stream()
-			.mapToLong((report) -> sum(report.services(), service, figure))
-			.sum();
-		return (double) own + others;
-	}
-
-	private static long sum(List<NodeReport.ServiceDemand> rows, String service,
-			ToLongFunction<NodeReport.ServiceDemand> figure) {
-		return rows.stream().filter((row) -> row.service().equals(service)).mapToLong(figure).sum();
+				new FleetTotals(this.fleet, this.usage, this.demands, this.clock), this.self.name(),
+				this.settings.firstStart());
 	}
 
 	/**
@@ -230,7 +194,7 @@
 			.ifPresent((address) -> PageServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(directory(request))));
 		listen.peers().ifPresent((address) -> {
-			PageServer.listen(this.loop, address, this.peerService::answer);
+			PageServer.listen(this.loop, address, this.access.peerService()::answer);
 			this.datagrams.start(address);
 		});
 		MetricsPage metricsPage = new MetricsPage(this.metrics, figures());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
@@ -1,9 +1,6 @@
 package io.flamingogap.gateway.cloud;
 
-import java.util.Map;
 import java.util.function.BooleanSupplier;
-import java.util.function.LongFunction;
-import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
@@ -28,15 +25,12 @@
  * @param rollouts the rollouts, whose end operators are told
  * @param servers the backend servers
  * @param serversKnown whether all registrations were read once
- * @param usageOfWindow the requests of a window by account, over all nodes
- * @param heardAllWithin whether every other node was heard within a time in milliseconds
- * @param demand what callers ask of services, over all nodes
+ * @param totals figures over all nodes
  * @param member the name of the node in the group, the same for each run, so that a node
  * that starts again holds at once what it held
  * @param firstStart whether the whole system starts for the first time
  */
 public record DutyParts(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
 		LongSupplier trueMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
-		BooleanSupplier serversKnown, LongFunction<Map<String, Long>> usageOfWindow, LongPredicate heardAllWithin,
-		FleetDemandOf demand, String member, boolean firstStart) {
+		BooleanSupplier serversKnown, FleetTotals totals, String member, boolean firstStart) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -84,7 +84,7 @@
 		this.store = parts.store();
 		this.clock = parts.clock();
 		this.term = new DutyTerm(leaseMillis, CONFIRM_MILLIS);
-		this.usage = new UsageDuty(usageWindowMillis, parts.usageOfWindow(), parts.heardAllWithin());
+		this.usage = new UsageDuty(usageWindowMillis, parts.totals()::usageOf, parts.totals()::heardAllWithin);
 		this.scale = new ScaleDuty(parts.servers(), parts.firstStart());
 	}
 
@@ -237,7 +237,7 @@
 		this.parts.config()
 			.current()
 			.filter((held) -> this.parts.serversKnown().getAsBoolean())
-			.flatMap((held) -> this.scale.nextDue(held, this.parts.demand(), nowMillis))
+			.flatMap((held) -> this.scale.nextDue(held, this.parts.totals(), nowMillis))
 			.ifPresent((order) -> order(token, order));
 	}
 
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -0,0 +1,64 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+
+import io.flamingogap.core.node.Address;
+import io.flamingogap.gateway.store.RecordStore;
+
+/**
+ * The ways to the store, wired together: directly, through the node that reads for the
+ * zone, or through any node while the store turns this one away.
+ */
+public final class StoreAccess {
+
+	private final ZoneBackedStore store;
+
+	private final PeerService peerService;
+
+	/**
+	 * Create the ways to a store.
+	 * @param loop the event loop
+	 * @param direct the store as this node reaches it
+	 * @param relay names the node that reads for the zone
+	 * @param peers the addresses of other nodes
+	 * @param steadyMillis tells the present time
+	 */
+	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelay relay, Supplier<List<Address>> peers,
+			LongSupplier steadyMillis) {
+		SharedReads shared = new SharedReads(loop, direct, steadyMillis);
+		ReportBatch batch = new ReportBatch(loop, shared);
+		PeerCaller caller = new PeerCaller(loop);
+		RecordStore backed = new PeerBackedStore(caller, shared, peers, steadyMillis);
+		this.store = new ZoneBackedStore(caller, backed, relay, batch);
+		this.peerService = new PeerService(shared, batch);
+	}
+
+	/**
+	 * Return the store.
+	 * @return the store, by whichever way works
+	 */
+	public RecordStore store() {
+		return this.store;
+	}
+
+	/**
+	 * Return what takes reports that may reach the store a little later.
+	 * @return the sink
+	 */
+	public ReportSink reports() {
+		return this.store;
+	}
+
+	/**
+	 * Return what answers other nodes.
+	 * @return the service
+	 */
+	public PeerService peerService() {
+		return this.peerService;
+	}
+
+}
