--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
@@ -119,6 +119,72 @@
 		assertThat((double) admitted, lessThanOrEqualTo(bound));
 	}
 
+	/**
+	 * One account asks for six times its usual from a moment on, with prompts of up to a
+	 * seventh of its burst, nodes lend each other units, and one node starts again. The
+	 * figures are those of the users' sheets.
+	 */
+	@Property(tries = 200, seed = "20261204")
+	void nodesThatLendUnitsKeepTheQuotaOfAHotAccount(@ForAll @LongRange(max = 1_000_000) long seed) {
+		ClientAccount hot = new ClientAccount(ACCOUNT.name(), List.of("k"), OptionalInt.empty(),
+				new TokenQuota(196_000, 392_000, true, 200));
+		QuotaTolerance tolerance = new QuotaTolerance(0.1, 140_000, WINDOW_MILLIS);
+		SplittableRandom random = new SplittableRandom(seed);
+		int nodes = 9;
+		List<QuotaGate> gates = new ArrayList<>();
+		List<Fleet> fleets = new ArrayList<>();
+		for (int i = 0; i < nodes; i++) {
+			gates.add(new QuotaGate(tolerance, true));
+			fleets.add(new Fleet(nodes));
+		}
+		long hotFromMillis = random.nextInt(4_000);
+		long restartMillis = random.nextInt(8_000);
+		double[] admittedAt = new double[16_000 / 5];
+		for (int step = 0; step < admittedAt.length; step++) {
+			long now = step * 5L;
+			if (step == restartMillis / 5) {
+				QuotaGate restarted = new QuotaGate(tolerance, false);
+				restarted.resume(fleets.get(0).published, now);
+				gates.set(0, restarted);
+			}
+			if (now >= hotFromMillis || random.nextInt(6) == 0) {
+				long cost = (random.nextInt(5) == 0) ? 3_000 + random.nextInt(18_000) + random.nextInt(2) * 35_000L
+						: 300 + random.nextInt(2_500);
+				int node = random.nextInt(nodes);
+				admittedAt[step] = isAdmitted(gates, fleets, node, hot, cost, now) ? cost : 0;
+			}
+			exchange(gates, fleets, now);
+		}
+		double bound = (196_000 * WINDOW_MILLIS / 1_000 + 392_000) * 1.1 + 140_000;
+		assertThat(mostInAWindow(admittedAt), lessThanOrEqualTo(bound));
+	}
+
+	private static boolean isAdmitted(List<QuotaGate> gates, List<Fleet> fleets, int node, ClientAccount account,
+			long cost, long now) {
+		QuotaGate gate = gates.get(node);
+		QuotaVerdict verdict = gate.admit(account, cost, fleets.get(node), now);
+		if (verdict.isAdmitted()) {
+			return true;
+		}
+		for (QuotaGate lender : gates) {
+			if (lender != gate) {
+				gate.receive(account.name(), lender.lend(account, verdict.missingUnits(), now));
+			}
+		}
+		return gate.admitAgain(account, cost, fleets.get(node), now).isAdmitted();
+	}
+
+	private static double mostInAWindow(double[] admittedAt) {
+		int steps = (int) (WINDOW_MILLIS / 5);
+		double sum = 0;
+		double most = 0;
+		for (int step = 0; step < admittedAt.length; step++) {
+			sum += admittedAt[step] - ((step >= steps) ? admittedAt[step - steps] : 0);
+			most = Math.max(most, sum);
+		}
+		return most;
+	}
+
 	private static void exchange(List<QuotaGate> gates, List<Fleet> fleets, long now) {
 		for (int i = 0; i < gates.size(); i++) {
 			if (Math.floorMod(now - i * 225, 2_000) == 0) {
--- /dev/null
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
@@ -0,0 +1,90 @@
+package io.flamingogap.core.servers;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+import io.flamingogap.core.node.Address;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Registrations that arrive late, repeated and out of order.
+ */
+class ServerTablePropertyTests {
+
+	private static final List<String> IDS = List.of("a", "b", "c");
+
+	/**
+	 * What a record says of a server.
+	 */
+	private enum State {
+
+		READY, DRAINING, ENDED
+
+	}
+
+	private static void deliver(ServerTable table, String id, State state, long revision) {
+		if (state == State.ENDED) {
+			table.unregister(id, revision, Long.MIN_VALUE, revision);
+		}
+		else {
+			table.register(new ServerEntry(id, "desk", new Address("10.0.0.1", 80), "z1", "v1", 4,
+					state == State.DRAINING, false, 1), revision);
+		}
+	}
+
+	@Property(tries = 10_000, seed = "20261204")
+	void newestRecordOfEachServerDecidesAndADrainingServerTakesNothing(@ForAll @LongRange(max = 1_000_000) long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		State[] log = new State[24];
+		String[] ids = new String[log.length];
+		for (int i = 0; i < log.length; i++) {
+			ids[i] = IDS.get(random.nextInt(IDS.size()));
+			log[i] = State.values()[random.nextInt(State.values().length)];
+		}
+		ServerTable table = new ServerTable();
+		Map<String, State> newest = new HashMap<>();
+		int read = 0;
+		while (read < log.length) {
+			if (read > 0 && random.nextInt(6) == 0) {
+				list(table, newest, read - 1);
+				continue;
+			}
+			deliver(table, ids[read], log[read], read);
+			newest.put(ids[read], log[read]);
+			if (random.nextInt(3) == 0) {
+				deliver(table, ids[read], log[read], read);
+			}
+			assertTakes(table, newest);
+			read++;
+		}
+	}
+
+	private static void list(ServerTable table, Map<String, State> newest, long revision) {
+		Set<String> listed = newest.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() != State.ENDED)
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		table.retain(listed, revision + 1, Long.MIN_VALUE, revision);
+	}
+
+	private static void assertTakes(ServerTable table, Map<String, State> newest) {
+		for (String id : IDS) {
+			Optional<KnownServer> known = table.find(id);
+			boolean takes = known.isPresent() && known.get().takesRequests();
+			assertThat(takes, is(newest.get(id) == State.READY));
+		}
+	}
+
+}
