--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
@@ -27,8 +27,9 @@
 		((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.OFF);
 		List<String> options = Arrays.asList(args).subList(1, args.length);
 		switch (args[0]) {
-			case "path" ->
-				new PathMeasure(options.get(0), options.get(1), options.get(2), Long.parseLong(options.get(3))).run();
+			case "path" -> new PathMeasure(PathKind.valueOf(options.get(0)), options.get(1), options.get(2),
+					options.get(3), Long.parseLong(options.get(4)))
+				.run();
 			case "keepalive" -> new KeepaliveMeasure().run();
 			case "once" -> new OnceMeasure().run();
 			case "handover" -> new HandoverMeasure().run();
--- /dev/null
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/PathKind.java
@@ -0,0 +1,78 @@
+package io.flamingogap.measure;
+
+import java.net.URI;
+import java.net.http.HttpRequest;
+
+/**
+ * The two request paths that the same load is sent through.
+ */
+enum PathKind {
+
+	/** The daemon, on the HTTP server and client of the JDK. */
+	DAEMON("daemon", "/v1/chat/completions", "/lots/17", "/services/desk/lots/17", "data: {") {
+		@Override
+		HttpRequest.Builder request(String uri, String id) {
+			return HttpRequest.newBuilder(URI.create(uri))
+				.header("Authorization", "Bearer local-account-key")
+				.header("X-Request-Id", id);
+		}
+	},
+
+	/** The gateway, on Netty, with the adapter to the users' platform. */
+	GATEWAY("gateway", "/stream/lots", "/look/17", "/look/17", "data: ") {
+		@Override
+		HttpRequest.Builder request(String uri, String id) {
+			return HttpRequest.newBuilder(URI.create(uri))
+				.header("Authorization", "Bearer local-account-key")
+				.header("Attempt-Id", id)
+				.header("Deadline-Ms", "15000");
+		}
+	};
+
+	private final String title;
+
+	private final String streamPath;
+
+	private final String directLookupPath;
+
+	private final String lookupPath;
+
+	private final String eventStart;
+
+	PathKind(String title, String streamPath, String directLookupPath, String lookupPath, String eventStart) {
+		this.title = title;
+		this.streamPath = streamPath;
+		this.directLookupPath = directLookupPath;
+		this.lookupPath = lookupPath;
+		this.eventStart = eventStart;
+	}
+
+	/**
+	 * Begin a request with what its receiver wants to know of the caller.
+	 * @param uri where to
+	 * @param id the id of the request
+	 * @return the request
+	 */
+	abstract HttpRequest.Builder request(String uri, String id);
+
+	String title() {
+		return this.title;
+	}
+
+	String streamUri(String address) {
+		return "http://" + address + this.streamPath;
+	}
+
+	String directLookupUri(String address) {
+		return "http://" + address + this.directLookupPath;
+	}
+
+	String lookupUri(String address) {
+		return "http://" + address + this.lookupPath;
+	}
+
+	boolean isEvent(String line) {
+		return line.startsWith(this.eventStart);
+	}
+
+}
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/PathMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/PathMeasure.java
@@ -1,7 +1,6 @@
 package io.flamingogap.measure;
 
 import java.io.IOException;
-import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -12,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
 import org.HdrHistogram.Histogram;
@@ -52,6 +52,10 @@
 
 	private final ExecutorService executor = Executors.newCachedThreadPool();
 
+	private final AtomicLong requests = new AtomicLong();
+
+	private final PathKind kind;
+
 	private final String node;
 
 	private final String engine;
@@ -60,7 +64,8 @@
 
 	private final long nodePid;
 
-	PathMeasure(String node, String engine, String service, long nodePid) {
+	PathMeasure(PathKind kind, String node, String engine, String service, long nodePid) {
+		this.kind = kind;
 		this.node = node;
 		this.engine = engine;
 		this.service = service;
@@ -74,8 +79,8 @@
 	}
 
 	private void measureStreams() throws Exception {
-		Streams direct = new Streams("http://" + this.engine + "/v1/chat/completions");
-		Streams through = new Streams("http://" + this.node + "/v1/chat/completions");
+		Streams direct = new Streams(this.kind.streamUri(this.engine));
+		Streams through = new Streams(this.kind.streamUri(this.node));
 		direct.round(Report.histogram(), Report.histogram());
 		through.round(Report.histogram(), Report.histogram());
 		for (int round = 0; round < ROUNDS; round++) {
@@ -84,8 +89,8 @@
 			through.round(through.first, through.gaps);
 			through.cpuMillis += ProcessUsage.of(this.nodePid).cpuMillis() - before.cpuMillis();
 		}
-		Report.title("streams: " + STREAMS + " open at once, " + TOKENS + " tokens each, " + ROUNDS + " rounds of "
-				+ STREAMS_A_ROUND);
+		Report.title(this.kind.title() + ", streams: " + STREAMS + " open at once, " + TOKENS + " tokens each, "
+				+ ROUNDS + " rounds of " + STREAMS_A_ROUND);
 		Report.percentiles("first token, direct", direct.first);
 		Report.percentiles("first token, through node", through.first);
 		ratios(direct.first, through.first);
@@ -112,14 +117,15 @@
 		Histogram direct = Report.histogram();
 		Histogram through = Report.histogram();
 		for (int i = 0; i < WARM_UPS; i++) {
-			lookups("http://" + this.service + "/lots/17", Report.histogram());
-			lookups("http://" + this.node + "/services/desk/lots/17", Report.histogram());
+			lookups(this.kind.directLookupUri(this.service), Report.histogram());
+			lookups(this.kind.lookupUri(this.node), Report.histogram());
 		}
-		lookups("http://" + this.service + "/lots/17", direct);
+		lookups(this.kind.directLookupUri(this.service), direct);
 		ProcessUsage before = ProcessUsage.of(this.nodePid);
-		int failures = lookups("http://" + this.node + "/services/desk/lots/17", through);
+		int failures = lookups(this.kind.lookupUri(this.node), through);
 		ProcessUsage after = ProcessUsage.of(this.nodePid);
-		Report.title("lookups: open loop, " + REQUESTS_PER_SECOND + " a second for " + LOAD_SECONDS + " s");
+		Report.title(this.kind.title() + ", lookups: open loop, " + REQUESTS_PER_SECOND + " a second for "
+				+ LOAD_SECONDS + " s");
 		Report.percentiles("lookup, direct", direct);
 		Report.percentiles("lookup, through node", through);
 		ratios(direct, through);
@@ -153,7 +159,7 @@
 	}
 
 	private Callable<Boolean> lookup(String uri, long dueNanos, Histogram micros) {
-		HttpRequest request = authorised(uri).GET().build();
+		HttpRequest request = request(uri).GET().build();
 		return () -> {
 			HttpResponse<String> response = this.client.send(request, HttpResponse.BodyHandlers.ofString());
 			long tookMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanos);
@@ -164,8 +170,8 @@
 		};
 	}
 
-	private static HttpRequest.Builder authorised(String uri) {
-		return HttpRequest.newBuilder(URI.create(uri)).header("Authorization", "Bearer local-account-key");
+	private HttpRequest.Builder request(String uri) {
+		return this.kind.request(uri, "measured-" + this.requests.incrementAndGet());
 	}
 
 	/**
@@ -205,15 +211,13 @@
 				throws IOException, InterruptedException {
 			String body = "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":" + TOKENS
 					+ ",\"messages\":[{\"role\":\"user\",\"content\":\"lot " + number + "\"}]}";
-			HttpRequest request = authorised(this.uri).header("X-Request-Id", "direct-" + number)
-				.POST(HttpRequest.BodyPublishers.ofString(body))
-				.build();
+			HttpRequest request = request(this.uri).POST(HttpRequest.BodyPublishers.ofString(body)).build();
 			long[] lastNanos = { System.nanoTime() };
 			int[] tokens = new int[1];
 			HttpResponse<Stream<String>> response = PathMeasure.this.client.send(request,
 					HttpResponse.BodyHandlers.ofLines());
 			try (Stream<String> lines = response.body()) {
-				lines.filter((line) -> line.startsWith("data: {")).forEach((line) -> {
+				lines.filter(PathMeasure.this.kind::isEvent).forEach((line) -> {
 					long nowNanos = System.nanoTime();
 					record((tokens[0]++ == 0) ? firstMicros : gapMicros, nowNanos - lastNanos[0]);
 					lastNanos[0] = nowNanos;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
@@ -1,10 +1,13 @@
 package io.flamingogap.testkit;
 
+import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 
 import io.flamingogap.testkit.backends.FakeEngine;
 import io.flamingogap.testkit.backends.FakePlainService;
 import io.flamingogap.testkit.check.LocalCheck;
+import io.flamingogap.testkit.metadata.UsersPlatform;
 import io.flamingogap.testkit.net.FreePorts;
 import io.flamingogap.testkit.platform.FakeCloud;
 import io.flamingogap.testkit.platform.FakeLog;
@@ -15,7 +18,9 @@
 public final class TestkitMain {
 
 	private static final String USAGE = "usage: log PORT | cloud PORT | engine PORT FIRST_TOKEN_MILLIS TOKEN_GAP_MILLIS"
-			+ " | service PORT ANSWER_MILLIS | ports COUNT | check OPTIONS";
+			+ " | service PORT ANSWER_MILLIS"
+			+ " | users-platform BACKEND_PORT SETTINGS_FILE CALLER_PORT READINESS_PORT DIRECTORY_PORT NODE_PORT"
+			+ " | ports COUNT | check OPTIONS";
 
 	private TestkitMain() {
 	}
@@ -36,6 +41,8 @@
 			case "engine" -> report("engine",
 					new FakeEngine(port(args), Long.parseLong(args[2]), Long.parseLong(args[3])).address());
 			case "service" -> report("service", new FakePlainService(port(args), Long.parseLong(args[2])).address());
+			case "users-platform" -> new UsersPlatform(port(args)).writeSettings(Path.of(args[2]),
+					Stream.of(args).skip(3).map(Integer::valueOf).toList());
 			case "ports" -> FreePorts.take(Integer.parseInt(args[1])).forEach(System.out::println);
 			case "check" -> System.exit(LocalCheck.run(List.of(args).subList(1, args.length)));
 			default -> {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -31,7 +31,7 @@
 
 	private static final long HANG_MILLIS = 60_000;
 
-	private static final int EVENTS = 3;
+	private static final int USUAL_EVENTS = 3;
 
 	private final ServerSocket listener;
 
@@ -45,14 +45,26 @@
 
 	private volatile ServerBehaviour behaviour = ServerBehaviour.ANSWER;
 
+	private volatile int events = USUAL_EVENTS;
+
+	private volatile long firstEventMillis;
+
 	private volatile long eventMillis;
 
 	/**
 	 * Start a server on a free port.
 	 */
 	public FakeBackendServer() {
+		this(0);
+	}
+
+	/**
+	 * Start a server.
+	 * @param port the port, 0 for a free one
+	 */
+	public FakeBackendServer(int port) {
 		try {
-			this.listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+			this.listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -64,6 +76,7 @@
 		while (!this.listener.isClosed()) {
 			try {
 				Socket socket = this.listener.accept();
+				socket.setTcpNoDelay(true);
 				this.open.add(socket);
 				this.executor.execute(() -> serve(socket));
 			}
@@ -148,7 +161,8 @@
 		String last = request.header("last-event-id");
 		int from = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
 		write(out, head("200 OK", attempt) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-		for (int id = from; id <= EVENTS; id++) {
+		sleep(this.firstEventMillis);
+		for (int id = from; id <= this.events; id++) {
 			String event = "id: " + id + "\ndata: piece " + id + "\n\n";
 			if (this.behaviour == ServerBehaviour.BREAK_OFF && id == 2) {
 				write(out, Integer.toHexString(event.length()) + "\r\n" + event.substring(0, 7));
@@ -192,6 +206,16 @@
 		this.behaviour = newBehaviour;
 	}
 
+	/**
+	 * Change how long streams are.
+	 * @param number the events of a stream
+	 * @param firstMillis the time until the first one, in milliseconds
+	 */
+	public void setEvents(int number, long firstMillis) {
+		this.events = number;
+		this.firstEventMillis = firstMillis;
+	}
+
 	/**
 	 * Change the pause between events.
 	 * @param millis the pause in milliseconds
