--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
@@ -156,39 +156,8 @@
 	}
 
 	String manifest() {
-		StringBuilder text = new StringBuilder();
-		for (int i = 0; i < this.daemons.size(); i++) {
-			text.append("[[zone]]\nname = \"zone-%d\"\nregion = \"cariri\"\n".formatted(i));
-		}
-		text.append("""
-				[[service]]
-				name = "assistant"
-				kind = "model"
-				version = "v1"
-				targetMillis = 500
-				tokenGapMillis = 300
-				[[service]]
-				name = "desk"
-				kind = "plain"
-				version = "v1"
-				targetMillis = 500
-				[[service.routes]]
-				method = "GET"
-				path = "/lots"
-				repeatable = true
-				[[service.routes]]
-				method = "POST"
-				path = "/bookings"
-				repeatable = false
-				""");
-		for (int i = 0; i < ENGINES; i++) {
-			text.append(server("engine-" + i, "assistant", this.engineLinks.get(i).address()));
-		}
-		text.append(server("desk-0", "desk", this.deskLink.address()));
-		text.append("[[account]]\nname = \"buyers\"\nkeyDigest = \"%s\"\n".formatted(Digests.sha256(ACCOUNT_KEY)));
-		text.append("[[operator]]\nname = \"release-pipeline\"\nkeyDigest = \"%s\"\n"
-			.formatted(Digests.sha256(OPERATOR_KEY)));
-		return text.toString();
+		return FleetManifest.of(this.daemons.size(), this.engineLinks.stream().map(FaultyLink::address).toList(),
+				this.deskLink.address());
 	}
 
 	/**
@@ -198,19 +167,7 @@
 	 * @return the manifest
 	 */
 	String manifestWithRollout(String candidateAddress, long lengthSeconds) {
-		long nowSeconds = System.currentTimeMillis() / 1_000;
-		return manifest() + server("desk-1", "desk", candidateAddress).replace("\"v1\"", "\"v2\"") + """
-				[[rollout]]
-				service = "desk"
-				candidate = "v2"
-				startsAtEpochSeconds = %d
-				deadlineEpochSeconds = %d
-				""".formatted(nowSeconds, nowSeconds + lengthSeconds);
-	}
-
-	private static String server(String name, String service, String address) {
-		return "[[server]]\nname = \"%s\"\nservice = \"%s\"\nversion = \"v1\"\nzone = \"zone-0\"\naddress = \"%s\"\n"
-			.formatted(name, service, address);
+		return manifest() + FleetManifest.rollout(candidateAddress, System.currentTimeMillis() / 1_000, lengthSeconds);
 	}
 
 	/**
