Forward the calls of the store in one class, and move refusals out of the ledger

Three classes and a test passed on the calls that they don't change, word for word; ForwardingStore does. The fallback of a zone's reports has a log line, failures of the store are logged without their wrapping, and the wire's page says what the waiting time of an append is.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
@@ -1,6 +1,8 @@
 package io.flamingogap.core.request;
 
 import io.flamingogap.core.error.Failure;
+import io.flamingogap.core.error.ProblemType;
+import io.flamingogap.core.error.Step;
 import io.flamingogap.core.node.NodeId;
 
 /**
@@ -38,6 +40,40 @@
 	 * @param failure why
 	 */
 	record Refuse(Failure failure) implements Admission {
+
+		private static final String CALLER = "caller";
+
+		static Refuse keyOfAnotherRequest() {
+			return new Refuse(Failure.notRun(ProblemType.KEY_REUSED, Step.ADMIT, CALLER,
+					"the key belongs to another request; this attempt was not run"));
+		}
+
+		static Refuse outcomeUnknown() {
+			return new Refuse(Failure.outcomeUnknown(Step.DISPATCH, "backend server",
+					"an earlier attempt may have been executed; it is not repeated"));
+		}
+
+		static Refuse givenUpBefore() {
+			return new Refuse(Failure.notRun(ProblemType.DEADLINE_EXCEEDED, Step.ADMIT, CALLER,
+					"the request under this key was given up before it was run; use a new key"));
+		}
+
+		/**
+		 * Refuse a key that may not begin a request at this time.
+		 * @param early whether it was issued in the future, rather than too long ago
+		 * @return the refusal
+		 */
+		static Refuse keyOutOfTime(boolean early) {
+			return new Refuse(Failure.notRun(ProblemType.KEY_EXPIRED, Step.ADMIT, CALLER,
+					"the prefix is " + (early ? "from the future" : "too old to begin a request")
+							+ "; this attempt was not run, an earlier attempt may have been"));
+		}
+
+		static Refuse ledgerFull(NodeId node, int keys, long bytes) {
+			return new Refuse(Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, node.toString(),
+					"the ledger is full: " + keys + " keys, " + bytes + " bytes"));
+		}
+
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -10,9 +10,6 @@
 
 import org.jspecify.annotations.Nullable;
 
-import io.flamingogap.core.error.Failure;
-import io.flamingogap.core.error.ProblemType;
-import io.flamingogap.core.error.Step;
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.request.KeySpace.Ownership;
 
@@ -65,8 +62,7 @@
 		}
 		LedgerEntry entry = space.get(key);
 		if (entry != null && !entry.isFor(request)) {
-			return new Admission.Refuse(Failure.notRun(ProblemType.KEY_REUSED, Step.ADMIT, "caller",
-					"the key belongs to another request; this attempt was not run"));
+			return Admission.Refuse.keyOfAnotherRequest();
 		}
 		if (entry != null && entry.state() == KeyState.DONE) {
 			return new Admission.Replay(Objects.requireNonNull(entry.answer(), "a done entry has an answer"));
@@ -80,10 +76,8 @@
 	private Admission admitAgain(LedgerEntry entry) {
 		return switch (entry.state()) {
 			case ACCEPTED, DISPATCHED -> new Admission.Join(entry);
-			case UNKNOWN -> new Admission.Refuse(Failure.outcomeUnknown(Step.DISPATCH, "backend server",
-					"an earlier attempt may have been executed; it is not repeated"));
-			case NOT_RUN -> new Admission.Refuse(Failure.notRun(ProblemType.DEADLINE_EXCEEDED, Step.ADMIT, "caller",
-					"the request under this key was given up before it was run; use a new key"));
+			case UNKNOWN -> Admission.Refuse.outcomeUnknown();
+			case NOT_RUN -> Admission.Refuse.givenUpBefore();
 			case DONE -> throw new IllegalStateException("done entries are replayed");
 		};
 	}
@@ -94,14 +88,11 @@
 		boolean late = issuedAtMillis + this.limits.firstUseMillis() < nowMillis
 				|| issuedAtMillis <= space.forgottenThroughMillis();
 		if (early || late) {
-			return new Admission.Refuse(Failure.notRun(ProblemType.KEY_EXPIRED, Step.ADMIT, "caller",
-					"the prefix is " + (early ? "from the future" : "too old to begin a request")
-							+ "; this attempt was not run, an earlier attempt may have been"));
+			return Admission.Refuse.keyOutOfTime(early);
 		}
 		forgetEnded(nowMillis, request.body().length);
 		if (isFull(request.body().length)) {
-			return new Admission.Refuse(Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, this.self.toString(),
-					"the ledger is full: " + size() + " keys, " + keptBytes() + " bytes"));
+			return Admission.Refuse.ledgerFull(this.self, size(), keptBytes());
 		}
 		LedgerEntry entry = LedgerEntry.accepted(request);
 		space.put(entry);
@@ -136,13 +127,7 @@
 	 * method
 	 */
 	public boolean startDispatch(RequestKey key) {
-		KeySpace space = this.spaces.get(key.issuer());
-		LedgerEntry entry = (space != null) ? space.get(key) : null;
-		if (entry == null || space.ownership() != Ownership.OWNED || entry.state() != KeyState.ACCEPTED) {
-			return false;
-		}
-		space.put(entry.dispatched(this.self));
-		return true;
+		return isOwner(key.issuer()) && replace(key, KeyState.ACCEPTED, (entry) -> entry.dispatched(this.self));
 	}
 
 	/**
@@ -177,21 +162,13 @@
 	 * @return {@code true} if the request will never be run
 	 */
 	public boolean giveUp(RequestKey key) {
-		KeySpace space = this.spaces.get(key.issuer());
-		if (space == null || space.ownership() != Ownership.OWNED) {
-			return false;
-		}
-		return replace(key, KeyState.ACCEPTED, (entry) -> entry.ended(KeyState.NOT_RUN));
+		return isOwner(key.issuer()) && replace(key, KeyState.ACCEPTED, (entry) -> entry.ended(KeyState.NOT_RUN));
 	}
 
 	private boolean replace(RequestKey key, KeyState expected, UnaryOperator<LedgerEntry> change) {
-		KeySpace space = this.spaces.get(key.issuer());
-		LedgerEntry entry = (space != null) ? space.get(key) : null;
-		if (entry == null || entry.state() != expected) {
-			return false;
-		}
-		space.put(change.apply(entry));
-		return true;
+		Optional<LedgerEntry> held = find(key).filter((entry) -> entry.state() == expected);
+		held.ifPresent((entry) -> this.spaces.get(key.issuer()).put(change.apply(entry)));
+		return held.isPresent();
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 
 import io.flamingogap.core.node.Address;
+import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
@@ -25,7 +26,7 @@
  * appends and the group go to the store itself only: a node that can't reach it holds no
  * duties.
  */
-public final class PeerBackedStore implements RecordStore {
+public final class PeerBackedStore extends ForwardingStore {
 
 	/**
 	 * Nodes that are asked, one after the other; more than half of the nodes may be
@@ -38,8 +39,6 @@
 
 	private final PeerCaller caller;
 
-	private final RecordStore store;
-
 	private final Supplier<List<Address>> peers;
 
 	private final LongSupplier steadyMillis;
@@ -57,8 +56,8 @@
 	 */
 	public PeerBackedStore(PeerCaller caller, RecordStore store, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
+		super(store);
 		this.caller = caller;
-		this.store = store;
 		this.peers = peers;
 		this.steadyMillis = steadyMillis;
 	}
@@ -66,7 +65,7 @@
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		PeerCall call = new PeerCall(StoreCall.READ, stream.name(), from, waitMillis);
-		return this.<Batch>orThroughPeers(() -> this.store.read(stream, from, waitMillis), call,
+		return this.<Batch>orThroughPeers(() -> super.read(stream, from, waitMillis), call,
 				(reply) -> new Batch(PeerCodec.read(reply), reply.getPosition(), false));
 	}
 
@@ -74,7 +73,7 @@
 	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
 		PeerCall call = new PeerCall(StoreCall.NEWEST, stream.name(), 0, 0);
 		after.ifPresent(call::setKey);
-		return this.<Page>orThroughPeers(() -> this.store.newest(stream, after), call,
+		return this.<Page>orThroughPeers(() -> super.newest(stream, after), call,
 				(reply) -> new Page(PeerCodec.read(reply), reply.isHasMore(), reply.getPosition()));
 	}
 
@@ -82,30 +81,15 @@
 	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
 			OptionalLong expectedEnd) {
 		if (expectedEnd.isPresent()) {
-			return this.store.append(stream, key, value, expectedEnd);
+			return super.append(stream, key, value, expectedEnd);
 		}
 		PeerCall call = new PeerCall(StoreCall.APPEND, stream.name(), 0, 0);
 		call.setKey(key);
 		value.ifPresent(call::setContent);
-		return this.<Long>orThroughPeers(() -> this.store.append(stream, key, value, expectedEnd), call,
+		return this.<Long>orThroughPeers(() -> super.append(stream, key, value, expectedEnd), call,
 				PeerReply::getPosition);
 	}
 
-	@Override
-	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
-		return this.store.appendAll(stream, records);
-	}
-
-	@Override
-	public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
-		return this.store.join(member, generation, ttlMillis);
-	}
-
-	@Override
-	public CompletableFuture<Void> leave(String member) {
-		return this.store.leave(member);
-	}
-
 	private <T> CompletableFuture<T> orThroughPeers(Supplier<CompletableFuture<T>> direct, PeerCall call,
 			Function<PeerReply, T> decoder) {
 		CompletableFuture<T> result = new CompletableFuture<>();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/SharedReads.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/SharedReads.java
@@ -4,14 +4,13 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 
+import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
@@ -23,18 +22,16 @@
  * the store itself is passed on, never what another node relayed, so nodes can't confirm
  * each other's stale records.
  */
-public final class SharedReads implements RecordStore {
+public final class SharedReads extends ForwardingStore {
 
 	/**
-	 * A node that follows a stream hears from the store at least this often: the time
-	 * that a read may wait, the longest pause of a follower, and half a second of margin.
+	 * A node that follows a stream hears from the store at least this often: the time of
+	 * 1 s that a read may wait, the longest pause of a follower of 0.9 s, and a margin.
 	 */
 	private static final long FRESH_MILLIS = 2_500;
 
 	private final EventLoop loop;
 
-	private final RecordStore store;
-
 	private final LongSupplier steadyMillis;
 
 	private final Map<StoreStream, RecentRecords> recent = new EnumMap<>(StoreStream.class);
@@ -48,8 +45,8 @@
 	 * @param steadyMillis tells the present time
 	 */
 	public SharedReads(EventLoop loop, RecordStore store, LongSupplier steadyMillis) {
+		super(store);
 		this.loop = loop;
-		this.store = store;
 		this.steadyMillis = steadyMillis;
 		for (StoreStream stream : StoreStream.values()) {
 			this.recent.put(stream, new RecentRecords());
@@ -59,7 +56,7 @@
 
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-		return this.store.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
+		return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
 			RecentRecords records = this.recent.get(stream);
 			if (failure != null) {
 				records.invalidate();
@@ -83,7 +80,7 @@
 	public CompletableFuture<Batch> readForPeer(StoreStream stream, long from, long waitMillis) {
 		RecentRecords records = this.recent.get(stream);
 		if (!records.isFresh(this.steadyMillis.getAsLong(), FRESH_MILLIS) || !records.covers(from)) {
-			return this.store.read(stream, from, waitMillis);
+			return super.read(stream, from, waitMillis);
 		}
 		Batch ready = records.from(from);
 		if (!ready.records().isEmpty() || waitMillis <= 0) {
@@ -115,32 +112,6 @@
 		}
 	}
 
-	@Override
-	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
-		return this.store.newest(stream, after);
-	}
-
-	@Override
-	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
-			OptionalLong expectedEnd) {
-		return this.store.append(stream, key, value, expectedEnd);
-	}
-
-	@Override
-	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
-		return this.store.appendAll(stream, records);
-	}
-
-	@Override
-	public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
-		return this.store.join(member, generation, ttlMillis);
-	}
-
-	@Override
-	public CompletableFuture<Void> leave(String member) {
-		return this.store.leave(member);
-	}
-
 	private record Waiting(long from, CompletableFuture<Batch> result) {
 
 		private void fail(String reason) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneBackedStore.java
@@ -1,6 +1,5 @@
 package io.flamingogap.gateway.peers;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +9,7 @@
 import com.google.common.flogger.FluentLogger;
 
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
@@ -23,14 +23,12 @@
  * store are dear and bytes within a zone are free. A node whose relay fails calls the
  * store itself.
  */
-public final class ZoneBackedStore implements RecordStore, ReportSink {
+public final class ZoneBackedStore extends ForwardingStore implements ReportSink {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	private final PeerCaller caller;
 
-	private final RecordStore store;
-
 	private final ZoneRelay relay;
 
 	private final ReportBatch batch;
@@ -43,8 +41,8 @@
 	 * @param batch collects reports if this node is the relay
 	 */
 	public ZoneBackedStore(PeerCaller caller, RecordStore store, ZoneRelay relay, ReportBatch batch) {
+		super(store);
 		this.caller = caller;
-		this.store = store;
 		this.relay = relay;
 		this.batch = batch;
 	}
@@ -53,7 +51,7 @@
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		return throughRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
 				(reply) -> new Batch(PeerCodec.read(reply), reply.getPosition(), true),
-				() -> this.store.read(stream, from, waitMillis), () -> this.store.read(stream, from, 0));
+				() -> super.read(stream, from, waitMillis), () -> super.read(stream, from, 0));
 	}
 
 	@Override
@@ -61,10 +59,15 @@
 		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatch.COLLECT_MILLIS);
 		call.setKey(key);
 		call.setContent(value);
-		Supplier<CompletableFuture<Long>> alone = () -> this.store.append(StoreStream.NODES, key, Optional.of(value),
+		Supplier<CompletableFuture<Long>> alone = () -> super.append(StoreStream.NODES, key, Optional.of(value),
 				OptionalLong.empty());
 		return throughRelay(call, PeerReply::getPosition,
-				() -> this.batch.offer(key, value).exceptionallyCompose((failure) -> alone.get()), alone);
+				() -> this.batch.offer(key, value).exceptionallyCompose((failure) -> {
+					logger.atInfo()
+						.log("%s", LogLine.of("zone's reports not appended together")
+							.with("reason", StoreException.of(failure).getMessage()));
+					return alone.get();
+				}), alone);
 	}
 
 	/**
@@ -95,35 +98,9 @@
 						LogLine.of("relay left")
 							.with("peer", through.get().node())
 							.with("stream", call.getStreamName())
-							.with("reason", String.valueOf(failure.getMessage())));
+							.with("reason", StoreException.of(failure).getMessage()));
 			return alone.get();
 		}).thenCompose(Function.identity());
 	}
 
-	@Override
-	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
-		return this.store.newest(stream, after);
-	}
-
-	@Override
-	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
-			OptionalLong expectedEnd) {
-		return this.store.append(stream, key, value, expectedEnd);
-	}
-
-	@Override
-	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
-		return this.store.appendAll(stream, records);
-	}
-
-	@Override
-	public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
-		return this.store.join(member, generation, ttlMillis);
-	}
-
-	@Override
-	public CompletableFuture<Void> leave(String member) {
-		return this.store.leave(member);
-	}
-
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -17,6 +16,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 
+import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
 import io.flamingogap.gateway.store.RecordStore;
@@ -106,7 +106,7 @@
 	}
 
 	/** Reads through the other node while it answers, otherwise from the store. */
-	private static final class Relayed extends Delegating {
+	private static final class Relayed extends ForwardingStore {
 
 		private final FaultyStore store;
 
@@ -129,49 +129,8 @@
 
 	}
 
-	private abstract static class Delegating implements RecordStore {
-
-		private final RecordStore store;
-
-		private Delegating(RecordStore store) {
-			this.store = store;
-		}
-
-		@Override
-		public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-			return this.store.read(stream, from, waitMillis);
-		}
-
-		@Override
-		public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
-			return this.store.newest(stream, after);
-		}
-
-		@Override
-		public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
-				OptionalLong expectedEnd) {
-			return this.store.append(stream, key, value, expectedEnd);
-		}
-
-		@Override
-		public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
-			return this.store.appendAll(stream, records);
-		}
-
-		@Override
-		public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
-			return this.store.join(member, generation, ttlMillis);
-		}
-
-		@Override
-		public CompletableFuture<Void> leave(String member) {
-			return this.store.leave(member);
-		}
-
-	}
-
 	/** One stream in memory. Reads that find nothing wait for the time they allow. */
-	private final class FaultyStore extends Delegating {
+	private final class FaultyStore extends ForwardingStore {
 
 		private final TreeMap<Long, StoredRecord> records = new TreeMap<>();
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
@@ -43,7 +43,7 @@
      */
     FROM_OFFSET((short)3, "fromOffset"),
     /**
-     * READ: how long to wait for a record.
+     * READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none.
      */
     WAIT_MILLIS((short)4, "waitMillis"),
     /**
@@ -291,14 +291,14 @@
   }
 
   /**
-   * READ: how long to wait for a record.
+   * READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none.
    */
   public long getWaitMillis() {
     return this.waitMillis;
   }
 
   /**
-   * READ: how long to wait for a record.
+   * READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none.
    */
   public PeerCall setWaitMillis(long waitMillis) {
     this.waitMillis = waitMillis;
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -23,7 +23,7 @@
   2: required string streamName
   /** READ: the first offset to read. */
   3: required i64 fromOffset
-  /** READ: how long to wait for a record. */
+  /** READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none. */
   4: required i64 waitMillis
   /** NEWEST: the last key of the page before. APPEND: the key. */
   5: optional string key
