--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
@@ -14,7 +14,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import io.flamingogap.core.manifest.ManifestReader;
-import io.flamingogap.core.toml.Fault;
+import io.flamingogap.core.toml.ValidationError;
 
 /**
  * The commands, each of which returns the result to print.
@@ -76,10 +76,10 @@
 		catch (IOException ex) {
 			throw new CliException(ExitStatus.USAGE, "can't read " + ex.getMessage());
 		}
-		List<Fault> faults = ManifestReader.read(text).fold((found) -> found, (manifest) -> List.of());
+		List<ValidationError> faults = ManifestReader.read(text).fold((found) -> found, (manifest) -> List.of());
 		if (!faults.isEmpty()) {
 			throw new CliException(ExitStatus.USAGE, file + " has " + faults.size() + " faults:\n  "
-					+ String.join("\n  ", faults.stream().map(Fault::toString).toList()));
+					+ String.join("\n  ", faults.stream().map(ValidationError::toString).toList()));
 		}
 		return text;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
@@ -71,7 +71,7 @@
 	 * @param nowMillis the present time
 	 * @return {@code true} if that keeps the bounds of the route
 	 */
-	public boolean mayTryAnother(long nowMillis) {
+	public boolean mayTryAnotherServer(long nowMillis) {
 		if (nowMillis >= this.deadlineMillis || this.dispatches >= MAX_DISPATCHES) {
 			return false;
 		}
@@ -82,7 +82,7 @@
 	 * Return whether a further dispatch counts as a retry at the service.
 	 * @return {@code true} if the request may have reached a server
 	 */
-	public boolean isNextARetry() {
+	public boolean isNextDispatchRetry() {
 		return this.reachedServer;
 	}
 
@@ -124,7 +124,7 @@
 	 * @param nowMillis the present time
 	 * @return the time in milliseconds, at least 0
 	 */
-	public long leftMillis(long nowMillis) {
+	public long remainingMillis(long nowMillis) {
 		return Math.max(0, this.deadlineMillis - nowMillis);
 	}
 
@@ -133,7 +133,7 @@
 	 * @param nowMillis the present time
 	 * @return the time in milliseconds
 	 */
-	public long ageMillis(long nowMillis) {
+	public long elapsedMillis(long nowMillis) {
 		return nowMillis - this.startedAtMillis;
 	}
 
@@ -141,7 +141,7 @@
 	 * Return the number of dispatches so far.
 	 * @return the number
 	 */
-	public int dispatches() {
+	public int dispatchCount() {
 		return this.dispatches;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
@@ -13,7 +13,7 @@
 import io.flamingogap.core.manifest.ManifestReader;
 import io.flamingogap.core.manifest.Operator;
 import io.flamingogap.core.text.Digests;
-import io.flamingogap.core.toml.Fault;
+import io.flamingogap.core.toml.ValidationError;
 
 /**
  * The configuration decided by the records of the stream up to an offset. Every node that
@@ -154,7 +154,7 @@
 		return this.manifest.operator().stream().map(Operator::name).anyMatch(operator::equals);
 	}
 
-	private static String describe(List<Fault> faults) {
+	private static String describe(List<ValidationError> faults) {
 		return faults.size() + " faults, first " + faults.get(0);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -45,7 +45,7 @@
 	 */
 	public void recordMembership(boolean holds, long askedAtMillis) {
 		if (!holds) {
-			lose();
+			recordLost();
 			return;
 		}
 		if (!this.held || askedAtMillis - this.confirmedAtMillis > this.confirmMillis) {
@@ -58,7 +58,7 @@
 	/**
 	 * End the term: another node holds the duties, or this one can't be sure.
 	 */
-	public void lose() {
+	public void recordLost() {
 		this.held = false;
 		this.fencingToken = OptionalLong.empty();
 	}
@@ -97,7 +97,7 @@
 	 * Record that the node acts as the holder.
 	 * @param nowMillis the present time
 	 */
-	public void recordActed(long nowMillis) {
+	public void recordAction(long nowMillis) {
 		this.actedAtMillis = nowMillis;
 	}
 
@@ -106,7 +106,7 @@
 	 * @param nowMillis the present time
 	 * @return the token, if the node may act
 	 */
-	public OptionalLong tokenToActWith(long nowMillis) {
+	public OptionalLong validToken(long nowMillis) {
 		return isHeld(nowMillis) ? this.fencingToken : OptionalLong.empty();
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/UsageCounts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/UsageCounts.java
@@ -49,7 +49,7 @@
 	 * @param window the number of the window
 	 * @return requests by account
 	 */
-	public Map<String, Long> of(long window) {
+	public Map<String, Long> countsOf(long window) {
 		return Map.copyOf(this.windows.getOrDefault(window, Map.of()));
 	}
 
@@ -58,7 +58,7 @@
 	 * @param most the most windows to return
 	 * @return requests by window and account
 	 */
-	public Map<Long, Map<String, Long>> newest(int most) {
+	public Map<Long, Map<String, Long>> newestWindows(int most) {
 		Map<Long, Map<String, Long>> newest = new TreeMap<>();
 		this.windows.descendingMap()
 			.entrySet()
--- a/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryPoint.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryEndpoint.java
@@ -9,5 +9,5 @@
  * @param zone the availability zone of the node
  * @param keyPrefix what idempotency keys for this node begin with
  */
-public record EntryPoint(Address address, String zone, String keyPrefix) {
+public record EntryEndpoint(Address address, String zone, String keyPrefix) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryDirectory.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryNodeSelector.java
@@ -12,9 +12,9 @@
 /**
  * Chooses the entry nodes that a caller is told to use.
  */
-public final class EntryDirectory {
+public final class EntryNodeSelector {
 
-	private EntryDirectory() {
+	private EntryNodeSelector() {
 	}
 
 	/**
@@ -26,7 +26,7 @@
 	 * @param nowMillis the present time, which becomes the issue time of the prefixes
 	 * @return the nodes, in the order in which the caller should try them
 	 */
-	public static List<EntryPoint> choose(List<Member> members, long ticket, int count, long nowMillis) {
+	public static List<EntryEndpoint> choose(List<Member> members, long ticket, int count, long nowMillis) {
 		Map<String, List<Member>> byZone = new LinkedHashMap<>();
 		members.stream()
 			.filter(Member::isServing)
@@ -51,8 +51,8 @@
 		return turns;
 	}
 
-	private static EntryPoint point(Member member, long nowMillis) {
-		return new EntryPoint(member.callerAddress(), member.zone(), RequestKey.prefix(member.node(), nowMillis));
+	private static EntryEndpoint point(Member member, long nowMillis) {
+		return new EntryEndpoint(member.callerAddress(), member.zone(), RequestKey.prefix(member.node(), nowMillis));
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetPlanner.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
@@ -12,7 +12,7 @@
  * Plans the servers of a service: reclaimable ones in every zone, so many that the loss
  * of a zone leaves enough, and full-price ones for what reclaimable ones can't cover.
  */
-public final class FleetPlanner {
+public final class CapacityPlanner {
 
 	/** Prompt tokens that an engine reads in a second, from the users' sheets. */
 	private static final double PROMPT_TOKENS_PER_SECOND = 66_200;
@@ -29,7 +29,7 @@
 	/** Full-price servers that stay, for the time when all reclaimable ones are taken. */
 	private static final int FULL_PRICE_FLOOR = 2;
 
-	private FleetPlanner() {
+	private CapacityPlanner() {
 	}
 
 	/**
@@ -56,7 +56,7 @@
 	 * @return the plan, for each zone and kind; nothing for reclaimable servers in dry
 	 * zones
 	 */
-	public static List<ServerPlan> plan(String service, ScaleBounds bounds, FleetNeed need, FleetStock stock) {
+	public static List<ServerPlan> plan(String service, ScaleBounds bounds, DesiredCapacity need, ServerSupply stock) {
 		List<String> zones = new ArrayList<>(bounds.zonePrices().keySet());
 		zones.sort(Comparator.comparingDouble((String zone) -> bounds.zonePrices().get(zone))
 			.thenComparing(Comparator.naturalOrder()));
@@ -87,12 +87,12 @@
 	 * @param stock the reclaimable servers that are there
 	 * @return the number, over all zones
 	 */
-	public static int fullPriceServers(ScaleBounds bounds, FleetNeed need, FleetStock stock) {
+	public static int fullPriceServers(ScaleBounds bounds, DesiredCapacity need, ServerSupply stock) {
 		return Math.max(FULL_PRICE_FLOOR, need.present() - stock.lasting(bounds.zonePrices().keySet()));
 	}
 
 	private static Map<String, Integer> planReclaimable(List<String> zones, ScaleBounds bounds, int need,
-			FleetStock stock) {
+			ServerSupply stock) {
 		List<String> open = zones.stream().filter((zone) -> !stock.dryZones().contains(zone)).toList();
 		int perZone = reclaimablePerZone(bounds, need, open.size());
 		Map<String, Integer> planned = new HashMap<>();
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NeedTrend.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
@@ -5,7 +5,7 @@
  * <p>
  * Not safe for use by several threads.
  */
-public final class NeedTrend {
+public final class CapacityStabilizer {
 
 	/**
 	 * What a service starts with, before its demand is known: the load of a busy day.
@@ -27,7 +27,7 @@
 	 * Create a trend without figures.
 	 * @param idle whether it is known that nobody asks yet
 	 */
-	public NeedTrend(boolean idle) {
+	public CapacityStabilizer(boolean idle) {
 		this.asked = !idle;
 	}
 
@@ -39,9 +39,9 @@
 	 * @param nowMillis the present time
 	 * @return the need
 	 */
-	public FleetNeed follow(double promptTokensPerSecond, double openRequests, int slots, long nowMillis) {
+	public DesiredCapacity update(double promptTokensPerSecond, double openRequests, int slots, long nowMillis) {
 		this.asked |= promptTokensPerSecond > 0 || openRequests > 0;
-		int wanted = FleetPlanner.need(promptTokensPerSecond, openRequests, slots);
+		int wanted = CapacityPlanner.need(promptTokensPerSecond, openRequests, slots);
 		if (!this.started || wanted >= this.planned) {
 			this.started = true;
 			this.planned = Math.max(wanted, this.planned);
@@ -51,7 +51,7 @@
 			this.planned--;
 			this.lowerSinceMillis = nowMillis;
 		}
-		return new FleetNeed(this.planned, this.asked ? this.planned : 0);
+		return new DesiredCapacity(this.planned, this.asked ? this.planned : 0);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetNeed.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/DesiredCapacity.java
@@ -7,9 +7,9 @@
  * and falls late
  * @param present what must be covered by servers of any kind; 0 while nobody asks
  */
-public record FleetNeed(int planned, int present) {
+public record DesiredCapacity(int planned, int present) {
 
-	public FleetNeed {
+	public DesiredCapacity {
 		if (planned < 0 || present < 0) {
 			throw new IllegalArgumentException(
 					"planned and present must not be negative but were " + planned + " and " + present);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
@@ -49,7 +49,7 @@
 	 * @param steadyMillis the present time by a clock that never jumps
 	 * @return milliseconds since 1970 UTC
 	 */
-	public long trueMillis(long timeOfDayMillis, long steadyMillis) {
+	public long correctedTimeOfDayMillis(long timeOfDayMillis, long steadyMillis) {
 		if (this.offsets.size() < MIN_CLOCKS) {
 			return timeOfDayMillis;
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -96,7 +96,7 @@
 	 * Return the reports of the other nodes that were heard lately.
 	 * @return the reports
 	 */
-	public Collection<NodeReport> reports() {
+	public Collection<NodeReport> recentReports() {
 		return heard();
 	}
 
@@ -106,7 +106,7 @@
 	 * @param own this node's report
 	 * @return the serving nodes of the zone if there are at least two, otherwise all
 	 */
-	public List<Address> addressesFor(String zone, NodeReport own) {
+	public List<Address> callerAddressesFor(String zone, NodeReport own) {
 		List<NodeReport> serving = new ArrayList<>(heard());
 		serving.add(own);
 		serving.removeIf((report) -> !report.serving());
@@ -122,7 +122,7 @@
 	 * @param removedMillis how long that is
 	 * @return the names
 	 */
-	public List<String> silentFor(long removedMillis) {
+	public List<String> nodesSilentLongerThan(long removedMillis) {
 		return this.byName.entrySet()
 			.stream()
 			.filter((entry) -> this.nowMillis - entry.getValue().atMillis > removedMillis)
@@ -135,7 +135,7 @@
 	 * @param sinceMillis the time
 	 * @return {@code true} if no report is older
 	 */
-	public boolean heardAllSince(long sinceMillis) {
+	public boolean allReportedSince(long sinceMillis) {
 		return this.byName.values().stream().allMatch((heard) -> heard.atMillis >= sinceMillis);
 	}
 
@@ -145,10 +145,10 @@
 	 * @param own the counts of this run
 	 * @return requests by account
 	 */
-	public Map<String, Long> usageOf(long window, UsageCounts own) {
-		Map<String, Long> sum = new HashMap<>(own.of(window));
+	public Map<String, Long> usageInWindow(long window, UsageCounts own) {
+		Map<String, Long> sum = new HashMap<>(own.countsOf(window));
 		this.usage.values()
-			.forEach((counts) -> counts.of(window)
+			.forEach((counts) -> counts.countsOf(window)
 				.forEach((account, requests) -> sum.merge(account, requests, Long::sum)));
 		return sum;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetStock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerSupply.java
@@ -14,10 +14,10 @@
  * @param fullPriceLimits the most full-price servers that a zone can have at the moment,
  * for the zones where no more are to be had
  */
-public record FleetStock(Map<String, Integer> ready, Map<String, Integer> booting, Set<String> dryZones,
+public record ServerSupply(Map<String, Integer> ready, Map<String, Integer> booting, Set<String> dryZones,
 		Map<String, Integer> fullPriceLimits) {
 
-	public FleetStock {
+	public ServerSupply {
 		ready = Map.copyOf(ready);
 		booting = Map.copyOf(booting);
 		dryZones = Set.copyOf(dryZones);
@@ -28,8 +28,8 @@
 	 * Return the stock as if nothing was booting.
 	 * @return the servers that take requests only
 	 */
-	public FleetStock readyOnly() {
-		return new FleetStock(this.ready, Map.of(), this.dryZones, this.fullPriceLimits);
+	public ServerSupply readyOnly() {
+		return new ServerSupply(this.ready, Map.of(), this.dryZones, this.fullPriceLimits);
 	}
 
 	int present(String zone) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/OpenRequests.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
@@ -14,7 +14,7 @@
  * <p>
  * Not safe for use by several threads.
  */
-public final class OpenRequests {
+public final class ConcurrencyLimiter {
 
 	private final int maxOpen;
 
@@ -26,7 +26,7 @@
 	 * Create the bound.
 	 * @param maxOpen the most requests open at the node
 	 */
-	public OpenRequests(int maxOpen) {
+	public ConcurrencyLimiter(int maxOpen) {
 		if (maxOpen < 1) {
 			throw new IllegalArgumentException("maxOpen must be positive but was " + maxOpen);
 		}
@@ -38,7 +38,7 @@
 	 * @param account the account that it is for
 	 * @return why it is refused, or nothing if it was opened
 	 */
-	public Optional<Failure> tryOpen(Account account) {
+	public Optional<Failure> tryAcquire(Account account) {
 		int accountOpen = this.byAccount.getOrDefault(account.name(), 0);
 		if (accountOpen >= account.maxOpenRequests()) {
 			return Optional.of(Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller",
@@ -57,7 +57,7 @@
 	 * Close a request that was opened.
 	 * @param account the account that it was for
 	 */
-	public void close(Account account) {
+	public void release(Account account) {
 		this.open--;
 		this.byAccount.computeIfPresent(account.name(), (name, count) -> (count > 1) ? count - 1 : null);
 	}
@@ -66,7 +66,7 @@
 	 * Return the number of open requests.
 	 * @return the number
 	 */
-	public int open() {
+	public int openRequests() {
 		return this.open;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/RetryWindow.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/WindowedRetryBudget.java
@@ -9,7 +9,7 @@
  * <p>
  * Not safe for use by several threads.
  */
-public final class RetryWindow {
+public final class WindowedRetryBudget {
 
 	/** Parts that the window is counted in. */
 	private static final int PARTS = 20;
@@ -29,7 +29,7 @@
 	 * @param retryShare the retries allowed for each request
 	 * @param windowMillis the length of the window
 	 */
-	public RetryWindow(double retryShare, long windowMillis) {
+	public WindowedRetryBudget(double retryShare, long windowMillis) {
 		if (!(retryShare >= 0) || windowMillis < PARTS) {
 			throw new IllegalArgumentException("retryShare must not be negative and windowMillis at least " + PARTS
 					+ " but they were " + retryShare + " and " + windowMillis);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Account.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Account.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.manifest;
 
 import io.flamingogap.core.toml.Default;
-import io.flamingogap.core.toml.Form;
 import io.flamingogap.core.toml.Range;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * A client account.
@@ -12,7 +12,7 @@
  * @param priority 0 for the most urgent work, up to 9
  * @param maxOpenRequests how many requests the account may have open at one node
  */
-public record Account(@Form(Form.NAME) String name, @Form(Form.DIGEST) String keyDigest,
-		@Default("5") @Range(min = 0, max = 9) int priority,
+public record Account(@StringPattern(StringPattern.NAME) String name,
+		@StringPattern(StringPattern.DIGEST) String keyDigest, @Default("5") @Range(min = 0, max = 9) int priority,
 		@Default("200") @Range(min = 1, max = 10_000) int maxOpenRequests) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/BackendServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/BackendServer.java
@@ -1,6 +1,6 @@
 package io.flamingogap.core.manifest;
 
-import io.flamingogap.core.toml.Form;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * A backend server.
@@ -11,6 +11,7 @@
  * @param zone the availability zone it is in
  * @param address where it listens
  */
-public record BackendServer(@Form(Form.NAME) String name, @Form(Form.NAME) String service,
-		@Form(Form.NAME) String version, @Form(Form.NAME) String zone, @Form(Form.ADDRESS) String address) {
+public record BackendServer(@StringPattern(StringPattern.NAME) String name,
+		@StringPattern(StringPattern.NAME) String service, @StringPattern(StringPattern.NAME) String version,
+		@StringPattern(StringPattern.NAME) String zone, @StringPattern(StringPattern.ADDRESS) String address) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Operator.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Operator.java
@@ -1,6 +1,6 @@
 package io.flamingogap.core.manifest;
 
-import io.flamingogap.core.toml.Form;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * A person or pipeline that may change the configuration.
@@ -8,5 +8,6 @@
  * @param name the name shown in the audit trail
  * @param keyDigest the SHA-256 digest of the operator's bearer key
  */
-public record Operator(@Form(Form.NAME) String name, @Form(Form.DIGEST) String keyDigest) {
+public record Operator(@StringPattern(StringPattern.NAME) String name,
+		@StringPattern(StringPattern.DIGEST) String keyDigest) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Route.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Route.java
@@ -1,6 +1,6 @@
 package io.flamingogap.core.manifest;
 
-import io.flamingogap.core.toml.Form;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * A route of a plain service.
@@ -9,8 +9,8 @@
  * @param path the path below the service's prefix; longer paths match as well
  * @param repeatable whether a call may be executed more than once
  */
-public record Route(@Form("GET|POST|PUT|DELETE|PATCH") String method, @Form(Form.PATH) String path,
-		boolean repeatable) {
+public record Route(@StringPattern("GET|POST|PUT|DELETE|PATCH") String method,
+		@StringPattern(StringPattern.PATH) String path, boolean repeatable) {
 
 	/**
 	 * Return whether the route serves a call.
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Service.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Service.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 
 import io.flamingogap.core.toml.Default;
-import io.flamingogap.core.toml.Form;
 import io.flamingogap.core.toml.Range;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * A service that entry nodes answer for.
@@ -19,8 +19,8 @@
  * asked
  * @param routes the routes of a plain service
  */
-public record Service(@Form(Form.NAME) String name, ServiceKind kind, @Form(Form.NAME) String version,
-		@Range(min = 1, max = 600_000) long targetMillis,
+public record Service(@StringPattern(StringPattern.NAME) String name, ServiceKind kind,
+		@StringPattern(StringPattern.NAME) String version, @Range(min = 1, max = 600_000) long targetMillis,
 		@Default("2000") @Range(min = 10, max = 60_000) long tokenGapMillis, @Default("") List<Route> routes) {
 
 	/**
@@ -29,7 +29,7 @@
 	 * @param path the path below the service's prefix
 	 * @return the first matching route, if any
 	 */
-	public Optional<Route> route(String method, String path) {
+	public Optional<Route> findRoute(String method, String path) {
 		return this.routes.stream().filter((route) -> route.matches(method, path)).findFirst();
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Zone.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Zone.java
@@ -1,6 +1,6 @@
 package io.flamingogap.core.manifest;
 
-import io.flamingogap.core.toml.Form;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * An availability zone.
@@ -8,5 +8,5 @@
  * @param name the name used by the settings and the cloud
  * @param region the region it belongs to
  */
-public record Zone(@Form(Form.NAME) String name, @Form(Form.NAME) String region) {
+public record Zone(@StringPattern(StringPattern.NAME) String name, @StringPattern(StringPattern.NAME) String region) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/MembershipTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/MembershipTable.java
@@ -56,7 +56,7 @@
 	}
 
 	private boolean refute(Member claim, long nowMillis) {
-		Member own = own();
+		Member own = localMember();
 		Member raised = new Member(own.node(), own.zone(), own.callerAddress(), own.nodeAddress(), own.state(),
 				claim.version(), false, own.successor());
 		store(raised.announce(own.state(), own.successor()), nowMillis);
@@ -70,7 +70,7 @@
 	 * @param nowMillis the present time
 	 */
 	public void announce(MemberState state, @Nullable NodeId successor, long nowMillis) {
-		store(own().announce(state, successor), nowMillis);
+		store(localMember().announce(state, successor), nowMillis);
 	}
 
 	/**
@@ -79,7 +79,7 @@
 	 * @param nowMillis the present time
 	 * @return {@code true} if the table changed
 	 */
-	public boolean reportLost(NodeId node, long nowMillis) {
+	public boolean markUnreachable(NodeId node, long nowMillis) {
 		Row held = this.rows.get(node);
 		return held != null && !node.equals(this.self) && merge(held.member.lost(), nowMillis);
 	}
@@ -88,7 +88,7 @@
 	 * Forget nodes that have been gone or unreachable for a time.
 	 * @param silentSinceMillis the latest change of a row that is forgotten
 	 */
-	public void forgetSilentSince(long silentSinceMillis) {
+	public void removeUnreachableSince(long silentSinceMillis) {
 		this.rows.values()
 			.removeIf((row) -> !row.member.isReachable() && row.changedAtMillis < silentSinceMillis
 					&& !row.member.node().equals(this.self));
@@ -125,7 +125,7 @@
 	 * Return the row of the node itself.
 	 * @return the row
 	 */
-	public Member own() {
+	public Member localMember() {
 		return this.rows.get(this.self).member;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/Neighbours.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/NeighbourSelector.java
@@ -9,13 +9,13 @@
 /**
  * Choice of the nodes with which a node keeps a connection.
  */
-public final class Neighbours {
+public final class NeighbourSelector {
 
 	private static final long MIX_FACTOR = 0x9E3779B97F4A7C15L;
 
 	private static final int MIX_SHIFT = 32;
 
-	private Neighbours() {
+	private NeighbourSelector() {
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/SuccessorChoice.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/SuccessorSelector.java
@@ -10,9 +10,9 @@
 /**
  * Choice of the node that takes over the requests of a stopping node.
  */
-public final class SuccessorChoice {
+public final class SuccessorSelector {
 
-	private SuccessorChoice() {
+	private SuccessorSelector() {
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaVerdict.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaDecision.java
@@ -7,12 +7,13 @@
  * @param missingUnits the units that would have admitted the request
  * @param share this node's share of the quota, from 0 to 1
  * @param ratePerSecond the units that the share regains each second
- * @param levelUnits the units that were left
+ * @param availableUnits the units that were left
  */
-public record QuotaVerdict(long waitMillis, long missingUnits, double share, double ratePerSecond, double levelUnits) {
+public record QuotaDecision(long waitMillis, long missingUnits, double share, double ratePerSecond,
+		double availableUnits) {
 
 	/** There is no limit. */
-	static final QuotaVerdict UNLIMITED = new QuotaVerdict(0, 0, 1, 0, 0);
+	static final QuotaDecision UNLIMITED = new QuotaDecision(0, 0, 1, 0, 0);
 
 	/**
 	 * Return whether the request is admitted.
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaGate.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
@@ -3,8 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.flamingogap.core.serving.AccountQuota;
 import io.flamingogap.core.serving.ClientAccount;
-import io.flamingogap.core.serving.TokenQuota;
 
 /**
  * Admits requests within this node's shares of the accounts' quotas. The shares of all
@@ -13,7 +13,7 @@
  * <p>
  * Not safe for use by several threads.
  */
-public final class QuotaGate {
+public final class QuotaLimiter {
 
 	/** The part of each quota that is split evenly, for nodes whose demand just began. */
 	private static final double EVEN_PART = 0.15;
@@ -42,7 +42,7 @@
 	 * @param startsFull whether the buckets start with their burst; a node that restarts
 	 * may have spent it before
 	 */
-	public QuotaGate(QuotaTolerance tolerance, boolean startsFull) {
+	public QuotaLimiter(QuotaTolerance tolerance, boolean startsFull) {
 		this.tolerance = tolerance;
 		this.startsFull = startsFull;
 	}
@@ -55,13 +55,13 @@
 	 * @param nowMillis the present time
 	 * @return the verdict
 	 */
-	public QuotaVerdict admit(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
-		TokenQuota quota = account.quota();
+	public QuotaDecision admit(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
+		AccountQuota quota = account.quota();
 		if (!quota.isLimited()) {
-			return QuotaVerdict.UNLIMITED;
+			return QuotaDecision.UNLIMITED;
 		}
 		this.demands.computeIfAbsent(account.name(), (name) -> new DemandMeter()).add(cost, nowMillis);
-		return admitAgain(account, cost, fleet, nowMillis);
+		return retryAdmission(account, cost, fleet, nowMillis);
 	}
 
 	/**
@@ -72,8 +72,8 @@
 	 * @param nowMillis the present time
 	 * @return the verdict
 	 */
-	public QuotaVerdict admitAgain(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
-		TokenQuota quota = account.quota();
+	public QuotaDecision retryAdmission(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
+		AccountQuota quota = account.quota();
 		double share = share(account.name(), this.heardByAll.getOrDefault(account.name(), 0L), fleet);
 		double rate = (quota.ratePerSecond() + this.tolerance.ratePerSecond(quota)) * share;
 		double capacity = quota.burst() * share;
@@ -82,9 +82,9 @@
 		bucket.refill(rate, capacity, nowMillis);
 		double level = bucket.level();
 		if (bucket.trySpend(cost)) {
-			return new QuotaVerdict(0, 0, share, rate, level);
+			return new QuotaDecision(0, 0, share, rate, level);
 		}
-		return new QuotaVerdict(bucket.waitMillis(cost), bucket.missing(cost), share, rate, level);
+		return new QuotaDecision(bucket.waitMillis(cost), bucket.missing(cost), share, rate, level);
 	}
 
 	/**
@@ -136,7 +136,7 @@
 	 * @param unitsPerSecond its demand, by account
 	 * @param nowMillis the present time
 	 */
-	public void resume(Map<String, Long> unitsPerSecond, long nowMillis) {
+	public void restoreDemand(Map<String, Long> unitsPerSecond, long nowMillis) {
 		unitsPerSecond.forEach((account, units) -> this.demands.computeIfAbsent(account, (name) -> new DemandMeter())
 			.resume(units, nowMillis));
 		this.heardByAll = Map.copyOf(unitsPerSecond);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
@@ -1,6 +1,6 @@
 package io.flamingogap.core.quota;
 
-import io.flamingogap.core.serving.TokenQuota;
+import io.flamingogap.core.serving.AccountQuota;
 
 /**
  * By how much an account may exceed its quota in a window, over all nodes together.
@@ -31,7 +31,7 @@
 	 * @param quota the quota
 	 * @return units a second, over all nodes
 	 */
-	double ratePerSecond(TokenQuota quota) {
+	double ratePerSecond(AccountQuota quota) {
 		if (this.windowMillis == 0) {
 			return 0;
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
@@ -81,7 +81,7 @@
 	 *
 	 * @param owner the node to ask
 	 */
-	record Elsewhere(NodeId owner) implements Admission {
+	record Forward(NodeId owner) implements Admission {
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
@@ -165,7 +165,7 @@
 	 * @param part the part
 	 */
 	void merge(KeySpacePart part) {
-		if (part.whole()) {
+		if (part.full()) {
 			this.entries.clear();
 			this.keptBytes = 0;
 			this.fingerprint = 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
@@ -11,10 +11,10 @@
  * @param issuer the node run that the prefixes name
  * @param forgottenThroughMillis the latest issue time of a forgotten key
  * @param entries the entries of this part
- * @param whole whether the part holds every entry, and replaces what was offered
+ * @param full whether the part holds every entry, and replaces what was offered
  * @param fingerprint the fingerprint of every entry at the sender
  */
-public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries, boolean whole,
+public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries, boolean full,
 		long fingerprint) {
 
 	public KeySpacePart {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpaceParts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpaceParts.java
@@ -30,7 +30,7 @@
 		long messageBytes = 0;
 		for (KeySpacePart part : parts) {
 			List<LedgerEntry> piece = new ArrayList<>();
-			boolean whole = part.whole();
+			boolean whole = part.full();
 			for (LedgerEntry entry : part.entries()) {
 				long entryBytes = entry.sizeBytes() + ENTRY_OVERHEAD_BYTES;
 				if (messageBytes > 0 && messageBytes + entryBytes > maxBytes) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -58,7 +58,7 @@
 		RequestKey key = request.key();
 		KeySpace space = this.spaces.get(key.issuer());
 		if (space == null || !space.ownership().isDecisive()) {
-			return new Admission.Elsewhere(key.issuer());
+			return new Admission.Forward(key.issuer());
 		}
 		LedgerEntry entry = space.get(key);
 		if (entry != null && !entry.isFor(request)) {
@@ -68,7 +68,7 @@
 			return new Admission.Replay(Objects.requireNonNull(entry.answer(), "a done entry has an answer"));
 		}
 		if (space.ownership() == Ownership.PASSED_ON) {
-			return new Admission.Elsewhere(Objects.requireNonNull(space.successor(), "a passed-on space has one"));
+			return new Admission.Forward(Objects.requireNonNull(space.successor(), "a passed-on space has one"));
 		}
 		return (entry != null) ? admitAgain(entry) : admitNew(space, request, nowMillis);
 	}
@@ -161,7 +161,7 @@
 	 * @param key the key
 	 * @return {@code true} if the request will never be run
 	 */
-	public boolean giveUp(RequestKey key) {
+	public boolean cancel(RequestKey key) {
 		return isOwner(key.issuer()) && replace(key, KeyState.ACCEPTED, (entry) -> entry.ended(KeyState.NOT_RUN));
 	}
 
@@ -209,7 +209,7 @@
 	 * Return every entry of the committed key spaces, for a successor that lacks some.
 	 * @return the parts, to be committed to the same successor
 	 */
-	public List<KeySpacePart> wholeCommit() {
+	public List<KeySpacePart> fullCommit() {
 		return this.spaces.values()
 			.stream()
 			.filter((space) -> space.ownership() == Ownership.PASSED_ON)
@@ -323,7 +323,7 @@
 	 * @param dispatcher the node run
 	 * @return the keys whose outcome is now unknown
 	 */
-	public List<RequestKey> loseDispatcher(NodeId dispatcher) {
+	public List<RequestKey> recordDispatcherLost(NodeId dispatcher) {
 		if (dispatcher.equals(this.self)) {
 			throw new IllegalArgumentException("dispatcher must be another node");
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SlowThreshold.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/AdaptiveLatencyThreshold.java
@@ -7,7 +7,7 @@
  * <p>
  * Not safe for use by several threads.
  */
-public final class SlowThreshold {
+public final class AdaptiveLatencyThreshold {
 
 	/** The share of the current version's requests over the threshold. */
 	private static final double SHARE_ABOVE = 0.1;
@@ -23,7 +23,7 @@
 	 * Create a threshold.
 	 * @param startMillis the latency target, to begin with
 	 */
-	public SlowThreshold(long startMillis) {
+	public AdaptiveLatencyThreshold(long startMillis) {
 		this.thresholdMillis = Math.max(MIN_MILLIS, startMillis);
 	}
 
@@ -40,7 +40,7 @@
 	 * Follow a request of the current version.
 	 * @param latencyMillis how long it took
 	 */
-	public void follow(long latencyMillis) {
+	public void update(long latencyMillis) {
 		double step = this.thresholdMillis * STEP;
 		this.thresholdMillis += isSlow(latencyMillis) ? step * (1 - SHARE_ABOVE) : -step * SHARE_ABOVE;
 		this.thresholdMillis = Math.max(MIN_MILLIS, this.thresholdMillis);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
@@ -118,7 +118,7 @@
 	 * @param nowMillis the present time
 	 * @return why the candidate is bad, if it is
 	 */
-	public static Optional<String> findBadness(Rollout rollout, EvidenceTable evidence, long nowMillis) {
+	public static Optional<String> findRegression(Rollout rollout, EvidenceTable evidence, long nowMillis) {
 		Comparison all = new Comparison();
 		Map<String, Comparison> byRoute = new TreeMap<>();
 		evidence.forEach(RolloutKey.of(rollout), (key, tally) -> {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedTrial.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
@@ -9,7 +9,7 @@
  * then it takes over unless the evidence speaks against it. Nodes with the same evidence
  * decide alike.
  */
-public final class TimedTrial {
+public final class TimedCanary {
 
 	/** The part of the time in which a small share explores the candidate. */
 	private static final double EXPLORE_UNTIL = 0.5;
@@ -33,7 +33,7 @@
 	 * Create a trial without evidence.
 	 * @param exploredShare the share of requests that explores the candidate
 	 */
-	public TimedTrial(double exploredShare) {
+	public TimedCanary(double exploredShare) {
 		this.exploredShare = exploredShare;
 	}
 
@@ -52,7 +52,7 @@
 	 * Look for evidence that the candidate is bad, on all routes together and on each.
 	 * @return what is bad, if anything is
 	 */
-	public Optional<String> findBadness() {
+	public Optional<String> findRegression() {
 		Optional<String> found = this.all.findBadness(SequentialTest.BAD_THRESHOLD)
 			.map((what) -> what + " in all: " + this.all);
 		for (Map.Entry<String, Comparison> route : this.byRoute.entrySet()) {
@@ -68,7 +68,7 @@
 	 * @param part the part of the time that has passed
 	 * @return the share, from 0 to 1
 	 */
-	public double share(double part) {
+	public double candidateShare(double part) {
 		if (part < EXPLORE_UNTIL) {
 			return this.exploredShare;
 		}
@@ -80,7 +80,7 @@
 	 * @param part the part of the time that has passed
 	 * @return {@code true} if the old version may stop
 	 */
-	public boolean mayEnd(double part) {
+	public boolean mayComplete(double part) {
 		return part >= DONE_FROM;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/VersionChoice.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TrafficSplitter.java
@@ -5,13 +5,13 @@
 /**
  * Chooses the version for one request.
  */
-public final class VersionChoice {
+public final class TrafficSplitter {
 
 	private static final int HEX = 16;
 
 	private static final int DIGITS = 8;
 
-	private VersionChoice() {
+	private TrafficSplitter() {
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerChoice.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeastLoadedSelector.java
@@ -10,7 +10,7 @@
 /**
  * Chooses a backend server for a request.
  */
-public final class ServerChoice {
+public final class LeastLoadedSelector {
 
 	/** Work that a dispatch to another zone of the region is taken to add. */
 	private static final int OTHER_ZONE_REQUESTS = 1;
@@ -18,7 +18,7 @@
 	/** Work that a dispatch to another region is taken to add. */
 	private static final int OTHER_REGION_REQUESTS = 4;
 
-	private ServerChoice() {
+	private LeastLoadedSelector() {
 	}
 
 	/**
@@ -32,7 +32,7 @@
 	 * @return the server, if one can take the request
 	 */
 	public static Optional<BackendServer> choose(Manifest manifest, ServerQuery query, String ownZone,
-			ServerLoads loads, LeavingServers leaving, long nowMillis) {
+			ServerLoadTable loads, LeavingServers leaving, long nowMillis) {
 		List<BackendServer> ready = manifest.servers(query.service(), query.version())
 			.stream()
 			.filter((server) -> query.allows(server) && !leaving.isLeaving(server.name(), nowMillis))
@@ -44,7 +44,7 @@
 	}
 
 	private static Optional<BackendServer> least(List<BackendServer> servers, Manifest manifest, String ownZone,
-			ServerLoads loads) {
+			ServerLoadTable loads) {
 		return servers.stream()
 			.min(Comparator
 				.comparingLong((server) -> loads.estimate(server.name()) + linkCost(manifest, ownZone, server.zone())));
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerLoads.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerLoadTable.java
@@ -9,7 +9,7 @@
  * <p>
  * Not safe for use by several threads.
  */
-public final class ServerLoads {
+public final class ServerLoadTable {
 
 	private final Map<String, Load> loads = new HashMap<>();
 
@@ -19,7 +19,7 @@
 	 * Create an empty table.
 	 * @param avoidMillis how long a server that refused a connection is avoided
 	 */
-	public ServerLoads(long avoidMillis) {
+	public ServerLoadTable(long avoidMillis) {
 		this.avoidMillis = avoidMillis;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -15,7 +15,7 @@
 
 	private final RecentPrompts prompts = new RecentPrompts();
 
-	private ServerEntry entry;
+	private ServerRegistration entry;
 
 	private long revision;
 
@@ -23,12 +23,12 @@
 
 	private boolean gone;
 
-	KnownServer(ServerEntry entry, long revision) {
+	KnownServer(ServerRegistration entry, long revision) {
 		this.entry = entry;
 		this.revision = revision;
 	}
 
-	void update(ServerEntry newEntry, long newRevision) {
+	void update(ServerRegistration newEntry, long newRevision) {
 		this.entry = newEntry;
 		this.revision = newRevision;
 		this.doubtUntilMillis = NO_DOUBT;
@@ -51,7 +51,7 @@
 	 * Return whether the registration ended while the store was disturbed.
 	 * @return {@code true} if the server may be gone
 	 */
-	public boolean isDoubtful() {
+	public boolean isSuspect() {
 		return this.doubtUntilMillis != NO_DOUBT;
 	}
 
@@ -67,7 +67,7 @@
 	 * Return what the server says of itself.
 	 * @return the newest entry
 	 */
-	public ServerEntry entry() {
+	public ServerRegistration registration() {
 		return this.entry;
 	}
 
@@ -91,7 +91,7 @@
 	 * Return the parts of prompts that the server read lately.
 	 * @return the parts
 	 */
-	public RecentPrompts prompts() {
+	public RecentPrompts promptCache() {
 		return this.prompts;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/Placement.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/NodeLocality.java
@@ -9,9 +9,9 @@
  * @param zone its availability zone
  * @param regionsByZone the region of each zone
  */
-public record Placement(String zone, Map<String, String> regionsByZone) {
+public record NodeLocality(String zone, Map<String, String> regionsByZone) {
 
-	public Placement {
+	public NodeLocality {
 		Objects.requireNonNull(zone, "zone must not be null");
 		regionsByZone = Map.copyOf(regionsByZone);
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptShape.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
@@ -10,12 +10,12 @@
  * @param maxOutputTokens the most tokens that it generates
  * @param parts the parts in order; the last one belongs to the request or its session
  */
-public record PromptShape(long promptTokens, long maxOutputTokens, List<PromptPart> parts) {
+public record PromptMetadata(long promptTokens, long maxOutputTokens, List<PromptPart> parts) {
 
 	/** A request without a prompt. */
-	public static final PromptShape NONE = new PromptShape(0, 0, List.of());
+	public static final PromptMetadata NONE = new PromptMetadata(0, 0, List.of());
 
-	public PromptShape {
+	public PromptMetadata {
 		Objects.requireNonNull(parts, "parts must not be null");
 		parts = List.copyOf(parts);
 	}
@@ -24,7 +24,7 @@
 	 * Return the parts that other requests share.
 	 * @return all parts but the last
 	 */
-	public List<PromptPart> sharedParts() {
+	public List<PromptPart> sharedPrefix() {
 		return (this.parts.size() > 1) ? this.parts.subList(0, this.parts.size() - 1) : List.of();
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/RecentPrompts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/RecentPrompts.java
@@ -27,8 +27,8 @@
 	 * Record that the server read a prompt.
 	 * @param prompt the prompt
 	 */
-	public void record(PromptShape prompt) {
-		prompt.sharedParts().forEach((part) -> this.parts.put(part.id(), Boolean.TRUE));
+	public void record(PromptMetadata prompt) {
+		prompt.sharedPrefix().forEach((part) -> this.parts.put(part.id(), Boolean.TRUE));
 	}
 
 	/**
@@ -36,9 +36,9 @@
 	 * @param prompt the prompt
 	 * @return the tokens of the leading parts that it has read
 	 */
-	public long heldTokens(PromptShape prompt) {
+	public long estimateCachedTokens(PromptMetadata prompt) {
 		long held = 0;
-		for (PromptPart part : prompt.sharedParts()) {
+		for (PromptPart part : prompt.sharedPrefix()) {
 			if (!this.parts.containsKey(part.id())) {
 				return held;
 			}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
@@ -72,7 +72,7 @@
 	 * @param tokens the prompt tokens that it sent and the server has not read yet
 	 * @param nowMillis the present time
 	 */
-	public void recordPeer(String node, int openRequests, long tokens, long nowMillis) {
+	public void recordPeerLoad(String node, int openRequests, long tokens, long nowMillis) {
 		this.peers.put(node, new PeerLoad(openRequests, tokens, nowMillis));
 	}
 
@@ -89,7 +89,7 @@
 	 * @param nowMillis the present time
 	 * @return the estimate
 	 */
-	public double estimateOpen(long nowMillis) {
+	public double estimateOpenRequests(long nowMillis) {
 		double reported = (this.othersRunning + this.othersWaiting) * freshness(nowMillis);
 		return this.open + Math.max(peersOpen(nowMillis), reported);
 	}
@@ -111,7 +111,7 @@
 	 * Return the open requests of this node.
 	 * @return the number
 	 */
-	public int open() {
+	public int openRequests() {
 		return this.open;
 	}
 
@@ -129,7 +129,7 @@
 	 * @param nowMillis the present time
 	 * @return the estimate
 	 */
-	public long estimateUnread(long nowMillis) {
+	public long estimateUnreadTokens(long nowMillis) {
 		long sum = this.unreadTokens;
 		for (PeerLoad peer : this.peers.values()) {
 			sum += peer.isFresh(nowMillis) ? peer.unreadTokens : 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerEntry.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
@@ -17,10 +17,10 @@
  * @param reclaimable whether it can be reclaimed at short notice
  * @param startedAtMillis when it started, in milliseconds since 1970 UTC; 0 if unknown
  */
-public record ServerEntry(String id, String service, Address address, String zone, String version, int slots,
+public record ServerRegistration(String id, String service, Address address, String zone, String version, int slots,
 		boolean draining, boolean reclaimable, long startedAtMillis) {
 
-	public ServerEntry {
+	public ServerRegistration {
 		Objects.requireNonNull(id, "id must not be null");
 		Objects.requireNonNull(service, "service must not be null");
 		Objects.requireNonNull(address, "address must not be null");
@@ -36,7 +36,7 @@
 	 * @param other the other entry
 	 * @return {@code false} if the server has lost what it held in between
 	 */
-	boolean isSameStart(ServerEntry other) {
+	boolean isSameStart(ServerRegistration other) {
 		return this.startedAtMillis == other.startedAtMillis && this.address.equals(other.address);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -33,25 +33,25 @@
 	/** Requests beyond its places that a server is given, as a part of its places. */
 	private static final double MAX_OVERCOMMIT = 1.5;
 
-	private final Placement placement;
+	private final NodeLocality placement;
 
 	/**
 	 * Create a selector.
 	 * @param placement where the node stands
 	 */
-	public ServerSelector(Placement placement) {
+	public ServerSelector(NodeLocality placement) {
 		this.placement = placement;
 	}
 
 	/**
 	 * Choose a server.
 	 * @param servers the servers of the service
-	 * @param prompt the prompt; {@link PromptShape#NONE} for plain requests
+	 * @param prompt the prompt; {@link PromptMetadata#NONE} for plain requests
 	 * @param allowed which servers may get the request
 	 * @param nowMillis the present time
 	 * @return the server, if one has room
 	 */
-	public Optional<KnownServer> choose(Collection<KnownServer> servers, PromptShape prompt,
+	public Optional<KnownServer> choose(Collection<KnownServer> servers, PromptMetadata prompt,
 			Predicate<KnownServer> allowed, long nowMillis) {
 		String home = homeOf(servers, prompt);
 		KnownServer best = null;
@@ -60,7 +60,7 @@
 			if (!server.takesRequests() || !allowed.test(server) || isFull(server, nowMillis)) {
 				continue;
 			}
-			double costMillis = costMillis(server, prompt, server.entry().id().equals(home), nowMillis);
+			double costMillis = costMillis(server, prompt, server.registration().id().equals(home), nowMillis);
 			if (costMillis < bestMillis) {
 				best = server;
 				bestMillis = costMillis;
@@ -70,22 +70,22 @@
 	}
 
 	private static boolean isFull(KnownServer server, long nowMillis) {
-		return server.load().estimateOpen(nowMillis) >= server.entry().slots() * MAX_OVERCOMMIT;
+		return server.load().estimateOpenRequests(nowMillis) >= server.registration().slots() * MAX_OVERCOMMIT;
 	}
 
-	private double costMillis(KnownServer server, PromptShape prompt, boolean isHome, long nowMillis) {
+	private double costMillis(KnownServer server, PromptMetadata prompt, boolean isHome, long nowMillis) {
 		ServerLoad load = server.load();
-		double open = load.estimateOpen(nowMillis);
-		double excess = Math.max(0, open + 1 - server.entry().slots());
-		long sharedTokens = prompt.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
-		long heldTokens = isHome ? sharedTokens : server.prompts().heldTokens(prompt);
-		double readMillis = (load.estimateUnread(nowMillis) + Math.max(0, prompt.promptTokens() - heldTokens))
+		double open = load.estimateOpenRequests(nowMillis);
+		double excess = Math.max(0, open + 1 - server.registration().slots());
+		long sharedTokens = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
+		long heldTokens = isHome ? sharedTokens : server.promptCache().estimateCachedTokens(prompt);
+		double readMillis = (load.estimateUnreadTokens(nowMillis) + Math.max(0, prompt.promptTokens() - heldTokens))
 				/ PROMPT_TOKENS_PER_MILLI;
 		return readMillis + open * OPEN_COST_MILLIS + (excess + load.estimateWaiting(nowMillis)) * WAIT_COST_MILLIS
 				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
-				+ (server.isDoubtful() ? DOUBT_COST_MILLIS : 0)
+				+ (server.isSuspect() ? DOUBT_COST_MILLIS : 0)
 				+ (server.health().isAvoided(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
-				+ this.placement.distanceTo(server.entry().zone()).costMillis();
+				+ this.placement.distanceTo(server.registration().zone()).costMillis();
 	}
 
 	/**
@@ -95,8 +95,8 @@
 	 * @param prompt the prompt
 	 * @return the id of the server, empty if there is none
 	 */
-	private String homeOf(Collection<KnownServer> servers, PromptShape prompt) {
-		List<PromptPart> shared = prompt.sharedParts();
+	private String homeOf(Collection<KnownServer> servers, PromptMetadata prompt) {
+		List<PromptPart> shared = prompt.sharedPrefix();
 		if (shared.isEmpty()) {
 			return "";
 		}
@@ -104,7 +104,7 @@
 		String home = "";
 		int highest = Integer.MIN_VALUE;
 		for (KnownServer server : servers) {
-			ServerEntry entry = server.entry();
+			ServerRegistration entry = server.registration();
 			if (entry.zone().equals(this.placement.zone()) && server.takesRequests()) {
 				int weight = mix(part.hashCode() * 31 + entry.id().hashCode());
 				if (weight >= highest) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -25,17 +25,17 @@
 	 * @param revision the position of the entry in the store; older ones are ignored
 	 * @return {@code true} if the server is new, or its state or address changed
 	 */
-	public boolean register(ServerEntry entry, long revision) {
+	public boolean register(ServerRegistration entry, long revision) {
 		KnownServer known = this.servers.get(entry.id());
 		if (known != null && revision <= known.revision()) {
 			return false;
 		}
-		if (known == null || !known.entry().isSameStart(entry)) {
+		if (known == null || !known.registration().isSameStart(entry)) {
 			remove(entry.id());
 			add(new KnownServer(entry, revision));
 			return true;
 		}
-		boolean changed = known.entry().draining() != entry.draining() || known.isDoubtful();
+		boolean changed = known.registration().draining() != entry.draining() || known.isSuspect();
 		known.update(entry, revision);
 		return changed;
 	}
@@ -53,7 +53,7 @@
 		if (known == null || revision <= known.revision()) {
 			return false;
 		}
-		if (doubtUntilMillis > nowMillis && !known.entry().draining()) {
+		if (doubtUntilMillis > nowMillis && !known.registration().draining()) {
 			known.doubtUntil(doubtUntilMillis, revision);
 		}
 		else {
@@ -93,8 +93,8 @@
 	}
 
 	private void add(KnownServer known) {
-		this.servers.put(known.entry().id(), known);
-		this.byService.computeIfAbsent(known.entry().service(), (service) -> new ArrayList<>()).add(known);
+		this.servers.put(known.registration().id(), known);
+		this.byService.computeIfAbsent(known.registration().service(), (service) -> new ArrayList<>()).add(known);
 	}
 
 	/**
@@ -105,7 +105,7 @@
 		KnownServer known = this.servers.remove(id);
 		if (known != null) {
 			known.markGone();
-			this.byService.get(known.entry().service()).remove(known);
+			this.byService.get(known.registration().service()).remove(known);
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/TokenQuota.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/AccountQuota.java
@@ -8,12 +8,12 @@
  * @param countsTokens whether the unit is a token; otherwise it is a request
  * @param plainTokens the tokens that a request counts for that states none
  */
-public record TokenQuota(double ratePerSecond, double burst, boolean countsTokens, long plainTokens) {
+public record AccountQuota(double ratePerSecond, double burst, boolean countsTokens, long plainTokens) {
 
 	/** No limit. */
-	public static final TokenQuota UNLIMITED = new TokenQuota(0, 0, false, 0);
+	public static final AccountQuota UNLIMITED = new AccountQuota(0, 0, false, 0);
 
-	public TokenQuota {
+	public AccountQuota {
 		if (!(ratePerSecond >= 0) || !(burst >= 0) || plainTokens < 0) {
 			throw new IllegalArgumentException("ratePerSecond, burst and plainTokens must not be negative but were "
 					+ ratePerSecond + ", " + burst + ", " + plainTokens);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ClientAccount.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ClientAccount.java
@@ -12,7 +12,7 @@
  * @param priority the urgency that replaces the one of the route, if any
  * @param quota what it may use
  */
-public record ClientAccount(String name, List<String> keys, OptionalInt priority, TokenQuota quota) {
+public record ClientAccount(String name, List<String> keys, OptionalInt priority, AccountQuota quota) {
 
 	public ClientAccount {
 		Objects.requireNonNull(name, "name must not be null");
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ConfigHolder.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ConfigHolder.java
@@ -22,7 +22,7 @@
 	 * @param nowMillis the present time
 	 * @return {@code true} if it is in force now and was not before
 	 */
-	public boolean offer(ServingConfig candidate, long nowMillis) {
+	public boolean applyIfNewer(ServingConfig candidate, long nowMillis) {
 		if (this.current != null && candidate.version() <= this.current.version()) {
 			return false;
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
@@ -11,7 +11,8 @@
  * @param prefix the path prefix; begins and ends with a slash
  * @param kind what may be repeated
  * @param timeoutMillis the longest that a caller is kept waiting
- * @param goalMillis the time to the answer, or to the first event, that earns full credit
+ * @param latencyTargetMillis the time to the answer, or to the first event, that earns
+ * full credit
  * @param priority the urgency; 0 is the most urgent
  * @param targets the services that share the requests; at least one
  * @param maxServers the most servers that one attempt may be executed on
@@ -19,9 +20,9 @@
  * @param resumable whether another server may go on with a broken stream
  * @param carriesPrompts whether the requests are for model engines
  */
-public record RouteRule(String name, String host, String prefix, RequestKind kind, long timeoutMillis, long goalMillis,
-		int priority, List<WeightedService> targets, int maxServers, boolean isPublic, boolean resumable,
-		boolean carriesPrompts) {
+public record RouteRule(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
+		long latencyTargetMillis, int priority, List<WeightedService> targets, int maxServers, boolean isPublic,
+		boolean resumable, boolean carriesPrompts) {
 
 	public RouteRule {
 		Objects.requireNonNull(name, "name must not be null");
--- a/flamingogap-core/src/main/java/io/flamingogap/core/stream/StreamCursor.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/stream/StreamCursor.java
@@ -64,7 +64,7 @@
 	 * Return whether the last event was passed on.
 	 * @return {@code true} if the answer is whole
 	 */
-	public boolean isEnded() {
+	public boolean isComplete() {
 		return this.ended;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
@@ -79,7 +79,7 @@
 	 * @param second the second code
 	 * @return {@code true} if they are equal
 	 */
-	public static boolean isEqual(byte[] first, byte[] second) {
+	public static boolean constantTimeEquals(byte[] first, byte[] second) {
 		return MessageDigest.isEqual(first, second);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/RecordBinder.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/RecordBinder.java
@@ -29,7 +29,7 @@
 
 	private static final TomlMapper MAPPER = new TomlMapper();
 
-	private final List<Fault> faults = new ArrayList<>();
+	private final List<ValidationError> faults = new ArrayList<>();
 
 	private RecordBinder() {
 	}
@@ -41,7 +41,7 @@
 	 * @param type the record type
 	 * @return the record, or every fault that was found
 	 */
-	public static <T extends Record> Either<List<Fault>, T> bind(String text, Class<T> type) {
+	public static <T extends Record> Either<List<ValidationError>, T> bind(String text, Class<T> type) {
 		JsonNode root;
 		try {
 			root = MAPPER.readTree(text);
@@ -57,9 +57,9 @@
 		return Either.right(type.cast(bound));
 	}
 
-	private static Fault syntaxFault(JsonProcessingException ex) {
+	private static ValidationError syntaxFault(JsonProcessingException ex) {
 		String place = (ex.getLocation() != null) ? "line " + ex.getLocation().getLineNr() : "document";
-		return new Fault(place, String.valueOf(ex.getOriginalMessage()), "valid TOML");
+		return new ValidationError(place, String.valueOf(ex.getOriginalMessage()), "valid TOML");
 	}
 
 	private @Nullable Object bindRecord(JsonNode node, Class<?> type, String path) {
@@ -152,7 +152,7 @@
 	}
 
 	private @Nullable Object bindString(JsonNode node, RecordComponent component, String path) {
-		Form form = component.getAnnotation(Form.class);
+		StringPattern form = component.getAnnotation(StringPattern.class);
 		boolean matches = node.isTextual() && (form == null || node.textValue().matches(form.value()));
 		return matches ? node.textValue() : fault(path, node.toString(), describe(component));
 	}
@@ -198,7 +198,7 @@
 
 	private static String describe(RecordComponent component) {
 		Range range = component.getAnnotation(Range.class);
-		Form form = component.getAnnotation(Form.class);
+		StringPattern form = component.getAnnotation(StringPattern.class);
 		if (range != null) {
 			return "a whole number from " + range.min() + " to " + range.max();
 		}
@@ -207,7 +207,7 @@
 	}
 
 	private @Nullable Object fault(String key, String value, String allowed) {
-		this.faults.add(new Fault(key, value, allowed));
+		this.faults.add(new ValidationError(key, value, allowed));
 		return null;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/Form.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/StringPattern.java
@@ -10,7 +10,7 @@
  */
 @Target(ElementType.RECORD_COMPONENT)
 @Retention(RetentionPolicy.RUNTIME)
-public @interface Form {
+public @interface StringPattern {
 
 	/** A name of lower-case letters, digits and hyphens. */
 	String NAME = "[a-z0-9][a-z0-9-]{0,62}";
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/Fault.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/ValidationError.java
@@ -7,7 +7,7 @@
  * @param value the value as written, or "absent"
  * @param allowed what the key allows
  */
-public record Fault(String key, String value, String allowed) {
+public record ValidationError(String key, String value, String allowed) {
 
 	@Override
 	public String toString() {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
@@ -33,7 +33,7 @@
 	void refusalIsTrueAndNothingRunsTwice(@ForAll @Size(max = 8) List<@IntRange(max = 5) Integer> outcomes) {
 		Attempt attempt = new Attempt(route(RequestKind.AT_MOST_ONCE, 3, false), 5_000, 0);
 		int possibleRuns = 0;
-		for (int i = 0; i < outcomes.size() && attempt.mayTryAnother(1); i++) {
+		for (int i = 0; i < outcomes.size() && attempt.mayTryAnotherServer(1); i++) {
 			DispatchOutcome outcome = DispatchOutcome.values()[outcomes.get(i)];
 			attempt.recordDispatch("server-" + i);
 			attempt.recordOutcome(outcome);
@@ -52,7 +52,7 @@
 		void isTriedElsewhereWhileNoServerCanHaveRunIt() {
 			this.attempt.recordDispatch("a");
 			this.attempt.recordOutcome(DispatchOutcome.REJECTED);
-			assertThat(this.attempt.mayTryAnother(10), is(true));
+			assertThat(this.attempt.mayTryAnotherServer(10), is(true));
 			assertThat(this.attempt.failure("full", 10).execution(), is(Execution.NOT_RUN));
 		}
 
@@ -60,14 +60,14 @@
 		void isNeverTriedAgainOnceAServerMayHaveRunIt() {
 			this.attempt.recordDispatch("a");
 			this.attempt.recordOutcome(DispatchOutcome.BROKEN);
-			assertThat(this.attempt.mayTryAnother(10), is(false));
+			assertThat(this.attempt.mayTryAnotherServer(10), is(false));
 			assertThat(this.attempt.failure("reset", 10).type(), is(ProblemType.OUTCOME_UNKNOWN));
 		}
 
 		@Test
 		void endsWithTheDeadlineOfTheRoute() {
-			assertThat(this.attempt.leftMillis(400), is(600L));
-			assertThat(this.attempt.mayTryAnother(1_000), is(false));
+			assertThat(this.attempt.remainingMillis(400), is(600L));
+			assertThat(this.attempt.mayTryAnotherServer(1_000), is(false));
 			this.attempt.recordDispatch("a");
 			assertThat(this.attempt.failure("late", 1_000).type(), is(ProblemType.DEADLINE_EXCEEDED));
 		}
@@ -82,10 +82,10 @@
 			Attempt attempt = new Attempt(route(RequestKind.IDEMPOTENT, 2, false), 5_000, 0);
 			attempt.recordDispatch("a");
 			attempt.recordOutcome(DispatchOutcome.BROKEN);
-			assertThat(attempt.mayTryAnother(10), is(true));
+			assertThat(attempt.mayTryAnotherServer(10), is(true));
 			attempt.recordDispatch("b");
 			attempt.recordOutcome(DispatchOutcome.SILENT);
-			assertThat(attempt.mayTryAnother(10), is(false));
+			assertThat(attempt.mayTryAnotherServer(10), is(false));
 		}
 
 		@Test
@@ -93,10 +93,10 @@
 			Attempt attempt = new Attempt(route(RequestKind.STREAM, 2, true), 5_000, 0);
 			attempt.recordDispatch("a");
 			attempt.recordOutcome(DispatchOutcome.NOT_SENT);
-			assertThat(attempt.isNextARetry(), is(false));
+			assertThat(attempt.isNextDispatchRetry(), is(false));
 			attempt.recordDispatch("b");
 			attempt.recordOutcome(DispatchOutcome.REJECTED);
-			assertThat(attempt.isNextARetry(), is(true));
+			assertThat(attempt.isNextDispatchRetry(), is(true));
 		}
 
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
@@ -118,9 +118,9 @@
 			if (term.shouldClaim(now) && storeAnswers) {
 				claim(node, term, now);
 			}
-			OptionalLong token = term.tokenToActWith(now);
+			OptionalLong token = term.validToken(now);
 			if (token.isPresent()) {
-				term.recordActed(now);
+				term.recordAction(now);
 				boolean late = this.random.nextInt(6) == 0;
 				this.underWay
 					.add(new Call(node, token.getAsLong(), now, late ? now + this.random.nextInt(4_000) : now));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermTests.java
@@ -34,7 +34,7 @@
 	void holderThatLostTheDutiesWaitsForALeaseAfterItActed() {
 		this.term.recordMembership(true, 0);
 		this.term.recordClaim(17, 100);
-		this.term.recordActed(200);
+		this.term.recordAction(200);
 		this.term.recordMembership(false, 1_000);
 		this.term.recordMembership(true, 2_000);
 		assertThat(this.term.shouldClaim(200 + LEASE_MILLIS - 1), is(false));
@@ -45,9 +45,9 @@
 	@Test
 	void actsWithTheTokenOfItsClaim() {
 		holdUntil(4_000);
-		assertThat(this.term.tokenToActWith(4_000), is(OptionalLong.empty()));
+		assertThat(this.term.validToken(4_000), is(OptionalLong.empty()));
 		this.term.recordClaim(17, 4_100);
-		assertThat(this.term.tokenToActWith(4_200), is(OptionalLong.of(17)));
+		assertThat(this.term.validToken(4_200), is(OptionalLong.of(17)));
 		assertThat(this.term.shouldClaim(4_200), is(false));
 	}
 
@@ -55,16 +55,16 @@
 	void stopsWhenItIsNotConfirmed() {
 		holdUntil(4_000);
 		this.term.recordClaim(17, 4_100);
-		assertThat(this.term.tokenToActWith(4_000 + CONFIRM_MILLIS + 1), is(OptionalLong.empty()));
+		assertThat(this.term.validToken(4_000 + CONFIRM_MILLIS + 1), is(OptionalLong.empty()));
 	}
 
 	@Test
 	void claimsAnewAfterAGapInItsConfirmations() {
 		holdUntil(4_000);
 		this.term.recordClaim(17, 4_100);
-		this.term.recordActed(8_000);
+		this.term.recordAction(8_000);
 		this.term.recordMembership(true, 9_000);
-		assertThat(this.term.tokenToActWith(9_000), is(OptionalLong.empty()));
+		assertThat(this.term.validToken(9_000), is(OptionalLong.empty()));
 		assertThat(this.term.shouldClaim(9_000), is(false));
 		this.term.recordMembership(true, 11_000);
 		assertThat(this.term.shouldClaim(11_000), is(true));
@@ -75,7 +75,7 @@
 		holdUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		this.term.recordFenced(4_200);
-		assertThat(this.term.tokenToActWith(4_300), is(OptionalLong.empty()));
+		assertThat(this.term.validToken(4_300), is(OptionalLong.empty()));
 		assertThat(this.term.shouldClaim(5_000), is(false));
 		this.term.recordMembership(true, 5_000);
 		this.term.recordMembership(true, 7_000);
@@ -87,7 +87,7 @@
 		holdUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		this.term.recordMembership(false, 5_000);
-		assertThat(this.term.tokenToActWith(5_000), is(OptionalLong.empty()));
+		assertThat(this.term.validToken(5_000), is(OptionalLong.empty()));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/entry/EntryDirectoryTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/entry/EntryNodeSelectorTests.java
@@ -18,9 +18,9 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link EntryDirectory}.
+ * Tests of {@link EntryNodeSelector}.
  */
-class EntryDirectoryTests {
+class EntryNodeSelectorTests {
 
 	private static Member member(int number, int zone, MemberState state, boolean unreachable) {
 		return new Member(new NodeId("entry-" + number, number), "zone-" + zone,
@@ -38,15 +38,15 @@
 
 	@Test
 	void zonesTakeTurns() {
-		List<EntryPoint> points = EntryDirectory.choose(fleet(), 4, 3, 0);
-		assertThat(points.stream().map(EntryPoint::zone).distinct().count(), is(3L));
+		List<EntryEndpoint> points = EntryNodeSelector.choose(fleet(), 4, 3, 0);
+		assertThat(points.stream().map(EntryEndpoint::zone).distinct().count(), is(3L));
 	}
 
 	@Test
 	void callersSpreadOverAllNodes() {
 		Map<Address, Integer> first = new HashMap<>();
 		for (int ticket = 0; ticket < 600; ticket++) {
-			first.merge(EntryDirectory.choose(fleet(), ticket, 3, 0).get(0).address(), 1, Integer::sum);
+			first.merge(EntryNodeSelector.choose(fleet(), ticket, 3, 0).get(0).address(), 1, Integer::sum);
 		}
 		assertThat(first.values(), everyItem(is(100)));
 	}
@@ -55,14 +55,14 @@
 	void leavingAndUnheardNodesAreLeftOut() {
 		List<Member> members = List.of(member(0, 0, MemberState.DRAINING, false),
 				member(1, 1, MemberState.SERVING, true), member(2, 2, MemberState.SERVING, false));
-		List<EntryPoint> points = EntryDirectory.choose(members, 0, 3, 0);
+		List<EntryEndpoint> points = EntryNodeSelector.choose(members, 0, 3, 0);
 		assertThat(points.size(), is(1));
 		assertThat(points.get(0).zone(), is("zone-2"));
 	}
 
 	@Test
 	void prefixesNameTheNodeAndTheTime() {
-		EntryPoint point = EntryDirectory.choose(fleet(), 0, 1, 12_345).get(0);
+		EntryEndpoint point = EntryNodeSelector.choose(fleet(), 0, 1, 12_345).get(0);
 		RequestKey key = RequestKey.parse(point.keyPrefix() + "caller-part").get();
 		assertThat(key.issuer(), is(new NodeId("entry-0", 0)));
 		assertThat(key.issuedAtMillis(), is(12_345L));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetPlannerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityPlannerTests.java
@@ -17,7 +17,7 @@
 /**
  * The plan of servers.
  */
-class FleetPlannerTests {
+class CapacityPlannerTests {
 
 	private static final ScaleBounds BOUNDS = new ScaleBounds(1, 12, 4, 0.18,
 			Map.of("dear", 1.25, "middle", 1.0, "cheap", 0.8));
@@ -34,11 +34,11 @@
 	}
 
 	private static List<ServerPlan> plan(int need, Map<String, Integer> ready, Set<String> dryZones) {
-		return plan(new FleetNeed(need, need), new FleetStock(ready, Map.of(), dryZones, Map.of()));
+		return plan(new DesiredCapacity(need, need), new ServerSupply(ready, Map.of(), dryZones, Map.of()));
 	}
 
-	private static List<ServerPlan> plan(FleetNeed need, FleetStock stock) {
-		return FleetPlanner.plan("engine", BOUNDS, need, stock);
+	private static List<ServerPlan> plan(DesiredCapacity need, ServerSupply stock) {
+		return CapacityPlanner.plan("engine", BOUNDS, need, stock);
 	}
 
 	private static int fullPrice(List<ServerPlan> plan) {
@@ -62,8 +62,8 @@
 
 	@Test
 	void serversThatWereGrantedCountAsPresent() {
-		List<ServerPlan> plan = plan(new FleetNeed(9, 9),
-				new FleetStock(Map.of("dear", 2), Map.of("cheap", 4, "middle", 3), Set.of(), Map.of()));
+		List<ServerPlan> plan = plan(new DesiredCapacity(9, 9),
+				new ServerSupply(Map.of("dear", 2), Map.of("cheap", 4, "middle", 3), Set.of(), Map.of()));
 		assertThat(fullPrice(plan), is(2));
 	}
 
@@ -75,15 +75,16 @@
 
 	@Test
 	void nobodyNeedsMoreThanTheFloorOfFullPriceServersBeforeAnybodyAsks() {
-		List<ServerPlan> plan = plan(new FleetNeed(10, 0), new FleetStock(Map.of(), Map.of(), Set.of(), Map.of()));
+		List<ServerPlan> plan = plan(new DesiredCapacity(10, 0),
+				new ServerSupply(Map.of(), Map.of(), Set.of(), Map.of()));
 		assertThat(fullPrice(plan), is(2));
 		assertThat(servers(plan, true, "dear"), is(5));
 	}
 
 	@Test
 	void demandOfPromptsOrOfSlotsDecidesTheNeed() {
-		assertThat(FleetPlanner.need(331_000, 0, 48), greaterThanOrEqualTo(10));
-		assertThat(FleetPlanner.need(0, 480, 48), greaterThanOrEqualTo(10));
+		assertThat(CapacityPlanner.need(331_000, 0, 48), greaterThanOrEqualTo(10));
+		assertThat(CapacityPlanner.need(0, 480, 48), greaterThanOrEqualTo(10));
 	}
 
 	@Nested
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetClockTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetClockTests.java
@@ -14,14 +14,14 @@
 
 	@Test
 	void ownClockHoldsWithoutOthers() {
-		assertThat(this.clock.trueMillis(5_000_000, 100), is(5_000_000L));
+		assertThat(this.clock.correctedTimeOfDayMillis(5_000_000, 100), is(5_000_000L));
 	}
 
 	@Test
 	void ownClockHoldsWhileItAgrees() {
 		this.clock.record("a", 5_000_000, 100);
 		this.clock.record("b", 5_000_300, 100);
-		assertThat(this.clock.trueMillis(5_000_000, 100), is(5_000_000L));
+		assertThat(this.clock.correctedTimeOfDayMillis(5_000_000, 100), is(5_000_000L));
 	}
 
 	@Test
@@ -29,7 +29,7 @@
 		this.clock.record("a", 5_000_000, 100);
 		this.clock.record("b", 5_000_000, 100);
 		this.clock.record("jumped", 5_900_000, 100);
-		assertThat(this.clock.trueMillis(5_010_000, 200), is(5_000_600L));
+		assertThat(this.clock.correctedTimeOfDayMillis(5_010_000, 200), is(5_000_600L));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -43,14 +43,14 @@
 		void callersGetTheNodesOfTheirZone() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
 			FleetViewTests.this.fleet.record(report("b", 1, "z2", 3, true, Map.of()), 0);
-			assertThat(FleetViewTests.this.fleet.addressesFor("z1", this.own),
+			assertThat(FleetViewTests.this.fleet.callerAddressesFor("z1", this.own),
 					containsInAnyOrder(address(1), address(2)));
 		}
 
 		@Test
 		void callersOfAZoneWithOneNodeGetAll() {
 			FleetViewTests.this.fleet.record(report("b", 1, "z2", 3, true, Map.of()), 0);
-			assertThat(FleetViewTests.this.fleet.addressesFor("z2", this.own),
+			assertThat(FleetViewTests.this.fleet.callerAddressesFor("z2", this.own),
 					containsInAnyOrder(address(1), address(3)));
 		}
 
@@ -59,7 +59,7 @@
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
 			FleetViewTests.this.fleet.record(report("b", 1, "z1", 3, false, Map.of()), 9_000);
 			FleetViewTests.this.fleet.advance(9_000);
-			assertThat(FleetViewTests.this.fleet.addressesFor("z1", this.own), contains(address(1)));
+			assertThat(FleetViewTests.this.fleet.callerAddressesFor("z1", this.own), contains(address(1)));
 		}
 
 	}
@@ -73,13 +73,13 @@
 			FleetViewTests.this.fleet.record(report("a", 2, "z1", 2, true, Map.of(7L, Map.of("growers", 3L))), 10);
 			UsageCounts own = new UsageCounts();
 			own.count(7, "growers");
-			assertThat(FleetViewTests.this.fleet.usageOf(7, own), is(Map.of("growers", 8L)));
+			assertThat(FleetViewTests.this.fleet.usageInWindow(7, own), is(Map.of("growers", 8L)));
 		}
 
 		@Test
 		void countsOfTheRunBeforeOfThisNodeStay() {
 			FleetViewTests.this.fleet.record(report("self", 0, "z1", 1, true, Map.of(7L, Map.of("growers", 4L))), 0);
-			assertThat(FleetViewTests.this.fleet.usageOf(7, new UsageCounts()), is(Map.of("growers", 4L)));
+			assertThat(FleetViewTests.this.fleet.usageInWindow(7, new UsageCounts()), is(Map.of("growers", 4L)));
 			assertThat(FleetViewTests.this.fleet.nodes(), is(1));
 		}
 
@@ -88,7 +88,7 @@
 			NodeReport report = report("a", 1, "z1", 2, true, Map.of(7L, Map.of("growers", 4L)));
 			FleetViewTests.this.fleet.record(report, 0);
 			FleetViewTests.this.fleet.record(report, 10);
-			assertThat(FleetViewTests.this.fleet.usageOf(7, new UsageCounts()), is(Map.of("growers", 4L)));
+			assertThat(FleetViewTests.this.fleet.usageInWindow(7, new UsageCounts()), is(Map.of("growers", 4L)));
 		}
 
 	}
@@ -102,7 +102,7 @@
 			FleetViewTests.this.fleet.advance(60_000);
 			assertThat(FleetViewTests.this.fleet.nodes(), is(2));
 			assertThat(FleetViewTests.this.fleet.othersPerSecond("growers"), is(50.0));
-			assertThat(FleetViewTests.this.fleet.silentFor(8_000), contains("a"));
+			assertThat(FleetViewTests.this.fleet.nodesSilentLongerThan(8_000), contains("a"));
 			FleetViewTests.this.fleet.forget("a");
 			assertThat(FleetViewTests.this.fleet.nodes(), is(1));
 		}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/limits/LimitsTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/limits/LimitsTests.java
@@ -12,7 +12,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * Tests of {@link RetryBudget} and {@link OpenRequests}.
+ * Tests of {@link RetryBudget} and {@link ConcurrencyLimiter}.
  */
 class LimitsTests {
 
@@ -44,17 +44,17 @@
 
 	@Test
 	void accountsAndTheNodeAreBoundedAndRefusalsAreNotRun() {
-		OpenRequests open = new OpenRequests(3);
+		ConcurrencyLimiter open = new ConcurrencyLimiter(3);
 		Account small = new Account("small", Digests.sha256("s"), 5, 1);
 		Account large = new Account("large", Digests.sha256("l"), 5, 10);
-		assertThat(open.tryOpen(small).isPresent(), is(false));
-		assertThat(open.tryOpen(small).orElseThrow().type(), is(ProblemType.TOO_MANY_REQUESTS));
-		open.tryOpen(large);
-		open.tryOpen(large);
-		assertThat(open.tryOpen(large).orElseThrow().type(), is(ProblemType.OVERLOADED));
-		assertThat(open.tryOpen(large).orElseThrow().execution(), is(Execution.NOT_RUN));
-		open.close(small);
-		assertThat(open.tryOpen(small).isPresent(), is(false));
+		assertThat(open.tryAcquire(small).isPresent(), is(false));
+		assertThat(open.tryAcquire(small).orElseThrow().type(), is(ProblemType.TOO_MANY_REQUESTS));
+		open.tryAcquire(large);
+		open.tryAcquire(large);
+		assertThat(open.tryAcquire(large).orElseThrow().type(), is(ProblemType.OVERLOADED));
+		assertThat(open.tryAcquire(large).orElseThrow().execution(), is(Execution.NOT_RUN));
+		open.release(small);
+		assertThat(open.tryAcquire(small).isPresent(), is(false));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/limits/RetryWindowTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/limits/WindowedRetryBudgetTests.java
@@ -15,11 +15,11 @@
 /**
  * The bound on retries.
  */
-class RetryWindowTests {
+class WindowedRetryBudgetTests {
 
 	@Test
 	void requestsEarnTheirShare() {
-		RetryWindow window = new RetryWindow(0.2, 10_000);
+		WindowedRetryBudget window = new WindowedRetryBudget(0.2, 10_000);
 		for (int i = 0; i < 10; i++) {
 			window.recordRequest(100);
 		}
@@ -30,14 +30,14 @@
 
 	@Test
 	void whatWasEarnedLapsesWithTheWindow() {
-		RetryWindow window = new RetryWindow(1, 10_000);
+		WindowedRetryBudget window = new WindowedRetryBudget(1, 10_000);
 		window.recordRequest(0);
 		assertThat(window.trySpend(0, 10_100), is(false));
 	}
 
 	@Test
 	void retriesLapseWithTheWindowToo() {
-		RetryWindow window = new RetryWindow(0, 10_000);
+		WindowedRetryBudget window = new WindowedRetryBudget(0, 10_000);
 		assertThat(window.trySpend(1, 0), is(true));
 		assertThat(window.trySpend(1, 9_000), is(false));
 		assertThat(window.trySpend(1, 10_100), is(true));
@@ -46,8 +46,8 @@
 	@Property(tries = 2_000, seed = "20261204")
 	void nodesTogetherKeepTheBound(@ForAll @Size(max = 200) List<@IntRange(max = 8) Integer> events) {
 		int nodes = 3;
-		RetryWindow[] windows = { new RetryWindow(0.2, 10_000), new RetryWindow(0.2, 10_000),
-				new RetryWindow(0.2, 10_000) };
+		WindowedRetryBudget[] windows = { new WindowedRetryBudget(0.2, 10_000), new WindowedRetryBudget(0.2, 10_000),
+				new WindowedRetryBudget(0.2, 10_000) };
 		int requests = 0;
 		int retries = 0;
 		for (int event : events) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/manifest/ManifestReaderTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/manifest/ManifestReaderTests.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.text.Digests;
-import io.flamingogap.core.toml.Fault;
+import io.flamingogap.core.toml.ValidationError;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
@@ -47,7 +47,7 @@
 			""".formatted(DIGEST, DIGEST);
 
 	private static List<String> faultKeys(String text) {
-		return ManifestReader.read(text).getLeft().stream().map(Fault::key).toList();
+		return ManifestReader.read(text).getLeft().stream().map(ValidationError::key).toList();
 	}
 
 	@Test
--- a/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
@@ -21,7 +21,8 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * Tests of {@link MembershipTable}, {@link Neighbours} and {@link SuccessorChoice}.
+ * Tests of {@link MembershipTable}, {@link NeighbourSelector} and
+ * {@link SuccessorSelector}.
  */
 class MembershipTableTests {
 
@@ -76,7 +77,7 @@
 		int steps = 0;
 		while (reached.size() < members.size()) {
 			Set<NodeId> next = new HashSet<>(reached);
-			reached.forEach((from) -> Neighbours.choose(from, members, 4).forEach((to) -> next.add(to.node())));
+			reached.forEach((from) -> NeighbourSelector.choose(from, members, 4).forEach((to) -> next.add(to.node())));
 			reached = next;
 			steps++;
 		}
@@ -86,8 +87,8 @@
 	@Test
 	void successorIsInAnotherZoneAndServes() {
 		List<Member> members = List.of(serving(0), serving(3), row(1, MemberState.DRAINING, 2, null), serving(2));
-		assertThat(SuccessorChoice.choose(serving(0), members, Set.of()).orElseThrow().node(), is(node(2)));
-		assertThat(SuccessorChoice.choose(serving(0), members, Set.of(node(2))).orElseThrow().node(), is(node(3)));
+		assertThat(SuccessorSelector.choose(serving(0), members, Set.of()).orElseThrow().node(), is(node(2)));
+		assertThat(SuccessorSelector.choose(serving(0), members, Set.of(node(2))).orElseThrow().node(), is(node(3)));
 	}
 
 	@Nested
@@ -105,8 +106,8 @@
 		@Test
 		void nodeThatIsCalledUnreachableAnnouncesItselfAgain() {
 			this.table.merge(serving(0).lost(), 1);
-			assertThat(this.table.own().isServing(), is(true));
-			assertThat(this.table.own().version(), is(2L));
+			assertThat(this.table.localMember().isServing(), is(true));
+			assertThat(this.table.localMember().version(), is(2L));
 		}
 
 		@Test
@@ -119,8 +120,8 @@
 		@Test
 		void silentNodesAreForgotten() {
 			this.table.merge(serving(1), 1);
-			this.table.reportLost(node(1), 2);
-			this.table.forgetSilentSince(3);
+			this.table.markUnreachable(node(1), 2);
+			this.table.removeUnreachableSince(3);
 			assertThat(this.table.find(node(1)).isPresent(), is(false));
 		}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaGateTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
@@ -12,8 +12,8 @@
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
 
+import io.flamingogap.core.serving.AccountQuota;
 import io.flamingogap.core.serving.ClientAccount;
-import io.flamingogap.core.serving.TokenQuota;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -23,7 +23,7 @@
 /**
  * Quotas that nodes keep together.
  */
-class QuotaGateTests {
+class QuotaLimiterTests {
 
 	private static final double RATE = 10_000;
 
@@ -32,18 +32,18 @@
 	private static final QuotaTolerance TOLERANCE = new QuotaTolerance(0.1, 7_000, WINDOW_MILLIS);
 
 	private static final ClientAccount ACCOUNT = new ClientAccount("growers", List.of("k"), OptionalInt.empty(),
-			new TokenQuota(RATE, RATE, true, 200));
+			new AccountQuota(RATE, RATE, true, 200));
 
 	@Test
 	void accountWithoutALimitIsAlwaysAdmitted() {
-		ClientAccount free = new ClientAccount("free", List.of("k"), OptionalInt.empty(), TokenQuota.UNLIMITED);
-		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		ClientAccount free = new ClientAccount("free", List.of("k"), OptionalInt.empty(), AccountQuota.UNLIMITED);
+		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
 		assertThat(gate.admit(free, 1_000_000, new Fleet(1), 0).isAdmitted(), is(true));
 	}
 
 	@Test
 	void refusalTellsWhenToComeBack() {
-		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
 		gate.admit(ACCOUNT, 100_000, alone, 0);
 		long waitMillis = gate.admit(ACCOUNT, 1, alone, 0).waitMillis();
@@ -53,7 +53,7 @@
 
 	@Test
 	void whatDidNotRunIsGivenBack() {
-		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
 		gate.admit(ACCOUNT, 100_000, alone, 0);
 		gate.refund(ACCOUNT, 100_000);
@@ -64,8 +64,8 @@
 	void nodeThatStartsAgainKeepsTheShareThatItHad() {
 		Fleet others = new Fleet(9);
 		others.others.put(ACCOUNT.name(), 8_000L);
-		QuotaGate restarted = new QuotaGate(TOLERANCE, false);
-		restarted.resume(Map.of(ACCOUNT.name(), 8_000L), 0);
+		QuotaLimiter restarted = new QuotaLimiter(TOLERANCE, false);
+		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
 		assertThat(restarted.admit(ACCOUNT, 1, others, 0).share(), greaterThan(0.4));
 		restarted.reportDemand(1_500);
 		assertThat(restarted.admit(ACCOUNT, 1, others, 1_500).share(), greaterThan(0.3));
@@ -73,26 +73,26 @@
 
 	@Test
 	void reportOfTheRunBeforeThatIsHeardTwiceCountsOnce() {
-		QuotaGate restarted = new QuotaGate(TOLERANCE, false);
-		restarted.resume(Map.of(ACCOUNT.name(), 8_000L), 0);
-		restarted.resume(Map.of(ACCOUNT.name(), 8_000L), 0);
+		QuotaLimiter restarted = new QuotaLimiter(TOLERANCE, false);
+		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
+		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
 		assertThat(restarted.reportDemand(0), is(Map.of(ACCOUNT.name(), 8_000L)));
 	}
 
 	@Test
 	void refusalTellsHowManyUnitsAreMissing() {
-		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
 		gate.admit(ACCOUNT, 100_000, alone, 0);
-		QuotaVerdict refused = gate.admit(ACCOUNT, 50, alone, 0);
+		QuotaDecision refused = gate.admit(ACCOUNT, 50, alone, 0);
 		assertThat(refused.isAdmitted(), is(false));
 		gate.receive(ACCOUNT.name(), refused.missingUnits());
-		assertThat(gate.admitAgain(ACCOUNT, 50, alone, 0).isAdmitted(), is(true));
+		assertThat(gate.retryAdmission(ACCOUNT, 50, alone, 0).isAdmitted(), is(true));
 	}
 
 	@Test
 	void requestThatFitsTheShareIsNotAdmittedOnCredit() {
-		QuotaGate gate = new QuotaGate(TOLERANCE, true);
+		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
 		gate.admit(ACCOUNT, 9_000, alone, 0);
 		assertThat(gate.admit(ACCOUNT, 2_000, alone, 0).missingUnits(), is(1_000L));
@@ -106,10 +106,10 @@
 	void nodesTogetherKeepTheQuotaThroughAJumpOfDemand(@ForAll @LongRange(max = 1_000_000) long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
 		int nodes = 9;
-		List<QuotaGate> gates = new ArrayList<>();
+		List<QuotaLimiter> gates = new ArrayList<>();
 		List<Fleet> fleets = new ArrayList<>();
 		for (int i = 0; i < nodes; i++) {
-			gates.add(new QuotaGate(TOLERANCE, true));
+			gates.add(new QuotaLimiter(TOLERANCE, true));
 			fleets.add(new Fleet(nodes));
 		}
 		long jumpMillis = 1_000 + random.nextInt(2_000);
@@ -135,14 +135,14 @@
 	@Property(tries = 200, seed = "20261204")
 	void nodesThatLendUnitsKeepTheQuotaOfAHotAccount(@ForAll @LongRange(max = 1_000_000) long seed) {
 		ClientAccount hot = new ClientAccount(ACCOUNT.name(), List.of("k"), OptionalInt.empty(),
-				new TokenQuota(196_000, 392_000, true, 200));
+				new AccountQuota(196_000, 392_000, true, 200));
 		QuotaTolerance tolerance = new QuotaTolerance(0.1, 140_000, WINDOW_MILLIS);
 		SplittableRandom random = new SplittableRandom(seed);
 		int nodes = 9;
-		List<QuotaGate> gates = new ArrayList<>();
+		List<QuotaLimiter> gates = new ArrayList<>();
 		List<Fleet> fleets = new ArrayList<>();
 		for (int i = 0; i < nodes; i++) {
-			gates.add(new QuotaGate(tolerance, true));
+			gates.add(new QuotaLimiter(tolerance, true));
 			fleets.add(new Fleet(nodes));
 		}
 		long hotFromMillis = random.nextInt(4_000);
@@ -151,8 +151,8 @@
 		for (int step = 0; step < admittedAt.length; step++) {
 			long now = step * 5L;
 			if (step == restartMillis / 5) {
-				QuotaGate restarted = new QuotaGate(tolerance, false);
-				restarted.resume(fleets.get(0).published, now);
+				QuotaLimiter restarted = new QuotaLimiter(tolerance, false);
+				restarted.restoreDemand(fleets.get(0).published, now);
 				gates.set(0, restarted);
 			}
 			if (now >= hotFromMillis || random.nextInt(6) == 0) {
@@ -167,19 +167,19 @@
 		assertThat(mostInAWindow(admittedAt), lessThanOrEqualTo(bound));
 	}
 
-	private static boolean isAdmitted(List<QuotaGate> gates, List<Fleet> fleets, int node, ClientAccount account,
+	private static boolean isAdmitted(List<QuotaLimiter> gates, List<Fleet> fleets, int node, ClientAccount account,
 			long cost, long now) {
-		QuotaGate gate = gates.get(node);
-		QuotaVerdict verdict = gate.admit(account, cost, fleets.get(node), now);
+		QuotaLimiter gate = gates.get(node);
+		QuotaDecision verdict = gate.admit(account, cost, fleets.get(node), now);
 		if (verdict.isAdmitted()) {
 			return true;
 		}
-		for (QuotaGate lender : gates) {
+		for (QuotaLimiter lender : gates) {
 			if (lender != gate) {
 				gate.receive(account.name(), lender.lend(account, verdict.missingUnits(), now));
 			}
 		}
-		return gate.admitAgain(account, cost, fleets.get(node), now).isAdmitted();
+		return gate.retryAdmission(account, cost, fleets.get(node), now).isAdmitted();
 	}
 
 	private static double mostInAWindow(double[] admittedAt) {
@@ -193,7 +193,7 @@
 		return most;
 	}
 
-	private static void exchange(List<QuotaGate> gates, List<Fleet> fleets, long now) {
+	private static void exchange(List<QuotaLimiter> gates, List<Fleet> fleets, long now) {
 		for (int i = 0; i < gates.size(); i++) {
 			if (Math.floorMod(now - i * 225, 2_000) == 0) {
 				fleets.get(i).published = gates.get(i).reportDemand(now);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerFleet.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerFleet.java
@@ -143,7 +143,7 @@
 	}
 
 	private void giveUp(RequestLedger ledger, RequestKey key) {
-		if (ledger.giveUp(key)) {
+		if (ledger.cancel(key)) {
 			this.toldNeverRun.add(key);
 			if (this.mayHaveRun.getOrDefault(key, 0) > 0) {
 				this.violations.add("\"not run\" of " + key + " after an execution");
@@ -158,7 +158,7 @@
 		}
 		else {
 			int successor = this.nodes.indexOf(this.committedTo[node]);
-			this.messages.add(new Message(Kind.COMMIT, node, successor, ledger.wholeCommit()));
+			this.messages.add(new Message(Kind.COMMIT, node, successor, ledger.fullCommit()));
 		}
 	}
 
@@ -209,7 +209,7 @@
 			this.dead[node] = true;
 		}
 		else if (this.dead[other]) {
-			this.ledgers.get(node).loseDispatcher(this.nodes.get(other));
+			this.ledgers.get(node).recordDispatcherLost(this.nodes.get(other));
 		}
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
@@ -104,7 +104,7 @@
 		@Test
 		void givenUpRequestIsNeverDispatched() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
-			assertThat(RequestLedgerTests.this.ledger.giveUp(RequestLedgerTests.this.key), is(true));
+			assertThat(RequestLedgerTests.this.ledger.cancel(RequestLedgerTests.this.key), is(true));
 			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
 			assertThat(refusal(RequestLedgerTests.this.request, 1), is(ProblemType.DEADLINE_EXCEEDED));
 		}
@@ -112,7 +112,7 @@
 		@Test
 		void keyOfAnotherNodeIsSentThere() {
 			KeyedRequest other = LedgerFixtures.request(LedgerFixtures.key(SECOND, 0, 1));
-			assertThat(RequestLedgerTests.this.ledger.admit(other, 0), equalTo(new Admission.Elsewhere(SECOND)));
+			assertThat(RequestLedgerTests.this.ledger.admit(other, 0), equalTo(new Admission.Forward(SECOND)));
 		}
 
 	}
@@ -195,7 +195,7 @@
 			List<KeySpacePart> changes = RequestLedgerTests.this.ledger.commit(SECOND);
 			assertThat(this.successor.receiveCommit(changes), instanceOf(CommitResult.Incomplete.class));
 			assertThat(this.successor.isOwner(FIRST), is(false));
-			this.successor.receiveCommit(RequestLedgerTests.this.ledger.wholeCommit());
+			this.successor.receiveCommit(RequestLedgerTests.this.ledger.fullCommit());
 			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(false));
 			assertThat(this.successor.admit(RequestLedgerTests.this.request, 1), instanceOf(Admission.Join.class));
 		}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/RolloutPolicyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/RolloutPolicyTests.java
@@ -47,7 +47,7 @@
 	}
 
 	private Optional<String> badness() {
-		return RolloutPolicy.findBadness(ROLLOUT, this.evidence, millis(LENGTH_SECONDS / 2));
+		return RolloutPolicy.findRegression(ROLLOUT, this.evidence, millis(LENGTH_SECONDS / 2));
 	}
 
 	@Nested
@@ -146,7 +146,7 @@
 			count(Arm.CURRENT, "chat", 10, 20_000, 200, 2_000);
 			count(Arm.CANDIDATE, "chat", 10, 1_000, 25, 100);
 			assertThat(badness().isPresent(), is(false));
-			assertThat(RolloutPolicy.findBadness(ROLLOUT, RolloutPolicyTests.this.evidence, millis(LENGTH_SECONDS))
+			assertThat(RolloutPolicy.findRegression(ROLLOUT, RolloutPolicyTests.this.evidence, millis(LENGTH_SECONDS))
 				.isPresent(), is(true));
 		}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/TimedTrialTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/TimedCanaryTests.java
@@ -8,15 +8,15 @@
 /**
  * Rollouts that have to end within a short time.
  */
-class TimedTrialTests {
+class TimedCanaryTests {
 
-	private final TimedTrial trial = new TimedTrial(0.08);
+	private final TimedCanary trial = new TimedCanary(0.08);
 
 	@Test
 	void versionThatFailsOftenIsFoundAfterAFewRequests() {
 		this.trial.add(Arm.CURRENT, "r", new Tally(200, 1, 20));
 		this.trial.add(Arm.CANDIDATE, "r", new Tally(12, 6, 1));
-		assertThat(this.trial.findBadness().isPresent(), is(true));
+		assertThat(this.trial.findRegression().isPresent(), is(true));
 	}
 
 	@Test
@@ -25,22 +25,22 @@
 		this.trial.add(Arm.CANDIDATE, "r1", new Tally(60, 0, 6));
 		this.trial.add(Arm.CURRENT, "r2", new Tally(100, 1, 10));
 		this.trial.add(Arm.CANDIDATE, "r2", new Tally(12, 1, 11));
-		assertThat(this.trial.findBadness().isPresent(), is(true));
+		assertThat(this.trial.findRegression().isPresent(), is(true));
 	}
 
 	@Test
 	void goodVersionIsNotCalledBad() {
 		this.trial.add(Arm.CURRENT, "r", new Tally(200, 2, 20));
 		this.trial.add(Arm.CANDIDATE, "r", new Tally(20, 0, 2));
-		assertThat(this.trial.findBadness().isPresent(), is(false));
+		assertThat(this.trial.findRegression().isPresent(), is(false));
 	}
 
 	@Test
 	void shareRisesWithTimeAndEndsBeforeTheDeadline() {
-		assertThat(this.trial.share(0.1), is(0.08));
-		assertThat(this.trial.share(0.7), is(1.0));
-		assertThat(this.trial.mayEnd(0.7), is(false));
-		assertThat(this.trial.mayEnd(0.9), is(true));
+		assertThat(this.trial.candidateShare(0.1), is(0.08));
+		assertThat(this.trial.candidateShare(0.7), is(1.0));
+		assertThat(this.trial.mayComplete(0.7), is(false));
+		assertThat(this.trial.mayComplete(0.9), is(true));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/routing/ServerChoiceTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/routing/LeastLoadedSelectorTests.java
@@ -15,11 +15,11 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link ServerChoice}.
+ * Tests of {@link LeastLoadedSelector}.
  */
-class ServerChoiceTests {
+class LeastLoadedSelectorTests {
 
-	private final ServerLoads loads = new ServerLoads(1_000);
+	private final ServerLoadTable loads = new ServerLoadTable(1_000);
 
 	private final LeavingServers leaving = new LeavingServers(10_000);
 
@@ -39,7 +39,7 @@
 
 	private Optional<String> choose(List<String> zones, Set<String> tried, long nowMillis) {
 		ServerQuery query = new ServerQuery("assistant", "v1", zones, tried);
-		return ServerChoice.choose(this.manifest, query, "zone-0", this.loads, this.leaving, nowMillis)
+		return LeastLoadedSelector.choose(this.manifest, query, "zone-0", this.loads, this.leaving, nowMillis)
 			.map(BackendServer::name);
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -21,24 +21,25 @@
 	private final ServerTable table = new ServerTable();
 
 	private final ServerSelector selector = new ServerSelector(
-			new Placement("z1", Map.of("z1", "r1", "z2", "r1", "z3", "r2")));
+			new NodeLocality("z1", Map.of("z1", "r1", "z2", "r1", "z3", "r2")));
 
 	private KnownServer server(String id, String zone, int slots) {
 		this.table.register(
-				new ServerEntry(id, "engine", Address.parse("10.0.0.1:80"), zone, "v1", slots, false, false, 1), 1);
+				new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), zone, "v1", slots, false, false, 1),
+				1);
 		return this.table.find(id).get();
 	}
 
-	private Optional<String> choose(PromptShape prompt) {
+	private Optional<String> choose(PromptMetadata prompt) {
 		return this.selector.choose(this.table.ofService("engine"), prompt, (server) -> true, NOW)
-			.map((server) -> server.entry().id());
+			.map((server) -> server.registration().id());
 	}
 
 	@Test
 	void idleServerOfTheOwnZoneIsPreferred() {
 		server("far", "z3", 8);
 		server("near", "z1", 8);
-		assertThat(choose(PromptShape.NONE), is(Optional.of("near")));
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("near")));
 	}
 
 	@Test
@@ -48,7 +49,7 @@
 		for (int i = 0; i < 9; i++) {
 			near.load().recordSent(0);
 		}
-		assertThat(choose(PromptShape.NONE), is(Optional.of("far")));
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("far")));
 	}
 
 	@Test
@@ -58,7 +59,7 @@
 		for (int i = 0; i < 4; i++) {
 			near.health().recordFailure(NOW);
 		}
-		assertThat(choose(PromptShape.NONE), is(Optional.of("other")));
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("other")));
 	}
 
 	@Test
@@ -67,7 +68,7 @@
 		for (int i = 0; i < 3; i++) {
 			only.load().recordSent(0);
 		}
-		assertThat(choose(PromptShape.NONE), is(Optional.empty()));
+		assertThat(choose(PromptMetadata.NONE), is(Optional.empty()));
 	}
 
 	@Test
@@ -75,18 +76,20 @@
 		for (int i = 0; i < 5; i++) {
 			server("s" + i, "z1", 8);
 		}
-		PromptShape one = new PromptShape(6_000, 10, List.of(new PromptPart("aa", 5_000), new PromptPart("x", 1_000)));
-		PromptShape two = new PromptShape(6_500, 10, List.of(new PromptPart("aa", 5_000), new PromptPart("y", 1_500)));
+		PromptMetadata one = new PromptMetadata(6_000, 10,
+				List.of(new PromptPart("aa", 5_000), new PromptPart("x", 1_000)));
+		PromptMetadata two = new PromptMetadata(6_500, 10,
+				List.of(new PromptPart("aa", 5_000), new PromptPart("y", 1_500)));
 		assertThat(choose(one), is(choose(two)));
 	}
 
 	@Test
 	void serverThatReadThePartsAlreadyIsCheaper() {
 		KnownServer away = server("away", "z2", 8);
-		PromptShape prompt = new PromptShape(9_000, 10,
+		PromptMetadata prompt = new PromptMetadata(9_000, 10,
 				List.of(new PromptPart("aa", 8_000), new PromptPart("x", 1_000)));
 		server("home", "z1", 8);
-		away.prompts().record(prompt);
+		away.promptCache().record(prompt);
 		for (int i = 0; i < 3; i++) {
 			this.table.find("home").get().load().recordSent(4_000);
 		}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
@@ -38,7 +38,7 @@
 			table.unregister(id, revision, Long.MIN_VALUE, revision);
 		}
 		else {
-			table.register(new ServerEntry(id, "desk", new Address("10.0.0.1", 80), "z1", "v1", 4,
+			table.register(new ServerRegistration(id, "desk", new Address("10.0.0.1", 80), "z1", "v1", 4,
 					state == State.DRAINING, false, 1), revision);
 		}
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -20,8 +20,8 @@
 
 	private final ServerTable table = new ServerTable();
 
-	private static ServerEntry entry(String id, boolean draining, long startedAtMillis) {
-		return new ServerEntry(id, "engine", Address.parse("10.0.0.1:80"), "z", "v1", 8, draining, false,
+	private static ServerRegistration entry(String id, boolean draining, long startedAtMillis) {
+		return new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), "z", "v1", 8, draining, false,
 				startedAtMillis);
 	}
 
@@ -40,7 +40,7 @@
 			ServerTableTests.this.table.register(entry("a", false, 1), 1);
 			ServerTableTests.this.table.find("a").get().load().recordSent(100);
 			ServerTableTests.this.table.register(entry("a", false, 2), 2);
-			assertThat(ServerTableTests.this.table.find("a").get().load().open(), is(0));
+			assertThat(ServerTableTests.this.table.find("a").get().load().openRequests(), is(0));
 			assertThat(ServerTableTests.this.table.ofService("engine"), hasSize(1));
 		}
 
@@ -82,7 +82,7 @@
 			ServerTableTests.this.table.unregister("a", 2, 2_600, 100);
 			ServerTableTests.this.table.register(entry("a", false, 1), 3);
 			assertThat(ServerTableTests.this.table.expire(9_000), hasSize(0));
-			assertThat(ServerTableTests.this.table.find("a").get().isDoubtful(), is(false));
+			assertThat(ServerTableTests.this.table.find("a").get().isSuspect(), is(false));
 		}
 
 		@Test
--- a/flamingogap-core/src/test/java/io/flamingogap/core/serving/ServingConfigTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/serving/ServingConfigTests.java
@@ -21,7 +21,7 @@
 
 	private static ServingConfig version(long number) {
 		ClientAccount account = new ClientAccount("growers", List.of("key-1", "key-2"), OptionalInt.empty(),
-				TokenQuota.UNLIMITED);
+				AccountQuota.UNLIMITED);
 		return ServingConfig.of(number, List.of(route("short", "/a/"), route("long", "/a/b/")), List.of(),
 				List.of(account), ListenerLimits.DEFAULT);
 	}
@@ -68,8 +68,8 @@
 		@Test
 		void newerVersionsReplaceOlderOnes() {
 			ConfigHolder holder = new ConfigHolder();
-			assertThat(holder.offer(version(3), 0), is(true));
-			assertThat(holder.offer(version(9), 10), is(true));
+			assertThat(holder.applyIfNewer(version(3), 0), is(true));
+			assertThat(holder.applyIfNewer(version(9), 10), is(true));
 			assertThat(holder.current().get().version(), is(9L));
 			assertThat(holder.ageMillis(25), is(15L));
 		}
@@ -77,9 +77,9 @@
 		@Test
 		void olderVersionsNeverComeBack() {
 			ConfigHolder holder = new ConfigHolder();
-			holder.offer(version(9), 0);
-			assertThat(holder.offer(version(3), 10), is(false));
-			assertThat(holder.offer(version(9), 10), is(false));
+			holder.applyIfNewer(version(9), 0);
+			assertThat(holder.applyIfNewer(version(3), 10), is(false));
+			assertThat(holder.applyIfNewer(version(9), 10), is(false));
 			assertThat(holder.current().get().version(), is(9L));
 		}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/stream/StreamCursorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/stream/StreamCursorTests.java
@@ -43,7 +43,7 @@
 		for (int i = 0; i < passed.size(); i++) {
 			assertThat(passed.get(i), is((long) i));
 		}
-		assertThat(cursor.isEnded(), is(passed.size() == 10));
+		assertThat(cursor.isComplete(), is(passed.size() == 10));
 	}
 
 	@Test
--- a/flamingogap-core/src/test/java/io/flamingogap/core/toml/RecordBinderTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/toml/RecordBinderTests.java
@@ -16,7 +16,7 @@
 class RecordBinderTests {
 
 	private static List<String> faultKeys(String text) {
-		return RecordBinder.bind(text, Sample.class).getLeft().stream().map(Fault::key).toList();
+		return RecordBinder.bind(text, Sample.class).getLeft().stream().map(ValidationError::key).toList();
 	}
 
 	@Test
@@ -33,19 +33,19 @@
 
 	@Test
 	void reportsAbsentKeysWithWhatTheyAllow() {
-		List<Fault> faults = RecordBinder.bind("", Sample.class).getLeft();
-		assertThat(faults.stream().map(Fault::toString).toList(),
-				contains("name = absent: must be text of the form " + Form.NAME));
+		List<ValidationError> faults = RecordBinder.bind("", Sample.class).getLeft();
+		assertThat(faults.stream().map(ValidationError::toString).toList(),
+				contains("name = absent: must be text of the form " + StringPattern.NAME));
 	}
 
 	@Test
 	void reportsTheLineOfASyntaxError() {
-		Fault fault = RecordBinder.bind("name = \"a\"\nbroken\n", Sample.class).getLeft().get(0);
+		ValidationError fault = RecordBinder.bind("name = \"a\"\nbroken\n", Sample.class).getLeft().get(0);
 		assertThat(fault.key(), containsString("line"));
 	}
 
-	record Sample(@Form(Form.NAME) String name, @Default("250") @Range(min = 1, max = 1_000) long timeoutMillis,
-			@Default("") List<Part> part) {
+	record Sample(@StringPattern(StringPattern.NAME) String name,
+			@Default("250") @Range(min = 1, max = 1_000) long timeoutMillis, @Default("") List<Part> part) {
 	}
 
 	record Part(@Range(min = 1, max = 10) int sizeBytes) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/FlamingogapDaemon.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/FlamingogapDaemon.java
@@ -17,8 +17,8 @@
 import org.apache.thrift.TException;
 import org.slf4j.LoggerFactory;
 
-import io.flamingogap.core.toml.Fault;
 import io.flamingogap.core.toml.RecordBinder;
+import io.flamingogap.core.toml.ValidationError;
 import io.flamingogap.daemon.http.JdkHttp;
 import io.flamingogap.daemon.settings.Settings;
 
@@ -83,7 +83,7 @@
 	}
 
 	private static int runWith(Path file, boolean checkOnly, PrintStream out, PrintStream err) throws IOException {
-		Either<List<Fault>, Settings> settings = RecordBinder.bind(Files.readString(file), Settings.class);
+		Either<List<ValidationError>, Settings> settings = RecordBinder.bind(Files.readString(file), Settings.class);
 		if (settings.isLeft()) {
 			err.println(file + " has " + settings.getLeft().size() + " faults:");
 			settings.getLeft().forEach((fault) -> err.println("  " + fault));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -14,7 +14,7 @@
 
 import io.flamingogap.core.membership.Member;
 import io.flamingogap.core.membership.MemberState;
-import io.flamingogap.core.membership.SuccessorChoice;
+import io.flamingogap.core.membership.SuccessorSelector;
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.request.KeySpacePart;
 import io.flamingogap.core.request.RequestLedger;
@@ -179,7 +179,7 @@
 	}
 
 	private Optional<Member> choose(Set<NodeId> tried) {
-		return SuccessorChoice.choose(this.membership.own(), this.membership.members(), tried);
+		return SuccessorSelector.choose(this.membership.own(), this.membership.members(), tried);
 	}
 
 	/**
@@ -221,7 +221,7 @@
 			if (reply.filter((done) -> done != CommitReply.INCOMPLETE).isPresent()) {
 				return reply;
 			}
-			parts = this.requests.withLedger(RequestLedger::wholeCommit);
+			parts = this.requests.withLedger(RequestLedger::fullCommit);
 			Thread.sleep(LOOK_MILLIS);
 		}
 		return Optional.empty();
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
@@ -8,9 +8,9 @@
 import io.flamingogap.core.limits.RetryBudget;
 import io.flamingogap.core.manifest.BackendServer;
 import io.flamingogap.core.manifest.Manifest;
+import io.flamingogap.core.routing.LeastLoadedSelector;
 import io.flamingogap.core.routing.LeavingServers;
-import io.flamingogap.core.routing.ServerChoice;
-import io.flamingogap.core.routing.ServerLoads;
+import io.flamingogap.core.routing.ServerLoadTable;
 import io.flamingogap.core.routing.ServerQuery;
 
 /**
@@ -26,7 +26,7 @@
 
 	private static final int MAX_SAVED_RETRIES = 20;
 
-	private final ServerLoads loads = new ServerLoads(AVOID_MILLIS);
+	private final ServerLoadTable loads = new ServerLoadTable(AVOID_MILLIS);
 
 	private final LeavingServers leaving = new LeavingServers(FORGET_LEAVING_MILLIS);
 
@@ -53,8 +53,8 @@
 	 * @return the server, if one can take the request
 	 */
 	public synchronized Optional<BackendServer> acquire(ServerQuery query, long nowMillis) {
-		Optional<BackendServer> chosen = ServerChoice.choose(this.manifest.get(), query, this.ownZone, this.loads,
-				this.leaving, nowMillis);
+		Optional<BackendServer> chosen = LeastLoadedSelector.choose(this.manifest.get(), query, this.ownZone,
+				this.loads, this.leaving, nowMillis);
 		chosen.ifPresent((server) -> this.loads.recordDispatch(server.name()));
 		return chosen;
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreams.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreams.java
@@ -93,7 +93,7 @@
 
 		private Optional<Failure> run() throws IOException, InterruptedException {
 			Failure failure = null;
-			while (!this.cursor.isEnded() && !this.sink.isMoving()) {
+			while (!this.cursor.isComplete() && !this.sink.isMoving()) {
 				if (failure != null && !mayRetry(failure)) {
 					return Optional.of(failure);
 				}
@@ -105,7 +105,7 @@
 				this.tried.add(server.get().name());
 				failure = streamFrom(server.get());
 			}
-			return Optional.ofNullable(this.cursor.isEnded() ? null : failure);
+			return Optional.ofNullable(this.cursor.isComplete() ? null : failure);
 		}
 
 		private Failure noServer() {
@@ -158,7 +158,7 @@
 			long startMillis = ModelStreams.this.clock.millis();
 			long firstTokenMillis = -1;
 			long silentMillis = this.call.service().targetMillis() + this.call.service().tokenGapMillis();
-			while (!this.cursor.isEnded() && !this.sink.isMoving()) {
+			while (!this.cursor.isComplete() && !this.sink.isMoving()) {
 				long nowMillis = ModelStreams.this.clock.millis();
 				long leftMillis = this.call.deadlineMillis() - nowMillis;
 				if (leftMillis <= 0) {
@@ -178,7 +178,7 @@
 					return failure;
 				}
 			}
-			if (this.cursor.isEnded()) {
+			if (this.cursor.isComplete()) {
 				ModelStreams.this.rollouts.report(this.call.pick(), false, Math.max(0, firstTokenMillis));
 			}
 			return null;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
@@ -8,11 +8,11 @@
 import com.sun.net.httpserver.HttpExchange;
 import io.vavr.control.Either;
 
-import io.flamingogap.core.entry.EntryDirectory;
+import io.flamingogap.core.entry.EntryNodeSelector;
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.error.ProblemType;
 import io.flamingogap.core.error.Step;
-import io.flamingogap.core.limits.OpenRequests;
+import io.flamingogap.core.limits.ConcurrencyLimiter;
 import io.flamingogap.core.manifest.Account;
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.http.HttpListener;
@@ -37,7 +37,7 @@
 
 	private final KeyStatusHandler keyStatus;
 
-	private final OpenRequests openRequests;
+	private final ConcurrencyLimiter openRequests;
 
 	private final Settings.Callers settings;
 
@@ -62,7 +62,7 @@
 		this.completions = completions;
 		this.plainServices = plainServices;
 		this.keyStatus = keyStatus;
-		this.openRequests = new OpenRequests(settings.maxOpenRequests());
+		this.openRequests = new ConcurrencyLimiter(settings.maxOpenRequests());
 		this.settings = settings;
 		this.clock = clock;
 		this.tickets = new AtomicLong(membership.own().node().incarnation() >>> 1);
@@ -90,13 +90,13 @@
 
 	private Optional<Failure> open(Account account) {
 		synchronized (this.openRequests) {
-			return this.openRequests.tryOpen(account);
+			return this.openRequests.tryAcquire(account);
 		}
 	}
 
 	private void close(Account account) {
 		synchronized (this.openRequests) {
-			this.openRequests.close(account);
+			this.openRequests.release(account);
 		}
 	}
 
@@ -106,7 +106,7 @@
 	 */
 	public int openRequests() {
 		synchronized (this.openRequests) {
-			return this.openRequests.open();
+			return this.openRequests.openRequests();
 		}
 	}
 
@@ -137,7 +137,7 @@
 
 	private void sendEntry(HttpExchange exchange) throws IOException {
 		Exchanges.sendJson(exchange, 200,
-				EntryAnswer.of(EntryDirectory.choose(this.membership.members(), this.tickets.getAndIncrement(),
+				EntryAnswer.of(EntryNodeSelector.choose(this.membership.members(), this.tickets.getAndIncrement(),
 						this.settings.entryCount(), this.clock.millis()), this.settings.entryTtlMillis()));
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/EntryAnswer.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/EntryAnswer.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import io.flamingogap.core.entry.EntryPoint;
+import io.flamingogap.core.entry.EntryEndpoint;
 
 /**
  * The answer to an entry request.
@@ -12,7 +12,7 @@
  */
 record EntryAnswer(long ttlMillis, List<Node> nodes) {
 
-	static EntryAnswer of(List<EntryPoint> points, long ttlMillis) {
+	static EntryAnswer of(List<EntryEndpoint> points, long ttlMillis) {
 		return new EntryAnswer(ttlMillis,
 				points.stream()
 					.map((point) -> new Node(point.address().toString(), point.zone(), point.keyPrefix()))
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
@@ -71,7 +71,7 @@
 			.findService(ServicePath.service(path))
 			.filter((found) -> found.kind() == ServiceKind.PLAIN);
 		Optional<Route> route = service
-			.flatMap((found) -> found.route(exchange.getRequestMethod(), ServicePath.rest(path)));
+			.flatMap((found) -> found.findRoute(exchange.getRequestMethod(), ServicePath.rest(path)));
 		if (service.isEmpty() || route.isEmpty()) {
 			Exchanges.sendProblem(exchange, Failure.notRun(ProblemType.NOT_FOUND, Step.ROUTE, "caller",
 					"no route serves " + exchange.getRequestMethod() + " " + path));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Membership.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Membership.java
@@ -11,7 +11,7 @@
 import io.flamingogap.core.membership.Member;
 import io.flamingogap.core.membership.MemberState;
 import io.flamingogap.core.membership.MembershipTable;
-import io.flamingogap.core.membership.Neighbours;
+import io.flamingogap.core.membership.NeighbourSelector;
 import io.flamingogap.core.node.NodeId;
 
 /**
@@ -75,7 +75,7 @@
 								member.version(), member.unreachable(), member.successor());
 				}
 			}
-			this.table.forgetSilentSince(this.clock.millis() - FORGET_SILENT_MILLIS);
+			this.table.removeUnreachableSince(this.clock.millis() - FORGET_SILENT_MILLIS);
 		}
 		if (changed) {
 			tellListeners();
@@ -89,7 +89,7 @@
 	public void reportLost(NodeId node) {
 		boolean changed;
 		synchronized (this) {
-			changed = this.table.reportLost(node, this.clock.millis());
+			changed = this.table.markUnreachable(node, this.clock.millis());
 		}
 		if (changed) {
 			logger.atWarning().log("member %s is unreachable", node);
@@ -116,7 +116,7 @@
 	 * @return the chosen rows
 	 */
 	synchronized List<Member> neighbours(int fanOut) {
-		return Neighbours.choose(this.table.own().node(), this.table.members(), fanOut);
+		return NeighbourSelector.choose(this.table.localMember().node(), this.table.members(), fanOut);
 	}
 
 	/**
@@ -132,7 +132,7 @@
 	 * @return the row
 	 */
 	public synchronized Member own() {
-		return this.table.own();
+		return this.table.localMember();
 	}
 
 	/**
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
@@ -78,7 +78,7 @@
 	public NodeRef authenticate(Proof proof) throws NodeFault {
 		NodeId claimed = WireCodec.fromWire(proof.getNode());
 		byte[] expected = NodeProof.mac(this.sharedSecret, this.nonce, claimed);
-		boolean proven = this.nonce.length == NONCE_BYTES && Digests.isEqual(expected, proof.getMac());
+		boolean proven = this.nonce.length == NONCE_BYTES && Digests.constantTimeEquals(expected, proof.getMac());
 		this.nonce = new byte[0];
 		if (!proven) {
 			throw new NodeFault("authenticate", claimed.toString(), "the shared secret is not proven");
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
@@ -25,7 +25,7 @@
 import io.flamingogap.core.rollout.RolloutKey;
 import io.flamingogap.core.rollout.TakeBack;
 import io.flamingogap.core.text.Digests;
-import io.flamingogap.core.toml.Fault;
+import io.flamingogap.core.toml.ValidationError;
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.nodes.Membership;
 import io.flamingogap.daemon.platformlog.AuditEntry;
@@ -175,15 +175,15 @@
 		if (!CHANGE_ID.matcher(id).matches() || base < 0) {
 			return Either.left(Exchanges.malformed("id must match " + CHANGE_ID + " and baseOffset must be a number"));
 		}
-		Optional<List<Fault>> faults = Optional.ofNullable(faultsOf(manifest));
+		Optional<List<ValidationError>> faults = Optional.ofNullable(faultsOf(manifest));
 		if (faults.isPresent()) {
 			return Either.left(Failure.notRun(ProblemType.INVALID, Step.PARSE, "operator",
-					String.join("; ", faults.get().stream().map(Fault::toString).toList())));
+					String.join("; ", faults.get().stream().map(ValidationError::toString).toList())));
 		}
 		return Either.right(new ConfigRecord(id, base, operator, Digests.sha256(manifest), manifest));
 	}
 
-	private static @Nullable List<Fault> faultsOf(String manifest) {
+	private static @Nullable List<ValidationError> faultsOf(String manifest) {
 		return ManifestReader.read(manifest).fold((faults) -> faults, (read) -> null);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
@@ -97,7 +97,7 @@
 		Optional<Service> service = this.configuration.manifest().findService(ServicePath.service(request.path()));
 		String rest = ServicePath.rest(request.path());
 		Optional<VersionPick> pick = service.map((found) -> this.rollouts.pick(found, request.key().toString(),
-				found.route(request.method(), rest).map(Object::toString).orElse(rest), false));
+				found.findRoute(request.method(), rest).map(Object::toString).orElse(rest), false));
 		return afterFailure ? pick.map(VersionPick::current) : pick;
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -108,11 +108,11 @@
 	private Outcome answerHereOrAt(KeyedRequest request) {
 		NodeId owner = this.membership.ownerOf(request.key().issuer());
 		Admission admission = admit(request);
-		if (!(admission instanceof Admission.Elsewhere elsewhere)) {
+		if (!(admission instanceof Admission.Forward forward)) {
 			return conclude(request, admission);
 		}
-		NodeId target = elsewhere.owner().equals(request.key().issuer()) ? owner
-				: this.membership.ownerOf(elsewhere.owner());
+		NodeId target = forward.owner().equals(request.key().issuer()) ? owner
+				: this.membership.ownerOf(forward.owner());
 		return forward(target, request);
 	}
 
@@ -181,7 +181,7 @@
 		return this.ledger.find(key)
 			.map(LedgerEntry::request)
 			.filter((accepted) -> accepted.deadlineMillis() <= nowMillis)
-			.filter((accepted) -> this.ledger.giveUp(key))
+			.filter((accepted) -> this.ledger.cancel(key))
 			.isPresent();
 	}
 
@@ -251,7 +251,7 @@
 		this.membership.members()
 			.stream()
 			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.own().node()))
-			.flatMap((member) -> withLedger((held) -> held.loseDispatcher(member.node())).stream())
+			.flatMap((member) -> withLedger((held) -> held.recordDispatcherLost(member.node())).stream())
 			.forEach(this::completeEnded);
 	}
 
@@ -275,8 +275,8 @@
 	@Override
 	public Answer answerForwarded(KeyedRequest request) {
 		Admission admission = admit(request);
-		if (admission instanceof Admission.Elsewhere elsewhere) {
-			return Exchanges.problemAnswer(Failure.outcomeUnknown(Step.FORWARD, elsewhere.owner().toString(),
+		if (admission instanceof Admission.Forward forward) {
+			return Exchanges.problemAnswer(Failure.outcomeUnknown(Step.FORWARD, forward.owner().toString(),
 					"the key is owned by another node"));
 		}
 		Outcome outcome = conclude(request, admission);
@@ -382,7 +382,7 @@
 
 		@Override
 		public void giveUp() {
-			withLedger((held) -> held.giveUp(this.key));
+			withLedger((held) -> held.cancel(this.key));
 			record(this.key);
 			completeEnded(this.key);
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/Rollouts.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/Rollouts.java
@@ -20,6 +20,7 @@
 import io.flamingogap.core.manifest.Service;
 import io.flamingogap.core.manifest.ServiceKind;
 import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.rollout.AdaptiveLatencyThreshold;
 import io.flamingogap.core.rollout.Arm;
 import io.flamingogap.core.rollout.EvidenceKey;
 import io.flamingogap.core.rollout.EvidenceRow;
@@ -27,9 +28,8 @@
 import io.flamingogap.core.rollout.RolloutDecision;
 import io.flamingogap.core.rollout.RolloutKey;
 import io.flamingogap.core.rollout.RolloutPolicy;
-import io.flamingogap.core.rollout.SlowThreshold;
 import io.flamingogap.core.rollout.TakeBack;
-import io.flamingogap.core.rollout.VersionChoice;
+import io.flamingogap.core.rollout.TrafficSplitter;
 import io.flamingogap.daemon.backends.CallResult;
 
 /**
@@ -68,7 +68,7 @@
 
 	};
 
-	private final Map<String, SlowThreshold> thresholds = new HashMap<>();
+	private final Map<String, AdaptiveLatencyThreshold> thresholds = new HashMap<>();
 
 	private final List<Consumer<TakeBack>> listeners = new CopyOnWriteArrayList<>();
 
@@ -116,7 +116,7 @@
 			return new VersionPick(service, service.version(), List.of(), null, Arm.CURRENT, route);
 		}
 		boolean mayExplore = repeatable || !hasRepeatable(service);
-		Arm arm = isInformed() ? VersionChoice.choose(decide(rollout.get()), requestId, mayExplore) : Arm.CURRENT;
+		Arm arm = isInformed() ? TrafficSplitter.choose(decide(rollout.get()), requestId, mayExplore) : Arm.CURRENT;
 		if (arm == Arm.CANDIDATE) {
 			return new VersionPick(service, rollout.get().candidate(), rollout.get().zones(), rollout.get(), arm,
 					route);
@@ -169,11 +169,12 @@
 			return;
 		}
 		synchronized (this) {
-			SlowThreshold threshold = this.thresholds.computeIfAbsent(pick.service().name() + " " + pick.route(),
-					(route) -> new SlowThreshold(pick.service().targetMillis()));
+			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(
+					pick.service().name() + " " + pick.route(),
+					(route) -> new AdaptiveLatencyThreshold(pick.service().targetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
 			if (pick.arm() == Arm.CURRENT && !failed) {
-				threshold.follow(latencyMillis);
+				threshold.update(latencyMillis);
 			}
 			int period = RolloutPolicy.period(rollout, this.clock.millis());
 			this.evidence.count(new EvidenceKey(RolloutKey.of(rollout), this.self, pick.arm(), pick.route(), period),
@@ -208,7 +209,7 @@
 			for (Rollout rollout : underWay) {
 				RolloutKey key = RolloutKey.of(rollout);
 				if (!this.takenBack.containsKey(key)) {
-					RolloutPolicy.findBadness(rollout, this.evidence, this.clock.millis())
+					RolloutPolicy.findRegression(rollout, this.evidence, this.clock.millis())
 						.ifPresent((reason) -> found
 							.add(new TakeBack(key, this.self.toString(), reason, this.clock.millis())));
 				}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 import io.flamingogap.core.toml.Default;
-import io.flamingogap.core.toml.Form;
 import io.flamingogap.core.toml.Range;
+import io.flamingogap.core.toml.StringPattern;
 
 /**
  * The settings of an entry node. Names carry the unit of their value.
@@ -27,7 +27,7 @@
 	 * @param name the name of its instance, as in the cloud's notices
 	 * @param zone its availability zone
 	 */
-	public record Node(@Form(Form.NAME) String name, @Form(Form.NAME) String zone) {
+	public record Node(@StringPattern(StringPattern.NAME) String name, @StringPattern(StringPattern.NAME) String zone) {
 	}
 
 	/**
@@ -39,9 +39,10 @@
 	 * @param advertisedNodeAddress what other entry nodes are told to connect to; empty
 	 * for nodeAddress
 	 */
-	public record Listen(@Form(Form.ADDRESS) String callerAddress, @Form(Form.ADDRESS) String nodeAddress,
-			@Form(Form.ADDRESS) String adminAddress,
-			@Default("") @Form("|" + Form.ADDRESS) String advertisedNodeAddress) {
+	public record Listen(@StringPattern(StringPattern.ADDRESS) String callerAddress,
+			@StringPattern(StringPattern.ADDRESS) String nodeAddress,
+			@StringPattern(StringPattern.ADDRESS) String adminAddress,
+			@Default("") @StringPattern("|" + StringPattern.ADDRESS) String advertisedNodeAddress) {
 
 		/**
 		 * Return what other entry nodes are told to connect to.
@@ -62,8 +63,8 @@
 	 * @param heartbeatMillis the time between two heartbeats on a connection
 	 * @param silentMillis how long a connection may stay without an answer
 	 */
-	public record Nodes(@Form(".{16,256}") String sharedSecret,
-			@Default("") @Form(Form.ADDRESS) List<String> seedAddresses,
+	public record Nodes(@StringPattern(".{16,256}") String sharedSecret,
+			@Default("") @StringPattern(StringPattern.ADDRESS) List<String> seedAddresses,
 			@Default("4") @Range(min = 1, max = 32) int fanOut,
 			@Default("1000") @Range(min = 50, max = 60_000) long heartbeatMillis,
 			@Default("2000") @Range(min = 100, max = 120_000) long silentMillis) {
@@ -80,7 +81,8 @@
 	 * @param snapshotMillis how long a change stays without a snapshot in the log; well
 	 * below the time for which the log keeps records
 	 */
-	public record Platform(@Form(Form.ADDRESS) String logAddress, @Form(Form.ADDRESS) String cloudAddress,
+	public record Platform(@StringPattern(StringPattern.ADDRESS) String logAddress,
+			@StringPattern(StringPattern.ADDRESS) String cloudAddress,
 			@Default("500") @Range(min = 50, max = 60_000) long cloudPollMillis,
 			@Default("2000") @Range(min = 50, max = 60_000) long logTimeoutMillis,
 			@Default("10000") @Range(min = 0, max = 30_000) long logWaitMillis,
@@ -140,7 +142,8 @@
 	 * @param bootstrapName the operator's name
 	 * @param bootstrapKeyDigest the SHA-256 digest of their bearer key
 	 */
-	public record Operators(@Form(Form.NAME) String bootstrapName, @Form(Form.DIGEST) String bootstrapKeyDigest) {
+	public record Operators(@StringPattern(StringPattern.NAME) String bootstrapName,
+			@StringPattern(StringPattern.DIGEST) String bootstrapKeyDigest) {
 	}
 
 	/**
@@ -148,7 +151,7 @@
 	 *
 	 * @param level the least severe level that is written
 	 */
-	public record Log(@Default("info") @Form("error|warn|info|debug") String level) {
+	public record Log(@Default("info") @StringPattern("error|warn|info|debug") String level) {
 	}
 
 }
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/settings/SettingsTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/settings/SettingsTests.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.text.Digests;
-import io.flamingogap.core.toml.Fault;
 import io.flamingogap.core.toml.RecordBinder;
+import io.flamingogap.core.toml.ValidationError;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
@@ -29,7 +29,7 @@
 	}
 
 	private static List<String> faultKeys(String text) {
-		return RecordBinder.bind(text, Settings.class).getLeft().stream().map(Fault::key).toList();
+		return RecordBinder.bind(text, Settings.class).getLeft().stream().map(ValidationError::key).toList();
 	}
 
 	@Test
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -17,18 +17,18 @@
 import io.flamingogap.core.fleet.NodeReport;
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
-import io.flamingogap.core.quota.QuotaGate;
-import io.flamingogap.core.servers.Placement;
+import io.flamingogap.core.quota.QuotaLimiter;
+import io.flamingogap.core.servers.NodeLocality;
 import io.flamingogap.core.servers.ServerSelector;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.core.serving.ListenerLimits;
 import io.flamingogap.core.serving.ServingConfig;
-import io.flamingogap.gateway.backends.BackendPool;
+import io.flamingogap.gateway.backends.BackendConnectionPool;
 import io.flamingogap.gateway.callers.CallerListener;
 import io.flamingogap.gateway.cloud.CloudApi;
-import io.flamingogap.gateway.cloud.DutyParts;
+import io.flamingogap.gateway.cloud.DutyDependencies;
 import io.flamingogap.gateway.cloud.DutyRunner;
 import io.flamingogap.gateway.cloud.FleetTotals;
 import io.flamingogap.gateway.http.PageServer;
@@ -39,14 +39,14 @@
 import io.flamingogap.gateway.node.Rollouts;
 import io.flamingogap.gateway.node.ServerWatch;
 import io.flamingogap.gateway.peers.LoadGossip;
-import io.flamingogap.gateway.peers.PeerDatagrams;
+import io.flamingogap.gateway.peers.PeerDatagramChannel;
 import io.flamingogap.gateway.peers.QuotaLoans;
 import io.flamingogap.gateway.peers.StoreAccess;
-import io.flamingogap.gateway.peers.ZoneRelay;
+import io.flamingogap.gateway.peers.ZoneRelaySelector;
+import io.flamingogap.gateway.relay.RelayDependencies;
 import io.flamingogap.gateway.relay.RelayMetrics;
-import io.flamingogap.gateway.relay.RelayParts;
 import io.flamingogap.gateway.relay.RequestRelay;
-import io.flamingogap.gateway.relay.ServiceDemands;
+import io.flamingogap.gateway.relay.ServiceDemandTracker;
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.time.NodeClock;
@@ -100,15 +100,15 @@
 
 	private final RelayMetrics metrics = new RelayMetrics();
 
-	private final ServiceDemands demands = new ServiceDemands();
+	private final ServiceDemandTracker demands = new ServiceDemandTracker();
 
 	private final FleetView fleet;
 
 	private final Rollouts rollouts;
 
-	private final QuotaGate quotas;
+	private final QuotaLimiter quotas;
 
-	private final BackendPool pool;
+	private final BackendConnectionPool pool;
 
 	private final RequestRelay relay;
 
@@ -116,7 +116,7 @@
 
 	private final StoreAccess access;
 
-	private final PeerDatagrams datagrams;
+	private final PeerDatagramChannel datagrams;
 
 	private final LoadGossip gossip;
 
@@ -148,21 +148,22 @@
 		SplittableRandom random = new SplittableRandom(incarnation);
 		this.rollouts = new Rollouts(this.servers, this.fleet, random,
 				settings.duties().exposedShare() * EXPLORED_PART);
-		this.quotas = new QuotaGate(settings.bounds().quotaTolerance(), settings.firstStart());
-		this.pool = new BackendPool(loop, ports.backends(), clock::steadyMillis);
-		this.datagrams = new PeerDatagrams(loop);
+		this.quotas = new QuotaLimiter(settings.bounds().quotaTolerance(), settings.firstStart());
+		this.pool = new BackendConnectionPool(loop, ports.backends(), clock::steadyMillis);
+		this.datagrams = new PeerDatagramChannel(loop);
 		this.gossip = new LoadGossip(loop, this.datagrams, settings.node(), this.servers, this::zonePeerAddresses,
 				clock::steadyMillis);
 		QuotaLoans lender = new QuotaLoans(loop, this.datagrams, this.quotas, this::findAccount, this::peerAddresses,
 				clock::steadyMillis);
-		RelayParts parts = new RelayParts(loop, clock, this.config, this.servers,
-				new ServerSelector(new Placement(settings.zone(), settings.regionsByZone())), this.rollouts, this.pool,
-				this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
+		RelayDependencies parts = new RelayDependencies(loop, clock, this.config, this.servers,
+				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
+				this.pool, this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
 		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
 		this.access = new StoreAccess(loop, ports.store(), zoneRelay(), this::peerAddresses, clock::steadyMillis);
 		this.store = this.access.store();
 		this.board = new NodeBoard(loop, this.store, this.access.reports(), this.fleet, this.fleetClock, clock,
-				this::report, (previous) -> this.quotas.resume(previous.demandPerSecond(), clock.steadyMillis()));
+				this::report,
+				(previous) -> this.quotas.restoreDemand(previous.demandPerSecond(), clock.steadyMillis()));
 		this.serverWatch = new ServerWatch(loop, this.store, ports.records(), this.servers, clock);
 		this.operatorWatch = new OperatorWatch(loop, this.store, ports.records(), this.config, this.rollouts, clock);
 		this.duties = ports.cloud()
@@ -170,14 +171,15 @@
 					settings.duties().usageWindowMillis()));
 	}
 
-	private ZoneRelay zoneRelay() {
+	private ZoneRelaySelector zoneRelay() {
 		Optional<Integer> port = this.settings.listen().peers().map(Address::port);
-		return new ZoneRelay(this.fleet, this.settings.zone(), this.self.name(), port, this.clock::steadyMillis);
+		return new ZoneRelaySelector(this.fleet, this.settings.zone(), this.self.name(), port,
+				this.clock::steadyMillis);
 	}
 
-	private DutyParts dutyParts(CloudApi cloud) {
-		return new DutyParts(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock, this::trueMillis,
-				this.config, this.rollouts, this.servers, this.serverWatch::isListed,
+	private DutyDependencies dutyParts(CloudApi cloud) {
+		return new DutyDependencies(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock,
+				this::trueMillis, this.config, this.rollouts, this.servers, this.serverWatch::isListed,
 				new FleetTotals(this.fleet, this.usage, this.demands, this.clock), this.self.name(),
 				this.settings.firstStart());
 	}
@@ -207,7 +209,8 @@
 		listen.callers()
 			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.ports.callers(), this.relay,
 					() -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
-		this.loop.scheduleWithFixedDelay(this.pool::trim, TRIM_EACH_MILLIS, TRIM_EACH_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this.pool::closeExpiredConnections, TRIM_EACH_MILLIS, TRIM_EACH_MILLIS,
+				TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(() -> this.rollouts.decide(this.clock.steadyMillis()), DECIDE_EACH_MILLIS,
 				DECIDE_EACH_MILLIS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(this::readStatuses, 0, STATUS_EACH_MILLIS, TimeUnit.MILLISECONDS);
@@ -233,7 +236,7 @@
 		if (!this.leaving) {
 			this.leaving = true;
 			this.duties.ifPresent(DutyRunner::stop);
-			new PlannedStop(this.loop, this.clock, this.relay, this.board, this.metrics::open,
+			new PlannedStop(this.loop, this.clock, this.relay, this.board, this.metrics::openRequests,
 					this.settings.stopMillis())
 				.start(end);
 		}
@@ -263,7 +266,7 @@
 
 			@Override
 			public long connectionsOpened() {
-				return Gateway.this.pool.opened();
+				return Gateway.this.pool.connectionAttempts();
 			}
 		};
 	}
@@ -297,7 +300,7 @@
 	private List<Address> peerAddresses(Predicate<NodeReport> which) {
 		return this.settings.listen()
 			.peers()
-			.map((own) -> this.fleet.reports()
+			.map((own) -> this.fleet.recentReports()
 				.stream()
 				.filter(which)
 				.map((report) -> new Address(report.callerAddress().host(), own.port()))
@@ -320,7 +323,7 @@
 			return PageServer.Page.text(404, "no such page\n");
 		}
 		this.fleet.advance(this.clock.steadyMillis());
-		List<Address> addresses = this.fleet.addressesFor(zone.get(), presence());
+		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), presence());
 		return addresses.isEmpty() ? PageServer.Page.text(503, "no node serves\n")
 				: this.ports.directory().write(addresses, DIRECTORY_TTL_SECONDS);
 	}
@@ -329,7 +332,7 @@
 		long nowMillis = this.clock.steadyMillis();
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
-				this.quotas.reportDemand(nowMillis), this.usage.newest(REPORTED_WINDOWS),
+				this.quotas.reportDemand(nowMillis), this.usage.newestWindows(REPORTED_WINDOWS),
 				this.demands.report(nowMillis), this.rollouts.tallies());
 	}
 
@@ -347,7 +350,7 @@
 	}
 
 	private long trueMillis() {
-		return this.fleetClock.trueMillis(this.clock.timeOfDayMillis(), this.clock.steadyMillis());
+		return this.fleetClock.correctedTimeOfDayMillis(this.clock.timeOfDayMillis(), this.clock.steadyMillis());
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 import io.flamingogap.core.node.Address;
-import io.flamingogap.gateway.relay.RelayBounds;
+import io.flamingogap.gateway.relay.RelayLimits;
 
 /**
  * What a process learns when it starts.
@@ -20,7 +20,7 @@
  * @param duties the bounds of the duties
  */
 public record GatewaySettings(String node, String zone, Map<String, String> regionsByZone, Listen listen,
-		boolean firstStart, RelayBounds bounds, long stopMillis, DutyBounds duties) {
+		boolean firstStart, RelayLimits bounds, long stopMillis, DutyBounds duties) {
 
 	public GatewaySettings {
 		Objects.requireNonNull(node, "node must not be null");
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlannedStop.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlannedStop.java
@@ -74,9 +74,9 @@
 	void start(Runnable end) {
 		this.startedAtMillis = this.clock.steadyMillis();
 		logger.atInfo().log("%s", LogLine.of("stopping").with("openRequests", this.openRequests.getAsInt()));
-		this.relay.setAdmission(RequestRelay.AdmissionState.LEAVING);
+		this.relay.setAdmissionState(RequestRelay.AdmissionState.DRAINING);
 		this.board.publish();
-		this.loop.schedule(() -> this.relay.setAdmission(RequestRelay.AdmissionState.CLOSED), TAKE_MILLIS,
+		this.loop.schedule(() -> this.relay.setAdmissionState(RequestRelay.AdmissionState.CLOSED), TAKE_MILLIS,
 				TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(() -> poll(end), POLL_MILLIS, POLL_MILLIS, TimeUnit.MILLISECONDS);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/AnswerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/AnswerListener.java
@@ -12,7 +12,7 @@
 	 * The head of the answer came.
 	 * @param answer the head
 	 */
-	void onHead(BackendAnswer answer);
+	void onHead(BackendResponseHead answer);
 
 	/**
 	 * A piece of the body came.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -19,7 +19,7 @@
 
 	private final BackendProtocol protocol;
 
-	private final BackendPool pool;
+	private final BackendConnectionPool pool;
 
 	private final String serverId;
 
@@ -39,7 +39,7 @@
 
 	private long idleSinceMillis;
 
-	BackendConnection(BackendProtocol protocol, BackendPool pool, String serverId, Channel channel) {
+	BackendConnection(BackendProtocol protocol, BackendConnectionPool pool, String serverId, Channel channel) {
 		super(false);
 		this.protocol = protocol;
 		this.pool = pool;
@@ -52,12 +52,12 @@
 	 * @param dispatch the dispatch
 	 * @param answers takes the answer
 	 */
-	void send(Dispatch dispatch, AnswerListener answers) {
+	void send(BackendRequest dispatch, AnswerListener answers) {
 		this.listener = answers;
 		this.attemptId = dispatch.request().attemptId();
 		this.reading = Reading.HEAD;
 		this.requestWritten = false;
-		this.channel.writeAndFlush(this.protocol.write(dispatch))
+		this.channel.writeAndFlush(this.protocol.encodeRequest(dispatch))
 			.addListener((written) -> this.requestWritten = written.isSuccess());
 	}
 
@@ -85,8 +85,8 @@
 			this.reading = Reading.SKIPPED;
 			return;
 		}
-		BackendAnswer answer = this.protocol.read(this.attemptId, head);
-		if (answer.verdict() == BackendAnswer.Verdict.FOREIGN) {
+		BackendResponseHead answer = this.protocol.decodeResponseHead(this.attemptId, head);
+		if (answer.verdict() == BackendResponseHead.Verdict.ATTEMPT_MISMATCH) {
 			this.reading = Reading.SKIPPED;
 			this.tainted = true;
 			return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendPool.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
@@ -15,12 +15,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 
-import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.servers.ServerRegistration;
 
 /**
  * Connections to backend servers, kept for reuse. Used on the event loop only.
  */
-public final class BackendPool {
+public final class BackendConnectionPool {
 
 	/**
 	 * Longer than the round trip to another region, shorter than a lost opening packet.
@@ -49,7 +49,7 @@
 	 * @param protocol what servers speak
 	 * @param steadyMillis tells the present time
 	 */
-	public BackendPool(EventLoop loop, BackendProtocol protocol, LongSupplier steadyMillis) {
+	public BackendConnectionPool(EventLoop loop, BackendProtocol protocol, LongSupplier steadyMillis) {
 		this.loop = loop;
 		this.protocol = protocol;
 		this.steadyMillis = steadyMillis;
@@ -62,7 +62,7 @@
 	 * @param answers takes the answer
 	 * @return the call while it is open
 	 */
-	public BackendCall send(Dispatch dispatch, boolean repeatable, AnswerListener answers) {
+	public BackendCall send(BackendRequest dispatch, boolean repeatable, AnswerListener answers) {
 		BackendCall call = new BackendCall();
 		BackendConnection kept = pollIdle(dispatch.server().id(),
 				repeatable ? MAX_IDLE_MILLIS : MAX_IDLE_UNREPEATABLE_MILLIS);
@@ -90,7 +90,7 @@
 		return call;
 	}
 
-	private ChannelFuture connect(ServerEntry server) {
+	private ChannelFuture connect(ServerRegistration server) {
 		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -100,8 +100,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(), new BackendConnection(BackendPool.this.protocol,
-								BackendPool.this, server.id(), channel));
+						.addLast(new HttpClientCodec(), new BackendConnection(BackendConnectionPool.this.protocol,
+								BackendConnectionPool.this, server.id(), channel));
 				}
 			})
 			.connect(server.address().host(), server.address().port());
@@ -139,7 +139,7 @@
 	/**
 	 * Close the idle connections that are too old to be used again.
 	 */
-	public void trim() {
+	public void closeExpiredConnections() {
 		long nowMillis = this.steadyMillis.getAsLong();
 		this.idle.values().removeIf((kept) -> {
 			while (!kept.isEmpty() && !kept.peekFirst().isUsable(nowMillis, MAX_IDLE_MILLIS)) {
@@ -153,7 +153,7 @@
 	 * Return how many connections were opened or tried.
 	 * @return the number since the start
 	 */
-	public long opened() {
+	public long connectionAttempts() {
 		return this.opened;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendProtocol.java
@@ -13,7 +13,7 @@
 	 * @param dispatch the dispatch
 	 * @return the request
 	 */
-	FullHttpRequest write(Dispatch dispatch);
+	FullHttpRequest encodeRequest(BackendRequest dispatch);
 
 	/**
 	 * Read the head of an answer.
@@ -21,6 +21,6 @@
 	 * @param head the head
 	 * @return what it says
 	 */
-	BackendAnswer read(String attemptId, HttpResponse head);
+	BackendResponseHead decodeResponseHead(String attemptId, HttpResponse head);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendAnswer.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -16,10 +16,10 @@
  * @param idleMillis how long the server keeps the connection without requests; 0 if the
  * connection ends with the answer
  */
-public record BackendAnswer(HttpResponseStatus status, HttpHeaders headers, Verdict verdict,
+public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict,
 		Optional<ReportedLoad> load, long idleMillis) {
 
-	public BackendAnswer {
+	public BackendResponseHead {
 		Objects.requireNonNull(verdict, "verdict must not be null");
 		Objects.requireNonNull(load, "load must not be null");
 	}
@@ -39,10 +39,10 @@
 		MISDIRECTED,
 
 		/** The answer belongs to another request. */
-		FOREIGN,
+		ATTEMPT_MISMATCH,
 
 		/** The answer lacks what proves it to be the server's. */
-		UNPROVEN
+		UNVERIFIED
 
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
@@ -8,7 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
-import io.flamingogap.core.servers.PromptShape;
+import io.flamingogap.core.servers.PromptMetadata;
 
 /**
  * A whole request as a caller sent it.
@@ -19,13 +19,13 @@
  * @param host the host that the caller names, without a port
  * @param key the key that the caller presents, if any
  * @param budgetMillis how long the caller waits, if it says so
- * @param prompt the size of the prompt; {@link PromptShape#NONE} for plain requests
+ * @param prompt the size of the prompt; {@link PromptMetadata#NONE} for plain requests
  * @param statesTokens whether the caller states how many tokens the request uses
  * @param headers all headers, as they came
  * @param body the body; owned by whoever holds the request
  */
 public record CallerRequest(String attemptId, HttpMethod method, String uri, String host, Optional<String> key,
-		OptionalLong budgetMillis, PromptShape prompt, boolean statesTokens, HttpHeaders headers, ByteBuf body) {
+		OptionalLong budgetMillis, PromptMetadata prompt, boolean statesTokens, HttpHeaders headers, ByteBuf body) {
 
 	public CallerRequest {
 		Objects.requireNonNull(attemptId, "attemptId must not be null");
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
@@ -30,7 +30,7 @@
  * that starts again holds at once what it held
  * @param firstStart whether the whole system starts for the first time
  */
-public record DutyParts(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
+public record DutyDependencies(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
 		LongSupplier trueMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
 		BooleanSupplier serversKnown, FleetTotals totals, String member, boolean firstStart) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -45,7 +45,7 @@
 
 	private static final String USAGE_KEY = "usage";
 
-	private final DutyParts parts;
+	private final DutyDependencies parts;
 
 	private final EventLoop loop;
 
@@ -79,7 +79,7 @@
 	 * @param leaseMillis the time in which two holders must not act by turns
 	 * @param usageWindowMillis the length of a window of usage
 	 */
-	public DutyRunner(DutyParts parts, long leaseMillis, long usageWindowMillis) {
+	public DutyRunner(DutyDependencies parts, long leaseMillis, long usageWindowMillis) {
 		this.parts = parts;
 		this.loop = parts.loop();
 		this.store = parts.store();
@@ -102,7 +102,7 @@
 	 */
 	public void stop() {
 		this.stopped = true;
-		this.term.lose();
+		this.term.recordLost();
 		this.store.leave(this.parts.member()).exceptionally((failure) -> {
 			logFailure("group not left", failure);
 			return null;
@@ -133,7 +133,7 @@
 			claim();
 			return;
 		}
-		this.term.tokenToActWith(nowMillis).ifPresent((token) -> act(token, nowMillis));
+		this.term.validToken(nowMillis).ifPresent((token) -> act(token, nowMillis));
 	}
 
 	/**
@@ -143,7 +143,7 @@
 	private void loseIfSuspended() {
 		long difference = clockDifferenceMillis();
 		if (Math.abs(difference - this.clockDifferenceMillis) > SUSPENDED_MILLIS) {
-			this.term.lose();
+			this.term.recordLost();
 		}
 		this.clockDifferenceMillis = difference;
 	}
@@ -210,7 +210,7 @@
 								LogLine.of("duty record not kept")
 									.with("key", key)
 									.with("reason", StoreException.of(failure).getMessage()));
-					this.term.lose();
+					this.term.recordLost();
 					return;
 				}
 				this.dutiesEnd = offset + 1;
@@ -221,7 +221,7 @@
 	private void act(long token, long nowMillis) {
 		Optional<UsageDuty.Report> open = this.usage.intended();
 		if (open.isPresent()) {
-			this.term.recordActed(nowMillis);
+			this.term.recordAction(nowMillis);
 			sendUsage(token, open.get());
 			return;
 		}
@@ -285,7 +285,7 @@
 	}
 
 	private void order(long token, ServerPlan order) {
-		this.term.recordActed(this.clock.steadyMillis());
+		this.term.recordAction(this.clock.steadyMillis());
 		this.calling = true;
 		this.parts.cloud().orderServers(token, order).whenComplete((verdict, failure) -> {
 			this.calling = false;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
@@ -7,7 +7,7 @@
 import io.flamingogap.core.duty.UsageCounts;
 import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.NodeReport.ServiceDemand;
-import io.flamingogap.gateway.relay.ServiceDemands;
+import io.flamingogap.gateway.relay.ServiceDemandTracker;
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
@@ -19,7 +19,7 @@
 
 	private final UsageCounts ownUsage;
 
-	private final ServiceDemands ownDemands;
+	private final ServiceDemandTracker ownDemands;
 
 	private final NodeClock clock;
 
@@ -30,7 +30,7 @@
 	 * @param ownDemands what callers ask of this node
 	 * @param clock tells the present time
 	 */
-	public FleetTotals(FleetView fleet, UsageCounts ownUsage, ServiceDemands ownDemands, NodeClock clock) {
+	public FleetTotals(FleetView fleet, UsageCounts ownUsage, ServiceDemandTracker ownDemands, NodeClock clock) {
 		this.fleet = fleet;
 		this.ownUsage = ownUsage;
 		this.ownDemands = ownDemands;
@@ -43,7 +43,7 @@
 	 * @return requests by account
 	 */
 	Map<String, Long> usageOf(long window) {
-		return this.fleet.usageOf(window, this.ownUsage);
+		return this.fleet.usageInWindow(window, this.ownUsage);
 	}
 
 	/**
@@ -52,7 +52,7 @@
 	 * @return {@code true} if no node's newest report is older
 	 */
 	boolean heardAllWithin(long millis) {
-		return this.fleet.heardAllSince(this.clock.steadyMillis() - millis);
+		return this.fleet.allReportedSince(this.clock.steadyMillis() - millis);
 	}
 
 	@Override
@@ -67,7 +67,7 @@
 
 	private double sumOver(String service, ToLongFunction<ServiceDemand> figure) {
 		long own = sum(this.ownDemands.report(this.clock.steadyMillis()), service, figure);
-		long others = this.fleet.reports()
+		long others = this.fleet.recentReports()
 			.stream()
 			.mapToLong((report) -> sum(report.services(), service, figure))
 			.sum();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
@@ -10,11 +10,11 @@
 
 import com.google.common.flogger.FluentLogger;
 
-import io.flamingogap.core.fleet.FleetNeed;
-import io.flamingogap.core.fleet.FleetPlanner;
-import io.flamingogap.core.fleet.FleetStock;
-import io.flamingogap.core.fleet.NeedTrend;
+import io.flamingogap.core.fleet.CapacityPlanner;
+import io.flamingogap.core.fleet.CapacityStabilizer;
+import io.flamingogap.core.fleet.DesiredCapacity;
 import io.flamingogap.core.fleet.ServerPlan;
+import io.flamingogap.core.fleet.ServerSupply;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.BackendService;
@@ -45,7 +45,7 @@
 
 	private final Map<Subject, Long> noneUntilMillis = new HashMap<>();
 
-	private final Map<String, NeedTrend> needs = new HashMap<>();
+	private final Map<String, CapacityStabilizer> needs = new HashMap<>();
 
 	/**
 	 * Create a duty that has ordered nothing.
@@ -84,11 +84,11 @@
 	private Optional<ServerPlan> nextDue(BackendService service, EngineProfile engine, ScaleBounds bounds,
 			FleetDemandOf demand, long nowMillis) {
 		String name = service.name();
-		FleetNeed need = this.needs.computeIfAbsent(name, (each) -> new NeedTrend(this.firstStart))
-			.follow(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
+		DesiredCapacity need = this.needs.computeIfAbsent(name, (each) -> new CapacityStabilizer(this.firstStart))
+			.update(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
 		Map<Subject, Integer> present = countPresent(name);
-		FleetStock stock = stock(name, bounds, present, nowMillis);
-		List<ServerPlan> least = FleetPlanner.plan(name, bounds, need, stock);
+		ServerSupply stock = stock(name, bounds, present, nowMillis);
+		List<ServerPlan> least = CapacityPlanner.plan(name, bounds, need, stock);
 		Optional<ServerPlan> growth = least.stream()
 			.sorted(Comparator.comparing((ServerPlan row) -> !row.reclaimable()))
 			.filter((row) -> isGrowthDue(row, present, bounds, nowMillis))
@@ -96,7 +96,7 @@
 		if (growth.isPresent()) {
 			return growth;
 		}
-		int neededAtFullPrice = FleetPlanner.fullPriceServers(bounds, need, stock.readyOnly());
+		int neededAtFullPrice = CapacityPlanner.fullPriceServers(bounds, need, stock.readyOnly());
 		return findShrinkage(least, neededAtFullPrice, present, bounds, nowMillis);
 	}
 
@@ -146,15 +146,15 @@
 		Map<Subject, Integer> present = new HashMap<>();
 		for (KnownServer server : this.servers.ofService(service)) {
 			if (server.takesRequests()) {
-				present.merge(new Subject(service, server.entry().zone(), server.entry().reclaimable()), 1,
-						Integer::sum);
+				present.merge(new Subject(service, server.registration().zone(), server.registration().reclaimable()),
+						1, Integer::sum);
 			}
 		}
 		this.placed.replaceAll((subject, order) -> order.seen(present.getOrDefault(subject, 0)));
 		return present;
 	}
 
-	private FleetStock stock(String service, ScaleBounds bounds, Map<Subject, Integer> present, long nowMillis) {
+	private ServerSupply stock(String service, ScaleBounds bounds, Map<Subject, Integer> present, long nowMillis) {
 		Map<String, Integer> ready = new HashMap<>();
 		Map<String, Integer> booting = new HashMap<>();
 		for (String zone : bounds.zonePrices().keySet()) {
@@ -171,7 +171,7 @@
 		for (String zone : zonesWithNone(service, false)) {
 			fullPriceLimits.put(zone, present.getOrDefault(new Subject(service, zone, false), 0));
 		}
-		return new FleetStock(ready, booting, zonesWithNone(service, true), fullPriceLimits);
+		return new ServerSupply(ready, booting, zonesWithNone(service, true), fullPriceLimits);
 	}
 
 	private Set<String> zonesWithNone(String service, boolean reclaimable) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -61,7 +61,7 @@
 	}
 
 	private void registerGauges(PrometheusMeterRegistry held) {
-		Gauge.builder("flamingogap.requests.open", this.metrics, RelayMetrics::open)
+		Gauge.builder("flamingogap.requests.open", this.metrics, RelayMetrics::openRequests)
 			.description("Requests that are open")
 			.register(held);
 		Gauge.builder("flamingogap.config.version", this.figures, NodeFigures::configVersion)
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
@@ -113,8 +113,8 @@
 	private void tick() {
 		long nowMillis = this.clock.steadyMillis();
 		this.fleet.advance(nowMillis);
-		if (nowMillis - this.follower.disturbedAtMillis() > STEADY_MILLIS) {
-			this.fleet.silentFor(REMOVED_MILLIS).forEach(this::forget);
+		if (nowMillis - this.follower.lastDisruptionAtMillis() > STEADY_MILLIS) {
+			this.fleet.nodesSilentLongerThan(REMOVED_MILLIS).forEach(this::forget);
 		}
 		NodeReport report = this.ownReport.get();
 		this.reports.offer(report.node().name(), ReportCodec.write(report)).exceptionally(NodeBoard::logNotKept);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorWatch.java
@@ -80,7 +80,7 @@
 							.with("offset", entry.offset())
 							.with("reason", read.getLeft()));
 		}
-		else if (this.config.offer(read.get(), this.clock.steadyMillis())) {
+		else if (this.config.applyIfNewer(read.get(), this.clock.steadyMillis())) {
 			logger.atInfo()
 				.log("%s",
 						LogLine.of("configuration in force")
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
@@ -12,16 +12,16 @@
 
 import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.NodeReport;
+import io.flamingogap.core.rollout.AdaptiveLatencyThreshold;
 import io.flamingogap.core.rollout.Arm;
-import io.flamingogap.core.rollout.SlowThreshold;
 import io.flamingogap.core.rollout.Tally;
-import io.flamingogap.core.rollout.TimedTrial;
+import io.flamingogap.core.rollout.TimedCanary;
 import io.flamingogap.core.servers.KnownServer;
-import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.RouteRule;
 import io.flamingogap.gateway.log.LogLine;
-import io.flamingogap.gateway.relay.VersionGate;
+import io.flamingogap.gateway.relay.VersionSelector;
 import io.flamingogap.gateway.store.RecordCodec.RolloutOrder;
 import io.flamingogap.gateway.store.RecordCodec.RolloutStatus;
 
@@ -30,7 +30,7 @@
  * Every node stops sending to a bad version on its own; the holder of the duties tells
  * operators.
  */
-public final class Rollouts implements VersionGate {
+public final class Rollouts implements VersionSelector {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -129,15 +129,15 @@
 			if (move.state != RolloutStatus.State.RUNNING) {
 				continue;
 			}
-			TimedTrial trial = trial(move);
+			TimedCanary trial = trial(move);
 			double part = move.part(nowMillis);
-			Optional<String> badness = trial.findBadness();
+			Optional<String> badness = trial.findRegression();
 			if (badness.isPresent()) {
 				end(move, RolloutStatus.State.REVERTED, badness.get());
 				continue;
 			}
-			move.share = trial.share(part);
-			if (trial.mayEnd(part) && hasServers(move, true)) {
+			move.share = trial.candidateShare(part);
+			if (trial.mayComplete(part) && hasServers(move, true)) {
 				end(move, RolloutStatus.State.DONE, trial.toString());
 			}
 		}
@@ -146,13 +146,13 @@
 	private boolean hasServers(Move move, boolean target) {
 		return this.servers.ofService(move.order.service())
 			.stream()
-			.anyMatch((server) -> server.takesRequests() && move.isTarget(server.entry()) == target);
+			.anyMatch((server) -> server.takesRequests() && move.isTarget(server.registration()) == target);
 	}
 
-	private TimedTrial trial(Move move) {
-		TimedTrial trial = new TimedTrial(this.exploredShare);
+	private TimedCanary trial(Move move) {
+		TimedCanary trial = new TimedCanary(this.exploredShare);
 		move.tallies.forEach((key, tally) -> trial.add(move.arm(key.version()), key.route(), tally));
-		for (NodeReport report : this.fleet.reports()) {
+		for (NodeReport report : this.fleet.recentReports()) {
 			for (NodeReport.VersionTally row : report.tallies()) {
 				if (row.service().equals(move.order.service())) {
 					trial.add(move.arm(row.version()), row.route(), row.tally());
@@ -207,7 +207,7 @@
 	}
 
 	@Override
-	public Predicate<KnownServer> choose(String service, RouteRule route) {
+	public Predicate<KnownServer> selectVersions(String service, RouteRule route) {
 		Move move = this.moves.get(service);
 		if (move == null) {
 			return (server) -> true;
@@ -220,21 +220,21 @@
 		if (move.state != RolloutStatus.State.REVERTED && !hasServers(move, toTarget)) {
 			return (server) -> true;
 		}
-		return (server) -> move.isTarget(server.entry()) == toTarget;
+		return (server) -> move.isTarget(server.registration()) == toTarget;
 	}
 
 	@Override
-	public Predicate<KnownServer> chooseAgain(String service) {
+	public Predicate<KnownServer> selectVersionsForRetry(String service) {
 		Move move = this.moves.get(service);
 		if (move == null || (move.state == RolloutStatus.State.RUNNING && !hasServers(move, false))) {
 			return (server) -> true;
 		}
 		boolean toTarget = move.state == RolloutStatus.State.DONE;
-		return (server) -> move.isTarget(server.entry()) == toTarget;
+		return (server) -> move.isTarget(server.registration()) == toTarget;
 	}
 
 	@Override
-	public void record(ServerEntry server, RouteRule route, boolean failed, long latencyMillis) {
+	public void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
 		Move move = this.moves.get(server.service());
 		if (move != null && move.state == RolloutStatus.State.RUNNING) {
 			move.record(server, route, failed, latencyMillis);
@@ -254,7 +254,7 @@
 
 		private final Map<TallyKey, Tally> tallies = new HashMap<>();
 
-		private final Map<String, SlowThreshold> thresholds = new HashMap<>();
+		private final Map<String, AdaptiveLatencyThreshold> thresholds = new HashMap<>();
 
 		private RolloutStatus.State state = RolloutStatus.State.RUNNING;
 
@@ -266,7 +266,7 @@
 			this.startedAtMillis = startedAtMillis;
 		}
 
-		private boolean isTarget(ServerEntry server) {
+		private boolean isTarget(ServerRegistration server) {
 			return server.version().equals(this.order.target());
 		}
 
@@ -278,12 +278,12 @@
 			return (double) (nowMillis - this.startedAtMillis) / Math.max(1, this.order.withinMillis());
 		}
 
-		private void record(ServerEntry server, RouteRule route, boolean failed, long latencyMillis) {
-			SlowThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
-					(name) -> new SlowThreshold(route.goalMillis()));
+		private void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
+			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
+					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
 			if (!failed && !isTarget(server)) {
-				threshold.follow(latencyMillis);
+				threshold.update(latencyMillis);
 			}
 			Tally one = new Tally(1, failed ? 1 : 0, slow ? 1 : 0);
 			this.tallies.merge(new TallyKey(server.version(), route.name()), one, Tally::plus);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 
-import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.store.RecordCodec;
@@ -73,7 +73,7 @@
 	 * @return {@code true} after the first listing
 	 */
 	public boolean isListed() {
-		return this.follower.isListed();
+		return this.follower.hasCompletedListing();
 	}
 
 	/**
@@ -81,7 +81,7 @@
 	 * @return the time
 	 */
 	public long contactAtMillis() {
-		return this.follower.contactAtMillis();
+		return this.follower.lastContactAtMillis();
 	}
 
 	private void expire() {
@@ -91,7 +91,7 @@
 	}
 
 	private long doubtUntilMillis() {
-		return this.follower.disturbedAtMillis() + DOUBT_MILLIS;
+		return this.follower.lastDisruptionAtMillis() + DOUBT_MILLIS;
 	}
 
 	@Override
@@ -107,7 +107,7 @@
 			}
 			return;
 		}
-		Either<String, ServerEntry> server = this.codec.readServer(entry.key(), entry.value().get());
+		Either<String, ServerRegistration> server = this.codec.readServer(entry.key(), entry.value().get());
 		if (server.isLeft()) {
 			logger.atWarning()
 				.log("%s",
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/LoadGossip.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/LoadGossip.java
@@ -13,7 +13,7 @@
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerTable;
-import io.flamingogap.gateway.relay.LoadListener;
+import io.flamingogap.gateway.relay.ServerLoadListener;
 import io.flamingogap.wire.peer.LoadNews;
 import io.flamingogap.wire.peer.OpenLoad;
 import io.flamingogap.wire.peer.PeerDatagram;
@@ -22,7 +22,7 @@
  * Tells the nodes of the same zone what this node has open at backend servers, and hears
  * it of them. Each datagram carries whole figures, which lapse after a while.
  */
-public final class LoadGossip implements LoadListener {
+public final class LoadGossip implements ServerLoadListener {
 
 	/**
 	 * Changes are collected for so long; shorter than the time to read a usual prompt.
@@ -34,7 +34,7 @@
 
 	private final EventLoop loop;
 
-	private final PeerDatagrams datagrams;
+	private final PeerDatagramChannel datagrams;
 
 	private final String node;
 
@@ -55,7 +55,7 @@
 	 * @param zonePeers the addresses of the other nodes of the zone
 	 * @param steadyMillis tells the present time
 	 */
-	public LoadGossip(EventLoop loop, PeerDatagrams datagrams, String node, ServerTable servers,
+	public LoadGossip(EventLoop loop, PeerDatagramChannel datagrams, String node, ServerTable servers,
 			Supplier<List<Address>> zonePeers, LongSupplier steadyMillis) {
 		this.loop = loop;
 		this.datagrams = datagrams;
@@ -67,7 +67,7 @@
 	}
 
 	@Override
-	public void onChanged(KnownServer server) {
+	public void onLoadChanged(KnownServer server) {
 		if (!this.datagrams.isStarted()) {
 			return;
 		}
@@ -80,7 +80,8 @@
 	private void tell() {
 		List<OpenLoad> rows = new ArrayList<>();
 		for (KnownServer server : this.changed) {
-			rows.add(new OpenLoad(server.entry().id(), server.load().open(), server.load().unreadTokens()));
+			rows.add(new OpenLoad(server.registration().id(), server.load().openRequests(),
+					server.load().unreadTokens()));
 		}
 		this.changed.clear();
 		PeerDatagram datagram = new PeerDatagram();
@@ -97,7 +98,7 @@
 		for (OpenLoad row : datagram.getLoads().getLoads()) {
 			this.servers.find(row.getServerId())
 				.ifPresent((server) -> server.load()
-					.recordPeer(datagram.getLoads().getNode(), row.getOpenRequests(), row.getUnreadTokens(),
+					.recordPeerLoad(datagram.getLoads().getNode(), row.getOpenRequests(), row.getUnreadTokens(),
 							nowMillis));
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagrams.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
@@ -26,7 +26,7 @@
 /**
  * Datagrams between nodes. They may be lost; whoever sends one bears that.
  */
-public final class PeerDatagrams {
+public final class PeerDatagramChannel {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -40,7 +40,7 @@
 	 * Create without a port.
 	 * @param loop the event loop
 	 */
-	public PeerDatagrams(EventLoop loop) {
+	public PeerDatagramChannel(EventLoop loop) {
 		this.loop = loop;
 	}
 
@@ -99,7 +99,7 @@
 				PeerDatagram datagram = ThriftBytes.read(ByteBufUtil.getBytes(packet.content()), new PeerDatagram());
 				InetSocketAddress sender = packet.sender();
 				Address from = new Address(sender.getAddress().getHostAddress(), sender.getPort());
-				PeerDatagrams.this.listeners.forEach((listener) -> listener.accept(datagram, from));
+				PeerDatagramChannel.this.listeners.forEach((listener) -> listener.accept(datagram, from));
 			}
 			catch (TException ex) {
 				logger.atWarning()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaLoans.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaLoans.java
@@ -15,9 +15,9 @@
 import io.netty.channel.EventLoop;
 
 import io.flamingogap.core.node.Address;
-import io.flamingogap.core.quota.QuotaGate;
+import io.flamingogap.core.quota.QuotaLimiter;
 import io.flamingogap.core.serving.ClientAccount;
-import io.flamingogap.gateway.relay.QuotaLender;
+import io.flamingogap.gateway.relay.QuotaBorrower;
 import io.flamingogap.wire.peer.PeerDatagram;
 import io.flamingogap.wire.peer.QuotaAsk;
 import io.flamingogap.wire.peer.QuotaGrant;
@@ -26,7 +26,7 @@
  * Moves units of quotas between nodes. What a node lends leaves its own share first, so a
  * lost datagram loses units and never doubles them.
  */
-public final class QuotaLoans implements QuotaLender {
+public final class QuotaLoans implements QuotaBorrower {
 
 	/** Longer than a round trip to another region, short against every goal. */
 	private static final long ANSWER_MILLIS = 40;
@@ -41,9 +41,9 @@
 
 	private final EventLoop loop;
 
-	private final PeerDatagrams datagrams;
+	private final PeerDatagramChannel datagrams;
 
-	private final QuotaGate quotas;
+	private final QuotaLimiter quotas;
 
 	private final Function<String, Optional<ClientAccount>> accounts;
 
@@ -66,7 +66,7 @@
 	 * @param peers the addresses of the other nodes
 	 * @param steadyMillis tells the present time
 	 */
-	public QuotaLoans(EventLoop loop, PeerDatagrams datagrams, QuotaGate quotas,
+	public QuotaLoans(EventLoop loop, PeerDatagramChannel datagrams, QuotaLimiter quotas,
 			Function<String, Optional<ClientAccount>> accounts, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
 		this.loop = loop;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -27,7 +27,7 @@
 	 * @param peers the addresses of other nodes
 	 * @param steadyMillis tells the present time
 	 */
-	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelay relay, Supplier<List<Address>> peers,
+	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relay, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
 		SharedReads shared = new SharedReads(loop, direct, steadyMillis);
 		ReportBatch batch = new ReportBatch(loop, shared);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneBackedStore.java
@@ -29,7 +29,7 @@
 
 	private final PeerCaller caller;
 
-	private final ZoneRelay relay;
+	private final ZoneRelaySelector relay;
 
 	private final ReportBatch batch;
 
@@ -40,7 +40,7 @@
 	 * @param relay names the node to relay through
 	 * @param batch collects reports if this node is the relay
 	 */
-	public ZoneBackedStore(PeerCaller caller, RecordStore store, ZoneRelay relay, ReportBatch batch) {
+	public ZoneBackedStore(PeerCaller caller, RecordStore store, ZoneRelaySelector relay, ReportBatch batch) {
 		super(store);
 		this.caller = caller;
 		this.relay = relay;
@@ -81,7 +81,7 @@
 	 */
 	private <T> CompletableFuture<T> throughRelay(PeerCall call, Function<PeerReply, T> decoder,
 			Supplier<CompletableFuture<T>> asRelay, Supplier<CompletableFuture<T>> alone) {
-		Optional<ZoneRelay.Relay> through = this.relay.current();
+		Optional<ZoneRelaySelector.Relay> through = this.relay.current();
 		if (through.isEmpty()) {
 			return asRelay.get();
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelaySelector.java
@@ -15,7 +15,7 @@
  * first. Nodes may disagree for a while; a node only relays through one whose name comes
  * before its own, so they never relay through each other.
  */
-public final class ZoneRelay {
+public final class ZoneRelaySelector {
 
 	/**
 	 * After a relay failed, it isn't asked for so long; it is then no longer heard of if
@@ -43,7 +43,8 @@
 	 * @param port the port at which nodes answer each other; empty if they don't
 	 * @param steadyMillis tells the present time
 	 */
-	public ZoneRelay(FleetView fleet, String zone, String self, Optional<Integer> port, LongSupplier steadyMillis) {
+	public ZoneRelaySelector(FleetView fleet, String zone, String self, Optional<Integer> port,
+			LongSupplier steadyMillis) {
 		this.fleet = fleet;
 		this.zone = zone;
 		this.self = self;
@@ -57,7 +58,7 @@
 	 */
 	Optional<Relay> current() {
 		long nowMillis = this.steadyMillis.getAsLong();
-		return this.port.flatMap((number) -> this.fleet.reports()
+		return this.port.flatMap((number) -> this.fleet.recentReports()
 			.stream()
 			.filter((report) -> mayRelay(report, nowMillis))
 			.min(Comparator.comparing((NodeReport report) -> report.node().name()))
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/QuotaLender.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/QuotaBorrower.java
@@ -5,7 +5,7 @@
 /**
  * Borrows units of an account's quota from other nodes.
  */
-public interface QuotaLender {
+public interface QuotaBorrower {
 
 	/**
 	 * Ask other nodes for units.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayParts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -5,11 +5,11 @@
 import io.netty.channel.EventLoop;
 
 import io.flamingogap.core.quota.FleetDemand;
-import io.flamingogap.core.quota.QuotaGate;
+import io.flamingogap.core.quota.QuotaLimiter;
 import io.flamingogap.core.servers.ServerSelector;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ConfigHolder;
-import io.flamingogap.gateway.backends.BackendPool;
+import io.flamingogap.gateway.backends.BackendConnectionPool;
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
@@ -30,7 +30,8 @@
  * @param loads hears of changes of this node's load at servers
  * @param random draws shares of traffic
  */
-public record RelayParts(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
-		ServerSelector selector, VersionGate versions, BackendPool pool, QuotaGate quotas, QuotaLender lender,
-		FleetDemand fleet, RelayMetrics metrics, ServiceDemands demands, LoadListener loads, RandomGenerator random) {
+public record RelayDependencies(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
+		ServerSelector selector, VersionSelector versions, BackendConnectionPool pool, QuotaLimiter quotas,
+		QuotaBorrower lender, FleetDemand fleet, RelayMetrics metrics, ServiceDemandTracker demands,
+		ServerLoadListener loads, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayBounds.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayLimits.java
@@ -11,10 +11,10 @@
  * @param quotaTolerance by how much a quota may be exceeded, over all nodes
  * @param maxBufferedBytes the most bytes of requests and answers that are held
  */
-public record RelayBounds(double retryShare, double retryAllowance, long retryWindowMillis,
+public record RelayLimits(double retryShare, double retryAllowance, long retryWindowMillis,
 		QuotaTolerance quotaTolerance, long maxBufferedBytes) {
 
-	public RelayBounds {
+	public RelayLimits {
 		if (retryWindowMillis < 1 || maxBufferedBytes < 1) {
 			throw new IllegalArgumentException("retryWindowMillis and maxBufferedBytes must be positive but were "
 					+ retryWindowMillis + " and " + maxBufferedBytes);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayMetrics.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayMetrics.java
@@ -53,7 +53,7 @@
 	 * Return the requests that are open.
 	 * @return the number
 	 */
-	public int open() {
+	public int openRequests() {
 		return this.open;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -31,7 +31,7 @@
 	/** When a caller may come back that found no room at the servers. */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
-	private final RelayParts parts;
+	private final RelayDependencies parts;
 
 	private final CallerRequest request;
 
@@ -61,8 +61,8 @@
 
 	private boolean finished;
 
-	RelayedRequest(RelayParts parts, CallerRequest request, CallerExchange exchange, Attempt attempt, String service,
-			Optional<ClientAccount> account, Hooks hooks) {
+	RelayedRequest(RelayDependencies parts, CallerRequest request, CallerExchange exchange, Attempt attempt,
+			String service, Optional<ClientAccount> account, Hooks hooks) {
 		this.parts = parts;
 		this.request = request;
 		this.exchange = exchange;
@@ -70,7 +70,7 @@
 		this.service = service;
 		this.account = account;
 		this.hooks = hooks;
-		this.versions = parts.versions().choose(service, attempt.route());
+		this.versions = parts.versions().selectVersions(service, attempt.route());
 		this.bytes = request.body().readableBytes();
 	}
 
@@ -82,7 +82,7 @@
 		this.parts.metrics().requestOpened(this.bytes);
 		this.parts.demands().opened(this.service, this.request.prompt(), nowMillis());
 		this.deadline = this.parts.loop()
-			.schedule(this::onDeadline, this.attempt.leftMillis(nowMillis()), TimeUnit.MILLISECONDS);
+			.schedule(this::onDeadline, this.attempt.remainingMillis(nowMillis()), TimeUnit.MILLISECONDS);
 		dispatch("first");
 	}
 
@@ -93,7 +93,7 @@
 			fail("no server of " + this.service + " has room (" + cause + ")");
 			return;
 		}
-		if (this.attempt.isNextARetry() && !this.hooks.mayRetry().getAsBoolean()) {
+		if (this.attempt.isNextDispatchRetry() && !this.hooks.mayRetry().getAsBoolean()) {
 			fail("the retry budget of " + this.service + " is used up (" + cause + ")");
 			return;
 		}
@@ -102,7 +102,7 @@
 	}
 
 	private Optional<KnownServer> chooseServer(long nowMillis) {
-		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.entry().id());
+		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
 		return this.parts.selector()
 			.choose(this.parts.servers().ofService(this.service), this.request.prompt(), untried.and(this.versions),
 					nowMillis);
@@ -115,9 +115,9 @@
 		if (this.exchange.hasBegun() && !mayResume()) {
 			abort(reason);
 		}
-		else if (this.attempt.mayTryAnother(nowMillis())) {
+		else if (this.attempt.mayTryAnotherServer(nowMillis())) {
 			this.events.dropIncomplete();
-			this.versions = this.parts.versions().chooseAgain(this.service);
+			this.versions = this.parts.versions().selectVersionsForRetry(this.service);
 			dispatch(outcome + ": " + reason);
 		}
 		else {
@@ -173,7 +173,7 @@
 			this.hooks.refund().run();
 		}
 		this.parts.metrics().count("answered." + status);
-		this.parts.metrics().recordLatency(this.attempt.route().kind().name(), this.attempt.ageMillis(nowMillis()));
+		this.parts.metrics().recordLatency(this.attempt.route().kind().name(), this.attempt.elapsedMillis(nowMillis()));
 		logger.atInfo().log("%s", line(event).with("status", status).with("reason", reason));
 	}
 
@@ -183,8 +183,8 @@
 			.with("route", this.attempt.route().name())
 			.with("service", this.service)
 			.with("server", this.lastServer)
-			.with("dispatches", this.attempt.dispatches())
-			.with("ageMillis", this.attempt.ageMillis(nowMillis()))
+			.with("dispatches", this.attempt.dispatchCount())
+			.with("ageMillis", this.attempt.elapsedMillis(nowMillis()))
 			.with("configVersion", this.parts.config().current().map((held) -> held.version()).orElse(-1L));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -11,8 +11,8 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.error.ProblemType;
 import io.flamingogap.core.error.Step;
-import io.flamingogap.core.limits.RetryWindow;
-import io.flamingogap.core.quota.QuotaVerdict;
+import io.flamingogap.core.limits.WindowedRetryBudget;
+import io.flamingogap.core.quota.QuotaDecision;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RouteRule;
 import io.flamingogap.core.serving.ServingConfig;
@@ -54,13 +54,13 @@
 		}
 	};
 
-	private final RelayParts parts;
+	private final RelayDependencies parts;
 
-	private final RelayBounds bounds;
+	private final RelayLimits bounds;
 
 	private final StartListener starts;
 
-	private final Map<String, RetryWindow> retries = new HashMap<>();
+	private final Map<String, WindowedRetryBudget> retries = new HashMap<>();
 
 	private AdmissionState admission = AdmissionState.OPEN;
 
@@ -70,7 +70,7 @@
 	 * @param bounds its bounds
 	 * @param starts hears of requests that servers began
 	 */
-	public RequestRelay(RelayParts parts, RelayBounds bounds, StartListener starts) {
+	public RequestRelay(RelayDependencies parts, RelayLimits bounds, StartListener starts) {
 		this.parts = parts;
 		this.bounds = bounds;
 		this.starts = starts;
@@ -80,7 +80,7 @@
 	 * Change how new requests are taken.
 	 * @param state the state
 	 */
-	public void setAdmission(AdmissionState state) {
+	public void setAdmissionState(AdmissionState state) {
 		this.admission = state;
 	}
 
@@ -129,7 +129,7 @@
 		if (account.isEmpty()) {
 			return relay(request, exchange, route, account, cost);
 		}
-		QuotaVerdict verdict = spend(account.get(), cost);
+		QuotaDecision verdict = spend(account.get(), cost);
 		if (verdict.isAdmitted()) {
 			return relay(request, exchange, route, account, cost);
 		}
@@ -144,14 +144,14 @@
 		return account.map((found) -> found.quota().cost(request.statedTokens())).orElse(0L);
 	}
 
-	private QuotaVerdict spend(ClientAccount account, long cost) {
+	private QuotaDecision spend(ClientAccount account, long cost) {
 		return this.parts.quotas().admit(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
 	}
 
 	private OpenRequest admitOrRefuse(CallerRequest request, CallerExchange exchange, RouteRule route,
 			ClientAccount account, long cost) {
-		QuotaVerdict verdict = this.parts.quotas()
-			.admitAgain(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
+		QuotaDecision verdict = this.parts.quotas()
+			.retryAdmission(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
 		return verdict.isAdmitted() ? relay(request, exchange, route, Optional.of(account), cost)
 				: refuse(request, exchange, usedUp(account, verdict), verdict.waitMillis());
 	}
@@ -161,8 +161,8 @@
 		long nowMillis = this.parts.clock().steadyMillis();
 		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(NO_BUDGET), nowMillis);
 		String service = route.chooseService(this.parts.random().nextDouble());
-		RetryWindow window = this.retries.computeIfAbsent(service,
-				(name) -> new RetryWindow(this.bounds.retryShare(), this.bounds.retryWindowMillis()));
+		WindowedRetryBudget window = this.retries.computeIfAbsent(service,
+				(name) -> new WindowedRetryBudget(this.bounds.retryShare(), this.bounds.retryWindowMillis()));
 		window.recordRequest(nowMillis);
 		RelayedRequest relayed = new RelayedRequest(this.parts, request, exchange, attempt, service, account,
 				new RelayedRequest.Hooks(() -> mayRetry(window), () -> refund(account, cost), this.starts));
@@ -170,13 +170,13 @@
 		return relayed;
 	}
 
-	private static Failure usedUp(ClientAccount account, QuotaVerdict verdict) {
+	private static Failure usedUp(ClientAccount account, QuotaDecision verdict) {
 		String detail = String.format(Locale.ROOT, "quota of %s: %.0f units left, %.0f a second, %.1f %% of the quota",
-				account.name(), verdict.levelUnits(), verdict.ratePerSecond(), PERCENT * verdict.share());
+				account.name(), verdict.availableUnits(), verdict.ratePerSecond(), PERCENT * verdict.share());
 		return Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller", detail);
 	}
 
-	private boolean mayRetry(RetryWindow window) {
+	private boolean mayRetry(WindowedRetryBudget window) {
 		double allowance = this.bounds.retryAllowance() * ALLOWANCE_PART / this.parts.fleet().nodes();
 		return window.trySpend(allowance, this.parts.clock().steadyMillis());
 	}
@@ -215,7 +215,7 @@
 		OPEN,
 
 		/** All are taken, and connections end after the answer. */
-		LEAVING,
+		DRAINING,
 
 		/** None is taken any more. */
 		CLOSED
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/LoadListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerLoadListener.java
@@ -6,12 +6,12 @@
  * Hears that this node's load at a backend server has changed.
  */
 @FunctionalInterface
-public interface LoadListener {
+public interface ServerLoadListener {
 
 	/**
 	 * The load has changed.
 	 * @param server the server
 	 */
-	void onChanged(KnownServer server);
+	void onLoadChanged(KnownServer server);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerTry.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerTry.java
@@ -11,13 +11,13 @@
 
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.servers.KnownServer;
-import io.flamingogap.core.servers.PromptShape;
+import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.gateway.backends.AnswerListener;
-import io.flamingogap.gateway.backends.BackendAnswer;
 import io.flamingogap.gateway.backends.BackendCall;
-import io.flamingogap.gateway.backends.Dispatch;
+import io.flamingogap.gateway.backends.BackendRequest;
+import io.flamingogap.gateway.backends.BackendResponseHead;
 import io.flamingogap.gateway.log.LogLine;
 
 /**
@@ -40,7 +40,7 @@
 	/** Lower urgencies are left for requests that may wait. */
 	private static final int LEAST_URGENCY = 9;
 
-	private final RelayParts parts;
+	private final RelayDependencies parts;
 
 	private final RelayedRequest owner;
 
@@ -52,7 +52,7 @@
 
 	private @Nullable BackendCall call;
 
-	private @Nullable BackendAnswer answer;
+	private @Nullable BackendResponseHead answer;
 
 	private @Nullable ScheduledFuture<?> silence;
 
@@ -62,39 +62,39 @@
 
 	private boolean closed;
 
-	ServerTry(RelayParts parts, RelayedRequest owner, KnownServer server, long sentAtMillis) {
+	ServerTry(RelayDependencies parts, RelayedRequest owner, KnownServer server, long sentAtMillis) {
 		this.parts = parts;
 		this.owner = owner;
 		this.server = server;
 		this.sentAtMillis = sentAtMillis;
-		PromptShape prompt = owner.request().prompt();
-		this.promptTokens = Math.max(0, prompt.promptTokens() - server.prompts().heldTokens(prompt));
+		PromptMetadata prompt = owner.request().prompt();
+		this.promptTokens = Math.max(0, prompt.promptTokens() - server.promptCache().estimateCachedTokens(prompt));
 	}
 
 	void send() {
-		this.owner.attempt().recordDispatch(this.server.entry().id());
-		this.owner.noteServer(this.server.entry().id());
+		this.owner.attempt().recordDispatch(this.server.registration().id());
+		this.owner.noteServer(this.server.registration().id());
 		this.server.load().recordSent(this.promptTokens);
-		this.parts.loads().onChanged(this.server);
-		this.server.prompts().record(this.owner.request().prompt());
-		Dispatch dispatch = new Dispatch(this.owner.request(), this.server.entry(),
-				this.owner.attempt().leftMillis(this.sentAtMillis), this.owner.account().map(ClientAccount::name),
+		this.parts.loads().onLoadChanged(this.server);
+		this.server.promptCache().record(this.owner.request().prompt());
+		BackendRequest dispatch = new BackendRequest(this.owner.request(), this.server.registration(),
+				this.owner.attempt().remainingMillis(this.sentAtMillis), this.owner.account().map(ClientAccount::name),
 				urgency(), this.owner.events().lastId());
-		logger.atInfo().log("%s", describeChoice(dispatch.leftMillis()));
+		logger.atInfo().log("%s", describeChoice(dispatch.remainingMillis()));
 		boolean repeatable = this.owner.attempt().route().isRepeatable();
 		this.call = this.parts.pool().send(dispatch, repeatable, this);
 		if (this.owner.attempt().route().kind() == RequestKind.IDEMPOTENT) {
-			long patienceMillis = (long) (this.owner.attempt().route().goalMillis() * SILENT_GOAL_PART);
+			long patienceMillis = (long) (this.owner.attempt().route().latencyTargetMillis() * SILENT_GOAL_PART);
 			this.silence = this.parts.loop().schedule(this::onSilence, patienceMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
 	private LogLine describeChoice(long leftMillis) {
 		return this.owner.line("dispatched")
-			.with("openEstimate", Math.round(this.server.load().estimateOpen(this.sentAtMillis)))
-			.with("unreadTokens", this.server.load().estimateUnread(this.sentAtMillis))
+			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
+			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
 			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
-			.with("doubtful", this.server.isDoubtful())
+			.with("doubtful", this.server.isSuspect())
 			.with("leftMillis", leftMillis);
 	}
 
@@ -106,7 +106,7 @@
 	}
 
 	private void onSilence() {
-		if (this.answer == null && !this.closed && this.owner.attempt().mayTryAnother(nowMillis())
+		if (this.answer == null && !this.closed && this.owner.attempt().mayTryAnotherServer(nowMillis())
 				&& this.owner.attempt().route().maxServers() > 1) {
 			DispatchOutcome outcome = giveUp(DispatchOutcome.SILENT);
 			this.server.health().recordFailure(nowMillis());
@@ -138,7 +138,7 @@
 		}
 		markPromptRead();
 		this.server.load().recordEnd();
-		this.parts.loads().onChanged(this.server);
+		this.parts.loads().onLoadChanged(this.server);
 		this.held.release();
 		this.held = Unpooled.EMPTY_BUFFER;
 	}
@@ -147,7 +147,7 @@
 		if (!this.promptRead) {
 			this.promptRead = true;
 			this.server.load().recordPromptRead(this.promptTokens);
-			this.parts.loads().onChanged(this.server);
+			this.parts.loads().onLoadChanged(this.server);
 		}
 	}
 
@@ -165,16 +165,16 @@
 	}
 
 	@Override
-	public void onHead(BackendAnswer head) {
+	public void onHead(BackendResponseHead head) {
 		this.answer = head;
 		head.load().ifPresent((load) -> this.server.load().recordReport(load.running(), load.waiting(), nowMillis()));
 		switch (head.verdict()) {
 			case REJECTED -> reject(DispatchOutcome.REJECTED, "rejected with " + head.status().code());
 			case MISDIRECTED -> {
-				this.parts.servers().remove(this.server.entry().id());
+				this.parts.servers().remove(this.server.registration().id());
 				reject(DispatchOutcome.MISDIRECTED, "another server has the address");
 			}
-			case UNPROVEN, FOREIGN -> reject(DispatchOutcome.BROKEN, "answer without proof of its origin");
+			case UNVERIFIED, ATTEMPT_MISMATCH -> reject(DispatchOutcome.BROKEN, "answer without proof of its origin");
 			case ANSWERED -> onAnswered(head);
 		}
 	}
@@ -182,17 +182,17 @@
 	private void reject(DispatchOutcome outcome, String reason) {
 		giveUp(outcome);
 		this.server.health().recordFailure(nowMillis());
-		this.parts.versions().record(this.server.entry(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
+		this.parts.versions().record(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
 		this.owner.retryOrFail(outcome, reason);
 	}
 
-	private void onAnswered(BackendAnswer head) {
+	private void onAnswered(BackendResponseHead head) {
 		if (this.owner.exchange().hasBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
 			reject(DispatchOutcome.FAILED, "answered the rest of a stream with " + head.status().code());
 			return;
 		}
 		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-		if (failed && !this.owner.exchange().hasBegun() && this.owner.attempt().mayTryAnother(nowMillis())
+		if (failed && !this.owner.exchange().hasBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
 				&& this.owner.attempt().route().maxServers() > 1) {
 			reject(DispatchOutcome.FAILED, "answered with " + head.status().code());
 			return;
@@ -205,7 +205,7 @@
 	private void started(long agoMillis) {
 		markPromptRead();
 		this.owner.reportStart(agoMillis);
-		this.parts.metrics().recordLatency("first", this.owner.attempt().ageMillis(nowMillis()));
+		this.parts.metrics().recordLatency("first", this.owner.attempt().elapsedMillis(nowMillis()));
 	}
 
 	private boolean isStreamed() {
@@ -234,7 +234,8 @@
 		if (!this.promptRead) {
 			started(0);
 			this.parts.versions()
-				.record(this.server.entry(), this.owner.attempt().route(), false, nowMillis() - this.sentAtMillis);
+				.record(this.server.registration(), this.owner.attempt().route(), false,
+						nowMillis() - this.sentAtMillis);
 		}
 		begin();
 		this.owner.exchange().write(complete);
@@ -244,7 +245,7 @@
 	}
 
 	private void begin() {
-		BackendAnswer head = this.answer;
+		BackendResponseHead head = this.answer;
 		if (!this.owner.exchange().hasBegun() && head != null) {
 			this.owner.exchange().begin(head.status(), head.headers());
 		}
@@ -270,7 +271,7 @@
 		if (this.closed) {
 			return;
 		}
-		BackendAnswer head = this.answer;
+		BackendResponseHead head = this.answer;
 		ByteBuf body = this.held;
 		this.held = Unpooled.EMPTY_BUFFER;
 		boolean failed = head == null || head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
@@ -304,7 +305,8 @@
 		}
 		if (failed || !isStreamed()) {
 			this.parts.versions()
-				.record(this.server.entry(), this.owner.attempt().route(), failed, nowMillis - this.sentAtMillis);
+				.record(this.server.registration(), this.owner.attempt().route(), failed,
+						nowMillis - this.sentAtMillis);
 		}
 	}
 
@@ -316,7 +318,7 @@
 		close();
 		this.server.health().recordFailure(nowMillis());
 		this.parts.versions()
-			.record(this.server.entry(), this.owner.attempt().route(), true, nowMillis() - this.sentAtMillis);
+			.record(this.server.registration(), this.owner.attempt().route(), true, nowMillis() - this.sentAtMillis);
 		this.owner.retryOrFail(DispatchOutcome.BROKEN, reason);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServiceDemands.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServiceDemandTracker.java
@@ -6,14 +6,14 @@
 import java.util.Map;
 
 import io.flamingogap.core.fleet.NodeReport;
+import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.servers.PromptPart;
-import io.flamingogap.core.servers.PromptShape;
 
 /**
  * What callers of this node ask of each service, as moving averages. Used on the event
  * loop only.
  */
-public final class ServiceDemands {
+public final class ServiceDemandTracker {
 
 	/** Time constant of the averages: long enough to smooth clumps of requests. */
 	private static final double AVERAGE_MILLIS = 5_000;
@@ -24,12 +24,12 @@
 
 	private final Map<String, Demand> byService = new HashMap<>();
 
-	void opened(String service, PromptShape prompt, long nowMillis) {
+	void opened(String service, PromptMetadata prompt, long nowMillis) {
 		Demand demand = this.byService.computeIfAbsent(service, (name) -> new Demand());
 		demand.decay(nowMillis);
 		demand.open++;
 		demand.requests++;
-		long shared = prompt.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
+		long shared = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
 		demand.tokens += Math.max(0, prompt.promptTokens() - shared);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionGate.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
@@ -3,14 +3,14 @@
 import java.util.function.Predicate;
 
 import io.flamingogap.core.servers.KnownServer;
-import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.serving.RouteRule;
 
 /**
  * Chooses the versions of a service that a request may go to while a rollout is under
  * way, and takes the outcomes.
  */
-public interface VersionGate {
+public interface VersionSelector {
 
 	/**
 	 * Choose the versions for a request.
@@ -18,14 +18,14 @@
 	 * @param route the route of the request
 	 * @return which servers may get the request
 	 */
-	Predicate<KnownServer> choose(String service, RouteRule route);
+	Predicate<KnownServer> selectVersions(String service, RouteRule route);
 
 	/**
 	 * Choose the versions for a request that failed before: not the one under trial.
 	 * @param service the service
 	 * @return which servers may get the request
 	 */
-	Predicate<KnownServer> chooseAgain(String service);
+	Predicate<KnownServer> selectVersionsForRetry(String service);
 
 	/**
 	 * Record the outcome of a dispatch.
@@ -34,6 +34,6 @@
 	 * @param failed whether the server failed
 	 * @param latencyMillis the time to the answer or its first event
 	 */
-	void record(ServerEntry server, RouteRule route, boolean failed, long latencyMillis);
+	void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis);
 
 }
