--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
@@ -2,7 +2,7 @@
 
 import io.vavr.control.Either;
 
-import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.serving.ServingConfig;
 
 /**
@@ -30,7 +30,7 @@
 	 * @param value the content of the record
 	 * @return the entry, or why it names no server to use
 	 */
-	Either<String, ServerEntry> readServer(String id, byte[] value);
+	Either<String, ServerRegistration> readServer(String id, byte[] value);
 
 	/**
 	 * Read an order to move a service to another version.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -175,7 +175,7 @@
 	 * Return when a call failed last, or succeeded for the first time after failures.
 	 * @return the time
 	 */
-	public long disturbedAtMillis() {
+	public long lastDisruptionAtMillis() {
 		return this.disturbedAtMillis;
 	}
 
@@ -183,7 +183,7 @@
 	 * Return when the store last answered.
 	 * @return the time
 	 */
-	public long contactAtMillis() {
+	public long lastContactAtMillis() {
 		return this.contactAtMillis;
 	}
 
@@ -191,7 +191,7 @@
 	 * Return whether all records were read once.
 	 * @return {@code true} after the first listing
 	 */
-	public boolean isListed() {
+	public boolean hasCompletedListing() {
 		return this.listed;
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ScaleDutyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ScaleDutyTests.java
@@ -12,7 +12,7 @@
 
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.core.node.Address;
-import io.flamingogap.core.servers.ServerEntry;
+import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.BackendService;
 import io.flamingogap.core.serving.EngineProfile;
@@ -64,9 +64,8 @@
 	private Predicate<ServerPlan> granted = (order) -> true;
 
 	private void register(String id, String zone, boolean reclaimable, boolean draining) {
-		this.servers.register(
-				new ServerEntry(id, "engine", new Address("10.0.0.1", 80), zone, "v1", SLOTS, draining, reclaimable, 1),
-				++this.revision);
+		this.servers.register(new ServerRegistration(id, "engine", new Address("10.0.0.1", 80), zone, "v1", SLOTS,
+				draining, reclaimable, 1), ++this.revision);
 	}
 
 	private void register(String zone, boolean reclaimable, int number) {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelayTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
@@ -17,7 +17,7 @@
 /**
  * Which node calls the store for its zone.
  */
-class ZoneRelayTests {
+class ZoneRelaySelectorTests {
 
 	private static final int PORT = 7600;
 
@@ -25,7 +25,8 @@
 
 	private long nowMillis = 100_000;
 
-	private final ZoneRelay relay = new ZoneRelay(this.fleet, "z1", "node-m", Optional.of(PORT), () -> this.nowMillis);
+	private final ZoneRelaySelector relay = new ZoneRelaySelector(this.fleet, "z1", "node-m", Optional.of(PORT),
+			() -> this.nowMillis);
 
 	private void report(String node, String zone, boolean serving) {
 		this.fleet.advance(this.nowMillis);
@@ -34,7 +35,7 @@
 	}
 
 	private Optional<String> current() {
-		return this.relay.current().map(ZoneRelay.Relay::node);
+		return this.relay.current().map(ZoneRelaySelector.Relay::node);
 	}
 
 	@Test
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -82,8 +82,8 @@
 		RecordFollower follower = follower();
 		follower.start();
 		this.channel.runPendingTasks();
-		assertThat(follower.disturbedAtMillis(), is(0L));
-		assertThat(follower.isListed(), is(true));
+		assertThat(follower.lastDisruptionAtMillis(), is(0L));
+		assertThat(follower.hasCompletedListing(), is(true));
 	}
 
 }
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/CapacityMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/CapacityMeasure.java
@@ -29,9 +29,9 @@
 import io.flamingogap.core.rollout.EvidenceTable;
 import io.flamingogap.core.rollout.RolloutKey;
 import io.flamingogap.core.rollout.Tally;
+import io.flamingogap.core.routing.LeastLoadedSelector;
 import io.flamingogap.core.routing.LeavingServers;
-import io.flamingogap.core.routing.ServerChoice;
-import io.flamingogap.core.routing.ServerLoads;
+import io.flamingogap.core.routing.ServerLoadTable;
 import io.flamingogap.core.routing.ServerQuery;
 import io.flamingogap.core.text.Digests;
 import io.flamingogap.core.toml.RecordBinder;
@@ -206,10 +206,10 @@
 			Manifest manifest = ManifestReader.read(text).get();
 			long readNanos = timed(20, () -> ManifestReader.read(text));
 			LeavingServers leaving = new LeavingServers(1_000);
-			ServerLoads loads = new ServerLoads(1_000);
+			ServerLoadTable loads = new ServerLoadTable(1_000);
 			ServerQuery query = new ServerQuery("assistant", "v1", List.of(), Set.of());
 			long choiceNanos = timed(CHOICES,
-					() -> ServerChoice.choose(manifest, query, "zone-0", loads, leaving, 1_000));
+					() -> LeastLoadedSelector.choose(manifest, query, "zone-0", loads, leaving, 1_000));
 			Report.row("%4d servers: manifest of %d bytes, read in %.2f ms, choice in %.1f us", servers,
 					text.getBytes(StandardCharsets.UTF_8).length, readNanos / 1e6, choiceNanos / 1e3);
 		}
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/SimulatedRollout.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/SimulatedRollout.java
@@ -155,7 +155,7 @@
 
 			@Override
 			Verdict decide(Rollout rollout, EvidenceTable evidence, long nowMillis) {
-				if (RolloutPolicy.findBadness(rollout, evidence, nowMillis).isPresent()) {
+				if (RolloutPolicy.findRegression(rollout, evidence, nowMillis).isPresent()) {
 					RolloutDecision decision = RolloutPolicy.decide(rollout, evidence, null, nowMillis);
 					return new Verdict(true, decision.sharePermille() / 1_000.0);
 				}
