--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
@@ -6,20 +6,20 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * What a ledger decided about one attempt.
+ * The decision of a {@link RequestLedger} on one attempt to send a keyed request.
  */
 public sealed interface Admission {
 
 	/**
-	 * The attempt is the first one: dispatch it.
+	 * The key is new: send the request to a backend server.
 	 *
-	 * @param entry the new entry
+	 * @param entry the entry that was created for the key
 	 */
 	record Dispatch(LedgerEntry entry) implements Admission {
 	}
 
 	/**
-	 * An earlier attempt is under way: wait for its outcome.
+	 * An earlier attempt with the same key is in progress: wait for its outcome.
 	 *
 	 * @param entry the entry of the earlier attempt
 	 */
@@ -27,25 +27,25 @@
 	}
 
 	/**
-	 * The request was answered before.
+	 * The request was already answered: return the stored answer.
 	 *
-	 * @param answer the kept answer
+	 * @param answer the stored answer
 	 */
 	record Replay(Answer answer) implements Admission {
 	}
 
 	/**
-	 * The attempt is refused.
+	 * The attempt is refused and is not executed.
 	 *
-	 * @param failure why
+	 * @param failure the reason, and whether an earlier attempt may have been executed
 	 */
 	record Refuse(Failure failure) implements Admission {
 
 		private static final String CALLER = "caller";
 
-		static Refuse keyOfAnotherRequest() {
+		static Refuse keyReused() {
 			return new Refuse(Failure.notRun(ProblemType.KEY_REUSED, Step.ADMIT, CALLER,
-					"the key belongs to another request; this attempt was not run"));
+					"the key was used for a different request; this attempt was not run"));
 		}
 
 		static Refuse outcomeUnknown() {
@@ -53,19 +53,20 @@
 					"an earlier attempt may have been executed; it is not repeated"));
 		}
 
-		static Refuse givenUpBefore() {
+		static Refuse cancelledBefore() {
 			return new Refuse(Failure.notRun(ProblemType.DEADLINE_EXCEEDED, Step.ADMIT, CALLER,
-					"the request under this key was given up before it was run; use a new key"));
+					"the request with this key was cancelled before it was dispatched; use a new key"));
 		}
 
 		/**
-		 * Refuse a key that may not begin a request at this time.
-		 * @param early whether it was issued in the future, rather than too long ago
-		 * @return the refusal
+		 * Refuse a new request because its key was issued in the future or too long ago.
+		 * @param issuedInFuture {@code true} if the key was issued in the future,
+		 * {@code false} if it was issued too long ago
+		 * @return a refusal with {@link ProblemType#KEY_EXPIRED}
 		 */
-		static Refuse keyOutOfTime(boolean early) {
+		static Refuse keyExpired(boolean issuedInFuture) {
 			return new Refuse(Failure.notRun(ProblemType.KEY_EXPIRED, Step.ADMIT, CALLER,
-					"the prefix is " + (early ? "from the future" : "too old to begin a request")
+					"the key prefix " + (issuedInFuture ? "was issued in the future" : "is too old to start a request")
 							+ "; this attempt was not run, an earlier attempt may have been"));
 		}
 
@@ -77,9 +78,10 @@
 	}
 
 	/**
-	 * Another node owns the key.
+	 * This node does not own the key: forward the request.
 	 *
-	 * @param owner the node to ask
+	 * @param owner the owner as far as this node knows: the successor that it committed
+	 * the key to, else the node incarnation that issued the key
 	 */
 	record Forward(NodeId owner) implements Admission {
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/Answer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/Answer.java
@@ -3,11 +3,11 @@
 import java.util.Objects;
 
 /**
- * A whole answer to a request.
+ * A complete HTTP response to a keyed request.
  *
  * @param status the HTTP status
- * @param contentType the media type
- * @param body the body; not copied, so it must not be changed
+ * @param contentType the value of the Content-Type header
+ * @param body the body; not copied, so callers must not modify it
  */
 public record Answer(int status, String contentType, byte[] body) {
 
@@ -17,8 +17,8 @@
 	}
 
 	/**
-	 * Return the size counted against the limit of kept answers.
-	 * @return the size in bytes
+	 * Return the size that counts towards {@link LedgerLimits#maxBytes()}.
+	 * @return the length of the body in bytes
 	 */
 	public long sizeBytes() {
 		return this.body.length;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/CommitResult.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/CommitResult.java
@@ -3,26 +3,27 @@
 import java.util.List;
 
 /**
- * What a node did with a commit.
+ * The outcome of a commit at the node that receives it.
  */
 public sealed interface CommitResult {
 
 	/**
-	 * The node owns the keys.
+	 * This node owns the committed keys.
 	 *
-	 * @param toDispatch the accepted entries that it now has to dispatch
+	 * @param toDispatch the accepted entries that this commit moved to the node and that
+	 * it must now dispatch; empty if it had taken them over before
 	 */
 	record Taken(List<LedgerEntry> toDispatch) implements CommitResult {
 	}
 
 	/**
-	 * The node lacks entries; it may take the keys from a whole commit.
+	 * The node misses entries and takes nothing over; it may succeed with a full commit.
 	 */
 	record Incomplete() implements CommitResult {
 	}
 
 	/**
-	 * The node has passed its own keys on and will never take these.
+	 * The node has handed its own keys over to a successor and will never take these.
 	 */
 	record Refused() implements CommitResult {
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
@@ -11,28 +11,30 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * The keys under one issuer's prefixes, at one node.
+ * The entries that one node holds for the keys issued by one node incarnation, and
+ * whether this node owns them.
  */
 final class KeySpace {
 
-	/** Whether this node may dispatch keys of the space. */
+	/** The right of this node to dispatch the requests of a key space. */
 	enum Ownership {
 
-		/** Offered by the owner, who has not committed. */
-		INERT,
-		/** This node is the only one that may dispatch. */
+		/** Offered by the owner, which has not committed the keys to this node. */
+		OFFERED,
+		/** Owned by this node, the only one that may dispatch. */
 		OWNED,
-		/** Committed to a successor; this node dispatches again only if it refuses. */
-		PASSED_ON,
-		/** Refused when the owner committed it to this node; never taken. */
+		/** Committed to a successor; owned again only if the successor refuses. */
+		HANDED_OVER,
+		/** Refused when the owner committed the keys to this node; never taken over. */
 		REFUSED;
 
 		/**
-		 * Return whether this node owns the keys or knows who took them over from it.
-		 * @return {@code true} if it does
+		 * Return whether this node can decide about requests with these keys.
+		 * @return {@code true} if the node owns the keys or has committed them to a
+		 * successor
 		 */
-		boolean isDecisive() {
-			return this == OWNED || this == PASSED_ON;
+		boolean isAuthoritative() {
+			return this == OWNED || this == HANDED_OVER;
 		}
 
 	}
@@ -41,7 +43,7 @@
 
 	private final Map<String, LedgerEntry> entries = new LinkedHashMap<>();
 
-	private final Map<String, KeyState> offered = new LinkedHashMap<>();
+	private final Map<String, KeyState> exportedStates = new LinkedHashMap<>();
 
 	private Ownership ownership;
 
@@ -51,7 +53,7 @@
 
 	private long keptBytes;
 
-	/** Independent of the order in which entries came. */
+	/** XOR of the entries' fingerprints, so the order of insertion has no influence. */
 	private long fingerprint;
 
 	KeySpace(NodeId issuer, Ownership ownership) {
@@ -83,20 +85,20 @@
 		return this.entries.size();
 	}
 
-	void own() {
+	void takeOwnership() {
 		this.ownership = Ownership.OWNED;
 		this.successor = null;
 	}
 
-	void refuse() {
+	void refuseOwnership() {
 		this.ownership = Ownership.REFUSED;
 		this.entries.clear();
 		this.keptBytes = 0;
 		this.fingerprint = 0;
 	}
 
-	void passOn(NodeId next) {
-		this.ownership = Ownership.PASSED_ON;
+	void handOver(NodeId next) {
+		this.ownership = Ownership.HANDED_OVER;
 		this.successor = next;
 	}
 
@@ -109,9 +111,9 @@
 	}
 
 	void put(LedgerEntry entry) {
-		LedgerEntry before = this.entries.put(entry.key().toString(), entry);
-		this.keptBytes += entry.sizeBytes() - ((before != null) ? before.sizeBytes() : 0);
-		this.fingerprint ^= entry.fingerprint() ^ ((before != null) ? before.fingerprint() : 0);
+		LedgerEntry previous = this.entries.put(entry.key().toString(), entry);
+		this.keptBytes += entry.sizeBytes() - ((previous != null) ? previous.sizeBytes() : 0);
+		this.fingerprint ^= entry.fingerprint() ^ ((previous != null) ? previous.fingerprint() : 0);
 	}
 
 	void forgetThrough(long issuedAtMillis) {
@@ -119,9 +121,10 @@
 	}
 
 	/**
-	 * Forget ended keys whose prefix was issued before a time. The time of the latest
-	 * forgotten key is kept, so that no forgotten key can begin again.
-	 * @param issuedBeforeMillis the time
+	 * Remove ended entries whose key prefix was issued before a given time. The issue
+	 * time of the latest removed key is kept, so that no removed key is taken for a new
+	 * one.
+	 * @param issuedBeforeMillis the time in milliseconds since 1970 UTC, exclusive
 	 */
 	void forgetIssuedBefore(long issuedBeforeMillis) {
 		Iterator<LedgerEntry> iterator = this.entries.values().iterator();
@@ -129,7 +132,7 @@
 			LedgerEntry entry = iterator.next();
 			if (entry.state().isTerminal() && entry.key().issuedAtMillis() < issuedBeforeMillis) {
 				iterator.remove();
-				this.offered.remove(entry.key().toString());
+				this.exportedStates.remove(entry.key().toString());
 				this.keptBytes -= entry.sizeBytes();
 				this.fingerprint ^= entry.fingerprint();
 				forgetThrough(entry.key().issuedAtMillis());
@@ -138,14 +141,14 @@
 	}
 
 	/**
-	 * Return the entries that were not offered in their present state, and take them as
-	 * offered.
-	 * @return the changed entries
+	 * Return the entries whose state has changed since they were last exported, and
+	 * record their states as exported.
+	 * @return a part that is not full
 	 */
-	KeySpacePart takeUnoffered() {
+	KeySpacePart exportChanges() {
 		List<LedgerEntry> changed = new ArrayList<>();
 		for (LedgerEntry entry : this.entries.values()) {
-			if (this.offered.put(entry.key().toString(), entry.state()) != entry.state()) {
+			if (this.exportedStates.put(entry.key().toString(), entry.state()) != entry.state()) {
 				changed.add(entry);
 			}
 		}
@@ -153,16 +156,16 @@
 	}
 
 	/**
-	 * Return every entry.
-	 * @return a whole part
+	 * Return all entries. Their states are not recorded as exported.
+	 * @return a full part
 	 */
-	KeySpacePart whole() {
+	KeySpacePart exportAll() {
 		return new KeySpacePart(this.issuer, this.forgottenThroughMillis, entries(), true, this.fingerprint);
 	}
 
 	/**
-	 * Take in a part of the same key space.
-	 * @param part the part
+	 * Apply a part that another node exported.
+	 * @param part a part of the same key space; a full part replaces all entries
 	 */
 	void merge(KeySpacePart part) {
 		if (part.full()) {
@@ -175,19 +178,20 @@
 	}
 
 	/**
-	 * Return whether this node holds what the sender of a part holds.
-	 * @param part the part
+	 * Return whether this node holds the same entries in the same states as the sender of
+	 * a part.
+	 * @param part a part of the same key space
 	 * @return {@code true} if the fingerprints are equal
 	 */
-	boolean matches(KeySpacePart part) {
+	boolean isInSyncWith(KeySpacePart part) {
 		return this.fingerprint == part.fingerprint();
 	}
 
 	/**
-	 * Forget what was offered, because another successor is tried.
+	 * Treat all entries as changed, because they are sent to another successor.
 	 */
-	void restartOffer() {
-		this.offered.clear();
+	void restartExport() {
+		this.exportedStates.clear();
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
@@ -6,13 +6,16 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * Part of the entries under one issuer's prefixes, on its way to a successor.
+ * Entries of one issuer's key space that are transferred to a successor: either every
+ * entry or those that changed since the previous transfer.
  *
- * @param issuer the node run that the prefixes name
- * @param forgottenThroughMillis the latest issue time of a forgotten key
- * @param entries the entries of this part
- * @param full whether the part holds every entry, and replaces what was offered
- * @param fingerprint the fingerprint of every entry at the sender
+ * @param issuer the node incarnation that issued the keys
+ * @param forgottenThroughMillis the latest issue time of a forgotten key, in milliseconds
+ * since 1970 UTC; -1 if no key was forgotten
+ * @param entries the transferred entries
+ * @param full whether the receiver replaces what it holds of this key space, as the part
+ * holds every entry or is the first of the messages that do
+ * @param fingerprint the fingerprint over all entries of the key space at the sender
  */
 public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries, boolean full,
 		long fingerprint) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpaceParts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpaceParts.java
@@ -4,22 +4,24 @@
 import java.util.List;
 
 /**
- * Splits parts of key spaces into messages of a bounded size.
+ * Utilities that split key space parts into messages of a bounded size.
  */
 public final class KeySpaceParts {
 
-	/** What an entry takes in a message besides its bodies, rounded up. */
+	/** Upper estimate of the encoded size of an entry without its bodies. */
 	private static final long ENTRY_OVERHEAD_BYTES = 512;
 
 	private KeySpaceParts() {
 	}
 
 	/**
-	 * Split parts into messages. Sent in order they have the effect of the parts: of a
-	 * whole part only the first piece replaces what the receiver holds.
-	 * @param parts the parts
-	 * @param maxBytes the size of a message, which a single larger entry may exceed
-	 * @return the messages, at least one
+	 * Split parts into messages. Sent in order, the messages have the same effect as the
+	 * parts: only the first chunk of a full part is marked as full and replaces what the
+	 * receiver holds.
+	 * @param parts the parts to split
+	 * @param maxBytes the maximum size of a message in bytes; only a message with a
+	 * single entry may exceed it
+	 * @return the messages in the order in which to send them; never empty
 	 */
 	public static List<List<KeySpacePart>> split(List<KeySpacePart> parts, long maxBytes) {
 		if (maxBytes < 1) {
@@ -29,29 +31,29 @@
 		List<KeySpacePart> message = new ArrayList<>();
 		long messageBytes = 0;
 		for (KeySpacePart part : parts) {
-			List<LedgerEntry> piece = new ArrayList<>();
-			boolean whole = part.full();
+			List<LedgerEntry> chunk = new ArrayList<>();
+			boolean full = part.full();
 			for (LedgerEntry entry : part.entries()) {
 				long entryBytes = entry.sizeBytes() + ENTRY_OVERHEAD_BYTES;
 				if (messageBytes > 0 && messageBytes + entryBytes > maxBytes) {
-					message.add(piece(part, piece, whole));
+					message.add(chunk(part, chunk, full));
 					messages.add(message);
 					message = new ArrayList<>();
 					messageBytes = 0;
-					piece = new ArrayList<>();
-					whole = false;
+					chunk = new ArrayList<>();
+					full = false;
 				}
-				piece.add(entry);
+				chunk.add(entry);
 				messageBytes += entryBytes;
 			}
-			message.add(piece(part, piece, whole));
+			message.add(chunk(part, chunk, full));
 		}
 		messages.add(message);
 		return messages;
 	}
 
-	private static KeySpacePart piece(KeySpacePart part, List<LedgerEntry> entries, boolean whole) {
-		return new KeySpacePart(part.issuer(), part.forgottenThroughMillis(), entries, whole, part.fingerprint());
+	private static KeySpacePart chunk(KeySpacePart part, List<LedgerEntry> entries, boolean full) {
+		return new KeySpacePart(part.issuer(), part.forgottenThroughMillis(), entries, full, part.fingerprint());
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeyState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeyState.java
@@ -1,19 +1,19 @@
 package io.flamingogap.core.request;
 
 /**
- * The state of a key in a ledger.
+ * The state of a keyed request in a {@link RequestLedger}.
  */
 public enum KeyState {
 
-	/** Accepted; nothing has been sent to a backend server. */
+	/** Accepted; no byte was sent to a backend server. */
 	ACCEPTED(false),
-	/** Bytes may have reached a backend server. */
+	/** Bytes may have reached a backend server; the outcome is awaited. */
 	DISPATCHED(false),
 	/** A backend server answered. */
 	DONE(true),
-	/** Bytes may have reached a backend server and no answer will be known. */
+	/** Bytes may have reached a backend server, and no answer is expected any more. */
 	UNKNOWN(true),
-	/** Given up before anything was sent. */
+	/** Cancelled before any byte was sent; the request will never be executed. */
 	NOT_RUN(true);
 
 	private final boolean terminal;
@@ -23,8 +23,9 @@
 	}
 
 	/**
-	 * Return whether the state is the last one of a key.
-	 * @return {@code true} if no transition leaves it
+	 * Return whether the request has ended.
+	 * @return {@code true} if the request is neither waiting for a dispatch nor for an
+	 * outcome
 	 */
 	public boolean isTerminal() {
 		return this.terminal;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeyedRequest.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeyedRequest.java
@@ -6,15 +6,16 @@
 import io.flamingogap.core.text.Digests;
 
 /**
- * An unrepeatable request as its caller sent it.
+ * A request that must be executed at most once, as received from its caller.
  *
  * @param key the idempotency key
- * @param account the account that the caller belongs to
+ * @param account the name of the client account that the caller belongs to
  * @param method the HTTP method
- * @param path the path with the query
+ * @param path the path including the query
  * @param contentType the media type of the body
- * @param body the body; not copied, so it must not be changed
- * @param deadlineMillis when the caller stops waiting, on the receiving node's clock
+ * @param body the body; not copied, so callers must not modify it
+ * @param deadlineMillis the time at which the caller stops waiting, in milliseconds on
+ * the receiving node's clock
  */
 public record KeyedRequest(RequestKey key, String account, String method, String path, String contentType, byte[] body,
 		long deadlineMillis) {
@@ -29,8 +30,9 @@
 	}
 
 	/**
-	 * Return a digest that tells this request from another one under the same key.
-	 * @return the digest over method, path and body
+	 * Return a digest that distinguishes this request from a different one with the same
+	 * key.
+	 * @return the SHA-256 digest over method, path and body in hexadecimal digits
 	 */
 	public String digest() {
 		String head = this.method + "\n" + this.path + "\n" + Digests.sha256(this.body);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
@@ -8,15 +8,16 @@
 import io.flamingogap.core.text.Digests;
 
 /**
- * What a ledger holds of one key.
+ * The state of one keyed request in a {@link RequestLedger}.
  *
- * @param key the key
- * @param account the account that used it first
- * @param digest the digest of the request
- * @param state the state
- * @param request the request, until its outcome is known
- * @param answer the answer, once the state is {@link KeyState#DONE}
- * @param dispatchedBy the node run that sent the request last, if one did
+ * @param key the idempotency key
+ * @param account the name of the client account that used the key first
+ * @param digest the result of {@link KeyedRequest#digest()}
+ * @param state the progress of the request
+ * @param request the request; {@code null} once it has ended
+ * @param answer the answer; {@code null} unless the state is {@link KeyState#DONE}
+ * @param dispatchedBy the node incarnation that last started to dispatch the request;
+ * {@code null} if none did
  */
 public record LedgerEntry(RequestKey key, String account, String digest, KeyState state, @Nullable KeyedRequest request,
 		@Nullable Answer answer, @Nullable NodeId dispatchedBy) {
@@ -51,19 +52,20 @@
 	}
 
 	/**
-	 * Return whether another request is the one that this entry was made for.
-	 * @param other a request under the same key
+	 * Return whether a request is the one that this entry was created for.
+	 * @param other a request with the same key
 	 * @return {@code true} if account and digest are equal
 	 */
-	boolean isFor(KeyedRequest other) {
+	boolean isSameRequest(KeyedRequest other) {
 		return this.account.equals(other.account()) && this.digest.equals(other.digest());
 	}
 
 	/**
-	 * Return whether an entry tells the outcome of the dispatch that this entry waits
-	 * for. A message that comes twice fits only once, since the entry is then ended or
-	 * has been dispatched by another node.
-	 * @param update an entry of the same key
+	 * Return whether an update holds the outcome of the dispatch that this entry waits
+	 * for. An update that arrives twice is applied once, because the entry then no longer
+	 * waits for this dispatch: it has ended or was dispatched by another node. An entry
+	 * whose outcome was recorded as unknown still accepts a late answer.
+	 * @param update an entry with the same key from the node that dispatched the request
 	 * @return {@code true} if it replaces this entry
 	 */
 	boolean isResolvedBy(LedgerEntry update) {
@@ -73,16 +75,16 @@
 	}
 
 	/**
-	 * Return a fingerprint of the key and its state.
-	 * @return 64 bits of a digest
+	 * Return a fingerprint of the key, the state and the dispatching node.
+	 * @return the first 64 bits of a SHA-256 digest
 	 */
 	long fingerprint() {
 		return Digests.sha256Prefix(this.key + " " + this.state + " " + this.dispatchedBy);
 	}
 
 	/**
-	 * Return the size counted against the limit of kept bytes.
-	 * @return the size in bytes
+	 * Return the size that counts towards {@link LedgerLimits#maxBytes()}.
+	 * @return the size of the stored request and answer bodies in bytes
 	 */
 	long sizeBytes() {
 		long requestBytes = (this.request != null) ? this.request.body().length : 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerLimits.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerLimits.java
@@ -1,14 +1,16 @@
 package io.flamingogap.core.request;
 
 /**
- * Limits of a ledger.
+ * Size and time limits of a {@link RequestLedger}.
  *
- * @param maxEntries the most keys that are kept
- * @param maxBytes the most bytes of kept requests and answers
- * @param firstUseMillis how long after its issue a prefix may begin new requests
- * @param retentionMillis how long after the issue of its prefix the outcome of a key is
- * kept
- * @param maxClockSkewMillis how far ahead the clock of an issuing node may be
+ * @param maxEntries the maximum number of entries
+ * @param maxBytes the maximum total size of stored request and answer bodies in bytes
+ * @param firstUseMillis the time after the issue of a key prefix within which new
+ * requests may use it, in milliseconds
+ * @param retentionMillis the time after the issue of a key prefix for which the outcomes
+ * of its keys are kept, in milliseconds; longer than {@code firstUseMillis}
+ * @param maxClockSkewMillis the maximum by which the clock of an issuing node may be
+ * ahead, in milliseconds
  */
 public record LedgerLimits(int maxEntries, long maxBytes, long firstUseMillis, long retentionMillis,
 		long maxClockSkewMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestKey.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestKey.java
@@ -11,69 +11,70 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * An idempotency key: a prefix from an entry answer that names the only node run that may
- * dispatch it, and a part that the caller draws.
+ * An idempotency key: a prefix that an entry node issued, followed by a part that the
+ * caller generates. The prefix names the node incarnation that first owns the key and is
+ * the only one that may dispatch its request until it commits the key to a successor.
  *
- * @param issuer the node run that the prefix names
- * @param issuedAtMillis when the prefix was issued, in milliseconds since 1970 UTC
- * @param callerPart the caller's own part
+ * @param issuer the node incarnation that issued the prefix
+ * @param issuedAtMillis the issue time of the prefix, in milliseconds since 1970 UTC
+ * @param callerPart the caller's part, 8 to 100 characters
  */
 public record RequestKey(NodeId issuer, long issuedAtMillis, String callerPart) {
 
-	/** The longest key that is read. */
+	/** The maximum number of characters of a key that {@link #parse} accepts. */
 	public static final int MAX_LENGTH = 200;
 
-	private static final Pattern CALLER_PART = Pattern.compile("[A-Za-z0-9_-]{8,100}");
+	private static final Pattern CALLER_PART_PATTERN = Pattern.compile("[A-Za-z0-9_-]{8,100}");
 
-	private static final int RADIX = 36;
+	private static final int TIME_RADIX = 36;
 
-	private static final int PARTS = 4;
+	private static final int PART_COUNT = 4;
 
 	public RequestKey {
 		Objects.requireNonNull(issuer, "issuer must not be null");
 		if (issuedAtMillis < 0) {
 			throw new IllegalArgumentException("issuedAtMillis must not be negative but was " + issuedAtMillis);
 		}
-		if (!CALLER_PART.matcher(callerPart).matches()) {
-			throw new IllegalArgumentException("callerPart must match " + CALLER_PART);
+		if (!CALLER_PART_PATTERN.matcher(callerPart).matches()) {
+			throw new IllegalArgumentException("callerPart must match " + CALLER_PART_PATTERN);
 		}
 	}
 
 	/**
-	 * Return the prefix that a node puts into its entry answers.
-	 * @param issuer the node run whose callers will use it
-	 * @param nowMillis the present time
-	 * @return the prefix, to which a caller appends its own part
+	 * Return a key prefix for the answers of {@code GET /v1/entry}.
+	 * @param issuer the node incarnation that owns the keys with this prefix
+	 * @param nowMillis the issue time in milliseconds since 1970 UTC
+	 * @return the prefix, to which callers append their own part
 	 */
 	public static String prefix(NodeId issuer, long nowMillis) {
-		return issuer + "~" + Long.toString(nowMillis, RADIX) + "~";
+		return issuer + "~" + Long.toString(nowMillis, TIME_RADIX) + "~";
 	}
 
 	/**
-	 * Parse a key.
+	 * Parse a key from the form written by {@link #toString()}.
 	 * @param text a prefix followed by the caller's part
-	 * @return the key, or a failure that tells where to get a prefix
+	 * @return the key, or a failure whose detail says where to get a prefix
 	 */
 	public static Either<Failure, RequestKey> parse(String text) {
 		if (text.length() > MAX_LENGTH) {
 			return Either.left(invalid("longer than " + MAX_LENGTH + " characters"));
 		}
 		String[] parts = text.split("~", -1);
-		if (parts.length != PARTS) {
+		if (parts.length != PART_COUNT) {
 			return Either.left(invalid("without a prefix"));
 		}
 		try {
 			NodeId issuer = NodeId.parse(parts[0] + "~" + parts[1]);
-			return Either.right(new RequestKey(issuer, Long.parseLong(parts[2], RADIX), parts[3]));
+			return Either.right(new RequestKey(issuer, Long.parseLong(parts[2], TIME_RADIX), parts[3]));
 		}
 		catch (IllegalArgumentException ex) {
 			return Either.left(invalid("not well-formed: " + ex.getMessage()));
 		}
 	}
 
-	private static Failure invalid(String fault) {
+	private static Failure invalid(String reason) {
 		return Failure.notRun(ProblemType.KEY_REQUIRED, Step.PARSE, "caller",
-				"the idempotency key is " + fault + "; GET /v1/entry gives prefixes, append 8 or more characters");
+				"the idempotency key is " + reason + "; GET /v1/entry returns prefixes, append at least 8 characters");
 	}
 
 	@Override
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -14,83 +14,88 @@
 import io.flamingogap.core.request.KeySpace.Ownership;
 
 /**
- * The state machine that keeps execution of keyed requests at most once.
+ * State machine that ensures that each keyed request is executed at most once.
  * <p>
- * A key names the only node run that may dispatch it. That right moves to one successor
- * by a commit and never comes back. An entry is kept at least as long as its key may
- * begin a request: a key that isn't in the ledger is new only if it was issued after
- * every forgotten one, so the rule holds whatever the clocks do.
+ * A key is owned by the node incarnation that issued it, and only the owner may dispatch
+ * its request. A commit moves the ownership to one successor; it returns only if this
+ * successor refuses the commit for good.
  * <p>
- * Not safe for use by several threads.
+ * An entry is kept at least as long as its key may start a request. A key without an
+ * entry is new only if it was issued after every forgotten key, so a request is not
+ * executed again even if a clock jumps.
+ * <p>
+ * This class is not thread-safe.
  */
 public final class RequestLedger {
 
-	private static final int FORGETTING_ROUNDS = 64;
+	private static final int FORGET_ROUNDS_PER_RETENTION = 64;
 
 	private final NodeId self;
 
 	private final LedgerLimits limits;
 
-	private final Map<NodeId, KeySpace> spaces = new LinkedHashMap<>();
+	private final Map<NodeId, KeySpace> keySpaces = new LinkedHashMap<>();
 
 	private @Nullable NodeId committedTo;
 
-	private long forgottenAtMillis;
+	private long lastForgetMillis;
 
 	/**
-	 * Create a ledger that owns the keys of its own node run.
-	 * @param self the node run
-	 * @param limits the limits of the ledger
+	 * Create a ledger that owns the keys issued by its own node incarnation.
+	 * @param self this node incarnation
+	 * @param limits the size and time limits
 	 */
 	public RequestLedger(NodeId self, LedgerLimits limits) {
 		this.self = Objects.requireNonNull(self, "self must not be null");
 		this.limits = Objects.requireNonNull(limits, "limits must not be null");
-		this.spaces.put(self, new KeySpace(self, Ownership.OWNED));
+		this.keySpaces.put(self, new KeySpace(self, Ownership.OWNED));
 	}
 
 	/**
-	 * Decide about an attempt.
-	 * @param request the request
-	 * @param nowMillis the present time
-	 * @return what to do with the attempt
+	 * Decide what to do with an attempt, and create an entry if its key is new.
+	 * @param request the request of the attempt
+	 * @param nowMillis the current time in milliseconds since 1970 UTC
+	 * @return the decision, which the caller carries out
 	 */
 	public Admission admit(KeyedRequest request, long nowMillis) {
 		RequestKey key = request.key();
-		KeySpace space = this.spaces.get(key.issuer());
-		if (space == null || !space.ownership().isDecisive()) {
+		KeySpace space = this.keySpaces.get(key.issuer());
+		if (space == null || !space.ownership().isAuthoritative()) {
 			return new Admission.Forward(key.issuer());
 		}
 		LedgerEntry entry = space.get(key);
-		if (entry != null && !entry.isFor(request)) {
-			return Admission.Refuse.keyOfAnotherRequest();
+		if (entry != null && !entry.isSameRequest(request)) {
+			return Admission.Refuse.keyReused();
 		}
 		if (entry != null && entry.state() == KeyState.DONE) {
-			return new Admission.Replay(Objects.requireNonNull(entry.answer(), "a done entry has an answer"));
+			return new Admission.Replay(
+					Objects.requireNonNull(entry.answer(), "an entry in state DONE must have an answer"));
 		}
-		if (space.ownership() == Ownership.PASSED_ON) {
-			return new Admission.Forward(Objects.requireNonNull(space.successor(), "a passed-on space has one"));
+		if (space.ownership() == Ownership.HANDED_OVER) {
+			return new Admission.Forward(Objects.requireNonNull(space.successor(),
+					"a key space that was handed over must have a successor"));
 		}
-		return (entry != null) ? admitAgain(entry) : admitNew(space, request, nowMillis);
+		return (entry != null) ? admitRetry(entry) : admitNew(space, request, nowMillis);
 	}
 
-	private Admission admitAgain(LedgerEntry entry) {
+	private Admission admitRetry(LedgerEntry entry) {
 		return switch (entry.state()) {
 			case ACCEPTED, DISPATCHED -> new Admission.Join(entry);
 			case UNKNOWN -> Admission.Refuse.outcomeUnknown();
-			case NOT_RUN -> Admission.Refuse.givenUpBefore();
-			case DONE -> throw new IllegalStateException("done entries are replayed");
+			case NOT_RUN -> Admission.Refuse.cancelledBefore();
+			case DONE -> throw new IllegalStateException("the answer of an entry in state DONE must be replayed");
 		};
 	}
 
 	private Admission admitNew(KeySpace space, KeyedRequest request, long nowMillis) {
 		long issuedAtMillis = request.key().issuedAtMillis();
-		boolean early = issuedAtMillis > nowMillis + this.limits.maxClockSkewMillis();
-		boolean late = issuedAtMillis + this.limits.firstUseMillis() < nowMillis
+		boolean issuedInFuture = issuedAtMillis > nowMillis + this.limits.maxClockSkewMillis();
+		boolean expired = issuedAtMillis + this.limits.firstUseMillis() < nowMillis
 				|| issuedAtMillis <= space.forgottenThroughMillis();
-		if (early || late) {
-			return Admission.Refuse.keyOutOfTime(early);
+		if (issuedInFuture || expired) {
+			return Admission.Refuse.keyExpired(issuedInFuture);
 		}
-		forgetEnded(nowMillis, request.body().length);
+		forgetEndedEntries(nowMillis, request.body().length);
 		if (isFull(request.body().length)) {
 			return Admission.Refuse.ledgerFull(this.self, size(), keptBytes());
 		}
@@ -99,214 +104,229 @@
 		return new Admission.Dispatch(entry);
 	}
 
-	private boolean isFull(long moreBytes) {
-		return size() >= this.limits.maxEntries() || keptBytes() + moreBytes > this.limits.maxBytes();
+	private boolean isFull(long additionalBytes) {
+		return size() >= this.limits.maxEntries() || keptBytes() + additionalBytes > this.limits.maxBytes();
 	}
 
 	/**
-	 * Forget ended keys, at most {@link #FORGETTING_ROUNDS} times in a retention time
-	 * unless the ledger is full, since each round looks at every entry.
-	 * @param nowMillis the present time
-	 * @param moreBytes the size of what is to be kept next
+	 * Remove entries that have ended and whose retention time has passed. Each round
+	 * iterates over all entries, so unless the ledger is full there are at most
+	 * {@link #FORGET_ROUNDS_PER_RETENTION} rounds in a retention time.
+	 * @param nowMillis the current time in milliseconds since 1970 UTC
+	 * @param additionalBytes the size of the request body to store next
 	 */
-	private void forgetEnded(long nowMillis, long moreBytes) {
-		long roundMillis = Math.max(1, this.limits.retentionMillis() / FORGETTING_ROUNDS);
-		boolean isRoundOver = Math.abs(nowMillis - this.forgottenAtMillis) >= roundMillis;
-		if (!isRoundOver && !isFull(moreBytes)) {
+	private void forgetEndedEntries(long nowMillis, long additionalBytes) {
+		long roundMillis = Math.max(1, this.limits.retentionMillis() / FORGET_ROUNDS_PER_RETENTION);
+		boolean isRoundDue = Math.abs(nowMillis - this.lastForgetMillis) >= roundMillis;
+		if (!isRoundDue && !isFull(additionalBytes)) {
 			return;
 		}
-		this.forgottenAtMillis = nowMillis;
+		this.lastForgetMillis = nowMillis;
 		long issuedBeforeMillis = nowMillis - this.limits.retentionMillis();
-		this.spaces.values().forEach((space) -> space.forgetIssuedBefore(issuedBeforeMillis));
+		this.keySpaces.values().forEach((space) -> space.forgetIssuedBefore(issuedBeforeMillis));
 	}
 
 	/**
-	 * Take the right to send a request to a backend server.
-	 * @param key the key
-	 * @return {@code true} if the request may be sent, now and only by the caller of this
-	 * method
+	 * Start the dispatch of an accepted request to a backend server.
+	 * @param key the idempotency key
+	 * @return {@code true} if the caller, and nobody else, may now send the request;
+	 * {@code false} if this node does not own the key or the request is not in state
+	 * {@link KeyState#ACCEPTED}
 	 */
 	public boolean startDispatch(RequestKey key) {
-		return isOwner(key.issuer()) && replace(key, KeyState.ACCEPTED, (entry) -> entry.dispatched(this.self));
+		return isOwner(key.issuer()) && transition(key, KeyState.ACCEPTED, (entry) -> entry.dispatched(this.self));
 	}
 
 	/**
-	 * Record the answer of a backend server.
-	 * @param key the key
-	 * @param answer the answer
+	 * Record the answer of a backend server. Has no effect unless the request is in state
+	 * {@link KeyState#DISPATCHED}.
+	 * @param key the idempotency key
+	 * @param answer the answer to store and replay
 	 */
 	public void recordAnswer(RequestKey key, Answer answer) {
-		replace(key, KeyState.DISPATCHED, (entry) -> entry.done(answer));
+		transition(key, KeyState.DISPATCHED, (entry) -> entry.done(answer));
 	}
 
 	/**
-	 * Record that the outcome of a dispatched request can't be known.
-	 * @param key the key
+	 * Record that the outcome of a dispatched request is unknown. Has no effect unless
+	 * the request is in state {@link KeyState#DISPATCHED}.
+	 * @param key the idempotency key
 	 */
 	public void recordUnknown(RequestKey key) {
-		replace(key, KeyState.DISPATCHED, (entry) -> entry.ended(KeyState.UNKNOWN));
+		transition(key, KeyState.DISPATCHED, (entry) -> entry.ended(KeyState.UNKNOWN));
 	}
 
 	/**
-	 * Record that no byte of a dispatched request left this node, so that it may be
-	 * dispatched again.
-	 * @param key the key
+	 * Record that no byte of a dispatched request was sent, so that it may be dispatched
+	 * again. Has no effect unless the request is in state {@link KeyState#DISPATCHED}.
+	 * @param key the idempotency key
 	 */
 	public void recordNotSent(RequestKey key) {
-		replace(key, KeyState.DISPATCHED, LedgerEntry::notSent);
+		transition(key, KeyState.DISPATCHED, LedgerEntry::notSent);
 	}
 
 	/**
-	 * Give up a request that was not dispatched.
-	 * @param key the key
-	 * @return {@code true} if the request will never be run
+	 * Cancel an accepted request that was not dispatched.
+	 * @param key the idempotency key
+	 * @return {@code true} if the request will never be executed; {@code false} if this
+	 * node does not own the key or the request is not in state {@link KeyState#ACCEPTED}
 	 */
 	public boolean cancel(RequestKey key) {
-		return isOwner(key.issuer()) && replace(key, KeyState.ACCEPTED, (entry) -> entry.ended(KeyState.NOT_RUN));
+		return isOwner(key.issuer()) && transition(key, KeyState.ACCEPTED, (entry) -> entry.ended(KeyState.NOT_RUN));
 	}
 
-	private boolean replace(RequestKey key, KeyState expected, UnaryOperator<LedgerEntry> change) {
-		Optional<LedgerEntry> held = find(key).filter((entry) -> entry.state() == expected);
-		held.ifPresent((entry) -> this.spaces.get(key.issuer()).put(change.apply(entry)));
-		return held.isPresent();
+	private boolean transition(RequestKey key, KeyState expected, UnaryOperator<LedgerEntry> change) {
+		Optional<LedgerEntry> found = find(key).filter((entry) -> entry.state() == expected);
+		found.ifPresent((entry) -> this.keySpaces.get(key.issuer()).put(change.apply(entry)));
+		return found.isPresent();
 	}
 
 	/**
-	 * Return the entries to offer to a successor that it doesn't hold yet.
-	 * @return the parts, one for each owned key space
+	 * Return the entries of owned key spaces that have changed since the previous offer,
+	 * or all of them for the first one. The receiver must pass them to
+	 * {@link #receiveOffer}.
+	 * @return one part for each owned key space, which may have no entries
 	 */
 	public List<KeySpacePart> offer() {
-		return exportUnoffered(Ownership.OWNED);
+		return exportChanges(Ownership.OWNED);
 	}
 
 	/**
-	 * Begin the offer again, for another successor.
+	 * Restart the offer for another successor: the next one holds all entries.
 	 */
 	public void restartOffer() {
-		this.spaces.values().forEach(KeySpace::restartOffer);
+		this.keySpaces.values().forEach(KeySpace::restartExport);
 	}
 
 	/**
-	 * Give up the right to dispatch, for good and to one successor only.
-	 * @param successor the node that holds the offer
-	 * @return the entries that changed since the offer; to be sent to this successor
-	 * until it confirms
+	 * Hand the ownership of all owned key spaces over to a successor. Until this
+	 * successor refuses, the ownership doesn't return and no other successor can be
+	 * chosen.
+	 * @param successor the node that received the offer
+	 * @return the entries that have changed since the offer; to be sent to this successor
+	 * until it confirms or refuses
 	 */
 	public List<KeySpacePart> commit(NodeId successor) {
 		if (this.committedTo != null) {
 			throw new IllegalStateException("already committed to " + this.committedTo);
 		}
 		this.committedTo = successor;
-		List<KeySpacePart> parts = exportUnoffered(Ownership.OWNED);
-		this.spaces.values()
+		List<KeySpacePart> parts = exportChanges(Ownership.OWNED);
+		this.keySpaces.values()
 			.stream()
 			.filter((space) -> space.ownership() == Ownership.OWNED)
-			.forEach((space) -> space.passOn(successor));
+			.forEach((space) -> space.handOver(successor));
 		return parts;
 	}
 
 	/**
-	 * Return every entry of the committed key spaces, for a successor that lacks some.
-	 * @return the parts, to be committed to the same successor
+	 * Return all entries of the committed key spaces, for a successor that misses some.
+	 * @return full parts, to be sent to the same successor as a commit
 	 */
 	public List<KeySpacePart> fullCommit() {
-		return this.spaces.values()
+		return this.keySpaces.values()
 			.stream()
-			.filter((space) -> space.ownership() == Ownership.PASSED_ON)
-			.map(KeySpace::whole)
+			.filter((space) -> space.ownership() == Ownership.HANDED_OVER)
+			.map(KeySpace::exportAll)
 			.toList();
 	}
 
 	/**
-	 * Take the right to dispatch back after a successor has refused the commit for good.
+	 * Take the ownership back because the successor has refused the commit for good.
 	 * @param successor the node that refused
-	 * @return {@code true} if another successor may be tried
+	 * @return {@code true} if another successor may be tried; {@code false} if the key
+	 * spaces are not committed to this node, so that nothing changes
 	 */
 	public boolean recordCommitRefused(NodeId successor) {
 		if (!successor.equals(this.committedTo)) {
 			return false;
 		}
 		this.committedTo = null;
-		this.spaces.values()
+		this.keySpaces.values()
 			.stream()
-			.filter((space) -> space.ownership() == Ownership.PASSED_ON)
-			.forEach(KeySpace::own);
+			.filter((space) -> space.ownership() == Ownership.HANDED_OVER)
+			.forEach(KeySpace::takeOwnership);
 		restartOffer();
 		return true;
 	}
 
 	/**
-	 * Return the outcomes that became known since the commit.
-	 * @return the changed entries
+	 * Return the entries of committed key spaces that have changed since the previous
+	 * export, such as requests in flight whose outcomes became known.
+	 * @return one part for each committed key space, which may have no entries
 	 */
 	public List<KeySpacePart> outcomesSinceCommit() {
-		return exportUnoffered(Ownership.PASSED_ON);
+		return exportChanges(Ownership.HANDED_OVER);
 	}
 
-	private List<KeySpacePart> exportUnoffered(Ownership ownership) {
+	private List<KeySpacePart> exportChanges(Ownership ownership) {
 		List<KeySpacePart> parts = new ArrayList<>();
-		for (KeySpace space : this.spaces.values()) {
+		for (KeySpace space : this.keySpaces.values()) {
 			if (space.ownership() == ownership) {
-				parts.add(space.takeUnoffered());
+				parts.add(space.exportChanges());
 			}
 		}
 		return parts;
 	}
 
 	/**
-	 * Hold the entries of an offer without the right to dispatch them.
+	 * Store the entries of an offer without taking over their ownership. Entries of key
+	 * spaces that this node owns, handed over or refused are ignored.
 	 * @param parts the offered parts
 	 */
 	public void receiveOffer(List<KeySpacePart> parts) {
 		for (KeySpacePart part : parts) {
-			KeySpace space = this.spaces.computeIfAbsent(part.issuer(),
-					(issuer) -> new KeySpace(issuer, Ownership.INERT));
-			if (space.ownership() == Ownership.INERT) {
+			KeySpace space = this.keySpaces.computeIfAbsent(part.issuer(),
+					(issuer) -> new KeySpace(issuer, Ownership.OFFERED));
+			if (space.ownership() == Ownership.OFFERED) {
 				space.merge(part);
 			}
 		}
 	}
 
 	/**
-	 * Take over the right to dispatch. Doing so twice changes nothing. Nothing is taken
-	 * over unless this node then holds every entry of the sender: an offer may have been
-	 * lost or overtaken, and a key without its entry would be taken for a new one.
+	 * Take over the ownership of key spaces. A repeated commit has no further effect.
+	 * <p>
+	 * Nothing is taken over unless this node then holds the same entries as the sender.
+	 * An earlier offer may have been lost or reordered, and a key whose entry is missing
+	 * would be treated as new and its request executed a second time.
 	 * @param parts the committed parts
-	 * @return what this node did
+	 * @return the outcome, to be returned to the sender
 	 */
 	public CommitResult receiveCommit(List<KeySpacePart> parts) {
 		receiveOffer(parts);
 		List<KeySpacePart> pending = parts.stream()
-			.filter((part) -> this.spaces.get(part.issuer()).ownership() == Ownership.INERT)
+			.filter((part) -> this.keySpaces.get(part.issuer()).ownership() == Ownership.OFFERED)
 			.toList();
-		if (parts.stream().anyMatch((part) -> this.spaces.get(part.issuer()).ownership() == Ownership.REFUSED)
+		if (parts.stream().anyMatch((part) -> this.keySpaces.get(part.issuer()).ownership() == Ownership.REFUSED)
 				|| (this.committedTo != null && !pending.isEmpty())) {
-			pending.forEach((part) -> this.spaces.get(part.issuer()).refuse());
+			pending.forEach((part) -> this.keySpaces.get(part.issuer()).refuseOwnership());
 			return new CommitResult.Refused();
 		}
-		if (!pending.stream().allMatch((part) -> this.spaces.get(part.issuer()).matches(part))) {
+		if (!pending.stream().allMatch((part) -> this.keySpaces.get(part.issuer()).isInSyncWith(part))) {
 			return new CommitResult.Incomplete();
 		}
-		List<KeySpace> taken = pending.stream().map((part) -> this.spaces.get(part.issuer())).toList();
-		taken.forEach(KeySpace::own);
-		return new CommitResult.Taken(taken.stream()
+		List<KeySpace> takenOver = pending.stream().map((part) -> this.keySpaces.get(part.issuer())).toList();
+		takenOver.forEach(KeySpace::takeOwnership);
+		return new CommitResult.Taken(takenOver.stream()
 			.flatMap((space) -> space.entries().stream())
 			.filter((entry) -> entry.state() == KeyState.ACCEPTED)
 			.toList());
 	}
 
 	/**
-	 * Learn the outcomes of requests that the former owner had dispatched.
-	 * @param parts the changed entries
-	 * @return the entries that turned out not to have been sent and are to be dispatched
+	 * Record the outcomes of requests that the previous owner had dispatched.
+	 * @param parts the changed entries of the previous owner
+	 * @return the entries that this node must dispatch, because the previous owner sent
+	 * no byte of them
 	 */
 	public List<LedgerEntry> receiveOutcomes(List<KeySpacePart> parts) {
 		List<LedgerEntry> toDispatch = new ArrayList<>();
 		for (KeySpacePart part : parts) {
-			KeySpace space = this.spaces.get(part.issuer());
+			KeySpace space = this.keySpaces.get(part.issuer());
 			for (LedgerEntry update : part.entries()) {
-				LedgerEntry held = (space != null) ? space.get(update.key()) : null;
-				if (held != null && held.isResolvedBy(update)) {
+				LedgerEntry entry = (space != null) ? space.get(update.key()) : null;
+				if (entry != null && entry.isResolvedBy(update)) {
 					space.put(update);
 					if (update.state() == KeyState.ACCEPTED && space.ownership() == Ownership.OWNED) {
 						toDispatch.add(update);
@@ -318,53 +338,54 @@
 	}
 
 	/**
-	 * Give up waiting for outcomes from a node that has died: whatever it had sent may
-	 * have been executed.
-	 * @param dispatcher the node run
-	 * @return the keys whose outcome is now unknown
+	 * Record that another node has stopped or failed, so that it will report no more
+	 * outcomes. The requests that it had dispatched may have been executed.
+	 * @param dispatcher the incarnation of the other node
+	 * @return the keys of the requests whose outcome is now unknown
 	 */
 	public List<RequestKey> recordDispatcherLost(NodeId dispatcher) {
 		if (dispatcher.equals(this.self)) {
-			throw new IllegalArgumentException("dispatcher must be another node");
+			throw new IllegalArgumentException("dispatcher must not be this node");
 		}
-		List<RequestKey> lost = new ArrayList<>();
-		for (KeySpace space : this.spaces.values()) {
+		List<RequestKey> unknown = new ArrayList<>();
+		for (KeySpace space : this.keySpaces.values()) {
 			for (LedgerEntry entry : space.entries()) {
 				if (entry.state() == KeyState.DISPATCHED && dispatcher.equals(entry.dispatchedBy())) {
 					space.put(entry.ended(KeyState.UNKNOWN));
-					lost.add(entry.key());
+					unknown.add(entry.key());
 				}
 			}
 		}
-		return lost;
+		return unknown;
 	}
 
 	/**
-	 * Return what the ledger holds of a key.
-	 * @param key the key
-	 * @return the entry, if there is one
+	 * Return the entry of a key.
+	 * @param key the idempotency key
+	 * @return the entry; empty if the key is unknown or was forgotten
 	 */
 	public Optional<LedgerEntry> find(RequestKey key) {
-		KeySpace space = this.spaces.get(key.issuer());
+		KeySpace space = this.keySpaces.get(key.issuer());
 		return (space != null) ? Optional.ofNullable(space.get(key)) : Optional.empty();
 	}
 
 	/**
-	 * Return whether this node may dispatch keys of an issuer.
-	 * @param issuer the node run that a prefix names
-	 * @return {@code true} if it may
+	 * Return whether this node owns the keys of an issuer.
+	 * @param issuer the node incarnation that issued the keys
+	 * @return {@code true} if this node may dispatch their requests
 	 */
 	public boolean isOwner(NodeId issuer) {
-		KeySpace space = this.spaces.get(issuer);
+		KeySpace space = this.keySpaces.get(issuer);
 		return space != null && space.ownership() == Ownership.OWNED;
 	}
 
 	/**
-	 * Return the number of requests that are not ended.
-	 * @return the number of accepted and dispatched entries
+	 * Return the number of requests that have not ended.
+	 * @return the number of entries in state {@link KeyState#ACCEPTED} or
+	 * {@link KeyState#DISPATCHED}
 	 */
 	public int openRequests() {
-		return (int) this.spaces.values()
+		return (int) this.keySpaces.values()
 			.stream()
 			.flatMap((space) -> space.entries().stream())
 			.filter((entry) -> !entry.state().isTerminal())
@@ -372,19 +393,19 @@
 	}
 
 	/**
-	 * Return the number of kept keys.
-	 * @return the number of entries
+	 * Return the number of entries.
+	 * @return the number over all key spaces, including ended requests
 	 */
 	public int size() {
-		return this.spaces.values().stream().mapToInt(KeySpace::size).sum();
+		return this.keySpaces.values().stream().mapToInt(KeySpace::size).sum();
 	}
 
 	/**
-	 * Return the size of the kept requests and answers.
-	 * @return the size in bytes
+	 * Return the size that counts towards {@link LedgerLimits#maxBytes()}.
+	 * @return the total size of the stored request and answer bodies in bytes
 	 */
 	public long keptBytes() {
-		return this.spaces.values().stream().mapToLong(KeySpace::keptBytes).sum();
+		return this.keySpaces.values().stream().mapToLong(KeySpace::keptBytes).sum();
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/package-info.java
@@ -1,5 +1,5 @@
 /**
- * At-most-once execution of keyed requests.
+ * At-most-once execution of requests that carry an idempotency key.
  */
 @NullMarked
 package io.flamingogap.core.request;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerFixtures.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerFixtures.java
@@ -5,7 +5,7 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * Requests and limits shared by the tests of the ledger.
+ * Keys, requests and limits shared by the tests of {@link RequestLedger}.
  */
 final class LedgerFixtures {
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerPropertyTests.java
@@ -13,7 +13,8 @@
 import static org.hamcrest.Matchers.empty;
 
 /**
- * Properties of {@link RequestLedger} under random orders of steps and faults.
+ * Property tests that {@link RequestLedger} executes each request at most once and
+ * reports it as not run only if it never was, for random sequences of actions and faults.
  */
 class LedgerPropertyTests {
 
@@ -25,13 +26,13 @@
 
 	@Property(tries = 20_000, seed = "20261204", edgeCases = EdgeCasesMode.NONE)
 	void keysAreExecutedAtMostOnceAndNotRunIsTrue(@ForAll("steps") List<Integer> steps) {
-		LedgerFleet fleet = new LedgerFleet();
+		LedgerSimulation simulation = new LedgerSimulation();
 		for (int step : steps) {
 			int draw = step & ((1 << NODE_SHIFT) - 1);
 			int node = ((step >> NODE_SHIFT) & ((1 << (CHOICE_SHIFT - NODE_SHIFT)) - 1)) % 3;
-			fleet.step(draw, node, step >> CHOICE_SHIFT);
+			simulation.step(draw, node, step >> CHOICE_SHIFT);
 		}
-		assertThat(fleet.violations(), empty());
+		assertThat(simulation.violations(), empty());
 	}
 
 	@Provide
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerFleet.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerSimulation.java
@@ -12,24 +12,25 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * Three ledgers and the messages between them, driven by numbers. Messages are lost,
- * doubled and delivered in any order; each node has a clock of its own that jumps.
- * Executions are counted where a request is sent, not in the ledgers.
+ * Simulation of three ledgers and the messages between them, driven by generated numbers.
+ * Messages are lost, duplicated and reordered, nodes stop, and each node has its own
+ * clock that jumps. Executions are counted where requests are sent, independently of the
+ * ledgers.
  */
-final class LedgerFleet {
+final class LedgerSimulation {
 
-	/** How often each action is drawn: the index of an action in {@link #step}. */
-	private static final int[] DRAWN = { 0, 0, 0, 1, 1, 1, 1, 2, 3, 4, 4, 4, 5, 6, 6, 7, 7, 8, 8, 8, 9, 9, 9, 9, 9, 9,
-			9, 9, 10, 10, 11 };
+	/** The case in {@link #step} for each draw; repeated cases are more likely. */
+	private static final int[] ACTION_BY_DRAW = { 0, 0, 0, 1, 1, 1, 1, 2, 3, 4, 4, 4, 5, 6, 6, 7, 7, 8, 8, 8, 9, 9, 9,
+			9, 9, 9, 9, 9, 10, 10, 11 };
 
 	private static final long ISSUE_INTERVAL_MILLIS = 3_000;
 
-	/** Half of the deliveries are of one of the latest messages. */
-	private static final int LATEST = 3;
+	/** Half of the deliveries choose among this many of the newest messages. */
+	private static final int RECENT_MESSAGE_COUNT = 3;
 
-	private static final int NODES = 3;
+	private static final int NODE_COUNT = 3;
 
-	private static final int KEYS = 3;
+	private static final int KEY_COUNT = 3;
 
 	private static final int[] CLOCK_STEPS_MILLIS = { -6_000, -3_000, 100, 700, 3_000, 6_000 };
 
@@ -37,24 +38,24 @@
 
 	private final List<RequestLedger> ledgers = new ArrayList<>();
 
-	private final long[] clockMillis = new long[NODES];
+	private final long[] clockMillis = new long[NODE_COUNT];
 
-	private final boolean[] dead = new boolean[NODES];
+	private final boolean[] stopped = new boolean[NODE_COUNT];
 
-	private final NodeId[] committedTo = new NodeId[NODES];
+	private final NodeId[] committedTo = new NodeId[NODE_COUNT];
 
 	private final List<Message> messages = new ArrayList<>();
 
-	private final Map<RequestKey, Integer> mayHaveRun = new HashMap<>();
+	private final Map<RequestKey, Integer> possibleExecutions = new HashMap<>();
 
-	private final Set<String> sending = new HashSet<>();
+	private final Set<String> inFlight = new HashSet<>();
 
-	private final Set<RequestKey> toldNeverRun = new HashSet<>();
+	private final Set<RequestKey> reportedNotRun = new HashSet<>();
 
 	private final List<String> violations = new ArrayList<>();
 
-	LedgerFleet() {
-		for (int i = 0; i < NODES; i++) {
+	LedgerSimulation() {
+		for (int i = 0; i < NODE_COUNT; i++) {
 			this.nodes.add(LedgerFixtures.node(i));
 			this.ledgers.add(new RequestLedger(this.nodes.get(i), LedgerFixtures.LIMITS));
 		}
@@ -65,48 +66,49 @@
 	}
 
 	/**
-	 * Take one step.
-	 * @param draw which step
-	 * @param node the node that takes it
-	 * @param choice the key, the other node or the message that it is about
+	 * Execute one action. Nodes that have stopped execute none.
+	 * @param draw a non-negative number that selects the action
+	 * @param node the index of the node that executes it
+	 * @param choice a non-negative number that selects the key, the other node or the
+	 * message
 	 */
 	void step(int draw, int node, int choice) {
-		if (this.dead[node]) {
+		if (this.stopped[node]) {
 			return;
 		}
 		RequestLedger ledger = this.ledgers.get(node);
 		RequestKey key = key(choice);
-		int other = (node + 1 + choice % (NODES - 1)) % NODES;
-		switch (DRAWN[draw % DRAWN.length]) {
+		int other = (node + 1 + choice % (NODE_COUNT - 1)) % NODE_COUNT;
+		switch (ACTION_BY_DRAW[draw % ACTION_BY_DRAW.length]) {
 			case 0 -> admit(node, key);
 			case 1 -> send(node, ledger, key);
 			case 2 -> answer(node, ledger, key);
-			case 3 -> lose(node, ledger, key);
+			case 3 -> loseAnswer(node, ledger, key);
 			case 4 -> refuseConnection(node, ledger, key);
-			case 5 -> giveUp(ledger, key);
+			case 5 -> cancel(ledger, key);
 			case 6 -> this.messages.add(new Message(Kind.OFFER, node, other, ledger.offer()));
 			case 7 -> commit(node, ledger, other);
-			case 8 -> tellOutcomes(node, ledger);
+			case 8 -> sendOutcomes(node, ledger);
 			case 9 -> deliver(choice);
 			case 10 -> this.clockMillis[node] += CLOCK_STEPS_MILLIS[choice % CLOCK_STEPS_MILLIS.length];
-			default -> die(node, other, choice);
+			default -> stopOrDetectStop(node, other, choice);
 		}
 	}
 
 	private RequestKey key(int choice) {
-		int number = choice % KEYS;
-		return LedgerFixtures.key(this.nodes.get((choice / KEYS) % 4 / 3), number * ISSUE_INTERVAL_MILLIS, number);
+		int number = choice % KEY_COUNT;
+		return LedgerFixtures.key(this.nodes.get((choice / KEY_COUNT) % 4 / 3), number * ISSUE_INTERVAL_MILLIS, number);
 	}
 
 	private void admit(int node, RequestKey key) {
 		Admission admission = this.ledgers.get(node).admit(LedgerFixtures.request(key), this.clockMillis[node]);
 		if (admission instanceof Admission.Replay replay
-				&& !Arrays.equals(replay.answer().body(), answerTo(key).body())) {
-			this.violations.add("answer of another request for " + key);
+				&& !Arrays.equals(replay.answer().body(), answerFor(key).body())) {
+			this.violations.add("answer of another request replayed for " + key);
 		}
 	}
 
-	private static Answer answerTo(RequestKey key) {
+	private static Answer answerFor(RequestKey key) {
 		return new Answer(201, "text/plain", key.toString().getBytes(StandardCharsets.UTF_8));
 	}
 
@@ -114,39 +116,39 @@
 		if (!ledger.startDispatch(key)) {
 			return;
 		}
-		this.sending.add(node + " " + key);
-		if (this.mayHaveRun.merge(key, 1, Integer::sum) > 1) {
+		this.inFlight.add(node + " " + key);
+		if (this.possibleExecutions.merge(key, 1, Integer::sum) > 1) {
 			this.violations.add("second execution of " + key + " at node " + node);
 		}
-		if (this.toldNeverRun.contains(key)) {
-			this.violations.add("execution of " + key + " after \"not run\"");
+		if (this.reportedNotRun.contains(key)) {
+			this.violations.add("execution of " + key + " after it was reported as not run");
 		}
 	}
 
 	private void answer(int node, RequestLedger ledger, RequestKey key) {
-		if (this.sending.remove(node + " " + key)) {
-			ledger.recordAnswer(key, answerTo(key));
+		if (this.inFlight.remove(node + " " + key)) {
+			ledger.recordAnswer(key, answerFor(key));
 		}
 	}
 
-	private void lose(int node, RequestLedger ledger, RequestKey key) {
-		if (this.sending.remove(node + " " + key)) {
+	private void loseAnswer(int node, RequestLedger ledger, RequestKey key) {
+		if (this.inFlight.remove(node + " " + key)) {
 			ledger.recordUnknown(key);
 		}
 	}
 
 	private void refuseConnection(int node, RequestLedger ledger, RequestKey key) {
-		if (this.sending.remove(node + " " + key)) {
-			this.mayHaveRun.merge(key, -1, Integer::sum);
+		if (this.inFlight.remove(node + " " + key)) {
+			this.possibleExecutions.merge(key, -1, Integer::sum);
 			ledger.recordNotSent(key);
 		}
 	}
 
-	private void giveUp(RequestLedger ledger, RequestKey key) {
+	private void cancel(RequestLedger ledger, RequestKey key) {
 		if (ledger.cancel(key)) {
-			this.toldNeverRun.add(key);
-			if (this.mayHaveRun.getOrDefault(key, 0) > 0) {
-				this.violations.add("\"not run\" of " + key + " after an execution");
+			this.reportedNotRun.add(key);
+			if (this.possibleExecutions.getOrDefault(key, 0) > 0) {
+				this.violations.add("not run reported for " + key + " after a possible execution");
 			}
 		}
 	}
@@ -162,7 +164,7 @@
 		}
 	}
 
-	private void tellOutcomes(int node, RequestLedger ledger) {
+	private void sendOutcomes(int node, RequestLedger ledger) {
 		if (this.committedTo[node] != null) {
 			int successor = this.nodes.indexOf(this.committedTo[node]);
 			this.messages.add(new Message(Kind.OUTCOMES, node, successor, ledger.outcomesSinceCommit()));
@@ -170,17 +172,18 @@
 	}
 
 	/**
-	 * Deliver a message without taking it out, so that it may come again later.
+	 * Deliver a message without removing it, so that it may be delivered again.
 	 */
 	private void deliver(int choice) {
 		if (this.messages.isEmpty()) {
 			return;
 		}
 		int size = this.messages.size();
-		int place = (choice % 2 == 0) ? choice / 2 % size : size - 1 - choice / 2 % Math.min(size, LATEST);
-		Message message = this.messages.get(place);
+		int index = (choice % 2 == 0) ? choice / 2 % size
+				: size - 1 - choice / 2 % Math.min(size, RECENT_MESSAGE_COUNT);
+		Message message = this.messages.get(index);
 		RequestLedger receiver = this.ledgers.get(message.receiver());
-		if (this.dead[message.receiver()]) {
+		if (this.stopped[message.receiver()]) {
 			return;
 		}
 		switch (message.kind()) {
@@ -198,17 +201,17 @@
 	}
 
 	private void receiveRefusal(Message message) {
-		NodeId refuser = this.nodes.get(message.sender());
-		if (this.ledgers.get(message.receiver()).recordCommitRefused(refuser)) {
+		NodeId refusingNode = this.nodes.get(message.sender());
+		if (this.ledgers.get(message.receiver()).recordCommitRefused(refusingNode)) {
 			this.committedTo[message.receiver()] = null;
 		}
 	}
 
-	private void die(int node, int other, int choice) {
+	private void stopOrDetectStop(int node, int other, int choice) {
 		if (choice % 7 == 0) {
-			this.dead[node] = true;
+			this.stopped[node] = true;
 		}
-		else if (this.dead[other]) {
+		else if (this.stopped[other]) {
 			this.ledgers.get(node).recordDispatcherLost(this.nodes.get(other));
 		}
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
@@ -18,7 +18,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link RequestLedger}.
+ * Unit tests for {@link RequestLedger}.
  */
 class RequestLedgerTests {
 
@@ -41,9 +41,9 @@
 		this.request = LedgerFixtures.request(this.key);
 	}
 
-	private static @Nullable RuntimeException thrownBy(Runnable step) {
+	private static @Nullable RuntimeException exceptionOf(Runnable action) {
 		try {
-			step.run();
+			action.run();
 			return null;
 		}
 		catch (RuntimeException ex) {
@@ -51,7 +51,7 @@
 		}
 	}
 
-	private ProblemType refusal(KeyedRequest attempt, long nowMillis) {
+	private ProblemType refusalType(KeyedRequest attempt, long nowMillis) {
 		Admission admission = this.ledger.admit(attempt, nowMillis);
 		assertThat(admission, instanceOf(Admission.Refuse.class));
 		return ((Admission.Refuse) admission).failure().type();
@@ -69,14 +69,14 @@
 		}
 
 		@Test
-		void retryJoinsTheAttemptUnderWay() {
+		void retryJoinsAttemptInProgress() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			assertThat(RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 1),
 					instanceOf(Admission.Join.class));
 		}
 
 		@Test
-		void retryGetsTheKeptAnswer() {
+		void retryReplaysStoredAnswer() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
@@ -85,14 +85,14 @@
 		}
 
 		@Test
-		void otherBodyUnderTheSameKeyIsRefused() {
+		void differentBodyWithSameKeyIsRefused() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			KeyedRequest other = LedgerFixtures.request(RequestLedgerTests.this.key, "{\"lot\":2}");
-			assertThat(refusal(other, 1), is(ProblemType.KEY_REUSED));
+			assertThat(refusalType(other, 1), is(ProblemType.KEY_REUSED));
 		}
 
 		@Test
-		void lostAnswerIsNeverCalledNotRun() {
+		void lostAnswerIsReportedAsOutcomeUnknown() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			RequestLedgerTests.this.ledger.recordUnknown(RequestLedgerTests.this.key);
@@ -102,15 +102,15 @@
 		}
 
 		@Test
-		void givenUpRequestIsNeverDispatched() {
+		void cancelledRequestIsNeverDispatched() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			assertThat(RequestLedgerTests.this.ledger.cancel(RequestLedgerTests.this.key), is(true));
 			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
-			assertThat(refusal(RequestLedgerTests.this.request, 1), is(ProblemType.DEADLINE_EXCEEDED));
+			assertThat(refusalType(RequestLedgerTests.this.request, 1), is(ProblemType.DEADLINE_EXCEEDED));
 		}
 
 		@Test
-		void keyOfAnotherNodeIsSentThere() {
+		void keyOfAnotherNodeIsForwarded() {
 			KeyedRequest other = LedgerFixtures.request(LedgerFixtures.key(SECOND, 0, 1));
 			assertThat(RequestLedgerTests.this.ledger.admit(other, 0), equalTo(new Admission.Forward(SECOND)));
 		}
@@ -118,18 +118,18 @@
 	}
 
 	@Nested
-	class Windows {
+	class KeyValidity {
 
 		@Test
-		void oldPrefixBeginsNothing() {
-			assertThat(refusal(RequestLedgerTests.this.request, LedgerFixtures.FIRST_USE_MILLIS + 1),
+		void expiredPrefixIsRefused() {
+			assertThat(refusalType(RequestLedgerTests.this.request, LedgerFixtures.FIRST_USE_MILLIS + 1),
 					is(ProblemType.KEY_EXPIRED));
 		}
 
 		@Test
-		void prefixFromTheFutureBeginsNothing() {
+		void prefixIssuedInFutureIsRefused() {
 			KeyedRequest early = LedgerFixtures.request(LedgerFixtures.key(FIRST, 1_000, 1));
-			assertThat(refusal(early, 0), is(ProblemType.KEY_EXPIRED));
+			assertThat(refusalType(early, 0), is(ProblemType.KEY_EXPIRED));
 		}
 
 		@Test
@@ -141,11 +141,11 @@
 			RequestLedgerTests.this.ledger.admit(LedgerFixtures.request(LedgerFixtures.key(FIRST, laterMillis, 2)),
 					laterMillis);
 			assertThat(RequestLedgerTests.this.ledger.find(RequestLedgerTests.this.key).isPresent(), is(false));
-			assertThat(refusal(RequestLedgerTests.this.request, 0), is(ProblemType.KEY_EXPIRED));
+			assertThat(refusalType(RequestLedgerTests.this.request, 0), is(ProblemType.KEY_EXPIRED));
 		}
 
 		@Test
-		void fullLedgerRefusesNewWorkAndKeepsTheOld() {
+		void fullLedgerRefusesNewRequestsAndKeepsExistingOnes() {
 			RequestLedger small = new RequestLedger(FIRST, new LedgerLimits(1, 1_000, 1_000, 5_000, 100));
 			small.admit(RequestLedgerTests.this.request, 0);
 			Admission.Refuse refuse = (Admission.Refuse) small
@@ -163,7 +163,7 @@
 		private final RequestLedger successor = new RequestLedger(SECOND, LedgerFixtures.LIMITS);
 
 		@Test
-		void offerGivesNoRightToDispatch() {
+		void offerDoesNotMoveOwnership() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
 			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(false));
@@ -171,7 +171,7 @@
 		}
 
 		@Test
-		void commitMovesTheRightForGood() {
+		void commitMovesOwnership() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
 			CommitResult result = this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
@@ -181,14 +181,14 @@
 		}
 
 		@Test
-		void commitGoesToOneSuccessorOnly() {
+		void commitToSecondSuccessorFails() {
 			RequestLedgerTests.this.ledger.commit(SECOND);
-			assertThat(thrownBy(() -> RequestLedgerTests.this.ledger.commit(THIRD)),
+			assertThat(exceptionOf(() -> RequestLedgerTests.this.ledger.commit(THIRD)),
 					instanceOf(IllegalStateException.class));
 		}
 
 		@Test
-		void commitAfterALostOfferTakesEffectOnlyWhenWhole() {
+		void commitAfterLostOfferNeedsFullCommit() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			RequestLedgerTests.this.ledger.offer();
@@ -201,7 +201,7 @@
 		}
 
 		@Test
-		void refusedCommitMayGoToAnotherSuccessor() {
+		void refusedCommitCanGoToAnotherSuccessor() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			this.successor.commit(THIRD);
 			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
@@ -222,7 +222,7 @@
 		}
 
 		@Test
-		void repeatedCommitToANodeThatPassedTheKeysOnIsNotRefused() {
+		void repeatedCommitIsNotRefusedAfterFurtherHandover() {
 			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
 			this.successor.receiveCommit(parts);
 			this.successor.commit(THIRD);
@@ -230,7 +230,7 @@
 		}
 
 		@Test
-		void doubledCommitDispatchesNothingTwice() {
+		void repeatedCommitDispatchesNothingAgain() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			List<KeySpacePart> parts = RequestLedgerTests.this.ledger.commit(SECOND);
 			this.successor.receiveCommit(parts);
@@ -238,7 +238,7 @@
 		}
 
 		@Test
-		void successorAnswersWithTheKeptAnswer() {
+		void successorReplaysStoredAnswer() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
@@ -248,7 +248,7 @@
 		}
 
 		@Test
-		void outcomeOfACallInFlightReachesTheSuccessor() {
+		void outcomeOfRequestInFlightReachesSuccessor() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of at-most-once execution of keyed requests.
  */
 @NullMarked
 package io.flamingogap.core.request;
