Describe the tracking of dispatches in plain terms

Comments said what is "true" or "known" without saying who uses it, and fields such as runsPossible and arrived were vague. The fields are now possibleExecutions and mayHaveReachedServer, the comments say what is counted, which clock is meant and what limits the dispatches, and tests are named after the rule they check. Constants of DispatchOutcome stay.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
@@ -9,14 +9,15 @@
 import io.flamingogap.core.serving.RouteRule;
 
 /**
- * What is known of one attempt of a caller. The one place that decides whether another
- * server may be tried and whether "not run" is true.
+ * The dispatches of one attempt of a caller and their outcomes. Only this class decides
+ * whether another backend server may be tried and whether the request is reported as not
+ * run.
  * <p>
- * Not safe for use by several threads.
+ * This class is not thread-safe.
  */
 public final class Attempt {
 
-	/** Dispatches that end without a run; bounds the search for a server that accepts. */
+	/** Limits the search for a server that accepts; the route limits executions. */
 	private static final int MAX_DISPATCHES = 6;
 
 	private final RouteRule route;
@@ -27,17 +28,17 @@
 
 	private final Set<String> triedServers = new HashSet<>();
 
-	private int dispatches;
+	private int dispatchCount;
 
-	private int runsPossible;
+	private int possibleExecutions;
 
-	private boolean reachedServer;
+	private boolean mayHaveReachedServer;
 
 	/**
-	 * Create an attempt.
-	 * @param route the route of the request
-	 * @param budgetMillis the time that the caller waits
-	 * @param nowMillis the present time
+	 * Create an attempt that starts now and was not dispatched yet.
+	 * @param route the route of the request, whose timeout also limits the attempt
+	 * @param budgetMillis the time that the caller waits, in milliseconds
+	 * @param nowMillis the current time of a steady clock in milliseconds
 	 */
 	public Attempt(RouteRule route, long budgetMillis, long nowMillis) {
 		this.route = route;
@@ -46,63 +47,66 @@
 	}
 
 	/**
-	 * Record a dispatch before its first byte is sent.
-	 * @param server the id of the server
+	 * Record a dispatch. Must be called before its first byte is sent.
+	 * @param server the id of the backend server
 	 */
 	public void recordDispatch(String server) {
-		this.dispatches++;
-		this.runsPossible++;
+		this.dispatchCount++;
+		this.possibleExecutions++;
 		this.triedServers.add(server);
 	}
 
 	/**
-	 * Record how the last dispatch ended.
-	 * @param outcome the outcome
+	 * Record the outcome of the last dispatch.
+	 * @param outcome what is known after the dispatch ended without an answer
 	 */
 	public void recordOutcome(DispatchOutcome outcome) {
-		this.reachedServer |= outcome.arrived();
+		this.mayHaveReachedServer |= outcome.mayHaveReachedServer();
 		if (!outcome.mayHaveRun()) {
-			this.runsPossible--;
+			this.possibleExecutions--;
 		}
 	}
 
 	/**
-	 * Return whether the request may be sent to another server.
-	 * @param nowMillis the present time
-	 * @return {@code true} if that keeps the bounds of the route
+	 * Return whether the request may be dispatched to another backend server.
+	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @return {@code true} if neither the deadline nor the limit of dispatches is reached
+	 * and another execution would not exceed what the route allows
 	 */
 	public boolean mayTryAnotherServer(long nowMillis) {
-		if (nowMillis >= this.deadlineMillis || this.dispatches >= MAX_DISPATCHES) {
+		if (nowMillis >= this.deadlineMillis || this.dispatchCount >= MAX_DISPATCHES) {
 			return false;
 		}
-		return this.runsPossible == 0 || (this.route.isRepeatable() && this.runsPossible < this.route.maxServers());
+		return this.possibleExecutions == 0
+				|| (this.route.isRepeatable() && this.possibleExecutions < this.route.maxServers());
 	}
 
 	/**
-	 * Return whether a further dispatch counts as a retry at the service.
-	 * @return {@code true} if the request may have reached a server
+	 * Return whether the next dispatch counts towards the retry budget of the service.
+	 * @return {@code true} if the request may have reached a backend server
 	 */
 	public boolean isNextDispatchRetry() {
-		return this.reachedServer;
+		return this.mayHaveReachedServer;
 	}
 
 	/**
-	 * Return whether a server was tried.
-	 * @param server the id of the server
-	 * @return {@code true} if it was
+	 * Return whether the request was dispatched to a backend server.
+	 * @param server the id of the backend server
+	 * @return {@code true} after any dispatch to this server, whatever its outcome
 	 */
 	public boolean hasTried(String server) {
 		return this.triedServers.contains(server);
 	}
 
 	/**
-	 * Return the failure that is true if nothing more is tried.
-	 * @param detail what happened, for people
-	 * @param nowMillis the present time
-	 * @return the failure
+	 * Return the failure to report if no other backend server is tried.
+	 * @param detail a description of the cause for people
+	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @return a failure that says "not run" only if no server has executed or will
+	 * execute the request
 	 */
 	public Failure failure(String detail, long nowMillis) {
-		if (this.runsPossible == 0) {
+		if (this.possibleExecutions == 0) {
 			return Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, "backend", detail);
 		}
 		if (nowMillis >= this.deadlineMillis) {
@@ -112,16 +116,16 @@
 	}
 
 	/**
-	 * Return whether a server may have run the request.
-	 * @return {@code false} if none has and none will
+	 * Return whether a backend server may have executed the request.
+	 * @return {@code false} if none has executed it and none will
 	 */
 	public boolean mayHaveRun() {
-		return this.runsPossible > 0;
+		return this.possibleExecutions > 0;
 	}
 
 	/**
-	 * Return the time left.
-	 * @param nowMillis the present time
+	 * Return the time left until the deadline.
+	 * @param nowMillis the current time of the steady clock in milliseconds
 	 * @return the time in milliseconds, at least 0
 	 */
 	public long remainingMillis(long nowMillis) {
@@ -129,8 +133,8 @@
 	}
 
 	/**
-	 * Return the time since the request was read.
-	 * @param nowMillis the present time
+	 * Return the time since the attempt was created.
+	 * @param nowMillis the current time of the steady clock in milliseconds
 	 * @return the time in milliseconds
 	 */
 	public long elapsedMillis(long nowMillis) {
@@ -139,14 +143,14 @@
 
 	/**
 	 * Return the number of dispatches so far.
-	 * @return the number
+	 * @return the number, whatever their outcomes
 	 */
 	public int dispatchCount() {
-		return this.dispatches;
+		return this.dispatchCount;
 	}
 
 	/**
-	 * Return the route.
+	 * Return the route of the request.
 	 * @return the route
 	 */
 	public RouteRule route() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/attempt/DispatchOutcome.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/attempt/DispatchOutcome.java
@@ -1,34 +1,34 @@
 package io.flamingogap.core.attempt;
 
 /**
- * How a dispatch to a backend server ended without an answer to pass on.
+ * The outcome of a dispatch to a backend server that yields no answer for the caller.
  */
 public enum DispatchOutcome {
 
-	/** No connection could be opened; no byte was sent. */
+	/** No byte was sent, for example because no connection could be opened. */
 	NOT_SENT(false, false),
 
-	/** The server said that it did not and will not run the request. */
+	/** The server reported that it did not and will not execute the request. */
 	REJECTED(true, false),
 
-	/** Another server has the address; it did not run the request. */
+	/** Another server now has the address; it did not execute the request. */
 	MISDIRECTED(true, false),
 
-	/** The connection broke, or the answer was no answer to this request. */
+	/** The connection broke, or the answer did not belong to this dispatch. */
 	BROKEN(true, true),
 
-	/** The server was silent for as long as it was given. */
+	/** The server did not answer within the time it was given. */
 	SILENT(true, true),
 
-	/** The server ran the request and answered with a failure of its own. */
+	/** The server executed the request and answered with an error. */
 	FAILED(true, true);
 
-	private final boolean arrived;
+	private final boolean mayHaveReachedServer;
 
 	private final boolean mayHaveRun;
 
-	DispatchOutcome(boolean arrived, boolean mayHaveRun) {
-		this.arrived = arrived;
+	DispatchOutcome(boolean mayHaveReachedServer, boolean mayHaveRun) {
+		this.mayHaveReachedServer = mayHaveReachedServer;
 		this.mayHaveRun = mayHaveRun;
 	}
 
@@ -36,13 +36,13 @@
 	 * Return whether the request may have reached the server.
 	 * @return {@code false} if no byte was sent
 	 */
-	public boolean arrived() {
-		return this.arrived;
+	public boolean mayHaveReachedServer() {
+		return this.mayHaveReachedServer;
 	}
 
 	/**
-	 * Return whether the server may have run the request.
-	 * @return {@code false} if it certainly did not and will not
+	 * Return whether the server may have executed the request.
+	 * @return {@code false} if the server certainly did not and will not execute it
 	 */
 	public boolean mayHaveRun() {
 		return this.mayHaveRun;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/attempt/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/attempt/package-info.java
@@ -1,6 +1,6 @@
 /**
- * The life of one attempt of a caller: what its dispatches may have caused, whether
- * another server may be tried, and which failure is true.
+ * Tracking of the dispatches of one attempt: what they may have caused, whether another
+ * backend server may be tried, and which failure is reported to the caller.
  */
 @NullMarked
 package io.flamingogap.core.attempt;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
@@ -20,7 +20,8 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * What may be tried again, and which refusal is true.
+ * Unit tests for {@link Attempt}: when another server may be tried, and which failure is
+ * reported.
  */
 class AttemptTests {
 
@@ -32,15 +33,15 @@
 	@Property(tries = 10_000, seed = "20261204")
 	void refusalIsTrueAndNothingRunsTwice(@ForAll @Size(max = 8) List<@IntRange(max = 5) Integer> outcomes) {
 		Attempt attempt = new Attempt(route(RequestKind.AT_MOST_ONCE, 3, false), 5_000, 0);
-		int possibleRuns = 0;
+		int possibleExecutions = 0;
 		for (int i = 0; i < outcomes.size() && attempt.mayTryAnotherServer(1); i++) {
 			DispatchOutcome outcome = DispatchOutcome.values()[outcomes.get(i)];
 			attempt.recordDispatch("server-" + i);
 			attempt.recordOutcome(outcome);
-			possibleRuns += outcome.mayHaveRun() ? 1 : 0;
+			possibleExecutions += outcome.mayHaveRun() ? 1 : 0;
 		}
-		assertThat(possibleRuns, lessThanOrEqualTo(1));
-		assertThat(attempt.failure("end", 1).execution() == Execution.NOT_RUN, is(possibleRuns == 0));
+		assertThat(possibleExecutions, lessThanOrEqualTo(1));
+		assertThat(attempt.failure("end", 1).execution() == Execution.NOT_RUN, is(possibleExecutions == 0));
 	}
 
 	@Nested
@@ -49,7 +50,7 @@
 		private final Attempt attempt = new Attempt(route(RequestKind.AT_MOST_ONCE, 3, false), 5_000, 0);
 
 		@Test
-		void isTriedElsewhereWhileNoServerCanHaveRunIt() {
+		void isTriedOnAnotherServerIfNoneCanHaveExecutedIt() {
 			this.attempt.recordDispatch("a");
 			this.attempt.recordOutcome(DispatchOutcome.REJECTED);
 			assertThat(this.attempt.mayTryAnotherServer(10), is(true));
@@ -57,7 +58,7 @@
 		}
 
 		@Test
-		void isNeverTriedAgainOnceAServerMayHaveRunIt() {
+		void isNotTriedAgainIfAServerMayHaveExecutedIt() {
 			this.attempt.recordDispatch("a");
 			this.attempt.recordOutcome(DispatchOutcome.BROKEN);
 			assertThat(this.attempt.mayTryAnotherServer(10), is(false));
@@ -65,7 +66,7 @@
 		}
 
 		@Test
-		void endsWithTheDeadlineOfTheRoute() {
+		void endsAtDeadlineOfRoute() {
 			assertThat(this.attempt.remainingMillis(400), is(600L));
 			assertThat(this.attempt.mayTryAnotherServer(1_000), is(false));
 			this.attempt.recordDispatch("a");
@@ -78,7 +79,7 @@
 	class Repeatable {
 
 		@Test
-		void isTriedOnAsManyServersAsTheRouteAllows() {
+		void isTriedOnAsManyServersAsRouteAllows() {
 			Attempt attempt = new Attempt(route(RequestKind.IDEMPOTENT, 2, false), 5_000, 0);
 			attempt.recordDispatch("a");
 			attempt.recordOutcome(DispatchOutcome.BROKEN);
@@ -89,7 +90,7 @@
 		}
 
 		@Test
-		void firstArrivalIsNoRetry() {
+		void dispatchIsNoRetryUntilAServerIsReached() {
 			Attempt attempt = new Attempt(route(RequestKind.STREAM, 2, true), 5_000, 0);
 			attempt.recordDispatch("a");
 			attempt.recordOutcome(DispatchOutcome.NOT_SENT);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/attempt/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/attempt/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package of the same name.
+ * Tests of the tracking of dispatches.
  */
 @NullMarked
 package io.flamingogap.core.attempt;
