Describe positions and events of token streams in plain terms

Comments spoke of places, leaving and whole answers. They now speak of positions, forwarding and complete answers, and say how callers resume a stream.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/stream/EventId.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/stream/EventId.java
@@ -6,16 +6,18 @@
 import java.util.regex.Pattern;
 
 /**
- * The id of one event of a token stream, from which any entry node can go on.
+ * The id of one server-sent event of a token stream. A caller whose connection broke
+ * sends the last id that it received, and any entry node can resume the stream from it.
  *
  * @param requestId the id of the request
- * @param version the version that answers it
- * @param position the position of the token, from 0
- * @param last whether the token ends the answer
+ * @param version the version of the service that answers the request
+ * @param position the position of the token in the answer, starting at 0
+ * @param last whether the token is the last one of the answer
  */
 public record EventId(String requestId, String version, long position, boolean last) {
 
-	private static final Pattern FORM = Pattern.compile("([A-Za-z0-9-]{1,80})/([a-z0-9-]{1,63})/([0-9]{1,9})(/end)?");
+	private static final Pattern PATTERN = Pattern
+		.compile("([A-Za-z0-9-]{1,80})/([a-z0-9-]{1,63})/([0-9]{1,9})(/end)?");
 
 	public EventId {
 		Objects.requireNonNull(requestId, "requestId must not be null");
@@ -26,12 +28,12 @@
 	}
 
 	/**
-	 * Parse the form written by {@link #toString()}.
-	 * @param text the id
-	 * @return the parsed id, if the text is one
+	 * Parse an id from the form written by {@link #toString()}.
+	 * @param text the text of the id
+	 * @return the id; empty if the text is malformed
 	 */
 	public static Optional<EventId> parse(String text) {
-		Matcher matcher = FORM.matcher(text);
+		Matcher matcher = PATTERN.matcher(text);
 		if (!matcher.matches()) {
 			return Optional.empty();
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/stream/EventVerdict.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/stream/EventVerdict.java
@@ -1,17 +1,17 @@
 package io.flamingogap.core.stream;
 
 /**
- * What to do with an event from a model engine.
+ * The result of checking an event of a model engine against a {@link StreamCursor}.
  */
 public enum EventVerdict {
 
-	/** The next event of this request: pass it on. */
+	/** The next event of this request: forward it. */
 	PASS,
-	/** An event that was passed on before: drop it. */
+	/** An event at a position that was already forwarded: drop it. */
 	DUPLICATE,
-	/** An event of another request: drop it and leave the connection. */
+	/** An event of another request: drop it and abandon the connection. */
 	FOREIGN,
-	/** Events before this one are missing: resume at the next position. */
+	/** Earlier events are missing: resume at {@link StreamCursor#nextPosition()}. */
 	GAP
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/stream/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/stream/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Positions in token streams and the checks that keep an answer whole.
+ * Positions in token streams, and the detection of duplicate, missing and foreign events.
  */
 @NullMarked
 package io.flamingogap.core.stream;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/stream/StreamCursorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/stream/StreamCursorTests.java
@@ -13,12 +13,12 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link StreamCursor} and {@link EventId}.
+ * Unit tests for {@link StreamCursor} and {@link EventId}.
  */
 class StreamCursorTests {
 
 	@Test
-	void foreignDoubledAndMissingEventsAreTold() {
+	void foreignDuplicateAndMissingEventsAreDetected() {
 		StreamCursor cursor = new StreamCursor("mine", 0);
 		assertThat(cursor.accept("other", 0, false), is(EventVerdict.FOREIGN));
 		assertThat(cursor.accept("mine", 0, false), is(EventVerdict.PASS));
@@ -28,8 +28,7 @@
 	}
 
 	@Property(tries = 10_000, seed = "20261204")
-	void passedEventsAreTheOwnInOrderWithoutGapsAndOnce(
-			@ForAll @Size(max = 60) List<@IntRange(max = 19) Integer> events) {
+	void eachOwnEventPassesOnceAndInOrder(@ForAll @Size(max = 60) List<@IntRange(max = 19) Integer> events) {
 		StreamCursor cursor = new StreamCursor("mine", 0);
 		List<Long> passed = new ArrayList<>();
 		for (int event : events) {
@@ -47,7 +46,7 @@
 	}
 
 	@Test
-	void eventIdsAreReadBack() {
+	void formattedEventIdsCanBeParsed() {
 		EventId id = new EventId("4f1c-9a", "v2", 17, false);
 		assertThat(EventId.parse(id.toString()).orElseThrow(), is(id));
 		EventId end = new EventId("4f1c-9a", "v2", 18, true);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/stream/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/stream/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of positions in token streams.
  */
 @NullMarked
 package io.flamingogap.core.stream;
