Describe duties and their holder in plain terms

Comments said that holders act "by turns" and left open which clock and unit a time has. They now describe the holder as the leader of a leader election with a fencing token and a lease. Times are named for the event that they record, and the property test simulates instead of being a world.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -3,12 +3,15 @@
 import java.util.OptionalLong;
 
 /**
- * Whether this node may act as the holder of the duties. The store's group names the
- * holder; a claim in the store gives it a fencing token. A holder stops when it has not
- * been confirmed for a while, and one that lost the duties and holds them again waits
- * until a lease has passed since it acted, so that two holders never act by turns.
+ * Tracks whether this node may act as the holder of the duties, like the leader in a
+ * leader election. The membership of a group in the store determines the holder, and a
+ * claim that the holder writes to the store yields its fencing token.
  * <p>
- * Not safe for use by several threads.
+ * A holder must not act unless the store confirmed it recently. A node that lost the
+ * duties and holds them again must not act until a lease has passed since its last
+ * action, so that two nodes never act alternately within a lease.
+ * <p>
+ * This class is not thread-safe.
  */
 public final class DutyTerm {
 
@@ -20,18 +23,20 @@
 
 	private boolean held;
 
-	private long actedAtMillis = NEVER;
+	private long lastActionMillis = NEVER;
 
-	private long confirmedAtMillis = NEVER;
+	private long lastConfirmedMillis = NEVER;
 
-	private long notBeforeMillis = NEVER;
+	private long claimNotBeforeMillis = NEVER;
 
 	private OptionalLong fencingToken = OptionalLong.empty();
 
 	/**
-	 * Create a term that is not held.
-	 * @param leaseMillis the time in which two holders must not act by turns
-	 * @param confirmMillis how long a confirmation by the store counts
+	 * Create a term in which this node doesn't hold the duties.
+	 * @param leaseMillis the time within which two nodes must not act alternately, in
+	 * milliseconds
+	 * @param confirmMillis the time for which a confirmation by the store is valid, in
+	 * milliseconds
 	 */
 	public DutyTerm(long leaseMillis, long confirmMillis) {
 		this.leaseMillis = leaseMillis;
@@ -39,24 +44,27 @@
 	}
 
 	/**
-	 * Record what the store says of the group.
+	 * Record what the store reports about the group. After a gap in the confirmations,
+	 * the duties must be claimed again.
 	 * @param holds whether this node holds the duties
-	 * @param askedAtMillis when the store was asked
+	 * @param askedAtMillis the time at which the store was asked, in milliseconds of a
+	 * steady clock
 	 */
 	public void recordMembership(boolean holds, long askedAtMillis) {
 		if (!holds) {
 			recordLost();
 			return;
 		}
-		if (!this.held || askedAtMillis - this.confirmedAtMillis > this.confirmMillis) {
+		if (!this.held || askedAtMillis - this.lastConfirmedMillis > this.confirmMillis) {
 			this.held = true;
 			this.fencingToken = OptionalLong.empty();
 		}
-		this.confirmedAtMillis = askedAtMillis;
+		this.lastConfirmedMillis = askedAtMillis;
 	}
 
 	/**
-	 * End the term: another node holds the duties, or this one can't be sure.
+	 * Record that another node holds the duties or that this node can't know whether it
+	 * still does.
 	 */
 	public void recordLost() {
 		this.held = false;
@@ -64,19 +72,21 @@
 	}
 
 	/**
-	 * Return whether the node should claim the duties in the store.
-	 * @param nowMillis the present time
-	 * @return {@code true} if it holds them without a token and didn't act within a lease
+	 * Return whether this node should claim the duties in the store.
+	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @return {@code true} if the node holds the duties without a token and a lease has
+	 * passed since it last acted or was fenced off
 	 */
 	public boolean shouldClaim(long nowMillis) {
-		return isHeld(nowMillis) && this.fencingToken.isEmpty() && nowMillis - this.actedAtMillis >= this.leaseMillis
-				&& nowMillis >= this.notBeforeMillis;
+		return isHeld(nowMillis) && this.fencingToken.isEmpty() && nowMillis - this.lastActionMillis >= this.leaseMillis
+				&& nowMillis >= this.claimNotBeforeMillis;
 	}
 
 	/**
-	 * Record that the store has accepted the claim.
-	 * @param token the fencing token that goes with it
-	 * @param nowMillis the present time
+	 * Record that the store has accepted the claim. Has no effect if the confirmation has
+	 * expired.
+	 * @param token the fencing token of the claim
+	 * @param nowMillis the current time of the steady clock in milliseconds
 	 */
 	public void recordClaim(long token, long nowMillis) {
 		if (isHeld(nowMillis)) {
@@ -85,33 +95,34 @@
 	}
 
 	/**
-	 * Record that a higher fencing token was seen: another node has acted since.
-	 * @param nowMillis the present time
+	 * Record that an action was refused because a higher fencing token was seen, so
+	 * another node has acted since. This node may claim the duties again after a lease.
+	 * @param nowMillis the current time of the steady clock in milliseconds
 	 */
 	public void recordFenced(long nowMillis) {
 		this.fencingToken = OptionalLong.empty();
-		this.notBeforeMillis = nowMillis + this.leaseMillis;
+		this.claimNotBeforeMillis = nowMillis + this.leaseMillis;
 	}
 
 	/**
-	 * Record that the node acts as the holder.
-	 * @param nowMillis the present time
+	 * Record that this node now acts as the holder.
+	 * @param nowMillis the current time of the steady clock in milliseconds
 	 */
 	public void recordAction(long nowMillis) {
-		this.actedAtMillis = nowMillis;
+		this.lastActionMillis = nowMillis;
 	}
 
 	/**
-	 * Return the token to act with.
-	 * @param nowMillis the present time
-	 * @return the token, if the node may act
+	 * Return the fencing token with which this node may act.
+	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @return the token; empty if the node must not act
 	 */
 	public OptionalLong validToken(long nowMillis) {
 		return isHeld(nowMillis) ? this.fencingToken : OptionalLong.empty();
 	}
 
 	private boolean isHeld(long nowMillis) {
-		return this.held && nowMillis - this.confirmedAtMillis <= this.confirmMillis;
+		return this.held && nowMillis - this.lastConfirmedMillis <= this.confirmMillis;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Duties that one entry node has at a time: reports of usage, orders of servers,
- * decisions of rollouts.
+ * Duties that one entry node at a time performs for all of them: usage reports, orders of
+ * backend servers and rollout decisions.
  */
 @NullMarked
 package io.flamingogap.core.duty;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
@@ -16,8 +16,10 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Three nodes, a group that moves the duties at any time, a stream of claims and a cloud
- * that checks fencing tokens, while nodes freeze and answers are lost or late.
+ * Property test that simulates three nodes with a {@link DutyTerm} each, a group that
+ * reassigns the duties at any time, a stream of claims and a cloud that checks fencing
+ * tokens. Nodes freeze, answers of the store and the cloud are lost, and calls to the
+ * cloud arrive late.
  */
 class DutyTermPropertyTests {
 
@@ -29,35 +31,36 @@
 
 	@Property(tries = 10_000, seed = "20261204")
 	void acceptedCallsFollowRisingTokensThatHaveOneHolderEach(@ForAll @LongRange(max = 10_000_000) long seed) {
-		World world = new World(new SplittableRandom(seed));
+		Simulation simulation = new Simulation(new SplittableRandom(seed));
 		for (long now = 0; now < 30_000; now += 250) {
-			world.step(now);
+			simulation.step(now);
 		}
-		long highest = -1;
-		Map<Long, Integer> holders = new HashMap<>();
-		for (Call call : world.accepted) {
-			assertThat(call.token, greaterThanOrEqualTo(highest));
-			highest = call.token;
-			holders.putIfAbsent(call.token, call.node);
-			assertThat(holders.get(call.token), is(call.node));
+		long highestToken = -1;
+		Map<Long, Integer> holderByToken = new HashMap<>();
+		for (Call call : simulation.accepted) {
+			assertThat(call.token, greaterThanOrEqualTo(highestToken));
+			highestToken = call.token;
+			holderByToken.putIfAbsent(call.token, call.node);
+			assertThat(holderByToken.get(call.token), is(call.node));
 		}
-		assertThat(alternates(world.accepted), is(false));
+		assertThat(hasAlternatingHolders(simulation.accepted), is(false));
 	}
 
 	/**
-	 * Return whether a node acted again within a lease although another one acted since.
-	 * @param accepted the calls that the cloud accepted, in order
-	 * @return {@code true} if holders acted by turns
+	 * Return whether a node acted, another one acted, and the first one acted again, all
+	 * within a lease.
+	 * @param accepted the calls that the cloud accepted, in this order
+	 * @return {@code true} if nodes acted alternately
 	 */
-	private static boolean alternates(List<Call> accepted) {
+	private static boolean hasAlternatingHolders(List<Call> accepted) {
 		for (int last = 0; last < accepted.size(); last++) {
-			boolean another = false;
+			boolean anotherActed = false;
 			for (int i = last - 1; i >= 0; i--) {
 				if (accepted.get(last).sentAtMillis - accepted.get(i).sentAtMillis >= LEASE_MILLIS) {
 					break;
 				}
-				another |= accepted.get(i).node != accepted.get(last).node;
-				if (another && accepted.get(i).node == accepted.get(last).node) {
+				anotherActed |= accepted.get(i).node != accepted.get(last).node;
+				if (anotherActed && accepted.get(i).node == accepted.get(last).node) {
 					return true;
 				}
 			}
@@ -68,7 +71,7 @@
 	private record Call(int node, long token, long sentAtMillis, long arrivesAtMillis) {
 	}
 
-	private static final class World {
+	private static final class Simulation {
 
 		private final SplittableRandom random;
 
@@ -76,9 +79,9 @@
 
 		private final long[] frozenUntilMillis = new long[NODES];
 
-		private final OptionalLong[] listedEnd = new OptionalLong[NODES];
+		private final OptionalLong[] observedStreamEnd = new OptionalLong[NODES];
 
-		private final List<Call> underWay = new ArrayList<>();
+		private final List<Call> inFlight = new ArrayList<>();
 
 		private final List<Call> accepted = new ArrayList<>();
 
@@ -86,11 +89,11 @@
 
 		private int holder;
 
-		private World(SplittableRandom random) {
+		private Simulation(SplittableRandom random) {
 			this.random = random;
 			for (int i = 0; i < NODES; i++) {
 				this.terms.add(new DutyTerm(LEASE_MILLIS, CONFIRM_MILLIS));
-				this.listedEnd[i] = OptionalLong.empty();
+				this.observedStreamEnd[i] = OptionalLong.empty();
 			}
 		}
 
@@ -98,7 +101,7 @@
 			if (this.random.nextInt(12) == 0) {
 				this.holder = this.random.nextInt(NODES);
 			}
-			arrive(now);
+			deliverCalls(now);
 			for (int node = 0; node < NODES; node++) {
 				if (this.random.nextInt(40) == 0) {
 					this.frozenUntilMillis[node] = now + this.random.nextInt(6_000);
@@ -122,40 +125,40 @@
 			if (token.isPresent()) {
 				term.recordAction(now);
 				boolean late = this.random.nextInt(6) == 0;
-				this.underWay
+				this.inFlight
 					.add(new Call(node, token.getAsLong(), now, late ? now + this.random.nextInt(4_000) : now));
 			}
 		}
 
 		/**
-		 * List in one step and append in a later one, on the condition that nobody did so
-		 * in between.
-		 * @param node the node
-		 * @param term its term
-		 * @param now the present time
+		 * Read the end of the stream in one step and append a claim in a later one, which
+		 * succeeds only if no other claim was appended in between.
+		 * @param node the index of the node
+		 * @param term the term of the node
+		 * @param now the simulated time in milliseconds
 		 */
 		private void claim(int node, DutyTerm term, long now) {
-			if (this.listedEnd[node].isEmpty()) {
-				this.listedEnd[node] = OptionalLong.of(this.streamEnd);
+			if (this.observedStreamEnd[node].isEmpty()) {
+				this.observedStreamEnd[node] = OptionalLong.of(this.streamEnd);
 				return;
 			}
-			if (this.listedEnd[node].getAsLong() == this.streamEnd) {
+			if (this.observedStreamEnd[node].getAsLong() == this.streamEnd) {
 				this.streamEnd++;
 				if (this.random.nextInt(5) != 0) {
 					term.recordClaim(this.streamEnd, now);
 				}
 			}
-			this.listedEnd[node] = OptionalLong.empty();
+			this.observedStreamEnd[node] = OptionalLong.empty();
 		}
 
-		private void arrive(long now) {
-			for (Call call : List.copyOf(this.underWay)) {
+		private void deliverCalls(long now) {
+			for (Call call : List.copyOf(this.inFlight)) {
 				if (call.arrivesAtMillis > now) {
 					continue;
 				}
-				this.underWay.remove(call);
-				long highest = this.accepted.isEmpty() ? -1 : this.accepted.get(this.accepted.size() - 1).token;
-				if (call.token >= highest) {
+				this.inFlight.remove(call);
+				long highestToken = this.accepted.isEmpty() ? -1 : this.accepted.get(this.accepted.size() - 1).token;
+				if (call.token >= highestToken) {
 					this.accepted.add(call);
 				}
 				else if (this.random.nextInt(4) != 0) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermTests.java
@@ -8,7 +8,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * When a node may act as the holder of the duties.
+ * Unit tests for {@link DutyTerm}.
  */
 class DutyTermTests {
 
@@ -18,20 +18,20 @@
 
 	private final DutyTerm term = new DutyTerm(LEASE_MILLIS, CONFIRM_MILLIS);
 
-	private void holdUntil(long untilMillis) {
+	private void confirmUntil(long untilMillis) {
 		for (long now = 0; now <= untilMillis; now += 1_000) {
 			this.term.recordMembership(true, now);
 		}
 	}
 
 	@Test
-	void newHolderClaimsAtOnce() {
+	void newHolderClaimsWithoutWaiting() {
 		this.term.recordMembership(true, 0);
 		assertThat(this.term.shouldClaim(0), is(true));
 	}
 
 	@Test
-	void holderThatLostTheDutiesWaitsForALeaseAfterItActed() {
+	void holderThatLostDutiesWaitsForLeaseAfterLastAction() {
 		this.term.recordMembership(true, 0);
 		this.term.recordClaim(17, 100);
 		this.term.recordAction(200);
@@ -43,8 +43,8 @@
 	}
 
 	@Test
-	void actsWithTheTokenOfItsClaim() {
-		holdUntil(4_000);
+	void actsWithTokenOfItsClaim() {
+		confirmUntil(4_000);
 		assertThat(this.term.validToken(4_000), is(OptionalLong.empty()));
 		this.term.recordClaim(17, 4_100);
 		assertThat(this.term.validToken(4_200), is(OptionalLong.of(17)));
@@ -52,15 +52,15 @@
 	}
 
 	@Test
-	void stopsWhenItIsNotConfirmed() {
-		holdUntil(4_000);
+	void doesNotActWithoutRecentConfirmation() {
+		confirmUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		assertThat(this.term.validToken(4_000 + CONFIRM_MILLIS + 1), is(OptionalLong.empty()));
 	}
 
 	@Test
-	void claimsAnewAfterAGapInItsConfirmations() {
-		holdUntil(4_000);
+	void claimsAgainAfterGapInConfirmations() {
+		confirmUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		this.term.recordAction(8_000);
 		this.term.recordMembership(true, 9_000);
@@ -71,8 +71,8 @@
 	}
 
 	@Test
-	void fencedHolderStopsAndWaits() {
-		holdUntil(4_000);
+	void fencedHolderWaitsForLease() {
+		confirmUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		this.term.recordFenced(4_200);
 		assertThat(this.term.validToken(4_300), is(OptionalLong.empty()));
@@ -83,8 +83,8 @@
 	}
 
 	@Test
-	void anotherHolderEndsTheTerm() {
-		holdUntil(4_000);
+	void doesNotActAfterAnotherNodeBecameHolder() {
+		confirmUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		this.term.recordMembership(false, 5_000);
 		assertThat(this.term.validToken(5_000), is(OptionalLong.empty()));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package of the same name.
+ * Tests of the duties that one entry node at a time performs.
  */
 @NullMarked
 package io.flamingogap.core.duty;
