--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigSnapshot.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigSnapshot.java
@@ -6,14 +6,14 @@
 import io.flamingogap.core.text.Digests;
 
 /**
- * The whole configuration as of an offset, for nodes that start after the log has dropped
- * the records before it. Publishing one twice does no harm.
+ * The complete configuration as of an offset. Nodes that start after the log has dropped
+ * earlier records restore it. Publishing a snapshot twice has no further effect.
  *
- * @param asOfOffset the offset of the last record that it covers
+ * @param asOfOffset the offset of the last record that the snapshot covers
  * @param acceptedOffset the offset of the manifest in force; 0 for none
  * @param digest the SHA-256 digest of the manifest
- * @param manifest the manifest as TOML
- * @param verdicts the latest verdicts, oldest first
+ * @param manifest the manifest in force as a TOML document; empty for none
+ * @param verdicts the newest verdicts, oldest first
  */
 public record ConfigSnapshot(long asOfOffset, long acceptedOffset, String digest, String manifest,
 		List<ConfigVerdict> verdicts) {
@@ -28,8 +28,8 @@
 	}
 
 	/**
-	 * Return whether the manifest is the one that the snapshot was made of.
-	 * @return {@code true} if the digest matches
+	 * Return whether the manifest is unchanged since the snapshot was created.
+	 * @return {@code true} if the manifest matches the digest
 	 */
 	boolean isIntact() {
 		return Digests.sha256(this.manifest).equals(this.digest);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
@@ -16,15 +16,16 @@
 import io.flamingogap.core.toml.ValidationError;
 
 /**
- * The configuration decided by the records of the stream up to an offset. Every node that
- * applied the same records holds an equal state, whatever order they reached it in and
- * however often.
+ * The configuration that results from the records of the configuration stream up to an
+ * offset. Records are applied in the order of their offsets. Nodes that have applied the
+ * same records hold equal states, however often and in whatever order they received them.
+ * Instances are immutable.
  */
 public final class ConfigState {
 
 	private static final int MAX_VERDICTS = 1_000;
 
-	private static final int SNAPSHOT_VERDICTS = 100;
+	private static final int MAX_SNAPSHOT_VERDICTS = 100;
 
 	private final long headOffset;
 
@@ -50,18 +51,20 @@
 
 	/**
 	 * Create the state before the first record.
-	 * @param bootstrapOperators the operators who may publish while no manifest names any
-	 * @return the state
+	 * @param bootstrapOperators the names of the operators who may publish as long as the
+	 * manifest in force names no operator
+	 * @return a state with an empty manifest
 	 */
 	public static ConfigState initial(Set<String> bootstrapOperators) {
 		return new ConfigState(0, 0, Manifest.empty(), "", LinkedHashMap.empty(), Set.copyOf(bootstrapOperators));
 	}
 
 	/**
-	 * Apply the next record.
-	 * @param offset the record's offset in the stream
-	 * @param change the record
-	 * @return the state after it; this state if the record was applied before
+	 * Apply the next record. A change whose id was already decided on is not decided on
+	 * again.
+	 * @param offset the offset of the record in the stream
+	 * @param change the content of the record
+	 * @return the state after the record; this state if it already covers the offset
 	 */
 	public ConfigState apply(long offset, ConfigRecord change) {
 		Objects.requireNonNull(change, "change must not be null");
@@ -69,66 +72,66 @@
 			return this;
 		}
 		if (this.verdicts.containsKey(change.id())) {
-			return withHead(offset);
+			return withHeadOffset(offset);
 		}
 		Either<String, Manifest> decision = decide(change);
 		ConfigVerdict verdict = new ConfigVerdict(offset, change.id(), change.operator(), decision.isRight(),
 				decision.fold((reason) -> reason, (accepted) -> "accepted"));
-		Map<String, ConfigVerdict> verdictsAfter = bounded(this.verdicts.put(change.id(), verdict));
+		Map<String, ConfigVerdict> newVerdicts = dropOldestIfTooMany(this.verdicts.put(change.id(), verdict));
 		if (decision.isLeft()) {
-			return new ConfigState(offset, this.acceptedOffset, this.manifest, this.manifestText, verdictsAfter,
+			return new ConfigState(offset, this.acceptedOffset, this.manifest, this.manifestText, newVerdicts,
 					this.bootstrapOperators);
 		}
-		return new ConfigState(offset, offset, decision.get(), change.manifest(), verdictsAfter,
-				this.bootstrapOperators);
+		return new ConfigState(offset, offset, decision.get(), change.manifest(), newVerdicts, this.bootstrapOperators);
 	}
 
 	/**
-	 * Skip a record that isn't a change, so that a broken record can't hold up the
-	 * stream.
-	 * @param offset the record's offset
-	 * @return the state after it
+	 * Skip a record that is no valid change, so that it doesn't block the records after
+	 * it.
+	 * @param offset the offset of the record in the stream
+	 * @return the state after the record; this state if it already covers the offset
 	 */
 	public ConfigState skip(long offset) {
-		return (offset <= this.headOffset) ? this : withHead(offset);
+		return (offset <= this.headOffset) ? this : withHeadOffset(offset);
 	}
 
 	/**
-	 * Return the state as a snapshot.
-	 * @return the snapshot
+	 * Create a snapshot of this state.
+	 * @return a snapshot that holds the newest verdicts only
 	 */
 	public ConfigSnapshot snapshot() {
 		return new ConfigSnapshot(this.headOffset, this.acceptedOffset, Digests.sha256(this.manifestText),
-				this.manifestText, this.verdicts.values().takeRight(SNAPSHOT_VERDICTS).toJavaList());
+				this.manifestText, this.verdicts.values().takeRight(MAX_SNAPSHOT_VERDICTS).toJavaList());
 	}
 
 	/**
-	 * Go on from a snapshot that is ahead of this state.
+	 * Restore a snapshot that covers more records than this state.
 	 * @param snapshot the snapshot
-	 * @return the state as of the snapshot; this state if it isn't ahead or isn't intact
+	 * @return the state as of the snapshot; this state if the snapshot covers no more
+	 * records or its manifest doesn't match its digest
 	 */
 	public ConfigState restore(ConfigSnapshot snapshot) {
 		if (snapshot.asOfOffset() <= this.headOffset || !snapshot.isIntact()) {
 			return this;
 		}
-		Manifest restored = (snapshot.acceptedOffset() > 0)
+		Manifest restoredManifest = (snapshot.acceptedOffset() > 0)
 				? ManifestReader.read(snapshot.manifest()).getOrElse(Manifest.empty()) : Manifest.empty();
-		Map<String, ConfigVerdict> held = LinkedHashMap.empty();
+		Map<String, ConfigVerdict> restoredVerdicts = LinkedHashMap.empty();
 		for (ConfigVerdict verdict : snapshot.verdicts()) {
-			held = held.put(verdict.id(), verdict);
+			restoredVerdicts = restoredVerdicts.put(verdict.id(), verdict);
 		}
-		return new ConfigState(snapshot.asOfOffset(), snapshot.acceptedOffset(), restored, snapshot.manifest(), held,
-				this.bootstrapOperators);
+		return new ConfigState(snapshot.asOfOffset(), snapshot.acceptedOffset(), restoredManifest, snapshot.manifest(),
+				restoredVerdicts, this.bootstrapOperators);
 	}
 
-	private ConfigState withHead(long offset) {
+	private ConfigState withHeadOffset(long offset) {
 		return new ConfigState(offset, this.acceptedOffset, this.manifest, this.manifestText, this.verdicts,
 				this.bootstrapOperators);
 	}
 
 	private Either<String, Manifest> decide(ConfigRecord change) {
 		if (change.baseOffset() != this.acceptedOffset) {
-			return Either.left("made against offset " + change.baseOffset() + " but " + winner());
+			return Either.left("made against offset " + change.baseOffset() + " but " + describeChangeInForce());
 		}
 		if (!mayPublish(change.operator())) {
 			return Either.left("operator " + change.operator() + " isn't named by the configuration in force");
@@ -139,7 +142,7 @@
 		return ManifestReader.read(change.manifest()).mapLeft(ConfigState::describe);
 	}
 
-	private String winner() {
+	private String describeChangeInForce() {
 		return this.verdicts.values()
 			.find((verdict) -> verdict.offset() == this.acceptedOffset)
 			.map((verdict) -> "change " + verdict.id() + " by " + verdict.operator() + " is in force since offset "
@@ -158,13 +161,13 @@
 		return faults.size() + " faults, first " + faults.get(0);
 	}
 
-	private static Map<String, ConfigVerdict> bounded(Map<String, ConfigVerdict> verdicts) {
+	private static Map<String, ConfigVerdict> dropOldestIfTooMany(Map<String, ConfigVerdict> verdicts) {
 		return (verdicts.size() > MAX_VERDICTS) ? verdicts.drop(1) : verdicts;
 	}
 
 	/**
-	 * Return the offset of the last record that was looked at.
-	 * @return the offset; 0 before the first
+	 * Return the offset of the last record that was applied or skipped.
+	 * @return the offset; 0 before the first record
 	 */
 	public long headOffset() {
 		return this.headOffset;
@@ -180,7 +183,7 @@
 
 	/**
 	 * Return the manifest in force.
-	 * @return the manifest
+	 * @return the manifest; empty if there is none
 	 */
 	public Manifest manifest() {
 		return this.manifest;
@@ -188,16 +191,17 @@
 
 	/**
 	 * Return the manifest in force as it was published.
-	 * @return the TOML document; empty if there is none
+	 * @return the TOML document; an empty string if there is none
 	 */
 	public String manifestText() {
 		return this.manifestText;
 	}
 
 	/**
-	 * Return what became of a change.
+	 * Return the decision on a change.
 	 * @param id the id of the change
-	 * @return the verdict, if its record was applied
+	 * @return the verdict; empty if the change was not applied or its verdict is no
+	 * longer kept
 	 */
 	public Optional<ConfigVerdict> verdict(String id) {
 		return this.verdicts.get(id).toJavaOptional();
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigVerdict.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigVerdict.java
@@ -1,13 +1,13 @@
 package io.flamingogap.core.config;
 
 /**
- * What became of one record of the configuration stream.
+ * The decision on one change of the configuration stream.
  *
- * @param offset the record's offset
+ * @param offset the offset of the record
  * @param id the id of the change
- * @param operator who published it
- * @param accepted whether it is in force or was until a later one
- * @param reason why it was refused, or "accepted"
+ * @param operator the name of the operator who published the change
+ * @param accepted whether the change is in force or was until a later one was accepted
+ * @param reason the reason for a refusal, or "accepted"
  */
 public record ConfigVerdict(long offset, String id, String operator, boolean accepted, String reason) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/SnapshotSchedule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/SnapshotSchedule.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.config;
 
 /**
- * Decides when a node publishes a snapshot. Nodes take turns by rank, so that usually one
- * of them does; no node is special.
+ * Utility that decides when a node publishes a configuration snapshot. Nodes of a higher
+ * rank wait longer, so usually only one node publishes, without a dedicated publisher.
  */
 public final class SnapshotSchedule {
 
@@ -10,24 +10,27 @@
 	}
 
 	/**
-	 * Decide whether to publish now.
+	 * Return whether this node should publish a snapshot now.
 	 * @param headOffset the offset of the last record
 	 * @param lastSnapshotOffset the offset of the last snapshot in the stream; 0 for none
-	 * @param maxRecords the records after a snapshot at which the next one is due
-	 * @param unpublishedMillis how long the configuration in force has been without a
-	 * snapshot that covers it; negative if one does
-	 * @param intervalMillis the time at which a snapshot is due
-	 * @param rank the place of the node among the serving ones, from 0
-	 * @param turnMillis how long each node waits for the one before it
-	 * @return {@code true} if this node is to publish
+	 * @param maxRecords the number of records after a snapshot beyond which the next one
+	 * is due without waiting for the interval
+	 * @param unpublishedMillis the time for which the configuration in force has not been
+	 * covered by a snapshot, in milliseconds; negative if a snapshot covers it
+	 * @param intervalMillis the value of {@code unpublishedMillis} at which a snapshot is
+	 * due
+	 * @param rank the rank of this node among the serving nodes, starting at 0
+	 * @param turnMillis the additional time that a node waits for each node of a lower
+	 * rank, in milliseconds
+	 * @return {@code true} if a snapshot is due at this node
 	 */
 	public static boolean isDue(long headOffset, long lastSnapshotOffset, long maxRecords, long unpublishedMillis,
 			long intervalMillis, int rank, long turnMillis) {
 		if (unpublishedMillis < 0) {
 			return false;
 		}
-		boolean manyRecords = headOffset - lastSnapshotOffset > maxRecords;
-		long dueMillis = manyRecords ? 0 : intervalMillis;
+		boolean isOverMaxRecords = headOffset - lastSnapshotOffset > maxRecords;
+		long dueMillis = isOverMaxRecords ? 0 : intervalMillis;
 		return unpublishedMillis >= dueMillis + rank * turnMillis;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Which manifest is in force, decided from the platform log alone.
+ * The manifest in force, determined by the records of the platform log alone.
  */
 @NullMarked
 package io.flamingogap.core.config;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/config/ConfigStateTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/config/ConfigStateTests.java
@@ -18,7 +18,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link ConfigState}.
+ * Unit tests for {@link ConfigState}.
  */
 class ConfigStateTests {
 
@@ -33,21 +33,21 @@
 	}
 
 	@Test
-	void firstChangeComesFromABootstrapOperator() {
+	void firstChangeMustComeFromBootstrapOperator() {
 		ConfigState state = this.initial.apply(1, change("a", 0, "boot"));
 		assertThat(state.acceptedOffset(), is(1L));
 		assertThat(this.initial.apply(1, change("a", 0, "stranger")).acceptedOffset(), is(0L));
 	}
 
 	@Test
-	void bootstrapOperatorMayNotPublishOnceOperatorsAreNamed() {
+	void bootstrapOperatorMayNotPublishOnceManifestNamesOperators() {
 		ConfigState state = this.initial.apply(1, change("a", 0, "boot"));
 		assertThat(state.apply(2, change("b", 1, "boot")).acceptedOffset(), is(1L));
 		assertThat(state.apply(2, change("b", 1, "ops")).acceptedOffset(), is(2L));
 	}
 
 	@Test
-	void loserOfARaceIsToldTheWinner() {
+	void refusalOfConcurrentChangeNamesAcceptedChange() {
 		ConfigState state = this.initial.apply(1, change("a", 0, "boot")).apply(2, change("b", 0, "ops"));
 		ConfigVerdict verdict = state.verdict("b").orElseThrow();
 		assertThat(verdict.accepted(), is(false));
@@ -56,21 +56,21 @@
 	}
 
 	@Test
-	void doubledRecordChangesNothing() {
+	void duplicateRecordChangesNothing() {
 		ConfigState state = this.initial.apply(1, change("a", 0, "boot")).apply(2, change("a", 0, "boot"));
 		assertThat(state.acceptedOffset(), is(1L));
 		assertThat(state.verdict("a").orElseThrow().accepted(), is(true));
 	}
 
 	@Test
-	void recordWithAnotherDigestIsRefused() {
+	void recordWithWrongDigestIsRefused() {
 		ConfigRecord good = change("a", 0, "boot");
 		ConfigRecord forged = new ConfigRecord("a", 0, "boot", Digests.sha256("other"), good.manifest());
 		assertThat(this.initial.apply(1, forged).acceptedOffset(), is(0L));
 	}
 
 	@Test
-	void snapshotIsGoneOnFromAndNeverGoesBack() {
+	void newerSnapshotIsRestoredAndOlderOneIgnored() {
 		ConfigState state = this.initial.apply(1, change("a", 0, "boot")).apply(2, change("b", 1, "ops"));
 		ConfigState restored = this.initial.restore(state.snapshot());
 		assertThat(restored.acceptedOffset(), is(2L));
@@ -81,24 +81,24 @@
 	}
 
 	@Property(tries = 500, seed = "20261204")
-	void replaysInAnyPiecesNeverRevertAndEndAlike(@ForAll @Size(max = 12) List<@IntRange(max = 12) Integer> bases,
+	void replaysNeverRevertAndConvergeToSameState(@ForAll @Size(max = 12) List<@IntRange(max = 12) Integer> bases,
 			@ForAll @Size(max = 20) List<@IntRange(max = 11) Integer> replays) {
 		List<ConfigRecord> records = new ArrayList<>();
 		for (int i = 0; i < bases.size(); i++) {
 			records.add(change("change-" + i % 7, bases.get(i), (i % 2 == 0) ? "boot" : "ops"));
 		}
-		ConfigState whole = applyFrom(this.initial, records, 0);
-		ConfigState pieces = this.initial;
+		ConfigState appliedOnce = applyFrom(this.initial, records, 0);
+		ConfigState replayed = this.initial;
 		for (int start : replays) {
-			long before = pieces.acceptedOffset();
-			if (start <= pieces.headOffset()) {
-				pieces = applyFrom(pieces, records, start);
+			long before = replayed.acceptedOffset();
+			if (start <= replayed.headOffset()) {
+				replayed = applyFrom(replayed, records, start);
 			}
-			assertThat(pieces.acceptedOffset(), greaterThanOrEqualTo(before));
+			assertThat(replayed.acceptedOffset(), greaterThanOrEqualTo(before));
 		}
-		pieces = applyFrom(pieces, records, 0);
-		assertThat(pieces.acceptedOffset(), is(whole.acceptedOffset()));
-		assertThat(pieces.manifestText(), is(whole.manifestText()));
+		replayed = applyFrom(replayed, records, 0);
+		assertThat(replayed.acceptedOffset(), is(appliedOnce.acceptedOffset()));
+		assertThat(replayed.manifestText(), is(appliedOnce.manifestText()));
 	}
 
 	private static ConfigState applyFrom(ConfigState state, List<ConfigRecord> records, int start) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/config/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/config/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the configuration that results from the stream.
  */
 @NullMarked
 package io.flamingogap.core.config;
