Reword the gateway's backend client

The package spoke of answers, pieces, tries and dispatches, and names such as tainted, forget and setReading did not show what they hold or do. The listener is now ResponseListener with the callbacks onHead, onBody, onComplete, onFailure and onNotSent. BackendCall.mayHaveBeenSent and setAutoRead, BackendConnection.isReusable, markIdle and remove, BackendResponseHead.keepAliveMillis and ReportedLoad's runningRequests and queuedRequests replace isSent, setReading, isUsable, idleSince, forget, idleMillis, running and waiting. All of these are used inside the gateway's backends and relay packages only. The private constant SKIPPED became SKIPPING; it is neither printed nor parsed. Three texts of the log field "reason" are plainer.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendCall.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendCall.java
@@ -3,7 +3,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A request at a backend server, for the side that waits for the answer.
+ * A handle on a request to a backend server, with which the sender can cancel the request
+ * or pause its response.
  */
 public final class BackendCall {
 
@@ -20,7 +21,7 @@
 	}
 
 	/**
-	 * Give the request up. The listener hears nothing more.
+	 * Cancel the request and close its connection. The listener is not called any more.
 	 */
 	public void cancel() {
 		this.cancelled = true;
@@ -30,20 +31,21 @@
 	}
 
 	/**
-	 * Read the answer, or leave it in the network while the caller is slow.
-	 * @param read whether to read
+	 * Set whether the response is read from the network. Disable it while the caller
+	 * reads more slowly than the server sends.
+	 * @param enabled {@code false} to leave the response in the socket buffer
 	 */
-	public void setReading(boolean read) {
+	public void setAutoRead(boolean enabled) {
 		if (this.connection != null) {
-			this.connection.setReading(read);
+			this.connection.setAutoRead(enabled);
 		}
 	}
 
 	/**
-	 * Return whether bytes may have been sent.
+	 * Return whether bytes of the request may have been sent.
 	 * @return {@code false} while the connection is being opened
 	 */
-	public boolean isSent() {
+	public boolean mayHaveBeenSent() {
 		return this.connection != null;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -12,8 +12,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One connection to a backend server, with at most one request at a time. Bytes that
- * belong to no request close it.
+ * A connection to a backend server that carries at most one request at a time. It closes
+ * itself if it receives bytes while no request is open.
  */
 final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -25,17 +25,17 @@
 
 	private final Channel channel;
 
-	private @Nullable AnswerListener listener;
+	private @Nullable ResponseListener responseListener;
 
 	private String attemptId = "";
 
-	private Reading reading = Reading.HEAD;
+	private ReadState readState = ReadState.HEAD;
 
 	private boolean requestWritten;
 
-	private boolean tainted;
+	private boolean receivedMismatch;
 
-	private long idleMillis;
+	private long keepAliveMillis;
 
 	private long idleSinceMillis;
 
@@ -48,24 +48,25 @@
 	}
 
 	/**
-	 * Send a request.
-	 * @param dispatch the dispatch
-	 * @param answers takes the answer
+	 * Send a request. The previous response must be complete.
+	 * @param request the request to send
+	 * @param listener receives the response
 	 */
-	void send(BackendRequest dispatch, AnswerListener answers) {
-		this.listener = answers;
-		this.attemptId = dispatch.request().attemptId();
-		this.reading = Reading.HEAD;
+	void send(BackendRequest request, ResponseListener listener) {
+		this.responseListener = listener;
+		this.attemptId = request.request().attemptId();
+		this.readState = ReadState.HEAD;
 		this.requestWritten = false;
-		this.channel.writeAndFlush(this.protocol.encodeRequest(dispatch))
+		this.channel.writeAndFlush(this.protocol.encodeRequest(request))
 			.addListener((written) -> this.requestWritten = written.isSuccess());
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		try {
-			if (this.listener == null || message.decoderResult().isFailure()) {
-				breakOff((this.listener == null) ? "bytes without a request" : "unreadable answer");
+			if (this.responseListener == null || message.decoderResult().isFailure()) {
+				fail((this.responseListener == null) ? "received bytes without an open request"
+						: "received a malformed HTTP response");
 				return;
 			}
 			if (message instanceof HttpResponse head) {
@@ -82,104 +83,106 @@
 
 	private void readHead(HttpResponse head) {
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-			this.reading = Reading.SKIPPED;
+			this.readState = ReadState.SKIPPING;
 			return;
 		}
-		BackendResponseHead answer = this.protocol.decodeResponseHead(this.attemptId, head);
-		if (answer.verdict() == BackendResponseHead.Verdict.ATTEMPT_MISMATCH) {
-			this.reading = Reading.SKIPPED;
-			this.tainted = true;
+		BackendResponseHead decoded = this.protocol.decodeResponseHead(this.attemptId, head);
+		if (decoded.verdict() == BackendResponseHead.Verdict.ATTEMPT_MISMATCH) {
+			this.readState = ReadState.SKIPPING;
+			this.receivedMismatch = true;
 			return;
 		}
-		this.reading = Reading.BODY;
-		this.idleMillis = answer.idleMillis();
-		AnswerListener answers = this.listener;
-		if (answers != null) {
-			answers.onHead(answer);
+		this.readState = ReadState.BODY;
+		this.keepAliveMillis = decoded.keepAliveMillis();
+		ResponseListener currentListener = this.responseListener;
+		if (currentListener != null) {
+			currentListener.onHead(decoded);
 		}
 	}
 
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
-		if (this.reading == Reading.SKIPPED) {
-			this.reading = last ? Reading.HEAD : Reading.SKIPPED;
+		if (this.readState == ReadState.SKIPPING) {
+			this.readState = last ? ReadState.HEAD : ReadState.SKIPPING;
 			return;
 		}
-		AnswerListener answers = this.listener;
-		if (answers != null && content.content().isReadable()) {
-			answers.onPiece(content.content());
+		ResponseListener currentListener = this.responseListener;
+		if (currentListener != null && content.content().isReadable()) {
+			currentListener.onBody(content.content());
 		}
-		if (last && this.listener != null) {
+		if (last && this.responseListener != null) {
 			complete();
 		}
 	}
 
 	private void complete() {
-		AnswerListener answers = this.listener;
-		this.listener = null;
-		if (this.requestWritten && !this.tainted && this.idleMillis > 0 && this.channel.isActive()) {
+		ResponseListener currentListener = this.responseListener;
+		this.responseListener = null;
+		if (this.requestWritten && !this.receivedMismatch && this.keepAliveMillis > 0 && this.channel.isActive()) {
 			this.pool.release(this);
 		}
 		else {
 			this.channel.close();
 		}
-		if (answers != null) {
-			answers.onEnd();
+		if (currentListener != null) {
+			currentListener.onComplete();
 		}
 	}
 
-	private void breakOff(String reason) {
-		AnswerListener answers = this.listener;
-		this.listener = null;
+	private void fail(String reason) {
+		ResponseListener currentListener = this.responseListener;
+		this.responseListener = null;
 		this.channel.close();
-		if (answers != null) {
-			answers.onBroken(reason);
+		if (currentListener != null) {
+			currentListener.onFailure(reason);
 		}
 	}
 
 	/**
-	 * Give the request up: the server notices the end of the connection.
+	 * Cancel the request by closing the connection, which the server notices. The
+	 * listener is not called any more.
 	 */
 	void cancel() {
-		this.listener = null;
+		this.responseListener = null;
 		this.channel.close();
 	}
 
-	void setReading(boolean read) {
-		this.channel.config().setAutoRead(read);
+	void setAutoRead(boolean enabled) {
+		this.channel.config().setAutoRead(enabled);
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.pool.forget(this);
-		breakOff("connection closed by the server");
+		this.pool.remove(this);
+		fail("connection closed by the server");
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		breakOff("connection broke: " + cause.getMessage());
+		fail("connection failed: " + cause.getMessage());
 	}
 
 	String serverId() {
 		return this.serverId;
 	}
 
-	boolean isUsable(long nowMillis, long maxIdleMillis) {
-		return this.channel.isActive() && nowMillis - this.idleSinceMillis < Math.min(this.idleMillis, maxIdleMillis);
+	boolean isReusable(long nowMillis, long maxIdleMillis) {
+		return this.channel.isActive()
+				&& nowMillis - this.idleSinceMillis < Math.min(this.keepAliveMillis, maxIdleMillis);
 	}
 
-	void idleSince(long nowMillis) {
+	void markIdle(long nowMillis) {
 		this.idleSinceMillis = nowMillis;
-		setReading(true);
+		setAutoRead(true);
 	}
 
 	void close() {
 		this.channel.close();
 	}
 
-	private enum Reading {
+	private enum ReadState {
 
-		HEAD, BODY, SKIPPED
+		HEAD, BODY, SKIPPING
 
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
@@ -18,19 +18,25 @@
 import io.flamingogap.core.servers.ServerRegistration;
 
 /**
- * Connections to backend servers, kept for reuse. Used on the event loop only.
+ * Opens connections to backend servers and keeps idle ones for reuse.
+ * <p>
+ * Not thread-safe; all calls must be made on the event loop.
  */
 public final class BackendConnectionPool {
 
 	/**
-	 * Longer than the round trip to another region, shorter than a lost opening packet.
+	 * Longer than a round trip to another region, and shorter than the retransmission
+	 * timeout of a lost SYN packet.
 	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-	/** A connection that was idle for longer may be dead without a sign. */
+	/** A connection that was idle for longer may have been lost without notice. */
 	private static final long MAX_IDLE_MILLIS = 4_000;
 
-	/** The same for requests that can't be repeated if the connection turns out dead. */
+	/**
+	 * Shorter than {@link #MAX_IDLE_MILLIS}, because a request that is not repeatable
+	 * can't be sent again if the connection turns out to be lost.
+	 */
 	private static final long MAX_IDLE_UNREPEATABLE_MILLIS = 1_000;
 
 	private final EventLoop loop;
@@ -39,15 +45,15 @@
 
 	private final LongSupplier steadyMillis;
 
-	private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
+	private final Map<String, Deque<BackendConnection>> idleByServer = new HashMap<>();
 
-	private long opened;
+	private long connectionAttempts;
 
 	/**
-	 * Create a pool.
-	 * @param loop the event loop
-	 * @param protocol what servers speak
-	 * @param steadyMillis tells the present time
+	 * Create an empty pool.
+	 * @param loop the event loop that all connections run on
+	 * @param protocol encodes requests and decodes responses
+	 * @param steadyMillis a monotonic clock, in milliseconds
 	 */
 	public BackendConnectionPool(EventLoop loop, BackendProtocol protocol, LongSupplier steadyMillis) {
 		this.loop = loop;
@@ -56,23 +62,25 @@
 	}
 
 	/**
-	 * Send a request to a server.
-	 * @param dispatch the dispatch
-	 * @param repeatable whether the request may be sent again if the connection is dead
-	 * @param answers takes the answer
-	 * @return the call while it is open
+	 * Send a request over an idle connection, or over a new one if none can be reused.
+	 * @param request the request to send
+	 * @param repeatable whether the request may be sent again if the connection turns out
+	 * to be lost
+	 * @param listener receives the response
+	 * @return a handle, to be used only until the listener has received the end of the
+	 * response or a failure
 	 */
-	public BackendCall send(BackendRequest dispatch, boolean repeatable, AnswerListener answers) {
+	public BackendCall send(BackendRequest request, boolean repeatable, ResponseListener listener) {
 		BackendCall call = new BackendCall();
-		BackendConnection kept = pollIdle(dispatch.server().id(),
+		BackendConnection idle = pollIdle(request.server().id(),
 				repeatable ? MAX_IDLE_MILLIS : MAX_IDLE_UNREPEATABLE_MILLIS);
-		if (kept != null) {
-			call.attach(kept);
-			kept.send(dispatch, answers);
+		if (idle != null) {
+			call.attach(idle);
+			idle.send(request, listener);
 			return call;
 		}
-		this.opened++;
-		connect(dispatch.server()).addListener((future) -> {
+		this.connectionAttempts++;
+		connect(request.server()).addListener((future) -> {
 			if (call.isCancelled()) {
 				((ChannelFuture) future).channel().close();
 			}
@@ -81,10 +89,10 @@
 					.pipeline()
 					.get(BackendConnection.class);
 				call.attach(connection);
-				connection.send(dispatch, answers);
+				connection.send(request, listener);
 			}
 			else {
-				answers.onNotSent("no connection to " + dispatch.server().address());
+				listener.onNotSent("no connection to " + request.server().address());
 			}
 		});
 		return call;
@@ -107,54 +115,54 @@
 			.connect(server.address().host(), server.address().port());
 	}
 
-	private BackendConnection pollIdle(String server, long maxIdleMillis) {
-		Deque<BackendConnection> kept = this.idle.get(server);
+	private BackendConnection pollIdle(String serverId, long maxIdleMillis) {
+		Deque<BackendConnection> idleConnections = this.idleByServer.get(serverId);
 		long nowMillis = this.steadyMillis.getAsLong();
-		while (kept != null && !kept.isEmpty()) {
-			BackendConnection newest = kept.peekLast();
-			if (newest.isUsable(nowMillis, maxIdleMillis)) {
-				return kept.pollLast();
+		while (idleConnections != null && !idleConnections.isEmpty()) {
+			BackendConnection newest = idleConnections.peekLast();
+			if (newest.isReusable(nowMillis, maxIdleMillis)) {
+				return idleConnections.pollLast();
 			}
-			if (newest.isUsable(nowMillis, MAX_IDLE_MILLIS)) {
+			if (newest.isReusable(nowMillis, MAX_IDLE_MILLIS)) {
 				return null;
 			}
-			kept.pollLast();
+			idleConnections.pollLast();
 			newest.close();
 		}
 		return null;
 	}
 
 	void release(BackendConnection connection) {
-		connection.idleSince(this.steadyMillis.getAsLong());
-		this.idle.computeIfAbsent(connection.serverId(), (server) -> new ArrayDeque<>()).addLast(connection);
+		connection.markIdle(this.steadyMillis.getAsLong());
+		this.idleByServer.computeIfAbsent(connection.serverId(), (serverId) -> new ArrayDeque<>()).addLast(connection);
 	}
 
-	void forget(BackendConnection connection) {
-		Deque<BackendConnection> kept = this.idle.get(connection.serverId());
-		if (kept != null) {
-			kept.remove(connection);
+	void remove(BackendConnection connection) {
+		Deque<BackendConnection> idleConnections = this.idleByServer.get(connection.serverId());
+		if (idleConnections != null) {
+			idleConnections.remove(connection);
 		}
 	}
 
 	/**
-	 * Close the idle connections that are too old to be used again.
+	 * Close the connections that have been idle for too long to be reused.
 	 */
 	public void closeExpiredConnections() {
 		long nowMillis = this.steadyMillis.getAsLong();
-		this.idle.values().removeIf((kept) -> {
-			while (!kept.isEmpty() && !kept.peekFirst().isUsable(nowMillis, MAX_IDLE_MILLIS)) {
-				kept.pollFirst().close();
+		this.idleByServer.values().removeIf((idleConnections) -> {
+			while (!idleConnections.isEmpty() && !idleConnections.peekFirst().isReusable(nowMillis, MAX_IDLE_MILLIS)) {
+				idleConnections.pollFirst().close();
 			}
-			return kept.isEmpty();
+			return idleConnections.isEmpty();
 		});
 	}
 
 	/**
-	 * Return how many connections were opened or tried.
-	 * @return the number since the start
+	 * Return the number of connection attempts, successful or not.
+	 * @return the number since this pool was created
 	 */
 	public long connectionAttempts() {
-		return this.opened;
+		return this.connectionAttempts;
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendProtocol.java
@@ -4,22 +4,23 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * How backend servers spell what requests and answers say.
+ * Encodes requests to backend servers and decodes the heads of their responses.
  */
 public interface BackendProtocol {
 
 	/**
-	 * Write a dispatch as a request. The body is shared, not copied.
-	 * @param dispatch the dispatch
-	 * @return the request
+	 * Encode a request as HTTP. The body is shared with the caller's request, not copied.
+	 * @param request the request to encode
+	 * @return the HTTP request
 	 */
-	FullHttpRequest encodeRequest(BackendRequest dispatch);
+	FullHttpRequest encodeRequest(BackendRequest request);
 
 	/**
-	 * Read the head of an answer.
-	 * @param attemptId the attempt that the answer should be for
-	 * @param head the head
-	 * @return what it says
+	 * Decode the head of a response.
+	 * @param attemptId the id of the attempt that was sent; a response that carries
+	 * another id is an {@link BackendResponseHead.Verdict#ATTEMPT_MISMATCH}
+	 * @param head the head as received
+	 * @return the decoded head
 	 */
 	BackendResponseHead decodeResponseHead(String attemptId, HttpResponse head);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -7,17 +7,18 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 /**
- * The head of a backend server's answer, with what its headers say.
+ * The status and headers of a backend server's response, with the meaning that the
+ * {@link BackendProtocol} derived from them.
  *
- * @param status the status
- * @param headers the headers to pass on to the caller
- * @param verdict what the head says of the request
- * @param load the load that the server reports, if it does
- * @param idleMillis how long the server keeps the connection without requests; 0 if the
- * connection ends with the answer
+ * @param status the HTTP status
+ * @param headers the headers to forward to the caller
+ * @param verdict whether the server ran the request, as far as the head shows
+ * @param load the load that the server reported; empty if it reported none
+ * @param keepAliveMillis how long the server keeps the connection open while it is idle;
+ * 0 if the connection ends with this response
  */
 public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict,
-		Optional<ReportedLoad> load, long idleMillis) {
+		Optional<ReportedLoad> load, long keepAliveMillis) {
 
 	public BackendResponseHead {
 		Objects.requireNonNull(verdict, "verdict must not be null");
@@ -25,34 +26,34 @@
 	}
 
 	/**
-	 * What the head of an answer says of the request.
+	 * What the head of a response shows about the request.
 	 */
 	public enum Verdict {
 
-		/** The server ran the request and this is its answer. */
+		/** The server ran the request and this is its response. */
 		ANSWERED,
 
-		/** The server did not and will not run the request. */
+		/** The server did not run the request and will not run it. */
 		REJECTED,
 
-		/** Another server has the address. */
+		/** The address now belongs to a different server. */
 		MISDIRECTED,
 
-		/** The answer belongs to another request. */
+		/** The response carries the id of a different attempt. */
 		ATTEMPT_MISMATCH,
 
-		/** The answer lacks what proves it to be the server's. */
+		/** The response lacks the proof that it came from the server. */
 		UNVERIFIED
 
 	}
 
 	/**
-	 * The load that a server reports.
+	 * The load that a server reported with a response.
 	 *
-	 * @param running the requests that it runs
-	 * @param waiting the requests in its queue
+	 * @param runningRequests the number of requests being processed
+	 * @param queuedRequests the number of requests waiting in the server's queue
 	 */
-	public record ReportedLoad(int running, int waiting) {
+	public record ReportedLoad(int runningRequests, int queuedRequests) {
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/AnswerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
@@ -3,33 +3,33 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Takes the answer to one dispatch. One of {@link #onEnd}, {@link #onBroken} and
+ * Takes the answer to one dispatch. One of {@link #onComplete}, {@link #onFailure} and
  * {@link #onNotSent} comes last.
  */
-public interface AnswerListener {
+public interface ResponseListener {
 
 	/**
 	 * The head of the answer came.
-	 * @param answer the head
+	 * @param head the head
 	 */
-	void onHead(BackendResponseHead answer);
+	void onHead(BackendResponseHead head);
 
 	/**
 	 * A piece of the body came.
-	 * @param piece the piece; not kept by the connection
+	 * @param chunk the piece; not kept by the connection
 	 */
-	void onPiece(ByteBuf piece);
+	void onBody(ByteBuf chunk);
 
 	/**
 	 * The answer is complete.
 	 */
-	void onEnd();
+	void onComplete();
 
 	/**
 	 * The connection broke, or what came is no answer to the request.
 	 * @param reason what happened
 	 */
-	void onBroken(String reason);
+	void onFailure(String reason);
 
 	/**
 	 * No connection could be opened; no byte was sent.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What backend servers speak: connections to them and their answers.
+ * HTTP client for backend servers: pooled connections, requests and responses.
  */
 @NullMarked
 package io.flamingogap.gateway.backends;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerTry.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerTry.java
@@ -14,7 +14,7 @@
 import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
-import io.flamingogap.gateway.backends.AnswerListener;
+import io.flamingogap.gateway.backends.ResponseListener;
 import io.flamingogap.gateway.backends.BackendCall;
 import io.flamingogap.gateway.backends.BackendRequest;
 import io.flamingogap.gateway.backends.BackendResponseHead;
@@ -23,7 +23,7 @@
 /**
  * One dispatch to one server.
  */
-final class ServerTry implements AnswerListener {
+final class ServerTry implements ResponseListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -120,7 +120,7 @@
 	 * @return what is known of the run
 	 */
 	DispatchOutcome giveUp(DispatchOutcome outcome) {
-		boolean sent = this.call != null && this.call.isSent();
+		boolean sent = this.call != null && this.call.mayHaveBeenSent();
 		if (this.call != null && !this.closed) {
 			this.call.cancel();
 		}
@@ -156,7 +156,7 @@
 	 */
 	void resumeReading() {
 		if (this.call != null) {
-			this.call.setReading(true);
+			this.call.setAutoRead(true);
 		}
 	}
 
@@ -167,7 +167,9 @@
 	@Override
 	public void onHead(BackendResponseHead head) {
 		this.answer = head;
-		head.load().ifPresent((load) -> this.server.load().recordReport(load.running(), load.waiting(), nowMillis()));
+		head.load()
+			.ifPresent((load) -> this.server.load()
+				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
 		switch (head.verdict()) {
 			case REJECTED -> reject(DispatchOutcome.REJECTED, "rejected with " + head.status().code());
 			case MISDIRECTED -> {
@@ -214,7 +216,7 @@
 	}
 
 	@Override
-	public void onPiece(ByteBuf piece) {
+	public void onBody(ByteBuf piece) {
 		if (this.closed) {
 			return;
 		}
@@ -240,7 +242,7 @@
 		begin();
 		this.owner.exchange().write(complete);
 		if (this.owner.exchange().isCongested() && this.call != null) {
-			this.call.setReading(false);
+			this.call.setAutoRead(false);
 		}
 	}
 
@@ -267,7 +269,7 @@
 	}
 
 	@Override
-	public void onEnd() {
+	public void onComplete() {
 		if (this.closed) {
 			return;
 		}
@@ -311,7 +313,7 @@
 	}
 
 	@Override
-	public void onBroken(String reason) {
+	public void onFailure(String reason) {
 		if (this.closed) {
 			return;
 		}
