Reword the doc comments of ResponseListener

They said that things came, not what the receiver gets and when. They now name the callback that comes last, how long a chunk is valid and which failures leave it open whether the request was sent.

Comments only.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
@@ -3,37 +3,39 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Takes the answer to one dispatch. One of {@link #onComplete}, {@link #onFailure} and
- * {@link #onNotSent} comes last.
+ * Receives the response to one request to a backend server. The last call is exactly one
+ * of {@link #onComplete}, {@link #onFailure} and {@link #onNotSent}, unless the request
+ * is cancelled.
  */
 public interface ResponseListener {
 
 	/**
-	 * The head of the answer came.
-	 * @param head the head
+	 * Receive the head of the response.
+	 * @param head the decoded head
 	 */
 	void onHead(BackendResponseHead head);
 
 	/**
-	 * A piece of the body came.
-	 * @param chunk the piece; not kept by the connection
+	 * Receive the next part of the body.
+	 * @param chunk valid only during this call; the connection releases it afterwards
 	 */
 	void onBody(ByteBuf chunk);
 
 	/**
-	 * The answer is complete.
+	 * Receive the end of a complete response.
 	 */
 	void onComplete();
 
 	/**
-	 * The connection broke, or what came is no answer to the request.
-	 * @param reason what happened
+	 * Receive a failure after bytes of the request may have been sent: the connection
+	 * broke, or the bytes received are not a response to the request.
+	 * @param reason a description for logs and error messages
 	 */
 	void onFailure(String reason);
 
 	/**
-	 * No connection could be opened; no byte was sent.
-	 * @param reason what happened
+	 * Receive a failure to open a connection. No byte of the request was sent.
+	 * @param reason a description for logs and error messages
 	 */
 	void onNotSent(String reason);
 
