--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerTry.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
@@ -14,33 +14,35 @@
 import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
-import io.flamingogap.gateway.backends.ResponseListener;
 import io.flamingogap.gateway.backends.BackendCall;
 import io.flamingogap.gateway.backends.BackendRequest;
 import io.flamingogap.gateway.backends.BackendResponseHead;
+import io.flamingogap.gateway.backends.ResponseListener;
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * One dispatch to one server.
+ * Sends a request to one backend server and forwards the response to the caller, or asks
+ * the {@link RelayedRequest} to retry.
  */
-final class ServerTry implements ResponseListener {
+final class BackendExchange implements ResponseListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Plain answers up to this size are held back until they are whole. */
-	private static final int MAX_HELD_ANSWER_BYTES = 262_144;
+	/** Plain responses up to this size are buffered until they are complete. */
+	private static final int MAX_BUFFERED_BODY_BYTES = 262_144;
 
 	/**
-	 * The part of the goal after which a silent server of a repeatable request is left.
+	 * The fraction of the route's latency target after which a repeatable request is
+	 * cancelled at a server that has sent no response head.
 	 */
-	private static final double SILENT_GOAL_PART = 0.6;
+	private static final double SILENCE_TIMEOUT_FRACTION = 0.6;
 
 	private static final double PERCENT = 100;
 
-	/** Lower urgencies are left for requests that may wait. */
-	private static final int LEAST_URGENCY = 9;
+	/** Greater values mean less urgent and are reserved for requests that may wait. */
+	private static final int LOWEST_URGENCY = 9;
 
-	private final RelayDependencies parts;
+	private final RelayDependencies dependencies;
 
 	private final RelayedRequest owner;
 
@@ -52,18 +54,18 @@
 
 	private @Nullable BackendCall call;
 
-	private @Nullable BackendResponseHead answer;
+	private @Nullable BackendResponseHead responseHead;
 
-	private @Nullable ScheduledFuture<?> silence;
+	private @Nullable ScheduledFuture<?> silenceTimer;
 
-	private ByteBuf held = Unpooled.EMPTY_BUFFER;
+	private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
 	private boolean promptRead;
 
 	private boolean closed;
 
-	ServerTry(RelayDependencies parts, RelayedRequest owner, KnownServer server, long sentAtMillis) {
-		this.parts = parts;
+	BackendExchange(RelayDependencies dependencies, RelayedRequest owner, KnownServer server, long sentAtMillis) {
+		this.dependencies = dependencies;
 		this.owner = owner;
 		this.server = server;
 		this.sentAtMillis = sentAtMillis;
@@ -73,53 +75,56 @@
 
 	void send() {
 		this.owner.attempt().recordDispatch(this.server.registration().id());
-		this.owner.noteServer(this.server.registration().id());
+		this.owner.recordServer(this.server.registration().id());
 		this.server.load().recordSent(this.promptTokens);
-		this.parts.loads().onLoadChanged(this.server);
+		this.dependencies.loadListener().onLoadChanged(this.server);
 		this.server.promptCache().record(this.owner.request().prompt());
-		BackendRequest dispatch = new BackendRequest(this.owner.request(), this.server.registration(),
+		BackendRequest request = new BackendRequest(this.owner.request(), this.server.registration(),
 				this.owner.attempt().remainingMillis(this.sentAtMillis), this.owner.account().map(ClientAccount::name),
-				urgency(), this.owner.events().lastId());
-		logger.atInfo().log("%s", describeChoice(dispatch.remainingMillis()));
+				urgency(), this.owner.eventSplitter().lastEventId());
+		logger.atInfo().log("%s", dispatchLogLine(request.remainingMillis()));
 		boolean repeatable = this.owner.attempt().route().isRepeatable();
-		this.call = this.parts.pool().send(dispatch, repeatable, this);
+		this.call = this.dependencies.connectionPool().send(request, repeatable, this);
 		if (this.owner.attempt().route().kind() == RequestKind.IDEMPOTENT) {
-			long patienceMillis = (long) (this.owner.attempt().route().latencyTargetMillis() * SILENT_GOAL_PART);
-			this.silence = this.parts.loop().schedule(this::onSilence, patienceMillis, TimeUnit.MILLISECONDS);
+			long silenceTimeoutMillis = (long) (this.owner.attempt().route().latencyTargetMillis()
+					* SILENCE_TIMEOUT_FRACTION);
+			this.silenceTimer = this.dependencies.eventLoop()
+				.schedule(this::onSilenceTimeout, silenceTimeoutMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
-	private LogLine describeChoice(long leftMillis) {
-		return this.owner.line("dispatched")
+	private LogLine dispatchLogLine(long remainingMillis) {
+		return this.owner.logLine("dispatched")
 			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
 			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
 			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
 			.with("doubtful", this.server.isSuspect())
-			.with("leftMillis", leftMillis);
+			.with("leftMillis", remainingMillis);
 	}
 
 	private int urgency() {
 		int priority = this.owner.account()
 			.flatMap((found) -> found.priority().stream().boxed().findFirst())
 			.orElse(this.owner.attempt().route().priority());
-		return Math.max(0, Math.min(LEAST_URGENCY, priority));
+		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
 	}
 
-	private void onSilence() {
-		if (this.answer == null && !this.closed && this.owner.attempt().mayTryAnotherServer(nowMillis())
+	private void onSilenceTimeout() {
+		if (this.responseHead == null && !this.closed && this.owner.attempt().mayTryAnotherServer(nowMillis())
 				&& this.owner.attempt().route().maxServers() > 1) {
-			DispatchOutcome outcome = giveUp(DispatchOutcome.SILENT);
+			DispatchOutcome outcome = cancel(DispatchOutcome.SILENT);
 			this.server.health().recordFailure(nowMillis());
-			this.owner.retryOrFail(outcome, "no answer within the patience for a server");
+			this.owner.retryOrFail(outcome, "no response head within the silence timeout");
 		}
 	}
 
 	/**
-	 * Close the connection, so that the server stops, and account for the load.
-	 * @param outcome what is known of the run if bytes were sent
-	 * @return what is known of the run
+	 * Cancel the dispatch. Closes the connection, so that the server stops processing,
+	 * and subtracts the request from this node's load at the server.
+	 * @param outcome the outcome to return if bytes may have been sent
+	 * @return {@code outcome}, or {@link DispatchOutcome#NOT_SENT} if no byte was sent
 	 */
-	DispatchOutcome giveUp(DispatchOutcome outcome) {
+	DispatchOutcome cancel(DispatchOutcome outcome) {
 		boolean sent = this.call != null && this.call.mayHaveBeenSent();
 		if (this.call != null && !this.closed) {
 			this.call.cancel();
@@ -133,26 +138,26 @@
 			return;
 		}
 		this.closed = true;
-		if (this.silence != null) {
-			this.silence.cancel(false);
+		if (this.silenceTimer != null) {
+			this.silenceTimer.cancel(false);
 		}
 		markPromptRead();
 		this.server.load().recordEnd();
-		this.parts.loads().onLoadChanged(this.server);
-		this.held.release();
-		this.held = Unpooled.EMPTY_BUFFER;
+		this.dependencies.loadListener().onLoadChanged(this.server);
+		this.bufferedBody.release();
+		this.bufferedBody = Unpooled.EMPTY_BUFFER;
 	}
 
 	private void markPromptRead() {
 		if (!this.promptRead) {
 			this.promptRead = true;
 			this.server.load().recordPromptRead(this.promptTokens);
-			this.parts.loads().onLoadChanged(this.server);
+			this.dependencies.loadListener().onLoadChanged(this.server);
 		}
 	}
 
 	/**
-	 * The caller reads again.
+	 * Resume reading the response once the caller reads again.
 	 */
 	void resumeReading() {
 		if (this.call != null) {
@@ -161,110 +166,113 @@
 	}
 
 	private long nowMillis() {
-		return this.parts.clock().steadyMillis();
+		return this.dependencies.clock().steadyMillis();
 	}
 
 	@Override
 	public void onHead(BackendResponseHead head) {
-		this.answer = head;
+		this.responseHead = head;
 		head.load()
 			.ifPresent((load) -> this.server.load()
 				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
 		switch (head.verdict()) {
-			case REJECTED -> reject(DispatchOutcome.REJECTED, "rejected with " + head.status().code());
+			case REJECTED ->
+				cancelAndRetry(DispatchOutcome.REJECTED, "rejected by the server with status " + head.status().code());
 			case MISDIRECTED -> {
-				this.parts.servers().remove(this.server.registration().id());
-				reject(DispatchOutcome.MISDIRECTED, "another server has the address");
+				this.dependencies.servers().remove(this.server.registration().id());
+				cancelAndRetry(DispatchOutcome.MISDIRECTED, "the address belongs to another server");
 			}
-			case UNVERIFIED, ATTEMPT_MISMATCH -> reject(DispatchOutcome.BROKEN, "answer without proof of its origin");
-			case ANSWERED -> onAnswered(head);
+			case UNVERIFIED, ATTEMPT_MISMATCH ->
+				cancelAndRetry(DispatchOutcome.BROKEN, "response without proof that the server sent it");
+			case ANSWERED -> onServerResponse(head);
 		}
 	}
 
-	private void reject(DispatchOutcome outcome, String reason) {
-		giveUp(outcome);
+	private void cancelAndRetry(DispatchOutcome outcome, String reason) {
+		cancel(outcome);
 		this.server.health().recordFailure(nowMillis());
-		this.parts.versions().record(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
+		this.dependencies.versionSelector()
+			.record(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
 		this.owner.retryOrFail(outcome, reason);
 	}
 
-	private void onAnswered(BackendResponseHead head) {
+	private void onServerResponse(BackendResponseHead head) {
 		if (this.owner.exchange().hasBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
-			reject(DispatchOutcome.FAILED, "answered the rest of a stream with " + head.status().code());
+			cancelAndRetry(DispatchOutcome.FAILED, "resumed stream answered with status " + head.status().code());
 			return;
 		}
 		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
 		if (failed && !this.owner.exchange().hasBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
 				&& this.owner.attempt().route().maxServers() > 1) {
-			reject(DispatchOutcome.FAILED, "answered with " + head.status().code());
+			cancelAndRetry(DispatchOutcome.FAILED, "answered with status " + head.status().code());
 			return;
 		}
-		if (!isStreamed()) {
-			started(nowMillis() - this.sentAtMillis);
+		if (!isStreaming()) {
+			recordStart(nowMillis() - this.sentAtMillis);
 		}
 	}
 
-	private void started(long agoMillis) {
+	private void recordStart(long millisSinceStart) {
 		markPromptRead();
-		this.owner.reportStart(agoMillis);
-		this.parts.metrics().recordLatency("first", this.owner.attempt().elapsedMillis(nowMillis()));
+		this.owner.reportStart(millisSinceStart);
+		this.dependencies.metrics().recordLatency("first", this.owner.attempt().elapsedMillis(nowMillis()));
 	}
 
-	private boolean isStreamed() {
-		return this.owner.attempt().route().kind() == RequestKind.STREAM && this.answer != null
-				&& this.answer.status().codeClass() == HttpStatusClass.SUCCESS;
+	private boolean isStreaming() {
+		return this.owner.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
+				&& this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
 	}
 
 	@Override
-	public void onBody(ByteBuf piece) {
+	public void onBody(ByteBuf chunk) {
 		if (this.closed) {
 			return;
 		}
-		if (isStreamed()) {
-			passOn(this.owner.events().add(piece));
+		if (isStreaming()) {
+			forwardEvents(this.owner.eventSplitter().append(chunk));
 		}
 		else {
-			hold(piece);
+			bufferBody(chunk);
 		}
 	}
 
-	private void passOn(ByteBuf complete) {
-		if (!complete.isReadable()) {
-			complete.release();
+	private void forwardEvents(ByteBuf events) {
+		if (!events.isReadable()) {
+			events.release();
 			return;
 		}
 		if (!this.promptRead) {
-			started(0);
-			this.parts.versions()
+			recordStart(0);
+			this.dependencies.versionSelector()
 				.record(this.server.registration(), this.owner.attempt().route(), false,
 						nowMillis() - this.sentAtMillis);
 		}
-		begin();
-		this.owner.exchange().write(complete);
+		beginResponse();
+		this.owner.exchange().write(events);
 		if (this.owner.exchange().isCongested() && this.call != null) {
 			this.call.setAutoRead(false);
 		}
 	}
 
-	private void begin() {
-		BackendResponseHead head = this.answer;
+	private void beginResponse() {
+		BackendResponseHead head = this.responseHead;
 		if (!this.owner.exchange().hasBegun() && head != null) {
 			this.owner.exchange().begin(head.status(), head.headers());
 		}
 	}
 
-	private void hold(ByteBuf piece) {
-		if (this.held.readableBytes() + piece.readableBytes() > MAX_HELD_ANSWER_BYTES) {
-			begin();
-			this.owner.exchange().write(this.held);
-			this.held = Unpooled.EMPTY_BUFFER;
-			this.owner.exchange().write(piece.copy());
+	private void bufferBody(ByteBuf chunk) {
+		if (this.bufferedBody.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+			beginResponse();
+			this.owner.exchange().write(this.bufferedBody);
+			this.bufferedBody = Unpooled.EMPTY_BUFFER;
+			this.owner.exchange().write(chunk.copy());
 		}
 		else {
-			ByteBuf all = Unpooled.buffer(this.held.readableBytes() + piece.readableBytes());
-			all.writeBytes(this.held).writeBytes(piece);
-			this.held.release();
-			this.held = all;
+			ByteBuf merged = Unpooled.buffer(this.bufferedBody.readableBytes() + chunk.readableBytes());
+			merged.writeBytes(this.bufferedBody).writeBytes(chunk);
+			this.bufferedBody.release();
+			this.bufferedBody = merged;
 		}
 	}
 
@@ -273,21 +281,21 @@
 		if (this.closed) {
 			return;
 		}
-		BackendResponseHead head = this.answer;
-		ByteBuf body = this.held;
-		this.held = Unpooled.EMPTY_BUFFER;
+		BackendResponseHead head = this.responseHead;
+		ByteBuf body = this.bufferedBody;
+		this.bufferedBody = Unpooled.EMPTY_BUFFER;
 		boolean failed = head == null || head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
 		recordOutcome(failed);
 		close();
-		if (isStreamed()) {
-			ByteBuf rest = this.owner.events().rest();
-			begin();
-			if (rest.isReadable()) {
-				this.owner.exchange().write(rest);
+		if (isStreaming()) {
+			ByteBuf remainder = this.owner.eventSplitter().takeRemainder();
+			beginResponse();
+			if (remainder.isReadable()) {
+				this.owner.exchange().write(remainder);
 			}
 		}
 		this.owner.finish("request answered", (head != null) ? head.status().code() : 0, "answered by the server");
-		this.owner.tryEnded();
+		this.owner.clearCurrentExchange();
 		if (this.owner.exchange().hasBegun()) {
 			body.release();
 			this.owner.exchange().end();
@@ -305,8 +313,8 @@
 		else {
 			this.server.health().recordSuccess(nowMillis);
 		}
-		if (failed || !isStreamed()) {
-			this.parts.versions()
+		if (failed || !isStreaming()) {
+			this.dependencies.versionSelector()
 				.record(this.server.registration(), this.owner.attempt().route(), failed,
 						nowMillis - this.sentAtMillis);
 		}
@@ -319,7 +327,7 @@
 		}
 		close();
 		this.server.health().recordFailure(nowMillis());
-		this.parts.versions()
+		this.dependencies.versionSelector()
 			.record(this.server.registration(), this.owner.attempt().route(), true, nowMillis() - this.sentAtMillis);
 		this.owner.retryOrFail(DispatchOutcome.BROKEN, reason);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
@@ -7,10 +7,10 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * Cuts a stream of server-sent events at the ends of events, so that a break in the
- * middle of an event doesn't reach the caller.
+ * Splits a stream of server-sent events at event boundaries, so that the caller never
+ * receives part of an event if the connection to the server breaks.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 final class EventSplitter {
 
@@ -18,25 +18,26 @@
 
 	private ByteBuf pending = Unpooled.EMPTY_BUFFER;
 
-	private Optional<String> lastId = Optional.empty();
+	private Optional<String> lastEventId = Optional.empty();
 
 	/**
-	 * Add bytes as they came.
-	 * @param piece the bytes; not kept
-	 * @return the events that are complete now; owned by the caller, maybe empty
+	 * Append bytes of the stream.
+	 * @param chunk the bytes; copied, not released
+	 * @return all events completed by the bytes, to be released by the caller; may be
+	 * empty
 	 */
-	ByteBuf add(ByteBuf piece) {
-		ByteBuf all = Unpooled.buffer(this.pending.readableBytes() + piece.readableBytes());
-		all.writeBytes(this.pending).writeBytes(piece);
-		int end = endOfLastEvent(all);
+	ByteBuf append(ByteBuf chunk) {
+		ByteBuf merged = Unpooled.buffer(this.pending.readableBytes() + chunk.readableBytes());
+		merged.writeBytes(this.pending).writeBytes(chunk);
+		int end = lengthOfCompleteEvents(merged);
 		this.pending.release();
-		this.pending = all.copy(end, all.readableBytes() - end);
-		all.writerIndex(end);
-		readLastId(all);
-		return all;
+		this.pending = merged.copy(end, merged.readableBytes() - end);
+		merged.writerIndex(end);
+		updateLastEventId(merged);
+		return merged;
 	}
 
-	private static int endOfLastEvent(ByteBuf bytes) {
+	private static int lengthOfCompleteEvents(ByteBuf bytes) {
 		for (int i = bytes.writerIndex() - 1; i > bytes.readerIndex(); i--) {
 			if (bytes.getByte(i) != '\n') {
 				continue;
@@ -50,22 +51,22 @@
 		return 0;
 	}
 
-	private void readLastId(ByteBuf events) {
+	private void updateLastEventId(ByteBuf events) {
 		int lineStart = events.readerIndex();
 		int end = events.writerIndex();
 		while (lineStart < end) {
 			int newline = events.indexOf(lineStart, end, (byte) '\n');
 			int lineEnd = (newline < 0) ? end : newline;
-			if (startsWithId(events, lineStart, lineEnd)) {
+			if (startsWithIdField(events, lineStart, lineEnd)) {
 				int valueStart = lineStart + ID_FIELD.length;
-				this.lastId = Optional
+				this.lastEventId = Optional
 					.of(events.toString(valueStart, lineEnd - valueStart, StandardCharsets.UTF_8).strip());
 			}
 			lineStart = lineEnd + 1;
 		}
 	}
 
-	private static boolean startsWithId(ByteBuf events, int start, int end) {
+	private static boolean startsWithIdField(ByteBuf events, int start, int end) {
 		if (end - start < ID_FIELD.length) {
 			return false;
 		}
@@ -78,29 +79,31 @@
 	}
 
 	/**
-	 * Return the bytes after the last complete event, once the stream has ended.
-	 * @return the bytes; owned by the caller, maybe empty
+	 * Remove and return the bytes after the last complete event. Call it after the stream
+	 * has ended.
+	 * @return the bytes, to be released by the caller; may be empty
 	 */
-	ByteBuf rest() {
-		ByteBuf rest = this.pending;
+	ByteBuf takeRemainder() {
+		ByteBuf remainder = this.pending;
 		this.pending = Unpooled.EMPTY_BUFFER;
-		return rest;
+		return remainder;
 	}
 
 	/**
-	 * Drop an incomplete event, since another server goes on after the last complete one.
+	 * Discard an incomplete event. Another server resumes the stream after the last
+	 * complete one.
 	 */
-	void dropIncomplete() {
+	void discardIncomplete() {
 		this.pending.release();
 		this.pending = Unpooled.EMPTY_BUFFER;
 	}
 
 	/**
-	 * Return the id of the last complete event.
-	 * @return the id, if an event had one
+	 * Return the id of the last complete event that had one.
+	 * @return the id; empty if no event had one
 	 */
-	Optional<String> lastId() {
-		return this.lastId;
+	Optional<String> lastEventId() {
+		return this.lastEventId;
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
@@ -7,51 +7,51 @@
 import io.flamingogap.gateway.callers.OpenRequest;
 
 /**
- * A request that waits for units of its account's quota.
+ * A request whose admission waits until units of its account's quota have been borrowed.
  */
 final class PendingAdmission implements OpenRequest {
 
-	private final Runnable abandon;
+	private final Runnable onAbandoned;
 
 	private @Nullable OpenRequest admitted;
 
-	private boolean left;
+	private boolean callerDisconnected;
 
 	/**
-	 * Create a request that waits.
-	 * @param abandon gives the request up if its caller leaves
+	 * Create a request that waits for admission.
+	 * @param onAbandoned runs if the caller disconnects before the admission is decided
 	 */
-	PendingAdmission(Runnable abandon) {
-		this.abandon = abandon;
+	PendingAdmission(Runnable onAbandoned) {
+		this.onAbandoned = onAbandoned;
 	}
 
 	/**
-	 * Go on.
+	 * Decide the admission, unless the caller has disconnected.
 	 * @param next admits or refuses the request
 	 */
 	void resume(Supplier<OpenRequest> next) {
-		if (!this.left) {
+		if (!this.callerDisconnected) {
 			this.admitted = next.get();
 		}
 	}
 
 	@Override
 	public void callerLeft() {
-		OpenRequest open = this.admitted;
-		if (open != null) {
-			open.callerLeft();
+		OpenRequest request = this.admitted;
+		if (request != null) {
+			request.callerLeft();
 		}
-		else if (!this.left) {
-			this.left = true;
-			this.abandon.run();
+		else if (!this.callerDisconnected) {
+			this.callerDisconnected = true;
+			this.onAbandoned.run();
 		}
 	}
 
 	@Override
 	public void callerReads() {
-		OpenRequest open = this.admitted;
-		if (open != null) {
-			open.callerReads();
+		OpenRequest request = this.admitted;
+		if (request != null) {
+			request.callerReads();
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/QuotaBorrower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/QuotaBorrower.java
@@ -8,12 +8,13 @@
 public interface QuotaBorrower {
 
 	/**
-	 * Ask other nodes for units.
-	 * @param account the account
-	 * @param units the units that a request lacks
-	 * @param answered runs when units have come or none will
-	 * @return {@code false} if none can be asked for now; {@code answered} doesn't run
+	 * Request units from other nodes.
+	 * @param account the account whose quota lacks units
+	 * @param units the number of units that a request lacks
+	 * @param onCompleted runs when units have arrived or no more are expected
+	 * @return {@code false} if no node can be asked now; {@code onCompleted} does not run
+	 * then
 	 */
-	boolean borrow(ClientAccount account, long units, Runnable answered);
+	boolean borrow(ClientAccount account, long units, Runnable onCompleted);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -13,25 +13,25 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * What the request path works with.
+ * The collaborators that the request path uses.
  *
- * @param loop the event loop
- * @param clock tells the present time
- * @param config the configuration in force
- * @param servers the backend servers
- * @param selector chooses a server
- * @param versions chooses between versions that are compared
- * @param pool connections to servers
- * @param quotas admits requests
- * @param lender borrows from other nodes' shares
- * @param fleet what other nodes report
- * @param metrics counts what happens
- * @param demands counts what callers ask of services
- * @param loads hears of changes of this node's load at servers
- * @param random draws shares of traffic
+ * @param eventLoop runs all of the request path
+ * @param clock the clock of the node
+ * @param config holds the current configuration
+ * @param servers the known backend servers
+ * @param serverSelector selects a server for a request
+ * @param versionSelector selects between service versions during a rollout
+ * @param connectionPool connections to backend servers
+ * @param quotaLimiter admits requests within the accounts' quotas
+ * @param quotaBorrower borrows quota units from other nodes
+ * @param fleetDemand the demand that other nodes report
+ * @param metrics counters and latency histograms
+ * @param demandTracker tracks callers' demand for each service
+ * @param loadListener notified when this node's load at a backend server changes
+ * @param random chooses services by their share of the traffic
  */
-public record RelayDependencies(EventLoop loop, NodeClock clock, ConfigHolder config, ServerTable servers,
-		ServerSelector selector, VersionSelector versions, BackendConnectionPool pool, QuotaLimiter quotas,
-		QuotaBorrower lender, FleetDemand fleet, RelayMetrics metrics, ServiceDemandTracker demands,
-		ServerLoadListener loads, RandomGenerator random) {
+public record RelayDependencies(EventLoop eventLoop, NodeClock clock, ConfigHolder config, ServerTable servers,
+		ServerSelector serverSelector, VersionSelector versionSelector, BackendConnectionPool connectionPool,
+		QuotaLimiter quotaLimiter, QuotaBorrower quotaBorrower, FleetDemand fleetDemand, RelayMetrics metrics,
+		ServiceDemandTracker demandTracker, ServerLoadListener loadListener, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayLimits.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayLimits.java
@@ -3,15 +3,18 @@
 import io.flamingogap.core.quota.QuotaTolerance;
 
 /**
- * Bounds of the request path.
+ * Limits of the request path.
  *
- * @param retryShare the retries at a service for each request, over all nodes
- * @param retryAllowance the retries in a window that are allowed besides, over all nodes
- * @param retryWindowMillis the length of the window
+ * @param retryRatio the number of retries allowed per request at a service, over all
+ * nodes
+ * @param extraRetriesPerWindow the number of retries allowed per window in addition to
+ * the ratio, over all nodes
+ * @param retryWindowMillis the length of the window for counting retries; at least 1
  * @param quotaTolerance by how much a quota may be exceeded, over all nodes
- * @param maxBufferedBytes the most bytes of requests and answers that are held
+ * @param maxBufferedBytes the maximum number of bytes that the node buffers for requests
+ * and responses; at least 1. Only the bodies of open requests are counted against it
  */
-public record RelayLimits(double retryShare, double retryAllowance, long retryWindowMillis,
+public record RelayLimits(double retryRatio, double extraRetriesPerWindow, long retryWindowMillis,
 		QuotaTolerance quotaTolerance, long maxBufferedBytes) {
 
 	public RelayLimits {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayMetrics.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayMetrics.java
@@ -6,55 +6,57 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Counts of the request path. Written on the event loop, read there by the metrics page.
+ * Counters and latency histograms of the request path.
+ * <p>
+ * Not thread-safe; written and read on the event loop, also by the metrics page.
  */
 public final class RelayMetrics {
 
-	/** Ten minutes; longer than any route's timeout. */
+	/** Greater latencies are recorded as this. Exceeds the timeout of every route. */
 	private static final long MAX_LATENCY_MILLIS = 600_000;
 
 	private final Map<String, Long> counts = new TreeMap<>();
 
 	private final Map<String, Histogram> latencies = new TreeMap<>();
 
-	private int open;
+	private int openRequests;
 
 	private long bufferedBytes;
 
 	/**
-	 * Count an event.
-	 * @param name the name of the counter
+	 * Increment a counter.
+	 * @param name the name of the counter; created at 0 if it does not exist
 	 */
-	public void count(String name) {
+	public void increment(String name) {
 		this.counts.merge(name, 1L, Long::sum);
 	}
 
 	/**
 	 * Record a latency.
-	 * @param name the name of the histogram
+	 * @param name the name of the histogram; created if it does not exist
 	 * @param millis the latency in milliseconds
 	 */
 	public void recordLatency(String name, long millis) {
-		this.latencies.computeIfAbsent(name, (created) -> new Histogram(MAX_LATENCY_MILLIS, 2))
+		this.latencies.computeIfAbsent(name, (key) -> new Histogram(MAX_LATENCY_MILLIS, 2))
 			.recordValue(Math.min(MAX_LATENCY_MILLIS, Math.max(0, millis)));
 	}
 
 	void requestOpened(long bytes) {
-		this.open++;
+		this.openRequests++;
 		this.bufferedBytes += bytes;
 	}
 
 	void requestClosed(long bytes) {
-		this.open--;
+		this.openRequests--;
 		this.bufferedBytes -= bytes;
 	}
 
 	/**
-	 * Return the requests that are open.
-	 * @return the number
+	 * Return the number of requests that are being relayed.
+	 * @return the number now
 	 */
 	public int openRequests() {
-		return this.open;
+		return this.openRequests;
 	}
 
 	long bufferedBytes() {
@@ -62,15 +64,15 @@
 	}
 
 	/**
-	 * Return the counters.
-	 * @return counts by name
+	 * Return a copy of the counters.
+	 * @return counts by name, since the node started
 	 */
 	public Map<String, Long> counts() {
 		return Map.copyOf(this.counts);
 	}
 
 	/**
-	 * Return the histograms.
+	 * Return the latency histograms.
 	 * @return latencies in milliseconds by name
 	 */
 	public Map<String, Histogram> latencies() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -21,17 +21,18 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * One admitted request, from its first dispatch to its answer. The {@link Attempt}
- * decides; this class carries out.
+ * Relays one admitted request, from its first dispatch to the end of the response. The
+ * {@link Attempt} decides whether another server may be tried; this class carries out its
+ * decisions.
  */
 final class RelayedRequest implements OpenRequest {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** When a caller may come back that found no room at the servers. */
+	/** Delay before a caller may retry a request that no server ran. */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
-	private final RelayDependencies parts;
+	private final RelayDependencies dependencies;
 
 	private final CallerRequest request;
 
@@ -43,81 +44,81 @@
 
 	private final Optional<ClientAccount> account;
 
-	private final Hooks hooks;
+	private final Callbacks callbacks;
 
-	private Predicate<KnownServer> versions;
+	private Predicate<KnownServer> versionFilter;
 
-	private final EventSplitter events = new EventSplitter();
+	private final EventSplitter eventSplitter = new EventSplitter();
 
-	private final long bytes;
+	private final long bodyBytes;
 
-	private @Nullable ServerTry current;
+	private @Nullable BackendExchange currentExchange;
 
-	private @Nullable ScheduledFuture<?> deadline;
+	private @Nullable ScheduledFuture<?> deadlineTimer;
 
-	private String lastServer = "";
+	private String lastServerId = "";
 
 	private boolean startReported;
 
 	private boolean finished;
 
-	RelayedRequest(RelayDependencies parts, CallerRequest request, CallerExchange exchange, Attempt attempt,
-			String service, Optional<ClientAccount> account, Hooks hooks) {
-		this.parts = parts;
+	RelayedRequest(RelayDependencies dependencies, CallerRequest request, CallerExchange exchange, Attempt attempt,
+			String service, Optional<ClientAccount> account, Callbacks callbacks) {
+		this.dependencies = dependencies;
 		this.request = request;
 		this.exchange = exchange;
 		this.attempt = attempt;
 		this.service = service;
 		this.account = account;
-		this.hooks = hooks;
-		this.versions = parts.versions().selectVersions(service, attempt.route());
-		this.bytes = request.body().readableBytes();
+		this.callbacks = callbacks;
+		this.versionFilter = dependencies.versionSelector().selectVersions(service, attempt.route());
+		this.bodyBytes = request.body().readableBytes();
 	}
 
 	private long nowMillis() {
-		return this.parts.clock().steadyMillis();
+		return this.dependencies.clock().steadyMillis();
 	}
 
 	void start() {
-		this.parts.metrics().requestOpened(this.bytes);
-		this.parts.demands().opened(this.service, this.request.prompt(), nowMillis());
-		this.deadline = this.parts.loop()
+		this.dependencies.metrics().requestOpened(this.bodyBytes);
+		this.dependencies.demandTracker().requestOpened(this.service, this.request.prompt(), nowMillis());
+		this.deadlineTimer = this.dependencies.eventLoop()
 			.schedule(this::onDeadline, this.attempt.remainingMillis(nowMillis()), TimeUnit.MILLISECONDS);
 		dispatch("first");
 	}
 
 	private void dispatch(String cause) {
 		long nowMillis = nowMillis();
-		Optional<KnownServer> server = chooseServer(nowMillis);
+		Optional<KnownServer> server = selectServer(nowMillis);
 		if (server.isEmpty()) {
-			fail("no server of " + this.service + " has room (" + cause + ")");
+			fail("no server of service " + this.service + " can take the request (" + cause + ")");
 			return;
 		}
-		if (this.attempt.isNextDispatchRetry() && !this.hooks.mayRetry().getAsBoolean()) {
-			fail("the retry budget of " + this.service + " is used up (" + cause + ")");
+		if (this.attempt.isNextDispatchRetry() && !this.callbacks.trySpendRetry().getAsBoolean()) {
+			fail("the retry budget of service " + this.service + " is used up (" + cause + ")");
 			return;
 		}
-		this.current = new ServerTry(this.parts, this, server.get(), nowMillis);
-		this.current.send();
+		this.currentExchange = new BackendExchange(this.dependencies, this, server.get(), nowMillis);
+		this.currentExchange.send();
 	}
 
-	private Optional<KnownServer> chooseServer(long nowMillis) {
+	private Optional<KnownServer> selectServer(long nowMillis) {
 		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
-		return this.parts.selector()
-			.choose(this.parts.servers().ofService(this.service), this.request.prompt(), untried.and(this.versions),
-					nowMillis);
+		return this.dependencies.serverSelector()
+			.choose(this.dependencies.servers().ofService(this.service), this.request.prompt(),
+					untried.and(this.versionFilter), nowMillis);
 	}
 
 	void retryOrFail(DispatchOutcome outcome, String reason) {
 		this.attempt.recordOutcome(outcome);
-		logger.atInfo().log("%s", line("dispatch failed").with("outcome", outcome.name()).with("reason", reason));
-		this.current = null;
-		if (this.exchange.hasBegun() && !mayResume()) {
+		logger.atInfo().log("%s", logLine("dispatch failed").with("outcome", outcome.name()).with("reason", reason));
+		this.currentExchange = null;
+		if (this.exchange.hasBegun() && !canResume()) {
 			abort(reason);
 		}
 		else if (this.attempt.mayTryAnotherServer(nowMillis())) {
-			this.events.dropIncomplete();
-			this.versions = this.parts.versions().selectVersionsForRetry(this.service);
+			this.eventSplitter.discardIncomplete();
+			this.versionFilter = this.dependencies.versionSelector().selectVersionsForRetry(this.service);
 			dispatch(outcome + ": " + reason);
 		}
 		else {
@@ -125,20 +126,20 @@
 		}
 	}
 
-	private boolean mayResume() {
-		return this.attempt.route().resumable() && this.events.lastId().isPresent();
+	private boolean canResume() {
+		return this.attempt.route().resumable() && this.eventSplitter.lastEventId().isPresent();
 	}
 
 	private void onDeadline() {
-		giveUpCurrent();
-		fail("no answer in time");
+		cancelCurrentExchange();
+		fail("no complete response before the deadline");
 	}
 
-	private void giveUpCurrent() {
-		ServerTry open = this.current;
-		if (open != null) {
-			this.attempt.recordOutcome(open.giveUp(DispatchOutcome.SILENT));
-			this.current = null;
+	private void cancelCurrentExchange() {
+		BackendExchange running = this.currentExchange;
+		if (running != null) {
+			this.attempt.recordOutcome(running.cancel(DispatchOutcome.SILENT));
+			this.currentExchange = null;
 		}
 	}
 
@@ -151,9 +152,9 @@
 			return;
 		}
 		Failure failure = this.attempt.failure(reason, nowMillis());
-		boolean refused = failure.execution() == Execution.NOT_RUN;
+		boolean notRun = failure.execution() == Execution.NOT_RUN;
 		finish("request failed", failure.type().status(), reason);
-		this.exchange.fail(failure, refused ? RETRY_AFTER_MILLIS : -1);
+		this.exchange.fail(failure, notRun ? RETRY_AFTER_MILLIS : -1);
 	}
 
 	private void abort(String reason) {
@@ -163,29 +164,30 @@
 
 	void finish(String event, int status, String reason) {
 		this.finished = true;
-		if (this.deadline != null) {
-			this.deadline.cancel(false);
+		if (this.deadlineTimer != null) {
+			this.deadlineTimer.cancel(false);
 		}
 		this.request.body().release();
-		this.parts.metrics().requestClosed(this.bytes);
-		this.parts.demands().closed(this.service);
+		this.dependencies.metrics().requestClosed(this.bodyBytes);
+		this.dependencies.demandTracker().requestClosed(this.service);
 		if (!this.attempt.mayHaveRun()) {
-			this.hooks.refund().run();
+			this.callbacks.refund().run();
 		}
-		this.parts.metrics().count("answered." + status);
-		this.parts.metrics().recordLatency(this.attempt.route().kind().name(), this.attempt.elapsedMillis(nowMillis()));
-		logger.atInfo().log("%s", line(event).with("status", status).with("reason", reason));
+		this.dependencies.metrics().increment("answered." + status);
+		this.dependencies.metrics()
+			.recordLatency(this.attempt.route().kind().name(), this.attempt.elapsedMillis(nowMillis()));
+		logger.atInfo().log("%s", logLine(event).with("status", status).with("reason", reason));
 	}
 
-	LogLine line(String event) {
+	LogLine logLine(String event) {
 		return LogLine.of(event)
 			.with("request", this.request.attemptId())
 			.with("route", this.attempt.route().name())
 			.with("service", this.service)
-			.with("server", this.lastServer)
+			.with("server", this.lastServerId)
 			.with("dispatches", this.attempt.dispatchCount())
 			.with("ageMillis", this.attempt.elapsedMillis(nowMillis()))
-			.with("configVersion", this.parts.config().current().map((held) -> held.version()).orElse(-1L));
+			.with("configVersion", this.dependencies.config().current().map((config) -> config.version()).orElse(-1L));
 	}
 
 	@Override
@@ -193,15 +195,15 @@
 		if (this.finished) {
 			return;
 		}
-		giveUpCurrent();
+		cancelCurrentExchange();
 		finish("caller left", 0, "connection closed by the caller");
 	}
 
 	@Override
 	public void callerReads() {
-		ServerTry open = this.current;
-		if (open != null) {
-			open.resumeReading();
+		BackendExchange running = this.currentExchange;
+		if (running != null) {
+			running.resumeReading();
 		}
 	}
 
@@ -221,37 +223,38 @@
 		return this.account;
 	}
 
-	EventSplitter events() {
-		return this.events;
+	EventSplitter eventSplitter() {
+		return this.eventSplitter;
 	}
 
-	void noteServer(String server) {
-		this.lastServer = server;
+	void recordServer(String serverId) {
+		this.lastServerId = serverId;
 	}
 
-	void tryEnded() {
-		this.current = null;
+	void clearCurrentExchange() {
+		this.currentExchange = null;
 	}
 
 	/**
-	 * A server began the request; only the first one counts.
-	 * @param agoMillis how long ago it began
+	 * Report that a server began to process the request. Only the first report counts.
+	 * @param millisSinceStart the time since the server began
 	 */
-	void reportStart(long agoMillis) {
+	void reportStart(long millisSinceStart) {
 		if (!this.startReported) {
 			this.startReported = true;
-			this.hooks.starts().onStarted(this.account, agoMillis);
+			this.callbacks.startListener().onRequestStarted(this.account, millisSinceStart);
 		}
 	}
 
 	/**
-	 * What a request needs of the relay.
+	 * Callbacks from a request to the relay.
 	 *
-	 * @param mayRetry spends a retry if the budget of the service allows one
-	 * @param refund gives back what the request was charged
-	 * @param starts hears that a server began the request
+	 * @param trySpendRetry spends a retry from the budget of the service; {@code false}
+	 * if the budget is used up
+	 * @param refund returns the request's quota units to the account
+	 * @param startListener notified when a server begins to process the request
 	 */
-	record Hooks(BooleanSupplier mayRetry, Runnable refund, RequestRelay.StartListener starts) {
+	record Callbacks(BooleanSupplier trySpendRetry, Runnable refund, RequestRelay.RequestStartListener startListener) {
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -23,28 +23,31 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Takes callers' requests: finds the route and the account, keeps quotas and bounds, and
- * relays what is admitted.
+ * Accepts callers' requests. Finds the route, authenticates the client account, applies
+ * quotas and limits, and relays the requests that it admits.
  */
 public final class RequestRelay implements CallerRequests {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** A caller that states no budget waits as long as the route allows. */
-	private static final long NO_BUDGET = Long.MAX_VALUE / 4;
+	/** Used if the caller states no time budget; the timeout of the route applies. */
+	private static final long UNLIMITED_BUDGET_MILLIS = Long.MAX_VALUE / 4;
 
-	/** When a caller may come back that found no configuration or no room. */
+	/**
+	 * Delay before a caller may retry while the node has no configuration or its buffers
+	 * are full.
+	 */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
 	/**
-	 * The part of the shared retry allowance that nodes use, to allow for nodes that
-	 * start.
+	 * The fraction of the shared retry allowance that the nodes use. The rest is reserved
+	 * for nodes that are starting.
 	 */
-	private static final double ALLOWANCE_PART = 0.6;
+	private static final double RETRY_ALLOWANCE_FRACTION = 0.6;
 
 	private static final double PERCENT = 100;
 
-	private static final OpenRequest CLOSED = new OpenRequest() {
+	private static final OpenRequest NO_OP_REQUEST = new OpenRequest() {
 		@Override
 		public void callerLeft() {
 		}
@@ -54,54 +57,55 @@
 		}
 	};
 
-	private final RelayDependencies parts;
+	private final RelayDependencies dependencies;
 
-	private final RelayLimits bounds;
+	private final RelayLimits limits;
 
-	private final StartListener starts;
+	private final RequestStartListener startListener;
 
-	private final Map<String, WindowedRetryBudget> retries = new HashMap<>();
+	private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
-	private AdmissionState admission = AdmissionState.OPEN;
+	private AdmissionState admissionState = AdmissionState.OPEN;
 
 	/**
-	 * Create a relay.
-	 * @param parts what it works with
-	 * @param bounds its bounds
-	 * @param starts hears of requests that servers began
+	 * Create a relay that admits requests.
+	 * @param dependencies the collaborators
+	 * @param limits the retry, quota and buffer limits
+	 * @param startListener notified when a backend server begins to process a request
 	 */
-	public RequestRelay(RelayDependencies parts, RelayLimits bounds, StartListener starts) {
-		this.parts = parts;
-		this.bounds = bounds;
-		this.starts = starts;
+	public RequestRelay(RelayDependencies dependencies, RelayLimits limits, RequestStartListener startListener) {
+		this.dependencies = dependencies;
+		this.limits = limits;
+		this.startListener = startListener;
 	}
 
 	/**
-	 * Change how new requests are taken.
-	 * @param state the state
+	 * Set whether new requests are admitted and connections are kept alive.
+	 * @param state applies to requests that arrive from now on
 	 */
 	public void setAdmissionState(AdmissionState state) {
-		this.admission = state;
+		this.admissionState = state;
 	}
 
 	@Override
 	public boolean keepsConnections() {
-		return this.admission == AdmissionState.OPEN;
+		return this.admissionState == AdmissionState.OPEN;
 	}
 
 	@Override
 	public OpenRequest accept(CallerRequest request, CallerExchange exchange) {
-		Optional<ServingConfig> config = this.parts.config().current();
+		Optional<ServingConfig> config = this.dependencies.config().current();
 		if (config.isEmpty()) {
-			return refuse(request, exchange, notNow("no configuration is known"), RETRY_AFTER_MILLIS);
+			return refuse(request, exchange, overloaded("the node has not received a configuration yet"),
+					RETRY_AFTER_MILLIS);
 		}
-		if (this.admission == AdmissionState.CLOSED) {
-			return refuse(request, exchange, notNow("the node is stopping"), 0);
+		if (this.admissionState == AdmissionState.CLOSED) {
+			return refuse(request, exchange, overloaded("the node is stopping"), 0);
 		}
 		Optional<RouteRule> route = config.get().findRoute(request.host(), request.path());
 		if (route.isEmpty()) {
 			return refuse(request, exchange, Failure.notRun(ProblemType.NOT_FOUND, Step.PARSE, "caller",
-					"no route in version " + config.get().version()), -1);
+					"no matching route in configuration version " + config.get().version()), -1);
 		}
 		return authenticate(request, exchange, config.get(), route.get());
 	}
@@ -113,7 +117,7 @@
 			account = request.key().flatMap(config::findAccount);
 			if (account.isEmpty()) {
 				return refuse(request, exchange, Failure.notRun(ProblemType.UNAUTHENTICATED, Step.AUTHENTICATE,
-						"caller", "the key isn't in version " + config.version()), -1);
+						"caller", "the key is unknown in configuration version " + config.version()), -1);
 			}
 		}
 		return admit(request, exchange, route, account);
@@ -122,117 +126,124 @@
 	private OpenRequest admit(CallerRequest request, CallerExchange exchange, RouteRule route,
 			Optional<ClientAccount> account) {
 		long bytes = request.body().readableBytes();
-		if (this.parts.metrics().bufferedBytes() + bytes > this.bounds.maxBufferedBytes()) {
-			return refuse(request, exchange, notNow("the node holds too many bytes"), RETRY_AFTER_MILLIS);
+		if (this.dependencies.metrics().bufferedBytes() + bytes > this.limits.maxBufferedBytes()) {
+			return refuse(request, exchange, overloaded("the request buffers of the node are full"),
+					RETRY_AFTER_MILLIS);
 		}
-		long cost = costOf(request, account);
+		long cost = quotaCost(request, account);
 		if (account.isEmpty()) {
 			return relay(request, exchange, route, account, cost);
 		}
-		QuotaDecision verdict = spend(account.get(), cost);
-		if (verdict.isAdmitted()) {
+		QuotaDecision decision = chargeQuota(account.get(), cost);
+		if (decision.isAdmitted()) {
 			return relay(request, exchange, route, account, cost);
 		}
 		PendingAdmission pending = new PendingAdmission(() -> request.body().release());
-		boolean asked = this.parts.lender()
-			.borrow(account.get(), verdict.missingUnits(),
+		boolean borrowing = this.dependencies.quotaBorrower()
+			.borrow(account.get(), decision.missingUnits(),
 					() -> pending.resume(() -> admitOrRefuse(request, exchange, route, account.get(), cost)));
-		return asked ? pending : refuse(request, exchange, usedUp(account.get(), verdict), verdict.waitMillis());
+		return borrowing ? pending
+				: refuse(request, exchange, quotaExceeded(account.get(), decision), decision.waitMillis());
 	}
 
-	private static long costOf(CallerRequest request, Optional<ClientAccount> account) {
+	private static long quotaCost(CallerRequest request, Optional<ClientAccount> account) {
 		return account.map((found) -> found.quota().cost(request.statedTokens())).orElse(0L);
 	}
 
-	private QuotaDecision spend(ClientAccount account, long cost) {
-		return this.parts.quotas().admit(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
+	private QuotaDecision chargeQuota(ClientAccount account, long cost) {
+		return this.dependencies.quotaLimiter()
+			.admit(account, cost, this.dependencies.fleetDemand(), this.dependencies.clock().steadyMillis());
 	}
 
 	private OpenRequest admitOrRefuse(CallerRequest request, CallerExchange exchange, RouteRule route,
 			ClientAccount account, long cost) {
-		QuotaDecision verdict = this.parts.quotas()
-			.retryAdmission(account, cost, this.parts.fleet(), this.parts.clock().steadyMillis());
-		return verdict.isAdmitted() ? relay(request, exchange, route, Optional.of(account), cost)
-				: refuse(request, exchange, usedUp(account, verdict), verdict.waitMillis());
+		QuotaDecision decision = this.dependencies.quotaLimiter()
+			.retryAdmission(account, cost, this.dependencies.fleetDemand(), this.dependencies.clock().steadyMillis());
+		return decision.isAdmitted() ? relay(request, exchange, route, Optional.of(account), cost)
+				: refuse(request, exchange, quotaExceeded(account, decision), decision.waitMillis());
 	}
 
 	private OpenRequest relay(CallerRequest request, CallerExchange exchange, RouteRule route,
 			Optional<ClientAccount> account, long cost) {
-		long nowMillis = this.parts.clock().steadyMillis();
-		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(NO_BUDGET), nowMillis);
-		String service = route.chooseService(this.parts.random().nextDouble());
-		WindowedRetryBudget window = this.retries.computeIfAbsent(service,
-				(name) -> new WindowedRetryBudget(this.bounds.retryShare(), this.bounds.retryWindowMillis()));
-		window.recordRequest(nowMillis);
-		RelayedRequest relayed = new RelayedRequest(this.parts, request, exchange, attempt, service, account,
-				new RelayedRequest.Hooks(() -> mayRetry(window), () -> refund(account, cost), this.starts));
+		long nowMillis = this.dependencies.clock().steadyMillis();
+		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(UNLIMITED_BUDGET_MILLIS), nowMillis);
+		String service = route.chooseService(this.dependencies.random().nextDouble());
+		WindowedRetryBudget retryBudget = this.retryBudgets.computeIfAbsent(service,
+				(name) -> new WindowedRetryBudget(this.limits.retryRatio(), this.limits.retryWindowMillis()));
+		retryBudget.recordRequest(nowMillis);
+		RelayedRequest relayed = new RelayedRequest(this.dependencies, request, exchange, attempt, service, account,
+				new RelayedRequest.Callbacks(() -> trySpendRetry(retryBudget), () -> refund(account, cost),
+						this.startListener));
 		relayed.start();
 		return relayed;
 	}
 
-	private static Failure usedUp(ClientAccount account, QuotaDecision verdict) {
-		String detail = String.format(Locale.ROOT, "quota of %s: %.0f units left, %.0f a second, %.1f %% of the quota",
-				account.name(), verdict.availableUnits(), verdict.ratePerSecond(), PERCENT * verdict.share());
+	private static Failure quotaExceeded(ClientAccount account, QuotaDecision decision) {
+		String detail = String.format(Locale.ROOT,
+				"quota of account %s exceeded: %.0f units available, %.0f units per second, %.1f %% of the quota",
+				account.name(), decision.availableUnits(), decision.ratePerSecond(), PERCENT * decision.share());
 		return Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller", detail);
 	}
 
-	private boolean mayRetry(WindowedRetryBudget window) {
-		double allowance = this.bounds.retryAllowance() * ALLOWANCE_PART / this.parts.fleet().nodes();
-		return window.trySpend(allowance, this.parts.clock().steadyMillis());
+	private boolean trySpendRetry(WindowedRetryBudget retryBudget) {
+		double allowance = this.limits.extraRetriesPerWindow() * RETRY_ALLOWANCE_FRACTION
+				/ this.dependencies.fleetDemand().nodes();
+		return retryBudget.trySpend(allowance, this.dependencies.clock().steadyMillis());
 	}
 
 	private void refund(Optional<ClientAccount> account, long cost) {
-		account.ifPresent((found) -> this.parts.quotas().refund(found, cost));
+		account.ifPresent((found) -> this.dependencies.quotaLimiter().refund(found, cost));
 	}
 
-	private static Failure notNow(String detail) {
+	private static Failure overloaded(String detail) {
 		return Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, "caller", detail);
 	}
 
 	private OpenRequest refuse(CallerRequest request, CallerExchange exchange, Failure failure, long retryAfterMillis) {
 		request.body().release();
-		this.parts.metrics().count("refused." + failure.type().status());
-		long configVersion = this.parts.config().current().map(ServingConfig::version).orElse(-1L);
+		this.dependencies.metrics().increment("refused." + failure.type().status());
+		long configVersion = this.dependencies.config().current().map(ServingConfig::version).orElse(-1L);
 		logger.atInfo()
-			.log("%s", LogLine.of("request refused")
-				.with("request", request.attemptId())
-				.with("status", failure.type().status())
-				.with("step", failure.step().name())
-				.with("reason", failure.detail())
-				.with("configVersion", configVersion)
-				.with("configAgeMillis",
-						(configVersion >= 0) ? this.parts.config().ageMillis(this.parts.clock().steadyMillis()) : -1));
+			.log("%s",
+					LogLine.of("request refused")
+						.with("request", request.attemptId())
+						.with("status", failure.type().status())
+						.with("step", failure.step().name())
+						.with("reason", failure.detail())
+						.with("configVersion", configVersion)
+						.with("configAgeMillis", (configVersion >= 0)
+								? this.dependencies.config().ageMillis(this.dependencies.clock().steadyMillis()) : -1));
 		exchange.fail(failure, retryAfterMillis);
-		return CLOSED;
+		return NO_OP_REQUEST;
 	}
 
 	/**
-	 * How new requests are taken.
+	 * Whether new requests are admitted and callers' connections are kept alive.
 	 */
 	public enum AdmissionState {
 
-		/** All are taken and connections are kept. */
+		/** New requests are admitted and connections are kept alive. */
 		OPEN,
 
-		/** All are taken, and connections end after the answer. */
+		/** New requests are admitted; connections are closed after the response. */
 		DRAINING,
 
-		/** None is taken any more. */
+		/** New requests are refused. */
 		CLOSED
 
 	}
 
 	/**
-	 * Hears of requests that backend servers began.
+	 * Receives a notification when a backend server begins to process a request.
 	 */
-	public interface StartListener {
+	public interface RequestStartListener {
 
 		/**
-		 * A backend server began a request.
-		 * @param account the client account, if the route needs one
-		 * @param agoMillis how long ago it began
+		 * Receive the start of a request. Called at most once for each request.
+		 * @param account the client account; empty if the route needs none
+		 * @param millisSinceStart the time since the server began
 		 */
-		void onStarted(Optional<ClientAccount> account, long agoMillis);
+		void onRequestStarted(Optional<ClientAccount> account, long millisSinceStart);
 
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerLoadListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerLoadListener.java
@@ -3,14 +3,14 @@
 import io.flamingogap.core.servers.KnownServer;
 
 /**
- * Hears that this node's load at a backend server has changed.
+ * Receives a notification when this node's load at a backend server changes.
  */
 @FunctionalInterface
 public interface ServerLoadListener {
 
 	/**
-	 * The load has changed.
-	 * @param server the server
+	 * Receive a change of this node's load at a server.
+	 * @param server the server, with its load after the change
 	 */
 	void onLoadChanged(KnownServer server);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServiceDemandTracker.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServiceDemandTracker.java
@@ -10,13 +10,15 @@
 import io.flamingogap.core.servers.PromptPart;
 
 /**
- * What callers of this node ask of each service, as moving averages. Used on the event
- * loop only.
+ * Tracks the demand of this node's callers for each service: open requests, and request
+ * and token rates as exponential moving averages.
+ * <p>
+ * Not thread-safe; all calls must be made on the event loop.
  */
 public final class ServiceDemandTracker {
 
-	/** Time constant of the averages: long enough to smooth clumps of requests. */
-	private static final double AVERAGE_MILLIS = 5_000;
+	/** Time constant of the moving averages; long enough to smooth bursts. */
+	private static final double TIME_CONSTANT_MILLIS = 5_000;
 
 	private static final double MILLIS_PER_MINUTE = 60_000;
 
@@ -24,49 +26,49 @@
 
 	private final Map<String, Demand> byService = new HashMap<>();
 
-	void opened(String service, PromptMetadata prompt, long nowMillis) {
+	void requestOpened(String service, PromptMetadata prompt, long nowMillis) {
 		Demand demand = this.byService.computeIfAbsent(service, (name) -> new Demand());
 		demand.decay(nowMillis);
-		demand.open++;
-		demand.requests++;
-		long shared = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
-		demand.tokens += Math.max(0, prompt.promptTokens() - shared);
+		demand.openRequests++;
+		demand.decayedRequests++;
+		long sharedTokens = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
+		demand.decayedTokens += Math.max(0, prompt.promptTokens() - sharedTokens);
 	}
 
-	void closed(String service) {
-		this.byService.get(service).open--;
+	void requestClosed(String service) {
+		this.byService.get(service).openRequests--;
 	}
 
 	/**
-	 * Return the demand.
-	 * @param nowMillis the present time
-	 * @return a row for each service that was asked for
+	 * Return the current demand.
+	 * @param nowMillis the time now, on the clock used to record requests
+	 * @return one entry for each service that was requested since the node started
 	 */
 	public List<NodeReport.ServiceDemand> report(long nowMillis) {
 		List<NodeReport.ServiceDemand> rows = new ArrayList<>();
 		this.byService.forEach((service, demand) -> {
 			demand.decay(nowMillis);
-			rows.add(new NodeReport.ServiceDemand(service, demand.open,
-					Math.round(demand.tokens / AVERAGE_MILLIS * MILLIS_PER_SECOND),
-					Math.round(demand.requests / AVERAGE_MILLIS * MILLIS_PER_MINUTE)));
+			rows.add(new NodeReport.ServiceDemand(service, demand.openRequests,
+					Math.round(demand.decayedTokens / TIME_CONSTANT_MILLIS * MILLIS_PER_SECOND),
+					Math.round(demand.decayedRequests / TIME_CONSTANT_MILLIS * MILLIS_PER_MINUTE)));
 		});
 		return rows;
 	}
 
 	private static final class Demand {
 
-		private int open;
+		private int openRequests;
 
-		private double tokens;
+		private double decayedTokens;
 
-		private double requests;
+		private double decayedRequests;
 
 		private long decayedAtMillis;
 
 		private void decay(long nowMillis) {
-			double kept = Math.exp(-(nowMillis - this.decayedAtMillis) / AVERAGE_MILLIS);
-			this.tokens *= kept;
-			this.requests *= kept;
+			double factor = Math.exp(-(nowMillis - this.decayedAtMillis) / TIME_CONSTANT_MILLIS);
+			this.decayedTokens *= factor;
+			this.decayedRequests *= factor;
 			this.decayedAtMillis = nowMillis;
 		}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
@@ -7,32 +7,34 @@
 import io.flamingogap.core.serving.RouteRule;
 
 /**
- * Chooses the versions of a service that a request may go to while a rollout is under
- * way, and takes the outcomes.
+ * Selects the versions of a service that a request may be sent to during a rollout, and
+ * records the outcomes of requests for the rollout decision.
  */
 public interface VersionSelector {
 
 	/**
-	 * Choose the versions for a request.
-	 * @param service the service
+	 * Select the versions for the first dispatch of a request.
+	 * @param service the name of the service
 	 * @param route the route of the request
-	 * @return which servers may get the request
+	 * @return accepts the servers that the request may be sent to
 	 */
 	Predicate<KnownServer> selectVersions(String service, RouteRule route);
 
 	/**
-	 * Choose the versions for a request that failed before: not the one under trial.
-	 * @param service the service
-	 * @return which servers may get the request
+	 * Select the versions for a request that has failed before. Excludes the candidate
+	 * version of a running rollout.
+	 * @param service the name of the service
+	 * @return accepts the servers that the request may be sent to
 	 */
 	Predicate<KnownServer> selectVersionsForRetry(String service);
 
 	/**
 	 * Record the outcome of a dispatch.
-	 * @param server the server
+	 * @param server the server that the request was sent to
 	 * @param route the route of the request
 	 * @param failed whether the server failed
-	 * @param latencyMillis the time to the answer or its first event
+	 * @param latencyMillis the time from sending the request to the end of a plain
+	 * response or the first event of a stream; 0 if the response was discarded
 	 */
 	void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The way of one request from its caller to a backend server and back.
+ * Relays callers' requests to backend servers and the responses back.
  */
 @NullMarked
 package io.flamingogap.gateway.relay;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/relay/EventSplitterPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/relay/EventSplitterPropertyTests.java
@@ -13,11 +13,13 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Streams that break off at any byte and go on at another server.
+ * Simulates streams that break at any byte and resume at another server after the last
+ * complete event. Guards against events that the caller receives twice, in part or not at
+ * all.
  */
 class EventSplitterPropertyTests {
 
-	private static final int EVENTS = 8;
+	private static final int EVENT_COUNT = 8;
 
 	private static String event(int id, String newline) {
 		return "id: " + id + newline + "data: piece " + id + newline + newline;
@@ -25,7 +27,7 @@
 
 	private static String eventsAfter(int id, String newline) {
 		StringBuilder events = new StringBuilder();
-		for (int next = id + 1; next <= EVENTS; next++) {
+		for (int next = id + 1; next <= EVENT_COUNT; next++) {
 			events.append(event(next, newline));
 		}
 		return events.toString();
@@ -36,32 +38,32 @@
 		SplittableRandom random = new SplittableRandom(seed);
 		String newline = random.nextBoolean() ? "\n" : "\r\n";
 		EventSplitter splitter = new EventSplitter();
-		StringBuilder passedOn = new StringBuilder();
-		boolean whole = false;
-		while (!whole) {
-			int from = splitter.lastId().map(Integer::parseInt).orElse(0);
-			byte[] stream = eventsAfter(from, newline).getBytes(StandardCharsets.US_ASCII);
-			whole = random.nextInt(3) == 0;
-			int length = whole ? stream.length : random.nextInt(stream.length + 1);
-			serve(splitter, stream, length, random, passedOn);
-			if (!whole) {
-				splitter.dropIncomplete();
+		StringBuilder received = new StringBuilder();
+		boolean complete = false;
+		while (!complete) {
+			int resumeAfterId = splitter.lastEventId().map(Integer::parseInt).orElse(0);
+			byte[] stream = eventsAfter(resumeAfterId, newline).getBytes(StandardCharsets.US_ASCII);
+			complete = random.nextInt(3) == 0;
+			int length = complete ? stream.length : random.nextInt(stream.length + 1);
+			serve(splitter, stream, length, random, received);
+			if (!complete) {
+				splitter.discardIncomplete();
 			}
 		}
-		assertThat(passedOn.toString(), is(eventsAfter(0, newline)));
+		assertThat(received.toString(), is(eventsAfter(0, newline)));
 	}
 
 	private static void serve(EventSplitter splitter, byte[] stream, int length, SplittableRandom random,
-			StringBuilder passedOn) {
+			StringBuilder received) {
 		int sent = 0;
 		while (sent < length) {
-			int piece = Math.min(length - sent, 1 + random.nextInt(20));
-			ByteBuf bytes = Unpooled.wrappedBuffer(stream, sent, piece);
-			ByteBuf complete = splitter.add(bytes);
-			passedOn.append(complete.toString(StandardCharsets.US_ASCII));
-			complete.release();
-			bytes.release();
-			sent += piece;
+			int chunkLength = Math.min(length - sent, 1 + random.nextInt(20));
+			ByteBuf chunk = Unpooled.wrappedBuffer(stream, sent, chunkLength);
+			ByteBuf events = splitter.append(chunk);
+			received.append(events.toString(StandardCharsets.US_ASCII));
+			events.release();
+			chunk.release();
+			sent += chunkLength;
 		}
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/relay/package-info.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/relay/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the way of one request.
+ * Tests of the relay of callers' requests to backend servers.
  */
 @NullMarked
 package io.flamingogap.gateway.relay;
