--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
@@ -0,0 +1,42 @@
+package io.flamingogap.gateway.backends;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Receives the response to one request to a backend server. The last call is exactly one
+ * of {@link #onComplete}, {@link #onFailure} and {@link #onNotSent}, unless the request
+ * is cancelled.
+ */
+public interface ResponseListener {
+
+	/**
+	 * Receive the head of the response.
+	 * @param head the decoded head
+	 */
+	void onHead(BackendResponseHead head);
+
+	/**
+	 * Receive the next part of the body.
+	 * @param chunk valid only during this call; the connection releases it afterwards
+	 */
+	void onBody(ByteBuf chunk);
+
+	/**
+	 * Receive the end of a complete response.
+	 */
+	void onComplete();
+
+	/**
+	 * Receive a failure after bytes of the request may have been sent: the connection
+	 * broke, or the bytes received are not a response to the request.
+	 * @param reason a description for logs and error messages
+	 */
+	void onFailure(String reason);
+
+	/**
+	 * Receive a failure to open a connection. No byte of the request was sent.
+	 * @param reason a description for logs and error messages
+	 */
+	void onNotSent(String reason);
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
@@ -0,0 +1,345 @@
+package io.flamingogap.gateway.relay;
+
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+import io.flamingogap.core.attempt.DispatchOutcome;
+import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.PromptMetadata;
+import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.RequestKind;
+import io.flamingogap.gateway.backends.BackendCall;
+import io.flamingogap.gateway.backends.BackendRequest;
+import io.flamingogap.gateway.backends.BackendResponseHead;
+import io.flamingogap.gateway.backends.ResponseListener;
+import io.flamingogap.gateway.log.LogLine;
+
+/**
+ * Sends a request to one backend server and forwards the response to the caller, or asks
+ * the {@link RelayedRequest} to retry.
+ */
+final class BackendExchange implements ResponseListener {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Plain responses up to this size are buffered until they are complete. */
+	private static final int MAX_BUFFERED_BODY_BYTES = 262_144;
+
+	/**
+	 * The fraction of the route's latency target after which a repeatable request is
+	 * cancelled at a server that has sent no response head.
+	 */
+	private static final double SILENCE_TIMEOUT_FRACTION = 0.6;
+
+	private static final double PERCENT = 100;
+
+	/** Greater values mean less urgent and are reserved for requests that may wait. */
+	private static final int LOWEST_URGENCY = 9;
+
+	private final RelayDependencies dependencies;
+
+	private final RelayedRequest owner;
+
+	private final KnownServer server;
+
+	private final long sentAtMillis;
+
+	private final long promptTokens;
+
+	private @Nullable BackendCall call;
+
+	private @Nullable BackendResponseHead responseHead;
+
+	private @Nullable ScheduledFuture<?> silenceTimer;
+
+	private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
+
+	private boolean promptRead;
+
+	private boolean closed;
+
+	BackendExchange(RelayDependencies dependencies, RelayedRequest owner, KnownServer server, long sentAtMillis) {
+		this.dependencies = dependencies;
+		this.owner = owner;
+		this.server = server;
+		this.sentAtMillis = sentAtMillis;
+		PromptMetadata prompt = owner.request().prompt();
+		this.promptTokens = Math.max(0, prompt.promptTokens() - server.promptCache().estimateCachedTokens(prompt));
+	}
+
+	void send() {
+		this.owner.attempt().recordDispatch(this.server.registration().id());
+		this.owner.recordServer(this.server.registration().id());
+		this.server.load().recordSent(this.promptTokens);
+		this.dependencies.loadListener().onLoadChanged(this.server);
+		this.server.promptCache().record(this.owner.request().prompt());
+		BackendRequest request = new BackendRequest(this.owner.request(), this.server.registration(),
+				this.owner.attempt().remainingMillis(this.sentAtMillis), this.owner.account().map(ClientAccount::name),
+				urgency(), this.owner.eventSplitter().lastEventId());
+		logger.atInfo().log("%s", dispatchLogLine(request.remainingMillis()));
+		boolean repeatable = this.owner.attempt().route().isRepeatable();
+		this.call = this.dependencies.connectionPool().send(request, repeatable, this);
+		if (this.owner.attempt().route().kind() == RequestKind.IDEMPOTENT) {
+			long silenceTimeoutMillis = (long) (this.owner.attempt().route().latencyTargetMillis()
+					* SILENCE_TIMEOUT_FRACTION);
+			this.silenceTimer = this.dependencies.eventLoop()
+				.schedule(this::onSilenceTimeout, silenceTimeoutMillis, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private LogLine dispatchLogLine(long remainingMillis) {
+		return this.owner.logLine("dispatched")
+			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
+			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
+			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
+			.with("doubtful", this.server.isSuspect())
+			.with("leftMillis", remainingMillis);
+	}
+
+	private int urgency() {
+		int priority = this.owner.account()
+			.flatMap((found) -> found.priority().stream().boxed().findFirst())
+			.orElse(this.owner.attempt().route().priority());
+		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
+	}
+
+	private void onSilenceTimeout() {
+		if (this.responseHead == null && !this.closed && this.owner.attempt().mayTryAnotherServer(nowMillis())
+				&& this.owner.attempt().route().maxServers() > 1) {
+			DispatchOutcome outcome = cancel(DispatchOutcome.SILENT);
+			this.server.health().recordFailure(nowMillis());
+			this.owner.retryOrFail(outcome, "no response head within the silence timeout");
+		}
+	}
+
+	/**
+	 * Cancel the dispatch. Closes the connection, so that the server stops processing,
+	 * and subtracts the request from this node's load at the server.
+	 * @param outcome the outcome to return if bytes may have been sent
+	 * @return {@code outcome}, or {@link DispatchOutcome#NOT_SENT} if no byte was sent
+	 */
+	DispatchOutcome cancel(DispatchOutcome outcome) {
+		boolean sent = this.call != null && this.call.mayHaveBeenSent();
+		if (this.call != null && !this.closed) {
+			this.call.cancel();
+		}
+		close();
+		return sent ? outcome : DispatchOutcome.NOT_SENT;
+	}
+
+	private void close() {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		if (this.silenceTimer != null) {
+			this.silenceTimer.cancel(false);
+		}
+		markPromptRead();
+		this.server.load().recordEnd();
+		this.dependencies.loadListener().onLoadChanged(this.server);
+		this.bufferedBody.release();
+		this.bufferedBody = Unpooled.EMPTY_BUFFER;
+	}
+
+	private void markPromptRead() {
+		if (!this.promptRead) {
+			this.promptRead = true;
+			this.server.load().recordPromptRead(this.promptTokens);
+			this.dependencies.loadListener().onLoadChanged(this.server);
+		}
+	}
+
+	/**
+	 * Resume reading the response once the caller reads again.
+	 */
+	void resumeReading() {
+		if (this.call != null) {
+			this.call.setAutoRead(true);
+		}
+	}
+
+	private long nowMillis() {
+		return this.dependencies.clock().steadyMillis();
+	}
+
+	@Override
+	public void onHead(BackendResponseHead head) {
+		this.responseHead = head;
+		head.load()
+			.ifPresent((load) -> this.server.load()
+				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
+		switch (head.verdict()) {
+			case REJECTED ->
+				cancelAndRetry(DispatchOutcome.REJECTED, "rejected by the server with status " + head.status().code());
+			case MISDIRECTED -> {
+				this.dependencies.servers().remove(this.server.registration().id());
+				cancelAndRetry(DispatchOutcome.MISDIRECTED, "the address belongs to another server");
+			}
+			case UNVERIFIED, ATTEMPT_MISMATCH ->
+				cancelAndRetry(DispatchOutcome.BROKEN, "response without proof that the server sent it");
+			case ANSWERED -> onServerResponse(head);
+		}
+	}
+
+	private void cancelAndRetry(DispatchOutcome outcome, String reason) {
+		cancel(outcome);
+		this.server.health().recordFailure(nowMillis());
+		this.dependencies.versionSelector()
+			.record(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
+		this.owner.retryOrFail(outcome, reason);
+	}
+
+	private void onServerResponse(BackendResponseHead head) {
+		if (this.owner.exchange().hasBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
+			cancelAndRetry(DispatchOutcome.FAILED, "resumed stream answered with status " + head.status().code());
+			return;
+		}
+		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+		if (failed && !this.owner.exchange().hasBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
+				&& this.owner.attempt().route().maxServers() > 1) {
+			cancelAndRetry(DispatchOutcome.FAILED, "answered with status " + head.status().code());
+			return;
+		}
+		if (!isStreaming()) {
+			recordStart(nowMillis() - this.sentAtMillis);
+		}
+	}
+
+	private void recordStart(long millisSinceStart) {
+		markPromptRead();
+		this.owner.reportStart(millisSinceStart);
+		this.dependencies.metrics().recordLatency("first", this.owner.attempt().elapsedMillis(nowMillis()));
+	}
+
+	private boolean isStreaming() {
+		return this.owner.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
+				&& this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
+	}
+
+	@Override
+	public void onBody(ByteBuf chunk) {
+		if (this.closed) {
+			return;
+		}
+		if (isStreaming()) {
+			forwardEvents(this.owner.eventSplitter().append(chunk));
+		}
+		else {
+			bufferBody(chunk);
+		}
+	}
+
+	private void forwardEvents(ByteBuf events) {
+		if (!events.isReadable()) {
+			events.release();
+			return;
+		}
+		if (!this.promptRead) {
+			recordStart(0);
+			this.dependencies.versionSelector()
+				.record(this.server.registration(), this.owner.attempt().route(), false,
+						nowMillis() - this.sentAtMillis);
+		}
+		beginResponse();
+		this.owner.exchange().write(events);
+		if (this.owner.exchange().isCongested() && this.call != null) {
+			this.call.setAutoRead(false);
+		}
+	}
+
+	private void beginResponse() {
+		BackendResponseHead head = this.responseHead;
+		if (!this.owner.exchange().hasBegun() && head != null) {
+			this.owner.exchange().begin(head.status(), head.headers());
+		}
+	}
+
+	private void bufferBody(ByteBuf chunk) {
+		if (this.bufferedBody.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+			beginResponse();
+			this.owner.exchange().write(this.bufferedBody);
+			this.bufferedBody = Unpooled.EMPTY_BUFFER;
+			this.owner.exchange().write(chunk.copy());
+		}
+		else {
+			ByteBuf merged = Unpooled.buffer(this.bufferedBody.readableBytes() + chunk.readableBytes());
+			merged.writeBytes(this.bufferedBody).writeBytes(chunk);
+			this.bufferedBody.release();
+			this.bufferedBody = merged;
+		}
+	}
+
+	@Override
+	public void onComplete() {
+		if (this.closed) {
+			return;
+		}
+		BackendResponseHead head = this.responseHead;
+		ByteBuf body = this.bufferedBody;
+		this.bufferedBody = Unpooled.EMPTY_BUFFER;
+		boolean failed = head == null || head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+		recordOutcome(failed);
+		close();
+		if (isStreaming()) {
+			ByteBuf remainder = this.owner.eventSplitter().takeRemainder();
+			beginResponse();
+			if (remainder.isReadable()) {
+				this.owner.exchange().write(remainder);
+			}
+		}
+		this.owner.finish("request answered", (head != null) ? head.status().code() : 0, "answered by the server");
+		this.owner.clearCurrentExchange();
+		if (this.owner.exchange().hasBegun()) {
+			body.release();
+			this.owner.exchange().end();
+		}
+		else if (head != null) {
+			this.owner.exchange().respond(head.status(), head.headers(), body);
+		}
+	}
+
+	private void recordOutcome(boolean failed) {
+		long nowMillis = nowMillis();
+		if (failed) {
+			this.server.health().recordFailure(nowMillis);
+		}
+		else {
+			this.server.health().recordSuccess(nowMillis);
+		}
+		if (failed || !isStreaming()) {
+			this.dependencies.versionSelector()
+				.record(this.server.registration(), this.owner.attempt().route(), failed,
+						nowMillis - this.sentAtMillis);
+		}
+	}
+
+	@Override
+	public void onFailure(String reason) {
+		if (this.closed) {
+			return;
+		}
+		close();
+		this.server.health().recordFailure(nowMillis());
+		this.dependencies.versionSelector()
+			.record(this.server.registration(), this.owner.attempt().route(), true, nowMillis() - this.sentAtMillis);
+		this.owner.retryOrFail(DispatchOutcome.BROKEN, reason);
+	}
+
+	@Override
+	public void onNotSent(String reason) {
+		if (this.closed) {
+			return;
+		}
+		close();
+		this.server.health().recordUnreachable(nowMillis());
+		this.owner.retryOrFail(DispatchOutcome.NOT_SENT, reason);
+	}
+
+}
