Reword the membership table and the selection of peers

Nodes "heard" each other, said things "of their life" and were "lost"; several descriptions only repeated the name, and left out what null, 0 or an unknown node means. The comments now use the terms of gossip membership: rows with versions, reachable and unreachable nodes, refuting a report. Internal names follow: Member.nextVersion and asUnreachable for announce and lost, ringPosition for place, selfIndex, local and stopping for three meanings of own. The message for a missing row in the constructor of MembershipTable names the parameter local.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/Member.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/Member.java
@@ -8,16 +8,18 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * A row of the membership table.
+ * State of one entry node as it is gossiped between nodes. Immutable; a change makes a
+ * new row.
  *
- * @param node the node run
- * @param zone the availability zone
- * @param callerAddress where callers connect
- * @param nodeAddress where other entry nodes connect
- * @param state what the node says of its life
- * @param version raised by the node itself at each change
- * @param unreachable whether a neighbour lost its connection to this version of the node
- * @param successor the node that its keys passed to, if any
+ * @param node the node and its incarnation
+ * @param zone the name of its availability zone
+ * @param callerAddress the address at which it accepts connections of callers
+ * @param nodeAddress the address at which it accepts connections of other entry nodes
+ * @param state the lifecycle state that the node last announced
+ * @param version the version of the row; only the node itself raises it, by one at each
+ * change
+ * @param unreachable whether a neighbour lost its connection to the node at this version
+ * @param successor the node that took over its keys; {@code null} if none has
  */
 public record Member(NodeId node, String zone, Address callerAddress, Address nodeAddress, MemberState state,
 		long version, boolean unreachable, @Nullable NodeId successor) {
@@ -31,51 +33,56 @@
 	}
 
 	/**
-	 * Return whether the node can be given to callers.
-	 * @return {@code true} if it serves and its neighbours hear it
+	 * Return whether callers may be sent to the node.
+	 * @return {@code true} if its state is {@link MemberState#SERVING} and no neighbour
+	 * reports it as unreachable
 	 */
 	public boolean isServing() {
 		return this.state == MemberState.SERVING && !this.unreachable;
 	}
 
 	/**
-	 * Return whether the node can be talked to.
-	 * @return {@code true} if it has not stopped and its neighbours hear it
+	 * Return whether other nodes can connect to the node.
+	 * @return {@code true} if it has not stopped and no neighbour reports it as
+	 * unreachable
 	 */
 	public boolean isReachable() {
 		return this.state != MemberState.GONE && !this.unreachable;
 	}
 
 	/**
-	 * Return whether this row is news to a holder of another row of the same node. The
-	 * relation is a total order, so that all nodes end with the same row.
-	 * @param held the row held so far
+	 * Return whether this row replaces another row of the same node. A higher version
+	 * wins; at the same version, unreachable wins. This is a total order, so that all
+	 * nodes converge on the same row, in whatever order they receive rows.
+	 * @param current the row known so far
 	 * @return {@code true} if this row replaces it
 	 */
-	boolean supersedes(Member held) {
-		if (this.version != held.version) {
-			return this.version > held.version;
+	boolean supersedes(Member current) {
+		if (this.version != current.version) {
+			return this.version > current.version;
 		}
-		return this.unreachable && !held.unreachable;
+		return this.unreachable && !current.unreachable;
 	}
 
 	/**
-	 * Return the row as its node announces a change.
-	 * @param newState the new state
-	 * @param newSuccessor the node that its keys passed to, if any
-	 * @return a row with a higher version
+	 * Return the next version of the row, as the node itself announces it. The version is
+	 * one higher and the row is reachable.
+	 * @param newState the new state; ignored if it is earlier than the current state
+	 * @param newSuccessor the node that took over its keys; {@code null} leaves the
+	 * successor as it is
+	 * @return the row with the next version
 	 */
-	Member announce(MemberState newState, @Nullable NodeId newSuccessor) {
-		MemberState later = (newState.compareTo(this.state) > 0) ? newState : this.state;
-		return new Member(this.node, this.zone, this.callerAddress, this.nodeAddress, later, this.version + 1, false,
+	Member nextVersion(MemberState newState, @Nullable NodeId newSuccessor) {
+		MemberState latest = (newState.compareTo(this.state) > 0) ? newState : this.state;
+		return new Member(this.node, this.zone, this.callerAddress, this.nodeAddress, latest, this.version + 1, false,
 				(newSuccessor != null) ? newSuccessor : this.successor);
 	}
 
 	/**
-	 * Return the row as a neighbour reports a lost connection.
-	 * @return the unreachable row of the same version
+	 * Return the row that a neighbour reports after it lost its connection to the node.
+	 * @return the same row and version, marked as unreachable
 	 */
-	Member lost() {
+	Member asUnreachable() {
 		return new Member(this.node, this.zone, this.callerAddress, this.nodeAddress, this.state, this.version, true,
 				this.successor);
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/MemberState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/MemberState.java
@@ -1,17 +1,20 @@
 package io.flamingogap.core.membership;
 
 /**
- * What an entry node says of its own life. States only advance.
+ * Lifecycle state that an entry node announces for itself. A node only moves forward, in
+ * the order of the constants.
  */
 public enum MemberState {
 
-	/** Takes new requests. */
+	/** The node accepts new requests. */
 	SERVING,
-	/** Left out of entry answers; still takes the requests that reach it. */
+	/**
+	 * Callers are no longer directed to the node; it still accepts requests that arrive.
+	 */
 	DRAINING,
-	/** Has passed its keys on. */
+	/** The node has handed its idempotency keys over to its successor. */
 	HANDED_OVER,
-	/** Has stopped. */
+	/** The node has stopped. */
 	GONE
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/MembershipTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/MembershipTable.java
@@ -13,11 +13,11 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * The table of entry nodes as one node knows it. Rows are exchanged with a few neighbours
- * and merge in any order; a node that finds itself called unreachable announces itself
- * again under a higher version.
+ * Table of all entry nodes as one node knows them. A node exchanges rows with a few
+ * neighbours; the order in which rows are merged doesn't matter. A node that receives a
+ * row in which it is unreachable refutes it by announcing itself with a higher version.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class MembershipTable {
 
@@ -28,24 +28,26 @@
 	private long sequence;
 
 	/**
-	 * Create a table with the row of its own node.
-	 * @param own the row of the node itself
-	 * @param nowMillis the present time
+	 * Create a table that holds only the row of the local node.
+	 * @param local the row of the local node
+	 * @param nowMillis the current time in milliseconds, from the clock that all calls of
+	 * this table use
 	 */
-	public MembershipTable(Member own, long nowMillis) {
-		this.self = Objects.requireNonNull(own, "own must not be null").node();
-		store(own, nowMillis);
+	public MembershipTable(Member local, long nowMillis) {
+		this.self = Objects.requireNonNull(local, "local must not be null").node();
+		store(local, nowMillis);
 	}
 
 	/**
-	 * Merge a row that a neighbour sent.
+	 * Merge a row that a neighbour sent. A row of the local node that would replace its
+	 * own row is refuted: the local node announces itself with the version after it.
 	 * @param member the row
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time in milliseconds
 	 * @return {@code true} if the table changed
 	 */
 	public boolean merge(Member member, long nowMillis) {
-		Row held = this.rows.get(member.node());
-		if (held != null && !member.supersedes(held.member)) {
+		Row current = this.rows.get(member.node());
+		if (current != null && !member.supersedes(current.member)) {
 			return false;
 		}
 		if (member.node().equals(this.self)) {
@@ -56,41 +58,44 @@
 	}
 
 	private boolean refute(Member claim, long nowMillis) {
-		Member own = localMember();
-		Member raised = new Member(own.node(), own.zone(), own.callerAddress(), own.nodeAddress(), own.state(),
-				claim.version(), false, own.successor());
-		store(raised.announce(own.state(), own.successor()), nowMillis);
+		Member local = localMember();
+		Member raised = new Member(local.node(), local.zone(), local.callerAddress(), local.nodeAddress(),
+				local.state(), claim.version(), false, local.successor());
+		store(raised.nextVersion(local.state(), local.successor()), nowMillis);
 		return true;
 	}
 
 	/**
-	 * Announce a change of the node itself.
-	 * @param state the new state; an earlier one than the present is ignored
-	 * @param successor the node that its keys passed to, if any
-	 * @param nowMillis the present time
+	 * Announce a change of the local node under the next version.
+	 * @param state the new state; ignored if it is earlier than the current state
+	 * @param successor the node that took over its keys; {@code null} leaves the
+	 * successor as it is
+	 * @param nowMillis the current time in milliseconds
 	 */
 	public void announce(MemberState state, @Nullable NodeId successor, long nowMillis) {
-		store(localMember().announce(state, successor), nowMillis);
+		store(localMember().nextVersion(state, successor), nowMillis);
 	}
 
 	/**
-	 * Report that the connection to a node was lost and could not be opened again.
-	 * @param node the node
-	 * @param nowMillis the present time
+	 * Mark a node as unreachable because the connection to it was lost and could not be
+	 * opened again.
+	 * @param node the node; the local node and unknown nodes are ignored
+	 * @param nowMillis the current time in milliseconds
 	 * @return {@code true} if the table changed
 	 */
 	public boolean markUnreachable(NodeId node, long nowMillis) {
-		Row held = this.rows.get(node);
-		return held != null && !node.equals(this.self) && merge(held.member.lost(), nowMillis);
+		Row current = this.rows.get(node);
+		return current != null && !node.equals(this.self) && merge(current.member.asUnreachable(), nowMillis);
 	}
 
 	/**
-	 * Forget nodes that have been gone or unreachable for a time.
-	 * @param silentSinceMillis the latest change of a row that is forgotten
+	 * Remove the nodes that have been stopped or unreachable since before a time.
+	 * @param sinceMillis the time in milliseconds; rows that changed at this time or
+	 * later stay
 	 */
-	public void removeUnreachableSince(long silentSinceMillis) {
+	public void removeUnreachableSince(long sinceMillis) {
 		this.rows.values()
-			.removeIf((row) -> !row.member.isReachable() && row.changedAtMillis < silentSinceMillis
+			.removeIf((row) -> !row.member.isReachable() && row.changedAtMillis < sinceMillis
 					&& !row.member.node().equals(this.self));
 	}
 
@@ -100,8 +105,8 @@
 	}
 
 	/**
-	 * Return the rows that changed after a sequence number of this table.
-	 * @param afterSequence the sequence number
+	 * Return the rows that changed after a given change of this table.
+	 * @param afterSequence the sequence number of that change; 0 for all rows
 	 * @return the rows, oldest change first
 	 */
 	public List<Member> changesAfter(long afterSequence) {
@@ -114,7 +119,8 @@
 	}
 
 	/**
-	 * Return the number of the latest change of this table.
+	 * Return the sequence number of the latest change of this table. Sequence numbers are
+	 * local to this table and grow by one at each change.
 	 * @return the sequence number
 	 */
 	public long sequence() {
@@ -122,7 +128,7 @@
 	}
 
 	/**
-	 * Return the row of the node itself.
+	 * Return the row of the local node.
 	 * @return the row
 	 */
 	public Member localMember() {
@@ -130,17 +136,17 @@
 	}
 
 	/**
-	 * Find a row.
+	 * Find the row of a node.
 	 * @param node the node
-	 * @return the row, if the node is known
+	 * @return the row; empty if the node isn't known
 	 */
 	public Optional<Member> find(NodeId node) {
 		return Optional.ofNullable(this.rows.get(node)).map((row) -> row.member);
 	}
 
 	/**
-	 * Return all rows.
-	 * @return the rows, ordered by node name
+	 * Return all rows, including that of the local node.
+	 * @return the rows, ordered by node name and then by incarnation
 	 */
 	public List<Member> members() {
 		List<Member> members = new ArrayList<>();
@@ -151,9 +157,11 @@
 	}
 
 	/**
-	 * Follow the chain of successors of an issuer's keys.
-	 * @param issuer the node run that a prefix names
-	 * @return the node that owns the keys, as far as this table knows
+	 * Return the node that owns the idempotency keys of an issuer, by following the chain
+	 * of successors.
+	 * @param issuer the node that a key prefix names
+	 * @return the last node of the chain as far as this table knows it; the issuer itself
+	 * if it has no known successor
 	 */
 	public NodeId ownerOf(NodeId issuer) {
 		NodeId owner = issuer;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/NeighbourSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/NeighbourSelector.java
@@ -7,48 +7,49 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * Choice of the nodes with which a node keeps a connection.
+ * Selects the nodes with which a node keeps a gossip connection.
  */
 public final class NeighbourSelector {
 
-	private static final long MIX_FACTOR = 0x9E3779B97F4A7C15L;
+	private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
 
-	private static final int MIX_SHIFT = 32;
+	private static final int HASH_SHIFT = 32;
 
 	private NeighbourSelector() {
 	}
 
 	/**
-	 * Choose the nodes that follow a node on a ring of hashes, at distances that double.
-	 * A few connections a node then reach all nodes in a number of steps that grows with
-	 * the logarithm of their number, and each node is watched by as many as it watches.
-	 * @param self the node
-	 * @param members all rows
-	 * @param fanOut the most connections to keep
-	 * @return the chosen rows
+	 * Choose neighbours on a hash ring of all reachable nodes, at distances from the node
+	 * that grow exponentially. With a few connections for each node, a change then
+	 * reaches all nodes in a number of hops that grows with the logarithm of the number
+	 * of nodes, and each node is watched by as many nodes as it watches.
+	 * @param self the node that needs neighbours
+	 * @param members all rows of the membership table
+	 * @param fanOut the maximum number of neighbours
+	 * @return the neighbours; empty if the rows don't include the node itself
 	 */
 	public static List<Member> choose(NodeId self, List<Member> members, int fanOut) {
 		List<Member> ring = members.stream()
 			.filter((member) -> member.isReachable() || member.node().equals(self))
-			.sorted(Comparator.comparingLong((Member member) -> place(member.node()))
+			.sorted(Comparator.comparingLong((Member member) -> ringPosition(member.node()))
 				.thenComparing((member) -> member.node().toString()))
 			.toList();
-		int own = ring.stream().map(Member::node).toList().indexOf(self);
+		int selfIndex = ring.stream().map(Member::node).toList().indexOf(self);
 		List<Member> chosen = new ArrayList<>();
-		if (own < 0) {
+		if (selfIndex < 0) {
 			return chosen;
 		}
 		int others = ring.size() - 1;
-		int wanted = Math.min(fanOut, others);
-		for (int i = 0; i < wanted; i++) {
+		int count = Math.min(fanOut, others);
+		for (int i = 0; i < count; i++) {
 			int distance = (int) Math.round(Math.pow(ring.size(), (double) i / fanOut));
-			Member next = ring.get((own + distance) % ring.size());
+			Member next = ring.get((selfIndex + distance) % ring.size());
 			if (!next.node().equals(self) && !chosen.contains(next)) {
 				chosen.add(next);
 			}
 		}
-		for (int distance = 1; distance <= others && chosen.size() < wanted; distance++) {
-			Member next = ring.get((own + distance) % ring.size());
+		for (int distance = 1; distance <= others && chosen.size() < count; distance++) {
+			Member next = ring.get((selfIndex + distance) % ring.size());
 			if (!chosen.contains(next)) {
 				chosen.add(next);
 			}
@@ -56,9 +57,9 @@
 		return chosen;
 	}
 
-	private static long place(NodeId node) {
-		long mixed = (node.incarnation() ^ node.name().hashCode()) * MIX_FACTOR;
-		return mixed ^ (mixed >>> MIX_SHIFT);
+	private static long ringPosition(NodeId node) {
+		long mixed = (node.incarnation() ^ node.name().hashCode()) * HASH_FACTOR;
+		return mixed ^ (mixed >>> HASH_SHIFT);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/SuccessorSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/SuccessorSelector.java
@@ -8,7 +8,7 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * Choice of the node that takes over the requests of a stopping node.
+ * Selects the node that takes over the requests of a stopping node.
  */
 public final class SuccessorSelector {
 
@@ -16,23 +16,25 @@
 	}
 
 	/**
-	 * Choose a successor: a serving node, in another zone where there is one, since a
-	 * zone is reclaimed as a whole. Different nodes prefer different successors.
-	 * @param own the row of the stopping node
-	 * @param members the membership table
-	 * @param tried the nodes that could not be reached
-	 * @return the successor, if a node serves
+	 * Choose a successor among the serving nodes. A node of another zone is preferred,
+	 * because the instances of a zone are reclaimed together. Among equals the choice
+	 * depends on a hash of both nodes, so that stopping nodes spread over different
+	 * successors.
+	 * @param stopping the row of the stopping node
+	 * @param members all rows of the membership table
+	 * @param unreachable the nodes that could not be reached and are left out
+	 * @return the successor; empty if no other node serves
 	 */
-	public static Optional<Member> choose(Member own, List<Member> members, Set<NodeId> tried) {
+	public static Optional<Member> choose(Member stopping, List<Member> members, Set<NodeId> unreachable) {
 		return members.stream()
-			.filter((member) -> member.isServing() && !member.node().equals(own.node()))
-			.filter((member) -> !tried.contains(member.node()))
-			.min(Comparator.comparing((Member member) -> member.zone().equals(own.zone()))
-				.thenComparingInt((member) -> preference(own, member)));
+			.filter((member) -> member.isServing() && !member.node().equals(stopping.node()))
+			.filter((member) -> !unreachable.contains(member.node()))
+			.min(Comparator.comparing((Member member) -> member.zone().equals(stopping.zone()))
+				.thenComparingInt((member) -> preference(stopping, member)));
 	}
 
-	private static int preference(Member own, Member candidate) {
-		return (own.node().toString() + candidate.node()).hashCode();
+	private static int preference(Member stopping, Member candidate) {
+		return (stopping.node().toString() + candidate.node()).hashCode();
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The table of entry nodes and the rules by which rows merge.
+ * Membership of the entry nodes: the gossiped table, its merge rules and the selection of
+ * peers.
  */
 @NullMarked
 package io.flamingogap.core.membership;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
@@ -41,13 +41,13 @@
 	}
 
 	@Property(tries = 500, seed = "20261204")
-	void tablesThatSawTheSameRowsAgreeWhateverTheOrder(@ForAll @Size(max = 20) List<@IntRange(max = 23) Integer> rows) {
+	void tablesThatMergedTheSameRowsAgreeInAnyOrder(@ForAll @Size(max = 20) List<@IntRange(max = 23) Integer> rows) {
 		MembershipTable first = new MembershipTable(serving(9), 0);
 		MembershipTable second = new MembershipTable(serving(9), 0);
 		List<Member> members = new ArrayList<>();
 		for (int row : rows) {
 			Member member = row(row % 3, MemberState.values()[row % 4], 1 + row / 4, null);
-			members.add((row % 2 == 0) ? member : member.lost());
+			members.add((row % 2 == 0) ? member : member.asUnreachable());
 		}
 		members.sort((left, right) -> left.state().compareTo(right.state()));
 		members.forEach((member) -> first.merge(member, 0));
@@ -68,20 +68,20 @@
 	}
 
 	@Test
-	void newsReachAllNodesInFewSteps() {
+	void changesReachAllNodesInFewHops() {
 		List<Member> members = new ArrayList<>();
 		for (int i = 0; i < 330; i++) {
 			members.add(serving(i));
 		}
 		Set<NodeId> reached = new HashSet<>(Set.of(node(0)));
-		int steps = 0;
+		int hops = 0;
 		while (reached.size() < members.size()) {
 			Set<NodeId> next = new HashSet<>(reached);
 			reached.forEach((from) -> NeighbourSelector.choose(from, members, 4).forEach((to) -> next.add(to.node())));
 			reached = next;
-			steps++;
+			hops++;
 		}
-		assertThat(steps, lessThanOrEqualTo(25));
+		assertThat(hops, lessThanOrEqualTo(25));
 	}
 
 	@Test
@@ -104,21 +104,21 @@
 		}
 
 		@Test
-		void nodeThatIsCalledUnreachableAnnouncesItselfAgain() {
-			this.table.merge(serving(0).lost(), 1);
+		void nodeReportedUnreachableRefutesTheReport() {
+			this.table.merge(serving(0).asUnreachable(), 1);
 			assertThat(this.table.localMember().isServing(), is(true));
 			assertThat(this.table.localMember().version(), is(2L));
 		}
 
 		@Test
-		void chainOfSuccessorsLeadsToTheOwner() {
+		void successorChainLeadsToTheOwner() {
 			this.table.merge(row(1, MemberState.HANDED_OVER, 2, node(2)), 1);
 			this.table.merge(row(2, MemberState.GONE, 3, node(0)), 1);
 			assertThat(this.table.ownerOf(node(1)), is(node(0)));
 		}
 
 		@Test
-		void silentNodesAreForgotten() {
+		void unreachableNodesAreRemoved() {
 			this.table.merge(serving(1), 1);
 			this.table.markUnreachable(node(1), 2);
 			this.table.removeUnreachableSince(3);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/membership/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/membership/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the membership table and of the selection of peers.
  */
 @NullMarked
 package io.flamingogap.core.membership;
