Reword the routing configuration

Descriptions were riddles ("serve alike", "what may be repeated", "the longest that a caller is kept waiting") and left out units and special values: that a host is in lower case, that maxServers below 1 counts as 1, that only the first service is chosen if all weights are 0. They now use the terms of load balancers and token buckets. BackendService.maxConnectionsPerServer and ScaleBounds.reclaimablePriceRatio say what they count and compare. The message for invalid ListenerLimits names the limits in the order of the values and that maxBodyBytes may be 0, as the check of the values has it.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/AccountQuota.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/AccountQuota.java
@@ -1,16 +1,16 @@
 package io.flamingogap.core.serving;
 
 /**
- * What a client account may use, over all entry nodes together.
+ * Token bucket parameters of a client account, for all entry nodes together.
  *
- * @param ratePerSecond the units regained each second; 0 means no limit
- * @param burst the most units that can be saved up
- * @param countsTokens whether the unit is a token; otherwise it is a request
- * @param plainTokens the tokens that a request counts for that states none
+ * @param ratePerSecond the units added to the bucket each second; 0 means no limit
+ * @param burst the capacity of the bucket in units
+ * @param countsTokens whether a unit is a token; otherwise a unit is a request
+ * @param plainTokens the tokens charged for a request that doesn't state a number
  */
 public record AccountQuota(double ratePerSecond, double burst, boolean countsTokens, long plainTokens) {
 
-	/** No limit. */
+	/** Quota without a limit. */
 	public static final AccountQuota UNLIMITED = new AccountQuota(0, 0, false, 0);
 
 	public AccountQuota {
@@ -21,17 +21,18 @@
 	}
 
 	/**
-	 * Return whether there is a limit.
-	 * @return {@code true} if there is
+	 * Return whether the account is limited at all.
+	 * @return {@code true} if the rate is above 0
 	 */
 	public boolean isLimited() {
 		return this.ratePerSecond > 0;
 	}
 
 	/**
-	 * Return what a request uses.
-	 * @param statedTokens the tokens that the request states; negative if it states none
-	 * @return the units
+	 * Return the units that a request is charged with.
+	 * @param statedTokens the number of tokens that the request states; negative if it
+	 * states none
+	 * @return the tokens if tokens are counted, otherwise 1
 	 */
 	public long cost(long statedTokens) {
 		if (!this.countsTokens) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/BackendService.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/BackendService.java
@@ -4,14 +4,15 @@
 import java.util.Optional;
 
 /**
- * A group of backend servers that serve alike.
+ * Group of interchangeable backend servers.
  *
- * @param name the name of the service
- * @param maxConnections the connections that a server takes from all entry nodes together
- * @param engine the profile of its model engines; empty for plain services
- * @param scale the bounds for orders of servers; empty if none may be ordered
+ * @param name the unique name that routes refer to
+ * @param maxConnectionsPerServer the connections that one server accepts from all entry
+ * nodes together
+ * @param engine the properties of its model engines; empty for plain services
+ * @param scale the bounds for ordering servers; empty if no servers may be ordered
  */
-public record BackendService(String name, int maxConnections, Optional<EngineProfile> engine,
+public record BackendService(String name, int maxConnectionsPerServer, Optional<EngineProfile> engine,
 		Optional<ScaleBounds> scale) {
 
 	public BackendService {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ClientAccount.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ClientAccount.java
@@ -5,12 +5,13 @@
 import java.util.OptionalInt;
 
 /**
- * A client account and the keys that its callers present.
+ * Client account and the keys that its callers authenticate with.
  *
- * @param name the name, which backend servers are told
- * @param keys the keys in force
- * @param priority the urgency that replaces the one of the route, if any
- * @param quota what it may use
+ * @param name the name, which is passed on to backend servers
+ * @param keys the valid keys, in the form that callers present
+ * @param priority the priority that replaces that of the route; empty to keep the
+ * route's, 0 is the most urgent
+ * @param quota the request or token rate that the account may use
  */
 public record ClientAccount(String name, List<String> keys, OptionalInt priority, AccountQuota quota) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ConfigHolder.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ConfigHolder.java
@@ -5,10 +5,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Holds the newest configuration that this process has seen. It never goes back to an
- * older version, whatever order versions arrive in.
+ * Holds the newest configuration that this process has received. Versions may arrive in
+ * any order; an older version never replaces a newer one.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ConfigHolder {
 
@@ -17,10 +17,11 @@
 	private long appliedAtMillis;
 
 	/**
-	 * Take a configuration if it is newer than the one in force.
+	 * Apply a configuration if its version is higher than the current one.
 	 * @param candidate the configuration
-	 * @param nowMillis the present time
-	 * @return {@code true} if it is in force now and was not before
+	 * @param nowMillis the current time in milliseconds
+	 * @return {@code true} if it was applied; {@code false} if it is older than or the
+	 * same as the current one
 	 */
 	public boolean applyIfNewer(ServingConfig candidate, long nowMillis) {
 		if (this.current != null && candidate.version() <= this.current.version()) {
@@ -32,16 +33,17 @@
 	}
 
 	/**
-	 * Return the configuration in force.
-	 * @return the configuration, if any was seen
+	 * Return the current configuration.
+	 * @return the configuration; empty before the first one was applied
 	 */
 	public Optional<ServingConfig> current() {
 		return Optional.ofNullable(this.current);
 	}
 
 	/**
-	 * Return how long the configuration has been in force here.
-	 * @param nowMillis the present time
+	 * Return the time since the current configuration was applied in this process.
+	 * @param nowMillis the current time in milliseconds, from the clock that
+	 * {@link #applyIfNewer} is called with
 	 * @return the age in milliseconds
 	 */
 	public long ageMillis(long nowMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/EngineProfile.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/EngineProfile.java
@@ -1,10 +1,10 @@
 package io.flamingogap.core.serving;
 
 /**
- * What the configuration tells of the model engines of a service.
+ * Capacity of the model engines of a service.
  *
- * @param slots the requests that an engine runs at once
- * @param cacheTokens the tokens that its memory holds
+ * @param slots the number of requests that one engine runs concurrently
+ * @param cacheTokens the number of tokens that the memory of one engine holds
  */
 public record EngineProfile(int slots, long cacheTokens) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ListenerLimits.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ListenerLimits.java
@@ -1,22 +1,24 @@
 package io.flamingogap.core.serving;
 
 /**
- * Bounds on what a caller may send and how long it may take.
+ * Limits on the size and the duration of requests of callers.
  *
- * @param maxHeaderBytes the most bytes of a request head
- * @param maxBodyBytes the most bytes of a request body
- * @param headerTimeoutMillis the longest that a request head may take to arrive
- * @param idleTimeoutMillis how long a connection may stay without a request
+ * @param maxHeaderBytes the maximum size of a request head in bytes
+ * @param maxBodyBytes the maximum size of a request body in bytes; 0 allows no body
+ * @param headerTimeoutMillis the time within which a request head must have arrived
+ * @param idleTimeoutMillis the time after which a connection without a request is closed
  */
 public record ListenerLimits(int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
 
-	/** Limits in force until a configuration is known. */
+	/** Limits that apply while no configuration sets any. */
 	public static final ListenerLimits DEFAULT = new ListenerLimits(16_384, 4_194_304, 3_000, 15_000);
 
 	public ListenerLimits {
 		if (maxHeaderBytes < 1 || maxBodyBytes < 0 || headerTimeoutMillis < 1 || idleTimeoutMillis < 1) {
-			throw new IllegalArgumentException("limits must be positive but were " + maxHeaderBytes + ", "
-					+ maxBodyBytes + ", " + headerTimeoutMillis + ", " + idleTimeoutMillis);
+			throw new IllegalArgumentException(
+					"maxHeaderBytes, maxBodyBytes, headerTimeoutMillis and idleTimeoutMillis must be positive (maxBodyBytes may be 0) but were "
+							+ maxHeaderBytes + ", " + maxBodyBytes + ", " + headerTimeoutMillis + ", "
+							+ idleTimeoutMillis);
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RequestKind.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RequestKind.java
@@ -1,17 +1,20 @@
 package io.flamingogap.core.serving;
 
 /**
- * What may be repeated of the requests of a route.
+ * Kind of the requests of a route, which decides whether a request may be executed again.
  */
 public enum RequestKind {
 
-	/** May be executed any number of times. */
+	/** The request may be executed any number of times. */
 	IDEMPOTENT,
 
-	/** May be executed at most once for each attempt of a caller. */
+	/** The request may be executed at most once for each attempt of a caller. */
 	AT_MOST_ONCE,
 
-	/** Answered by a series of events; executed at most once unless it may be resumed. */
+	/**
+	 * The response is a stream of events. The request may be executed at most once,
+	 * unless the route lets another server resume the stream.
+	 */
 	STREAM
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
@@ -4,21 +4,22 @@
 import java.util.Objects;
 
 /**
- * How requests of one host and path prefix are served.
+ * Routing rule for the requests of one host and path prefix.
  *
- * @param name the name of the route
- * @param host the host that callers name
+ * @param name the unique name
+ * @param host the host that requests name, in lower case and without a port
  * @param prefix the path prefix; begins and ends with a slash
- * @param kind what may be repeated
- * @param timeoutMillis the longest that a caller is kept waiting
- * @param latencyTargetMillis the time to the answer, or to the first event, that earns
- * full credit
- * @param priority the urgency; 0 is the most urgent
- * @param targets the services that share the requests; at least one
- * @param maxServers the most servers that one attempt may be executed on
+ * @param kind whether a request may be executed again
+ * @param timeoutMillis the time within which a caller must have an answer
+ * @param latencyTargetMillis the time to the response, or to the first event of a stream,
+ * within which a response counts in full
+ * @param priority the priority of the requests; 0 is the most urgent
+ * @param targets the services that share the requests by weight; at least one
+ * @param maxServers the maximum number of servers that may execute one attempt; values
+ * below 1 count as 1
  * @param isPublic whether callers need no key
- * @param resumable whether another server may go on with a broken stream
- * @param carriesPrompts whether the requests are for model engines
+ * @param resumable whether another server may continue a broken stream
+ * @param carriesPrompts whether the requests carry prompts for model engines
  */
 public record RouteRule(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
 		long latencyTargetMillis, int priority, List<WeightedService> targets, int maxServers, boolean isPublic,
@@ -43,23 +44,24 @@
 
 	/**
 	 * Return whether a request may be executed more than once.
-	 * @return {@code true} for idempotent requests and streams that may be resumed
+	 * @return {@code true} for idempotent requests and for resumable streams
 	 */
 	public boolean isRepeatable() {
 		return this.kind == RequestKind.IDEMPOTENT || (this.kind == RequestKind.STREAM && this.resumable);
 	}
 
 	/**
-	 * Choose the service for a request by the weights of the targets.
-	 * @param draw a number from 0 (inclusive) to 1 (exclusive), evenly distributed
-	 * @return the name of the service
+	 * Choose the service for a request in proportion to the weights of the targets.
+	 * @param random a uniformly distributed random number from 0 (inclusive) to 1
+	 * (exclusive)
+	 * @return the name of the service; that of the first target if all weights are 0
 	 */
-	public String chooseService(double draw) {
+	public String chooseService(double random) {
 		double total = this.targets.stream().mapToDouble(WeightedService::weight).sum();
-		double left = draw * total;
+		double remaining = random * total;
 		for (WeightedService target : this.targets) {
-			left -= target.weight();
-			if (left < 0) {
+			remaining -= target.weight();
+			if (remaining < 0) {
 				return target.service();
 			}
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ScaleBounds.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ScaleBounds.java
@@ -4,15 +4,17 @@
 import java.util.Objects;
 
 /**
- * How many servers of a service may be ordered, and at what price.
+ * Bounds and prices for ordering servers of a service. There are two kinds of servers:
+ * full-price ones and cheaper ones that the cloud may reclaim.
  *
- * @param minPerZone the least servers in a zone, of both kinds together
- * @param maxPerZone the most servers in a zone, of both kinds together
- * @param bootSeconds the time until an ordered server takes requests
- * @param reclaimablePrice the price of a reclaimable server, as a part of the full price
- * @param zonePrices the price of a server by zone
+ * @param minPerZone the minimum number of servers in a zone, both kinds together
+ * @param maxPerZone the maximum number of servers in a zone, both kinds together
+ * @param bootSeconds the time from the order of a server until it accepts requests
+ * @param reclaimablePriceRatio the price of a reclaimable server divided by the full
+ * price
+ * @param zonePrices the price of a server, by the name of the zone
  */
-public record ScaleBounds(int minPerZone, int maxPerZone, double bootSeconds, double reclaimablePrice,
+public record ScaleBounds(int minPerZone, int maxPerZone, double bootSeconds, double reclaimablePriceRatio,
 		Map<String, Double> zonePrices) {
 
 	public ScaleBounds {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ServingConfig.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ServingConfig.java
@@ -9,7 +9,8 @@
 import java.util.Optional;
 
 /**
- * One version of the configuration. Immutable; a newer version replaces it as a whole.
+ * One version of the routing configuration. Immutable; a newer version replaces all of
+ * it.
  */
 public final class ServingConfig {
 
@@ -39,11 +40,11 @@
 
 	/**
 	 * Create a version of the configuration.
-	 * @param version the version number
-	 * @param routes the routes
-	 * @param services the services
-	 * @param accounts the client accounts; none means that callers need no key
-	 * @param limits the bounds on what callers send
+	 * @param version the version number; higher is newer
+	 * @param routes the routes of all hosts, in any order
+	 * @param services the services that routes refer to
+	 * @param accounts the client accounts; if empty, callers need no key
+	 * @param limits the limits on requests of callers
 	 * @return the configuration
 	 */
 	public static ServingConfig of(long version, List<RouteRule> routes, List<BackendService> services,
@@ -61,10 +62,11 @@
 	}
 
 	/**
-	 * Find the route of a request: the longest prefix of its host that begins its path.
-	 * @param host the host, without a port
+	 * Find the route of a request. Of the routes of the host whose prefix the path starts
+	 * with, the one with the longest prefix wins.
+	 * @param host the host in lower case, without a port
 	 * @param path the path, without the query
-	 * @return the route, if there is one
+	 * @return the route; empty if none matches
 	 */
 	public Optional<RouteRule> findRoute(String host, String path) {
 		for (RouteRule route : this.routesByHost.getOrDefault(host, List.of())) {
@@ -78,7 +80,7 @@
 	/**
 	 * Find the client account that holds a key.
 	 * @param key the key as the caller presents it
-	 * @return the account, if one holds it
+	 * @return the account; empty if no account holds the key
 	 */
 	public Optional<ClientAccount> findAccount(String key) {
 		return Optional.ofNullable(this.accountsByKey.get(key));
@@ -87,14 +89,14 @@
 	/**
 	 * Find a service by name.
 	 * @param name the name
-	 * @return the service, if it is configured
+	 * @return the service; empty if it isn't configured
 	 */
 	public Optional<BackendService> findService(String name) {
 		return Optional.ofNullable(this.services.get(name));
 	}
 
 	/**
-	 * Return whether callers have to present a key on routes that aren't public.
+	 * Return whether callers must present a key on routes that aren't public.
 	 * @return {@code true} if there are client accounts
 	 */
 	public boolean requiresKeys() {
@@ -102,31 +104,31 @@
 	}
 
 	/**
-	 * Return the version.
-	 * @return the version number
+	 * Return the version of this configuration.
+	 * @return the version number; higher is newer
 	 */
 	public long version() {
 		return this.version;
 	}
 
 	/**
-	 * Return the services.
-	 * @return the services, in no order
+	 * Return all services.
+	 * @return the services, in no particular order
 	 */
 	public List<BackendService> services() {
 		return List.copyOf(this.services.values());
 	}
 
 	/**
-	 * Return the client accounts.
-	 * @return the accounts
+	 * Return all client accounts.
+	 * @return the accounts, in the order of the configuration
 	 */
 	public List<ClientAccount> accounts() {
 		return this.accounts;
 	}
 
 	/**
-	 * Return the bounds on what callers send.
+	 * Return the limits on requests of callers.
 	 * @return the limits
 	 */
 	public ListenerLimits limits() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/WeightedService.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/WeightedService.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 
 /**
- * A service that takes a share of a route's requests.
+ * Service that receives a share of a route's requests.
  *
  * @param service the name of the service
- * @param weight its share, relative to the other services of the route
+ * @param weight the share relative to the sum of the weights of the route; not negative
  */
 public record WeightedService(String service, double weight) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The configuration that entry nodes serve by: routes, services, accounts and limits.
+ * The configuration that entry nodes serve requests with: routes, services, client
+ * accounts and limits.
  */
 @NullMarked
 package io.flamingogap.core.serving;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/serving/ServingConfigTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/serving/ServingConfigTests.java
@@ -10,7 +10,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Routes, accounts and the configuration in force.
+ * Tests of {@link ServingConfig}, {@link RouteRule} and {@link ConfigHolder}.
  */
 class ServingConfigTests {
 
@@ -36,7 +36,7 @@
 		}
 
 		@Test
-		void otherHostsAndPathsHaveNone() {
+		void otherHostsAndPathsHaveNoRoute() {
 			assertThat(version(1).findRoute("other.example", "/a/b/c").isPresent(), is(false));
 			assertThat(version(1).findRoute("desk.example", "/ab").isPresent(), is(false));
 		}
@@ -55,7 +55,7 @@
 	class Accounts {
 
 		@Test
-		void anyOfItsKeysNamesTheAccount() {
+		void anyKeyOfAnAccountFindsIt() {
 			assertThat(version(1).findAccount("key-2").get().name(), is("growers"));
 			assertThat(version(1).findAccount("key-3").isPresent(), is(false));
 		}
@@ -63,7 +63,7 @@
 	}
 
 	@Nested
-	class InForce {
+	class CurrentVersion {
 
 		@Test
 		void newerVersionsReplaceOlderOnes() {
@@ -75,7 +75,7 @@
 		}
 
 		@Test
-		void olderVersionsNeverComeBack() {
+		void olderVersionsAreIgnored() {
 			ConfigHolder holder = new ConfigHolder();
 			holder.applyIfNewer(version(9), 0);
 			assertThat(holder.applyIfNewer(version(3), 10), is(false));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/serving/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/serving/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package of the same name.
+ * Tests of the routing configuration.
  */
 @NullMarked
 package io.flamingogap.core.serving;
