Reword the selection of entry nodes and the failures of requests

Parameters and private methods follow: rotation, interleaveZones, endpoint. Names, titles and identifiers that callers receive are unchanged.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryEndpoint.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryEndpoint.java
@@ -3,11 +3,12 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * One entry node in an entry answer.
+ * Address of an entry node and the prefix of idempotency keys that this node owns.
  *
- * @param address where to connect
- * @param zone the availability zone of the node
- * @param keyPrefix what idempotency keys for this node begin with
+ * @param address the address at which the node accepts connections of callers
+ * @param zone the name of its availability zone
+ * @param keyPrefix the prefix to which a caller appends its own part to make an
+ * idempotency key for this node
  */
 public record EntryEndpoint(Address address, String zone, String keyPrefix) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryNodeSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/entry/EntryNodeSelector.java
@@ -10,7 +10,7 @@
 import io.flamingogap.core.request.RequestKey;
 
 /**
- * Chooses the entry nodes that a caller is told to use.
+ * Selects the entry nodes that a caller is directed to.
  */
 public final class EntryNodeSelector {
 
@@ -18,40 +18,44 @@
 	}
 
 	/**
-	 * Choose nodes for one caller. Zones take turns, so that the answer outlives the loss
-	 * of a zone, and the ticket moves the start, so that callers spread over all nodes.
-	 * @param members the membership table
-	 * @param ticket a number that differs from answer to answer
-	 * @param count the most nodes to name
-	 * @param nowMillis the present time, which becomes the issue time of the prefixes
-	 * @return the nodes, in the order in which the caller should try them
+	 * Choose nodes for one caller among the serving nodes. Consecutive nodes are of
+	 * different zones, so that the caller still reaches a node after the loss of a zone.
+	 * The first zone and node rotate from call to call, so that callers spread over all
+	 * nodes.
+	 * @param members all rows of the membership table
+	 * @param rotation a number that increases by one from call to call
+	 * @param count the maximum number of nodes
+	 * @param nowMillis the current time in milliseconds since 1970 UTC, which becomes the
+	 * issue time of the key prefixes
+	 * @return the nodes, in the order in which the caller should try them; empty if no
+	 * node serves
 	 */
-	public static List<EntryEndpoint> choose(List<Member> members, long ticket, int count, long nowMillis) {
+	public static List<EntryEndpoint> choose(List<Member> members, long rotation, int count, long nowMillis) {
 		Map<String, List<Member>> byZone = new LinkedHashMap<>();
 		members.stream()
 			.filter(Member::isServing)
 			.sorted(Comparator.comparing(Member::zone))
 			.forEach((member) -> byZone.computeIfAbsent(member.zone(), (zone) -> new ArrayList<>()).add(member));
-		List<Member> turns = takeTurns(List.copyOf(byZone.values()), ticket);
-		return turns.stream().limit(count).map((member) -> point(member, nowMillis)).toList();
+		List<Member> ordered = interleaveZones(List.copyOf(byZone.values()), rotation);
+		return ordered.stream().limit(count).map((member) -> endpoint(member, nowMillis)).toList();
 	}
 
-	private static List<Member> takeTurns(List<List<Member>> zones, long ticket) {
-		List<Member> turns = new ArrayList<>();
+	private static List<Member> interleaveZones(List<List<Member>> zones, long rotation) {
+		List<Member> ordered = new ArrayList<>();
 		int total = zones.stream().mapToInt(List::size).sum();
-		for (int round = 0; turns.size() < total; round++) {
+		for (int round = 0; ordered.size() < total; round++) {
 			for (int i = 0; i < zones.size(); i++) {
-				List<Member> zone = zones.get((int) Math.floorMod(ticket + i, (long) zones.size()));
+				List<Member> zone = zones.get((int) Math.floorMod(rotation + i, (long) zones.size()));
 				if (round < zone.size()) {
-					long start = Math.floorDiv(ticket, (long) zones.size());
-					turns.add(zone.get((int) Math.floorMod(start + round, (long) zone.size())));
+					long start = Math.floorDiv(rotation, (long) zones.size());
+					ordered.add(zone.get((int) Math.floorMod(start + round, (long) zone.size())));
 				}
 			}
 		}
-		return turns;
+		return ordered;
 	}
 
-	private static EntryEndpoint point(Member member, long nowMillis) {
+	private static EntryEndpoint endpoint(Member member, long nowMillis) {
 		return new EntryEndpoint(member.callerAddress(), member.zone(), RequestKey.prefix(member.node(), nowMillis));
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/entry/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/entry/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Which entry nodes callers are told to use.
+ * Selection of the entry nodes that callers are directed to.
  */
 @NullMarked
 package io.flamingogap.core.entry;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/Execution.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/Execution.java
@@ -1,13 +1,13 @@
 package io.flamingogap.core.error;
 
 /**
- * What a failure says about the execution of the attempt it answers.
+ * Whether a failed attempt may have been executed by a backend server.
  */
 public enum Execution {
 
-	/** This attempt caused no execution and never will. */
+	/** The attempt was not executed and never will be. */
 	NOT_RUN("not-run"),
-	/** The request may have been executed; its key can be asked for. */
+	/** The attempt may have been executed; callers can look up its idempotency key. */
 	UNKNOWN("unknown");
 
 	private final String wireName;
@@ -17,8 +17,8 @@
 	}
 
 	/**
-	 * Return the name used in answers to callers.
-	 * @return the stable name
+	 * Return the value that problem documents for callers carry.
+	 * @return the name, which never changes
 	 */
 	public String wireName() {
 		return this.wireName;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/Failure.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/Failure.java
@@ -3,13 +3,14 @@
 import java.util.Objects;
 
 /**
- * A failure with the step and the peer at which it arose.
+ * Failure of an attempt, with the step and the peer at which it occurred.
  *
- * @param type the stable problem type
+ * @param type the problem type that callers receive
  * @param step the step that failed
- * @param peer the other side of the step
- * @param execution what is known about the execution of this attempt
- * @param detail what happened, for people
+ * @param peer the peer of the failed step: a node, a server, another service, or
+ * {@code caller}
+ * @param execution whether the attempt may have been executed
+ * @param detail the cause, as a message for people
  */
 public record Failure(ProblemType type, Step step, String peer, Execution execution, String detail) {
 
@@ -22,11 +23,11 @@
 	}
 
 	/**
-	 * Create a failure of an attempt that caused no execution and never will.
-	 * @param type the stable problem type
+	 * Create a failure of an attempt that was not executed and never will be.
+	 * @param type the problem type that callers receive
 	 * @param step the step that failed
-	 * @param peer the other side of the step
-	 * @param detail what happened
+	 * @param peer the peer of the failed step
+	 * @param detail the cause, as a message for people
 	 * @return the failure
 	 */
 	public static Failure notRun(ProblemType type, Step step, String peer, String detail) {
@@ -36,8 +37,8 @@
 	/**
 	 * Create a failure of an attempt that may have been executed.
 	 * @param step the step that failed
-	 * @param peer the other side of the step
-	 * @param detail what happened
+	 * @param peer the peer of the failed step
+	 * @param detail the cause, as a message for people
 	 * @return the failure
 	 */
 	public static Failure outcomeUnknown(Step step, String peer, String detail) {
@@ -45,10 +46,11 @@
 	}
 
 	/**
-	 * Create a failure of an attempt that ran out of time and may have been executed.
-	 * @param step the step that failed
-	 * @param peer the other side of the step
-	 * @param detail what happened
+	 * Create a failure of an attempt that exceeded its deadline and may have been
+	 * executed.
+	 * @param step the step during which the deadline passed
+	 * @param peer the peer of that step
+	 * @param detail the cause, as a message for people
 	 * @return the failure
 	 */
 	public static Failure deadlineExceeded(Step step, String peer, String detail) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/Step.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/Step.java
@@ -1,31 +1,31 @@
 package io.flamingogap.core.error;
 
 /**
- * The step of serving a request at which a failure arose.
+ * Step of serving a request at which a failure can occur.
  */
 public enum Step {
 
-	/** Reading and checking what the caller sent. */
+	/** Parsing and validating the request. */
 	PARSE,
-	/** Finding out who the caller is and what they may do. */
+	/** Identifying the caller and checking what it may do. */
 	AUTHENTICATE,
-	/** Deciding whether the request can be taken. */
+	/** Deciding whether the request is accepted. */
 	ADMIT,
-	/** Choosing a backend server. */
+	/** Selecting a backend server. */
 	ROUTE,
 	/** Opening a connection to a peer. */
 	CONNECT,
-	/** Sending the request and waiting for the answer. */
+	/** Sending the request and waiting for the response. */
 	DISPATCH,
-	/** Passing a token stream on. */
+	/** Relaying a token stream to the caller. */
 	STREAM,
-	/** Passing a keyed request to the entry node that owns the key. */
+	/** Forwarding a request to the entry node that owns its idempotency key. */
 	FORWARD,
 	/** Writing to the platform log. */
 	APPEND,
 	/** Reading from the platform log or from a peer. */
 	READ,
-	/** Passing open requests to another entry node. */
+	/** Handing open requests over to another entry node. */
 	HANDOVER
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Typed failures that carry the step and the peer at which they arose.
+ * Failures of requests, with the step and the peer at which they occurred.
  */
 @NullMarked
 package io.flamingogap.core.error;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/entry/EntryNodeSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/entry/EntryNodeSelectorTests.java
@@ -28,7 +28,7 @@
 				unreachable, null);
 	}
 
-	private static List<Member> fleet() {
+	private static List<Member> members() {
 		List<Member> members = new ArrayList<>();
 		for (int i = 0; i < 6; i++) {
 			members.add(member(i, i % 3, MemberState.SERVING, false));
@@ -37,33 +37,33 @@
 	}
 
 	@Test
-	void zonesTakeTurns() {
-		List<EntryEndpoint> points = EntryNodeSelector.choose(fleet(), 4, 3, 0);
-		assertThat(points.stream().map(EntryEndpoint::zone).distinct().count(), is(3L));
+	void consecutiveNodesAreOfDifferentZones() {
+		List<EntryEndpoint> endpoints = EntryNodeSelector.choose(members(), 4, 3, 0);
+		assertThat(endpoints.stream().map(EntryEndpoint::zone).distinct().count(), is(3L));
 	}
 
 	@Test
 	void callersSpreadOverAllNodes() {
 		Map<Address, Integer> first = new HashMap<>();
-		for (int ticket = 0; ticket < 600; ticket++) {
-			first.merge(EntryNodeSelector.choose(fleet(), ticket, 3, 0).get(0).address(), 1, Integer::sum);
+		for (int rotation = 0; rotation < 600; rotation++) {
+			first.merge(EntryNodeSelector.choose(members(), rotation, 3, 0).get(0).address(), 1, Integer::sum);
 		}
 		assertThat(first.values(), everyItem(is(100)));
 	}
 
 	@Test
-	void leavingAndUnheardNodesAreLeftOut() {
+	void drainingAndUnreachableNodesAreLeftOut() {
 		List<Member> members = List.of(member(0, 0, MemberState.DRAINING, false),
 				member(1, 1, MemberState.SERVING, true), member(2, 2, MemberState.SERVING, false));
-		List<EntryEndpoint> points = EntryNodeSelector.choose(members, 0, 3, 0);
-		assertThat(points.size(), is(1));
-		assertThat(points.get(0).zone(), is("zone-2"));
+		List<EntryEndpoint> endpoints = EntryNodeSelector.choose(members, 0, 3, 0);
+		assertThat(endpoints.size(), is(1));
+		assertThat(endpoints.get(0).zone(), is("zone-2"));
 	}
 
 	@Test
 	void prefixesNameTheNodeAndTheTime() {
-		EntryEndpoint point = EntryNodeSelector.choose(fleet(), 0, 1, 12_345).get(0);
-		RequestKey key = RequestKey.parse(point.keyPrefix() + "caller-part").get();
+		EntryEndpoint endpoint = EntryNodeSelector.choose(members(), 0, 1, 12_345).get(0);
+		RequestKey key = RequestKey.parse(endpoint.keyPrefix() + "caller-part").get();
 		assertThat(key.issuer(), is(new NodeId("entry-0", 0)));
 		assertThat(key.issuedAtMillis(), is(12_345L));
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/entry/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/entry/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the selection of entry nodes.
  */
 @NullMarked
 package io.flamingogap.core.entry;
