Reword the manifest and the binding of TOML documents

"Fault" meant an invalid key here and an injected failure elsewhere; the type is called ValidationError now, and variables and methods follow (errors, reject, syntaxError, describeAllowed). Comments that repeated a name now give what a reader needs: which names are unique, the units, the limits of names and paths, what an empty list means, which value of Default applies to which type. Names of components, keys and the texts of errors are unchanged.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Account.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Account.java
@@ -5,12 +5,13 @@
 import io.flamingogap.core.toml.StringPattern;
 
 /**
- * A client account.
+ * Client account with its key and limits.
  *
- * @param name the account's name
+ * @param name the unique name
  * @param keyDigest the SHA-256 digest of the account's bearer key
- * @param priority 0 for the most urgent work, up to 9
- * @param maxOpenRequests how many requests the account may have open at one node
+ * @param priority the priority of its requests, from 0 (most urgent) to 9
+ * @param maxOpenRequests the maximum number of requests that the account may have open at
+ * one entry node
  */
 public record Account(@StringPattern(StringPattern.NAME) String name,
 		@StringPattern(StringPattern.DIGEST) String keyDigest, @Default("5") @Range(min = 0, max = 9) int priority,
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Manifest.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Manifest.java
@@ -6,14 +6,15 @@
 import io.flamingogap.core.toml.Default;
 
 /**
- * Everything that operators configure. A manifest is whole: it replaces the one before.
+ * Complete configuration that operators publish. A manifest replaces the previous one as
+ * a whole. The components are named like the tables of the TOML document.
  *
  * @param zone the availability zones
  * @param service the services
  * @param server the backend servers
  * @param account the client accounts
  * @param operator the operators
- * @param rollout the moves between versions that are under way
+ * @param rollout the planned or running rollouts, at most one for each service
  */
 public record Manifest(List<Zone> zone, List<Service> service, List<BackendServer> server, List<Account> account,
 		List<Operator> operator, @Default("") List<Rollout> rollout) {
@@ -22,7 +23,7 @@
 			List.of());
 
 	/**
-	 * Return the manifest in force before any was published.
+	 * Return the manifest that applies before the first one is published.
 	 * @return a manifest without entries
 	 */
 	public static Manifest empty() {
@@ -32,7 +33,7 @@
 	/**
 	 * Find a service by name.
 	 * @param name the name
-	 * @return the service, if there is one
+	 * @return the service; empty if the manifest doesn't have it
 	 */
 	public Optional<Service> findService(String name) {
 		return this.service.stream().filter((candidate) -> candidate.name().equals(name)).findFirst();
@@ -40,27 +41,27 @@
 
 	/**
 	 * Find an account by the digest of its bearer key.
-	 * @param keyDigest the SHA-256 digest
-	 * @return the account, if there is one
+	 * @param keyDigest the SHA-256 digest in lower-case hexadecimal digits
+	 * @return the account; empty if no account has the key
 	 */
 	public Optional<Account> findAccountByDigest(String keyDigest) {
 		return this.account.stream().filter((candidate) -> candidate.keyDigest().equals(keyDigest)).findFirst();
 	}
 
 	/**
-	 * Find an operator by the digest of their bearer key.
-	 * @param keyDigest the SHA-256 digest
-	 * @return the operator, if there is one
+	 * Find an operator by the digest of its bearer key.
+	 * @param keyDigest the SHA-256 digest in lower-case hexadecimal digits
+	 * @return the operator; empty if no operator has the key
 	 */
 	public Optional<Operator> findOperatorByDigest(String keyDigest) {
 		return this.operator.stream().filter((candidate) -> candidate.keyDigest().equals(keyDigest)).findFirst();
 	}
 
 	/**
-	 * Return the backend servers of a service's version.
-	 * @param serviceName the service
+	 * Return the backend servers that run a version of a service.
+	 * @param serviceName the name of the service
 	 * @param version the version
-	 * @return the servers, in the manifest's order
+	 * @return the servers, in the order of the manifest
 	 */
 	public List<BackendServer> servers(String serviceName, String version) {
 		return this.server.stream()
@@ -70,8 +71,8 @@
 
 	/**
 	 * Return the region of a zone.
-	 * @param zoneName the zone
-	 * @return the region, or the zone's own name if the manifest doesn't list it
+	 * @param zoneName the name of the zone
+	 * @return the region, or the name of the zone if the manifest doesn't list the zone
 	 */
 	public String regionOf(String zoneName) {
 		return this.zone.stream()
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/ManifestReader.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/ManifestReader.java
@@ -13,11 +13,12 @@
 import io.flamingogap.core.toml.ValidationError;
 
 /**
- * Reads manifests and reports all their faults at once.
+ * Reads and validates manifests. All errors of a document are reported together; the
+ * references between tables are checked once each table is valid on its own.
  */
 public final class ManifestReader {
 
-	/** The largest manifest that is read. */
+	/** Maximum size of a manifest in bytes of UTF-8. */
 	public static final int MAX_BYTES = 1_048_576;
 
 	private static final List<String> UNREPEATABLE_METHODS = List.of("DELETE", "POST", "PUT");
@@ -28,7 +29,7 @@
 	/**
 	 * Read a manifest.
 	 * @param text the TOML document
-	 * @return the manifest, or every fault that was found
+	 * @return the manifest, or all errors that were found
 	 */
 	public static Either<List<ValidationError>, Manifest> read(String text) {
 		int lengthBytes = text.getBytes(StandardCharsets.UTF_8).length;
@@ -40,86 +41,86 @@
 	}
 
 	private static Either<List<ValidationError>, Manifest> checkReferences(Manifest manifest) {
-		List<ValidationError> faults = new ArrayList<>();
-		Set<String> zones = unique("zone", manifest.zone(), Zone::name, faults);
-		Set<String> services = unique("service", manifest.service(), Service::name, faults);
-		unique("server", manifest.server(), BackendServer::name, faults);
-		unique("account", manifest.account(), Account::name, faults);
-		unique("operator", manifest.operator(), Operator::name, faults);
-		unique("rollout", manifest.rollout(), Rollout::service, faults);
-		checkServers(manifest, zones, services, faults);
-		checkServices(manifest, faults);
-		checkRollouts(manifest, zones, services, faults);
+		List<ValidationError> errors = new ArrayList<>();
+		Set<String> zones = collectUniqueNames("zone", manifest.zone(), Zone::name, errors);
+		Set<String> services = collectUniqueNames("service", manifest.service(), Service::name, errors);
+		collectUniqueNames("server", manifest.server(), BackendServer::name, errors);
+		collectUniqueNames("account", manifest.account(), Account::name, errors);
+		collectUniqueNames("operator", manifest.operator(), Operator::name, errors);
+		collectUniqueNames("rollout", manifest.rollout(), Rollout::service, errors);
+		checkServers(manifest, zones, services, errors);
+		checkServices(manifest, errors);
+		checkRollouts(manifest, zones, services, errors);
 		if (manifest.operator().isEmpty()) {
-			faults.add(new ValidationError("operator", "absent",
+			errors.add(new ValidationError("operator", "absent",
 					"at least one operator, or nobody could change this manifest"));
 		}
-		return faults.isEmpty() ? Either.right(manifest) : Either.left(List.copyOf(faults));
+		return errors.isEmpty() ? Either.right(manifest) : Either.left(List.copyOf(errors));
 	}
 
 	private static void checkServers(Manifest manifest, Set<String> zones, Set<String> services,
-			List<ValidationError> faults) {
+			List<ValidationError> errors) {
 		for (int i = 0; i < manifest.server().size(); i++) {
 			BackendServer server = manifest.server().get(i);
-			require("server[" + i + "].zone", server.zone(), zones, faults);
-			require("server[" + i + "].service", server.service(), services, faults);
+			requireKnown("server[" + i + "].zone", server.zone(), zones, errors);
+			requireKnown("server[" + i + "].service", server.service(), services, errors);
 		}
 	}
 
-	private static void checkServices(Manifest manifest, List<ValidationError> faults) {
+	private static void checkServices(Manifest manifest, List<ValidationError> errors) {
 		for (int i = 0; i < manifest.service().size(); i++) {
 			Service service = manifest.service().get(i);
 			if (service.kind() == ServiceKind.PLAIN && service.routes().isEmpty()) {
-				faults.add(new ValidationError("service[" + i + "].routes", "absent",
+				errors.add(new ValidationError("service[" + i + "].routes", "absent",
 						"at least one route for a plain service"));
 			}
-			checkRoutes("service[" + i + "].routes", service, faults);
+			checkRoutes("service[" + i + "].routes", service, errors);
 			if (service.kind() == ServiceKind.MODEL && !service.routes().isEmpty()) {
-				faults.add(new ValidationError("service[" + i + "].routes", "present", "left out for a model"));
+				errors.add(new ValidationError("service[" + i + "].routes", "present", "left out for a model"));
 			}
 		}
 	}
 
-	private static void checkRoutes(String key, Service service, List<ValidationError> faults) {
+	private static void checkRoutes(String key, Service service, List<ValidationError> errors) {
 		for (int i = 0; i < service.routes().size(); i++) {
 			Route route = service.routes().get(i);
 			if (!route.repeatable() && !UNREPEATABLE_METHODS.contains(route.method())) {
-				faults.add(new ValidationError(key + "[" + i + "].method", route.method(),
+				errors.add(new ValidationError(key + "[" + i + "].method", route.method(),
 						"one of " + UNREPEATABLE_METHODS + " for a call that may not be repeated"));
 			}
 		}
 	}
 
 	private static void checkRollouts(Manifest manifest, Set<String> zones, Set<String> services,
-			List<ValidationError> faults) {
+			List<ValidationError> errors) {
 		for (int i = 0; i < manifest.rollout().size(); i++) {
 			Rollout rollout = manifest.rollout().get(i);
 			String key = "rollout[" + i + "]";
-			require(key + ".service", rollout.service(), services, faults);
-			rollout.zones().forEach((zone) -> require(key + ".zones", zone, zones, faults));
+			requireKnown(key + ".service", rollout.service(), services, errors);
+			rollout.zones().forEach((zone) -> requireKnown(key + ".zones", zone, zones, errors));
 			if (rollout.deadlineEpochSeconds() <= rollout.startsAtEpochSeconds()) {
-				faults.add(new ValidationError(key + ".deadlineEpochSeconds",
+				errors.add(new ValidationError(key + ".deadlineEpochSeconds",
 						String.valueOf(rollout.deadlineEpochSeconds()), "later than startsAtEpochSeconds"));
 			}
 			manifest.findService(rollout.service())
 				.filter((service) -> service.version().equals(rollout.candidate()))
-				.ifPresent((service) -> faults.add(new ValidationError(key + ".candidate", rollout.candidate(),
+				.ifPresent((service) -> errors.add(new ValidationError(key + ".candidate", rollout.candidate(),
 						"another version than the one in use")));
 		}
 	}
 
-	private static void require(String key, String value, Set<String> known, List<ValidationError> faults) {
+	private static void requireKnown(String key, String value, Set<String> known, List<ValidationError> errors) {
 		if (!known.contains(value)) {
-			faults.add(new ValidationError(key, value, "one of " + known.stream().sorted().toList()));
+			errors.add(new ValidationError(key, value, "one of " + known.stream().sorted().toList()));
 		}
 	}
 
-	private static <T> Set<String> unique(String key, List<T> entries, Function<T, String> name,
-			List<ValidationError> faults) {
+	private static <T> Set<String> collectUniqueNames(String key, List<T> entries, Function<T, String> name,
+			List<ValidationError> errors) {
 		Set<String> names = new HashSet<>();
 		for (int i = 0; i < entries.size(); i++) {
 			if (!names.add(name.apply(entries.get(i)))) {
-				faults
+				errors
 					.add(new ValidationError(key + "[" + i + "]", name.apply(entries.get(i)), "a name used only once"));
 			}
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Operator.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Operator.java
@@ -3,9 +3,9 @@
 import io.flamingogap.core.toml.StringPattern;
 
 /**
- * A person or pipeline that may change the configuration.
+ * Person or automated pipeline that is allowed to change the configuration.
  *
- * @param name the name shown in the audit trail
+ * @param name the unique name, which the audit trail shows
  * @param keyDigest the SHA-256 digest of the operator's bearer key
  */
 public record Operator(@StringPattern(StringPattern.NAME) String name,
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Rollout.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Rollout.java
@@ -7,13 +7,16 @@
 import io.flamingogap.core.toml.StringPattern;
 
 /**
- * A move of a service's traffic from its version in use to a candidate.
+ * Gradual move of the traffic of a service from its current version to a candidate.
  *
- * @param service the service
- * @param candidate the version that takes over
- * @param zones the availability zones it may run in; none means all
- * @param startsAtEpochSeconds when traffic may begin to move, in seconds since 1970 UTC
- * @param deadlineEpochSeconds when all traffic must have moved, in seconds since 1970 UTC
+ * @param service the name of the service
+ * @param candidate the version that receives the traffic
+ * @param zones the names of the availability zones that the candidate may run in; empty
+ * for all zones
+ * @param startsAtEpochSeconds the earliest time at which traffic moves, in seconds since
+ * 1970 UTC
+ * @param deadlineEpochSeconds the time by which all traffic must have moved, in seconds
+ * since 1970 UTC
  */
 public record Rollout(@StringPattern(StringPattern.NAME) String service,
 		@StringPattern(StringPattern.NAME) String candidate, @Default("") List<String> zones,
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Route.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Route.java
@@ -3,24 +3,25 @@
 import io.flamingogap.core.toml.StringPattern;
 
 /**
- * A route of a plain service.
+ * Route of a plain service, matched by method and path.
  *
  * @param method the HTTP method
- * @param path the path below the service's prefix; longer paths match as well
- * @param repeatable whether a call may be executed more than once
+ * @param path the path below the prefix of the service; paths below it match as well
+ * @param repeatable whether a request may be executed more than once
  */
 public record Route(@StringPattern("GET|POST|PUT|DELETE|PATCH") String method,
 		@StringPattern(StringPattern.PATH) String path, boolean repeatable) {
 
 	/**
-	 * Return whether the route serves a call.
-	 * @param callMethod the HTTP method of the call
-	 * @param callPath the path of the call below the service's prefix
-	 * @return {@code true} if it does
+	 * Return whether the route matches a request.
+	 * @param requestMethod the HTTP method of the request
+	 * @param requestPath the path of the request below the prefix of the service
+	 * @return {@code true} if the method is the same and the path is that of the route or
+	 * below it
 	 */
-	public boolean matches(String callMethod, String callPath) {
-		return this.method.equals(callMethod)
-				&& (callPath.equals(this.path) || callPath.startsWith(this.path.equals("/") ? "/" : this.path + "/"));
+	public boolean matches(String requestMethod, String requestPath) {
+		return this.method.equals(requestMethod) && (requestPath.equals(this.path)
+				|| requestPath.startsWith(this.path.equals("/") ? "/" : this.path + "/"));
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/ServiceKind.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/ServiceKind.java
@@ -1,13 +1,13 @@
 package io.flamingogap.core.manifest;
 
 /**
- * What kind of backend server answers for a service.
+ * Kind of backend servers that run a service.
  */
 public enum ServiceKind {
 
-	/** A language model; answers are token streams and every call is repeatable. */
+	/** Language model: answers are token streams, and every request is repeatable. */
 	MODEL,
-	/** A plain service; each route says whether its calls are repeatable. */
+	/** Plain service: each route defines whether its requests are repeatable. */
 	PLAIN
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Zone.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/Zone.java
@@ -3,10 +3,10 @@
 import io.flamingogap.core.toml.StringPattern;
 
 /**
- * An availability zone.
+ * Availability zone and its region.
  *
- * @param name the name used by the settings and the cloud
- * @param region the region it belongs to
+ * @param name the unique name, as the node settings and the cloud use it
+ * @param region the name of the region that the zone belongs to
  */
 public record Zone(@StringPattern(StringPattern.NAME) String name, @StringPattern(StringPattern.NAME) String region) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The operators' manifest: services, versions, backend servers, accounts and operators.
+ * The manifest that operators publish: services, versions, backend servers, accounts and
+ * operators.
  */
 @NullMarked
 package io.flamingogap.core.manifest;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/Default.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/Default.java
@@ -6,15 +6,17 @@
 import java.lang.annotation.Target;
 
 /**
- * The value of a key that a document leaves out, in the document's own syntax.
+ * Default value of a key that a document may omit. Keys without this annotation are
+ * mandatory.
  */
 @Target(ElementType.RECORD_COMPONENT)
 @Retention(RetentionPolicy.RUNTIME)
 public @interface Default {
 
 	/**
-	 * Return the value; an empty text stands for an empty list.
-	 * @return the value
+	 * Return the default value.
+	 * @return the TOML value of a number or boolean, or the plain text of a string or
+	 * enum; an empty text for lists, whose default is always an empty list
 	 */
 	String value();
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/Range.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/Range.java
@@ -6,7 +6,7 @@
 import java.lang.annotation.Target;
 
 /**
- * The allowed range of a number, both ends included.
+ * Allowed range of an integer, both ends inclusive.
  */
 @Target(ElementType.RECORD_COMPONENT)
 @Retention(RetentionPolicy.RUNTIME)
@@ -14,13 +14,13 @@
 
 	/**
 	 * Return the smallest allowed value.
-	 * @return the lower bound
+	 * @return the inclusive lower bound
 	 */
 	long min();
 
 	/**
 	 * Return the largest allowed value.
-	 * @return the upper bound
+	 * @return the inclusive upper bound
 	 */
 	long max();
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/RecordBinder.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/RecordBinder.java
@@ -21,15 +21,15 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Binds a TOML document to a record. Components may be strings, numbers, booleans, enums,
- * records, and lists of these. Unknown keys, absent keys, wrong types and values out of
- * range are collected, so that one run reports them all.
+ * Binds a TOML document to a record. A component may be a string, an integer, a boolean,
+ * an enum, a record or a list of these. Unknown keys, missing keys, wrong types and
+ * values out of range are collected, so that one call reports all of them.
  */
 public final class RecordBinder {
 
 	private static final TomlMapper MAPPER = new TomlMapper();
 
-	private final List<ValidationError> faults = new ArrayList<>();
+	private final List<ValidationError> errors = new ArrayList<>();
 
 	private RecordBinder() {
 	}
@@ -37,9 +37,9 @@
 	/**
 	 * Bind a document.
 	 * @param <T> the record type
-	 * @param text the document
-	 * @param type the record type
-	 * @return the record, or every fault that was found
+	 * @param text the TOML document
+	 * @param type the record type; its component names are the keys of the document
+	 * @return the record, or all errors that were found; a syntax error is reported alone
 	 */
 	public static <T extends Record> Either<List<ValidationError>, T> bind(String text, Class<T> type) {
 		JsonNode root;
@@ -47,33 +47,33 @@
 			root = MAPPER.readTree(text);
 		}
 		catch (JsonProcessingException ex) {
-			return Either.left(List.of(syntaxFault(ex)));
+			return Either.left(List.of(syntaxError(ex)));
 		}
 		RecordBinder binder = new RecordBinder();
 		Object bound = binder.bindRecord(root, type, "");
-		if (!binder.faults.isEmpty() || bound == null) {
-			return Either.left(List.copyOf(binder.faults));
+		if (!binder.errors.isEmpty() || bound == null) {
+			return Either.left(List.copyOf(binder.errors));
 		}
 		return Either.right(type.cast(bound));
 	}
 
-	private static ValidationError syntaxFault(JsonProcessingException ex) {
-		String place = (ex.getLocation() != null) ? "line " + ex.getLocation().getLineNr() : "document";
-		return new ValidationError(place, String.valueOf(ex.getOriginalMessage()), "valid TOML");
+	private static ValidationError syntaxError(JsonProcessingException ex) {
+		String location = (ex.getLocation() != null) ? "line " + ex.getLocation().getLineNr() : "document";
+		return new ValidationError(location, String.valueOf(ex.getOriginalMessage()), "valid TOML");
 	}
 
 	private @Nullable Object bindRecord(JsonNode node, Class<?> type, String path) {
 		if (!node.isObject()) {
-			return fault(path, node.toString(), "a table");
+			return reject(path, node.toString(), "a table");
 		}
 		RecordComponent[] components = type.getRecordComponents();
 		reportUnknownKeys(node, components, path);
-		int before = this.faults.size();
+		int errorsBefore = this.errors.size();
 		Object[] values = new Object[components.length];
 		for (int i = 0; i < components.length; i++) {
-			values[i] = bindComponent(node, components[i], join(path, components[i].getName()));
+			values[i] = bindComponent(node, components[i], childPath(path, components[i].getName()));
 		}
-		return (this.faults.size() > before) ? null : construct(type, components, values, path);
+		return (this.errors.size() > errorsBefore) ? null : construct(type, components, values, path);
 	}
 
 	private void reportUnknownKeys(JsonNode node, RecordComponent[] components, String path) {
@@ -83,18 +83,18 @@
 		unknown.removeAll(known);
 		unknown.stream()
 			.sorted()
-			.forEach((name) -> fault(join(path, name), node.get(name).toString(),
+			.forEach((name) -> reject(childPath(path, name), node.get(name).toString(),
 					"left out: unknown key, known are " + known.stream().sorted().collect(Collectors.joining(", "))));
 	}
 
 	private @Nullable Object bindComponent(JsonNode parent, RecordComponent component, String path) {
 		JsonNode node = parent.get(component.getName());
-		Default fallback = component.getAnnotation(Default.class);
-		if (node == null && fallback != null) {
-			node = defaultNode(fallback, component);
+		Default defaultValue = component.getAnnotation(Default.class);
+		if (node == null && defaultValue != null) {
+			node = defaultNode(defaultValue, component);
 		}
 		if (node == null) {
-			return fault(path, "absent", describe(component));
+			return reject(path, "absent", describeAllowed(component));
 		}
 		if (component.getType() == List.class) {
 			Type element = ((ParameterizedType) component.getGenericType()).getActualTypeArguments()[0];
@@ -103,15 +103,15 @@
 		return bindValue(node, component.getType(), component, path);
 	}
 
-	private JsonNode defaultNode(Default fallback, RecordComponent component) {
+	private JsonNode defaultNode(Default defaultValue, RecordComponent component) {
 		if (component.getType() == List.class) {
 			return MAPPER.createArrayNode();
 		}
 		if (component.getType() == String.class || component.getType().isEnum()) {
-			return TextNode.valueOf(fallback.value());
+			return TextNode.valueOf(defaultValue.value());
 		}
 		try {
-			return MAPPER.readTree("v = " + fallback.value()).get("v");
+			return MAPPER.readTree("v = " + defaultValue.value()).get("v");
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalStateException("default of " + component.getName() + " isn't valid TOML", ex);
@@ -120,7 +120,7 @@
 
 	private @Nullable Object bindList(JsonNode node, Class<?> element, RecordComponent component, String path) {
 		if (!node.isArray()) {
-			return fault(path, node.toString(), "a list");
+			return reject(path, node.toString(), "a list");
 		}
 		List<Object> values = new ArrayList<>();
 		for (int i = 0; i < node.size(); i++) {
@@ -143,7 +143,7 @@
 			return bindNumber(node, type, component, path);
 		}
 		if (type == boolean.class) {
-			return node.isBoolean() ? node.booleanValue() : fault(path, node.toString(), "true or false");
+			return node.isBoolean() ? node.booleanValue() : reject(path, node.toString(), "true or false");
 		}
 		if (type.isEnum()) {
 			return bindEnum(node, type, path);
@@ -154,7 +154,7 @@
 	private @Nullable Object bindString(JsonNode node, RecordComponent component, String path) {
 		StringPattern form = component.getAnnotation(StringPattern.class);
 		boolean matches = node.isTextual() && (form == null || node.textValue().matches(form.value()));
-		return matches ? node.textValue() : fault(path, node.toString(), describe(component));
+		return matches ? node.textValue() : reject(path, node.toString(), describeAllowed(component));
 	}
 
 	private @Nullable Object bindNumber(JsonNode node, Class<?> type, RecordComponent component, String path) {
@@ -162,7 +162,7 @@
 		boolean fits = node.canConvertToLong() && node.isIntegralNumber()
 				&& (range == null || (node.longValue() >= range.min() && node.longValue() <= range.max()));
 		if (!fits) {
-			return fault(path, node.toString(), describe(component));
+			return reject(path, node.toString(), describeAllowed(component));
 		}
 		if (type == long.class) {
 			return node.longValue();
@@ -179,7 +179,7 @@
 		String allowed = Arrays.stream(type.getEnumConstants())
 			.map((constant) -> constant.toString().toLowerCase(Locale.ROOT))
 			.collect(Collectors.joining(", "));
-		return fault(path, node.toString(), "one of " + allowed);
+		return reject(path, node.toString(), "one of " + allowed);
 	}
 
 	private @Nullable Object construct(Class<?> type, RecordComponent[] components, Object[] values, String path) {
@@ -189,14 +189,14 @@
 			return constructor.newInstance(values);
 		}
 		catch (InvocationTargetException ex) {
-			return fault(path.isEmpty() ? "document" : path, "as written", String.valueOf(ex.getCause().getMessage()));
+			return reject(path.isEmpty() ? "document" : path, "as written", String.valueOf(ex.getCause().getMessage()));
 		}
 		catch (ReflectiveOperationException ex) {
 			throw new IllegalStateException("can't construct " + type, ex);
 		}
 	}
 
-	private static String describe(RecordComponent component) {
+	private static String describeAllowed(RecordComponent component) {
 		Range range = component.getAnnotation(Range.class);
 		StringPattern form = component.getAnnotation(StringPattern.class);
 		if (range != null) {
@@ -206,12 +206,12 @@
 				: "a " + component.getType().getSimpleName().toLowerCase(Locale.ROOT);
 	}
 
-	private @Nullable Object fault(String key, String value, String allowed) {
-		this.faults.add(new ValidationError(key, value, allowed));
+	private @Nullable Object reject(String key, String value, String allowed) {
+		this.errors.add(new ValidationError(key, value, allowed));
 		return null;
 	}
 
-	private static String join(String path, String name) {
+	private static String childPath(String path, String name) {
 		return path.isEmpty() ? name : path + "." + name;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/StringPattern.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/StringPattern.java
@@ -6,27 +6,30 @@
 import java.lang.annotation.Target;
 
 /**
- * The allowed form of a string.
+ * Pattern that a string, or each string of a list, must match.
  */
 @Target(ElementType.RECORD_COMPONENT)
 @Retention(RetentionPolicy.RUNTIME)
 public @interface StringPattern {
 
-	/** A name of lower-case letters, digits and hyphens. */
+	/**
+	 * Name of lower-case letters, digits and hyphens, at most 63 characters long and not
+	 * starting with a hyphen.
+	 */
 	String NAME = "[a-z0-9][a-z0-9-]{0,62}";
 
-	/** An IP number with a port. */
+	/** IP address with a port; IPv6 addresses are in brackets. */
 	String ADDRESS = "([0-9.]+|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}";
 
-	/** A SHA-256 digest in lower-case hexadecimal digits. */
+	/** SHA-256 digest in lower-case hexadecimal digits. */
 	String DIGEST = "[0-9a-f]{64}";
 
-	/** A URL path that starts with a slash. */
+	/** URL path that starts with a slash, at most 256 characters long. */
 	String PATH = "/[A-Za-z0-9._~/-]{0,255}";
 
 	/**
-	 * Return the regular expression that the whole value must match.
-	 * @return the expression
+	 * Return the regular expression that the whole string must match.
+	 * @return the regular expression
 	 */
 	String value();
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/ValidationError.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/ValidationError.java
@@ -1,11 +1,12 @@
 package io.flamingogap.core.toml;
 
 /**
- * One fault of a document.
+ * Invalid or missing key of a document.
  *
- * @param key the full key, such as {@code service[0].name}
+ * @param key the full key, such as {@code service[0].name}; {@code document} or a line
+ * for errors of the document itself
  * @param value the value as written, or "absent"
- * @param allowed what the key allows
+ * @param allowed a description of the allowed values
  */
 public record ValidationError(String key, String value, String allowed) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Binds TOML documents to records and reports all faults at once.
+ * Binding of TOML documents to records, with validation that reports all errors at once.
  */
 @NullMarked
 package io.flamingogap.core.toml;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/manifest/ManifestReaderTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/manifest/ManifestReaderTests.java
@@ -46,7 +46,7 @@
 			keyDigest = "%s"
 			""".formatted(DIGEST, DIGEST);
 
-	private static List<String> faultKeys(String text) {
+	private static List<String> errorKeys(String text) {
 		return ManifestReader.read(text).getLeft().stream().map(ValidationError::key).toList();
 	}
 
@@ -58,25 +58,25 @@
 	}
 
 	@Test
-	void reportsReferencesToWhatIsNotThere() {
+	void reportsReferencesToUnknownNames() {
 		String text = VALID.replace("zone = \"zone-0\"", "zone = \"zone-9\"")
 			.replace("service = \"desk\"", "service = \"disk\"");
-		assertThat(faultKeys(text), containsInAnyOrder("server[0].zone", "server[0].service"));
+		assertThat(errorKeys(text), containsInAnyOrder("server[0].zone", "server[0].service"));
 	}
 
 	@Test
 	void refusesNamesUsedTwice() {
 		String again = "[[operator]]\nname = \"ops\"\nkeyDigest = \"" + DIGEST + "\"\n";
-		assertThat(faultKeys(VALID + again), hasItem("operator[1]"));
+		assertThat(errorKeys(VALID + again), hasItem("operator[1]"));
 	}
 
 	@Test
 	void refusesUnrepeatableRoutesThatCannotBeSentOnce() {
-		assertThat(faultKeys(VALID.replace("\"POST\"", "\"PATCH\"")), hasItem("service[0].routes[0].method"));
+		assertThat(errorKeys(VALID.replace("\"POST\"", "\"PATCH\"")), hasItem("service[0].routes[0].method"));
 	}
 
 	@Test
-	void refusesAManifestThatNobodyCouldChange() {
+	void refusesAManifestWithoutOperators() {
 		String text = VALID.substring(0, VALID.indexOf("[[operator]]")) + "operator = []\n";
 		assertThat(ManifestReader.read(text).isLeft(), is(true));
 	}
@@ -85,14 +85,14 @@
 	void refusesARolloutToTheVersionInUse() {
 		String rollout = "[[rollout]]\nservice = \"desk\"\ncandidate = \"v1\"\nstartsAtEpochSeconds = 5\n"
 				+ "deadlineEpochSeconds = 5\n";
-		assertThat(faultKeys(VALID + rollout),
+		assertThat(errorKeys(VALID + rollout),
 				containsInAnyOrder("rollout[0].deadlineEpochSeconds", "rollout[0].candidate"));
 	}
 
 	@Test
-	void refusesWhatIsTooLarge() {
+	void refusesTooLargeManifests() {
 		String text = VALID + "# " + "x".repeat(ManifestReader.MAX_BYTES);
-		assertThat(faultKeys(text), hasItem("document"));
+		assertThat(errorKeys(text), hasItem("document"));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/manifest/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/manifest/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the manifest.
  */
 @NullMarked
 package io.flamingogap.core.manifest;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/toml/RecordBinderTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/toml/RecordBinderTests.java
@@ -15,7 +15,7 @@
  */
 class RecordBinderTests {
 
-	private static List<String> faultKeys(String text) {
+	private static List<String> errorKeys(String text) {
 		return RecordBinder.bind(text, Sample.class).getLeft().stream().map(ValidationError::key).toList();
 	}
 
@@ -26,22 +26,22 @@
 	}
 
 	@Test
-	void reportsAllFaultsAtOnce() {
+	void reportsAllErrorsAtOnce() {
 		String text = "name = \"UPPER\"\ntimeoutMillis = 0\nsurprise = 1\n[[part]]\nsizeBytes = \"x\"\n";
-		assertThat(faultKeys(text), containsInAnyOrder("surprise", "name", "timeoutMillis", "part[0].sizeBytes"));
+		assertThat(errorKeys(text), containsInAnyOrder("surprise", "name", "timeoutMillis", "part[0].sizeBytes"));
 	}
 
 	@Test
-	void reportsAbsentKeysWithWhatTheyAllow() {
-		List<ValidationError> faults = RecordBinder.bind("", Sample.class).getLeft();
-		assertThat(faults.stream().map(ValidationError::toString).toList(),
+	void reportsMissingKeysWithTheAllowedValues() {
+		List<ValidationError> errors = RecordBinder.bind("", Sample.class).getLeft();
+		assertThat(errors.stream().map(ValidationError::toString).toList(),
 				contains("name = absent: must be text of the form " + StringPattern.NAME));
 	}
 
 	@Test
 	void reportsTheLineOfASyntaxError() {
-		ValidationError fault = RecordBinder.bind("name = \"a\"\nbroken\n", Sample.class).getLeft().get(0);
-		assertThat(fault.key(), containsString("line"));
+		ValidationError error = RecordBinder.bind("name = \"a\"\nbroken\n", Sample.class).getLeft().get(0);
+		assertThat(error.key(), containsString("line"));
 	}
 
 	record Sample(@StringPattern(StringPattern.NAME) String name,
--- a/flamingogap-core/src/test/java/io/flamingogap/core/toml/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/toml/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the binding of TOML documents.
  */
 @NullMarked
 package io.flamingogap.core.toml;
