--- a/flamingogap-core/src/main/java/io/flamingogap/core/node/Address.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/node/Address.java
@@ -5,16 +5,16 @@
 import java.util.regex.Pattern;
 
 /**
- * An IP number and a port.
+ * IP address and port of a listener.
  *
- * @param host the IP number
+ * @param host the IP address; IPv6 addresses are in brackets
  * @param port the port, 1 to 65535
  */
 public record Address(String host, int port) {
 
 	private static final int MAX_PORT = 65_535;
 
-	private static final Pattern FORM = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+]):([0-9]{1,5})");
+	private static final Pattern FORMAT = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+]):([0-9]{1,5})");
 
 	public Address {
 		Objects.requireNonNull(host, "host must not be null");
@@ -24,12 +24,13 @@
 	}
 
 	/**
-	 * Parse an address of the form {@code 127.0.0.1:8080}.
-	 * @param text the address
+	 * Parse an address such as {@code 127.0.0.1:8080} or {@code [::1]:8080}. Host names
+	 * aren't supported.
+	 * @param text the IP address and the port, separated by a colon
 	 * @return the parsed address
 	 */
 	public static Address parse(String text) {
-		Matcher matcher = FORM.matcher(text);
+		Matcher matcher = FORMAT.matcher(text);
 		if (!matcher.matches()) {
 			throw new IllegalArgumentException("address must be IP:PORT but was '" + text + "'");
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/node/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/node/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Identity and addresses of entry nodes.
+ * Identities and addresses of entry nodes.
  */
 @NullMarked
 package io.flamingogap.core.node;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
@@ -11,7 +11,7 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * Digests and message authentication codes.
+ * SHA-256 digests and message authentication codes.
  */
 public final class Digests {
 
@@ -22,7 +22,7 @@
 
 	/**
 	 * Return the SHA-256 digest of a text.
-	 * @param text the text, taken as UTF-8
+	 * @param text the text, encoded as UTF-8
 	 * @return 64 lower-case hexadecimal digits
 	 */
 	public static String sha256(String text) {
@@ -30,7 +30,7 @@
 	}
 
 	/**
-	 * Return the SHA-256 digest of some bytes.
+	 * Return the SHA-256 digest of a byte array.
 	 * @param bytes the bytes
 	 * @return 64 lower-case hexadecimal digits
 	 */
@@ -48,25 +48,25 @@
 	}
 
 	/**
-	 * Return the beginning of the SHA-256 digest of a text.
-	 * @param text the text, taken as UTF-8
-	 * @return the first 64 bits
+	 * Return the first 64 bits of the SHA-256 digest of a text.
+	 * @param text the text, encoded as UTF-8
+	 * @return the first 8 bytes as a big-endian number
 	 */
 	public static long sha256Prefix(String text) {
 		return ByteBuffer.wrap(sha256Bytes(text.getBytes(StandardCharsets.UTF_8))).getLong();
 	}
 
 	/**
-	 * Return the HMAC-SHA-256 of some bytes.
-	 * @param secret the shared secret
-	 * @param bytes the bytes
-	 * @return 32 bytes
+	 * Return the HMAC-SHA-256 of a message.
+	 * @param secret the shared secret, encoded as UTF-8
+	 * @param message the message
+	 * @return the code, 32 bytes
 	 */
-	public static byte[] hmac(String secret, byte[] bytes) {
+	public static byte[] hmac(String secret, byte[] message) {
 		try {
 			Mac mac = Mac.getInstance(MAC_ALGORITHM);
 			mac.init(new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), MAC_ALGORITHM));
-			return mac.doFinal(bytes);
+			return mac.doFinal(message);
 		}
 		catch (NoSuchAlgorithmException | InvalidKeyException ex) {
 			throw new IllegalStateException("every Java platform has " + MAC_ALGORITHM, ex);
@@ -74,7 +74,8 @@
 	}
 
 	/**
-	 * Compare two codes in a time that doesn't depend on where they differ.
+	 * Compare two authentication codes in constant time, so that the duration doesn't
+	 * reveal the position of the first difference.
 	 * @param first the first code
 	 * @param second the second code
 	 * @return {@code true} if they are equal
--- a/flamingogap-core/src/main/java/io/flamingogap/core/text/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Digests and encodings shared by the other packages.
+ * Cryptographic digests that the other packages share.
  */
 @NullMarked
 package io.flamingogap.core.text;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/ArchitectureTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/ArchitectureTests.java
@@ -8,13 +8,14 @@
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
 
 /**
- * The decisions are free of input, output, threads and clocks.
+ * Architecture rules of the module: its code makes decisions only and uses no network,
+ * threads or clocks.
  */
 @AnalyzeClasses(packages = "io.flamingogap.core", importOptions = ArchitectureTests.WithoutTests.class)
 class ArchitectureTests {
 
 	@ArchTest
-	void decisionsUseNoNetwork(JavaClasses classes) {
+	void classesUseNoNetwork(JavaClasses classes) {
 		ArchRuleDefinition.noClasses()
 			.should()
 			.dependOnClassesThat()
@@ -23,7 +24,7 @@
 	}
 
 	@ArchTest
-	void decisionsUseNoThreads(JavaClasses classes) {
+	void classesUseNoThreads(JavaClasses classes) {
 		ArchRuleDefinition.noClasses()
 			.should()
 			.dependOnClassesThat()
@@ -32,7 +33,7 @@
 	}
 
 	@ArchTest
-	void decisionsReadNoClock(JavaClasses classes) {
+	void classesReadNoClock(JavaClasses classes) {
 		ArchRuleDefinition.noClasses()
 			.should()
 			.callMethod(System.class, "currentTimeMillis")
@@ -45,7 +46,7 @@
 	}
 
 	/**
-	 * Leaves out test classes, wherever the build puts them.
+	 * Import option that excludes every {@code test-classes} directory.
 	 */
 	static final class WithoutTests implements ImportOption {
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the structure of the decisions.
+ * Tests of the architecture of the module.
  */
 @NullMarked
 package io.flamingogap.core;
