Correct when the version of a membership row is raised

The comment said that the version grows by one at each change. A node that refutes a report continues from the version of that report, which may be higher.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/Member.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/Member.java
@@ -16,8 +16,7 @@
  * @param callerAddress the address at which it accepts connections of callers
  * @param nodeAddress the address at which it accepts connections of other entry nodes
  * @param state the lifecycle state that the node last announced
- * @param version the version of the row; only the node itself raises it, by one at each
- * change
+ * @param version the version of the row; only the node itself raises it, at each change
  * @param unreachable whether a neighbour lost its connection to the node at this version
  * @param successor the node that took over its keys; {@code null} if none has
  */
