Reword the store package of the gateway

Comments spoke of records that "came", of stores that "fell silent" and of what operators "are told"; names such as next, end, disturbed, isPriced and later said neither what they hold nor in which unit.

Doc comments now say what each call reads, writes, waits for and returns, with units and special values. Batch.next became nextOffset, Page.end became endOffset, and the members of RecordFollower and of the test class ScriptedStore are named for what they hold. The comment of join called the member's name that of a run of the node; it is the same for each run.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -178,7 +178,7 @@
 				.filter((entry) -> entry.key().equals(USAGE_KEY))
 				.findFirst()
 				.flatMap(DutyRunner::readUsage);
-			append(HOLDER_KEY, this.parts.member().getBytes(StandardCharsets.UTF_8), page.end(), () -> {
+			append(HOLDER_KEY, this.parts.member().getBytes(StandardCharsets.UTF_8), page.endOffset(), () -> {
 				this.term.recordClaim(this.dutiesEnd, this.clock.steadyMillis());
 				this.usage.takeOver(last, this.parts.trueMillis().getAsLong());
 				this.scale.takeOver();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerService.java
@@ -53,10 +53,10 @@
 	private CompletableFuture<PeerReply> make(PeerCall call, StoreStream stream) {
 		return switch (call.getCall()) {
 			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
-				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(batch.records()), batch.next(),
-						false));
+				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(batch.records()),
+						batch.nextOffset(), false));
 			case NEWEST -> this.store.newest(stream, Optional.ofNullable(call.getKey()))
-				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(page.records()), page.end(),
+				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(page.records()), page.endOffset(),
 						page.hasMore()));
 			case APPEND ->
 				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecentRecords.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecentRecords.java
@@ -43,7 +43,7 @@
 			this.bytes = 0;
 			this.start = from;
 		}
-		this.end = batch.next();
+		this.end = batch.nextOffset();
 		this.heardAtMillis = nowMillis;
 		batch.records().forEach((entry) -> {
 			this.records.addLast(entry);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
@@ -7,49 +7,50 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A store that passes all calls on to another one; subclasses change some of them.
+ * Base class for a {@link RecordStore} that wraps another one. Forwards every call that a
+ * subclass doesn't override.
  */
 public abstract class ForwardingStore implements RecordStore {
 
-	private final RecordStore store;
+	private final RecordStore delegate;
 
 	/**
-	 * Create a store.
-	 * @param store takes the calls
+	 * Create a store that forwards its calls.
+	 * @param delegate the store to forward to
 	 */
-	protected ForwardingStore(RecordStore store) {
-		this.store = Objects.requireNonNull(store, "store must not be null");
+	protected ForwardingStore(RecordStore delegate) {
+		this.delegate = Objects.requireNonNull(delegate, "delegate must not be null");
 	}
 
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-		return this.store.read(stream, from, waitMillis);
+		return this.delegate.read(stream, from, waitMillis);
 	}
 
 	@Override
 	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
-		return this.store.newest(stream, after);
+		return this.delegate.newest(stream, after);
 	}
 
 	@Override
 	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
 			OptionalLong expectedEnd) {
-		return this.store.append(stream, key, value, expectedEnd);
+		return this.delegate.append(stream, key, value, expectedEnd);
 	}
 
 	@Override
 	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
-		return this.store.appendAll(stream, records);
+		return this.delegate.appendAll(stream, records);
 	}
 
 	@Override
 	public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
-		return this.store.join(member, generation, ttlMillis);
+		return this.delegate.join(member, generation, ttlMillis);
 	}
 
 	@Override
 	public CompletableFuture<Void> leave(String member) {
-		return this.store.leave(member);
+		return this.delegate.leave(member);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
@@ -6,100 +6,101 @@
 import io.flamingogap.core.serving.ServingConfig;
 
 /**
- * How operators and backend servers spell their records. What can't be read is described.
+ * Converts the records of operators and backend servers from and to the platform's
+ * format. For a record that can't be decoded, the left side of the result describes why.
  */
 public interface RecordCodec {
 
 	/**
-	 * Return what an operator's record is about.
+	 * Return what the operator record with this key is about.
 	 * @param key the key of the record
-	 * @return the subject
+	 * @return the subject; {@link OperatorSubject#OTHER} for an unknown key
 	 */
 	OperatorSubject subjectOf(String key);
 
 	/**
-	 * Read a configuration.
+	 * Decode a configuration.
 	 * @param value the content of the record
-	 * @return the configuration, or why it can't be read
+	 * @return the configuration, or why it can't be decoded
 	 */
 	Either<String, ServingConfig> readConfig(byte[] value);
 
 	/**
-	 * Read the registration of a backend server.
-	 * @param id the id of the server, which is the key
+	 * Decode the registration of a backend server.
+	 * @param id the id of the server, which is the key of the record
 	 * @param value the content of the record
-	 * @return the entry, or why it names no server to use
+	 * @return the registration, or why it describes no usable server
 	 */
 	Either<String, ServerRegistration> readServer(String id, byte[] value);
 
 	/**
-	 * Read an order to move a service to another version.
+	 * Decode an order to move a service to another version.
 	 * @param value the content of the record
-	 * @return the order, or why it can't be read
+	 * @return the order, or why it can't be decoded
 	 */
 	Either<String, RolloutOrder> readRollout(byte[] value);
 
 	/**
-	 * Write what operators are told of a rollout.
+	 * Encode the status of a rollout for operators.
 	 * @param status the status
-	 * @return the record
+	 * @return the record for {@link StoreStream#STATUS}
 	 */
 	StoredRecord writeStatus(RolloutStatus status);
 
 	/**
-	 * Read what operators are told of a rollout.
+	 * Decode the status of a rollout that was written for operators.
 	 * @param entry the record
-	 * @return the status, or why it can't be read
+	 * @return the status, or why it can't be decoded
 	 */
 	Either<String, RolloutStatus> readStatus(StoredRecord entry);
 
 	/**
-	 * What an operator's record is about.
+	 * Subjects of operator records.
 	 */
 	enum OperatorSubject {
 
-		/** The configuration. */
+		/** A serving configuration. */
 		CONFIG,
 
-		/** A rollout. */
+		/** A rollout order. */
 		ROLLOUT,
 
-		/** Something that nodes don't act on. */
+		/** A subject that nodes don't act on. */
 		OTHER
 
 	}
 
 	/**
-	 * An order to move a service to another version.
+	 * An operator's order to move a service to another version.
 	 *
-	 * @param service the service
-	 * @param target the version
-	 * @param withinMillis the time until the move has to be complete
+	 * @param service the name of the service
+	 * @param target the version to move to
+	 * @param withinMillis the time allowed for the whole move, in milliseconds
 	 */
 	record RolloutOrder(String service, String target, long withinMillis) {
 	}
 
 	/**
-	 * What operators are told of a rollout.
+	 * The progress of a rollout as reported to operators.
 	 *
-	 * @param service the service
-	 * @param target the version
-	 * @param state how far it is
+	 * @param service the name of the service
+	 * @param target the version to move to
+	 * @param state the current state of the move
 	 */
 	record RolloutStatus(String service, String target, State state) {
 
 		/**
-		 * How far a rollout is.
+		 * States of a rollout.
 		 */
 		public enum State {
 
-			/** Under way. */
+			/** The move is in progress. */
 			RUNNING,
 
-			/** Complete. */
+			/** The move is complete. */
 			DONE,
 
-			/** Taken back. */
+			/** The move was undone; the target version gets no requests. */
 			REVERTED
 
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -12,23 +12,28 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Follows a stream: lists the newest records, then reads on. Lists again when records
- * that it hasn't read are gone. Used on the event loop only.
+ * Follows a stream: lists the newest record of each key, then reads every record that is
+ * appended later. Lists again if the store has dropped records that weren't read yet.
+ * Used on the event loop only.
  */
 public final class RecordFollower {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * How long the store may hold a read. A store that fell silent for this node stays
-	 * unnoticed for so long, within the bound to put a configuration in force.
+	 * How long the store may hold a read while there are no new records. If the store
+	 * stops answering this node, that goes unnoticed for up to this long, which fits into
+	 * the time allowed to put a configuration in force.
 	 */
-	private static final long WAIT_MILLIS = 1_000;
+	private static final long READ_WAIT_MILLIS = 1_000;
 
-	/** The pause after a failed call; doubles up to the most. */
-	private static final long MIN_RETRY_MILLIS = 100;
+	/**
+	 * The delay after a failed call. Doubles with every further failure up to
+	 * {@link #MAX_RETRY_DELAY_MILLIS}.
+	 */
+	private static final long MIN_RETRY_DELAY_MILLIS = 100;
 
-	private static final long MAX_RETRY_MILLIS = 800;
+	private static final long MAX_RETRY_DELAY_MILLIS = 800;
 
 	private final EventLoop loop;
 
@@ -36,87 +41,87 @@
 
 	private final StoreStream stream;
 
-	private final long pauseMillis;
+	private final long readPauseMillis;
 
-	private long replayRecords;
+	private long replayCount;
 
 	private final RecordListener listener;
 
 	private final LongSupplier steadyMillis;
 
-	private long retryMillis = MIN_RETRY_MILLIS;
+	private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
-	private long contactAtMillis;
+	private long lastContactAtMillis;
 
-	private long disturbedAtMillis = Long.MIN_VALUE / 2;
+	private long lastDisruptionAtMillis = Long.MIN_VALUE / 2;
 
 	private boolean reachable = true;
 
-	private boolean listed;
+	private boolean listingCompleted;
 
 	/**
 	 * Create a follower.
-	 * @param loop the event loop
-	 * @param store the store
-	 * @param stream the stream
-	 * @param pauseMillis the pause after records were read from the store itself, so that
-	 * several come at once
-	 * @param listener takes the records
-	 * @param steadyMillis tells the present time
+	 * @param loop the event loop that runs the reads and the listener
+	 * @param store the store to read from
+	 * @param stream the stream to follow
+	 * @param readPauseMillis the pause in milliseconds after the store itself returned
+	 * records, so that the next read returns several at once; 0 for none
+	 * @param listener receives the records
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	public RecordFollower(EventLoop loop, RecordStore store, StoreStream stream, long pauseMillis,
+	public RecordFollower(EventLoop loop, RecordStore store, StoreStream stream, long readPauseMillis,
 			RecordListener listener, LongSupplier steadyMillis) {
 		this.loop = loop;
 		this.store = store;
 		this.stream = stream;
-		this.pauseMillis = pauseMillis;
+		this.readPauseMillis = readPauseMillis;
 		this.listener = listener;
 		this.steadyMillis = steadyMillis;
 	}
 
 	/**
-	 * Read records again that came before the first listing, if the store still has them.
-	 * @param records the number of records
+	 * Also read records from before the first listing, if the store still has them.
+	 * @param records the number of offsets to go back from the end of the stream
 	 * @return this follower
 	 */
 	public RecordFollower replaying(long records) {
-		this.replayRecords = records;
+		this.replayCount = records;
 		return this;
 	}
 
 	/**
-	 * Begin to follow.
+	 * Start following the stream.
 	 */
 	public void start() {
-		list(Optional.empty(), new HashSet<>(), Long.MAX_VALUE);
+		listFrom(Optional.empty(), new HashSet<>(), Long.MAX_VALUE);
 	}
 
-	private void list(Optional<String> after, Set<String> keys, long end) {
+	private void listFrom(Optional<String> after, Set<String> keys, long smallestEnd) {
 		this.store.newest(this.stream, after).whenComplete((page, failure) -> {
 			if (failure != null) {
 				onFailure(failure, this::start);
 				return;
 			}
-			onContact();
+			onSuccess();
 			page.records().forEach((entry) -> {
 				keys.add(entry.key());
 				this.listener.onRecord(entry);
 			});
-			long firstEnd = Math.min(end, page.end());
+			long listingEnd = Math.min(smallestEnd, page.endOffset());
 			if (page.hasMore() && !page.records().isEmpty()) {
-				list(Optional.of(page.records().get(page.records().size() - 1).key()), keys, firstEnd);
+				listFrom(Optional.of(page.records().get(page.records().size() - 1).key()), keys, listingEnd);
 				return;
 			}
-			this.listener.onListed(keys, firstEnd);
-			this.listed = true;
-			long from = Math.max(0, firstEnd - this.replayRecords);
-			this.replayRecords = 0;
-			read(from);
+			this.listener.onListed(keys, listingEnd);
+			this.listingCompleted = true;
+			long from = Math.max(0, listingEnd - this.replayCount);
+			this.replayCount = 0;
+			readFrom(from);
 		});
 	}
 
-	private void read(long from) {
-		this.store.read(this.stream, from, this.reachable ? WAIT_MILLIS : 0).whenComplete((batch, failure) -> {
+	private void readFrom(long from) {
+		this.store.read(this.stream, from, this.reachable ? READ_WAIT_MILLIS : 0).whenComplete((batch, failure) -> {
 			if (failure != null && StoreException.of(failure).reason() == StoreException.Reason.DROPPED) {
 				logger.atInfo()
 					.log("%s",
@@ -126,30 +131,30 @@
 				start();
 			}
 			else if (failure != null) {
-				onFailure(failure, () -> read(from));
+				onFailure(failure, () -> readFrom(from));
 			}
 			else {
-				onContact();
+				onSuccess();
 				batch.records().forEach(this.listener::onRecord);
-				boolean isPriced = !batch.records().isEmpty() && !batch.relayed();
-				later(() -> read(batch.next()), isPriced ? this.pauseMillis : 0);
+				boolean isReadFromStore = !batch.records().isEmpty() && !batch.relayed();
+				runAfter(() -> readFrom(batch.nextOffset()), isReadFromStore ? this.readPauseMillis : 0);
 			}
 		});
 	}
 
-	private void onContact() {
+	private void onSuccess() {
 		long nowMillis = this.steadyMillis.getAsLong();
-		this.contactAtMillis = nowMillis;
-		this.retryMillis = MIN_RETRY_MILLIS;
+		this.lastContactAtMillis = nowMillis;
+		this.retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 		if (!this.reachable) {
 			this.reachable = true;
-			this.disturbedAtMillis = nowMillis;
+			this.lastDisruptionAtMillis = nowMillis;
 			logger.atInfo().log("%s", LogLine.of("store reached again").with("stream", this.stream.name()));
 		}
 	}
 
 	private void onFailure(Throwable failure, Runnable retry) {
-		this.disturbedAtMillis = this.steadyMillis.getAsLong();
+		this.lastDisruptionAtMillis = this.steadyMillis.getAsLong();
 		if (this.reachable) {
 			this.reachable = false;
 			logger.atWarning()
@@ -158,11 +163,11 @@
 							.with("stream", this.stream.name())
 							.with("reason", String.valueOf(StoreException.of(failure).getMessage())));
 		}
-		later(retry, this.retryMillis);
-		this.retryMillis = Math.min(MAX_RETRY_MILLIS, this.retryMillis * 2);
+		runAfter(retry, this.retryDelayMillis);
+		this.retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, this.retryDelayMillis * 2);
 	}
 
-	private void later(Runnable task, long delayMillis) {
+	private void runAfter(Runnable task, long delayMillis) {
 		if (delayMillis == 0) {
 			this.loop.execute(task);
 		}
@@ -172,27 +177,28 @@
 	}
 
 	/**
-	 * Return when a call failed last, or succeeded for the first time after failures.
-	 * @return the time
+	 * Return when a call last failed, or when the first call after failures succeeded.
+	 * @return the time in milliseconds of the monotonic clock; far in the past if no call
+	 * has failed
 	 */
 	public long lastDisruptionAtMillis() {
-		return this.disturbedAtMillis;
+		return this.lastDisruptionAtMillis;
 	}
 
 	/**
-	 * Return when the store last answered.
-	 * @return the time
+	 * Return when the store last answered a call successfully.
+	 * @return the time in milliseconds of the monotonic clock; 0 before the first answer
 	 */
 	public long lastContactAtMillis() {
-		return this.contactAtMillis;
+		return this.lastContactAtMillis;
 	}
 
 	/**
-	 * Return whether all records were read once.
-	 * @return {@code true} after the first listing
+	 * Return whether the newest records of all keys were read at least once.
+	 * @return {@code true} after the first complete listing
 	 */
 	public boolean hasCompletedListing() {
-		return this.listed;
+		return this.listingCompleted;
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordListener.java
@@ -3,20 +3,20 @@
 import java.util.Set;
 
 /**
- * Takes the records of a stream that is followed.
+ * Receives the records that a {@link RecordFollower} reads.
  */
 public interface RecordListener {
 
 	/**
-	 * A record was read. Records of a listing may come again.
-	 * @param entry the record
+	 * Handle a record. Records that a listing returns may be delivered again.
+	 * @param entry the record; without a value if its key was removed
 	 */
 	void onRecord(StoredRecord entry);
 
 	/**
-	 * The newest records of all keys were read.
-	 * @param keys the keys that the stream has
-	 * @param end the end of the stream when the listing began
+	 * Handle the end of a listing, after the newest record of each key was delivered.
+	 * @param keys all keys that the stream had
+	 * @param end the offset of the end of the stream when the listing began
 	 */
 	void onListed(Set<String> keys, long end);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -6,24 +6,26 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The platform's store. Results arrive on the event loop; failures are
- * {@link StoreException}s.
+ * The platform's durable store of record streams, and the group of nodes in which one
+ * node at a time holds the duties. Futures complete on the event loop; those of failed
+ * calls complete with a {@link StoreException}.
  */
 public interface RecordStore {
 
 	/**
-	 * Read records, or wait for one.
+	 * Read the records from an offset on, or wait for the next one.
 	 * @param stream the stream
-	 * @param from the first offset to read
-	 * @param waitMillis how long to wait for a record
-	 * @return the records, and the offset to go on from
+	 * @param from the offset of the first record to read
+	 * @param waitMillis how long the call may wait for a record, in milliseconds; 0 to
+	 * return at once
+	 * @return the records, which may be none, and the offset to continue from
 	 */
 	CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis);
 
 	/**
-	 * Read the newest record of each key, a page at a time.
+	 * Read a page of a listing, which has the newest record of each key.
 	 * @param stream the stream
-	 * @param after the last key of the page before, if any
+	 * @param after the last key of the previous page; empty for the first page
 	 * @return the page
 	 */
 	CompletableFuture<Page> newest(StoreStream stream, Optional<String> after);
@@ -33,48 +35,52 @@
 	 * @param stream the stream
 	 * @param key the key
 	 * @param value the content; empty to remove the key
-	 * @param expectedEnd the offset that the record must get, if it matters
-	 * @return the offset that it got
+	 * @param expectedEnd the offset that the record must get, or the call fails with
+	 * {@link StoreException.Reason#CONFLICT}; empty if any offset will do
+	 * @return the offset of the record
 	 */
 	CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value, OptionalLong expectedEnd);
 
 	/**
-	 * Append records in one call.
+	 * Append several records in one call.
 	 * @param stream the stream
-	 * @param records the records
-	 * @return the offset that the first one got
+	 * @param records the records, in order
+	 * @return the offset of the first record
 	 */
 	CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records);
 
 	/**
-	 * Join the group that shares the duties, or stay in it.
-	 * @param member the name of this run of the node
-	 * @param generation the last generation that was returned; 0 at first
-	 * @param ttlMillis how long the membership lasts without another call
-	 * @return this node's part in the group
+	 * Join the group that assigns the duties to one of its members, or renew the
+	 * membership.
+	 * @param member the name of the member
+	 * @param generation the generation that the previous call returned; 0 in the first
+	 * call
+	 * @param ttlMillis how long the membership lasts without another call, in
+	 * milliseconds
+	 * @return the state of the group as seen by the member
 	 */
 	CompletableFuture<GroupView> join(String member, long generation, long ttlMillis);
 
 	/**
 	 * Leave the group.
-	 * @param member the name of this run of the node
+	 * @param member the name of the member
 	 * @return completes when the store has answered
 	 */
 	CompletableFuture<Void> leave(String member);
 
 	/**
-	 * Records that were read.
+	 * The result of a read.
 	 *
-	 * @param records the records
-	 * @param next the offset to go on from
-	 * @param relayed whether another node of the zone passed them on, which costs no call
-	 * of the store
+	 * @param records the records, in order of their offsets
+	 * @param nextOffset the offset to continue from
+	 * @param relayed whether another node of the zone answered the read, which costs no
+	 * call to the store
 	 */
-	record Batch(List<StoredRecord> records, long next, boolean relayed) {
+	record Batch(List<StoredRecord> records, long nextOffset, boolean relayed) {
 	}
 
 	/**
-	 * A record to append.
+	 * A record to append, which has no offset yet.
 	 *
 	 * @param key the key
 	 * @param value the content
@@ -83,20 +89,20 @@
 	}
 
 	/**
-	 * A page of the newest records.
+	 * A page of a listing.
 	 *
-	 * @param records the records
-	 * @param hasMore whether another page follows
-	 * @param end the end of the stream when the page was taken
+	 * @param records the newest records of some keys
+	 * @param hasMore whether there is another page
+	 * @param endOffset the offset of the end of the stream when the page was read
 	 */
-	record Page(List<StoredRecord> records, boolean hasMore, long end) {
+	record Page(List<StoredRecord> records, boolean hasMore, long endOffset) {
 	}
 
 	/**
-	 * This node's part in the group.
+	 * The state of the group as seen by one member.
 	 *
-	 * @param generation the number of the group's distribution of the duties
-	 * @param holdsDuties whether this node holds them
+	 * @param generation the number of the current assignment of the duties
+	 * @param holdsDuties whether the duties are assigned to the member
 	 */
 	record GroupView(long generation, boolean holdsDuties) {
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.CompletionException;
 
 /**
- * A call to the store that did not do what it should.
+ * Thrown when a call to the store fails, or when it is unknown whether it took effect.
  */
 public final class StoreException extends RuntimeException {
 
@@ -12,9 +12,9 @@
 	private final Reason reason;
 
 	/**
-	 * Create an exception.
+	 * Create an exception without a stack trace.
 	 * @param reason why the call failed
-	 * @param detail what happened, for people
+	 * @param detail a description for log lines
 	 */
 	public StoreException(Reason reason, String detail) {
 		super(detail, null, false, false);
@@ -22,40 +22,42 @@
 	}
 
 	/**
-	 * Find the failure of a call of the store, which dependent futures wrap.
-	 * @param failure the failure as a future tells it
-	 * @return the store's own failure, or one with an unknown outcome
+	 * Return the {@link StoreException} behind the failure of a future. Dependent futures
+	 * wrap it in a {@link CompletionException}.
+	 * @param failure the failure that a future was completed with
+	 * @return the original exception, or one with the reason {@link Reason#UNKNOWN} if
+	 * another exception was thrown
 	 */
 	public static StoreException of(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException wrapped && wrapped.getCause() != null)
-				? wrapped.getCause() : failure;
-		return (cause instanceof StoreException own) ? own
+		Throwable cause = (failure instanceof CompletionException wrapper && wrapper.getCause() != null)
+				? wrapper.getCause() : failure;
+		return (cause instanceof StoreException storeException) ? storeException
 				: new StoreException(Reason.UNKNOWN, String.valueOf(cause.getMessage()));
 	}
 
 	/**
 	 * Return why the call failed.
-	 * @return the reason
+	 * @return the reason, which also says whether the call may have taken effect
 	 */
 	public Reason reason() {
 		return this.reason;
 	}
 
 	/**
-	 * Why a call failed.
+	 * Reasons for the failure of a call.
 	 */
 	public enum Reason {
 
-		/** The store refused the call or did nothing. */
+		/** The call had no effect: the store refused it or did nothing. */
 		UNAVAILABLE,
 
-		/** No answer came; the call may have taken effect or still may. */
+		/** No answer arrived; the call may have taken effect or may do so later. */
 		UNKNOWN,
 
-		/** The records that were asked for are gone. */
+		/** The store no longer has the requested records. */
 		DROPPED,
 
-		/** The stream has another end than the append expected. */
+		/** The stream doesn't end at the offset that the append expected. */
 		CONFLICT
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreStream.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreStream.java
@@ -1,24 +1,24 @@
 package io.flamingogap.gateway.store;
 
 /**
- * The streams of records that a node follows or appends to. Each keeps the newest record
- * of each key.
+ * The record streams that nodes read or append to. Each stream keeps the newest record of
+ * every key.
  */
 public enum StoreStream {
 
-	/** What operators ask for: the configuration, and rollouts. */
+	/** Requests of operators: configurations and rollout orders. */
 	OPERATOR,
 
-	/** What operators are told of rollouts. */
+	/** The progress of rollouts, for operators. */
 	STATUS,
 
 	/** The registrations of backend servers. */
 	SERVERS,
 
-	/** The reports of entry nodes. */
+	/** The periodic reports of entry nodes. */
 	NODES,
 
-	/** What holders of the duties claim and intend. */
+	/** Claims of the duties, and usage reports that their holder is about to send. */
 	DUTIES
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoredRecord.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoredRecord.java
@@ -4,11 +4,11 @@
 import java.util.Optional;
 
 /**
- * A record of a stream.
+ * A record of a stream and its position.
  *
- * @param key what the record is about
- * @param value the content; empty if the key is removed
- * @param offset its position in the stream
+ * @param key identifies the subject of the record within its stream
+ * @param value the content; empty if the record removes the key
+ * @param offset the position in the stream
  */
 public record StoredRecord(String key, Optional<byte[]> value, long offset) {
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The platform's store of what must last: streams of records, followed and appended to.
+ * Access to the platform's durable store: record streams that nodes read, follow and
+ * append to.
  */
 @NullMarked
 package io.flamingogap.gateway.store;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -124,7 +124,7 @@
 				return super.read(stream, from, waitMillis);
 			}
 			return this.relay.readForPeer(stream, from, waitMillis)
-				.thenApply((batch) -> new Batch(batch.records(), batch.next(), true));
+				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true));
 		}
 
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatchTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatchTests.java
@@ -36,8 +36,8 @@
 		this.batch.offer("b", new byte[1]);
 		assertThat(first.isDone(), is(false));
 		passTime();
-		assertThat(this.store.appended(), hasSize(1));
-		assertThat(this.store.appended().get(0).stream().map(NewRecord::key).toList(), contains("a", "b"));
+		assertThat(this.store.appendedBatches(), hasSize(1));
+		assertThat(this.store.appendedBatches().get(0).stream().map(NewRecord::key).toList(), contains("a", "b"));
 		assertThat(first.join(), is(7L));
 	}
 
@@ -46,8 +46,8 @@
 		this.batch.offer("a", new byte[1]);
 		this.batch.offer("a", new byte[2]);
 		passTime();
-		assertThat(this.store.appended().get(0), hasSize(1));
-		assertThat(this.store.appended().get(0).get(0).value().length, is(2));
+		assertThat(this.store.appendedBatches().get(0), hasSize(1));
+		assertThat(this.store.appendedBatches().get(0).get(0).value().length, is(2));
 	}
 
 	@Test
@@ -56,7 +56,7 @@
 		passTime();
 		this.batch.offer("a", new byte[1]);
 		passTime();
-		assertThat(this.store.appended(), hasSize(2));
+		assertThat(this.store.appendedBatches(), hasSize(2));
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/SharedReadsTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/SharedReadsTests.java
@@ -49,23 +49,23 @@
 	@BeforeEach
 	void readOwnRecords() {
 		this.reads.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
-		this.store.openRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
+		this.store.pendingRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
 		this.reads.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
 	}
 
 	@Test
 	void peerGetsWhatThisNodeHasReadWithoutACallOfTheStore() {
 		assertThat(offsets(readForPeer(8)), contains(8L));
-		assertThat(this.store.readFrom(), contains(7L, 9L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L));
 	}
 
 	@Test
 	void peerThatWaitsIsAnsweredWhenARecordArrives() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		assertThat(peer.isDone(), is(false));
-		this.store.openRead().complete(new Batch(List.of(entry(9)), 10, false));
+		this.store.pendingRead().complete(new Batch(List.of(entry(9)), 10, false));
 		assertThat(offsets(peer), contains(9L));
-		assertThat(peer.join().next(), is(10L));
+		assertThat(peer.join().nextOffset(), is(10L));
 	}
 
 	@Test
@@ -79,7 +79,7 @@
 	@Test
 	void peerThatWaitsIsRefusedOnceThisNodeLosesTheStore() {
 		CompletableFuture<Batch> peer = readForPeer(9);
-		this.store.openRead()
+		this.store.pendingRead()
 			.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "turned away"));
 		assertThat(peer.isCompletedExceptionally(), is(true));
 	}
@@ -89,22 +89,22 @@
 		this.nowMillis += 3_000;
 		CompletableFuture<Batch> peer = readForPeer(8);
 		assertThat(peer.isDone(), is(false));
-		assertThat(this.store.readFrom(), contains(7L, 9L, 8L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 8L));
 	}
 
 	@Test
 	void recordsFromBeforeThisNodeReadAreReadFromTheStore() {
 		readForPeer(3);
-		assertThat(this.store.readFrom(), contains(7L, 9L, 3L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 3L));
 	}
 
 	@Test
 	void recordsAfterAGapAreNotJoinedToThoseBefore() {
 		this.reads.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
-		this.store.openRead().complete(new Batch(List.of(entry(20)), 21, false));
+		this.store.pendingRead().complete(new Batch(List.of(entry(20)), 21, false));
 		assertThat(offsets(readForPeer(20)), contains(20L));
 		readForPeer(8);
-		assertThat(this.store.readFrom(), contains(7L, 9L, 20L, 8L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 20L, 8L));
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -14,7 +14,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Following a stream of the store.
+ * Tests of {@link RecordFollower}: where it reads from, and what it does after failed
+ * reads.
  */
 class RecordFollowerTests {
 
@@ -22,63 +23,63 @@
 
 	private final ScriptedStore store = new ScriptedStore();
 
-	private final List<Long> offsets = new ArrayList<>();
+	private final List<Long> receivedOffsets = new ArrayList<>();
 
-	private int listings;
+	private int listingCount;
 
 	private RecordFollower follower() {
 		return follower(this.store);
 	}
 
-	private RecordFollower follower(RecordStore reads) {
-		return new RecordFollower(this.channel.eventLoop(), reads, StoreStream.NODES, 0, new RecordListener() {
+	private RecordFollower follower(RecordStore followedStore) {
+		return new RecordFollower(this.channel.eventLoop(), followedStore, StoreStream.NODES, 0, new RecordListener() {
 			@Override
 			public void onRecord(StoredRecord entry) {
-				RecordFollowerTests.this.offsets.add(entry.offset());
+				RecordFollowerTests.this.receivedOffsets.add(entry.offset());
 			}
 
 			@Override
 			public void onListed(Set<String> keys, long end) {
-				RecordFollowerTests.this.listings++;
+				RecordFollowerTests.this.listingCount++;
 			}
 		}, () -> 0);
 	}
 
 	@Test
-	void readsOnFromTheEndOfItsListing() {
+	void readsFromTheEndOfTheListing() {
 		follower().start();
 		this.channel.runPendingTasks();
-		assertThat(this.store.readFrom(), contains(7L));
+		assertThat(this.store.readOffsets(), contains(7L));
 	}
 
 	@Test
-	void listsAgainWhenRecordsThatItHasNotReadAreGone() {
-		this.store.failReads(new StoreException(StoreException.Reason.DROPPED, "gone"));
+	void listsAgainWhenUnreadRecordsWereDropped() {
+		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
 		follower().start();
 		this.channel.runPendingTasks();
-		assertThat(this.listings, is(2));
-		assertThat(this.store.readFrom(), contains(7L, 7L));
+		assertThat(this.listingCount, is(2));
+		assertThat(this.store.readOffsets(), contains(7L, 7L));
 	}
 
 	@Test
-	void listsAgainAlsoWhenItReadsForItsZone() {
-		this.store.failReads(new StoreException(StoreException.Reason.DROPPED, "gone"));
+	void listsAgainWhenItsReadsAreSharedWithTheZone() {
+		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
 		follower(new SharedReads(this.channel.eventLoop(), this.store, () -> 0)).start();
 		this.channel.runPendingTasks();
-		assertThat(this.listings, is(2));
+		assertThat(this.listingCount, is(2));
 	}
 
 	@Test
-	void replaysEarlierRecordsOnceOnly() {
-		this.store.failReads(new StoreException(StoreException.Reason.DROPPED, "gone"));
+	void replaysEarlierRecordsOnlyOnce() {
+		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
 		follower().replaying(5).start();
 		this.channel.runPendingTasks();
-		assertThat(this.store.readFrom(), contains(2L, 7L));
+		assertThat(this.store.readOffsets(), contains(2L, 7L));
 	}
 
 	@Test
-	void failureIsRememberedAsADisturbance() {
-		this.store.failReads(new StoreException(StoreException.Reason.UNAVAILABLE, "down"));
+	void recordsFailedReadAsDisruption() {
+		this.store.failNextRead(new StoreException(StoreException.Reason.UNAVAILABLE, "down"));
 		RecordFollower follower = follower();
 		follower.start();
 		this.channel.runPendingTasks();
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -9,57 +9,57 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A store whose reads fail as told, or stay open until a test completes them. A listing
- * has one record, at offset 6.
+ * A store for tests whose reads fail as scripted or stay pending until the test completes
+ * them. A listing has one record, at offset 6.
  */
 public final class ScriptedStore implements RecordStore {
 
 	private final Deque<StoreException> failures = new ArrayDeque<>();
 
-	private final List<Long> readFrom = new ArrayList<>();
+	private final List<Long> readOffsets = new ArrayList<>();
 
-	private final List<List<NewRecord>> appended = new ArrayList<>();
+	private final List<List<NewRecord>> appendedBatches = new ArrayList<>();
 
-	private CompletableFuture<Batch> openRead = new CompletableFuture<>();
+	private CompletableFuture<Batch> pendingRead = new CompletableFuture<>();
 
 	/**
-	 * Let the next read fail.
+	 * Make the next read fail. Several failures apply to the next reads in turn.
 	 * @param failure the failure
 	 */
-	public void failReads(StoreException failure) {
+	public void failNextRead(StoreException failure) {
 		this.failures.add(failure);
 	}
 
 	/**
-	 * Return the offsets that were read from.
-	 * @return the offsets, in order
+	 * Return the offset that each read started from.
+	 * @return the offsets, in the order of the calls
 	 */
-	public List<Long> readFrom() {
-		return this.readFrom;
+	public List<Long> readOffsets() {
+		return this.readOffsets;
 	}
 
 	/**
 	 * Return the records that were appended together.
-	 * @return a list for each call
+	 * @return a list of records for each call
 	 */
-	public List<List<NewRecord>> appended() {
-		return this.appended;
+	public List<List<NewRecord>> appendedBatches() {
+		return this.appendedBatches;
 	}
 
 	/**
-	 * Return the read that is open.
-	 * @return its result, which a test completes
+	 * Return the result of the newest read, unless its failure was scripted.
+	 * @return a future for the test to complete
 	 */
-	public CompletableFuture<Batch> openRead() {
-		return this.openRead;
+	public CompletableFuture<Batch> pendingRead() {
+		return this.pendingRead;
 	}
 
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-		this.readFrom.add(from);
-		this.openRead = new CompletableFuture<>();
+		this.readOffsets.add(from);
+		this.pendingRead = new CompletableFuture<>();
 		StoreException failure = this.failures.poll();
-		return (failure != null) ? CompletableFuture.failedFuture(failure) : this.openRead;
+		return (failure != null) ? CompletableFuture.failedFuture(failure) : this.pendingRead;
 	}
 
 	@Override
@@ -76,7 +76,7 @@
 
 	@Override
 	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
-		this.appended.add(records);
+		this.appendedBatches.add(records);
 		return CompletableFuture.completedFuture(7L);
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/package-info.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package of the same name.
+ * Tests of the access to the platform's durable store.
  */
 @NullMarked
 package io.flamingogap.gateway.store;
