Rename three types of the cloud package

ScaleDuty and UsageDuty carry out nothing: they decide what is due, and DutyRunner acts. They are now ServerOrderPlanner and UsageReportSchedule. FleetDemandOf, half a sentence, is FleetServiceDemand. The tests of the two classes follow. No use outside the package.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -55,9 +55,9 @@
 
 	private final DutyTerm term;
 
-	private final UsageDuty usage;
+	private final UsageReportSchedule usage;
 
-	private final ScaleDuty scale;
+	private final ServerOrderPlanner scale;
 
 	private long generation;
 
@@ -85,8 +85,9 @@
 		this.store = parts.store();
 		this.clock = parts.clock();
 		this.term = new DutyTerm(leaseMillis, CONFIRM_MILLIS);
-		this.usage = new UsageDuty(usageWindowMillis, parts.totals()::usageOf, parts.totals()::heardAllWithin);
-		this.scale = new ScaleDuty(parts.servers(), parts.firstStart());
+		this.usage = new UsageReportSchedule(usageWindowMillis, parts.totals()::usageOf,
+				parts.totals()::heardAllWithin);
+		this.scale = new ServerOrderPlanner(parts.servers(), parts.firstStart());
 	}
 
 	/**
@@ -173,7 +174,7 @@
 				logFailure("duties not listed before a claim", failure);
 				return;
 			}
-			Optional<UsageDuty.Report> last = page.records()
+			Optional<UsageReportSchedule.Report> last = page.records()
 				.stream()
 				.filter((entry) -> entry.key().equals(USAGE_KEY))
 				.findFirst()
@@ -192,11 +193,11 @@
 		});
 	}
 
-	private static Optional<UsageDuty.Report> readUsage(StoredRecord entry) {
+	private static Optional<UsageReportSchedule.Report> readUsage(StoredRecord entry) {
 		return ReportCodec.readUsage(entry.value().orElse(new byte[0]))
 			.peekLeft((reason) -> logger.atWarning()
 				.log("%s", LogLine.of("usage record unreadable").with("reason", reason)))
-			.map((read) -> new UsageDuty.Report(read.getKey(), read.getValue()))
+			.map((read) -> new UsageReportSchedule.Report(read.getKey(), read.getValue()))
 			.toJavaOptional();
 	}
 
@@ -219,13 +220,13 @@
 	}
 
 	private void act(long token, long nowMillis) {
-		Optional<UsageDuty.Report> open = this.usage.intended();
+		Optional<UsageReportSchedule.Report> open = this.usage.intended();
 		if (open.isPresent()) {
 			this.term.recordAction(nowMillis);
 			sendUsage(token, open.get());
 			return;
 		}
-		Optional<UsageDuty.Report> due = this.usage.nextDue(this.parts.trueMillis().getAsLong());
+		Optional<UsageReportSchedule.Report> due = this.usage.nextDue(this.parts.trueMillis().getAsLong());
 		if (due.isPresent()) {
 			keepUsage(due.get());
 			return;
@@ -242,7 +243,7 @@
 			.ifPresent((order) -> order(token, order));
 	}
 
-	private void keepUsage(UsageDuty.Report report) {
+	private void keepUsage(UsageReportSchedule.Report report) {
 		this.calling = true;
 		append(USAGE_KEY, ReportCodec.writeUsage(report.window(), report.requests()), this.dutiesEnd, () -> {
 			this.usage.recordKept(report);
@@ -250,7 +251,7 @@
 		});
 	}
 
-	private void sendUsage(long token, UsageDuty.Report report) {
+	private void sendUsage(long token, UsageReportSchedule.Report report) {
 		this.calling = true;
 		this.parts.cloud().reportUsage(token, report.window(), report.requests()).whenComplete((verdict, failure) -> {
 			this.calling = false;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetDemandOf.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetServiceDemand.java
@@ -3,7 +3,7 @@
 /**
  * What callers ask of services, over all nodes.
  */
-public interface FleetDemandOf {
+public interface FleetServiceDemand {
 
 	/**
 	 * Return the prompt tokens that arrive and that no engine holds yet.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
@@ -13,7 +13,7 @@
 /**
  * Figures over all nodes: what this node counts and what the others reported.
  */
-public final class FleetTotals implements FleetDemandOf {
+public final class FleetTotals implements FleetServiceDemand {
 
 	private final FleetView fleet;
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ScaleDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -27,7 +27,7 @@
  * The orders of servers that are due. What is missing is ordered first; servers are given
  * back only when nothing is missing and those that replace them take requests.
  */
-final class ScaleDuty {
+final class ServerOrderPlanner {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -53,7 +53,7 @@
 	 * @param firstStart whether the whole system starts for the first time, so that
 	 * nobody asks yet
 	 */
-	ScaleDuty(ServerTable servers, boolean firstStart) {
+	ServerOrderPlanner(ServerTable servers, boolean firstStart) {
 		this.servers = servers;
 		this.firstStart = firstStart;
 	}
@@ -72,7 +72,7 @@
 	 * @param nowMillis the present time
 	 * @return the order
 	 */
-	Optional<ServerPlan> nextDue(ServingConfig config, FleetDemandOf demand, long nowMillis) {
+	Optional<ServerPlan> nextDue(ServingConfig config, FleetServiceDemand demand, long nowMillis) {
 		return config.services()
 			.stream()
 			.filter((service) -> service.scale().isPresent() && service.engine().isPresent())
@@ -82,7 +82,7 @@
 	}
 
 	private Optional<ServerPlan> nextDue(BackendService service, EngineProfile engine, ScaleBounds bounds,
-			FleetDemandOf demand, long nowMillis) {
+			FleetServiceDemand demand, long nowMillis) {
 		String name = service.name();
 		DesiredCapacity need = this.needs.computeIfAbsent(name, (each) -> new CapacityStabilizer(this.firstStart))
 			.update(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageDuty.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
@@ -14,7 +14,7 @@
  * The usage reports that are due. What a report says is kept in the store before it is
  * sent, so that the next holder repeats it word for word.
  */
-final class UsageDuty {
+final class UsageReportSchedule {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -53,7 +53,7 @@
 	 * @param heardAllWithin whether every other node was heard within a time in
 	 * milliseconds
 	 */
-	UsageDuty(long windowMillis, LongFunction<Map<String, Long>> counts, LongPredicate heardAllWithin) {
+	UsageReportSchedule(long windowMillis, LongFunction<Map<String, Long>> counts, LongPredicate heardAllWithin) {
 		this.windowMillis = windowMillis;
 		this.counts = counts;
 		this.heardAllWithin = heardAllWithin;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ScaleDutyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -31,7 +31,7 @@
 /**
  * The orders of servers, against a cloud that grants or refuses them.
  */
-class ScaleDutyTests {
+class ServerOrderPlannerTests {
 
 	private static final int MOST = 8;
 
@@ -51,7 +51,7 @@
 
 	private final ServerTable servers = new ServerTable();
 
-	private final ScaleDuty duty = new ScaleDuty(this.servers, false);
+	private final ServerOrderPlanner duty = new ServerOrderPlanner(this.servers, false);
 
 	private final List<ServerPlan> orders = new ArrayList<>();
 
@@ -82,10 +82,10 @@
 
 	private List<ServerPlan> orderAllDue() {
 		List<ServerPlan> made = new ArrayList<>();
-		FleetDemandOf demand = new FleetDemandOf() {
+		FleetServiceDemand demand = new FleetServiceDemand() {
 			@Override
 			public double promptTokensPerSecond(String service) {
-				return ScaleDutyTests.this.tokensPerSecond;
+				return ServerOrderPlannerTests.this.tokensPerSecond;
 			}
 
 			@Override
@@ -155,9 +155,9 @@
 
 	@Test
 	void beforeAnybodyAsksFullPriceServersAreGivenBackOnceOthersAreGranted() {
-		ScaleDuty first = new ScaleDuty(this.servers, true);
+		ServerOrderPlanner first = new ServerOrderPlanner(this.servers, true);
 		ZONES.forEach((zone) -> register(zone, false, 5));
-		FleetDemandOf nobody = new FleetDemandOf() {
+		FleetServiceDemand nobody = new FleetServiceDemand() {
 			@Override
 			public double promptTokensPerSecond(String service) {
 				return 0;
@@ -187,8 +187,8 @@
 			register("cheap", false, 2);
 			ZONES.forEach((zone) -> register(zone, true, 6));
 			orderAllDue();
-			ScaleDutyTests.this.granted = (order) -> !order.reclaimable();
-			ScaleDutyTests.this.nowMillis += 1_000;
+			ServerOrderPlannerTests.this.granted = (order) -> !order.reclaimable();
+			ServerOrderPlannerTests.this.nowMillis += 1_000;
 			reclaim("cheap", 6);
 		}
 
@@ -205,10 +205,10 @@
 
 		@Test
 		void noReclaimableServerThatIsThereIsGivenBack() {
-			ScaleDutyTests.this.tokensPerSecond = 900_000;
+			ServerOrderPlannerTests.this.tokensPerSecond = 900_000;
 			List<ServerPlan> made = orderAllDue();
 			for (int i = 0; i < 20; i++) {
-				ScaleDutyTests.this.nowMillis += 1_000;
+				ServerOrderPlannerTests.this.nowMillis += 1_000;
 				made.addAll(orderAllDue());
 			}
 			assertThat(reclaimable(made).stream()
@@ -222,11 +222,11 @@
 			orderAllDue();
 			register("cheap", false, 8);
 			for (int i = 0; i < 12; i++) {
-				ScaleDutyTests.this.nowMillis += 1_000;
+				ServerOrderPlannerTests.this.nowMillis += 1_000;
 				assertThat(fullPriceShrinkage(orderAllDue()), is(empty()));
 			}
-			ScaleDutyTests.this.granted = (order) -> true;
-			ScaleDutyTests.this.nowMillis += 6_000;
+			ServerOrderPlannerTests.this.granted = (order) -> true;
+			ServerOrderPlannerTests.this.nowMillis += 6_000;
 			assertThat(fullPriceShrinkage(orderAllDue()), is(not(empty())));
 		}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageDutyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
@@ -11,7 +11,7 @@
 /**
  * When windows of usage are reported.
  */
-class UsageDutyTests {
+class UsageReportScheduleTests {
 
 	private static final long WINDOW_MILLIS = 5_000;
 
@@ -24,15 +24,15 @@
 
 	private long heardMillisAgo;
 
-	private final UsageDuty duty = new UsageDuty(WINDOW_MILLIS, (window) -> Map.of("growers", window),
-			(millis) -> this.heardMillisAgo <= millis);
+	private final UsageReportSchedule duty = new UsageReportSchedule(WINDOW_MILLIS,
+			(window) -> Map.of("growers", window), (millis) -> this.heardMillisAgo <= millis);
 
 	private Optional<Long> dueAt(long sinceEndMillis) {
-		return this.duty.nextDue(END_MILLIS + sinceEndMillis).map(UsageDuty.Report::window);
+		return this.duty.nextDue(END_MILLIS + sinceEndMillis).map(UsageReportSchedule.Report::window);
 	}
 
 	private void reportEarlierWindows() {
-		this.duty.takeOver(Optional.of(new UsageDuty.Report(WINDOW - 1, Map.of())), END_MILLIS);
+		this.duty.takeOver(Optional.of(new UsageReportSchedule.Report(WINDOW - 1, Map.of())), END_MILLIS);
 		this.duty.recordSent();
 	}
 
