--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/CloudApi.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/CloudApi.java
@@ -6,46 +6,46 @@
 import io.flamingogap.core.fleet.ServerPlan;
 
 /**
- * The cloud's calls that only the holder of the duties makes. Results arrive on the event
- * loop.
+ * Calls to the cloud, which only the holder of the duties makes. Futures complete on the
+ * event loop.
  */
 public interface CloudApi {
 
 	/**
-	 * Report the requests of a window.
-	 * @param token the fencing token
+	 * Report the usage of a window.
+	 * @param token the fencing token of the holder
 	 * @param window the number of the window
-	 * @param requests requests by account
-	 * @return what became of the call
+	 * @param requests the number of requests by account
+	 * @return the outcome of the call
 	 */
 	CompletableFuture<Verdict> reportUsage(long token, long window, Map<String, Long> requests);
 
 	/**
-	 * Order servers.
-	 * @param token the fencing token
-	 * @param plan the servers that a zone should have
-	 * @return what became of the call
+	 * Order the number of servers that a service should have in a zone.
+	 * @param token the fencing token of the holder
+	 * @param plan the servers of one kind in one zone
+	 * @return the outcome of the call
 	 */
 	CompletableFuture<Verdict> orderServers(long token, ServerPlan plan);
 
 	/**
-	 * What became of a call.
+	 * Outcomes of a call.
 	 */
 	enum Verdict {
 
-		/** It took effect. */
+		/** The call took effect. */
 		ACCEPTED,
 
-		/** A higher fencing token was seen. */
+		/** The cloud has already seen a higher fencing token. */
 		FENCED,
 
-		/** No such servers are to be had at the moment. */
+		/** The cloud has no such servers at present. */
 		NONE_AVAILABLE,
 
-		/** Nothing was done. */
+		/** The call had no effect. */
 		REFUSED,
 
-		/** No answer came; the call may take effect, now or later. */
+		/** No answer arrived; the call may take effect, now or later. */
 		UNKNOWN
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
@@ -13,24 +13,26 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * What the holder of the duties works with.
+ * The collaborators of a {@link DutyRunner}.
  *
- * @param loop the event loop
- * @param store the store
- * @param codec how records of operators are spelled
- * @param cloud the cloud's calls
- * @param clock tells the present time
- * @param trueMillis tells the true time of day, in milliseconds since 1970 UTC
+ * @param loop the event loop that all duties run on
+ * @param store the store that assigns the duties and keeps their records
+ * @param codec encodes the statuses of rollouts
+ * @param cloud the calls to the cloud
+ * @param clock the clocks of this process
+ * @param correctedTimeOfDayMillis the time of day corrected by the clocks of the other
+ * nodes, in milliseconds since 1970 UTC
  * @param config the configuration in force
- * @param rollouts the rollouts, whose end operators are told
+ * @param rollouts the rollouts, whose progress is published for operators
  * @param servers the backend servers
- * @param serversKnown whether all registrations were read once
- * @param totals figures over all nodes
- * @param member the name of the node in the group, the same for each run, so that a node
- * that starts again holds at once what it held
+ * @param serversListed whether all registrations of backend servers were read at least
+ * once
+ * @param totals usage and demand over all nodes
+ * @param memberName the name of this node in the group; the same for each run, so that a
+ * restarted node keeps the duties it held
  * @param firstStart whether the whole system starts for the first time
  */
 public record DutyDependencies(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
-		LongSupplier trueMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
-		BooleanSupplier serversKnown, FleetTotals totals, String member, boolean firstStart) {
+		LongSupplier correctedTimeOfDayMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
+		BooleanSupplier serversListed, FleetTotals totals, String memberName, boolean firstStart) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -20,32 +20,38 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * Takes part in the group that shares the duties and, while this node holds them, carries
- * them out one call at a time.
+ * Takes part in the group of nodes in which one node at a time holds the duties. While
+ * this node is the holder, it carries the duties out, one call at a time.
  */
 public final class DutyRunner {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final long TICK_MILLIS = 500;
+	private static final long TICK_INTERVAL_MILLIS = 500;
 
-	/** How long a membership lasts in the store without another call. */
-	private static final long MEMBER_TTL_MILLIS = 3_000;
+	/** How long the store keeps a membership that isn't renewed. */
+	private static final long MEMBERSHIP_TTL_MILLIS = 3_000;
 
-	/** How long a confirmation counts here: shorter than in the store. */
-	private static final long CONFIRM_MILLIS = 2_500;
+	/**
+	 * How long this node relies on the store's confirmation that it holds the duties.
+	 * Shorter than the membership, so that this node stops before another one takes over.
+	 */
+	private static final long CONFIRMATION_TTL_MILLIS = 2_500;
 
-	/** A call to join for each member and this time keeps the membership. */
-	private static final long JOIN_EACH_MILLIS = 1_000;
+	/** The time between calls that renew the membership. */
+	private static final long JOIN_INTERVAL_MILLIS = 1_000;
 
-	/** The time of day and the steady clock drift apart by this much in a suspension. */
-	private static final long SUSPENDED_MILLIS = 500;
+	/**
+	 * A larger change of the difference between the time of day and the monotonic clock
+	 * means that the machine was suspended.
+	 */
+	private static final long SUSPENSION_THRESHOLD_MILLIS = 500;
 
 	private static final String HOLDER_KEY = "holder";
 
 	private static final String USAGE_KEY = "usage";
 
-	private final DutyDependencies parts;
+	private final DutyDependencies dependencies;
 
 	private final EventLoop loop;
 
@@ -55,56 +61,58 @@
 
 	private final DutyTerm term;
 
-	private final UsageReportSchedule usage;
+	private final UsageReportSchedule usageReports;
 
-	private final ServerOrderPlanner scale;
+	private final ServerOrderPlanner serverOrders;
 
 	private long generation;
 
-	private long joinedAtMillis = Long.MIN_VALUE / 2;
+	private long lastJoinAtMillis = Long.MIN_VALUE / 2;
 
-	private long dutiesEnd;
+	private long endOffset;
 
 	private long clockDifferenceMillis;
 
-	private boolean joining;
+	private boolean joinPending;
 
-	private boolean calling;
+	private boolean callPending;
 
 	private boolean stopped;
 
 	/**
-	 * Create a runner that doesn't take part yet.
-	 * @param parts what it works with
-	 * @param leaseMillis the time in which two holders must not act by turns
-	 * @param usageWindowMillis the length of a window of usage
+	 * Create a runner that hasn't joined the group yet.
+	 * @param dependencies its collaborators
+	 * @param leaseMillis the lease in milliseconds; a node that regains the duties waits
+	 * until this time has passed since it last acted, so that two holders never act
+	 * alternately
+	 * @param usageWindowMillis the length of a usage window in milliseconds
 	 */
-	public DutyRunner(DutyDependencies parts, long leaseMillis, long usageWindowMillis) {
-		this.parts = parts;
-		this.loop = parts.loop();
-		this.store = parts.store();
-		this.clock = parts.clock();
-		this.term = new DutyTerm(leaseMillis, CONFIRM_MILLIS);
-		this.usage = new UsageReportSchedule(usageWindowMillis, parts.totals()::usageOf,
-				parts.totals()::heardAllWithin);
-		this.scale = new ServerOrderPlanner(parts.servers(), parts.firstStart());
+	public DutyRunner(DutyDependencies dependencies, long leaseMillis, long usageWindowMillis) {
+		this.dependencies = dependencies;
+		this.loop = dependencies.loop();
+		this.store = dependencies.store();
+		this.clock = dependencies.clock();
+		this.term = new DutyTerm(leaseMillis, CONFIRMATION_TTL_MILLIS);
+		this.usageReports = new UsageReportSchedule(usageWindowMillis, dependencies.totals()::usageInWindow,
+				dependencies.totals()::allReportedWithin);
+		this.serverOrders = new ServerOrderPlanner(dependencies.servers(), dependencies.firstStart());
 	}
 
 	/**
-	 * Begin to take part.
+	 * Start taking part in the group.
 	 */
 	public void start() {
 		this.clockDifferenceMillis = clockDifferenceMillis();
-		this.loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::tick, 0, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
-	 * Leave the group, so that another node takes over at once.
+	 * Leave the group, so that another node can take over at once.
 	 */
 	public void stop() {
 		this.stopped = true;
 		this.term.recordLost();
-		this.store.leave(this.parts.member()).exceptionally((failure) -> {
+		this.store.leave(this.dependencies.memberName()).exceptionally((failure) -> {
 			logFailure("group not left", failure);
 			return null;
 		});
@@ -123,88 +131,91 @@
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
-		loseIfSuspended();
-		if (!this.joining && nowMillis - this.joinedAtMillis >= JOIN_EACH_MILLIS) {
+		endTermIfSuspended();
+		if (!this.joinPending && nowMillis - this.lastJoinAtMillis >= JOIN_INTERVAL_MILLIS) {
 			join(nowMillis);
 		}
-		if (this.calling) {
+		if (this.callPending) {
 			return;
 		}
 		if (this.term.shouldClaim(nowMillis)) {
 			claim();
 			return;
 		}
-		this.term.validToken(nowMillis).ifPresent((token) -> act(token, nowMillis));
+		this.term.validToken(nowMillis).ifPresent((token) -> performNextDuty(token, nowMillis));
 	}
 
 	/**
-	 * The steady clock stands still while a machine is suspended, so the node would take
-	 * an old confirmation for a new one.
+	 * End the term after a suspension of the machine. The monotonic clock stops during a
+	 * suspension, so that an expired confirmation would seem to be valid.
 	 */
-	private void loseIfSuspended() {
+	private void endTermIfSuspended() {
 		long difference = clockDifferenceMillis();
-		if (Math.abs(difference - this.clockDifferenceMillis) > SUSPENDED_MILLIS) {
+		if (Math.abs(difference - this.clockDifferenceMillis) > SUSPENSION_THRESHOLD_MILLIS) {
 			this.term.recordLost();
 		}
 		this.clockDifferenceMillis = difference;
 	}
 
 	private void join(long nowMillis) {
-		this.joining = true;
-		this.joinedAtMillis = nowMillis;
-		this.store.join(this.parts.member(), this.generation, MEMBER_TTL_MILLIS).whenComplete((view, failure) -> {
-			this.joining = false;
-			if (this.stopped) {
-				return;
-			}
-			if (failure != null) {
-				logFailure("membership not kept", failure);
-				return;
-			}
-			this.generation = view.generation();
-			this.term.recordMembership(view.holdsDuties(), nowMillis);
-		});
+		this.joinPending = true;
+		this.lastJoinAtMillis = nowMillis;
+		this.store.join(this.dependencies.memberName(), this.generation, MEMBERSHIP_TTL_MILLIS)
+			.whenComplete((view, failure) -> {
+				this.joinPending = false;
+				if (this.stopped) {
+					return;
+				}
+				if (failure != null) {
+					logFailure("membership not kept", failure);
+					return;
+				}
+				this.generation = view.generation();
+				this.term.recordMembership(view.holdsDuties(), nowMillis);
+			});
 	}
 
 	private void claim() {
-		this.calling = true;
+		this.callPending = true;
 		this.store.newest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
 			if (failure != null) {
-				this.calling = false;
+				this.callPending = false;
 				logFailure("duties not listed before a claim", failure);
 				return;
 			}
-			Optional<UsageReportSchedule.Report> last = page.records()
+			Optional<UsageReportSchedule.Report> lastReport = page.records()
 				.stream()
 				.filter((entry) -> entry.key().equals(USAGE_KEY))
 				.findFirst()
-				.flatMap(DutyRunner::readUsage);
-			append(HOLDER_KEY, this.parts.member().getBytes(StandardCharsets.UTF_8), page.endOffset(), () -> {
-				this.term.recordClaim(this.dutiesEnd, this.clock.steadyMillis());
-				this.usage.takeOver(last, this.parts.trueMillis().getAsLong());
-				this.scale.takeOver();
-				logger.atInfo()
-					.log("%s",
-							LogLine.of("duties claimed")
-								.with("token", this.dutiesEnd)
-								.with("generation", this.generation));
-				this.loop.execute(this::tick);
-			});
+				.flatMap(DutyRunner::decodeUsage);
+			appendRecord(HOLDER_KEY, this.dependencies.memberName().getBytes(StandardCharsets.UTF_8), page.endOffset(),
+					() -> {
+						this.term.recordClaim(this.endOffset, this.clock.steadyMillis());
+						this.usageReports.takeOver(lastReport,
+								this.dependencies.correctedTimeOfDayMillis().getAsLong());
+						this.serverOrders.takeOver();
+						logger.atInfo()
+							.log("%s",
+									LogLine.of("duties claimed")
+										.with("token", this.endOffset)
+										.with("generation", this.generation));
+						this.loop.execute(this::tick);
+					});
 		});
 	}
 
-	private static Optional<UsageReportSchedule.Report> readUsage(StoredRecord entry) {
+	private static Optional<UsageReportSchedule.Report> decodeUsage(StoredRecord entry) {
 		return ReportCodec.readUsage(entry.value().orElse(new byte[0]))
 			.peekLeft((reason) -> logger.atWarning()
 				.log("%s", LogLine.of("usage record unreadable").with("reason", reason)))
-			.map((read) -> new UsageReportSchedule.Report(read.getKey(), read.getValue()))
+			.map((decoded) -> new UsageReportSchedule.Report(decoded.getKey(), decoded.getValue()))
 			.toJavaOptional();
 	}
 
-	private void append(String key, byte[] value, long expectedEnd, Runnable appended) {
+	private void appendRecord(String key, byte[] value, long expectedEnd, Runnable onAppended) {
 		this.store.append(StoreStream.DUTIES, key, Optional.of(value), OptionalLong.of(expectedEnd))
 			.whenComplete((offset, failure) -> {
-				this.calling = false;
+				this.callPending = false;
 				if (failure != null) {
 					logger.atInfo()
 						.log("%s",
@@ -214,68 +225,71 @@
 					this.term.recordLost();
 					return;
 				}
-				this.dutiesEnd = offset + 1;
-				appended.run();
+				this.endOffset = offset + 1;
+				onAppended.run();
 			});
 	}
 
-	private void act(long token, long nowMillis) {
-		Optional<UsageReportSchedule.Report> open = this.usage.intended();
-		if (open.isPresent()) {
+	private void performNextDuty(long token, long nowMillis) {
+		Optional<UsageReportSchedule.Report> pending = this.usageReports.pendingReport();
+		if (pending.isPresent()) {
 			this.term.recordAction(nowMillis);
-			sendUsage(token, open.get());
+			sendUsage(token, pending.get());
 			return;
 		}
-		Optional<UsageReportSchedule.Report> due = this.usage.nextDue(this.parts.trueMillis().getAsLong());
+		Optional<UsageReportSchedule.Report> due = this.usageReports
+			.nextReport(this.dependencies.correctedTimeOfDayMillis().getAsLong());
 		if (due.isPresent()) {
-			keepUsage(due.get());
+			storeUsage(due.get());
 			return;
 		}
-		Optional<RecordCodec.RolloutStatus> untold = this.parts.rollouts().untold().stream().findFirst();
-		if (untold.isPresent()) {
-			tell(untold.get());
+		Optional<RecordCodec.RolloutStatus> unpublished = this.dependencies.rollouts().untold().stream().findFirst();
+		if (unpublished.isPresent()) {
+			publishStatus(unpublished.get());
 			return;
 		}
-		this.parts.config()
+		this.dependencies.config()
 			.current()
-			.filter((held) -> this.parts.serversKnown().getAsBoolean())
-			.flatMap((held) -> this.scale.nextDue(held, this.parts.totals(), nowMillis))
-			.ifPresent((order) -> order(token, order));
+			.filter((config) -> this.dependencies.serversListed().getAsBoolean())
+			.flatMap((config) -> this.serverOrders.nextOrder(config, this.dependencies.totals(), nowMillis))
+			.ifPresent((plan) -> orderServers(token, plan));
 	}
 
-	private void keepUsage(UsageReportSchedule.Report report) {
-		this.calling = true;
-		append(USAGE_KEY, ReportCodec.writeUsage(report.window(), report.requests()), this.dutiesEnd, () -> {
-			this.usage.recordKept(report);
+	private void storeUsage(UsageReportSchedule.Report report) {
+		this.callPending = true;
+		appendRecord(USAGE_KEY, ReportCodec.writeUsage(report.window(), report.requests()), this.endOffset, () -> {
+			this.usageReports.recordStored(report);
 			this.loop.execute(this::tick);
 		});
 	}
 
 	private void sendUsage(long token, UsageReportSchedule.Report report) {
-		this.calling = true;
-		this.parts.cloud().reportUsage(token, report.window(), report.requests()).whenComplete((verdict, failure) -> {
-			this.calling = false;
-			if (verdict == CloudApi.Verdict.ACCEPTED) {
-				this.usage.recordSent();
-				this.loop.execute(this::tick);
-			}
-			else {
-				afterFailure("usage", verdict);
-			}
-		});
+		this.callPending = true;
+		this.dependencies.cloud()
+			.reportUsage(token, report.window(), report.requests())
+			.whenComplete((verdict, failure) -> {
+				this.callPending = false;
+				if (verdict == CloudApi.Verdict.ACCEPTED) {
+					this.usageReports.recordSent();
+					this.loop.execute(this::tick);
+				}
+				else {
+					onCloudFailure("usage", verdict);
+				}
+			});
 	}
 
-	private void tell(RecordCodec.RolloutStatus status) {
-		this.calling = true;
-		StoredRecord entry = this.parts.codec().writeStatus(status);
+	private void publishStatus(RecordCodec.RolloutStatus status) {
+		this.callPending = true;
+		StoredRecord entry = this.dependencies.codec().writeStatus(status);
 		this.store.append(StoreStream.STATUS, entry.key(), entry.value(), OptionalLong.empty())
 			.whenComplete((offset, failure) -> {
-				this.calling = false;
+				this.callPending = false;
 				if (failure != null) {
 					logFailure("rollout status not told", failure);
 					return;
 				}
-				this.parts.rollouts().takeStatus(status);
+				this.dependencies.rollouts().takeStatus(status);
 				logger.atInfo()
 					.log("%s",
 							LogLine.of("rollout status told")
@@ -285,22 +299,22 @@
 			});
 	}
 
-	private void order(long token, ServerPlan order) {
+	private void orderServers(long token, ServerPlan plan) {
 		this.term.recordAction(this.clock.steadyMillis());
-		this.calling = true;
-		this.parts.cloud().orderServers(token, order).whenComplete((verdict, failure) -> {
-			this.calling = false;
-			this.scale.record(order, verdict, this.clock.steadyMillis());
+		this.callPending = true;
+		this.dependencies.cloud().orderServers(token, plan).whenComplete((verdict, failure) -> {
+			this.callPending = false;
+			this.serverOrders.recordOutcome(plan, verdict, this.clock.steadyMillis());
 			if (verdict == CloudApi.Verdict.ACCEPTED || verdict == CloudApi.Verdict.NONE_AVAILABLE) {
 				this.loop.execute(this::tick);
 			}
 			else {
-				afterFailure("servers", verdict);
+				onCloudFailure("servers", verdict);
 			}
 		});
 	}
 
-	private void afterFailure(String duty, CloudApi.Verdict verdict) {
+	private void onCloudFailure(String duty, CloudApi.Verdict verdict) {
 		logger.atInfo().log("%s", LogLine.of("cloud call failed").with("duty", duty).with("verdict", verdict.name()));
 		if (verdict == CloudApi.Verdict.FENCED) {
 			this.term.recordFenced(this.clock.steadyMillis());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetServiceDemand.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetServiceDemand.java
@@ -1,21 +1,21 @@
 package io.flamingogap.gateway.cloud;
 
 /**
- * What callers ask of services, over all nodes.
+ * The demand for services, summed over all entry nodes.
  */
 public interface FleetServiceDemand {
 
 	/**
-	 * Return the prompt tokens that arrive and that no engine holds yet.
-	 * @param service the service
-	 * @return tokens a second
+	 * Return the rate of prompt tokens that arrive and aren't cached by any engine yet.
+	 * @param service the name of the service
+	 * @return tokens per second
 	 */
 	double promptTokensPerSecond(String service);
 
 	/**
-	 * Return the requests that are open.
-	 * @param service the service
-	 * @return the number
+	 * Return the number of open requests.
+	 * @param service the name of the service
+	 * @return the number over all nodes
 	 */
 	double openRequests(String service);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
@@ -11,7 +11,7 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * Figures over all nodes: what this node counts and what the others reported.
+ * Sums over all entry nodes: what this node counts plus what the other nodes report.
  */
 public final class FleetTotals implements FleetServiceDemand {
 
@@ -24,11 +24,11 @@
 	private final NodeClock clock;
 
 	/**
-	 * Create totals.
+	 * Create the sums for this node.
 	 * @param fleet the reports of the other nodes
-	 * @param ownUsage what this run of this node counts
-	 * @param ownDemands what callers ask of this node
-	 * @param clock tells the present time
+	 * @param ownUsage the requests that this run of the node counted
+	 * @param ownDemands the demand of this node's callers
+	 * @param clock the clocks of this process
 	 */
 	public FleetTotals(FleetView fleet, UsageCounts ownUsage, ServiceDemandTracker ownDemands, NodeClock clock) {
 		this.fleet = fleet;
@@ -38,44 +38,45 @@
 	}
 
 	/**
-	 * Add up the requests that servers began in a window.
+	 * Return the number of requests that backend servers began to process in a window.
 	 * @param window the number of the window
-	 * @return requests by account
+	 * @return the number of requests by account
 	 */
-	Map<String, Long> usageOf(long window) {
+	Map<String, Long> usageInWindow(long window) {
 		return this.fleet.usageInWindow(window, this.ownUsage);
 	}
 
 	/**
-	 * Return whether every other node was heard lately.
-	 * @param millis how long ago at most
-	 * @return {@code true} if no node's newest report is older
+	 * Return whether every other node has reported recently.
+	 * @param maxAgeMillis the greatest age of a node's newest report, in milliseconds
+	 * @return {@code true} if no newest report is older
 	 */
-	boolean heardAllWithin(long millis) {
-		return this.fleet.allReportedSince(this.clock.steadyMillis() - millis);
+	boolean allReportedWithin(long maxAgeMillis) {
+		return this.fleet.allReportedSince(this.clock.steadyMillis() - maxAgeMillis);
 	}
 
 	@Override
 	public double promptTokensPerSecond(String service) {
-		return sumOver(service, ServiceDemand::promptTokensPerSecond);
+		return sumOverNodes(service, ServiceDemand::promptTokensPerSecond);
 	}
 
 	@Override
 	public double openRequests(String service) {
-		return sumOver(service, ServiceDemand::openRequests);
+		return sumOverNodes(service, ServiceDemand::openRequests);
 	}
 
-	private double sumOver(String service, ToLongFunction<ServiceDemand> figure) {
-		long own = sum(this.ownDemands.report(this.clock.steadyMillis()), service, figure);
+	private double sumOverNodes(String service, ToLongFunction<ServiceDemand> quantity) {
+		long own = sumOfService(this.ownDemands.report(this.clock.steadyMillis()), service, quantity);
 		long others = this.fleet.recentReports()
 			.stream()
-			.mapToLong((report) -> sum(report.services(), service, figure))
+			.mapToLong((report) -> sumOfService(report.services(), service, quantity))
 			.sum();
 		return (double) own + others;
 	}
 
-	private static long sum(List<ServiceDemand> rows, String service, ToLongFunction<ServiceDemand> figure) {
-		return rows.stream().filter((row) -> row.service().equals(service)).mapToLong(figure).sum();
+	private static long sumOfService(List<ServiceDemand> demands, String service,
+			ToLongFunction<ServiceDemand> quantity) {
+		return demands.stream().filter((demand) -> demand.service().equals(service)).mapToLong(quantity).sum();
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -24,34 +24,34 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * The orders of servers that are due. What is missing is ordered first; servers are given
- * back only when nothing is missing and those that replace them take requests.
+ * Decides which servers to order next. Orders missing servers first; releases servers
+ * only when none are missing and their replacements take requests.
  */
 final class ServerOrderPlanner {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * How long no more servers of a kind are asked for in a zone that had none. The
-	 * users' clouds have none for 3.5 to 15 s at a time.
+	 * How long to wait before ordering servers of a kind again in a zone that had none
+	 * available. The users' clouds have none for 3.5 to 15 s at a time.
 	 */
-	private static final long NONE_AVAILABLE_MILLIS = 5_000;
+	private static final long UNAVAILABLE_RETRY_MILLIS = 5_000;
 
 	private final ServerTable servers;
 
 	private final boolean firstStart;
 
-	private final Map<Subject, PlacedOrder> placed = new HashMap<>();
+	private final Map<ServerPool, AcceptedOrder> acceptedOrders = new HashMap<>();
 
-	private final Map<Subject, Long> noneUntilMillis = new HashMap<>();
+	private final Map<ServerPool, Long> unavailableUntilMillis = new HashMap<>();
 
-	private final Map<String, CapacityStabilizer> needs = new HashMap<>();
+	private final Map<String, CapacityStabilizer> stabilizers = new HashMap<>();
 
 	/**
-	 * Create a duty that has ordered nothing.
+	 * Create a planner without orders.
 	 * @param servers the backend servers
-	 * @param firstStart whether the whole system starts for the first time, so that
-	 * nobody asks yet
+	 * @param firstStart whether the whole system starts for the first time, so that there
+	 * is no demand yet
 	 */
 	ServerOrderPlanner(ServerTable servers, boolean firstStart) {
 		this.servers = servers;
@@ -59,136 +59,145 @@
 	}
 
 	/**
-	 * Forget what was ordered, since another holder may have ordered since.
+	 * Forget the accepted orders, since another holder of the duties may have changed
+	 * them.
 	 */
 	void takeOver() {
-		this.placed.clear();
+		this.acceptedOrders.clear();
 	}
 
 	/**
 	 * Return the next order that is due.
-	 * @param config the configuration
-	 * @param demand what callers ask of services
-	 * @param nowMillis the present time
-	 * @return the order
+	 * @param config the configuration in force
+	 * @param demand the demand for each service, over all nodes
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return the order; empty if none is due
 	 */
-	Optional<ServerPlan> nextDue(ServingConfig config, FleetServiceDemand demand, long nowMillis) {
+	Optional<ServerPlan> nextOrder(ServingConfig config, FleetServiceDemand demand, long nowMillis) {
 		return config.services()
 			.stream()
 			.filter((service) -> service.scale().isPresent() && service.engine().isPresent())
-			.flatMap((service) -> nextDue(service, service.engine().get(), service.scale().get(), demand, nowMillis)
+			.flatMap((service) -> nextOrder(service, service.engine().get(), service.scale().get(), demand, nowMillis)
 				.stream())
 			.findFirst();
 	}
 
-	private Optional<ServerPlan> nextDue(BackendService service, EngineProfile engine, ScaleBounds bounds,
+	private Optional<ServerPlan> nextOrder(BackendService service, EngineProfile engine, ScaleBounds bounds,
 			FleetServiceDemand demand, long nowMillis) {
 		String name = service.name();
-		DesiredCapacity need = this.needs.computeIfAbsent(name, (each) -> new CapacityStabilizer(this.firstStart))
+		DesiredCapacity desired = this.stabilizers
+			.computeIfAbsent(name, (each) -> new CapacityStabilizer(this.firstStart))
 			.update(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
-		Map<Subject, Integer> present = countPresent(name);
-		ServerSupply stock = stock(name, bounds, present, nowMillis);
-		List<ServerPlan> least = CapacityPlanner.plan(name, bounds, need, stock);
-		Optional<ServerPlan> growth = least.stream()
+		Map<ServerPool, Integer> readyByPool = countReady(name);
+		ServerSupply supply = buildSupply(name, bounds, readyByPool, nowMillis);
+		List<ServerPlan> plan = CapacityPlanner.plan(name, bounds, desired, supply);
+		Optional<ServerPlan> scaleUp = plan.stream()
 			.sorted(Comparator.comparing((ServerPlan row) -> !row.reclaimable()))
-			.filter((row) -> isGrowthDue(row, present, bounds, nowMillis))
+			.filter((row) -> isScaleUpDue(row, readyByPool, bounds, nowMillis))
 			.findFirst();
-		if (growth.isPresent()) {
-			return growth;
+		if (scaleUp.isPresent()) {
+			return scaleUp;
 		}
-		int neededAtFullPrice = CapacityPlanner.fullPriceServers(bounds, need, stock.readyOnly());
-		return findShrinkage(least, neededAtFullPrice, present, bounds, nowMillis);
+		int requiredFullPrice = CapacityPlanner.fullPriceServers(bounds, desired, supply.readyOnly());
+		return findScaleDown(plan, requiredFullPrice, readyByPool, bounds, nowMillis);
 	}
 
 	/**
-	 * Find servers to give back, full-price ones of the dearest zone first.
-	 * @param plan the plan, the cheapest zone first
-	 * @param neededAtFullPrice the full-price servers needed while others are booting
-	 * @param present the servers that take requests
-	 * @param bounds the bounds for orders
-	 * @param nowMillis the present time
-	 * @return the order
+	 * Find servers to release: in the most expensive zone first, and within a zone
+	 * reclaimable servers before full-price ones.
+	 * @param plan the planned servers, the cheapest zone first
+	 * @param requiredFullPrice the number of full-price servers needed until the booting
+	 * servers take requests
+	 * @param readyByPool the number of servers that take requests
+	 * @param bounds the limits for orders
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return an order for fewer servers; empty if none can be released
 	 */
-	private Optional<ServerPlan> findShrinkage(List<ServerPlan> plan, int neededAtFullPrice,
-			Map<Subject, Integer> present, ScaleBounds bounds, long nowMillis) {
-		int excess = -neededAtFullPrice;
+	private Optional<ServerPlan> findScaleDown(List<ServerPlan> plan, int requiredFullPrice,
+			Map<ServerPool, Integer> readyByPool, ScaleBounds bounds, long nowMillis) {
+		int excess = -requiredFullPrice;
 		for (ServerPlan row : plan) {
-			excess += row.reclaimable() ? 0 : held(row, present, bounds, nowMillis);
+			excess += row.reclaimable() ? 0 : expectedServers(row, readyByPool, bounds, nowMillis);
 		}
 		for (int i = plan.size() - 1; i >= 0; i--) {
 			ServerPlan row = plan.get(i);
-			int held = held(row, present, bounds, nowMillis);
-			int surplus = Math.min(held - row.servers(), row.reclaimable() ? Integer.MAX_VALUE : excess);
+			int expectedServers = expectedServers(row, readyByPool, bounds, nowMillis);
+			int surplus = Math.min(expectedServers - row.servers(), row.reclaimable() ? Integer.MAX_VALUE : excess);
 			if (surplus > 0) {
-				return Optional.of(row.withServers(held - surplus));
+				return Optional.of(row.withServers(expectedServers - surplus));
 			}
 		}
 		return Optional.empty();
 	}
 
-	private int held(ServerPlan row, Map<Subject, Integer> present, ScaleBounds bounds, long nowMillis) {
-		PlacedOrder last = this.placed.get(Subject.of(row));
-		return (last != null && !last.isSettled(bounds.bootSeconds(), nowMillis)) ? last.servers()
-				: present.getOrDefault(Subject.of(row), 0);
+	private int expectedServers(ServerPlan row, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
+			long nowMillis) {
+		AcceptedOrder lastOrder = this.acceptedOrders.get(ServerPool.of(row));
+		return (lastOrder != null && !lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis)) ? lastOrder.servers()
+				: readyByPool.getOrDefault(ServerPool.of(row), 0);
 	}
 
-	private boolean isGrowthDue(ServerPlan wanted, Map<Subject, Integer> present, ScaleBounds bounds, long nowMillis) {
-		int there = present.getOrDefault(Subject.of(wanted), 0);
-		PlacedOrder last = this.placed.get(Subject.of(wanted));
-		if (last == null) {
-			return there < wanted.servers();
+	private boolean isScaleUpDue(ServerPlan wanted, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
+			long nowMillis) {
+		int readyServers = readyByPool.getOrDefault(ServerPool.of(wanted), 0);
+		AcceptedOrder lastOrder = this.acceptedOrders.get(ServerPool.of(wanted));
+		if (lastOrder == null) {
+			return readyServers < wanted.servers();
 		}
-		return last.servers() < wanted.servers() || (there < wanted.servers()
-				&& (last.isSettled(bounds.bootSeconds(), nowMillis) || there < last.mostSeen()));
+		return lastOrder.servers() < wanted.servers() || (readyServers < wanted.servers()
+				&& (lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis) || readyServers < lastOrder.maxReady()));
 	}
 
-	private Map<Subject, Integer> countPresent(String service) {
-		Map<Subject, Integer> present = new HashMap<>();
+	private Map<ServerPool, Integer> countReady(String service) {
+		Map<ServerPool, Integer> readyByPool = new HashMap<>();
 		for (KnownServer server : this.servers.ofService(service)) {
 			if (server.takesRequests()) {
-				present.merge(new Subject(service, server.registration().zone(), server.registration().reclaimable()),
-						1, Integer::sum);
+				readyByPool.merge(
+						new ServerPool(service, server.registration().zone(), server.registration().reclaimable()), 1,
+						Integer::sum);
 			}
 		}
-		this.placed.replaceAll((subject, order) -> order.seen(present.getOrDefault(subject, 0)));
-		return present;
+		this.acceptedOrders.replaceAll((pool, order) -> order.withReady(readyByPool.getOrDefault(pool, 0)));
+		return readyByPool;
 	}
 
-	private ServerSupply stock(String service, ScaleBounds bounds, Map<Subject, Integer> present, long nowMillis) {
-		Map<String, Integer> ready = new HashMap<>();
-		Map<String, Integer> booting = new HashMap<>();
+	private ServerSupply buildSupply(String service, ScaleBounds bounds, Map<ServerPool, Integer> readyByPool,
+			long nowMillis) {
+		Map<String, Integer> readyByZone = new HashMap<>();
+		Map<String, Integer> bootingByZone = new HashMap<>();
 		for (String zone : bounds.zonePrices().keySet()) {
-			Subject subject = new Subject(service, zone, true);
-			int there = present.getOrDefault(subject, 0);
-			PlacedOrder last = this.placed.get(subject);
-			ready.put(zone, there);
-			if (last != null && there >= last.mostSeen() && !last.isSettled(bounds.bootSeconds(), nowMillis)) {
-				booting.put(zone, Math.max(0, last.servers() - there));
+			ServerPool pool = new ServerPool(service, zone, true);
+			int readyServers = readyByPool.getOrDefault(pool, 0);
+			AcceptedOrder lastOrder = this.acceptedOrders.get(pool);
+			readyByZone.put(zone, readyServers);
+			if (lastOrder != null && readyServers >= lastOrder.maxReady()
+					&& !lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis)) {
+				bootingByZone.put(zone, Math.max(0, lastOrder.servers() - readyServers));
 			}
 		}
-		this.noneUntilMillis.values().removeIf((untilMillis) -> nowMillis >= untilMillis);
+		this.unavailableUntilMillis.values().removeIf((untilMillis) -> nowMillis >= untilMillis);
 		Map<String, Integer> fullPriceLimits = new HashMap<>();
-		for (String zone : zonesWithNone(service, false)) {
-			fullPriceLimits.put(zone, present.getOrDefault(new Subject(service, zone, false), 0));
+		for (String zone : unavailableZones(service, false)) {
+			fullPriceLimits.put(zone, readyByPool.getOrDefault(new ServerPool(service, zone, false), 0));
 		}
-		return new ServerSupply(ready, booting, zonesWithNone(service, true), fullPriceLimits);
+		return new ServerSupply(readyByZone, bootingByZone, unavailableZones(service, true), fullPriceLimits);
 	}
 
-	private Set<String> zonesWithNone(String service, boolean reclaimable) {
-		return this.noneUntilMillis.keySet()
+	private Set<String> unavailableZones(String service, boolean reclaimable) {
+		return this.unavailableUntilMillis.keySet()
 			.stream()
-			.filter((subject) -> subject.service().equals(service) && subject.reclaimable() == reclaimable)
-			.map(Subject::zone)
+			.filter((pool) -> pool.service().equals(service) && pool.reclaimable() == reclaimable)
+			.map(ServerPool::zone)
 			.collect(Collectors.toSet());
 	}
 
 	/**
-	 * Record what became of an order.
+	 * Record the outcome of an order.
 	 * @param order the order
 	 * @param verdict the cloud's answer
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time on the monotonic clock
 	 */
-	void record(ServerPlan order, CloudApi.Verdict verdict, long nowMillis) {
+	void recordOutcome(ServerPlan order, CloudApi.Verdict verdict, long nowMillis) {
 		logger.atInfo()
 			.log("%s",
 					LogLine.of("servers ordered")
@@ -198,19 +207,19 @@
 						.with("servers", order.servers())
 						.with("verdict", verdict.name()));
 		if (verdict == CloudApi.Verdict.ACCEPTED) {
-			int there = countPresent(order.service()).getOrDefault(Subject.of(order), 0);
-			this.placed.put(Subject.of(order), new PlacedOrder(order.servers(), nowMillis, there));
+			int readyServers = countReady(order.service()).getOrDefault(ServerPool.of(order), 0);
+			this.acceptedOrders.put(ServerPool.of(order), new AcceptedOrder(order.servers(), nowMillis, readyServers));
 		}
 		else if (verdict == CloudApi.Verdict.NONE_AVAILABLE) {
-			this.placed.remove(Subject.of(order));
-			this.noneUntilMillis.put(Subject.of(order), nowMillis + NONE_AVAILABLE_MILLIS);
+			this.acceptedOrders.remove(ServerPool.of(order));
+			this.unavailableUntilMillis.put(ServerPool.of(order), nowMillis + UNAVAILABLE_RETRY_MILLIS);
 		}
 	}
 
-	private record Subject(String service, String zone, boolean reclaimable) {
+	private record ServerPool(String service, String zone, boolean reclaimable) {
 
-		private static Subject of(ServerPlan plan) {
-			return new Subject(plan.service(), plan.zone(), plan.reclaimable());
+		private static ServerPool of(ServerPlan plan) {
+			return new ServerPool(plan.service(), plan.zone(), plan.reclaimable());
 		}
 
 	}
@@ -218,26 +227,26 @@
 	/**
 	 * An order that the cloud accepted.
 	 *
-	 * @param servers the number ordered
-	 * @param atMillis when it was accepted
-	 * @param mostSeen the most servers that were there since; fewer means that some are
-	 * lost
+	 * @param servers the number of servers ordered
+	 * @param acceptedAtMillis the time of the acceptance on the monotonic clock
+	 * @param maxReady the highest number of ready servers since then; a lower number
+	 * means that some were lost
 	 */
-	private record PlacedOrder(int servers, long atMillis, int mostSeen) {
+	private record AcceptedOrder(int servers, long acceptedAtMillis, int maxReady) {
 
 		/**
-		 * An order that shows no effect after its boot time and this time is repeated.
+		 * An order that has no effect within its boot time and this margin is repeated.
 		 */
-		private static final long REPEAT_MILLIS = 6_000;
+		private static final long BOOT_MARGIN_MILLIS = 6_000;
 
 		private static final long MILLIS_PER_SECOND = 1_000;
 
-		private PlacedOrder seen(int present) {
-			return new PlacedOrder(this.servers, this.atMillis, Math.max(this.mostSeen, present));
+		private AcceptedOrder withReady(int readyServers) {
+			return new AcceptedOrder(this.servers, this.acceptedAtMillis, Math.max(this.maxReady, readyServers));
 		}
 
-		private boolean isSettled(double bootSeconds, long nowMillis) {
-			return nowMillis > this.atMillis + (long) (bootSeconds * MILLIS_PER_SECOND) + REPEAT_MILLIS;
+		private boolean hasTimedOut(double bootSeconds, long nowMillis) {
+			return nowMillis > this.acceptedAtMillis + (long) (bootSeconds * MILLIS_PER_SECOND) + BOOT_MARGIN_MILLIS;
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
@@ -11,116 +11,120 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * The usage reports that are due. What a report says is kept in the store before it is
- * sent, so that the next holder repeats it word for word.
+ * Decides which usage report is due. A report is stored before it is sent, so that the
+ * next holder of the duties can send exactly the same report again.
  */
 final class UsageReportSchedule {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * A report that is heard this long after the end of a window holds all of it: 0.4 s
-	 * to collect a zone's reports, a pause of 0.8 s between reads, and 1.5 s for a store
-	 * that is slow.
+	 * A report that arrives this long after the end of a window covers the whole window:
+	 * 0.4 s to collect the reports of a zone, a pause of 0.8 s between reads, and 1.5 s
+	 * for a slow store.
 	 */
-	private static final long HEARD_AFTER_MILLIS = 2_700;
+	private static final long MAX_REPORT_DELAY_MILLIS = 2_700;
 
 	/**
-	 * How long a window waits for nodes that are not heard; the rest of the time until it
-	 * is due is for the call and a change of the holder.
+	 * How long after its end a window waits for nodes that don't report. The rest of the
+	 * time until it is due is for the call and for a change of the holder.
 	 */
-	private static final long MAX_SETTLE_MILLIS = 7_000;
+	private static final long MAX_WAIT_FOR_NODES_MILLIS = 7_000;
 
-	/** Windows that are reported late after a change of the holder. */
+	/** How many earlier windows are still reported after a change of the holder. */
 	private static final long MAX_LATE_WINDOWS = 3;
 
-	private static final long NONE = Long.MIN_VALUE;
+	private static final long NO_WINDOW = Long.MIN_VALUE;
 
 	private final long windowMillis;
 
-	private final LongFunction<Map<String, Long>> counts;
+	private final LongFunction<Map<String, Long>> requestsInWindow;
 
-	private final LongPredicate heardAllWithin;
+	private final LongPredicate allReportedWithin;
 
-	private long reportedWindow = NONE;
+	private long reportedWindow = NO_WINDOW;
 
-	private @Nullable Report intended;
+	private @Nullable Report pendingReport;
 
 	/**
-	 * Create a duty without reports.
-	 * @param windowMillis the length of a window
-	 * @param counts the requests of a window by account, over all nodes
-	 * @param heardAllWithin whether every other node was heard within a time in
-	 * milliseconds
+	 * Create a schedule without reports.
+	 * @param windowMillis the length of a window in milliseconds
+	 * @param requestsInWindow returns the number of requests by account in a window, over
+	 * all nodes
+	 * @param allReportedWithin whether every other node has reported within the given
+	 * number of milliseconds
 	 */
-	UsageReportSchedule(long windowMillis, LongFunction<Map<String, Long>> counts, LongPredicate heardAllWithin) {
+	UsageReportSchedule(long windowMillis, LongFunction<Map<String, Long>> requestsInWindow,
+			LongPredicate allReportedWithin) {
 		this.windowMillis = windowMillis;
-		this.counts = counts;
-		this.heardAllWithin = heardAllWithin;
+		this.requestsInWindow = requestsInWindow;
+		this.allReportedWithin = allReportedWithin;
 	}
 
 	/**
-	 * Take over from the holder before.
-	 * @param last the report that it kept last, if any; it may not have been sent
-	 * @param trueMillis the true time of day
+	 * Take over from the previous holder.
+	 * @param lastReport the report that the previous holder stored last, if any; it may
+	 * not have been sent
+	 * @param timeOfDayMillis the corrected time of day in milliseconds since 1970 UTC
 	 */
-	void takeOver(Optional<Report> last, long trueMillis) {
-		this.intended = last.filter((report) -> !isTooLate(report.window(), trueMillis)).orElse(null);
-		long newest = last.map(Report::window).orElse(NONE);
-		this.reportedWindow = Math.max(this.reportedWindow, (this.intended != null) ? newest - 1 : newest);
+	void takeOver(Optional<Report> lastReport, long timeOfDayMillis) {
+		this.pendingReport = lastReport.filter((report) -> !isTooLate(report.window(), timeOfDayMillis)).orElse(null);
+		long lastWindow = lastReport.map(Report::window).orElse(NO_WINDOW);
+		this.reportedWindow = Math.max(this.reportedWindow, (this.pendingReport != null) ? lastWindow - 1 : lastWindow);
 	}
 
-	private boolean isTooLate(long window, long trueMillis) {
-		return window < lastSettled(trueMillis) - MAX_LATE_WINDOWS;
+	private boolean isTooLate(long window, long timeOfDayMillis) {
+		return window < lastCompleteWindow(timeOfDayMillis) - MAX_LATE_WINDOWS;
 	}
 
-	private long lastSettled(long trueMillis) {
-		long ended = Math.floorDiv(trueMillis - HEARD_AFTER_MILLIS, this.windowMillis) - 1;
-		long endedAtMillis = (ended + 1) * this.windowMillis;
-		long sinceHeardMillis = trueMillis - endedAtMillis - HEARD_AFTER_MILLIS;
-		boolean isSettled = this.heardAllWithin.test(sinceHeardMillis)
-				|| trueMillis - endedAtMillis >= MAX_SETTLE_MILLIS;
-		return isSettled ? ended : ended - 1;
+	private long lastCompleteWindow(long timeOfDayMillis) {
+		long lastEnded = Math.floorDiv(timeOfDayMillis - MAX_REPORT_DELAY_MILLIS, this.windowMillis) - 1;
+		long endedAtMillis = (lastEnded + 1) * this.windowMillis;
+		long maxReportAgeMillis = timeOfDayMillis - endedAtMillis - MAX_REPORT_DELAY_MILLIS;
+		boolean isComplete = this.allReportedWithin.test(maxReportAgeMillis)
+				|| timeOfDayMillis - endedAtMillis >= MAX_WAIT_FOR_NODES_MILLIS;
+		return isComplete ? lastEnded : lastEnded - 1;
 	}
 
 	/**
-	 * Return the report that must be sent as it was kept.
-	 * @return the report, if one is open
+	 * Return the stored report that must be sent unchanged.
+	 * @return the report; empty if none is pending
 	 */
-	Optional<Report> intended() {
-		return Optional.ofNullable(this.intended);
+	Optional<Report> pendingReport() {
+		return Optional.ofNullable(this.pendingReport);
 	}
 
 	/**
-	 * Return the next report that is due and not kept yet.
-	 * @param trueMillis the true time of day
-	 * @return the report
+	 * Return the next report that is due and isn't stored yet.
+	 * @param timeOfDayMillis the corrected time of day in milliseconds since 1970 UTC
+	 * @return the report; empty if none is due
 	 */
-	Optional<Report> nextDue(long trueMillis) {
-		long settled = lastSettled(trueMillis);
-		long next = Math.max(this.reportedWindow + 1, settled - MAX_LATE_WINDOWS);
-		if (this.reportedWindow == NONE) {
-			next = settled;
+	Optional<Report> nextReport(long timeOfDayMillis) {
+		long lastComplete = lastCompleteWindow(timeOfDayMillis);
+		long next = Math.max(this.reportedWindow + 1, lastComplete - MAX_LATE_WINDOWS);
+		if (this.reportedWindow == NO_WINDOW) {
+			next = lastComplete;
 		}
-		return (next <= settled) ? Optional.of(new Report(next, this.counts.apply(next))) : Optional.empty();
+		return (next <= lastComplete) ? Optional.of(new Report(next, this.requestsInWindow.apply(next)))
+				: Optional.empty();
 	}
 
 	/**
-	 * Record that a report was kept and has to be sent.
+	 * Record that a report was stored and must be sent.
 	 * @param report the report
 	 */
-	void recordKept(Report report) {
-		this.intended = report;
+	void recordStored(Report report) {
+		this.pendingReport = report;
 	}
 
 	/**
-	 * Record that the cloud has accepted the open report.
+	 * Record that the cloud has accepted the pending report.
 	 */
 	void recordSent() {
-		Report sent = this.intended;
+		Report sent = this.pendingReport;
 		if (sent != null) {
 			this.reportedWindow = Math.max(this.reportedWindow, sent.window());
-			this.intended = null;
+			this.pendingReport = null;
 			logger.atInfo()
 				.log("%s",
 						LogLine.of("usage reported")
@@ -130,10 +134,10 @@
 	}
 
 	/**
-	 * A usage report.
+	 * The usage of one window.
 	 *
 	 * @param window the number of the window
-	 * @param requests requests by account
+	 * @param requests the number of requests by account
 	 */
 	record Report(long window, Map<String, Long> requests) {
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Calls to the cloud that one node makes for all: usage reports and orders of servers.
+ * The duties: calls that one entry node, the holder, makes for all. It reports usage to
+ * the cloud, orders servers and publishes the progress of rollouts.
  */
 @NullMarked
 package io.flamingogap.gateway.cloud;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -29,29 +29,33 @@
 import static org.hamcrest.Matchers.not;
 
 /**
- * The orders of servers, against a cloud that grants or refuses them.
+ * Tests of {@link ServerOrderPlanner} against a cloud that accepts orders or has no
+ * servers available.
  */
 class ServerOrderPlannerTests {
 
-	private static final int MOST = 8;
+	private static final int MAX_PER_ZONE = 8;
 
 	private static final int SLOTS = 48;
 
-	/** Each zone and kind may be ordered twice at a moment: what is missing, and less. */
-	private static final int MOST_ORDERS = 12;
+	/**
+	 * Three zones with two kinds of servers, each ordered at most twice at once: to add
+	 * missing servers and to release others.
+	 */
+	private static final int MAX_ORDERS = 12;
 
 	private static final long BOOT_MILLIS = 4_000;
 
 	private static final List<String> ZONES = List.of("cheap", "middle", "dear");
 
 	private static final ServingConfig CONFIG = ServingConfig.of(1, List.of(),
-			List.of(new BackendService("engine", 100, Optional.of(new EngineProfile(SLOTS, 600_000)),
-					Optional.of(new ScaleBounds(1, MOST, 4, 0.18, Map.of("cheap", 0.8, "middle", 1.0, "dear", 1.25))))),
+			List.of(new BackendService("engine", 100, Optional.of(new EngineProfile(SLOTS, 600_000)), Optional
+				.of(new ScaleBounds(1, MAX_PER_ZONE, 4, 0.18, Map.of("cheap", 0.8, "middle", 1.0, "dear", 1.25))))),
 			List.of(), ListenerLimits.DEFAULT);
 
 	private final ServerTable servers = new ServerTable();
 
-	private final ServerOrderPlanner duty = new ServerOrderPlanner(this.servers, false);
+	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers, false);
 
 	private final List<ServerPlan> orders = new ArrayList<>();
 
@@ -61,7 +65,7 @@
 
 	private double tokensPerSecond = 220_000;
 
-	private Predicate<ServerPlan> granted = (order) -> true;
+	private Predicate<ServerPlan> isAvailable = (order) -> true;
 
 	private void register(String id, String zone, boolean reclaimable, boolean draining) {
 		this.servers.register(new ServerRegistration(id, "engine", new Address("10.0.0.1", 80), zone, "v1", SLOTS,
@@ -74,14 +78,14 @@
 		}
 	}
 
-	private void reclaim(String zone, int number) {
+	private void drainReclaimable(String zone, int number) {
 		for (int i = 0; i < number; i++) {
 			register(zone + true + i, zone, true, true);
 		}
 	}
 
-	private List<ServerPlan> orderAllDue() {
-		List<ServerPlan> made = new ArrayList<>();
+	private List<ServerPlan> placeDueOrders() {
+		List<ServerPlan> newOrders = new ArrayList<>();
 		FleetServiceDemand demand = new FleetServiceDemand() {
 			@Override
 			public double promptTokensPerSecond(String service) {
@@ -93,24 +97,24 @@
 				return 0;
 			}
 		};
-		Optional<ServerPlan> due = this.duty.nextDue(CONFIG, demand, this.nowMillis);
-		while (due.isPresent()) {
-			assertThat("orders at one moment", made.size(), lessThanOrEqualTo(MOST_ORDERS));
-			made.add(due.get());
-			this.duty.record(due.get(),
-					this.granted.test(due.get()) ? CloudApi.Verdict.ACCEPTED : CloudApi.Verdict.NONE_AVAILABLE,
+		Optional<ServerPlan> next = this.planner.nextOrder(CONFIG, demand, this.nowMillis);
+		while (next.isPresent()) {
+			assertThat("orders at one time", newOrders.size(), lessThanOrEqualTo(MAX_ORDERS));
+			newOrders.add(next.get());
+			this.planner.recordOutcome(next.get(),
+					this.isAvailable.test(next.get()) ? CloudApi.Verdict.ACCEPTED : CloudApi.Verdict.NONE_AVAILABLE,
 					this.nowMillis);
-			due = this.duty.nextDue(CONFIG, demand, this.nowMillis);
+			next = this.planner.nextOrder(CONFIG, demand, this.nowMillis);
 		}
-		this.orders.addAll(made);
-		return made;
+		this.orders.addAll(newOrders);
+		return newOrders;
 	}
 
-	private static int fullPrice(List<ServerPlan> orders) {
+	private static int lastFullPriceServers(List<ServerPlan> orders) {
 		return ZONES.stream()
 			.mapToInt((zone) -> orders.stream()
 				.filter((order) -> !order.reclaimable() && order.zone().equals(zone))
-				.reduce((first, second) -> second)
+				.reduce((earlier, later) -> later)
 				.map(ServerPlan::servers)
 				.orElse(0))
 			.sum();
@@ -121,43 +125,43 @@
 	}
 
 	@Test
-	void fullPriceServersAreGivenBackOnlyWhenReclaimableOnesTakeRequests() {
+	void releasesFullPriceServersOnlyWhenReclaimableOnesTakeRequests() {
 		ZONES.forEach((zone) -> register(zone, false, 4));
-		assertThat(orderAllDue().stream().filter((order) -> !order.reclaimable()).toList(), is(empty()));
+		assertThat(placeDueOrders().stream().filter((order) -> !order.reclaimable()).toList(), is(empty()));
 		ZONES.forEach((zone) -> register(zone, true, 6));
 		this.nowMillis += BOOT_MILLIS;
-		assertThat(fullPrice(orderAllDue()), lessThanOrEqualTo(2));
+		assertThat(lastFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
 	}
 
 	@Test
-	void serversThatAreBootingAreNotOrderedAtFullPriceBesides() {
-		assertThat(fullPrice(orderAllDue()), lessThanOrEqualTo(2));
+	void ordersNoFullPriceServersInPlaceOfBootingOnes() {
+		assertThat(lastFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
 	}
 
 	@Test
-	void whatTheCloudHasNoneOfIsAskedForAgainOnlyAfterAWhile() {
-		this.granted = (order) -> false;
-		assertThat(orderAllDue(), is(not(empty())));
+	void ordersUnavailableServersAgainOnlyAfterADelay() {
+		this.isAvailable = (order) -> false;
+		assertThat(placeDueOrders(), is(not(empty())));
 		this.nowMillis += 1_000;
-		assertThat(orderAllDue(), is(empty()));
+		assertThat(placeDueOrders(), is(empty()));
 		this.nowMillis += 6_000;
-		assertThat(orderAllDue(), is(not(empty())));
+		assertThat(placeDueOrders(), is(not(empty())));
 	}
 
 	@Test
-	void fullPriceServersAreOrderedElsewhereIfTheCheapestZoneHasNone() {
-		this.granted = (order) -> !order.reclaimable() && !order.zone().equals("cheap");
-		assertThat(orderAllDue().stream()
+	void ordersFullPriceServersInOtherZonesIfTheCheapestHasNone() {
+		this.isAvailable = (order) -> !order.reclaimable() && !order.zone().equals("cheap");
+		assertThat(placeDueOrders().stream()
 			.filter((order) -> !order.reclaimable() && !order.zone().equals("cheap"))
 			.mapToInt(ServerPlan::servers)
 			.sum(), greaterThanOrEqualTo(6));
 	}
 
 	@Test
-	void beforeAnybodyAsksFullPriceServersAreGivenBackOnceOthersAreGranted() {
-		ServerOrderPlanner first = new ServerOrderPlanner(this.servers, true);
+	void releasesFullPriceServersBeforeAnyDemandOnceReclaimableOnesAreGranted() {
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, true);
 		ZONES.forEach((zone) -> register(zone, false, 5));
-		FleetServiceDemand nobody = new FleetServiceDemand() {
+		FleetServiceDemand noDemand = new FleetServiceDemand() {
 			@Override
 			public double promptTokensPerSecond(String service) {
 				return 0;
@@ -168,70 +172,70 @@
 				return 0;
 			}
 		};
-		Optional<ServerPlan> due = first.nextDue(CONFIG, nobody, this.nowMillis);
-		List<ServerPlan> made = new ArrayList<>();
-		while (due.isPresent()) {
-			made.add(due.get());
-			first.record(due.get(), CloudApi.Verdict.ACCEPTED, this.nowMillis);
-			due = first.nextDue(CONFIG, nobody, this.nowMillis);
+		Optional<ServerPlan> next = firstStartPlanner.nextOrder(CONFIG, noDemand, this.nowMillis);
+		List<ServerPlan> newOrders = new ArrayList<>();
+		while (next.isPresent()) {
+			newOrders.add(next.get());
+			firstStartPlanner.recordOutcome(next.get(), CloudApi.Verdict.ACCEPTED, this.nowMillis);
+			next = firstStartPlanner.nextOrder(CONFIG, noDemand, this.nowMillis);
 		}
-		assertThat(fullPrice(made), is(2));
-		assertThat(made.get(0).reclaimable(), is(true));
+		assertThat(lastFullPriceServers(newOrders), is(2));
+		assertThat(newOrders.get(0).reclaimable(), is(true));
 	}
 
 	@Nested
-	class WhenAZoneIsReclaimedAndNoneAreToBeHad {
+	class WhenAZoneIsReclaimedWithoutReplacement {
 
 		@BeforeEach
-		void reclaimTheCheapZone() {
+		void reclaimCheapestZone() {
 			register("cheap", false, 2);
 			ZONES.forEach((zone) -> register(zone, true, 6));
-			orderAllDue();
-			ServerOrderPlannerTests.this.granted = (order) -> !order.reclaimable();
+			placeDueOrders();
+			ServerOrderPlannerTests.this.isAvailable = (order) -> !order.reclaimable();
 			ServerOrderPlannerTests.this.nowMillis += 1_000;
-			reclaim("cheap", 6);
+			drainReclaimable("cheap", 6);
 		}
 
 		@Test
-		void theLossIsNoticedAlthoughAnOrderIsRecent() {
-			List<ServerPlan> made = orderAllDue();
-			assertThat(reclaimable(made), is(not(empty())));
+		void ordersReplacementsDespiteARecentOrder() {
+			List<ServerPlan> newOrders = placeDueOrders();
+			assertThat(reclaimable(newOrders), is(not(empty())));
 		}
 
 		@Test
-		void fullPriceServersForTheNextZoneAreOrderedAtOnce() {
-			assertThat(fullPrice(orderAllDue()), greaterThanOrEqualTo(6));
+		void ordersFullPriceServersInAdvanceOfTheLossOfAnotherZone() {
+			assertThat(lastFullPriceServers(placeDueOrders()), greaterThanOrEqualTo(6));
 		}
 
 		@Test
-		void noReclaimableServerThatIsThereIsGivenBack() {
+		void keepsEveryReadyReclaimableServer() {
 			ServerOrderPlannerTests.this.tokensPerSecond = 900_000;
-			List<ServerPlan> made = orderAllDue();
+			List<ServerPlan> newOrders = placeDueOrders();
 			for (int i = 0; i < 20; i++) {
 				ServerOrderPlannerTests.this.nowMillis += 1_000;
-				made.addAll(orderAllDue());
+				newOrders.addAll(placeDueOrders());
 			}
-			assertThat(reclaimable(made).stream()
+			assertThat(reclaimable(newOrders).stream()
 				.filter((order) -> !order.zone().equals("cheap"))
 				.map(ServerPlan::servers)
 				.toList(), everyItem(greaterThanOrEqualTo(6)));
 		}
 
 		@Test
-		void fullPriceServersStayUntilOthersAreToBeHadAgain() {
-			orderAllDue();
+		void keepsFullPriceServersUntilReclaimableOnesAreAvailableAgain() {
+			placeDueOrders();
 			register("cheap", false, 8);
 			for (int i = 0; i < 12; i++) {
 				ServerOrderPlannerTests.this.nowMillis += 1_000;
-				assertThat(fullPriceShrinkage(orderAllDue()), is(empty()));
+				assertThat(fullPriceReleases(placeDueOrders()), is(empty()));
 			}
-			ServerOrderPlannerTests.this.granted = (order) -> true;
+			ServerOrderPlannerTests.this.isAvailable = (order) -> true;
 			ServerOrderPlannerTests.this.nowMillis += 6_000;
-			assertThat(fullPriceShrinkage(orderAllDue()), is(not(empty())));
+			assertThat(fullPriceReleases(placeDueOrders()), is(not(empty())));
 		}
 
-		private List<ServerPlan> fullPriceShrinkage(List<ServerPlan> made) {
-			return made.stream().filter((order) -> !order.reclaimable() && order.servers() < 6).toList();
+		private List<ServerPlan> fullPriceReleases(List<ServerPlan> newOrders) {
+			return newOrders.stream().filter((order) -> !order.reclaimable() && order.servers() < 6).toList();
 		}
 
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
@@ -9,7 +9,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * When windows of usage are reported.
+ * Tests of {@link UsageReportSchedule}: when a window is due, and how long it waits for
+ * nodes.
  */
 class UsageReportScheduleTests {
 
@@ -19,44 +20,44 @@
 
 	private static final long END_MILLIS = (WINDOW + 1) * WINDOW_MILLIS;
 
-	/** The bound of the users' sheets for a report after the end of its window. */
+	/** The users' limit for the time from the end of a window to its report. */
 	private static final long DUE_MILLIS = 10_000;
 
-	private long heardMillisAgo;
+	private long oldestReportAgeMillis;
 
-	private final UsageReportSchedule duty = new UsageReportSchedule(WINDOW_MILLIS,
-			(window) -> Map.of("growers", window), (millis) -> this.heardMillisAgo <= millis);
+	private final UsageReportSchedule schedule = new UsageReportSchedule(WINDOW_MILLIS,
+			(window) -> Map.of("growers", window), (millis) -> this.oldestReportAgeMillis <= millis);
 
-	private Optional<Long> dueAt(long sinceEndMillis) {
-		return this.duty.nextDue(END_MILLIS + sinceEndMillis).map(UsageReportSchedule.Report::window);
+	private Optional<Long> dueWindowAt(long sinceEndMillis) {
+		return this.schedule.nextReport(END_MILLIS + sinceEndMillis).map(UsageReportSchedule.Report::window);
 	}
 
 	private void reportEarlierWindows() {
-		this.duty.takeOver(Optional.of(new UsageReportSchedule.Report(WINDOW - 1, Map.of())), END_MILLIS);
-		this.duty.recordSent();
+		this.schedule.takeOver(Optional.of(new UsageReportSchedule.Report(WINDOW - 1, Map.of())), END_MILLIS);
+		this.schedule.recordSent();
 	}
 
 	@Test
-	void windowIsReportedOnceAllNodesWereHeardAfterIt() {
+	void reportsWindowOnceAllNodesReportedAfterItsEnd() {
 		reportEarlierWindows();
-		this.heardMillisAgo = 500;
-		assertThat(dueAt(2_800), is(Optional.empty()));
-		assertThat(dueAt(3_300), is(Optional.of(WINDOW)));
+		this.oldestReportAgeMillis = 500;
+		assertThat(dueWindowAt(2_800), is(Optional.empty()));
+		assertThat(dueWindowAt(3_300), is(Optional.of(WINDOW)));
 	}
 
 	@Test
-	void nodeThatIsNotHeardIsWaitedFor() {
+	void waitsForNodesThatDoNotReport() {
 		reportEarlierWindows();
-		this.heardMillisAgo = 6_000;
-		assertThat(dueAt(4_900), is(Optional.empty()));
-		assertThat(dueAt(6_000), is(Optional.empty()));
+		this.oldestReportAgeMillis = 6_000;
+		assertThat(dueWindowAt(4_900), is(Optional.empty()));
+		assertThat(dueWindowAt(6_000), is(Optional.empty()));
 	}
 
 	@Test
-	void windowIsReportedInTimeAlsoIfANodeIsNeverHeardAgain() {
+	void reportsWindowInTimeIfANodeNeverReportsAgain() {
 		reportEarlierWindows();
-		this.heardMillisAgo = 60_000;
-		assertThat(dueAt(DUE_MILLIS - 2_000), is(Optional.of(WINDOW)));
+		this.oldestReportAgeMillis = 60_000;
+		assertThat(dueWindowAt(DUE_MILLIS - 2_000), is(Optional.of(WINDOW)));
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/package-info.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of what the holder of the duties does for all.
+ * Tests of the duties that one entry node carries out for all.
  */
 @NullMarked
 package io.flamingogap.gateway.cloud;
