Rename seven types of the peers package

The names said how a store is "backed" or that reads are "shared", but not what the types are: PeerFallbackStore, ZoneRelayedStore, ZoneReadCache and its RecordCache, PeerStoreClient and PeerStoreService for the two ends of a call between nodes, and ReportBatcher. Their tests follow. No use outside the package but in a test of the store package.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -26,7 +26,7 @@
  * appends and the group go to the store itself only: a node that can't reach it holds no
  * duties.
  */
-public final class PeerBackedStore extends ForwardingStore {
+public final class PeerFallbackStore extends ForwardingStore {
 
 	/**
 	 * Nodes that are asked, one after the other; more than half of the nodes may be
@@ -37,7 +37,7 @@
 	/** After the store failed, it is tried again after this time. */
 	private static final long TRY_AGAIN_MILLIS = 1_500;
 
-	private final PeerCaller caller;
+	private final PeerStoreClient caller;
 
 	private final Supplier<List<Address>> peers;
 
@@ -54,7 +54,7 @@
 	 * @param peers the addresses of other nodes
 	 * @param steadyMillis tells the present time
 	 */
-	public PeerBackedStore(PeerCaller caller, RecordStore store, Supplier<List<Address>> peers,
+	public PeerFallbackStore(PeerStoreClient caller, RecordStore store, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
 		super(store);
 		this.caller = caller;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCaller.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -22,7 +22,7 @@
 /**
  * Calls that this node makes of other nodes. Used on the event loop only.
  */
-public final class PeerCaller {
+public final class PeerStoreClient {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -37,7 +37,7 @@
 	 * Create a caller.
 	 * @param loop the event loop
 	 */
-	public PeerCaller(EventLoop loop) {
+	public PeerStoreClient(EventLoop loop) {
 		this.loop = loop;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -17,18 +17,18 @@
  * Makes calls of the store for other nodes. It asks the store itself and never a third
  * node, so calls don't go round.
  */
-public final class PeerService {
+public final class PeerStoreService {
 
-	private final SharedReads store;
+	private final ZoneReadCache store;
 
-	private final ReportBatch reports;
+	private final ReportBatcher reports;
 
 	/**
 	 * Create a service.
 	 * @param store the store as this node reaches it
 	 * @param reports collects the reports of other nodes
 	 */
-	public PeerService(SharedReads store, ReportBatch reports) {
+	public PeerStoreService(ZoneReadCache store, ReportBatcher reports) {
 		this.store = store;
 		this.reports = reports;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecentRecords.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -10,7 +10,7 @@
 /**
  * The newest records of a stream that were read from the store, without a gap.
  */
-final class RecentRecords {
+final class RecordCache {
 
 	/** Several seconds of registrations and reports of the largest fleet. */
 	private static final int MAX_RECORDS = 1_024;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
@@ -16,7 +16,7 @@
  * Collects the reports of a zone's nodes and appends them in one call. Used on the event
  * loop only.
  */
-public final class ReportBatch implements ReportSink {
+public final class ReportBatcher implements ReportSink {
 
 	/**
 	 * How long reports are collected. Together with the pause between reads it is shorter
@@ -38,7 +38,7 @@
 	 * @param loop the event loop
 	 * @param store the store
 	 */
-	public ReportBatch(EventLoop loop, RecordStore store) {
+	public ReportBatcher(EventLoop loop, RecordStore store) {
 		this.loop = loop;
 		this.store = store;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -15,9 +15,9 @@
  */
 public final class StoreAccess {
 
-	private final ZoneBackedStore store;
+	private final ZoneRelayedStore store;
 
-	private final PeerService peerService;
+	private final PeerStoreService peerService;
 
 	/**
 	 * Create the ways to a store.
@@ -29,12 +29,12 @@
 	 */
 	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relay, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
-		SharedReads shared = new SharedReads(loop, direct, steadyMillis);
-		ReportBatch batch = new ReportBatch(loop, shared);
-		PeerCaller caller = new PeerCaller(loop);
-		RecordStore backed = new PeerBackedStore(caller, shared, peers, steadyMillis);
-		this.store = new ZoneBackedStore(caller, backed, relay, batch);
-		this.peerService = new PeerService(shared, batch);
+		ZoneReadCache shared = new ZoneReadCache(loop, direct, steadyMillis);
+		ReportBatcher batch = new ReportBatcher(loop, shared);
+		PeerStoreClient caller = new PeerStoreClient(loop);
+		RecordStore backed = new PeerFallbackStore(caller, shared, peers, steadyMillis);
+		this.store = new ZoneRelayedStore(caller, backed, relay, batch);
+		this.peerService = new PeerStoreService(shared, batch);
 	}
 
 	/**
@@ -57,7 +57,7 @@
 	 * Return what answers other nodes.
 	 * @return the service
 	 */
-	public PeerService peerService() {
+	public PeerStoreService peerService() {
 		return this.peerService;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/SharedReads.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -22,7 +22,7 @@
  * the store itself is passed on, never what another node relayed, so nodes can't confirm
  * each other's stale records.
  */
-public final class SharedReads extends ForwardingStore {
+public final class ZoneReadCache extends ForwardingStore {
 
 	/**
 	 * A node that follows a stream hears from the store at least this often: the time of
@@ -34,7 +34,7 @@
 
 	private final LongSupplier steadyMillis;
 
-	private final Map<StoreStream, RecentRecords> recent = new EnumMap<>(StoreStream.class);
+	private final Map<StoreStream, RecordCache> recent = new EnumMap<>(StoreStream.class);
 
 	private final Map<StoreStream, List<Waiting>> waiting = new EnumMap<>(StoreStream.class);
 
@@ -44,12 +44,12 @@
 	 * @param store the store
 	 * @param steadyMillis tells the present time
 	 */
-	public SharedReads(EventLoop loop, RecordStore store, LongSupplier steadyMillis) {
+	public ZoneReadCache(EventLoop loop, RecordStore store, LongSupplier steadyMillis) {
 		super(store);
 		this.loop = loop;
 		this.steadyMillis = steadyMillis;
 		for (StoreStream stream : StoreStream.values()) {
-			this.recent.put(stream, new RecentRecords());
+			this.recent.put(stream, new RecordCache());
 			this.waiting.put(stream, new ArrayList<>());
 		}
 	}
@@ -57,7 +57,7 @@
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
-			RecentRecords records = this.recent.get(stream);
+			RecordCache records = this.recent.get(stream);
 			if (failure != null) {
 				records.invalidate();
 				takeWaiting(stream).forEach((each) -> each.fail("the relaying node lost the store"));
@@ -78,7 +78,7 @@
 	 * @return the records, and the offset to go on from
 	 */
 	public CompletableFuture<Batch> readForPeer(StoreStream stream, long from, long waitMillis) {
-		RecentRecords records = this.recent.get(stream);
+		RecordCache records = this.recent.get(stream);
 		if (!records.isFresh(this.steadyMillis.getAsLong(), FRESH_MILLIS) || !records.covers(from)) {
 			return super.read(stream, from, waitMillis);
 		}
@@ -103,7 +103,7 @@
 	}
 
 	private void answer(StoreStream stream, Waiting wait) {
-		RecentRecords records = this.recent.get(stream);
+		RecordCache records = this.recent.get(stream);
 		if (records.isFresh(this.steadyMillis.getAsLong(), FRESH_MILLIS) && records.covers(wait.from)) {
 			wait.result.complete(records.from(wait.from));
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneBackedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -23,15 +23,15 @@
  * store are dear and bytes within a zone are free. A node whose relay fails calls the
  * store itself.
  */
-public final class ZoneBackedStore extends ForwardingStore implements ReportSink {
+public final class ZoneRelayedStore extends ForwardingStore implements ReportSink {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private final PeerCaller caller;
+	private final PeerStoreClient caller;
 
 	private final ZoneRelaySelector relay;
 
-	private final ReportBatch batch;
+	private final ReportBatcher batch;
 
 	/**
 	 * Create a store.
@@ -40,7 +40,7 @@
 	 * @param relay names the node to relay through
 	 * @param batch collects reports if this node is the relay
 	 */
-	public ZoneBackedStore(PeerCaller caller, RecordStore store, ZoneRelaySelector relay, ReportBatch batch) {
+	public ZoneRelayedStore(PeerStoreClient caller, RecordStore store, ZoneRelaySelector relay, ReportBatcher batch) {
 		super(store);
 		this.caller = caller;
 		this.relay = relay;
@@ -56,7 +56,7 @@
 
 	@Override
 	public CompletableFuture<Long> offer(String key, byte[] value) {
-		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatch.COLLECT_MILLIS);
+		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatcher.COLLECT_MILLIS);
 		call.setKey(key);
 		call.setContent(value);
 		Supplier<CompletableFuture<Long>> alone = () -> super.append(StoreStream.NODES, key, Optional.of(value),
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -52,7 +52,7 @@
 		this.nowMillis = 0;
 		SplittableRandom random = new SplittableRandom(seed);
 		FaultyStore store = new FaultyStore();
-		SharedReads shared = new SharedReads(this.channel.eventLoop(), store, () -> this.nowMillis);
+		ZoneReadCache shared = new ZoneReadCache(this.channel.eventLoop(), store, () -> this.nowMillis);
 		Newest relay = new Newest();
 		Newest member = new Newest();
 		follow(shared, relay);
@@ -110,9 +110,9 @@
 
 		private final FaultyStore store;
 
-		private final SharedReads relay;
+		private final ZoneReadCache relay;
 
-		private Relayed(FaultyStore store, SharedReads relay) {
+		private Relayed(FaultyStore store, ZoneReadCache relay) {
 			super(store);
 			this.store = store;
 			this.relay = relay;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatchTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatcherTests.java
@@ -17,16 +17,16 @@
 /**
  * Reports that reach the store together.
  */
-class ReportBatchTests {
+class ReportBatcherTests {
 
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private final ScriptedStore store = new ScriptedStore();
 
-	private final ReportBatch batch = new ReportBatch(this.channel.eventLoop(), this.store);
+	private final ReportBatcher batch = new ReportBatcher(this.channel.eventLoop(), this.store);
 
 	private void passTime() {
-		this.channel.advanceTimeBy(ReportBatch.COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+		this.channel.advanceTimeBy(ReportBatcher.COLLECT_MILLIS, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/SharedReadsTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -22,7 +22,7 @@
 /**
  * Reads that one node makes for its zone.
  */
-class SharedReadsTests {
+class ZoneReadCacheTests {
 
 	private static final long WAIT_MILLIS = 1_000;
 
@@ -32,7 +32,7 @@
 
 	private long nowMillis = 100_000;
 
-	private final SharedReads reads = new SharedReads(this.channel.eventLoop(), this.store, () -> this.nowMillis);
+	private final ZoneReadCache reads = new ZoneReadCache(this.channel.eventLoop(), this.store, () -> this.nowMillis);
 
 	private static StoredRecord entry(long offset) {
 		return new StoredRecord("key", Optional.of(new byte[1]), offset);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -7,7 +7,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.Test;
 
-import io.flamingogap.gateway.peers.SharedReads;
+import io.flamingogap.gateway.peers.ZoneReadCache;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -64,7 +64,7 @@
 	@Test
 	void listsAgainWhenItsReadsAreSharedWithTheZone() {
 		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
-		follower(new SharedReads(this.channel.eventLoop(), this.store, () -> 0)).start();
+		follower(new ZoneReadCache(this.channel.eventLoop(), this.store, () -> 0)).start();
 		this.channel.runPendingTasks();
 		assertThat(this.listingCount, is(2));
 	}
