--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/LoadGossip.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/LoadGossip.java
@@ -19,17 +19,19 @@
 import io.flamingogap.wire.peer.PeerDatagram;
 
 /**
- * Tells the nodes of the same zone what this node has open at backend servers, and hears
- * it of them. Each datagram carries whole figures, which lapse after a while.
+ * Exchanges load reports with the other nodes of the zone: the open requests and unread
+ * tokens that a node has at each backend server. A datagram carries absolute values,
+ * which expire at the receiver.
  */
 public final class LoadGossip implements ServerLoadListener {
 
 	/**
-	 * Changes are collected for so long; shorter than the time to read a usual prompt.
+	 * How long changes are collected before they are sent. Shorter than the time in which
+	 * an engine reads a typical prompt.
 	 */
 	private static final long COLLECT_MILLIS = 15;
 
-	/** Nodes that are told; more than a zone of the users has. */
+	/** The greatest number of receivers; more nodes than the users have in a zone. */
 	private static final int MAX_PEERS = 24;
 
 	private final EventLoop loop;
@@ -44,16 +46,16 @@
 
 	private final LongSupplier steadyMillis;
 
-	private final Set<KnownServer> changed = new LinkedHashSet<>();
+	private final Set<KnownServer> changedServers = new LinkedHashSet<>();
 
 	/**
-	 * Create a gossip.
+	 * Create a gossip that listens for the reports of other nodes.
 	 * @param loop the event loop
-	 * @param datagrams carries the news
+	 * @param datagrams the channel to the other nodes
 	 * @param node the name of this node
-	 * @param servers the backend servers
-	 * @param zonePeers the addresses of the other nodes of the zone
-	 * @param steadyMillis tells the present time
+	 * @param servers the backend servers whose load is updated
+	 * @param zonePeers returns the addresses of the other nodes of the zone
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
 	public LoadGossip(EventLoop loop, PeerDatagramChannel datagrams, String node, ServerTable servers,
 			Supplier<List<Address>> zonePeers, LongSupplier steadyMillis) {
@@ -63,7 +65,7 @@
 		this.servers = servers;
 		this.zonePeers = zonePeers;
 		this.steadyMillis = steadyMillis;
-		datagrams.addListener((datagram, from) -> hear(datagram));
+		datagrams.addListener((datagram, from) -> onDatagram(datagram));
 	}
 
 	@Override
@@ -71,34 +73,34 @@
 		if (!this.datagrams.isStarted()) {
 			return;
 		}
-		if (this.changed.isEmpty()) {
-			this.loop.schedule(this::tell, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+		if (this.changedServers.isEmpty()) {
+			this.loop.schedule(this::sendLoads, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
 		}
-		this.changed.add(server);
+		this.changedServers.add(server);
 	}
 
-	private void tell() {
-		List<OpenLoad> rows = new ArrayList<>();
-		for (KnownServer server : this.changed) {
-			rows.add(new OpenLoad(server.registration().id(), server.load().openRequests(),
+	private void sendLoads() {
+		List<OpenLoad> loads = new ArrayList<>();
+		for (KnownServer server : this.changedServers) {
+			loads.add(new OpenLoad(server.registration().id(), server.load().openRequests(),
 					server.load().unreadTokens()));
 		}
-		this.changed.clear();
+		this.changedServers.clear();
 		PeerDatagram datagram = new PeerDatagram();
-		datagram.setLoads(new LoadNews(this.node, rows));
+		datagram.setLoads(new LoadNews(this.node, loads));
 		List<Address> peers = this.zonePeers.get();
 		this.datagrams.send(datagram, peers.subList(0, Math.min(MAX_PEERS, peers.size())));
 	}
 
-	private void hear(PeerDatagram datagram) {
+	private void onDatagram(PeerDatagram datagram) {
 		if (!datagram.isSetLoads()) {
 			return;
 		}
 		long nowMillis = this.steadyMillis.getAsLong();
-		for (OpenLoad row : datagram.getLoads().getLoads()) {
-			this.servers.find(row.getServerId())
+		for (OpenLoad load : datagram.getLoads().getLoads()) {
+			this.servers.find(load.getServerId())
 				.ifPresent((server) -> server.load()
-					.recordPeerLoad(datagram.getLoads().getNode(), row.getOpenRequests(), row.getUnreadTokens(),
+					.recordPeerLoad(datagram.getLoads().getNode(), load.getOpenRequests(), load.getUnreadTokens(),
 							nowMillis));
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -11,14 +11,14 @@
 import io.flamingogap.wire.peer.StoreOutcome;
 
 /**
- * Records and outcomes as nodes exchange them.
+ * Converts records and outcomes of the store to and from the messages between nodes.
  */
 final class PeerCodec {
 
 	private PeerCodec() {
 	}
 
-	static PeerReply failed(Throwable failure) {
+	static PeerReply failureReply(Throwable failure) {
 		return new PeerReply(outcomeOf(StoreException.of(failure).reason()), List.of(), 0, false);
 	}
 
@@ -40,19 +40,20 @@
 		};
 	}
 
-	static List<PeerRecord> write(List<StoredRecord> records) {
+	static List<PeerRecord> writeRecords(List<StoredRecord> records) {
 		return records.stream().map((entry) -> {
-			PeerRecord wire = new PeerRecord(entry.key(), entry.offset());
-			entry.value().ifPresent(wire::setContent);
-			return wire;
+			PeerRecord peerRecord = new PeerRecord(entry.key(), entry.offset());
+			entry.value().ifPresent(peerRecord::setContent);
+			return peerRecord;
 		}).toList();
 	}
 
-	static List<StoredRecord> read(PeerReply reply) {
+	static List<StoredRecord> readRecords(PeerReply reply) {
 		return reply.getEntries()
 			.stream()
-			.map((wire) -> new StoredRecord(wire.getKey(),
-					wire.isSetContent() ? Optional.of(wire.getContent()) : Optional.empty(), wire.getPosition()))
+			.map((peerRecord) -> new StoredRecord(peerRecord.getKey(),
+					peerRecord.isSetContent() ? Optional.of(peerRecord.getContent()) : Optional.empty(),
+					peerRecord.getPosition()))
 			.toList();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
@@ -24,7 +24,8 @@
 import io.flamingogap.wire.peer.PeerDatagram;
 
 /**
- * Datagrams between nodes. They may be lost; whoever sends one bears that.
+ * Sends and receives datagrams between nodes. Datagrams may be lost, which senders must
+ * allow for.
  */
 public final class PeerDatagramChannel {
 
@@ -37,7 +38,7 @@
 	private @Nullable Channel channel;
 
 	/**
-	 * Create without a port.
+	 * Create a channel without a port.
 	 * @param loop the event loop
 	 */
 	public PeerDatagramChannel(EventLoop loop) {
@@ -45,24 +46,24 @@
 	}
 
 	/**
-	 * Begin to send and to receive.
-	 * @param address where other nodes' datagrams arrive
+	 * Bind the port and start sending and receiving.
+	 * @param address the local address that other nodes send to
 	 */
 	public void start(Address address) {
 		new Bootstrap().group(this.loop)
 			.channel(NioDatagramChannel.class)
 			.handler(new Receiver())
 			.bind(address.host(), address.port())
-			.addListener((bound) -> {
-				if (bound.isSuccess()) {
-					this.channel = ((ChannelFuture) bound).channel();
+			.addListener((bindResult) -> {
+				if (bindResult.isSuccess()) {
+					this.channel = ((ChannelFuture) bindResult).channel();
 				}
 				else {
 					logger.atWarning()
 						.log("%s",
 								LogLine.of("no datagrams between nodes")
 									.with("address", address.toString())
-									.with("reason", String.valueOf(bound.cause())));
+									.with("reason", String.valueOf(bindResult.cause())));
 				}
 			});
 	}
@@ -76,20 +77,20 @@
 	}
 
 	void send(PeerDatagram datagram, List<Address> peers) {
-		Channel open = this.channel;
-		if (open == null) {
+		Channel boundChannel = this.channel;
+		if (boundChannel == null) {
 			return;
 		}
 		byte[] bytes = ThriftBytes.write(datagram);
 		for (Address peer : peers) {
-			open.write(
+			boundChannel.write(
 					new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(peer.host(), peer.port())));
 		}
-		open.flush();
+		boundChannel.flush();
 	}
 
 	/**
-	 * Reads datagrams.
+	 * Decodes datagrams and passes them to the listeners.
 	 */
 	private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -22,42 +22,42 @@
 import io.flamingogap.wire.peer.StoreCall;
 
 /**
- * The store, reached through other nodes while it turns this one away. Conditional
- * appends and the group go to the store itself only: a node that can't reach it holds no
- * duties.
+ * Falls back to other nodes while the store can't be reached from this node. Conditional
+ * appends and the calls of the group go to the store itself only: a node that can't reach
+ * the store must not hold the duties.
  */
 public final class PeerFallbackStore extends ForwardingStore {
 
 	/**
-	 * Nodes that are asked, one after the other; more than half of the nodes may be
-	 * turned away.
+	 * How many nodes are tried, one after the other. The store may refuse calls of more
+	 * than half of the nodes.
 	 */
 	private static final int MAX_PEERS = 3;
 
-	/** After the store failed, it is tried again after this time. */
-	private static final long TRY_AGAIN_MILLIS = 1_500;
+	/** How long calls skip the store after it failed, if there are other nodes. */
+	private static final long STORE_RETRY_MILLIS = 1_500;
 
-	private final PeerStoreClient caller;
+	private final PeerStoreClient client;
 
 	private final Supplier<List<Address>> peers;
 
 	private final LongSupplier steadyMillis;
 
-	private final Random order = new Random();
+	private final Random random = new Random();
 
 	private long failedAtMillis = Long.MIN_VALUE / 2;
 
 	/**
-	 * Create a store.
-	 * @param caller calls other nodes
+	 * Create a store with a fallback.
+	 * @param client calls other nodes
 	 * @param store the store as this node reaches it
-	 * @param peers the addresses of other nodes
-	 * @param steadyMillis tells the present time
+	 * @param peers returns the addresses of other nodes
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	public PeerFallbackStore(PeerStoreClient caller, RecordStore store, Supplier<List<Address>> peers,
+	public PeerFallbackStore(PeerStoreClient client, RecordStore store, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
 		super(store);
-		this.caller = caller;
+		this.client = client;
 		this.peers = peers;
 		this.steadyMillis = steadyMillis;
 	}
@@ -65,16 +65,16 @@
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		PeerCall call = new PeerCall(StoreCall.READ, stream.name(), from, waitMillis);
-		return this.<Batch>orThroughPeers(() -> super.read(stream, from, waitMillis), call,
-				(reply) -> new Batch(PeerCodec.read(reply), reply.getPosition(), false));
+		return this.<Batch>callStoreOrPeers(() -> super.read(stream, from, waitMillis), call,
+				(reply) -> new Batch(PeerCodec.readRecords(reply), reply.getPosition(), false));
 	}
 
 	@Override
 	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
 		PeerCall call = new PeerCall(StoreCall.NEWEST, stream.name(), 0, 0);
 		after.ifPresent(call::setKey);
-		return this.<Page>orThroughPeers(() -> super.newest(stream, after), call,
-				(reply) -> new Page(PeerCodec.read(reply), reply.isHasMore(), reply.getPosition()));
+		return this.<Page>callStoreOrPeers(() -> super.newest(stream, after), call,
+				(reply) -> new Page(PeerCodec.readRecords(reply), reply.isHasMore(), reply.getPosition()));
 	}
 
 	@Override
@@ -86,15 +86,16 @@
 		PeerCall call = new PeerCall(StoreCall.APPEND, stream.name(), 0, 0);
 		call.setKey(key);
 		value.ifPresent(call::setContent);
-		return this.<Long>orThroughPeers(() -> super.append(stream, key, value, expectedEnd), call,
+		return this.<Long>callStoreOrPeers(() -> super.append(stream, key, value, expectedEnd), call,
 				PeerReply::getPosition);
 	}
 
-	private <T> CompletableFuture<T> orThroughPeers(Supplier<CompletableFuture<T>> direct, PeerCall call,
+	private <T> CompletableFuture<T> callStoreOrPeers(Supplier<CompletableFuture<T>> direct, PeerCall call,
 			Function<PeerReply, T> decoder) {
 		CompletableFuture<T> result = new CompletableFuture<>();
-		if (this.steadyMillis.getAsLong() - this.failedAtMillis < TRY_AGAIN_MILLIS && !this.peers.get().isEmpty()) {
-			throughPeers(call, shuffledPeers(), decoder, result, new StoreException(Reason.UNAVAILABLE, "store lost"));
+		if (this.steadyMillis.getAsLong() - this.failedAtMillis < STORE_RETRY_MILLIS && !this.peers.get().isEmpty()) {
+			callPeers(call, shuffledPeers(), decoder, result, new StoreException(Reason.UNAVAILABLE,
+					"the store failed recently and no other node was reachable"));
 			return result;
 		}
 		direct.get().whenComplete((value, failure) -> {
@@ -102,20 +103,20 @@
 				result.complete(value);
 			}
 			else {
-				throughPeersIfTurnedAway(call, StoreException.of(failure), decoder, result);
+				callPeersIfUnreachable(call, StoreException.of(failure), decoder, result);
 			}
 		});
 		return result;
 	}
 
-	private <T> void throughPeersIfTurnedAway(PeerCall call, StoreException refused, Function<PeerReply, T> decoder,
+	private <T> void callPeersIfUnreachable(PeerCall call, StoreException storeFailure, Function<PeerReply, T> decoder,
 			CompletableFuture<T> result) {
-		if (isUnreachable(refused.reason())) {
+		if (isUnreachable(storeFailure.reason())) {
 			this.failedAtMillis = this.steadyMillis.getAsLong();
-			throughPeers(call, shuffledPeers(), decoder, result, refused);
+			callPeers(call, shuffledPeers(), decoder, result, storeFailure);
 		}
 		else {
-			result.completeExceptionally(refused);
+			result.completeExceptionally(storeFailure);
 		}
 	}
 
@@ -125,27 +126,27 @@
 
 	private List<Address> shuffledPeers() {
 		List<Address> shuffled = new ArrayList<>(this.peers.get());
-		Collections.shuffle(shuffled, this.order);
+		Collections.shuffle(shuffled, this.random);
 		return shuffled.subList(0, Math.min(MAX_PEERS, shuffled.size()));
 	}
 
-	private <T> void throughPeers(PeerCall call, List<Address> left, Function<PeerReply, T> decoder,
-			CompletableFuture<T> result, StoreException last) {
-		if (left.isEmpty()) {
-			result.completeExceptionally(last);
+	private <T> void callPeers(PeerCall call, List<Address> remaining, Function<PeerReply, T> decoder,
+			CompletableFuture<T> result, StoreException lastFailure) {
+		if (remaining.isEmpty()) {
+			result.completeExceptionally(lastFailure);
 			return;
 		}
-		this.caller.call(left.get(0), call).whenComplete((answer, failure) -> {
+		this.client.call(remaining.get(0), call).whenComplete((reply, failure) -> {
 			if (failure == null) {
-				result.complete(decoder.apply(answer));
+				result.complete(decoder.apply(reply));
 			}
 			else {
-				StoreException refused = StoreException.of(failure);
-				if (isUnreachable(refused.reason())) {
-					throughPeers(call, left.subList(1, left.size()), decoder, result, refused);
+				StoreException peerFailure = StoreException.of(failure);
+				if (isUnreachable(peerFailure.reason())) {
+					callPeers(call, remaining.subList(1, remaining.size()), decoder, result, peerFailure);
 				}
 				else {
-					result.completeExceptionally(refused);
+					result.completeExceptionally(peerFailure);
 				}
 			}
 		});
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -20,21 +20,25 @@
 import io.flamingogap.wire.peer.StoreOutcome;
 
 /**
- * Calls that this node makes of other nodes. Used on the event loop only.
+ * Sends store calls to other nodes, which make them in place of this one. Used on the
+ * event loop only.
  */
 public final class PeerStoreClient {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The bound on a call, besides the time that the other node may hold it. */
-	private static final long TIMEOUT_MILLIS = 700;
+	/**
+	 * The time allowed for a call in addition to the time for which the other node may
+	 * hold it.
+	 */
+	private static final long TIMEOUT_MARGIN_MILLIS = 700;
 
 	private final EventLoop loop;
 
-	private final Map<Address, HttpCaller> callers = new HashMap<>();
+	private final Map<Address, HttpCaller> clients = new HashMap<>();
 
 	/**
-	 * Create a caller.
+	 * Create a client without connections.
 	 * @param loop the event loop
 	 */
 	public PeerStoreClient(EventLoop loop) {
@@ -42,18 +46,20 @@
 	}
 
 	/**
-	 * Make a call.
-	 * @param peer the node
+	 * Send a call.
+	 * @param peer the address of the other node
 	 * @param call the call
-	 * @return the answer, or a {@link StoreException}
+	 * @return the reply; completes with a {@link StoreException} unless the outcome is
+	 * {@link StoreOutcome#DONE}
 	 */
 	CompletableFuture<PeerReply> call(Address peer, PeerCall call) {
 		CompletableFuture<PeerReply> result = new CompletableFuture<>();
-		this.callers.computeIfAbsent(peer, (address) -> new HttpCaller(this.loop, address))
-			.call(HttpMethod.POST, "/store", Map.of(), ThriftBytes.write(call), call.getWaitMillis() + TIMEOUT_MILLIS)
+		this.clients.computeIfAbsent(peer, (address) -> new HttpCaller(this.loop, address))
+			.call(HttpMethod.POST, "/store", Map.of(), ThriftBytes.write(call),
+					call.getWaitMillis() + TIMEOUT_MARGIN_MILLIS)
 			.whenComplete((reply, failure) -> {
 				try {
-					result.complete(readDone(peer, reply, failure));
+					result.complete(requireDone(peer, reply, failure));
 				}
 				catch (StoreException ex) {
 					result.completeExceptionally(ex);
@@ -62,19 +68,19 @@
 		return result;
 	}
 
-	private static PeerReply readDone(Address peer, HttpReply reply, Throwable failure) {
+	private static PeerReply requireDone(Address peer, HttpReply reply, Throwable failure) {
 		if (failure != null) {
-			throw new StoreException(Reason.UNKNOWN, "through " + peer + ": " + failure.getMessage());
+			throw new StoreException(Reason.UNKNOWN, "call through node " + peer + ": " + failure.getMessage());
 		}
-		PeerReply answer = read(peer, reply);
-		if (answer.getOutcome() != StoreOutcome.DONE) {
-			throw new StoreException(PeerCodec.reasonOf(answer.getOutcome()),
-					"through " + peer + ": " + answer.getOutcome());
+		PeerReply storeReply = decode(peer, reply);
+		if (storeReply.getOutcome() != StoreOutcome.DONE) {
+			throw new StoreException(PeerCodec.reasonOf(storeReply.getOutcome()),
+					"call through node " + peer + ": " + storeReply.getOutcome());
 		}
-		return answer;
+		return storeReply;
 	}
 
-	private static PeerReply read(Address peer, HttpReply reply) {
+	private static PeerReply decode(Address peer, HttpReply reply) {
 		try {
 			return ThriftBytes.read(reply.body(), new PeerReply());
 		}
@@ -84,7 +90,7 @@
 						LogLine.of("peer answered with status")
 							.with("peer", peer.toString())
 							.with("status", reply.status()));
-			throw new StoreException(Reason.UNKNOWN, "through " + peer + ": unreadable answer");
+			throw new StoreException(Reason.UNKNOWN, "call through node " + peer + ": unreadable answer");
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -14,8 +14,8 @@
 import io.flamingogap.wire.peer.StoreOutcome;
 
 /**
- * Makes calls of the store for other nodes. It asks the store itself and never a third
- * node, so calls don't go round.
+ * Makes store calls for other nodes. Uses only this node's own access to the store and
+ * never a third node, so that calls can't loop.
  */
 public final class PeerStoreService {
 
@@ -34,14 +34,14 @@
 	}
 
 	/**
-	 * Answer a call.
-	 * @param request the call
-	 * @return the answer
+	 * Answer a store call.
+	 * @param request the HTTP request, whose body is the call
+	 * @return the HTTP response; with status 400 if the call can't be decoded
 	 */
 	public CompletableFuture<PageServer.Page> answer(PageServer.PageRequest request) {
 		try {
 			PeerCall call = ThriftBytes.read(request.body(), new PeerCall());
-			return make(call, StoreStream.valueOf(call.getStreamName())).exceptionally(PeerCodec::failed)
+			return execute(call, StoreStream.valueOf(call.getStreamName())).exceptionally(PeerCodec::failureReply)
 				.thenApply((reply) -> new PageServer.Page(200, "application/vnd.apache.thrift.compact",
 						ThriftBytes.write(reply)));
 		}
@@ -50,24 +50,24 @@
 		}
 	}
 
-	private CompletableFuture<PeerReply> make(PeerCall call, StoreStream stream) {
+	private CompletableFuture<PeerReply> execute(PeerCall call, StoreStream stream) {
 		return switch (call.getCall()) {
 			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
-				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(batch.records()),
+				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.writeRecords(batch.records()),
 						batch.nextOffset(), false));
 			case NEWEST -> this.store.newest(stream, Optional.ofNullable(call.getKey()))
-				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.write(page.records()), page.endOffset(),
-						page.hasMore()));
+				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.writeRecords(page.records()),
+						page.endOffset(), page.hasMore()));
 			case APPEND ->
 				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
 		};
 	}
 
 	/**
-	 * Append a record, together with other reports if the other node allows it to wait.
+	 * Append a record. A report of a node that may wait is appended together with others.
 	 * @param call the call
 	 * @param stream the stream
-	 * @return the offset
+	 * @return the offset of the record, or of one that was appended with it
 	 */
 	private CompletableFuture<Long> append(PeerCall call, StoreStream stream) {
 		if (stream == StoreStream.NODES && call.getWaitMillis() > 0 && call.isSetContent()) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaLoans.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaLoans.java
@@ -23,20 +23,24 @@
 import io.flamingogap.wire.peer.QuotaGrant;
 
 /**
- * Moves units of quotas between nodes. What a node lends leaves its own share first, so a
- * lost datagram loses units and never doubles them.
+ * Lends and borrows units of quotas between nodes. A lender takes the units from its own
+ * share before it sends them, so that a lost datagram loses units but never duplicates
+ * them.
  */
 public final class QuotaLoans implements QuotaBorrower {
 
-	/** Longer than a round trip to another region, short against every goal. */
-	private static final long ANSWER_MILLIS = 40;
+	/**
+	 * How long to wait for granted units. Longer than a round trip to another region and
+	 * short compared with every latency target.
+	 */
+	private static final long GRANT_WAIT_MILLIS = 40;
 
 	/**
-	 * After a loan that brought nothing, the account isn't asked for again for so long.
+	 * How long no units are requested for an account after a request brought none.
 	 */
-	private static final long PAUSE_MILLIS = 400;
+	private static final long BACKOFF_MILLIS = 400;
 
-	/** Nodes that are asked at once. */
+	/** How many nodes are asked at once. */
 	private static final int MAX_PEERS = 8;
 
 	private final EventLoop loop;
@@ -51,20 +55,20 @@
 
 	private final LongSupplier steadyMillis;
 
-	private final Map<String, Long> pausedUntilMillis = new HashMap<>();
+	private final Map<String, Long> backoffUntilMillis = new HashMap<>();
 
-	private final Map<String, Long> received = new HashMap<>();
+	private final Map<String, Long> receivedUnits = new HashMap<>();
 
-	private final Random order = new Random();
+	private final Random random = new Random();
 
 	/**
-	 * Create without loans.
+	 * Create the loans of this node and listen for requests of others.
 	 * @param loop the event loop
-	 * @param datagrams carries questions and units
-	 * @param quotas this node's shares
+	 * @param datagrams the channel to the other nodes
+	 * @param quotas this node's shares of the quotas
 	 * @param accounts finds an account by name
-	 * @param peers the addresses of the other nodes
-	 * @param steadyMillis tells the present time
+	 * @param peers returns the addresses of the other nodes
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
 	public QuotaLoans(EventLoop loop, PeerDatagramChannel datagrams, QuotaLimiter quotas,
 			Function<String, Optional<ClientAccount>> accounts, Supplier<List<Address>> peers,
@@ -75,45 +79,46 @@
 		this.accounts = accounts;
 		this.peers = peers;
 		this.steadyMillis = steadyMillis;
-		datagrams.addListener(this::hear);
+		datagrams.addListener(this::onDatagram);
 	}
 
 	@Override
 	public boolean borrow(ClientAccount account, long units, Runnable answered) {
-		List<Address> asked = new ArrayList<>(this.peers.get());
+		List<Address> candidates = new ArrayList<>(this.peers.get());
 		long nowMillis = this.steadyMillis.getAsLong();
-		if (!this.datagrams.isStarted() || asked.isEmpty()
-				|| nowMillis < this.pausedUntilMillis.getOrDefault(account.name(), Long.MIN_VALUE)) {
+		if (!this.datagrams.isStarted() || candidates.isEmpty()
+				|| nowMillis < this.backoffUntilMillis.getOrDefault(account.name(), Long.MIN_VALUE)) {
 			return false;
 		}
-		Collections.shuffle(asked, this.order);
+		Collections.shuffle(candidates, this.random);
 		PeerDatagram datagram = new PeerDatagram();
 		datagram.setAsk(new QuotaAsk(account.name(), units));
-		this.datagrams.send(datagram, asked.subList(0, Math.min(MAX_PEERS, asked.size())));
-		long before = this.received.getOrDefault(account.name(), 0L);
+		this.datagrams.send(datagram, candidates.subList(0, Math.min(MAX_PEERS, candidates.size())));
+		long unitsBefore = this.receivedUnits.getOrDefault(account.name(), 0L);
 		this.loop.schedule(() -> {
-			if (this.received.getOrDefault(account.name(), 0L) == before) {
-				this.pausedUntilMillis.put(account.name(), this.steadyMillis.getAsLong() + PAUSE_MILLIS);
+			if (this.receivedUnits.getOrDefault(account.name(), 0L) == unitsBefore) {
+				this.backoffUntilMillis.put(account.name(), this.steadyMillis.getAsLong() + BACKOFF_MILLIS);
 			}
 			answered.run();
-		}, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+		}, GRANT_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		return true;
 	}
 
-	private void hear(PeerDatagram datagram, Address from) {
+	private void onDatagram(PeerDatagram datagram, Address from) {
 		if (datagram.isSetAsk()) {
 			lend(datagram.getAsk(), from);
 		}
 		else if (datagram.isSetGrant()) {
 			QuotaGrant grant = datagram.getGrant();
-			this.received.merge(grant.getAccount(), grant.getUnits(), Long::sum);
+			this.receivedUnits.merge(grant.getAccount(), grant.getUnits(), Long::sum);
 			this.quotas.receive(grant.getAccount(), grant.getUnits());
 		}
 	}
 
 	private void lend(QuotaAsk ask, Address from) {
 		Optional<ClientAccount> account = this.accounts.apply(ask.getAccount());
-		long units = account.map((found) -> this.quotas.lend(found, ask.getUnits(), this.steadyMillis.getAsLong()))
+		long units = account
+			.map((knownAccount) -> this.quotas.lend(knownAccount, ask.getUnits(), this.steadyMillis.getAsLong()))
 			.orElse(0L);
 		if (units > 0) {
 			PeerDatagram datagram = new PeerDatagram();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -8,51 +8,54 @@
 import io.flamingogap.gateway.store.StoredRecord;
 
 /**
- * The newest records of a stream that were read from the store, without a gap.
+ * Keeps the newest records that were read from a stream, without gaps between them.
  */
 final class RecordCache {
 
 	/** Several seconds of registrations and reports of the largest fleet. */
 	private static final int MAX_RECORDS = 1_024;
 
-	/** Bounds the memory for each stream; holds several large configurations. */
+	/** Bounds the memory for each stream; enough for several large configurations. */
 	private static final long MAX_BYTES = 1_048_576;
 
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final Deque<StoredRecord> records = new ArrayDeque<>();
 
-	private long bytes;
+	private long sizeBytes;
 
-	/** The first offset that is covered; records that were unreadable have none. */
-	private long start;
+	/**
+	 * The first covered offset. The offset of an unreadable record is covered as well,
+	 * but holds no record.
+	 */
+	private long startOffset;
 
-	private long end;
+	private long endOffset;
 
-	private long heardAtMillis = NEVER;
+	private long lastReadAtMillis = NEVER;
 
 	/**
-	 * Add what a read returned.
-	 * @param from the offset that was read from
-	 * @param batch the records
-	 * @param nowMillis the present time
+	 * Add the records that a read returned. Drops the earlier ones if there is a gap.
+	 * @param from the offset that the read started from
+	 * @param batch the result of the read
+	 * @param nowMillis the current time on the monotonic clock
 	 */
 	void add(long from, Batch batch, long nowMillis) {
-		if (from != this.end) {
+		if (from != this.endOffset) {
 			this.records.clear();
-			this.bytes = 0;
-			this.start = from;
+			this.sizeBytes = 0;
+			this.startOffset = from;
 		}
-		this.end = batch.nextOffset();
-		this.heardAtMillis = nowMillis;
+		this.endOffset = batch.nextOffset();
+		this.lastReadAtMillis = nowMillis;
 		batch.records().forEach((entry) -> {
 			this.records.addLast(entry);
-			this.bytes += sizeOf(entry);
+			this.sizeBytes += sizeOf(entry);
 		});
-		while (this.records.size() > MAX_RECORDS || this.bytes > MAX_BYTES) {
+		while (this.records.size() > MAX_RECORDS || this.sizeBytes > MAX_BYTES) {
 			StoredRecord oldest = this.records.removeFirst();
-			this.bytes -= sizeOf(oldest);
-			this.start = oldest.offset() + 1;
+			this.sizeBytes -= sizeOf(oldest);
+			this.startOffset = oldest.offset() + 1;
 		}
 	}
 
@@ -61,23 +64,23 @@
 	}
 
 	/**
-	 * Forget that the store was heard, until it answers again.
+	 * Treat the records as stale until the store answers again.
 	 */
-	void invalidate() {
-		this.heardAtMillis = NEVER;
+	void markStale() {
+		this.lastReadAtMillis = NEVER;
 	}
 
-	boolean isFresh(long nowMillis, long freshMillis) {
-		return nowMillis - this.heardAtMillis <= freshMillis;
+	boolean isFresh(long nowMillis, long maxAgeMillis) {
+		return nowMillis - this.lastReadAtMillis <= maxAgeMillis;
 	}
 
 	boolean covers(long from) {
-		return from >= this.start && from <= this.end;
+		return from >= this.startOffset && from <= this.endOffset;
 	}
 
-	Batch from(long from) {
-		List<StoredRecord> wanted = this.records.stream().filter((entry) -> entry.offset() >= from).toList();
-		return new Batch(wanted, this.end, false);
+	Batch batchFrom(long from) {
+		List<StoredRecord> matching = this.records.stream().filter((entry) -> entry.offset() >= from).toList();
+		return new Batch(matching, this.endOffset, false);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
@@ -13,15 +13,15 @@
 import io.flamingogap.gateway.store.StoreStream;
 
 /**
- * Collects the reports of a zone's nodes and appends them in one call. Used on the event
- * loop only.
+ * Collects the reports of a zone's nodes and appends them to the store in one call. Used
+ * on the event loop only.
  */
 public final class ReportBatcher implements ReportSink {
 
 	/**
-	 * How long reports are collected. Together with the pause between reads it is shorter
-	 * than the time between two reports of a node: shares of quotas assume that all nodes
-	 * have heard a report when its node makes the next one.
+	 * How long reports are collected. Together with the pause between reads this is
+	 * shorter than the time between two reports of a node: quota shares assume that all
+	 * nodes have received a report before its node sends the next one.
 	 */
 	static final long COLLECT_MILLIS = 400;
 
@@ -31,12 +31,12 @@
 
 	private final Map<String, NewRecord> collected = new LinkedHashMap<>();
 
-	private CompletableFuture<Long> appended = new CompletableFuture<>();
+	private CompletableFuture<Long> nextResult = new CompletableFuture<>();
 
 	/**
-	 * Create an empty batch.
+	 * Create a batcher without reports.
 	 * @param loop the event loop
-	 * @param store the store
+	 * @param store the store to append to
 	 */
 	public ReportBatcher(EventLoop loop, RecordStore store) {
 		this.loop = loop;
@@ -49,20 +49,20 @@
 			this.loop.schedule(this::append, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		this.collected.put(key, new NewRecord(key, value));
-		return this.appended;
+		return this.nextResult;
 	}
 
 	private void append() {
 		List<NewRecord> records = List.copyOf(this.collected.values());
-		CompletableFuture<Long> told = this.appended;
+		CompletableFuture<Long> batchResult = this.nextResult;
 		this.collected.clear();
-		this.appended = new CompletableFuture<>();
+		this.nextResult = new CompletableFuture<>();
 		this.store.appendAll(StoreStream.NODES, records).whenComplete((offset, failure) -> {
 			if (failure != null) {
-				told.completeExceptionally(failure);
+				batchResult.completeExceptionally(failure);
 			}
 			else {
-				told.complete(offset);
+				batchResult.complete(offset);
 			}
 		});
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportSink.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportSink.java
@@ -3,15 +3,16 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Takes reports of nodes that may reach the store a little later, together with others.
+ * Accepts reports of nodes that may reach the store with a short delay, together with
+ * others.
  */
 public interface ReportSink {
 
 	/**
-	 * Take a report.
+	 * Submit a report.
 	 * @param key the key of its record
-	 * @param value the report
-	 * @return the offset of a record that was appended with it
+	 * @param value the encoded report
+	 * @return completes with the offset of a record that was appended in the same call
 	 */
 	CompletableFuture<Long> offer(String key, byte[] value);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -10,8 +10,8 @@
 import io.flamingogap.gateway.store.RecordStore;
 
 /**
- * The ways to the store, wired together: directly, through the node that reads for the
- * zone, or through any node while the store turns this one away.
+ * Combines the ways to reach the store: directly, through the node that reads for the
+ * zone, or through any node while the store can't be reached from this one.
  */
 public final class StoreAccess {
 
@@ -20,33 +20,34 @@
 	private final PeerStoreService peerService;
 
 	/**
-	 * Create the ways to a store.
+	 * Create the access to a store.
 	 * @param loop the event loop
 	 * @param direct the store as this node reaches it
-	 * @param relay names the node that reads for the zone
-	 * @param peers the addresses of other nodes
-	 * @param steadyMillis tells the present time
+	 * @param relaySelector selects the node that reads for the zone
+	 * @param peers returns the addresses of other nodes
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relay, Supplier<List<Address>> peers,
-			LongSupplier steadyMillis) {
-		ZoneReadCache shared = new ZoneReadCache(loop, direct, steadyMillis);
-		ReportBatcher batch = new ReportBatcher(loop, shared);
-		PeerStoreClient caller = new PeerStoreClient(loop);
-		RecordStore backed = new PeerFallbackStore(caller, shared, peers, steadyMillis);
-		this.store = new ZoneRelayedStore(caller, backed, relay, batch);
-		this.peerService = new PeerStoreService(shared, batch);
+	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relaySelector,
+			Supplier<List<Address>> peers, LongSupplier steadyMillis) {
+		ZoneReadCache cache = new ZoneReadCache(loop, direct, steadyMillis);
+		ReportBatcher batcher = new ReportBatcher(loop, cache);
+		PeerStoreClient client = new PeerStoreClient(loop);
+		RecordStore fallback = new PeerFallbackStore(client, cache, peers, steadyMillis);
+		this.store = new ZoneRelayedStore(client, fallback, relaySelector, batcher);
+		this.peerService = new PeerStoreService(cache, batcher);
 	}
 
 	/**
-	 * Return the store.
-	 * @return the store, by whichever way works
+	 * Return the store for the other parts of this node.
+	 * @return a store that chooses the way for each call
 	 */
 	public RecordStore store() {
 		return this.store;
 	}
 
 	/**
-	 * Return what takes reports that may reach the store a little later.
+	 * Return the sink for this node's reports, which may reach the store with a short
+	 * delay.
 	 * @return the sink
 	 */
 	public ReportSink reports() {
@@ -54,7 +55,7 @@
 	}
 
 	/**
-	 * Return what answers other nodes.
+	 * Return the service that makes store calls for other nodes.
 	 * @return the service
 	 */
 	public PeerStoreService peerService() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ThriftBytes.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ThriftBytes.java
@@ -9,7 +9,7 @@
 import org.apache.thrift.transport.TMemoryInputTransport;
 
 /**
- * Thrift messages as bytes in the compact protocol.
+ * Serializes Thrift messages in the compact protocol.
  */
 public final class ThriftBytes {
 
@@ -19,9 +19,9 @@
 	}
 
 	/**
-	 * Write a message.
-	 * @param message the message, with all required fields
-	 * @return the bytes
+	 * Serialize a message.
+	 * @param message a message with all required fields
+	 * @return the serialized message
 	 */
 	public static byte[] write(TBase<?, ?> message) {
 		try {
@@ -35,12 +35,12 @@
 	}
 
 	/**
-	 * Read a message.
+	 * Deserialize a message.
 	 * @param <T> the type of the message
-	 * @param bytes the bytes
-	 * @param message takes the fields
-	 * @return the message
-	 * @throws TException if the bytes are no such message
+	 * @param bytes the serialized message
+	 * @param message an empty message to fill
+	 * @return the filled message
+	 * @throws TException if the bytes don't hold such a message
 	 */
 	public static <T extends TBase<?, ?>> T read(byte[] bytes, T message) throws TException {
 		message.read(new TCompactProtocol(new TMemoryInputTransport(bytes)));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -17,102 +17,104 @@
 import io.flamingogap.gateway.store.StoreStream;
 
 /**
- * The store as this node reaches it. What this node reads is kept for a while, so that
- * other nodes of its zone read it here instead of calling the store. Only what came from
- * the store itself is passed on, never what another node relayed, so nodes can't confirm
- * each other's stale records.
+ * The store as this node reaches it, with a cache of what was read. The other nodes of
+ * the zone read from the cache instead of calling the store. Only records that came from
+ * the store itself are passed on, never those that another node relayed, so that nodes
+ * can't confirm each other's stale records.
  */
 public final class ZoneReadCache extends ForwardingStore {
 
 	/**
-	 * A node that follows a stream hears from the store at least this often: the time of
-	 * 1 s that a read may wait, the longest pause of a follower of 0.9 s, and a margin.
+	 * A node that follows a stream gets an answer from the store at least this often: a
+	 * read may wait for 1 s, a follower pauses for 0.9 s at most, and the rest is a
+	 * margin.
 	 */
-	private static final long FRESH_MILLIS = 2_500;
+	private static final long MAX_AGE_MILLIS = 2_500;
 
 	private final EventLoop loop;
 
 	private final LongSupplier steadyMillis;
 
-	private final Map<StoreStream, RecordCache> recent = new EnumMap<>(StoreStream.class);
+	private final Map<StoreStream, RecordCache> caches = new EnumMap<>(StoreStream.class);
 
-	private final Map<StoreStream, List<Waiting>> waiting = new EnumMap<>(StoreStream.class);
+	private final Map<StoreStream, List<WaitingRead>> waitingReads = new EnumMap<>(StoreStream.class);
 
 	/**
-	 * Create without records.
+	 * Create a store with an empty cache.
 	 * @param loop the event loop
-	 * @param store the store
-	 * @param steadyMillis tells the present time
+	 * @param store the store to read from
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
 	public ZoneReadCache(EventLoop loop, RecordStore store, LongSupplier steadyMillis) {
 		super(store);
 		this.loop = loop;
 		this.steadyMillis = steadyMillis;
 		for (StoreStream stream : StoreStream.values()) {
-			this.recent.put(stream, new RecordCache());
-			this.waiting.put(stream, new ArrayList<>());
+			this.caches.put(stream, new RecordCache());
+			this.waitingReads.put(stream, new ArrayList<>());
 		}
 	}
 
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
-			RecordCache records = this.recent.get(stream);
+			RecordCache cache = this.caches.get(stream);
 			if (failure != null) {
-				records.invalidate();
-				takeWaiting(stream).forEach((each) -> each.fail("the relaying node lost the store"));
+				cache.markStale();
+				removeWaiting(stream).forEach((each) -> each.fail("the relay node lost its connection to the store"));
 				return;
 			}
-			records.add(from, batch, this.steadyMillis.getAsLong());
+			cache.add(from, batch, this.steadyMillis.getAsLong());
 			if (!batch.records().isEmpty()) {
-				takeWaiting(stream).forEach((each) -> answer(stream, each));
+				removeWaiting(stream).forEach((each) -> complete(stream, each));
 			}
 		});
 	}
 
 	/**
-	 * Read for another node: what this node has read lately, or else from the store.
+	 * Read for another node: from the cache if it is fresh and covers the offset,
+	 * otherwise from the store.
 	 * @param stream the stream
-	 * @param from the first offset to read
-	 * @param waitMillis how long to wait for a record
-	 * @return the records, and the offset to go on from
+	 * @param from the offset of the first record to read
+	 * @param waitMillis how long to wait for a record, in milliseconds
+	 * @return the records, which may be none, and the offset to continue from
 	 */
 	public CompletableFuture<Batch> readForPeer(StoreStream stream, long from, long waitMillis) {
-		RecordCache records = this.recent.get(stream);
-		if (!records.isFresh(this.steadyMillis.getAsLong(), FRESH_MILLIS) || !records.covers(from)) {
+		RecordCache cache = this.caches.get(stream);
+		if (!cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) || !cache.covers(from)) {
 			return super.read(stream, from, waitMillis);
 		}
-		Batch ready = records.from(from);
-		if (!ready.records().isEmpty() || waitMillis <= 0) {
-			return CompletableFuture.completedFuture(ready);
+		Batch cached = cache.batchFrom(from);
+		if (!cached.records().isEmpty() || waitMillis <= 0) {
+			return CompletableFuture.completedFuture(cached);
 		}
-		Waiting wait = new Waiting(from, new CompletableFuture<>());
-		this.waiting.get(stream).add(wait);
+		WaitingRead waitingRead = new WaitingRead(from, new CompletableFuture<>());
+		this.waitingReads.get(stream).add(waitingRead);
 		this.loop.schedule(() -> {
-			if (this.waiting.get(stream).remove(wait)) {
-				answer(stream, wait);
+			if (this.waitingReads.get(stream).remove(waitingRead)) {
+				complete(stream, waitingRead);
 			}
 		}, waitMillis, TimeUnit.MILLISECONDS);
-		return wait.result;
+		return waitingRead.result;
 	}
 
-	private List<Waiting> takeWaiting(StoreStream stream) {
-		List<Waiting> taken = List.copyOf(this.waiting.get(stream));
-		this.waiting.get(stream).clear();
-		return taken;
+	private List<WaitingRead> removeWaiting(StoreStream stream) {
+		List<WaitingRead> removed = List.copyOf(this.waitingReads.get(stream));
+		this.waitingReads.get(stream).clear();
+		return removed;
 	}
 
-	private void answer(StoreStream stream, Waiting wait) {
-		RecordCache records = this.recent.get(stream);
-		if (records.isFresh(this.steadyMillis.getAsLong(), FRESH_MILLIS) && records.covers(wait.from)) {
-			wait.result.complete(records.from(wait.from));
+	private void complete(StoreStream stream, WaitingRead waitingRead) {
+		RecordCache cache = this.caches.get(stream);
+		if (cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) && cache.covers(waitingRead.from)) {
+			waitingRead.result.complete(cache.batchFrom(waitingRead.from));
 		}
 		else {
-			wait.fail("the relaying node has not heard from the store");
+			waitingRead.fail("the relay node has no recent answer from the store");
 		}
 	}
 
-	private record Waiting(long from, CompletableFuture<Batch> result) {
+	private record WaitingRead(long from, CompletableFuture<Batch> result) {
 
 		private void fail(String reason) {
 			this.result.completeExceptionally(new StoreException(Reason.UNAVAILABLE, reason));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelaySelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelaySelector.java
@@ -11,15 +11,15 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * Names the node that calls the store for its zone: the serving one whose name comes
- * first. Nodes may disagree for a while; a node only relays through one whose name comes
- * before its own, so they never relay through each other.
+ * Selects the node that calls the store for its zone: the serving node whose name sorts
+ * first. Nodes may disagree for a while. A node relays only through one whose name sorts
+ * before its own, so that nodes never relay through each other.
  */
 public final class ZoneRelaySelector {
 
 	/**
-	 * After a relay failed, it isn't asked for so long; it is then no longer heard of if
-	 * it is gone.
+	 * How long a relay isn't selected after it failed. If it is gone, its reports are too
+	 * old by then, and it isn't selected again.
 	 */
 	private static final long AVOID_MILLIS = 4_500;
 
@@ -27,53 +27,53 @@
 
 	private final String zone;
 
-	private final String self;
+	private final String selfName;
 
-	private final Optional<Integer> port;
+	private final Optional<Integer> peerPort;
 
 	private final LongSupplier steadyMillis;
 
 	private final Map<String, Long> avoidUntilMillis = new HashMap<>();
 
 	/**
-	 * Create a relay.
+	 * Create a selector.
 	 * @param fleet the reports of other nodes
 	 * @param zone the zone of this node
-	 * @param self the name of this node
-	 * @param port the port at which nodes answer each other; empty if they don't
-	 * @param steadyMillis tells the present time
+	 * @param selfName the name of this node
+	 * @param peerPort the port on which nodes answer each other; empty if they don't
+	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	public ZoneRelaySelector(FleetView fleet, String zone, String self, Optional<Integer> port,
+	public ZoneRelaySelector(FleetView fleet, String zone, String selfName, Optional<Integer> peerPort,
 			LongSupplier steadyMillis) {
 		this.fleet = fleet;
 		this.zone = zone;
-		this.self = self;
-		this.port = port;
+		this.selfName = selfName;
+		this.peerPort = peerPort;
 		this.steadyMillis = steadyMillis;
 	}
 
 	/**
 	 * Return the node to relay through.
-	 * @return the node, or nothing if this node calls the store itself
+	 * @return the relay; empty if this node calls the store itself
 	 */
-	Optional<Relay> current() {
+	Optional<Relay> currentRelay() {
 		long nowMillis = this.steadyMillis.getAsLong();
-		return this.port.flatMap((number) -> this.fleet.recentReports()
+		return this.peerPort.flatMap((knownPort) -> this.fleet.recentReports()
 			.stream()
-			.filter((report) -> mayRelay(report, nowMillis))
+			.filter((report) -> isCandidate(report, nowMillis))
 			.min(Comparator.comparing((NodeReport report) -> report.node().name()))
-			.map((report) -> new Relay(report.node().name(), new Address(report.callerAddress().host(), number))));
+			.map((report) -> new Relay(report.node().name(), new Address(report.callerAddress().host(), knownPort))));
 	}
 
-	private boolean mayRelay(NodeReport report, long nowMillis) {
+	private boolean isCandidate(NodeReport report, long nowMillis) {
 		String name = report.node().name();
-		return report.serving() && report.zone().equals(this.zone) && name.compareTo(this.self) < 0
+		return report.serving() && report.zone().equals(this.zone) && name.compareTo(this.selfName) < 0
 				&& nowMillis >= this.avoidUntilMillis.getOrDefault(name, Long.MIN_VALUE);
 	}
 
 	/**
-	 * Leave a node alone for a while that didn't relay.
-	 * @param relay the node
+	 * Exclude a relay for a while after it failed.
+	 * @param relay the relay
 	 */
 	void avoid(Relay relay) {
 		this.avoidUntilMillis.put(relay.node(), this.steadyMillis.getAsLong() + AVOID_MILLIS);
@@ -82,8 +82,8 @@
 	/**
 	 * A node that calls the store for others.
 	 *
-	 * @param node its name
-	 * @param address where it answers other nodes
+	 * @param node the name of the node
+	 * @param address the address at which it answers other nodes
 	 */
 	record Relay(String node, Address address) {
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -19,38 +19,39 @@
 import io.flamingogap.wire.peer.StoreCall;
 
 /**
- * The store, read through one node of the zone that reads it for all, since calls of the
- * store are dear and bytes within a zone are free. A node whose relay fails calls the
- * store itself.
+ * Reads the store through one node of the zone, the relay, which reads it for all. Calls
+ * of the store are expensive, and traffic within a zone is free. If the relay fails, the
+ * node calls the store itself.
  */
 public final class ZoneRelayedStore extends ForwardingStore implements ReportSink {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private final PeerStoreClient caller;
+	private final PeerStoreClient client;
 
-	private final ZoneRelaySelector relay;
+	private final ZoneRelaySelector relaySelector;
 
-	private final ReportBatcher batch;
+	private final ReportBatcher batcher;
 
 	/**
-	 * Create a store.
-	 * @param caller calls other nodes
-	 * @param store the store for a node without a relay
-	 * @param relay names the node to relay through
-	 * @param batch collects reports if this node is the relay
+	 * Create a store that uses a relay.
+	 * @param client calls other nodes
+	 * @param store the store to call without a relay
+	 * @param relaySelector selects the relay
+	 * @param batcher collects the reports of the zone while this node is the relay
 	 */
-	public ZoneRelayedStore(PeerStoreClient caller, RecordStore store, ZoneRelaySelector relay, ReportBatcher batch) {
+	public ZoneRelayedStore(PeerStoreClient client, RecordStore store, ZoneRelaySelector relaySelector,
+			ReportBatcher batcher) {
 		super(store);
-		this.caller = caller;
-		this.relay = relay;
-		this.batch = batch;
+		this.client = client;
+		this.relaySelector = relaySelector;
+		this.batcher = batcher;
 	}
 
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-		return throughRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
-				(reply) -> new Batch(PeerCodec.read(reply), reply.getPosition(), true),
+		return callRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
+				(reply) -> new Batch(PeerCodec.readRecords(reply), reply.getPosition(), true),
 				() -> super.read(stream, from, waitMillis), () -> super.read(stream, from, 0));
 	}
 
@@ -59,47 +60,48 @@
 		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatcher.COLLECT_MILLIS);
 		call.setKey(key);
 		call.setContent(value);
-		Supplier<CompletableFuture<Long>> alone = () -> super.append(StoreStream.NODES, key, Optional.of(value),
+		Supplier<CompletableFuture<Long>> withoutRelay = () -> super.append(StoreStream.NODES, key, Optional.of(value),
 				OptionalLong.empty());
-		return throughRelay(call, PeerReply::getPosition,
-				() -> this.batch.offer(key, value).exceptionallyCompose((failure) -> {
+		return callRelay(call, PeerReply::getPosition,
+				() -> this.batcher.offer(key, value).exceptionallyCompose((failure) -> {
 					logger.atInfo()
 						.log("%s", LogLine.of("zone's reports not appended together")
 							.with("reason", StoreException.of(failure).getMessage()));
-					return alone.get();
-				}), alone);
+					return withoutRelay.get();
+				}), withoutRelay);
 	}
 
 	/**
 	 * Call the relay.
 	 * @param call the call
-	 * @param decoder reads its answer
-	 * @param asRelay what to do if this node calls the store for the zone
-	 * @param alone what to do if the relay fails
+	 * @param decoder decodes the reply
+	 * @param whenRelay makes the call if there is no relay, since this node calls the
+	 * store for its zone
+	 * @param withoutRelay makes the call if the relay failed
 	 * @param <T> the type of the result
 	 * @return the result
 	 */
-	private <T> CompletableFuture<T> throughRelay(PeerCall call, Function<PeerReply, T> decoder,
-			Supplier<CompletableFuture<T>> asRelay, Supplier<CompletableFuture<T>> alone) {
-		Optional<ZoneRelaySelector.Relay> through = this.relay.current();
-		if (through.isEmpty()) {
-			return asRelay.get();
+	private <T> CompletableFuture<T> callRelay(PeerCall call, Function<PeerReply, T> decoder,
+			Supplier<CompletableFuture<T>> whenRelay, Supplier<CompletableFuture<T>> withoutRelay) {
+		Optional<ZoneRelaySelector.Relay> relay = this.relaySelector.currentRelay();
+		if (relay.isEmpty()) {
+			return whenRelay.get();
 		}
-		return this.caller.call(through.get().address(), call).handle((reply, failure) -> {
+		return this.client.call(relay.get().address(), call).handle((reply, failure) -> {
 			if (failure == null) {
 				return CompletableFuture.completedFuture(decoder.apply(reply));
 			}
-			if (failure instanceof StoreException refused && refused.reason() == Reason.DROPPED) {
-				return CompletableFuture.<T>failedFuture(refused);
+			if (failure instanceof StoreException storeFailure && storeFailure.reason() == Reason.DROPPED) {
+				return CompletableFuture.<T>failedFuture(storeFailure);
 			}
-			this.relay.avoid(through.get());
+			this.relaySelector.avoid(relay.get());
 			logger.atInfo()
 				.log("%s",
 						LogLine.of("relay left")
-							.with("peer", through.get().node())
+							.with("peer", relay.get().node())
 							.with("stream", call.getStreamName())
 							.with("reason", StoreException.of(failure).getMessage()));
-			return alone.get();
+			return withoutRelay.get();
 		}).thenCompose(Function.identity());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Other entry nodes, which reach the platform's store for a node that it turns away.
+ * Communication between entry nodes: access to the platform's store through another node,
+ * and datagrams with load reports and units of quotas.
  */
 @NullMarked
 package io.flamingogap.gateway.peers;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -30,8 +30,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * A node that reads through another one, while the store fails calls and drops its
- * history and the other node stops and starts to answer.
+ * Checks a node that reads through another one, the relay, while the store fails calls
+ * and drops its history and the relay stops and resumes answering.
  */
 class RelayedStreamPropertyTests {
 
@@ -39,7 +39,7 @@
 
 	private static final long FAULTS_UNTIL_MILLIS = 15_000;
 
-	/** The users' bound to put a configuration in force. */
+	/** The time within which the users expect a configuration to be in force. */
 	private static final long APPLY_MILLIS = 2_500;
 
 	private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -52,11 +52,11 @@
 		this.nowMillis = 0;
 		SplittableRandom random = new SplittableRandom(seed);
 		FaultyStore store = new FaultyStore();
-		ZoneReadCache shared = new ZoneReadCache(this.channel.eventLoop(), store, () -> this.nowMillis);
-		Newest relay = new Newest();
-		Newest member = new Newest();
-		follow(shared, relay);
-		follow(new Relayed(store, shared), member);
+		ZoneReadCache cache = new ZoneReadCache(this.channel.eventLoop(), store, () -> this.nowMillis);
+		NewestOffsets relay = new NewestOffsets();
+		NewestOffsets member = new NewestOffsets();
+		follow(cache, relay);
+		follow(new RelayedReads(store, cache), member);
 		while (this.nowMillis < FAULTS_UNTIL_MILLIS) {
 			store.down = random.nextInt(4) == 0;
 			store.relayAnswers = random.nextInt(4) != 0;
@@ -66,22 +66,22 @@
 			if (random.nextInt(40) == 0) {
 				store.dropHistory();
 			}
-			pass(STEP_MILLIS);
+			advanceTime(STEP_MILLIS);
 		}
 		store.down = false;
 		store.append(0);
-		pass(APPLY_MILLIS);
+		advanceTime(APPLY_MILLIS);
 		assertThat(member.byKey, is(store.newest));
 		assertThat(relay.byKey, is(store.newest));
 	}
 
-	private void follow(RecordStore store, Newest listener) {
+	private void follow(RecordStore store, NewestOffsets listener) {
 		new RecordFollower(this.channel.eventLoop(), store, StoreStream.OPERATOR, 0, listener, () -> this.nowMillis)
 			.start();
 		this.channel.runPendingTasks();
 	}
 
-	private void pass(long millis) {
+	private void advanceTime(long millis) {
 		for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
 			this.nowMillis += STEP_MILLIS;
 			this.channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -90,7 +90,7 @@
 		}
 	}
 
-	private static final class Newest implements RecordListener {
+	private static final class NewestOffsets implements RecordListener {
 
 		private final Map<String, Long> byKey = new HashMap<>();
 
@@ -100,19 +100,19 @@
 		}
 
 		@Override
-		public void onListed(Set<String> keys, long end) {
+		public void onListed(Set<String> keys, long endOffset) {
 		}
 
 	}
 
-	/** Reads through the other node while it answers, otherwise from the store. */
-	private static final class Relayed extends ForwardingStore {
+	/** Reads through the relay while it answers, otherwise from the store. */
+	private static final class RelayedReads extends ForwardingStore {
 
 		private final FaultyStore store;
 
 		private final ZoneReadCache relay;
 
-		private Relayed(FaultyStore store, ZoneReadCache relay) {
+		private RelayedReads(FaultyStore store, ZoneReadCache relay) {
 			super(store);
 			this.store = store;
 			this.relay = relay;
@@ -129,18 +129,21 @@
 
 	}
 
-	/** One stream in memory. Reads that find nothing wait for the time they allow. */
+	/**
+	 * A store with one stream in memory. A read that finds no record waits for as long as
+	 * it allows.
+	 */
 	private final class FaultyStore extends ForwardingStore {
 
 		private final TreeMap<Long, StoredRecord> records = new TreeMap<>();
 
 		private final Map<String, Long> newest = new HashMap<>();
 
-		private final List<Waiting> waiting = new ArrayList<>();
+		private final List<WaitingRead> waitingReads = new ArrayList<>();
 
-		private long first;
+		private long firstOffset;
 
-		private long end;
+		private long endOffset;
 
 		private boolean down;
 
@@ -151,49 +154,49 @@
 		}
 
 		private void append(int key) {
-			StoredRecord entry = new StoredRecord("key-" + key, Optional.of(new byte[1]), this.end++);
+			StoredRecord entry = new StoredRecord("key-" + key, Optional.of(new byte[1]), this.endOffset++);
 			this.records.put(entry.offset(), entry);
 			this.newest.put(entry.key(), entry.offset());
-			List<Waiting> woken = List.copyOf(this.waiting);
-			this.waiting.clear();
-			woken.forEach((each) -> answer(each.from, each.result));
+			List<WaitingRead> completed = List.copyOf(this.waitingReads);
+			this.waitingReads.clear();
+			completed.forEach((each) -> complete(each.from, each.result));
 		}
 
 		private void dropHistory() {
-			this.first = this.end;
-			List<Waiting> cut = List.copyOf(this.waiting);
-			this.waiting.clear();
-			cut.forEach(
+			this.firstOffset = this.endOffset;
+			List<WaitingRead> failed = List.copyOf(this.waitingReads);
+			this.waitingReads.clear();
+			failed.forEach(
 					(each) -> each.result.completeExceptionally(new StoreException(Reason.UNKNOWN, "connection cut")));
 		}
 
 		@Override
 		public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 			CompletableFuture<Batch> result = new CompletableFuture<>();
-			if (!this.down && from == this.end && from >= this.first && waitMillis > 0) {
-				Waiting wait = new Waiting(from, result);
-				this.waiting.add(wait);
+			if (!this.down && from == this.endOffset && from >= this.firstOffset && waitMillis > 0) {
+				WaitingRead waitingRead = new WaitingRead(from, result);
+				this.waitingReads.add(waitingRead);
 				RelayedStreamPropertyTests.this.channel.eventLoop().schedule(() -> {
-					if (this.waiting.remove(wait)) {
-						answer(from, result);
+					if (this.waitingReads.remove(waitingRead)) {
+						complete(from, result);
 					}
 				}, waitMillis, TimeUnit.MILLISECONDS);
 			}
 			else {
-				RelayedStreamPropertyTests.this.channel.eventLoop().execute(() -> answer(from, result));
+				RelayedStreamPropertyTests.this.channel.eventLoop().execute(() -> complete(from, result));
 			}
 			return result;
 		}
 
-		private void answer(long from, CompletableFuture<Batch> result) {
+		private void complete(long from, CompletableFuture<Batch> result) {
 			if (this.down) {
 				result.completeExceptionally(new StoreException(Reason.UNAVAILABLE, "down"));
 			}
-			else if (from < this.first) {
+			else if (from < this.firstOffset) {
 				result.completeExceptionally(new StoreException(Reason.DROPPED, "gone"));
 			}
 			else {
-				result.complete(new Batch(List.copyOf(this.records.tailMap(from).values()), this.end, false));
+				result.complete(new Batch(List.copyOf(this.records.tailMap(from).values()), this.endOffset, false));
 			}
 		}
 
@@ -203,12 +206,12 @@
 				return CompletableFuture.failedFuture(new StoreException(Reason.UNAVAILABLE, "down"));
 			}
 			List<StoredRecord> page = this.newest.values().stream().map(this.records::get).toList();
-			return CompletableFuture.completedFuture(new Page(page, false, this.end));
+			return CompletableFuture.completedFuture(new Page(page, false, this.endOffset));
 		}
 
 	}
 
-	private record Waiting(long from, CompletableFuture<RecordStore.Batch> result) {
+	private record WaitingRead(long from, CompletableFuture<RecordStore.Batch> result) {
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatcherTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatcherTests.java
@@ -15,7 +15,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Reports that reach the store together.
+ * Tests of {@link ReportBatcher}: which reports are appended in one call.
  */
 class ReportBatcherTests {
 
@@ -23,19 +23,19 @@
 
 	private final ScriptedStore store = new ScriptedStore();
 
-	private final ReportBatcher batch = new ReportBatcher(this.channel.eventLoop(), this.store);
+	private final ReportBatcher batcher = new ReportBatcher(this.channel.eventLoop(), this.store);
 
-	private void passTime() {
+	private void advanceTime() {
 		this.channel.advanceTimeBy(ReportBatcher.COLLECT_MILLIS, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
 	}
 
 	@Test
 	void reportsOfSeveralNodesAreAppendedInOneCall() {
-		CompletableFuture<Long> first = this.batch.offer("a", new byte[1]);
-		this.batch.offer("b", new byte[1]);
+		CompletableFuture<Long> first = this.batcher.offer("a", new byte[1]);
+		this.batcher.offer("b", new byte[1]);
 		assertThat(first.isDone(), is(false));
-		passTime();
+		advanceTime();
 		assertThat(this.store.appendedBatches(), hasSize(1));
 		assertThat(this.store.appendedBatches().get(0).stream().map(NewRecord::key).toList(), contains("a", "b"));
 		assertThat(first.join(), is(7L));
@@ -43,19 +43,19 @@
 
 	@Test
 	void laterReportOfANodeReplacesItsEarlierOne() {
-		this.batch.offer("a", new byte[1]);
-		this.batch.offer("a", new byte[2]);
-		passTime();
+		this.batcher.offer("a", new byte[1]);
+		this.batcher.offer("a", new byte[2]);
+		advanceTime();
 		assertThat(this.store.appendedBatches().get(0), hasSize(1));
 		assertThat(this.store.appendedBatches().get(0).get(0).value().length, is(2));
 	}
 
 	@Test
-	void nextReportBeginsANewBatch() {
-		this.batch.offer("a", new byte[1]);
-		passTime();
-		this.batch.offer("a", new byte[1]);
-		passTime();
+	void nextReportStartsANewBatch() {
+		this.batcher.offer("a", new byte[1]);
+		advanceTime();
+		this.batcher.offer("a", new byte[1]);
+		advanceTime();
 		assertThat(this.store.appendedBatches(), hasSize(2));
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -20,7 +20,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Reads that one node makes for its zone.
+ * Tests of {@link ZoneReadCache}: which reads of other nodes it answers from the cache.
  */
 class ZoneReadCacheTests {
 
@@ -32,14 +32,14 @@
 
 	private long nowMillis = 100_000;
 
-	private final ZoneReadCache reads = new ZoneReadCache(this.channel.eventLoop(), this.store, () -> this.nowMillis);
+	private final ZoneReadCache cache = new ZoneReadCache(this.channel.eventLoop(), this.store, () -> this.nowMillis);
 
 	private static StoredRecord entry(long offset) {
 		return new StoredRecord("key", Optional.of(new byte[1]), offset);
 	}
 
 	private CompletableFuture<Batch> readForPeer(long from) {
-		return this.reads.readForPeer(StoreStream.SERVERS, from, WAIT_MILLIS);
+		return this.cache.readForPeer(StoreStream.SERVERS, from, WAIT_MILLIS);
 	}
 
 	private static List<Long> offsets(CompletableFuture<Batch> read) {
@@ -47,20 +47,20 @@
 	}
 
 	@BeforeEach
-	void readOwnRecords() {
-		this.reads.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
+	void fillCache() {
+		this.cache.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
 		this.store.pendingRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
-		this.reads.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
+		this.cache.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
 	}
 
 	@Test
-	void peerGetsWhatThisNodeHasReadWithoutACallOfTheStore() {
+	void answersPeerFromTheCacheWithoutAStoreCall() {
 		assertThat(offsets(readForPeer(8)), contains(8L));
 		assertThat(this.store.readOffsets(), contains(7L, 9L));
 	}
 
 	@Test
-	void peerThatWaitsIsAnsweredWhenARecordArrives() {
+	void answersWaitingPeerWhenARecordArrives() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		assertThat(peer.isDone(), is(false));
 		this.store.pendingRead().complete(new Batch(List.of(entry(9)), 10, false));
@@ -69,7 +69,7 @@
 	}
 
 	@Test
-	void peerThatWaitsInVainGetsAnEmptyAnswerInTime() {
+	void answersWaitingPeerWithoutRecordsWhenItsWaitEnds() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		this.channel.advanceTimeBy(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
@@ -77,15 +77,15 @@
 	}
 
 	@Test
-	void peerThatWaitsIsRefusedOnceThisNodeLosesTheStore() {
+	void failsWaitingPeerWhenTheStoreFails() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		this.store.pendingRead()
-			.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "turned away"));
+			.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "refused"));
 		assertThat(peer.isCompletedExceptionally(), is(true));
 	}
 
 	@Test
-	void recordsOfANodeThatHasNotHeardFromTheStoreAreNotPassedOn() {
+	void readsFromTheStoreWhenTheCacheIsStale() {
 		this.nowMillis += 3_000;
 		CompletableFuture<Batch> peer = readForPeer(8);
 		assertThat(peer.isDone(), is(false));
@@ -93,14 +93,14 @@
 	}
 
 	@Test
-	void recordsFromBeforeThisNodeReadAreReadFromTheStore() {
+	void readsRecordsBeforeTheCachedOnesFromTheStore() {
 		readForPeer(3);
 		assertThat(this.store.readOffsets(), contains(7L, 9L, 3L));
 	}
 
 	@Test
-	void recordsAfterAGapAreNotJoinedToThoseBefore() {
-		this.reads.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
+	void dropsCachedRecordsBeforeAGap() {
+		this.cache.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
 		this.store.pendingRead().complete(new Batch(List.of(entry(20)), 21, false));
 		assertThat(offsets(readForPeer(20)), contains(20L));
 		readForPeer(8);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
@@ -15,7 +15,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Which node calls the store for its zone.
+ * Tests of {@link ZoneRelaySelector}: which node calls the store for its zone.
  */
 class ZoneRelaySelectorTests {
 
@@ -25,7 +25,7 @@
 
 	private long nowMillis = 100_000;
 
-	private final ZoneRelaySelector relay = new ZoneRelaySelector(this.fleet, "z1", "node-m", Optional.of(PORT),
+	private final ZoneRelaySelector selector = new ZoneRelaySelector(this.fleet, "z1", "node-m", Optional.of(PORT),
 			() -> this.nowMillis);
 
 	private void report(String node, String zone, boolean serving) {
@@ -34,40 +34,40 @@
 				Map.of(), List.of(), List.of()), this.nowMillis);
 	}
 
-	private Optional<String> current() {
-		return this.relay.current().map(ZoneRelaySelector.Relay::node);
+	private Optional<String> currentRelayName() {
+		return this.selector.currentRelay().map(ZoneRelaySelector.Relay::node);
 	}
 
 	@Test
-	void servingNodeWhoseNameComesFirstRelays() {
+	void selectsTheServingNodeWhoseNameSortsFirst() {
 		report("node-c", "z1", true);
 		report("node-b", "z1", true);
-		assertThat(current(), is(Optional.of("node-b")));
-		assertThat(this.relay.current().get().address(), is(new Address("10.0.0.9", PORT)));
+		assertThat(currentRelayName(), is(Optional.of("node-b")));
+		assertThat(this.selector.currentRelay().get().address(), is(new Address("10.0.0.9", PORT)));
 	}
 
 	@Test
-	void nodesOfOtherZonesAndThoseThatDoNotServeAreLeftOut() {
+	void ignoresNodesOfOtherZonesAndNodesThatDoNotServe() {
 		report("node-a", "z2", true);
 		report("node-b", "z1", false);
-		assertThat(current(), is(Optional.empty()));
+		assertThat(currentRelayName(), is(Optional.empty()));
 	}
 
 	@Test
-	void nodeWhoseNameComesFirstCallsTheStoreItself() {
+	void selectsNoRelayIfTheNameOfThisNodeSortsFirst() {
 		report("node-z", "z1", true);
-		assertThat(current(), is(Optional.empty()));
+		assertThat(currentRelayName(), is(Optional.empty()));
 	}
 
 	@Test
-	void nodeThatDidNotRelayIsLeftAloneForAWhile() {
+	void avoidsAFailedRelayForAWhile() {
 		report("node-b", "z1", true);
 		report("node-c", "z1", true);
-		this.relay.avoid(this.relay.current().get());
-		assertThat(current(), is(Optional.of("node-c")));
+		this.selector.avoid(this.selector.currentRelay().get());
+		assertThat(currentRelayName(), is(Optional.of("node-c")));
 		this.nowMillis += 4_500;
 		report("node-b", "z1", true);
-		assertThat(current(), is(Optional.of("node-b")));
+		assertThat(currentRelayName(), is(Optional.of("node-b")));
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/package-info.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of what entry nodes ask of each other.
+ * Tests of how entry nodes reach the store through each other.
  */
 @NullMarked
 package io.flamingogap.gateway.peers;
