--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -0,0 +1,254 @@
+package io.flamingogap.gateway.cloud;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import com.google.common.flogger.FluentLogger;
+
+import io.flamingogap.core.fleet.CapacityPlanner;
+import io.flamingogap.core.fleet.CapacityStabilizer;
+import io.flamingogap.core.fleet.DesiredCapacity;
+import io.flamingogap.core.fleet.ServerPlan;
+import io.flamingogap.core.fleet.ServerSupply;
+import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.ServerTable;
+import io.flamingogap.core.serving.BackendService;
+import io.flamingogap.core.serving.EngineProfile;
+import io.flamingogap.core.serving.ScaleBounds;
+import io.flamingogap.core.serving.ServingConfig;
+import io.flamingogap.gateway.log.LogLine;
+
+/**
+ * Decides which servers to order next. Orders missing servers first; releases servers
+ * only when none are missing and their replacements take requests.
+ */
+final class ServerOrderPlanner {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/**
+	 * How long to wait before ordering servers of a kind again in a zone that had none
+	 * available. The users' clouds have none for 3.5 to 15 s at a time.
+	 */
+	private static final long UNAVAILABLE_RETRY_MILLIS = 5_000;
+
+	private final ServerTable servers;
+
+	private final boolean firstStart;
+
+	private final Map<ServerPool, AcceptedOrder> acceptedOrders = new HashMap<>();
+
+	private final Map<ServerPool, Long> unavailableUntilMillis = new HashMap<>();
+
+	private final Map<String, CapacityStabilizer> stabilizers = new HashMap<>();
+
+	/**
+	 * Create a planner without orders.
+	 * @param servers the backend servers
+	 * @param firstStart whether the whole system starts for the first time, so that there
+	 * is no demand yet
+	 */
+	ServerOrderPlanner(ServerTable servers, boolean firstStart) {
+		this.servers = servers;
+		this.firstStart = firstStart;
+	}
+
+	/**
+	 * Forget the accepted orders, since another holder of the duties may have changed
+	 * them.
+	 */
+	void takeOver() {
+		this.acceptedOrders.clear();
+	}
+
+	/**
+	 * Return the next order that is due.
+	 * @param config the configuration in force
+	 * @param demand the demand for each service, over all nodes
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return the order; empty if none is due
+	 */
+	Optional<ServerPlan> nextOrder(ServingConfig config, FleetServiceDemand demand, long nowMillis) {
+		return config.services()
+			.stream()
+			.filter((service) -> service.scale().isPresent() && service.engine().isPresent())
+			.flatMap((service) -> nextOrder(service, service.engine().get(), service.scale().get(), demand, nowMillis)
+				.stream())
+			.findFirst();
+	}
+
+	private Optional<ServerPlan> nextOrder(BackendService service, EngineProfile engine, ScaleBounds bounds,
+			FleetServiceDemand demand, long nowMillis) {
+		String name = service.name();
+		DesiredCapacity desired = this.stabilizers
+			.computeIfAbsent(name, (each) -> new CapacityStabilizer(this.firstStart))
+			.update(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
+		Map<ServerPool, Integer> readyByPool = countReady(name);
+		ServerSupply supply = buildSupply(name, bounds, readyByPool, nowMillis);
+		List<ServerPlan> plan = CapacityPlanner.plan(name, bounds, desired, supply);
+		Optional<ServerPlan> scaleUp = plan.stream()
+			.sorted(Comparator.comparing((ServerPlan row) -> !row.reclaimable()))
+			.filter((row) -> isScaleUpDue(row, readyByPool, bounds, nowMillis))
+			.findFirst();
+		if (scaleUp.isPresent()) {
+			return scaleUp;
+		}
+		int requiredFullPrice = CapacityPlanner.fullPriceServers(bounds, desired, supply.readyOnly());
+		return findScaleDown(plan, requiredFullPrice, readyByPool, bounds, nowMillis);
+	}
+
+	/**
+	 * Find servers to release: in the most expensive zone first, and within a zone
+	 * reclaimable servers before full-price ones.
+	 * @param plan the planned servers, the cheapest zone first
+	 * @param requiredFullPrice the number of full-price servers needed until the booting
+	 * servers take requests
+	 * @param readyByPool the number of servers that take requests
+	 * @param bounds the limits for orders
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return an order for fewer servers; empty if none can be released
+	 */
+	private Optional<ServerPlan> findScaleDown(List<ServerPlan> plan, int requiredFullPrice,
+			Map<ServerPool, Integer> readyByPool, ScaleBounds bounds, long nowMillis) {
+		int excess = -requiredFullPrice;
+		for (ServerPlan row : plan) {
+			excess += row.reclaimable() ? 0 : expectedServers(row, readyByPool, bounds, nowMillis);
+		}
+		for (int i = plan.size() - 1; i >= 0; i--) {
+			ServerPlan row = plan.get(i);
+			int expectedServers = expectedServers(row, readyByPool, bounds, nowMillis);
+			int surplus = Math.min(expectedServers - row.servers(), row.reclaimable() ? Integer.MAX_VALUE : excess);
+			if (surplus > 0) {
+				return Optional.of(row.withServers(expectedServers - surplus));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private int expectedServers(ServerPlan row, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
+			long nowMillis) {
+		AcceptedOrder lastOrder = this.acceptedOrders.get(ServerPool.of(row));
+		return (lastOrder != null && !lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis)) ? lastOrder.servers()
+				: readyByPool.getOrDefault(ServerPool.of(row), 0);
+	}
+
+	private boolean isScaleUpDue(ServerPlan wanted, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
+			long nowMillis) {
+		int readyServers = readyByPool.getOrDefault(ServerPool.of(wanted), 0);
+		AcceptedOrder lastOrder = this.acceptedOrders.get(ServerPool.of(wanted));
+		if (lastOrder == null) {
+			return readyServers < wanted.servers();
+		}
+		return lastOrder.servers() < wanted.servers() || (readyServers < wanted.servers()
+				&& (lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis) || readyServers < lastOrder.maxReady()));
+	}
+
+	private Map<ServerPool, Integer> countReady(String service) {
+		Map<ServerPool, Integer> readyByPool = new HashMap<>();
+		for (KnownServer server : this.servers.ofService(service)) {
+			if (server.takesRequests()) {
+				readyByPool.merge(
+						new ServerPool(service, server.registration().zone(), server.registration().reclaimable()), 1,
+						Integer::sum);
+			}
+		}
+		this.acceptedOrders.replaceAll((pool, order) -> order.withReady(readyByPool.getOrDefault(pool, 0)));
+		return readyByPool;
+	}
+
+	private ServerSupply buildSupply(String service, ScaleBounds bounds, Map<ServerPool, Integer> readyByPool,
+			long nowMillis) {
+		Map<String, Integer> readyByZone = new HashMap<>();
+		Map<String, Integer> bootingByZone = new HashMap<>();
+		for (String zone : bounds.zonePrices().keySet()) {
+			ServerPool pool = new ServerPool(service, zone, true);
+			int readyServers = readyByPool.getOrDefault(pool, 0);
+			AcceptedOrder lastOrder = this.acceptedOrders.get(pool);
+			readyByZone.put(zone, readyServers);
+			if (lastOrder != null && readyServers >= lastOrder.maxReady()
+					&& !lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis)) {
+				bootingByZone.put(zone, Math.max(0, lastOrder.servers() - readyServers));
+			}
+		}
+		this.unavailableUntilMillis.values().removeIf((untilMillis) -> nowMillis >= untilMillis);
+		Map<String, Integer> fullPriceLimits = new HashMap<>();
+		for (String zone : unavailableZones(service, false)) {
+			fullPriceLimits.put(zone, readyByPool.getOrDefault(new ServerPool(service, zone, false), 0));
+		}
+		return new ServerSupply(readyByZone, bootingByZone, unavailableZones(service, true), fullPriceLimits);
+	}
+
+	private Set<String> unavailableZones(String service, boolean reclaimable) {
+		return this.unavailableUntilMillis.keySet()
+			.stream()
+			.filter((pool) -> pool.service().equals(service) && pool.reclaimable() == reclaimable)
+			.map(ServerPool::zone)
+			.collect(Collectors.toSet());
+	}
+
+	/**
+	 * Record the outcome of an order.
+	 * @param order the order
+	 * @param verdict the cloud's answer
+	 * @param nowMillis the current time on the monotonic clock
+	 */
+	void recordOutcome(ServerPlan order, CloudApi.Verdict verdict, long nowMillis) {
+		logger.atInfo()
+			.log("%s",
+					LogLine.of("servers ordered")
+						.with("service", order.service())
+						.with("zone", order.zone())
+						.with("reclaimable", order.reclaimable())
+						.with("servers", order.servers())
+						.with("verdict", verdict.name()));
+		if (verdict == CloudApi.Verdict.ACCEPTED) {
+			int readyServers = countReady(order.service()).getOrDefault(ServerPool.of(order), 0);
+			this.acceptedOrders.put(ServerPool.of(order), new AcceptedOrder(order.servers(), nowMillis, readyServers));
+		}
+		else if (verdict == CloudApi.Verdict.NONE_AVAILABLE) {
+			this.acceptedOrders.remove(ServerPool.of(order));
+			this.unavailableUntilMillis.put(ServerPool.of(order), nowMillis + UNAVAILABLE_RETRY_MILLIS);
+		}
+	}
+
+	private record ServerPool(String service, String zone, boolean reclaimable) {
+
+		private static ServerPool of(ServerPlan plan) {
+			return new ServerPool(plan.service(), plan.zone(), plan.reclaimable());
+		}
+
+	}
+
+	/**
+	 * An order that the cloud accepted.
+	 *
+	 * @param servers the number of servers ordered
+	 * @param acceptedAtMillis the time of the acceptance on the monotonic clock
+	 * @param maxReady the highest number of ready servers since then; a lower number
+	 * means that some were lost
+	 */
+	private record AcceptedOrder(int servers, long acceptedAtMillis, int maxReady) {
+
+		/**
+		 * An order that has no effect within its boot time and this margin is repeated.
+		 */
+		private static final long BOOT_MARGIN_MILLIS = 6_000;
+
+		private static final long MILLIS_PER_SECOND = 1_000;
+
+		private AcceptedOrder withReady(int readyServers) {
+			return new AcceptedOrder(this.servers, this.acceptedAtMillis, Math.max(this.maxReady, readyServers));
+		}
+
+		private boolean hasTimedOut(double bootSeconds, long nowMillis) {
+			return nowMillis > this.acceptedAtMillis + (long) (bootSeconds * MILLIS_PER_SECOND) + BOOT_MARGIN_MILLIS;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -0,0 +1,86 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+import io.flamingogap.gateway.store.RecordStore.Batch;
+import io.flamingogap.gateway.store.StoredRecord;
+
+/**
+ * Keeps the newest records that were read from a stream, without gaps between them.
+ */
+final class RecordCache {
+
+	/** Several seconds of registrations and reports of the largest fleet. */
+	private static final int MAX_RECORDS = 1_024;
+
+	/** Bounds the memory for each stream; enough for several large configurations. */
+	private static final long MAX_BYTES = 1_048_576;
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
+	private final Deque<StoredRecord> records = new ArrayDeque<>();
+
+	private long sizeBytes;
+
+	/**
+	 * The first covered offset. The offset of an unreadable record is covered as well,
+	 * but holds no record.
+	 */
+	private long startOffset;
+
+	private long endOffset;
+
+	private long lastReadAtMillis = NEVER;
+
+	/**
+	 * Add the records that a read returned. Drops the earlier ones if there is a gap.
+	 * @param from the offset that the read started from
+	 * @param batch the result of the read
+	 * @param nowMillis the current time on the monotonic clock
+	 */
+	void add(long from, Batch batch, long nowMillis) {
+		if (from != this.endOffset) {
+			this.records.clear();
+			this.sizeBytes = 0;
+			this.startOffset = from;
+		}
+		this.endOffset = batch.nextOffset();
+		this.lastReadAtMillis = nowMillis;
+		batch.records().forEach((entry) -> {
+			this.records.addLast(entry);
+			this.sizeBytes += sizeOf(entry);
+		});
+		while (this.records.size() > MAX_RECORDS || this.sizeBytes > MAX_BYTES) {
+			StoredRecord oldest = this.records.removeFirst();
+			this.sizeBytes -= sizeOf(oldest);
+			this.startOffset = oldest.offset() + 1;
+		}
+	}
+
+	private static long sizeOf(StoredRecord entry) {
+		return entry.value().map((value) -> value.length).orElse(0);
+	}
+
+	/**
+	 * Treat the records as stale until the store answers again.
+	 */
+	void markStale() {
+		this.lastReadAtMillis = NEVER;
+	}
+
+	boolean isFresh(long nowMillis, long maxAgeMillis) {
+		return nowMillis - this.lastReadAtMillis <= maxAgeMillis;
+	}
+
+	boolean covers(long from) {
+		return from >= this.startOffset && from <= this.endOffset;
+	}
+
+	Batch batchFrom(long from) {
+		List<StoredRecord> matching = this.records.stream().filter((entry) -> entry.offset() >= from).toList();
+		return new Batch(matching, this.endOffset, false);
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -0,0 +1,125 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+
+import io.flamingogap.gateway.store.ForwardingStore;
+import io.flamingogap.gateway.store.RecordStore;
+import io.flamingogap.gateway.store.StoreException;
+import io.flamingogap.gateway.store.StoreException.Reason;
+import io.flamingogap.gateway.store.StoreStream;
+
+/**
+ * The store as this node reaches it, with a cache of what was read. The other nodes of
+ * the zone read from the cache instead of calling the store. Only records that came from
+ * the store itself are passed on, never those that another node relayed, so that nodes
+ * can't confirm each other's stale records.
+ */
+public final class ZoneReadCache extends ForwardingStore {
+
+	/**
+	 * A node that follows a stream gets an answer from the store at least this often: a
+	 * read may wait for 1 s, a follower pauses for 0.9 s at most, and the rest is a
+	 * margin.
+	 */
+	private static final long MAX_AGE_MILLIS = 2_500;
+
+	private final EventLoop loop;
+
+	private final LongSupplier steadyMillis;
+
+	private final Map<StoreStream, RecordCache> caches = new EnumMap<>(StoreStream.class);
+
+	private final Map<StoreStream, List<WaitingRead>> waitingReads = new EnumMap<>(StoreStream.class);
+
+	/**
+	 * Create a store with an empty cache.
+	 * @param loop the event loop
+	 * @param store the store to read from
+	 * @param steadyMillis the monotonic clock, in milliseconds
+	 */
+	public ZoneReadCache(EventLoop loop, RecordStore store, LongSupplier steadyMillis) {
+		super(store);
+		this.loop = loop;
+		this.steadyMillis = steadyMillis;
+		for (StoreStream stream : StoreStream.values()) {
+			this.caches.put(stream, new RecordCache());
+			this.waitingReads.put(stream, new ArrayList<>());
+		}
+	}
+
+	@Override
+	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
+		return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
+			RecordCache cache = this.caches.get(stream);
+			if (failure != null) {
+				cache.markStale();
+				removeWaiting(stream).forEach((each) -> each.fail("the relay node lost its connection to the store"));
+				return;
+			}
+			cache.add(from, batch, this.steadyMillis.getAsLong());
+			if (!batch.records().isEmpty()) {
+				removeWaiting(stream).forEach((each) -> complete(stream, each));
+			}
+		});
+	}
+
+	/**
+	 * Read for another node: from the cache if it is fresh and covers the offset,
+	 * otherwise from the store.
+	 * @param stream the stream
+	 * @param from the offset of the first record to read
+	 * @param waitMillis how long to wait for a record, in milliseconds
+	 * @return the records, which may be none, and the offset to continue from
+	 */
+	public CompletableFuture<Batch> readForPeer(StoreStream stream, long from, long waitMillis) {
+		RecordCache cache = this.caches.get(stream);
+		if (!cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) || !cache.covers(from)) {
+			return super.read(stream, from, waitMillis);
+		}
+		Batch cached = cache.batchFrom(from);
+		if (!cached.records().isEmpty() || waitMillis <= 0) {
+			return CompletableFuture.completedFuture(cached);
+		}
+		WaitingRead waitingRead = new WaitingRead(from, new CompletableFuture<>());
+		this.waitingReads.get(stream).add(waitingRead);
+		this.loop.schedule(() -> {
+			if (this.waitingReads.get(stream).remove(waitingRead)) {
+				complete(stream, waitingRead);
+			}
+		}, waitMillis, TimeUnit.MILLISECONDS);
+		return waitingRead.result;
+	}
+
+	private List<WaitingRead> removeWaiting(StoreStream stream) {
+		List<WaitingRead> removed = List.copyOf(this.waitingReads.get(stream));
+		this.waitingReads.get(stream).clear();
+		return removed;
+	}
+
+	private void complete(StoreStream stream, WaitingRead waitingRead) {
+		RecordCache cache = this.caches.get(stream);
+		if (cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) && cache.covers(waitingRead.from)) {
+			waitingRead.result.complete(cache.batchFrom(waitingRead.from));
+		}
+		else {
+			waitingRead.fail("the relay node has no recent answer from the store");
+		}
+	}
+
+	private record WaitingRead(long from, CompletableFuture<Batch> result) {
+
+		private void fail(String reason) {
+			this.result.completeExceptionally(new StoreException(Reason.UNAVAILABLE, reason));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -0,0 +1,108 @@
+package io.flamingogap.gateway.peers;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.google.common.flogger.FluentLogger;
+
+import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.store.ForwardingStore;
+import io.flamingogap.gateway.store.RecordStore;
+import io.flamingogap.gateway.store.StoreException;
+import io.flamingogap.gateway.store.StoreException.Reason;
+import io.flamingogap.gateway.store.StoreStream;
+import io.flamingogap.wire.peer.PeerCall;
+import io.flamingogap.wire.peer.PeerReply;
+import io.flamingogap.wire.peer.StoreCall;
+
+/**
+ * Reads the store through one node of the zone, the relay, which reads it for all. Calls
+ * of the store are expensive, and traffic within a zone is free. If the relay fails, the
+ * node calls the store itself.
+ */
+public final class ZoneRelayedStore extends ForwardingStore implements ReportSink {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final PeerStoreClient client;
+
+	private final ZoneRelaySelector relaySelector;
+
+	private final ReportBatcher batcher;
+
+	/**
+	 * Create a store that uses a relay.
+	 * @param client calls other nodes
+	 * @param store the store to call without a relay
+	 * @param relaySelector selects the relay
+	 * @param batcher collects the reports of the zone while this node is the relay
+	 */
+	public ZoneRelayedStore(PeerStoreClient client, RecordStore store, ZoneRelaySelector relaySelector,
+			ReportBatcher batcher) {
+		super(store);
+		this.client = client;
+		this.relaySelector = relaySelector;
+		this.batcher = batcher;
+	}
+
+	@Override
+	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
+		return callRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
+				(reply) -> new Batch(PeerCodec.readRecords(reply), reply.getPosition(), true),
+				() -> super.read(stream, from, waitMillis), () -> super.read(stream, from, 0));
+	}
+
+	@Override
+	public CompletableFuture<Long> offer(String key, byte[] value) {
+		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatcher.COLLECT_MILLIS);
+		call.setKey(key);
+		call.setContent(value);
+		Supplier<CompletableFuture<Long>> withoutRelay = () -> super.append(StoreStream.NODES, key, Optional.of(value),
+				OptionalLong.empty());
+		return callRelay(call, PeerReply::getPosition,
+				() -> this.batcher.offer(key, value).exceptionallyCompose((failure) -> {
+					logger.atInfo()
+						.log("%s", LogLine.of("zone's reports not appended together")
+							.with("reason", StoreException.of(failure).getMessage()));
+					return withoutRelay.get();
+				}), withoutRelay);
+	}
+
+	/**
+	 * Call the relay.
+	 * @param call the call
+	 * @param decoder decodes the reply
+	 * @param whenRelay makes the call if there is no relay, since this node calls the
+	 * store for its zone
+	 * @param withoutRelay makes the call if the relay failed
+	 * @param <T> the type of the result
+	 * @return the result
+	 */
+	private <T> CompletableFuture<T> callRelay(PeerCall call, Function<PeerReply, T> decoder,
+			Supplier<CompletableFuture<T>> whenRelay, Supplier<CompletableFuture<T>> withoutRelay) {
+		Optional<ZoneRelaySelector.Relay> relay = this.relaySelector.currentRelay();
+		if (relay.isEmpty()) {
+			return whenRelay.get();
+		}
+		return this.client.call(relay.get().address(), call).handle((reply, failure) -> {
+			if (failure == null) {
+				return CompletableFuture.completedFuture(decoder.apply(reply));
+			}
+			if (failure instanceof StoreException storeFailure && storeFailure.reason() == Reason.DROPPED) {
+				return CompletableFuture.<T>failedFuture(storeFailure);
+			}
+			this.relaySelector.avoid(relay.get());
+			logger.atInfo()
+				.log("%s",
+						LogLine.of("relay left")
+							.with("peer", relay.get().node())
+							.with("stream", call.getStreamName())
+							.with("reason", StoreException.of(failure).getMessage()));
+			return withoutRelay.get();
+		}).thenCompose(Function.identity());
+	}
+
+}
--- /dev/null
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -0,0 +1,243 @@
+package io.flamingogap.gateway.cloud;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.core.fleet.ServerPlan;
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.servers.ServerRegistration;
+import io.flamingogap.core.servers.ServerTable;
+import io.flamingogap.core.serving.BackendService;
+import io.flamingogap.core.serving.EngineProfile;
+import io.flamingogap.core.serving.ListenerLimits;
+import io.flamingogap.core.serving.ScaleBounds;
+import io.flamingogap.core.serving.ServingConfig;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Tests of {@link ServerOrderPlanner} against a cloud that accepts orders or has no
+ * servers available.
+ */
+class ServerOrderPlannerTests {
+
+	private static final int MAX_PER_ZONE = 8;
+
+	private static final int SLOTS = 48;
+
+	/**
+	 * Three zones with two kinds of servers, each ordered at most twice at once: to add
+	 * missing servers and to release others.
+	 */
+	private static final int MAX_ORDERS = 12;
+
+	private static final long BOOT_MILLIS = 4_000;
+
+	private static final List<String> ZONES = List.of("cheap", "middle", "dear");
+
+	private static final ServingConfig CONFIG = ServingConfig.of(1, List.of(),
+			List.of(new BackendService("engine", 100, Optional.of(new EngineProfile(SLOTS, 600_000)), Optional
+				.of(new ScaleBounds(1, MAX_PER_ZONE, 4, 0.18, Map.of("cheap", 0.8, "middle", 1.0, "dear", 1.25))))),
+			List.of(), ListenerLimits.DEFAULT);
+
+	private final ServerTable servers = new ServerTable();
+
+	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers, false);
+
+	private final List<ServerPlan> orders = new ArrayList<>();
+
+	private long nowMillis = 100_000;
+
+	private long revision;
+
+	private double tokensPerSecond = 220_000;
+
+	private Predicate<ServerPlan> isAvailable = (order) -> true;
+
+	private void register(String id, String zone, boolean reclaimable, boolean draining) {
+		this.servers.register(new ServerRegistration(id, "engine", new Address("10.0.0.1", 80), zone, "v1", SLOTS,
+				draining, reclaimable, 1), ++this.revision);
+	}
+
+	private void register(String zone, boolean reclaimable, int number) {
+		for (int i = 0; i < number; i++) {
+			register(zone + reclaimable + i, zone, reclaimable, false);
+		}
+	}
+
+	private void drainReclaimable(String zone, int number) {
+		for (int i = 0; i < number; i++) {
+			register(zone + true + i, zone, true, true);
+		}
+	}
+
+	private List<ServerPlan> placeDueOrders() {
+		List<ServerPlan> newOrders = new ArrayList<>();
+		FleetServiceDemand demand = new FleetServiceDemand() {
+			@Override
+			public double promptTokensPerSecond(String service) {
+				return ServerOrderPlannerTests.this.tokensPerSecond;
+			}
+
+			@Override
+			public double openRequests(String service) {
+				return 0;
+			}
+		};
+		Optional<ServerPlan> next = this.planner.nextOrder(CONFIG, demand, this.nowMillis);
+		while (next.isPresent()) {
+			assertThat("orders at one time", newOrders.size(), lessThanOrEqualTo(MAX_ORDERS));
+			newOrders.add(next.get());
+			this.planner.recordOutcome(next.get(),
+					this.isAvailable.test(next.get()) ? CloudApi.Verdict.ACCEPTED : CloudApi.Verdict.NONE_AVAILABLE,
+					this.nowMillis);
+			next = this.planner.nextOrder(CONFIG, demand, this.nowMillis);
+		}
+		this.orders.addAll(newOrders);
+		return newOrders;
+	}
+
+	private static int lastFullPriceServers(List<ServerPlan> orders) {
+		return ZONES.stream()
+			.mapToInt((zone) -> orders.stream()
+				.filter((order) -> !order.reclaimable() && order.zone().equals(zone))
+				.reduce((earlier, later) -> later)
+				.map(ServerPlan::servers)
+				.orElse(0))
+			.sum();
+	}
+
+	private static List<ServerPlan> reclaimable(List<ServerPlan> orders) {
+		return orders.stream().filter(ServerPlan::reclaimable).toList();
+	}
+
+	@Test
+	void releasesFullPriceServersOnlyWhenReclaimableOnesTakeRequests() {
+		ZONES.forEach((zone) -> register(zone, false, 4));
+		assertThat(placeDueOrders().stream().filter((order) -> !order.reclaimable()).toList(), is(empty()));
+		ZONES.forEach((zone) -> register(zone, true, 6));
+		this.nowMillis += BOOT_MILLIS;
+		assertThat(lastFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
+	}
+
+	@Test
+	void ordersNoFullPriceServersInPlaceOfBootingOnes() {
+		assertThat(lastFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
+	}
+
+	@Test
+	void ordersUnavailableServersAgainOnlyAfterADelay() {
+		this.isAvailable = (order) -> false;
+		assertThat(placeDueOrders(), is(not(empty())));
+		this.nowMillis += 1_000;
+		assertThat(placeDueOrders(), is(empty()));
+		this.nowMillis += 6_000;
+		assertThat(placeDueOrders(), is(not(empty())));
+	}
+
+	@Test
+	void ordersFullPriceServersInOtherZonesIfTheCheapestHasNone() {
+		this.isAvailable = (order) -> !order.reclaimable() && !order.zone().equals("cheap");
+		assertThat(placeDueOrders().stream()
+			.filter((order) -> !order.reclaimable() && !order.zone().equals("cheap"))
+			.mapToInt(ServerPlan::servers)
+			.sum(), greaterThanOrEqualTo(6));
+	}
+
+	@Test
+	void releasesFullPriceServersBeforeAnyDemandOnceReclaimableOnesAreGranted() {
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, true);
+		ZONES.forEach((zone) -> register(zone, false, 5));
+		FleetServiceDemand noDemand = new FleetServiceDemand() {
+			@Override
+			public double promptTokensPerSecond(String service) {
+				return 0;
+			}
+
+			@Override
+			public double openRequests(String service) {
+				return 0;
+			}
+		};
+		Optional<ServerPlan> next = firstStartPlanner.nextOrder(CONFIG, noDemand, this.nowMillis);
+		List<ServerPlan> newOrders = new ArrayList<>();
+		while (next.isPresent()) {
+			newOrders.add(next.get());
+			firstStartPlanner.recordOutcome(next.get(), CloudApi.Verdict.ACCEPTED, this.nowMillis);
+			next = firstStartPlanner.nextOrder(CONFIG, noDemand, this.nowMillis);
+		}
+		assertThat(lastFullPriceServers(newOrders), is(2));
+		assertThat(newOrders.get(0).reclaimable(), is(true));
+	}
+
+	@Nested
+	class WhenAZoneIsReclaimedWithoutReplacement {
+
+		@BeforeEach
+		void reclaimCheapestZone() {
+			register("cheap", false, 2);
+			ZONES.forEach((zone) -> register(zone, true, 6));
+			placeDueOrders();
+			ServerOrderPlannerTests.this.isAvailable = (order) -> !order.reclaimable();
+			ServerOrderPlannerTests.this.nowMillis += 1_000;
+			drainReclaimable("cheap", 6);
+		}
+
+		@Test
+		void ordersReplacementsDespiteARecentOrder() {
+			List<ServerPlan> newOrders = placeDueOrders();
+			assertThat(reclaimable(newOrders), is(not(empty())));
+		}
+
+		@Test
+		void ordersFullPriceServersInAdvanceOfTheLossOfAnotherZone() {
+			assertThat(lastFullPriceServers(placeDueOrders()), greaterThanOrEqualTo(6));
+		}
+
+		@Test
+		void keepsEveryReadyReclaimableServer() {
+			ServerOrderPlannerTests.this.tokensPerSecond = 900_000;
+			List<ServerPlan> newOrders = placeDueOrders();
+			for (int i = 0; i < 20; i++) {
+				ServerOrderPlannerTests.this.nowMillis += 1_000;
+				newOrders.addAll(placeDueOrders());
+			}
+			assertThat(reclaimable(newOrders).stream()
+				.filter((order) -> !order.zone().equals("cheap"))
+				.map(ServerPlan::servers)
+				.toList(), everyItem(greaterThanOrEqualTo(6)));
+		}
+
+		@Test
+		void keepsFullPriceServersUntilReclaimableOnesAreAvailableAgain() {
+			placeDueOrders();
+			register("cheap", false, 8);
+			for (int i = 0; i < 12; i++) {
+				ServerOrderPlannerTests.this.nowMillis += 1_000;
+				assertThat(fullPriceReleases(placeDueOrders()), is(empty()));
+			}
+			ServerOrderPlannerTests.this.isAvailable = (order) -> true;
+			ServerOrderPlannerTests.this.nowMillis += 6_000;
+			assertThat(fullPriceReleases(placeDueOrders()), is(not(empty())));
+		}
+
+		private List<ServerPlan> fullPriceReleases(List<ServerPlan> newOrders) {
+			return newOrders.stream().filter((order) -> !order.reclaimable() && order.servers() < 6).toList();
+		}
+
+	}
+
+}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/SharedReadsTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -20,9 +20,9 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Reads that one node makes for its zone.
+ * Tests of {@link ZoneReadCache}: which reads of other nodes it answers from the cache.
  */
-class SharedReadsTests {
+class ZoneReadCacheTests {
 
 	private static final long WAIT_MILLIS = 1_000;
 
@@ -32,14 +32,14 @@
 
 	private long nowMillis = 100_000;
 
-	private final SharedReads reads = new SharedReads(this.channel.eventLoop(), this.store, () -> this.nowMillis);
+	private final ZoneReadCache cache = new ZoneReadCache(this.channel.eventLoop(), this.store, () -> this.nowMillis);
 
 	private static StoredRecord entry(long offset) {
 		return new StoredRecord("key", Optional.of(new byte[1]), offset);
 	}
 
 	private CompletableFuture<Batch> readForPeer(long from) {
-		return this.reads.readForPeer(StoreStream.SERVERS, from, WAIT_MILLIS);
+		return this.cache.readForPeer(StoreStream.SERVERS, from, WAIT_MILLIS);
 	}
 
 	private static List<Long> offsets(CompletableFuture<Batch> read) {
@@ -47,29 +47,29 @@
 	}
 
 	@BeforeEach
-	void readOwnRecords() {
-		this.reads.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
-		this.store.openRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
-		this.reads.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
+	void fillCache() {
+		this.cache.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
+		this.store.pendingRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
+		this.cache.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
 	}
 
 	@Test
-	void peerGetsWhatThisNodeHasReadWithoutACallOfTheStore() {
+	void answersPeerFromTheCacheWithoutAStoreCall() {
 		assertThat(offsets(readForPeer(8)), contains(8L));
-		assertThat(this.store.readFrom(), contains(7L, 9L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L));
 	}
 
 	@Test
-	void peerThatWaitsIsAnsweredWhenARecordArrives() {
+	void answersWaitingPeerWhenARecordArrives() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		assertThat(peer.isDone(), is(false));
-		this.store.openRead().complete(new Batch(List.of(entry(9)), 10, false));
+		this.store.pendingRead().complete(new Batch(List.of(entry(9)), 10, false));
 		assertThat(offsets(peer), contains(9L));
-		assertThat(peer.join().next(), is(10L));
+		assertThat(peer.join().nextOffset(), is(10L));
 	}
 
 	@Test
-	void peerThatWaitsInVainGetsAnEmptyAnswerInTime() {
+	void answersWaitingPeerWithoutRecordsWhenItsWaitEnds() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		this.channel.advanceTimeBy(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
@@ -77,34 +77,34 @@
 	}
 
 	@Test
-	void peerThatWaitsIsRefusedOnceThisNodeLosesTheStore() {
+	void failsWaitingPeerWhenTheStoreFails() {
 		CompletableFuture<Batch> peer = readForPeer(9);
-		this.store.openRead()
-			.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "turned away"));
+		this.store.pendingRead()
+			.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "refused"));
 		assertThat(peer.isCompletedExceptionally(), is(true));
 	}
 
 	@Test
-	void recordsOfANodeThatHasNotHeardFromTheStoreAreNotPassedOn() {
+	void readsFromTheStoreWhenTheCacheIsStale() {
 		this.nowMillis += 3_000;
 		CompletableFuture<Batch> peer = readForPeer(8);
 		assertThat(peer.isDone(), is(false));
-		assertThat(this.store.readFrom(), contains(7L, 9L, 8L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 8L));
 	}
 
 	@Test
-	void recordsFromBeforeThisNodeReadAreReadFromTheStore() {
+	void readsRecordsBeforeTheCachedOnesFromTheStore() {
 		readForPeer(3);
-		assertThat(this.store.readFrom(), contains(7L, 9L, 3L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 3L));
 	}
 
 	@Test
-	void recordsAfterAGapAreNotJoinedToThoseBefore() {
-		this.reads.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
-		this.store.openRead().complete(new Batch(List.of(entry(20)), 21, false));
+	void dropsCachedRecordsBeforeAGap() {
+		this.cache.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
+		this.store.pendingRead().complete(new Batch(List.of(entry(20)), 21, false));
 		assertThat(offsets(readForPeer(20)), contains(20L));
 		readForPeer(8);
-		assertThat(this.store.readFrom(), contains(7L, 9L, 20L, 8L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 20L, 8L));
 	}
 
 }
