Reword the table, load and selection of backend servers

The package spoke of servers that seem sound, that tell of their load and whose end is doubted; a prompt had a home, a report lost its worth, and several documents only repeated a name. The comments now name what is estimated, from which reports, and when an entry is suspect, expires or is removed. Names follow: PromptCacheEstimate for RecentPrompts, suspectUntilMillis, isSameRun, findPreferredServer, MAX_OPEN_PER_SLOT. The comment of the last one said "beyond its places" of a limit that counts all open requests of a server; it is corrected, the limit is unchanged.

Tests Server*Tests of flamingogap-core: 15 run, none failed.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/Distance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/Distance.java
@@ -1,9 +1,9 @@
 package io.flamingogap.core.servers;
 
 /**
- * How far a backend server is from an entry node, with the delay that its distance is
- * worth. The delays are the round trips of the users' sheets, plus the price of the bytes
- * in terms of delay.
+ * Network distance between an entry node and a backend server, with the delay that the
+ * server selection charges for it. The delays are the round-trip times of the users' data
+ * sheets plus the price of the traffic, converted to a delay.
  */
 public enum Distance {
 
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Return the delay that the distance is worth.
+	 * Return the delay that the server selection charges for the distance.
 	 * @return the delay in milliseconds
 	 */
 	public double costMillis() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -1,98 +1,100 @@
 package io.flamingogap.core.servers;
 
 /**
- * A registered backend server with what this node has seen of it.
+ * Registered backend server, with its load, health and prompt cache as estimated by this
+ * node.
  * <p>
  * Not safe for use by several threads.
  */
 public final class KnownServer {
 
-	private static final long NO_DOUBT = Long.MAX_VALUE;
+	private static final long NOT_SUSPECT = Long.MAX_VALUE;
 
 	private final ServerLoad load = new ServerLoad();
 
 	private final ServerHealth health = new ServerHealth();
 
-	private final RecentPrompts prompts = new RecentPrompts();
+	private final PromptCacheEstimate promptCache = new PromptCacheEstimate();
 
-	private ServerRegistration entry;
+	private ServerRegistration registration;
 
 	private long revision;
 
-	private long doubtUntilMillis = NO_DOUBT;
+	private long suspectUntilMillis = NOT_SUSPECT;
 
-	private boolean gone;
+	private boolean removed;
 
-	KnownServer(ServerRegistration entry, long revision) {
-		this.entry = entry;
+	KnownServer(ServerRegistration registration, long revision) {
+		this.registration = registration;
 		this.revision = revision;
 	}
 
-	void update(ServerRegistration newEntry, long newRevision) {
-		this.entry = newEntry;
+	void update(ServerRegistration newRegistration, long newRevision) {
+		this.registration = newRegistration;
 		this.revision = newRevision;
-		this.doubtUntilMillis = NO_DOUBT;
+		this.suspectUntilMillis = NOT_SUSPECT;
 	}
 
-	void doubtUntil(long untilMillis, long newRevision) {
-		this.doubtUntilMillis = untilMillis;
+	void markSuspect(long untilMillis, long newRevision) {
+		this.suspectUntilMillis = untilMillis;
 		this.revision = newRevision;
 	}
 
-	void markGone() {
-		this.gone = true;
+	void markRemoved() {
+		this.removed = true;
 	}
 
 	boolean isExpired(long nowMillis) {
-		return nowMillis >= this.doubtUntilMillis;
+		return nowMillis >= this.suspectUntilMillis;
 	}
 
 	/**
-	 * Return whether the registration ended while the store was disturbed.
-	 * @return {@code true} if the server may be gone
+	 * Return whether the registration ended while the store was disrupted. The server may
+	 * have stopped, or may be about to register again.
+	 * @return {@code true} until it registers again or is removed
 	 */
 	public boolean isSuspect() {
-		return this.doubtUntilMillis != NO_DOUBT;
+		return this.suspectUntilMillis != NOT_SUSPECT;
 	}
 
 	/**
 	 * Return whether the server may get new requests.
-	 * @return {@code true} if it is registered and not draining
+	 * @return {@code true} if it is in the table, suspect or not, and isn't draining
 	 */
 	public boolean takesRequests() {
-		return !this.gone && !this.entry.draining();
+		return !this.removed && !this.registration.draining();
 	}
 
 	/**
-	 * Return what the server says of itself.
-	 * @return the newest entry
+	 * Return the record that the server registered.
+	 * @return the newest version
 	 */
 	public ServerRegistration registration() {
-		return this.entry;
+		return this.registration;
 	}
 
 	/**
-	 * Return how loaded the server seems.
-	 * @return the load
+	 * Return the estimated load of the server.
+	 * @return the live estimate, updated by its callers
 	 */
 	public ServerLoad load() {
 		return this.load;
 	}
 
 	/**
-	 * Return how sound the server seems.
-	 * @return the health
+	 * Return the health of the server, by the outcome of requests.
+	 * @return the live record, updated by its callers
 	 */
 	public ServerHealth health() {
 		return this.health;
 	}
 
 	/**
-	 * Return the parts of prompts that the server read lately.
-	 * @return the parts
+	 * Return the prompt parts that the server probably has cached.
+	 * @return the live estimate, updated by its callers
 	 */
-	public RecentPrompts promptCache() {
-		return this.prompts;
+	public PromptCacheEstimate promptCache() {
+		return this.promptCache;
 	}
 
 	long revision() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/NodeLocality.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/NodeLocality.java
@@ -4,10 +4,11 @@
 import java.util.Objects;
 
 /**
- * Where an entry node stands.
+ * Availability zone of an entry node, with the regions of all zones.
  *
- * @param zone its availability zone
- * @param regionsByZone the region of each zone
+ * @param zone the node's availability zone
+ * @param regionsByZone the region of each zone; a zone without one counts as in another
+ * region
  */
 public record NodeLocality(String zone, Map<String, String> regionsByZone) {
 
@@ -17,9 +18,9 @@
 	}
 
 	/**
-	 * Return how far another zone is.
-	 * @param other the other zone
-	 * @return the distance
+	 * Return the network distance from the node to a zone.
+	 * @param other a zone, which may be the node's own
+	 * @return {@link Distance#OTHER_REGION} if the region of either zone is unknown
 	 */
 	public Distance distanceTo(String other) {
 		if (this.zone.equals(other)) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/RecentPrompts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptCacheEstimate.java
@@ -4,14 +4,14 @@
 import java.util.Map;
 
 /**
- * The parts of prompts that this node sent to a server lately, and that the server
- * therefore probably still holds.
+ * Estimate of a server's prompt cache: the shared prompt parts that this node sent to the
+ * server most recently.
  * <p>
  * Not safe for use by several threads.
  */
-public final class RecentPrompts {
+public final class PromptCacheEstimate {
 
-	/** Bounds the memory for each server; more parts than an engine keeps of one node. */
+	/** Bounds the memory per server. An engine caches fewer parts of one node. */
 	private static final int MAX_PARTS = 256;
 
 	private final Map<String, Boolean> parts = new LinkedHashMap<>(16, 0.75f, true) {
@@ -24,27 +24,27 @@
 	};
 
 	/**
-	 * Record that the server read a prompt.
-	 * @param prompt the prompt
+	 * Record that a prompt was sent to the server.
+	 * @param prompt its shared parts are taken as cached
 	 */
 	public void record(PromptMetadata prompt) {
 		prompt.sharedPrefix().forEach((part) -> this.parts.put(part.id(), Boolean.TRUE));
 	}
 
 	/**
-	 * Return the tokens that the server would probably not read again.
-	 * @param prompt the prompt
-	 * @return the tokens of the leading parts that it has read
+	 * Estimate the tokens of a prompt that the server has cached.
+	 * @param prompt the prompt to look up
+	 * @return the tokens of the leading shared parts, up to the first that isn't cached
 	 */
 	public long estimateCachedTokens(PromptMetadata prompt) {
-		long held = 0;
+		long cached = 0;
 		for (PromptPart part : prompt.sharedPrefix()) {
 			if (!this.parts.containsKey(part.id())) {
-				return held;
+				return cached;
 			}
-			held += part.tokens();
+			cached += part.tokens();
 		}
-		return held;
+		return cached;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
@@ -4,15 +4,15 @@
 import java.util.Objects;
 
 /**
- * The size and the parts of a request's prompt.
+ * Token counts and parts of a request's prompt.
  *
- * @param promptTokens the tokens that the engine reads
- * @param maxOutputTokens the most tokens that it generates
- * @param parts the parts in order; the last one belongs to the request or its session
+ * @param promptTokens the tokens that the engine reads if none are cached
+ * @param maxOutputTokens the maximum number of tokens that the engine generates
+ * @param parts the parts in order; the last one is specific to the request or its session
  */
 public record PromptMetadata(long promptTokens, long maxOutputTokens, List<PromptPart> parts) {
 
-	/** A request without a prompt. */
+	/** Metadata of a request without a prompt. */
 	public static final PromptMetadata NONE = new PromptMetadata(0, 0, List.of());
 
 	public PromptMetadata {
@@ -21,7 +21,7 @@
 	}
 
 	/**
-	 * Return the parts that other requests share.
+	 * Return the leading parts, which other requests may share.
 	 * @return all parts but the last
 	 */
 	public List<PromptPart> sharedPrefix() {
@@ -29,8 +29,8 @@
 	}
 
 	/**
-	 * Return all tokens that the request is counted with.
-	 * @return prompt and output tokens
+	 * Return the tokens that the request is charged with.
+	 * @return the prompt tokens plus the maximum number of output tokens
 	 */
 	public long totalTokens() {
 		return this.promptTokens + this.maxOutputTokens;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptPart.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptPart.java
@@ -3,11 +3,11 @@
 import java.util.Objects;
 
 /**
- * A part of a prompt. Requests that begin with the same parts can share the engine's
- * cache of them.
+ * A section of a prompt. Requests that begin with the same parts can share the engine's
+ * prompt cache.
  *
- * @param id identifies the part's content
- * @param tokens its length
+ * @param id identifies the content; parts with the same id are the same text
+ * @param tokens the length in tokens
  */
 public record PromptPart(String id, long tokens) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerHealth.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerHealth.java
@@ -1,7 +1,7 @@
 package io.flamingogap.core.servers;
 
 /**
- * How sound a backend server seems by the outcome of real requests.
+ * Health of a backend server by the outcome of real requests.
  * <p>
  * Not safe for use by several threads.
  */
@@ -10,11 +10,11 @@
 	/** Weight of the newest outcome in the moving average of failures. */
 	private static final double NEWEST_WEIGHT = 0.25;
 
-	/** How long a server that could not be reached gets no requests. */
-	private static final long UNREACHABLE_MILLIS = 1_000;
+	/** How long a server is avoided after a connection to it could not be opened. */
+	private static final long AVOID_MILLIS = 1_000;
 
-	/** The moving average loses half of its weight in this time without new outcomes. */
-	private static final double FORGET_HALF_MILLIS = 3_000;
+	/** Half-life of the moving average while there are no new outcomes. */
+	private static final double FAILURE_HALF_LIFE_MILLIS = 3_000;
 
 	private double failureShare;
 
@@ -23,8 +23,8 @@
 	private long avoidUntilMillis = Long.MIN_VALUE;
 
 	/**
-	 * Record a request that the server answered as it should.
-	 * @param nowMillis the present time
+	 * Record a request that the server answered correctly.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void recordSuccess(long nowMillis) {
 		update(0, nowMillis);
@@ -33,7 +33,7 @@
 
 	/**
 	 * Record a request that the server failed, rejected, broke off or left unanswered.
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void recordFailure(long nowMillis) {
 		update(1, nowMillis);
@@ -41,11 +41,11 @@
 
 	/**
 	 * Record that no connection to the server could be opened.
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void recordUnreachable(long nowMillis) {
 		update(1, nowMillis);
-		this.avoidUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+		this.avoidUntilMillis = nowMillis + AVOID_MILLIS;
 	}
 
 	private void update(double outcome, long nowMillis) {
@@ -54,19 +54,20 @@
 	}
 
 	/**
-	 * Return the moving average of failed requests.
-	 * @param nowMillis the present time
+	 * Return the share of failed requests, as a decaying moving average.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return a share from 0 to 1
 	 */
 	public double failureShare(long nowMillis) {
-		double halves = (nowMillis - this.updatedAtMillis) / FORGET_HALF_MILLIS;
-		return this.failureShare * Math.pow(0.5, halves);
+		double halfLives = (nowMillis - this.updatedAtMillis) / FAILURE_HALF_LIFE_MILLIS;
+		return this.failureShare * Math.pow(0.5, halfLives);
 	}
 
 	/**
-	 * Return whether the server could not be reached a short time ago.
-	 * @param nowMillis the present time
-	 * @return {@code true} if it should get no requests while others can take them
+	 * Return whether a connection to the server could not be opened a short time ago and
+	 * no request has succeeded since.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if other servers are to be preferred
 	 */
 	public boolean isAvoided(long nowMillis) {
 		return nowMillis < this.avoidUntilMillis;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
@@ -4,22 +4,23 @@
 import java.util.Map;
 
 /**
- * How loaded a backend server seems: the requests of this node, those that the nodes of
- * its zone tell of, and the others by what the server's last answer reported.
+ * Estimate of a backend server's load. It combines the requests of this node, those that
+ * the other nodes of its zone report, and the totals that the server reported in its last
+ * answer.
  * <p>
  * Not safe for use by several threads.
  */
 public final class ServerLoad {
 
-	/** Time in which a report loses most of its worth; about the length of a stream. */
+	/** Time constant by which a server's report decays; about the length of a stream. */
 	private static final double REPORT_DECAY_MILLIS = 1_500;
 
-	/** What a node told lapses after this time, in case the news of the end was lost. */
-	private static final long PEER_LAPSE_MILLIS = 2_500;
+	/** Expiry of a peer's report, since the report of the requests' end may be lost. */
+	private static final long PEER_LOAD_EXPIRY_MILLIS = 2_500;
 
-	private final Map<String, PeerLoad> peers = new HashMap<>();
+	private final Map<String, PeerLoad> peerLoads = new HashMap<>();
 
-	private int open;
+	private int openRequests;
 
 	private long unreadTokens;
 
@@ -30,117 +31,118 @@
 	private long reportedAtMillis;
 
 	/**
-	 * Record that a request is sent.
-	 * @param promptTokens the prompt tokens that the server has to read
+	 * Record that this node sent a request.
+	 * @param promptTokens the prompt tokens that the server has to read, without cached
+	 * ones
 	 */
 	public void recordSent(long promptTokens) {
-		this.open++;
+		this.openRequests++;
 		this.unreadTokens += promptTokens;
 	}
 
 	/**
-	 * Record that the server has read a prompt, or will not.
-	 * @param promptTokens the tokens, as recorded when the request was sent
+	 * Record that the server has read the prompt of a request, or won't read it any more.
+	 * @param promptTokens the same number as was passed to {@link #recordSent}
 	 */
 	public void recordPromptRead(long promptTokens) {
 		this.unreadTokens -= promptTokens;
 	}
 
 	/**
-	 * Record the end of a request.
+	 * Record that a request of this node ended.
 	 */
 	public void recordEnd() {
-		this.open--;
+		this.openRequests--;
 	}
 
 	/**
-	 * Record what an answer reported.
+	 * Record the load that the server reported in an answer.
 	 * @param running the requests that the server runs, from all nodes
-	 * @param waiting the requests that wait in its queue
-	 * @param nowMillis the present time
+	 * @param waiting the requests in the server's queue
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void recordReport(int running, int waiting, long nowMillis) {
-		this.othersRunning = Math.max(0, running - this.open);
+		this.othersRunning = Math.max(0, running - this.openRequests);
 		this.othersWaiting = waiting;
 		this.reportedAtMillis = nowMillis;
 	}
 
 	/**
-	 * Record what another node told of its load here.
+	 * Record the load that another node reports to have put on the server.
 	 * @param node the name of the node
-	 * @param openRequests its open requests
-	 * @param tokens the prompt tokens that it sent and the server has not read yet
-	 * @param nowMillis the present time
+	 * @param openRequestCount the node's open requests at the server
+	 * @param tokens the prompt tokens that the node sent and the server has not read yet
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	public void recordPeerLoad(String node, int openRequests, long tokens, long nowMillis) {
-		this.peers.put(node, new PeerLoad(openRequests, tokens, nowMillis));
+	public void recordPeerLoad(String node, int openRequestCount, long tokens, long nowMillis) {
+		this.peerLoads.put(node, new PeerLoad(openRequestCount, tokens, nowMillis));
 	}
 
-	private int peersOpen(long nowMillis) {
+	private int peerOpenRequests(long nowMillis) {
 		int sum = 0;
-		for (PeerLoad peer : this.peers.values()) {
-			sum += peer.isFresh(nowMillis) ? peer.open : 0;
+		for (PeerLoad peer : this.peerLoads.values()) {
+			sum += peer.isCurrent(nowMillis) ? peer.openRequests : 0;
 		}
 		return sum;
 	}
 
 	/**
-	 * Estimate the requests that the server runs or queues.
-	 * @param nowMillis the present time
-	 * @return the estimate
+	 * Estimate the requests that the server runs or queues, from all nodes.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the number of requests, which may be fractional
 	 */
 	public double estimateOpenRequests(long nowMillis) {
-		double reported = (this.othersRunning + this.othersWaiting) * freshness(nowMillis);
-		return this.open + Math.max(peersOpen(nowMillis), reported);
+		double reported = (this.othersRunning + this.othersWaiting) * reportWeight(nowMillis);
+		return this.openRequests + Math.max(peerOpenRequests(nowMillis), reported);
 	}
 
 	/**
-	 * Estimate the requests that wait in the server's queue.
-	 * @param nowMillis the present time
-	 * @return the estimate
+	 * Estimate the requests in the server's queue by its last report.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the number of requests, which may be fractional
 	 */
 	public double estimateWaiting(long nowMillis) {
-		return this.othersWaiting * freshness(nowMillis);
+		return this.othersWaiting * reportWeight(nowMillis);
 	}
 
-	private double freshness(long nowMillis) {
+	private double reportWeight(long nowMillis) {
 		return Math.exp(-(nowMillis - this.reportedAtMillis) / REPORT_DECAY_MILLIS);
 	}
 
 	/**
-	 * Return the open requests of this node.
-	 * @return the number
+	 * Return the number of open requests that this node sent.
+	 * @return the exact count
 	 */
 	public int openRequests() {
-		return this.open;
+		return this.openRequests;
 	}
 
 	/**
 	 * Return the prompt tokens that this node sent and the server has not read yet.
-	 * @return the number
+	 * @return the exact count
 	 */
 	public long unreadTokens() {
 		return this.unreadTokens;
 	}
 
 	/**
-	 * Estimate the prompt tokens that the server has to read, for this node and those
-	 * that told of theirs.
-	 * @param nowMillis the present time
-	 * @return the estimate
+	 * Estimate the prompt tokens that the server has not read yet, from this node and
+	 * from nodes whose report hasn't expired.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the number of tokens
 	 */
 	public long estimateUnreadTokens(long nowMillis) {
 		long sum = this.unreadTokens;
-		for (PeerLoad peer : this.peers.values()) {
-			sum += peer.isFresh(nowMillis) ? peer.unreadTokens : 0;
+		for (PeerLoad peer : this.peerLoads.values()) {
+			sum += peer.isCurrent(nowMillis) ? peer.unreadTokens : 0;
 		}
 		return sum;
 	}
 
-	private record PeerLoad(int open, long unreadTokens, long toldAtMillis) {
+	private record PeerLoad(int openRequests, long unreadTokens, long receivedAtMillis) {
 
-		private boolean isFresh(long nowMillis) {
-			return nowMillis - this.toldAtMillis < PEER_LAPSE_MILLIS;
+		private boolean isCurrent(long nowMillis) {
+			return nowMillis - this.receivedAtMillis < PEER_LOAD_EXPIRY_MILLIS;
 		}
 
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
@@ -5,17 +5,17 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * What a backend server says of itself.
+ * Record that a backend server registers about itself.
  *
- * @param id the identity of this start of the server
- * @param service the service that it belongs to
- * @param address where it takes requests
- * @param zone its availability zone
- * @param version the version of its software
- * @param slots the requests that it runs at once
- * @param draining whether it is about to leave and gets no new requests
- * @param reclaimable whether it can be reclaimed at short notice
- * @param startedAtMillis when it started, in milliseconds since 1970 UTC; 0 if unknown
+ * @param id identifies this run of the server
+ * @param service the service that the server belongs to
+ * @param address where the server takes requests
+ * @param zone the availability zone
+ * @param version the version of the server's software
+ * @param slots the number of requests that the server runs concurrently
+ * @param draining whether the server is about to stop and gets no new requests
+ * @param reclaimable whether the instance can be reclaimed at short notice
+ * @param startedAtMillis the start time in milliseconds since 1970 UTC; 0 if unknown
  */
 public record ServerRegistration(String id, String service, Address address, String zone, String version, int slots,
 		boolean draining, boolean reclaimable, long startedAtMillis) {
@@ -32,11 +32,12 @@
 	}
 
 	/**
-	 * Return whether another entry is of the same start of the server.
-	 * @param other the other entry
-	 * @return {@code false} if the server has lost what it held in between
+	 * Return whether another registration is of the same run of the server.
+	 * @param other a registration with the same id
+	 * @return {@code false} if the server restarted in between or has another address;
+	 * what was known of its load and caches doesn't hold any more
 	 */
-	boolean isSameStart(ServerRegistration other) {
+	boolean isSameRun(ServerRegistration other) {
 		return this.startedAtMillis == other.startedAtMillis && this.address.equals(other.address);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -6,61 +6,65 @@
 import java.util.function.Predicate;
 
 /**
- * Chooses the backend server for a request: the one with the least expected delay.
- * Prompts with the same shared part prefer the same server of a zone, which all nodes
- * work out alike from the part's id, so that its cache is filled once.
+ * Selects the backend server with the least expected delay for a request. Prompts with
+ * the same shared prefix prefer the same server of a zone, so that only its prompt cache
+ * has to be filled. All nodes derive this server from the id of the prefix's last part.
  */
 public final class ServerSelector {
 
-	/** Prompt tokens that an engine reads in a millisecond, from the users' sheets. */
+	/**
+	 * Prompt tokens that an engine reads per millisecond, from the users' data sheets.
+	 */
 	private static final double PROMPT_TOKENS_PER_MILLI = 66.2;
 
-	/** Delay that each request of a batch adds to the others. */
-	private static final double OPEN_COST_MILLIS = 2;
+	/** Delay that each open request adds to the others of its batch. */
+	private static final double OPEN_REQUEST_COST_MILLIS = 2;
 
-	/** Delay of a request that has to wait for a place. */
-	private static final double WAIT_COST_MILLIS = 40;
+	/** Delay that each request waiting for a slot adds. */
+	private static final double WAITING_COST_MILLIS = 40;
 
-	/** Delay that a server is charged with that fails all its requests. */
+	/** Delay charged to a server that fails all of its requests. */
 	private static final double FAILURE_COST_MILLIS = 1_500;
 
-	/** Delay that a server is charged with whose registration ended under doubt. */
-	private static final double DOUBT_COST_MILLIS = 200;
+	/**
+	 * Delay charged to a server whose registration ended while the store was disrupted.
+	 */
+	private static final double SUSPECT_COST_MILLIS = 200;
 
-	/** Delay that a server is charged with that could not be reached. */
+	/** Delay charged to a server that couldn't be reached a short time ago. */
 	private static final double UNREACHABLE_COST_MILLIS = 5_000;
 
-	/** Requests beyond its places that a server is given, as a part of its places. */
-	private static final double MAX_OVERCOMMIT = 1.5;
+	/** Estimated open requests per slot at which a server counts as full. */
+	private static final double MAX_OPEN_PER_SLOT = 1.5;
 
-	private final NodeLocality placement;
+	private final NodeLocality locality;
 
 	/**
 	 * Create a selector.
-	 * @param placement where the node stands
+	 * @param locality the location of this node
 	 */
-	public ServerSelector(NodeLocality placement) {
-		this.placement = placement;
+	public ServerSelector(NodeLocality locality) {
+		this.locality = locality;
 	}
 
 	/**
-	 * Choose a server.
+	 * Select a server for a request.
 	 * @param servers the servers of the service
-	 * @param prompt the prompt; {@link PromptMetadata#NONE} for plain requests
-	 * @param allowed which servers may get the request
-	 * @param nowMillis the present time
-	 * @return the server, if one has room
+	 * @param prompt the prompt; {@link PromptMetadata#NONE} for requests without one
+	 * @param allowed accepts the servers that may get the request
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the server; empty if none is allowed, takes requests and has a free place
 	 */
 	public Optional<KnownServer> choose(Collection<KnownServer> servers, PromptMetadata prompt,
 			Predicate<KnownServer> allowed, long nowMillis) {
-		String home = homeOf(servers, prompt);
+		String preferredId = findPreferredServer(servers, prompt);
 		KnownServer best = null;
 		double bestMillis = Double.MAX_VALUE;
 		for (KnownServer server : servers) {
 			if (!server.takesRequests() || !allowed.test(server) || isFull(server, nowMillis)) {
 				continue;
 			}
-			double costMillis = costMillis(server, prompt, server.registration().id().equals(home), nowMillis);
+			double costMillis = costMillis(server, prompt, server.registration().id().equals(preferredId), nowMillis);
 			if (costMillis < bestMillis) {
 				best = server;
 				bestMillis = costMillis;
@@ -70,55 +74,57 @@
 	}
 
 	private static boolean isFull(KnownServer server, long nowMillis) {
-		return server.load().estimateOpenRequests(nowMillis) >= server.registration().slots() * MAX_OVERCOMMIT;
+		return server.load().estimateOpenRequests(nowMillis) >= server.registration().slots() * MAX_OPEN_PER_SLOT;
 	}
 
-	private double costMillis(KnownServer server, PromptMetadata prompt, boolean isHome, long nowMillis) {
+	private double costMillis(KnownServer server, PromptMetadata prompt, boolean isPreferred, long nowMillis) {
 		ServerLoad load = server.load();
 		double open = load.estimateOpenRequests(nowMillis);
 		double excess = Math.max(0, open + 1 - server.registration().slots());
 		long sharedTokens = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
-		long heldTokens = isHome ? sharedTokens : server.promptCache().estimateCachedTokens(prompt);
-		double readMillis = (load.estimateUnreadTokens(nowMillis) + Math.max(0, prompt.promptTokens() - heldTokens))
+		long cachedTokens = isPreferred ? sharedTokens : server.promptCache().estimateCachedTokens(prompt);
+		double readMillis = (load.estimateUnreadTokens(nowMillis) + Math.max(0, prompt.promptTokens() - cachedTokens))
 				/ PROMPT_TOKENS_PER_MILLI;
-		return readMillis + open * OPEN_COST_MILLIS + (excess + load.estimateWaiting(nowMillis)) * WAIT_COST_MILLIS
+		return readMillis + open * OPEN_REQUEST_COST_MILLIS
+				+ (excess + load.estimateWaiting(nowMillis)) * WAITING_COST_MILLIS
 				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
-				+ (server.isSuspect() ? DOUBT_COST_MILLIS : 0)
+				+ (server.isSuspect() ? SUSPECT_COST_MILLIS : 0)
 				+ (server.health().isAvoided(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
-				+ this.placement.distanceTo(server.registration().zone()).costMillis();
+				+ this.locality.distanceTo(server.registration().zone()).costMillis();
 	}
 
 	/**
-	 * Find the server of this zone that is the home of a prompt's last shared part, by
-	 * rendezvous hashing.
+	 * Find the server of this zone that caches a prompt's shared prefix, by rendezvous
+	 * hashing of the id of the prefix's last part.
 	 * @param servers the servers of the service
 	 * @param prompt the prompt
-	 * @return the id of the server, empty if there is none
+	 * @return the id of the server; empty if the prompt has no shared prefix or the zone
+	 * has no server that takes requests
 	 */
-	private String homeOf(Collection<KnownServer> servers, PromptMetadata prompt) {
+	private String findPreferredServer(Collection<KnownServer> servers, PromptMetadata prompt) {
 		List<PromptPart> shared = prompt.sharedPrefix();
 		if (shared.isEmpty()) {
 			return "";
 		}
-		String part = shared.get(shared.size() - 1).id();
-		String home = "";
-		int highest = Integer.MIN_VALUE;
+		String partId = shared.get(shared.size() - 1).id();
+		String preferredId = "";
+		int highestWeight = Integer.MIN_VALUE;
 		for (KnownServer server : servers) {
-			ServerRegistration entry = server.registration();
-			if (entry.zone().equals(this.placement.zone()) && server.takesRequests()) {
-				int weight = mix(part.hashCode() * 31 + entry.id().hashCode());
-				if (weight >= highest) {
-					highest = weight;
-					home = entry.id();
+			ServerRegistration registration = server.registration();
+			if (registration.zone().equals(this.locality.zone()) && server.takesRequests()) {
+				int weight = mix(partId.hashCode() * 31 + registration.id().hashCode());
+				if (weight >= highestWeight) {
+					highestWeight = weight;
+					preferredId = registration.id();
 				}
 			}
 		}
-		return home;
+		return preferredId;
 	}
 
 	/**
 	 * Spread each input bit over the result, with the finalizer of MurmurHash3.
-	 * @param value the input
+	 * @param value the bits to mix
 	 * @return the mixed bits
 	 */
 	private static int mix(int value) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -8,8 +8,9 @@
 import java.util.Set;
 
 /**
- * The backend servers that are registered. An entry that vanished while the store was
- * disturbed stays usable for a grace period, since servers that live register again.
+ * Table of the registered backend servers. A server whose registration ended while the
+ * store was disrupted stays usable for a grace period as a suspect, since a live server
+ * registers again.
  * <p>
  * Not safe for use by several threads.
  */
@@ -20,41 +21,45 @@
 	private final Map<String, List<KnownServer>> byService = new HashMap<>();
 
 	/**
-	 * Take a registration.
-	 * @param entry the entry
-	 * @param revision the position of the entry in the store; older ones are ignored
-	 * @return {@code true} if the server is new, or its state or address changed
+	 * Apply a registration.
+	 * @param registration the record of the server
+	 * @param revision the position of the record in the store; a record that isn't newer
+	 * than the known one is ignored
+	 * @return {@code true} if the server is new, has restarted or has another address,
+	 * was suspect, or began or ended draining
 	 */
-	public boolean register(ServerRegistration entry, long revision) {
-		KnownServer known = this.servers.get(entry.id());
+	public boolean register(ServerRegistration registration, long revision) {
+		KnownServer known = this.servers.get(registration.id());
 		if (known != null && revision <= known.revision()) {
 			return false;
 		}
-		if (known == null || !known.registration().isSameStart(entry)) {
-			remove(entry.id());
-			add(new KnownServer(entry, revision));
+		if (known == null || !known.registration().isSameRun(registration)) {
+			remove(registration.id());
+			add(new KnownServer(registration, revision));
 			return true;
 		}
-		boolean changed = known.registration().draining() != entry.draining() || known.isSuspect();
-		known.update(entry, revision);
+		boolean changed = known.registration().draining() != registration.draining() || known.isSuspect();
+		known.update(registration, revision);
 		return changed;
 	}
 
 	/**
-	 * Take the end of a registration.
-	 * @param id the server
+	 * Apply the end of a registration.
+	 * @param id the id of the server
 	 * @param revision the position of the removal in the store
-	 * @param doubtUntilMillis until when the removal is doubted; in the past if it isn't
-	 * @param nowMillis the present time
-	 * @return {@code true} if the server was known
+	 * @param suspectUntilMillis until when the server is kept as a suspect; a time in the
+	 * past removes it at once. A draining server is always removed at once.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if the server was known and the removal is newer than its
+	 * registration
 	 */
-	public boolean unregister(String id, long revision, long doubtUntilMillis, long nowMillis) {
+	public boolean unregister(String id, long revision, long suspectUntilMillis, long nowMillis) {
 		KnownServer known = this.servers.get(id);
 		if (known == null || revision <= known.revision()) {
 			return false;
 		}
-		if (doubtUntilMillis > nowMillis && !known.registration().draining()) {
-			known.doubtUntil(doubtUntilMillis, revision);
+		if (suspectUntilMillis > nowMillis && !known.registration().draining()) {
+			known.markSuspect(suspectUntilMillis, revision);
 		}
 		else {
 			remove(id);
@@ -63,23 +68,25 @@
 	}
 
 	/**
-	 * End the registrations that a complete listing doesn't name.
-	 * @param listed the servers in the listing
-	 * @param revision the position in the store that the listing was taken at
-	 * @param doubtUntilMillis until when removals are doubted
-	 * @param nowMillis the present time
+	 * End the registrations that a complete listing of the store doesn't contain.
+	 * @param listed the ids of the listed servers
+	 * @param revision the position in the store at which the listing was taken; newer
+	 * registrations stay
+	 * @param suspectUntilMillis until when servers are kept as suspects, as in
+	 * {@link #unregister}
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	public void retain(Set<String> listed, long revision, long doubtUntilMillis, long nowMillis) {
+	public void retain(Set<String> listed, long revision, long suspectUntilMillis, long nowMillis) {
 		List.copyOf(this.servers.keySet())
 			.stream()
 			.filter((id) -> !listed.contains(id))
-			.forEach((id) -> unregister(id, revision, doubtUntilMillis, nowMillis));
+			.forEach((id) -> unregister(id, revision, suspectUntilMillis, nowMillis));
 	}
 
 	/**
-	 * Drop the servers whose grace period has passed.
-	 * @param nowMillis the present time
-	 * @return the ids of the dropped servers
+	 * Remove the suspect servers whose grace period has passed.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the ids of the removed servers
 	 */
 	public List<String> expire(long nowMillis) {
 		List<String> expired = new ArrayList<>();
@@ -98,30 +105,30 @@
 	}
 
 	/**
-	 * Drop a server at once, for instance since another one answers at its address.
-	 * @param id the server
+	 * Remove a server at once, for instance because another one answers at its address.
+	 * @param id the id of the server, which may be unknown
 	 */
 	public void remove(String id) {
 		KnownServer known = this.servers.remove(id);
 		if (known != null) {
-			known.markGone();
+			known.markRemoved();
 			this.byService.get(known.registration().service()).remove(known);
 		}
 	}
 
 	/**
 	 * Return the servers of a service.
-	 * @param service the service
-	 * @return the servers, leaving ones included
+	 * @param service the name of the service
+	 * @return a live list that includes suspect and draining servers
 	 */
 	public List<KnownServer> ofService(String service) {
 		return this.byService.getOrDefault(service, List.of());
 	}
 
 	/**
-	 * Find a server.
-	 * @param id its id
-	 * @return the server, if it is known
+	 * Find a server by its id.
+	 * @param id the id of the registration
+	 * @return the server, or empty if it is unknown
 	 */
 	public Optional<KnownServer> find(String id) {
 		return Optional.ofNullable(this.servers.get(id));
@@ -129,7 +136,7 @@
 
 	/**
 	 * Return the number of servers.
-	 * @return the number
+	 * @return the count over all services
 	 */
 	public int size() {
 		return this.servers.size();
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/package-info.java
@@ -1,6 +1,6 @@
 /**
- * The backend servers that are known, how loaded and how sound they seem, and which of
- * them gets a request.
+ * The registered backend servers, their estimated load and health, and the selection of
+ * one for each request.
  */
 @NullMarked
 package io.flamingogap.core.servers;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -12,7 +12,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * The choice of a backend server.
+ * Tests of {@link ServerSelector}.
  */
 class ServerSelectorTests {
 
@@ -43,7 +43,7 @@
 	}
 
 	@Test
-	void loadedServerOfTheOwnZoneYieldsToAnIdleOneElsewhere() {
+	void idleServerOfAnotherZoneIsPreferredToALoadedOneOfTheOwnZone() {
 		server("far", "z2", 8);
 		KnownServer near = server("near", "z1", 8);
 		for (int i = 0; i < 9; i++) {
@@ -53,7 +53,7 @@
 	}
 
 	@Test
-	void serverThatFailsYields() {
+	void failingServerIsAvoided() {
 		KnownServer near = server("near", "z1", 8);
 		server("other", "z1", 8);
 		for (int i = 0; i < 4; i++) {
@@ -63,7 +63,7 @@
 	}
 
 	@Test
-	void noServerIsGivenMoreThanItCanQueue() {
+	void fullServerIsNotChosen() {
 		KnownServer only = server("only", "z1", 2);
 		for (int i = 0; i < 3; i++) {
 			only.load().recordSent(0);
@@ -72,7 +72,7 @@
 	}
 
 	@Test
-	void promptsWithTheSameSharedPartPreferTheSameServer() {
+	void promptsWithTheSameSharedPrefixPreferTheSameServer() {
 		for (int i = 0; i < 5; i++) {
 			server("s" + i, "z1", 8);
 		}
@@ -84,7 +84,7 @@
 	}
 
 	@Test
-	void serverThatReadThePartsAlreadyIsCheaper() {
+	void serverWithCachedPrefixIsPreferredToALoadedOne() {
 		KnownServer away = server("away", "z2", 8);
 		PromptMetadata prompt = new PromptMetadata(9_000, 10,
 				List.of(new PromptPart("aa", 8_000), new PromptPart("x", 1_000)));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
@@ -18,14 +18,15 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Registrations that arrive late, repeated and out of order.
+ * Property tests of {@link ServerTable}: records that arrive repeated, and listings that
+ * are older than the records already read.
  */
 class ServerTablePropertyTests {
 
 	private static final List<String> IDS = List.of("a", "b", "c");
 
 	/**
-	 * What a record says of a server.
+	 * State of a server in a record.
 	 */
 	private enum State {
 
@@ -33,7 +34,7 @@
 
 	}
 
-	private static void deliver(ServerTable table, String id, State state, long revision) {
+	private static void apply(ServerTable table, String id, State state, long revision) {
 		if (state == State.ENDED) {
 			table.unregister(id, revision, Long.MIN_VALUE, revision);
 		}
@@ -57,20 +58,20 @@
 		int read = 0;
 		while (read < log.length) {
 			if (read > 0 && random.nextInt(6) == 0) {
-				list(table, newest, read - 1);
+				applyListing(table, newest, read - 1);
 				continue;
 			}
-			deliver(table, ids[read], log[read], read);
+			apply(table, ids[read], log[read], read);
 			newest.put(ids[read], log[read]);
 			if (random.nextInt(3) == 0) {
-				deliver(table, ids[read], log[read], read);
+				apply(table, ids[read], log[read], read);
 			}
-			assertTakes(table, newest);
+			assertTakesRequests(table, newest);
 			read++;
 		}
 	}
 
-	private static void list(ServerTable table, Map<String, State> newest, long revision) {
+	private static void applyListing(ServerTable table, Map<String, State> newest, long revision) {
 		Set<String> listed = newest.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue() != State.ENDED)
@@ -79,11 +80,11 @@
 		table.retain(listed, revision + 1, Long.MIN_VALUE, revision);
 	}
 
-	private static void assertTakes(ServerTable table, Map<String, State> newest) {
+	private static void assertTakesRequests(ServerTable table, Map<String, State> newest) {
 		for (String id : IDS) {
 			Optional<KnownServer> known = table.find(id);
-			boolean takes = known.isPresent() && known.get().takesRequests();
-			assertThat(takes, is(newest.get(id) == State.READY));
+			boolean takesRequests = known.isPresent() && known.get().takesRequests();
+			assertThat(takesRequests, is(newest.get(id) == State.READY));
 		}
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -12,15 +12,15 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Registrations of backend servers.
+ * Tests of {@link ServerTable}.
  */
 class ServerTableTests {
 
-	private static final long NO_DOUBT = 0;
+	private static final long NO_GRACE = 0;
 
 	private final ServerTable table = new ServerTable();
 
-	private static ServerRegistration entry(String id, boolean draining, long startedAtMillis) {
+	private static ServerRegistration registration(String id, boolean draining, long startedAtMillis) {
 		return new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), "z", "v1", 8, draining, false,
 				startedAtMillis);
 	}
@@ -30,26 +30,26 @@
 
 		@Test
 		void olderRecordsAreIgnored() {
-			ServerTableTests.this.table.register(entry("a", true, 1), 5);
-			assertThat(ServerTableTests.this.table.register(entry("a", false, 1), 4), is(false));
+			ServerTableTests.this.table.register(registration("a", true, 1), 5);
+			assertThat(ServerTableTests.this.table.register(registration("a", false, 1), 4), is(false));
 			assertThat(ServerTableTests.this.table.find("a").get().takesRequests(), is(false));
 		}
 
 		@Test
-		void newStartUnderTheSameIdForgetsWhatWasKnown() {
-			ServerTableTests.this.table.register(entry("a", false, 1), 1);
+		void restartUnderTheSameIdResetsTheLoad() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			ServerTableTests.this.table.find("a").get().load().recordSent(100);
-			ServerTableTests.this.table.register(entry("a", false, 2), 2);
+			ServerTableTests.this.table.register(registration("a", false, 2), 2);
 			assertThat(ServerTableTests.this.table.find("a").get().load().openRequests(), is(0));
 			assertThat(ServerTableTests.this.table.ofService("engine"), hasSize(1));
 		}
 
 		@Test
-		void serverThatDrainsGetsNothingNew() {
-			ServerTableTests.this.table.register(entry("a", false, 1), 1);
-			KnownServer held = ServerTableTests.this.table.find("a").get();
-			ServerTableTests.this.table.register(entry("a", true, 1), 2);
-			assertThat(held.takesRequests(), is(false));
+		void drainingServerTakesNoRequests() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
+			KnownServer server = ServerTableTests.this.table.find("a").get();
+			ServerTableTests.this.table.register(registration("a", true, 1), 2);
+			assertThat(server.takesRequests(), is(false));
 		}
 
 	}
@@ -58,17 +58,17 @@
 	class Ends {
 
 		@Test
-		void undoubtedEndRemovesTheServerAtOnce() {
-			ServerTableTests.this.table.register(entry("a", false, 1), 1);
-			KnownServer held = ServerTableTests.this.table.find("a").get();
-			ServerTableTests.this.table.unregister("a", 2, NO_DOUBT, 100);
+		void endWithoutGracePeriodRemovesTheServerAtOnce() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
+			KnownServer server = ServerTableTests.this.table.find("a").get();
+			ServerTableTests.this.table.unregister("a", 2, NO_GRACE, 100);
 			assertThat(ServerTableTests.this.table.size(), is(0));
-			assertThat(held.takesRequests(), is(false));
+			assertThat(server.takesRequests(), is(false));
 		}
 
 		@Test
-		void doubtedEndKeepsTheServerUntilTheDoubtPasses() {
-			ServerTableTests.this.table.register(entry("a", false, 1), 1);
+		void suspectServerIsKeptUntilItsGracePeriodPasses() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			ServerTableTests.this.table.unregister("a", 2, 2_600, 100);
 			assertThat(ServerTableTests.this.table.expire(2_599), hasSize(0));
 			assertThat(ServerTableTests.this.table.find("a").get().takesRequests(), is(true));
@@ -77,26 +77,26 @@
 		}
 
 		@Test
-		void serverThatRegistersAgainIsUndoubted() {
-			ServerTableTests.this.table.register(entry("a", false, 1), 1);
+		void serverThatRegistersAgainIsNoLongerSuspect() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			ServerTableTests.this.table.unregister("a", 2, 2_600, 100);
-			ServerTableTests.this.table.register(entry("a", false, 1), 3);
+			ServerTableTests.this.table.register(registration("a", false, 1), 3);
 			assertThat(ServerTableTests.this.table.expire(9_000), hasSize(0));
 			assertThat(ServerTableTests.this.table.find("a").get().isSuspect(), is(false));
 		}
 
 		@Test
-		void drainingServerIsNotKeptOnDoubt() {
-			ServerTableTests.this.table.register(entry("a", true, 1), 1);
+		void drainingServerIsNotKeptAsSuspect() {
+			ServerTableTests.this.table.register(registration("a", true, 1), 1);
 			ServerTableTests.this.table.unregister("a", 2, 2_600, 100);
 			assertThat(ServerTableTests.this.table.size(), is(0));
 		}
 
 		@Test
-		void listingEndsWhatItDoesNotName() {
-			ServerTableTests.this.table.register(entry("a", false, 1), 1);
-			ServerTableTests.this.table.register(entry("b", false, 1), 7);
-			ServerTableTests.this.table.retain(Set.of("c"), 5, NO_DOUBT, 100);
+		void listingEndsOlderRegistrationsThatItDoesNotContain() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
+			ServerTableTests.this.table.register(registration("b", false, 1), 7);
+			ServerTableTests.this.table.retain(Set.of("c"), 5, NO_GRACE, 100);
 			assertThat(ServerTableTests.this.table.find("a").isPresent(), is(false));
 			assertThat(ServerTableTests.this.table.find("b").isPresent(), is(true));
 		}
