Reword the fleet view, its clock and the capacity planner

Nodes were heard and forgotten, zones ran dry, servers stood in for others and were given back, and a need was planned and present without saying by whom. The comments now say which reports count as recent, which clocks are compared, when the target falls and when full-price servers replace a zone in advance. Names follow: DesiredCapacity(target, required), exhaustedZones, readyOrBooting, countDependable, estimateServers, SCALE_DOWN_AFTER_MILLIS, TimedReport, otherNodesUnitsPerSecond.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
@@ -9,72 +9,74 @@
 import io.flamingogap.core.serving.ScaleBounds;
 
 /**
- * Plans the servers of a service: reclaimable ones in every zone, so many that the loss
- * of a zone leaves enough, and full-price ones for what reclaimable ones can't cover.
+ * Plans the servers of a service: reclaimable servers in every zone, enough to survive
+ * the loss of a zone, and full-price servers for what reclaimable ones can't cover.
  */
 public final class CapacityPlanner {
 
-	/** Prompt tokens that an engine reads in a second, from the users' sheets. */
+	/** Prompt tokens that an engine reads per second, from the users' data sheets. */
 	private static final double PROMPT_TOKENS_PER_SECOND = 66_200;
 
-	/** The part of an engine's time that prompts may take; the rest generates tokens. */
+	/** Share of an engine's time for reading prompts; the rest generates tokens. */
 	private static final double PROMPT_UTILIZATION = 0.3;
 
-	/** The part of its slots that an engine should have open at the mean load. */
+	/** Share of an engine's slots that should be in use at the mean load. */
 	private static final double SLOT_UTILIZATION = 0.4;
 
-	/** Fewer engines can't carry a burst. */
-	private static final int MIN_NEED = 6;
+	/** Fewer engines can't serve a burst. */
+	private static final int MIN_SERVERS = 6;
 
-	/** Full-price servers that stay, for the time when all reclaimable ones are taken. */
-	private static final int FULL_PRICE_FLOOR = 2;
+	/** Full-price servers that stay in case all reclaimable ones are reclaimed. */
+	private static final int MIN_FULL_PRICE_SERVERS = 2;
 
 	private CapacityPlanner() {
 	}
 
 	/**
 	 * Estimate how many engines the callers' demand needs.
-	 * @param promptTokensPerSecond the prompt tokens that arrive
-	 * @param openRequests the requests that are open
-	 * @param slots the slots of an engine
-	 * @return the number of engines
+	 * @param promptTokensPerSecond the rate at which prompt tokens arrive
+	 * @param openRequests the number of open requests
+	 * @param slots the slots of one engine
+	 * @return the number of engines, at least the minimum for a burst
 	 */
-	public static int need(double promptTokensPerSecond, double openRequests, int slots) {
+	public static int estimateServers(double promptTokensPerSecond, double openRequests, int slots) {
 		double byPrompts = promptTokensPerSecond / PROMPT_TOKENS_PER_SECOND / PROMPT_UTILIZATION;
 		double bySlots = openRequests / slots / SLOT_UTILIZATION;
-		return (int) Math.max(MIN_NEED, Math.ceil(Math.max(byPrompts, bySlots)));
+		return (int) Math.max(MIN_SERVERS, Math.ceil(Math.max(byPrompts, bySlots)));
 	}
 
 	/**
-	 * Plan the servers of a service. While reclaimable servers are refused anywhere, the
-	 * zone with the most of them may be taken next, so full-price servers stand in for it
-	 * beforehand, and no reclaimable server that is there is given back.
-	 * @param service the service
-	 * @param bounds the bounds for orders
-	 * @param need the servers that the demand needs
-	 * @param stock the reclaimable servers that are there and those to be had
-	 * @return the plan, for each zone and kind; nothing for reclaimable servers in dry
+	 * Plan the servers of a service. While some zone refuses reclaimable servers, the
+	 * zone with the most of them may be reclaimed next. Full-price servers then replace
+	 * that zone in advance, and no reclaimable server is released.
+	 * @param service the name of the service
+	 * @param bounds the limits of orders, and the prices by zone
+	 * @param desired the number of servers that the demand needs
+	 * @param supply the reclaimable servers, and the zones that have no more
+	 * @return a row for each zone and kind, without reclaimable servers in exhausted
 	 * zones
 	 */
-	public static List<ServerPlan> plan(String service, ScaleBounds bounds, DesiredCapacity need, ServerSupply stock) {
+	public static List<ServerPlan> plan(String service, ScaleBounds bounds, DesiredCapacity desired,
+			ServerSupply supply) {
 		List<String> zones = new ArrayList<>(bounds.zonePrices().keySet());
 		zones.sort(Comparator.comparingDouble((String zone) -> bounds.zonePrices().get(zone))
 			.thenComparing(Comparator.naturalOrder()));
-		Map<String, Integer> reclaimable = planReclaimable(zones, bounds, need.planned(), stock);
-		Map<String, Integer> places = new HashMap<>();
+		Map<String, Integer> reclaimable = planReclaimable(zones, bounds, desired.target(), supply);
+		Map<String, Integer> freePlaces = new HashMap<>();
 		for (String zone : zones) {
-			int taken = Math.max(stock.present(zone), reclaimable.getOrDefault(zone, 0));
-			int left = Math.max(0, bounds.maxPerZone() - taken);
-			places.put(zone, Math.min(left, stock.fullPriceLimits().getOrDefault(zone, left)));
+			int reclaimableCount = Math.max(supply.readyOrBooting(zone), reclaimable.getOrDefault(zone, 0));
+			int free = Math.max(0, bounds.maxPerZone() - reclaimableCount);
+			freePlaces.put(zone, Math.min(free, supply.fullPriceLimits().getOrDefault(zone, free)));
 		}
-		Map<String, Integer> fullPrice = spread(zones, fullPriceServers(bounds, need, stock), places);
+		Map<String, Integer> fullPrice = fillCheapestFirst(zones, fullPriceServers(bounds, desired, supply),
+				freePlaces);
 		List<ServerPlan> plan = new ArrayList<>();
 		for (String zone : zones) {
-			int full = fullPrice.get(zone);
-			plan.add(new ServerPlan(service, zone, false, full));
+			int fullPriceCount = fullPrice.get(zone);
+			plan.add(new ServerPlan(service, zone, false, fullPriceCount));
 			if (reclaimable.containsKey(zone)) {
 				plan.add(new ServerPlan(service, zone, true,
-						Math.max(reclaimable.get(zone), bounds.minPerZone() - full)));
+						Math.max(reclaimable.get(zone), bounds.minPerZone() - fullPriceCount)));
 			}
 		}
 		return plan;
@@ -82,47 +84,49 @@
 
 	/**
 	 * Return how many full-price servers a service needs.
-	 * @param bounds the bounds for orders
-	 * @param need the servers that the demand needs
-	 * @param stock the reclaimable servers that are there
-	 * @return the number, over all zones
+	 * @param bounds the zones that servers may be in
+	 * @param desired the number of servers that the demand needs
+	 * @param supply the reclaimable servers
+	 * @return the number over all zones, at least the minimum that always stays
 	 */
-	public static int fullPriceServers(ScaleBounds bounds, DesiredCapacity need, ServerSupply stock) {
-		return Math.max(FULL_PRICE_FLOOR, need.present() - stock.lasting(bounds.zonePrices().keySet()));
+	public static int fullPriceServers(ScaleBounds bounds, DesiredCapacity desired, ServerSupply supply) {
+		return Math.max(MIN_FULL_PRICE_SERVERS,
+				desired.required() - supply.countDependable(bounds.zonePrices().keySet()));
 	}
 
-	private static Map<String, Integer> planReclaimable(List<String> zones, ScaleBounds bounds, int need,
-			ServerSupply stock) {
-		List<String> open = zones.stream().filter((zone) -> !stock.dryZones().contains(zone)).toList();
-		int perZone = reclaimablePerZone(bounds, need, open.size());
+	private static Map<String, Integer> planReclaimable(List<String> zones, ScaleBounds bounds, int target,
+			ServerSupply supply) {
+		List<String> openZones = zones.stream().filter((zone) -> !supply.exhaustedZones().contains(zone)).toList();
+		int perZone = reclaimablePerZone(bounds, target, openZones.size());
 		Map<String, Integer> planned = new HashMap<>();
-		for (String zone : open) {
-			planned.put(zone, stock.isScarce() ? Math.max(perZone, stock.present(zone)) : perZone);
+		for (String zone : openZones) {
+			planned.put(zone, supply.isScarce() ? Math.max(perZone, supply.readyOrBooting(zone)) : perZone);
 		}
 		return planned;
 	}
 
-	private static int reclaimablePerZone(ScaleBounds bounds, int need, int openZones) {
-		int shared = Math.max(1, openZones - 1);
-		return Math.min(bounds.maxPerZone(), (need + shared - 1) / shared);
+	private static int reclaimablePerZone(ScaleBounds bounds, int target, int openZoneCount) {
+		int zonesAfterLoss = Math.max(1, openZoneCount - 1);
+		return Math.min(bounds.maxPerZone(), (target + zonesAfterLoss - 1) / zonesAfterLoss);
 	}
 
 	/**
-	 * Fill the cheapest zone first.
+	 * Distribute servers over zones, filling the cheapest zone first.
 	 * @param zones the zones, the cheapest first
-	 * @param servers the servers to spread
-	 * @param places the places left, by zone
-	 * @return servers by zone
+	 * @param servers the number of servers to distribute
+	 * @param freePlaces the maximum number of servers, by zone
+	 * @return servers by zone; fewer in all if the places don't suffice
 	 */
-	private static Map<String, Integer> spread(List<String> zones, int servers, Map<String, Integer> places) {
-		Map<String, Integer> spread = new HashMap<>();
+	private static Map<String, Integer> fillCheapestFirst(List<String> zones, int servers,
+			Map<String, Integer> freePlaces) {
+		Map<String, Integer> filled = new HashMap<>();
 		int left = servers;
 		for (String zone : zones) {
-			int here = Math.min(left, places.get(zone));
-			spread.put(zone, here);
+			int here = Math.min(left, freePlaces.get(zone));
+			filled.put(zone, here);
 			left -= here;
 		}
-		return spread;
+		return filled;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
@@ -1,57 +1,58 @@
 package io.flamingogap.core.fleet;
 
 /**
- * How many servers a service needs over time: rises at once and falls late.
+ * Follows the number of servers that a service needs. It scales up at once and down one
+ * by one, each time after a stabilization period.
  * <p>
  * Not safe for use by several threads.
  */
 public final class CapacityStabilizer {
 
 	/**
-	 * What a service starts with, before its demand is known: the load of a busy day.
+	 * Target before the demand is known, enough for the load of a busy day.
 	 */
-	private static final int INITIAL_SERVERS = 10;
+	private static final int INITIAL_TARGET = 10;
 
-	/** A smaller fleet must be enough for so long before a server is given back. */
-	private static final long SHRINK_AFTER_MILLIS = 12_000;
+	/** A smaller target must suffice for this long before it falls by one server. */
+	private static final long SCALE_DOWN_AFTER_MILLIS = 12_000;
 
-	private int planned = INITIAL_SERVERS;
+	private int target = INITIAL_TARGET;
 
-	private boolean asked;
+	private boolean hadRequests;
 
-	private boolean started;
+	private boolean updated;
 
 	private long lowerSinceMillis;
 
 	/**
-	 * Create a trend without figures.
-	 * @param idle whether it is known that nobody asks yet
+	 * Create a stabilizer at the initial target.
+	 * @param idle whether it is known that the service has had no requests yet
 	 */
 	public CapacityStabilizer(boolean idle) {
-		this.asked = !idle;
+		this.hadRequests = !idle;
 	}
 
 	/**
-	 * Take the demand at a moment.
-	 * @param promptTokensPerSecond the prompt tokens that arrive
-	 * @param openRequests the requests that are open
-	 * @param slots the slots of an engine
-	 * @param nowMillis the present time
-	 * @return the need
+	 * Update the target by the current demand.
+	 * @param promptTokensPerSecond the rate at which prompt tokens arrive
+	 * @param openRequests the number of open requests
+	 * @param slots the slots of one engine
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the number of servers that the service should have
 	 */
 	public DesiredCapacity update(double promptTokensPerSecond, double openRequests, int slots, long nowMillis) {
-		this.asked |= promptTokensPerSecond > 0 || openRequests > 0;
-		int wanted = CapacityPlanner.need(promptTokensPerSecond, openRequests, slots);
-		if (!this.started || wanted >= this.planned) {
-			this.started = true;
-			this.planned = Math.max(wanted, this.planned);
+		this.hadRequests |= promptTokensPerSecond > 0 || openRequests > 0;
+		int needed = CapacityPlanner.estimateServers(promptTokensPerSecond, openRequests, slots);
+		if (!this.updated || needed >= this.target) {
+			this.updated = true;
+			this.target = Math.max(needed, this.target);
 			this.lowerSinceMillis = nowMillis;
 		}
-		else if (nowMillis - this.lowerSinceMillis > SHRINK_AFTER_MILLIS) {
-			this.planned--;
+		else if (nowMillis - this.lowerSinceMillis > SCALE_DOWN_AFTER_MILLIS) {
+			this.target--;
 			this.lowerSinceMillis = nowMillis;
 		}
-		return new DesiredCapacity(this.planned, this.asked ? this.planned : 0);
+		return new DesiredCapacity(this.target, this.hadRequests ? this.target : 0);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/DesiredCapacity.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/DesiredCapacity.java
@@ -1,18 +1,19 @@
 package io.flamingogap.core.fleet;
 
 /**
- * How many servers a service needs.
+ * Number of servers that a service should have.
  *
- * @param planned what reclaimable servers, which are cheap, should cover: rises at once
- * and falls late
- * @param present what must be covered by servers of any kind; 0 while nobody asks
+ * @param target the number that reclaimable servers, which are cheap, should cover; it
+ * rises at once and falls late
+ * @param required the number that servers of any kind must cover; 0 as long as the
+ * service has had no requests
  */
-public record DesiredCapacity(int planned, int present) {
+public record DesiredCapacity(int target, int required) {
 
 	public DesiredCapacity {
-		if (planned < 0 || present < 0) {
+		if (target < 0 || required < 0) {
 			throw new IllegalArgumentException(
-					"planned and present must not be negative but were " + planned + " and " + present);
+					"target and required must not be negative but were " + target + " and " + required);
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
@@ -7,56 +7,58 @@
 import java.util.Map;
 
 /**
- * The true time of day as most nodes see it. The time of day of a node may jump; a node
- * whose clock disagrees with the median of the fleet follows the fleet.
+ * Corrects the time of day of this node by the clocks that nodes report. The time of day
+ * of a node may jump; a node whose clock disagrees with the median of the reported ones
+ * uses the median.
  * <p>
  * Not safe for use by several threads.
  */
 public final class FleetClock {
 
-	/** Clocks of machines differ by less; a larger difference is a jump. */
-	private static final long MAX_DIFFERENCE_MILLIS = 1_500;
+	/** Instances' clocks differ by less than this. A larger difference is a jump. */
+	private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 1_500;
 
-	/** Fewer clocks can't outvote a node's own. */
+	/** Fewer reported clocks can't overrule a node's own. */
 	private static final int MIN_CLOCKS = 2;
 
-	/** Reports reach other nodes about this late: the pause between reads, halved. */
+	/** Mean delay of a report: half of the pause between two reads. */
 	private static final long REPORT_DELAY_MILLIS = 500;
 
-	private final Map<String, Long> offsets = new HashMap<>();
+	private final Map<String, Long> offsetMillisByNode = new HashMap<>();
 
 	/**
 	 * Record the time of day that another node reported.
 	 * @param node the name of the node
-	 * @param timeOfDayMillis its time of day
-	 * @param steadyMillis when the report was heard, by a clock that never jumps
+	 * @param timeOfDayMillis the node's time of day, in milliseconds since 1970 UTC
+	 * @param steadyMillis when the report was read, in milliseconds of a monotonic clock
 	 */
 	public void record(String node, long timeOfDayMillis, long steadyMillis) {
-		this.offsets.put(node, timeOfDayMillis + REPORT_DELAY_MILLIS - steadyMillis);
+		this.offsetMillisByNode.put(node, timeOfDayMillis + REPORT_DELAY_MILLIS - steadyMillis);
 	}
 
 	/**
-	 * Forget a node.
-	 * @param node the name of the node
+	 * Drop the clock of a node.
+	 * @param node the name of the node, which may be unknown
 	 */
 	public void forget(String node) {
-		this.offsets.remove(node);
+		this.offsetMillisByNode.remove(node);
 	}
 
 	/**
-	 * Return the true time of day.
-	 * @param timeOfDayMillis the time of day of this node
-	 * @param steadyMillis the present time by a clock that never jumps
-	 * @return milliseconds since 1970 UTC
+	 * Return the time of day, corrected by the median of the reported clocks.
+	 * @param timeOfDayMillis the time of day of this node, in milliseconds since 1970 UTC
+	 * @param steadyMillis the current time of a monotonic clock, in milliseconds
+	 * @return milliseconds since 1970 UTC; this node's own time of day if the clocks
+	 * agree or too few are known
 	 */
 	public long correctedTimeOfDayMillis(long timeOfDayMillis, long steadyMillis) {
-		if (this.offsets.size() < MIN_CLOCKS) {
+		if (this.offsetMillisByNode.size() < MIN_CLOCKS) {
 			return timeOfDayMillis;
 		}
-		List<Long> sorted = new ArrayList<>(this.offsets.values());
+		List<Long> sorted = new ArrayList<>(this.offsetMillisByNode.values());
 		Collections.sort(sorted);
 		long median = sorted.get(sorted.size() / 2) + steadyMillis;
-		return (Math.abs(median - timeOfDayMillis) > MAX_DIFFERENCE_MILLIS) ? median : timeOfDayMillis;
+		return (Math.abs(median - timeOfDayMillis) > MAX_CLOCK_DIFFERENCE_MILLIS) ? median : timeOfDayMillis;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -12,8 +12,8 @@
 import io.flamingogap.core.quota.FleetDemand;
 
 /**
- * The fleet of entry nodes as their reports show it. A node that reported nothing for a
- * while isn't offered to callers; what it counted stays.
+ * View of the fleet of entry nodes by their reports. A node without a recent report isn't
+ * offered to callers, but the usage that it counted stays.
  * <p>
  * Not safe for use by several threads.
  */
@@ -22,34 +22,35 @@
 	/** Reports that a node may miss before it counts as silent. */
 	private static final int MISSED_REPORTS = 3;
 
-	private final Map<String, Heard> byName = new HashMap<>();
+	private final Map<String, TimedReport> lastReports = new HashMap<>();
 
 	private final Map<NodeId, UsageCounts> usage = new HashMap<>();
 
 	private final NodeId self;
 
-	private final long silentMillis;
+	private final long silentAfterMillis;
 
 	private long nowMillis;
 
 	/**
 	 * Create a view without other nodes.
-	 * @param self the run of this node
-	 * @param reportMillis the time between the reports of a node
+	 * @param self the identity of this run of this node
+	 * @param reportMillis the interval between two reports of a node, in milliseconds
 	 */
 	public FleetView(NodeId self, long reportMillis) {
 		this.self = self;
-		this.silentMillis = reportMillis * MISSED_REPORTS;
+		this.silentAfterMillis = reportMillis * MISSED_REPORTS;
 	}
 
 	/**
-	 * Take a report.
-	 * @param report the report
-	 * @param heardAtMillis the present time
+	 * Record a report.
+	 * @param report a report of any node and run, also of this node
+	 * @param reportedAtMillis the time of the report by the monotonic clock of this node,
+	 * in milliseconds
 	 */
-	public void record(NodeReport report, long heardAtMillis) {
+	public void record(NodeReport report, long reportedAtMillis) {
 		if (!report.node().name().equals(this.self.name())) {
-			this.byName.put(report.node().name(), new Heard(report, heardAtMillis));
+			this.lastReports.put(report.node().name(), new TimedReport(report, reportedAtMillis));
 		}
 		if (!report.node().equals(this.self)) {
 			UsageCounts counts = this.usage.computeIfAbsent(report.node(), (node) -> new UsageCounts());
@@ -59,7 +60,7 @@
 
 	/**
 	 * Return whether a report is of an earlier run of this node.
-	 * @param report the report
+	 * @param report a report of any node
 	 * @return {@code true} if it has this node's name and another incarnation
 	 */
 	public boolean isOfPreviousRun(NodeReport report) {
@@ -67,83 +68,85 @@
 	}
 
 	/**
-	 * Move the present time forward.
-	 * @param millis the present time
+	 * Set the time by which reports count as recent.
+	 * @param millis the current time of a monotonic clock, in milliseconds
 	 */
 	public void advance(long millis) {
 		this.nowMillis = millis;
 	}
 
 	/**
-	 * Drop a node for good.
-	 * @param name the name of the node
+	 * Remove a node. The usage that it reported stays.
+	 * @param name the name of the node, which may be unknown
 	 */
 	public void forget(String name) {
-		this.byName.remove(name);
+		this.lastReports.remove(name);
 	}
 
-	private List<NodeReport> heard() {
-		List<NodeReport> heard = new ArrayList<>();
-		for (Heard each : this.byName.values()) {
-			if (this.nowMillis - each.atMillis <= this.silentMillis) {
-				heard.add(each.report);
+	private List<NodeReport> collectRecent() {
+		List<NodeReport> recent = new ArrayList<>();
+		for (TimedReport timed : this.lastReports.values()) {
+			if (this.nowMillis - timed.reportedAtMillis <= this.silentAfterMillis) {
+				recent.add(timed.report);
 			}
 		}
-		return heard;
+		return recent;
 	}
 
 	/**
-	 * Return the reports of the other nodes that were heard lately.
-	 * @return the reports
+	 * Return the last reports of the other nodes, without those of silent nodes.
+	 * @return one report for each node
 	 */
 	public Collection<NodeReport> recentReports() {
-		return heard();
+		return collectRecent();
 	}
 
 	/**
-	 * Return where callers of a zone should connect.
+	 * Return the addresses that callers of a zone should connect to.
 	 * @param zone the callers' zone
-	 * @param own this node's report
-	 * @return the serving nodes of the zone if there are at least two, otherwise all
+	 * @param own the current report of this node
+	 * @return the serving nodes of the zone if there are at least two, otherwise those of
+	 * all zones
 	 */
 	public List<Address> callerAddressesFor(String zone, NodeReport own) {
-		List<NodeReport> serving = new ArrayList<>(heard());
+		List<NodeReport> serving = new ArrayList<>(collectRecent());
 		serving.add(own);
 		serving.removeIf((report) -> !report.serving());
-		List<Address> near = serving.stream()
+		List<Address> sameZone = serving.stream()
 			.filter((report) -> report.zone().equals(zone))
 			.map(NodeReport::callerAddress)
 			.toList();
-		return (near.size() > 1) ? near : serving.stream().map(NodeReport::callerAddress).toList();
+		return (sameZone.size() > 1) ? sameZone : serving.stream().map(NodeReport::callerAddress).toList();
 	}
 
 	/**
-	 * Return the names of nodes that were silent for long enough to be taken as removed.
-	 * @param removedMillis how long that is
-	 * @return the names
+	 * Return the nodes that have been silent for longer than a time.
+	 * @param removedMillis the time in milliseconds after which a node is taken as
+	 * removed
+	 * @return the names of the nodes
 	 */
 	public List<String> nodesSilentLongerThan(long removedMillis) {
-		return this.byName.entrySet()
+		return this.lastReports.entrySet()
 			.stream()
-			.filter((entry) -> this.nowMillis - entry.getValue().atMillis > removedMillis)
+			.filter((entry) -> this.nowMillis - entry.getValue().reportedAtMillis > removedMillis)
 			.map(Map.Entry::getKey)
 			.toList();
 	}
 
 	/**
-	 * Return whether every node that is not forgotten reported since a time.
-	 * @param sinceMillis the time
-	 * @return {@code true} if no report is older
+	 * Return whether each known node has reported since a time.
+	 * @param sinceMillis the time by a monotonic clock, in milliseconds
+	 * @return {@code true} if the last report of no node is older
 	 */
 	public boolean allReportedSince(long sinceMillis) {
-		return this.byName.values().stream().allMatch((heard) -> heard.atMillis >= sinceMillis);
+		return this.lastReports.values().stream().allMatch((timed) -> timed.reportedAtMillis >= sinceMillis);
 	}
 
 	/**
-	 * Add up the requests that servers began in a window, of all runs of all nodes.
+	 * Sum up the requests that servers began in a window, over all runs of all nodes.
 	 * @param window the number of the window
-	 * @param own the counts of this run
-	 * @return requests by account
+	 * @param own the counts of this run of this node
+	 * @return the number of requests by account
 	 */
 	public Map<String, Long> usageInWindow(long window, UsageCounts own) {
 		Map<String, Long> sum = new HashMap<>(own.countsOf(window));
@@ -154,24 +157,24 @@
 	}
 
 	/**
-	 * Count silent nodes too until they are forgotten, so that a node that hears nothing
-	 * doesn't take the whole fleet's share.
+	 * Count silent nodes too until they are removed, so that a node that receives no
+	 * reports doesn't take the whole quota for itself.
 	 */
 	@Override
 	public int nodes() {
-		return this.byName.size() + 1;
+		return this.lastReports.size() + 1;
 	}
 
 	@Override
-	public double othersPerSecond(String account) {
+	public double otherNodesUnitsPerSecond(String account) {
 		double sum = 0;
-		for (Heard each : this.byName.values()) {
-			sum += each.report.demandPerSecond().getOrDefault(account, 0L);
+		for (TimedReport timed : this.lastReports.values()) {
+			sum += timed.report.demandPerSecond().getOrDefault(account, 0L);
 		}
 		return sum;
 	}
 
-	private record Heard(NodeReport report, long atMillis) {
+	private record TimedReport(NodeReport report, long reportedAtMillis) {
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NodeReport.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NodeReport.java
@@ -9,17 +9,17 @@
 import io.flamingogap.core.rollout.Tally;
 
 /**
- * What one run of an entry node reports of itself.
+ * Periodic report of an entry node about itself.
  *
- * @param node the run of the node
- * @param callerAddress where callers connect
- * @param zone its availability zone
- * @param serving whether callers may be sent to it
- * @param timeOfDayMillis its time of day, in milliseconds since 1970 UTC
- * @param demandPerSecond the quota units that callers ask for, by account
- * @param usage requests that servers began, by window and account
- * @param services what callers ask of services
- * @param tallies outcomes by version, while a rollout is under way
+ * @param node the identity of this run of the node
+ * @param callerAddress the address that callers connect to
+ * @param zone the availability zone of the node
+ * @param serving whether the node may be offered to callers
+ * @param timeOfDayMillis the node's time of day, in milliseconds since 1970 UTC
+ * @param demandPerSecond the quota units per second that callers request, by account
+ * @param usage the number of requests that servers began, by window and account
+ * @param services the demand at this node, by service
+ * @param tallies the outcomes by version; empty unless a rollout is in progress
  */
 public record NodeReport(NodeId node, Address callerAddress, String zone, boolean serving, long timeOfDayMillis,
 		Map<String, Long> demandPerSecond, Map<Long, Map<String, Long>> usage, List<ServiceDemand> services,
@@ -36,12 +36,12 @@
 	}
 
 	/**
-	 * What callers ask of a service.
+	 * Demand for a service at one node.
 	 *
-	 * @param service the service
-	 * @param openRequests the requests that are open
-	 * @param promptTokensPerSecond the prompt tokens that arrive
-	 * @param requestsPerMinute the requests that arrive
+	 * @param service the name of the service
+	 * @param openRequests the number of open requests
+	 * @param promptTokensPerSecond the rate at which prompt tokens arrive
+	 * @param requestsPerMinute the rate at which requests arrive
 	 */
 	public record ServiceDemand(String service, int openRequests, long promptTokensPerSecond, long requestsPerMinute) {
 	}
@@ -49,9 +49,9 @@
 	/**
 	 * Outcomes of one version of a service on one route.
 	 *
-	 * @param service the service
-	 * @param version the version
-	 * @param route the route
+	 * @param service the name of the service
+	 * @param version the name of the version
+	 * @param route the name of the route
 	 * @param tally the counts since the rollout began
 	 */
 	public record VersionTally(String service, String version, String route, Tally tally) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerPlan.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerPlan.java
@@ -3,12 +3,13 @@
 import java.util.Objects;
 
 /**
- * How many servers of a kind a service should have in a zone.
+ * Planned number of servers of one kind for a service in a zone.
  *
- * @param service the service
+ * @param service the name of the service
  * @param zone the availability zone
- * @param reclaimable whether the servers may be reclaimed at short notice
- * @param servers the number
+ * @param reclaimable whether the servers are of the cheap kind that can be reclaimed at
+ * short notice, rather than full-price servers
+ * @param servers the planned number
  */
 public record ServerPlan(String service, String zone, boolean reclaimable, int servers) {
 
@@ -21,9 +22,9 @@
 	}
 
 	/**
-	 * Return the plan with another number.
-	 * @param number the number of servers
-	 * @return a plan for the same zone and kind
+	 * Return a copy of the plan with another number of servers.
+	 * @param number the planned number
+	 * @return a plan for the same service, zone and kind
 	 */
 	public ServerPlan withServers(int number) {
 		return new ServerPlan(this.service, this.zone, this.reclaimable, number);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerSupply.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerSupply.java
@@ -5,54 +5,56 @@
 import java.util.Set;
 
 /**
- * The reclaimable servers of a service, and where servers of either kind are not to be
- * had.
+ * Reclaimable servers of a service, and the zones where servers of either kind can't be
+ * ordered now.
  *
- * @param ready those that take requests, by zone
- * @param booting those that were granted and will take requests soon, by zone
- * @param dryZones the zones where no reclaimable servers are to be had at the moment
- * @param fullPriceLimits the most full-price servers that a zone can have at the moment,
- * for the zones where no more are to be had
+ * @param ready the reclaimable servers that take requests, by zone
+ * @param booting the reclaimable servers that were granted and will take requests soon,
+ * by zone
+ * @param exhaustedZones the zones that have no more reclaimable servers now
+ * @param fullPriceLimits the maximum number of full-price servers by zone, for the zones
+ * that have no more of them now
  */
-public record ServerSupply(Map<String, Integer> ready, Map<String, Integer> booting, Set<String> dryZones,
+public record ServerSupply(Map<String, Integer> ready, Map<String, Integer> booting, Set<String> exhaustedZones,
 		Map<String, Integer> fullPriceLimits) {
 
 	public ServerSupply {
 		ready = Map.copyOf(ready);
 		booting = Map.copyOf(booting);
-		dryZones = Set.copyOf(dryZones);
+		exhaustedZones = Set.copyOf(exhaustedZones);
 		fullPriceLimits = Map.copyOf(fullPriceLimits);
 	}
 
 	/**
-	 * Return the stock as if nothing was booting.
-	 * @return the servers that take requests only
+	 * Return the supply without the servers that are booting.
+	 * @return a copy that counts only servers that take requests
 	 */
 	public ServerSupply readyOnly() {
-		return new ServerSupply(this.ready, Map.of(), this.dryZones, this.fullPriceLimits);
+		return new ServerSupply(this.ready, Map.of(), this.exhaustedZones, this.fullPriceLimits);
 	}
 
-	int present(String zone) {
+	int readyOrBooting(String zone) {
 		return this.ready.getOrDefault(zone, 0) + this.booting.getOrDefault(zone, 0);
 	}
 
 	/**
-	 * Return whether servers that are taken away can't be replaced.
-	 * @return {@code true} if a zone is dry
+	 * Return whether reclaimed servers can't be replaced in some zone.
+	 * @return {@code true} if a zone has no more reclaimable servers
 	 */
 	boolean isScarce() {
-		return !this.dryZones.isEmpty();
+		return !this.exhaustedZones.isEmpty();
 	}
 
 	/**
-	 * Return the servers that can be counted on: while they are scarce, all but those of
-	 * the zone with the most.
-	 * @param zones the zones
-	 * @return the number
+	 * Return the number of servers that would be left if a zone was reclaimed next. While
+	 * servers are scarce, those of the zone with the most don't count; otherwise they can
+	 * be replaced and all count.
+	 * @param zones the zones to count in
+	 * @return the number of reclaimable servers, ready or booting
 	 */
-	int lasting(Collection<String> zones) {
-		int all = zones.stream().mapToInt(this::present).sum();
-		int most = zones.stream().mapToInt(this::present).max().orElse(0);
+	int countDependable(Collection<String> zones) {
+		int all = zones.stream().mapToInt(this::readyOrBooting).sum();
+		int most = zones.stream().mapToInt(this::readyOrBooting).max().orElse(0);
 		return isScarce() ? all - most : all;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/package-info.java
@@ -1,6 +1,6 @@
 /**
- * What entry nodes report of themselves, the picture of the fleet that it makes, and how
- * many backend servers are ordered.
+ * Reports of entry nodes, the view of the fleet that they give, and the planning of how
+ * many backend servers to order.
  */
 @NullMarked
 package io.flamingogap.core.fleet;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetDemand.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetDemand.java
@@ -16,6 +16,6 @@
 	 * @param account the name of the account
 	 * @return units a second
 	 */
-	double othersPerSecond(String account);
+	double otherNodesUnitsPerSecond(String account);
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
@@ -145,7 +145,7 @@
 
 	private static double share(String account, double own, FleetDemand fleet) {
 		double even = 1.0 / fleet.nodes();
-		double others = fleet.othersPerSecond(account);
+		double others = fleet.otherNodesUnitsPerSecond(account);
 		double total = own + others;
 		return (total > 0) ? EVEN_PART * even + (1 - EVEN_PART) * own / total : even;
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityPlannerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityPlannerTests.java
@@ -15,7 +15,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * The plan of servers.
+ * Tests of {@link CapacityPlanner}.
  */
 class CapacityPlannerTests {
 
@@ -33,12 +33,12 @@
 		return plan.stream().filter(ServerPlan::reclaimable).mapToInt(ServerPlan::servers).sum();
 	}
 
-	private static List<ServerPlan> plan(int need, Map<String, Integer> ready, Set<String> dryZones) {
-		return plan(new DesiredCapacity(need, need), new ServerSupply(ready, Map.of(), dryZones, Map.of()));
+	private static List<ServerPlan> plan(int need, Map<String, Integer> ready, Set<String> exhaustedZones) {
+		return plan(new DesiredCapacity(need, need), new ServerSupply(ready, Map.of(), exhaustedZones, Map.of()));
 	}
 
-	private static List<ServerPlan> plan(DesiredCapacity need, ServerSupply stock) {
-		return CapacityPlanner.plan("engine", BOUNDS, need, stock);
+	private static List<ServerPlan> plan(DesiredCapacity desired, ServerSupply supply) {
+		return CapacityPlanner.plan("engine", BOUNDS, desired, supply);
 	}
 
 	private static int fullPrice(List<ServerPlan> plan) {
@@ -54,27 +54,27 @@
 	}
 
 	@Test
-	void fullPriceServersStandInTheCheapestZoneForWhatIsMissing() {
+	void missingServersAreOrderedAtFullPriceInTheCheapestZone() {
 		List<ServerPlan> plan = plan(6, Map.of("dear", 2), Set.of());
 		assertThat(servers(plan, false, "cheap"), is(4));
 		assertThat(servers(plan, false, "dear"), is(0));
 	}
 
 	@Test
-	void serversThatWereGrantedCountAsPresent() {
+	void bootingServersCountAsAvailable() {
 		List<ServerPlan> plan = plan(new DesiredCapacity(9, 9),
 				new ServerSupply(Map.of("dear", 2), Map.of("cheap", 4, "middle", 3), Set.of(), Map.of()));
 		assertThat(fullPrice(plan), is(2));
 	}
 
 	@Test
-	void nothingReclaimableIsOrderedInADryZone() {
+	void noReclaimableServerIsOrderedInAnExhaustedZone() {
 		List<ServerPlan> plan = plan(6, Map.of(), Set.of("cheap"));
 		assertThat(plan.stream().anyMatch((row) -> row.reclaimable() && row.zone().equals("cheap")), is(false));
 	}
 
 	@Test
-	void nobodyNeedsMoreThanTheFloorOfFullPriceServersBeforeAnybodyAsks() {
+	void serviceWithoutRequestsGetsTheMinimumOfFullPriceServers() {
 		List<ServerPlan> plan = plan(new DesiredCapacity(10, 0),
 				new ServerSupply(Map.of(), Map.of(), Set.of(), Map.of()));
 		assertThat(fullPrice(plan), is(2));
@@ -82,9 +82,9 @@
 	}
 
 	@Test
-	void demandOfPromptsOrOfSlotsDecidesTheNeed() {
-		assertThat(CapacityPlanner.need(331_000, 0, 48), greaterThanOrEqualTo(10));
-		assertThat(CapacityPlanner.need(0, 480, 48), greaterThanOrEqualTo(10));
+	void promptTokensOrSlotsDecideTheNumberOfServers() {
+		assertThat(CapacityPlanner.estimateServers(331_000, 0, 48), greaterThanOrEqualTo(10));
+		assertThat(CapacityPlanner.estimateServers(0, 480, 48), greaterThanOrEqualTo(10));
 	}
 
 	@Nested
@@ -93,7 +93,7 @@
 		private final Map<String, Integer> ready = Map.of("cheap", 6, "middle", 6);
 
 		@Test
-		void fullPriceServersStandInForTheZoneThatMayBeTakenNext() {
+		void fullPriceServersReplaceTheZoneThatMayBeReclaimedNext() {
 			List<ServerPlan> plan = plan(12, this.ready, Set.of("dear"));
 			assertThat(fullPrice(plan), greaterThanOrEqualTo(6));
 		}
@@ -107,7 +107,7 @@
 		}
 
 		@Test
-		void noneAreGivenBack() {
+		void noReclaimableServerIsReleased() {
 			List<ServerPlan> plan = plan(2, Map.of("cheap", 7, "middle", 4), Set.of("dear"));
 			assertThat(servers(plan, true, "cheap"), is(7));
 		}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -16,7 +16,7 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * The fleet as its reports show it.
+ * Tests of {@link FleetView}.
  */
 class FleetViewTests {
 
@@ -55,7 +55,7 @@
 		}
 
 		@Test
-		void silentAndLeavingNodesAreLeftOut() {
+		void silentAndLeavingNodesAreNotOffered() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
 			FleetViewTests.this.fleet.record(report("b", 1, "z1", 3, false, Map.of()), 9_000);
 			FleetViewTests.this.fleet.advance(9_000);
@@ -68,7 +68,7 @@
 	class Usage {
 
 		@Test
-		void countsOfAKilledRunStay() {
+		void countsOfAnEarlierRunOfANodeStay() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of(7L, Map.of("growers", 4L))), 0);
 			FleetViewTests.this.fleet.record(report("a", 2, "z1", 2, true, Map.of(7L, Map.of("growers", 3L))), 10);
 			UsageCounts own = new UsageCounts();
@@ -77,7 +77,7 @@
 		}
 
 		@Test
-		void countsOfTheRunBeforeOfThisNodeStay() {
+		void countsOfThePreviousRunOfThisNodeStay() {
 			FleetViewTests.this.fleet.record(report("self", 0, "z1", 1, true, Map.of(7L, Map.of("growers", 4L))), 0);
 			assertThat(FleetViewTests.this.fleet.usageInWindow(7, new UsageCounts()), is(Map.of("growers", 4L)));
 			assertThat(FleetViewTests.this.fleet.nodes(), is(1));
@@ -97,11 +97,11 @@
 	class Demand {
 
 		@Test
-		void silentNodesCountUntilTheyAreForgotten() {
+		void silentNodesCountUntilTheyAreRemoved() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
 			FleetViewTests.this.fleet.advance(60_000);
 			assertThat(FleetViewTests.this.fleet.nodes(), is(2));
-			assertThat(FleetViewTests.this.fleet.othersPerSecond("growers"), is(50.0));
+			assertThat(FleetViewTests.this.fleet.otherNodesUnitsPerSecond("growers"), is(50.0));
 			assertThat(FleetViewTests.this.fleet.nodesSilentLongerThan(8_000), contains("a"));
 			FleetViewTests.this.fleet.forget("a");
 			assertThat(FleetViewTests.this.fleet.nodes(), is(1));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
@@ -228,7 +228,7 @@
 		}
 
 		@Override
-		public double othersPerSecond(String account) {
+		public double otherNodesUnitsPerSecond(String account) {
 			return this.others.getOrDefault(account, 0L);
 		}
 
