Reword the quota limiter and its token buckets

Tests and fields spoke of gates, of reports that all nodes have heard and of what is given back; "missing", "enough" and "gained" named no unit. The comments now say what a share is, when a bucket admits a large request, why the own share follows the previous report, and what is lent or refunded. Names follow: knownToAll, lastReport, EVENLY_SPLIT_SHARE, MAX_LENT_SHARE, SUFFICIENT_SHARE, TIME_CONSTANT_MILLIS, missingUnits, refillAtLastRate, raiseTo.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/DemandMeter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/DemandMeter.java
@@ -1,42 +1,42 @@
 package io.flamingogap.core.quota;
 
 /**
- * The units that callers of an account ask of this node for each second, as a moving
- * average.
+ * Moving average of the units per second that callers of an account request from this
+ * node.
  * <p>
  * Not safe for use by several threads.
  */
 final class DemandMeter {
 
-	/** Time constant of the average; a few reports between nodes. */
-	private static final double AVERAGE_MILLIS = 3_000;
+	/** Time constant of the average; spans a few reports between nodes. */
+	private static final double TIME_CONSTANT_MILLIS = 3_000;
 
-	private double perSecond;
+	private double unitsPerSecond;
 
 	private long updatedAtMillis;
 
 	void add(long cost, long nowMillis) {
 		decay(nowMillis);
-		this.perSecond += cost * 1_000 / AVERAGE_MILLIS;
+		this.unitsPerSecond += cost * 1_000 / TIME_CONSTANT_MILLIS;
 	}
 
 	/**
-	 * Go on from an average that was kept elsewhere, unless more was asked since.
-	 * @param unitsPerSecond the average
-	 * @param nowMillis the present time
+	 * Continue from an average measured by another run, unless the own one is higher.
+	 * @param minUnitsPerSecond the average measured before
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	void resume(double unitsPerSecond, long nowMillis) {
+	void raiseTo(double minUnitsPerSecond, long nowMillis) {
 		decay(nowMillis);
-		this.perSecond = Math.max(this.perSecond, unitsPerSecond);
+		this.unitsPerSecond = Math.max(this.unitsPerSecond, minUnitsPerSecond);
 	}
 
-	double perSecond(long nowMillis) {
+	double unitsPerSecond(long nowMillis) {
 		decay(nowMillis);
-		return this.perSecond;
+		return this.unitsPerSecond;
 	}
 
 	private void decay(long nowMillis) {
-		this.perSecond *= Math.exp(-Math.max(0, nowMillis - this.updatedAtMillis) / AVERAGE_MILLIS);
+		this.unitsPerSecond *= Math.exp(-Math.max(0, nowMillis - this.updatedAtMillis) / TIME_CONSTANT_MILLIS);
 		this.updatedAtMillis = nowMillis;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetDemand.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetDemand.java
@@ -1,20 +1,20 @@
 package io.flamingogap.core.quota;
 
 /**
- * What the other entry nodes report of their callers' demand.
+ * Demand that the other entry nodes report, by account.
  */
 public interface FleetDemand {
 
 	/**
-	 * Return the number of entry nodes.
-	 * @return the nodes that are heard of, this one included
+	 * Return the number of entry nodes that share the quotas.
+	 * @return the number of known nodes, including this one
 	 */
 	int nodes();
 
 	/**
-	 * Return the demand at other nodes.
+	 * Return the demand of an account's callers at the other nodes.
 	 * @param account the name of the account
-	 * @return units a second
+	 * @return the units per second, 0 if none are reported
 	 */
 	double otherNodesUnitsPerSecond(String account);
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
@@ -1,8 +1,9 @@
 package io.flamingogap.core.quota;
 
 /**
- * One node's share of an account's quota: a token bucket that may go into debt for a
- * request larger than half of the share, so that such requests still pass.
+ * Token bucket for one node's share of an account's quota. A request larger than half of
+ * the capacity passes once the level reaches that half, and may leave a negative level.
+ * Otherwise a small share could never admit it.
  * <p>
  * Not safe for use by several threads.
  */
@@ -11,10 +12,10 @@
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	/**
-	 * The part of the capacity that suffices for a request of any size. The debts of all
-	 * nodes together must stay within the tolerance of the quota.
+	 * Share of the capacity that suffices to admit a request of any size. The negative
+	 * levels of all nodes together must stay within the tolerance of the quota.
 	 */
-	private static final double ENOUGH_PART = 0.5;
+	private static final double SUFFICIENT_SHARE = 0.5;
 
 	private double level;
 
@@ -32,21 +33,21 @@
 	void refill(double newRatePerSecond, double newCapacity, long nowMillis) {
 		this.ratePerSecond = newRatePerSecond;
 		this.capacity = newCapacity;
-		refillAsBefore(nowMillis);
+		refillAtLastRate(nowMillis);
 	}
 
 	/**
 	 * Refill at the rate and up to the capacity of the last refill.
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	void refillAsBefore(long nowMillis) {
-		double gained = this.ratePerSecond * Math.max(0, nowMillis - this.updatedAtMillis) / MILLIS_PER_SECOND;
-		this.level = Math.min(this.capacity, this.level + gained);
+	void refillAtLastRate(long nowMillis) {
+		double added = this.ratePerSecond * Math.max(0, nowMillis - this.updatedAtMillis) / MILLIS_PER_SECOND;
+		this.level = Math.min(this.capacity, this.level + added);
 		this.updatedAtMillis = nowMillis;
 	}
 
 	boolean trySpend(long cost) {
-		if (missing(cost) > 0) {
+		if (missingUnits(cost) > 0) {
 			return false;
 		}
 		this.level -= cost;
@@ -62,22 +63,22 @@
 	}
 
 	/**
-	 * Return what is missing for a request.
-	 * @param cost the units that it uses
-	 * @return the units, 0 if it may pass
+	 * Return the units missing to admit a request.
+	 * @param cost the units that the request uses
+	 * @return the missing units, 0 if the request is admitted
 	 */
-	long missing(long cost) {
-		double enough = Math.min(cost, this.capacity * ENOUGH_PART);
-		return (this.level > 0 && this.level >= enough) ? 0 : Math.max(1, (long) Math.ceil(enough - this.level));
+	long missingUnits(long cost) {
+		double required = Math.min(cost, this.capacity * SUFFICIENT_SHARE);
+		return (this.level > 0 && this.level >= required) ? 0 : Math.max(1, (long) Math.ceil(required - this.level));
 	}
 
 	/**
-	 * Return the time until a request may pass.
-	 * @param cost the units that it uses
-	 * @return the time in milliseconds
+	 * Return the time until the bucket admits a request.
+	 * @param cost the units that the request uses
+	 * @return the time in milliseconds, 0 if the request is admitted now
 	 */
 	long waitMillis(long cost) {
-		return (long) Math.ceil(missing(cost) / this.ratePerSecond * MILLIS_PER_SECOND);
+		return (long) Math.ceil(missingUnits(cost) / this.ratePerSecond * MILLIS_PER_SECOND);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaDecision.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaDecision.java
@@ -1,23 +1,25 @@
 package io.flamingogap.core.quota;
 
 /**
- * Whether a request is admitted within a quota, with the figures that decided it.
+ * Decision whether a quota admits a request, with the figures behind it.
  *
- * @param waitMillis 0 if the request is admitted, otherwise the time until one may be
- * @param missingUnits the units that would have admitted the request
+ * @param waitMillis 0 if the request is admitted, otherwise the time in milliseconds
+ * until it may be
+ * @param missingUnits the units that would have admitted the request, 0 if it is admitted
  * @param share this node's share of the quota, from 0 to 1
- * @param ratePerSecond the units that the share regains each second
- * @param availableUnits the units that were left
+ * @param ratePerSecond the units by which the share is refilled each second
+ * @param availableUnits the units that were left before the request, which may be
+ * negative
  */
 public record QuotaDecision(long waitMillis, long missingUnits, double share, double ratePerSecond,
 		double availableUnits) {
 
-	/** There is no limit. */
+	/** Decision for accounts without a limit. */
 	static final QuotaDecision UNLIMITED = new QuotaDecision(0, 0, 1, 0, 0);
 
 	/**
 	 * Return whether the request is admitted.
-	 * @return {@code true} if it is
+	 * @return {@code true} if the caller doesn't have to wait
 	 */
 	public boolean isAdmitted() {
 		return this.waitMillis == 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
@@ -8,39 +8,39 @@
 
 /**
  * Admits requests within this node's shares of the accounts' quotas. The shares of all
- * nodes add up to one: a part is split evenly, the rest by the demand that nodes report.
- * A node that hears nothing keeps the last reports, so the sum stays bounded.
+ * nodes add up to one. A part is split evenly, the rest by the demand that nodes report.
+ * A node that receives no reports keeps the last ones, so that the sum stays bounded.
  * <p>
  * Not safe for use by several threads.
  */
 public final class QuotaLimiter {
 
-	/** The part of each quota that is split evenly, for nodes whose demand just began. */
-	private static final double EVEN_PART = 0.15;
+	/** Share of each quota that is split evenly, for nodes whose demand just began. */
+	private static final double EVENLY_SPLIT_SHARE = 0.15;
 
-	/** The part of what is left that is lent at once. */
-	private static final double LENT_PART = 0.5;
+	/** Maximum share of the available units that is lent at once. */
+	private static final double MAX_LENT_SHARE = 0.5;
 
 	private final Map<String, QuotaBucket> buckets = new HashMap<>();
 
-	private final Map<String, DemandMeter> demands = new HashMap<>();
+	private final Map<String, DemandMeter> demandMeters = new HashMap<>();
 
 	/**
-	 * What this node reported last but one: the newest that all other nodes have heard.
+	 * Demand in the last report but one, the newest that all other nodes have received.
 	 */
-	private Map<String, Long> heardByAll = Map.of();
+	private Map<String, Long> knownToAll = Map.of();
 
-	private Map<String, Long> reported = Map.of();
+	private Map<String, Long> lastReport = Map.of();
 
 	private final QuotaTolerance tolerance;
 
 	private final boolean startsFull;
 
 	/**
-	 * Create a gate.
-	 * @param tolerance by how much a quota may be exceeded, over all nodes
-	 * @param startsFull whether the buckets start with their burst; a node that restarts
-	 * may have spent it before
+	 * Create a limiter.
+	 * @param tolerance the excess that is allowed over all nodes
+	 * @param startsFull whether the buckets start with their burst, which the previous
+	 * run of a restarted node may have spent
 	 */
 	public QuotaLimiter(QuotaTolerance tolerance, boolean startsFull) {
 		this.tolerance = tolerance;
@@ -48,33 +48,34 @@
 	}
 
 	/**
-	 * Admit a request or refuse it.
-	 * @param account the account
+	 * Admit a request or refuse it, and count it as demand.
+	 * @param account the account of the caller
 	 * @param cost the units that the request uses
-	 * @param fleet what other nodes report
-	 * @param nowMillis the present time
-	 * @return the verdict
+	 * @param fleet the demand that other nodes report
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the decision; an admitted request has used its units
 	 */
 	public QuotaDecision admit(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
 		AccountQuota quota = account.quota();
 		if (!quota.isLimited()) {
 			return QuotaDecision.UNLIMITED;
 		}
-		this.demands.computeIfAbsent(account.name(), (name) -> new DemandMeter()).add(cost, nowMillis);
+		this.demandMeters.computeIfAbsent(account.name(), (name) -> new DemandMeter()).add(cost, nowMillis);
 		return retryAdmission(account, cost, fleet, nowMillis);
 	}
 
 	/**
-	 * Admit a request or refuse it that was refused before and is counted as demand.
-	 * @param account the account
+	 * Admit or refuse a request that was refused before. It isn't counted as demand
+	 * again.
+	 * @param account the account of the caller
 	 * @param cost the units that the request uses
-	 * @param fleet what other nodes report
-	 * @param nowMillis the present time
-	 * @return the verdict
+	 * @param fleet the demand that other nodes report
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the decision; an admitted request has used its units
 	 */
 	public QuotaDecision retryAdmission(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
 		AccountQuota quota = account.quota();
-		double share = share(account.name(), this.heardByAll.getOrDefault(account.name(), 0L), fleet);
+		double share = share(account.name(), this.knownToAll.getOrDefault(account.name(), 0L), fleet);
 		double rate = (quota.ratePerSecond() + this.tolerance.ratePerSecond(quota)) * share;
 		double capacity = quota.burst() * share;
 		QuotaBucket bucket = this.buckets.computeIfAbsent(account.name(),
@@ -84,13 +85,13 @@
 		if (bucket.trySpend(cost)) {
 			return new QuotaDecision(0, 0, share, rate, level);
 		}
-		return new QuotaDecision(bucket.waitMillis(cost), bucket.missing(cost), share, rate, level);
+		return new QuotaDecision(bucket.waitMillis(cost), bucket.missingUnits(cost), share, rate, level);
 	}
 
 	/**
-	 * Give back what an admitted request did not use.
-	 * @param account the account
-	 * @param cost the units
+	 * Refund the units that an admitted request did not use.
+	 * @param account the account of the caller
+	 * @param cost the unused units
 	 */
 	public void refund(ClientAccount account, long cost) {
 		QuotaBucket bucket = this.buckets.get(account.name());
@@ -101,26 +102,27 @@
 
 	/**
 	 * Take units out of this node's share for another node.
-	 * @param account the account
-	 * @param units the units that the other node asks for
-	 * @param nowMillis the present time
-	 * @return the units that were taken; at most half of what is left
+	 * @param account the account that the units belong to
+	 * @param units the units that the other node requests
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the units that were taken; at most half of the available ones, 0 for an
+	 * account that is unlimited or unknown here
 	 */
 	public long lend(ClientAccount account, long units, long nowMillis) {
 		QuotaBucket bucket = this.buckets.get(account.name());
 		if (bucket == null || !account.quota().isLimited()) {
 			return 0;
 		}
-		bucket.refillAsBefore(nowMillis);
-		long lent = Math.max(0, Math.min(units, (long) (bucket.level() * LENT_PART)));
+		bucket.refillAtLastRate(nowMillis);
+		long lent = Math.max(0, Math.min(units, (long) (bucket.level() * MAX_LENT_SHARE)));
 		bucket.refund(-lent);
 		return lent;
 	}
 
 	/**
-	 * Take units that another node lent.
+	 * Add units that another node lent to this node's share.
 	 * @param account the name of the account
-	 * @param units the units
+	 * @param units the lent units
 	 */
 	public void receive(String account, long units) {
 		QuotaBucket bucket = this.buckets.get(account);
@@ -130,42 +132,44 @@
 	}
 
 	/**
-	 * Go on from what the run of this node before reported, which all others have heard.
-	 * Without it a node that starts again would refuse nearly everything until its second
-	 * report.
-	 * @param unitsPerSecond its demand, by account
-	 * @param nowMillis the present time
+	 * Restore the demand that the previous run of this node reported and all other nodes
+	 * have received. Without it a restarted node would refuse nearly all requests until
+	 * its second report.
+	 * @param unitsPerSecond the demand of the previous run, by account
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void restoreDemand(Map<String, Long> unitsPerSecond, long nowMillis) {
-		unitsPerSecond.forEach((account, units) -> this.demands.computeIfAbsent(account, (name) -> new DemandMeter())
-			.resume(units, nowMillis));
-		this.heardByAll = Map.copyOf(unitsPerSecond);
-		this.reported = this.heardByAll;
+		unitsPerSecond
+			.forEach((account, units) -> this.demandMeters.computeIfAbsent(account, (name) -> new DemandMeter())
+				.raiseTo(units, nowMillis));
+		this.knownToAll = Map.copyOf(unitsPerSecond);
+		this.lastReport = this.knownToAll;
 	}
 
 	private static double share(String account, double own, FleetDemand fleet) {
 		double even = 1.0 / fleet.nodes();
 		double others = fleet.otherNodesUnitsPerSecond(account);
 		double total = own + others;
-		return (total > 0) ? EVEN_PART * even + (1 - EVEN_PART) * own / total : even;
+		return (total > 0) ? EVENLY_SPLIT_SHARE * even + (1 - EVENLY_SPLIT_SHARE) * own / total : even;
 	}
 
 	/**
-	 * Make the next report of this node's demand. Its own shares follow the report
-	 * before, so that nodes don't count a jump twice that others have not heard of.
-	 * @param nowMillis the present time
-	 * @return units a second by account
+	 * Create the next report of this node's demand. Its own shares then follow the
+	 * previous report: a jump in demand that other nodes don't know yet must not raise
+	 * the share of this node before it lowers theirs.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the units per second, by account
 	 */
 	public Map<String, Long> reportDemand(long nowMillis) {
 		Map<String, Long> report = new HashMap<>();
-		this.demands.forEach((account, meter) -> {
-			long perSecond = Math.round(meter.perSecond(nowMillis));
+		this.demandMeters.forEach((account, meter) -> {
+			long perSecond = Math.round(meter.unitsPerSecond(nowMillis));
 			if (perSecond > 0) {
 				report.put(account, perSecond);
 			}
 		});
-		this.heardByAll = this.reported;
-		this.reported = report;
+		this.knownToAll = this.lastReport;
+		this.lastReport = report;
 		return report;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
@@ -3,18 +3,18 @@
 import io.flamingogap.core.serving.AccountQuota;
 
 /**
- * By how much an account may exceed its quota in a window, over all nodes together.
+ * Maximum by which an account may exceed its quota in a window, over all nodes together.
  *
  * @param share the excess as a share of what the quota allows in a window
- * @param units the excess besides, in units of the quota
- * @param windowMillis the length of the window
+ * @param units an additional excess in units, for quotas that count tokens
+ * @param windowMillis the length of the window in milliseconds; 0 for no tolerance
  */
 public record QuotaTolerance(double share, double units, long windowMillis) {
 
 	/**
-	 * The part of the tolerance that nodes use; the rest is for reports that come late.
+	 * Share of the tolerance that nodes use. The rest is a reserve for late reports.
 	 */
-	private static final double USED_PART = 0.5;
+	private static final double USED_SHARE = 0.5;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -26,10 +26,10 @@
 	}
 
 	/**
-	 * Return the units that nodes regain beyond a quota. They make up for shares that lie
-	 * at nodes where an account's callers don't ask.
-	 * @param quota the quota
-	 * @return units a second, over all nodes
+	 * Return the rate that nodes add to that of a quota. It makes up for the shares of
+	 * nodes to which an account's callers send no requests.
+	 * @param quota the quota of the account
+	 * @return the units per second, over all nodes
 	 */
 	double ratePerSecond(AccountQuota quota) {
 		if (this.windowMillis == 0) {
@@ -37,7 +37,7 @@
 		}
 		double windowSeconds = this.windowMillis / MILLIS_PER_SECOND;
 		double allowed = quota.ratePerSecond() * windowSeconds + quota.burst();
-		return (allowed * this.share + (quota.countsTokens() ? this.units : 0)) * USED_PART / windowSeconds;
+		return (allowed * this.share + (quota.countsTokens() ? this.units : 0)) * USED_SHARE / windowSeconds;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Quotas of client accounts that all entry nodes keep together.
+ * Quotas of client accounts, enforced by all entry nodes together.
  */
 @NullMarked
 package io.flamingogap.core.quota;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
@@ -21,7 +21,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * Quotas that nodes keep together.
+ * Tests of {@link QuotaLimiter}.
  */
 class QuotaLimiterTests {
 
@@ -37,31 +37,31 @@
 	@Test
 	void accountWithoutALimitIsAlwaysAdmitted() {
 		ClientAccount free = new ClientAccount("free", List.of("k"), OptionalInt.empty(), AccountQuota.UNLIMITED);
-		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
-		assertThat(gate.admit(free, 1_000_000, new Fleet(1), 0).isAdmitted(), is(true));
+		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, true);
+		assertThat(limiter.admit(free, 1_000_000, new Fleet(1), 0).isAdmitted(), is(true));
 	}
 
 	@Test
-	void refusalTellsWhenToComeBack() {
-		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
+	void refusalReportsWhenTheNextRequestIsAdmitted() {
+		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
-		gate.admit(ACCOUNT, 100_000, alone, 0);
-		long waitMillis = gate.admit(ACCOUNT, 1, alone, 0).waitMillis();
+		limiter.admit(ACCOUNT, 100_000, alone, 0);
+		long waitMillis = limiter.admit(ACCOUNT, 1, alone, 0).waitMillis();
 		assertThat(waitMillis, greaterThan(0L));
-		assertThat(gate.admit(ACCOUNT, 1, alone, waitMillis + 1).isAdmitted(), is(true));
+		assertThat(limiter.admit(ACCOUNT, 1, alone, waitMillis + 1).isAdmitted(), is(true));
 	}
 
 	@Test
-	void whatDidNotRunIsGivenBack() {
-		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
+	void refundedUnitsAdmitTheNextRequest() {
+		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
-		gate.admit(ACCOUNT, 100_000, alone, 0);
-		gate.refund(ACCOUNT, 100_000);
-		assertThat(gate.admit(ACCOUNT, 1, alone, 0).isAdmitted(), is(true));
+		limiter.admit(ACCOUNT, 100_000, alone, 0);
+		limiter.refund(ACCOUNT, 100_000);
+		assertThat(limiter.admit(ACCOUNT, 1, alone, 0).isAdmitted(), is(true));
 	}
 
 	@Test
-	void nodeThatStartsAgainKeepsTheShareThatItHad() {
+	void restartedNodeKeepsItsShare() {
 		Fleet others = new Fleet(9);
 		others.others.put(ACCOUNT.name(), 8_000L);
 		QuotaLimiter restarted = new QuotaLimiter(TOLERANCE, false);
@@ -72,7 +72,7 @@
 	}
 
 	@Test
-	void reportOfTheRunBeforeThatIsHeardTwiceCountsOnce() {
+	void repeatedReportOfThePreviousRunCountsOnce() {
 		QuotaLimiter restarted = new QuotaLimiter(TOLERANCE, false);
 		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
 		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
@@ -80,57 +80,60 @@
 	}
 
 	@Test
-	void refusalTellsHowManyUnitsAreMissing() {
-		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
+	void refusalReportsHowManyUnitsAreMissing() {
+		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
-		gate.admit(ACCOUNT, 100_000, alone, 0);
-		QuotaDecision refused = gate.admit(ACCOUNT, 50, alone, 0);
+		limiter.admit(ACCOUNT, 100_000, alone, 0);
+		QuotaDecision refused = limiter.admit(ACCOUNT, 50, alone, 0);
 		assertThat(refused.isAdmitted(), is(false));
-		gate.receive(ACCOUNT.name(), refused.missingUnits());
-		assertThat(gate.retryAdmission(ACCOUNT, 50, alone, 0).isAdmitted(), is(true));
+		limiter.receive(ACCOUNT.name(), refused.missingUnits());
+		assertThat(limiter.retryAdmission(ACCOUNT, 50, alone, 0).isAdmitted(), is(true));
 	}
 
 	@Test
 	void requestThatFitsTheShareIsNotAdmittedOnCredit() {
-		QuotaLimiter gate = new QuotaLimiter(TOLERANCE, true);
+		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
-		gate.admit(ACCOUNT, 9_000, alone, 0);
-		assertThat(gate.admit(ACCOUNT, 2_000, alone, 0).missingUnits(), is(1_000L));
+		limiter.admit(ACCOUNT, 9_000, alone, 0);
+		assertThat(limiter.admit(ACCOUNT, 2_000, alone, 0).missingUnits(), is(1_000L));
 	}
 
 	/**
-	 * Nodes report each two seconds, each at a moment of its own, and hear each other up
-	 * to a second and a half later. The demand jumps in the first seconds.
+	 * Guards against a jump in demand that several nodes admit at once, because they
+	 * learn of it late. Each node reports every two seconds and reads the others' reports
+	 * every second and a half, both at its own offset. The demand jumps within the first
+	 * three seconds.
 	 */
 	@Property(tries = 100, seed = "20261204")
-	void nodesTogetherKeepTheQuotaThroughAJumpOfDemand(@ForAll @LongRange(max = 1_000_000) long seed) {
+	void nodesTogetherKeepTheQuotaWhenDemandJumps(@ForAll @LongRange(max = 1_000_000) long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
 		int nodes = 9;
-		List<QuotaLimiter> gates = new ArrayList<>();
+		List<QuotaLimiter> limiters = new ArrayList<>();
 		List<Fleet> fleets = new ArrayList<>();
 		for (int i = 0; i < nodes; i++) {
-			gates.add(new QuotaLimiter(TOLERANCE, true));
+			limiters.add(new QuotaLimiter(TOLERANCE, true));
 			fleets.add(new Fleet(nodes));
 		}
 		long jumpMillis = 1_000 + random.nextInt(2_000);
 		long admitted = 0;
 		for (long now = -6_000; now < WINDOW_MILLIS; now += 5) {
 			int node = random.nextInt(nodes);
-			boolean asks = now >= jumpMillis || random.nextInt(15) == 0;
+			boolean sends = now >= jumpMillis || random.nextInt(15) == 0;
 			long cost = 100 + random.nextInt(700);
-			if (asks && gates.get(node).admit(ACCOUNT, cost, fleets.get(node), now).isAdmitted() && now >= 0) {
+			if (sends && limiters.get(node).admit(ACCOUNT, cost, fleets.get(node), now).isAdmitted() && now >= 0) {
 				admitted += cost;
 			}
-			exchange(gates, fleets, now);
+			exchange(limiters, fleets, now);
 		}
 		double bound = (RATE * WINDOW_MILLIS / 1_000 + RATE) * 1.1 + 7_000;
 		assertThat((double) admitted, lessThanOrEqualTo(bound));
 	}
 
 	/**
-	 * One account asks for six times its usual from a moment on, with prompts of up to a
-	 * seventh of its burst, nodes lend each other units, and one node starts again. The
-	 * figures are those of the users' sheets.
+	 * Guards against units that are counted twice when nodes lend them or restart. The
+	 * demand of one account rises to six times its usual, with prompts of up to a seventh
+	 * of its burst. Nodes lend each other units, and one node restarts. The figures are
+	 * those of the users' data sheets.
 	 */
 	@Property(tries = 200, seed = "20261204")
 	void nodesThatLendUnitsKeepTheQuotaOfAHotAccount(@ForAll @LongRange(max = 1_000_000) long seed) {
@@ -139,71 +142,71 @@
 		QuotaTolerance tolerance = new QuotaTolerance(0.1, 140_000, WINDOW_MILLIS);
 		SplittableRandom random = new SplittableRandom(seed);
 		int nodes = 9;
-		List<QuotaLimiter> gates = new ArrayList<>();
+		List<QuotaLimiter> limiters = new ArrayList<>();
 		List<Fleet> fleets = new ArrayList<>();
 		for (int i = 0; i < nodes; i++) {
-			gates.add(new QuotaLimiter(tolerance, true));
+			limiters.add(new QuotaLimiter(tolerance, true));
 			fleets.add(new Fleet(nodes));
 		}
 		long hotFromMillis = random.nextInt(4_000);
 		long restartMillis = random.nextInt(8_000);
-		double[] admittedAt = new double[16_000 / 5];
-		for (int step = 0; step < admittedAt.length; step++) {
+		double[] admittedUnits = new double[16_000 / 5];
+		for (int step = 0; step < admittedUnits.length; step++) {
 			long now = step * 5L;
 			if (step == restartMillis / 5) {
 				QuotaLimiter restarted = new QuotaLimiter(tolerance, false);
 				restarted.restoreDemand(fleets.get(0).published, now);
-				gates.set(0, restarted);
+				limiters.set(0, restarted);
 			}
 			if (now >= hotFromMillis || random.nextInt(6) == 0) {
 				long cost = (random.nextInt(5) == 0) ? 3_000 + random.nextInt(18_000) + random.nextInt(2) * 35_000L
 						: 300 + random.nextInt(2_500);
 				int node = random.nextInt(nodes);
-				admittedAt[step] = isAdmitted(gates, fleets, node, hot, cost, now) ? cost : 0;
+				admittedUnits[step] = isAdmitted(limiters, fleets, node, hot, cost, now) ? cost : 0;
 			}
-			exchange(gates, fleets, now);
+			exchange(limiters, fleets, now);
 		}
 		double bound = (196_000 * WINDOW_MILLIS / 1_000 + 392_000) * 1.1 + 140_000;
-		assertThat(mostInAWindow(admittedAt), lessThanOrEqualTo(bound));
+		assertThat(maxUnitsInAWindow(admittedUnits), lessThanOrEqualTo(bound));
 	}
 
-	private static boolean isAdmitted(List<QuotaLimiter> gates, List<Fleet> fleets, int node, ClientAccount account,
+	private static boolean isAdmitted(List<QuotaLimiter> limiters, List<Fleet> fleets, int node, ClientAccount account,
 			long cost, long now) {
-		QuotaLimiter gate = gates.get(node);
-		QuotaDecision verdict = gate.admit(account, cost, fleets.get(node), now);
-		if (verdict.isAdmitted()) {
+		QuotaLimiter limiter = limiters.get(node);
+		QuotaDecision decision = limiter.admit(account, cost, fleets.get(node), now);
+		if (decision.isAdmitted()) {
 			return true;
 		}
-		for (QuotaLimiter lender : gates) {
-			if (lender != gate) {
-				gate.receive(account.name(), lender.lend(account, verdict.missingUnits(), now));
+		for (QuotaLimiter lender : limiters) {
+			if (lender != limiter) {
+				limiter.receive(account.name(), lender.lend(account, decision.missingUnits(), now));
 			}
 		}
-		return gate.retryAdmission(account, cost, fleets.get(node), now).isAdmitted();
+		return limiter.retryAdmission(account, cost, fleets.get(node), now).isAdmitted();
 	}
 
-	private static double mostInAWindow(double[] admittedAt) {
+	private static double maxUnitsInAWindow(double[] admittedUnits) {
 		int steps = (int) (WINDOW_MILLIS / 5);
 		double sum = 0;
-		double most = 0;
-		for (int step = 0; step < admittedAt.length; step++) {
-			sum += admittedAt[step] - ((step >= steps) ? admittedAt[step - steps] : 0);
-			most = Math.max(most, sum);
+		double max = 0;
+		for (int step = 0; step < admittedUnits.length; step++) {
+			sum += admittedUnits[step] - ((step >= steps) ? admittedUnits[step - steps] : 0);
+			max = Math.max(max, sum);
 		}
-		return most;
+		return max;
 	}
 
-	private static void exchange(List<QuotaLimiter> gates, List<Fleet> fleets, long now) {
-		for (int i = 0; i < gates.size(); i++) {
+	private static void exchange(List<QuotaLimiter> limiters, List<Fleet> fleets, long now) {
+		for (int i = 0; i < limiters.size(); i++) {
 			if (Math.floorMod(now - i * 225, 2_000) == 0) {
-				fleets.get(i).published = gates.get(i).reportDemand(now);
+				fleets.get(i).published = limiters.get(i).reportDemand(now);
 			}
 			if (Math.floorMod(now - i * 330, 1_500) == 0) {
 				fleets.get(i).others.clear();
 				for (Fleet other : fleets) {
 					if (other != fleets.get(i)) {
-						Map<String, Long> heard = fleets.get(i).others;
-						other.published.forEach((name, rate) -> heard.merge(name, rate, Long::sum));
+						Map<String, Long> received = fleets.get(i).others;
+						other.published.forEach((name, rate) -> received.merge(name, rate, Long::sum));
 					}
 				}
 			}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package of the same name.
+ * Tests of the package.
  */
 @NullMarked
 package io.flamingogap.core.quota;
