Reword the concurrency limiter and the retry budgets

Quiet times saved up storms, first tries "earned" without saying what, and a window was counted in parts. The comments now say what is limited, per what, and what the return value means. Names follow: openByAccount, creditPercent, bucketMillis, and test names that state the behaviour.

Tests LimitsTests, WindowedRetryBudgetTests: 7 run, none failed.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
@@ -10,7 +10,7 @@
 import io.flamingogap.core.manifest.Account;
 
 /**
- * Bounds the requests that are open at a node, in all and by account.
+ * Limits the number of open requests at a node, in total and by account.
  * <p>
  * Not safe for use by several threads.
  */
@@ -18,13 +18,13 @@
 
 	private final int maxOpen;
 
-	private final Map<String, Integer> byAccount = new HashMap<>();
+	private final Map<String, Integer> openByAccount = new HashMap<>();
 
 	private int open;
 
 	/**
-	 * Create the bound.
-	 * @param maxOpen the most requests open at the node
+	 * Create a limiter without open requests.
+	 * @param maxOpen the maximum number of open requests of all accounts
 	 */
 	public ConcurrencyLimiter(int maxOpen) {
 		if (maxOpen < 1) {
@@ -34,12 +34,12 @@
 	}
 
 	/**
-	 * Open a request.
-	 * @param account the account that it is for
-	 * @return why it is refused, or nothing if it was opened
+	 * Open a request unless a limit is reached.
+	 * @param account the account of the caller
+	 * @return why the request is refused; empty if it was opened and has to be released
 	 */
 	public Optional<Failure> tryAcquire(Account account) {
-		int accountOpen = this.byAccount.getOrDefault(account.name(), 0);
+		int accountOpen = this.openByAccount.getOrDefault(account.name(), 0);
 		if (accountOpen >= account.maxOpenRequests()) {
 			return Optional.of(Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller",
 					accountOpen + " requests of account " + account.name() + " are open"));
@@ -49,22 +49,22 @@
 				.of(Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, "caller", this.open + " requests are open"));
 		}
 		this.open++;
-		this.byAccount.put(account.name(), accountOpen + 1);
+		this.openByAccount.put(account.name(), accountOpen + 1);
 		return Optional.empty();
 	}
 
 	/**
 	 * Close a request that was opened.
-	 * @param account the account that it was for
+	 * @param account the account that the request was opened with
 	 */
 	public void release(Account account) {
 		this.open--;
-		this.byAccount.computeIfPresent(account.name(), (name, count) -> (count > 1) ? count - 1 : null);
+		this.openByAccount.computeIfPresent(account.name(), (name, count) -> (count > 1) ? count - 1 : null);
 	}
 
 	/**
 	 * Return the number of open requests.
-	 * @return the number
+	 * @return the total of all accounts
 	 */
 	public int openRequests() {
 		return this.open;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/RetryBudget.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/RetryBudget.java
@@ -1,8 +1,9 @@
 package io.flamingogap.core.limits;
 
 /**
- * Bounds retries to a share of the first tries of a service. Each first try earns a part
- * of a retry; the earned retries are capped, so that a quiet time can't save up a storm.
+ * Limits retries to a share of the first tries of a service. Each first try earns a
+ * fraction of a retry. The earned retries are capped, so that a period of few failures
+ * doesn't save up retries for a storm.
  * <p>
  * Not safe for use by several threads.
  */
@@ -12,14 +13,14 @@
 
 	private final int sharePercent;
 
-	private final long maxCredit;
+	private final long maxCreditPercent;
 
-	private long credit;
+	private long creditPercent;
 
 	/**
 	 * Create a budget that begins with one retry.
-	 * @param sharePercent the retries allowed for each hundred first tries
-	 * @param maxSavedRetries the most retries that can be saved up
+	 * @param sharePercent the number of retries allowed per hundred first tries
+	 * @param maxSavedRetries the maximum number of earned retries
 	 */
 	public RetryBudget(int sharePercent, int maxSavedRetries) {
 		if (sharePercent < 0 || sharePercent > PERCENT) {
@@ -29,26 +30,26 @@
 			throw new IllegalArgumentException("maxSavedRetries must be positive but was " + maxSavedRetries);
 		}
 		this.sharePercent = sharePercent;
-		this.maxCredit = (long) maxSavedRetries * PERCENT;
-		this.credit = PERCENT;
+		this.maxCreditPercent = (long) maxSavedRetries * PERCENT;
+		this.creditPercent = PERCENT;
 	}
 
 	/**
-	 * Earn for a first try.
+	 * Record a first try, which earns a fraction of a retry.
 	 */
 	public void recordFirstTry() {
-		this.credit = Math.min(this.maxCredit, this.credit + this.sharePercent);
+		this.creditPercent = Math.min(this.maxCreditPercent, this.creditPercent + this.sharePercent);
 	}
 
 	/**
-	 * Spend a retry.
-	 * @return {@code true} if there was one to spend
+	 * Spend a retry if one is earned.
+	 * @return {@code true} if the request may be retried
 	 */
 	public boolean trySpend() {
-		if (this.credit < PERCENT) {
+		if (this.creditPercent < PERCENT) {
 			return false;
 		}
-		this.credit -= PERCENT;
+		this.creditPercent -= PERCENT;
 		return true;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/WindowedRetryBudget.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/WindowedRetryBudget.java
@@ -3,74 +3,75 @@
 import java.util.Arrays;
 
 /**
- * Bounds the retries at one service to a share of this node's own requests in a sliding
- * window, plus this node's part of an allowance that all nodes share. Every node counts
- * its own requests, so the sum over the nodes keeps the bound without an exchange.
+ * Limits the retries of one service to a share of this node's requests in a sliding
+ * window, plus this node's part of an allowance that all nodes share. As every node
+ * counts only its own requests, the sum over all nodes stays within the limit without
+ * communication.
  * <p>
  * Not safe for use by several threads.
  */
 public final class WindowedRetryBudget {
 
-	/** Parts that the window is counted in. */
-	private static final int PARTS = 20;
+	/** Number of buckets that the window is divided into. */
+	private static final int BUCKETS = 20;
 
 	private final double retryShare;
 
-	private final long partMillis;
+	private final long bucketMillis;
 
-	private final long[] requests = new long[PARTS];
+	private final long[] requests = new long[BUCKETS];
 
-	private final long[] retries = new long[PARTS];
+	private final long[] retries = new long[BUCKETS];
 
-	private long newestPart;
+	private long newestBucket;
 
 	/**
-	 * Create a window.
-	 * @param retryShare the retries allowed for each request
-	 * @param windowMillis the length of the window
+	 * Create a budget without requests.
+	 * @param retryShare the number of retries allowed per request
+	 * @param windowMillis the length of the window in milliseconds
 	 */
 	public WindowedRetryBudget(double retryShare, long windowMillis) {
-		if (!(retryShare >= 0) || windowMillis < PARTS) {
-			throw new IllegalArgumentException("retryShare must not be negative and windowMillis at least " + PARTS
+		if (!(retryShare >= 0) || windowMillis < BUCKETS) {
+			throw new IllegalArgumentException("retryShare must not be negative and windowMillis at least " + BUCKETS
 					+ " but they were " + retryShare + " and " + windowMillis);
 		}
 		this.retryShare = retryShare;
-		this.partMillis = windowMillis / PARTS;
+		this.bucketMillis = windowMillis / BUCKETS;
 	}
 
 	/**
-	 * Record a request of a caller.
-	 * @param nowMillis the present time
+	 * Record a request of a caller, which earns a share of a retry.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void recordRequest(long nowMillis) {
 		this.requests[advance(nowMillis)]++;
 	}
 
 	/**
-	 * Spend a retry if the bound allows one.
-	 * @param allowance the retries in the window that are allowed without requests
-	 * @param nowMillis the present time
-	 * @return {@code true} if the request may be sent once more
+	 * Spend a retry if the budget allows one.
+	 * @param allowance the number of retries in the window allowed on top of the share
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if the request may be retried
 	 */
 	public boolean trySpend(double allowance, long nowMillis) {
-		int part = advance(nowMillis);
+		int bucket = advance(nowMillis);
 		long spent = Arrays.stream(this.retries).sum();
 		if (spent + 1 > this.retryShare * Arrays.stream(this.requests).sum() + allowance) {
 			return false;
 		}
-		this.retries[part]++;
+		this.retries[bucket]++;
 		return true;
 	}
 
 	private int advance(long nowMillis) {
-		long part = nowMillis / this.partMillis;
-		long first = Math.max(this.newestPart + 1, part - PARTS + 1);
-		for (long cleared = first; cleared <= part; cleared++) {
-			this.requests[(int) (cleared % PARTS)] = 0;
-			this.retries[(int) (cleared % PARTS)] = 0;
+		long bucket = nowMillis / this.bucketMillis;
+		long first = Math.max(this.newestBucket + 1, bucket - BUCKETS + 1);
+		for (long cleared = first; cleared <= bucket; cleared++) {
+			this.requests[(int) (cleared % BUCKETS)] = 0;
+			this.retries[(int) (cleared % BUCKETS)] = 0;
 		}
-		this.newestPart = Math.max(this.newestPart, part);
-		return (int) (this.newestPart % PARTS);
+		this.newestBucket = Math.max(this.newestBucket, bucket);
+		return (int) (this.newestBucket % BUCKETS);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Budgets and limits that refuse work early.
+ * Limits on open requests and budgets for retries, which refuse work early.
  */
 @NullMarked
 package io.flamingogap.core.limits;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/limits/LimitsTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/limits/LimitsTests.java
@@ -30,7 +30,7 @@
 	}
 
 	@Test
-	void quietTimeSavesNoStorm() {
+	void earnedRetriesAreCapped() {
 		RetryBudget budget = new RetryBudget(10, 20);
 		for (int i = 0; i < 100_000; i++) {
 			budget.recordFirstTry();
@@ -43,18 +43,18 @@
 	}
 
 	@Test
-	void accountsAndTheNodeAreBoundedAndRefusalsAreNotRun() {
-		ConcurrencyLimiter open = new ConcurrencyLimiter(3);
+	void openRequestsAreLimitedByAccountAndInTotalAndRefusalsAreNotRun() {
+		ConcurrencyLimiter limiter = new ConcurrencyLimiter(3);
 		Account small = new Account("small", Digests.sha256("s"), 5, 1);
 		Account large = new Account("large", Digests.sha256("l"), 5, 10);
-		assertThat(open.tryAcquire(small).isPresent(), is(false));
-		assertThat(open.tryAcquire(small).orElseThrow().type(), is(ProblemType.TOO_MANY_REQUESTS));
-		open.tryAcquire(large);
-		open.tryAcquire(large);
-		assertThat(open.tryAcquire(large).orElseThrow().type(), is(ProblemType.OVERLOADED));
-		assertThat(open.tryAcquire(large).orElseThrow().execution(), is(Execution.NOT_RUN));
-		open.release(small);
-		assertThat(open.tryAcquire(small).isPresent(), is(false));
+		assertThat(limiter.tryAcquire(small).isPresent(), is(false));
+		assertThat(limiter.tryAcquire(small).orElseThrow().type(), is(ProblemType.TOO_MANY_REQUESTS));
+		limiter.tryAcquire(large);
+		limiter.tryAcquire(large);
+		assertThat(limiter.tryAcquire(large).orElseThrow().type(), is(ProblemType.OVERLOADED));
+		assertThat(limiter.tryAcquire(large).orElseThrow().execution(), is(Execution.NOT_RUN));
+		limiter.release(small);
+		assertThat(limiter.tryAcquire(small).isPresent(), is(false));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/limits/WindowedRetryBudgetTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/limits/WindowedRetryBudgetTests.java
@@ -13,49 +13,49 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * The bound on retries.
+ * Tests of {@link WindowedRetryBudget}.
  */
 class WindowedRetryBudgetTests {
 
 	@Test
-	void requestsEarnTheirShare() {
-		WindowedRetryBudget window = new WindowedRetryBudget(0.2, 10_000);
+	void requestsEarnTheirShareOfRetries() {
+		WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 10_000);
 		for (int i = 0; i < 10; i++) {
-			window.recordRequest(100);
+			budget.recordRequest(100);
 		}
-		assertThat(window.trySpend(0, 200), is(true));
-		assertThat(window.trySpend(0, 200), is(true));
-		assertThat(window.trySpend(0, 200), is(false));
+		assertThat(budget.trySpend(0, 200), is(true));
+		assertThat(budget.trySpend(0, 200), is(true));
+		assertThat(budget.trySpend(0, 200), is(false));
 	}
 
 	@Test
-	void whatWasEarnedLapsesWithTheWindow() {
-		WindowedRetryBudget window = new WindowedRetryBudget(1, 10_000);
-		window.recordRequest(0);
-		assertThat(window.trySpend(0, 10_100), is(false));
+	void earnedRetriesExpireWithTheWindow() {
+		WindowedRetryBudget budget = new WindowedRetryBudget(1, 10_000);
+		budget.recordRequest(0);
+		assertThat(budget.trySpend(0, 10_100), is(false));
 	}
 
 	@Test
-	void retriesLapseWithTheWindowToo() {
-		WindowedRetryBudget window = new WindowedRetryBudget(0, 10_000);
-		assertThat(window.trySpend(1, 0), is(true));
-		assertThat(window.trySpend(1, 9_000), is(false));
-		assertThat(window.trySpend(1, 10_100), is(true));
+	void spentRetriesExpireWithTheWindow() {
+		WindowedRetryBudget budget = new WindowedRetryBudget(0, 10_000);
+		assertThat(budget.trySpend(1, 0), is(true));
+		assertThat(budget.trySpend(1, 9_000), is(false));
+		assertThat(budget.trySpend(1, 10_100), is(true));
 	}
 
 	@Property(tries = 2_000, seed = "20261204")
 	void nodesTogetherKeepTheBound(@ForAll @Size(max = 200) List<@IntRange(max = 8) Integer> events) {
 		int nodes = 3;
-		WindowedRetryBudget[] windows = { new WindowedRetryBudget(0.2, 10_000), new WindowedRetryBudget(0.2, 10_000),
+		WindowedRetryBudget[] budgets = { new WindowedRetryBudget(0.2, 10_000), new WindowedRetryBudget(0.2, 10_000),
 				new WindowedRetryBudget(0.2, 10_000) };
 		int requests = 0;
 		int retries = 0;
 		for (int event : events) {
 			if (event < nodes) {
-				windows[event].recordRequest(50);
+				budgets[event].recordRequest(50);
 				requests++;
 			}
-			else if (windows[event % nodes].trySpend(6.0 / nodes, 50)) {
+			else if (budgets[event % nodes].trySpend(6.0 / nodes, 50)) {
 				retries++;
 			}
 		}
