Reword the selection of servers by zone and load

The link added "work", servers were marked, and isLeaving claimed to return whether a server may get new work, the opposite of what it returns. The comments now say what is estimated, in which unit distance is charged and when a server is avoided or expires. Names follow: OTHER_ZONE_COST, findLeastLoaded, distanceCost, lastNamedAtMillis, expiryMillis, eligible.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeastLoadedSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeastLoadedSelector.java
@@ -8,54 +8,56 @@
 import io.flamingogap.core.manifest.Manifest;
 
 /**
- * Chooses a backend server for a request.
+ * Selects the backend server with the least estimated load for a request.
  */
 public final class LeastLoadedSelector {
 
-	/** Work that a dispatch to another zone of the region is taken to add. */
-	private static final int OTHER_ZONE_REQUESTS = 1;
+	/** Load charged for another zone of the region, in open requests. */
+	private static final int OTHER_ZONE_COST = 1;
 
-	/** Work that a dispatch to another region is taken to add. */
-	private static final int OTHER_REGION_REQUESTS = 4;
+	/** Load charged for another region, in open requests. */
+	private static final int OTHER_REGION_COST = 4;
 
 	private LeastLoadedSelector() {
 	}
 
 	/**
-	 * Choose the server with the least estimated work, the links to it included.
-	 * @param manifest the manifest in force
-	 * @param query which servers may take the request
+	 * Select the server with the least estimated load, including a charge for its
+	 * distance. A server that could not be reached a short time ago is selected only if
+	 * there is no other.
+	 * @param manifest the current manifest
+	 * @param query the servers that may take the request
 	 * @param ownZone the zone of the entry node
-	 * @param loads the known loads
-	 * @param leaving the servers that get no new work
-	 * @param nowMillis the present time
-	 * @return the server, if one can take the request
+	 * @param loads the load estimates
+	 * @param leaving the servers that get no new requests
+	 * @param nowMillis the current time in milliseconds
+	 * @return the server, or empty if none can take the request
 	 */
 	public static Optional<BackendServer> choose(Manifest manifest, ServerQuery query, String ownZone,
 			ServerLoadTable loads, LeavingServers leaving, long nowMillis) {
-		List<BackendServer> ready = manifest.servers(query.service(), query.version())
+		List<BackendServer> eligible = manifest.servers(query.service(), query.version())
 			.stream()
 			.filter((server) -> query.allows(server) && !leaving.isLeaving(server.name(), nowMillis))
 			.toList();
-		Optional<BackendServer> preferred = least(
-				ready.stream().filter((server) -> !loads.isAvoided(server.name(), nowMillis)).toList(), manifest,
+		Optional<BackendServer> preferred = findLeastLoaded(
+				eligible.stream().filter((server) -> !loads.isAvoided(server.name(), nowMillis)).toList(), manifest,
 				ownZone, loads);
-		return preferred.isPresent() ? preferred : least(ready, manifest, ownZone, loads);
+		return preferred.isPresent() ? preferred : findLeastLoaded(eligible, manifest, ownZone, loads);
 	}
 
-	private static Optional<BackendServer> least(List<BackendServer> servers, Manifest manifest, String ownZone,
-			ServerLoadTable loads) {
+	private static Optional<BackendServer> findLeastLoaded(List<BackendServer> servers, Manifest manifest,
+			String ownZone, ServerLoadTable loads) {
 		return servers.stream()
-			.min(Comparator
-				.comparingLong((server) -> loads.estimate(server.name()) + linkCost(manifest, ownZone, server.zone())));
+			.min(Comparator.comparingLong(
+					(server) -> loads.estimate(server.name()) + distanceCost(manifest, ownZone, server.zone())));
 	}
 
-	private static long linkCost(Manifest manifest, String ownZone, String zone) {
+	private static long distanceCost(Manifest manifest, String ownZone, String zone) {
 		if (zone.equals(ownZone)) {
 			return 0;
 		}
 		boolean sameRegion = manifest.regionOf(zone).equals(manifest.regionOf(ownZone));
-		return sameRegion ? OTHER_ZONE_REQUESTS : OTHER_REGION_REQUESTS;
+		return sameRegion ? OTHER_ZONE_COST : OTHER_REGION_COST;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
@@ -6,55 +6,56 @@
 import java.util.TreeSet;
 
 /**
- * The backend servers that are about to leave, by notice or by the instance list. A
- * server stays marked until neither source has named it for a time, so that a lagging
- * list can't bring it back.
+ * Set of the backend servers that are about to stop, by a reclaim notice or by the
+ * instance list. A server stays in the set until neither source has named it for some
+ * time, so that a stale list can't return it to service.
  * <p>
  * Not safe for use by several threads.
  */
 public final class LeavingServers {
 
-	private final Map<String, Long> namedAtMillis = new HashMap<>();
+	private final Map<String, Long> lastNamedAtMillis = new HashMap<>();
 
-	private final long forgetAfterMillis;
+	private final long expiryMillis;
 
 	/**
 	 * Create an empty set.
-	 * @param forgetAfterMillis how long a server stays marked after it was last named
+	 * @param expiryMillis how long a server stays in the set after it was last named, in
+	 * milliseconds
 	 */
-	public LeavingServers(long forgetAfterMillis) {
-		this.forgetAfterMillis = forgetAfterMillis;
+	public LeavingServers(long expiryMillis) {
+		this.expiryMillis = expiryMillis;
 	}
 
 	/**
-	 * Mark a server.
+	 * Add a server, or extend its time in the set.
 	 * @param server the server's name
-	 * @param nowMillis the present time
-	 * @return {@code true} if it was not marked before
+	 * @param nowMillis the current time in milliseconds
+	 * @return {@code true} if it was not in the set before
 	 */
 	public boolean mark(String server, long nowMillis) {
-		return this.namedAtMillis.put(server, nowMillis) == null;
+		return this.lastNamedAtMillis.put(server, nowMillis) == null;
 	}
 
 	/**
-	 * Return whether a server may get new work.
+	 * Return whether a server is about to stop and must get no new requests.
 	 * @param server the server's name
-	 * @param nowMillis the present time
-	 * @return {@code true} if it is marked
+	 * @param nowMillis the current time in milliseconds
+	 * @return {@code true} if it is in the set and its time hasn't passed
 	 */
 	public boolean isLeaving(String server, long nowMillis) {
-		Long markedAtMillis = this.namedAtMillis.get(server);
-		return markedAtMillis != null && nowMillis - markedAtMillis <= this.forgetAfterMillis;
+		Long namedAtMillis = this.lastNamedAtMillis.get(server);
+		return namedAtMillis != null && nowMillis - namedAtMillis <= this.expiryMillis;
 	}
 
 	/**
-	 * Return the marked servers.
-	 * @param nowMillis the present time
-	 * @return the names, sorted
+	 * Return the servers that are about to stop, and remove expired ones.
+	 * @param nowMillis the current time in milliseconds
+	 * @return the names of the servers, sorted
 	 */
 	public Set<String> names(long nowMillis) {
-		this.namedAtMillis.values().removeIf((markedAtMillis) -> nowMillis - markedAtMillis > this.forgetAfterMillis);
-		return new TreeSet<>(this.namedAtMillis.keySet());
+		this.lastNamedAtMillis.values().removeIf((namedAtMillis) -> nowMillis - namedAtMillis > this.expiryMillis);
+		return new TreeSet<>(this.lastNamedAtMillis.keySet());
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerLoadTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerLoadTable.java
@@ -4,8 +4,9 @@
 import java.util.Map;
 
 /**
- * What one node knows of the load of backend servers: the reports, which lag, corrected
- * by the node's own dispatches since, and servers that refused a connection.
+ * Load estimates of backend servers at one node. They combine the servers' reports, which
+ * lag, with the node's own dispatches since. The table also keeps the servers that could
+ * not be reached.
  * <p>
  * Not safe for use by several threads.
  */
@@ -17,14 +18,15 @@
 
 	/**
 	 * Create an empty table.
-	 * @param avoidMillis how long a server that refused a connection is avoided
+	 * @param avoidMillis how long a server that could not be reached is avoided, in
+	 * milliseconds
 	 */
 	public ServerLoadTable(long avoidMillis) {
 		this.avoidMillis = avoidMillis;
 	}
 
 	/**
-	 * Record a dispatch.
+	 * Record that this node dispatched a request.
 	 * @param server the server's name
 	 */
 	public void recordDispatch(String server) {
@@ -34,7 +36,7 @@
 	}
 
 	/**
-	 * Record the end of a dispatched request.
+	 * Record that a request dispatched by this node ended.
 	 * @param server the server's name
 	 */
 	public void recordEnd(String server) {
@@ -42,18 +44,18 @@
 	}
 
 	/**
-	 * Record that a connection could not be opened or went silent.
+	 * Record that a connection could not be opened or timed out.
 	 * @param server the server's name
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time in milliseconds
 	 */
 	public void recordUnreachable(String server, long nowMillis) {
 		load(server).avoidUntilMillis = nowMillis + this.avoidMillis;
 	}
 
 	/**
-	 * Record what a server reported of itself.
+	 * Record the load that a server reported.
 	 * @param server the server's name
-	 * @param running the requests it runs or queues, from all nodes
+	 * @param running the number of requests that it runs or queues, from all nodes
 	 */
 	public void recordReport(String server, long running) {
 		Load load = load(server);
@@ -62,9 +64,10 @@
 	}
 
 	/**
-	 * Estimate the requests that a server runs or queues.
+	 * Estimate the number of requests that a server runs or queues.
 	 * @param server the server's name
-	 * @return the larger of the corrected report and the node's own open requests
+	 * @return the larger of the corrected report and the node's own open requests; 0 for
+	 * an unknown server
 	 */
 	public long estimate(String server) {
 		Load load = this.loads.get(server);
@@ -72,9 +75,9 @@
 	}
 
 	/**
-	 * Return whether a server is avoided.
+	 * Return whether a server should be avoided.
 	 * @param server the server's name
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time in milliseconds
 	 * @return {@code true} if it could not be reached a short time ago
 	 */
 	public boolean isAvoided(String server, long nowMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerQuery.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerQuery.java
@@ -7,12 +7,12 @@
 import io.flamingogap.core.manifest.BackendServer;
 
 /**
- * Which backend servers may take a request.
+ * Criteria for the backend servers that may take a request.
  *
- * @param service the service
- * @param version the version
- * @param zones the availability zones it may run in; none means all
- * @param tried the names of the servers that the request has tried
+ * @param service the name of the service
+ * @param version the version that the servers must run
+ * @param zones the availability zones that the request may run in; empty for all
+ * @param tried the names of the servers that the request has already tried
  */
 public record ServerQuery(String service, String version, List<String> zones, Set<String> tried) {
 
@@ -25,7 +25,7 @@
 
 	/**
 	 * Return whether a server of the service's version may take the request.
-	 * @param server the server
+	 * @param server a server of the service and version
 	 * @return {@code true} if its zone is allowed and it was not tried
 	 */
 	boolean allows(BackendServer server) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Choice of a backend server for each request.
+ * Selection of a backend server for each request, by zone and load.
  */
 @NullMarked
 package io.flamingogap.core.routing;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/routing/LeastLoadedSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/routing/LeastLoadedSelectorTests.java
@@ -48,7 +48,7 @@
 	}
 
 	@Test
-	void nearServerIsPreferredUntilItsLoadOutweighsTheLink() {
+	void nearServerIsPreferredUntilItsLoadOutweighsTheDistance() {
 		assertThat(choose().orElseThrow(), is("near"));
 		this.loads.recordReport("near", 2);
 		assertThat(choose().orElseThrow(), is("next"));
@@ -66,7 +66,7 @@
 	}
 
 	@Test
-	void leavingServersGetNoNewWork() {
+	void leavingServersGetNoNewRequests() {
 		this.leaving.mark("near", 0);
 		this.leaving.mark("next", 0);
 		this.leaving.mark("far", 0);
@@ -74,7 +74,7 @@
 	}
 
 	@Test
-	void unreachableServerIsAvoidedForATimeUnlessItIsTheLast() {
+	void unreachableServerIsAvoidedForATimeUnlessItIsTheOnlyOne() {
 		this.loads.recordUnreachable("near", 0);
 		assertThat(choose(List.of(), Set.of(), 999).orElseThrow(), is("next"));
 		assertThat(choose(List.of(), Set.of(), 1_001).orElseThrow(), is("near"));
@@ -82,7 +82,7 @@
 	}
 
 	@Test
-	void zonesOfACandidateAreKept() {
+	void onlyAllowedZonesAreUsed() {
 		assertThat(choose(List.of("zone-2"), Set.of(), 0).orElseThrow(), is("far"));
 	}
 
