Reword the rollout policy, its evidence and its sequential test

Trouble told against a version, stretches of time were looked at, evidence had "goodness" and "badness", and a canary was a trial. The comments now use the terms of sequential testing and of canary rollouts, and say which counts a parameter holds. Names follow: VersionComparison, evidenceForCandidate, showsRegression, logLikelihoodRatio, STEP_THRESHOLD, DEADLINE_THRESHOLD, PRIOR_WEIGHT, LAST_STEP_FRACTION, elapsedFraction, isCandidateProven. The comment of SLOW_ANSWER said "later than one in ten answers" where it means later than nine in ten; it is corrected.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Arm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Arm.java
@@ -1,13 +1,13 @@
 package io.flamingogap.core.rollout;
 
 /**
- * The two versions of a rollout.
+ * Arm of the comparison between the two versions of a rollout.
  */
 public enum Arm {
 
-	/** The version in use. */
+	/** The version in use before the rollout. */
 	CURRENT,
-	/** The version that takes over. */
+	/** The version that is to replace it. */
 	CANDIDATE
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/BadOutcome.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/BadOutcome.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.rollout;
 
 /**
- * What can be bad about a request, and the share of it that is expected before any
- * request of the version in use has been seen.
+ * Kind of bad outcome of a request, with the share of requests that is expected to have
+ * it before any request of the current version was counted.
  */
 enum BadOutcome {
 
@@ -16,7 +16,7 @@
 
 	},
 
-	/** The answer came later than one in ten answers of the version in use. */
+	/** The answer took longer than nine in ten answers of the current version. */
 	SLOW_ANSWER("slow answers", 0.1) {
 
 		@Override
@@ -36,9 +36,9 @@
 	}
 
 	/**
-	 * Return the number of requests with this outcome.
-	 * @param tally counts of one version
-	 * @return the number
+	 * Return how many requests had this outcome.
+	 * @param tally the counts of one version
+	 * @return the number of requests
 	 */
 	abstract long count(Tally tally);
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceKey.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceKey.java
@@ -5,13 +5,13 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * What a row of evidence counts.
+ * Identity of a row of evidence: which requests it counts.
  *
- * @param rollout the rollout
- * @param node the node run that counted
- * @param arm the version
- * @param route the route, or the model's path
- * @param period the number of the time period since the start of the rollout
+ * @param rollout the rollout that the requests were part of
+ * @param node the run of the node that counted them
+ * @param arm the version that they were sent to
+ * @param route the route, or the path of a model service
+ * @param period the number of the time period since the start of the rollout, from 0
  */
 public record EvidenceKey(RolloutKey rollout, NodeId node, Arm arm, String route, int period) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceRow.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceRow.java
@@ -1,10 +1,10 @@
 package io.flamingogap.core.rollout;
 
 /**
- * A row of evidence as nodes exchange it.
+ * Row of evidence as nodes exchange it.
  *
- * @param key what it counts
- * @param tally the counts so far
+ * @param key which requests it counts
+ * @param tally the counts so far, which only grow
  */
 public record EvidenceRow(EvidenceKey key, Tally tally) {
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceTable.java
@@ -9,37 +9,37 @@
 import java.util.function.BiConsumer;
 
 /**
- * Evidence from all nodes. Each row is counted by one node run and only grows, so rows
- * merge in any order and as often as they come.
+ * Evidence from all nodes. Each row is counted by one run of a node and only grows, so
+ * that rows can be merged in any order and repeatedly.
  * <p>
  * Not safe for use by several threads.
  */
 public final class EvidenceTable {
 
-	private final Map<EvidenceKey, Stored> rows = new HashMap<>();
+	private final Map<EvidenceKey, VersionedTally> rows = new HashMap<>();
 
 	private long sequence;
 
 	/**
-	 * Count a request.
-	 * @param key what to count it under
-	 * @param failed whether it failed
-	 * @param slow whether it was slow
+	 * Count a request of this node.
+	 * @param key the row to count it in
+	 * @param failed whether the request failed
+	 * @param slow whether the request was slow
 	 */
 	public void count(EvidenceKey key, boolean failed, boolean slow) {
-		Stored held = this.rows.get(key);
-		store(key, ((held != null) ? held.tally : Tally.NONE).count(failed, slow));
+		VersionedTally existing = this.rows.get(key);
+		store(key, ((existing != null) ? existing.tally : Tally.NONE).count(failed, slow));
 	}
 
 	/**
 	 * Merge a row that a neighbour sent.
-	 * @param row the row
-	 * @return {@code true} if it was news
+	 * @param row a row in any state
+	 * @return {@code true} if the table changed
 	 */
 	public boolean merge(EvidenceRow row) {
-		Stored held = this.rows.get(row.key());
-		Tally merged = (held != null) ? held.tally.merge(row.tally()) : row.tally();
-		if (held != null && merged.equals(held.tally)) {
+		VersionedTally existing = this.rows.get(row.key());
+		Tally merged = (existing != null) ? existing.tally.merge(row.tally()) : row.tally();
+		if (existing != null && merged.equals(existing.tally)) {
 			return false;
 		}
 		store(row.key(), merged);
@@ -48,17 +48,17 @@
 
 	private void store(EvidenceKey key, Tally tally) {
 		this.sequence++;
-		this.rows.put(key, new Stored(tally, this.sequence));
+		this.rows.put(key, new VersionedTally(tally, this.sequence));
 	}
 
 	/**
-	 * Return rows that changed after a sequence number, oldest change first.
-	 * @param afterSequence the sequence number
-	 * @param maxRows the most rows to return
-	 * @return the rows and the sequence number to go on from
+	 * Return the rows that changed after a sequence number, oldest change first.
+	 * @param afterSequence the sequence number of the last page; 0 for the first page
+	 * @param maxRows the maximum number of rows to return
+	 * @return the rows and the sequence number to continue from
 	 */
 	public Page changesAfter(long afterSequence, int maxRows) {
-		List<Map.Entry<EvidenceKey, Stored>> changed = this.rows.entrySet()
+		List<Map.Entry<EvidenceKey, VersionedTally>> changed = this.rows.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().sequence > afterSequence)
 			.sorted(Comparator.comparingLong((entry) -> entry.getValue().sequence))
@@ -66,25 +66,25 @@
 			.toList();
 		List<EvidenceRow> page = new ArrayList<>();
 		changed.forEach((entry) -> page.add(new EvidenceRow(entry.getKey(), entry.getValue().tally)));
-		long through = changed.isEmpty() ? afterSequence : changed.get(changed.size() - 1).getValue().sequence;
-		return new Page(page, through);
+		long lastSequence = changed.isEmpty() ? afterSequence : changed.get(changed.size() - 1).getValue().sequence;
+		return new Page(page, lastSequence);
 	}
 
 	/**
 	 * Visit the evidence of a rollout.
-	 * @param rollout the rollout
-	 * @param visitor takes each row
+	 * @param rollout the rollout whose rows to visit
+	 * @param visitor called with each row, in no particular order
 	 */
 	public void forEach(RolloutKey rollout, BiConsumer<EvidenceKey, Tally> visitor) {
-		this.rows.forEach((key, stored) -> {
+		this.rows.forEach((key, versioned) -> {
 			if (key.rollout().equals(rollout)) {
-				visitor.accept(key, stored.tally);
+				visitor.accept(key, versioned.tally);
 			}
 		});
 	}
 
 	/**
-	 * Forget the evidence of rollouts that the manifest no longer has.
+	 * Remove the evidence of rollouts that the manifest no longer contains.
 	 * @param kept the rollouts to keep
 	 */
 	public void retain(Set<RolloutKey> kept) {
@@ -93,22 +93,23 @@
 
 	/**
 	 * Return the number of rows.
-	 * @return the number
+	 * @return the count over all rollouts
 	 */
 	public int size() {
 		return this.rows.size();
 	}
 
 	/**
-	 * Rows that changed.
+	 * Page of changed rows.
 	 *
-	 * @param rows the rows
-	 * @param sequence the sequence number of the last one
+	 * @param rows the rows, oldest change first
+	 * @param sequence the sequence number of the last row; the requested one if there are
+	 * no rows
 	 */
 	public record Page(List<EvidenceRow> rows, long sequence) {
 	}
 
-	private record Stored(Tally tally, long sequence) {
+	private record VersionedTally(Tally tally, long sequence) {
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutDecision.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutDecision.java
@@ -1,23 +1,23 @@
 package io.flamingogap.core.rollout;
 
 /**
- * What a node does about a rollout.
+ * Decision of a node about a rollout.
  *
- * @param phase the phase
+ * @param phase the phase of the rollout
  * @param sharePermille the share of requests for the candidate, in thousandths
- * @param reason why, with the figures
+ * @param reason the reason, with the counts behind it
  */
 public record RolloutDecision(RolloutPhase phase, int sharePermille, String reason) {
 
-	/** All requests, in thousandths. */
+	/** Share of all requests, in thousandths. */
 	public static final int ALL_PERMILLE = 1_000;
 
 	/**
-	 * Return whether the evidence shows the candidate good enough for requests that may
-	 * not be repeated.
-	 * @return {@code true} after the exploration
+	 * Return whether the evidence suffices to send the candidate requests that may not be
+	 * repeated.
+	 * @return {@code true} once the share has risen above that of the exploration
 	 */
-	public boolean isShownGood() {
+	public boolean isCandidateProven() {
 		return this.phase == RolloutPhase.MOVING || this.phase == RolloutPhase.DONE
 				|| (this.phase == RolloutPhase.LATE && this.sharePermille > RolloutPolicy.EXPLORATION_PERMILLE);
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutKey.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutKey.java
@@ -5,11 +5,12 @@
 import io.flamingogap.core.manifest.Rollout;
 
 /**
- * The identity of a rollout. Trying a version again takes a new start time.
+ * Identity of a rollout. Another rollout of the same version needs a new start time.
  *
- * @param service the service
- * @param candidate the version that takes over
- * @param startsAtEpochSeconds when traffic may begin to move, in seconds since 1970 UTC
+ * @param service the name of the service
+ * @param candidate the version that is rolled out
+ * @param startsAtEpochSeconds when the candidate may get its first requests, in seconds
+ * since 1970 UTC
  */
 public record RolloutKey(String service, String candidate, long startsAtEpochSeconds) {
 
@@ -20,8 +21,8 @@
 
 	/**
 	 * Return the identity of a rollout.
-	 * @param rollout the rollout as the manifest has it
-	 * @return its identity
+	 * @param rollout the rollout in the manifest
+	 * @return the key under which its evidence is kept
 	 */
 	public static RolloutKey of(Rollout rollout) {
 		return new RolloutKey(rollout.service(), rollout.candidate(), rollout.startsAtEpochSeconds());
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPhase.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPhase.java
@@ -1,21 +1,21 @@
 package io.flamingogap.core.rollout;
 
 /**
- * The phase of a rollout.
+ * Phase of a rollout as one node sees it.
  */
 public enum RolloutPhase {
 
-	/** Before its start. */
+	/** The start time has not been reached. */
 	WAITING,
-	/** A small share tells whether the candidate is good. */
+	/** The candidate gets a small share, to collect evidence. */
 	EXPLORING,
-	/** The share rises with the evidence. */
+	/** The share of the candidate rises with the evidence. */
 	MOVING,
-	/** All traffic has moved. */
+	/** All traffic goes to the candidate. */
 	DONE,
 	/** The deadline passed before the evidence allowed all traffic to move. */
 	LATE,
-	/** The candidate is bad or an operator took it back. */
+	/** The rollout was ended, since the candidate is bad or by an operator. */
 	TAKEN_BACK
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
@@ -9,21 +9,21 @@
 import io.flamingogap.core.manifest.Rollout;
 
 /**
- * Decides the share of a candidate from the manifest, the merged evidence and the time.
- * No state of its own: nodes with the same evidence decide alike, and a node that lacks
- * some gives the candidate less.
+ * Decides the share of a candidate by the manifest, the merged evidence and the time. It
+ * keeps no state: nodes with the same evidence make the same decision, and a node that
+ * lacks evidence gives the candidate a smaller share.
  */
 public final class RolloutPolicy {
 
-	/** The share that explores a candidate without evidence, in thousandths. */
+	/** Share of a candidate without evidence, in thousandths. */
 	public static final int EXPLORATION_PERMILLE = 5;
 
 	private static final int[] STEPS_PERMILLE = { EXPLORATION_PERMILLE, 50, 200, 500, RolloutDecision.ALL_PERMILLE };
 
-	/** The part of the time until the deadline by which the last step may be taken. */
-	private static final double LAST_STEP_AT = 0.85;
+	/** Fraction of the time until the deadline from which the last step may be taken. */
+	private static final double LAST_STEP_FRACTION = 0.85;
 
-	private static final int PERIODS = 64;
+	private static final int PERIODS_PER_ROLLOUT = 64;
 
 	private static final long MIN_PERIOD_MILLIS = 2_000;
 
@@ -33,10 +33,11 @@
 	}
 
 	/**
-	 * Return the number of the time period of a rollout.
-	 * @param rollout the rollout
-	 * @param nowMillis the present time
-	 * @return the number, from 0
+	 * Return the number of the current time period of a rollout, by which evidence is
+	 * counted.
+	 * @param rollout the rollout in the manifest
+	 * @param nowMillis the current time, in milliseconds since 1970 UTC
+	 * @return the number, from 0; 0 before the start
 	 */
 	public static int period(Rollout rollout, long nowMillis) {
 		long sinceMillis = Math.max(0, nowMillis - startMillis(rollout));
@@ -52,16 +53,17 @@
 	}
 
 	private static long periodMillis(Rollout rollout) {
-		return Math.max(MIN_PERIOD_MILLIS, lengthMillis(rollout) / PERIODS);
+		return Math.max(MIN_PERIOD_MILLIS, lengthMillis(rollout) / PERIODS_PER_ROLLOUT);
 	}
 
 	/**
-	 * Decide what to do about a rollout.
-	 * @param rollout the rollout
+	 * Decide the phase of a rollout and the share of its candidate.
+	 * @param rollout the rollout in the manifest
 	 * @param evidence the merged evidence
-	 * @param takenBack the decision that ended it, if any
-	 * @param nowMillis the present time
-	 * @return the decision
+	 * @param takenBack the decision that ended the rollout, or {@code null} if there is
+	 * none
+	 * @param nowMillis the current time, in milliseconds since 1970 UTC
+	 * @return the decision with its reason
 	 */
 	public static RolloutDecision decide(Rollout rollout, EvidenceTable evidence, @Nullable TakeBack takenBack,
 			long nowMillis) {
@@ -72,7 +74,7 @@
 		if (nowMillis < startMillis(rollout)) {
 			return new RolloutDecision(RolloutPhase.WAITING, 0, "before the start");
 		}
-		Comparison all = new Comparison();
+		VersionComparison all = new VersionComparison();
 		evidence.forEach(RolloutKey.of(rollout), (key, tally) -> all.add(key.period(), key.arm(), tally));
 		int step = Math.min(stepByEvidence(all), stepByTime(rollout, nowMillis));
 		return decision(step, all, isLate(rollout, nowMillis));
@@ -82,7 +84,7 @@
 		return nowMillis >= rollout.deadlineEpochSeconds() * MILLIS_PER_SECOND;
 	}
 
-	private static RolloutDecision decision(int step, Comparison all, boolean late) {
+	private static RolloutDecision decision(int step, VersionComparison all, boolean late) {
 		int sharePermille = STEPS_PERMILLE[step];
 		if (sharePermille == RolloutDecision.ALL_PERMILLE) {
 			return new RolloutDecision(RolloutPhase.DONE, sharePermille, all.toString());
@@ -93,46 +95,47 @@
 	}
 
 	/**
-	 * Each step takes as much evidence again as the one before, so that the load at which
-	 * a candidate has been seen keeps pace with its share.
+	 * Return the highest step that the evidence allows. Each step needs as much further
+	 * evidence as the one before, so that the candidate's share doesn't grow faster than
+	 * the load at which the candidate was observed.
 	 * @param all the evidence so far
-	 * @return the highest step that the evidence allows
+	 * @return an index of the steps
 	 */
-	private static int stepByEvidence(Comparison all) {
-		double strength = all.goodness();
-		int step = (int) Math.floor(strength / SequentialTest.THRESHOLD);
+	private static int stepByEvidence(VersionComparison all) {
+		double logRatio = all.evidenceForCandidate();
+		int step = (int) Math.floor(logRatio / SequentialTest.STEP_THRESHOLD);
 		return Math.max(0, Math.min(step, STEPS_PERMILLE.length - 1));
 	}
 
 	private static int stepByTime(Rollout rollout, long nowMillis) {
-		double passed = (double) (nowMillis - startMillis(rollout)) / lengthMillis(rollout);
-		int step = (int) Math.floor(passed / LAST_STEP_AT * (STEPS_PERMILLE.length - 1));
+		double elapsedFraction = (double) (nowMillis - startMillis(rollout)) / lengthMillis(rollout);
+		int step = (int) Math.floor(elapsedFraction / LAST_STEP_FRACTION * (STEPS_PERMILLE.length - 1));
 		return Math.max(0, Math.min(step, STEPS_PERMILLE.length - 1));
 	}
 
 	/**
-	 * Look for evidence that a candidate is bad, on all routes together and on each
-	 * alone.
-	 * @param rollout the rollout
+	 * Test whether a candidate is worse, on all routes together and on each route alone.
+	 * @param rollout the rollout in the manifest
 	 * @param evidence the merged evidence
-	 * @param nowMillis the present time
-	 * @return why the candidate is bad, if it is
+	 * @param nowMillis the current time, in milliseconds since 1970 UTC
+	 * @return the reason with the counts, or empty if the evidence shows no regression
 	 */
 	public static Optional<String> findRegression(Rollout rollout, EvidenceTable evidence, long nowMillis) {
-		Comparison all = new Comparison();
-		Map<String, Comparison> byRoute = new TreeMap<>();
+		VersionComparison all = new VersionComparison();
+		Map<String, VersionComparison> byRoute = new TreeMap<>();
 		evidence.forEach(RolloutKey.of(rollout), (key, tally) -> {
 			all.add(key.period(), key.arm(), tally);
-			byRoute.computeIfAbsent(key.route(), (route) -> new Comparison()).add(key.period(), key.arm(), tally);
+			byRoute.computeIfAbsent(key.route(), (route) -> new VersionComparison())
+				.add(key.period(), key.arm(), tally);
 		});
 		boolean undecided = isLate(rollout, nowMillis) && stepByEvidence(all) < STEPS_PERMILLE.length - 1;
 		Optional<String> found = all
-			.findBadness(undecided ? SequentialTest.LATE_THRESHOLD : SequentialTest.BAD_THRESHOLD)
+			.findRegression(undecided ? SequentialTest.DEADLINE_THRESHOLD : SequentialTest.BAD_THRESHOLD)
 			.map((what) -> what + " in all: " + all);
-		for (Map.Entry<String, Comparison> route : byRoute.entrySet()) {
-			Comparison alone = route.getValue();
-			found = found.or(() -> alone.findBadness(SequentialTest.BAD_THRESHOLD)
-				.map((what) -> what + " on " + route.getKey() + ": " + alone));
+		for (Map.Entry<String, VersionComparison> route : byRoute.entrySet()) {
+			VersionComparison comparison = route.getValue();
+			found = found.or(() -> comparison.findRegression(SequentialTest.BAD_THRESHOLD)
+				.map((what) -> what + " on " + route.getKey() + ": " + comparison));
 		}
 		return found;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
@@ -1,121 +1,124 @@
 package io.flamingogap.core.rollout;
 
 /**
- * Sequential probability ratio test of a candidate's share of bad requests against the
- * share of the version in use. It may be looked at at any time: the chance that a
- * candidate as good as the version in use is ever called bad is at most
- * {@link #ERROR_RATE} a test.
+ * Sequential probability ratio test of a candidate's share of bad requests against that
+ * of the current version. The result may be read at any time: the probability that a
+ * candidate as good as the current version is ever called bad is at most
+ * {@link #ERROR_RATE} per test.
  * <p>
- * The alternatives are mixed, so that a candidate that fails nearly always is found after
- * a few requests and one of the least effect after many.
+ * The test mixes several alternatives, so that a candidate that fails nearly always is
+ * detected after a few requests and one with the minimum effect after many.
  */
 final class SequentialTest {
 
-	/** The chance of a wrong verdict of one test over one stretch of time. */
+	/** Probability of a false alarm of one test over one time range. */
 	private static final double ERROR_RATE = 0.001;
 
-	/** Allows for looking at many stretches of time, which mostly overlap. */
-	private static final double STRETCHES = 32;
+	/** Correction for testing many time ranges, most of which overlap. */
+	private static final double TIME_RANGES = 32;
 
-	/** The log likelihood ratio at which a step towards a verdict is taken. */
-	static final double THRESHOLD = Math.log(1 / ERROR_RATE);
+	/** Log likelihood ratio that allows one step of a rollout. */
+	static final double STEP_THRESHOLD = Math.log(1 / ERROR_RATE);
 
-	/** The log likelihood ratio at which a candidate is bad. */
-	static final double BAD_THRESHOLD = Math.log(STRETCHES / ERROR_RATE);
+	/** Log likelihood ratio above which a candidate is bad. */
+	static final double BAD_THRESHOLD = Math.log(TIME_RANGES / ERROR_RATE);
 
-	/** The ratio at which a candidate that isn't done by its deadline is bad. */
-	static final double LATE_THRESHOLD = Math.log(3);
+	/**
+	 * Log likelihood ratio above which a candidate is bad at the deadline, if the
+	 * evidence hasn't allowed all traffic to move.
+	 */
+	static final double DEADLINE_THRESHOLD = Math.log(3);
 
-	/** The least effect that the test looks for, as a multiple of the share in use. */
-	private static final double LEAST_EFFECT = 2.0;
+	/** Minimum effect to detect, as a multiple of the current version's share. */
+	private static final double MIN_EFFECT = 2.0;
 
-	/** The least difference between the shares that the test looks for. */
+	/** Minimum difference between the shares to detect. */
 	private static final double MIN_DIFFERENCE = 0.01;
 
-	/** Shares of bad requests that a bad candidate may have besides the least effect. */
-	private static final double[] LARGE_SHARES = { 0.1, 0.5, 0.95 };
+	/** Further alternatives: shares of bad requests larger than the minimum effect. */
+	private static final double[] LARGE_BAD_SHARES = { 0.1, 0.5, 0.95 };
 
-	private static final double SHARE_CEILING = 0.95;
+	private static final double MAX_SHARE = 0.95;
 
-	/** Weight of what is expected before any request, in requests. */
-	private static final double EXPECTED_WEIGHT = 100;
+	/** Weight of the share expected before any request, in requests. */
+	private static final double PRIOR_WEIGHT = 100;
 
-	/** Weight of the share over all periods in the share of one period, in requests. */
-	private static final double ALL_WEIGHT = 200;
+	/** Weight of the overall share in the estimate for one period, in requests. */
+	private static final double OVERALL_WEIGHT = 200;
 
-	/** Standard errors added to the share in use, since it is an estimate itself. */
-	private static final double MARGIN_ERRORS = 2.5;
+	/** Standard errors added to the current version's share, which is an estimate too. */
+	private static final double MARGIN_STANDARD_ERRORS = 2.5;
 
-	private final double[] ratios = new double[LARGE_SHARES.length + 1];
+	private final double[] logRatios = new double[LARGE_BAD_SHARES.length + 1];
 
 	/**
-	 * Estimate the share of bad requests over all periods.
-	 * @param outcome what is bad about them
-	 * @param current the counts of the version in use
-	 * @return the share
+	 * Estimate the current version's share of bad requests over all periods.
+	 * @param outcome the kind of bad outcome
+	 * @param current the counts of the current version over all periods
+	 * @return the share, from 0 to 1
 	 */
-	static double share(BadOutcome outcome, Tally current) {
-		return (outcome.count(current) + outcome.expectedShare() * EXPECTED_WEIGHT)
-				/ (current.requests() + EXPECTED_WEIGHT);
+	static double estimateOverallShare(BadOutcome outcome, Tally current) {
+		return (outcome.count(current) + outcome.expectedShare() * PRIOR_WEIGHT) / (current.requests() + PRIOR_WEIGHT);
 	}
 
-	private static double periodShare(BadOutcome outcome, double allShare, Tally current) {
-		return (outcome.count(current) + allShare * ALL_WEIGHT) / (current.requests() + ALL_WEIGHT);
+	private static double estimatePeriodShare(BadOutcome outcome, double overallShare, Tally current) {
+		return (outcome.count(current) + overallShare * OVERALL_WEIGHT) / (current.requests() + OVERALL_WEIGHT);
 	}
 
 	/**
 	 * Add the evidence of one more period.
-	 * @param outcome what is bad about a request
-	 * @param allShare the share of the version in use over all periods
-	 * @param current the version in use in the period
-	 * @param candidate the candidate in the period
+	 * @param outcome the kind of bad outcome
+	 * @param overallShare the current version's share of it over all periods
+	 * @param current the counts of the current version in the period
+	 * @param candidate the counts of the candidate in the period
 	 */
-	void add(BadOutcome outcome, double allShare, Tally current, Tally candidate) {
-		double estimate = periodShare(outcome, allShare, current);
-		double error = Math.sqrt(estimate * (1 - estimate) / (current.requests() + ALL_WEIGHT));
-		double good = Math.min(SHARE_CEILING / LEAST_EFFECT, estimate + MARGIN_ERRORS * error);
+	void add(BadOutcome outcome, double overallShare, Tally current, Tally candidate) {
+		double estimate = estimatePeriodShare(outcome, overallShare, current);
+		double error = Math.sqrt(estimate * (1 - estimate) / (current.requests() + OVERALL_WEIGHT));
+		double good = Math.min(MAX_SHARE / MIN_EFFECT, estimate + MARGIN_STANDARD_ERRORS * error);
 		long bad = outcome.count(candidate);
-		double least = Math.max(good, leastBadShare(estimate));
-		this.ratios[0] += ratio(good, least, candidate.requests(), bad);
-		for (int i = 0; i < LARGE_SHARES.length; i++) {
-			double alternative = Math.max(least, LARGE_SHARES[i]);
-			this.ratios[i + 1] += ratio(good, alternative, candidate.requests(), bad);
+		double minBad = Math.max(good, minBadShare(estimate));
+		this.logRatios[0] += logLikelihoodRatio(good, minBad, candidate.requests(), bad);
+		for (int i = 0; i < LARGE_BAD_SHARES.length; i++) {
+			double alternative = Math.max(minBad, LARGE_BAD_SHARES[i]);
+			this.logRatios[i + 1] += logLikelihoodRatio(good, alternative, candidate.requests(), bad);
 		}
 	}
 
 	/**
-	 * Return whether the evidence so far shows the candidate bad.
+	 * Return whether the evidence so far shows that the candidate is worse.
 	 * @param threshold the log likelihood ratio to exceed
-	 * @return {@code true} if it does
+	 * @return {@code true} if the log of the alternatives' mean likelihood ratio exceeds
+	 * it
 	 */
-	boolean isBad(double threshold) {
+	boolean showsRegression(double threshold) {
 		double likelihood = 0;
-		for (double ratio : this.ratios) {
-			likelihood += Math.exp(Math.min(ratio, 2 * BAD_THRESHOLD));
+		for (double logRatio : this.logRatios) {
+			likelihood += Math.exp(Math.min(logRatio, 2 * BAD_THRESHOLD));
 		}
-		return Math.log(likelihood / this.ratios.length) > threshold;
+		return Math.log(likelihood / this.logRatios.length) > threshold;
 	}
 
 	/**
-	 * Weigh "the candidate is as good as the version in use" against the least effect, in
-	 * one period.
-	 * @param outcome what is bad about a request
-	 * @param allShare the share of the version in use over all periods
-	 * @param current the version in use in the period
-	 * @param candidate the candidate in the period
+	 * Return the likelihood of "the candidate is as good as the current version" against
+	 * "the candidate is worse by the minimum effect", in one period.
+	 * @param outcome the kind of bad outcome
+	 * @param overallShare the current version's share of it over all periods
+	 * @param current the counts of the current version in the period
+	 * @param candidate the counts of the candidate in the period
 	 * @return the log likelihood ratio; it grows with evidence for the candidate
 	 */
-	static double goodness(BadOutcome outcome, double allShare, Tally current, Tally candidate) {
-		double good = Math.min(SHARE_CEILING / LEAST_EFFECT, periodShare(outcome, allShare, current));
-		return -ratio(good, leastBadShare(good), candidate.requests(), outcome.count(candidate));
+	static double logRatioForCandidate(BadOutcome outcome, double overallShare, Tally current, Tally candidate) {
+		double good = Math.min(MAX_SHARE / MIN_EFFECT, estimatePeriodShare(outcome, overallShare, current));
+		return -logLikelihoodRatio(good, minBadShare(good), candidate.requests(), outcome.count(candidate));
 	}
 
-	private static double ratio(double good, double bad, long requests, long badRequests) {
+	private static double logLikelihoodRatio(double good, double bad, long requests, long badRequests) {
 		return badRequests * Math.log(bad / good) + (requests - badRequests) * Math.log((1 - bad) / (1 - good));
 	}
 
-	private static double leastBadShare(double good) {
-		return Math.min(SHARE_CEILING, Math.max(LEAST_EFFECT * good, good + MIN_DIFFERENCE));
+	private static double minBadShare(double good) {
+		return Math.min(MAX_SHARE, Math.max(MIN_EFFECT * good, good + MIN_DIFFERENCE));
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TakeBack.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TakeBack.java
@@ -3,12 +3,12 @@
 import java.util.Objects;
 
 /**
- * The decision to end a rollout in favour of the version in use. It is final.
+ * Final decision to end a rollout and return all traffic to the current version.
  *
- * @param rollout the rollout
- * @param by the operator, or the node that saw the evidence
- * @param reason why, with the figures
- * @param atMillis when, in milliseconds since 1970 UTC
+ * @param rollout the rollout that ended
+ * @param by the operator who decided, or the node whose evidence showed a regression
+ * @param reason the reason, with the counts behind it
+ * @param atMillis the time of the decision, in milliseconds since 1970 UTC
  */
 public record TakeBack(RolloutKey rollout, String by, String reason, long atMillis) {
 
@@ -19,9 +19,10 @@
 	}
 
 	/**
-	 * Return whether this one is shown rather than another one of the same rollout.
-	 * @param other the other one
-	 * @return {@code true} if it is the earlier one
+	 * Return whether this decision is shown rather than another one about the same
+	 * rollout.
+	 * @param other a decision about the same rollout
+	 * @return {@code true} if this one is earlier, or as early and first by author
 	 */
 	public boolean precedes(TakeBack other) {
 		return (this.atMillis != other.atMillis) ? this.atMillis < other.atMillis : this.by.compareTo(other.by) < 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Tally.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Tally.java
@@ -1,11 +1,11 @@
 package io.flamingogap.core.rollout;
 
 /**
- * Counts of requests that one node sent to one version.
+ * Counts of requests to one version, by outcome.
  *
- * @param requests the requests with an outcome
- * @param failures those that failed, broke off or stalled
- * @param slow those that took longer than the node's threshold
+ * @param requests the number of requests with a known outcome
+ * @param failures how many of them failed, broke off or stalled
+ * @param slow how many of them took longer than the threshold of the node that counted
  */
 public record Tally(long requests, long failures, long slow) {
 
@@ -20,18 +20,18 @@
 	}
 
 	/**
-	 * Count one more request.
-	 * @param failed whether it failed
-	 * @param wasSlow whether it was slow
-	 * @return the raised counts
+	 * Return the counts with one more request.
+	 * @param failed whether the request failed
+	 * @param wasSlow whether the request was slow
+	 * @return the new counts
 	 */
 	Tally count(boolean failed, boolean wasSlow) {
 		return new Tally(this.requests + 1, this.failures + (failed ? 1 : 0), this.slow + (wasSlow ? 1 : 0));
 	}
 
 	/**
-	 * Add counts of other requests.
-	 * @param other the other counts
+	 * Return the sum of these counts and those of other requests.
+	 * @param other counts of other requests
 	 * @return the sum
 	 */
 	public Tally plus(Tally other) {
@@ -39,9 +39,9 @@
 	}
 
 	/**
-	 * Merge two states of the same growing counts.
-	 * @param other another state
-	 * @return the later one of each
+	 * Merge two states of the same counts, which only grow.
+	 * @param other another state of the same counts
+	 * @return the larger value of each count
 	 */
 	Tally merge(Tally other) {
 		return new Tally(Math.max(this.requests, other.requests), Math.max(this.failures, other.failures),
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
@@ -5,59 +5,60 @@
 import java.util.TreeMap;
 
 /**
- * A rollout that has to end within a short time: a small share explores the candidate,
- * then it takes over unless the evidence speaks against it. Nodes with the same evidence
- * decide alike.
+ * Rollout on a fixed schedule within a short time. The candidate first gets a small share
+ * of the requests, then all of them unless the evidence shows a regression. Nodes with
+ * the same evidence make the same decision.
  */
 public final class TimedCanary {
 
-	/** The part of the time in which a small share explores the candidate. */
-	private static final double EXPLORE_UNTIL = 0.5;
+	/** Fraction of the time in which the candidate gets the exploration share. */
+	private static final double EXPLORATION_END = 0.5;
 
-	/** The part of the time after which all requests go to the candidate. */
-	private static final double MOVE_ALL_FROM = 0.65;
+	/** Fraction of the time after which the candidate gets all requests. */
+	private static final double ALL_REQUESTS_START = 0.65;
 
-	/** The part of the time after which the old version may stop. */
-	private static final double DONE_FROM = 0.85;
+	/** Fraction of the time after which the current version may stop. */
+	private static final double COMPLETION_START = 0.85;
 
-	/** The share between exploration and the whole move. */
+	/** Share of the candidate between the exploration and all requests. */
 	private static final double MIDDLE_SHARE = 0.3;
 
-	private final Map<String, Comparison> byRoute = new TreeMap<>();
+	private final Map<String, VersionComparison> byRoute = new TreeMap<>();
 
-	private final Comparison all = new Comparison();
+	private final VersionComparison all = new VersionComparison();
 
-	private final double exploredShare;
+	private final double explorationShare;
 
 	/**
-	 * Create a trial without evidence.
-	 * @param exploredShare the share of requests that explores the candidate
+	 * Create a canary without evidence.
+	 * @param explorationShare the candidate's share of requests at first, from 0 to 1
 	 */
-	public TimedCanary(double exploredShare) {
-		this.exploredShare = exploredShare;
+	public TimedCanary(double explorationShare) {
+		this.explorationShare = explorationShare;
 	}
 
 	/**
 	 * Add evidence.
-	 * @param arm the version
-	 * @param route the route
+	 * @param arm the version that the requests were sent to
+	 * @param route the name of the route
 	 * @param tally the counts of one node
 	 */
 	public void add(Arm arm, String route, Tally tally) {
 		this.all.add(0, arm, tally);
-		this.byRoute.computeIfAbsent(route, (name) -> new Comparison()).add(0, arm, tally);
+		this.byRoute.computeIfAbsent(route, (name) -> new VersionComparison()).add(0, arm, tally);
 	}
 
 	/**
-	 * Look for evidence that the candidate is bad, on all routes together and on each.
-	 * @return what is bad, if anything is
+	 * Test whether the candidate is worse, on all routes together and on each route
+	 * alone.
+	 * @return the reason with the counts, or empty if the evidence shows no regression
 	 */
 	public Optional<String> findRegression() {
-		Optional<String> found = this.all.findBadness(SequentialTest.BAD_THRESHOLD)
+		Optional<String> found = this.all.findRegression(SequentialTest.BAD_THRESHOLD)
 			.map((what) -> what + " in all: " + this.all);
-		for (Map.Entry<String, Comparison> route : this.byRoute.entrySet()) {
+		for (Map.Entry<String, VersionComparison> route : this.byRoute.entrySet()) {
 			found = found.or(() -> route.getValue()
-				.findBadness(SequentialTest.BAD_THRESHOLD)
+				.findRegression(SequentialTest.BAD_THRESHOLD)
 				.map((what) -> what + " on " + route.getKey() + ": " + route.getValue()));
 		}
 		return found;
@@ -65,23 +66,24 @@
 
 	/**
 	 * Return the share of requests for the candidate.
-	 * @param part the part of the time that has passed
+	 * @param elapsedFraction the fraction of the time that has passed, from 0 to 1
 	 * @return the share, from 0 to 1
 	 */
-	public double candidateShare(double part) {
-		if (part < EXPLORE_UNTIL) {
-			return this.exploredShare;
+	public double candidateShare(double elapsedFraction) {
+		if (elapsedFraction < EXPLORATION_END) {
+			return this.explorationShare;
 		}
-		return (part < MOVE_ALL_FROM) ? MIDDLE_SHARE : 1;
+		return (elapsedFraction < ALL_REQUESTS_START) ? MIDDLE_SHARE : 1;
 	}
 
 	/**
-	 * Return whether the move is complete if nothing speaks against the candidate.
-	 * @param part the part of the time that has passed
-	 * @return {@code true} if the old version may stop
+	 * Return whether the rollout may complete, provided that the evidence shows no
+	 * regression.
+	 * @param elapsedFraction the fraction of the time that has passed, from 0 to 1
+	 * @return {@code true} if the current version may stop
 	 */
-	public boolean mayComplete(double part) {
-		return part >= DONE_FROM;
+	public boolean mayComplete(double elapsedFraction) {
+		return elapsedFraction >= COMPLETION_START;
 	}
 
 	@Override
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TrafficSplitter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TrafficSplitter.java
@@ -3,32 +3,33 @@
 import io.flamingogap.core.text.Digests;
 
 /**
- * Chooses the version for one request.
+ * Splits the requests of a service between the two versions of a rollout.
  */
 public final class TrafficSplitter {
 
-	private static final int HEX = 16;
+	private static final int HEX_RADIX = 16;
 
-	private static final int DIGITS = 8;
+	private static final int HASH_DIGITS = 8;
 
 	private TrafficSplitter() {
 	}
 
 	/**
-	 * Choose by a digest of the request's id, so that each attempt of a request goes to
-	 * the same version while the share stands.
-	 * @param decision what is decided about the rollout
+	 * Choose the version for a request by a hash of its id, so that all attempts of a
+	 * request go to the same version as long as the share doesn't change.
+	 * @param decision the decision about the rollout
 	 * @param requestId the id of the request
-	 * @param repeatable whether the request may be repeated
-	 * @return the version to use
+	 * @param repeatable whether the request may be sent more than once; others go to the
+	 * candidate only after the exploration
+	 * @return the version to send the request to
 	 */
 	public static Arm choose(RolloutDecision decision, String requestId, boolean repeatable) {
-		if (decision.sharePermille() == 0 || (!repeatable && !decision.isShownGood())) {
+		if (decision.sharePermille() == 0 || (!repeatable && !decision.isCandidateProven())) {
 			return Arm.CURRENT;
 		}
-		String digits = Digests.sha256(requestId).substring(0, DIGITS);
-		long place = Long.parseLong(digits, HEX) % RolloutDecision.ALL_PERMILLE;
-		return (place < decision.sharePermille()) ? Arm.CANDIDATE : Arm.CURRENT;
+		String hash = Digests.sha256(requestId).substring(0, HASH_DIGITS);
+		long hashPermille = Long.parseLong(hash, HEX_RADIX) % RolloutDecision.ALL_PERMILLE;
+		return (hashPermille < decision.sharePermille()) ? Arm.CANDIDATE : Arm.CURRENT;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Moves of traffic between versions, decided alike at every node from merged evidence.
+ * Rollouts: the gradual shift of traffic from one version of a service to another. Every
+ * node decides for itself, and nodes with the same merged evidence decide the same.
  */
 @NullMarked
 package io.flamingogap.core.rollout;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/RolloutPolicyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/RolloutPolicyTests.java
@@ -46,7 +46,7 @@
 		return RolloutPolicy.decide(ROLLOUT, this.evidence, null, millis(afterSeconds));
 	}
 
-	private Optional<String> badness() {
+	private Optional<String> regression() {
 		return RolloutPolicy.findRegression(ROLLOUT, this.evidence, millis(LENGTH_SECONDS / 2));
 	}
 
@@ -54,7 +54,7 @@
 	class Share {
 
 		@Test
-		void isNothingBeforeTheStart() {
+		void isZeroBeforeTheStart() {
 			assertThat(decide(-1).sharePermille(), is(0));
 		}
 
@@ -73,7 +73,7 @@
 		}
 
 		@Test
-		void staysSmallUntilItsTimeWhateverTheEvidence() {
+		void staysSmallBeforeItsScheduleWhateverTheEvidence() {
 			count(Arm.CURRENT, "chat", 1, 20_000, 100, 2_000);
 			count(Arm.CANDIDATE, "chat", 1, 20_000, 100, 2_000);
 			assertThat(decide(1).sharePermille(), is(RolloutPolicy.EXPLORATION_PERMILLE));
@@ -87,7 +87,7 @@
 		}
 
 		@Test
-		void isNothingOnceTakenBack() {
+		void isZeroOnceTakenBack() {
 			TakeBack takeBack = new TakeBack(RolloutKey.of(ROLLOUT), "ops", "asked", 1);
 			RolloutDecision decision = RolloutPolicy.decide(ROLLOUT, RolloutPolicyTests.this.evidence, takeBack,
 					millis(LENGTH_SECONDS));
@@ -98,13 +98,13 @@
 	}
 
 	@Nested
-	class Badness {
+	class Regression {
 
 		@Test
 		void isFoundWhenTheCandidateFailsAtOnce() {
 			count(Arm.CURRENT, "chat", 10, 500, 2, 50);
 			count(Arm.CANDIDATE, "chat", 10, 5, 5, 0);
-			assertThat(badness().orElse(""), containsString("failures"));
+			assertThat(regression().orElse(""), containsString("failures"));
 		}
 
 		@Test
@@ -113,7 +113,7 @@
 			count(Arm.CANDIDATE, "chat", 10, 5_000, 0, 0);
 			count(Arm.CURRENT, "bookings", 10, 100, 0, 0);
 			count(Arm.CANDIDATE, "bookings", 10, 10, 6, 0);
-			assertThat(badness().orElse(""), containsString("on bookings"));
+			assertThat(regression().orElse(""), containsString("on bookings"));
 		}
 
 		@Test
@@ -122,30 +122,30 @@
 			count(Arm.CANDIDATE, "chat", 10, 20_000, 100, 2_000);
 			count(Arm.CURRENT, "chat", 500, 500, 2, 50);
 			count(Arm.CANDIDATE, "chat", 500, 100, 20, 10);
-			assertThat(badness().orElse(""), containsString("failures"));
+			assertThat(regression().orElse(""), containsString("failures"));
 		}
 
 		@Test
 		void isFoundWhenTheCandidateIsSlow() {
 			count(Arm.CURRENT, "chat", 10, 1_000, 0, 100);
 			count(Arm.CANDIDATE, "chat", 10, 60, 0, 40);
-			assertThat(badness().orElse(""), containsString("slow"));
+			assertThat(regression().orElse(""), containsString("slow"));
 		}
 
 		@Test
-		void isNotFoundWhenTroubleStrikesBothWhileTheCandidateHasMoreTraffic() {
+		void isNotFoundWhenBothSufferWhileTheCandidateHasMoreTraffic() {
 			count(Arm.CURRENT, "chat", 10, 20_000, 100, 2_000);
 			count(Arm.CANDIDATE, "chat", 10, 100, 0, 10);
 			count(Arm.CURRENT, "chat", 300, 1_000, 50, 300);
 			count(Arm.CANDIDATE, "chat", 300, 20_000, 1_000, 6_000);
-			assertThat(badness().isPresent(), is(false));
+			assertThat(regression().isPresent(), is(false));
 		}
 
 		@Test
-		void isFoundAtTheDeadlineWhenTheEvidenceLeansAgainstTheCandidate() {
+		void isFoundAtTheDeadlineByWeakerEvidence() {
 			count(Arm.CURRENT, "chat", 10, 20_000, 200, 2_000);
 			count(Arm.CANDIDATE, "chat", 10, 1_000, 25, 100);
-			assertThat(badness().isPresent(), is(false));
+			assertThat(regression().isPresent(), is(false));
 			assertThat(RolloutPolicy.findRegression(ROLLOUT, RolloutPolicyTests.this.evidence, millis(LENGTH_SECONDS))
 				.isPresent(), is(true));
 		}
@@ -155,14 +155,14 @@
 			count(Arm.CURRENT, "chat", 10, 20_000, 100, 2_000);
 			count(Arm.CANDIDATE, "chat", 10, 20_000, 100, 2_000);
 			count(Arm.CANDIDATE, "chat", 500, 20_000, 100, 2_000);
-			assertThat(badness().isPresent(), is(false));
+			assertThat(regression().isPresent(), is(false));
 		}
 
 		@Test
 		void isNotFoundWhenBothVersionsSufferAlike() {
 			count(Arm.CURRENT, "chat", 10, 1_000, 300, 300);
 			count(Arm.CANDIDATE, "chat", 10, 100, 30, 30);
-			assertThat(badness().isPresent(), is(false));
+			assertThat(regression().isPresent(), is(false));
 		}
 
 	}
