--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -53,7 +53,7 @@
 	 * @param prompt the prompt; {@link PromptMetadata#NONE} for requests without one
 	 * @param allowed accepts the servers that may get the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
-	 * @return the server; empty if none is allowed, takes requests and has a free place
+	 * @return the server; empty if none is allowed, takes requests and has capacity left
 	 */
 	public Optional<KnownServer> choose(Collection<KnownServer> servers, PromptMetadata prompt,
 			Predicate<KnownServer> allowed, long nowMillis) {
