Rename gateway types and methods that are used across packages

Several names said little or used a picture: HttpCaller is an HTTP client while "caller" is a client of the gateway elsewhere, PageServer also answers calls of other nodes, NodeBoard, ServerWatch and OperatorWatch didn't say what they hold or watch, untold and takeStatus didn't say which statuses, callerReads stands for a connection that is writable again.

Types: CallerRequests -> CallerRequestHandler, HttpCaller -> PooledHttpClient, CallException -> HttpCallException, PageServer -> SimpleHttpServer with Page -> Response and PageRequest -> Request, Rollouts -> RolloutController, NodeBoard -> NodeReportExchange, ServerWatch -> ServerRegistrationWatcher, OperatorWatch -> OperatorRecordWatcher, PlatformPorts -> PlatformAdapters, DutyBounds -> DutySettings.

Methods: VersionSelector.record -> recordOutcome; OpenRequest.callerLeft -> onCallerDisconnected, callerReads -> onCallerWritable; keepsConnections -> allowsKeepAlive; CallerExchange.begin -> beginResponse, write -> writeChunk, end -> endResponse, hasBegun -> hasResponseBegun; maybeTookEffect -> mayHaveTakenEffect; isListed -> hasCompletedListing, contactAtMillis -> lastContactAtMillis; RolloutController.untold -> unpublishedStatuses, takeStatus -> recordPublishedStatus, statusesRead -> markStatusesLoaded, isUnderWay -> hasRunningRollout, order -> applyOrder, decide -> evaluate.

Components and a constant: GatewaySettings.bounds -> relayLimits, stopMillis -> stopTimeoutMillis, exposedShare -> maxCandidateShare, REPORT_MILLIS -> REPORT_INTERVAL_MILLIS.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -31,13 +31,13 @@
 import io.flamingogap.gateway.cloud.DutyDependencies;
 import io.flamingogap.gateway.cloud.DutyRunner;
 import io.flamingogap.gateway.cloud.FleetTotals;
-import io.flamingogap.gateway.http.PageServer;
+import io.flamingogap.gateway.http.SimpleHttpServer;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.node.MetricsPage;
-import io.flamingogap.gateway.node.NodeBoard;
-import io.flamingogap.gateway.node.OperatorWatch;
-import io.flamingogap.gateway.node.Rollouts;
-import io.flamingogap.gateway.node.ServerWatch;
+import io.flamingogap.gateway.node.NodeReportExchange;
+import io.flamingogap.gateway.node.OperatorRecordWatcher;
+import io.flamingogap.gateway.node.RolloutController;
+import io.flamingogap.gateway.node.ServerRegistrationWatcher;
 import io.flamingogap.gateway.peers.LoadGossip;
 import io.flamingogap.gateway.peers.PeerDatagramChannel;
 import io.flamingogap.gateway.peers.QuotaLoans;
@@ -84,7 +84,7 @@
 
 	private final GatewaySettings settings;
 
-	private final PlatformPorts ports;
+	private final PlatformAdapters ports;
 
 	private final NodeClock clock;
 
@@ -104,7 +104,7 @@
 
 	private final FleetView fleet;
 
-	private final Rollouts rollouts;
+	private final RolloutController rollouts;
 
 	private final QuotaLimiter quotas;
 
@@ -120,11 +120,11 @@
 
 	private final LoadGossip gossip;
 
-	private final NodeBoard board;
+	private final NodeReportExchange board;
 
-	private final ServerWatch serverWatch;
+	private final ServerRegistrationWatcher serverWatch;
 
-	private final OperatorWatch operatorWatch;
+	private final OperatorRecordWatcher operatorWatch;
 
 	private final Optional<DutyRunner> duties;
 
@@ -138,17 +138,18 @@
 	 * @param clock tells the present time
 	 * @param incarnation a random number that no other run of the node has
 	 */
-	public Gateway(EventLoop loop, GatewaySettings settings, PlatformPorts ports, NodeClock clock, long incarnation) {
+	public Gateway(EventLoop loop, GatewaySettings settings, PlatformAdapters ports, NodeClock clock,
+			long incarnation) {
 		this.loop = loop;
 		this.settings = settings;
 		this.ports = ports;
 		this.clock = clock;
 		this.self = new NodeId(settings.node(), incarnation);
-		this.fleet = new FleetView(this.self, NodeBoard.REPORT_MILLIS);
+		this.fleet = new FleetView(this.self, NodeReportExchange.REPORT_INTERVAL_MILLIS);
 		SplittableRandom random = new SplittableRandom(incarnation);
-		this.rollouts = new Rollouts(this.servers, this.fleet, random,
-				settings.duties().exposedShare() * EXPLORED_PART);
-		this.quotas = new QuotaLimiter(settings.bounds().quotaTolerance(), settings.firstStart());
+		this.rollouts = new RolloutController(this.servers, this.fleet, random,
+				settings.duties().maxCandidateShare() * EXPLORED_PART);
+		this.quotas = new QuotaLimiter(settings.relayLimits().quotaTolerance(), settings.firstStart());
 		this.pool = new BackendConnectionPool(loop, ports.backends(), clock::steadyMillis);
 		this.datagrams = new PeerDatagramChannel(loop);
 		this.gossip = new LoadGossip(loop, this.datagrams, settings.node(), this.servers, this::zonePeerAddresses,
@@ -158,14 +159,15 @@
 		RelayDependencies parts = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
 				this.pool, this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
-		this.relay = new RequestRelay(parts, settings.bounds(), this::onStarted);
+		this.relay = new RequestRelay(parts, settings.relayLimits(), this::onStarted);
 		this.access = new StoreAccess(loop, ports.store(), zoneRelay(), this::peerAddresses, clock::steadyMillis);
 		this.store = this.access.store();
-		this.board = new NodeBoard(loop, this.store, this.access.reports(), this.fleet, this.fleetClock, clock,
+		this.board = new NodeReportExchange(loop, this.store, this.access.reports(), this.fleet, this.fleetClock, clock,
 				this::report,
 				(previous) -> this.quotas.restoreDemand(previous.demandPerSecond(), clock.steadyMillis()));
-		this.serverWatch = new ServerWatch(loop, this.store, ports.records(), this.servers, clock);
-		this.operatorWatch = new OperatorWatch(loop, this.store, ports.records(), this.config, this.rollouts, clock);
+		this.serverWatch = new ServerRegistrationWatcher(loop, this.store, ports.records(), this.servers, clock);
+		this.operatorWatch = new OperatorRecordWatcher(loop, this.store, ports.records(), this.config, this.rollouts,
+				clock);
 		this.duties = ports.cloud()
 			.map((cloud) -> new DutyRunner(dutyParts(cloud), settings.duties().leaseMillis(),
 					settings.duties().usageWindowMillis()));
@@ -179,7 +181,7 @@
 
 	private DutyDependencies dutyParts(CloudApi cloud) {
 		return new DutyDependencies(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock,
-				this::trueMillis, this.config, this.rollouts, this.servers, this.serverWatch::isListed,
+				this::trueMillis, this.config, this.rollouts, this.servers, this.serverWatch::hasCompletedListing,
 				new FleetTotals(this.fleet, this.usage, this.demands, this.clock), this.self.name(),
 				this.settings.firstStart());
 	}
@@ -190,18 +192,18 @@
 	public void start() {
 		GatewaySettings.Listen listen = this.settings.listen();
 		listen.readiness()
-			.ifPresent((address) -> PageServer.listen(this.loop, address,
+			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(readiness())));
 		listen.directory()
-			.ifPresent((address) -> PageServer.listen(this.loop, address,
+			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(directory(request))));
 		listen.peers().ifPresent((address) -> {
-			PageServer.listen(this.loop, address, this.access.peerService()::answer);
+			SimpleHttpServer.listen(this.loop, address, this.access.peerService()::answer);
 			this.datagrams.start(address);
 		});
 		MetricsPage metricsPage = new MetricsPage(this.metrics, figures());
 		listen.metrics()
-			.ifPresent((address) -> PageServer.listen(this.loop, address,
+			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(metricsPage.write())));
 		this.operatorWatch.start();
 		this.serverWatch.start();
@@ -211,7 +213,7 @@
 					() -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
 		this.loop.scheduleWithFixedDelay(this.pool::closeExpiredConnections, TRIM_EACH_MILLIS, TRIM_EACH_MILLIS,
 				TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(() -> this.rollouts.decide(this.clock.steadyMillis()), DECIDE_EACH_MILLIS,
+		this.loop.scheduleWithFixedDelay(() -> this.rollouts.evaluate(this.clock.steadyMillis()), DECIDE_EACH_MILLIS,
 				DECIDE_EACH_MILLIS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(this::readStatuses, 0, STATUS_EACH_MILLIS, TimeUnit.MILLISECONDS);
 		this.duties.ifPresent(DutyRunner::start);
@@ -237,7 +239,7 @@
 			this.leaving = true;
 			this.duties.ifPresent(DutyRunner::stop);
 			new PlannedStop(this.loop, this.clock, this.relay, this.board, this.metrics::openRequests,
-					this.settings.stopMillis())
+					this.settings.stopTimeoutMillis())
 				.start(end);
 		}
 	}
@@ -261,7 +263,7 @@
 
 			@Override
 			public long storeSilentMillis() {
-				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatch.contactAtMillis();
+				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatch.lastContactAtMillis();
 			}
 
 			@Override
@@ -272,12 +274,13 @@
 	}
 
 	private void readStatuses() {
-		if (!this.rollouts.isUnderWay()) {
+		if (!this.rollouts.hasRunningRollout()) {
 			return;
 		}
 		this.store.newest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
-			page.records().forEach((entry) -> this.ports.records().readStatus(entry).peek(this.rollouts::takeStatus));
-			this.rollouts.statusesRead();
+			page.records()
+				.forEach((entry) -> this.ports.records().readStatus(entry).peek(this.rollouts::recordPublishedStatus));
+			this.rollouts.markStatusesLoaded();
 		}).exceptionally((failure) -> {
 			logger.atInfo().log("%s", LogLine.of("rollout statuses not read").with("reason", failure.getMessage()));
 			return null;
@@ -309,22 +312,22 @@
 	}
 
 	private boolean isReady() {
-		return !this.leaving && this.config.current().isPresent() && this.serverWatch.isListed();
+		return !this.leaving && this.config.current().isPresent() && this.serverWatch.hasCompletedListing();
 	}
 
-	private PageServer.Page readiness() {
-		return isReady() ? PageServer.Page.text(200, "ready\n")
-				: PageServer.Page.text(503, this.leaving ? "leaving\n" : "starting\n");
+	private SimpleHttpServer.Response readiness() {
+		return isReady() ? SimpleHttpServer.Response.text(200, "ready\n")
+				: SimpleHttpServer.Response.text(503, this.leaving ? "leaving\n" : "starting\n");
 	}
 
-	private PageServer.Page directory(PageServer.PageRequest request) {
+	private SimpleHttpServer.Response directory(SimpleHttpServer.Request request) {
 		Optional<String> zone = this.ports.directory().zoneOf(request);
 		if (zone.isEmpty()) {
-			return PageServer.Page.text(404, "no such page\n");
+			return SimpleHttpServer.Response.text(404, "no such page\n");
 		}
 		this.fleet.advance(this.clock.steadyMillis());
 		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), presence());
-		return addresses.isEmpty() ? PageServer.Page.text(503, "no node serves\n")
+		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no node serves\n")
 				: this.ports.directory().write(addresses, DIRECTORY_TTL_SECONDS);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
@@ -15,12 +15,12 @@
  * @param regionsByZone the region of each zone
  * @param listen where the node listens
  * @param firstStart whether the whole fleet starts for the first time
- * @param bounds the bounds of the request path
- * @param stopMillis how long a planned stop may take
+ * @param relayLimits the bounds of the request path
+ * @param stopTimeoutMillis how long a planned stop may take
  * @param duties the bounds of the duties
  */
 public record GatewaySettings(String node, String zone, Map<String, String> regionsByZone, Listen listen,
-		boolean firstStart, RelayLimits bounds, long stopMillis, DutyBounds duties) {
+		boolean firstStart, RelayLimits relayLimits, long stopTimeoutMillis, DutySettings duties) {
 
 	public GatewaySettings {
 		Objects.requireNonNull(node, "node must not be null");
@@ -47,9 +47,10 @@
 	 *
 	 * @param leaseMillis the time in which two holders must not act by turns
 	 * @param usageWindowMillis the length of a window of usage; 0 if usage isn't reported
-	 * @param exposedShare the most requests that a version under trial gets, as a share
+	 * @param maxCandidateShare the most requests that a version under trial gets, as a
+	 * share
 	 */
-	public record DutyBounds(long leaseMillis, long usageWindowMillis, double exposedShare) {
+	public record DutySettings(long leaseMillis, long usageWindowMillis, double maxCandidateShare) {
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlannedStop.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlannedStop.java
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoop;
 
 import io.flamingogap.gateway.log.LogLine;
-import io.flamingogap.gateway.node.NodeBoard;
+import io.flamingogap.gateway.node.NodeReportExchange;
 import io.flamingogap.gateway.relay.RequestRelay;
 import io.flamingogap.gateway.time.NodeClock;
 
@@ -38,7 +38,7 @@
 
 	private final RequestRelay relay;
 
-	private final NodeBoard board;
+	private final NodeReportExchange board;
 
 	private final IntSupplier openRequests;
 
@@ -57,7 +57,7 @@
 	 * @param openRequests tells the open requests
 	 * @param stopMillis how long the stop may take
 	 */
-	PlannedStop(EventLoop loop, NodeClock clock, RequestRelay relay, NodeBoard board, IntSupplier openRequests,
+	PlannedStop(EventLoop loop, NodeClock clock, RequestRelay relay, NodeReportExchange board, IntSupplier openRequests,
 			long stopMillis) {
 		this.loop = loop;
 		this.clock = clock;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformPorts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformAdapters.java
@@ -19,6 +19,6 @@
  * @param store the store
  * @param cloud the cloud's calls; empty if the node may not call it
  */
-public record PlatformPorts(CallerProtocol callers, DirectoryProtocol directory, BackendProtocol backends,
+public record PlatformAdapters(CallerProtocol callers, DirectoryProtocol directory, BackendProtocol backends,
 		RecordCodec records, RecordStore store, Optional<CloudApi> cloud) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -30,7 +30,7 @@
 
 	private final CallerProtocol protocol;
 
-	private final CallerRequests requests;
+	private final CallerRequestHandler requests;
 
 	private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
 
@@ -40,7 +40,7 @@
 
 	private @Nullable ChannelHandlerContext context;
 
-	CallerConnection(CallerProtocol protocol, CallerRequests requests) {
+	CallerConnection(CallerProtocol protocol, CallerRequestHandler requests) {
 		this.protocol = protocol;
 		this.requests = requests;
 	}
@@ -121,7 +121,7 @@
 	}
 
 	boolean mayBeKept() {
-		return this.requests.keepsConnections();
+		return this.requests.allowsKeepAlive();
 	}
 
 	@Override
@@ -131,7 +131,7 @@
 		this.open = null;
 		this.busy = true;
 		if (left != null) {
-			left.callerLeft();
+			left.onCallerDisconnected();
 		}
 	}
 
@@ -139,7 +139,7 @@
 	public void channelWritabilityChanged(ChannelHandlerContext channel) {
 		OpenRequest reading = this.open;
 		if (reading != null && channel.channel().isWritable()) {
-			reading.callerReads();
+			reading.onCallerWritable();
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -92,7 +92,7 @@
 	 * @param status the status
 	 * @param headers the headers to pass on
 	 */
-	public void begin(HttpResponseStatus status, HttpHeaders headers) {
+	public void beginResponse(HttpResponseStatus status, HttpHeaders headers) {
 		this.begun = true;
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
 		response.headers().set(headers);
@@ -106,14 +106,14 @@
 	 * Pass on a piece of the body.
 	 * @param piece the piece
 	 */
-	public void write(ByteBuf piece) {
+	public void writeChunk(ByteBuf piece) {
 		this.context.writeAndFlush(new DefaultHttpContent(piece), this.context.voidPromise());
 	}
 
 	/**
 	 * End an answer that is complete.
 	 */
-	public void end() {
+	public void endResponse() {
 		if (!this.ended) {
 			finish(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
@@ -147,7 +147,7 @@
 	 * Return whether pieces of the answer were sent.
 	 * @return {@code true} if a failure can't be told to the caller any more
 	 */
-	public boolean hasBegun() {
+	public boolean hasResponseBegun() {
 		return this.begun;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -51,7 +51,7 @@
 	 * @param requests takes the requests
 	 * @param limits tells the limits in force
 	 */
-	public static void listen(EventLoop loop, Address address, CallerProtocol protocol, CallerRequests requests,
+	public static void listen(EventLoop loop, Address address, CallerProtocol protocol, CallerRequestHandler requests,
 			Supplier<ListenerLimits> limits) {
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequests.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
@@ -3,7 +3,7 @@
 /**
  * Takes the requests of callers.
  */
-public interface CallerRequests {
+public interface CallerRequestHandler {
 
 	/**
 	 * Take a request.
@@ -17,6 +17,6 @@
 	 * Return whether connections are kept after an answer.
 	 * @return {@code false} during a planned stop
 	 */
-	boolean keepsConnections();
+	boolean allowsKeepAlive();
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 import io.flamingogap.core.node.Address;
-import io.flamingogap.gateway.http.PageServer;
+import io.flamingogap.gateway.http.SimpleHttpServer;
 
 /**
  * How callers ask where to connect.
@@ -16,7 +16,7 @@
 	 * @param request the request
 	 * @return the zone; empty if this isn't a question of where to connect
 	 */
-	Optional<String> zoneOf(PageServer.PageRequest request);
+	Optional<String> zoneOf(SimpleHttpServer.Request request);
 
 	/**
 	 * Write the answer.
@@ -24,6 +24,6 @@
 	 * @param ttlSeconds how long the answer holds
 	 * @return the page
 	 */
-	PageServer.Page write(List<Address> addresses, int ttlSeconds);
+	SimpleHttpServer.Response write(List<Address> addresses, int ttlSeconds);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
@@ -8,11 +8,11 @@
 	/**
 	 * The caller has left.
 	 */
-	void callerLeft();
+	void onCallerDisconnected();
 
 	/**
 	 * The caller reads again after it was slow.
 	 */
-	void callerReads();
+	void onCallerWritable();
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
@@ -7,7 +7,7 @@
 
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ConfigHolder;
-import io.flamingogap.gateway.node.Rollouts;
+import io.flamingogap.gateway.node.RolloutController;
 import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.time.NodeClock;
@@ -33,6 +33,6 @@
  * @param firstStart whether the whole system starts for the first time
  */
 public record DutyDependencies(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
-		LongSupplier correctedTimeOfDayMillis, ConfigHolder config, Rollouts rollouts, ServerTable servers,
+		LongSupplier correctedTimeOfDayMillis, ConfigHolder config, RolloutController rollouts, ServerTable servers,
 		BooleanSupplier serversListed, FleetTotals totals, String memberName, boolean firstStart) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -243,7 +243,10 @@
 			storeUsage(due.get());
 			return;
 		}
-		Optional<RecordCodec.RolloutStatus> unpublished = this.dependencies.rollouts().untold().stream().findFirst();
+		Optional<RecordCodec.RolloutStatus> unpublished = this.dependencies.rollouts()
+			.unpublishedStatuses()
+			.stream()
+			.findFirst();
 		if (unpublished.isPresent()) {
 			publishStatus(unpublished.get());
 			return;
@@ -289,7 +292,7 @@
 					logFailure("rollout status not told", failure);
 					return;
 				}
-				this.dependencies.rollouts().takeStatus(status);
+				this.dependencies.rollouts().recordPublishedStatus(status);
 				logger.atInfo()
 					.log("%s",
 							LogLine.of("rollout status told")
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/CallException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
@@ -3,7 +3,7 @@
 /**
  * A call that got no answer. Whether it took effect isn't known unless it was never sent.
  */
-public final class CallException extends RuntimeException {
+public final class HttpCallException extends RuntimeException {
 
 	private static final long serialVersionUID = 1L;
 
@@ -15,7 +15,7 @@
 	 * @param step what failed
 	 * @param sent whether bytes of the call may have reached the peer
 	 */
-	public CallException(String peer, String step, boolean sent) {
+	public HttpCallException(String peer, String step, boolean sent) {
 		super(step + " " + peer, null, false, false);
 		this.sent = sent;
 	}
@@ -24,7 +24,7 @@
 	 * Return whether the call may have taken effect.
 	 * @return {@code false} if it was never sent
 	 */
-	public boolean maybeTookEffect() {
+	public boolean mayHaveTakenEffect() {
 		return this.sent;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCaller.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -34,7 +34,7 @@
  * Calls one peer over kept connections, each with a bound on the whole call. A connection
  * whose call failed in any way is closed. Used on the event loop only.
  */
-public final class HttpCaller {
+public final class PooledHttpClient {
 
 	/**
 	 * The largest answer that is read; above the largest page of the platform's store.
@@ -60,7 +60,7 @@
 	 * @param loop the event loop
 	 * @param peer the address to call
 	 */
-	public HttpCaller(EventLoop loop, Address peer) {
+	public PooledHttpClient(EventLoop loop, Address peer) {
 		this.loop = loop;
 		this.peer = peer;
 		this.bootstrap = new Bootstrap().group(loop)
@@ -84,7 +84,7 @@
 	 * @param headers further headers
 	 * @param body the body; empty for none
 	 * @param timeoutMillis the bound on the whole call
-	 * @return the answer, or a {@link CallException}
+	 * @return the answer, or a {@link HttpCallException}
 	 */
 	public CompletableFuture<HttpReply> call(HttpMethod method, String uri, Map<String, String> headers, byte[] body,
 			long timeoutMillis) {
@@ -106,7 +106,7 @@
 			}
 			else {
 				request.release();
-				reply.completeExceptionally(new CallException(this.peer.toString(), "connect to", false));
+				reply.completeExceptionally(new HttpCallException(this.peer.toString(), "connect to", false));
 			}
 		});
 		return reply;
@@ -143,7 +143,7 @@
 
 		private void send(FullHttpRequest request, CompletableFuture<HttpReply> reply, long timeoutMillis) {
 			this.waiting = reply;
-			this.timeout = HttpCaller.this.loop.schedule(() -> fail("timed out waiting for"), timeoutMillis,
+			this.timeout = PooledHttpClient.this.loop.schedule(() -> fail("timed out waiting for"), timeoutMillis,
 					TimeUnit.MILLISECONDS);
 			this.channel.writeAndFlush(request);
 		}
@@ -156,7 +156,7 @@
 			}
 			else if (HttpUtil.isKeepAlive(response)) {
 				this.idleSinceNanos = System.nanoTime();
-				HttpCaller.this.idle.addLast(this);
+				PooledHttpClient.this.idle.addLast(this);
 			}
 			else {
 				this.channel.close();
@@ -166,7 +166,7 @@
 			}
 			else if (reply != null) {
 				reply.completeExceptionally(
-						new CallException(HttpCaller.this.peer.toString(), "unreadable answer of", true));
+						new HttpCallException(PooledHttpClient.this.peer.toString(), "unreadable answer of", true));
 			}
 		}
 
@@ -182,9 +182,9 @@
 		private void fail(String step) {
 			CompletableFuture<HttpReply> reply = take();
 			this.channel.close();
-			HttpCaller.this.idle.remove(this);
+			PooledHttpClient.this.idle.remove(this);
 			if (reply != null) {
-				reply.completeExceptionally(new CallException(HttpCaller.this.peer.toString(), step, true));
+				reply.completeExceptionally(new HttpCallException(PooledHttpClient.this.peer.toString(), step, true));
 			}
 		}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PageServer.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
@@ -31,7 +31,7 @@
 /**
  * Serves small pages: readiness, the directory, metrics.
  */
-public final class PageServer {
+public final class SimpleHttpServer {
 
 	/** Requests for pages have no body worth reading. */
 	private static final int MAX_REQUEST_BYTES = 65_536;
@@ -41,7 +41,7 @@
 	 */
 	private static final int IDLE_SECONDS = 30;
 
-	private PageServer() {
+	private SimpleHttpServer() {
 	}
 
 	/**
@@ -50,7 +50,7 @@
 	 * @param address where to listen
 	 * @param pages answers requests, on the event loop
 	 */
-	public static void listen(EventLoop loop, Address address, Function<PageRequest, CompletableFuture<Page>> pages) {
+	public static void listen(EventLoop loop, Address address, Function<Request, CompletableFuture<Response>> pages) {
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -73,7 +73,7 @@
 	 * @param uri path and query
 	 * @param body the body
 	 */
-	public record PageRequest(String method, String uri, byte[] body) {
+	public record Request(String method, String uri, byte[] body) {
 	}
 
 	/**
@@ -83,7 +83,7 @@
 	 * @param contentType the type of the body
 	 * @param body the body
 	 */
-	public record Page(int status, String contentType, byte[] body) {
+	public record Response(int status, String contentType, byte[] body) {
 
 		/**
 		 * Create a page of text.
@@ -91,17 +91,17 @@
 		 * @param text the text
 		 * @return the page
 		 */
-		public static Page text(int status, String text) {
-			return new Page(status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+		public static Response text(int status, String text) {
+			return new Response(status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
 		}
 
 	}
 
 	private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-		private final Function<PageRequest, CompletableFuture<Page>> pages;
+		private final Function<Request, CompletableFuture<Response>> pages;
 
-		private Handler(Function<PageRequest, CompletableFuture<Page>> pages) {
+		private Handler(Function<Request, CompletableFuture<Response>> pages) {
 			this.pages = pages;
 		}
 
@@ -109,15 +109,15 @@
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
 			if (!request.decoderResult().isSuccess()) {
-				write(context, Page.text(HttpResponseStatus.BAD_REQUEST.code(), "unreadable request\n"), false);
+				write(context, Response.text(HttpResponseStatus.BAD_REQUEST.code(), "unreadable request\n"), false);
 				return;
 			}
 			this.pages
-				.apply(new PageRequest(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content())))
+				.apply(new Request(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content())))
 				.thenAccept((page) -> write(context, page, keepAlive));
 		}
 
-		private static void write(ChannelHandlerContext context, Page page, boolean keepAlive) {
+		private static void write(ChannelHandlerContext context, Response page, boolean keepAlive) {
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(page.body()));
 			response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -13,7 +13,7 @@
 import org.HdrHistogram.Histogram;
 import org.jspecify.annotations.Nullable;
 
-import io.flamingogap.gateway.http.PageServer;
+import io.flamingogap.gateway.http.SimpleHttpServer;
 import io.flamingogap.gateway.relay.RelayMetrics;
 
 /**
@@ -48,7 +48,7 @@
 	 * Write the page.
 	 * @return the metrics as text
 	 */
-	public PageServer.Page write() {
+	public SimpleHttpServer.Response write() {
 		PrometheusMeterRegistry held = this.registry;
 		if (held == null) {
 			held = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -56,7 +56,7 @@
 			this.registry = held;
 		}
 		registerNew(held);
-		return new PageServer.Page(200, "text/plain; version=0.0.4; charset=utf-8",
+		return new SimpleHttpServer.Response(200, "text/plain; version=0.0.4; charset=utf-8",
 				held.scrape().getBytes(StandardCharsets.UTF_8));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeBoard.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -29,10 +29,10 @@
  * What nodes tell each other through the store: publishes this node's reports and reads
  * those of the others.
  */
-public final class NodeBoard implements RecordListener {
+public final class NodeReportExchange implements RecordListener {
 
 	/** The time between reports; quotas and orders follow the demand this closely. */
-	public static final long REPORT_MILLIS = 1_500;
+	public static final long REPORT_INTERVAL_MILLIS = 1_500;
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -88,8 +88,8 @@
 	 * @param previousRun takes the newest report of the run of this node before, if the
 	 * other nodes still count it
 	 */
-	public NodeBoard(EventLoop loop, RecordStore store, ReportSink reports, FleetView fleet, FleetClock fleetClock,
-			NodeClock clock, Supplier<NodeReport> ownReport, Consumer<NodeReport> previousRun) {
+	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reports, FleetView fleet,
+			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReport, Consumer<NodeReport> previousRun) {
 		this.loop = loop;
 		this.store = store;
 		this.reports = reports;
@@ -107,7 +107,7 @@
 	 */
 	public void start() {
 		this.follower.start();
-		this.loop.scheduleWithFixedDelay(this::tick, 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::tick, 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void tick() {
@@ -117,7 +117,8 @@
 			this.fleet.nodesSilentLongerThan(REMOVED_MILLIS).forEach(this::forget);
 		}
 		NodeReport report = this.ownReport.get();
-		this.reports.offer(report.node().name(), ReportCodec.write(report)).exceptionally(NodeBoard::logNotKept);
+		this.reports.offer(report.node().name(), ReportCodec.write(report))
+			.exceptionally(NodeReportExchange::logNotKept);
 	}
 
 	private void forget(String node) {
@@ -135,7 +136,7 @@
 		return this.store
 			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.write(report)),
 					OptionalLong.empty())
-			.exceptionally(NodeBoard::logNotKept);
+			.exceptionally(NodeReportExchange::logNotKept);
 	}
 
 	private static Long logNotKept(Throwable failure) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -20,7 +20,7 @@
 /**
  * Puts configurations in force as operators publish them, and takes their rollout orders.
  */
-public final class OperatorWatch implements RecordListener {
+public final class OperatorRecordWatcher implements RecordListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -28,7 +28,7 @@
 
 	private final ConfigHolder config;
 
-	private final Rollouts rollouts;
+	private final RolloutController rollouts;
 
 	private final NodeClock clock;
 
@@ -43,8 +43,8 @@
 	 * @param rollouts takes orders of rollouts
 	 * @param clock tells the present time
 	 */
-	public OperatorWatch(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config, Rollouts rollouts,
-			NodeClock clock) {
+	public OperatorRecordWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config,
+			RolloutController rollouts, NodeClock clock) {
 		this.codec = codec;
 		this.config = config;
 		this.rollouts = rollouts;
@@ -99,7 +99,7 @@
 							.with("reason", read.getLeft()));
 			return;
 		}
-		this.rollouts.order(read.get(), entry.offset(), this.clock.steadyMillis());
+		this.rollouts.applyOrder(read.get(), entry.offset(), this.clock.steadyMillis());
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/Rollouts.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -30,7 +30,7 @@
  * Every node stops sending to a bad version on its own; the holder of the duties tells
  * operators.
  */
-public final class Rollouts implements VersionSelector {
+public final class RolloutController implements VersionSelector {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -55,7 +55,7 @@
 	 * @param random draws the requests that explore a version
 	 * @param exploredShare the share of requests that explores a version
 	 */
-	public Rollouts(ServerTable servers, FleetView fleet, RandomGenerator random, double exploredShare) {
+	public RolloutController(ServerTable servers, FleetView fleet, RandomGenerator random, double exploredShare) {
 		this.servers = servers;
 		this.fleet = fleet;
 		this.random = random;
@@ -68,7 +68,7 @@
 	 * @param offset its position in the store; orders that were seen are ignored
 	 * @param nowMillis the present time
 	 */
-	public void order(RolloutOrder order, long offset, long nowMillis) {
+	public void applyOrder(RolloutOrder order, long offset, long nowMillis) {
 		Move known = this.moves.get(order.service());
 		if (known != null && offset <= known.offset) {
 			return;
@@ -92,7 +92,7 @@
 	 * Return whether operators' statuses should be read again.
 	 * @return {@code true} while a rollout is under way
 	 */
-	public boolean isUnderWay() {
+	public boolean hasRunningRollout() {
 		return this.moves.values().stream().anyMatch((move) -> move.state == RolloutStatus.State.RUNNING);
 	}
 
@@ -100,7 +100,7 @@
 	 * Record that all statuses were read. Until then no version is explored, since a
 	 * rollout may have ended before this node started.
 	 */
-	public void statusesRead() {
+	public void markStatusesLoaded() {
 		this.statusesKnown = true;
 	}
 
@@ -108,7 +108,7 @@
 	 * Take what operators were told.
 	 * @param status the status
 	 */
-	public void takeStatus(RolloutStatus status) {
+	public void recordPublishedStatus(RolloutStatus status) {
 		this.statuses.put(status.service(), status);
 		Move move = this.moves.get(status.service());
 		if (move != null && move.order.target().equals(status.target()) && status.state() != RolloutStatus.State.RUNNING
@@ -121,7 +121,7 @@
 	 * Decide the rollouts on the evidence of all nodes.
 	 * @param nowMillis the present time
 	 */
-	public void decide(long nowMillis) {
+	public void evaluate(long nowMillis) {
 		if (!this.statusesKnown) {
 			return;
 		}
@@ -177,7 +177,7 @@
 	 * Return what operators should be told and were not told yet.
 	 * @return the statuses
 	 */
-	public List<RolloutStatus> untold() {
+	public List<RolloutStatus> unpublishedStatuses() {
 		if (!this.statusesKnown) {
 			return List.of();
 		}
@@ -234,7 +234,7 @@
 	}
 
 	@Override
-	public void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
+	public void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
 		Move move = this.moves.get(server.service());
 		if (move != null && move.state == RolloutStatus.State.RUNNING) {
 			move.record(server, route, failed, latencyMillis);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerWatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -21,7 +21,7 @@
 /**
  * Keeps the table of backend servers in step with their registrations.
  */
-public final class ServerWatch implements RecordListener {
+public final class ServerRegistrationWatcher implements RecordListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -51,7 +51,8 @@
 	 * @param servers the table to keep
 	 * @param clock tells the present time
 	 */
-	public ServerWatch(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers, NodeClock clock) {
+	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
+			NodeClock clock) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
@@ -72,7 +73,7 @@
 	 * Return whether all registrations were read once.
 	 * @return {@code true} after the first listing
 	 */
-	public boolean isListed() {
+	public boolean hasCompletedListing() {
 		return this.follower.hasCompletedListing();
 	}
 
@@ -80,7 +81,7 @@
 	 * Return when the store last answered.
 	 * @return the time
 	 */
-	public long contactAtMillis() {
+	public long lastContactAtMillis() {
 		return this.follower.lastContactAtMillis();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -10,8 +10,8 @@
 import org.apache.thrift.TException;
 
 import io.flamingogap.core.node.Address;
-import io.flamingogap.gateway.http.HttpCaller;
 import io.flamingogap.gateway.http.HttpReply;
+import io.flamingogap.gateway.http.PooledHttpClient;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
@@ -35,7 +35,7 @@
 
 	private final EventLoop loop;
 
-	private final Map<Address, HttpCaller> clients = new HashMap<>();
+	private final Map<Address, PooledHttpClient> clients = new HashMap<>();
 
 	/**
 	 * Create a client without connections.
@@ -54,7 +54,7 @@
 	 */
 	CompletableFuture<PeerReply> call(Address peer, PeerCall call) {
 		CompletableFuture<PeerReply> result = new CompletableFuture<>();
-		this.clients.computeIfAbsent(peer, (address) -> new HttpCaller(this.loop, address))
+		this.clients.computeIfAbsent(peer, (address) -> new PooledHttpClient(this.loop, address))
 			.call(HttpMethod.POST, "/store", Map.of(), ThriftBytes.write(call),
 					call.getWaitMillis() + TIMEOUT_MARGIN_MILLIS)
 			.whenComplete((reply, failure) -> {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -7,7 +7,7 @@
 
 import org.apache.thrift.TException;
 
-import io.flamingogap.gateway.http.PageServer;
+import io.flamingogap.gateway.http.SimpleHttpServer;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.wire.peer.PeerCall;
 import io.flamingogap.wire.peer.PeerReply;
@@ -38,15 +38,15 @@
 	 * @param request the HTTP request, whose body is the call
 	 * @return the HTTP response; with status 400 if the call can't be decoded
 	 */
-	public CompletableFuture<PageServer.Page> answer(PageServer.PageRequest request) {
+	public CompletableFuture<SimpleHttpServer.Response> answer(SimpleHttpServer.Request request) {
 		try {
 			PeerCall call = ThriftBytes.read(request.body(), new PeerCall());
 			return execute(call, StoreStream.valueOf(call.getStreamName())).exceptionally(PeerCodec::failureReply)
-				.thenApply((reply) -> new PageServer.Page(200, "application/vnd.apache.thrift.compact",
+				.thenApply((reply) -> new SimpleHttpServer.Response(200, "application/vnd.apache.thrift.compact",
 						ThriftBytes.write(reply)));
 		}
 		catch (TException | IllegalArgumentException ex) {
-			return CompletableFuture.completedFuture(PageServer.Page.text(400, "unreadable call\n"));
+			return CompletableFuture.completedFuture(SimpleHttpServer.Response.text(400, "unreadable call\n"));
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
@@ -192,17 +192,17 @@
 		cancel(outcome);
 		this.server.health().recordFailure(nowMillis());
 		this.dependencies.versionSelector()
-			.record(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
+			.recordOutcome(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
 		this.owner.retryOrFail(outcome, reason);
 	}
 
 	private void onServerResponse(BackendResponseHead head) {
-		if (this.owner.exchange().hasBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
+		if (this.owner.exchange().hasResponseBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
 			cancelAndRetry(DispatchOutcome.FAILED, "resumed stream answered with status " + head.status().code());
 			return;
 		}
 		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-		if (failed && !this.owner.exchange().hasBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
+		if (failed && !this.owner.exchange().hasResponseBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
 				&& this.owner.attempt().route().maxServers() > 1) {
 			cancelAndRetry(DispatchOutcome.FAILED, "answered with status " + head.status().code());
 			return;
@@ -244,11 +244,11 @@
 		if (!this.promptRead) {
 			recordStart(0);
 			this.dependencies.versionSelector()
-				.record(this.server.registration(), this.owner.attempt().route(), false,
+				.recordOutcome(this.server.registration(), this.owner.attempt().route(), false,
 						nowMillis() - this.sentAtMillis);
 		}
 		beginResponse();
-		this.owner.exchange().write(events);
+		this.owner.exchange().writeChunk(events);
 		if (this.owner.exchange().isCongested() && this.call != null) {
 			this.call.setAutoRead(false);
 		}
@@ -256,17 +256,17 @@
 
 	private void beginResponse() {
 		BackendResponseHead head = this.responseHead;
-		if (!this.owner.exchange().hasBegun() && head != null) {
-			this.owner.exchange().begin(head.status(), head.headers());
+		if (!this.owner.exchange().hasResponseBegun() && head != null) {
+			this.owner.exchange().beginResponse(head.status(), head.headers());
 		}
 	}
 
 	private void bufferBody(ByteBuf chunk) {
 		if (this.bufferedBody.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
 			beginResponse();
-			this.owner.exchange().write(this.bufferedBody);
+			this.owner.exchange().writeChunk(this.bufferedBody);
 			this.bufferedBody = Unpooled.EMPTY_BUFFER;
-			this.owner.exchange().write(chunk.copy());
+			this.owner.exchange().writeChunk(chunk.copy());
 		}
 		else {
 			ByteBuf merged = Unpooled.buffer(this.bufferedBody.readableBytes() + chunk.readableBytes());
@@ -291,14 +291,14 @@
 			ByteBuf remainder = this.owner.eventSplitter().takeRemainder();
 			beginResponse();
 			if (remainder.isReadable()) {
-				this.owner.exchange().write(remainder);
+				this.owner.exchange().writeChunk(remainder);
 			}
 		}
 		this.owner.finish("request answered", (head != null) ? head.status().code() : 0, "answered by the server");
 		this.owner.clearCurrentExchange();
-		if (this.owner.exchange().hasBegun()) {
+		if (this.owner.exchange().hasResponseBegun()) {
 			body.release();
-			this.owner.exchange().end();
+			this.owner.exchange().endResponse();
 		}
 		else if (head != null) {
 			this.owner.exchange().respond(head.status(), head.headers(), body);
@@ -315,7 +315,7 @@
 		}
 		if (failed || !isStreaming()) {
 			this.dependencies.versionSelector()
-				.record(this.server.registration(), this.owner.attempt().route(), failed,
+				.recordOutcome(this.server.registration(), this.owner.attempt().route(), failed,
 						nowMillis - this.sentAtMillis);
 		}
 	}
@@ -328,7 +328,8 @@
 		close();
 		this.server.health().recordFailure(nowMillis());
 		this.dependencies.versionSelector()
-			.record(this.server.registration(), this.owner.attempt().route(), true, nowMillis() - this.sentAtMillis);
+			.recordOutcome(this.server.registration(), this.owner.attempt().route(), true,
+					nowMillis() - this.sentAtMillis);
 		this.owner.retryOrFail(DispatchOutcome.BROKEN, reason);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
@@ -36,10 +36,10 @@
 	}
 
 	@Override
-	public void callerLeft() {
+	public void onCallerDisconnected() {
 		OpenRequest request = this.admitted;
 		if (request != null) {
-			request.callerLeft();
+			request.onCallerDisconnected();
 		}
 		else if (!this.callerDisconnected) {
 			this.callerDisconnected = true;
@@ -48,10 +48,10 @@
 	}
 
 	@Override
-	public void callerReads() {
+	public void onCallerWritable() {
 		OpenRequest request = this.admitted;
 		if (request != null) {
-			request.callerReads();
+			request.onCallerWritable();
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -113,7 +113,7 @@
 		this.attempt.recordOutcome(outcome);
 		logger.atInfo().log("%s", logLine("dispatch failed").with("outcome", outcome.name()).with("reason", reason));
 		this.currentExchange = null;
-		if (this.exchange.hasBegun() && !canResume()) {
+		if (this.exchange.hasResponseBegun() && !canResume()) {
 			abort(reason);
 		}
 		else if (this.attempt.mayTryAnotherServer(nowMillis())) {
@@ -147,7 +147,7 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.exchange.hasBegun()) {
+		if (this.exchange.hasResponseBegun()) {
 			abort(reason);
 			return;
 		}
@@ -191,7 +191,7 @@
 	}
 
 	@Override
-	public void callerLeft() {
+	public void onCallerDisconnected() {
 		if (this.finished) {
 			return;
 		}
@@ -200,7 +200,7 @@
 	}
 
 	@Override
-	public void callerReads() {
+	public void onCallerWritable() {
 		BackendExchange running = this.currentExchange;
 		if (running != null) {
 			running.resumeReading();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -18,7 +18,7 @@
 import io.flamingogap.core.serving.ServingConfig;
 import io.flamingogap.gateway.callers.CallerExchange;
 import io.flamingogap.gateway.callers.CallerRequest;
-import io.flamingogap.gateway.callers.CallerRequests;
+import io.flamingogap.gateway.callers.CallerRequestHandler;
 import io.flamingogap.gateway.callers.OpenRequest;
 import io.flamingogap.gateway.log.LogLine;
 
@@ -26,7 +26,7 @@
  * Accepts callers' requests. Finds the route, authenticates the client account, applies
  * quotas and limits, and relays the requests that it admits.
  */
-public final class RequestRelay implements CallerRequests {
+public final class RequestRelay implements CallerRequestHandler {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -49,11 +49,11 @@
 
 	private static final OpenRequest NO_OP_REQUEST = new OpenRequest() {
 		@Override
-		public void callerLeft() {
+		public void onCallerDisconnected() {
 		}
 
 		@Override
-		public void callerReads() {
+		public void onCallerWritable() {
 		}
 	};
 
@@ -88,7 +88,7 @@
 	}
 
 	@Override
-	public boolean keepsConnections() {
+	public boolean allowsKeepAlive() {
 		return this.admissionState == AdmissionState.OPEN;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
@@ -36,6 +36,6 @@
 	 * @param latencyMillis the time from sending the request to the end of a plain
 	 * response or the first event of a stream; 0 if the response was discarded
 	 */
-	void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis);
+	void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis);
 
 }
