Rename methods and types of the core module that suggested something else

Only identifiers change. Each old name led a reader to a wrong guess:

KeySpacePart.full -> replacesAll: also true for the first message of a part that is split, which doesn't hold all entries. It decides whether the receiver discards its entries first. KeySpaceParts -> KeySpacePartSplitter: a utility, not a collection. RequestLedger.offer -> exportOffer, outcomesSinceCommit -> exportNewOutcomes: both record what they return as exported, so a second call returns less. DutyTerm.recordMembership -> recordHolderStatus: records whether this node holds the duties, not whether it belongs to the group. MembershipTable.removeUnreachableSince -> removeUnreachableChangedBefore: it removes rows that changed before the time, not after it. Digests.sha256Prefix -> sha256First64Bits: returns a number, not a text. RouteRule.maxServers -> maxExecutions: rejected dispatches don't count.

All modules and tests compiled; tests not run on this commit.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
@@ -78,7 +78,7 @@
 			return false;
 		}
 		return this.possibleExecutions == 0
-				|| (this.route.isRepeatable() && this.possibleExecutions < this.route.maxServers());
+				|| (this.route.isRepeatable() && this.possibleExecutions < this.route.maxExecutions());
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -50,7 +50,7 @@
 	 * @param askedAtMillis the time at which the store was asked, in milliseconds of a
 	 * steady clock
 	 */
-	public void recordMembership(boolean holds, long askedAtMillis) {
+	public void recordHolderStatus(boolean holds, long askedAtMillis) {
 		if (!holds) {
 			recordLost();
 			return;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/membership/MembershipTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/membership/MembershipTable.java
@@ -93,7 +93,7 @@
 	 * @param sinceMillis the time in milliseconds; rows that changed at this time or
 	 * later stay
 	 */
-	public void removeUnreachableSince(long sinceMillis) {
+	public void removeUnreachableChangedBefore(long sinceMillis) {
 		this.rows.values()
 			.removeIf((row) -> !row.member.isReachable() && row.changedAtMillis < sinceMillis
 					&& !row.member.node().equals(this.self));
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
@@ -168,7 +168,7 @@
 	 * @param part a part of the same key space; a full part replaces all entries
 	 */
 	void merge(KeySpacePart part) {
-		if (part.full()) {
+		if (part.replacesAll()) {
 			this.entries.clear();
 			this.keptBytes = 0;
 			this.fingerprint = 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
@@ -13,11 +13,11 @@
  * @param forgottenThroughMillis the latest issue time of a forgotten key, in milliseconds
  * since 1970 UTC; -1 if no key was forgotten
  * @param entries the transferred entries
- * @param full whether the receiver replaces what it holds of this key space, as the part
- * holds every entry or is the first of the messages that do
+ * @param replacesAll whether the receiver replaces what it holds of this key space, as
+ * the part holds every entry or is the first of the messages that do
  * @param fingerprint the fingerprint over all entries of the key space at the sender
  */
-public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries, boolean full,
+public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries, boolean replacesAll,
 		long fingerprint) {
 
 	public KeySpacePart {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpaceParts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePartSplitter.java
@@ -6,12 +6,12 @@
 /**
  * Utilities that split key space parts into messages of a bounded size.
  */
-public final class KeySpaceParts {
+public final class KeySpacePartSplitter {
 
 	/** Upper estimate of the encoded size of an entry without its bodies. */
 	private static final long ENTRY_OVERHEAD_BYTES = 512;
 
-	private KeySpaceParts() {
+	private KeySpacePartSplitter() {
 	}
 
 	/**
@@ -32,28 +32,28 @@
 		long messageBytes = 0;
 		for (KeySpacePart part : parts) {
 			List<LedgerEntry> chunk = new ArrayList<>();
-			boolean full = part.full();
+			boolean replacesAll = part.replacesAll();
 			for (LedgerEntry entry : part.entries()) {
 				long entryBytes = entry.sizeBytes() + ENTRY_OVERHEAD_BYTES;
 				if (messageBytes > 0 && messageBytes + entryBytes > maxBytes) {
-					message.add(chunk(part, chunk, full));
+					message.add(chunk(part, chunk, replacesAll));
 					messages.add(message);
 					message = new ArrayList<>();
 					messageBytes = 0;
 					chunk = new ArrayList<>();
-					full = false;
+					replacesAll = false;
 				}
 				chunk.add(entry);
 				messageBytes += entryBytes;
 			}
-			message.add(chunk(part, chunk, full));
+			message.add(chunk(part, chunk, replacesAll));
 		}
 		messages.add(message);
 		return messages;
 	}
 
-	private static KeySpacePart chunk(KeySpacePart part, List<LedgerEntry> entries, boolean full) {
-		return new KeySpacePart(part.issuer(), part.forgottenThroughMillis(), entries, full, part.fingerprint());
+	private static KeySpacePart chunk(KeySpacePart part, List<LedgerEntry> entries, boolean replacesAll) {
+		return new KeySpacePart(part.issuer(), part.forgottenThroughMillis(), entries, replacesAll, part.fingerprint());
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
@@ -79,7 +79,7 @@
 	 * @return the first 64 bits of a SHA-256 digest
 	 */
 	long fingerprint() {
-		return Digests.sha256Prefix(this.key + " " + this.state + " " + this.dispatchedBy);
+		return Digests.sha256First64Bits(this.key + " " + this.state + " " + this.dispatchedBy);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -187,7 +187,7 @@
 	 * {@link #receiveOffer}.
 	 * @return one part for each owned key space, which may have no entries
 	 */
-	public List<KeySpacePart> offer() {
+	public List<KeySpacePart> exportOffer() {
 		return exportChanges(Ownership.OWNED);
 	}
 
@@ -255,7 +255,7 @@
 	 * export, such as requests in flight whose outcomes became known.
 	 * @return one part for each committed key space, which may have no entries
 	 */
-	public List<KeySpacePart> outcomesSinceCommit() {
+	public List<KeySpacePart> exportNewOutcomes() {
 		return exportChanges(Ownership.HANDED_OVER);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
@@ -15,14 +15,14 @@
  * within which a response counts in full
  * @param priority the priority of the requests; 0 is the most urgent
  * @param targets the services that share the requests by weight; at least one
- * @param maxServers the maximum number of servers that may execute one attempt; values
+ * @param maxExecutions the maximum number of servers that may execute one attempt; values
  * below 1 count as 1
  * @param isPublic whether callers need no key
  * @param resumable whether another server may continue a broken stream
  * @param carriesPrompts whether the requests carry prompts for model engines
  */
 public record RouteRule(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
-		long latencyTargetMillis, int priority, List<WeightedService> targets, int maxServers, boolean isPublic,
+		long latencyTargetMillis, int priority, List<WeightedService> targets, int maxExecutions, boolean isPublic,
 		boolean resumable, boolean carriesPrompts) {
 
 	public RouteRule {
@@ -39,7 +39,7 @@
 		if (targets.isEmpty()) {
 			throw new IllegalArgumentException("targets must not be empty");
 		}
-		maxServers = Math.max(1, maxServers);
+		maxExecutions = Math.max(1, maxExecutions);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
@@ -52,7 +52,7 @@
 	 * @param text the text, encoded as UTF-8
 	 * @return the first 8 bytes as a big-endian number
 	 */
-	public static long sha256Prefix(String text) {
+	public static long sha256First64Bits(String text) {
 		return ByteBuffer.wrap(sha256Bytes(text.getBytes(StandardCharsets.UTF_8))).getLong();
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/attempt/AttemptTests.java
@@ -25,8 +25,8 @@
  */
 class AttemptTests {
 
-	private static RouteRule route(RequestKind kind, int maxServers, boolean resumable) {
-		return new RouteRule("r", "h", "/", kind, 1_000, 100, 0, List.of(new WeightedService("s", 1)), maxServers,
+	private static RouteRule route(RequestKind kind, int maxExecutions, boolean resumable) {
+		return new RouteRule("r", "h", "/", kind, 1_000, 100, 0, List.of(new WeightedService("s", 1)), maxExecutions,
 				false, resumable, false);
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
@@ -116,7 +116,7 @@
 			DutyTerm term = this.terms.get(node);
 			boolean storeAnswers = this.random.nextInt(5) != 0;
 			if (storeAnswers && this.random.nextInt(4) == 0) {
-				term.recordMembership(this.holder == node, now);
+				term.recordHolderStatus(this.holder == node, now);
 			}
 			if (term.shouldClaim(now) && storeAnswers) {
 				claim(node, term, now);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermTests.java
@@ -20,25 +20,25 @@
 
 	private void confirmUntil(long untilMillis) {
 		for (long now = 0; now <= untilMillis; now += 1_000) {
-			this.term.recordMembership(true, now);
+			this.term.recordHolderStatus(true, now);
 		}
 	}
 
 	@Test
 	void newHolderClaimsWithoutWaiting() {
-		this.term.recordMembership(true, 0);
+		this.term.recordHolderStatus(true, 0);
 		assertThat(this.term.shouldClaim(0), is(true));
 	}
 
 	@Test
 	void holderThatLostDutiesWaitsForLeaseAfterLastAction() {
-		this.term.recordMembership(true, 0);
+		this.term.recordHolderStatus(true, 0);
 		this.term.recordClaim(17, 100);
 		this.term.recordAction(200);
-		this.term.recordMembership(false, 1_000);
-		this.term.recordMembership(true, 2_000);
+		this.term.recordHolderStatus(false, 1_000);
+		this.term.recordHolderStatus(true, 2_000);
 		assertThat(this.term.shouldClaim(200 + LEASE_MILLIS - 1), is(false));
-		this.term.recordMembership(true, 3_000);
+		this.term.recordHolderStatus(true, 3_000);
 		assertThat(this.term.shouldClaim(200 + LEASE_MILLIS), is(true));
 	}
 
@@ -63,10 +63,10 @@
 		confirmUntil(4_000);
 		this.term.recordClaim(17, 4_100);
 		this.term.recordAction(8_000);
-		this.term.recordMembership(true, 9_000);
+		this.term.recordHolderStatus(true, 9_000);
 		assertThat(this.term.validToken(9_000), is(OptionalLong.empty()));
 		assertThat(this.term.shouldClaim(9_000), is(false));
-		this.term.recordMembership(true, 11_000);
+		this.term.recordHolderStatus(true, 11_000);
 		assertThat(this.term.shouldClaim(11_000), is(true));
 	}
 
@@ -77,8 +77,8 @@
 		this.term.recordFenced(4_200);
 		assertThat(this.term.validToken(4_300), is(OptionalLong.empty()));
 		assertThat(this.term.shouldClaim(5_000), is(false));
-		this.term.recordMembership(true, 5_000);
-		this.term.recordMembership(true, 7_000);
+		this.term.recordHolderStatus(true, 5_000);
+		this.term.recordHolderStatus(true, 7_000);
 		assertThat(this.term.shouldClaim(7_200), is(true));
 	}
 
@@ -86,7 +86,7 @@
 	void doesNotActAfterAnotherNodeBecameHolder() {
 		confirmUntil(4_000);
 		this.term.recordClaim(17, 4_100);
-		this.term.recordMembership(false, 5_000);
+		this.term.recordHolderStatus(false, 5_000);
 		assertThat(this.term.validToken(5_000), is(OptionalLong.empty()));
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/membership/MembershipTableTests.java
@@ -121,7 +121,7 @@
 		void unreachableNodesAreRemoved() {
 			this.table.merge(serving(1), 1);
 			this.table.markUnreachable(node(1), 2);
-			this.table.removeUnreachableSince(3);
+			this.table.removeUnreachableChangedBefore(3);
 			assertThat(this.table.find(node(1)).isPresent(), is(false));
 		}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerSimulation.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerSimulation.java
@@ -86,7 +86,7 @@
 			case 3 -> loseAnswer(node, ledger, key);
 			case 4 -> refuseConnection(node, ledger, key);
 			case 5 -> cancel(ledger, key);
-			case 6 -> this.messages.add(new Message(Kind.OFFER, node, other, ledger.offer()));
+			case 6 -> this.messages.add(new Message(Kind.OFFER, node, other, ledger.exportOffer()));
 			case 7 -> commit(node, ledger, other);
 			case 8 -> sendOutcomes(node, ledger);
 			case 9 -> deliver(choice);
@@ -167,7 +167,7 @@
 	private void sendOutcomes(int node, RequestLedger ledger) {
 		if (this.committedTo[node] != null) {
 			int successor = this.nodes.indexOf(this.committedTo[node]);
-			this.messages.add(new Message(Kind.OUTCOMES, node, successor, ledger.outcomesSinceCommit()));
+			this.messages.add(new Message(Kind.OUTCOMES, node, successor, ledger.exportNewOutcomes()));
 		}
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
@@ -165,7 +165,7 @@
 		@Test
 		void offerDoesNotMoveOwnership() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
-			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
+			this.successor.receiveOffer(RequestLedgerTests.this.ledger.exportOffer());
 			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(false));
 			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(true));
 		}
@@ -173,7 +173,7 @@
 		@Test
 		void commitMovesOwnership() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
-			this.successor.receiveOffer(RequestLedgerTests.this.ledger.offer());
+			this.successor.receiveOffer(RequestLedgerTests.this.ledger.exportOffer());
 			CommitResult result = this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
 			assertThat(((CommitResult.Taken) result).toDispatch().size(), is(1));
 			assertThat(RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key), is(false));
@@ -191,7 +191,7 @@
 		void commitAfterLostOfferNeedsFullCommit() {
 			RequestLedgerTests.this.ledger.admit(RequestLedgerTests.this.request, 0);
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
-			RequestLedgerTests.this.ledger.offer();
+			RequestLedgerTests.this.ledger.exportOffer();
 			List<KeySpacePart> changes = RequestLedgerTests.this.ledger.commit(SECOND);
 			assertThat(this.successor.receiveCommit(changes), instanceOf(CommitResult.Incomplete.class));
 			assertThat(this.successor.isOwner(FIRST), is(false));
@@ -253,7 +253,7 @@
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
 			RequestLedgerTests.this.ledger.recordAnswer(RequestLedgerTests.this.key, LedgerFixtures.ANSWER);
-			this.successor.receiveOutcomes(RequestLedgerTests.this.ledger.outcomesSinceCommit());
+			this.successor.receiveOutcomes(RequestLedgerTests.this.ledger.exportNewOutcomes());
 			assertThat(this.successor.admit(RequestLedgerTests.this.request, 1),
 					equalTo(new Admission.Replay(LedgerFixtures.ANSWER)));
 		}
@@ -264,7 +264,7 @@
 			RequestLedgerTests.this.ledger.startDispatch(RequestLedgerTests.this.key);
 			this.successor.receiveCommit(RequestLedgerTests.this.ledger.commit(SECOND));
 			RequestLedgerTests.this.ledger.recordNotSent(RequestLedgerTests.this.key);
-			List<KeySpacePart> outcomes = RequestLedgerTests.this.ledger.outcomesSinceCommit();
+			List<KeySpacePart> outcomes = RequestLedgerTests.this.ledger.exportNewOutcomes();
 			this.successor.receiveOutcomes(outcomes);
 			assertThat(this.successor.startDispatch(RequestLedgerTests.this.key), is(true));
 			assertThat(this.successor.receiveOutcomes(outcomes), is(empty()));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -189,7 +189,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	private boolean passOnTo(Member successor) throws InterruptedException {
-		List<KeySpacePart> offered = this.requests.withLedger(RequestLedger::offer);
+		List<KeySpacePart> offered = this.requests.withLedger(RequestLedger::exportOffer);
 		if (this.nodeClients.offer(successor, offered, STEP_TIMEOUT_MILLIS).isLeft()) {
 			return false;
 		}
@@ -230,7 +230,7 @@
 	private void sendOutcomes(Member successor) throws InterruptedException {
 		long latestMillis = lastOutcomeMillis();
 		do {
-			List<KeySpacePart> changed = this.requests.withLedger(RequestLedger::outcomesSinceCommit);
+			List<KeySpacePart> changed = this.requests.withLedger(RequestLedger::exportNewOutcomes);
 			if (changed.stream().anyMatch((part) -> !part.entries().isEmpty())) {
 				this.nodeClients.outcomes(successor, changed, STEP_TIMEOUT_MILLIS);
 			}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Membership.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Membership.java
@@ -75,7 +75,7 @@
 								member.version(), member.unreachable(), member.successor());
 				}
 			}
-			this.table.removeUnreachableSince(this.clock.millis() - FORGET_SILENT_MILLIS);
+			this.table.removeUnreachableChangedBefore(this.clock.millis() - FORGET_SILENT_MILLIS);
 		}
 		if (changed) {
 			tellListeners();
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
@@ -20,7 +20,7 @@
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.request.Answer;
 import io.flamingogap.core.request.KeySpacePart;
-import io.flamingogap.core.request.KeySpaceParts;
+import io.flamingogap.core.request.KeySpacePartSplitter;
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.wire.CommitReply;
@@ -100,7 +100,7 @@
 	 * @return nothing, or why it is not known to have been received
 	 */
 	public Either<Failure, Boolean> offer(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		return offerAll(successor, KeySpaceParts.split(parts, PARTS_BYTES), timeoutMillis);
+		return offerAll(successor, KeySpacePartSplitter.split(parts, PARTS_BYTES), timeoutMillis);
 	}
 
 	private Either<Failure, Boolean> offerAll(Member successor, List<List<KeySpacePart>> messages, long timeoutMillis) {
@@ -122,7 +122,7 @@
 	 * @return what the successor did, or why that isn't known
 	 */
 	public Either<Failure, CommitReply> commit(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		List<List<KeySpacePart>> messages = KeySpaceParts.split(parts, PARTS_BYTES);
+		List<List<KeySpacePart>> messages = KeySpacePartSplitter.split(parts, PARTS_BYTES);
 		int last = messages.size() - 1;
 		return offerAll(successor, messages.subList(0, last), timeoutMillis)
 			.flatMap((offered) -> commitLast(successor, messages.get(last), timeoutMillis));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/WireCodec.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/WireCodec.java
@@ -95,7 +95,7 @@
 
 	private static io.flamingogap.wire.KeySpacePart toWire(KeySpacePart part, long nowMillis) {
 		return new io.flamingogap.wire.KeySpacePart(toWire(part.issuer()), part.forgottenThroughMillis(),
-				part.entries().stream().map((entry) -> toWire(entry, nowMillis)).toList(), part.full(),
+				part.entries().stream().map((entry) -> toWire(entry, nowMillis)).toList(), part.replacesAll(),
 				part.fingerprint());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -171,7 +171,7 @@
 					return;
 				}
 				this.generation = view.generation();
-				this.term.recordMembership(view.holdsDuties(), nowMillis);
+				this.term.recordHolderStatus(view.holdsDuties(), nowMillis);
 			});
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
@@ -111,7 +111,7 @@
 
 	private void onSilenceTimeout() {
 		if (this.responseHead == null && !this.closed && this.owner.attempt().mayTryAnotherServer(nowMillis())
-				&& this.owner.attempt().route().maxServers() > 1) {
+				&& this.owner.attempt().route().maxExecutions() > 1) {
 			DispatchOutcome outcome = cancel(DispatchOutcome.SILENT);
 			this.server.health().recordFailure(nowMillis());
 			this.owner.retryOrFail(outcome, "no response head within the silence timeout");
@@ -203,7 +203,7 @@
 		}
 		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
 		if (failed && !this.owner.exchange().hasResponseBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
-				&& this.owner.attempt().route().maxServers() > 1) {
+				&& this.owner.attempt().route().maxExecutions() > 1) {
 			cancelAndRetry(DispatchOutcome.FAILED, "answered with status " + head.status().code());
 			return;
 		}
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/HandoverMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/HandoverMeasure.java
@@ -74,7 +74,7 @@
 			RequestLedger ledger = filled(issuer, kept);
 			NodeClients clients = new NodeClients(issuer, SECRET, clock);
 			long startNanos = System.nanoTime();
-			require(clients.offer(row, ledger.offer(), TIMEOUT_MILLIS).isRight());
+			require(clients.offer(row, ledger.exportOffer(), TIMEOUT_MILLIS).isRight());
 			long offeredNanos = System.nanoTime();
 			require(clients.commit(row, ledger.commit(successor), TIMEOUT_MILLIS).isRight());
 			long doneNanos = System.nanoTime();
