Rename six core methods whose names suggested the wrong effect

- FleetView.advance sets the present time and is now setCurrentTime.
- QuotaLimiter.reportDemand sends nothing, it creates a report and shifts the demand that the share is computed from: createDemandReport.
- CapacityPlanner.fullPriceServers returns a number: countFullPriceServers.
- PromptMetadata.totalTokens is an upper bound: maxTotalTokens.
- ConcurrencyLimiter.tryAcquire returned a value when it failed: acquireOrRefuse.
- LeavingServers.mark adds a server to the set: add.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
@@ -68,7 +68,7 @@
 			int free = Math.max(0, bounds.maxPerZone() - reclaimableCount);
 			freePlaces.put(zone, Math.min(free, supply.fullPriceLimits().getOrDefault(zone, free)));
 		}
-		Map<String, Integer> fullPrice = fillCheapestFirst(zones, fullPriceServers(bounds, desired, supply),
+		Map<String, Integer> fullPrice = fillCheapestFirst(zones, countFullPriceServers(bounds, desired, supply),
 				freePlaces);
 		List<ServerPlan> plan = new ArrayList<>();
 		for (String zone : zones) {
@@ -89,7 +89,7 @@
 	 * @param supply the reclaimable servers
 	 * @return the number over all zones, at least the minimum that always stays
 	 */
-	public static int fullPriceServers(ScaleBounds bounds, DesiredCapacity desired, ServerSupply supply) {
+	public static int countFullPriceServers(ScaleBounds bounds, DesiredCapacity desired, ServerSupply supply) {
 		return Math.max(MIN_FULL_PRICE_SERVERS,
 				desired.required() - supply.countDependable(bounds.zonePrices().keySet()));
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -71,7 +71,7 @@
 	 * Set the time by which reports count as recent.
 	 * @param millis the current time of a monotonic clock, in milliseconds
 	 */
-	public void advance(long millis) {
+	public void setCurrentTime(long millis) {
 		this.nowMillis = millis;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
@@ -38,7 +38,7 @@
 	 * @param account the account of the caller
 	 * @return why the request is refused; empty if it was opened and has to be released
 	 */
-	public Optional<Failure> tryAcquire(Account account) {
+	public Optional<Failure> acquireOrRefuse(Account account) {
 		int accountOpen = this.openByAccount.getOrDefault(account.name(), 0);
 		if (accountOpen >= account.maxOpenRequests()) {
 			return Optional.of(Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller",
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
@@ -160,7 +160,7 @@
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the units per second, by account
 	 */
-	public Map<String, Long> reportDemand(long nowMillis) {
+	public Map<String, Long> createDemandReport(long nowMillis) {
 		Map<String, Long> report = new HashMap<>();
 		this.demandMeters.forEach((account, meter) -> {
 			long perSecond = Math.round(meter.unitsPerSecond(nowMillis));
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
@@ -33,7 +33,7 @@
 	 * @param nowMillis the current time in milliseconds
 	 * @return {@code true} if it was not in the set before
 	 */
-	public boolean mark(String server, long nowMillis) {
+	public boolean add(String server, long nowMillis) {
 		return this.lastNamedAtMillis.put(server, nowMillis) == null;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
@@ -32,7 +32,7 @@
 	 * Return the tokens that the request is charged with.
 	 * @return the prompt tokens plus the maximum number of output tokens
 	 */
-	public long totalTokens() {
+	public long maxTotalTokens() {
 		return this.promptTokens + this.maxOutputTokens;
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -58,7 +58,7 @@
 		void silentAndLeavingNodesAreNotOffered() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
 			FleetViewTests.this.fleet.record(report("b", 1, "z1", 3, false, Map.of()), 9_000);
-			FleetViewTests.this.fleet.advance(9_000);
+			FleetViewTests.this.fleet.setCurrentTime(9_000);
 			assertThat(FleetViewTests.this.fleet.callerAddressesFor("z1", this.own), contains(address(1)));
 		}
 
@@ -99,7 +99,7 @@
 		@Test
 		void silentNodesCountUntilTheyAreRemoved() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
-			FleetViewTests.this.fleet.advance(60_000);
+			FleetViewTests.this.fleet.setCurrentTime(60_000);
 			assertThat(FleetViewTests.this.fleet.nodes(), is(2));
 			assertThat(FleetViewTests.this.fleet.otherNodesUnitsPerSecond("growers"), is(50.0));
 			assertThat(FleetViewTests.this.fleet.nodesSilentLongerThan(8_000), contains("a"));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/limits/LimitsTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/limits/LimitsTests.java
@@ -47,14 +47,14 @@
 		ConcurrencyLimiter limiter = new ConcurrencyLimiter(3);
 		Account small = new Account("small", Digests.sha256("s"), 5, 1);
 		Account large = new Account("large", Digests.sha256("l"), 5, 10);
-		assertThat(limiter.tryAcquire(small).isPresent(), is(false));
-		assertThat(limiter.tryAcquire(small).orElseThrow().type(), is(ProblemType.TOO_MANY_REQUESTS));
-		limiter.tryAcquire(large);
-		limiter.tryAcquire(large);
-		assertThat(limiter.tryAcquire(large).orElseThrow().type(), is(ProblemType.OVERLOADED));
-		assertThat(limiter.tryAcquire(large).orElseThrow().execution(), is(Execution.NOT_RUN));
+		assertThat(limiter.acquireOrRefuse(small).isPresent(), is(false));
+		assertThat(limiter.acquireOrRefuse(small).orElseThrow().type(), is(ProblemType.TOO_MANY_REQUESTS));
+		limiter.acquireOrRefuse(large);
+		limiter.acquireOrRefuse(large);
+		assertThat(limiter.acquireOrRefuse(large).orElseThrow().type(), is(ProblemType.OVERLOADED));
+		assertThat(limiter.acquireOrRefuse(large).orElseThrow().execution(), is(Execution.NOT_RUN));
 		limiter.release(small);
-		assertThat(limiter.tryAcquire(small).isPresent(), is(false));
+		assertThat(limiter.acquireOrRefuse(small).isPresent(), is(false));
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
@@ -67,7 +67,7 @@
 		QuotaLimiter restarted = new QuotaLimiter(TOLERANCE, false);
 		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
 		assertThat(restarted.admit(ACCOUNT, 1, others, 0).share(), greaterThan(0.4));
-		restarted.reportDemand(1_500);
+		restarted.createDemandReport(1_500);
 		assertThat(restarted.admit(ACCOUNT, 1, others, 1_500).share(), greaterThan(0.3));
 	}
 
@@ -76,7 +76,7 @@
 		QuotaLimiter restarted = new QuotaLimiter(TOLERANCE, false);
 		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
 		restarted.restoreDemand(Map.of(ACCOUNT.name(), 8_000L), 0);
-		assertThat(restarted.reportDemand(0), is(Map.of(ACCOUNT.name(), 8_000L)));
+		assertThat(restarted.createDemandReport(0), is(Map.of(ACCOUNT.name(), 8_000L)));
 	}
 
 	@Test
@@ -199,7 +199,7 @@
 	private static void exchange(List<QuotaLimiter> limiters, List<Fleet> fleets, long now) {
 		for (int i = 0; i < limiters.size(); i++) {
 			if (Math.floorMod(now - i * 225, 2_000) == 0) {
-				fleets.get(i).published = limiters.get(i).reportDemand(now);
+				fleets.get(i).published = limiters.get(i).createDemandReport(now);
 			}
 			if (Math.floorMod(now - i * 330, 1_500) == 0) {
 				fleets.get(i).others.clear();
--- a/flamingogap-core/src/test/java/io/flamingogap/core/routing/LeastLoadedSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/routing/LeastLoadedSelectorTests.java
@@ -67,9 +67,9 @@
 
 	@Test
 	void leavingServersGetNoNewRequests() {
-		this.leaving.mark("near", 0);
-		this.leaving.mark("next", 0);
-		this.leaving.mark("far", 0);
+		this.leaving.add("near", 0);
+		this.leaving.add("next", 0);
+		this.leaving.add("far", 0);
 		assertThat(choose().isPresent(), is(false));
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
@@ -92,7 +92,7 @@
 	 * @return {@code true} if it was not marked before
 	 */
 	public synchronized boolean markLeaving(String server, long nowMillis) {
-		return this.leaving.mark(server, nowMillis);
+		return this.leaving.add(server, nowMillis);
 	}
 
 	/**
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
@@ -90,7 +90,7 @@
 
 	private Optional<Failure> open(Account account) {
 		synchronized (this.openRequests) {
-			return this.openRequests.tryAcquire(account);
+			return this.openRequests.acquireOrRefuse(account);
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -325,7 +325,7 @@
 		if (zone.isEmpty()) {
 			return SimpleHttpServer.Response.text(404, "no such page\n");
 		}
-		this.fleet.advance(this.clock.steadyMillis());
+		this.fleet.setCurrentTime(this.clock.steadyMillis());
 		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), presence());
 		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no node serves\n")
 				: this.ports.directory().write(addresses, DIRECTORY_TTL_SECONDS);
@@ -335,7 +335,7 @@
 		long nowMillis = this.clock.steadyMillis();
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
-				this.quotas.reportDemand(nowMillis), this.usage.newestWindows(REPORTED_WINDOWS),
+				this.quotas.createDemandReport(nowMillis), this.usage.newestWindows(REPORTED_WINDOWS),
 				this.demands.report(nowMillis), this.rollouts.tallies());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
@@ -49,7 +49,7 @@
 	 * @return the tokens, negative if it states none
 	 */
 	public long statedTokens() {
-		return this.statesTokens ? this.prompt.totalTokens() : -1;
+		return this.statesTokens ? this.prompt.maxTotalTokens() : -1;
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -98,7 +98,7 @@
 		if (scaleUp.isPresent()) {
 			return scaleUp;
 		}
-		int requiredFullPrice = CapacityPlanner.fullPriceServers(bounds, desired, supply.readyOnly());
+		int requiredFullPrice = CapacityPlanner.countFullPriceServers(bounds, desired, supply.readyOnly());
 		return findScaleDown(plan, requiredFullPrice, readyByPool, bounds, nowMillis);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -112,7 +112,7 @@
 
 	private void tick() {
 		long nowMillis = this.clock.steadyMillis();
-		this.fleet.advance(nowMillis);
+		this.fleet.setCurrentTime(nowMillis);
 		if (nowMillis - this.follower.lastDisruptionAtMillis() > STEADY_MILLIS) {
 			this.fleet.nodesSilentLongerThan(REMOVED_MILLIS).forEach(this::forget);
 		}
@@ -160,7 +160,7 @@
 		long nowMillis = this.clock.steadyMillis();
 		boolean isNew = entry.offset() >= this.listedEnd;
 		long ageMillis = isNew ? 0 : Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
-		this.fleet.advance(nowMillis);
+		this.fleet.setCurrentTime(nowMillis);
 		this.fleet.record(report.get(), nowMillis - ageMillis);
 		if (!this.listed && ageMillis < REMOVED_MILLIS && this.fleet.isOfPreviousRun(report.get())) {
 			this.previousRun.accept(report.get());
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
@@ -29,7 +29,7 @@
 			() -> this.nowMillis);
 
 	private void report(String node, String zone, boolean serving) {
-		this.fleet.advance(this.nowMillis);
+		this.fleet.setCurrentTime(this.nowMillis);
 		this.fleet.record(new NodeReport(new NodeId(node, 1), new Address("10.0.0.9", 80), zone, serving, 0, Map.of(),
 				Map.of(), List.of(), List.of()), this.nowMillis);
 	}
