Rename gateway types and methods that other packages use

Names that misled a reader: LoadGossip does not pass on what it receives, newest() returns a page of a listing, offer() never rejects, ThriftBytes holds no bytes, and selectVersions() returns a filter of servers.

LoadGossip -> ZoneLoadExchange (and its field in Gateway) ThriftBytes.write/read -> ThriftSerializer.serialize/deserialize RecordStore.newest -> listNewest ReportSink.offer -> submit VersionSelector.selectVersions -> versionFilter VersionSelector.selectVersionsForRetry -> versionFilterForRetry

Nothing else changes.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -38,10 +38,10 @@
 import io.flamingogap.gateway.node.OperatorRecordWatcher;
 import io.flamingogap.gateway.node.RolloutController;
 import io.flamingogap.gateway.node.ServerRegistrationWatcher;
-import io.flamingogap.gateway.peers.LoadGossip;
 import io.flamingogap.gateway.peers.PeerDatagramChannel;
 import io.flamingogap.gateway.peers.QuotaLoans;
 import io.flamingogap.gateway.peers.StoreAccess;
+import io.flamingogap.gateway.peers.ZoneLoadExchange;
 import io.flamingogap.gateway.peers.ZoneRelaySelector;
 import io.flamingogap.gateway.relay.RelayDependencies;
 import io.flamingogap.gateway.relay.RelayMetrics;
@@ -118,7 +118,7 @@
 
 	private final PeerDatagramChannel datagrams;
 
-	private final LoadGossip gossip;
+	private final ZoneLoadExchange zoneLoads;
 
 	private final NodeReportExchange board;
 
@@ -152,13 +152,13 @@
 		this.quotas = new QuotaLimiter(settings.relayLimits().quotaTolerance(), settings.firstStart());
 		this.pool = new BackendConnectionPool(loop, ports.backends(), clock::steadyMillis);
 		this.datagrams = new PeerDatagramChannel(loop);
-		this.gossip = new LoadGossip(loop, this.datagrams, settings.node(), this.servers, this::zonePeerAddresses,
-				clock::steadyMillis);
+		this.zoneLoads = new ZoneLoadExchange(loop, this.datagrams, settings.node(), this.servers,
+				this::zonePeerAddresses, clock::steadyMillis);
 		QuotaLoans lender = new QuotaLoans(loop, this.datagrams, this.quotas, this::findAccount, this::peerAddresses,
 				clock::steadyMillis);
 		RelayDependencies parts = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
-				this.pool, this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
+				this.pool, this.quotas, lender, this.fleet, this.metrics, this.demands, this.zoneLoads, random);
 		this.relay = new RequestRelay(parts, settings.relayLimits(), this::onStarted);
 		this.access = new StoreAccess(loop, ports.store(), zoneRelay(), this::peerAddresses, clock::steadyMillis);
 		this.store = this.access.store();
@@ -277,7 +277,7 @@
 		if (!this.rollouts.hasRunningRollout()) {
 			return;
 		}
-		this.store.newest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
+		this.store.listNewest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
 			page.records()
 				.forEach((entry) -> this.ports.records().readStatus(entry).peek(this.rollouts::recordPublishedStatus));
 			this.rollouts.markStatusesLoaded();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -177,7 +177,7 @@
 
 	private void claim() {
 		this.callPending = true;
-		this.store.newest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
+		this.store.listNewest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
 			if (failure != null) {
 				this.callPending = false;
 				logFailure("duties not listed before a claim", failure);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -117,7 +117,7 @@
 			this.fleet.nodesSilentLongerThan(REMOVED_MILLIS).forEach(this::forget);
 		}
 		NodeReport report = this.ownReport.get();
-		this.reports.offer(report.node().name(), ReportCodec.write(report))
+		this.reports.submit(report.node().name(), ReportCodec.write(report))
 			.exceptionally(NodeReportExchange::logNotKept);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -12,7 +12,7 @@
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.core.rollout.Tally;
-import io.flamingogap.gateway.peers.ThriftBytes;
+import io.flamingogap.gateway.peers.ThriftSerializer;
 import io.flamingogap.wire.report.ServiceDemand;
 import io.flamingogap.wire.report.UsageIntent;
 import io.flamingogap.wire.report.UsageWindow;
@@ -35,7 +35,7 @@
 		io.flamingogap.wire.report.NodeReport wire = new io.flamingogap.wire.report.NodeReport(report.node().name(),
 				report.node().incarnation(), report.callerAddress().toString(), report.zone(), report.serving(),
 				report.timeOfDayMillis(), report.demandPerSecond(), usage(report), services(report), tallies(report));
-		return ThriftBytes.write(wire);
+		return ThriftSerializer.serialize(wire);
 	}
 
 	private static List<UsageWindow> usage(NodeReport report) {
@@ -67,7 +67,7 @@
 	 */
 	public static Either<String, NodeReport> read(byte[] bytes) {
 		try {
-			io.flamingogap.wire.report.NodeReport wire = ThriftBytes.read(bytes,
+			io.flamingogap.wire.report.NodeReport wire = ThriftSerializer.deserialize(bytes,
 					new io.flamingogap.wire.report.NodeReport());
 			Map<Long, Map<String, Long>> usage = new HashMap<>();
 			wire.getUsage().forEach((window) -> usage.put(window.getNumber(), window.getRequests()));
@@ -103,7 +103,7 @@
 	 * @return the bytes
 	 */
 	public static byte[] writeUsage(long window, Map<String, Long> requests) {
-		return ThriftBytes.write(new UsageIntent(window, requests));
+		return ThriftSerializer.serialize(new UsageIntent(window, requests));
 	}
 
 	/**
@@ -113,7 +113,7 @@
 	 */
 	public static Either<String, Map.Entry<Long, Map<String, Long>>> readUsage(byte[] bytes) {
 		try {
-			UsageIntent wire = ThriftBytes.read(bytes, new UsageIntent());
+			UsageIntent wire = ThriftSerializer.deserialize(bytes, new UsageIntent());
 			return Either.right(Map.entry(wire.getWindow(), wire.getRequests()));
 		}
 		catch (TException ex) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -207,7 +207,7 @@
 	}
 
 	@Override
-	public Predicate<KnownServer> selectVersions(String service, RouteRule route) {
+	public Predicate<KnownServer> versionFilter(String service, RouteRule route) {
 		Move move = this.moves.get(service);
 		if (move == null) {
 			return (server) -> true;
@@ -224,7 +224,7 @@
 	}
 
 	@Override
-	public Predicate<KnownServer> selectVersionsForRetry(String service) {
+	public Predicate<KnownServer> versionFilterForRetry(String service) {
 		Move move = this.moves.get(service);
 		if (move == null || (move.state == RolloutStatus.State.RUNNING && !hasServers(move, false))) {
 			return (server) -> true;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
@@ -81,7 +81,7 @@
 		if (boundChannel == null) {
 			return;
 		}
-		byte[] bytes = ThriftBytes.write(datagram);
+		byte[] bytes = ThriftSerializer.serialize(datagram);
 		for (Address peer : peers) {
 			boundChannel.write(
 					new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(peer.host(), peer.port())));
@@ -97,7 +97,8 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 			try {
-				PeerDatagram datagram = ThriftBytes.read(ByteBufUtil.getBytes(packet.content()), new PeerDatagram());
+				PeerDatagram datagram = ThriftSerializer.deserialize(ByteBufUtil.getBytes(packet.content()),
+						new PeerDatagram());
 				InetSocketAddress sender = packet.sender();
 				Address from = new Address(sender.getAddress().getHostAddress(), sender.getPort());
 				PeerDatagramChannel.this.listeners.forEach((listener) -> listener.accept(datagram, from));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -70,10 +70,10 @@
 	}
 
 	@Override
-	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
+	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
 		PeerCall call = new PeerCall(StoreCall.NEWEST, stream.name(), 0, 0);
 		after.ifPresent(call::setKey);
-		return this.<Page>callStoreOrPeers(() -> super.newest(stream, after), call,
+		return this.<Page>callStoreOrPeers(() -> super.listNewest(stream, after), call,
 				(reply) -> new Page(PeerCodec.readRecords(reply), reply.isHasMore(), reply.getPosition()));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -55,7 +55,7 @@
 	CompletableFuture<PeerReply> call(Address peer, PeerCall call) {
 		CompletableFuture<PeerReply> result = new CompletableFuture<>();
 		this.clients.computeIfAbsent(peer, (address) -> new PooledHttpClient(this.loop, address))
-			.call(HttpMethod.POST, "/store", Map.of(), ThriftBytes.write(call),
+			.call(HttpMethod.POST, "/store", Map.of(), ThriftSerializer.serialize(call),
 					call.getWaitMillis() + TIMEOUT_MARGIN_MILLIS)
 			.whenComplete((reply, failure) -> {
 				try {
@@ -82,7 +82,7 @@
 
 	private static PeerReply decode(Address peer, HttpReply reply) {
 		try {
-			return ThriftBytes.read(reply.body(), new PeerReply());
+			return ThriftSerializer.deserialize(reply.body(), new PeerReply());
 		}
 		catch (TException ex) {
 			logger.atWarning()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -40,10 +40,10 @@
 	 */
 	public CompletableFuture<SimpleHttpServer.Response> answer(SimpleHttpServer.Request request) {
 		try {
-			PeerCall call = ThriftBytes.read(request.body(), new PeerCall());
+			PeerCall call = ThriftSerializer.deserialize(request.body(), new PeerCall());
 			return execute(call, StoreStream.valueOf(call.getStreamName())).exceptionally(PeerCodec::failureReply)
 				.thenApply((reply) -> new SimpleHttpServer.Response(200, "application/vnd.apache.thrift.compact",
-						ThriftBytes.write(reply)));
+						ThriftSerializer.serialize(reply)));
 		}
 		catch (TException | IllegalArgumentException ex) {
 			return CompletableFuture.completedFuture(SimpleHttpServer.Response.text(400, "unreadable call\n"));
@@ -55,7 +55,7 @@
 			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
 				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.writeRecords(batch.records()),
 						batch.nextOffset(), false));
-			case NEWEST -> this.store.newest(stream, Optional.ofNullable(call.getKey()))
+			case NEWEST -> this.store.listNewest(stream, Optional.ofNullable(call.getKey()))
 				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.writeRecords(page.records()),
 						page.endOffset(), page.hasMore()));
 			case APPEND ->
@@ -71,7 +71,7 @@
 	 */
 	private CompletableFuture<Long> append(PeerCall call, StoreStream stream) {
 		if (stream == StoreStream.NODES && call.getWaitMillis() > 0 && call.isSetContent()) {
-			return this.reports.offer(call.getKey(), call.getContent());
+			return this.reports.submit(call.getKey(), call.getContent());
 		}
 		return this.store.append(stream, call.getKey(),
 				call.isSetContent() ? Optional.of(call.getContent()) : Optional.empty(), OptionalLong.empty());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
@@ -44,7 +44,7 @@
 	}
 
 	@Override
-	public CompletableFuture<Long> offer(String key, byte[] value) {
+	public CompletableFuture<Long> submit(String key, byte[] value) {
 		if (this.collected.isEmpty()) {
 			this.loop.schedule(this::append, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportSink.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportSink.java
@@ -14,6 +14,6 @@
 	 * @param value the encoded report
 	 * @return completes with the offset of a record that was appended in the same call
 	 */
-	CompletableFuture<Long> offer(String key, byte[] value);
+	CompletableFuture<Long> submit(String key, byte[] value);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ThriftBytes.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ThriftSerializer.java
@@ -11,11 +11,11 @@
 /**
  * Serializes Thrift messages in the compact protocol.
  */
-public final class ThriftBytes {
+public final class ThriftSerializer {
 
 	private static final int BUFFER_BYTES = 512;
 
-	private ThriftBytes() {
+	private ThriftSerializer() {
 	}
 
 	/**
@@ -23,7 +23,7 @@
 	 * @param message a message with all required fields
 	 * @return the serialized message
 	 */
-	public static byte[] write(TBase<?, ?> message) {
+	public static byte[] serialize(TBase<?, ?> message) {
 		try {
 			TMemoryBuffer buffer = new TMemoryBuffer(BUFFER_BYTES);
 			message.write(new TCompactProtocol(buffer));
@@ -42,7 +42,7 @@
 	 * @return the filled message
 	 * @throws TException if the bytes don't hold such a message
 	 */
-	public static <T extends TBase<?, ?>> T read(byte[] bytes, T message) throws TException {
+	public static <T extends TBase<?, ?>> T deserialize(byte[] bytes, T message) throws TException {
 		message.read(new TCompactProtocol(new TMemoryInputTransport(bytes)));
 		return message;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/LoadGossip.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneLoadExchange.java
@@ -23,7 +23,7 @@
  * tokens that a node has at each backend server. A datagram carries absolute values,
  * which expire at the receiver.
  */
-public final class LoadGossip implements ServerLoadListener {
+public final class ZoneLoadExchange implements ServerLoadListener {
 
 	/**
 	 * How long changes are collected before they are sent. Shorter than the time in which
@@ -57,7 +57,7 @@
 	 * @param zonePeers returns the addresses of the other nodes of the zone
 	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	public LoadGossip(EventLoop loop, PeerDatagramChannel datagrams, String node, ServerTable servers,
+	public ZoneLoadExchange(EventLoop loop, PeerDatagramChannel datagrams, String node, ServerTable servers,
 			Supplier<List<Address>> zonePeers, LongSupplier steadyMillis) {
 		this.loop = loop;
 		this.datagrams = datagrams;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -56,14 +56,14 @@
 	}
 
 	@Override
-	public CompletableFuture<Long> offer(String key, byte[] value) {
+	public CompletableFuture<Long> submit(String key, byte[] value) {
 		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatcher.COLLECT_MILLIS);
 		call.setKey(key);
 		call.setContent(value);
 		Supplier<CompletableFuture<Long>> withoutRelay = () -> super.append(StoreStream.NODES, key, Optional.of(value),
 				OptionalLong.empty());
 		return callRelay(call, PeerReply::getPosition,
-				() -> this.batcher.offer(key, value).exceptionallyCompose((failure) -> {
+				() -> this.batcher.submit(key, value).exceptionallyCompose((failure) -> {
 					logger.atInfo()
 						.log("%s", LogLine.of("zone's reports not appended together")
 							.with("reason", StoreException.of(failure).getMessage()));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -71,7 +71,7 @@
 		this.service = service;
 		this.account = account;
 		this.callbacks = callbacks;
-		this.versionFilter = dependencies.versionSelector().selectVersions(service, attempt.route());
+		this.versionFilter = dependencies.versionSelector().versionFilter(service, attempt.route());
 		this.bodyBytes = request.body().readableBytes();
 	}
 
@@ -118,7 +118,7 @@
 		}
 		else if (this.attempt.mayTryAnotherServer(nowMillis())) {
 			this.eventSplitter.discardIncomplete();
-			this.versionFilter = this.dependencies.versionSelector().selectVersionsForRetry(this.service);
+			this.versionFilter = this.dependencies.versionSelector().versionFilterForRetry(this.service);
 			dispatch(outcome + ": " + reason);
 		}
 		else {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
@@ -18,7 +18,7 @@
 	 * @param route the route of the request
 	 * @return accepts the servers that the request may be sent to
 	 */
-	Predicate<KnownServer> selectVersions(String service, RouteRule route);
+	Predicate<KnownServer> versionFilter(String service, RouteRule route);
 
 	/**
 	 * Select the versions for a request that has failed before. Excludes the candidate
@@ -26,7 +26,7 @@
 	 * @param service the name of the service
 	 * @return accepts the servers that the request may be sent to
 	 */
-	Predicate<KnownServer> selectVersionsForRetry(String service);
+	Predicate<KnownServer> versionFilterForRetry(String service);
 
 	/**
 	 * Record the outcome of a dispatch.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
@@ -28,8 +28,8 @@
 	}
 
 	@Override
-	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
-		return this.delegate.newest(stream, after);
+	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+		return this.delegate.listNewest(stream, after);
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -97,7 +97,7 @@
 	}
 
 	private void listFrom(Optional<String> after, Set<String> keys, long smallestEnd) {
-		this.store.newest(this.stream, after).whenComplete((page, failure) -> {
+		this.store.listNewest(this.stream, after).whenComplete((page, failure) -> {
 			if (failure != null) {
 				onFailure(failure, this::start);
 				return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -28,7 +28,7 @@
 	 * @param after the last key of the previous page; empty for the first page
 	 * @return the page
 	 */
-	CompletableFuture<Page> newest(StoreStream stream, Optional<String> after);
+	CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after);
 
 	/**
 	 * Append a record.
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -201,7 +201,7 @@
 		}
 
 		@Override
-		public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
+		public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
 			if (this.down) {
 				return CompletableFuture.failedFuture(new StoreException(Reason.UNAVAILABLE, "down"));
 			}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatcherTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ReportBatcherTests.java
@@ -32,8 +32,8 @@
 
 	@Test
 	void reportsOfSeveralNodesAreAppendedInOneCall() {
-		CompletableFuture<Long> first = this.batcher.offer("a", new byte[1]);
-		this.batcher.offer("b", new byte[1]);
+		CompletableFuture<Long> first = this.batcher.submit("a", new byte[1]);
+		this.batcher.submit("b", new byte[1]);
 		assertThat(first.isDone(), is(false));
 		advanceTime();
 		assertThat(this.store.appendedBatches(), hasSize(1));
@@ -43,8 +43,8 @@
 
 	@Test
 	void laterReportOfANodeReplacesItsEarlierOne() {
-		this.batcher.offer("a", new byte[1]);
-		this.batcher.offer("a", new byte[2]);
+		this.batcher.submit("a", new byte[1]);
+		this.batcher.submit("a", new byte[2]);
 		advanceTime();
 		assertThat(this.store.appendedBatches().get(0), hasSize(1));
 		assertThat(this.store.appendedBatches().get(0).get(0).value().length, is(2));
@@ -52,9 +52,9 @@
 
 	@Test
 	void nextReportStartsANewBatch() {
-		this.batcher.offer("a", new byte[1]);
+		this.batcher.submit("a", new byte[1]);
 		advanceTime();
-		this.batcher.offer("a", new byte[1]);
+		this.batcher.submit("a", new byte[1]);
 		advanceTime();
 		assertThat(this.store.appendedBatches(), hasSize(2));
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -63,7 +63,7 @@
 	}
 
 	@Override
-	public CompletableFuture<Page> newest(StoreStream stream, Optional<String> after) {
+	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
 		return CompletableFuture
 			.completedFuture(new Page(List.of(new StoredRecord("a", Optional.of(new byte[1]), 6)), false, 7));
 	}
