Correct comments, names and messages of package relay

Comments on the silence timeout, the urgency values, quota borrowing, the retry window and the rollout outcomes did not match the code.

Renamed within the package: BackendExchange -> BackendDispatch, owner -> relayedRequest, exchange() -> callerExchange(), bufferedBytes -> requestBodyBytes, promptRead -> unreadTokensReleased, recordServer -> setLastServerId, onServerResponse -> onAnswered, resume -> decide, decayedTokens -> decayedUnsharedTokens.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -24,7 +24,7 @@
  * Sends a request to one backend server and forwards the response to the caller, or asks
  * the {@link RelayedRequest} to retry.
  */
-final class BackendExchange implements ResponseListener {
+final class BackendDispatch implements ResponseListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -32,19 +32,22 @@
 	private static final int MAX_BUFFERED_BODY_BYTES = 262_144;
 
 	/**
-	 * The fraction of the route's latency target after which a repeatable request is
+	 * The fraction of the route's latency target after which an idempotent request is
 	 * cancelled at a server that has sent no response head.
 	 */
 	private static final double SILENCE_TIMEOUT_FRACTION = 0.6;
 
 	private static final double PERCENT = 100;
 
-	/** Greater values mean less urgent and are reserved for requests that may wait. */
+	/**
+	 * The least urgent value that is sent; 0 is served first. Values above this one are
+	 * reserved for requests that may wait.
+	 */
 	private static final int LOWEST_URGENCY = 9;
 
 	private final RelayDependencies dependencies;
 
-	private final RelayedRequest owner;
+	private final RelayedRequest relayedRequest;
 
 	private final KnownServer server;
 
@@ -60,33 +63,39 @@
 
 	private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
-	private boolean promptRead;
+	/**
+	 * Whether the prompt no longer counts as unread at the server, because the server has
+	 * begun to process the request or the dispatch has ended.
+	 */
+	private boolean unreadTokensReleased;
 
 	private boolean closed;
 
-	BackendExchange(RelayDependencies dependencies, RelayedRequest owner, KnownServer server, long sentAtMillis) {
+	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, KnownServer server,
+			long sentAtMillis) {
 		this.dependencies = dependencies;
-		this.owner = owner;
+		this.relayedRequest = relayedRequest;
 		this.server = server;
 		this.sentAtMillis = sentAtMillis;
-		PromptMetadata prompt = owner.request().prompt();
+		PromptMetadata prompt = relayedRequest.request().prompt();
 		this.promptTokens = Math.max(0, prompt.promptTokens() - server.promptCache().estimateCachedTokens(prompt));
 	}
 
 	void send() {
-		this.owner.attempt().recordDispatch(this.server.registration().id());
-		this.owner.recordServer(this.server.registration().id());
+		this.relayedRequest.attempt().recordDispatch(this.server.registration().id());
+		this.relayedRequest.setLastServerId(this.server.registration().id());
 		this.server.load().recordSent(this.promptTokens);
 		this.dependencies.loadListener().onLoadChanged(this.server);
-		this.server.promptCache().record(this.owner.request().prompt());
-		BackendRequest request = new BackendRequest(this.owner.request(), this.server.registration(),
-				this.owner.attempt().remainingMillis(this.sentAtMillis), this.owner.account().map(ClientAccount::name),
-				urgency(), this.owner.eventSplitter().lastEventId());
+		this.server.promptCache().record(this.relayedRequest.request().prompt());
+		BackendRequest request = new BackendRequest(this.relayedRequest.request(), this.server.registration(),
+				this.relayedRequest.attempt().remainingMillis(this.sentAtMillis),
+				this.relayedRequest.account().map(ClientAccount::name), urgency(),
+				this.relayedRequest.eventSplitter().lastEventId());
 		logger.atInfo().log("%s", dispatchLogLine(request.remainingMillis()));
-		boolean repeatable = this.owner.attempt().route().isRepeatable();
+		boolean repeatable = this.relayedRequest.attempt().route().isRepeatable();
 		this.call = this.dependencies.connectionPool().send(request, repeatable, this);
-		if (this.owner.attempt().route().kind() == RequestKind.IDEMPOTENT) {
-			long silenceTimeoutMillis = (long) (this.owner.attempt().route().latencyTargetMillis()
+		if (this.relayedRequest.attempt().route().kind() == RequestKind.IDEMPOTENT) {
+			long silenceTimeoutMillis = (long) (this.relayedRequest.attempt().route().latencyTargetMillis()
 					* SILENCE_TIMEOUT_FRACTION);
 			this.silenceTimer = this.dependencies.eventLoop()
 				.schedule(this::onSilenceTimeout, silenceTimeoutMillis, TimeUnit.MILLISECONDS);
@@ -94,7 +103,7 @@
 	}
 
 	private LogLine dispatchLogLine(long remainingMillis) {
-		return this.owner.logLine("dispatched")
+		return this.relayedRequest.logLine("dispatched")
 			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
 			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
 			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
@@ -103,24 +112,26 @@
 	}
 
 	private int urgency() {
-		int priority = this.owner.account()
+		int priority = this.relayedRequest.account()
 			.flatMap((found) -> found.priority().stream().boxed().findFirst())
-			.orElse(this.owner.attempt().route().priority());
+			.orElse(this.relayedRequest.attempt().route().priority());
 		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
 	}
 
 	private void onSilenceTimeout() {
-		if (this.responseHead == null && !this.closed && this.owner.attempt().mayTryAnotherServer(nowMillis())
-				&& this.owner.attempt().route().maxServers() > 1) {
+		if (this.responseHead == null && !this.closed && this.relayedRequest.attempt().mayTryAnotherServer(nowMillis())
+				&& this.relayedRequest.attempt().route().maxServers() > 1) {
 			DispatchOutcome outcome = cancel(DispatchOutcome.SILENT);
 			this.server.health().recordFailure(nowMillis());
-			this.owner.retryOrFail(outcome, "no response head within the silence timeout");
+			this.relayedRequest.retryOrFail(outcome,
+					"no response head within " + (nowMillis() - this.sentAtMillis) + " ms");
 		}
 	}
 
 	/**
 	 * Cancel the dispatch. Closes the connection, so that the server stops processing,
-	 * and subtracts the request from this node's load at the server.
+	 * and subtracts the request from this node's load at the server. Has no effect if the
+	 * dispatch has ended.
 	 * @param outcome the outcome to return if bytes may have been sent
 	 * @return {@code outcome}, or {@link DispatchOutcome#NOT_SENT} if no byte was sent
 	 */
@@ -141,23 +152,23 @@
 		if (this.silenceTimer != null) {
 			this.silenceTimer.cancel(false);
 		}
-		markPromptRead();
+		releaseUnreadTokens();
 		this.server.load().recordEnd();
 		this.dependencies.loadListener().onLoadChanged(this.server);
 		this.bufferedBody.release();
 		this.bufferedBody = Unpooled.EMPTY_BUFFER;
 	}
 
-	private void markPromptRead() {
-		if (!this.promptRead) {
-			this.promptRead = true;
+	private void releaseUnreadTokens() {
+		if (!this.unreadTokensReleased) {
+			this.unreadTokensReleased = true;
 			this.server.load().recordPromptRead(this.promptTokens);
 			this.dependencies.loadListener().onLoadChanged(this.server);
 		}
 	}
 
 	/**
-	 * Resume reading the response once the caller reads again.
+	 * Resume reading the response after it was paused because the caller read too slowly.
 	 */
 	void resumeReading() {
 		if (this.call != null) {
@@ -184,7 +195,7 @@
 			}
 			case UNVERIFIED, ATTEMPT_MISMATCH ->
 				cancelAndRetry(DispatchOutcome.BROKEN, "response without proof that the server sent it");
-			case ANSWERED -> onServerResponse(head);
+			case ANSWERED -> onAnswered(head);
 		}
 	}
 
@@ -192,19 +203,22 @@
 		cancel(outcome);
 		this.server.health().recordFailure(nowMillis());
 		this.dependencies.versionSelector()
-			.recordOutcome(this.server.registration(), this.owner.attempt().route(), outcome.mayHaveRun(), 0);
-		this.owner.retryOrFail(outcome, reason);
+			.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), outcome.mayHaveRun(), 0);
+		this.relayedRequest.retryOrFail(outcome, reason);
 	}
 
-	private void onServerResponse(BackendResponseHead head) {
-		if (this.owner.exchange().hasResponseBegun() && head.status().codeClass() != HttpStatusClass.SUCCESS) {
-			cancelAndRetry(DispatchOutcome.FAILED, "resumed stream answered with status " + head.status().code());
+	private void onAnswered(BackendResponseHead head) {
+		if (this.relayedRequest.callerExchange().hasResponseBegun()
+				&& head.status().codeClass() != HttpStatusClass.SUCCESS) {
+			cancelAndRetry(DispatchOutcome.FAILED,
+					"the server answered the request to resume the stream with status " + head.status().code());
 			return;
 		}
 		boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-		if (failed && !this.owner.exchange().hasResponseBegun() && this.owner.attempt().mayTryAnotherServer(nowMillis())
-				&& this.owner.attempt().route().maxServers() > 1) {
-			cancelAndRetry(DispatchOutcome.FAILED, "answered with status " + head.status().code());
+		if (failed && !this.relayedRequest.callerExchange().hasResponseBegun()
+				&& this.relayedRequest.attempt().mayTryAnotherServer(nowMillis())
+				&& this.relayedRequest.attempt().route().maxServers() > 1) {
+			cancelAndRetry(DispatchOutcome.FAILED, "the server answered with status " + head.status().code());
 			return;
 		}
 		if (!isStreaming()) {
@@ -213,13 +227,13 @@
 	}
 
 	private void recordStart(long millisSinceStart) {
-		markPromptRead();
-		this.owner.reportStart(millisSinceStart);
-		this.dependencies.metrics().recordLatency("first", this.owner.attempt().elapsedMillis(nowMillis()));
+		releaseUnreadTokens();
+		this.relayedRequest.reportStart(millisSinceStart);
+		this.dependencies.metrics().recordLatency("first", this.relayedRequest.attempt().elapsedMillis(nowMillis()));
 	}
 
 	private boolean isStreaming() {
-		return this.owner.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
+		return this.relayedRequest.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
 				&& this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
 	}
 
@@ -229,7 +243,7 @@
 			return;
 		}
 		if (isStreaming()) {
-			forwardEvents(this.owner.eventSplitter().append(chunk));
+			forwardEvents(this.relayedRequest.eventSplitter().append(chunk));
 		}
 		else {
 			bufferBody(chunk);
@@ -241,32 +255,32 @@
 			events.release();
 			return;
 		}
-		if (!this.promptRead) {
+		if (!this.unreadTokensReleased) {
 			recordStart(0);
 			this.dependencies.versionSelector()
-				.recordOutcome(this.server.registration(), this.owner.attempt().route(), false,
+				.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), false,
 						nowMillis() - this.sentAtMillis);
 		}
 		beginResponse();
-		this.owner.exchange().writeChunk(events);
-		if (this.owner.exchange().isCongested() && this.call != null) {
+		this.relayedRequest.callerExchange().writeChunk(events);
+		if (this.relayedRequest.callerExchange().isCongested() && this.call != null) {
 			this.call.setAutoRead(false);
 		}
 	}
 
 	private void beginResponse() {
 		BackendResponseHead head = this.responseHead;
-		if (!this.owner.exchange().hasResponseBegun() && head != null) {
-			this.owner.exchange().beginResponse(head.status(), head.headers());
+		if (!this.relayedRequest.callerExchange().hasResponseBegun() && head != null) {
+			this.relayedRequest.callerExchange().beginResponse(head.status(), head.headers());
 		}
 	}
 
 	private void bufferBody(ByteBuf chunk) {
 		if (this.bufferedBody.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
 			beginResponse();
-			this.owner.exchange().writeChunk(this.bufferedBody);
+			this.relayedRequest.callerExchange().writeChunk(this.bufferedBody);
 			this.bufferedBody = Unpooled.EMPTY_BUFFER;
-			this.owner.exchange().writeChunk(chunk.copy());
+			this.relayedRequest.callerExchange().writeChunk(chunk.copy());
 		}
 		else {
 			ByteBuf merged = Unpooled.buffer(this.bufferedBody.readableBytes() + chunk.readableBytes());
@@ -288,20 +302,21 @@
 		recordOutcome(failed);
 		close();
 		if (isStreaming()) {
-			ByteBuf remainder = this.owner.eventSplitter().takeRemainder();
+			ByteBuf remainder = this.relayedRequest.eventSplitter().takeRemainder();
 			beginResponse();
 			if (remainder.isReadable()) {
-				this.owner.exchange().writeChunk(remainder);
+				this.relayedRequest.callerExchange().writeChunk(remainder);
 			}
 		}
-		this.owner.finish("request answered", (head != null) ? head.status().code() : 0, "answered by the server");
-		this.owner.clearCurrentExchange();
-		if (this.owner.exchange().hasResponseBegun()) {
+		this.relayedRequest.finish("request answered", (head != null) ? head.status().code() : 0,
+				"answered by the server");
+		this.relayedRequest.clearCurrentDispatch();
+		if (this.relayedRequest.callerExchange().hasResponseBegun()) {
 			body.release();
-			this.owner.exchange().endResponse();
+			this.relayedRequest.callerExchange().endResponse();
 		}
 		else if (head != null) {
-			this.owner.exchange().respond(head.status(), head.headers(), body);
+			this.relayedRequest.callerExchange().respond(head.status(), head.headers(), body);
 		}
 	}
 
@@ -315,7 +330,7 @@
 		}
 		if (failed || !isStreaming()) {
 			this.dependencies.versionSelector()
-				.recordOutcome(this.server.registration(), this.owner.attempt().route(), failed,
+				.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), failed,
 						nowMillis - this.sentAtMillis);
 		}
 	}
@@ -328,9 +343,9 @@
 		close();
 		this.server.health().recordFailure(nowMillis());
 		this.dependencies.versionSelector()
-			.recordOutcome(this.server.registration(), this.owner.attempt().route(), true,
+			.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), true,
 					nowMillis() - this.sentAtMillis);
-		this.owner.retryOrFail(DispatchOutcome.BROKEN, reason);
+		this.relayedRequest.retryOrFail(DispatchOutcome.BROKEN, reason);
 	}
 
 	@Override
@@ -340,7 +355,7 @@
 		}
 		close();
 		this.server.health().recordUnreachable(nowMillis());
-		this.owner.retryOrFail(DispatchOutcome.NOT_SENT, reason);
+		this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT, reason);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
@@ -7,7 +7,8 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * Splits a stream of server-sent events at event boundaries, so that the caller never
+ * Splits the bytes of a server-sent event stream into complete events, to be forwarded,
+ * and an incomplete one, which is kept until the rest of it arrives. The caller never
  * receives part of an event if the connection to the server breaks.
  * <p>
  * Not thread-safe.
@@ -23,8 +24,8 @@
 	/**
 	 * Append bytes of the stream.
 	 * @param chunk the bytes; copied, not released
-	 * @return all events completed by the bytes, to be released by the caller; may be
-	 * empty
+	 * @return all events that are complete now and were not returned before, in one
+	 * buffer, to be released by the caller; may be empty
 	 */
 	ByteBuf append(ByteBuf chunk) {
 		ByteBuf merged = Unpooled.buffer(this.pending.readableBytes() + chunk.readableBytes());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
@@ -7,7 +7,7 @@
 import io.flamingogap.gateway.callers.OpenRequest;
 
 /**
- * A request whose admission waits until units of its account's quota have been borrowed.
+ * A request whose admission is decided after the wait for borrowed quota units.
  */
 final class PendingAdmission implements OpenRequest {
 
@@ -27,11 +27,12 @@
 
 	/**
 	 * Decide the admission, unless the caller has disconnected.
-	 * @param next admits or refuses the request
+	 * @param admission admits or refuses the request and returns the request to notify
+	 * from then on
 	 */
-	void resume(Supplier<OpenRequest> next) {
+	void decide(Supplier<OpenRequest> admission) {
 		if (!this.callerDisconnected) {
-			this.admitted = next.get();
+			this.admitted = admission.get();
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -13,14 +13,14 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * The collaborators that the request path uses.
+ * The collaborators of {@link RequestRelay} and of the requests that it relays.
  *
- * @param eventLoop runs all of the request path
+ * @param eventLoop the event loop on which all requests are relayed
  * @param clock the clock of the node
  * @param config holds the current configuration
  * @param servers the known backend servers
  * @param serverSelector selects a server for a request
- * @param versionSelector selects between service versions during a rollout
+ * @param versionSelector restricts requests to service versions during a rollout
  * @param connectionPool connections to backend servers
  * @param quotaLimiter admits requests within the accounts' quotas
  * @param quotaBorrower borrows quota units from other nodes
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayMetrics.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayMetrics.java
@@ -6,13 +6,16 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Counters and latency histograms of the request path.
+ * Counters and latency histograms of relayed and refused requests.
  * <p>
  * Not thread-safe; written and read on the event loop, also by the metrics page.
  */
 public final class RelayMetrics {
 
-	/** Greater latencies are recorded as this. Exceeds the timeout of every route. */
+	/**
+	 * Greater latencies are recorded as this value. It should exceed the timeout of every
+	 * route.
+	 */
 	private static final long MAX_LATENCY_MILLIS = 600_000;
 
 	private final Map<String, Long> counts = new TreeMap<>();
@@ -21,7 +24,7 @@
 
 	private int openRequests;
 
-	private long bufferedBytes;
+	private long requestBodyBytes;
 
 	/**
 	 * Increment a counter.
@@ -43,12 +46,12 @@
 
 	void requestOpened(long bytes) {
 		this.openRequests++;
-		this.bufferedBytes += bytes;
+		this.requestBodyBytes += bytes;
 	}
 
 	void requestClosed(long bytes) {
 		this.openRequests--;
-		this.bufferedBytes -= bytes;
+		this.requestBodyBytes -= bytes;
 	}
 
 	/**
@@ -59,8 +62,8 @@
 		return this.openRequests;
 	}
 
-	long bufferedBytes() {
-		return this.bufferedBytes;
+	long requestBodyBytes() {
+		return this.requestBodyBytes;
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -36,7 +36,7 @@
 
 	private final CallerRequest request;
 
-	private final CallerExchange exchange;
+	private final CallerExchange callerExchange;
 
 	private final Attempt attempt;
 
@@ -52,7 +52,7 @@
 
 	private final long bodyBytes;
 
-	private @Nullable BackendExchange currentExchange;
+	private @Nullable BackendDispatch currentDispatch;
 
 	private @Nullable ScheduledFuture<?> deadlineTimer;
 
@@ -62,11 +62,11 @@
 
 	private boolean finished;
 
-	RelayedRequest(RelayDependencies dependencies, CallerRequest request, CallerExchange exchange, Attempt attempt,
-			String service, Optional<ClientAccount> account, Callbacks callbacks) {
+	RelayedRequest(RelayDependencies dependencies, CallerRequest request, CallerExchange callerExchange,
+			Attempt attempt, String service, Optional<ClientAccount> account, Callbacks callbacks) {
 		this.dependencies = dependencies;
 		this.request = request;
-		this.exchange = exchange;
+		this.callerExchange = callerExchange;
 		this.attempt = attempt;
 		this.service = service;
 		this.account = account;
@@ -84,7 +84,7 @@
 		this.dependencies.demandTracker().requestOpened(this.service, this.request.prompt(), nowMillis());
 		this.deadlineTimer = this.dependencies.eventLoop()
 			.schedule(this::onDeadline, this.attempt.remainingMillis(nowMillis()), TimeUnit.MILLISECONDS);
-		dispatch("first");
+		dispatch("first dispatch");
 	}
 
 	private void dispatch(String cause) {
@@ -98,8 +98,8 @@
 			fail("the retry budget of service " + this.service + " is used up (" + cause + ")");
 			return;
 		}
-		this.currentExchange = new BackendExchange(this.dependencies, this, server.get(), nowMillis);
-		this.currentExchange.send();
+		this.currentDispatch = new BackendDispatch(this.dependencies, this, server.get(), nowMillis);
+		this.currentDispatch.send();
 	}
 
 	private Optional<KnownServer> selectServer(long nowMillis) {
@@ -112,14 +112,14 @@
 	void retryOrFail(DispatchOutcome outcome, String reason) {
 		this.attempt.recordOutcome(outcome);
 		logger.atInfo().log("%s", logLine("dispatch failed").with("outcome", outcome.name()).with("reason", reason));
-		this.currentExchange = null;
-		if (this.exchange.hasResponseBegun() && !canResume()) {
+		this.currentDispatch = null;
+		if (this.callerExchange.hasResponseBegun() && !canResume()) {
 			abort(reason);
 		}
 		else if (this.attempt.mayTryAnotherServer(nowMillis())) {
 			this.eventSplitter.discardIncomplete();
 			this.versionFilter = this.dependencies.versionSelector().versionFilterForRetry(this.service);
-			dispatch(outcome + ": " + reason);
+			dispatch("after " + outcome + ": " + reason);
 		}
 		else {
 			fail(reason);
@@ -131,15 +131,16 @@
 	}
 
 	private void onDeadline() {
-		cancelCurrentExchange();
-		fail("no complete response before the deadline");
+		cancelCurrentDispatch();
+		fail("no complete response before the deadline, " + this.attempt.elapsedMillis(nowMillis())
+				+ " ms after the request was admitted");
 	}
 
-	private void cancelCurrentExchange() {
-		BackendExchange running = this.currentExchange;
+	private void cancelCurrentDispatch() {
+		BackendDispatch running = this.currentDispatch;
 		if (running != null) {
 			this.attempt.recordOutcome(running.cancel(DispatchOutcome.SILENT));
-			this.currentExchange = null;
+			this.currentDispatch = null;
 		}
 	}
 
@@ -147,21 +148,28 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.exchange.hasResponseBegun()) {
+		if (this.callerExchange.hasResponseBegun()) {
 			abort(reason);
 			return;
 		}
 		Failure failure = this.attempt.failure(reason, nowMillis());
 		boolean notRun = failure.execution() == Execution.NOT_RUN;
 		finish("request failed", failure.type().status(), reason);
-		this.exchange.fail(failure, notRun ? RETRY_AFTER_MILLIS : -1);
+		this.callerExchange.fail(failure, notRun ? RETRY_AFTER_MILLIS : -1);
 	}
 
 	private void abort(String reason) {
 		finish("answer broken off", 0, reason);
-		this.exchange.abort();
+		this.callerExchange.abort();
 	}
 
+	/**
+	 * Finish the request: release its body, count it, and log the result.
+	 * @param event the event name of the log line
+	 * @param status the HTTP status of the response, used in the log line and in the name
+	 * of the counter; 0 if no response was completed
+	 * @param reason the reason field of the log line
+	 */
 	void finish(String event, int status, String reason) {
 		this.finished = true;
 		if (this.deadlineTimer != null) {
@@ -195,13 +203,13 @@
 		if (this.finished) {
 			return;
 		}
-		cancelCurrentExchange();
+		cancelCurrentDispatch();
 		finish("caller left", 0, "connection closed by the caller");
 	}
 
 	@Override
 	public void onCallerWritable() {
-		BackendExchange running = this.currentExchange;
+		BackendDispatch running = this.currentDispatch;
 		if (running != null) {
 			running.resumeReading();
 		}
@@ -211,8 +219,8 @@
 		return this.request;
 	}
 
-	CallerExchange exchange() {
-		return this.exchange;
+	CallerExchange callerExchange() {
+		return this.callerExchange;
 	}
 
 	Attempt attempt() {
@@ -227,17 +235,17 @@
 		return this.eventSplitter;
 	}
 
-	void recordServer(String serverId) {
+	void setLastServerId(String serverId) {
 		this.lastServerId = serverId;
 	}
 
-	void clearCurrentExchange() {
-		this.currentExchange = null;
+	void clearCurrentDispatch() {
+		this.currentDispatch = null;
 	}
 
 	/**
 	 * Report that a server began to process the request. Only the first report counts.
-	 * @param millisSinceStart the time since the server began
+	 * @param millisSinceStart how long ago the server began, in milliseconds
 	 */
 	void reportStart(long millisSinceStart) {
 		if (!this.startReported) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -40,8 +40,8 @@
 	private static final long RETRY_AFTER_MILLIS = 300;
 
 	/**
-	 * The fraction of the shared retry allowance that the nodes use. The rest is reserved
-	 * for nodes that are starting.
+	 * The fraction of the fleet's retry allowance that the known nodes divide among
+	 * themselves. The rest is for nodes that are starting.
 	 */
 	private static final double RETRY_ALLOWANCE_FRACTION = 0.6;
 
@@ -80,7 +80,8 @@
 	}
 
 	/**
-	 * Set whether new requests are admitted and connections are kept alive.
+	 * Set whether new requests are admitted and connections are kept alive. Requests that
+	 * are already admitted go on.
 	 * @param state applies to requests that arrive from now on
 	 */
 	public void setAdmissionState(AdmissionState state) {
@@ -104,8 +105,10 @@
 		}
 		Optional<RouteRule> route = config.get().findRoute(request.host(), request.path());
 		if (route.isEmpty()) {
-			return refuse(request, exchange, Failure.notRun(ProblemType.NOT_FOUND, Step.PARSE, "caller",
-					"no matching route in configuration version " + config.get().version()), -1);
+			return refuse(request, exchange,
+					Failure.notRun(ProblemType.NOT_FOUND, Step.PARSE, "caller", "no route for host " + request.host()
+							+ " and path " + request.path() + " in configuration version " + config.get().version()),
+					-1);
 		}
 		return authenticate(request, exchange, config.get(), route.get());
 	}
@@ -116,8 +119,11 @@
 		if (config.requiresKeys() && !route.isPublic()) {
 			account = request.key().flatMap(config::findAccount);
 			if (account.isEmpty()) {
-				return refuse(request, exchange, Failure.notRun(ProblemType.UNAUTHENTICATED, Step.AUTHENTICATE,
-						"caller", "the key is unknown in configuration version " + config.version()), -1);
+				return refuse(request, exchange,
+						Failure.notRun(ProblemType.UNAUTHENTICATED, Step.AUTHENTICATE, "caller",
+								"the request carries no key or one that is unknown in configuration version "
+										+ config.version()),
+						-1);
 			}
 		}
 		return admit(request, exchange, route, account);
@@ -126,8 +132,11 @@
 	private OpenRequest admit(CallerRequest request, CallerExchange exchange, RouteRule route,
 			Optional<ClientAccount> account) {
 		long bytes = request.body().readableBytes();
-		if (this.dependencies.metrics().bufferedBytes() + bytes > this.limits.maxBufferedBytes()) {
-			return refuse(request, exchange, overloaded("the request buffers of the node are full"),
+		if (this.dependencies.metrics().requestBodyBytes() + bytes > this.limits.maxBufferedBytes()) {
+			return refuse(request, exchange,
+					overloaded("with " + bytes
+							+ " bytes of this request, the bodies of open requests would exceed the node's limit of "
+							+ this.limits.maxBufferedBytes() + " bytes"),
 					RETRY_AFTER_MILLIS);
 		}
 		long cost = quotaCost(request, account);
@@ -141,7 +150,7 @@
 		PendingAdmission pending = new PendingAdmission(() -> request.body().release());
 		boolean borrowing = this.dependencies.quotaBorrower()
 			.borrow(account.get(), decision.missingUnits(),
-					() -> pending.resume(() -> admitOrRefuse(request, exchange, route, account.get(), cost)));
+					() -> pending.decide(() -> admitOrRefuse(request, exchange, route, account.get(), cost)));
 		return borrowing ? pending
 				: refuse(request, exchange, quotaExceeded(account.get(), decision), decision.waitMillis());
 	}
@@ -180,8 +189,10 @@
 
 	private static Failure quotaExceeded(ClientAccount account, QuotaDecision decision) {
 		String detail = String.format(Locale.ROOT,
-				"quota of account %s exceeded: %.0f units available, %.0f units per second, %.1f %% of the quota",
-				account.name(), decision.availableUnits(), decision.ratePerSecond(), PERCENT * decision.share());
+				"quota of account %s exceeded: %d units missing; this node has %.0f units available, "
+						+ "refilled by %.0f units per second, as its share of %.1f %% of the quota",
+				account.name(), decision.missingUnits(), decision.availableUnits(), decision.ratePerSecond(),
+				PERCENT * decision.share());
 		return Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller", detail);
 	}
 
@@ -241,7 +252,7 @@
 		/**
 		 * Receive the start of a request. Called at most once for each request.
 		 * @param account the client account; empty if the route needs none
-		 * @param millisSinceStart the time since the server began
+		 * @param millisSinceStart how long ago the server began, in milliseconds
 		 */
 		void onRequestStarted(Optional<ClientAccount> account, long millisSinceStart);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServiceDemandTracker.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServiceDemandTracker.java
@@ -10,8 +10,9 @@
 import io.flamingogap.core.servers.PromptPart;
 
 /**
- * Tracks the demand of this node's callers for each service: open requests, and request
- * and token rates as exponential moving averages.
+ * Tracks the demand of this node's callers for each service: open requests, and the rates
+ * of requests and prompt tokens as exponential moving averages. The tokens of a prefix
+ * that requests share are left out.
  * <p>
  * Not thread-safe; all calls must be made on the event loop.
  */
@@ -32,7 +33,7 @@
 		demand.openRequests++;
 		demand.decayedRequests++;
 		long sharedTokens = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
-		demand.decayedTokens += Math.max(0, prompt.promptTokens() - sharedTokens);
+		demand.decayedUnsharedTokens += Math.max(0, prompt.promptTokens() - sharedTokens);
 	}
 
 	void requestClosed(String service) {
@@ -49,7 +50,7 @@
 		this.byService.forEach((service, demand) -> {
 			demand.decay(nowMillis);
 			rows.add(new NodeReport.ServiceDemand(service, demand.openRequests,
-					Math.round(demand.decayedTokens / TIME_CONSTANT_MILLIS * MILLIS_PER_SECOND),
+					Math.round(demand.decayedUnsharedTokens / TIME_CONSTANT_MILLIS * MILLIS_PER_SECOND),
 					Math.round(demand.decayedRequests / TIME_CONSTANT_MILLIS * MILLIS_PER_MINUTE)));
 		});
 		return rows;
@@ -59,7 +60,7 @@
 
 		private int openRequests;
 
-		private double decayedTokens;
+		private double decayedUnsharedTokens;
 
 		private double decayedRequests;
 
@@ -67,7 +68,7 @@
 
 		private void decay(long nowMillis) {
 			double factor = Math.exp(-(nowMillis - this.decayedAtMillis) / TIME_CONSTANT_MILLIS);
-			this.decayedTokens *= factor;
+			this.decayedUnsharedTokens *= factor;
 			this.decayedRequests *= factor;
 			this.decayedAtMillis = nowMillis;
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
@@ -13,18 +13,19 @@
 public interface VersionSelector {
 
 	/**
-	 * Select the versions for the first dispatch of a request.
+	 * Return the versions to use for the first dispatch of a request, as a filter of
+	 * servers.
 	 * @param service the name of the service
 	 * @param route the route of the request
-	 * @return accepts the servers that the request may be sent to
+	 * @return a filter that accepts the servers that the request may be sent to
 	 */
 	Predicate<KnownServer> versionFilter(String service, RouteRule route);
 
 	/**
-	 * Select the versions for a request that has failed before. Excludes the candidate
-	 * version of a running rollout.
+	 * Return the versions to use after a failed dispatch, as a filter of servers.
+	 * Excludes the candidate version of a running rollout.
 	 * @param service the name of the service
-	 * @return accepts the servers that the request may be sent to
+	 * @return a filter that accepts the servers that the request may be sent to
 	 */
 	Predicate<KnownServer> versionFilterForRetry(String service);
 
@@ -32,9 +33,11 @@
 	 * Record the outcome of a dispatch.
 	 * @param server the server that the request was sent to
 	 * @param route the route of the request
-	 * @param failed whether the server failed
+	 * @param failed whether the server failed and may have run the request; {@code false}
+	 * also for a request that the server rejected
 	 * @param latencyMillis the time from sending the request to the end of a plain
-	 * response or the first event of a stream; 0 if the response was discarded
+	 * response, the first event of a stream or the failure; 0 if the response was
+	 * discarded
 	 */
 	void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis);
 
