Correct comments, names and messages of package backends

Read badly: release() and remove() of the connection pool sounded like reference counting and closing, receivedMismatch did not say what did not match, and failure messages dropped their cause. Units and special values were missing in BackendRequest and BackendResponseHead.

Renamed within the package: release -> addIdle, remove -> removeIdle, receivedMismatch -> receivedOtherAttemptsResponse.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendCall.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendCall.java
@@ -43,7 +43,7 @@
 
 	/**
 	 * Return whether bytes of the request may have been sent.
-	 * @return {@code false} while the connection is being opened
+	 * @return {@code false} until a connection is open
 	 */
 	public boolean mayHaveBeenSent() {
 		return this.connection != null;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -33,7 +33,7 @@
 
 	private boolean requestWritten;
 
-	private boolean receivedMismatch;
+	private boolean receivedOtherAttemptsResponse;
 
 	private long keepAliveMillis;
 
@@ -66,7 +66,8 @@
 		try {
 			if (this.responseListener == null || message.decoderResult().isFailure()) {
 				fail((this.responseListener == null) ? "received bytes without an open request"
-						: "received a malformed HTTP response");
+						: "received a malformed HTTP response ("
+								+ message.decoderResult().cause().getClass().getSimpleName() + ")");
 				return;
 			}
 			if (message instanceof HttpResponse head) {
@@ -89,7 +90,7 @@
 		BackendResponseHead decoded = this.protocol.decodeResponseHead(this.attemptId, head);
 		if (decoded.verdict() == BackendResponseHead.Verdict.ATTEMPT_MISMATCH) {
 			this.readState = ReadState.SKIPPING;
-			this.receivedMismatch = true;
+			this.receivedOtherAttemptsResponse = true;
 			return;
 		}
 		this.readState = ReadState.BODY;
@@ -118,8 +119,9 @@
 	private void complete() {
 		ResponseListener currentListener = this.responseListener;
 		this.responseListener = null;
-		if (this.requestWritten && !this.receivedMismatch && this.keepAliveMillis > 0 && this.channel.isActive()) {
-			this.pool.release(this);
+		if (this.requestWritten && !this.receivedOtherAttemptsResponse && this.keepAliveMillis > 0
+				&& this.channel.isActive()) {
+			this.pool.addIdle(this);
 		}
 		else {
 			this.channel.close();
@@ -139,8 +141,8 @@
 	}
 
 	/**
-	 * Cancel the request by closing the connection, which the server notices. The
-	 * listener is not called any more.
+	 * Cancel the request by closing the connection, so that the server can stop
+	 * processing it. The listener is not called any more.
 	 */
 	void cancel() {
 		this.responseListener = null;
@@ -153,13 +155,13 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.pool.remove(this);
-		fail("connection closed by the server");
+		this.pool.removeIdle(this);
+		fail("connection closed by the server, read state " + this.readState);
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		fail("connection failed: " + cause.getMessage());
+		fail("connection failed: " + cause);
 	}
 
 	String serverId() {
@@ -180,9 +182,19 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Which part of a response is expected next. Appears in failure messages.
+	 */
 	private enum ReadState {
 
-		HEAD, BODY, SKIPPING
+		/** The head of the response to the open request. */
+		HEAD,
+
+		/** The body of the response. */
+		BODY,
+
+		/** The rest of an informational response or of a response to another attempt. */
+		SKIPPING
 
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
@@ -30,7 +30,10 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-	/** A connection that was idle for longer may have been lost without notice. */
+	/**
+	 * A connection that was idle for longer is not reused, because it may have been lost
+	 * without notice.
+	 */
 	private static final long MAX_IDLE_MILLIS = 4_000;
 
 	/**
@@ -92,7 +95,7 @@
 				connection.send(request, listener);
 			}
 			else {
-				listener.onNotSent("no connection to " + request.server().address());
+				listener.onNotSent("no connection to " + request.server().address() + ": " + future.cause());
 			}
 		});
 		return call;
@@ -132,12 +135,12 @@
 		return null;
 	}
 
-	void release(BackendConnection connection) {
+	void addIdle(BackendConnection connection) {
 		connection.markIdle(this.steadyMillis.getAsLong());
 		this.idleByServer.computeIfAbsent(connection.serverId(), (serverId) -> new ArrayDeque<>()).addLast(connection);
 	}
 
-	void remove(BackendConnection connection) {
+	void removeIdle(BackendConnection connection) {
 		Deque<BackendConnection> idleConnections = this.idleByServer.get(connection.serverId());
 		if (idleConnections != null) {
 			idleConnections.remove(connection);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendRequest.java
@@ -11,11 +11,12 @@
  *
  * @param request the caller's request
  * @param server the backend server to send it to
- * @param remainingMillis the time that the server has to answer
+ * @param remainingMillis the time until the deadline of the request, in milliseconds
  * @param account the name of the client account; empty if the route needs none
- * @param urgency the urgency among the requests of the server; 0 is served first
- * @param lastEventId the id of the last event that the caller received; the server
- * resumes a broken stream after it
+ * @param urgency 0 for requests that the server processes first; greater values are less
+ * urgent
+ * @param lastEventId the id of the last event that the caller received, after which the
+ * server resumes a broken stream; empty if there is none
  */
 public record BackendRequest(CallerRequest request, ServerRegistration server, long remainingMillis,
 		Optional<String> account, int urgency, Optional<String> lastEventId) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -12,10 +12,11 @@
  *
  * @param status the HTTP status
  * @param headers the headers to forward to the caller
- * @param verdict whether the server ran the request, as far as the head shows
+ * @param verdict what the status and headers show about the request: whether this is its
+ * response, or why it isn't
  * @param load the load that the server reported; empty if it reported none
- * @param keepAliveMillis how long the server keeps the connection open while it is idle;
- * 0 if the connection ends with this response
+ * @param keepAliveMillis how long the connection can be reused while it is idle, in
+ * milliseconds; 0 if it ends with this response
  */
 public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict,
 		Optional<ReportedLoad> load, long keepAliveMillis) {
@@ -26,7 +27,7 @@
 	}
 
 	/**
-	 * What the head of a response shows about the request.
+	 * Classification of a response by its head.
 	 */
 	public enum Verdict {
 
