Correct comments and names of package store

Read badly: expectedEnd was documented as the offset that the record must get, Batch.relayed is false for some reads that another node answered, replayCount counts offsets, and RecordStore used "the duties" without an explanation. The comments on the read wait and the read pause were inverted or incomplete.

Renamed: expectedEnd -> expectedOffset (also in the overriding and calling methods of peers and cloud), Batch.relayed -> fromZoneRelay, replayCount -> replayOffsets, onListed's end -> endOffset, and the test listsAgainWhenItsReadsAreSharedWithTheZone -> listsAgainWhenReadingThroughTheZoneCache.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -212,8 +212,8 @@
 			.toJavaOptional();
 	}
 
-	private void appendRecord(String key, byte[] value, long expectedEnd, Runnable onAppended) {
-		this.store.append(StoreStream.DUTIES, key, Optional.of(value), OptionalLong.of(expectedEnd))
+	private void appendRecord(String key, byte[] value, long expectedOffset, Runnable onAppended) {
+		this.store.append(StoreStream.DUTIES, key, Optional.of(value), OptionalLong.of(expectedOffset))
 			.whenComplete((offset, failure) -> {
 				this.callPending = false;
 				if (failure != null) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -79,14 +79,14 @@
 
 	@Override
 	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
-			OptionalLong expectedEnd) {
-		if (expectedEnd.isPresent()) {
-			return super.append(stream, key, value, expectedEnd);
+			OptionalLong expectedOffset) {
+		if (expectedOffset.isPresent()) {
+			return super.append(stream, key, value, expectedOffset);
 		}
 		PeerCall call = new PeerCall(StoreCall.APPEND, stream.name(), 0, 0);
 		call.setKey(key);
 		value.ifPresent(call::setContent);
-		return this.<Long>callStoreOrPeers(() -> super.append(stream, key, value, expectedEnd), call,
+		return this.<Long>callStoreOrPeers(() -> super.append(stream, key, value, expectedOffset), call,
 				PeerReply::getPosition);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
@@ -34,8 +34,8 @@
 
 	@Override
 	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
-			OptionalLong expectedEnd) {
-		return this.delegate.append(stream, key, value, expectedEnd);
+			OptionalLong expectedOffset) {
+		return this.delegate.append(stream, key, value, expectedOffset);
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
@@ -12,7 +12,7 @@
 public interface RecordCodec {
 
 	/**
-	 * Return what the operator record with this key is about.
+	 * Return the subject of an operator record.
 	 * @param key the key of the record
 	 * @return the subject; {@link OperatorSubject#OTHER} for an unknown key
 	 */
@@ -75,7 +75,7 @@
 	 *
 	 * @param service the name of the service
 	 * @param target the version to move to
-	 * @param withinMillis the time allowed for the whole move, in milliseconds
+	 * @param withinMillis the time allowed for the whole move in milliseconds
 	 */
 	record RolloutOrder(String service, String target, long withinMillis) {
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -21,9 +21,9 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * How long the store may hold a read while there are no new records. If the store
-	 * stops answering this node, that goes unnoticed for up to this long, which fits into
-	 * the time allowed to put a configuration in force.
+	 * How long a read may wait at the store for a new record. A store that stops
+	 * answering is detected only after this time plus the margin of the client's timeout,
+	 * which fits into the time allowed for applying a configuration.
 	 */
 	private static final long READ_WAIT_MILLIS = 1_000;
 
@@ -43,7 +43,7 @@
 
 	private final long readPauseMillis;
 
-	private long replayCount;
+	private long replayOffsets;
 
 	private final RecordListener listener;
 
@@ -64,8 +64,9 @@
 	 * @param loop the event loop that runs the reads and the listener
 	 * @param store the store to read from
 	 * @param stream the stream to follow
-	 * @param readPauseMillis the pause in milliseconds after the store itself returned
-	 * records, so that the next read returns several at once; 0 for none
+	 * @param readPauseMillis the pause in milliseconds after a read that returned records
+	 * from the store, so that the next read returns several at once; 0 for none. There is
+	 * no pause after records that the relay of the zone returned
 	 * @param listener receives the records
 	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
@@ -81,11 +82,11 @@
 
 	/**
 	 * Also read records from before the first listing, if the store still has them.
-	 * @param records the number of offsets to go back from the end of the stream
+	 * @param offsets the number of offsets to go back from the end of the stream
 	 * @return this follower
 	 */
-	public RecordFollower replaying(long records) {
-		this.replayCount = records;
+	public RecordFollower replaying(long offsets) {
+		this.replayOffsets = offsets;
 		return this;
 	}
 
@@ -114,8 +115,8 @@
 			}
 			this.listener.onListed(keys, listingEnd);
 			this.listingCompleted = true;
-			long from = Math.max(0, listingEnd - this.replayCount);
-			this.replayCount = 0;
+			long from = Math.max(0, listingEnd - this.replayOffsets);
+			this.replayOffsets = 0;
 			readFrom(from);
 		});
 	}
@@ -136,7 +137,7 @@
 			else {
 				onSuccess();
 				batch.records().forEach(this.listener::onRecord);
-				boolean isReadFromStore = !batch.records().isEmpty() && !batch.relayed();
+				boolean isReadFromStore = !batch.records().isEmpty() && !batch.fromZoneRelay();
 				runAfter(() -> readFrom(batch.nextOffset()), isReadFromStore ? this.readPauseMillis : 0);
 			}
 		});
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordListener.java
@@ -16,8 +16,8 @@
 	/**
 	 * Handle the end of a listing, after the newest record of each key was delivered.
 	 * @param keys all keys that the stream had
-	 * @param end the offset of the end of the stream when the listing began
+	 * @param endOffset the offset of the end of the stream when the listing began
 	 */
-	void onListed(Set<String> keys, long end);
+	void onListed(Set<String> keys, long endOffset);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -6,14 +6,15 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The platform's durable store of record streams, and the group of nodes in which one
- * node at a time holds the duties. Futures complete on the event loop; those of failed
- * calls complete with a {@link StoreException}.
+ * The platform's durable store of record streams. It also elects, within a group of entry
+ * nodes, the one that holds the duties: the tasks that one node carries out for all, such
+ * as reporting usage and ordering servers. Futures complete on the event loop; those of
+ * failed calls complete with a {@link StoreException}.
  */
 public interface RecordStore {
 
 	/**
-	 * Read the records from an offset on, or wait for the next one.
+	 * Read the records from an offset on. If there are none yet, wait for the next one.
 	 * @param stream the stream
 	 * @param from the offset of the first record to read
 	 * @param waitMillis how long the call may wait for a record, in milliseconds; 0 to
@@ -23,7 +24,7 @@
 	CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis);
 
 	/**
-	 * Read a page of a listing, which has the newest record of each key.
+	 * List the newest record of each key, one page at a time.
 	 * @param stream the stream
 	 * @param after the last key of the previous page; empty for the first page
 	 * @return the page
@@ -35,11 +36,11 @@
 	 * @param stream the stream
 	 * @param key the key
 	 * @param value the content; empty to remove the key
-	 * @param expectedEnd the offset that the record must get, or the call fails with
+	 * @param expectedOffset the offset that the record must get, or the call fails with
 	 * {@link StoreException.Reason#CONFLICT}; empty if any offset will do
 	 * @return the offset of the record
 	 */
-	CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value, OptionalLong expectedEnd);
+	CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value, OptionalLong expectedOffset);
 
 	/**
 	 * Append several records in one call.
@@ -50,8 +51,7 @@
 	CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records);
 
 	/**
-	 * Join the group that assigns the duties to one of its members, or renew the
-	 * membership.
+	 * Join the group whose members can be assigned the duties, or renew the membership.
 	 * @param member the name of the member
 	 * @param generation the generation that the previous call returned; 0 in the first
 	 * call
@@ -71,12 +71,13 @@
 	/**
 	 * The result of a read.
 	 *
-	 * @param records the records, in order of their offsets
+	 * @param records the records, in order of their offsets; may be empty
 	 * @param nextOffset the offset to continue from
-	 * @param relayed whether another node of the zone answered the read, which costs no
-	 * call to the store
+	 * @param fromZoneRelay whether the node that reads for this node's zone answered,
+	 * which costs no call to the store; {@code false} if another node called the store
+	 * for this one
 	 */
-	record Batch(List<StoredRecord> records, long nextOffset, boolean relayed) {
+	record Batch(List<StoredRecord> records, long nextOffset, boolean fromZoneRelay) {
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
@@ -25,14 +25,14 @@
 	 * Return the {@link StoreException} behind the failure of a future. Dependent futures
 	 * wrap it in a {@link CompletionException}.
 	 * @param failure the failure that a future was completed with
-	 * @return the original exception, or one with the reason {@link Reason#UNKNOWN} if
-	 * another exception was thrown
+	 * @return the original exception; for a failure of another type, a new one with the
+	 * reason {@link Reason#UNKNOWN} whose message names the type
 	 */
 	public static StoreException of(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException wrapper && wrapper.getCause() != null)
 				? wrapper.getCause() : failure;
 		return (cause instanceof StoreException storeException) ? storeException
-				: new StoreException(Reason.UNKNOWN, String.valueOf(cause.getMessage()));
+				: new StoreException(Reason.UNKNOWN, String.valueOf(cause));
 	}
 
 	/**
@@ -48,7 +48,7 @@
 	 */
 	public enum Reason {
 
-		/** The call had no effect: the store refused it or did nothing. */
+		/** The call had no effect: the store was not reached or refused the call. */
 		UNAVAILABLE,
 
 		/** No answer arrived; the call may have taken effect or may do so later. */
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreStream.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreStream.java
@@ -18,7 +18,10 @@
 	/** The periodic reports of entry nodes. */
 	NODES,
 
-	/** Claims of the duties, and usage reports that their holder is about to send. */
+	/**
+	 * Claims of the duties, and usage reports that the holder of the duties stores before
+	 * it sends them.
+	 */
 	DUTIES
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -39,7 +39,7 @@
 			}
 
 			@Override
-			public void onListed(Set<String> keys, long end) {
+			public void onListed(Set<String> keys, long endOffset) {
 				RecordFollowerTests.this.listingCount++;
 			}
 		}, () -> 0);
@@ -62,7 +62,7 @@
 	}
 
 	@Test
-	void listsAgainWhenItsReadsAreSharedWithTheZone() {
+	void listsAgainWhenReadingThroughTheZoneCache() {
 		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
 		follower(new ZoneReadCache(this.channel.eventLoop(), this.store, () -> 0)).start();
 		this.channel.runPendingTasks();
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -47,7 +47,8 @@
 	}
 
 	/**
-	 * Return the result of the newest read, unless its failure was scripted.
+	 * Return the result of the latest read. Not to be called if that read failed as
+	 * scripted.
 	 * @return a future for the test to complete
 	 */
 	public CompletableFuture<Batch> pendingRead() {
@@ -70,7 +71,7 @@
 
 	@Override
 	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
-			OptionalLong expectedEnd) {
+			OptionalLong expectedOffset) {
 		return new CompletableFuture<>();
 	}
 
