Correct comments, names and messages of package peers

Read badly: whenRelay ran when there is no relay and withoutRelay when there is one that failed; writeRecords() and readRecords() do no I/O; "the store as this node reaches it", "a channel without a port" and "create a gossip" needed a second reading; QuotaLoans claimed that units are never duplicated, which holds for lost datagrams only; and several failures hid their cause.

Renamed within the package: whenRelay -> asRelay, withoutRelay -> afterRelayFailure or appendDirectly, writeRecords -> toPeerRecords, readRecords -> toStoredRecords, the batcher of PeerStoreService reports -> reportBatcher, answered -> onCompleted; in the test byKey -> newestOffsetByKey and member -> reader.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -40,7 +40,7 @@
 		};
 	}
 
-	static List<PeerRecord> writeRecords(List<StoredRecord> records) {
+	static List<PeerRecord> toPeerRecords(List<StoredRecord> records) {
 		return records.stream().map((entry) -> {
 			PeerRecord peerRecord = new PeerRecord(entry.key(), entry.offset());
 			entry.value().ifPresent(peerRecord::setContent);
@@ -48,7 +48,7 @@
 		}).toList();
 	}
 
-	static List<StoredRecord> readRecords(PeerReply reply) {
+	static List<StoredRecord> toStoredRecords(PeerReply reply) {
 		return reply.getEntries()
 			.stream()
 			.map((peerRecord) -> new StoredRecord(peerRecord.getKey(),
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
@@ -38,7 +38,7 @@
 	private @Nullable Channel channel;
 
 	/**
-	 * Create a channel without a port.
+	 * Create an unbound channel.
 	 * @param loop the event loop
 	 */
 	public PeerDatagramChannel(EventLoop loop) {
@@ -46,7 +46,8 @@
 	}
 
 	/**
-	 * Bind the port and start sending and receiving.
+	 * Bind the port and start sending and receiving. If the port can't be bound, a
+	 * warning is logged and nothing is sent.
 	 * @param address the local address that other nodes send to
 	 */
 	public void start(Address address) {
@@ -111,7 +112,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			logger.atFine().log("%s", LogLine.of("datagram lost").with("reason", String.valueOf(cause.getMessage())));
+			logger.atFine().log("%s", LogLine.of("datagram lost").with("reason", String.valueOf(cause)));
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -23,18 +23,21 @@
 
 /**
  * Falls back to other nodes while the store can't be reached from this node. Conditional
- * appends and the calls of the group go to the store itself only: a node that can't reach
- * the store must not hold the duties.
+ * appends, joining and leaving the group, and batches of records are sent to the store
+ * itself only. A node that can't reach the store must not hold the duties, the tasks that
+ * one node does for all.
  */
 public final class PeerFallbackStore extends ForwardingStore {
 
 	/**
-	 * How many nodes are tried, one after the other. The store may refuse calls of more
-	 * than half of the nodes.
+	 * How many randomly chosen nodes are tried, one after the other. One is not enough:
+	 * the store may refuse the calls of more than half of the nodes.
 	 */
 	private static final int MAX_PEERS = 3;
 
-	/** How long calls skip the store after it failed, if there are other nodes. */
+	/**
+	 * How long calls go straight to other nodes after the store failed, if there are any.
+	 */
 	private static final long STORE_RETRY_MILLIS = 1_500;
 
 	private final PeerStoreClient client;
@@ -50,7 +53,7 @@
 	/**
 	 * Create a store with a fallback.
 	 * @param client calls other nodes
-	 * @param store the store as this node reaches it
+	 * @param store this node's direct access to the store
 	 * @param peers returns the addresses of other nodes
 	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
@@ -66,7 +69,7 @@
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		PeerCall call = new PeerCall(StoreCall.READ, stream.name(), from, waitMillis);
 		return this.<Batch>callStoreOrPeers(() -> super.read(stream, from, waitMillis), call,
-				(reply) -> new Batch(PeerCodec.readRecords(reply), reply.getPosition(), false));
+				(reply) -> new Batch(PeerCodec.toStoredRecords(reply), reply.getPosition(), false));
 	}
 
 	@Override
@@ -74,7 +77,7 @@
 		PeerCall call = new PeerCall(StoreCall.NEWEST, stream.name(), 0, 0);
 		after.ifPresent(call::setKey);
 		return this.<Page>callStoreOrPeers(() -> super.listNewest(stream, after), call,
-				(reply) -> new Page(PeerCodec.readRecords(reply), reply.isHasMore(), reply.getPosition()));
+				(reply) -> new Page(PeerCodec.toStoredRecords(reply), reply.isHasMore(), reply.getPosition()));
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -28,8 +28,8 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * The time allowed for a call in addition to the time for which the other node may
-	 * hold it.
+	 * The time allowed for a call in addition to the time that the other node may wait
+	 * for a record.
 	 */
 	private static final long TIMEOUT_MARGIN_MILLIS = 700;
 
@@ -90,7 +90,8 @@
 						LogLine.of("peer answered with status")
 							.with("peer", peer.toString())
 							.with("status", reply.status()));
-			throw new StoreException(Reason.UNKNOWN, "call through node " + peer + ": unreadable answer");
+			throw new StoreException(Reason.UNKNOWN,
+					"call through node " + peer + ": unreadable answer with status " + reply.status() + ": " + ex);
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -21,16 +21,16 @@
 
 	private final ZoneReadCache store;
 
-	private final ReportBatcher reports;
+	private final ReportBatcher reportBatcher;
 
 	/**
 	 * Create a service.
-	 * @param store the store as this node reaches it
-	 * @param reports collects the reports of other nodes
+	 * @param store this node's direct access to the store
+	 * @param reportBatcher collects the reports of other nodes
 	 */
-	public PeerStoreService(ZoneReadCache store, ReportBatcher reports) {
+	public PeerStoreService(ZoneReadCache store, ReportBatcher reportBatcher) {
 		this.store = store;
-		this.reports = reports;
+		this.reportBatcher = reportBatcher;
 	}
 
 	/**
@@ -53,10 +53,10 @@
 	private CompletableFuture<PeerReply> execute(PeerCall call, StoreStream stream) {
 		return switch (call.getCall()) {
 			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
-				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.writeRecords(batch.records()),
+				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(batch.records()),
 						batch.nextOffset(), false));
 			case NEWEST -> this.store.listNewest(stream, Optional.ofNullable(call.getKey()))
-				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.writeRecords(page.records()),
+				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(page.records()),
 						page.endOffset(), page.hasMore()));
 			case APPEND ->
 				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
@@ -64,14 +64,15 @@
 	}
 
 	/**
-	 * Append a record. A report of a node that may wait is appended together with others.
+	 * Append a record. A node report is appended together with others if its sender
+	 * allows the delay.
 	 * @param call the call
 	 * @param stream the stream
-	 * @return the offset of the record, or of one that was appended with it
+	 * @return the offset of the record, or of the first one of its batch
 	 */
 	private CompletableFuture<Long> append(PeerCall call, StoreStream stream) {
 		if (stream == StoreStream.NODES && call.getWaitMillis() > 0 && call.isSetContent()) {
-			return this.reports.submit(call.getKey(), call.getContent());
+			return this.reportBatcher.submit(call.getKey(), call.getContent());
 		}
 		return this.store.append(stream, call.getKey(),
 				call.isSetContent() ? Optional.of(call.getContent()) : Optional.empty(), OptionalLong.empty());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaLoans.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaLoans.java
@@ -23,9 +23,10 @@
 import io.flamingogap.wire.peer.QuotaGrant;
 
 /**
- * Lends and borrows units of quotas between nodes. A lender takes the units from its own
- * share before it sends them, so that a lost datagram loses units but never duplicates
- * them.
+ * Lends and borrows units of quotas between nodes. Borrowed units are added to the
+ * borrower's share and never returned. A lender takes the units from its own share before
+ * it sends them, so that a lost datagram loses units but doesn't duplicate them. A
+ * datagram that the network delivers twice is counted twice.
  */
 public final class QuotaLoans implements QuotaBorrower {
 
@@ -36,7 +37,8 @@
 	private static final long GRANT_WAIT_MILLIS = 40;
 
 	/**
-	 * How long no units are requested for an account after a request brought none.
+	 * The delay before units are requested for an account again after a request brought
+	 * none.
 	 */
 	private static final long BACKOFF_MILLIS = 400;
 
@@ -62,7 +64,8 @@
 	private final Random random = new Random();
 
 	/**
-	 * Create the loans of this node and listen for requests of others.
+	 * Create the lender and borrower of this node and listen for the datagrams of other
+	 * nodes.
 	 * @param loop the event loop
 	 * @param datagrams the channel to the other nodes
 	 * @param quotas this node's shares of the quotas
@@ -83,7 +86,7 @@
 	}
 
 	@Override
-	public boolean borrow(ClientAccount account, long units, Runnable answered) {
+	public boolean borrow(ClientAccount account, long units, Runnable onCompleted) {
 		List<Address> candidates = new ArrayList<>(this.peers.get());
 		long nowMillis = this.steadyMillis.getAsLong();
 		if (!this.datagrams.isStarted() || candidates.isEmpty()
@@ -99,7 +102,7 @@
 			if (this.receivedUnits.getOrDefault(account.name(), 0L) == unitsBefore) {
 				this.backoffUntilMillis.put(account.name(), this.steadyMillis.getAsLong() + BACKOFF_MILLIS);
 			}
-			answered.run();
+			onCompleted.run();
 		}, GRANT_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		return true;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -12,10 +12,13 @@
  */
 final class RecordCache {
 
-	/** Several seconds of registrations and reports of the largest fleet. */
+	/**
+	 * Bounds the records that are kept of each stream: several seconds of registrations
+	 * and reports of the largest fleet.
+	 */
 	private static final int MAX_RECORDS = 1_024;
 
-	/** Bounds the memory for each stream; enough for several large configurations. */
+	/** Bounds the memory for each stream. Holds several large configurations. */
 	private static final long MAX_BYTES = 1_048_576;
 
 	private static final long NEVER = Long.MIN_VALUE / 2;
@@ -25,8 +28,8 @@
 	private long sizeBytes;
 
 	/**
-	 * The first covered offset. The offset of an unreadable record is covered as well,
-	 * but holds no record.
+	 * The first offset of the cached range. The range may include the offset of a record
+	 * that could not be decoded and is therefore missing.
 	 */
 	private long startOffset;
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportBatcher.java
@@ -13,15 +13,16 @@
 import io.flamingogap.gateway.store.StoreStream;
 
 /**
- * Collects the reports of a zone's nodes and appends them to the store in one call. Used
- * on the event loop only.
+ * Collects the node reports of a zone and appends them to the store in one call. Used on
+ * the event loop only.
  */
 public final class ReportBatcher implements ReportSink {
 
 	/**
-	 * How long reports are collected. Together with the pause between reads this is
-	 * shorter than the time between two reports of a node: quota shares assume that all
-	 * nodes have received a report before its node sends the next one.
+	 * How long reports are collected. The sum of this time and the pause between two
+	 * reads of the reports must be less than the time between two reports of a node:
+	 * quota shares assume that all nodes have received a report before its node sends the
+	 * next one.
 	 */
 	static final long COLLECT_MILLIS = 400;
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportSink.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ReportSink.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Accepts reports of nodes that may reach the store with a short delay, together with
- * others.
+ * Accepts node reports. May delay a report for a short time to append it to the store
+ * together with others.
  */
 public interface ReportSink {
 
@@ -12,7 +12,8 @@
 	 * Submit a report.
 	 * @param key the key of its record
 	 * @param value the encoded report
-	 * @return completes with the offset of a record that was appended in the same call
+	 * @return completes when the report is appended, with its offset or that of the first
+	 * record of its batch
 	 */
 	CompletableFuture<Long> submit(String key, byte[] value);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -22,7 +22,7 @@
 	/**
 	 * Create the access to a store.
 	 * @param loop the event loop
-	 * @param direct the store as this node reaches it
+	 * @param direct this node's direct access to the store
 	 * @param relaySelector selects the node that reads for the zone
 	 * @param peers returns the addresses of other nodes
 	 * @param steadyMillis the monotonic clock, in milliseconds
@@ -39,15 +39,15 @@
 
 	/**
 	 * Return the store for the other parts of this node.
-	 * @return a store that chooses the way for each call
+	 * @return a store that chooses one of the ways for each call
 	 */
 	public RecordStore store() {
 		return this.store;
 	}
 
 	/**
-	 * Return the sink for this node's reports, which may reach the store with a short
-	 * delay.
+	 * Return the sink for this node's reports. It may delay them to append them together
+	 * with those of other nodes.
 	 * @return the sink
 	 */
 	public ReportSink reports() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ThriftSerializer.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ThriftSerializer.java
@@ -20,7 +20,7 @@
 
 	/**
 	 * Serialize a message.
-	 * @param message a message with all required fields
+	 * @param message a message whose required fields are all set
 	 * @return the serialized message
 	 */
 	public static byte[] serialize(TBase<?, ?> message) {
@@ -30,7 +30,7 @@
 			return Arrays.copyOf(buffer.getArray(), buffer.length());
 		}
 		catch (TException ex) {
-			throw new IllegalStateException("a message could not be written to memory", ex);
+			throw new IllegalStateException("cannot serialize a " + message.getClass().getSimpleName(), ex);
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneLoadExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneLoadExchange.java
@@ -20,8 +20,9 @@
 
 /**
  * Exchanges load reports with the other nodes of the zone: the open requests and unread
- * tokens that a node has at each backend server. A datagram carries absolute values,
- * which expire at the receiver.
+ * tokens that a node has at each backend server. A node sends only its own loads, and
+ * only those that changed. A datagram carries absolute values, which expire at the
+ * receiver.
  */
 public final class ZoneLoadExchange implements ServerLoadListener {
 
@@ -31,7 +32,10 @@
 	 */
 	private static final long COLLECT_MILLIS = 15;
 
-	/** The greatest number of receivers; more nodes than the users have in a zone. */
+	/**
+	 * The maximum number of receivers, which is more than the users have nodes in a zone.
+	 * Any further nodes get no reports.
+	 */
 	private static final int MAX_PEERS = 24;
 
 	private final EventLoop loop;
@@ -49,7 +53,7 @@
 	private final Set<KnownServer> changedServers = new LinkedHashSet<>();
 
 	/**
-	 * Create a gossip that listens for the reports of other nodes.
+	 * Create an exchange and listen for the reports of other nodes.
 	 * @param loop the event loop
 	 * @param datagrams the channel to the other nodes
 	 * @param node the name of this node
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -17,17 +17,17 @@
 import io.flamingogap.gateway.store.StoreStream;
 
 /**
- * The store as this node reaches it, with a cache of what was read. The other nodes of
- * the zone read from the cache instead of calling the store. Only records that came from
- * the store itself are passed on, never those that another node relayed, so that nodes
- * can't confirm each other's stale records.
+ * This node's direct access to the store, with a cache of the records that it read. The
+ * other nodes of the zone read from the cache instead of calling the store. The cache
+ * only has records that came from the store itself, never those that another node
+ * relayed, so that nodes can't confirm each other's stale records.
  */
 public final class ZoneReadCache extends ForwardingStore {
 
 	/**
-	 * A node that follows a stream gets an answer from the store at least this often: a
-	 * read may wait for 1 s, a follower pauses for 0.9 s at most, and the rest is a
-	 * margin.
+	 * The greatest age of the store's last answer at which the cache is used. A node that
+	 * follows a stream gets an answer more often: a read may wait for 1 s, a follower
+	 * pauses for up to 0.9 s between reads, and the rest is a margin.
 	 */
 	private static final long MAX_AGE_MILLIS = 2_500;
 
@@ -61,7 +61,8 @@
 			RecordCache cache = this.caches.get(stream);
 			if (failure != null) {
 				cache.markStale();
-				removeWaiting(stream).forEach((each) -> each.fail("the relay node lost its connection to the store"));
+				removeWaiting(stream).forEach((each) -> each
+					.fail("the relay node failed to read from the store: " + StoreException.of(failure).getMessage()));
 				return;
 			}
 			cache.add(from, batch, this.steadyMillis.getAsLong());
@@ -110,7 +111,8 @@
 			waitingRead.result.complete(cache.batchFrom(waitingRead.from));
 		}
 		else {
-			waitingRead.fail("the relay node has no recent answer from the store");
+			waitingRead.fail("the relay node got no answer from the store within the last " + MAX_AGE_MILLIS
+					+ " ms that covers offset " + waitingRead.from);
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelaySelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelaySelector.java
@@ -11,15 +11,16 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * Selects the node that calls the store for its zone: the serving node whose name sorts
- * first. Nodes may disagree for a while. A node relays only through one whose name sorts
- * before its own, so that nodes never relay through each other.
+ * Selects the relay of the zone, which is the node that calls the store for the others:
+ * the serving node whose name sorts first. Nodes may disagree for a while. A node relays
+ * only through one whose name sorts before its own, so that nodes never relay through
+ * each other.
  */
 public final class ZoneRelaySelector {
 
 	/**
-	 * How long a relay isn't selected after it failed. If it is gone, its reports are too
-	 * old by then, and it isn't selected again.
+	 * How long a relay is avoided after it failed. Long enough for the reports of a node
+	 * that has stopped to be dropped as too old, so that it isn't selected again.
 	 */
 	private static final long AVOID_MILLIS = 4_500;
 
@@ -53,7 +54,7 @@
 	}
 
 	/**
-	 * Return the node to relay through.
+	 * Return the node through which to call the store.
 	 * @return the relay; empty if this node calls the store itself
 	 */
 	Optional<Relay> currentRelay() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -19,9 +19,9 @@
 import io.flamingogap.wire.peer.StoreCall;
 
 /**
- * Reads the store through one node of the zone, the relay, which reads it for all. Calls
- * of the store are expensive, and traffic within a zone is free. If the relay fails, the
- * node calls the store itself.
+ * Reads the store and submits node reports through one node of the zone, the relay, since
+ * calls to the store are expensive and traffic within a zone is free. If the relay fails,
+ * and for all other calls, the node calls the store itself.
  */
 public final class ZoneRelayedStore extends ForwardingStore implements ReportSink {
 
@@ -36,7 +36,8 @@
 	/**
 	 * Create a store that uses a relay.
 	 * @param client calls other nodes
-	 * @param store the store to call without a relay
+	 * @param store the store to call if this node is the relay, if the relay failed, or
+	 * if the call is not relayed
 	 * @param relaySelector selects the relay
 	 * @param batcher collects the reports of the zone while this node is the relay
 	 */
@@ -51,7 +52,7 @@
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		return callRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
-				(reply) -> new Batch(PeerCodec.readRecords(reply), reply.getPosition(), true),
+				(reply) -> new Batch(PeerCodec.toStoredRecords(reply), reply.getPosition(), true),
 				() -> super.read(stream, from, waitMillis), () -> super.read(stream, from, 0));
 	}
 
@@ -60,32 +61,31 @@
 		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatcher.COLLECT_MILLIS);
 		call.setKey(key);
 		call.setContent(value);
-		Supplier<CompletableFuture<Long>> withoutRelay = () -> super.append(StoreStream.NODES, key, Optional.of(value),
-				OptionalLong.empty());
+		Supplier<CompletableFuture<Long>> appendDirectly = () -> super.append(StoreStream.NODES, key,
+				Optional.of(value), OptionalLong.empty());
 		return callRelay(call, PeerReply::getPosition,
 				() -> this.batcher.submit(key, value).exceptionallyCompose((failure) -> {
 					logger.atInfo()
 						.log("%s", LogLine.of("zone's reports not appended together")
 							.with("reason", StoreException.of(failure).getMessage()));
-					return withoutRelay.get();
-				}), withoutRelay);
+					return appendDirectly.get();
+				}), appendDirectly);
 	}
 
 	/**
-	 * Call the relay.
+	 * Call the relay, unless this node is the relay.
 	 * @param call the call
 	 * @param decoder decodes the reply
-	 * @param whenRelay makes the call if there is no relay, since this node calls the
-	 * store for its zone
-	 * @param withoutRelay makes the call if the relay failed
+	 * @param asRelay makes the call if this node itself calls the store for its zone
+	 * @param afterRelayFailure makes the call if the relay failed
 	 * @param <T> the type of the result
 	 * @return the result
 	 */
 	private <T> CompletableFuture<T> callRelay(PeerCall call, Function<PeerReply, T> decoder,
-			Supplier<CompletableFuture<T>> whenRelay, Supplier<CompletableFuture<T>> withoutRelay) {
+			Supplier<CompletableFuture<T>> asRelay, Supplier<CompletableFuture<T>> afterRelayFailure) {
 		Optional<ZoneRelaySelector.Relay> relay = this.relaySelector.currentRelay();
 		if (relay.isEmpty()) {
-			return whenRelay.get();
+			return asRelay.get();
 		}
 		return this.client.call(relay.get().address(), call).handle((reply, failure) -> {
 			if (failure == null) {
@@ -101,7 +101,7 @@
 							.with("peer", relay.get().node())
 							.with("stream", call.getStreamName())
 							.with("reason", StoreException.of(failure).getMessage()));
-			return withoutRelay.get();
+			return afterRelayFailure.get();
 		}).thenCompose(Function.identity());
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -30,8 +30,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Checks a node that reads through another one, the relay, while the store fails calls
- * and drops its history and the relay stops and resumes answering.
+ * Checks a node that reads the store through another one, the relay, while the store
+ * fails calls and drops its history and the relay stops and resumes answering.
  */
 class RelayedStreamPropertyTests {
 
@@ -39,7 +39,7 @@
 
 	private static final long FAULTS_UNTIL_MILLIS = 15_000;
 
-	/** The time within which the users expect a configuration to be in force. */
+	/** The time within which the users expect a configuration to be applied. */
 	private static final long APPLY_MILLIS = 2_500;
 
 	private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -54,9 +54,9 @@
 		FaultyStore store = new FaultyStore();
 		ZoneReadCache cache = new ZoneReadCache(this.channel.eventLoop(), store, () -> this.nowMillis);
 		NewestOffsets relay = new NewestOffsets();
-		NewestOffsets member = new NewestOffsets();
+		NewestOffsets reader = new NewestOffsets();
 		follow(cache, relay);
-		follow(new RelayedReads(store, cache), member);
+		follow(new RelayedReads(store, cache), reader);
 		while (this.nowMillis < FAULTS_UNTIL_MILLIS) {
 			store.down = random.nextInt(4) == 0;
 			store.relayAnswers = random.nextInt(4) != 0;
@@ -71,8 +71,8 @@
 		store.down = false;
 		store.append(0);
 		advanceTime(APPLY_MILLIS);
-		assertThat(member.byKey, is(store.newest));
-		assertThat(relay.byKey, is(store.newest));
+		assertThat(reader.newestOffsetByKey, is(store.newest));
+		assertThat(relay.newestOffsetByKey, is(store.newest));
 	}
 
 	private void follow(RecordStore store, NewestOffsets listener) {
@@ -92,11 +92,11 @@
 
 	private static final class NewestOffsets implements RecordListener {
 
-		private final Map<String, Long> byKey = new HashMap<>();
+		private final Map<String, Long> newestOffsetByKey = new HashMap<>();
 
 		@Override
 		public void onRecord(StoredRecord entry) {
-			this.byKey.merge(entry.key(), entry.offset(), Math::max);
+			this.newestOffsetByKey.merge(entry.key(), entry.offset(), Math::max);
 		}
 
 		@Override
@@ -130,8 +130,8 @@
 	}
 
 	/**
-	 * A store with one stream in memory. A read that finds no record waits for as long as
-	 * it allows.
+	 * A store with one stream in memory. A read that finds no record waits for one, up to
+	 * the time that the read allows.
 	 */
 	private final class FaultyStore extends ForwardingStore {
 
