Correct comments, names and messages of package cloud

Read badly: "report" meant a node's report and a usage report in one class, promptTokensPerSecond left out shared prefixes, orderServers() only seemed to add servers, takeOver() of the planner forgets the accepted orders, and DutyRunner did not say which tasks the duties are or why the end of the stream serves as the fencing token.

Renamed within the package: promptTokensPerSecond -> unsharedPromptTokensPerSecond (the field of the node report keeps its name), allReportedWithin -> allNodesReportedWithin, MAX_REPORT_DELAY_MILLIS -> MAX_NODE_REPORT_DELAY_MILLIS, takeOver -> forgetAcceptedOrders in the planner, callPending -> dutyInProgress, the field clockDifferenceMillis -> lastClockDifferenceMillis, excess -> releasableFullPrice, surplus -> releasable, row -> poolPlan, in the test lastFullPriceServers -> orderedFullPriceServers.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/CloudApi.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/CloudApi.java
@@ -6,8 +6,8 @@
 import io.flamingogap.core.fleet.ServerPlan;
 
 /**
- * Calls to the cloud, which only the holder of the duties makes. Futures complete on the
- * event loop.
+ * Calls to the cloud, made only by the node that holds the duties. Futures complete on
+ * the event loop.
  */
 public interface CloudApi {
 
@@ -21,9 +21,10 @@
 	CompletableFuture<Verdict> reportUsage(long token, long window, Map<String, Long> requests);
 
 	/**
-	 * Order the number of servers that a service should have in a zone.
+	 * Set the number of servers that a service should have in a zone. The cloud starts
+	 * the missing servers or releases the surplus ones.
 	 * @param token the fencing token of the holder
-	 * @param plan the servers of one kind in one zone
+	 * @param plan the number of servers of one kind in one zone
 	 * @return the outcome of the call
 	 */
 	CompletableFuture<Verdict> orderServers(long token, ServerPlan plan);
@@ -39,7 +40,7 @@
 		/** The cloud has already seen a higher fencing token. */
 		FENCED,
 
-		/** The cloud has no such servers at present. */
+		/** The cloud has no such servers now. */
 		NONE_AVAILABLE,
 
 		/** The call had no effect. */
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
@@ -22,8 +22,8 @@
  * @param clock the clocks of this process
  * @param correctedTimeOfDayMillis the time of day corrected by the clocks of the other
  * nodes, in milliseconds since 1970 UTC
- * @param config the configuration in force
- * @param rollouts the rollouts, whose progress is published for operators
+ * @param config holds the current configuration
+ * @param rollouts tracks the rollouts, whose progress is published for operators
  * @param servers the backend servers
  * @param serversListed whether all registrations of backend servers were read at least
  * once
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -20,8 +20,9 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * Takes part in the group of nodes in which one node at a time holds the duties. While
- * this node is the holder, it carries the duties out, one call at a time.
+ * Takes part in the election of the node that holds the duties: to report usage to the
+ * cloud, to order servers and to publish the progress of rollouts. While this node is the
+ * holder, it does these tasks, one call at a time.
  */
 public final class DutyRunner {
 
@@ -43,7 +44,8 @@
 
 	/**
 	 * A larger change of the difference between the time of day and the monotonic clock
-	 * means that the machine was suspended.
+	 * is taken for a suspension of the machine. A step of the time of day has the same
+	 * effect.
 	 */
 	private static final long SUSPENSION_THRESHOLD_MILLIS = 500;
 
@@ -69,13 +71,17 @@
 
 	private long lastJoinAtMillis = Long.MIN_VALUE / 2;
 
+	/**
+	 * The end of the stream of duty records after this node's last append. Also used as
+	 * the fencing token of a claim, because it rises with every record.
+	 */
 	private long endOffset;
 
-	private long clockDifferenceMillis;
+	private long lastClockDifferenceMillis;
 
 	private boolean joinPending;
 
-	private boolean callPending;
+	private boolean dutyInProgress;
 
 	private boolean stopped;
 
@@ -83,8 +89,8 @@
 	 * Create a runner that hasn't joined the group yet.
 	 * @param dependencies its collaborators
 	 * @param leaseMillis the lease in milliseconds; a node that regains the duties waits
-	 * until this time has passed since it last acted, so that two holders never act
-	 * alternately
+	 * until this time has passed since it last acted, so that the actions of two holders
+	 * never alternate within a lease
 	 * @param usageWindowMillis the length of a usage window in milliseconds
 	 */
 	public DutyRunner(DutyDependencies dependencies, long leaseMillis, long usageWindowMillis) {
@@ -94,7 +100,7 @@
 		this.clock = dependencies.clock();
 		this.term = new DutyTerm(leaseMillis, CONFIRMATION_TTL_MILLIS);
 		this.usageReports = new UsageReportSchedule(usageWindowMillis, dependencies.totals()::usageInWindow,
-				dependencies.totals()::allReportedWithin);
+				dependencies.totals()::allNodesReportedWithin);
 		this.serverOrders = new ServerOrderPlanner(dependencies.servers(), dependencies.firstStart());
 	}
 
@@ -102,7 +108,7 @@
 	 * Start taking part in the group.
 	 */
 	public void start() {
-		this.clockDifferenceMillis = clockDifferenceMillis();
+		this.lastClockDifferenceMillis = clockDifferenceMillis();
 		this.loop.scheduleWithFixedDelay(this::tick, 0, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -135,7 +141,7 @@
 		if (!this.joinPending && nowMillis - this.lastJoinAtMillis >= JOIN_INTERVAL_MILLIS) {
 			join(nowMillis);
 		}
-		if (this.callPending) {
+		if (this.dutyInProgress) {
 			return;
 		}
 		if (this.term.shouldClaim(nowMillis)) {
@@ -151,10 +157,10 @@
 	 */
 	private void endTermIfSuspended() {
 		long difference = clockDifferenceMillis();
-		if (Math.abs(difference - this.clockDifferenceMillis) > SUSPENSION_THRESHOLD_MILLIS) {
+		if (Math.abs(difference - this.lastClockDifferenceMillis) > SUSPENSION_THRESHOLD_MILLIS) {
 			this.term.recordLost();
 		}
-		this.clockDifferenceMillis = difference;
+		this.lastClockDifferenceMillis = difference;
 	}
 
 	private void join(long nowMillis) {
@@ -176,10 +182,10 @@
 	}
 
 	private void claim() {
-		this.callPending = true;
+		this.dutyInProgress = true;
 		this.store.listNewest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
 			if (failure != null) {
-				this.callPending = false;
+				this.dutyInProgress = false;
 				logFailure("duties not listed before a claim", failure);
 				return;
 			}
@@ -193,7 +199,7 @@
 						this.term.recordClaim(this.endOffset, this.clock.steadyMillis());
 						this.usageReports.takeOver(lastReport,
 								this.dependencies.correctedTimeOfDayMillis().getAsLong());
-						this.serverOrders.takeOver();
+						this.serverOrders.forgetAcceptedOrders();
 						logger.atInfo()
 							.log("%s",
 									LogLine.of("duties claimed")
@@ -207,7 +213,9 @@
 	private static Optional<UsageReportSchedule.Report> decodeUsage(StoredRecord entry) {
 		return ReportCodec.readUsage(entry.value().orElse(new byte[0]))
 			.peekLeft((reason) -> logger.atWarning()
-				.log("%s", LogLine.of("usage record unreadable").with("reason", reason)))
+				.log("%s",
+						LogLine.of("usage record unreadable")
+							.with("reason", reason + " (record at offset " + entry.offset() + ")")))
 			.map((decoded) -> new UsageReportSchedule.Report(decoded.getKey(), decoded.getValue()))
 			.toJavaOptional();
 	}
@@ -215,13 +223,14 @@
 	private void appendRecord(String key, byte[] value, long expectedOffset, Runnable onAppended) {
 		this.store.append(StoreStream.DUTIES, key, Optional.of(value), OptionalLong.of(expectedOffset))
 			.whenComplete((offset, failure) -> {
-				this.callPending = false;
+				this.dutyInProgress = false;
 				if (failure != null) {
 					logger.atInfo()
 						.log("%s",
 								LogLine.of("duty record not kept")
 									.with("key", key)
-									.with("reason", StoreException.of(failure).getMessage()));
+									.with("reason", StoreException.of(failure).getMessage() + " (expected offset "
+											+ expectedOffset + ")"));
 					this.term.recordLost();
 					return;
 				}
@@ -259,7 +268,7 @@
 	}
 
 	private void storeUsage(UsageReportSchedule.Report report) {
-		this.callPending = true;
+		this.dutyInProgress = true;
 		appendRecord(USAGE_KEY, ReportCodec.writeUsage(report.window(), report.requests()), this.endOffset, () -> {
 			this.usageReports.recordStored(report);
 			this.loop.execute(this::tick);
@@ -267,11 +276,11 @@
 	}
 
 	private void sendUsage(long token, UsageReportSchedule.Report report) {
-		this.callPending = true;
+		this.dutyInProgress = true;
 		this.dependencies.cloud()
 			.reportUsage(token, report.window(), report.requests())
 			.whenComplete((verdict, failure) -> {
-				this.callPending = false;
+				this.dutyInProgress = false;
 				if (verdict == CloudApi.Verdict.ACCEPTED) {
 					this.usageReports.recordSent();
 					this.loop.execute(this::tick);
@@ -283,11 +292,11 @@
 	}
 
 	private void publishStatus(RecordCodec.RolloutStatus status) {
-		this.callPending = true;
+		this.dutyInProgress = true;
 		StoredRecord entry = this.dependencies.codec().writeStatus(status);
 		this.store.append(StoreStream.STATUS, entry.key(), entry.value(), OptionalLong.empty())
 			.whenComplete((offset, failure) -> {
-				this.callPending = false;
+				this.dutyInProgress = false;
 				if (failure != null) {
 					logFailure("rollout status not told", failure);
 					return;
@@ -304,9 +313,9 @@
 
 	private void orderServers(long token, ServerPlan plan) {
 		this.term.recordAction(this.clock.steadyMillis());
-		this.callPending = true;
+		this.dutyInProgress = true;
 		this.dependencies.cloud().orderServers(token, plan).whenComplete((verdict, failure) -> {
-			this.callPending = false;
+			this.dutyInProgress = false;
 			this.serverOrders.recordOutcome(plan, verdict, this.clock.steadyMillis());
 			if (verdict == CloudApi.Verdict.ACCEPTED || verdict == CloudApi.Verdict.NONE_AVAILABLE) {
 				this.loop.execute(this::tick);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetServiceDemand.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetServiceDemand.java
@@ -6,11 +6,12 @@
 public interface FleetServiceDemand {
 
 	/**
-	 * Return the rate of prompt tokens that arrive and aren't cached by any engine yet.
+	 * Return the rate of arriving prompt tokens. Leaves out the prefixes that requests
+	 * share, because engines cache them.
 	 * @param service the name of the service
 	 * @return tokens per second
 	 */
-	double promptTokensPerSecond(String service);
+	double unsharedPromptTokensPerSecond(String service);
 
 	/**
 	 * Return the number of open requests.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/FleetTotals.java
@@ -11,7 +11,8 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * Sums over all entry nodes: what this node counts plus what the other nodes report.
+ * Usage and demand over all entry nodes: what this node counts plus what the other nodes
+ * report.
  */
 public final class FleetTotals implements FleetServiceDemand {
 
@@ -24,7 +25,7 @@
 	private final NodeClock clock;
 
 	/**
-	 * Create the sums for this node.
+	 * Create the totals.
 	 * @param fleet the reports of the other nodes
 	 * @param ownUsage the requests that this run of the node counted
 	 * @param ownDemands the demand of this node's callers
@@ -48,15 +49,16 @@
 
 	/**
 	 * Return whether every other node has reported recently.
-	 * @param maxAgeMillis the greatest age of a node's newest report, in milliseconds
-	 * @return {@code true} if no newest report is older
+	 * @param maxAgeMillis the maximum age of the newest report of each node, in
+	 * milliseconds
+	 * @return {@code false} if the newest report of a node is older
 	 */
-	boolean allReportedWithin(long maxAgeMillis) {
+	boolean allNodesReportedWithin(long maxAgeMillis) {
 		return this.fleet.allReportedSince(this.clock.steadyMillis() - maxAgeMillis);
 	}
 
 	@Override
-	public double promptTokensPerSecond(String service) {
+	public double unsharedPromptTokensPerSecond(String service) {
 		return sumOverNodes(service, ServiceDemand::promptTokensPerSecond);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -33,7 +33,7 @@
 
 	/**
 	 * How long to wait before ordering servers of a kind again in a zone that had none
-	 * available. The users' clouds have none for 3.5 to 15 s at a time.
+	 * available. A shortage in the users' clouds lasts 3.5 to 15 s.
 	 */
 	private static final long UNAVAILABLE_RETRY_MILLIS = 5_000;
 
@@ -62,13 +62,13 @@
 	 * Forget the accepted orders, since another holder of the duties may have changed
 	 * them.
 	 */
-	void takeOver() {
+	void forgetAcceptedOrders() {
 		this.acceptedOrders.clear();
 	}
 
 	/**
 	 * Return the next order that is due.
-	 * @param config the configuration in force
+	 * @param config the current configuration
 	 * @param demand the demand for each service, over all nodes
 	 * @param nowMillis the current time on the monotonic clock
 	 * @return the order; empty if none is due
@@ -87,13 +87,13 @@
 		String name = service.name();
 		DesiredCapacity desired = this.stabilizers
 			.computeIfAbsent(name, (each) -> new CapacityStabilizer(this.firstStart))
-			.update(demand.promptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
+			.update(demand.unsharedPromptTokensPerSecond(name), demand.openRequests(name), engine.slots(), nowMillis);
 		Map<ServerPool, Integer> readyByPool = countReady(name);
 		ServerSupply supply = buildSupply(name, bounds, readyByPool, nowMillis);
 		List<ServerPlan> plan = CapacityPlanner.plan(name, bounds, desired, supply);
 		Optional<ServerPlan> scaleUp = plan.stream()
-			.sorted(Comparator.comparing((ServerPlan row) -> !row.reclaimable()))
-			.filter((row) -> isScaleUpDue(row, readyByPool, bounds, nowMillis))
+			.sorted(Comparator.comparing((ServerPlan poolPlan) -> !poolPlan.reclaimable()))
+			.filter((poolPlan) -> isScaleUpDue(poolPlan, readyByPool, bounds, nowMillis))
 			.findFirst();
 		if (scaleUp.isPresent()) {
 			return scaleUp;
@@ -115,26 +115,28 @@
 	 */
 	private Optional<ServerPlan> findScaleDown(List<ServerPlan> plan, int requiredFullPrice,
 			Map<ServerPool, Integer> readyByPool, ScaleBounds bounds, long nowMillis) {
-		int excess = -requiredFullPrice;
-		for (ServerPlan row : plan) {
-			excess += row.reclaimable() ? 0 : expectedServers(row, readyByPool, bounds, nowMillis);
+		int releasableFullPrice = -requiredFullPrice;
+		for (ServerPlan poolPlan : plan) {
+			releasableFullPrice += poolPlan.reclaimable() ? 0
+					: expectedServers(poolPlan, readyByPool, bounds, nowMillis);
 		}
 		for (int i = plan.size() - 1; i >= 0; i--) {
-			ServerPlan row = plan.get(i);
-			int expectedServers = expectedServers(row, readyByPool, bounds, nowMillis);
-			int surplus = Math.min(expectedServers - row.servers(), row.reclaimable() ? Integer.MAX_VALUE : excess);
-			if (surplus > 0) {
-				return Optional.of(row.withServers(expectedServers - surplus));
+			ServerPlan poolPlan = plan.get(i);
+			int expectedServers = expectedServers(poolPlan, readyByPool, bounds, nowMillis);
+			int releasable = Math.min(expectedServers - poolPlan.servers(),
+					poolPlan.reclaimable() ? Integer.MAX_VALUE : releasableFullPrice);
+			if (releasable > 0) {
+				return Optional.of(poolPlan.withServers(expectedServers - releasable));
 			}
 		}
 		return Optional.empty();
 	}
 
-	private int expectedServers(ServerPlan row, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
+	private int expectedServers(ServerPlan poolPlan, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
 			long nowMillis) {
-		AcceptedOrder lastOrder = this.acceptedOrders.get(ServerPool.of(row));
+		AcceptedOrder lastOrder = this.acceptedOrders.get(ServerPool.of(poolPlan));
 		return (lastOrder != null && !lastOrder.hasTimedOut(bounds.bootSeconds(), nowMillis)) ? lastOrder.servers()
-				: readyByPool.getOrDefault(ServerPool.of(row), 0);
+				: readyByPool.getOrDefault(ServerPool.of(poolPlan), 0);
 	}
 
 	private boolean isScaleUpDue(ServerPlan wanted, Map<ServerPool, Integer> readyByPool, ScaleBounds bounds,
@@ -234,9 +236,7 @@
 	 */
 	private record AcceptedOrder(int servers, long acceptedAtMillis, int maxReady) {
 
-		/**
-		 * An order that has no effect within its boot time and this margin is repeated.
-		 */
+		/** The time beyond the boot time after which an incomplete order is repeated. */
 		private static final long BOOT_MARGIN_MILLIS = 6_000;
 
 		private static final long MILLIS_PER_SECOND = 1_000;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
@@ -19,19 +19,24 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * A report that arrives this long after the end of a window covers the whole window:
+	 * The maximum time from the creation of a node's report to its arrival at this node:
 	 * 0.4 s to collect the reports of a zone, a pause of 0.8 s between reads, and 1.5 s
-	 * for a slow store.
+	 * for a slow store. A report that arrives later than this after the end of a window
+	 * covers the whole window.
 	 */
-	private static final long MAX_REPORT_DELAY_MILLIS = 2_700;
+	private static final long MAX_NODE_REPORT_DELAY_MILLIS = 2_700;
 
 	/**
-	 * How long after its end a window waits for nodes that don't report. The rest of the
-	 * time until it is due is for the call and for a change of the holder.
+	 * How long after the end of a window its report waits for nodes that don't report.
+	 * The report is due 10 s after the end; the remaining time is for the call and for a
+	 * change of the holder.
 	 */
 	private static final long MAX_WAIT_FOR_NODES_MILLIS = 7_000;
 
-	/** How many earlier windows are still reported after a change of the holder. */
+	/**
+	 * How many windows before the last complete one are still reported after a change of
+	 * the holder or an outage. Older windows are not reported any more.
+	 */
 	private static final long MAX_LATE_WINDOWS = 3;
 
 	private static final long NO_WINDOW = Long.MIN_VALUE;
@@ -40,7 +45,7 @@
 
 	private final LongFunction<Map<String, Long>> requestsInWindow;
 
-	private final LongPredicate allReportedWithin;
+	private final LongPredicate allNodesReportedWithin;
 
 	private long reportedWindow = NO_WINDOW;
 
@@ -51,18 +56,18 @@
 	 * @param windowMillis the length of a window in milliseconds
 	 * @param requestsInWindow returns the number of requests by account in a window, over
 	 * all nodes
-	 * @param allReportedWithin whether every other node has reported within the given
-	 * number of milliseconds
+	 * @param allNodesReportedWithin whether every other node has reported within the
+	 * given number of milliseconds
 	 */
 	UsageReportSchedule(long windowMillis, LongFunction<Map<String, Long>> requestsInWindow,
-			LongPredicate allReportedWithin) {
+			LongPredicate allNodesReportedWithin) {
 		this.windowMillis = windowMillis;
 		this.requestsInWindow = requestsInWindow;
-		this.allReportedWithin = allReportedWithin;
+		this.allNodesReportedWithin = allNodesReportedWithin;
 	}
 
 	/**
-	 * Take over from the previous holder.
+	 * Continue the schedule of the previous holder.
 	 * @param lastReport the report that the previous holder stored last, if any; it may
 	 * not have been sent
 	 * @param timeOfDayMillis the corrected time of day in milliseconds since 1970 UTC
@@ -78,10 +83,10 @@
 	}
 
 	private long lastCompleteWindow(long timeOfDayMillis) {
-		long lastEnded = Math.floorDiv(timeOfDayMillis - MAX_REPORT_DELAY_MILLIS, this.windowMillis) - 1;
+		long lastEnded = Math.floorDiv(timeOfDayMillis - MAX_NODE_REPORT_DELAY_MILLIS, this.windowMillis) - 1;
 		long endedAtMillis = (lastEnded + 1) * this.windowMillis;
-		long maxReportAgeMillis = timeOfDayMillis - endedAtMillis - MAX_REPORT_DELAY_MILLIS;
-		boolean isComplete = this.allReportedWithin.test(maxReportAgeMillis)
+		long maxReportAgeMillis = timeOfDayMillis - endedAtMillis - MAX_NODE_REPORT_DELAY_MILLIS;
+		boolean isComplete = this.allNodesReportedWithin.test(maxReportAgeMillis)
 				|| timeOfDayMillis - endedAtMillis >= MAX_WAIT_FOR_NODES_MILLIS;
 		return isComplete ? lastEnded : lastEnded - 1;
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -39,8 +39,8 @@
 	private static final int SLOTS = 48;
 
 	/**
-	 * Three zones with two kinds of servers, each ordered at most twice at once: to add
-	 * missing servers and to release others.
+	 * Three zones with two kinds of servers, each ordered at most twice in one round: to
+	 * add missing servers and to release others.
 	 */
 	private static final int MAX_ORDERS = 12;
 
@@ -88,7 +88,7 @@
 		List<ServerPlan> newOrders = new ArrayList<>();
 		FleetServiceDemand demand = new FleetServiceDemand() {
 			@Override
-			public double promptTokensPerSecond(String service) {
+			public double unsharedPromptTokensPerSecond(String service) {
 				return ServerOrderPlannerTests.this.tokensPerSecond;
 			}
 
@@ -110,7 +110,7 @@
 		return newOrders;
 	}
 
-	private static int lastFullPriceServers(List<ServerPlan> orders) {
+	private static int orderedFullPriceServers(List<ServerPlan> orders) {
 		return ZONES.stream()
 			.mapToInt((zone) -> orders.stream()
 				.filter((order) -> !order.reclaimable() && order.zone().equals(zone))
@@ -130,12 +130,12 @@
 		assertThat(placeDueOrders().stream().filter((order) -> !order.reclaimable()).toList(), is(empty()));
 		ZONES.forEach((zone) -> register(zone, true, 6));
 		this.nowMillis += BOOT_MILLIS;
-		assertThat(lastFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
+		assertThat(orderedFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
 	}
 
 	@Test
 	void ordersNoFullPriceServersInPlaceOfBootingOnes() {
-		assertThat(lastFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
+		assertThat(orderedFullPriceServers(placeDueOrders()), lessThanOrEqualTo(2));
 	}
 
 	@Test
@@ -163,7 +163,7 @@
 		ZONES.forEach((zone) -> register(zone, false, 5));
 		FleetServiceDemand noDemand = new FleetServiceDemand() {
 			@Override
-			public double promptTokensPerSecond(String service) {
+			public double unsharedPromptTokensPerSecond(String service) {
 				return 0;
 			}
 
@@ -179,7 +179,7 @@
 			firstStartPlanner.recordOutcome(next.get(), CloudApi.Verdict.ACCEPTED, this.nowMillis);
 			next = firstStartPlanner.nextOrder(CONFIG, noDemand, this.nowMillis);
 		}
-		assertThat(lastFullPriceServers(newOrders), is(2));
+		assertThat(orderedFullPriceServers(newOrders), is(2));
 		assertThat(newOrders.get(0).reclaimable(), is(true));
 	}
 
@@ -204,7 +204,7 @@
 
 		@Test
 		void ordersFullPriceServersInAdvanceOfTheLossOfAnotherZone() {
-			assertThat(lastFullPriceServers(placeDueOrders()), greaterThanOrEqualTo(6));
+			assertThat(orderedFullPriceServers(placeDueOrders()), greaterThanOrEqualTo(6));
 		}
 
 		@Test
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
@@ -9,8 +9,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link UsageReportSchedule}: when a window is due, and how long it waits for
- * nodes.
+ * Tests of {@link UsageReportSchedule}: when the report of a window is due, and how long
+ * it waits for nodes that don't report.
  */
 class UsageReportScheduleTests {
 
