Explain the first-event test in BackendDispatch and reword one comment

The flag for released tokens also marks the first event of a stream, which a reader could not see. "Greatest age" became "maximum age". Comments only.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -25,7 +25,7 @@
 public final class ZoneReadCache extends ForwardingStore {
 
 	/**
-	 * The greatest age of the store's last answer at which the cache is used. A node that
+	 * The maximum age of the store's last answer at which the cache is used. A node that
 	 * follows a stream gets an answer more often: a read may wait for 1 s, a follower
 	 * pauses for up to 0.9 s between reads, and the rest is a margin.
 	 */
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -256,6 +256,7 @@
 			return;
 		}
 		if (!this.unreadTokensReleased) {
+			// This is the first event of the stream from this server.
 			recordStart(0);
 			this.dependencies.versionSelector()
 				.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), false,
