Reword the node package: reports, watchers, rollouts and metrics

Read badly: "what nodes tell each other", "silence tells anything", "untold", "Move", "trial" and "part" in the rollouts, "take" and "begin to follow" in the watchers, "held" and "figures" in the metrics page, and parameters that only restated their names.

Changed: Move -> ServiceRollout with elapsedFraction, armOf and runsTarget; statuses -> publishedStatuses; REMOVED_MILLIS -> REMOVAL_TIMEOUT_MILLIS, STEADY_MILLIS -> MIN_UNDISTURBED_MILLIS, DOUBT_MILLIS -> REREGISTRATION_GRACE_MILLIS, EXPIRE_EACH_MILLIS -> EXPIRY_INTERVAL_MILLIS; NodeFigures -> NodeMetrics with counts and units in the names of its methods; take... -> apply... for records of operators; encode.../decode... for the parts of a report. Comments give units, special values and the reason of each constant. Two texts of the log field "reason" are reworded: the end of a rollout that the node with the duties published, and the removal of a server that didn't register again.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -201,10 +201,10 @@
 			SimpleHttpServer.listen(this.loop, address, this.access.peerService()::answer);
 			this.datagrams.start(address);
 		});
-		MetricsPage metricsPage = new MetricsPage(this.metrics, figures());
+		MetricsPage metricsPage = new MetricsPage(this.metrics, nodeMetrics());
 		listen.metrics()
 			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
-					(request) -> CompletableFuture.completedFuture(metricsPage.write())));
+					(request) -> CompletableFuture.completedFuture(metricsPage.render())));
 		this.operatorWatch.start();
 		this.serverWatch.start();
 		this.board.start();
@@ -244,30 +244,30 @@
 		}
 	}
 
-	private MetricsPage.NodeFigures figures() {
-		return new MetricsPage.NodeFigures() {
+	private MetricsPage.NodeMetrics nodeMetrics() {
+		return new MetricsPage.NodeMetrics() {
 			@Override
 			public long configVersion() {
 				return Gateway.this.config.current().map(ServingConfig::version).orElse(-1L);
 			}
 
 			@Override
-			public int servers() {
+			public int serverCount() {
 				return Gateway.this.servers.size();
 			}
 
 			@Override
-			public int nodes() {
+			public int nodeCount() {
 				return Gateway.this.fleet.nodes();
 			}
 
 			@Override
-			public long storeSilentMillis() {
+			public long millisSinceStoreContact() {
 				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatch.lastContactAtMillis();
 			}
 
 			@Override
-			public long connectionsOpened() {
+			public long backendConnectionAttempts() {
 				return Gateway.this.pool.connectionAttempts();
 			}
 		};
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -17,8 +17,8 @@
 import io.flamingogap.gateway.relay.RelayMetrics;
 
 /**
- * The metrics of a node. The registry is made when the page is first asked for, so that
- * it costs nothing at the start.
+ * Renders the metrics of a node in the Prometheus text format. The registry is created on
+ * the first request, so that it doesn't slow down the start of the node.
  */
 public final class MetricsPage {
 
@@ -28,132 +28,135 @@
 
 	private final RelayMetrics metrics;
 
-	private final NodeFigures figures;
+	private final NodeMetrics nodeMetrics;
 
-	private final List<String> registered = new ArrayList<>();
+	private final List<String> registeredMeters = new ArrayList<>();
 
 	private @Nullable PrometheusMeterRegistry registry;
 
 	/**
 	 * Create a page.
-	 * @param metrics the counts of the request path
-	 * @param figures what else the node tells
+	 * @param metrics the counters and latencies of the request path
+	 * @param nodeMetrics the other values of the node
 	 */
-	public MetricsPage(RelayMetrics metrics, NodeFigures figures) {
+	public MetricsPage(RelayMetrics metrics, NodeMetrics nodeMetrics) {
 		this.metrics = metrics;
-		this.figures = figures;
+		this.nodeMetrics = nodeMetrics;
 	}
 
 	/**
-	 * Write the page.
-	 * @return the metrics as text
+	 * Render the current values.
+	 * @return the response, in the Prometheus text format
 	 */
-	public SimpleHttpServer.Response write() {
-		PrometheusMeterRegistry held = this.registry;
-		if (held == null) {
-			held = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-			registerGauges(held);
-			this.registry = held;
+	public SimpleHttpServer.Response render() {
+		PrometheusMeterRegistry prometheus = this.registry;
+		if (prometheus == null) {
+			prometheus = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+			registerGauges(prometheus);
+			this.registry = prometheus;
 		}
-		registerNew(held);
+		registerNewMeters(prometheus);
 		return new SimpleHttpServer.Response(200, "text/plain; version=0.0.4; charset=utf-8",
-				held.scrape().getBytes(StandardCharsets.UTF_8));
+				prometheus.scrape().getBytes(StandardCharsets.UTF_8));
 	}
 
-	private void registerGauges(PrometheusMeterRegistry held) {
+	private void registerGauges(PrometheusMeterRegistry prometheus) {
 		Gauge.builder("flamingogap.requests.open", this.metrics, RelayMetrics::openRequests)
 			.description("Requests that are open")
-			.register(held);
-		Gauge.builder("flamingogap.config.version", this.figures, NodeFigures::configVersion)
+			.register(prometheus);
+		Gauge.builder("flamingogap.config.version", this.nodeMetrics, NodeMetrics::configVersion)
 			.description("Version of the configuration in force; -1 if none is")
-			.register(held);
-		Gauge.builder("flamingogap.servers.known", this.figures, NodeFigures::servers)
+			.register(prometheus);
+		Gauge.builder("flamingogap.servers.known", this.nodeMetrics, NodeMetrics::serverCount)
 			.description("Backend servers that are registered")
-			.register(held);
-		Gauge.builder("flamingogap.nodes.known", this.figures, NodeFigures::nodes)
+			.register(prometheus);
+		Gauge.builder("flamingogap.nodes.known", this.nodeMetrics, NodeMetrics::nodeCount)
 			.description("Entry nodes that report")
-			.register(held);
-		Gauge.builder("flamingogap.store.silent.millis", this.figures, NodeFigures::storeSilentMillis)
+			.register(prometheus);
+		Gauge.builder("flamingogap.store.silent.millis", this.nodeMetrics, NodeMetrics::millisSinceStoreContact)
 			.description("Time since the store last answered, in milliseconds")
-			.register(held);
-		FunctionCounter.builder("flamingogap.backend.connections", this.figures, NodeFigures::connectionsOpened)
+			.register(prometheus);
+		FunctionCounter
+			.builder("flamingogap.backend.connections", this.nodeMetrics, NodeMetrics::backendConnectionAttempts)
 			.description("Connections to backend servers that were opened")
-			.register(held);
+			.register(prometheus);
 	}
 
-	private void registerNew(PrometheusMeterRegistry held) {
+	private void registerNewMeters(PrometheusMeterRegistry prometheus) {
 		for (String name : this.metrics.counts().keySet()) {
-			if (isNew("count." + name)) {
+			if (addIfNew("count." + name)) {
 				int dot = name.lastIndexOf('.');
 				FunctionCounter
-					.builder("flamingogap.requests", this.metrics, (counted) -> counted.counts().getOrDefault(name, 0L))
+					.builder("flamingogap.requests", this.metrics,
+							(relayMetrics) -> relayMetrics.counts().getOrDefault(name, 0L))
 					.tags(Tags.of("outcome", name.substring(0, dot), "status", name.substring(dot + 1)))
-					.register(held);
+					.register(prometheus);
 			}
 		}
 		for (Map.Entry<String, Histogram> latency : this.metrics.latencies().entrySet()) {
-			if (isNew("latency." + latency.getKey())) {
-				registerLatency(held, latency.getKey(), latency.getValue());
+			if (addIfNew("latency." + latency.getKey())) {
+				registerLatency(prometheus, latency.getKey(), latency.getValue());
 			}
 		}
 	}
 
-	private static void registerLatency(PrometheusMeterRegistry held, String name, Histogram latency) {
+	private static void registerLatency(PrometheusMeterRegistry prometheus, String name, Histogram latency) {
 		for (double quantile : QUANTILES) {
 			Gauge
 				.builder("flamingogap.latency.millis", latency,
-						(recorded) -> recorded.getValueAtPercentile(quantile * PERCENT))
+						(histogram) -> histogram.getValueAtPercentile(quantile * PERCENT))
 				.tags(Tags.of("kind", name, "quantile", Double.toString(quantile)))
 				.description("Latency since the start, in milliseconds")
-				.register(held);
+				.register(prometheus);
 		}
 		FunctionCounter.builder("flamingogap.latency.count", latency, Histogram::getTotalCount)
 			.tags(Tags.of("kind", name))
-			.register(held);
+			.register(prometheus);
 	}
 
-	private boolean isNew(String name) {
-		boolean added = !this.registered.contains(name);
+	private boolean addIfNew(String name) {
+		boolean added = !this.registeredMeters.contains(name);
 		if (added) {
-			this.registered.add(name);
+			this.registeredMeters.add(name);
 		}
 		return added;
 	}
 
 	/**
-	 * What a node tells besides the counts of the request path.
+	 * Provides the metrics of a node that the request path doesn't count.
 	 */
-	public interface NodeFigures {
+	public interface NodeMetrics {
 
 		/**
 		 * Return the version of the configuration in force.
-		 * @return the version, -1 if none is
+		 * @return the version; -1 if none is in force
 		 */
 		long configVersion();
 
 		/**
-		 * Return the backend servers that are registered.
-		 * @return the number
+		 * Return the number of registered backend servers.
+		 * @return the number now
 		 */
-		int servers();
+		int serverCount();
 
 		/**
-		 * Return the entry nodes that report, this one included.
-		 * @return the number
+		 * Return the number of entry nodes that report, this one included.
+		 * @return the number now; at least 1
 		 */
-		int nodes();
+		int nodeCount();
 
 		/**
 		 * Return the time since the store last answered.
-		 * @return the time in milliseconds
+		 * @return the time in milliseconds; since the origin of the monotonic clock if
+		 * the store hasn't answered yet
 		 */
-		long storeSilentMillis();
+		long millisSinceStoreContact();
 
 		/**
-		 * Return the connections to backend servers that were opened.
-		 * @return the number since the start
+		 * Return the number of connections to backend servers that were opened.
+		 * @return the number since the node started
 		 */
-		long connectionsOpened();
+		long backendConnectionAttempts();
 
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -26,38 +26,46 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * What nodes tell each other through the store: publishes this node's reports and reads
- * those of the others.
+ * Exchanges reports with the other entry nodes through the store: publishes the reports
+ * of this node and reads those of the others.
  */
 public final class NodeReportExchange implements RecordListener {
 
-	/** The time between reports; quotas and orders follow the demand this closely. */
+	/**
+	 * The time between two reports. Quotas and orders of servers react to a change of
+	 * demand with this delay.
+	 */
 	public static final long REPORT_INTERVAL_MILLIS = 1_500;
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The pause between reads, so that reports of several nodes come in one answer. */
+	/** The pause between reads, so that one read returns the reports of several nodes. */
 	private static final long READ_PAUSE_MILLIS = 800;
 
 	/**
-	 * Earlier reports that a node reads when it starts: usage of runs that have ended
-	 * stands there only. About fifteen seconds of ten nodes.
+	 * The number of earlier reports that a node reads when it starts. The usage that was
+	 * counted by runs of nodes that have ended is found in these reports only. Covers
+	 * about 15 seconds of reports from 10 nodes.
 	 */
 	private static final long REPLAYED_REPORTS = 100;
 
 	/**
-	 * A node that reported nothing for so long was removed, or its successor will report.
+	 * A node that hasn't reported for longer than this is removed from the view of the
+	 * fleet: either it no longer exists, or its successor will report.
 	 */
-	private static final long REMOVED_MILLIS = 8_000;
+	private static final long REMOVAL_TIMEOUT_MILLIS = 8_000;
 
-	/** The store must have been undisturbed for so long before silence tells anything. */
-	private static final long STEADY_MILLIS = 8_000;
+	/**
+	 * Nodes are removed only if the store has had no disruption for longer than this.
+	 * Otherwise missing reports may be the store's fault.
+	 */
+	private static final long MIN_UNDISTURBED_MILLIS = 8_000;
 
 	private final EventLoop loop;
 
 	private final RecordStore store;
 
-	private final ReportSink reports;
+	private final ReportSink reportSink;
 
 	private final FleetView fleet;
 
@@ -65,45 +73,49 @@
 
 	private final NodeClock clock;
 
-	private final Supplier<NodeReport> ownReport;
+	private final Supplier<NodeReport> ownReportSupplier;
 
-	private final Consumer<NodeReport> previousRun;
+	private final Consumer<NodeReport> previousRunListener;
 
 	private final RecordFollower follower;
 
-	/** Reports before this offset were written before this node first listed them. */
-	private long listedEnd = Long.MAX_VALUE;
+	/**
+	 * The end of the stream when it was last listed. Records before it are older than the
+	 * listing and may have been read late.
+	 */
+	private long listingEndOffset = Long.MAX_VALUE;
 
-	private boolean listed;
+	private boolean listingCompleted;
 
 	/**
-	 * Create a board.
-	 * @param loop the event loop
-	 * @param store the store
-	 * @param reports takes the reports that may wait a little
-	 * @param fleet takes the reports of other nodes
-	 * @param fleetClock takes the clocks of other nodes
-	 * @param clock tells the present time
-	 * @param ownReport makes this node's report
-	 * @param previousRun takes the newest report of the run of this node before, if the
-	 * other nodes still count it
+	 * Create an exchange that isn't started.
+	 * @param loop the event loop that all work runs on
+	 * @param store the store to read from, and to append urgent reports to
+	 * @param reportSink accepts the periodic reports, which may be delayed and batched
+	 * @param fleet receives the reports of other nodes
+	 * @param fleetClock receives the time of day that other nodes report
+	 * @param clock the clocks of this process
+	 * @param ownReportSupplier creates the current report of this node
+	 * @param previousRunListener receives the newest report of the previous run of this
+	 * node, if it is recent enough that the other nodes still count it
 	 */
-	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reports, FleetView fleet,
-			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReport, Consumer<NodeReport> previousRun) {
+	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reportSink, FleetView fleet,
+			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReportSupplier,
+			Consumer<NodeReport> previousRunListener) {
 		this.loop = loop;
 		this.store = store;
-		this.reports = reports;
+		this.reportSink = reportSink;
 		this.fleet = fleet;
 		this.fleetClock = fleetClock;
 		this.clock = clock;
-		this.ownReport = ownReport;
-		this.previousRun = previousRun;
+		this.ownReportSupplier = ownReportSupplier;
+		this.previousRunListener = previousRunListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
 			.replaying(REPLAYED_REPORTS);
 	}
 
 	/**
-	 * Begin to report and to read.
+	 * Start publishing and reading reports.
 	 */
 	public void start() {
 		this.follower.start();
@@ -113,33 +125,35 @@
 	private void tick() {
 		long nowMillis = this.clock.steadyMillis();
 		this.fleet.advance(nowMillis);
-		if (nowMillis - this.follower.lastDisruptionAtMillis() > STEADY_MILLIS) {
-			this.fleet.nodesSilentLongerThan(REMOVED_MILLIS).forEach(this::forget);
+		if (nowMillis - this.follower.lastDisruptionAtMillis() > MIN_UNDISTURBED_MILLIS) {
+			this.fleet.nodesSilentLongerThan(REMOVAL_TIMEOUT_MILLIS).forEach(this::removeNode);
 		}
-		NodeReport report = this.ownReport.get();
-		this.reports.offer(report.node().name(), ReportCodec.write(report))
-			.exceptionally(NodeReportExchange::logNotKept);
+		NodeReport report = this.ownReportSupplier.get();
+		this.reportSink.offer(report.node().name(), ReportCodec.write(report))
+			.exceptionally(NodeReportExchange::logAppendFailure);
 	}
 
-	private void forget(String node) {
+	private void removeNode(String node) {
 		this.fleet.forget(node);
 		this.fleetClock.forget(node);
-		logger.atInfo().log("%s", LogLine.of("node removed").with("peer", node).with("silentMillis", REMOVED_MILLIS));
+		logger.atInfo()
+			.log("%s", LogLine.of("node removed").with("peer", node).with("silentMillis", REMOVAL_TIMEOUT_MILLIS));
 	}
 
 	/**
-	 * Publish this node's report now.
-	 * @return completes when the store has answered, or failed to
+	 * Append the current report of this node to the store at once.
+	 * @return completes with the offset of the report, or with -1 if the store failed;
+	 * never exceptionally
 	 */
 	public CompletableFuture<Long> publish() {
-		NodeReport report = this.ownReport.get();
+		NodeReport report = this.ownReportSupplier.get();
 		return this.store
 			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.write(report)),
 					OptionalLong.empty())
-			.exceptionally(NodeReportExchange::logNotKept);
+			.exceptionally(NodeReportExchange::logAppendFailure);
 	}
 
-	private static Long logNotKept(Throwable failure) {
+	private static Long logAppendFailure(Throwable failure) {
 		logger.atInfo()
 			.log("%s", LogLine.of("report not kept").with("reason", StoreException.of(failure).getMessage()));
 		return -1L;
@@ -148,7 +162,7 @@
 	@Override
 	public void onRecord(StoredRecord entry) {
 		if (entry.value().isEmpty()) {
-			forget(entry.key());
+			removeNode(entry.key());
 			return;
 		}
 		Either<String, NodeReport> report = ReportCodec.read(entry.value().get());
@@ -158,22 +172,23 @@
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
-		boolean isNew = entry.offset() >= this.listedEnd;
-		long ageMillis = isNew ? 0 : Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
+		boolean isAfterListing = entry.offset() >= this.listingEndOffset;
+		long ageMillis = isAfterListing ? 0
+				: Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
 		this.fleet.advance(nowMillis);
 		this.fleet.record(report.get(), nowMillis - ageMillis);
-		if (!this.listed && ageMillis < REMOVED_MILLIS && this.fleet.isOfPreviousRun(report.get())) {
-			this.previousRun.accept(report.get());
+		if (!this.listingCompleted && ageMillis < REMOVAL_TIMEOUT_MILLIS && this.fleet.isOfPreviousRun(report.get())) {
+			this.previousRunListener.accept(report.get());
 		}
-		if (isNew) {
+		if (isAfterListing) {
 			this.fleetClock.record(entry.key(), report.get().timeOfDayMillis(), nowMillis);
 		}
 	}
 
 	@Override
 	public void onListed(Set<String> keys, long end) {
-		this.listedEnd = end;
-		this.listed = true;
+		this.listingEndOffset = end;
+		this.listingCompleted = true;
 		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", end));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -18,7 +18,8 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * Puts configurations in force as operators publish them, and takes their rollout orders.
+ * Follows the records of operators in the store: puts new configurations in force and
+ * passes rollout orders on.
  */
 public final class OperatorRecordWatcher implements RecordListener {
 
@@ -35,13 +36,13 @@
 	private final RecordFollower follower;
 
 	/**
-	 * Create a watch.
-	 * @param loop the event loop
-	 * @param store the store
-	 * @param codec reads operators' records
-	 * @param config takes configurations
-	 * @param rollouts takes orders of rollouts
-	 * @param clock tells the present time
+	 * Create a watcher that isn't started.
+	 * @param loop the event loop that reads the store
+	 * @param store the store to read from
+	 * @param codec decodes the records
+	 * @param config receives the configurations
+	 * @param rollouts receives the rollout orders
+	 * @param clock the clocks of this process
 	 */
 	public OperatorRecordWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config,
 			RolloutController rollouts, NodeClock clock) {
@@ -53,7 +54,7 @@
 	}
 
 	/**
-	 * Begin to follow.
+	 * Start following the records.
 	 */
 	public void start() {
 		this.follower.start();
@@ -65,41 +66,41 @@
 			return;
 		}
 		switch (this.codec.subjectOf(entry.key())) {
-			case CONFIG -> takeConfig(entry, entry.value().get());
-			case ROLLOUT -> takeRollout(entry, entry.value().get());
+			case CONFIG -> applyConfig(entry, entry.value().get());
+			case ROLLOUT -> applyRollout(entry, entry.value().get());
 			case OTHER -> logger.atFine().log("%s", LogLine.of("record ignored").with("key", entry.key()));
 		}
 	}
 
-	private void takeConfig(StoredRecord entry, byte[] value) {
-		Either<String, ServingConfig> read = this.codec.readConfig(value);
-		if (read.isLeft()) {
+	private void applyConfig(StoredRecord entry, byte[] value) {
+		Either<String, ServingConfig> decoded = this.codec.readConfig(value);
+		if (decoded.isLeft()) {
 			logger.atSevere()
 				.log("%s",
 						LogLine.of("configuration unreadable")
 							.with("offset", entry.offset())
-							.with("reason", read.getLeft()));
+							.with("reason", decoded.getLeft()));
 		}
-		else if (this.config.applyIfNewer(read.get(), this.clock.steadyMillis())) {
+		else if (this.config.applyIfNewer(decoded.get(), this.clock.steadyMillis())) {
 			logger.atInfo()
 				.log("%s",
 						LogLine.of("configuration in force")
-							.with("version", read.get().version())
+							.with("version", decoded.get().version())
 							.with("offset", entry.offset()));
 		}
 	}
 
-	private void takeRollout(StoredRecord entry, byte[] value) {
-		Either<String, RecordCodec.RolloutOrder> read = this.codec.readRollout(value);
-		if (read.isLeft()) {
+	private void applyRollout(StoredRecord entry, byte[] value) {
+		Either<String, RecordCodec.RolloutOrder> decoded = this.codec.readRollout(value);
+		if (decoded.isLeft()) {
 			logger.atSevere()
 				.log("%s",
 						LogLine.of("rollout order unreadable")
 							.with("offset", entry.offset())
-							.with("reason", read.getLeft()));
+							.with("reason", decoded.getLeft()));
 			return;
 		}
-		this.rollouts.applyOrder(read.get(), entry.offset(), this.clock.steadyMillis());
+		this.rollouts.applyOrder(decoded.get(), entry.offset(), this.clock.steadyMillis());
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -19,7 +19,8 @@
 import io.flamingogap.wire.report.VersionTally;
 
 /**
- * The bytes of what nodes keep in the store for each other.
+ * Encodes and decodes, with Thrift, the records that nodes write to the store for each
+ * other: node reports, and usage reports that are about to be sent.
  */
 public final class ReportCodec {
 
@@ -27,24 +28,25 @@
 	}
 
 	/**
-	 * Write a report.
+	 * Encode the report of a node.
 	 * @param report the report
-	 * @return the bytes
+	 * @return the content of its record
 	 */
 	public static byte[] write(NodeReport report) {
 		io.flamingogap.wire.report.NodeReport wire = new io.flamingogap.wire.report.NodeReport(report.node().name(),
 				report.node().incarnation(), report.callerAddress().toString(), report.zone(), report.serving(),
-				report.timeOfDayMillis(), report.demandPerSecond(), usage(report), services(report), tallies(report));
+				report.timeOfDayMillis(), report.demandPerSecond(), encodeUsage(report), encodeServices(report),
+				encodeTallies(report));
 		return ThriftBytes.write(wire);
 	}
 
-	private static List<UsageWindow> usage(NodeReport report) {
+	private static List<UsageWindow> encodeUsage(NodeReport report) {
 		List<UsageWindow> windows = new ArrayList<>();
 		report.usage().forEach((number, requests) -> windows.add(new UsageWindow(number, requests)));
 		return windows;
 	}
 
-	private static List<ServiceDemand> services(NodeReport report) {
+	private static List<ServiceDemand> encodeServices(NodeReport report) {
 		return report.services()
 			.stream()
 			.map((demand) -> new ServiceDemand(demand.service(), demand.openRequests(), demand.promptTokensPerSecond(),
@@ -52,7 +54,7 @@
 			.toList();
 	}
 
-	private static List<VersionTally> tallies(NodeReport report) {
+	private static List<VersionTally> encodeTallies(NodeReport report) {
 		return report.tallies()
 			.stream()
 			.map((row) -> new VersionTally(row.service(), row.version(), row.route(), row.tally().requests(),
@@ -61,9 +63,9 @@
 	}
 
 	/**
-	 * Read a report.
-	 * @param bytes the bytes
-	 * @return the report, or why it can't be read
+	 * Decode the report of a node.
+	 * @param bytes the content of its record
+	 * @return the report, or why it can't be decoded
 	 */
 	public static Either<String, NodeReport> read(byte[] bytes) {
 		try {
@@ -73,14 +75,14 @@
 			wire.getUsage().forEach((window) -> usage.put(window.getNumber(), window.getRequests()));
 			return Either.right(new NodeReport(new NodeId(wire.getNode(), wire.getIncarnation()),
 					Address.parse(wire.getCallerAddress()), wire.getZone(), wire.isServing(), wire.getTimeOfDayMillis(),
-					wire.getDemandPerSecond(), usage, readServices(wire), readTallies(wire)));
+					wire.getDemandPerSecond(), usage, decodeServices(wire), decodeTallies(wire)));
 		}
 		catch (TException | IllegalArgumentException ex) {
 			return Either.left(String.valueOf(ex.getMessage()));
 		}
 	}
 
-	private static List<NodeReport.ServiceDemand> readServices(io.flamingogap.wire.report.NodeReport wire) {
+	private static List<NodeReport.ServiceDemand> decodeServices(io.flamingogap.wire.report.NodeReport wire) {
 		return wire.getServices()
 			.stream()
 			.map((demand) -> new NodeReport.ServiceDemand(demand.getServiceName(), demand.getOpenRequests(),
@@ -88,7 +90,7 @@
 			.toList();
 	}
 
-	private static List<NodeReport.VersionTally> readTallies(io.flamingogap.wire.report.NodeReport wire) {
+	private static List<NodeReport.VersionTally> decodeTallies(io.flamingogap.wire.report.NodeReport wire) {
 		return wire.getTallies()
 			.stream()
 			.map((row) -> new NodeReport.VersionTally(row.getServiceName(), row.getVersion(), row.getRoute(),
@@ -97,19 +99,20 @@
 	}
 
 	/**
-	 * Write what a usage report will say.
+	 * Encode a usage report before it is sent to the cloud.
 	 * @param window the number of the window
-	 * @param requests requests by account
-	 * @return the bytes
+	 * @param requests the number of requests by account
+	 * @return the content of its record
 	 */
 	public static byte[] writeUsage(long window, Map<String, Long> requests) {
 		return ThriftBytes.write(new UsageIntent(window, requests));
 	}
 
 	/**
-	 * Read what a usage report will say.
-	 * @param bytes the bytes
-	 * @return the window with its requests by account, or why it can't be read
+	 * Decode a usage report that was stored before it was sent to the cloud.
+	 * @param bytes the content of its record
+	 * @return the number of the window with the number of requests by account, or why the
+	 * record can't be decoded
 	 */
 	public static Either<String, Map.Entry<Long, Map<String, Long>>> readUsage(byte[] bytes) {
 		try {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -26,19 +26,20 @@
 import io.flamingogap.gateway.store.RecordCodec.RolloutStatus;
 
 /**
- * The rollouts of services: gives each version its share of requests and counts outcomes.
- * Every node stops sending to a bad version on its own; the holder of the duties tells
- * operators.
+ * Moves services to other versions as operators order: splits requests between the
+ * versions, counts their outcomes and reverts a target version that performs worse. Each
+ * node decides by itself, on the counts of all nodes; the node that holds the duties
+ * publishes the statuses for operators.
  */
 public final class RolloutController implements VersionSelector {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private final Map<String, Move> moves = new HashMap<>();
+	private final Map<String, ServiceRollout> rolloutsByService = new HashMap<>();
 
-	private final Map<String, RolloutStatus> statuses = new HashMap<>();
+	private final Map<String, RolloutStatus> publishedStatuses = new HashMap<>();
 
-	private boolean statusesKnown;
+	private boolean publishedStatusesLoaded;
 
 	private final ServerTable servers;
 
@@ -49,11 +50,12 @@
 	private final double exploredShare;
 
 	/**
-	 * Create without rollouts.
+	 * Create a controller without rollouts.
 	 * @param servers the backend servers
-	 * @param fleet the reports of other nodes
-	 * @param random draws the requests that explore a version
-	 * @param exploredShare the share of requests that explores a version
+	 * @param fleet the reports of other nodes, with their counts of outcomes
+	 * @param random draws the version for each request
+	 * @param exploredShare the share of requests, from 0 to 1, that goes to the target
+	 * version in the first phase of a rollout
 	 */
 	public RolloutController(ServerTable servers, FleetView fleet, RandomGenerator random, double exploredShare) {
 		this.servers = servers;
@@ -63,22 +65,25 @@
 	}
 
 	/**
-	 * Take an order.
+	 * Start the rollout that an operator ordered, in place of an earlier one of the same
+	 * service. The first order that this node reads for a service takes the published
+	 * state of the same target, since the rollout may have ended before the node started.
 	 * @param order the order
-	 * @param offset its position in the store; orders that were seen are ignored
-	 * @param nowMillis the present time
+	 * @param offset the offset of its record in the store; an order at or before the
+	 * offset of the service's current order is ignored
+	 * @param nowMillis the current time on the monotonic clock
 	 */
 	public void applyOrder(RolloutOrder order, long offset, long nowMillis) {
-		Move known = this.moves.get(order.service());
-		if (known != null && offset <= known.offset) {
+		ServiceRollout previous = this.rolloutsByService.get(order.service());
+		if (previous != null && offset <= previous.offset) {
 			return;
 		}
-		Move move = new Move(order, offset, nowMillis);
-		RolloutStatus told = this.statuses.get(order.service());
-		if (known == null && told != null && told.target().equals(order.target())) {
-			move.state = told.state();
+		ServiceRollout rollout = new ServiceRollout(order, offset, nowMillis);
+		RolloutStatus published = this.publishedStatuses.get(order.service());
+		if (previous == null && published != null && published.target().equals(order.target())) {
+			rollout.state = published.state();
 		}
-		this.moves.put(order.service(), move);
+		this.rolloutsByService.put(order.service(), rollout);
 		logger.atInfo()
 			.log("%s",
 					LogLine.of("rollout ordered")
@@ -89,117 +94,124 @@
 	}
 
 	/**
-	 * Return whether operators' statuses should be read again.
-	 * @return {@code true} while a rollout is under way
+	 * Return whether any rollout is running, so that the published statuses have to be
+	 * read again.
+	 * @return {@code true} while at least one rollout has not ended
 	 */
 	public boolean hasRunningRollout() {
-		return this.moves.values().stream().anyMatch((move) -> move.state == RolloutStatus.State.RUNNING);
+		return this.rolloutsByService.values()
+			.stream()
+			.anyMatch((rollout) -> rollout.state == RolloutStatus.State.RUNNING);
 	}
 
 	/**
-	 * Record that all statuses were read. Until then no version is explored, since a
-	 * rollout may have ended before this node started.
+	 * Record that all published statuses were read. Until then no rollout is evaluated
+	 * and no requests explore a target version, since its rollout may have ended before
+	 * this node started.
 	 */
 	public void markStatusesLoaded() {
-		this.statusesKnown = true;
+		this.publishedStatusesLoaded = true;
 	}
 
 	/**
-	 * Take what operators were told.
+	 * Record a status that was published for operators. Ends a rollout that is running on
+	 * this node if the status says that it has ended.
 	 * @param status the status
 	 */
 	public void recordPublishedStatus(RolloutStatus status) {
-		this.statuses.put(status.service(), status);
-		Move move = this.moves.get(status.service());
-		if (move != null && move.order.target().equals(status.target()) && status.state() != RolloutStatus.State.RUNNING
-				&& move.state == RolloutStatus.State.RUNNING) {
-			end(move, status.state(), "told by the holder of the duties");
+		this.publishedStatuses.put(status.service(), status);
+		ServiceRollout rollout = this.rolloutsByService.get(status.service());
+		if (rollout != null && rollout.order.target().equals(status.target())
+				&& status.state() != RolloutStatus.State.RUNNING && rollout.state == RolloutStatus.State.RUNNING) {
+			endRollout(rollout, status.state(), "published by the node that holds the duties");
 		}
 	}
 
 	/**
-	 * Decide the rollouts on the evidence of all nodes.
-	 * @param nowMillis the present time
+	 * Evaluate the running rollouts on the counts of all nodes: revert, adapt the share
+	 * of the target version, or complete. Does nothing before the published statuses were
+	 * read.
+	 * @param nowMillis the current time on the monotonic clock
 	 */
 	public void evaluate(long nowMillis) {
-		if (!this.statusesKnown) {
+		if (!this.publishedStatusesLoaded) {
 			return;
 		}
-		for (Move move : this.moves.values()) {
-			if (move.state != RolloutStatus.State.RUNNING) {
+		for (ServiceRollout rollout : this.rolloutsByService.values()) {
+			if (rollout.state != RolloutStatus.State.RUNNING) {
 				continue;
 			}
-			TimedCanary trial = trial(move);
-			double part = move.part(nowMillis);
-			Optional<String> badness = trial.findRegression();
-			if (badness.isPresent()) {
-				end(move, RolloutStatus.State.REVERTED, badness.get());
+			TimedCanary canary = collectEvidence(rollout);
+			double elapsedFraction = rollout.elapsedFraction(nowMillis);
+			Optional<String> regression = canary.findRegression();
+			if (regression.isPresent()) {
+				endRollout(rollout, RolloutStatus.State.REVERTED, regression.get());
 				continue;
 			}
-			move.share = trial.candidateShare(part);
-			if (trial.mayComplete(part) && hasServers(move, true)) {
-				end(move, RolloutStatus.State.DONE, trial.toString());
+			rollout.targetShare = canary.candidateShare(elapsedFraction);
+			if (canary.mayComplete(elapsedFraction) && hasAvailableServers(rollout, true)) {
+				endRollout(rollout, RolloutStatus.State.DONE, canary.toString());
 			}
 		}
 	}
 
-	private boolean hasServers(Move move, boolean target) {
-		return this.servers.ofService(move.order.service())
+	private boolean hasAvailableServers(ServiceRollout rollout, boolean ofTarget) {
+		return this.servers.ofService(rollout.order.service())
 			.stream()
-			.anyMatch((server) -> server.takesRequests() && move.isTarget(server.registration()) == target);
+			.anyMatch((server) -> server.takesRequests() && rollout.runsTarget(server.registration()) == ofTarget);
 	}
 
-	private TimedCanary trial(Move move) {
-		TimedCanary trial = new TimedCanary(this.exploredShare);
-		move.tallies.forEach((key, tally) -> trial.add(move.arm(key.version()), key.route(), tally));
+	private TimedCanary collectEvidence(ServiceRollout rollout) {
+		TimedCanary canary = new TimedCanary(this.exploredShare);
+		rollout.tallies.forEach((key, tally) -> canary.add(rollout.armOf(key.version()), key.route(), tally));
 		for (NodeReport report : this.fleet.recentReports()) {
 			for (NodeReport.VersionTally row : report.tallies()) {
-				if (row.service().equals(move.order.service())) {
-					trial.add(move.arm(row.version()), row.route(), row.tally());
+				if (row.service().equals(rollout.order.service())) {
+					canary.add(rollout.armOf(row.version()), row.route(), row.tally());
 				}
 			}
 		}
-		return trial;
+		return canary;
 	}
 
-	private static void end(Move move, RolloutStatus.State state, String reason) {
-		move.state = state;
+	private static void endRollout(ServiceRollout rollout, RolloutStatus.State state, String reason) {
+		rollout.state = state;
 		logger.atInfo()
 			.log("%s",
 					LogLine.of("rollout ended")
-						.with("service", move.order.service())
-						.with("target", move.order.target())
+						.with("service", rollout.order.service())
+						.with("target", rollout.order.target())
 						.with("state", state.name())
 						.with("reason", reason));
 	}
 
 	/**
-	 * Return what operators should be told and were not told yet.
-	 * @return the statuses
+	 * Return the statuses that differ from what was published for operators.
+	 * @return the statuses to publish; empty before the published ones were read
 	 */
 	public List<RolloutStatus> unpublishedStatuses() {
-		if (!this.statusesKnown) {
+		if (!this.publishedStatusesLoaded) {
 			return List.of();
 		}
-		List<RolloutStatus> untold = new ArrayList<>();
-		this.moves.forEach((service, move) -> {
-			RolloutStatus status = new RolloutStatus(service, move.order.target(), move.state);
-			if (!status.equals(this.statuses.get(service))) {
-				untold.add(status);
+		List<RolloutStatus> unpublished = new ArrayList<>();
+		this.rolloutsByService.forEach((service, rollout) -> {
+			RolloutStatus status = new RolloutStatus(service, rollout.order.target(), rollout.state);
+			if (!status.equals(this.publishedStatuses.get(service))) {
+				unpublished.add(status);
 			}
 		});
-		return untold;
+		return unpublished;
 	}
 
 	/**
-	 * Return the outcomes that this node counted in rollouts that are under way.
-	 * @return the tallies
+	 * Return the outcomes that this node counted in running rollouts.
+	 * @return one tally for each service, version and route
 	 */
 	public List<NodeReport.VersionTally> tallies() {
 		List<NodeReport.VersionTally> rows = new ArrayList<>();
-		this.moves.forEach((service, move) -> {
-			if (move.state == RolloutStatus.State.RUNNING) {
-				move.tallies.forEach((key, tally) -> rows
+		this.rolloutsByService.forEach((service, rollout) -> {
+			if (rollout.state == RolloutStatus.State.RUNNING) {
+				rollout.tallies.forEach((key, tally) -> rows
 					.add(new NodeReport.VersionTally(service, key.version(), key.route(), tally)));
 			}
 		});
@@ -208,43 +220,45 @@
 
 	@Override
 	public Predicate<KnownServer> selectVersions(String service, RouteRule route) {
-		Move move = this.moves.get(service);
-		if (move == null) {
+		ServiceRollout rollout = this.rolloutsByService.get(service);
+		if (rollout == null) {
 			return (server) -> true;
 		}
-		boolean toTarget = switch (move.state) {
+		boolean useTarget = switch (rollout.state) {
 			case DONE -> true;
 			case REVERTED -> false;
-			case RUNNING -> this.random.nextDouble() < move.share;
+			case RUNNING -> this.random.nextDouble() < rollout.targetShare;
 		};
-		if (move.state != RolloutStatus.State.REVERTED && !hasServers(move, toTarget)) {
+		// After a revert, the target version gets no requests even if no other server is
+		// available.
+		if (rollout.state != RolloutStatus.State.REVERTED && !hasAvailableServers(rollout, useTarget)) {
 			return (server) -> true;
 		}
-		return (server) -> move.isTarget(server.registration()) == toTarget;
+		return (server) -> rollout.runsTarget(server.registration()) == useTarget;
 	}
 
 	@Override
 	public Predicate<KnownServer> selectVersionsForRetry(String service) {
-		Move move = this.moves.get(service);
-		if (move == null || (move.state == RolloutStatus.State.RUNNING && !hasServers(move, false))) {
+		ServiceRollout rollout = this.rolloutsByService.get(service);
+		if (rollout == null || (rollout.state == RolloutStatus.State.RUNNING && !hasAvailableServers(rollout, false))) {
 			return (server) -> true;
 		}
-		boolean toTarget = move.state == RolloutStatus.State.DONE;
-		return (server) -> move.isTarget(server.registration()) == toTarget;
+		boolean useTarget = rollout.state == RolloutStatus.State.DONE;
+		return (server) -> rollout.runsTarget(server.registration()) == useTarget;
 	}
 
 	@Override
 	public void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
-		Move move = this.moves.get(server.service());
-		if (move != null && move.state == RolloutStatus.State.RUNNING) {
-			move.record(server, route, failed, latencyMillis);
+		ServiceRollout rollout = this.rolloutsByService.get(server.service());
+		if (rollout != null && rollout.state == RolloutStatus.State.RUNNING) {
+			rollout.record(server, route, failed, latencyMillis);
 		}
 	}
 
 	private record TallyKey(String version, String route) {
 	}
 
-	private static final class Move {
+	private static final class ServiceRollout {
 
 		private final RolloutOrder order;
 
@@ -258,23 +272,23 @@
 
 		private RolloutStatus.State state = RolloutStatus.State.RUNNING;
 
-		private double share;
+		private double targetShare;
 
-		private Move(RolloutOrder order, long offset, long startedAtMillis) {
+		private ServiceRollout(RolloutOrder order, long offset, long startedAtMillis) {
 			this.order = order;
 			this.offset = offset;
 			this.startedAtMillis = startedAtMillis;
 		}
 
-		private boolean isTarget(ServerRegistration server) {
+		private boolean runsTarget(ServerRegistration server) {
 			return server.version().equals(this.order.target());
 		}
 
-		private Arm arm(String version) {
+		private Arm armOf(String version) {
 			return version.equals(this.order.target()) ? Arm.CANDIDATE : Arm.CURRENT;
 		}
 
-		private double part(long nowMillis) {
+		private double elapsedFraction(long nowMillis) {
 			return (double) (nowMillis - this.startedAtMillis) / Math.max(1, this.order.withinMillis());
 		}
 
@@ -282,11 +296,11 @@
 			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
 					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
-			if (!failed && !isTarget(server)) {
+			if (!failed && !runsTarget(server)) {
 				threshold.update(latencyMillis);
 			}
-			Tally one = new Tally(1, failed ? 1 : 0, slow ? 1 : 0);
-			this.tallies.merge(new TallyKey(server.version(), route.name()), one, Tally::plus);
+			Tally outcome = new Tally(1, failed ? 1 : 0, slow ? 1 : 0);
+			this.tallies.merge(new TallyKey(server.version(), route.name()), outcome, Tally::plus);
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -19,19 +19,23 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * Keeps the table of backend servers in step with their registrations.
+ * Follows the registrations of backend servers in the store and updates the table of
+ * servers.
  */
 public final class ServerRegistrationWatcher implements RecordListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The pause between reads, so that registrations of several servers come at once. */
+	/** The pause between reads, so that one read returns several registrations. */
 	private static final long READ_PAUSE_MILLIS = 900;
 
-	/** Servers that live register again within this time after the store has returned. */
-	private static final long DOUBT_MILLIS = 2_500;
+	/**
+	 * The time after a disruption of the store within which live servers register again.
+	 * Until then, a removed registration doesn't prove that its server is gone.
+	 */
+	private static final long REREGISTRATION_GRACE_MILLIS = 2_500;
 
-	private static final long EXPIRE_EACH_MILLIS = 200;
+	private static final long EXPIRY_INTERVAL_MILLIS = 200;
 
 	private final EventLoop loop;
 
@@ -44,12 +48,12 @@
 	private final RecordFollower follower;
 
 	/**
-	 * Create a watch.
-	 * @param loop the event loop
-	 * @param store the store
-	 * @param codec reads registrations
-	 * @param servers the table to keep
-	 * @param clock tells the present time
+	 * Create a watcher that isn't started.
+	 * @param loop the event loop that all work runs on
+	 * @param store the store to read from
+	 * @param codec decodes registrations
+	 * @param servers the table to update
+	 * @param clock the clocks of this process
 	 */
 	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
 			NodeClock clock) {
@@ -62,49 +66,53 @@
 	}
 
 	/**
-	 * Begin to follow.
+	 * Start following the registrations and removing expired servers.
 	 */
 	public void start() {
 		this.follower.start();
-		this.loop.scheduleWithFixedDelay(this::expire, EXPIRE_EACH_MILLIS, EXPIRE_EACH_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::removeExpired, EXPIRY_INTERVAL_MILLIS, EXPIRY_INTERVAL_MILLIS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	/**
-	 * Return whether all registrations were read once.
-	 * @return {@code true} after the first listing
+	 * Return whether all registrations were read at least once.
+	 * @return {@code true} after the first complete listing
 	 */
 	public boolean hasCompletedListing() {
 		return this.follower.hasCompletedListing();
 	}
 
 	/**
-	 * Return when the store last answered.
-	 * @return the time
+	 * Return when the store last answered a read of registrations.
+	 * @return the time in milliseconds of the monotonic clock; 0 before the first answer
 	 */
 	public long lastContactAtMillis() {
 		return this.follower.lastContactAtMillis();
 	}
 
-	private void expire() {
+	private void removeExpired() {
 		this.servers.expire(this.clock.steadyMillis())
 			.forEach((id) -> logger.atInfo()
-				.log("%s", LogLine.of("server gone").with("server", id).with("reason", "not registered again")));
+				.log("%s",
+						LogLine.of("server gone")
+							.with("server", id)
+							.with("reason", "no new registration within the grace period")));
 	}
 
-	private long doubtUntilMillis() {
-		return this.follower.lastDisruptionAtMillis() + DOUBT_MILLIS;
+	private long suspectUntilMillis() {
+		return this.follower.lastDisruptionAtMillis() + REREGISTRATION_GRACE_MILLIS;
 	}
 
 	@Override
 	public void onRecord(StoredRecord entry) {
 		if (entry.value().isEmpty()) {
-			if (this.servers.unregister(entry.key(), entry.offset(), doubtUntilMillis(), this.clock.steadyMillis())) {
+			if (this.servers.unregister(entry.key(), entry.offset(), suspectUntilMillis(), this.clock.steadyMillis())) {
 				logger.atInfo()
 					.log("%s",
 							LogLine.of("server registration ended")
 								.with("server", entry.key())
 								.with("offset", entry.offset())
-								.with("doubted", doubtUntilMillis() > this.clock.steadyMillis()));
+								.with("doubted", suspectUntilMillis() > this.clock.steadyMillis()));
 			}
 			return;
 		}
@@ -133,7 +141,7 @@
 
 	@Override
 	public void onListed(Set<String> keys, long end) {
-		this.servers.retain(keys, end, doubtUntilMillis(), this.clock.steadyMillis());
+		this.servers.retain(keys, end, suspectUntilMillis(), this.clock.steadyMillis());
 		logger.atInfo().log("%s", LogLine.of("servers listed").with("servers", keys.size()).with("offset", end));
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/package-info.java
@@ -1,5 +1,7 @@
 /**
- * One entry node: its parts, what nodes tell each other, and its planned stop.
+ * The parts of an entry node that follow the records in the store: reports of other
+ * nodes, registrations of backend servers, and operators' configurations and rollouts.
+ * Also the page of metrics.
  */
 @NullMarked
 package io.flamingogap.gateway.node;
