Reword the callers package: connections, requests and responses

Read badly: "how callers spell what a request says", "stands before the decoder ... tells of whole requests", "the caller has left", "may be kept", "answer with a whole answer", and a timeout class that was named after the head but bounds the whole request.

Changed: HeadTimeout -> RequestReadTimeout with CompletionHandler, BoundedAggregator -> LoggingAggregator, BODY_TIMES -> REQUEST_TIMEOUT_FACTOR, IDLE_MARGIN -> IDLE_TIMEOUT_FACTOR, MAX_WAITING -> MAX_PIPELINED_REQUESTS, and the fields of CallerConnection and CallerExchange. Comments say what owns and releases a body, which calls do nothing, and units and empty values. One text of the log field "reason": "too many requests ahead" -> "too many pipelined requests".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -19,30 +19,31 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * One caller's connection. Requests that arrive while one is open wait for its answer.
+ * One connection of a caller. Handles one request at a time; requests that arrive before
+ * the response is sent (HTTP pipelining) wait in order.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Requests sent ahead on one connection; more than any usual caller sends. */
-	private static final int MAX_WAITING = 8;
+	/** The connection is closed if more requests wait. Usual callers pipeline fewer. */
+	private static final int MAX_PIPELINED_REQUESTS = 8;
 
 	private final CallerProtocol protocol;
 
-	private final CallerRequestHandler requests;
+	private final CallerRequestHandler requestHandler;
 
-	private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+	private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
 
-	private @Nullable OpenRequest open;
+	private @Nullable OpenRequest openRequest;
 
-	private boolean busy;
+	private boolean requestInProgress;
 
 	private @Nullable ChannelHandlerContext context;
 
-	CallerConnection(CallerProtocol protocol, CallerRequestHandler requests) {
+	CallerConnection(CallerProtocol protocol, CallerRequestHandler requestHandler) {
 		this.protocol = protocol;
-		this.requests = requests;
+		this.requestHandler = requestHandler;
 	}
 
 	@Override
@@ -53,59 +54,61 @@
 	@Override
 	public void channelRead(ChannelHandlerContext channel, Object message) {
 		FullHttpRequest request = (FullHttpRequest) message;
-		if (!this.busy) {
+		if (!this.requestInProgress) {
 			start(channel, request);
 		}
-		else if (this.waiting.size() < MAX_WAITING) {
-			this.waiting.addLast(request);
+		else if (this.pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
+			this.pipelinedRequests.addLast(request);
 		}
 		else {
 			request.release();
-			logger.atWarning().log("%s", LogLine.of("connection closed").with("reason", "too many requests ahead"));
+			logger.atWarning().log("%s", LogLine.of("connection closed").with("reason", "too many pipelined requests"));
 			channel.close();
 		}
 	}
 
 	private void start(ChannelHandlerContext channel, FullHttpRequest request) {
-		this.busy = true;
+		this.requestInProgress = true;
 		CallerExchange exchange = new CallerExchange(channel, this, this.protocol,
 				request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request));
-		Either<String, CallerRequest> read = request.decoderResult().isSuccess() ? this.protocol.read(request)
+		Either<String, CallerRequest> parsed = request.decoderResult().isSuccess() ? this.protocol.read(request)
 				: Either.left(String.valueOf(request.decoderResult().cause().getMessage()));
-		if (read.isLeft()) {
-			ProblemType type = isTooLong(request) ? ProblemType.HEAD_TOO_LARGE : ProblemType.MALFORMED;
+		if (parsed.isLeft()) {
+			ProblemType type = isHeadTooLarge(request) ? ProblemType.HEAD_TOO_LARGE : ProblemType.MALFORMED;
 			request.release();
 			logger.atInfo()
-				.log("%s", LogLine.of("request refused").with("status", type.status()).with("reason", read.getLeft()));
-			exchange.fail(Failure.notRun(type, Step.PARSE, "caller", read.getLeft()), -1);
+				.log("%s",
+						LogLine.of("request refused").with("status", type.status()).with("reason", parsed.getLeft()));
+			exchange.fail(Failure.notRun(type, Step.PARSE, "caller", parsed.getLeft()), -1);
 			return;
 		}
-		OpenRequest accepted = this.requests.accept(read.get(), exchange);
-		if (this.busy) {
-			this.open = accepted;
+		OpenRequest accepted = this.requestHandler.accept(parsed.get(), exchange);
+		if (this.requestInProgress) {
+			this.openRequest = accepted;
 		}
 	}
 
-	private static boolean isTooLong(FullHttpRequest request) {
+	private static boolean isHeadTooLarge(FullHttpRequest request) {
 		return request.decoderResult().cause() instanceof TooLongFrameException;
 	}
 
 	/**
-	 * The answer was written; go on with the next request.
+	 * Handle the end of a response: start the next request that waits, if the connection
+	 * stays open, and drop the waiting requests otherwise.
 	 * @param reuse whether the connection stays open
 	 */
-	void exchangeEnded(boolean reuse) {
-		this.busy = false;
-		this.open = null;
+	void onExchangeEnded(boolean reuse) {
+		this.requestInProgress = false;
+		this.openRequest = null;
 		if (!reuse) {
-			releaseWaiting();
+			releasePipelinedRequests();
 			return;
 		}
-		FullHttpRequest next = this.waiting.pollFirst();
+		FullHttpRequest next = this.pipelinedRequests.pollFirst();
 		ChannelHandlerContext channel = this.context;
 		if (next != null && channel != null) {
 			channel.executor().execute(() -> {
-				if (!this.busy && channel.channel().isActive()) {
+				if (!this.requestInProgress && channel.channel().isActive()) {
 					start(channel, next);
 				}
 				else {
@@ -115,37 +118,37 @@
 		}
 	}
 
-	private void releaseWaiting() {
-		this.waiting.forEach(FullHttpRequest::release);
-		this.waiting.clear();
+	private void releasePipelinedRequests() {
+		this.pipelinedRequests.forEach(FullHttpRequest::release);
+		this.pipelinedRequests.clear();
 	}
 
-	boolean mayBeKept() {
-		return this.requests.allowsKeepAlive();
+	boolean allowsKeepAlive() {
+		return this.requestHandler.allowsKeepAlive();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext channel) {
-		releaseWaiting();
-		OpenRequest left = this.open;
-		this.open = null;
-		this.busy = true;
-		if (left != null) {
-			left.onCallerDisconnected();
+		releasePipelinedRequests();
+		OpenRequest disconnectedRequest = this.openRequest;
+		this.openRequest = null;
+		this.requestInProgress = true;
+		if (disconnectedRequest != null) {
+			disconnectedRequest.onCallerDisconnected();
 		}
 	}
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext channel) {
-		OpenRequest reading = this.open;
-		if (reading != null && channel.channel().isWritable()) {
-			reading.onCallerWritable();
+		OpenRequest writableRequest = this.openRequest;
+		if (writableRequest != null && channel.channel().isWritable()) {
+			writableRequest.onCallerWritable();
 		}
 	}
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext channel, Object event) {
-		if (event instanceof IdleStateEvent && !this.busy) {
+		if (event instanceof IdleStateEvent && !this.requestInProgress) {
 			channel.close();
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -21,7 +21,8 @@
 import io.flamingogap.core.error.Failure;
 
 /**
- * The caller's side of one request: at most one answer, whole or in pieces.
+ * Sends the response to one request of a caller, at once or in chunks. Sends at most one
+ * response.
  */
 public final class CallerExchange {
 
@@ -33,9 +34,9 @@
 
 	private boolean keepAlive;
 
-	private boolean begun;
+	private boolean responseBegun;
 
-	private boolean ended;
+	private boolean responseEnded;
 
 	CallerExchange(ChannelHandlerContext context, CallerConnection connection, CallerProtocol protocol,
 			boolean keepAlive) {
@@ -46,10 +47,11 @@
 	}
 
 	/**
-	 * Answer with a failure of this node.
-	 * @param failure the failure
-	 * @param retryAfterMillis when a caller that was refused should come back; negative
-	 * to leave that open
+	 * Respond with a failure that this node determined. Does nothing if a response has
+	 * begun.
+	 * @param failure the failure, whose title and detail become the body
+	 * @param retryAfterMillis the delay in milliseconds before the caller should retry;
+	 * negative to send none
 	 */
 	public void fail(Failure failure, long retryAfterMillis) {
 		ByteBuf body = Unpooled.copiedBuffer(failure.type().title() + ": " + failure.detail() + "\n",
@@ -64,10 +66,11 @@
 	}
 
 	/**
-	 * Answer with a whole answer of a backend server.
+	 * Respond with the complete response of a backend server. Only releases the body if a
+	 * response has begun.
 	 * @param status the status
-	 * @param headers the headers to pass on
-	 * @param body the body
+	 * @param headers the headers to forward
+	 * @param body the body, which this exchange releases
 	 */
 	public void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
@@ -76,11 +79,11 @@
 	}
 
 	private void send(FullHttpResponse response) {
-		if (this.begun || this.ended) {
+		if (this.responseBegun || this.responseEnded) {
 			response.release();
 			return;
 		}
-		this.begun = true;
+		this.responseBegun = true;
 		HttpUtil.setTransferEncodingChunked(response, false);
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		setKeepAlive(response);
@@ -88,12 +91,13 @@
 	}
 
 	/**
-	 * Begin an answer whose body follows in pieces.
+	 * Begin a response whose body follows in chunks. The head is flushed with the first
+	 * chunk or at the end.
 	 * @param status the status
-	 * @param headers the headers to pass on
+	 * @param headers the headers to forward, except for the content length
 	 */
 	public void beginResponse(HttpResponseStatus status, HttpHeaders headers) {
-		this.begun = true;
+		this.responseBegun = true;
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
 		response.headers().set(headers);
 		response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
@@ -103,57 +107,59 @@
 	}
 
 	/**
-	 * Pass on a piece of the body.
-	 * @param piece the piece
+	 * Send a chunk of the body.
+	 * @param chunk the chunk, which this exchange releases
 	 */
-	public void writeChunk(ByteBuf piece) {
-		this.context.writeAndFlush(new DefaultHttpContent(piece), this.context.voidPromise());
+	public void writeChunk(ByteBuf chunk) {
+		this.context.writeAndFlush(new DefaultHttpContent(chunk), this.context.voidPromise());
 	}
 
 	/**
-	 * End an answer that is complete.
+	 * End a chunked response that is complete. Does nothing if it has ended.
 	 */
 	public void endResponse() {
-		if (!this.ended) {
+		if (!this.responseEnded) {
 			finish(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
 	}
 
-	private void finish(Object last) {
-		this.ended = true;
-		boolean reuse = this.keepAlive;
-		this.context.writeAndFlush(last).addListener((written) -> {
-			if (!reuse || !written.isSuccess()) {
+	private void finish(Object lastMessage) {
+		this.responseEnded = true;
+		boolean reuseConnection = this.keepAlive;
+		this.context.writeAndFlush(lastMessage).addListener((result) -> {
+			if (!reuseConnection || !result.isSuccess()) {
 				this.context.close();
 			}
 		});
-		this.connection.exchangeEnded(reuse);
+		this.connection.onExchangeEnded(reuseConnection);
 	}
 
 	/**
-	 * Break off an answer that can't be completed, so that it doesn't look complete.
+	 * Close the connection without ending the response, so that the caller can detect
+	 * that it is incomplete.
 	 */
 	public void abort() {
-		this.ended = true;
+		this.responseEnded = true;
 		this.context.close().addListener(ChannelFutureListener.CLOSE);
 	}
 
 	private void setKeepAlive(HttpResponse response) {
-		this.keepAlive = this.keepAlive && this.connection.mayBeKept();
+		this.keepAlive = this.keepAlive && this.connection.allowsKeepAlive();
 		HttpUtil.setKeepAlive(response, this.keepAlive);
 	}
 
 	/**
-	 * Return whether pieces of the answer were sent.
-	 * @return {@code true} if a failure can't be told to the caller any more
+	 * Return whether a response was begun.
+	 * @return {@code true} if it is too late to respond with a failure
 	 */
 	public boolean hasResponseBegun() {
-		return this.begun;
+		return this.responseBegun;
 	}
 
 	/**
-	 * Return whether the caller reads slower than pieces arrive.
-	 * @return {@code true} if no more pieces should be read for now
+	 * Return whether the caller reads more slowly than the response arrives.
+	 * @return {@code true} if no more should be read from the backend server until
+	 * {@link OpenRequest#onCallerWritable()} is called
 	 */
 	public boolean isCongested() {
 		return !this.context.channel().isWritable();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -23,20 +23,24 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Listens for callers. The limits in force when a connection opens bound it.
+ * Accepts connections of callers. The limits that are in force when a connection is
+ * opened apply to it until it is closed.
  */
 public final class CallerListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Connections that wait to be accepted while the loop is busy. */
-	private static final int BACKLOG = 1_024;
+	/** The number of connections that may wait while the event loop is busy. */
+	private static final int ACCEPT_BACKLOG = 1_024;
 
-	/** A body may take this many times as long as a head. */
-	private static final int BODY_TIMES = 3;
+	/** A whole request may take this many times as long as its head alone. */
+	private static final int REQUEST_TIMEOUT_FACTOR = 3;
 
-	/** Callers may use a connection up to the limit; it is closed a little later. */
-	private static final double IDLE_MARGIN = 1.1;
+	/**
+	 * An idle connection is closed a little after the limit, so that callers may use it
+	 * up to the limit.
+	 */
+	private static final double IDLE_TIMEOUT_FACTOR = 1.1;
 
 	private static final int MILLIS_PER_SECOND = 1_000;
 
@@ -44,49 +48,50 @@
 	}
 
 	/**
-	 * Listen for callers.
-	 * @param loop the event loop
-	 * @param address where to listen
-	 * @param protocol reads what callers send
-	 * @param requests takes the requests
-	 * @param limits tells the limits in force
+	 * Start accepting connections. Ends the process if the address can't be bound.
+	 * @param loop the event loop that handles all connections
+	 * @param address the address to listen on
+	 * @param protocol parses the requests of callers
+	 * @param requestHandler receives the requests
+	 * @param limits supplies the limits in force
 	 */
-	public static void listen(EventLoop loop, Address address, CallerProtocol protocol, CallerRequestHandler requests,
-			Supplier<ListenerLimits> limits) {
+	public static void listen(EventLoop loop, Address address, CallerProtocol protocol,
+			CallerRequestHandler requestHandler, Supplier<ListenerLimits> limits) {
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					prepare(channel.pipeline(), limits.get(), new CallerConnection(protocol, requests));
+					configurePipeline(channel.pipeline(), limits.get(), new CallerConnection(protocol, requestHandler));
 				}
 			})
 			.bind(address.host(), address.port())
 			.addListener(new ExitUnlessBound(address));
 	}
 
-	private static void prepare(ChannelPipeline pipeline, ListenerLimits limits, CallerConnection connection) {
-		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(limits.maxHeaderBytes())
+	private static void configurePipeline(ChannelPipeline pipeline, ListenerLimits limits,
+			CallerConnection connection) {
+		HttpDecoderConfig decoderConfig = new HttpDecoderConfig().setMaxInitialLineLength(limits.maxHeaderBytes())
 			.setMaxHeaderSize(limits.maxHeaderBytes())
 			.setValidateHeaders(true);
-		HeadTimeout timeout = new HeadTimeout(limits.headerTimeoutMillis() * BODY_TIMES);
-		int idleSeconds = (int) Math.ceil(limits.idleTimeoutMillis() * IDLE_MARGIN / MILLIS_PER_SECOND);
-		pipeline.addLast(new IdleStateHandler(idleSeconds, 0, 0), timeout, new HttpServerCodec(decoder),
-				new BoundedAggregator(limits.maxBodyBytes()), timeout.new Arrived(), connection);
+		RequestReadTimeout readTimeout = new RequestReadTimeout(limits.headerTimeoutMillis() * REQUEST_TIMEOUT_FACTOR);
+		int idleSeconds = (int) Math.ceil(limits.idleTimeoutMillis() * IDLE_TIMEOUT_FACTOR / MILLIS_PER_SECOND);
+		pipeline.addLast(new IdleStateHandler(idleSeconds, 0, 0), readTimeout, new HttpServerCodec(decoderConfig),
+				new LoggingAggregator(limits.maxBodyBytes()), readTimeout.new CompletionHandler(), connection);
 	}
 
 	/**
-	 * Collects whole requests; refuses larger ones and says so in the log.
+	 * Aggregates whole requests. Refuses larger ones with status 413, and logs them.
 	 */
-	private static final class BoundedAggregator extends HttpObjectAggregator {
+	private static final class LoggingAggregator extends HttpObjectAggregator {
 
 		private final int maxBodyBytes;
 
-		private BoundedAggregator(int maxBodyBytes) {
+		private LoggingAggregator(int maxBodyBytes) {
 			super(maxBodyBytes, true);
 			this.maxBodyBytes = maxBodyBytes;
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerProtocol.java
@@ -5,21 +5,22 @@
 import io.vavr.control.Either;
 
 /**
- * How callers spell what a request says.
+ * Parses the requests of callers, and writes the headers of responses that depend on the
+ * platform's protocol.
  */
 public interface CallerProtocol {
 
 	/**
-	 * Read a request.
-	 * @param request the request as it came; the result takes over its body
-	 * @return the request, or why it can't be read
+	 * Parse a request.
+	 * @param request the request as received; on success the result owns its body
+	 * @return the request, or why it can't be parsed
 	 */
 	Either<String, CallerRequest> read(FullHttpRequest request);
 
 	/**
-	 * Write when a refused caller should come back.
-	 * @param headers the headers of the refusal
-	 * @param millis the time until then
+	 * Set the header that says when a refused caller may retry.
+	 * @param headers the headers of the response
+	 * @param millis the delay before the retry, in milliseconds; not negative
 	 */
 	void writeRetryAfter(HttpHeaders headers, long millis);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
@@ -11,18 +11,19 @@
 import io.flamingogap.core.servers.PromptMetadata;
 
 /**
- * A whole request as a caller sent it.
+ * A complete request of a caller.
  *
- * @param attemptId identifies the attempt; a caller that tries again uses another one
+ * @param attemptId identifies the attempt; a caller that retries uses another id
  * @param method the method
  * @param uri path and query, unchanged
- * @param host the host that the caller names, without a port
- * @param key the key that the caller presents, if any
- * @param budgetMillis how long the caller waits, if it says so
+ * @param host the host that the request names, without a port
+ * @param key the key of the caller's client account; empty if the caller sent none
+ * @param budgetMillis how long the caller waits for the response, in milliseconds; empty
+ * if the caller doesn't say
  * @param prompt the size of the prompt; {@link PromptMetadata#NONE} for plain requests
  * @param statesTokens whether the caller states how many tokens the request uses
- * @param headers all headers, as they came
- * @param body the body; owned by whoever holds the request
+ * @param headers all headers as received
+ * @param body the body; the owner of the request releases it
  */
 public record CallerRequest(String attemptId, HttpMethod method, String uri, String host, Optional<String> key,
 		OptionalLong budgetMillis, PromptMetadata prompt, boolean statesTokens, HttpHeaders headers, ByteBuf body) {
@@ -37,7 +38,7 @@
 
 	/**
 	 * Return the path without the query.
-	 * @return the path
+	 * @return the part of the URI before the first question mark
 	 */
 	public String path() {
 		int query = this.uri.indexOf('?');
@@ -45,8 +46,8 @@
 	}
 
 	/**
-	 * Return the tokens that the request states.
-	 * @return the tokens, negative if it states none
+	 * Return the number of tokens that the caller states for the request.
+	 * @return the number; negative if the caller states none
 	 */
 	public long statedTokens() {
 		return this.statesTokens ? this.prompt.totalTokens() : -1;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
@@ -1,20 +1,20 @@
 package io.flamingogap.gateway.callers;
 
 /**
- * Takes the requests of callers.
+ * Handles the requests that callers send.
  */
 public interface CallerRequestHandler {
 
 	/**
-	 * Take a request.
-	 * @param request the request
-	 * @param exchange takes the answer
-	 * @return the request while it is open
+	 * Handle a request.
+	 * @param request the request, which the handler owns from now on
+	 * @param exchange sends the response
+	 * @return receives the events of the caller's connection while the request is open
 	 */
 	OpenRequest accept(CallerRequest request, CallerExchange exchange);
 
 	/**
-	 * Return whether connections are kept after an answer.
+	 * Return whether connections may stay open after a response.
 	 * @return {@code false} during a planned stop
 	 */
 	boolean allowsKeepAlive();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
@@ -7,22 +7,23 @@
 import io.flamingogap.gateway.http.SimpleHttpServer;
 
 /**
- * How callers ask where to connect.
+ * Parses the lookups with which callers find the entry nodes to connect to, and encodes
+ * the responses.
  */
 public interface DirectoryProtocol {
 
 	/**
-	 * Return the zone of the caller.
+	 * Return the availability zone of the caller that a lookup names.
 	 * @param request the request
-	 * @return the zone; empty if this isn't a question of where to connect
+	 * @return the zone; empty if the request isn't a lookup
 	 */
 	Optional<String> zoneOf(SimpleHttpServer.Request request);
 
 	/**
-	 * Write the answer.
-	 * @param addresses where to connect
-	 * @param ttlSeconds how long the answer holds
-	 * @return the page
+	 * Encode the response to a lookup.
+	 * @param addresses the addresses of the entry nodes to connect to
+	 * @param ttlSeconds how long callers may cache the response, in seconds
+	 * @return the response
 	 */
 	SimpleHttpServer.Response write(List<Address> addresses, int ttlSeconds);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
@@ -1,17 +1,17 @@
 package io.flamingogap.gateway.callers;
 
 /**
- * A request that is open, as the caller's connection sees it.
+ * Receives the events of a caller's connection while a request is open on it.
  */
 public interface OpenRequest {
 
 	/**
-	 * The caller has left.
+	 * Handle the end of the caller's connection.
 	 */
 	void onCallerDisconnected();
 
 	/**
-	 * The caller reads again after it was slow.
+	 * Handle that the caller's connection accepts data again after its buffer was full.
 	 */
 	void onCallerWritable();
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/HeadTimeout.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/RequestReadTimeout.java
@@ -14,21 +14,22 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Bounds the time in which a request has to arrive from its first byte on. Stands before
- * the decoder; {@link Arrived} stands behind the aggregator and tells of whole requests.
+ * Answers with status 408 and closes the connection if a request doesn't arrive
+ * completely within a time from its first byte. This handler comes before the decoder;
+ * its {@link CompletionHandler} comes after the aggregator, where requests are complete.
  */
-final class HeadTimeout extends ChannelInboundHandlerAdapter {
+final class RequestReadTimeout extends ChannelInboundHandlerAdapter {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final byte[] ANSWER = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	private static final byte[] TIMEOUT_RESPONSE = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 		.getBytes(StandardCharsets.US_ASCII);
 
 	private final long timeoutMillis;
 
 	private @Nullable ScheduledFuture<?> timeout;
 
-	HeadTimeout(long timeoutMillis) {
+	RequestReadTimeout(long timeoutMillis) {
 		this.timeoutMillis = timeoutMillis;
 	}
 
@@ -48,7 +49,7 @@
 						.with("status", 408)
 						.with("reason", "incomplete")
 						.with("limitMillis", this.timeoutMillis));
-		context.writeAndFlush(Unpooled.wrappedBuffer(ANSWER)).addListener(ChannelFutureListener.CLOSE);
+		context.writeAndFlush(Unpooled.wrappedBuffer(TIMEOUT_RESPONSE)).addListener(ChannelFutureListener.CLOSE);
 	}
 
 	private void cancel() {
@@ -65,9 +66,9 @@
 	}
 
 	/**
-	 * Ends the bound when a request is whole.
+	 * Cancels the timeout when a request is complete.
 	 */
-	final class Arrived extends ChannelInboundHandlerAdapter {
+	final class CompletionHandler extends ChannelInboundHandlerAdapter {
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/package-info.java
@@ -1,5 +1,6 @@
 /**
- * What callers speak: requests, their answers, and where to connect.
+ * Connections of callers: parsing of requests, sending of responses, and the interfaces
+ * that a platform implements for its protocol.
  */
 @NullMarked
 package io.flamingogap.gateway.callers;
