Reword the http package: the pooled client and the small server

Read badly: "small pages" for a server that also answers other nodes, "kept" connections, "take" for the reply that is taken out, "can't be listened at", and "body worth reading".

Changed: ExitUnlessBound -> ExitOnBindFailure, CANNOT_START -> BIND_FAILURE_STATUS, idle -> idleConnections, waiting -> pendingReply, take -> takePendingReply, pages -> requestHandler, sent -> maybeSent. The comment of the client said that the timeout covers the whole call; it begins after the connection is open, and the comment says so now. One error message: "unreadable answer of ADDRESS" -> "unreadable response from ADDRESS".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -19,7 +19,7 @@
 
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.serving.ListenerLimits;
-import io.flamingogap.gateway.http.ExitUnlessBound;
+import io.flamingogap.gateway.http.ExitOnBindFailure;
 import io.flamingogap.gateway.log.LogLine;
 
 /**
@@ -70,7 +70,7 @@
 				}
 			})
 			.bind(address.host(), address.port())
-			.addListener(new ExitUnlessBound(address));
+			.addListener(new ExitOnBindFailure(address));
 	}
 
 	private static void configurePipeline(ChannelPipeline pipeline, ListenerLimits limits,
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitUnlessBound.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
@@ -8,22 +8,23 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Ends the process if an address can't be listened at, so that it is started again.
+ * Ends the process if a server socket can't be bound, so that the process is started
+ * again.
  */
-public final class ExitUnlessBound implements ChannelFutureListener {
+public final class ExitOnBindFailure implements ChannelFutureListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The exit status of a process that can't start. */
-	private static final int CANNOT_START = 3;
+	/** The exit status of a process that can't listen on an address. */
+	private static final int BIND_FAILURE_STATUS = 3;
 
 	private final Address address;
 
 	/**
-	 * Create a listener.
-	 * @param address the address
+	 * Create a listener for the result of a bind.
+	 * @param address the address to bind, for the log
 	 */
-	public ExitUnlessBound(Address address) {
+	public ExitOnBindFailure(Address address) {
 		this.address = address;
 	}
 
@@ -35,7 +36,7 @@
 						LogLine.of("can't listen")
 							.with("address", this.address.toString())
 							.with("reason", String.valueOf(bound.cause())));
-			new Thread(() -> System.exit(CANNOT_START), "exit").start();
+			new Thread(() -> System.exit(BIND_FAILURE_STATUS), "exit").start();
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
@@ -1,31 +1,32 @@
 package io.flamingogap.gateway.http;
 
 /**
- * A call that got no answer. Whether it took effect isn't known unless it was never sent.
+ * Thrown if an HTTP call got no usable response. The call may have taken effect unless
+ * nothing of it was sent.
  */
 public final class HttpCallException extends RuntimeException {
 
 	private static final long serialVersionUID = 1L;
 
-	private final boolean sent;
+	private final boolean maybeSent;
 
 	/**
 	 * Create an exception.
-	 * @param peer the address that was called
-	 * @param step what failed
-	 * @param sent whether bytes of the call may have reached the peer
+	 * @param peer the address that was called, at the end of the message
+	 * @param step what failed, at the start of the message
+	 * @param maybeSent whether the peer may have received bytes of the request
 	 */
-	public HttpCallException(String peer, String step, boolean sent) {
+	public HttpCallException(String peer, String step, boolean maybeSent) {
 		super(step + " " + peer, null, false, false);
-		this.sent = sent;
+		this.maybeSent = maybeSent;
 	}
 
 	/**
 	 * Return whether the call may have taken effect.
-	 * @return {@code false} if it was never sent
+	 * @return {@code false} if nothing of the request was sent
 	 */
 	public boolean mayHaveTakenEffect() {
-		return this.sent;
+		return this.maybeSent;
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpReply.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpReply.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 
 /**
- * A whole answer to a call.
+ * The complete response to an HTTP call.
  *
- * @param status the HTTP status
- * @param body the body
+ * @param status the HTTP status, which may be an error
+ * @param body the body; empty if there is none
  */
 public record HttpReply(int status, byte[] body) {
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -31,20 +31,23 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * Calls one peer over kept connections, each with a bound on the whole call. A connection
- * whose call failed in any way is closed. Used on the event loop only.
+ * Makes HTTP calls to one address over pooled connections. Each call has a timeout. A
+ * connection whose call failed in any way is closed. Used on the event loop only.
  */
 public final class PooledHttpClient {
 
 	/**
-	 * The largest answer that is read; above the largest page of the platform's store.
+	 * The largest accepted response. Exceeds the largest page of the platform's store.
 	 */
 	private static final int MAX_REPLY_BYTES = 8 * 1_048_576;
 
-	/** A connection that was idle for longer may be dead; a new one is cheap. */
+	/**
+	 * A connection that was idle for at least this long isn't used again: it may be dead,
+	 * and a new one is cheap.
+	 */
 	private static final long MAX_IDLE_MILLIS = 3_000;
 
-	/** Two lost opening packets take longer than this. */
+	/** The time allowed to connect. Retransmitting two lost SYN packets takes longer. */
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
 	private final EventLoop loop;
@@ -53,11 +56,11 @@
 
 	private final Bootstrap bootstrap;
 
-	private final Deque<Connection> idle = new ArrayDeque<>();
+	private final Deque<Connection> idleConnections = new ArrayDeque<>();
 
 	/**
-	 * Create a caller.
-	 * @param loop the event loop
+	 * Create a client without connections.
+	 * @param loop the event loop that runs the connections
 	 * @param peer the address to call
 	 */
 	public PooledHttpClient(EventLoop loop, Address peer) {
@@ -81,10 +84,12 @@
 	 * Make a call.
 	 * @param method the method
 	 * @param uri path and query
-	 * @param headers further headers
+	 * @param headers the headers besides host and content length
 	 * @param body the body; empty for none
-	 * @param timeoutMillis the bound on the whole call
-	 * @return the answer, or a {@link HttpCallException}
+	 * @param timeoutMillis the time in milliseconds from sending the request to the whole
+	 * response; the time to connect is limited separately
+	 * @return completes on the event loop with the response, whatever its status, or
+	 * exceptionally with a {@link HttpCallException}
 	 */
 	public CompletableFuture<HttpReply> call(HttpMethod method, String uri, Map<String, String> headers, byte[] body,
 			long timeoutMillis) {
@@ -94,14 +99,14 @@
 		request.headers().set(HttpHeaderNames.HOST, this.peer.toString());
 		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		CompletableFuture<HttpReply> reply = new CompletableFuture<>();
-		Connection kept = pollIdle();
-		if (kept != null) {
-			kept.send(request, reply, timeoutMillis);
+		Connection connection = pollIdleConnection();
+		if (connection != null) {
+			connection.send(request, reply, timeoutMillis);
 			return reply;
 		}
-		this.bootstrap.connect(this.peer.host(), this.peer.port()).addListener((connected) -> {
-			if (connected.isSuccess()) {
-				Channel channel = ((ChannelFuture) connected).channel();
+		this.bootstrap.connect(this.peer.host(), this.peer.port()).addListener((connectResult) -> {
+			if (connectResult.isSuccess()) {
+				Channel channel = ((ChannelFuture) connectResult).channel();
 				channel.pipeline().get(Connection.class).send(request, reply, timeoutMillis);
 			}
 			else {
@@ -112,20 +117,21 @@
 		return reply;
 	}
 
-	private Connection pollIdle() {
+	private Connection pollIdleConnection() {
 		long nowNanos = System.nanoTime();
-		for (Connection kept = this.idle.pollLast(); kept != null; kept = this.idle.pollLast()) {
-			if (kept.channel.isActive()
-					&& nowNanos - kept.idleSinceNanos < TimeUnit.MILLISECONDS.toNanos(MAX_IDLE_MILLIS)) {
-				return kept;
+		for (Connection connection = this.idleConnections
+			.pollLast(); connection != null; connection = this.idleConnections.pollLast()) {
+			if (connection.channel.isActive()
+					&& nowNanos - connection.idleSinceNanos < TimeUnit.MILLISECONDS.toNanos(MAX_IDLE_MILLIS)) {
+				return connection;
 			}
-			kept.channel.close();
+			connection.channel.close();
 		}
 		return null;
 	}
 
 	/**
-	 * One connection, with at most one call at a time.
+	 * A connection with at most one call at a time.
 	 */
 	private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
@@ -133,7 +139,7 @@
 
 		private long idleSinceNanos;
 
-		private CompletableFuture<HttpReply> waiting;
+		private CompletableFuture<HttpReply> pendingReply;
 
 		private ScheduledFuture<?> timeout;
 
@@ -142,7 +148,7 @@
 		}
 
 		private void send(FullHttpRequest request, CompletableFuture<HttpReply> reply, long timeoutMillis) {
-			this.waiting = reply;
+			this.pendingReply = reply;
 			this.timeout = PooledHttpClient.this.loop.schedule(() -> fail("timed out waiting for"), timeoutMillis,
 					TimeUnit.MILLISECONDS);
 			this.channel.writeAndFlush(request);
@@ -150,13 +156,13 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-			CompletableFuture<HttpReply> reply = take();
+			CompletableFuture<HttpReply> reply = takePendingReply();
 			if (reply == null || !response.decoderResult().isSuccess()) {
 				this.channel.close();
 			}
 			else if (HttpUtil.isKeepAlive(response)) {
 				this.idleSinceNanos = System.nanoTime();
-				PooledHttpClient.this.idle.addLast(this);
+				PooledHttpClient.this.idleConnections.addLast(this);
 			}
 			else {
 				this.channel.close();
@@ -166,13 +172,13 @@
 			}
 			else if (reply != null) {
 				reply.completeExceptionally(
-						new HttpCallException(PooledHttpClient.this.peer.toString(), "unreadable answer of", true));
+						new HttpCallException(PooledHttpClient.this.peer.toString(), "unreadable response from", true));
 			}
 		}
 
-		private CompletableFuture<HttpReply> take() {
-			CompletableFuture<HttpReply> reply = this.waiting;
-			this.waiting = null;
+		private CompletableFuture<HttpReply> takePendingReply() {
+			CompletableFuture<HttpReply> reply = this.pendingReply;
+			this.pendingReply = null;
 			if (this.timeout != null) {
 				this.timeout.cancel(false);
 			}
@@ -180,9 +186,9 @@
 		}
 
 		private void fail(String step) {
-			CompletableFuture<HttpReply> reply = take();
+			CompletableFuture<HttpReply> reply = takePendingReply();
 			this.channel.close();
-			PooledHttpClient.this.idle.remove(this);
+			PooledHttpClient.this.idleConnections.remove(this);
 			if (reply != null) {
 				reply.completeExceptionally(new HttpCallException(PooledHttpClient.this.peer.toString(), step, true));
 			}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
@@ -29,15 +29,17 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * Serves small pages: readiness, the directory, metrics.
+ * Serves small HTTP requests outside the request path: readiness, the directory, metrics,
+ * and calls of other nodes.
  */
 public final class SimpleHttpServer {
 
-	/** Requests for pages have no body worth reading. */
+	/** The largest accepted request. Only the calls of other nodes have a body. */
 	private static final int MAX_REQUEST_BYTES = 65_536;
 
 	/**
-	 * The platform asks once a second; a connection that is silent for longer is dropped.
+	 * A connection without requests for this time is closed. The platform checks
+	 * readiness once a second.
 	 */
 	private static final int IDLE_SECONDS = 30;
 
@@ -45,12 +47,13 @@
 	}
 
 	/**
-	 * Listen for requests.
-	 * @param loop the event loop
-	 * @param address where to listen
-	 * @param pages answers requests, on the event loop
+	 * Start accepting connections. Ends the process if the address can't be bound.
+	 * @param loop the event loop that handles all connections
+	 * @param address the address to listen on
+	 * @param requestHandler responds to requests; called on the event loop
 	 */
-	public static void listen(EventLoop loop, Address address, Function<Request, CompletableFuture<Response>> pages) {
+	public static void listen(EventLoop loop, Address address,
+			Function<Request, CompletableFuture<Response>> requestHandler) {
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -59,37 +62,37 @@
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
 						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_REQUEST_BYTES),
-								new IdleStateHandler(IDLE_SECONDS, 0, 0), new Handler(pages));
+								new IdleStateHandler(IDLE_SECONDS, 0, 0), new RequestHandler(requestHandler));
 				}
 			})
 			.bind(address.host(), address.port())
-			.addListener(new ExitUnlessBound(address));
+			.addListener(new ExitOnBindFailure(address));
 	}
 
 	/**
-	 * A request for a page.
+	 * A complete request.
 	 *
-	 * @param method the method
+	 * @param method the name of the HTTP method
 	 * @param uri path and query
-	 * @param body the body
+	 * @param body the body; empty if there is none
 	 */
 	public record Request(String method, String uri, byte[] body) {
 	}
 
 	/**
-	 * An answer.
+	 * A complete response.
 	 *
 	 * @param status the HTTP status
-	 * @param contentType the type of the body
-	 * @param body the body
+	 * @param contentType the value of the content type header
+	 * @param body the body; may be empty
 	 */
 	public record Response(int status, String contentType, byte[] body) {
 
 		/**
-		 * Create a page of text.
+		 * Create a plain text response.
 		 * @param status the HTTP status
-		 * @param text the text
-		 * @return the page
+		 * @param text the body
+		 * @return the response
 		 */
 		public static Response text(int status, String text) {
 			return new Response(status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
@@ -97,12 +100,12 @@
 
 	}
 
-	private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+	private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-		private final Function<Request, CompletableFuture<Response>> pages;
+		private final Function<Request, CompletableFuture<Response>> requestHandler;
 
-		private Handler(Function<Request, CompletableFuture<Response>> pages) {
-			this.pages = pages;
+		private RequestHandler(Function<Request, CompletableFuture<Response>> requestHandler) {
+			this.requestHandler = requestHandler;
 		}
 
 		@Override
@@ -112,18 +115,18 @@
 				write(context, Response.text(HttpResponseStatus.BAD_REQUEST.code(), "unreadable request\n"), false);
 				return;
 			}
-			this.pages
+			this.requestHandler
 				.apply(new Request(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content())))
-				.thenAccept((page) -> write(context, page, keepAlive));
+				.thenAccept((response) -> write(context, response, keepAlive));
 		}
 
-		private static void write(ChannelHandlerContext context, Response page, boolean keepAlive) {
-			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-					HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(page.body()));
-			response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
-			HttpUtil.setContentLength(response, response.content().readableBytes());
-			HttpUtil.setKeepAlive(response, keepAlive);
-			context.writeAndFlush(response)
+		private static void write(ChannelHandlerContext context, Response response, boolean keepAlive) {
+			FullHttpResponse message = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.valueOf(response.status()), Unpooled.wrappedBuffer(response.body()));
+			message.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
+			HttpUtil.setContentLength(message, message.content().readableBytes());
+			HttpUtil.setKeepAlive(message, keepAlive);
+			context.writeAndFlush(message)
 				.addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
 		}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/package-info.java
@@ -1,5 +1,6 @@
 /**
- * HTTP calls to the platform, and small pages for it, on the node's event loop.
+ * An HTTP client for calls to the platform and to other nodes, and a server for small
+ * requests. Both run on the node's event loop.
  */
 @NullMarked
 package io.flamingogap.gateway.http;
