Reword the log and time packages

Read badly: "a caller never waits" in the log handler, where a caller is a client of the gateway elsewhere, "wakes seldom", "never hold up", "a JSON object without its end", and "milliseconds since some moment".

Changed: MAX_WAITING_LINES -> MAX_PENDING_LINES, COLLECT_MILLIS -> BATCH_INTERVAL_MILLIS, lines -> pendingLines, dropped -> droppedLines, drainTo -> drainPendingLinesTo, text -> members. The comments say which parts of a log line are escaped, and call the clock that never jumps the monotonic clock.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/JsonLogHandler.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/JsonLogHandler.java
@@ -15,20 +15,25 @@
 import java.util.logging.Logger;
 
 /**
- * Writes log records as JSON lines from a thread of its own. When the reader of the
- * output is slow, lines are dropped and counted; a caller never waits.
+ * Writes log records as JSON lines from a thread of its own, so that logging never
+ * blocks. If the output is slow, lines are dropped and their number is logged.
  */
 public final class JsonLogHandler extends Handler {
 
-	/** Lines that wait for the writer; some seconds of a busy node. */
-	private static final int MAX_WAITING_LINES = 2_048;
+	/**
+	 * The number of lines that may wait for the writer. A busy node logs as many in a few
+	 * seconds.
+	 */
+	private static final int MAX_PENDING_LINES = 2_048;
 
-	/** How long the writer collects lines, so that it wakes seldom. */
-	private static final long COLLECT_MILLIS = 100;
+	/**
+	 * How long the writer collects lines before it writes them, to wake up less often.
+	 */
+	private static final long BATCH_INTERVAL_MILLIS = 100;
 
-	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
+	private final BlockingQueue<String> pendingLines = new ArrayBlockingQueue<>(MAX_PENDING_LINES);
 
-	private final AtomicLong dropped = new AtomicLong();
+	private final AtomicLong droppedLines = new AtomicLong();
 
 	private final PrintStream out;
 
@@ -40,11 +45,11 @@
 	}
 
 	/**
-	 * Replace the handlers of the root logger.
-	 * @param out where lines are written
-	 * @param node the name of the node, which each line bears
-	 * @param level the least level that is written
-	 * @return the handler
+	 * Replace the handlers of the root logger by a new one, and start its thread.
+	 * @param out the stream to write to
+	 * @param node the name of the node, which is added to each line; not escaped
+	 * @param level the lowest level that is logged
+	 * @return the new handler
 	 */
 	public static JsonLogHandler install(PrintStream out, String node, Level level) {
 		JsonLogHandler handler = new JsonLogHandler(out, node);
@@ -60,8 +65,8 @@
 
 	@Override
 	public void publish(LogRecord entry) {
-		if (isLoggable(entry) && !this.lines.offer(format(entry))) {
-			this.dropped.incrementAndGet();
+		if (isLoggable(entry) && !this.pendingLines.offer(format(entry))) {
+			this.droppedLines.incrementAndGet();
 		}
 	}
 
@@ -85,9 +90,9 @@
 	private void writeLines() {
 		try {
 			while (!Thread.currentThread().isInterrupted()) {
-				StringBuilder batch = new StringBuilder(this.lines.take());
-				TimeUnit.MILLISECONDS.sleep(COLLECT_MILLIS);
-				drainTo(batch);
+				StringBuilder batch = new StringBuilder(this.pendingLines.take());
+				TimeUnit.MILLISECONDS.sleep(BATCH_INTERVAL_MILLIS);
+				drainPendingLinesTo(batch);
 				write(batch);
 			}
 		}
@@ -96,13 +101,13 @@
 		}
 	}
 
-	private synchronized void drainTo(StringBuilder batch) {
-		for (String line = this.lines.poll(); line != null; line = this.lines.poll()) {
+	private synchronized void drainPendingLinesTo(StringBuilder batch) {
+		for (String line = this.pendingLines.poll(); line != null; line = this.pendingLines.poll()) {
 			batch.append(line);
 		}
-		long lost = this.dropped.getAndSet(0);
-		if (lost > 0) {
-			batch.append("{\"event\":\"log lines dropped\",\"count\":").append(lost).append("}\n");
+		long droppedCount = this.droppedLines.getAndSet(0);
+		if (droppedCount > 0) {
+			batch.append("{\"event\":\"log lines dropped\",\"count\":").append(droppedCount).append("}\n");
 		}
 	}
 
@@ -115,7 +120,7 @@
 	@Override
 	public void flush() {
 		StringBuilder batch = new StringBuilder();
-		drainTo(batch);
+		drainPendingLinesTo(batch);
 		if (!batch.isEmpty()) {
 			write(batch);
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/LogLine.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/LogLine.java
@@ -5,21 +5,22 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 
 /**
- * One structured log line: an event with fields, as a JSON object without its end.
+ * Builds a structured log line that consists of an event and fields. The result is the
+ * members of a JSON object; {@link JsonLogHandler} adds the braces and the common fields.
  */
 public final class LogLine {
 
 	private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
 
-	private final StringBuilder text = new StringBuilder(160);
+	private final StringBuilder members = new StringBuilder(160);
 
 	private LogLine(String event) {
-		this.text.append("\"event\":\"").append(event).append('"');
+		this.members.append("\"event\":\"").append(event).append('"');
 	}
 
 	/**
-	 * Begin a line.
-	 * @param event the name of the event
+	 * Create a line without fields.
+	 * @param event the name of the event; not escaped
 	 * @return the line
 	 */
 	public static LogLine of(String event) {
@@ -27,47 +28,47 @@
 	}
 
 	/**
-	 * Add a text.
-	 * @param field the name of the field
-	 * @param value the text
+	 * Add a text field.
+	 * @param field the name of the field; not escaped
+	 * @param value the text, which is escaped
 	 * @return this line
 	 */
 	public LogLine with(String field, String value) {
-		this.text.append(",\"").append(field).append("\":\"");
-		ENCODER.quoteAsString(value, this.text);
-		this.text.append('"');
+		this.members.append(",\"").append(field).append("\":\"");
+		ENCODER.quoteAsString(value, this.members);
+		this.members.append('"');
 		return this;
 	}
 
 	/**
-	 * Add a number.
-	 * @param field the name of the field, with its unit as a suffix
-	 * @param value the number
+	 * Add a numeric field.
+	 * @param field the name of the field, with the unit as a suffix; not escaped
+	 * @param value the number in that unit
 	 * @return this line
 	 */
 	public LogLine with(String field, long value) {
-		this.text.append(",\"").append(field).append("\":").append(value);
+		this.members.append(",\"").append(field).append("\":").append(value);
 		return this;
 	}
 
 	/**
-	 * Add a flag.
-	 * @param field the name of the field
-	 * @param value the flag
+	 * Add a boolean field.
+	 * @param field the name of the field; not escaped
+	 * @param value the value
 	 * @return this line
 	 */
 	public LogLine with(String field, boolean value) {
-		this.text.append(",\"").append(field).append("\":").append(value);
+		this.members.append(",\"").append(field).append("\":").append(value);
 		return this;
 	}
 
 	/**
-	 * Return the fields of the line.
+	 * Return the event and the fields.
 	 * @return the members of a JSON object, without braces
 	 */
 	@Override
 	public String toString() {
-		return this.text.toString();
+		return this.members.toString();
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Structured log lines that never hold up the event loop.
+ * Structured logging that doesn't block the event loop.
  */
 @NullMarked
 package io.flamingogap.gateway.log;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/NodeClock.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/NodeClock.java
@@ -4,7 +4,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * The clocks of this process: one that never jumps, and the time of day, which may.
+ * Provides the clocks of this process: a monotonic clock, and the time of day, which may
+ * jump.
  */
 public final class NodeClock {
 
@@ -13,9 +14,9 @@
 	private final LongSupplier timeOfDayMillis;
 
 	/**
-	 * Create a clock.
-	 * @param nanoTime a clock that never jumps, in nanoseconds
-	 * @param timeOfDayMillis the time of day, in milliseconds since 1970 UTC
+	 * Create a clock from two sources.
+	 * @param nanoTime supplies the monotonic clock, in nanoseconds
+	 * @param timeOfDayMillis supplies the time of day, in milliseconds since 1970 UTC
 	 */
 	public NodeClock(LongSupplier nanoTime, LongSupplier timeOfDayMillis) {
 		this.nanoTime = nanoTime;
@@ -23,8 +24,8 @@
 	}
 
 	/**
-	 * Return a time to measure spans with.
-	 * @return milliseconds since some moment
+	 * Return the monotonic clock, for measuring durations.
+	 * @return milliseconds since an arbitrary origin
 	 */
 	public long steadyMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The clocks of a node.
+ * Access to the monotonic clock and the time of day.
  */
 @NullMarked
 package io.flamingogap.gateway.time;
