Reword the gateway's root package: assembly, settings and shutdown

Read badly: "begin to answer", "where to connect", "what a process learns when it starts", "what callers speak", "act by turns", TAKE_MILLIS and EXPLORED_PART, presence() for a report without counts, and dutyParts() and which.

Fields of Gateway follow the names of their types. The directory's error text "no node serves" is now "no entry node accepts requests"; no test matches it.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -52,39 +52,42 @@
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
- * One entry node: its parts, wired together on one event loop.
+ * An entry node. Creates its components and runs them on one event loop.
  */
 public final class Gateway {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** How long callers may keep an answer of where to connect. */
+	/** How long callers may cache a directory response. */
 	private static final int DIRECTORY_TTL_SECONDS = 2;
 
-	/** Windows of usage that a report carries, so that a lost report does no harm. */
-	private static final int REPORTED_WINDOWS = 3;
+	/**
+	 * The number of usage windows in a report. Windows are repeated, so that a lost
+	 * report does no harm.
+	 */
+	private static final int REPORTED_USAGE_WINDOWS = 3;
 
 	/**
-	 * The part of the share that a version under trial may get; the rest allows for
-	 * chance.
+	 * The fraction of the maximum candidate share that is used. The rest is a margin for
+	 * random variation.
 	 */
-	private static final double EXPLORED_PART = 0.8;
+	private static final double CANDIDATE_SHARE_FRACTION = 0.8;
 
-	private static final long TRIM_EACH_MILLIS = 1_000;
+	private static final long CONNECTION_EXPIRY_INTERVAL_MILLIS = 1_000;
 
-	private static final long DECIDE_EACH_MILLIS = 250;
+	private static final long ROLLOUT_EVALUATION_INTERVAL_MILLIS = 250;
 
 	/**
-	 * How often the end of a rollout is looked for; well within the bound to take one
-	 * back.
+	 * How often published statuses are read to find ended rollouts. Well below the time
+	 * allowed to revert a rollout on all nodes.
 	 */
-	private static final long STATUS_EACH_MILLIS = 1_000;
+	private static final long ROLLOUT_STATUS_INTERVAL_MILLIS = 1_000;
 
 	private final EventLoop loop;
 
 	private final GatewaySettings settings;
 
-	private final PlatformAdapters ports;
+	private final PlatformAdapters adapters;
 
 	private final NodeClock clock;
 
@@ -100,7 +103,7 @@
 
 	private final RelayMetrics metrics = new RelayMetrics();
 
-	private final ServiceDemandTracker demands = new ServiceDemandTracker();
+	private final ServiceDemandTracker demandTracker = new ServiceDemandTracker();
 
 	private final FleetView fleet;
 
@@ -108,115 +111,121 @@
 
 	private final QuotaLimiter quotas;
 
-	private final BackendConnectionPool pool;
+	private final BackendConnectionPool connectionPool;
 
 	private final RequestRelay relay;
 
 	private final RecordStore store;
 
-	private final StoreAccess access;
+	private final StoreAccess storeAccess;
 
 	private final PeerDatagramChannel datagrams;
 
 	private final LoadGossip gossip;
 
-	private final NodeReportExchange board;
+	private final NodeReportExchange reportExchange;
 
-	private final ServerRegistrationWatcher serverWatch;
+	private final ServerRegistrationWatcher serverWatcher;
 
-	private final OperatorRecordWatcher operatorWatch;
+	private final OperatorRecordWatcher operatorWatcher;
 
-	private final Optional<DutyRunner> duties;
+	private final Optional<DutyRunner> dutyRunner;
 
-	private boolean leaving;
+	private boolean stopping;
 
 	/**
-	 * Create a node that doesn't answer yet.
-	 * @param loop the event loop
-	 * @param settings the settings
-	 * @param ports what the platform provides
-	 * @param clock tells the present time
-	 * @param incarnation a random number that no other run of the node has
+	 * Create a node that isn't started.
+	 * @param loop the event loop that runs all of the node
+	 * @param settings the settings of the node
+	 * @param adapters the platform's implementations of the gateway's interfaces
+	 * @param clock the clocks of this process
+	 * @param incarnation a random number that identifies this run of the node; also the
+	 * seed of its random decisions
 	 */
-	public Gateway(EventLoop loop, GatewaySettings settings, PlatformAdapters ports, NodeClock clock,
+	public Gateway(EventLoop loop, GatewaySettings settings, PlatformAdapters adapters, NodeClock clock,
 			long incarnation) {
 		this.loop = loop;
 		this.settings = settings;
-		this.ports = ports;
+		this.adapters = adapters;
 		this.clock = clock;
 		this.self = new NodeId(settings.node(), incarnation);
 		this.fleet = new FleetView(this.self, NodeReportExchange.REPORT_INTERVAL_MILLIS);
 		SplittableRandom random = new SplittableRandom(incarnation);
 		this.rollouts = new RolloutController(this.servers, this.fleet, random,
-				settings.duties().maxCandidateShare() * EXPLORED_PART);
+				settings.duties().maxCandidateShare() * CANDIDATE_SHARE_FRACTION);
 		this.quotas = new QuotaLimiter(settings.relayLimits().quotaTolerance(), settings.firstStart());
-		this.pool = new BackendConnectionPool(loop, ports.backends(), clock::steadyMillis);
+		this.connectionPool = new BackendConnectionPool(loop, adapters.backendProtocol(), clock::steadyMillis);
 		this.datagrams = new PeerDatagramChannel(loop);
 		this.gossip = new LoadGossip(loop, this.datagrams, settings.node(), this.servers, this::zonePeerAddresses,
 				clock::steadyMillis);
-		QuotaLoans lender = new QuotaLoans(loop, this.datagrams, this.quotas, this::findAccount, this::peerAddresses,
-				clock::steadyMillis);
-		RelayDependencies parts = new RelayDependencies(loop, clock, this.config, this.servers,
+		QuotaLoans quotaLoans = new QuotaLoans(loop, this.datagrams, this.quotas, this::findAccount,
+				this::peerAddresses, clock::steadyMillis);
+		RelayDependencies relayDependencies = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
-				this.pool, this.quotas, lender, this.fleet, this.metrics, this.demands, this.gossip, random);
-		this.relay = new RequestRelay(parts, settings.relayLimits(), this::onStarted);
-		this.access = new StoreAccess(loop, ports.store(), zoneRelay(), this::peerAddresses, clock::steadyMillis);
-		this.store = this.access.store();
-		this.board = new NodeReportExchange(loop, this.store, this.access.reports(), this.fleet, this.fleetClock, clock,
-				this::report,
+				this.connectionPool, this.quotas, quotaLoans, this.fleet, this.metrics, this.demandTracker, this.gossip,
+				random);
+		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
+		this.storeAccess = new StoreAccess(loop, adapters.store(), createZoneRelaySelector(), this::peerAddresses,
+				clock::steadyMillis);
+		this.store = this.storeAccess.store();
+		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
+				this.fleetClock, clock, this::createReport,
 				(previous) -> this.quotas.restoreDemand(previous.demandPerSecond(), clock.steadyMillis()));
-		this.serverWatch = new ServerRegistrationWatcher(loop, this.store, ports.records(), this.servers, clock);
-		this.operatorWatch = new OperatorRecordWatcher(loop, this.store, ports.records(), this.config, this.rollouts,
+		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
 				clock);
-		this.duties = ports.cloud()
-			.map((cloud) -> new DutyRunner(dutyParts(cloud), settings.duties().leaseMillis(),
+		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
+				this.rollouts, clock);
+		this.dutyRunner = adapters.cloud()
+			.map((cloud) -> new DutyRunner(createDutyDependencies(cloud), settings.duties().leaseMillis(),
 					settings.duties().usageWindowMillis()));
 	}
 
-	private ZoneRelaySelector zoneRelay() {
+	private ZoneRelaySelector createZoneRelaySelector() {
 		Optional<Integer> port = this.settings.listen().peers().map(Address::port);
 		return new ZoneRelaySelector(this.fleet, this.settings.zone(), this.self.name(), port,
 				this.clock::steadyMillis);
 	}
 
-	private DutyDependencies dutyParts(CloudApi cloud) {
-		return new DutyDependencies(this.loop, this.ports.store(), this.ports.records(), cloud, this.clock,
-				this::trueMillis, this.config, this.rollouts, this.servers, this.serverWatch::hasCompletedListing,
-				new FleetTotals(this.fleet, this.usage, this.demands, this.clock), this.self.name(),
+	private DutyDependencies createDutyDependencies(CloudApi cloud) {
+		return new DutyDependencies(this.loop, this.adapters.store(), this.adapters.recordCodec(), cloud, this.clock,
+				this::correctedTimeOfDayMillis, this.config, this.rollouts, this.servers,
+				this.serverWatcher::hasCompletedListing,
+				new FleetTotals(this.fleet, this.usage, this.demandTracker, this.clock), this.self.name(),
 				this.settings.firstStart());
 	}
 
 	/**
-	 * Begin to answer.
+	 * Start listening, following the store, and the periodic work.
 	 */
 	public void start() {
 		GatewaySettings.Listen listen = this.settings.listen();
 		listen.readiness()
 			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
-					(request) -> CompletableFuture.completedFuture(readiness())));
+					(request) -> CompletableFuture.completedFuture(readinessResponse())));
 		listen.directory()
 			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
-					(request) -> CompletableFuture.completedFuture(directory(request))));
+					(request) -> CompletableFuture.completedFuture(directoryResponse(request))));
 		listen.peers().ifPresent((address) -> {
-			SimpleHttpServer.listen(this.loop, address, this.access.peerService()::answer);
+			SimpleHttpServer.listen(this.loop, address, this.storeAccess.peerService()::answer);
 			this.datagrams.start(address);
 		});
-		MetricsPage metricsPage = new MetricsPage(this.metrics, nodeMetrics());
+		MetricsPage metricsPage = new MetricsPage(this.metrics, createNodeMetrics());
 		listen.metrics()
 			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
 					(request) -> CompletableFuture.completedFuture(metricsPage.render())));
-		this.operatorWatch.start();
-		this.serverWatch.start();
-		this.board.start();
+		this.operatorWatcher.start();
+		this.serverWatcher.start();
+		this.reportExchange.start();
 		listen.callers()
-			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.ports.callers(), this.relay,
-					() -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
-		this.loop.scheduleWithFixedDelay(this.pool::closeExpiredConnections, TRIM_EACH_MILLIS, TRIM_EACH_MILLIS,
+			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.adapters.callerProtocol(),
+					this.relay, () -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
+		this.loop.scheduleWithFixedDelay(this.connectionPool::closeExpiredConnections,
+				CONNECTION_EXPIRY_INTERVAL_MILLIS, CONNECTION_EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(() -> this.rollouts.evaluate(this.clock.steadyMillis()),
+				ROLLOUT_EVALUATION_INTERVAL_MILLIS, ROLLOUT_EVALUATION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::readRolloutStatuses, 0, ROLLOUT_STATUS_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(() -> this.rollouts.evaluate(this.clock.steadyMillis()), DECIDE_EACH_MILLIS,
-				DECIDE_EACH_MILLIS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(this::readStatuses, 0, STATUS_EACH_MILLIS, TimeUnit.MILLISECONDS);
-		this.duties.ifPresent(DutyRunner::start);
+		this.dutyRunner.ifPresent(DutyRunner::start);
 		logger.atInfo()
 			.log("%s",
 					LogLine.of("node started")
@@ -226,25 +235,25 @@
 	}
 
 	/**
-	 * Begin a planned stop: callers are sent elsewhere, open requests are finished. May
-	 * be called on any thread.
-	 * @param end runs when the process may end
+	 * Start a graceful shutdown, which directs callers to other nodes and finishes open
+	 * requests. Does nothing if one was started before. May be called on any thread.
+	 * @param onStopped runs when the process may exit
 	 */
-	public void stop(Runnable end) {
-		this.loop.execute(() -> beginStop(end));
+	public void stop(Runnable onStopped) {
+		this.loop.execute(() -> startShutdown(onStopped));
 	}
 
-	private void beginStop(Runnable end) {
-		if (!this.leaving) {
-			this.leaving = true;
-			this.duties.ifPresent(DutyRunner::stop);
-			new PlannedStop(this.loop, this.clock, this.relay, this.board, this.metrics::openRequests,
+	private void startShutdown(Runnable onStopped) {
+		if (!this.stopping) {
+			this.stopping = true;
+			this.dutyRunner.ifPresent(DutyRunner::stop);
+			new GracefulShutdown(this.loop, this.clock, this.relay, this.reportExchange, this.metrics::openRequests,
 					this.settings.stopTimeoutMillis())
-				.start(end);
+				.start(onStopped);
 		}
 	}
 
-	private MetricsPage.NodeMetrics nodeMetrics() {
+	private MetricsPage.NodeMetrics createNodeMetrics() {
 		return new MetricsPage.NodeMetrics() {
 			@Override
 			public long configVersion() {
@@ -263,23 +272,25 @@
 
 			@Override
 			public long millisSinceStoreContact() {
-				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatch.lastContactAtMillis();
+				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatcher.lastContactAtMillis();
 			}
 
 			@Override
 			public long backendConnectionAttempts() {
-				return Gateway.this.pool.connectionAttempts();
+				return Gateway.this.connectionPool.connectionAttempts();
 			}
 		};
 	}
 
-	private void readStatuses() {
+	private void readRolloutStatuses() {
 		if (!this.rollouts.hasRunningRollout()) {
 			return;
 		}
 		this.store.newest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
 			page.records()
-				.forEach((entry) -> this.ports.records().readStatus(entry).peek(this.rollouts::recordPublishedStatus));
+				.forEach((entry) -> this.adapters.recordCodec()
+					.readStatus(entry)
+					.peek(this.rollouts::recordPublishedStatus));
 			this.rollouts.markStatusesLoaded();
 		}).exceptionally((failure) -> {
 			logger.atInfo().log("%s", LogLine.of("rollout statuses not read").with("reason", failure.getMessage()));
@@ -289,7 +300,10 @@
 
 	private Optional<ClientAccount> findAccount(String name) {
 		return this.config.current()
-			.flatMap((held) -> held.accounts().stream().filter((account) -> account.name().equals(name)).findFirst());
+			.flatMap((current) -> current.accounts()
+				.stream()
+				.filter((account) -> account.name().equals(name))
+				.findFirst());
 	}
 
 	private List<Address> peerAddresses() {
@@ -300,59 +314,59 @@
 		return peerAddresses((report) -> report.zone().equals(this.settings.zone()));
 	}
 
-	private List<Address> peerAddresses(Predicate<NodeReport> which) {
+	private List<Address> peerAddresses(Predicate<NodeReport> filter) {
 		return this.settings.listen()
 			.peers()
-			.map((own) -> this.fleet.recentReports()
+			.map((ownAddress) -> this.fleet.recentReports()
 				.stream()
-				.filter(which)
-				.map((report) -> new Address(report.callerAddress().host(), own.port()))
+				.filter(filter)
+				.map((report) -> new Address(report.callerAddress().host(), ownAddress.port()))
 				.toList())
 			.orElse(List.of());
 	}
 
 	private boolean isReady() {
-		return !this.leaving && this.config.current().isPresent() && this.serverWatch.hasCompletedListing();
+		return !this.stopping && this.config.current().isPresent() && this.serverWatcher.hasCompletedListing();
 	}
 
-	private SimpleHttpServer.Response readiness() {
+	private SimpleHttpServer.Response readinessResponse() {
 		return isReady() ? SimpleHttpServer.Response.text(200, "ready\n")
-				: SimpleHttpServer.Response.text(503, this.leaving ? "leaving\n" : "starting\n");
+				: SimpleHttpServer.Response.text(503, this.stopping ? "leaving\n" : "starting\n");
 	}
 
-	private SimpleHttpServer.Response directory(SimpleHttpServer.Request request) {
-		Optional<String> zone = this.ports.directory().zoneOf(request);
+	private SimpleHttpServer.Response directoryResponse(SimpleHttpServer.Request request) {
+		Optional<String> zone = this.adapters.directoryProtocol().zoneOf(request);
 		if (zone.isEmpty()) {
 			return SimpleHttpServer.Response.text(404, "no such page\n");
 		}
 		this.fleet.advance(this.clock.steadyMillis());
-		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), presence());
-		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no node serves\n")
-				: this.ports.directory().write(addresses, DIRECTORY_TTL_SECONDS);
+		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), createReportWithoutCounts());
+		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no entry node accepts requests\n")
+				: this.adapters.directoryProtocol().write(addresses, DIRECTORY_TTL_SECONDS);
 	}
 
-	private NodeReport report() {
+	private NodeReport createReport() {
 		long nowMillis = this.clock.steadyMillis();
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
-				this.quotas.reportDemand(nowMillis), this.usage.newestWindows(REPORTED_WINDOWS),
-				this.demands.report(nowMillis), this.rollouts.tallies());
+				this.quotas.reportDemand(nowMillis), this.usage.newestWindows(REPORTED_USAGE_WINDOWS),
+				this.demandTracker.report(nowMillis), this.rollouts.tallies());
 	}
 
-	private NodeReport presence() {
+	private NodeReport createReportWithoutCounts() {
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
 				Map.of(), Map.of(), List.of(), List.of());
 	}
 
-	private void onStarted(Optional<ClientAccount> account, long agoMillis) {
+	private void onRequestStarted(Optional<ClientAccount> account, long millisSinceStart) {
 		long windowMillis = this.settings.duties().usageWindowMillis();
 		if (account.isPresent() && windowMillis > 0) {
-			this.usage.count((trueMillis() - agoMillis) / windowMillis, account.get().name());
+			this.usage.count((correctedTimeOfDayMillis() - millisSinceStart) / windowMillis, account.get().name());
 		}
 	}
 
-	private long trueMillis() {
+	private long correctedTimeOfDayMillis() {
 		return this.fleetClock.correctedTimeOfDayMillis(this.clock.timeOfDayMillis(), this.clock.steadyMillis());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
@@ -8,16 +8,16 @@
 import io.flamingogap.gateway.relay.RelayLimits;
 
 /**
- * What a process learns when it starts.
+ * The settings of an entry node, which don't change while it runs.
  *
- * @param node the name of the node
- * @param zone its availability zone
- * @param regionsByZone the region of each zone
- * @param listen where the node listens
+ * @param node the name of the node, which is the same for each of its runs
+ * @param zone the availability zone of the node
+ * @param regionsByZone the region of each availability zone
+ * @param listen the addresses that the node listens on
  * @param firstStart whether the whole fleet starts for the first time
- * @param relayLimits the bounds of the request path
- * @param stopTimeoutMillis how long a planned stop may take
- * @param duties the bounds of the duties
+ * @param relayLimits the limits of the request path
+ * @param stopTimeoutMillis the maximum duration of a graceful shutdown, in milliseconds
+ * @param duties the settings of the duties, which one node at a time holds
  */
 public record GatewaySettings(String node, String zone, Map<String, String> regionsByZone, Listen listen,
 		boolean firstStart, RelayLimits relayLimits, long stopTimeoutMillis, DutySettings duties) {
@@ -30,25 +30,27 @@
 	}
 
 	/**
-	 * Where a node listens. A node may lack any of these.
+	 * The addresses that a node listens on. An empty one isn't served.
 	 *
-	 * @param callers for callers' requests
-	 * @param readiness for questions of whether the node is ready
-	 * @param directory for questions of where to connect
-	 * @param metrics for metrics
-	 * @param peers for other nodes, at the same port on every node
+	 * @param callers the address for callers' requests
+	 * @param readiness the address for readiness checks
+	 * @param directory the address for callers' lookups of entry nodes
+	 * @param metrics the address for metrics
+	 * @param peers the address for other nodes; its port is the same on every node
 	 */
 	public record Listen(Optional<Address> callers, Optional<Address> readiness, Optional<Address> directory,
 			Optional<Address> metrics, Optional<Address> peers) {
 	}
 
 	/**
-	 * Bounds of the duties.
+	 * Settings of the duties.
 	 *
-	 * @param leaseMillis the time in which two holders must not act by turns
-	 * @param usageWindowMillis the length of a window of usage; 0 if usage isn't reported
-	 * @param maxCandidateShare the most requests that a version under trial gets, as a
-	 * share
+	 * @param leaseMillis the lease of the holder, in milliseconds; within this time, two
+	 * holders must not act alternately
+	 * @param usageWindowMillis the length of a usage window, in milliseconds; 0 if usage
+	 * isn't reported
+	 * @param maxCandidateShare the maximum share of requests, from 0 to 1, that a version
+	 * gets while a rollout tests it
 	 */
 	public record DutySettings(long leaseMillis, long usageWindowMillis, double maxCandidateShare) {
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformAdapters.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformAdapters.java
@@ -10,15 +10,15 @@
 import io.flamingogap.gateway.store.RecordStore;
 
 /**
- * What a platform provides to a node.
+ * The implementations of the gateway's interfaces for one platform.
  *
- * @param callers what callers speak
- * @param directory how callers ask where to connect
- * @param backends what backend servers speak
- * @param records how records of operators and servers are spelled
- * @param store the store
- * @param cloud the cloud's calls; empty if the node may not call it
+ * @param callerProtocol parses requests of callers and writes headers of responses
+ * @param directoryProtocol parses and answers callers' lookups of entry nodes
+ * @param backendProtocol the protocol between the gateway and backend servers
+ * @param recordCodec encodes and decodes records of operators and backend servers
+ * @param store the store that the nodes share
+ * @param cloud the calls to the cloud; empty if the node may not call it
  */
-public record PlatformAdapters(CallerProtocol callers, DirectoryProtocol directory, BackendProtocol backends,
-		RecordCodec records, RecordStore store, Optional<CloudApi> cloud) {
+public record PlatformAdapters(CallerProtocol callerProtocol, DirectoryProtocol directoryProtocol,
+		BackendProtocol backendProtocol, RecordCodec recordCodec, RecordStore store, Optional<CloudApi> cloud) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
@@ -15,7 +15,7 @@
 
 	/**
 	 * Return whether connections may stay open after a response.
-	 * @return {@code false} during a planned stop
+	 * @return {@code false} while the node shuts down
 	 */
 	boolean allowsKeepAlive();
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/package-info.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/package-info.java
@@ -1,6 +1,6 @@
 /**
- * An entry node on one event loop, wired together from its parts. What peers speak comes
- * in through the interfaces of the packages for each peer.
+ * Assembles an entry node from its components, on one event loop. Platforms implement the
+ * interfaces of the other packages to provide their protocols.
  */
 @NullMarked
 package io.flamingogap.gateway;
