Clarify three comments in the callers and node packages

The backlog didn't say what connections wait for, the writable event read as a wish, and the listing offset didn't say why it is kept. Comments only.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -30,7 +30,7 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The number of connections that may wait while the event loop is busy. */
+	/** The number of connections that may wait to be accepted while the loop is busy. */
 	private static final int ACCEPT_BACKLOG = 1_024;
 
 	/** A whole request may take this many times as long as its head alone. */
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
@@ -11,7 +11,7 @@
 	void onCallerDisconnected();
 
 	/**
-	 * Handle that the caller's connection accepts data again after its buffer was full.
+	 * Handle the caller's connection becoming writable again after its buffer was full.
 	 */
 	void onCallerWritable();
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -80,8 +80,8 @@
 	private final RecordFollower follower;
 
 	/**
-	 * The end of the stream when it was last listed. Records before it are older than the
-	 * listing and may have been read late.
+	 * The end of the stream when it was last listed. Records before it were written
+	 * before the listing, so their age is computed from the time of day that they report.
 	 */
 	private long listingEndOffset = Long.MAX_VALUE;
 
