Correct comments and messages of the request ledger

Read badly or were not true: when ownership returns after a commit, when an entry is removed, what an offer records, that UNKNOWN is never changed again, and that the size estimate of an entry is an upper one (the length of its path isn't counted). "Full" parts are described by what the receiver does.

The message for an unusable key names the second reason that leads to it. The messages for a malformed key say which form is expected instead of "without a prefix" and "not well-formed".

--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/Admission.java
@@ -59,14 +59,17 @@
 		}
 
 		/**
-		 * Refuse a new request because its key was issued in the future or too long ago.
+		 * Refuse a new request because its key was issued in the future, too long ago, or
+		 * not after every key that was removed from the ledger.
 		 * @param issuedInFuture {@code true} if the key was issued in the future,
-		 * {@code false} if it was issued too long ago
+		 * {@code false} for the other reasons
 		 * @return a refusal with {@link ProblemType#KEY_EXPIRED}
 		 */
-		static Refuse keyExpired(boolean issuedInFuture) {
+		static Refuse keyNotUsable(boolean issuedInFuture) {
 			return new Refuse(Failure.notRun(ProblemType.KEY_EXPIRED, Step.ADMIT, CALLER,
-					"the key prefix " + (issuedInFuture ? "was issued in the future" : "is too old to start a request")
+					"the key prefix "
+							+ (issuedInFuture ? "was issued in the future"
+									: "is too old to start a request or not newer than a removed key")
 							+ "; this attempt was not run, an earlier attempt may have been"));
 		}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/CommitResult.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/CommitResult.java
@@ -10,14 +10,14 @@
 	/**
 	 * This node owns the committed keys.
 	 *
-	 * @param toDispatch the accepted entries that this commit moved to the node and that
-	 * it must now dispatch; empty if it had taken them over before
+	 * @param toDispatch the entries in state {@link KeyState#ACCEPTED} that this commit
+	 * moved to the node and that it must now dispatch; empty if the commit is repeated
 	 */
 	record Taken(List<LedgerEntry> toDispatch) implements CommitResult {
 	}
 
 	/**
-	 * The node misses entries and takes nothing over; it may succeed with a full commit.
+	 * The node lacks entries and takes nothing over; a full commit may succeed.
 	 */
 	record Incomplete() implements CommitResult {
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpace.java
@@ -11,8 +11,8 @@
 import io.flamingogap.core.node.NodeId;
 
 /**
- * The entries that one node holds for the keys issued by one node incarnation, and
- * whether this node owns them.
+ * All keys that one node incarnation issued, as one node knows them: the entries of the
+ * keys in use, and whether this node owns the keys.
  */
 final class KeySpace {
 
@@ -116,14 +116,18 @@
 		this.fingerprint ^= entry.fingerprint() ^ ((previous != null) ? previous.fingerprint() : 0);
 	}
 
-	void forgetThrough(long issuedAtMillis) {
+	/**
+	 * Record that keys issued up to a given time may have been removed. Removes no entry.
+	 * @param issuedAtMillis the time in milliseconds since 1970 UTC, inclusive; ignored
+	 * if it is earlier than a time recorded before
+	 */
+	void raiseForgottenThrough(long issuedAtMillis) {
 		this.forgottenThroughMillis = Math.max(this.forgottenThroughMillis, issuedAtMillis);
 	}
 
 	/**
 	 * Remove ended entries whose key prefix was issued before a given time. The issue
-	 * time of the latest removed key is kept, so that no removed key is taken for a new
-	 * one.
+	 * time of the latest removed key is kept, so that no removed key is treated as new.
 	 * @param issuedBeforeMillis the time in milliseconds since 1970 UTC, exclusive
 	 */
 	void forgetIssuedBefore(long issuedBeforeMillis) {
@@ -135,7 +139,7 @@
 				this.exportedStates.remove(entry.key().toString());
 				this.keptBytes -= entry.sizeBytes();
 				this.fingerprint ^= entry.fingerprint();
-				forgetThrough(entry.key().issuedAtMillis());
+				raiseForgottenThrough(entry.key().issuedAtMillis());
 			}
 		}
 	}
@@ -143,7 +147,7 @@
 	/**
 	 * Return the entries whose state has changed since they were last exported, and
 	 * record their states as exported.
-	 * @return a part that is not full
+	 * @return a part that the receiver adds to its entries
 	 */
 	KeySpacePart exportChanges() {
 		List<LedgerEntry> changed = new ArrayList<>();
@@ -157,7 +161,7 @@
 
 	/**
 	 * Return all entries. Their states are not recorded as exported.
-	 * @return a full part
+	 * @return a part that replaces all entries at the receiver
 	 */
 	KeySpacePart exportAll() {
 		return new KeySpacePart(this.issuer, this.forgottenThroughMillis, entries(), true, this.fingerprint);
@@ -165,7 +169,8 @@
 
 	/**
 	 * Apply a part that another node exported.
-	 * @param part a part of the same key space; a full part replaces all entries
+	 * @param part a part of the same key space; if it replaces all entries, the present
+	 * ones are removed first
 	 */
 	void merge(KeySpacePart part) {
 		if (part.replacesAll()) {
@@ -173,7 +178,7 @@
 			this.keptBytes = 0;
 			this.fingerprint = 0;
 		}
-		forgetThrough(part.forgottenThroughMillis());
+		raiseForgottenThrough(part.forgottenThroughMillis());
 		part.entries().forEach(this::put);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePart.java
@@ -10,11 +10,12 @@
  * entry or those that changed since the previous transfer.
  *
  * @param issuer the node incarnation that issued the keys
- * @param forgottenThroughMillis the latest issue time of a forgotten key, in milliseconds
- * since 1970 UTC; -1 if no key was forgotten
+ * @param forgottenThroughMillis the latest issue time of a removed key, in milliseconds
+ * since 1970 UTC; -1 if no key was removed
  * @param entries the transferred entries
- * @param replacesAll whether the receiver replaces what it holds of this key space, as
- * the part holds every entry or is the first of the messages that do
+ * @param replacesAll whether the receiver discards its entries of this key space before
+ * it stores these: true for a part with all entries or, if such a part is split, for its
+ * first chunk only
  * @param fingerprint the fingerprint over all entries of the key space at the sender
  */
 public record KeySpacePart(NodeId issuer, long forgottenThroughMillis, List<LedgerEntry> entries, boolean replacesAll,
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePartSplitter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeySpacePartSplitter.java
@@ -4,11 +4,14 @@
 import java.util.List;
 
 /**
- * Utilities that split key space parts into messages of a bounded size.
+ * Utility that splits key space parts into messages of a limited estimated size.
  */
 public final class KeySpacePartSplitter {
 
-	/** Upper estimate of the encoded size of an entry without its bodies. */
+	/**
+	 * Estimated encoded size of an entry without its bodies. An entry with a long request
+	 * path can be larger, because the length of the path isn't counted.
+	 */
 	private static final long ENTRY_OVERHEAD_BYTES = 512;
 
 	private KeySpacePartSplitter() {
@@ -16,11 +19,11 @@
 
 	/**
 	 * Split parts into messages. Sent in order, the messages have the same effect as the
-	 * parts: only the first chunk of a full part is marked as full and replaces what the
-	 * receiver holds.
+	 * parts: of a part that replaces all entries at the receiver, only the first chunk
+	 * does so.
 	 * @param parts the parts to split
-	 * @param maxBytes the maximum size of a message in bytes; only a message with a
-	 * single entry may exceed it
+	 * @param maxBytes the maximum estimated size of a message in bytes; only a message
+	 * with a single entry may exceed it
 	 * @return the messages in the order in which to send them; never empty
 	 */
 	public static List<List<KeySpacePart>> split(List<KeySpacePart> parts, long maxBytes) {
@@ -31,28 +34,28 @@
 		List<KeySpacePart> message = new ArrayList<>();
 		long messageBytes = 0;
 		for (KeySpacePart part : parts) {
-			List<LedgerEntry> chunk = new ArrayList<>();
+			List<LedgerEntry> chunkEntries = new ArrayList<>();
 			boolean replacesAll = part.replacesAll();
 			for (LedgerEntry entry : part.entries()) {
 				long entryBytes = entry.sizeBytes() + ENTRY_OVERHEAD_BYTES;
 				if (messageBytes > 0 && messageBytes + entryBytes > maxBytes) {
-					message.add(chunk(part, chunk, replacesAll));
+					message.add(createChunk(part, chunkEntries, replacesAll));
 					messages.add(message);
 					message = new ArrayList<>();
 					messageBytes = 0;
-					chunk = new ArrayList<>();
+					chunkEntries = new ArrayList<>();
 					replacesAll = false;
 				}
-				chunk.add(entry);
+				chunkEntries.add(entry);
 				messageBytes += entryBytes;
 			}
-			message.add(chunk(part, chunk, replacesAll));
+			message.add(createChunk(part, chunkEntries, replacesAll));
 		}
 		messages.add(message);
 		return messages;
 	}
 
-	private static KeySpacePart chunk(KeySpacePart part, List<LedgerEntry> entries, boolean replacesAll) {
+	private static KeySpacePart createChunk(KeySpacePart part, List<LedgerEntry> entries, boolean replacesAll) {
 		return new KeySpacePart(part.issuer(), part.forgottenThroughMillis(), entries, replacesAll, part.fingerprint());
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/KeyState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/KeyState.java
@@ -11,7 +11,11 @@
 	DISPATCHED(false),
 	/** A backend server answered. */
 	DONE(true),
-	/** Bytes may have reached a backend server, and no answer is expected any more. */
+	/**
+	 * Bytes may have reached a backend server, and the outcome could not be determined.
+	 * An outcome that the previous owner of the key reports later can still change the
+	 * state to {@link #DONE}.
+	 */
 	UNKNOWN(true),
 	/** Cancelled before any byte was sent; the request will never be executed. */
 	NOT_RUN(true);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerEntry.java
@@ -62,9 +62,9 @@
 
 	/**
 	 * Return whether an update holds the outcome of the dispatch that this entry waits
-	 * for. An update that arrives twice is applied once, because the entry then no longer
-	 * waits for this dispatch: it has ended or was dispatched by another node. An entry
-	 * whose outcome was recorded as unknown still accepts a late answer.
+	 * for. An update that arrives twice is applied once: after the first time the entry
+	 * has ended, is accepted again, or was dispatched by another node. An entry whose
+	 * outcome was recorded as unknown still accepts a late answer.
 	 * @param update an entry with the same key from the node that dispatched the request
 	 * @return {@code true} if it replaces this entry
 	 */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerLimits.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/LedgerLimits.java
@@ -17,10 +17,12 @@
 
 	public LedgerLimits {
 		if (maxEntries < 1 || maxBytes < 1) {
-			throw new IllegalArgumentException("maxEntries and maxBytes must be positive");
+			throw new IllegalArgumentException(
+					"maxEntries and maxBytes must be positive but were " + maxEntries + " and " + maxBytes);
 		}
 		if (retentionMillis <= firstUseMillis) {
-			throw new IllegalArgumentException("retentionMillis must be longer than firstUseMillis");
+			throw new IllegalArgumentException("retentionMillis must be longer than firstUseMillis but they were "
+					+ retentionMillis + " and " + firstUseMillis);
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestKey.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestKey.java
@@ -36,7 +36,8 @@
 			throw new IllegalArgumentException("issuedAtMillis must not be negative but was " + issuedAtMillis);
 		}
 		if (!CALLER_PART_PATTERN.matcher(callerPart).matches()) {
-			throw new IllegalArgumentException("callerPart must match " + CALLER_PART_PATTERN);
+			throw new IllegalArgumentException(
+					"callerPart must match " + CALLER_PART_PATTERN + " but was '" + callerPart + "'");
 		}
 	}
 
@@ -61,14 +62,15 @@
 		}
 		String[] parts = text.split("~", -1);
 		if (parts.length != PART_COUNT) {
-			return Either.left(invalid("without a prefix"));
+			return Either.left(invalid("not a prefix followed by a caller part without '~' (parts separated by '~': "
+					+ parts.length + ", expected: " + PART_COUNT + ")"));
 		}
 		try {
 			NodeId issuer = NodeId.parse(parts[0] + "~" + parts[1]);
 			return Either.right(new RequestKey(issuer, Long.parseLong(parts[2], TIME_RADIX), parts[3]));
 		}
 		catch (IllegalArgumentException ex) {
-			return Either.left(invalid("not well-formed: " + ex.getMessage()));
+			return Either.left(invalid("not an unchanged prefix followed by a valid caller part: " + ex.getMessage()));
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -17,14 +17,14 @@
  * State machine that ensures that each keyed request is executed at most once.
  * <p>
  * A key is owned by the node incarnation that issued it, and only the owner may dispatch
- * its request. A commit moves the ownership to one successor; it returns only if this
- * successor refuses the commit for good.
+ * its request. A commit moves the ownership to one successor. This node gets it back only
+ * if the successor refuses the commit; a refusal is final.
  * <p>
- * An entry is kept at least as long as its key may start a request. A key without an
- * entry is new only if it was issued after every forgotten key, so a request is not
- * executed again even if a clock jumps.
+ * An entry is removed only after its key has become too old to start a request. A key
+ * without an entry counts as new only if it was issued after every removed key, so a
+ * request is not executed again even if a clock jumps.
  * <p>
- * This class is not thread-safe.
+ * Not thread-safe.
  */
 public final class RequestLedger {
 
@@ -90,10 +90,10 @@
 	private Admission admitNew(KeySpace space, KeyedRequest request, long nowMillis) {
 		long issuedAtMillis = request.key().issuedAtMillis();
 		boolean issuedInFuture = issuedAtMillis > nowMillis + this.limits.maxClockSkewMillis();
-		boolean expired = issuedAtMillis + this.limits.firstUseMillis() < nowMillis
+		boolean issuedTooLongAgo = issuedAtMillis + this.limits.firstUseMillis() < nowMillis
 				|| issuedAtMillis <= space.forgottenThroughMillis();
-		if (issuedInFuture || expired) {
-			return Admission.Refuse.keyExpired(issuedInFuture);
+		if (issuedInFuture || issuedTooLongAgo) {
+			return Admission.Refuse.keyNotUsable(issuedInFuture);
 		}
 		forgetEndedEntries(nowMillis, request.body().length);
 		if (isFull(request.body().length)) {
@@ -117,6 +117,7 @@
 	 */
 	private void forgetEndedEntries(long nowMillis, long additionalBytes) {
 		long roundMillis = Math.max(1, this.limits.retentionMillis() / FORGET_ROUNDS_PER_RETENTION);
+		// The clock may have been set back, so the difference can be negative.
 		boolean isRoundDue = Math.abs(nowMillis - this.lastForgetMillis) >= roundMillis;
 		if (!isRoundDue && !isFull(additionalBytes)) {
 			return;
@@ -183,8 +184,9 @@
 
 	/**
 	 * Return the entries of owned key spaces that have changed since the previous offer,
-	 * or all of them for the first one. The receiver must pass them to
-	 * {@link #receiveOffer}.
+	 * or all of them for the first one, and record them as exported. The receiver must
+	 * pass them to {@link #receiveOffer}. If an offer is lost, its entries reach the
+	 * successor only by {@link #restartOffer} or {@link #fullCommit}.
 	 * @return one part for each owned key space, which may have no entries
 	 */
 	public List<KeySpacePart> exportOffer() {
@@ -199,12 +201,12 @@
 	}
 
 	/**
-	 * Hand the ownership of all owned key spaces over to a successor. Until this
-	 * successor refuses, the ownership doesn't return and no other successor can be
-	 * chosen.
+	 * Hand the ownership of all owned key spaces over to a successor. Unless this
+	 * successor refuses, this node does not get the ownership back and can choose no
+	 * other successor.
 	 * @param successor the node that received the offer
 	 * @return the entries that have changed since the offer; to be sent to this successor
-	 * until it confirms or refuses
+	 * until it confirms or refuses the commit
 	 */
 	public List<KeySpacePart> commit(NodeId successor) {
 		if (this.committedTo != null) {
@@ -220,8 +222,9 @@
 	}
 
 	/**
-	 * Return all entries of the committed key spaces, for a successor that misses some.
-	 * @return full parts, to be sent to the same successor as a commit
+	 * Return all entries of the committed key spaces, for a successor that lacks some.
+	 * @return parts that replace all entries at the receiver, to be sent to the same
+	 * successor as a commit
 	 */
 	public List<KeySpacePart> fullCommit() {
 		return this.keySpaces.values()
@@ -232,7 +235,7 @@
 	}
 
 	/**
-	 * Take the ownership back because the successor has refused the commit for good.
+	 * Take the ownership back because the successor has refused the commit.
 	 * @param successor the node that refused
 	 * @return {@code true} if another successor may be tried; {@code false} if the key
 	 * spaces are not committed to this node, so that nothing changes
@@ -252,7 +255,8 @@
 
 	/**
 	 * Return the entries of committed key spaces that have changed since the previous
-	 * export, such as requests in flight whose outcomes became known.
+	 * export, such as requests in flight whose outcomes became known, and record them as
+	 * exported.
 	 * @return one part for each committed key space, which may have no entries
 	 */
 	public List<KeySpacePart> exportNewOutcomes() {
@@ -362,7 +366,7 @@
 	/**
 	 * Return the entry of a key.
 	 * @param key the idempotency key
-	 * @return the entry; empty if the key is unknown or was forgotten
+	 * @return the entry; empty if the key is unknown or was removed
 	 */
 	public Optional<LedgerEntry> find(RequestKey key) {
 		KeySpace space = this.keySpaces.get(key.issuer());
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerPropertyTests.java
@@ -18,6 +18,8 @@
  */
 class LedgerPropertyTests {
 
+	// Bits of a step: 0 to 5 the draw of the action, 6 and 7 the node, 8 to 17 the
+	// choice.
 	private static final int NODE_SHIFT = 6;
 
 	private static final int CHOICE_SHIFT = 8;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerSimulation.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/LedgerSimulation.java
@@ -19,7 +19,7 @@
  */
 final class LedgerSimulation {
 
-	/** The case in {@link #step} for each draw; repeated cases are more likely. */
+	/** The case label in {@link #step} for each draw; a repeated one is more likely. */
 	private static final int[] ACTION_BY_DRAW = { 0, 0, 0, 1, 1, 1, 1, 2, 3, 4, 4, 4, 5, 6, 6, 7, 7, 8, 8, 8, 9, 9, 9,
 			9, 9, 9, 9, 9, 10, 10, 11 };
 
@@ -95,6 +95,12 @@
 		}
 	}
 
+	/**
+	 * Return one of the keys: node 0 issues three keys of four, node 1 the others, node 2
+	 * none.
+	 * @param choice a non-negative number that selects the key
+	 * @return the key
+	 */
 	private RequestKey key(int choice) {
 		int number = choice % KEY_COUNT;
 		return LedgerFixtures.key(this.nodes.get((choice / KEY_COUNT) % 4 / 3), number * ISSUE_INTERVAL_MILLIS, number);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/request/RequestLedgerTests.java
@@ -128,8 +128,8 @@
 
 		@Test
 		void prefixIssuedInFutureIsRefused() {
-			KeyedRequest early = LedgerFixtures.request(LedgerFixtures.key(FIRST, 1_000, 1));
-			assertThat(refusalType(early, 0), is(ProblemType.KEY_EXPIRED));
+			KeyedRequest fromFuture = LedgerFixtures.request(LedgerFixtures.key(FIRST, 1_000, 1));
+			assertThat(refusalType(fromFuture, 0), is(ProblemType.KEY_EXPIRED));
 		}
 
 		@Test
