Correct comments of attempt, stream and duty

Read badly or were not true: what the maximum number of dispatches limits, which events count as duplicates, what DutyTerm holds and promises within a lease, when the duties must be claimed again, why six usage windows are kept. The clock is called monotonic, as elsewhere in the module.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/attempt/Attempt.java
@@ -13,11 +13,14 @@
  * whether another backend server may be tried and whether the request is reported as not
  * run.
  * <p>
- * This class is not thread-safe.
+ * Not thread-safe.
  */
 public final class Attempt {
 
-	/** Limits the search for a server that accepts; the route limits executions. */
+	/**
+	 * Maximum number of dispatches, whatever their outcomes. The route limits how many of
+	 * them may execute the request.
+	 */
 	private static final int MAX_DISPATCHES = 6;
 
 	private final RouteRule route;
@@ -35,15 +38,16 @@
 	private boolean mayHaveReachedServer;
 
 	/**
-	 * Create an attempt that starts now and was not dispatched yet.
-	 * @param route the route of the request, whose timeout also limits the attempt
-	 * @param budgetMillis the time that the caller waits, in milliseconds
-	 * @param nowMillis the current time of a steady clock in milliseconds
+	 * Create an attempt that starts now and was not dispatched yet. Its deadline is the
+	 * earlier of the caller's timeout and that of the route.
+	 * @param route the route of the request
+	 * @param callerTimeoutMillis the time that the caller waits, in milliseconds
+	 * @param nowMillis the current time of a monotonic clock in milliseconds
 	 */
-	public Attempt(RouteRule route, long budgetMillis, long nowMillis) {
+	public Attempt(RouteRule route, long callerTimeoutMillis, long nowMillis) {
 		this.route = route;
 		this.startedAtMillis = nowMillis;
-		this.deadlineMillis = nowMillis + Math.min(budgetMillis, route.timeoutMillis());
+		this.deadlineMillis = nowMillis + Math.min(callerTimeoutMillis, route.timeoutMillis());
 	}
 
 	/**
@@ -69,7 +73,7 @@
 
 	/**
 	 * Return whether the request may be dispatched to another backend server.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return {@code true} if neither the deadline nor the limit of dispatches is reached
 	 * and another execution would not exceed what the route allows
 	 */
@@ -100,8 +104,8 @@
 
 	/**
 	 * Return the failure to report if no other backend server is tried.
-	 * @param detail a description of the cause for people
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param detail a human-readable description of the cause
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return a failure that says "not run" only if no server has executed or will
 	 * execute the request
 	 */
@@ -125,7 +129,7 @@
 
 	/**
 	 * Return the time left until the deadline.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return the time in milliseconds, at least 0
 	 */
 	public long remainingMillis(long nowMillis) {
@@ -134,7 +138,7 @@
 
 	/**
 	 * Return the time since the attempt was created.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return the time in milliseconds
 	 */
 	public long elapsedMillis(long nowMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -3,15 +3,15 @@
 import java.util.OptionalLong;
 
 /**
- * Tracks whether this node may act as the holder of the duties, like the leader in a
- * leader election. The membership of a group in the store determines the holder, and a
- * claim that the holder writes to the store yields its fencing token.
+ * State of this node's leadership: whether it may act as the holder of the duties. A
+ * group in the store determines the holder, like the leader in a leader election. The
+ * holder writes a claim to the store, which yields its fencing token.
  * <p>
  * A holder must not act unless the store confirmed it recently. A node that lost the
  * duties and holds them again must not act until a lease has passed since its last
- * action, so that two nodes never act alternately within a lease.
+ * action. So within a lease the duties never pass to another node and back.
  * <p>
- * This class is not thread-safe.
+ * Not thread-safe.
  */
 public final class DutyTerm {
 
@@ -19,9 +19,9 @@
 
 	private final long leaseMillis;
 
-	private final long confirmMillis;
+	private final long confirmationValidMillis;
 
-	private boolean held;
+	private boolean heldAtLastReport;
 
 	private long lastActionMillis = NEVER;
 
@@ -33,30 +33,30 @@
 
 	/**
 	 * Create a term in which this node doesn't hold the duties.
-	 * @param leaseMillis the time within which two nodes must not act alternately, in
-	 * milliseconds
-	 * @param confirmMillis the time for which a confirmation by the store is valid, in
-	 * milliseconds
+	 * @param leaseMillis the time that must pass after the last action of this node
+	 * before it acts under a new claim, in milliseconds
+	 * @param confirmationValidMillis the time for which a confirmation by the store is
+	 * valid, in milliseconds
 	 */
-	public DutyTerm(long leaseMillis, long confirmMillis) {
+	public DutyTerm(long leaseMillis, long confirmationValidMillis) {
 		this.leaseMillis = leaseMillis;
-		this.confirmMillis = confirmMillis;
+		this.confirmationValidMillis = confirmationValidMillis;
 	}
 
 	/**
-	 * Record what the store reports about the group. After a gap in the confirmations,
-	 * the duties must be claimed again.
-	 * @param holds whether this node holds the duties
+	 * Record what the store reports about the holder of the duties. If the previous
+	 * confirmation has expired, the duties must be claimed again.
+	 * @param isHolder whether this node holds the duties
 	 * @param askedAtMillis the time at which the store was asked, in milliseconds of a
-	 * steady clock
+	 * monotonic clock
 	 */
-	public void recordHolderStatus(boolean holds, long askedAtMillis) {
-		if (!holds) {
+	public void recordHolderStatus(boolean isHolder, long askedAtMillis) {
+		if (!isHolder) {
 			recordLost();
 			return;
 		}
-		if (!this.held || askedAtMillis - this.lastConfirmedMillis > this.confirmMillis) {
-			this.held = true;
+		if (!this.heldAtLastReport || askedAtMillis - this.lastConfirmedMillis > this.confirmationValidMillis) {
+			this.heldAtLastReport = true;
 			this.fencingToken = OptionalLong.empty();
 		}
 		this.lastConfirmedMillis = askedAtMillis;
@@ -67,29 +67,29 @@
 	 * still does.
 	 */
 	public void recordLost() {
-		this.held = false;
+		this.heldAtLastReport = false;
 		this.fencingToken = OptionalLong.empty();
 	}
 
 	/**
 	 * Return whether this node should claim the duties in the store.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return {@code true} if the node holds the duties without a token and a lease has
-	 * passed since it last acted or was fenced off
+	 * passed since it last acted or an action of it was refused as fenced
 	 */
 	public boolean shouldClaim(long nowMillis) {
-		return isHeld(nowMillis) && this.fencingToken.isEmpty() && nowMillis - this.lastActionMillis >= this.leaseMillis
-				&& nowMillis >= this.claimNotBeforeMillis;
+		return isConfirmedHolder(nowMillis) && this.fencingToken.isEmpty()
+				&& nowMillis - this.lastActionMillis >= this.leaseMillis && nowMillis >= this.claimNotBeforeMillis;
 	}
 
 	/**
 	 * Record that the store has accepted the claim. Has no effect if the confirmation has
 	 * expired.
 	 * @param token the fencing token of the claim
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 */
 	public void recordClaim(long token, long nowMillis) {
-		if (isHeld(nowMillis)) {
+		if (isConfirmedHolder(nowMillis)) {
 			this.fencingToken = OptionalLong.of(token);
 		}
 	}
@@ -97,7 +97,7 @@
 	/**
 	 * Record that an action was refused because a higher fencing token was seen, so
 	 * another node has acted since. This node may claim the duties again after a lease.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 */
 	public void recordFenced(long nowMillis) {
 		this.fencingToken = OptionalLong.empty();
@@ -106,7 +106,7 @@
 
 	/**
 	 * Record that this node now acts as the holder.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 */
 	public void recordAction(long nowMillis) {
 		this.lastActionMillis = nowMillis;
@@ -114,15 +114,15 @@
 
 	/**
 	 * Return the fencing token with which this node may act.
-	 * @param nowMillis the current time of the steady clock in milliseconds
+	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return the token; empty if the node must not act
 	 */
 	public OptionalLong validToken(long nowMillis) {
-		return isHeld(nowMillis) ? this.fencingToken : OptionalLong.empty();
+		return isConfirmedHolder(nowMillis) ? this.fencingToken : OptionalLong.empty();
 	}
 
-	private boolean isHeld(long nowMillis) {
-		return this.held && nowMillis - this.lastConfirmedMillis <= this.confirmMillis;
+	private boolean isConfirmedHolder(long nowMillis) {
+		return this.heldAtLastReport && nowMillis - this.lastConfirmedMillis <= this.confirmationValidMillis;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/UsageCounts.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/UsageCounts.java
@@ -9,11 +9,11 @@
  * incarnation, by time window and client account. The counts never decrease, so merging
  * them in any order gives the same result.
  * <p>
- * This class is not thread-safe.
+ * Not thread-safe.
  */
 public final class UsageCounts {
 
-	/** Number of windows to keep; exceeds the windows by which a report may be late. */
+	/** Number of newest windows to keep, enough to merge reports that arrive late. */
 	private static final int MAX_KEPT_WINDOWS = 6;
 
 	private final TreeMap<Long, Map<String, Long>> windows = new TreeMap<>();
--- a/flamingogap-core/src/main/java/io/flamingogap/core/stream/EventVerdict.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/stream/EventVerdict.java
@@ -7,7 +7,10 @@
 
 	/** The next event of this request: forward it. */
 	PASS,
-	/** An event at a position that was already forwarded: drop it. */
+	/**
+	 * An event at a position that was already forwarded, or any event of this request
+	 * after the last one was forwarded: drop it.
+	 */
 	DUPLICATE,
 	/** An event of another request: drop it and abandon the connection. */
 	FOREIGN,
--- a/flamingogap-core/src/main/java/io/flamingogap/core/stream/StreamCursor.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/stream/StreamCursor.java
@@ -7,7 +7,7 @@
  * event against the cursor ensures that the caller receives each token of its own request
  * once and in order, even if several model engines produce the answer.
  * <p>
- * This class is not thread-safe.
+ * Not thread-safe.
  */
 public final class StreamCursor {
 
@@ -61,7 +61,7 @@
 	}
 
 	/**
-	 * Return whether the last event of the stream was accepted.
+	 * Return whether the last event of the stream was passed on.
 	 * @return {@code true} if the answer is complete
 	 */
 	public boolean isComplete() {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/DutyTermPropertyTests.java
@@ -47,8 +47,8 @@
 	}
 
 	/**
-	 * Return whether a node acted, another one acted, and the first one acted again, all
-	 * within a lease.
+	 * Return whether, within a lease, a node acted, another one acted, and the first one
+	 * acted again.
 	 * @param accepted the calls that the cloud accepted, in this order
 	 * @return {@code true} if nodes acted alternately
 	 */
