Correct comments and messages of config, entry and error

Refused changes: the text no longer says that a bootstrap operator "isn't named by the configuration in force" when there is none; the offset, digest and errors are named for what they are. A logged failure gives its type and whether the attempt may have been executed.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigSnapshot.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigSnapshot.java
@@ -6,8 +6,8 @@
 import io.flamingogap.core.text.Digests;
 
 /**
- * The complete configuration as of an offset. Nodes that start after the log has dropped
- * earlier records restore it. Publishing a snapshot twice has no further effect.
+ * The complete configuration as of an offset. Nodes restore it if they start after the
+ * log has dropped earlier records. Publishing a snapshot twice has no further effect.
  *
  * @param asOfOffset the offset of the last record that the snapshot covers
  * @param acceptedOffset the offset of the manifest in force; 0 for none
@@ -23,7 +23,8 @@
 		Objects.requireNonNull(manifest, "manifest must not be null");
 		verdicts = List.copyOf(verdicts);
 		if (acceptedOffset > asOfOffset) {
-			throw new IllegalArgumentException("acceptedOffset must not be after asOfOffset");
+			throw new IllegalArgumentException("acceptedOffset must not be after asOfOffset but they were "
+					+ acceptedOffset + " and " + asOfOffset);
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
@@ -17,8 +17,9 @@
 
 /**
  * The configuration that results from the records of the configuration stream up to an
- * offset. Records are applied in the order of their offsets. Nodes that have applied the
- * same records hold equal states, however often and in whatever order they received them.
+ * offset. Records must be applied in the order of their offsets; a record at or below the
+ * offset is ignored, so one that arrives out of order is lost. Nodes that have applied
+ * the same records in this order hold equal states, however often they received them.
  * Instances are immutable.
  */
 public final class ConfigState {
@@ -86,7 +87,7 @@
 	}
 
 	/**
-	 * Skip a record that is no valid change, so that it doesn't block the records after
+	 * Skip a record that isn't a valid change, so that it doesn't block the records after
 	 * it.
 	 * @param offset the offset of the record in the stream
 	 * @return the state after the record; this state if it already covers the offset
@@ -131,13 +132,15 @@
 
 	private Either<String, Manifest> decide(ConfigRecord change) {
 		if (change.baseOffset() != this.acceptedOffset) {
-			return Either.left("made against offset " + change.baseOffset() + " but " + describeChangeInForce());
+			return Either
+				.left("the change is based on offset " + change.baseOffset() + " but " + describeChangeInForce());
 		}
 		if (!mayPublish(change.operator())) {
-			return Either.left("operator " + change.operator() + " isn't named by the configuration in force");
+			return Either.left("operator " + change.operator()
+					+ " may not publish: only operators that the configuration in force names may, or a bootstrap operator if it names none");
 		}
 		if (!Digests.sha256(change.manifest()).equals(change.digest())) {
-			return Either.left("the digest doesn't match the manifest");
+			return Either.left("the SHA-256 digest of the manifest is not " + change.digest() + " as stated");
 		}
 		return ManifestReader.read(change.manifest()).mapLeft(ConfigState::describe);
 	}
@@ -145,9 +148,9 @@
 	private String describeChangeInForce() {
 		return this.verdicts.values()
 			.find((verdict) -> verdict.offset() == this.acceptedOffset)
-			.map((verdict) -> "change " + verdict.id() + " by " + verdict.operator() + " is in force since offset "
-					+ verdict.offset())
-			.getOrElse("offset " + this.acceptedOffset + " is in force");
+			.map((verdict) -> "change " + verdict.id() + " by " + verdict.operator()
+					+ " is in force, accepted at offset " + verdict.offset())
+			.getOrElse("the configuration in force has offset " + this.acceptedOffset);
 	}
 
 	private boolean mayPublish(String operator) {
@@ -157,8 +160,8 @@
 		return this.manifest.operator().stream().map(Operator::name).anyMatch(operator::equals);
 	}
 
-	private static String describe(List<ValidationError> faults) {
-		return faults.size() + " faults, first " + faults.get(0);
+	private static String describe(List<ValidationError> errors) {
+		return errors.size() + " errors, the first is: " + errors.get(0);
 	}
 
 	private static Map<String, ConfigVerdict> dropOldestIfTooMany(Map<String, ConfigVerdict> verdicts) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/Failure.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/Failure.java
@@ -10,7 +10,7 @@
  * @param peer the peer of the failed step: a node, a server, another service, or
  * {@code caller}
  * @param execution whether the attempt may have been executed
- * @param detail the cause, as a message for people
+ * @param detail the cause, as a human-readable message
  */
 public record Failure(ProblemType type, Step step, String peer, Execution execution, String detail) {
 
@@ -27,7 +27,7 @@
 	 * @param type the problem type that callers receive
 	 * @param step the step that failed
 	 * @param peer the peer of the failed step
-	 * @param detail the cause, as a message for people
+	 * @param detail the cause, as a human-readable message
 	 * @return the failure
 	 */
 	public static Failure notRun(ProblemType type, Step step, String peer, String detail) {
@@ -38,7 +38,7 @@
 	 * Create a failure of an attempt that may have been executed.
 	 * @param step the step that failed
 	 * @param peer the peer of the failed step
-	 * @param detail the cause, as a message for people
+	 * @param detail the cause, as a human-readable message
 	 * @return the failure
 	 */
 	public static Failure outcomeUnknown(Step step, String peer, String detail) {
@@ -50,7 +50,7 @@
 	 * executed.
 	 * @param step the step during which the deadline passed
 	 * @param peer the peer of that step
-	 * @param detail the cause, as a message for people
+	 * @param detail the cause, as a human-readable message
 	 * @return the failure
 	 */
 	public static Failure deadlineExceeded(Step step, String peer, String detail) {
@@ -59,7 +59,7 @@
 
 	@Override
 	public String toString() {
-		return this.step + " " + this.peer + ": " + this.detail;
+		return this.step + " " + this.peer + ": " + this.type + ", execution " + this.execution + ": " + this.detail;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/ProblemType.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/ProblemType.java
@@ -22,9 +22,15 @@
 	HEAD_TOO_LARGE("head-too-large", 431, "The head of the request is larger than its limit"),
 	/** A concurrent change of the configuration was accepted first. */
 	CONFLICT("conflict", 409, "Another change was accepted first"),
-	/** The idempotency key is too old for its first use. */
+	/**
+	 * The idempotency key can't start a request: it is too old, not newer than a removed
+	 * key, or was issued in the future.
+	 */
 	KEY_EXPIRED("key-expired", 409, "The idempotency key is too old"),
-	/** The idempotency key was used with another request body. */
+	/**
+	 * The idempotency key was used for another method, path or body, or by another client
+	 * account.
+	 */
 	KEY_REUSED("key-reused", 422, "The idempotency key was used for another request"),
 	/** The input exceeds its size limit. */
 	TOO_LARGE("too-large", 413, "The input is larger than its limit"),
@@ -74,7 +80,7 @@
 	}
 
 	/**
-	 * Return a summary for people.
+	 * Return a human-readable summary.
 	 * @return the title, one sentence without a full stop
 	 */
 	public String title() {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/config/ConfigStateTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/config/ConfigStateTests.java
@@ -81,15 +81,16 @@
 	}
 
 	@Property(tries = 500, seed = "20261204")
-	void replaysNeverRevertAndConvergeToSameState(@ForAll @Size(max = 12) List<@IntRange(max = 12) Integer> bases,
-			@ForAll @Size(max = 20) List<@IntRange(max = 11) Integer> replays) {
+	void replayedRecordsNeverRevertAChangeAndEndInTheSameState(
+			@ForAll @Size(max = 12) List<@IntRange(max = 12) Integer> baseOffsets,
+			@ForAll @Size(max = 20) List<@IntRange(max = 11) Integer> replayStarts) {
 		List<ConfigRecord> records = new ArrayList<>();
-		for (int i = 0; i < bases.size(); i++) {
-			records.add(change("change-" + i % 7, bases.get(i), (i % 2 == 0) ? "boot" : "ops"));
+		for (int i = 0; i < baseOffsets.size(); i++) {
+			records.add(change("change-" + i % 7, baseOffsets.get(i), (i % 2 == 0) ? "boot" : "ops"));
 		}
 		ConfigState appliedOnce = applyFrom(this.initial, records, 0);
 		ConfigState replayed = this.initial;
-		for (int start : replays) {
+		for (int start : replayStarts) {
 			long before = replayed.acceptedOffset();
 			if (start <= replayed.headOffset()) {
 				replayed = applyFrom(replayed, records, start);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/entry/EntryNodeSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/entry/EntryNodeSelectorTests.java
@@ -45,8 +45,8 @@
 	@Test
 	void callersSpreadOverAllNodes() {
 		Map<Address, Integer> first = new HashMap<>();
-		for (int rotation = 0; rotation < 600; rotation++) {
-			first.merge(EntryNodeSelector.choose(members(), rotation, 3, 0).get(0).address(), 1, Integer::sum);
+		for (int callNumber = 0; callNumber < 600; callNumber++) {
+			first.merge(EntryNodeSelector.choose(members(), callNumber, 3, 0).get(0).address(), 1, Integer::sum);
 		}
 		assertThat(first.values(), everyItem(is(100)));
 	}
