Correct comments and messages of serving, text and toml

Read badly: which value latencyTargetMillis is and what is derived from it, what maxExecutions counts, the age before the first configuration, the three cases of a default value. The class comment of ArchitectureTests said more than its rules check; the comment and two names now say what they check.

Errors of a TOML document read as one sentence after "must be": "absent: the key is unknown" instead of "left out: unknown key", "a value of type int" instead of "a int", "valid: ..." before the text of an exception, "a string that matches ..." instead of "text of the form ..." (RecordBinderTests expects the new text, the whole line as before). The exception of Digests.hmac names its second cause, a secret that can't be a key.

Private names: form -> pattern, version(number) -> configOf(version) in ServingConfigTests (SPLIT and OUTER: a test method and its parameter), classesUseNoThreads -> classesUseNoConcurrencyUtilities, classesReadNoClock -> classesUseNoSystemTimeOrClock.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/AccountQuota.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/AccountQuota.java
@@ -6,7 +6,8 @@
  * @param ratePerSecond the units added to the bucket each second; 0 means no limit
  * @param burst the capacity of the bucket in units
  * @param countsTokens whether a unit is a token; otherwise a unit is a request
- * @param plainTokens the tokens charged for a request that doesn't state a number
+ * @param plainTokens the default charge, in tokens, for a request that doesn't state a
+ * number of tokens
  */
 public record AccountQuota(double ratePerSecond, double burst, boolean countsTokens, long plainTokens) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ConfigHolder.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ConfigHolder.java
@@ -44,7 +44,8 @@
 	 * Return the time since the current configuration was applied in this process.
 	 * @param nowMillis the current time in milliseconds, from the clock that
 	 * {@link #applyIfNewer} is called with
-	 * @return the age in milliseconds
+	 * @return the age in milliseconds; {@code nowMillis} itself before the first
+	 * configuration was applied
 	 */
 	public long ageMillis(long nowMillis) {
 		return nowMillis - this.appliedAtMillis;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/EngineProfile.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/EngineProfile.java
@@ -1,7 +1,7 @@
 package io.flamingogap.core.serving;
 
 /**
- * Capacity of the model engines of a service.
+ * Capacity of each model engine of a service.
  *
  * @param slots the number of requests that one engine runs concurrently
  * @param cacheTokens the number of tokens that the memory of one engine holds
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
@@ -11,12 +11,13 @@
  * @param prefix the path prefix; begins and ends with a slash
  * @param kind whether a request may be executed again
  * @param timeoutMillis the time within which a caller must have an answer
- * @param latencyTargetMillis the time to the response, or to the first event of a stream,
- * within which a response counts in full
+ * @param latencyTargetMillis the target for the time to the response, or to the first
+ * event of a stream, after which a response no longer counts in full; the silence timeout
+ * and the latency threshold of rollouts are derived from it
  * @param priority the priority of the requests; 0 is the most urgent
  * @param targets the services that share the requests by weight; at least one
- * @param maxExecutions the maximum number of servers that may execute one attempt; values
- * below 1 count as 1
+ * @param maxExecutions the maximum number of servers that may execute one attempt,
+ * without those that rejected it; values below 1 count as 1
  * @param isPublic whether callers need no key
  * @param resumable whether another server may continue a broken stream
  * @param carriesPrompts whether the requests carry prompts for model engines
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ScaleBounds.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ScaleBounds.java
@@ -4,8 +4,8 @@
 import java.util.Objects;
 
 /**
- * Bounds and prices for ordering servers of a service. There are two kinds of servers:
- * full-price ones and cheaper ones that the cloud may reclaim.
+ * Settings for ordering servers of a service: bounds, prices and boot time. There are two
+ * kinds of servers: full-price ones and cheaper ones that the cloud may reclaim.
  *
  * @param minPerZone the minimum number of servers in a zone, both kinds together
  * @param maxPerZone the maximum number of servers in a zone, both kinds together
--- a/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/text/Digests.java
@@ -69,7 +69,8 @@
 			return mac.doFinal(message);
 		}
 		catch (NoSuchAlgorithmException | InvalidKeyException ex) {
-			throw new IllegalStateException("every Java platform has " + MAC_ALGORITHM, ex);
+			throw new IllegalStateException(
+					MAC_ALGORITHM + ", which every Java platform has, must accept the secret as a key", ex);
 		}
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/Default.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/Default.java
@@ -15,8 +15,12 @@
 
 	/**
 	 * Return the default value.
-	 * @return the TOML value of a number or boolean, or the plain text of a string or
-	 * enum; an empty text for lists, whose default is always an empty list
+	 * @return depends on the type of the component:
+	 * <ul>
+	 * <li>number or boolean: its TOML value,</li>
+	 * <li>string or enum: its plain text without quotes,</li>
+	 * <li>list: ignored, as the default is always an empty list.</li>
+	 * </ul>
 	 */
 	String value();
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/toml/RecordBinder.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/toml/RecordBinder.java
@@ -84,7 +84,8 @@
 		unknown.stream()
 			.sorted()
 			.forEach((name) -> reject(childPath(path, name), node.get(name).toString(),
-					"left out: unknown key, known are " + known.stream().sorted().collect(Collectors.joining(", "))));
+					"absent: the key is unknown, known keys are "
+							+ known.stream().sorted().collect(Collectors.joining(", "))));
 	}
 
 	private @Nullable Object bindComponent(JsonNode parent, RecordComponent component, String path) {
@@ -152,8 +153,8 @@
 	}
 
 	private @Nullable Object bindString(JsonNode node, RecordComponent component, String path) {
-		StringPattern form = component.getAnnotation(StringPattern.class);
-		boolean matches = node.isTextual() && (form == null || node.textValue().matches(form.value()));
+		StringPattern pattern = component.getAnnotation(StringPattern.class);
+		boolean matches = node.isTextual() && (pattern == null || node.textValue().matches(pattern.value()));
 		return matches ? node.textValue() : reject(path, node.toString(), describeAllowed(component));
 	}
 
@@ -189,7 +190,7 @@
 			return constructor.newInstance(values);
 		}
 		catch (InvocationTargetException ex) {
-			return reject(path.isEmpty() ? "document" : path, "as written", String.valueOf(ex.getCause().getMessage()));
+			return reject(path.isEmpty() ? "document" : path, "as written", "valid: " + ex.getCause().getMessage());
 		}
 		catch (ReflectiveOperationException ex) {
 			throw new IllegalStateException("can't construct " + type, ex);
@@ -198,12 +199,12 @@
 
 	private static String describeAllowed(RecordComponent component) {
 		Range range = component.getAnnotation(Range.class);
-		StringPattern form = component.getAnnotation(StringPattern.class);
+		StringPattern pattern = component.getAnnotation(StringPattern.class);
 		if (range != null) {
 			return "a whole number from " + range.min() + " to " + range.max();
 		}
-		return (form != null) ? "text of the form " + form.value()
-				: "a " + component.getType().getSimpleName().toLowerCase(Locale.ROOT);
+		return (pattern != null) ? "a string that matches " + pattern.value()
+				: "a value of type " + component.getType().getSimpleName().toLowerCase(Locale.ROOT);
 	}
 
 	private @Nullable Object reject(String key, String value, String allowed) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/ArchitectureTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/ArchitectureTests.java
@@ -9,7 +9,8 @@
 
 /**
  * Architecture rules of the module: its code makes decisions only and uses no network,
- * threads or clocks.
+ * threads or clocks. The rules check for the usual packages and methods; they don't
+ * detect {@link Thread}, {@code Instant.now()} or file access.
  */
 @AnalyzeClasses(packages = "io.flamingogap.core", importOptions = ArchitectureTests.WithoutTests.class)
 class ArchitectureTests {
@@ -24,7 +25,7 @@
 	}
 
 	@ArchTest
-	void classesUseNoThreads(JavaClasses classes) {
+	void classesUseNoConcurrencyUtilities(JavaClasses classes) {
 		ArchRuleDefinition.noClasses()
 			.should()
 			.dependOnClassesThat()
@@ -33,7 +34,7 @@
 	}
 
 	@ArchTest
-	void classesReadNoClock(JavaClasses classes) {
+	void classesUseNoSystemTimeOrClock(JavaClasses classes) {
 		ArchRuleDefinition.noClasses()
 			.should()
 			.callMethod(System.class, "currentTimeMillis")
--- a/flamingogap-core/src/test/java/io/flamingogap/core/serving/ServingConfigTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/serving/ServingConfigTests.java
@@ -19,10 +19,10 @@
 				List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 2, false, false, false);
 	}
 
-	private static ServingConfig version(long number) {
+	private static ServingConfig configOf(long version) {
 		ClientAccount account = new ClientAccount("growers", List.of("key-1", "key-2"), OptionalInt.empty(),
 				AccountQuota.UNLIMITED);
-		return ServingConfig.of(number, List.of(route("short", "/a/"), route("long", "/a/b/")), List.of(),
+		return ServingConfig.of(version, List.of(route("short", "/a/"), route("long", "/a/b/")), List.of(),
 				List.of(account), ListenerLimits.DEFAULT);
 	}
 
@@ -31,14 +31,14 @@
 
 		@Test
 		void longestPrefixOfTheHostWins() {
-			assertThat(version(1).findRoute("desk.example", "/a/b/c").get().name(), is("long"));
-			assertThat(version(1).findRoute("desk.example", "/a/x").get().name(), is("short"));
+			assertThat(configOf(1).findRoute("desk.example", "/a/b/c").get().name(), is("long"));
+			assertThat(configOf(1).findRoute("desk.example", "/a/x").get().name(), is("short"));
 		}
 
 		@Test
 		void otherHostsAndPathsHaveNoRoute() {
-			assertThat(version(1).findRoute("other.example", "/a/b/c").isPresent(), is(false));
-			assertThat(version(1).findRoute("desk.example", "/ab").isPresent(), is(false));
+			assertThat(configOf(1).findRoute("other.example", "/a/b/c").isPresent(), is(false));
+			assertThat(configOf(1).findRoute("desk.example", "/ab").isPresent(), is(false));
 		}
 
 		@Test
@@ -56,8 +56,8 @@
 
 		@Test
 		void anyKeyOfAnAccountFindsIt() {
-			assertThat(version(1).findAccount("key-2").get().name(), is("growers"));
-			assertThat(version(1).findAccount("key-3").isPresent(), is(false));
+			assertThat(configOf(1).findAccount("key-2").get().name(), is("growers"));
+			assertThat(configOf(1).findAccount("key-3").isPresent(), is(false));
 		}
 
 	}
@@ -68,8 +68,8 @@
 		@Test
 		void newerVersionsReplaceOlderOnes() {
 			ConfigHolder holder = new ConfigHolder();
-			assertThat(holder.applyIfNewer(version(3), 0), is(true));
-			assertThat(holder.applyIfNewer(version(9), 10), is(true));
+			assertThat(holder.applyIfNewer(configOf(3), 0), is(true));
+			assertThat(holder.applyIfNewer(configOf(9), 10), is(true));
 			assertThat(holder.current().get().version(), is(9L));
 			assertThat(holder.ageMillis(25), is(15L));
 		}
@@ -77,9 +77,9 @@
 		@Test
 		void olderVersionsAreIgnored() {
 			ConfigHolder holder = new ConfigHolder();
-			holder.applyIfNewer(version(9), 0);
-			assertThat(holder.applyIfNewer(version(3), 10), is(false));
-			assertThat(holder.applyIfNewer(version(9), 10), is(false));
+			holder.applyIfNewer(configOf(9), 0);
+			assertThat(holder.applyIfNewer(configOf(3), 10), is(false));
+			assertThat(holder.applyIfNewer(configOf(9), 10), is(false));
 			assertThat(holder.current().get().version(), is(9L));
 		}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/toml/RecordBinderTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/toml/RecordBinderTests.java
@@ -35,7 +35,7 @@
 	void reportsMissingKeysWithTheAllowedValues() {
 		List<ValidationError> errors = RecordBinder.bind("", Sample.class).getLeft();
 		assertThat(errors.stream().map(ValidationError::toString).toList(),
-				contains("name = absent: must be text of the form " + StringPattern.NAME));
+				contains("name = absent: must be a string that matches " + StringPattern.NAME));
 	}
 
 	@Test
