Make four comments of request, duty and serving exact

They left out a case: entries of a lost offer are also exported again if their state changes, only an owner removes entries by age, a lease must also pass after a node was fenced, and a dispatch that was not sent doesn't count as an execution either.

Check: only comments differ.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/duty/DutyTerm.java
@@ -33,8 +33,8 @@
 
 	/**
 	 * Create a term in which this node doesn't hold the duties.
-	 * @param leaseMillis the time that must pass after the last action of this node
-	 * before it acts under a new claim, in milliseconds
+	 * @param leaseMillis the time that must pass after the last action of this node, or
+	 * after it was fenced, before it claims the duties again, in milliseconds
 	 * @param confirmationValidMillis the time for which a confirmation by the store is
 	 * valid, in milliseconds
 	 */
@@ -75,7 +75,7 @@
 	 * Return whether this node should claim the duties in the store.
 	 * @param nowMillis the current time of the monotonic clock in milliseconds
 	 * @return {@code true} if the node holds the duties without a token and a lease has
-	 * passed since it last acted or an action of it was refused as fenced
+	 * passed since its last action and since it was last fenced
 	 */
 	public boolean shouldClaim(long nowMillis) {
 		return isConfirmedHolder(nowMillis) && this.fencingToken.isEmpty()
--- a/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/request/RequestLedger.java
@@ -20,8 +20,8 @@
  * its request. A commit moves the ownership to one successor. This node gets it back only
  * if the successor refuses the commit; a refusal is final.
  * <p>
- * An entry is removed only after its key has become too old to start a request. A key
- * without an entry counts as new only if it was issued after every removed key, so a
+ * An owner removes an entry only after its key has become too old to start a request. A
+ * key without an entry counts as new only if it was issued after every removed key, so a
  * request is not executed again even if a clock jumps.
  * <p>
  * Not thread-safe.
@@ -185,8 +185,8 @@
 	/**
 	 * Return the entries of owned key spaces that have changed since the previous offer,
 	 * or all of them for the first one, and record them as exported. The receiver must
-	 * pass them to {@link #receiveOffer}. If an offer is lost, its entries reach the
-	 * successor only by {@link #restartOffer} or {@link #fullCommit}.
+	 * pass them to {@link #receiveOffer}. Entries of a lost offer are exported again only
+	 * if their state changes, after {@link #restartOffer}, or by {@link #fullCommit}.
 	 * @return one part for each owned key space, which may have no entries
 	 */
 	public List<KeySpacePart> exportOffer() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
@@ -16,8 +16,8 @@
  * and the latency threshold of rollouts are derived from it
  * @param priority the priority of the requests; 0 is the most urgent
  * @param targets the services that share the requests by weight; at least one
- * @param maxExecutions the maximum number of servers that may execute one attempt,
- * without those that rejected it; values below 1 count as 1
+ * @param maxExecutions the maximum number of servers that may execute one attempt; a
+ * dispatch that was certainly not executed doesn't count, and values below 1 count as 1
  * @param isPublic whether callers need no key
  * @param resumable whether another server may continue a broken stream
  * @param carriesPrompts whether the requests carry prompts for model engines
