Put the reasons of refused changes back, and the reason for an operator

The error of a manifest without operators had lost its reason. It gives one again, and a true one: bootstrap operators could still change such a manifest, so "nobody" alone wasn't.

No test compares the reasons or this error word for word.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
@@ -19,8 +19,9 @@
  * The configuration that results from the records of the configuration stream up to an
  * offset. Records must be applied in the order of their offsets; a record at or below the
  * offset is ignored, so one that arrives out of order is lost. Nodes that have applied
- * the same records in this order hold equal states, however often they received them.
- * Instances are immutable.
+ * the same records in this order hold equal states, however often they received them. The
+ * reasons of refused changes are stored in snapshots, which nodes of two versions may
+ * read side by side. Instances are immutable.
  */
 public final class ConfigState {
 
@@ -132,15 +133,13 @@
 
 	private Either<String, Manifest> decide(ConfigRecord change) {
 		if (change.baseOffset() != this.acceptedOffset) {
-			return Either
-				.left("the change is based on offset " + change.baseOffset() + " but " + describeChangeInForce());
+			return Either.left("made against offset " + change.baseOffset() + " but " + describeChangeInForce());
 		}
 		if (!mayPublish(change.operator())) {
-			return Either.left("operator " + change.operator()
-					+ " may not publish: only operators that the configuration in force names may, or a bootstrap operator if it names none");
+			return Either.left("operator " + change.operator() + " isn't named by the configuration in force");
 		}
 		if (!Digests.sha256(change.manifest()).equals(change.digest())) {
-			return Either.left("the SHA-256 digest of the manifest is not " + change.digest() + " as stated");
+			return Either.left("the digest doesn't match the manifest");
 		}
 		return ManifestReader.read(change.manifest()).mapLeft(ConfigState::describe);
 	}
@@ -148,9 +147,9 @@
 	private String describeChangeInForce() {
 		return this.verdicts.values()
 			.find((verdict) -> verdict.offset() == this.acceptedOffset)
-			.map((verdict) -> "change " + verdict.id() + " by " + verdict.operator()
-					+ " is in force, accepted at offset " + verdict.offset())
-			.getOrElse("the configuration in force has offset " + this.acceptedOffset);
+			.map((verdict) -> "change " + verdict.id() + " by " + verdict.operator() + " is in force since offset "
+					+ verdict.offset())
+			.getOrElse("offset " + this.acceptedOffset + " is in force");
 	}
 
 	private boolean mayPublish(String operator) {
@@ -161,7 +160,7 @@
 	}
 
 	private static String describe(List<ValidationError> errors) {
-		return errors.size() + " errors, the first is: " + errors.get(0);
+		return errors.size() + " faults, first " + errors.get(0);
 	}
 
 	private static Map<String, ConfigVerdict> dropOldestIfTooMany(Map<String, ConfigVerdict> verdicts) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/manifest/ManifestReader.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/manifest/ManifestReader.java
@@ -55,7 +55,8 @@
 		if (manifest.operator().isEmpty()) {
 			// Only bootstrap operators, if any, could change a manifest without
 			// operators.
-			errors.add(new ValidationError("operator", "absent", "at least one operator"));
+			errors.add(new ValidationError("operator", "absent",
+					"at least one operator, because otherwise nobody but bootstrap operators could change the manifest"));
 		}
 		return errors.isEmpty() ? Either.right(manifest) : Either.left(List.copyOf(errors));
 	}
