--- a/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/config/ConfigState.java
@@ -17,9 +17,11 @@
 
 /**
  * The configuration that results from the records of the configuration stream up to an
- * offset. Records are applied in the order of their offsets. Nodes that have applied the
- * same records hold equal states, however often and in whatever order they received them.
- * Instances are immutable.
+ * offset. Records must be applied in the order of their offsets; a record at or below the
+ * offset is ignored, so one that arrives out of order is lost. Nodes that have applied
+ * the same records in this order hold equal states, however often they received them. The
+ * reasons of refused changes are stored in snapshots, which nodes of two versions may
+ * read side by side. Instances are immutable.
  */
 public final class ConfigState {
 
@@ -86,7 +88,7 @@
 	}
 
 	/**
-	 * Skip a record that is no valid change, so that it doesn't block the records after
+	 * Skip a record that isn't a valid change, so that it doesn't block the records after
 	 * it.
 	 * @param offset the offset of the record in the stream
 	 * @return the state after the record; this state if it already covers the offset
@@ -157,8 +159,8 @@
 		return this.manifest.operator().stream().map(Operator::name).anyMatch(operator::equals);
 	}
 
-	private static String describe(List<ValidationError> faults) {
-		return faults.size() + " faults, first " + faults.get(0);
+	private static String describe(List<ValidationError> errors) {
+		return errors.size() + " faults, first " + errors.get(0);
 	}
 
 	private static Map<String, ConfigVerdict> dropOldestIfTooMany(Map<String, ConfigVerdict> verdicts) {
