Correct comments and names in the servers package

Several comments needed two readings or were not true of the code: the id of a registration survives a restart, the preferred server of a prefix is the one that is to cache it, and the queue that a server reports holds the requests of all nodes. The comment of the property test promised listings older than the records already read; it now says what the test does.

Inside the package, revision is renamed to offset, as callers pass offsets of the store, othersWaiting to queuedRequests, isExpired to isGracePeriodOver and excess to requestsOverSlots. A penalty is described as a delay that is added rather than charged.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/Distance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/Distance.java
@@ -2,8 +2,8 @@
 
 /**
  * Network distance between an entry node and a backend server, with the delay that the
- * server selection charges for it. The delays are the round-trip times of the users' data
- * sheets plus the price of the traffic, converted to a delay.
+ * server selection adds for it. The delay is the round-trip time plus the price of the
+ * traffic, converted to a delay.
  */
 public enum Distance {
 
@@ -23,7 +23,7 @@
 	}
 
 	/**
-	 * Return the delay that the server selection charges for the distance.
+	 * Return the delay that the server selection adds for the distance.
 	 * @return the delay in milliseconds
 	 */
 	public double costMillis() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -4,7 +4,7 @@
  * Registered backend server, with its load, health and prompt cache as estimated by this
  * node.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class KnownServer {
 
@@ -18,33 +18,33 @@
 
 	private ServerRegistration registration;
 
-	private long revision;
+	private long offset;
 
 	private long suspectUntilMillis = NOT_SUSPECT;
 
 	private boolean removed;
 
-	KnownServer(ServerRegistration registration, long revision) {
+	KnownServer(ServerRegistration registration, long offset) {
 		this.registration = registration;
-		this.revision = revision;
+		this.offset = offset;
 	}
 
-	void update(ServerRegistration newRegistration, long newRevision) {
+	void update(ServerRegistration newRegistration, long newOffset) {
 		this.registration = newRegistration;
-		this.revision = newRevision;
+		this.offset = newOffset;
 		this.suspectUntilMillis = NOT_SUSPECT;
 	}
 
-	void markSuspect(long untilMillis, long newRevision) {
+	void markSuspect(long untilMillis, long newOffset) {
 		this.suspectUntilMillis = untilMillis;
-		this.revision = newRevision;
+		this.offset = newOffset;
 	}
 
 	void markRemoved() {
 		this.removed = true;
 	}
 
-	boolean isExpired(long nowMillis) {
+	boolean isGracePeriodOver(long nowMillis) {
 		return nowMillis >= this.suspectUntilMillis;
 	}
 
@@ -59,7 +59,8 @@
 
 	/**
 	 * Return whether the server may get new requests.
-	 * @return {@code true} if it is in the table, suspect or not, and isn't draining
+	 * @return {@code true} if it is in the table and isn't draining; a suspect server may
+	 * get requests, too
 	 */
 	public boolean takesRequests() {
 		return !this.removed && !this.registration.draining();
@@ -82,7 +83,7 @@
 	}
 
 	/**
-	 * Return the health of the server, by the outcome of requests.
+	 * Return the health of the server, estimated from the outcomes of requests.
 	 * @return the live record, updated by its callers
 	 */
 	public ServerHealth health() {
@@ -90,15 +91,15 @@
 	}
 
 	/**
-	 * Return the prompt parts that the server probably has cached.
+	 * Return the estimate of the server's prompt cache.
 	 * @return the live estimate, updated by its callers
 	 */
 	public PromptCacheEstimate promptCache() {
 		return this.promptCache;
 	}
 
-	long revision() {
-		return this.revision;
+	long offset() {
+		return this.offset;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/NodeLocality.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/NodeLocality.java
@@ -7,8 +7,8 @@
  * Availability zone of an entry node, with the regions of all zones.
  *
  * @param zone the node's availability zone
- * @param regionsByZone the region of each zone; a zone without one counts as in another
- * region
+ * @param regionsByZone the region of each zone; a zone without an entry is treated as
+ * part of another region
  */
 public record NodeLocality(String zone, Map<String, String> regionsByZone) {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptCacheEstimate.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptCacheEstimate.java
@@ -7,11 +7,14 @@
  * Estimate of a server's prompt cache: the shared prompt parts that this node sent to the
  * server most recently.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class PromptCacheEstimate {
 
-	/** Bounds the memory per server. An engine caches fewer parts of one node. */
+	/**
+	 * Maximum number of parts to remember for a server. An engine caches fewer parts from
+	 * one node, so older ones can be dropped.
+	 */
 	private static final int MAX_PARTS = 256;
 
 	private final Map<String, Boolean> parts = new LinkedHashMap<>(16, 0.75f, true) {
@@ -25,7 +28,7 @@
 
 	/**
 	 * Record that a prompt was sent to the server.
-	 * @param prompt its shared parts are taken as cached
+	 * @param prompt the prompt, whose shared parts count as cached from now on
 	 */
 	public void record(PromptMetadata prompt) {
 		prompt.sharedPrefix().forEach((part) -> this.parts.put(part.id(), Boolean.TRUE));
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptMetadata.java
@@ -29,7 +29,8 @@
 	}
 
 	/**
-	 * Return the tokens that the request is charged with.
+	 * Return the maximum number of tokens that the request uses. The quota of its account
+	 * is charged with this number.
 	 * @return the prompt tokens plus the maximum number of output tokens
 	 */
 	public long maxTotalTokens() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerHealth.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerHealth.java
@@ -1,9 +1,9 @@
 package io.flamingogap.core.servers;
 
 /**
- * Health of a backend server by the outcome of real requests.
+ * Health of a backend server, estimated from the outcomes of callers' requests.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ServerHealth {
 
@@ -54,7 +54,8 @@
 	}
 
 	/**
-	 * Return the share of failed requests, as a decaying moving average.
+	 * Return the share of failed requests, as a moving average that also decays with
+	 * time.
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return a share from 0 to 1
 	 */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
@@ -8,14 +8,17 @@
  * the other nodes of its zone report, and the totals that the server reported in its last
  * answer.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ServerLoad {
 
-	/** Time constant by which a server's report decays; about the length of a stream. */
+	/** Time constant with which a server's report loses weight. */
 	private static final double REPORT_DECAY_MILLIS = 1_500;
 
-	/** Expiry of a peer's report, since the report of the requests' end may be lost. */
+	/**
+	 * Time after which a peer's report is ignored. The later report that its requests
+	 * ended may be lost.
+	 */
 	private static final long PEER_LOAD_EXPIRY_MILLIS = 2_500;
 
 	private final Map<String, PeerLoad> peerLoads = new HashMap<>();
@@ -26,14 +29,14 @@
 
 	private int othersRunning;
 
-	private int othersWaiting;
+	private int queuedRequests;
 
 	private long reportedAtMillis;
 
 	/**
 	 * Record that this node sent a request.
-	 * @param promptTokens the prompt tokens that the server has to read, without cached
-	 * ones
+	 * @param promptTokens the prompt tokens that the server has to read because it hasn't
+	 * cached them
 	 */
 	public void recordSent(long promptTokens) {
 		this.openRequests++;
@@ -58,17 +61,17 @@
 	/**
 	 * Record the load that the server reported in an answer.
 	 * @param running the requests that the server runs, from all nodes
-	 * @param waiting the requests in the server's queue
+	 * @param waiting the requests in the server's queue, from all nodes
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void recordReport(int running, int waiting, long nowMillis) {
 		this.othersRunning = Math.max(0, running - this.openRequests);
-		this.othersWaiting = waiting;
+		this.queuedRequests = waiting;
 		this.reportedAtMillis = nowMillis;
 	}
 
 	/**
-	 * Record the load that another node reports to have put on the server.
+	 * Record the report of another node about its requests at the server.
 	 * @param node the name of the node
 	 * @param openRequestCount the node's open requests at the server
 	 * @param tokens the prompt tokens that the node sent and the server has not read yet
@@ -92,17 +95,17 @@
 	 * @return the number of requests, which may be fractional
 	 */
 	public double estimateOpenRequests(long nowMillis) {
-		double reported = (this.othersRunning + this.othersWaiting) * reportWeight(nowMillis);
+		double reported = (this.othersRunning + this.queuedRequests) * reportWeight(nowMillis);
 		return this.openRequests + Math.max(peerOpenRequests(nowMillis), reported);
 	}
 
 	/**
-	 * Estimate the requests in the server's queue by its last report.
+	 * Estimate the requests in the server's queue from its last report.
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the number of requests, which may be fractional
 	 */
 	public double estimateWaiting(long nowMillis) {
-		return this.othersWaiting * reportWeight(nowMillis);
+		return this.queuedRequests * reportWeight(nowMillis);
 	}
 
 	private double reportWeight(long nowMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
@@ -7,7 +7,7 @@
 /**
  * Record that a backend server registers about itself.
  *
- * @param id identifies this run of the server
+ * @param id the id of the server, which may stay the same after a restart
  * @param service the service that the server belongs to
  * @param address where the server takes requests
  * @param zone the availability zone
@@ -34,8 +34,8 @@
 	/**
 	 * Return whether another registration is of the same run of the server.
 	 * @param other a registration with the same id
-	 * @return {@code false} if the server restarted in between or has another address;
-	 * what was known of its load and caches doesn't hold any more
+	 * @return {@code false} if the server restarted in between or has another address, so
+	 * that the estimates of its load, health and cache are no longer valid
 	 */
 	boolean isSameRun(ServerRegistration other) {
 		return this.startedAtMillis == other.startedAtMillis && this.address.equals(other.address);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -13,25 +13,29 @@
 public final class ServerSelector {
 
 	/**
-	 * Prompt tokens that an engine reads per millisecond, from the users' data sheets.
+	 * Prompt tokens that an engine reads per millisecond; the same speed as in the
+	 * capacity planner.
 	 */
 	private static final double PROMPT_TOKENS_PER_MILLI = 66.2;
 
-	/** Delay that each open request adds to the others of its batch. */
+	/**
+	 * Delay that each open request of a server adds to a new one, as the engine processes
+	 * them in one batch.
+	 */
 	private static final double OPEN_REQUEST_COST_MILLIS = 2;
 
-	/** Delay that each request waiting for a slot adds. */
+	/** Delay that each request waiting for a slot adds to a new one. */
 	private static final double WAITING_COST_MILLIS = 40;
 
-	/** Delay charged to a server that fails all of its requests. */
+	/** Delay added for a server that fails all of its requests. */
 	private static final double FAILURE_COST_MILLIS = 1_500;
 
 	/**
-	 * Delay charged to a server whose registration ended while the store was disrupted.
+	 * Delay added for a server whose registration ended while the store was disrupted.
 	 */
 	private static final double SUSPECT_COST_MILLIS = 200;
 
-	/** Delay charged to a server that couldn't be reached a short time ago. */
+	/** Delay added for a server that couldn't be reached a short time ago. */
 	private static final double UNREACHABLE_COST_MILLIS = 5_000;
 
 	/** Estimated open requests per slot at which a server counts as full. */
@@ -80,13 +84,14 @@
 	private double costMillis(KnownServer server, PromptMetadata prompt, boolean isPreferred, long nowMillis) {
 		ServerLoad load = server.load();
 		double open = load.estimateOpenRequests(nowMillis);
-		double excess = Math.max(0, open + 1 - server.registration().slots());
+		double requestsOverSlots = Math.max(0, open + 1 - server.registration().slots());
 		long sharedTokens = prompt.sharedPrefix().stream().mapToLong(PromptPart::tokens).sum();
+		// The preferred server is expected to have the whole shared prefix cached.
 		long cachedTokens = isPreferred ? sharedTokens : server.promptCache().estimateCachedTokens(prompt);
 		double readMillis = (load.estimateUnreadTokens(nowMillis) + Math.max(0, prompt.promptTokens() - cachedTokens))
 				/ PROMPT_TOKENS_PER_MILLI;
 		return readMillis + open * OPEN_REQUEST_COST_MILLIS
-				+ (excess + load.estimateWaiting(nowMillis)) * WAITING_COST_MILLIS
+				+ (requestsOverSlots + load.estimateWaiting(nowMillis)) * WAITING_COST_MILLIS
 				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
 				+ (server.isSuspect() ? SUSPECT_COST_MILLIS : 0)
 				+ (server.health().isAvoided(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
@@ -94,12 +99,13 @@
 	}
 
 	/**
-	 * Find the server of this zone that caches a prompt's shared prefix, by rendezvous
-	 * hashing of the id of the prefix's last part.
+	 * Find the server of this zone that is to cache a prompt's shared prefix, by
+	 * rendezvous hashing of the id of the prefix's last part. It may not have the prefix
+	 * cached yet.
 	 * @param servers the servers of the service
 	 * @param prompt the prompt
-	 * @return the id of the server; empty if the prompt has no shared prefix or the zone
-	 * has no server that takes requests
+	 * @return the id of the server; an empty string if the prompt has no shared prefix or
+	 * the zone has no server that takes requests
 	 */
 	private String findPreferredServer(Collection<KnownServer> servers, PromptMetadata prompt) {
 		List<PromptPart> shared = prompt.sharedPrefix();
@@ -123,9 +129,10 @@
 	}
 
 	/**
-	 * Spread each input bit over the result, with the finalizer of MurmurHash3.
-	 * @param value the bits to mix
-	 * @return the mixed bits
+	 * Mix the bits of a value with the finalizer of MurmurHash3, so that each input bit
+	 * affects every bit of the result.
+	 * @param value the value to mix
+	 * @return the mixed value
 	 */
 	private static int mix(int value) {
 		int mixed = value;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -12,7 +12,7 @@
  * store was disrupted stays usable for a grace period as a suspect, since a live server
  * registers again.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ServerTable {
 
@@ -21,45 +21,47 @@
 	private final Map<String, List<KnownServer>> byService = new HashMap<>();
 
 	/**
-	 * Apply a registration.
+	 * Add a server, or update its record. The estimates of its load, health and cache are
+	 * kept unless it has restarted or has another address.
 	 * @param registration the record of the server
-	 * @param revision the position of the record in the store; a record that isn't newer
-	 * than the known one is ignored
+	 * @param offset the offset of the record in the store; a record that isn't newer than
+	 * the known one is ignored
 	 * @return {@code true} if the server is new, has restarted or has another address,
 	 * was suspect, or began or ended draining
 	 */
-	public boolean register(ServerRegistration registration, long revision) {
+	public boolean register(ServerRegistration registration, long offset) {
 		KnownServer known = this.servers.get(registration.id());
-		if (known != null && revision <= known.revision()) {
+		if (known != null && offset <= known.offset()) {
 			return false;
 		}
 		if (known == null || !known.registration().isSameRun(registration)) {
 			remove(registration.id());
-			add(new KnownServer(registration, revision));
+			add(new KnownServer(registration, offset));
 			return true;
 		}
 		boolean changed = known.registration().draining() != registration.draining() || known.isSuspect();
-		known.update(registration, revision);
+		known.update(registration, offset);
 		return changed;
 	}
 
 	/**
-	 * Apply the end of a registration.
+	 * Remove a server whose registration ended, or mark it as suspect.
 	 * @param id the id of the server
-	 * @param revision the position of the removal in the store
-	 * @param suspectUntilMillis until when the server is kept as a suspect; a time in the
-	 * past removes it at once. A draining server is always removed at once.
+	 * @param offset the offset of the removal in the store
+	 * @param suspectUntilMillis the time until which the server is kept as a suspect, by
+	 * the same clock as {@code nowMillis}; a time in the past removes it at once. A
+	 * draining server is always removed at once.
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
-	 * @return {@code true} if the server was known and the removal is newer than its
-	 * registration
+	 * @return {@code true} if the server was known and the removal is newer than the last
+	 * record of it
 	 */
-	public boolean unregister(String id, long revision, long suspectUntilMillis, long nowMillis) {
+	public boolean unregister(String id, long offset, long suspectUntilMillis, long nowMillis) {
 		KnownServer known = this.servers.get(id);
-		if (known == null || revision <= known.revision()) {
+		if (known == null || offset <= known.offset()) {
 			return false;
 		}
 		if (suspectUntilMillis > nowMillis && !known.registration().draining()) {
-			known.markSuspect(suspectUntilMillis, revision);
+			known.markSuspect(suspectUntilMillis, offset);
 		}
 		else {
 			remove(id);
@@ -70,17 +72,17 @@
 	/**
 	 * End the registrations that a complete listing of the store doesn't contain.
 	 * @param listed the ids of the listed servers
-	 * @param revision the position in the store at which the listing was taken; newer
+	 * @param offset the offset in the store at which the listing was taken; newer
 	 * registrations stay
-	 * @param suspectUntilMillis until when servers are kept as suspects, as in
+	 * @param suspectUntilMillis the time until which servers are kept as suspects, as in
 	 * {@link #unregister}
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	public void retain(Set<String> listed, long revision, long suspectUntilMillis, long nowMillis) {
+	public void retain(Set<String> listed, long offset, long suspectUntilMillis, long nowMillis) {
 		List.copyOf(this.servers.keySet())
 			.stream()
 			.filter((id) -> !listed.contains(id))
-			.forEach((id) -> unregister(id, revision, suspectUntilMillis, nowMillis));
+			.forEach((id) -> unregister(id, offset, suspectUntilMillis, nowMillis));
 	}
 
 	/**
@@ -91,7 +93,7 @@
 	public List<String> expire(long nowMillis) {
 		List<String> expired = new ArrayList<>();
 		this.servers.forEach((id, known) -> {
-			if (known.isExpired(nowMillis)) {
+			if (known.isGracePeriodOver(nowMillis)) {
 				expired.add(id);
 			}
 		});
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
@@ -18,8 +18,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Property tests of {@link ServerTable}: records that arrive repeated, and listings that
- * are older than the records already read.
+ * Property tests of {@link ServerTable}: records that arrive more than once, and complete
+ * listings between them.
  */
 class ServerTablePropertyTests {
 
@@ -34,13 +34,13 @@
 
 	}
 
-	private static void apply(ServerTable table, String id, State state, long revision) {
+	private static void apply(ServerTable table, String id, State state, long offset) {
 		if (state == State.ENDED) {
-			table.unregister(id, revision, Long.MIN_VALUE, revision);
+			table.unregister(id, offset, Long.MIN_VALUE, offset);
 		}
 		else {
 			table.register(new ServerRegistration(id, "desk", new Address("10.0.0.1", 80), "z1", "v1", 4,
-					state == State.DRAINING, false, 1), revision);
+					state == State.DRAINING, false, 1), offset);
 		}
 	}
 
@@ -71,13 +71,13 @@
 		}
 	}
 
-	private static void applyListing(ServerTable table, Map<String, State> newest, long revision) {
+	private static void applyListing(ServerTable table, Map<String, State> newest, long offset) {
 		Set<String> listed = newest.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue() != State.ENDED)
 			.map(Map.Entry::getKey)
 			.collect(Collectors.toSet());
-		table.retain(listed, revision + 1, Long.MIN_VALUE, revision);
+		table.retain(listed, offset + 1, Long.MIN_VALUE, offset);
 	}
 
 	private static void assertTakesRequests(ServerTable table, Map<String, State> newest) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -16,7 +16,7 @@
  */
 class ServerTableTests {
 
-	private static final long NO_GRACE = 0;
+	private static final long PAST_MILLIS = 0;
 
 	private final ServerTable table = new ServerTable();
 
@@ -55,13 +55,13 @@
 	}
 
 	@Nested
-	class Ends {
+	class RegistrationEnds {
 
 		@Test
 		void endWithoutGracePeriodRemovesTheServerAtOnce() {
 			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			KnownServer server = ServerTableTests.this.table.find("a").get();
-			ServerTableTests.this.table.unregister("a", 2, NO_GRACE, 100);
+			ServerTableTests.this.table.unregister("a", 2, PAST_MILLIS, 100);
 			assertThat(ServerTableTests.this.table.size(), is(0));
 			assertThat(server.takesRequests(), is(false));
 		}
@@ -96,7 +96,7 @@
 		void listingEndsOlderRegistrationsThatItDoesNotContain() {
 			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			ServerTableTests.this.table.register(registration("b", false, 1), 7);
-			ServerTableTests.this.table.retain(Set.of("c"), 5, NO_GRACE, 100);
+			ServerTableTests.this.table.retain(Set.of("c"), 5, PAST_MILLIS, 100);
 			assertThat(ServerTableTests.this.table.find("a").isPresent(), is(false));
 			assertThat(ServerTableTests.this.table.find("b").isPresent(), is(true));
 		}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the server table and of the server selection.
  */
 @NullMarked
 package io.flamingogap.core.servers;
