Correct comments and names in the fleet package

Comments named engines where the code counts servers, and used "by" for what a value is computed from.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityPlanner.java
@@ -14,7 +14,10 @@
  */
 public final class CapacityPlanner {
 
-	/** Prompt tokens that an engine reads per second, from the users' data sheets. */
+	/**
+	 * Prompt tokens that an engine reads per second; the same speed as in the server
+	 * selection.
+	 */
 	private static final double PROMPT_TOKENS_PER_SECOND = 66_200;
 
 	/** Share of an engine's time for reading prompts; the rest generates tokens. */
@@ -23,21 +26,23 @@
 	/** Share of an engine's slots that should be in use at the mean load. */
 	private static final double SLOT_UTILIZATION = 0.4;
 
-	/** Fewer engines can't serve a burst. */
+	/** Minimum number of servers of a service. Fewer can't serve a burst of requests. */
 	private static final int MIN_SERVERS = 6;
 
-	/** Full-price servers that stay in case all reclaimable ones are reclaimed. */
+	/**
+	 * Minimum number of full-price servers, in case all reclaimable ones are reclaimed.
+	 */
 	private static final int MIN_FULL_PRICE_SERVERS = 2;
 
 	private CapacityPlanner() {
 	}
 
 	/**
-	 * Estimate how many engines the callers' demand needs.
+	 * Estimate how many servers the callers' demand needs.
 	 * @param promptTokensPerSecond the rate at which prompt tokens arrive
 	 * @param openRequests the number of open requests
-	 * @param slots the slots of one engine
-	 * @return the number of engines, at least the minimum for a burst
+	 * @param slots the slots of one server
+	 * @return the number of servers, at least the minimum for a burst
 	 */
 	public static int estimateServers(double promptTokensPerSecond, double openRequests, int slots) {
 		double byPrompts = promptTokensPerSecond / PROMPT_TOKENS_PER_SECOND / PROMPT_UTILIZATION;
@@ -46,15 +51,15 @@
 	}
 
 	/**
-	 * Plan the servers of a service. While some zone refuses reclaimable servers, the
-	 * zone with the most of them may be reclaimed next. Full-price servers then replace
-	 * that zone in advance, and no reclaimable server is released.
+	 * Plan the servers of a service. While reclaimable servers are exhausted in some
+	 * zone, the zone that has the most of them may be reclaimed next. Full-price servers
+	 * then replace its servers in advance, and no reclaimable server is released.
 	 * @param service the name of the service
 	 * @param bounds the limits of orders, and the prices by zone
 	 * @param desired the number of servers that the demand needs
-	 * @param supply the reclaimable servers, and the zones that have no more
-	 * @return a row for each zone and kind, without reclaimable servers in exhausted
-	 * zones
+	 * @param supply the reclaimable servers, and the zones where no more can be ordered
+	 * @return a plan for each zone and kind; an exhausted zone has none for reclaimable
+	 * servers, so that their number isn't changed
 	 */
 	public static List<ServerPlan> plan(String service, ScaleBounds bounds, DesiredCapacity desired,
 			ServerSupply supply) {
@@ -62,14 +67,14 @@
 		zones.sort(Comparator.comparingDouble((String zone) -> bounds.zonePrices().get(zone))
 			.thenComparing(Comparator.naturalOrder()));
 		Map<String, Integer> reclaimable = planReclaimable(zones, bounds, desired.target(), supply);
-		Map<String, Integer> freePlaces = new HashMap<>();
+		Map<String, Integer> maxFullPriceByZone = new HashMap<>();
 		for (String zone : zones) {
-			int reclaimableCount = Math.max(supply.readyOrBooting(zone), reclaimable.getOrDefault(zone, 0));
-			int free = Math.max(0, bounds.maxPerZone() - reclaimableCount);
-			freePlaces.put(zone, Math.min(free, supply.fullPriceLimits().getOrDefault(zone, free)));
+			int reclaimableCount = Math.max(supply.countReadyOrBooting(zone), reclaimable.getOrDefault(zone, 0));
+			int room = Math.max(0, bounds.maxPerZone() - reclaimableCount);
+			maxFullPriceByZone.put(zone, Math.min(room, supply.fullPriceLimits().getOrDefault(zone, room)));
 		}
 		Map<String, Integer> fullPrice = fillCheapestFirst(zones, countFullPriceServers(bounds, desired, supply),
-				freePlaces);
+				maxFullPriceByZone);
 		List<ServerPlan> plan = new ArrayList<>();
 		for (String zone : zones) {
 			int fullPriceCount = fullPrice.get(zone);
@@ -91,22 +96,22 @@
 	 */
 	public static int countFullPriceServers(ScaleBounds bounds, DesiredCapacity desired, ServerSupply supply) {
 		return Math.max(MIN_FULL_PRICE_SERVERS,
-				desired.required() - supply.countDependable(bounds.zonePrices().keySet()));
+				desired.required() - supply.countAfterNextReclaim(bounds.zonePrices().keySet()));
 	}
 
 	private static Map<String, Integer> planReclaimable(List<String> zones, ScaleBounds bounds, int target,
 			ServerSupply supply) {
-		List<String> openZones = zones.stream().filter((zone) -> !supply.exhaustedZones().contains(zone)).toList();
-		int perZone = reclaimablePerZone(bounds, target, openZones.size());
+		List<String> availableZones = zones.stream().filter((zone) -> !supply.exhaustedZones().contains(zone)).toList();
+		int perZone = reclaimablePerZone(bounds, target, availableZones.size());
 		Map<String, Integer> planned = new HashMap<>();
-		for (String zone : openZones) {
-			planned.put(zone, supply.isScarce() ? Math.max(perZone, supply.readyOrBooting(zone)) : perZone);
+		for (String zone : availableZones) {
+			planned.put(zone, supply.isScarce() ? Math.max(perZone, supply.countReadyOrBooting(zone)) : perZone);
 		}
 		return planned;
 	}
 
-	private static int reclaimablePerZone(ScaleBounds bounds, int target, int openZoneCount) {
-		int zonesAfterLoss = Math.max(1, openZoneCount - 1);
+	private static int reclaimablePerZone(ScaleBounds bounds, int target, int availableZoneCount) {
+		int zonesAfterLoss = Math.max(1, availableZoneCount - 1);
 		return Math.min(bounds.maxPerZone(), (target + zonesAfterLoss - 1) / zonesAfterLoss);
 	}
 
@@ -114,15 +119,15 @@
 	 * Distribute servers over zones, filling the cheapest zone first.
 	 * @param zones the zones, the cheapest first
 	 * @param servers the number of servers to distribute
-	 * @param freePlaces the maximum number of servers, by zone
-	 * @return servers by zone; fewer in all if the places don't suffice
+	 * @param maxByZone the maximum number of servers, by zone
+	 * @return the servers by zone; fewer in all if the zones can't hold more
 	 */
 	private static Map<String, Integer> fillCheapestFirst(List<String> zones, int servers,
-			Map<String, Integer> freePlaces) {
+			Map<String, Integer> maxByZone) {
 		Map<String, Integer> filled = new HashMap<>();
 		int left = servers;
 		for (String zone : zones) {
-			int here = Math.min(left, freePlaces.get(zone));
+			int here = Math.min(left, maxByZone.get(zone));
 			filled.put(zone, here);
 			left -= here;
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
@@ -1,10 +1,10 @@
 package io.flamingogap.core.fleet;
 
 /**
- * Follows the number of servers that a service needs. It scales up at once and down one
- * by one, each time after a stabilization period.
+ * Computes the target number of servers of a service from its demand. The target rises at
+ * once and falls by one server at a time, each time after a stabilization period.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class CapacityStabilizer {
 
@@ -13,7 +13,9 @@
 	 */
 	private static final int INITIAL_TARGET = 10;
 
-	/** A smaller target must suffice for this long before it falls by one server. */
+	/**
+	 * Time for which fewer servers must suffice before the target is lowered by one.
+	 */
 	private static final long SCALE_DOWN_AFTER_MILLIS = 12_000;
 
 	private int target = INITIAL_TARGET;
@@ -26,17 +28,17 @@
 
 	/**
 	 * Create a stabilizer at the initial target.
-	 * @param idle whether it is known that the service has had no requests yet
+	 * @param knownUnused whether it is known that the service has never had a request
 	 */
-	public CapacityStabilizer(boolean idle) {
-		this.hadRequests = !idle;
+	public CapacityStabilizer(boolean knownUnused) {
+		this.hadRequests = !knownUnused;
 	}
 
 	/**
-	 * Update the target by the current demand.
+	 * Update the target from the current demand.
 	 * @param promptTokensPerSecond the rate at which prompt tokens arrive
 	 * @param openRequests the number of open requests
-	 * @param slots the slots of one engine
+	 * @param slots the slots of one server
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the number of servers that the service should have
 	 */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -12,14 +12,16 @@
 import io.flamingogap.core.quota.FleetDemand;
 
 /**
- * View of the fleet of entry nodes by their reports. A node without a recent report isn't
- * offered to callers, but the usage that it counted stays.
+ * The fleet of entry nodes as their reports describe it. A node without a recent report
+ * isn't offered to callers, but the usage that it reported still counts.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class FleetView implements FleetDemand {
 
-	/** Reports that a node may miss before it counts as silent. */
+	/**
+	 * Number of report intervals without a report after which a node counts as silent.
+	 */
 	private static final int MISSED_REPORTS = 3;
 
 	private final Map<String, TimedReport> lastReports = new HashMap<>();
@@ -44,7 +46,7 @@
 
 	/**
 	 * Record a report.
-	 * @param report a report of any node and run, also of this node
+	 * @param report a report of any run of any node, which may be this node
 	 * @param reportedAtMillis the time of the report by the monotonic clock of this node,
 	 * in milliseconds
 	 */
@@ -68,7 +70,7 @@
 	}
 
 	/**
-	 * Set the time by which reports count as recent.
+	 * Set the current time, from which the age of the reports is measured.
 	 * @param millis the current time of a monotonic clock, in milliseconds
 	 */
 	public void setCurrentTime(long millis) {
@@ -76,7 +78,7 @@
 	}
 
 	/**
-	 * Remove a node. The usage that it reported stays.
+	 * Remove a node. The usage that it reported still counts.
 	 * @param name the name of the node, which may be unknown
 	 */
 	public void forget(String name) {
@@ -120,15 +122,14 @@
 	}
 
 	/**
-	 * Return the nodes that have been silent for longer than a time.
-	 * @param removedMillis the time in milliseconds after which a node is taken as
-	 * removed
+	 * Return the nodes whose last report is older than a time.
+	 * @param silentMillis the time without a report, in milliseconds
 	 * @return the names of the nodes
 	 */
-	public List<String> nodesSilentLongerThan(long removedMillis) {
+	public List<String> nodesSilentLongerThan(long silentMillis) {
 		return this.lastReports.entrySet()
 			.stream()
-			.filter((entry) -> this.nowMillis - entry.getValue().reportedAtMillis > removedMillis)
+			.filter((entry) -> this.nowMillis - entry.getValue().reportedAtMillis > silentMillis)
 			.map(Map.Entry::getKey)
 			.toList();
 	}
@@ -136,7 +137,7 @@
 	/**
 	 * Return whether each known node has reported since a time.
 	 * @param sinceMillis the time by a monotonic clock, in milliseconds
-	 * @return {@code true} if the last report of no node is older
+	 * @return {@code true} if no node's last report is older
 	 */
 	public boolean allReportedSince(long sinceMillis) {
 		return this.lastReports.values().stream().allMatch((timed) -> timed.reportedAtMillis >= sinceMillis);
@@ -157,8 +158,8 @@
 	}
 
 	/**
-	 * Count silent nodes too until they are removed, so that a node that receives no
-	 * reports doesn't take the whole quota for itself.
+	 * Count silent nodes as well until they are removed. Otherwise a node that receives
+	 * no reports would use the whole quota.
 	 */
 	@Override
 	public int nodes() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerSupply.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/ServerSupply.java
@@ -11,9 +11,9 @@
  * @param ready the reclaimable servers that take requests, by zone
  * @param booting the reclaimable servers that were granted and will take requests soon,
  * by zone
- * @param exhaustedZones the zones that have no more reclaimable servers now
- * @param fullPriceLimits the maximum number of full-price servers by zone, for the zones
- * that have no more of them now
+ * @param exhaustedZones the zones where no more reclaimable servers can be ordered now
+ * @param fullPriceLimits for each zone where no more full-price servers can be ordered
+ * now: the number of them that it may have; other zones have no entry
  */
 public record ServerSupply(Map<String, Integer> ready, Map<String, Integer> booting, Set<String> exhaustedZones,
 		Map<String, Integer> fullPriceLimits) {
@@ -33,28 +33,29 @@
 		return new ServerSupply(this.ready, Map.of(), this.exhaustedZones, this.fullPriceLimits);
 	}
 
-	int readyOrBooting(String zone) {
+	int countReadyOrBooting(String zone) {
 		return this.ready.getOrDefault(zone, 0) + this.booting.getOrDefault(zone, 0);
 	}
 
 	/**
-	 * Return whether reclaimed servers can't be replaced in some zone.
-	 * @return {@code true} if a zone has no more reclaimable servers
+	 * Return whether reclaimable servers are scarce, so that a reclaimed one may not be
+	 * replaced.
+	 * @return {@code true} if some zone is exhausted
 	 */
 	boolean isScarce() {
 		return !this.exhaustedZones.isEmpty();
 	}
 
 	/**
-	 * Return the number of servers that would be left if a zone was reclaimed next. While
-	 * servers are scarce, those of the zone with the most don't count; otherwise they can
-	 * be replaced and all count.
+	 * Return the number of servers to rely on if a zone is reclaimed next. While servers
+	 * are scarce, those of the zone with the most aren't counted. Otherwise reclaimed
+	 * servers can be replaced, and all are counted.
 	 * @param zones the zones to count in
 	 * @return the number of reclaimable servers, ready or booting
 	 */
-	int countDependable(Collection<String> zones) {
-		int all = zones.stream().mapToInt(this::readyOrBooting).sum();
-		int most = zones.stream().mapToInt(this::readyOrBooting).max().orElse(0);
+	int countAfterNextReclaim(Collection<String> zones) {
+		int all = zones.stream().mapToInt(this::countReadyOrBooting).sum();
+		int most = zones.stream().mapToInt(this::countReadyOrBooting).max().orElse(0);
 		return isScarce() ? all - most : all;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/package-info.java
@@ -1,6 +1,6 @@
 /**
  * Reports of entry nodes, the view of the fleet that they give, and the planning of how
- * many backend servers to order.
+ * many backend servers to order. Used by the gateway.
  */
 @NullMarked
 package io.flamingogap.core.fleet;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityPlannerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityPlannerTests.java
@@ -33,8 +33,9 @@
 		return plan.stream().filter(ServerPlan::reclaimable).mapToInt(ServerPlan::servers).sum();
 	}
 
-	private static List<ServerPlan> plan(int need, Map<String, Integer> ready, Set<String> exhaustedZones) {
-		return plan(new DesiredCapacity(need, need), new ServerSupply(ready, Map.of(), exhaustedZones, Map.of()));
+	private static List<ServerPlan> plan(int desiredServers, Map<String, Integer> ready, Set<String> exhaustedZones) {
+		return plan(new DesiredCapacity(desiredServers, desiredServers),
+				new ServerSupply(ready, Map.of(), exhaustedZones, Map.of()));
 	}
 
 	private static List<ServerPlan> plan(DesiredCapacity desired, ServerSupply supply) {
@@ -99,7 +100,7 @@
 		}
 
 		@Test
-		void reclaimableServersKeepTheirPlaces() {
+		void fullPriceServersLeaveRoomForTheReclaimableOnes() {
 			List<ServerPlan> plan = plan(36, this.ready, Set.of("dear", "middle", "cheap"));
 			this.ready.forEach((zone, servers) -> assertThat(servers + servers(plan, false, zone),
 					lessThanOrEqualTo(BOUNDS.maxPerZone())));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -35,7 +35,7 @@
 	}
 
 	@Nested
-	class Directory {
+	class CallerAddresses {
 
 		private final NodeReport own = report("self", 1, "z1", 1, true, Map.of());
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the fleet view, the fleet clock and the capacity planning.
  */
 @NullMarked
 package io.flamingogap.core.fleet;
