Correct comments and names in the quota package

The comment on the negative levels of a bucket named a condition without saying how the share affects it; the comment on demand reports took several readings. Both now say what happens and why. "By" and "units that admit" were replaced by what is computed. The tests no longer say where their figures come from.

Inside the package: knownToAll is renamed to reportedBeforeLast, as receipt is expected and not checked; QuotaBucket.refund, which also took units away, to add; QuotaTolerance.ratePerSecond to extraRatePerSecond, as it is added to the rate of the quota. One test name says what it checks.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/DemandMeter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/DemandMeter.java
@@ -4,11 +4,11 @@
  * Moving average of the units per second that callers of an account request from this
  * node.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 final class DemandMeter {
 
-	/** Time constant of the average; spans a few reports between nodes. */
+	/** Time constant of the average. It spans a few reports between nodes. */
 	private static final double TIME_CONSTANT_MILLIS = 3_000;
 
 	private double unitsPerSecond;
@@ -21,8 +21,9 @@
 	}
 
 	/**
-	 * Continue from an average measured by another run, unless the own one is higher.
-	 * @param minUnitsPerSecond the average measured before
+	 * Continue from the average of the node's previous run, unless that of this run is
+	 * higher.
+	 * @param minUnitsPerSecond the average of the previous run
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	void raiseTo(double minUnitsPerSecond, long nowMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetDemand.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetDemand.java
@@ -14,7 +14,7 @@
 	/**
 	 * Return the demand of an account's callers at the other nodes.
 	 * @param account the name of the account
-	 * @return the units per second, 0 if none are reported
+	 * @return the units per second; 0 if no node reports any
 	 */
 	double otherNodesUnitsPerSecond(String account);
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaBucket.java
@@ -5,15 +5,16 @@
  * the capacity passes once the level reaches that half, and may leave a negative level.
  * Otherwise a small share could never admit it.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 final class QuotaBucket {
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	/**
-	 * Share of the capacity that suffices to admit a request of any size. The negative
-	 * levels of all nodes together must stay within the tolerance of the quota.
+	 * Share of the capacity that suffices to admit a request of any size. A smaller share
+	 * allows lower negative levels, and their sum over all nodes must stay within the
+	 * tolerance of the quota.
 	 */
 	private static final double SUFFICIENT_SHARE = 0.5;
 
@@ -58,14 +59,14 @@
 		return this.level;
 	}
 
-	void refund(long cost) {
-		this.level += cost;
+	void add(long units) {
+		this.level += units;
 	}
 
 	/**
-	 * Return the units missing to admit a request.
+	 * Return how many more units the bucket needs to admit a request.
 	 * @param cost the units that the request uses
-	 * @return the missing units, 0 if the request is admitted
+	 * @return the missing units; 0 if the request would be admitted
 	 */
 	long missingUnits(long cost) {
 		double required = Math.min(cost, this.capacity * SUFFICIENT_SHARE);
@@ -75,7 +76,7 @@
 	/**
 	 * Return the time until the bucket admits a request.
 	 * @param cost the units that the request uses
-	 * @return the time in milliseconds, 0 if the request is admitted now
+	 * @return the time in milliseconds; 0 if the request would be admitted now
 	 */
 	long waitMillis(long cost) {
 		return (long) Math.ceil(missingUnits(cost) / this.ratePerSecond * MILLIS_PER_SECOND);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaDecision.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaDecision.java
@@ -3,11 +3,11 @@
 /**
  * Decision whether a quota admits a request, with the figures behind it.
  *
- * @param waitMillis 0 if the request is admitted, otherwise the time in milliseconds
- * until it may be
- * @param missingUnits the units that would have admitted the request, 0 if it is admitted
+ * @param waitMillis 0 if the request is admitted, otherwise the time until it can be, in
+ * milliseconds
+ * @param missingUnits how many more units the request needs; 0 if it is admitted
  * @param share this node's share of the quota, from 0 to 1
- * @param ratePerSecond the units by which the share is refilled each second
+ * @param ratePerSecond the units that this node's share gets per second
  * @param availableUnits the units that were left before the request, which may be
  * negative
  */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaLimiter.java
@@ -8,17 +8,21 @@
 
 /**
  * Admits requests within this node's shares of the accounts' quotas. The shares of all
- * nodes add up to one. A part is split evenly, the rest by the demand that nodes report.
- * A node that receives no reports keeps the last ones, so that the sum stays bounded.
+ * nodes add up to one: a part of each quota is split evenly, and the rest in proportion
+ * to the demand that the nodes report. A node that receives no reports keeps using the
+ * last ones, so that the sum stays bounded.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class QuotaLimiter {
 
-	/** Share of each quota that is split evenly, for nodes whose demand just began. */
+	/**
+	 * Share of each quota that is split evenly, so that nodes whose demand has just begun
+	 * get some of it.
+	 */
 	private static final double EVENLY_SPLIT_SHARE = 0.15;
 
-	/** Maximum share of the available units that is lent at once. */
+	/** Maximum share of the available units that one loan takes. */
 	private static final double MAX_LENT_SHARE = 0.5;
 
 	private final Map<String, QuotaBucket> buckets = new HashMap<>();
@@ -26,9 +30,10 @@
 	private final Map<String, DemandMeter> demandMeters = new HashMap<>();
 
 	/**
-	 * Demand in the last report but one, the newest that all other nodes have received.
+	 * Demand in the last report but one. All other nodes are expected to have received
+	 * that report, while the last one may not have arrived yet.
 	 */
-	private Map<String, Long> knownToAll = Map.of();
+	private Map<String, Long> reportedBeforeLast = Map.of();
 
 	private Map<String, Long> lastReport = Map.of();
 
@@ -39,8 +44,9 @@
 	/**
 	 * Create a limiter.
 	 * @param tolerance the excess that is allowed over all nodes
-	 * @param startsFull whether the buckets start with their burst, which the previous
-	 * run of a restarted node may have spent
+	 * @param startsFull whether buckets start full; {@code false} for a restarted node,
+	 * whose previous run may have spent the burst. Its buckets start with the units of
+	 * one second.
 	 */
 	public QuotaLimiter(QuotaTolerance tolerance, boolean startsFull) {
 		this.tolerance = tolerance;
@@ -65,8 +71,7 @@
 	}
 
 	/**
-	 * Admit or refuse a request that was refused before. It isn't counted as demand
-	 * again.
+	 * Try again to admit a request that was refused, without counting it as demand again.
 	 * @param account the account of the caller
 	 * @param cost the units that the request uses
 	 * @param fleet the demand that other nodes report
@@ -75,8 +80,8 @@
 	 */
 	public QuotaDecision retryAdmission(ClientAccount account, long cost, FleetDemand fleet, long nowMillis) {
 		AccountQuota quota = account.quota();
-		double share = share(account.name(), this.knownToAll.getOrDefault(account.name(), 0L), fleet);
-		double rate = (quota.ratePerSecond() + this.tolerance.ratePerSecond(quota)) * share;
+		double share = share(account.name(), this.reportedBeforeLast.getOrDefault(account.name(), 0L), fleet);
+		double rate = (quota.ratePerSecond() + this.tolerance.extraRatePerSecond(quota)) * share;
 		double capacity = quota.burst() * share;
 		QuotaBucket bucket = this.buckets.computeIfAbsent(account.name(),
 				(name) -> new QuotaBucket(this.startsFull ? capacity : rate, nowMillis));
@@ -96,17 +101,17 @@
 	public void refund(ClientAccount account, long cost) {
 		QuotaBucket bucket = this.buckets.get(account.name());
 		if (bucket != null) {
-			bucket.refund(cost);
+			bucket.add(cost);
 		}
 	}
 
 	/**
-	 * Take units out of this node's share for another node.
+	 * Lend units of this node's share to another node.
 	 * @param account the account that the units belong to
 	 * @param units the units that the other node requests
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
-	 * @return the units that were taken; at most half of the available ones, 0 for an
-	 * account that is unlimited or unknown here
+	 * @return the lent units, which this node can no longer spend; at most half of the
+	 * available ones, and 0 for an account that is unlimited or unknown here
 	 */
 	public long lend(ClientAccount account, long units, long nowMillis) {
 		QuotaBucket bucket = this.buckets.get(account.name());
@@ -115,35 +120,36 @@
 		}
 		bucket.refillAtLastRate(nowMillis);
 		long lent = Math.max(0, Math.min(units, (long) (bucket.level() * MAX_LENT_SHARE)));
-		bucket.refund(-lent);
+		bucket.add(-lent);
 		return lent;
 	}
 
 	/**
-	 * Add units that another node lent to this node's share.
+	 * Add units that another node lent to this node.
 	 * @param account the name of the account
 	 * @param units the lent units
 	 */
 	public void receive(String account, long units) {
 		QuotaBucket bucket = this.buckets.get(account);
 		if (bucket != null) {
-			bucket.refund(units);
+			bucket.add(units);
 		}
 	}
 
 	/**
-	 * Restore the demand that the previous run of this node reported and all other nodes
-	 * have received. Without it a restarted node would refuse nearly all requests until
-	 * its second report.
-	 * @param unitsPerSecond the demand of the previous run, by account
+	 * Restore the demand that the previous run of this node reported to the other nodes.
+	 * Otherwise a restarted node would refuse nearly all requests until its second
+	 * report.
+	 * @param unitsPerSecond the demand of the previous run by account, from a report that
+	 * all other nodes have received
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	public void restoreDemand(Map<String, Long> unitsPerSecond, long nowMillis) {
 		unitsPerSecond
 			.forEach((account, units) -> this.demandMeters.computeIfAbsent(account, (name) -> new DemandMeter())
 				.raiseTo(units, nowMillis));
-		this.knownToAll = Map.copyOf(unitsPerSecond);
-		this.lastReport = this.knownToAll;
+		this.reportedBeforeLast = Map.copyOf(unitsPerSecond);
+		this.lastReport = this.reportedBeforeLast;
 	}
 
 	private static double share(String account, double own, FleetDemand fleet) {
@@ -154,9 +160,9 @@
 	}
 
 	/**
-	 * Create the next report of this node's demand. Its own shares then follow the
-	 * previous report: a jump in demand that other nodes don't know yet must not raise
-	 * the share of this node before it lowers theirs.
+	 * Create the next report of this node's demand. From then on this node computes its
+	 * own shares from the report before it. Otherwise a jump in demand would raise the
+	 * share of this node before the other nodes receive the report and lower theirs.
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the units per second, by account
 	 */
@@ -168,7 +174,7 @@
 				report.put(account, perSecond);
 			}
 		});
-		this.knownToAll = this.lastReport;
+		this.reportedBeforeLast = this.lastReport;
 		this.lastReport = report;
 		return report;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
@@ -5,14 +5,15 @@
 /**
  * Maximum by which an account may exceed its quota in a window, over all nodes together.
  *
- * @param share the excess as a share of what the quota allows in a window
- * @param units an additional excess in units, for quotas that count tokens
- * @param windowMillis the length of the window in milliseconds; 0 for no tolerance
+ * @param share the allowed excess, as a share of what the quota allows in a window
+ * @param units the excess allowed on top of the share, in units; it applies only to
+ * quotas that count tokens
+ * @param windowMillis the length of the window in milliseconds; 0 to allow no excess
  */
 public record QuotaTolerance(double share, double units, long windowMillis) {
 
 	/**
-	 * Share of the tolerance that nodes use. The rest is a reserve for late reports.
+	 * Share of the tolerance that nodes use. The rest covers reports that arrive late.
 	 */
 	private static final double USED_SHARE = 0.5;
 
@@ -26,12 +27,12 @@
 	}
 
 	/**
-	 * Return the rate that nodes add to that of a quota. It makes up for the shares of
-	 * nodes to which an account's callers send no requests.
+	 * Return the rate that nodes add to the rate of a quota. It compensates for the
+	 * shares of nodes to which the account's callers send no requests.
 	 * @param quota the quota of the account
 	 * @return the units per second, over all nodes
 	 */
-	double ratePerSecond(AccountQuota quota) {
+	double extraRatePerSecond(AccountQuota quota) {
 		if (this.windowMillis == 0) {
 			return 0;
 		}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Quotas of client accounts, enforced by all entry nodes together.
+ * Quotas of client accounts, enforced by all entry nodes together. Used by the gateway.
  */
 @NullMarked
 package io.flamingogap.core.quota;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaLimiterTests.java
@@ -91,7 +91,7 @@
 	}
 
 	@Test
-	void requestThatFitsTheShareIsNotAdmittedOnCredit() {
+	void requestOfUpToHalfTheCapacityNeedsItsWholeCost() {
 		QuotaLimiter limiter = new QuotaLimiter(TOLERANCE, true);
 		Fleet alone = new Fleet(1);
 		limiter.admit(ACCOUNT, 9_000, alone, 0);
@@ -99,10 +99,9 @@
 	}
 
 	/**
-	 * Guards against a jump in demand that several nodes admit at once, because they
-	 * learn of it late. Each node reports every two seconds and reads the others' reports
-	 * every second and a half, both at its own offset. The demand jumps within the first
-	 * three seconds.
+	 * Guards against a jump in demand that several nodes admit at once because reports
+	 * arrive late. Each node reports every 2,000 ms and reads the others' reports every
+	 * 1,500 ms, both at its own offset. The demand jumps within the first three seconds.
 	 */
 	@Property(tries = 100, seed = "20261204")
 	void nodesTogetherKeepTheQuotaWhenDemandJumps(@ForAll @LongRange(max = 1_000_000) long seed) {
@@ -130,10 +129,9 @@
 	}
 
 	/**
-	 * Guards against units that are counted twice when nodes lend them or restart. The
+	 * Guards against units that are spent twice when nodes lend them or restart. The
 	 * demand of one account rises to six times its usual, with prompts of up to a seventh
-	 * of its burst. Nodes lend each other units, and one node restarts. The figures are
-	 * those of the users' data sheets.
+	 * of its burst. Nodes lend each other units, and one node restarts.
 	 */
 	@Property(tries = 200, seed = "20261204")
 	void nodesThatLendUnitsKeepTheQuotaOfAHotAccount(@ForAll @LongRange(max = 1_000_000) long seed) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the quotas of client accounts.
  */
 @NullMarked
 package io.flamingogap.core.quota;
