Correct comments and messages in the limits and routing packages

The peer of the refusal stays "caller". Comments on the load table, the servers about to stop and the retry budgets took two readings, and a penalty read as a price.

Inside the packages: creditPercent is renamed to creditHundredths, as it counts hundredths of a retry; allowance to nodeAllowance; the parameter running, which includes queued requests, to openRequests.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/ConcurrencyLimiter.java
@@ -12,7 +12,7 @@
 /**
  * Limits the number of open requests at a node, in total and by account.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ConcurrencyLimiter {
 
@@ -34,19 +34,21 @@
 	}
 
 	/**
-	 * Open a request unless a limit is reached.
+	 * Count a request as open, or refuse it if a limit is reached.
 	 * @param account the account of the caller
-	 * @return why the request is refused; empty if it was opened and has to be released
+	 * @return the reason for the refusal; empty if the request was counted, so that the
+	 * caller has to release it
 	 */
 	public Optional<Failure> acquireOrRefuse(Account account) {
 		int accountOpen = this.openByAccount.getOrDefault(account.name(), 0);
 		if (accountOpen >= account.maxOpenRequests()) {
-			return Optional.of(Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller",
-					accountOpen + " requests of account " + account.name() + " are open"));
+			return Optional
+				.of(Failure.notRun(ProblemType.TOO_MANY_REQUESTS, Step.ADMIT, "caller", accountOpen + " of at most "
+						+ account.maxOpenRequests() + " requests of account " + account.name() + " are open"));
 		}
 		if (this.open >= this.maxOpen) {
-			return Optional
-				.of(Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, "caller", this.open + " requests are open"));
+			return Optional.of(Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, "caller",
+					this.open + " of at most " + this.maxOpen + " requests are open at the node"));
 		}
 		this.open++;
 		this.openByAccount.put(account.name(), accountOpen + 1);
@@ -54,8 +56,8 @@
 	}
 
 	/**
-	 * Close a request that was opened.
-	 * @param account the account that the request was opened with
+	 * Release a request that was counted as open.
+	 * @param account the account that the request was counted for
 	 */
 	public void release(Account account) {
 		this.open--;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/RetryBudget.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/RetryBudget.java
@@ -2,10 +2,10 @@
 
 /**
  * Limits retries to a share of the first tries of a service. Each first try earns a
- * fraction of a retry. The earned retries are capped, so that a period of few failures
- * doesn't save up retries for a storm.
+ * fraction of a retry. The number of earned retries is capped, so that there aren't too
+ * many retries at once after a long period with few failures.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class RetryBudget {
 
@@ -13,14 +13,14 @@
 
 	private final int sharePercent;
 
-	private final long maxCreditPercent;
+	private final long maxCreditHundredths;
 
-	private long creditPercent;
+	private long creditHundredths;
 
 	/**
 	 * Create a budget that begins with one retry.
 	 * @param sharePercent the number of retries allowed per hundred first tries
-	 * @param maxSavedRetries the maximum number of earned retries
+	 * @param maxSavedRetries the maximum number of earned retries that aren't spent yet
 	 */
 	public RetryBudget(int sharePercent, int maxSavedRetries) {
 		if (sharePercent < 0 || sharePercent > PERCENT) {
@@ -30,15 +30,15 @@
 			throw new IllegalArgumentException("maxSavedRetries must be positive but was " + maxSavedRetries);
 		}
 		this.sharePercent = sharePercent;
-		this.maxCreditPercent = (long) maxSavedRetries * PERCENT;
-		this.creditPercent = PERCENT;
+		this.maxCreditHundredths = (long) maxSavedRetries * PERCENT;
+		this.creditHundredths = PERCENT;
 	}
 
 	/**
 	 * Record a first try, which earns a fraction of a retry.
 	 */
 	public void recordFirstTry() {
-		this.creditPercent = Math.min(this.maxCreditPercent, this.creditPercent + this.sharePercent);
+		this.creditHundredths = Math.min(this.maxCreditHundredths, this.creditHundredths + this.sharePercent);
 	}
 
 	/**
@@ -46,10 +46,10 @@
 	 * @return {@code true} if the request may be retried
 	 */
 	public boolean trySpend() {
-		if (this.creditPercent < PERCENT) {
+		if (this.creditHundredths < PERCENT) {
 			return false;
 		}
-		this.creditPercent -= PERCENT;
+		this.creditHundredths -= PERCENT;
 		return true;
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/WindowedRetryBudget.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/WindowedRetryBudget.java
@@ -8,7 +8,7 @@
  * counts only its own requests, the sum over all nodes stays within the limit without
  * communication.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class WindowedRetryBudget {
 
@@ -49,14 +49,15 @@
 
 	/**
 	 * Spend a retry if the budget allows one.
-	 * @param allowance the number of retries in the window allowed on top of the share
+	 * @param nodeAllowance this node's part of the allowance: the number of retries in
+	 * the window on top of the share, which may be fractional
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return {@code true} if the request may be retried
 	 */
-	public boolean trySpend(double allowance, long nowMillis) {
+	public boolean trySpend(double nodeAllowance, long nowMillis) {
 		int bucket = advance(nowMillis);
 		long spent = Arrays.stream(this.retries).sum();
-		if (spent + 1 > this.retryShare * Arrays.stream(this.requests).sum() + allowance) {
+		if (spent + 1 > this.retryShare * Arrays.stream(this.requests).sum() + nodeAllowance) {
 			return false;
 		}
 		this.retries[bucket]++;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/limits/package-info.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/limits/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Limits on open requests and budgets for retries, which refuse work early.
+ * Limits on open requests and on retries, which protect the node and the backend servers
+ * from overload.
  */
 @NullMarked
 package io.flamingogap.core.limits;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeastLoadedSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeastLoadedSelector.java
@@ -12,19 +12,19 @@
  */
 public final class LeastLoadedSelector {
 
-	/** Load charged for another zone of the region, in open requests. */
+	/** Load added for a server in another zone of the region, in open requests. */
 	private static final int OTHER_ZONE_COST = 1;
 
-	/** Load charged for another region, in open requests. */
+	/** Load added for a server in another region, in open requests. */
 	private static final int OTHER_REGION_COST = 4;
 
 	private LeastLoadedSelector() {
 	}
 
 	/**
-	 * Select the server with the least estimated load, including a charge for its
-	 * distance. A server that could not be reached a short time ago is selected only if
-	 * there is no other.
+	 * Select the server with the least estimated load, to which some load is added for a
+	 * distant server. A server that could not be reached a short time ago is selected
+	 * only if there is no other.
 	 * @param manifest the current manifest
 	 * @param query the servers that may take the request
 	 * @param ownZone the zone of the entry node
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
@@ -6,11 +6,11 @@
 import java.util.TreeSet;
 
 /**
- * Set of the backend servers that are about to stop, by a reclaim notice or by the
+ * Set of the backend servers that are about to stop, according to a reclaim notice or the
  * instance list. A server stays in the set until neither source has named it for some
- * time, so that a stale list can't return it to service.
+ * time, so that an outdated list can't return it to service.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class LeavingServers {
 
@@ -31,7 +31,8 @@
 	 * Add a server, or extend its time in the set.
 	 * @param server the server's name
 	 * @param nowMillis the current time in milliseconds
-	 * @return {@code true} if it was not in the set before
+	 * @return {@code true} if it was not in the set before; a server whose time has
+	 * passed is in the set until {@link #names} removes it
 	 */
 	public boolean add(String server, long nowMillis) {
 		return this.lastNamedAtMillis.put(server, nowMillis) == null;
@@ -49,7 +50,7 @@
 	}
 
 	/**
-	 * Return the servers that are about to stop, and remove expired ones.
+	 * Remove the servers whose time has passed, and return the remaining ones.
 	 * @param nowMillis the current time in milliseconds
 	 * @return the names of the servers, sorted
 	 */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerLoadTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/ServerLoadTable.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 
 /**
- * Load estimates of backend servers at one node. They combine the servers' reports, which
- * lag, with the node's own dispatches since. The table also keeps the servers that could
- * not be reached.
+ * Load estimates of backend servers at one node. An estimate combines a server's last
+ * report, which may be out of date, with the requests that the node dispatched after it.
+ * The table also keeps the servers that could not be reached.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class ServerLoadTable {
 
@@ -55,19 +55,19 @@
 	/**
 	 * Record the load that a server reported.
 	 * @param server the server's name
-	 * @param running the number of requests that it runs or queues, from all nodes
+	 * @param openRequests the number of requests that it runs or queues, from all nodes
 	 */
-	public void recordReport(String server, long running) {
+	public void recordReport(String server, long openRequests) {
 		Load load = load(server);
-		load.reported = running;
+		load.reported = openRequests;
 		load.sentSinceReport = 0;
 	}
 
 	/**
 	 * Estimate the number of requests that a server runs or queues.
 	 * @param server the server's name
-	 * @return the larger of the corrected report and the node's own open requests; 0 for
-	 * an unknown server
+	 * @return the last report plus the dispatches after it, or the node's own open
+	 * requests if they are more; 0 for an unknown server
 	 */
 	public long estimate(String server) {
 		Load load = this.loads.get(server);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/limits/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/limits/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the concurrency limit and of the retry budgets.
  */
 @NullMarked
 package io.flamingogap.core.limits;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/routing/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/routing/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the selection of a server by zone and load.
  */
 @NullMarked
 package io.flamingogap.core.routing;
