Correct comments, names and messages in the rollout package

The sequential test promised its error rate for every threshold, but the lower one at the deadline doesn't keep it; two comments now say so. The cap of the likelihood ratios, the prior share, the precedence of two rollbacks and the likelihood ratio of the candidate are described in one reading each.

Messages: "failures in all: candidate 5 requests" read as a total of failures and is now "failures on all routes together: ..."; "too little evidence by the deadline" was also said of evidence against the candidate and is now "the evidence did not allow all traffic to move by the deadline".

Inside the package: expectedShare is renamed to priorShare, MIN_EFFECT to MIN_EFFECT_RATIO, Tally.count to plusRequest, undecided to overdue, COMPLETION_START and MIDDLE_SHARE to EARLIEST_COMPLETION and SECOND_STEP_SHARE. In the sequential test, shares and counts have different names. Three test names say what they check.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/AdaptiveLatencyThreshold.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/AdaptiveLatencyThreshold.java
@@ -2,17 +2,17 @@
 
 /**
  * Estimate of the latency that one in ten requests of the current version exceeds,
- * updated with each request. Requests of both versions are compared with it at the same
- * time, so that a change in load affects both.
+ * updated with each request. Requests of both versions are compared with it, so that a
+ * change in load affects both versions.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class AdaptiveLatencyThreshold {
 
 	/** Share of the current version's requests that exceed the threshold. */
 	private static final double SLOW_SHARE = 0.1;
 
-	/** Fraction of the threshold by which one request changes it. */
+	/** Step size of the change by one request, as a fraction of the threshold. */
 	private static final double STEP_FRACTION = 0.05;
 
 	private static final double MIN_MILLIS = 1.0;
@@ -37,7 +37,7 @@
 	}
 
 	/**
-	 * Adjust the threshold by a request of the current version.
+	 * Adjust the threshold after a request of the current version.
 	 * @param latencyMillis the latency of the request
 	 */
 	public void update(long latencyMillis) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Arm.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Arm.java
@@ -1,7 +1,7 @@
 package io.flamingogap.core.rollout;
 
 /**
- * Arm of the comparison between the two versions of a rollout.
+ * One of the two versions that a rollout compares.
  */
 public enum Arm {
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/BadOutcome.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/BadOutcome.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.rollout;
 
 /**
- * Kind of bad outcome of a request, with the share of requests that is expected to have
- * it before any request of the current version was counted.
+ * Kind of bad outcome of a request, with its prior: the share of requests that is assumed
+ * to have it until requests of the current version are counted.
  */
 enum BadOutcome {
 
@@ -28,11 +28,11 @@
 
 	private final String label;
 
-	private final double expectedShare;
+	private final double priorShare;
 
-	BadOutcome(String label, double expectedShare) {
+	BadOutcome(String label, double priorShare) {
 		this.label = label;
-		this.expectedShare = expectedShare;
+		this.priorShare = priorShare;
 	}
 
 	/**
@@ -46,8 +46,8 @@
 		return this.label;
 	}
 
-	double expectedShare() {
-		return this.expectedShare;
+	double priorShare() {
+		return this.priorShare;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/EvidenceTable.java
@@ -9,10 +9,10 @@
 import java.util.function.BiConsumer;
 
 /**
- * Evidence from all nodes. Each row is counted by one run of a node and only grows, so
- * that rows can be merged in any order and repeatedly.
+ * Evidence from all nodes. Each row is counted by one run of a node, and its counts only
+ * grow. Rows can therefore be merged repeatedly and in any order.
  * <p>
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class EvidenceTable {
 
@@ -28,12 +28,12 @@
 	 */
 	public void count(EvidenceKey key, boolean failed, boolean slow) {
 		VersionedTally existing = this.rows.get(key);
-		store(key, ((existing != null) ? existing.tally : Tally.NONE).count(failed, slow));
+		store(key, ((existing != null) ? existing.tally : Tally.NONE).plusRequest(failed, slow));
 	}
 
 	/**
 	 * Merge a row that a neighbour sent.
-	 * @param row a row in any state
+	 * @param row a row, which may be older or newer than the known one
 	 * @return {@code true} if the table changed
 	 */
 	public boolean merge(EvidenceRow row) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutDecision.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutDecision.java
@@ -13,8 +13,8 @@
 	public static final int ALL_PERMILLE = 1_000;
 
 	/**
-	 * Return whether the evidence suffices to send the candidate requests that may not be
-	 * repeated.
+	 * Return whether there is enough evidence to let the candidate serve requests that
+	 * may not be repeated.
 	 * @return {@code true} once the share has risen above that of the exploration
 	 */
 	public boolean isCandidateProven() {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPhase.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPhase.java
@@ -15,7 +15,7 @@
 	DONE,
 	/** The deadline passed before the evidence allowed all traffic to move. */
 	LATE,
-	/** The rollout was ended, since the candidate is bad or by an operator. */
+	/** The rollout was ended by an operator, or because the candidate is worse. */
 	TAKEN_BACK
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
@@ -9,8 +9,8 @@
 import io.flamingogap.core.manifest.Rollout;
 
 /**
- * Decides the share of a candidate by the manifest, the merged evidence and the time. It
- * keeps no state: nodes with the same evidence make the same decision, and a node that
+ * Decides the share of a candidate from the manifest, the merged evidence and the time.
+ * It keeps no state: nodes with the same evidence make the same decision, and a node that
  * lacks evidence gives the candidate a smaller share.
  */
 public final class RolloutPolicy {
@@ -20,7 +20,9 @@
 
 	private static final int[] STEPS_PERMILLE = { EXPLORATION_PERMILLE, 50, 200, 500, RolloutDecision.ALL_PERMILLE };
 
-	/** Fraction of the time until the deadline from which the last step may be taken. */
+	/**
+	 * Earliest time of the last step, as a fraction of the time from start to deadline.
+	 */
 	private static final double LAST_STEP_FRACTION = 0.85;
 
 	private static final int PERIODS_PER_ROLLOUT = 64;
@@ -33,8 +35,8 @@
 	}
 
 	/**
-	 * Return the number of the current time period of a rollout, by which evidence is
-	 * counted.
+	 * Return the number of the current time period of a rollout. Evidence is counted by
+	 * period.
 	 * @param rollout the rollout in the manifest
 	 * @param nowMillis the current time, in milliseconds since 1970 UTC
 	 * @return the number, from 0; 0 before the start
@@ -91,15 +93,15 @@
 		}
 		RolloutPhase phase = (step == 0) ? RolloutPhase.EXPLORING : RolloutPhase.MOVING;
 		return new RolloutDecision(late ? RolloutPhase.LATE : phase, sharePermille,
-				(late ? "too little evidence by the deadline: " : "") + all);
+				(late ? "the evidence did not allow all traffic to move by the deadline: " : "") + all);
 	}
 
 	/**
-	 * Return the highest step that the evidence allows. Each step needs as much further
-	 * evidence as the one before, so that the candidate's share doesn't grow faster than
-	 * the load at which the candidate was observed.
+	 * Return the highest step that the evidence allows. Each step needs the same amount
+	 * of additional evidence, so that the candidate's share grows no faster than the
+	 * evidence collected under load.
 	 * @param all the evidence so far
-	 * @return an index of the steps
+	 * @return the index of the step, from 0
 	 */
 	private static int stepByEvidence(VersionComparison all) {
 		double logRatio = all.evidenceForCandidate();
@@ -128,10 +130,10 @@
 			byRoute.computeIfAbsent(key.route(), (route) -> new VersionComparison())
 				.add(key.period(), key.arm(), tally);
 		});
-		boolean undecided = isLate(rollout, nowMillis) && stepByEvidence(all) < STEPS_PERMILLE.length - 1;
+		boolean overdue = isLate(rollout, nowMillis) && stepByEvidence(all) < STEPS_PERMILLE.length - 1;
 		Optional<String> found = all
-			.findRegression(undecided ? SequentialTest.DEADLINE_THRESHOLD : SequentialTest.BAD_THRESHOLD)
-			.map((what) -> what + " in all: " + all);
+			.findRegression(overdue ? SequentialTest.DEADLINE_THRESHOLD : SequentialTest.BAD_THRESHOLD)
+			.map((what) -> what + " on all routes together: " + all);
 		for (Map.Entry<String, VersionComparison> route : byRoute.entrySet()) {
 			VersionComparison comparison = route.getValue();
 			found = found.or(() -> comparison.findRegression(SequentialTest.BAD_THRESHOLD)
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
@@ -2,19 +2,23 @@
 
 /**
  * Sequential probability ratio test of a candidate's share of bad requests against that
- * of the current version. The result may be read at any time: the probability that a
- * candidate as good as the current version is ever called bad is at most
- * {@link #ERROR_RATE} per test.
+ * of the current version. The result may be read at any time: with
+ * {@link #BAD_THRESHOLD}, the probability that a candidate as good as the current version
+ * is ever called bad is at most {@link #ERROR_RATE} per test. The lower
+ * {@link #DEADLINE_THRESHOLD} doesn't keep this bound.
  * <p>
  * The test mixes several alternatives, so that a candidate that fails nearly always is
  * detected after a few requests and one with the minimum effect after many.
  */
 final class SequentialTest {
 
-	/** Probability of a false alarm of one test over one time range. */
+	/** Maximum probability of a false alarm of one test. */
 	private static final double ERROR_RATE = 0.001;
 
-	/** Correction for testing many time ranges, most of which overlap. */
+	/**
+	 * Number of independent time ranges that a test corrects for. It tests more ranges,
+	 * most of which overlap.
+	 */
 	private static final double TIME_RANGES = 32;
 
 	/** Log likelihood ratio that allows one step of a rollout. */
@@ -29,10 +33,12 @@
 	 */
 	static final double DEADLINE_THRESHOLD = Math.log(3);
 
-	/** Minimum effect to detect, as a multiple of the current version's share. */
-	private static final double MIN_EFFECT = 2.0;
+	/**
+	 * Minimum effect to detect, as the ratio of the candidate's share to the current one.
+	 */
+	private static final double MIN_EFFECT_RATIO = 2.0;
 
-	/** Minimum difference between the shares to detect. */
+	/** Minimum effect to detect, as the difference between the shares. */
 	private static final double MIN_DIFFERENCE = 0.01;
 
 	/** Further alternatives: shares of bad requests larger than the minimum effect. */
@@ -40,7 +46,7 @@
 
 	private static final double MAX_SHARE = 0.95;
 
-	/** Weight of the share expected before any request, in requests. */
+	/** Weight of the prior share in the estimate of the overall share, in requests. */
 	private static final double PRIOR_WEIGHT = 100;
 
 	/** Weight of the overall share in the estimate for one period, in requests. */
@@ -58,7 +64,7 @@
 	 * @return the share, from 0 to 1
 	 */
 	static double estimateOverallShare(BadOutcome outcome, Tally current) {
-		return (outcome.count(current) + outcome.expectedShare() * PRIOR_WEIGHT) / (current.requests() + PRIOR_WEIGHT);
+		return (outcome.count(current) + outcome.priorShare() * PRIOR_WEIGHT) / (current.requests() + PRIOR_WEIGHT);
 	}
 
 	private static double estimatePeriodShare(BadOutcome outcome, double overallShare, Tally current) {
@@ -75,13 +81,13 @@
 	void add(BadOutcome outcome, double overallShare, Tally current, Tally candidate) {
 		double estimate = estimatePeriodShare(outcome, overallShare, current);
 		double error = Math.sqrt(estimate * (1 - estimate) / (current.requests() + OVERALL_WEIGHT));
-		double good = Math.min(MAX_SHARE / MIN_EFFECT, estimate + MARGIN_STANDARD_ERRORS * error);
-		long bad = outcome.count(candidate);
-		double minBad = Math.max(good, minBadShare(estimate));
-		this.logRatios[0] += logLikelihoodRatio(good, minBad, candidate.requests(), bad);
+		double goodShare = Math.min(MAX_SHARE / MIN_EFFECT_RATIO, estimate + MARGIN_STANDARD_ERRORS * error);
+		long badRequests = outcome.count(candidate);
+		double minBad = Math.max(goodShare, minBadShare(estimate));
+		this.logRatios[0] += logLikelihoodRatio(goodShare, minBad, candidate.requests(), badRequests);
 		for (int i = 0; i < LARGE_BAD_SHARES.length; i++) {
 			double alternative = Math.max(minBad, LARGE_BAD_SHARES[i]);
-			this.logRatios[i + 1] += logLikelihoodRatio(good, alternative, candidate.requests(), bad);
+			this.logRatios[i + 1] += logLikelihoodRatio(goodShare, alternative, candidate.requests(), badRequests);
 		}
 	}
 
@@ -93,6 +99,7 @@
 	 */
 	boolean showsRegression(double threshold) {
 		double likelihood = 0;
+		// The cap prevents an overflow. It is too high to change the result.
 		for (double logRatio : this.logRatios) {
 			likelihood += Math.exp(Math.min(logRatio, 2 * BAD_THRESHOLD));
 		}
@@ -100,25 +107,27 @@
 	}
 
 	/**
-	 * Return the likelihood of "the candidate is as good as the current version" against
-	 * "the candidate is worse by the minimum effect", in one period.
+	 * Return how much more likely the candidate's counts in one period are if it is as
+	 * good as the current version than if it is worse by the minimum effect.
 	 * @param outcome the kind of bad outcome
 	 * @param overallShare the current version's share of it over all periods
 	 * @param current the counts of the current version in the period
 	 * @param candidate the counts of the candidate in the period
-	 * @return the log likelihood ratio; it grows with evidence for the candidate
+	 * @return the logarithm of the ratio of the two likelihoods; it grows with evidence
+	 * for the candidate
 	 */
 	static double logRatioForCandidate(BadOutcome outcome, double overallShare, Tally current, Tally candidate) {
-		double good = Math.min(MAX_SHARE / MIN_EFFECT, estimatePeriodShare(outcome, overallShare, current));
-		return -logLikelihoodRatio(good, minBadShare(good), candidate.requests(), outcome.count(candidate));
+		double goodShare = Math.min(MAX_SHARE / MIN_EFFECT_RATIO, estimatePeriodShare(outcome, overallShare, current));
+		return -logLikelihoodRatio(goodShare, minBadShare(goodShare), candidate.requests(), outcome.count(candidate));
 	}
 
-	private static double logLikelihoodRatio(double good, double bad, long requests, long badRequests) {
-		return badRequests * Math.log(bad / good) + (requests - badRequests) * Math.log((1 - bad) / (1 - good));
+	private static double logLikelihoodRatio(double goodShare, double badShare, long requests, long badRequests) {
+		return badRequests * Math.log(badShare / goodShare)
+				+ (requests - badRequests) * Math.log((1 - badShare) / (1 - goodShare));
 	}
 
-	private static double minBadShare(double good) {
-		return Math.min(MAX_SHARE, Math.max(MIN_EFFECT * good, good + MIN_DIFFERENCE));
+	private static double minBadShare(double goodShare) {
+		return Math.min(MAX_SHARE, Math.max(MIN_EFFECT_RATIO * goodShare, goodShare + MIN_DIFFERENCE));
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TakeBack.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TakeBack.java
@@ -3,7 +3,8 @@
 import java.util.Objects;
 
 /**
- * Final decision to end a rollout and return all traffic to the current version.
+ * Rollback: the final decision to end a rollout and return all traffic to the current
+ * version.
  *
  * @param rollout the rollout that ended
  * @param by the operator who decided, or the node whose evidence showed a regression
@@ -19,10 +20,12 @@
 	}
 
 	/**
-	 * Return whether this decision is shown rather than another one about the same
-	 * rollout.
+	 * Return whether this decision takes precedence over another one about the same
+	 * rollout. The earlier one does; of two at the same time, the one whose author comes
+	 * first in the order of strings.
 	 * @param other a decision about the same rollout
-	 * @return {@code true} if this one is earlier, or as early and first by author
+	 * @return {@code true} if it does; {@code false} if both have the same time and
+	 * author
 	 */
 	public boolean precedes(TakeBack other) {
 		return (this.atMillis != other.atMillis) ? this.atMillis < other.atMillis : this.by.compareTo(other.by) < 0;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Tally.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/Tally.java
@@ -25,7 +25,7 @@
 	 * @param wasSlow whether the request was slow
 	 * @return the new counts
 	 */
-	Tally count(boolean failed, boolean wasSlow) {
+	Tally plusRequest(boolean failed, boolean wasSlow) {
 		return new Tally(this.requests + 1, this.failures + (failed ? 1 : 0), this.slow + (wasSlow ? 1 : 0));
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
@@ -11,17 +11,17 @@
  */
 public final class TimedCanary {
 
-	/** Fraction of the time in which the candidate gets the exploration share. */
+	/** Fraction of the time up to which the candidate gets the exploration share. */
 	private static final double EXPLORATION_END = 0.5;
 
-	/** Fraction of the time after which the candidate gets all requests. */
+	/** Fraction of the time from which the candidate gets all requests. */
 	private static final double ALL_REQUESTS_START = 0.65;
 
-	/** Fraction of the time after which the current version may stop. */
-	private static final double COMPLETION_START = 0.85;
+	/** Fraction of the time from which the rollout may complete. */
+	private static final double EARLIEST_COMPLETION = 0.85;
 
-	/** Share of the candidate between the exploration and all requests. */
-	private static final double MIDDLE_SHARE = 0.3;
+	/** Share of the candidate after the exploration, before it gets all requests. */
+	private static final double SECOND_STEP_SHARE = 0.3;
 
 	private final Map<String, VersionComparison> byRoute = new TreeMap<>();
 
@@ -55,7 +55,7 @@
 	 */
 	public Optional<String> findRegression() {
 		Optional<String> found = this.all.findRegression(SequentialTest.BAD_THRESHOLD)
-			.map((what) -> what + " in all: " + this.all);
+			.map((what) -> what + " on all routes together: " + this.all);
 		for (Map.Entry<String, VersionComparison> route : this.byRoute.entrySet()) {
 			found = found.or(() -> route.getValue()
 				.findRegression(SequentialTest.BAD_THRESHOLD)
@@ -73,7 +73,7 @@
 		if (elapsedFraction < EXPLORATION_END) {
 			return this.explorationShare;
 		}
-		return (elapsedFraction < ALL_REQUESTS_START) ? MIDDLE_SHARE : 1;
+		return (elapsedFraction < ALL_REQUESTS_START) ? SECOND_STEP_SHARE : 1;
 	}
 
 	/**
@@ -83,7 +83,7 @@
 	 * @return {@code true} if the current version may stop
 	 */
 	public boolean mayComplete(double elapsedFraction) {
-		return elapsedFraction >= COMPLETION_START;
+		return elapsedFraction >= EARLIEST_COMPLETION;
 	}
 
 	@Override
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/VersionComparison.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/VersionComparison.java
@@ -23,8 +23,9 @@
 	}
 
 	/**
-	 * Test whether the candidate is worse over any time range that ends now. The
-	 * threshold has to allow for the number of ranges tested.
+	 * Test whether the candidate is worse over any time range that ends with the newest
+	 * period. {@link SequentialTest#BAD_THRESHOLD} allows for the number of ranges that
+	 * are tested, {@link SequentialTest#DEADLINE_THRESHOLD} doesn't.
 	 * @param threshold the log likelihood ratio to exceed
 	 * @return the label of the first outcome with a regression, or empty if there is none
 	 */
@@ -51,8 +52,8 @@
 	}
 
 	/**
-	 * Return how strongly the evidence supports the candidate, by the outcome that
-	 * supports it least.
+	 * Return how strongly the evidence supports the candidate, judged by the kind of
+	 * outcome that supports it least.
 	 * @return the log likelihood ratio in favour of the candidate
 	 */
 	double evidenceForCandidate() {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/RolloutPolicyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/RolloutPolicyTests.java
@@ -133,7 +133,7 @@
 		}
 
 		@Test
-		void isNotFoundWhenBothSufferWhileTheCandidateHasMoreTraffic() {
+		void isNotFoundWhenBothGetWorseWhileTheCandidateHasMoreTraffic() {
 			count(Arm.CURRENT, "chat", 10, 20_000, 100, 2_000);
 			count(Arm.CANDIDATE, "chat", 10, 100, 0, 10);
 			count(Arm.CURRENT, "chat", 300, 1_000, 50, 300);
@@ -159,7 +159,7 @@
 		}
 
 		@Test
-		void isNotFoundWhenBothVersionsSufferAlike() {
+		void isNotFoundWhenBothVersionsAreEquallyBad() {
 			count(Arm.CURRENT, "chat", 10, 1_000, 300, 300);
 			count(Arm.CANDIDATE, "chat", 10, 100, 30, 30);
 			assertThat(regression().isPresent(), is(false));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/TimedCanaryTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/TimedCanaryTests.java
@@ -36,7 +36,7 @@
 	}
 
 	@Test
-	void shareRisesWithTimeAndEndsBeforeTheDeadline() {
+	void candidateGetsAllRequestsBeforeTheRolloutMayComplete() {
 		assertThat(this.canary.candidateShare(0.1), is(0.08));
 		assertThat(this.canary.candidateShare(0.7), is(1.0));
 		assertThat(this.canary.mayComplete(0.7), is(false));
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/package-info.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the rollout decisions and of their evidence.
  */
 @NullMarked
 package io.flamingogap.core.rollout;
