Rename what remained vague in core's quota, routing and rollout packages

- QuotaTolerance.units applied to token quotas only and comes on top of the share: extraTokens, also in its error message.
- LeavingServers.names reads as a getter but removes expired servers: removeExpiredAndList.
- The lambda parameter "what" of two messages is the outcome, and "error" in the sequential test is the standard error.
- "Requests that servers began" are those that they started to process.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -144,7 +144,8 @@
 	}
 
 	/**
-	 * Sum up the requests that servers began in a window, over all runs of all nodes.
+	 * Sum up the requests that servers started to process in a window, over all runs of
+	 * all nodes.
 	 * @param window the number of the window
 	 * @param own the counts of this run of this node
 	 * @return the number of requests by account
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NodeReport.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NodeReport.java
@@ -17,7 +17,8 @@
  * @param serving whether the node may be offered to callers
  * @param timeOfDayMillis the node's time of day, in milliseconds since 1970 UTC
  * @param demandPerSecond the quota units per second that callers request, by account
- * @param usage the number of requests that servers began, by window and account
+ * @param usage the number of requests that servers started to process, by window and
+ * account
  * @param services the demand at this node, by service
  * @param tallies the outcomes by version; empty unless a rollout is in progress
  */
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaTolerance.java
@@ -6,11 +6,11 @@
  * Maximum by which an account may exceed its quota in a window, over all nodes together.
  *
  * @param share the allowed excess, as a share of what the quota allows in a window
- * @param units the excess allowed on top of the share, in units; it applies only to
- * quotas that count tokens
+ * @param extraTokens the excess allowed on top of the share, in tokens; it applies only
+ * to quotas that count tokens
  * @param windowMillis the length of the window in milliseconds; 0 to allow no excess
  */
-public record QuotaTolerance(double share, double units, long windowMillis) {
+public record QuotaTolerance(double share, double extraTokens, long windowMillis) {
 
 	/**
 	 * Share of the tolerance that nodes use. The rest covers reports that arrive late.
@@ -20,9 +20,9 @@
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	public QuotaTolerance {
-		if (!(share >= 0) || !(units >= 0) || windowMillis < 0) {
-			throw new IllegalArgumentException("share, units and windowMillis must not be negative but were " + share
-					+ ", " + units + ", " + windowMillis);
+		if (!(share >= 0) || !(extraTokens >= 0) || windowMillis < 0) {
+			throw new IllegalArgumentException("share, extraTokens and windowMillis must not be negative but were "
+					+ share + ", " + extraTokens + ", " + windowMillis);
 		}
 	}
 
@@ -38,7 +38,7 @@
 		}
 		double windowSeconds = this.windowMillis / MILLIS_PER_SECOND;
 		double allowed = quota.ratePerSecond() * windowSeconds + quota.burst();
-		return (allowed * this.share + (quota.countsTokens() ? this.units : 0)) * USED_SHARE / windowSeconds;
+		return (allowed * this.share + (quota.countsTokens() ? this.extraTokens : 0)) * USED_SHARE / windowSeconds;
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/RolloutPolicy.java
@@ -133,11 +133,11 @@
 		boolean overdue = isLate(rollout, nowMillis) && stepByEvidence(all) < STEPS_PERMILLE.length - 1;
 		Optional<String> found = all
 			.findRegression(overdue ? SequentialTest.DEADLINE_THRESHOLD : SequentialTest.BAD_THRESHOLD)
-			.map((what) -> what + " on all routes together: " + all);
+			.map((outcome) -> outcome + " on all routes together: " + all);
 		for (Map.Entry<String, VersionComparison> route : byRoute.entrySet()) {
 			VersionComparison comparison = route.getValue();
 			found = found.or(() -> comparison.findRegression(SequentialTest.BAD_THRESHOLD)
-				.map((what) -> what + " on " + route.getKey() + ": " + comparison));
+				.map((outcome) -> outcome + " on " + route.getKey() + ": " + comparison));
 		}
 		return found;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
@@ -80,8 +80,8 @@
 	 */
 	void add(BadOutcome outcome, double overallShare, Tally current, Tally candidate) {
 		double estimate = estimatePeriodShare(outcome, overallShare, current);
-		double error = Math.sqrt(estimate * (1 - estimate) / (current.requests() + OVERALL_WEIGHT));
-		double goodShare = Math.min(MAX_SHARE / MIN_EFFECT_RATIO, estimate + MARGIN_STANDARD_ERRORS * error);
+		double standardError = Math.sqrt(estimate * (1 - estimate) / (current.requests() + OVERALL_WEIGHT));
+		double goodShare = Math.min(MAX_SHARE / MIN_EFFECT_RATIO, estimate + MARGIN_STANDARD_ERRORS * standardError);
 		long badRequests = outcome.count(candidate);
 		double minBad = Math.max(goodShare, minBadShare(estimate));
 		this.logRatios[0] += logLikelihoodRatio(goodShare, minBad, candidate.requests(), badRequests);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
@@ -55,11 +55,11 @@
 	 */
 	public Optional<String> findRegression() {
 		Optional<String> found = this.all.findRegression(SequentialTest.BAD_THRESHOLD)
-			.map((what) -> what + " on all routes together: " + this.all);
+			.map((outcome) -> outcome + " on all routes together: " + this.all);
 		for (Map.Entry<String, VersionComparison> route : this.byRoute.entrySet()) {
 			found = found.or(() -> route.getValue()
 				.findRegression(SequentialTest.BAD_THRESHOLD)
-				.map((what) -> what + " on " + route.getKey() + ": " + route.getValue()));
+				.map((outcome) -> outcome + " on " + route.getKey() + ": " + route.getValue()));
 		}
 		return found;
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/routing/LeavingServers.java
@@ -32,7 +32,7 @@
 	 * @param server the server's name
 	 * @param nowMillis the current time in milliseconds
 	 * @return {@code true} if it was not in the set before; a server whose time has
-	 * passed is in the set until {@link #names} removes it
+	 * passed is in the set until {@link #removeExpiredAndList} removes it
 	 */
 	public boolean add(String server, long nowMillis) {
 		return this.lastNamedAtMillis.put(server, nowMillis) == null;
@@ -54,7 +54,7 @@
 	 * @param nowMillis the current time in milliseconds
 	 * @return the names of the servers, sorted
 	 */
-	public Set<String> names(long nowMillis) {
+	public Set<String> removeExpiredAndList(long nowMillis) {
 		this.lastNamedAtMillis.values().removeIf((namedAtMillis) -> nowMillis - namedAtMillis > this.expiryMillis);
 		return new TreeSet<>(this.lastNamedAtMillis.keySet());
 	}
