--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
@@ -12,7 +12,10 @@
  */
 public final class ServerLoad {
 
-	/** Time constant with which a server's report loses weight. */
+	/**
+	 * Time constant with which a server's report loses weight. It is about the length of
+	 * a stream, after which the reported requests have ended.
+	 */
 	private static final double REPORT_DECAY_MILLIS = 1_500;
 
 	/**
