Name the codec methods for decoding and encoding

RecordCodec.readConfig, readServer, readRollout, readStatus and writeStatus, CallerProtocol.read and DirectoryProtocol.write read like network or store access, although they only convert bytes and messages. They are now decodeConfig, decodeServer, decodeRollout, decodeStatus, encodeStatus, parseRequest and encodeResponse. DirectoryProtocol.zoneOf returns the zone of the caller, or nothing for a request that isn't a lookup; it is now parseCallerZone. Nothing else changes.

The modules platform and below it compile with their tests.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -289,7 +289,7 @@
 		this.store.listNewest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
 			page.records()
 				.forEach((entry) -> this.adapters.recordCodec()
-					.readStatus(entry)
+					.decodeStatus(entry)
 					.peek(this.rollouts::recordPublishedStatus));
 			this.rollouts.markStatusesLoaded();
 		}).exceptionally((failure) -> {
@@ -335,14 +335,14 @@
 	}
 
 	private SimpleHttpServer.Response directoryResponse(SimpleHttpServer.Request request) {
-		Optional<String> zone = this.adapters.directoryProtocol().zoneOf(request);
+		Optional<String> zone = this.adapters.directoryProtocol().parseCallerZone(request);
 		if (zone.isEmpty()) {
 			return SimpleHttpServer.Response.text(404, "no such page\n");
 		}
 		this.fleet.setCurrentTime(this.clock.steadyMillis());
 		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), createReportWithoutCounts());
 		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no entry node accepts requests\n")
-				: this.adapters.directoryProtocol().write(addresses, DIRECTORY_TTL_SECONDS);
+				: this.adapters.directoryProtocol().encodeResponse(addresses, DIRECTORY_TTL_SECONDS);
 	}
 
 	private NodeReport createReport() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -71,7 +71,7 @@
 		this.requestInProgress = true;
 		CallerExchange exchange = new CallerExchange(channel, this, this.protocol,
 				request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request));
-		Either<String, CallerRequest> parsed = request.decoderResult().isSuccess() ? this.protocol.read(request)
+		Either<String, CallerRequest> parsed = request.decoderResult().isSuccess() ? this.protocol.parseRequest(request)
 				: Either.left(String.valueOf(request.decoderResult().cause().getMessage()));
 		if (parsed.isLeft()) {
 			ProblemType type = isHeadTooLarge(request) ? ProblemType.HEAD_TOO_LARGE : ProblemType.MALFORMED;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
@@ -17,7 +17,7 @@
 	 * @param request the request
 	 * @return the zone; empty if the request isn't a lookup
 	 */
-	Optional<String> zoneOf(SimpleHttpServer.Request request);
+	Optional<String> parseCallerZone(SimpleHttpServer.Request request);
 
 	/**
 	 * Encode the response to a lookup.
@@ -25,6 +25,6 @@
 	 * @param ttlSeconds how long callers may cache the response, in seconds
 	 * @return the response
 	 */
-	SimpleHttpServer.Response write(List<Address> addresses, int ttlSeconds);
+	SimpleHttpServer.Response encodeResponse(List<Address> addresses, int ttlSeconds);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -293,7 +293,7 @@
 
 	private void publishStatus(RecordCodec.RolloutStatus status) {
 		this.dutyInProgress = true;
-		StoredRecord entry = this.dependencies.codec().writeStatus(status);
+		StoredRecord entry = this.dependencies.codec().encodeStatus(status);
 		this.store.append(StoreStream.STATUS, entry.key(), entry.value(), OptionalLong.empty())
 			.whenComplete((offset, failure) -> {
 				this.dutyInProgress = false;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -73,7 +73,7 @@
 	}
 
 	private void applyConfig(StoredRecord entry, byte[] value) {
-		Either<String, ServingConfig> decoded = this.codec.readConfig(value);
+		Either<String, ServingConfig> decoded = this.codec.decodeConfig(value);
 		if (decoded.isLeft()) {
 			logger.atSevere()
 				.log("%s",
@@ -91,7 +91,7 @@
 	}
 
 	private void applyRollout(StoredRecord entry, byte[] value) {
-		Either<String, RecordCodec.RolloutOrder> decoded = this.codec.readRollout(value);
+		Either<String, RecordCodec.RolloutOrder> decoded = this.codec.decodeRollout(value);
 		if (decoded.isLeft()) {
 			logger.atSevere()
 				.log("%s",
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -116,7 +116,7 @@
 			}
 			return;
 		}
-		Either<String, ServerRegistration> server = this.codec.readServer(entry.key(), entry.value().get());
+		Either<String, ServerRegistration> server = this.codec.decodeServer(entry.key(), entry.value().get());
 		if (server.isLeft()) {
 			logger.atWarning()
 				.log("%s",
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
@@ -23,7 +23,7 @@
 	 * @param value the content of the record
 	 * @return the configuration, or why it can't be decoded
 	 */
-	Either<String, ServingConfig> readConfig(byte[] value);
+	Either<String, ServingConfig> decodeConfig(byte[] value);
 
 	/**
 	 * Decode the registration of a backend server.
@@ -31,28 +31,28 @@
 	 * @param value the content of the record
 	 * @return the registration, or why it describes no usable server
 	 */
-	Either<String, ServerRegistration> readServer(String id, byte[] value);
+	Either<String, ServerRegistration> decodeServer(String id, byte[] value);
 
 	/**
 	 * Decode an order to move a service to another version.
 	 * @param value the content of the record
 	 * @return the order, or why it can't be decoded
 	 */
-	Either<String, RolloutOrder> readRollout(byte[] value);
+	Either<String, RolloutOrder> decodeRollout(byte[] value);
 
 	/**
 	 * Encode the status of a rollout for operators.
 	 * @param status the status
 	 * @return the record for {@link StoreStream#STATUS}
 	 */
-	StoredRecord writeStatus(RolloutStatus status);
+	StoredRecord encodeStatus(RolloutStatus status);
 
 	/**
 	 * Decode the status of a rollout that was written for operators.
 	 * @param entry the record
 	 * @return the status, or why it can't be decoded
 	 */
-	Either<String, RolloutStatus> readStatus(StoredRecord entry);
+	Either<String, RolloutStatus> decodeStatus(StoredRecord entry);
 
 	/**
 	 * Subjects of operator records.
