Rename names of the gateway that suggest another meaning

Several names of the caller, HTTP and node packages suggested something else than what they name: OpenRequest was a listener of connection events, CallerRequestHandler.accept also refuses, CallerProtocol.read parses a request that was received before, ReportCodec.write and read do no I/O, and responses had two names within the HTTP package. This commit only renames.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -340,9 +340,9 @@
 			return SimpleHttpServer.Response.text(404, "no such page\n");
 		}
 		this.fleet.setCurrentTime(this.clock.steadyMillis());
-		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), createReportWithoutCounts());
+		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), createOwnDirectoryEntry());
 		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no entry node accepts requests\n")
-				: this.adapters.directoryProtocol().write(addresses, DIRECTORY_TTL_SECONDS);
+				: this.adapters.directoryProtocol().encodeResponse(addresses, DIRECTORY_TTL_SECONDS);
 	}
 
 	private NodeReport createReport() {
@@ -353,16 +353,17 @@
 				this.demandTracker.report(nowMillis), this.rollouts.tallies());
 	}
 
-	private NodeReport createReportWithoutCounts() {
+	private NodeReport createOwnDirectoryEntry() {
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
 				Map.of(), Map.of(), List.of(), List.of());
 	}
 
-	private void onRequestStarted(Optional<ClientAccount> account, long millisSinceStart) {
+	private void onRequestStarted(Optional<ClientAccount> account, long millisSinceServerBegan) {
 		long windowMillis = this.settings.duties().usageWindowMillis();
 		if (account.isPresent() && windowMillis > 0) {
-			this.usage.count((correctedTimeOfDayMillis() - millisSinceStart) / windowMillis, account.get().name());
+			this.usage.count((correctedTimeOfDayMillis() - millisSinceServerBegan) / windowMillis,
+					account.get().name());
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GracefulShutdown.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GracefulShutdown.java
@@ -80,14 +80,14 @@
 		this.reportExchange.publish();
 		this.loop.schedule(() -> this.relay.setAdmissionState(RequestRelay.AdmissionState.CLOSED), ADMISSION_MILLIS,
 				TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(() -> poll(onStopped), POLL_INTERVAL_MILLIS, POLL_INTERVAL_MILLIS,
+		this.loop.scheduleWithFixedDelay(() -> stopIfDone(onStopped), POLL_INTERVAL_MILLIS, POLL_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
 
-	private void poll(Runnable onStopped) {
+	private void stopIfDone(Runnable onStopped) {
 		long elapsedMillis = this.clock.steadyMillis() - this.startedAtMillis;
-		boolean idle = this.openRequests.getAsInt() == 0 && elapsedMillis >= MIN_DURATION_MILLIS;
-		if (this.finished || (!idle && elapsedMillis < this.timeoutMillis)) {
+		boolean mayStop = this.openRequests.getAsInt() == 0 && elapsedMillis >= MIN_DURATION_MILLIS;
+		if (this.finished || (!mayStop && elapsedMillis < this.timeoutMillis)) {
 			return;
 		}
 		this.finished = true;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -35,7 +35,7 @@
 
 	private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
 
-	private @Nullable OpenRequest openRequest;
+	private @Nullable CallerConnectionListener connectionListener;
 
 	private boolean requestInProgress;
 
@@ -71,7 +71,7 @@
 		this.requestInProgress = true;
 		CallerExchange exchange = new CallerExchange(channel, this, this.protocol,
 				request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request));
-		Either<String, CallerRequest> parsed = request.decoderResult().isSuccess() ? this.protocol.read(request)
+		Either<String, CallerRequest> parsed = request.decoderResult().isSuccess() ? this.protocol.parseRequest(request)
 				: Either.left(String.valueOf(request.decoderResult().cause().getMessage()));
 		if (parsed.isLeft()) {
 			ProblemType type = isHeadTooLarge(request) ? ProblemType.HEAD_TOO_LARGE : ProblemType.MALFORMED;
@@ -82,9 +82,9 @@
 			exchange.fail(Failure.notRun(type, Step.PARSE, "caller", parsed.getLeft()), -1);
 			return;
 		}
-		OpenRequest accepted = this.requestHandler.accept(parsed.get(), exchange);
+		CallerConnectionListener listener = this.requestHandler.handle(parsed.get(), exchange);
 		if (this.requestInProgress) {
-			this.openRequest = accepted;
+			this.connectionListener = listener;
 		}
 	}
 
@@ -99,7 +99,7 @@
 	 */
 	void onExchangeEnded(boolean reuse) {
 		this.requestInProgress = false;
-		this.openRequest = null;
+		this.connectionListener = null;
 		if (!reuse) {
 			releasePipelinedRequests();
 			return;
@@ -130,19 +130,19 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext channel) {
 		releasePipelinedRequests();
-		OpenRequest disconnectedRequest = this.openRequest;
-		this.openRequest = null;
+		CallerConnectionListener listener = this.connectionListener;
+		this.connectionListener = null;
 		this.requestInProgress = true;
-		if (disconnectedRequest != null) {
-			disconnectedRequest.onCallerDisconnected();
+		if (listener != null) {
+			listener.onCallerDisconnected();
 		}
 	}
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext channel) {
-		OpenRequest writableRequest = this.openRequest;
-		if (writableRequest != null && channel.channel().isWritable()) {
-			writableRequest.onCallerWritable();
+		CallerConnectionListener listener = this.connectionListener;
+		if (listener != null && channel.channel().isWritable()) {
+			listener.onCallerWritable();
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/OpenRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnectionListener.java
@@ -3,7 +3,7 @@
 /**
  * Receives the events of a caller's connection while a request is open on it.
  */
-public interface OpenRequest {
+public interface CallerConnectionListener {
 
 	/**
 	 * Handle the end of the caller's connection.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -159,7 +159,7 @@
 	/**
 	 * Return whether the caller reads more slowly than the response arrives.
 	 * @return {@code true} if no more should be read from the backend server until
-	 * {@link OpenRequest#onCallerWritable()} is called
+	 * {@link CallerConnectionListener#onCallerWritable()} is called
 	 */
 	public boolean isCongested() {
 		return !this.context.channel().isWritable();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -81,7 +81,7 @@
 		RequestReadTimeout readTimeout = new RequestReadTimeout(limits.headerTimeoutMillis() * REQUEST_TIMEOUT_FACTOR);
 		int idleSeconds = (int) Math.ceil(limits.idleTimeoutMillis() * IDLE_TIMEOUT_FACTOR / MILLIS_PER_SECOND);
 		pipeline.addLast(new IdleStateHandler(idleSeconds, 0, 0), readTimeout, new HttpServerCodec(decoderConfig),
-				new LoggingAggregator(limits.maxBodyBytes()), readTimeout.new CompletionHandler(), connection);
+				new LoggingAggregator(limits.maxBodyBytes()), readTimeout.new TimeoutCanceller(), connection);
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerProtocol.java
@@ -15,7 +15,7 @@
 	 * @param request the request as received; on success the result owns its body
 	 * @return the request, or why it can't be parsed
 	 */
-	Either<String, CallerRequest> read(FullHttpRequest request);
+	Either<String, CallerRequest> parseRequest(FullHttpRequest request);
 
 	/**
 	 * Set the header that says when a refused caller may retry.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
@@ -17,21 +17,21 @@
  * @param method the method
  * @param uri path and query, unchanged
  * @param host the host that the request names, without a port
- * @param key the key of the caller's client account; empty if the caller sent none
+ * @param accountKey the key of the caller's client account; empty if the caller sent none
  * @param budgetMillis how long the caller waits for the response, in milliseconds; empty
  * if the caller doesn't say
  * @param prompt the size of the prompt; {@link PromptMetadata#NONE} for plain requests
- * @param statesTokens whether the caller states how many tokens the request uses
+ * @param hasStatedTokens whether the caller states how many tokens the request uses
  * @param headers all headers as received
  * @param body the body; the owner of the request releases it
  */
-public record CallerRequest(String attemptId, HttpMethod method, String uri, String host, Optional<String> key,
-		OptionalLong budgetMillis, PromptMetadata prompt, boolean statesTokens, HttpHeaders headers, ByteBuf body) {
+public record CallerRequest(String attemptId, HttpMethod method, String uri, String host, Optional<String> accountKey,
+		OptionalLong budgetMillis, PromptMetadata prompt, boolean hasStatedTokens, HttpHeaders headers, ByteBuf body) {
 
 	public CallerRequest {
 		Objects.requireNonNull(attemptId, "attemptId must not be null");
 		Objects.requireNonNull(host, "host must not be null");
-		Objects.requireNonNull(key, "key must not be null");
+		Objects.requireNonNull(accountKey, "accountKey must not be null");
 		Objects.requireNonNull(budgetMillis, "budgetMillis must not be null");
 		Objects.requireNonNull(prompt, "prompt must not be null");
 	}
@@ -49,8 +49,8 @@
 	 * Return the number of tokens that the caller states for the request.
 	 * @return the number; negative if the caller states none
 	 */
-	public long statedTokens() {
-		return this.statesTokens ? this.prompt.maxTotalTokens() : -1;
+	public long statedTotalTokens() {
+		return this.hasStatedTokens ? this.prompt.maxTotalTokens() : -1;
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequestHandler.java
@@ -11,7 +11,7 @@
 	 * @param exchange sends the response
 	 * @return receives the events of the caller's connection while the request is open
 	 */
-	OpenRequest accept(CallerRequest request, CallerExchange exchange);
+	CallerConnectionListener handle(CallerRequest request, CallerExchange exchange);
 
 	/**
 	 * Return whether connections may stay open after a response.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
@@ -25,6 +25,6 @@
 	 * @param ttlSeconds how long callers may cache the response, in seconds
 	 * @return the response
 	 */
-	SimpleHttpServer.Response write(List<Address> addresses, int ttlSeconds);
+	SimpleHttpServer.Response encodeResponse(List<Address> addresses, int ttlSeconds);
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/RequestReadTimeout.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/RequestReadTimeout.java
@@ -16,7 +16,7 @@
 /**
  * Answers with status 408 and closes the connection if a request doesn't arrive
  * completely within a time from its first byte. This handler comes before the decoder;
- * its {@link CompletionHandler} comes after the aggregator, where requests are complete.
+ * its {@link TimeoutCanceller} comes after the aggregator, where requests are complete.
  */
 final class RequestReadTimeout extends ChannelInboundHandlerAdapter {
 
@@ -68,7 +68,7 @@
 	/**
 	 * Cancels the timeout when a request is complete.
 	 */
-	final class CompletionHandler extends ChannelInboundHandlerAdapter {
+	final class TimeoutCanceller extends ChannelInboundHandlerAdapter {
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -211,7 +211,7 @@
 	}
 
 	private static Optional<UsageReportSchedule.Report> decodeUsage(StoredRecord entry) {
-		return ReportCodec.readUsage(entry.value().orElse(new byte[0]))
+		return ReportCodec.decodeUsageReport(entry.value().orElse(new byte[0]))
 			.peekLeft((reason) -> logger.atWarning()
 				.log("%s",
 						LogLine.of("usage record unreadable")
@@ -269,10 +269,11 @@
 
 	private void storeUsage(UsageReportSchedule.Report report) {
 		this.dutyInProgress = true;
-		appendRecord(USAGE_KEY, ReportCodec.writeUsage(report.window(), report.requests()), this.endOffset, () -> {
-			this.usageReports.recordStored(report);
-			this.loop.execute(this::tick);
-		});
+		appendRecord(USAGE_KEY, ReportCodec.encodeUsageReport(report.window(), report.requests()), this.endOffset,
+				() -> {
+					this.usageReports.recordStored(report);
+					this.loop.execute(this::tick);
+				});
 	}
 
 	private void sendUsage(long token, UsageReportSchedule.Report report) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
@@ -29,13 +29,13 @@
 	}
 
 	@Override
-	public void operationComplete(ChannelFuture bound) {
-		if (!bound.isSuccess()) {
+	public void operationComplete(ChannelFuture bindResult) {
+		if (!bindResult.isSuccess()) {
 			logger.atSevere()
 				.log("%s",
 						LogLine.of("can't listen")
 							.with("address", this.address.toString())
-							.with("reason", String.valueOf(bound.cause())));
+							.with("reason", String.valueOf(bindResult.cause())));
 			new Thread(() -> System.exit(BIND_FAILURE_STATUS), "exit").start();
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
@@ -13,11 +13,11 @@
 	/**
 	 * Create an exception.
 	 * @param peer the address that was called, at the end of the message
-	 * @param step what failed, at the start of the message
+	 * @param problem what failed, at the start of the message
 	 * @param maybeSent whether the peer may have received bytes of the request
 	 */
-	public HttpCallException(String peer, String step, boolean maybeSent) {
-		super(step + " " + peer, null, false, false);
+	public HttpCallException(String peer, String problem, boolean maybeSent) {
+		super(problem + " " + peer, null, false, false);
 		this.maybeSent = maybeSent;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpReply.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallResponse.java
@@ -8,9 +8,9 @@
  * @param status the HTTP status, which may be an error
  * @param body the body; empty if there is none
  */
-public record HttpReply(int status, byte[] body) {
+public record HttpCallResponse(int status, byte[] body) {
 
-	public HttpReply {
+	public HttpCallResponse {
 		Objects.requireNonNull(body, "body must not be null");
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -39,7 +39,7 @@
 	/**
 	 * The largest accepted response. Exceeds the largest page of the platform's store.
 	 */
-	private static final int MAX_REPLY_BYTES = 8 * 1_048_576;
+	private static final int MAX_RESPONSE_BYTES = 8 * 1_048_576;
 
 	/**
 	 * A connection that was idle for at least this long isn't used again: it may be dead,
@@ -74,7 +74,7 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_REPLY_BYTES),
+						.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
 								new Connection(channel));
 				}
 			});
@@ -91,30 +91,30 @@
 	 * @return completes on the event loop with the response, whatever its status, or
 	 * exceptionally with a {@link HttpCallException}
 	 */
-	public CompletableFuture<HttpReply> call(HttpMethod method, String uri, Map<String, String> headers, byte[] body,
-			long timeoutMillis) {
+	public CompletableFuture<HttpCallResponse> call(HttpMethod method, String uri, Map<String, String> headers,
+			byte[] body, long timeoutMillis) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
 				Unpooled.wrappedBuffer(body));
 		headers.forEach((name, value) -> request.headers().set(name, value));
 		request.headers().set(HttpHeaderNames.HOST, this.peer.toString());
 		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-		CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+		CompletableFuture<HttpCallResponse> result = new CompletableFuture<>();
 		Connection connection = pollIdleConnection();
 		if (connection != null) {
-			connection.send(request, reply, timeoutMillis);
-			return reply;
+			connection.send(request, result, timeoutMillis);
+			return result;
 		}
 		this.bootstrap.connect(this.peer.host(), this.peer.port()).addListener((connectResult) -> {
 			if (connectResult.isSuccess()) {
 				Channel channel = ((ChannelFuture) connectResult).channel();
-				channel.pipeline().get(Connection.class).send(request, reply, timeoutMillis);
+				channel.pipeline().get(Connection.class).send(request, result, timeoutMillis);
 			}
 			else {
 				request.release();
-				reply.completeExceptionally(new HttpCallException(this.peer.toString(), "connect to", false));
+				result.completeExceptionally(new HttpCallException(this.peer.toString(), "connect to", false));
 			}
 		});
-		return reply;
+		return result;
 	}
 
 	private Connection pollIdleConnection() {
@@ -139,7 +139,7 @@
 
 		private long idleSinceNanos;
 
-		private CompletableFuture<HttpReply> pendingReply;
+		private CompletableFuture<HttpCallResponse> pendingResponse;
 
 		private ScheduledFuture<?> timeout;
 
@@ -147,8 +147,8 @@
 			this.channel = channel;
 		}
 
-		private void send(FullHttpRequest request, CompletableFuture<HttpReply> reply, long timeoutMillis) {
-			this.pendingReply = reply;
+		private void send(FullHttpRequest request, CompletableFuture<HttpCallResponse> result, long timeoutMillis) {
+			this.pendingResponse = result;
 			this.timeout = PooledHttpClient.this.loop.schedule(() -> fail("timed out waiting for"), timeoutMillis,
 					TimeUnit.MILLISECONDS);
 			this.channel.writeAndFlush(request);
@@ -156,8 +156,8 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-			CompletableFuture<HttpReply> reply = takePendingReply();
-			if (reply == null || !response.decoderResult().isSuccess()) {
+			CompletableFuture<HttpCallResponse> result = takePendingResponse();
+			if (result == null || !response.decoderResult().isSuccess()) {
 				this.channel.close();
 			}
 			else if (HttpUtil.isKeepAlive(response)) {
@@ -167,30 +167,32 @@
 			else {
 				this.channel.close();
 			}
-			if (reply != null && response.decoderResult().isSuccess()) {
-				reply.complete(new HttpReply(response.status().code(), ByteBufUtil.getBytes(response.content())));
+			if (result != null && response.decoderResult().isSuccess()) {
+				result
+					.complete(new HttpCallResponse(response.status().code(), ByteBufUtil.getBytes(response.content())));
 			}
-			else if (reply != null) {
-				reply.completeExceptionally(
+			else if (result != null) {
+				result.completeExceptionally(
 						new HttpCallException(PooledHttpClient.this.peer.toString(), "unreadable response from", true));
 			}
 		}
 
-		private CompletableFuture<HttpReply> takePendingReply() {
-			CompletableFuture<HttpReply> reply = this.pendingReply;
-			this.pendingReply = null;
+		private CompletableFuture<HttpCallResponse> takePendingResponse() {
+			CompletableFuture<HttpCallResponse> result = this.pendingResponse;
+			this.pendingResponse = null;
 			if (this.timeout != null) {
 				this.timeout.cancel(false);
 			}
-			return reply;
+			return result;
 		}
 
-		private void fail(String step) {
-			CompletableFuture<HttpReply> reply = takePendingReply();
+		private void fail(String problem) {
+			CompletableFuture<HttpCallResponse> result = takePendingResponse();
 			this.channel.close();
 			PooledHttpClient.this.idleConnections.remove(this);
-			if (reply != null) {
-				reply.completeExceptionally(new HttpCallException(PooledHttpClient.this.peer.toString(), step, true));
+			if (result != null) {
+				result
+					.completeExceptionally(new HttpCallException(PooledHttpClient.this.peer.toString(), problem, true));
 			}
 		}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -26,7 +26,7 @@
 
 	private static final double PERCENT = 100;
 
-	private final RelayMetrics metrics;
+	private final RelayMetrics relayMetrics;
 
 	private final NodeMetrics nodeMetrics;
 
@@ -36,11 +36,11 @@
 
 	/**
 	 * Create a page.
-	 * @param metrics the counters and latencies of the request path
+	 * @param relayMetrics the counters and latencies of the request path
 	 * @param nodeMetrics the other values of the node
 	 */
-	public MetricsPage(RelayMetrics metrics, NodeMetrics nodeMetrics) {
-		this.metrics = metrics;
+	public MetricsPage(RelayMetrics relayMetrics, NodeMetrics nodeMetrics) {
+		this.relayMetrics = relayMetrics;
 		this.nodeMetrics = nodeMetrics;
 	}
 
@@ -61,7 +61,7 @@
 	}
 
 	private void registerGauges(PrometheusMeterRegistry prometheus) {
-		Gauge.builder("flamingogap.requests.open", this.metrics, RelayMetrics::openRequests)
+		Gauge.builder("flamingogap.requests.open", this.relayMetrics, RelayMetrics::openRequests)
 			.description("Requests that are open")
 			.register(prometheus);
 		Gauge.builder("flamingogap.config.version", this.nodeMetrics, NodeMetrics::configVersion)
@@ -83,17 +83,17 @@
 	}
 
 	private void registerNewMeters(PrometheusMeterRegistry prometheus) {
-		for (String name : this.metrics.counts().keySet()) {
+		for (String name : this.relayMetrics.counts().keySet()) {
 			if (addIfNew("count." + name)) {
 				int dot = name.lastIndexOf('.');
 				FunctionCounter
-					.builder("flamingogap.requests", this.metrics,
-							(relayMetrics) -> relayMetrics.counts().getOrDefault(name, 0L))
+					.builder("flamingogap.requests", this.relayMetrics,
+							(source) -> source.counts().getOrDefault(name, 0L))
 					.tags(Tags.of("outcome", name.substring(0, dot), "status", name.substring(dot + 1)))
 					.register(prometheus);
 			}
 		}
-		for (Map.Entry<String, Histogram> latency : this.metrics.latencies().entrySet()) {
+		for (Map.Entry<String, Histogram> latency : this.relayMetrics.latencies().entrySet()) {
 			if (addIfNew("latency." + latency.getKey())) {
 				registerLatency(prometheus, latency.getKey(), latency.getValue());
 			}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -119,18 +119,19 @@
 	 */
 	public void start() {
 		this.follower.start();
-		this.loop.scheduleWithFixedDelay(this::tick, 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::publishReportAndRemoveSilentNodes, 0, REPORT_INTERVAL_MILLIS,
+				TimeUnit.MILLISECONDS);
 	}
 
-	private void tick() {
+	private void publishReportAndRemoveSilentNodes() {
 		long nowMillis = this.clock.steadyMillis();
 		this.fleet.setCurrentTime(nowMillis);
 		if (nowMillis - this.follower.lastDisruptionAtMillis() > MIN_UNDISTURBED_MILLIS) {
 			this.fleet.nodesSilentLongerThan(REMOVAL_TIMEOUT_MILLIS).forEach(this::removeNode);
 		}
 		NodeReport report = this.ownReportSupplier.get();
-		this.reportSink.submit(report.node().name(), ReportCodec.write(report))
-			.exceptionally(NodeReportExchange::logAppendFailure);
+		this.reportSink.submit(report.node().name(), ReportCodec.encodeNodeReport(report))
+			.exceptionally(NodeReportExchange::logFailureAndReturnNoOffset);
 	}
 
 	private void removeNode(String node) {
@@ -148,12 +149,12 @@
 	public CompletableFuture<Long> publish() {
 		NodeReport report = this.ownReportSupplier.get();
 		return this.store
-			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.write(report)),
+			.append(StoreStream.NODES, report.node().name(), Optional.of(ReportCodec.encodeNodeReport(report)),
 					OptionalLong.empty())
-			.exceptionally(NodeReportExchange::logAppendFailure);
+			.exceptionally(NodeReportExchange::logFailureAndReturnNoOffset);
 	}
 
-	private static Long logAppendFailure(Throwable failure) {
+	private static Long logFailureAndReturnNoOffset(Throwable failure) {
 		logger.atInfo()
 			.log("%s", LogLine.of("report not kept").with("reason", StoreException.of(failure).getMessage()));
 		return -1L;
@@ -165,7 +166,7 @@
 			removeNode(entry.key());
 			return;
 		}
-		Either<String, NodeReport> report = ReportCodec.read(entry.value().get());
+		Either<String, NodeReport> report = ReportCodec.decodeNodeReport(entry.value().get());
 		if (report.isLeft()) {
 			logger.atWarning()
 				.log("%s", LogLine.of("report unreadable").with("peer", entry.key()).with("reason", report.getLeft()));
@@ -186,10 +187,10 @@
 	}
 
 	@Override
-	public void onListed(Set<String> keys, long end) {
-		this.listingEndOffset = end;
+	public void onListed(Set<String> keys, long endOffset) {
+		this.listingEndOffset = endOffset;
 		this.listingCompleted = true;
-		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", end));
+		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", endOffset));
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -104,8 +104,9 @@
 	}
 
 	@Override
-	public void onListed(Set<String> keys, long end) {
-		logger.atInfo().log("%s", LogLine.of("operator records listed").with("keys", keys.size()).with("offset", end));
+	public void onListed(Set<String> keys, long endOffset) {
+		logger.atInfo()
+			.log("%s", LogLine.of("operator records listed").with("keys", keys.size()).with("offset", endOffset));
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -32,7 +32,7 @@
 	 * @param report the report
 	 * @return the content of its record
 	 */
-	public static byte[] write(NodeReport report) {
+	public static byte[] encodeNodeReport(NodeReport report) {
 		io.flamingogap.wire.report.NodeReport wire = new io.flamingogap.wire.report.NodeReport(report.node().name(),
 				report.node().incarnation(), report.callerAddress().toString(), report.zone(), report.serving(),
 				report.timeOfDayMillis(), report.demandPerSecond(), encodeUsage(report), encodeServices(report),
@@ -67,7 +67,7 @@
 	 * @param bytes the content of its record
 	 * @return the report, or why it can't be decoded
 	 */
-	public static Either<String, NodeReport> read(byte[] bytes) {
+	public static Either<String, NodeReport> decodeNodeReport(byte[] bytes) {
 		try {
 			io.flamingogap.wire.report.NodeReport wire = ThriftSerializer.deserialize(bytes,
 					new io.flamingogap.wire.report.NodeReport());
@@ -104,7 +104,7 @@
 	 * @param requests the number of requests by account
 	 * @return the content of its record
 	 */
-	public static byte[] writeUsage(long window, Map<String, Long> requests) {
+	public static byte[] encodeUsageReport(long window, Map<String, Long> requests) {
 		return ThriftSerializer.serialize(new UsageIntent(window, requests));
 	}
 
@@ -114,7 +114,7 @@
 	 * @return the number of the window with the number of requests by account, or why the
 	 * record can't be decoded
 	 */
-	public static Either<String, Map.Entry<Long, Map<String, Long>>> readUsage(byte[] bytes) {
+	public static Either<String, Map.Entry<Long, Map<String, Long>>> decodeUsageReport(byte[] bytes) {
 		try {
 			UsageIntent wire = ThriftSerializer.deserialize(bytes, new UsageIntent());
 			return Either.right(Map.entry(wire.getWindow(), wire.getRequests()));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -47,21 +47,21 @@
 
 	private final RandomGenerator random;
 
-	private final double exploredShare;
+	private final double explorationShare;
 
 	/**
 	 * Create a controller without rollouts.
 	 * @param servers the backend servers
 	 * @param fleet the reports of other nodes, with their counts of outcomes
 	 * @param random draws the version for each request
-	 * @param exploredShare the share of requests, from 0 to 1, that goes to the target
+	 * @param explorationShare the share of requests, from 0 to 1, that goes to the target
 	 * version in the first phase of a rollout
 	 */
-	public RolloutController(ServerTable servers, FleetView fleet, RandomGenerator random, double exploredShare) {
+	public RolloutController(ServerTable servers, FleetView fleet, RandomGenerator random, double explorationShare) {
 		this.servers = servers;
 		this.fleet = fleet;
 		this.random = random;
-		this.exploredShare = exploredShare;
+		this.explorationShare = explorationShare;
 	}
 
 	/**
@@ -141,7 +141,7 @@
 			if (rollout.state != RolloutStatus.State.RUNNING) {
 				continue;
 			}
-			TimedCanary canary = collectEvidence(rollout);
+			TimedCanary canary = createCanary(rollout);
 			double elapsedFraction = rollout.elapsedFraction(nowMillis);
 			Optional<String> regression = canary.findRegression();
 			if (regression.isPresent()) {
@@ -161,8 +161,8 @@
 			.anyMatch((server) -> server.takesRequests() && rollout.runsTarget(server.registration()) == ofTarget);
 	}
 
-	private TimedCanary collectEvidence(ServiceRollout rollout) {
-		TimedCanary canary = new TimedCanary(this.exploredShare);
+	private TimedCanary createCanary(ServiceRollout rollout) {
+		TimedCanary canary = new TimedCanary(this.explorationShare);
 		rollout.tallies.forEach((key, tally) -> canary.add(rollout.armOf(key.version()), key.route(), tally));
 		for (NodeReport report : this.fleet.recentReports()) {
 			for (NodeReport.VersionTally row : report.tallies()) {
@@ -251,7 +251,7 @@
 	public void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
 		ServiceRollout rollout = this.rolloutsByService.get(server.service());
 		if (rollout != null && rollout.state == RolloutStatus.State.RUNNING) {
-			rollout.record(server, route, failed, latencyMillis);
+			rollout.recordOutcome(server, route, failed, latencyMillis);
 		}
 	}
 
@@ -264,7 +264,7 @@
 
 		private final long offset;
 
-		private final long startedAtMillis;
+		private final long orderReadAtMillis;
 
 		private final Map<TallyKey, Tally> tallies = new HashMap<>();
 
@@ -274,10 +274,10 @@
 
 		private double targetShare;
 
-		private ServiceRollout(RolloutOrder order, long offset, long startedAtMillis) {
+		private ServiceRollout(RolloutOrder order, long offset, long orderReadAtMillis) {
 			this.order = order;
 			this.offset = offset;
-			this.startedAtMillis = startedAtMillis;
+			this.orderReadAtMillis = orderReadAtMillis;
 		}
 
 		private boolean runsTarget(ServerRegistration server) {
@@ -289,10 +289,10 @@
 		}
 
 		private double elapsedFraction(long nowMillis) {
-			return (double) (nowMillis - this.startedAtMillis) / Math.max(1, this.order.withinMillis());
+			return (double) (nowMillis - this.orderReadAtMillis) / Math.max(1, this.order.withinMillis());
 		}
 
-		private void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
+		private void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
 			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
 					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -140,9 +140,9 @@
 	}
 
 	@Override
-	public void onListed(Set<String> keys, long end) {
-		this.servers.retain(keys, end, suspectUntilMillis(), this.clock.steadyMillis());
-		logger.atInfo().log("%s", LogLine.of("servers listed").with("servers", keys.size()).with("offset", end));
+	public void onListed(Set<String> keys, long endOffset) {
+		this.servers.retain(keys, endOffset, suspectUntilMillis(), this.clock.steadyMillis());
+		logger.atInfo().log("%s", LogLine.of("servers listed").with("servers", keys.size()).with("offset", endOffset));
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -10,7 +10,7 @@
 import org.apache.thrift.TException;
 
 import io.flamingogap.core.node.Address;
-import io.flamingogap.gateway.http.HttpReply;
+import io.flamingogap.gateway.http.HttpCallResponse;
 import io.flamingogap.gateway.http.PooledHttpClient;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.store.StoreException;
@@ -68,7 +68,7 @@
 		return result;
 	}
 
-	private static PeerReply requireDone(Address peer, HttpReply reply, Throwable failure) {
+	private static PeerReply requireDone(Address peer, HttpCallResponse reply, Throwable failure) {
 		if (failure != null) {
 			throw new StoreException(Reason.UNKNOWN, "call through node " + peer + ": " + failure.getMessage());
 		}
@@ -80,7 +80,7 @@
 		return storeReply;
 	}
 
-	private static PeerReply decode(Address peer, HttpReply reply) {
+	private static PeerReply decode(Address peer, HttpCallResponse reply) {
 		try {
 			return ThriftSerializer.deserialize(reply.body(), new PeerReply());
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/PendingAdmission.java
@@ -4,16 +4,16 @@
 
 import org.jspecify.annotations.Nullable;
 
-import io.flamingogap.gateway.callers.OpenRequest;
+import io.flamingogap.gateway.callers.CallerConnectionListener;
 
 /**
  * A request whose admission is decided after the wait for borrowed quota units.
  */
-final class PendingAdmission implements OpenRequest {
+final class PendingAdmission implements CallerConnectionListener {
 
 	private final Runnable onAbandoned;
 
-	private @Nullable OpenRequest admitted;
+	private @Nullable CallerConnectionListener admitted;
 
 	private boolean callerDisconnected;
 
@@ -30,7 +30,7 @@
 	 * @param admission admits or refuses the request and returns the request to notify
 	 * from then on
 	 */
-	void decide(Supplier<OpenRequest> admission) {
+	void decide(Supplier<CallerConnectionListener> admission) {
 		if (!this.callerDisconnected) {
 			this.admitted = admission.get();
 		}
@@ -38,7 +38,7 @@
 
 	@Override
 	public void onCallerDisconnected() {
-		OpenRequest request = this.admitted;
+		CallerConnectionListener request = this.admitted;
 		if (request != null) {
 			request.onCallerDisconnected();
 		}
@@ -50,7 +50,7 @@
 
 	@Override
 	public void onCallerWritable() {
-		OpenRequest request = this.admitted;
+		CallerConnectionListener request = this.admitted;
 		if (request != null) {
 			request.onCallerWritable();
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -15,9 +15,9 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
 import io.flamingogap.gateway.callers.CallerRequest;
-import io.flamingogap.gateway.callers.OpenRequest;
 import io.flamingogap.gateway.log.LogLine;
 
 /**
@@ -25,7 +25,7 @@
  * {@link Attempt} decides whether another server may be tried; this class carries out its
  * decisions.
  */
-final class RelayedRequest implements OpenRequest {
+final class RelayedRequest implements CallerConnectionListener {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -16,10 +16,10 @@
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RouteRule;
 import io.flamingogap.core.serving.ServingConfig;
+import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
 import io.flamingogap.gateway.callers.CallerRequest;
 import io.flamingogap.gateway.callers.CallerRequestHandler;
-import io.flamingogap.gateway.callers.OpenRequest;
 import io.flamingogap.gateway.log.LogLine;
 
 /**
@@ -47,7 +47,7 @@
 
 	private static final double PERCENT = 100;
 
-	private static final OpenRequest NO_OP_REQUEST = new OpenRequest() {
+	private static final CallerConnectionListener NO_OP_REQUEST = new CallerConnectionListener() {
 		@Override
 		public void onCallerDisconnected() {
 		}
@@ -94,7 +94,7 @@
 	}
 
 	@Override
-	public OpenRequest accept(CallerRequest request, CallerExchange exchange) {
+	public CallerConnectionListener handle(CallerRequest request, CallerExchange exchange) {
 		Optional<ServingConfig> config = this.dependencies.config().current();
 		if (config.isEmpty()) {
 			return refuse(request, exchange, overloaded("the node has not received a configuration yet"),
@@ -113,11 +113,11 @@
 		return authenticate(request, exchange, config.get(), route.get());
 	}
 
-	private OpenRequest authenticate(CallerRequest request, CallerExchange exchange, ServingConfig config,
+	private CallerConnectionListener authenticate(CallerRequest request, CallerExchange exchange, ServingConfig config,
 			RouteRule route) {
 		Optional<ClientAccount> account = Optional.empty();
 		if (config.requiresKeys() && !route.isPublic()) {
-			account = request.key().flatMap(config::findAccount);
+			account = request.accountKey().flatMap(config::findAccount);
 			if (account.isEmpty()) {
 				return refuse(request, exchange,
 						Failure.notRun(ProblemType.UNAUTHENTICATED, Step.AUTHENTICATE, "caller",
@@ -129,7 +129,7 @@
 		return admit(request, exchange, route, account);
 	}
 
-	private OpenRequest admit(CallerRequest request, CallerExchange exchange, RouteRule route,
+	private CallerConnectionListener admit(CallerRequest request, CallerExchange exchange, RouteRule route,
 			Optional<ClientAccount> account) {
 		long bytes = request.body().readableBytes();
 		if (this.dependencies.metrics().requestBodyBytes() + bytes > this.limits.maxBufferedBytes()) {
@@ -156,7 +156,7 @@
 	}
 
 	private static long quotaCost(CallerRequest request, Optional<ClientAccount> account) {
-		return account.map((found) -> found.quota().cost(request.statedTokens())).orElse(0L);
+		return account.map((found) -> found.quota().cost(request.statedTotalTokens())).orElse(0L);
 	}
 
 	private QuotaDecision chargeQuota(ClientAccount account, long cost) {
@@ -164,7 +164,7 @@
 			.admit(account, cost, this.dependencies.fleetDemand(), this.dependencies.clock().steadyMillis());
 	}
 
-	private OpenRequest admitOrRefuse(CallerRequest request, CallerExchange exchange, RouteRule route,
+	private CallerConnectionListener admitOrRefuse(CallerRequest request, CallerExchange exchange, RouteRule route,
 			ClientAccount account, long cost) {
 		QuotaDecision decision = this.dependencies.quotaLimiter()
 			.retryAdmission(account, cost, this.dependencies.fleetDemand(), this.dependencies.clock().steadyMillis());
@@ -172,7 +172,7 @@
 				: refuse(request, exchange, quotaExceeded(account, decision), decision.waitMillis());
 	}
 
-	private OpenRequest relay(CallerRequest request, CallerExchange exchange, RouteRule route,
+	private CallerConnectionListener relay(CallerRequest request, CallerExchange exchange, RouteRule route,
 			Optional<ClientAccount> account, long cost) {
 		long nowMillis = this.dependencies.clock().steadyMillis();
 		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(UNLIMITED_BUDGET_MILLIS), nowMillis);
@@ -210,7 +210,8 @@
 		return Failure.notRun(ProblemType.OVERLOADED, Step.ADMIT, "caller", detail);
 	}
 
-	private OpenRequest refuse(CallerRequest request, CallerExchange exchange, Failure failure, long retryAfterMillis) {
+	private CallerConnectionListener refuse(CallerRequest request, CallerExchange exchange, Failure failure,
+			long retryAfterMillis) {
 		request.body().release();
 		this.dependencies.metrics().increment("refused." + failure.type().status());
 		long configVersion = this.dependencies.config().current().map(ServingConfig::version).orElse(-1L);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/NodeClock.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/time/NodeClock.java
@@ -9,18 +9,19 @@
  */
 public final class NodeClock {
 
-	private final LongSupplier nanoTime;
+	private final LongSupplier nanoTimeSource;
 
-	private final LongSupplier timeOfDayMillis;
+	private final LongSupplier timeOfDayMillisSource;
 
 	/**
 	 * Create a clock from two sources.
-	 * @param nanoTime supplies the monotonic clock, in nanoseconds
-	 * @param timeOfDayMillis supplies the time of day, in milliseconds since 1970 UTC
+	 * @param nanoTimeSource supplies the monotonic clock, in nanoseconds
+	 * @param timeOfDayMillisSource supplies the time of day, in milliseconds since 1970
+	 * UTC
 	 */
-	public NodeClock(LongSupplier nanoTime, LongSupplier timeOfDayMillis) {
-		this.nanoTime = nanoTime;
-		this.timeOfDayMillis = timeOfDayMillis;
+	public NodeClock(LongSupplier nanoTimeSource, LongSupplier timeOfDayMillisSource) {
+		this.nanoTimeSource = nanoTimeSource;
+		this.timeOfDayMillisSource = timeOfDayMillisSource;
 	}
 
 	/**
@@ -28,7 +29,7 @@
 	 * @return milliseconds since an arbitrary origin
 	 */
 	public long steadyMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(this.nanoTime.getAsLong());
+		return TimeUnit.NANOSECONDS.toMillis(this.nanoTimeSource.getAsLong());
 	}
 
 	/**
@@ -36,7 +37,7 @@
 	 * @return milliseconds since 1970 UTC
 	 */
 	public long timeOfDayMillis() {
-		return this.timeOfDayMillis.getAsLong();
+		return this.timeOfDayMillisSource.getAsLong();
 	}
 
 }
