Say what the caller limits apply to and name callers in log lines

The comments on the request timeout, the idle limit and the single response said more than the code does. Log lines on refused requests and closed connections named neither the caller nor, for pipelined requests and too large bodies, the limit or the size. The text sent to callers is the same.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -35,8 +35,10 @@
 
 	private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
 
+	/** Set while a request is in progress that its handler didn't answer at once. */
 	private @Nullable CallerConnectionListener connectionListener;
 
+	/** Also set after the connection is closed, so that no more requests start. */
 	private boolean requestInProgress;
 
 	private @Nullable ChannelHandlerContext context;
@@ -62,7 +64,10 @@
 		}
 		else {
 			request.release();
-			logger.atWarning().log("%s", LogLine.of("connection closed").with("reason", "too many pipelined requests"));
+			logger.atWarning()
+				.log("%s", LogLine.of("connection closed")
+					.with("reason", "more than " + MAX_PIPELINED_REQUESTS
+							+ " pipelined requests wait for a response; caller " + channel.channel().remoteAddress()));
 			channel.close();
 		}
 	}
@@ -78,7 +83,9 @@
 			request.release();
 			logger.atInfo()
 				.log("%s",
-						LogLine.of("request refused").with("status", type.status()).with("reason", parsed.getLeft()));
+						LogLine.of("request refused")
+							.with("status", type.status())
+							.with("reason", parsed.getLeft() + "; caller " + channel.channel().remoteAddress()));
 			exchange.fail(Failure.notRun(type, Step.PARSE, "caller", parsed.getLeft()), -1);
 			return;
 		}
@@ -155,7 +162,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
-		logger.atFine().log("%s", LogLine.of("caller connection broke").with("reason", String.valueOf(cause)));
+		logger.atFine()
+			.log("%s", LogLine.of("caller connection broke")
+				.with("reason", cause + "; caller " + channel.channel().remoteAddress()));
 		channel.close();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -21,8 +21,9 @@
 import io.flamingogap.core.error.Failure;
 
 /**
- * Sends the response to one request of a caller, at once or in chunks. Sends at most one
- * response.
+ * Sends the response to one request of a caller, at once or in chunks. {@link #fail} and
+ * {@link #respond} send nothing if a response has begun. The user of this class must call
+ * {@link #beginResponse} at most once, before the chunks, and not after the other two.
  */
 public final class CallerExchange {
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -33,12 +34,16 @@
 	/** The number of connections that may wait to be accepted while the loop is busy. */
 	private static final int ACCEPT_BACKLOG = 1_024;
 
-	/** A whole request may take this many times as long as its head alone. */
+	/**
+	 * The time limit of a whole request, as a multiple of the configured header timeout.
+	 * The head has no limit of its own.
+	 */
 	private static final int REQUEST_TIMEOUT_FACTOR = 3;
 
 	/**
-	 * An idle connection is closed a little after the limit, so that callers may use it
-	 * up to the limit.
+	 * Extends the configured idle limit, so that callers may use a connection up to the
+	 * limit. The idle time is counted from the last byte read, so it includes the time
+	 * that the last response took.
 	 */
 	private static final double IDLE_TIMEOUT_FACTOR = 1.1;
 
@@ -85,7 +90,8 @@
 	}
 
 	/**
-	 * Aggregates whole requests. Refuses larger ones with status 413, and logs them.
+	 * Collects the parts of a request. Answers with status 413, and writes a log line, if
+	 * the body exceeds the limit.
 	 */
 	private static final class LoggingAggregator extends HttpObjectAggregator {
 
@@ -102,7 +108,10 @@
 				.log("%s",
 						LogLine.of("request refused")
 							.with("status", 413)
-							.with("reason", "body too large")
+							.with("reason",
+									"body too large; Content-Length "
+											+ oversized.headers().get(HttpHeaderNames.CONTENT_LENGTH, "unknown")
+											+ ", caller " + context.channel().remoteAddress())
 							.with("limitBytes", this.maxBodyBytes));
 			super.handleOversizedMessage(context, oversized);
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerRequest.java
@@ -17,11 +17,12 @@
  * @param method the method
  * @param uri path and query, unchanged
  * @param host the host that the request names, without a port
- * @param accountKey the key of the caller's client account; empty if the caller sent none
+ * @param accountKey the secret key of the caller's client account; empty if the caller
+ * sent none
  * @param budgetMillis how long the caller waits for the response, in milliseconds; empty
  * if the caller doesn't say
  * @param prompt the size of the prompt; {@link PromptMetadata#NONE} for plain requests
- * @param hasStatedTokens whether the caller states how many tokens the request uses
+ * @param hasStatedTokens whether the caller states the sizes in {@code prompt}
  * @param headers all headers as received
  * @param body the body; the owner of the request releases it
  */
@@ -46,8 +47,9 @@
 	}
 
 	/**
-	 * Return the number of tokens that the caller states for the request.
-	 * @return the number; negative if the caller states none
+	 * Return the maximum number of tokens that the request uses, as the caller states it.
+	 * @return the prompt tokens plus the maximum number of output tokens; -1 if the
+	 * caller states none
 	 */
 	public long statedTotalTokens() {
 		return this.hasStatedTokens ? this.prompt.maxTotalTokens() : -1;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
@@ -13,9 +13,10 @@
 public interface DirectoryProtocol {
 
 	/**
-	 * Return the availability zone of the caller that a lookup names.
+	 * Return the caller's availability zone, which a lookup names.
 	 * @param request the request
-	 * @return the zone; empty if the request isn't a lookup
+	 * @return the zone, which may be an empty text if the lookup names none; empty if the
+	 * request isn't a lookup
 	 */
 	Optional<String> zoneOf(SimpleHttpServer.Request request);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/RequestReadTimeout.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/RequestReadTimeout.java
@@ -14,9 +14,10 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Answers with status 408 and closes the connection if a request doesn't arrive
- * completely within a time from its first byte. This handler comes before the decoder;
- * its {@link TimeoutCanceller} comes after the aggregator, where requests are complete.
+ * Answers with status 408 and closes the connection if a request isn't complete in time.
+ * The time starts at the first read of a connection, and at the first read after a
+ * complete request. This handler comes before the decoder; its {@link TimeoutCanceller}
+ * comes after the aggregator, where requests are complete.
  */
 final class RequestReadTimeout extends ChannelInboundHandlerAdapter {
 
