Say why an HTTP call failed in its error message

The messages of failed calls dropped the cause, the timeout and the type of the exception, and "connect to ADDRESS" read as an order. The comment on the connect timeout suggested that an attempt survives one lost packet.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
@@ -8,8 +8,9 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Ends the process if a server socket can't be bound, so that the process is started
- * again.
+ * Ends the process if a server socket can't be bound, so that the program that supervises
+ * the process can start it again. Exits on a separate thread, because
+ * {@link System#exit(int)} would block the event loop during the shutdown.
  */
 public final class ExitOnBindFailure implements ChannelFutureListener {
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/HttpCallException.java
@@ -13,7 +13,8 @@
 	/**
 	 * Create an exception.
 	 * @param peer the address that was called, at the end of the message
-	 * @param problem what failed, at the start of the message
+	 * @param problem what failed; starts the message and ends with a preposition, as in
+	 * "connection closed by"
 	 * @param maybeSent whether the peer may have received bytes of the request
 	 */
 	public HttpCallException(String peer, String problem, boolean maybeSent) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -47,7 +47,11 @@
 	 */
 	private static final long MAX_IDLE_MILLIS = 3_000;
 
-	/** The time allowed to connect. Retransmitting two lost SYN packets takes longer. */
+	/**
+	 * The time allowed to connect. The system first retransmits a lost SYN packet after
+	 * about this time, so an attempt that loses one usually fails; one that loses two
+	 * always fails.
+	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
 	private final EventLoop loop;
@@ -111,7 +115,8 @@
 			}
 			else {
 				request.release();
-				result.completeExceptionally(new HttpCallException(this.peer.toString(), "connect to", false));
+				result.completeExceptionally(new HttpCallException(this.peer.toString(),
+						"can't connect (" + connectResult.cause() + ") to", false));
 			}
 		});
 		return result;
@@ -149,7 +154,8 @@
 
 		private void send(FullHttpRequest request, CompletableFuture<HttpCallResponse> result, long timeoutMillis) {
 			this.pendingResponse = result;
-			this.timeout = PooledHttpClient.this.loop.schedule(() -> fail("timed out waiting for"), timeoutMillis,
+			this.timeout = PooledHttpClient.this.loop.schedule(
+					() -> fail("no response within " + timeoutMillis + " ms from"), timeoutMillis,
 					TimeUnit.MILLISECONDS);
 			this.channel.writeAndFlush(request);
 		}
@@ -172,8 +178,8 @@
 					.complete(new HttpCallResponse(response.status().code(), ByteBufUtil.getBytes(response.content())));
 			}
 			else if (result != null) {
-				result.completeExceptionally(
-						new HttpCallException(PooledHttpClient.this.peer.toString(), "unreadable response from", true));
+				result.completeExceptionally(new HttpCallException(PooledHttpClient.this.peer.toString(),
+						"unreadable response (" + response.decoderResult().cause() + ") from", true));
 			}
 		}
 
@@ -203,7 +209,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			fail("connection broken (" + cause.getMessage() + ") to");
+			fail("connection broken (" + cause + ") to");
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
@@ -38,8 +38,9 @@
 	private static final int MAX_REQUEST_BYTES = 65_536;
 
 	/**
-	 * A connection without requests for this time is closed. The platform checks
-	 * readiness once a second.
+	 * A connection on which nothing was read for this time is closed. Long enough that a
+	 * connection stays open between the platform's readiness checks, which come once a
+	 * second.
 	 */
 	private static final int IDLE_SECONDS = 30;
 
