Correct the comments on log lines

JsonLogHandler claimed that logging never blocks, but flush and close write in the calling thread. Two steps of formatting were unexplained.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/JsonLogHandler.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/JsonLogHandler.java
@@ -15,14 +15,16 @@
 import java.util.logging.Logger;
 
 /**
- * Writes log records as JSON lines from a thread of its own, so that logging never
- * blocks. If the output is slow, lines are dropped and their number is logged.
+ * Writes log records as JSON lines. {@link #publish} never blocks, because another thread
+ * writes the lines; {@link #flush} and {@link #close} write in the calling thread. If the
+ * output is slow, lines are dropped and their number is logged, in a line without the
+ * common fields.
  */
 public final class JsonLogHandler extends Handler {
 
 	/**
-	 * The number of lines that may wait for the writer. A busy node logs as many in a few
-	 * seconds.
+	 * The number of lines that may wait for the writer; further lines are dropped. Enough
+	 * for the lines that a busy node logs in a few seconds.
 	 */
 	private static final int MAX_PENDING_LINES = 2_048;
 
@@ -72,6 +74,7 @@
 
 	private String format(LogRecord entry) {
 		String message = entry.getMessage();
+		// Messages of LogLine are members of a JSON object; those of libraries are text.
 		String fields = message.startsWith("\"event\":") ? message
 				: LogLine.of("message").with("text", message).toString();
 		StringBuilder line = new StringBuilder(fields.length() + 96);
@@ -82,6 +85,7 @@
 			StringWriter trace = new StringWriter();
 			entry.getThrown().printStackTrace(new PrintWriter(trace));
 			String cause = LogLine.of("thrown").with("cause", trace.toString()).toString();
+			// Skips the event, which the line already has.
 			line.append(cause, cause.indexOf(','), cause.length());
 		}
 		return line.append("}\n").toString();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/LogLine.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/log/LogLine.java
@@ -30,7 +30,7 @@
 	/**
 	 * Add a text field.
 	 * @param field the name of the field; not escaped
-	 * @param value the text, which is escaped
+	 * @param value the text, which is escaped; must not be null
 	 * @return this line
 	 */
 	public LogLine with(String field, String value) {
@@ -42,7 +42,8 @@
 
 	/**
 	 * Add a numeric field.
-	 * @param field the name of the field, with the unit as a suffix; not escaped
+	 * @param field the name of the field, with the unit as a suffix if it has one; not
+	 * escaped
 	 * @param value the number in that unit
 	 * @return this line
 	 */
