Correct comments of the node package and complete its log reasons

Comments on node reports, metrics and rollouts were vague or didn't match the code: connection attempts were described as opened connections, and the order of a rollout and its published state as if always known. Log lines on unreadable records named neither record nor consequence, and "server gone" not the period.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -85,6 +85,7 @@
 	private void registerNewMeters(PrometheusMeterRegistry prometheus) {
 		for (String name : this.relayMetrics.counts().keySet()) {
 			if (addIfNew("count." + name)) {
+				// A counter's name consists of an outcome, a dot and a status.
 				int dot = name.lastIndexOf('.');
 				FunctionCounter
 					.builder("flamingogap.requests", this.relayMetrics,
@@ -140,20 +141,22 @@
 		int serverCount();
 
 		/**
-		 * Return the number of entry nodes that report, this one included.
+		 * Return the number of known entry nodes, this one included. Silent nodes count
+		 * until they are removed.
 		 * @return the number now; at least 1
 		 */
 		int nodeCount();
 
 		/**
-		 * Return the time since the store last answered.
+		 * Return the time since registrations of backend servers were last read from the
+		 * store, directly or through another node.
 		 * @return the time in milliseconds; since the origin of the monotonic clock if
-		 * the store hasn't answered yet
+		 * none were read yet
 		 */
 		long millisSinceStoreContact();
 
 		/**
-		 * Return the number of connections to backend servers that were opened.
+		 * Return the number of attempts to connect to backend servers, successful or not.
 		 * @return the number since the node started
 		 */
 		long backendConnectionAttempts();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -32,8 +32,8 @@
 public final class NodeReportExchange implements RecordListener {
 
 	/**
-	 * The time between two reports. Quotas and orders of servers react to a change of
-	 * demand with this delay.
+	 * The time between two reports. A change of demand affects the quotas, and the number
+	 * of servers that are ordered, up to this time later; reading the reports adds to it.
 	 */
 	public static final long REPORT_INTERVAL_MILLIS = 1_500;
 
@@ -51,13 +51,13 @@
 
 	/**
 	 * A node that hasn't reported for longer than this is removed from the view of the
-	 * fleet: either it no longer exists, or its successor will report.
+	 * fleet: either it no longer exists, or its next run will report.
 	 */
 	private static final long REMOVAL_TIMEOUT_MILLIS = 8_000;
 
 	/**
-	 * Nodes are removed only if the store has had no disruption for longer than this.
-	 * Otherwise missing reports may be the store's fault.
+	 * Silent nodes are removed only if the store has had no disruption for longer than
+	 * this. Otherwise their reports may be missing because of the disruption.
 	 */
 	private static final long MIN_UNDISTURBED_MILLIS = 8_000;
 
@@ -82,6 +82,7 @@
 	/**
 	 * The end of the stream when it was last listed. Records before it were written
 	 * before the listing, so their age is computed from the time of day that they report.
+	 * Until the first listing is complete, all records count as written before it.
 	 */
 	private long listingEndOffset = Long.MAX_VALUE;
 
@@ -169,7 +170,10 @@
 		Either<String, NodeReport> report = ReportCodec.decodeNodeReport(entry.value().get());
 		if (report.isLeft()) {
 			logger.atWarning()
-				.log("%s", LogLine.of("report unreadable").with("peer", entry.key()).with("reason", report.getLeft()));
+				.log("%s",
+						LogLine.of("report unreadable")
+							.with("peer", entry.key())
+							.with("reason", "record at offset " + entry.offset() + ": " + report.getLeft()));
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -79,7 +79,7 @@
 				.log("%s",
 						LogLine.of("configuration unreadable")
 							.with("offset", entry.offset())
-							.with("reason", decoded.getLeft()));
+							.with("reason", "record " + entry.key() + " is ignored: " + decoded.getLeft()));
 		}
 		else if (this.config.applyIfNewer(decoded.get(), this.clock.steadyMillis())) {
 			logger.atInfo()
@@ -97,7 +97,7 @@
 				.log("%s",
 						LogLine.of("rollout order unreadable")
 							.with("offset", entry.offset())
-							.with("reason", decoded.getLeft()));
+							.with("reason", "record " + entry.key() + " is ignored: " + decoded.getLeft()));
 			return;
 		}
 		this.rollouts.applyOrder(decoded.get(), entry.offset(), this.clock.steadyMillis());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -20,7 +20,8 @@
 
 /**
  * Encodes and decodes, with Thrift, the records that nodes write to the store for each
- * other: node reports, and usage reports that are about to be sent.
+ * other: node reports, and the usage reports that a node stores before it sends them to
+ * the cloud.
  */
 public final class ReportCodec {
 
@@ -78,7 +79,7 @@
 					wire.getDemandPerSecond(), usage, decodeServices(wire), decodeTallies(wire)));
 		}
 		catch (TException | IllegalArgumentException ex) {
-			return Either.left(String.valueOf(ex.getMessage()));
+			return Either.left(String.valueOf(ex));
 		}
 	}
 
@@ -120,7 +121,7 @@
 			return Either.right(Map.entry(wire.getWindow(), wire.getRequests()));
 		}
 		catch (TException ex) {
-			return Either.left(String.valueOf(ex.getMessage()));
+			return Either.left(String.valueOf(ex));
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -66,8 +66,9 @@
 
 	/**
 	 * Start the rollout that an operator ordered, in place of an earlier one of the same
-	 * service. The first order that this node reads for a service takes the published
-	 * state of the same target, since the rollout may have ended before the node started.
+	 * service. The rollout may have ended before this node started: the first order that
+	 * the node reads for a service takes the state published for the same target, if that
+	 * was read before; otherwise {@link #recordPublishedStatus} ends the rollout later.
 	 * @param order the order
 	 * @param offset the offset of its record in the store; an order at or before the
 	 * offset of the service's current order is ignored
@@ -114,8 +115,8 @@
 	}
 
 	/**
-	 * Record a status that was published for operators. Ends a rollout that is running on
-	 * this node if the status says that it has ended.
+	 * Record a status that was published for operators. Ends the rollout of the same
+	 * service and target that is running on this node, if the status says that it ended.
 	 * @param status the status
 	 */
 	public void recordPublishedStatus(RolloutStatus status) {
@@ -264,6 +265,10 @@
 
 		private final long offset;
 
+		/**
+		 * When this node read the order. A node that starts during a rollout counts the
+		 * duration of the rollout from its own start.
+		 */
 		private final long orderReadAtMillis;
 
 		private final Map<TallyKey, Tally> tallies = new HashMap<>();
@@ -296,6 +301,8 @@
 			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
 					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
+			// Only latencies of other versions update the threshold, so a slow target
+			// version doesn't raise it.
 			if (!failed && !runsTarget(server)) {
 				threshold.update(latencyMillis);
 			}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -83,8 +83,8 @@
 	}
 
 	/**
-	 * Return when the store last answered a read of registrations.
-	 * @return the time in milliseconds of the monotonic clock; 0 before the first answer
+	 * Return when registrations were last read, directly or through another node.
+	 * @return the time in milliseconds of the monotonic clock; 0 before the first read
 	 */
 	public long lastContactAtMillis() {
 		return this.follower.lastContactAtMillis();
@@ -96,9 +96,15 @@
 				.log("%s",
 						LogLine.of("server gone")
 							.with("server", id)
-							.with("reason", "no new registration within the grace period")));
+							.with("reason", "no new registration within " + REREGISTRATION_GRACE_MILLIS
+									+ " ms after a disruption of the store")));
 	}
 
+	/**
+	 * Return the time until which a server whose registration is removed stays in the
+	 * table as a suspect, unless it is draining.
+	 * @return the time on the monotonic clock; in the past if the removal applies at once
+	 */
 	private long suspectUntilMillis() {
 		return this.follower.lastDisruptionAtMillis() + REREGISTRATION_GRACE_MILLIS;
 	}
@@ -122,7 +128,7 @@
 				.log("%s",
 						LogLine.of("registration unreadable")
 							.with("server", entry.key())
-							.with("reason", server.getLeft()));
+							.with("reason", "record at offset " + entry.offset() + " is ignored: " + server.getLeft()));
 		}
 		else if (this.servers.register(server.get(), entry.offset())) {
 			logger.atInfo()
