Explain the duties, the shutdown times and the placeholder address

The settings used "duties" without a word, the lease comment had two readings, and the shutdown comments didn't say which response or report they meant. The log line for rollout statuses printed the wrapping exception.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -48,6 +48,7 @@
 import io.flamingogap.gateway.relay.RequestRelay;
 import io.flamingogap.gateway.relay.ServiceDemandTracker;
 import io.flamingogap.gateway.store.RecordStore;
+import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.time.NodeClock;
 
@@ -62,8 +63,8 @@
 	private static final int DIRECTORY_TTL_SECONDS = 2;
 
 	/**
-	 * The number of usage windows in a report. Windows are repeated, so that a lost
-	 * report does no harm.
+	 * The number of usage windows in a report. Each window is contained in several
+	 * reports, so that no usage is missing if one report is lost.
 	 */
 	private static final int REPORTED_USAGE_WINDOWS = 3;
 
@@ -187,6 +188,8 @@
 	}
 
 	private DutyDependencies createDutyDependencies(CloudApi cloud) {
+		// The duties use the store itself; the other components may reach it through
+		// other nodes.
 		return new DutyDependencies(this.loop, this.adapters.store(), this.adapters.recordCodec(), cloud, this.clock,
 				this::correctedTimeOfDayMillis, this.config, this.rollouts, this.servers,
 				this.serverWatcher::hasCompletedListing,
@@ -293,7 +296,9 @@
 					.peek(this.rollouts::recordPublishedStatus));
 			this.rollouts.markStatusesLoaded();
 		}).exceptionally((failure) -> {
-			logger.atInfo().log("%s", LogLine.of("rollout statuses not read").with("reason", failure.getMessage()));
+			logger.atInfo()
+				.log("%s", LogLine.of("rollout statuses not read")
+					.with("reason", String.valueOf(StoreException.of(failure).getMessage())));
 			return null;
 		});
 	}
@@ -347,6 +352,7 @@
 
 	private NodeReport createReport() {
 		long nowMillis = this.clock.steadyMillis();
+		// A node without an address for callers reports a placeholder.
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
 				this.quotas.createDemandReport(nowMillis), this.usage.newestWindows(REPORTED_USAGE_WINDOWS),
@@ -354,6 +360,7 @@
 	}
 
 	private NodeReport createOwnDirectoryEntry() {
+		// A node without an address for callers reports a placeholder.
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
 		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
 				Map.of(), Map.of(), List.of(), List.of());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
@@ -17,7 +17,7 @@
  * @param firstStart whether the whole fleet starts for the first time
  * @param relayLimits the limits of the request path
  * @param stopTimeoutMillis the maximum duration of a graceful shutdown, in milliseconds
- * @param duties the settings of the duties, which one node at a time holds
+ * @param duties the settings of the fleet-wide tasks that one node at a time performs
  */
 public record GatewaySettings(String node, String zone, Map<String, String> regionsByZone, Listen listen,
 		boolean firstStart, RelayLimits relayLimits, long stopTimeoutMillis, DutySettings duties) {
@@ -30,7 +30,8 @@
 	}
 
 	/**
-	 * The addresses that a node listens on. An empty one isn't served.
+	 * The addresses that a node listens on. The node doesn't listen for a purpose whose
+	 * address is empty.
 	 *
 	 * @param callers the address for callers' requests
 	 * @param readiness the address for readiness checks
@@ -43,10 +44,13 @@
 	}
 
 	/**
-	 * Settings of the duties.
+	 * Settings of the duties: the tasks that one node at a time, the holder, performs for
+	 * all nodes. These are to report usage to the cloud, to order servers and to publish
+	 * the statuses of rollouts.
 	 *
-	 * @param leaseMillis the lease of the holder, in milliseconds; within this time, two
-	 * holders must not act alternately
+	 * @param leaseMillis the lease of the holder, in milliseconds; a node that regains
+	 * the duties waits until this time has passed since it last acted, so that the
+	 * actions of two holders never alternate within a lease
 	 * @param usageWindowMillis the length of a usage window, in milliseconds; 0 if usage
 	 * isn't reported
 	 * @param maxCandidateShare the maximum share of requests, from 0 to 1, that a version
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GracefulShutdown.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GracefulShutdown.java
@@ -20,14 +20,16 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * How long new requests are still admitted after the shutdown started. By then, the
-	 * directory responses that callers cached have expired.
+	 * How long new requests are still admitted after the shutdown started. Long enough
+	 * that other nodes read the report that is published at its start, and that the
+	 * directory responses that callers cached before expire.
 	 */
 	private static final long ADMISSION_MILLIS = 2_800;
 
 	/**
-	 * The minimum duration of a shutdown. Callers that keep a directory response for
-	 * longer than its lifetime still get a response that makes them leave this node.
+	 * The minimum duration of a shutdown, unless the timeout is shorter. Callers that use
+	 * a directory response for longer than its lifetime still reach this node: it refuses
+	 * their requests and closes their connections, so they turn to other nodes.
 	 */
 	private static final long MIN_DURATION_MILLIS = 4_000;
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformAdapters.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/PlatformAdapters.java
@@ -17,7 +17,7 @@
  * @param backendProtocol the protocol between the gateway and backend servers
  * @param recordCodec encodes and decodes records of operators and backend servers
  * @param store the store that the nodes share
- * @param cloud the calls to the cloud; empty if the node may not call it
+ * @param cloud the calls to the cloud; empty if the node isn't configured to call it
  */
 public record PlatformAdapters(CallerProtocol callerProtocol, DirectoryProtocol directoryProtocol,
 		BackendProtocol backendProtocol, RecordCodec recordCodec, RecordStore store, Optional<CloudApi> cloud) {
