--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ExitOnBindFailure.java
@@ -8,8 +8,9 @@
 import io.flamingogap.gateway.log.LogLine;
 
 /**
- * Ends the process if a server socket can't be bound, so that the process is started
- * again.
+ * Ends the process if a server socket can't be bound, so that the program that supervises
+ * the process can start it again. Exits on a separate thread, because
+ * {@link System#exit(int)} would block the event loop during the shutdown.
  */
 public final class ExitOnBindFailure implements ChannelFutureListener {
 
@@ -29,13 +30,13 @@
 	}
 
 	@Override
-	public void operationComplete(ChannelFuture bound) {
-		if (!bound.isSuccess()) {
+	public void operationComplete(ChannelFuture bindResult) {
+		if (!bindResult.isSuccess()) {
 			logger.atSevere()
 				.log("%s",
 						LogLine.of("can't listen")
 							.with("address", this.address.toString())
-							.with("reason", String.valueOf(bound.cause())));
+							.with("reason", String.valueOf(bindResult.cause())));
 			new Thread(() -> System.exit(BIND_FAILURE_STATUS), "exit").start();
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -79,7 +79,7 @@
 				.log("%s",
 						LogLine.of("configuration unreadable")
 							.with("offset", entry.offset())
-							.with("reason", decoded.getLeft()));
+							.with("reason", "record " + entry.key() + " is ignored: " + decoded.getLeft()));
 		}
 		else if (this.config.applyIfNewer(decoded.get(), this.clock.steadyMillis())) {
 			logger.atInfo()
@@ -97,15 +97,16 @@
 				.log("%s",
 						LogLine.of("rollout order unreadable")
 							.with("offset", entry.offset())
-							.with("reason", decoded.getLeft()));
+							.with("reason", "record " + entry.key() + " is ignored: " + decoded.getLeft()));
 			return;
 		}
 		this.rollouts.applyOrder(decoded.get(), entry.offset(), this.clock.steadyMillis());
 	}
 
 	@Override
-	public void onListed(Set<String> keys, long end) {
-		logger.atInfo().log("%s", LogLine.of("operator records listed").with("keys", keys.size()).with("offset", end));
+	public void onListed(Set<String> keys, long endOffset) {
+		logger.atInfo()
+			.log("%s", LogLine.of("operator records listed").with("keys", keys.size()).with("offset", endOffset));
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -47,27 +47,28 @@
 
 	private final RandomGenerator random;
 
-	private final double exploredShare;
+	private final double explorationShare;
 
 	/**
 	 * Create a controller without rollouts.
 	 * @param servers the backend servers
 	 * @param fleet the reports of other nodes, with their counts of outcomes
 	 * @param random draws the version for each request
-	 * @param exploredShare the share of requests, from 0 to 1, that goes to the target
+	 * @param explorationShare the share of requests, from 0 to 1, that goes to the target
 	 * version in the first phase of a rollout
 	 */
-	public RolloutController(ServerTable servers, FleetView fleet, RandomGenerator random, double exploredShare) {
+	public RolloutController(ServerTable servers, FleetView fleet, RandomGenerator random, double explorationShare) {
 		this.servers = servers;
 		this.fleet = fleet;
 		this.random = random;
-		this.exploredShare = exploredShare;
+		this.explorationShare = explorationShare;
 	}
 
 	/**
 	 * Start the rollout that an operator ordered, in place of an earlier one of the same
-	 * service. The first order that this node reads for a service takes the published
-	 * state of the same target, since the rollout may have ended before the node started.
+	 * service. The rollout may have ended before this node started: the first order that
+	 * the node reads for a service takes the state published for the same target, if that
+	 * was read before; otherwise {@link #recordPublishedStatus} ends the rollout later.
 	 * @param order the order
 	 * @param offset the offset of its record in the store; an order at or before the
 	 * offset of the service's current order is ignored
@@ -114,8 +115,8 @@
 	}
 
 	/**
-	 * Record a status that was published for operators. Ends a rollout that is running on
-	 * this node if the status says that it has ended.
+	 * Record a status that was published for operators. Ends the rollout of the same
+	 * service and target that is running on this node, if the status says that it ended.
 	 * @param status the status
 	 */
 	public void recordPublishedStatus(RolloutStatus status) {
@@ -141,7 +142,7 @@
 			if (rollout.state != RolloutStatus.State.RUNNING) {
 				continue;
 			}
-			TimedCanary canary = collectEvidence(rollout);
+			TimedCanary canary = createCanary(rollout);
 			double elapsedFraction = rollout.elapsedFraction(nowMillis);
 			Optional<String> regression = canary.findRegression();
 			if (regression.isPresent()) {
@@ -161,8 +162,8 @@
 			.anyMatch((server) -> server.takesRequests() && rollout.runsTarget(server.registration()) == ofTarget);
 	}
 
-	private TimedCanary collectEvidence(ServiceRollout rollout) {
-		TimedCanary canary = new TimedCanary(this.exploredShare);
+	private TimedCanary createCanary(ServiceRollout rollout) {
+		TimedCanary canary = new TimedCanary(this.explorationShare);
 		rollout.tallies.forEach((key, tally) -> canary.add(rollout.armOf(key.version()), key.route(), tally));
 		for (NodeReport report : this.fleet.recentReports()) {
 			for (NodeReport.VersionTally row : report.tallies()) {
@@ -251,7 +252,7 @@
 	public void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
 		ServiceRollout rollout = this.rolloutsByService.get(server.service());
 		if (rollout != null && rollout.state == RolloutStatus.State.RUNNING) {
-			rollout.record(server, route, failed, latencyMillis);
+			rollout.recordOutcome(server, route, failed, latencyMillis);
 		}
 	}
 
@@ -264,7 +265,11 @@
 
 		private final long offset;
 
-		private final long startedAtMillis;
+		/**
+		 * When this node read the order. A node that starts during a rollout counts the
+		 * duration of the rollout from its own start.
+		 */
+		private final long orderReadAtMillis;
 
 		private final Map<TallyKey, Tally> tallies = new HashMap<>();
 
@@ -274,10 +279,10 @@
 
 		private double targetShare;
 
-		private ServiceRollout(RolloutOrder order, long offset, long startedAtMillis) {
+		private ServiceRollout(RolloutOrder order, long offset, long orderReadAtMillis) {
 			this.order = order;
 			this.offset = offset;
-			this.startedAtMillis = startedAtMillis;
+			this.orderReadAtMillis = orderReadAtMillis;
 		}
 
 		private boolean runsTarget(ServerRegistration server) {
@@ -289,13 +294,15 @@
 		}
 
 		private double elapsedFraction(long nowMillis) {
-			return (double) (nowMillis - this.startedAtMillis) / Math.max(1, this.order.withinMillis());
+			return (double) (nowMillis - this.orderReadAtMillis) / Math.max(1, this.order.withinMillis());
 		}
 
-		private void record(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
+		private void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
 			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
 					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
+			// Only latencies of other versions update the threshold, so a slow target
+			// version doesn't raise it.
 			if (!failed && !runsTarget(server)) {
 				threshold.update(latencyMillis);
 			}
