Rename rollout, request path and metrics types and methods of the daemon

The old names were figurative ("judge", "lose dead dispatchers"), informal ("pick") or too short to say what they return ("rest", "query", "report").

Types: VersionPick -> VersionChoice, RolloutJudge -> RolloutMonitor, RequestMetrics -> RequestTimingHandler. Methods: Rollouts.pick -> chooseVersion, resume -> resumeVersion, report -> recordOutcome, mergeAll -> mergeEvidence, changesAfter -> evidenceChangedAfter, judge -> takeBackRegressions; VersionPick.query -> toServerQuery, current -> withCurrentVersion; RolloutJudge.keep -> persist; KeyedRequests.loseDeadDispatchers -> recordLostDispatchers, redirectWaiting -> redirectWaitingCallers; ServicePath.service -> serviceName, rest -> pathInService. Variables, parameters, the component StreamCall.pick (now choice) and the message of its null check follow. The thread name rollout-judge stays.

The modules up to flamingogap-daemon compile with their tests; tests not run for this commit.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -25,7 +25,7 @@
 import io.flamingogap.core.request.RequestLedger;
 import io.flamingogap.core.rollout.TakeBack;
 import io.flamingogap.daemon.admin.AdminHandler;
-import io.flamingogap.daemon.admin.RequestMetrics;
+import io.flamingogap.daemon.admin.RequestTimingHandler;
 import io.flamingogap.daemon.backends.BackendClient;
 import io.flamingogap.daemon.backends.BackendServers;
 import io.flamingogap.daemon.backends.LoadReports;
@@ -54,7 +54,7 @@
 import io.flamingogap.daemon.platformlog.SnapshotPublisher;
 import io.flamingogap.daemon.requests.Dispatcher;
 import io.flamingogap.daemon.requests.KeyedRequests;
-import io.flamingogap.daemon.rollouts.RolloutJudge;
+import io.flamingogap.daemon.rollouts.RolloutMonitor;
 import io.flamingogap.daemon.rollouts.Rollouts;
 import io.flamingogap.daemon.settings.Settings;
 
@@ -83,7 +83,7 @@
 
 	private final Rollouts rollouts;
 
-	private final RolloutJudge judge;
+	private final RolloutMonitor rolloutMonitor;
 
 	private final RequestRecords records;
 
@@ -126,7 +126,7 @@
 		BackendServers servers = new BackendServers(this.configuration::manifest, settings.node().zone());
 		BackendClient backendClient = new BackendClient(settings.requests().connectTimeoutMillis());
 		this.rollouts = new Rollouts(self, this.configuration::manifest, clock);
-		this.judge = new RolloutJudge(this.rollouts, log);
+		this.rolloutMonitor = new RolloutMonitor(this.rollouts, log);
 		this.snapshots = new SnapshotPublisher(log, this.configuration, this::rank,
 				settings.platform().snapshotMillis(), clock);
 		this.records = new RequestRecords(log, () -> this.membership.members().size());
@@ -136,7 +136,7 @@
 				clock);
 		KeyedRequests requests = new KeyedRequests(new RequestLedger(self, limits(settings.requests())), dispatcher,
 				this.membership, nodeClients, this.records, this.executor, clock);
-		this.membership.addListener(requests::loseDeadDispatchers);
+		this.membership.addListener(requests::recordLostDispatchers);
 		this.lifecycle = new NodeLifecycle(settings, this.membership, requests, nodeClients, this.audit, clock);
 		this.callerHandler = new CallerHandler(this.configuration, this.membership,
 				new CompletionsHandler(this.configuration,
@@ -161,7 +161,7 @@
 		PrometheusMeterRegistry registry = registry(requests);
 		this.callerListener = new HttpListener(Address.parse(settings.listen().callerAddress()),
 				settings.callers().maxOpenRequests() + SPARE_THREADS,
-				new RequestMetrics(registry, (exchange) -> route(exchange, operators)));
+				new RequestTimingHandler(registry, (exchange) -> route(exchange, operators)));
 		this.adminListener = new HttpListener(Address.parse(settings.listen().adminAddress()), ADMIN_THREADS,
 				new AdminHandler(registry, this::isReady));
 	}
@@ -242,7 +242,7 @@
 		this.audit.start();
 		this.follower.start();
 		this.rollouts.addListener(this::tellOfTakeBack);
-		this.judge.start();
+		this.rolloutMonitor.start();
 		this.records.start();
 		this.snapshots.start();
 		this.loadReports.start();
@@ -262,7 +262,7 @@
 		this.links.wakeAll();
 		String own = this.membership.own().node().toString();
 		if (decision.by().equals(own) || decision.by().endsWith("@" + own)) {
-			this.judge.keep(decision);
+			this.rolloutMonitor.persist(decision);
 			this.audit.record(new AuditEntry(decision.atMillis(), this.membership.own().node().name(), decision.by(),
 					"take back", decision.rollout().service() + " " + decision.rollout().candidate(), decision.reason(),
 					this.configuration.state().acceptedOffset()));
@@ -291,7 +291,7 @@
 		this.records.flush();
 		this.audit.flush();
 		List.<AutoCloseable>of(this.callerListener, this.adminListener, this.links, this.nodeServer, this.cloudWatcher,
-				this.judge, this.records, this.snapshots, this.loadReports, this.follower, this.audit)
+				this.rolloutMonitor, this.records, this.snapshots, this.loadReports, this.follower, this.audit)
 			.forEach(EntryNode::closeQuietly);
 		this.executor.shutdownNow();
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -201,7 +201,7 @@
 				"to " + successor.node() + (reply.isPresent() ? "" : ", not confirmed"));
 		this.membership.announce(MemberState.HANDED_OVER, successor.node());
 		sendOutcomes(successor);
-		this.requests.redirectWaiting(successor);
+		this.requests.redirectWaitingCallers(successor);
 		return true;
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/RequestMetrics.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/RequestTimingHandler.java
@@ -12,7 +12,7 @@
 /**
  * Times each exchange by the kind of its path and its status.
  */
-public final class RequestMetrics implements HttpListener.Handler {
+public final class RequestTimingHandler implements HttpListener.Handler {
 
 	private final MeterRegistry registry;
 
@@ -23,7 +23,7 @@
 	 * @param registry the metrics
 	 * @param next what answers
 	 */
-	public RequestMetrics(MeterRegistry registry, HttpListener.Handler next) {
+	public RequestTimingHandler(MeterRegistry registry, HttpListener.Handler next) {
 		this.registry = registry;
 		this.next = next;
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreams.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreams.java
@@ -63,7 +63,7 @@
 		Attempts attempts = new Attempts(call, sink);
 		Optional<Failure> failure = attempts.run();
 		if (failure.isPresent() && attempts.mayUseCurrentVersion()) {
-			return new Attempts(call.with(call.pick().current()), sink).run();
+			return new Attempts(call.with(call.choice().withCurrentVersion()), sink).run();
 		}
 		return failure;
 	}
@@ -88,7 +88,7 @@
 		}
 
 		private boolean mayUseCurrentVersion() {
-			return this.call.pick().arm() == Arm.CANDIDATE && this.cursor.nextPosition() == 0;
+			return this.call.choice().arm() == Arm.CANDIDATE && this.cursor.nextPosition() == 0;
 		}
 
 		private Optional<Failure> run() throws IOException, InterruptedException {
@@ -97,8 +97,8 @@
 				if (failure != null && !mayRetry(failure)) {
 					return Optional.of(failure);
 				}
-				Optional<BackendServer> server = ModelStreams.this.servers.acquire(this.call.pick().query(this.tried),
-						ModelStreams.this.clock.millis());
+				Optional<BackendServer> server = ModelStreams.this.servers
+					.acquire(this.call.choice().toServerQuery(this.tried), ModelStreams.this.clock.millis());
 				if (server.isEmpty()) {
 					return Optional.of((failure != null) ? failure : noServer());
 				}
@@ -109,9 +109,9 @@
 		}
 
 		private Failure noServer() {
-			ModelStreams.this.rollouts.report(this.call.pick(), true, 0);
+			ModelStreams.this.rollouts.recordOutcome(this.call.choice(), true, 0);
 			return Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, this.call.service().name(),
-					"no backend server of version " + this.call.pick().version() + " is ready");
+					"no backend server of version " + this.call.choice().version() + " is ready");
 		}
 
 		private boolean mayRetry(Failure failure) {
@@ -149,7 +149,7 @@
 		private void recordFailure(BackendServer server) {
 			ModelStreams.this.servers.reportUnreachable(server, ModelStreams.this.clock.millis());
 			if (!isAnnounced(server.name())) {
-				ModelStreams.this.rollouts.report(this.call.pick(), true, 0);
+				ModelStreams.this.rollouts.recordOutcome(this.call.choice(), true, 0);
 			}
 		}
 
@@ -179,7 +179,7 @@
 				}
 			}
 			if (this.cursor.isComplete()) {
-				ModelStreams.this.rollouts.report(this.call.pick(), false, Math.max(0, firstTokenMillis));
+				ModelStreams.this.rollouts.recordOutcome(this.call.choice(), false, Math.max(0, firstTokenMillis));
 			}
 			return null;
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/PlainCalls.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/PlainCalls.java
@@ -14,7 +14,7 @@
 import io.flamingogap.core.request.Answer;
 import io.flamingogap.core.rollout.Arm;
 import io.flamingogap.daemon.rollouts.Rollouts;
-import io.flamingogap.daemon.rollouts.VersionPick;
+import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
  * Makes repeatable calls of plain services, with retries at other servers within the
@@ -50,25 +50,25 @@
 
 	/**
 	 * Make a call.
-	 * @param pick the version that answers
+	 * @param choice the version that answers
 	 * @param call the call
 	 * @param deadlineMillis when the caller stops waiting
 	 * @return the answer, or why there is none
 	 */
-	public Either<Failure, Answer> call(VersionPick pick, BackendCall call, long deadlineMillis) {
-		String service = pick.service().name();
+	public Either<Failure, Answer> call(VersionChoice choice, BackendCall call, long deadlineMillis) {
+		String service = choice.service().name();
 		this.servers.recordFirstTry(service);
 		Set<String> tried = new HashSet<>();
-		Either<Failure, Answer> outcome = tryOnce(pick, call, tried, timeoutMillis(pick, 0, deadlineMillis));
-		for (int retry = 1; shouldRetry(outcome, pick, retry) && this.clock.millis() < deadlineMillis
+		Either<Failure, Answer> outcome = tryOnce(choice, call, tried, timeoutMillis(choice, 0, deadlineMillis));
+		for (int retry = 1; shouldRetry(outcome, choice, retry) && this.clock.millis() < deadlineMillis
 				&& this.servers.trySpendRetry(service); retry++) {
-			outcome = tryOnce(pick.current(), call, tried, timeoutMillis(pick, retry, deadlineMillis));
+			outcome = tryOnce(choice.withCurrentVersion(), call, tried, timeoutMillis(choice, retry, deadlineMillis));
 		}
 		return outcome;
 	}
 
-	private static boolean shouldRetry(Either<Failure, Answer> outcome, VersionPick pick, int retry) {
-		boolean wasCandidate = pick.arm() == Arm.CANDIDATE && retry == 1;
+	private static boolean shouldRetry(Either<Failure, Answer> outcome, VersionChoice choice, int retry) {
+		boolean wasCandidate = choice.arm() == Arm.CANDIDATE && retry == 1;
 		return outcome.fold((failure) -> failure.step() != Step.ROUTE || wasCandidate,
 				(answer) -> answer.status() >= SERVER_ERROR);
 	}
@@ -77,30 +77,31 @@
 	 * A connection that has gone silent must leave time for another one, and a slow
 	 * answer must come through in the end: the first attempt gets the latency target and
 	 * the silence bound, each further one twice as long.
-	 * @param pick the version that answers
+	 * @param choice the version that answers
 	 * @param retry the number of the retry, 0 for the first try
 	 * @param deadlineMillis when the caller stops waiting
 	 * @return the time for the attempt
 	 */
-	private long timeoutMillis(VersionPick pick, int retry, long deadlineMillis) {
-		long boundMillis = (pick.service().targetMillis() + pick.service().tokenGapMillis()) << Math.min(retry,
+	private long timeoutMillis(VersionChoice choice, int retry, long deadlineMillis) {
+		long boundMillis = (choice.service().targetMillis() + choice.service().tokenGapMillis()) << Math.min(retry,
 				MAX_SHIFT);
 		return Math.max(1, Math.min(boundMillis, deadlineMillis - this.clock.millis()));
 	}
 
-	private Either<Failure, Answer> tryOnce(VersionPick pick, BackendCall call, Set<String> tried, long timeoutMillis) {
-		Optional<BackendServer> acquired = acquire(pick, tried);
+	private Either<Failure, Answer> tryOnce(VersionChoice choice, BackendCall call, Set<String> tried,
+			long timeoutMillis) {
+		Optional<BackendServer> acquired = acquire(choice, tried);
 		if (acquired.isEmpty()) {
-			this.rollouts.report(pick, true, 0);
-			return Either.left(Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, pick.service().name(),
-					"no backend server of version " + pick.version() + " is ready"));
+			this.rollouts.recordOutcome(choice, true, 0);
+			return Either.left(Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, choice.service().name(),
+					"no backend server of version " + choice.version() + " is ready"));
 		}
 		BackendServer server = acquired.get();
 		tried.add(server.name());
 		long startMillis = this.clock.millis();
 		try {
 			CallResult result = this.client.call(server, call, timeoutMillis);
-			this.rollouts.report(pick, result, this.servers.isLeaving(server.name(), this.clock.millis()),
+			this.rollouts.recordOutcome(choice, result, this.servers.isLeaving(server.name(), this.clock.millis()),
 					this.clock.millis() - startMillis);
 			return outcome(server, result);
 		}
@@ -112,14 +113,14 @@
 	/**
 	 * Prefer servers that were not tried; when all were, a new connection to one of them
 	 * may still work.
-	 * @param pick the version that answers
+	 * @param choice the version that answers
 	 * @param tried the names of the servers that were tried
 	 * @return a server, if one is ready
 	 */
-	private Optional<BackendServer> acquire(VersionPick pick, Set<String> tried) {
+	private Optional<BackendServer> acquire(VersionChoice choice, Set<String> tried) {
 		long nowMillis = this.clock.millis();
-		return this.servers.acquire(pick.query(tried), nowMillis)
-			.or(() -> this.servers.acquire(pick.query(Set.of()), nowMillis));
+		return this.servers.acquire(choice.toServerQuery(tried), nowMillis)
+			.or(() -> this.servers.acquire(choice.toServerQuery(Set.of()), nowMillis));
 	}
 
 	private Either<Failure, Answer> outcome(BackendServer server, CallResult result) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
@@ -3,12 +3,12 @@
 import java.util.Objects;
 
 import io.flamingogap.core.manifest.Service;
-import io.flamingogap.daemon.rollouts.VersionPick;
+import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
  * A request for a token stream.
  *
- * @param pick the version that answers
+ * @param choice the version that answers
  * @param requestId the id of the request, the same at each engine that works on it
  * @param path the path at the engine
  * @param body the request as JSON
@@ -17,11 +17,11 @@
  * @param firstPosition the position of the first token that the caller lacks
  * @param deadlineMillis when the caller stops waiting
  */
-public record StreamCall(VersionPick pick, String requestId, String path, byte[] body, String account, int priority,
+public record StreamCall(VersionChoice choice, String requestId, String path, byte[] body, String account, int priority,
 		long firstPosition, long deadlineMillis) {
 
 	public StreamCall {
-		Objects.requireNonNull(pick, "pick must not be null");
+		Objects.requireNonNull(choice, "choice must not be null");
 		Objects.requireNonNull(requestId, "requestId must not be null");
 		Objects.requireNonNull(path, "path must not be null");
 		Objects.requireNonNull(body, "body must not be null");
@@ -33,7 +33,7 @@
 	 * @return the service
 	 */
 	public Service service() {
-		return this.pick.service();
+		return this.choice.service();
 	}
 
 	/**
@@ -41,7 +41,7 @@
 	 * @param other the version
 	 * @return the request
 	 */
-	StreamCall with(VersionPick other) {
+	StreamCall with(VersionChoice other) {
 		return new StreamCall(other, this.requestId, this.path, this.body, this.account, this.priority,
 				this.firstPosition, this.deadlineMillis);
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
@@ -26,7 +26,7 @@
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.rollouts.Rollouts;
-import io.flamingogap.daemon.rollouts.VersionPick;
+import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
  * Serves {@code /v1/chat/completions} and {@code /v1/completions}, as a stream of
@@ -119,9 +119,9 @@
 		String requestId = resume.map(EventId::requestId).orElseGet(() -> UUID.randomUUID().toString());
 		long first = resume.map((event) -> event.position() + 1).orElse(0L);
 		String path = exchange.getRequestURI().getPath();
-		VersionPick pick = resume.map((event) -> this.rollouts.resume(service.get(), event.version(), path))
-			.orElseGet(() -> this.rollouts.pick(service.get(), requestId, path, true));
-		return Either.right(new StreamCall(pick, requestId, path, request.body(), request.account().name(),
+		VersionChoice choice = resume.map((event) -> this.rollouts.resumeVersion(service.get(), event.version(), path))
+			.orElseGet(() -> this.rollouts.chooseVersion(service.get(), requestId, path, true));
+		return Either.right(new StreamCall(choice, requestId, path, request.body(), request.account().name(),
 				request.account().priority(), first, request.deadlineMillis()));
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
@@ -25,7 +25,7 @@
 import io.flamingogap.daemon.requests.Outcome;
 import io.flamingogap.daemon.requests.ServicePath;
 import io.flamingogap.daemon.rollouts.Rollouts;
-import io.flamingogap.daemon.rollouts.VersionPick;
+import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
  * Serves plain services under {@code /services/NAME/}.
@@ -68,10 +68,10 @@
 	void handle(HttpExchange exchange, CallerRequest request) throws IOException {
 		String path = exchange.getRequestURI().getRawPath();
 		Optional<Service> service = this.configuration.manifest()
-			.findService(ServicePath.service(path))
+			.findService(ServicePath.serviceName(path))
 			.filter((found) -> found.kind() == ServiceKind.PLAIN);
 		Optional<Route> route = service
-			.flatMap((found) -> found.findRoute(exchange.getRequestMethod(), ServicePath.rest(path)));
+			.flatMap((found) -> found.findRoute(exchange.getRequestMethod(), ServicePath.pathInService(path)));
 		if (service.isEmpty() || route.isEmpty()) {
 			Exchanges.sendProblem(exchange, Failure.notRun(ProblemType.NOT_FOUND, Step.ROUTE, "caller",
 					"no route serves " + exchange.getRequestMethod() + " " + path));
@@ -86,11 +86,12 @@
 
 	private void answerRepeatable(HttpExchange exchange, CallerRequest request, Service service, Route route)
 			throws IOException {
-		BackendCall call = new BackendCall(exchange.getRequestMethod(), ServicePath.rest(pathWithQuery(exchange)),
-				contentType(exchange), request.body(), request.account().name(), null,
-				Math.max(0, request.deadlineMillis() - this.clock.millis()));
-		VersionPick pick = this.rollouts.pick(service, UUID.randomUUID().toString(), route.toString(), true);
-		Either<Failure, Answer> answer = this.plainCalls.call(pick, call, request.deadlineMillis());
+		BackendCall call = new BackendCall(exchange.getRequestMethod(),
+				ServicePath.pathInService(pathWithQuery(exchange)), contentType(exchange), request.body(),
+				request.account().name(), null, Math.max(0, request.deadlineMillis() - this.clock.millis()));
+		VersionChoice choice = this.rollouts.chooseVersion(service, UUID.randomUUID().toString(), route.toString(),
+				true);
+		Either<Failure, Answer> answer = this.plainCalls.call(choice, call, request.deadlineMillis());
 		if (answer.isLeft()) {
 			Exchanges.sendProblem(exchange, answer.getLeft());
 			return;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Gossip.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Gossip.java
@@ -38,7 +38,7 @@
 	 */
 	News newsAfter(Sent sent) {
 		Membership.Changes members = this.membership.changesAfter(sent.members());
-		EvidenceTable.Page evidence = this.rollouts.changesAfter(sent.evidence(), MAX_EVIDENCE_ROWS);
+		EvidenceTable.Page evidence = this.rollouts.evidenceChangedAfter(sent.evidence(), MAX_EVIDENCE_ROWS);
 		return new News(WireCodec.toWire(members.members()), WireCodec.evidenceToWire(evidence.rows()),
 				WireCodec.takeBacksToWire(this.rollouts.takeBacks()),
 				new Sent(members.sequence(), evidence.sequence()));
@@ -67,7 +67,7 @@
 	private void merge(List<Member> members, List<EvidenceRow> evidence, List<TakeBack> takeBacks) {
 		this.rollouts.recordContact();
 		this.membership.mergeAll(WireCodec.fromWire(members));
-		this.rollouts.mergeAll(WireCodec.evidenceFromWire(evidence));
+		this.rollouts.mergeEvidence(WireCodec.evidenceFromWire(evidence));
 		WireCodec.takeBacksFromWire(takeBacks).forEach(this.rollouts::takeBack);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
@@ -18,7 +18,7 @@
 import io.flamingogap.daemon.backends.CallResult;
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.rollouts.Rollouts;
-import io.flamingogap.daemon.rollouts.VersionPick;
+import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
  * Sends a keyed request to a backend server, at most once. A server that refuses the
@@ -77,14 +77,14 @@
 				transitions.giveUp();
 				return;
 			}
-			Optional<VersionPick> pick = pick(request, !tried.isEmpty());
-			Optional<BackendServer> server = pick
-				.flatMap((found) -> this.servers.acquire(found.query(tried), this.clock.millis()));
+			Optional<VersionChoice> choice = chooseVersion(request, !tried.isEmpty());
+			Optional<BackendServer> server = choice
+				.flatMap((found) -> this.servers.acquire(found.toServerQuery(tried), this.clock.millis()));
 			if (server.isEmpty()) {
 				tried.clear();
 				sleep();
 			}
-			else if (dispatch(server.get(), pick.get(), request, transitions)) {
+			else if (dispatch(server.get(), choice.get(), request, transitions)) {
 				return;
 			}
 			else {
@@ -93,34 +93,36 @@
 		}
 	}
 
-	private Optional<VersionPick> pick(KeyedRequest request, boolean afterFailure) {
-		Optional<Service> service = this.configuration.manifest().findService(ServicePath.service(request.path()));
-		String rest = ServicePath.rest(request.path());
-		Optional<VersionPick> pick = service.map((found) -> this.rollouts.pick(found, request.key().toString(),
-				found.findRoute(request.method(), rest).map(Object::toString).orElse(rest), false));
-		return afterFailure ? pick.map(VersionPick::current) : pick;
+	private Optional<VersionChoice> chooseVersion(KeyedRequest request, boolean afterFailure) {
+		Optional<Service> service = this.configuration.manifest().findService(ServicePath.serviceName(request.path()));
+		String rest = ServicePath.pathInService(request.path());
+		Optional<VersionChoice> choice = service
+			.map((found) -> this.rollouts.chooseVersion(found, request.key().toString(),
+					found.findRoute(request.method(), rest).map(Object::toString).orElse(rest), false));
+		return afterFailure ? choice.map(VersionChoice::withCurrentVersion) : choice;
 	}
 
 	/**
 	 * Send the request to one server.
 	 * @param server the server
-	 * @param pick the version it runs
+	 * @param choice the version it runs
 	 * @param request the request
 	 * @param transitions the transitions of its key
 	 * @return {@code true} if the request is not to be sent to another one
 	 */
-	private boolean dispatch(BackendServer server, VersionPick pick, KeyedRequest request, Transitions transitions) {
+	private boolean dispatch(BackendServer server, VersionChoice choice, KeyedRequest request,
+			Transitions transitions) {
 		try {
 			if (!transitions.startDispatch()) {
 				return true;
 			}
 			long remainingMillis = Math.max(0, request.deadlineMillis() - this.clock.millis());
-			BackendCall call = new BackendCall(request.method(), ServicePath.rest(request.path()),
+			BackendCall call = new BackendCall(request.method(), ServicePath.pathInService(request.path()),
 					request.contentType(), request.body(), request.account(), request.key().toString(),
 					remainingMillis);
 			long startMillis = this.clock.millis();
 			CallResult result = this.client.callOnce(server, call, this.answerTimeoutMillis);
-			this.rollouts.report(pick, result, this.servers.isLeaving(server.name(), this.clock.millis()),
+			this.rollouts.recordOutcome(choice, result, this.servers.isLeaving(server.name(), this.clock.millis()),
 					this.clock.millis() - startMillis);
 			return conclude(server, request, result, transitions);
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -247,7 +247,7 @@
 	/**
 	 * Stop waiting for outcomes from nodes that have died.
 	 */
-	public void loseDeadDispatchers() {
+	public void recordLostDispatchers() {
 		this.membership.members()
 			.stream()
 			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.own().node()))
@@ -259,7 +259,7 @@
 	 * Send callers that still wait to the node that took their requests over.
 	 * @param successor the successor
 	 */
-	public void redirectWaiting(Member successor) {
+	public void redirectWaitingCallers(Member successor) {
 		List.copyOf(this.waiting.keySet()).forEach((key) -> {
 			CompletableFuture<Outcome> pending = this.waiting.remove(key);
 			if (pending != null) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/ServicePath.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/ServicePath.java
@@ -16,7 +16,7 @@
 	 * @param path a path that begins with {@link #PREFIX}
 	 * @return the service's name
 	 */
-	public static String service(String path) {
+	public static String serviceName(String path) {
 		int end = path.indexOf('/', PREFIX.length());
 		return path.substring(PREFIX.length(), (end >= 0) ? end : path.length());
 	}
@@ -26,7 +26,7 @@
 	 * @param path a path that begins with {@link #PREFIX}
 	 * @return the rest, which begins with a slash
 	 */
-	public static String rest(String path) {
+	public static String pathInService(String path) {
 		int end = path.indexOf('/', PREFIX.length());
 		return (end >= 0) ? path.substring(end) : "/";
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutJudge.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
@@ -21,7 +21,7 @@
  * Looks at the evidence at an interval, and keeps take-backs in the platform log, so that
  * a fleet that starts anew knows them. They take effect without the log.
  */
-public final class RolloutJudge implements AutoCloseable {
+public final class RolloutMonitor implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -50,7 +50,7 @@
 	 * @param rollouts the rollouts under way
 	 * @param log the platform log
 	 */
-	public RolloutJudge(Rollouts rollouts, PlatformLog log) {
+	public RolloutMonitor(Rollouts rollouts, PlatformLog log) {
 		this.rollouts = rollouts;
 		this.log = log;
 		this.task = new PeriodicTask("rollout-judge", () -> LOOK_MILLIS, this::look);
@@ -67,12 +67,12 @@
 	 * Keep a take-back of this node or its operators in the log.
 	 * @param decision the decision
 	 */
-	public void keep(TakeBack decision) {
+	public void persist(TakeBack decision) {
 		this.toAppend.add(decision);
 	}
 
 	private void look() {
-		this.rollouts.judge();
+		this.rollouts.takeBackRegressions();
 		if (this.looks++ % LOOKS_PER_READ == 0) {
 			readKept();
 			appendKept();
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/Rollouts.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/Rollouts.java
@@ -110,30 +110,31 @@
 	 * @param repeatable whether the request may be repeated
 	 * @return the choice
 	 */
-	public synchronized VersionPick pick(Service service, String requestId, String route, boolean repeatable) {
+	public synchronized VersionChoice chooseVersion(Service service, String requestId, String route,
+			boolean repeatable) {
 		Optional<Rollout> rollout = rollout(service.name());
 		if (rollout.isEmpty()) {
-			return new VersionPick(service, service.version(), List.of(), null, Arm.CURRENT, route);
+			return new VersionChoice(service, service.version(), List.of(), null, Arm.CURRENT, route);
 		}
 		boolean mayExplore = repeatable || !hasRepeatable(service);
 		Arm arm = isInformed() ? TrafficSplitter.choose(decide(rollout.get()), requestId, mayExplore) : Arm.CURRENT;
 		if (arm == Arm.CANDIDATE) {
-			return new VersionPick(service, rollout.get().candidate(), rollout.get().zones(), rollout.get(), arm,
+			return new VersionChoice(service, rollout.get().candidate(), rollout.get().zones(), rollout.get(), arm,
 					route);
 		}
-		return new VersionPick(service, service.version(), List.of(), rollout.get(), arm, route);
+		return new VersionChoice(service, service.version(), List.of(), rollout.get(), arm, route);
 	}
 
 	/**
-	 * Return the pick that goes on with the version that began a stream.
+	 * Return the choice that goes on with the version that began a stream.
 	 * @param service the service
 	 * @param version the version that began it
 	 * @param route what the evidence is counted under
-	 * @return a pick of that version
+	 * @return a choice of that version
 	 */
-	public synchronized VersionPick resume(Service service, String version, String route) {
+	public synchronized VersionChoice resumeVersion(Service service, String version, String route) {
 		Arm arm = version.equals(service.version()) ? Arm.CURRENT : Arm.CANDIDATE;
-		return new VersionPick(service, version, List.of(), rollout(service.name()).orElse(null), arm, route);
+		return new VersionChoice(service, version, List.of(), rollout(service.name()).orElse(null), arm, route);
 	}
 
 	private boolean isInformed() {
@@ -159,49 +160,50 @@
 
 	/**
 	 * Count the outcome of a request.
-	 * @param pick the choice made for it
+	 * @param choice the choice made for it
 	 * @param failed whether the version failed it
 	 * @param latencyMillis the time to the first token or to the whole answer
 	 */
-	public void report(VersionPick pick, boolean failed, long latencyMillis) {
-		Rollout rollout = pick.rollout();
+	public void recordOutcome(VersionChoice choice, boolean failed, long latencyMillis) {
+		Rollout rollout = choice.rollout();
 		if (rollout == null) {
 			return;
 		}
 		synchronized (this) {
 			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(
-					pick.service().name() + " " + pick.route(),
-					(route) -> new AdaptiveLatencyThreshold(pick.service().targetMillis()));
+					choice.service().name() + " " + choice.route(),
+					(route) -> new AdaptiveLatencyThreshold(choice.service().targetMillis()));
 			boolean slow = !failed && threshold.isSlow(latencyMillis);
-			if (pick.arm() == Arm.CURRENT && !failed) {
+			if (choice.arm() == Arm.CURRENT && !failed) {
 				threshold.update(latencyMillis);
 			}
 			int period = RolloutPolicy.period(rollout, this.clock.millis());
-			this.evidence.count(new EvidenceKey(RolloutKey.of(rollout), this.self, pick.arm(), pick.route(), period),
-					failed, slow);
+			this.evidence.count(
+					new EvidenceKey(RolloutKey.of(rollout), this.self, choice.arm(), choice.route(), period), failed,
+					slow);
 		}
 	}
 
 	/**
 	 * Count the outcome of a call. A failure of a server that was announced to leave says
 	 * nothing about its version.
-	 * @param pick the choice made for it
+	 * @param choice the choice made for it
 	 * @param result what became of the call
 	 * @param leaving whether the server was announced to leave
 	 * @param latencyMillis how long the call took
 	 */
-	public void report(VersionPick pick, CallResult result, boolean leaving, long latencyMillis) {
+	public void recordOutcome(VersionChoice choice, CallResult result, boolean leaving, long latencyMillis) {
 		boolean failed = !(result instanceof CallResult.Answered answered)
 				|| answered.answer().status() >= SERVER_ERROR;
 		if (!failed || !leaving) {
-			report(pick, failed, latencyMillis);
+			recordOutcome(choice, failed, latencyMillis);
 		}
 	}
 
 	/**
 	 * Look at the evidence and take back candidates that it shows bad.
 	 */
-	public void judge() {
+	public void takeBackRegressions() {
 		List<TakeBack> found = new ArrayList<>();
 		synchronized (this) {
 			List<Rollout> underWay = this.manifest.get().rollout();
@@ -255,7 +257,7 @@
 	 * Merge evidence that a neighbour sent.
 	 * @param rows the rows
 	 */
-	public synchronized void mergeAll(List<EvidenceRow> rows) {
+	public synchronized void mergeEvidence(List<EvidenceRow> rows) {
 		rows.forEach(this.evidence::merge);
 	}
 
@@ -265,7 +267,7 @@
 	 * @param maxRows the most rows to return
 	 * @return the rows
 	 */
-	public synchronized EvidenceTable.Page changesAfter(long afterSequence, int maxRows) {
+	public synchronized EvidenceTable.Page evidenceChangedAfter(long afterSequence, int maxRows) {
 		return this.evidence.changesAfter(afterSequence, maxRows);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/VersionPick.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/VersionChoice.java
@@ -20,7 +20,7 @@
  * @param arm whether the version is the candidate
  * @param route what the evidence is counted under
  */
-public record VersionPick(Service service, String version, List<String> zones, @Nullable Rollout rollout, Arm arm,
+public record VersionChoice(Service service, String version, List<String> zones, @Nullable Rollout rollout, Arm arm,
 		String route) {
 
 	/**
@@ -28,16 +28,17 @@
 	 * @param tried the names of the servers that the request has tried
 	 * @return the query
 	 */
-	public ServerQuery query(Set<String> tried) {
+	public ServerQuery toServerQuery(Set<String> tried) {
 		return new ServerQuery(this.service.name(), this.version, this.zones, tried);
 	}
 
 	/**
-	 * Return the pick to fall back to when no server of the candidate can be reached.
-	 * @return a pick of the version in use
+	 * Return the choice to fall back to when no server of the candidate can be reached.
+	 * @return a choice of the version in use
 	 */
-	public VersionPick current() {
-		return new VersionPick(this.service, this.service.version(), List.of(), this.rollout, Arm.CURRENT, this.route);
+	public VersionChoice withCurrentVersion() {
+		return new VersionChoice(this.service, this.service.version(), List.of(), this.rollout, Arm.CURRENT,
+				this.route);
 	}
 
 }
