Reword the keyed requests of the daemon

Several names and comments were figurative or relative ("heard of", "patience", "give up", "held", "the rest"), and the transitions of a key had other names than the ledger methods that they call.

The transitions are now recordAnswer, recordUnknown, recordNotSent and cancel, as in RequestLedger. Comments say units, what blocks, and which cases a method returns.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Dispatcher.java
@@ -21,8 +21,8 @@
 import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
- * Sends a keyed request to a backend server, at most once. A server that refuses the
- * connection has received nothing, so another one is tried.
+ * Sends keyed requests to backend servers, each at most once. A server that refuses the
+ * connection has received nothing, so the request may go to another server.
  */
 public final class Dispatcher {
 
@@ -47,12 +47,13 @@
 	/**
 	 * Create a dispatcher.
 	 * @param configuration the configuration in force
-	 * @param servers what is known of the backend servers
-	 * @param client the client of backend servers
-	 * @param answerTimeoutMillis how long a backend server may take
-	 * @param rollouts chooses the version and counts outcomes by it
-	 * @param lastDispatchMillis until when new dispatches are made, before a reclaim
-	 * @param clock tells the present time
+	 * @param servers selects a backend server for each dispatch
+	 * @param client sends requests to backend servers
+	 * @param answerTimeoutMillis how long to wait for the answer of a backend server
+	 * @param rollouts chooses the version and counts the outcomes of each version
+	 * @param lastDispatchMillis returns the time after which no dispatch starts, ahead of
+	 * a reclaim, in milliseconds since 1970 UTC
+	 * @param clock the clock for deadlines and latencies
 	 */
 	public Dispatcher(Configuration configuration, BackendServers servers, BackendClient client,
 			long answerTimeoutMillis, Rollouts rollouts, LongSupplier lastDispatchMillis, Clock clock) {
@@ -66,49 +67,50 @@
 	}
 
 	/**
-	 * Run a request to its outcome, or leave it accepted for the successor.
-	 * @param request the request
-	 * @param transitions the transitions of its key
+	 * Dispatch a request until its outcome is recorded. After the last dispatch time, an
+	 * unsent request stays accepted, so that the successor of this node can dispatch it.
+	 * @param request the accepted request
+	 * @param transitions records the state changes of its key
 	 */
 	void run(KeyedRequest request, Transitions transitions) {
-		Set<String> tried = new HashSet<>();
+		Set<String> triedServers = new HashSet<>();
 		while (this.clock.millis() < this.lastDispatchMillis.getAsLong()) {
 			if (this.clock.millis() >= request.deadlineMillis()) {
-				transitions.giveUp();
+				transitions.cancel();
 				return;
 			}
-			Optional<VersionChoice> choice = chooseVersion(request, !tried.isEmpty());
+			Optional<VersionChoice> choice = chooseVersion(request, !triedServers.isEmpty());
 			Optional<BackendServer> server = choice
-				.flatMap((found) -> this.servers.acquire(found.toServerQuery(tried), this.clock.millis()));
+				.flatMap((found) -> this.servers.acquire(found.toServerQuery(triedServers), this.clock.millis()));
 			if (server.isEmpty()) {
-				tried.clear();
+				triedServers.clear();
 				sleep();
 			}
 			else if (dispatch(server.get(), choice.get(), request, transitions)) {
 				return;
 			}
 			else {
-				tried.add(server.get().name());
+				triedServers.add(server.get().name());
 			}
 		}
 	}
 
 	private Optional<VersionChoice> chooseVersion(KeyedRequest request, boolean afterFailure) {
 		Optional<Service> service = this.configuration.manifest().findService(ServicePath.serviceName(request.path()));
-		String rest = ServicePath.pathInService(request.path());
-		Optional<VersionChoice> choice = service
-			.map((found) -> this.rollouts.chooseVersion(found, request.key().toString(),
-					found.findRoute(request.method(), rest).map(Object::toString).orElse(rest), false));
+		String pathInService = ServicePath.pathInService(request.path());
+		Optional<VersionChoice> choice = service.map((found) -> this.rollouts.chooseVersion(found,
+				request.key().toString(),
+				found.findRoute(request.method(), pathInService).map(Object::toString).orElse(pathInService), false));
 		return afterFailure ? choice.map(VersionChoice::withCurrentVersion) : choice;
 	}
 
 	/**
-	 * Send the request to one server.
-	 * @param server the server
-	 * @param choice the version it runs
-	 * @param request the request
-	 * @param transitions the transitions of its key
-	 * @return {@code true} if the request is not to be sent to another one
+	 * Send a request to one server and record the result.
+	 * @param server the acquired server; released before this method returns
+	 * @param choice the version that the server runs
+	 * @param request the accepted request
+	 * @param transitions records the state changes of its key
+	 * @return {@code false} if nothing was sent and another server may be tried
 	 */
 	private boolean dispatch(BackendServer server, VersionChoice choice, KeyedRequest request,
 			Transitions transitions) {
@@ -124,26 +126,28 @@
 			CallResult result = this.client.callOnce(server, call, this.answerTimeoutMillis);
 			this.rollouts.recordOutcome(choice, result, this.servers.isLeaving(server.name(), this.clock.millis()),
 					this.clock.millis() - startMillis);
-			return conclude(server, request, result, transitions);
+			return recordResult(server, request, result, transitions);
 		}
 		finally {
 			this.servers.release(server);
 		}
 	}
 
-	private boolean conclude(BackendServer server, KeyedRequest request, CallResult result, Transitions transitions) {
+	private boolean recordResult(BackendServer server, KeyedRequest request, CallResult result,
+			Transitions transitions) {
 		if (result instanceof CallResult.Answered answered) {
-			transitions.answered(answered.answer());
+			transitions.recordAnswer(answered.answer());
 			return true;
 		}
 		this.servers.reportUnreachable(server, this.clock.millis());
 		if (result instanceof CallResult.NotSent notSent) {
 			logger.atWarning().log("request %s was not sent: %s", request.key(), notSent.failure());
-			transitions.notSent();
+			transitions.recordNotSent();
 			return false;
 		}
-		logger.atWarning().log("outcome of %s is unknown: %s", request.key(), ((CallResult.Lost) result).failure());
-		transitions.lost();
+		logger.atWarning()
+			.log("outcome of request %s is unknown: %s", request.key(), ((CallResult.Lost) result).failure());
+		transitions.recordUnknown();
 		return true;
 	}
 
@@ -157,36 +161,36 @@
 	}
 
 	/**
-	 * The transitions of the key that is dispatched.
+	 * Records the state changes of one key during its dispatch.
 	 */
 	interface Transitions {
 
 		/**
-		 * Take the right to send.
-		 * @return {@code false} if the request must not be sent
+		 * Record that the request is about to be sent.
+		 * @return {@code true} if the caller, and nobody else, may now send it
 		 */
 		boolean startDispatch();
 
 		/**
-		 * Record the answer.
-		 * @param answer the answer
+		 * Record the answer of the backend server.
+		 * @param answer the answer to store and replay
 		 */
-		void answered(Answer answer);
+		void recordAnswer(Answer answer);
 
 		/**
-		 * Record that the outcome can't be known.
+		 * Record that the request may have been executed but no answer arrived.
 		 */
-		void lost();
+		void recordUnknown();
 
 		/**
-		 * Record that nothing was sent.
+		 * Record that no byte was sent, so that the request may be dispatched again.
 		 */
-		void notSent();
+		void recordNotSent();
 
 		/**
-		 * Record that nothing was sent and nothing will be.
+		 * Record that the request was not sent and never will be.
 		 */
-		void giveUp();
+		void cancel();
 
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -37,17 +37,17 @@
 import io.flamingogap.daemon.platformlog.RequestRecords;
 
 /**
- * Runs keyed requests: decides with the ledger, dispatches in the background, and has all
- * attempts of a key wait for the one outcome.
+ * Runs keyed requests. The ledger decides on each attempt, a new request is dispatched in
+ * the background, and all attempts with the same key wait for the same outcome.
  */
 public final class KeyedRequests implements NodeRequests {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** How long a request waits for the owner of its key to be heard of. */
-	private static final long OWNER_PATIENCE_MILLIS = 2_000;
+	/** How long an attempt is retried while the owner of its key is unreachable. */
+	private static final long OWNER_RETRY_TIMEOUT_MILLIS = 2_000;
 
-	private static final long OWNER_RETRY_MILLIS = 100;
+	private static final long OWNER_RETRY_INTERVAL_MILLIS = 100;
 
 	private final RequestLedger ledger;
 
@@ -63,17 +63,17 @@
 
 	private final Clock clock;
 
-	private final Map<String, CompletableFuture<Outcome>> waiting = new ConcurrentHashMap<>();
+	private final Map<String, CompletableFuture<Outcome>> pendingOutcomes = new ConcurrentHashMap<>();
 
 	/**
-	 * Create the runner.
-	 * @param ledger the ledger, used only under this object's lock
+	 * Create an instance without pending requests.
+	 * @param ledger the ledger of this node, accessed only under the lock of this object
 	 * @param dispatcher sends requests to backend servers
-	 * @param membership the membership table
-	 * @param nodeClients calls other nodes
-	 * @param records keeps transitions in the platform log
-	 * @param executor runs dispatches
-	 * @param clock tells the present time
+	 * @param membership the membership table, which names the owners of keys
+	 * @param nodeClients forwards requests to the nodes that own their keys
+	 * @param records writes the state changes of keys to the platform log
+	 * @param executor runs the dispatches
+	 * @param clock the clock for deadlines
 	 */
 	public KeyedRequests(RequestLedger ledger, Dispatcher dispatcher, Membership membership, NodeClients nodeClients,
 			RequestRecords records, ExecutorService executor, Clock clock) {
@@ -87,16 +87,17 @@
 	}
 
 	/**
-	 * Answer an attempt that a caller sent to this node.
-	 * @param request the request
-	 * @return the outcome
+	 * Answer an attempt that a caller sent to this node. Blocks until the outcome is
+	 * known or the deadline of the attempt has passed.
+	 * @param request the request of the attempt
+	 * @return the outcome; never {@link Outcome.OwnerUnreachable}
 	 */
 	public Outcome answer(KeyedRequest request) {
-		long giveUpMillis = Math.min(request.deadlineMillis(), this.clock.millis() + OWNER_PATIENCE_MILLIS);
-		Outcome outcome = answerHereOrAt(request);
-		while (outcome instanceof Outcome.OwnerUnreachable && this.clock.millis() < giveUpMillis) {
-			sleep(OWNER_RETRY_MILLIS);
-			outcome = answerHereOrAt(request);
+		long retryUntilMillis = Math.min(request.deadlineMillis(), this.clock.millis() + OWNER_RETRY_TIMEOUT_MILLIS);
+		Outcome outcome = answerOrForward(request);
+		while (outcome instanceof Outcome.OwnerUnreachable && this.clock.millis() < retryUntilMillis) {
+			sleep(OWNER_RETRY_INTERVAL_MILLIS);
+			outcome = answerOrForward(request);
 		}
 		if (outcome instanceof Outcome.OwnerUnreachable unreachable) {
 			return new Outcome.Failed(Failure.outcomeUnknown(Step.FORWARD, unreachable.failure().peer(),
@@ -105,11 +106,11 @@
 		return outcome;
 	}
 
-	private Outcome answerHereOrAt(KeyedRequest request) {
+	private Outcome answerOrForward(KeyedRequest request) {
 		NodeId owner = this.membership.ownerOf(request.key().issuer());
 		Admission admission = admit(request);
 		if (!(admission instanceof Admission.Forward forward)) {
-			return conclude(request, admission);
+			return resolve(request, admission);
 		}
 		NodeId target = forward.owner().equals(request.key().issuer()) ? owner
 				: this.membership.ownerOf(forward.owner());
@@ -120,7 +121,7 @@
 		Optional<Member> member = this.membership.find(owner);
 		if (member.isEmpty() || owner.equals(this.membership.own().node())) {
 			return new Outcome.OwnerUnreachable(
-					Failure.outcomeUnknown(Step.FORWARD, owner.toString(), "no such node is known"));
+					Failure.outcomeUnknown(Step.FORWARD, owner.toString(), "no other node with this id is known"));
 		}
 		Either<Failure, Answer> answer = this.nodeClients.forward(member.get(), request);
 		return answer.fold(Outcome.OwnerUnreachable::new, Outcome.Answered::new);
@@ -134,35 +135,35 @@
 		return admission;
 	}
 
-	private Outcome conclude(KeyedRequest request, Admission admission) {
+	private Outcome resolve(KeyedRequest request, Admission admission) {
 		if (admission instanceof Admission.Replay replay) {
 			return new Outcome.Answered(replay.answer());
 		}
 		if (admission instanceof Admission.Refuse refuse) {
 			return new Outcome.Failed(refuse.failure());
 		}
-		return await(request);
+		return awaitOutcome(request);
 	}
 
-	private Outcome await(KeyedRequest request) {
-		CompletableFuture<Outcome> pending = future(request.key());
-		Optional<Outcome> ended = endedOutcome(request.key());
+	private Outcome awaitOutcome(KeyedRequest request) {
+		CompletableFuture<Outcome> pending = pendingOutcome(request.key());
+		Optional<Outcome> ended = findEndedOutcome(request.key());
 		if (ended.isPresent()) {
 			return ended.get();
 		}
 		try {
-			long leftMillis = Math.max(1, request.deadlineMillis() - this.clock.millis());
-			return pending.get(leftMillis, TimeUnit.MILLISECONDS);
+			long remainingMillis = Math.max(1, request.deadlineMillis() - this.clock.millis());
+			return pending.get(remainingMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException ex) {
-			if (giveUpExpired(request.key())) {
+			if (cancelIfExpired(request.key())) {
 				return outcomeOf(find(request.key()).orElseThrow());
 			}
 			return new Outcome.Failed(Failure.outcomeUnknown(Step.DISPATCH, "backend server",
 					"no answer before the deadline; the request may still be executed"));
 		}
 		catch (ExecutionException ex) {
-			throw new IllegalStateException("outcomes are never failed futures", ex);
+			throw new IllegalStateException("a pending outcome must not complete exceptionally", ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -172,11 +173,12 @@
 	}
 
 	/**
-	 * Give a request up if its first attempt's deadline has passed and nothing was sent.
-	 * @param key the key
-	 * @return {@code true} if it will never be run
+	 * Cancel a request if the deadline of its first attempt has passed and nothing was
+	 * sent.
+	 * @param key the idempotency key
+	 * @return {@code true} if the request will never be executed
 	 */
-	private synchronized boolean giveUpExpired(RequestKey key) {
+	private synchronized boolean cancelIfExpired(RequestKey key) {
 		long nowMillis = this.clock.millis();
 		return this.ledger.find(key)
 			.map(LedgerEntry::request)
@@ -185,18 +187,19 @@
 			.isPresent();
 	}
 
-	private CompletableFuture<Outcome> future(RequestKey key) {
-		return this.waiting.computeIfAbsent(key.toString(), (text) -> new CompletableFuture<>());
+	private CompletableFuture<Outcome> pendingOutcome(RequestKey key) {
+		return this.pendingOutcomes.computeIfAbsent(key.toString(), (text) -> new CompletableFuture<>());
 	}
 
 	/**
-	 * Return the outcome of a key that ended before its waiter was registered.
-	 * @param key the key
-	 * @return the outcome, if the key has ended
+	 * Return the outcome of a request that ended before the attempt started to wait for
+	 * it.
+	 * @param key the idempotency key
+	 * @return the outcome; empty if the request has not ended
 	 */
-	private synchronized Optional<Outcome> endedOutcome(RequestKey key) {
+	private synchronized Optional<Outcome> findEndedOutcome(RequestKey key) {
 		Optional<LedgerEntry> entry = this.ledger.find(key).filter((found) -> found.state().isTerminal());
-		entry.ifPresent((found) -> this.waiting.remove(key.toString()));
+		entry.ifPresent((found) -> this.pendingOutcomes.remove(key.toString()));
 		return entry.map(KeyedRequests::outcomeOf);
 	}
 
@@ -210,58 +213,60 @@
 					"no backend server could take the request before its deadline"));
 		}
 		return new Outcome.Failed(Failure.outcomeUnknown(Step.DISPATCH, "backend server",
-				"the request may have been executed; no answer came"));
+				"no answer was received; the request may have been executed"));
 	}
 
 	private void startDispatch(KeyedRequest request) {
-		record(request.key());
+		recordTransition(request.key());
 		this.executor.execute(() -> this.dispatcher.run(request, new LedgerTransitions(request.key())));
 	}
 
 	private void complete(RequestKey key, Outcome outcome) {
-		CompletableFuture<Outcome> pending = this.waiting.remove(key.toString());
+		CompletableFuture<Outcome> pending = this.pendingOutcomes.remove(key.toString());
 		if (pending != null) {
 			pending.complete(outcome);
 		}
 	}
 
-	private void record(RequestKey key) {
+	private void recordTransition(RequestKey key) {
 		find(key).ifPresent((entry) -> this.records.record(new RequestRecord(key.toString(), entry.account(),
 				entry.state().name(), Optional.ofNullable(entry.answer()).map(Answer::status).orElse(0))));
 	}
 
-	private void completeEnded(RequestKey key) {
+	private void completeIfEnded(RequestKey key) {
 		find(key).filter((entry) -> entry.state().isTerminal()).ifPresent((entry) -> complete(key, outcomeOf(entry)));
 	}
 
 	/**
-	 * Run a step with the ledger, alone.
-	 * @param <T> what the step returns
-	 * @param step the step
-	 * @return what it returned
+	 * Apply a function to the ledger under the lock of this object.
+	 * @param <T> the type of the result
+	 * @param step the function; no other thread accesses the ledger meanwhile
+	 * @return the result of the function
 	 */
 	public synchronized <T> T withLedger(Function<RequestLedger, T> step) {
 		return step.apply(this.ledger);
 	}
 
 	/**
-	 * Stop waiting for outcomes from nodes that have died.
+	 * Record as unknown the outcomes of requests that were dispatched by nodes that are
+	 * now unreachable, and complete the attempts that wait for them.
 	 */
 	public void recordLostDispatchers() {
 		this.membership.members()
 			.stream()
 			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.own().node()))
-			.flatMap((member) -> withLedger((held) -> held.recordDispatcherLost(member.node())).stream())
-			.forEach(this::completeEnded);
+			.flatMap(
+					(member) -> withLedger((lockedLedger) -> lockedLedger.recordDispatcherLost(member.node())).stream())
+			.forEach(this::completeIfEnded);
 	}
 
 	/**
-	 * Send callers that still wait to the node that took their requests over.
-	 * @param successor the successor
+	 * Redirect all waiting callers to the node that has taken over their requests.
+	 * @param successor the row of the successor in the membership table
 	 */
 	public void redirectWaitingCallers(Member successor) {
-		List.copyOf(this.waiting.keySet()).forEach((key) -> {
-			CompletableFuture<Outcome> pending = this.waiting.remove(key);
+		List.copyOf(this.pendingOutcomes.keySet()).forEach((key) -> {
+			CompletableFuture<Outcome> pending = this.pendingOutcomes.remove(key);
 			if (pending != null) {
 				pending.complete(new Outcome.Moved(successor.callerAddress()));
 			}
@@ -279,7 +284,7 @@
 			return Exchanges.problemAnswer(Failure.outcomeUnknown(Step.FORWARD, forward.owner().toString(),
 					"the key is owned by another node"));
 		}
-		Outcome outcome = conclude(request, admission);
+		Outcome outcome = resolve(request, admission);
 		if (outcome instanceof Outcome.Answered answered) {
 			return answered.answer();
 		}
@@ -287,7 +292,7 @@
 			return Exchanges.problemAnswer(failed.failure());
 		}
 		return Exchanges.problemAnswer(Failure.outcomeUnknown(Step.HANDOVER, this.membership.own().node().toString(),
-				"the request was passed on to another node; ask again with the same key"));
+				"the request was handed over to another node; retry with the same key"));
 	}
 
 	@Override
@@ -302,7 +307,7 @@
 
 	@Override
 	public CommitResult receiveCommit(List<KeySpacePart> parts) {
-		CommitResult result = withLedger((held) -> held.receiveCommit(parts));
+		CommitResult result = withLedger((lockedLedger) -> lockedLedger.receiveCommit(parts));
 		logger.atInfo().log("commit of %d key spaces: %s", parts.size(), result.getClass().getSimpleName());
 		if (result instanceof CommitResult.Taken taken) {
 			taken.toDispatch().forEach(this::dispatchTakenOver);
@@ -312,8 +317,8 @@
 
 	@Override
 	public void receiveOutcomes(List<KeySpacePart> parts) {
-		withLedger((held) -> held.receiveOutcomes(parts)).forEach(this::dispatchTakenOver);
-		parts.forEach((part) -> part.entries().forEach((entry) -> completeEnded(entry.key())));
+		withLedger((lockedLedger) -> lockedLedger.receiveOutcomes(parts)).forEach(this::dispatchTakenOver);
+		parts.forEach((part) -> part.entries().forEach((entry) -> completeIfEnded(entry.key())));
 	}
 
 	private void dispatchTakenOver(LedgerEntry entry) {
@@ -333,7 +338,7 @@
 	}
 
 	/**
-	 * The transitions of one key, as its dispatch makes them.
+	 * Records the state changes of one key in the ledger and in the platform log.
 	 */
 	private final class LedgerTransitions implements Dispatcher.Transitions {
 
@@ -345,46 +350,46 @@
 
 		@Override
 		public boolean startDispatch() {
-			boolean mayDispatch = withLedger((held) -> held.startDispatch(this.key));
+			boolean mayDispatch = withLedger((lockedLedger) -> lockedLedger.startDispatch(this.key));
 			if (mayDispatch) {
-				record(this.key);
+				recordTransition(this.key);
 			}
 			return mayDispatch;
 		}
 
 		@Override
-		public void answered(Answer answer) {
-			withLedger((held) -> {
-				held.recordAnswer(this.key, answer);
+		public void recordAnswer(Answer answer) {
+			withLedger((lockedLedger) -> {
+				lockedLedger.recordAnswer(this.key, answer);
 				return this.key;
 			});
-			record(this.key);
-			completeEnded(this.key);
+			recordTransition(this.key);
+			completeIfEnded(this.key);
 		}
 
 		@Override
-		public void lost() {
-			withLedger((held) -> {
-				held.recordUnknown(this.key);
+		public void recordUnknown() {
+			withLedger((lockedLedger) -> {
+				lockedLedger.recordUnknown(this.key);
 				return this.key;
 			});
-			record(this.key);
-			completeEnded(this.key);
+			recordTransition(this.key);
+			completeIfEnded(this.key);
 		}
 
 		@Override
-		public void notSent() {
-			withLedger((held) -> {
-				held.recordNotSent(this.key);
+		public void recordNotSent() {
+			withLedger((lockedLedger) -> {
+				lockedLedger.recordNotSent(this.key);
 				return this.key;
 			});
 		}
 
 		@Override
-		public void giveUp() {
-			withLedger((held) -> held.cancel(this.key));
-			record(this.key);
-			completeEnded(this.key);
+		public void cancel() {
+			withLedger((lockedLedger) -> lockedLedger.cancel(this.key));
+			recordTransition(this.key);
+			completeIfEnded(this.key);
 		}
 
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Outcome.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/Outcome.java
@@ -5,38 +5,38 @@
 import io.flamingogap.core.request.Answer;
 
 /**
- * What an attempt of a keyed request is told.
+ * The outcome of one attempt to run a keyed request.
  */
 public sealed interface Outcome {
 
 	/**
-	 * The answer of a backend server, or of the node that owns the key.
+	 * The request was answered.
 	 *
-	 * @param answer the answer
+	 * @param answer the answer of the backend server, or of the node that owns the key
 	 */
 	record Answered(Answer answer) implements Outcome {
 	}
 
 	/**
-	 * There is no answer.
+	 * The attempt failed.
 	 *
-	 * @param failure why
+	 * @param failure the cause, and whether the request may have been executed
 	 */
 	record Failed(Failure failure) implements Outcome {
 	}
 
 	/**
-	 * The request was passed on to another node.
+	 * The request was handed over to another node.
 	 *
-	 * @param callerAddress where to ask again with the same key
+	 * @param callerAddress the address at which the caller can retry with the same key
 	 */
 	record Moved(Address callerAddress) implements Outcome {
 	}
 
 	/**
-	 * The node that owns the key did not answer.
+	 * The node that owns the key could not be reached or did not answer.
 	 *
-	 * @param failure why
+	 * @param failure the cause
 	 */
 	record OwnerUnreachable(Failure failure) implements Outcome {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/ServicePath.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/ServicePath.java
@@ -1,20 +1,21 @@
 package io.flamingogap.daemon.requests;
 
 /**
- * Paths of plain services: {@code /services/NAME/REST}.
+ * Splits request paths of plain services, {@code /services/NAME/PATH}, into the name of
+ * the service and the path within it.
  */
 public final class ServicePath {
 
-	/** What paths of plain services begin with. */
+	/** Prefix of the paths of all plain services. */
 	public static final String PREFIX = "/services/";
 
 	private ServicePath() {
 	}
 
 	/**
-	 * Return the service of a path.
+	 * Return the name of the service that a path addresses.
 	 * @param path a path that begins with {@link #PREFIX}
-	 * @return the service's name
+	 * @return the segment after the prefix
 	 */
 	public static String serviceName(String path) {
 		int end = path.indexOf('/', PREFIX.length());
@@ -22,9 +23,10 @@
 	}
 
 	/**
-	 * Return the part of a path that the service sees.
+	 * Return the part of a path that is sent to the service.
 	 * @param path a path that begins with {@link #PREFIX}
-	 * @return the rest, which begins with a slash
+	 * @return the path after the service name, starting with a slash; a single slash if
+	 * there is none
 	 */
 	public static String pathInService(String path) {
 		int end = path.indexOf('/', PREFIX.length());
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Runs keyed requests through the ledger.
+ * Runs requests with an idempotency key, each at most once.
  */
 @NullMarked
 package io.flamingogap.daemon.requests;
