Reword the rollouts of the daemon

"Judge", "look", "keep", "heard" and "news" read as figures of speech, and "held", "found" and "under way" did not say what the variables contain.

RolloutMonitor now checks the evidence, reads and appends take-backs; Rollouts.find is findKey, as it returns the identity of a rollout. One log line now says that its number is an offset.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
@@ -206,7 +206,7 @@
 	void takeBack(HttpExchange exchange, String operator, String resource) throws IOException {
 		String[] parts = resource.split("/");
 		Optional<RolloutKey> rollout = (parts.length == 3 && "take-back".equals(parts[2]))
-				? this.rollouts.find(parts[1]) : Optional.empty();
+				? this.rollouts.findKey(parts[1]) : Optional.empty();
 		if (rollout.isEmpty()) {
 			Exchanges.sendProblem(exchange,
 					Failure.notRun(ProblemType.NOT_FOUND, Step.PARSE, "operator", "no rollout under " + resource));
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
@@ -18,8 +18,9 @@
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
- * Looks at the evidence at an interval, and keeps take-backs in the platform log, so that
- * a fleet that starts anew knows them. They take effect without the log.
+ * Periodically takes back candidates that the evidence shows to be bad, and stores
+ * take-backs in the platform log, so that they are known after a restart of the whole
+ * fleet. A take-back takes effect even if the log is unavailable.
  */
 public final class RolloutMonitor implements AutoCloseable {
 
@@ -27,9 +28,9 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final long LOOK_MILLIS = 250;
+	private static final long CHECK_INTERVAL_MILLIS = 250;
 
-	private static final int LOOKS_PER_READ = 40;
+	private static final int CHECKS_PER_LOG_READ = 40;
 
 	private static final int PAGE_RECORDS = 100;
 
@@ -43,43 +44,44 @@
 
 	private long nextOffset = 1;
 
-	private long looks;
+	private long checks;
 
 	/**
-	 * Create a judge; it looks after {@link #start()}.
-	 * @param rollouts the rollouts under way
-	 * @param log the platform log
+	 * Create a monitor that is not started.
+	 * @param rollouts the rollouts to check
+	 * @param log the platform log, which stores the take-backs
 	 */
 	public RolloutMonitor(Rollouts rollouts, PlatformLog log) {
 		this.rollouts = rollouts;
 		this.log = log;
-		this.task = new PeriodicTask("rollout-judge", () -> LOOK_MILLIS, this::look);
+		this.task = new PeriodicTask("rollout-judge", () -> CHECK_INTERVAL_MILLIS, this::check);
 	}
 
 	/**
-	 * Begin to look.
+	 * Start the periodic checks.
 	 */
 	public void start() {
 		this.task.start();
 	}
 
 	/**
-	 * Keep a take-back of this node or its operators in the log.
-	 * @param decision the decision
+	 * Store a take-back in the platform log. Returns at once; the append is retried until
+	 * the log accepts it.
+	 * @param decision a decision of this node or of an operator at this node
 	 */
 	public void persist(TakeBack decision) {
 		this.toAppend.add(decision);
 	}
 
-	private void look() {
+	private void check() {
 		this.rollouts.takeBackRegressions();
-		if (this.looks++ % LOOKS_PER_READ == 0) {
-			readKept();
-			appendKept();
+		if (this.checks++ % CHECKS_PER_LOG_READ == 0) {
+			readTakeBacks();
+			appendTakeBacks();
 		}
 	}
 
-	private void readKept() {
+	private void readTakeBacks() {
 		Either<Failure, LogPage> page = this.log.read(PlatformLog.ROLLOUT_STREAM, this.nextOffset, PAGE_RECORDS, 0);
 		if (page.isLeft()) {
 			return;
@@ -91,12 +93,12 @@
 				this.rollouts.takeBack(MAPPER.readValue(logRecord.body(), TakeBack.class));
 			}
 			catch (IOException ex) {
-				logger.atWarning().log("take-back %d can't be read: %s", logRecord.offset(), ex.getMessage());
+				logger.atWarning().log("take-back at offset %d can't be read: %s", logRecord.offset(), ex.getMessage());
 			}
 		}
 	}
 
-	private void appendKept() {
+	private void appendTakeBacks() {
 		TakeBack next = this.toAppend.peek();
 		while (next != null) {
 			String text = new String(Exchanges.write(next), StandardCharsets.UTF_8);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Applies the rollout decisions to requests and keeps the evidence.
+ * Applies rollout decisions to requests and collects the evidence for them.
  */
 @NullMarked
 package io.flamingogap.daemon.rollouts;
