Reword the operator interface of the daemon

Comments such as "what it says of its life" and "whether its neighbours hear it" left the meaning of the fields to the reader, and methods such as "audit", "request" and "operator" were named for nouns.

Methods now say what they do (sendAuditTrail, sendRequestState, parseChange, authenticate), a list of ValidationError is called errors, and the doc comments of the reports give units and special values. The components of the reports, paths and texts are unchanged.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
@@ -39,15 +39,16 @@
 import io.flamingogap.daemon.rollouts.Rollouts;
 
 /**
- * What operators may ask of a node.
+ * Serves the requests of authenticated operators: status, changes, audit trail, rollouts
+ * and drains.
  */
 public final class OperatorApi {
 
 	private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9-]{8,64}");
 
-	private static final int AUDIT_PAGE = 1_000;
+	private static final int MAX_AUDIT_ENTRIES = 1_000;
 
-	/** JSON escapes at most double the size of a manifest. */
+	/** Limit for the body of a change; JSON escapes at most double the manifest. */
 	private static final int MAX_CHANGE_BYTES = 2 * ManifestReader.MAX_BYTES + 4_096;
 
 	private final Configuration configuration;
@@ -73,15 +74,16 @@
 	/**
 	 * Create the API.
 	 * @param configuration the configuration in force
-	 * @param follower follows the configuration stream
-	 * @param publisher publishes changes
+	 * @param follower reads the configuration stream; reports whether the log is
+	 * reachable
+	 * @param publisher publishes configuration changes
 	 * @param membership the membership table
 	 * @param requests the keyed requests of this node
 	 * @param rollouts the rollouts under way
-	 * @param audit the audit trail
-	 * @param log the platform log
-	 * @param drain begins a planned stop of this node
-	 * @param clock tells the present time
+	 * @param audit records the actions of operators
+	 * @param log the platform log, from which the audit trail is read
+	 * @param drain starts a planned stop of this node
+	 * @param clock the clock for audit entries and take-backs
 	 */
 	public OperatorApi(Configuration configuration, ConfigFollower follower, ConfigPublisher publisher,
 			Membership membership, KeyedRequests requests, Rollouts rollouts, AuditTrail audit, PlatformLog log,
@@ -116,10 +118,10 @@
 		return new ManifestReport(state.acceptedOffset(), state.manifestText());
 	}
 
-	void audit(HttpExchange exchange) throws IOException {
+	void sendAuditTrail(HttpExchange exchange) throws IOException {
 		Either<Failure, PlatformLog.LogPage> page = this.log.read(PlatformLog.AUDIT_STREAM, 1, 1, 0)
-			.map((first) -> Math.max(1, first.headOffset() - AUDIT_PAGE + 1))
-			.flatMap((from) -> this.log.read(PlatformLog.AUDIT_STREAM, from, AUDIT_PAGE, 0));
+			.map((firstPage) -> Math.max(1, firstPage.headOffset() - MAX_AUDIT_ENTRIES + 1))
+			.flatMap((fromOffset) -> this.log.read(PlatformLog.AUDIT_STREAM, fromOffset, MAX_AUDIT_ENTRIES, 0));
 		if (page.isLeft()) {
 			Exchanges.sendProblem(exchange, page.getLeft());
 			return;
@@ -128,9 +130,9 @@
 		Exchanges.send(exchange, 200, Exchanges.JSON, ("[" + entries + "]").getBytes(StandardCharsets.UTF_8));
 	}
 
-	void request(HttpExchange exchange, String resource) throws IOException {
-		String text = resource.substring(resource.indexOf('/') + 1);
-		Either<Failure, RequestKey> key = RequestKey.parse(text);
+	void sendRequestState(HttpExchange exchange, String resource) throws IOException {
+		String keyText = resource.substring(resource.indexOf('/') + 1);
+		Either<Failure, RequestKey> key = RequestKey.parse(keyText);
 		if (key.isLeft()) {
 			Exchanges.sendProblem(exchange, key.getLeft());
 			return;
@@ -139,52 +141,52 @@
 			.map((entry) -> entry.state().name())
 			.orElse("ABSENT");
 		String owner = this.membership.ownerOf(key.get().issuer()).toString();
-		Exchanges.sendJson(exchange, 200, new RequestReport(text, state, owner));
+		Exchanges.sendJson(exchange, 200, new RequestReport(keyText, state, owner));
 	}
 
 	void publish(HttpExchange exchange, String operator) throws IOException {
 		Either<Failure, ConfigRecord> change = Exchanges.readBody(exchange, MAX_CHANGE_BYTES)
 			.flatMap(Exchanges::parseObject)
-			.flatMap((document) -> change(document, operator));
+			.flatMap((document) -> parseChange(document, operator));
 		if (change.isLeft()) {
 			Exchanges.sendProblem(exchange, change.getLeft());
 			return;
 		}
-		Either<Failure, ConfigVerdict> verdict = this.publisher.publish(change.get());
-		if (verdict.isLeft()) {
-			Exchanges.sendProblem(exchange, verdict.getLeft());
+		Either<Failure, ConfigVerdict> published = this.publisher.publish(change.get());
+		if (published.isLeft()) {
+			Exchanges.sendProblem(exchange, published.getLeft());
 			return;
 		}
-		ConfigVerdict decided = verdict.get();
+		ConfigVerdict verdict = published.get();
 		this.audit.record(new AuditEntry(this.clock.millis(), this.membership.own().node().name(), operator,
-				decided.accepted() ? "change accepted" : "change refused", decided.id(), decided.reason(),
-				decided.offset()));
-		if (decided.accepted()) {
-			Exchanges.sendJson(exchange, 200, decided);
+				verdict.accepted() ? "change accepted" : "change refused", verdict.id(), verdict.reason(),
+				verdict.offset()));
+		if (verdict.accepted()) {
+			Exchanges.sendJson(exchange, 200, verdict);
 		}
 		else {
 			Exchanges.sendProblem(exchange,
-					Failure.notRun(ProblemType.CONFLICT, Step.APPEND, "operator " + operator, decided.reason()));
+					Failure.notRun(ProblemType.CONFLICT, Step.APPEND, "operator " + operator, verdict.reason()));
 		}
 	}
 
-	private static Either<Failure, ConfigRecord> change(ObjectNode document, String operator) {
-		String id = document.path("id").asText();
+	private static Either<Failure, ConfigRecord> parseChange(ObjectNode document, String operator) {
+		String changeId = document.path("id").asText();
 		String manifest = document.path("manifest").asText();
-		long base = document.path("baseOffset").asLong(-1);
-		if (!CHANGE_ID.matcher(id).matches() || base < 0) {
+		long baseOffset = document.path("baseOffset").asLong(-1);
+		if (!CHANGE_ID.matcher(changeId).matches() || baseOffset < 0) {
 			return Either.left(Exchanges.malformed("id must match " + CHANGE_ID + " and baseOffset must be a number"));
 		}
-		Optional<List<ValidationError>> faults = Optional.ofNullable(faultsOf(manifest));
-		if (faults.isPresent()) {
+		Optional<List<ValidationError>> errors = Optional.ofNullable(validationErrors(manifest));
+		if (errors.isPresent()) {
 			return Either.left(Failure.notRun(ProblemType.INVALID, Step.PARSE, "operator",
-					String.join("; ", faults.get().stream().map(ValidationError::toString).toList())));
+					String.join("; ", errors.get().stream().map(ValidationError::toString).toList())));
 		}
-		return Either.right(new ConfigRecord(id, base, operator, Digests.sha256(manifest), manifest));
+		return Either.right(new ConfigRecord(changeId, baseOffset, operator, Digests.sha256(manifest), manifest));
 	}
 
-	private static @Nullable List<ValidationError> faultsOf(String manifest) {
-		return ManifestReader.read(manifest).fold((faults) -> faults, (read) -> null);
+	private static @Nullable List<ValidationError> validationErrors(String manifest) {
+		return ManifestReader.read(manifest).fold((errors) -> errors, (valid) -> null);
 	}
 
 	void drain(HttpExchange exchange, String operator) throws IOException {
@@ -197,11 +199,12 @@
 	}
 
 	/**
-	 * Take back the rollout named by a path {@code rollouts/SERVICE/take-back}.
-	 * @param exchange the exchange
-	 * @param operator the operator
-	 * @param resource the path
-	 * @throws IOException if the connection breaks
+	 * Take back the rollout named by a path {@code rollouts/SERVICE/take-back} and send
+	 * the reports of all rollouts.
+	 * @param exchange the exchange to answer
+	 * @param operator the name of the operator
+	 * @param resource the path after {@link OperatorHandler#PREFIX}
+	 * @throws IOException if the response can't be sent
 	 */
 	void takeBack(HttpExchange exchange, String operator, String resource) throws IOException {
 		String[] parts = resource.split("/");
@@ -218,46 +221,47 @@
 	}
 
 	/**
-	 * Begins a planned stop.
+	 * Starts a planned stop of this node.
 	 */
 	@FunctionalInterface
 	public interface Drain {
 
 		/**
-		 * Begin a planned stop.
-		 * @param who the operator
-		 * @param cause why
+		 * Start a planned stop and return at once.
+		 * @param who the name of the operator
+		 * @param cause the reason, for the audit trail
 		 */
 		void begin(String who, String cause);
 
 	}
 
 	/**
-	 * The status of a node.
+	 * Status of this node.
 	 *
-	 * @param node the node run
-	 * @param zone its availability zone
-	 * @param state what it says of its life
-	 * @param configOffset the offset of the manifest in force
-	 * @param configHead the offset of the last record looked at
-	 * @param logReachable whether the last read of the log was answered
-	 * @param openRequests the keyed requests without an outcome
-	 * @param keptKeys the keys in the ledger
-	 * @param keptBytes the bytes of kept requests and answers
+	 * @param node the node and its incarnation
+	 * @param zone the name of its availability zone
+	 * @param state the lifecycle state that it last announced
+	 * @param configOffset the offset of the manifest in force; 0 if there is none
+	 * @param configHead the offset of the last configuration record that was applied or
+	 * skipped; 0 before the first record
+	 * @param logReachable whether the platform log answered the last read
+	 * @param openRequests the number of keyed requests that have not ended
+	 * @param keptKeys the number of keys in the ledger
+	 * @param keptBytes the total size of the stored request and answer bodies in bytes
 	 */
 	record StatusReport(String node, String zone, String state, long configOffset, long configHead,
 			boolean logReachable, int openRequests, int keptKeys, long keptBytes) {
 	}
 
 	/**
-	 * A row of the membership table.
+	 * Row of the membership table.
 	 *
-	 * @param node the node run
-	 * @param zone its availability zone
-	 * @param state what it says of its life
-	 * @param reachable whether its neighbours hear it
-	 * @param callerAddress where callers and operators connect
-	 * @param successor the node that its keys passed to; empty if none
+	 * @param node the node and its incarnation
+	 * @param zone the name of its availability zone
+	 * @param state the lifecycle state that it last announced
+	 * @param reachable whether other nodes can connect to it
+	 * @param callerAddress the address at which callers and operators connect
+	 * @param successor the node that took over its keys; empty if none has
 	 */
 	record NodeReport(String node, String zone, String state, boolean reachable, String callerAddress,
 			String successor) {
@@ -273,18 +277,18 @@
 	/**
 	 * The manifest in force.
 	 *
-	 * @param offset its offset in the configuration stream
-	 * @param manifest the TOML document
+	 * @param offset the offset in the configuration stream; 0 if there is no manifest
+	 * @param manifest the manifest as a TOML document; empty if there is none
 	 */
 	record ManifestReport(long offset, String manifest) {
 	}
 
 	/**
-	 * The state of a keyed request at this node.
+	 * State of a keyed request in the ledger of this node.
 	 *
-	 * @param key the key
-	 * @param state its state, or ABSENT
-	 * @param owner the node that owns the key
+	 * @param key the idempotency key
+	 * @param state the name of the state; {@code ABSENT} if the ledger has no entry
+	 * @param owner the node that owns the key, as far as this node knows
 	 */
 	record RequestReport(String key, String state, String owner) {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
@@ -18,52 +18,54 @@
 import io.flamingogap.daemon.settings.Settings;
 
 /**
- * Answers operators under {@code /operator/v1/}.
+ * Authenticates operators and dispatches their requests under {@code /operator/v1/}.
  */
 public final class OperatorHandler implements HttpListener.Handler {
 
-	/** What paths for operators begin with. */
+	/** Prefix of the paths of all operator requests. */
 	public static final String PREFIX = "/operator/v1/";
 
 	private final Configuration configuration;
 
-	private final Settings.Operators bootstrap;
+	private final Settings.Operators bootstrapOperator;
 
 	private final OperatorApi api;
 
 	/**
 	 * Create a handler.
-	 * @param configuration the configuration in force
-	 * @param bootstrap who may publish the first manifest
-	 * @param api what operators may do
+	 * @param configuration the configuration in force, which names the operators
+	 * @param bootstrapOperator the operator who is accepted while the manifest in force
+	 * names none, so as to publish the first manifest
+	 * @param api serves the requests of authenticated operators
 	 */
-	public OperatorHandler(Configuration configuration, Settings.Operators bootstrap, OperatorApi api) {
+	public OperatorHandler(Configuration configuration, Settings.Operators bootstrapOperator, OperatorApi api) {
 		this.configuration = configuration;
-		this.bootstrap = bootstrap;
+		this.bootstrapOperator = bootstrapOperator;
 		this.api = api;
 	}
 
 	@Override
 	public void handle(HttpExchange exchange) throws IOException {
-		Either<Failure, String> operator = operator(exchange);
+		Either<Failure, String> operator = authenticate(exchange);
 		if (operator.isLeft()) {
 			Exchanges.sendProblem(exchange, operator.getLeft());
 			return;
 		}
 		String resource = exchange.getRequestURI().getPath().substring(PREFIX.length());
-		serve(exchange, operator.get(), resource);
+		dispatch(exchange, operator.get(), resource);
 	}
 
-	private Either<Failure, String> operator(HttpExchange exchange) {
+	private Either<Failure, String> authenticate(HttpExchange exchange) {
 		Optional<String> digest = Exchanges.bearerKey(exchange).map(Digests::sha256);
-		Optional<String> named = digest.flatMap((found) -> this.configuration.manifest().findOperatorByDigest(found))
+		Optional<String> operatorName = digest
+			.flatMap((found) -> this.configuration.manifest().findOperatorByDigest(found))
 			.map(Operator::name);
-		if (named.isPresent()) {
-			return Either.right(named.get());
+		if (operatorName.isPresent()) {
+			return Either.right(operatorName.get());
 		}
 		boolean mayBootstrap = this.configuration.manifest().operator().isEmpty();
-		if (mayBootstrap && digest.filter(this.bootstrap.bootstrapKeyDigest()::equals).isPresent()) {
-			return Either.right(this.bootstrap.bootstrapName());
+		if (mayBootstrap && digest.filter(this.bootstrapOperator.bootstrapKeyDigest()::equals).isPresent()) {
+			return Either.right(this.bootstrapOperator.bootstrapName());
 		}
 		boolean isAccount = digest.flatMap((found) -> this.configuration.manifest().findAccountByDigest(found))
 			.isPresent();
@@ -71,14 +73,14 @@
 		return Either.left(Failure.notRun(type, Step.AUTHENTICATE, "operator", "no operator has this bearer key"));
 	}
 
-	private void serve(HttpExchange exchange, String operator, String resource) throws IOException {
+	private void dispatch(HttpExchange exchange, String operator, String resource) throws IOException {
 		String method = exchange.getRequestMethod();
 		switch (method + " " + resource.split("/", 2)[0]) {
 			case "GET status" -> Exchanges.sendJson(exchange, 200, this.api.status());
 			case "GET nodes" -> Exchanges.sendJson(exchange, 200, this.api.nodes());
 			case "GET manifest" -> Exchanges.sendJson(exchange, 200, this.api.manifest());
-			case "GET audit" -> this.api.audit(exchange);
-			case "GET requests" -> this.api.request(exchange, resource);
+			case "GET audit" -> this.api.sendAuditTrail(exchange);
+			case "GET requests" -> this.api.sendRequestState(exchange, resource);
 			case "GET rollouts" -> Exchanges.sendJson(exchange, 200, this.api.rollouts());
 			case "POST rollouts" -> this.api.takeBack(exchange, operator, resource);
 			case "POST manifests" -> this.api.publish(exchange, operator);
@@ -88,9 +90,9 @@
 	}
 
 	private static Failure unsupported(String method, String resource) {
-		Set<String> known = Set.of("status", "nodes", "manifest", "audit", "requests", "manifests", "rollouts",
+		Set<String> knownResources = Set.of("status", "nodes", "manifest", "audit", "requests", "manifests", "rollouts",
 				"drain");
-		ProblemType type = known.contains(resource.split("/", 2)[0]) ? ProblemType.METHOD_NOT_ALLOWED
+		ProblemType type = knownResources.contains(resource.split("/", 2)[0]) ? ProblemType.METHOD_NOT_ALLOWED
 				: ProblemType.NOT_FOUND;
 		return Failure.notRun(type, Step.PARSE, "operator", "no " + method + " of " + PREFIX + resource);
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Serves operators: changes, status, drains and the audit trail.
+ * HTTP interface for operators: configuration changes, status, rollouts, drains and the
+ * audit trail.
  */
 @NullMarked
 package io.flamingogap.daemon.operators;
