Reword the admin port of the daemon

"What answers" and "the timer" did not describe a handler that delegates to another one. The field is now called delegate, the constants say that they are a status and a media type. Paths, metric names and tags are unchanged.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/AdminHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/AdminHandler.java
@@ -11,13 +11,13 @@
 import io.flamingogap.daemon.http.HttpListener;
 
 /**
- * Answers on the admin port: {@code /healthz}, {@code /readyz} and {@code /metrics}.
+ * Serves {@code /healthz}, {@code /readyz} and {@code /metrics} on the admin port.
  */
 public final class AdminHandler implements HttpListener.Handler {
 
-	private static final String TEXT = "text/plain; charset=utf-8";
+	private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
 
-	private static final int UNAVAILABLE = 503;
+	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int NOT_FOUND = 404;
 
@@ -27,8 +27,8 @@
 
 	/**
 	 * Create a handler.
-	 * @param registry the metrics
-	 * @param ready whether the node takes new requests
+	 * @param registry the metrics to expose in the Prometheus text format
+	 * @param ready returns whether the node accepts new requests
 	 */
 	public AdminHandler(PrometheusMeterRegistry registry, BooleanSupplier ready) {
 		this.registry = registry;
@@ -47,11 +47,11 @@
 
 	private void sendReadiness(HttpExchange exchange) throws IOException {
 		boolean isReady = this.ready.getAsBoolean();
-		send(exchange, isReady ? 200 : UNAVAILABLE, isReady ? "ready\n" : "not ready\n");
+		send(exchange, isReady ? 200 : SERVICE_UNAVAILABLE, isReady ? "ready\n" : "not ready\n");
 	}
 
 	private static void send(HttpExchange exchange, int status, String text) throws IOException {
-		Exchanges.send(exchange, status, TEXT, text.getBytes(StandardCharsets.UTF_8));
+		Exchanges.send(exchange, status, PLAIN_TEXT, text.getBytes(StandardCharsets.UTF_8));
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/RequestTimingHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/RequestTimingHandler.java
@@ -10,29 +10,30 @@
 import io.flamingogap.daemon.http.HttpListener;
 
 /**
- * Times each exchange by the kind of its path and its status.
+ * Delegates to another handler and records the duration of each exchange by the kind of
+ * its path and its status.
  */
 public final class RequestTimingHandler implements HttpListener.Handler {
 
 	private final MeterRegistry registry;
 
-	private final HttpListener.Handler next;
+	private final HttpListener.Handler delegate;
 
 	/**
-	 * Create the timer.
-	 * @param registry the metrics
-	 * @param next what answers
+	 * Create a handler.
+	 * @param registry the registry of the timers
+	 * @param delegate answers the exchanges
 	 */
-	public RequestTimingHandler(MeterRegistry registry, HttpListener.Handler next) {
+	public RequestTimingHandler(MeterRegistry registry, HttpListener.Handler delegate) {
 		this.registry = registry;
-		this.next = next;
+		this.delegate = delegate;
 	}
 
 	@Override
 	public void handle(HttpExchange exchange) throws IOException {
 		long startNanos = System.nanoTime();
 		try {
-			this.next.handle(exchange);
+			this.delegate.handle(exchange);
 		}
 		finally {
 			Timer.builder("flamingogap.requests")
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/admin/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Serves health, readiness and metrics.
+ * Health, readiness and metrics of a node.
  */
 @NullMarked
 package io.flamingogap.daemon.admin;
