Reword the keyed request, rollout and handover fault tests

Messages now state the condition, the class comments say what each class guards against, and variables say what they hold. What the tests check, and every bound, is unchanged.

--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
@@ -19,7 +19,8 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Accepted requests through announced reclaims and planned stops.
+ * Tests that accepted requests are handed over to a successor and executed once when
+ * nodes are reclaimed or stopped.
  */
 class HandoverFaultTests {
 
@@ -51,10 +52,10 @@
 	}
 
 	/**
-	 * Book as the interface page tells callers to: follow redirects, and ask again at
-	 * another node with the same key while the outcome is unknown.
+	 * Book as docs/INTERFACE.md requires of callers: follow redirects, and retry with the
+	 * same key at another node while the outcome is unknown.
 	 */
-	private Reply bookPatiently(int daemon, String key) throws Exception {
+	private Reply bookWithRetries(int daemon, String key) throws Exception {
 		Reply reply = null;
 		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(12);
 		for (int node = daemon; System.nanoTime() < deadlineNanos; node = (node + 1) % this.fleet.size()) {
@@ -75,7 +76,7 @@
 		return this.fleet.desk().executions().getOrDefault(key, 0);
 	}
 
-	private void giveNotice(int daemon, long atMillis) {
+	private void announceReclaim(int daemon, long atMillis) {
 		this.fleet.cloud().giveNotice("entry-" + daemon, atMillis);
 	}
 
@@ -84,11 +85,12 @@
 		startFleet(3);
 		this.fleet.deskLink().setMode(LinkMode.REFUSE);
 		String key = newKey(0);
-		Future<Reply> accepted = this.executor.submit(() -> bookPatiently(0, key));
-		this.fleet.await("accepted", () -> this.fleet.operatorGet(0, "status").get("openRequests").asInt() == 1);
+		Future<Reply> accepted = this.executor.submit(() -> bookWithRetries(0, key));
+		this.fleet.await("the request is accepted",
+				() -> this.fleet.operatorGet(0, "status").get("openRequests").asInt() == 1);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
-		giveNotice(0, reclaimAtMillis);
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 2);
+		announceReclaim(0, reclaimAtMillis);
+		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 2);
 		TimeUnit.MILLISECONDS.sleep(reclaimAtMillis - System.currentTimeMillis());
 		this.fleet.daemon(0).kill();
 		this.fleet.deskLink().setMode(LinkMode.PASS);
@@ -100,16 +102,18 @@
 	void reclaimOfASuccessorAsWellKeepsTheRequests() throws Exception {
 		startFleet(3);
 		String key = newKey(0);
-		assertThat(bookPatiently(0, key).status(), is(201));
+		assertThat(bookWithRetries(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("first node left", () -> !this.fleet.daemon(0).process().isAlive());
+		this.fleet.await("the first node has stopped", () -> !this.fleet.daemon(0).process().isAlive());
 		int successor = this.fleet.ownerNumber(1, key, 2);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
-		giveNotice(successor, reclaimAtMillis);
-		int last = 3 - successor;
-		this.fleet.await("passed on", () -> this.fleet.ownerNumber(last, key, successor) == last);
+		announceReclaim(successor, reclaimAtMillis);
+		int remainingNode = 3 - successor;
+		this.fleet.await("the keys are handed over",
+				() -> this.fleet.ownerNumber(remainingNode, key, successor) == remainingNode);
 		this.fleet.daemon(successor).kill();
-		assertThat(this.caller.call(this.fleet.address(last), "POST", PATH, Optional.of(key), BODY).status(), is(201));
+		assertThat(this.caller.call(this.fleet.address(remainingNode), "POST", PATH, Optional.of(key), BODY).status(),
+				is(201));
 		assertThat(executions(key), is(1));
 	}
 
@@ -117,22 +121,22 @@
 	void reclaimOfAZoneWithTwoOfSixNodesKeepsTheRequests() throws Exception {
 		startFleet(6);
 		this.fleet.desk().setAnswerMillis(500);
-		String first = newKey(0);
-		String second = newKey(1);
-		Future<Reply> firstReply = this.executor.submit(() -> bookPatiently(0, first));
-		Future<Reply> secondReply = this.executor.submit(() -> bookPatiently(1, second));
+		String firstKey = newKey(0);
+		String secondKey = newKey(1);
+		Future<Reply> firstReply = this.executor.submit(() -> bookWithRetries(0, firstKey));
+		Future<Reply> secondReply = this.executor.submit(() -> bookWithRetries(1, secondKey));
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
-		giveNotice(0, reclaimAtMillis);
-		giveNotice(1, reclaimAtMillis);
+		announceReclaim(0, reclaimAtMillis);
+		announceReclaim(1, reclaimAtMillis);
 		TimeUnit.MILLISECONDS.sleep(reclaimAtMillis - System.currentTimeMillis());
 		this.fleet.daemon(0).kill();
 		this.fleet.daemon(1).kill();
 		assertThat(firstReply.get().status(), is(201));
 		assertThat(secondReply.get().status(), is(201));
-		assertThat(bookPatiently(2, first), is(firstReply.get()));
-		assertThat(bookPatiently(3, second), is(secondReply.get()));
-		assertThat(executions(first), is(1));
-		assertThat(executions(second), is(1));
+		assertThat(bookWithRetries(2, firstKey), is(firstReply.get()));
+		assertThat(bookWithRetries(3, secondKey), is(secondReply.get()));
+		assertThat(executions(firstKey), is(1));
+		assertThat(executions(secondKey), is(1));
 	}
 
 	@Test
@@ -142,10 +146,10 @@
 		String key = newKey(0);
 		Future<Reply> inFlight = this.executor
 			.submit(() -> this.caller.call(this.fleet.address(0), "POST", PATH, Optional.of(key), BODY));
-		this.fleet.await("in flight", () -> executions(key) == 1);
+		this.fleet.await("the booking has reached the service", () -> executions(key) == 1);
 		this.fleet.daemon(0).terminate();
 		assertThat(inFlight.get().status(), is(201));
-		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
+		this.fleet.await("the node has stopped", () -> !this.fleet.daemon(0).process().isAlive());
 		assertThat(this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY), is(inFlight.get()));
 		assertThat(executions(key), is(1));
 	}
@@ -154,17 +158,17 @@
 	void commitWhoseReplyIsLostTakesEffectOnce() throws Exception {
 		startFleet(2);
 		String key = newKey(0);
-		assertThat(bookPatiently(0, key).status(), is(201));
+		assertThat(bookWithRetries(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 1);
+		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 1);
 		TimeUnit.MILLISECONDS.sleep(700);
 		this.fleet.nodeLink(1).setMode(LinkMode.DROP_REPLIES);
 		TimeUnit.MILLISECONDS.sleep(1_200);
 		this.fleet.nodeLink(1).setMode(LinkMode.REFUSE);
 		this.fleet.nodeLink(1).setMode(LinkMode.PASS);
-		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
-		Reply again = this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY);
-		assertThat(again.status(), anyOf(is(201), is(502)));
+		this.fleet.await("the node has stopped", () -> !this.fleet.daemon(0).process().isAlive());
+		Reply retryReply = this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY);
+		assertThat(retryReply.status(), anyOf(is(201), is(502)));
 		assertThat(executions(key), is(1));
 	}
 
@@ -172,15 +176,15 @@
 	void frozenSuccessorResumesAndNothingIsExecutedTwice() throws Exception {
 		startFleet(3);
 		String key = newKey(0);
-		assertThat(bookPatiently(0, key).status(), is(201));
+		assertThat(bookWithRetries(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 2);
+		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 2);
 		this.fleet.daemon(1).freeze();
-		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
+		this.fleet.await("the node has stopped", () -> !this.fleet.daemon(0).process().isAlive());
 		this.fleet.daemon(1).resume();
-		this.fleet.await("heard again", () -> this.fleet.servingNodes(2) == 2);
-		Reply again = bookPatiently(2, key);
-		assertThat(again.status(), is(201));
+		this.fleet.await("the node is reachable again", () -> this.fleet.servingNodes(2) == 2);
+		Reply retryReply = bookWithRetries(2, key);
+		assertThat(retryReply.status(), is(201));
 		assertThat(executions(key), is(1));
 	}
 
@@ -188,15 +192,15 @@
 	void secondNoticeThatIsShorterIsHonoured() throws Exception {
 		startFleet(2);
 		String key = newKey(0);
-		assertThat(bookPatiently(0, key).status(), is(201));
+		assertThat(bookWithRetries(0, key).status(), is(201));
 		long nowMillis = System.currentTimeMillis();
-		giveNotice(0, nowMillis + 60_000);
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 1);
+		announceReclaim(0, nowMillis + 60_000);
+		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 1);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
-		giveNotice(0, reclaimAtMillis);
-		this.fleet.await("passed on", () -> this.fleet.ownerNumber(1, key, 0) == 1);
+		announceReclaim(0, reclaimAtMillis);
+		this.fleet.await("the keys are handed over", () -> this.fleet.ownerNumber(1, key, 0) == 1);
 		assertThat(System.currentTimeMillis() < reclaimAtMillis, is(true));
-		assertThat(bookPatiently(1, key).status(), is(201));
+		assertThat(bookWithRetries(1, key).status(), is(201));
 		assertThat(executions(key), is(1));
 	}
 
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/KeyedRequestFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/KeyedRequestFaultTests.java
@@ -25,7 +25,9 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Keyed requests under faults. Executions are counted at the plain service.
+ * Tests that a keyed request is executed at most once, and that a problem document says
+ * correctly whether it was executed, while nodes, links and the platform log fail.
+ * Executions are counted at the plain service.
  */
 class KeyedRequestFaultTests {
 
@@ -55,7 +57,7 @@
 		return this.caller.call(this.fleet.address(daemon), "POST", PATH, Optional.of(key), BODY);
 	}
 
-	private Future<Reply> bookLater(int daemon, String key) {
+	private Future<Reply> bookAsync(int daemon, String key) {
 		return this.executor.submit(() -> book(daemon, key));
 	}
 
@@ -74,7 +76,7 @@
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		List<Future<Reply>> attempts = new ArrayList<>();
 		for (int i = 0; i < 12; i++) {
-			attempts.add(bookLater(i % 3, key));
+			attempts.add(bookAsync(i % 3, key));
 		}
 		List<Reply> replies = new ArrayList<>();
 		for (Future<Reply> attempt : attempts) {
@@ -98,7 +100,7 @@
 	void killedNodeLeavesOutcomeUnknownAndNoSecondExecution() throws Exception {
 		this.fleet.desk().setAnswerMillis(1_500);
 		String key = this.caller.newKey(this.fleet.entryOf(0));
-		bookLater(0, key);
+		bookAsync(0, key);
 		this.fleet.await("the booking has reached the service", () -> executions(key) == 1);
 		this.fleet.daemon(0).kill();
 		Reply retry = book(1, key);
@@ -108,12 +110,12 @@
 	}
 
 	@Test
-	void outcomeOfAKilledNodeIsToldFromTheLog() throws Exception {
+	void outcomeOfAKilledNodeIsReadFromTheLog() throws Exception {
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		assertThat(book(0, key).status(), is(201));
 		TimeUnit.MILLISECONDS.sleep(1_500);
 		this.fleet.daemon(0).kill();
-		this.fleet.await("the outcome is told by another node", () -> "done".equals(state(2, key)));
+		this.fleet.await("another node reports the outcome", () -> "done".equals(state(2, key)));
 		assertThat(book(1, key).body(), containsString("\"execution\":\"unknown\""));
 		assertThat(executions(key), is(1));
 	}
@@ -122,10 +124,10 @@
 	void frozenNodeResumesWithoutASecondExecution() throws Exception {
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		this.fleet.daemon(0).freeze();
-		Reply during = this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY);
-		assertThat(during.body(), containsString("\"execution\":\"unknown\""));
+		Reply replyWhileFrozen = this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY);
+		assertThat(replyWhileFrozen.body(), containsString("\"execution\":\"unknown\""));
 		this.fleet.daemon(0).resume();
-		this.fleet.await("the node is heard again", () -> this.fleet.servingNodes(1) == 3);
+		this.fleet.await("the node is reachable again", () -> this.fleet.servingNodes(1) == 3);
 		assertThat(book(1, key).status(), is(201));
 		assertThat(book(0, key).status(), is(201));
 		assertThat(executions(key), is(1));
@@ -139,7 +141,7 @@
 		assertThat(book(0, key).status(), is(201));
 		assertThat(book(2, key).body(), containsString("\"execution\":\"unknown\""));
 		this.fleet.nodeLink(0).setMode(LinkMode.PASS);
-		this.fleet.await("the partition has healed", () -> book(1, key).status() == 201);
+		this.fleet.await("the link between the nodes works again", () -> book(1, key).status() == 201);
 		assertThat(executions(key), is(1));
 	}
 
@@ -148,8 +150,8 @@
 		assertThat(book(1, this.caller.newKey(this.fleet.entryOf(0))).status(), is(201));
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		this.fleet.nodeLink(0).setMode(LinkMode.DROP_REPLIES);
-		Reply lost = this.caller.callWithin(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY, 1_000);
-		assertThat(lost.body(), containsString("\"execution\":\"unknown\""));
+		Reply firstReply = this.caller.callWithin(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY, 1_000);
+		assertThat(firstReply.body(), containsString("\"execution\":\"unknown\""));
 		assertThat(executions(key), is(1));
 		this.fleet.nodeLink(0).setMode(LinkMode.CUT);
 		this.fleet.nodeLink(0).setMode(LinkMode.PASS);
@@ -160,17 +162,17 @@
 	@Test
 	void silentBackendConnectionEndsAsUnknownWhileOthersGoOn() throws Exception {
 		this.fleet.desk().setAnswerMillis(400);
-		String silent = this.caller.newKey(this.fleet.entryOf(0));
-		Future<Reply> swallowed = bookLater(0, silent);
-		this.fleet.await("the booking has reached the service", () -> executions(silent) == 1);
+		String silentKey = this.caller.newKey(this.fleet.entryOf(0));
+		Future<Reply> silentReply = bookAsync(0, silentKey);
+		this.fleet.await("the booking has reached the service", () -> executions(silentKey) == 1);
 		this.fleet.deskLink().silenceOpen();
-		String other = this.caller.newKey(this.fleet.entryOf(0));
-		assertThat(book(0, other).status(), is(201));
-		Reply reply = swallowed.get();
+		String otherKey = this.caller.newKey(this.fleet.entryOf(0));
+		assertThat(book(0, otherKey).status(), is(201));
+		Reply reply = silentReply.get();
 		assertThat(reply.body(), containsString("\"execution\":\"unknown\""));
-		assertThat(book(1, silent).body(), containsString("\"execution\":\"unknown\""));
-		assertThat(executions(silent), is(1));
-		assertThat(executions(other), is(1));
+		assertThat(book(1, silentKey).body(), containsString("\"execution\":\"unknown\""));
+		assertThat(executions(silentKey), is(1));
+		assertThat(executions(otherKey), is(1));
 	}
 
 	@Test
@@ -202,9 +204,9 @@
 		List<Future<Reply>> attempts = new ArrayList<>();
 		for (int i = 0; i < 210; i++) {
 			keys.add(this.caller.newKey(entry));
-			attempts.add(bookLater(0, keys.get(i)));
+			attempts.add(bookAsync(0, keys.get(i)));
 		}
-		this.fleet.await("refusals", () -> attempts.stream().filter(Future::isDone).count() == 10);
+		this.fleet.await("10 attempts are refused", () -> attempts.stream().filter(Future::isDone).count() == 10);
 		this.fleet.desk().setHeld(false);
 		int refused = 0;
 		for (int i = 0; i < attempts.size(); i++) {
@@ -214,7 +216,7 @@
 			assertThat(reply.body(), containsString(wasRefused ? "\"execution\":\"not-run\"" : "booking"));
 			assertThat(executions(keys.get(i)), is(wasRefused ? 0 : 1));
 		}
-		assertThat("the account may have 200 open", refused, is(10));
+		assertThat("an account may have 200 open requests", refused, is(10));
 	}
 
 	@Test
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/RolloutFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/RolloutFaultTests.java
@@ -24,13 +24,14 @@
 import static org.hamcrest.Matchers.lessThan;
 
 /**
- * Rollouts with real daemons.
+ * Tests that all nodes take a bad candidate back and that callers see no failure, with
+ * daemons as processes.
  */
 class RolloutFaultTests {
 
 	private static final int NODES = 3;
 
-	private static final long SPREAD_MILLIS = 5_000;
+	private static final long MAX_PROPAGATION_MILLIS = 5_000;
 
 	private final ExecutorService executor = Executors.newCachedThreadPool();
 
@@ -92,18 +93,18 @@
 		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		this.fleet.log().setMode(LogMode.DOWN);
 		startLookups();
-		this.fleet.await("taken back somewhere", () -> "TAKEN_BACK".equals(rollout(0).path("phase").asText())
+		this.fleet.await("taken back at one node", () -> "TAKEN_BACK".equals(rollout(0).path("phase").asText())
 				|| "TAKEN_BACK".equals(rollout(1).path("phase").asText()));
 		long startNanos = System.nanoTime();
 		this.fleet.await("taken back everywhere", this::takenBackEverywhere);
-		assertThat((System.nanoTime() - startNanos) / 1_000_000, lessThan(SPREAD_MILLIS));
+		assertThat((System.nanoTime() - startNanos) / 1_000_000, lessThan(MAX_PROPAGATION_MILLIS));
 		TimeUnit.MILLISECONDS.sleep(200);
-		long reached = this.candidate.requests();
+		long requestsBefore = this.candidate.requests();
 		TimeUnit.MILLISECONDS.sleep(1_000);
-		assertThat(this.candidate.requests(), is(reached));
+		assertThat(this.candidate.requests(), is(requestsBefore));
 		assertThat(rollout(0).path("reason").asText(), containsString("failures"));
 		assertThat(this.refused.get(), is(0));
-		assertThat((double) reached / this.answered.get(), lessThan(0.02));
+		assertThat((double) requestsBefore / this.answered.get(), lessThan(0.02));
 	}
 
 	@Test
@@ -127,9 +128,9 @@
 	void takeBackIsKnownToANodeThatStartsLater() throws Exception {
 		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		this.fleet.operatorPost(0, "rollouts/desk/take-back");
-		int started = this.fleet.startAnother();
+		int newDaemon = this.fleet.startAnother();
 		this.fleet.await("taken back at the new node",
-				() -> "TAKEN_BACK".equals(rollout(started).path("phase").asText()));
+				() -> "TAKEN_BACK".equals(rollout(newDaemon).path("phase").asText()));
 	}
 
 	@Test
