--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -49,8 +49,8 @@
 import io.flamingogap.daemon.platformlog.ConfigFollower;
 import io.flamingogap.daemon.platformlog.ConfigPublisher;
 import io.flamingogap.daemon.platformlog.Configuration;
-import io.flamingogap.daemon.platformlog.PlatformLog;
-import io.flamingogap.daemon.platformlog.RequestRecords;
+import io.flamingogap.daemon.platformlog.PlatformLogClient;
+import io.flamingogap.daemon.platformlog.RequestTransitionLog;
 import io.flamingogap.daemon.platformlog.SnapshotPublisher;
 import io.flamingogap.daemon.requests.Dispatcher;
 import io.flamingogap.daemon.requests.KeyedRequests;
@@ -85,7 +85,7 @@
 
 	private final RolloutJudge judge;
 
-	private final RequestRecords records;
+	private final RequestTransitionLog records;
 
 	private final SnapshotPublisher snapshots;
 
@@ -115,7 +115,7 @@
 			.connectTimeout(Duration.ofMillis(settings.platform().logTimeoutMillis()))
 			.executor(this.executor)
 			.build();
-		PlatformLog log = new PlatformLog(platformClient, Address.parse(settings.platform().logAddress()),
+		PlatformLogClient log = new PlatformLogClient(platformClient, Address.parse(settings.platform().logAddress()),
 				settings.platform().logTimeoutMillis());
 		this.configuration = new Configuration(Set.of(settings.operators().bootstrapName()), (state) -> {
 		});
@@ -129,7 +129,7 @@
 		this.judge = new RolloutJudge(this.rollouts, log);
 		this.snapshots = new SnapshotPublisher(log, this.configuration, this::rank,
 				settings.platform().snapshotMillis(), clock);
-		this.records = new RequestRecords(log, () -> this.membership.members().size());
+		this.records = new RequestTransitionLog(log, () -> this.membership.members().size());
 		this.loadReports = new LoadReports(this.configuration::manifest, servers, backendClient);
 		Dispatcher dispatcher = new Dispatcher(this.configuration, servers, backendClient,
 				settings.requests().answerTimeoutMillis(), this.rollouts, () -> lifecycle().lastDispatchMillis(),
@@ -227,12 +227,12 @@
 		return (int) this.membership.members()
 			.stream()
 			.filter(Member::isServing)
-			.takeWhile((member) -> !member.equals(this.membership.own()))
+			.takeWhile((member) -> !member.equals(this.membership.localMember()))
 			.count();
 	}
 
 	private boolean isReady() {
-		return this.membership.own().isServing() && this.configuration.state().acceptedOffset() > 0;
+		return this.membership.localMember().isServing() && this.configuration.state().acceptedOffset() > 0;
 	}
 
 	/**
@@ -251,7 +251,7 @@
 		this.links.start();
 		this.adminListener.start();
 		this.callerListener.start();
-		logger.atInfo().log("node %s serves", this.membership.own().node());
+		logger.atInfo().log("node %s serves", this.membership.localMember().node());
 	}
 
 	/**
@@ -259,13 +259,13 @@
 	 * @param decision the decision
 	 */
 	private void tellOfTakeBack(TakeBack decision) {
-		this.links.wakeAll();
-		String own = this.membership.own().node().toString();
+		this.links.triggerHeartbeats();
+		String own = this.membership.localMember().node().toString();
 		if (decision.by().equals(own) || decision.by().endsWith("@" + own)) {
 			this.judge.keep(decision);
-			this.audit.record(new AuditEntry(decision.atMillis(), this.membership.own().node().name(), decision.by(),
-					"take back", decision.rollout().service() + " " + decision.rollout().candidate(), decision.reason(),
-					this.configuration.state().acceptedOffset()));
+			this.audit.record(new AuditEntry(decision.atMillis(), this.membership.localMember().node().name(),
+					decision.by(), "take back", decision.rollout().service() + " " + decision.rollout().candidate(),
+					decision.reason(), this.configuration.state().acceptedOffset()));
 		}
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -96,7 +96,8 @@
 	 */
 	void reclaim(Notice notice, IntSupplier openRequests) {
 		this.reclaimAtMillis = Math.min(this.reclaimAtMillis, notice.reclaimAtMillis());
-		stop(this.membership.own().node().toString(), "reclaim notice for " + notice.reclaimAtMillis(), openRequests);
+		stop(this.membership.localMember().node().toString(), "reclaim notice for " + notice.reclaimAtMillis(),
+				openRequests);
 	}
 
 	/**
@@ -174,12 +175,12 @@
 		}
 		if (successor.isEmpty()) {
 			logger.atWarning().log("no successor: keys of this node end with it");
-			record(this.membership.own().node().toString(), "handover", "no successor could be reached");
+			record(this.membership.localMember().node().toString(), "handover", "no successor could be reached");
 		}
 	}
 
 	private Optional<Member> choose(Set<NodeId> tried) {
-		return SuccessorSelector.choose(this.membership.own(), this.membership.members(), tried);
+		return SuccessorSelector.choose(this.membership.localMember(), this.membership.members(), tried);
 	}
 
 	/**
@@ -197,7 +198,7 @@
 		if (reply.filter((done) -> done == CommitReply.REFUSED).isPresent()) {
 			return !this.requests.withLedger((ledger) -> ledger.recordCommitRefused(successor.node()));
 		}
-		record(this.membership.own().node().toString(), "handover",
+		record(this.membership.localMember().node().toString(), "handover",
 				"to " + successor.node() + (reply.isPresent() ? "" : ", not confirmed"));
 		this.membership.announce(MemberState.HANDED_OVER, successor.node());
 		sendOutcomes(successor);
@@ -232,7 +233,7 @@
 		do {
 			List<KeySpacePart> changed = this.requests.withLedger(RequestLedger::exportNewOutcomes);
 			if (changed.stream().anyMatch((part) -> !part.entries().isEmpty())) {
-				this.nodeClients.outcomes(successor, changed, STEP_TIMEOUT_MILLIS);
+				this.nodeClients.sendOutcomes(successor, changed, STEP_TIMEOUT_MILLIS);
 			}
 			Thread.sleep(LOOK_MILLIS);
 		}
@@ -254,7 +255,7 @@
 
 	private void record(String who, String what, String cause) {
 		this.audit.record(new AuditEntry(this.clock.millis(), this.settings.node().name(), who, what,
-				this.membership.own().node().toString(), cause, 0));
+				this.membership.localMember().node().toString(), cause, 0));
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
@@ -65,7 +65,7 @@
 		this.openRequests = new ConcurrencyLimiter(settings.maxOpenRequests());
 		this.settings = settings;
 		this.clock = clock;
-		this.tickets = new AtomicLong(membership.own().node().incarnation() >>> 1);
+		this.tickets = new AtomicLong(membership.localMember().node().incarnation() >>> 1);
 	}
 
 	@Override
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyStatusHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyStatusHandler.java
@@ -14,7 +14,7 @@
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.nodes.Membership;
 import io.flamingogap.daemon.nodes.NodeClients;
-import io.flamingogap.daemon.platformlog.RequestRecords;
+import io.flamingogap.daemon.platformlog.RequestTransitionLog;
 import io.flamingogap.daemon.requests.KeyedRequests;
 
 /**
@@ -30,7 +30,7 @@
 
 	private final NodeClients nodeClients;
 
-	private final RequestRecords records;
+	private final RequestTransitionLog records;
 
 	/**
 	 * Create a handler.
@@ -40,7 +40,7 @@
 	 * @param records what the platform log holds
 	 */
 	public KeyStatusHandler(KeyedRequests keyedRequests, Membership membership, NodeClients nodeClients,
-			RequestRecords records) {
+			RequestTransitionLog records) {
 		this.keyedRequests = keyedRequests;
 		this.membership = membership;
 		this.nodeClients = nodeClients;
@@ -60,10 +60,10 @@
 	private KeyReport status(RequestKey key, String account) {
 		Optional<LedgerEntry> own = this.keyedRequests.find(key, account);
 		if (own.isPresent() && own.get().state().isTerminal()) {
-			return KeyReport.of(key, own.get().state().name(), this.membership.own().node());
+			return KeyReport.of(key, own.get().state().name(), this.membership.localMember().node());
 		}
 		NodeId owner = this.membership.ownerOf(key.issuer());
-		if (owner.equals(this.membership.own().node())) {
+		if (owner.equals(this.membership.localMember().node())) {
 			return KeyReport.of(key, own.map((entry) -> entry.state().name()).orElse(KeyReport.ABSENT), owner);
 		}
 		return this.membership.find(owner)
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Membership.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Membership.java
@@ -131,7 +131,7 @@
 	 * Return the row of this node.
 	 * @return the row
 	 */
-	public synchronized Member own() {
+	public synchronized Member localMember() {
 		return this.table.localMember();
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
@@ -141,7 +141,7 @@
 	 * @param timeoutMillis how long it may take
 	 * @return nothing, or why it is not known to have been received
 	 */
-	public Either<Failure, Boolean> outcomes(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
+	public Either<Failure, Boolean> sendOutcomes(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
 		return handOver(successor, parts, timeoutMillis,
 				(client, wire) -> client.outcomes(WireCodec.toWire(this.self), wire));
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
@@ -58,9 +58,10 @@
 	 * @throws TException if the address can't be bound
 	 */
 	public static NodeServer create(Settings.Nodes settings, Address address, int idleMillis, Membership membership,
-			Configuration configuration, Rollouts rollouts, NodeRequests requests, Clock clock) throws TException {
+			Configuration configuration, Rollouts rollouts, PeerRequestHandler requests, Clock clock)
+			throws TException {
 		Gossip gossip = new Gossip(membership, configuration, rollouts);
-		NodeId self = membership.own().node();
+		NodeId self = membership.localMember().node();
 		return new NodeServer(address, idleMillis,
 				() -> new NodeSession(settings.sharedSecret(), self, gossip, configuration, requests, clock));
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
@@ -47,7 +47,7 @@
 
 	private final Configuration configuration;
 
-	private final NodeRequests requests;
+	private final PeerRequestHandler requests;
 
 	private final Clock clock;
 
@@ -57,8 +57,8 @@
 
 	private Gossip.Sent sent = Gossip.Sent.NOTHING;
 
-	NodeSession(String sharedSecret, NodeId self, Gossip gossip, Configuration configuration, NodeRequests requests,
-			Clock clock) {
+	NodeSession(String sharedSecret, NodeId self, Gossip gossip, Configuration configuration,
+			PeerRequestHandler requests, Clock clock) {
 		this.sharedSecret = sharedSecret;
 		this.self = self;
 		this.gossip = gossip;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLink.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLink.java
@@ -9,7 +9,7 @@
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
 import io.flamingogap.daemon.platformlog.Configuration;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 import io.flamingogap.daemon.settings.Settings;
 import io.flamingogap.wire.HeartbeatReply;
 
@@ -67,7 +67,7 @@
 	/**
 	 * Send the next heartbeat at once.
 	 */
-	synchronized void wake() {
+	synchronized void triggerHeartbeat() {
 		this.news = true;
 		notifyAll();
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
@@ -46,7 +46,7 @@
 	 */
 	public PeerLinks(Settings.Nodes settings, Membership membership, Configuration configuration, Rollouts rollouts,
 			Supplier<Set<String>> listedAddresses) {
-		this.self = membership.own().node();
+		this.self = membership.localMember().node();
 		this.settings = settings;
 		this.gossip = new Gossip(membership, configuration, rollouts);
 		this.membership = membership;
@@ -59,7 +59,7 @@
 	 * Open the links.
 	 */
 	public void start() {
-		this.membership.addListener(this::wakeAll);
+		this.membership.addListener(this::triggerHeartbeats);
 		this.task.start();
 	}
 
@@ -82,7 +82,7 @@
 			.filter((address) -> !known.contains(address))
 			.limit(this.settings.fanOut())
 			.forEach(wanted::add);
-		wanted.remove(this.membership.own().nodeAddress());
+		wanted.remove(this.membership.localMember().nodeAddress());
 		return wanted;
 	}
 
@@ -109,8 +109,8 @@
 	/**
 	 * Send news to all neighbours at once.
 	 */
-	public synchronized void wakeAll() {
-		this.links.values().forEach(PeerLink::wake);
+	public synchronized void triggerHeartbeats() {
+		this.links.values().forEach(PeerLink::triggerHeartbeat);
 	}
 
 	@Override
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerRequestHandler.java
@@ -13,7 +13,7 @@
 /**
  * What other entry nodes may ask of this node's keyed requests.
  */
-public interface NodeRequests {
+public interface PeerRequestHandler {
 
 	/**
 	 * Answer a request that a caller sent to another node.
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorApi.java
@@ -33,8 +33,8 @@
 import io.flamingogap.daemon.platformlog.ConfigFollower;
 import io.flamingogap.daemon.platformlog.ConfigPublisher;
 import io.flamingogap.daemon.platformlog.Configuration;
-import io.flamingogap.daemon.platformlog.PlatformLog;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
+import io.flamingogap.daemon.platformlog.PlatformLogClient;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 import io.flamingogap.daemon.requests.KeyedRequests;
 import io.flamingogap.daemon.rollouts.Rollouts;
 
@@ -64,7 +64,7 @@
 
 	private final AuditTrail audit;
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final Drain drain;
 
@@ -84,7 +84,7 @@
 	 * @param clock tells the present time
 	 */
 	public OperatorApi(Configuration configuration, ConfigFollower follower, ConfigPublisher publisher,
-			Membership membership, KeyedRequests requests, Rollouts rollouts, AuditTrail audit, PlatformLog log,
+			Membership membership, KeyedRequests requests, Rollouts rollouts, AuditTrail audit, PlatformLogClient log,
 			Drain drain, Clock clock) {
 		this.configuration = configuration;
 		this.follower = follower;
@@ -100,7 +100,7 @@
 
 	StatusReport status() {
 		ConfigState state = this.configuration.state();
-		Member own = this.membership.own();
+		Member own = this.membership.localMember();
 		return new StatusReport(own.node().toString(), own.zone(), own.state().name(), state.acceptedOffset(),
 				state.headOffset(), this.follower.isLogReachable(),
 				this.requests.withLedger(RequestLedger::openRequests), this.requests.withLedger(RequestLedger::size),
@@ -117,9 +117,9 @@
 	}
 
 	void audit(HttpExchange exchange) throws IOException {
-		Either<Failure, PlatformLog.LogPage> page = this.log.read(PlatformLog.AUDIT_STREAM, 1, 1, 0)
+		Either<Failure, PlatformLogClient.LogPage> page = this.log.read(PlatformLogClient.AUDIT_STREAM, 1, 1, 0)
 			.map((first) -> Math.max(1, first.headOffset() - AUDIT_PAGE + 1))
-			.flatMap((from) -> this.log.read(PlatformLog.AUDIT_STREAM, from, AUDIT_PAGE, 0));
+			.flatMap((from) -> this.log.read(PlatformLogClient.AUDIT_STREAM, from, AUDIT_PAGE, 0));
 		if (page.isLeft()) {
 			Exchanges.sendProblem(exchange, page.getLeft());
 			return;
@@ -156,7 +156,7 @@
 			return;
 		}
 		ConfigVerdict decided = verdict.get();
-		this.audit.record(new AuditEntry(this.clock.millis(), this.membership.own().node().name(), operator,
+		this.audit.record(new AuditEntry(this.clock.millis(), this.membership.localMember().node().name(), operator,
 				decided.accepted() ? "change accepted" : "change refused", decided.id(), decided.reason(),
 				decided.offset()));
 		if (decided.accepted()) {
@@ -212,7 +212,7 @@
 					Failure.notRun(ProblemType.NOT_FOUND, Step.PARSE, "operator", "no rollout under " + resource));
 			return;
 		}
-		String by = operator + "@" + this.membership.own().node();
+		String by = operator + "@" + this.membership.localMember().node();
 		this.rollouts.takeBack(new TakeBack(rollout.get(), by, "asked by operator " + operator, this.clock.millis()));
 		Exchanges.sendJson(exchange, 200, this.rollouts.reports());
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditTrail.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditTrail.java
@@ -23,7 +23,7 @@
 
 	private final BlockingQueue<AuditEntry> waiting = new LinkedBlockingQueue<>(MAX_WAITING);
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final Thread thread;
 
@@ -33,7 +33,7 @@
 	 * Create a trail; entries are appended after {@link #start()}.
 	 * @param log the platform log
 	 */
-	public AuditTrail(PlatformLog log) {
+	public AuditTrail(PlatformLogClient log) {
 		this.log = log;
 		this.thread = new Thread(this::appendWaiting, "audit-trail");
 		this.thread.setDaemon(true);
@@ -63,7 +63,7 @@
 		while (!this.closed) {
 			try {
 				AuditEntry entry = this.waiting.take();
-				while (!this.closed && this.log.append(PlatformLog.AUDIT_STREAM, text(entry)).isLeft()) {
+				while (!this.closed && this.log.append(PlatformLogClient.AUDIT_STREAM, text(entry)).isLeft()) {
 					TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
 				}
 			}
@@ -79,7 +79,7 @@
 	 */
 	public void flush() {
 		AuditEntry entry = this.waiting.poll();
-		while (entry != null && this.log.append(PlatformLog.AUDIT_STREAM, text(entry)).isRight()) {
+		while (entry != null && this.log.append(PlatformLogClient.AUDIT_STREAM, text(entry)).isRight()) {
 			entry = this.waiting.poll();
 		}
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
@@ -4,7 +4,7 @@
 import io.vavr.control.Either;
 
 import io.flamingogap.core.error.Failure;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogPage;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogPage;
 
 /**
  * Follows the configuration stream of the platform log on a thread of its own.
@@ -17,7 +17,7 @@
 
 	private static final long RETRY_MILLIS = 250;
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final Configuration configuration;
 
@@ -37,7 +37,7 @@
 	 * @param configuration where records are applied
 	 * @param waitMillis how long a read waits for a new record
 	 */
-	public ConfigFollower(PlatformLog log, Configuration configuration, long waitMillis) {
+	public ConfigFollower(PlatformLogClient log, Configuration configuration, long waitMillis) {
 		this.log = log;
 		this.configuration = configuration;
 		this.waitMillis = waitMillis;
@@ -85,7 +85,8 @@
 
 	private boolean readPage(long pageWaitMillis) {
 		long next = Math.max(this.configuration.state().headOffset() + 1, this.scanOffset);
-		Either<Failure, LogPage> page = this.log.read(PlatformLog.CONFIG_STREAM, next, PAGE_RECORDS, pageWaitMillis);
+		Either<Failure, LogPage> page = this.log.read(PlatformLogClient.CONFIG_STREAM, next, PAGE_RECORDS,
+				pageWaitMillis);
 		if (page.isRight()) {
 			apply(page.get());
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigPublisher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigPublisher.java
@@ -22,7 +22,7 @@
 
 	private static final int MAX_LOOKS = 60;
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final Configuration configuration;
 
@@ -34,7 +34,7 @@
 	 * @param configuration the configuration that the change is applied to
 	 * @param follower reads the stream
 	 */
-	public ConfigPublisher(PlatformLog log, Configuration configuration, ConfigFollower follower) {
+	public ConfigPublisher(PlatformLogClient log, Configuration configuration, ConfigFollower follower) {
 		this.log = log;
 		this.configuration = configuration;
 		this.follower = follower;
@@ -52,7 +52,7 @@
 		if (earlier.isPresent()) {
 			return Either.right(earlier.get());
 		}
-		Either<Failure, Long> appended = this.log.append(PlatformLog.CONFIG_STREAM,
+		Either<Failure, Long> appended = this.log.append(PlatformLogClient.CONFIG_STREAM,
 				new String(Exchanges.write(change), StandardCharsets.UTF_8));
 		Optional<ConfigVerdict> verdict = awaitVerdict(change.id());
 		if (verdict.isPresent()) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/Configuration.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/Configuration.java
@@ -19,7 +19,7 @@
 import io.flamingogap.core.config.ConfigState;
 import io.flamingogap.core.manifest.Manifest;
 import io.flamingogap.daemon.http.Exchanges;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 
 /**
  * The configuration in force at this node, with the records behind it for peers that
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/PlatformLog.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/PlatformLogClient.java
@@ -20,7 +20,7 @@
 /**
  * Client of the platform log.
  */
-public final class PlatformLog {
+public final class PlatformLogClient {
 
 	/** The stream on which operators publish manifests. */
 	public static final String CONFIG_STREAM = "config";
@@ -50,7 +50,7 @@
 	 * @param address where the log is
 	 * @param timeoutMillis how long a call may take, beyond the time it is asked to wait
 	 */
-	public PlatformLog(HttpClient client, Address address, long timeoutMillis) {
+	public PlatformLogClient(HttpClient client, Address address, long timeoutMillis) {
 		this.client = client;
 		this.address = address;
 		this.timeoutMillis = timeoutMillis;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestRecord.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestTransition.java
@@ -8,5 +8,5 @@
  * @param state the name of the new state
  * @param status the HTTP status of the answer; 0 if there is none
  */
-public record RequestRecord(String key, String account, String state, int status) {
+public record RequestTransition(String key, String account, String state, int status) {
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestRecords.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestTransitionLog.java
@@ -17,8 +17,8 @@
 import com.google.common.flogger.FluentLogger;
 
 import io.flamingogap.daemon.http.Exchanges;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogPage;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogPage;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
@@ -26,7 +26,7 @@
  * of requests, and read back so that any node can tell the outcome of a request whose
  * node has died. A missing record proves nothing.
  */
-public final class RequestRecords implements AutoCloseable {
+public final class RequestTransitionLog implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -49,20 +49,20 @@
 
 	private static final int MAX_PAGES_PER_QUERY = 50;
 
-	private final BlockingQueue<RequestRecord> waiting = new LinkedBlockingQueue<>(MAX_WAITING);
+	private final BlockingQueue<RequestTransition> waiting = new LinkedBlockingQueue<>(MAX_WAITING);
 
-	private final Map<String, RequestRecord> known = new LinkedHashMap<>() {
+	private final Map<String, RequestTransition> known = new LinkedHashMap<>() {
 
 		private static final long serialVersionUID = 1L;
 
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, RequestRecord> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<String, RequestTransition> eldest) {
 			return size() > MAX_KNOWN;
 		}
 
 	};
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final PeriodicTask task;
 
@@ -73,7 +73,7 @@
 	 * @param log the platform log
 	 * @param fleetSize the number of entry nodes
 	 */
-	public RequestRecords(PlatformLog log, IntSupplier fleetSize) {
+	public RequestTransitionLog(PlatformLogClient log, IntSupplier fleetSize) {
 		this.log = log;
 		this.task = new PeriodicTask("request-records", () -> intervalMillis(fleetSize.getAsInt()), this::flush);
 	}
@@ -90,7 +90,7 @@
 	 * left out.
 	 * @param transition the transition
 	 */
-	public void record(RequestRecord transition) {
+	public void record(RequestTransition transition) {
 		if (!this.waiting.offer(transition)) {
 			logger.atWarning()
 				.atMostEvery(10, TimeUnit.SECONDS)
@@ -105,7 +105,7 @@
 	 * @param account the account that asks
 	 * @return the transition, if one of the account's is known
 	 */
-	public Optional<RequestRecord> find(String key, String account) {
+	public Optional<RequestTransition> find(String key, String account) {
 		readNew();
 		synchronized (this.known) {
 			return Optional.ofNullable(this.known.get(key)).filter((found) -> found.account().equals(account));
@@ -126,20 +126,20 @@
 	 * Write what waits. A batch that fails is written again, which does no harm.
 	 */
 	public synchronized void flush() {
-		List<RequestRecord> batch = new ArrayList<>();
+		List<RequestTransition> batch = new ArrayList<>();
 		this.waiting.drainTo(batch, MAX_BATCH);
 		if (batch.isEmpty()) {
 			return;
 		}
 		String text = new String(Exchanges.write(batch), StandardCharsets.UTF_8);
-		if (this.log.append(PlatformLog.REQUEST_STREAM, text).isLeft()) {
+		if (this.log.append(PlatformLogClient.REQUEST_STREAM, text).isLeft()) {
 			batch.forEach(this.waiting::offer);
 		}
 	}
 
 	private synchronized void readNew() {
 		for (int pages = 0; pages < MAX_PAGES_PER_QUERY; pages++) {
-			List<LogRecord> page = this.log.read(PlatformLog.REQUEST_STREAM, this.nextOffset, PAGE_RECORDS, 0)
+			List<LogRecord> page = this.log.read(PlatformLogClient.REQUEST_STREAM, this.nextOffset, PAGE_RECORDS, 0)
 				.map(LogPage::records)
 				.getOrElse(List.of());
 			if (page.isEmpty()) {
@@ -152,10 +152,11 @@
 
 	private void take(LogRecord logRecord) {
 		try {
-			RequestRecord[] batch = MAPPER.readValue(logRecord.body(), RequestRecord[].class);
+			RequestTransition[] batch = MAPPER.readValue(logRecord.body(), RequestTransition[].class);
 			synchronized (this.known) {
 				Arrays.stream(batch)
-					.forEach((transition) -> this.known.merge(transition.key(), transition, RequestRecords::later));
+					.forEach((transition) -> this.known.merge(transition.key(), transition,
+							RequestTransitionLog::later));
 			}
 		}
 		catch (IOException ex) {
@@ -169,7 +170,7 @@
 	 * @param next another transition of the same key
 	 * @return the one that says more
 	 */
-	private static RequestRecord later(RequestRecord held, RequestRecord next) {
+	private static RequestTransition later(RequestTransition held, RequestTransition next) {
 		return (held.status() > 0) ? held : next;
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/SnapshotPublisher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/SnapshotPublisher.java
@@ -22,7 +22,7 @@
 
 	private static final long LOOK_MILLIS = 500;
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final Configuration configuration;
 
@@ -46,7 +46,7 @@
 	 * @param intervalMillis the time after which a change without a snapshot gets one
 	 * @param clock tells the present time
 	 */
-	public SnapshotPublisher(PlatformLog log, Configuration configuration, IntSupplier rank, long intervalMillis,
+	public SnapshotPublisher(PlatformLogClient log, Configuration configuration, IntSupplier rank, long intervalMillis,
 			Clock clock) {
 		this.log = log;
 		this.configuration = configuration;
@@ -83,7 +83,8 @@
 	}
 
 	private void publish(ConfigState state) {
-		boolean appended = this.log.append(PlatformLog.CONFIG_STREAM, this.configuration.snapshotBody()).isRight();
+		boolean appended = this.log.append(PlatformLogClient.CONFIG_STREAM, this.configuration.snapshotBody())
+			.isRight();
 		logger.atInfo()
 			.log("snapshot as of offset %d %s", state.headOffset(), appended ? "published" : "not confirmed");
 		this.uncoveredSinceMillis = -1;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -32,15 +32,15 @@
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.nodes.Membership;
 import io.flamingogap.daemon.nodes.NodeClients;
-import io.flamingogap.daemon.nodes.NodeRequests;
-import io.flamingogap.daemon.platformlog.RequestRecord;
-import io.flamingogap.daemon.platformlog.RequestRecords;
+import io.flamingogap.daemon.nodes.PeerRequestHandler;
+import io.flamingogap.daemon.platformlog.RequestTransition;
+import io.flamingogap.daemon.platformlog.RequestTransitionLog;
 
 /**
  * Runs keyed requests: decides with the ledger, dispatches in the background, and has all
  * attempts of a key wait for the one outcome.
  */
-public final class KeyedRequests implements NodeRequests {
+public final class KeyedRequests implements PeerRequestHandler {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -57,7 +57,7 @@
 
 	private final NodeClients nodeClients;
 
-	private final RequestRecords records;
+	private final RequestTransitionLog records;
 
 	private final ExecutorService executor;
 
@@ -76,7 +76,7 @@
 	 * @param clock tells the present time
 	 */
 	public KeyedRequests(RequestLedger ledger, Dispatcher dispatcher, Membership membership, NodeClients nodeClients,
-			RequestRecords records, ExecutorService executor, Clock clock) {
+			RequestTransitionLog records, ExecutorService executor, Clock clock) {
 		this.ledger = ledger;
 		this.dispatcher = dispatcher;
 		this.membership = membership;
@@ -118,7 +118,7 @@
 
 	private Outcome forward(NodeId owner, KeyedRequest request) {
 		Optional<Member> member = this.membership.find(owner);
-		if (member.isEmpty() || owner.equals(this.membership.own().node())) {
+		if (member.isEmpty() || owner.equals(this.membership.localMember().node())) {
 			return new Outcome.OwnerUnreachable(
 					Failure.outcomeUnknown(Step.FORWARD, owner.toString(), "no such node is known"));
 		}
@@ -226,7 +226,7 @@
 	}
 
 	private void record(RequestKey key) {
-		find(key).ifPresent((entry) -> this.records.record(new RequestRecord(key.toString(), entry.account(),
+		find(key).ifPresent((entry) -> this.records.record(new RequestTransition(key.toString(), entry.account(),
 				entry.state().name(), Optional.ofNullable(entry.answer()).map(Answer::status).orElse(0))));
 	}
 
@@ -250,7 +250,7 @@
 	public void loseDeadDispatchers() {
 		this.membership.members()
 			.stream()
-			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.own().node()))
+			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.localMember().node()))
 			.flatMap((member) -> withLedger((held) -> held.recordDispatcherLost(member.node())).stream())
 			.forEach(this::completeEnded);
 	}
@@ -286,8 +286,9 @@
 		if (outcome instanceof Outcome.Failed failed) {
 			return Exchanges.problemAnswer(failed.failure());
 		}
-		return Exchanges.problemAnswer(Failure.outcomeUnknown(Step.HANDOVER, this.membership.own().node().toString(),
-				"the request was passed on to another node; ask again with the same key"));
+		return Exchanges
+			.problemAnswer(Failure.outcomeUnknown(Step.HANDOVER, this.membership.localMember().node().toString(),
+					"the request was passed on to another node; ask again with the same key"));
 	}
 
 	@Override
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutJudge.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutJudge.java
@@ -12,9 +12,9 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.rollout.TakeBack;
 import io.flamingogap.daemon.http.Exchanges;
-import io.flamingogap.daemon.platformlog.PlatformLog;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogPage;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
+import io.flamingogap.daemon.platformlog.PlatformLogClient;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogPage;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
@@ -35,7 +35,7 @@
 
 	private final Rollouts rollouts;
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final BlockingQueue<TakeBack> toAppend = new LinkedBlockingQueue<>();
 
@@ -50,7 +50,7 @@
 	 * @param rollouts the rollouts under way
 	 * @param log the platform log
 	 */
-	public RolloutJudge(Rollouts rollouts, PlatformLog log) {
+	public RolloutJudge(Rollouts rollouts, PlatformLogClient log) {
 		this.rollouts = rollouts;
 		this.log = log;
 		this.task = new PeriodicTask("rollout-judge", () -> LOOK_MILLIS, this::look);
@@ -80,7 +80,8 @@
 	}
 
 	private void readKept() {
-		Either<Failure, LogPage> page = this.log.read(PlatformLog.ROLLOUT_STREAM, this.nextOffset, PAGE_RECORDS, 0);
+		Either<Failure, LogPage> page = this.log.read(PlatformLogClient.ROLLOUT_STREAM, this.nextOffset, PAGE_RECORDS,
+				0);
 		if (page.isLeft()) {
 			return;
 		}
@@ -100,7 +101,7 @@
 		TakeBack next = this.toAppend.peek();
 		while (next != null) {
 			String text = new String(Exchanges.write(next), StandardCharsets.UTF_8);
-			if (this.log.append(PlatformLog.ROLLOUT_STREAM, text).isLeft()) {
+			if (this.log.append(PlatformLogClient.ROLLOUT_STREAM, text).isLeft()) {
 				return;
 			}
 			this.toAppend.remove();
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Awaited.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConditionPoller.java
@@ -8,14 +8,14 @@
 /**
  * Conditions that have to become true in a while.
  */
-final class Awaited {
+final class ConditionPoller {
 
 	/** Many times what a machine under load takes. */
 	private static final long PATIENCE_MILLIS = 20_000;
 
 	private static final long POLL_MILLIS = 20;
 
-	private Awaited() {
+	private ConditionPoller() {
 	}
 
 	/**
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConfigFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConfigFaultTests.java
@@ -90,7 +90,7 @@
 	void nodeThatStartsInAnOutageLearnsFromItsPeers() throws Exception {
 		long offset = base();
 		this.fleet.log().setMode(LogMode.DOWN);
-		int started = this.fleet.startAnother();
+		int started = this.fleet.startNode();
 		this.fleet.await("in force at the new node", () -> this.fleet.configOffset(started) == offset);
 		this.fleet.log().setMode(LogMode.UP);
 		assertThat(this.fleet.configOffset(started), is(offset));
@@ -100,7 +100,7 @@
 	void changeIsInForceWithinTheBoundWhileTheLogIsSlow() throws Exception {
 		this.fleet.log().setDelayMillis(300);
 		long startNanos = System.nanoTime();
-		this.fleet.apply(changed("slow"));
+		this.fleet.applyManifest(changed("slow"));
 		assertThat((System.nanoTime() - startNanos) / 1_000_000, lessThan(IN_FORCE_MILLIS));
 	}
 
@@ -116,7 +116,7 @@
 
 	@Test
 	void freshFleetStartsWithTheWholeStateAfterTheLogDroppedEarlyRecords() throws Exception {
-		this.fleet.apply(changed("kept"));
+		this.fleet.applyManifest(changed("kept"));
 		long offset = base();
 		this.fleet.await("a snapshot was published",
 				() -> this.fleet.log()
@@ -126,7 +126,7 @@
 					.anyMatch((found) -> found.offset() > offset && found.body().contains("asOfOffset")));
 		this.fleet.killAll();
 		this.fleet.log().truncate("config", offset + 1);
-		int started = this.fleet.startAnother();
+		int started = this.fleet.startNode();
 		this.fleet.await("in force at a fresh node", () -> this.fleet.configOffset(started) == offset);
 		String manifest = this.fleet.operatorGet(started, "manifest").get("manifest").asText();
 		assertThat(manifest, containsString("# kept"));
@@ -140,8 +140,8 @@
 		JsonNode refused = this.fleet.publish(0, "change-invalid", base, "[[service]]\nname = \"x\"\n");
 		assertThat(refused.path("status").asInt(), is(422));
 		assertThat(this.fleet.configOffset(0), is(base));
-		assertThat(this.fleet.operatorAs("account-key", 0, "status").path("status").asInt(), is(403));
-		assertThat(this.fleet.operatorAs("nobody", 0, "status").path("status").asInt(), is(401));
+		assertThat(this.fleet.operatorGetAs("account-key", 0, "status").path("status").asInt(), is(403));
+		assertThat(this.fleet.operatorGetAs("nobody", 0, "status").path("status").asInt(), is(401));
 	}
 
 }
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
@@ -52,9 +52,9 @@
 
 	private final List<FaultyLink> engineLinks = new ArrayList<>();
 
-	private final FakePlainService desk = new FakePlainService(0, 20);
+	private final FakePlainService plainService = new FakePlainService(0, 20);
 
-	private final FaultyLink deskLink = new FaultyLink(this.desk.address());
+	private final FaultyLink plainServiceLink = new FaultyLink(this.plainService.address());
 
 	private final List<Daemon> daemons = new ArrayList<>();
 
@@ -91,7 +91,7 @@
 			addDaemon(i);
 		}
 		await("all nodes know each other", () -> servingNodesEverywhere(count));
-		apply(manifest());
+		applyManifest(manifest());
 	}
 
 	private void addDaemon(int number) throws IOException {
@@ -145,7 +145,7 @@
 	 * Start one more daemon.
 	 * @return its number
 	 */
-	int startAnother() throws IOException {
+	int startNode() throws IOException {
 		int number = this.daemons.size();
 		addDaemon(number);
 		return number;
@@ -153,7 +153,7 @@
 
 	String manifest() {
 		return FleetManifest.of(this.daemons.size(), this.engineLinks.stream().map(FaultyLink::address).toList(),
-				this.deskLink.address());
+				this.plainServiceLink.address());
 	}
 
 	/**
@@ -171,7 +171,7 @@
 	 * everywhere.
 	 * @param manifest the manifest
 	 */
-	void apply(String manifest) throws Exception {
+	void applyManifest(String manifest) throws Exception {
 		long base = operatorGet(0, "manifest").get("offset").asLong();
 		JsonNode verdict = publish(0, "change-" + System.nanoTime(), base, manifest);
 		long offset = verdict.path("offset").asLong();
@@ -193,7 +193,7 @@
 
 	private boolean servingNodesEverywhere(int count) throws Exception {
 		for (int i = 0; i < count; i++) {
-			if (servingNodes(i) != count) {
+			if (countServingNodes(i) != count) {
 				return false;
 			}
 		}
@@ -205,7 +205,7 @@
 	 * @param daemon the daemon
 	 * @return the number
 	 */
-	int servingNodes(int daemon) throws Exception {
+	int countServingNodes(int daemon) throws Exception {
 		int serving = 0;
 		for (JsonNode row : operatorGet(daemon, "nodes")) {
 			if (row.get("reachable").asBoolean() && "SERVING".equals(row.get("state").asText())) {
@@ -223,7 +223,7 @@
 		return operator(daemon, resource, HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.noBody()));
 	}
 
-	JsonNode operatorAs(String key, int daemon, String resource) throws Exception {
+	JsonNode operatorGetAs(String key, int daemon, String resource) throws Exception {
 		return operator(key, daemon, resource, HttpRequest.newBuilder().GET());
 	}
 
@@ -244,7 +244,7 @@
 	 * @param condition the condition; failures to reach a node count as false
 	 */
 	void await(String what, Callable<Boolean> condition) throws Exception {
-		Awaited.await(what + "; logs in " + this.directory, condition);
+		ConditionPoller.await(what + "; logs in " + this.directory, condition);
 	}
 
 	/**
@@ -254,7 +254,7 @@
 	 * @param fallback the number to return if the owner can't be told
 	 * @return the number of the owner
 	 */
-	int ownerNumber(int daemon, String key, int fallback) throws Exception {
+	int ownerIndex(int daemon, String key, int fallback) throws Exception {
 		String owner = operatorGet(daemon, "requests/" + key).path("owner").asText();
 		for (int i = 0; i < this.daemons.size(); i++) {
 			if (owner.startsWith("entry-" + i + "~")) {
@@ -294,7 +294,7 @@
 	 * @param path the path
 	 * @return the status and the body
 	 */
-	HttpResponse<String> admin(int daemon, String path) throws Exception {
+	HttpResponse<String> adminGet(int daemon, String path) throws Exception {
 		URI uri = URI.create("http://" + this.daemons.get(daemon).adminAddress() + path);
 		return this.http.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString());
 	}
@@ -327,12 +327,12 @@
 		return this.engineLinks.get(number);
 	}
 
-	FakePlainService desk() {
-		return this.desk;
+	FakePlainService plainService() {
+		return this.plainService;
 	}
 
-	FaultyLink deskLink() {
-		return this.deskLink;
+	FaultyLink plainServiceLink() {
+		return this.plainServiceLink;
 	}
 
 	FaultyLink nodeLink(int daemon) {
@@ -345,8 +345,8 @@
 		this.nodeLinks.forEach(FaultyLink::close);
 		this.engineLinks.forEach(FaultyLink::close);
 		this.engines.forEach(FakeEngine::close);
-		this.deskLink.close();
-		this.desk.close();
+		this.plainServiceLink.close();
+		this.plainService.close();
 		this.logLink.close();
 		this.log.close();
 		this.cloud.close();
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
@@ -72,7 +72,7 @@
 	}
 
 	private int executions(String key) {
-		return this.fleet.desk().executions().getOrDefault(key, 0);
+		return this.fleet.plainService().executions().getOrDefault(key, 0);
 	}
 
 	private void giveNotice(int daemon, long atMillis) {
@@ -82,16 +82,16 @@
 	@Test
 	void reclaimOfANodeKeepsItsAcceptedRequests() throws Exception {
 		startFleet(3);
-		this.fleet.deskLink().setMode(LinkMode.REFUSE);
+		this.fleet.plainServiceLink().setMode(LinkMode.REFUSE);
 		String key = newKey(0);
 		Future<Reply> accepted = this.executor.submit(() -> bookPatiently(0, key));
 		this.fleet.await("accepted", () -> this.fleet.operatorGet(0, "status").get("openRequests").asInt() == 1);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
 		giveNotice(0, reclaimAtMillis);
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 2);
+		this.fleet.await("draining", () -> this.fleet.countServingNodes(1) == 2);
 		TimeUnit.MILLISECONDS.sleep(reclaimAtMillis - System.currentTimeMillis());
 		this.fleet.daemon(0).kill();
-		this.fleet.deskLink().setMode(LinkMode.PASS);
+		this.fleet.plainServiceLink().setMode(LinkMode.PASS);
 		assertThat(accepted.get().status(), is(201));
 		assertThat(executions(key), is(1));
 	}
@@ -103,11 +103,11 @@
 		assertThat(bookPatiently(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
 		this.fleet.await("first node left", () -> !this.fleet.daemon(0).process().isAlive());
-		int successor = this.fleet.ownerNumber(1, key, 2);
+		int successor = this.fleet.ownerIndex(1, key, 2);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
 		giveNotice(successor, reclaimAtMillis);
 		int last = 3 - successor;
-		this.fleet.await("passed on", () -> this.fleet.ownerNumber(last, key, successor) == last);
+		this.fleet.await("passed on", () -> this.fleet.ownerIndex(last, key, successor) == last);
 		this.fleet.daemon(successor).kill();
 		assertThat(this.caller.call(this.fleet.address(last), "POST", PATH, Optional.of(key), BODY).status(), is(201));
 		assertThat(executions(key), is(1));
@@ -116,7 +116,7 @@
 	@Test
 	void reclaimOfAZoneWithTwoOfSixNodesKeepsTheRequests() throws Exception {
 		startFleet(6);
-		this.fleet.desk().setAnswerMillis(500);
+		this.fleet.plainService().setAnswerMillis(500);
 		String first = newKey(0);
 		String second = newKey(1);
 		Future<Reply> firstReply = this.executor.submit(() -> bookPatiently(0, first));
@@ -138,7 +138,7 @@
 	@Test
 	void plannedStopWaitsForTheBookingInFlight() throws Exception {
 		startFleet(2);
-		this.fleet.desk().setAnswerMillis(2_500);
+		this.fleet.plainService().setAnswerMillis(2_500);
 		String key = newKey(0);
 		Future<Reply> inFlight = this.executor
 			.submit(() -> this.caller.call(this.fleet.address(0), "POST", PATH, Optional.of(key), BODY));
@@ -156,7 +156,7 @@
 		String key = newKey(0);
 		assertThat(bookPatiently(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 1);
+		this.fleet.await("draining", () -> this.fleet.countServingNodes(1) == 1);
 		TimeUnit.MILLISECONDS.sleep(700);
 		this.fleet.nodeLink(1).setMode(LinkMode.DROP_REPLIES);
 		TimeUnit.MILLISECONDS.sleep(1_200);
@@ -174,11 +174,11 @@
 		String key = newKey(0);
 		assertThat(bookPatiently(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 2);
+		this.fleet.await("draining", () -> this.fleet.countServingNodes(1) == 2);
 		this.fleet.daemon(1).freeze();
 		this.fleet.await("left", () -> !this.fleet.daemon(0).process().isAlive());
 		this.fleet.daemon(1).resume();
-		this.fleet.await("heard again", () -> this.fleet.servingNodes(2) == 2);
+		this.fleet.await("heard again", () -> this.fleet.countServingNodes(2) == 2);
 		Reply again = bookPatiently(2, key);
 		assertThat(again.status(), is(201));
 		assertThat(executions(key), is(1));
@@ -191,10 +191,10 @@
 		assertThat(bookPatiently(0, key).status(), is(201));
 		long nowMillis = System.currentTimeMillis();
 		giveNotice(0, nowMillis + 60_000);
-		this.fleet.await("draining", () -> this.fleet.servingNodes(1) == 1);
+		this.fleet.await("draining", () -> this.fleet.countServingNodes(1) == 1);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
 		giveNotice(0, reclaimAtMillis);
-		this.fleet.await("passed on", () -> this.fleet.ownerNumber(1, key, 0) == 1);
+		this.fleet.await("passed on", () -> this.fleet.ownerIndex(1, key, 0) == 1);
 		assertThat(System.currentTimeMillis() < reclaimAtMillis, is(true));
 		assertThat(bookPatiently(1, key).status(), is(201));
 		assertThat(executions(key), is(1));
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/KeyedRequestFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/KeyedRequestFaultTests.java
@@ -60,7 +60,7 @@
 	}
 
 	private int executions(String key) {
-		return this.fleet.desk().executions().getOrDefault(key, 0);
+		return this.fleet.plainService().executions().getOrDefault(key, 0);
 	}
 
 	private String state(int daemon, String key) {
@@ -70,7 +70,7 @@
 
 	@Test
 	void retriesAtEveryNodeAtTheSameTimeAreExecutedOnce() throws Exception {
-		this.fleet.desk().setAnswerMillis(300);
+		this.fleet.plainService().setAnswerMillis(300);
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		List<Future<Reply>> attempts = new ArrayList<>();
 		for (int i = 0; i < 12; i++) {
@@ -96,7 +96,7 @@
 
 	@Test
 	void killedNodeLeavesOutcomeUnknownAndNoSecondExecution() throws Exception {
-		this.fleet.desk().setAnswerMillis(1_500);
+		this.fleet.plainService().setAnswerMillis(1_500);
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		bookLater(0, key);
 		this.fleet.await("the booking has reached the service", () -> executions(key) == 1);
@@ -125,7 +125,7 @@
 		Reply during = this.caller.call(this.fleet.address(1), "POST", PATH, Optional.of(key), BODY);
 		assertThat(during.body(), containsString("\"execution\":\"unknown\""));
 		this.fleet.daemon(0).resume();
-		this.fleet.await("the node is heard again", () -> this.fleet.servingNodes(1) == 3);
+		this.fleet.await("the node is heard again", () -> this.fleet.countServingNodes(1) == 3);
 		assertThat(book(1, key).status(), is(201));
 		assertThat(book(0, key).status(), is(201));
 		assertThat(executions(key), is(1));
@@ -159,11 +159,11 @@
 
 	@Test
 	void silentBackendConnectionEndsAsUnknownWhileOthersGoOn() throws Exception {
-		this.fleet.desk().setAnswerMillis(400);
+		this.fleet.plainService().setAnswerMillis(400);
 		String silent = this.caller.newKey(this.fleet.entryOf(0));
 		Future<Reply> swallowed = bookLater(0, silent);
 		this.fleet.await("the booking has reached the service", () -> executions(silent) == 1);
-		this.fleet.deskLink().silenceOpen();
+		this.fleet.plainServiceLink().silenceOpen();
 		String other = this.caller.newKey(this.fleet.entryOf(0));
 		assertThat(book(0, other).status(), is(201));
 		Reply reply = swallowed.get();
@@ -178,14 +178,14 @@
 		String lookup = "/services/desk/lots/1";
 		String address = this.fleet.address(0);
 		assertThat(this.caller.call(address, "GET", lookup, Optional.empty(), "").status(), is(200));
-		this.fleet.deskLink().silenceOpen();
+		this.fleet.plainServiceLink().silenceOpen();
 		Reply reply = this.caller.callWithin(address, "GET", lookup, Optional.empty(), "", 10_000);
 		assertThat(reply.status(), is(200));
 	}
 
 	@Test
 	void refusedBackendIsReportedNotRunAndStaysNotRun() throws Exception {
-		this.fleet.deskLink().setMode(LinkMode.REFUSE);
+		this.fleet.plainServiceLink().setMode(LinkMode.REFUSE);
 		String key = this.caller.newKey(this.fleet.entryOf(0));
 		Reply reply = this.caller.callWithin(this.fleet.address(0), "POST", PATH, Optional.of(key), BODY, 700);
 		assertThat(reply.body(), containsString("\"execution\":\"not-run\""));
@@ -196,7 +196,7 @@
 
 	@Test
 	void accountOverItsLimitIsRefusedNotRun() throws Exception {
-		this.fleet.desk().setHeld(true);
+		this.fleet.plainService().setHeld(true);
 		EntryNodeReply entry = this.fleet.entryOf(0);
 		List<String> keys = new ArrayList<>();
 		List<Future<Reply>> attempts = new ArrayList<>();
@@ -205,7 +205,7 @@
 			attempts.add(bookLater(0, keys.get(i)));
 		}
 		this.fleet.await("refusals", () -> attempts.stream().filter(Future::isDone).count() == 10);
-		this.fleet.desk().setHeld(false);
+		this.fleet.plainService().setHeld(false);
 		int refused = 0;
 		for (int i = 0; i < attempts.size(); i++) {
 			Reply reply = attempts.get(i).get();
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/OperationsTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/OperationsTests.java
@@ -44,13 +44,13 @@
 
 	@Test
 	void healthReadinessAndMetricsAreOnTheAdminPort() throws Exception {
-		assertThat(this.fleet.admin(0, "/healthz").statusCode(), is(200));
-		assertThat(this.fleet.admin(0, "/readyz").statusCode(), is(200));
-		String metrics = this.fleet.admin(0, "/metrics").body();
+		assertThat(this.fleet.adminGet(0, "/healthz").statusCode(), is(200));
+		assertThat(this.fleet.adminGet(0, "/readyz").statusCode(), is(200));
+		String metrics = this.fleet.adminGet(0, "/metrics").body();
 		assertThat(metrics, containsString("flamingogap_members_serving 2.0"));
 		assertThat(metrics, containsString("flamingogap_log_reachable 1.0"));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("not ready while draining", () -> this.fleet.admin(0, "/readyz").statusCode() == 503);
+		this.fleet.await("not ready while draining", () -> this.fleet.adminGet(0, "/readyz").statusCode() == 503);
 	}
 
 }
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/RolloutFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/RolloutFaultTests.java
@@ -89,7 +89,7 @@
 	@Test
 	void failingCandidateIsTakenBackEverywhereWithTheLogDownAndCallersSeeNothing() throws Exception {
 		this.candidate.setFailing(true);
-		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
+		this.fleet.applyManifest(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		this.fleet.log().setMode(LogMode.DOWN);
 		startLookups();
 		this.fleet.await("taken back somewhere", () -> "TAKEN_BACK".equals(rollout(0).path("phase").asText())
@@ -109,7 +109,7 @@
 	@Test
 	void candidateThatIsNeverReadyIsTakenBack() throws Exception {
 		this.candidate.close();
-		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
+		this.fleet.applyManifest(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		startLookups();
 		this.fleet.await("taken back everywhere", this::takenBackEverywhere);
 		assertThat(this.refused.get(), is(0));
@@ -117,7 +117,7 @@
 
 	@Test
 	void operatorTakesBackAtNodesThatCannotReachTheLog() throws Exception {
-		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
+		this.fleet.applyManifest(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		this.fleet.logLink().setMode(LinkMode.CUT);
 		this.fleet.operatorPost(1, "rollouts/desk/take-back");
 		this.fleet.await("taken back everywhere", this::takenBackEverywhere);
@@ -125,22 +125,22 @@
 
 	@Test
 	void takeBackIsKnownToANodeThatStartsLater() throws Exception {
-		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
+		this.fleet.applyManifest(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		this.fleet.operatorPost(0, "rollouts/desk/take-back");
-		int started = this.fleet.startAnother();
+		int started = this.fleet.startNode();
 		this.fleet.await("taken back at the new node",
 				() -> "TAKEN_BACK".equals(rollout(started).path("phase").asText()));
 	}
 
 	@Test
 	void bookingsDoNotExploreACandidate() throws Exception {
-		this.fleet.apply(this.fleet.manifestWithRollout(this.candidate.address(), 600));
+		this.fleet.applyManifest(this.fleet.manifestWithRollout(this.candidate.address(), 600));
 		for (int i = 0; i < 600; i++) {
 			String key = this.caller.newKey(this.fleet.entryOf(0));
 			this.caller.call(this.fleet.address(0), "POST", "/services/desk/bookings", Optional.of(key), "{}");
 		}
 		assertThat(this.candidate.executions().size(), is(0));
-		assertThat(this.fleet.desk().executions().size(), greaterThan(500));
+		assertThat(this.fleet.plainService().executions().size(), greaterThan(500));
 	}
 
 }
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/nodes/NodeServerTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/nodes/NodeServerTests.java
@@ -123,7 +123,7 @@
 
 	}
 
-	private static final class NoRequests implements NodeRequests {
+	private static final class NoRequests implements PeerRequestHandler {
 
 		@Override
 		public Answer answerForwarded(KeyedRequest request) {
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/HandoverMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/HandoverMeasure.java
@@ -21,8 +21,8 @@
 import io.flamingogap.core.request.RequestLedger;
 import io.flamingogap.daemon.nodes.Membership;
 import io.flamingogap.daemon.nodes.NodeClients;
-import io.flamingogap.daemon.nodes.NodeRequests;
 import io.flamingogap.daemon.nodes.NodeServer;
+import io.flamingogap.daemon.nodes.PeerRequestHandler;
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.rollouts.Rollouts;
 import io.flamingogap.daemon.settings.Settings;
@@ -109,7 +109,7 @@
 		return ledger;
 	}
 
-	private record Receiver(RequestLedger ledger) implements NodeRequests {
+	private record Receiver(RequestLedger ledger) implements PeerRequestHandler {
 
 		@Override
 		public Answer answerForwarded(KeyedRequest request) {
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/OnceMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/OnceMeasure.java
@@ -14,7 +14,7 @@
 import io.flamingogap.core.request.LedgerLimits;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.core.request.RequestLedger;
-import io.flamingogap.daemon.platformlog.PlatformLog;
+import io.flamingogap.daemon.platformlog.PlatformLogClient;
 import io.flamingogap.testkit.platform.FakeLog;
 import io.flamingogap.testkit.platform.LogMode;
 
@@ -41,7 +41,7 @@
 
 	void run() {
 		try (FakeLog log = new FakeLog(0)) {
-			PlatformLog client = new PlatformLog(HttpClient.newHttpClient(), Address.parse(log.address()),
+			PlatformLogClient client = new PlatformLogClient(HttpClient.newHttpClient(), Address.parse(log.address()),
 					TIMEOUT_MILLIS);
 			LongPredicate claim = (number) -> client.append("claims", "claim " + number).isRight();
 			LongPredicate issued = (number) -> admit();
