Reword the communication between nodes

Comments spoke of who is heard, of news and of silent times, and names such as Sent, News, wanted, known, handOver and reportLost did not say what they hold or do. Names now follow the membership table and the usual terms: payload and sync position for gossip, authenticated peers, unreachable nodes. Doc comments state units and special values.

NodeProof.mac SharedSecretProof.computeMac Gossip.Sent, News SyncPosition, Payload Gossip.newsAfter payloadAfter Membership.reportLost markUnreachable NodeClients.handOver sendParts

The error for an invalid request key is reworded; it stays in the process. The detail texts of Failure and NodeFault are unchanged because they leave it. Two tests of NodeServerTests have new names and check the same.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Gossip.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/Gossip.java
@@ -12,11 +12,12 @@
 import io.flamingogap.wire.TakeBack;
 
 /**
- * What a node exchanges with its neighbours, shared by all connections.
+ * Creates and applies the content of heartbeats: changes of the membership table, rollout
+ * evidence and take-backs. One instance is shared by several connections.
  */
 final class Gossip {
 
-	/** Bounds the size of a heartbeat; the remaining rows go with the next one. */
+	/** Limits the size of a heartbeat. Remaining rows are sent with the next one. */
 	private static final int MAX_EVIDENCE_ROWS = 64;
 
 	private final Membership membership;
@@ -32,24 +33,24 @@
 	}
 
 	/**
-	 * Return what one end of a connection has not sent yet.
-	 * @param sent what it has sent
-	 * @return the news
+	 * Return the changes that one side of a connection has not sent yet.
+	 * @param position the position up to which it has sent changes
+	 * @return the changes and the position after them
 	 */
-	News newsAfter(Sent sent) {
-		Membership.Changes members = this.membership.changesAfter(sent.members());
-		EvidenceTable.Page evidence = this.rollouts.changesAfter(sent.evidence(), MAX_EVIDENCE_ROWS);
-		return new News(WireCodec.toWire(members.members()), WireCodec.evidenceToWire(evidence.rows()),
+	Payload payloadAfter(SyncPosition position) {
+		Membership.Changes members = this.membership.changesAfter(position.memberSequence());
+		EvidenceTable.Page evidence = this.rollouts.changesAfter(position.evidenceSequence(), MAX_EVIDENCE_ROWS);
+		return new Payload(WireCodec.toWire(members.members()), WireCodec.evidenceToWire(evidence.rows()),
 				WireCodec.takeBacksToWire(this.rollouts.takeBacks()),
-				new Sent(members.sequence(), evidence.sequence()));
+				new SyncPosition(members.sequence(), evidence.sequence()));
 	}
 
-	Heartbeat heartbeat(long sequence, News news) {
-		return new Heartbeat(sequence, configHead(), news.members(), news.evidence(), news.takeBacks());
+	Heartbeat heartbeat(long sequence, Payload payload) {
+		return new Heartbeat(sequence, configHead(), payload.members(), payload.evidence(), payload.takeBacks());
 	}
 
-	HeartbeatReply reply(long sequence, News news) {
-		return new HeartbeatReply(sequence, configHead(), news.members(), news.evidence(), news.takeBacks());
+	HeartbeatReply reply(long sequence, Payload payload) {
+		return new HeartbeatReply(sequence, configHead(), payload.members(), payload.evidence(), payload.takeBacks());
 	}
 
 	private long configHead() {
@@ -72,26 +73,28 @@
 	}
 
 	/**
-	 * How much one end of a connection has sent.
+	 * Position up to which one side of a connection has sent changes.
 	 *
-	 * @param members the sequence number of the last sent row of the membership table
-	 * @param evidence the sequence number of the last sent row of evidence
+	 * @param memberSequence the sequence number of the last sent change of the membership
+	 * table; 0 for none
+	 * @param evidenceSequence the sequence number of the last sent row of evidence; 0 for
+	 * none
 	 */
-	record Sent(long members, long evidence) {
+	record SyncPosition(long memberSequence, long evidenceSequence) {
 
-		static final Sent NOTHING = new Sent(0, 0);
+		static final SyncPosition START = new SyncPosition(0, 0);
 
 	}
 
 	/**
-	 * What goes into one heartbeat or reply.
+	 * Content of a heartbeat or of a reply to one.
 	 *
-	 * @param members rows of the membership table
-	 * @param evidence rows of evidence
-	 * @param takeBacks the known take-backs
-	 * @param sent what will have been sent
+	 * @param members the changed rows of the membership table
+	 * @param evidence the changed rows of evidence
+	 * @param takeBacks all known take-backs
+	 * @param position the position after these changes
 	 */
-	record News(List<Member> members, List<EvidenceRow> evidence, List<TakeBack> takeBacks, Sent sent) {
+	record Payload(List<Member> members, List<EvidenceRow> evidence, List<TakeBack> takeBacks, SyncPosition position) {
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeClients.java
@@ -29,8 +29,9 @@
 import io.flamingogap.wire.NodeService;
 
 /**
- * Calls other entry nodes over a small pool of connections to each. Every call may be
- * repeated: what it does at the peer is idempotent.
+ * Client of other entry nodes with a small connection pool for each. A call may be sent
+ * twice if a pooled connection breaks; this is safe because every call is idempotent at
+ * the peer.
  */
 public final class NodeClients {
 
@@ -42,10 +43,10 @@
 
 	private static final long STATUS_TIMEOUT_MILLIS = 1_000;
 
-	/** Well below the largest message between entry nodes. */
-	private static final long PARTS_BYTES = 4_194_304;
+	/** Well below {@link NodeServer#MAX_FRAME_BYTES}. */
+	private static final long MAX_PARTS_BYTES = 4_194_304;
 
-	private final Map<Address, BlockingDeque<NodeConnection>> idle = new ConcurrentHashMap<>();
+	private final Map<Address, BlockingDeque<NodeConnection>> idleConnections = new ConcurrentHashMap<>();
 
 	private final NodeId self;
 
@@ -54,10 +55,10 @@
 	private final Clock clock;
 
 	/**
-	 * Create the clients.
-	 * @param self this node
-	 * @param sharedSecret what nodes prove to know
-	 * @param clock tells the present time
+	 * Create a client without open connections.
+	 * @param self the local node
+	 * @param sharedSecret the secret by which nodes authenticate each other
+	 * @param clock the clock of this node
 	 */
 	public NodeClients(NodeId self, String sharedSecret, Clock clock) {
 		this.self = self;
@@ -66,10 +67,10 @@
 	}
 
 	/**
-	 * Pass a keyed request to the node that owns the key.
-	 * @param owner the owner
+	 * Forward a keyed request to the node that owns the key.
+	 * @param owner the owner of the key
 	 * @param request the request
-	 * @return the owner's answer, or why none came
+	 * @return the owner's answer, or why there is none
 	 */
 	public Either<Failure, Answer> forward(Member owner, KeyedRequest request) {
 		long nowMillis = this.clock.millis();
@@ -79,11 +80,11 @@
 	}
 
 	/**
-	 * Ask the owner of a key for its state.
-	 * @param owner the owner
-	 * @param key the key
-	 * @param account the account that asks
-	 * @return the state
+	 * Read the state of a key from its owner.
+	 * @param owner the owner of the key
+	 * @param key the idempotency key
+	 * @param account the account of the caller
+	 * @return the state, or why it can't be read
 	 */
 	public Either<Failure, RemoteKeyStatus> keyStatus(Member owner, RequestKey key, String account) {
 		return call(owner, Step.READ, STATUS_TIMEOUT_MILLIS, (client) -> {
@@ -93,19 +94,21 @@
 	}
 
 	/**
-	 * Offer requests to a successor.
-	 * @param successor the successor
-	 * @param parts the parts
-	 * @param timeoutMillis how long it may take
-	 * @return nothing, or why it is not known to have been received
+	 * Offer requests to a successor, in several messages if necessary.
+	 * @param successor the node that is to take the requests over
+	 * @param parts the parts of the key space to offer
+	 * @param timeoutMillis the timeout of each message
+	 * @return {@code true}, or why it is not known whether the successor has received
+	 * everything
 	 */
 	public Either<Failure, Boolean> offer(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		return offerAll(successor, KeySpacePartSplitter.split(parts, PARTS_BYTES), timeoutMillis);
+		return offerMessages(successor, KeySpacePartSplitter.split(parts, MAX_PARTS_BYTES), timeoutMillis);
 	}
 
-	private Either<Failure, Boolean> offerAll(Member successor, List<List<KeySpacePart>> messages, long timeoutMillis) {
+	private Either<Failure, Boolean> offerMessages(Member successor, List<List<KeySpacePart>> messages,
+			long timeoutMillis) {
 		for (List<KeySpacePart> message : messages) {
-			Either<Failure, Boolean> sent = handOver(successor, message, timeoutMillis,
+			Either<Failure, Boolean> sent = sendParts(successor, message, timeoutMillis,
 					(client, wire) -> client.offer(WireCodec.toWire(this.self), wire));
 			if (sent.isLeft()) {
 				return sent;
@@ -115,16 +118,17 @@
 	}
 
 	/**
-	 * Commit requests to a successor.
-	 * @param successor the successor
-	 * @param parts the parts
-	 * @param timeoutMillis how long it may take
-	 * @return what the successor did, or why that isn't known
+	 * Commit requests to a successor. If they don't fit into one message, all but the
+	 * last message are sent as offers.
+	 * @param successor the node that is to take the requests over
+	 * @param parts the parts of the key space to commit
+	 * @param timeoutMillis the timeout of each message
+	 * @return the reply of the successor, or why it is not known
 	 */
 	public Either<Failure, CommitReply> commit(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		List<List<KeySpacePart>> messages = KeySpacePartSplitter.split(parts, PARTS_BYTES);
+		List<List<KeySpacePart>> messages = KeySpacePartSplitter.split(parts, MAX_PARTS_BYTES);
 		int last = messages.size() - 1;
-		return offerAll(successor, messages.subList(0, last), timeoutMillis)
+		return offerMessages(successor, messages.subList(0, last), timeoutMillis)
 			.flatMap((offered) -> commitLast(successor, messages.get(last), timeoutMillis));
 	}
 
@@ -135,18 +139,19 @@
 	}
 
 	/**
-	 * Tell a successor the outcomes of calls that were in flight at the commit.
-	 * @param successor the successor
+	 * Send a successor the outcomes of calls that were in flight at the commit.
+	 * @param successor the node that has taken the requests over
 	 * @param parts the changed entries
-	 * @param timeoutMillis how long it may take
-	 * @return nothing, or why it is not known to have been received
+	 * @param timeoutMillis the timeout of the message
+	 * @return {@code true}, or why it is not known whether the successor has received the
+	 * outcomes
 	 */
 	public Either<Failure, Boolean> sendOutcomes(Member successor, List<KeySpacePart> parts, long timeoutMillis) {
-		return handOver(successor, parts, timeoutMillis,
+		return sendParts(successor, parts, timeoutMillis,
 				(client, wire) -> client.outcomes(WireCodec.toWire(this.self), wire));
 	}
 
-	private Either<Failure, Boolean> handOver(Member successor, List<KeySpacePart> parts, long timeoutMillis,
+	private Either<Failure, Boolean> sendParts(Member successor, List<KeySpacePart> parts, long timeoutMillis,
 			PartsCall sender) {
 		List<io.flamingogap.wire.KeySpacePart> wire = WireCodec.partsToWire(parts, this.clock.millis());
 		return call(successor, Step.HANDOVER, timeoutMillis, (client) -> {
@@ -156,13 +161,13 @@
 	}
 
 	private <T> Either<Failure, T> call(Member peer, Step step, long timeoutMillis, NodeCall<T> call) {
-		BlockingDeque<NodeConnection> pool = this.idle.computeIfAbsent(peer.nodeAddress(),
+		BlockingDeque<NodeConnection> pool = this.idleConnections.computeIfAbsent(peer.nodeAddress(),
 				(address) -> new LinkedBlockingDeque<>(MAX_IDLE_CONNECTIONS));
 		NodeConnection pooled = pool.pollFirst();
 		if (pooled != null) {
 			Either<TException, T> first = attempt(pooled, peer, pool, timeoutMillis, call);
 			if (first.isRight() || first.getLeft() instanceof NodeFault) {
-				return first.mapLeft((fault) -> unknown(peer, step, fault));
+				return first.mapLeft((cause) -> outcomeUnknown(peer, step, cause));
 			}
 		}
 		NodeConnection fresh;
@@ -170,9 +175,9 @@
 			fresh = NodeConnection.open(peer.nodeAddress(), this.self, this.sharedSecret, CONNECT_TIMEOUT_MILLIS);
 		}
 		catch (TException ex) {
-			return Either.left((pooled != null) ? unknown(peer, step, ex) : notSent(peer, step, ex));
+			return Either.left((pooled != null) ? outcomeUnknown(peer, step, ex) : notSent(peer, step, ex));
 		}
-		return attempt(fresh, peer, pool, timeoutMillis, call).mapLeft((fault) -> unknown(peer, step, fault));
+		return attempt(fresh, peer, pool, timeoutMillis, call).mapLeft((cause) -> outcomeUnknown(peer, step, cause));
 	}
 
 	private <T> Either<TException, T> attempt(NodeConnection connection, Member peer,
@@ -194,20 +199,21 @@
 		}
 	}
 
-	private static Failure unknown(Member peer, Step step, TException fault) {
-		String detail = (fault instanceof NodeFault nodeFault) ? nodeFault.getMessage() : String.valueOf(fault);
+	private static Failure outcomeUnknown(Member peer, Step step, TException cause) {
+		String detail = (cause instanceof NodeFault nodeFault) ? nodeFault.getMessage() : String.valueOf(cause);
 		return new Failure(ProblemType.OUTCOME_UNKNOWN, step, peer.node().toString(), Execution.UNKNOWN, detail);
 	}
 
-	private static Failure notSent(Member peer, Step step, TException fault) {
+	private static Failure notSent(Member peer, Step step, TException cause) {
 		return new Failure(ProblemType.OUTCOME_UNKNOWN, Step.CONNECT, peer.node().toString(), Execution.NOT_RUN,
-				"no connection for " + step + ": " + fault.getMessage());
+				"no connection for " + step + ": " + cause.getMessage());
 	}
 
 	/**
-	 * The state of a key at its owner.
+	 * State of a key at its owner.
 	 *
-	 * @param state the name of the state, or ABSENT
+	 * @param state the name of the state; {@code ABSENT} if the owner doesn't hold the
+	 * key
 	 */
 	public record RemoteKeyStatus(String state) {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeConnection.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeConnection.java
@@ -14,7 +14,7 @@
 import io.flamingogap.wire.Proof;
 
 /**
- * The sending end of one connection to another entry node, open and proven.
+ * Client side of an authenticated connection to another entry node.
  */
 final class NodeConnection implements AutoCloseable {
 
@@ -31,12 +31,12 @@
 	}
 
 	/**
-	 * Open a connection and prove the shared secret.
-	 * @param address where the peer listens
-	 * @param self this node
-	 * @param sharedSecret the secret
-	 * @param timeoutMillis how long one step may take
-	 * @return the connection
+	 * Open a connection and authenticate the local node by the shared secret.
+	 * @param address the address on which the peer accepts other nodes
+	 * @param self the local node
+	 * @param sharedSecret the secret that all entry nodes share
+	 * @param timeoutMillis the timeout of the connect and of each read
+	 * @return a connection that is ready for calls
 	 * @throws TException if the peer can't be reached or refuses the proof
 	 */
 	static NodeConnection open(Address address, NodeId self, String sharedSecret, int timeoutMillis) throws TException {
@@ -47,8 +47,8 @@
 			TFramedTransport transport = new TFramedTransport(socket, NodeServer.MAX_FRAME_BYTES);
 			transport.open();
 			NodeService.Client client = new NodeService.Client(new TCompactProtocol(transport));
-			byte[] nonce = bytes(client.challenge());
-			byte[] mac = NodeProof.mac(sharedSecret, nonce, self);
+			byte[] nonce = toByteArray(client.challenge());
+			byte[] mac = SharedSecretProof.computeMac(sharedSecret, nonce, self);
 			NodeId peer = WireCodec
 				.fromWire(client.authenticate(new Proof(WireCodec.toWire(self), ByteBuffer.wrap(mac))));
 			return new NodeConnection(socket, client, peer);
@@ -59,7 +59,7 @@
 		}
 	}
 
-	private static byte[] bytes(ByteBuffer buffer) {
+	private static byte[] toByteArray(ByteBuffer buffer) {
 		byte[] copy = new byte[buffer.remaining()];
 		buffer.get(copy);
 		return copy;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeServer.java
@@ -25,11 +25,11 @@
 import io.flamingogap.wire.NodeService;
 
 /**
- * Listens for other entry nodes.
+ * Thrift server for calls from other entry nodes.
  */
 public final class NodeServer implements AutoCloseable {
 
-	/** The largest message between entry nodes. */
+	/** Maximum size of a message between entry nodes. */
 	static final int MAX_FRAME_BYTES = 16_777_216;
 
 	private static final int MAX_CONNECTIONS = 512;
@@ -45,16 +45,16 @@
 	private final ExecutorService executor;
 
 	/**
-	 * Bind a listener; it answers after {@link #start()}.
-	 * @param settings how nodes talk to each other
-	 * @param address where to listen
-	 * @param idleMillis how long a connection may be silent before it is closed
+	 * Bind a server. It accepts calls after {@link #start()}.
+	 * @param settings the settings for communication between nodes
+	 * @param address the address to listen on
+	 * @param idleMillis the time without a message after which a connection is closed
 	 * @param membership the membership table
 	 * @param configuration the configuration in force
-	 * @param rollouts the rollouts under way
-	 * @param requests the keyed requests of this node
-	 * @param clock tells the present time
-	 * @return the listener
+	 * @param rollouts the rollouts in progress
+	 * @param requests the handler of calls that concern keyed requests
+	 * @param clock the clock of this node
+	 * @return a server that is bound but not started
 	 * @throws TException if the address can't be bound
 	 */
 	public static NodeServer create(Settings.Nodes settings, Address address, int idleMillis, Membership membership,
@@ -83,7 +83,7 @@
 	}
 
 	/**
-	 * Begin to answer.
+	 * Start to accept connections.
 	 */
 	public void start() {
 		this.thread.start();
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/NodeSession.java
@@ -28,14 +28,14 @@
 import io.flamingogap.wire.Proof;
 
 /**
- * The receiving end of one connection from another entry node. Nothing but the proof of
- * the shared secret is taken before that proof.
+ * Server side of a connection from another entry node. Until the peer has proven that it
+ * knows the shared secret, every call but those of the authentication is refused.
  */
 final class NodeSession implements NodeService.Iface {
 
 	private static final int NONCE_BYTES = 32;
 
-	private static final int MAX_RECORDS = 500;
+	private static final int MAX_RECORDS_PER_CALL = 500;
 
 	private static final SecureRandom RANDOM = new SecureRandom();
 
@@ -55,7 +55,7 @@
 
 	private @Nullable NodeId peer;
 
-	private Gossip.Sent sent = Gossip.Sent.NOTHING;
+	private Gossip.SyncPosition position = Gossip.SyncPosition.START;
 
 	NodeSession(String sharedSecret, NodeId self, Gossip gossip, Configuration configuration,
 			PeerRequestHandler requests, Clock clock) {
@@ -76,18 +76,19 @@
 
 	@Override
 	public NodeRef authenticate(Proof proof) throws NodeFault {
-		NodeId claimed = WireCodec.fromWire(proof.getNode());
-		byte[] expected = NodeProof.mac(this.sharedSecret, this.nonce, claimed);
-		boolean proven = this.nonce.length == NONCE_BYTES && Digests.constantTimeEquals(expected, proof.getMac());
+		NodeId claimedPeer = WireCodec.fromWire(proof.getNode());
+		byte[] expected = SharedSecretProof.computeMac(this.sharedSecret, this.nonce, claimedPeer);
+		boolean authenticated = this.nonce.length == NONCE_BYTES
+				&& Digests.constantTimeEquals(expected, proof.getMac());
 		this.nonce = new byte[0];
-		if (!proven) {
-			throw new NodeFault("authenticate", claimed.toString(), "the shared secret is not proven");
+		if (!authenticated) {
+			throw new NodeFault("authenticate", claimedPeer.toString(), "the shared secret is not proven");
 		}
-		this.peer = claimed;
+		this.peer = claimedPeer;
 		return WireCodec.toWire(this.self);
 	}
 
-	private void requireProof(String step) throws NodeFault {
+	private void requireAuthenticated(String step) throws NodeFault {
 		if (this.peer == null) {
 			throw new NodeFault(step, "unknown", "the connection has not proven the shared secret");
 		}
@@ -95,17 +96,17 @@
 
 	@Override
 	public HeartbeatReply heartbeat(Heartbeat heartbeat) throws NodeFault {
-		requireProof("heartbeat");
+		requireAuthenticated("heartbeat");
 		this.gossip.receive(heartbeat);
-		Gossip.News news = this.gossip.newsAfter(this.sent);
-		this.sent = news.sent();
-		return this.gossip.reply(heartbeat.getSequence(), news);
+		Gossip.Payload payload = this.gossip.payloadAfter(this.position);
+		this.position = payload.position();
+		return this.gossip.reply(heartbeat.getSequence(), payload);
 	}
 
 	@Override
 	public List<ConfigRecord> configRecords(long firstOffset, int limit) throws NodeFault {
-		requireProof("read");
-		return this.configuration.recordsFrom(firstOffset, Math.min(limit, MAX_RECORDS))
+		requireAuthenticated("read");
+		return this.configuration.recordsFrom(firstOffset, Math.min(limit, MAX_RECORDS_PER_CALL))
 			.stream()
 			.map((logRecord) -> new ConfigRecord(logRecord.offset(), logRecord.body()))
 			.toList();
@@ -113,13 +114,13 @@
 
 	@Override
 	public Answer forward(KeyedRequest request) throws NodeFault {
-		requireProof("forward");
+		requireAuthenticated("forward");
 		return WireCodec.toWire(this.requests.answerForwarded(WireCodec.fromWire(request, this.clock.millis())));
 	}
 
 	@Override
 	public KeyStatus keyStatus(String key, String account) throws NodeFault {
-		requireProof("read");
+		requireAuthenticated("read");
 		Optional<LedgerEntry> entry = RequestKey.parse(key)
 			.toJavaOptional()
 			.flatMap((parsed) -> this.requests.find(parsed, account));
@@ -133,13 +134,13 @@
 
 	@Override
 	public void offer(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
-		requireProof("offer");
+		requireAuthenticated("offer");
 		this.requests.receiveOffer(WireCodec.partsFromWire(parts, this.clock.millis()));
 	}
 
 	@Override
 	public CommitReply commit(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
-		requireProof("commit");
+		requireAuthenticated("commit");
 		CommitResult result = this.requests.receiveCommit(WireCodec.partsFromWire(parts, this.clock.millis()));
 		if (result instanceof CommitResult.Taken) {
 			return CommitReply.TAKEN;
@@ -149,7 +150,7 @@
 
 	@Override
 	public void outcomes(NodeRef sender, List<KeySpacePart> parts) throws NodeFault {
-		requireProof("outcomes");
+		requireAuthenticated("outcomes");
 		this.requests.receiveOutcomes(WireCodec.partsFromWire(parts, this.clock.millis()));
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLink.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLink.java
@@ -14,9 +14,10 @@
 import io.flamingogap.wire.HeartbeatReply;
 
 /**
- * One long-lived connection to a neighbour. A heartbeat goes out at an interval, and at
- * once when this node has news; a connection without an answer for the silent time is
- * opened anew, and a neighbour that can't be reached again is reported as lost.
+ * Long-lived connection to a neighbour. It sends heartbeats at an interval, and
+ * immediately when there are changes to send. If a reply takes longer than the configured
+ * {@code silentMillis}, the connection is opened again. A neighbour to which that fails
+ * repeatedly is marked as unreachable.
  */
 final class PeerLink implements AutoCloseable {
 
@@ -24,7 +25,7 @@
 
 	private static final int RECORDS_PER_CALL = 200;
 
-	private static final int FAILURES_BEFORE_LOST = 2;
+	private static final int FAILURES_BEFORE_UNREACHABLE = 2;
 
 	private final Address address;
 
@@ -42,11 +43,11 @@
 
 	private @Nullable NodeId lastPeer;
 
-	private boolean news;
+	private boolean heartbeatRequested;
 
 	private volatile boolean closed;
 
-	private long heartbeats;
+	private long heartbeatSequence;
 
 	PeerLink(Address address, NodeId self, Settings.Nodes settings, Gossip gossip, Membership membership,
 			Configuration configuration) {
@@ -65,10 +66,10 @@
 	}
 
 	/**
-	 * Send the next heartbeat at once.
+	 * Send the next heartbeat without waiting for the interval.
 	 */
 	synchronized void triggerHeartbeat() {
-		this.news = true;
+		this.heartbeatRequested = true;
 		notifyAll();
 	}
 
@@ -79,13 +80,13 @@
 					(int) this.settings.silentMillis())) {
 				failures = 0;
 				this.lastPeer = connection.peer();
-				exchange(connection);
+				exchangeHeartbeats(connection);
 			}
 			catch (TException | IllegalArgumentException ex) {
 				failures++;
 				logger.atFine().withCause(ex).log("link to %s failed", this.address);
-				reportIfLost(failures);
-				awaitNews();
+				markUnreachableAfterFailures(failures);
+				sleepBeforeRetry();
 			}
 			catch (InterruptedException ex) {
 				return;
@@ -93,27 +94,28 @@
 		}
 	}
 
-	private void reportIfLost(int failures) {
+	private void markUnreachableAfterFailures(int failures) {
 		NodeId peer = this.lastPeer;
-		if (peer != null && failures >= FAILURES_BEFORE_LOST) {
-			this.membership.reportLost(peer);
+		if (peer != null && failures >= FAILURES_BEFORE_UNREACHABLE) {
+			this.membership.markUnreachable(peer);
 		}
 	}
 
-	private void exchange(NodeConnection connection) throws TException, InterruptedException {
-		Gossip.Sent sent = Gossip.Sent.NOTHING;
+	private void exchangeHeartbeats(NodeConnection connection) throws TException, InterruptedException {
+		Gossip.SyncPosition position = Gossip.SyncPosition.START;
 		while (!this.closed) {
-			Gossip.News news = this.gossip.newsAfter(sent);
-			this.heartbeats++;
-			HeartbeatReply reply = connection.client().heartbeat(this.gossip.heartbeat(this.heartbeats, news));
-			sent = news.sent();
+			Gossip.Payload payload = this.gossip.payloadAfter(position);
+			this.heartbeatSequence++;
+			HeartbeatReply reply = connection.client()
+				.heartbeat(this.gossip.heartbeat(this.heartbeatSequence, payload));
+			position = payload.position();
 			this.gossip.receive(reply);
-			fetchRecords(connection, reply.getConfigHead());
-			sleepUntilNews();
+			fetchConfigRecords(connection, reply.getConfigHead());
+			awaitNextHeartbeat();
 		}
 	}
 
-	private void fetchRecords(NodeConnection connection, long peerHead) throws TException {
+	private void fetchConfigRecords(NodeConnection connection, long peerHead) throws TException {
 		while (this.configuration.state().headOffset() < peerHead) {
 			long next = this.configuration.state().headOffset() + 1;
 			List<LogRecord> records = connection.client()
@@ -128,14 +130,14 @@
 		}
 	}
 
-	private synchronized void sleepUntilNews() throws InterruptedException {
-		if (!this.news) {
+	private synchronized void awaitNextHeartbeat() throws InterruptedException {
+		if (!this.heartbeatRequested) {
 			wait(this.settings.heartbeatMillis());
 		}
-		this.news = false;
+		this.heartbeatRequested = false;
 	}
 
-	private void awaitNews() {
+	private void sleepBeforeRetry() {
 		try {
 			Thread.sleep(Math.min(this.settings.heartbeatMillis(), this.settings.silentMillis()) / 2);
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerLinks.java
@@ -15,8 +15,8 @@
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
- * Keeps a connection with each neighbour, and with seed addresses at which no member is
- * known yet.
+ * Maintains a connection to each neighbour, and to seed addresses at which no reachable
+ * member is known.
  */
 public final class PeerLinks implements AutoCloseable {
 
@@ -37,12 +37,13 @@
 	private final PeriodicTask task;
 
 	/**
-	 * Create the links; they open after {@link #start()}.
-	 * @param settings how nodes talk to each other
+	 * Create the links. No connection is opened before {@link #start()}.
+	 * @param settings the settings for communication between nodes
 	 * @param membership the membership table
 	 * @param configuration the configuration in force
-	 * @param rollouts the rollouts under way
-	 * @param listedAddresses the node addresses on the cloud's instance list
+	 * @param rollouts the rollouts in progress
+	 * @param listedAddresses supplies the node addresses of the cloud's instance list,
+	 * which are used as additional seed addresses
 	 */
 	public PeerLinks(Settings.Nodes settings, Membership membership, Configuration configuration, Rollouts rollouts,
 			Supplier<Set<String>> listedAddresses) {
@@ -56,7 +57,7 @@
 	}
 
 	/**
-	 * Open the links.
+	 * Open the links and keep them up to date.
 	 */
 	public void start() {
 		this.membership.addListener(this::triggerHeartbeats);
@@ -64,37 +65,37 @@
 	}
 
 	private void maintain() {
-		reconcile(wanted());
+		reconcile(targetAddresses());
 	}
 
-	private Set<Address> wanted() {
-		Set<Address> known = new HashSet<>();
+	private Set<Address> targetAddresses() {
+		Set<Address> reachable = new HashSet<>();
 		this.membership.members()
 			.stream()
 			.filter(Member::isReachable)
-			.forEach((member) -> known.add(member.nodeAddress()));
-		Set<Address> wanted = new HashSet<>();
-		this.membership.neighbours(this.settings.fanOut()).forEach((member) -> wanted.add(member.nodeAddress()));
+			.forEach((member) -> reachable.add(member.nodeAddress()));
+		Set<Address> targets = new HashSet<>();
+		this.membership.neighbours(this.settings.fanOut()).forEach((member) -> targets.add(member.nodeAddress()));
 		Set<String> seeds = new HashSet<>(this.settings.seedAddresses());
 		seeds.addAll(this.listedAddresses.get());
 		seeds.stream()
 			.map(Address::parse)
-			.filter((address) -> !known.contains(address))
+			.filter((address) -> !reachable.contains(address))
 			.limit(this.settings.fanOut())
-			.forEach(wanted::add);
-		wanted.remove(this.membership.localMember().nodeAddress());
-		return wanted;
+			.forEach(targets::add);
+		targets.remove(this.membership.localMember().nodeAddress());
+		return targets;
 	}
 
-	private synchronized void reconcile(Set<Address> wanted) {
+	private synchronized void reconcile(Set<Address> targets) {
 		this.links.entrySet().removeIf((entry) -> {
-			boolean drop = !wanted.contains(entry.getKey());
-			if (drop) {
+			boolean isObsolete = !targets.contains(entry.getKey());
+			if (isObsolete) {
 				entry.getValue().close();
 			}
-			return drop;
+			return isObsolete;
 		});
-		for (Address address : wanted) {
+		for (Address address : targets) {
 			this.links.computeIfAbsent(address, this::open);
 		}
 	}
@@ -107,7 +108,7 @@
 	}
 
 	/**
-	 * Send news to all neighbours at once.
+	 * Send a heartbeat to every linked node without waiting for the interval.
 	 */
 	public synchronized void triggerHeartbeats() {
 		this.links.values().forEach(PeerLink::triggerHeartbeat);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerRequestHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/PeerRequestHandler.java
@@ -11,40 +11,41 @@
 import io.flamingogap.core.request.RequestKey;
 
 /**
- * What other entry nodes may ask of this node's keyed requests.
+ * Handler of calls from other entry nodes that concern keyed requests.
  */
 public interface PeerRequestHandler {
 
 	/**
-	 * Answer a request that a caller sent to another node.
-	 * @param request the request
+	 * Answer a request that a caller sent to another node and that node forwarded.
+	 * @param request the forwarded request
 	 * @return the answer, which may be a problem document
 	 */
 	Answer answerForwarded(KeyedRequest request);
 
 	/**
-	 * Find a key in this node's ledger.
-	 * @param key the key
-	 * @param account the account that asks
-	 * @return the entry, if this node holds one for the account
+	 * Find the ledger entry of a key at this node.
+	 * @param key the idempotency key
+	 * @param account the account of the caller
+	 * @return the entry; empty if this node holds none for the account
 	 */
 	Optional<LedgerEntry> find(RequestKey key, String account);
 
 	/**
-	 * Hold an offer.
-	 * @param parts the offered parts
+	 * Keep offered requests until they are committed.
+	 * @param parts the offered parts of the key space
 	 */
 	void receiveOffer(List<KeySpacePart> parts);
 
 	/**
-	 * Take requests over.
-	 * @param parts the committed parts
-	 * @return what this node did
+	 * Take over requests from another node.
+	 * @param parts the committed parts of the key space
+	 * @return whether this node took the requests over
 	 */
 	CommitResult receiveCommit(List<KeySpacePart> parts);
 
 	/**
-	 * Learn outcomes of calls that were in flight at a commit.
+	 * Record the outcomes of calls that were in flight when their requests were committed
+	 * to this node.
 	 * @param parts the changed entries
 	 */
 	void receiveOutcomes(List<KeySpacePart> parts);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/WireCodec.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/WireCodec.java
@@ -24,7 +24,9 @@
 import io.flamingogap.wire.NodeRef;
 
 /**
- * Converts between the decisions' types and the generated messages.
+ * Utility that converts between the types of the core module and the generated Thrift
+ * types. Deadlines are sent as remaining time, so that the clocks of nodes need not
+ * agree.
  */
 final class WireCodec {
 
@@ -80,7 +82,7 @@
 	}
 
 	static KeyedRequest fromWire(io.flamingogap.wire.KeyedRequest wire, long nowMillis) {
-		RequestKey key = key(wire.getKey());
+		RequestKey key = parseKey(wire.getKey());
 		return new KeyedRequest(key, wire.getAccount(), wire.getMethod(), wire.getPath(), wire.getContentType(),
 				wire.getBody(), nowMillis + wire.getRemainingMillis());
 	}
@@ -126,7 +128,7 @@
 	private static LedgerEntry fromWire(io.flamingogap.wire.LedgerEntry wire, long nowMillis) {
 		@Nullable KeyedRequest request = wire.isSetRequest() ? fromWire(wire.getRequest(), nowMillis) : null;
 		@Nullable Answer answer = wire.isSetAnswer() ? fromWire(wire.getAnswer()) : null;
-		return new LedgerEntry(key(wire.getKey()), wire.getAccount(), wire.getBodyDigest(),
+		return new LedgerEntry(parseKey(wire.getKey()), wire.getAccount(), wire.getBodyDigest(),
 				KeyState.valueOf(wire.getState()), request, answer,
 				wire.isSetDispatchedBy() ? fromWire(wire.getDispatchedBy()) : null);
 	}
@@ -175,9 +177,9 @@
 			.toList();
 	}
 
-	private static RequestKey key(String text) {
+	private static RequestKey parseKey(String text) {
 		return RequestKey.parse(text)
-			.getOrElseThrow((failure) -> new IllegalArgumentException("a peer sent a key that can't be read: " + text));
+			.getOrElseThrow((failure) -> new IllegalArgumentException("peer sent an invalid request key: " + text));
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/nodes/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Talks to other entry nodes over Thrift.
+ * Communication between entry nodes over Thrift: membership, gossip, forwarded requests
+ * and handover.
  */
 @NullMarked
 package io.flamingogap.daemon.nodes;
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/nodes/NodeServerTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/nodes/NodeServerTests.java
@@ -38,7 +38,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 
 /**
- * Tests of {@link NodeServer}: who is heard.
+ * Tests of {@link NodeServer}: which peers it accepts and which messages it refuses.
  */
 class NodeServerTests {
 
@@ -55,12 +55,13 @@
 	@BeforeEach
 	void startServer() throws TException {
 		Clock clock = Clock.systemUTC();
-		Member own = new Member(SELF, "zone-0", this.address, this.address, MemberState.SERVING, 1, false, null);
+		Member localMember = new Member(SELF, "zone-0", this.address, this.address, MemberState.SERVING, 1, false,
+				null);
 		Configuration configuration = new Configuration(Set.of("ops"), (state) -> {
 		});
 		this.server = NodeServer.create(new Settings.Nodes(SECRET, List.of(), 1, 1_000, 2_000), this.address, 2_000,
-				new Membership(own, clock), configuration, new Rollouts(SELF, configuration::manifest, clock),
-				new NoRequests(), clock);
+				new Membership(localMember, clock), configuration, new Rollouts(SELF, configuration::manifest, clock),
+				new UnexpectedRequestHandler(), clock);
 		this.server.start();
 	}
 
@@ -69,9 +70,9 @@
 		this.server.close();
 	}
 
-	private static @Nullable TException thrownBy(ThriftStep step) {
+	private static @Nullable TException thrownBy(ThriftCall call) {
 		try {
-			step.run();
+			call.run();
 			return null;
 		}
 		catch (TException ex) {
@@ -80,7 +81,7 @@
 	}
 
 	@Test
-	void peerThatProvesTheSecretIsHeard() throws TException {
+	void peerThatProvesTheSecretIsAccepted() throws TException {
 		try (NodeConnection connection = NodeConnection.open(this.address, PEER, SECRET, 1_000)) {
 			assertThat(connection.peer(), is(SELF));
 			assertThat(connection.client().configRecords(1, 1).size(), is(0));
@@ -94,7 +95,7 @@
 	}
 
 	@Test
-	void nothingIsDoneBeforeTheProof() throws TException {
+	void callsBeforeAuthenticationAreRefused() throws TException {
 		try (TSocket socket = new TSocket("127.0.0.1", this.address.port(), 1_000)) {
 			TFramedTransport transport = new TFramedTransport(socket);
 			transport.open();
@@ -117,17 +118,17 @@
 	}
 
 	@FunctionalInterface
-	private interface ThriftStep {
+	private interface ThriftCall {
 
 		void run() throws TException;
 
 	}
 
-	private static final class NoRequests implements PeerRequestHandler {
+	private static final class UnexpectedRequestHandler implements PeerRequestHandler {
 
 		@Override
 		public Answer answerForwarded(KeyedRequest request) {
-			throw new IllegalStateException("nothing is forwarded here");
+			throw new IllegalStateException("unexpected forwarded request");
 		}
 
 		@Override
@@ -137,17 +138,17 @@
 
 		@Override
 		public void receiveOffer(List<KeySpacePart> parts) {
-			throw new IllegalStateException("nothing is offered here");
+			throw new IllegalStateException("unexpected offer");
 		}
 
 		@Override
 		public CommitResult receiveCommit(List<KeySpacePart> parts) {
-			throw new IllegalStateException("nothing is committed here");
+			throw new IllegalStateException("unexpected commit");
 		}
 
 		@Override
 		public void receiveOutcomes(List<KeySpacePart> parts) {
-			throw new IllegalStateException("no outcomes come here");
+			throw new IllegalStateException("unexpected outcomes");
 		}
 
 	}
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/nodes/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/nodes/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the communication between entry nodes.
  */
 @NullMarked
 package io.flamingogap.daemon.nodes;
