Reword the streams of the platform log

Names now say what is polled, merged, queued or retained, limits are called MAX_..., and doc comments state what 0, an empty result or a failure means. Only names inside the package differ.

Details of Failure are unchanged because they leave the process.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditEntry.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditEntry.java
@@ -1,15 +1,16 @@
 package io.flamingogap.daemon.platformlog;
 
 /**
- * One entry of the audit trail.
+ * Entry of the audit trail.
  *
- * @param atMillis when, in milliseconds since 1970 UTC
- * @param node the entry node that recorded it
- * @param who the operator, or the node itself for automatic decisions
- * @param what the action
- * @param subject what it was done to
- * @param cause why, with the evidence
- * @param offset the offset in the configuration stream that it rests on; 0 for none
+ * @param atMillis the time of the action, in milliseconds since 1970 UTC
+ * @param node the name of the entry node that recorded the entry
+ * @param who the operator; the node itself for an automatic decision
+ * @param what the action that was taken
+ * @param subject the object of the action
+ * @param cause the reason for the action, with the evidence
+ * @param offset the offset in the configuration stream that the action is based on; 0 for
+ * none
  */
 public record AuditEntry(long atMillis, String node, String who, String what, String subject, String cause,
 		long offset) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditTrail.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditTrail.java
@@ -10,18 +10,19 @@
 import io.flamingogap.daemon.http.Exchanges;
 
 /**
- * The audit trail: who changed what, when and why. Entries go to the structured log at
- * once and to their stream of the platform log as soon as it can be reached.
+ * Audit trail that records who changed what, when and why. Entries are written to the
+ * structured log immediately, and to a stream of the platform log as soon as it is
+ * reachable.
  */
 public final class AuditTrail implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final int MAX_WAITING = 10_000;
+	private static final int MAX_QUEUED_ENTRIES = 10_000;
 
-	private static final long RETRY_MILLIS = 500;
+	private static final long RETRY_INTERVAL_MILLIS = 500;
 
-	private final BlockingQueue<AuditEntry> waiting = new LinkedBlockingQueue<>(MAX_WAITING);
+	private final BlockingQueue<AuditEntry> queue = new LinkedBlockingQueue<>(MAX_QUEUED_ENTRIES);
 
 	private final PlatformLogClient log;
 
@@ -30,41 +31,43 @@
 	private volatile boolean closed;
 
 	/**
-	 * Create a trail; entries are appended after {@link #start()}.
-	 * @param log the platform log
+	 * Create an audit trail. Entries are appended to the platform log after
+	 * {@link #start()}.
+	 * @param log the client of the platform log
 	 */
 	public AuditTrail(PlatformLogClient log) {
 		this.log = log;
-		this.thread = new Thread(this::appendWaiting, "audit-trail");
+		this.thread = new Thread(this::appendQueued, "audit-trail");
 		this.thread.setDaemon(true);
 	}
 
 	/**
-	 * Begin to append.
+	 * Start to append entries to the platform log.
 	 */
 	public void start() {
 		this.thread.start();
 	}
 
 	/**
-	 * Record an entry.
+	 * Record an entry. If too many entries are waiting for the platform log, the entry is
+	 * written to the structured log only.
 	 * @param entry the entry
 	 */
 	public void record(AuditEntry entry) {
 		logger.atInfo()
 			.log("audit who=%s what=%s subject=%s cause=%s offset=%d", entry.who(), entry.what(), entry.subject(),
 					entry.cause(), entry.offset());
-		if (!this.waiting.offer(entry)) {
+		if (!this.queue.offer(entry)) {
 			logger.atWarning().log("audit entry %s is kept in the structured log only", entry.what());
 		}
 	}
 
-	private void appendWaiting() {
+	private void appendQueued() {
 		while (!this.closed) {
 			try {
-				AuditEntry entry = this.waiting.take();
-				while (!this.closed && this.log.append(PlatformLogClient.AUDIT_STREAM, text(entry)).isLeft()) {
-					TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+				AuditEntry entry = this.queue.take();
+				while (!this.closed && this.log.append(PlatformLogClient.AUDIT_STREAM, toJson(entry)).isLeft()) {
+					TimeUnit.MILLISECONDS.sleep(RETRY_INTERVAL_MILLIS);
 				}
 			}
 			catch (InterruptedException ex) {
@@ -75,16 +78,16 @@
 	}
 
 	/**
-	 * Append what waits, once, before the node ends.
+	 * Append the queued entries before the node ends, without retrying a failed append.
 	 */
 	public void flush() {
-		AuditEntry entry = this.waiting.poll();
-		while (entry != null && this.log.append(PlatformLogClient.AUDIT_STREAM, text(entry)).isRight()) {
-			entry = this.waiting.poll();
+		AuditEntry entry = this.queue.poll();
+		while (entry != null && this.log.append(PlatformLogClient.AUDIT_STREAM, toJson(entry)).isRight()) {
+			entry = this.queue.poll();
 		}
 	}
 
-	private static String text(AuditEntry entry) {
+	private static String toJson(AuditEntry entry) {
 		return new String(Exchanges.write(entry), StandardCharsets.UTF_8);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigFollower.java
@@ -7,15 +7,15 @@
 import io.flamingogap.daemon.platformlog.PlatformLogClient.LogPage;
 
 /**
- * Follows the configuration stream of the platform log on a thread of its own.
+ * Reader that follows the configuration stream of the platform log on its own thread.
  */
 public final class ConfigFollower implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final int PAGE_RECORDS = 100;
+	private static final int MAX_PAGE_RECORDS = 100;
 
-	private static final long RETRY_MILLIS = 250;
+	private static final long RETRY_INTERVAL_MILLIS = 250;
 
 	private final PlatformLogClient log;
 
@@ -29,13 +29,14 @@
 
 	private volatile boolean logReachable;
 
-	private volatile long scanOffset;
+	private volatile long snapshotSearchOffset;
 
 	/**
-	 * Create a follower; it reads after {@link #start()}.
-	 * @param log the platform log
-	 * @param configuration where records are applied
-	 * @param waitMillis how long a read waits for a new record
+	 * Create a follower. It reads after {@link #start()}.
+	 * @param log the client of the platform log
+	 * @param configuration the configuration to apply records to
+	 * @param waitMillis the time for which a read waits for a new record; 0 to poll at an
+	 * interval instead
 	 */
 	public ConfigFollower(PlatformLogClient log, Configuration configuration, long waitMillis) {
 		this.log = log;
@@ -46,7 +47,7 @@
 	}
 
 	/**
-	 * Begin to read.
+	 * Start to follow the stream.
 	 */
 	public void start() {
 		this.thread.start();
@@ -54,41 +55,42 @@
 
 	private void follow() {
 		while (!this.closed) {
-			boolean read = tryReadPage();
-			if (!read || this.waitMillis == 0) {
-				pause();
+			boolean isPageRead = tryReadPage();
+			if (!isPageRead || this.waitMillis == 0) {
+				sleepBeforeRetry();
 			}
 		}
 	}
 
 	/**
-	 * A page that can't be taken is read again later; the follower never ends by itself.
-	 * @return {@code true} if a page was read
+	 * Read a page and catch any failure to apply it, so that the thread never ends by
+	 * itself and the page is read again later.
+	 * @return {@code true} if a page was read and applied
 	 */
 	private boolean tryReadPage() {
 		try {
 			return readPage(this.waitMillis);
 		}
 		catch (RuntimeException ex) {
-			logger.atSevere().withCause(ex).log("a page of the configuration stream can't be taken");
+			logger.atSevere().withCause(ex).log("failed to apply a page of the configuration stream");
 			return false;
 		}
 	}
 
 	/**
-	 * Read the next records without waiting for new ones.
+	 * Read the next records without waiting for new ones, and apply them.
 	 * @return {@code true} if the log answered
 	 */
 	public boolean readNow() {
 		return readPage(0);
 	}
 
-	private boolean readPage(long pageWaitMillis) {
-		long next = Math.max(this.configuration.state().headOffset() + 1, this.scanOffset);
-		Either<Failure, LogPage> page = this.log.read(PlatformLogClient.CONFIG_STREAM, next, PAGE_RECORDS,
-				pageWaitMillis);
+	private boolean readPage(long readWaitMillis) {
+		long next = Math.max(this.configuration.state().headOffset() + 1, this.snapshotSearchOffset);
+		Either<Failure, LogPage> page = this.log.read(PlatformLogClient.CONFIG_STREAM, next, MAX_PAGE_RECORDS,
+				readWaitMillis);
 		if (page.isRight()) {
-			apply(page.get());
+			applyPage(page.get());
 		}
 		else if (this.logReachable) {
 			logger.atWarning().log("platform log can't be read: %s", page.getLeft());
@@ -98,29 +100,30 @@
 	}
 
 	/**
-	 * Apply a page. While the log has dropped the next record, the pages after it are
-	 * looked through for a snapshot; once one is taken, reading goes on behind what it
-	 * covers.
-	 * @param page the page
+	 * Apply a page. If the log has dropped the next record, the following pages are
+	 * searched for a snapshot. After one is restored, reading continues with the first
+	 * record that it doesn't cover.
+	 * @param page the records that were read
 	 */
-	private void apply(LogPage page) {
-		long before = this.configuration.state().headOffset();
+	private void applyPage(LogPage page) {
+		long previousHeadOffset = this.configuration.state().headOffset();
 		this.configuration.apply(page.records());
-		boolean stuck = this.configuration.state().headOffset() == before && !page.records().isEmpty();
-		this.scanOffset = stuck ? page.records().get(page.records().size() - 1).offset() + 1 : 0;
+		boolean isStateUnchanged = this.configuration.state().headOffset() == previousHeadOffset
+				&& !page.records().isEmpty();
+		this.snapshotSearchOffset = isStateUnchanged ? page.records().get(page.records().size() - 1).offset() + 1 : 0;
 	}
 
 	/**
-	 * Return whether the last read was answered.
-	 * @return {@code true} if it was
+	 * Return whether the platform log answered the last read.
+	 * @return {@code true} if it did; {@code false} before the first read
 	 */
 	public boolean isLogReachable() {
 		return this.logReachable;
 	}
 
-	private void pause() {
+	private void sleepBeforeRetry() {
 		try {
-			Thread.sleep(RETRY_MILLIS);
+			Thread.sleep(RETRY_INTERVAL_MILLIS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigPublisher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigPublisher.java
@@ -14,13 +14,13 @@
 import io.flamingogap.daemon.http.Exchanges;
 
 /**
- * Publishes changes and finds out what became of them.
+ * Publisher of configuration changes that waits for the verdict on each change.
  */
 public final class ConfigPublisher {
 
-	private static final long LOOK_INTERVAL_MILLIS = 50;
+	private static final long VERDICT_POLL_MILLIS = 50;
 
-	private static final int MAX_LOOKS = 60;
+	private static final int MAX_VERDICT_POLLS = 60;
 
 	private final PlatformLogClient log;
 
@@ -30,9 +30,9 @@
 
 	/**
 	 * Create a publisher.
-	 * @param log the platform log
-	 * @param configuration the configuration that the change is applied to
-	 * @param follower reads the stream
+	 * @param log the client of the platform log
+	 * @param configuration the configuration that holds the verdicts
+	 * @param follower the reader that applies published changes to the configuration
 	 */
 	public ConfigPublisher(PlatformLogClient log, Configuration configuration, ConfigFollower follower) {
 		this.log = log;
@@ -41,16 +41,16 @@
 	}
 
 	/**
-	 * Publish a change. A change that is in the stream already is not appended again, so
-	 * that a client may ask any node until it gets a verdict.
+	 * Publish a change. A change that already has a verdict is not appended again, so a
+	 * client can retry at any node until it gets a verdict.
 	 * @param change the change
-	 * @return its verdict, or why there is none yet
+	 * @return the verdict, or why there is none yet
 	 */
 	public Either<Failure, ConfigVerdict> publish(ConfigRecord change) {
 		this.follower.readNow();
-		Optional<ConfigVerdict> earlier = this.configuration.state().verdict(change.id());
-		if (earlier.isPresent()) {
-			return Either.right(earlier.get());
+		Optional<ConfigVerdict> existing = this.configuration.state().verdict(change.id());
+		if (existing.isPresent()) {
+			return Either.right(existing.get());
 		}
 		Either<Failure, Long> appended = this.log.append(PlatformLogClient.CONFIG_STREAM,
 				new String(Exchanges.write(change), StandardCharsets.UTF_8));
@@ -58,18 +58,18 @@
 		if (verdict.isPresent()) {
 			return Either.right(verdict.get());
 		}
-		return Either.left(appended.isLeft() ? appended.getLeft() : unread());
+		return Either.left(appended.isLeft() ? appended.getLeft() : notReadBack());
 	}
 
 	private Optional<ConfigVerdict> awaitVerdict(String id) {
-		for (int look = 0; look < MAX_LOOKS; look++) {
-			boolean read = this.follower.readNow();
+		for (int poll = 0; poll < MAX_VERDICT_POLLS; poll++) {
+			boolean isLogRead = this.follower.readNow();
 			Optional<ConfigVerdict> verdict = this.configuration.state().verdict(id);
-			if (verdict.isPresent() || !read) {
+			if (verdict.isPresent() || !isLogRead) {
 				return verdict;
 			}
 			try {
-				Thread.sleep(LOOK_INTERVAL_MILLIS);
+				Thread.sleep(VERDICT_POLL_MILLIS);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -79,7 +79,7 @@
 		return Optional.empty();
 	}
 
-	private static Failure unread() {
+	private static Failure notReadBack() {
 		return new Failure(ProblemType.LOG_UNAVAILABLE, Step.READ, "platform log", Execution.UNKNOWN,
 				"the change was appended but can't be read back yet; ask again with the same id");
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/Configuration.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/Configuration.java
@@ -22,8 +22,8 @@
 import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 
 /**
- * The configuration in force at this node, with the records behind it for peers that
- * can't reach the log.
+ * Configuration in force at this node, together with the most recent records of the
+ * configuration stream for peers that can't reach the platform log.
  */
 public final class Configuration {
 
@@ -31,13 +31,13 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final int MAX_KEPT_RECORDS = 1_000;
+	private static final int MAX_RETAINED_RECORDS = 1_000;
 
-	private static final long MAX_KEPT_CHARS = 8_388_608;
+	private static final long MAX_RETAINED_CHARS = 8_388_608;
 
-	private static final String SNAPSHOT_FIELD = "asOfOffset";
+	private static final String SNAPSHOT_MARKER_FIELD = "asOfOffset";
 
-	private final NavigableMap<Long, String> records = new TreeMap<>();
+	private final NavigableMap<Long, String> retainedRecords = new TreeMap<>();
 
 	private final Consumer<ConfigState> onAccepted;
 
@@ -45,12 +45,13 @@
 
 	private long lastSnapshotOffset;
 
-	private long keptChars;
+	private long retainedChars;
 
 	/**
-	 * Create the configuration before the first record.
-	 * @param bootstrapOperators who may publish the first manifest
-	 * @param onAccepted told of each newly accepted state
+	 * Create a configuration before the first record.
+	 * @param bootstrapOperators the names of the operators who may publish as long as the
+	 * manifest in force names no operator
+	 * @param onAccepted called with each state that has a newly accepted manifest
 	 */
 	public Configuration(Set<String> bootstrapOperators, Consumer<ConfigState> onAccepted) {
 		this.state = ConfigState.initial(bootstrapOperators);
@@ -58,8 +59,8 @@
 	}
 
 	/**
-	 * Apply records. Records that are not next are left alone, but a snapshot ahead of
-	 * the state is taken.
+	 * Apply records. A record that is not the next one is ignored, unless it is a
+	 * snapshot that is ahead of the state, which is restored.
 	 * @param page records in the order of their offsets
 	 */
 	public synchronized void apply(List<LogRecord> page) {
@@ -74,50 +75,51 @@
 	}
 
 	private void applyNext(LogRecord logRecord) {
-		ConfigState before = this.state;
+		ConfigState previous = this.state;
 		if (readSnapshot(logRecord.body()).isPresent()) {
-			this.state = before.skip(logRecord.offset());
+			this.state = previous.skip(logRecord.offset());
 			this.lastSnapshotOffset = logRecord.offset();
 		}
 		else {
-			this.state = applyChange(before, logRecord);
+			this.state = applyChange(previous, logRecord);
 		}
-		keep(logRecord);
-		tellIfAccepted(before);
+		retain(logRecord);
+		notifyIfAccepted(previous);
 	}
 
-	private static ConfigState applyChange(ConfigState before, LogRecord logRecord) {
+	private static ConfigState applyChange(ConfigState previous, LogRecord logRecord) {
 		try {
-			return before.apply(logRecord.offset(), MAPPER.readValue(logRecord.body(), ConfigRecord.class));
+			return previous.apply(logRecord.offset(), MAPPER.readValue(logRecord.body(), ConfigRecord.class));
 		}
 		catch (JsonProcessingException | IllegalArgumentException ex) {
 			logger.atWarning().log("config record %d can't be read: %s", logRecord.offset(), ex.getMessage());
-			return before.skip(logRecord.offset());
+			return previous.skip(logRecord.offset());
 		}
 	}
 
 	private void restore(ConfigSnapshot snapshot) {
-		ConfigState before = this.state;
-		this.state = before.restore(snapshot);
-		if (this.state != before) {
+		ConfigState previous = this.state;
+		this.state = previous.restore(snapshot);
+		if (this.state != previous) {
 			logger.atInfo().log("configuration restored from a snapshot as of offset %d", snapshot.asOfOffset());
-			this.records.clear();
-			this.keptChars = 0;
+			this.retainedRecords.clear();
+			this.retainedChars = 0;
 			this.lastSnapshotOffset = snapshot.asOfOffset();
-			tellIfAccepted(before);
+			notifyIfAccepted(previous);
 		}
 	}
 
-	private void keep(LogRecord logRecord) {
-		this.records.put(logRecord.offset(), logRecord.body());
-		this.keptChars += logRecord.body().length();
-		while (this.records.size() > 1 && (this.records.size() > MAX_KEPT_RECORDS || this.keptChars > MAX_KEPT_CHARS)) {
-			this.keptChars -= this.records.pollFirstEntry().getValue().length();
+	private void retain(LogRecord logRecord) {
+		this.retainedRecords.put(logRecord.offset(), logRecord.body());
+		this.retainedChars += logRecord.body().length();
+		while (this.retainedRecords.size() > 1
+				&& (this.retainedRecords.size() > MAX_RETAINED_RECORDS || this.retainedChars > MAX_RETAINED_CHARS)) {
+			this.retainedChars -= this.retainedRecords.pollFirstEntry().getValue().length();
 		}
 	}
 
-	private void tellIfAccepted(ConfigState before) {
-		if (this.state.acceptedOffset() != before.acceptedOffset()) {
+	private void notifyIfAccepted(ConfigState previous) {
+		if (this.state.acceptedOffset() != previous.acceptedOffset()) {
 			logger.atInfo().log("configuration of offset %d is in force", this.state.acceptedOffset());
 			this.onAccepted.accept(this.state);
 		}
@@ -126,7 +128,7 @@
 	private static Optional<ConfigSnapshot> readSnapshot(String body) {
 		try {
 			JsonNode node = MAPPER.readTree(body);
-			return node.has(SNAPSHOT_FIELD) ? Optional.of(MAPPER.treeToValue(node, ConfigSnapshot.class))
+			return node.has(SNAPSHOT_MARKER_FIELD) ? Optional.of(MAPPER.treeToValue(node, ConfigSnapshot.class))
 					: Optional.empty();
 		}
 		catch (JsonProcessingException | IllegalArgumentException ex) {
@@ -135,7 +137,7 @@
 	}
 
 	/**
-	 * Return the state as the body of a snapshot record.
+	 * Return the current state as the body of a snapshot record.
 	 * @return a JSON document
 	 */
 	public synchronized String snapshotBody() {
@@ -143,26 +145,28 @@
 	}
 
 	/**
-	 * Return the offset of the last snapshot seen in the stream.
-	 * @return the offset; 0 for none
+	 * Return the offset of the last snapshot.
+	 * @return the offset of its record in the stream, or the offset up to which the last
+	 * restored snapshot covers the stream; 0 for none
 	 */
 	public synchronized long lastSnapshotOffset() {
 		return this.lastSnapshotOffset;
 	}
 
 	/**
-	 * Return records for a peer, or a snapshot if the first of them is no longer kept.
+	 * Return records for a peer, or a snapshot if the first of them is no longer
+	 * retained.
 	 * @param firstOffset the first offset that the peer lacks
-	 * @param maxRecords the most records to return
+	 * @param maxRecords the maximum number of records
 	 * @return the records in the order of their offsets
 	 */
 	public synchronized List<LogRecord> recordsFrom(long firstOffset, int maxRecords) {
 		List<LogRecord> found = new ArrayList<>();
-		boolean dropped = this.records.isEmpty() || this.records.firstKey() > firstOffset;
-		if (dropped && this.state.headOffset() >= firstOffset) {
+		boolean isFirstDropped = this.retainedRecords.isEmpty() || this.retainedRecords.firstKey() > firstOffset;
+		if (isFirstDropped && this.state.headOffset() >= firstOffset) {
 			return List.of(new LogRecord(this.state.headOffset(), snapshotBody()));
 		}
-		this.records.tailMap(firstOffset, true)
+		this.retainedRecords.tailMap(firstOffset, true)
 			.entrySet()
 			.stream()
 			.limit(maxRecords)
@@ -171,8 +175,8 @@
 	}
 
 	/**
-	 * Return the state in force.
-	 * @return the state
+	 * Return the state after the last applied record.
+	 * @return an immutable state
 	 */
 	public ConfigState state() {
 		return this.state;
@@ -180,7 +184,7 @@
 
 	/**
 	 * Return the manifest in force.
-	 * @return the manifest
+	 * @return the manifest; empty if there is none
 	 */
 	public Manifest manifest() {
 		return this.state.manifest();
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/PlatformLogClient.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/PlatformLogClient.java
@@ -18,20 +18,20 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * Client of the platform log.
+ * HTTP client of the platform log.
  */
 public final class PlatformLogClient {
 
-	/** The stream on which operators publish manifests. */
+	/** Stream on which operators publish manifests. */
 	public static final String CONFIG_STREAM = "config";
 
-	/** The stream of accepted, dispatched and ended keyed requests. */
+	/** Stream of accepted, dispatched and ended keyed requests. */
 	public static final String REQUEST_STREAM = "requests";
 
-	/** The stream of take-backs. */
+	/** Stream of take-backs of rollouts. */
 	public static final String ROLLOUT_STREAM = "rollouts";
 
-	/** The stream of the audit trail. */
+	/** Stream of the audit trail. */
 	public static final String AUDIT_STREAM = "audit";
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -47,8 +47,9 @@
 	/**
 	 * Create a client.
 	 * @param client the HTTP client to use
-	 * @param address where the log is
-	 * @param timeoutMillis how long a call may take, beyond the time it is asked to wait
+	 * @param address the address of the platform log
+	 * @param timeoutMillis the timeout of a call, in addition to the time for which a
+	 * read may wait for records
 	 */
 	public PlatformLogClient(HttpClient client, Address address, long timeoutMillis) {
 		this.client = client;
@@ -57,10 +58,10 @@
 	}
 
 	/**
-	 * Append a record. A failure doesn't mean that it was not appended.
-	 * @param stream the stream
-	 * @param body the record
-	 * @return the offset
+	 * Append a record. After a failure the record may have been appended nevertheless.
+	 * @param stream the name of the stream
+	 * @param body the body of the record
+	 * @return the offset of the record, or why it is not known
 	 */
 	public Either<Failure, Long> append(String stream, String body) {
 		HttpRequest request = request("/v1/streams/" + stream + "/records", 0)
@@ -71,11 +72,11 @@
 
 	/**
 	 * Read records.
-	 * @param stream the stream
+	 * @param stream the name of the stream
 	 * @param fromOffset the first offset to read
-	 * @param maxRecords the most records to read
-	 * @param waitMillis how long the log may wait for a first record
-	 * @return the records
+	 * @param maxRecords the maximum number of records
+	 * @param waitMillis the time for which the log waits if there is no record yet
+	 * @return the records, or why they can't be read
 	 */
 	public Either<Failure, LogPage> read(String stream, long fromOffset, int maxRecords, long waitMillis) {
 		String path = "/v1/streams/" + stream + "/records?from=" + fromOffset + "&max=" + maxRecords + "&waitMillis="
@@ -111,20 +112,20 @@
 	}
 
 	/**
-	 * Records of a stream.
+	 * Page of records of a stream.
 	 *
-	 * @param firstOffset the first offset that the log still holds
-	 * @param headOffset the offset of the last record
-	 * @param records the records
+	 * @param firstOffset the first offset that the log still retains
+	 * @param headOffset the offset of the last record of the stream
+	 * @param records the records in the order of their offsets
 	 */
 	public record LogPage(long firstOffset, long headOffset, List<LogRecord> records) {
 	}
 
 	/**
-	 * A record.
+	 * Record of a stream.
 	 *
-	 * @param offset its offset
-	 * @param body its body
+	 * @param offset the position in the stream; the first is 1
+	 * @param body the content, usually a JSON document
 	 */
 	public record LogRecord(long offset, String body) {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestTransition.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestTransition.java
@@ -1,10 +1,10 @@
 package io.flamingogap.daemon.platformlog;
 
 /**
- * A transition of a keyed request, as kept in the platform log.
+ * State transition of a keyed request, as recorded in the platform log.
  *
  * @param key the idempotency key
- * @param account the account that may ask for it
+ * @param account the account that may read the state
  * @param state the name of the new state
  * @param status the HTTP status of the answer; 0 if there is none
  */
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/SnapshotPublisher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/SnapshotPublisher.java
@@ -10,17 +10,18 @@
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
- * Publishes a snapshot of the configuration before the log drops the records behind it.
+ * Publisher of configuration snapshots. Each is published before the platform log drops
+ * the records that it covers.
  */
 public final class SnapshotPublisher implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final long MAX_RECORDS = 200;
+	private static final long MAX_RECORDS_SINCE_SNAPSHOT = 200;
 
-	private static final long TURN_MILLIS = 5_000;
+	private static final long RANK_DELAY_MILLIS = 5_000;
 
-	private static final long LOOK_MILLIS = 500;
+	private static final long CHECK_INTERVAL_MILLIS = 500;
 
 	private final PlatformLogClient log;
 
@@ -39,12 +40,13 @@
 	private long uncoveredOffset;
 
 	/**
-	 * Create a publisher; it looks after {@link #start()}.
-	 * @param log the platform log
+	 * Create a publisher. It publishes after {@link #start()}.
+	 * @param log the client of the platform log
 	 * @param configuration the configuration in force
-	 * @param rank the place of this node among the serving ones
-	 * @param intervalMillis the time after which a change without a snapshot gets one
-	 * @param clock tells the present time
+	 * @param rank supplies the rank of this node among the serving nodes, starting at 0
+	 * @param intervalMillis the time after which a change that no snapshot covers is due
+	 * for one
+	 * @param clock the clock of this node
 	 */
 	public SnapshotPublisher(PlatformLogClient log, Configuration configuration, IntSupplier rank, long intervalMillis,
 			Clock clock) {
@@ -53,17 +55,17 @@
 		this.rank = rank;
 		this.intervalMillis = intervalMillis;
 		this.clock = clock;
-		this.task = new PeriodicTask("snapshot-publisher", () -> LOOK_MILLIS, this::look);
+		this.task = new PeriodicTask("snapshot-publisher", () -> CHECK_INTERVAL_MILLIS, this::publishIfDue);
 	}
 
 	/**
-	 * Begin to look.
+	 * Start to check periodically whether a snapshot is due.
 	 */
 	public void start() {
 		this.task.start();
 	}
 
-	private void look() {
+	private void publishIfDue() {
 		long nowMillis = this.clock.millis();
 		ConfigState state = this.configuration.state();
 		long snapshotOffset = this.configuration.lastSnapshotOffset();
@@ -76,8 +78,8 @@
 			this.uncoveredOffset = state.acceptedOffset();
 		}
 		long uncoveredMillis = nowMillis - this.uncoveredSinceMillis;
-		if (SnapshotSchedule.isDue(state.headOffset(), snapshotOffset, MAX_RECORDS, uncoveredMillis,
-				this.intervalMillis, this.rank.getAsInt(), TURN_MILLIS)) {
+		if (SnapshotSchedule.isDue(state.headOffset(), snapshotOffset, MAX_RECORDS_SINCE_SNAPSHOT, uncoveredMillis,
+				this.intervalMillis, this.rank.getAsInt(), RANK_DELAY_MILLIS)) {
 			publish(state);
 		}
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Talks to the platform log.
+ * Streams of the platform log: configuration, request transitions and audit trail.
  */
 @NullMarked
 package io.flamingogap.daemon.platformlog;
