Reword the access to the cloud's API

The watcher "looked at" notices and "told" the node of its reclaim. It now polls, and doc comments state what the instance list and its rows hold. The log line for a leaving instance names its source as such. The reasons stay: the instance list lags and is longer, so it is read less often.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/cloud/CloudClient.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/cloud/CloudClient.java
@@ -17,7 +17,7 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * Client of the cloud.
+ * HTTP client of the cloud's API.
  */
 public final class CloudClient {
 
@@ -34,7 +34,7 @@
 	/**
 	 * Create a client.
 	 * @param client the HTTP client to use
-	 * @param address where the cloud's API is
+	 * @param address the address of the API
 	 */
 	public CloudClient(HttpClient client, Address address) {
 		this.client = client;
@@ -42,7 +42,7 @@
 	}
 
 	/**
-	 * Return the reclaim notices.
+	 * Read the reclaim notices for all instances.
 	 * @return the notices, or why they can't be read
 	 */
 	public Either<Failure, List<Notice>> notices() {
@@ -50,7 +50,7 @@
 	}
 
 	/**
-	 * Return the instance list, which lags.
+	 * Read the instance list, which lags behind the actual state.
 	 * @return the instances, or why they can't be read
 	 */
 	public Either<Failure, List<Instance>> instances() {
@@ -83,28 +83,28 @@
 	}
 
 	/**
-	 * A reclaim notice.
+	 * Notice that the cloud will reclaim an instance.
 	 *
 	 * @param instance the name of the instance
-	 * @param reclaimAtMillis when it is taken away, in milliseconds since 1970 UTC
+	 * @param reclaimAtMillis the time of the reclaim, in milliseconds since 1970 UTC
 	 */
 	public record Notice(String instance, long reclaimAtMillis) {
 	}
 
 	/**
-	 * A row of the instance list.
+	 * Row of the instance list.
 	 *
 	 * @param name the name of the instance
-	 * @param zone its availability zone
+	 * @param zone the availability zone of the instance
 	 * @param state {@code live} or {@code leaving}
-	 * @param nodeAddress where an entry instance listens for other nodes; empty for
-	 * others
+	 * @param nodeAddress the address on which an entry instance accepts other nodes;
+	 * empty for other instances
 	 */
 	public record Instance(String name, String zone, String state, String nodeAddress) {
 
 		/**
-		 * Return whether the list marks the instance as leaving.
-		 * @return {@code true} if it does
+		 * Return whether the instance is about to be removed.
+		 * @return {@code true} if the list marks it as leaving
 		 */
 		public boolean isLeaving() {
 			return "leaving".equals(this.state);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/cloud/CloudWatcher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/cloud/CloudWatcher.java
@@ -17,17 +17,18 @@
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
- * Looks at notices and at the instance list at an interval, marks leaving backend servers
- * and tells the node of its own reclaim.
+ * Poller of reclaim notices and of the instance list. It marks leaving backend servers
+ * and passes on notices for this node's own instance.
  */
 public final class CloudWatcher implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * The instance list lags and is longer, so it is read less often than the notices.
+	 * The instance list is read with one in this many polls of the notices, because it
+	 * lags and is longer.
 	 */
-	private static final int NOTICE_LOOKS_PER_LIST = 4;
+	private static final int POLLS_PER_INSTANCE_LIST = 4;
 
 	private final CloudClient cloud;
 
@@ -41,20 +42,20 @@
 
 	private final Set<String> seedAddresses = new CopyOnWriteArraySet<>();
 
-	private final Set<String> noticed = new HashSet<>();
+	private final Set<String> handledNotices = new HashSet<>();
 
-	private long looks;
+	private long pollCount;
 
 	private final PeriodicTask task;
 
 	/**
-	 * Create a watcher; it looks after {@link #start()}.
-	 * @param cloud the cloud
-	 * @param servers where leaving backend servers are marked
-	 * @param ownInstance the name of this node's instance
-	 * @param pollMillis the time between two looks
-	 * @param clock tells the present time
-	 * @param onOwnNotice told of notices to this node's instance
+	 * Create a watcher. It polls after {@link #start()}.
+	 * @param cloud the client of the cloud's API
+	 * @param servers the backend servers, in which leaving ones are marked
+	 * @param ownInstance the name of the instance that runs this node
+	 * @param pollMillis the time between two polls of the notices
+	 * @param clock the clock of this node
+	 * @param onOwnNotice called once for each notice for this node's instance
 	 */
 	public CloudWatcher(CloudClient cloud, BackendServers servers, String ownInstance, long pollMillis, Clock clock,
 			Consumer<Notice> onOwnNotice) {
@@ -63,36 +64,36 @@
 		this.ownInstance = ownInstance;
 		this.clock = clock;
 		this.onOwnNotice = onOwnNotice;
-		this.task = new PeriodicTask("cloud-watcher", () -> pollMillis, this::look);
+		this.task = new PeriodicTask("cloud-watcher", () -> pollMillis, this::poll);
 	}
 
 	/**
-	 * Begin to look.
+	 * Start to poll.
 	 */
 	public void start() {
 		this.task.start();
 	}
 
-	private void look() {
-		lookAtNotices();
-		if (this.looks++ % NOTICE_LOOKS_PER_LIST == 0) {
-			lookAtInstances();
+	private void poll() {
+		pollNotices();
+		if (this.pollCount++ % POLLS_PER_INSTANCE_LIST == 0) {
+			pollInstances();
 		}
 	}
 
-	private void lookAtNotices() {
+	private void pollNotices() {
 		Either<Failure, List<Notice>> notices = this.cloud.notices();
 		for (Notice notice : notices.getOrElse(List.of())) {
 			if (!notice.instance().equals(this.ownInstance)) {
 				markLeaving(notice.instance(), "notice");
 			}
-			else if (this.noticed.add(notice.instance() + notice.reclaimAtMillis())) {
+			else if (this.handledNotices.add(notice.instance() + notice.reclaimAtMillis())) {
 				this.onOwnNotice.accept(notice);
 			}
 		}
 	}
 
-	private void lookAtInstances() {
+	private void pollInstances() {
 		Either<Failure, List<Instance>> instances = this.cloud.instances();
 		for (Instance instance : instances.getOrElse(List.of())) {
 			if (instance.isLeaving()) {
@@ -109,13 +110,14 @@
 
 	private void markLeaving(String instance, String source) {
 		if (this.servers.markLeaving(instance, this.clock.millis())) {
-			logger.atInfo().log("instance %s is leaving by %s", instance, source);
+			logger.atInfo().log("instance %s is leaving (source: %s)", instance, source);
 		}
 	}
 
 	/**
-	 * Return the node addresses of entry instances on the list.
-	 * @return the addresses
+	 * Return the node addresses of the entry instances on the instance list.
+	 * @return the addresses as of the last list that could be read; empty if there is
+	 * none
 	 */
 	public Set<String> seedAddresses() {
 		return Set.copyOf(this.seedAddresses);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/cloud/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/cloud/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Talks to the cloud: notices and the instance list.
+ * Access to the cloud's API: reclaim notices and the instance list.
  */
 @NullMarked
 package io.flamingogap.daemon.cloud;
