--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/requests/KeyedRequests.java
@@ -32,15 +32,15 @@
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.nodes.Membership;
 import io.flamingogap.daemon.nodes.NodeClients;
-import io.flamingogap.daemon.nodes.NodeRequests;
-import io.flamingogap.daemon.platformlog.RequestRecord;
-import io.flamingogap.daemon.platformlog.RequestRecords;
+import io.flamingogap.daemon.nodes.PeerRequestHandler;
+import io.flamingogap.daemon.platformlog.RequestTransition;
+import io.flamingogap.daemon.platformlog.RequestTransitionLog;
 
 /**
  * Runs keyed requests. The ledger decides on each attempt, a new request is dispatched in
  * the background, and all attempts with the same key wait for the same outcome.
  */
-public final class KeyedRequests implements NodeRequests {
+public final class KeyedRequests implements PeerRequestHandler {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -57,7 +57,7 @@
 
 	private final NodeClients nodeClients;
 
-	private final RequestRecords records;
+	private final RequestTransitionLog records;
 
 	private final ExecutorService executor;
 
@@ -76,7 +76,7 @@
 	 * @param clock the clock for deadlines
 	 */
 	public KeyedRequests(RequestLedger ledger, Dispatcher dispatcher, Membership membership, NodeClients nodeClients,
-			RequestRecords records, ExecutorService executor, Clock clock) {
+			RequestTransitionLog records, ExecutorService executor, Clock clock) {
 		this.ledger = ledger;
 		this.dispatcher = dispatcher;
 		this.membership = membership;
@@ -119,7 +119,7 @@
 
 	private Outcome forward(NodeId owner, KeyedRequest request) {
 		Optional<Member> member = this.membership.find(owner);
-		if (member.isEmpty() || owner.equals(this.membership.own().node())) {
+		if (member.isEmpty() || owner.equals(this.membership.localMember().node())) {
 			return new Outcome.OwnerUnreachable(
 					Failure.outcomeUnknown(Step.FORWARD, owner.toString(), "no other node with this id is known"));
 		}
@@ -229,7 +229,7 @@
 	}
 
 	private void recordTransition(RequestKey key) {
-		find(key).ifPresent((entry) -> this.records.record(new RequestRecord(key.toString(), entry.account(),
+		find(key).ifPresent((entry) -> this.records.record(new RequestTransition(key.toString(), entry.account(),
 				entry.state().name(), Optional.ofNullable(entry.answer()).map(Answer::status).orElse(0))));
 	}
 
@@ -254,7 +254,7 @@
 	public void recordLostDispatchers() {
 		this.membership.members()
 			.stream()
-			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.own().node()))
+			.filter((member) -> !member.isReachable() && !member.node().equals(this.membership.localMember().node()))
 			.flatMap(
 					(member) -> withLedger((lockedLedger) -> lockedLedger.recordDispatcherLost(member.node())).stream())
 			.forEach(this::completeIfEnded);
@@ -291,8 +291,9 @@
 		if (outcome instanceof Outcome.Failed failed) {
 			return Exchanges.problemAnswer(failed.failure());
 		}
-		return Exchanges.problemAnswer(Failure.outcomeUnknown(Step.HANDOVER, this.membership.own().node().toString(),
-				"the request was handed over to another node; retry with the same key"));
+		return Exchanges
+			.problemAnswer(Failure.outcomeUnknown(Step.HANDOVER, this.membership.localMember().node().toString(),
+					"the request was handed over to another node; retry with the same key"));
 	}
 
 	@Override
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
@@ -12,9 +12,9 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.rollout.TakeBack;
 import io.flamingogap.daemon.http.Exchanges;
-import io.flamingogap.daemon.platformlog.PlatformLog;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogPage;
-import io.flamingogap.daemon.platformlog.PlatformLog.LogRecord;
+import io.flamingogap.daemon.platformlog.PlatformLogClient;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogPage;
+import io.flamingogap.daemon.platformlog.PlatformLogClient.LogRecord;
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
@@ -36,7 +36,7 @@
 
 	private final Rollouts rollouts;
 
-	private final PlatformLog log;
+	private final PlatformLogClient log;
 
 	private final BlockingQueue<TakeBack> toAppend = new LinkedBlockingQueue<>();
 
@@ -51,7 +51,7 @@
 	 * @param rollouts the rollouts to check
 	 * @param log the platform log, which stores the take-backs
 	 */
-	public RolloutMonitor(Rollouts rollouts, PlatformLog log) {
+	public RolloutMonitor(Rollouts rollouts, PlatformLogClient log) {
 		this.rollouts = rollouts;
 		this.log = log;
 		this.task = new PeriodicTask("rollout-judge", () -> CHECK_INTERVAL_MILLIS, this::check);
@@ -82,7 +82,8 @@
 	}
 
 	private void readTakeBacks() {
-		Either<Failure, LogPage> page = this.log.read(PlatformLog.ROLLOUT_STREAM, this.nextOffset, PAGE_RECORDS, 0);
+		Either<Failure, LogPage> page = this.log.read(PlatformLogClient.ROLLOUT_STREAM, this.nextOffset, PAGE_RECORDS,
+				0);
 		if (page.isLeft()) {
 			return;
 		}
@@ -102,7 +103,7 @@
 		TakeBack next = this.toAppend.peek();
 		while (next != null) {
 			String text = new String(Exchanges.write(next), StandardCharsets.UTF_8);
-			if (this.log.append(PlatformLog.ROLLOUT_STREAM, text).isLeft()) {
+			if (this.log.append(PlatformLogClient.ROLLOUT_STREAM, text).isLeft()) {
 				return;
 			}
 			this.toAppend.remove();
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/HandoverFaultTests.java
@@ -73,7 +73,7 @@
 	}
 
 	private int executions(String key) {
-		return this.fleet.desk().executions().getOrDefault(key, 0);
+		return this.fleet.plainService().executions().getOrDefault(key, 0);
 	}
 
 	private void announceReclaim(int daemon, long atMillis) {
@@ -83,17 +83,17 @@
 	@Test
 	void reclaimOfANodeKeepsItsAcceptedRequests() throws Exception {
 		startFleet(3);
-		this.fleet.deskLink().setMode(LinkMode.REFUSE);
+		this.fleet.plainServiceLink().setMode(LinkMode.REFUSE);
 		String key = newKey(0);
 		Future<Reply> accepted = this.executor.submit(() -> bookWithRetries(0, key));
 		this.fleet.await("the request is accepted",
 				() -> this.fleet.operatorGet(0, "status").get("openRequests").asInt() == 1);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
 		announceReclaim(0, reclaimAtMillis);
-		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 2);
+		this.fleet.await("the node drains", () -> this.fleet.countServingNodes(1) == 2);
 		TimeUnit.MILLISECONDS.sleep(reclaimAtMillis - System.currentTimeMillis());
 		this.fleet.daemon(0).kill();
-		this.fleet.deskLink().setMode(LinkMode.PASS);
+		this.fleet.plainServiceLink().setMode(LinkMode.PASS);
 		assertThat(accepted.get().status(), is(201));
 		assertThat(executions(key), is(1));
 	}
@@ -105,12 +105,12 @@
 		assertThat(bookWithRetries(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
 		this.fleet.await("the first node has stopped", () -> !this.fleet.daemon(0).process().isAlive());
-		int successor = this.fleet.ownerNumber(1, key, 2);
+		int successor = this.fleet.ownerIndex(1, key, 2);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
 		announceReclaim(successor, reclaimAtMillis);
 		int remainingNode = 3 - successor;
 		this.fleet.await("the keys are handed over",
-				() -> this.fleet.ownerNumber(remainingNode, key, successor) == remainingNode);
+				() -> this.fleet.ownerIndex(remainingNode, key, successor) == remainingNode);
 		this.fleet.daemon(successor).kill();
 		assertThat(this.caller.call(this.fleet.address(remainingNode), "POST", PATH, Optional.of(key), BODY).status(),
 				is(201));
@@ -120,7 +120,7 @@
 	@Test
 	void reclaimOfAZoneWithTwoOfSixNodesKeepsTheRequests() throws Exception {
 		startFleet(6);
-		this.fleet.desk().setAnswerMillis(500);
+		this.fleet.plainService().setAnswerMillis(500);
 		String firstKey = newKey(0);
 		String secondKey = newKey(1);
 		Future<Reply> firstReply = this.executor.submit(() -> bookWithRetries(0, firstKey));
@@ -142,7 +142,7 @@
 	@Test
 	void plannedStopWaitsForTheBookingInFlight() throws Exception {
 		startFleet(2);
-		this.fleet.desk().setAnswerMillis(2_500);
+		this.fleet.plainService().setAnswerMillis(2_500);
 		String key = newKey(0);
 		Future<Reply> inFlight = this.executor
 			.submit(() -> this.caller.call(this.fleet.address(0), "POST", PATH, Optional.of(key), BODY));
@@ -160,7 +160,7 @@
 		String key = newKey(0);
 		assertThat(bookWithRetries(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 1);
+		this.fleet.await("the node drains", () -> this.fleet.countServingNodes(1) == 1);
 		TimeUnit.MILLISECONDS.sleep(700);
 		this.fleet.nodeLink(1).setMode(LinkMode.DROP_REPLIES);
 		TimeUnit.MILLISECONDS.sleep(1_200);
@@ -178,11 +178,11 @@
 		String key = newKey(0);
 		assertThat(bookWithRetries(0, key).status(), is(201));
 		this.fleet.operatorPost(0, "drain");
-		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 2);
+		this.fleet.await("the node drains", () -> this.fleet.countServingNodes(1) == 2);
 		this.fleet.daemon(1).freeze();
 		this.fleet.await("the node has stopped", () -> !this.fleet.daemon(0).process().isAlive());
 		this.fleet.daemon(1).resume();
-		this.fleet.await("the node is reachable again", () -> this.fleet.servingNodes(2) == 2);
+		this.fleet.await("the node is reachable again", () -> this.fleet.countServingNodes(2) == 2);
 		Reply retryReply = bookWithRetries(2, key);
 		assertThat(retryReply.status(), is(201));
 		assertThat(executions(key), is(1));
@@ -195,10 +195,10 @@
 		assertThat(bookWithRetries(0, key).status(), is(201));
 		long nowMillis = System.currentTimeMillis();
 		announceReclaim(0, nowMillis + 60_000);
-		this.fleet.await("the node drains", () -> this.fleet.servingNodes(1) == 1);
+		this.fleet.await("the node drains", () -> this.fleet.countServingNodes(1) == 1);
 		long reclaimAtMillis = System.currentTimeMillis() + NOTICE_MILLIS;
 		announceReclaim(0, reclaimAtMillis);
-		this.fleet.await("the keys are handed over", () -> this.fleet.ownerNumber(1, key, 0) == 1);
+		this.fleet.await("the keys are handed over", () -> this.fleet.ownerIndex(1, key, 0) == 1);
 		assertThat(System.currentTimeMillis() < reclaimAtMillis, is(true));
 		assertThat(bookWithRetries(1, key).status(), is(201));
 		assertThat(executions(key), is(1));
