Rename JdkHttp and Exchanges.write

The names didn't say what the class sets and what the method writes. JdkHttp is now JdkHttpProperties, Exchanges.write is Exchanges.toJsonBytes.

All modules up to the daemon and measure compile with their tests.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/FlamingogapDaemon.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/FlamingogapDaemon.java
@@ -19,7 +19,7 @@
 
 import io.flamingogap.core.toml.RecordBinder;
 import io.flamingogap.core.toml.ValidationError;
-import io.flamingogap.daemon.http.JdkHttp;
+import io.flamingogap.daemon.http.JdkHttpProperties;
 import io.flamingogap.daemon.settings.Settings;
 
 /**
@@ -42,7 +42,7 @@
 	public static void main(String[] args) {
 		System.setProperty("flogger.backend_factory",
 				"com.google.common.flogger.backend.slf4j.Slf4jBackendFactory#getInstance");
-		JdkHttp.configure();
+		JdkHttpProperties.configure();
 		int status = run(args, System.out, System.err);
 		System.exit(status);
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/Exchanges.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/Exchanges.java
@@ -86,7 +86,7 @@
 				|| failure.type() == ProblemType.NO_BACKEND) {
 			exchange.getResponseHeaders().set("Retry-After", RETRY_AFTER_SECONDS);
 		}
-		send(exchange, failure.type().status(), PROBLEM_JSON, write(problem(failure)));
+		send(exchange, failure.type().status(), PROBLEM_JSON, toJsonBytes(problem(failure)));
 	}
 
 	/**
@@ -95,7 +95,7 @@
 	 * @return a problem document
 	 */
 	public static Answer problemAnswer(Failure failure) {
-		return new Answer(failure.type().status(), PROBLEM_JSON, write(problem(failure)));
+		return new Answer(failure.type().status(), PROBLEM_JSON, toJsonBytes(problem(failure)));
 	}
 
 	private static ObjectNode problem(Failure failure) {
@@ -118,7 +118,7 @@
 	 * @throws IOException if the connection breaks
 	 */
 	public static void sendJson(HttpExchange exchange, int status, Object value) throws IOException {
-		send(exchange, status, JSON, write(value));
+		send(exchange, status, JSON, toJsonBytes(value));
 	}
 
 	/**
@@ -142,7 +142,7 @@
 	 * @param value a record or tree
 	 * @return the document in UTF-8
 	 */
-	public static byte[] write(Object value) {
+	public static byte[] toJsonBytes(Object value) {
 		try {
 			return MAPPER.writeValueAsString(value).getBytes(StandardCharsets.UTF_8);
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/JdkHttp.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/JdkHttpProperties.java
@@ -4,9 +4,9 @@
  * System properties of the JDK's HTTP classes, which read them once. Has to run before
  * the first client or server is made.
  */
-public final class JdkHttp {
+public final class JdkHttpProperties {
 
-	private JdkHttp() {
+	private JdkHttpProperties() {
 	}
 
 	/**
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditTrail.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/AuditTrail.java
@@ -85,7 +85,7 @@
 	}
 
 	private static String text(AuditEntry entry) {
-		return new String(Exchanges.write(entry), StandardCharsets.UTF_8);
+		return new String(Exchanges.toJsonBytes(entry), StandardCharsets.UTF_8);
 	}
 
 	@Override
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigPublisher.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/ConfigPublisher.java
@@ -53,7 +53,7 @@
 			return Either.right(earlier.get());
 		}
 		Either<Failure, Long> appended = this.log.append(PlatformLog.CONFIG_STREAM,
-				new String(Exchanges.write(change), StandardCharsets.UTF_8));
+				new String(Exchanges.toJsonBytes(change), StandardCharsets.UTF_8));
 		Optional<ConfigVerdict> verdict = awaitVerdict(change.id());
 		if (verdict.isPresent()) {
 			return Either.right(verdict.get());
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/Configuration.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/Configuration.java
@@ -139,7 +139,7 @@
 	 * @return a JSON document
 	 */
 	public synchronized String snapshotBody() {
-		return new String(Exchanges.write(this.state.snapshot()), StandardCharsets.UTF_8);
+		return new String(Exchanges.toJsonBytes(this.state.snapshot()), StandardCharsets.UTF_8);
 	}
 
 	/**
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestRecords.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestRecords.java
@@ -131,7 +131,7 @@
 		if (batch.isEmpty()) {
 			return;
 		}
-		String text = new String(Exchanges.write(batch), StandardCharsets.UTF_8);
+		String text = new String(Exchanges.toJsonBytes(batch), StandardCharsets.UTF_8);
 		if (this.log.append(PlatformLog.REQUEST_STREAM, text).isLeft()) {
 			batch.forEach(this.waiting::offer);
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutJudge.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutJudge.java
@@ -99,7 +99,7 @@
 	private void appendKept() {
 		TakeBack next = this.toAppend.peek();
 		while (next != null) {
-			String text = new String(Exchanges.write(next), StandardCharsets.UTF_8);
+			String text = new String(Exchanges.toJsonBytes(next), StandardCharsets.UTF_8);
 			if (this.log.append(PlatformLog.ROLLOUT_STREAM, text).isLeft()) {
 				return;
 			}
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.manifest.BackendServer;
-import io.flamingogap.daemon.http.JdkHttp;
+import io.flamingogap.daemon.http.JdkHttpProperties;
 import io.flamingogap.testkit.backends.ScriptedServer;
 import io.flamingogap.testkit.backends.ServerScript;
 
@@ -24,7 +24,7 @@
 	private static final long TIMEOUT_MILLIS = 300;
 
 	static {
-		JdkHttp.configure();
+		JdkHttpProperties.configure();
 	}
 
 	private final BackendClient client = new BackendClient(500);
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
@@ -7,7 +7,7 @@
 import ch.qos.logback.classic.Logger;
 import org.slf4j.LoggerFactory;
 
-import io.flamingogap.daemon.http.JdkHttp;
+import io.flamingogap.daemon.http.JdkHttpProperties;
 
 /**
  * Runs one measurement, named by the first argument.
@@ -23,7 +23,7 @@
 	 * @throws Exception if it can't be run
 	 */
 	public static void main(String[] args) throws Exception {
-		JdkHttp.configure();
+		JdkHttpProperties.configure();
 		((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.OFF);
 		List<String> options = Arrays.asList(args).subList(1, args.length);
 		switch (args[0]) {
