Reword the daemon's http, settings and tasks packages

Comments described settings and handlers by what they "allow", "tell" or "ask" and left out units and special values; an invalid key was called a fault. Comments now name limits, timeouts and intervals, log lines say that the caller closed the connection, and names say what a constant or method holds or does (ACCEPT_BACKLOG, problemDocument, invalidKeys).

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/Exchanges.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/Exchanges.java
@@ -18,7 +18,7 @@
 import io.flamingogap.core.request.Answer;
 
 /**
- * Reads and answers HTTP exchanges.
+ * Utilities for reading requests and writing responses of an {@link HttpExchange}.
  */
 public final class Exchanges {
 
@@ -28,7 +28,7 @@
 	/** The media type of JSON documents. */
 	public static final String JSON = "application/json";
 
-	/** How long a caller that was refused for lack of room should wait. */
+	/** The value of Retry-After for requests refused for lack of capacity. */
 	private static final String RETRY_AFTER_SECONDS = "1";
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -39,10 +39,10 @@
 	}
 
 	/**
-	 * Read the body of an exchange.
+	 * Read the request body of an exchange.
 	 * @param exchange the exchange
-	 * @param maxBytes the largest body
-	 * @return the body, or why it is refused
+	 * @param maxBytes the maximum size of the body in bytes
+	 * @return the body, or the failure to send if the body is larger
 	 * @throws IOException if the connection breaks
 	 */
 	public static Either<Failure, byte[]> readBody(HttpExchange exchange, int maxBytes) throws IOException {
@@ -56,9 +56,9 @@
 	}
 
 	/**
-	 * Return the bearer key of an exchange.
+	 * Return the bearer key in the Authorization header of a request.
 	 * @param exchange the exchange
-	 * @return the key, if there is one
+	 * @return the key, or empty if the request has none
 	 */
 	public static Optional<String> bearerKey(HttpExchange exchange) {
 		return header(exchange, "Authorization").filter((value) -> value.startsWith(BEARER))
@@ -66,19 +66,19 @@
 	}
 
 	/**
-	 * Return a request header.
+	 * Return the value of a request header.
 	 * @param exchange the exchange
-	 * @param name the header's name
-	 * @return its first value, if there is one
+	 * @param name the header name, in any case
+	 * @return the first value, or empty if the request has no such header
 	 */
 	public static Optional<String> header(HttpExchange exchange, String name) {
 		return Optional.ofNullable(exchange.getRequestHeaders().getFirst(name));
 	}
 
 	/**
-	 * Answer with a problem document.
+	 * Send a failure as a problem document with the status of its problem type.
 	 * @param exchange the exchange
-	 * @param failure the failure to tell
+	 * @param failure the failure that is described
 	 * @throws IOException if the connection breaks
 	 */
 	public static void sendProblem(HttpExchange exchange, Failure failure) throws IOException {
@@ -86,19 +86,19 @@
 				|| failure.type() == ProblemType.NO_BACKEND) {
 			exchange.getResponseHeaders().set("Retry-After", RETRY_AFTER_SECONDS);
 		}
-		send(exchange, failure.type().status(), PROBLEM_JSON, toJsonBytes(problem(failure)));
+		send(exchange, failure.type().status(), PROBLEM_JSON, toJsonBytes(problemDocument(failure)));
 	}
 
 	/**
-	 * Return a failure as an answer that can be passed between nodes.
+	 * Convert a failure to an answer that nodes can forward to each other.
 	 * @param failure the failure
-	 * @return a problem document
+	 * @return an answer whose body is a problem document
 	 */
 	public static Answer problemAnswer(Failure failure) {
-		return new Answer(failure.type().status(), PROBLEM_JSON, toJsonBytes(problem(failure)));
+		return new Answer(failure.type().status(), PROBLEM_JSON, toJsonBytes(problemDocument(failure)));
 	}
 
-	private static ObjectNode problem(Failure failure) {
+	private static ObjectNode problemDocument(Failure failure) {
 		ObjectNode node = MAPPER.createObjectNode();
 		node.put("type", failure.type().uri());
 		node.put("title", failure.type().title());
@@ -111,10 +111,10 @@
 	}
 
 	/**
-	 * Answer with a JSON document.
+	 * Send a JSON document.
 	 * @param exchange the exchange
 	 * @param status the HTTP status
-	 * @param value a record or tree
+	 * @param value a record or a JSON tree
 	 * @throws IOException if the connection breaks
 	 */
 	public static void sendJson(HttpExchange exchange, int status, Object value) throws IOException {
@@ -122,11 +122,11 @@
 	}
 
 	/**
-	 * Answer with some bytes.
+	 * Send a response.
 	 * @param exchange the exchange
 	 * @param status the HTTP status
-	 * @param contentType the media type
-	 * @param body the body
+	 * @param contentType the media type of the body
+	 * @param body the body; may be empty
 	 * @throws IOException if the connection breaks
 	 */
 	public static void send(HttpExchange exchange, int status, String contentType, byte[] body) throws IOException {
@@ -138,23 +138,23 @@
 	}
 
 	/**
-	 * Write a value as JSON.
-	 * @param value a record or tree
-	 * @return the document in UTF-8
+	 * Serialize a value as JSON.
+	 * @param value a record or a JSON tree
+	 * @return the document, encoded in UTF-8
 	 */
 	public static byte[] toJsonBytes(Object value) {
 		try {
 			return MAPPER.writeValueAsString(value).getBytes(StandardCharsets.UTF_8);
 		}
 		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("can't write " + value.getClass(), ex);
+			throw new IllegalStateException("can't serialize " + value.getClass(), ex);
 		}
 	}
 
 	/**
-	 * Parse a JSON object.
-	 * @param body the document
-	 * @return the object, or why it is refused
+	 * Parse a request body that must be a JSON object.
+	 * @param body the document, encoded in UTF-8
+	 * @return the object, or the failure to send if the body isn't a JSON object
 	 */
 	public static Either<Failure, ObjectNode> parseObject(byte[] body) {
 		try {
@@ -169,9 +169,9 @@
 	}
 
 	/**
-	 * Return the failure of a request that can't be read.
-	 * @param detail what is wrong with it
-	 * @return the failure
+	 * Create the failure for a request that is malformed and was not executed.
+	 * @param detail what is wrong with the request
+	 * @return a failure of type {@link ProblemType#MALFORMED}
 	 */
 	public static Failure malformed(String detail) {
 		return Failure.notRun(ProblemType.MALFORMED, Step.PARSE, "caller", detail);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/HttpListener.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/HttpListener.java
@@ -18,62 +18,67 @@
 import io.flamingogap.core.node.Address;
 
 /**
- * An HTTP listener with a bounded pool of threads. When all are taken the accepting
- * thread answers by itself, so that a caller is refused rather than left without an
- * answer.
+ * An HTTP listener with a bounded thread pool. If all threads are busy, the thread that
+ * accepts connections runs the handler itself, so that the caller receives a refusal and
+ * not a timeout.
  */
 public final class HttpListener implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final int BACKLOG = 1_024;
+	private static final int ACCEPT_BACKLOG = 1_024;
 
-	private static final long IDLE_THREAD_SECONDS = 30;
+	private static final long IDLE_THREAD_TIMEOUT_SECONDS = 30;
 
 	private final HttpServer server;
 
 	private final ExecutorService executor;
 
 	/**
-	 * Bind a listener; it answers after {@link #start()}.
-	 * @param address where to listen
-	 * @param maxThreads the most exchanges at once
-	 * @param handler what answers
+	 * Create a listener and bind it to its address. Requests are handled after
+	 * {@link #start()} is called.
+	 * @param address the address to bind
+	 * @param maxThreads the maximum number of exchanges in the thread pool at once
+	 * @param handler the handler of all exchanges
 	 * @throws IOException if the address can't be bound
 	 */
 	public HttpListener(Address address, int maxThreads, Handler handler) throws IOException {
-		this.server = HttpServer.create(new InetSocketAddress(address.host(), address.port()), BACKLOG);
-		this.executor = new ThreadPoolExecutor(0, maxThreads, IDLE_THREAD_SECONDS, TimeUnit.SECONDS,
+		this.server = HttpServer.create(new InetSocketAddress(address.host(), address.port()), ACCEPT_BACKLOG);
+		this.executor = new ThreadPoolExecutor(0, maxThreads, IDLE_THREAD_TIMEOUT_SECONDS, TimeUnit.SECONDS,
 				new SynchronousQueue<>(), new ThreadPoolExecutor.CallerRunsPolicy());
 		this.server.setExecutor(this.executor);
-		this.server.createContext("/", (exchange) -> answer(exchange, handler));
+		this.server.createContext("/", (exchange) -> handle(exchange, handler));
 	}
 
-	private static void answer(HttpExchange exchange, Handler handler) {
+	private static void handle(HttpExchange exchange, Handler handler) {
 		try (exchange) {
 			handler.handle(exchange);
 		}
 		catch (IOException ex) {
-			logger.atFine().withCause(ex).log("caller left during %s", exchange.getRequestURI().getPath());
+			logger.atFine()
+				.withCause(ex)
+				.log("caller closed the connection during %s", exchange.getRequestURI().getPath());
 		}
 		catch (RuntimeException ex) {
-			logger.atSevere().withCause(ex).log("unexpected failure of %s", exchange.getRequestURI().getPath());
-			sendUnexpected(exchange);
+			logger.atSevere()
+				.withCause(ex)
+				.log("unexpected failure while handling %s", exchange.getRequestURI().getPath());
+			sendUnexpectedFailure(exchange);
 		}
 	}
 
-	private static void sendUnexpected(HttpExchange exchange) {
+	private static void sendUnexpectedFailure(HttpExchange exchange) {
 		try {
 			Exchanges.sendProblem(exchange, new Failure(ProblemType.OUTCOME_UNKNOWN, Step.ADMIT, "entry node",
 					Execution.UNKNOWN, "unexpected failure of the entry node"));
 		}
 		catch (IOException ex) {
-			logger.atFine().withCause(ex).log("caller left before the problem was sent");
+			logger.atFine().withCause(ex).log("caller closed the connection before the problem document was sent");
 		}
 	}
 
 	/**
-	 * Begin to answer.
+	 * Start to handle requests.
 	 */
 	public void start() {
 		this.server.start();
@@ -86,14 +91,14 @@
 	}
 
 	/**
-	 * Answers one exchange.
+	 * Handles HTTP exchanges.
 	 */
 	@FunctionalInterface
 	public interface Handler {
 
 		/**
-		 * Answer an exchange.
-		 * @param exchange the exchange
+		 * Send the response of an exchange.
+		 * @param exchange the exchange, which the listener closes afterwards
 		 * @throws IOException if the connection breaks
 		 */
 		void handle(HttpExchange exchange) throws IOException;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/JdkHttpProperties.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/JdkHttpProperties.java
@@ -1,8 +1,7 @@
 package io.flamingogap.daemon.http;
 
 /**
- * System properties of the JDK's HTTP classes, which read them once. Has to run before
- * the first client or server is made.
+ * System properties that configure the HTTP server and clients of the JDK.
  */
 public final class JdkHttpProperties {
 
@@ -10,7 +9,8 @@
 	}
 
 	/**
-	 * Set the properties that the daemon depends on.
+	 * Set the properties that the daemon depends on. The JDK reads them only once, so
+	 * this must be called before the first HTTP client or server is created.
 	 */
 	public static void configure() {
 		System.setProperty("sun.net.httpserver.nodelay", "true");
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Shared handling of HTTP exchanges: limits, JSON and problem documents.
+ * HTTP listener and utilities for bodies with size limits, JSON and problem documents.
  */
 @NullMarked
 package io.flamingogap.daemon.http;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/Settings.java
@@ -7,37 +7,38 @@
 import io.flamingogap.core.toml.StringPattern;
 
 /**
- * The settings of an entry node. Names carry the unit of their value.
+ * Settings of an entry node, as read from its settings file. Names of quantities end in
+ * their unit.
  *
- * @param node who the node is
- * @param listen where it listens
- * @param nodes how it talks to other entry nodes
- * @param platform where the platform is
- * @param callers what it allows callers
- * @param requests how keyed requests are kept
- * @param operators who may publish the first manifest
+ * @param node the identity of the node
+ * @param listen the addresses that the node listens on
+ * @param nodes communication with other entry nodes
+ * @param platform the platform's log and cloud API
+ * @param callers limits for callers
+ * @param requests limits and timeouts for keyed requests
+ * @param operators the operator who may publish the first manifest
  * @param log the structured log
  */
 public record Settings(Node node, Listen listen, Nodes nodes, Platform platform, Callers callers, Requests requests,
 		Operators operators, Log log) {
 
 	/**
-	 * Who the node is.
+	 * Identity of the node.
 	 *
-	 * @param name the name of its instance, as in the cloud's notices
-	 * @param zone its availability zone
+	 * @param name the name of the node's instance, as used in the cloud's reclaim notices
+	 * @param zone the availability zone of the instance
 	 */
 	public record Node(@StringPattern(StringPattern.NAME) String name, @StringPattern(StringPattern.NAME) String zone) {
 	}
 
 	/**
-	 * Where the node listens.
+	 * Addresses that the node listens on.
 	 *
-	 * @param callerAddress for callers and operators
-	 * @param nodeAddress for other entry nodes
-	 * @param adminAddress for health, readiness and metrics
-	 * @param advertisedNodeAddress what other entry nodes are told to connect to; empty
-	 * for nodeAddress
+	 * @param callerAddress the address for callers and operators
+	 * @param nodeAddress the address for other entry nodes
+	 * @param adminAddress the address for health, readiness and metrics
+	 * @param advertisedNodeAddress the address that other entry nodes connect to; empty
+	 * if this is {@code nodeAddress}
 	 */
 	public record Listen(@StringPattern(StringPattern.ADDRESS) String callerAddress,
 			@StringPattern(StringPattern.ADDRESS) String nodeAddress,
@@ -45,8 +46,8 @@
 			@Default("") @StringPattern("|" + StringPattern.ADDRESS) String advertisedNodeAddress) {
 
 		/**
-		 * Return what other entry nodes are told to connect to.
-		 * @return the IP number and port
+		 * Return the address that other entry nodes connect to.
+		 * @return the IP address and port
 		 */
 		public String reachableNodeAddress() {
 			return this.advertisedNodeAddress.isEmpty() ? this.nodeAddress : this.advertisedNodeAddress;
@@ -55,13 +56,14 @@
 	}
 
 	/**
-	 * How the node talks to other entry nodes.
+	 * Communication with other entry nodes.
 	 *
-	 * @param sharedSecret what nodes prove to know at the start of a connection
-	 * @param seedAddresses entry nodes to ask first
-	 * @param fanOut the most neighbours to keep a connection with
-	 * @param heartbeatMillis the time between two heartbeats on a connection
-	 * @param silentMillis how long a connection may stay without an answer
+	 * @param sharedSecret the secret that both nodes prove to know when a connection is
+	 * opened
+	 * @param seedAddresses the entry nodes to contact first
+	 * @param fanOut the maximum number of neighbours to keep a connection with
+	 * @param heartbeatMillis the interval between two heartbeats on a connection
+	 * @param silentMillis the maximum time to wait for an answer on a connection
 	 */
 	public record Nodes(@StringPattern(".{16,256}") String sharedSecret,
 			@Default("") @StringPattern(StringPattern.ADDRESS) List<String> seedAddresses,
@@ -71,15 +73,15 @@
 	}
 
 	/**
-	 * Where the platform is.
+	 * Access to the platform.
 	 *
-	 * @param logAddress the log
-	 * @param cloudAddress the cloud
-	 * @param cloudPollMillis the time between two looks at notices and instances
-	 * @param logTimeoutMillis how long one call of the log may take
-	 * @param logWaitMillis how long a read waits for a new record
-	 * @param snapshotMillis how long a change stays without a snapshot in the log; well
-	 * below the time for which the log keeps records
+	 * @param logAddress the address of the platform log
+	 * @param cloudAddress the address of the cloud API
+	 * @param cloudPollMillis the interval between two polls of notices and instances
+	 * @param logTimeoutMillis the timeout of one call to the log
+	 * @param logWaitMillis the maximum time for which a read waits for a new record
+	 * @param snapshotMillis the time after which a change is followed by a snapshot in
+	 * the log; must be well below the time for which the log retains records
 	 */
 	public record Platform(@StringPattern(StringPattern.ADDRESS) String logAddress,
 			@StringPattern(StringPattern.ADDRESS) String cloudAddress,
@@ -90,14 +92,15 @@
 	}
 
 	/**
-	 * What the node allows callers.
+	 * Limits for callers.
 	 *
-	 * @param entryTtlMillis how long callers may keep an entry answer
-	 * @param entryCount the most nodes in an entry answer
-	 * @param maxBodyBytes the largest request body
-	 * @param maxOpenRequests the most requests open at once
-	 * @param defaultDeadlineMillis the deadline of requests that name none
-	 * @param maxDeadlineMillis the longest deadline
+	 * @param entryTtlMillis how long callers may use an entry answer
+	 * @param entryCount the maximum number of nodes in an entry answer
+	 * @param maxBodyBytes the maximum size of a request body
+	 * @param maxOpenRequests the maximum number of open requests of all callers
+	 * @param defaultDeadlineMillis the time limit of requests that don't set one
+	 * @param maxDeadlineMillis the maximum time limit of a request; longer ones are
+	 * reduced to it
 	 */
 	public record Callers(@Default("10000") @Range(min = 100, max = 600_000) long entryTtlMillis,
 			@Default("3") @Range(min = 1, max = 16) int entryCount,
@@ -108,17 +111,18 @@
 	}
 
 	/**
-	 * How keyed requests are kept.
+	 * Limits and timeouts for keyed requests.
 	 *
-	 * @param firstUseMillis how long a key prefix may begin new requests
-	 * @param retentionMillis how long the outcome of a key is kept
-	 * @param maxEntries the most keys kept
-	 * @param maxKeptBytes the most bytes of kept requests and answers
-	 * @param answerTimeoutMillis how long a backend server may take before the outcome
-	 * counts as unknown
-	 * @param connectTimeoutMillis how long opening a connection to a backend server may
-	 * take
-	 * @param stopMarginMillis the part of a reclaim notice kept for passing requests on
+	 * @param firstUseMillis how long a key prefix is valid for new requests
+	 * @param retentionMillis how long the outcome of a key is retained
+	 * @param maxEntries the maximum number of retained keys
+	 * @param maxKeptBytes the maximum total size of retained requests and answers
+	 * @param answerTimeoutMillis how long to wait for the answer of a backend server
+	 * before the outcome counts as unknown
+	 * @param connectTimeoutMillis the timeout for opening a connection to a backend
+	 * server
+	 * @param stopMarginMillis the time before a reclaim that is reserved for handing
+	 * requests over to another node
 	 */
 	public record Requests(@Default("120000") @Range(min = 1_000, max = 86_400_000) long firstUseMillis,
 			@Default("3600000") @Range(min = 2_000, max = 604_800_000) long retentionMillis,
@@ -137,19 +141,19 @@
 	}
 
 	/**
-	 * Who may publish the first manifest.
+	 * Operator who may publish the first manifest.
 	 *
 	 * @param bootstrapName the operator's name
-	 * @param bootstrapKeyDigest the SHA-256 digest of their bearer key
+	 * @param bootstrapKeyDigest the SHA-256 digest of the operator's bearer key
 	 */
 	public record Operators(@StringPattern(StringPattern.NAME) String bootstrapName,
 			@StringPattern(StringPattern.DIGEST) String bootstrapKeyDigest) {
 	}
 
 	/**
-	 * The structured log.
+	 * Structured log.
 	 *
-	 * @param level the least severe level that is written
+	 * @param level the minimum severity of entries that are written
 	 */
 	public record Log(@Default("info") @StringPattern("error|warn|info|debug") String level) {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/settings/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The settings of an entry node.
+ * Settings of an entry node and their allowed ranges.
  */
 @NullMarked
 package io.flamingogap.daemon.settings;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/tasks/PeriodicTask.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/tasks/PeriodicTask.java
@@ -8,8 +8,8 @@
 import com.google.common.flogger.FluentLogger;
 
 /**
- * A step that is repeated on a thread of its own. A step that fails is logged and
- * repeated like any other.
+ * Runs a step repeatedly on a dedicated daemon thread. If the step throws an exception,
+ * the exception is logged and the step is scheduled again as usual.
  */
 public final class PeriodicTask implements AutoCloseable {
 
@@ -24,10 +24,11 @@
 	private final ScheduledExecutorService executor;
 
 	/**
-	 * Create a task; it runs after {@link #start()}.
-	 * @param name the name of its thread
-	 * @param intervalMillis the time from the end of a step to the next one
-	 * @param step the step
+	 * Create a task that doesn't run until {@link #start()} is called.
+	 * @param name the name of the thread
+	 * @param intervalMillis supplies the delay in milliseconds from the end of one run to
+	 * the start of the next
+	 * @param step the step to run
 	 */
 	public PeriodicTask(String name, LongSupplier intervalMillis, Runnable step) {
 		this.name = name;
@@ -41,7 +42,7 @@
 	}
 
 	/**
-	 * Begin with the first step at once.
+	 * Start the task. The first run begins immediately.
 	 */
 	public void start() {
 		this.executor.execute(this::runAndSchedule);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/tasks/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/tasks/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Work that a node repeats at an interval.
+ * Background tasks that run at an interval.
  */
 @NullMarked
 package io.flamingogap.daemon.tasks;
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/settings/SettingsTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/settings/SettingsTests.java
@@ -17,45 +17,45 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link Settings} against the sample.
+ * Tests that {@link Settings} accepts the settings template and rejects invalid values.
  */
 class SettingsTests {
 
-	private static String sample() throws IOException {
+	private static String template() throws IOException {
 		return Files.readString(Path.of("../conf/settings.template.toml"))
 			.replaceAll("@(NAME|ZONE)@", "entry-0")
 			.replaceAll("@(CALLER|NODE|ADMIN|SEED|LOG|CLOUD)@", "127.0.0.1:8000")
 			.replace("@OPERATOR_DIGEST@", Digests.sha256("key"));
 	}
 
-	private static List<String> faultKeys(String text) {
+	private static List<String> invalidKeys(String text) {
 		return RecordBinder.bind(text, Settings.class).getLeft().stream().map(ValidationError::key).toList();
 	}
 
 	@Test
-	void sampleIsValid() throws IOException {
-		assertThat(RecordBinder.bind(sample(), Settings.class).get().nodes().fanOut(), is(4));
+	void templateIsValid() throws IOException {
+		assertThat(RecordBinder.bind(template(), Settings.class).get().nodes().fanOut(), is(4));
 	}
 
 	@Test
-	void allFaultsAreReportedAtOnce() throws IOException {
-		String text = sample().replace("fanOut = 4", "fanOut = 0")
+	void allErrorsAreReportedAtOnce() throws IOException {
+		String text = template().replace("fanOut = 4", "fanOut = 0")
 			.replace("entryCount = 3", "entryCount = \"three\"")
 			.replace("level = \"info\"", "level = \"loud\"\ncolour = true");
-		assertThat(faultKeys(text),
+		assertThat(invalidKeys(text),
 				containsInAnyOrder("nodes.fanOut", "callers.entryCount", "log.level", "log.colour"));
 	}
 
 	@Test
 	void seedAddressesAreCheckedOneByOne() throws IOException {
-		String text = sample().replace("seedAddresses = [\"127.0.0.1:8000\"]",
+		String text = template().replace("seedAddresses = [\"127.0.0.1:8000\"]",
 				"seedAddresses = [\"127.0.0.1:8000\", \"a name\"]");
-		assertThat(faultKeys(text), containsInAnyOrder("nodes.seedAddresses[1]"));
+		assertThat(invalidKeys(text), containsInAnyOrder("nodes.seedAddresses[1]"));
 	}
 
 	@Test
-	void retentionHasToOutliveFirstUse() throws IOException {
-		assertThat(faultKeys(sample().replace("retentionMillis = 3600000", "retentionMillis = 100000")),
+	void retentionMustBeLongerThanFirstUse() throws IOException {
+		assertThat(invalidKeys(template().replace("retentionMillis = 3600000", "retentionMillis = 100000")),
 				hasItem("requests"));
 	}
 
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/settings/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/settings/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the settings of an entry node.
  */
 @NullMarked
 package io.flamingogap.daemon.settings;
