--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -28,9 +28,9 @@
 import io.flamingogap.daemon.admin.RequestMetrics;
 import io.flamingogap.daemon.backends.BackendClient;
 import io.flamingogap.daemon.backends.BackendServers;
-import io.flamingogap.daemon.backends.LoadReports;
-import io.flamingogap.daemon.backends.ModelStreams;
-import io.flamingogap.daemon.backends.PlainCalls;
+import io.flamingogap.daemon.backends.LoadPoller;
+import io.flamingogap.daemon.backends.ModelStreamClient;
+import io.flamingogap.daemon.backends.PlainServiceClient;
 import io.flamingogap.daemon.callers.CallerHandler;
 import io.flamingogap.daemon.callers.CompletionsHandler;
 import io.flamingogap.daemon.callers.KeyStatusHandler;
@@ -89,7 +89,7 @@
 
 	private final SnapshotPublisher snapshots;
 
-	private final LoadReports loadReports;
+	private final LoadPoller loadPoller;
 
 	private final CloudWatcher cloudWatcher;
 
@@ -130,7 +130,7 @@
 		this.snapshots = new SnapshotPublisher(log, this.configuration, this::rank,
 				settings.platform().snapshotMillis(), clock);
 		this.records = new RequestRecords(log, () -> this.membership.members().size());
-		this.loadReports = new LoadReports(this.configuration::manifest, servers, backendClient);
+		this.loadPoller = new LoadPoller(this.configuration::manifest, servers, backendClient);
 		Dispatcher dispatcher = new Dispatcher(this.configuration, servers, backendClient,
 				settings.requests().answerTimeoutMillis(), this.rollouts, () -> lifecycle().lastDispatchMillis(),
 				clock);
@@ -140,10 +140,11 @@
 		this.lifecycle = new NodeLifecycle(settings, this.membership, requests, nodeClients, this.audit, clock);
 		this.callerHandler = new CallerHandler(this.configuration, this.membership,
 				new CompletionsHandler(this.configuration,
-						new ModelStreams(backendClient, servers, this.rollouts, clock), this.rollouts,
+						new ModelStreamClient(backendClient, servers, this.rollouts, clock), this.rollouts,
 						this.lifecycle::isMoving),
 				new PlainServiceHandler(this.configuration,
-						new PlainCalls(backendClient, servers, this.rollouts, clock), requests, this.rollouts, clock),
+						new PlainServiceClient(backendClient, servers, this.rollouts, clock), requests, this.rollouts,
+						clock),
 				new KeyStatusHandler(requests, this.membership, nodeClients, this.records), settings.callers(), clock);
 		this.cloudWatcher = new CloudWatcher(
 				new CloudClient(platformClient, Address.parse(settings.platform().cloudAddress())), servers,
@@ -245,7 +246,7 @@
 		this.judge.start();
 		this.records.start();
 		this.snapshots.start();
-		this.loadReports.start();
+		this.loadPoller.start();
 		this.cloudWatcher.start();
 		this.nodeServer.start();
 		this.links.start();
@@ -291,7 +292,7 @@
 		this.records.flush();
 		this.audit.flush();
 		List.<AutoCloseable>of(this.callerListener, this.adminListener, this.links, this.nodeServer, this.cloudWatcher,
-				this.judge, this.records, this.snapshots, this.loadReports, this.follower, this.audit)
+				this.judge, this.records, this.snapshots, this.loadPoller, this.follower, this.audit)
 			.forEach(EntryNode::closeQuietly);
 		this.executor.shutdownNow();
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendCall.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendCall.java
@@ -5,15 +5,16 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A call to a plain service.
+ * A request to a backend server of a plain service.
  *
  * @param method the HTTP method
- * @param path the path below the service's prefix, with the query
+ * @param path the path below the service's prefix, including the query
  * @param contentType the media type of the body
- * @param body the body
- * @param account the account that the call is for
- * @param idempotencyKey the key of an unrepeatable call
- * @param remainingMillis how long the caller still waits
+ * @param body the body; may be empty
+ * @param account the account of the caller
+ * @param idempotencyKey the key of an unrepeatable call, or {@code null} for a repeatable
+ * call
+ * @param remainingMillis the time until the caller's deadline
  */
 public record BackendCall(String method, String path, String contentType, byte[] body, String account,
 		@Nullable String idempotencyKey, long remainingMillis) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendClient.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendClient.java
@@ -21,8 +21,8 @@
 import io.flamingogap.core.request.Answer;
 
 /**
- * Calls backend servers over HTTP/1.1. Calls that may be repeated share pooled
- * connections, others get a connection of their own.
+ * HTTP/1.1 client for backend servers. Repeatable calls use pooled connections, each
+ * unrepeatable call uses a new connection.
  */
 public final class BackendClient {
 
@@ -31,9 +31,9 @@
 	private final long connectTimeoutMillis;
 
 	/**
-	 * Create a client. Callbacks run on the pooling client's own thread, which saves a
-	 * change of threads for each token; they must not block.
-	 * @param connectTimeoutMillis how long opening a connection may take
+	 * Create a client. Callbacks run on the thread of the pooling client, which avoids a
+	 * thread switch for each token. They must not block.
+	 * @param connectTimeoutMillis the timeout for opening a connection
 	 */
 	public BackendClient(long connectTimeoutMillis) {
 		this.connectTimeoutMillis = connectTimeoutMillis;
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	 * Return the client for calls that may be repeated.
+	 * Return the HTTP client for repeatable calls.
 	 * @return a client that pools connections
 	 */
 	HttpClient pooled() {
@@ -54,28 +54,28 @@
 	}
 
 	/**
-	 * Send a call that may be repeated.
+	 * Send a repeatable call over a pooled connection.
 	 * @param server the backend server
 	 * @param call the call
-	 * @param timeoutMillis how long to wait for the whole answer
-	 * @return what became of it
+	 * @param timeoutMillis the maximum time to wait for the complete answer
+	 * @return the answer, or whether the request may have been sent
 	 */
 	public CallResult call(BackendServer server, BackendCall call, long timeoutMillis) {
-		return send(server, request(server, call).build(), timeoutMillis);
+		return send(server, requestBuilder(server, call).build(), timeoutMillis);
 	}
 
 	/**
-	 * Send a call that must not be repeated.
+	 * Send an unrepeatable call over a new connection.
 	 * @param server the backend server
 	 * @param call the call
-	 * @param timeoutMillis how long to wait for the whole answer
-	 * @return what became of it
+	 * @param timeoutMillis the maximum time to wait for the complete answer
+	 * @return the answer, or whether the request may have been sent
 	 */
 	public CallResult callOnce(BackendServer server, BackendCall call, long timeoutMillis) {
 		return new OneShotConnection(server, call, this.connectTimeoutMillis, timeoutMillis).run();
 	}
 
-	private static HttpRequest.Builder request(BackendServer server, BackendCall call) {
+	private static HttpRequest.Builder requestBuilder(BackendServer server, BackendCall call) {
 		HttpRequest.BodyPublisher body = (call.body().length > 0) ? HttpRequest.BodyPublishers.ofByteArray(call.body())
 				: HttpRequest.BodyPublishers.noBody();
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + server.address() + call.path()))
@@ -96,29 +96,29 @@
 			return new CallResult.Answered(new Answer(response.statusCode(), contentType, response.body()));
 		}
 		catch (ExecutionException ex) {
-			return failed(server, ex.getCause());
+			return failedResult(server, ex.getCause());
 		}
 		catch (TimeoutException ex) {
 			pending.cancel(true);
-			return new CallResult.Lost(lost(server, "no answer within " + timeoutMillis + " ms"));
+			return new CallResult.Lost(unknownOutcome(server, "no answer within " + timeoutMillis + " ms"));
 		}
 		catch (InterruptedException ex) {
 			pending.cancel(true);
 			Thread.currentThread().interrupt();
-			return new CallResult.Lost(lost(server, "interrupted while waiting for the answer"));
+			return new CallResult.Lost(unknownOutcome(server, "interrupted while waiting for the answer"));
 		}
 	}
 
-	private static CallResult failed(BackendServer server, Throwable cause) {
+	private static CallResult failedResult(BackendServer server, Throwable cause) {
 		if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
 			return new CallResult.NotSent(Failure.notRun(ProblemType.NO_BACKEND, Step.CONNECT, server.name(),
 					"no connection to " + server.address() + ": " + cause.getMessage()));
 		}
-		String what = (cause instanceof IOException) ? "connection broke" : cause.getClass().getSimpleName();
-		return new CallResult.Lost(lost(server, what + ": " + cause.getMessage()));
+		String reason = (cause instanceof IOException) ? "connection broke" : cause.getClass().getSimpleName();
+		return new CallResult.Lost(unknownOutcome(server, reason + ": " + cause.getMessage()));
 	}
 
-	private static Failure lost(BackendServer server, String detail) {
+	private static Failure unknownOutcome(BackendServer server, String detail) {
 		return new Failure(ProblemType.OUTCOME_UNKNOWN, Step.DISPATCH, server.name(), Execution.UNKNOWN, detail);
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendServers.java
@@ -14,32 +14,33 @@
 import io.flamingogap.core.routing.ServerQuery;
 
 /**
- * What this node knows of the backend servers, shared by its threads.
+ * Selects backend servers by their load and reachability as seen by this node, and limits
+ * retries for each service. Thread-safe.
  */
 public final class BackendServers {
 
-	private static final long AVOID_MILLIS = 2_000;
+	private static final long UNREACHABLE_AVOID_MILLIS = 2_000;
 
-	private static final long FORGET_LEAVING_MILLIS = 600_000;
+	private static final long LEAVING_EXPIRY_MILLIS = 600_000;
 
-	private static final int RETRY_SHARE_PERCENT = 10;
+	private static final int RETRY_PERCENT = 10;
 
 	private static final int MAX_SAVED_RETRIES = 20;
 
-	private final ServerLoadTable loads = new ServerLoadTable(AVOID_MILLIS);
+	private final ServerLoadTable loadTable = new ServerLoadTable(UNREACHABLE_AVOID_MILLIS);
 
-	private final LeavingServers leaving = new LeavingServers(FORGET_LEAVING_MILLIS);
+	private final LeavingServers leaving = new LeavingServers(LEAVING_EXPIRY_MILLIS);
 
-	private final Map<String, RetryBudget> budgets = new HashMap<>();
+	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final Supplier<Manifest> manifest;
 
 	private final String ownZone;
 
 	/**
-	 * Create the table.
-	 * @param manifest the manifest in force
-	 * @param ownZone the zone of this node
+	 * Create an instance without knowledge of any server's load.
+	 * @param manifest supplies the manifest in force
+	 * @param ownZone the availability zone of this node
 	 */
 	public BackendServers(Supplier<Manifest> manifest, String ownZone) {
 		this.manifest = manifest;
@@ -47,83 +48,85 @@
 	}
 
 	/**
-	 * Choose a server and count a dispatch to it. The caller reports the end.
-	 * @param query which servers may take the request
-	 * @param nowMillis the present time
-	 * @return the server, if one can take the request
+	 * Choose a server and count a dispatch to it. The caller must {@link #release} the
+	 * server.
+	 * @param query the conditions that the server must meet
+	 * @param nowMillis the current time in milliseconds
+	 * @return the server, or empty if no server meets the conditions
 	 */
 	public synchronized Optional<BackendServer> acquire(ServerQuery query, long nowMillis) {
 		Optional<BackendServer> chosen = LeastLoadedSelector.choose(this.manifest.get(), query, this.ownZone,
-				this.loads, this.leaving, nowMillis);
-		chosen.ifPresent((server) -> this.loads.recordDispatch(server.name()));
+				this.loadTable, this.leaving, nowMillis);
+		chosen.ifPresent((server) -> this.loadTable.recordDispatch(server.name()));
 		return chosen;
 	}
 
 	/**
-	 * Report the end of a dispatch.
-	 * @param server the server
+	 * Record the end of a dispatch.
+	 * @param server the server that {@link #acquire} returned
 	 */
 	public synchronized void release(BackendServer server) {
-		this.loads.recordEnd(server.name());
+		this.loadTable.recordEnd(server.name());
 	}
 
 	/**
-	 * Report a server that could not be reached or went silent.
+	 * Record that a server could not be reached or stopped sending, so that it is avoided
+	 * for a while.
 	 * @param server the server
-	 * @param nowMillis the present time
+	 * @param nowMillis the current time in milliseconds
 	 */
 	public synchronized void reportUnreachable(BackendServer server, long nowMillis) {
-		this.loads.recordUnreachable(server.name(), nowMillis);
+		this.loadTable.recordUnreachable(server.name(), nowMillis);
 	}
 
 	/**
-	 * Take in a server's own load report.
+	 * Record the load that a server reported.
 	 * @param server the server's name
-	 * @param running the requests it runs or queues
+	 * @param running the number of requests that it runs or queues
 	 */
 	public synchronized void reportLoad(String server, long running) {
-		this.loads.recordReport(server, running);
+		this.loadTable.recordReport(server, running);
 	}
 
 	/**
-	 * Mark a server as leaving.
+	 * Mark a server as leaving, so that it receives no new requests.
 	 * @param server the server's name
-	 * @param nowMillis the present time
-	 * @return {@code true} if it was not marked before
+	 * @param nowMillis the current time in milliseconds
+	 * @return {@code true} if the server was not marked before
 	 */
 	public synchronized boolean markLeaving(String server, long nowMillis) {
 		return this.leaving.add(server, nowMillis);
 	}
 
 	/**
-	 * Return whether a server is leaving.
+	 * Return whether a server is marked as leaving.
 	 * @param server the server's name
-	 * @param nowMillis the present time
-	 * @return {@code true} if it gets no new work
+	 * @param nowMillis the current time in milliseconds
+	 * @return {@code true} if the server receives no new requests
 	 */
 	public synchronized boolean isLeaving(String server, long nowMillis) {
 		return this.leaving.isLeaving(server, nowMillis);
 	}
 
 	/**
-	 * Count a first try of a service.
+	 * Record the first attempt of a request, which increases the service's retry budget.
 	 * @param service the service's name
 	 */
 	public synchronized void recordFirstTry(String service) {
-		budget(service).recordFirstTry();
+		retryBudget(service).recordFirstTry();
 	}
 
 	/**
-	 * Spend a retry of a service.
+	 * Take one retry from the retry budget of a service.
 	 * @param service the service's name
-	 * @return {@code true} if the retry budget allows it
+	 * @return {@code true} if the budget allows the retry
 	 */
 	public synchronized boolean trySpendRetry(String service) {
-		return budget(service).trySpend();
+		return retryBudget(service).trySpend();
 	}
 
-	private RetryBudget budget(String service) {
-		return this.budgets.computeIfAbsent(service, (name) -> new RetryBudget(RETRY_SHARE_PERCENT, MAX_SAVED_RETRIES));
+	private RetryBudget retryBudget(String service) {
+		return this.retryBudgets.computeIfAbsent(service, (name) -> new RetryBudget(RETRY_PERCENT, MAX_SAVED_RETRIES));
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/CallResult.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/CallResult.java
@@ -4,30 +4,30 @@
 import io.flamingogap.core.request.Answer;
 
 /**
- * What became of a call to a backend server.
+ * Result of a call to a backend server.
  */
 public sealed interface CallResult {
 
 	/**
-	 * The backend server answered.
+	 * The backend server sent a complete answer.
 	 *
-	 * @param answer the answer
+	 * @param answer the answer, with any HTTP status
 	 */
 	record Answered(Answer answer) implements CallResult {
 	}
 
 	/**
-	 * No byte of the request left this node.
+	 * No byte of the request was sent, so it was certainly not executed.
 	 *
-	 * @param failure why
+	 * @param failure the reason
 	 */
 	record NotSent(Failure failure) implements CallResult {
 	}
 
 	/**
-	 * Bytes may have left and no answer came.
+	 * The request may have been sent and executed, but no complete answer was received.
 	 *
-	 * @param failure what happened
+	 * @param failure the reason
 	 */
 	record Lost(Failure failure) implements CallResult {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/EngineConnection.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/EngineConnection.java
@@ -24,33 +24,33 @@
 import io.flamingogap.core.manifest.BackendServer;
 
 /**
- * One token stream from one model engine. Closing it closes the connection, which cancels
- * the work at the engine.
+ * Connection to a model engine that receives the token stream of one request. Closing it
+ * closes the HTTP connection, which cancels the request at the engine.
  */
 final class EngineConnection implements AutoCloseable {
 
 	private static final int OK = 200;
 
-	/** Bounds the lines kept for a caller that reads slowly. */
-	private static final int LINES_AHEAD = 256;
+	/** Limits the lines that are buffered for a caller that reads slowly. */
+	private static final int MAX_BUFFERED_LINES = 256;
 
-	private static final int LINES_A_REQUEST = 64;
+	private static final int LINES_PER_REQUEST = 64;
 
-	private static final int SERVER_ERROR = 500;
+	private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
 	private static final String ID_FIELD = "id: ";
 
 	private static final String DATA_FIELD = "data: ";
 
-	private static final String END_OF_STREAM = "[DONE]";
+	private static final String DONE_MARKER = "[DONE]";
 
-	private static final String FINISHED = "\"finish_reason\":\"";
+	private static final String FINISH_REASON_START = "\"finish_reason\":\"";
 
-	private final BlockingQueue<Item> items = new LinkedBlockingQueue<>();
+	private final BlockingQueue<StreamItem> items = new LinkedBlockingQueue<>();
 
 	private final BackendServer server;
 
-	private final LineReader reader = new LineReader();
+	private final LineSubscriber lineSubscriber = new LineSubscriber();
 
 	private final CompletableFuture<HttpResponse<Void>> response;
 
@@ -58,22 +58,22 @@
 		this.server = server;
 		this.response = client.sendAsync(request, (info) -> {
 			if (info.statusCode() != OK) {
-				this.items.add(Item.failed(refused(info.statusCode())));
+				this.items.add(StreamItem.failed(statusFailure(info.statusCode())));
 			}
-			return HttpResponse.BodySubscribers.fromLineSubscriber(this.reader, (ignored) -> null,
+			return HttpResponse.BodySubscribers.fromLineSubscriber(this.lineSubscriber, (ignored) -> null,
 					StandardCharsets.UTF_8, "\n");
 		});
-		this.response.whenComplete((ignored, failure) -> this.items.add(Item.failed(ended(failure))));
+		this.response.whenComplete((ignored, failure) -> this.items.add(StreamItem.failed(endFailure(failure))));
 	}
 
 	/**
-	 * Open a stream.
+	 * Send a request to a model engine.
 	 * @param client the HTTP client
 	 * @param server the model engine
-	 * @param call the request, of which the first token may already have been sent
-	 * @param position the position of the first token to send
-	 * @param nowMillis the present time
-	 * @return the stream; failures show when it is read
+	 * @param call the request; its caller may already have received tokens
+	 * @param position the position of the first token that the engine should send
+	 * @param nowMillis the current time in milliseconds
+	 * @return the connection; failures are returned by {@link #next}
 	 */
 	static EngineConnection open(HttpClient client, BackendServer server, StreamCall call, long position,
 			long nowMillis) {
@@ -90,85 +90,86 @@
 	}
 
 	/**
-	 * Read the next event.
-	 * @param timeoutMillis how long the engine may be silent
-	 * @return the event, or what ended the stream
+	 * Wait for the next event.
+	 * @param timeoutMillis the maximum time to wait
+	 * @return the event, or the failure that ended the stream
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	Either<Failure, TokenEvent> next(long timeoutMillis) throws InterruptedException {
-		Item item = this.items.poll(timeoutMillis, TimeUnit.MILLISECONDS);
+		StreamItem item = this.items.poll(timeoutMillis, TimeUnit.MILLISECONDS);
 		if (item == null) {
-			return Either.left(broken("silent for " + timeoutMillis + " ms"));
+			return Either.left(streamFailure("silent for " + timeoutMillis + " ms"));
 		}
 		if (item.event() != null) {
-			this.reader.recordConsumed();
+			this.lineSubscriber.recordConsumed();
 			return Either.right(item.event());
 		}
-		return Either.left(Objects.requireNonNull(item.failure(), "an item without an event has a failure"));
+		return Either.left(Objects.requireNonNull(item.failure(), "an item without an event must have a failure"));
 	}
 
-	private Item item(String eventId, String data) {
+	private StreamItem parseEvent(String eventId, String data) {
 		int separator = eventId.lastIndexOf(':');
 		if (separator < 0) {
-			return Item.failed(broken("event without an id"));
+			return StreamItem.failed(streamFailure("event without an id"));
 		}
 		try {
 			long position = Long.parseLong(eventId.substring(separator + 1));
-			boolean last = data.contains(FINISHED);
-			return Item
+			boolean last = data.contains(FINISH_REASON_START);
+			return StreamItem
 				.event(new TokenEvent(eventId.substring(0, separator), position, this.server.version(), data, last));
 		}
 		catch (NumberFormatException ex) {
-			return Item.failed(broken("event id '" + eventId + "' without a position"));
+			return StreamItem.failed(streamFailure("event id '" + eventId + "' without a position"));
 		}
 	}
 
-	private Failure ended(@Nullable Throwable failure) {
+	private Failure endFailure(@Nullable Throwable failure) {
 		Throwable cause = (failure != null && failure.getCause() != null) ? failure.getCause() : failure;
 		if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
 			return Failure.notRun(ProblemType.NO_BACKEND, Step.CONNECT, this.server.name(),
 					"no connection to " + this.server.address());
 		}
-		return broken((cause != null) ? "connection broke: " + cause.getMessage() : "stream ended early");
+		return streamFailure((cause != null) ? "connection broke: " + cause.getMessage() : "stream ended early");
 	}
 
-	private Failure refused(int status) {
-		ProblemType type = (status >= SERVER_ERROR) ? ProblemType.BACKEND_FAILED : ProblemType.MALFORMED;
+	private Failure statusFailure(int status) {
+		ProblemType type = (status >= FIRST_SERVER_ERROR_STATUS) ? ProblemType.BACKEND_FAILED : ProblemType.MALFORMED;
 		return Failure.notRun(type, Step.DISPATCH, this.server.name(), "status " + status);
 	}
 
-	private Failure broken(String detail) {
+	private Failure streamFailure(String detail) {
 		return Failure.notRun(ProblemType.BACKEND_FAILED, Step.STREAM, this.server.name(), detail);
 	}
 
 	@Override
 	public void close() {
-		this.reader.cancel();
+		this.lineSubscriber.cancel();
 		this.response.cancel(true);
 	}
 
 	/**
-	 * What the engine sent next.
+	 * Event of the stream, or the failure that ended it.
 	 *
-	 * @param event an event
-	 * @param failure what ended the stream, if there is no event
+	 * @param event the event, or {@code null} after a failure
+	 * @param failure the failure, or {@code null} if there is an event
 	 */
-	private record Item(@Nullable TokenEvent event, @Nullable Failure failure) {
+	private record StreamItem(@Nullable TokenEvent event, @Nullable Failure failure) {
 
-		static Item event(TokenEvent event) {
-			return new Item(event, null);
+		static StreamItem event(TokenEvent event) {
+			return new StreamItem(event, null);
 		}
 
-		static Item failed(Failure failure) {
-			return new Item(null, failure);
+		static StreamItem failed(Failure failure) {
+			return new StreamItem(null, failure);
 		}
 
 	}
 
 	/**
-	 * Makes events of lines. A bounded number of lines is read ahead of the caller.
+	 * Parses the lines of the response into events. Only a limited number of lines is
+	 * requested before the caller reads them.
 	 */
-	private final class LineReader implements Flow.Subscriber<String> {
+	private final class LineSubscriber implements Flow.Subscriber<String> {
 
 		private final AtomicInteger consumed = new AtomicInteger();
 
@@ -185,13 +186,13 @@
 				newSubscription.cancel();
 			}
 			else {
-				newSubscription.request(LINES_AHEAD);
+				newSubscription.request(MAX_BUFFERED_LINES);
 			}
 		}
 
 		private void recordConsumed() {
 			Flow.Subscription current = this.subscription;
-			if (this.consumed.incrementAndGet() >= LINES_A_REQUEST && current != null) {
+			if (this.consumed.incrementAndGet() >= LINES_PER_REQUEST && current != null) {
 				current.request(this.consumed.getAndSet(0));
 			}
 		}
@@ -206,8 +207,8 @@
 
 		@Override
 		public void onNext(String line) {
-			if (line.startsWith(DATA_FIELD) && !line.endsWith(END_OF_STREAM)) {
-				EngineConnection.this.items.add(item(this.eventId, line.substring(DATA_FIELD.length())));
+			if (line.startsWith(DATA_FIELD) && !line.endsWith(DONE_MARKER)) {
+				EngineConnection.this.items.add(parseEvent(this.eventId, line.substring(DATA_FIELD.length())));
 				return;
 			}
 			if (line.startsWith(ID_FIELD)) {
@@ -218,12 +219,12 @@
 
 		@Override
 		public void onError(Throwable failure) {
-			EngineConnection.this.items.add(Item.failed(ended(failure)));
+			EngineConnection.this.items.add(StreamItem.failed(endFailure(failure)));
 		}
 
 		@Override
 		public void onComplete() {
-			EngineConnection.this.items.add(Item.failed(ended(null)));
+			EngineConnection.this.items.add(StreamItem.failed(endFailure(null)));
 		}
 
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/LoadReports.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/LoadPoller.java
@@ -20,9 +20,10 @@
 import io.flamingogap.daemon.tasks.PeriodicTask;
 
 /**
- * Asks model engines for their load, a bounded number of them a round, in turns.
+ * Polls the load of model engines. Each round polls the next engines in round-robin
+ * order, up to a maximum number.
  */
-public final class LoadReports implements AutoCloseable {
+public final class LoadPoller implements AutoCloseable {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -30,7 +31,7 @@
 
 	private static final long ROUND_MILLIS = 1_000;
 
-	/** Bounds what the reports cost, whatever the number of servers. */
+	/** Limits the cost of polling regardless of the number of servers. */
 	private static final int SERVERS_PER_ROUND = 32;
 
 	private static final int OK = 200;
@@ -43,33 +44,33 @@
 
 	private final PeriodicTask task;
 
-	private int next;
+	private int nextIndex;
 
 	/**
-	 * Create the reports; they are read after {@link #start()}.
-	 * @param manifest the manifest in force
-	 * @param servers takes the reports
-	 * @param client the client of backend servers
+	 * Create a poller that doesn't run until {@link #start()} is called.
+	 * @param manifest supplies the manifest in force
+	 * @param servers receives the reported loads
+	 * @param client the client for backend servers
 	 */
-	public LoadReports(Supplier<Manifest> manifest, BackendServers servers, BackendClient client) {
+	public LoadPoller(Supplier<Manifest> manifest, BackendServers servers, BackendClient client) {
 		this.manifest = manifest;
 		this.servers = servers;
 		this.client = client;
-		this.task = new PeriodicTask("load-reports", () -> ROUND_MILLIS, this::askRound);
+		this.task = new PeriodicTask("load-reports", () -> ROUND_MILLIS, this::pollRound);
 	}
 
 	/**
-	 * Begin to read.
+	 * Start polling.
 	 */
 	public void start() {
 		this.task.start();
 	}
 
-	private void askRound() {
-		askSome(engines(this.manifest.get()));
+	private void pollRound() {
+		pollNext(modelEngines(this.manifest.get()));
 	}
 
-	private static List<BackendServer> engines(Manifest manifest) {
+	private static List<BackendServer> modelEngines(Manifest manifest) {
 		Set<String> models = manifest.service()
 			.stream()
 			.filter((service) -> service.kind() == ServiceKind.MODEL)
@@ -78,27 +79,27 @@
 		return manifest.server().stream().filter((server) -> models.contains(server.service())).toList();
 	}
 
-	private void askSome(List<BackendServer> engines) {
+	private void pollNext(List<BackendServer> engines) {
 		for (int i = 0; i < Math.min(SERVERS_PER_ROUND, engines.size()); i++) {
-			BackendServer server = engines.get(this.next++ % engines.size());
+			BackendServer server = engines.get(this.nextIndex++ % engines.size());
 			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + server.address() + "/v1/load"))
 				.timeout(Duration.ofMillis(ROUND_MILLIS))
 				.build();
 			this.client.pooled()
 				.sendAsync(request, HttpResponse.BodyHandlers.ofString())
-				.thenAccept((response) -> take(server, response));
+				.thenAccept((response) -> recordLoad(server, response));
 		}
-		this.next = engines.isEmpty() ? 0 : this.next % engines.size();
+		this.nextIndex = engines.isEmpty() ? 0 : this.nextIndex % engines.size();
 	}
 
-	private void take(BackendServer server, HttpResponse<String> response) {
+	private void recordLoad(BackendServer server, HttpResponse<String> response) {
 		try {
 			if (response.statusCode() == OK) {
 				this.servers.reportLoad(server.name(), MAPPER.readTree(response.body()).path("running").asLong());
 			}
 		}
 		catch (IOException ex) {
-			logger.atFine().withCause(ex).log("load report of %s can't be read", server.name());
+			logger.atFine().withCause(ex).log("load report of %s is malformed", server.name());
 		}
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreams.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreamClient.java
@@ -20,11 +20,12 @@
 import io.flamingogap.daemon.rollouts.Rollouts;
 
 /**
- * Streams answers of model engines, and goes on at another engine when one breaks, goes
- * silent or sends what isn't the next token. Tokens of two versions are never mixed: only
- * a request without a token may move from the candidate to the version in use.
+ * Streams answers of model engines to callers. If an engine fails, stops sending or sends
+ * an event other than the next one, the stream continues at another engine. An answer
+ * never mixes tokens of two versions: a request may switch from the candidate to the
+ * current version only before its first token.
  */
-public final class ModelStreams {
+public final class ModelStreamClient {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -37,13 +38,13 @@
 	private final Clock clock;
 
 	/**
-	 * Create the streams.
-	 * @param client the client of backend servers
-	 * @param servers what is known of them
-	 * @param rollouts counts outcomes by version
-	 * @param clock tells the present time
+	 * Create a client.
+	 * @param client the HTTP client for backend servers
+	 * @param servers selects the engines
+	 * @param rollouts receives the outcome of each attempt
+	 * @param clock provides the current time
 	 */
-	public ModelStreams(BackendClient client, BackendServers servers, Rollouts rollouts, Clock clock) {
+	public ModelStreamClient(BackendClient client, BackendServers servers, Rollouts rollouts, Clock clock) {
 		this.client = client;
 		this.servers = servers;
 		this.rollouts = rollouts;
@@ -51,11 +52,11 @@
 	}
 
 	/**
-	 * Stream an answer to its end.
+	 * Stream an answer to its end, or until the sink asks to move the stream.
 	 * @param call the request
-	 * @param sink takes the tokens
-	 * @return why the answer isn't whole, or nothing if it is
-	 * @throws IOException if the caller has left
+	 * @param sink receives the tokens
+	 * @return the failure that ended the answer early, or empty
+	 * @throws IOException if the caller closed the connection
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public Optional<Failure> stream(StreamCall call, TokenSink sink) throws IOException, InterruptedException {
@@ -63,13 +64,13 @@
 		Attempts attempts = new Attempts(call, sink);
 		Optional<Failure> failure = attempts.run();
 		if (failure.isPresent() && attempts.mayUseCurrentVersion()) {
-			return new Attempts(call.with(call.pick().current()), sink).run();
+			return new Attempts(call.withPick(call.pick().current()), sink).run();
 		}
 		return failure;
 	}
 
 	/**
-	 * The attempts of one request at engines of one version.
+	 * Attempts to stream the answer to one request from engines of one version.
 	 */
 	private final class Attempts {
 
@@ -93,14 +94,14 @@
 
 		private Optional<Failure> run() throws IOException, InterruptedException {
 			Failure failure = null;
-			while (!this.cursor.isComplete() && !this.sink.isMoving()) {
+			while (!this.cursor.isComplete() && !this.sink.shouldMoveStream()) {
 				if (failure != null && !mayRetry(failure)) {
 					return Optional.of(failure);
 				}
-				Optional<BackendServer> server = ModelStreams.this.servers.acquire(this.call.pick().query(this.tried),
-						ModelStreams.this.clock.millis());
+				Optional<BackendServer> server = ModelStreamClient.this.servers
+					.acquire(this.call.pick().query(this.tried), ModelStreamClient.this.clock.millis());
 				if (server.isEmpty()) {
-					return Optional.of((failure != null) ? failure : noServer());
+					return Optional.of((failure != null) ? failure : noServerFailure());
 				}
 				this.tried.add(server.get().name());
 				failure = streamFrom(server.get());
@@ -108,83 +109,84 @@
 			return Optional.ofNullable(this.cursor.isComplete() ? null : failure);
 		}
 
-		private Failure noServer() {
-			ModelStreams.this.rollouts.report(this.call.pick(), true, 0);
+		private Failure noServerFailure() {
+			ModelStreamClient.this.rollouts.report(this.call.pick(), true, 0);
 			return Failure.notRun(ProblemType.NO_BACKEND, Step.ROUTE, this.call.service().name(),
 					"no backend server of version " + this.call.pick().version() + " is ready");
 		}
 
 		private boolean mayRetry(Failure failure) {
-			boolean inTime = ModelStreams.this.clock.millis() < this.call.deadlineMillis();
+			boolean beforeDeadline = ModelStreamClient.this.clock.millis() < this.call.deadlineMillis();
 			boolean retryable = failure.type() != ProblemType.MALFORMED;
-			return inTime && retryable && (isAnnounced(failure.peer())
-					|| ModelStreams.this.servers.trySpendRetry(this.call.service().name()));
+			return beforeDeadline && retryable && (isLeaving(failure.peer())
+					|| ModelStreamClient.this.servers.trySpendRetry(this.call.service().name()));
 		}
 
-		private boolean isAnnounced(String server) {
-			return ModelStreams.this.servers.isLeaving(server, ModelStreams.this.clock.millis());
+		private boolean isLeaving(String server) {
+			return ModelStreamClient.this.servers.isLeaving(server, ModelStreamClient.this.clock.millis());
 		}
 
 		private @Nullable Failure streamFrom(BackendServer server) throws IOException, InterruptedException {
-			try (EngineConnection connection = EngineConnection.open(ModelStreams.this.client.pooled(), server,
-					this.call, this.cursor.nextPosition(), ModelStreams.this.clock.millis())) {
-				Failure failure = copy(connection, server);
+			try (EngineConnection connection = EngineConnection.open(ModelStreamClient.this.client.pooled(), server,
+					this.call, this.cursor.nextPosition(), ModelStreamClient.this.clock.millis())) {
+				Failure failure = relayTokens(connection, server);
 				if (failure != null && failure.type() != ProblemType.MALFORMED) {
 					logger.atWarning()
-						.log("stream %s leaves %s at position %d: %s", this.call.requestId(), server.name(),
+						.log("stream %s failed at %s, position %d: %s", this.call.requestId(), server.name(),
 								this.cursor.nextPosition(), failure);
 					recordFailure(server);
 				}
 				return failure;
 			}
 			finally {
-				ModelStreams.this.servers.release(server);
+				ModelStreamClient.this.servers.release(server);
 			}
 		}
 
 		/**
-		 * A server that was announced to leave says nothing about its version.
+		 * Record the failure of a server. The failure of a server that was announced as
+		 * leaving doesn't count against its version.
 		 * @param server the server that failed
 		 */
 		private void recordFailure(BackendServer server) {
-			ModelStreams.this.servers.reportUnreachable(server, ModelStreams.this.clock.millis());
-			if (!isAnnounced(server.name())) {
-				ModelStreams.this.rollouts.report(this.call.pick(), true, 0);
+			ModelStreamClient.this.servers.reportUnreachable(server, ModelStreamClient.this.clock.millis());
+			if (!isLeaving(server.name())) {
+				ModelStreamClient.this.rollouts.report(this.call.pick(), true, 0);
 			}
 		}
 
-		private @Nullable Failure copy(EngineConnection connection, BackendServer server)
+		private @Nullable Failure relayTokens(EngineConnection connection, BackendServer server)
 				throws IOException, InterruptedException {
-			long startMillis = ModelStreams.this.clock.millis();
+			long startMillis = ModelStreamClient.this.clock.millis();
 			long firstTokenMillis = -1;
-			long silentMillis = this.call.service().targetMillis() + this.call.service().tokenGapMillis();
-			while (!this.cursor.isComplete() && !this.sink.isMoving()) {
-				long nowMillis = ModelStreams.this.clock.millis();
-				long leftMillis = this.call.deadlineMillis() - nowMillis;
-				if (leftMillis <= 0) {
+			long maxSilenceMillis = this.call.service().targetMillis() + this.call.service().tokenGapMillis();
+			while (!this.cursor.isComplete() && !this.sink.shouldMoveStream()) {
+				long nowMillis = ModelStreamClient.this.clock.millis();
+				long remainingMillis = this.call.deadlineMillis() - nowMillis;
+				if (remainingMillis <= 0) {
 					return Failure.notRun(ProblemType.DEADLINE_EXCEEDED, Step.STREAM, server.name(),
 							"the deadline passed at position " + this.cursor.nextPosition());
 				}
-				Either<Failure, TokenEvent> next = connection.next(Math.min(silentMillis, leftMillis));
+				Either<Failure, TokenEvent> next = connection.next(Math.min(maxSilenceMillis, remainingMillis));
 				if (next.isLeft()) {
 					return next.getLeft();
 				}
 				if (firstTokenMillis < 0) {
-					firstTokenMillis = ModelStreams.this.clock.millis() - startMillis;
-					silentMillis = this.call.service().tokenGapMillis();
+					firstTokenMillis = ModelStreamClient.this.clock.millis() - startMillis;
+					maxSilenceMillis = this.call.service().tokenGapMillis();
 				}
-				Failure failure = take(next.get(), server);
+				Failure failure = handleEvent(next.get(), server);
 				if (failure != null) {
 					return failure;
 				}
 			}
 			if (this.cursor.isComplete()) {
-				ModelStreams.this.rollouts.report(this.call.pick(), false, Math.max(0, firstTokenMillis));
+				ModelStreamClient.this.rollouts.report(this.call.pick(), false, Math.max(0, firstTokenMillis));
 			}
 			return null;
 		}
 
-		private @Nullable Failure take(TokenEvent event, BackendServer server) throws IOException {
+		private @Nullable Failure handleEvent(TokenEvent event, BackendServer server) throws IOException {
 			EventVerdict verdict = this.cursor.accept(event.requestId(), event.position(), event.last());
 			if (verdict == EventVerdict.PASS) {
 				this.sink.accept(event);
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/OneShotConnection.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/OneShotConnection.java
@@ -19,17 +19,17 @@
 import io.flamingogap.core.request.Answer;
 
 /**
- * One call over a connection that is opened for it and closed after it.
+ * Connection that is opened for a single call and closed after it.
  * <p>
- * The JDK's pooling client takes a used connection even for requests that ask to close
- * it, and a server that closes such a connection leaves the outcome unknown. Here the
- * connection is opened in a step of its own: a failure of that step proves that nothing
- * was sent, and any later failure that something may have been. The body is streamed with
- * a fixed length, which keeps the JDK from sending a request a second time.
+ * The pooling client of the JDK reuses connections even for requests that ask to close
+ * them, and if the server closes a reused connection, the outcome of the call is unknown.
+ * This class opens the connection in a separate step. If that step fails, nothing was
+ * sent; after any later failure, the request may have been sent. The body is streamed
+ * with a fixed length, which prevents the JDK from sending the request again.
  */
 final class OneShotConnection {
 
-	private static final int BUFFER_BYTES = 8_192;
+	private static final int READ_BUFFER_BYTES = 8_192;
 
 	private static final int FIRST_ERROR_STATUS = 400;
 
@@ -51,7 +51,7 @@
 	CallResult run() {
 		HttpURLConnection connection = null;
 		try {
-			connection = prepare();
+			connection = createConnection();
 			connection.connect();
 		}
 		catch (IOException ex) {
@@ -60,20 +60,20 @@
 					"no connection to " + this.server.address() + ": " + ex.getMessage()));
 		}
 		try {
-			return new CallResult.Answered(exchange(connection));
+			return new CallResult.Answered(sendAndReceive(connection));
 		}
 		catch (SocketTimeoutException ex) {
-			return lost("no answer within " + this.timeoutMillis + " ms");
+			return lostResult("no answer within " + this.timeoutMillis + " ms");
 		}
 		catch (IOException ex) {
-			return lost("connection broke: " + ex.getMessage());
+			return lostResult("connection broke: " + ex.getMessage());
 		}
 		finally {
 			disconnect(connection);
 		}
 	}
 
-	private HttpURLConnection prepare() throws IOException {
+	private HttpURLConnection createConnection() throws IOException {
 		URI uri = URI.create("http://" + this.server.address() + this.call.path());
 		HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
 		connection.setRequestMethod(this.call.method());
@@ -93,7 +93,7 @@
 		return connection;
 	}
 
-	private Answer exchange(HttpURLConnection connection) throws IOException {
+	private Answer sendAndReceive(HttpURLConnection connection) throws IOException {
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.timeoutMillis);
 		try (OutputStream out = connection.getOutputStream()) {
 			out.write(this.call.body());
@@ -113,17 +113,17 @@
 			return new byte[0];
 		}
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
-		byte[] buffer = new byte[BUFFER_BYTES];
+		byte[] buffer = new byte[READ_BUFFER_BYTES];
 		for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
 			body.write(buffer, 0, count);
 			if (System.nanoTime() > deadlineNanos) {
-				throw new SocketTimeoutException("the answer trickles");
+				throw new SocketTimeoutException("the answer is incomplete after the timeout");
 			}
 		}
 		return body.toByteArray();
 	}
 
-	private CallResult lost(String detail) {
+	private CallResult lostResult(String detail) {
 		return new CallResult.Lost(
 				new Failure(ProblemType.OUTCOME_UNKNOWN, Step.DISPATCH, this.server.name(), Execution.UNKNOWN, detail));
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/PlainCalls.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/PlainServiceClient.java
@@ -17,14 +17,14 @@
 import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
- * Makes repeatable calls of plain services, with retries at other servers within the
- * caller's deadline and the retry budget.
+ * Client for repeatable calls to plain services. Failed calls are retried at other
+ * servers until the caller's deadline, as far as the retry budget allows.
  */
-public final class PlainCalls {
+public final class PlainServiceClient {
 
-	private static final int SERVER_ERROR = 500;
+	private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
-	private static final int MAX_SHIFT = 10;
+	private static final int MAX_TIMEOUT_DOUBLINGS = 10;
 
 	private final BackendClient client;
 
@@ -35,13 +35,13 @@
 	private final Clock clock;
 
 	/**
-	 * Create the calls.
-	 * @param client the client of backend servers
-	 * @param servers what is known of them
-	 * @param rollouts counts outcomes by version
-	 * @param clock tells the present time
+	 * Create a client.
+	 * @param client the HTTP client for backend servers
+	 * @param servers selects the servers
+	 * @param rollouts receives the outcome of each attempt
+	 * @param clock provides the current time
 	 */
-	public PlainCalls(BackendClient client, BackendServers servers, Rollouts rollouts, Clock clock) {
+	public PlainServiceClient(BackendClient client, BackendServers servers, Rollouts rollouts, Clock clock) {
 		this.client = client;
 		this.servers = servers;
 		this.rollouts = rollouts;
@@ -49,46 +49,48 @@
 	}
 
 	/**
-	 * Make a call.
-	 * @param pick the version that answers
+	 * Call a plain service.
+	 * @param pick the service and version to call
 	 * @param call the call
-	 * @param deadlineMillis when the caller stops waiting
-	 * @return the answer, or why there is none
+	 * @param deadlineMillis the caller's deadline on this node's clock, in milliseconds
+	 * since 1970 UTC
+	 * @return the answer, or the failure of the last attempt
 	 */
 	public Either<Failure, Answer> call(VersionPick pick, BackendCall call, long deadlineMillis) {
 		String service = pick.service().name();
 		this.servers.recordFirstTry(service);
 		Set<String> tried = new HashSet<>();
-		Either<Failure, Answer> outcome = tryOnce(pick, call, tried, timeoutMillis(pick, 0, deadlineMillis));
+		Either<Failure, Answer> outcome = attempt(pick, call, tried, timeoutMillis(pick, 0, deadlineMillis));
 		for (int retry = 1; shouldRetry(outcome, pick, retry) && this.clock.millis() < deadlineMillis
 				&& this.servers.trySpendRetry(service); retry++) {
-			outcome = tryOnce(pick.current(), call, tried, timeoutMillis(pick, retry, deadlineMillis));
+			outcome = attempt(pick.current(), call, tried, timeoutMillis(pick, retry, deadlineMillis));
 		}
 		return outcome;
 	}
 
 	private static boolean shouldRetry(Either<Failure, Answer> outcome, VersionPick pick, int retry) {
-		boolean wasCandidate = pick.arm() == Arm.CANDIDATE && retry == 1;
-		return outcome.fold((failure) -> failure.step() != Step.ROUTE || wasCandidate,
-				(answer) -> answer.status() >= SERVER_ERROR);
+		boolean firstAttemptWasCandidate = pick.arm() == Arm.CANDIDATE && retry == 1;
+		return outcome.fold((failure) -> failure.step() != Step.ROUTE || firstAttemptWasCandidate,
+				(answer) -> answer.status() >= FIRST_SERVER_ERROR_STATUS);
 	}
 
 	/**
-	 * A connection that has gone silent must leave time for another one, and a slow
-	 * answer must come through in the end: the first attempt gets the latency target and
-	 * the silence bound, each further one twice as long.
-	 * @param pick the version that answers
-	 * @param retry the number of the retry, 0 for the first try
-	 * @param deadlineMillis when the caller stops waiting
-	 * @return the time for the attempt
+	 * Return the timeout of an attempt. The timeout of the first attempt is the sum of
+	 * the service's latency target and token gap; each retry doubles it. A short first
+	 * timeout leaves time to retry if the connection is silent, and the doubling allows a
+	 * slow answer to arrive.
+	 * @param pick the service and version to call
+	 * @param retry the number of the retry; 0 for the first attempt
+	 * @param deadlineMillis the caller's deadline, in milliseconds since 1970 UTC
+	 * @return the timeout in milliseconds, at least 1
 	 */
 	private long timeoutMillis(VersionPick pick, int retry, long deadlineMillis) {
-		long boundMillis = (pick.service().targetMillis() + pick.service().tokenGapMillis()) << Math.min(retry,
-				MAX_SHIFT);
-		return Math.max(1, Math.min(boundMillis, deadlineMillis - this.clock.millis()));
+		long attemptMillis = (pick.service().targetMillis() + pick.service().tokenGapMillis()) << Math.min(retry,
+				MAX_TIMEOUT_DOUBLINGS);
+		return Math.max(1, Math.min(attemptMillis, deadlineMillis - this.clock.millis()));
 	}
 
-	private Either<Failure, Answer> tryOnce(VersionPick pick, BackendCall call, Set<String> tried, long timeoutMillis) {
+	private Either<Failure, Answer> attempt(VersionPick pick, BackendCall call, Set<String> tried, long timeoutMillis) {
 		Optional<BackendServer> acquired = acquire(pick, tried);
 		if (acquired.isEmpty()) {
 			this.rollouts.report(pick, true, 0);
@@ -102,7 +104,7 @@
 			CallResult result = this.client.call(server, call, timeoutMillis);
 			this.rollouts.report(pick, result, this.servers.isLeaving(server.name(), this.clock.millis()),
 					this.clock.millis() - startMillis);
-			return outcome(server, result);
+			return recordResult(server, result);
 		}
 		finally {
 			this.servers.release(server);
@@ -110,11 +112,11 @@
 	}
 
 	/**
-	 * Prefer servers that were not tried; when all were, a new connection to one of them
-	 * may still work.
-	 * @param pick the version that answers
+	 * Choose a server that was not tried yet. If all were tried, choose any of them,
+	 * because a new connection to it may work.
+	 * @param pick the service and version to call
 	 * @param tried the names of the servers that were tried
-	 * @return a server, if one is ready
+	 * @return the server, or empty if no server is ready
 	 */
 	private Optional<BackendServer> acquire(VersionPick pick, Set<String> tried) {
 		long nowMillis = this.clock.millis();
@@ -122,7 +124,7 @@
 			.or(() -> this.servers.acquire(pick.query(Set.of()), nowMillis));
 	}
 
-	private Either<Failure, Answer> outcome(BackendServer server, CallResult result) {
+	private Either<Failure, Answer> recordResult(BackendServer server, CallResult result) {
 		if (result instanceof CallResult.Answered answered) {
 			return Either.right(answered.answer());
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/StreamCall.java
@@ -6,16 +6,17 @@
 import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
- * A request for a token stream.
+ * A request to a model service, whose answer is a token stream.
  *
- * @param pick the version that answers
- * @param requestId the id of the request, the same at each engine that works on it
- * @param path the path at the engine
+ * @param pick the service and version to call
+ * @param requestId the id of the request, which is the same at all engines
+ * @param path the HTTP path at the engine
  * @param body the request as JSON
- * @param account the account that it is for
- * @param priority 0 for the most urgent work
+ * @param account the account of the caller
+ * @param priority the priority; 0 is the most urgent
  * @param firstPosition the position of the first token that the caller lacks
- * @param deadlineMillis when the caller stops waiting
+ * @param deadlineMillis the caller's deadline on this node's clock, in milliseconds since
+ * 1970 UTC
  */
 public record StreamCall(VersionPick pick, String requestId, String path, byte[] body, String account, int priority,
 		long firstPosition, long deadlineMillis) {
@@ -29,7 +30,7 @@
 	}
 
 	/**
-	 * Return the model.
+	 * Return the model service that is called.
 	 * @return the service
 	 */
 	public Service service() {
@@ -37,11 +38,11 @@
 	}
 
 	/**
-	 * Return the same request answered by another version.
-	 * @param other the version
-	 * @return the request
+	 * Return a copy of this request for another version of the service.
+	 * @param other the service and version to call
+	 * @return a request that is otherwise equal
 	 */
-	StreamCall with(VersionPick other) {
+	StreamCall withPick(VersionPick other) {
 		return new StreamCall(other, this.requestId, this.path, this.body, this.account, this.priority,
 				this.firstPosition, this.deadlineMillis);
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/TokenEvent.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/TokenEvent.java
@@ -1,13 +1,13 @@
 package io.flamingogap.daemon.backends;
 
 /**
- * One event of a model engine's stream.
+ * An event of a model engine's token stream.
  *
- * @param requestId the request that it belongs to
- * @param position the position of its token
- * @param version the version that made it
- * @param data the JSON chunk
- * @param last whether it ends the answer
+ * @param requestId the id of the request that the event answers
+ * @param position the position of its token in the answer, starting at 0
+ * @param version the version of the service that generated the token
+ * @param data the JSON chunk that contains the token
+ * @param last whether this is the last event of the answer
  */
 public record TokenEvent(String requestId, long position, String version, String data, boolean last) {
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/TokenSink.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/TokenSink.java
@@ -3,21 +3,22 @@
 import java.io.IOException;
 
 /**
- * Takes the tokens of an answer in order.
+ * Receives the tokens of an answer in order.
  */
 public interface TokenSink {
 
 	/**
-	 * Take the next token.
-	 * @param event the event that carries it
-	 * @throws IOException if the caller has left
+	 * Process the next token.
+	 * @param event the event that contains the token
+	 * @throws IOException if the caller closed the connection
 	 */
 	void accept(TokenEvent event) throws IOException;
 
 	/**
-	 * Return whether the stream should stop here, to be resumed at another entry node.
-	 * @return {@code true} to stop
+	 * Return whether the stream should stop at this node, so that the caller resumes it
+	 * at another entry node.
+	 * @return {@code true} to stop the stream
 	 */
-	boolean isMoving();
+	boolean shouldMoveStream();
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Talks to backend servers.
+ * Clients for backend servers: selection, calls, token streams and load reports.
  */
 @NullMarked
 package io.flamingogap.daemon.backends;
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
@@ -19,7 +19,7 @@
 import io.flamingogap.core.manifest.Service;
 import io.flamingogap.core.manifest.ServiceKind;
 import io.flamingogap.core.stream.EventId;
-import io.flamingogap.daemon.backends.ModelStreams;
+import io.flamingogap.daemon.backends.ModelStreamClient;
 import io.flamingogap.daemon.backends.StreamCall;
 import io.flamingogap.daemon.backends.TokenEvent;
 import io.flamingogap.daemon.backends.TokenSink;
@@ -40,7 +40,7 @@
 
 	private final Configuration configuration;
 
-	private final ModelStreams streams;
+	private final ModelStreamClient streamClient;
 
 	private final Rollouts rollouts;
 
@@ -49,14 +49,14 @@
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
-	 * @param streams the streams of model engines
+	 * @param streamClient the client that streams answers of model engines
 	 * @param rollouts chooses the version
-	 * @param moving whether open streams are to go on at another entry node
+	 * @param moving whether open streamClient are to go on at another entry node
 	 */
-	public CompletionsHandler(Configuration configuration, ModelStreams streams, Rollouts rollouts,
+	public CompletionsHandler(Configuration configuration, ModelStreamClient streamClient, Rollouts rollouts,
 			BooleanSupplier moving) {
 		this.configuration = configuration;
-		this.streams = streams;
+		this.streamClient = streamClient;
 		this.rollouts = rollouts;
 		this.moving = moving;
 	}
@@ -127,13 +127,13 @@
 
 	private void stream(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
 		EventSink sink = new EventSink(exchange, call, this.moving);
-		Optional<Failure> failure = this.streams.stream(call, sink);
+		Optional<Failure> failure = this.streamClient.stream(call, sink);
 		sink.end(failure);
 	}
 
 	private void answerWhole(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
 		TextSink sink = new TextSink();
-		Optional<Failure> failure = this.streams.stream(call, sink);
+		Optional<Failure> failure = this.streamClient.stream(call, sink);
 		if (failure.isPresent()) {
 			Exchanges.sendProblem(exchange, failure.get());
 			return;
@@ -168,12 +168,12 @@
 		}
 
 		@Override
-		public boolean isMoving() {
+		public boolean shouldMoveStream() {
 			return this.moving.getAsBoolean();
 		}
 
 		private void end(Optional<Failure> failure) throws IOException {
-			if (failure.isEmpty() && !isMoving()) {
+			if (failure.isEmpty() && !shouldMoveStream()) {
 				write("data: [DONE]\n\n");
 			}
 			else if (failure.isEmpty()) {
@@ -216,7 +216,7 @@
 		}
 
 		@Override
-		public boolean isMoving() {
+		public boolean shouldMoveStream() {
 			return false;
 		}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
@@ -18,7 +18,7 @@
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.daemon.backends.BackendCall;
-import io.flamingogap.daemon.backends.PlainCalls;
+import io.flamingogap.daemon.backends.PlainServiceClient;
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.requests.KeyedRequests;
@@ -40,7 +40,7 @@
 
 	private final Configuration configuration;
 
-	private final PlainCalls plainCalls;
+	private final PlainServiceClient plainServiceClient;
 
 	private final KeyedRequests keyedRequests;
 
@@ -51,15 +51,15 @@
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
-	 * @param plainCalls makes repeatable calls
+	 * @param plainServiceClient makes repeatable calls
 	 * @param keyedRequests runs unrepeatable calls
 	 * @param rollouts chooses the version
 	 * @param clock tells the present time
 	 */
-	public PlainServiceHandler(Configuration configuration, PlainCalls plainCalls, KeyedRequests keyedRequests,
-			Rollouts rollouts, Clock clock) {
+	public PlainServiceHandler(Configuration configuration, PlainServiceClient plainServiceClient,
+			KeyedRequests keyedRequests, Rollouts rollouts, Clock clock) {
 		this.configuration = configuration;
-		this.plainCalls = plainCalls;
+		this.plainServiceClient = plainServiceClient;
 		this.keyedRequests = keyedRequests;
 		this.rollouts = rollouts;
 		this.clock = clock;
@@ -90,7 +90,7 @@
 				contentType(exchange), request.body(), request.account().name(), null,
 				Math.max(0, request.deadlineMillis() - this.clock.millis()));
 		VersionPick pick = this.rollouts.pick(service, UUID.randomUUID().toString(), route.toString(), true);
-		Either<Failure, Answer> answer = this.plainCalls.call(pick, call, request.deadlineMillis());
+		Either<Failure, Answer> answer = this.plainServiceClient.call(pick, call, request.deadlineMillis());
 		if (answer.isLeft()) {
 			Exchanges.sendProblem(exchange, answer.getLeft());
 			return;
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
@@ -17,7 +17,9 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link BackendClient} against servers that misbehave on the connection.
+ * Tests that an unrepeatable call of {@link BackendClient} is sent at most once and never
+ * receives another call's answer, even if the server closes connections, doesn't answer,
+ * answers late or answers twice.
  */
 class BackendClientTests {
 
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the package.
+ * Tests of the clients for backend servers.
  */
 @NullMarked
 package io.flamingogap.daemon.backends;
