Reword the daemon's handlers for callers

Names such as tell, ask, recorded, open, tickets and moving didn't say what the methods do or the fields hold; they are sendOutcome, reportFromOwner, reportFromLog, acquireOrRefuse, nextEntryCallNumber and moveStreams. Comments name units, clocks and special values, and say when a state is reported as unknown. Texts that reach callers stay.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/Authenticator.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/Authenticator.java
@@ -14,7 +14,7 @@
 import io.flamingogap.daemon.http.Exchanges;
 
 /**
- * Finds the account of a caller by its bearer key.
+ * Authenticates callers by the bearer key of their client account.
  */
 final class Authenticator {
 
@@ -24,7 +24,7 @@
 		this.manifest = manifest;
 	}
 
-	Either<Failure, Account> account(HttpExchange exchange) {
+	Either<Failure, Account> authenticate(HttpExchange exchange) {
 		return Exchanges.bearerKey(exchange)
 			.map(Digests::sha256)
 			.flatMap((digest) -> this.manifest.get().findAccountByDigest(digest))
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CallerHandler.java
@@ -22,8 +22,8 @@
 import io.flamingogap.daemon.settings.Settings;
 
 /**
- * Answers callers: finds their account, opens their request within the limits and hands
- * it to what serves its path.
+ * Handles all requests of callers: authenticates the caller, enforces the limits on open
+ * requests and selects the handler by path.
  */
 public final class CallerHandler implements HttpListener.Handler {
 
@@ -37,23 +37,23 @@
 
 	private final KeyStatusHandler keyStatus;
 
-	private final ConcurrencyLimiter openRequests;
+	private final ConcurrencyLimiter limiter;
 
 	private final Settings.Callers settings;
 
 	private final Clock clock;
 
-	private final AtomicLong tickets;
+	private final AtomicLong nextEntryCallNumber;
 
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
-	 * @param membership the membership table
-	 * @param completions serves models
-	 * @param plainServices serves plain services
-	 * @param keyStatus serves the status of keys
-	 * @param settings what callers are allowed
-	 * @param clock tells the present time
+	 * @param membership the membership table, which entry answers are made from
+	 * @param completions the handler for model services
+	 * @param plainServices the handler for plain services
+	 * @param keyStatus the handler for the status of keyed requests
+	 * @param settings the limits for callers
+	 * @param clock provides the current time
 	 */
 	public CallerHandler(Configuration configuration, Membership membership, CompletionsHandler completions,
 			PlainServiceHandler plainServices, KeyStatusHandler keyStatus, Settings.Callers settings, Clock clock) {
@@ -62,55 +62,55 @@
 		this.completions = completions;
 		this.plainServices = plainServices;
 		this.keyStatus = keyStatus;
-		this.openRequests = new ConcurrencyLimiter(settings.maxOpenRequests());
+		this.limiter = new ConcurrencyLimiter(settings.maxOpenRequests());
 		this.settings = settings;
 		this.clock = clock;
-		this.tickets = new AtomicLong(membership.own().node().incarnation() >>> 1);
+		this.nextEntryCallNumber = new AtomicLong(membership.own().node().incarnation() >>> 1);
 	}
 
 	@Override
 	public void handle(HttpExchange exchange) throws IOException {
-		Either<Failure, Account> account = this.authenticator.account(exchange);
+		Either<Failure, Account> account = this.authenticator.authenticate(exchange);
 		if (account.isLeft()) {
 			Exchanges.sendProblem(exchange, account.getLeft());
 			return;
 		}
-		Optional<Failure> refusal = open(account.get());
+		Optional<Failure> refusal = acquireOrRefuse(account.get());
 		if (refusal.isPresent()) {
 			Exchanges.sendProblem(exchange, refusal.get());
 			return;
 		}
 		try {
-			serve(exchange, account.get());
+			handleAuthenticated(exchange, account.get());
 		}
 		finally {
-			close(account.get());
+			release(account.get());
 		}
 	}
 
-	private Optional<Failure> open(Account account) {
-		synchronized (this.openRequests) {
-			return this.openRequests.acquireOrRefuse(account);
+	private Optional<Failure> acquireOrRefuse(Account account) {
+		synchronized (this.limiter) {
+			return this.limiter.acquireOrRefuse(account);
 		}
 	}
 
-	private void close(Account account) {
-		synchronized (this.openRequests) {
-			this.openRequests.release(account);
+	private void release(Account account) {
+		synchronized (this.limiter) {
+			this.limiter.release(account);
 		}
 	}
 
 	/**
-	 * Return the number of requests that callers have open.
-	 * @return the number
+	 * Return the number of open requests of all callers.
+	 * @return the number, at least 0
 	 */
 	public int openRequests() {
-		synchronized (this.openRequests) {
-			return this.openRequests.openRequests();
+		synchronized (this.limiter) {
+			return this.limiter.openRequests();
 		}
 	}
 
-	private void serve(HttpExchange exchange, Account account) throws IOException {
+	private void handleAuthenticated(HttpExchange exchange, Account account) throws IOException {
 		String path = exchange.getRequestURI().getPath();
 		Either<Failure, CallerRequest> request = CallerRequest.read(exchange, account, this.settings,
 				this.clock.millis());
@@ -118,7 +118,7 @@
 			Exchanges.sendProblem(exchange, request.getLeft());
 		}
 		else if ("/v1/entry".equals(path)) {
-			sendEntry(exchange);
+			sendEntryAnswer(exchange);
 		}
 		else if (CompletionsHandler.serves(path)) {
 			this.completions.handle(exchange, request.get());
@@ -135,10 +135,11 @@
 		}
 	}
 
-	private void sendEntry(HttpExchange exchange) throws IOException {
+	private void sendEntryAnswer(HttpExchange exchange) throws IOException {
 		Exchanges.sendJson(exchange, 200,
-				EntryAnswer.of(EntryNodeSelector.choose(this.membership.members(), this.tickets.getAndIncrement(),
-						this.settings.entryCount(), this.clock.millis()), this.settings.entryTtlMillis()));
+				EntryAnswer.of(EntryNodeSelector.choose(this.membership.members(),
+						this.nextEntryCallNumber.getAndIncrement(), this.settings.entryCount(), this.clock.millis()),
+						this.settings.entryTtlMillis()));
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/CompletionsHandler.java
@@ -29,8 +29,8 @@
 import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
- * Serves {@code /v1/chat/completions} and {@code /v1/completions}, as a stream of
- * server-sent events or as one document.
+ * Handles {@code /v1/chat/completions} and {@code /v1/completions}. The answer is a
+ * stream of server-sent events or a single JSON document, as the caller requests.
  */
 public final class CompletionsHandler {
 
@@ -44,21 +44,22 @@
 
 	private final Rollouts rollouts;
 
-	private final BooleanSupplier moving;
+	private final BooleanSupplier moveStreams;
 
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
 	 * @param streamClient the client that streams answers of model engines
-	 * @param rollouts chooses the version
-	 * @param moving whether open streamClient are to go on at another entry node
+	 * @param rollouts selects the version of the service
+	 * @param moveStreams whether open streams should stop at this node, so that callers
+	 * resume them at another entry node
 	 */
 	public CompletionsHandler(Configuration configuration, ModelStreamClient streamClient, Rollouts rollouts,
-			BooleanSupplier moving) {
+			BooleanSupplier moveStreams) {
 		this.configuration = configuration;
 		this.streamClient = streamClient;
 		this.rollouts = rollouts;
-		this.moving = moving;
+		this.moveStreams = moveStreams;
 	}
 
 	static boolean serves(String path) {
@@ -71,21 +72,21 @@
 			Exchanges.sendProblem(exchange, document.getLeft());
 			return;
 		}
-		Either<Failure, StreamCall> call = call(exchange, request, document.get());
+		Either<Failure, StreamCall> call = createCall(exchange, request, document.get());
 		if (call.isLeft()) {
 			Exchanges.sendProblem(exchange, call.getLeft());
 			return;
 		}
-		if (isWhole(exchange)) {
-			new EventSink(exchange, call.get(), () -> false).end(Optional.empty());
+		if (hasCompleteAnswer(exchange)) {
+			new EventStreamSink(exchange, call.get(), () -> false).end(Optional.empty());
 			return;
 		}
 		try {
 			if (document.get().path("stream").asBoolean(false)) {
-				stream(exchange, call.get());
+				sendStream(exchange, call.get());
 			}
 			else {
-				answerWhole(exchange, call.get());
+				sendDocument(exchange, call.get());
 			}
 		}
 		catch (InterruptedException ex) {
@@ -94,15 +95,16 @@
 	}
 
 	/**
-	 * Return whether the caller has seen the last token and asks for nothing but the end.
+	 * Return whether the caller already received the last token, so that only the end
+	 * marker is missing.
 	 * @param exchange the exchange
-	 * @return {@code true} if the caller's last event ended the answer
+	 * @return {@code true} if the Last-Event-ID header names the last event of an answer
 	 */
-	private static boolean isWhole(HttpExchange exchange) {
+	private static boolean hasCompleteAnswer(HttpExchange exchange) {
 		return Exchanges.header(exchange, LAST_EVENT_HEADER).flatMap(EventId::parse).filter(EventId::last).isPresent();
 	}
 
-	private Either<Failure, StreamCall> call(HttpExchange exchange, CallerRequest request, ObjectNode document) {
+	private Either<Failure, StreamCall> createCall(HttpExchange exchange, CallerRequest request, ObjectNode document) {
 		String model = document.path("model").asText();
 		Optional<Service> service = this.configuration.manifest()
 			.findService(model)
@@ -117,22 +119,22 @@
 			return Either.left(Exchanges.malformed("Last-Event-ID isn't the id of an event of this system"));
 		}
 		String requestId = resume.map(EventId::requestId).orElseGet(() -> UUID.randomUUID().toString());
-		long first = resume.map((event) -> event.position() + 1).orElse(0L);
+		long firstPosition = resume.map((event) -> event.position() + 1).orElse(0L);
 		String path = exchange.getRequestURI().getPath();
 		VersionPick pick = resume.map((event) -> this.rollouts.resume(service.get(), event.version(), path))
 			.orElseGet(() -> this.rollouts.pick(service.get(), requestId, path, true));
 		return Either.right(new StreamCall(pick, requestId, path, request.body(), request.account().name(),
-				request.account().priority(), first, request.deadlineMillis()));
+				request.account().priority(), firstPosition, request.deadlineMillis()));
 	}
 
-	private void stream(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
-		EventSink sink = new EventSink(exchange, call, this.moving);
+	private void sendStream(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
+		EventStreamSink sink = new EventStreamSink(exchange, call, this.moveStreams);
 		Optional<Failure> failure = this.streamClient.stream(call, sink);
 		sink.end(failure);
 	}
 
-	private void answerWhole(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
-		TextSink sink = new TextSink();
+	private void sendDocument(HttpExchange exchange, StreamCall call) throws IOException, InterruptedException {
+		DocumentSink sink = new DocumentSink();
 		Optional<Failure> failure = this.streamClient.stream(call, sink);
 		if (failure.isPresent()) {
 			Exchanges.sendProblem(exchange, failure.get());
@@ -142,23 +144,23 @@
 	}
 
 	/**
-	 * Writes tokens as server-sent events. The status is sent with the first token, so
-	 * that a request which fails before it gets a problem document.
+	 * Sends tokens as server-sent events. The response headers are sent with the first
+	 * event, so that a request that fails earlier is answered with a problem document.
 	 */
-	private static final class EventSink implements TokenSink {
+	private static final class EventStreamSink implements TokenSink {
 
 		private final HttpExchange exchange;
 
 		private final StreamCall call;
 
-		private final BooleanSupplier moving;
+		private final BooleanSupplier moveStreams;
 
-		private boolean begun;
+		private boolean headersSent;
 
-		private EventSink(HttpExchange exchange, StreamCall call, BooleanSupplier moving) {
+		private EventStreamSink(HttpExchange exchange, StreamCall call, BooleanSupplier moveStreams) {
 			this.exchange = exchange;
 			this.call = call;
-			this.moving = moving;
+			this.moveStreams = moveStreams;
 		}
 
 		@Override
@@ -169,7 +171,7 @@
 
 		@Override
 		public boolean shouldMoveStream() {
-			return this.moving.getAsBoolean();
+			return this.moveStreams.getAsBoolean();
 		}
 
 		private void end(Optional<Failure> failure) throws IOException {
@@ -179,7 +181,7 @@
 			else if (failure.isEmpty()) {
 				write("event: moved\ndata: {}\n\n");
 			}
-			else if (this.begun) {
+			else if (this.headersSent) {
 				byte[] problem = Exchanges.problemAnswer(failure.get()).body();
 				write("event: problem\ndata: " + new String(problem, StandardCharsets.UTF_8) + "\n\n");
 			}
@@ -189,11 +191,11 @@
 		}
 
 		private void write(String text) throws IOException {
-			if (!this.begun) {
+			if (!this.headersSent) {
 				this.exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
 				this.exchange.getResponseHeaders().set("Cache-Control", "no-store");
 				this.exchange.sendResponseHeaders(200, 0);
-				this.begun = true;
+				this.headersSent = true;
 			}
 			OutputStream out = this.exchange.getResponseBody();
 			out.write(text.getBytes(StandardCharsets.UTF_8));
@@ -203,9 +205,9 @@
 	}
 
 	/**
-	 * Gathers tokens into one document.
+	 * Collects tokens for a single JSON document.
 	 */
-	private static final class TextSink implements TokenSink {
+	private static final class DocumentSink implements TokenSink {
 
 		private final StringBuilder text = new StringBuilder();
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/EntryAnswer.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/EntryAnswer.java
@@ -5,26 +5,26 @@
 import io.flamingogap.core.entry.EntryEndpoint;
 
 /**
- * The answer to an entry request.
+ * JSON document that lists entry nodes for a caller.
  *
- * @param ttlMillis how long the caller may keep it
- * @param nodes the entry nodes, in the order in which to try them
+ * @param ttlMillis how long the caller may use the answer, in milliseconds
+ * @param nodes the entry nodes, in the order in which the caller should try them
  */
 record EntryAnswer(long ttlMillis, List<Node> nodes) {
 
-	static EntryAnswer of(List<EntryEndpoint> points, long ttlMillis) {
+	static EntryAnswer of(List<EntryEndpoint> endpoints, long ttlMillis) {
 		return new EntryAnswer(ttlMillis,
-				points.stream()
-					.map((point) -> new Node(point.address().toString(), point.zone(), point.keyPrefix()))
+				endpoints.stream()
+					.map((endpoint) -> new Node(endpoint.address().toString(), endpoint.zone(), endpoint.keyPrefix()))
 					.toList());
 	}
 
 	/**
-	 * One entry node.
+	 * Entry node as listed for a caller.
 	 *
-	 * @param address the IP number and port
+	 * @param address the IP address and port for callers
 	 * @param zone the availability zone
-	 * @param keyPrefix what idempotency keys for this node begin with
+	 * @param keyPrefix the prefix of idempotency keys that this node owns
 	 */
 	record Node(String address, String zone, String keyPrefix) {
 	}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyReport.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyReport.java
@@ -6,11 +6,11 @@
 import io.flamingogap.core.request.RequestKey;
 
 /**
- * What is known of a keyed request.
+ * JSON document that describes the state of a keyed request.
  *
- * @param key the key
- * @param state accepted, dispatched, done, not_run, unknown, or absent if its owner holds
- * nothing of it
+ * @param key the idempotency key
+ * @param state {@code accepted}, {@code dispatched}, {@code done}, {@code not_run},
+ * {@code unknown}, or {@code absent} if the owner has no entry for the key
  * @param owner the node that owns the key
  */
 record KeyReport(String key, String state, String owner) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyStatusHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/KeyStatusHandler.java
@@ -18,7 +18,7 @@
 import io.flamingogap.daemon.requests.KeyedRequests;
 
 /**
- * Serves {@code GET /v1/requests/KEY}: what is known of a keyed request.
+ * Handles {@code GET /v1/requests/KEY}, which returns the state of a keyed request.
  */
 public final class KeyStatusHandler {
 
@@ -34,10 +34,10 @@
 
 	/**
 	 * Create a handler.
-	 * @param keyedRequests the requests of this node
-	 * @param membership the membership table
-	 * @param nodeClients calls other nodes
-	 * @param records what the platform log holds
+	 * @param keyedRequests the keyed requests of this node
+	 * @param membership the membership table, which determines the owner of a key
+	 * @param nodeClients the clients for other nodes
+	 * @param records the outcomes that nodes recorded in the platform log
 	 */
 	public KeyStatusHandler(KeyedRequests keyedRequests, Membership membership, NodeClients nodeClients,
 			RequestRecords records) {
@@ -54,10 +54,10 @@
 			Exchanges.sendProblem(exchange, key.getLeft());
 			return;
 		}
-		Exchanges.sendJson(exchange, 200, status(key.get(), request.account().name()));
+		Exchanges.sendJson(exchange, 200, findStatus(key.get(), request.account().name()));
 	}
 
-	private KeyReport status(RequestKey key, String account) {
+	private KeyReport findStatus(RequestKey key, String account) {
 		Optional<LedgerEntry> own = this.keyedRequests.find(key, account);
 		if (own.isPresent() && own.get().state().isTerminal()) {
 			return KeyReport.of(key, own.get().state().name(), this.membership.own().node());
@@ -67,27 +67,28 @@
 			return KeyReport.of(key, own.map((entry) -> entry.state().name()).orElse(KeyReport.ABSENT), owner);
 		}
 		return this.membership.find(owner)
-			.map((member) -> ask(member, key, account))
-			.orElseGet(() -> recorded(key, account, owner));
+			.map((member) -> reportFromOwner(member, key, account))
+			.orElseGet(() -> reportFromLog(key, account, owner));
 	}
 
 	/**
-	 * Tell what the log holds when the owner can't be asked. Only an outcome is certain.
-	 * @param key the key
-	 * @param account the account that asks
-	 * @param owner the owner
-	 * @return the recorded outcome, or "unknown"
+	 * Report the outcome from the platform log if the owner is unreachable. Recorded
+	 * states without an outcome may be out of date and are reported as unknown.
+	 * @param key the idempotency key
+	 * @param account the account of the caller
+	 * @param owner the node that owns the key
+	 * @return a report with the recorded outcome, or with the state {@code unknown}
 	 */
-	private KeyReport recorded(RequestKey key, String account, NodeId owner) {
+	private KeyReport reportFromLog(RequestKey key, String account, NodeId owner) {
 		return this.records.find(key.toString(), account)
 			.filter((transition) -> transition.status() > 0)
 			.map((transition) -> KeyReport.of(key, transition.state(), owner))
 			.orElseGet(() -> KeyReport.unknown(key, owner));
 	}
 
-	private KeyReport ask(Member owner, RequestKey key, String account) {
+	private KeyReport reportFromOwner(Member owner, RequestKey key, String account) {
 		return this.nodeClients.keyStatus(owner, key, account)
-			.fold((failure) -> recorded(key, account, owner.node()),
+			.fold((failure) -> reportFromLog(key, account, owner.node()),
 					(status) -> KeyReport.of(key, status.state(), owner.node()));
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
@@ -28,7 +28,7 @@
 import io.flamingogap.daemon.rollouts.VersionPick;
 
 /**
- * Serves plain services under {@code /services/NAME/}.
+ * Handles requests to plain services under {@code /services/NAME/}.
  */
 public final class PlainServiceHandler {
 
@@ -51,10 +51,10 @@
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
-	 * @param plainServiceClient makes repeatable calls
-	 * @param keyedRequests runs unrepeatable calls
-	 * @param rollouts chooses the version
-	 * @param clock tells the present time
+	 * @param plainServiceClient the client for repeatable calls
+	 * @param keyedRequests executes unrepeatable calls
+	 * @param rollouts selects the version of the service
+	 * @param clock provides the current time
 	 */
 	public PlainServiceHandler(Configuration configuration, PlainServiceClient plainServiceClient,
 			KeyedRequests keyedRequests, Rollouts rollouts, Clock clock) {
@@ -80,7 +80,7 @@
 			answerRepeatable(exchange, request, service.get(), route.get());
 		}
 		else {
-			answerOnce(exchange, request);
+			answerUnrepeatable(exchange, request);
 		}
 	}
 
@@ -98,7 +98,7 @@
 		send(exchange, answer.get());
 	}
 
-	private void answerOnce(HttpExchange exchange, CallerRequest request) throws IOException {
+	private void answerUnrepeatable(HttpExchange exchange, CallerRequest request) throws IOException {
 		Either<Failure, RequestKey> key = Exchanges.header(exchange, KEY_HEADER)
 			.map(RequestKey::parse)
 			.orElseGet(() -> Either.left(Failure.notRun(ProblemType.KEY_REQUIRED, Step.PARSE, "caller",
@@ -107,12 +107,12 @@
 			Exchanges.sendProblem(exchange, key.getLeft());
 			return;
 		}
-		KeyedRequest keyed = new KeyedRequest(key.get(), request.account().name(), exchange.getRequestMethod(),
+		KeyedRequest keyedRequest = new KeyedRequest(key.get(), request.account().name(), exchange.getRequestMethod(),
 				pathWithQuery(exchange), contentType(exchange), request.body(), request.deadlineMillis());
-		tell(exchange, this.keyedRequests.answer(keyed));
+		sendOutcome(exchange, this.keyedRequests.answer(keyedRequest));
 	}
 
-	private static void tell(HttpExchange exchange, Outcome outcome) throws IOException {
+	private static void sendOutcome(HttpExchange exchange, Outcome outcome) throws IOException {
 		if (outcome instanceof Outcome.Answered answered) {
 			send(exchange, answered.answer());
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Serves callers: entry answers, model streams, plain services and the status of keys.
+ * HTTP handlers for callers: entry answers, model services, plain services and the status
+ * of keyed requests.
  */
 @NullMarked
 package io.flamingogap.daemon.callers;
