Reword the daemon's main class, node and lifecycle, and their tests

tellOfTakeBack, passOnTo, leave, LOOK_MILLIS, LEAVING_PART and IDLE_SILENT_TIMES are handleTakeBack, handOverTo, announceGone, POLL_MILLIS, ANNOUNCE_MARGIN_DIVISOR and IDLE_TIMEOUT_FACTOR; isMoving is shouldMoveStreams, whose comment named only the reclaim and now names any handover. Comments say when an address can't be bound, what ends a wait and why a commit is repeated at the same node only. The printed count of faults stays, because other tools may match it.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/EntryNode.java
@@ -59,7 +59,7 @@
 import io.flamingogap.daemon.settings.Settings;
 
 /**
- * One entry node: its parts, wired together.
+ * An entry node. Creates its components, connects them, and starts and closes them.
  */
 public final class EntryNode implements AutoCloseable {
 
@@ -67,11 +67,13 @@
 
 	private static final int ADMIN_THREADS = 4;
 
-	/** Threads for operators and for callers that are about to be refused. */
-	private static final int SPARE_THREADS = 64;
+	/**
+	 * The threads for operators and for callers that exceed the limit and are refused.
+	 */
+	private static final int EXTRA_CALLER_THREADS = 64;
 
-	/** A neighbour's connection is closed after this many silent times. */
-	private static final int IDLE_SILENT_TIMES = 30;
+	/** The idle timeout of a neighbour's connection, as a multiple of silentMillis. */
+	private static final int IDLE_TIMEOUT_FACTOR = 30;
 
 	private final Membership membership;
 
@@ -121,13 +123,13 @@
 		});
 		this.follower = new ConfigFollower(log, this.configuration, settings.platform().logWaitMillis());
 		this.audit = new AuditTrail(log);
-		this.membership = new Membership(ownRow(settings, self), clock);
+		this.membership = new Membership(ownMember(settings, self), clock);
 		NodeClients nodeClients = new NodeClients(self, settings.nodes().sharedSecret(), clock);
 		BackendServers servers = new BackendServers(this.configuration::manifest, settings.node().zone());
 		BackendClient backendClient = new BackendClient(settings.requests().connectTimeoutMillis());
 		this.rollouts = new Rollouts(self, this.configuration::manifest, clock);
 		this.judge = new RolloutJudge(this.rollouts, log);
-		this.snapshots = new SnapshotPublisher(log, this.configuration, this::rank,
+		this.snapshots = new SnapshotPublisher(log, this.configuration, this::ownRank,
 				settings.platform().snapshotMillis(), clock);
 		this.records = new RequestRecords(log, () -> this.membership.members().size());
 		this.loadPoller = new LoadPoller(this.configuration::manifest, servers, backendClient);
@@ -141,7 +143,7 @@
 		this.callerHandler = new CallerHandler(this.configuration, this.membership,
 				new CompletionsHandler(this.configuration,
 						new ModelStreamClient(backendClient, servers, this.rollouts, clock), this.rollouts,
-						this.lifecycle::isMoving),
+						this.lifecycle::shouldMoveStreams),
 				new PlainServiceHandler(this.configuration,
 						new PlainServiceClient(backendClient, servers, this.rollouts, clock), requests, this.rollouts,
 						clock),
@@ -151,7 +153,7 @@
 				settings.node().name(), settings.platform().cloudPollMillis(), clock,
 				(notice) -> this.lifecycle.reclaim(notice, this.callerHandler::openRequests));
 		this.nodeServer = NodeServer.create(settings.nodes(), Address.parse(settings.listen().nodeAddress()),
-				(int) settings.nodes().silentMillis() * IDLE_SILENT_TIMES, this.membership, this.configuration,
+				(int) settings.nodes().silentMillis() * IDLE_TIMEOUT_FACTOR, this.membership, this.configuration,
 				this.rollouts, requests, clock);
 		this.links = new PeerLinks(settings.nodes(), this.membership, this.configuration, this.rollouts,
 				this.cloudWatcher::seedAddresses);
@@ -161,18 +163,18 @@
 		OperatorHandler operators = new OperatorHandler(this.configuration, settings.operators(), api);
 		PrometheusMeterRegistry registry = registry(requests);
 		this.callerListener = new HttpListener(Address.parse(settings.listen().callerAddress()),
-				settings.callers().maxOpenRequests() + SPARE_THREADS,
+				settings.callers().maxOpenRequests() + EXTRA_CALLER_THREADS,
 				new RequestMetrics(registry, (exchange) -> route(exchange, operators)));
 		this.adminListener = new HttpListener(Address.parse(settings.listen().adminAddress()), ADMIN_THREADS,
 				new AdminHandler(registry, this::isReady));
 	}
 
 	/**
-	 * Create a node under a new incarnation.
+	 * Create a node with a new random incarnation number and bind its addresses.
 	 * @param settings the settings
-	 * @param clock tells the present time
-	 * @return the node, which answers after {@link #start()}
-	 * @throws IOException if an address can't be bound
+	 * @param clock provides the current time
+	 * @return the node, which handles requests after {@link #start()}
+	 * @throws IOException if the address for callers or the admin address can't be bound
 	 * @throws TException if the address for other nodes can't be bound
 	 */
 	public static EntryNode create(Settings settings, Clock clock) throws IOException, TException {
@@ -183,7 +185,7 @@
 		return this.lifecycle;
 	}
 
-	private static Member ownRow(Settings settings, NodeId self) {
+	private static Member ownMember(Settings settings, NodeId self) {
 		return new Member(self, settings.node().zone(), Address.parse(settings.listen().callerAddress()),
 				Address.parse(settings.listen().reachableNodeAddress()), MemberState.SERVING, 1, false, null);
 	}
@@ -195,21 +197,21 @@
 
 	private PrometheusMeterRegistry registry(KeyedRequests requests) {
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-		Gauge.builder("flamingogap.config.offset", this.configuration, (held) -> held.state().acceptedOffset())
+		Gauge.builder("flamingogap.config.offset", this.configuration, (source) -> source.state().acceptedOffset())
 			.description("Offset of the manifest in force")
 			.register(registry);
-		Gauge.builder("flamingogap.ledger.keys", requests, (held) -> held.withLedger(RequestLedger::size))
+		Gauge.builder("flamingogap.ledger.keys", requests, (source) -> source.withLedger(RequestLedger::size))
 			.description("Keys in the ledger")
 			.register(registry);
-		Gauge.builder("flamingogap.ledger.bytes", requests, (held) -> held.withLedger(RequestLedger::keptBytes))
+		Gauge.builder("flamingogap.ledger.bytes", requests, (source) -> source.withLedger(RequestLedger::keptBytes))
 			.description("Bytes of kept requests and answers")
 			.register(registry);
 		Gauge
 			.builder("flamingogap.members.serving", this.membership,
-					(held) -> held.members().stream().filter(Member::isServing).count())
+					(source) -> source.members().stream().filter(Member::isServing).count())
 			.description("Entry nodes that serve and are heard")
 			.register(registry);
-		Gauge.builder("flamingogap.log.reachable", this.follower, (held) -> held.isLogReachable() ? 1 : 0)
+		Gauge.builder("flamingogap.log.reachable", this.follower, (source) -> source.isLogReachable() ? 1 : 0)
 			.description("1 if the last read of the platform log was answered")
 			.register(registry);
 		return registry;
@@ -224,7 +226,7 @@
 		}
 	}
 
-	private int rank() {
+	private int ownRank() {
 		return (int) this.membership.members()
 			.stream()
 			.filter(Member::isServing)
@@ -237,12 +239,12 @@
 	}
 
 	/**
-	 * Begin to answer.
+	 * Start all components. The callers' listener is the last to start.
 	 */
 	public void start() {
 		this.audit.start();
 		this.follower.start();
-		this.rollouts.addListener(this::tellOfTakeBack);
+		this.rollouts.addListener(this::handleTakeBack);
 		this.judge.start();
 		this.records.start();
 		this.snapshots.start();
@@ -252,14 +254,15 @@
 		this.links.start();
 		this.adminListener.start();
 		this.callerListener.start();
-		logger.atInfo().log("node %s serves", this.membership.own().node());
+		logger.atInfo().log("node %s started", this.membership.own().node());
 	}
 
 	/**
-	 * Spread a take-back at once; the node that decided it also keeps it.
-	 * @param decision the decision
+	 * Send a take-back to the neighbours immediately. The node that made the decision
+	 * also records it in the platform log and the audit trail.
+	 * @param decision the decision to take a rollout back
 	 */
-	private void tellOfTakeBack(TakeBack decision) {
+	private void handleTakeBack(TakeBack decision) {
 		this.links.wakeAll();
 		String own = this.membership.own().node().toString();
 		if (decision.by().equals(own) || decision.by().endsWith("@" + own)) {
@@ -271,16 +274,16 @@
 	}
 
 	/**
-	 * Begin a planned stop.
-	 * @param who who asked for it
-	 * @param cause why
+	 * Start a planned stop, unless the node is already stopping.
+	 * @param who the operator or process that requested the stop
+	 * @param cause the reason, as recorded in the audit trail
 	 */
 	public void stop(String who, String cause) {
 		this.lifecycle.stop(who, cause, this.callerHandler::openRequests);
 	}
 
 	/**
-	 * Wait for the end of a stop.
+	 * Wait until the node has stopped.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void awaitStopped() throws InterruptedException {
@@ -297,12 +300,12 @@
 		this.executor.shutdownNow();
 	}
 
-	private static void closeQuietly(AutoCloseable part) {
+	private static void closeQuietly(AutoCloseable component) {
 		try {
-			part.close();
+			component.close();
 		}
 		catch (Exception ex) {
-			logger.atWarning().withCause(ex).log("a part of the node didn't close");
+			logger.atWarning().withCause(ex).log("failed to close a component of the node");
 		}
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/FlamingogapDaemon.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/FlamingogapDaemon.java
@@ -23,21 +23,21 @@
 import io.flamingogap.daemon.settings.Settings;
 
 /**
- * The entry point of the daemon. Exit status: 0 after a planned stop, 2 for unusable
- * arguments or settings, 3 if the node can't start.
+ * Main class of the daemon. The exit status is 0 after a planned stop, 2 if the arguments
+ * or settings are invalid, and 3 if the node can't start.
  */
 public final class FlamingogapDaemon {
 
-	private static final int USAGE = 2;
+	private static final int EXIT_USAGE = 2;
 
-	private static final int CANNOT_START = 3;
+	private static final int EXIT_CANNOT_START = 3;
 
 	private FlamingogapDaemon() {
 	}
 
 	/**
-	 * Run the daemon.
-	 * @param args the command line
+	 * Run the daemon and exit.
+	 * @param args the command line arguments; see --help
 	 */
 	public static void main(String[] args) {
 		System.setProperty("flogger.backend_factory",
@@ -68,33 +68,34 @@
 			}
 			if (!options.has(file)) {
 				err.println("--settings FILE is required; see --help");
-				return USAGE;
+				return EXIT_USAGE;
 			}
-			return runWith(Path.of(options.valueOf(file)), options.has("check-settings"), out, err);
+			return runWithSettings(Path.of(options.valueOf(file)), options.has("check-settings"), out, err);
 		}
 		catch (OptionException ex) {
 			err.println(ex.getMessage() + "; see --help");
-			return USAGE;
+			return EXIT_USAGE;
 		}
 		catch (IOException ex) {
 			err.println("can't read: " + ex.getMessage());
-			return USAGE;
+			return EXIT_USAGE;
 		}
 	}
 
-	private static int runWith(Path file, boolean checkOnly, PrintStream out, PrintStream err) throws IOException {
+	private static int runWithSettings(Path file, boolean checkOnly, PrintStream out, PrintStream err)
+			throws IOException {
 		Either<List<ValidationError>, Settings> settings = RecordBinder.bind(Files.readString(file), Settings.class);
 		if (settings.isLeft()) {
 			err.println(file + " has " + settings.getLeft().size() + " faults:");
-			settings.getLeft().forEach((fault) -> err.println("  " + fault));
-			return USAGE;
+			settings.getLeft().forEach((error) -> err.println("  " + error));
+			return EXIT_USAGE;
 		}
 		if (checkOnly) {
 			out.println(file + " is valid");
 			return 0;
 		}
 		setLogLevel(settings.get().log().level());
-		return serve(settings.get(), err);
+		return runNode(settings.get(), err);
 	}
 
 	private static void setLogLevel(String level) {
@@ -102,30 +103,30 @@
 		root.setLevel(Level.toLevel(level));
 	}
 
-	private static int serve(Settings settings, PrintStream err) {
+	private static int runNode(Settings settings, PrintStream err) {
 		try (EntryNode node = EntryNode.create(settings, Clock.systemUTC())) {
 			node.start();
-			Thread main = Thread.currentThread();
-			Runtime.getRuntime().addShutdownHook(new Thread(() -> stopOnSignal(node, main), "stop-on-signal"));
+			Thread mainThread = Thread.currentThread();
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> stopOnSignal(node, mainThread), "stop-on-signal"));
 			node.awaitStopped();
 			return 0;
 		}
 		catch (IOException | TException ex) {
 			err.println("can't start: " + ex.getMessage());
-			return CANNOT_START;
+			return EXIT_CANNOT_START;
 		}
 		catch (InterruptedException ex) {
 			return 0;
 		}
 	}
 
-	private static void stopOnSignal(EntryNode node, Thread main) {
+	private static void stopOnSignal(EntryNode node, Thread mainThread) {
 		node.stop("signal", "the process was asked to end");
 		try {
 			node.awaitStopped();
 		}
 		catch (InterruptedException ex) {
-			main.interrupt();
+			mainThread.interrupt();
 		}
 	}
 
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -28,9 +28,10 @@
 import io.flamingogap.wire.CommitReply;
 
 /**
- * The end of a node's life: a planned stop, or a reclaim with a deadline. The node leaves
- * the entry answers, serves until callers have had time to notice, waits for open
- * requests, passes its keys on to one successor, and stops.
+ * Stops a node, either as planned or before its instance is reclaimed. The node is
+ * removed from entry answers, keeps serving until all entry answers that list it have
+ * expired, waits for open requests to end, hands its keys over to one successor, and
+ * stops. The waits end early if the instance is reclaimed.
  */
 final class NodeLifecycle {
 
@@ -38,12 +39,15 @@
 
 	private static final long NO_DEADLINE_MILLIS = Long.MAX_VALUE;
 
-	private static final long LOOK_MILLIS = 20;
+	private static final long POLL_MILLIS = 20;
 
-	private static final long STEP_TIMEOUT_MILLIS = 500;
+	private static final long CALL_TIMEOUT_MILLIS = 500;
 
-	/** The part of the stop margin that is left for leaving once outcomes were sent. */
-	private static final int LEAVING_PART = 4;
+	/**
+	 * The stop margin divided by this number is reserved for announcing the end of the
+	 * node after the last outcomes were sent.
+	 */
+	private static final int ANNOUNCE_MARGIN_DIVISOR = 4;
 
 	private final Settings settings;
 
@@ -63,7 +67,7 @@
 
 	private volatile long reclaimAtMillis = NO_DEADLINE_MILLIS;
 
-	private volatile boolean moving;
+	private volatile boolean moveStreams;
 
 	NodeLifecycle(Settings settings, Membership membership, KeyedRequests requests, NodeClients nodeClients,
 			AuditTrail audit, Clock clock) {
@@ -76,23 +80,24 @@
 	}
 
 	/**
-	 * Begin a planned stop, unless the node is stopping already.
+	 * Start a planned stop, unless the node is already stopping.
 	 * @param who the operator, or the node itself
-	 * @param cause why
-	 * @param openRequests the number of requests that callers have open
+	 * @param cause the reason, as recorded in the audit trail
+	 * @param openRequests supplies the number of open requests of callers
 	 */
 	void stop(String who, String cause, IntSupplier openRequests) {
 		if (this.stopping.compareAndSet(false, true)) {
 			record(who, "drain", cause);
-			Thread thread = new Thread(() -> run(openRequests), "node-stop");
+			Thread thread = new Thread(() -> drainAndHandOver(openRequests), "node-stop");
 			thread.start();
 		}
 	}
 
 	/**
-	 * Begin or shorten a stop because the instance is reclaimed.
-	 * @param notice the notice
-	 * @param openRequests the number of requests that callers have open
+	 * Start a stop that ends before the instance is reclaimed, or shorten a stop that is
+	 * in progress.
+	 * @param notice the reclaim notice; the earliest reclaim time of all notices applies
+	 * @param openRequests supplies the number of open requests of callers
 	 */
 	void reclaim(Notice notice, IntSupplier openRequests) {
 		this.reclaimAtMillis = Math.min(this.reclaimAtMillis, notice.reclaimAtMillis());
@@ -100,8 +105,9 @@
 	}
 
 	/**
-	 * Return until when new dispatches are made.
-	 * @return the time, in milliseconds since 1970 UTC
+	 * Return the time after which no new requests are dispatched.
+	 * @return the time in milliseconds since 1970 UTC; {@link Long#MAX_VALUE} without a
+	 * reclaim notice
 	 */
 	long lastDispatchMillis() {
 		long reclaimMillis = this.reclaimAtMillis;
@@ -110,33 +116,34 @@
 	}
 
 	/**
-	 * Return whether open streams are to go on at another entry node.
-	 * @return {@code true} from shortly before a reclaim
+	 * Return whether open streams should stop at this node, so that callers resume them
+	 * at another entry node.
+	 * @return {@code true} once the node starts to hand its keys over
 	 */
-	boolean isMoving() {
-		return this.moving;
+	boolean shouldMoveStreams() {
+		return this.moveStreams;
 	}
 
 	/**
-	 * Wait for the end of a stop.
+	 * Wait until the node has stopped.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	void awaitStopped() throws InterruptedException {
 		this.stopped.await();
 	}
 
-	private void run(IntSupplier openRequests) {
+	private void drainAndHandOver(IntSupplier openRequests) {
 		try {
 			this.membership.announce(MemberState.DRAINING, null);
 			long startedMillis = this.clock.millis();
 			long entryEndMillis = startedMillis + this.settings.callers().entryTtlMillis()
 					+ this.settings.nodes().heartbeatMillis();
 			awaitUntil(() -> this.clock.millis() >= entryEndMillis);
-			long latestMillis = this.clock.millis() + this.settings.callers().maxDeadlineMillis();
-			awaitUntil(() -> isIdle(openRequests) || this.clock.millis() >= latestMillis);
-			this.moving = true;
+			long deadlineMillis = this.clock.millis() + this.settings.callers().maxDeadlineMillis();
+			awaitUntil(() -> isIdle(openRequests) || this.clock.millis() >= deadlineMillis);
+			this.moveStreams = true;
 			handOver();
-			leave();
+			announceGone();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -151,50 +158,51 @@
 	}
 
 	/**
-	 * Wait for a condition, or until no time is left before a reclaim.
+	 * Wait for a condition, but not longer than {@link #lastDispatchMillis}.
 	 * @param condition the condition
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	private void awaitUntil(BooleanSupplier condition) throws InterruptedException {
 		while (!condition.getAsBoolean() && this.clock.millis() < lastDispatchMillis()) {
-			Thread.sleep(LOOK_MILLIS);
+			Thread.sleep(POLL_MILLIS);
 		}
 	}
 
 	private void handOver() throws InterruptedException {
 		Set<NodeId> tried = new HashSet<>();
-		Optional<Member> successor = choose(tried);
-		while (successor.isPresent() && !passOnTo(successor.get())) {
+		Optional<Member> successor = chooseSuccessor(tried);
+		while (successor.isPresent() && !handOverTo(successor.get())) {
 			tried.add(successor.get().node());
 			this.requests.withLedger((ledger) -> {
 				ledger.restartOffer();
 				return ledger;
 			});
-			successor = choose(tried);
+			successor = chooseSuccessor(tried);
 		}
 		if (successor.isEmpty()) {
-			logger.atWarning().log("no successor: keys of this node end with it");
+			logger.atWarning().log("no successor reachable: the keys of this node are lost when it stops");
 			record(this.membership.own().node().toString(), "handover", "no successor could be reached");
 		}
 	}
 
-	private Optional<Member> choose(Set<NodeId> tried) {
+	private Optional<Member> chooseSuccessor(Set<NodeId> tried) {
 		return SuccessorSelector.choose(this.membership.own(), this.membership.members(), tried);
 	}
 
 	/**
-	 * Pass all keys on to one node.
+	 * Hand all keys over to one node.
 	 * @param successor the node
-	 * @return {@code false} if another node may be tried
+	 * @return {@code false} if the node didn't take over the keys, so that another node
+	 * may be tried
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	private boolean passOnTo(Member successor) throws InterruptedException {
+	private boolean handOverTo(Member successor) throws InterruptedException {
 		List<KeySpacePart> offered = this.requests.withLedger(RequestLedger::exportOffer);
-		if (this.nodeClients.offer(successor, offered, STEP_TIMEOUT_MILLIS).isLeft()) {
+		if (this.nodeClients.offer(successor, offered, CALL_TIMEOUT_MILLIS).isLeft()) {
 			return false;
 		}
 		Optional<CommitReply> reply = commit(successor);
-		if (reply.filter((done) -> done == CommitReply.REFUSED).isPresent()) {
+		if (reply.filter((value) -> value == CommitReply.REFUSED).isPresent()) {
 			return !this.requests.withLedger((ledger) -> ledger.recordCommitRefused(successor.node()));
 		}
 		record(this.membership.own().node().toString(), "handover",
@@ -206,50 +214,51 @@
 	}
 
 	/**
-	 * Commit to a successor. Without a reply the commit is sent again, and never to
-	 * another node.
-	 * @param successor the node that holds the offer
-	 * @return what the successor did, if it became known in time
+	 * Commit the handover to a successor. If no reply arrives, the commit is sent again
+	 * to the same node and never to another one, because the first one may have taken
+	 * effect.
+	 * @param successor the node that accepted the offer
+	 * @return the successor's reply, or empty if none arrived within the stop margin
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	private Optional<CommitReply> commit(Member successor) throws InterruptedException {
 		List<KeySpacePart> parts = this.requests.withLedger((ledger) -> ledger.commit(successor.node()));
-		long latestMillis = this.clock.millis() + this.settings.requests().stopMarginMillis();
-		while (this.clock.millis() < latestMillis) {
-			Optional<CommitReply> reply = this.nodeClients.commit(successor, parts, STEP_TIMEOUT_MILLIS)
+		long deadlineMillis = this.clock.millis() + this.settings.requests().stopMarginMillis();
+		while (this.clock.millis() < deadlineMillis) {
+			Optional<CommitReply> reply = this.nodeClients.commit(successor, parts, CALL_TIMEOUT_MILLIS)
 				.toJavaOptional();
-			if (reply.filter((done) -> done != CommitReply.INCOMPLETE).isPresent()) {
+			if (reply.filter((value) -> value != CommitReply.INCOMPLETE).isPresent()) {
 				return reply;
 			}
 			parts = this.requests.withLedger(RequestLedger::fullCommit);
-			Thread.sleep(LOOK_MILLIS);
+			Thread.sleep(POLL_MILLIS);
 		}
 		return Optional.empty();
 	}
 
 	private void sendOutcomes(Member successor) throws InterruptedException {
-		long latestMillis = lastOutcomeMillis();
+		long deadlineMillis = lastOutcomeMillis();
 		do {
-			List<KeySpacePart> changed = this.requests.withLedger(RequestLedger::exportNewOutcomes);
-			if (changed.stream().anyMatch((part) -> !part.entries().isEmpty())) {
-				this.nodeClients.outcomes(successor, changed, STEP_TIMEOUT_MILLIS);
+			List<KeySpacePart> newOutcomes = this.requests.withLedger(RequestLedger::exportNewOutcomes);
+			if (newOutcomes.stream().anyMatch((part) -> !part.entries().isEmpty())) {
+				this.nodeClients.outcomes(successor, newOutcomes, CALL_TIMEOUT_MILLIS);
 			}
-			Thread.sleep(LOOK_MILLIS);
+			Thread.sleep(POLL_MILLIS);
 		}
-		while (this.requests.withLedger(RequestLedger::openRequests) > 0 && this.clock.millis() < latestMillis);
+		while (this.requests.withLedger(RequestLedger::openRequests) > 0 && this.clock.millis() < deadlineMillis);
 	}
 
 	private long lastOutcomeMillis() {
 		long reclaimMillis = this.reclaimAtMillis;
 		return (reclaimMillis != NO_DEADLINE_MILLIS)
-				? reclaimMillis - this.settings.requests().stopMarginMillis() / LEAVING_PART
+				? reclaimMillis - this.settings.requests().stopMarginMillis() / ANNOUNCE_MARGIN_DIVISOR
 				: this.clock.millis() + this.settings.requests().stopMarginMillis();
 	}
 
-	private void leave() throws InterruptedException {
-		Thread.sleep(Math.min(this.settings.nodes().heartbeatMillis(), STEP_TIMEOUT_MILLIS));
+	private void announceGone() throws InterruptedException {
+		Thread.sleep(Math.min(this.settings.nodes().heartbeatMillis(), CALL_TIMEOUT_MILLIS));
 		this.membership.announce(MemberState.GONE, null);
-		Thread.sleep(Math.min(this.settings.nodes().heartbeatMillis(), STEP_TIMEOUT_MILLIS));
+		Thread.sleep(Math.min(this.settings.nodes().heartbeatMillis(), CALL_TIMEOUT_MILLIS));
 	}
 
 	private void record(String who, String what, String cause) {
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/package-info.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The entry node: wiring, start and planned stop.
+ * Main class of the daemon, and the setup, start and stop of an entry node.
  */
 @NullMarked
 package io.flamingogap.daemon;
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/FaultMatrixTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/FaultMatrixTests.java
@@ -18,21 +18,23 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Holds the fault matrix against the tests.
+ * Checks that the matrix in docs/FAULTS.md has an entry for each step and fault, and that
+ * the tests it names exist.
  */
 class FaultMatrixTests {
 
-	private static final Pattern CELL = Pattern.compile("\\| [^|]+ \\| (`[A-Za-z.]+`|not proved|does not apply) \\|");
+	private static final Pattern CELL_ROW = Pattern
+		.compile("\\| [^|]+ \\| (`[A-Za-z.]+`|not proved|does not apply) \\|");
 
-	private static final Pattern RULE = Pattern.compile("^\\| [A-Z]{3,}");
+	private static final Pattern RULE_ROW = Pattern.compile("^\\| [A-Z]{3,}");
 
-	private static final Pattern TEST = Pattern.compile("`([A-Za-z]+)\\.([A-Za-z]+)`");
+	private static final Pattern TEST_REFERENCE = Pattern.compile("`([A-Za-z]+)\\.([A-Za-z]+)`");
 
-	private static final int FAULTS = 13;
+	private static final int FAULT_COUNT = 13;
 
 	private final Path root = Path.of("").toAbsolutePath().getParent();
 
-	private List<String> matrix() throws IOException {
+	private List<String> matrixLines() throws IOException {
 		return Files.readAllLines(this.root.resolve("docs/FAULTS.md"));
 	}
 
@@ -40,26 +42,26 @@
 	void everyStepHasACellForEveryFault() throws IOException {
 		int cells = 0;
 		int steps = 0;
-		for (String line : matrix()) {
+		for (String line : matrixLines()) {
 			steps += line.startsWith("## ") ? 1 : 0;
-			cells += CELL.matcher(line).matches() ? 1 : 0;
+			cells += CELL_ROW.matcher(line).matches() ? 1 : 0;
 		}
 		assertThat(steps, greaterThan(0));
-		assertThat(cells, is(steps * FAULTS));
+		assertThat(cells, is(steps * FAULT_COUNT));
 	}
 
 	@Test
 	void everyRuleOfThePlatformNamesATest() throws IOException {
-		List<String> rules = matrix().stream().filter((line) -> RULE.matcher(line).find()).toList();
+		List<String> rules = matrixLines().stream().filter((line) -> RULE_ROW.matcher(line).find()).toList();
 		assertThat(rules.size(), greaterThan(0));
-		assertThat(rules.stream().filter((line) -> !TEST.matcher(line).find()).toList(), empty());
+		assertThat(rules.stream().filter((line) -> !TEST_REFERENCE.matcher(line).find()).toList(), empty());
 	}
 
 	@Test
 	void namedTestsExist() throws IOException {
 		List<String> missing = new ArrayList<>();
-		for (String line : matrix()) {
-			Matcher matcher = TEST.matcher(line);
+		for (String line : matrixLines()) {
+			Matcher matcher = TEST_REFERENCE.matcher(line);
 			if (matcher.find() && !exists(matcher.group(1), matcher.group(2))) {
 				missing.add(matcher.group());
 			}
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/StreamFaultTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/StreamFaultTests.java
@@ -29,7 +29,8 @@
 import static org.hamcrest.Matchers.lessThan;
 
 /**
- * Token streams under faults: the whole answer and only the own.
+ * Tests that the caller of a token stream receives the complete answer to its own
+ * request, and nothing else, while engines, nodes, connections or the platform log fail.
  */
 class StreamFaultTests {
 
@@ -55,13 +56,13 @@
 		this.executor.shutdownNow();
 	}
 
-	private StreamReply stream(int daemon, Optional<String> lastEventId) {
+	private StreamReply stream(int daemonNumber, Optional<String> lastEventId) {
 		String body = "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":" + TOKENS + ",\"messages\":" + MESSAGES
 				+ "}";
-		return this.caller.stream(this.fleet.address(daemon), body, lastEventId);
+		return this.caller.stream(this.fleet.address(daemonNumber), body, lastEventId);
 	}
 
-	private static String tokens(long first, long end) {
+	private static String expectedText(long first, long end) {
 		return LongStream.range(first, end)
 			.mapToObj((position) -> FakeEngine.token(MESSAGES, position))
 			.collect(Collectors.joining());
@@ -73,7 +74,7 @@
 		this.fleet.engine(0).setFault(fault, 10);
 		for (int i = 0; i < 2; i++) {
 			StreamReply reply = stream(0, Optional.empty());
-			assertThat(reply.text(), is(tokens(0, TOKENS)));
+			assertThat(reply.text(), is(expectedText(0, TOKENS)));
 			assertThat(reply.whole(), is(true));
 		}
 	}
@@ -83,12 +84,12 @@
 		Future<StreamReply> pending = this.executor.submit(() -> stream(0, Optional.empty()));
 		this.fleet.await("the stream has begun",
 				() -> this.fleet.engine(0).tokens() + this.fleet.engine(1).tokens() > 3);
-		long cutNanos = System.nanoTime();
+		long silencedNanos = System.nanoTime();
 		this.fleet.engineLink(0).silenceOpen();
 		this.fleet.engineLink(1).silenceOpen();
 		StreamReply reply = pending.get();
-		long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - cutNanos);
-		assertThat(reply.text(), is(tokens(0, TOKENS)));
+		long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silencedNanos);
+		assertThat(reply.text(), is(expectedText(0, TOKENS)));
 		assertThat("the silence bound is 300 ms, the rest of the answer takes 400 ms", tookMillis, lessThan(5_000L));
 	}
 
@@ -102,12 +103,12 @@
 		List<String> ids = first.ids();
 		assertThat(ids.size(), greaterThan(0));
 		StreamReply rest = stream(1, Optional.of(ids.get(ids.size() - 1)));
-		assertThat(first.text() + rest.text(), is(tokens(0, TOKENS)));
+		assertThat(first.text() + rest.text(), is(expectedText(0, TOKENS)));
 		assertThat(rest.whole(), is(true));
 	}
 
 	@Test
-	void callerThatLostOnlyTheEndGetsIt() {
+	void callerThatResumesAfterTheLastTokenGetsTheEnd() {
 		List<String> ids = stream(0, Optional.empty()).ids();
 		StreamReply end = stream(1, Optional.of(ids.get(ids.size() - 1)));
 		assertThat(end.text(), is(""));
@@ -118,22 +119,22 @@
 	void leavingEngineGetsNoNewWork() throws Exception {
 		this.fleet.cloud().giveNotice("engine-0", System.currentTimeMillis() + 60_000);
 		TimeUnit.MILLISECONDS.sleep(3_000);
-		long before = this.fleet.engine(0).requests();
+		long requestsBefore = this.fleet.engine(0).requests();
 		for (int i = 0; i < 6; i++) {
 			assertThat(stream(i % 2, Optional.empty()).whole(), is(true));
 		}
-		assertThat(this.fleet.engine(0).requests(), is(before));
+		assertThat(this.fleet.engine(0).requests(), is(requestsBefore));
 	}
 
 	@Test
 	void engineMarkedInTheInstanceListGetsNoNewWork() throws Exception {
 		this.fleet.cloud().putInstance(new FakeCloud.Instance("engine-1", "zone-0", "leaving", ""));
 		TimeUnit.MILLISECONDS.sleep(3_000);
-		long before = this.fleet.engine(1).requests();
+		long requestsBefore = this.fleet.engine(1).requests();
 		for (int i = 0; i < 6; i++) {
 			assertThat(stream(i % 2, Optional.empty()).whole(), is(true));
 		}
-		assertThat(this.fleet.engine(1).requests(), is(before));
+		assertThat(this.fleet.engine(1).requests(), is(requestsBefore));
 	}
 
 	@Test
@@ -141,12 +142,12 @@
 		Future<StreamReply> pending = this.executor.submit(() -> stream(0, Optional.empty()));
 		this.fleet.await("the stream has begun",
 				() -> this.fleet.engine(0).tokens() + this.fleet.engine(1).tokens() > 5);
-		int used = (this.fleet.engine(0).requests() > 0) ? 0 : 1;
-		this.fleet.cloud().giveNotice("engine-" + used, System.currentTimeMillis() + 100);
+		int usedEngine = (this.fleet.engine(0).requests() > 0) ? 0 : 1;
+		this.fleet.cloud().giveNotice("engine-" + usedEngine, System.currentTimeMillis() + 100);
 		TimeUnit.MILLISECONDS.sleep(50);
-		this.fleet.engineLink(used).setMode(LinkMode.CUT);
+		this.fleet.engineLink(usedEngine).setMode(LinkMode.CUT);
 		StreamReply reply = pending.get();
-		assertThat(reply.text(), is(tokens(0, TOKENS)));
+		assertThat(reply.text(), is(expectedText(0, TOKENS)));
 		assertThat(reply.whole(), is(true));
 	}
 
@@ -157,7 +158,7 @@
 				() -> this.fleet.engine(0).tokens() + this.fleet.engine(1).tokens() > 3);
 		this.fleet.daemon(0).terminate();
 		StreamReply reply = pending.get();
-		assertThat(reply.text(), is(tokens(0, TOKENS)));
+		assertThat(reply.text(), is(expectedText(0, TOKENS)));
 		assertThat(reply.whole(), is(true));
 	}
 
@@ -176,7 +177,7 @@
 		TimeUnit.MILLISECONDS.sleep(1_000);
 		this.fleet.daemon(0).resume();
 		StreamReply reply = pending.get();
-		assertThat(reply.text(), is(tokens(0, TOKENS)));
+		assertThat(reply.text(), is(expectedText(0, TOKENS)));
 		assertThat(reply.whole(), is(true));
 	}
 
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the daemon as a whole.
+ * Tests that apply to the daemon as a whole.
  */
 @NullMarked
 package io.flamingogap.daemon;
