Say in the stream client and lifecycle comments what ends a wait

"An event other than the next one" also covered duplicates, which are dropped, and the result of stream() left out the moved stream. The comments now name the cases.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/NodeLifecycle.java
@@ -94,8 +94,8 @@
 	}
 
 	/**
-	 * Start a stop that ends before the instance is reclaimed, or shorten a stop that is
-	 * in progress.
+	 * Start a stop because the instance will be reclaimed, or shorten a stop that is in
+	 * progress.
 	 * @param notice the reclaim notice; the earliest reclaim time of all notices applies
 	 * @param openRequests supplies the number of open requests of callers
 	 */
@@ -158,7 +158,7 @@
 	}
 
 	/**
-	 * Wait for a condition, but not longer than {@link #lastDispatchMillis}.
+	 * Wait for a condition, but not beyond {@link #lastDispatchMillis}.
 	 * @param condition the condition
 	 * @throws InterruptedException if the thread is interrupted
 	 */
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreamClient.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/ModelStreamClient.java
@@ -20,10 +20,10 @@
 import io.flamingogap.daemon.rollouts.Rollouts;
 
 /**
- * Streams answers of model engines to callers. If an engine fails, stops sending or sends
- * an event other than the next one, the stream continues at another engine. An answer
- * never mixes tokens of two versions: a request may switch from the candidate to the
- * current version only before its first token.
+ * Streams answers of model engines to callers. If an engine fails, stops sending, skips a
+ * token or sends an event of another request, the stream continues at another engine. An
+ * answer never mixes tokens of two versions: a request may switch from the candidate to
+ * the current version only before its first token.
  */
 public final class ModelStreamClient {
 
@@ -52,10 +52,11 @@
 	}
 
 	/**
-	 * Stream an answer to its end, or until the sink asks to move the stream.
+	 * Stream an answer to its end, or until {@link TokenSink#shouldMoveStream}.
 	 * @param call the request
 	 * @param sink receives the tokens
-	 * @return the failure that ended the answer early, or empty
+	 * @return the failure that ended the answer early, or empty if the answer is complete
+	 * or stopped to be moved
 	 * @throws IOException if the caller closed the connection
 	 * @throws InterruptedException if the thread is interrupted
 	 */
