--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/callers/PlainServiceHandler.java
@@ -18,7 +18,7 @@
 import io.flamingogap.core.request.KeyedRequest;
 import io.flamingogap.core.request.RequestKey;
 import io.flamingogap.daemon.backends.BackendCall;
-import io.flamingogap.daemon.backends.PlainCalls;
+import io.flamingogap.daemon.backends.PlainServiceClient;
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.platformlog.Configuration;
 import io.flamingogap.daemon.requests.KeyedRequests;
@@ -28,7 +28,7 @@
 import io.flamingogap.daemon.rollouts.VersionChoice;
 
 /**
- * Serves plain services under {@code /services/NAME/}.
+ * Handles requests to plain services under {@code /services/NAME/}.
  */
 public final class PlainServiceHandler {
 
@@ -40,7 +40,7 @@
 
 	private final Configuration configuration;
 
-	private final PlainCalls plainCalls;
+	private final PlainServiceClient plainServiceClient;
 
 	private final KeyedRequests keyedRequests;
 
@@ -51,15 +51,15 @@
 	/**
 	 * Create a handler.
 	 * @param configuration the configuration in force
-	 * @param plainCalls makes repeatable calls
-	 * @param keyedRequests runs unrepeatable calls
-	 * @param rollouts chooses the version
-	 * @param clock tells the present time
+	 * @param plainServiceClient the client for repeatable calls
+	 * @param keyedRequests executes unrepeatable calls
+	 * @param rollouts selects the version of the service
+	 * @param clock provides the current time
 	 */
-	public PlainServiceHandler(Configuration configuration, PlainCalls plainCalls, KeyedRequests keyedRequests,
-			Rollouts rollouts, Clock clock) {
+	public PlainServiceHandler(Configuration configuration, PlainServiceClient plainServiceClient,
+			KeyedRequests keyedRequests, Rollouts rollouts, Clock clock) {
 		this.configuration = configuration;
-		this.plainCalls = plainCalls;
+		this.plainServiceClient = plainServiceClient;
 		this.keyedRequests = keyedRequests;
 		this.rollouts = rollouts;
 		this.clock = clock;
@@ -80,7 +80,7 @@
 			answerRepeatable(exchange, request, service.get(), route.get());
 		}
 		else {
-			answerOnce(exchange, request);
+			answerUnrepeatable(exchange, request);
 		}
 	}
 
@@ -91,7 +91,7 @@
 				request.account().name(), null, Math.max(0, request.deadlineMillis() - this.clock.millis()));
 		VersionChoice choice = this.rollouts.chooseVersion(service, UUID.randomUUID().toString(), route.toString(),
 				true);
-		Either<Failure, Answer> answer = this.plainCalls.call(choice, call, request.deadlineMillis());
+		Either<Failure, Answer> answer = this.plainServiceClient.call(choice, call, request.deadlineMillis());
 		if (answer.isLeft()) {
 			Exchanges.sendProblem(exchange, answer.getLeft());
 			return;
@@ -99,7 +99,7 @@
 		send(exchange, answer.get());
 	}
 
-	private void answerOnce(HttpExchange exchange, CallerRequest request) throws IOException {
+	private void answerUnrepeatable(HttpExchange exchange, CallerRequest request) throws IOException {
 		Either<Failure, RequestKey> key = Exchanges.header(exchange, KEY_HEADER)
 			.map(RequestKey::parse)
 			.orElseGet(() -> Either.left(Failure.notRun(ProblemType.KEY_REQUIRED, Step.PARSE, "caller",
@@ -108,12 +108,12 @@
 			Exchanges.sendProblem(exchange, key.getLeft());
 			return;
 		}
-		KeyedRequest keyed = new KeyedRequest(key.get(), request.account().name(), exchange.getRequestMethod(),
+		KeyedRequest keyedRequest = new KeyedRequest(key.get(), request.account().name(), exchange.getRequestMethod(),
 				pathWithQuery(exchange), contentType(exchange), request.body(), request.deadlineMillis());
-		tell(exchange, this.keyedRequests.answer(keyed));
+		sendOutcome(exchange, this.keyedRequests.answer(keyedRequest));
 	}
 
-	private static void tell(HttpExchange exchange, Outcome outcome) throws IOException {
+	private static void sendOutcome(HttpExchange exchange, Outcome outcome) throws IOException {
 		if (outcome instanceof Outcome.Answered answered) {
 			send(exchange, answered.answer());
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestTransitionLog.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/platformlog/RequestTransitionLog.java
@@ -134,7 +134,7 @@
 		if (batch.isEmpty()) {
 			return;
 		}
-		String text = new String(Exchanges.write(batch), StandardCharsets.UTF_8);
+		String text = new String(Exchanges.toJsonBytes(batch), StandardCharsets.UTF_8);
 		if (this.log.append(PlatformLogClient.REQUEST_STREAM, text).isLeft()) {
 			batch.forEach(this.pending::offer);
 		}
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/rollouts/RolloutMonitor.java
@@ -102,7 +102,7 @@
 	private void appendTakeBacks() {
 		TakeBack next = this.toAppend.peek();
 		while (next != null) {
-			String text = new String(Exchanges.write(next), StandardCharsets.UTF_8);
+			String text = new String(Exchanges.toJsonBytes(next), StandardCharsets.UTF_8);
 			if (this.log.append(PlatformLogClient.ROLLOUT_STREAM, text).isLeft()) {
 				return;
 			}
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.manifest.BackendServer;
-import io.flamingogap.daemon.http.JdkHttp;
+import io.flamingogap.daemon.http.JdkHttpProperties;
 import io.flamingogap.testkit.backends.ScriptedServer;
 import io.flamingogap.testkit.backends.ServerScript;
 
@@ -17,14 +17,16 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link BackendClient} against servers that misbehave on the connection.
+ * Tests that an unrepeatable call of {@link BackendClient} is sent at most once and never
+ * receives another call's answer, even if the server closes connections, doesn't answer,
+ * answers late or answers twice.
  */
 class BackendClientTests {
 
 	private static final long TIMEOUT_MILLIS = 300;
 
 	static {
-		JdkHttp.configure();
+		JdkHttpProperties.configure();
 	}
 
 	private final BackendClient client = new BackendClient(500);
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests that concern the whole daemon.
+ * Tests that apply to the daemon as a whole.
  */
 @NullMarked
 package io.flamingogap.daemon;
