--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -35,8 +35,10 @@
 
 	private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
 
-	private @Nullable OpenRequest openRequest;
+	/** Set while a request is in progress that its handler didn't answer at once. */
+	private @Nullable CallerConnectionListener connectionListener;
 
+	/** Also set after the connection is closed, so that no more requests start. */
 	private boolean requestInProgress;
 
 	private @Nullable ChannelHandlerContext context;
@@ -62,7 +64,10 @@
 		}
 		else {
 			request.release();
-			logger.atWarning().log("%s", LogLine.of("connection closed").with("reason", "too many pipelined requests"));
+			logger.atWarning()
+				.log("%s", LogLine.of("connection closed")
+					.with("reason", "more than " + MAX_PIPELINED_REQUESTS
+							+ " pipelined requests wait for a response; caller " + channel.channel().remoteAddress()));
 			channel.close();
 		}
 	}
@@ -78,13 +83,15 @@
 			request.release();
 			logger.atInfo()
 				.log("%s",
-						LogLine.of("request refused").with("status", type.status()).with("reason", parsed.getLeft()));
+						LogLine.of("request refused")
+							.with("status", type.status())
+							.with("reason", parsed.getLeft() + "; caller " + channel.channel().remoteAddress()));
 			exchange.fail(Failure.notRun(type, Step.PARSE, "caller", parsed.getLeft()), -1);
 			return;
 		}
-		OpenRequest accepted = this.requestHandler.accept(parsed.get(), exchange);
+		CallerConnectionListener listener = this.requestHandler.handle(parsed.get(), exchange);
 		if (this.requestInProgress) {
-			this.openRequest = accepted;
+			this.connectionListener = listener;
 		}
 	}
 
@@ -99,7 +106,7 @@
 	 */
 	void onExchangeEnded(boolean reuse) {
 		this.requestInProgress = false;
-		this.openRequest = null;
+		this.connectionListener = null;
 		if (!reuse) {
 			releasePipelinedRequests();
 			return;
@@ -130,19 +137,19 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext channel) {
 		releasePipelinedRequests();
-		OpenRequest disconnectedRequest = this.openRequest;
-		this.openRequest = null;
+		CallerConnectionListener listener = this.connectionListener;
+		this.connectionListener = null;
 		this.requestInProgress = true;
-		if (disconnectedRequest != null) {
-			disconnectedRequest.onCallerDisconnected();
+		if (listener != null) {
+			listener.onCallerDisconnected();
 		}
 	}
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext channel) {
-		OpenRequest writableRequest = this.openRequest;
-		if (writableRequest != null && channel.channel().isWritable()) {
-			writableRequest.onCallerWritable();
+		CallerConnectionListener listener = this.connectionListener;
+		if (listener != null && channel.channel().isWritable()) {
+			listener.onCallerWritable();
 		}
 	}
 
@@ -155,7 +162,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
-		logger.atFine().log("%s", LogLine.of("caller connection broke").with("reason", String.valueOf(cause)));
+		logger.atFine()
+			.log("%s", LogLine.of("caller connection broke")
+				.with("reason", cause + "; caller " + channel.channel().remoteAddress()));
 		channel.close();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -21,8 +21,9 @@
 import io.flamingogap.core.error.Failure;
 
 /**
- * Sends the response to one request of a caller, at once or in chunks. Sends at most one
- * response.
+ * Sends the response to one request of a caller, at once or in chunks. {@link #fail} and
+ * {@link #respond} send nothing if a response has begun. The user of this class must call
+ * {@link #beginResponse} at most once, before the chunks, and not after the other two.
  */
 public final class CallerExchange {
 
@@ -159,7 +160,7 @@
 	/**
 	 * Return whether the caller reads more slowly than the response arrives.
 	 * @return {@code true} if no more should be read from the backend server until
-	 * {@link OpenRequest#onCallerWritable()} is called
+	 * {@link CallerConnectionListener#onCallerWritable()} is called
 	 */
 	public boolean isCongested() {
 		return !this.context.channel().isWritable();
