--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConditionPoller.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/ConditionPoller.java
@@ -6,39 +6,39 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Conditions that have to become true in a while.
+ * Utility that waits for conditions.
  */
 final class ConditionPoller {
 
-	/** Many times what a machine under load takes. */
-	private static final long PATIENCE_MILLIS = 20_000;
+	/** Many times the duration that conditions take on a machine under load. */
+	private static final long TIMEOUT_MILLIS = 20_000;
 
-	private static final long POLL_MILLIS = 20;
+	private static final long POLL_INTERVAL_MILLIS = 20;
 
 	private ConditionPoller() {
 	}
 
 	/**
-	 * Wait for a condition that has to become true.
-	 * @param what what is waited for
-	 * @param condition the condition; failures to reach a node count as false
+	 * Wait until a condition is true, and fail the test if that takes too long.
+	 * @param description the text that names the condition in the failure
+	 * @param condition the condition; an I/O failure counts as false
 	 */
-	static void await(String what, Callable<Boolean> condition) throws Exception {
-		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
-		while (!holds(condition)) {
+	static void await(String description, Callable<Boolean> condition) throws Exception {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+		while (!isTrue(condition)) {
 			if (System.nanoTime() > deadlineNanos) {
-				throw new AssertionError("not within " + PATIENCE_MILLIS + " ms: " + what);
+				throw new AssertionError("not within " + TIMEOUT_MILLIS + " ms: " + description);
 			}
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+			TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
 		}
 	}
 
-	private static boolean holds(Callable<Boolean> condition) throws Exception {
+	private static boolean isTrue(Callable<Boolean> condition) throws Exception {
 		try {
 			return condition.call();
 		}
 		catch (IOException | UncheckedIOException ex) {
-			// A node that can't be reached yet is what is waited for.
+			// The node may not accept connections yet.
 			return false;
 		}
 	}
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
@@ -27,8 +27,9 @@
 import io.flamingogap.testkit.platform.FakeLog;
 
 /**
- * Daemons as processes on loopback, with the stand-ins in the test's own process and a
- * link that can misbehave before each peer.
+ * Daemon processes on loopback. Fakes of the platform and of the backend servers run in
+ * the test process. A link that can inject faults is in front of the node port of each
+ * daemon, of the platform log and of each backend server.
  */
 final class Fleet implements AutoCloseable {
 
@@ -36,7 +37,7 @@
 
 	static final String OPERATOR_KEY = "operator-key";
 
-	private static final int ENGINES = 2;
+	private static final int ENGINE_COUNT = 2;
 
 	private final HttpClient http = HttpClient.newHttpClient();
 
@@ -62,16 +63,16 @@
 
 	private Fleet(Path directory) {
 		this.directory = directory;
-		for (int i = 0; i < ENGINES; i++) {
+		for (int i = 0; i < ENGINE_COUNT; i++) {
 			this.engines.add(new FakeEngine(0, 30, 10));
 			this.engineLinks.add(new FaultyLink(this.engines.get(i).address()));
 		}
 	}
 
 	/**
-	 * Start daemons, each in a zone of its own, and wait until a manifest is in force.
+	 * Start daemons, each in its own zone, and wait until a manifest is in force.
 	 * @param count the number of daemons
-	 * @return the fleet
+	 * @return the running fleet
 	 */
 	static Fleet start(int count) throws Exception {
 		Fleet fleet = new Fleet(Files.createTempDirectory("flamingogap-fleet"));
@@ -90,16 +91,16 @@
 		for (int i = 0; i < count; i++) {
 			addDaemon(i);
 		}
-		await("all nodes know each other", () -> servingNodesEverywhere(count));
+		await("all nodes know each other", () -> allDaemonsSeeServingNodes(count));
 		applyManifest(manifest());
 	}
 
-	private void addDaemon(int number) throws IOException {
+	private void addDaemon(int index) throws IOException {
 		List<Integer> ports = FreePorts.take(3);
 		FaultyLink link = new FaultyLink("127.0.0.1:" + ports.get(1));
 		this.nodeLinks.add(link);
-		String seeds = (number == 0) ? "" : "\"" + this.nodeLinks.get(0).address() + "\"";
-		Path settings = this.directory.resolve("entry-" + number + ".toml");
+		String seeds = (index == 0) ? "" : "\"" + this.nodeLinks.get(0).address() + "\"";
+		Path settings = this.directory.resolve("entry-" + index + ".toml");
 		Files.writeString(settings, """
 				[node]
 				name = "entry-%d"
@@ -131,7 +132,7 @@
 				bootstrapName = "release-pipeline"
 				bootstrapKeyDigest = "%s"
 				[log]
-				""".formatted(number, number, ports.get(0), ports.get(1), ports.get(2), link.address(), seeds,
+				""".formatted(index, index, ports.get(0), ports.get(1), ports.get(2), link.address(), seeds,
 				this.logLink.address(), this.cloud.address(), Digests.sha256(OPERATOR_KEY)));
 		this.daemons
 			.add(Daemon.start(settings, "127.0.0.1:" + ports.get(0), "127.0.0.1:" + ports.get(2), this.directory));
@@ -142,13 +143,13 @@
 	}
 
 	/**
-	 * Start one more daemon.
-	 * @return its number
+	 * Start one more daemon without waiting until it is ready.
+	 * @return the index of the daemon
 	 */
 	int startNode() throws IOException {
-		int number = this.daemons.size();
-		addDaemon(number);
-		return number;
+		int index = this.daemons.size();
+		addDaemon(index);
+		return index;
 	}
 
 	String manifest() {
@@ -157,32 +158,33 @@
 	}
 
 	/**
-	 * Return the manifest with a rollout of the desk that starts now.
-	 * @param candidateAddress where the candidate listens
-	 * @param lengthSeconds the time until the deadline
-	 * @return the manifest
+	 * Return the manifest with a rollout of the plain service that starts now.
+	 * @param candidateAddress the address of the backend server that runs the candidate
+	 * @param durationSeconds the time until the deadline
+	 * @return a TOML document
 	 */
-	String manifestWithRollout(String candidateAddress, long lengthSeconds) {
-		return manifest() + FleetManifest.rollout(candidateAddress, System.currentTimeMillis() / 1_000, lengthSeconds);
+	String manifestWithRollout(String candidateAddress, long durationSeconds) {
+		return manifest()
+				+ FleetManifest.rolloutSection(candidateAddress, System.currentTimeMillis() / 1_000, durationSeconds);
 	}
 
 	/**
-	 * Publish a manifest through the first daemon and wait until it is in force
-	 * everywhere.
-	 * @param manifest the manifest
+	 * Publish a manifest through the first daemon and wait until it is in force at all
+	 * daemons.
+	 * @param manifest a TOML document
 	 */
 	void applyManifest(String manifest) throws Exception {
-		long base = operatorGet(0, "manifest").get("offset").asLong();
-		JsonNode verdict = publish(0, "change-" + System.nanoTime(), base, manifest);
+		long baseOffset = operatorGet(0, "manifest").get("offset").asLong();
+		JsonNode verdict = publish(0, "change-" + System.nanoTime(), baseOffset, manifest);
 		long offset = verdict.path("offset").asLong();
 		for (int i = 0; i < this.daemons.size(); i++) {
-			int number = i;
-			await("offset " + offset + " in force at node " + number, () -> configOffset(number) >= offset);
+			int index = i;
+			await("offset " + offset + " in force at node " + index, () -> configOffset(index) >= offset);
 		}
 	}
 
-	JsonNode publish(int daemon, String id, long base, String manifest) throws Exception {
-		Map<String, Object> change = Map.of("id", id, "baseOffset", base, "manifest", manifest);
+	JsonNode publish(int daemon, String id, long baseOffset, String manifest) throws Exception {
+		Map<String, Object> change = Map.of("id", id, "baseOffset", baseOffset, "manifest", manifest);
 		return operator(daemon, "manifests",
 				HttpRequest.newBuilder().POST(HttpRequest.BodyPublishers.ofString(Json.write(change))));
 	}
@@ -191,7 +193,7 @@
 		return operatorGet(daemon, "status").get("configOffset").asLong();
 	}
 
-	private boolean servingNodesEverywhere(int count) throws Exception {
+	private boolean allDaemonsSeeServingNodes(int count) throws Exception {
 		for (int i = 0; i < count; i++) {
 			if (countServingNodes(i) != count) {
 				return false;
@@ -201,14 +203,14 @@
 	}
 
 	/**
-	 * Return how many serving nodes a daemon knows.
-	 * @param daemon the daemon
-	 * @return the number
+	 * Return the number of serving nodes that a daemon reports as reachable.
+	 * @param daemon the index of the daemon
+	 * @return the count, including the daemon itself
 	 */
 	int countServingNodes(int daemon) throws Exception {
 		int serving = 0;
-		for (JsonNode row : operatorGet(daemon, "nodes")) {
-			if (row.get("reachable").asBoolean() && "SERVING".equals(row.get("state").asText())) {
+		for (JsonNode member : operatorGet(daemon, "nodes")) {
+			if (member.get("reachable").asBoolean() && "SERVING".equals(member.get("state").asText())) {
 				serving++;
 			}
 		}
@@ -239,20 +241,20 @@
 	}
 
 	/**
-	 * Wait for a condition that has to become true.
-	 * @param what what is waited for
-	 * @param condition the condition; failures to reach a node count as false
+	 * Wait until a condition is true, and fail the test if that takes too long.
+	 * @param description the text that names the condition in the failure
+	 * @param condition the condition; an I/O failure counts as false
 	 */
-	void await(String what, Callable<Boolean> condition) throws Exception {
-		ConditionPoller.await(what + "; logs in " + this.directory, condition);
+	void await(String description, Callable<Boolean> condition) throws Exception {
+		ConditionPoller.await(description + "; logs in " + this.directory, condition);
 	}
 
 	/**
 	 * Return which daemon owns a key.
-	 * @param daemon the daemon to ask
-	 * @param key the key
-	 * @param fallback the number to return if the owner can't be told
-	 * @return the number of the owner
+	 * @param daemon the index of the daemon to ask
+	 * @param key the idempotency key
+	 * @param fallback the index to return if the daemon doesn't report an owner
+	 * @return the index of the owner
 	 */
 	int ownerIndex(int daemon, String key, int fallback) throws Exception {
 		String owner = operatorGet(daemon, "requests/" + key).path("owner").asText();
@@ -265,12 +267,13 @@
 	}
 
 	/**
-	 * Return a daemon's own row of its entry answers, which take turns.
-	 * @param daemon the daemon
-	 * @return the row, with a key prefix
+	 * Return the row for a daemon in its own entry answers. Several answers may be
+	 * needed, because each lists a different selection of nodes.
+	 * @param daemon the index of the daemon
+	 * @return the row, with the key prefix that the daemon issues
 	 */
 	EntryNodeReply entryOf(int daemon) {
-		for (int turn = 0; turn < 2 * size(); turn++) {
+		for (int attempt = 0; attempt < 2 * size(); attempt++) {
 			for (EntryNodeReply node : caller().entry(address(daemon)).nodes()) {
 				if (node.address().equals(address(daemon))) {
 					return node;
@@ -289,9 +292,9 @@
 	}
 
 	/**
-	 * Ask a daemon's admin port.
-	 * @param daemon the daemon
-	 * @param path the path
+	 * Send a GET request to a daemon's admin port.
+	 * @param daemon the index of the daemon
+	 * @param path the path of the resource
 	 * @return the status and the body
 	 */
 	HttpResponse<String> adminGet(int daemon, String path) throws Exception {
@@ -303,8 +306,8 @@
 		return this.daemons.get(daemon).callerAddress();
 	}
 
-	Daemon daemon(int number) {
-		return this.daemons.get(number);
+	Daemon daemon(int index) {
+		return this.daemons.get(index);
 	}
 
 	FakeLog log() {
@@ -319,12 +322,12 @@
 		return this.cloud;
 	}
 
-	FakeEngine engine(int number) {
-		return this.engines.get(number);
+	FakeEngine engine(int index) {
+		return this.engines.get(index);
 	}
 
-	FaultyLink engineLink(int number) {
-		return this.engineLinks.get(number);
+	FaultyLink engineLink(int index) {
+		return this.engineLinks.get(index);
 	}
 
 	FakePlainService plainService() {
@@ -353,11 +356,11 @@
 	}
 
 	/**
-	 * One daemon process.
+	 * Daemon process.
 	 *
-	 * @param process the process
-	 * @param callerAddress where callers connect
-	 * @param adminAddress where health checks connect
+	 * @param process the running process
+	 * @param callerAddress the address on which the daemon accepts callers
+	 * @param adminAddress the address on which the daemon accepts health checks
 	 */
 	record Daemon(Process process, String callerAddress, String adminAddress) {
 
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/FleetManifest.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/FleetManifest.java
@@ -5,7 +5,7 @@
 import io.flamingogap.core.text.Digests;
 
 /**
- * The text of the manifests that a {@link Fleet} publishes.
+ * Utility that creates the manifests that a {@link Fleet} publishes.
  */
 final class FleetManifest {
 
@@ -35,22 +35,22 @@
 	}
 
 	/**
-	 * Write a manifest without a rollout.
-	 * @param zones the number of availability zones
-	 * @param engines the addresses of the engines
-	 * @param desk the address of the plain service
-	 * @return the manifest
+	 * Create a manifest without a rollout.
+	 * @param zoneCount the number of availability zones
+	 * @param engineAddresses the addresses of the engines
+	 * @param plainServiceAddress the address of the plain service
+	 * @return a TOML document
 	 */
-	static String of(int zones, List<String> engines, String desk) {
+	static String of(int zoneCount, List<String> engineAddresses, String plainServiceAddress) {
 		StringBuilder text = new StringBuilder();
-		for (int i = 0; i < zones; i++) {
+		for (int i = 0; i < zoneCount; i++) {
 			text.append("[[zone]]\nname = \"zone-%d\"\nregion = \"cariri\"\n".formatted(i));
 		}
 		text.append(SERVICES);
-		for (int i = 0; i < engines.size(); i++) {
-			text.append(server("engine-" + i, "assistant", "v1", engines.get(i)));
+		for (int i = 0; i < engineAddresses.size(); i++) {
+			text.append(serverSection("engine-" + i, "assistant", "v1", engineAddresses.get(i)));
 		}
-		text.append(server("desk-0", "desk", "v1", desk));
+		text.append(serverSection("desk-0", "desk", "v1", plainServiceAddress));
 		text.append(
 				"[[account]]\nname = \"buyers\"\nkeyDigest = \"%s\"\n".formatted(Digests.sha256(Fleet.ACCOUNT_KEY)));
 		text.append("[[operator]]\nname = \"release-pipeline\"\nkeyDigest = \"%s\"\n"
@@ -59,23 +59,23 @@
 	}
 
 	/**
-	 * Write what a manifest needs besides for a rollout of the plain service.
-	 * @param candidate the address of the candidate
-	 * @param startsAtSeconds when it starts, in seconds since 1970 UTC
-	 * @param lengthSeconds the time until the deadline
-	 * @return the rest of the manifest
+	 * Create the sections that add a rollout of the plain service to a manifest.
+	 * @param candidateAddress the address of the backend server that runs the candidate
+	 * @param startsAtSeconds the start time, in seconds since 1970 UTC
+	 * @param durationSeconds the time from the start to the deadline
+	 * @return TOML text to append to a manifest
 	 */
-	static String rollout(String candidate, long startsAtSeconds, long lengthSeconds) {
-		return server("desk-1", "desk", "v2", candidate) + """
+	static String rolloutSection(String candidateAddress, long startsAtSeconds, long durationSeconds) {
+		return serverSection("desk-1", "desk", "v2", candidateAddress) + """
 				[[rollout]]
 				service = "desk"
 				candidate = "v2"
 				startsAtEpochSeconds = %d
 				deadlineEpochSeconds = %d
-				""".formatted(startsAtSeconds, startsAtSeconds + lengthSeconds);
+				""".formatted(startsAtSeconds, startsAtSeconds + durationSeconds);
 	}
 
-	private static String server(String name, String service, String version, String address) {
+	private static String serverSection(String name, String service, String version, String address) {
 		return "[[server]]\nname = \"%s\"\nservice = \"%s\"\nversion = \"%s\"\nzone = \"zone-0\"\naddress = \"%s\"\n"
 			.formatted(name, service, version, address);
 	}
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Tests of several daemons as processes of their own, with faults done for real.
+ * Tests with several daemon processes and injected faults: killed and frozen processes,
+ * broken connections, and an unavailable platform log.
  */
 @NullMarked
 package io.flamingogap.daemon.fleet;
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the daemon as a whole.
+ * Tests that concern the whole daemon.
  */
 @NullMarked
 package io.flamingogap.daemon;
