Reword the command-line client and its help

Help lines were hints rather than descriptions ("--wait until it is in force", "the same id again is the same change"), did not name every default and did not mention FLAMINGOGAP_KEY. Names such as line, words, given, asked, faults, at, member and LOOK_MILLIS did not say what they hold.

The help has one line per command with its unit or default; commands, flags, exit codes and the "N faults" line of validate stay. A manifest that can't be read is now named together with the cause, and a wait that runs out reports the time and what it waited for.

--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/CliException.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/CliException.java
@@ -1,7 +1,8 @@
 package io.flamingogap.cli;
 
 /**
- * Ends a command with a status and a message.
+ * Ends the command: the message is printed to standard error and the process exits with
+ * the status.
  */
 final class CliException extends RuntimeException {
 
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/CommandLine.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/CommandLine.java
@@ -13,7 +13,8 @@
 import joptsimple.OptionSpec;
 
 /**
- * The parsed command line.
+ * Reads the command, its arguments and the options from the command line, and the
+ * defaults of the node address and the bearer key from the environment.
  */
 final class CommandLine {
 
@@ -24,39 +25,39 @@
 	private final OptionParser parser = new OptionParser();
 
 	private final OptionSpec<String> node = this.parser
-		.accepts("node", "caller address of any entry node; or " + ADDRESS_VARIABLE)
+		.accepts("node", "caller address of any entry node; default: environment variable " + ADDRESS_VARIABLE)
 		.withRequiredArg()
 		.describedAs("IP:PORT");
 
-	private final OptionSpec<String> output = this.parser.accepts("output", "how to print the result")
+	private final OptionSpec<String> output = this.parser.accepts("output", "output format")
 		.withRequiredArg()
 		.describedAs("json|table")
 		.defaultsTo("table");
 
 	private final OptionSpec<Long> waitSeconds = this.parser
-		.accepts("wait", "wait for the effect, for at most this long")
+		.accepts("wait", "seconds to wait at most until the command has taken effect; default: do not wait")
 		.withRequiredArg()
 		.ofType(Long.class)
 		.describedAs("SECONDS");
 
 	private final OptionSpec<Long> base = this.parser
-		.accepts("base", "the offset that the change was made against; default: what is in force")
+		.accepts("base", "offset of the configuration that the change is based on; default: the one in force")
 		.withRequiredArg()
 		.ofType(Long.class)
 		.describedAs("OFFSET");
 
 	private final OptionSpec<String> id = this.parser
-		.accepts("id", "the id of the change; the same id again is the same change")
+		.accepts("id", "id of the change; a repeated id counts as the same change; default: a random UUID")
 		.withRequiredArg()
 		.describedAs("ID");
 
-	private final OptionSpec<Integer> limit = this.parser.accepts("limit", "the most entries to print")
+	private final OptionSpec<Integer> limit = this.parser.accepts("limit", "maximum number of audit entries to print")
 		.withRequiredArg()
 		.ofType(Integer.class)
 		.describedAs("N")
 		.defaultsTo(100);
 
-	private final OptionSpec<String> words = this.parser.nonOptions();
+	private final OptionSpec<String> positionalArguments = this.parser.nonOptions();
 
 	private final Map<String, String> environment;
 
@@ -79,20 +80,21 @@
 	}
 
 	Command command() {
-		List<String> given = this.options.valuesOf(this.words);
-		if (given.isEmpty()) {
-			throw new CliException(ExitStatus.USAGE, "a command is required; see --help");
+		List<String> arguments = this.options.valuesOf(this.positionalArguments);
+		if (arguments.isEmpty()) {
+			throw new CliException(ExitStatus.USAGE, "no command given; see --help");
 		}
-		return Command.find(given.get(0))
-			.orElseThrow(() -> new CliException(ExitStatus.USAGE, "no command " + given.get(0) + "; see --help"));
+		return Command.find(arguments.get(0))
+			.orElseThrow(
+					() -> new CliException(ExitStatus.USAGE, "unknown command " + arguments.get(0) + "; see --help"));
 	}
 
 	String argument(int index, String name) {
-		List<String> given = this.options.valuesOf(this.words);
-		if (given.size() <= index + 1) {
+		List<String> arguments = this.options.valuesOf(this.positionalArguments);
+		if (arguments.size() <= index + 1) {
 			throw new CliException(ExitStatus.USAGE, name + " is required; see --help");
 		}
-		return given.get(index + 1);
+		return arguments.get(index + 1);
 	}
 
 	NodeClient node() {
@@ -100,8 +102,10 @@
 				: this.environment.get(ADDRESS_VARIABLE);
 		String key = this.environment.get(KEY_VARIABLE);
 		if (address == null || key == null) {
-			throw new CliException(ExitStatus.USAGE, "--node IP:PORT (or " + ADDRESS_VARIABLE + ") and " + KEY_VARIABLE
-					+ ", the operator's bearer key, are required");
+			throw new CliException(ExitStatus.USAGE,
+					"the node address (--node IP:PORT or environment variable " + ADDRESS_VARIABLE
+							+ ") and the operator's bearer key (environment variable " + KEY_VARIABLE
+							+ ") are required");
 		}
 		return new NodeClient(address, key);
 	}
@@ -132,12 +136,13 @@
 	}
 
 	void printHelp(PrintStream out) {
-		out.println("flamingogap: operate flamingogap entry nodes\n\nCommands:");
+		out.println("flamingogap: operate flamingogap entry nodes\n\n"
+				+ "The operator's bearer key is read from the environment variable " + KEY_VARIABLE + ".\n\nCommands:");
 		for (Command command : Command.values()) {
-			out.println(command.usage());
+			out.println(command.helpLine());
 		}
-		out.println("\nExit status: 0 done, 1 refused or failed, 2 unusable arguments or documents,");
-		out.println("3 node not reached, 4 --wait passed.\n");
+		out.println("\nExit status: 0 success, 1 refused or failed, 2 invalid arguments or manifest,");
+		out.println("3 node unreachable, 4 time of --wait passed.\n");
 		try {
 			this.parser.printHelpOn(out);
 		}
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/Commands.java
@@ -17,42 +17,44 @@
 import io.flamingogap.core.toml.ValidationError;
 
 /**
- * The commands, each of which returns the result to print.
+ * Executes the commands. Each returns the result to print.
  */
 final class Commands {
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final long LOOK_MILLIS = 200;
+	private static final long POLL_INTERVAL_MILLIS = 200;
 
-	private final CommandLine line;
+	private final CommandLine commandLine;
 
 	private final PrintStream progress;
 
-	Commands(CommandLine line, PrintStream progress) {
-		this.line = line;
+	Commands(CommandLine commandLine, PrintStream progress) {
+		this.commandLine = commandLine;
 		this.progress = progress;
 	}
 
 	JsonNode apply() {
-		String manifest = readValid(this.line.argument(0, "FILE"));
-		NodeClient node = this.line.node();
+		String manifest = readValidManifest(this.commandLine.argument(0, "FILE"));
+		NodeClient node = this.commandLine.node();
 		ObjectNode change = MAPPER.createObjectNode();
-		change.put("id", this.line.changeId().orElseGet(() -> UUID.randomUUID().toString()));
-		change.put("baseOffset", this.line.baseOffset().orElseGet(() -> node.get("manifest").get("offset").asLong()));
+		change.put("id", this.commandLine.changeId().orElseGet(() -> UUID.randomUUID().toString()));
+		change.put("baseOffset",
+				this.commandLine.baseOffset().orElseGet(() -> node.get("manifest").get("offset").asLong()));
 		change.put("manifest", manifest);
 		JsonNode verdict = node.post("manifests", change.toString());
-		if (this.line.waitMillis().isPresent()) {
+		if (this.commandLine.waitMillis().isPresent()) {
 			long offset = verdict.get("offset").asLong();
-			await("configuration in force at all nodes", () -> isInForce(node, offset));
+			awaitCondition("the configuration to be in force at all nodes", () -> isInForceAtAllNodes(node, offset));
 		}
 		return verdict;
 	}
 
-	private boolean isInForce(NodeClient node, long offset) {
-		for (JsonNode member : node.get("nodes")) {
-			boolean asked = member.get("reachable").asBoolean() && "SERVING".equals(member.get("state").asText());
-			if (asked && node.at(member.get("callerAddress").asText())
+	private boolean isInForceAtAllNodes(NodeClient node, long offset) {
+		for (JsonNode row : node.get("nodes")) {
+			boolean reachableAndServing = row.get("reachable").asBoolean()
+					&& "SERVING".equals(row.get("state").asText());
+			if (reachableAndServing && node.withAddress(row.get("callerAddress").asText())
 				.get("status")
 				.get("configOffset")
 				.asLong() < offset) {
@@ -63,95 +65,94 @@
 	}
 
 	JsonNode validate() {
-		String file = this.line.argument(0, "FILE");
-		readValid(file);
+		String file = this.commandLine.argument(0, "FILE");
+		readValidManifest(file);
 		return MAPPER.createObjectNode().put("file", file).put("valid", true);
 	}
 
-	private static String readValid(String file) {
+	private static String readValidManifest(String file) {
 		String text;
 		try {
 			text = Files.readString(Path.of(file));
 		}
 		catch (IOException ex) {
-			throw new CliException(ExitStatus.USAGE, "can't read " + ex.getMessage());
+			throw new CliException(ExitStatus.USAGE, "can't read manifest " + file + ": " + ex);
 		}
-		List<ValidationError> faults = ManifestReader.read(text).fold((found) -> found, (manifest) -> List.of());
-		if (!faults.isEmpty()) {
-			throw new CliException(ExitStatus.USAGE, file + " has " + faults.size() + " faults:\n  "
-					+ String.join("\n  ", faults.stream().map(ValidationError::toString).toList()));
+		List<ValidationError> errors = ManifestReader.read(text).fold((invalid) -> invalid, (manifest) -> List.of());
+		if (!errors.isEmpty()) {
+			throw new CliException(ExitStatus.USAGE, file + " has " + errors.size() + " faults:\n  "
+					+ String.join("\n  ", errors.stream().map(ValidationError::toString).toList()));
 		}
 		return text;
 	}
 
 	JsonNode status() {
-		return this.line.node().get("status");
+		return this.commandLine.node().get("status");
 	}
 
 	JsonNode nodes() {
-		return this.line.node().get("nodes");
+		return this.commandLine.node().get("nodes");
 	}
 
 	JsonNode rollout() {
-		String action = this.line.argument(0, "show or take-back");
+		String action = this.commandLine.argument(0, "show or take-back");
 		return switch (action) {
-			case "show" -> this.line.node().get("rollouts");
+			case "show" -> this.commandLine.node().get("rollouts");
 			case "take-back" ->
-				this.line.node().post("rollouts/" + this.line.argument(1, "SERVICE") + "/take-back", "");
+				this.commandLine.node().post("rollouts/" + this.commandLine.argument(1, "SERVICE") + "/take-back", "");
 			default -> throw new CliException(ExitStatus.USAGE, "rollout takes show or take-back, not " + action);
 		};
 	}
 
 	JsonNode drain() {
-		String name = this.line.argument(0, "NODE");
-		NodeClient node = this.line.node();
-		JsonNode member = member(node, name);
-		JsonNode result = node.at(member.get("callerAddress").asText()).post("drain", "");
-		if (this.line.waitMillis().isPresent()) {
-			NodeClient observer = observer(node, member);
-			await("node " + name + " gone", () -> hasLeft(observer, member.get("node").asText()));
+		String name = this.commandLine.argument(0, "NODE");
+		NodeClient node = this.commandLine.node();
+		JsonNode row = findReachableNode(node, name);
+		JsonNode result = node.withAddress(row.get("callerAddress").asText()).post("drain", "");
+		if (this.commandLine.waitMillis().isPresent()) {
+			NodeClient observer = findObserver(node, row);
+			awaitCondition("node " + name + " to leave", () -> hasLeft(observer, row.get("node").asText()));
 		}
 		return result;
 	}
 
-	private static JsonNode member(NodeClient node, String name) {
-		for (JsonNode member : node.get("nodes")) {
-			boolean matches = member.get("node").asText().equals(name)
-					|| member.get("node").asText().startsWith(name + "~");
-			if (matches && member.get("reachable").asBoolean()) {
-				return member;
+	private static JsonNode findReachableNode(NodeClient node, String name) {
+		for (JsonNode row : node.get("nodes")) {
+			boolean matches = row.get("node").asText().equals(name) || row.get("node").asText().startsWith(name + "~");
+			if (matches && row.get("reachable").asBoolean()) {
+				return row;
 			}
 		}
-		throw new CliException(ExitStatus.FAILED, "no reachable node is named " + name);
+		throw new CliException(ExitStatus.FAILED, "no reachable node has the name " + name);
 	}
 
 	/**
-	 * Return a node that outlives the drained one.
-	 * @param node any node
-	 * @param drained the row of the drained node
-	 * @return another reachable node
+	 * Return a node to ask whether the drained node has left.
+	 * @param node client of any node
+	 * @param drained the row of the drained node in the list of nodes
+	 * @return client of another reachable node
 	 */
-	private static NodeClient observer(NodeClient node, JsonNode drained) {
-		for (JsonNode member : node.get("nodes")) {
-			if (!member.get("node").equals(drained.get("node")) && member.get("reachable").asBoolean()) {
-				return node.at(member.get("callerAddress").asText());
+	private static NodeClient findObserver(NodeClient node, JsonNode drained) {
+		for (JsonNode row : node.get("nodes")) {
+			if (!row.get("node").equals(drained.get("node")) && row.get("reachable").asBoolean()) {
+				return node.withAddress(row.get("callerAddress").asText());
 			}
 		}
-		throw new CliException(ExitStatus.FAILED, "no other node is left to observe the drain");
+		throw new CliException(ExitStatus.FAILED, "no other node is reachable to observe the drain");
 	}
 
 	private static boolean hasLeft(NodeClient observer, String name) {
-		for (JsonNode member : observer.get("nodes")) {
-			if (member.get("node").asText().equals(name)) {
-				return !member.get("reachable").asBoolean();
+		for (JsonNode row : observer.get("nodes")) {
+			if (row.get("node").asText().equals(name)) {
+				return !row.get("reachable").asBoolean();
 			}
 		}
 		return true;
 	}
 
 	JsonNode audit() {
-		ArrayNode entries = (ArrayNode) this.line.node().get("audit");
-		int limit = this.line.limit();
+		ArrayNode entries = (ArrayNode) this.commandLine.node().get("audit");
+		int limit = this.commandLine.limit();
 		while (entries.size() > limit) {
 			entries.remove(0);
 		}
@@ -159,25 +160,26 @@
 	}
 
 	JsonNode requests() {
-		String key = this.line.argument(0, "KEY");
-		NodeClient node = this.line.node();
+		String key = this.commandLine.argument(0, "KEY");
+		NodeClient node = this.commandLine.node();
 		JsonNode report = node.get("requests/" + key);
-		for (JsonNode member : node.get("nodes")) {
-			if (member.get("node").equals(report.get("owner")) && member.get("reachable").asBoolean()) {
-				return node.at(member.get("callerAddress").asText()).get("requests/" + key);
+		for (JsonNode row : node.get("nodes")) {
+			if (row.get("node").equals(report.get("owner")) && row.get("reachable").asBoolean()) {
+				return node.withAddress(row.get("callerAddress").asText()).get("requests/" + key);
 			}
 		}
 		return report;
 	}
 
-	private void await(String what, BooleanSupplier condition) {
-		long waitMillis = this.line.waitMillis().orElseThrow();
+	private void awaitCondition(String description, BooleanSupplier condition) {
+		long waitMillis = this.commandLine.waitMillis().orElseThrow();
 		long deadlineNanos = System.nanoTime() + waitMillis * 1_000_000;
-		this.progress.print("waiting for " + what);
+		this.progress.print("waiting for " + description);
 		while (!condition.getAsBoolean()) {
 			if (System.nanoTime() > deadlineNanos) {
 				this.progress.println(" timed out");
-				throw new CliException(ExitStatus.TIMED_OUT, what + ": not within " + waitMillis + " ms");
+				throw new CliException(ExitStatus.TIMED_OUT,
+						"timed out after " + waitMillis + " ms waiting for " + description);
 			}
 			this.progress.print(".");
 			sleep();
@@ -187,7 +189,7 @@
 
 	private static void sleep() {
 		try {
-			Thread.sleep(LOOK_MILLIS);
+			Thread.sleep(POLL_INTERVAL_MILLIS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/ExitStatus.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/ExitStatus.java
@@ -1,19 +1,19 @@
 package io.flamingogap.cli;
 
 /**
- * The exit statuses of the command line.
+ * The exit statuses of the client.
  */
 enum ExitStatus {
 
-	/** Done. */
+	/** The command succeeded. */
 	OK(0),
-	/** Refused or failed; nothing more will happen. */
+	/** The command was refused or failed; nothing more happens. */
 	FAILED(1),
-	/** The command line or a document can't be used. */
+	/** The command line or the manifest is invalid. */
 	USAGE(2),
 	/** The node could not be reached. */
 	UNREACHABLE(3),
-	/** The time given with {@code --wait} passed. */
+	/** The effect was not seen within the time given by {@code --wait}. */
 	TIMED_OUT(4);
 
 	private final int code;
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/FlamingogapCli.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/FlamingogapCli.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * The entry point of the operators' command line.
+ * Entry point of the command-line client for operators.
  */
 public final class FlamingogapCli {
 
@@ -12,7 +12,7 @@
 	}
 
 	/**
-	 * Run one command.
+	 * Run one command and exit with its status.
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
@@ -20,25 +20,25 @@
 	}
 
 	/**
-	 * Run one command.
+	 * Run one command without exiting the process.
 	 * @param args the command line
 	 * @param environment the environment variables
-	 * @param out takes the result
-	 * @param err takes progress and errors
-	 * @return the exit status
+	 * @param out receives the result
+	 * @param err receives progress and errors
+	 * @return the exit status, see {@link ExitStatus}
 	 */
 	static int run(String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
 		try {
-			CommandLine line = new CommandLine(args, environment);
-			if (line.has("help")) {
-				line.printHelp(out);
+			CommandLine commandLine = new CommandLine(args, environment);
+			if (commandLine.has("help")) {
+				commandLine.printHelp(out);
 			}
-			else if (line.has("version")) {
+			else if (commandLine.has("version")) {
 				out.println("flamingogap " + FlamingogapCli.class.getPackage().getImplementationVersion());
 			}
 			else {
-				OutputFormat format = line.output();
-				out.println(format.render(line.command().run(new Commands(line, err))));
+				OutputFormat format = commandLine.output();
+				out.println(format.render(commandLine.command().run(new Commands(commandLine, err))));
 			}
 			return ExitStatus.OK.code();
 		}
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/NodeClient.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/NodeClient.java
@@ -11,15 +11,15 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
- * Client of the operator API of one entry node.
+ * HTTP client for the operator API of one entry node.
  */
 final class NodeClient {
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
-	private static final Duration TIMEOUT = Duration.ofSeconds(10);
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
 
-	private static final int FIRST_ERROR = 400;
+	private static final int FIRST_ERROR_STATUS = 400;
 
 	private final HttpClient client = HttpClient.newBuilder()
 		.version(HttpClient.Version.HTTP_1_1)
@@ -35,7 +35,7 @@
 		this.key = key;
 	}
 
-	NodeClient at(String otherAddress) {
+	NodeClient withAddress(String otherAddress) {
 		return new NodeClient(otherAddress, this.key);
 	}
 
@@ -53,7 +53,7 @@
 
 	private HttpRequest.Builder request(String resource) {
 		return HttpRequest.newBuilder(URI.create("http://" + this.address + "/operator/v1/" + resource))
-			.timeout(TIMEOUT)
+			.timeout(REQUEST_TIMEOUT)
 			.header("Authorization", "Bearer " + this.key);
 	}
 
@@ -61,13 +61,13 @@
 		try {
 			HttpResponse<String> response = this.client.send(request, HttpResponse.BodyHandlers.ofString());
 			JsonNode body = MAPPER.readTree(response.body());
-			if (response.statusCode() >= FIRST_ERROR) {
-				throw new CliException(ExitStatus.FAILED, problem(response.statusCode(), body));
+			if (response.statusCode() >= FIRST_ERROR_STATUS) {
+				throw new CliException(ExitStatus.FAILED, formatProblem(response.statusCode(), body));
 			}
 			return body;
 		}
 		catch (IOException ex) {
-			throw new CliException(ExitStatus.UNREACHABLE, "node " + this.address + " can't be reached: " + ex);
+			throw new CliException(ExitStatus.UNREACHABLE, "node " + this.address + " is unreachable: " + ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -75,7 +75,7 @@
 		}
 	}
 
-	private static String problem(int status, JsonNode body) {
+	private static String formatProblem(int status, JsonNode body) {
 		return body.path("title").asText("status " + status) + ": " + body.path("detail").asText() + " (step "
 				+ body.path("step").asText("unknown") + ", peer " + body.path("peer").asText("unknown") + ", execution "
 				+ body.path("execution").asText("unknown") + ")";
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/OutputFormat.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/OutputFormat.java
@@ -10,7 +10,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
- * How results are printed.
+ * The formats in which results are printed.
  */
 enum OutputFormat {
 
@@ -23,49 +23,51 @@
 				return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(result);
 			}
 			catch (JsonProcessingException ex) {
-				throw new IllegalStateException("a parsed document can be written", ex);
+				throw new IllegalStateException("can't write the result as JSON", ex);
 			}
 		}
 
 	},
 
-	/** Aligned columns for lists, a line a field for objects. */
+	/** Aligned columns for lists, one line per field for objects. */
 	TABLE {
 
 		@Override
 		String render(JsonNode result) {
-			return result.isArray() ? columns(result) : fields(result);
+			return result.isArray() ? formatColumns(result) : formatFields(result);
 		}
 
 	};
 
 	/**
-	 * Render a result.
-	 * @param result the result
+	 * Format a result for printing.
+	 * @param result a JSON list or object
 	 * @return the text to print
 	 */
 	abstract String render(JsonNode result);
 
-	private static String fields(JsonNode result) {
+	private static String formatFields(JsonNode result) {
 		List<String[]> rows = new ArrayList<>();
-		result.fields().forEachRemaining((field) -> rows.add(new String[] { field.getKey(), cell(field.getValue()) }));
-		return align(rows);
+		result.fields()
+			.forEachRemaining((field) -> rows.add(new String[] { field.getKey(), formatCell(field.getValue()) }));
+		return alignColumns(rows);
 	}
 
-	private static String columns(JsonNode result) {
+	private static String formatColumns(JsonNode result) {
 		Set<String> names = new LinkedHashSet<>();
 		result.forEach((row) -> row.fieldNames().forEachRemaining(names::add));
 		List<String[]> rows = new ArrayList<>();
 		rows.add(names.toArray(String[]::new));
-		result.forEach((row) -> rows.add(names.stream().map((name) -> cell(row.path(name))).toArray(String[]::new)));
-		return align(rows);
+		result.forEach(
+				(row) -> rows.add(names.stream().map((name) -> formatCell(row.path(name))).toArray(String[]::new)));
+		return alignColumns(rows);
 	}
 
-	private static String cell(JsonNode value) {
+	private static String formatCell(JsonNode value) {
 		return value.isValueNode() ? value.asText() : value.toString();
 	}
 
-	private static String align(List<String[]> rows) {
+	private static String alignColumns(List<String[]> rows) {
 		int columns = rows.stream().mapToInt((row) -> row.length).max().orElse(0);
 		int[] widths = new int[columns];
 		for (String[] row : rows) {
--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/package-info.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The operators' command line.
+ * Command-line client for operators.
  */
 @NullMarked
 package io.flamingogap.cli;
--- a/flamingogap-cli/src/test/java/io/flamingogap/cli/FlamingogapCliTests.java
+++ b/flamingogap-cli/src/test/java/io/flamingogap/cli/FlamingogapCliTests.java
@@ -39,7 +39,7 @@
 			assertThat(run(Map.of(), "--help"), is(0));
 			String help = FlamingogapCliTests.this.out.toString(StandardCharsets.UTF_8);
 			for (Command command : Command.values()) {
-				assertThat(help, containsString(command.usage()));
+				assertThat(help, containsString(command.helpLine()));
 			}
 			assertThat(help, containsString("Exit status"));
 		}
@@ -52,14 +52,14 @@
 		}
 
 		@Test
-		void nodeAndKeyAreRequired() {
+		void nodeAddressAndBearerKeyAreRequired() {
 			assertThat(run(Map.of(), "status"), is(ExitStatus.USAGE.code()));
 			assertThat(FlamingogapCliTests.this.err.toString(StandardCharsets.UTF_8),
 					containsString("FLAMINGOGAP_KEY"));
 		}
 
 		@Test
-		void nodeThatIsNotThereIsUnreachable() {
+		void addressWithoutANodeIsReportedAsUnreachable() {
 			Map<String, String> environment = Map.of("FLAMINGOGAP_NODE", "127.0.0.1:1", "FLAMINGOGAP_KEY", "key");
 			assertThat(run(environment, "status"), is(ExitStatus.UNREACHABLE.code()));
 		}
@@ -73,7 +73,7 @@
 		private Path directory;
 
 		@Test
-		void faultsAreListedAtOnceAndOffline() throws IOException {
+		void allErrorsOfAManifestAreListedWithoutContactingANode() throws IOException {
 			Path file = this.directory.resolve("manifest.toml");
 			Files.writeString(file, "zone = []\nservice = []\nserver = []\nsurprise = 1\naccount = 3\noperator = []\n");
 			assertThat(run(Map.of(), "validate", file.toString()), is(ExitStatus.USAGE.code()));
@@ -97,13 +97,13 @@
 		private static final String ROWS = "[{\"node\":\"entry-0\",\"zone\":\"z\"},{\"node\":\"e\",\"zone\":\"zone-1\"}]";
 
 		@Test
-		void listsBecomeAlignedColumns() throws IOException {
+		void listsArePrintedAsAlignedColumns() throws IOException {
 			String table = OutputFormat.TABLE.render(new ObjectMapper().readTree(ROWS));
 			assertThat(table, is("node     zone\nentry-0  z\ne        zone-1"));
 		}
 
 		@Test
-		void jsonIsOneDocument() throws IOException {
+		void jsonOutputIsOneDocument() throws IOException {
 			ObjectMapper mapper = new ObjectMapper();
 			assertThat(mapper.readTree(OutputFormat.JSON.render(mapper.readTree(ROWS))), is(mapper.readTree(ROWS)));
 		}
--- a/flamingogap-cli/src/test/java/io/flamingogap/cli/package-info.java
+++ b/flamingogap-cli/src/test/java/io/flamingogap/cli/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the command line.
+ * Tests of the command-line client.
  */
 @NullMarked
 package io.flamingogap.cli;
