--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/TestkitMain.java
@@ -13,7 +13,7 @@
 import io.flamingogap.testkit.platform.FakeLog;
 
 /**
- * Starts one stand-in or driver, named by the first argument.
+ * Starts the fake service or check that the first argument names.
  */
 public final class TestkitMain {
 
@@ -27,8 +27,8 @@
 
 	/**
 	 * Run the command.
-	 * @param args the name of the stand-in and its arguments
-	 * @throws Exception if it can't be started
+	 * @param args the name of the command and its arguments
+	 * @throws Exception if the service or check can't be started
 	 */
 	public static void main(String[] args) throws Exception {
 		if (args.length < 1) {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/EngineFault.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/EngineFault.java
@@ -1,23 +1,24 @@
 package io.flamingogap.testkit.backends;
 
 /**
- * How the engine stand-in misbehaves in the middle of a stream.
+ * Faults that {@link FakeEngine} injects at one position of each stream; {@link #FAIL}
+ * applies to whole requests.
  */
 public enum EngineFault {
 
-	/** Not at all. */
+	/** No fault. */
 	NONE,
-	/** Goes silent and keeps the connection open. */
+	/** Sends nothing more and keeps the connection open. */
 	STALL,
-	/** Closes the connection. */
+	/** Closes the connection before the answer is complete. */
 	BREAK,
-	/** Sends an event of another request. */
+	/** Sends an event of another request before the event of this position. */
 	CROSS,
-	/** Sends an event twice. */
+	/** Sends the event of this position twice. */
 	DOUBLE,
-	/** Leaves an event out. */
+	/** Omits the event of this position. */
 	SKIP,
-	/** Answers 500 at once. */
+	/** Answers each request with status 500. */
 	FAIL
 
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakeEngine.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakeEngine.java
@@ -12,11 +12,11 @@
 import com.sun.net.httpserver.HttpExchange;
 
 import io.flamingogap.testkit.http.Json;
-import io.flamingogap.testkit.http.StandInServer;
+import io.flamingogap.testkit.http.LoopbackHttpServer;
 
 /**
- * Stand-in for a model engine. {@code POST /v1/chat/completions} streams tokens that
- * depend on the request alone, so that any engine can resume a stream at the position in
+ * Fake of a model engine. {@code POST /v1/chat/completions} streams tokens that depend on
+ * the request alone, so that any engine can resume a stream at the position in
  * {@code X-Resume-Position}; each event's id is {@code REQUEST:POSITION}.
  * {@code GET /v1/load} answers {@code {"running": n}}; {@code POST /control} sets
  * {@code {"fault", "faultPosition"}}; {@code GET /control} answers the counters.
@@ -25,7 +25,7 @@
 
 	private static final String[] WORDS = { "carob", "scale", "ghat", "tender", "creek", "lot", "price", "berth" };
 
-	private final StandInServer server;
+	private final LoopbackHttpServer server;
 
 	private final long firstTokenMillis;
 
@@ -43,25 +43,25 @@
 
 	/**
 	 * Start an engine.
-	 * @param port the port; 0 for a free one
-	 * @param firstTokenMillis the time to the first token
-	 * @param tokenGapMillis the time between tokens
+	 * @param port the port; 0 for any free one
+	 * @param firstTokenMillis the time to the first token, in milliseconds
+	 * @param tokenGapMillis the time between tokens, in milliseconds
 	 */
 	public FakeEngine(int port, long firstTokenMillis, long tokenGapMillis) {
 		this.firstTokenMillis = firstTokenMillis;
 		this.tokenGapMillis = tokenGapMillis;
-		this.server = new StandInServer(port, this::handle);
+		this.server = new LoopbackHttpServer(port, this::handle);
 	}
 
 	/**
 	 * Return the token at a position of the answer to a prompt.
-	 * @param prompt the prompt as JSON
+	 * @param prompt the messages or the prompt of the request, as JSON text
 	 * @param position the position, from 0
-	 * @return the token
+	 * @return the text of the token
 	 */
 	public static String token(String prompt, long position) {
-		long mixed = (prompt.hashCode() * 31L + position) * 0x9E3779B97F4A7C15L;
-		return WORDS[(int) ((mixed >>> 40) % WORDS.length)] + position + " ";
+		long hash = (prompt.hashCode() * 31L + position) * 0x9E3779B97F4A7C15L;
+		return WORDS[(int) ((hash >>> 40) % WORDS.length)] + position + " ";
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
@@ -120,8 +120,8 @@
 
 	private boolean send(OutputStream out, String request, String prompt, long position, boolean last)
 			throws IOException {
-		EngineFault now = (position == this.faultPosition) ? this.fault : EngineFault.NONE;
-		switch (now) {
+		EngineFault activeFault = (position == this.faultPosition) ? this.fault : EngineFault.NONE;
+		switch (activeFault) {
 			case STALL -> sleepUntil(System.nanoTime() + 3_600_000_000_000L);
 			case BREAK -> {
 				return false;
@@ -131,7 +131,7 @@
 			default -> {
 			}
 		}
-		if (now != EngineFault.SKIP) {
+		if (activeFault != EngineFault.SKIP) {
 			write(out, event(request, prompt, position, last));
 		}
 		return true;
@@ -151,9 +151,9 @@
 	}
 
 	/**
-	 * Misbehave at a position of each stream from now on.
-	 * @param newFault how
-	 * @param position at which position
+	 * Set the fault of all streams from now on.
+	 * @param newFault the fault
+	 * @param position the position of the token at which the fault occurs, from 0
 	 */
 	public void setFault(EngineFault newFault, long position) {
 		this.fault = newFault;
@@ -161,24 +161,24 @@
 	}
 
 	/**
-	 * Return the number of requests since the start.
-	 * @return the number
+	 * Return the number of completion requests received.
+	 * @return the number since the start
 	 */
 	public long requests() {
 		return this.requests.get();
 	}
 
 	/**
-	 * Return the number of tokens sent since the start.
-	 * @return the number
+	 * Return the number of tokens sent.
+	 * @return the number since the start, over all streams
 	 */
 	public long tokens() {
 		return this.tokens.get();
 	}
 
 	/**
-	 * Return the address that the engine listens on.
-	 * @return the IP number and port
+	 * Return the address on which the engine listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return this.server.address();
@@ -190,10 +190,10 @@
 	}
 
 	private static void sleepUntil(long nanoTime) {
-		long leftMillis = (nanoTime - System.nanoTime()) / 1_000_000;
+		long remainingMillis = (nanoTime - System.nanoTime()) / 1_000_000;
 		try {
-			if (leftMillis > 0) {
-				Thread.sleep(leftMillis);
+			if (remainingMillis > 0) {
+				Thread.sleep(remainingMillis);
 			}
 		}
 		catch (InterruptedException ex) {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakePlainService.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/FakePlainService.java
@@ -9,19 +9,19 @@
 import com.sun.net.httpserver.HttpExchange;
 
 import io.flamingogap.testkit.http.Json;
-import io.flamingogap.testkit.http.StandInServer;
+import io.flamingogap.testkit.http.LoopbackHttpServer;
 
 /**
- * Stand-in for a plain service. {@code GET /lots/ID} looks a lot up;
- * {@code POST /bookings} books and counts each execution under its
- * {@code Idempotency-Key}, without looking for doubles; {@code GET /control/executions}
- * answers the counts and {@code POST /control} sets {@code {"answerMillis"}}.
+ * Fake of a plain service. {@code GET /lots/ID} returns a lot; {@code POST /bookings}
+ * creates a booking and counts each execution by its {@code Idempotency-Key}, without
+ * removing duplicates; {@code GET /control/executions} returns the counts and
+ * {@code POST /control} sets {@code {"answerMillis"}}.
  */
 public final class FakePlainService implements AutoCloseable {
 
-	private static final long HELD_LOOK_MILLIS = 5;
+	private static final long HELD_POLL_INTERVAL_MILLIS = 5;
 
-	private final StandInServer server;
+	private final LoopbackHttpServer server;
 
 	private final Map<String, Integer> executions = new ConcurrentSkipListMap<>();
 
@@ -37,12 +37,12 @@
 
 	/**
 	 * Start a service.
-	 * @param port the port; 0 for a free one
-	 * @param answerMillis how long a booking takes
+	 * @param port the port; 0 for any free one
+	 * @param answerMillis the time that a booking takes, in milliseconds
 	 */
 	public FakePlainService(int port, long answerMillis) {
 		this.answerMillis = answerMillis;
-		this.server = new StandInServer(port, this::handle);
+		this.server = new LoopbackHttpServer(port, this::handle);
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
@@ -74,7 +74,7 @@
 		try {
 			Thread.sleep(this.answerMillis);
 			while (this.held) {
-				Thread.sleep(HELD_LOOK_MILLIS);
+				Thread.sleep(HELD_POLL_INTERVAL_MILLIS);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -84,8 +84,8 @@
 	}
 
 	/**
-	 * Return how often each key was executed.
-	 * @return the counts by idempotency key
+	 * Return how often the booking of each key was executed.
+	 * @return the counts by idempotency key; bookings without a key count as {@code none}
 	 */
 	public Map<String, Integer> executions() {
 		return new TreeMap<>(this.executions);
@@ -93,39 +93,39 @@
 
 	/**
 	 * Set how long a booking takes.
-	 * @param newAnswerMillis the time
+	 * @param newAnswerMillis the time in milliseconds
 	 */
 	public void setAnswerMillis(long newAnswerMillis) {
 		this.answerMillis = newAnswerMillis;
 	}
 
 	/**
-	 * Set whether calls fail.
-	 * @param newFailing {@code true} to answer 500
+	 * Set whether bookings and lookups fail without being executed.
+	 * @param newFailing {@code true} to answer with status 500
 	 */
 	public void setFailing(boolean newFailing) {
 		this.failing = newFailing;
 	}
 
 	/**
-	 * Set whether bookings are executed and their answers held back.
-	 * @param newHeld {@code false} to send the answers
+	 * Set whether the answers of executed bookings are held back.
+	 * @param newHeld {@code true} to hold the answers back, {@code false} to send them
 	 */
 	public void setHeld(boolean newHeld) {
 		this.held = newHeld;
 	}
 
 	/**
-	 * Return the number of requests since the start.
-	 * @return the number
+	 * Return the number of requests received.
+	 * @return the number since the start, control requests included
 	 */
 	public long requests() {
 		return this.requests.get();
 	}
 
 	/**
-	 * Return the address that the service listens on.
-	 * @return the IP number and port
+	 * Return the address on which the service listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return this.server.address();
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ScriptedServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ScriptedServer.java
@@ -17,12 +17,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A backend server that misbehaves at the level of the connection. It counts connections
- * and the requests that it has read whole.
+ * Backend server with faults at the level of the connection. It counts connections and
+ * the requests that it has read completely.
  */
 public final class ScriptedServer implements AutoCloseable {
 
-	/** How late a late answer is. */
+	/** Delay of {@link ServerScript#ANSWER_LATE} in milliseconds. */
 	public static final long LATE_MILLIS = 600;
 
 	private static final int BACKLOG = 64;
@@ -43,7 +43,7 @@
 
 	/**
 	 * Start a server on a free port.
-	 * @param script what it does
+	 * @param script how requests are treated
 	 */
 	public ScriptedServer(ServerScript script) {
 		this.script = script;
@@ -82,7 +82,7 @@
 			}
 		}
 		catch (IOException ex) {
-			// The other side left, which is its right.
+			// The client closed the connection, which is no error here.
 		}
 	}
 
@@ -135,8 +135,8 @@
 	}
 
 	/**
-	 * Do something else from now on.
-	 * @param newScript what to do
+	 * Change how requests are treated from now on.
+	 * @param newScript how requests are treated
 	 */
 	public void setScript(ServerScript newScript) {
 		this.script = newScript;
@@ -144,23 +144,23 @@
 
 	/**
 	 * Return the number of accepted connections.
-	 * @return the number
+	 * @return the number since the start
 	 */
 	public int connections() {
 		return this.connections.get();
 	}
 
 	/**
-	 * Return the number of requests read whole.
-	 * @return the number
+	 * Return the number of requests that were read completely.
+	 * @return the number since the start
 	 */
 	public int requests() {
 		return this.requests.get();
 	}
 
 	/**
-	 * Return the address that the server listens on.
-	 * @return the IP number and port
+	 * Return the address on which the server listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return "127.0.0.1:" + this.listener.getLocalPort();
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ServerScript.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ServerScript.java
@@ -1,17 +1,19 @@
 package io.flamingogap.testkit.backends;
 
 /**
- * What a {@link ScriptedServer} does with each request.
+ * How a {@link ScriptedServer} treats each request.
  */
 public enum ServerScript {
 
-	/** Answers and keeps the connection open, whatever the request asks. */
+	/** Answers and keeps the connection open, whatever the request asks for. */
 	ANSWER,
 	/** Reads the request and closes the connection. */
 	READ_AND_CLOSE,
-	/** Reads the request and says nothing. */
+	/** Reads the request and sends nothing. */
 	SILENT,
-	/** Answers after the time that the caller allows. */
+	/**
+	 * Answers after {@link ScriptedServer#LATE_MILLIS}, when the caller has timed out.
+	 */
 	ANSWER_LATE,
 	/** Sends the same answer twice. */
 	ANSWER_TWICE,
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Stand-ins for backend servers: a model engine and a plain service.
+ * Fake backend servers: a model engine, a plain service, and a server with connection
+ * faults.
  */
 @NullMarked
 package io.flamingogap.testkit.backends;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/CallerClient.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/CallerClient.java
@@ -18,8 +18,9 @@
 import io.flamingogap.testkit.http.Json;
 
 /**
- * A caller as the interface page describes it: asks any node for an entry answer, keeps
- * it for its time to live, and connects by itself.
+ * Caller that follows the interface page: asks any node for the entry nodes to use and
+ * connects to them directly. Keeping an entry answer for its time to live is left to the
+ * user of this class.
  */
 public final class CallerClient {
 
@@ -39,7 +40,7 @@
 
 	/**
 	 * Create a caller.
-	 * @param key the bearer key of its account
+	 * @param key the bearer key of the caller's account
 	 */
 	public CallerClient(String key) {
 		this.key = key;
@@ -48,7 +49,7 @@
 	/**
 	 * Ask a node which entry nodes to use.
 	 * @param address the caller address of any node
-	 * @return the nodes
+	 * @return the entry nodes and how long they may be used
 	 */
 	public EntryReply entry(String address) {
 		JsonNode body = Json.parse(send(request(address, "/v1/entry").GET().build()).body());
@@ -60,8 +61,8 @@
 	}
 
 	/**
-	 * Draw an idempotency key.
-	 * @param node the node whose prefix it begins with
+	 * Create a random idempotency key.
+	 * @param node the node whose prefix the key begins with
 	 * @return the key
 	 */
 	public String newKey(EntryNodeReply node) {
@@ -73,7 +74,7 @@
 	 * @param address the caller address of a node
 	 * @param method the HTTP method
 	 * @param path the path
-	 * @param idempotencyKey the key of an unrepeatable call
+	 * @param idempotencyKey the key of a call that must not be repeated; empty for others
 	 * @param body the body
 	 * @return the reply
 	 */
@@ -89,9 +90,9 @@
 	 * @param address the caller address of a node
 	 * @param method the HTTP method
 	 * @param path the path
-	 * @param idempotencyKey the key of an unrepeatable call
+	 * @param idempotencyKey the key of a call that must not be repeated; empty for others
 	 * @param body the body
-	 * @param deadlineMillis how long the caller waits
+	 * @param deadlineMillis the time that the caller allows, in milliseconds
 	 * @return the reply
 	 */
 	public Reply callWithin(String address, String method, String path, Optional<String> idempotencyKey, String body,
@@ -104,11 +105,12 @@
 	}
 
 	/**
-	 * Ask a model for a streamed answer.
+	 * Request a streamed answer of a model and read it to its end.
 	 * @param address the caller address of a node
 	 * @param body the request as JSON
-	 * @param lastEventId the last event seen, to resume after it
-	 * @return the events
+	 * @param lastEventId the id of the last event received, to resume after it; empty to
+	 * start
+	 * @return the answer, or the part of it that arrived before the connection broke
 	 */
 	public StreamReply stream(String address, String body, Optional<String> lastEventId) {
 		HttpRequest.Builder request = request(address, "/v1/chat/completions")
@@ -175,7 +177,7 @@
 	/**
 	 * An entry answer.
 	 *
-	 * @param ttlMillis how long it may be kept
+	 * @param ttlMillis how long it may be kept, in milliseconds
 	 * @param nodes the nodes in the order in which to try them
 	 */
 	public record EntryReply(long ttlMillis, List<EntryNodeReply> nodes) {
@@ -184,29 +186,29 @@
 	/**
 	 * One node of an entry answer.
 	 *
-	 * @param address the IP number and port
+	 * @param address the address as {@code IP:PORT}
 	 * @param zone the availability zone
-	 * @param keyPrefix what keys for it begin with
+	 * @param keyPrefix the prefix of idempotency keys for this node
 	 */
 	public record EntryNodeReply(String address, String zone, String keyPrefix) {
 	}
 
 	/**
-	 * A reply.
+	 * Response of a plain service.
 	 *
 	 * @param status the HTTP status
-	 * @param body the body
+	 * @param body the response body
 	 */
 	public record Reply(int status, String body) {
 	}
 
 	/**
-	 * A streamed reply.
+	 * Streamed answer of a model.
 	 *
 	 * @param status the HTTP status
-	 * @param text the tokens, joined
-	 * @param ids the ids of the events
-	 * @param whole whether the end of the answer was seen
+	 * @param text the concatenated tokens
+	 * @param ids the ids of the events in the order of their arrival
+	 * @param whole whether the end marker of the answer was received
 	 */
 	public record StreamReply(int status, String text, List<String> ids, boolean whole) {
 	}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/LoadCaller.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/LoadCaller.java
@@ -11,8 +11,8 @@
 import io.flamingogap.testkit.check.CallerClient.StreamReply;
 
 /**
- * One caller in a loop: bookings, lookups and streams at the first node of an entry
- * answer that it keeps for its full time to live.
+ * Caller that sends bookings, lookups and streams in a loop to the first node of an entry
+ * answer. It keeps the entry answer for its full time to live.
  */
 final class LoadCaller {
 
@@ -22,7 +22,7 @@
 
 	private final CallerClient caller;
 
-	private final List<String> seeds;
+	private final List<String> entryAddresses;
 
 	private final int number;
 
@@ -34,31 +34,32 @@
 
 	private EntryReply entry;
 
-	private long entryEndNanos;
+	private long entryExpiryNanos;
 
-	LoadCaller(CallerClient caller, List<String> seeds, int number, String streamRequest, String expectedText) {
+	LoadCaller(CallerClient caller, List<String> entryAddresses, int number, String streamRequest,
+			String expectedText) {
 		this.caller = caller;
-		this.seeds = seeds;
+		this.entryAddresses = entryAddresses;
 		this.number = number;
 		this.streamRequest = streamRequest;
 		this.expectedText = expectedText;
-		this.entry = askEntry();
+		this.entry = fetchEntry();
 	}
 
-	private EntryReply askEntry() {
-		EntryReply answer = this.caller.entry(this.seeds.get(this.number % (this.seeds.size() - 1)));
-		this.entryEndNanos = System.nanoTime() + answer.ttlMillis() * 1_000_000;
+	private EntryReply fetchEntry() {
+		EntryReply answer = this.caller.entry(this.entryAddresses.get(this.number % (this.entryAddresses.size() - 1)));
+		this.entryExpiryNanos = System.nanoTime() + answer.ttlMillis() * 1_000_000;
 		return answer;
 	}
 
 	Tally run(AtomicBoolean running) {
 		int requests = 0;
 		while (running.get()) {
-			if (System.nanoTime() >= this.entryEndNanos) {
-				this.entry = askEntry();
+			if (System.nanoTime() >= this.entryExpiryNanos) {
+				this.entry = fetchEntry();
 			}
 			try {
-				sendOne(this.entry.nodes().get(0), requests++);
+				sendRequest(this.entry.nodes().get(0), requests++);
 			}
 			catch (RuntimeException ex) {
 				this.failures.add(ex.toString());
@@ -67,7 +68,7 @@
 		return new Tally(requests, List.copyOf(this.failures));
 	}
 
-	private void sendOne(EntryNodeReply node, int turn) {
+	private void sendRequest(EntryNodeReply node, int turn) {
 		switch ((turn + this.number) % 3) {
 			case 0 -> {
 				StreamReply reply = this.caller.stream(node.address(), this.streamRequest, Optional.empty());
@@ -92,10 +93,10 @@
 	}
 
 	/**
-	 * What callers saw.
+	 * Results of one or more callers.
 	 *
-	 * @param requests the requests sent
-	 * @param failures what was seen instead of an answer
+	 * @param requests the number of requests sent
+	 * @param failures the wrong replies and the exceptions, as text
 	 */
 	record Tally(int requests, List<String> failures) {
 
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/LocalCheck.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/LocalCheck.java
@@ -31,17 +31,17 @@
 import io.flamingogap.testkit.http.Json;
 
 /**
- * Drives running daemons end to end and prints one line a check.
+ * End-to-end checks of running daemons. Prints one line per check.
  */
 public final class LocalCheck {
 
 	private static final String MESSAGES = "[{\"role\":\"user\",\"content\":\"price of a lot of carob\"}]";
 
-	private static final int TOKENS = 24;
+	private static final int TOKENS_PER_STREAM = 24;
 
 	private static final int LOAD_CALLERS = 8;
 
-	private static final long PATIENCE_MILLIS = 15_000;
+	private static final long CONDITION_TIMEOUT_MILLIS = 15_000;
 
 	private final HttpClient http = HttpClient.newHttpClient();
 
@@ -68,7 +68,7 @@
 
 	/**
 	 * Run the checks.
-	 * @param args the options
+	 * @param args the command-line options
 	 * @return 0 if every check passed, else 1
 	 * @throws Exception if a check can't be run
 	 */
@@ -86,15 +86,15 @@
 	}
 
 	private int runAll() {
-		check("all nodes know each other", this::nodesKnowEachOther);
-		check("entry answer names nodes of several zones", this::entryNamesZones);
-		check("streamed answer is whole", this::streamIsWhole);
+		check("all nodes know each other", this::allNodesKnowEachOther);
+		check("entry answer names nodes of several zones", this::entryAnswerNamesNodesOfSeveralZones);
+		check("streamed answer is whole", this::streamedAnswerIsComplete);
 		check("lookup is answered", this::lookupIsAnswered);
 		check("booking is executed", this::bookingIsExecuted);
-		check("booking retried at another node is executed once, same answer", this::retryIsExecutedOnce);
-		check("caller without a key is refused", this::strangerIsRefused);
-		check("manifest change is in force at all nodes", this::changeIsInForce);
-		check("planned stop under load cuts off no request", this::plannedStopCutsNothing);
+		check("booking retried at another node is executed once, same answer", this::retriedBookingIsExecutedOnce);
+		check("caller without a key is refused", this::callerWithUnknownKeyIsRefused);
+		check("manifest change is in force at all nodes", this::manifestChangeIsInForceAtAllNodes);
+		check("planned stop under load cuts off no request", this::plannedStopInterruptsNoRequest);
 		return this.allPassed ? 0 : 1;
 	}
 
@@ -114,7 +114,7 @@
 			.println((passed ? "ok   " : "FAIL ") + name + " (" + tookMillis + " ms)" + (passed ? "" : ": " + problem));
 	}
 
-	private String nodesKnowEachOther() throws Exception {
+	private String allNodesKnowEachOther() throws Exception {
 		return await(() -> {
 			for (String node : this.nodes) {
 				int serving = servingNodes(operatorGet(node, "nodes"));
@@ -136,28 +136,29 @@
 		return serving;
 	}
 
-	private String entryNamesZones() {
+	private String entryAnswerNamesNodesOfSeveralZones() {
 		EntryReply entry = this.caller.entry(this.nodes.get(0));
 		long zones = entry.nodes().stream().map(EntryNodeReply::zone).distinct().count();
 		return (zones == entry.nodes().size() && zones > 1 && entry.ttlMillis() > 0) ? "" : entry.toString();
 	}
 
-	private String streamIsWhole() {
+	private String streamedAnswerIsComplete() {
 		StreamReply reply = this.caller.stream(this.nodes.get(1), streamRequest(), Optional.empty());
-		return isWhole(reply) ? "" : reply.toString();
+		return isComplete(reply) ? "" : reply.toString();
 	}
 
-	private static boolean isWhole(StreamReply reply) {
+	private static boolean isComplete(StreamReply reply) {
 		return reply.whole() && reply.text().equals(expectedText());
 	}
 
 	private static String streamRequest() {
-		return "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":" + TOKENS + ",\"messages\":" + MESSAGES + "}";
+		return "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":" + TOKENS_PER_STREAM + ",\"messages\":"
+				+ MESSAGES + "}";
 	}
 
 	private static String expectedText() {
 		StringBuilder text = new StringBuilder();
-		for (int position = 0; position < TOKENS; position++) {
+		for (int position = 0; position < TOKENS_PER_STREAM; position++) {
 			text.append(FakeEngine.token(MESSAGES, position));
 		}
 		return text.toString();
@@ -176,7 +177,7 @@
 		return (reply.status() == 201 && executions == 1) ? "" : reply + ", " + executions + " executions";
 	}
 
-	private String retryIsExecutedOnce() throws Exception {
+	private String retriedBookingIsExecutedOnce() throws Exception {
 		List<EntryNodeReply> entry = this.caller.entry(this.nodes.get(0)).nodes();
 		String key = this.caller.newKey(entry.get(0));
 		Reply first = book(entry.get(0).address(), key);
@@ -199,13 +200,13 @@
 		return Json.parse(body).path(key).asInt(0);
 	}
 
-	private String strangerIsRefused() {
+	private String callerWithUnknownKeyIsRefused() {
 		Reply reply = new CallerClient("nobody").call(this.nodes.get(0), "GET", "/services/desk/lots/1",
 				Optional.empty(), "");
 		return (reply.status() == 401 && reply.body().contains("not-run")) ? "" : reply.toString();
 	}
 
-	private String changeIsInForce() throws Exception {
+	private String manifestChangeIsInForceAtAllNodes() throws Exception {
 		long base = operatorGet(this.nodes.get(0), "manifest").get("offset").asLong();
 		ObjectNode change = (ObjectNode) Json.parse("{}");
 		change.put("id", "local-check-" + System.nanoTime());
@@ -227,7 +228,7 @@
 		});
 	}
 
-	private String plannedStopCutsNothing() throws Exception {
+	private String plannedStopInterruptsNoRequest() throws Exception {
 		AtomicBoolean running = new AtomicBoolean(true);
 		ExecutorService pool = Executors.newFixedThreadPool(LOAD_CALLERS);
 		List<Future<LoadCaller.Tally>> callers = new ArrayList<>();
@@ -238,7 +239,7 @@
 		String drained = this.nodes.get(this.nodes.size() - 1);
 		TimeUnit.MILLISECONDS.sleep(1_000);
 		operatorPost(drained, "drain", "");
-		String gone = await(() -> hasLeft(drained) ? "" : drained + " has not left");
+		String drainProblem = await(() -> hasLeft(drained) ? "" : drained + " has not left");
 		TimeUnit.MILLISECONDS.sleep(500);
 		running.set(false);
 		LoadCaller.Tally total = LoadCaller.Tally.empty();
@@ -247,7 +248,7 @@
 		}
 		pool.shutdown();
 		System.out.println("     " + total.requests() + " requests, " + total.failures().size() + " failed");
-		return total.failures().isEmpty() ? gone : total.failures().get(0);
+		return total.failures().isEmpty() ? drainProblem : total.failures().get(0);
 	}
 
 	private boolean hasLeft(String address) throws Exception {
@@ -276,7 +277,7 @@
 	}
 
 	private static String await(Callable<String> condition) throws Exception {
-		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONDITION_TIMEOUT_MILLIS);
 		String problem = condition.call();
 		while (!problem.isEmpty() && System.nanoTime() < deadlineNanos) {
 			TimeUnit.MILLISECONDS.sleep(50);
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/check/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Drives a running system end to end.
+ * End-to-end check of a running system.
  */
 @NullMarked
 package io.flamingogap.testkit.check;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/Json.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/Json.java
@@ -11,7 +11,7 @@
 import com.sun.net.httpserver.HttpExchange;
 
 /**
- * Reads and writes JSON over HTTP exchanges.
+ * Reads and writes JSON documents and the bodies of HTTP exchanges.
  */
 public final class Json {
 
@@ -23,7 +23,7 @@
 	/**
 	 * Write a value as JSON.
 	 * @param value a record, map or list
-	 * @return the document
+	 * @return the JSON document
 	 */
 	public static String write(Object value) {
 		try {
@@ -35,9 +35,9 @@
 	}
 
 	/**
-	 * Parse a document.
-	 * @param text the document
-	 * @return the root
+	 * Parse a JSON document.
+	 * @param text the JSON document
+	 * @return the root of the parsed document
 	 */
 	public static JsonNode parse(String text) {
 		try {
@@ -49,9 +49,9 @@
 	}
 
 	/**
-	 * Read the body of an exchange.
+	 * Read the request body of an exchange.
 	 * @param exchange the exchange
-	 * @return the body as UTF-8
+	 * @return the body, decoded as UTF-8
 	 * @throws IOException if the connection breaks
 	 */
 	public static String body(HttpExchange exchange) throws IOException {
@@ -59,10 +59,10 @@
 	}
 
 	/**
-	 * Answer an exchange.
+	 * Send a JSON response.
 	 * @param exchange the exchange
 	 * @param status the HTTP status
-	 * @param value a record, map or list
+	 * @param value the response body: a record, map or list
 	 * @throws IOException if the connection breaks
 	 */
 	public static void answer(HttpExchange exchange, int status, Object value) throws IOException {
@@ -73,11 +73,11 @@
 	}
 
 	/**
-	 * Return a number from the query of an exchange.
+	 * Return a numeric query parameter of an exchange.
 	 * @param exchange the exchange
-	 * @param name the parameter
-	 * @param fallback the value if it is absent
-	 * @return the number
+	 * @param name the name of the parameter
+	 * @param fallback the value to return if the parameter is absent
+	 * @return the value of the parameter or the fallback
 	 */
 	public static long query(HttpExchange exchange, String name, long fallback) {
 		String query = exchange.getRequestURI().getRawQuery();
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/StandInServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/LoopbackHttpServer.java
@@ -11,10 +11,10 @@
 import com.sun.net.httpserver.HttpServer;
 
 /**
- * An HTTP server on loopback that hands each exchange to a handler on a thread of its
- * own.
+ * HTTP server on the loopback address that runs a handler for each exchange on a thread
+ * of a cached pool.
  */
-public final class StandInServer implements AutoCloseable {
+public final class LoopbackHttpServer implements AutoCloseable {
 
 	private static final int BACKLOG = 1_024;
 
@@ -23,11 +23,11 @@
 	private final ExecutorService executor;
 
 	/**
-	 * Start a server.
-	 * @param port the port; 0 for a free one
-	 * @param handler what answers
+	 * Start a server that listens at once.
+	 * @param port the port; 0 for any free one
+	 * @param handler answers the exchanges; each is closed after it returns
 	 */
-	public StandInServer(int port, Handler handler) {
+	public LoopbackHttpServer(int port, Handler handler) {
 		System.setProperty("sun.net.httpserver.nodelay", "true");
 		this.executor = Executors.newCachedThreadPool();
 		try {
@@ -47,7 +47,7 @@
 	}
 
 	/**
-	 * Return the port that the server listens on.
+	 * Return the port on which the server listens.
 	 * @return the port
 	 */
 	public int port() {
@@ -55,8 +55,8 @@
 	}
 
 	/**
-	 * Return the address that the server listens on.
-	 * @return the IP number and port
+	 * Return the address on which the server listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return "127.0.0.1:" + port();
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/http/package-info.java
@@ -1,5 +1,5 @@
 /**
- * A small HTTP server and client for stand-ins and drivers.
+ * HTTP server and JSON functions that the fake services and the check share.
  */
 @NullMarked
 package io.flamingogap.testkit.http;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -21,9 +21,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A stand-in for a backend server of the users, at the level of bytes. Paths that contain
- * {@code stream} are answered by events. It keeps what it was sent and counts the runs of
- * each attempt.
+ * Fake of a users' backend server that writes its answers as raw bytes. Paths that
+ * contain {@code stream} are answered by an event stream. It keeps the requests that it
+ * received and counts the executions of each attempt.
  */
 public final class FakeBackendServer implements AutoCloseable {
 
@@ -31,7 +31,7 @@
 
 	private static final long HANG_MILLIS = 60_000;
 
-	private static final int USUAL_EVENTS = 3;
+	private static final int DEFAULT_EVENT_COUNT = 3;
 
 	private final ServerSocket listener;
 
@@ -45,7 +45,7 @@
 
 	private volatile ServerBehaviour behaviour = ServerBehaviour.ANSWER;
 
-	private volatile int events = USUAL_EVENTS;
+	private volatile int events = DEFAULT_EVENT_COUNT;
 
 	private volatile long firstEventMillis;
 
@@ -60,7 +60,7 @@
 
 	/**
 	 * Start a server.
-	 * @param port the port, 0 for a free one
+	 * @param port the port; 0 for any free one
 	 */
 	public FakeBackendServer(int port) {
 		try {
@@ -97,7 +97,7 @@
 			}
 		}
 		catch (IOException ex) {
-			// The other side left, which is its right.
+			// The client closed the connection, which is no error here.
 		}
 		finally {
 			this.open.remove(socket);
@@ -121,10 +121,10 @@
 			}
 			default -> this.runs.merge(attempt, 1, Integer::sum);
 		}
-		return answerRun(request, attempt, out);
+		return answerExecuted(request, attempt, out);
 	}
 
-	private boolean answerRun(Request request, String attempt, OutputStream out) throws IOException {
+	private boolean answerExecuted(Request request, String attempt, OutputStream out) throws IOException {
 		switch (this.behaviour) {
 			case RUN_AND_CLOSE -> {
 				return false;
@@ -136,19 +136,20 @@
 			case FAIL -> write(out, head("500 Internal Server Error", attempt) + "Content-Length: 4\r\n\r\nfail");
 			case FOREIGN_FIRST -> {
 				write(out, head("200 OK", "another-attempt") + "Content-Length: 5\r\n\r\nwrong");
-				write(out, plain(attempt));
+				write(out, completeAnswer(attempt));
 			}
-			case ANSWER_TWICE -> write(out, plain(attempt) + plain(attempt));
-			case UNSIGNED -> write(out, plain(attempt).replaceAll("Server-Seal: [^\r]*\r\n", ""));
+			case ANSWER_TWICE -> write(out, completeAnswer(attempt) + completeAnswer(attempt));
+			case UNSIGNED -> write(out, completeAnswer(attempt).replaceAll("Server-Seal: [^\r]*\r\n", ""));
 			default -> {
-				return request.uri().contains("stream") ? stream(request, attempt, out) : whole(attempt, out);
+				return request.uri().contains("stream") ? answerWithEvents(request, attempt, out)
+						: answerWithBody(attempt, out);
 			}
 		}
 		return true;
 	}
 
-	private boolean whole(String attempt, OutputStream out) throws IOException {
-		String text = plain(attempt);
+	private boolean answerWithBody(String attempt, OutputStream out) throws IOException {
+		String text = completeAnswer(attempt);
 		if (this.behaviour == ServerBehaviour.BREAK_OFF) {
 			write(out, text.substring(0, text.length() - 1));
 			return false;
@@ -157,7 +158,7 @@
 		return true;
 	}
 
-	private boolean stream(Request request, String attempt, OutputStream out) throws IOException {
+	private boolean answerWithEvents(Request request, String attempt, OutputStream out) throws IOException {
 		String last = request.header("last-event-id");
 		int from = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
 		write(out, head("200 OK", attempt) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -180,7 +181,7 @@
 				+ "\r\nServer-Load: 1,0,8\r\n";
 	}
 
-	private static String plain(String attempt) {
+	private static String completeAnswer(String attempt) {
 		return head("200 OK", attempt) + "Content-Length: 4\r\n\r\ndone";
 	}
 
@@ -199,7 +200,7 @@
 	}
 
 	/**
-	 * Change what the server does with requests.
+	 * Set how requests are treated from now on.
 	 * @param newBehaviour the behaviour
 	 */
 	public void setBehaviour(ServerBehaviour newBehaviour) {
@@ -207,9 +208,10 @@
 	}
 
 	/**
-	 * Change how long streams are.
-	 * @param number the events of a stream
-	 * @param firstMillis the time until the first one, in milliseconds
+	 * Set the length of streams and the time to their first event.
+	 * @param number the number of events in a stream
+	 * @param firstMillis the time from the response head to the first event, in
+	 * milliseconds
 	 */
 	public void setEvents(int number, long firstMillis) {
 		this.events = number;
@@ -217,39 +219,39 @@
 	}
 
 	/**
-	 * Change the pause between events.
-	 * @param millis the pause in milliseconds
+	 * Set the time between the events of a stream.
+	 * @param millis the time in milliseconds
 	 */
 	public void setEventMillis(long millis) {
 		this.eventMillis = millis;
 	}
 
 	/**
-	 * Return the address of the server.
-	 * @return the IP number and port
+	 * Return the address on which the server listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return "127.0.0.1:" + this.listener.getLocalPort();
 	}
 
 	/**
-	 * Return how often attempts were run.
-	 * @return runs by attempt
+	 * Return how often each attempt was executed.
+	 * @return the number of executions by attempt id
 	 */
 	public Map<String, Integer> runs() {
 		return Map.copyOf(this.runs);
 	}
 
 	/**
-	 * Return the requests that were read whole.
-	 * @return the requests, in order
+	 * Return the requests that were read completely.
+	 * @return the requests in the order of their arrival
 	 */
 	public List<Request> requests() {
 		return List.copyOf(this.requests);
 	}
 
 	/**
-	 * Return the connections that are open.
+	 * Return the number of connections that are open now.
 	 * @return the number
 	 */
 	public int connections() {
@@ -271,19 +273,19 @@
 	}
 
 	/**
-	 * A request as the server read it.
+	 * A request as the server received it.
 	 *
-	 * @param method the method
-	 * @param uri path and query
-	 * @param headers the headers, with names in lower case
-	 * @param body the body
+	 * @param method the HTTP method
+	 * @param uri the path and the query
+	 * @param headers the header values by name in lower case
+	 * @param body the body, decoded as UTF-8
 	 */
 	public record Request(String method, String uri, Map<String, String> headers, String body) {
 
 		/**
 		 * Return a header.
 		 * @param name the name in lower case
-		 * @return the value, empty if it is absent
+		 * @return the value; empty if the header is absent
 		 */
 		public String header(String name) {
 			return this.headers.getOrDefault(name, "");
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeCloudDuties.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeCloudDuties.java
@@ -10,11 +10,12 @@
 import com.sun.net.httpserver.HttpExchange;
 
 import io.flamingogap.testkit.http.Json;
-import io.flamingogap.testkit.http.StandInServer;
+import io.flamingogap.testkit.http.LoopbackHttpServer;
 
 /**
- * A stand-in for the cloud's calls that one node makes for all. It refuses lower fencing
- * tokens and keeps what it accepted.
+ * Fake of the cloud API calls that one node makes on behalf of all nodes. It refuses a
+ * call whose fencing token is lower than an earlier one for the same path, service and
+ * zone, and keeps the accepted calls.
  */
 public final class FakeCloudDuties implements AutoCloseable {
 
@@ -22,29 +23,29 @@
 
 	private final Map<String, Long> highestToken = new ConcurrentHashMap<>();
 
-	private final StandInServer server;
+	private final LoopbackHttpServer server;
 
-	private volatile boolean losesAnswers;
+	private volatile boolean answersLost;
 
 	/**
-	 * Start a cloud on a free port.
+	 * Start the API on a free port.
 	 */
 	public FakeCloudDuties() {
-		this.server = new StandInServer(0, this::handle);
+		this.server = new LoopbackHttpServer(0, this::handle);
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
 		String path = exchange.getRequestURI().getPath();
 		JsonNode body = Json.parse(Json.body(exchange));
 		long token = Long.parseLong(exchange.getRequestHeaders().getFirst("Fence-Token"));
-		String subject = path + "/" + body.path("service").asText() + "/" + body.path("zone").asText();
-		if (token < this.highestToken.getOrDefault(subject, 0L)) {
+		String fencedResource = path + "/" + body.path("service").asText() + "/" + body.path("zone").asText();
+		if (token < this.highestToken.getOrDefault(fencedResource, 0L)) {
 			Json.answer(exchange, 409, Map.of("reason", "fenced"));
 			return;
 		}
-		this.highestToken.put(subject, token);
+		this.highestToken.put(fencedResource, token);
 		this.accepted.add(new Call(path, token, body));
-		if (this.losesAnswers) {
+		if (this.answersLost) {
 			exchange.close();
 		}
 		else {
@@ -53,34 +54,35 @@
 	}
 
 	/**
-	 * Raise the token that was seen, as another holder would.
-	 * @param path the call
-	 * @param token the token
+	 * Record a fencing token for a call without service and zone, as if a newer holder of
+	 * the duty had made that call.
+	 * @param path the path of the call
+	 * @param token the fencing token
 	 */
 	public void fence(String path, long token) {
 		this.highestToken.put(path + "//", token);
 	}
 
 	/**
-	 * Lose answers after calls took effect.
-	 * @param lose whether to lose them
+	 * Set whether the answers of accepted calls are lost.
+	 * @param lose {@code true} to execute calls and send no answer
 	 */
 	public void setLosesAnswers(boolean lose) {
-		this.losesAnswers = lose;
+		this.answersLost = lose;
 	}
 
 	/**
-	 * Return the calls that were accepted.
-	 * @param path the call
-	 * @return the calls, in order
+	 * Return the accepted calls of a path.
+	 * @param path the path of the calls
+	 * @return the calls in the order of their arrival
 	 */
 	public List<Call> accepted(String path) {
 		return this.accepted.stream().filter((call) -> call.path().equals(path)).toList();
 	}
 
 	/**
-	 * Return the address of the cloud.
-	 * @return the IP number and port
+	 * Return the address on which the API listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return this.server.address();
@@ -92,11 +94,11 @@
 	}
 
 	/**
-	 * A call that was accepted.
+	 * An accepted call.
 	 *
 	 * @param path the path
 	 * @param token the fencing token
-	 * @param body the body
+	 * @param body the parsed JSON body
 	 */
 	public record Call(String path, long token, JsonNode body) {
 	}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
@@ -19,11 +19,11 @@
 import com.sun.net.httpserver.HttpExchange;
 
 import io.flamingogap.testkit.http.Json;
-import io.flamingogap.testkit.http.StandInServer;
+import io.flamingogap.testkit.http.LoopbackHttpServer;
 
 /**
- * A stand-in for the platform's metadata store: a log of topics whose partition 0 keeps
- * the newest record of each key, long polls, conditional appends, and groups.
+ * Fake of the platform's metadata store: a log of topics whose partition 0 keeps the
+ * newest record of each key, with long polling, conditional appends, and groups.
  */
 public final class FakeMetadataStore implements AutoCloseable {
 
@@ -37,7 +37,7 @@
 
 	private final Map<String, Group> groups = new HashMap<>();
 
-	private final StandInServer server;
+	private final LoopbackHttpServer server;
 
 	private StoreFault fault = StoreFault.NONE;
 
@@ -45,19 +45,19 @@
 	 * Start a store on a free port.
 	 */
 	public FakeMetadataStore() {
-		this.server = new StandInServer(0, this::handle);
+		this.server = new LoopbackHttpServer(0, this::handle);
 	}
 
 	/**
-	 * Return the address of the store.
-	 * @return the IP number and port
+	 * Return the address on which the store listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return this.server.address();
 	}
 
 	/**
-	 * Change how calls are treated.
+	 * Set the fault of all calls from now on.
 	 * @param newFault the fault
 	 */
 	public synchronized void setFault(StoreFault newFault) {
@@ -69,48 +69,48 @@
 	}
 
 	/**
-	 * Write a record as operators and backend servers do, past the faults.
-	 * @param topic the topic
+	 * Write a record as operators and backend servers do. Faults don't apply.
+	 * @param topic the name of the topic
 	 * @param key the key
 	 * @param json the content; empty to remove the key
 	 */
 	public synchronized void write(String topic, String key, String json) {
-		topic(topic).append(keyed(key, json.getBytes(StandardCharsets.UTF_8)));
+		findOrCreateTopic(topic).append(encodeRecord(key, json.getBytes(StandardCharsets.UTF_8)));
 		notifyAll();
 	}
 
 	/**
-	 * Read the newest record of a key.
-	 * @param topic the topic
+	 * Read the newest record of a key. Faults don't apply.
+	 * @param topic the name of the topic
 	 * @param key the key
-	 * @return the content, empty if there is none
+	 * @return the content; empty if there is none
 	 */
 	public synchronized byte[] newest(String topic, String key) {
-		Entry entry = topic(topic).newest.get(key);
+		Entry entry = findOrCreateTopic(topic).newest.get(key);
 		return (entry != null) ? entry.value() : new byte[0];
 	}
 
 	/**
-	 * Drop the records of a topic; the newest record of each key stays.
-	 * @param topic the topic
+	 * Drop the records of a topic from its history. The newest record of each key stays.
+	 * @param topic the name of the topic
 	 */
 	public synchronized void dropHistory(String topic) {
-		topic(topic).first = topic(topic).end();
+		findOrCreateTopic(topic).first = findOrCreateTopic(topic).end();
 		notifyAll();
 	}
 
 	/**
-	 * Give the duties to no one, as if their holder had fallen silent.
+	 * Remove the holder of each group, as if the holder had stopped sending heartbeats.
 	 */
 	public synchronized void dissolveGroups() {
 		this.groups.values().forEach((group) -> group.holder = "");
 	}
 
-	private Topic topic(String name) {
+	private Topic findOrCreateTopic(String name) {
 		return this.topics.computeIfAbsent(name, (created) -> new Topic());
 	}
 
-	private static byte[] keyed(String key, byte[] value) {
+	private static byte[] encodeRecord(String key, byte[] value) {
 		byte[] name = key.getBytes(StandardCharsets.UTF_8);
 		return ByteBuffer.allocate(1 + name.length + value.length).put((byte) name.length).put(name).put(value).array();
 	}
@@ -127,13 +127,13 @@
 					answer(exchange, body);
 				}
 				case ANSWER_LOST -> {
-					call(exchange, body);
+					execute(exchange, body);
 					exchange.close();
 				}
 				case APPLIED_LATE -> {
 					exchange.close();
 					TimeUnit.MILLISECONDS.sleep(LATE_MILLIS);
-					call(exchange, body);
+					execute(exchange, body);
 				}
 			}
 		}
@@ -143,14 +143,14 @@
 	}
 
 	private void answer(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
-		Reply reply = call(exchange, body);
+		Reply reply = execute(exchange, body);
 		exchange.sendResponseHeaders(reply.status(), (reply.body().length > 0) ? reply.body().length : -1);
 		if (reply.body().length > 0) {
 			exchange.getResponseBody().write(reply.body());
 		}
 	}
 
-	private Reply call(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
+	private Reply execute(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
 		Map<String, String> query = query(exchange);
 		return switch (exchange.getRequestURI().getPath()) {
 			case "/v1/log-append" -> append(query, body);
@@ -175,7 +175,7 @@
 	}
 
 	private synchronized Reply append(Map<String, String> query, byte[] body) {
-		Topic topic = topic(query.get("topic"));
+		Topic topic = findOrCreateTopic(query.get("topic"));
 		String at = query.get("at");
 		if (at != null && Long.parseLong(at) != topic.end()) {
 			return Reply.json(412, Map.of("end", topic.end()));
@@ -192,12 +192,12 @@
 	}
 
 	private synchronized Reply read(Map<String, String> query) throws IOException, InterruptedException {
-		Topic topic = topic(query.get("topic"));
+		Topic topic = findOrCreateTopic(query.get("topic"));
 		long from = Long.parseLong(query.get("from"));
-		long untilNanos = System.nanoTime()
+		long deadlineNanos = System.nanoTime()
 				+ TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.getOrDefault("waitMs", "0")));
-		while (topic.end() <= from && from >= topic.first && System.nanoTime() < untilNanos) {
-			TimeUnit.NANOSECONDS.timedWait(this, untilNanos - System.nanoTime());
+		while (topic.end() <= from && from >= topic.first && System.nanoTime() < deadlineNanos) {
+			TimeUnit.NANOSECONDS.timedWait(this, deadlineNanos - System.nanoTime());
 		}
 		if (from < topic.first) {
 			return Reply.json(410, Map.of("first", topic.first));
@@ -215,7 +215,7 @@
 	}
 
 	private synchronized Reply newest(Map<String, String> query) {
-		Topic topic = topic(query.get("topic"));
+		Topic topic = findOrCreateTopic(query.get("topic"));
 		List<Map<String, Object>> items = new ArrayList<>();
 		topic.newest.forEach((key, entry) -> items.add(Map.of("key", key, "value",
 				Base64.getEncoder().encodeToString(entry.value()), "offset", entry.offset())));
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
@@ -1,41 +1,41 @@
 package io.flamingogap.testkit.metadata;
 
 /**
- * What a backend server does with a request.
+ * How a {@link FakeBackendServer} treats a request.
  */
 public enum ServerBehaviour {
 
-	/** Runs it and answers. */
+	/** Executes the request and answers. */
 	ANSWER,
 
-	/** Says that it did not run it. */
+	/** Answers 503 and states that the request was not executed. */
 	REJECT,
 
-	/** Says that another server has its address. */
+	/** Answers 421 and states that another server is at this address. */
 	MISDIRECT,
 
-	/** Runs it and answers with a failure. */
+	/** Executes the request and answers with status 500. */
 	FAIL,
 
-	/** Runs it and closes the connection. */
+	/** Executes the request and closes the connection without an answer. */
 	RUN_AND_CLOSE,
 
-	/** Runs it and answers nothing. */
+	/** Executes the request and sends no answer. */
 	HANG,
 
-	/** Answers with the answer to another attempt first. */
+	/** Sends the answer of another attempt before the right one. */
 	FOREIGN_FIRST,
 
-	/** Answers twice. */
+	/** Sends the answer twice. */
 	ANSWER_TWICE,
 
-	/** Answers without the signature. */
+	/** Answers without the header {@code Server-Seal}. */
 	UNSIGNED,
 
-	/** Breaks off in the middle of the second event or of the body. */
+	/** Closes the connection in the middle of the second event or of the body. */
 	BREAK_OFF,
 
-	/** Answers with bytes that are no answer. */
+	/** Sends bytes that are not an HTTP response and closes the connection. */
 	GARBAGE
 
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/StoreFault.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/StoreFault.java
@@ -1,26 +1,26 @@
 package io.flamingogap.testkit.metadata;
 
 /**
- * How the store treats calls.
+ * Faults of {@link FakeMetadataStore}.
  */
 public enum StoreFault {
 
-	/** Answers. */
+	/** No fault. */
 	NONE,
 
-	/** Answers 503 and does nothing. */
+	/** Answers 503 and does not execute the call. */
 	DOWN,
 
-	/** Answers nothing and does nothing. */
+	/** Sends no answer and does not execute the call. */
 	SILENT,
 
-	/** Answers half a second late. */
+	/** Executes and answers the call after half a second. */
 	SLOW,
 
-	/** Does what it is asked and closes the connection without an answer. */
+	/** Executes the call and closes the connection without an answer. */
 	ANSWER_LOST,
 
-	/** Closes the connection and does what it is asked a while later. */
+	/** Closes the connection and executes the call 300 ms later. */
 	APPLIED_LATE
 
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/UsersPlatform.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/UsersPlatform.java
@@ -7,9 +7,10 @@
 import java.util.Map;
 
 /**
- * The users' platform in one process: a store with a configuration and one registered
- * backend server, whose streams have as many tokens as those of the stand-in engine. The
- * settings of a node are written to a file.
+ * Fake of the users' platform in one process: a metadata store with a configuration, and
+ * one registered backend server whose streams have as many events and the same timing as
+ * those of the fake engine in the measurements. It also writes the settings file of a
+ * node.
  */
 public final class UsersPlatform {
 
@@ -21,8 +22,8 @@
 
 	private static final String ACCOUNT_KEY = "local-account-key";
 
-	/** As long as the callers of the users' longest routes wait. */
-	private static final String CALLER_WAITS_MILLIS = "15000";
+	/** Deadline of the users' longest routes, in milliseconds. */
+	private static final String CALLER_DEADLINE_MILLIS = "15000";
 
 	private static final String ROUTE = """
 			{"name":"%1$s","host":"127.0.0.1","prefix":"/%1$s/","kind":"%2$s","timeoutMs":15000,"goalMs":1000,
@@ -34,7 +35,7 @@
 
 	/**
 	 * Start the platform.
-	 * @param backendPort the port of the backend server
+	 * @param backendPort the port of the backend server; 0 for any free one
 	 */
 	public UsersPlatform(int backendPort) {
 		this.server = new FakeBackendServer(backendPort);
@@ -52,19 +53,20 @@
 	}
 
 	/**
-	 * Return the headers that a caller of the users sends.
+	 * Return the headers of a caller's request.
 	 * @param attempt the id of the attempt
-	 * @return the headers
+	 * @return the header values by name
 	 */
 	public static Map<String, String> callerHeaders(String attempt) {
 		return Map.of("Authorization", "Bearer " + ACCOUNT_KEY, "Attempt-Id", attempt, "Deadline-Ms",
-				CALLER_WAITS_MILLIS);
+				CALLER_DEADLINE_MILLIS);
 	}
 
 	/**
-	 * Write the settings of a node.
-	 * @param file where to
-	 * @param ports the ports for callers, readiness, the directory and other nodes
+	 * Write the settings file of a node that uses this platform.
+	 * @param file the file to write; it is replaced if it exists
+	 * @param ports four ports of the node: for callers, readiness, the directory and
+	 * other nodes
 	 * @throws IOException if the file can't be written
 	 */
 	public void writeSettings(Path file, List<Integer> ports) throws IOException {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Stand-ins for the users' platform: its metadata store, its cloud and its backend
- * servers, with their faults.
+ * Fakes of the users' platform with faults that tests switch on: its metadata store, its
+ * cloud API and its backend servers.
  */
 @NullMarked
 package io.flamingogap.testkit.metadata;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FaultyLink.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FaultyLink.java
@@ -18,8 +18,8 @@
 import java.util.function.Predicate;
 
 /**
- * Relays TCP connections from a port of its own to a server, and misbehaves on demand. A
- * mode is for all connections, or for those that are open while new ones work.
+ * TCP relay from a port of its own to a server, with faults that a test switches on and
+ * off. A fault is applied to all connections, or only to those that are open now.
  */
 public final class FaultyLink implements AutoCloseable {
 
@@ -27,7 +27,7 @@
 
 	private static final int BUFFER_BYTES = 16_384;
 
-	/** Bounds the wait for the accepting thread, which has no work that lasts. */
+	/** Bounds the wait for the accepting thread, which does no lengthy work. */
 	private static final long RELEASE_TIMEOUT_MILLIS = 5_000;
 
 	private final int port = FreePorts.take(1).get(0);
@@ -46,7 +46,7 @@
 
 	/**
 	 * Start a link on a free port.
-	 * @param target the server, as IP number and port
+	 * @param target the server as {@code IP:PORT}; the server must be on loopback
 	 */
 	public FaultyLink(String target) {
 		this.targetPort = Integer.parseInt(target.substring(target.lastIndexOf(':') + 1));
@@ -101,7 +101,7 @@
 	}
 
 	/**
-	 * Set the mode of all connections, present and future.
+	 * Set the mode of all open and new connections.
 	 * @param newMode the mode
 	 */
 	public synchronized void setMode(LinkMode newMode) {
@@ -120,7 +120,8 @@
 	}
 
 	/**
-	 * Make the open connections go silent for good while new ones work.
+	 * Drop all bytes of the open connections until the mode is set again. New connections
+	 * use the current mode.
 	 */
 	public void silenceOpen() {
 		this.relays.forEach((relay) -> relay.mode = LinkMode.SILENT);
@@ -128,7 +129,7 @@
 
 	/**
 	 * Return the address of the link.
-	 * @return the IP number and port
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return "127.0.0.1:" + this.port;
@@ -142,8 +143,8 @@
 	}
 
 	/**
-	 * Close the listener and wait until the accepting thread has left it: the kernel
-	 * keeps the port bound for as long as a call on the socket is under way.
+	 * Close the listener and wait until the accepting thread has returned from the socket
+	 * call: the kernel keeps the port bound as long as such a call is in progress.
 	 */
 	private void closeListener() {
 		try {
@@ -157,7 +158,7 @@
 			Thread.currentThread().interrupt();
 		}
 		catch (ExecutionException | TimeoutException ex) {
-			throw new IllegalStateException("the accepting thread of port " + this.port + " did not end", ex);
+			throw new IllegalStateException("the accepting thread of port " + this.port + " did not stop", ex);
 		}
 	}
 
@@ -175,19 +176,19 @@
 			this.mode = mode;
 		}
 
-		private void copy(Socket from, Socket to, LinkMode dropping) {
-			Predicate<LinkMode> drops = (now) -> now == dropping || now == LinkMode.SILENT;
+		private void copy(Socket from, Socket to, LinkMode dropMode) {
+			Predicate<LinkMode> dropsBytes = (current) -> current == dropMode || current == LinkMode.SILENT;
 			try {
 				InputStream in = from.getInputStream();
 				OutputStream out = to.getOutputStream();
 				byte[] buffer = new byte[BUFFER_BYTES];
 				for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-					if (!drops.test(this.mode)) {
+					if (!dropsBytes.test(this.mode)) {
 						out.write(buffer, 0, count);
 						out.flush();
 					}
 				}
-				if (!drops.test(this.mode)) {
+				if (!dropsBytes.test(this.mode)) {
 					to.shutdownOutput();
 				}
 			}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FreePorts.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/FreePorts.java
@@ -7,8 +7,8 @@
 import java.util.List;
 
 /**
- * Hands out free ports below the range from which systems take ports by themselves, so
- * that no outgoing connection takes one before its server starts.
+ * Finds free ports below the range of ephemeral ports, so that no outgoing connection
+ * occupies a port before its server starts.
  */
 public final class FreePorts {
 
@@ -16,7 +16,7 @@
 
 	private static final int COUNT = 12_000;
 
-	/** Spreads processes that run at the same time. */
+	/** Spaces out the first ports of processes that run at the same time. */
 	private static final int STEP_PER_PROCESS = 61;
 
 	private static long next = ProcessHandle.current().pid() * STEP_PER_PROCESS;
@@ -25,14 +25,15 @@
 	}
 
 	/**
-	 * Return free ports, each of them once.
-	 * @param count how many
-	 * @return the ports
+	 * Return ports that are free now. No port is returned again until the whole range has
+	 * been tried.
+	 * @param count the number of ports
+	 * @return the port numbers
 	 */
 	public static synchronized List<Integer> take(int count) {
 		List<Integer> ports = new ArrayList<>();
-		for (int tries = 0; ports.size() < count; tries++) {
-			if (tries > COUNT) {
+		for (int attempts = 0; ports.size() < count; attempts++) {
+			if (attempts > COUNT) {
 				throw new IllegalStateException("fewer than " + count + " free ports from " + FIRST);
 			}
 			int port = FIRST + (int) (next++ % COUNT);
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/LinkMode.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/LinkMode.java
@@ -1,21 +1,23 @@
 package io.flamingogap.testkit.net;
 
 /**
- * What a {@link FaultyLink} does with bytes.
+ * How a {@link FaultyLink} treats connections and bytes.
  */
 public enum LinkMode {
 
-	/** Passes everything. */
+	/** Forwards all bytes. */
 	PASS,
-	/** Closes open connections and every new one. */
+	/** Closes the open connections and each new one once it is accepted. */
 	CUT,
-	/** Refuses connections, as a port on which nothing listens, and closes open ones. */
+	/**
+	 * Refuses new connections like a port without a listener, and closes the open ones.
+	 */
 	REFUSE,
-	/** Passes nothing in either direction and closes nothing. */
+	/** Drops all bytes in both directions and keeps the connections open. */
 	SILENT,
-	/** Passes nothing towards the server. */
+	/** Drops all bytes that the client sends. */
 	DROP_REQUESTS,
-	/** Passes nothing from the server. */
+	/** Drops all bytes that the server sends. */
 	DROP_REPLIES
 
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/net/package-info.java
@@ -1,5 +1,5 @@
 /**
- * TCP links that misbehave.
+ * TCP relays that inject network faults, and free ports.
  */
 @NullMarked
 package io.flamingogap.testkit.net;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Command that starts stand-ins and drivers as processes of their own.
+ * Command that starts fake services and checks as separate processes.
  */
 @NullMarked
 package io.flamingogap.testkit;
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/FakeCloud.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/FakeCloud.java
@@ -9,18 +9,18 @@
 import com.sun.net.httpserver.HttpExchange;
 
 import io.flamingogap.testkit.http.Json;
-import io.flamingogap.testkit.http.StandInServer;
+import io.flamingogap.testkit.http.LoopbackHttpServer;
 
 /**
- * Stand-in for the cloud: the list of live and leaving instances, and reclaim notices.
+ * Fake of the cloud API: the list of live and leaving instances, and reclaim notices.
  * <ul>
  * <li>{@code GET /v1/instances} answers {@code {"instances": [{"name", "zone", "state",
- * "nodeAddress"}]}}, state {@code live} or {@code leaving}; node addresses only for entry
- * instances.</li>
+ * "nodeAddress"}]}}, state {@code live} or {@code leaving}; {@code nodeAddress} is empty
+ * except for entry instances.</li>
  * <li>{@code GET /v1/notices} answers {@code {"notices": [{"instance",
  * "reclaimAtMillis"}]}}.</li>
  * <li>{@code POST /control/instances}, {@code POST /control/notices} and
- * {@code DELETE /control/notices} change them.</li>
+ * {@code DELETE /control/notices} change the instances and notices.</li>
  * </ul>
  */
 public final class FakeCloud implements AutoCloseable {
@@ -29,14 +29,14 @@
 
 	private final Map<String, Notice> notices = new ConcurrentHashMap<>();
 
-	private final StandInServer server;
+	private final LoopbackHttpServer server;
 
 	/**
 	 * Start a cloud.
-	 * @param port the port; 0 for a free one
+	 * @param port the port; 0 for any free one
 	 */
 	public FakeCloud(int port) {
-		this.server = new StandInServer(port, this::handle);
+		this.server = new LoopbackHttpServer(port, this::handle);
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
@@ -71,25 +71,25 @@
 	}
 
 	/**
-	 * Add or change an instance.
-	 * @param instance the instance
+	 * Add an instance or replace the one with the same name.
+	 * @param instance the new row
 	 */
 	public void putInstance(Instance instance) {
 		this.instances.put(instance.name(), instance);
 	}
 
 	/**
-	 * Give notice of a reclaim.
+	 * Announce that an instance will be reclaimed.
 	 * @param instance the name of the instance
-	 * @param reclaimAtMillis when it is taken away, in milliseconds since 1970 UTC
+	 * @param reclaimAtMillis the time of the reclaim in milliseconds since 1970 UTC
 	 */
 	public void giveNotice(String instance, long reclaimAtMillis) {
 		this.notices.put(instance, new Notice(instance, reclaimAtMillis));
 	}
 
 	/**
-	 * Return the address that the cloud listens on.
-	 * @return the IP number and port
+	 * Return the address on which the API listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return this.server.address();
@@ -104,10 +104,10 @@
 	 * A row of the instance list.
 	 *
 	 * @param name the name of the instance
-	 * @param zone its availability zone
+	 * @param zone the availability zone of the instance
 	 * @param state {@code live} or {@code leaving}
-	 * @param nodeAddress where an entry instance listens for other nodes; empty for
-	 * others
+	 * @param nodeAddress the address on which an entry instance listens for other nodes;
+	 * empty for other instances
 	 */
 	public record Instance(String name, String zone, String state, String nodeAddress) {
 	}
@@ -116,7 +116,7 @@
 	 * A reclaim notice.
 	 *
 	 * @param instance the name of the instance
-	 * @param reclaimAtMillis when it is taken away, in milliseconds since 1970 UTC
+	 * @param reclaimAtMillis the time of the reclaim in milliseconds since 1970 UTC
 	 */
 	public record Notice(String instance, long reclaimAtMillis) {
 	}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/FakeLog.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/FakeLog.java
@@ -11,10 +11,10 @@
 import com.sun.net.httpserver.HttpExchange;
 
 import io.flamingogap.testkit.http.Json;
-import io.flamingogap.testkit.http.StandInServer;
+import io.flamingogap.testkit.http.LoopbackHttpServer;
 
 /**
- * Stand-in for the platform log: named append-only streams with offsets from 1.
+ * Fake of the platform log: named append-only streams with offsets from 1.
  * <ul>
  * <li>{@code POST /v1/streams/NAME/records} appends the body and answers
  * {@code {"offset": n}}.</li>
@@ -22,7 +22,8 @@
  * {@code {"firstOffset", "headOffset", "records": [{"offset", "body"}]}} and waits up to
  * {@code w} for a record at or after {@code n}.</li>
  * <li>{@code POST /control} sets {@code {"mode", "delayMillis"}}; {@code POST
- * /control/truncate} with {@code {"stream", "firstOffset"}} drops early records.</li>
+ * /control/truncate} with {@code {"stream", "firstOffset"}} drops the records before that
+ * offset.</li>
  * </ul>
  */
 public final class FakeLog implements AutoCloseable {
@@ -33,7 +34,7 @@
 
 	private final Map<String, Stream> streams = new HashMap<>();
 
-	private final StandInServer server;
+	private final LoopbackHttpServer server;
 
 	private volatile LogMode mode = LogMode.UP;
 
@@ -43,10 +44,10 @@
 
 	/**
 	 * Start a log.
-	 * @param port the port; 0 for a free one
+	 * @param port the port; 0 for any free one
 	 */
 	public FakeLog(int port) {
-		this.server = new StandInServer(port, this::handle);
+		this.server = new LoopbackHttpServer(port, this::handle);
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
@@ -65,10 +66,10 @@
 			Json.answer(exchange, NOT_FOUND, Map.of("error", "no such path"));
 		}
 		else if ("POST".equals(exchange.getRequestMethod())) {
-			appendOver(exchange, parts[3]);
+			answerAppend(exchange, parts[3]);
 		}
 		else {
-			readOver(exchange, parts[3]);
+			answerRead(exchange, parts[3]);
 		}
 	}
 
@@ -84,7 +85,7 @@
 		Json.answer(exchange, 200, Map.of("mode", this.mode.name()));
 	}
 
-	private void appendOver(HttpExchange exchange, String stream) throws IOException {
+	private void answerAppend(HttpExchange exchange, String stream) throws IOException {
 		String body = Json.body(exchange);
 		long offset = append(stream, body);
 		if (this.mode == LogMode.APPEND_TWICE) {
@@ -96,7 +97,7 @@
 		Json.answer(exchange, 200, Map.of("offset", offset));
 	}
 
-	private void readOver(HttpExchange exchange, String stream) throws IOException {
+	private void answerRead(HttpExchange exchange, String stream) throws IOException {
 		long from = Json.query(exchange, "from", 1);
 		int max = (int) Json.query(exchange, "max", 100);
 		long waitMillis = Json.query(exchange, "waitMillis", 0);
@@ -104,10 +105,10 @@
 	}
 
 	/**
-	 * Append a record.
-	 * @param stream the stream
+	 * Append a record, whatever the mode is.
+	 * @param stream the name of the stream; it is created on first use
 	 * @param body the record
-	 * @return its offset
+	 * @return the offset of the record, from 1
 	 */
 	public synchronized long append(String stream, String body) {
 		this.appends++;
@@ -118,23 +119,23 @@
 	}
 
 	/**
-	 * Read records.
-	 * @param stream the stream
+	 * Read records. The mode {@link LogMode#DOWN} ends the wait but not the reading.
+	 * @param stream the name of the stream; it is created on first use
 	 * @param from the first offset to read
-	 * @param max the most records to return
-	 * @param waitMillis how long to wait for a first record
-	 * @return the records
+	 * @param max the maximum number of records to return
+	 * @param waitMillis how long to wait for a first record, in milliseconds
+	 * @return the records; none if the wait has ended without one
 	 */
 	public synchronized LogPage read(String stream, long from, int max, long waitMillis) {
 		long deadlineNanos = System.nanoTime() + waitMillis * 1_000_000;
 		Stream source = this.streams.computeIfAbsent(stream, (name) -> new Stream());
 		while (source.headOffset() < from && this.mode != LogMode.DOWN) {
-			long leftMillis = (deadlineNanos - System.nanoTime()) / 1_000_000;
-			if (leftMillis <= 0) {
+			long remainingMillis = (deadlineNanos - System.nanoTime()) / 1_000_000;
+			if (remainingMillis <= 0) {
 				break;
 			}
 			try {
-				wait(leftMillis);
+				wait(remainingMillis);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -145,8 +146,8 @@
 	}
 
 	/**
-	 * Drop early records.
-	 * @param stream the stream
+	 * Drop the records before an offset.
+	 * @param stream the name of the stream
 	 * @param firstOffset the first offset to keep
 	 */
 	public synchronized void truncate(String stream, long firstOffset) {
@@ -158,7 +159,7 @@
 	}
 
 	/**
-	 * Set how calls are treated.
+	 * Set how calls over HTTP are treated from now on.
 	 * @param newMode the mode
 	 */
 	public synchronized void setMode(LogMode newMode) {
@@ -167,24 +168,24 @@
 	}
 
 	/**
-	 * Set how long each call takes.
-	 * @param newDelayMillis the delay
+	 * Set the delay before each call over HTTP is handled.
+	 * @param newDelayMillis the delay in milliseconds
 	 */
 	public void setDelayMillis(long newDelayMillis) {
 		this.delayMillis = newDelayMillis;
 	}
 
 	/**
-	 * Return the number of appends since the start.
-	 * @return the number, over all streams
+	 * Return the number of records appended since the start.
+	 * @return the total over all streams
 	 */
 	public synchronized long appends() {
 		return this.appends;
 	}
 
 	/**
-	 * Return the address that the log listens on.
-	 * @return the IP number and port
+	 * Return the address on which the log listens.
+	 * @return the address as {@code IP:PORT}
 	 */
 	public String address() {
 		return this.server.address();
@@ -205,20 +206,20 @@
 	}
 
 	/**
-	 * Records of a stream.
+	 * Result of a read.
 	 *
 	 * @param firstOffset the first offset that the log still holds
 	 * @param headOffset the offset of the last record; 0 if there is none
-	 * @param records the records
+	 * @param records the records that were read, in order
 	 */
 	public record LogPage(long firstOffset, long headOffset, List<LogRecord> records) {
 	}
 
 	/**
-	 * A record.
+	 * A record of a stream.
 	 *
-	 * @param offset its offset
-	 * @param body its body
+	 * @param offset the offset of the record, from 1
+	 * @param body the content of the record
 	 */
 	public record LogRecord(long offset, String body) {
 	}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/LogMode.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/LogMode.java
@@ -1,17 +1,17 @@
 package io.flamingogap.testkit.platform;
 
 /**
- * How the log stand-in treats calls.
+ * How {@link FakeLog} treats calls.
  */
 public enum LogMode {
 
-	/** Answers at once. */
+	/** Answers without a fault. */
 	UP,
-	/** Answers 503 and does nothing. */
+	/** Answers 503 and neither appends nor reads. */
 	DOWN,
-	/** Does what is asked and loses the reply of appends. */
+	/** Appends the record but sends no offset back; reads are answered. */
 	LOSE_REPLIES,
-	/** Does what is asked twice. */
+	/** Appends each record twice and answers the first offset. */
 	APPEND_TWICE
 
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/package-info.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/platform/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Stand-ins for the platform: its log and its cloud.
+ * Fakes of the platform's log and cloud API.
  */
 @NullMarked
 package io.flamingogap.testkit.platform;
--- a/flamingogap-testkit/src/test/java/io/flamingogap/testkit/net/FaultyLinkTests.java
+++ b/flamingogap-testkit/src/test/java/io/flamingogap/testkit/net/FaultyLinkTests.java
@@ -14,7 +14,9 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * A link that refuses connections and takes them again on the same port.
+ * Tests that {@link FaultyLink} refuses connections and listens on the same port again.
+ * While a call on the closed listener is in progress, the kernel keeps the port bound and
+ * a new listener on it fails.
  */
 class FaultyLinkTests {
 
@@ -53,7 +55,7 @@
 	}
 
 	@Test
-	void takesItsPortAgainAtOnceAfterEachRefusal() {
+	void listensOnTheSamePortAgainRightAfterEachRefusal() {
 		for (int round = 0; round < ROUNDS; round++) {
 			this.link.setMode(LinkMode.REFUSE);
 			this.link.setMode(LinkMode.PASS);
@@ -62,7 +64,7 @@
 	}
 
 	@Test
-	void refusesWhileItsPortIsKept() throws IOException {
+	void refusesConnectionsUntilTheModeIsPassAgain() throws IOException {
 		connect().close();
 		this.link.setMode(LinkMode.REFUSE);
 		assertThat(isRefused(), is(true));
--- a/flamingogap-testkit/src/test/java/io/flamingogap/testkit/net/package-info.java
+++ b/flamingogap-testkit/src/test/java/io/flamingogap/testkit/net/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the links.
+ * Tests of the TCP relays.
  */
 @NullMarked
 package io.flamingogap.testkit.net;
