--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/CandidateKind.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/CandidateKind.java
@@ -1,21 +1,23 @@
 package io.flamingogap.measure;
 
 /**
- * Kinds of candidates in the simulated rollouts, with the chances that a request of
- * theirs fails or is slow. The version in use fails {@link #BASE_FAILURE} and is slow
- * {@link #BASE_SLOW} of the time.
+ * Kinds of candidates in the simulated rollouts. Each gives the probability that a
+ * request to the candidate fails or is slow. For the version in use the probabilities are
+ * {@link #BASE_FAILURE} and {@link #BASE_SLOW} unless a kind changes them.
  */
 enum CandidateKind {
 
-	/** As good as the version in use. */
+	/** Fails and is slow as often as the version in use. */
 	GOOD(false),
-	/** As good, while both versions suffer from a zone reclaim and a wave of load. */
+	/**
+	 * Equal to the version in use, while both suffer from a zone reclaim and a load peak.
+	 */
 	GOOD_IN_TROUBLE(false),
 	/** Fails one request in five. */
 	FAILS_AT_ONCE(true) {
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
+		double failure(double elapsed, double share, int route, int zone) {
 			return 0.2;
 		}
 
@@ -24,12 +26,12 @@
 	FAILS_TWICE(true) {
 
 		@Override
-		double baseFailure(double passed) {
+		double baseFailure(double elapsed) {
 			return 0.01;
 		}
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
+		double failure(double elapsed, double share, int route, int zone) {
 			return 0.02;
 		}
 
@@ -38,35 +40,35 @@
 	FAILS_LATER(true) {
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
-			return isBadAt(passed, share) ? 0.2 : BASE_FAILURE;
+		double failure(double elapsed, double share, int route, int zone) {
+			return isBadAt(elapsed, share) ? 0.2 : BASE_FAILURE;
 		}
 
 		@Override
-		boolean isBadAt(double passed, double share) {
-			return passed > 0.5;
+		boolean isBadAt(double elapsed, double share) {
+			return elapsed > 0.5;
 		}
 
 	},
-	/** Takes 1.5 times as long. */
+	/** Takes 1.5 times as long as the version in use. */
 	SLOW(true) {
 
 		@Override
-		double slow(double passed, double share) {
+		double slow(double elapsed, double share) {
 			return SLOW_AT_ONE_AND_A_HALF;
 		}
 
 	},
-	/** Takes 1.5 times as long once it has a tenth of the load. */
+	/** Takes 1.5 times as long once its share exceeds a tenth of the traffic. */
 	SLOW_UNDER_LOAD(true) {
 
 		@Override
-		double slow(double passed, double share) {
-			return isBadAt(passed, share) ? SLOW_AT_ONE_AND_A_HALF : BASE_SLOW;
+		double slow(double elapsed, double share) {
+			return isBadAt(elapsed, share) ? SLOW_AT_ONE_AND_A_HALF : BASE_SLOW;
 		}
 
 		@Override
-		boolean isBadAt(double passed, double share) {
+		boolean isBadAt(double elapsed, double share) {
 			return share > 0.1;
 		}
 
@@ -75,7 +77,7 @@
 	BAD_ON_ONE_ROUTE(true) {
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
+		double failure(double elapsed, double share, int route, int zone) {
 			return (route == 2) ? 0.5 : BASE_FAILURE;
 		}
 
@@ -84,16 +86,16 @@
 	BAD_IN_ONE_ZONE(true) {
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
+		double failure(double elapsed, double share, int route, int zone) {
 			return (zone == 1) ? 0.3 : BASE_FAILURE;
 		}
 
 	},
-	/** Answers nothing. */
+	/** Fails all requests, as it never becomes ready. */
 	NEVER_READY(true) {
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
+		double failure(double elapsed, double share, int route, int zone) {
 			return 1;
 		}
 
@@ -102,7 +104,7 @@
 	STALLS(true) {
 
 		@Override
-		double failure(double passed, double share, int route, int zone) {
+		double failure(double elapsed, double share, int route, int zone) {
 			return 0.1;
 		}
 
@@ -112,7 +114,10 @@
 
 	static final double BASE_SLOW = 0.1;
 
-	/** Latency log-normal with sigma 0.5, threshold at its 90th percentile. */
+	/**
+	 * Probability that a request which takes 1.5 times as long is slow, if latency is
+	 * log-normal with sigma 0.5 and the threshold is its 90th percentile.
+	 */
 	static final double SLOW_AT_ONE_AND_A_HALF = 0.32;
 
 	private final boolean bad;
@@ -126,57 +131,57 @@
 	}
 
 	/**
-	 * Return whether the candidate is worse than the version in use at a time.
-	 * @param passed the part of the time until the deadline that has passed
-	 * @param share the candidate's share
-	 * @return {@code true} if it is
+	 * Return whether the candidate is worse than the version in use at a point in time.
+	 * @param elapsed the elapsed fraction of the time until the deadline, 0 to 1
+	 * @param share the candidate's share of the traffic, 0 to 1
+	 * @return {@code true} if it is worse
 	 */
-	boolean isBadAt(double passed, double share) {
+	boolean isBadAt(double elapsed, double share) {
 		return this.bad;
 	}
 
 	/**
-	 * Return the chance that a request of the version in use fails.
-	 * @param passed the part of the time until the deadline that has passed
-	 * @return the chance
+	 * Return the probability that a request of the version in use fails.
+	 * @param elapsed the elapsed fraction of the time until the deadline, 0 to 1
+	 * @return the probability, 0 to 1
 	 */
-	double baseFailure(double passed) {
-		return isTrouble(passed) ? 0.05 : BASE_FAILURE;
+	double baseFailure(double elapsed) {
+		return isInTrouble(elapsed) ? 0.05 : BASE_FAILURE;
 	}
 
 	/**
-	 * Return the chance that a request of the version in use is slow.
-	 * @param passed the part of the time until the deadline that has passed
-	 * @return the chance
+	 * Return the probability that a request of the version in use is slow.
+	 * @param elapsed the elapsed fraction of the time until the deadline, 0 to 1
+	 * @return the probability, 0 to 1
 	 */
-	double baseSlow(double passed) {
-		return isTrouble(passed) ? 0.3 : BASE_SLOW;
+	double baseSlow(double elapsed) {
+		return isInTrouble(elapsed) ? 0.3 : BASE_SLOW;
 	}
 
-	private boolean isTrouble(double passed) {
-		return this == GOOD_IN_TROUBLE && ((passed > 0.1 && passed < 0.15) || (passed > 0.55 && passed < 0.6));
+	private boolean isInTrouble(double elapsed) {
+		return this == GOOD_IN_TROUBLE && ((elapsed > 0.1 && elapsed < 0.15) || (elapsed > 0.55 && elapsed < 0.6));
 	}
 
 	/**
-	 * Return the chance that a request of the candidate fails.
-	 * @param passed the part of the time until the deadline that has passed
-	 * @param share the candidate's share
-	 * @param route the number of the route
-	 * @param zone the number of the zone
-	 * @return the chance
+	 * Return the probability that a request of the candidate fails.
+	 * @param elapsed the elapsed fraction of the time until the deadline, 0 to 1
+	 * @param share the candidate's share of the traffic, 0 to 1
+	 * @param route the index of the route
+	 * @param zone the index of the zone
+	 * @return the probability, 0 to 1
 	 */
-	double failure(double passed, double share, int route, int zone) {
-		return baseFailure(passed);
+	double failure(double elapsed, double share, int route, int zone) {
+		return baseFailure(elapsed);
 	}
 
 	/**
-	 * Return the chance that a request of the candidate is slow.
-	 * @param passed the part of the time until the deadline that has passed
-	 * @param share the candidate's share
-	 * @return the chance
+	 * Return the probability that a request of the candidate is slow.
+	 * @param elapsed the elapsed fraction of the time until the deadline, 0 to 1
+	 * @param share the candidate's share of the traffic, 0 to 1
+	 * @return the probability, 0 to 1
 	 */
-	double slow(double passed, double share) {
-		return baseSlow(passed);
+	double slow(double elapsed, double share) {
+		return baseSlow(elapsed);
 	}
 
 }
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/CapacityMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/CapacityMeasure.java
@@ -40,14 +40,15 @@
 import io.flamingogap.testkit.net.FreePorts;
 
 /**
- * The slopes behind the capacity page: what control costs a node as the number of nodes
- * grows, and what one more server, key, row of evidence or route costs.
+ * Measures the growth rates that the capacity page uses: what control traffic costs a
+ * node as the number of nodes grows, and what each further server, key, row of evidence
+ * or route costs.
  */
 final class CapacityMeasure {
 
-	private static final int[] FLEETS = { 6, 12, 24, 48 };
+	private static final int[] NODE_COUNTS = { 6, 12, 24, 48 };
 
-	private static final int[] SERVERS = { 16, 110, 880 };
+	private static final int[] SERVER_COUNTS = { 16, 110, 880 };
 
 	private static final int WARM_UP_SECONDS = 10;
 
@@ -55,7 +56,7 @@
 
 	private static final int ROWS = 100_000;
 
-	private static final int CHOICES = 20_000;
+	private static final int SELECTIONS = 20_000;
 
 	private final String logAddress;
 
@@ -67,17 +68,17 @@
 	}
 
 	void run() throws Exception {
-		measureState();
+		measureTableRows();
 		measureServers();
 		Report.title("control of idle nodes in one process, " + MEASURE_SECONDS + " s each; bytes are those of the "
 				+ "loopback device, both ends and headers included");
-		for (int nodes : FLEETS) {
+		for (int nodes : NODE_COUNTS) {
 			measureFleet(nodes);
 		}
 	}
 
 	private void measureFleet(int count) throws Exception {
-		long emptyBytes = usedBytes();
+		long heapBytesBefore = usedHeapBytes();
 		List<EntryNode> nodes = new ArrayList<>();
 		String seed = "";
 		for (int i = 0; i < count; i++) {
@@ -92,7 +93,7 @@
 		TimeUnit.SECONDS.sleep(MEASURE_SECONDS);
 		double bytes = (loopbackBytes() - bytesBefore) / (double) MEASURE_SECONDS / count;
 		double corePercent = (cpuNanos() - cpuBefore) / 1e7 / MEASURE_SECONDS / count;
-		long heapBytes = (usedBytes() - emptyBytes) / count;
+		long heapBytes = (usedHeapBytes() - heapBytesBefore) / count;
 		Report.row("%3d nodes: a node %.0f bytes/s, %.2f %% of a core, %d KiB of heap", count, bytes, corePercent,
 				heapBytes / 1_024);
 		nodes.forEach(EntryNode::close);
@@ -123,7 +124,7 @@
 				""".formatted(number, number % 5, ports.get(0), ports.get(1), ports.get(2), seed, this.logAddress,
 				this.cloudAddress, Digests.sha256("key"));
 		return RecordBinder.bind(text, Settings.class)
-			.getOrElseThrow((faults) -> new IllegalStateException(faults.toString()));
+			.getOrElseThrow((errors) -> new IllegalStateException(errors.toString()));
 	}
 
 	private static long loopbackBytes() throws IOException {
@@ -141,7 +142,7 @@
 			.getProcessCpuTime();
 	}
 
-	private static long usedBytes() throws InterruptedException {
+	private static long usedHeapBytes() throws InterruptedException {
 		for (int i = 0; i < 3; i++) {
 			System.gc();
 			TimeUnit.MILLISECONDS.sleep(100);
@@ -149,24 +150,24 @@
 		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
 	}
 
-	private void measureState() throws InterruptedException {
+	private void measureTableRows() throws InterruptedException {
 		Report.title("heap of one row, from " + ROWS + " of them");
-		perRow("key in the ledger, 300 byte answer", (rows) -> ledger(rows));
-		perRow("row of evidence", (rows) -> evidence(rows));
-		perRow("row of the membership table", (rows) -> members(rows));
+		measureBytesPerRow("key in the ledger, 300 byte answer", (rows) -> createLedger(rows));
+		measureBytesPerRow("row of evidence", (rows) -> createEvidence(rows));
+		measureBytesPerRow("row of the membership table", (rows) -> createMembers(rows));
 	}
 
-	private static void perRow(String name, IntFunction<Object> fill) throws InterruptedException {
-		long before = usedBytes();
-		Object held = fill.apply(ROWS);
-		long after = usedBytes();
+	private static void measureBytesPerRow(String name, IntFunction<Object> fill) throws InterruptedException {
+		long before = usedHeapBytes();
+		Object table = fill.apply(ROWS);
+		long after = usedHeapBytes();
 		Report.row("%-36s %d bytes", name, (after - before) / ROWS);
-		if (held.hashCode() == 0) {
+		if (table.hashCode() == 0) {
 			Report.row("");
 		}
 	}
 
-	private static RequestLedger ledger(int rows) {
+	private static RequestLedger createLedger(int rows) {
 		NodeId self = new NodeId("entry-0", 1);
 		RequestLedger ledger = new RequestLedger(self, new LedgerLimits(rows + 1, 1L << 40, 60_000, 120_000, 60_000));
 		for (int i = 0; i < rows; i++) {
@@ -179,7 +180,7 @@
 		return ledger;
 	}
 
-	private static EvidenceTable evidence(int rows) {
+	private static EvidenceTable createEvidence(int rows) {
 		EvidenceTable table = new EvidenceTable();
 		RolloutKey rollout = new RolloutKey("assistant", "v2", 1);
 		for (int i = 0; i < rows; i++) {
@@ -190,7 +191,7 @@
 		return table;
 	}
 
-	private static List<Member> members(int rows) {
+	private static List<Member> createMembers(int rows) {
 		List<Member> members = new ArrayList<>();
 		for (int i = 0; i < rows; i++) {
 			members.add(new Member(new NodeId("entry-" + i, i), "zone-" + i % 5, new Address("10.0.0." + i % 250, 80),
@@ -201,21 +202,21 @@
 
 	private void measureServers() {
 		Report.title("servers and routes in the manifest");
-		for (int servers : SERVERS) {
-			String text = manifest(servers);
+		for (int servers : SERVER_COUNTS) {
+			String text = manifestText(servers);
 			Manifest manifest = ManifestReader.read(text).get();
-			long readNanos = timed(20, () -> ManifestReader.read(text));
+			long readNanos = averageNanos(20, () -> ManifestReader.read(text));
 			LeavingServers leaving = new LeavingServers(1_000);
 			ServerLoadTable loads = new ServerLoadTable(1_000);
 			ServerQuery query = new ServerQuery("assistant", "v1", List.of(), Set.of());
-			long choiceNanos = timed(CHOICES,
+			long selectionNanos = averageNanos(SELECTIONS,
 					() -> LeastLoadedSelector.choose(manifest, query, "zone-0", loads, leaving, 1_000));
 			Report.row("%4d servers: manifest of %d bytes, read in %.2f ms, choice in %.1f us", servers,
-					text.getBytes(StandardCharsets.UTF_8).length, readNanos / 1e6, choiceNanos / 1e3);
+					text.getBytes(StandardCharsets.UTF_8).length, readNanos / 1e6, selectionNanos / 1e3);
 		}
 	}
 
-	private static long timed(int times, Runnable step) {
+	private static long averageNanos(int times, Runnable step) {
 		for (int i = 0; i < times; i++) {
 			step.run();
 		}
@@ -226,7 +227,7 @@
 		return (System.nanoTime() - startNanos) / times;
 	}
 
-	private static String manifest(int servers) {
+	private static String manifestText(int servers) {
 		StringBuilder text = new StringBuilder();
 		for (int i = 0; i < 5; i++) {
 			text.append("[[zone]]\nname = \"zone-%d\"\nregion = \"region-%d\"\n".formatted(i, i / 3));
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/HandoverMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/HandoverMeasure.java
@@ -29,15 +29,16 @@
 import io.flamingogap.testkit.net.FreePorts;
 
 /**
- * The time to pass open requests and kept answers on to a successor over Thrift.
+ * Measures the time to hand open requests and stored answers over to a successor through
+ * Thrift calls.
  */
 final class HandoverMeasure {
 
 	private static final String SECRET = "a-secret-for-measuring";
 
-	private static final int OPEN = 1_000;
+	private static final int OPEN_REQUESTS = 1_000;
 
-	private static final int[] KEPT = { 0, 10_000, 50_000 };
+	private static final int[] STORED_ANSWERS = { 0, 10_000, 50_000 };
 
 	private static final int BODY_BYTES = 1_024;
 
@@ -47,45 +48,46 @@
 
 	private static final LedgerLimits LIMITS = new LedgerLimits(1_000_000, 1L << 40, 60_000, 3_600_000, 60_000);
 
-	private int number;
+	private int lastIncarnation;
 
 	void run() throws Exception {
-		for (int kept : KEPT) {
-			Report.title(OPEN + " open requests and " + kept + " kept answers of " + BODY_BYTES + " bytes");
+		for (int storedAnswers : STORED_ANSWERS) {
+			Report.title(OPEN_REQUESTS + " open requests and " + storedAnswers + " kept answers of " + BODY_BYTES
+					+ " bytes");
 			for (int round = 0; round < ROUNDS; round++) {
-				measure(kept);
+				measure(storedAnswers);
 			}
 		}
 	}
 
-	private void measure(int kept) throws Exception {
-		NodeId issuer = new NodeId("entry-0", ++this.number);
-		NodeId successor = new NodeId("entry-1", this.number);
+	private void measure(int storedAnswers) throws Exception {
+		NodeId issuer = new NodeId("entry-0", ++this.lastIncarnation);
+		NodeId successor = new NodeId("entry-1", this.lastIncarnation);
 		Address address = Address.parse("127.0.0.1:" + FreePorts.take(1).get(0));
 		Clock clock = Clock.systemUTC();
-		Member row = new Member(successor, "zone-1", address, address, MemberState.SERVING, 1, false, null);
+		Member successorMember = new Member(successor, "zone-1", address, address, MemberState.SERVING, 1, false, null);
 		Receiver receiver = new Receiver(new RequestLedger(successor, LIMITS));
 		Configuration configuration = new Configuration(Set.of("ops"), (state) -> {
 		});
 		Settings.Nodes settings = new Settings.Nodes(SECRET, List.of(), 1, 1_000, 2_000);
-		try (NodeServer server = NodeServer.create(settings, address, 60_000, new Membership(row, clock), configuration,
-				new Rollouts(successor, configuration::manifest, clock), receiver, clock)) {
+		try (NodeServer server = NodeServer.create(settings, address, 60_000, new Membership(successorMember, clock),
+				configuration, new Rollouts(successor, configuration::manifest, clock), receiver, clock)) {
 			server.start();
-			RequestLedger ledger = filled(issuer, kept);
+			RequestLedger ledger = createFilledLedger(issuer, storedAnswers);
 			NodeClients clients = new NodeClients(issuer, SECRET, clock);
 			long startNanos = System.nanoTime();
-			require(clients.offer(row, ledger.exportOffer(), TIMEOUT_MILLIS).isRight());
+			requireSuccess(clients.offer(successorMember, ledger.exportOffer(), TIMEOUT_MILLIS).isRight());
 			long offeredNanos = System.nanoTime();
-			require(clients.commit(row, ledger.commit(successor), TIMEOUT_MILLIS).isRight());
+			requireSuccess(clients.commit(successorMember, ledger.commit(successor), TIMEOUT_MILLIS).isRight());
 			long doneNanos = System.nanoTime();
 			Report.row("offer %4d ms, commit %4d ms, taken over %d", millis(offeredNanos - startNanos),
 					millis(doneNanos - offeredNanos), receiver.ledger.size());
 		}
 	}
 
-	private static void require(boolean done) {
-		if (!done) {
-			throw new IllegalStateException("the handover failed");
+	private static void requireSuccess(boolean succeeded) {
+		if (!succeeded) {
+			throw new IllegalStateException("the successor refused the offer or the commit, or was unreachable");
 		}
 	}
 
@@ -93,15 +95,15 @@
 		return TimeUnit.NANOSECONDS.toMillis(nanos);
 	}
 
-	private static RequestLedger filled(NodeId issuer, int kept) {
+	private static RequestLedger createFilledLedger(NodeId issuer, int storedAnswers) {
 		RequestLedger ledger = new RequestLedger(issuer, LIMITS);
 		long nowMillis = System.currentTimeMillis();
 		byte[] body = "x".repeat(BODY_BYTES).getBytes(StandardCharsets.UTF_8);
-		for (int i = 0; i < OPEN + kept; i++) {
+		for (int i = 0; i < OPEN_REQUESTS + storedAnswers; i++) {
 			RequestKey key = new RequestKey(issuer, nowMillis, "caller-part-" + i);
 			ledger.admit(new KeyedRequest(key, "buyers", "POST", "/services/desk/bookings", "application/json", body,
 					nowMillis + 60_000), nowMillis);
-			if (i < kept) {
+			if (i < storedAnswers) {
 				ledger.startDispatch(key);
 				ledger.recordAnswer(key, new Answer(201, "application/json", body));
 			}
@@ -113,7 +115,7 @@
 
 		@Override
 		public Answer answerForwarded(KeyedRequest request) {
-			throw new UnsupportedOperationException("nothing is forwarded here");
+			throw new UnsupportedOperationException("the handover measurement forwards no requests");
 		}
 
 		@Override
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/KeepaliveMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/KeepaliveMeasure.java
@@ -20,8 +20,8 @@
 import io.flamingogap.wire.probe.LinkProbe;
 
 /**
- * An acknowledgement for each message against a heartbeat for each connection: processor
- * time a message, and the time to find that a link went silent.
+ * Compares an acknowledgement per message with a heartbeat per connection: the processor
+ * time per message, and the time to detect a silent connection.
  */
 final class KeepaliveMeasure {
 
@@ -30,26 +30,26 @@
 	private static final int PAYLOAD_BYTES = 200;
 
 	/**
-	 * Messages between two heartbeats, at 100 messages a second and a heartbeat a second.
+	 * Messages between two heartbeats, at 100 messages and one heartbeat per second.
 	 */
 	private static final int MESSAGES_PER_HEARTBEAT = 100;
 
 	private static final int ROUNDS = 5;
 
-	private static final int SILENT_MILLIS = 600;
+	private static final int SILENCE_TIMEOUT_MILLIS = 600;
 
-	private static final int HEARTBEAT_MILLIS = 200;
+	private static final int HEARTBEAT_INTERVAL_MILLIS = 200;
 
-	private static final int MESSAGE_MILLIS = 10;
+	private static final int MESSAGE_INTERVAL_MILLIS = 10;
 
-	private static final int SILENCES = 10;
+	private static final int DETECTION_TRIALS = 10;
 
 	private final int port = FreePorts.take(1).get(0);
 
 	private final byte[] payload = new byte[PAYLOAD_BYTES];
 
 	void run() throws Exception {
-		TThreadPoolServer server = server();
+		TThreadPoolServer server = createServer();
 		Thread thread = new Thread(server::serve, "probe-server");
 		thread.setDaemon(true);
 		thread.start();
@@ -58,25 +58,26 @@
 				+ MESSAGES);
 		sendAll(true);
 		sendAll(false);
-		double[] acknowledged = new double[ROUNDS];
-		double[] vouched = new double[ROUNDS];
+		double[] acknowledgedMicros = new double[ROUNDS];
+		double[] heartbeatMicros = new double[ROUNDS];
 		for (int round = 0; round < ROUNDS; round++) {
-			acknowledged[round] = sendAll(true);
-			vouched[round] = sendAll(false);
-			Report.row("round %d: acknowledged %.2f us, heartbeat %.2f us, ratio %.2f", round + 1, acknowledged[round],
-					vouched[round], acknowledged[round] / vouched[round]);
+			acknowledgedMicros[round] = sendAll(true);
+			heartbeatMicros[round] = sendAll(false);
+			Report.row("round %d: acknowledged %.2f us, heartbeat %.2f us, ratio %.2f", round + 1,
+					acknowledgedMicros[round], heartbeatMicros[round],
+					acknowledgedMicros[round] / heartbeatMicros[round]);
 		}
-		Report.title("time to find a silent link: timeout " + SILENT_MILLIS + " ms, a message every " + MESSAGE_MILLIS
-				+ " ms, a heartbeat every " + HEARTBEAT_MILLIS + " ms");
-		Report.row("acknowledged: %s", detectionTimes(true));
-		Report.row("heartbeat:    %s", detectionTimes(false));
+		Report.title("time to find a silent link: timeout " + SILENCE_TIMEOUT_MILLIS + " ms, a message every "
+				+ MESSAGE_INTERVAL_MILLIS + " ms, a heartbeat every " + HEARTBEAT_INTERVAL_MILLIS + " ms");
+		Report.row("acknowledged: %s", formatDetectionTimes(true));
+		Report.row("heartbeat:    %s", formatDetectionTimes(false));
 		server.stop();
 	}
 
-	private TThreadPoolServer server() throws TException {
+	private TThreadPoolServer createServer() throws TException {
 		TServerSocket socket = new TServerSocket(
 				new TServerSocket.ServerSocketTransportArgs().port(this.port).clientTimeout(60_000));
-		return new TThreadPoolServer(new TThreadPoolServer.Args(socket).processorFactory(new Sessions())
+		return new TThreadPoolServer(new TThreadPoolServer.Args(socket).processorFactory(new SessionFactory())
 			.transportFactory(new TFramedTransport.Factory())
 			.protocolFactory(new TCompactProtocol.Factory()));
 	}
@@ -92,7 +93,8 @@
 				}
 			}
 			if (client.heartbeat() != MESSAGES) {
-				throw new IllegalStateException("messages were lost on an open connection");
+				throw new IllegalStateException(
+						"the server did not receive all " + MESSAGES + " messages on an open connection");
 			}
 			return (cpuNanos() - before) / 1_000.0 / MESSAGES;
 		}
@@ -118,47 +120,48 @@
 			.getProcessCpuTime();
 	}
 
-	private String detectionTimes(boolean acknowledge) throws Exception {
+	private String formatDetectionTimes(boolean acknowledge) throws Exception {
 		StringBuilder times = new StringBuilder();
-		for (int i = 0; i < SILENCES; i++) {
-			times.append(detectionMillis(acknowledge, i)).append(" ms ");
+		for (int i = 0; i < DETECTION_TRIALS; i++) {
+			times.append(measureDetectionMillis(acknowledge, i)).append(" ms ");
 		}
 		return times.toString();
 	}
 
-	private long detectionMillis(boolean acknowledge, int trial) throws Exception {
+	private long measureDetectionMillis(boolean acknowledge, int trial) throws Exception {
 		try (FaultyLink link = new FaultyLink("127.0.0.1:" + this.port)) {
 			int linkPort = Integer.parseInt(link.address().substring(link.address().lastIndexOf(':') + 1));
-			try (TSocket socket = new TSocket("127.0.0.1", linkPort, SILENT_MILLIS)) {
+			try (TSocket socket = new TSocket("127.0.0.1", linkPort, SILENCE_TIMEOUT_MILLIS)) {
 				LinkProbe.Client client = open(socket);
 				for (int i = 0; i < 20; i++) {
-					step(client, acknowledge, i);
+					sendNext(client, acknowledge, i);
 				}
-				long silentNanos = System.nanoTime();
+				long silentSinceNanos = System.nanoTime();
 				link.setMode(LinkMode.SILENT);
 				try {
-					for (int i = 1 + trial * HEARTBEAT_MILLIS / MESSAGE_MILLIS / SILENCES;; i++) {
-						step(client, acknowledge, i);
+					for (int i = 1
+							+ trial * HEARTBEAT_INTERVAL_MILLIS / MESSAGE_INTERVAL_MILLIS / DETECTION_TRIALS;; i++) {
+						sendNext(client, acknowledge, i);
 					}
 				}
 				catch (TException ex) {
-					return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentNanos);
+					return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentSinceNanos);
 				}
 			}
 		}
 	}
 
-	private void step(LinkProbe.Client client, boolean acknowledge, int number) throws Exception {
-		TimeUnit.MILLISECONDS.sleep(MESSAGE_MILLIS);
+	private void sendNext(LinkProbe.Client client, boolean acknowledge, int number) throws Exception {
+		TimeUnit.MILLISECONDS.sleep(MESSAGE_INTERVAL_MILLIS);
 		send(client, acknowledge, number);
-		if (!acknowledge && number % (HEARTBEAT_MILLIS / MESSAGE_MILLIS) == 0) {
+		if (!acknowledge && number % (HEARTBEAT_INTERVAL_MILLIS / MESSAGE_INTERVAL_MILLIS) == 0) {
 			client.heartbeat();
 		}
 	}
 
-	private static final class Sessions extends TProcessorFactory {
+	private static final class SessionFactory extends TProcessorFactory {
 
-		private Sessions() {
+		private SessionFactory() {
 			super(null);
 		}
 
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/MeasureMain.java
@@ -10,7 +10,7 @@
 import io.flamingogap.daemon.http.JdkHttp;
 
 /**
- * Runs one measurement, named by the first argument.
+ * Runs the measurement that the first argument names and prints its figures.
  */
 public final class MeasureMain {
 
@@ -19,8 +19,8 @@
 
 	/**
 	 * Run a measurement.
-	 * @param args its name and options
-	 * @throws Exception if it can't be run
+	 * @param args the name of the measurement and its options
+	 * @throws Exception if the measurement can't be run
 	 */
 	public static void main(String[] args) throws Exception {
 		JdkHttp.configure();
@@ -36,7 +36,7 @@
 			case "capacity" -> new CapacityMeasure(options.get(0), options.get(1)).run();
 			case "rollout" -> new RolloutMeasure().run();
 			default -> {
-				System.err.println("no measurement " + args[0]);
+				System.err.println("unknown measurement " + args[0]);
 				System.exit(2);
 			}
 		}
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/OnceMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/OnceMeasure.java
@@ -19,8 +19,8 @@
 import io.flamingogap.testkit.platform.LogMode;
 
 /**
- * The time that each way to at-most-once adds before a request may be dispatched: keys
- * that nodes issue, against a claim by an append to the platform log.
+ * Compares two ways to execute a request at most once by the time that each adds before
+ * dispatch: keys that nodes issue, and a claim by an append to the platform log.
  */
 final class OnceMeasure {
 
@@ -28,7 +28,7 @@
 
 	private static final int WARM_UP = 300;
 
-	private static final long SLOW_MILLIS = 80;
+	private static final long SLOW_LOG_DELAY_MILLIS = 80;
 
 	private static final long TIMEOUT_MILLIS = 2_000;
 
@@ -37,46 +37,46 @@
 	private final RequestLedger ledger = new RequestLedger(this.self,
 			new LedgerLimits(1_000_000, Long.MAX_VALUE / 2, 60_000, 120_000, 60_000));
 
-	private int next;
+	private int nextKeyNumber;
 
 	void run() {
 		try (FakeLog log = new FakeLog(0)) {
 			PlatformLog client = new PlatformLog(HttpClient.newHttpClient(), Address.parse(log.address()),
 					TIMEOUT_MILLIS);
-			LongPredicate claim = (number) -> client.append("claims", "claim " + number).isRight();
-			LongPredicate issued = (number) -> admit();
-			measure("healthy", claim, issued);
-			log.setDelayMillis(SLOW_MILLIS);
-			measure("slow, " + SLOW_MILLIS + " ms a call", claim, issued);
+			LongPredicate claimByAppend = (number) -> client.append("claims", "claim " + number).isRight();
+			LongPredicate issuedKey = (number) -> admitAndStartDispatch();
+			measure("healthy", claimByAppend, issuedKey);
+			log.setDelayMillis(SLOW_LOG_DELAY_MILLIS);
+			measure("slow, " + SLOW_LOG_DELAY_MILLIS + " ms a call", claimByAppend, issuedKey);
 			log.setMode(LogMode.DOWN);
-			measure("down", claim, issued);
+			measure("down", claimByAppend, issuedKey);
 		}
 	}
 
-	private boolean admit() {
-		RequestKey key = new RequestKey(this.self, System.currentTimeMillis(), "caller-part-" + this.next++);
+	private boolean admitAndStartDispatch() {
+		RequestKey key = new RequestKey(this.self, System.currentTimeMillis(), "caller-part-" + this.nextKeyNumber++);
 		KeyedRequest request = new KeyedRequest(key, "buyers", "POST", "/services/desk/bookings", "application/json",
 				"{\"lot\":17}".getBytes(StandardCharsets.UTF_8), Long.MAX_VALUE);
 		return this.ledger.admit(request, System.currentTimeMillis()) instanceof Admission.Dispatch
 				&& this.ledger.startDispatch(key);
 	}
 
-	private void measure(String logState, LongPredicate claim, LongPredicate issued) {
+	private void measure(String logState, LongPredicate claimByAppend, LongPredicate issuedKey) {
 		Report.title("log " + logState + ": " + REQUESTS + " requests one after another");
-		measureWay("claim by append", claim);
-		measureWay("issued key", issued);
+		measureMethod("claim by append", claimByAppend);
+		measureMethod("issued key", issuedKey);
 	}
 
-	private static void measureWay(String name, LongPredicate way) {
-		int warmUp = way.test(0) ? WARM_UP / 10 : 0;
+	private static void measureMethod(String name, LongPredicate method) {
+		int warmUp = method.test(0) ? WARM_UP / 10 : 0;
 		for (int i = 0; i < warmUp; i++) {
-			way.test(i);
+			method.test(i);
 		}
 		Histogram micros = Report.histogram();
 		int accepted = 0;
 		for (int i = 0; i < REQUESTS; i++) {
 			long startNanos = System.nanoTime();
-			accepted += way.test(i) ? 1 : 0;
+			accepted += method.test(i) ? 1 : 0;
 			micros.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos));
 		}
 		Report.percentiles(name, micros);
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/PathKind.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/PathKind.java
@@ -6,7 +6,7 @@
 import io.flamingogap.testkit.metadata.UsersPlatform;
 
 /**
- * The two request paths that the same load is sent through.
+ * Request paths that are measured with the same load.
  */
 enum PathKind {
 
@@ -38,21 +38,21 @@
 
 	private final String lookupPath;
 
-	private final String eventStart;
+	private final String eventPrefix;
 
-	PathKind(String title, String streamPath, String directLookupPath, String lookupPath, String eventStart) {
+	PathKind(String title, String streamPath, String directLookupPath, String lookupPath, String eventPrefix) {
 		this.title = title;
 		this.streamPath = streamPath;
 		this.directLookupPath = directLookupPath;
 		this.lookupPath = lookupPath;
-		this.eventStart = eventStart;
+		this.eventPrefix = eventPrefix;
 	}
 
 	/**
-	 * Begin a request with what its receiver wants to know of the caller.
-	 * @param uri where to
+	 * Create a request with the headers that its receiver requires of a caller.
+	 * @param uri the target
 	 * @param id the id of the request
-	 * @return the request
+	 * @return a builder without a method and body
 	 */
 	abstract HttpRequest.Builder request(String uri, String id);
 
@@ -73,7 +73,7 @@
 	}
 
 	boolean isEvent(String line) {
-		return line.startsWith(this.eventStart);
+		return line.startsWith(this.eventPrefix);
 	}
 
 }
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/PathMeasure.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/PathMeasure.java
@@ -17,34 +17,35 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * What one entry node adds: the same load sent to the stand-ins directly and through the
- * node, in turns in one run.
+ * Measures the latency that one entry node adds: one run sends the same load alternately
+ * to the fake backend servers directly and through the node.
  */
 final class PathMeasure {
 
-	private static final int STREAMS = 100;
+	private static final int OPEN_STREAMS = 100;
 
-	private static final int TOKENS = 50;
+	private static final int TOKENS_PER_STREAM = 50;
 
-	private static final int STREAMS_A_ROUND = 500;
+	private static final int STREAMS_PER_ROUND = 500;
 
 	private static final int ROUNDS = 2;
 
 	/**
-	 * The time that a stream of the stand-in takes, so that {@link #STREAMS} are open at
-	 * once.
+	 * Duration of one stream of the fake backend server. Streams are started at intervals
+	 * of this time divided by {@link #OPEN_STREAMS}, so that {@link #OPEN_STREAMS} are
+	 * open at once.
 	 */
-	private static final long STREAM_MILLIS = 250 + (TOKENS - 1) * 40;
+	private static final long STREAM_MILLIS = 250 + (TOKENS_PER_STREAM - 1) * 40;
 
 	private static final int REQUESTS_PER_SECOND = 100;
 
 	private static final int LOAD_SECONDS = 10;
 
-	private static final int WARM_UPS = 2;
+	private static final int WARM_UP_ROUNDS = 2;
 
-	private static final double TARGET_FIRST_MILLIS = 300;
+	private static final double TARGET_FIRST_TOKEN_MILLIS = 300;
 
-	private static final double TARGET_GAP_MILLIS = 48;
+	private static final double TARGET_TOKEN_GAP_MILLIS = 48;
 
 	private static final double BYTES_PER_MIB = 1_048_576.0;
 
@@ -80,55 +81,55 @@
 
 	private void measureStreams() throws Exception {
 		Streams direct = new Streams(this.kind.streamUri(this.engine));
-		Streams through = new Streams(this.kind.streamUri(this.node));
-		direct.round(Report.histogram(), Report.histogram());
-		through.round(Report.histogram(), Report.histogram());
+		Streams throughNode = new Streams(this.kind.streamUri(this.node));
+		direct.runRound(Report.histogram(), Report.histogram());
+		throughNode.runRound(Report.histogram(), Report.histogram());
 		for (int round = 0; round < ROUNDS; round++) {
-			direct.round(direct.first, direct.gaps);
+			direct.runRound(direct.first, direct.gaps);
 			ProcessUsage before = ProcessUsage.of(this.nodePid);
-			through.round(through.first, through.gaps);
-			through.cpuMillis += ProcessUsage.of(this.nodePid).cpuMillis() - before.cpuMillis();
+			throughNode.runRound(throughNode.first, throughNode.gaps);
+			throughNode.cpuMillis += ProcessUsage.of(this.nodePid).cpuMillis() - before.cpuMillis();
 		}
-		Report.title(this.kind.title() + ", streams: " + STREAMS + " open at once, " + TOKENS + " tokens each, "
-				+ ROUNDS + " rounds of " + STREAMS_A_ROUND);
+		Report.title(this.kind.title() + ", streams: " + OPEN_STREAMS + " open at once, " + TOKENS_PER_STREAM
+				+ " tokens each, " + ROUNDS + " rounds of " + STREAMS_PER_ROUND);
 		Report.percentiles("first token, direct", direct.first);
-		Report.percentiles("first token, through node", through.first);
-		ratios(direct.first, through.first);
+		Report.percentiles("first token, through node", throughNode.first);
+		printRatios(direct.first, throughNode.first);
 		Report.percentiles("gap, direct", direct.gaps);
-		Report.percentiles("gap, through node", through.gaps);
-		ratios(direct.gaps, through.gaps);
-		Report.row("failed streams: %d direct, %d through node", direct.failures, through.failures);
+		Report.percentiles("gap, through node", throughNode.gaps);
+		printRatios(direct.gaps, throughNode.gaps);
+		Report.row("failed streams: %d direct, %d through node", direct.failures, throughNode.failures);
 		Report.row("node: %.3f ms of processor time a token",
-				(double) through.cpuMillis / through.gaps.getTotalCount());
-		boolean met = Report.millis(through.first, 95) <= TARGET_FIRST_MILLIS
-				&& Report.millis(through.gaps, 95) <= TARGET_GAP_MILLIS && through.failures == 0;
-		Report.row("target: 95 in 100 within %.0f ms and %.0f ms: %s", TARGET_FIRST_MILLIS, TARGET_GAP_MILLIS,
-				met ? "met" : "NOT met");
+				(double) throughNode.cpuMillis / throughNode.gaps.getTotalCount());
+		boolean met = Report.millis(throughNode.first, 95) <= TARGET_FIRST_TOKEN_MILLIS
+				&& Report.millis(throughNode.gaps, 95) <= TARGET_TOKEN_GAP_MILLIS && throughNode.failures == 0;
+		Report.row("target: 95 in 100 within %.0f ms and %.0f ms: %s", TARGET_FIRST_TOKEN_MILLIS,
+				TARGET_TOKEN_GAP_MILLIS, met ? "met" : "NOT met");
 	}
 
-	private static void ratios(Histogram direct, Histogram through) {
+	private static void printRatios(Histogram direct, Histogram throughNode) {
 		Report.row("%-28s p50=%.3f  p95=%.3f  p99=%.3f", "  ratio",
-				Report.millis(through, 50) / Report.millis(direct, 50),
-				Report.millis(through, 95) / Report.millis(direct, 95),
-				Report.millis(through, 99) / Report.millis(direct, 99));
+				Report.millis(throughNode, 50) / Report.millis(direct, 50),
+				Report.millis(throughNode, 95) / Report.millis(direct, 95),
+				Report.millis(throughNode, 99) / Report.millis(direct, 99));
 	}
 
 	private void measureLookups() throws Exception {
 		Histogram direct = Report.histogram();
-		Histogram through = Report.histogram();
-		for (int i = 0; i < WARM_UPS; i++) {
-			lookups(this.kind.directLookupUri(this.service), Report.histogram());
-			lookups(this.kind.lookupUri(this.node), Report.histogram());
+		Histogram throughNode = Report.histogram();
+		for (int i = 0; i < WARM_UP_ROUNDS; i++) {
+			sendLookups(this.kind.directLookupUri(this.service), Report.histogram());
+			sendLookups(this.kind.lookupUri(this.node), Report.histogram());
 		}
-		lookups(this.kind.directLookupUri(this.service), direct);
+		sendLookups(this.kind.directLookupUri(this.service), direct);
 		ProcessUsage before = ProcessUsage.of(this.nodePid);
-		int failures = lookups(this.kind.lookupUri(this.node), through);
+		int failures = sendLookups(this.kind.lookupUri(this.node), throughNode);
 		ProcessUsage after = ProcessUsage.of(this.nodePid);
 		Report.title(this.kind.title() + ", lookups: open loop, " + REQUESTS_PER_SECOND + " a second for "
 				+ LOAD_SECONDS + " s");
 		Report.percentiles("lookup, direct", direct);
-		Report.percentiles("lookup, through node", through);
-		ratios(direct, through);
+		Report.percentiles("lookup, through node", throughNode);
+		printRatios(direct, throughNode);
 		Report.row("failed lookups through node: %d", failures);
 		Report.row("node: %.1f %% of a core at %d lookups a second, %.0f MiB resident",
 				(after.cpuMillis() - before.cpuMillis()) / (LOAD_SECONDS * 10.0), REQUESTS_PER_SECOND,
@@ -136,13 +137,14 @@
 	}
 
 	/**
-	 * Send at a fixed rate and count each latency from the time at which it was due.
-	 * @param uri what to look up
-	 * @param micros takes the latencies
-	 * @return the number of failures
+	 * Send lookups at a fixed rate and measure each latency from the time at which the
+	 * lookup was due.
+	 * @param uri the URI to look up
+	 * @param micros receives the latencies in microseconds
+	 * @return the number of lookups without status 200
 	 * @throws Exception if a lookup can't be made
 	 */
-	private int lookups(String uri, Histogram micros) throws Exception {
+	private int sendLookups(String uri, Histogram micros) throws Exception {
 		long intervalNanos = TimeUnit.SECONDS.toNanos(1) / REQUESTS_PER_SECOND;
 		long startNanos = System.nanoTime();
 		List<Future<Boolean>> pending = new ArrayList<>();
@@ -175,7 +177,7 @@
 	}
 
 	/**
-	 * Streams of one target.
+	 * Streams that are sent to one target, and their latencies.
 	 */
 	private final class Streams {
 
@@ -193,12 +195,12 @@
 			this.uri = uri;
 		}
 
-		private void round(Histogram firstMicros, Histogram gapMicros) throws Exception {
+		private void runRound(Histogram firstMicros, Histogram gapMicros) throws Exception {
 			List<Future<Boolean>> pending = new ArrayList<>();
 			long startNanos = System.nanoTime();
-			for (int i = 0; i < STREAMS_A_ROUND; i++) {
+			for (int i = 0; i < STREAMS_PER_ROUND; i++) {
 				int number = i;
-				long dueNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(STREAM_MILLIS) * i / STREAMS;
+				long dueNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(STREAM_MILLIS) * i / OPEN_STREAMS;
 				TimeUnit.NANOSECONDS.sleep(dueNanos - System.nanoTime());
 				pending.add(PathMeasure.this.executor.submit(() -> stream(number, firstMicros, gapMicros)));
 			}
@@ -209,7 +211,7 @@
 
 		private boolean stream(int number, Histogram firstMicros, Histogram gapMicros)
 				throws IOException, InterruptedException {
-			String body = "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":" + TOKENS
+			String body = "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":" + TOKENS_PER_STREAM
 					+ ",\"messages\":[{\"role\":\"user\",\"content\":\"lot " + number + "\"}]}";
 			HttpRequest request = request(this.uri).POST(HttpRequest.BodyPublishers.ofString(body)).build();
 			long[] lastNanos = { System.nanoTime() };
@@ -223,7 +225,7 @@
 					lastNanos[0] = nowNanos;
 				});
 			}
-			return tokens[0] == TOKENS;
+			return tokens[0] == TOKENS_PER_STREAM;
 		}
 
 		private static void record(Histogram micros, long nanos) {
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/ProcessUsage.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/ProcessUsage.java
@@ -8,10 +8,11 @@
 import java.util.Optional;
 
 /**
- * Processor time and memory of a process.
+ * Processor time and memory that a process has used.
  *
- * @param cpuMillis the processor time since its start
- * @param residentBytes the memory it holds
+ * @param cpuMillis the processor time since the start of the process, in milliseconds
+ * @param residentBytes the resident memory in bytes; 0 if {@code VmRSS} is not listed for
+ * the process
  */
 record ProcessUsage(long cpuMillis, long residentBytes) {
 
@@ -21,7 +22,8 @@
 		long cpuMillis = ProcessHandle.of(pid)
 			.flatMap((process) -> process.info().totalCpuDuration())
 			.map(Duration::toMillis)
-			.orElseThrow(() -> new IllegalArgumentException("no process " + pid));
+			.orElseThrow(
+					() -> new IllegalArgumentException("no process with id " + pid + " or no processor time of it"));
 		return new ProcessUsage(cpuMillis, residentBytes(pid).orElse(0L));
 	}
 
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/Report.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/Report.java
@@ -5,7 +5,7 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Prints figures as rows of a table.
+ * Prints titles and rows of figures to standard output.
  */
 final class Report {
 
@@ -25,7 +25,7 @@
 	/**
 	 * Print the percentiles of a histogram of microseconds.
 	 * @param name the name of the row
-	 * @param micros the histogram
+	 * @param micros the latencies in microseconds
 	 */
 	static void percentiles(String name, Histogram micros) {
 		row("%-28s n=%-7d p50=%9.3f ms  p95=%9.3f ms  p99=%9.3f ms", name, micros.getTotalCount(), millis(micros, 50),
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/SimulatedRollout.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/SimulatedRollout.java
@@ -16,7 +16,7 @@
 import io.flamingogap.core.rollout.Tally;
 
 /**
- * One rollout with simulated traffic and real decisions.
+ * Runs one rollout with simulated traffic and the decisions of a {@link Policy}.
  */
 final class SimulatedRollout {
 
@@ -42,11 +42,11 @@
 
 	private final EvidenceTable evidence = new EvidenceTable();
 
-	SimulatedRollout(CandidateKind kind, Policy policy, double requestsPerSecond, long lengthSeconds, long seed) {
+	SimulatedRollout(CandidateKind kind, Policy policy, double requestsPerSecond, long durationSeconds, long seed) {
 		this.kind = kind;
 		this.policy = policy;
 		this.requestsPerSecond = requestsPerSecond;
-		this.rollout = new Rollout("assistant", "v2", List.of(), START_SECONDS, START_SECONDS + lengthSeconds);
+		this.rollout = new Rollout("assistant", "v2", List.of(), START_SECONDS, START_SECONDS + durationSeconds);
 		this.random = new Random(seed);
 	}
 
@@ -56,51 +56,52 @@
 		long exposedWhileBad = 0;
 		double takenBackAtShare = -1;
 		boolean done = false;
-		double lengthMillis = (this.rollout.deadlineEpochSeconds() - START_SECONDS) * 1_000.0;
+		double durationMillis = (this.rollout.deadlineEpochSeconds() - START_SECONDS) * 1_000.0;
 		for (int tick = 0; tick <= TICKS; tick++) {
-			double passed = (double) tick / TICKS;
-			long nowMillis = START_SECONDS * 1_000 + (long) (passed * lengthMillis);
+			double elapsed = (double) tick / TICKS;
+			long nowMillis = START_SECONDS * 1_000 + (long) (elapsed * durationMillis);
 			Verdict verdict = this.policy.decide(this.rollout, this.evidence, nowMillis);
 			if (verdict.bad()) {
 				takenBackAtShare = verdict.share();
 				break;
 			}
 			done = verdict.share() >= 1;
-			long requests = Math.round(this.requestsPerSecond * lengthMillis / 1_000 / TICKS);
+			long requests = Math.round(this.requestsPerSecond * durationMillis / 1_000 / TICKS);
 			total += requests;
-			long reached = traffic(requests, verdict.share(), passed, nowMillis);
-			exposed += reached;
-			exposedWhileBad += this.kind.isBadAt(passed, verdict.share()) ? reached : 0;
+			long toCandidate = simulateTraffic(requests, verdict.share(), elapsed, nowMillis);
+			exposed += toCandidate;
+			exposedWhileBad += this.kind.isBadAt(elapsed, verdict.share()) ? toCandidate : 0;
 		}
-		long whole = Math.round(this.requestsPerSecond * lengthMillis / 1_000);
-		return new Result(takenBackAtShare, done, (double) exposed / whole, (double) exposedWhileBad / whole, total);
+		long expectedRequests = Math.round(this.requestsPerSecond * durationMillis / 1_000);
+		return new Result(takenBackAtShare, done, (double) exposed / expectedRequests,
+				(double) exposedWhileBad / expectedRequests, total);
 	}
 
-	private long traffic(long requests, double share, double passed, long nowMillis) {
+	private long simulateTraffic(long requests, double share, double elapsed, long nowMillis) {
 		int period = RolloutPolicy.period(this.rollout, nowMillis);
 		long candidate = 0;
 		for (int route = 0; route < ROUTE_SHARES.length; route++) {
 			long routed = draw(requests, ROUTE_SHARES[route]);
-			long moved = draw(routed, share);
-			candidate += moved;
+			long toCandidateOnRoute = draw(routed, share);
+			candidate += toCandidateOnRoute;
 			long failed = 0;
 			for (int zone = 0; zone < ZONES; zone++) {
-				failed += draw(moved / ZONES + ((zone < moved % ZONES) ? 1 : 0),
-						this.kind.failure(passed, share, route, zone));
+				failed += draw(toCandidateOnRoute / ZONES + ((zone < toCandidateOnRoute % ZONES) ? 1 : 0),
+						this.kind.failure(elapsed, share, route, zone));
 			}
-			long slow = draw(moved - failed, this.kind.slow(passed, share));
-			count(Arm.CANDIDATE, route, period, new Tally(moved, failed, slow));
-			long kept = routed - moved;
-			long keptFailed = draw(kept, this.kind.baseFailure(passed));
-			count(Arm.CURRENT, route, period,
-					new Tally(kept, keptFailed, draw(kept - keptFailed, this.kind.baseSlow(passed))));
+			long slow = draw(toCandidateOnRoute - failed, this.kind.slow(elapsed, share));
+			addTally(Arm.CANDIDATE, route, period, new Tally(toCandidateOnRoute, failed, slow));
+			long toCurrent = routed - toCandidateOnRoute;
+			long currentFailed = draw(toCurrent, this.kind.baseFailure(elapsed));
+			addTally(Arm.CURRENT, route, period,
+					new Tally(toCurrent, currentFailed, draw(toCurrent - currentFailed, this.kind.baseSlow(elapsed))));
 		}
 		return candidate;
 	}
 
-	private void count(Arm arm, int route, int period, Tally more) {
-		Tally held = this.tallies[arm.ordinal()][route][period];
-		Tally sum = (held != null) ? held.plus(more) : more;
+	private void addTally(Arm arm, int route, int period, Tally added) {
+		Tally previous = this.tallies[arm.ordinal()][route][period];
+		Tally sum = (previous != null) ? previous.plus(added) : added;
 		this.tallies[arm.ordinal()][route][period] = sum;
 		EvidenceKey key = new EvidenceKey(RolloutKey.of(this.rollout), new NodeId("entry-0", 1), arm, "route-" + route,
 				period);
@@ -108,10 +109,11 @@
 	}
 
 	/**
-	 * Draw the number of successes of independent trials: one by one, by Poisson, or by
-	 * the normal distribution, whichever fits the expected number.
+	 * Draw the number of successes of independent trials: trial by trial, from a Poisson
+	 * distribution, or from a normal distribution, depending on the number of trials and
+	 * the expected number of successes.
 	 * @param trials the number of trials
-	 * @param chance the chance of success
+	 * @param chance the probability of success, 0 to 1
 	 * @return the number of successes
 	 */
 	private long draw(long trials, double chance) {
@@ -146,7 +148,7 @@
 	}
 
 	/**
-	 * Ways to decide.
+	 * Ways to decide on the share of the candidate.
 	 */
 	enum Policy {
 
@@ -166,15 +168,18 @@
 
 		},
 
-		/** Fixed steps in time, taken back at a fixed share of failures. */
+		/**
+		 * Raises the share in fixed steps over time and takes the candidate back at a
+		 * fixed failure rate.
+		 */
 		FIXED_STEPS {
 
 			@Override
 			Verdict decide(Rollout rollout, EvidenceTable evidence, long nowMillis) {
-				double passed = (nowMillis / 1_000.0 - START_SECONDS)
+				double elapsed = (nowMillis / 1_000.0 - START_SECONDS)
 						/ (rollout.deadlineEpochSeconds() - START_SECONDS);
-				int step = (int) Math.min(FIXED_SHARES.length - 1, passed * FIXED_SHARES.length);
-				Tally candidate = total(rollout, evidence);
+				int step = (int) Math.min(FIXED_SHARES.length - 1, elapsed * FIXED_SHARES.length);
+				Tally candidate = candidateTotal(rollout, evidence);
 				boolean bad = candidate.requests() >= FIXED_MIN_REQUESTS
 						&& candidate.failures() > FIXED_FAILURE_SHARE * candidate.requests();
 				return new Verdict(bad, FIXED_SHARES[step]);
@@ -182,7 +187,7 @@
 
 		};
 
-		private static Tally total(Rollout rollout, EvidenceTable evidence) {
+		private static Tally candidateTotal(Rollout rollout, EvidenceTable evidence) {
 			Tally[] sum = { Tally.NONE };
 			evidence.forEach(RolloutKey.of(rollout), (key, tally) -> {
 				if (key.arm() == Arm.CANDIDATE) {
@@ -203,24 +208,27 @@
 	}
 
 	/**
-	 * A decision.
+	 * Decision of a policy at one point in time.
 	 *
 	 * @param bad whether the candidate is taken back
-	 * @param share its share until then
+	 * @param share the candidate's share of the traffic, 0 to 1; if it is taken back, its
+	 * share until then
 	 */
 	record Verdict(boolean bad, double share) {
 	}
 
 	/**
-	 * What became of a rollout.
+	 * Result of a simulated rollout.
 	 *
-	 * @param takenBackAtShare the share at which it was taken back; negative if it was
-	 * not
+	 * @param takenBackAtShare the share at which the candidate was taken back; negative
+	 * if it was not
 	 * @param done whether all traffic had moved by the deadline
-	 * @param exposedShare the requests that reached the candidate, of all until the
-	 * deadline
-	 * @param exposedWhileBadShare those that reached it while it was bad
-	 * @param requests the requests until the end
+	 * @param exposedShare the requests that reached the candidate as a fraction of all
+	 * requests until the deadline
+	 * @param exposedWhileBadShare the requests that reached the candidate while it was
+	 * worse than the version in use, as a fraction of all requests until the deadline
+	 * @param requests the number of requests until the candidate was taken back or the
+	 * deadline passed
 	 */
 	record Result(double takenBackAtShare, boolean done, double exposedShare, double exposedWhileBadShare,
 			long requests) {
--- a/flamingogap-measure/src/main/java/io/flamingogap/measure/package-info.java
+++ b/flamingogap-measure/src/main/java/io/flamingogap/measure/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Measurements of the system, each a command of its own.
+ * Performance measurements, each started by a command of its own.
  */
 @NullMarked
 package io.flamingogap.measure;
