--- a/flamingogap-cli/src/main/java/io/flamingogap/cli/CommandLine.java
+++ b/flamingogap-cli/src/main/java/io/flamingogap/cli/CommandLine.java
@@ -35,23 +35,23 @@
 		.defaultsTo("table");
 
 	private final OptionSpec<Long> waitSeconds = this.parser
-		.accepts("wait", "seconds to wait at most until the command has taken effect; default: do not wait")
+		.accepts("wait", "apply, drain: maximum time to wait for the effect, in seconds; default: do not wait")
 		.withRequiredArg()
 		.ofType(Long.class)
 		.describedAs("SECONDS");
 
 	private final OptionSpec<Long> base = this.parser
-		.accepts("base", "offset of the configuration that the change is based on; default: the one in force")
+		.accepts("base", "apply: offset of the configuration that the change is based on; default: the one in force")
 		.withRequiredArg()
 		.ofType(Long.class)
 		.describedAs("OFFSET");
 
 	private final OptionSpec<String> id = this.parser
-		.accepts("id", "id of the change; a repeated id counts as the same change; default: a random UUID")
+		.accepts("id", "apply: id of the change; a repeated id counts as the same change; default: a random UUID")
 		.withRequiredArg()
 		.describedAs("ID");
 
-	private final OptionSpec<Integer> limit = this.parser.accepts("limit", "maximum number of audit entries to print")
+	private final OptionSpec<Integer> limit = this.parser.accepts("limit", "audit: maximum number of entries to print")
 		.withRequiredArg()
 		.ofType(Integer.class)
 		.describedAs("N")
@@ -142,7 +142,7 @@
 			out.println(command.helpLine());
 		}
 		out.println("\nExit status: 0 success, 1 refused or failed, 2 invalid arguments or manifest,");
-		out.println("3 node unreachable, 4 time of --wait passed.\n");
+		out.println("3 node unreachable, 4 timed out waiting for the effect (--wait).\n");
 		try {
 			this.parser.printHelpOn(out);
 		}
