Reword the comments of the Thrift message definitions

Comments such as "What became of it.", "What a node says of its own life", "vouches for it" and "The answer." were figurative or needed their context to be understood. They now name the thing in the terms that the Java code uses: lifecycle state, rollback decision, handover, outcome of a call to the store. Comments of methods begin with a verb in the imperative.

--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/CommitReply.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/CommitReply.java
@@ -8,7 +8,7 @@
 
 
 /**
- * What a node did with a commit; a refusal is final.
+ * Outcome of a commit at the receiver; a refusal is final.
  */
 public enum CommitReply implements org.apache.thrift.TEnum {
   TAKEN(1),
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/ConfigRecord.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/ConfigRecord.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * A record of the configuration stream with its offset in the platform's log.
+ * Record of the configuration stream with its offset in the platform's log.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ConfigRecord implements org.apache.thrift.TBase<ConfigRecord, ConfigRecord._Fields>, java.io.Serializable, Cloneable, Comparable<ConfigRecord> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/EvidenceRow.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/EvidenceRow.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * Counts of one node run; they only grow.
+ * Counts of requests at one run of a node, which only grow.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class EvidenceRow implements org.apache.thrift.TBase<EvidenceRow, EvidenceRow._Fields>, java.io.Serializable, Cloneable, Comparable<EvidenceRow> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/Heartbeat.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/Heartbeat.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * Sent on each connection at an interval, and at once when the sender has news.
+ * Sent on each connection at an interval, and at once when the sender has changes to report.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Heartbeat implements org.apache.thrift.TBase<Heartbeat, Heartbeat._Fields>, java.io.Serializable, Cloneable, Comparable<Heartbeat> {
@@ -37,11 +37,11 @@
      */
     CHANGES((short)3, "changes"),
     /**
-     * Rows changed since the last acknowledged heartbeat, as many as fit.
+     * Rows changed since the last acknowledged heartbeat, up to the maximum of one heartbeat.
      */
     EVIDENCE((short)4, "evidence"),
     /**
-     * Every decision that the sender knows.
+     * Every rollback decision that the sender knows.
      */
     TAKE_BACKS((short)5, "takeBacks");
 
@@ -311,7 +311,7 @@
   }
 
   /**
-   * Rows changed since the last acknowledged heartbeat, as many as fit.
+   * Rows changed since the last acknowledged heartbeat, up to the maximum of one heartbeat.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<EvidenceRow> getEvidence() {
@@ -319,7 +319,7 @@
   }
 
   /**
-   * Rows changed since the last acknowledged heartbeat, as many as fit.
+   * Rows changed since the last acknowledged heartbeat, up to the maximum of one heartbeat.
    */
   public Heartbeat setEvidence(@org.apache.thrift.annotation.Nullable java.util.List<EvidenceRow> evidence) {
     this.evidence = evidence;
@@ -358,7 +358,7 @@
   }
 
   /**
-   * Every decision that the sender knows.
+   * Every rollback decision that the sender knows.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<TakeBack> getTakeBacks() {
@@ -366,7 +366,7 @@
   }
 
   /**
-   * Every decision that the sender knows.
+   * Every rollback decision that the sender knows.
    */
   public Heartbeat setTakeBacks(@org.apache.thrift.annotation.Nullable java.util.List<TakeBack> takeBacks) {
     this.takeBacks = takeBacks;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/KeySpacePart.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/KeySpacePart.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * Entries of one issuer's keys; a key space is passed on in several parts.
+ * Ledger entries of the keys of one issuer; a key space is handed over in several parts.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class KeySpacePart implements org.apache.thrift.TBase<KeySpacePart, KeySpacePart._Fields>, java.io.Serializable, Cloneable, Comparable<KeySpacePart> {
@@ -34,11 +34,13 @@
     FORGOTTEN_THROUGH_MILLIS((short)2, "forgottenThroughMillis"),
     ENTRIES((short)3, "entries"),
     /**
-     * Set if this part holds every entry and replaces what was offered.
+     * Set if this part replaces the entries offered before: it holds every entry or, if such a
+     * part is split, is its first chunk.
      */
     WHOLE((short)4, "whole"),
     /**
-     * Fingerprint of every entry at the sender; a commit takes effect only on a match.
+     * Fingerprint over all entries of the key space at the sender; a commit takes effect only if
+     * the receiver's fingerprint is the same.
      */
     FINGERPRINT((short)5, "fingerprint");
 
@@ -279,14 +281,16 @@
   }
 
   /**
-   * Set if this part holds every entry and replaces what was offered.
+   * Set if this part replaces the entries offered before: it holds every entry or, if such a
+   * part is split, is its first chunk.
    */
   public boolean isWhole() {
     return this.whole;
   }
 
   /**
-   * Set if this part holds every entry and replaces what was offered.
+   * Set if this part replaces the entries offered before: it holds every entry or, if such a
+   * part is split, is its first chunk.
    */
   public KeySpacePart setWhole(boolean whole) {
     this.whole = whole;
@@ -308,14 +312,16 @@
   }
 
   /**
-   * Fingerprint of every entry at the sender; a commit takes effect only on a match.
+   * Fingerprint over all entries of the key space at the sender; a commit takes effect only if
+   * the receiver's fingerprint is the same.
    */
   public long getFingerprint() {
     return this.fingerprint;
   }
 
   /**
-   * Fingerprint of every entry at the sender; a commit takes effect only on a match.
+   * Fingerprint over all entries of the key space at the sender; a commit takes effect only if
+   * the receiver's fingerprint is the same.
    */
   public KeySpacePart setFingerprint(long fingerprint) {
     this.fingerprint = fingerprint;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/KeyStatus.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/KeyStatus.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * State of a key at the node that owns it.
+ * State of an idempotency key at the node that owns it.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class KeyStatus implements org.apache.thrift.TBase<KeyStatus, KeyStatus._Fields>, java.io.Serializable, Cloneable, Comparable<KeyStatus> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/KeyedRequest.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/KeyedRequest.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * A keyed request on its way to the node that may dispatch the key.
+ * Request with an idempotency key, forwarded to the node that may dispatch the key.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class KeyedRequest implements org.apache.thrift.TBase<KeyedRequest, KeyedRequest._Fields>, java.io.Serializable, Cloneable, Comparable<KeyedRequest> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/LedgerEntry.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/LedgerEntry.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * One entry of a ledger that is passed on.
+ * Ledger entry that is handed over to another node.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class LedgerEntry implements org.apache.thrift.TBase<LedgerEntry, LedgerEntry._Fields>, java.io.Serializable, Cloneable, Comparable<LedgerEntry> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/Member.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/Member.java
@@ -50,7 +50,7 @@
      */
     VERSION((short)6, "version"),
     /**
-     * Set by a monitor that lost its connection; cleared by a higher version.
+     * Set by a neighbour that lost its connection to the member; cleared by a higher version.
      */
     UNREACHABLE((short)7, "unreachable"),
     SUCCESSOR((short)8, "successor");
@@ -388,14 +388,14 @@
   }
 
   /**
-   * Set by a monitor that lost its connection; cleared by a higher version.
+   * Set by a neighbour that lost its connection to the member; cleared by a higher version.
    */
   public boolean isUnreachable() {
     return this.unreachable;
   }
 
   /**
-   * Set by a monitor that lost its connection; cleared by a higher version.
+   * Set by a neighbour that lost its connection to the member; cleared by a higher version.
    */
   public Member setUnreachable(boolean unreachable) {
     this.unreachable = unreachable;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/MemberState.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/MemberState.java
@@ -8,7 +8,7 @@
 
 
 /**
- * What a node says of its own life; later states never go back.
+ * Lifecycle state that a node announces for itself; it only moves forward, in this order.
  */
 public enum MemberState implements org.apache.thrift.TEnum {
   SERVING(1),
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/NodeRef.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/NodeRef.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * One run of one entry node.
+ * Identity of one run of an entry node.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class NodeRef implements org.apache.thrift.TBase<NodeRef, NodeRef._Fields>, java.io.Serializable, Cloneable, Comparable<NodeRef> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/NodeService.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/NodeService.java
@@ -12,7 +12,7 @@
   public interface Iface {
 
     /**
-     * Returns a nonce that the caller signs with the shared secret.
+     * Return a nonce that the caller signs with the shared secret.
      */
     public java.nio.ByteBuffer challenge() throws org.apache.thrift.TException;
 
@@ -27,7 +27,7 @@
     public KeyStatus keyStatus(java.lang.String key, java.lang.String account) throws NodeFault, org.apache.thrift.TException;
 
     /**
-     * Stores entries that stay inert until the commit.
+     * Store entries, which have no effect until the commit.
      * 
      * @param sender
      * @param parts
@@ -35,7 +35,7 @@
     public void offer(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException;
 
     /**
-     * The sender dispatches no key of these issuers any more; the receiver may.
+     * Hand over the keys of these issuers: the sender stops dispatching them; the receiver may.
      * 
      * @param sender
      * @param parts
@@ -43,7 +43,7 @@
     public CommitReply commit(NodeRef sender, java.util.List<KeySpacePart> parts) throws NodeFault, org.apache.thrift.TException;
 
     /**
-     * Outcomes of calls that were in flight at the commit.
+     * Record the outcomes of calls that were in flight at the commit.
      * 
      * @param sender
      * @param parts
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/TakeBack.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/TakeBack.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire;
 
 /**
- * The final decision to end a rollout in favour of the version in use.
+ * Rollback: the final decision to end a rollout and return all traffic to the current version.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class TakeBack implements org.apache.thrift.TBase<TakeBack, TakeBack._Fields>, java.io.Serializable, Cloneable, Comparable<TakeBack> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/LoadNews.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/LoadNews.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * Loads of one node that changed; sent to the nodes of its zone as a datagram.
+ * Changed loads of one node, sent as a datagram to the other nodes of its zone.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class LoadNews implements org.apache.thrift.TBase<LoadNews, LoadNews._Fields>, java.io.Serializable, Cloneable, Comparable<LoadNews> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/OpenLoad.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/OpenLoad.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * What one node has open at a backend server.
+ * Open requests and unread tokens of one node at a backend server.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class OpenLoad implements org.apache.thrift.TBase<OpenLoad, OpenLoad._Fields>, java.io.Serializable, Cloneable, Comparable<OpenLoad> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * A call to make of the store. Streams are named as the nodes name them.
+ * Call to the store. Streams have the names that the nodes use for them.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class PeerCall implements org.apache.thrift.TBase<PeerCall, PeerCall._Fields>, java.io.Serializable, Cloneable, Comparable<PeerCall> {
@@ -43,11 +43,12 @@
      */
     FROM_OFFSET((short)3, "fromOffset"),
     /**
-     * READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none.
+     * READ: how long to wait for a record. APPEND: how long the record may wait to be appended
+     * together with others; 0 to append it at once.
      */
     WAIT_MILLIS((short)4, "waitMillis"),
     /**
-     * NEWEST: the last key of the page before. APPEND: the key.
+     * NEWEST: the last key of the previous page; absent for the first page. APPEND: the key.
      */
     KEY((short)5, "key"),
     /**
@@ -291,14 +292,16 @@
   }
 
   /**
-   * READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none.
+   * READ: how long to wait for a record. APPEND: how long the record may wait to be appended
+   * together with others; 0 to append it at once.
    */
   public long getWaitMillis() {
     return this.waitMillis;
   }
 
   /**
-   * READ: how long to wait for a record. APPEND: how long it may wait for others; 0 for none.
+   * READ: how long to wait for a record. APPEND: how long the record may wait to be appended
+   * together with others; 0 to append it at once.
    */
   public PeerCall setWaitMillis(long waitMillis) {
     this.waitMillis = waitMillis;
@@ -320,7 +323,7 @@
   }
 
   /**
-   * NEWEST: the last key of the page before. APPEND: the key.
+   * NEWEST: the last key of the previous page; absent for the first page. APPEND: the key.
    */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getKey() {
@@ -328,7 +331,7 @@
   }
 
   /**
-   * NEWEST: the last key of the page before. APPEND: the key.
+   * NEWEST: the last key of the previous page; absent for the first page. APPEND: the key.
    */
   public PeerCall setKey(@org.apache.thrift.annotation.Nullable java.lang.String key) {
     this.key = key;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerDatagram.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerDatagram.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * What a datagram carries; one of these.
+ * Content of a datagram; exactly one field is set.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class PeerDatagram implements org.apache.thrift.TBase<PeerDatagram, PeerDatagram._Fields>, java.io.Serializable, Cloneable, Comparable<PeerDatagram> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerRecord.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerRecord.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * A record of a stream.
+ * Record of a stream.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class PeerRecord implements org.apache.thrift.TBase<PeerRecord, PeerRecord._Fields>, java.io.Serializable, Cloneable, Comparable<PeerRecord> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * The answer.
+ * Reply to a PeerCall.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class PeerReply implements org.apache.thrift.TBase<PeerReply, PeerReply._Fields>, java.io.Serializable, Cloneable, Comparable<PeerReply> {
@@ -35,7 +35,8 @@
     OUTCOME((short)1, "outcome"),
     ENTRIES((short)2, "entries"),
     /**
-     * READ: the offset to go on from. NEWEST: the end of the stream. APPEND: the offset.
+     * READ: the offset to continue from. NEWEST: the end of the stream. APPEND: the offset of the
+     * record or, if it was appended together with others, of the first one.
      */
     POSITION((short)3, "position"),
     /**
@@ -254,14 +255,16 @@
   }
 
   /**
-   * READ: the offset to go on from. NEWEST: the end of the stream. APPEND: the offset.
+   * READ: the offset to continue from. NEWEST: the end of the stream. APPEND: the offset of the
+   * record or, if it was appended together with others, of the first one.
    */
   public long getPosition() {
     return this.position;
   }
 
   /**
-   * READ: the offset to go on from. NEWEST: the end of the stream. APPEND: the offset.
+   * READ: the offset to continue from. NEWEST: the end of the stream. APPEND: the offset of the
+   * record or, if it was appended together with others, of the first one.
    */
   public PeerReply setPosition(long position) {
     this.position = position;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/QuotaAsk.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/QuotaAsk.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * Asks another node to lend units of an account's quota.
+ * Request to another node to lend units of an account's quota.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class QuotaAsk implements org.apache.thrift.TBase<QuotaAsk, QuotaAsk._Fields>, java.io.Serializable, Cloneable, Comparable<QuotaAsk> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/QuotaGrant.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/QuotaGrant.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * Units that a node lends; they leave its own share.
+ * Units that a node lends, taken from its own share.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class QuotaGrant implements org.apache.thrift.TBase<QuotaGrant, QuotaGrant._Fields>, java.io.Serializable, Cloneable, Comparable<QuotaGrant> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/StoreCall.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/StoreCall.java
@@ -8,7 +8,7 @@
 
 
 /**
- * The call that is made of the store.
+ * Type of a call to the store.
  */
 public enum StoreCall implements org.apache.thrift.TEnum {
   READ(1),
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/StoreOutcome.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/StoreOutcome.java
@@ -8,7 +8,7 @@
 
 
 /**
- * What became of it.
+ * Outcome of a call to the store.
  */
 public enum StoreOutcome implements org.apache.thrift.TEnum {
   DONE(1),
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/probe/LinkProbe.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/probe/LinkProbe.java
@@ -12,7 +12,7 @@
   public interface Iface {
 
     /**
-     * Sent without an acknowledgement; a later heartbeat on the connection vouches for it.
+     * Send a message without an acknowledgement; a later heartbeat on the connection confirms it.
      * 
      * @param sequence
      * @param payload
@@ -20,7 +20,7 @@
     public void publish(long sequence, java.nio.ByteBuffer payload) throws org.apache.thrift.TException;
 
     /**
-     * Sent with an acknowledgement of its own.
+     * Send a message with an acknowledgement of its own.
      * 
      * @param sequence
      * @param payload
@@ -28,7 +28,7 @@
     public long publishAcknowledged(long sequence, java.nio.ByteBuffer payload) throws org.apache.thrift.TException;
 
     /**
-     * Returns the number of messages received on this connection.
+     * Return the number of messages received on this connection.
      */
     public long heartbeat() throws org.apache.thrift.TException;
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/NodeReport.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/NodeReport.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.report;
 
 /**
- * The state of one run of an entry node; replaces its earlier reports.
+ * State of one run of an entry node; replaces its earlier reports.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class NodeReport implements org.apache.thrift.TBase<NodeReport, NodeReport._Fields>, java.io.Serializable, Cloneable, Comparable<NodeReport> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/ServiceDemand.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/ServiceDemand.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.report;
 
 /**
- * What the callers of one node ask of a service.
+ * Demand of the callers of one node for a service.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ServiceDemand implements org.apache.thrift.TBase<ServiceDemand, ServiceDemand._Fields>, java.io.Serializable, Cloneable, Comparable<ServiceDemand> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/UsageIntent.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/UsageIntent.java
@@ -7,7 +7,8 @@
 package io.flamingogap.wire.report;
 
 /**
- * A report of usage that must not change once it may have been sent.
+ * Usage report, stored before it is sent because its content must not change once it may have
+ * been sent.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class UsageIntent implements org.apache.thrift.TBase<UsageIntent, UsageIntent._Fields>, java.io.Serializable, Cloneable, Comparable<UsageIntent> {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/UsageWindow.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/UsageWindow.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.report;
 
 /**
- * Requests that backend servers began in one window of time, by client account.
+ * Number of requests that backend servers started to process in one window, by client account.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class UsageWindow implements org.apache.thrift.TBase<UsageWindow, UsageWindow._Fields>, java.io.Serializable, Cloneable, Comparable<UsageWindow> {
--- a/flamingogap-wire/src/main/thrift/node.thrift
+++ b/flamingogap-wire/src/main/thrift/node.thrift
@@ -1,13 +1,13 @@
 /** Messages between entry nodes. Times are in milliseconds, sizes in bytes. */
 namespace java io.flamingogap.wire
 
-/** One run of one entry node. */
+/** Identity of one run of an entry node. */
 struct NodeRef {
   1: required string name
   2: required i64 incarnation
 }
 
-/** What a node says of its own life; later states never go back. */
+/** Lifecycle state that a node announces for itself; it only moves forward, in this order. */
 enum MemberState {
   SERVING = 1
   DRAINING = 2
@@ -24,7 +24,7 @@
   5: required MemberState state
   /** Raised by the member itself at each change. */
   6: required i64 version
-  /** Set by a monitor that lost its connection; cleared by a higher version. */
+  /** Set by a neighbour that lost its connection to the member; cleared by a higher version. */
   7: required bool unreachable
   8: optional NodeRef successor
 }
@@ -41,7 +41,7 @@
   CANDIDATE = 2
 }
 
-/** Counts of one node run; they only grow. */
+/** Counts of requests at one run of a node, which only grow. */
 struct EvidenceRow {
   1: required RolloutKey rollout
   2: required NodeRef node
@@ -53,7 +53,7 @@
   8: required i64 slow
 }
 
-/** The final decision to end a rollout in favour of the version in use. */
+/** Rollback: the final decision to end a rollout and return all traffic to the current version. */
 struct TakeBack {
   1: required RolloutKey rollout
   2: required string by
@@ -61,15 +61,15 @@
   4: required i64 atMillis
 }
 
-/** Sent on each connection at an interval, and at once when the sender has news. */
+/** Sent on each connection at an interval, and at once when the sender has changes to report. */
 struct Heartbeat {
   1: required i64 sequence
   2: required i64 configHead
   /** Rows changed since the last acknowledged heartbeat on this connection. */
   3: required list<Member> changes
-  /** Rows changed since the last acknowledged heartbeat, as many as fit. */
+  /** Rows changed since the last acknowledged heartbeat, up to the maximum of one heartbeat. */
   4: required list<EvidenceRow> evidence
-  /** Every decision that the sender knows. */
+  /** Every rollback decision that the sender knows. */
   5: required list<TakeBack> takeBacks
 }
 
@@ -86,13 +86,13 @@
   2: required binary mac
 }
 
-/** A record of the configuration stream with its offset in the platform's log. */
+/** Record of the configuration stream with its offset in the platform's log. */
 struct ConfigRecord {
   1: required i64 offset
   2: required string body
 }
 
-/** A keyed request on its way to the node that may dispatch the key. */
+/** Request with an idempotency key, forwarded to the node that may dispatch the key. */
 struct KeyedRequest {
   1: required string key
   2: required string account
@@ -109,13 +109,13 @@
   3: required binary body
 }
 
-/** State of a key at the node that owns it. */
+/** State of an idempotency key at the node that owns it. */
 struct KeyStatus {
   1: required string state
   2: optional Answer answer
 }
 
-/** One entry of a ledger that is passed on. */
+/** Ledger entry that is handed over to another node. */
 struct LedgerEntry {
   1: required string key
   2: required string account
@@ -126,18 +126,24 @@
   7: optional NodeRef dispatchedBy
 }
 
-/** Entries of one issuer's keys; a key space is passed on in several parts. */
+/** Ledger entries of the keys of one issuer; a key space is handed over in several parts. */
 struct KeySpacePart {
   1: required NodeRef issuer
   2: required i64 forgottenThroughMillis
   3: required list<LedgerEntry> entries
-  /** Set if this part holds every entry and replaces what was offered. */
+  /**
+   * Set if this part replaces the entries offered before: it holds every entry or, if such a
+   * part is split, is its first chunk.
+   */
   4: required bool whole
-  /** Fingerprint of every entry at the sender; a commit takes effect only on a match. */
+  /**
+   * Fingerprint over all entries of the key space at the sender; a commit takes effect only if
+   * the receiver's fingerprint is the same.
+   */
   5: required i64 fingerprint
 }
 
-/** What a node did with a commit; a refusal is final. */
+/** Outcome of a commit at the receiver; a refusal is final. */
 enum CommitReply {
   TAKEN = 1
   INCOMPLETE = 2
@@ -151,17 +157,17 @@
 }
 
 service NodeService {
-  /** Returns a nonce that the caller signs with the shared secret. */
+  /** Return a nonce that the caller signs with the shared secret. */
   binary challenge()
   NodeRef authenticate(1: Proof proof) throws (1: NodeFault fault)
   HeartbeatReply heartbeat(1: Heartbeat heartbeat) throws (1: NodeFault fault)
   list<ConfigRecord> configRecords(1: i64 firstOffset, 2: i32 limit) throws (1: NodeFault fault)
   Answer forward(1: KeyedRequest request) throws (1: NodeFault fault)
   KeyStatus keyStatus(1: string key, 2: string account) throws (1: NodeFault fault)
-  /** Stores entries that stay inert until the commit. */
+  /** Store entries, which have no effect until the commit. */
   void offer(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
-  /** The sender dispatches no key of these issuers any more; the receiver may. */
+  /** Hand over the keys of these issuers: the sender stops dispatching them; the receiver may. */
   CommitReply commit(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
-  /** Outcomes of calls that were in flight at the commit. */
+  /** Record the outcomes of calls that were in flight at the commit. */
   void outcomes(1: NodeRef sender, 2: list<KeySpacePart> parts) throws (1: NodeFault fault)
 }
--- a/flamingogap-wire/src/main/thrift/probe.thrift
+++ b/flamingogap-wire/src/main/thrift/probe.thrift
@@ -1,11 +1,11 @@
-/** Messages that measure what a link costs; not used by the daemon. */
+/** Messages for measuring the cost of a link; not used by the daemon. */
 namespace java io.flamingogap.wire.probe
 
 service LinkProbe {
-  /** Sent without an acknowledgement; a later heartbeat on the connection vouches for it. */
+  /** Send a message without an acknowledgement; a later heartbeat on the connection confirms it. */
   oneway void publish(1: i64 sequence, 2: binary payload)
-  /** Sent with an acknowledgement of its own. */
+  /** Send a message with an acknowledgement of its own. */
   i64 publishAcknowledged(1: i64 sequence, 2: binary payload)
-  /** Returns the number of messages received on this connection. */
+  /** Return the number of messages received on this connection. */
   i64 heartbeat()
 }
--- a/flamingogap-wire/src/main/thrift/report.thrift
+++ b/flamingogap-wire/src/main/thrift/report.thrift
@@ -1,7 +1,7 @@
-/** What entry nodes keep in the platform's store for each other. Times are in milliseconds. */
+/** Records that entry nodes store on the platform for each other. Times are in milliseconds. */
 namespace java io.flamingogap.wire.report
 
-/** Requests that backend servers began in one window of time, by client account. */
+/** Number of requests that backend servers started to process in one window, by client account. */
 struct UsageWindow {
   1: required i64 number
   2: required map<string, i64> requests
@@ -17,7 +17,7 @@
   6: required i64 slow
 }
 
-/** What the callers of one node ask of a service. */
+/** Demand of the callers of one node for a service. */
 struct ServiceDemand {
   1: required string serviceName
   2: required i32 openRequests
@@ -25,7 +25,7 @@
   4: required i64 requestsPerMinute
 }
 
-/** The state of one run of an entry node; replaces its earlier reports. */
+/** State of one run of an entry node; replaces its earlier reports. */
 struct NodeReport {
   1: required string node
   2: required i64 incarnation
@@ -39,7 +39,10 @@
   10: required list<VersionTally> tallies
 }
 
-/** A report of usage that must not change once it may have been sent. */
+/**
+ * Usage report, stored before it is sent because its content must not change once it may have
+ * been sent.
+ */
 struct UsageIntent {
   1: required i64 window
   2: required map<string, i64> requests
