Log what tells the causes of a request to a departed server apart

The age travels with the reads that a relay answers, so that flamingogap_store_silent_millis no longer counts a relay's empty answer as contact. Nothing decides by these values.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRegistration.java
@@ -16,9 +16,11 @@
  * @param draining whether the server is about to stop and gets no new requests
  * @param reclaimable whether the instance can be reclaimed at short notice
  * @param startedAtMillis the start time in milliseconds since 1970 UTC; 0 if unknown
+ * @param sequence the number of the record; a later record of the same run of the server
+ * has a greater one
  */
 public record ServerRegistration(String id, String service, Address address, String zone, String version, int slots,
-		boolean draining, boolean reclaimable, long startedAtMillis) {
+		boolean draining, boolean reclaimable, long startedAtMillis, long sequence) {
 
 	public ServerRegistration {
 		Objects.requireNonNull(id, "id must not be null");
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -28,9 +28,8 @@
 	private final PromptSpeed speed = new PromptSpeed();
 
 	private KnownServer server(String id, String zone, int slots) {
-		this.table.register(
-				new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), zone, "v1", slots, false, false, 1),
-				1);
+		this.table.register(new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), zone, "v1", slots, false,
+				false, 1, 1), 1);
 		return this.table.find(id).get();
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
@@ -40,7 +40,7 @@
 		}
 		else {
 			table.register(new ServerRegistration(id, "desk", new Address("10.0.0.1", 80), "z1", "v1", 4,
-					state == State.DRAINING, false, 1), offset);
+					state == State.DRAINING, false, 1, offset), offset);
 		}
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -22,7 +22,7 @@
 
 	private static ServerRegistration registration(String id, boolean draining, long startedAtMillis) {
 		return new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), "z", "v1", 8, draining, false,
-				startedAtMillis);
+				startedAtMillis, 1);
 	}
 
 	@Nested
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -68,6 +68,7 @@
 		this.readState = ReadState.HEAD;
 		this.requestWritten = false;
 		this.skippedBytes = 0;
+		listener.onSending();
 		this.decoder.expectResponse(request.request().method().equals(HttpMethod.HEAD));
 		this.channel.writeAndFlush(this.protocol.encodeRequest(request))
 			.addListener((written) -> this.requestWritten = written.isSuccess());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
@@ -9,6 +9,11 @@
  */
 public interface ResponseListener {
 
+	/**
+	 * Called when a connection is open, right before the request is written to it.
+	 */
+	void onSending();
+
 	/**
 	 * Receive the head of the response.
 	 * @param head the decoded head
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -84,7 +84,8 @@
 	}
 
 	/**
-	 * Return when registrations were last read, directly or through another node.
+	 * Return when the store last confirmed the registrations, directly or through another
+	 * node.
 	 * @return the time in milliseconds of the monotonic clock; 0 before the first read
 	 */
 	public long lastContactAtMillis() {
@@ -119,7 +120,7 @@
 							LogLine.of("server registration ended")
 								.with("server", entry.key())
 								.with("offset", entry.offset())
-								.with("doubted", suspectUntilMillis() > this.clock.steadyMillis()));
+								.with("doubtedMillis", Math.max(0, suspectUntilMillis() - this.clock.steadyMillis())));
 			}
 			return;
 		}
@@ -142,7 +143,10 @@
 							.with("version", server.get().version())
 							.with("draining", server.get().draining())
 							.with("reclaimable", server.get().reclaimable())
-							.with("offset", entry.offset()));
+							.with("startedAtMillis", server.get().startedAtMillis())
+							.with("sequence", server.get().sequence())
+							.with("offset", entry.offset())
+							.with("storeAgeMillis", this.clock.steadyMillis() - lastContactAtMillis()));
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.flamingogap.gateway.store.RecordStore.Batch;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoredRecord;
@@ -48,6 +49,10 @@
 		}).toList();
 	}
 
+	static Batch toBatch(PeerReply reply, boolean fromZoneRelay) {
+		return new Batch(toStoredRecords(reply), reply.getPosition(), fromZoneRelay, reply.getAgeMillis());
+	}
+
 	static List<StoredRecord> toStoredRecords(PeerReply reply) {
 		return reply.getEntries()
 			.stream()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -69,7 +69,7 @@
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		PeerCall call = new PeerCall(StoreCall.READ, stream.name(), from, waitMillis);
 		return this.<Batch>callStoreOrPeers(() -> super.read(stream, from, waitMillis), call,
-				(reply) -> new Batch(PeerCodec.toStoredRecords(reply), reply.getPosition(), false));
+				(reply) -> PeerCodec.toBatch(reply, false));
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -54,7 +54,8 @@
 		return switch (call.getCall()) {
 			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
 				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(batch.records()),
-						batch.nextOffset(), false));
+						batch.nextOffset(), false)
+					.setAgeMillis(batch.ageMillis()));
 			case NEWEST -> this.store.listNewest(stream, Optional.ofNullable(call.getKey()))
 				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(page.records()),
 						page.endOffset(), page.hasMore()));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -81,9 +81,9 @@
 		return from >= this.startOffset && from <= this.endOffset;
 	}
 
-	Batch batchFrom(long from) {
+	Batch batchFrom(long from, long nowMillis) {
 		List<StoredRecord> matching = this.records.stream().filter((entry) -> entry.offset() >= from).toList();
-		return new Batch(matching, this.endOffset, false);
+		return new Batch(matching, this.endOffset, false, nowMillis - this.lastReadAtMillis);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -85,7 +85,7 @@
 		if (!cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) || !cache.covers(from)) {
 			return super.read(stream, from, waitMillis);
 		}
-		Batch cached = cache.batchFrom(from);
+		Batch cached = cache.batchFrom(from, this.steadyMillis.getAsLong());
 		if (!cached.records().isEmpty() || waitMillis <= 0) {
 			return CompletableFuture.completedFuture(cached);
 		}
@@ -107,8 +107,9 @@
 
 	private void complete(StoreStream stream, WaitingRead waitingRead) {
 		RecordCache cache = this.caches.get(stream);
-		if (cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) && cache.covers(waitingRead.from)) {
-			waitingRead.result.complete(cache.batchFrom(waitingRead.from));
+		long nowMillis = this.steadyMillis.getAsLong();
+		if (cache.isFresh(nowMillis, MAX_AGE_MILLIS) && cache.covers(waitingRead.from)) {
+			waitingRead.result.complete(cache.batchFrom(waitingRead.from, nowMillis));
 		}
 		else {
 			waitingRead.fail("the relay node got no answer from the store within the last " + MAX_AGE_MILLIS
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -52,8 +52,8 @@
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
 		return callRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
-				(reply) -> new Batch(PeerCodec.toStoredRecords(reply), reply.getPosition(), true),
-				() -> super.read(stream, from, waitMillis), () -> super.read(stream, from, 0));
+				(reply) -> PeerCodec.toBatch(reply, true), () -> super.read(stream, from, waitMillis),
+				() -> super.read(stream, from, 0));
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -197,6 +197,16 @@
 		return this.dependencies.clock().steadyMillis();
 	}
 
+	@Override
+	public void onSending() {
+		if (!this.server.takesRequests()) {
+			this.dependencies.metrics().increment("sent.leaving");
+			logger.atWarning()
+				.log("%s", this.relayedRequest.logLine("sent to a leaving server")
+					.with("waitedMillis", nowMillis() - this.sentAtMillis));
+		}
+	}
+
 	@Override
 	public void onHead(BackendResponseHead head) {
 		this.responseHead = head;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -103,7 +103,7 @@
 				onFailure(failure, this::start);
 				return;
 			}
-			onSuccess();
+			onSuccess(0);
 			page.records().forEach((entry) -> {
 				keys.add(entry.key());
 				this.listener.onRecord(entry);
@@ -135,7 +135,7 @@
 				onFailure(failure, () -> readFrom(from));
 			}
 			else {
-				onSuccess();
+				onSuccess(batch.ageMillis());
 				batch.records().forEach(this.listener::onRecord);
 				boolean isReadFromStore = !batch.records().isEmpty() && !batch.fromZoneRelay();
 				runAfter(() -> readFrom(batch.nextOffset()), isReadFromStore ? this.readPauseMillis : 0);
@@ -143,9 +143,9 @@
 		});
 	}
 
-	private void onSuccess() {
+	private void onSuccess(long ageMillis) {
 		long nowMillis = this.steadyMillis.getAsLong();
-		this.lastContactAtMillis = nowMillis;
+		this.lastContactAtMillis = Math.max(this.lastContactAtMillis, nowMillis - ageMillis);
 		this.retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 		if (!this.reachable) {
 			this.reachable = true;
@@ -187,7 +187,8 @@
 	}
 
 	/**
-	 * Return when the store last answered a call successfully.
+	 * Return when the store last answered a call successfully, of this node or of the one
+	 * that answered for it.
 	 * @return the time in milliseconds of the monotonic clock; 0 before the first answer
 	 */
 	public long lastContactAtMillis() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -76,8 +76,21 @@
 	 * @param fromZoneRelay whether the node that reads for this node's zone answered,
 	 * which costs no call to the store; {@code false} if another node called the store
 	 * for this one
+	 * @param ageMillis how long ago the store itself answered, in milliseconds; records
+	 * that were appended since may be missing
 	 */
-	record Batch(List<StoredRecord> records, long nextOffset, boolean fromZoneRelay) {
+	record Batch(List<StoredRecord> records, long nextOffset, boolean fromZoneRelay, long ageMillis) {
+
+		/**
+		 * Create a batch that the store itself has just returned.
+		 * @param records the records, in order of their offsets; may be empty
+		 * @param nextOffset the offset to continue from
+		 * @return the batch
+		 */
+		public static Batch fromStore(List<StoredRecord> records, long nextOffset) {
+			return new Batch(records, nextOffset, false, 0);
+		}
+
 	}
 
 	/**
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -82,7 +82,7 @@
 
 	private void register(String id, String zone, boolean reclaimable, boolean draining) {
 		this.servers.register(new ServerRegistration(id, "engine", new Address("10.0.0.1", 80), zone, "v1", SLOTS,
-				draining, reclaimable, 1), ++this.revision);
+				draining, reclaimable, 1, this.revision), ++this.revision);
 	}
 
 	private void register(String zone, boolean reclaimable, int number) {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -124,7 +124,7 @@
 				return super.read(stream, from, waitMillis);
 			}
 			return this.relay.readForPeer(stream, from, waitMillis)
-				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true));
+				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true, batch.ageMillis()));
 		}
 
 	}
@@ -196,7 +196,7 @@
 				result.completeExceptionally(new StoreException(Reason.DROPPED, "gone"));
 			}
 			else {
-				result.complete(new Batch(List.copyOf(this.records.tailMap(from).values()), this.endOffset, false));
+				result.complete(Batch.fromStore(List.copyOf(this.records.tailMap(from).values()), this.endOffset));
 			}
 		}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -49,7 +49,7 @@
 	@BeforeEach
 	void fillCache() {
 		this.cache.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
-		this.store.pendingRead().complete(new Batch(List.of(entry(7), entry(8)), 9, false));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(7), entry(8)), 9));
 		this.cache.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
 	}
 
@@ -63,7 +63,7 @@
 	void answersWaitingPeerWhenARecordArrives() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		assertThat(peer.isDone(), is(false));
-		this.store.pendingRead().complete(new Batch(List.of(entry(9)), 10, false));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(9)), 10));
 		assertThat(offsets(peer), contains(9L));
 		assertThat(peer.join().nextOffset(), is(10L));
 	}
@@ -73,7 +73,13 @@
 		CompletableFuture<Batch> peer = readForPeer(9);
 		this.channel.advanceTimeBy(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
-		assertThat(peer.join(), is(new Batch(List.of(), 9, false)));
+		assertThat(peer.join(), is(new Batch(List.of(), 9, false, 0)));
+	}
+
+	@Test
+	void answersPeerWithTheAgeOfTheStoresAnswer() {
+		this.nowMillis += 700;
+		assertThat(readForPeer(8).join().ageMillis(), is(700L));
 	}
 
 	@Test
@@ -101,7 +107,7 @@
 	@Test
 	void dropsCachedRecordsBeforeAGap() {
 		this.cache.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
-		this.store.pendingRead().complete(new Batch(List.of(entry(20)), 21, false));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(20)), 21));
 		assertThat(offsets(readForPeer(20)), contains(20L));
 		readForPeer(8);
 		assertThat(this.store.readOffsets(), contains(7L, 9L, 20L, 8L));
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField HAS_MORE_FIELD_DESC = new org.apache.thrift.protocol.TField("hasMore", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerReplyTupleSchemeFactory();
@@ -25,6 +26,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<PeerRecord> entries; // required
   private long position; // required
   private boolean hasMore; // required
+  private long ageMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -42,7 +44,12 @@
     /**
      * NEWEST: whether another page follows.
      */
-    HAS_MORE((short)4, "hasMore");
+    HAS_MORE((short)4, "hasMore"),
+    /**
+     * READ: how long ago the store itself last answered the sender, in milliseconds; absent if it
+     * answered this call.
+     */
+    AGE_MILLIS((short)5, "ageMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +73,8 @@
           return POSITION;
         case 4: // HAS_MORE
           return HAS_MORE;
+        case 5: // AGE_MILLIS
+          return AGE_MILLIS;
         default:
           return null;
       }
@@ -111,7 +120,9 @@
   // isset id assignments
   private static final int __POSITION_ISSET_ID = 0;
   private static final int __HASMORE_ISSET_ID = 1;
+  private static final int __AGEMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.AGE_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -124,6 +135,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.HAS_MORE, new org.apache.thrift.meta_data.FieldMetaData("hasMore", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerReply.class, metaDataMap);
   }
@@ -163,6 +176,7 @@
     }
     this.position = other.position;
     this.hasMore = other.hasMore;
+    this.ageMillis = other.ageMillis;
   }
 
   @Override
@@ -178,6 +192,8 @@
     this.position = 0;
     setHasMoreIsSet(false);
     this.hasMore = false;
+    setAgeMillisIsSet(false);
+    this.ageMillis = 0;
   }
 
   /**
@@ -314,6 +330,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HASMORE_ISSET_ID, value);
   }
 
+  /**
+   * READ: how long ago the store itself last answered the sender, in milliseconds; absent if it
+   * answered this call.
+   */
+  public long getAgeMillis() {
+    return this.ageMillis;
+  }
+
+  /**
+   * READ: how long ago the store itself last answered the sender, in milliseconds; absent if it
+   * answered this call.
+   */
+  public PeerReply setAgeMillis(long ageMillis) {
+    this.ageMillis = ageMillis;
+    setAgeMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetAgeMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field ageMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetAgeMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  public void setAgeMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -349,6 +396,14 @@
       }
       break;
 
+    case AGE_MILLIS:
+      if (value == null) {
+        unsetAgeMillis();
+      } else {
+        setAgeMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -368,6 +423,9 @@
     case HAS_MORE:
       return isHasMore();
 
+    case AGE_MILLIS:
+      return getAgeMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -388,6 +446,8 @@
       return isSetPosition();
     case HAS_MORE:
       return isSetHasMore();
+    case AGE_MILLIS:
+      return isSetAgeMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -441,6 +501,15 @@
         return false;
     }
 
+    boolean this_present_ageMillis = true && this.isSetAgeMillis();
+    boolean that_present_ageMillis = true && that.isSetAgeMillis();
+    if (this_present_ageMillis || that_present_ageMillis) {
+      if (!(this_present_ageMillis && that_present_ageMillis))
+        return false;
+      if (this.ageMillis != that.ageMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -460,6 +529,10 @@
 
     hashCode = hashCode * 8191 + ((hasMore) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetAgeMillis()) ? 131071 : 524287);
+    if (isSetAgeMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMillis);
+
     return hashCode;
   }
 
@@ -511,6 +584,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAgeMillis(), other.isSetAgeMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAgeMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageMillis, other.ageMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -558,6 +641,12 @@
     sb.append("hasMore:");
     sb.append(this.hasMore);
     first = false;
+    if (isSetAgeMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("ageMillis:");
+      sb.append(this.ageMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -656,6 +745,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // AGE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.ageMillis = iprot.readI64();
+              struct.setAgeMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -701,6 +798,11 @@
       oprot.writeFieldBegin(HAS_MORE_FIELD_DESC);
       oprot.writeBool(struct.hasMore);
       oprot.writeFieldEnd();
+      if (struct.isSetAgeMillis()) {
+        oprot.writeFieldBegin(AGE_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.ageMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -729,6 +831,14 @@
       }
       oprot.writeI64(struct.position);
       oprot.writeBool(struct.hasMore);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAgeMillis()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAgeMillis()) {
+        oprot.writeI64(struct.ageMillis);
+      }
     }
 
     @Override
@@ -752,6 +862,11 @@
       struct.setPositionIsSet(true);
       struct.hasMore = iprot.readBool();
       struct.setHasMoreIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.ageMillis = iprot.readI64();
+        struct.setAgeMillisIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -56,6 +56,11 @@
   3: required i64 position
   /** NEWEST: whether another page follows. */
   4: required bool hasMore
+  /**
+   * READ: how long ago the store itself last answered the sender, in milliseconds; absent if it
+   * answered this call.
+   */
+  5: optional i64 ageMillis
 }
 
 /** Open requests and unread tokens of one node at a backend server. */
