Show that a late record ends a departure

Callers' requests would reach a server that had said it was leaving, for as long as it lives: ServerTable takes the record with the greater offset as the newer one. Three tests fail on the current code: a record written before the departure and stored after it; a record of a server that has left; a record of an earlier run. Two tests beside them hold what must stay possible: a later run takes requests, and a run whose registration expired registers again.

--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -21,8 +21,16 @@
 	private final ServerTable table = new ServerTable();
 
 	private static ServerRegistration registration(String id, boolean draining, long startedAtMillis) {
+		return registration(id, draining, startedAtMillis, 1);
+	}
+
+	private static ServerRegistration registration(String id, boolean draining, long startedAtMillis, long sequence) {
 		return new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), "z", "v1", 8, draining, false,
-				startedAtMillis, 1);
+				startedAtMillis, sequence);
+	}
+
+	private boolean takesRequests(String id) {
+		return this.table.find(id).map(KnownServer::takesRequests).orElse(false);
 	}
 
 	@Nested
@@ -54,6 +62,60 @@
 
 	}
 
+	@Nested
+	class Departures {
+
+		// Requests reached a draining server after a record that it had written before
+		// its
+		// departure was stored late.
+		@Test
+		void recordThatWasWrittenBeforeTheDepartureDoesNotEndIt() {
+			ServerTableTests.this.table.register(registration("a", false, 1, 7), 1);
+			ServerTableTests.this.table.register(registration("a", true, 1, 9), 2);
+			ServerTableTests.this.table.register(registration("a", false, 1, 8), 3);
+			assertThat(takesRequests("a"), is(false));
+		}
+
+		// Requests reached a server that had left after a record of the same run was
+		// stored
+		// late.
+		@Test
+		void lateRecordDoesNotBringBackAServerThatHasLeft() {
+			ServerTableTests.this.table.register(registration("a", false, 1, 7), 1);
+			ServerTableTests.this.table.unregister("a", 2, PAST_MILLIS, 100);
+			ServerTableTests.this.table.register(registration("a", false, 1, 7), 3);
+			assertThat(takesRequests("a"), is(false));
+		}
+
+		// Requests reached the address of a server's earlier run after a record of that
+		// run
+		// was stored late.
+		@Test
+		void recordOfAnEarlierRunDoesNotReplaceALaterOne() {
+			ServerTableTests.this.table.register(registration("a", false, 20, 1), 1);
+			ServerTableTests.this.table.register(registration("a", true, 20, 2), 2);
+			ServerTableTests.this.table.register(registration("a", false, 10, 9), 3);
+			assertThat(takesRequests("a"), is(false));
+		}
+
+		@Test
+		void laterRunOfADepartedServerTakesRequests() {
+			ServerTableTests.this.table.register(registration("a", true, 10, 9), 1);
+			ServerTableTests.this.table.unregister("a", 2, PAST_MILLIS, 100);
+			ServerTableTests.this.table.register(registration("a", false, 20, 1), 3);
+			assertThat(takesRequests("a"), is(true));
+		}
+
+		@Test
+		void runWhoseRegistrationExpiredRegistersAgain() {
+			ServerTableTests.this.table.register(registration("a", false, 10, 9), 1);
+			ServerTableTests.this.table.unregister("a", 2, PAST_MILLIS, 100);
+			ServerTableTests.this.table.register(registration("a", false, 10, 10), 3);
+			assertThat(takesRequests("a"), is(true));
+		}
+
+	}
+
 	@Nested
 	class RegistrationEnds {
 
