Move no more requests to a version that is probably worse

At 10 s of 15 s the counts were 26 slow of 67 beside 68 of 623; proof needs 27. TimedCanary moved on unless a regression was proved. Now the candidate's share grows and the rollout completes only while a regression isn't more likely than not (likelihood ratio 3, times the number of routes for a single one); a rollout that may not complete at 95 % of its time is reverted, also one without servers of the new version. Failed before: TimedCanaryTests.versionThatIsProbablyWorseGetsNoMoreRequestsAndIsNotCompleted.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/TimedCanary.java
@@ -6,8 +6,9 @@
 
 /**
  * Rollout on a fixed schedule within a short time. The candidate first gets a small share
- * of the requests, then all of them unless the evidence shows a regression. Nodes with
- * the same evidence make the same decision.
+ * of the requests. It gets more of them, and the rollout completes, only while the
+ * evidence doesn't make a regression more likely than not. Nodes with the same evidence
+ * make the same decision.
  */
 public final class TimedCanary {
 
@@ -20,6 +21,11 @@
 	/** Fraction of the time from which the rollout may complete. */
 	private static final double EARLIEST_COMPLETION = 0.85;
 
+	/**
+	 * Fraction of the time from which a rollout that may not complete is reverted.
+	 */
+	private static final double LATEST_COMPLETION = 0.95;
+
 	/** Share of the candidate after the exploration, before it gets all requests. */
 	private static final double SECOND_STEP_SHARE = 0.3;
 
@@ -54,36 +60,63 @@
 	 * @return the reason with the counts, or empty if the evidence shows no regression
 	 */
 	public Optional<String> findRegression() {
-		Optional<String> found = this.all.findRegression(SequentialTest.BAD_THRESHOLD)
+		return findRegression(SequentialTest.BAD_THRESHOLD, SequentialTest.BAD_THRESHOLD);
+	}
+
+	private Optional<String> findRegression(double threshold, double routeThreshold) {
+		Optional<String> found = this.all.findRegression(threshold)
 			.map((outcome) -> outcome + " on all routes together: " + this.all);
 		for (Map.Entry<String, VersionComparison> route : this.byRoute.entrySet()) {
 			found = found.or(() -> route.getValue()
-				.findRegression(SequentialTest.BAD_THRESHOLD)
+				.findRegression(routeThreshold)
 				.map((outcome) -> outcome + " on " + route.getKey() + ": " + route.getValue()));
 		}
 		return found;
 	}
 
+	/**
+	 * Test whether the candidate may be worse, with thresholds at which the evidence is
+	 * no proof. The more routes are tested, the higher is the one for a single route.
+	 * @return the reason with the counts, or empty if the candidate seems to be as good
+	 */
+	private Optional<String> findSuspicion() {
+		return findRegression(SequentialTest.DEADLINE_THRESHOLD,
+				SequentialTest.DEADLINE_THRESHOLD + Math.log(Math.max(1, this.byRoute.size())));
+	}
+
+	/**
+	 * Test whether the rollout has to be reverted because its time is over.
+	 * @param elapsedFraction the fraction of the time that has passed, from 0 to 1
+	 * @param candidateAvailable whether any server of the candidate takes requests
+	 * @return the reason, or empty if the rollout may go on or complete
+	 */
+	public Optional<String> findMissedDeadline(double elapsedFraction, boolean candidateAvailable) {
+		if (elapsedFraction < LATEST_COMPLETION) {
+			return Optional.empty();
+		}
+		return candidateAvailable ? findSuspicion().map((reason) -> "probably " + reason)
+				: Optional.of("no server of the new version takes requests");
+	}
+
 	/**
 	 * Return the share of requests for the candidate.
 	 * @param elapsedFraction the fraction of the time that has passed, from 0 to 1
 	 * @return the share, from 0 to 1
 	 */
 	public double candidateShare(double elapsedFraction) {
-		if (elapsedFraction < EXPLORATION_END) {
+		if (elapsedFraction < EXPLORATION_END || findSuspicion().isPresent()) {
 			return this.explorationShare;
 		}
 		return (elapsedFraction < ALL_REQUESTS_START) ? SECOND_STEP_SHARE : 1;
 	}
 
 	/**
-	 * Return whether the rollout may complete, provided that the evidence shows no
-	 * regression.
+	 * Return whether the rollout may complete.
 	 * @param elapsedFraction the fraction of the time that has passed, from 0 to 1
 	 * @return {@code true} if the current version may stop
 	 */
 	public boolean mayComplete(double elapsedFraction) {
-		return elapsedFraction >= EARLIEST_COMPLETION;
+		return elapsedFraction >= EARLIEST_COMPLETION && findSuspicion().isEmpty();
 	}
 
 	@Override
--- a/flamingogap-core/src/test/java/io/flamingogap/core/rollout/TimedCanaryTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/rollout/TimedCanaryTests.java
@@ -35,6 +35,35 @@
 		assertThat(this.canary.findRegression().isPresent(), is(false));
 	}
 
+	// A rollout was completed although two in five answers of the new version were slow,
+	// because the counts did not prove a regression yet.
+	@Test
+	void versionThatIsProbablyWorseGetsNoMoreRequestsAndIsNotCompleted() {
+		this.canary.add(Arm.CURRENT, "r", new Tally(623, 0, 68));
+		this.canary.add(Arm.CANDIDATE, "r", new Tally(67, 0, 26));
+		assertThat(this.canary.candidateShare(0.6), is(0.08));
+		assertThat(this.canary.candidateShare(0.7), is(0.08));
+		assertThat(this.canary.mayComplete(0.9), is(false));
+		assertThat(this.canary.findMissedDeadline(0.94, true).isPresent(), is(false));
+		assertThat(this.canary.findMissedDeadline(0.95, true).isPresent(), is(true));
+	}
+
+	@Test
+	void versionWithoutServersIsRevertedAtTheDeadline() {
+		assertThat(this.canary.findMissedDeadline(0.95, false).isPresent(), is(true));
+		assertThat(this.canary.findMissedDeadline(0.95, true).isPresent(), is(false));
+	}
+
+	@Test
+	void goodVersionCompletes() {
+		this.canary.add(Arm.CURRENT, "r1", new Tally(300, 3, 34));
+		this.canary.add(Arm.CURRENT, "r2", new Tally(323, 0, 30));
+		this.canary.add(Arm.CANDIDATE, "r1", new Tally(40, 1, 5));
+		this.canary.add(Arm.CANDIDATE, "r2", new Tally(28, 0, 4));
+		assertThat(this.canary.candidateShare(0.7), is(1.0));
+		assertThat(this.canary.mayComplete(0.9), is(true));
+	}
+
 	@Test
 	void candidateGetsAllRequestsBeforeTheRolloutMayComplete() {
 		assertThat(this.canary.candidateShare(0.1), is(0.08));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -144,13 +144,15 @@
 			}
 			TimedCanary canary = createCanary(rollout);
 			double elapsedFraction = rollout.elapsedFraction(nowMillis);
-			Optional<String> regression = canary.findRegression();
+			boolean targetAvailable = hasAvailableServers(rollout, true);
+			Optional<String> regression = canary.findRegression()
+				.or(() -> canary.findMissedDeadline(elapsedFraction, targetAvailable));
 			if (regression.isPresent()) {
 				endRollout(rollout, RolloutStatus.State.REVERTED, regression.get());
 				continue;
 			}
 			rollout.targetShare = canary.candidateShare(elapsedFraction);
-			if (canary.mayComplete(elapsedFraction) && hasAvailableServers(rollout, true)) {
+			if (canary.mayComplete(elapsedFraction) && targetAvailable) {
 				endRollout(rollout, RolloutStatus.State.DONE, canary.toString());
 			}
 		}
