Let the published status alone complete a rollout

Each node completed rollouts by itself, and a published end was ignored once a node had its own. Now a node proposes the completion; the holder of the duties publishes it, and the published end holds on all nodes, also over a revert by one of them, since the servers of other versions stop after a completion. Failed before: the three tests of RolloutControllerTests.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -28,8 +28,9 @@
 /**
  * Moves services to other versions as operators order: splits requests between the
  * versions, counts their outcomes and reverts a target version that performs worse. Each
- * node decides by itself, on the counts of all nodes; the node that holds the duties
- * publishes the statuses for operators.
+ * node decides by itself, on the counts of all nodes, how many requests the target
+ * version gets and when to revert it. Only the node that holds the duties completes a
+ * rollout: the status that it publishes for operators ends the rollout on all nodes.
  */
 public final class RolloutController implements VersionSelector {
 
@@ -116,22 +117,24 @@
 
 	/**
 	 * Record a status that was published for operators. Ends the rollout of the same
-	 * service and target that is running on this node, if the status says that it ended.
+	 * service and target on this node, if the status says that it ended. A published
+	 * completion also replaces a revert by this node, since the servers of other versions
+	 * stop after it.
 	 * @param status the status
 	 */
 	public void recordPublishedStatus(RolloutStatus status) {
 		this.publishedStatuses.put(status.service(), status);
 		ServiceRollout rollout = this.rolloutsByService.get(status.service());
 		if (rollout != null && rollout.order.target().equals(status.target())
-				&& status.state() != RolloutStatus.State.RUNNING && rollout.state == RolloutStatus.State.RUNNING) {
+				&& status.state() != RolloutStatus.State.RUNNING && rollout.state != status.state()) {
 			endRollout(rollout, status.state(), "published by the node that holds the duties");
 		}
 	}
 
 	/**
 	 * Evaluate the running rollouts on the counts of all nodes: revert, adapt the share
-	 * of the target version, or complete. Does nothing before the published statuses were
-	 * read.
+	 * of the target version, or propose to complete. Does nothing before the published
+	 * statuses were read.
 	 * @param nowMillis the current time on the monotonic clock
 	 */
 	public void evaluate(long nowMillis) {
@@ -152,9 +155,7 @@
 				continue;
 			}
 			rollout.targetShare = canary.candidateShare(elapsedFraction);
-			if (canary.mayComplete(elapsedFraction) && targetAvailable) {
-				endRollout(rollout, RolloutStatus.State.DONE, canary.toString());
-			}
+			rollout.completable = canary.mayComplete(elapsedFraction) && targetAvailable;
 		}
 	}
 
@@ -189,7 +190,8 @@
 	}
 
 	/**
-	 * Return the statuses that differ from what was published for operators.
+	 * Return the statuses that differ from what was published for operators. A rollout
+	 * that may complete is done once that is published.
 	 * @return the statuses to publish; empty before the published ones were read
 	 */
 	public List<RolloutStatus> unpublishedStatuses() {
@@ -198,7 +200,7 @@
 		}
 		List<RolloutStatus> unpublished = new ArrayList<>();
 		this.rolloutsByService.forEach((service, rollout) -> {
-			RolloutStatus status = new RolloutStatus(service, rollout.order.target(), rollout.state);
+			RolloutStatus status = new RolloutStatus(service, rollout.order.target(), rollout.stateToPublish());
 			if (!status.equals(this.publishedStatuses.get(service))) {
 				unpublished.add(status);
 			}
@@ -281,12 +283,19 @@
 
 		private double targetShare;
 
+		private boolean completable;
+
 		private ServiceRollout(RolloutOrder order, long offset, long orderReadAtMillis) {
 			this.order = order;
 			this.offset = offset;
 			this.orderReadAtMillis = orderReadAtMillis;
 		}
 
+		private RolloutStatus.State stateToPublish() {
+			return (this.state == RolloutStatus.State.RUNNING && this.completable) ? RolloutStatus.State.DONE
+					: this.state;
+		}
+
 		private boolean runsTarget(ServerRegistration server) {
 			return server.version().equals(this.order.target());
 		}
--- /dev/null
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
@@ -0,0 +1,90 @@
+package io.flamingogap.gateway.node;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.core.fleet.FleetView;
+import io.flamingogap.core.node.Address;
+import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.ServerRegistration;
+import io.flamingogap.core.servers.ServerTable;
+import io.flamingogap.core.serving.RequestKind;
+import io.flamingogap.core.serving.RouteRule;
+import io.flamingogap.core.serving.WeightedService;
+import io.flamingogap.gateway.store.RecordCodec.RolloutOrder;
+import io.flamingogap.gateway.store.RecordCodec.RolloutStatus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link RolloutController}: which node ends a rollout.
+ */
+class RolloutControllerTests {
+
+	private static final long WITHIN_MILLIS = 10_000;
+
+	private static final RouteRule ROUTE = new RouteRule("lookup", "desk.example", "/look/", RequestKind.IDEMPOTENT,
+			1_500, 200, 0, List.of(new WeightedService("desk", 1)), 2, false, false, false);
+
+	private final ServerTable servers = new ServerTable();
+
+	private final RolloutController controller = new RolloutController(this.servers,
+			new FleetView(new NodeId("node-1", 1), 1_500), new SplittableRandom(1), 0.1);
+
+	private static RolloutStatus status(RolloutStatus.State state) {
+		return new RolloutStatus("desk", "v2", state);
+	}
+
+	private KnownServer register(String id, String version) {
+		this.servers.register(
+				new ServerRegistration(id, "desk", new Address("10.0.0.1", 80), "z1", version, 8, false, false, 1, 1),
+				this.servers.size());
+		return this.servers.find(id).orElseThrow();
+	}
+
+	@BeforeEach
+	void orderRollout() {
+		register("old", "v1");
+		register("new", "v2");
+		this.controller.applyOrder(new RolloutOrder("desk", "v2", WITHIN_MILLIS), 1, 0);
+		this.controller.markStatusesLoaded();
+	}
+
+	// Some nodes completed a rollout that others had reverted.
+	@Test
+	void onlyThePublishedStatusCompletesARollout() {
+		this.controller.evaluate(9_000);
+		assertThat(this.controller.hasRunningRollout(), is(true));
+		assertThat(this.controller.unpublishedStatuses(), is(List.of(status(RolloutStatus.State.DONE))));
+		this.controller.recordPublishedStatus(status(RolloutStatus.State.DONE));
+		assertThat(this.controller.hasRunningRollout(), is(false));
+		assertThat(this.controller.unpublishedStatuses(), is(List.of()));
+	}
+
+	@Test
+	void publishedRevertEndsARolloutThatMayComplete() {
+		this.controller.evaluate(9_000);
+		this.controller.recordPublishedStatus(status(RolloutStatus.State.REVERTED));
+		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()),
+				is(false));
+	}
+
+	// After a rollout was completed, the servers of the old version stop at once.
+	@Test
+	void publishedCompletionReplacesARevertByThisNodeAlone() {
+		for (int i = 0; i < 30; i++) {
+			this.controller.recordOutcome(this.servers.find("new").orElseThrow().registration(), ROUTE, true, 10);
+		}
+		this.controller.evaluate(2_000);
+		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()),
+				is(false));
+		this.controller.recordPublishedStatus(status(RolloutStatus.State.DONE));
+		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()), is(true));
+	}
+
+}
