Release no servers of a service whose rollout runs

Orders for fewer servers now wait until the rollout has ended. Failed before: ServerOrderPlannerTests.releasesNoServersWhileARolloutRuns.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
@@ -25,7 +26,8 @@
 
 /**
  * Decides which servers to order next. Orders missing servers first; releases servers
- * only when none are missing and their replacements take requests.
+ * only when none are missing, their replacements take requests, and no rollout needs the
+ * servers of two versions.
  */
 final class ServerOrderPlanner {
 
@@ -42,6 +44,8 @@
 
 	private final ServerTable servers;
 
+	private final Predicate<String> hasRunningRollout;
+
 	private final boolean firstStart;
 
 	private final Map<ServerPool, AcceptedOrder> acceptedOrders = new HashMap<>();
@@ -55,11 +59,13 @@
 	/**
 	 * Create a planner without orders.
 	 * @param servers the backend servers
+	 * @param hasRunningRollout tells of a service whether its rollout is running
 	 * @param firstStart whether the whole system starts for the first time, so that there
 	 * is no demand yet
 	 */
-	ServerOrderPlanner(ServerTable servers, boolean firstStart) {
+	ServerOrderPlanner(ServerTable servers, Predicate<String> hasRunningRollout, boolean firstStart) {
 		this.servers = servers;
+		this.hasRunningRollout = hasRunningRollout;
 		this.firstStart = firstStart;
 	}
 
@@ -99,7 +105,7 @@
 			.filter((poolPlan) -> !isRefused(poolPlan, nowMillis))
 			.filter((poolPlan) -> isScaleUpDue(poolPlan, readyByPool, bounds, nowMillis))
 			.findFirst();
-		if (scaleUp.isPresent()) {
+		if (scaleUp.isPresent() || this.hasRunningRollout.test(name)) {
 			return scaleUp;
 		}
 		int requiredFullPrice = CapacityPlanner.countFullPriceServers(bounds, desired, supply.readyOnly());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -106,6 +106,16 @@
 			.anyMatch((rollout) -> rollout.state == RolloutStatus.State.RUNNING);
 	}
 
+	/**
+	 * Return whether the rollout of a service is running.
+	 * @param service the name of the service
+	 * @return {@code false} if there was none or it has ended
+	 */
+	public boolean hasRunningRollout(String service) {
+		ServiceRollout rollout = this.rolloutsByService.get(service);
+		return rollout != null && rollout.state == RolloutStatus.State.RUNNING;
+	}
+
 	/**
 	 * Record that all published statuses were read. Until then no rollout is evaluated
 	 * and no requests explore a target version, since its rollout may have ended before
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -56,7 +56,10 @@
 
 	private final ServerTable servers = new ServerTable();
 
-	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers, false);
+	private boolean rolloutRunning;
+
+	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers, (service) -> this.rolloutRunning,
+			false);
 
 	private final List<ServerPlan> orders = new ArrayList<>();
 
@@ -126,6 +129,19 @@
 		return orders.stream().filter(ServerPlan::reclaimable).toList();
 	}
 
+	// The servers of a new version were released as surplus, and its rollout could
+	// neither
+	// complete nor be reverted on evidence.
+	@Test
+	void releasesNoServersWhileARolloutRuns() {
+		ZONES.forEach((zone) -> register(zone, false, MAX_PER_ZONE));
+		ZONES.forEach((zone) -> register(zone, true, MAX_PER_ZONE));
+		this.rolloutRunning = true;
+		assertThat(placeDueOrders(), is(empty()));
+		this.rolloutRunning = false;
+		assertThat(placeDueOrders(), is(not(empty())));
+	}
+
 	@Test
 	void releasesFullPriceServersOnlyWhenReclaimableOnesTakeRequests() {
 		ZONES.forEach((zone) -> register(zone, false, 4));
@@ -161,7 +177,7 @@
 
 	@Test
 	void releasesFullPriceServersBeforeAnyDemandOnceReclaimableOnesAreGranted() {
-		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, true);
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, (service) -> false, true);
 		ZONES.forEach((zone) -> register(zone, false, 5));
 		this.tokensPerSecond = 0;
 		Optional<ServerPlan> next = nextOrder(firstStartPlanner);
@@ -180,7 +196,7 @@
 	 */
 	@Test
 	void keepsTheSizeOfTheOperatorsFleetUntilTheDemandIsKnown() {
-		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, true);
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, (service) -> false, true);
 		ZONES.forEach((zone) -> register(zone, false, 8));
 		this.tokensPerSecond = 0;
 		Map<String, Integer> reclaimableByZone = new HashMap<>();
