Ask whether a server may be sent a request when its connection is open

A request that was given to a server waits up to 0.5 s for its connection. If the server's departure was learnt meanwhile, the request was written all the same: selection checked, sending didn't. Now the dispatch is asked right before the request is written; a request that may not be sent goes to another server, at no cost of the retry budget, and turned.departed counts it.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -58,17 +58,21 @@
 	}
 
 	/**
-	 * Send a request. The previous response must be complete.
+	 * Send a request, or close the connection if the listener doesn't allow it any more.
+	 * The previous response must be complete.
 	 * @param request the request to send
 	 * @param listener receives the response
 	 */
 	void send(BackendRequest request, ResponseListener listener) {
+		if (!listener.maySend()) {
+			this.channel.close();
+			return;
+		}
 		this.responseListener = listener;
 		this.attemptId = request.request().attemptId();
 		this.readState = ReadState.HEAD;
 		this.requestWritten = false;
 		this.skippedBytes = 0;
-		listener.onSending();
 		this.decoder.expectResponse(request.request().method().equals(HttpMethod.HEAD));
 		this.channel.writeAndFlush(this.protocol.encodeRequest(request))
 			.addListener((written) -> this.requestWritten = written.isSuccess());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
@@ -10,9 +10,11 @@
 public interface ResponseListener {
 
 	/**
-	 * Called when a connection is open, right before the request is written to it.
+	 * Decide whether the request may still be written, now that its connection is open.
+	 * @return {@code false} if it may not; then no byte is sent, and no other method is
+	 * called
 	 */
-	void onSending();
+	boolean maySend();
 
 	/**
 	 * Receive the head of the response.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -198,13 +198,15 @@
 	}
 
 	@Override
-	public void onSending() {
-		if (!this.server.takesRequests()) {
-			this.dependencies.metrics().increment("sent.leaving");
-			logger.atWarning()
-				.log("%s", this.relayedRequest.logLine("sent to a leaving server")
-					.with("waitedMillis", nowMillis() - this.sentAtMillis));
+	public boolean maySend() {
+		if (this.server.takesRequests()) {
+			return true;
 		}
+		this.dependencies.metrics().increment("turned.departed");
+		close();
+		this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT,
+				"server " + this.server.registration().id() + " departed while the connection to it was opened");
+		return false;
 	}
 
 	@Override
