Count dispatches as slow once their answer is late

Now the evaluation counts the dispatches whose answer is late, of both versions alike; each dispatch counts once, as answered or as late, and once more if it fails.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -21,6 +23,7 @@
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.RouteRule;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.relay.DispatchObservation;
 import io.flamingogap.gateway.relay.VersionSelector;
 import io.flamingogap.gateway.store.RecordCodec.RolloutOrder;
 import io.flamingogap.gateway.store.RecordCodec.RolloutStatus;
@@ -155,6 +158,7 @@
 			if (rollout.state != RolloutStatus.State.RUNNING) {
 				continue;
 			}
+			rollout.countLateDispatches(nowMillis);
 			TimedCanary canary = createCanary(rollout);
 			double elapsedFraction = rollout.elapsedFraction(nowMillis);
 			boolean targetAvailable = hasAvailableServers(rollout, true);
@@ -263,11 +267,10 @@
 	}
 
 	@Override
-	public void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
+	public DispatchObservation observe(ServerRegistration server, RouteRule route, long nowMillis) {
 		ServiceRollout rollout = this.rolloutsByService.get(server.service());
-		if (rollout != null && rollout.state == RolloutStatus.State.RUNNING) {
-			rollout.recordOutcome(server, route, failed, latencyMillis);
-		}
+		return (rollout != null && rollout.state == RolloutStatus.State.RUNNING)
+				? rollout.observe(server, route, nowMillis) : DispatchObservation.NONE;
 	}
 
 	private record TallyKey(String version, String route) {
@@ -289,6 +292,9 @@
 
 		private final Map<String, AdaptiveLatencyThreshold> thresholds = new HashMap<>();
 
+		/** The dispatches that are neither answered nor counted as late. */
+		private final Set<Observation> unanswered = new LinkedHashSet<>();
+
 		private RolloutStatus.State state = RolloutStatus.State.RUNNING;
 
 		private double targetShare;
@@ -318,17 +324,91 @@
 			return (double) (nowMillis - this.orderReadAtMillis) / Math.max(1, this.order.withinMillis());
 		}
 
-		private void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis) {
-			AdaptiveLatencyThreshold threshold = this.thresholds.computeIfAbsent(route.name(),
+		private DispatchObservation observe(ServerRegistration server, RouteRule route, long nowMillis) {
+			Observation observation = new Observation(this, server, route, nowMillis);
+			this.unanswered.add(observation);
+			return observation;
+		}
+
+		/**
+		 * Count the dispatches as slow whose answer is late. A version that gets slower
+		 * the more requests it has would otherwise be judged by its fast answers.
+		 * @param nowMillis the current time on the monotonic clock
+		 */
+		private void countLateDispatches(long nowMillis) {
+			this.unanswered.removeIf((observation) -> observation.countIfLate(nowMillis));
+		}
+
+		private AdaptiveLatencyThreshold threshold(RouteRule route) {
+			return this.thresholds.computeIfAbsent(route.name(),
 					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
-			boolean slow = !failed && threshold.isSlow(latencyMillis);
+		}
+
+		private void count(ServerRegistration server, RouteRule route, Tally outcome) {
+			this.tallies.merge(new TallyKey(server.version(), route.name()), outcome, Tally::plus);
+		}
+
+	}
+
+	/**
+	 * Observation of one dispatch, which counts once, as answered or as late, and once
+	 * more if it fails.
+	 */
+	private static final class Observation implements DispatchObservation {
+
+		private static final Tally FAILURE = new Tally(1, 1, 0);
+
+		private final ServiceRollout rollout;
+
+		private final ServerRegistration server;
+
+		private final RouteRule route;
+
+		private final long sentAtMillis;
+
+		private Observation(ServiceRollout rollout, ServerRegistration server, RouteRule route, long sentAtMillis) {
+			this.rollout = rollout;
+			this.server = server;
+			this.route = route;
+			this.sentAtMillis = sentAtMillis;
+		}
+
+		@Override
+		public void onAnswer(long nowMillis) {
+			if (this.rollout.unanswered.remove(this)) {
+				countLatency(nowMillis - this.sentAtMillis);
+			}
+		}
+
+		@Override
+		public void onFailure(long nowMillis) {
+			this.rollout.unanswered.remove(this);
+			this.rollout.count(this.server, this.route, FAILURE);
+		}
+
+		@Override
+		public void discard() {
+			this.rollout.unanswered.remove(this);
+		}
+
+		private boolean countIfLate(long nowMillis) {
+			long waitedMillis = nowMillis - this.sentAtMillis;
+			boolean late = this.rollout.threshold(this.route).isSlow(waitedMillis);
+			if (late) {
+				countLatency(waitedMillis);
+			}
+			return late;
+		}
+
+		private void countLatency(long latencyMillis) {
+			AdaptiveLatencyThreshold threshold = this.rollout.threshold(this.route);
+			Tally outcome = new Tally(1, 0, threshold.isSlow(latencyMillis) ? 1 : 0);
 			// Only latencies of other versions update the threshold, so a slow target
 			// version doesn't raise it.
-			if (!failed && !runsTarget(server)) {
+			if (!this.rollout.runsTarget(this.server)) {
 				threshold.update(latencyMillis);
 			}
-			Tally outcome = new Tally(1, failed ? 1 : 0, slow ? 1 : 0);
-			this.tallies.merge(new TallyKey(server.version(), route.name()), outcome, Tally::plus);
+			this.rollout.count(this.server, this.route, outcome);
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -67,6 +67,8 @@
 	/** Whether the server begins to read the prompt at once, as far as is known. */
 	private final boolean readAtOnce;
 
+	private DispatchObservation observation = DispatchObservation.NONE;
+
 	private @Nullable BackendCall call;
 
 	private @Nullable BackendResponseHead responseHead;
@@ -101,6 +103,8 @@
 		this.server.load().recordSent(this.promptTokens);
 		this.dependencies.loadListener().onLoadChanged(this.server);
 		this.server.promptCache().record(this.relayedRequest.request().prompt());
+		this.observation = this.dependencies.versionSelector()
+			.observe(this.server.registration(), this.relayedRequest.attempt().route(), this.sentAtMillis);
 		BackendRequest request = new BackendRequest(this.relayedRequest.request(), this.server.registration(),
 				this.relayedRequest.attempt().remainingMillis(this.sentAtMillis),
 				this.relayedRequest.account().map(ClientAccount::name), urgency(),
@@ -138,7 +142,7 @@
 			DispatchOutcome outcome = cancel(DispatchOutcome.SILENT);
 			this.server.health().recordFailure(nowMillis());
 			if (outcome.mayHaveRun()) {
-				recordVersionFailure();
+				this.observation.onFailure(nowMillis());
 			}
 			this.relayedRequest.retryOrFail(outcome,
 					"no response head within " + (nowMillis() - this.sentAtMillis) + " ms");
@@ -169,6 +173,7 @@
 		if (this.silenceTimer != null) {
 			this.silenceTimer.cancel(false);
 		}
+		this.observation.discard();
 		releaseUnreadTokens();
 		this.server.load().recordEnd();
 		this.dependencies.loadListener().onLoadChanged(this.server);
@@ -233,7 +238,7 @@
 		this.server.health().recordFailure(nowMillis());
 		if (outcome.mayHaveRun()) {
 			// A request that the server didn't run says nothing about its version.
-			recordVersionFailure();
+			this.observation.onFailure(nowMillis());
 		}
 		this.relayedRequest.retryOrFail(outcome, reason);
 	}
@@ -303,9 +308,7 @@
 			// This is the first event of the stream from this server.
 			recordStart(0);
 			recordPromptSpeed();
-			this.dependencies.versionSelector()
-				.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), false,
-						nowMillis() - this.sentAtMillis);
+			this.observation.onAnswer(nowMillis());
 		}
 		beginResponse();
 		this.relayedRequest.callerExchange().writeChunk(events);
@@ -379,17 +382,12 @@
 		else {
 			this.server.health().recordSuccess(nowMillis);
 		}
-		if (failed || !isStreaming()) {
-			this.dependencies.versionSelector()
-				.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), failed,
-						nowMillis - this.sentAtMillis);
+		if (failed) {
+			this.observation.onFailure(nowMillis);
+		}
+		else if (!isStreaming()) {
+			this.observation.onAnswer(nowMillis);
 		}
-	}
-
-	private void recordVersionFailure() {
-		this.dependencies.versionSelector()
-			.recordOutcome(this.server.registration(), this.relayedRequest.attempt().route(), true,
-					nowMillis() - this.sentAtMillis);
 	}
 
 	@Override
@@ -399,7 +397,7 @@
 		}
 		close();
 		this.server.health().recordFailure(nowMillis());
-		recordVersionFailure();
+		this.observation.onFailure(nowMillis());
 		this.relayedRequest.retryOrFail(DispatchOutcome.BROKEN, reason);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/VersionSelector.java
@@ -8,7 +8,7 @@
 
 /**
  * Selects the versions of a service that a request may be sent to during a rollout, and
- * records the outcomes of requests for the rollout decision.
+ * observes the dispatches for the rollout decision.
  */
 public interface VersionSelector {
 
@@ -30,15 +30,13 @@
 	Predicate<KnownServer> versionFilterForRetry(String service);
 
 	/**
-	 * Record the outcome of a dispatch.
-	 * @param server the server that the request was sent to
+	 * Observe a dispatch for the rollout decision.
+	 * @param server the server that the request is sent to
 	 * @param route the route of the request
-	 * @param failed whether the server failed and may have run the request; {@code false}
-	 * also for a request that the server rejected
-	 * @param latencyMillis the time from sending the request to the end of a plain
-	 * response, the first event of a stream or the failure; 0 if the response was
-	 * discarded
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return the observation; {@link DispatchObservation#NONE} if no rollout of the
+	 * service is running
 	 */
-	void recordOutcome(ServerRegistration server, RouteRule route, boolean failed, long latencyMillis);
+	DispatchObservation observe(ServerRegistration server, RouteRule route, long nowMillis);
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
@@ -47,6 +47,10 @@
 		return this.servers.find(id).orElseThrow();
 	}
 
+	private ServerRegistration registration(String id) {
+		return this.servers.find(id).orElseThrow().registration();
+	}
+
 	@BeforeEach
 	void orderRollout() {
 		register("old", "v1");
@@ -66,6 +70,29 @@
 		assertThat(this.controller.unpublishedStatuses(), is(List.of()));
 	}
 
+	// A version that answered several times slower was judged by the few answers that it
+	// had given.
+	@Test
+	void dispatchesWithoutAnAnswerCountAsSlowOnceTheyAreLate() {
+		for (int i = 0; i < 200; i++) {
+			this.controller.observe(registration("old"), ROUTE, 1_000).onAnswer((i % 10 == 0) ? 1_400 : 1_050);
+		}
+		for (int i = 0; i < 20; i++) {
+			this.controller.observe(registration("new"), ROUTE, 1_000);
+		}
+		this.controller.evaluate(2_000);
+		assertThat(this.controller.unpublishedStatuses(), is(List.of(status(RolloutStatus.State.REVERTED))));
+	}
+
+	@Test
+	void discardedDispatchesCountForNothing() {
+		for (int i = 0; i < 20; i++) {
+			this.controller.observe(registration("new"), ROUTE, 1_000).discard();
+		}
+		this.controller.evaluate(2_000);
+		assertThat(this.controller.unpublishedStatuses(), is(List.of(status(RolloutStatus.State.RUNNING))));
+	}
+
 	@Test
 	void publishedRevertEndsARolloutThatMayComplete() {
 		this.controller.evaluate(9_000);
@@ -78,7 +105,7 @@
 	@Test
 	void publishedCompletionReplacesARevertByThisNodeAlone() {
 		for (int i = 0; i < 30; i++) {
-			this.controller.recordOutcome(this.servers.find("new").orElseThrow().registration(), ROUTE, true, 10);
+			this.controller.observe(registration("new"), ROUTE, 0).onFailure(10);
 		}
 		this.controller.evaluate(2_000);
 		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()),
