Refuse waiting peers once the store's answer to the relay is too old

Requests from machines that were never disturbed could follow a departure by 2.6 s. When the store fell silent for the relay of a zone right after a read, the relay paused for 0.9 s and noticed 1.7 s later; until then its peers took its empty answers for "no new records", since answers up to 2.5 s old were passed on and a wait that had begun ended whenever it ended. The class of fault: freshness checked when a wait begins and not when it ends. Now an answer of the store counts for 2 s, also at the end of a wait, and a follower with a pause waits shorter at the store, so that a store that answers is heard every 1.7 s. Failed before: RelayedStreamPropertyTests.recordArrivesWithinTheBoundWhenTheStoreFallsSilentForTheRelay (silence 0 ms after a read), ZoneReadCacheTests.failsWaitingPeerWhenTheStoresAnswerIsTooOld.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -25,11 +25,13 @@
 public final class ZoneReadCache extends ForwardingStore {
 
 	/**
-	 * The maximum age of the store's last answer at which the cache is used. A node that
-	 * follows a stream gets an answer more often: a read may wait for 1 s, a follower
-	 * pauses for up to 0.9 s between reads, and the rest is a margin.
+	 * The maximum age of the store's last answer at which the cache is used, also at the
+	 * end of a peer's wait. A node that follows a stream gets an answer within
+	 * {@link io.flamingogap.gateway.store.RecordFollower#MAX_READ_CYCLE_MILLIS}. A peer
+	 * that is refused at this age still reads the store itself before it has to know that
+	 * a server has left.
 	 */
-	private static final long MAX_AGE_MILLIS = 2_500;
+	private static final long MAX_AGE_MILLIS = 2_000;
 
 	private final EventLoop loop;
 
@@ -77,15 +79,17 @@
 	 * otherwise from the store.
 	 * @param stream the stream
 	 * @param from the offset of the first record to read
-	 * @param waitMillis how long to wait for a record, in milliseconds
+	 * @param waitMillis how long to wait for a record, in milliseconds; the wait ends
+	 * earlier, with a failure, when the cache is no longer fresh
 	 * @return the records, which may be none, and the offset to continue from
 	 */
 	public CompletableFuture<Batch> readForPeer(StoreStream stream, long from, long waitMillis) {
 		RecordCache cache = this.caches.get(stream);
-		if (!cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) || !cache.covers(from)) {
+		long nowMillis = this.steadyMillis.getAsLong();
+		if (!cache.isFresh(nowMillis, MAX_AGE_MILLIS) || !cache.covers(from)) {
 			return super.read(stream, from, waitMillis);
 		}
-		Batch cached = cache.batchFrom(from, this.steadyMillis.getAsLong());
+		Batch cached = cache.batchFrom(from, nowMillis);
 		if (!cached.records().isEmpty() || waitMillis <= 0) {
 			return CompletableFuture.completedFuture(cached);
 		}
@@ -95,7 +99,7 @@
 			if (this.waitingReads.get(stream).remove(waitingRead)) {
 				complete(stream, waitingRead);
 			}
-		}, waitMillis, TimeUnit.MILLISECONDS);
+		}, Math.min(waitMillis, MAX_AGE_MILLIS - cached.ageMillis() + 1), TimeUnit.MILLISECONDS);
 		return waitingRead.result;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -20,6 +20,11 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/**
+	 * The longest time between two answers of a store that answers: a pause and a read.
+	 */
+	public static final long MAX_READ_CYCLE_MILLIS = 1_700;
+
 	/**
 	 * How long a read may wait at the store for a new record. A store that stops
 	 * answering is detected only after this time plus the margin of the client's timeout,
@@ -122,7 +127,8 @@
 	}
 
 	private void readFrom(long from) {
-		this.store.read(this.stream, from, this.reachable ? READ_WAIT_MILLIS : 0).whenComplete((batch, failure) -> {
+		long waitMillis = Math.min(READ_WAIT_MILLIS, MAX_READ_CYCLE_MILLIS - this.readPauseMillis);
+		this.store.read(this.stream, from, this.reachable ? waitMillis : 0).whenComplete((batch, failure) -> {
 			if (failure != null && StoreException.of(failure).reason() == StoreException.Reason.DROPPED) {
 				logger.atInfo()
 					.log("%s",
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -15,6 +15,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.RecordFollower;
@@ -42,6 +44,11 @@
 	/** The time within which the users expect a configuration to be applied. */
 	private static final long APPLY_MILLIS = 2_500;
 
+	/** The time after which no request may follow a departure. */
+	private static final long DRAIN_MILLIS = 2_500;
+
+	private static final long RELAY_PAUSE_MILLIS = 900;
+
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private long nowMillis;
@@ -75,8 +82,34 @@
 		assertThat(relay.newestOffsetByKey, is(store.newest));
 	}
 
+	// Nodes took the silence of a relay that had lost the store for "no new records", and
+	// sent requests to servers that had left.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 100, 200, 400, 600, 800, 900, 1_000, 1_300, 1_600, 1_900 })
+	void recordArrivesWithinTheBoundWhenTheStoreFallsSilentForTheRelay(int silentAfterReadMillis) {
+		FaultyStore store = new FaultyStore();
+		SilentStore relaysStore = new SilentStore(store);
+		ZoneReadCache cache = new ZoneReadCache(this.channel.eventLoop(), relaysStore, () -> this.nowMillis);
+		NewestOffsets reader = new NewestOffsets();
+		follow(cache, new NewestOffsets(), RELAY_PAUSE_MILLIS);
+		follow(new RelayedReads(store, cache), reader);
+		advanceTime(3_000);
+		store.append(0);
+		advanceTime(STEP_MILLIS);
+		advanceTime(silentAfterReadMillis);
+		relaysStore.silent = true;
+		store.append(1);
+		advanceTime(DRAIN_MILLIS);
+		assertThat(reader.newestOffsetByKey, is(store.newest));
+	}
+
 	private void follow(RecordStore store, NewestOffsets listener) {
-		new RecordFollower(this.channel.eventLoop(), store, StoreStream.OPERATOR, 0, listener, () -> this.nowMillis)
+		follow(store, listener, 0);
+	}
+
+	private void follow(RecordStore store, NewestOffsets listener, long pauseMillis) {
+		new RecordFollower(this.channel.eventLoop(), store, StoreStream.OPERATOR, pauseMillis, listener,
+				() -> this.nowMillis)
 			.start();
 		this.channel.runPendingTasks();
 	}
@@ -105,6 +138,33 @@
 
 	}
 
+	/** A store that doesn't answer one node; its calls end with the client's timeout. */
+	private final class SilentStore extends ForwardingStore {
+
+		private static final long TIMEOUT_MARGIN_MILLIS = 700;
+
+		private boolean silent;
+
+		private SilentStore(RecordStore store) {
+			super(store);
+		}
+
+		@Override
+		public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
+			CompletableFuture<Batch> result = new CompletableFuture<>();
+			super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
+				if (!this.silent) {
+					result.complete(batch);
+				}
+			});
+			RelayedStreamPropertyTests.this.channel.eventLoop()
+				.schedule(() -> result.completeExceptionally(new StoreException(Reason.UNKNOWN, "silent")),
+						waitMillis + TIMEOUT_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+			return result;
+		}
+
+	}
+
 	/** Reads through the relay while it answers, otherwise from the store. */
 	private static final class RelayedReads extends ForwardingStore {
 
@@ -124,7 +184,8 @@
 				return super.read(stream, from, waitMillis);
 			}
 			return this.relay.readForPeer(stream, from, waitMillis)
-				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true, batch.ageMillis()));
+				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true, batch.ageMillis()))
+				.exceptionallyCompose((failure) -> super.read(stream, from, 0));
 		}
 
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -82,6 +82,16 @@
 		assertThat(readForPeer(8).join().ageMillis(), is(700L));
 	}
 
+	@Test
+	void failsWaitingPeerWhenTheStoresAnswerIsTooOld() {
+		this.nowMillis += 1_500;
+		CompletableFuture<Batch> peer = readForPeer(9);
+		this.nowMillis += 501;
+		this.channel.advanceTimeBy(501, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(peer.isCompletedExceptionally(), is(true));
+	}
+
 	@Test
 	void failsWaitingPeerWhenTheStoreFails() {
 		CompletableFuture<Batch> peer = readForPeer(9);
