Don't prolong the doubt about a server with each listing

A server whose registration ended around a disruption stays in use as a suspect. Each further listing that lacked it began the doubt anew, so with a store that drops its history repeatedly requests could follow the departure for as long as that went on. The first end of the doubt now stays. Failed before: ServerTableTests.RegistrationEnds.secondReportOfTheEndDoesNotProlongTheGracePeriod.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -36,7 +36,7 @@
 	}
 
 	void markSuspect(long untilMillis, long endOffset) {
-		this.suspectUntilMillis = untilMillis;
+		this.suspectUntilMillis = Math.min(this.suspectUntilMillis, untilMillis);
 		this.run = this.run.end(endOffset);
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -139,6 +139,17 @@
 			assertThat(ServerTableTests.this.table.size(), is(0));
 		}
 
+		// Requests reached a server that had left for as long as listings repeated that
+		// its
+		// registration had ended.
+		@Test
+		void secondReportOfTheEndDoesNotProlongTheGracePeriod() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
+			ServerTableTests.this.table.unregister("a", 2, 2_600, 100);
+			ServerTableTests.this.table.retain(Set.of(), 9, 4_500, 2_000);
+			assertThat(ServerTableTests.this.table.expire(2_600), hasSize(1));
+		}
+
 		@Test
 		void serverThatRegistersAgainIsNoLongerSuspect() {
 			ServerTableTests.this.table.register(registration("a", false, 1), 1);
