Try the store again within 0.4 s

With pauses of up to 0.8 s between calls that take 1 s to fail, the end of a disruption was noticed up to 1.8 s late, and requests could follow a departure for 0.3 s too long. Failed before: RecordFollowerTests.endOfADisruptionIsNoticedInTime (end at 5.5 s). Nodes call a store that is away more often; an outage of 4 s costs a few calls a node.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -38,7 +38,7 @@
 	 */
 	private static final long MIN_RETRY_DELAY_MILLIS = 100;
 
-	private static final long MAX_RETRY_DELAY_MILLIS = 800;
+	private static final long MAX_RETRY_DELAY_MILLIS = 400;
 
 	private final EventLoop loop;
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -3,15 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.flamingogap.gateway.peers.ZoneReadCache;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * Tests of {@link RecordFollower}: where it reads from, and what it does after failed
@@ -19,6 +24,12 @@
  */
 class RecordFollowerTests {
 
+	/**
+	 * After a disruption, a node counts as undisturbed after 4 s, and doubts the end of a
+	 * registration for 2.5 s.
+	 */
+	private static final long MAX_NOTICE_DELAY_MILLIS = 1_500;
+
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private final ScriptedStore store = new ScriptedStore();
@@ -69,6 +80,30 @@
 		assertThat(this.listingCount, is(2));
 	}
 
+	// Servers that had left were taken for live ones too long after a disruption, because
+	// its
+	// end was noticed late.
+	@ParameterizedTest
+	@ValueSource(ints = { 3_000, 3_100, 3_300, 3_600, 3_900, 4_200, 4_700, 5_500 })
+	void endOfADisruptionIsNoticedInTime(int disruptionEndMillis) {
+		DisruptedStore disrupted = new DisruptedStore(1_000, disruptionEndMillis);
+		RecordFollower follower = new RecordFollower(this.channel.eventLoop(), disrupted, StoreStream.SERVERS, 900,
+				new RecordListener() {
+					@Override
+					public void onRecord(StoredRecord entry) {
+					}
+
+					@Override
+					public void onListed(Set<String> keys, long endOffset) {
+					}
+				}, () -> disrupted.nowMillis);
+		follower.start();
+		while (disrupted.nowMillis < disruptionEndMillis + 4_000) {
+			disrupted.advance(20);
+		}
+		assertThat(follower.lastDisruptionAtMillis() - disruptionEndMillis, lessThanOrEqualTo(MAX_NOTICE_DELAY_MILLIS));
+	}
+
 	@Test
 	void replaysEarlierRecordsOnlyOnce() {
 		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
@@ -87,4 +122,47 @@
 		assertThat(follower.hasCompletedListing(), is(true));
 	}
 
+	/**
+	 * Store whose calls fail after the time to connect if they begin during a disruption.
+	 */
+	private final class DisruptedStore extends ForwardingStore {
+
+		private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+		private final long fromMillis;
+
+		private final long untilMillis;
+
+		private long nowMillis;
+
+		private DisruptedStore(long fromMillis, long untilMillis) {
+			super(RecordFollowerTests.this.store);
+			this.fromMillis = fromMillis;
+			this.untilMillis = untilMillis;
+		}
+
+		private void advance(long millis) {
+			this.nowMillis += millis;
+			RecordFollowerTests.this.channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+			RecordFollowerTests.this.channel.runPendingTasks();
+			RecordFollowerTests.this.channel.runScheduledPendingTasks();
+		}
+
+		@Override
+		public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
+			CompletableFuture<Batch> result = new CompletableFuture<>();
+			boolean disrupted = this.nowMillis >= this.fromMillis && this.nowMillis < this.untilMillis;
+			RecordFollowerTests.this.channel.eventLoop().schedule(() -> {
+				if (disrupted) {
+					result.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "cut"));
+				}
+				else {
+					result.complete(Batch.fromStore(List.of(), from));
+				}
+			}, disrupted ? CONNECT_TIMEOUT_MILLIS : waitMillis, TimeUnit.MILLISECONDS);
+			return result;
+		}
+
+	}
+
 }
