Skip a refusal that names no attempt on a kept connection

Operators report that a faulty server wrote an earlier refusal once more on a kept connection. Here the refusal was taken for the answer to the next request: a booking that the server ran was sent to a second one (TWICE), or its caller was told 503 (REFUSED). A refusal that names another attempt was skipped already; one that names none now counts only on a connection that has carried no other request. Failed before: ServerTroubleTests.repeatedRefusalIsNotTakenForTheAnswerToTheNextRequest. The second report, an error inside a stream that has begun, can't happen: BackendDispatch.onAnswered breaks such a stream off, the daemon takes no event from an answer with another status than 200. ServerTroubleTests.errorOfTheNextServerStaysOutOfAStreamThatHasBegun shows it and fails without that check.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -39,6 +39,8 @@
 
 	private boolean requestWritten;
 
+	private boolean kept;
+
 	private boolean receivedOtherAttemptsResponse;
 
 	private long skippedBytes;
@@ -105,6 +107,9 @@
 			return;
 		}
 		BackendResponseHead decoded = this.protocol.decodeResponseHead(this.attemptId, head);
+		if (this.kept) {
+			decoded = decoded.onKeptConnection();
+		}
 		if (decoded.verdict() == BackendResponseHead.Verdict.ATTEMPT_MISMATCH) {
 			this.readState = ReadState.SKIPPING;
 			this.receivedOtherAttemptsResponse = true;
@@ -196,6 +201,7 @@
 	}
 
 	void markIdle(long nowMillis) {
+		this.kept = true;
 		this.idleSinceMillis = nowMillis;
 		setAutoRead(true);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -14,11 +14,12 @@
  * @param headers the headers to forward to the caller
  * @param verdict what the status and headers show about the request: whether this is its
  * response, or why it isn't
+ * @param namesAttempt whether the response names the attempt that it answers
  * @param load the load that the server reported; empty if it reported none
  * @param keepAliveMillis how long the connection can be reused while it is idle, in
  * milliseconds; 0 if it ends with this response
  */
-public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict,
+public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict, boolean namesAttempt,
 		Optional<ReportedLoad> load, long keepAliveMillis) {
 
 	public BackendResponseHead {
@@ -26,6 +27,17 @@
 		Objects.requireNonNull(load, "load must not be null");
 	}
 
+	/**
+	 * Return this head as it counts on a connection that has carried other requests. A
+	 * refusal that names no attempt is the repeated answer to one of them: servers name
+	 * the attempt that they refuse.
+	 * @return this head, or a copy that is an {@link Verdict#ATTEMPT_MISMATCH}
+	 */
+	BackendResponseHead onKeptConnection() {
+		return (this.verdict.isRefusal() && !this.namesAttempt) ? new BackendResponseHead(this.status, this.headers,
+				Verdict.ATTEMPT_MISMATCH, false, this.load, this.keepAliveMillis) : this;
+	}
+
 	/**
 	 * Classification of a response by its head.
 	 */
@@ -40,11 +52,19 @@
 		/** The address now belongs to a different server. */
 		MISDIRECTED,
 
-		/** The response carries the id of a different attempt. */
+		/** The response belongs to a different attempt. */
 		ATTEMPT_MISMATCH,
 
 		/** The response lacks the proof that it came from the server. */
-		UNVERIFIED
+		UNVERIFIED;
+
+		/**
+		 * Return whether the response promises that the server did not run the request.
+		 * @return {@code true} if the request may be sent to another server
+		 */
+		boolean isRefusal() {
+			return this == REJECTED || this == MISDIRECTED;
+		}
 
 	}
 
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -40,6 +40,9 @@
 
 	private static final long LATE_COPY_MILLIS = 200;
 
+	private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+			+ "Content-Length: 0\r\n\r\n";
+
 	private final AtomicLong endlessBytes = new AtomicLong();
 
 	private final ServerSocket listener;
@@ -98,11 +101,16 @@
 	private void serve(Socket socket) {
 		try (socket) {
 			InputStream in = new BufferedInputStream(socket.getInputStream());
+			boolean first = true;
 			for (Request request = Request.read(in); request != null; request = Request.read(in)) {
 				this.requests.add(request);
+				if (!first && this.behaviour == ServerBehaviour.REPEATED_REFUSAL) {
+					write(socket.getOutputStream(), REFUSAL);
+				}
 				if (!answer(request, socket.getOutputStream())) {
 					return;
 				}
+				first = false;
 			}
 		}
 		catch (IOException ex) {
@@ -117,7 +125,7 @@
 		String attempt = request.header("attempt-id");
 		switch (this.behaviour) {
 			case REJECT -> {
-				write(out, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+				write(out, REFUSAL);
 				return true;
 			}
 			case MISDIRECT -> {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
@@ -44,6 +44,12 @@
 	/** Sends the answer a second time, 200 ms after the first. */
 	LATE_COPY,
 
+	/**
+	 * Executes the request and answers, but sends an earlier refusal, which names no
+	 * attempt, before each answer but the first on a connection.
+	 */
+	REPEATED_REFUSAL,
+
 	/** Sends bytes without a line end as long as they are read, in place of a head. */
 	ENDLESS_HEAD,
 
