Take a server's word in its answers that it is leaving

Requests reached a server that had said that it was leaving: it said so in the header Server-Leaving of its answers, which no node read. The run that answered takes nothing new at that node from then on: identity is id and start time, so no record, listing or second registration of that run brings it back, and a later run starts without it. One log line for each departure learnt, counter departed.answer. The property test of the table now plays such answers, too.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -40,6 +40,12 @@
 		this.run = this.run.end(endOffset);
 	}
 
+	boolean markDeparted() {
+		boolean first = !this.run.departed();
+		this.run = this.run.depart();
+		return first;
+	}
+
 	void markRemoved() {
 		this.removed = true;
 	}
@@ -59,11 +65,11 @@
 
 	/**
 	 * Return whether the server may get new requests.
-	 * @return {@code true} if it is in the table and isn't draining; a suspect server may
-	 * get requests, too
+	 * @return {@code true} if it is in the table and hasn't said that it is leaving; a
+	 * suspect server may get requests, too
 	 */
 	public boolean takesRequests() {
-		return !this.removed && !this.registration.draining();
+		return !this.removed && !this.run.departed();
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
@@ -9,8 +9,8 @@
  *
  * @param startedAtMillis the start time of the run in milliseconds since 1970 UTC
  * @param sequence the number of the newest record
- * @param departed whether the run has reported that it is draining, which it never takes
- * back
+ * @param departed whether the run has said that it is leaving, in a record or in an
+ * answer, which it never takes back
  * @param ended whether its registration has ended; it may register again
  * @param offset the offset of the last record in the store, or of its end
  */
@@ -58,6 +58,14 @@
 						this.departed || registration.draining(), false, newOffset);
 	}
 
+	/**
+	 * Record that the run has said that it is leaving.
+	 * @return the departed run
+	 */
+	ServerRun depart() {
+		return new ServerRun(this.startedAtMillis, this.sequence, true, this.ended, this.offset);
+	}
+
 	/**
 	 * End the registration.
 	 * @param endOffset the offset of the end in the store
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -66,7 +66,7 @@
 	 * @param offset the offset of the removal in the store
 	 * @param suspectUntilMillis the time until which the server is kept as a suspect, by
 	 * the same clock as {@code nowMillis}; a time in the past removes it at once. A
-	 * draining server is always removed at once.
+	 * server that has said that it is leaving is always removed at once.
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return {@code true} if the server was known and the removal is newer than the last
 	 * record of it
@@ -76,7 +76,7 @@
 		if (known == null || offset <= known.run().offset()) {
 			return false;
 		}
-		if (suspectUntilMillis > nowMillis && !known.registration().draining()) {
+		if (suspectUntilMillis > nowMillis && !known.run().departed()) {
 			known.markSuspect(suspectUntilMillis, offset);
 		}
 		else {
@@ -86,6 +86,25 @@
 		return true;
 	}
 
+	/**
+	 * Record that a server has said in an answer that it is leaving. Its run takes no
+	 * requests from then on, whatever records of it follow.
+	 * @param registration the registration of the run that answered
+	 * @return {@code true} if the departure of this run was not known
+	 */
+	public boolean depart(ServerRegistration registration) {
+		KnownServer known = this.servers.get(registration.id());
+		if (known != null && known.run().startedAtMillis() == registration.startedAtMillis()) {
+			return known.markDeparted();
+		}
+		ServerRun ended = this.endedRuns.get(registration.id());
+		if (ended != null && ended.startedAtMillis() == registration.startedAtMillis()) {
+			this.endedRuns.put(registration.id(), ended.depart());
+			return !ended.departed();
+		}
+		return false;
+	}
+
 	/**
 	 * End the registrations that a complete listing of the store doesn't contain.
 	 * @param listed the ids of the listed servers
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTablePropertyTests.java
@@ -39,6 +39,9 @@
 			log.add(late ? server.written.get(random.nextInt(server.written.size())) : server.step(random));
 			keys.add(server.id);
 			apply(table, keys, log, log.size() - 1);
+			if (random.nextInt(8) == 0) {
+				answerThatTheServerLeaves(table, servers.get(random.nextInt(servers.size())));
+			}
 			apply(table, keys, log, random.nextInt(log.size()));
 			if (random.nextInt(6) == 0) {
 				applyListing(table, keys, log);
@@ -50,6 +53,14 @@
 		}
 	}
 
+	private static void answerThatTheServerLeaves(ServerTable table, Server server) {
+		if (server.state == State.READY) {
+			server.state = State.DRAINING;
+			server.departed = true;
+			table.depart(server.written.get(server.written.size() - 1));
+		}
+	}
+
 	private static void apply(ServerTable table, List<String> keys, List<@Nullable ServerRegistration> log,
 			int offset) {
 		ServerRegistration registration = log.get(offset);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -99,6 +99,38 @@
 			assertThat(takesRequests("a"), is(false));
 		}
 
+		// Requests reached a server that had said only in its answers that it was
+		// leaving.
+		@Test
+		void departureLearntFromAnAnswerIsNotEndedByRecordsOfTheSameRun() {
+			ServerTableTests.this.table.register(registration("a", false, 1, 7), 1);
+			assertThat(ServerTableTests.this.table.depart(registration("a", false, 1, 7)), is(true));
+			assertThat(ServerTableTests.this.table.depart(registration("a", false, 1, 7)), is(false));
+			assertThat(takesRequests("a"), is(false));
+			ServerTableTests.this.table.register(registration("a", false, 1, 8), 2);
+			assertThat(takesRequests("a"), is(false));
+			ServerTableTests.this.table.unregister("a", 3, 2_600, 100);
+			ServerTableTests.this.table.register(registration("a", false, 1, 9), 4);
+			assertThat(takesRequests("a"), is(false));
+		}
+
+		@Test
+		void answerOfAnEarlierRunSaysNothingOfALaterOne() {
+			ServerTableTests.this.table.register(registration("a", false, 1, 7), 1);
+			ServerTableTests.this.table.register(registration("a", false, 2, 1), 2);
+			assertThat(ServerTableTests.this.table.depart(registration("a", false, 1, 7)), is(false));
+			assertThat(takesRequests("a"), is(true));
+		}
+
+		@Test
+		void departureIsKeptWhileTheServerIsNotRegistered() {
+			ServerTableTests.this.table.register(registration("a", false, 1, 7), 1);
+			ServerTableTests.this.table.unregister("a", 2, PAST_MILLIS, 100);
+			assertThat(ServerTableTests.this.table.depart(registration("a", false, 1, 7)), is(true));
+			ServerTableTests.this.table.register(registration("a", false, 1, 8), 3);
+			assertThat(takesRequests("a"), is(false));
+		}
+
 		@Test
 		void laterRunOfADepartedServerTakesRequests() {
 			ServerTableTests.this.table.register(registration("a", true, 10, 9), 1);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -15,12 +15,13 @@
  * @param verdict what the status and headers show about the request: whether this is its
  * response, or why it isn't
  * @param namesAttempt whether the response names the attempt that it answers
+ * @param leaving whether the server says that it is leaving
  * @param load the load that the server reported; empty if it reported none
  * @param keepAliveMillis how long the connection can be reused while it is idle, in
  * milliseconds; 0 if it ends with this response
  */
 public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict, boolean namesAttempt,
-		Optional<ReportedLoad> load, long keepAliveMillis) {
+		boolean leaving, Optional<ReportedLoad> load, long keepAliveMillis) {
 
 	public BackendResponseHead {
 		Objects.requireNonNull(verdict, "verdict must not be null");
@@ -35,7 +36,7 @@
 	 */
 	BackendResponseHead onKeptConnection() {
 		return (this.verdict.isRefusal() && !this.namesAttempt) ? new BackendResponseHead(this.status, this.headers,
-				Verdict.ATTEMPT_MISMATCH, false, this.load, this.keepAliveMillis) : this;
+				Verdict.ATTEMPT_MISMATCH, false, this.leaving, this.load, this.keepAliveMillis) : this;
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -217,6 +217,9 @@
 	@Override
 	public void onHead(BackendResponseHead head) {
 		this.responseHead = head;
+		if (head.leaving()) {
+			recordDeparture();
+		}
 		head.load()
 			.ifPresent((load) -> this.server.load()
 				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
@@ -233,6 +236,17 @@
 		}
 	}
 
+	private void recordDeparture() {
+		if (this.dependencies.servers().depart(this.server.registration())) {
+			this.dependencies.metrics().increment("departed.answer");
+			logger.atInfo()
+				.log("%s",
+						this.relayedRequest.logLine("server departed")
+							.with("source", "answer")
+							.with("startedAtMillis", this.server.registration().startedAtMillis()));
+		}
+	}
+
 	private void cancelAndRetry(DispatchOutcome outcome, String reason) {
 		cancel(outcome);
 		this.server.health().recordFailure(nowMillis());
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -40,9 +40,6 @@
 
 	private static final long LATE_COPY_MILLIS = 200;
 
-	private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
-			+ "Content-Length: 0\r\n\r\n";
-
 	private final AtomicLong endlessBytes = new AtomicLong();
 
 	private final ServerSocket listener;
@@ -59,6 +56,8 @@
 
 	private volatile int events = DEFAULT_EVENT_COUNT;
 
+	private volatile String extraHeaders = "";
+
 	private volatile long firstEventMillis;
 
 	private volatile long eventMillis;
@@ -105,7 +104,7 @@
 			for (Request request = Request.read(in); request != null; request = Request.read(in)) {
 				this.requests.add(request);
 				if (!first && this.behaviour == ServerBehaviour.REPEATED_REFUSAL) {
-					write(socket.getOutputStream(), REFUSAL);
+					write(socket.getOutputStream(), refusal());
 				}
 				if (!answer(request, socket.getOutputStream())) {
 					return;
@@ -125,7 +124,7 @@
 		String attempt = request.header("attempt-id");
 		switch (this.behaviour) {
 			case REJECT -> {
-				write(out, REFUSAL);
+				write(out, refusal());
 				return true;
 			}
 			case MISDIRECT -> {
@@ -207,12 +206,16 @@
 		return true;
 	}
 
-	private static String head(String status, String attempt) {
+	private String refusal() {
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + this.extraHeaders + "Content-Length: 0\r\n\r\n";
+	}
+
+	private String head(String status, String attempt) {
 		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: seal-" + attempt
-				+ "\r\nServer-Load: 1,0,8\r\n";
+				+ "\r\nServer-Load: 1,0,8\r\n" + this.extraHeaders;
 	}
 
-	private static String completeAnswer(String attempt) {
+	private String completeAnswer(String attempt) {
 		return head("200 OK", attempt) + "Content-Length: 4\r\n\r\ndone";
 	}
 
@@ -246,6 +249,14 @@
 		this.behaviour = newBehaviour;
 	}
 
+	/**
+	 * Set headers that every answer has from now on.
+	 * @param lines the lines, each with its line end; empty for none
+	 */
+	public void setExtraHeaders(String lines) {
+		this.extraHeaders = lines;
+	}
+
 	/**
 	 * Set the length of streams and the time to their first event.
 	 * @param number the number of events in a stream
