Give a server the pause that it asks for

A server that turns a request away with 503 may say in Retry-After for how long it wants nothing; no node read that, and the next request went to it as soon as it seemed the least loaded. Now its run is sent nothing until then, at selection and again when a connection is open; in the 2 s after it other servers are preferred by a cost that falls to 0. The pause outlives the registration and not the run; a later answer replaces it.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -40,10 +40,8 @@
 		this.run = this.run.end(endOffset);
 	}
 
-	boolean markDeparted() {
-		boolean first = !this.run.departed();
-		this.run = this.run.depart();
-		return first;
+	void setRun(ServerRun newRun) {
+		this.run = newRun;
 	}
 
 	void markRemoved() {
@@ -72,6 +70,15 @@
 		return !this.removed && !this.run.departed();
 	}
 
+	/**
+	 * Return whether the server may be sent a request at this moment.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if it takes requests and no pause that it asked for is active
+	 */
+	public boolean mayBeSent(long nowMillis) {
+		return takesRequests() && !this.run.pause().isActive(nowMillis);
+	}
+
 	/**
 	 * Return the record that the server registered.
 	 * @return the newest version
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
@@ -12,9 +12,10 @@
  * @param departed whether the run has said that it is leaving, in a record or in an
  * answer, which it never takes back
  * @param ended whether its registration has ended; it may register again
+ * @param pause the last pause that the run asked for
  * @param offset the offset of the last record in the store, or of its end
  */
-record ServerRun(long startedAtMillis, long sequence, boolean departed, boolean ended, long offset) {
+record ServerRun(long startedAtMillis, long sequence, boolean departed, boolean ended, ServerPause pause, long offset) {
 
 	/**
 	 * Create the memory of a run that is known by one record.
@@ -25,7 +26,7 @@
 	static ServerRun begin(ServerRegistration registration, long offset) {
 		Objects.requireNonNull(registration, "registration must not be null");
 		return new ServerRun(registration.startedAtMillis(), registration.sequence(), registration.draining(), false,
-				offset);
+				ServerPause.NONE, offset);
 	}
 
 	/**
@@ -55,7 +56,7 @@
 		ServerRun begun = begin(registration, newOffset);
 		return (registration.startedAtMillis() != this.startedAtMillis) ? begun
 				: new ServerRun(this.startedAtMillis, Math.max(this.sequence, registration.sequence()),
-						this.departed || registration.draining(), false, newOffset);
+						this.departed || registration.draining(), false, this.pause, newOffset);
 	}
 
 	/**
@@ -63,7 +64,16 @@
 	 * @return the departed run
 	 */
 	ServerRun depart() {
-		return new ServerRun(this.startedAtMillis, this.sequence, true, this.ended, this.offset);
+		return new ServerRun(this.startedAtMillis, this.sequence, true, this.ended, this.pause, this.offset);
+	}
+
+	/**
+	 * Record that the run asked for a pause, in place of an earlier one.
+	 * @param newPause the pause
+	 * @return the run with the pause
+	 */
+	ServerRun withPause(ServerPause newPause) {
+		return new ServerRun(this.startedAtMillis, this.sequence, this.departed, this.ended, newPause, this.offset);
 	}
 
 	/**
@@ -72,7 +82,7 @@
 	 * @return the run without a registration
 	 */
 	ServerRun end(long endOffset) {
-		return new ServerRun(this.startedAtMillis, this.sequence, this.departed, true,
+		return new ServerRun(this.startedAtMillis, this.sequence, this.departed, true, this.pause,
 				Math.max(this.offset, endOffset));
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -61,7 +61,7 @@
 		KnownServer best = null;
 		double bestMillis = Double.MAX_VALUE;
 		for (KnownServer server : servers) {
-			if (!server.takesRequests() || !allowed.test(server) || isFull(server, nowMillis)) {
+			if (!server.mayBeSent(nowMillis) || !allowed.test(server) || isFull(server, nowMillis)) {
 				continue;
 			}
 			double costMillis = costMillis(server, prompt, server.registration().id().equals(preferredId),
@@ -91,7 +91,7 @@
 		return readMillis + open * OPEN_REQUEST_COST_MILLIS
 				+ (requestsOverSlots + load.estimateWaiting(nowMillis)) * WAITING_COST_MILLIS
 				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
-				+ (server.isSuspect() ? SUSPECT_COST_MILLIS : 0)
+				+ (server.isSuspect() ? SUSPECT_COST_MILLIS : 0) + server.run().pause().returnCostMillis(nowMillis)
 				+ (server.health().isAvoided(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
 				+ this.locality.distanceTo(server.registration().zone()).costMillis();
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /**
  * Table of the registered backend servers. A server whose registration ended while the
@@ -93,16 +94,38 @@
 	 * @return {@code true} if the departure of this run was not known
 	 */
 	public boolean depart(ServerRegistration registration) {
-		KnownServer known = this.servers.get(registration.id());
-		if (known != null && known.run().startedAtMillis() == registration.startedAtMillis()) {
-			return known.markDeparted();
+		return updateRun(registration, ServerRun::depart);
+	}
+
+	/**
+	 * Record that a server has turned a request away and wants nothing for some time. A
+	 * later run of it starts without the pause.
+	 * @param registration the registration of the run that answered
+	 * @param pauseMillis the length of the pause from now, in milliseconds; replaces an
+	 * earlier one
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if the run is known and its pause has changed
+	 */
+	public boolean pause(ServerRegistration registration, long pauseMillis, long nowMillis) {
+		ServerPause pause = new ServerPause(nowMillis + pauseMillis);
+		return updateRun(registration, (run) -> run.withPause(pause));
+	}
+
+	private boolean updateRun(ServerRegistration registration, UnaryOperator<ServerRun> change) {
+		String id = registration.id();
+		KnownServer known = this.servers.get(id);
+		ServerRun run = (known != null) ? known.run() : this.endedRuns.get(id);
+		if (run == null || run.startedAtMillis() != registration.startedAtMillis()) {
+			return false;
 		}
-		ServerRun ended = this.endedRuns.get(registration.id());
-		if (ended != null && ended.startedAtMillis() == registration.startedAtMillis()) {
-			this.endedRuns.put(registration.id(), ended.depart());
-			return !ended.departed();
+		ServerRun changed = change.apply(run);
+		if (known != null) {
+			known.setRun(changed);
+		}
+		else {
+			this.endedRuns.put(id, changed);
 		}
-		return false;
+		return !changed.equals(run);
 	}
 
 	/**
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -99,6 +99,16 @@
 		assertThat(choose(prompt), is(Optional.of("away")));
 	}
 
+	@Test
+	void workReturnsGraduallyToAServerAfterItsPause() {
+		KnownServer paused = server("paused", "z1", 8);
+		server("away", "z3", 8);
+		this.table.pause(paused.registration(), 1_000, NOW - 1_000);
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("away")));
+		this.table.pause(paused.registration(), 1_000, NOW - 3_000);
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("paused")));
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "15, away", "60, away", "240, near" })
 	void backlogWeighsAsMuchAsTheEngineTakesToReadIt(double tokensPerMilli, String expected) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -16,15 +17,18 @@
  * response, or why it isn't
  * @param namesAttempt whether the response names the attempt that it answers
  * @param leaving whether the server says that it is leaving
+ * @param pauseMillis how long the server wants no requests, in milliseconds; empty if it
+ * didn't ask for a pause
  * @param load the load that the server reported; empty if it reported none
  * @param keepAliveMillis how long the connection can be reused while it is idle, in
  * milliseconds; 0 if it ends with this response
  */
 public record BackendResponseHead(HttpResponseStatus status, HttpHeaders headers, Verdict verdict, boolean namesAttempt,
-		boolean leaving, Optional<ReportedLoad> load, long keepAliveMillis) {
+		boolean leaving, OptionalLong pauseMillis, Optional<ReportedLoad> load, long keepAliveMillis) {
 
 	public BackendResponseHead {
 		Objects.requireNonNull(verdict, "verdict must not be null");
+		Objects.requireNonNull(pauseMillis, "pauseMillis must not be null");
 		Objects.requireNonNull(load, "load must not be null");
 	}
 
@@ -36,7 +40,8 @@
 	 */
 	BackendResponseHead onKeptConnection() {
 		return (this.verdict.isRefusal() && !this.namesAttempt) ? new BackendResponseHead(this.status, this.headers,
-				Verdict.ATTEMPT_MISMATCH, false, this.leaving, this.load, this.keepAliveMillis) : this;
+				Verdict.ATTEMPT_MISMATCH, false, this.leaving, this.pauseMillis, this.load, this.keepAliveMillis)
+				: this;
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -204,13 +204,14 @@
 
 	@Override
 	public boolean maySend() {
-		if (this.server.takesRequests()) {
+		if (this.server.mayBeSent(nowMillis())) {
 			return true;
 		}
-		this.dependencies.metrics().increment("turned.departed");
+		String cause = this.server.takesRequests() ? "paused" : "departed";
+		this.dependencies.metrics().increment("turned." + cause);
 		close();
 		this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT,
-				"server " + this.server.registration().id() + " departed while the connection to it was opened");
+				"server " + this.server.registration().id() + " " + cause + " while the connection to it was opened");
 		return false;
 	}
 
@@ -220,6 +221,7 @@
 		if (head.leaving()) {
 			recordDeparture();
 		}
+		head.pauseMillis().ifPresent(this::recordPause);
 		head.load()
 			.ifPresent((load) -> this.server.load()
 				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
@@ -247,6 +249,18 @@
 		}
 	}
 
+	private void recordPause(long pauseMillis) {
+		if (this.dependencies.servers().pause(this.server.registration(), pauseMillis, nowMillis())) {
+			this.dependencies.metrics().increment("paused.answer");
+			logger.atInfo()
+				.log("%s",
+						this.relayedRequest.logLine("server paused")
+							.with("source", "answer")
+							.with("startedAtMillis", this.server.registration().startedAtMillis())
+							.with("pauseMillis", pauseMillis));
+		}
+	}
+
 	private void cancelAndRetry(DispatchOutcome outcome, String reason) {
 		cancel(outcome);
 		this.server.health().recordFailure(nowMillis());
