Tell a late report of a node from its newest one

A report that the store stored late, seconds after a call without an answer, offered a node that was stopping to callers again until its reports counted as silent. Reports now carry a number; one with a smaller number, or of a run before the current one, counts only for the usage. Failed before: FleetViewTests.CallerAddresses.lateReportDoesNotOfferALeavingNodeAgain and lateReportOfAnEarlierRunDoesNotReplaceTheCurrentOne.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -44,13 +44,14 @@
 	}
 
 	/**
-	 * Record a report.
+	 * Record a report. One that was written before the last known report of its node, but
+	 * stored after it, counts only for the usage.
 	 * @param report a report of any run of any node, which may be this node
 	 * @param reportedAtMillis the time of the report by the monotonic clock of this node,
 	 * in milliseconds
 	 */
 	public void record(NodeReport report, long reportedAtMillis) {
-		if (!report.node().name().equals(this.self.name())) {
+		if (!report.node().name().equals(this.self.name()) && !isOutdated(report)) {
 			this.lastReports.put(report.node().name(), new TimedReport(report, reportedAtMillis));
 		}
 		if (!report.node().equals(this.self)) {
@@ -59,6 +60,18 @@
 		}
 	}
 
+	private boolean isOutdated(NodeReport report) {
+		TimedReport last = this.lastReports.get(report.node().name());
+		if (last == null) {
+			return false;
+		}
+		if (!last.report.node().equals(report.node())) {
+			// Runs whose usage is known have reported before the current one.
+			return this.usage.containsKey(report.node());
+		}
+		return report.sequence() < last.report.sequence();
+	}
+
 	/**
 	 * Return whether a report is of an earlier run of this node.
 	 * @param report a report of any node
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NodeReport.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/NodeReport.java
@@ -12,6 +12,8 @@
  * Periodic report of an entry node about itself.
  *
  * @param node the identity of this run of the node
+ * @param sequence the number of the report; a later report of the same run of the node
+ * has a greater one
  * @param callerAddress the address that callers connect to
  * @param zone the availability zone of the node
  * @param serving whether the node may be offered to callers
@@ -21,8 +23,9 @@
  * @param services the demand at this node, by service
  * @param tallies the outcomes by version; empty unless a rollout is in progress
  */
-public record NodeReport(NodeId node, Address callerAddress, String zone, boolean serving, long timeOfDayMillis,
-		Map<Long, Map<String, Long>> usage, List<ServiceDemand> services, List<VersionTally> tallies) {
+public record NodeReport(NodeId node, long sequence, Address callerAddress, String zone, boolean serving,
+		long timeOfDayMillis, Map<Long, Map<String, Long>> usage, List<ServiceDemand> services,
+		List<VersionTally> tallies) {
 
 	public NodeReport {
 		Objects.requireNonNull(node, "node must not be null");
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -26,8 +26,13 @@
 
 	private static NodeReport report(String name, long incarnation, String zone, int host, boolean serving,
 			Map<Long, Map<String, Long>> usage) {
-		return new NodeReport(new NodeId(name, incarnation), address(host), zone, serving, 0, usage, List.of(),
-				List.of());
+		return report(name, incarnation, 1, zone, host, serving, usage);
+	}
+
+	private static NodeReport report(String name, long incarnation, long sequence, String zone, int host,
+			boolean serving, Map<Long, Map<String, Long>> usage) {
+		return new NodeReport(new NodeId(name, incarnation), sequence, address(host), zone, serving, 0, usage,
+				List.of(), List.of());
 	}
 
 	private static Address address(int host) {
@@ -54,6 +59,25 @@
 					containsInAnyOrder(address(1), address(3)));
 		}
 
+		// Callers were sent to a node that was stopping, after an earlier report of it
+		// was
+		// stored late.
+		@Test
+		void lateReportDoesNotOfferALeavingNodeAgain() {
+			FleetViewTests.this.fleet.record(report("a", 1, 7, "z1", 2, false, Map.of()), 0);
+			FleetViewTests.this.fleet.record(report("a", 1, 6, "z1", 2, true, Map.of()), 100);
+			assertThat(FleetViewTests.this.fleet.callerAddressesFor("z1", this.own), containsInAnyOrder(address(1)));
+		}
+
+		@Test
+		void lateReportOfAnEarlierRunDoesNotReplaceTheCurrentOne() {
+			FleetViewTests.this.fleet.record(report("a", 1, 9, "z1", 2, true, Map.of()), 0);
+			FleetViewTests.this.fleet.record(report("a", 2, 1, "z1", 3, true, Map.of()), 100);
+			FleetViewTests.this.fleet.record(report("a", 1, 8, "z1", 2, true, Map.of()), 200);
+			assertThat(FleetViewTests.this.fleet.callerAddressesFor("z1", this.own),
+					containsInAnyOrder(address(1), address(3)));
+		}
+
 		@Test
 		void silentAndLeavingNodesAreNotOffered() {
 			FleetViewTests.this.fleet.record(report("a", 1, "z1", 2, true, Map.of()), 0);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -134,6 +134,8 @@
 
 	private boolean stopping;
 
+	private long reportsWritten;
+
 	/**
 	 * Create a node that isn't started.
 	 * @param loop the event loop that runs all of the node
@@ -349,16 +351,17 @@
 	private NodeReport createReport() {
 		// A node without an address for callers reports a placeholder.
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
-		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
-				this.usage.newestWindows(REPORTED_USAGE_WINDOWS), this.demandTracker.report(this.clock.steadyMillis()),
-				this.rollouts.tallies());
+		this.reportsWritten++;
+		return new NodeReport(this.self, this.reportsWritten, address, this.settings.zone(), isReady(),
+				this.clock.timeOfDayMillis(), this.usage.newestWindows(REPORTED_USAGE_WINDOWS),
+				this.demandTracker.report(this.clock.steadyMillis()), this.rollouts.tallies());
 	}
 
 	private NodeReport createOwnDirectoryEntry() {
 		// A node without an address for callers reports a placeholder.
 		Address address = this.settings.listen().callers().orElse(new Address("0.0.0.0", 1));
-		return new NodeReport(this.self, address, this.settings.zone(), isReady(), this.clock.timeOfDayMillis(),
-				Map.of(), List.of(), List.of());
+		return new NodeReport(this.self, this.reportsWritten, address, this.settings.zone(), isReady(),
+				this.clock.timeOfDayMillis(), Map.of(), List.of(), List.of());
 	}
 
 	private void onRequestStarted(Optional<ClientAccount> account, long millisSinceServerBegan) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -36,7 +36,8 @@
 	public static byte[] encodeNodeReport(NodeReport report) {
 		io.flamingogap.wire.report.NodeReport wire = new io.flamingogap.wire.report.NodeReport(report.node().name(),
 				report.node().incarnation(), report.callerAddress().toString(), report.zone(), report.serving(),
-				report.timeOfDayMillis(), Map.of(), encodeUsage(report), encodeServices(report), encodeTallies(report));
+				report.timeOfDayMillis(), Map.of(), encodeUsage(report), encodeServices(report), encodeTallies(report))
+			.setSequence(report.sequence());
 		return ThriftSerializer.serialize(wire);
 	}
 
@@ -73,7 +74,7 @@
 					new io.flamingogap.wire.report.NodeReport());
 			Map<Long, Map<String, Long>> usage = new HashMap<>();
 			wire.getUsage().forEach((window) -> usage.put(window.getNumber(), window.getRequests()));
-			return Either.right(new NodeReport(new NodeId(wire.getNode(), wire.getIncarnation()),
+			return Either.right(new NodeReport(new NodeId(wire.getNode(), wire.getIncarnation()), wire.getSequence(),
 					Address.parse(wire.getCallerAddress()), wire.getZone(), wire.isServing(), wire.getTimeOfDayMillis(),
 					usage, decodeServices(wire), decodeTallies(wire)));
 		}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneRelaySelectorTests.java
@@ -30,8 +30,8 @@
 
 	private void report(String node, String zone, boolean serving) {
 		this.fleet.setCurrentTime(this.nowMillis);
-		this.fleet.record(new NodeReport(new NodeId(node, 1), new Address("10.0.0.9", 80), zone, serving, 0, Map.of(),
-				List.of(), List.of()), this.nowMillis);
+		this.fleet.record(new NodeReport(new NodeId(node, 1), 1, new Address("10.0.0.9", 80), zone, serving, 0,
+				Map.of(), List.of(), List.of()), this.nowMillis);
 	}
 
 	private Optional<String> currentRelayName() {
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/NodeReport.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/NodeReport.java
@@ -23,6 +23,7 @@
   private static final org.apache.thrift.protocol.TField USAGE_FIELD_DESC = new org.apache.thrift.protocol.TField("usage", org.apache.thrift.protocol.TType.LIST, (short)8);
   private static final org.apache.thrift.protocol.TField SERVICES_FIELD_DESC = new org.apache.thrift.protocol.TField("services", org.apache.thrift.protocol.TType.LIST, (short)9);
   private static final org.apache.thrift.protocol.TField TALLIES_FIELD_DESC = new org.apache.thrift.protocol.TField("tallies", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new NodeReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new NodeReportTupleSchemeFactory();
@@ -37,6 +38,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<UsageWindow> usage; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ServiceDemand> services; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<VersionTally> tallies; // required
+  private long sequence; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -52,7 +54,11 @@
     DEMAND_PER_SECOND((short)7, "demandPerSecond"),
     USAGE((short)8, "usage"),
     SERVICES((short)9, "services"),
-    TALLIES((short)10, "tallies");
+    TALLIES((short)10, "tallies"),
+    /**
+     * The number of the report in its run; greater than that of every earlier one.
+     */
+    SEQUENCE((short)11, "sequence");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -88,6 +94,8 @@
           return SERVICES;
         case 10: // TALLIES
           return TALLIES;
+        case 11: // SEQUENCE
+          return SEQUENCE;
         default:
           return null;
       }
@@ -134,7 +142,9 @@
   private static final int __INCARNATION_ISSET_ID = 0;
   private static final int __SERVING_ISSET_ID = 1;
   private static final int __TIMEOFDAYMILLIS_ISSET_ID = 2;
+  private static final int __SEQUENCE_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SEQUENCE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -163,6 +173,8 @@
     tmpMap.put(_Fields.TALLIES, new org.apache.thrift.meta_data.FieldMetaData("tallies", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, VersionTally.class))));
+    tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(NodeReport.class, metaDataMap);
   }
@@ -240,6 +252,7 @@
       }
       this.tallies = __this__tallies;
     }
+    this.sequence = other.sequence;
   }
 
   @Override
@@ -262,6 +275,8 @@
     this.usage = null;
     this.services = null;
     this.tallies = null;
+    setSequenceIsSet(false);
+    this.sequence = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -573,6 +588,35 @@
     }
   }
 
+  /**
+   * The number of the report in its run; greater than that of every earlier one.
+   */
+  public long getSequence() {
+    return this.sequence;
+  }
+
+  /**
+   * The number of the report in its run; greater than that of every earlier one.
+   */
+  public NodeReport setSequence(long sequence) {
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    return this;
+  }
+
+  public void unsetSequence() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
+  public boolean isSetSequence() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  public void setSequenceIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -656,6 +700,14 @@
       }
       break;
 
+    case SEQUENCE:
+      if (value == null) {
+        unsetSequence();
+      } else {
+        setSequence((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -693,6 +745,9 @@
     case TALLIES:
       return getTallies();
 
+    case SEQUENCE:
+      return getSequence();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -725,6 +780,8 @@
       return isSetServices();
     case TALLIES:
       return isSetTallies();
+    case SEQUENCE:
+      return isSetSequence();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -832,6 +889,15 @@
         return false;
     }
 
+    boolean this_present_sequence = true && this.isSetSequence();
+    boolean that_present_sequence = true && that.isSetSequence();
+    if (this_present_sequence || that_present_sequence) {
+      if (!(this_present_sequence && that_present_sequence))
+        return false;
+      if (this.sequence != that.sequence)
+        return false;
+    }
+
     return true;
   }
 
@@ -873,6 +939,10 @@
     if (isSetTallies())
       hashCode = hashCode * 8191 + tallies.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSequence()) ? 131071 : 524287);
+    if (isSetSequence())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
+
     return hashCode;
   }
 
@@ -984,6 +1054,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSequence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1075,6 +1155,12 @@
       sb.append(this.tallies);
     }
     first = false;
+    if (isSetSequence()) {
+      if (!first) sb.append(", ");
+      sb.append("sequence:");
+      sb.append(this.sequence);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1271,6 +1357,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 11: // SEQUENCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sequence = iprot.readI64();
+              struct.setSequenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1369,6 +1463,11 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetSequence()) {
+        oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
+        oprot.writeI64(struct.sequence);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1422,6 +1521,14 @@
           _iter30.write(oprot);
         }
       }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSequence()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSequence()) {
+        oprot.writeI64(struct.sequence);
+      }
     }
 
     @Override
@@ -1488,6 +1595,11 @@
         }
       }
       struct.setTalliesIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.sequence = iprot.readI64();
+        struct.setSequenceIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/thrift/report.thrift
+++ b/flamingogap-wire/src/main/thrift/report.thrift
@@ -38,6 +38,8 @@
   8: required list<UsageWindow> usage
   9: required list<ServiceDemand> services
   10: required list<VersionTally> tallies
+  /** The number of the report in its run; greater than that of every earlier one. */
+  11: optional i64 sequence
 }
 
 /**
