Keep a published completion of a rollout, and name the question whether a server may be sent requests

A status of reverted that is published after done, by a holder whose reply was lost, no longer sends requests back to servers that have stopped. mayBeSent is mayBeSentRequests. RolloutControllerTests extended; it failed before the first change.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -75,7 +75,7 @@
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return {@code true} if it takes requests and no pause that it asked for is active
 	 */
-	public boolean mayBeSent(long nowMillis) {
+	public boolean mayBeSentRequests(long nowMillis) {
 		return takesRequests() && !this.run.pause().isActive(nowMillis);
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -61,7 +61,7 @@
 		KnownServer best = null;
 		double bestMillis = Double.MAX_VALUE;
 		for (KnownServer server : servers) {
-			if (!server.mayBeSent(nowMillis) || !allowed.test(server) || isFull(server, nowMillis)) {
+			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server) || isFull(server, nowMillis)) {
 				continue;
 			}
 			double costMillis = costMillis(server, prompt, server.registration().id().equals(preferredId),
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -152,8 +152,10 @@
 	@Nested
 	class Pauses {
 
-		private boolean mayBeSent(long nowMillis) {
-			return ServerTableTests.this.table.find("a").map((server) -> server.mayBeSent(nowMillis)).orElse(false);
+		private boolean mayBeSentRequests(long nowMillis) {
+			return ServerTableTests.this.table.find("a")
+				.map((server) -> server.mayBeSentRequests(nowMillis))
+				.orElse(false);
 		}
 
 		@Test
@@ -161,8 +163,8 @@
 			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			ServerTableTests.this.table.pause(registration("a", false, 1), 3_000, 100);
 			assertThat(takesRequests("a"), is(true));
-			assertThat(mayBeSent(3_099), is(false));
-			assertThat(mayBeSent(3_100), is(true));
+			assertThat(mayBeSentRequests(3_099), is(false));
+			assertThat(mayBeSentRequests(3_100), is(true));
 		}
 
 		@Test
@@ -170,7 +172,7 @@
 			ServerTableTests.this.table.register(registration("a", false, 1), 1);
 			ServerTableTests.this.table.pause(registration("a", false, 1), 9_000, 100);
 			ServerTableTests.this.table.pause(registration("a", false, 1), 1_000, 200);
-			assertThat(mayBeSent(1_200), is(true));
+			assertThat(mayBeSentRequests(1_200), is(true));
 		}
 
 		@Test
@@ -179,9 +181,9 @@
 			ServerTableTests.this.table.pause(registration("a", false, 1, 7), 9_000, 100);
 			ServerTableTests.this.table.unregister("a", 2, PAST_MILLIS, 200);
 			ServerTableTests.this.table.register(registration("a", false, 1, 8), 3);
-			assertThat(mayBeSent(300), is(false));
+			assertThat(mayBeSentRequests(300), is(false));
 			ServerTableTests.this.table.register(registration("a", false, 2, 1), 4);
-			assertThat(mayBeSent(300), is(true));
+			assertThat(mayBeSentRequests(300), is(true));
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -131,15 +131,16 @@
 	/**
 	 * Record a status that was published for operators. Ends the rollout of the same
 	 * service and target on this node, if the status says that it ended. A published
-	 * completion also replaces a revert by this node, since the servers of other versions
-	 * stop after it.
+	 * completion also replaces a revert by this node, and stays, since the servers of
+	 * other versions stop after it.
 	 * @param status the status
 	 */
 	public void recordPublishedStatus(RolloutStatus status) {
 		this.publishedStatuses.put(status.service(), status);
 		ServiceRollout rollout = this.rolloutsByService.get(status.service());
 		if (rollout != null && rollout.order.target().equals(status.target())
-				&& status.state() != RolloutStatus.State.RUNNING && rollout.state != status.state()) {
+				&& status.state() != RolloutStatus.State.RUNNING && rollout.state != status.state()
+				&& rollout.state != RolloutStatus.State.DONE) {
 			endRollout(rollout, status.state(), "published by the node that holds the duties");
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -204,7 +204,7 @@
 
 	@Override
 	public boolean maySend() {
-		if (this.server.mayBeSent(nowMillis())) {
+		if (this.server.mayBeSentRequests(nowMillis())) {
 			return true;
 		}
 		String cause = this.server.takesRequests() ? "paused" : "departed";
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
@@ -112,6 +112,8 @@
 				is(false));
 		this.controller.recordPublishedStatus(status(RolloutStatus.State.DONE));
 		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()), is(true));
+		this.controller.recordPublishedStatus(status(RolloutStatus.State.REVERTED));
+		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()), is(true));
 	}
 
 }
