--- a/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/rollout/SequentialTest.java
@@ -28,8 +28,8 @@
 	static final double BAD_THRESHOLD = Math.log(TIME_RANGES / ERROR_RATE);
 
 	/**
-	 * Log likelihood ratio above which a candidate is bad at the deadline, if the
-	 * evidence hasn't allowed all traffic to move.
+	 * Log likelihood ratio above which a candidate is probably bad. Enough to hold a
+	 * rollout back, and to end it at its deadline.
 	 */
 	static final double DEADLINE_THRESHOLD = Math.log(3);
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -69,14 +69,19 @@
 	 * @param loop the event loop that runs the reads and the listener
 	 * @param store the store to read from
 	 * @param stream the stream to follow
-	 * @param readPauseMillis the pause in milliseconds after a read that returned records
-	 * from the store, so that the next read returns several at once; 0 for none. There is
-	 * no pause after records that the relay of the zone returned
+	 * @param readPauseMillis the pause in milliseconds, shorter than
+	 * {@link #MAX_READ_CYCLE_MILLIS}, after a read that returned records from the store,
+	 * so that the next read returns several at once; 0 for none. There is no pause after
+	 * records that the relay of the zone returned
 	 * @param listener receives the records
 	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
 	public RecordFollower(EventLoop loop, RecordStore store, StoreStream stream, long readPauseMillis,
 			RecordListener listener, LongSupplier steadyMillis) {
+		if (readPauseMillis < 0 || readPauseMillis >= MAX_READ_CYCLE_MILLIS) {
+			throw new IllegalArgumentException(
+					"readPauseMillis must be 0 to " + (MAX_READ_CYCLE_MILLIS - 1) + " but was " + readPauseMillis);
+		}
 		this.loop = loop;
 		this.store = store;
 		this.stream = stream;
