Split the counts of a rollout from its control

RolloutController held both; RolloutOutcomes now counts the dispatches by version and route. No change of behaviour; RolloutControllerTests, TimedCanaryTests and DutyTests pass.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -14,9 +12,7 @@
 
 import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.NodeReport;
-import io.flamingogap.core.rollout.AdaptiveLatencyThreshold;
 import io.flamingogap.core.rollout.Arm;
-import io.flamingogap.core.rollout.Tally;
 import io.flamingogap.core.rollout.TimedCanary;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerRegistration;
@@ -159,7 +155,7 @@
 			if (rollout.state != RolloutStatus.State.RUNNING) {
 				continue;
 			}
-			rollout.countLateDispatches(nowMillis);
+			rollout.outcomes.countLateDispatches(nowMillis);
 			TimedCanary canary = createCanary(rollout);
 			double elapsedFraction = rollout.elapsedFraction(nowMillis);
 			boolean targetAvailable = hasAvailableServers(rollout, true);
@@ -182,7 +178,8 @@
 
 	private TimedCanary createCanary(ServiceRollout rollout) {
 		TimedCanary canary = new TimedCanary(this.explorationShare);
-		rollout.tallies.forEach((key, tally) -> canary.add(rollout.armOf(key.version()), key.route(), tally));
+		rollout.outcomes.tallies()
+			.forEach((key, tally) -> canary.add(rollout.armOf(key.version()), key.route(), tally));
 		for (NodeReport report : this.fleet.recentReports()) {
 			for (NodeReport.VersionTally row : report.tallies()) {
 				if (row.service().equals(rollout.order.service())) {
@@ -231,8 +228,9 @@
 		List<NodeReport.VersionTally> rows = new ArrayList<>();
 		this.rolloutsByService.forEach((service, rollout) -> {
 			if (rollout.state == RolloutStatus.State.RUNNING) {
-				rollout.tallies.forEach((key, tally) -> rows
-					.add(new NodeReport.VersionTally(service, key.version(), key.route(), tally)));
+				rollout.outcomes.tallies()
+					.forEach((key, tally) -> rows
+						.add(new NodeReport.VersionTally(service, key.version(), key.route(), tally)));
 			}
 		});
 		return rows;
@@ -271,10 +269,7 @@
 	public DispatchObservation observe(ServerRegistration server, RouteRule route, long nowMillis) {
 		ServiceRollout rollout = this.rolloutsByService.get(server.service());
 		return (rollout != null && rollout.state == RolloutStatus.State.RUNNING)
-				? rollout.observe(server, route, nowMillis) : DispatchObservation.NONE;
-	}
-
-	private record TallyKey(String version, String route) {
+				? rollout.outcomes.observe(server, route, nowMillis) : DispatchObservation.NONE;
 	}
 
 	private static final class ServiceRollout {
@@ -289,12 +284,7 @@
 		 */
 		private final long orderReadAtMillis;
 
-		private final Map<TallyKey, Tally> tallies = new HashMap<>();
-
-		private final Map<String, AdaptiveLatencyThreshold> thresholds = new HashMap<>();
-
-		/** The dispatches that are neither answered nor counted as late. */
-		private final Set<Observation> unanswered = new LinkedHashSet<>();
+		private final RolloutOutcomes outcomes;
 
 		private RolloutStatus.State state = RolloutStatus.State.RUNNING;
 
@@ -306,6 +296,7 @@
 			this.order = order;
 			this.offset = offset;
 			this.orderReadAtMillis = orderReadAtMillis;
+			this.outcomes = new RolloutOutcomes(order.target());
 		}
 
 		private RolloutStatus.State stateToPublish() {
@@ -325,93 +316,6 @@
 			return (double) (nowMillis - this.orderReadAtMillis) / Math.max(1, this.order.withinMillis());
 		}
 
-		private DispatchObservation observe(ServerRegistration server, RouteRule route, long nowMillis) {
-			Observation observation = new Observation(this, server, route, nowMillis);
-			this.unanswered.add(observation);
-			return observation;
-		}
-
-		/**
-		 * Count the dispatches as slow whose answer is late. A version that gets slower
-		 * the more requests it has would otherwise be judged by its fast answers.
-		 * @param nowMillis the current time on the monotonic clock
-		 */
-		private void countLateDispatches(long nowMillis) {
-			this.unanswered.removeIf((observation) -> observation.countIfLate(nowMillis));
-		}
-
-		private AdaptiveLatencyThreshold threshold(RouteRule route) {
-			return this.thresholds.computeIfAbsent(route.name(),
-					(name) -> new AdaptiveLatencyThreshold(route.latencyTargetMillis()));
-		}
-
-		private void count(ServerRegistration server, RouteRule route, Tally outcome) {
-			this.tallies.merge(new TallyKey(server.version(), route.name()), outcome, Tally::plus);
-		}
-
-	}
-
-	/**
-	 * Observation of one dispatch, which counts once, as answered or as late, and once
-	 * more if it fails.
-	 */
-	private static final class Observation implements DispatchObservation {
-
-		private static final Tally FAILURE = new Tally(1, 1, 0);
-
-		private final ServiceRollout rollout;
-
-		private final ServerRegistration server;
-
-		private final RouteRule route;
-
-		private final long sentAtMillis;
-
-		private Observation(ServiceRollout rollout, ServerRegistration server, RouteRule route, long sentAtMillis) {
-			this.rollout = rollout;
-			this.server = server;
-			this.route = route;
-			this.sentAtMillis = sentAtMillis;
-		}
-
-		@Override
-		public void onAnswer(long nowMillis) {
-			if (this.rollout.unanswered.remove(this)) {
-				countLatency(nowMillis - this.sentAtMillis);
-			}
-		}
-
-		@Override
-		public void onFailure(long nowMillis) {
-			this.rollout.unanswered.remove(this);
-			this.rollout.count(this.server, this.route, FAILURE);
-		}
-
-		@Override
-		public void discard() {
-			this.rollout.unanswered.remove(this);
-		}
-
-		private boolean countIfLate(long nowMillis) {
-			long waitedMillis = nowMillis - this.sentAtMillis;
-			boolean late = this.rollout.threshold(this.route).isSlow(waitedMillis);
-			if (late) {
-				countLatency(waitedMillis);
-			}
-			return late;
-		}
-
-		private void countLatency(long latencyMillis) {
-			AdaptiveLatencyThreshold threshold = this.rollout.threshold(this.route);
-			Tally outcome = new Tally(1, 0, threshold.isSlow(latencyMillis) ? 1 : 0);
-			// Only latencies of other versions update the threshold, so a slow target
-			// version doesn't raise it.
-			if (!this.rollout.runsTarget(this.server)) {
-				threshold.update(latencyMillis);
-			}
-			this.rollout.count(this.server, this.route, outcome);
-		}
-
 	}
 
 }
