Split the account of a prompt from its dispatch

BackendDispatch kept the server's load, unread tokens and reading speed beside the exchange itself; DispatchedPrompt does now.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -11,7 +11,6 @@
 
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.servers.KnownServer;
-import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.gateway.backends.BackendCall;
@@ -42,12 +41,6 @@
 
 	private static final double PERCENT = 100;
 
-	/**
-	 * Share of a prompt that may be cached at the server without this node knowing, so
-	 * that the time to the first token still tells how fast the server reads.
-	 */
-	private static final double MAX_SHARED_FRACTION = 0.3;
-
 	/**
 	 * The least urgent value that is sent; 0 is served first. Values above this one are
 	 * reserved for requests that may wait.
@@ -62,10 +55,7 @@
 
 	private final long sentAtMillis;
 
-	private final long promptTokens;
-
-	/** Whether the server begins to read the prompt at once, as far as is known. */
-	private final boolean readAtOnce;
+	private final DispatchedPrompt prompt;
 
 	private DispatchObservation observation = DispatchObservation.NONE;
 
@@ -77,12 +67,6 @@
 
 	private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
-	/**
-	 * Whether the prompt no longer counts as unread at the server, because the server has
-	 * begun to process the request or the dispatch has ended.
-	 */
-	private boolean unreadTokensReleased;
-
 	private boolean closed;
 
 	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, KnownServer server,
@@ -91,18 +75,14 @@
 		this.relayedRequest = relayedRequest;
 		this.server = server;
 		this.sentAtMillis = sentAtMillis;
-		PromptMetadata prompt = relayedRequest.request().prompt();
-		this.promptTokens = Math.max(0, prompt.promptTokens() - server.promptCache().estimateCachedTokens(prompt));
-		this.readAtOnce = server.load().estimateUnreadTokens(sentAtMillis) == 0
-				&& server.load().estimateOpenRequests(sentAtMillis) < server.registration().slots();
+		this.prompt = new DispatchedPrompt(server, relayedRequest.request().prompt(), dependencies.loadListener(),
+				sentAtMillis);
 	}
 
 	void send() {
 		this.relayedRequest.attempt().recordDispatch(this.server.registration().id());
 		this.relayedRequest.setLastServerId(this.server.registration().id());
-		this.server.load().recordSent(this.promptTokens);
-		this.dependencies.loadListener().onLoadChanged(this.server);
-		this.server.promptCache().record(this.relayedRequest.request().prompt());
+		this.prompt.recordSent();
 		this.observation = this.dependencies.versionSelector()
 			.observe(this.server.registration(), this.relayedRequest.attempt().route(), this.sentAtMillis);
 		BackendRequest request = new BackendRequest(this.relayedRequest.request(), this.server.registration(),
@@ -174,21 +154,11 @@
 			this.silenceTimer.cancel(false);
 		}
 		this.observation.discard();
-		releaseUnreadTokens();
-		this.server.load().recordEnd();
-		this.dependencies.loadListener().onLoadChanged(this.server);
+		this.prompt.recordEnd();
 		this.bufferedBody.release();
 		this.bufferedBody = Unpooled.EMPTY_BUFFER;
 	}
 
-	private void releaseUnreadTokens() {
-		if (!this.unreadTokensReleased) {
-			this.unreadTokensReleased = true;
-			this.server.load().recordPromptRead(this.promptTokens);
-			this.dependencies.loadListener().onLoadChanged(this.server);
-		}
-	}
-
 	/**
 	 * Resume reading the response after it was paused because the caller read too slowly.
 	 */
@@ -291,21 +261,11 @@
 	}
 
 	private void recordStart(long millisSinceStart) {
-		releaseUnreadTokens();
+		this.prompt.release();
 		this.relayedRequest.reportStart(millisSinceStart);
 		this.dependencies.metrics().recordLatency("first", this.relayedRequest.attempt().elapsedMillis(nowMillis()));
 	}
 
-	private void recordPromptSpeed() {
-		long sharedTokens = this.relayedRequest.request().prompt().sharedTokens();
-		if (this.readAtOnce && sharedTokens <= this.promptTokens * MAX_SHARED_FRACTION) {
-			long nowMillis = nowMillis();
-			this.dependencies.servers()
-				.promptSpeedOf(this.server.registration().service())
-				.record(this.promptTokens, nowMillis - this.sentAtMillis, nowMillis);
-		}
-	}
-
 	private boolean isStreaming() {
 		return this.relayedRequest.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
 				&& this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -332,10 +292,11 @@
 			events.release();
 			return;
 		}
-		if (!this.unreadTokensReleased) {
+		if (!this.prompt.isReleased()) {
 			// This is the first event of the stream from this server.
 			recordStart(0);
-			recordPromptSpeed();
+			this.prompt.recordSpeed(this.dependencies.servers().promptSpeedOf(this.server.registration().service()),
+					nowMillis());
 			this.observation.onAnswer(nowMillis());
 		}
 		beginResponse();
--- /dev/null
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
@@ -0,0 +1,95 @@
+package io.flamingogap.gateway.relay;
+
+import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.PromptMetadata;
+import io.flamingogap.core.servers.PromptSpeed;
+
+/**
+ * Accounts for one dispatch in this node's estimates of a server: its open requests, the
+ * prompt tokens that it has to read, and how fast it reads them.
+ */
+final class DispatchedPrompt {
+
+	/**
+	 * Share of a prompt that may be cached at the server without this node knowing, so
+	 * that the time to the first token still tells how fast the server reads.
+	 */
+	private static final double MAX_SHARED_FRACTION = 0.3;
+
+	private final KnownServer server;
+
+	private final PromptMetadata prompt;
+
+	private final ServerLoadListener loadListener;
+
+	private final long sentAtMillis;
+
+	private final long unreadTokens;
+
+	/** Whether the server begins to read the prompt at once, as far as is known. */
+	private final boolean readAtOnce;
+
+	/**
+	 * Whether the prompt no longer counts as unread at the server, because the server has
+	 * begun to process the request or the dispatch has ended.
+	 */
+	private boolean released;
+
+	/**
+	 * Create the account of a dispatch that isn't sent yet.
+	 * @param server the server
+	 * @param prompt the prompt; {@link PromptMetadata#NONE} for plain requests
+	 * @param loadListener notified when the estimates change
+	 * @param sentAtMillis the time of the dispatch on the monotonic clock
+	 */
+	DispatchedPrompt(KnownServer server, PromptMetadata prompt, ServerLoadListener loadListener, long sentAtMillis) {
+		this.server = server;
+		this.prompt = prompt;
+		this.loadListener = loadListener;
+		this.sentAtMillis = sentAtMillis;
+		this.unreadTokens = Math.max(0, prompt.promptTokens() - server.promptCache().estimateCachedTokens(prompt));
+		this.readAtOnce = server.load().estimateUnreadTokens(sentAtMillis) == 0
+				&& server.load().estimateOpenRequests(sentAtMillis) < server.registration().slots();
+	}
+
+	void recordSent() {
+		this.server.load().recordSent(this.unreadTokens);
+		this.loadListener.onLoadChanged(this.server);
+		this.server.promptCache().record(this.prompt);
+	}
+
+	/**
+	 * Record that the server has begun to process the request, or that the dispatch has
+	 * ended. Only the first call has an effect.
+	 */
+	void release() {
+		if (!this.released) {
+			this.released = true;
+			this.server.load().recordPromptRead(this.unreadTokens);
+			this.loadListener.onLoadChanged(this.server);
+		}
+	}
+
+	boolean isReleased() {
+		return this.released;
+	}
+
+	void recordEnd() {
+		release();
+		this.server.load().recordEnd();
+		this.loadListener.onLoadChanged(this.server);
+	}
+
+	/**
+	 * Record the speed at which the server read the prompt, if the time to the first
+	 * token tells it.
+	 * @param speed the estimate to update
+	 * @param nowMillis the time of the first token on the monotonic clock
+	 */
+	void recordSpeed(PromptSpeed speed, long nowMillis) {
+		if (this.readAtOnce && this.prompt.sharedTokens() <= this.unreadTokens * MAX_SHARED_FRACTION) {
+			speed.record(this.unreadTokens, nowMillis - this.sentAtMillis, nowMillis);
+		}
+	}
+
+}
