Take nothing that another server says for what this one says

Read in the diff: an answer of 421 comes from another server at the address, and its Server-Leaving, pause and load were recorded for the expected server, which then got no requests for good, even after it had registered again. Such an answer now says only that the address belongs to another server. Failed before: ServerNoticeTests.departureOfAnotherServerAtTheAddressIsNotTakenForThisOne.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -188,13 +188,9 @@
 	@Override
 	public void onHead(BackendResponseHead head) {
 		this.responseHead = head;
-		if (head.leaving()) {
-			recordDeparture();
+		if (head.verdict() != BackendResponseHead.Verdict.MISDIRECTED) {
+			recordNotices(head);
 		}
-		head.pauseMillis().ifPresent(this::recordPause);
-		head.load()
-			.ifPresent((load) -> this.server.load()
-				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
 		switch (head.verdict()) {
 			case REJECTED ->
 				cancelAndRetry(DispatchOutcome.REJECTED, "rejected by the server with status " + head.status().code());
@@ -208,6 +204,20 @@
 		}
 	}
 
+	/**
+	 * Record what the server says of itself. Not to be called if another server answered.
+	 * @param head the head of its answer
+	 */
+	private void recordNotices(BackendResponseHead head) {
+		if (head.leaving()) {
+			recordDeparture();
+		}
+		head.pauseMillis().ifPresent(this::recordPause);
+		head.load()
+			.ifPresent((load) -> this.server.load()
+				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
+	}
+
 	private void recordDeparture() {
 		if (this.dependencies.servers().depart(this.server.registration())) {
 			this.dependencies.metrics().increment("departed.answer");
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -128,7 +128,8 @@
 				return true;
 			}
 			case MISDIRECT -> {
-				write(out, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
+				write(out, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n" + this.extraHeaders
+						+ "Content-Length: 0\r\n\r\n");
 				return true;
 			}
 			case GARBAGE -> {
