Tell a crash of a server from a broken connection, and log which prompt parts it was answering

They named no prompt parts, not whether a server had begun to answer, and a crash looked like any broken connection.

`dispatch failed` of a prompt has `begun` and `sharedParts`. Nothing is decided by it.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -42,6 +42,7 @@
 import io.flamingogap.gateway.peers.StoreAccess;
 import io.flamingogap.gateway.peers.ZoneLoadExchange;
 import io.flamingogap.gateway.peers.ZoneRelaySelector;
+import io.flamingogap.gateway.quarantine.QuarantineExchange;
 import io.flamingogap.gateway.relay.RelayDependencies;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RequestRelay;
@@ -114,6 +115,8 @@
 
 	private final BackendConnectionPool connectionPool;
 
+	private final QuarantineExchange quarantine;
+
 	private final RequestRelay relay;
 
 	private final RecordStore store;
@@ -157,6 +160,7 @@
 		this.rollouts = new RolloutController(this.servers, this.fleet, random,
 				settings.duties().maxCandidateShare() * CANDIDATE_SHARE_FRACTION);
 		this.connectionPool = new BackendConnectionPool(loop, adapters.backendProtocol(), clock::steadyMillis);
+		this.quarantine = new QuarantineExchange(loop, this.connectionPool, this.metrics);
 		this.datagrams = new PeerDatagramChannel(loop);
 		this.zoneLoads = new ZoneLoadExchange(loop, this.datagrams, settings.node(), this.servers,
 				this::zonePeerAddresses, clock::steadyMillis);
@@ -165,7 +169,7 @@
 		RelayDependencies relayDependencies = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
 				this.connectionPool, this.quotas, this.fleet::nodes, this.metrics, this.demandTracker, this.zoneLoads,
-				random);
+				this.quarantine, random);
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.storeAccess = new StoreAccess(loop, adapters.store(), createZoneRelaySelector(), this::peerAddresses,
 				clock::steadyMillis);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.netty.bootstrap.Bootstrap;
@@ -101,6 +102,19 @@
 		return call;
 	}
 
+	/**
+	 * Find out whether a server takes connections, by opening and closing one.
+	 * @param server the server
+	 * @param listener receives {@code true} if the connection was opened
+	 */
+	public void probe(ServerRegistration server, Consumer<Boolean> listener) {
+		this.connectionAttempts++;
+		connect(server).addListener((future) -> {
+			((ChannelFuture) future).channel().close();
+			listener.accept(future.isSuccess());
+		});
+	}
+
 	private ChannelFuture connect(ServerRegistration server) {
 		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -57,6 +57,8 @@
 
 	private final DispatchedPrompt prompt;
 
+	private final AnswerProgress progress;
+
 	private DispatchObservation observation = DispatchObservation.NONE;
 
 	private @Nullable BackendCall call;
@@ -77,6 +79,8 @@
 		this.sentAtMillis = sentAtMillis;
 		this.prompt = new DispatchedPrompt(server, relayedRequest.request().prompt(), dependencies.loadListener(),
 				sentAtMillis);
+		this.progress = new AnswerProgress(dependencies.promptGuard(), server.registration(),
+				relayedRequest.request().prompt());
 	}
 
 	void send() {
@@ -168,6 +172,14 @@
 		}
 	}
 
+	/**
+	 * Return whether the server has sent events of its answer.
+	 * @return {@code false} before the first one
+	 */
+	boolean hasBegun() {
+		return this.progress.hasBegun();
+	}
+
 	private long nowMillis() {
 		return this.dependencies.clock().steadyMillis();
 	}
@@ -309,6 +321,7 @@
 					nowMillis());
 			this.observation.onAnswer(nowMillis());
 		}
+		this.progress.recordEvents(nowMillis());
 		beginResponse();
 		this.relayedRequest.callerExchange().writeChunk(events);
 		pauseReadingIfCongested();
@@ -380,6 +393,7 @@
 		}
 		else {
 			this.server.health().recordSuccess(nowMillis);
+			this.progress.recordCompletion();
 		}
 		if (failed) {
 			this.observation.onFailure(nowMillis);
@@ -395,6 +409,7 @@
 			return;
 		}
 		close();
+		this.progress.recordBroken();
 		this.server.health().recordFailure(nowMillis());
 		this.observation.onFailure(nowMillis());
 		this.relayedRequest.retryOrFail(DispatchOutcome.BROKEN, reason);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -26,10 +26,11 @@
  * @param metrics counters and latency histograms
  * @param demandTracker tracks callers' demand for each service
  * @param loadListener notified when this node's load at a backend server changes
+ * @param promptGuard learns what prompts do to servers
  * @param random chooses services by their share of the traffic
  */
 public record RelayDependencies(EventLoop eventLoop, NodeClock clock, ConfigHolder config, ServerTable servers,
 		ServerSelector serverSelector, VersionSelector versionSelector, BackendConnectionPool connectionPool,
 		QuotaGate quotaGate, IntSupplier knownNodes, RelayMetrics metrics, ServiceDemandTracker demandTracker,
-		ServerLoadListener loadListener, RandomGenerator random) {
+		ServerLoadListener loadListener, PromptGuard promptGuard, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -1,9 +1,11 @@
 package io.flamingogap.gateway.relay;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -14,6 +16,7 @@
 import io.flamingogap.core.error.Execution;
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.PromptPart;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
@@ -112,7 +115,7 @@
 
 	void retryOrFail(DispatchOutcome outcome, String reason) {
 		this.attempt.recordOutcome(outcome);
-		logger.atInfo().log("%s", logLine("dispatch failed").with("outcome", outcome.name()).with("reason", reason));
+		logger.atInfo().log("%s", failureLogLine(outcome, reason));
 		this.currentDispatch = null;
 		if (this.callerExchange.hasResponseBegun() && !canResume()) {
 			abort(reason);
@@ -127,6 +130,14 @@
 		}
 	}
 
+	private LogLine failureLogLine(DispatchOutcome outcome, String reason) {
+		LogLine line = logLine("dispatch failed").with("outcome", outcome.name()).with("reason", reason);
+		List<PromptPart> sharedParts = this.request.prompt().sharedPrefix();
+		return sharedParts.isEmpty() ? line
+				: line.with("begun", this.currentDispatch != null && this.currentDispatch.hasBegun())
+					.with("sharedParts", sharedParts.stream().map(PromptPart::id).collect(Collectors.joining(",")));
+	}
+
 	private boolean canResume() {
 		return this.attempt.route().resumable() && this.eventSplitter.lastEventId().isPresent();
 	}
