--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -30,6 +30,8 @@
 
 	private static final int BACKLOG = 64;
 
+	private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 	private static final long HANG_MILLIS = 60_000;
 
 	private static final int DEFAULT_EVENT_COUNT = 3;
@@ -40,6 +42,9 @@
 
 	private static final long LATE_COPY_MILLIS = 200;
 
+	/** How long the server lives on after the head of an answer that crashes it. */
+	private static final long CRASH_MILLIS = 30;
+
 	private final AtomicLong endlessBytes = new AtomicLong();
 
 	private final ServerSocket listener;
@@ -58,6 +63,8 @@
 
 	private volatile String extraHeaders = "";
 
+	private volatile String crashPart = "";
+
 	private volatile long firstEventMillis;
 
 	private volatile long eventMillis;
@@ -122,6 +129,12 @@
 
 	private boolean answer(Request request, OutputStream out) throws IOException {
 		String attempt = request.header("attempt-id");
+		if (!this.crashPart.isEmpty() && request.header("prompt-prefix").contains(this.crashPart)) {
+			write(out, head("200 OK", attempt) + EVENT_STREAM);
+			sleep(CRASH_MILLIS);
+			close();
+			return false;
+		}
 		switch (this.behaviour) {
 			case REJECT -> {
 				write(out, refusal());
@@ -192,7 +205,7 @@
 	private boolean answerWithEvents(Request request, String attempt, OutputStream out) throws IOException {
 		String last = request.header("last-event-id");
 		int from = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-		write(out, head("200 OK", attempt) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+		write(out, head("200 OK", attempt) + EVENT_STREAM);
 		sleep(this.firstEventMillis);
 		for (int id = from; id <= this.events; id++) {
 			String event = "id: " + id + "\ndata: piece " + id + "\n\n";
@@ -258,6 +271,23 @@
 		this.extraHeaders = lines;
 	}
 
+	/**
+	 * Crash when the server begins to answer a request with this prompt part: it sends a
+	 * head, ends all connections and takes no new ones.
+	 * @param part the id of the part; empty for none
+	 */
+	public void setCrashPart(String part) {
+		this.crashPart = part;
+	}
+
+	/**
+	 * Return whether the server was closed or has crashed.
+	 * @return {@code true} if it takes no connections
+	 */
+	public boolean isClosed() {
+		return this.listener.isClosed();
+	}
+
 	/**
 	 * Set the length of streams and the time to their first event.
 	 * @param number the number of events in a stream
