Stop a prompt part that crashes servers on every node

What callers saw: requests of one kind crashed one server after the other, at whichever node they came in; each crash broke off the streams of all others at that server.

A crash was booked as a failure of the server, so the next request with the part went to the next server.

Fix: a server whose connections break before it has survived an answer, and that then takes no connection, has crashed. The shared parts of the requests that it hadn't survived are suspects. Nodes tell each other by datagram; a part that was in three crashes and was never survived is stopped. Parts that were in the same crashes are stopped only where they are together, so sound requests that share all parts but one go on. The rule is stored beside the node reports, so it reaches nodes that lost a datagram and outlives a loss of all nodes. Requests get 503 with the rest of the quarantine, those that wait at servers are cancelled.

Why it works: the part is in every crash it causes and no server survives it, while the parts that sound requests share are survived all the time.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/error/ProblemType.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/error/ProblemType.java
@@ -44,6 +44,8 @@
 	BACKEND_FAILED("backend-failed", 502, "A backend server failed"),
 	/** No backend server is available for the request. */
 	NO_BACKEND("no-backend", 503, "No backend server can take the request"),
+	/** The content of the request crashes backend servers. */
+	QUARANTINED("quarantined", 503, "Requests with this content are stopped for some time"),
 	/** The entry node has too many open requests. */
 	OVERLOADED("overloaded", 503, "The entry node can't take more work"),
 	/** The platform log can't be reached. */
--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
@@ -0,0 +1,245 @@
+package io.flamingogap.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Decides which requests are stopped because a part of their prompts crashes the servers
+ * that begin to answer it. A part is stopped once it explains several crashes of servers
+ * and no server has survived it. When a quarantine ends, requests are let through one at
+ * a time until a server has survived one; the next crash begins the quarantine anew.
+ * <p>
+ * Not thread-safe.
+ */
+public final class PromptQuarantine {
+
+	private static final long QUARANTINE_MILLIS = 600_000;
+
+	/** How long the outcome of a request that was let through is awaited. */
+	private static final long TRIAL_MILLIS = 15_000;
+
+	/** How long after its end a quarantine begins anew with a single crash. */
+	private static final long PROBATION_MILLIS = 600_000;
+
+	private final long trialDelayMillis;
+
+	private final Map<String, CrashEvidence> evidenceByService = new HashMap<>();
+
+	private final Map<QuarantineRule, RuleState> rules = new HashMap<>();
+
+	/**
+	 * Create a quarantine without rules.
+	 * @param trialDelayMillis how long after the end of a quarantine this node lets the
+	 * first request through, in milliseconds; should differ between nodes
+	 */
+	public PromptQuarantine(long trialDelayMillis) {
+		this.trialDelayMillis = trialDelayMillis;
+	}
+
+	private CrashEvidence evidenceOf(String service) {
+		return this.evidenceByService.computeIfAbsent(service, (name) -> new CrashEvidence());
+	}
+
+	/**
+	 * Record what a node saw of a crash. Recording it again has no effect.
+	 * @param sighting the sighting, by this or another node
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the rules whose quarantine began with it
+	 */
+	public List<QuarantineRule> recordCrash(CrashSighting sighting, long nowMillis) {
+		evidenceOf(sighting.service()).addCrash(sighting, nowMillis);
+		List<QuarantineRule> begun = new ArrayList<>();
+		this.rules.forEach((rule, state) -> {
+			if (nowMillis >= state.untilMillis && rule.matches(sighting.service(), sighting.parts())) {
+				state.begin(nowMillis, QUARANTINE_MILLIS);
+				begun.add(rule);
+			}
+		});
+		begun.addAll(beginNewRules(sighting.service(), nowMillis));
+		return begun;
+	}
+
+	private List<QuarantineRule> beginNewRules(String service, long nowMillis) {
+		List<QuarantineRule> begun = new ArrayList<>();
+		for (Set<String> cause : evidenceOf(service).findCauses()) {
+			QuarantineRule rule = QuarantineRule.of(service, cause);
+			if (this.rules.keySet().stream().noneMatch((known) -> known.matches(service, cause))) {
+				this.rules.put(rule, new RuleState());
+				this.rules.get(rule).begin(nowMillis, QUARANTINE_MILLIS);
+				begun.add(rule);
+			}
+		}
+		return begun;
+	}
+
+	/**
+	 * Record that a server survived beginning to answer a prompt, which ends the
+	 * quarantine of its parts.
+	 * @param service the service of the server
+	 * @param parts the ids of the shared parts of the prompt
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return what changed
+	 */
+	public SurvivalEffect recordSurvival(String service, Collection<String> parts, long nowMillis) {
+		CrashEvidence evidence = evidenceOf(service);
+		boolean contradicts = false;
+		for (String part : parts) {
+			contradicts |= evidence.addSurvival(part, nowMillis);
+		}
+		if (this.rules.isEmpty() && !contradicts) {
+			return SurvivalEffect.NONE;
+		}
+		List<QuarantineRule> ended = this.rules.keySet()
+			.stream()
+			.filter((rule) -> rule.matches(service, parts))
+			.toList();
+		ended.forEach(this.rules::remove);
+		List<QuarantineRule> begun = contradicts ? beginNewRules(service, nowMillis) : List.of();
+		return new SurvivalEffect(contradicts || !ended.isEmpty(), ended, begun);
+	}
+
+	/**
+	 * Return the parts of a sighting that a server has survived a short time ago, as far
+	 * as this node knows.
+	 * @param sighting the sighting of another node
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the ids of the parts
+	 */
+	public List<String> findSurvived(CrashSighting sighting, long nowMillis) {
+		CrashEvidence evidence = evidenceOf(sighting.service());
+		return sighting.parts().stream().filter((part) -> evidence.hasSurvived(part, nowMillis)).toList();
+	}
+
+	/**
+	 * Add a rule that another node began, or prolong it.
+	 * @param rule the rule
+	 * @param remainingMillis how long its quarantine still lasts, in milliseconds
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if the rule was not known
+	 */
+	public boolean adopt(QuarantineRule rule, long remainingMillis, long nowMillis) {
+		RuleState known = this.rules.get(rule);
+		RuleState state = (known != null) ? known : new RuleState();
+		if (nowMillis + remainingMillis > state.untilMillis) {
+			state.begin(nowMillis, Math.min(QUARANTINE_MILLIS, remainingMillis));
+		}
+		this.rules.put(rule, state);
+		return known == null;
+	}
+
+	/**
+	 * Remove a rule that another node ended.
+	 * @param rule the rule, which may be unknown
+	 */
+	public void release(QuarantineRule rule) {
+		this.rules.remove(rule);
+	}
+
+	/**
+	 * Return how long a request has to wait, or let it through. If its quarantine has
+	 * ended, the next one has to wait for its outcome.
+	 * @param service the service that the request is for
+	 * @param parts the ids of the shared parts of its prompt
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the time in milliseconds; empty if the request is let through
+	 */
+	public OptionalLong admit(String service, Collection<String> parts, long nowMillis) {
+		if (this.rules.isEmpty()) {
+			return OptionalLong.empty();
+		}
+		List<RuleState> matching = new ArrayList<>();
+		this.rules.forEach((rule, state) -> {
+			if (rule.matches(service, parts)) {
+				matching.add(state);
+			}
+		});
+		OptionalLong waitMillis = matching.stream()
+			.mapToLong((state) -> state.nextTrialMillis - nowMillis)
+			.filter((millis) -> millis > 0)
+			.max();
+		if (waitMillis.isEmpty()) {
+			matching.forEach((state) -> state.nextTrialMillis = nowMillis + TRIAL_MILLIS);
+		}
+		return waitMillis;
+	}
+
+	/**
+	 * Return whether requests are stopped, whatever was let through before.
+	 * @param service the service that the request is for
+	 * @param parts the ids of the shared parts of its prompt
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code true} if no server may be sent such a request
+	 */
+	public boolean isQuarantined(String service, Collection<String> parts, long nowMillis) {
+		return !this.rules.isEmpty() && this.rules.entrySet()
+			.stream()
+			.anyMatch((rule) -> nowMillis < rule.getValue().untilMillis && rule.getKey().matches(service, parts));
+	}
+
+	/**
+	 * Remove the rules whose quarantine and probation have ended.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the removed rules
+	 */
+	public List<QuarantineRule> expire(long nowMillis) {
+		List<QuarantineRule> expired = this.rules.entrySet()
+			.stream()
+			.filter((rule) -> nowMillis >= rule.getValue().untilMillis + PROBATION_MILLIS)
+			.map(Map.Entry::getKey)
+			.toList();
+		expired.forEach(this.rules::remove);
+		return expired;
+	}
+
+	/**
+	 * Return how long the quarantine of a rule still lasts.
+	 * @param rule the rule
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the time in milliseconds; 0 if it has ended or the rule is unknown
+	 */
+	public long remainingMillis(QuarantineRule rule, long nowMillis) {
+		RuleState state = this.rules.get(rule);
+		return (state != null) ? Math.max(0, state.untilMillis - nowMillis) : 0;
+	}
+
+	/**
+	 * Return the number of rules, including those on probation.
+	 * @return the number now
+	 */
+	public int size() {
+		return this.rules.size();
+	}
+
+	/**
+	 * What a survival changed.
+	 *
+	 * @param contradicts whether a part was suspected or stopped, so that other nodes
+	 * should know
+	 * @param ended the rules that were removed
+	 * @param begun the rules that began, since one of several possible causes is left
+	 */
+	public record SurvivalEffect(boolean contradicts, List<QuarantineRule> ended, List<QuarantineRule> begun) {
+
+		static final SurvivalEffect NONE = new SurvivalEffect(false, List.of(), List.of());
+
+	}
+
+	private final class RuleState {
+
+		private long untilMillis = Long.MIN_VALUE / 2;
+
+		private long nextTrialMillis;
+
+		private void begin(long nowMillis, long lengthMillis) {
+			this.untilMillis = nowMillis + lengthMillis;
+			this.nextTrialMillis = this.untilMillis + PromptQuarantine.this.trialDelayMillis;
+		}
+
+	}
+
+}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -43,6 +43,7 @@
 import io.flamingogap.gateway.peers.ZoneLoadExchange;
 import io.flamingogap.gateway.peers.ZoneRelaySelector;
 import io.flamingogap.gateway.quarantine.QuarantineExchange;
+import io.flamingogap.gateway.quarantine.QuarantineStore;
 import io.flamingogap.gateway.relay.RelayDependencies;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RequestRelay;
@@ -160,8 +161,13 @@
 		this.rollouts = new RolloutController(this.servers, this.fleet, random,
 				settings.duties().maxCandidateShare() * CANDIDATE_SHARE_FRACTION);
 		this.connectionPool = new BackendConnectionPool(loop, adapters.backendProtocol(), clock::steadyMillis);
-		this.quarantine = new QuarantineExchange(loop, this.connectionPool, this.metrics);
 		this.datagrams = new PeerDatagramChannel(loop);
+		this.storeAccess = new StoreAccess(loop, adapters.store(), createZoneRelaySelector(), this::peerAddresses,
+				clock::steadyMillis);
+		this.store = this.storeAccess.store();
+		QuarantineStore quarantineStore = new QuarantineStore(this.store, clock);
+		this.quarantine = new QuarantineExchange(loop, this.datagrams, this::peerAddresses, this.connectionPool,
+				quarantineStore, clock, this.metrics, random);
 		this.zoneLoads = new ZoneLoadExchange(loop, this.datagrams, settings.node(), this.servers,
 				this::zonePeerAddresses, clock::steadyMillis);
 		this.quotas = new QuotaExchange(loop, this.datagrams, this.fleet, this.config, settings, clock,
@@ -171,11 +177,8 @@
 				this.connectionPool, this.quotas, this.fleet::nodes, this.metrics, this.demandTracker, this.zoneLoads,
 				this.quarantine, random);
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
-		this.storeAccess = new StoreAccess(loop, adapters.store(), createZoneRelaySelector(), this::peerAddresses,
-				clock::steadyMillis);
-		this.store = this.storeAccess.store();
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
-				this.fleetClock, clock, this::createReport, this.quotas::recordPreviousRun);
+				this.fleetClock, clock, this::createReport, this.quotas::recordPreviousRun, quarantineStore::accept);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
 				clock);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
@@ -224,6 +227,7 @@
 		this.serverWatcher.start();
 		this.reportExchange.start();
 		this.quotas.start();
+		this.quarantine.start();
 		listen.callers()
 			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.adapters.callerProtocol(),
 					this.relay, () -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -77,6 +78,8 @@
 
 	private final Runnable previousRunListener;
 
+	private final Predicate<StoredRecord> otherRecords;
+
 	private final RecordFollower follower;
 
 	/**
@@ -99,10 +102,12 @@
 	 * @param ownReportSupplier creates the current report of this node
 	 * @param previousRunListener runs if a report of the previous run of this node is
 	 * found that is so recent that the other nodes still count it
+	 * @param otherRecords accepts the records of the stream that aren't reports, and
+	 * returns {@code false} for those that are
 	 */
 	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reportSink, FleetView fleet,
 			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReportSupplier,
-			Runnable previousRunListener) {
+			Runnable previousRunListener, Predicate<StoredRecord> otherRecords) {
 		this.loop = loop;
 		this.store = store;
 		this.reportSink = reportSink;
@@ -111,6 +116,7 @@
 		this.clock = clock;
 		this.ownReportSupplier = ownReportSupplier;
 		this.previousRunListener = previousRunListener;
+		this.otherRecords = otherRecords;
 		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
 			.replaying(REPLAYED_REPORTS);
 	}
@@ -171,6 +177,9 @@
 
 	@Override
 	public void onRecord(StoredRecord entry) {
+		if (this.otherRecords.test(entry)) {
+			return;
+		}
 		if (entry.value().isEmpty()) {
 			removeNode(entry.key());
 			return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
@@ -69,7 +69,11 @@
 			});
 	}
 
-	void addListener(BiConsumer<PeerDatagram, Address> listener) {
+	/**
+	 * Add a listener.
+	 * @param listener receives each datagram with the address of its sender
+	 */
+	public void addListener(BiConsumer<PeerDatagram, Address> listener) {
 		this.listeners.add(listener);
 	}
 
@@ -77,7 +81,12 @@
 		return this.channel != null;
 	}
 
-	void send(PeerDatagram datagram, List<Address> peers) {
+	/**
+	 * Send a datagram. Does nothing before the port is bound.
+	 * @param datagram the datagram
+	 * @param peers the addresses of the receivers
+	 */
+	public void send(PeerDatagram datagram, List<Address> peers) {
 		Channel boundChannel = this.channel;
 		if (boundChannel == null) {
 			return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -1,37 +1,184 @@
 package io.flamingogap.gateway.quarantine;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 
+import io.flamingogap.core.node.Address;
 import io.flamingogap.core.quarantine.CrashSighting;
+import io.flamingogap.core.quarantine.PromptQuarantine;
+import io.flamingogap.core.quarantine.QuarantineRule;
 import io.flamingogap.core.servers.PromptMetadata;
+import io.flamingogap.core.servers.PromptPart;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.gateway.backends.BackendConnectionPool;
+import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.peers.PeerDatagramChannel;
 import io.flamingogap.gateway.relay.PromptGuard;
 import io.flamingogap.gateway.relay.RelayMetrics;
+import io.flamingogap.gateway.time.LoggedTask;
+import io.flamingogap.gateway.time.NodeClock;
+import io.flamingogap.wire.peer.CrashNews;
+import io.flamingogap.wire.peer.PeerDatagram;
+import io.flamingogap.wire.peer.PromptNews;
+import io.flamingogap.wire.peer.SurvivalNews;
 
 /**
- * Observes what prompts do to servers.
+ * Shares with the other nodes what prompts did to servers, so that one quarantine holds
+ * on all nodes: crashes and survivals by datagram, rules through the store, where they
+ * outlive all nodes.
+ * <p>
+ * Not thread-safe; all calls must be made on the event loop.
  */
 public final class QuarantineExchange implements PromptGuard {
 
-	private final ServerCrashDetector crashDetector;
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final long UPDATE_INTERVAL_MILLIS = 250;
+
+	/**
+	 * Each datagram repeats the crashes of this time, since an earlier one may be lost.
+	 */
+	private static final long REPEATED_CRASHES_MILLIS = 30_000;
+
+	private static final int MAX_REPEATED_CRASHES = 8;
+
+	/**
+	 * How long a node that didn't see the crash itself waits for another one to store the
+	 * rule.
+	 */
+	private static final long STORE_DELAY_MILLIS = 2_000;
+
+	private static final long STORE_RETRY_MILLIS = 1_000;
+
+	/**
+	 * Nodes let the first requests through at different times after the end of a
+	 * quarantine.
+	 */
+	private static final long MAX_TRIAL_DELAY_MILLIS = 60_000;
+
+	/** How often other nodes are told of the same survival at most. */
+	private static final long SURVIVAL_NEWS_INTERVAL_MILLIS = 2_000;
+
+	private final EventLoop loop;
+
+	private final PeerDatagramChannel datagrams;
+
+	private final Supplier<List<Address>> peers;
+
+	private final QuarantineStore store;
+
+	private final NodeClock clock;
 
 	private final RelayMetrics metrics;
 
+	private final RandomGenerator random;
+
+	private final PromptQuarantine quarantine;
+
+	private final ServerCrashDetector crashDetector;
+
+	private final Set<UnansweredPrompt> unanswered = new LinkedHashSet<>();
+
+	private final Deque<TimedSighting> ownSightings = new ArrayDeque<>();
+
+	private final Map<QuarantineRule, Long> storeAtMillis = new HashMap<>();
+
+	private final Map<ToldSurvival, Long> survivalToldAtMillis = new HashMap<>();
+
 	/**
-	 * Create an exchange.
+	 * Create the exchange and listen for the datagrams of other nodes.
 	 * @param loop the event loop
+	 * @param datagrams the channel to the other nodes
+	 * @param peers returns the addresses of all other nodes
 	 * @param connectionPool opens the connections that probe servers
-	 * @param metrics counts the crashes
+	 * @param store keeps the rules
+	 * @param clock the clocks of this process
+	 * @param metrics counts crashes and rules
+	 * @param random spreads what several nodes would do at once
 	 */
-	public QuarantineExchange(EventLoop loop, BackendConnectionPool connectionPool, RelayMetrics metrics) {
-		this.crashDetector = new ServerCrashDetector(loop, connectionPool, this::onCrash);
+	public QuarantineExchange(EventLoop loop, PeerDatagramChannel datagrams, Supplier<List<Address>> peers,
+			BackendConnectionPool connectionPool, QuarantineStore store, NodeClock clock, RelayMetrics metrics,
+			RandomGenerator random) {
+		this.loop = loop;
+		this.datagrams = datagrams;
+		this.peers = peers;
+		this.store = store;
+		this.clock = clock;
 		this.metrics = metrics;
+		this.random = random;
+		this.quarantine = new PromptQuarantine(random.nextLong(MAX_TRIAL_DELAY_MILLIS));
+		this.crashDetector = new ServerCrashDetector(loop, connectionPool, this::onOwnCrash);
+		datagrams.addListener(this::onDatagram);
+		store.setListener(this::onStoredRule, this::onReleasedRule);
+	}
+
+	/**
+	 * Start to store rules and to remove those that have ended.
+	 */
+	public void start() {
+		this.loop.scheduleWithFixedDelay(LoggedTask.of("quarantine", this::update), UPDATE_INTERVAL_MILLIS,
+				UPDATE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public OptionalLong admit(String service, PromptMetadata prompt) {
+		return (this.quarantine.size() == 0) ? OptionalLong.empty()
+				: this.quarantine.admit(service, partIds(prompt), nowMillis());
+	}
+
+	@Override
+	public boolean isQuarantined(String service, PromptMetadata prompt) {
+		return this.quarantine.size() > 0 && this.quarantine.isQuarantined(service, partIds(prompt), nowMillis());
+	}
+
+	private static List<String> partIds(PromptMetadata prompt) {
+		return prompt.sharedPrefix().stream().map(PromptPart::id).toList();
+	}
+
+	private long nowMillis() {
+		return this.clock.steadyMillis();
+	}
+
+	@Override
+	public void track(UnansweredPrompt dispatch) {
+		this.unanswered.add(dispatch);
+	}
+
+	@Override
+	public void untrack(UnansweredPrompt dispatch) {
+		this.unanswered.remove(dispatch);
 	}
 
 	@Override
 	public void recordSurvival(ServerRegistration server, PromptMetadata prompt) {
-		// Nothing is learnt from it yet.
+		List<String> parts = partIds(prompt);
+		if (applySurvival(server.service(), parts)) {
+			tellSurvival(server.service(), parts, this.peers.get());
+		}
+	}
+
+	private boolean applySurvival(String service, List<String> parts) {
+		PromptQuarantine.SurvivalEffect effect = this.quarantine.recordSurvival(service, parts, nowMillis());
+		effect.ended().forEach((rule) -> {
+			onEnded(rule, "a server survived it");
+			this.store.remove(rule);
+		});
+		begin(effect.begun(), "survival of other parts");
+		return effect.contradicts();
 	}
 
 	@Override
@@ -39,8 +186,146 @@
 		this.crashDetector.recordBroken(server, prompt);
 	}
 
-	private void onCrash(CrashSighting sighting) {
+	private void onOwnCrash(CrashSighting seen) {
 		this.metrics.increment("crashed.server");
+		long nowMillis = nowMillis();
+		List<String> survived = this.quarantine.findSurvived(seen, nowMillis);
+		Set<String> suspects = seen.parts()
+			.stream()
+			.filter((part) -> !survived.contains(part))
+			.collect(Collectors.toUnmodifiableSet());
+		CrashSighting sighting = new CrashSighting(seen.server(), seen.startedAtMillis(), seen.service(), suspects);
+		if (sighting.parts().isEmpty()) {
+			return;
+		}
+		this.ownSightings.addLast(new TimedSighting(sighting, nowMillis));
+		while (this.ownSightings.size() > MAX_REPEATED_CRASHES
+				|| nowMillis - this.ownSightings.peekFirst().seenAtMillis() > REPEATED_CRASHES_MILLIS) {
+			this.ownSightings.removeFirst();
+		}
+		List<CrashNews> crashes = this.ownSightings.stream()
+			.map((timed) -> QuarantineCodec.encode(timed.sighting()))
+			.toList();
+		send(new PromptNews(crashes, List.of()), this.peers.get());
+		List<QuarantineRule> begun = this.quarantine.recordCrash(sighting, nowMillis);
+		begin(begun, "crashes");
+		begun.forEach((rule) -> this.storeAtMillis.put(rule, nowMillis));
+	}
+
+	private void send(PromptNews news, List<Address> receivers) {
+		PeerDatagram datagram = new PeerDatagram();
+		datagram.setPrompts(news);
+		this.datagrams.send(datagram, receivers);
+	}
+
+	private void tellSurvival(String service, List<String> parts, List<Address> receivers) {
+		long nowMillis = nowMillis();
+		this.survivalToldAtMillis.values().removeIf((millis) -> nowMillis - millis > SURVIVAL_NEWS_INTERVAL_MILLIS);
+		if (this.survivalToldAtMillis.putIfAbsent(new ToldSurvival(service, parts, receivers), nowMillis) == null) {
+			send(new PromptNews(List.of(), List.of(new SurvivalNews(service, parts))), receivers);
+		}
+	}
+
+	private void onDatagram(PeerDatagram datagram, Address from) {
+		if (!datagram.isSetPrompts()) {
+			return;
+		}
+		for (SurvivalNews survival : datagram.getPrompts().getSurvivals()) {
+			onSurvivalNews(survival.getServiceName(), survival.getParts());
+		}
+		for (CrashNews crash : datagram.getPrompts().getCrashes()) {
+			onCrashNews(QuarantineCodec.decode(crash), from);
+		}
+	}
+
+	/**
+	 * Learn from another node that a server survived parts. If this node had suspected
+	 * them, only it may know of that survival, so it tells all others.
+	 * @param service the service of the server
+	 * @param parts the ids of the parts
+	 */
+	private void onSurvivalNews(String service, List<String> parts) {
+		boolean contradicts = applySurvival(service, parts);
+		boolean suspectedHere = this.ownSightings.stream()
+			.anyMatch((timed) -> timed.sighting().parts().stream().anyMatch(parts::contains));
+		if (contradicts && suspectedHere) {
+			tellSurvival(service, parts, this.peers.get());
+		}
+	}
+
+	private void onCrashNews(CrashSighting sighting, Address from) {
+		List<String> survived = this.quarantine.findSurvived(sighting, nowMillis());
+		if (!survived.isEmpty()) {
+			tellSurvival(sighting.service(), survived, List.of(from));
+		}
+		begin(this.quarantine.recordCrash(sighting, nowMillis()), "crashes that other nodes saw");
+	}
+
+	private void begin(List<QuarantineRule> rules, String source) {
+		for (QuarantineRule rule : rules) {
+			this.metrics.increment("quarantined.rule");
+			logger.atWarning()
+				.log("%s", logLine("quarantine began", rule).with("source", source)
+					.with("leftMillis", this.quarantine.remainingMillis(rule, nowMillis())));
+			long delayMillis = STORE_DELAY_MILLIS + this.random.nextLong(STORE_DELAY_MILLIS);
+			this.storeAtMillis.put(rule, nowMillis() + delayMillis);
+		}
+		if (!rules.isEmpty()) {
+			cancelQuarantined();
+		}
+	}
+
+	private void cancelQuarantined() {
+		List.copyOf(this.unanswered)
+			.stream()
+			.filter((dispatch) -> isQuarantined(dispatch.service(), dispatch.prompt()))
+			.forEach(UnansweredPrompt::cancel);
+	}
+
+	private static LogLine logLine(String event, QuarantineRule rule) {
+		return LogLine.of(event).with("service", rule.service()).with("parts", String.join(",", rule.parts()));
+	}
+
+	private void onEnded(QuarantineRule rule, String reason) {
+		this.storeAtMillis.remove(rule);
+		logger.atInfo().log("%s", logLine("quarantine ended", rule).with("reason", reason));
+	}
+
+	private void onStoredRule(QuarantineRule rule, long remainingMillis) {
+		this.storeAtMillis.remove(rule);
+		if (this.quarantine.adopt(rule, remainingMillis, nowMillis())) {
+			begin(List.of(rule), "store");
+			this.storeAtMillis.remove(rule);
+		}
+	}
+
+	private void onReleasedRule(QuarantineRule rule) {
+		this.quarantine.release(rule);
+		onEnded(rule, "another node ended it");
+	}
+
+	private void update() {
+		long nowMillis = nowMillis();
+		this.quarantine.expire(nowMillis).forEach((rule) -> {
+			onEnded(rule, "no crash since its end");
+			this.store.removeIfStoredHere(rule);
+		});
+		List<QuarantineRule> due = new ArrayList<>();
+		this.storeAtMillis.forEach((rule, atMillis) -> {
+			if (nowMillis >= atMillis) {
+				due.add(rule);
+			}
+		});
+		due.forEach((rule) -> {
+			this.storeAtMillis.put(rule, nowMillis + STORE_RETRY_MILLIS);
+			this.store.put(rule, this.quarantine.remainingMillis(rule, nowMillis));
+		});
+	}
+
+	private record ToldSurvival(String service, List<String> parts, List<Address> receivers) {
+	}
+
+	private record TimedSighting(CrashSighting sighting, long seenAtMillis) {
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -80,13 +80,14 @@
 		this.prompt = new DispatchedPrompt(server, relayedRequest.request().prompt(), dependencies.loadListener(),
 				sentAtMillis);
 		this.progress = new AnswerProgress(dependencies.promptGuard(), server.registration(),
-				relayedRequest.request().prompt());
+				relayedRequest.request().prompt(), this::onQuarantined);
 	}
 
 	void send() {
 		this.relayedRequest.attempt().recordDispatch(this.server.registration().id());
 		this.relayedRequest.setLastServerId(this.server.registration().id());
 		this.prompt.recordSent();
+		this.progress.recordDispatch();
 		this.observation = this.dependencies.versionSelector()
 			.observe(this.server.registration(), this.relayedRequest.attempt().route(), this.sentAtMillis);
 		BackendRequest request = new BackendRequest(this.relayedRequest.request(), this.server.registration(),
@@ -133,6 +134,12 @@
 		}
 	}
 
+	private void onQuarantined() {
+		if (!this.closed) {
+			this.relayedRequest.retryOrFail(cancel(DispatchOutcome.BROKEN), RelayedRequest.QUARANTINED);
+		}
+	}
+
 	/**
 	 * Cancel the dispatch. Closes the connection, so that the server stops processing,
 	 * and subtracts the request from this node's load at the server. Has no effect if the
@@ -158,6 +165,7 @@
 			this.silenceTimer.cancel(false);
 		}
 		this.observation.discard();
+		this.progress.settle();
 		this.prompt.recordEnd();
 		this.bufferedBody.release();
 		this.bufferedBody = Unpooled.EMPTY_BUFFER;
@@ -186,6 +194,10 @@
 
 	@Override
 	public boolean maySend() {
+		if (this.relayedRequest.isQuarantined()) {
+			onQuarantined();
+			return false;
+		}
 		if (this.server.mayBeSentRequests(nowMillis())) {
 			return true;
 		}
@@ -408,8 +420,8 @@
 		if (this.closed) {
 			return;
 		}
-		close();
 		this.progress.recordBroken();
+		close();
 		this.server.health().recordFailure(nowMillis());
 		this.observation.onFailure(nowMillis());
 		this.relayedRequest.retryOrFail(DispatchOutcome.BROKEN, reason);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -32,6 +32,9 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** The reason of a failure because the prompt was quarantined. */
+	static final String QUARANTINED = "a part of the prompt crashes servers";
+
 	/** Delay before a caller may retry a request that no server ran. */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
@@ -91,6 +94,10 @@
 	}
 
 	private void dispatch(String cause) {
+		if (isQuarantined()) {
+			fail(QUARANTINED + " (" + cause + ")");
+			return;
+		}
 		long nowMillis = nowMillis();
 		Optional<KnownServer> server = selectServer(nowMillis);
 		if (server.isEmpty()) {
@@ -105,6 +112,14 @@
 		this.currentDispatch.send();
 	}
 
+	/**
+	 * Return whether the prompt was quarantined since the request was admitted.
+	 * @return {@code true} if no server may be sent the request
+	 */
+	boolean isQuarantined() {
+		return this.dependencies.promptGuard().isQuarantined(this.service, this.request.prompt());
+	}
+
 	private Optional<KnownServer> selectServer(long nowMillis) {
 		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
 		return this.dependencies.serverSelector()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.common.flogger.FluentLogger;
 
@@ -138,24 +139,29 @@
 							+ this.limits.maxBufferedBytes() + " bytes"),
 					RETRY_AFTER_MILLIS);
 		}
+		String service = route.chooseService(this.dependencies.random().nextDouble());
+		OptionalLong quarantineMillis = this.dependencies.promptGuard().admit(service, request.prompt());
+		if (quarantineMillis.isPresent()) {
+			return refuse(request, exchange, Failure.notRun(ProblemType.QUARANTINED, Step.ADMIT, "caller",
+					"service " + service + ": " + RelayedRequest.QUARANTINED), quarantineMillis.getAsLong());
+		}
 		if (account.isEmpty()) {
-			return relay(request, exchange, route, account, QuotaCharge.NONE);
+			return relay(request, exchange, route, service, account, QuotaCharge.NONE);
 		}
 		PendingAdmission pending = new PendingAdmission(() -> request.body().release(),
 				(charge) -> this.dependencies.quotaGate().refund(account.get(), charge));
 		long cost = account.get().quota().cost(request.statedTotalTokens());
 		this.dependencies.quotaGate()
 			.admit(account.get(), cost, (decision, charge) -> pending
-				.decide(charge, () -> decision.isAdmitted() ? relay(request, exchange, route, account, charge)
+				.decide(charge, () -> decision.isAdmitted() ? relay(request, exchange, route, service, account, charge)
 						: refuse(request, exchange, quotaExceeded(account.get(), decision), decision.waitMillis())));
 		return pending;
 	}
 
 	private CallerConnectionListener relay(CallerRequest request, CallerExchange exchange, RouteRule route,
-			Optional<ClientAccount> account, QuotaCharge charge) {
+			String service, Optional<ClientAccount> account, QuotaCharge charge) {
 		long nowMillis = this.dependencies.clock().steadyMillis();
 		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(UNLIMITED_BUDGET_MILLIS), nowMillis);
-		String service = route.chooseService(this.dependencies.random().nextDouble());
 		WindowedRetryBudget retryBudget = this.retryBudgets.computeIfAbsent(service,
 				(name) -> new WindowedRetryBudget(this.limits.retryRatio(), this.limits.retryWindowMillis()));
 		retryBudget.recordRequest(nowMillis);
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerDatagram.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerDatagram.java
@@ -15,17 +15,20 @@
 
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField QUOTA_FIELD_DESC = new org.apache.thrift.protocol.TField("quota", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.STRUCT, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerDatagramStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerDatagramTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable LoadNews loads; // optional
   private @org.apache.thrift.annotation.Nullable QuotaNews quota; // optional
+  private @org.apache.thrift.annotation.Nullable PromptNews prompts; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     LOADS((short)1, "loads"),
-    QUOTA((short)4, "quota");
+    QUOTA((short)4, "quota"),
+    PROMPTS((short)5, "prompts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +48,8 @@
           return LOADS;
         case 4: // QUOTA
           return QUOTA;
+        case 5: // PROMPTS
+          return PROMPTS;
         default:
           return null;
       }
@@ -88,7 +93,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.LOADS,_Fields.QUOTA};
+  private static final _Fields optionals[] = {_Fields.LOADS,_Fields.QUOTA,_Fields.PROMPTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -96,6 +101,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadNews.class)));
     tmpMap.put(_Fields.QUOTA, new org.apache.thrift.meta_data.FieldMetaData("quota", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaNews.class)));
+    tmpMap.put(_Fields.PROMPTS, new org.apache.thrift.meta_data.FieldMetaData("prompts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PromptNews.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerDatagram.class, metaDataMap);
   }
@@ -113,6 +120,9 @@
     if (other.isSetQuota()) {
       this.quota = new QuotaNews(other.quota);
     }
+    if (other.isSetPrompts()) {
+      this.prompts = new PromptNews(other.prompts);
+    }
   }
 
   @Override
@@ -124,6 +134,7 @@
   public void clear() {
     this.loads = null;
     this.quota = null;
+    this.prompts = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -176,6 +187,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public PromptNews getPrompts() {
+    return this.prompts;
+  }
+
+  public PeerDatagram setPrompts(@org.apache.thrift.annotation.Nullable PromptNews prompts) {
+    this.prompts = prompts;
+    return this;
+  }
+
+  public void unsetPrompts() {
+    this.prompts = null;
+  }
+
+  /** Returns true if field prompts is set (has been assigned a value) and false otherwise */
+  public boolean isSetPrompts() {
+    return this.prompts != null;
+  }
+
+  public void setPromptsIsSet(boolean value) {
+    if (!value) {
+      this.prompts = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -195,6 +231,14 @@
       }
       break;
 
+    case PROMPTS:
+      if (value == null) {
+        unsetPrompts();
+      } else {
+        setPrompts((PromptNews)value);
+      }
+      break;
+
     }
   }
 
@@ -208,6 +252,9 @@
     case QUOTA:
       return getQuota();
 
+    case PROMPTS:
+      return getPrompts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -224,6 +271,8 @@
       return isSetLoads();
     case QUOTA:
       return isSetQuota();
+    case PROMPTS:
+      return isSetPrompts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -259,6 +308,15 @@
         return false;
     }
 
+    boolean this_present_prompts = true && this.isSetPrompts();
+    boolean that_present_prompts = true && that.isSetPrompts();
+    if (this_present_prompts || that_present_prompts) {
+      if (!(this_present_prompts && that_present_prompts))
+        return false;
+      if (!this.prompts.equals(that.prompts))
+        return false;
+    }
+
     return true;
   }
 
@@ -274,6 +332,10 @@
     if (isSetQuota())
       hashCode = hashCode * 8191 + quota.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetPrompts()) ? 131071 : 524287);
+    if (isSetPrompts())
+      hashCode = hashCode * 8191 + prompts.hashCode();
+
     return hashCode;
   }
 
@@ -305,6 +367,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPrompts(), other.isSetPrompts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPrompts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.prompts, other.prompts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -348,6 +420,16 @@
       }
       first = false;
     }
+    if (isSetPrompts()) {
+      if (!first) sb.append(", ");
+      sb.append("prompts:");
+      if (this.prompts == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.prompts);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -361,6 +443,9 @@
     if (quota != null) {
       quota.validate();
     }
+    if (prompts != null) {
+      prompts.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -417,6 +502,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // PROMPTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.prompts = new PromptNews();
+              struct.prompts.read(iprot);
+              struct.setPromptsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -447,6 +541,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.prompts != null) {
+        if (struct.isSetPrompts()) {
+          oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
+          struct.prompts.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -472,19 +573,25 @@
       if (struct.isSetQuota()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetPrompts()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetLoads()) {
         struct.loads.write(oprot);
       }
       if (struct.isSetQuota()) {
         struct.quota.write(oprot);
       }
+      if (struct.isSetPrompts()) {
+        struct.prompts.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PeerDatagram struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.loads = new LoadNews();
         struct.loads.read(iprot);
@@ -495,6 +602,11 @@
         struct.quota.read(iprot);
         struct.setQuotaIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.prompts = new PromptNews();
+        struct.prompts.read(iprot);
+        struct.setPromptsIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -113,8 +113,31 @@
   4: optional QuotaRefund refund
 }
 
+/** What a node saw of the crash of a backend server. */
+struct CrashNews {
+  1: required string serverId
+  2: required i64 startedAtMillis
+  3: required string serviceName
+  /** The shared prompt parts that may have caused it. */
+  4: required list<string> parts
+}
+
+/** Prompt parts that a backend server survived. */
+struct SurvivalNews {
+  1: required string serviceName
+  2: required list<string> parts
+}
+
+/** What prompts did to backend servers, as the sender saw it or was told by another node. */
+struct PromptNews {
+  /** The crashes that the sender saw a short time ago. */
+  1: required list<CrashNews> crashes
+  2: required list<SurvivalNews> survivals
+}
+
 /** Content of a datagram; exactly one field is set. Fields 2 and 3 were used before. */
 struct PeerDatagram {
   1: optional LoadNews loads
   4: optional QuotaNews quota
+  5: optional PromptNews prompts
 }
--- a/flamingogap-wire/src/main/thrift/report.thrift
+++ b/flamingogap-wire/src/main/thrift/report.thrift
@@ -50,3 +50,12 @@
   1: required i64 window
   2: required map<string, i64> requests
 }
+
+/** Quarantine of prompt parts. Stored beside the node reports, under a key of its own. */
+struct QuarantineRecord {
+  1: required string serviceName
+  /** A request is stopped if it has all of them. */
+  2: required list<string> parts
+  /** The end by the time of day, in milliseconds since 1970 UTC. */
+  3: required i64 endsAtMillis
+}
