Test repeats, resets, a silent store and a loss of all nodes for the quarantine

Requests that may be resumed, connections that are reset without a crash, a store that doesn't answer, and all nodes ended and started again.

--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -65,6 +65,8 @@
 
 	private volatile String crashPart = "";
 
+	private volatile String resetPart = "";
+
 	private volatile long firstEventMillis;
 
 	private volatile long eventMillis;
@@ -135,6 +137,9 @@
 			close();
 			return false;
 		}
+		if (!this.resetPart.isEmpty() && request.header("prompt-prefix").contains(this.resetPart)) {
+			return false;
+		}
 		switch (this.behaviour) {
 			case REJECT -> {
 				write(out, refusal());
@@ -280,6 +285,14 @@
 		this.crashPart = part;
 	}
 
+	/**
+	 * Close the connection of each request with this prompt part without an answer.
+	 * @param part the id of the part; empty for none
+	 */
+	public void setResetPart(String part) {
+		this.resetPart = part;
+	}
+
 	/**
 	 * Return whether the server was closed or has crashed.
 	 * @return {@code true} if it takes no connections
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
@@ -94,6 +94,15 @@
 		return (entry != null) ? entry.value() : new byte[0];
 	}
 
+	/**
+	 * Return the keys of a topic. Faults don't apply.
+	 * @param topic the name of the topic
+	 * @return the keys that have a record
+	 */
+	public synchronized Set<String> keys(String topic) {
+		return Set.copyOf(findOrCreateTopic(topic).newest.keySet());
+	}
+
 	/**
 	 * Drop the records of a topic from its history. The newest record of each key stays.
 	 * @param topic the name of the topic
