Break off a stream that ends inside an event

What callers saw: a stream whose server ended it inside an event, regularly or with its connection, arrived as complete, with part of an event at its end.

Cause: the end of a body counted as the end of the stream, and what was left of the event splitter's bytes was forwarded.

Fix: a stream that ends inside an event has failed; it is resumed where the route allows that.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -373,6 +373,10 @@
 		if (this.closed) {
 			return;
 		}
+		if (isStreaming() && this.relayedRequest.eventSplitter().isInsideEvent()) {
+			onFailure("the stream ended inside an event");
+			return;
+		}
 		BackendResponseHead head = this.responseHead;
 		ByteBuf body = this.bufferedBody;
 		this.bufferedBody = Unpooled.EMPTY_BUFFER;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
@@ -17,6 +17,8 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	private static final char COMMENT = ':';
+
 	private ByteBuf pending = Unpooled.EMPTY_BUFFER;
 
 	private Optional<String> lastEventId = Optional.empty();
@@ -98,6 +100,17 @@
 		return this.pending.readableBytes();
 	}
 
+	/**
+	 * Return whether an event has begun and isn't complete. Blank lines and comments
+	 * aren't part of an event.
+	 * @return {@code true} if the stream can't end here
+	 */
+	boolean isInsideEvent() {
+		return this.pending.toString(StandardCharsets.UTF_8)
+			.lines()
+			.anyMatch((line) -> !line.isBlank() && line.charAt(0) != COMMENT);
+	}
+
 	/**
 	 * Discard an incomplete event. Another server resumes the stream after the last
 	 * complete one.
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -42,6 +42,9 @@
 
 	private static final long LATE_COPY_MILLIS = 200;
 
+	/** The bytes of an event that is cut. */
+	private static final int CUT_EVENT_LENGTH = 7;
+
 	/** How long the server lives on after the head of an answer that crashes it. */
 	private static final long CRASH_MILLIS = 30;
 
@@ -67,6 +70,8 @@
 
 	private volatile String resetPart = "";
 
+	private volatile int cutAt;
+
 	private volatile long firstEventMillis;
 
 	private volatile long eventMillis;
@@ -107,7 +112,7 @@
 	}
 
 	private void serve(Socket socket) {
-		try (socket) {
+		try {
 			InputStream in = new BufferedInputStream(socket.getInputStream());
 			boolean first = true;
 			for (Request request = Request.read(in); request != null; request = Request.read(in)) {
@@ -121,11 +126,33 @@
 				first = false;
 			}
 		}
+		catch (ResetException ex) {
+			reset(socket);
+		}
 		catch (IOException ex) {
 			// The client closed the connection, which is no error here.
 		}
 		finally {
 			this.open.remove(socket);
+			closeQuietly(socket);
+		}
+	}
+
+	private static void reset(Socket socket) {
+		try {
+			socket.setSoLinger(true, 0);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void closeQuietly(Socket socket) {
+		try {
+			socket.close();
+		}
+		catch (IOException ex) {
+			// The connection is of no use any more.
 		}
 	}
 
@@ -188,6 +215,19 @@
 						Integer.toHexString(ENDLESS_CHUNK_BYTES) + "\r\n" + "x".repeat(ENDLESS_CHUNK_BYTES) + "\r\n",
 						0);
 			}
+			case UNFRAMED, UNFRAMED_BREAK_OFF, UNFRAMED_RESET -> {
+				return answerUnframed(request, attempt, out);
+			}
+			case CHUNKS_END_INSIDE_EVENT -> {
+				String events = event(1) + event(2).substring(0, CUT_EVENT_LENGTH);
+				write(out, head("200 OK", attempt) + EVENT_STREAM + Integer.toHexString(events.length()) + "\r\n"
+						+ events + "\r\n0\r\n\r\n");
+			}
+			case CUT_HEAD -> {
+				String text = completeAnswer(attempt);
+				write(out, text.substring(0, Math.min(this.cutAt, text.indexOf("\r\n\r\n") + 3)));
+				return false;
+			}
 			case UNSIGNED -> write(out, completeAnswer(attempt).replaceAll("Server-Seal: [^\r]*\r\n", ""));
 			default -> {
 				return request.uri().contains("stream") ? answerWithEvents(request, attempt, out)
@@ -197,6 +237,25 @@
 		return true;
 	}
 
+	private boolean answerUnframed(Request request, String attempt, OutputStream out) throws IOException {
+		boolean stream = request.uri().contains("stream");
+		write(out, head("200 OK", attempt) + (stream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n"));
+		switch (this.behaviour) {
+			case UNFRAMED -> write(out, stream ? event(1) + event(2) + event(3) : "done");
+			case UNFRAMED_BREAK_OFF -> write(out, stream ? event(1) + event(2).substring(0, CUT_EVENT_LENGTH) : "done");
+			default -> {
+				write(out, stream ? event(1) + event(2) : "do");
+				sleep(CRASH_MILLIS);
+				throw new ResetException();
+			}
+		}
+		return false;
+	}
+
+	private static String event(int id) {
+		return "id: " + id + "\ndata: piece " + id + "\n\n";
+	}
+
 	private boolean answerWithBody(String attempt, OutputStream out) throws IOException {
 		String text = completeAnswer(attempt);
 		if (this.behaviour == ServerBehaviour.BREAK_OFF) {
@@ -213,9 +272,9 @@
 		write(out, head("200 OK", attempt) + EVENT_STREAM);
 		sleep(this.firstEventMillis);
 		for (int id = from; id <= this.events; id++) {
-			String event = "id: " + id + "\ndata: piece " + id + "\n\n";
+			String event = event(id);
 			if (this.behaviour == ServerBehaviour.BREAK_OFF && id == 2) {
-				write(out, Integer.toHexString(event.length()) + "\r\n" + event.substring(0, 7));
+				write(out, Integer.toHexString(event.length()) + "\r\n" + event.substring(0, CUT_EVENT_LENGTH));
 				return false;
 			}
 			write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
@@ -293,6 +352,15 @@
 		this.resetPart = part;
 	}
 
+	/**
+	 * Set where {@link ServerBehaviour#CUT_HEAD} cuts.
+	 * @param length the number of bytes of the head that are sent; cut to all but the
+	 * last byte
+	 */
+	public void setCutAt(int length) {
+		this.cutAt = length;
+	}
+
 	/**
 	 * Return whether the server was closed or has crashed.
 	 * @return {@code true} if it takes no connections
@@ -421,4 +489,13 @@
 
 	}
 
+	/**
+	 * Thrown to reset a connection.
+	 */
+	private static final class ResetException extends IOException {
+
+		private static final long serialVersionUID = 1L;
+
+	}
+
 }
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
@@ -57,6 +57,30 @@
 	ENDLESS_BODY,
 
 	/** Sends one byte of a head every 200 ms, without end. */
-	TRICKLED_HEAD
+	TRICKLED_HEAD,
+
+	/**
+	 * Answers with neither a length nor chunks and ends the answer by closing the
+	 * connection.
+	 */
+	UNFRAMED,
+
+	/**
+	 * Like {@link #UNFRAMED}, but closes the connection in the middle of the second event
+	 * of a stream.
+	 */
+	UNFRAMED_BREAK_OFF,
+
+	/**
+	 * Like {@link #UNFRAMED}, but resets the connection after the second event of a
+	 * stream or in the middle of the body.
+	 */
+	UNFRAMED_RESET,
+
+	/** Answers with chunks that end regularly in the middle of the second event. */
+	CHUNKS_END_INSIDE_EVENT,
+
+	/** Closes the connection before the end of the head. */
+	CUT_HEAD
 
 }
