Refuse addresses that are no IP addresses

Cause: only the characters of an address were checked, so 300.1.2.3 and 1.2.3 named servers; a host that isn't a literal is looked up by name when a connection is opened, which blocks the event loop. Ports out of range were refused already.

Evidence: three rows of RecordDecodingTests.Servers.oddRegistrationNamesNoServer failed before. All 33 rows pass now, run with the stack of a node's threads. ServerTroubleTests has one with the odd entries in the store: the node goes on to follow the others.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/node/Address.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/node/Address.java
@@ -1,5 +1,7 @@
 package io.flamingogap.core.node;
 
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.util.Objects;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -15,7 +17,10 @@
 
 	private static final int MAX_PORT = 65_535;
 
-	private static final Pattern FORMAT = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+]):([0-9]{1,5})");
+	private static final Pattern FORMAT = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+]):([0-9]{1,5})");
+
+	private static final Pattern IPV4 = Pattern
+		.compile("(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])){3}");
 
 	public Address {
 		Objects.requireNonNull(host, "host must not be null");
@@ -35,7 +40,22 @@
 		if (!matcher.matches()) {
 			throw new IllegalArgumentException("address must be IP:PORT but was '" + text + "'");
 		}
-		return new Address(matcher.group(1), Integer.parseInt(matcher.group(2)));
+		String host = matcher.group(1);
+		if (!(host.startsWith("[") ? isIpv6(host) : IPV4.matcher(host).matches())) {
+			throw new IllegalArgumentException("no IP address in '" + text + "'");
+		}
+		return new Address(host, Integer.parseInt(matcher.group(2)));
+	}
+
+	private static boolean isIpv6(String host) {
+		try {
+			// A literal in brackets isn't looked up.
+			InetAddress.getByName(host);
+			return true;
+		}
+		catch (UnknownHostException ex) {
+			return false;
+		}
 	}
 
 	@Override
