Follow a stream whatever a single record causes

Cause: an exception from the listener of a record ended the chain of reads silently, so a node stopped to follow servers, configurations or reports for good.

Fix: the record is logged and skipped.

Evidence: two tests of RecordFollowerTests failed before (a record of a read, a record of a listing).

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -116,7 +116,7 @@
 			onSuccess(0);
 			page.records().forEach((entry) -> {
 				keys.add(entry.key());
-				this.listener.onRecord(entry);
+				process(entry);
 			});
 			long listingEnd = Math.min(smallestEnd, page.endOffset());
 			if (page.hasMore() && !page.records().isEmpty()) {
@@ -147,13 +147,29 @@
 			}
 			else {
 				onSuccess(batch.ageMillis());
-				batch.records().forEach(this.listener::onRecord);
+				batch.records().forEach(this::process);
 				boolean isReadFromStore = !batch.records().isEmpty() && !batch.fromZoneRelay();
 				runAfter(() -> readFrom(batch.nextOffset()), isReadFromStore ? this.readPauseMillis : 0);
 			}
 		});
 	}
 
+	private void process(StoredRecord entry) {
+		try {
+			this.listener.onRecord(entry);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			// The stream is followed whatever a single record causes.
+			logger.atSevere()
+				.withCause(ex)
+				.log("%s",
+						LogLine.of("record not processed")
+							.with("stream", this.stream.name())
+							.with("key", entry.key())
+							.with("offset", entry.offset()));
+		}
+	}
+
 	private void onSuccess(long ageMillis) {
 		long nowMillis = this.steadyMillis.getAsLong();
 		this.lastContactAtMillis = Math.max(this.lastContactAtMillis, nowMillis - ageMillis);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +39,8 @@
 
 	private int listingCount;
 
+	private long unprocessableOffset = -1;
+
 	private RecordFollower follower() {
 		return follower(this.store);
 	}
@@ -46,6 +49,9 @@
 		return new RecordFollower(this.channel.eventLoop(), followedStore, StoreStream.NODES, 0, new RecordListener() {
 			@Override
 			public void onRecord(StoredRecord entry) {
+				if (entry.offset() == RecordFollowerTests.this.unprocessableOffset) {
+					throw new IllegalStateException("test");
+				}
 				RecordFollowerTests.this.receivedOffsets.add(entry.offset());
 			}
 
@@ -63,6 +69,29 @@
 		assertThat(this.store.readOffsets(), contains(7L));
 	}
 
+	// A node stopped following the servers after one entry that it could not process.
+	@Test
+	void recordThatCannotBeProcessedDoesNotStopTheFollower() {
+		this.unprocessableOffset = 7;
+		follower().start();
+		this.channel.runPendingTasks();
+		this.store.pendingRead()
+			.complete(RecordStore.Batch.fromStore(List.of(new StoredRecord("odd", Optional.empty(), 7),
+					new StoredRecord("next", Optional.empty(), 8)), 9));
+		this.channel.runPendingTasks();
+		assertThat(this.receivedOffsets, contains(6L, 8L));
+		assertThat(this.store.readOffsets(), contains(7L, 9L));
+	}
+
+	@Test
+	void recordOfAListingThatCannotBeProcessedDoesNotStopTheFollower() {
+		this.unprocessableOffset = 6;
+		follower().start();
+		this.channel.runPendingTasks();
+		assertThat(this.store.readOffsets(), contains(7L));
+		assertThat(this.listingCount, is(1));
+	}
+
 	@Test
 	void listsAgainWhenUnreadRecordsWereDropped() {
 		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
