Answer every request before a stopping node ends

What callers saw: in a planned stop, requests that came late were taken, passed on, and cut without an answer when the process ended, bookings among them.

Cause: new requests were admitted for 2.8 s whatever the grace period is, without regard to how long they may take, and those that were open at its end were dropped with the process.

Fix: requests are admitted for half of the time at most; a plain request that may last until the process ends is refused as not run; what is open at the end gets a failure, or is broken off if its response has begun.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GracefulShutdown.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GracefulShutdown.java
@@ -36,6 +36,12 @@
 
 	private static final long POLL_INTERVAL_MILLIS = 50;
 
+	/**
+	 * The fraction of the timeout in which new requests are admitted at most, so that
+	 * they can be finished in the rest of it.
+	 */
+	private static final double MAX_ADMISSION_FRACTION = 0.5;
+
 	private final EventLoop loop;
 
 	private final NodeClock clock;
@@ -79,9 +85,10 @@
 	void start(Runnable onStopped) {
 		this.startedAtMillis = this.clock.steadyMillis();
 		logger.atInfo().log("%s", LogLine.of("stopping").with("openRequests", this.openRequests.getAsInt()));
-		this.relay.setAdmissionState(RequestRelay.AdmissionState.DRAINING);
+		this.relay.startDraining(this.startedAtMillis + this.timeoutMillis);
 		this.reportExchange.publish();
-		this.loop.schedule(() -> this.relay.setAdmissionState(RequestRelay.AdmissionState.CLOSED), ADMISSION_MILLIS,
+		this.loop.schedule(() -> this.relay.close(),
+				Math.min(ADMISSION_MILLIS, (long) (this.timeoutMillis * MAX_ADMISSION_FRACTION)),
 				TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(LoggedTask.of("shutdown", () -> stopIfDone(onStopped)), POLL_INTERVAL_MILLIS,
 				POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -94,11 +101,10 @@
 			return;
 		}
 		this.finished = true;
+		int unfinished = this.openRequests.getAsInt();
+		this.relay.endOpenRequests();
 		logger.atInfo()
-			.log("%s",
-					LogLine.of("stopped")
-						.with("openRequests", this.openRequests.getAsInt())
-						.with("tookMillis", elapsedMillis));
+			.log("%s", LogLine.of("stopped").with("openRequests", unfinished).with("tookMillis", elapsedMillis));
 		// The last report contains the requests that servers began to process since the
 		// previous report.
 		this.reportExchange.publish().whenComplete((offset, failure) -> onStopped.run());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -163,6 +164,17 @@
 				+ " ms after the request was admitted");
 	}
 
+	/**
+	 * End the request, since the process ends.
+	 */
+	void endWithProcess() {
+		if (!this.finished) {
+			cancelCurrentDispatch();
+			fail("the node ends before the request, " + this.attempt.elapsedMillis(nowMillis())
+					+ " ms after the request was admitted");
+		}
+	}
+
 	private void cancelCurrentDispatch() {
 		BackendDispatch running = this.currentDispatch;
 		if (running != null) {
@@ -199,6 +211,7 @@
 	 */
 	void finish(String event, int status, String reason) {
 		this.finished = true;
+		this.callbacks.finishListener().accept(this);
 		if (this.deadlineTimer != null) {
 			this.deadlineTimer.cancel(false);
 		}
@@ -288,8 +301,10 @@
 	 * if the budget is used up
 	 * @param refund returns the request's quota units to the account
 	 * @param startListener notified when a server begins to process the request
+	 * @param finishListener notified when the request has ended
 	 */
-	record Callbacks(BooleanSupplier trySpendRetry, Runnable refund, RequestRelay.RequestStartListener startListener) {
+	record Callbacks(BooleanSupplier trySpendRetry, Runnable refund, RequestRelay.RequestStartListener startListener,
+			Consumer<RelayedRequest> finishListener) {
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -1,10 +1,13 @@
 package io.flamingogap.gateway.relay;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
 
@@ -16,6 +19,7 @@
 import io.flamingogap.core.quota.QuotaCharge;
 import io.flamingogap.core.quota.QuotaDecision;
 import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.core.serving.RouteRule;
 import io.flamingogap.core.serving.ServingConfig;
 import io.flamingogap.gateway.callers.CallerConnectionListener;
@@ -47,6 +51,8 @@
 	 */
 	private static final double RETRY_ALLOWANCE_FRACTION = 0.6;
 
+	private static final String STOPPING = "the node is stopping";
+
 	private static final CallerConnectionListener NO_OP_REQUEST = new CallerConnectionListener() {
 		@Override
 		public void onCallerDisconnected() {
@@ -65,8 +71,13 @@
 
 	private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
 
+	private final Set<RelayedRequest> openRequests = new LinkedHashSet<>();
+
 	private AdmissionState admissionState = AdmissionState.OPEN;
 
+	/** When the process ends, on the monotonic clock; no limit unless it is stopping. */
+	private long endsAtMillis = Long.MAX_VALUE;
+
 	/**
 	 * Create a relay that admits requests.
 	 * @param dependencies the collaborators
@@ -80,12 +91,28 @@
 	}
 
 	/**
-	 * Set whether new requests are admitted and connections are kept alive. Requests that
-	 * are already admitted go on.
-	 * @param state applies to requests that arrive from now on
+	 * Close connections after their response from now on, and refuse plain requests that
+	 * may last until the process ends.
+	 * @param endsAtMillis when the process ends, on the monotonic clock
+	 */
+	public void startDraining(long endsAtMillis) {
+		this.admissionState = AdmissionState.DRAINING;
+		this.endsAtMillis = endsAtMillis;
+	}
+
+	/**
+	 * Refuse new requests from now on. Those that are admitted go on.
+	 */
+	public void close() {
+		this.admissionState = AdmissionState.CLOSED;
+	}
+
+	/**
+	 * End the requests that are still open, since the process ends: those whose response
+	 * hasn't begun get a failure, the others are broken off.
 	 */
-	public void setAdmissionState(AdmissionState state) {
-		this.admissionState = state;
+	public void endOpenRequests() {
+		List.copyOf(this.openRequests).forEach(RelayedRequest::endWithProcess);
 	}
 
 	@Override
@@ -101,7 +128,7 @@
 					RETRY_AFTER_MILLIS);
 		}
 		if (this.admissionState == AdmissionState.CLOSED) {
-			return refuse(request, exchange, overloaded("the node is stopping"), 0);
+			return refuse(request, exchange, overloaded(STOPPING), 0);
 		}
 		Optional<RouteRule> route = config.get().findRoute(request.host(), request.path());
 		if (route.isEmpty()) {
@@ -131,6 +158,9 @@
 
 	private CallerConnectionListener admit(CallerRequest request, CallerExchange exchange, RouteRule route,
 			Optional<ClientAccount> account) {
+		if (mayOutlastProcess(request, route)) {
+			return refuse(request, exchange, overloaded(STOPPING), 0);
+		}
 		long bytes = request.body().readableBytes();
 		if (this.dependencies.metrics().requestBodyBytes() + bytes > this.limits.maxBufferedBytes()) {
 			return refuse(request, exchange,
@@ -158,6 +188,19 @@
 		return pending;
 	}
 
+	/**
+	 * Return whether a plain request may last until the process ends. Streams seldom last
+	 * as long as they may.
+	 * @param request the request
+	 * @param route its route
+	 * @return {@code true} if the request is better served by another node
+	 */
+	private boolean mayOutlastProcess(CallerRequest request, RouteRule route) {
+		long limitMillis = Math.min(request.budgetMillis().orElse(UNLIMITED_BUDGET_MILLIS), route.timeoutMillis());
+		return route.kind() != RequestKind.STREAM
+				&& limitMillis > this.endsAtMillis - this.dependencies.clock().steadyMillis();
+	}
+
 	private CallerConnectionListener relay(CallerRequest request, CallerExchange exchange, RouteRule route,
 			String service, Optional<ClientAccount> account, QuotaCharge charge) {
 		long nowMillis = this.dependencies.clock().steadyMillis();
@@ -167,7 +210,8 @@
 		retryBudget.recordRequest(nowMillis);
 		RelayedRequest relayed = new RelayedRequest(this.dependencies, request, exchange, attempt, service, account,
 				new RelayedRequest.Callbacks(() -> trySpendRetry(retryBudget), () -> refund(account, charge),
-						this.startListener));
+						this.startListener, this.openRequests::remove));
+		this.openRequests.add(relayed);
 		relayed.start();
 		return relayed;
 	}
