--- a/flamingogap-core/src/main/java/io/flamingogap/core/node/Address.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/node/Address.java
@@ -1,7 +1,6 @@
 package io.flamingogap.core.node;
 
-import java.net.InetAddress;
-import java.net.UnknownHostException;
+import java.util.Arrays;
 import java.util.Objects;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -17,11 +16,18 @@
 
 	private static final int MAX_PORT = 65_535;
 
-	private static final Pattern FORMAT = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+]):([0-9]{1,5})");
+	private static final Pattern FORMAT = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+]):([0-9]{1,5})");
 
 	private static final Pattern IPV4 = Pattern
 		.compile("(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])){3}");
 
+	private static final Pattern IPV6_GROUP = Pattern.compile("[0-9a-fA-F]{1,4}");
+
+	private static final int IPV6_GROUPS = 8;
+
+	/** Stands for groups of zeros in an IPv6 address; at most once. */
+	private static final String GAP = "::";
+
 	public Address {
 		Objects.requireNonNull(host, "host must not be null");
 		if (port < 1 || port > MAX_PORT) {
@@ -47,15 +53,29 @@
 		return new Address(host, Integer.parseInt(matcher.group(2)));
 	}
 
-	private static boolean isIpv6(String host) {
-		try {
-			// A literal in brackets isn't looked up.
-			InetAddress.getByName(host);
-			return true;
+	private static boolean isIpv6(String bracketed) {
+		String host = bracketed.substring(1, bracketed.length() - 1);
+		int gap = host.indexOf(GAP);
+		if (gap < 0) {
+			return countGroups(host) == IPV6_GROUPS;
 		}
-		catch (UnknownHostException ex) {
-			return false;
+		int before = countGroups(host.substring(0, gap));
+		int after = countGroups(host.substring(gap + GAP.length()));
+		return before >= 0 && after >= 0 && before + after < IPV6_GROUPS;
+	}
+
+	/**
+	 * Count the groups of a part of an IPv6 address without a gap.
+	 * @param groups the groups, separated by colons; may be empty
+	 * @return the number; negative if one of them is malformed
+	 */
+	private static int countGroups(String groups) {
+		if (groups.isEmpty()) {
+			return 0;
 		}
+		String[] each = groups.split(":", -1);
+		return Arrays.stream(each).allMatch((group) -> IPV6_GROUP.matcher(group).matches()) ? each.length
+				: Integer.MIN_VALUE;
 	}
 
 	@Override
