--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +73,8 @@
 
 	private volatile int cutAt;
 
+	private volatile CountDownLatch answerGate = new CountDownLatch(0);
+
 	private volatile long firstEventMillis;
 
 	private volatile long eventMillis;
@@ -167,6 +170,7 @@
 		if (!this.resetPart.isEmpty() && request.header("prompt-prefix").contains(this.resetPart)) {
 			return false;
 		}
+		awaitGate();
 		switch (this.behaviour) {
 			case REJECT -> {
 				write(out, refusal());
@@ -188,6 +192,15 @@
 		return answerExecuted(request, attempt, out);
 	}
 
+	private void awaitGate() {
+		try {
+			this.answerGate.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private boolean answerExecuted(Request request, String attempt, OutputStream out) throws IOException {
 		switch (this.behaviour) {
 			case RUN_AND_CLOSE -> {
@@ -352,6 +365,14 @@
 		this.resetPart = part;
 	}
 
+	/**
+	 * Hold back the answers to requests that arrive from now on.
+	 * @param gate the answers are sent once it has been counted down
+	 */
+	public void setAnswerGate(CountDownLatch gate) {
+		this.answerGate = gate;
+	}
+
 	/**
 	 * Set where {@link ServerBehaviour#CUT_HEAD} cuts.
 	 * @param length the number of bytes of the head that are sent; cut to all but the
