Place no order that stops servers that take requests

Cause: each kind of server is ordered by itself, but the limit of a zone holds for both together. The servers of a new version are full-price ones in the same zones; an order for one more reclaimable server in a zone without room was cut to the room, and the cloud stopped those above it: 11 of 17 old servers 3 s after the rollout began. The old version became slow too, the comparison lost its meaning, and requests without a place went to the new version.

Fix: nothing is ordered for the first 3 s of a rollout, until its servers are registered, and no order asks for more than a zone has room for if servers would be stopped.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -101,7 +101,7 @@
 		this.term = new DutyTerm(leaseMillis, fencing);
 		this.usageReports = new UsageReportSchedule(usageWindowMillis, dependencies.totals()::usageInWindow,
 				dependencies.totals()::allNodesReportedWithin);
-		this.serverOrders = new ServerOrderPlanner(dependencies.servers(), dependencies.rollouts()::hasRunningRollout,
+		this.serverOrders = new ServerOrderPlanner(dependencies.servers(), dependencies.rollouts()::runningMillis,
 				dependencies.firstStart());
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
@@ -42,9 +42,15 @@
 	/** How long an order that the cloud refused lets other orders go first. */
 	private static final long REFUSED_RETRY_MILLIS = 1_000;
 
+	/**
+	 * How long nothing is ordered after a rollout began. Until its servers are
+	 * registered, the room in the zones isn't known.
+	 */
+	private static final long ROLLOUT_START_MILLIS = 3_000;
+
 	private final ServerTable servers;
 
-	private final Predicate<String> hasRunningRollout;
+	private final RunningRollouts runningRollouts;
 
 	private final boolean firstStart;
 
@@ -59,13 +65,13 @@
 	/**
 	 * Create a planner without orders.
 	 * @param servers the backend servers
-	 * @param hasRunningRollout tells of a service whether its rollout is running
+	 * @param runningRollouts the rollouts that are running
 	 * @param firstStart whether the whole system starts for the first time, so that there
 	 * is no demand yet
 	 */
-	ServerOrderPlanner(ServerTable servers, Predicate<String> hasRunningRollout, boolean firstStart) {
+	ServerOrderPlanner(ServerTable servers, RunningRollouts runningRollouts, boolean firstStart) {
 		this.servers = servers;
-		this.hasRunningRollout = hasRunningRollout;
+		this.runningRollouts = runningRollouts;
 		this.firstStart = firstStart;
 	}
 
@@ -96,6 +102,10 @@
 	private Optional<ServerPlan> nextOrder(BackendService service, EngineProfile engine, ScaleBounds bounds,
 			FleetServiceDemand demand, long nowMillis) {
 		String name = service.name();
+		OptionalLong rolloutAgeMillis = this.runningRollouts.ageMillis(name, nowMillis);
+		if (rolloutAgeMillis.isPresent() && rolloutAgeMillis.getAsLong() < ROLLOUT_START_MILLIS) {
+			return Optional.empty();
+		}
 		Map<ServerPool, Integer> readyByPool = countReady(name);
 		DesiredCapacity desired = desiredCapacity(name, engine, bounds, demand, readyByPool, nowMillis);
 		ServerSupply supply = buildSupply(name, bounds, readyByPool, nowMillis);
@@ -103,15 +113,33 @@
 		Optional<ServerPlan> scaleUp = plan.stream()
 			.sorted(Comparator.comparing((ServerPlan poolPlan) -> !poolPlan.reclaimable()))
 			.filter((poolPlan) -> !isRefused(poolPlan, nowMillis))
+			.filter((poolPlan) -> !stopsReadyServers(poolPlan, readyByPool, bounds))
 			.filter((poolPlan) -> isScaleUpDue(poolPlan, readyByPool, bounds, nowMillis))
 			.findFirst();
-		if (scaleUp.isPresent() || this.hasRunningRollout.test(name)) {
+		if (scaleUp.isPresent() || rolloutAgeMillis.isPresent()) {
 			return scaleUp;
 		}
 		int requiredFullPrice = CapacityPlanner.countFullPriceServers(bounds, desired, supply.readyOnly());
 		return findScaleDown(plan, requiredFullPrice, readyByPool, bounds, nowMillis);
 	}
 
+	/**
+	 * Return whether an order would stop servers that take requests. Each kind of server
+	 * is ordered by itself, but the limit of a zone applies to both together: the cloud
+	 * cuts an order to what the other kind leaves, even below the servers that it had
+	 * granted.
+	 * @param poolPlan the planned servers
+	 * @param readyByPool the number of servers that take requests
+	 * @param bounds the limits for orders
+	 * @return {@code true} if the zone has less room than servers of this kind
+	 */
+	private static boolean stopsReadyServers(ServerPlan poolPlan, Map<ServerPool, Integer> readyByPool,
+			ScaleBounds bounds) {
+		ServerPool pool = ServerPool.of(poolPlan);
+		int room = bounds.maxPerZone() - readyByPool.getOrDefault(pool.otherKind(), 0);
+		return room < readyByPool.getOrDefault(pool, 0);
+	}
+
 	private DesiredCapacity desiredCapacity(String service, EngineProfile engine, ScaleBounds bounds,
 			FleetServiceDemand demand, Map<ServerPool, Integer> readyByPool, long nowMillis) {
 		int zones = bounds.zonePrices().size();
@@ -259,6 +287,10 @@
 
 	private record ServerPool(String service, String zone, boolean reclaimable) {
 
+		private ServerPool otherKind() {
+			return new ServerPool(this.service, this.zone, !this.reclaimable);
+		}
+
 		private static ServerPool of(ServerPlan plan) {
 			return new ServerPool(plan.service(), plan.zone(), plan.reclaimable());
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -106,13 +107,15 @@
 	}
 
 	/**
-	 * Return whether the rollout of a service is running.
+	 * Return how long this node has known the running rollout of a service.
 	 * @param service the name of the service
-	 * @return {@code false} if there was none or it has ended
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return the time in milliseconds; empty if there is none or it has ended
 	 */
-	public boolean hasRunningRollout(String service) {
+	public OptionalLong runningMillis(String service, long nowMillis) {
 		ServiceRollout rollout = this.rolloutsByService.get(service);
-		return rollout != null && rollout.state == RolloutStatus.State.RUNNING;
+		return (rollout != null && rollout.state == RolloutStatus.State.RUNNING)
+				? OptionalLong.of(nowMillis - rollout.orderReadAtMillis) : OptionalLong.empty();
 	}
 
 	/**
@@ -166,7 +169,7 @@
 				continue;
 			}
 			rollout.targetShare = canary.candidateShare(elapsedFraction);
-			rollout.completable = canary.mayComplete(elapsedFraction) && targetAvailable;
+			rollout.setCompletable(canary.mayComplete(elapsedFraction) && targetAvailable, canary.toString());
 		}
 	}
 
@@ -304,6 +307,19 @@
 					: this.state;
 		}
 
+		private void setCompletable(boolean newCompletable, String counts) {
+			if (newCompletable != this.completable) {
+				logger.atInfo()
+					.log("%s",
+							LogLine.of("rollout may complete")
+								.with("service", this.order.service())
+								.with("target", this.order.target())
+								.with("completable", newCompletable)
+								.with("reason", counts));
+			}
+			this.completable = newCompletable;
+		}
+
 		private boolean runsTarget(ServerRegistration server) {
 			return server.version().equals(this.order.target());
 		}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -58,7 +59,10 @@
 
 	private boolean rolloutRunning;
 
-	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers, (service) -> this.rolloutRunning,
+	private long rolloutAgeMillis = 60_000;
+
+	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers,
+			(service, now) -> this.rolloutRunning ? OptionalLong.of(this.rolloutAgeMillis) : OptionalLong.empty(),
 			false);
 
 	private final List<ServerPlan> orders = new ArrayList<>();
@@ -129,6 +133,31 @@
 		return orders.stream().filter(ServerPlan::reclaimable).toList();
 	}
 
+	// An order for more servers than a zone had room for was cut to the room, and the
+	// zone
+	// lost servers that took requests: the rollout then completed a slow version, since
+	// the
+	// old one was slow as well.
+	@Test
+	void placesNoOrderThatStopsReadyServers() {
+		ZONES.forEach((zone) -> register(zone, true, 4));
+		ZONES.forEach((zone) -> register(zone, false, MAX_PER_ZONE - 1));
+		this.rolloutRunning = true;
+		this.tokensPerSecond = 2_000_000;
+		assertThat(reclaimable(placeDueOrders()), is(empty()));
+	}
+
+	@Test
+	void placesNoOrderBeforeTheServersOfANewVersionAreKnown() {
+		ZONES.forEach((zone) -> register(zone, true, 4));
+		this.rolloutRunning = true;
+		this.rolloutAgeMillis = 2_900;
+		this.tokensPerSecond = 2_000_000;
+		assertThat(placeDueOrders(), is(empty()));
+		this.rolloutAgeMillis = 3_000;
+		assertThat(placeDueOrders(), is(not(empty())));
+	}
+
 	// The servers of a new version were released as surplus, and its rollout could
 	// neither
 	// complete nor be reverted on evidence.
@@ -177,7 +206,8 @@
 
 	@Test
 	void releasesFullPriceServersBeforeAnyDemandOnceReclaimableOnesAreGranted() {
-		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, (service) -> false, true);
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers,
+				(service, now) -> OptionalLong.empty(), true);
 		ZONES.forEach((zone) -> register(zone, false, 5));
 		this.tokensPerSecond = 0;
 		Optional<ServerPlan> next = nextOrder(firstStartPlanner);
@@ -196,7 +226,8 @@
 	 */
 	@Test
 	void keepsTheSizeOfTheOperatorsFleetUntilTheDemandIsKnown() {
-		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers, (service) -> false, true);
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers,
+				(service, now) -> OptionalLong.empty(), true);
 		ZONES.forEach((zone) -> register(zone, false, 8));
 		this.tokensPerSecond = 0;
 		Map<String, Integer> reclaimableByZone = new HashMap<>();
