Decide in one place when refused callers may come back

Cause: 300 ms stood in two classes, for every refusal and every caller. Callers that were refused together came back together, and were told 300 ms while each server had asked for a pause of seconds.

Change: ReturnTime in core decides: 240 to 360 ms, at random, while a place may become free; after the first pause if all servers pause.

Evidence: ReturnTimeTests. The daemon's 1 s stays: its callers get whole seconds.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -18,6 +18,7 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.PromptPart;
+import io.flamingogap.core.servers.ReturnTime;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
@@ -36,9 +37,6 @@
 	/** The reason of a failure because the prompt was quarantined. */
 	static final String QUARANTINED = "a part of the prompt crashes servers";
 
-	/** Delay before a caller may retry a request that no server ran. */
-	private static final long RETRY_AFTER_MILLIS = 300;
-
 	private final RelayDependencies dependencies;
 
 	private final CallerRequest request;
@@ -194,7 +192,12 @@
 		Failure failure = this.attempt.failure(reason, nowMillis());
 		boolean notRun = failure.execution() == Execution.NOT_RUN;
 		finish("request failed", failure.type().status(), reason);
-		this.callerExchange.fail(failure, notRun ? RETRY_AFTER_MILLIS : -1);
+		this.callerExchange.fail(failure, notRun ? returnMillis() : -1);
+	}
+
+	private long returnMillis() {
+		return ReturnTime.whenNoServer(this.dependencies.servers().ofService(this.service),
+				this.dependencies.random().nextDouble(), nowMillis());
 	}
 
 	private void abort(String reason) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -18,6 +18,7 @@
 import io.flamingogap.core.limits.WindowedRetryBudget;
 import io.flamingogap.core.quota.QuotaCharge;
 import io.flamingogap.core.quota.QuotaDecision;
+import io.flamingogap.core.servers.ReturnTime;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.core.serving.RouteRule;
@@ -39,12 +40,6 @@
 	/** Used if the caller states no time budget; the timeout of the route applies. */
 	private static final long UNLIMITED_BUDGET_MILLIS = Long.MAX_VALUE / 4;
 
-	/**
-	 * Delay before a caller may retry while the node has no configuration or its buffers
-	 * are full.
-	 */
-	private static final long RETRY_AFTER_MILLIS = 300;
-
 	/**
 	 * The fraction of the fleet's retry allowance that the known nodes divide among
 	 * themselves. The rest is for nodes that are starting.
@@ -125,7 +120,7 @@
 		Optional<ServingConfig> config = this.dependencies.config().current();
 		if (config.isEmpty()) {
 			return refuse(request, exchange, overloaded("the node has not received a configuration yet"),
-					RETRY_AFTER_MILLIS);
+					returnMillis());
 		}
 		if (this.admissionState == AdmissionState.CLOSED) {
 			return refuse(request, exchange, overloaded(STOPPING), 0);
@@ -140,6 +135,10 @@
 		return authenticate(request, exchange, config.get(), route.get());
 	}
 
+	private long returnMillis() {
+		return ReturnTime.whenBusy(this.dependencies.random().nextDouble());
+	}
+
 	private CallerConnectionListener authenticate(CallerRequest request, CallerExchange exchange, ServingConfig config,
 			RouteRule route) {
 		Optional<ClientAccount> account = Optional.empty();
@@ -167,7 +166,7 @@
 					overloaded("with " + bytes
 							+ " bytes of this request, the bodies of open requests would exceed the node's limit of "
 							+ this.limits.maxBufferedBytes() + " bytes"),
-					RETRY_AFTER_MILLIS);
+					returnMillis());
 		}
 		String service = route.chooseService(this.dependencies.random().nextDouble());
 		OptionalLong quarantineMillis = this.dependencies.promptGuard().admit(service, request.prompt());
