--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -166,19 +166,18 @@
 	@Override
 	public void recordSurvival(ServerRegistration server, PromptMetadata prompt) {
 		List<String> parts = partIds(prompt);
-		if (applySurvival(server.service(), parts)) {
+		PromptQuarantine.SurvivalEffect effect = applySurvival(server.service(), parts);
+		if (effect.contradicts()) {
 			tellSurvival(server.service(), parts, this.peers.get());
 		}
+		effect.ended().forEach(this.store::remove);
 	}
 
-	private boolean applySurvival(String service, List<String> parts) {
+	private PromptQuarantine.SurvivalEffect applySurvival(String service, List<String> parts) {
 		PromptQuarantine.SurvivalEffect effect = this.quarantine.recordSurvival(service, parts, nowMillis());
-		effect.ended().forEach((rule) -> {
-			onEnded(rule, "a server survived it");
-			this.store.remove(rule);
-		});
+		effect.ended().forEach((rule) -> onEnded(rule, "a server survived it"));
 		begin(effect.begun(), "survival of other parts");
-		return effect.contradicts();
+		return effect;
 	}
 
 	@Override
@@ -245,7 +244,7 @@
 	 * @param parts the ids of the parts
 	 */
 	private void onSurvivalNews(String service, List<String> parts) {
-		boolean contradicts = applySurvival(service, parts);
+		boolean contradicts = applySurvival(service, parts).contradicts();
 		boolean suspectedHere = this.ownSightings.stream()
 			.anyMatch((timed) -> timed.sighting().parts().stream().anyMatch(parts::contains));
 		if (contradicts && suspectedHere) {
