Don't begin a quarantine with crashes of long ago

Cause: crashes of a part were dropped only when the part was in another one, so after a rule had ended, a crash for any reason began it anew.

Evidence: crashesOfLongAgoDontBeginAQuarantine failed before.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
@@ -78,6 +78,9 @@
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
 	void addCrash(CrashSighting sighting, long nowMillis) {
+		this.crashesByPart.values()
+			.forEach((crashes) -> crashes.removeIf((millis) -> nowMillis - millis > CRASH_MEMORY_MILLIS));
+		this.crashesByPart.values().removeIf(Set::isEmpty);
 		long crashedAtMillis = this.crashTimes
 			.computeIfAbsent(new CrashedRun(sighting.server(), sighting.startedAtMillis()), (run) -> {
 				if (nowMillis - this.lastCrashAtMillis > SAME_MOMENT_MILLIS) {
@@ -87,7 +90,6 @@
 			});
 		for (String part : sighting.parts()) {
 			Set<Long> crashes = this.crashesByPart.computeIfAbsent(part, (id) -> new HashSet<>());
-			crashes.removeIf((millis) -> nowMillis - millis > CRASH_MEMORY_MILLIS);
 			if (!survivedBefore(part, crashedAtMillis)) {
 				crashes.add(crashedAtMillis);
 			}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
@@ -193,6 +193,18 @@
 		assertThat(this.quarantine.admit(SERVICE, List.of("a"), 2_000).isEmpty(), is(true));
 	}
 
+	// A rule that had ended began anew with a crash that had nothing to do with it.
+	@Test
+	void crashesOfLongAgoDontBeginAQuarantine() {
+		crash(1_000, "a");
+		crash(2_000, "a");
+		crash(3_000, "a");
+		long laterMillis = 3_000 + 2 * QUARANTINE_MILLIS;
+		assertThat(this.quarantine.expire(laterMillis), contains(QuarantineRule.of(SERVICE, Set.of("a"))));
+		assertThat(crash(laterMillis, "b"), is(empty()));
+		assertThat(stops(laterMillis, "a"), is(false));
+	}
+
 	@Test
 	void endedRulesAreForgotten() {
 		QuarantineRule rule = QuarantineRule.of(SERVICE, Set.of("a"));
