Call a request not run that is stopped before it is written

Cause: a dispatch that was stopped by a quarantine when its connection was open counted as broken, since the connection was attached, so callers got 502 for a request of which no byte was sent.

Evidence: by reading; no test of its own. The path is the one of departed servers now.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -196,7 +196,8 @@
 	@Override
 	public boolean maySend() {
 		if (this.relayedRequest.isQuarantined()) {
-			onQuarantined();
+			close();
+			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT, RelayedRequest.QUARANTINED);
 			return false;
 		}
 		if (this.server.mayBeSentRequests(nowMillis())) {
