Count only successes as survived

Cause: an answer that refuses a prompt with a 4xx counted as a survival of its parts, although the server hadn't begun to answer it; it would have ended a quarantine.

Evidence: by reading; no test of its own. PromptPartCrashTests pass.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -413,7 +413,9 @@
 		}
 		else {
 			this.server.health().recordSuccess(nowMillis);
-			this.progress.recordCompletion();
+			if (this.responseHead != null && this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS) {
+				this.progress.recordCompletion();
+			}
 		}
 		if (failed) {
 			this.observation.onFailure(nowMillis);
