Judge an operator's key by one manifest

Cause: the manifest was read up to three times for one request. If the first one came into force between the reads, the key was looked up in the empty manifest and the bootstrap was judged by the new one, so a valid key got 401. This fits what was seen; the answer itself wasn't logged. The test names it from now on.

Fix: one read for each request.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/operators/OperatorHandler.java
@@ -1,7 +1,6 @@
 package io.flamingogap.daemon.operators;
 
 import java.io.IOException;
-import java.util.Optional;
 import java.util.Set;
 
 import com.sun.net.httpserver.HttpExchange;
@@ -10,8 +9,6 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.error.ProblemType;
 import io.flamingogap.core.error.Step;
-import io.flamingogap.core.manifest.Operator;
-import io.flamingogap.core.text.Digests;
 import io.flamingogap.daemon.http.Exchanges;
 import io.flamingogap.daemon.http.HttpListener;
 import io.flamingogap.daemon.platformlog.Configuration;
@@ -25,9 +22,7 @@
 	/** Prefix of the paths of all operator requests. */
 	public static final String PREFIX = "/operator/v1/";
 
-	private final Configuration configuration;
-
-	private final Settings.Operators bootstrapOperator;
+	private final OperatorAuthenticator authenticator;
 
 	private final OperatorApi api;
 
@@ -39,14 +34,13 @@
 	 * @param api serves the requests of authenticated operators
 	 */
 	public OperatorHandler(Configuration configuration, Settings.Operators bootstrapOperator, OperatorApi api) {
-		this.configuration = configuration;
-		this.bootstrapOperator = bootstrapOperator;
+		this.authenticator = new OperatorAuthenticator(configuration::manifest, bootstrapOperator);
 		this.api = api;
 	}
 
 	@Override
 	public void handle(HttpExchange exchange) throws IOException {
-		Either<Failure, String> operator = authenticate(exchange);
+		Either<Failure, String> operator = this.authenticator.authenticate(Exchanges.bearerKey(exchange));
 		if (operator.isLeft()) {
 			Exchanges.sendProblem(exchange, operator.getLeft());
 			return;
@@ -55,24 +49,6 @@
 		dispatch(exchange, operator.get(), resource);
 	}
 
-	private Either<Failure, String> authenticate(HttpExchange exchange) {
-		Optional<String> digest = Exchanges.bearerKey(exchange).map(Digests::sha256);
-		Optional<String> operatorName = digest
-			.flatMap((found) -> this.configuration.manifest().findOperatorByDigest(found))
-			.map(Operator::name);
-		if (operatorName.isPresent()) {
-			return Either.right(operatorName.get());
-		}
-		boolean mayBootstrap = this.configuration.manifest().operator().isEmpty();
-		if (mayBootstrap && digest.filter(this.bootstrapOperator.bootstrapKeyDigest()::equals).isPresent()) {
-			return Either.right(this.bootstrapOperator.bootstrapName());
-		}
-		boolean isAccount = digest.flatMap((found) -> this.configuration.manifest().findAccountByDigest(found))
-			.isPresent();
-		ProblemType type = isAccount ? ProblemType.FORBIDDEN : ProblemType.UNAUTHENTICATED;
-		return Either.left(Failure.notRun(type, Step.AUTHENTICATE, "operator", "no operator has this bearer key"));
-	}
-
 	private void dispatch(HttpExchange exchange, String operator, String resource) throws IOException {
 		String method = exchange.getRequestMethod();
 		switch (method + " " + resource.split("/", 2)[0]) {
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/fleet/Fleet.java
@@ -199,7 +199,11 @@
 	}
 
 	long configOffset(int daemon) throws Exception {
-		return operatorGet(daemon, "status").get("configOffset").asLong();
+		JsonNode status = operatorGet(daemon, "status");
+		if (!status.has("configOffset")) {
+			throw new IllegalStateException("the process at " + address(daemon) + " answered " + status);
+		}
+		return status.get("configOffset").asLong();
 	}
 
 	private boolean allDaemonsSeeServingNodes(int count) throws Exception {
