Request lines of a stream once, whichever thread consumed them

The daemon's log has the cause: IllegalArgumentException, non-positive subscription request: 0, in EngineConnection.recordConsumed.

Cause: the thread that reads the connection and the one that serves the caller count consumed lines together. If both reached the limit at once, the second took a count of 0 and requested 0 lines.

Fix: nothing is requested if the other thread has done it.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/EngineConnection.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/EngineConnection.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.Flow;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
@@ -182,7 +181,7 @@
 	 */
 	private final class LineSubscriber implements Flow.Subscriber<String> {
 
-		private final AtomicInteger consumed = new AtomicInteger();
+		private final LineDemand demand = new LineDemand(LINES_PER_REQUEST);
 
 		private volatile Flow.@Nullable Subscription subscription;
 
@@ -203,8 +202,8 @@
 
 		private void recordConsumed() {
 			Flow.Subscription current = this.subscription;
-			if (this.consumed.incrementAndGet() >= LINES_PER_REQUEST && current != null) {
-				current.request(this.consumed.getAndSet(0));
+			if (current != null) {
+				this.demand.recordConsumed(current);
 			}
 		}
 
