--- a/review/standins/PromptBurst.java
+++ b/review/standins/PromptBurst.java
@@ -57,7 +57,7 @@
 				Http.readBody(request, in);
 				prompts.incrementAndGet();
 				Harness.write(out, (Server.head(request, 200)
-						+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: contract\n\n\r\n0\r\n\r\n")
+						+ "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n16\r\nid: 1\ndata: contract\n\n\r\n0\r\n\r\n")
 					.getBytes(StandardCharsets.ISO_8859_1));
 				return true;
 			});
@@ -82,17 +82,18 @@
 		harness.log(callers + " callers send a prompt of " + PROMPT_BYTES + " bytes each, over "
 				+ STEPS * STEP_MILLIS + " ms");
 		AtomicInteger answered = new AtomicInteger();
+		AtomicInteger refused = new AtomicInteger();
 		for (int i = 0; i < callers; i++) {
 			String attemptId = "c000000000%06x".formatted(i);
-			clients.add(Harness.daemon("caller", () -> prompt(node, attemptId, answered)));
+			clients.add(Harness.daemon("caller", () -> prompt(node, attemptId, answered, refused)));
 		}
 		Thread.sleep(STEPS * STEP_MILLIS + BOOKING_TIMEOUT_MILLIS);
 		outcomes.stop = true;
 		for (Thread client : clients) {
 			client.join(20_000);
 		}
-		harness.log(answered + " of " + callers + " prompts were answered with any status, " + prompts
-				+ " reached a server");
+		harness.log(answered + " of " + callers + " prompts were answered with 200, " + refused
+				+ " with another status; " + prompts + " reached a server");
 		harness.log("bookings: " + outcomes.answered + " answered, " + outcomes.unanswered
 				+ " without a final answer 0.5 s after the route's timeoutMs, " + outcomes.closed
 				+ " whose kept channel was closed without an answer");
@@ -104,7 +105,8 @@
 		boolean lost = outcomes.closed.get() > 3;
 		boolean late = outcomes.unanswered.get() + outcomes.closed.get() >= 8;
 		if (!harness.trouble) {
-			Harness.check(!lost && !late && node.process.isAlive(), "without the burst the bookings must be answered");
+			Harness.check(!lost && !late && node.process.isAlive() && answered.get() == callers,
+					"without the burst the bookings and the prompts must be answered");
 		}
 		return !lost && !late;
 	}
@@ -162,7 +164,8 @@
 		}
 	}
 
-	private static void prompt(Harness.Node node, String attemptId, AtomicInteger answered) {
+	private static void prompt(Harness.Node node, String attemptId, AtomicInteger answered,
+			AtomicInteger refused) {
 		try (Socket socket = node.connect(0)) {
 			socket.setSoTimeout(4_000);
 			Harness.write(socket.getOutputStream(), ("POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: "
@@ -174,8 +177,11 @@
 				Harness.write(socket.getOutputStream(), new byte[PROMPT_BYTES / STEPS]);
 				Thread.sleep(STEP_MILLIS);
 			}
-			if (Http.readHead(Harness.buffered(socket)) != null) {
-				answered.incrementAndGet();
+			InputStream in = Harness.buffered(socket);
+			Http.Head head = Http.readHead(in);
+			if (head != null) {
+				Http.readBody(head, in);
+				((head.status() == 200) ? answered : refused).incrementAndGet();
 			}
 		}
 		catch (IOException | InterruptedException ex) {
