--- a/review/standins/CrashInEarlyAnswer.java
+++ b/review/standins/CrashInEarlyAnswer.java
@@ -1,8 +1,13 @@
 package review;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A server answers before it has read a long body, without a length, and crashes in the
@@ -18,7 +23,13 @@
 			"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 			"tenants":[]}""";
 
-	private static final int REQUESTS = 5;
+	/** One of eight servers crashes, once: a share of 0.125. */
+	private static final int SERVERS = 8;
+
+	private static final int REQUESTS = 12;
+
+	/** The request whose server crashes, counted from 1. */
+	private static final int CRASH_AT = 6;
 
 	/** Within the maxBodyBytes of the configuration, and more than the sockets buffer. */
 	private static final int REQUEST_BODY_BYTES = 4_000_000;
@@ -36,33 +47,39 @@
 
 	private static boolean holds(Harness harness) throws Exception {
 		harness.platform.put("keyed.op", "config", CONFIG);
-		Server server = new Server(harness.platform, "i-desk", "wuno96b", SERVER_RECEIVE_BUFFER_BYTES,
-				(request, in, out, socket) -> {
-					String attemptId = request.header("attempt-id");
-					Harness.write(out, (Server.head(request, 200) + "Connection: close\r\n\r\n")
-						.getBytes(StandardCharsets.ISO_8859_1));
-					Harness.write(out, Arrays.copyOf(ANSWER, ANSWER.length / 2));
-					Thread.sleep(400);
-					if (harness.trouble) {
-						harness.log("server: " + attemptId + " answered with " + ANSWER.length / 2 + " of "
-								+ ANSWER.length + " bytes, then crashed (reset)");
-						socket.setSoLinger(true, 0);
+		AtomicInteger begun = new AtomicInteger();
+		List<Server> servers = new ArrayList<>();
+		for (int i = 0; i < SERVERS; i++) {
+			int index = i;
+			servers.add(new Server(harness.platform, "i-desk" + i, "wuno96b", SERVER_RECEIVE_BUFFER_BYTES,
+					(request, in, out, socket) -> {
+						String attemptId = request.header("attempt-id");
+						boolean crashes = harness.trouble && begun.incrementAndGet() == CRASH_AT;
+						Harness.write(out, (Server.head(request, 200) + "Connection: close\r\n\r\n")
+							.getBytes(StandardCharsets.ISO_8859_1));
+						Harness.write(out, Arrays.copyOf(ANSWER, ANSWER.length / 2));
+						Thread.sleep(400);
+						if (crashes) {
+							harness.log("server i-desk" + index + ": " + attemptId + " answered with "
+									+ ANSWER.length / 2 + " of " + ANSWER.length + " bytes, then the server crashed");
+							servers.get(index).close();
+							socket.setSoLinger(true, 0);
+							return false;
+						}
+						Harness.write(out, Arrays.copyOfRange(ANSWER, ANSWER.length / 2, ANSWER.length));
+						Http.readBody(request, in);
+						harness.log("server i-desk" + index + ": " + attemptId + " answered with " + ANSWER.length
+								+ " bytes and closed its channel");
 						return false;
-					}
-					Harness.write(out, Arrays.copyOfRange(ANSWER, ANSWER.length / 2, ANSWER.length));
-					Http.readBody(request, in);
-					harness.log("server: " + attemptId + " answered with " + ANSWER.length + " bytes and closed");
-					return false;
-				});
-		try (server) {
-			Harness.Node node = harness.startNode("front-kolkata-a-1");
-			Thread.sleep(5_000);
-			boolean held = true;
-			for (int i = 0; i < REQUESTS; i++) {
-				held &= isSound(harness, node, "a000000000000%03x".formatted(i));
-			}
-			return held;
+					}));
+		}
+		Harness.Node node = harness.startNode("front-kolkata-a-1");
+		Thread.sleep(5_000);
+		boolean held = true;
+		for (int i = 0; i < REQUESTS; i++) {
+			held &= isSound(harness, node, "a000000000000%03x".formatted(i));
 		}
+		return held;
 	}
 
 	private static boolean isSound(Harness harness, Harness.Node node, String attemptId) throws Exception {
@@ -72,7 +89,7 @@
 					Harness.requestHead("/puxa403/2f", attemptId, 5_000, REQUEST_BODY_BYTES));
 			Harness.write(socket.getOutputStream(), new byte[REQUEST_BODY_BYTES]);
 			harness.log("client: " + attemptId + " sent, body of " + REQUEST_BODY_BYTES + " bytes");
-			var in = Harness.buffered(socket);
+			InputStream in = Harness.buffered(socket);
 			Http.Head head;
 			byte[] body;
 			try {
@@ -83,7 +100,7 @@
 				}
 				body = Http.readBody(head, in);
 			}
-			catch (java.io.IOException ex) {
+			catch (IOException ex) {
 				harness.log("client: " + attemptId + " got a broken answer: " + ex.getMessage());
 				return true;
 			}
