--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# An answer without end, in small pieces: review/3/claim.txt. Writes record.txt.
-exec "$(dirname "$0")/../run-case" EndlessPieces review/3
+# A crash in the middle of an early answer: review/3/claim.txt. Writes record.txt.
+exec "$(dirname "$0")/../run-case" CrashInEarlyAnswer review/3
--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -254,6 +254,10 @@
 			}
 		}
 
+		InetSocketAddress callerAddress() {
+			return new InetSocketAddress(this.ip, this.callerPort);
+		}
+
 		/** Open a channel of a client. */
 		Socket connect(int receiveBufferBytes) throws IOException {
 			Socket socket = new Socket();
