Review case 5: a planned stop cuts answers that wait for a slow client

Claim: a node that is stopped ends while answers still wait in callers' connections, though graceS would allow to deliver them.

--- a/review/standins/SlowReaderAtStop.java
+++ b/review/standins/SlowReaderAtStop.java
@@ -36,20 +36,20 @@
 			"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 			"tenants":[]}""";
 
-	private static final int CLIENTS = 8;
+	private static final int CLIENTS = 48;
 
-	private static final int ANSWER_BYTES = 250_000;
+	private static final int ANSWER_BYTES = 260_000;
 
 	private static final int READ_BYTES = 1_800;
 
 	private static final long READ_INTERVAL_MILLIS = 50;
 
-	/** At the stop each client needs 6.9 s for the rest of its answer; graceS is 8. */
+	/** At the stop each client needs 7.1 s for the rest of its answer; graceS is 8. */
 	private static final int READ_BEFORE_STOP_BYTES = 4_000;
 
 	private static final int SEGMENT_BYTES = 1_448;
 
-	private static final int RECEIVE_BUFFER_BYTES = 4_096;
+	private static final int RECEIVE_BUFFER_BYTES = 2_304;
 
 	private SlowReaderAtStop() {
 	}
