--- a/review/standins/PromptBurst.java
+++ b/review/standins/PromptBurst.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Callers send prompts of 48 kB over slow links: 300 at once on a calm day, 1.7 times as
+ * Callers send prompts of 72 kB over slow links: 215 at once on a calm day, 1.7 times as
  * many in the burst. Bookings on kept channels go on meanwhile and must be answered.
  */
 final class PromptBurst {
@@ -26,17 +26,17 @@
 			"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 			"tenants":[]}""";
 
-	private static final int CALM_PROMPTS = 300;
+	private static final int CALM_PROMPTS = 215;
 
 	private static final double BURST = 1.7;
 
-	/** 12,000 tokens of 4 bytes. */
-	private static final int PROMPT_BYTES = 48_000;
+	/** The longest body of the site's longest kind of request. */
+	private static final int PROMPT_BYTES = 72_000;
 
-	/** A caller sends a twelfth of its prompt each 200 ms: 20 kB a second. */
-	private static final int STEPS = 12;
+	/** A caller sends segments of 1,500 bytes, 30 kB a second. */
+	private static final int STEPS = 48;
 
-	private static final long STEP_MILLIS = 200;
+	private static final long STEP_MILLIS = 50;
 
 	private static final int BOOKING_CLIENTS = 20;
 
