--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -276,14 +276,10 @@
 			}
 		}
 
-		/** Copy the node's output, for an examination of the case. */
-		void keepOutput(Path target) throws IOException {
-			Files.copy(this.output, target, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-		}
-
-		void signal(String signal) throws Exception {
-			Harness.this.log("signal " + signal + " to " + this.name);
-			new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start().waitFor();
+		/** Send SIGTERM. */
+		void terminate() {
+			Harness.this.log("SIGTERM to " + this.name);
+			this.process.destroy();
 		}
 
 	}
--- a/review/standins/SlowReaderAtStop.java
+++ b/review/standins/SlowReaderAtStop.java
@@ -23,8 +23,8 @@
 import jdk.incubator.foreign.ResourceScope;
 
 /**
- * Clients read answers at 36 kB a second, over connections with the segment size of an
- * Ethernet. The node is stopped meanwhile, and has the time to deliver every answer.
+ * Clients read answers at 10 kB a second for 5 s and at 100 kB a second after that, over
+ * connections with the segment size of an Ethernet. The node is stopped meanwhile, and has the time to deliver every answer.
  */
 final class SlowReaderAtStop {
 
@@ -36,15 +36,19 @@
 			"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 			"tenants":[]}""";
 
-	private static final int CLIENTS = 48;
+	private static final int CLIENTS = 24;
 
 	private static final int ANSWER_BYTES = 260_000;
 
-	private static final int READ_BYTES = 1_800;
+	private static final int SLOW_BYTES_PER_SECOND = 10_000;
 
-	private static final long READ_INTERVAL_MILLIS = 50;
+	private static final int FAST_BYTES_PER_SECOND = 100_000;
 
-	/** At the stop each client needs 7.1 s for the rest of its answer; graceS is 8. */
+	private static final long SLOW_MILLIS = 5_000;
+
+	private static final int READ_BYTES = 1_000;
+
+	/** At the stop each client needs 6.7 s for the rest of its answer; graceS is 8. */
 	private static final int READ_BEFORE_STOP_BYTES = 4_000;
 
 	private static final int SEGMENT_BYTES = 1_448;
@@ -83,7 +87,7 @@
 			Thread.sleep(20);
 		}
 		if (harness.trouble) {
-			node.signal("TERM");
+			node.terminate();
 		}
 		long stoppedAt = harness.elapsedMillis();
 		Harness.daemon("watch", () -> {
@@ -160,7 +164,9 @@
 
 		private int length;
 
-		private long nextAtNanos = System.nanoTime();
+		private final long startedAtNanos = System.nanoTime();
+
+		private long nextAtNanos = this.startedAtNanos;
 
 		private int readBytes;
 
@@ -198,7 +204,9 @@
 				throw new IOException(ex);
 			}
 			int count = this.source.read(this.buffer);
-			this.nextAtNanos += TimeUnit.MILLISECONDS.toNanos(READ_INTERVAL_MILLIS) * Math.max(1, count) / READ_BYTES;
+			boolean slow = System.nanoTime() - this.startedAtNanos < TimeUnit.MILLISECONDS.toNanos(SLOW_MILLIS);
+			this.nextAtNanos += TimeUnit.SECONDS.toNanos(1) * Math.max(1, count)
+					/ (slow ? SLOW_BYTES_PER_SECOND : FAST_BYTES_PER_SECOND);
 			return count;
 		}
 
