--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -42,6 +42,7 @@
 
 	static final int COULD_NOT_RUN = 2;
 
+	/** Whether the disruption takes place; TROUBLE=0 in the environment leaves it out. */
 	final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
 	final Platform platform = new Platform();
