Accept the end of a response only where its end of input was read

The write fails first, Netty closes the channel, and the HTTP decoder takes any end of a channel for the end of a response without a length. Ruled out: a read that returns the end of the input after the failed write, and an end that came before the reset; with the fix, which accepts both, these would still be complete, and the failure names the failed write in each case.

ClientChannel remembers whether a read returned the end of the input; any other end fails the response before the decoder sees it. The calls to the store, the cloud and other nodes had the same fault.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -39,6 +39,9 @@
 
 	private boolean requestWritten;
 
+	/** Why the request could not be written. */
+	private @Nullable Throwable writeFailure;
+
 	private boolean kept;
 
 	private boolean receivedOtherAttemptsResponse;
@@ -74,10 +77,13 @@
 		this.attemptId = request.request().attemptId();
 		this.readState = ReadState.HEAD;
 		this.requestWritten = false;
+		this.writeFailure = null;
 		this.skippedBytes = 0;
 		this.decoder.expectResponse(request.request().method().equals(HttpMethod.HEAD));
-		this.channel.writeAndFlush(this.protocol.encodeRequest(request))
-			.addListener((written) -> this.requestWritten = written.isSuccess());
+		this.channel.writeAndFlush(this.protocol.encodeRequest(request)).addListener((written) -> {
+			this.requestWritten = written.isSuccess();
+			this.writeFailure = written.cause();
+		});
 	}
 
 	@Override
@@ -188,7 +194,8 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		fail("connection failed: " + cause);
+		fail("connection failed: " + cause
+				+ ((this.writeFailure != null) ? "; the request could not be written: " + this.writeFailure : ""));
 	}
 
 	String serverId() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
@@ -13,10 +13,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
 import io.flamingogap.core.servers.ServerRegistration;
+import io.flamingogap.gateway.http.ClientChannel;
 
 /**
  * Opens connections to backend servers and keeps idle ones for reuse.
@@ -117,7 +117,7 @@
 
 	private ChannelFuture connect(ServerRegistration server) {
 		return new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
+			.channel(ClientChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -126,7 +126,7 @@
 				protected void initChannel(Channel channel) {
 					BackendResponseDecoder decoder = new BackendResponseDecoder();
 					channel.pipeline()
-						.addLast(new HttpRequestEncoder(), decoder,
+						.addLast(ClientChannel.newEndGuard(), new HttpRequestEncoder(), decoder,
 								new BackendConnection(BackendConnectionPool.this.protocol, BackendConnectionPool.this,
 										server.id(), channel, decoder));
 				}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -16,7 +16,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -71,15 +70,15 @@
 		this.loop = loop;
 		this.peer = peer;
 		this.bootstrap = new Bootstrap().group(loop)
-			.channel(NioSocketChannel.class)
+			.channel(ClientChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.handler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-								new Connection(channel));
+						.addLast(ClientChannel.newEndGuard(), new HttpClientCodec(),
+								new HttpObjectAggregator(MAX_RESPONSE_BYTES), new Connection(channel));
 				}
 			});
 	}
--- /dev/null
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/PooledHttpClientTests.java
@@ -0,0 +1,101 @@
+package io.flamingogap.gateway.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import io.flamingogap.core.node.Address;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link PooledHttpClient}.
+ */
+class PooledHttpClientTests {
+
+	/** More than the sockets of both sides buffer. */
+	private static final int LONG_BODY_BYTES = 16_777_216;
+
+	private static final int RECEIVE_BUFFER_BYTES = 16_384;
+
+	private static final byte[] HALF = "HTTP/1.1 200 OK\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII);
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private ServerSocket server;
+
+	@BeforeEach
+	void startServer() throws IOException {
+		this.server = new ServerSocket();
+		this.server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+		this.server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.server.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	private CompletableFuture<HttpCallResponse> call(int bodyBytes) {
+		PooledHttpClient client = new PooledHttpClient(this.loop, new Address("127.0.0.1", this.server.getLocalPort()));
+		CompletableFuture<HttpCallResponse> result = new CompletableFuture<>();
+		this.loop.execute(() -> client.call(HttpMethod.POST, "/records", Map.of(), new byte[bodyBytes], 5_000)
+			.whenComplete((response, failure) -> {
+				if (failure != null) {
+					result.completeExceptionally(failure);
+				}
+				else {
+					result.complete(response);
+				}
+			}));
+		return result;
+	}
+
+	// Part of a page of records would count as the whole page after the store had reset
+	// the connection while the call was still being written.
+	@Test
+	void responseThatIsResetWhileTheCallIsWrittenIsNotComplete() throws Exception {
+		CompletableFuture<HttpCallResponse> result = call(LONG_BODY_BYTES);
+		try (Socket connection = this.server.accept()) {
+			connection.getInputStream().read();
+			connection.getOutputStream().write(HALF);
+			// Lets the response arrive before the reset.
+			TimeUnit.MILLISECONDS.sleep(100);
+			connection.setSoLinger(true, 0);
+		}
+		Object outcome = result.handle((response, failure) -> (failure != null) ? failure : response)
+			.get(5, TimeUnit.SECONDS);
+		assertThat(outcome, instanceOf(HttpCallException.class));
+	}
+
+	@Test
+	void responseWhoseConnectionIsClosedIsComplete() throws Exception {
+		CompletableFuture<HttpCallResponse> result = call(1);
+		try (Socket connection = this.server.accept()) {
+			connection.getInputStream().read();
+			connection.getOutputStream().write(HALF);
+			connection.shutdownOutput();
+			assertThat(new String(result.get(5, TimeUnit.SECONDS).body(), StandardCharsets.US_ASCII), is("half"));
+		}
+	}
+
+}
