Forward the end of a plain answer that was begun

Once the first part was forwarded, following parts were buffered again, and the buffer was released at the end because the answer had begun.

Whether the answer has begun now decides.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -356,21 +356,32 @@
 		}
 	}
 
+	/**
+	 * Buffer part of a plain response, or forward it if the response has become too long
+	 * to be buffered.
+	 * @param chunk the next part
+	 */
 	private void bufferBody(ByteBuf chunk) {
 		if (this.bufferedBody.readableBytes() + chunk.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
-			beginResponse();
-			this.relayedRequest.callerExchange().writeChunk(this.bufferedBody);
-			this.bufferedBody = Unpooled.EMPTY_BUFFER;
+			forwardBufferedBody();
+		}
+		if (this.relayedRequest.callerExchange().hasResponseBegun()) {
 			this.relayedRequest.callerExchange().writeChunk(chunk.copy());
 			pauseReadingIfCongested();
+			return;
 		}
-		else {
-			if (!this.bufferedBody.isReadable()) {
-				this.bufferedBody.release();
-				this.bufferedBody = Unpooled.buffer(chunk.readableBytes());
-			}
-			this.bufferedBody.writeBytes(chunk);
+		if (!this.bufferedBody.isReadable()) {
+			this.bufferedBody.release();
+			this.bufferedBody = Unpooled.buffer(chunk.readableBytes());
 		}
+		this.bufferedBody.writeBytes(chunk);
+	}
+
+	private void forwardBufferedBody() {
+		ByteBuf buffered = this.bufferedBody;
+		this.bufferedBody = Unpooled.EMPTY_BUFFER;
+		beginResponse();
+		this.relayedRequest.callerExchange().writeChunk(buffered);
 	}
 
 	@Override
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -73,6 +73,8 @@
 
 	private volatile int cutAt;
 
+	private volatile String body = "done";
+
 	private volatile CountDownLatch answerGate = new CountDownLatch(0);
 
 	private volatile long firstEventMillis;
@@ -307,7 +309,7 @@
 	}
 
 	private String completeAnswer(String attempt) {
-		return head("200 OK", attempt) + "Content-Length: 4\r\n\r\ndone";
+		return head("200 OK", attempt) + "Content-Length: " + this.body.length() + "\r\n\r\n" + this.body;
 	}
 
 	private void writeWithoutEnd(OutputStream out, String text, long pauseMillis) throws IOException {
@@ -382,6 +384,14 @@
 		this.cutAt = length;
 	}
 
+	/**
+	 * Set the body of the answers to plain requests.
+	 * @param newBody the body in ASCII
+	 */
+	public void setBody(String newBody) {
+		this.body = newBody;
+	}
+
 	/**
 	 * Return whether the server was closed or has crashed.
 	 * @return {@code true} if it takes no connections
@@ -482,7 +492,7 @@
 			return this.headers.getOrDefault(name, "");
 		}
 
-		private static Request read(InputStream in) throws IOException {
+		static Request read(InputStream in) throws IOException {
 			String line = readLine(in);
 			if (line.isEmpty()) {
 				return null;
