Let connections that receive much take turns

Each pass of the event loop read up to 1 MiB of each connection before anything else went on.

Connections to servers are read 16 KiB at a time. At most 100 responses to no open request are skipped. What a read yields is sent to the caller together, not event by event.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnection.java
@@ -12,6 +12,8 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
+import io.flamingogap.gateway.http.ReadTurns;
+
 /**
  * A connection to a backend server that carries at most one request at a time. It closes
  * itself if it receives bytes while no request is open.
@@ -21,6 +23,9 @@
 	/** Limit for the bodies of responses to other attempts that precede a response. */
 	private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
+	/** Limit for the interim responses and the responses to other attempts. */
+	private static final int MAX_SKIPPED_RESPONSES = 100;
+
 	private final BackendProtocol protocol;
 
 	private final BackendConnectionPool pool;
@@ -29,6 +34,8 @@
 
 	private final Channel channel;
 
+	private final ReadTurns.PacedReader reader;
+
 	private final BackendResponseDecoder decoder;
 
 	private @Nullable ResponseListener responseListener;
@@ -48,17 +55,20 @@
 
 	private long skippedBytes;
 
+	private int skippedResponses;
+
 	private long keepAliveMillis;
 
 	private long idleSinceMillis;
 
 	BackendConnection(BackendProtocol protocol, BackendConnectionPool pool, String serverId, Channel channel,
-			BackendResponseDecoder decoder) {
+			ReadTurns.PacedReader reader, BackendResponseDecoder decoder) {
 		super(false);
 		this.protocol = protocol;
 		this.pool = pool;
 		this.serverId = serverId;
 		this.channel = channel;
+		this.reader = reader;
 		this.decoder = decoder;
 	}
 
@@ -79,6 +89,7 @@
 		this.requestWritten = false;
 		this.writeFailure = null;
 		this.skippedBytes = 0;
+		this.skippedResponses = 0;
 		this.decoder.expectResponse(request.request().method().equals(HttpMethod.HEAD));
 		this.channel.writeAndFlush(this.protocol.encodeRequest(request)).addListener((written) -> {
 			this.requestWritten = written.isSuccess();
@@ -107,9 +118,17 @@
 		}
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		ResponseListener currentListener = this.responseListener;
+		if (currentListener != null) {
+			currentListener.onReadComplete();
+		}
+	}
+
 	private void readHead(HttpResponse head) {
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-			this.readState = ReadState.SKIPPING;
+			skipResponse();
 			return;
 		}
 		BackendResponseHead decoded = this.protocol.decodeResponseHead(this.attemptId, head);
@@ -117,8 +136,8 @@
 			decoded = decoded.onKeptConnection();
 		}
 		if (decoded.verdict() == BackendResponseHead.Verdict.ATTEMPT_MISMATCH) {
-			this.readState = ReadState.SKIPPING;
 			this.receivedOtherAttemptsResponse = true;
+			skipResponse();
 			return;
 		}
 		this.readState = ReadState.BODY;
@@ -129,6 +148,14 @@
 		}
 	}
 
+	private void skipResponse() {
+		this.readState = ReadState.SKIPPING;
+		this.skippedResponses++;
+		if (this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+			fail("received more than " + MAX_SKIPPED_RESPONSES + " responses that answer no open request");
+		}
+	}
+
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.readState == ReadState.SKIPPING) {
@@ -183,7 +210,7 @@
 	}
 
 	void setAutoRead(boolean enabled) {
-		this.channel.config().setAutoRead(enabled);
+		this.reader.setEnabled(enabled);
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendConnectionPool.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -17,6 +18,7 @@
 
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.gateway.http.ClientChannel;
+import io.flamingogap.gateway.http.ReadTurns;
 
 /**
  * Opens connections to backend servers and keeps idle ones for reuse.
@@ -43,8 +45,20 @@
 	 */
 	private static final long MAX_IDLE_UNREPEATABLE_MILLIS = 1_000;
 
+	/**
+	 * A connection holds a buffer of this size while what it received ends inside a line
+	 * or a chunk.
+	 */
+	private static final int MAX_READ_BYTES = 16_384;
+
+	private static final int MIN_READ_BYTES = 512;
+
+	private static final int FIRST_READ_BYTES = 2_048;
+
 	private final EventLoop loop;
 
+	private final ReadTurns readTurns;
+
 	private final BackendProtocol protocol;
 
 	private final LongSupplier steadyMillis;
@@ -61,6 +75,7 @@
 	 */
 	public BackendConnectionPool(EventLoop loop, BackendProtocol protocol, LongSupplier steadyMillis) {
 		this.loop = loop;
+		this.readTurns = new ReadTurns(loop);
 		this.protocol = protocol;
 		this.steadyMillis = steadyMillis;
 	}
@@ -121,14 +136,18 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.AUTO_READ, false)
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
 			.handler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
+					ReadTurns.PacedReader reader = BackendConnectionPool.this.readTurns.newReader();
 					BackendResponseDecoder decoder = new BackendResponseDecoder();
 					channel.pipeline()
-						.addLast(ClientChannel.newEndGuard(), new HttpRequestEncoder(), decoder,
+						.addLast(reader, ClientChannel.newEndGuard(), new HttpRequestEncoder(), decoder,
 								new BackendConnection(BackendConnectionPool.this.protocol, BackendConnectionPool.this,
-										server.id(), channel, decoder));
+										server.id(), channel, reader, decoder));
 				}
 			})
 			.connect(server.address().host(), server.address().port());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/ResponseListener.java
@@ -28,6 +28,13 @@
 	 */
 	void onBody(ByteBuf chunk);
 
+	/**
+	 * Learn that nothing more is received for now. Called after the last part of what was
+	 * received at once.
+	 */
+	default void onReadComplete() {
+	}
+
 	/**
 	 * Receive the end of a complete response.
 	 */
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.jspecify.annotations.Nullable;
 
 import io.flamingogap.core.error.Failure;
 
@@ -27,6 +28,8 @@
  */
 public final class CallerExchange {
 
+	private static final int MAX_MERGED_BYTES = 8_192;
+
 	private final ChannelHandlerContext context;
 
 	private final CallerConnection connection;
@@ -39,6 +42,9 @@
 
 	private boolean responseEnded;
 
+	/** The last chunk, to which short ones are appended until it is written. */
+	private @Nullable ByteBuf unwritten;
+
 	CallerExchange(ChannelHandlerContext context, CallerConnection connection, CallerProtocol protocol,
 			boolean keepAlive) {
 		this.context = context;
@@ -108,11 +114,39 @@
 	}
 
 	/**
-	 * Send a chunk of the body.
+	 * Write a chunk of the body, which is sent by {@link #flush()} or with the end of the
+	 * response.
 	 * @param chunk the chunk, which this exchange releases
 	 */
 	public void writeChunk(ByteBuf chunk) {
-		this.context.writeAndFlush(new DefaultHttpContent(chunk), this.context.voidPromise());
+		if (!chunk.isReadable()) {
+			chunk.release();
+			return;
+		}
+		ByteBuf previous = this.unwritten;
+		if (previous != null && previous.readableBytes() + chunk.readableBytes() <= MAX_MERGED_BYTES) {
+			previous.writeBytes(chunk);
+			chunk.release();
+			return;
+		}
+		writeOut();
+		this.unwritten = chunk;
+	}
+
+	private void writeOut() {
+		ByteBuf chunk = this.unwritten;
+		if (chunk != null) {
+			this.unwritten = null;
+			this.context.write(new DefaultHttpContent(chunk), this.context.voidPromise());
+		}
+	}
+
+	/**
+	 * Send the chunks that were written.
+	 */
+	public void flush() {
+		writeOut();
+		this.context.flush();
 	}
 
 	/**
@@ -120,6 +154,7 @@
 	 */
 	public void endResponse() {
 		if (!this.responseEnded) {
+			writeOut();
 			finish(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
 	}
@@ -140,6 +175,7 @@
 	 * that it is incomplete.
 	 */
 	public void abort() {
+		flush();
 		this.responseEnded = true;
 		this.context.close().addListener(ChannelFutureListener.CLOSE);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -170,6 +170,7 @@
 		this.prompt.recordEnd();
 		this.bufferedBody.release();
 		this.bufferedBody = Unpooled.EMPTY_BUFFER;
+		this.relayedRequest.callerExchange().flush();
 	}
 
 	/**
@@ -325,6 +326,13 @@
 		}
 	}
 
+	@Override
+	public void onReadComplete() {
+		if (!this.closed) {
+			this.relayedRequest.callerExchange().flush();
+		}
+	}
+
 	private void forwardEvents(ByteBuf events) {
 		if (!events.isReadable()) {
 			events.release();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/EventSplitter.java
@@ -114,6 +114,14 @@
 		return this.pending.readableBytes();
 	}
 
+	/**
+	 * Return the memory that the incomplete event takes.
+	 * @return the number of bytes, which is at least its length
+	 */
+	int heldBytes() {
+		return this.pending.capacity();
+	}
+
 	/**
 	 * Return whether an event has begun and isn't complete. Blank lines and comments
 	 * aren't part of an event.
