Limit the memory for answers that are incomplete or unread

With all servers of a service faulty, 300 callers of it and answers of 255,000 bytes that then fall silent, a node with the heap of the deployment wrote 108 OutOfMemoryErrors and served none of 120 bookings of another service. With one of four servers faulty memory held. Each answer had a limit, their sum had none.

HeldBytes counts what is held and decides who gives up; beyond a quarter of the heap a plain answer is forwarded as far as it is there, an incomplete event is cut, and last a caller that doesn't read is left.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import io.flamingogap.gateway.cloud.FleetTotals;
 import io.flamingogap.gateway.http.SimpleHttpServer;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.memory.AnswerMemory;
 import io.flamingogap.gateway.node.MetricsPage;
 import io.flamingogap.gateway.node.NodeReportExchange;
 import io.flamingogap.gateway.node.OperatorRecordWatcher;
@@ -77,6 +78,12 @@
 	 */
 	private static final double CANDIDATE_SHARE_FRACTION = 0.8;
 
+	/**
+	 * The share of the heap for answers that servers have not completed or callers have
+	 * not read.
+	 */
+	private static final double ANSWER_MEMORY_SHARE = 0.25;
+
 	private static final long CONNECTION_EXPIRY_INTERVAL_MILLIS = 1_000;
 
 	private static final long ROLLOUT_EVALUATION_INTERVAL_MILLIS = 250;
@@ -107,6 +114,9 @@
 
 	private final RelayMetrics metrics = new RelayMetrics();
 
+	private final AnswerMemory answerMemory = new AnswerMemory(
+			(long) (Runtime.getRuntime().maxMemory() * ANSWER_MEMORY_SHARE));
+
 	private final ServiceDemandTracker demandTracker = new ServiceDemandTracker();
 
 	private final FleetView fleet;
@@ -178,7 +188,7 @@
 		RelayDependencies relayDependencies = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
 				this.connectionPool, this.quotas, this.fleet::nodes, this.metrics, this.demandTracker, this.zoneLoads,
-				departures::tell, this.quarantine, random);
+				departures::tell, this.quarantine, this.answerMemory, random);
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
 				this.fleetClock, clock, this::createReport, this.quotas::recordPreviousRun, quarantineStore::accept);
@@ -233,7 +243,8 @@
 		this.quarantine.start();
 		listen.callers()
 			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.adapters.callerProtocol(),
-					this.relay, () -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
+					this.relay, this.answerMemory,
+					() -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
 		this.loop.scheduleWithFixedDelay(LoggedTask.of("connections", this.connectionPool::closeExpiredConnections),
 				CONNECTION_EXPIRY_INTERVAL_MILLIS, CONNECTION_EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(
@@ -291,6 +302,11 @@
 				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatcher.lastContactAtMillis();
 			}
 
+			@Override
+			public long answerBytes() {
+				return Gateway.this.answerMemory.totalBytes();
+			}
+
 			@Override
 			public long backendConnectionAttempts() {
 				return Gateway.this.connectionPool.connectionAttempts();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -22,13 +23,16 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.error.ProblemType;
 import io.flamingogap.core.error.Step;
+import io.flamingogap.core.limits.HeldBytes;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.memory.AnswerMemory;
+import io.flamingogap.gateway.memory.BytesHolder;
 
 /**
  * One connection of a caller. Handles one request at a time; requests that arrive before
  * the response is sent (HTTP pipelining) wait in order.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements BytesHolder {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -39,6 +43,8 @@
 
 	private final CallerRequestHandler requestHandler;
 
+	private final AnswerMemory answerMemory;
+
 	private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
 
 	/** Set while a request is in progress that its handler didn't answer at once. */
@@ -55,9 +61,10 @@
 
 	private @Nullable ChannelHandlerContext context;
 
-	CallerConnection(CallerProtocol protocol, CallerRequestHandler requestHandler) {
+	CallerConnection(CallerProtocol protocol, CallerRequestHandler requestHandler, AnswerMemory answerMemory) {
 		this.protocol = protocol;
 		this.requestHandler = requestHandler;
+		this.answerMemory = answerMemory;
 	}
 
 	@Override
@@ -146,12 +153,36 @@
 		this.pipelinedRequests.clear();
 	}
 
+	/**
+	 * Record how many bytes wait for the caller. Call it after each write.
+	 */
+	void recordUnreadBytes() {
+		ChannelHandlerContext channel = this.context;
+		ChannelOutboundBuffer unread = (channel != null && !channel.channel().isWritable())
+				? channel.channel().unsafe().outboundBuffer() : null;
+		this.answerMemory.set(this, HeldBytes.Kind.UNREAD, (unread != null) ? unread.totalPendingWriteBytes() : 0);
+	}
+
+	@Override
+	public void releaseBytes() {
+		ChannelHandlerContext channel = this.context;
+		if (channel != null) {
+			logger.atWarning()
+				.log("%s",
+						LogLine.of("connection closed")
+							.with("reason", "the memory for answers is used up and the caller reads slowly; caller "
+									+ channel.channel().remoteAddress()));
+			channel.close();
+		}
+	}
+
 	boolean allowsKeepAlive() {
 		return this.requestHandler.allowsKeepAlive();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext channel) {
+		this.answerMemory.set(this, HeldBytes.Kind.UNREAD, 0);
 		releasePipelinedRequests();
 		CallerConnectionListener listener = this.connectionListener;
 		this.connectionListener = null;
@@ -163,6 +194,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext channel) {
+		recordUnreadBytes();
 		CallerConnectionListener listener = this.connectionListener;
 		if (listener != null && channel.channel().isWritable()) {
 			listener.onCallerWritable();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -138,6 +138,7 @@
 		if (chunk != null) {
 			this.unwritten = null;
 			this.context.write(new DefaultHttpContent(chunk), this.context.voidPromise());
+			this.connection.recordUnreadBytes();
 		}
 	}
 
@@ -167,6 +168,7 @@
 				this.context.close();
 			}
 		});
+		this.connection.recordUnreadBytes();
 		this.connection.onExchangeEnded(reuseConnection);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,6 +23,7 @@
 import io.flamingogap.core.serving.ListenerLimits;
 import io.flamingogap.gateway.http.ExitOnBindFailure;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.memory.AnswerMemory;
 
 /**
  * Accepts connections of callers. The limits that are in force when a connection is
@@ -47,6 +49,12 @@
 	 */
 	private static final double IDLE_TIMEOUT_FACTOR = 1.1;
 
+	/**
+	 * How much of an answer may wait for a caller until no more of it is read from the
+	 * server, in bytes.
+	 */
+	private static final WriteBufferWaterMark UNREAD_BYTES = new WriteBufferWaterMark(8_192, 16_384);
+
 	private static final int MILLIS_PER_SECOND = 1_000;
 
 	private CallerListener() {
@@ -58,20 +66,23 @@
 	 * @param address the address to listen on
 	 * @param protocol parses the requests of callers
 	 * @param requestHandler receives the requests
+	 * @param answerMemory limits the memory for answers that callers have not read
 	 * @param limits supplies the limits in force
 	 */
 	public static void listen(EventLoop loop, Address address, CallerProtocol protocol,
-			CallerRequestHandler requestHandler, Supplier<ListenerLimits> limits) {
+			CallerRequestHandler requestHandler, AnswerMemory answerMemory, Supplier<ListenerLimits> limits) {
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_BYTES)
 			.childHandler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					configurePipeline(channel.pipeline(), limits.get(), new CallerConnection(protocol, requestHandler));
+					configurePipeline(channel.pipeline(), limits.get(),
+							new CallerConnection(protocol, requestHandler, answerMemory));
 				}
 			})
 			.bind(address.host(), address.port())
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -76,6 +76,9 @@
 		Gauge.builder("flamingogap.store.silent.millis", this.nodeMetrics, NodeMetrics::millisSinceStoreContact)
 			.description("Time since the store last answered, in milliseconds")
 			.register(prometheus);
+		Gauge.builder("flamingogap.answers.bytes", this.nodeMetrics, NodeMetrics::answerBytes)
+			.description("Memory for answers that are incomplete or that callers have not read, in bytes")
+			.register(prometheus);
 		FunctionCounter
 			.builder("flamingogap.backend.connections", this.nodeMetrics, NodeMetrics::backendConnectionAttempts)
 			.description("Connections to backend servers that were opened")
@@ -155,6 +158,13 @@
 		 */
 		long millisSinceStoreContact();
 
+		/**
+		 * Return the memory for answers that servers have not completed or callers have
+		 * not read.
+		 * @return the number of bytes now; without those of short answers
+		 */
+		long answerBytes();
+
 		/**
 		 * Return the number of attempts to connect to backend servers, successful or not.
 		 * @return the number since the node started
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 
 import io.flamingogap.core.attempt.DispatchOutcome;
+import io.flamingogap.core.limits.HeldBytes;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.serving.ClientAccount;
@@ -19,12 +20,13 @@
 import io.flamingogap.gateway.backends.BackendResponseHead;
 import io.flamingogap.gateway.backends.ResponseListener;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.memory.BytesHolder;
 
 /**
  * Sends a request to one backend server and forwards the response to the caller, or asks
  * the {@link RelayedRequest} to retry.
  */
-final class BackendDispatch implements ResponseListener {
+final class BackendDispatch implements ResponseListener, BytesHolder {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -171,6 +173,7 @@
 		this.bufferedBody.release();
 		this.bufferedBody = Unpooled.EMPTY_BUFFER;
 		this.relayedRequest.callerExchange().flush();
+		this.dependencies.answerMemory().set(this, HeldBytes.Kind.INCOMPLETE, 0);
 	}
 
 	/**
@@ -324,6 +327,33 @@
 		else {
 			bufferBody(chunk);
 		}
+		recordHeldBytes();
+	}
+
+	private void recordHeldBytes() {
+		if (!this.closed) {
+			this.dependencies.answerMemory()
+				.set(this, HeldBytes.Kind.INCOMPLETE,
+						this.bufferedBody.capacity() + this.relayedRequest.eventSplitter().heldBytes());
+		}
+	}
+
+	/**
+	 * Forward the part of a plain response that is buffered. The part of an event that is
+	 * incomplete can't be forwarded, so the dispatch is cancelled.
+	 */
+	@Override
+	public void releaseBytes() {
+		if (isStreaming()) {
+			this.dependencies.metrics().increment("memory.cancelled");
+			cancelAndRetry(DispatchOutcome.BROKEN, "an event is incomplete and the memory for answers is used up");
+		}
+		else {
+			this.dependencies.metrics().increment("memory.forwarded");
+			forwardBufferedBody();
+			this.relayedRequest.callerExchange().flush();
+			pauseReadingIfCongested();
+		}
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -11,6 +11,7 @@
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.gateway.backends.BackendConnectionPool;
+import io.flamingogap.gateway.memory.AnswerMemory;
 import io.flamingogap.gateway.time.NodeClock;
 
 /**
@@ -30,11 +31,12 @@
  * @param loadListener notified when this node's load at a backend server changes
  * @param departureListener notified when a server says in an answer that it is leaving
  * @param promptGuard learns what prompts do to servers
+ * @param answerMemory limits the memory for incomplete answers
  * @param random chooses services by their share of the traffic
  */
 public record RelayDependencies(EventLoop eventLoop, NodeClock clock, ConfigHolder config, ServerTable servers,
 		ServerSelector serverSelector, VersionSelector versionSelector, BackendConnectionPool connectionPool,
 		QuotaGate quotaGate, IntSupplier knownNodes, RelayMetrics metrics, ServiceDemandTracker demandTracker,
 		ServerLoadListener loadListener, Consumer<ServerRegistration> departureListener, PromptGuard promptGuard,
-		RandomGenerator random) {
+		AnswerMemory answerMemory, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/callers/CallerConnectionTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/callers/CallerConnectionTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.servers.PromptMetadata;
+import io.flamingogap.gateway.memory.AnswerMemory;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -34,7 +35,7 @@
 	private final List<String> started = new ArrayList<>();
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(
-			new CallerConnection(new StubProtocol(), new RecordingHandler()));
+			new CallerConnection(new StubProtocol(), new RecordingHandler(), new AnswerMemory(1_048_576)));
 
 	private void receive(String uri) {
 		this.channel.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri));
