Stop a request that crashed three servers, whoever repeats it

The quarantine knew shared parts of prompts only, which sound requests survive; nothing recognised the same request. Ruled out: crashes that aren't seen (the quarantine of parts works with them) and crashes that count as one (they are up to 3.8 s apart).

A request is a suspect of each crash, by a fingerprint of client account, method, path, parts and body, and is stopped after three by the evidence, datagrams and rules that parts have. While one more crash would stop it, its node doesn't retry it at once. Requests without prompts are followed.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
@@ -1,29 +1,33 @@
 package io.flamingogap.core.quarantine;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
- * What is known of the prompt parts of one service: in which crashes of servers they may
- * have had a part, and when a server last survived them.
+ * What is known of the prompt parts and the requests of one service: in which crashes of
+ * servers they may have had a part, and when a server last survived them.
  * <p>
  * Not thread-safe.
  */
 final class CrashEvidence {
 
-	/** Crashes that a part must explain before requests are stopped for it. */
+	/**
+	 * Crashes that a part or a request must explain before requests are stopped for it.
+	 */
 	private static final int MIN_CRASHES = 3;
 
 	/**
-	 * Servers that crash within this time of each other count as one crash: a part seldom
-	 * crashes several servers at once, other causes do.
+	 * Servers that crash within this time of each other count as one crash of a part: a
+	 * part seldom crashes several servers at once, other causes do. A request is at one
+	 * server at a time, whatever else crashes servers.
 	 */
 	private static final long SAME_MOMENT_MILLIS = 100;
 
@@ -43,6 +47,9 @@
 	/** Bounds the memory for parts that were seen in crashes. */
 	private static final int MAX_CRASH_PARTS = 1_024;
 
+	/** Bounds the memory for requests that were seen in crashes. */
+	private static final int MAX_CRASH_REQUESTS = 4_096;
+
 	/** Bounds the memory for crashes. */
 	private static final int MAX_RUNS = 256;
 
@@ -54,8 +61,11 @@
 
 	private final Map<String, Long> survivedAtMillis = boundedMap(MAX_SURVIVED_PARTS);
 
-	/** The times of the crashes that each part was seen in. */
-	private final Map<String, Set<Long>> crashesByPart = boundedMap(MAX_CRASH_PARTS);
+	/** The crashes that each part was seen in, with their times. */
+	private final Map<String, Map<CrashedRun, Long>> crashesByPart = boundedMap(MAX_CRASH_PARTS);
+
+	/** The crashes that each request was seen in, with their times. */
+	private final Map<String, Map<CrashedRun, Long>> crashesByRequest = boundedMap(MAX_CRASH_REQUESTS);
 
 	private final Map<CrashedRun, Long> crashTimes = boundedMap(MAX_RUNS);
 
@@ -76,24 +86,36 @@
 	 * Add what a node saw of a crash. Adding it again has no effect.
 	 * @param sighting the sighting, by any node
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return {@code false} if all of it was known
 	 */
-	void addCrash(CrashSighting sighting, long nowMillis) {
-		this.crashesByPart.values()
-			.forEach((crashes) -> crashes.removeIf((millis) -> nowMillis - millis > CRASH_MEMORY_MILLIS));
-		this.crashesByPart.values().removeIf(Set::isEmpty);
-		long crashedAtMillis = this.crashTimes
-			.computeIfAbsent(new CrashedRun(sighting.server(), sighting.startedAtMillis()), (run) -> {
-				if (nowMillis - this.lastCrashAtMillis > SAME_MOMENT_MILLIS) {
-					this.lastCrashAtMillis = nowMillis;
-				}
-				return this.lastCrashAtMillis;
-			});
-		for (String part : sighting.parts()) {
-			Set<Long> crashes = this.crashesByPart.computeIfAbsent(part, (id) -> new HashSet<>());
-			if (!survivedBefore(part, crashedAtMillis)) {
-				crashes.add(crashedAtMillis);
+	boolean addCrash(CrashSighting sighting, long nowMillis) {
+		forgetCrashes(this.crashesByPart, nowMillis);
+		forgetCrashes(this.crashesByRequest, nowMillis);
+		CrashedRun run = new CrashedRun(sighting.server(), sighting.startedAtMillis());
+		long crashedAtMillis = this.crashTimes.computeIfAbsent(run, (newRun) -> {
+			if (nowMillis - this.lastCrashAtMillis > SAME_MOMENT_MILLIS) {
+				this.lastCrashAtMillis = nowMillis;
+			}
+			return this.lastCrashAtMillis;
+		});
+		boolean changed = false;
+		for (String suspect : sighting.suspects()) {
+			Map<CrashedRun, Long> crashes = crashesOf(suspect).computeIfAbsent(suspect, (id) -> new HashMap<>());
+			if (!survivedBefore(suspect, crashedAtMillis)) {
+				changed |= crashes.put(run, crashedAtMillis) == null;
 			}
 		}
+		return changed;
+	}
+
+	private static void forgetCrashes(Map<String, Map<CrashedRun, Long>> crashesBySuspect, long nowMillis) {
+		crashesBySuspect.values()
+			.forEach((crashes) -> crashes.values().removeIf((millis) -> nowMillis - millis > CRASH_MEMORY_MILLIS));
+		crashesBySuspect.values().removeIf(Map::isEmpty);
+	}
+
+	private Map<String, Map<CrashedRun, Long>> crashesOf(String suspect) {
+		return RequestFingerprint.isFingerprint(suspect) ? this.crashesByRequest : this.crashesByPart;
 	}
 
 	private boolean survivedBefore(String part, long crashedAtMillis) {
@@ -102,17 +124,36 @@
 	}
 
 	/**
-	 * Record that a server survived beginning to answer a part.
-	 * @param part the id of the part
+	 * Record that a server survived beginning to answer a part or a request.
+	 * @param suspect the id of the part, or the fingerprint of the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
-	 * @return {@code true} if the part was suspected of a crash
+	 * @return {@code true} if it was suspected of a crash
 	 */
-	boolean addSurvival(String part, long nowMillis) {
-		this.survivedAtMillis.put(part, nowMillis);
-		Set<Long> crashes = this.crashesByPart.remove(part);
+	boolean addSurvival(String suspect, long nowMillis) {
+		if (!RequestFingerprint.isFingerprint(suspect)) {
+			this.survivedAtMillis.put(suspect, nowMillis);
+		}
+		Map<CrashedRun, Long> crashes = crashesOf(suspect).remove(suspect);
 		return crashes != null && !crashes.isEmpty();
 	}
 
+	/**
+	 * Return whether requests are suspected of crashes.
+	 * @return {@code false} if the survival of a request tells nothing
+	 */
+	boolean hasSuspectRequests() {
+		return !this.crashesByRequest.isEmpty();
+	}
+
+	/**
+	 * Return whether one more crash would stop a request.
+	 * @param fingerprint the fingerprint of the request
+	 * @return {@code true} if it should not be sent to a further server for now
+	 */
+	boolean isNearlyCause(String fingerprint) {
+		return this.crashesByRequest.getOrDefault(fingerprint, Map.of()).size() >= MIN_CRASHES - 1;
+	}
+
 	/**
 	 * Return whether a server has survived a part a short time ago.
 	 * @param part the id of the part
@@ -124,43 +165,80 @@
 	}
 
 	/**
-	 * Find the parts that explain the crashes: first those that were in most of them,
-	 * then those in most of the crashes that are left. Parts that are as likely as each
-	 * other to be the cause of the same crashes are returned together.
-	 * @return sets of parts, each with a cause of crashes; empty without enough crashes
+	 * Find the parts and requests that explain the crashes: first those that were in most
+	 * of them, then those in most of the crashes that are left. Parts that are as likely
+	 * as each other to be the cause of the same crashes are returned together. So is each
+	 * request with the parts that are as likely; requests are never returned together,
+	 * since no request is two.
+	 * @return sets of parts and requests, each with a cause of crashes; empty without
+	 * enough crashes
 	 */
 	List<Set<String>> findCauses() {
-		Map<String, Set<Long>> unexplained = new TreeMap<>();
-		this.crashesByPart.forEach((part, times) -> unexplained.put(part, new HashSet<>(times)));
+		Map<String, Map<CrashedRun, Long>> unexplained = new TreeMap<>();
+		this.crashesByPart.forEach((part, crashes) -> addIfEligible(unexplained, part, crashes));
+		this.crashesByRequest.forEach((request, crashes) -> addIfEligible(unexplained, request, crashes));
 		List<Set<String>> causes = new ArrayList<>();
-		while (true) {
-			unexplained.values().removeIf((times) -> times.size() < MIN_CRASHES);
-			if (unexplained.isEmpty()) {
-				return causes;
-			}
-			Set<Long> explained = Collections.max(unexplained.values(), Comparator.comparingInt(Set::size));
-			Set<String> cause = new HashSet<>();
-			unexplained.forEach((part, times) -> {
+		while (!unexplained.isEmpty()) {
+			Set<Long> explained = unexplained.values()
+				.stream()
+				.map(CrashEvidence::timesOf)
+				.max(Comparator.comparingInt(Set::size))
+				.orElseThrow();
+			Set<String> likely = new HashSet<>();
+			unexplained.forEach((suspect, crashes) -> {
+				Set<Long> times = timesOf(crashes);
 				if (times.size() == explained.size() && sharedCount(times, explained) >= SAME_SHARE * times.size()) {
-					cause.add(part);
+					likely.add(suspect);
 				}
 			});
-			causes.add(cause);
-			Set<Long> explainedTimes = Set.copyOf(explained);
-			unexplained.values().forEach((times) -> times.removeAll(explainedTimes));
+			causes.addAll(separateRequests(likely));
+			unexplained.values().forEach((crashes) -> crashes.values().removeAll(explained));
+			unexplained.entrySet().removeIf((entry) -> !isEligible(entry.getKey(), entry.getValue()));
+		}
+		return causes;
+	}
+
+	private static void addIfEligible(Map<String, Map<CrashedRun, Long>> eligible, String suspect,
+			Map<CrashedRun, Long> crashes) {
+		if (isEligible(suspect, crashes)) {
+			eligible.put(suspect, new HashMap<>(crashes));
+		}
+	}
+
+	private static boolean isEligible(String suspect, Map<CrashedRun, Long> crashes) {
+		int count = RequestFingerprint.isFingerprint(suspect) ? crashes.size() : timesOf(crashes).size();
+		return count >= MIN_CRASHES;
+	}
+
+	private static Set<Long> timesOf(Map<CrashedRun, Long> crashes) {
+		return new HashSet<>(crashes.values());
+	}
+
+	private static List<Set<String>> separateRequests(Set<String> likely) {
+		Set<String> requests = likely.stream()
+			.filter(RequestFingerprint::isFingerprint)
+			.collect(Collectors.toUnmodifiableSet());
+		if (requests.isEmpty()) {
+			return List.of(likely);
 		}
+		return requests.stream().map((request) -> {
+			Set<String> cause = new HashSet<>(likely);
+			cause.removeIf((suspect) -> requests.contains(suspect) && !suspect.equals(request));
+			return cause;
+		}).toList();
 	}
 
 	/**
-	 * Return whether parts that were taken for a cause are none, since later crashes tell
-	 * that others are the cause of those that the parts were in.
-	 * @param parts the ids of the parts
+	 * Return whether what was taken for a cause is none, since later crashes tell that
+	 * others are the cause of those that it was in.
+	 * @param suspects the ids of parts, with the fingerprint of a request if it is one
+	 * that was taken for a cause
 	 * @return {@code false} if they are a cause, or nothing is known of them
 	 */
-	boolean isRefuted(Set<String> parts) {
+	boolean isRefuted(Set<String> suspects) {
 		List<Set<String>> causes = findCauses();
-		return !causes.isEmpty() && this.crashesByPart.keySet().containsAll(parts)
-				&& causes.stream().noneMatch(parts::containsAll);
+		return !causes.isEmpty() && suspects.stream().allMatch((suspect) -> crashesOf(suspect).containsKey(suspect))
+				&& causes.stream().noneMatch(suspects::containsAll);
 	}
 
 	private static long sharedCount(Set<Long> times, Set<Long> otherTimes) {
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
@@ -9,10 +9,14 @@
 import java.util.Set;
 
 /**
- * Decides which requests are stopped because a part of their prompts crashes the servers
- * that begin to answer it. A part is stopped once it explains several crashes of servers
- * and no server has survived it. When a quarantine ends, requests are let through one at
- * a time until a server has survived one; the next crash begins the quarantine anew.
+ * Decides which requests are stopped because they, or a part of their prompts, crash the
+ * servers that begin to answer them. A part or a request is stopped once it explains
+ * several crashes of servers and no server has survived it. When a quarantine ends,
+ * requests are let through one at a time until a server has survived one; the next crash
+ * begins the quarantine anew.
+ * <p>
+ * The suspects of a request are the ids of the shared parts of its prompt, and its
+ * {@link RequestFingerprint}.
  * <p>
  * Not thread-safe.
  */
@@ -52,10 +56,12 @@
 	 * @return what changed
 	 */
 	public CrashEffect recordCrash(CrashSighting sighting, long nowMillis) {
-		evidenceOf(sighting.service()).addCrash(sighting, nowMillis);
+		if (!evidenceOf(sighting.service()).addCrash(sighting, nowMillis)) {
+			return CrashEffect.NONE;
+		}
 		List<QuarantineRule> begun = new ArrayList<>();
 		this.rules.forEach((rule, state) -> {
-			if (nowMillis >= state.untilMillis && rule.matches(sighting.service(), sighting.parts())) {
+			if (nowMillis >= state.untilMillis && rule.matches(sighting.service(), sighting.suspects())) {
 				state.begin(nowMillis, QUARANTINE_MILLIS);
 				begun.add(rule);
 			}
@@ -85,25 +91,48 @@
 	}
 
 	/**
-	 * Record that a server survived beginning to answer a prompt, which ends the
-	 * quarantine of its parts.
+	 * Return whether requests to a service are suspected of crashes.
+	 * @param service the name of the service
+	 * @return {@code false} if the survival of a request tells nothing but that of its
+	 * parts
+	 */
+	public boolean hasSuspectRequests(String service) {
+		CrashEvidence evidence = this.evidenceByService.get(service);
+		return evidence != null && evidence.hasSuspectRequests();
+	}
+
+	/**
+	 * Return whether one more crash would stop a request.
+	 * @param service the service that the request is for
+	 * @param fingerprint the fingerprint of the request
+	 * @return {@code true} if it should not be sent to a further server before it is
+	 * known whether the last one has crashed
+	 */
+	public boolean isNearlyCause(String service, String fingerprint) {
+		CrashEvidence evidence = this.evidenceByService.get(service);
+		return evidence != null && evidence.isNearlyCause(fingerprint);
+	}
+
+	/**
+	 * Record that a server survived beginning to answer a request, which ends the
+	 * quarantine of its suspects.
 	 * @param service the service of the server
-	 * @param parts the ids of the shared parts of the prompt
+	 * @param suspects the suspects of the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return what changed
 	 */
-	public SurvivalEffect recordSurvival(String service, Collection<String> parts, long nowMillis) {
+	public SurvivalEffect recordSurvival(String service, Collection<String> suspects, long nowMillis) {
 		CrashEvidence evidence = evidenceOf(service);
 		boolean contradicts = false;
-		for (String part : parts) {
-			contradicts |= evidence.addSurvival(part, nowMillis);
+		for (String suspect : suspects) {
+			contradicts |= evidence.addSurvival(suspect, nowMillis);
 		}
 		if (this.rules.isEmpty() && !contradicts) {
 			return SurvivalEffect.NONE;
 		}
 		List<QuarantineRule> ended = this.rules.keySet()
 			.stream()
-			.filter((rule) -> rule.matches(service, parts))
+			.filter((rule) -> rule.matches(service, suspects))
 			.toList();
 		ended.forEach(this.rules::remove);
 		List<QuarantineRule> begun = contradicts ? beginNewRules(service, nowMillis) : List.of();
@@ -111,15 +140,15 @@
 	}
 
 	/**
-	 * Return the parts of a sighting that a server has survived a short time ago, as far
-	 * as this node knows.
+	 * Return the suspects of a sighting that a server has survived a short time ago, as
+	 * far as this node knows.
 	 * @param sighting the sighting of another node
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
-	 * @return the ids of the parts
+	 * @return the suspects
 	 */
 	public List<String> findSurvived(CrashSighting sighting, long nowMillis) {
 		CrashEvidence evidence = evidenceOf(sighting.service());
-		return sighting.parts().stream().filter((part) -> evidence.hasSurvived(part, nowMillis)).toList();
+		return sighting.suspects().stream().filter((suspect) -> evidence.hasSurvived(suspect, nowMillis)).toList();
 	}
 
 	/**
@@ -155,17 +184,17 @@
 	 * Return how long a request has to wait, or let it through. If its quarantine has
 	 * ended, the next one has to wait for its outcome.
 	 * @param service the service that the request is for
-	 * @param parts the ids of the shared parts of its prompt
+	 * @param suspects the suspects of the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the time in milliseconds; empty if the request is let through
 	 */
-	public OptionalLong admit(String service, Collection<String> parts, long nowMillis) {
+	public OptionalLong admit(String service, Collection<String> suspects, long nowMillis) {
 		if (this.rules.isEmpty()) {
 			return OptionalLong.empty();
 		}
 		List<RuleState> matching = new ArrayList<>();
 		this.rules.forEach((rule, state) -> {
-			if (rule.matches(service, parts)) {
+			if (rule.matches(service, suspects)) {
 				matching.add(state);
 			}
 		});
@@ -182,14 +211,14 @@
 	/**
 	 * Return whether requests are stopped, whatever was let through before.
 	 * @param service the service that the request is for
-	 * @param parts the ids of the shared parts of its prompt
+	 * @param suspects the suspects of the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return {@code true} if no server may be sent such a request
 	 */
-	public boolean isQuarantined(String service, Collection<String> parts, long nowMillis) {
+	public boolean isQuarantined(String service, Collection<String> suspects, long nowMillis) {
 		return !this.rules.isEmpty() && this.rules.entrySet()
 			.stream()
-			.anyMatch((rule) -> nowMillis < rule.getValue().untilMillis && rule.getKey().matches(service, parts));
+			.anyMatch((rule) -> nowMillis < rule.getValue().untilMillis && rule.getKey().matches(service, suspects));
 	}
 
 	/**
@@ -233,6 +262,9 @@
 	 * @param ended the rules that were removed, since other parts explain their crashes
 	 */
 	public record CrashEffect(List<QuarantineRule> begun, List<QuarantineRule> ended) {
+
+		static final CrashEffect NONE = new CrashEffect(List.of(), List.of());
+
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/QuarantineRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/QuarantineRule.java
@@ -6,12 +6,14 @@
 import java.util.TreeSet;
 
 /**
- * The prompt parts that requests to a service are stopped for. A request is stopped only
- * if it has all of them: several parts stand in one rule if they were in the same
- * requests whenever servers crashed, so that nothing tells which of them is the cause.
+ * The prompt parts, or the request, that requests to a service are stopped for. A request
+ * is stopped only if it has all of them: several parts stand in one rule if they were in
+ * the same requests whenever servers crashed, so that nothing tells which of them is the
+ * cause.
  *
  * @param service the name of the service
- * @param parts the ids of the parts; at least one
+ * @param parts the ids of the parts, or the fingerprint of the request and the ids of
+ * parts that were in the same crashes; at least one
  */
 public record QuarantineRule(String service, SortedSet<String> parts) {
 
@@ -36,11 +38,11 @@
 	/**
 	 * Return whether the rule stops a request.
 	 * @param requestService the service that the request is for
-	 * @param requestParts the ids of the shared parts of its prompt
+	 * @param suspects the suspects of the request
 	 * @return {@code true} if it is for the service and has all parts
 	 */
-	boolean matches(String requestService, Collection<String> requestParts) {
-		return this.service.equals(requestService) && requestParts.containsAll(this.parts);
+	boolean matches(String requestService, Collection<String> suspects) {
+		return this.service.equals(requestService) && suspects.containsAll(this.parts);
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
@@ -214,4 +214,64 @@
 		assertThat(this.quarantine.size(), is(0));
 	}
 
+	// A request that its caller repeated crashed one server after the other.
+	@Test
+	void requestOfThreeCrashesIsStopped() {
+		this.quarantine.recordSurvival(SERVICE, List.of("first", "own"), 500);
+		crash(1_000, "first", "own", "request:1", "request:2");
+		crash(2_000, "first", "own", "request:1", "request:3");
+		assertThat(this.quarantine.isNearlyCause(SERVICE, "request:1"), is(true));
+		assertThat(this.quarantine.isNearlyCause(SERVICE, "request:2"), is(false));
+		crash(3_000, "first", "own", "request:1");
+		assertThat(stops(3_000, "first", "own", "request:1"), is(true));
+		assertThat(stops(3_000, "first", "own", "request:2"), is(false));
+		assertThat(stops(3_000, "first", "own", "request:4"), is(false));
+	}
+
+	@Test
+	void requestThatCrashesServersWithinAMomentIsStopped() {
+		crash(1_000, "request:1");
+		crash(1_040, "request:1");
+		crash(1_080, "request:1");
+		assertThat(stops(1_080, "request:1"), is(true));
+	}
+
+	@Test
+	void requestsThatWereInTheSameCrashesAreEachStopped() {
+		crash(1_000, "request:1", "request:2");
+		crash(2_000, "request:1", "request:2");
+		crash(3_000, "request:1", "request:2");
+		assertThat(stops(3_000, "request:1"), is(true));
+		assertThat(stops(3_000, "request:2"), is(true));
+		assertThat(stops(3_000, "request:3"), is(false));
+	}
+
+	@Test
+	void survivalClearsARequest() {
+		crash(1_000, "request:1", "request:2");
+		crash(2_000, "request:1", "request:2");
+		assertThat(this.quarantine.recordSurvival(SERVICE, List.of("request:2"), 2_500).contradicts(), is(true));
+		crash(3_000, "request:1", "request:2");
+		assertThat(stops(3_000, "request:1"), is(true));
+		assertThat(stops(3_000, "request:2"), is(false));
+	}
+
+	@Test
+	void rarePartOfARequestThatCrashesServersIsNotStopped() {
+		crash(1_000, "rare", "request:1");
+		crash(2_000, "rare", "request:1");
+		crash(3_000, "rare", "request:1");
+		assertThat(stops(3_000, "rare", "request:1"), is(true));
+		assertThat(stops(3_000, "rare", "request:2"), is(false));
+	}
+
+	@Test
+	void partIsStoppedThoughItsRequestsAreRepeated() {
+		for (int i = 1; i <= 3; i++) {
+			crash(1_000 * i, "bad", "request:1");
+		}
+		crash(4_000, "bad", "request:2");
+		assertThat(stops(4_000, "bad", "request:3"), is(true));
+	}
+
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/QuarantineFleetSimulation.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/QuarantineFleetSimulation.java
@@ -218,7 +218,7 @@
 
 		private void see(CrashSighting seen) {
 			List<String> survived = this.quarantine.findSurvived(seen, this.fleet.nowMillis);
-			Set<String> suspects = new HashSet<>(seen.parts());
+			Set<String> suspects = new HashSet<>(seen.suspects());
 			suspects.removeAll(survived);
 			if (suspects.isEmpty()) {
 				return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineCodec.java
@@ -28,7 +28,7 @@
 
 	static CrashNews encode(CrashSighting sighting) {
 		return new CrashNews(sighting.server(), sighting.startedAtMillis(), sighting.service(),
-				List.copyOf(sighting.parts()));
+				List.copyOf(sighting.suspects()));
 	}
 
 	static CrashSighting decode(CrashNews news) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -21,14 +21,13 @@
 import io.flamingogap.core.quarantine.CrashSighting;
 import io.flamingogap.core.quarantine.PromptQuarantine;
 import io.flamingogap.core.quarantine.QuarantineRule;
-import io.flamingogap.core.servers.PromptMetadata;
-import io.flamingogap.core.servers.PromptPart;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.gateway.backends.BackendConnectionPool;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.peers.PeerDatagramChannel;
-import io.flamingogap.gateway.relay.PromptGuard;
+import io.flamingogap.gateway.relay.GuardedRequest;
 import io.flamingogap.gateway.relay.RelayMetrics;
+import io.flamingogap.gateway.relay.RequestGuard;
 import io.flamingogap.gateway.time.LoggedTask;
 import io.flamingogap.gateway.time.NodeClock;
 import io.flamingogap.wire.peer.CrashNews;
@@ -37,13 +36,13 @@
 import io.flamingogap.wire.peer.SurvivalNews;
 
 /**
- * Shares with the other nodes what prompts did to servers, so that one quarantine holds
+ * Shares with the other nodes what requests did to servers, so that one quarantine holds
  * on all nodes: crashes and survivals by datagram, rules through the store, where they
  * outlive all nodes.
  * <p>
  * Not thread-safe; all calls must be made on the event loop.
  */
-public final class QuarantineExchange implements PromptGuard {
+public final class QuarantineExchange implements RequestGuard {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -91,7 +90,7 @@
 
 	private final ServerCrashDetector crashDetector;
 
-	private final Set<UnansweredPrompt> unanswered = new LinkedHashSet<>();
+	private final Set<UnansweredRequest> unanswered = new LinkedHashSet<>();
 
 	private final Deque<TimedSighting> ownSightings = new ArrayDeque<>();
 
@@ -135,18 +134,21 @@
 	}
 
 	@Override
-	public OptionalLong admit(String service, PromptMetadata prompt) {
+	public OptionalLong admit(GuardedRequest request) {
 		return (this.quarantine.size() == 0) ? OptionalLong.empty()
-				: this.quarantine.admit(service, partIds(prompt), nowMillis());
+				: this.quarantine.admit(request.service(), request.suspects(), nowMillis());
 	}
 
 	@Override
-	public boolean isQuarantined(String service, PromptMetadata prompt) {
-		return this.quarantine.size() > 0 && this.quarantine.isQuarantined(service, partIds(prompt), nowMillis());
+	public boolean isQuarantined(GuardedRequest request) {
+		return this.quarantine.size() > 0
+				&& this.quarantine.isQuarantined(request.service(), request.suspects(), nowMillis());
 	}
 
-	private static List<String> partIds(PromptMetadata prompt) {
-		return prompt.sharedPrefix().stream().map(PromptPart::id).toList();
+	@Override
+	public boolean isNearlyQuarantined(GuardedRequest request) {
+		return this.quarantine.hasSuspectRequests(request.service())
+				&& this.quarantine.isNearlyCause(request.service(), request.fingerprint());
 	}
 
 	private long nowMillis() {
@@ -154,47 +156,52 @@
 	}
 
 	@Override
-	public void track(UnansweredPrompt dispatch) {
+	public void track(UnansweredRequest dispatch) {
 		this.unanswered.add(dispatch);
 	}
 
 	@Override
-	public void untrack(UnansweredPrompt dispatch) {
+	public void untrack(UnansweredRequest dispatch) {
 		this.unanswered.remove(dispatch);
 	}
 
 	@Override
-	public void recordSurvival(ServerRegistration server, PromptMetadata prompt) {
-		List<String> parts = partIds(prompt);
-		PromptQuarantine.SurvivalEffect effect = applySurvival(server.service(), parts);
+	public void recordSurvival(ServerRegistration server, GuardedRequest request) {
+		// A fingerprint takes an effort, so it is computed only if it may be known.
+		boolean mayBeKnown = this.quarantine.size() > 0 || this.quarantine.hasSuspectRequests(server.service());
+		List<String> survived = mayBeKnown ? request.suspects() : request.sharedParts();
+		if (survived.isEmpty()) {
+			return;
+		}
+		PromptQuarantine.SurvivalEffect effect = applySurvival(server.service(), survived);
 		if (effect.contradicts()) {
-			tellSurvival(server.service(), parts, this.peers.get());
+			tellSurvival(server.service(), survived, this.peers.get());
 		}
 		effect.ended().forEach(this.store::remove);
 	}
 
-	private PromptQuarantine.SurvivalEffect applySurvival(String service, List<String> parts) {
-		PromptQuarantine.SurvivalEffect effect = this.quarantine.recordSurvival(service, parts, nowMillis());
+	private PromptQuarantine.SurvivalEffect applySurvival(String service, List<String> survived) {
+		PromptQuarantine.SurvivalEffect effect = this.quarantine.recordSurvival(service, survived, nowMillis());
 		effect.ended().forEach((rule) -> onEnded(rule, "a server survived it"));
 		begin(effect.begun(), "survival of other parts");
 		return effect;
 	}
 
 	@Override
-	public void recordBroken(ServerRegistration server, PromptMetadata prompt) {
-		this.crashDetector.recordBroken(server, prompt);
+	public void recordBroken(ServerRegistration server, GuardedRequest request) {
+		this.crashDetector.recordBroken(server, request);
 	}
 
 	private void onOwnCrash(CrashSighting seen) {
 		this.metrics.increment("crashed.server");
 		long nowMillis = nowMillis();
 		List<String> survived = this.quarantine.findSurvived(seen, nowMillis);
-		Set<String> suspects = seen.parts()
+		Set<String> suspects = seen.suspects()
 			.stream()
-			.filter((part) -> !survived.contains(part))
+			.filter((suspect) -> !survived.contains(suspect))
 			.collect(Collectors.toUnmodifiableSet());
 		CrashSighting sighting = new CrashSighting(seen.server(), seen.startedAtMillis(), seen.service(), suspects);
-		if (sighting.parts().isEmpty()) {
+		if (sighting.suspects().isEmpty()) {
 			return;
 		}
 		this.ownSightings.addLast(new TimedSighting(sighting, nowMillis));
@@ -253,7 +260,7 @@
 	private void onSurvivalNews(String service, List<String> parts) {
 		boolean contradicts = applySurvival(service, parts).contradicts();
 		boolean suspectedHere = this.ownSightings.stream()
-			.anyMatch((timed) -> timed.sighting().parts().stream().anyMatch(parts::contains));
+			.anyMatch((timed) -> timed.sighting().suspects().stream().anyMatch(parts::contains));
 		if (contradicts && suspectedHere) {
 			tellSurvival(service, parts, this.peers.get());
 		}
@@ -284,8 +291,8 @@
 	private void cancelQuarantined() {
 		List.copyOf(this.unanswered)
 			.stream()
-			.filter((dispatch) -> isQuarantined(dispatch.service(), dispatch.prompt()))
-			.forEach(UnansweredPrompt::cancel);
+			.filter((dispatch) -> isQuarantined(dispatch.request()))
+			.forEach(UnansweredRequest::cancel);
 	}
 
 	private static LogLine logLine(String event, QuarantineRule rule) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/ServerCrashDetector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/ServerCrashDetector.java
@@ -11,11 +11,10 @@
 import io.netty.channel.EventLoop;
 
 import io.flamingogap.core.quarantine.CrashSighting;
-import io.flamingogap.core.servers.PromptMetadata;
-import io.flamingogap.core.servers.PromptPart;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.gateway.backends.BackendConnectionPool;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.relay.GuardedRequest;
 
 /**
  * Tells a crash of a server from a connection that broke: a server that has crashed takes
@@ -39,7 +38,13 @@
 
 	private final Consumer<CrashSighting> listener;
 
-	private final Map<ServerRegistration, Set<String>> brokenPrompts = new HashMap<>();
+	/**
+	 * Bounds the size of a sighting. Few requests to one server wait for their answers to
+	 * begin at a time.
+	 */
+	private static final int MAX_REQUESTS = 32;
+
+	private final Map<ServerRegistration, Suspects> suspectsByServer = new HashMap<>();
 
 	/**
 	 * Create a detector.
@@ -55,23 +60,26 @@
 
 	/**
 	 * Record that the connection to a server broke before it was known that the server
-	 * survives to answer a prompt.
+	 * survives to answer a request.
 	 * @param server the registration of the run that the request was sent to
-	 * @param prompt the prompt
+	 * @param request the request
 	 */
-	void recordBroken(ServerRegistration server, PromptMetadata prompt) {
-		Set<String> parts = this.brokenPrompts.get(server);
-		if (parts == null) {
-			parts = new HashSet<>();
-			this.brokenPrompts.put(server, parts);
+	void recordBroken(ServerRegistration server, GuardedRequest request) {
+		Suspects suspects = this.suspectsByServer.get(server);
+		if (suspects == null) {
+			suspects = new Suspects();
+			this.suspectsByServer.put(server, suspects);
 			this.loop.schedule(() -> probe(server), COLLECT_MILLIS, TimeUnit.MILLISECONDS);
 		}
-		prompt.sharedPrefix().stream().map(PromptPart::id).forEach(parts::add);
+		suspects.parts.addAll(request.sharedParts());
+		if (suspects.requests.size() < MAX_REQUESTS) {
+			suspects.requests.add(request.fingerprint());
+		}
 	}
 
 	private void probe(ServerRegistration server) {
-		Set<String> parts = this.brokenPrompts.remove(server);
-		if (parts == null) {
+		Suspects suspects = this.suspectsByServer.remove(server);
+		if (suspects == null) {
 			return;
 		}
 		this.connectionPool.probe(server, (reachable) -> {
@@ -81,11 +89,27 @@
 							.with("server", server.id())
 							.with("service", server.service())
 							.with("startedAtMillis", server.startedAtMillis())
-							.with("suspectParts", String.join(",", parts)));
+							.with("suspectParts", String.join(",", suspects.parts))
+							.with("suspectRequests", String.join(",", suspects.requests)));
 			if (!reachable) {
-				this.listener.accept(new CrashSighting(server.id(), server.startedAtMillis(), server.service(), parts));
+				Set<String> all = new HashSet<>(suspects.parts);
+				all.addAll(suspects.requests);
+				this.listener.accept(new CrashSighting(server.id(), server.startedAtMillis(), server.service(), all));
 			}
 		});
 	}
 
+	/**
+	 * What may have crashed a server.
+	 */
+	private static final class Suspects {
+
+		/** The ids of shared prompt parts. */
+		private final Set<String> parts = new HashSet<>();
+
+		/** The fingerprints of requests. */
+		private final Set<String> requests = new HashSet<>();
+
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/AnswerProgress.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/AnswerProgress.java
@@ -1,13 +1,12 @@
 package io.flamingogap.gateway.relay;
 
-import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.servers.ServerRegistration;
 
 /**
- * Follows one dispatch of a prompt until it is known whether the server survives to
- * answer it. Does nothing for requests without shared prompt parts.
+ * Follows one dispatch of a request until it is known whether the server survives to
+ * answer it.
  */
-final class AnswerProgress implements PromptGuard.UnansweredPrompt {
+final class AnswerProgress implements RequestGuard.UnansweredRequest {
 
 	/**
 	 * How long a server has to send events until it counts as having survived. A server
@@ -15,11 +14,11 @@
 	 */
 	private static final long SURVIVAL_MILLIS = 500;
 
-	private final PromptGuard guard;
+	private final RequestGuard guard;
 
 	private final ServerRegistration server;
 
-	private final PromptMetadata prompt;
+	private final GuardedRequest request;
 
 	private final Runnable canceller;
 
@@ -32,15 +31,14 @@
 	 * Create the progress of a dispatch that isn't sent yet.
 	 * @param guard learns what happens
 	 * @param server the server
-	 * @param prompt the prompt
-	 * @param canceller cancels the dispatch if its prompt is quarantined
+	 * @param request the request
+	 * @param canceller cancels the dispatch if its request is quarantined
 	 */
-	AnswerProgress(PromptGuard guard, ServerRegistration server, PromptMetadata prompt, Runnable canceller) {
+	AnswerProgress(RequestGuard guard, ServerRegistration server, GuardedRequest request, Runnable canceller) {
 		this.guard = guard;
 		this.server = server;
-		this.prompt = prompt;
+		this.request = request;
 		this.canceller = canceller;
-		this.settled = prompt.sharedPrefix().isEmpty();
 	}
 
 	/**
@@ -66,7 +64,7 @@
 		}
 		else if (nowMillis - this.firstEventAtMillis >= SURVIVAL_MILLIS) {
 			settle();
-			this.guard.recordSurvival(this.server, this.prompt);
+			this.guard.recordSurvival(this.server, this.request);
 		}
 	}
 
@@ -76,7 +74,7 @@
 	void recordCompletion() {
 		if (!this.settled) {
 			settle();
-			this.guard.recordSurvival(this.server, this.prompt);
+			this.guard.recordSurvival(this.server, this.request);
 		}
 	}
 
@@ -86,7 +84,7 @@
 	void recordBroken() {
 		if (!this.settled) {
 			settle();
-			this.guard.recordBroken(this.server, this.prompt);
+			this.guard.recordBroken(this.server, this.request);
 		}
 	}
 
@@ -103,20 +101,15 @@
 
 	/**
 	 * Return whether events of the answer have arrived.
-	 * @return {@code false} before the first one, and without shared prompt parts
+	 * @return {@code false} before the first one
 	 */
 	boolean hasBegun() {
 		return this.firstEventAtMillis != Long.MIN_VALUE;
 	}
 
 	@Override
-	public String service() {
-		return this.server.service();
-	}
-
-	@Override
-	public PromptMetadata prompt() {
-		return this.prompt;
+	public GuardedRequest request() {
+		return this.request;
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -82,8 +82,8 @@
 		this.sentAtMillis = sentAtMillis;
 		this.prompt = new DispatchedPrompt(server, relayedRequest.request().prompt(), dependencies.loadListener(),
 				sentAtMillis);
-		this.progress = new AnswerProgress(dependencies.promptGuard(), server.registration(),
-				relayedRequest.request().prompt(), this::onQuarantined);
+		this.progress = new AnswerProgress(dependencies.requestGuard(), server.registration(),
+				relayedRequest.guardedRequest(), this::onQuarantined);
 	}
 
 	void send() {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -30,13 +30,13 @@
  * @param demandTracker tracks callers' demand for each service
  * @param loadListener notified when this node's load at a backend server changes
  * @param departureListener notified when a server says in an answer that it is leaving
- * @param promptGuard learns what prompts do to servers
+ * @param requestGuard learns what requests do to servers
  * @param answerMemory limits the memory for incomplete answers
  * @param random chooses services by their share of the traffic
  */
 public record RelayDependencies(EventLoop eventLoop, NodeClock clock, ConfigHolder config, ServerTable servers,
 		ServerSelector serverSelector, VersionSelector versionSelector, BackendConnectionPool connectionPool,
 		QuotaGate quotaGate, IntSupplier knownNodes, RelayMetrics metrics, ServiceDemandTracker demandTracker,
-		ServerLoadListener loadListener, Consumer<ServerRegistration> departureListener, PromptGuard promptGuard,
+		ServerLoadListener loadListener, Consumer<ServerRegistration> departureListener, RequestGuard requestGuard,
 		AnswerMemory answerMemory, RandomGenerator random) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -34,8 +34,8 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The reason of a failure because the prompt was quarantined. */
-	static final String QUARANTINED = "a part of the prompt crashes servers";
+	/** The reason of a failure because the request was quarantined. */
+	static final String QUARANTINED = "the request, or a part of its prompt, crashes servers";
 
 	private final RelayDependencies dependencies;
 
@@ -49,6 +49,8 @@
 
 	private final Optional<ClientAccount> account;
 
+	private final GuardedRequest guardedRequest;
+
 	private final Callbacks callbacks;
 
 	private Predicate<KnownServer> versionFilter;
@@ -68,15 +70,16 @@
 	private boolean finished;
 
 	RelayedRequest(RelayDependencies dependencies, CallerRequest request, CallerExchange callerExchange,
-			Attempt attempt, String service, Optional<ClientAccount> account, Callbacks callbacks) {
+			Attempt attempt, GuardedRequest guardedRequest, Optional<ClientAccount> account, Callbacks callbacks) {
 		this.dependencies = dependencies;
 		this.request = request;
 		this.callerExchange = callerExchange;
 		this.attempt = attempt;
-		this.service = service;
+		this.service = guardedRequest.service();
+		this.guardedRequest = guardedRequest;
 		this.account = account;
 		this.callbacks = callbacks;
-		this.versionFilter = dependencies.versionSelector().versionFilter(service, attempt.route());
+		this.versionFilter = dependencies.versionSelector().versionFilter(this.service, attempt.route());
 		this.bodyBytes = request.body().readableBytes();
 	}
 
@@ -112,11 +115,11 @@
 	}
 
 	/**
-	 * Return whether the prompt was quarantined since the request was admitted.
+	 * Return whether the request was quarantined since the request was admitted.
 	 * @return {@code true} if no server may be sent the request
 	 */
 	boolean isQuarantined() {
-		return this.dependencies.promptGuard().isQuarantined(this.service, this.request.prompt());
+		return this.dependencies.requestGuard().isQuarantined(this.guardedRequest);
 	}
 
 	private Optional<KnownServer> selectServer(long nowMillis) {
@@ -134,7 +137,7 @@
 		if (this.callerExchange.hasResponseBegun() && !canResume()) {
 			abort(reason);
 		}
-		else if (this.attempt.mayTryAnotherServer(nowMillis())) {
+		else if (this.attempt.mayTryAnotherServer(nowMillis()) && !mayHaveCrashedServers(outcome)) {
 			this.eventSplitter.discardIncomplete();
 			this.versionFilter = this.dependencies.versionSelector().versionFilterForRetry(this.service);
 			dispatch("after " + outcome + ": " + reason);
@@ -144,6 +147,11 @@
 		}
 	}
 
+	private boolean mayHaveCrashedServers(DispatchOutcome outcome) {
+		return outcome == DispatchOutcome.BROKEN
+				&& this.dependencies.requestGuard().isNearlyQuarantined(this.guardedRequest);
+	}
+
 	private LogLine failureLogLine(DispatchOutcome outcome, String reason) {
 		LogLine line = logLine("dispatch failed").with("outcome", outcome.name()).with("reason", reason);
 		List<PromptPart> sharedParts = this.request.prompt().sharedPrefix();
@@ -262,6 +270,10 @@
 		return this.request;
 	}
 
+	GuardedRequest guardedRequest() {
+		return this.guardedRequest;
+	}
+
 	CallerExchange callerExchange() {
 		return this.callerExchange;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RequestRelay.java
@@ -169,20 +169,21 @@
 					returnMillis());
 		}
 		String service = route.chooseService(this.dependencies.random().nextDouble());
-		OptionalLong quarantineMillis = this.dependencies.promptGuard().admit(service, request.prompt());
+		GuardedRequest guarded = new GuardedRequest(service, account.map(ClientAccount::name).orElse(""), request);
+		OptionalLong quarantineMillis = this.dependencies.requestGuard().admit(guarded);
 		if (quarantineMillis.isPresent()) {
 			return refuse(request, exchange, Failure.notRun(ProblemType.QUARANTINED, Step.ADMIT, "caller",
 					"service " + service + ": " + RelayedRequest.QUARANTINED), quarantineMillis.getAsLong());
 		}
 		if (account.isEmpty()) {
-			return relay(request, exchange, route, service, account, QuotaCharge.NONE);
+			return relay(request, exchange, route, guarded, account, QuotaCharge.NONE);
 		}
 		PendingAdmission pending = new PendingAdmission(() -> request.body().release(),
 				(charge) -> this.dependencies.quotaGate().refund(account.get(), charge));
 		long cost = account.get().quota().cost(request.statedTotalTokens());
 		this.dependencies.quotaGate()
 			.admit(account.get(), cost, (decision, charge) -> pending
-				.decide(charge, () -> decision.isAdmitted() ? relay(request, exchange, route, service, account, charge)
+				.decide(charge, () -> decision.isAdmitted() ? relay(request, exchange, route, guarded, account, charge)
 						: refuse(request, exchange, quotaExceeded(account.get(), decision), decision.waitMillis())));
 		return pending;
 	}
@@ -201,13 +202,13 @@
 	}
 
 	private CallerConnectionListener relay(CallerRequest request, CallerExchange exchange, RouteRule route,
-			String service, Optional<ClientAccount> account, QuotaCharge charge) {
+			GuardedRequest guarded, Optional<ClientAccount> account, QuotaCharge charge) {
 		long nowMillis = this.dependencies.clock().steadyMillis();
 		Attempt attempt = new Attempt(route, request.budgetMillis().orElse(UNLIMITED_BUDGET_MILLIS), nowMillis);
-		WindowedRetryBudget retryBudget = this.retryBudgets.computeIfAbsent(service,
+		WindowedRetryBudget retryBudget = this.retryBudgets.computeIfAbsent(guarded.service(),
 				(name) -> new WindowedRetryBudget(this.limits.retryRatio(), this.limits.retryWindowMillis()));
 		retryBudget.recordRequest(nowMillis);
-		RelayedRequest relayed = new RelayedRequest(this.dependencies, request, exchange, attempt, service, account,
+		RelayedRequest relayed = new RelayedRequest(this.dependencies, request, exchange, attempt, guarded, account,
 				new RelayedRequest.Callbacks(() -> trySpendRetry(retryBudget), () -> refund(account, charge),
 						this.startListener, this.openRequests::remove));
 		this.openRequests.add(relayed);
