Stop requests that crash servers beside other crashes, in time

A simulation of whole fleets, up to 330 nodes with lost datagrams, other crashes and restarts, found requests that ended 4 to 6 servers:

- other crashes at the same moments explained those of the request;
- datagrams were lost, and nodes that had started since the earlier crashes knew too few of them.

A request that was in three crashes is stopped whatever else explains them, with those parts only that were in the same runs. A crash is told again after 15, 50 and 200 ms, and when a rule begins its crashes are told to the nodes, and back to the node that saw the last one. Sightings that are known are not evaluated again.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
@@ -89,10 +89,10 @@
 	 * @return {@code false} if all of it was known
 	 */
 	boolean addCrash(CrashSighting sighting, long nowMillis) {
-		forgetCrashes(this.crashesByPart, nowMillis);
-		forgetCrashes(this.crashesByRequest, nowMillis);
 		CrashedRun run = new CrashedRun(sighting.server(), sighting.startedAtMillis());
 		long crashedAtMillis = this.crashTimes.computeIfAbsent(run, (newRun) -> {
+			forgetCrashes(this.crashesByPart, nowMillis);
+			forgetCrashes(this.crashesByRequest, nowMillis);
 			if (nowMillis - this.lastCrashAtMillis > SAME_MOMENT_MILLIS) {
 				this.lastCrashAtMillis = nowMillis;
 			}
@@ -169,7 +169,8 @@
 	 * of them, then those in most of the crashes that are left. Parts that are as likely
 	 * as each other to be the cause of the same crashes are returned together. So is each
 	 * request with the parts that are as likely; requests are never returned together,
-	 * since no request is two.
+	 * since no request is two. A request that others explain is returned nonetheless,
+	 * since a few crashes tell little of which it is.
 	 * @return sets of parts and requests, each with a cause of crashes; empty without
 	 * enough crashes
 	 */
@@ -195,6 +196,11 @@
 			unexplained.values().forEach((crashes) -> crashes.values().removeAll(explained));
 			unexplained.entrySet().removeIf((entry) -> !isEligible(entry.getKey(), entry.getValue()));
 		}
+		this.crashesByRequest.forEach((request, crashes) -> {
+			if (isEligible(request, crashes) && causes.stream().noneMatch((cause) -> cause.contains(request))) {
+				causes.add(Set.of(request));
+			}
+		});
 		return causes;
 	}
 
@@ -214,29 +220,47 @@
 		return new HashSet<>(crashes.values());
 	}
 
-	private static List<Set<String>> separateRequests(Set<String> likely) {
-		Set<String> requests = likely.stream()
-			.filter(RequestFingerprint::isFingerprint)
-			.collect(Collectors.toUnmodifiableSet());
-		if (requests.isEmpty()) {
+	private List<Set<String>> separateRequests(Set<String> likely) {
+		Map<Boolean, List<String>> byKind = likely.stream()
+			.collect(Collectors.partitioningBy(RequestFingerprint::isFingerprint));
+		if (byKind.get(true).isEmpty()) {
 			return List.of(likely);
 		}
-		return requests.stream().map((request) -> {
-			Set<String> cause = new HashSet<>(likely);
-			cause.removeIf((suspect) -> requests.contains(suspect) && !suspect.equals(request));
+		return byKind.get(true).stream().map((request) -> {
+			Set<CrashedRun> runs = this.crashesByRequest.get(request).keySet();
+			Set<String> cause = new HashSet<>(Set.of(request));
+			// A part of other requests may have been in crashes at the same moments.
+			byKind.get(false)
+				.stream()
+				.filter((part) -> this.crashesByPart.get(part).keySet().containsAll(runs))
+				.forEach(cause::add);
 			return cause;
 		}).toList();
 	}
 
+	/**
+	 * Return the crashes that suspects were all seen in.
+	 * @param service the service
+	 * @param suspects the suspects; at least one
+	 * @return a sighting of each crash, with these suspects
+	 */
+	List<CrashSighting> crashesWith(String service, Set<String> suspects) {
+		Set<CrashedRun> runs = new HashSet<>(this.crashTimes.keySet());
+		suspects.forEach((suspect) -> runs.retainAll(crashesOf(suspect).getOrDefault(suspect, Map.of()).keySet()));
+		return runs.stream()
+			.map((run) -> new CrashSighting(run.server(), run.startedAtMillis(), service, suspects))
+			.toList();
+	}
+
 	/**
 	 * Return whether what was taken for a cause is none, since later crashes tell that
 	 * others are the cause of those that it was in.
 	 * @param suspects the ids of parts, with the fingerprint of a request if it is one
 	 * that was taken for a cause
+	 * @param causes the causes that were found last
 	 * @return {@code false} if they are a cause, or nothing is known of them
 	 */
-	boolean isRefuted(Set<String> suspects) {
-		List<Set<String>> causes = findCauses();
+	boolean isRefuted(Set<String> suspects, List<Set<String>> causes) {
 		return !causes.isEmpty() && suspects.stream().allMatch((suspect) -> crashesOf(suspect).containsKey(suspect))
 				&& causes.stream().noneMatch(suspects::containsAll);
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
@@ -66,20 +66,24 @@
 				begun.add(rule);
 			}
 		});
-		List<QuarantineRule> ended = this.rules.keySet().stream().filter(this::isRefuted).toList();
+		List<Set<String>> causes = evidenceOf(sighting.service()).findCauses();
+		List<QuarantineRule> ended = this.rules.keySet()
+			.stream()
+			.filter((rule) -> rule.service().equals(sighting.service()) && isRefuted(rule, causes))
+			.toList();
 		ended.forEach(this.rules::remove);
 		begun.removeAll(ended);
-		begun.addAll(beginNewRules(sighting.service(), nowMillis));
+		begun.addAll(beginNewRules(sighting.service(), causes, nowMillis));
 		return new CrashEffect(begun, ended);
 	}
 
-	private boolean isRefuted(QuarantineRule rule) {
-		return evidenceOf(rule.service()).isRefuted(rule.parts());
+	private boolean isRefuted(QuarantineRule rule, List<Set<String>> causes) {
+		return evidenceOf(rule.service()).isRefuted(rule.parts(), causes);
 	}
 
-	private List<QuarantineRule> beginNewRules(String service, long nowMillis) {
+	private List<QuarantineRule> beginNewRules(String service, List<Set<String>> causes, long nowMillis) {
 		List<QuarantineRule> begun = new ArrayList<>();
-		for (Set<String> cause : evidenceOf(service).findCauses()) {
+		for (Set<String> cause : causes) {
 			QuarantineRule rule = QuarantineRule.of(service, cause);
 			if (this.rules.keySet().stream().noneMatch((known) -> known.matches(service, cause))) {
 				this.rules.put(rule, new RuleState());
@@ -135,10 +139,19 @@
 			.filter((rule) -> rule.matches(service, suspects))
 			.toList();
 		ended.forEach(this.rules::remove);
-		List<QuarantineRule> begun = contradicts ? beginNewRules(service, nowMillis) : List.of();
+		List<QuarantineRule> begun = contradicts ? beginNewRules(service, evidence.findCauses(), nowMillis) : List.of();
 		return new SurvivalEffect(contradicts || !ended.isEmpty(), ended, begun);
 	}
 
+	/**
+	 * Return the crashes that a rule rests on, for nodes that did not learn of all.
+	 * @param rule the rule
+	 * @return a sighting of each crash, with the parts of the rule only
+	 */
+	public List<CrashSighting> evidenceFor(QuarantineRule rule) {
+		return evidenceOf(rule.service()).crashesWith(rule.service(), rule.parts());
+	}
+
 	/**
 	 * Return the suspects of a sighting that a server has survived a short time ago, as
 	 * far as this node knows.
@@ -160,7 +173,7 @@
 	 * @return {@code true} if the rule was not known
 	 */
 	public boolean adopt(QuarantineRule rule, long remainingMillis, long nowMillis) {
-		if (isRefuted(rule)) {
+		if (isRefuted(rule, evidenceOf(rule.service()).findCauses())) {
 			return false;
 		}
 		RuleState known = this.rules.get(rule);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
@@ -274,4 +274,15 @@
 		assertThat(stops(4_000, "bad", "request:3"), is(true));
 	}
 
+	// Another request's part was in a crash at the same moment, and the request was
+	// stopped only if it had that part, which it hadn't.
+	@Test
+	void requestIsStoppedWhateverElseCrashesServersAtTheSameMoment() {
+		for (int i = 1; i <= 3; i++) {
+			crash(1_000 * i, "own", "request:" + (10 + i));
+			crash(1_000 * i + 20, "request:1");
+		}
+		assertThat(stops(3_020, "other", "request:1"), is(true));
+	}
+
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/QuarantineFleetSimulation.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/QuarantineFleetSimulation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -14,9 +15,10 @@
 import java.util.function.Consumer;
 
 /**
- * Nodes and servers in simulated time. Some requests have a part that crashes each server
- * which begins to answer it; sound ones share all their other parts. Servers also crash
- * for other reasons, alone and together, nodes restart, and datagrams are lost.
+ * Nodes and servers in simulated time. Some requests, or a part of theirs, crash each
+ * server which begins to answer them; sound ones share all their other parts. Servers
+ * also crash for other reasons, alone and together, nodes restart, and datagrams are
+ * lost. What is told of a crash may be told again, as the nodes do.
  */
 final class QuarantineFleetSimulation {
 
@@ -32,8 +34,17 @@
 
 	private static final long REPEATED_CRASHES_MILLIS = 30_000;
 
+	private static final int MAX_REPEATED_CRASHES = 8;
+
 	private static final long DOWN_MILLIS = 3_000;
 
+	/** When a sighting is sent again. */
+	private static final List<Long> REPEAT_MILLIS = List.of(15L, 50L, 200L);
+
+	private static final double MAX_BAD_REQUEST_SHARE = 0.02;
+
+	private static final int MAX_BAD_REPEATS = 20;
+
 	private static final int BOUND_CRASHES = 5;
 
 	private static final long BOUND_MILLIS = 4_000;
@@ -56,10 +67,16 @@
 
 	private final boolean badVariesOtherParts;
 
+	private final Culprit culprit;
+
+	private final Map<String, Integer> serversEndedByRequest = new HashMap<>();
+
 	private long nowMillis;
 
 	private long eventNumber;
 
+	private int requestNumber;
+
 	private int badCrashes;
 
 	private long boundAtMillis = Long.MAX_VALUE;
@@ -70,13 +87,14 @@
 
 	private int soundRefused;
 
-	QuarantineFleetSimulation(long seed) {
+	QuarantineFleetSimulation(long seed, Culprit culprit) {
 		this.random = new SplittableRandom(seed);
+		this.culprit = culprit;
 		this.badShare = 0.01 + this.random.nextDouble() * 0.25;
 		this.lostShare = this.random.nextDouble() * 0.1;
 		this.ownParts = 20 + this.random.nextInt(100);
 		this.badVariesOtherParts = this.random.nextBoolean();
-		int nodeCount = 2 + this.random.nextInt(30);
+		int nodeCount = 2 + this.random.nextInt(culprit.maxMoreNodes);
 		for (int i = 0; i < nodeCount; i++) {
 			this.nodes.add(new Node());
 		}
@@ -115,6 +133,10 @@
 	}
 
 	private void sendRequest() {
+		if (this.culprit == Culprit.REQUEST) {
+			sendNewRequest();
+			return;
+		}
 		boolean bad = this.nowMillis > 3_000 && this.random.nextDouble() < this.badShare;
 		String first = "first" + this.random.nextInt(3);
 		String own = "own" + (int) (this.ownParts * Math.pow(this.random.nextDouble(), 2));
@@ -137,6 +159,40 @@
 		}
 	}
 
+	/**
+	 * Send a request that its caller repeats at any node if its server crashes: a sound
+	 * one three times, and one that crashes servers until it is refused.
+	 */
+	private void sendNewRequest() {
+		boolean bad = this.nowMillis > 3_000 && this.random.nextDouble() < MAX_BAD_REQUEST_SHARE * this.badShare;
+		this.soundRequests += bad ? 0 : 1;
+		String first = "first" + this.random.nextInt(3);
+		String own = "own" + (int) (this.ownParts * Math.pow(this.random.nextDouble(), 2));
+		this.requestNumber++;
+		send(new Request(List.of(first, own, "request:" + this.requestNumber), bad), bad ? MAX_BAD_REPEATS : 3);
+	}
+
+	private void send(Request request, int repeats) {
+		List<Node> started = this.nodes.stream().filter((each) -> each.startedAtMillis <= this.nowMillis).toList();
+		if (started.isEmpty()) {
+			return;
+		}
+		Node node = pick(started);
+		if (node.quarantine.admit(SERVICE, request.suspects, this.nowMillis).isPresent()) {
+			this.soundRefused += request.bad ? 0 : 1;
+			return;
+		}
+		List<Server> up = this.servers.stream().filter((server) -> server.up).toList();
+		if (!up.isEmpty()) {
+			Server server = pick(up);
+			server.receive(node, request.suspects, request.bad);
+			if (repeats > 0) {
+				server.crashListeners.put(request,
+						() -> after(50 + this.random.nextInt(1_000), () -> send(request, repeats - 1)));
+			}
+		}
+	}
+
 	private void crashOthers() {
 		if (this.random.nextInt(3) == 0) {
 			this.servers.stream().filter((server) -> this.random.nextInt(4) == 0).toList().forEach(Server::crash);
@@ -154,6 +210,14 @@
 		return this.lateArrivals;
 	}
 
+	/**
+	 * Return how many servers one request has ended.
+	 * @return the highest number of all requests
+	 */
+	int mostServersEndedByARequest() {
+		return this.serversEndedByRequest.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+	}
+
 	@Override
 	public String toString() {
 		return this.nodes.size() + " nodes, " + this.servers.size() + " servers, " + this.badCrashes
@@ -189,6 +253,32 @@
 		}
 	}
 
+	/**
+	 * What crashes servers.
+	 */
+	enum Culprit {
+
+		/** A part that many requests share, no two alike. */
+		PART(30, 0),
+
+		/** Requests that are repeated. */
+		REQUEST(329, 1_000);
+
+		private final int maxMoreNodes;
+
+		/** How long a node that starts takes no requests. */
+		private final long startMillis;
+
+		Culprit(int maxMoreNodes, long startMillis) {
+			this.maxMoreNodes = maxMoreNodes;
+			this.startMillis = startMillis;
+		}
+
+	}
+
+	private record Request(List<String> suspects, boolean bad) {
+	}
+
 	private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
 
 		@Override
@@ -209,7 +299,10 @@
 
 		private long lastSightingAtMillis;
 
+		private long startedAtMillis;
+
 		private void restart() {
+			this.startedAtMillis = this.fleet.nowMillis + this.fleet.culprit.startMillis;
 			this.quarantine = new PromptQuarantine(0);
 			this.ownSightings.clear();
 			this.fleet.storedRules
@@ -223,6 +316,9 @@
 			if (suspects.isEmpty()) {
 				return;
 			}
+			if (this.ownSightings.size() == MAX_REPEATED_CRASHES) {
+				this.ownSightings.removeFirst();
+			}
 			if (this.fleet.nowMillis - this.lastSightingAtMillis > REPEATED_CRASHES_MILLIS) {
 				this.ownSightings.clear();
 			}
@@ -231,9 +327,16 @@
 			this.ownSightings.addLast(sighting);
 			List<CrashSighting> news = List.copyOf(this.ownSightings);
 			tellOthers((other) -> news.forEach((each) -> other.learn(each, this)));
+			if (this.fleet.culprit == Culprit.REQUEST) {
+				REPEAT_MILLIS.forEach((delayMillis) -> this.fleet.after(delayMillis,
+						() -> tellOthers((other) -> news.forEach((each) -> other.learn(each, this)))));
+			}
 			PromptQuarantine.CrashEffect effect = this.quarantine.recordCrash(sighting, this.fleet.nowMillis);
 			this.fleet.store(this, effect.begun());
 			this.fleet.remove(effect.ended());
+			if (this.fleet.culprit == Culprit.REQUEST) {
+				effect.begun().forEach((rule) -> tellOthers(newsOf(rule)));
+			}
 		}
 
 		private void tellOthers(Consumer<Node> message) {
@@ -251,7 +354,16 @@
 			if (!survived.isEmpty()) {
 				tell(sender, (node) -> node.learnSurvival(survived));
 			}
-			this.fleet.store(this, this.quarantine.recordCrash(sighting, this.fleet.nowMillis).begun());
+			List<QuarantineRule> begun = this.quarantine.recordCrash(sighting, this.fleet.nowMillis).begun();
+			this.fleet.store(this, begun);
+			if (this.fleet.culprit == Culprit.REQUEST) {
+				begun.forEach((rule) -> tell(sender, newsOf(rule)));
+			}
+		}
+
+		private Consumer<Node> newsOf(QuarantineRule rule) {
+			List<CrashSighting> evidence = this.quarantine.evidenceFor(rule);
+			return (other) -> evidence.forEach((each) -> other.learn(each, this));
 		}
 
 		private void learnSurvival(List<String> parts) {
@@ -274,6 +386,9 @@
 
 		private Map<Node, Set<String>> unsurvived = new LinkedHashMap<>();
 
+		/** What callers do when the server crashes before it has survived a request. */
+		private final Map<Request, Runnable> crashListeners = new LinkedHashMap<>();
+
 		private Server(String id) {
 			this.id = id;
 		}
@@ -287,8 +402,11 @@
 			open.addAll(parts);
 			long beginMillis = 20 + this.fleet.random.nextInt(300);
 			this.fleet.after(beginMillis, () -> {
-				if (bad && this.up && this.startedAtMillis == run) {
+				boolean cancelled = this.fleet.culprit == Culprit.REQUEST
+						&& node.quarantine.isQuarantined(SERVICE, parts, this.fleet.nowMillis);
+				if (bad && !cancelled && this.up && this.startedAtMillis == run) {
 					this.fleet.badCrashes++;
+					this.fleet.serversEndedByRequest.merge(parts.get(parts.size() - 1), 1, Integer::sum);
 					if (this.fleet.badCrashes == BOUND_CRASHES) {
 						this.fleet.boundAtMillis = this.fleet.nowMillis + BOUND_MILLIS;
 					}
@@ -298,6 +416,7 @@
 			this.fleet.after(beginMillis + SURVIVAL_MILLIS, () -> {
 				if (this.up && this.startedAtMillis == run) {
 					open.removeAll(parts);
+					this.crashListeners.keySet().removeIf((request) -> request.suspects().equals(parts));
 					node.learnSurvival(parts);
 				}
 			});
@@ -308,6 +427,8 @@
 				return;
 			}
 			this.up = false;
+			this.crashListeners.values().forEach(Runnable::run);
+			this.crashListeners.clear();
 			Map<Node, Set<String>> open = this.unsurvived;
 			this.unsurvived = new LinkedHashMap<>();
 			long run = this.startedAtMillis;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -55,6 +55,9 @@
 
 	private static final int MAX_REPEATED_CRASHES = 8;
 
+	/** When a crash is told again, since datagrams are lost. */
+	private static final List<Long> REPEAT_MILLIS = List.of(15L, 50L, 200L);
+
 	/**
 	 * How long a node that didn't see the crash itself waits for another one to store the
 	 * rule.
@@ -212,9 +215,13 @@
 		List<CrashNews> crashes = this.ownSightings.stream()
 			.map((timed) -> QuarantineCodec.encode(timed.sighting()))
 			.toList();
-		send(new PromptNews(crashes, List.of()), this.peers.get());
+		PromptNews news = new PromptNews(crashes, List.of());
+		send(news, this.peers.get());
+		REPEAT_MILLIS.forEach((delayMillis) -> this.loop.schedule(() -> send(news, this.peers.get()), delayMillis,
+				TimeUnit.MILLISECONDS));
 		PromptQuarantine.CrashEffect effect = applyCrash(sighting, "crashes");
 		effect.begun().forEach((rule) -> this.storeAtMillis.put(rule, nowMillis));
+		tellEvidence(effect.begun(), this.peers.get());
 		effect.ended().forEach(this.store::remove);
 	}
 
@@ -271,7 +278,23 @@
 		if (!survived.isEmpty()) {
 			tellSurvival(sighting.service(), survived, List.of(from));
 		}
-		applyCrash(sighting, "crashes that other nodes saw");
+		PromptQuarantine.CrashEffect effect = applyCrash(sighting, "crashes that other nodes saw");
+		// The sender may have started since the earlier crashes.
+		tellEvidence(effect.begun(), List.of(from));
+	}
+
+	/**
+	 * Tell other nodes of the crashes that rules rest on, of which they may not know all.
+	 * @param rules the rules that began
+	 * @param receivers the nodes
+	 */
+	private void tellEvidence(List<QuarantineRule> rules, List<Address> receivers) {
+		for (QuarantineRule rule : rules) {
+			List<CrashNews> crashes = this.quarantine.evidenceFor(rule).stream().map(QuarantineCodec::encode).toList();
+			if (!crashes.isEmpty()) {
+				send(new PromptNews(crashes, List.of()), receivers);
+			}
+		}
 	}
 
 	private void begin(List<QuarantineRule> rules, String source) {
