Make the fingerprint of a request cheap

Of the body it now takes the length, CRC-32 and CRC-32C (0.3 ms for one of them), and the fingerprint is computed for 10 minutes after a crash and while there are rules. PooledHttpClient closes a connection on bytes that no call awaits.

RequestFingerprintTests, PromptQuarantineTests, PooledHttpClientTests and RequestCrashTests pass.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/CrashEvidence.java
@@ -139,10 +139,11 @@
 
 	/**
 	 * Return whether requests are suspected of crashes.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return {@code false} if the survival of a request tells nothing
 	 */
-	boolean hasSuspectRequests() {
-		return !this.crashesByRequest.isEmpty();
+	boolean hasSuspectRequests(long nowMillis) {
+		return nowMillis - this.lastCrashAtMillis <= CRASH_MEMORY_MILLIS && !this.crashesByRequest.isEmpty();
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
@@ -97,12 +97,13 @@
 	/**
 	 * Return whether requests to a service are suspected of crashes.
 	 * @param service the name of the service
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return {@code false} if the survival of a request tells nothing but that of its
 	 * parts
 	 */
-	public boolean hasSuspectRequests(String service) {
+	public boolean hasSuspectRequests(String service, long nowMillis) {
 		CrashEvidence evidence = this.evidenceByService.get(service);
-		return evidence != null && evidence.hasSuspectRequests();
+		return evidence != null && evidence.hasSuspectRequests(nowMillis);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/RequestFingerprint.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/RequestFingerprint.java
@@ -6,6 +6,9 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
+import java.util.zip.Checksum;
 
 /**
  * Identifies a request by its content, which is the same each time its caller repeats it.
@@ -21,7 +24,8 @@
 	}
 
 	/**
-	 * Return the fingerprint of a request.
+	 * Return the fingerprint of a request. Of the body, which may be long, it has the
+	 * length and two checksums.
 	 * @param account the name of the client account; empty if it has none
 	 * @param method the HTTP method
 	 * @param uri the path and the query
@@ -36,7 +40,11 @@
 				digest.update(field.getBytes(StandardCharsets.UTF_8));
 				digest.update((byte) 0);
 			}
-			digest.update(body.duplicate());
+			digest.update(ByteBuffer.allocate(3 * Long.BYTES)
+				.putLong(body.remaining())
+				.putLong(checksum(new CRC32(), body))
+				.putLong(checksum(new CRC32C(), body))
+				.flip());
 			return PREFIX + HexFormat.of().formatHex(digest.digest()).substring(0, DIGEST_DIGITS);
 		}
 		catch (NoSuchAlgorithmException ex) {
@@ -44,6 +52,11 @@
 		}
 	}
 
+	private static long checksum(Checksum checksum, ByteBuffer body) {
+		checksum.update(body.duplicate());
+		return checksum.getValue();
+	}
+
 	/**
 	 * Return whether a suspect of a crash is a request.
 	 * @param suspect the id of a part or the fingerprint of a request
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ClientChannel.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ClientChannel.java
@@ -21,7 +21,7 @@
 	}
 
 	/**
-	 * Create the first handler of the pipeline of a {@link ClientChannel}. If the
+	 * Create a handler that precedes the decoder of a {@link ClientChannel}. If the
 	 * connection ends in any other way than by the server's end of input, such as a write
 	 * that fails after a reset, the handlers behind it receive an
 	 * {@link UnexpectedEndException} before the end of the connection, which an HTTP
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -182,6 +182,10 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+			if (this.pendingResponse == null) {
+				this.channel.close();
+				return;
+			}
 			if (message.decoderResult().isFailure()) {
 				fail("unreadable response (" + message.decoderResult().cause() + ") from");
 				return;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -150,7 +150,7 @@
 
 	@Override
 	public boolean isNearlyQuarantined(GuardedRequest request) {
-		return this.quarantine.hasSuspectRequests(request.service())
+		return this.quarantine.hasSuspectRequests(request.service(), nowMillis())
 				&& this.quarantine.isNearlyCause(request.service(), request.fingerprint());
 	}
 
@@ -171,7 +171,8 @@
 	@Override
 	public void recordSurvival(ServerRegistration server, GuardedRequest request) {
 		// A fingerprint takes an effort, so it is computed only if it may be known.
-		boolean mayBeKnown = this.quarantine.size() > 0 || this.quarantine.hasSuspectRequests(server.service());
+		boolean mayBeKnown = this.quarantine.size() > 0
+				|| this.quarantine.hasSuspectRequests(server.service(), nowMillis());
 		List<String> survived = mayBeKnown ? request.suspects() : request.sharedParts();
 		if (survived.isEmpty()) {
 			return;
