--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -69,6 +69,8 @@
 
 	private volatile String crashPart = "";
 
+	private volatile String crashBody = "";
+
 	private volatile String resetPart = "";
 
 	private volatile int cutAt;
@@ -163,7 +165,7 @@
 
 	private boolean answer(Request request, OutputStream out) throws IOException {
 		String attempt = request.header("attempt-id");
-		if (!this.crashPart.isEmpty() && request.header("prompt-prefix").contains(this.crashPart)) {
+		if (crashes(request)) {
 			write(out, head("200 OK", attempt) + EVENT_STREAM);
 			sleep(CRASH_MILLIS);
 			close();
@@ -194,6 +196,11 @@
 		return answerExecuted(request, attempt, out);
 	}
 
+	private boolean crashes(Request request) {
+		return (!this.crashPart.isEmpty() && request.header("prompt-prefix").contains(this.crashPart))
+				|| (!this.crashBody.isEmpty() && request.body().equals(this.crashBody));
+	}
+
 	private void awaitGate() {
 		try {
 			this.answerGate.await();
@@ -359,6 +366,15 @@
 		this.crashPart = part;
 	}
 
+	/**
+	 * Crash like for {@link #setCrashPart} when the server begins to answer a request
+	 * with this body.
+	 * @param requestBody the body; empty for none
+	 */
+	public void setCrashBody(String requestBody) {
+		this.crashBody = requestBody;
+	}
+
 	/**
 	 * Close the connection of each request with this prompt part without an answer.
 	 * @param part the id of the part; empty for none
