Split news between nodes that are too long for a datagram

Receivers read 2,048 bytes of a datagram and drop longer ones as unreadable. What a node says of its last eight crashes passes that with some 70 fingerprints or one long id of a part, so no other node learnt of them and a request went on to crash servers there. The loads of more than some 50 servers, sent within 15 ms, were lost in the same way (computed).

Crashes, survivals and loads are split; a part whose id has over 64 characters is known by a digest; a longer datagram is logged and not sent. A node names up to 128 requests of a crash, 32 before. The number of rules is bounded.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,9 @@
 	/** How long after its end a quarantine begins anew with a single crash. */
 	private static final long PROBATION_MILLIS = 600_000;
 
+	/** Bounds the memory and the effort for rules. */
+	private static final int MAX_RULES = 256;
+
 	private final long trialDelayMillis;
 
 	private final Map<String, CrashEvidence> evidenceByService = new HashMap<>();
@@ -86,14 +90,26 @@
 		for (Set<String> cause : causes) {
 			QuarantineRule rule = QuarantineRule.of(service, cause);
 			if (this.rules.keySet().stream().noneMatch((known) -> known.matches(service, cause))) {
-				this.rules.put(rule, new RuleState());
-				this.rules.get(rule).begin(nowMillis, QUARANTINE_MILLIS);
+				RuleState state = new RuleState();
+				state.begin(nowMillis, QUARANTINE_MILLIS);
+				put(rule, state);
 				begun.add(rule);
 			}
 		}
 		return begun;
 	}
 
+	private void put(QuarantineRule rule, RuleState state) {
+		if (this.rules.size() >= MAX_RULES && !this.rules.containsKey(rule)) {
+			this.rules.entrySet()
+				.stream()
+				.min(Comparator.comparingLong((entry) -> entry.getValue().untilMillis))
+				.map(Map.Entry::getKey)
+				.ifPresent(this.rules::remove);
+		}
+		this.rules.put(rule, state);
+	}
+
 	/**
 	 * Return whether requests to a service are suspected of crashes.
 	 * @param service the name of the service
@@ -182,7 +198,7 @@
 		if (nowMillis + remainingMillis > state.untilMillis) {
 			state.begin(nowMillis, Math.min(QUARANTINE_MILLIS, remainingMillis));
 		}
-		this.rules.put(rule, state);
+		put(rule, state);
 		return known == null;
 	}
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
@@ -285,4 +285,14 @@
 		assertThat(stops(3_020, "other", "request:1"), is(true));
 	}
 
+	@Test
+	void numberOfRulesIsBounded() {
+		for (int i = 0; i < 2_000; i++) {
+			this.quarantine.adopt(QuarantineRule.of(SERVICE, Set.of("request:" + i)), 600_000, i);
+		}
+		assertThat(this.quarantine.size(), is(256));
+		assertThat(stops(2_000, "request:1999"), is(true));
+		assertThat(stops(2_000, "request:1"), is(false));
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerDatagramChannel.java
@@ -12,7 +12,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -31,6 +33,9 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Receivers read no more of a datagram. */
+	private static final int MAX_DATAGRAM_BYTES = 2_048;
+
 	private final EventLoop loop;
 
 	private final List<BiConsumer<PeerDatagram, Address>> listeners = new ArrayList<>();
@@ -53,6 +58,7 @@
 	public void start(Address address) {
 		new Bootstrap().group(this.loop)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
 			.handler(new Receiver())
 			.bind(address.host(), address.port())
 			.addListener((bindResult) -> {
@@ -82,7 +88,8 @@
 	}
 
 	/**
-	 * Send a datagram. Does nothing before the port is bound.
+	 * Send a datagram. Does nothing before the port is bound. A datagram that is too long
+	 * for its receivers is only logged; see {@link DatagramBatches}.
 	 * @param datagram the datagram
 	 * @param peers the addresses of the receivers
 	 */
@@ -92,6 +99,10 @@
 			return;
 		}
 		byte[] bytes = ThriftSerializer.serialize(datagram);
+		if (bytes.length > MAX_DATAGRAM_BYTES) {
+			logger.atWarning().log("%s", LogLine.of("datagram too long").with("bytes", bytes.length));
+			return;
+		}
 		for (Address peer : peers) {
 			boundChannel.write(
 					new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(peer.host(), peer.port())));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneLoadExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneLoadExchange.java
@@ -90,10 +90,13 @@
 					server.load().unreadTokens()));
 		}
 		this.changedServers.clear();
-		PeerDatagram datagram = new PeerDatagram();
-		datagram.setLoads(new LoadNews(this.node, loads));
 		List<Address> peers = this.zonePeers.get();
-		this.datagrams.send(datagram, peers.subList(0, Math.min(MAX_PEERS, peers.size())));
+		List<Address> receivers = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
+		for (List<OpenLoad> batch : DatagramBatches.split(loads, (load) -> load.getServerId().length())) {
+			PeerDatagram datagram = new PeerDatagram();
+			datagram.setLoads(new LoadNews(this.node, batch));
+			this.datagrams.send(datagram, receivers);
+		}
 	}
 
 	private void onDatagram(PeerDatagram datagram) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -24,6 +24,7 @@
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.gateway.backends.BackendConnectionPool;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.peers.DatagramBatches;
 import io.flamingogap.gateway.peers.PeerDatagramChannel;
 import io.flamingogap.gateway.relay.GuardedRequest;
 import io.flamingogap.gateway.relay.RelayMetrics;
@@ -213,13 +214,10 @@
 				|| nowMillis - this.ownSightings.peekFirst().seenAtMillis() > REPEATED_CRASHES_MILLIS) {
 			this.ownSightings.removeFirst();
 		}
-		List<CrashNews> crashes = this.ownSightings.stream()
-			.map((timed) -> QuarantineCodec.encode(timed.sighting()))
-			.toList();
-		PromptNews news = new PromptNews(crashes, List.of());
-		send(news, this.peers.get());
-		REPEAT_MILLIS.forEach((delayMillis) -> this.loop.schedule(() -> send(news, this.peers.get()), delayMillis,
-				TimeUnit.MILLISECONDS));
+		List<CrashSighting> told = this.ownSightings.stream().map(TimedSighting::sighting).toList();
+		tellCrashes(told, this.peers.get());
+		REPEAT_MILLIS.forEach((delayMillis) -> this.loop.schedule(() -> tellCrashes(told, this.peers.get()),
+				delayMillis, TimeUnit.MILLISECONDS));
 		PromptQuarantine.CrashEffect effect = applyCrash(sighting, "crashes");
 		effect.begun().forEach((rule) -> this.storeAtMillis.put(rule, nowMillis));
 		tellEvidence(effect.begun(), this.peers.get());
@@ -243,7 +241,9 @@
 		long nowMillis = nowMillis();
 		this.survivalToldAtMillis.values().removeIf((millis) -> nowMillis - millis > SURVIVAL_NEWS_INTERVAL_MILLIS);
 		if (this.survivalToldAtMillis.putIfAbsent(new ToldSurvival(service, parts, receivers), nowMillis) == null) {
-			send(new PromptNews(List.of(), List.of(new SurvivalNews(service, parts))), receivers);
+			for (List<String> batch : DatagramBatches.split(parts, String::length)) {
+				send(new PromptNews(List.of(), List.of(new SurvivalNews(service, batch))), receivers);
+			}
 		}
 	}
 
@@ -290,10 +290,15 @@
 	 * @param receivers the nodes
 	 */
 	private void tellEvidence(List<QuarantineRule> rules, List<Address> receivers) {
-		for (QuarantineRule rule : rules) {
-			List<CrashNews> crashes = this.quarantine.evidenceFor(rule).stream().map(QuarantineCodec::encode).toList();
-			if (!crashes.isEmpty()) {
-				send(new PromptNews(crashes, List.of()), receivers);
+		rules.forEach((rule) -> tellCrashes(this.quarantine.evidenceFor(rule), receivers));
+	}
+
+	private void tellCrashes(List<CrashSighting> sightings, List<Address> receivers) {
+		for (CrashSighting sighting : sightings) {
+			for (List<String> suspects : DatagramBatches.split(sighting.suspects(), String::length)) {
+				CrashSighting part = new CrashSighting(sighting.server(), sighting.startedAtMillis(),
+						sighting.service(), Set.copyOf(suspects));
+				send(new PromptNews(List.of(QuarantineCodec.encode(part)), List.of()), receivers);
 			}
 		}
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/ServerCrashDetector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/ServerCrashDetector.java
@@ -42,7 +42,7 @@
 	 * Bounds the size of a sighting. Few requests to one server wait for their answers to
 	 * begin at a time.
 	 */
-	private static final int MAX_REQUESTS = 32;
+	private static final int MAX_REQUESTS = 128;
 
 	private final Map<ServerRegistration, Suspects> suspectsByServer = new HashMap<>();
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/GuardedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/GuardedRequest.java
@@ -45,10 +45,10 @@
 
 	/**
 	 * Return the parts of the prompt that other requests may share.
-	 * @return the ids of the parts
+	 * @return the keys of the parts
 	 */
 	public List<String> sharedParts() {
-		return this.request.prompt().sharedPrefix().stream().map(PromptPart::id).toList();
+		return this.request.prompt().sharedPrefix().stream().map(PromptPart::key).toList();
 	}
 
 	/**
