Name the quarantine for requests, and move notices out of BackendDispatch

PromptQuarantine stops requests too since they are suspects, and the parts of a rule may be a fingerprint: RequestQuarantine, QuarantineRule.suspects, and the log field suspects. No behaviour changes: RequestQuarantineTests, QuarantineExchangeTests, ServerNoticeTests, ServerTroubleTests and RequestPathTests pass.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/QuarantineRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/QuarantineRule.java
@@ -6,43 +6,44 @@
 import java.util.TreeSet;
 
 /**
- * The prompt parts, or the request, that requests to a service are stopped for. A request
- * is stopped only if it has all of them: several parts stand in one rule if they were in
- * the same requests whenever servers crashed, so that nothing tells which of them is the
- * cause.
+ * What requests to a service are stopped for. A request is stopped only if it has all of
+ * the suspects: several parts stand in one rule if they were in the same requests
+ * whenever servers crashed, so that nothing tells which of them is the cause. A rule that
+ * has a fingerprint stops that request only.
  *
  * @param service the name of the service
- * @param parts the ids of the parts, or the fingerprint of the request and the ids of
- * parts that were in the same crashes; at least one
+ * @param suspects the keys of prompt parts, the fingerprint of a request, or both; at
+ * least one
  */
-public record QuarantineRule(String service, SortedSet<String> parts) {
+public record QuarantineRule(String service, SortedSet<String> suspects) {
 
 	public QuarantineRule {
 		Objects.requireNonNull(service, "service must not be null");
-		if (parts.isEmpty()) {
-			throw new IllegalArgumentException("parts must not be empty");
+		if (suspects.isEmpty()) {
+			throw new IllegalArgumentException("suspects must not be empty");
 		}
-		parts = new TreeSet<>(parts);
+		suspects = new TreeSet<>(suspects);
 	}
 
 	/**
 	 * Create a rule.
 	 * @param service the name of the service
-	 * @param parts the ids of the parts; at least one
+	 * @param suspects the keys of prompt parts, the fingerprint of a request, or both; at
+	 * least one
 	 * @return the rule
 	 */
-	public static QuarantineRule of(String service, Collection<String> parts) {
-		return new QuarantineRule(service, new TreeSet<>(parts));
+	public static QuarantineRule of(String service, Collection<String> suspects) {
+		return new QuarantineRule(service, new TreeSet<>(suspects));
 	}
 
 	/**
 	 * Return whether the rule stops a request.
 	 * @param requestService the service that the request is for
-	 * @param suspects the suspects of the request
-	 * @return {@code true} if it is for the service and has all parts
+	 * @param requestSuspects the suspects of the request
+	 * @return {@code true} if it is for the service and has all suspects of the rule
 	 */
-	boolean matches(String requestService, Collection<String> suspects) {
-		return this.service.equals(requestService) && suspects.containsAll(this.parts);
+	boolean matches(String requestService, Collection<String> requestSuspects) {
+		return this.service.equals(requestService) && requestSuspects.containsAll(this.suspects);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/PromptQuarantine.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quarantine/RequestQuarantine.java
@@ -21,7 +21,7 @@
  * <p>
  * Not thread-safe.
  */
-public final class PromptQuarantine {
+public final class RequestQuarantine {
 
 	private static final long QUARANTINE_MILLIS = 600_000;
 
@@ -45,7 +45,7 @@
 	 * @param trialDelayMillis how long after the end of a quarantine this node lets the
 	 * first request through, in milliseconds; should differ between nodes
 	 */
-	public PromptQuarantine(long trialDelayMillis) {
+	public RequestQuarantine(long trialDelayMillis) {
 		this.trialDelayMillis = trialDelayMillis;
 	}
 
@@ -82,7 +82,7 @@
 	}
 
 	private boolean isRefuted(QuarantineRule rule, List<Set<String>> causes) {
-		return evidenceOf(rule.service()).isRefuted(rule.parts(), causes);
+		return evidenceOf(rule.service()).isRefuted(rule.suspects(), causes);
 	}
 
 	private List<QuarantineRule> beginNewRules(String service, List<Set<String>> causes, long nowMillis) {
@@ -163,10 +163,10 @@
 	/**
 	 * Return the crashes that a rule rests on, for nodes that did not learn of all.
 	 * @param rule the rule
-	 * @return a sighting of each crash, with the parts of the rule only
+	 * @return a sighting of each crash, with the suspects of the rule only
 	 */
 	public List<CrashSighting> evidenceFor(QuarantineRule rule) {
-		return evidenceOf(rule.service()).crashesWith(rule.service(), rule.parts());
+		return evidenceOf(rule.service()).crashesWith(rule.service(), rule.suspects());
 	}
 
 	/**
@@ -319,7 +319,7 @@
 
 		private void begin(long nowMillis, long lengthMillis) {
 			this.untilMillis = nowMillis + lengthMillis;
-			this.nextTrialMillis = this.untilMillis + PromptQuarantine.this.trialDelayMillis;
+			this.nextTrialMillis = this.untilMillis + RequestQuarantine.this.trialDelayMillis;
 		}
 
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/QuarantineFleetSimulation.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/QuarantineFleetSimulation.java
@@ -293,7 +293,7 @@
 
 		private final QuarantineFleetSimulation fleet = QuarantineFleetSimulation.this;
 
-		private PromptQuarantine quarantine = new PromptQuarantine(0);
+		private RequestQuarantine quarantine = new RequestQuarantine(0);
 
 		private final Deque<CrashSighting> ownSightings = new ArrayDeque<>();
 
@@ -303,7 +303,7 @@
 
 		private void restart() {
 			this.startedAtMillis = this.fleet.nowMillis + this.fleet.culprit.startMillis;
-			this.quarantine = new PromptQuarantine(0);
+			this.quarantine = new RequestQuarantine(0);
 			this.ownSightings.clear();
 			this.fleet.storedRules
 				.forEach((rule) -> this.quarantine.adopt(rule, LENGTH_MILLIS * 5, this.fleet.nowMillis));
@@ -331,7 +331,7 @@
 				REPEAT_MILLIS.forEach((delayMillis) -> this.fleet.after(delayMillis,
 						() -> tellOthers((other) -> news.forEach((each) -> other.learn(each, this)))));
 			}
-			PromptQuarantine.CrashEffect effect = this.quarantine.recordCrash(sighting, this.fleet.nowMillis);
+			RequestQuarantine.CrashEffect effect = this.quarantine.recordCrash(sighting, this.fleet.nowMillis);
 			this.fleet.store(this, effect.begun());
 			this.fleet.remove(effect.ended());
 			if (this.fleet.culprit == Culprit.REQUEST) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantinePropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/RequestQuarantinePropertyTests.java
@@ -8,9 +8,9 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * Property tests of {@link PromptQuarantine} over all nodes of a fleet.
+ * Property tests of {@link RequestQuarantine} over all nodes of a fleet.
  */
-class PromptQuarantinePropertyTests {
+class RequestQuarantinePropertyTests {
 
 	/** Requests with the part that may reach servers after the bound. */
 	private static final int MAX_LATE_ARRIVALS = 3;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/PromptQuarantineTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quarantine/RequestQuarantineTests.java
@@ -12,9 +12,9 @@
 import static org.hamcrest.Matchers.is;
 
 /**
- * Tests of {@link PromptQuarantine}.
+ * Tests of {@link RequestQuarantine}.
  */
-class PromptQuarantineTests {
+class RequestQuarantineTests {
 
 	private static final String SERVICE = "engine";
 
@@ -22,7 +22,7 @@
 
 	private static final long TRIAL_DELAY_MILLIS = 1_000;
 
-	private final PromptQuarantine quarantine = new PromptQuarantine(TRIAL_DELAY_MILLIS);
+	private final RequestQuarantine quarantine = new RequestQuarantine(TRIAL_DELAY_MILLIS);
 
 	private int servers;
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ReadTurns.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/ReadTurns.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Makes connections that receive much wait for their turns, a few of which are given in
@@ -75,7 +76,7 @@
 
 		private final ReadTurns turns;
 
-		private ChannelHandlerContext context;
+		private @Nullable ChannelHandlerContext context;
 
 		private long bytesRead;
 
@@ -94,12 +95,19 @@
 		 */
 		public void setEnabled(boolean newEnabled) {
 			this.enabled = newEnabled;
-			read(this.context);
+			readIfAdded();
 		}
 
 		private void takeTurn() {
 			this.waiting = false;
-			read(this.context);
+			readIfAdded();
+		}
+
+		private void readIfAdded() {
+			ChannelHandlerContext added = this.context;
+			if (added != null) {
+				read(added);
+			}
 		}
 
 		@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineCodec.java
@@ -42,13 +42,13 @@
 	 * @return the key, which is short whatever the names in the rule
 	 */
 	static String keyOf(QuarantineRule rule) {
-		String content = rule.service() + "\n" + String.join("\n", rule.parts());
+		String content = rule.service() + "\n" + String.join("\n", rule.suspects());
 		return KEY_PREFIX + Digests.sha256(content).substring(0, KEY_DIGITS);
 	}
 
 	static byte[] encode(QuarantineRule rule, long endsAtMillis) {
 		return ThriftSerializer
-			.serialize(new QuarantineRecord(rule.service(), List.copyOf(rule.parts()), endsAtMillis));
+			.serialize(new QuarantineRecord(rule.service(), List.copyOf(rule.suspects()), endsAtMillis));
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -19,8 +19,8 @@
 
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.quarantine.CrashSighting;
-import io.flamingogap.core.quarantine.PromptQuarantine;
 import io.flamingogap.core.quarantine.QuarantineRule;
+import io.flamingogap.core.quarantine.RequestQuarantine;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.gateway.backends.BackendConnectionPool;
 import io.flamingogap.gateway.log.LogLine;
@@ -90,7 +90,7 @@
 
 	private final RandomGenerator random;
 
-	private final PromptQuarantine quarantine;
+	private final RequestQuarantine quarantine;
 
 	private final ServerCrashDetector crashDetector;
 
@@ -123,7 +123,7 @@
 		this.clock = clock;
 		this.metrics = metrics;
 		this.random = random;
-		this.quarantine = new PromptQuarantine(random.nextLong(MAX_TRIAL_DELAY_MILLIS));
+		this.quarantine = new RequestQuarantine(random.nextLong(MAX_TRIAL_DELAY_MILLIS));
 		this.crashDetector = new ServerCrashDetector(loop, connectionPool, this::onOwnCrash);
 		datagrams.addListener(this::onDatagram);
 		store.setListener(this::onStoredRule, this::onReleasedRule);
@@ -178,15 +178,15 @@
 		if (survived.isEmpty()) {
 			return;
 		}
-		PromptQuarantine.SurvivalEffect effect = applySurvival(server.service(), survived);
+		RequestQuarantine.SurvivalEffect effect = applySurvival(server.service(), survived);
 		if (effect.contradicts()) {
 			tellSurvival(server.service(), survived, this.peers.get());
 		}
 		effect.ended().forEach(this.store::remove);
 	}
 
-	private PromptQuarantine.SurvivalEffect applySurvival(String service, List<String> survived) {
-		PromptQuarantine.SurvivalEffect effect = this.quarantine.recordSurvival(service, survived, nowMillis());
+	private RequestQuarantine.SurvivalEffect applySurvival(String service, List<String> survived) {
+		RequestQuarantine.SurvivalEffect effect = this.quarantine.recordSurvival(service, survived, nowMillis());
 		effect.ended().forEach((rule) -> onEnded(rule, "a server survived it"));
 		begin(effect.begun(), "survival of other parts");
 		return effect;
@@ -218,14 +218,14 @@
 		tellCrashes(told, this.peers.get());
 		REPEAT_MILLIS.forEach((delayMillis) -> this.loop.schedule(() -> tellCrashes(told, this.peers.get()),
 				delayMillis, TimeUnit.MILLISECONDS));
-		PromptQuarantine.CrashEffect effect = applyCrash(sighting, "crashes");
+		RequestQuarantine.CrashEffect effect = applyCrash(sighting, "crashes");
 		effect.begun().forEach((rule) -> this.storeAtMillis.put(rule, nowMillis));
 		tellEvidence(effect.begun(), this.peers.get());
 		effect.ended().forEach(this.store::remove);
 	}
 
-	private PromptQuarantine.CrashEffect applyCrash(CrashSighting sighting, String source) {
-		PromptQuarantine.CrashEffect effect = this.quarantine.recordCrash(sighting, nowMillis());
+	private RequestQuarantine.CrashEffect applyCrash(CrashSighting sighting, String source) {
+		RequestQuarantine.CrashEffect effect = this.quarantine.recordCrash(sighting, nowMillis());
 		effect.ended().forEach((rule) -> onEnded(rule, "other parts are the cause of its crashes"));
 		begin(effect.begun(), source);
 		return effect;
@@ -279,7 +279,7 @@
 		if (!survived.isEmpty()) {
 			tellSurvival(sighting.service(), survived, List.of(from));
 		}
-		PromptQuarantine.CrashEffect effect = applyCrash(sighting, "crashes that other nodes saw");
+		RequestQuarantine.CrashEffect effect = applyCrash(sighting, "crashes that other nodes saw");
 		// The sender may have started since the earlier crashes.
 		tellEvidence(effect.begun(), List.of(from));
 	}
@@ -325,7 +325,7 @@
 	}
 
 	private static LogLine logLine(String event, QuarantineRule rule) {
-		return LogLine.of(event).with("service", rule.service()).with("parts", String.join(",", rule.parts()));
+		return LogLine.of(event).with("service", rule.service()).with("suspects", String.join(",", rule.suspects()));
 	}
 
 	private void onEnded(QuarantineRule rule, String reason) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -12,7 +12,6 @@
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.limits.HeldBytes;
 import io.flamingogap.core.servers.KnownServer;
-import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.gateway.backends.BackendCall;
@@ -219,7 +218,7 @@
 	public void onHead(BackendResponseHead head) {
 		this.responseHead = head;
 		if (head.verdict() != BackendResponseHead.Verdict.MISDIRECTED) {
-			recordNotices(head);
+			new ServerNotices(this.dependencies, this.server).recordFrom(head, this.relayedRequest, nowMillis());
 		}
 		switch (head.verdict()) {
 			case REJECTED ->
@@ -234,45 +233,6 @@
 		}
 	}
 
-	/**
-	 * Record what the server says of itself. Not to be called if another server answered.
-	 * @param head the head of its answer
-	 */
-	private void recordNotices(BackendResponseHead head) {
-		if (head.leaving()) {
-			recordDeparture();
-		}
-		head.pauseMillis().ifPresent(this::recordPause);
-		head.load()
-			.ifPresent((load) -> this.server.load()
-				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis()));
-	}
-
-	private void recordDeparture() {
-		ServerRegistration run = this.server.registration();
-		if (this.dependencies.servers().depart(run.id(), run.startedAtMillis())) {
-			this.dependencies.departureListener().accept(run);
-			this.dependencies.metrics().increment("departed.answer");
-			logger.atInfo()
-				.log("%s",
-						this.relayedRequest.logLine("server departed")
-							.with("source", "answer")
-							.with("startedAtMillis", run.startedAtMillis()));
-		}
-	}
-
-	private void recordPause(long pauseMillis) {
-		if (this.dependencies.servers().pause(this.server.registration(), pauseMillis, nowMillis())) {
-			this.dependencies.metrics().increment("paused.answer");
-			logger.atInfo()
-				.log("%s",
-						this.relayedRequest.logLine("server paused")
-							.with("source", "answer")
-							.with("startedAtMillis", this.server.registration().startedAtMillis())
-							.with("pauseMillis", pauseMillis));
-		}
-	}
-
 	private void cancelAndRetry(DispatchOutcome outcome, String reason) {
 		cancel(outcome);
 		this.server.health().recordFailure(nowMillis());
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/CrashNews.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/CrashNews.java
@@ -32,7 +32,7 @@
     STARTED_AT_MILLIS((short)2, "startedAtMillis"),
     SERVICE_NAME((short)3, "serviceName"),
     /**
-     * The shared prompt parts that may have caused it.
+     * The shared prompt parts and the requests, by fingerprint, that may have caused it.
      */
     PARTS((short)4, "parts");
 
@@ -258,7 +258,7 @@
   }
 
   /**
-   * The shared prompt parts that may have caused it.
+   * The shared prompt parts and the requests, by fingerprint, that may have caused it.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<java.lang.String> getParts() {
@@ -266,7 +266,7 @@
   }
 
   /**
-   * The shared prompt parts that may have caused it.
+   * The shared prompt parts and the requests, by fingerprint, that may have caused it.
    */
   public CrashNews setParts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> parts) {
     this.parts = parts;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/SurvivalNews.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/SurvivalNews.java
@@ -7,7 +7,7 @@
 package io.flamingogap.wire.peer;
 
 /**
- * Prompt parts that a backend server survived.
+ * Prompt parts, and requests by fingerprint, that a backend server survived.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class SurvivalNews implements org.apache.thrift.TBase<SurvivalNews, SurvivalNews._Fields>, java.io.Serializable, Cloneable, Comparable<SurvivalNews> {
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -118,11 +118,11 @@
   1: required string serverId
   2: required i64 startedAtMillis
   3: required string serviceName
-  /** The shared prompt parts that may have caused it. */
+  /** The shared prompt parts and the requests, by fingerprint, that may have caused it. */
   4: required list<string> parts
 }
 
-/** Prompt parts that a backend server survived. */
+/** Prompt parts, and requests by fingerprint, that a backend server survived. */
 struct SurvivalNews {
   1: required string serviceName
   2: required list<string> parts
