Share listings of the store between the nodes of a zone

When the store drops its history, a relay failed the reads that waited at it as if it had lost the store: the nodes left it for 4.5 s, read the store themselves, and each of them listed three streams.

A relay now tells its readers that the records are dropped, knows it for earlier offsets too, and one listing answers all nodes of the zone that ask within 0.3 s, also for the status of rollouts. Two of the new rows of ZoneReadCacheTests fail without the change (one hangs, since the read waits at the store); SharedListingsTests is new; 44 tests of the package pass.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.flamingogap.gateway.store.RecordStore.Batch;
+import io.flamingogap.gateway.store.RecordStore.Page;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoredRecord;
@@ -53,6 +54,10 @@
 		return new Batch(toStoredRecords(reply), reply.getPosition(), fromZoneRelay, reply.getAgeMillis());
 	}
 
+	static Page toPage(PeerReply reply) {
+		return new Page(toStoredRecords(reply), reply.isHasMore(), reply.getPosition());
+	}
+
 	static List<StoredRecord> toStoredRecords(PeerReply reply) {
 		return reply.getEntries()
 			.stream()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -76,8 +76,7 @@
 	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
 		PeerCall call = new PeerCall(StoreCall.NEWEST, stream.name(), 0, 0);
 		after.ifPresent(call::setKey);
-		return this.<Page>callStoreOrPeers(() -> super.listNewest(stream, after), call,
-				(reply) -> new Page(PeerCodec.toStoredRecords(reply), reply.isHasMore(), reply.getPosition()));
+		return this.<Page>callStoreOrPeers(() -> super.listNewest(stream, after), call, PeerCodec::toPage);
 	}
 
 	@Override
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -41,6 +42,10 @@
 
 	private final Map<StoreStream, List<WaitingRead>> waitingReads = new EnumMap<>(StoreStream.class);
 
+	private final Map<StoreStream, Long> droppedOffsets = new EnumMap<>(StoreStream.class);
+
+	private final SharedListings listings;
+
 	/**
 	 * Create a store with an empty cache.
 	 * @param loop the event loop
@@ -51,6 +56,7 @@
 		super(store);
 		this.loop = loop;
 		this.steadyMillis = steadyMillis;
+		this.listings = new SharedListings(store);
 		for (StoreStream stream : StoreStream.values()) {
 			this.caches.put(stream, new RecordCache());
 			this.waitingReads.put(stream, new ArrayList<>());
@@ -63,8 +69,7 @@
 			RecordCache cache = this.caches.get(stream);
 			if (failure != null) {
 				cache.markStale();
-				removeWaiting(stream).forEach((each) -> each
-					.fail("the relay node failed to read from the store: " + StoreException.of(failure).getMessage()));
+				onFailure(stream, from, StoreException.of(failure));
 				return;
 			}
 			cache.add(from, batch, this.steadyMillis.getAsLong());
@@ -74,6 +79,33 @@
 		});
 	}
 
+	private void onFailure(StoreStream stream, long from, StoreException failure) {
+		List<WaitingRead> failed = removeWaiting(stream);
+		if (failure.reason() == Reason.DROPPED) {
+			recordDropped(stream, from);
+			failed.forEach((each) -> each.result.completeExceptionally(failure));
+		}
+		else {
+			failed
+				.forEach((each) -> each.fail("the relay node failed to read from the store: " + failure.getMessage()));
+		}
+	}
+
+	private void recordDropped(StoreStream stream, long offset) {
+		this.droppedOffsets.merge(stream, offset, Math::max);
+		this.listings.forgetUpTo(stream, offset);
+	}
+
+	@Override
+	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+		return this.listings.list(stream, after, this.steadyMillis.getAsLong()).whenComplete((page, failure) -> {
+			if (failure == null && page.endOffset() <= this.droppedOffsets.getOrDefault(stream, -1L)) {
+				// The store numbers the records of the stream anew.
+				this.droppedOffsets.remove(stream);
+			}
+		});
+	}
+
 	/**
 	 * Read for another node: from the cache if it is fresh and covers the offset,
 	 * otherwise from the store.
@@ -84,10 +116,18 @@
 	 * @return the records, which may be none, and the offset to continue from
 	 */
 	public CompletableFuture<Batch> readForPeer(StoreStream stream, long from, long waitMillis) {
+		if (from <= this.droppedOffsets.getOrDefault(stream, -1L)) {
+			return CompletableFuture
+				.failedFuture(new StoreException(Reason.DROPPED, "the store has dropped the record at offset " + from));
+		}
 		RecordCache cache = this.caches.get(stream);
 		long nowMillis = this.steadyMillis.getAsLong();
 		if (!cache.isFresh(nowMillis, MAX_AGE_MILLIS) || !cache.covers(from)) {
-			return super.read(stream, from, waitMillis);
+			return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
+				if (failure != null && StoreException.of(failure).reason() == Reason.DROPPED) {
+					recordDropped(stream, from);
+				}
+			});
 		}
 		Batch cached = cache.batchFrom(from, nowMillis);
 		if (!cached.records().isEmpty() || waitMillis <= 0) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -56,6 +56,14 @@
 				() -> super.read(stream, from, 0));
 	}
 
+	@Override
+	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+		PeerCall call = new PeerCall(StoreCall.NEWEST, stream.name(), 0, 0);
+		after.ifPresent(call::setKey);
+		Supplier<CompletableFuture<Page>> listDirectly = () -> super.listNewest(stream, after);
+		return callRelay(call, PeerCodec::toPage, listDirectly, listDirectly);
+	}
+
 	@Override
 	public CompletableFuture<Long> submit(String key, byte[] value) {
 		PeerCall call = new PeerCall(StoreCall.APPEND, StoreStream.NODES.name(), 0, ReportBatcher.COLLECT_MILLIS);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -185,7 +185,13 @@
 			}
 			return this.relay.readForPeer(stream, from, waitMillis)
 				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true, batch.ageMillis()))
-				.exceptionallyCompose((failure) -> super.read(stream, from, 0));
+				.exceptionallyCompose((failure) -> (StoreException.of(failure).reason() == Reason.DROPPED)
+						? CompletableFuture.failedFuture(failure) : super.read(stream, from, 0));
+		}
+
+		@Override
+		public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+			return this.store.relayAnswers ? this.relay.listNewest(stream, after) : super.listNewest(stream, after);
 		}
 
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -100,6 +100,35 @@
 		assertThat(peer.isCompletedExceptionally(), is(true));
 	}
 
+	// Peers left their relay for seconds when the store had dropped its history, and each
+	// called the store.
+	@Test
+	void tellsWaitingPeerThatTheRecordsAreDropped() {
+		CompletableFuture<Batch> peer = readForPeer(9);
+		this.store.pendingRead().completeExceptionally(new StoreException(StoreException.Reason.DROPPED, "gone"));
+		assertThat(reasonOf(peer), is(StoreException.Reason.DROPPED));
+	}
+
+	@Test
+	void answersPeerThatReadsDroppedRecordsWithoutAStoreCall() {
+		this.store.pendingRead().completeExceptionally(new StoreException(StoreException.Reason.DROPPED, "gone"));
+		assertThat(reasonOf(readForPeer(8)), is(StoreException.Reason.DROPPED));
+		assertThat(this.store.readOffsets(), contains(7L, 9L));
+	}
+
+	@Test
+	void readsAgainWhenTheStoreNumbersItsRecordsAnew() {
+		this.store.pendingRead().completeExceptionally(new StoreException(StoreException.Reason.DROPPED, "gone"));
+		this.cache.listNewest(StoreStream.SERVERS, Optional.empty());
+		readForPeer(7);
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 7L));
+	}
+
+	private static StoreException.Reason reasonOf(CompletableFuture<Batch> read) {
+		assertThat(read.isDone(), is(true));
+		return read.handle((batch, failure) -> StoreException.of(failure).reason()).join();
+	}
+
 	@Test
 	void readsFromTheStoreWhenTheCacheIsStale() {
 		this.nowMillis += 3_000;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -18,6 +18,8 @@
 
 	private final List<Long> readOffsets = new ArrayList<>();
 
+	private int listingCount;
+
 	private final List<List<NewRecord>> appendedBatches = new ArrayList<>();
 
 	private CompletableFuture<Batch> pendingRead = new CompletableFuture<>();
@@ -38,6 +40,14 @@
 		return this.readOffsets;
 	}
 
+	/**
+	 * Return how many listings were asked for.
+	 * @return the number of calls
+	 */
+	public int listingCount() {
+		return this.listingCount;
+	}
+
 	/**
 	 * Return the records that were appended together.
 	 * @return a list of records for each call
@@ -65,6 +75,7 @@
 
 	@Override
 	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+		this.listingCount++;
 		return CompletableFuture
 			.completedFuture(new Page(List.of(new StoredRecord("a", Optional.of(new byte[1]), 6)), false, 7));
 	}
