--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -77,6 +78,8 @@
 
 	private volatile String body = "done";
 
+	private final AtomicInteger answeredRequests = new AtomicInteger();
+
 	private volatile CountDownLatch answerGate = new CountDownLatch(0);
 
 	private volatile long firstEventMillis;
@@ -130,6 +133,7 @@
 				if (!answer(request, socket.getOutputStream())) {
 					return;
 				}
+				this.answeredRequests.incrementAndGet();
 				first = false;
 			}
 		}
@@ -391,6 +395,14 @@
 		this.answerGate = gate;
 	}
 
+	/**
+	 * Return how many requests were answered on connections that stayed open.
+	 * @return the number of answers whose bytes have all been written
+	 */
+	public int answeredRequests() {
+		return this.answeredRequests.get();
+	}
+
 	/**
 	 * Set where {@link ServerBehaviour#CUT_HEAD} cuts.
 	 * @param length the number of bytes of the head that are sent; cut to all but the
