Serve within the quota while nodes start together

- The first report of a run was written at once and took the place of the previous run's in the store before the node had read it, so most nodes waited 6 s as if they took shares over.
It is now written when the reports of the others are read and the node serves (after 3 s at the latest), which also tells the others at once that the node serves.
- A node that had just started removed the others, which were starting too.
It now removes no one within 8 s after its first listing.
- A request that no holder answers, or that arrives before the reports are read, waits up to a second.
- Shares are taken up when the reports are read, not at the next tick.
- A run that had just begun to take shares over, and then restarts, takes them over anew if longer running nodes are there.

The simulation of the quotas gave a restarted node the nodes that ran at that moment, and let a node that had been cut off remove the others at once. The simulation now does as the product does.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetQuotas.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetQuotas.java
@@ -37,6 +37,9 @@
 	 */
 	private static final long MAX_REFUSAL_MILLIS = 100;
 
+	/** Pause before holders that didn't answer are asked for waiting requests. */
+	private static final long ASK_AGAIN_MILLIS = 100;
+
 	/** How long after the timeout an answer may arrive whose units are returned. */
 	private static final long LATE_ANSWER_MILLIS = 3_000;
 
@@ -59,6 +62,8 @@
 
 	private final Map<String, RecentRefusal> recentRefusals = new HashMap<>();
 
+	private final WaitingInquiries waiting = new WaitingInquiries();
+
 	private final Set<RefundKey> seenRefunds = new LinkedHashSet<>();
 
 	private final Set<String> knownAccounts = new HashSet<>();
@@ -110,6 +115,9 @@
 		}
 		this.knownAccounts.stream().filter((name) -> !names.contains(name)).forEach(this.limiter::release);
 		this.knownAccounts.retainAll(names);
+		if (isFirst) {
+			this.waiting.accounts().forEach((account) -> this.questions.askForFirstWaiting(account, nowMillis));
+		}
 	}
 
 	private void updateHolding(String account, HoldingStart start, long nowMillis) {
@@ -136,7 +144,9 @@
 	}
 
 	/**
-	 * Admit a request or refuse it.
+	 * Admit a request or refuse it. If no holder answers, or none is known before the
+	 * first update, the request waits for up to a second, so that the start of many nodes
+	 * at once refuses nobody.
 	 * @param account the account of the caller
 	 * @param cost the units that the request uses
 	 * @param listener receives the decision, exactly once, possibly before this method
@@ -153,8 +163,13 @@
 			listener.onDecided(recent.decision(), QuotaCharge.NONE);
 			return;
 		}
-		new QuotaInquiry(account, cost, orderHolders(account.name(), nowMillis), this.questions, listener)
-			.askNext(nowMillis);
+		QuotaInquiry inquiry = new QuotaInquiry(account, cost, this.questions, listener, nowMillis);
+		if (!this.waiting.isAnyWaiting(account.name())) {
+			inquiry.ask(orderHolders(account.name(), nowMillis), nowMillis);
+		}
+		else if (!this.waiting.add(inquiry)) {
+			inquiry.refuse(nowMillis);
+		}
 	}
 
 	private List<QuotaMember> orderHolders(String account, long nowMillis) {
@@ -307,13 +322,43 @@
 			QuotaInquiry inquiry = question.inquiry();
 			if (decision.isEmpty()) {
 				inquiry.onNoAnswer(question.id(), nowMillis);
+				return;
 			}
-			else if (decision.get().isAdmitted()) {
+			List<QuotaInquiry> released = FleetQuotas.this.waiting.removeAll(inquiry.account().name());
+			if (decision.get().isAdmitted()) {
 				inquiry.onSpent(new QuotaCharge.Part(question.holder(), question.id(), question.units()), nowMillis);
 			}
 			else {
 				inquiry.onRefused(question.holder(), question.id(), decision.get(), nowMillis);
 			}
+			released.stream()
+				.filter(QuotaInquiry::isWaiting)
+				.forEach((other) -> other.ask(orderHolders(other.account().name(), nowMillis), nowMillis));
+		}
+
+		@Override
+		public void onSilence(QuotaInquiry inquiry, long nowMillis) {
+			String account = inquiry.account().name();
+			boolean isFirst = FleetQuotas.this.waiting.isFirst(inquiry);
+			boolean anyWaited = FleetQuotas.this.waiting.isAnyWaiting(account);
+			if (!isFirst
+					&& (WaitingInquiries.hasExpired(inquiry, nowMillis) || !FleetQuotas.this.waiting.add(inquiry))) {
+				inquiry.refuse(nowMillis);
+			}
+			else if (isFirst || !anyWaited) {
+				FleetQuotas.this.peers.schedule(ASK_AGAIN_MILLIS,
+						(laterMillis) -> askForFirstWaiting(account, laterMillis));
+			}
+		}
+
+		private void askForFirstWaiting(String account, long nowMillis) {
+			FleetQuotas.this.waiting.removeExpired(account, nowMillis).forEach((inquiry) -> inquiry.refuse(nowMillis));
+			if (FleetQuotas.this.waiting.isAnyWaiting(account)) {
+				QuotaInquiry first = FleetQuotas.this.waiting.first(account);
+				if (first.isWaiting()) {
+					first.ask(orderHolders(account, nowMillis), nowMillis);
+				}
+			}
 		}
 
 		@Override
--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaInquiry.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/QuotaInquiry.java
@@ -22,17 +22,19 @@
 
 	private final long cost;
 
-	private final List<QuotaMember> unasked;
+	private final List<QuotaMember> unasked = new ArrayList<>();
 
 	private final Holders holders;
 
 	private final FleetQuotas.DecisionListener listener;
 
+	private final long startedAtMillis;
+
 	private final Map<QuotaMember, QuotaDecision> refusals = new LinkedHashMap<>();
 
 	private final List<QuotaCharge.Part> parts = new ArrayList<>();
 
-	private Phase phase = Phase.WHOLE;
+	private Phase phase = Phase.WAITING;
 
 	private int openParts;
 
@@ -46,17 +48,17 @@
 	 * Create an inquiry that hasn't asked any holder yet.
 	 * @param account the account of the caller
 	 * @param cost the units that the request uses
-	 * @param holdersInOrder the holders of the quota, the one to ask first at the start
 	 * @param holders sends the questions
 	 * @param listener receives the decision
+	 * @param startedAtMillis the current time of a monotonic clock, in milliseconds
 	 */
-	QuotaInquiry(ClientAccount account, long cost, List<QuotaMember> holdersInOrder, Holders holders,
-			FleetQuotas.DecisionListener listener) {
+	QuotaInquiry(ClientAccount account, long cost, Holders holders, FleetQuotas.DecisionListener listener,
+			long startedAtMillis) {
 		this.account = account;
 		this.cost = cost;
-		this.unasked = new ArrayList<>(holdersInOrder);
 		this.holders = holders;
 		this.listener = listener;
+		this.startedAtMillis = startedAtMillis;
 	}
 
 	ClientAccount account() {
@@ -67,19 +69,40 @@
 		return this.cost;
 	}
 
+	long startedAtMillis() {
+		return this.startedAtMillis;
+	}
+
 	/**
 	 * Return whether every holder refused the request.
 	 * @return {@code false} if some holder did not answer, or can't spend its share yet
 	 */
 	boolean wasRefusedByAll() {
-		return !this.anyUnanswered;
+		return !this.anyUnanswered && !this.refusals.isEmpty();
 	}
 
 	/**
-	 * Ask the next holder for all units, or decide if all were asked.
+	 * Return whether the inquiry neither asks holders nor is decided.
+	 * @return {@code true} before the first question, and after no holder answered
+	 */
+	boolean isWaiting() {
+		return this.phase == Phase.WAITING;
+	}
+
+	/**
+	 * Ask the holders, one after the other. Can be repeated if none of them answered.
+	 * @param holdersInOrder the holders of the quota, the one to ask first at the start
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	void askNext(long nowMillis) {
+	void ask(List<QuotaMember> holdersInOrder, long nowMillis) {
+		this.phase = Phase.WHOLE;
+		this.anyUnanswered = false;
+		this.refusals.clear();
+		this.unasked.addAll(holdersInOrder);
+		askNext(nowMillis);
+	}
+
+	private void askNext(long nowMillis) {
 		if (this.unasked.isEmpty()) {
 			askForParts(nowMillis);
 			return;
@@ -139,6 +162,11 @@
 	}
 
 	private void askForParts(long nowMillis) {
+		if (this.refusals.isEmpty()) {
+			this.phase = Phase.WAITING;
+			this.holders.onSilence(this, nowMillis);
+			return;
+		}
 		long available = this.refusals.values().stream().mapToLong(QuotaInquiry::spendableUnits).sum();
 		if (available < QuotaBucket.requiredUnits(this.cost, this.account.quota().burst())
 				|| this.refusals.size() < 2) {
@@ -190,7 +218,11 @@
 				new QuotaCharge(this.parts));
 	}
 
-	private void refuse(long nowMillis) {
+	/**
+	 * Refuse the request.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 */
+	void refuse(long nowMillis) {
 		this.phase = Phase.DECIDED;
 		QuotaDecision refusal = this.refusals.values()
 			.stream()
@@ -202,6 +234,9 @@
 
 	private enum Phase {
 
+		/** The holders are asked later. */
+		WAITING,
+
 		/** One holder at a time is asked for all units. */
 		WHOLE,
 
@@ -235,6 +270,13 @@
 		 */
 		void ask(QuotaInquiry inquiry, QuotaMember holder, long id, long units, long nowMillis);
 
+		/**
+		 * Record that no holder answered.
+		 * @param inquiry the inquiry, which is refused or asks again later
+		 * @param nowMillis the current time of a monotonic clock, in milliseconds
+		 */
+		void onSilence(QuotaInquiry inquiry, long nowMillis);
+
 		/**
 		 * Return units to the holder that spent them.
 		 * @param account the account of the caller
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/FleetQuotasTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/FleetQuotasTests.java
@@ -3,10 +3,13 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.stream.IntStream;
 
@@ -58,7 +61,11 @@
 	}
 
 	private static double bound(AccountQuota quota) {
-		return (quota.ratePerSecond() * QuotaFleetSimulation.WINDOW_MILLIS / 1_000 + quota.burst()) * 1.1 + 140_000;
+		return bound(quota, 140_000);
+	}
+
+	private static double bound(AccountQuota quota, double extraTokens) {
+		return (quota.ratePerSecond() * QuotaFleetSimulation.WINDOW_MILLIS / 1_000 + quota.burst()) * 1.1 + extraTokens;
 	}
 
 	@Test
@@ -112,6 +119,86 @@
 		assertThat(fleet.unitsSince(restartedMillis) > 4 * MEAN_ACCOUNT.ratePerSecond() / 1.8 * 0.7, is(true));
 	}
 
+	// A loss of all nodes ended with refusals for as long as any node took to start.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 6, 59, 330 })
+	void accountWithinItsQuotaIsNotRefusedAfterTheLossOfAllNodes(int nodes) {
+		QuotaFleetSimulation fleet = new QuotaFleetSimulation(nodes, nodes, MEAN_ACCOUNT);
+		double unitsPerSecond = MEAN_ACCOUNT.ratePerSecond() / 1.8;
+		fleet.run(9_000, () -> sendAtRate(fleet, unitsPerSecond));
+		long refusedBefore = fleet.refused();
+		fleet.loseNodes(1, 640, 600);
+		fleet.run(2_000, () -> sendAtRate(fleet, unitsPerSecond));
+		assertThat(fleet.refused() - refusedBefore, is(0L));
+	}
+
+	@Test
+	void accountWithinItsQuotaIsNotRefusedAfterTwoLossesInOneWindow() {
+		QuotaFleetSimulation fleet = new QuotaFleetSimulation(5, 20, MEAN_ACCOUNT);
+		double unitsPerSecond = MEAN_ACCOUNT.ratePerSecond() / 1.8;
+		fleet.run(9_000, () -> sendAtRate(fleet, unitsPerSecond));
+		long refusedBefore = fleet.refused();
+		for (int i = 0; i < 2; i++) {
+			fleet.loseNodes(1, 640, 600);
+			fleet.run(3_000, () -> sendAtRate(fleet, unitsPerSecond));
+		}
+		assertThat(fleet.refused() - refusedBefore, is(0L));
+	}
+
+	/**
+	 * Guards against units that are spent again after losses of all or many nodes, also
+	 * several times within one window and while the store is away.
+	 */
+	@Property(tries = 200, seed = "20261206")
+	void lossesOfManyNodesKeepTheQuotaOfAHotAccount(@ForAll @LongRange(max = 1_000_000) long seed) {
+		AccountQuota quota = (seed % 2 == 0) ? MEAN_ACCOUNT : SMALL_ACCOUNT;
+		int nodes = List.of(1, 6, 18, 59).get((int) (seed / 2 % 4));
+		QuotaFleetSimulation fleet = new QuotaFleetSimulation(seed, nodes, quota);
+		fleet.setLossShare(0.005);
+		fleet.run(30_000, () -> {
+			sendAtRate(fleet, 6 * quota.ratePerSecond());
+			loseNodesAtTimes(fleet);
+		});
+		assertThat((double) fleet.maxUnitsInAWindow(), lessThanOrEqualTo(bound(quota)));
+	}
+
+	@Property(tries = 100, seed = "20261206")
+	void lossesOfManyNodesKeepAQuotaOfRequests(@ForAll @LongRange(max = 1_000_000) long seed) {
+		AccountQuota quota = new AccountQuota(200, (seed % 2 == 0) ? 400 : 50, false, 1);
+		QuotaTolerance tolerance = new QuotaTolerance(0.1, 0, QuotaFleetSimulation.WINDOW_MILLIS);
+		QuotaFleetSimulation fleet = new QuotaFleetSimulation(seed, (seed % 3 == 0) ? 6 : 40, quota, tolerance);
+		fleet.run(30_000, () -> {
+			for (int i = 0; i < 5; i++) {
+				fleet.request(fleet.random().nextInt(fleet.size()), 1);
+			}
+			loseNodesAtTimes(fleet);
+		});
+		assertThat((double) fleet.maxUnitsInAWindow(), lessThanOrEqualTo(bound(quota, 0)));
+	}
+
+	@Property(tries = 4, seed = "20261206")
+	void lossOfAllOf330NodesKeepsTheQuota(@ForAll @LongRange(max = 1_000_000) long seed) {
+		QuotaFleetSimulation fleet = new QuotaFleetSimulation(seed, 330, MEAN_ACCOUNT);
+		fleet.run(16_000, () -> {
+			sendAtRate(fleet, 6 * MEAN_ACCOUNT.ratePerSecond());
+			if (fleet.nowMillis() == 8_000 || fleet.nowMillis() == 11_000) {
+				fleet.loseNodes(1, 640, 600);
+			}
+		});
+		assertThat((double) fleet.maxUnitsInAWindow(), lessThanOrEqualTo(bound(MEAN_ACCOUNT)));
+	}
+
+	private static void loseNodesAtTimes(QuotaFleetSimulation fleet) {
+		SplittableRandom random = fleet.random();
+		if (random.nextInt(600) == 0) {
+			double share = random.nextBoolean() ? 1 : random.nextDouble();
+			fleet.loseNodes(share, random.nextLong(500, 2_000), 600);
+		}
+		if (random.nextInt(2_000) == 0) {
+			fleet.loseStore(random.nextLong(500, 5_000));
+		}
+	}
+
 	/**
 	 * Guards against units that are spent by two holders or counted twice. The demand is
 	 * six times the quota, while messages are lost, delayed and doubled, and nodes are
@@ -175,18 +262,59 @@
 		FleetQuotas asker = createAsker(peers);
 		List<QuotaDecision> decisions = new ArrayList<>();
 		asker.admit(ACCOUNT, LONG_PROMPT, (decision, charge) -> decisions.add(decision), 0);
-		while (decisions.isEmpty()) {
-			peers.tasks.remove(0).accept(100);
-		}
+		long decidedAtMillis = peers.runTasksUntil(() -> !decisions.isEmpty());
 		assertThat(decisions.get(0).isAdmitted(), is(false));
 		long firstId = ((QuotaMessage.Charge) peers.sent.get(0)).id();
 		int sentBefore = peers.sent.size();
-		asker.receive("a", new QuotaMessage.Verdict(firstId, true, 0, 0, 50_000), 200);
-		asker.receive("a", new QuotaMessage.Verdict(firstId, true, 0, 0, 50_000), 200);
+		asker.receive("a", new QuotaMessage.Verdict(firstId, true, 0, 0, 50_000), decidedAtMillis + 100);
+		asker.receive("a", new QuotaMessage.Verdict(firstId, true, 0, 0, 50_000), decidedAtMillis + 100);
 		assertThat(peers.sent.subList(sentBefore, peers.sent.size()),
 				is(List.of(new QuotaMessage.Refund(firstId, "growers", LONG_PROMPT))));
 	}
 
+	@Test
+	void requestsThatNoHolderAnswersAreRefusedInTimeAndAskLittle() {
+		RecordingPeers peers = new RecordingPeers();
+		FleetQuotas asker = createAsker(peers);
+		List<QuotaDecision> decisions = new ArrayList<>();
+		for (int i = 0; i < 1_000; i++) {
+			asker.admit(ACCOUNT, LONG_PROMPT, (decision, charge) -> decisions.add(decision), 0);
+		}
+		assertThat(peers.runTasksUntil(() -> decisions.size() == 1_000),
+				lessThanOrEqualTo(WaitingInquiries.MAX_WAIT_MILLIS + 400));
+		assertThat(decisions.stream().noneMatch(QuotaDecision::isAdmitted), is(true));
+		assertThat("three questions for each, and few more", peers.sent.size(), lessThan(3_000 + 30));
+	}
+
+	@Test
+	void requestBeforeTheFirstUpdateWaitsForIt() {
+		RecordingPeers peers = new RecordingPeers();
+		QuotaMember self = new QuotaMember("self", "z", "r");
+		FleetQuotas quotas = new FleetQuotas(self, QuotaFleetSimulation.TOLERANCE, peers,
+				(name) -> Optional.of(ACCOUNT), 1);
+		List<QuotaDecision> decisions = new ArrayList<>();
+		quotas.admit(ACCOUNT, LONG_PROMPT, (decision, charge) -> decisions.add(decision), 0);
+		quotas.admit(ACCOUNT, LONG_PROMPT, (decision, charge) -> decisions.add(decision), 0);
+		assertThat(decisions.isEmpty(), is(true));
+		quotas.update(Set.of(self), List.of(ACCOUNT), HoldingStart.RESTARTED, 300);
+		assertThat(decisions.stream().map(QuotaDecision::isAdmitted).toList(), is(List.of(true, true)));
+	}
+
+	@Test
+	void waitingRequestThatGetsALateRefusalAsksAgain() {
+		RecordingPeers peers = new RecordingPeers();
+		FleetQuotas asker = createAsker(peers);
+		List<QuotaDecision> decisions = new ArrayList<>();
+		asker.admit(ACCOUNT, LONG_PROMPT, (decision, charge) -> decisions.add(decision), 0);
+		long firstId = peers.lastCharge().id();
+		peers.runTasksUntil(() -> peers.nowMillis >= 3 * FleetQuotas.ANSWER_TIMEOUT_MILLIS);
+		int askedBefore = peers.sent.size();
+		asker.receive("a", new QuotaMessage.Verdict(firstId, true, 50, 10, 0), peers.nowMillis);
+		assertThat(peers.sent.size(), is(askedBefore + 1));
+		asker.receive("a", new QuotaMessage.Verdict(peers.lastCharge().id(), true, 0, 0, 0), peers.nowMillis);
+		assertThat(decisions.get(0).isAdmitted(), is(true));
+	}
+
 	@Test
 	void unitsThatNoSingleHolderHasAreCollected() {
 		RecordingPeers peers = new RecordingPeers();
@@ -254,7 +382,23 @@
 
 		private final List<QuotaMessage> sent = new ArrayList<>();
 
-		private final List<LongConsumer> tasks = new ArrayList<>();
+		private final TreeMap<Long, List<LongConsumer>> tasks = new TreeMap<>();
+
+		private long nowMillis;
+
+		/**
+		 * Let time pass from task to task.
+		 * @param condition ends it
+		 * @return the time of the last task in milliseconds
+		 */
+		private long runTasksUntil(BooleanSupplier condition) {
+			while (!condition.getAsBoolean()) {
+				Map.Entry<Long, List<LongConsumer>> next = this.tasks.pollFirstEntry();
+				this.nowMillis = next.getKey();
+				next.getValue().forEach((task) -> task.accept(this.nowMillis));
+			}
+			return this.nowMillis;
+		}
 
 		private QuotaMessage.Charge lastCharge() {
 			return (QuotaMessage.Charge) this.sent.get(this.sent.size() - 1);
@@ -275,9 +419,7 @@
 
 		@Override
 		public void schedule(long delayMillis, LongConsumer task) {
-			if (delayMillis == FleetQuotas.ANSWER_TIMEOUT_MILLIS) {
-				this.tasks.add(task);
-			}
+			this.tasks.computeIfAbsent(this.nowMillis + delayMillis, (at) -> new ArrayList<>()).add(task);
 		}
 
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaFleetSimulation.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/QuotaFleetSimulation.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -19,7 +20,8 @@
 /**
  * Nodes that share the quota of one account, connected by messages that are delayed, lost
  * and doubled. Nodes learn of each other with a delay, remove silent nodes after 8
- * seconds, and can be frozen, killed, restarted and cut off.
+ * seconds, if they were in touch with the store for as long, and can be frozen, killed,
+ * restarted and cut off.
  */
 final class QuotaFleetSimulation {
 
@@ -37,6 +39,14 @@
 
 	private static final int REMOVAL_MILLIS = 8_000;
 
+	/**
+	 * How long a node takes from its start until it has read the reports of the others.
+	 */
+	private static final int MAX_LISTING_MILLIS = 400;
+
+	/** Age of a last report from which a node isn't shown to callers any more. */
+	private static final int SILENT_MILLIS = 4_500;
+
 	private static final int REGIONS = 3;
 
 	private final SplittableRandom random;
@@ -47,10 +57,16 @@
 
 	private final TreeMap<Long, Long> admittedUnits = new TreeMap<>();
 
+	private final Map<QuotaMember, StoredReport> storedReports = new HashMap<>();
+
+	private final QuotaTolerance tolerance;
+
 	private ClientAccount account;
 
 	private double lossShare;
 
+	private long storeAwayUntilMillis;
+
 	private boolean membersFixed;
 
 	private long nowMillis;
@@ -64,12 +80,18 @@
 	private long messages;
 
 	QuotaFleetSimulation(long seed, int nodeCount, AccountQuota quota) {
+		this(seed, nodeCount, quota, TOLERANCE);
+	}
+
+	QuotaFleetSimulation(long seed, int nodeCount, AccountQuota quota, QuotaTolerance tolerance) {
+		this.tolerance = tolerance;
 		this.random = new SplittableRandom(seed);
 		this.account = new ClientAccount("growers", List.of("k"), OptionalInt.empty(), quota);
 		for (int i = 0; i < nodeCount; i++) {
 			this.nodes.add(new SimulatedNode(i, HoldingStart.UNSPENT));
 		}
 		this.nodes.forEach((node) -> this.nodes.forEach((other) -> node.lastSeenMillis.put(other.member, 0L)));
+		this.nodes.forEach((node) -> this.storedReports.put(node.member, new StoredReport(0, 1)));
 		this.nodes.forEach(SimulatedNode::update);
 	}
 
@@ -157,24 +179,45 @@
 	}
 
 	/**
-	 * Replace the process of a node.
+	 * End the process of a node. The next one knows no more than the last report of each
+	 * node that the store has.
 	 * @param nodeIndex the node
 	 * @param downMillis how long nothing runs
 	 */
 	void restart(int nodeIndex, long downMillis) {
-		SimulatedNode old = this.nodes.get(nodeIndex);
-		HoldingStart start = (downMillis < REMOVAL_MILLIS) ? HoldingStart.RESTARTED : HoldingStart.TAKEN_OVER;
-		SimulatedNode next = new SimulatedNode(nodeIndex, start);
+		SimulatedNode next = new SimulatedNode(nodeIndex, HoldingStart.TAKEN_OVER);
 		next.frozenUntilMillis = this.nowMillis + downMillis;
+		next.listedAtMillis = Long.MAX_VALUE;
 		next.lastUpdateMillis = next.frozenUntilMillis;
-		old.ended = true;
+		this.nodes.get(nodeIndex).ended = true;
 		this.nodes.set(nodeIndex, next);
-		later(downMillis, () -> {
-			this.nodes.stream()
-				.filter(SimulatedNode::isRunning)
-				.forEach((other) -> next.lastSeenMillis.put(other.member, this.nowMillis));
-			next.update();
-		});
+		later(downMillis + this.random.nextInt(MAX_LISTING_MILLIS), next::listReports);
+	}
+
+	/**
+	 * End the processes of some nodes at once. Each starts again.
+	 * @param share the probability with which a node ends, up to 1
+	 * @param downMillis how long nothing runs
+	 * @param spreadMillis the maximum time between the first and the last start
+	 */
+	void loseNodes(double share, long downMillis, int spreadMillis) {
+		for (int i = 0; i < this.nodes.size(); i++) {
+			if (this.random.nextDouble() < share) {
+				restart(i, downMillis + this.random.nextInt(spreadMillis + 1));
+			}
+		}
+	}
+
+	/**
+	 * Let the store answer nobody.
+	 * @param millis the duration in milliseconds
+	 */
+	void loseStore(long millis) {
+		this.storeAwayUntilMillis = this.nowMillis + millis;
+	}
+
+	private boolean isStoreAway() {
+		return this.nowMillis < this.storeAwayUntilMillis;
 	}
 
 	void addNode() {
@@ -204,6 +247,10 @@
 		return this.admittedUnits.tailMap(fromMillis).values().stream().mapToLong(Long::longValue).sum();
 	}
 
+	long refused() {
+		return this.refused;
+	}
+
 	double refusedShare() {
 		return (this.asked > 0) ? (double) this.refused / this.asked : 0;
 	}
@@ -222,13 +269,30 @@
 
 	}
 
+	private final class StoredReport {
+
+		private final long writtenAtMillis;
+
+		private final long number;
+
+		private StoredReport(long writtenAtMillis, long number) {
+			this.writtenAtMillis = writtenAtMillis;
+			this.number = number;
+		}
+
+		private long ageMillis() {
+			return QuotaFleetSimulation.this.nowMillis - this.writtenAtMillis;
+		}
+
+	}
+
 	private final class SimulatedNode implements QuotaPeers {
 
 		private final QuotaMember member;
 
 		private final long phaseMillis;
 
-		private final HoldingStart start;
+		private HoldingStart start;
 
 		private final FleetQuotas quotas;
 
@@ -240,6 +304,10 @@
 
 		private long lastUpdateMillis;
 
+		private long listedAtMillis = Long.MIN_VALUE / 2;
+
+		private long reports;
+
 		private boolean ended;
 
 		private SimulatedNode(int index, HoldingStart start) {
@@ -247,7 +315,7 @@
 					"region-" + index % REGIONS);
 			this.phaseMillis = QuotaFleetSimulation.this.random.nextInt(REPORT_MILLIS / TICK_MILLIS) * TICK_MILLIS;
 			this.start = start;
-			this.quotas = new FleetQuotas(this.member, TOLERANCE, this,
+			this.quotas = new FleetQuotas(this.member, QuotaFleetSimulation.this.tolerance, this,
 					(name) -> Optional.of(QuotaFleetSimulation.this.account),
 					QuotaFleetSimulation.this.random.nextLong(Long.MAX_VALUE / 2));
 			this.lastSeenMillis.put(this.member, Long.MAX_VALUE / 2);
@@ -263,7 +331,8 @@
 
 		private void exchangeReports() {
 			long phaseMillis = QuotaFleetSimulation.this.nowMillis + this.phaseMillis;
-			if (phaseMillis % REPORT_MILLIS == 0 && !isCut()) {
+			if (phaseMillis % REPORT_MILLIS == 0 && !isCut() && !isStoreAway() && isListed()) {
+				writeReport();
 				QuotaFleetSimulation.this.nodes.forEach((other) -> {
 					long delayMillis = QuotaFleetSimulation.this.random.nextInt(MAX_REPORT_DELAY_MILLIS);
 					later(delayMillis, () -> {
@@ -273,11 +342,54 @@
 					});
 				});
 			}
-			if (phaseMillis % VIEW_MILLIS == 0) {
+			if (phaseMillis % VIEW_MILLIS == 0 && isListed()) {
 				update();
 			}
 		}
 
+		private void writeReport() {
+			this.reports++;
+			QuotaFleetSimulation.this.storedReports.put(this.member,
+					new StoredReport(QuotaFleetSimulation.this.nowMillis, this.reports));
+		}
+
+		private boolean isListed() {
+			return QuotaFleetSimulation.this.nowMillis >= this.listedAtMillis;
+		}
+
+		private void listReports() {
+			if (this.ended) {
+				return;
+			}
+			if (isStoreAway()) {
+				later(QuotaFleetSimulation.this.storeAwayUntilMillis - QuotaFleetSimulation.this.nowMillis,
+						this::listReports);
+				return;
+			}
+			long now = QuotaFleetSimulation.this.nowMillis;
+			this.listedAtMillis = now;
+			this.start = startAfterRestart();
+			QuotaFleetSimulation.this.storedReports.forEach((other, report) -> {
+				if (!other.equals(this.member)) {
+					this.lastSeenMillis.put(other, report.writtenAtMillis);
+				}
+			});
+			writeReport();
+			update();
+		}
+
+		private HoldingStart startAfterRestart() {
+			StoredReport previous = QuotaFleetSimulation.this.storedReports.get(this.member);
+			OptionalLong previousReports = (previous != null && previous.ageMillis() < REMOVAL_MILLIS)
+					? OptionalLong.of(previous.number) : OptionalLong.empty();
+			List<Long> otherReports = QuotaFleetSimulation.this.storedReports.entrySet()
+				.stream()
+				.filter((entry) -> !entry.getKey().equals(this.member) && entry.getValue().ageMillis() <= SILENT_MILLIS)
+				.map((entry) -> entry.getValue().number)
+				.toList();
+			return HoldingStart.afterRestart(previousReports, otherReports);
+		}
+
 		private void update() {
 			long now = QuotaFleetSimulation.this.nowMillis;
 			if (now - this.lastUpdateMillis > REMOVAL_MILLIS / 2) {
@@ -285,7 +397,9 @@
 				this.lastSeenMillis.replaceAll((other, seen) -> Math.max(seen, now));
 			}
 			this.lastUpdateMillis = now;
-			if (!isCut()) {
+			long disturbedUntilMillis = Math.max(this.listedAtMillis,
+					Math.max(this.cutUntilMillis, QuotaFleetSimulation.this.storeAwayUntilMillis));
+			if (now - disturbedUntilMillis > REMOVAL_MILLIS) {
 				this.lastSeenMillis.values().removeIf((seen) -> now - seen > REMOVAL_MILLIS);
 			}
 			Set<QuotaMember> members = this.lastSeenMillis.keySet().stream().collect(Collectors.toSet());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -191,11 +191,12 @@
 				departures::tell, this.quarantine, this.answerMemory, random);
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
-				this.fleetClock, clock, this::createReport, this.quotas::recordPreviousRun, quarantineStore::accept);
+				this.fleetClock, clock, this::createReport, this::isReady, this.quotas::recordPreviousRun,
+				this.quotas::onFleetListed, quarantineStore::accept);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
-				clock);
+				clock, this.reportExchange::publishFirstReportIfReady);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
-				this.rollouts, clock);
+				this.rollouts, clock, this.reportExchange::publishFirstReportIfReady);
 		this.dutyRunner = adapters.cloud()
 			.map((cloud) -> new DutyRunner(createDutyDependencies(cloud), settings.duties().leaseMillis(),
 					settings.duties().fencing(), settings.duties().usageWindowMillis()));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -57,11 +59,19 @@
 	private static final long REMOVAL_TIMEOUT_MILLIS = 8_000;
 
 	/**
-	 * Silent nodes are removed only if the store has had no disruption for longer than
-	 * this. Otherwise their reports may be missing because of the disruption.
+	 * Silent nodes are removed only if this node has read their reports, with no
+	 * disruption of the store, for longer than this. Otherwise their reports may be
+	 * missing because of the disruption, or because all nodes have just started.
 	 */
 	private static final long MIN_UNDISTURBED_MILLIS = 8_000;
 
+	/**
+	 * How long the first report waits until the node has read those of the others and
+	 * serves callers. A report that is stored earlier hides that of the previous run from
+	 * this node, and tells the others that the node doesn't serve.
+	 */
+	private static final long MAX_FIRST_REPORT_DELAY_MILLIS = 3_000;
+
 	private final EventLoop loop;
 
 	private final RecordStore store;
@@ -76,7 +86,11 @@
 
 	private final Supplier<NodeReport> ownReportSupplier;
 
-	private final Runnable previousRunListener;
+	private final BooleanSupplier serving;
+
+	private final LongConsumer previousRunListener;
+
+	private final Runnable listedListener;
 
 	private final Predicate<StoredRecord> otherRecords;
 
@@ -91,6 +105,12 @@
 
 	private boolean listingCompleted;
 
+	private long listedAtMillis;
+
+	private long startedAtMillis;
+
+	private boolean reported;
+
 	/**
 	 * Create an exchange that isn't started.
 	 * @param loop the event loop that all work runs on
@@ -100,14 +120,18 @@
 	 * @param fleetClock receives the time of day that other nodes report
 	 * @param clock the clocks of this process
 	 * @param ownReportSupplier creates the current report of this node
-	 * @param previousRunListener runs if a report of the previous run of this node is
-	 * found that is so recent that the other nodes still count it
+	 * @param serving returns whether this node serves callers
+	 * @param previousRunListener receives the number of reports that the previous run of
+	 * this node wrote, if its last report is so recent that the other nodes still count
+	 * it
+	 * @param listedListener runs when the last reports of all nodes have been read for
+	 * the first time
 	 * @param otherRecords accepts the records of the stream that aren't reports, and
 	 * returns {@code false} for those that are
 	 */
 	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reportSink, FleetView fleet,
-			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReportSupplier,
-			Runnable previousRunListener, Predicate<StoredRecord> otherRecords) {
+			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReportSupplier, BooleanSupplier serving,
+			LongConsumer previousRunListener, Runnable listedListener, Predicate<StoredRecord> otherRecords) {
 		this.loop = loop;
 		this.store = store;
 		this.reportSink = reportSink;
@@ -115,7 +139,9 @@
 		this.fleetClock = fleetClock;
 		this.clock = clock;
 		this.ownReportSupplier = ownReportSupplier;
+		this.serving = serving;
 		this.previousRunListener = previousRunListener;
+		this.listedListener = listedListener;
 		this.otherRecords = otherRecords;
 		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
 			.replaying(REPLAYED_REPORTS);
@@ -125,6 +151,7 @@
 	 * Start publishing and reading reports.
 	 */
 	public void start() {
+		this.startedAtMillis = this.clock.steadyMillis();
 		this.follower.start();
 		this.loop.scheduleWithFixedDelay(LoggedTask.of("node reports", this::publishReportAndRemoveSilentNodes), 0,
 				REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -133,9 +160,30 @@
 	private void publishReportAndRemoveSilentNodes() {
 		long nowMillis = this.clock.steadyMillis();
 		this.fleet.setCurrentTime(nowMillis);
-		if (nowMillis - this.follower.lastDisruptionAtMillis() > MIN_UNDISTURBED_MILLIS) {
+		long undisturbedSinceMillis = Math.max(this.listedAtMillis, this.follower.lastDisruptionAtMillis());
+		if (this.listingCompleted && nowMillis - undisturbedSinceMillis > MIN_UNDISTURBED_MILLIS) {
 			this.fleet.nodesSilentLongerThan(REMOVAL_TIMEOUT_MILLIS).forEach(this::removeNode);
 		}
+		if (this.reported || nowMillis - this.startedAtMillis >= MAX_FIRST_REPORT_DELAY_MILLIS) {
+			submitReport();
+		}
+		else {
+			publishFirstReportIfReady();
+		}
+	}
+
+	/**
+	 * Publish the first report as soon as the node has read those of the others and
+	 * serves callers. To be called when either may have changed; does nothing later.
+	 */
+	public void publishFirstReportIfReady() {
+		if (!this.reported && this.listingCompleted && this.serving.getAsBoolean()) {
+			submitReport();
+		}
+	}
+
+	private void submitReport() {
+		this.reported = true;
 		NodeReport report = this.ownReportSupplier.get();
 		this.reportSink.submit(report.node().name(), ReportCodec.encodeNodeReport(report))
 			.exceptionally(NodeReportExchange::logFailureAndReturnNoOffset);
@@ -200,7 +248,7 @@
 		this.fleet.setCurrentTime(nowMillis);
 		this.fleet.record(report.get(), nowMillis - ageMillis);
 		if (!this.listingCompleted && ageMillis < REMOVAL_TIMEOUT_MILLIS && this.fleet.isOfPreviousRun(report.get())) {
-			this.previousRunListener.run();
+			this.previousRunListener.accept(report.get().sequence());
 		}
 		if (isAfterListing) {
 			this.fleetClock.record(entry.key(), report.get().timeOfDayMillis(), nowMillis);
@@ -210,8 +258,13 @@
 	@Override
 	public void onListed(Set<String> keys, long endOffset) {
 		this.listingEndOffset = endOffset;
-		this.listingCompleted = true;
 		logger.atInfo().log("%s", LogLine.of("nodes listed").with("nodes", keys.size()).with("offset", endOffset));
+		if (!this.listingCompleted) {
+			this.listingCompleted = true;
+			this.listedAtMillis = this.clock.steadyMillis();
+			this.listedListener.run();
+			publishFirstReportIfReady();
+		}
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -33,6 +33,8 @@
 
 	private final NodeClock clock;
 
+	private final Runnable readinessListener;
+
 	private final RecordFollower follower;
 
 	/**
@@ -43,13 +45,16 @@
 	 * @param config receives the configurations
 	 * @param rollouts receives the rollout orders
 	 * @param clock the clocks of this process
+	 * @param readinessListener runs when what the node serves callers with may have
+	 * become complete
 	 */
 	public OperatorRecordWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config,
-			RolloutController rollouts, NodeClock clock) {
+			RolloutController rollouts, NodeClock clock, Runnable readinessListener) {
 		this.codec = codec;
 		this.config = config;
 		this.rollouts = rollouts;
 		this.clock = clock;
+		this.readinessListener = readinessListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.OPERATOR, 0, this, clock::steadyMillis);
 	}
 
@@ -87,6 +92,7 @@
 						LogLine.of("configuration in force")
 							.with("version", decoded.get().version())
 							.with("offset", entry.offset()));
+			this.readinessListener.run();
 		}
 	}
 
@@ -107,6 +113,7 @@
 	public void onListed(Set<String> keys, long endOffset) {
 		logger.atInfo()
 			.log("%s", LogLine.of("operator records listed").with("keys", keys.size()).with("offset", endOffset));
+		this.readinessListener.run();
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -47,6 +47,8 @@
 
 	private final NodeClock clock;
 
+	private final Runnable readinessListener;
+
 	private final RecordFollower follower;
 
 	/**
@@ -56,13 +58,16 @@
 	 * @param codec decodes registrations
 	 * @param servers the table to update
 	 * @param clock the clocks of this process
+	 * @param readinessListener runs when what the node serves callers with may have
+	 * become complete
 	 */
 	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
-			NodeClock clock) {
+			NodeClock clock, Runnable readinessListener) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
 		this.clock = clock;
+		this.readinessListener = readinessListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.SERVERS, READ_PAUSE_MILLIS, this,
 				clock::steadyMillis);
 	}
@@ -161,6 +166,7 @@
 	public void onListed(Set<String> keys, long endOffset) {
 		this.servers.retain(keys, endOffset, suspectUntilMillis(), this.clock.steadyMillis());
 		logger.atInfo().log("%s", LogLine.of("servers listed").with("servers", keys.size()).with("offset", endOffset));
+		this.readinessListener.run();
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -68,7 +69,7 @@
 
 	private final Map<String, Address> peerAddresses = new HashMap<>();
 
-	private HoldingStart firstHoldingStart;
+	private OptionalLong previousRunReports = OptionalLong.empty();
 
 	private long updatedConfigVersion = Long.MIN_VALUE;
 
@@ -97,7 +98,6 @@
 		this.clock = clock;
 		this.fleetListed = fleetListed;
 		this.self = member(settings.node(), settings.zone());
-		this.firstHoldingStart = settings.firstStart() ? HoldingStart.UNSPENT : HoldingStart.TAKEN_OVER;
 		this.quotas = new FleetQuotas(this.self, settings.relayLimits().quotaTolerance(), this, this::findAccount,
 				firstMessageId);
 		datagrams.addListener(this::onDatagram);
@@ -119,9 +119,18 @@
 
 	/**
 	 * Record that a previous run of this node was known to the other nodes until now.
+	 * @param reports the number of reports that it wrote
 	 */
-	public void recordPreviousRun() {
-		this.firstHoldingStart = HoldingStart.RESTARTED;
+	public void recordPreviousRun(long reports) {
+		this.previousRunReports = OptionalLong.of(reports);
+	}
+
+	/**
+	 * Take up the shares of this node, and decide on the requests that wait for it. To be
+	 * called when the reports of all nodes have been read for the first time.
+	 */
+	public void onFleetListed() {
+		update();
 	}
 
 	private void update() {
@@ -142,15 +151,12 @@
 		this.quotas.update(members, current.get().accounts(), holdingStart(), nowMillis);
 	}
 
-	/**
-	 * Return how this node comes to hold shares when it starts. If no other node has
-	 * reported recently, none can have taken its shares over.
-	 * @return how the shares of the first update are held
-	 */
 	private HoldingStart holdingStart() {
-		boolean isAlone = this.fleet.recentReports().isEmpty();
-		return (this.firstHoldingStart == HoldingStart.TAKEN_OVER && isAlone) ? HoldingStart.RESTARTED
-				: this.firstHoldingStart;
+		if (this.settings.firstStart() && this.previousRunReports.isEmpty()) {
+			return HoldingStart.UNSPENT;
+		}
+		return HoldingStart.afterRestart(this.previousRunReports,
+				this.fleet.recentReports().stream().map(NodeReport::sequence).toList());
 	}
 
 	private void recordInterruptionIfAny(long nowMillis) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -123,8 +123,8 @@
 				listFrom(Optional.of(page.records().get(page.records().size() - 1).key()), keys, listingEnd);
 				return;
 			}
-			this.listener.onListed(keys, listingEnd);
 			this.listingCompleted = true;
+			this.listener.onListed(keys, listingEnd);
 			long from = Math.max(0, listingEnd - this.replayOffsets);
 			this.replayOffsets = 0;
 			readFrom(from);
