Keep requests in their regions, and evacuate zones

Cause: allowedRegions of routes and accounts was not read, so requests went to servers of any region, and records op/evacuate/ZONE were ignored.

PlacementRules gives the servers that a request may be sent to, by the configuration and the evacuations in force. The relay asks it for each dispatch, and again when a connection is open. EvacuatedZones keeps the newest order of each zone, in whatever order records arrive. A configuration waits for the first listing of operators' records, so that no request is sent before the evacuations are known. Servers are not ordered in evacuated zones. EntryNodePlacement directs callers of restricted hosts to nodes of their own region and of allowed ones. A list of regions that can't be followed allows only what is left of it.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import io.flamingogap.core.duty.UsageCounts;
 import io.flamingogap.core.node.Address;
@@ -123,9 +124,21 @@
 	 * all zones
 	 */
 	public List<Address> callerAddressesFor(String zone, NodeReport own) {
+		return callerAddressesFor(zone, own, (report) -> true);
+	}
+
+	/**
+	 * Return the addresses that callers of a zone should connect to.
+	 * @param zone the callers' zone
+	 * @param own the current report of this node
+	 * @param allowed accepts the nodes that callers may be directed to
+	 * @return the allowed serving nodes of the zone if there are at least two, otherwise
+	 * those of all zones
+	 */
+	public List<Address> callerAddressesFor(String zone, NodeReport own, Predicate<NodeReport> allowed) {
 		List<NodeReport> serving = new ArrayList<>(collectRecent());
 		serving.add(own);
-		serving.removeIf((report) -> !report.serving());
+		serving.removeIf((report) -> !report.serving() || !allowed.test(report));
 		List<Address> sameZone = serving.stream()
 			.filter((report) -> report.zone().equals(zone))
 			.map(NodeReport::callerAddress)
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/RouteRule.java
@@ -21,12 +21,14 @@
  * @param isPublic whether callers need no key
  * @param resumable whether another server may continue a broken stream
  * @param carriesPrompts whether the requests carry prompts for model engines
+ * @param allowedRegions the regions that may process the requests
  */
 public record RouteRule(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
 		long latencyTargetMillis, int priority, List<WeightedService> targets, int maxExecutions, boolean isPublic,
-		boolean resumable, boolean carriesPrompts) {
+		boolean resumable, boolean carriesPrompts, AllowedRegions allowedRegions) {
 
 	public RouteRule {
+		Objects.requireNonNull(allowedRegions, "allowedRegions must not be null");
 		Objects.requireNonNull(name, "name must not be null");
 		Objects.requireNonNull(host, "host must not be null");
 		Objects.requireNonNull(kind, "kind must not be null");
@@ -43,6 +45,28 @@
 		maxExecutions = Math.max(1, maxExecutions);
 	}
 
+	/**
+	 * Create a rule whose requests all regions may process.
+	 * @param name the unique name
+	 * @param host the host that requests name, in lower case and without a port
+	 * @param prefix the path prefix; begins and ends with a slash
+	 * @param kind whether a request may be executed again
+	 * @param timeoutMillis the time within which a caller must have an answer
+	 * @param latencyTargetMillis the target for the time to the response
+	 * @param priority the priority of the requests; 0 is the most urgent
+	 * @param targets the services that share the requests by weight; at least one
+	 * @param maxExecutions the maximum number of servers that may execute one attempt
+	 * @param isPublic whether callers need no key
+	 * @param resumable whether another server may continue a broken stream
+	 * @param carriesPrompts whether the requests carry prompts for model engines
+	 */
+	public RouteRule(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
+			long latencyTargetMillis, int priority, List<WeightedService> targets, int maxExecutions, boolean isPublic,
+			boolean resumable, boolean carriesPrompts) {
+		this(name, host, prefix, kind, timeoutMillis, latencyTargetMillis, priority, targets, maxExecutions, isPublic,
+				resumable, carriesPrompts, AllowedRegions.ALL);
+	}
+
 	/**
 	 * Return whether a request may be executed more than once.
 	 * @return {@code true} for idempotent requests and for resumable streams
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ScaleBounds.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ScaleBounds.java
@@ -1,7 +1,9 @@
 package io.flamingogap.core.serving;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * Settings for ordering servers of a service: bounds, prices and boot time. There are two
@@ -26,4 +28,16 @@
 		}
 	}
 
+	/**
+	 * Return the bounds without some zones.
+	 * @param zones the zones in which nothing may be ordered
+	 * @return bounds with the prices of the other zones
+	 */
+	public ScaleBounds without(Set<String> zones) {
+		Map<String, Double> remainingPrices = new HashMap<>(this.zonePrices);
+		remainingPrices.keySet().removeAll(zones);
+		return new ScaleBounds(this.minPerZone, this.maxPerZone, this.bootSeconds, this.reclaimablePriceRatio,
+				remainingPrices);
+	}
+
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ServingConfig.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ServingConfig.java
@@ -1,6 +1,8 @@
 package io.flamingogap.core.serving;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -18,10 +20,14 @@
 
 	private final Map<String, List<RouteRule>> routesByHost;
 
+	private final Map<String, RouteRule> routesByName = new HashMap<>();
+
 	private final Map<String, BackendService> services;
 
 	private final Map<String, ClientAccount> accountsByKey;
 
+	private final Map<String, ClientAccount> accountsByName = new HashMap<>();
+
 	private final List<ClientAccount> accounts;
 
 	private final ListenerLimits limits;
@@ -30,11 +36,13 @@
 			List<ClientAccount> accounts, ListenerLimits limits) {
 		this.version = version;
 		this.routesByHost = byHost(routes);
+		routes.forEach((route) -> this.routesByName.put(route.name(), route));
 		this.services = new HashMap<>();
 		services.forEach((service) -> this.services.put(service.name(), service));
 		this.accounts = List.copyOf(accounts);
 		this.accountsByKey = new HashMap<>();
 		accounts.forEach((account) -> account.keys().forEach((key) -> this.accountsByKey.put(key, account)));
+		accounts.forEach((account) -> this.accountsByName.put(account.name(), account));
 		this.limits = limits;
 	}
 
@@ -77,6 +85,41 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Find a route by name.
+	 * @param name the name
+	 * @return the route; empty if it isn't configured
+	 */
+	public Optional<RouteRule> findRouteNamed(String name) {
+		return Optional.ofNullable(this.routesByName.get(name));
+	}
+
+	/**
+	 * Return the routes of a host.
+	 * @param host the host in lower case, without a port
+	 * @return the routes, the longest prefix first; empty for an unknown host
+	 */
+	public List<RouteRule> routesOf(String host) {
+		return Collections.unmodifiableList(this.routesByHost.getOrDefault(host, List.of()));
+	}
+
+	/**
+	 * Return the routes of all hosts.
+	 * @return the routes, in no particular order
+	 */
+	public Collection<RouteRule> routes() {
+		return Collections.unmodifiableCollection(this.routesByName.values());
+	}
+
+	/**
+	 * Find a client account by name.
+	 * @param name the name
+	 * @return the account; empty if it isn't configured
+	 */
+	public Optional<ClientAccount> findAccountNamed(String name) {
+		return Optional.ofNullable(this.accountsByName.get(name));
+	}
+
 	/**
 	 * Find the client account that holds a key.
 	 * @param key the key as the caller presents it
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -12,12 +12,15 @@
 import io.netty.channel.EventLoop;
 
 import io.flamingogap.core.duty.UsageCounts;
+import io.flamingogap.core.fleet.EntryNodePlacement;
 import io.flamingogap.core.fleet.FleetClock;
 import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.NodeReport;
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.servers.EvacuatedZones;
 import io.flamingogap.core.servers.NodeLocality;
+import io.flamingogap.core.servers.PlacementRules;
 import io.flamingogap.core.servers.ServerSelector;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ClientAccount;
@@ -108,6 +111,10 @@
 
 	private final ServerTable servers = new ServerTable();
 
+	private final EvacuatedZones evacuatedZones;
+
+	private final EntryNodePlacement entryNodePlacement;
+
 	private final UsageCounts usage = new UsageCounts();
 
 	private final FleetClock fleetClock = new FleetClock();
@@ -167,6 +174,9 @@
 		this.adapters = adapters;
 		this.clock = clock;
 		this.self = new NodeId(settings.node(), incarnation);
+		this.evacuatedZones = new EvacuatedZones(settings.regionsByZone().keySet());
+		this.entryNodePlacement = new EntryNodePlacement(settings.regionsByZone());
+		PlacementRules placementRules = new PlacementRules(settings.regionsByZone(), this.evacuatedZones);
 		this.fleet = new FleetView(this.self, NodeReportExchange.REPORT_INTERVAL_MILLIS);
 		SplittableRandom random = new SplittableRandom(incarnation);
 		this.rollouts = new RolloutController(this.servers, this.fleet, random,
@@ -178,7 +188,7 @@
 		this.store = this.storeAccess.store();
 		QuarantineStore quarantineStore = new QuarantineStore(this.store, clock);
 		this.quarantine = new QuarantineExchange(loop, this.datagrams, this::peerAddresses, this.connectionPool,
-				quarantineStore, clock, this.metrics, random);
+				(server) -> !this.evacuatedZones.contains(server.zone()), quarantineStore, clock, this.metrics, random);
 		this.zoneLoads = new ZoneLoadExchange(loop, this.datagrams, settings.node(), this.servers,
 				this::zonePeerAddresses, clock::steadyMillis);
 		this.quotas = new QuotaExchange(loop, this.datagrams, this.fleet, this.config, settings, clock,
@@ -188,7 +198,7 @@
 		RelayDependencies relayDependencies = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
 				this.connectionPool, this.quotas, this.fleet::nodes, this.metrics, this.demandTracker, this.zoneLoads,
-				departures::tell, this.quarantine, this.answerMemory, random);
+				departures::tell, this.quarantine, this.answerMemory, random, placementRules);
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
 				this.fleetClock, clock, this::createReport, this::isReady, this.quotas::recordPreviousRun,
@@ -196,7 +206,8 @@
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
 				clock, this.reportExchange::publishFirstReportIfReady);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
-				this.rollouts, clock, this.reportExchange::publishFirstReportIfReady);
+				this.rollouts, this.evacuatedZones, placementRules, this.metrics, clock,
+				this.reportExchange::publishFirstReportIfReady);
 		this.dutyRunner = adapters.cloud()
 			.map((cloud) -> new DutyRunner(createDutyDependencies(cloud), settings.duties().leaseMillis(),
 					settings.duties().fencing(), settings.duties().usageWindowMillis()));
@@ -215,7 +226,7 @@
 				this::correctedTimeOfDayMillis, this.config, this.rollouts, this.servers,
 				this.serverWatcher::hasCompletedListing,
 				new FleetTotals(this.fleet, this.usage, this.demandTracker, this.clock), this.self.name(),
-				this.settings.firstStart());
+				this.settings.firstStart(), this.evacuatedZones);
 	}
 
 	/**
@@ -293,6 +304,11 @@
 				return Gateway.this.servers.size();
 			}
 
+			@Override
+			public int evacuatedZoneCount() {
+				return Gateway.this.evacuatedZones.zones().size();
+			}
+
 			@Override
 			public int nodeCount() {
 				return Gateway.this.fleet.nodes();
@@ -366,12 +382,13 @@
 	}
 
 	private SimpleHttpServer.Response directoryResponse(SimpleHttpServer.Request request) {
-		Optional<String> zone = this.adapters.directoryProtocol().parseCallerZone(request);
-		if (zone.isEmpty()) {
+		Optional<EntryNodePlacement.Lookup> lookup = this.adapters.directoryProtocol().parseLookup(request);
+		if (lookup.isEmpty()) {
 			return SimpleHttpServer.Response.text(404, "no such page\n");
 		}
 		this.fleet.setCurrentTime(this.clock.steadyMillis());
-		List<Address> addresses = this.fleet.callerAddressesFor(zone.get(), createOwnDirectoryEntry());
+		List<Address> addresses = this.entryNodePlacement.addressesFor(lookup.get(), this.fleet,
+				createOwnDirectoryEntry(), this.config.current());
 		return addresses.isEmpty() ? SimpleHttpServer.Response.text(503, "no entry node accepts requests\n")
 				: this.adapters.directoryProtocol().encodeResponse(addresses, DIRECTORY_TTL_SECONDS);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/DirectoryProtocol.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.flamingogap.core.fleet.EntryNodePlacement;
 import io.flamingogap.core.node.Address;
 import io.flamingogap.gateway.http.SimpleHttpServer;
 
@@ -13,12 +14,11 @@
 public interface DirectoryProtocol {
 
 	/**
-	 * Return the caller's availability zone, which a lookup names.
+	 * Parse a lookup.
 	 * @param request the request
-	 * @return the zone, which may be an empty text if the lookup names none; empty if the
-	 * request isn't a lookup
+	 * @return the lookup; empty if the request isn't one
 	 */
-	Optional<String> parseCallerZone(SimpleHttpServer.Request request);
+	Optional<EntryNodePlacement.Lookup> parseLookup(SimpleHttpServer.Request request);
 
 	/**
 	 * Encode the response to a lookup.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoop;
 
+import io.flamingogap.core.servers.EvacuatedZones;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.gateway.node.RolloutController;
@@ -31,8 +32,10 @@
  * @param memberName the name of this node in the group; the same for each run, so that a
  * restarted node keeps the duties it held
  * @param firstStart whether the whole system starts for the first time
+ * @param evacuatedZones the zones in which no servers are ordered
  */
 public record DutyDependencies(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
 		LongSupplier correctedTimeOfDayMillis, ConfigHolder config, RolloutController rollouts, ServerTable servers,
-		BooleanSupplier serversListed, FleetTotals totals, String memberName, boolean firstStart) {
+		BooleanSupplier serversListed, FleetTotals totals, String memberName, boolean firstStart,
+		EvacuatedZones evacuatedZones) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -102,7 +102,7 @@
 		this.usageReports = new UsageReportSchedule(usageWindowMillis, dependencies.totals()::usageInWindow,
 				dependencies.totals()::allNodesReportedWithin);
 		this.serverOrders = new ServerOrderPlanner(dependencies.servers(), dependencies.rollouts()::runningMillis,
-				dependencies.firstStart());
+				dependencies.firstStart(), dependencies.evacuatedZones());
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -16,6 +16,7 @@
 import io.flamingogap.core.fleet.DesiredCapacity;
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.core.fleet.ServerSupply;
+import io.flamingogap.core.servers.EvacuatedZones;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.BackendService;
@@ -54,6 +55,8 @@
 
 	private final boolean firstStart;
 
+	private final EvacuatedZones evacuatedZones;
+
 	private final Map<ServerPool, AcceptedOrder> acceptedOrders = new HashMap<>();
 
 	private final Map<ServerPool, Long> unavailableUntilMillis = new HashMap<>();
@@ -68,11 +71,15 @@
 	 * @param runningRollouts the rollouts that are running
 	 * @param firstStart whether the whole system starts for the first time, so that there
 	 * is no demand yet
+	 * @param evacuatedZones the zones whose servers are replaced by servers elsewhere;
+	 * nothing is ordered and nothing is released there
 	 */
-	ServerOrderPlanner(ServerTable servers, RunningRollouts runningRollouts, boolean firstStart) {
+	ServerOrderPlanner(ServerTable servers, RunningRollouts runningRollouts, boolean firstStart,
+			EvacuatedZones evacuatedZones) {
 		this.servers = servers;
 		this.runningRollouts = runningRollouts;
 		this.firstStart = firstStart;
+		this.evacuatedZones = evacuatedZones;
 	}
 
 	/**
@@ -99,8 +106,12 @@
 			.findFirst();
 	}
 
-	private Optional<ServerPlan> nextOrder(BackendService service, EngineProfile engine, ScaleBounds bounds,
+	private Optional<ServerPlan> nextOrder(BackendService service, EngineProfile engine, ScaleBounds configuredBounds,
 			FleetServiceDemand demand, long nowMillis) {
+		ScaleBounds bounds = configuredBounds.without(this.evacuatedZones.zones());
+		if (bounds.zonePrices().isEmpty() && !configuredBounds.zonePrices().isEmpty()) {
+			return Optional.empty();
+		}
 		String name = service.name();
 		OptionalLong rolloutAgeMillis = this.runningRollouts.ageMillis(name, nowMillis);
 		if (rolloutAgeMillis.isPresent() && rolloutAgeMillis.getAsLong() < ROLLOUT_START_MILLIS) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -70,6 +70,9 @@
 		Gauge.builder("flamingogap.servers.known", this.nodeMetrics, NodeMetrics::serverCount)
 			.description("Backend servers that are registered")
 			.register(prometheus);
+		Gauge.builder("flamingogap.zones.evacuated", this.nodeMetrics, NodeMetrics::evacuatedZoneCount)
+			.description("Availability zones whose servers get nothing new")
+			.register(prometheus);
 		Gauge.builder("flamingogap.nodes.known", this.nodeMetrics, NodeMetrics::nodeCount)
 			.description("Entry nodes that report")
 			.register(prometheus);
@@ -143,6 +146,12 @@
 		 */
 		int serverCount();
 
+		/**
+		 * Return the number of availability zones that are evacuated.
+		 * @return the number now
+		 */
+		int evacuatedZoneCount();
+
 		/**
 		 * Return the number of known entry nodes, this one included. Silent nodes count
 		 * until they are removed.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -1,14 +1,20 @@
 package io.flamingogap.gateway.node;
 
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
 
+import io.flamingogap.core.servers.EvacuatedZones;
+import io.flamingogap.core.servers.PlacementRules;
 import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.core.serving.ServingConfig;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
@@ -25,6 +31,11 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	private static final int MAX_LOGGED_FAULTS = 8;
+
+	/** Longer texts are cut in log lines. */
+	private static final int MAX_LOGGED_LENGTH = 200;
+
 	private final RecordCodec codec;
 
 	private final ConfigHolder config;
@@ -33,10 +44,24 @@
 
 	private final NodeClock clock;
 
+	private final EvacuatedZones evacuatedZones;
+
+	private final PlacementRules placementRules;
+
+	private final RelayMetrics metrics;
+
 	private final Runnable readinessListener;
 
 	private final RecordFollower follower;
 
+	/**
+	 * The configuration that was read before all operator records were listed once. It
+	 * waits for the evacuations, so that no request is sent before they are known.
+	 */
+	private @Nullable StoredRecord firstConfig;
+
+	private boolean listingCompleted;
+
 	/**
 	 * Create a watcher that isn't started.
 	 * @param loop the event loop that reads the store
@@ -44,15 +69,22 @@
 	 * @param codec decodes the records
 	 * @param config receives the configurations
 	 * @param rollouts receives the rollout orders
+	 * @param evacuatedZones receives the evacuations
+	 * @param placementRules finds faults in the restrictions of configurations
+	 * @param metrics counts faults in records
 	 * @param clock the clocks of this process
 	 * @param readinessListener runs when what the node serves callers with may have
 	 * become complete
 	 */
 	public OperatorRecordWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config,
-			RolloutController rollouts, NodeClock clock, Runnable readinessListener) {
+			RolloutController rollouts, EvacuatedZones evacuatedZones, PlacementRules placementRules,
+			RelayMetrics metrics, NodeClock clock, Runnable readinessListener) {
 		this.codec = codec;
 		this.config = config;
 		this.rollouts = rollouts;
+		this.evacuatedZones = evacuatedZones;
+		this.placementRules = placementRules;
+		this.metrics = metrics;
 		this.clock = clock;
 		this.readinessListener = readinessListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.OPERATOR, 0, this, clock::steadyMillis);
@@ -67,12 +99,17 @@
 
 	@Override
 	public void onRecord(StoredRecord entry) {
-		if (entry.value().isEmpty()) {
-			return;
-		}
 		switch (this.codec.subjectOf(entry.key())) {
-			case CONFIG -> applyConfig(entry, entry.value().get());
-			case ROLLOUT -> applyRollout(entry, entry.value().get());
+			case CONFIG -> {
+				if (!this.listingCompleted) {
+					this.firstConfig = entry;
+				}
+				else {
+					entry.value().ifPresent((value) -> applyConfig(entry, value));
+				}
+			}
+			case ROLLOUT -> entry.value().ifPresent((value) -> applyRollout(entry, value));
+			case EVACUATION -> applyEvacuation(entry);
 			case OTHER -> logger.atFine().log("%s", LogLine.of("record ignored").with("key", entry.key()));
 		}
 	}
@@ -92,10 +129,50 @@
 						LogLine.of("configuration in force")
 							.with("version", decoded.get().version())
 							.with("offset", entry.offset()));
+			logFaults(decoded.get());
 			this.readinessListener.run();
 		}
 	}
 
+	private void logFaults(ServingConfig applied) {
+		List<String> faults = this.placementRules.findFaults(applied);
+		faults.stream()
+			.limit(MAX_LOGGED_FAULTS)
+			.forEach((fault) -> logger.atWarning()
+				.log("%s",
+						LogLine.of("allowed regions restricted")
+							.with("version", applied.version())
+							.with("reason", abbreviate(fault) + "; only regions that exist are allowed")));
+		faults.forEach((fault) -> this.metrics.increment("restricted.regions"));
+	}
+
+	private static String abbreviate(String text) {
+		return (text.length() <= MAX_LOGGED_LENGTH) ? text : text.substring(0, MAX_LOGGED_LENGTH) + "...";
+	}
+
+	private void applyEvacuation(StoredRecord entry) {
+		String zone = this.codec.evacuatedZoneOf(entry.key());
+		boolean isEvacuated = entry.value().isPresent();
+		EvacuatedZones.Outcome outcome = this.evacuatedZones.apply(zone, isEvacuated, entry.offset());
+		if (outcome == EvacuatedZones.Outcome.CHANGED) {
+			logger.atInfo()
+				.log("%s",
+						LogLine.of(isEvacuated ? "zone evacuated" : "zone taken back")
+							.with("zone", zone)
+							.with("offset", entry.offset())
+							.with("evacuated", String.join(",", this.evacuatedZones.zones())));
+		}
+		else if (outcome == EvacuatedZones.Outcome.UNKNOWN_ZONE) {
+			this.metrics.increment("ignored.evacuation");
+			logger.atWarning()
+				.log("%s",
+						LogLine.of("evacuation ignored")
+							.with("zone", abbreviate(zone))
+							.with("offset", entry.offset())
+							.with("reason", "the platform has no such zone"));
+		}
+	}
+
 	private void applyRollout(StoredRecord entry, byte[] value) {
 		Either<String, RecordCodec.RolloutOrder> decoded = this.codec.decodeRollout(value);
 		if (decoded.isLeft()) {
@@ -111,6 +188,19 @@
 
 	@Override
 	public void onListed(Set<String> keys, long endOffset) {
+		Set<String> listedZones = keys.stream()
+			.filter((key) -> this.codec.subjectOf(key) == RecordCodec.OperatorSubject.EVACUATION)
+			.map(this.codec::evacuatedZoneOf)
+			.collect(Collectors.toSet());
+		this.evacuatedZones.retain(listedZones, endOffset)
+			.forEach((zone) -> logger.atInfo()
+				.log("%s", LogLine.of("zone taken back").with("zone", zone).with("offset", endOffset)));
+		this.listingCompleted = true;
+		StoredRecord waiting = this.firstConfig;
+		this.firstConfig = null;
+		if (waiting != null) {
+			onRecord(waiting);
+		}
 		logger.atInfo()
 			.log("%s", LogLine.of("operator records listed").with("keys", keys.size()).with("offset", endOffset));
 		this.readinessListener.run();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/QuarantineExchange.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -108,14 +109,15 @@
 	 * @param datagrams the channel to the other nodes
 	 * @param peers returns the addresses of all other nodes
 	 * @param connectionPool opens the connections that probe servers
+	 * @param mayProbe accepts the servers that may be probed
 	 * @param store keeps the rules
 	 * @param clock the clocks of this process
 	 * @param metrics counts crashes and rules
 	 * @param random spreads what several nodes would do at once
 	 */
 	public QuarantineExchange(EventLoop loop, PeerDatagramChannel datagrams, Supplier<List<Address>> peers,
-			BackendConnectionPool connectionPool, QuarantineStore store, NodeClock clock, RelayMetrics metrics,
-			RandomGenerator random) {
+			BackendConnectionPool connectionPool, Predicate<ServerRegistration> mayProbe, QuarantineStore store,
+			NodeClock clock, RelayMetrics metrics, RandomGenerator random) {
 		this.loop = loop;
 		this.datagrams = datagrams;
 		this.peers = peers;
@@ -124,7 +126,7 @@
 		this.metrics = metrics;
 		this.random = random;
 		this.quarantine = new RequestQuarantine(random.nextLong(MAX_TRIAL_DELAY_MILLIS));
-		this.crashDetector = new ServerCrashDetector(loop, connectionPool, this::onOwnCrash);
+		this.crashDetector = new ServerCrashDetector(loop, connectionPool, mayProbe, this::onOwnCrash);
 		datagrams.addListener(this::onDatagram);
 		store.setListener(this::onStoredRule, this::onReleasedRule);
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/ServerCrashDetector.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/quarantine/ServerCrashDetector.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
@@ -36,6 +37,8 @@
 
 	private final BackendConnectionPool connectionPool;
 
+	private final Predicate<ServerRegistration> mayProbe;
+
 	private final Consumer<CrashSighting> listener;
 
 	/**
@@ -50,11 +53,15 @@
 	 * Create a detector.
 	 * @param loop the event loop
 	 * @param connectionPool opens the connections that probe servers
+	 * @param mayProbe accepts the servers that may be probed; crashes of others aren't
+	 * seen
 	 * @param listener receives each crash that this node saw
 	 */
-	ServerCrashDetector(EventLoop loop, BackendConnectionPool connectionPool, Consumer<CrashSighting> listener) {
+	ServerCrashDetector(EventLoop loop, BackendConnectionPool connectionPool, Predicate<ServerRegistration> mayProbe,
+			Consumer<CrashSighting> listener) {
 		this.loop = loop;
 		this.connectionPool = connectionPool;
+		this.mayProbe = mayProbe;
 		this.listener = listener;
 	}
 
@@ -79,7 +86,7 @@
 
 	private void probe(ServerRegistration server) {
 		Suspects suspects = this.suspectsByServer.remove(server);
-		if (suspects == null) {
+		if (suspects == null || !this.mayProbe.test(server)) {
 			return;
 		}
 		this.connectionPool.probe(server, (reachable) -> {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -203,10 +203,14 @@
 			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT, RelayedRequest.QUARANTINED);
 			return false;
 		}
-		if (this.server.mayBeSentRequests(nowMillis())) {
+		boolean isPlaced = this.relayedRequest.mayBePlacedOn(this.server);
+		if (isPlaced && this.server.mayBeSentRequests(nowMillis())) {
 			return true;
 		}
 		String cause = this.server.takesRequests() ? "paused" : "departed";
+		if (!isPlaced) {
+			cause = "barred";
+		}
 		this.dependencies.metrics().increment("turned." + cause);
 		close();
 		this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT,
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -6,6 +6,7 @@
 
 import io.netty.channel.EventLoop;
 
+import io.flamingogap.core.servers.PlacementRules;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.servers.ServerSelector;
 import io.flamingogap.core.servers.ServerTable;
@@ -33,10 +34,11 @@
  * @param requestGuard learns what requests do to servers
  * @param answerMemory limits the memory for incomplete answers
  * @param random chooses services by their share of the traffic
+ * @param placementRules decides which servers a request may be sent to
  */
 public record RelayDependencies(EventLoop eventLoop, NodeClock clock, ConfigHolder config, ServerTable servers,
 		ServerSelector serverSelector, VersionSelector versionSelector, BackendConnectionPool connectionPool,
 		QuotaGate quotaGate, IntSupplier knownNodes, RelayMetrics metrics, ServiceDemandTracker demandTracker,
 		ServerLoadListener loadListener, Consumer<ServerRegistration> departureListener, RequestGuard requestGuard,
-		AnswerMemory answerMemory, RandomGenerator random) {
+		AnswerMemory answerMemory, RandomGenerator random, PlacementRules placementRules) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -101,9 +101,16 @@
 			return;
 		}
 		long nowMillis = nowMillis();
+		ensureVersionIsPlaced();
 		Optional<KnownServer> server = selectServer(nowMillis);
 		if (server.isEmpty()) {
-			fail("no server of service " + this.service + " can take the request (" + cause + ")");
+			boolean isPlaced = this.dependencies.servers().ofService(this.service).stream().anyMatch(placementFilter());
+			if (!isPlaced) {
+				this.dependencies.metrics().increment("unplaced.503");
+			}
+			fail("no server of service " + this.service + " can take the request"
+					+ (isPlaced ? "" : ", as none is in an allowed region and outside evacuated zones") + " (" + cause
+					+ ")");
 			return;
 		}
 		if (this.attempt.isNextDispatchRetry() && !this.callbacks.trySpendRetry().getAsBoolean()) {
@@ -126,8 +133,37 @@
 		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
 		return this.dependencies.serverSelector()
 			.choose(this.dependencies.servers().ofService(this.service), this.request.prompt(),
-					this.dependencies.servers().promptSpeedOf(this.service), untried.and(this.versionFilter),
-					nowMillis);
+					this.dependencies.servers().promptSpeedOf(this.service),
+					untried.and(this.versionFilter).and(placementFilter()), nowMillis);
+	}
+
+	/**
+	 * Use the version for retries if the chosen one has no server where the request may
+	 * be processed.
+	 */
+	private void ensureVersionIsPlaced() {
+		List<KnownServer> servers = this.dependencies.servers().ofService(this.service);
+		Predicate<KnownServer> placed = placementFilter().and(KnownServer::takesRequests);
+		if (servers.stream().anyMatch(this.versionFilter.and(KnownServer::takesRequests))
+				&& servers.stream().noneMatch(this.versionFilter.and(placed))) {
+			this.versionFilter = this.dependencies.versionSelector().versionFilterForRetry(this.service);
+		}
+	}
+
+	private Predicate<KnownServer> placementFilter() {
+		return this.dependencies.placementRules()
+			.serversFor(this.dependencies.config().current(), this.attempt.route(), this.account);
+	}
+
+	/**
+	 * Return whether the request may be sent to a server, by the configuration and the
+	 * evacuations in force.
+	 * @param server the server
+	 * @return {@code false} if the server is in a region that the request must not reach
+	 * or in an evacuated zone
+	 */
+	boolean mayBePlacedOn(KnownServer server) {
+		return placementFilter().test(server);
 	}
 
 	void retryOrFail(DispatchOutcome outcome, String reason) {
@@ -204,8 +240,12 @@
 	}
 
 	private long returnMillis() {
-		return ReturnTime.whenNoServer(this.dependencies.servers().ofService(this.service),
-				this.dependencies.random().nextDouble(), nowMillis());
+		List<KnownServer> placed = this.dependencies.servers()
+			.ofService(this.service)
+			.stream()
+			.filter(placementFilter())
+			.toList();
+		return ReturnTime.whenNoServer(placed, this.dependencies.random().nextDouble(), nowMillis());
 	}
 
 	private void abort(String reason) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordCodec.java
@@ -40,6 +40,13 @@
 	 */
 	Either<String, RolloutOrder> decodeRollout(byte[] value);
 
+	/**
+	 * Return the availability zone that a record evacuates as long as it exists.
+	 * @param key the key of a record whose subject is {@link OperatorSubject#EVACUATION}
+	 * @return the name of the zone
+	 */
+	String evacuatedZoneOf(String key);
+
 	/**
 	 * Encode the status of a rollout for operators.
 	 * @param status the status
@@ -65,6 +72,9 @@
 		/** A rollout order. */
 		ROLLOUT,
 
+		/** The evacuation of an availability zone. */
+		EVACUATION,
+
 		/** A subject that nodes don't act on. */
 		OTHER
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -14,6 +15,7 @@
 
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.core.node.Address;
+import io.flamingogap.core.servers.EvacuatedZones;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.core.serving.BackendService;
@@ -61,9 +63,11 @@
 
 	private long rolloutAgeMillis = 60_000;
 
+	private final EvacuatedZones evacuatedZones = new EvacuatedZones(Set.copyOf(ZONES));
+
 	private final ServerOrderPlanner planner = new ServerOrderPlanner(this.servers,
 			(service, now) -> this.rolloutRunning ? OptionalLong.of(this.rolloutAgeMillis) : OptionalLong.empty(),
-			false);
+			false, this.evacuatedZones);
 
 	private final List<ServerPlan> orders = new ArrayList<>();
 
@@ -207,7 +211,7 @@
 	@Test
 	void releasesFullPriceServersBeforeAnyDemandOnceReclaimableOnesAreGranted() {
 		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers,
-				(service, now) -> OptionalLong.empty(), true);
+				(service, now) -> OptionalLong.empty(), true, this.evacuatedZones);
 		ZONES.forEach((zone) -> register(zone, false, 5));
 		this.tokensPerSecond = 0;
 		Optional<ServerPlan> next = nextOrder(firstStartPlanner);
@@ -227,7 +231,7 @@
 	@Test
 	void keepsTheSizeOfTheOperatorsFleetUntilTheDemandIsKnown() {
 		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers,
-				(service, now) -> OptionalLong.empty(), true);
+				(service, now) -> OptionalLong.empty(), true, this.evacuatedZones);
 		ZONES.forEach((zone) -> register(zone, false, 8));
 		this.tokensPerSecond = 0;
 		Map<String, Integer> reclaimableByZone = new HashMap<>();
@@ -246,6 +250,34 @@
 		return orderPlanner.nextOrder(CONFIG, this.demand, this.nowMillis);
 	}
 
+	@Test
+	void evacuatedZoneIsReplacedByTheOthersAndReturns() {
+		ZONES.forEach((zone) -> {
+			register(zone, true, 4);
+			register(zone, false, 1);
+		});
+		placeDueOrders();
+		this.evacuatedZones.apply("cheap", true, 1);
+		this.nowMillis += 100;
+		List<ServerPlan> duringEvacuation = placeDueOrders();
+		assertThat(duringEvacuation, not(empty()));
+		assertThat(duringEvacuation.stream().map(ServerPlan::zone).toList(), everyItem(not(is("cheap"))));
+		assertThat(duringEvacuation.stream().allMatch((order) -> order.servers() <= MAX_PER_ZONE), is(true));
+		this.nowMillis += 60_000;
+		List<ServerPlan> later = placeDueOrders();
+		assertThat(later.stream().map(ServerPlan::zone).toList(), everyItem(not(is("cheap"))));
+		this.evacuatedZones.apply("cheap", false, 2);
+		drainReclaimable("cheap", 4);
+		assertThat(placeDueOrders().stream().anyMatch((order) -> order.zone().equals("cheap")), is(true));
+	}
+
+	@Test
+	void nothingIsOrderedWhileAllZonesAreEvacuated() {
+		ZONES.forEach((zone) -> register(zone, true, 4));
+		ZONES.forEach((zone) -> this.evacuatedZones.apply(zone, true, 1));
+		assertThat(placeDueOrders(), empty());
+	}
+
 	@Nested
 	class WhenAZoneIsReclaimedWithoutReplacement {
 
