Keep the replacements of an evacuated zone until it has returned

Cause: servers that had replaced those of an evacuated zone were released as soon as the zone was taken back, though its servers may have just started and serve little at first.

Nothing is released for 12 s after a zone was taken back; orders for more servers go on.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -49,6 +49,12 @@
 	 */
 	private static final long ROLLOUT_START_MILLIS = 3_000;
 
+	/**
+	 * How long nothing is released after a zone was taken back. Its servers may have just
+	 * started, so the ones that replaced them are still needed.
+	 */
+	private static final long ZONE_RETURN_MILLIS = 12_000;
+
 	private final ServerTable servers;
 
 	private final RunningRollouts runningRollouts;
@@ -57,6 +63,10 @@
 
 	private final EvacuatedZones evacuatedZones;
 
+	private Set<String> lastEvacuatedZones = Set.of();
+
+	private long zoneReturnedAtMillis = Long.MIN_VALUE / 2;
+
 	private final Map<ServerPool, AcceptedOrder> acceptedOrders = new HashMap<>();
 
 	private final Map<ServerPool, Long> unavailableUntilMillis = new HashMap<>();
@@ -98,6 +108,10 @@
 	 * @return the order; empty if none is due
 	 */
 	Optional<ServerPlan> nextOrder(ServingConfig config, FleetServiceDemand demand, long nowMillis) {
+		if (!this.evacuatedZones.zones().containsAll(this.lastEvacuatedZones)) {
+			this.zoneReturnedAtMillis = nowMillis;
+		}
+		this.lastEvacuatedZones = this.evacuatedZones.zones();
 		return config.services()
 			.stream()
 			.filter((service) -> service.scale().isPresent() && service.engine().isPresent())
@@ -127,7 +141,8 @@
 			.filter((poolPlan) -> !stopsReadyServers(poolPlan, readyByPool, bounds))
 			.filter((poolPlan) -> isScaleUpDue(poolPlan, readyByPool, bounds, nowMillis))
 			.findFirst();
-		if (scaleUp.isPresent() || rolloutAgeMillis.isPresent()) {
+		if (scaleUp.isPresent() || rolloutAgeMillis.isPresent()
+				|| nowMillis - this.zoneReturnedAtMillis < ZONE_RETURN_MILLIS) {
 			return scaleUp;
 		}
 		int requiredFullPrice = CapacityPlanner.countFullPriceServers(bounds, desired, supply.readyOnly());
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -28,6 +28,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
@@ -271,6 +272,27 @@
 		assertThat(placeDueOrders().stream().anyMatch((order) -> order.zone().equals("cheap")), is(true));
 	}
 
+	@Test
+	void replacementsStayUntilTheReturnedZoneHasServedForAWhile() {
+		ZONES.forEach((zone) -> {
+			register(zone, true, 4);
+			register(zone, false, 1);
+		});
+		placeDueOrders();
+		this.evacuatedZones.apply("cheap", true, 1);
+		this.nowMillis += 100;
+		placeDueOrders().forEach((order) -> register(order.zone(), order.reclaimable(), order.servers()));
+		this.nowMillis += 20_000;
+		placeDueOrders();
+		this.evacuatedZones.apply("cheap", false, 2);
+		this.nowMillis += 100;
+		assertThat(placeDueOrders().stream().map(ServerPlan::zone).toList(), everyItem(is("cheap")));
+		this.nowMillis += 11_000;
+		assertThat(placeDueOrders().stream().map(ServerPlan::zone).toList(), everyItem(is("cheap")));
+		this.nowMillis += 2_000;
+		assertThat(placeDueOrders().stream().map(ServerPlan::zone).toList(), hasItem(not("cheap")));
+	}
+
 	@Test
 	void nothingIsOrderedWhileAllZonesAreEvacuated() {
 		ZONES.forEach((zone) -> register(zone, true, 4));
