Direct callers by when nodes' reports were made

Cause: a report that the store applies late counted from its arrival, so the directory named a node for 4.5 s more that had been killed up to 6 s before.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -30,6 +30,10 @@
 
 	private final NodeId self;
 
+	private final Map<String, ReportAge> ages = new HashMap<>();
+
+	private final long reportMillis;
+
 	private final long silentAfterMillis;
 
 	private long nowMillis;
@@ -41,9 +45,27 @@
 	 */
 	public FleetView(NodeId self, long reportMillis) {
 		this.self = self;
+		this.reportMillis = reportMillis;
 		this.silentAfterMillis = reportMillis * MISSED_REPORTS;
 	}
 
+	/**
+	 * Record a report that was just received. Callers are directed to its node by the
+	 * time at which it was made, since the store may have accepted it late.
+	 * @param report a report of any run of any node, which may be this node
+	 * @param nowMillis the current time of the monotonic clock of this node, in
+	 * milliseconds
+	 */
+	public void recordReceived(NodeReport report, long nowMillis) {
+		record(report, nowMillis);
+		TimedReport last = this.lastReports.get(report.node().name());
+		if (last != null && last.report == report) {
+			ReportAge age = this.ages.computeIfAbsent(report.node().name(), (name) -> new ReportAge(this.reportMillis));
+			this.lastReports.put(report.node().name(),
+					new TimedReport(report, nowMillis, nowMillis - age.estimateMillis(report, nowMillis)));
+		}
+	}
+
 	/**
 	 * Record a report. One that was written before the last known report of its node, but
 	 * stored after it, counts only for the usage.
@@ -53,7 +75,7 @@
 	 */
 	public void record(NodeReport report, long reportedAtMillis) {
 		if (!report.node().name().equals(this.self.name()) && !isOutdated(report)) {
-			this.lastReports.put(report.node().name(), new TimedReport(report, reportedAtMillis));
+			this.lastReports.put(report.node().name(), new TimedReport(report, reportedAtMillis, reportedAtMillis));
 		}
 		if (!report.node().equals(this.self)) {
 			UsageCounts counts = this.usage.computeIfAbsent(report.node(), (node) -> new UsageCounts());
@@ -96,6 +118,7 @@
 	 */
 	public void forget(String name) {
 		this.lastReports.remove(name);
+		this.ages.remove(name);
 	}
 
 	private List<NodeReport> collectRecent() {
@@ -136,7 +159,11 @@
 	 * those of all zones
 	 */
 	public List<Address> callerAddressesFor(String zone, NodeReport own, Predicate<NodeReport> allowed) {
-		List<NodeReport> serving = new ArrayList<>(collectRecent());
+		List<NodeReport> serving = new ArrayList<>();
+		this.lastReports.values()
+			.stream()
+			.filter((timed) -> this.nowMillis - timed.madeAtMillis <= this.silentAfterMillis)
+			.forEach((timed) -> serving.add(timed.report));
 		serving.add(own);
 		serving.removeIf((report) -> !report.serving() || !allowed.test(report));
 		List<Address> sameZone = serving.stream()
@@ -200,7 +227,15 @@
 		return this.lastReports.values().stream().map(TimedReport::report).toList();
 	}
 
-	private record TimedReport(NodeReport report, long reportedAtMillis) {
+	/**
+	 * The last report of a node.
+	 *
+	 * @param report the report
+	 * @param reportedAtMillis when it was received
+	 * @param madeAtMillis when it was made, apart from the shortest delay of the node's
+	 * reports
+	 */
+	private record TimedReport(NodeReport report, long reportedAtMillis, long madeAtMillis) {
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/FleetViewTests.java
@@ -5,6 +5,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.flamingogap.core.duty.UsageCounts;
 import io.flamingogap.core.node.Address;
@@ -52,6 +54,57 @@
 					containsInAnyOrder(address(1), address(2)));
 		}
 
+		private void receive(long sequence, long timeOfDayMillis, long nowMillis) {
+			NodeReport received = new NodeReport(new NodeId("a", 1), sequence, address(2), "z1", true, timeOfDayMillis,
+					Map.of(), List.of(), List.of());
+			FleetViewTests.this.fleet.setCurrentTime(nowMillis);
+			FleetViewTests.this.fleet.recordReceived(received, nowMillis);
+		}
+
+		private boolean isNamedAt(long nowMillis) {
+			FleetViewTests.this.fleet.setCurrentTime(nowMillis);
+			return FleetViewTests.this.fleet.callerAddressesFor("z1", this.own).contains(address(2));
+		}
+
+		// A report that the store applied 6 s late named a node that had been killed.
+		@Test
+		void reportThatArrivesLateCountsFromWhenItWasMade() {
+			receive(1, 50_000, 1_000);
+			receive(2, 51_000, 2_300);
+			receive(3, 52_000, 9_000);
+			assertThat(isNamedAt(9_000), is(false));
+		}
+
+		@Test
+		void delayThatIsTheSameForAllReportsDoesNotCount() {
+			for (int i = 1; i < 20; i++) {
+				receive(i, i * REPORT_MILLIS, i * REPORT_MILLIS + 30_000);
+				assertThat(isNamedAt(i * REPORT_MILLIS + 30_000 + 2 * REPORT_MILLIS), is(true));
+			}
+		}
+
+		@Test
+		void clockThatRunsSlowlyDoesNotHideItsNode() {
+			for (int i = 1; i < 5_000; i++) {
+				receive(i, i * (REPORT_MILLIS - 20), i * REPORT_MILLIS + 500);
+				assertThat(isNamedAt(i * REPORT_MILLIS + 500 + REPORT_MILLIS), is(true));
+			}
+		}
+
+		@ParameterizedTest
+		@ValueSource(longs = { -3_600_000, -4_000, -1_500, -900, 700, 4_000, 3_600_000 })
+		void stepsOfTheClockOfANodeThatRunsDoNotHideIt(long stepMillis) {
+			long clockMillis = 10_000_000;
+			for (int i = 1; i < 60; i++) {
+				clockMillis += REPORT_MILLIS;
+				if (i % 7 == 0) {
+					clockMillis += (i % 2 == 0) ? stepMillis : -stepMillis;
+				}
+				receive(i, clockMillis, i * REPORT_MILLIS + 500);
+				assertThat(isNamedAt(i * REPORT_MILLIS + 500 + REPORT_MILLIS), is(true));
+			}
+		}
+
 		@Test
 		void callersOfAZoneWithOneNodeGetAll() {
 			FleetViewTests.this.fleet.record(report("b", 1, "z2", 3, true, Map.of()), 0);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -246,7 +246,12 @@
 		long ageMillis = isAfterListing ? 0
 				: Math.max(0, this.clock.timeOfDayMillis() - report.get().timeOfDayMillis());
 		this.fleet.setCurrentTime(nowMillis);
-		this.fleet.record(report.get(), nowMillis - ageMillis);
+		if (isAfterListing) {
+			this.fleet.recordReceived(report.get(), nowMillis);
+		}
+		else {
+			this.fleet.record(report.get(), nowMillis - ageMillis);
+		}
 		if (!this.listingCompleted && ageMillis < REMOVAL_TIMEOUT_MILLIS && this.fleet.isOfPreviousRun(report.get())) {
 			this.previousRunListener.accept(report.get().sequence());
 		}
