--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -39,6 +40,8 @@
 
 	private final Set<String> refusedMembers = ConcurrentHashMap.newKeySet();
 
+	private final Map<String, Integer> openReads = new ConcurrentHashMap<>();
+
 	private final Map<String, Group> groups = new HashMap<>();
 
 	private final LoopbackHttpServer server;
@@ -103,6 +106,16 @@
 		return Set.copyOf(findOrCreateTopic(topic).newest.keySet());
 	}
 
+	/**
+	 * Return whether a read of a topic waits for a record, or its answer is being
+	 * written.
+	 * @param topic the name of the topic
+	 * @return {@code false} once the answers to all reads have been written
+	 */
+	public boolean hasOpenRead(String topic) {
+		return this.openReads.getOrDefault(topic, 0) > 0;
+	}
+
 	/**
 	 * Drop the records of a topic from its history. The newest record of each key stays.
 	 * @param topic the name of the topic
@@ -156,10 +169,27 @@
 	}
 
 	private void answer(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
-		Reply reply = execute(exchange, body);
+		String topic = query(exchange).getOrDefault("topic", "");
+		boolean isRead = exchange.getRequestURI().getPath().equals("/v1/log-read");
+		if (isRead) {
+			this.openReads.merge(topic, 1, Integer::sum);
+		}
+		try {
+			writeReply(exchange, execute(exchange, body));
+		}
+		finally {
+			if (isRead) {
+				this.openReads.merge(topic, -1, Integer::sum);
+			}
+		}
+	}
+
+	private static void writeReply(HttpExchange exchange, Reply reply) throws IOException {
 		exchange.sendResponseHeaders(reply.status(), (reply.body().length > 0) ? reply.body().length : -1);
 		if (reply.body().length > 0) {
-			exchange.getResponseBody().write(reply.body());
+			try (OutputStream out = exchange.getResponseBody()) {
+				out.write(reply.body());
+			}
 		}
 	}
 
