Size the first fleet when all servers have registered

The first callers of a large deployment met a fleet of a third of the size that its operators had started. From 0 to 8 s 24 engines were overloaded (first token after 1.2 s at the median, 1,641 requests failed since servers had rejected them and no retry was left), and then 162 servers were ordered.

The planner now waits at the first start, and only while there is no demand, until no server of the service was added for 3 s (FirstRegistrations). Ruled out: a larger minimum (another site's number), waiting by the clock alone (a large fleet takes longer to register).

Shown: keepsTheSizeOfTheOperatorsFleetUntilTheDemandIsKnown has the servers register one after the other, and fails without the wait.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/ServerOrderPlanner.java
@@ -14,6 +14,7 @@
 import io.flamingogap.core.fleet.CapacityPlanner;
 import io.flamingogap.core.fleet.CapacityStabilizer;
 import io.flamingogap.core.fleet.DesiredCapacity;
+import io.flamingogap.core.fleet.FirstRegistrations;
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.core.fleet.ServerSupply;
 import io.flamingogap.core.servers.EvacuatedZones;
@@ -75,6 +76,8 @@
 
 	private final Map<String, CapacityStabilizer> stabilizers = new HashMap<>();
 
+	private final Map<String, FirstRegistrations> firstRegistrations = new HashMap<>();
+
 	/**
 	 * Create a planner without orders.
 	 * @param servers the backend servers
@@ -132,6 +135,9 @@
 			return Optional.empty();
 		}
 		Map<ServerPool, Integer> readyByPool = countReady(name);
+		if (!isFirstFleetKnown(name, demand, readyByPool, nowMillis)) {
+			return Optional.empty();
+		}
 		DesiredCapacity desired = desiredCapacity(name, engine, bounds, demand, readyByPool, nowMillis);
 		ServerSupply supply = buildSupply(name, bounds, readyByPool, nowMillis);
 		List<ServerPlan> plan = CapacityPlanner.plan(name, bounds, desired, supply);
@@ -149,6 +155,26 @@
 		return findScaleDown(plan, requiredFullPrice, readyByPool, bounds, nowMillis);
 	}
 
+	/**
+	 * Return whether all servers that the operators started for a service have
+	 * registered. Until then their number says nothing about the demand to come.
+	 * @param service the name of the service
+	 * @param demand the demand, which decides alone once there is any
+	 * @param readyByPool the number of servers that take requests
+	 * @param nowMillis the current time on the monotonic clock
+	 * @return {@code false} if orders have to wait
+	 */
+	private boolean isFirstFleetKnown(String service, FleetServiceDemand demand, Map<ServerPool, Integer> readyByPool,
+			long nowMillis) {
+		return !this.firstStart || hasDemand(service, demand)
+				|| this.firstRegistrations.computeIfAbsent(service, (name) -> new FirstRegistrations())
+					.update(countReady(readyByPool, false) + countReady(readyByPool, true), nowMillis);
+	}
+
+	private static boolean hasDemand(String service, FleetServiceDemand demand) {
+		return demand.unsharedPromptTokensPerSecond(service) > 0 || demand.openRequests(service) > 0;
+	}
+
 	/**
 	 * Return whether an order would stop servers that take requests. Each kind of server
 	 * is ordered by itself, but the limit of a zone applies to both together: the cloud
@@ -177,7 +203,7 @@
 			int initialTarget = CapacityPlanner.initialTarget(countReady(readyByPool, false),
 					countReady(readyByPool, true), zones);
 			return new CapacityStabilizer(initialTarget, this.firstStart);
-		}).update(needed, tokensPerSecond > 0 || openRequests > 0, nowMillis);
+		}).update(needed, hasDemand(service, demand), nowMillis);
 	}
 
 	/**
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/ServerOrderPlannerTests.java
@@ -215,6 +215,7 @@
 				(service, now) -> OptionalLong.empty(), true, this.evacuatedZones);
 		ZONES.forEach((zone) -> register(zone, false, 5));
 		this.tokensPerSecond = 0;
+		awaitRegistrations(firstStartPlanner);
 		Optional<ServerPlan> next = nextOrder(firstStartPlanner);
 		List<ServerPlan> newOrders = new ArrayList<>();
 		while (next.isPresent()) {
@@ -226,15 +227,20 @@
 		assertThat(newOrders.get(0).reclaimable(), is(true));
 	}
 
-	/**
-	 * Guards against a fleet that is sized for another site when the first callers come.
-	 */
+	// The fleet was sized by the first servers that had registered, and the others were
+	// released before the first callers came.
 	@Test
 	void keepsTheSizeOfTheOperatorsFleetUntilTheDemandIsKnown() {
 		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers,
 				(service, now) -> OptionalLong.empty(), true, this.evacuatedZones);
-		ZONES.forEach((zone) -> register(zone, false, 8));
 		this.tokensPerSecond = 0;
+		assertThat("order before any server has registered", nextOrder(firstStartPlanner).isPresent(), is(false));
+		this.nowMillis += 700;
+		register("cheap", false, 1);
+		assertThat("order while servers register", nextOrder(firstStartPlanner).isPresent(), is(false));
+		this.nowMillis += 1_500;
+		ZONES.forEach((zone) -> register(zone, false, 8));
+		awaitRegistrations(firstStartPlanner);
 		Map<String, Integer> reclaimableByZone = new HashMap<>();
 		Optional<ServerPlan> next = nextOrder(firstStartPlanner);
 		while (next.isPresent()) {
@@ -247,6 +253,19 @@
 		assertThat(reclaimableByZone, is(Map.of("cheap", 8, "middle", 8, "dear", 8)));
 	}
 
+	@Test
+	void ordersAtOnceWhenCallersComeWhileServersRegister() {
+		ServerOrderPlanner firstStartPlanner = new ServerOrderPlanner(this.servers,
+				(service, now) -> OptionalLong.empty(), true, this.evacuatedZones);
+		register("cheap", false, 1);
+		assertThat(nextOrder(firstStartPlanner).isPresent(), is(true));
+	}
+
+	private void awaitRegistrations(ServerOrderPlanner orderPlanner) {
+		assertThat("order while servers may register", nextOrder(orderPlanner).isPresent(), is(false));
+		this.nowMillis += 3_000;
+	}
+
 	private Optional<ServerPlan> nextOrder(ServerOrderPlanner orderPlanner) {
 		return orderPlanner.nextOrder(CONFIG, this.demand, this.nowMillis);
 	}
