Limit the requests of all nodes to a cold server

Cause: a server that has just started, or tells in its record that it is cold again, got as many requests as the others, or more, because its load was the least. Nothing read coldS, coldPerS and coldLeftMs.

Change: ColdServers knows from the registrations until when servers are cold, ColdStartLimiter divides the rate of each among the nodes of its zone by rendezvous hashing over the members. A node uses its shares only with a recent view of the members and accepted reports; what is gained is used late. BackendDispatch takes a permit at the moment of sending and gives it back for 421.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/serving/ServingConfig.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/serving/ServingConfig.java
@@ -138,6 +138,14 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Return whether a service has servers that can be cold.
+	 * @return {@code true} if servers of at least one service are cold after a start
+	 */
+	public boolean hasColdStarts() {
+		return this.services.values().stream().anyMatch((service) -> service.coldStart().isPresent());
+	}
+
 	/**
 	 * Return whether callers must present a key on routes that aren't public.
 	 * @return {@code true} if there are client accounts
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -18,6 +18,8 @@
 import io.flamingogap.core.fleet.NodeReport;
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
+import io.flamingogap.core.servers.ColdServers;
+import io.flamingogap.core.servers.ColdStartLimiter;
 import io.flamingogap.core.servers.EvacuatedZones;
 import io.flamingogap.core.servers.NodeLocality;
 import io.flamingogap.core.servers.PlacementRules;
@@ -36,6 +38,7 @@
 import io.flamingogap.gateway.http.SimpleHttpServer;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.memory.AnswerMemory;
+import io.flamingogap.gateway.node.ColdStartMembers;
 import io.flamingogap.gateway.node.MetricsPage;
 import io.flamingogap.gateway.node.NodeReportExchange;
 import io.flamingogap.gateway.node.OperatorRecordWatcher;
@@ -49,6 +52,7 @@
 import io.flamingogap.gateway.peers.ZoneRelaySelector;
 import io.flamingogap.gateway.quarantine.QuarantineExchange;
 import io.flamingogap.gateway.quarantine.QuarantineStore;
+import io.flamingogap.gateway.relay.ColdStartGate;
 import io.flamingogap.gateway.relay.RelayDependencies;
 import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.relay.RequestRelay;
@@ -126,6 +130,10 @@
 
 	private final ServiceDemandTracker demandTracker = new ServiceDemandTracker();
 
+	private final ColdServers coldServers = new ColdServers();
+
+	private final ColdStartMembers coldStartMembers;
+
 	private final FleetView fleet;
 
 	private final RolloutController rollouts;
@@ -195,16 +203,21 @@
 				this::isFleetListed, random.nextLong(Long.MAX_VALUE / 2));
 		DepartureExchange departures = new DepartureExchange(this.datagrams, this::peerAddresses, this.servers,
 				this.metrics);
+		ColdStartLimiter coldStartLimiter = new ColdStartLimiter(settings.node(), settings.zone());
 		RelayDependencies relayDependencies = new RelayDependencies(loop, clock, this.config, this.servers,
 				new ServerSelector(new NodeLocality(settings.zone(), settings.regionsByZone())), this.rollouts,
 				this.connectionPool, this.quotas, this.fleet::nodes, this.metrics, this.demandTracker, this.zoneLoads,
-				departures::tell, this.quarantine, this.answerMemory, random, placementRules);
+				departures::tell, this.quarantine,
+				new ColdStartGate(this.coldServers, coldStartLimiter, this.config, this.metrics), this.answerMemory,
+				random, placementRules);
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
 				this.fleetClock, clock, this::createReport, this::isReady, this.quotas::recordPreviousRun,
 				this.quotas::onFleetListed, quarantineStore::accept);
+		this.coldStartMembers = new ColdStartMembers(loop, coldStartLimiter, this.fleet, this.reportExchange,
+				this.config, this::isReady, clock);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
-				clock, this.reportExchange::publishFirstReportIfReady);
+				this.coldServers, this.metrics, clock, this.reportExchange::publishFirstReportIfReady);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
 				this.rollouts, this.evacuatedZones, placementRules, this.metrics, clock,
 				this.reportExchange::publishFirstReportIfReady);
@@ -251,6 +264,7 @@
 		this.operatorWatcher.start();
 		this.serverWatcher.start();
 		this.reportExchange.start();
+		this.coldStartMembers.start();
 		this.quotas.start();
 		this.quarantine.start();
 		listen.callers()
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -111,6 +111,8 @@
 
 	private boolean reported;
 
+	private long lastAcceptedReportMillis = Long.MIN_VALUE / 2;
+
 	/**
 	 * Create an exchange that isn't started.
 	 * @param loop the event loop that all work runs on
@@ -184,9 +186,14 @@
 
 	private void submitReport() {
 		this.reported = true;
+		long nowMillis = this.clock.steadyMillis();
 		NodeReport report = this.ownReportSupplier.get();
-		this.reportSink.submit(report.node().name(), ReportCodec.encodeNodeReport(report))
-			.exceptionally(NodeReportExchange::logFailureAndReturnNoOffset);
+		this.reportSink.submit(report.node().name(), ReportCodec.encodeNodeReport(report)).thenApply((offset) -> {
+			if (report.serving()) {
+				this.lastAcceptedReportMillis = Math.max(this.lastAcceptedReportMillis, nowMillis);
+			}
+			return offset;
+		}).exceptionally(NodeReportExchange::logFailureAndReturnNoOffset);
 	}
 
 	private void removeNode(String node) {
@@ -215,6 +222,24 @@
 		return -1L;
 	}
 
+	/**
+	 * Return when this node submitted the newest of its periodic reports that the store
+	 * has accepted and that says that the node accepts requests.
+	 * @return the time in milliseconds of the monotonic clock; far in the past if there
+	 * is none
+	 */
+	public long lastAcceptedReportMillis() {
+		return this.lastAcceptedReportMillis;
+	}
+
+	/**
+	 * Return when the store last confirmed the reports, directly or through another node.
+	 * @return the time in milliseconds of the monotonic clock; 0 before the first read
+	 */
+	public long lastContactAtMillis() {
+		return this.follower.lastContactAtMillis();
+	}
+
 	/**
 	 * Return whether the last reports of all nodes were read at least once.
 	 * @return {@code true} once the first listing of the store is complete
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -7,10 +7,12 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 
+import io.flamingogap.core.servers.ColdServers;
 import io.flamingogap.core.servers.RegistrationOutcome;
 import io.flamingogap.core.servers.ServerRegistration;
 import io.flamingogap.core.servers.ServerTable;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.relay.RelayMetrics;
 import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.store.RecordFollower;
 import io.flamingogap.gateway.store.RecordListener;
@@ -45,6 +47,10 @@
 
 	private final ServerTable servers;
 
+	private final ColdServers coldServers;
+
+	private final RelayMetrics metrics;
+
 	private final NodeClock clock;
 
 	private final Runnable readinessListener;
@@ -57,15 +63,19 @@
 	 * @param store the store to read from
 	 * @param codec decodes registrations
 	 * @param servers the table to update
+	 * @param coldServers learns which servers are cold
+	 * @param metrics counts values that can't be read
 	 * @param clock the clocks of this process
 	 * @param readinessListener runs when what the node serves callers with may have
 	 * become complete
 	 */
 	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
-			NodeClock clock, Runnable readinessListener) {
+			ColdServers coldServers, RelayMetrics metrics, NodeClock clock, Runnable readinessListener) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
+		this.coldServers = coldServers;
+		this.metrics = metrics;
 		this.clock = clock;
 		this.readinessListener = readinessListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.SERVERS, READ_PAUSE_MILLIS, this,
@@ -99,6 +109,7 @@
 	}
 
 	private void removeExpired() {
+		this.coldServers.retain((id) -> this.servers.find(id).isPresent());
 		this.servers.expire(this.clock.steadyMillis())
 			.forEach((id) -> logger.atInfo()
 				.log("%s",
@@ -139,7 +150,28 @@
 							.with("reason", "record at offset " + entry.offset() + " is ignored: " + server.getLeft()));
 		}
 		else {
-			logOutcome(server.get(), entry.offset(), this.servers.register(server.get(), entry.offset()));
+			RegistrationOutcome outcome = this.servers.register(server.get(), entry.offset());
+			logOutcome(server.get(), entry.offset(), outcome);
+			if (outcome == RegistrationOutcome.REFRESHED || outcome == RegistrationOutcome.CHANGED) {
+				recordColdTime(server.get());
+			}
+		}
+	}
+
+	private void recordColdTime(ServerRegistration server) {
+		String unreadable = server.remainingColdTime().unreadable();
+		if (!unreadable.isEmpty()) {
+			this.metrics.increment("cold.unreadable");
+		}
+		if (this.coldServers.record(server, this.follower.hasCompletedListing(), this.clock.steadyMillis())) {
+			logger.atInfo()
+				.log("%s",
+						LogLine.of("server cold")
+							.with("server", server.id())
+							.with("service", server.service())
+							.with("zone", server.zone())
+							.with("remainingMillis", server.remainingColdTime().millis().orElse(-1))
+							.with("unreadable", unreadable));
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -1,5 +1,6 @@
 package io.flamingogap.gateway.relay;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
@@ -11,6 +12,7 @@
 
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.limits.HeldBytes;
+import io.flamingogap.core.servers.ColdStartLimiter.Permit;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
@@ -43,12 +45,6 @@
 
 	private static final double PERCENT = 100;
 
-	/**
-	 * The least urgent value that is sent; 0 is served first. Values above this one are
-	 * reserved for requests that may wait.
-	 */
-	private static final int LOWEST_URGENCY = 9;
-
 	private final RelayDependencies dependencies;
 
 	private final RelayedRequest relayedRequest;
@@ -71,6 +67,8 @@
 
 	private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
 
+	private Permit coldStartPermit = Permit.NOT_NEEDED;
+
 	private boolean closed;
 
 	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, KnownServer server,
@@ -94,7 +92,7 @@
 			.observe(this.server.registration(), this.relayedRequest.attempt().route(), this.sentAtMillis);
 		BackendRequest request = new BackendRequest(this.relayedRequest.request(), this.server.registration(),
 				this.relayedRequest.attempt().remainingMillis(this.sentAtMillis),
-				this.relayedRequest.account().map(ClientAccount::name), urgency(),
+				this.relayedRequest.account().map(ClientAccount::name), this.relayedRequest.urgency(),
 				this.relayedRequest.eventSplitter().lastEventId());
 		logger.atInfo().log("%s", dispatchLogLine(request.remainingMillis()));
 		boolean repeatable = this.relayedRequest.attempt().route().isRepeatable();
@@ -116,13 +114,6 @@
 			.with("leftMillis", remainingMillis);
 	}
 
-	private int urgency() {
-		int priority = this.relayedRequest.account()
-			.flatMap((found) -> found.priority().stream().boxed().findFirst())
-			.orElse(this.relayedRequest.attempt().route().priority());
-		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
-	}
-
 	private void onSilenceTimeout() {
 		if (this.responseHead == null && !this.closed && this.relayedRequest.attempt().mayTryAnotherServer(nowMillis())
 				&& this.relayedRequest.attempt().route().maxExecutions() > 1) {
@@ -203,14 +194,21 @@
 			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT, RelayedRequest.QUARANTINED);
 			return false;
 		}
-		boolean isPlaced = this.relayedRequest.mayBePlacedOn(this.server);
-		if (isPlaced && this.server.mayBeSentRequests(nowMillis())) {
-			return true;
-		}
-		String cause = this.server.takesRequests() ? "paused" : "departed";
-		if (!isPlaced) {
+		String cause = "cold";
+		if (!this.relayedRequest.mayBePlacedOn(this.server)) {
 			cause = "barred";
 		}
+		else if (!this.server.mayBeSentRequests(nowMillis())) {
+			cause = this.server.takesRequests() ? "paused" : "departed";
+		}
+		else {
+			Optional<Permit> permit = this.dependencies.coldStartGate()
+				.admit(this.server.registration(), this.relayedRequest.urgency(), nowMillis());
+			if (permit.isPresent()) {
+				this.coldStartPermit = permit.get();
+				return true;
+			}
+		}
 		this.dependencies.metrics().increment("turned." + cause);
 		close();
 		this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT,
@@ -229,6 +227,7 @@
 				cancelAndRetry(DispatchOutcome.REJECTED, "rejected by the server with status " + head.status().code());
 			case MISDIRECTED -> {
 				this.dependencies.servers().remove(this.server.registration().id());
+				this.dependencies.coldStartGate().giveBack(this.coldStartPermit);
 				cancelAndRetry(DispatchOutcome.MISDIRECTED, "the address belongs to another server");
 			}
 			case UNVERIFIED, ATTEMPT_MISMATCH ->
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayDependencies.java
@@ -32,6 +32,7 @@
  * @param loadListener notified when this node's load at a backend server changes
  * @param departureListener notified when a server says in an answer that it is leaving
  * @param requestGuard learns what requests do to servers
+ * @param coldStartGate admits requests to cold servers
  * @param answerMemory limits the memory for incomplete answers
  * @param random chooses services by their share of the traffic
  * @param placementRules decides which servers a request may be sent to
@@ -40,5 +41,5 @@
 		ServerSelector serverSelector, VersionSelector versionSelector, BackendConnectionPool connectionPool,
 		QuotaGate quotaGate, IntSupplier knownNodes, RelayMetrics metrics, ServiceDemandTracker demandTracker,
 		ServerLoadListener loadListener, Consumer<ServerRegistration> departureListener, RequestGuard requestGuard,
-		AnswerMemory answerMemory, RandomGenerator random, PlacementRules placementRules) {
+		ColdStartGate coldStartGate, AnswerMemory answerMemory, RandomGenerator random, PlacementRules placementRules) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -37,6 +37,12 @@
 	/** The reason of a failure because the request was quarantined. */
 	static final String QUARANTINED = "the request, or a part of its prompt, crashes servers";
 
+	/**
+	 * The least urgent value that is sent; 0 is served first. Values above this one are
+	 * reserved for requests that may wait.
+	 */
+	private static final int LOWEST_URGENCY = 9;
+
 	private final RelayDependencies dependencies;
 
 	private final CallerRequest request;
@@ -134,7 +140,7 @@
 		return this.dependencies.serverSelector()
 			.choose(this.dependencies.servers().ofService(this.service), this.request.prompt(),
 					this.dependencies.servers().promptSpeedOf(this.service),
-					untried.and(this.versionFilter).and(placementFilter()), nowMillis);
+					untried.and(this.versionFilter).and(placementFilter()).and(mayBeSentNow(nowMillis)), nowMillis);
 	}
 
 	/**
@@ -166,6 +172,21 @@
 		return placementFilter().test(server);
 	}
 
+	private Predicate<KnownServer> mayBeSentNow(long nowMillis) {
+		int rank = urgency();
+		return (server) -> this.dependencies.coldStartGate().mayBeChosen(server.registration(), rank, nowMillis);
+	}
+
+	/**
+	 * Return the rank of the request among those that wait for a server.
+	 * @return the priority of the account, or else of the route; 0 is the most urgent
+	 */
+	int urgency() {
+		int priority = this.account.flatMap((found) -> found.priority().stream().boxed().findFirst())
+			.orElse(this.attempt.route().priority());
+		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
+	}
+
 	void retryOrFail(DispatchOutcome outcome, String reason) {
 		this.attempt.recordOutcome(outcome);
 		logger.atInfo().log("%s", failureLogLine(outcome, reason));
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -60,6 +60,8 @@
 
 	private final List<Request> requests = new CopyOnWriteArrayList<>();
 
+	private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
+
 	private final List<Socket> open = new CopyOnWriteArrayList<>();
 
 	private volatile ServerBehaviour behaviour = ServerBehaviour.ANSWER;
@@ -127,6 +129,7 @@
 			boolean first = true;
 			for (Request request = Request.read(in); request != null; request = Request.read(in)) {
 				this.requests.add(request);
+				this.arrivalNanos.add(System.nanoTime());
 				if (!first && this.behaviour == ServerBehaviour.REPEATED_REFUSAL) {
 					write(socket.getOutputStream(), refusal());
 				}
@@ -471,6 +474,23 @@
 		return List.copyOf(this.requests);
 	}
 
+	/**
+	 * Return the greatest number of requests that have arrived within a second.
+	 * @return the number, over all seconds since the start
+	 */
+	public int mostRequestsWithinASecond() {
+		List<Long> arrivals = this.arrivalNanos.stream().sorted().toList();
+		int most = 0;
+		int first = 0;
+		for (int last = 0; last < arrivals.size(); last++) {
+			while (arrivals.get(last) - arrivals.get(first) >= TimeUnit.SECONDS.toNanos(1)) {
+				first++;
+			}
+			most = Math.max(most, last - first + 1);
+		}
+		return most;
+	}
+
 	/**
 	 * Return the number of bytes that were sent without end.
 	 * @return the number since the start, over all connections
