--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ColdStartLimiterPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ColdStartLimiterPropertyTests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -13,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 
 import io.flamingogap.core.node.Address;
+import io.flamingogap.core.servers.ColdStartLimiter.Permit;
 import io.flamingogap.core.serving.ColdStart;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -51,7 +53,7 @@
 
 	private static final double RULE_ADDITION = 5;
 
-	@Property(tries = 150, seed = "20261206")
+	@Property(tries = 1_000, seed = "20261206")
 	void coldServersAreSentNoMoreThanTheyTolerate(@ForAll @LongRange(max = 10_000_000) long seed) {
 		Simulation simulation = new Simulation(seed, true);
 		simulation.run();
@@ -117,13 +119,19 @@
 
 		private final Interval storeDown;
 
+		/** In some fleets, nodes start while the first one is frozen. */
+		private final Interval freezeOfTheFirst;
+
 		Simulation(long seed, boolean disturbed) {
 			this.random = new SplittableRandom(seed);
 			this.disturbed = disturbed;
 			this.coldStart = new ColdStart(3_000, RATES[this.random.nextInt(RATES.length)]);
+			this.freezeOfTheFirst = (disturbed && this.random.nextInt(4) == 0)
+					? intervalOf(10_000 + this.random.nextLong(10_000), 3_000 + this.random.nextLong(5_000))
+					: new Interval(0, 0);
 			int zones = 1 + this.random.nextInt(4);
 			// Most fleets are small, as each pair of nodes is simulated.
-			int count = 1 + this.random.nextInt((this.random.nextInt(25) == 0) ? 330 : 12);
+			int count = 1 + this.random.nextInt((this.random.nextInt(100) == 0) ? 330 : 6);
 			for (int i = 0; i < count; i++) {
 				this.nodes.add(new Node(this, "node-" + i, "z" + this.random.nextInt(zones)));
 			}
@@ -136,6 +144,10 @@
 			this.storeDown = (disturbed && this.random.nextInt(3) == 0) ? randomInterval(12_000) : new Interval(0, 0);
 		}
 
+		private static Interval intervalOf(long fromMillis, long lengthMillis) {
+			return new Interval(fromMillis, fromMillis + lengthMillis);
+		}
+
 		private Interval randomInterval(int maxLength) {
 			long from = this.random.nextLong(DURATION_MILLIS);
 			return new Interval(from, from + this.random.nextInt(maxLength));
@@ -173,6 +185,10 @@
 
 		private final Interval reportsRefused;
 
+		private final Interval readsRefused;
+
+		private final long relistsAtMillis;
+
 		private final long leavesAtMillis;
 
 		private final long clockErrorMillis;
@@ -185,13 +201,20 @@
 			this.name = name;
 			this.zone = zone;
 			boolean disturbed = simulation.disturbed;
-			this.startsAtMillis = (disturbed && oneIn(3)) ? this.random.nextLong(DURATION_MILLIS)
+			boolean isFirst = simulation.nodes.isEmpty();
+			long freezeFromMillis = simulation.freezeOfTheFirst.fromMillis;
+			long startsAt = (disturbed && oneIn(3)) ? this.random.nextLong(DURATION_MILLIS)
 					: this.random.nextLong(2_000);
+			this.startsAtMillis = (freezeFromMillis > 0 && !isFirst && oneIn(2))
+					? freezeFromMillis - 2_000 + this.random.nextLong(3_000) : startsAt;
 			this.readyAfterMillis = this.random.nextLong(1_000);
 			this.dead = (disturbed && oneIn(4)) ? simulation.randomInterval(15_000) : new Interval(0, 0);
-			this.frozen = (disturbed && oneIn(3)) ? simulation.randomInterval(14_000) : new Interval(0, 0);
+			this.frozen = (isFirst && freezeFromMillis > 0) ? simulation.freezeOfTheFirst
+					: (disturbed && oneIn(3)) ? simulation.randomInterval(14_000) : new Interval(0, 0);
 			this.cutOff = (disturbed && oneIn(3)) ? simulation.randomInterval(14_000) : new Interval(0, 0);
 			this.reportsRefused = (disturbed && oneIn(4)) ? simulation.randomInterval(14_000) : new Interval(0, 0);
+			this.readsRefused = (disturbed && oneIn(4)) ? simulation.randomInterval(14_000) : new Interval(0, 0);
+			this.relistsAtMillis = (disturbed && oneIn(3)) ? this.random.nextLong(DURATION_MILLIS) : Long.MAX_VALUE;
 			this.leavesAtMillis = (disturbed && oneIn(5)) ? this.random.nextLong(DURATION_MILLIS) : Long.MAX_VALUE;
 			this.clockErrorMillis = (disturbed && oneIn(3)) ? this.random.nextLong(-20_000, 20_000) : 0;
 			this.run = new Run(this);
@@ -236,6 +259,10 @@
 
 		private boolean listed;
 
+		private boolean isListing;
+
+		private boolean relisted;
+
 		private boolean isReadPending;
 
 		private long readArrivesAtMillis;
@@ -260,6 +287,8 @@
 
 		private final List<long[]> pendingReports = new ArrayList<>();
 
+		private final List<Permit> misdirected = new ArrayList<>();
+
 		Run(Node node) {
 			this.node = node;
 			this.random = node.random.split();
@@ -309,7 +338,8 @@
 				return;
 			}
 			this.isReadPending = true;
-			this.readFails = !isStoreReachable(now);
+			this.readFails = !isStoreReachable(now) || this.node.readsRefused.contains(now);
+			this.isListing = !this.listed || (!this.relisted && now >= this.node.relistsAtMillis);
 			long waits = this.random.nextLong(1_000);
 			this.readArrivesAtMillis = now + waits + delay(700);
 			boolean relayed = this.node.simulation.disturbed && this.random.nextInt(3) == 0;
@@ -317,7 +347,7 @@
 			long unknownDelay = relayed ? delay(MAX_CALL_MILLIS) : 0;
 			// Without a wait the answer tells the state at the time of the call.
 			long stateOf = now - this.readAgeMillis - unknownDelay;
-			int end = this.position;
+			int end = this.isListing ? 0 : this.position;
 			List<StoredReport> log = this.node.simulation.log;
 			while (end < log.size() && log.get(end).storedAtMillis <= stateOf) {
 				end++;
@@ -335,10 +365,15 @@
 				return;
 			}
 			this.contactAtMillis = Math.max(this.contactAtMillis, now - this.readAgeMillis);
+			if (this.isListing) {
+				this.relisted = this.listed;
+				this.position = 0;
+			}
 			for (; this.position < this.readPosition; this.position++) {
 				StoredReport report = this.node.simulation.log.get(this.position);
 				if (!report.node.equals(this.node.name)) {
-					long age = this.listed ? 0 : Math.max(0, now - report.storedAtMillis + this.node.clockErrorMillis);
+					long age = !this.isListing ? 0
+							: Math.max(0, now - report.storedAtMillis + this.node.clockErrorMillis);
 					this.known.put(report.node, report);
 					this.reportedAtMillis.put(report.node, now - age);
 				}
@@ -388,14 +423,33 @@
 		}
 
 		private void sendRequests(long now) {
+			this.misdirected.removeIf((sent) -> {
+				boolean returns = this.random.nextInt(4) == 0;
+				if (returns) {
+					this.limiter.giveBack(sent);
+				}
+				return returns;
+			});
 			for (ServerRegistration server : this.node.simulation.servers) {
-				while (this.limiter.trySend(server, this.node.simulation.coldStart, this.random.nextInt(10), now)
-					.isPresent()) {
-					this.node.simulation.sentByServer.get(server.id()).add(now);
+				Optional<Permit> permit = trySend(server, now);
+				while (permit.isPresent()) {
+					if (this.random.nextInt(20) == 0) {
+						// The server turns the request away with 421, which doesn't
+						// count.
+						this.misdirected.add(permit.get());
+					}
+					else {
+						this.node.simulation.sentByServer.get(server.id()).add(now);
+					}
+					permit = trySend(server, now);
 				}
 			}
 		}
 
+		private Optional<Permit> trySend(ServerRegistration server, long now) {
+			return this.limiter.trySend(server, this.node.simulation.coldStart, this.random.nextInt(10), now);
+		}
+
 	}
 
 }
