Estimate a request's delay at a server in a class of its own

ServerSelector compared servers by a sum of constants that nothing else could read. DelayEstimator now returns the delay by its terms (reading, work, batch, slot, way, risk), and the selector returns the server with it. The time in a slot is learned per service instead of 40 ms for each waiting request, and each term but the way counts with the server's own slowness.

mvn -o -pl flamingogap-core test -Dtest=ServerSelectorTests,PromptSpeedTests,ReturnTimeTests passes. The new tests need the new interface, so they don't compile on the code before.

--- /dev/null
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ExpectedDelay.java
@@ -0,0 +1,36 @@
+package io.flamingogap.core.servers;
+
+/**
+ * Delay that a request is expected to have at one server. The first terms add up to the
+ * time to the first token, or to the response of a plain request; the last one is what
+ * the selection adds for the risk that the server fails.
+ *
+ * @param readMillis the time until the engine has read the prompts before this one and
+ * the part of this one that isn't cached
+ * @param workMillis the time that the request takes at an idle server, without its prompt
+ * @param batchMillis the time that the other requests of the engine's batch add
+ * @param slotMillis the time until a slot is free
+ * @param wayMillis the delay for the distance to the server
+ * @param riskMillis the delay for failures and unreachability
+ */
+public record ExpectedDelay(double readMillis, double workMillis, double batchMillis, double slotMillis,
+		double wayMillis, double riskMillis) {
+
+	/**
+	 * Return the predicted time from the dispatch to the first token, or to the response
+	 * of a plain request.
+	 * @return the time in milliseconds
+	 */
+	public double firstTokenMillis() {
+		return this.readMillis + this.workMillis + this.batchMillis + this.slotMillis + this.wayMillis;
+	}
+
+	/**
+	 * Return the delay by which servers are compared.
+	 * @return the predicted time and the delay for risks, in milliseconds
+	 */
+	public double costMillis() {
+		return firstTokenMillis() + this.riskMillis;
+	}
+
+}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.servers;
 
 /**
- * Registered backend server, with its load, health and prompt cache as estimated by this
- * node.
+ * Registered backend server, with its load, health, slowness and prompt cache as
+ * estimated by this node.
  * <p>
  * Not thread-safe.
  */
@@ -14,6 +14,8 @@
 
 	private final ServerHealth health = new ServerHealth();
 
+	private final ServerSlowness slowness = new ServerSlowness();
+
 	private final PromptCacheEstimate promptCache = new PromptCacheEstimate();
 
 	private ServerRegistration registration;
@@ -103,6 +105,14 @@
 		return this.health;
 	}
 
+	/**
+	 * Return how much slower the server is than is usual in its service.
+	 * @return the live estimate, updated by its callers
+	 */
+	public ServerSlowness slowness() {
+		return this.slowness;
+	}
+
 	/**
 	 * Return the estimate of the server's prompt cache.
 	 * @return the live estimate, updated by its callers
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptSpeed.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/PromptSpeed.java
@@ -65,6 +65,19 @@
 	 * @return tokens per millisecond
 	 */
 	public double tokensPerMilli(long nowMillis) {
+		return 1 / fit(nowMillis).millisPerToken;
+	}
+
+	/**
+	 * Return the time to the first token of a prompt without tokens.
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 * @return the time in milliseconds
+	 */
+	public double overheadMillis(long nowMillis) {
+		return fit(nowMillis).overheadMillis;
+	}
+
+	private Fit fit(long nowMillis) {
 		double kept = Math.exp(-Math.max(0, nowMillis - this.updatedAtMillis) / TIME_CONSTANT_MILLIS);
 		double assumedMillis = ASSUMED_OVERHEAD_MILLIS + ASSUMED_TOKENS / ASSUMED_TOKENS_PER_MILLI;
 		double sumWeight = this.weight * kept + 2 * ASSUMED_WEIGHT;
@@ -76,7 +89,11 @@
 				/ (sumWeight * sumSquares - sumTokens * sumTokens);
 		double minSlope = 1 / (ASSUMED_TOKENS_PER_MILLI * MAX_DEVIATION);
 		double maxSlope = MAX_DEVIATION / ASSUMED_TOKENS_PER_MILLI;
-		return 1 / Math.max(minSlope, Math.min(maxSlope, slope));
+		double limited = Math.max(minSlope, Math.min(maxSlope, slope));
+		return new Fit(limited, Math.max(0, (sumMillis - limited * sumTokens) / sumWeight));
+	}
+
+	private record Fit(double millisPerToken, double overheadMillis) {
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -12,63 +12,46 @@
  */
 public final class ServerSelector {
 
-	/**
-	 * Delay that each open request of a server adds to a new one, as the engine processes
-	 * them in one batch.
-	 */
-	private static final double OPEN_REQUEST_COST_MILLIS = 2;
-
-	/** Delay that each request waiting for a slot adds to a new one. */
-	private static final double WAITING_COST_MILLIS = 40;
-
-	/** Delay added for a server that fails all of its requests. */
-	private static final double FAILURE_COST_MILLIS = 1_500;
-
-	/**
-	 * Delay added for a server whose registration ended while the store was disrupted.
-	 */
-	private static final double SUSPECT_COST_MILLIS = 200;
-
-	/** Delay added for a server that couldn't be reached a short time ago. */
-	private static final double UNREACHABLE_COST_MILLIS = 5_000;
-
 	/** Estimated open requests per slot at which a server counts as full. */
 	private static final double MAX_OPEN_PER_SLOT = 1.5;
 
 	private final NodeLocality locality;
 
+	private final DelayEstimator estimator;
+
 	/**
 	 * Create a selector.
 	 * @param locality the location of this node
 	 */
 	public ServerSelector(NodeLocality locality) {
 		this.locality = locality;
+		this.estimator = new DelayEstimator(locality);
 	}
 
 	/**
 	 * Select a server for a request.
 	 * @param servers the servers of the service
-	 * @param prompt the prompt; {@link PromptMetadata#NONE} for requests without one
-	 * @param speed the speed at which the servers read prompts
+	 * @param needs what the request asks for
+	 * @param pace the usual speed of the service's servers
 	 * @param allowed accepts the servers that may get the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the server; empty if none is allowed, takes requests and has capacity left
 	 */
-	public Optional<KnownServer> choose(Collection<KnownServer> servers, PromptMetadata prompt, PromptSpeed speed,
+	public Optional<ServerChoice> choose(Collection<KnownServer> servers, RequestNeeds needs, ServicePace pace,
 			Predicate<KnownServer> allowed, long nowMillis) {
-		double tokensPerMilli = speed.tokensPerMilli(nowMillis);
-		String preferredId = findPreferredServer(servers, prompt);
-		KnownServer best = null;
-		double bestMillis = Double.MAX_VALUE;
+		ServicePace.Snapshot currentPace = pace.at(nowMillis);
+		String preferredId = findPreferredServer(servers, needs.prompt());
+		ServerChoice best = null;
 		for (KnownServer server : servers) {
 			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server) || isFull(server, nowMillis)) {
 				continue;
 			}
-			double costMillis = costMillis(server, prompt, server.registration().id().equals(preferredId),
-					tokensPerMilli, nowMillis);
-			if (costMillis < bestMillis) {
-				best = server;
-				bestMillis = costMillis;
+			// The preferred server is expected to have the whole shared prefix cached.
+			double cachedTokens = server.registration().id().equals(preferredId) ? needs.prompt().sharedTokens()
+					: server.promptCache().estimateCachedTokens(needs.prompt());
+			ExpectedDelay delay = this.estimator.estimate(server, needs, cachedTokens, currentPace, nowMillis);
+			if (best == null || delay.costMillis() < best.expectedDelayMillis()) {
+				best = new ServerChoice(server, delay, cachedTokens);
 			}
 		}
 		return Optional.ofNullable(best);
@@ -78,24 +61,6 @@
 		return server.load().estimateOpenRequests(nowMillis) >= server.registration().slots() * MAX_OPEN_PER_SLOT;
 	}
 
-	private double costMillis(KnownServer server, PromptMetadata prompt, boolean isPreferred, double tokensPerMilli,
-			long nowMillis) {
-		ServerLoad load = server.load();
-		double open = load.estimateOpenRequests(nowMillis);
-		double requestsOverSlots = Math.max(0, open + 1 - server.registration().slots());
-		long sharedTokens = prompt.sharedTokens();
-		// The preferred server is expected to have the whole shared prefix cached.
-		long cachedTokens = isPreferred ? sharedTokens : server.promptCache().estimateCachedTokens(prompt);
-		double readMillis = (load.estimateUnreadTokens(nowMillis) + Math.max(0, prompt.promptTokens() - cachedTokens))
-				/ tokensPerMilli;
-		return readMillis + open * OPEN_REQUEST_COST_MILLIS
-				+ (requestsOverSlots + load.estimateWaiting(nowMillis)) * WAITING_COST_MILLIS
-				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
-				+ (server.isSuspect() ? SUSPECT_COST_MILLIS : 0) + server.run().pause().returnCostMillis(nowMillis)
-				+ (server.health().isAvoided(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
-				+ this.locality.distanceTo(server.registration().zone()).costMillis();
-	}
-
 	/**
 	 * Find the server of this zone that is to cache a prompt's shared prefix, by
 	 * rendezvous hashing of the id of the prefix's last part. It may not have the prefix
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -30,7 +30,7 @@
 
 	private final Map<String, List<KnownServer>> byService = new HashMap<>();
 
-	private final Map<String, PromptSpeed> promptSpeeds = new HashMap<>();
+	private final Map<String, ServicePace> paces = new HashMap<>();
 
 	/**
 	 * Add a server, or update its record. The estimates of its load, health and cache are
@@ -202,7 +202,16 @@
 	 * @return the live estimate, updated by its callers
 	 */
 	public PromptSpeed promptSpeedOf(String service) {
-		return this.promptSpeeds.computeIfAbsent(service, (name) -> new PromptSpeed());
+		return paceOf(service).promptSpeed();
+	}
+
+	/**
+	 * Return the usual speed of the servers of a service.
+	 * @param service the name of the service
+	 * @return the live estimate, updated by its callers
+	 */
+	public ServicePace paceOf(String service) {
+		return this.paces.computeIfAbsent(service, (name) -> new ServicePace());
 	}
 
 	/**
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -11,6 +11,7 @@
 import io.flamingogap.core.node.Address;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -25,7 +26,7 @@
 	private final ServerSelector selector = new ServerSelector(
 			new NodeLocality("z1", Map.of("z1", "r1", "z2", "r1", "z3", "r2")));
 
-	private final PromptSpeed speed = new PromptSpeed();
+	private final ServicePace pace = new ServicePace();
 
 	private KnownServer server(String id, String zone, int slots) {
 		this.table.register(new ServerRegistration(id, "engine", Address.parse("10.0.0.1:80"), zone, "v1", slots, false,
@@ -34,8 +35,12 @@
 	}
 
 	private Optional<String> choose(PromptMetadata prompt) {
-		return this.selector.choose(this.table.ofService("engine"), prompt, this.speed, (server) -> true, NOW)
-			.map((server) -> server.registration().id());
+		return chooseServer(prompt).map((choice) -> choice.server().registration().id());
+	}
+
+	private Optional<ServerChoice> chooseServer(PromptMetadata prompt) {
+		return this.selector.choose(this.table.ofService("engine"), new RequestNeeds(prompt, 0, true), this.pace,
+				(server) -> true, NOW);
 	}
 
 	@Test
@@ -112,10 +117,44 @@
 	@ParameterizedTest
 	@CsvSource({ "15, away", "60, away", "240, near" })
 	void backlogWeighsAsMuchAsTheEngineTakesToReadIt(double tokensPerMilli, String expected) {
-		PromptSpeedTests.observe(this.speed, tokensPerMilli, NOW);
+		PromptSpeedTests.observe(this.pace.promptSpeed(), tokensPerMilli, NOW);
 		server("away", "z3", 8);
 		server("near", "z1", 8).load().recordSent(10_000);
 		assertThat(choose(PromptMetadata.NONE), is(Optional.of(expected)));
 	}
 
+	@Test
+	void promptGoesToTheServerWhoseBacklogIsReadFirstAtItsOwnSpeed() {
+		KnownServer slow = server("slow", "z1", 8);
+		slow.load().recordSent(3_000);
+		server("fast", "z1", 8).load().recordSent(4_000);
+		PromptMetadata prompt = new PromptMetadata(1_000, 10, List.of(new PromptPart("x", 1_000)));
+		assertThat(choose(prompt), is(Optional.of("slow")));
+		for (int i = 0; i < 5; i++) {
+			slow.slowness().recordObservation(100, 250, NOW);
+		}
+		assertThat(choose(prompt), is(Optional.of("fast")));
+	}
+
+	@Test
+	void requestGoesToAnotherZoneWhenTheWaitAtHomeExceedsTheWay() {
+		KnownServer near = server("near", "z1", 2);
+		server("away", "z2", 2);
+		for (int i = 0; i < 2; i++) {
+			near.load().recordSent(0);
+		}
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("away")));
+	}
+
+	@Test
+	void expectedFirstTokenContainsBacklogOwnPromptAndWay() {
+		PromptSpeedTests.observe(this.pace.promptSpeed(), 100, NOW);
+		KnownServer only = server("only", "z3", 8);
+		only.load().recordSent(10_000);
+		PromptMetadata prompt = new PromptMetadata(10_000, 10, List.of(new PromptPart("x", 10_000)));
+		ServerChoice choice = chooseServer(prompt).get();
+		assertThat(choice.delay().readMillis(), closeTo(200, 20));
+		assertThat(choice.delay().firstTokenMillis(), closeTo(285, 40));
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -12,6 +12,7 @@
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.limits.HeldBytes;
 import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.ServerChoice;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.gateway.backends.BackendCall;
@@ -43,16 +44,12 @@
 
 	private static final double PERCENT = 100;
 
-	/**
-	 * The least urgent value that is sent; 0 is served first. Values above this one are
-	 * reserved for requests that may wait.
-	 */
-	private static final int LOWEST_URGENCY = 9;
-
 	private final RelayDependencies dependencies;
 
 	private final RelayedRequest relayedRequest;
 
+	private final ServerChoice choice;
+
 	private final KnownServer server;
 
 	private final long sentAtMillis;
@@ -73,15 +70,17 @@
 
 	private boolean closed;
 
-	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, KnownServer server,
+	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, ServerChoice choice,
 			long sentAtMillis) {
 		this.dependencies = dependencies;
 		this.relayedRequest = relayedRequest;
-		this.server = server;
+		this.choice = choice;
+		this.server = choice.server();
 		this.sentAtMillis = sentAtMillis;
-		this.prompt = new DispatchedPrompt(server, relayedRequest.request().prompt(), dependencies.loadListener(),
+		this.prompt = new DispatchedPrompt(choice, relayedRequest.request().prompt(),
+				dependencies.servers().paceOf(choice.server().registration().service()), dependencies.loadListener(),
 				sentAtMillis);
-		this.progress = new AnswerProgress(dependencies.requestGuard(), server.registration(),
+		this.progress = new AnswerProgress(dependencies.requestGuard(), this.server.registration(),
 				relayedRequest.guardedRequest(), this::onQuarantined);
 	}
 
@@ -94,7 +93,7 @@
 			.observe(this.server.registration(), this.relayedRequest.attempt().route(), this.sentAtMillis);
 		BackendRequest request = new BackendRequest(this.relayedRequest.request(), this.server.registration(),
 				this.relayedRequest.attempt().remainingMillis(this.sentAtMillis),
-				this.relayedRequest.account().map(ClientAccount::name), urgency(),
+				this.relayedRequest.account().map(ClientAccount::name), this.relayedRequest.urgency(),
 				this.relayedRequest.eventSplitter().lastEventId());
 		logger.atInfo().log("%s", dispatchLogLine(request.remainingMillis()));
 		boolean repeatable = this.relayedRequest.attempt().route().isRepeatable();
@@ -110,19 +109,14 @@
 	private LogLine dispatchLogLine(long remainingMillis) {
 		return this.relayedRequest.logLine("dispatched")
 			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
+			.with("expectedMillis", Math.round(this.choice.delay().firstTokenMillis()))
+			.with("cachedTokens", Math.round(this.choice.cachedTokens()))
 			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
 			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
 			.with("doubtful", this.server.isSuspect())
 			.with("leftMillis", remainingMillis);
 	}
 
-	private int urgency() {
-		int priority = this.relayedRequest.account()
-			.flatMap((found) -> found.priority().stream().boxed().findFirst())
-			.orElse(this.relayedRequest.attempt().route().priority());
-		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
-	}
-
 	private void onSilenceTimeout() {
 		if (this.responseHead == null && !this.closed && this.relayedRequest.attempt().mayTryAnotherServer(nowMillis())
 				&& this.relayedRequest.attempt().route().maxExecutions() > 1) {
@@ -331,8 +325,7 @@
 		if (!this.prompt.isReleased()) {
 			// This is the first event of the stream from this server.
 			recordStart(0);
-			this.prompt.recordSpeed(this.dependencies.servers().promptSpeedOf(this.server.registration().service()),
-					nowMillis());
+			this.prompt.recordFirstToken(nowMillis());
 			this.observation.onAnswer(nowMillis());
 		}
 		this.progress.recordEvents(nowMillis());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
@@ -2,7 +2,8 @@
 
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.PromptMetadata;
-import io.flamingogap.core.servers.PromptSpeed;
+import io.flamingogap.core.servers.ServerChoice;
+import io.flamingogap.core.servers.ServicePace;
 
 /**
  * Accounts for one dispatch in this node's estimates of a server: its open requests, the
@@ -16,10 +17,14 @@
 	 */
 	private static final double MAX_SHARED_FRACTION = 0.3;
 
+	private final ServerChoice choice;
+
 	private final KnownServer server;
 
 	private final PromptMetadata prompt;
 
+	private final ServicePace pace;
+
 	private final ServerLoadListener loadListener;
 
 	private final long sentAtMillis;
@@ -37,19 +42,23 @@
 
 	/**
 	 * Create the account of a dispatch that isn't sent yet.
-	 * @param server the server
+	 * @param choice the server and the delay that is expected there
 	 * @param prompt the prompt; {@link PromptMetadata#NONE} for plain requests
+	 * @param pace the usual speed of the service's servers, which is updated
 	 * @param loadListener notified when the estimates change
 	 * @param sentAtMillis the time of the dispatch on the monotonic clock
 	 */
-	DispatchedPrompt(KnownServer server, PromptMetadata prompt, ServerLoadListener loadListener, long sentAtMillis) {
-		this.server = server;
+	DispatchedPrompt(ServerChoice choice, PromptMetadata prompt, ServicePace pace, ServerLoadListener loadListener,
+			long sentAtMillis) {
+		this.choice = choice;
+		this.server = choice.server();
 		this.prompt = prompt;
+		this.pace = pace;
 		this.loadListener = loadListener;
 		this.sentAtMillis = sentAtMillis;
-		this.unreadTokens = Math.max(0, prompt.promptTokens() - server.promptCache().estimateCachedTokens(prompt));
-		this.readAtOnce = server.load().estimateUnreadTokens(sentAtMillis) == 0
-				&& server.load().estimateOpenRequests(sentAtMillis) < server.registration().slots();
+		this.unreadTokens = Math.max(0, prompt.promptTokens() - Math.round(choice.cachedTokens()));
+		this.readAtOnce = this.server.load().estimateUnreadTokens(sentAtMillis) == 0
+				&& this.server.load().estimateOpenRequests(sentAtMillis) < this.server.registration().slots();
 	}
 
 	void recordSent() {
@@ -81,14 +90,13 @@
 	}
 
 	/**
-	 * Record the speed at which the server read the prompt, if the time to the first
-	 * token tells it.
-	 * @param speed the estimate to update
+	 * Record when the server sent the first token, and learn from it how fast the server
+	 * reads.
 	 * @param nowMillis the time of the first token on the monotonic clock
 	 */
-	void recordSpeed(PromptSpeed speed, long nowMillis) {
+	void recordFirstToken(long nowMillis) {
 		if (this.readAtOnce && this.prompt.sharedTokens() <= this.unreadTokens * MAX_SHARED_FRACTION) {
-			speed.record(this.unreadTokens, nowMillis - this.sentAtMillis, nowMillis);
+			this.pace.promptSpeed().record(this.unreadTokens, nowMillis - this.sentAtMillis, nowMillis);
 		}
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -18,7 +18,9 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.PromptPart;
+import io.flamingogap.core.servers.RequestNeeds;
 import io.flamingogap.core.servers.ReturnTime;
+import io.flamingogap.core.servers.ServerChoice;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
@@ -37,6 +39,12 @@
 	/** The reason of a failure because the request was quarantined. */
 	static final String QUARANTINED = "the request, or a part of its prompt, crashes servers";
 
+	/**
+	 * The least urgent rank that is sent; 0 is served first. Values above this one are
+	 * reserved for requests that may wait.
+	 */
+	private static final int LOWEST_URGENCY = 9;
+
 	private final RelayDependencies dependencies;
 
 	private final CallerRequest request;
@@ -101,8 +109,8 @@
 			return;
 		}
 		long nowMillis = nowMillis();
-		Optional<KnownServer> server = selectServer(nowMillis);
-		if (server.isEmpty()) {
+		Optional<ServerChoice> choice = selectServer(nowMillis);
+		if (choice.isEmpty()) {
 			fail("no server of service " + this.service + " can take the request (" + cause + ")");
 			return;
 		}
@@ -110,7 +118,7 @@
 			fail("the retry budget of service " + this.service + " is used up (" + cause + ")");
 			return;
 		}
-		this.currentDispatch = new BackendDispatch(this.dependencies, this, server.get(), nowMillis);
+		this.currentDispatch = new BackendDispatch(this.dependencies, this, choice.get(), nowMillis);
 		this.currentDispatch.send();
 	}
 
@@ -122,12 +130,25 @@
 		return this.dependencies.requestGuard().isQuarantined(this.guardedRequest);
 	}
 
-	private Optional<KnownServer> selectServer(long nowMillis) {
+	private Optional<ServerChoice> selectServer(long nowMillis) {
 		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
 		return this.dependencies.serverSelector()
-			.choose(this.dependencies.servers().ofService(this.service), this.request.prompt(),
-					this.dependencies.servers().promptSpeedOf(this.service), untried.and(this.versionFilter),
-					nowMillis);
+			.choose(this.dependencies.servers().ofService(this.service), needs(),
+					this.dependencies.servers().paceOf(this.service), untried.and(this.versionFilter), nowMillis);
+	}
+
+	private RequestNeeds needs() {
+		return new RequestNeeds(this.request.prompt(), urgency(), this.attempt.route().isRepeatable());
+	}
+
+	/**
+	 * Return the rank of the request: that of its account, or else that of its route.
+	 * @return a number from 0, the most urgent, to {@value #LOWEST_URGENCY}
+	 */
+	int urgency() {
+		int priority = this.account.flatMap((found) -> found.priority().stream().boxed().findFirst())
+			.orElse(this.attempt.route().priority());
+		return Math.max(0, Math.min(LOWEST_URGENCY, priority));
 	}
 
 	void retryOrFail(DispatchOutcome outcome, String reason) {
