Learn the slowness of each server, and read the one that it reports

The speed was one figure a service, and a reported load lost its slots and the slowness of the server's machine. ServerSlowness joins what requests took at a server, relative to its service, with the smoothed reports; both are forgotten, so that a server that recovered is asked again. The time in a slot is learned for plain services, too. A server that turned a request away counts as full at once, and an aging report yields to the average of the reports, not to 0.

Not done: nodes don't tell each other what they learned of a server's slowness.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/DelayEstimator.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/DelayEstimator.java
@@ -48,7 +48,7 @@
 		ServerLoad load = server.load();
 		double slowness = server.slowness().factor(nowMillis);
 		double open = load.estimateOpenRequests(nowMillis);
-		int slots = server.registration().slots();
+		int slots = server.slots();
 		double ahead = Math.max(Math.max(0, open + 1 - slots), load.estimateWaiting(nowMillis));
 		double unreadTokens = load.estimateUnreadTokens(nowMillis)
 				+ Math.max(0, needs.prompt().promptTokens() - cachedTokens);
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ExpectedDelay.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ExpectedDelay.java
@@ -16,13 +16,21 @@
 public record ExpectedDelay(double readMillis, double workMillis, double batchMillis, double slotMillis,
 		double wayMillis, double riskMillis) {
 
+	/**
+	 * Return the part of the time that the server's speed decides.
+	 * @return the time in milliseconds
+	 */
+	public double atServerMillis() {
+		return this.readMillis + this.workMillis + this.batchMillis + this.slotMillis;
+	}
+
 	/**
 	 * Return the predicted time from the dispatch to the first token, or to the response
 	 * of a plain request.
 	 * @return the time in milliseconds
 	 */
 	public double firstTokenMillis() {
-		return this.readMillis + this.workMillis + this.batchMillis + this.slotMillis + this.wayMillis;
+		return atServerMillis() + this.wayMillis;
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -18,6 +18,8 @@
 
 	private final PromptCacheEstimate promptCache = new PromptCacheEstimate();
 
+	private int reportedSlots = Integer.MAX_VALUE;
+
 	private ServerRegistration registration;
 
 	private ServerRun run;
@@ -89,6 +91,24 @@
 		return this.registration;
 	}
 
+	/**
+	 * Record the number of slots that the server reported in an answer.
+	 * @param slots the number; ignored unless positive
+	 */
+	public void recordReportedSlots(int slots) {
+		if (slots > 0) {
+			this.reportedSlots = slots;
+		}
+	}
+
+	/**
+	 * Return the number of requests that the server runs concurrently.
+	 * @return the registered number, or the reported one if it is less
+	 */
+	public int slots() {
+		return Math.min(this.registration.slots(), this.reportedSlots);
+	}
+
 	/**
 	 * Return the estimated load of the server.
 	 * @return the live estimate, updated by its callers
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerLoad.java
@@ -5,18 +5,26 @@
 
 /**
  * Estimate of a backend server's load. It combines the requests of this node, those that
- * the other nodes of its zone report, and the totals that the server reported in its last
- * answer.
+ * the other nodes of its zone report, and the totals that the server reported in its
+ * answers.
  * <p>
  * Not thread-safe.
  */
 public final class ServerLoad {
 
 	/**
-	 * Time constant with which a server's report loses weight. It is about the length of
-	 * a stream, after which the reported requests have ended.
+	 * Longest time constant with which a server's report yields to the average of its
+	 * reports.
 	 */
-	private static final double REPORT_DECAY_MILLIS = 1_500;
+	private static final double MAX_REPORT_DECAY_MILLIS = 1_500;
+
+	private static final double MIN_REPORT_DECAY_MILLIS = 20;
+
+	/** Time constant with which the average of the reports loses weight. */
+	private static final double AVERAGE_DECAY_MILLIS = 3_000;
+
+	/** Weight of the newest report in the average. */
+	private static final double NEWEST_WEIGHT = 0.2;
 
 	/**
 	 * Time after which a peer's report is ignored. The later report that its requests
@@ -30,10 +38,14 @@
 
 	private long unreadTokens;
 
-	private int othersRunning;
+	private double othersOpen;
+
+	private double averageOthersOpen;
 
 	private int queuedRequests;
 
+	private double reportDecayMillis = MAX_REPORT_DECAY_MILLIS;
+
 	private long reportedAtMillis;
 
 	/**
@@ -65,14 +77,39 @@
 	 * Record the load that the server reported in an answer.
 	 * @param running the requests that the server runs, from all nodes
 	 * @param waiting the requests in the server's queue, from all nodes
+	 * @param slotMillis the time for which a request occupies a slot, after which the
+	 * reported requests have ended
+	 * @param nowMillis the current time of a monotonic clock, in milliseconds
+	 */
+	public void recordReport(int running, int waiting, double slotMillis, long nowMillis) {
+		recordOthers(Math.max(0, running - this.openRequests) + Math.max(0, waiting), slotMillis, nowMillis);
+		this.queuedRequests = Math.max(0, waiting);
+	}
+
+	/**
+	 * Record that the server turned a request away because it was full, without reporting
+	 * its load.
+	 * @param slots the requests that the server runs concurrently
+	 * @param slotMillis the time for which a request occupies a slot
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 */
-	public void recordReport(int running, int waiting, long nowMillis) {
-		this.othersRunning = Math.max(0, running - this.openRequests);
-		this.queuedRequests = waiting;
+	public void recordFull(int slots, double slotMillis, long nowMillis) {
+		recordOthers(Math.max(0, slots + 1 - this.openRequests), slotMillis, nowMillis);
+		this.queuedRequests = 1;
+	}
+
+	private void recordOthers(double others, double slotMillis, long nowMillis) {
+		double average = averageOthersOpen(nowMillis);
+		this.averageOthersOpen = average + NEWEST_WEIGHT * (others - average);
+		this.othersOpen = others;
+		this.reportDecayMillis = Math.max(MIN_REPORT_DECAY_MILLIS, Math.min(MAX_REPORT_DECAY_MILLIS, slotMillis));
 		this.reportedAtMillis = nowMillis;
 	}
 
+	private double averageOthersOpen(long nowMillis) {
+		return this.averageOthersOpen * Math.exp(-(nowMillis - this.reportedAtMillis) / AVERAGE_DECAY_MILLIS);
+	}
+
 	/**
 	 * Record the report of another node about its requests at the server.
 	 * @param node the name of the node
@@ -98,7 +135,8 @@
 	 * @return the number of requests, which may be fractional
 	 */
 	public double estimateOpenRequests(long nowMillis) {
-		double reported = (this.othersRunning + this.queuedRequests) * reportWeight(nowMillis);
+		double weight = reportWeight(nowMillis);
+		double reported = this.othersOpen * weight + averageOthersOpen(nowMillis) * (1 - weight);
 		return this.openRequests + Math.max(peerOpenRequests(nowMillis), reported);
 	}
 
@@ -112,7 +150,7 @@
 	}
 
 	private double reportWeight(long nowMillis) {
-		return Math.exp(-(nowMillis - this.reportedAtMillis) / REPORT_DECAY_MILLIS);
+		return Math.exp(-(nowMillis - this.reportedAtMillis) / this.reportDecayMillis);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -58,7 +58,7 @@
 	}
 
 	private static boolean isFull(KnownServer server, long nowMillis) {
-		return server.load().estimateOpenRequests(nowMillis) >= server.registration().slots() * MAX_OPEN_PER_SLOT;
+		return server.load().estimateOpenRequests(nowMillis) >= server.slots() * MAX_OPEN_PER_SLOT;
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSlowness.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSlowness.java
@@ -17,6 +17,9 @@
 	/** Observations that the usual speed counts as. */
 	private static final double USUAL_WEIGHT = 2;
 
+	/** Observations after which each new one replaces as much of the earlier ones. */
+	private static final double MAX_WEIGHT = 20;
+
 	/** Time constant with which observations lose weight. */
 	private static final double OBSERVATION_DECAY_MILLIS = 8_000;
 
@@ -51,6 +54,7 @@
 		}
 		double kept = decay(nowMillis - this.observedAtMillis, OBSERVATION_DECAY_MILLIS);
 		double ratio = limit(observedMillis / expectedMillis / reported(nowMillis));
+		kept *= Math.min(1, (MAX_WEIGHT - 1) / Math.max(1, this.observations * kept));
 		this.ratioSum = this.ratioSum * kept + ratio;
 		this.observations = this.observations * kept + 1;
 		this.observedAtMillis = nowMillis;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/SlotTime.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/SlotTime.java
@@ -11,7 +11,7 @@
 	private static final double ASSUMED_MILLIS = 300;
 
 	/** Observations that the assumed time counts as. */
-	private static final double ASSUMED_WEIGHT = 2;
+	private static final double ASSUMED_WEIGHT = 0.5;
 
 	/** Observations after which the average follows slowly only. */
 	private static final double MAX_WEIGHT = 50;
@@ -25,8 +25,7 @@
 
 	/**
 	 * Record a request that has ended.
-	 * @param occupiedMillis the time for which it occupied a slot, divided by the
-	 * slowness of the server, in milliseconds
+	 * @param occupiedMillis the time for which it occupied a slot, in milliseconds
 	 */
 	public void record(double occupiedMillis) {
 		double limited = Math.max(1, Math.min(occupiedMillis, this.millis * MAX_OVERRUN));
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseHead.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -79,8 +81,18 @@
 	 *
 	 * @param runningRequests the number of requests being processed
 	 * @param queuedRequests the number of requests waiting in the server's queue
+	 * @param slots the number of requests that the server runs concurrently; empty if it
+	 * wasn't reported
+	 * @param slowness how long work takes on the server's machine at the moment, as a
+	 * multiple of the usual time; empty if it wasn't reported
 	 */
-	public record ReportedLoad(int runningRequests, int queuedRequests) {
+	public record ReportedLoad(int runningRequests, int queuedRequests, OptionalInt slots, OptionalDouble slowness) {
+
+		public ReportedLoad {
+			Objects.requireNonNull(slots, "slots must not be null");
+			Objects.requireNonNull(slowness, "slowness must not be null");
+		}
+
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -111,6 +111,7 @@
 			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
 			.with("expectedMillis", Math.round(this.choice.delay().firstTokenMillis()))
 			.with("cachedTokens", Math.round(this.choice.cachedTokens()))
+			.with("slownessPercent", Math.round(PERCENT * this.server.slowness().factor(this.sentAtMillis)))
 			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
 			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
 			.with("doubtful", this.server.isSuspect())
@@ -418,6 +419,7 @@
 			this.server.health().recordSuccess(nowMillis);
 			if (this.responseHead != null && this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS) {
 				this.progress.recordCompletion();
+				this.prompt.recordAnswered(nowMillis);
 			}
 		}
 		if (failed) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
@@ -1,5 +1,6 @@
 package io.flamingogap.gateway.relay;
 
+import io.flamingogap.core.servers.ExpectedDelay;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.servers.ServerChoice;
@@ -31,6 +32,13 @@
 
 	private final long unreadTokens;
 
+	private final long unreadBefore;
+
+	private final double slowness;
+
+	/** Whether the request gets a slot at once, as far as is known. */
+	private final boolean runAtOnce;
+
 	/** Whether the server begins to read the prompt at once, as far as is known. */
 	private final boolean readAtOnce;
 
@@ -40,6 +48,8 @@
 	 */
 	private boolean released;
 
+	private long startedAtMillis = -1;
+
 	/**
 	 * Create the account of a dispatch that isn't sent yet.
 	 * @param choice the server and the delay that is expected there
@@ -57,8 +67,10 @@
 		this.loadListener = loadListener;
 		this.sentAtMillis = sentAtMillis;
 		this.unreadTokens = Math.max(0, prompt.promptTokens() - Math.round(choice.cachedTokens()));
-		this.readAtOnce = this.server.load().estimateUnreadTokens(sentAtMillis) == 0
-				&& this.server.load().estimateOpenRequests(sentAtMillis) < this.server.registration().slots();
+		this.unreadBefore = this.server.load().estimateUnreadTokens(sentAtMillis);
+		this.slowness = this.server.slowness().factor(sentAtMillis);
+		this.runAtOnce = this.server.load().estimateOpenRequests(sentAtMillis) < this.server.slots();
+		this.readAtOnce = this.runAtOnce && this.unreadBefore == 0;
 	}
 
 	void recordSent() {
@@ -95,9 +107,38 @@
 	 * @param nowMillis the time of the first token on the monotonic clock
 	 */
 	void recordFirstToken(long nowMillis) {
-		if (this.readAtOnce && this.prompt.sharedTokens() <= this.unreadTokens * MAX_SHARED_FRACTION) {
-			this.pace.promptSpeed().record(this.unreadTokens, nowMillis - this.sentAtMillis, nowMillis);
+		this.startedAtMillis = nowMillis;
+		long elapsedMillis = nowMillis - this.sentAtMillis;
+		boolean fewShared = this.prompt.sharedTokens() <= this.unreadTokens * MAX_SHARED_FRACTION;
+		if (this.readAtOnce && fewShared) {
+			this.pace.promptSpeed().record(this.unreadTokens, elapsedMillis, nowMillis);
 		}
+		if (this.runAtOnce && fewShared && this.unreadBefore <= this.unreadTokens) {
+			recordSlowness(elapsedMillis, nowMillis);
+		}
+	}
+
+	/**
+	 * Record that the server has answered the request in full, and learn from it for how
+	 * long requests occupy a slot.
+	 * @param nowMillis the end of the answer on the monotonic clock
+	 */
+	void recordAnswered(long nowMillis) {
+		boolean isPlain = this.startedAtMillis < 0;
+		if (isPlain && this.runAtOnce) {
+			recordSlowness(nowMillis - this.sentAtMillis, nowMillis);
+		}
+		if (!isPlain || this.runAtOnce) {
+			double wayMillis = isPlain ? this.choice.delay().wayMillis() : 0;
+			long startMillis = isPlain ? this.sentAtMillis : this.startedAtMillis;
+			this.pace.slotTime().record(nowMillis - startMillis - wayMillis);
+		}
+	}
+
+	private void recordSlowness(long elapsedMillis, long nowMillis) {
+		ExpectedDelay delay = this.choice.delay();
+		this.server.slowness()
+			.recordObservation(delay.atServerMillis() / this.slowness, elapsedMillis - delay.wayMillis(), nowMillis);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerNotices.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ServerNotices.java
@@ -9,7 +9,7 @@
 
 /**
  * Records what a server says of itself in an answer: that it leaves, that it wants a
- * pause, and its load.
+ * pause, its load, and how slow its machine is.
  */
 final class ServerNotices {
 
@@ -35,9 +35,18 @@
 			recordDeparture(request);
 		}
 		head.pauseMillis().ifPresent((pauseMillis) -> recordPause(pauseMillis, request, nowMillis));
-		head.load()
-			.ifPresent((load) -> this.server.load()
-				.recordReport(load.runningRequests(), load.queuedRequests(), nowMillis));
+		double slotMillis = this.dependencies.servers().paceOf(this.server.registration().service()).slotTime().millis()
+				* this.server.slowness().factor(nowMillis);
+		head.load().ifPresent((load) -> recordLoad(load, slotMillis, nowMillis));
+		if (head.load().isEmpty() && head.verdict() == BackendResponseHead.Verdict.REJECTED) {
+			this.server.load().recordFull(this.server.slots(), slotMillis, nowMillis);
+		}
+	}
+
+	private void recordLoad(BackendResponseHead.ReportedLoad load, double slotMillis, long nowMillis) {
+		this.server.load().recordReport(load.runningRequests(), load.queuedRequests(), slotMillis, nowMillis);
+		load.slots().ifPresent(this.server::recordReportedSlots);
+		load.slowness().ifPresent((factor) -> this.server.slowness().recordReport(factor, nowMillis));
 	}
 
 	private void recordDeparture(RelayedRequest request) {
