Weigh what a server has cached of a prompt against the wait for it

The server that rendezvous hashing prefers was believed to have the whole shared prefix, always. PromptCacheEstimate now believes what this node sent, in order, as far as the engine's memory holds what was sent since; what other nodes of the zone may have sent there is believed as often as it turned out to be so (PlacementTrust), for the first server and, less, for the one that gets a copy when the first is busy. The time to the first token tells a miss, which shows that all that was used before is evicted, too (CacheOutcome). A request whose deadline passed while its connection was opened is no longer sent.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerChoice.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerChoice.java
@@ -8,8 +8,10 @@
  * @param server the server
  * @param delay the delay that is expected there
  * @param cachedTokens the tokens of the prompt that the server is believed to have cached
+ * @param placementRank the rank of the server for the prompt's shared prefix, as in
+ * {@link PlacementTrust}; negative for servers that aren't preferred
  */
-public record ServerChoice(KnownServer server, ExpectedDelay delay, double cachedTokens) {
+public record ServerChoice(KnownServer server, ExpectedDelay delay, double cachedTokens, int placementRank) {
 
 	public ServerChoice {
 		Objects.requireNonNull(server, "server must not be null");
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServicePace.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServicePace.java
@@ -10,6 +10,8 @@
 
 	private final PromptSpeed promptSpeed = new PromptSpeed();
 
+	private final PlacementTrust placementTrust = new PlacementTrust();
+
 	private final SlotTime slotTime = new SlotTime();
 
 	/**
@@ -30,6 +32,14 @@
 		return this.promptSpeed;
 	}
 
+	/**
+	 * Return how far the placement of shared prefixes can be relied on.
+	 * @return the live estimate, updated by its callers
+	 */
+	public PlacementTrust placementTrust() {
+		return this.placementTrust;
+	}
+
 	/**
 	 * Return the time for which requests occupy a slot.
 	 * @return the live estimate, updated by its callers
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -11,6 +11,7 @@
 
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.limits.HeldBytes;
+import io.flamingogap.core.servers.CacheOutcome;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.ServerChoice;
 import io.flamingogap.core.serving.ClientAccount;
@@ -198,6 +199,12 @@
 			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT, RelayedRequest.QUARANTINED);
 			return false;
 		}
+		if (this.relayedRequest.attempt().remainingMillis(nowMillis()) == 0) {
+			close();
+			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT,
+					"the deadline passed while the connection was opened");
+			return false;
+		}
 		if (this.server.mayBeSentRequests(nowMillis())) {
 			return true;
 		}
@@ -263,6 +270,19 @@
 		this.dependencies.metrics().recordLatency("first", this.relayedRequest.attempt().elapsedMillis(nowMillis()));
 	}
 
+	private void recordPrediction(CacheOutcome outcome) {
+		RelayMetrics metrics = this.dependencies.metrics();
+		double expectedMillis = this.choice.delay().firstTokenMillis();
+		long lateMillis = Math.round(nowMillis() - this.sentAtMillis - expectedMillis);
+		metrics.recordLatency("first.expected", Math.round(expectedMillis));
+		metrics.recordLatency((lateMillis > 0) ? "first.later" : "first.earlier", Math.abs(lateMillis));
+		if (outcome != CacheOutcome.UNCLEAR) {
+			String belief = (this.choice.cachedTokens() * 2 > this.relayedRequest.request().prompt().sharedTokens())
+					? "believed" : "unknown";
+			metrics.increment("cache." + belief + ((outcome == CacheOutcome.HIT) ? ".hit" : ".miss"));
+		}
+	}
+
 	private boolean isStreaming() {
 		return this.relayedRequest.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
 				&& this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -326,7 +346,7 @@
 		if (!this.prompt.isReleased()) {
 			// This is the first event of the stream from this server.
 			recordStart(0);
-			this.prompt.recordFirstToken(nowMillis());
+			recordPrediction(this.prompt.recordFirstToken(nowMillis()));
 			this.observation.onAnswer(nowMillis());
 		}
 		this.progress.recordEvents(nowMillis());
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
@@ -1,7 +1,9 @@
 package io.flamingogap.gateway.relay;
 
+import io.flamingogap.core.servers.CacheOutcome;
 import io.flamingogap.core.servers.ExpectedDelay;
 import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.PromptCacheEstimate;
 import io.flamingogap.core.servers.PromptMetadata;
 import io.flamingogap.core.servers.ServerChoice;
 import io.flamingogap.core.servers.ServicePace;
@@ -32,6 +34,9 @@
 
 	private final long unreadTokens;
 
+	/** The last use of the prompt's shared prefix at the server before this one. */
+	private final long lastUse;
+
 	private final long unreadBefore;
 
 	private final double slowness;
@@ -50,6 +55,8 @@
 
 	private long startedAtMillis = -1;
 
+	private long promptUse = PromptCacheEstimate.NO_USE;
+
 	/**
 	 * Create the account of a dispatch that isn't sent yet.
 	 * @param choice the server and the delay that is expected there
@@ -68,6 +75,7 @@
 		this.sentAtMillis = sentAtMillis;
 		this.unreadTokens = Math.max(0, prompt.promptTokens() - Math.round(choice.cachedTokens()));
 		this.unreadBefore = this.server.load().estimateUnreadTokens(sentAtMillis);
+		this.lastUse = this.server.promptCache().lastUse(prompt);
 		this.slowness = this.server.slowness().factor(sentAtMillis);
 		this.runAtOnce = this.server.load().estimateOpenRequests(sentAtMillis) < this.server.slots();
 		this.readAtOnce = this.runAtOnce && this.unreadBefore == 0;
@@ -76,7 +84,7 @@
 	void recordSent() {
 		this.server.load().recordSent(this.unreadTokens);
 		this.loadListener.onLoadChanged(this.server);
-		this.server.promptCache().record(this.prompt);
+		this.promptUse = this.server.promptCache().record(this.prompt);
 	}
 
 	/**
@@ -97,16 +105,20 @@
 
 	void recordEnd() {
 		release();
+		if (this.startedAtMillis < 0) {
+			this.server.promptCache().withdraw(this.promptUse);
+		}
 		this.server.load().recordEnd();
 		this.loadListener.onLoadChanged(this.server);
 	}
 
 	/**
 	 * Record when the server sent the first token, and learn from it how fast the server
-	 * reads.
+	 * reads and what it had cached.
 	 * @param nowMillis the time of the first token on the monotonic clock
+	 * @return whether the server had cached the shared prefix
 	 */
-	void recordFirstToken(long nowMillis) {
+	CacheOutcome recordFirstToken(long nowMillis) {
 		this.startedAtMillis = nowMillis;
 		long elapsedMillis = nowMillis - this.sentAtMillis;
 		boolean fewShared = this.prompt.sharedTokens() <= this.unreadTokens * MAX_SHARED_FRACTION;
@@ -116,6 +128,25 @@
 		if (this.runAtOnce && fewShared && this.unreadBefore <= this.unreadTokens) {
 			recordSlowness(elapsedMillis, nowMillis);
 		}
+		return recordCacheOutcome(elapsedMillis, nowMillis);
+	}
+
+	private CacheOutcome recordCacheOutcome(long elapsedMillis, long nowMillis) {
+		if (!this.readAtOnce || this.prompt.sharedTokens() == 0) {
+			return CacheOutcome.UNCLEAR;
+		}
+		double millisPerToken = this.slowness / this.pace.promptSpeed().tokensPerMilli(nowMillis);
+		CacheOutcome outcome = CacheOutcome.of(this.choice, this.prompt.sharedTokens(), millisPerToken, elapsedMillis);
+		if (outcome == CacheOutcome.UNCLEAR) {
+			return outcome;
+		}
+		if (this.lastUse == PromptCacheEstimate.NO_USE) {
+			this.pace.placementTrust().record(this.choice.placementRank(), outcome == CacheOutcome.HIT);
+		}
+		else if (outcome == CacheOutcome.MISS) {
+			this.server.promptCache().recordMiss(this.lastUse);
+		}
+		return outcome;
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -21,7 +21,9 @@
 import io.flamingogap.core.servers.RequestNeeds;
 import io.flamingogap.core.servers.ReturnTime;
 import io.flamingogap.core.servers.ServerChoice;
+import io.flamingogap.core.serving.BackendService;
 import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.EngineProfile;
 import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
 import io.flamingogap.gateway.callers.CallerRequest;
@@ -118,6 +120,7 @@
 			fail("the retry budget of service " + this.service + " is used up (" + cause + ")");
 			return;
 		}
+		engine().ifPresent((engine) -> choice.get().server().promptCache().setMemoryTokens(engine.cacheTokens()));
 		this.currentDispatch = new BackendDispatch(this.dependencies, this, choice.get(), nowMillis);
 		this.currentDispatch.send();
 	}
@@ -137,6 +140,13 @@
 					this.dependencies.servers().paceOf(this.service), untried.and(this.versionFilter), nowMillis);
 	}
 
+	private Optional<EngineProfile> engine() {
+		return this.dependencies.config()
+			.current()
+			.flatMap((config) -> config.findService(this.service))
+			.flatMap(BackendService::engine);
+	}
+
 	private RequestNeeds needs() {
 		return new RequestNeeds(this.request.prompt(), urgency(), this.attempt.route().isRepeatable());
 	}
