Keep room for urgent requests, and refuse those that would wait in vain

All ranks had 1.5 open requests a slot, and a burst was taken in and made late together. Less urgent requests now leave up to 0.6 of that to the more urgent ones, in proportion to what those ask for (UrgencyMix), but never a free slot of a server that is less than 0.9 full. A request that would wait longer than the geometric mean of its goal and its time budget, or beyond the budget, is refused at once and not run (WaitBound), with a return time from the queue (ReturnTime). Requests that may not be repeated go to a plain server with a free slot if there is one.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/DelayEstimator.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/DelayEstimator.java
@@ -8,7 +8,8 @@
 
 	/**
 	 * Delay that each open request of an engine of usual speed adds to a new one, as it
-	 * processes them in one batch.
+	 * processes them in one batch. Those of a plain server add less if its requests are
+	 * short.
 	 */
 	private static final double OPEN_REQUEST_COST_MILLIS = 2;
 
@@ -49,12 +50,16 @@
 		double slowness = server.slowness().factor(nowMillis);
 		double open = load.estimateOpenRequests(nowMillis);
 		int slots = server.slots();
-		double ahead = Math.max(Math.max(0, open + 1 - slots), load.estimateWaiting(nowMillis));
-		double unreadTokens = load.estimateUnreadTokens(nowMillis)
-				+ Math.max(0, needs.prompt().promptTokens() - cachedTokens);
+		// Engines admit waiting requests by their rank.
+		double admittedBefore = needs.hasPrompt() ? 1 - pace.shareLessUrgent() : 1;
+		double ahead = admittedBefore * Math.max(Math.max(0, open + 1 - slots), load.estimateWaiting(nowMillis));
+		double millisPerToken = slowness / pace.tokensPerMilli();
+		double ownTokens = Math.max(0, needs.prompt().promptTokens() - cachedTokens);
 		double workMillis = needs.hasPrompt() ? pace.overheadMillis() : pace.slotMillis();
-		return new ExpectedDelay(unreadTokens / pace.tokensPerMilli() * slowness, workMillis * slowness,
-				open * OPEN_REQUEST_COST_MILLIS * slowness, ahead * pace.slotMillis() / slots * slowness,
+		double batchMillis = needs.hasPrompt() ? OPEN_REQUEST_COST_MILLIS
+				: Math.min(OPEN_REQUEST_COST_MILLIS, pace.slotMillis() / slots);
+		return new ExpectedDelay(load.estimateUnreadTokens(nowMillis) * millisPerToken, ownTokens * millisPerToken,
+				workMillis * slowness, open * batchMillis * slowness, ahead * pace.slotMillis() / slots * slowness,
 				this.locality.distanceTo(server.registration().zone()).costMillis(), riskMillis(server, nowMillis));
 	}
 
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ExpectedDelay.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ExpectedDelay.java
@@ -5,23 +5,31 @@
  * time to the first token, or to the response of a plain request; the last one is what
  * the selection adds for the risk that the server fails.
  *
- * @param readMillis the time until the engine has read the prompts before this one and
- * the part of this one that isn't cached
+ * @param backlogMillis the time until the engine has read the prompts before this one
+ * @param readMillis the time in which it reads the part of this one that isn't cached
  * @param workMillis the time that the request takes at an idle server, without its prompt
  * @param batchMillis the time that the other requests of the engine's batch add
  * @param slotMillis the time until a slot is free
  * @param wayMillis the delay for the distance to the server
  * @param riskMillis the delay for failures and unreachability
  */
-public record ExpectedDelay(double readMillis, double workMillis, double batchMillis, double slotMillis,
-		double wayMillis, double riskMillis) {
+public record ExpectedDelay(double backlogMillis, double readMillis, double workMillis, double batchMillis,
+		double slotMillis, double wayMillis, double riskMillis) {
+
+	/**
+	 * Return the part of the time that other requests at the server cause.
+	 * @return the time in milliseconds
+	 */
+	public double waitMillis() {
+		return this.backlogMillis + this.batchMillis + this.slotMillis;
+	}
 
 	/**
 	 * Return the part of the time that the server's speed decides.
 	 * @return the time in milliseconds
 	 */
 	public double atServerMillis() {
-		return this.readMillis + this.workMillis + this.batchMillis + this.slotMillis;
+		return waitMillis() + this.readMillis + this.workMillis;
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/RequestNeeds.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/RequestNeeds.java
@@ -23,4 +23,14 @@
 		return this.prompt.promptTokens() > 0;
 	}
 
+	/**
+	 * Return whether a server without a free slot is used only if no server has one: a
+	 * plain server turns requests away when it is full, and one that can't be repeated
+	 * may be lost with it.
+	 * @return {@code true} for plain requests that may not be repeated
+	 */
+	boolean requiresSlot() {
+		return !this.repeatable && !hasPrompt();
+	}
+
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ReturnTime.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ReturnTime.java
@@ -14,6 +14,9 @@
 	/** Callers that are refused at once come back within this share of the delay. */
 	private static final double SPREAD = 0.4;
 
+	/** Largest share of the remaining time budget that a caller is asked to wait for. */
+	private static final double MAX_BUDGET_SHARE = 0.25;
+
 	private ReturnTime() {
 	}
 
@@ -47,6 +50,23 @@
 				? Math.max(BUSY_MILLIS, pauseMillis.getAsLong()) + spread(BUSY_MILLIS, random) : whenBusy(random);
 	}
 
+	/**
+	 * Return the delay after a refusal because the request would have waited for too
+	 * long. Without further requests, the queue is short enough then for an answer within
+	 * the goal.
+	 * @param expectedMillis the expected time to the first token
+	 * @param bound the goal and the time budget of the request
+	 * @param shareMoreUrgent the share of the requests that are more urgent, which come
+	 * first
+	 * @param random a number from 0 to 1 that differs between callers
+	 * @return the delay in milliseconds, short enough for an attempt within the budget
+	 */
+	public static long whenQueueIsLong(double expectedMillis, WaitBound bound, double shareMoreUrgent, double random) {
+		double drainMillis = Math.max(BUSY_MILLIS, expectedMillis - bound.goalMillis()) * (1 + shareMoreUrgent);
+		double longestMillis = Math.max(BUSY_MILLIS, bound.remainingMillis() * MAX_BUDGET_SHARE);
+		return spread(Math.round(Math.min(drainMillis, longestMillis)), random);
+	}
+
 	private static long spread(long millis, double random) {
 		return Math.round(millis * (1 - SPREAD / 2 + SPREAD * random));
 	}
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -11,9 +11,18 @@
  */
 public final class ServerSelector {
 
-	/** Estimated open requests per slot at which a server counts as full. */
+	/**
+	 * Estimated open requests per slot at which a server counts as full for the most
+	 * urgent requests.
+	 */
 	private static final double MAX_OPEN_PER_SLOT = 1.5;
 
+	/**
+	 * Open requests per slot that are kept for more urgent requests if they are almost
+	 * all of those that callers ask for.
+	 */
+	private static final double RESERVED_PER_SLOT = 0.6;
+
 	private final NodeLocality locality;
 
 	private final DelayEstimator estimator;
@@ -38,27 +47,32 @@
 	 */
 	public Optional<ServerChoice> choose(Collection<KnownServer> servers, RequestNeeds needs, ServicePace pace,
 			Predicate<KnownServer> allowed, long nowMillis) {
-		ServicePace.Snapshot currentPace = pace.at(nowMillis);
+		ServicePace.Snapshot currentPace = pace.at(needs.urgency(), nowMillis);
 		PrefixPlacement placement = PrefixPlacement.of(servers, this.locality.zone(), needs.prompt());
 		long sharedTokens = needs.prompt().sharedTokens();
+		double maxOpenPerSlot = MAX_OPEN_PER_SLOT - RESERVED_PER_SLOT * currentPace.shareMoreUrgent();
 		ServerChoice best = null;
+		boolean bestHasSlot = false;
 		for (KnownServer server : servers) {
-			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server) || isFull(server, nowMillis)) {
+			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server)) {
+				continue;
+			}
+			double openPerSlot = server.load().estimateOpenRequests(nowMillis) / server.slots();
+			if (openPerSlot >= maxOpenPerSlot) {
 				continue;
 			}
 			int rank = placement.rankOf(server);
 			long ownTokens = server.promptCache().estimateCachedTokens(needs.prompt());
 			double cachedTokens = ownTokens + (sharedTokens - ownTokens) * pace.placementTrust().shareOf(rank);
 			ExpectedDelay delay = this.estimator.estimate(server, needs, cachedTokens, currentPace, nowMillis);
-			if (best == null || delay.costMillis() < best.expectedDelayMillis()) {
+			boolean hasSlot = !needs.requiresSlot() || openPerSlot < 1;
+			if (best == null || (hasSlot && !bestHasSlot)
+					|| (hasSlot == bestHasSlot && delay.costMillis() < best.expectedDelayMillis())) {
 				best = new ServerChoice(server, delay, cachedTokens, rank);
+				bestHasSlot = hasSlot;
 			}
 		}
 		return Optional.ofNullable(best);
 	}
 
-	private static boolean isFull(KnownServer server, long nowMillis) {
-		return server.load().estimateOpenRequests(nowMillis) >= server.slots() * MAX_OPEN_PER_SLOT;
-	}
-
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSlowness.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSlowness.java
@@ -14,6 +14,9 @@
 
 	private static final double MAX_FACTOR = 20;
 
+	/** Time by which observations differ for other reasons than the server. */
+	private static final double JITTER_MILLIS = 3;
+
 	/** Observations that the usual speed counts as. */
 	private static final double USUAL_WEIGHT = 2;
 
@@ -53,7 +56,8 @@
 			return;
 		}
 		double kept = decay(nowMillis - this.observedAtMillis, OBSERVATION_DECAY_MILLIS);
-		double ratio = limit(observedMillis / expectedMillis / reported(nowMillis));
+		double usualMillis = expectedMillis * reported(nowMillis);
+		double ratio = limit((observedMillis + JITTER_MILLIS) / (usualMillis + JITTER_MILLIS));
 		kept *= Math.min(1, (MAX_WEIGHT - 1) / Math.max(1, this.observations * kept));
 		this.ratioSum = this.ratioSum * kept + ratio;
 		this.observations = this.observations * kept + 1;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/PromptPlacementTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/PromptPlacementTests.java
@@ -185,7 +185,7 @@
 	@Test
 	void outcomeIsToldFromTheTimeToTheFirstToken() {
 		KnownServer server = this.node.register("s0", 1, 1);
-		ExpectedDelay delay = new ExpectedDelay(20, 15, 0, 0, 0, 500);
+		ExpectedDelay delay = new ExpectedDelay(0, 20, 15, 0, 0, 0, 500);
 		ServerChoice choice = new ServerChoice(server, delay, SHARED_TOKENS, 0);
 		assertThat(CacheOutcome.of(choice, SHARED_TOKENS, 0.01, 40), is(CacheOutcome.HIT));
 		assertThat(CacheOutcome.of(choice, SHARED_TOKENS, 0.01, 90), is(CacheOutcome.MISS));
@@ -196,7 +196,8 @@
 	@Test
 	void halfBelievedPrefixIsToldLikeABelievedOne() {
 		KnownServer server = this.node.register("s0", 1, 1);
-		ServerChoice choice = new ServerChoice(server, new ExpectedDelay(50, 15, 0, 0, 0, 0), SHARED_TOKENS / 2.0, 0);
+		ServerChoice choice = new ServerChoice(server, new ExpectedDelay(0, 50, 15, 0, 0, 0, 0), SHARED_TOKENS / 2.0,
+				0);
 		assertThat(CacheOutcome.of(choice, SHARED_TOKENS, 0.01, 40), is(CacheOutcome.HIT));
 		assertThat(CacheOutcome.of(choice, SHARED_TOKENS, 0.01, 90), is(CacheOutcome.MISS));
 	}
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -13,6 +13,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests of {@link ServerSelector}.
@@ -153,8 +154,112 @@
 		only.load().recordSent(10_000);
 		PromptMetadata prompt = new PromptMetadata(10_000, 10, List.of(new PromptPart("x", 10_000)));
 		ServerChoice choice = chooseServer(prompt).get();
-		assertThat(choice.delay().readMillis(), closeTo(200, 20));
+		assertThat(choice.delay().backlogMillis() + choice.delay().readMillis(), closeTo(200, 20));
 		assertThat(choice.delay().firstTokenMillis(), closeTo(285, 40));
 	}
 
+	private Optional<String> choose(int urgency, boolean repeatable, PromptMetadata prompt) {
+		return this.selector
+			.choose(this.table.ofService("engine"), new RequestNeeds(prompt, urgency, repeatable), this.pace,
+					(server) -> true, NOW)
+			.map((choice) -> choice.server().registration().id());
+	}
+
+	private static PromptMetadata prompt(long tokens) {
+		return new PromptMetadata(tokens, 10, List.of(new PromptPart("x", tokens)));
+	}
+
+	private void ask(int urgency, int count) {
+		for (int i = 0; i < count; i++) {
+			this.pace.urgencyMix().record(urgency, NOW);
+		}
+	}
+
+	private void open(KnownServer server, int count) {
+		for (int i = 0; i < count; i++) {
+			server.load().recordSent(0);
+		}
+	}
+
+	@Test
+	void roomIsKeptForMoreUrgentRequestsWhileTheyAsk() {
+		open(server("only", "z1", 10), 13);
+		assertThat(choose(2, true, prompt(100)), is(Optional.of("only")));
+		ask(0, 50);
+		ask(2, 50);
+		assertThat(choose(2, true, prompt(100)), is(Optional.empty()));
+		assertThat(choose(0, true, prompt(100)), is(Optional.of("only")));
+	}
+
+	@Test
+	void roomIsKeptInProportionToWhatIsAsked() {
+		open(server("only", "z1", 10), 13);
+		ask(0, 10);
+		ask(2, 90);
+		assertThat(choose(2, true, prompt(100)), is(Optional.of("only")));
+	}
+
+	@Test
+	void lessUrgentRequestsAreServedWhileASlotIsFree() {
+		open(server("only", "z1", 10), 8);
+		ask(0, 10_000);
+		assertThat(choose(2, true, prompt(100)), is(Optional.of("only")));
+	}
+
+	@Test
+	void largeAndSmallRequestsOfOneRankHaveTheSameRoom() {
+		KnownServer only = server("only", "z1", 10);
+		ask(0, 50);
+		ask(1, 50);
+		for (int i = 0; i < 15; i++) {
+			assertThat(choose(1, true, prompt(20_000)), is(choose(1, true, prompt(100))));
+			open(only, 1);
+		}
+	}
+
+	@Test
+	void shortUrgentPromptIsNotPlacedBehindALongUnreadOne() {
+		KnownServer first = server("first", "z1", 10);
+		server("second", "z1", 10);
+		first.load().recordSent(12_000);
+		open(this.table.find("second").get(), 6);
+		assertThat(choose(0, false, prompt(800)), is(Optional.of("second")));
+	}
+
+	@Test
+	void requestThatMayNotBeRepeatedGoesWhereASlotIsFree() {
+		open(server("near", "z1", 6), 6);
+		server("away", "z3", 6);
+		assertThat(choose(0, true, PromptMetadata.NONE), is(Optional.of("near")));
+		assertThat(choose(0, false, PromptMetadata.NONE), is(Optional.of("away")));
+	}
+
+	@Test
+	void requestThatMayNotBeRepeatedIsServedIfNoSlotIsFree() {
+		open(server("near", "z1", 6), 6);
+		open(server("away", "z3", 6), 7);
+		assertThat(choose(0, false, PromptMetadata.NONE), is(Optional.of("near")));
+	}
+
+	@Test
+	void serverThatShedARequestIsNotSentTheNextOne() {
+		KnownServer near = server("near", "z1", 6);
+		server("away", "z3", 6);
+		near.load().recordFull(6, 80, NOW);
+		assertThat(choose(0, false, PromptMetadata.NONE), is(Optional.of("away")));
+	}
+
+	// A node that stalled for a moment blamed the server and refused what came next.
+	@Test
+	void shortRequestsAtASlowServerAreNotExpectedToWaitLong() {
+		KnownServer only = server("only", "z1", 200);
+		for (int i = 0; i < 100; i++) {
+			this.pace.slotTime().record(1);
+			only.slowness().recordObservation(1, 100, NOW);
+		}
+		open(only, 30);
+		ServerChoice choice = chooseServer(PromptMetadata.NONE).get();
+		assertThat(choice.delay().waitMillis(), lessThan(20.0));
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
@@ -121,6 +121,7 @@
 	CacheOutcome recordFirstToken(long nowMillis) {
 		this.startedAtMillis = nowMillis;
 		long elapsedMillis = nowMillis - this.sentAtMillis;
+		this.pace.predictionError().record(this.choice.delay().firstTokenMillis(), elapsedMillis);
 		boolean fewShared = this.prompt.sharedTokens() <= this.unreadTokens * MAX_SHARED_FRACTION;
 		if (this.readAtOnce && fewShared) {
 			this.pace.promptSpeed().record(this.unreadTokens, elapsedMillis, nowMillis);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -21,6 +21,8 @@
 import io.flamingogap.core.servers.RequestNeeds;
 import io.flamingogap.core.servers.ReturnTime;
 import io.flamingogap.core.servers.ServerChoice;
+import io.flamingogap.core.servers.ServicePace;
+import io.flamingogap.core.servers.WaitBound;
 import io.flamingogap.core.serving.BackendService;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.EngineProfile;
@@ -99,6 +101,7 @@
 
 	void start() {
 		this.dependencies.metrics().requestOpened(this.bodyBytes);
+		pace().urgencyMix().record(urgency(), nowMillis());
 		this.dependencies.demandTracker().requestOpened(this.service, this.request.prompt(), nowMillis());
 		this.deadlineTimer = this.dependencies.eventLoop()
 			.schedule(this::onDeadline, this.attempt.remainingMillis(nowMillis()), TimeUnit.MILLISECONDS);
@@ -116,6 +119,10 @@
 			fail("no server of service " + this.service + " can take the request (" + cause + ")");
 			return;
 		}
+		if (isWaitTooLong(choice.get(), nowMillis)) {
+			refuseForWait(choice.get(), cause, nowMillis);
+			return;
+		}
 		if (this.attempt.isNextDispatchRetry() && !this.callbacks.trySpendRetry().getAsBoolean()) {
 			fail("the retry budget of service " + this.service + " is used up (" + cause + ")");
 			return;
@@ -136,8 +143,42 @@
 	private Optional<ServerChoice> selectServer(long nowMillis) {
 		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
 		return this.dependencies.serverSelector()
-			.choose(this.dependencies.servers().ofService(this.service), needs(),
-					this.dependencies.servers().paceOf(this.service), untried.and(this.versionFilter), nowMillis);
+			.choose(this.dependencies.servers().ofService(this.service), needs(), pace(),
+					untried.and(this.versionFilter), nowMillis);
+	}
+
+	private boolean isWaitTooLong(ServerChoice choice, long nowMillis) {
+		return !this.attempt.mayHaveRun() && !this.callerExchange.hasResponseBegun() && waitBound(nowMillis)
+			.isExceeded(choice.delay(), pace().predictionError().ratio(), shareMoreUrgent(nowMillis));
+	}
+
+	private void refuseForWait(ServerChoice choice, String cause, long nowMillis) {
+		double expectedMillis = choice.delay().firstTokenMillis() * pace().predictionError().ratio();
+		WaitBound bound = waitBound(nowMillis);
+		this.dependencies.metrics().increment("refused.wait." + urgency());
+		logger.atInfo()
+			.log("%s",
+					logLine("wait too long").with("server", choice.server().registration().id())
+						.with("expectedMillis", Math.round(expectedMillis))
+						.with("waitMillis", Math.round(choice.delay().waitMillis()))
+						.with("limitMillis", Math.round(bound.limitMillis(shareMoreUrgent(nowMillis))))
+						.with("urgency", urgency()));
+		fail("the first token is expected after " + Math.round(expectedMillis) + " ms (" + cause + ")",
+				ReturnTime.whenQueueIsLong(expectedMillis, bound, shareMoreUrgent(nowMillis),
+						this.dependencies.random().nextDouble()));
+	}
+
+	private WaitBound waitBound(long nowMillis) {
+		return new WaitBound(this.attempt.route().latencyTargetMillis(), this.attempt.elapsedMillis(nowMillis),
+				this.attempt.remainingMillis(nowMillis));
+	}
+
+	private double shareMoreUrgent(long nowMillis) {
+		return pace().urgencyMix().shareMoreUrgentThan(urgency(), nowMillis);
+	}
+
+	private ServicePace pace() {
+		return this.dependencies.servers().paceOf(this.service);
 	}
 
 	private Optional<EngineProfile> engine() {
@@ -221,6 +262,10 @@
 	}
 
 	private void fail(String reason) {
+		fail(reason, returnMillis());
+	}
+
+	private void fail(String reason, long returnMillis) {
 		if (this.finished) {
 			return;
 		}
@@ -231,7 +276,7 @@
 		Failure failure = this.attempt.failure(reason, nowMillis());
 		boolean notRun = failure.execution() == Execution.NOT_RUN;
 		finish("request failed", failure.type().status(), reason);
-		this.callerExchange.fail(failure, notRun ? returnMillis() : -1);
+		this.callerExchange.fail(failure, notRun ? returnMillis : -1);
 	}
 
 	private long returnMillis() {
