--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/CacheOutcome.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/CacheOutcome.java
@@ -36,7 +36,7 @@
 		double hitMillis = choice.delay().firstTokenMillis() - (sharedTokens - choice.cachedTokens()) * millisPerToken;
 		double missMillis = hitMillis + sharedMillis;
 		if (sharedMillis < MIN_MILLIS || sharedMillis < missMillis * MIN_SHARE
-				|| observedMillis > missMillis + sharedMillis) {
+				|| observedMillis > missMillis + sharedMillis / 2) {
 			return UNCLEAR;
 		}
 		return (observedMillis < hitMillis + sharedMillis / 2) ? HIT : MISS;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -63,7 +63,8 @@
 			}
 			int rank = placement.rankOf(server);
 			long ownTokens = server.promptCache().estimateCachedTokens(needs.prompt());
-			double cachedTokens = ownTokens + (sharedTokens - ownTokens) * pace.placementTrust().shareOf(rank);
+			double cachedTokens = Math.max(ownTokens * pace.placementTrust().sentShare(),
+					sharedTokens * pace.placementTrust().shareOf(rank));
 			ExpectedDelay delay = this.estimator.estimate(server, needs, cachedTokens, currentPace, nowMillis);
 			boolean hasSlot = !needs.requiresSlot() || openPerSlot < 1;
 			if (best == null || (hasSlot && !bestHasSlot)
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSlowness.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSlowness.java
@@ -12,7 +12,7 @@
 
 	private static final double MIN_FACTOR = 0.1;
 
-	private static final double MAX_FACTOR = 20;
+	private static final double MAX_FACTOR = 8;
 
 	/** Time by which observations differ for other reasons than the server. */
 	private static final double JITTER_MILLIS = 3;
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/PromptPlacementTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/PromptPlacementTests.java
@@ -208,6 +208,26 @@
 		assertThat(this.node.chooseServer(prompt("aa", "x")).cachedTokens(), greaterThan(SHARED_TOKENS * 0.7));
 	}
 
+	// Two copies were kept for ever, and the node's other prefixes evicted for it.
+	@Test
+	void firstServerIsUsedAgainWhenItIsNoLongerBusy() {
+		KnownServer first = this.node.choose(prompt("aa", "x"));
+		first.load().recordSent(4 * SHARED_TOKENS);
+		KnownServer second = this.node.choose(prompt("aa", "y"));
+		second.promptCache().record(prompt("aa", "y"));
+		second.load().recordSent(1_000);
+		first.load().recordPromptRead(4 * SHARED_TOKENS);
+		first.load().recordEnd();
+		assertThat(this.node.choose(prompt("aa", "z")), is(first));
+	}
+
+	@Test
+	void momentOfSlownessIsNotTakenForAMiss() {
+		KnownServer server = this.node.register("s0", 1, 1);
+		ServerChoice choice = new ServerChoice(server, new ExpectedDelay(0, 65, 15, 0, 0, 0, 0), SHARED_TOKENS, 0);
+		assertThat(CacheOutcome.of(choice, SHARED_TOKENS, 0.01, 2.5 * 80), is(CacheOutcome.UNCLEAR));
+	}
+
 	/** What one node of the zone knows. */
 	private static final class Node {
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/DispatchedPrompt.java
@@ -144,8 +144,11 @@
 		if (this.lastUse == PromptCacheEstimate.NO_USE) {
 			this.pace.placementTrust().record(this.choice.placementRank(), outcome == CacheOutcome.HIT);
 		}
-		else if (outcome == CacheOutcome.MISS) {
-			this.server.promptCache().recordMiss(this.lastUse);
+		else {
+			this.pace.placementTrust().recordSent(outcome == CacheOutcome.HIT);
+			if (outcome == CacheOutcome.MISS) {
+				this.server.promptCache().recordMiss(this.lastUse);
+			}
 		}
 		return outcome;
 	}
