--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/KnownServer.java
@@ -1,8 +1,8 @@
 package io.flamingogap.core.servers;
 
 /**
- * Registered backend server, with its load, health and prompt cache as estimated by this
- * node.
+ * Registered backend server, with its load, health, slowness and prompt cache as
+ * estimated by this node.
  * <p>
  * Not thread-safe.
  */
@@ -14,8 +14,12 @@
 
 	private final ServerHealth health = new ServerHealth();
 
+	private final ServerSlowness slowness = new ServerSlowness();
+
 	private final PromptCacheEstimate promptCache = new PromptCacheEstimate();
 
+	private int reportedSlots = Integer.MAX_VALUE;
+
 	private ServerRegistration registration;
 
 	private ServerRun run;
@@ -87,6 +91,24 @@
 		return this.registration;
 	}
 
+	/**
+	 * Record the number of slots that the server reported in an answer.
+	 * @param slots the number; ignored unless positive
+	 */
+	public void recordReportedSlots(int slots) {
+		if (slots > 0) {
+			this.reportedSlots = slots;
+		}
+	}
+
+	/**
+	 * Return the number of requests that the server runs concurrently.
+	 * @return the registered number, or the reported one if it is less
+	 */
+	public int slots() {
+		return Math.min(this.registration.slots(), this.reportedSlots);
+	}
+
 	/**
 	 * Return the estimated load of the server.
 	 * @return the live estimate, updated by its callers
@@ -103,6 +125,14 @@
 		return this.health;
 	}
 
+	/**
+	 * Return how much slower the server is than is usual in its service.
+	 * @return the live estimate, updated by its callers
+	 */
+	public ServerSlowness slowness() {
+		return this.slowness;
+	}
+
 	/**
 	 * Return the estimate of the server's prompt cache.
 	 * @return the live estimate, updated by its callers
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -1,144 +1,79 @@
 package io.flamingogap.core.servers;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
- * Selects the backend server with the least expected delay for a request. Prompts with
- * the same shared prefix prefer the same server of a zone, so that only its prompt cache
- * has to be filled. All nodes derive this server from the id of the prefix's last part.
+ * Selects the backend server with the least expected delay for a request. What a server
+ * has cached of the prompt is weighed as the time that reading it would take; see
+ * {@link PrefixPlacement} for what is expected of servers that other nodes use.
  */
 public final class ServerSelector {
 
 	/**
-	 * Delay that each open request of a server adds to a new one, as the engine processes
-	 * them in one batch.
+	 * Estimated open requests per slot at which a server counts as full for the most
+	 * urgent requests.
 	 */
-	private static final double OPEN_REQUEST_COST_MILLIS = 2;
-
-	/** Delay that each request waiting for a slot adds to a new one. */
-	private static final double WAITING_COST_MILLIS = 40;
-
-	/** Delay added for a server that fails all of its requests. */
-	private static final double FAILURE_COST_MILLIS = 1_500;
+	private static final double MAX_OPEN_PER_SLOT = 1.5;
 
 	/**
-	 * Delay added for a server whose registration ended while the store was disrupted.
+	 * Open requests per slot that are kept for more urgent requests if they are almost
+	 * all of those that callers ask for.
 	 */
-	private static final double SUSPECT_COST_MILLIS = 200;
-
-	/** Delay added for a server that couldn't be reached a short time ago. */
-	private static final double UNREACHABLE_COST_MILLIS = 5_000;
-
-	/** Estimated open requests per slot at which a server counts as full. */
-	private static final double MAX_OPEN_PER_SLOT = 1.5;
+	private static final double RESERVED_PER_SLOT = 0.6;
 
 	private final NodeLocality locality;
 
+	private final DelayEstimator estimator;
+
 	/**
 	 * Create a selector.
 	 * @param locality the location of this node
 	 */
 	public ServerSelector(NodeLocality locality) {
 		this.locality = locality;
+		this.estimator = new DelayEstimator(locality);
 	}
 
 	/**
 	 * Select a server for a request.
 	 * @param servers the servers of the service
-	 * @param prompt the prompt; {@link PromptMetadata#NONE} for requests without one
-	 * @param speed the speed at which the servers read prompts
+	 * @param needs what the request asks for
+	 * @param pace the usual speed of the service's servers
 	 * @param allowed accepts the servers that may get the request
 	 * @param nowMillis the current time of a monotonic clock, in milliseconds
 	 * @return the server; empty if none is allowed, takes requests and has capacity left
 	 */
-	public Optional<KnownServer> choose(Collection<KnownServer> servers, PromptMetadata prompt, PromptSpeed speed,
+	public Optional<ServerChoice> choose(Collection<KnownServer> servers, RequestNeeds needs, ServicePace pace,
 			Predicate<KnownServer> allowed, long nowMillis) {
-		double tokensPerMilli = speed.tokensPerMilli(nowMillis);
-		String preferredId = findPreferredServer(servers, prompt);
-		KnownServer best = null;
-		double bestMillis = Double.MAX_VALUE;
+		ServicePace.Snapshot currentPace = pace.at(needs.urgency(), nowMillis);
+		PrefixPlacement placement = PrefixPlacement.of(servers, this.locality.zone(), needs.prompt());
+		long sharedTokens = needs.prompt().sharedTokens();
+		double maxOpenPerSlot = MAX_OPEN_PER_SLOT - RESERVED_PER_SLOT * currentPace.shareMoreUrgent();
+		ServerChoice best = null;
+		boolean bestHasSlot = false;
 		for (KnownServer server : servers) {
-			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server) || isFull(server, nowMillis)) {
+			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server)) {
 				continue;
 			}
-			double costMillis = costMillis(server, prompt, server.registration().id().equals(preferredId),
-					tokensPerMilli, nowMillis);
-			if (costMillis < bestMillis) {
-				best = server;
-				bestMillis = costMillis;
+			double openPerSlot = server.load().estimateOpenRequests(nowMillis) / server.slots();
+			if (openPerSlot >= maxOpenPerSlot) {
+				continue;
 			}
-		}
-		return Optional.ofNullable(best);
-	}
-
-	private static boolean isFull(KnownServer server, long nowMillis) {
-		return server.load().estimateOpenRequests(nowMillis) >= server.registration().slots() * MAX_OPEN_PER_SLOT;
-	}
-
-	private double costMillis(KnownServer server, PromptMetadata prompt, boolean isPreferred, double tokensPerMilli,
-			long nowMillis) {
-		ServerLoad load = server.load();
-		double open = load.estimateOpenRequests(nowMillis);
-		double requestsOverSlots = Math.max(0, open + 1 - server.registration().slots());
-		long sharedTokens = prompt.sharedTokens();
-		// The preferred server is expected to have the whole shared prefix cached.
-		long cachedTokens = isPreferred ? sharedTokens : server.promptCache().estimateCachedTokens(prompt);
-		double readMillis = (load.estimateUnreadTokens(nowMillis) + Math.max(0, prompt.promptTokens() - cachedTokens))
-				/ tokensPerMilli;
-		return readMillis + open * OPEN_REQUEST_COST_MILLIS
-				+ (requestsOverSlots + load.estimateWaiting(nowMillis)) * WAITING_COST_MILLIS
-				+ server.health().failureShare(nowMillis) * FAILURE_COST_MILLIS
-				+ (server.isSuspect() ? SUSPECT_COST_MILLIS : 0) + server.run().pause().returnCostMillis(nowMillis)
-				+ (server.health().isAvoided(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
-				+ this.locality.distanceTo(server.registration().zone()).costMillis();
-	}
-
-	/**
-	 * Find the server of this zone that is to cache a prompt's shared prefix, by
-	 * rendezvous hashing of the id of the prefix's last part. It may not have the prefix
-	 * cached yet.
-	 * @param servers the servers of the service
-	 * @param prompt the prompt
-	 * @return the id of the server; an empty string if the prompt has no shared prefix or
-	 * the zone has no server that takes requests
-	 */
-	private String findPreferredServer(Collection<KnownServer> servers, PromptMetadata prompt) {
-		List<PromptPart> shared = prompt.sharedPrefix();
-		if (shared.isEmpty()) {
-			return "";
-		}
-		String partId = shared.get(shared.size() - 1).id();
-		String preferredId = "";
-		int highestWeight = Integer.MIN_VALUE;
-		for (KnownServer server : servers) {
-			ServerRegistration registration = server.registration();
-			if (registration.zone().equals(this.locality.zone()) && server.takesRequests()) {
-				int weight = mix(partId.hashCode() * 31 + registration.id().hashCode());
-				if (weight >= highestWeight) {
-					highestWeight = weight;
-					preferredId = registration.id();
-				}
+			int rank = placement.rankOf(server);
+			long ownTokens = server.promptCache().estimateCachedTokens(needs.prompt());
+			double cachedTokens = Math.max(ownTokens * pace.placementTrust().sentShare(),
+					sharedTokens * pace.placementTrust().shareOf(rank));
+			ExpectedDelay delay = this.estimator.estimate(server, needs, cachedTokens, currentPace, nowMillis);
+			boolean hasSlot = !needs.requiresSlot() || openPerSlot < 1;
+			if (best == null || (hasSlot && !bestHasSlot)
+					|| (hasSlot == bestHasSlot && delay.costMillis() < best.expectedDelayMillis())) {
+				best = new ServerChoice(server, delay, cachedTokens, rank);
+				bestHasSlot = hasSlot;
 			}
 		}
-		return preferredId;
-	}
-
-	/**
-	 * Mix the bits of a value with the finalizer of MurmurHash3, so that each input bit
-	 * affects every bit of the result.
-	 * @param value the value to mix
-	 * @return the mixed value
-	 */
-	private static int mix(int value) {
-		int mixed = value;
-		mixed ^= mixed >>> 16;
-		mixed *= 0x85ebca6b;
-		mixed ^= mixed >>> 13;
-		mixed *= 0xc2b2ae35;
-		return mixed ^ (mixed >>> 16);
+		return Optional.ofNullable(best);
 	}
 
 }
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/PlacementRulesPropertyTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/PlacementRulesPropertyTests.java
@@ -76,10 +76,13 @@
 			}
 			AllowedRegions boundByRoute = ofRoute;
 			AllowedRegions boundByAccount = admittedAccount.isPresent() ? ofAccount : AllowedRegions.ALL;
-			Optional<KnownServer> chosen = selector.choose(servers.ofService("desk"), PromptMetadata.NONE,
-					servers.promptSpeedOf("desk"), rules.serversFor(current, admittedRoute, admittedAccount)
-						.and((server) -> !tried.contains(server.registration().id())),
-					dispatch);
+			Optional<KnownServer> chosen = selector
+				.choose(servers.ofService("desk"), new RequestNeeds(PromptMetadata.NONE, 0, true),
+						servers.paceOf("desk"),
+						rules.serversFor(current, admittedRoute, admittedAccount)
+							.and((server) -> !tried.contains(server.registration().id())),
+						dispatch)
+				.map(ServerChoice::server);
 			boolean anyAllowed = servers.ofService("desk")
 				.stream()
 				.anyMatch((server) -> !tried.contains(server.registration().id())
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/BackendDispatch.java
@@ -12,8 +12,10 @@
 
 import io.flamingogap.core.attempt.DispatchOutcome;
 import io.flamingogap.core.limits.HeldBytes;
+import io.flamingogap.core.servers.CacheOutcome;
 import io.flamingogap.core.servers.ColdStartLimiter.Permit;
 import io.flamingogap.core.servers.KnownServer;
+import io.flamingogap.core.servers.ServerChoice;
 import io.flamingogap.core.serving.ClientAccount;
 import io.flamingogap.core.serving.RequestKind;
 import io.flamingogap.gateway.backends.BackendCall;
@@ -49,6 +51,8 @@
 
 	private final RelayedRequest relayedRequest;
 
+	private final ServerChoice choice;
+
 	private final KnownServer server;
 
 	private final long sentAtMillis;
@@ -71,15 +75,17 @@
 
 	private boolean closed;
 
-	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, KnownServer server,
+	BackendDispatch(RelayDependencies dependencies, RelayedRequest relayedRequest, ServerChoice choice,
 			long sentAtMillis) {
 		this.dependencies = dependencies;
 		this.relayedRequest = relayedRequest;
-		this.server = server;
+		this.choice = choice;
+		this.server = choice.server();
 		this.sentAtMillis = sentAtMillis;
-		this.prompt = new DispatchedPrompt(server, relayedRequest.request().prompt(), dependencies.loadListener(),
+		this.prompt = new DispatchedPrompt(choice, relayedRequest.request().prompt(),
+				dependencies.servers().paceOf(choice.server().registration().service()), dependencies.loadListener(),
 				sentAtMillis);
-		this.progress = new AnswerProgress(dependencies.requestGuard(), server.registration(),
+		this.progress = new AnswerProgress(dependencies.requestGuard(), this.server.registration(),
 				relayedRequest.guardedRequest(), this::onQuarantined);
 	}
 
@@ -108,6 +114,9 @@
 	private LogLine dispatchLogLine(long remainingMillis) {
 		return this.relayedRequest.logLine("dispatched")
 			.with("openEstimate", Math.round(this.server.load().estimateOpenRequests(this.sentAtMillis)))
+			.with("expectedMillis", Math.round(this.choice.delay().firstTokenMillis()))
+			.with("cachedTokens", Math.round(this.choice.cachedTokens()))
+			.with("slownessPercent", Math.round(PERCENT * this.server.slowness().factor(this.sentAtMillis)))
 			.with("unreadTokens", this.server.load().estimateUnreadTokens(this.sentAtMillis))
 			.with("failurePercent", Math.round(PERCENT * this.server.health().failureShare(this.sentAtMillis)))
 			.with("doubtful", this.server.isSuspect())
@@ -194,6 +203,12 @@
 			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT, RelayedRequest.QUARANTINED);
 			return false;
 		}
+		if (this.relayedRequest.attempt().remainingMillis(nowMillis()) == 0) {
+			close();
+			this.relayedRequest.retryOrFail(DispatchOutcome.NOT_SENT,
+					"the deadline passed while the connection was opened");
+			return false;
+		}
 		String cause = "cold";
 		if (!this.relayedRequest.mayBePlacedOn(this.server)) {
 			cause = "barred";
@@ -271,6 +286,19 @@
 		this.dependencies.metrics().recordLatency("first", this.relayedRequest.attempt().elapsedMillis(nowMillis()));
 	}
 
+	private void recordPrediction(CacheOutcome outcome) {
+		RelayMetrics metrics = this.dependencies.metrics();
+		double expectedMillis = this.choice.delay().firstTokenMillis();
+		long lateMillis = Math.round(nowMillis() - this.sentAtMillis - expectedMillis);
+		metrics.recordLatency("first.expected", Math.round(expectedMillis));
+		metrics.recordLatency((lateMillis > 0) ? "first.later" : "first.earlier", Math.abs(lateMillis));
+		if (outcome != CacheOutcome.UNCLEAR) {
+			String belief = (this.choice.cachedTokens() * 2 > this.relayedRequest.request().prompt().sharedTokens())
+					? "believed" : "unknown";
+			metrics.increment("cache." + belief + ((outcome == CacheOutcome.HIT) ? ".hit" : ".miss"));
+		}
+	}
+
 	private boolean isStreaming() {
 		return this.relayedRequest.attempt().route().kind() == RequestKind.STREAM && this.responseHead != null
 				&& this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -334,8 +362,7 @@
 		if (!this.prompt.isReleased()) {
 			// This is the first event of the stream from this server.
 			recordStart(0);
-			this.prompt.recordSpeed(this.dependencies.servers().promptSpeedOf(this.server.registration().service()),
-					nowMillis());
+			recordPrediction(this.prompt.recordFirstToken(nowMillis()));
 			this.observation.onAnswer(nowMillis());
 		}
 		this.progress.recordEvents(nowMillis());
@@ -428,6 +455,7 @@
 			this.server.health().recordSuccess(nowMillis);
 			if (this.responseHead != null && this.responseHead.status().codeClass() == HttpStatusClass.SUCCESS) {
 				this.progress.recordCompletion();
+				this.prompt.recordAnswered(nowMillis);
 			}
 		}
 		if (failed) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -18,8 +18,14 @@
 import io.flamingogap.core.error.Failure;
 import io.flamingogap.core.servers.KnownServer;
 import io.flamingogap.core.servers.PromptPart;
+import io.flamingogap.core.servers.RequestNeeds;
 import io.flamingogap.core.servers.ReturnTime;
+import io.flamingogap.core.servers.ServerChoice;
+import io.flamingogap.core.servers.ServicePace;
+import io.flamingogap.core.servers.WaitBound;
+import io.flamingogap.core.serving.BackendService;
 import io.flamingogap.core.serving.ClientAccount;
+import io.flamingogap.core.serving.EngineProfile;
 import io.flamingogap.gateway.callers.CallerConnectionListener;
 import io.flamingogap.gateway.callers.CallerExchange;
 import io.flamingogap.gateway.callers.CallerRequest;
@@ -38,7 +44,7 @@
 	static final String QUARANTINED = "the request, or a part of its prompt, crashes servers";
 
 	/**
-	 * The least urgent value that is sent; 0 is served first. Values above this one are
+	 * The least urgent rank that is sent; 0 is served first. Values above this one are
 	 * reserved for requests that may wait.
 	 */
 	private static final int LOWEST_URGENCY = 9;
@@ -95,6 +101,7 @@
 
 	void start() {
 		this.dependencies.metrics().requestOpened(this.bodyBytes);
+		pace().urgencyMix().record(urgency(), nowMillis());
 		this.dependencies.demandTracker().requestOpened(this.service, this.request.prompt(), nowMillis());
 		this.deadlineTimer = this.dependencies.eventLoop()
 			.schedule(this::onDeadline, this.attempt.remainingMillis(nowMillis()), TimeUnit.MILLISECONDS);
@@ -108,8 +115,8 @@
 		}
 		long nowMillis = nowMillis();
 		ensureVersionIsPlaced();
-		Optional<KnownServer> server = selectServer(nowMillis);
-		if (server.isEmpty()) {
+		Optional<ServerChoice> choice = selectServer(nowMillis);
+		if (choice.isEmpty()) {
 			boolean isPlaced = this.dependencies.servers().ofService(this.service).stream().anyMatch(placementFilter());
 			if (!isPlaced) {
 				this.dependencies.metrics().increment("unplaced.503");
@@ -119,11 +126,16 @@
 					+ ")");
 			return;
 		}
+		if (isWaitTooLong(choice.get(), nowMillis)) {
+			refuseForWait(choice.get(), cause, nowMillis);
+			return;
+		}
 		if (this.attempt.isNextDispatchRetry() && !this.callbacks.trySpendRetry().getAsBoolean()) {
 			fail("the retry budget of service " + this.service + " is used up (" + cause + ")");
 			return;
 		}
-		this.currentDispatch = new BackendDispatch(this.dependencies, this, server.get(), nowMillis);
+		engine().ifPresent((engine) -> choice.get().server().promptCache().setMemoryTokens(engine.cacheTokens()));
+		this.currentDispatch = new BackendDispatch(this.dependencies, this, choice.get(), nowMillis);
 		this.currentDispatch.send();
 	}
 
@@ -135,11 +147,10 @@
 		return this.dependencies.requestGuard().isQuarantined(this.guardedRequest);
 	}
 
-	private Optional<KnownServer> selectServer(long nowMillis) {
+	private Optional<ServerChoice> selectServer(long nowMillis) {
 		Predicate<KnownServer> untried = (server) -> !this.attempt.hasTried(server.registration().id());
 		return this.dependencies.serverSelector()
-			.choose(this.dependencies.servers().ofService(this.service), this.request.prompt(),
-					this.dependencies.servers().promptSpeedOf(this.service),
+			.choose(this.dependencies.servers().ofService(this.service), needs(), pace(),
 					untried.and(this.versionFilter).and(placementFilter()).and(mayBeSentNow(nowMillis)), nowMillis);
 	}
 
@@ -177,9 +188,54 @@
 		return (server) -> this.dependencies.coldStartGate().mayBeChosen(server.registration(), rank, nowMillis);
 	}
 
+	private boolean isWaitTooLong(ServerChoice choice, long nowMillis) {
+		return !this.attempt.mayHaveRun() && !this.callerExchange.hasResponseBegun() && waitBound(nowMillis)
+			.isExceeded(choice.delay(), pace().predictionError().ratio(), shareMoreUrgent(nowMillis));
+	}
+
+	private void refuseForWait(ServerChoice choice, String cause, long nowMillis) {
+		double expectedMillis = choice.delay().firstTokenMillis() * pace().predictionError().ratio();
+		WaitBound bound = waitBound(nowMillis);
+		this.dependencies.metrics().increment("refused.wait." + urgency());
+		logger.atInfo()
+			.log("%s",
+					logLine("wait too long").with("server", choice.server().registration().id())
+						.with("expectedMillis", Math.round(expectedMillis))
+						.with("waitMillis", Math.round(choice.delay().waitMillis()))
+						.with("limitMillis", Math.round(bound.limitMillis(shareMoreUrgent(nowMillis))))
+						.with("urgency", urgency()));
+		fail("the first token is expected after " + Math.round(expectedMillis) + " ms (" + cause + ")",
+				ReturnTime.whenQueueIsLong(expectedMillis, bound, shareMoreUrgent(nowMillis),
+						this.dependencies.random().nextDouble()));
+	}
+
+	private WaitBound waitBound(long nowMillis) {
+		return new WaitBound(this.attempt.route().latencyTargetMillis(), this.attempt.elapsedMillis(nowMillis),
+				this.attempt.remainingMillis(nowMillis));
+	}
+
+	private double shareMoreUrgent(long nowMillis) {
+		return pace().urgencyMix().shareMoreUrgentThan(urgency(), nowMillis);
+	}
+
+	private ServicePace pace() {
+		return this.dependencies.servers().paceOf(this.service);
+	}
+
+	private Optional<EngineProfile> engine() {
+		return this.dependencies.config()
+			.current()
+			.flatMap((config) -> config.findService(this.service))
+			.flatMap(BackendService::engine);
+	}
+
+	private RequestNeeds needs() {
+		return new RequestNeeds(this.request.prompt(), urgency(), this.attempt.route().isRepeatable());
+	}
+
 	/**
-	 * Return the rank of the request among those that wait for a server.
-	 * @return the priority of the account, or else of the route; 0 is the most urgent
+	 * Return the rank of the request: that of its account, or else that of its route.
+	 * @return a number from 0, the most urgent, to {@value #LOWEST_URGENCY}
 	 */
 	int urgency() {
 		int priority = this.account.flatMap((found) -> found.priority().stream().boxed().findFirst())
@@ -247,6 +303,10 @@
 	}
 
 	private void fail(String reason) {
+		fail(reason, returnMillis());
+	}
+
+	private void fail(String reason, long returnMillis) {
 		if (this.finished) {
 			return;
 		}
@@ -257,7 +317,7 @@
 		Failure failure = this.attempt.failure(reason, nowMillis());
 		boolean notRun = failure.execution() == Execution.NOT_RUN;
 		finish("request failed", failure.type().status(), reason);
-		this.callerExchange.fail(failure, notRun ? returnMillis() : -1);
+		this.callerExchange.fail(failure, notRun ? returnMillis : -1);
 	}
 
 	private long returnMillis() {
