--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -158,7 +158,7 @@
 		this.dependencies.metrics().increment("refused.wait." + urgency());
 		logger.atInfo()
 			.log("%s",
-					logLine("wait too long").with("server", choice.server().registration().id())
+					logLine("wait too long").with("bestServer", choice.server().registration().id())
 						.with("expectedMillis", Math.round(expectedMillis))
 						.with("waitMillis", Math.round(choice.delay().waitMillis()))
 						.with("limitMillis", Math.round(bound.limitMillis(shareMoreUrgent(nowMillis))))
