--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetQuotas.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetQuotas.java
@@ -27,6 +27,15 @@
 	/** How long to wait for the answer of a holder before the next one is asked. */
 	static final long ANSWER_TIMEOUT_MILLIS = 80;
 
+	/**
+	 * A timer that runs later than this shows that this process did not run. What arrived
+	 * meanwhile is read first.
+	 */
+	private static final long MAX_TIMER_DELAY_MILLIS = 20;
+
+	/** How long what has arrived is read before a late timer counts. */
+	private static final long READ_MILLIS = 5;
+
 	/** How long a holder that didn't answer is asked last. */
 	private static final long AVOID_MILLIS = 1_000;
 
@@ -296,7 +305,14 @@
 			}
 			this.open.put(id, question);
 			FleetQuotas.this.peers.send(holder.node(), new QuotaMessage.Charge(id, inquiry.account().name(), units));
-			FleetQuotas.this.peers.schedule(ANSWER_TIMEOUT_MILLIS, (laterMillis) -> onTimeout(question, laterMillis));
+			FleetQuotas.this.peers.schedule(ANSWER_TIMEOUT_MILLIS, (laterMillis) -> {
+				if (laterMillis - nowMillis > ANSWER_TIMEOUT_MILLIS + MAX_TIMER_DELAY_MILLIS) {
+					FleetQuotas.this.peers.schedule(READ_MILLIS, (readMillis) -> onTimeout(question, readMillis));
+				}
+				else {
+					onTimeout(question, laterMillis);
+				}
+			});
 		}
 
 		private void onTimeout(OpenQuestion question, long nowMillis) {
--- a/flamingogap-core/src/test/java/io/flamingogap/core/quota/FleetQuotasTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/quota/FleetQuotasTests.java
@@ -315,6 +315,20 @@
 		assertThat(decisions.get(0).isAdmitted(), is(true));
 	}
 
+	// A node that was short of processor time took answers that it had not read for
+	// missing.
+	@Test
+	void answerThatArrivedWhileTheNodeDidNotRunCounts() {
+		RecordingPeers peers = new RecordingPeers();
+		FleetQuotas asker = createAsker(peers);
+		List<QuotaDecision> decisions = new ArrayList<>();
+		asker.admit(ACCOUNT, LONG_PROMPT, (decision, charge) -> decisions.add(decision), 0);
+		peers.runLate(300);
+		asker.receive("a", new QuotaMessage.Verdict(peers.lastCharge().id(), true, 0, 0, 0), 301);
+		assertThat(decisions.get(0).isAdmitted(), is(true));
+		assertThat("no other holder was asked", peers.sent.size(), is(1));
+	}
+
 	@Test
 	void unitsThatNoSingleHolderHasAreCollected() {
 		RecordingPeers peers = new RecordingPeers();
@@ -400,6 +414,15 @@
 			return this.nowMillis;
 		}
 
+		/**
+		 * Run the next tasks when they are long due.
+		 * @param lateMillis the time at which they run
+		 */
+		private void runLate(long lateMillis) {
+			this.nowMillis = lateMillis;
+			this.tasks.pollFirstEntry().getValue().forEach((task) -> task.accept(lateMillis));
+		}
+
 		private QuotaMessage.Charge lastCharge() {
 			return (QuotaMessage.Charge) this.sent.get(this.sent.size() - 1);
 		}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/QuotaExchange.java
@@ -71,6 +71,8 @@
 
 	private OptionalLong previousRunReports = OptionalLong.empty();
 
+	private boolean updated;
+
 	private long updatedConfigVersion = Long.MIN_VALUE;
 
 	private long lastUpdateMillis;
@@ -148,7 +150,17 @@
 			.peers()
 			.ifPresent((own) -> reports.forEach((report) -> this.peerAddresses.put(report.node().name(),
 					new Address(report.callerAddress().host(), own.port()))));
-		this.quotas.update(members, current.get().accounts(), holdingStart(), nowMillis);
+		HoldingStart start = holdingStart();
+		if (!this.updated) {
+			this.updated = true;
+			logger.atInfo()
+				.log("%s",
+						LogLine.of("quotas taken up")
+							.with("start", start.name())
+							.with("nodes", members.size())
+							.with("reportsOfPreviousRun", this.previousRunReports.orElse(0)));
+		}
+		this.quotas.update(members, current.get().accounts(), start, nowMillis);
 	}
 
 	private HoldingStart holdingStart() {
