--- a/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetQuotas.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/quota/FleetQuotas.java
@@ -24,21 +24,9 @@
  */
 public final class FleetQuotas {
 
-	/**
-	 * How long to wait for the answer of a holder before the next one is asked, unless
-	 * answers take longer.
-	 */
+	/** How long to wait for the answer of a holder before the next one is asked. */
 	static final long ANSWER_TIMEOUT_MILLIS = 80;
 
-	/** How long to wait at most while answers take long, as after a common start. */
-	private static final long MAX_ANSWER_TIMEOUT_MILLIS = 400;
-
-	/** Part that the newest answer has in the mean time that answers take. */
-	private static final double NEWEST_ANSWER_SHARE = 0.2;
-
-	/** A holder that doesn't answer within this multiple of the mean is given up. */
-	private static final double TIMEOUT_FACTOR = 2;
-
 	/**
 	 * A timer that runs later than this shows that this process did not run. What arrived
 	 * meanwhile is read first.
@@ -286,7 +274,7 @@
 	/**
 	 * Question to a holder that has not answered yet.
 	 */
-	private record OpenQuestion(QuotaInquiry inquiry, QuotaMember holder, long id, long units, long askedAtMillis) {
+	private record OpenQuestion(QuotaInquiry inquiry, QuotaMember holder, long id, long units) {
 	}
 
 	/**
@@ -298,8 +286,6 @@
 
 		private long nextId;
 
-		private double meanAnswerMillis;
-
 		private Questions(long firstId) {
 			this.nextId = firstId;
 		}
@@ -311,7 +297,7 @@
 
 		@Override
 		public void ask(QuotaInquiry inquiry, QuotaMember holder, long id, long units, long nowMillis) {
-			OpenQuestion question = new OpenQuestion(inquiry, holder, id, units, nowMillis);
+			OpenQuestion question = new OpenQuestion(inquiry, holder, id, units);
 			if (holder.equals(FleetQuotas.this.self)) {
 				answer(question, FleetQuotas.this.limiter.trySpend(inquiry.account(), units, nowMillis, holder.node()),
 						nowMillis);
@@ -319,9 +305,8 @@
 			}
 			this.open.put(id, question);
 			FleetQuotas.this.peers.send(holder.node(), new QuotaMessage.Charge(id, inquiry.account().name(), units));
-			long timeoutMillis = answerTimeoutMillis();
-			FleetQuotas.this.peers.schedule(timeoutMillis, (laterMillis) -> {
-				if (laterMillis - nowMillis > timeoutMillis + MAX_TIMER_DELAY_MILLIS) {
+			FleetQuotas.this.peers.schedule(ANSWER_TIMEOUT_MILLIS, (laterMillis) -> {
+				if (laterMillis - nowMillis > ANSWER_TIMEOUT_MILLIS + MAX_TIMER_DELAY_MILLIS) {
 					FleetQuotas.this.peers.schedule(READ_MILLIS, (readMillis) -> onTimeout(question, readMillis));
 				}
 				else {
@@ -330,11 +315,6 @@
 			});
 		}
 
-		private long answerTimeoutMillis() {
-			return Math.max(ANSWER_TIMEOUT_MILLIS,
-					Math.min(MAX_ANSWER_TIMEOUT_MILLIS, Math.round(this.meanAnswerMillis * TIMEOUT_FACTOR)));
-		}
-
 		private void onTimeout(OpenQuestion question, long nowMillis) {
 			if (this.open.containsKey(question.id())) {
 				FleetQuotas.this.avoidUntilMillis.put(question.holder().node(), nowMillis + AVOID_MILLIS);
@@ -346,8 +326,6 @@
 		private void onVerdict(QuotaMessage.Verdict verdict, long nowMillis) {
 			OpenQuestion question = this.open.remove(verdict.id());
 			if (question != null) {
-				this.meanAnswerMillis += NEWEST_ANSWER_SHARE
-						* (nowMillis - question.askedAtMillis() - this.meanAnswerMillis);
 				Optional<QuotaDecision> decision = verdict.isHolder()
 						? Optional.of(new QuotaDecision(verdict.waitMillis(), verdict.missingUnits(),
 								verdict.availableUnits(), question.holder().node()))
