Bound the memory and connections of callers

Cause: bodies were counted after they had arrived, each chunk kept its read buffer and an object, up to eight whole requests waited on each connection, heads of short lines took thirty times their size, and connections were accepted until no descriptor was left. Answers in callers' connections didn't hold up a planned stop.

Change: one account of requests, arriving and open, with 0.35 of the heap; beyond it a request that is still arriving is refused as not run, with a time to return. Pieces are copied into buffers of one size. A connection with waiting requests isn't read. Accepted connections on all ports have 0.6 of the descriptors; the one that was idle longest makes room. Simple ports have the same limits. A stop waits for unsent answers. An exhausted heap ends the process.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -35,6 +35,7 @@
 import io.flamingogap.gateway.cloud.FleetTotals;
 import io.flamingogap.gateway.http.SimpleHttpServer;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.memory.AcceptedConnections;
 import io.flamingogap.gateway.memory.AnswerMemory;
 import io.flamingogap.gateway.node.MetricsPage;
 import io.flamingogap.gateway.node.NodeReportExchange;
@@ -87,6 +88,14 @@
 	 */
 	private static final double ANSWER_MEMORY_SHARE = 0.25;
 
+	/** The share of the heap for the requests of callers, arriving and open. */
+	private static final double REQUEST_MEMORY_SHARE = 0.35;
+
+	/** The share of the heap for what a connection occupies by itself. */
+	private static final double CONNECTION_MEMORY_SHARE = 0.2;
+
+	private static final int CONNECTION_BYTES = 6_144;
+
 	private static final long CONNECTION_EXPIRY_INTERVAL_MILLIS = 1_000;
 
 	private static final long ROLLOUT_EVALUATION_INTERVAL_MILLIS = 250;
@@ -124,6 +133,8 @@
 	private final AnswerMemory answerMemory = new AnswerMemory(
 			(long) (Runtime.getRuntime().maxMemory() * ANSWER_MEMORY_SHARE));
 
+	private final AcceptedConnections connections;
+
 	private final ServiceDemandTracker demandTracker = new ServiceDemandTracker();
 
 	private final FleetView fleet;
@@ -179,6 +190,12 @@
 		PlacementRules placementRules = new PlacementRules(settings.regionsByZone(), this.evacuatedZones);
 		this.fleet = new FleetView(this.self, NodeReportExchange.REPORT_INTERVAL_MILLIS);
 		SplittableRandom random = new SplittableRandom(incarnation);
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		this.connections = new AcceptedConnections(
+				(int) Math.min(settings.maxConnections(),
+						Math.max(1, heapBytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES)),
+				(long) (heapBytes * REQUEST_MEMORY_SHARE), clock::steadyMillis, this.metrics::increment,
+				random.split());
 		this.rollouts = new RolloutController(this.servers, this.fleet, random,
 				settings.duties().maxCandidateShare() * CANDIDATE_SHARE_FRACTION);
 		this.connectionPool = new BackendConnectionPool(loop, adapters.backendProtocol(), clock::steadyMillis);
@@ -235,18 +252,19 @@
 	public void start() {
 		GatewaySettings.Listen listen = this.settings.listen();
 		listen.readiness()
-			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
+			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address, this.connections, this.answerMemory,
 					(request) -> CompletableFuture.completedFuture(readinessResponse())));
 		listen.directory()
-			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
+			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address, this.connections, this.answerMemory,
 					(request) -> CompletableFuture.completedFuture(directoryResponse(request))));
 		listen.peers().ifPresent((address) -> {
-			SimpleHttpServer.listen(this.loop, address, this.storeAccess.peerService()::answer);
+			SimpleHttpServer.listen(this.loop, address, this.connections, this.answerMemory,
+					this.storeAccess.peerService()::answer);
 			this.datagrams.start(address);
 		});
 		MetricsPage metricsPage = new MetricsPage(this.metrics, createNodeMetrics());
 		listen.metrics()
-			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address,
+			.ifPresent((address) -> SimpleHttpServer.listen(this.loop, address, this.connections, this.answerMemory,
 					(request) -> CompletableFuture.completedFuture(metricsPage.render())));
 		this.operatorWatcher.start();
 		this.serverWatcher.start();
@@ -255,7 +273,7 @@
 		this.quarantine.start();
 		listen.callers()
 			.ifPresent((address) -> CallerListener.listen(this.loop, address, this.adapters.callerProtocol(),
-					this.relay, this.answerMemory,
+					this.relay, this.answerMemory, this.connections,
 					() -> this.config.current().map(ServingConfig::limits).orElse(ListenerLimits.DEFAULT)));
 		this.loop.scheduleWithFixedDelay(LoggedTask.of("connections", this.connectionPool::closeExpiredConnections),
 				CONNECTION_EXPIRY_INTERVAL_MILLIS, CONNECTION_EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -286,7 +304,8 @@
 		if (!this.stopping) {
 			this.stopping = true;
 			this.dutyRunner.ifPresent(DutyRunner::stop);
-			new GracefulShutdown(this.loop, this.clock, this.relay, this.reportExchange, this.metrics::openRequests,
+			new GracefulShutdown(this.loop, this.clock, this.relay, this.reportExchange,
+					() -> this.metrics.openRequests() + this.connections.unsentAnswers(),
 					this.settings.stopTimeoutMillis())
 				.start(onStopped);
 		}
@@ -324,6 +343,16 @@
 				return Gateway.this.answerMemory.totalBytes();
 			}
 
+			@Override
+			public long requestBytes() {
+				return Gateway.this.connections.requestBytes();
+			}
+
+			@Override
+			public int acceptedConnections() {
+				return Gateway.this.connections.size();
+			}
+
 			@Override
 			public long backendConnectionAttempts() {
 				return Gateway.this.connectionPool.connectionAttempts();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/GatewaySettings.java
@@ -18,10 +18,12 @@
  * @param firstStart whether the whole fleet starts for the first time
  * @param relayLimits the limits of the request path
  * @param stopTimeoutMillis the maximum duration of a graceful shutdown, in milliseconds
+ * @param maxConnections the maximum number of connections that others may have to this
+ * node; the heap may allow fewer
  * @param duties the settings of the fleet-wide tasks that one node at a time performs
  */
 public record GatewaySettings(String node, String zone, Map<String, String> regionsByZone, Listen listen,
-		boolean firstStart, RelayLimits relayLimits, long stopTimeoutMillis, DutySettings duties) {
+		boolean firstStart, RelayLimits relayLimits, long stopTimeoutMillis, int maxConnections, DutySettings duties) {
 
 	public GatewaySettings {
 		Objects.requireNonNull(node, "node must not be null");
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerExchange.java
@@ -148,6 +148,7 @@
 	public void flush() {
 		writeOut();
 		this.context.flush();
+		this.connection.recordUnreadBytes();
 	}
 
 	/**
@@ -164,9 +165,13 @@
 		this.responseEnded = true;
 		boolean reuseConnection = this.keepAlive;
 		this.context.writeAndFlush(lastMessage).addListener((result) -> {
-			if (!reuseConnection || !result.isSuccess()) {
+			this.connection.recordUnreadBytes();
+			if (!result.isSuccess()) {
 				this.context.close();
 			}
+			else if (!reuseConnection) {
+				this.connection.closeAfterAnswer();
+			}
 		});
 		this.connection.recordUnreadBytes();
 		this.connection.onExchangeEnded(reuseConnection);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/callers/CallerListener.java
@@ -22,7 +22,10 @@
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.serving.ListenerLimits;
 import io.flamingogap.gateway.http.ExitOnBindFailure;
+import io.flamingogap.gateway.http.ReadTurns;
+import io.flamingogap.gateway.http.RequestCollector;
 import io.flamingogap.gateway.log.LogLine;
+import io.flamingogap.gateway.memory.AcceptedConnections;
 import io.flamingogap.gateway.memory.AnswerMemory;
 
 /**
@@ -67,36 +70,41 @@
 	 * @param protocol parses the requests of callers
 	 * @param requestHandler receives the requests
 	 * @param answerMemory limits the memory for answers that callers have not read
+	 * @param connections limits the connections and the memory for requests
 	 * @param limits supplies the limits in force
 	 */
 	public static void listen(EventLoop loop, Address address, CallerProtocol protocol,
-			CallerRequestHandler requestHandler, AnswerMemory answerMemory, Supplier<ListenerLimits> limits) {
+			CallerRequestHandler requestHandler, AnswerMemory answerMemory, AcceptedConnections connections,
+			Supplier<ListenerLimits> limits) {
+		ReadTurns turns = new ReadTurns(loop);
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.AUTO_READ, false)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_BYTES)
 			.childHandler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					configurePipeline(channel.pipeline(), limits.get(),
-							new CallerConnection(protocol, requestHandler, answerMemory));
+					configurePipeline(channel.pipeline(), limits.get(), turns.newReader(), connections,
+							new CallerConnection(protocol, requestHandler, answerMemory, connections));
 				}
 			})
 			.bind(address.host(), address.port())
 			.addListener(new ExitOnBindFailure(address));
 	}
 
-	private static void configurePipeline(ChannelPipeline pipeline, ListenerLimits limits,
-			CallerConnection connection) {
+	private static void configurePipeline(ChannelPipeline pipeline, ListenerLimits limits, ReadTurns.PacedReader reader,
+			AcceptedConnections connections, CallerConnection connection) {
+		RequestCollector collector = new RequestCollector(connections, connection);
 		HttpDecoderConfig decoderConfig = new HttpDecoderConfig().setMaxInitialLineLength(limits.maxHeaderBytes())
-			.setMaxHeaderSize(limits.maxHeaderBytes())
-			.setValidateHeaders(true);
+			.setMaxHeaderSize(limits.maxHeaderBytes());
 		RequestReadTimeout readTimeout = new RequestReadTimeout(limits.headerTimeoutMillis() * REQUEST_TIMEOUT_FACTOR);
 		int idleSeconds = (int) Math.ceil(limits.idleTimeoutMillis() * IDLE_TIMEOUT_FACTOR / MILLIS_PER_SECOND);
-		pipeline.addLast(new IdleStateHandler(idleSeconds, 0, 0), readTimeout, new HttpServerCodec(decoderConfig),
+		pipeline.addLast(reader, collector.new Meter(), new IdleStateHandler(idleSeconds, 0, 0), readTimeout,
+				new HttpServerCodec(collector.countLines(decoderConfig)), collector,
 				new LoggingAggregator(limits.maxBodyBytes()), readTimeout.new TimeoutCanceller(), connection);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/SimpleHttpServer.java
@@ -12,12 +12,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -25,8 +28,14 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateHandler;
+import org.jspecify.annotations.Nullable;
 
+import io.flamingogap.core.limits.HeldBytes;
 import io.flamingogap.core.node.Address;
+import io.flamingogap.gateway.memory.AcceptedConnection;
+import io.flamingogap.gateway.memory.AcceptedConnections;
+import io.flamingogap.gateway.memory.AnswerMemory;
+import io.flamingogap.gateway.memory.BytesHolder;
 
 /**
  * Serves small HTTP requests outside the request path: readiness, the directory, metrics,
@@ -44,6 +53,12 @@
 	 */
 	private static final int IDLE_SECONDS = 30;
 
+	/** How much of its answers may wait for a client that sends more requests. */
+	private static final WriteBufferWaterMark UNREAD_BYTES = new WriteBufferWaterMark(8_192, 16_384);
+
+	/** Other nodes send one request at a time. */
+	private static final int MAX_OPEN_REQUESTS = 16;
+
 	private SimpleHttpServer() {
 	}
 
@@ -51,19 +66,28 @@
 	 * Start accepting connections. Ends the process if the address can't be bound.
 	 * @param loop the event loop that handles all connections
 	 * @param address the address to listen on
+	 * @param connections limits the connections and the memory for requests
+	 * @param answerMemory limits the memory for answers that were not read
 	 * @param requestHandler responds to requests; called on the event loop
 	 */
-	public static void listen(EventLoop loop, Address address,
-			Function<Request, CompletableFuture<Response>> requestHandler) {
+	public static void listen(EventLoop loop, Address address, AcceptedConnections connections,
+			AnswerMemory answerMemory, Function<Request, CompletableFuture<Response>> requestHandler) {
+		ReadTurns turns = new ReadTurns(loop);
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.AUTO_READ, false)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_BYTES)
 			.childHandler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
+					RequestHandler handler = new RequestHandler(requestHandler, answerMemory);
+					RequestCollector collector = new RequestCollector(connections, handler);
 					channel.pipeline()
-						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_REQUEST_BYTES),
-								new IdleStateHandler(IDLE_SECONDS, 0, 0), new RequestHandler(requestHandler));
+						.addLast(turns.newReader(), collector.new Meter(),
+								new HttpServerCodec(collector.countLines(new HttpDecoderConfig())), collector,
+								new HttpObjectAggregator(MAX_REQUEST_BYTES), new IdleStateHandler(IDLE_SECONDS, 0, 0),
+								handler);
 				}
 			})
 			.bind(address.host(), address.port())
@@ -101,44 +125,115 @@
 
 	}
 
-	private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+	private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest>
+			implements AcceptedConnection, BytesHolder {
 
 		private final Function<Request, CompletableFuture<Response>> requestHandler;
 
-		private RequestHandler(Function<Request, CompletableFuture<Response>> requestHandler) {
+		private final AnswerMemory answerMemory;
+
+		private int openRequests;
+
+		private @Nullable ChannelHandlerContext context;
+
+		private RequestHandler(Function<Request, CompletableFuture<Response>> requestHandler,
+				AnswerMemory answerMemory) {
 			this.requestHandler = requestHandler;
+			this.answerMemory = answerMemory;
 		}
 
 		@Override
-		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+		public void handlerAdded(ChannelHandlerContext added) {
+			this.context = added;
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext channel, FullHttpRequest request) {
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
+			if (!channel.channel().isWritable() || this.openRequests >= MAX_OPEN_REQUESTS) {
+				channel.close();
+				return;
+			}
+			this.openRequests++;
 			if (!request.decoderResult().isSuccess()) {
-				write(context, Response.text(HttpResponseStatus.BAD_REQUEST.code(), "unreadable request\n"), false);
+				write(channel, Response.text(HttpResponseStatus.BAD_REQUEST.code(), "unreadable request\n"), false);
 				return;
 			}
 			this.requestHandler
 				.apply(new Request(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content())))
-				.thenAccept((response) -> write(context, response, keepAlive));
+				.thenAccept((response) -> write(channel, response, keepAlive));
 		}
 
-		private static void write(ChannelHandlerContext context, Response response, boolean keepAlive) {
+		private void write(ChannelHandlerContext channel, Response response, boolean keepAlive) {
+			this.openRequests--;
 			FullHttpResponse message = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(response.status()), Unpooled.wrappedBuffer(response.body()));
 			message.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
 			HttpUtil.setContentLength(message, message.content().readableBytes());
 			HttpUtil.setKeepAlive(message, keepAlive);
-			context.writeAndFlush(message)
+			channel.writeAndFlush(message)
+				.addListener((result) -> recordUnreadBytes())
 				.addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+			recordUnreadBytes();
+		}
+
+		private long unsentBytes() {
+			ChannelHandlerContext channel = this.context;
+			ChannelOutboundBuffer unread = (channel != null) ? channel.channel().unsafe().outboundBuffer() : null;
+			return (unread != null) ? unread.totalPendingWriteBytes() : 0;
+		}
+
+		private void recordUnreadBytes() {
+			this.answerMemory.set(this, HeldBytes.Kind.UNREAD, unsentBytes());
+		}
+
+		@Override
+		public boolean isServing() {
+			return this.openRequests > 0;
+		}
+
+		@Override
+		public boolean hasUnsentBytes() {
+			// Other nodes and the platform's checks don't hold up a planned stop.
+			return false;
+		}
+
+		@Override
+		public void refuseArriving() {
+			close();
+		}
+
+		@Override
+		public void closeIdle() {
+			close();
+		}
+
+		@Override
+		public void releaseBytes() {
+			close();
+		}
+
+		private void close() {
+			ChannelHandlerContext channel = this.context;
+			if (channel != null) {
+				channel.close();
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext channel) {
+			this.answerMemory.set(this, HeldBytes.Kind.UNREAD, 0);
+			channel.fireChannelInactive();
 		}
 
 		@Override
-		public void userEventTriggered(ChannelHandlerContext context, Object event) {
-			context.close();
+		public void userEventTriggered(ChannelHandlerContext channel, Object event) {
+			channel.close();
 		}
 
 		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			context.close();
+		public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
+			channel.close();
 		}
 
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -82,6 +82,12 @@
 		Gauge.builder("flamingogap.answers.bytes", this.nodeMetrics, NodeMetrics::answerBytes)
 			.description("Memory for answers that are incomplete or that callers have not read, in bytes")
 			.register(prometheus);
+		Gauge.builder("flamingogap.caller.request.bytes", this.nodeMetrics, NodeMetrics::requestBytes)
+			.description("Memory for requests that are arriving or open, in bytes")
+			.register(prometheus);
+		Gauge.builder("flamingogap.accepted.connections", this.nodeMetrics, NodeMetrics::acceptedConnections)
+			.description("Connections that were accepted on all ports and are open")
+			.register(prometheus);
 		FunctionCounter
 			.builder("flamingogap.backend.connections", this.nodeMetrics, NodeMetrics::backendConnectionAttempts)
 			.description("Connections to backend servers that were opened")
@@ -134,6 +140,18 @@
 	 */
 	public interface NodeMetrics {
 
+		/**
+		 * Return the memory for requests that are arriving or open.
+		 * @return the number of bytes
+		 */
+		long requestBytes();
+
+		/**
+		 * Return the number of connections that were accepted.
+		 * @return how many are open
+		 */
+		int acceptedConnections();
+
 		/**
 		 * Return the version of the configuration in force.
 		 * @return the version; -1 if none is in force
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/callers/CallerConnectionTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/callers/CallerConnectionTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.servers.PromptMetadata;
+import io.flamingogap.gateway.memory.AcceptedConnections;
 import io.flamingogap.gateway.memory.AnswerMemory;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -35,7 +37,9 @@
 	private final List<String> started = new ArrayList<>();
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(
-			new CallerConnection(new StubProtocol(), new RecordingHandler(), new AnswerMemory(1_048_576)));
+			new CallerConnection(new StubProtocol(), new RecordingHandler(), new AnswerMemory(1_048_576),
+					new AcceptedConnections(10, 1_048_576, () -> 0, (name) -> {
+					}, new SplittableRandom(1))));
 
 	private void receive(String uri) {
 		this.channel.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri));
