Replace the first size of a fleet by what its first callers needed

The first 12 s with demand now replace the guess by the most that was needed in them, and registrations count as complete after 2.2 s without a new one (1.2 s between two records of a server and 0.9 s between two reads). firstPeriodWithDemandReplacesTheGuess fails without the first part.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
@@ -4,7 +4,9 @@
  * Computes how many servers a service should have from what its demand needs. The target
  * begins at the number of servers that the operators started. The required number follows
  * the demand with a reserve for bursts. Both rise at once and fall by a tenth after each
- * period in which fewer servers sufficed.
+ * period in which fewer servers sufficed. If the service had no requests before, the
+ * number that the operators started is a guess, and the first period with demand replaces
+ * it by what was needed.
  * <p>
  * Not thread-safe.
  */
@@ -15,6 +17,8 @@
 
 	private static final int SCALE_DOWN_DIVISOR = 10;
 
+	private static final long NO_DEMAND = Long.MAX_VALUE;
+
 	/** Required servers for each one that the demand needs, to serve a burst. */
 	private static final double RESERVE_FACTOR = 1.5;
 
@@ -22,6 +26,12 @@
 
 	private final SlowlyFallingNumber required;
 
+	private boolean guessed;
+
+	private int highestNeeded;
+
+	private long demandSinceMillis = NO_DEMAND;
+
 	/**
 	 * Create a stabilizer.
 	 * @param initialTarget the target before the demand is known
@@ -30,6 +40,7 @@
 	 */
 	public CapacityStabilizer(int initialTarget, boolean knownUnused) {
 		this.target = new SlowlyFallingNumber(initialTarget);
+		this.guessed = knownUnused;
 		this.required = new SlowlyFallingNumber(knownUnused ? 0 : initialTarget);
 	}
 
@@ -41,12 +52,24 @@
 	 * @return the number of servers that the service should have
 	 */
 	public DesiredCapacity update(int needed, boolean hasDemand, long nowMillis) {
+		if (this.guessed && hasDemand) {
+			replaceGuess(needed, nowMillis);
+		}
 		int targetServers = this.target.update(needed, nowMillis);
 		int withReserve = hasDemand ? (int) Math.ceil(needed * RESERVE_FACTOR) : 0;
 		return new DesiredCapacity(targetServers,
 				Math.min(targetServers, this.required.update(withReserve, nowMillis)));
 	}
 
+	private void replaceGuess(int needed, long nowMillis) {
+		this.demandSinceMillis = Math.min(this.demandSinceMillis, nowMillis);
+		this.highestNeeded = Math.max(this.highestNeeded, needed);
+		if (nowMillis - this.demandSinceMillis > SCALE_DOWN_AFTER_MILLIS) {
+			this.guessed = false;
+			this.target.lowerTo(this.highestNeeded, nowMillis);
+		}
+	}
+
 	private static final class SlowlyFallingNumber {
 
 		private int value;
@@ -59,6 +82,11 @@
 			this.value = value;
 		}
 
+		private void lowerTo(int wanted, long nowMillis) {
+			this.value = Math.min(this.value, wanted);
+			this.lowerSinceMillis = nowMillis;
+		}
+
 		private int update(int wanted, long nowMillis) {
 			if (!this.updated || wanted >= this.value) {
 				this.updated = true;
--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FirstRegistrations.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FirstRegistrations.java
@@ -13,7 +13,7 @@
 	 * How long no server may have been added. Exceeds the time between two records of a
 	 * server and the time between two reads of the records together.
 	 */
-	static final long SETTLE_MILLIS = 3_000;
+	static final long SETTLE_MILLIS = 2_200;
 
 	private int highest = -1;
 
--- a/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityStabilizerTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/fleet/CapacityStabilizerTests.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -27,6 +28,17 @@
 		assertThat(stabilizer.update(50, true, 1_000), is(new DesiredCapacity(50, 50)));
 	}
 
+	// A service kept the number of servers that its operators had started for minutes.
+	@Test
+	void firstPeriodWithDemandReplacesTheGuess() {
+		CapacityStabilizer stabilizer = new CapacityStabilizer(45, true);
+		stabilizer.update(6, false, 0);
+		assertThat(stabilizer.update(6, false, 60_000).target(), greaterThan(36));
+		stabilizer.update(12, true, 61_000);
+		assertThat(stabilizer.update(20, true, 66_000).target(), greaterThan(36));
+		assertThat(stabilizer.update(14, true, 73_001).target(), is(20));
+	}
+
 	@Test
 	void valleyOfAWaveReleasesNothing() {
 		CapacityStabilizer stabilizer = new CapacityStabilizer(10, false);
