--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/CapacityStabilizer.java
@@ -5,8 +5,8 @@
  * begins at the number of servers that the operators started. The required number follows
  * the demand with a reserve for bursts. Both rise at once and fall by a tenth after each
  * period in which fewer servers sufficed. If the service had no requests before, the
- * number that the operators started is a guess, and the first period with demand replaces
- * it by what was needed.
+ * number that the operators started is a guess: it requires no servers, and the first
+ * period with demand replaces it by what was needed.
  * <p>
  * Not thread-safe.
  */
@@ -26,6 +26,9 @@
 
 	private final SlowlyFallingNumber required;
 
+	/** The number that the demand has needed, without the guess. */
+	private final SlowlyFallingNumber known = new SlowlyFallingNumber(0);
+
 	private boolean guessed;
 
 	private int highestNeeded;
@@ -56,9 +59,10 @@
 			replaceGuess(needed, nowMillis);
 		}
 		int targetServers = this.target.update(needed, nowMillis);
+		int knownServers = this.known.update(hasDemand ? needed : 0, nowMillis);
 		int withReserve = hasDemand ? (int) Math.ceil(needed * RESERVE_FACTOR) : 0;
 		return new DesiredCapacity(targetServers,
-				Math.min(targetServers, this.required.update(withReserve, nowMillis)));
+				Math.min(this.guessed ? knownServers : targetServers, this.required.update(withReserve, nowMillis)));
 	}
 
 	private void replaceGuess(int needed, long nowMillis) {
