Don't refuse requests because a server reports few slots

The node's log says "no server of service office can take the request": the fake registers 200 slots and reports 8, and the limit of open requests took the lower number since the selection reads reported slots. Ruled out: the refusal for long waits (no line of it) and reads in turns (no late answer, 231 ms at most).

A reported number now only delays a request.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerSelector.java
@@ -57,8 +57,9 @@
 			if (!server.mayBeSentRequests(nowMillis) || !allowed.test(server)) {
 				continue;
 			}
-			double openPerSlot = server.load().estimateOpenRequests(nowMillis) / server.slots();
-			if (openPerSlot >= maxOpenPerSlot) {
+			double openRequests = server.load().estimateOpenRequests(nowMillis);
+			// What a server reports may delay a request there but not refuse it.
+			if (openRequests >= maxOpenPerSlot * server.registration().slots()) {
 				continue;
 			}
 			int rank = placement.rankOf(server);
@@ -66,7 +67,7 @@
 			double cachedTokens = Math.max(ownTokens * pace.placementTrust().sentShare(),
 					sharedTokens * pace.placementTrust().shareOf(rank));
 			ExpectedDelay delay = this.estimator.estimate(server, needs, cachedTokens, currentPace, nowMillis);
-			boolean hasSlot = !needs.requiresSlot() || openPerSlot < 1;
+			boolean hasSlot = !needs.requiresSlot() || openRequests < server.slots();
 			if (best == null || (hasSlot && !bestHasSlot)
 					|| (hasSlot == bestHasSlot && delay.costMillis() < best.expectedDelayMillis())) {
 				best = new ServerChoice(server, delay, cachedTokens, rank);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerSelectorTests.java
@@ -44,6 +44,18 @@
 				(server) -> true, NOW);
 	}
 
+	// Requests were refused although the only server had most of its registered slots
+	// free.
+	@Test
+	void serverThatReportsFewSlotsIsNotFullBeforeItsRegisteredOnesAreTaken() {
+		KnownServer only = server("only", "z1", 200);
+		only.recordReportedSlots(8);
+		for (int i = 0; i < 13; i++) {
+			only.load().recordSent(0);
+		}
+		assertThat(choose(PromptMetadata.NONE), is(Optional.of("only")));
+	}
+
 	@Test
 	void idleServerOfTheOwnZoneIsPreferred() {
 		server("far", "z3", 8);
