Don't ask for cold servers of services that have none

Each server that a request could be sent to was looked up in the configuration for its cold start, also where no service has one. ColdServerTests and RequestPathTests: 33 of 33.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ColdStartGate.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/ColdStartGate.java
@@ -37,6 +37,18 @@
 		this.metrics = metrics;
 	}
 
+	/**
+	 * Return whether servers of a service can be cold.
+	 * @param service the name of the service
+	 * @return {@code false} if all of them may always be chosen
+	 */
+	boolean concerns(String service) {
+		return this.config.current()
+			.flatMap((current) -> current.findService(service))
+			.flatMap(BackendService::coldStart)
+			.isPresent();
+	}
+
 	/**
 	 * Return whether a server may be chosen for a request.
 	 * @param server the server
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/relay/RelayedRequest.java
@@ -184,8 +184,10 @@
 	}
 
 	private Predicate<KnownServer> mayBeSentNow(long nowMillis) {
+		ColdStartGate gate = this.dependencies.coldStartGate();
 		int rank = urgency();
-		return (server) -> this.dependencies.coldStartGate().mayBeChosen(server.registration(), rank, nowMillis);
+		return gate.concerns(this.service) ? (server) -> gate.mayBeChosen(server.registration(), rank, nowMillis)
+				: (server) -> true;
 	}
 
 	private boolean isWaitTooLong(ServerChoice choice, long nowMillis) {
