Review case 6: the same with a burst and free plain requests

VARIANT=tokens: a tenant with plainTokens 0 sends 7.5 times its usual tokens; its plain requests get no answer while its buckets are empty.

--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -5,7 +5,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
-/** A config that sets a tenant's rate without a burst. */
+/**
+ * A config that sets a tenant's rate without a burst. With VARIANT=tokens: a tenant whose plain requests cost no tokens
+ * sends many times its usual number of tokens.
+ */
 final class Case6 {
 
 	private static final long TIMEOUT_MILLIS = 3_000;
@@ -14,6 +17,8 @@
 
 	private static final int REQUESTS = 60;
 
+	private static final long USUAL_PAUSE_MILLIS = 5_000;
+
 	private static final String KEY = "key-of-hule930";
 
 	private Case6() {
@@ -28,6 +33,25 @@
 				+ "\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[\"" + KEY + "\"]" + allowance + "}]}";
 	}
 
+	/** Sends requests with as many tokens as the site's contract drafts. */
+	private static void sendDrafts(Fleet fleet, long pauseMillis) {
+		try {
+			for (int i = 0; true; i++) {
+				int node = i % Fleet.NODES;
+				Backend.daemon(() -> {
+					String id = Client.newAttemptId();
+					String request = Client.head("POST", "/booking/draft", id, TIMEOUT_MILLIS, KEY)
+							+ "Token-Counts: 11992,380\r\nContent-Length: 0\r\n\r\n";
+					fleet.record("draft: request " + id + " was answered " + Client.send(fleet.front(node), request, 6_000).status());
+				});
+				Thread.sleep(pauseMillis);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void finish(Fleet fleet, List<Client.Answer> after) {
 		long late = after.stream().filter((answer) -> answer.status() == 0 || answer.millis() > TIMEOUT_MILLIS).count();
 		long unanswered = after.stream()
@@ -76,6 +100,13 @@
 				fleet.record("the case couldn't run: version 1 isn't served");
 				System.exit(2);
 			}
+			if ("tokens".equals(System.getenv("VARIANT"))) {
+				fleet.config(config(2, ",\"unit\":\"tokens\",\"plainTokens\":0,\"ratePerS\":3000,\"burst\":15000"));
+				Thread.sleep(2 * APPLY_MILLIS);
+				Backend.daemon(() -> sendDrafts(fleet, trouble ? USUAL_PAUSE_MILLIS * 2 / 15 : USUAL_PAUSE_MILLIS));
+				Thread.sleep(3_000);
+				finish(fleet, sendAll(fleet, "version 2"));
+			}
 			fleet.config(config(2, trouble ? ",\"ratePerS\":40" : ",\"ratePerS\":40,\"burst\":40"));
 			Thread.sleep(2 * APPLY_MILLIS);
 			finish(fleet, sendAll(fleet, "version 2"));
