Don't take a response with an invalid status for an answer

Cause: Netty's decoder parses the status as any number, so 000, 099, 600, 2000, +200 and 0200 all gave a valid head, and the gateway forwarded it. A status outside of 100 to 599 is invalid by RFC 9110, section 15. Change: StrictResponseDecoder fails on a status that isn't three digits from 100 to 599. Such a response then ends like any other malformed one: the connection is closed, a repeatable request goes to another server, and others get a 502, which promises nothing.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseDecoder.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseDecoder.java
@@ -2,15 +2,16 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
 
+import io.flamingogap.gateway.http.StrictResponseDecoder;
+
 /**
  * Decodes the responses on a connection to a backend server. Closes the connection if it
  * receives bytes while no response is expected: they belong to no request and would
  * become the beginning of the next response.
  */
-final class BackendResponseDecoder extends HttpResponseDecoder {
+final class BackendResponseDecoder extends StrictResponseDecoder {
 
 	private boolean responseExpected;
 
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -68,6 +68,8 @@
 
 	private volatile int events = DEFAULT_EVENT_COUNT;
 
+	private volatile String statusLine = "HTTP/1.1 200 OK";
+
 	private volatile String extraHeaders = "";
 
 	private volatile String crashPart = "";
@@ -173,7 +175,7 @@
 	private boolean answer(Request request, OutputStream out) throws IOException {
 		String attempt = request.header("attempt-id");
 		if (crashes(request)) {
-			write(out, head("200 OK", attempt) + EVENT_STREAM);
+			write(out, head(attempt) + EVENT_STREAM);
 			sleep(CRASH_MILLIS);
 			close();
 			return false;
@@ -226,9 +228,10 @@
 				sleep(HANG_MILLIS);
 				return false;
 			}
-			case FAIL -> write(out, head("500 Internal Server Error", attempt) + "Content-Length: 4\r\n\r\nfail");
+			case FAIL ->
+				write(out, head("HTTP/1.1 500 Internal Server Error", attempt) + "Content-Length: 4\r\n\r\nfail");
 			case FOREIGN_FIRST -> {
-				write(out, head("200 OK", "another-attempt") + "Content-Length: 5\r\n\r\nwrong");
+				write(out, head("another-attempt") + "Content-Length: 5\r\n\r\nwrong");
 				write(out, completeAnswer(attempt));
 			}
 			case ANSWER_TWICE -> write(out, completeAnswer(attempt) + completeAnswer(attempt));
@@ -239,7 +242,7 @@
 				write(out, completeAnswer(attempt));
 			}
 			case ENDLESS_BODY -> {
-				write(out, head("200 OK", attempt) + "Transfer-Encoding: chunked\r\n\r\n");
+				write(out, head(attempt) + "Transfer-Encoding: chunked\r\n\r\n");
 				writeWithoutEnd(out,
 						Integer.toHexString(ENDLESS_CHUNK_BYTES) + "\r\n" + "x".repeat(ENDLESS_CHUNK_BYTES) + "\r\n",
 						0);
@@ -249,8 +252,8 @@
 			}
 			case CHUNKS_END_INSIDE_EVENT -> {
 				String events = event(1) + event(2).substring(0, CUT_EVENT_LENGTH);
-				write(out, head("200 OK", attempt) + EVENT_STREAM + Integer.toHexString(events.length()) + "\r\n"
-						+ events + "\r\n0\r\n\r\n");
+				write(out, head(attempt) + EVENT_STREAM + Integer.toHexString(events.length()) + "\r\n" + events
+						+ "\r\n0\r\n\r\n");
 			}
 			case CUT_HEAD -> {
 				String text = completeAnswer(attempt);
@@ -268,7 +271,7 @@
 
 	private boolean answerUnframed(Request request, String attempt, OutputStream out) throws IOException {
 		boolean stream = request.uri().contains("stream");
-		write(out, head("200 OK", attempt) + (stream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n"));
+		write(out, head(attempt) + (stream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n"));
 		switch (this.behaviour) {
 			case UNFRAMED -> write(out, stream ? event(1) + event(2) + event(3) : "done");
 			case UNFRAMED_BREAK_OFF -> write(out, stream ? event(1) + event(2).substring(0, CUT_EVENT_LENGTH) : "done");
@@ -298,7 +301,7 @@
 	private boolean answerWithEvents(Request request, String attempt, OutputStream out) throws IOException {
 		String last = request.header("last-event-id");
 		int from = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-		write(out, head("200 OK", attempt) + EVENT_STREAM);
+		write(out, head(attempt) + EVENT_STREAM);
 		sleep(this.firstEventMillis);
 		for (int id = from; id <= this.events; id++) {
 			String event = event(id);
@@ -317,13 +320,17 @@
 		return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + this.extraHeaders + "Content-Length: 0\r\n\r\n";
 	}
 
-	private String head(String status, String attempt) {
-		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: seal-" + attempt
+	private String head(String attempt) {
+		return head(this.statusLine, attempt);
+	}
+
+	private String head(String firstLine, String attempt) {
+		return firstLine + "\r\nAttempt-Id: " + attempt + "\r\nServer-Seal: seal-" + attempt
 				+ "\r\nServer-Load: 1,0,8\r\n" + this.extraHeaders;
 	}
 
 	private String completeAnswer(String attempt) {
-		return head("200 OK", attempt) + "Content-Length: " + this.body.length() + "\r\n\r\n" + this.body;
+		return head(attempt) + "Content-Length: " + this.body.length() + "\r\n\r\n" + this.body;
 	}
 
 	private void writeWithoutEnd(OutputStream out, String text, long pauseMillis) throws IOException {
@@ -356,6 +363,15 @@
 		this.behaviour = newBehaviour;
 	}
 
+	/**
+	 * Set the first line of the answers to executed requests, other than
+	 * {@link ServerBehaviour#FAIL}.
+	 * @param line the line, without its end
+	 */
+	public void setStatusLine(String line) {
+		this.statusLine = line;
+	}
+
 	/**
 	 * Set headers that every answer has from now on.
 	 * @param lines the lines, each with its line end; empty for none
