Don't take a response with a blank in a field name for an answer

Callers saw: an answer in whose head the name of a field held a blank. Cause: Netty's decoder ends the name of a response's field at the first blank and ignores the rest up to the colon, before it validates the name. Change: StrictResponseDecoder fails unless a colon follows the name. Unusual but valid heads are forwarded as before.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 
 /**
  * Decoder of responses that fails on heads that {@link HttpResponseDecoder} accepts
@@ -22,4 +23,13 @@
 		return super.createMessage(initialLine);
 	}
 
+	// The superclass ends a name at a blank and ignores what follows up to the colon.
+	@Override
+	protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+		if (line[start + length] != ':') {
+			throw new IllegalArgumentException("blank in a field name");
+		}
+		return super.splitHeaderName(line, start, length);
+	}
+
 }
