Test answers that are reset while a long request is written

Seen on other systems: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written; the client got the part as a complete answer. Already handled: only an end of input that was read ends a response without a length (ClientChannel). The test shows it end to end: plain requests get a 502, streams no end.

--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -129,7 +129,11 @@
 		try {
 			InputStream in = new BufferedInputStream(socket.getInputStream());
 			boolean first = true;
-			for (Request request = Request.read(in); request != null; request = Request.read(in)) {
+			for (Request head = Request.readHead(in); head != null; head = Request.readHead(in)) {
+				if (this.behaviour == ServerBehaviour.EARLY_UNFRAMED_RESET) {
+					answerUnframed(head, head.header("attempt-id"), socket.getOutputStream());
+				}
+				Request request = head.readBody(in);
 				this.requests.add(request);
 				this.arrivalNanos.add(System.nanoTime());
 				if (!first && this.behaviour == ServerBehaviour.REPEATED_REFUSAL) {
@@ -557,6 +561,11 @@
 		}
 
 		static Request read(InputStream in) throws IOException {
+			Request head = readHead(in);
+			return (head != null) ? head.readBody(in) : null;
+		}
+
+		private static Request readHead(InputStream in) throws IOException {
 			String line = readLine(in);
 			if (line.isEmpty()) {
 				return null;
@@ -567,9 +576,13 @@
 				int colon = header.indexOf(':');
 				headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).strip());
 			}
-			int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-			String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-			return new Request(start[0], start[1], headers, body);
+			return new Request(start[0], start[1], headers, "");
+		}
+
+		private Request readBody(InputStream in) throws IOException {
+			int length = Integer.parseInt(this.headers.getOrDefault("content-length", "0"));
+			String received = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+			return new Request(this.method, this.uri, this.headers, received);
 		}
 
 		private static String readLine(InputStream in) throws IOException {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/ServerBehaviour.java
@@ -77,6 +77,9 @@
 	 */
 	UNFRAMED_RESET,
 
+	/** Like {@link #UNFRAMED_RESET}, but without reading the body of the request. */
+	EARLY_UNFRAMED_RESET,
+
 	/** Answers with chunks that end regularly in the middle of the second event. */
 	CHUNKS_END_INSIDE_EVENT,
 
