Don't take malformed responses of the store, the cloud and nodes for valid

Seen: nothing by callers. A status 000 counted as "not executed", for writes to the store and for calls to the cloud that may have been; a line such as "Content-Length x: 4" cut a page of records. Cause: PooledHttpClient used Netty's own response decoder, with the faults of the path of requests. Change: it uses StrictResponseDecoder; a malformed response is a failed call whose effect is unknown.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -19,11 +19,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -82,7 +82,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(ClientChannel.newEndGuard(), new HttpClientCodec(), new Connection(channel));
+						.addLast(ClientChannel.newEndGuard(), new HttpRequestEncoder(), new StrictResponseDecoder(),
+								new Connection(channel));
 				}
 			});
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/PooledHttpClientTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/PooledHttpClientTests.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.flamingogap.core.node.Address;
 
@@ -90,6 +92,29 @@
 		assertThat(outcome, instanceOf(HttpCallException.class));
 	}
 
+	// A write with status 000 would count as refused, although the store may have
+	// executed
+	// it, and part of a page as the whole page.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nhalf",
+			"HTTP/1.1 0200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+			"HTTP/1.1 200 OK\r\nContent-Length x: 4\r\n\r\nhalf of the page",
+			"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nhalf of the page",
+			"HTTP/1.1 200 OK\r\n Content-Length: 4\r\n\r\nhalf of the page",
+			"HTTP/1.1 200 OK\r\nX-Note: 1\r\n 2\r\nContent-Length: 4\r\n\r\nhalf" })
+	void malformedResponseIsAFailureThatMayHaveTakenEffect(String response) throws Exception {
+		CompletableFuture<HttpCallResponse> result = call(1);
+		try (Socket connection = this.server.accept()) {
+			connection.getInputStream().read();
+			connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+			connection.shutdownOutput();
+			Object outcome = result.handle((received, failure) -> (failure != null) ? failure : received)
+				.get(5, TimeUnit.SECONDS);
+			assertThat(outcome, instanceOf(HttpCallException.class));
+			assertThat(((HttpCallException) outcome).mayHaveTakenEffect(), is(true));
+		}
+	}
+
 	@Test
 	void responseInManyPiecesIsComplete() throws Exception {
 		CompletableFuture<HttpCallResponse> result = call(1);
