Read the answers to the older daemon's calls with the strict decoder

Callers saw: a status of 0, 99, 600 or 20; a content type with a malformed line as its end; the first byte of a body as the whole body; and, for bookings, the part of an answer that had arrived when its connection was reset or closed, also if its length had been announced. Cause: unrepeatable calls used HttpURLConnection, which checks neither the status nor the names of fields nor the length of a body, and takes a reset after a failed write for the end. Repeatable calls used java.net.http, which accepts statuses of 600 and above, reads "2000" as 200, and accepts folded lines and lines without a colon. Change: both use PooledHttpClient and with it StrictResponseDecoder and ClientChannel, as calls to the store do. An unrepeatable call opens its connection in a step of its own as before (connect()). The decoder now knows responses to HEAD requests, which HttpClientCodec did for this client before. Two properties that only HttpURLConnection reads are no longer set.

--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendCall.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendCall.java
@@ -1,5 +1,7 @@
 package io.flamingogap.daemon.backends;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Objects;
 
 import org.jspecify.annotations.Nullable;
@@ -27,4 +29,18 @@
 		Objects.requireNonNull(account, "account must not be null");
 	}
 
+	/**
+	 * Return the headers that each call has, with or without a body.
+	 * @return a new map of values by name
+	 */
+	Map<String, String> headers() {
+		Map<String, String> headers = new HashMap<>();
+		headers.put("X-Account", this.account);
+		headers.put("X-Deadline-Millis", String.valueOf(this.remainingMillis));
+		if (this.idempotencyKey != null) {
+			headers.put("Idempotency-Key", this.idempotencyKey);
+		}
+		return headers;
+	}
+
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendClient.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/backends/BackendClient.java
@@ -1,19 +1,20 @@
 package io.flamingogap.daemon.backends;
 
-import java.io.IOException;
-import java.net.ConnectException;
-import java.net.URI;
 import java.net.http.HttpClient;
-import java.net.http.HttpConnectTimeoutException;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.vavr.control.Either;
 
 import io.flamingogap.core.error.Execution;
@@ -21,7 +22,11 @@
 import io.flamingogap.core.error.ProblemType;
 import io.flamingogap.core.error.Step;
 import io.flamingogap.core.manifest.BackendServer;
+import io.flamingogap.core.node.Address;
 import io.flamingogap.core.request.Answer;
+import io.flamingogap.gateway.http.HttpCallException;
+import io.flamingogap.gateway.http.HttpCallResponse;
+import io.flamingogap.gateway.http.PooledHttpClient;
 
 /**
  * HTTP/1.1 client for backend servers. Repeatable calls use pooled connections, each
@@ -33,6 +38,13 @@
 
 	private final AtomicReference<HttpClient> pooled;
 
+	private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("backend-calls", true),
+			NioIoHandler.newFactory())
+		.next();
+
+	/** Clients by address; used on the event loop only. */
+	private final Map<String, PooledHttpClient> clients = new HashMap<>();
+
 	/**
 	 * Create a client. Callbacks run on the thread of the pooling client, which avoids a
 	 * thread switch for each token. They must not block.
@@ -53,7 +65,7 @@
 	}
 
 	/**
-	 * Return the HTTP client for repeatable calls.
+	 * Return the HTTP client for token streams and load reports.
 	 * @return a client that pools connections
 	 */
 	HttpClient pooled() {
@@ -79,7 +91,33 @@
 	 * @return the answer, or whether the request may have been sent
 	 */
 	public CallResult call(BackendServer server, BackendCall call, long timeoutMillis) {
-		return send(server, requestBuilder(server, call).build(), timeoutMillis);
+		Map<String, String> headers = call.headers();
+		if (call.body().length > 0) {
+			headers.put("Content-Type", call.contentType());
+		}
+		CompletableFuture<HttpCallResponse> pending = EventLoopCalls.start(this.loop, () -> clientOf(server)
+			.call(HttpMethod.valueOf(call.method()), call.path(), headers, call.body(), timeoutMillis));
+		try {
+			return answered(pending.get(timeoutMillis, TimeUnit.MILLISECONDS));
+		}
+		catch (ExecutionException ex) {
+			return (ex.getCause() instanceof HttpCallException failed && !failed.mayHaveTakenEffect())
+					? notSent(server, failed.getMessage()) : lost(server, ex.getCause().getMessage());
+		}
+		catch (TimeoutException ex) {
+			pending.cancel(false);
+			return lost(server, "no answer within " + timeoutMillis + " ms");
+		}
+		catch (InterruptedException ex) {
+			pending.cancel(false);
+			Thread.currentThread().interrupt();
+			return lost(server, "interrupted while waiting for the answer");
+		}
+	}
+
+	private PooledHttpClient clientOf(BackendServer server) {
+		return this.clients.computeIfAbsent(server.address(), (address) -> new PooledHttpClient(this.loop,
+				Address.parse(address), (int) this.connectTimeoutMillis, Integer.MAX_VALUE));
 	}
 
 	/**
@@ -91,54 +129,22 @@
 	 */
 	public Either<CallResult.NotSent, OneShotConnection> openFor(BackendServer server, BackendCall call,
 			long timeoutMillis) {
-		return OneShotConnection.open(server, call, this.connectTimeoutMillis, timeoutMillis);
+		return OneShotConnection.open(this.loop, server, call, this.connectTimeoutMillis, timeoutMillis);
 	}
 
-	private static HttpRequest.Builder requestBuilder(BackendServer server, BackendCall call) {
-		HttpRequest.BodyPublisher body = (call.body().length > 0) ? HttpRequest.BodyPublishers.ofByteArray(call.body())
-				: HttpRequest.BodyPublishers.noBody();
-		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + server.address() + call.path()))
-			.method(call.method(), body)
-			.header("X-Account", call.account())
-			.header("X-Deadline-Millis", String.valueOf(call.remainingMillis()));
-		if (call.body().length > 0) {
-			request.header("Content-Type", call.contentType());
-		}
-		return request;
-	}
-
-	private CallResult send(BackendServer server, HttpRequest request, long timeoutMillis) {
-		Future<HttpResponse<byte[]>> pending = pooled().sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
-		try {
-			HttpResponse<byte[]> response = pending.get(timeoutMillis, TimeUnit.MILLISECONDS);
-			String contentType = response.headers().firstValue("Content-Type").orElse("application/octet-stream");
-			return new CallResult.Answered(new Answer(response.statusCode(), contentType, response.body()));
-		}
-		catch (ExecutionException ex) {
-			return failedResult(server, ex.getCause());
-		}
-		catch (TimeoutException ex) {
-			pending.cancel(true);
-			return new CallResult.Lost(unknownOutcome(server, "no answer within " + timeoutMillis + " ms"));
-		}
-		catch (InterruptedException ex) {
-			pending.cancel(true);
-			Thread.currentThread().interrupt();
-			return new CallResult.Lost(unknownOutcome(server, "interrupted while waiting for the answer"));
-		}
+	static CallResult.Answered answered(HttpCallResponse response) {
+		return new CallResult.Answered(new Answer(response.status(),
+				response.contentType().orElse("application/octet-stream"), response.body()));
 	}
 
-	private static CallResult failedResult(BackendServer server, Throwable cause) {
-		if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
-			return new CallResult.NotSent(Failure.notRun(ProblemType.NO_BACKEND, Step.CONNECT, server.name(),
-					"no connection to " + server.address() + ": " + cause.getMessage()));
-		}
-		String reason = (cause instanceof IOException) ? "connection broke" : cause.getClass().getSimpleName();
-		return new CallResult.Lost(unknownOutcome(server, reason + ": " + cause.getMessage()));
+	static CallResult.NotSent notSent(BackendServer server, String reason) {
+		return new CallResult.NotSent(Failure.notRun(ProblemType.NO_BACKEND, Step.CONNECT, server.name(),
+				"no connection to " + server.address() + ": " + reason));
 	}
 
-	private static Failure unknownOutcome(BackendServer server, String detail) {
-		return new Failure(ProblemType.OUTCOME_UNKNOWN, Step.DISPATCH, server.name(), Execution.UNKNOWN, detail);
+	static CallResult.Lost lost(BackendServer server, String reason) {
+		return new CallResult.Lost(
+				new Failure(ProblemType.OUTCOME_UNKNOWN, Step.DISPATCH, server.name(), Execution.UNKNOWN, reason));
 	}
 
 }
--- a/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/JdkHttpProperties.java
+++ b/flamingogap-daemon/src/main/java/io/flamingogap/daemon/http/JdkHttpProperties.java
@@ -18,8 +18,6 @@
 		System.setProperty("sun.net.httpserver.maxReqHeaders", "64");
 		System.setProperty("sun.net.httpserver.maxReqHeaderSize", "32768");
 		System.setProperty("sun.net.httpserver.maxIdleConnections", "1000");
-		System.setProperty("http.keepAlive", "false");
-		System.setProperty("sun.net.http.retryPost", "false");
 		System.setProperty("jdk.httpclient.disableRetryConnect", "true");
 		System.setProperty("jdk.httpclient.enableAllMethodRetry", "false");
 		System.setProperty("jdk.httpclient.keepalive.timeout", "2");
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseDecoder.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/backends/BackendResponseDecoder.java
@@ -1,7 +1,6 @@
 package io.flamingogap.gateway.backends;
 
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.util.ReferenceCountUtil;
 
 import io.flamingogap.gateway.http.StrictResponseDecoder;
@@ -15,15 +14,13 @@
 
 	private boolean responseExpected;
 
-	private boolean responseHasNoBody;
-
 	/**
 	 * Expect the response to a request that is sent now.
 	 * @param hasNoBody whether the response has no body whatever its headers say
 	 */
 	void expectResponse(boolean hasNoBody) {
 		this.responseExpected = true;
-		this.responseHasNoBody = hasNoBody;
+		setResponseHasNoBody(hasNoBody);
 	}
 
 	/**
@@ -46,9 +43,4 @@
 		}
 	}
 
-	@Override
-	protected boolean isContentAlwaysEmpty(HttpMessage message) {
-		return this.responseHasNoBody || super.isContentAlwaysEmpty(message);
-	}
-
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -64,6 +65,8 @@
 
 	private final Bootstrap bootstrap;
 
+	private final int maxResponseBytes;
+
 	private final Deque<Connection> idleConnections = new ArrayDeque<>();
 
 	/**
@@ -72,18 +75,31 @@
 	 * @param peer the address to call
 	 */
 	public PooledHttpClient(EventLoop loop, Address peer) {
+		this(loop, peer, CONNECT_TIMEOUT_MILLIS, MAX_RESPONSE_BYTES);
+	}
+
+	/**
+	 * Create a client without connections.
+	 * @param loop the event loop that runs the connections
+	 * @param peer the address to call
+	 * @param connectTimeoutMillis the time allowed to connect, in milliseconds
+	 * @param maxResponseBytes the greatest length of the body of a response, in bytes
+	 */
+	public PooledHttpClient(EventLoop loop, Address peer, int connectTimeoutMillis, int maxResponseBytes) {
 		this.loop = loop;
 		this.peer = peer;
+		this.maxResponseBytes = maxResponseBytes;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(ClientChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
 			.handler(new ChannelInitializer<>() {
 				@Override
 				protected void initChannel(Channel channel) {
+					StrictResponseDecoder decoder = new StrictResponseDecoder();
 					channel.pipeline()
-						.addLast(ClientChannel.newEndGuard(), new HttpRequestEncoder(), new StrictResponseDecoder(),
-								new Connection(channel));
+						.addLast(ClientChannel.newEndGuard(), new HttpRequestEncoder(), decoder,
+								new Connection(channel, decoder));
 				}
 			});
 	}
@@ -124,13 +140,49 @@
 			}
 			else {
 				request.release();
-				result.completeExceptionally(new HttpCallException(this.peer.toString(),
-						"can't connect (" + connectResult.cause() + ") to", false));
+				result.completeExceptionally(connectFailure(connectResult.cause()));
+			}
+		});
+		return result;
+	}
+
+	/**
+	 * Open a connection without sending anything. The next call uses it.
+	 * @return completes on the event loop once the connection is open, or exceptionally
+	 * with a {@link HttpCallException}. If it is cancelled, no connection is kept
+	 */
+	public CompletableFuture<Void> connect() {
+		CompletableFuture<Void> result = new CompletableFuture<>();
+		this.bootstrap.connect(this.peer.host(), this.peer.port()).addListener((connectResult) -> {
+			Channel channel = ((ChannelFuture) connectResult).channel();
+			if (result.isDone()) {
+				channel.close();
+			}
+			else if (connectResult.isSuccess()) {
+				channel.pipeline().get(Connection.class).keep();
+				result.complete(null);
+			}
+			else {
+				result.completeExceptionally(connectFailure(connectResult.cause()));
 			}
 		});
 		return result;
 	}
 
+	private HttpCallException connectFailure(Throwable cause) {
+		return new HttpCallException(this.peer.toString(), "can't connect (" + cause + ") to", false);
+	}
+
+	/**
+	 * Close the connections that no call uses.
+	 */
+	public void closeIdleConnections() {
+		for (Connection connection = this.idleConnections.poll(); connection != null; connection = this.idleConnections
+			.poll()) {
+			connection.channel.close();
+		}
+	}
+
 	private Connection pollIdleConnection() {
 		long nowNanos = System.nanoTime();
 		for (Connection connection = this.idleConnections
@@ -151,6 +203,8 @@
 
 		private final Channel channel;
 
+		private final StrictResponseDecoder decoder;
+
 		private long idleSinceNanos;
 
 		private CompletableFuture<HttpCallResponse> pendingResponse;
@@ -162,12 +216,14 @@
 
 		private ScheduledFuture<?> timeout;
 
-		private Connection(Channel channel) {
+		private Connection(Channel channel, StrictResponseDecoder decoder) {
 			this.channel = channel;
+			this.decoder = decoder;
 		}
 
 		private void send(FullHttpRequest request, CompletableFuture<HttpCallResponse> result, long timeoutMillis) {
 			this.pendingResponse = result;
+			this.decoder.setResponseHasNoBody(request.method().equals(HttpMethod.HEAD));
 			this.timeout = PooledHttpClient.this.loop.schedule(
 					() -> fail("no response within " + timeoutMillis + " ms from"), timeoutMillis,
 					TimeUnit.MILLISECONDS);
@@ -202,8 +258,9 @@
 		}
 
 		private void readContent(HttpResponse responseHead, HttpContent content) {
-			if (this.body.readableBytes() + content.content().readableBytes() > MAX_RESPONSE_BYTES) {
-				fail("response longer than " + MAX_RESPONSE_BYTES + " bytes from");
+			int maxBytes = PooledHttpClient.this.maxResponseBytes;
+			if (content.content().readableBytes() > maxBytes - this.body.readableBytes()) {
+				fail("response longer than " + maxBytes + " bytes from");
 				return;
 			}
 			this.body.writeBytes(content.content());
@@ -214,11 +271,11 @@
 
 		private void complete(HttpResponse responseHead) {
 			HttpCallResponse response = new HttpCallResponse(responseHead.status().code(),
+					Optional.ofNullable(responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE)),
 					ByteBufUtil.getBytes(this.body));
 			CompletableFuture<HttpCallResponse> result = takePendingResponse();
 			if (result != null && HttpUtil.isKeepAlive(responseHead)) {
-				this.idleSinceNanos = System.nanoTime();
-				PooledHttpClient.this.idleConnections.addLast(this);
+				keep();
 			}
 			else {
 				this.channel.close();
@@ -228,6 +285,11 @@
 			}
 		}
 
+		private void keep() {
+			this.idleSinceNanos = System.nanoTime();
+			PooledHttpClient.this.idleConnections.addLast(this);
+		}
+
 		private CompletableFuture<HttpCallResponse> takePendingResponse() {
 			CompletableFuture<HttpCallResponse> result = this.pendingResponse;
 			this.pendingResponse = null;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
@@ -24,6 +24,21 @@
 
 	private Part nextPart = Part.STATUS_LINE;
 
+	private boolean responseHasNoBody;
+
+	/**
+	 * Set whether the next response has no body whatever its headers say.
+	 * @param hasNoBody {@code true} for the response to a HEAD request
+	 */
+	public void setResponseHasNoBody(boolean hasNoBody) {
+		this.responseHasNoBody = hasNoBody;
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return this.responseHasNoBody || super.isContentAlwaysEmpty(message);
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
 		if (this.nextPart.hasFoldedLine(in)) {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ScriptedServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ScriptedServer.java
@@ -27,6 +27,9 @@
 
 	private static final int BACKLOG = 64;
 
+	/** Time between a response and the reset of its connection, in milliseconds. */
+	private static final long RESET_MILLIS = 50;
+
 	private static final String CONTENT_LENGTH = "content-length:";
 
 	private final ServerSocket listener;
@@ -41,6 +44,8 @@
 
 	private volatile ServerScript script;
 
+	private volatile String response = "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
+
 	/**
 	 * Start a server on a free port.
 	 * @param script how requests are treated
@@ -74,6 +79,10 @@
 		try (socket) {
 			BufferedReader in = new BufferedReader(
 					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+			if (this.script == ServerScript.RESPOND_EARLY_AND_RESET) {
+				respondAndReset(socket, in);
+				return;
+			}
 			for (int number = 0; readRequest(in); number++) {
 				this.requests.incrementAndGet();
 				if (!answer(socket.getOutputStream(), number)) {
@@ -86,6 +95,14 @@
 		}
 	}
 
+	private void respondAndReset(Socket socket, BufferedReader in) throws IOException {
+		in.readLine();
+		socket.getOutputStream().write(this.response.getBytes(StandardCharsets.ISO_8859_1));
+		// Lets the response arrive before the reset.
+		sleep(RESET_MILLIS);
+		socket.setSoLinger(true, 0);
+	}
+
 	private static boolean readRequest(BufferedReader in) throws IOException {
 		int length = 0;
 		String line = in.readLine();
@@ -103,8 +120,7 @@
 	}
 
 	private boolean answer(OutputStream out, int number) throws IOException {
-		String text = "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
-		byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+		byte[] bytes = this.response.getBytes(StandardCharsets.ISO_8859_1);
 		switch (this.script) {
 			case READ_AND_CLOSE -> {
 				return false;
@@ -122,7 +138,7 @@
 		}
 		out.write(bytes);
 		out.flush();
-		return true;
+		return this.script != ServerScript.RESPOND_AND_CLOSE;
 	}
 
 	private static void sleep(long millis) {
@@ -142,6 +158,14 @@
 		this.script = newScript;
 	}
 
+	/**
+	 * Set the response to the requests that arrive from now on.
+	 * @param newResponse the bytes of the response, as ISO 8859-1
+	 */
+	public void setResponse(String newResponse) {
+		this.response = newResponse;
+	}
+
 	/**
 	 * Return the number of accepted connections.
 	 * @return the number since the start
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ServerScript.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/backends/ServerScript.java
@@ -18,6 +18,16 @@
 	/** Sends the same answer twice. */
 	ANSWER_TWICE,
 	/** Answers, and closes the connection when the next request arrives on it. */
-	CLOSE_ON_REUSE
+	CLOSE_ON_REUSE,
+	/**
+	 * Sends the bytes set by {@link ScriptedServer#setResponse} and closes the
+	 * connection.
+	 */
+	RESPOND_AND_CLOSE,
+	/**
+	 * Sends the bytes set by {@link ScriptedServer#setResponse} before reading the body
+	 * of the request, and resets the connection.
+	 */
+	RESPOND_EARLY_AND_RESET
 
 }
