Don't take a response with a control byte in its reason phrase for an answer

Found while the other heads were checked. Cause: Netty's decoder keeps any reason phrase, and the gateway forwards it. Change: StrictResponseDecoder fails on a reason phrase with a control byte other than a tab. Evidence: ServerTroubleTests.answerWithAControlByteInItsReasonPhraseIsNoAnswer failed in 4 of 5 rows before; all 120 tests of the class pass now. Already handled: control bytes in the value of a field; their test passed before in 5 of 5 rows.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
@@ -22,6 +22,8 @@
 
 	private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
+	private static final Pattern REASON_PHRASE = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
+
 	private Part nextPart = Part.STATUS_LINE;
 
 	private boolean responseHasNoBody;
@@ -61,6 +63,9 @@
 		if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
 			throw new IllegalArgumentException("invalid status code: " + initialLine[1]);
 		}
+		if (!REASON_PHRASE.matcher(initialLine[2]).matches()) {
+			throw new IllegalArgumentException("control byte in a reason phrase");
+		}
 		return super.createMessage(initialLine);
 	}
 
