Take less time to check the heads of responses

But StrictResponseDecoder added to it: it looked at each message of each piece, and matched two regular expressions for each head. Change: it looks at the last message only, and compares characters.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/StrictResponseDecoder.java
@@ -1,13 +1,11 @@
 package io.flamingogap.gateway.http;
 
 import java.util.List;
-import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
@@ -20,9 +18,9 @@
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
 
-	private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+	private static final int STATUS_CODE_LENGTH = 3;
 
-	private static final Pattern REASON_PHRASE = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
+	private static final char DELETE = 0x7f;
 
 	private Part nextPart = Part.STATUS_LINE;
 
@@ -43,32 +41,47 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
-		if (this.nextPart.hasFoldedLine(in)) {
+		if (this.nextPart != Part.BODY && this.nextPart.hasFoldedLine(in)) {
 			throw new CorruptedFrameException("a line of the head begins with a blank");
 		}
 		super.decode(context, in, out);
-		for (Object message : out) {
-			if (message instanceof LastHttpContent last && last.decoderResult().isSuccess()) {
-				this.nextPart = Part.STATUS_LINE;
-			}
-			else if (message instanceof HttpResponse) {
-				this.nextPart = Part.BODY;
-			}
+		if (!out.isEmpty()) {
+			boolean ended = out.get(out.size() - 1) instanceof LastHttpContent last && last.decoderResult().isSuccess();
+			this.nextPart = ended ? Part.STATUS_LINE : Part.BODY;
 		}
 	}
 
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
 		this.nextPart = Part.FIELDS;
-		if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
+		if (!isStatusCode(initialLine[1])) {
 			throw new IllegalArgumentException("invalid status code: " + initialLine[1]);
 		}
-		if (!REASON_PHRASE.matcher(initialLine[2]).matches()) {
+		if (hasControlByte(initialLine[2])) {
 			throw new IllegalArgumentException("control byte in a reason phrase");
 		}
 		return super.createMessage(initialLine);
 	}
 
+	private static boolean isStatusCode(String text) {
+		return text.length() == STATUS_CODE_LENGTH && text.charAt(0) >= '1' && text.charAt(0) <= '5'
+				&& isDigit(text.charAt(1)) && isDigit(text.charAt(2));
+	}
+
+	private static boolean isDigit(char value) {
+		return value >= '0' && value <= '9';
+	}
+
+	private static boolean hasControlByte(String text) {
+		for (int i = 0; i < text.length(); i++) {
+			char value = text.charAt(i);
+			if ((value < ' ' && value != '\t') || value == DELETE) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	// The superclass ends a name at a blank and ignores what follows up to the colon.
 	@Override
 	protected AsciiString splitHeaderName(byte[] line, int start, int length) {
