--- a/flamingogap-cli/src/test/java/io/flamingogap/cli/NodeClientTests.java
+++ b/flamingogap-cli/src/test/java/io/flamingogap/cli/NodeClientTests.java
@@ -38,7 +38,8 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 0200 OK",
 			"HTTP/1.1 200 OK\r\nX Note: 1", "HTTP/1.1 200 OK\r\nX-Note : 1", "HTTP/1.1 200 OK\r\nX\u0001Note: 1",
-			"HTTP/1.1 200 OK\r\nContent-Length x: 1", "HTTP/1.1 200 OK\r\nContent-Length : 1" })
+			"HTTP/1.1 200 OK\r\nContent-Length x: 1", "HTTP/1.1 200 OK\r\nContent-Length : 1",
+			"HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\nHTTP/1.1 200 OK" })
 	void malformedAnswerIsAFailure(String head) {
 		try (ScriptedServer server = new ScriptedServer(ServerScript.RESPOND_AND_CLOSE)) {
 			server.setResponse(head + "\r\n\r\n" + BODY);
--- a/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
+++ b/flamingogap-daemon/src/test/java/io/flamingogap/daemon/backends/BackendClientTests.java
@@ -18,8 +18,10 @@
 import io.flamingogap.testkit.backends.ServerScript;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 /**
  * Tests that an unrepeatable call of {@link BackendClient} is sent at most once and never
@@ -79,11 +81,27 @@
 	private void assertLost(ServerScript script, String response, int bodyBytes) {
 		try (ScriptedServer server = new ScriptedServer(script)) {
 			server.setResponse(response);
-			assertThat(callRepeatable(server.address(), new byte[bodyBytes]), instanceOf(CallResult.Lost.class));
+			assertLostBeforeTheTimeout(callRepeatable(server.address(), new byte[bodyBytes]));
 		}
 		try (ScriptedServer server = new ScriptedServer(script)) {
 			server.setResponse(response);
-			assertThat(callOnce(server.address(), new byte[bodyBytes]), instanceOf(CallResult.Lost.class));
+			assertLostBeforeTheTimeout(callOnce(server.address(), new byte[bodyBytes]));
+		}
+	}
+
+	private static void assertLostBeforeTheTimeout(CallResult result) {
+		assertThat(result, instanceOf(CallResult.Lost.class));
+		assertThat(((CallResult.Lost) result).failure().detail(), not(containsString("within")));
+	}
+
+	@Test
+	void answerToAHeadRequestHasNoBody() {
+		try (ScriptedServer server = new ScriptedServer(ServerScript.ANSWER)) {
+			server.setResponse("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+			CallResult result = this.client.call(new BackendServer("desk-a", "desk", "v1", "zone-0", server.address()),
+					new BackendCall("HEAD", "/stock", "text/plain", new byte[0], "buyers", null, 1_000),
+					TIMEOUT_MILLIS);
+			assertThat(((CallResult.Answered) result).answer().body().length, is(0));
 		}
 	}
 
@@ -105,6 +123,21 @@
 				"HTTP/1.1 200 OK\r\n" + lines + "\r\nContent-Type: text/plain\r\n\r\nok", 2);
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "103 Early Hints\r\nX Note: 1", "103 Early Hints\r\nX-Note : 1",
+			"103 Early Hints\r\nX\u0001Note: 1", "103 Early Hints\r\n X-Note: 1", "000 Odd", "099 Odd", "600 Odd" })
+	void answerAfterAMalformedInterimHeadIsNoAnswer(String interim) {
+		assertLost(ServerScript.RESPOND_AND_CLOSE,
+				"HTTP/1.1 " + interim + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "X Note: 1", "X-Note : 1", "X\u0001Note: 1", "X-Note", " X-Note: 1" })
+	void answerWithAMalformedTrailerIsNoAnswer(String line) {
+		assertLost(ServerScript.RESPOND_AND_CLOSE,
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n", 2);
+	}
+
 	// Callers got the received part of the answer to a booking as the whole answer.
 	@ParameterizedTest
 	@ValueSource(strings = { "\r\nhal", "Content-Length: 4\r\n\r\nhal", "Transfer-Encoding: chunked\r\n\r\n4\r\nhal",
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/StrictResponseDecoderTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/StrictResponseDecoderTests.java
@@ -35,6 +35,11 @@
 		assertThat(decode(response.split("")), startsWith(expectedResult));
 	}
 
+	private static void assertDecodedTo(String response, String expectedResult) {
+		assertDecodedInPieces(response, expectedResult);
+		assertThat(decode(response.split("")), is(expectedResult));
+	}
+
 	private static String decode(String... pieces) {
 		EmbeddedChannel channel = new EmbeddedChannel(new StrictResponseDecoder());
 		try {
@@ -83,13 +88,13 @@
 	@ValueSource(strings = { "body", "\r\n body\r\n\tbody", " body", "" })
 	void bodyMayContainLinesThatBeginWithABlank(String body) {
 		String length = "Content-Length: " + body.length() + "\r\n\r\n" + body;
-		assertDecodedInPieces(HEAD + "\r\n" + body, "200 " + body);
-		assertDecodedInPieces(HEAD + length, "200 " + body);
-		assertDecodedInPieces("HTTP/1.1 100 Continue\r\n\r\n\r\n" + HEAD + length, "100 200 " + body);
-		assertDecodedInPieces(HEAD + length + HEAD + length, "200 " + body + "200 " + body);
+		assertDecodedTo(HEAD + "\r\n" + body, "200 " + body);
+		assertDecodedTo(HEAD + length, "200 " + body);
+		assertDecodedTo("HTTP/1.1 100 Continue\r\n\r\n\r\n" + HEAD + length, "100 200 " + body);
+		assertDecodedTo(HEAD + length + HEAD + length, "200 " + body + "200 " + body);
 		if (!body.isEmpty()) {
-			assertDecodedInPieces(HEAD + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
-					+ "\r\n" + body + "\r\n0\r\n\r\n", "200 " + body);
+			assertDecodedTo(HEAD + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n"
+					+ body + "\r\n0\r\n\r\n", "200 " + body);
 		}
 	}
 
@@ -99,6 +104,13 @@
 		assertDecodedInPieces(HEAD + line + "\r\nbody", "malformed: blank in a field name");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "X Other: 2\r\n", "X-Other : 2\r\n" })
+	void blankInTheNameOfATrailerIsMalformed(String line) {
+		assertDecodedInPieces(HEAD + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n",
+				"malformed: blank in a field name");
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "000", "099", "600", "0200", "+200" })
 	void statusThatIsNotValidIsMalformed(String status) {
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -82,6 +82,8 @@
 
 	private volatile String body = "done";
 
+	private volatile String framedBody = "";
+
 	private final AtomicInteger answeredRequests = new AtomicInteger();
 
 	private volatile CountDownLatch answerGate = new CountDownLatch(0);
@@ -132,6 +134,7 @@
 			for (Request head = Request.readHead(in); head != null; head = Request.readHead(in)) {
 				if (this.behaviour == ServerBehaviour.EARLY_UNFRAMED_RESET) {
 					answerUnframed(head, head.header("attempt-id"), socket.getOutputStream());
+					return;
 				}
 				Request request = head.readBody(in);
 				this.requests.add(request);
@@ -334,7 +337,8 @@
 	}
 
 	private String completeAnswer(String attempt) {
-		return head(attempt) + "Content-Length: " + this.body.length() + "\r\n\r\n" + this.body;
+		return head(attempt) + (this.framedBody.isEmpty()
+				? "Content-Length: " + this.body.length() + "\r\n\r\n" + this.body : this.framedBody);
 	}
 
 	private void writeWithoutEnd(OutputStream out, String text, long pauseMillis) throws IOException {
@@ -443,6 +447,15 @@
 		this.body = newBody;
 	}
 
+	/**
+	 * Set what the answers to plain requests have after their other headers, in place of
+	 * a length and the body.
+	 * @param bytes the headers that frame the body, the empty line and the framed body
+	 */
+	public void setFramedBody(String bytes) {
+		this.framedBody = bytes;
+	}
+
 	/**
 	 * Return whether the server was closed or has crashed.
 	 * @return {@code true} if it takes no connections
