Log the store's timeline, the offset of a token, and each step of a usage report

A return of the store from an older copy looked like an outage in the logs, and a token without its offset doesn't tell whether an offset was given out twice. Nothing acts on the timeline yet. Nodes that answer for the store pass its number on.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -211,6 +211,9 @@
 							.log("%s",
 									LogLine.of("duties claimed")
 										.with("token", this.endOffset)
+										.with("offset", this.endOffset - 1)
+										.with("timeline", this.store.timeline())
+										.with("claimedBefore", claimedBefore)
 										.with("generation", this.generation));
 						this.loop.execute(this::tick);
 					});
@@ -281,12 +284,14 @@
 		appendRecord(USAGE_KEY, ReportCodec.encodeUsageReport(report.window(), report.requests()), this.endOffset,
 				() -> {
 					this.usageReports.recordStored(report);
+					logUsage("usage stored", report, this.endOffset);
 					this.loop.execute(this::tick);
 				});
 	}
 
 	private void sendUsage(long token, UsageReportSchedule.Report report) {
 		this.dutyInProgress = true;
+		logUsage("usage sent", report, token);
 		this.dependencies.cloud()
 			.reportUsage(token, report.window(), report.requests())
 			.whenComplete((verdict, failure) -> {
@@ -302,6 +307,15 @@
 			});
 	}
 
+	private static void logUsage(String event, UsageReportSchedule.Report report, long position) {
+		logger.atInfo()
+			.log("%s",
+					LogLine.of(event)
+						.with("window", report.window())
+						.with("requests", report.totalRequests())
+						.with("position", position));
+	}
+
 	private void publishStatus(RecordCodec.RolloutStatus status) {
 		this.dutyInProgress = true;
 		StoredRecord entry = this.dependencies.codec().encodeStatus(status);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
@@ -137,7 +137,7 @@
 				.log("%s",
 						LogLine.of("usage reported")
 							.with("window", sent.window())
-							.with("requests", sent.requests().values().stream().mapToLong(Long::longValue).sum()));
+							.with("requests", sent.totalRequests()));
 		}
 	}
 
@@ -148,6 +148,11 @@
 	 * @param requests the number of requests by account
 	 */
 	record Report(long window, Map<String, Long> requests) {
+
+		long totalRequests() {
+			return this.requests.values().stream().mapToLong(Long::longValue).sum();
+		}
+
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/http/PooledHttpClient.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -270,8 +269,7 @@
 		}
 
 		private void complete(HttpResponse responseHead) {
-			HttpCallResponse response = new HttpCallResponse(responseHead.status().code(),
-					Optional.ofNullable(responseHead.headers().get(HttpHeaderNames.CONTENT_TYPE)),
+			HttpCallResponse response = new HttpCallResponse(responseHead.status().code(), responseHead.headers(),
 					ByteBufUtil.getBytes(this.body));
 			CompletableFuture<HttpCallResponse> result = takePendingResponse();
 			if (result != null && HttpUtil.isKeepAlive(responseHead)) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -51,11 +51,12 @@
 	}
 
 	static Batch toBatch(PeerReply reply, boolean fromZoneRelay) {
-		return new Batch(toStoredRecords(reply), reply.getPosition(), fromZoneRelay, reply.getAgeMillis());
+		return new Batch(toStoredRecords(reply), reply.getPosition(), fromZoneRelay, reply.getAgeMillis(),
+				reply.getTimeline());
 	}
 
 	static Page toPage(PeerReply reply) {
-		return new Page(toStoredRecords(reply), reply.isHasMore(), reply.getPosition());
+		return new Page(toStoredRecords(reply), reply.isHasMore(), reply.getPosition(), reply.getTimeline());
 	}
 
 	static List<StoredRecord> toStoredRecords(PeerReply reply) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -55,10 +55,12 @@
 			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
 				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(batch.records()),
 						batch.nextOffset(), false)
-					.setAgeMillis(batch.ageMillis()));
+					.setAgeMillis(batch.ageMillis())
+					.setTimeline(batch.timeline()));
 			case NEWEST -> this.store.listNewest(stream, Optional.ofNullable(call.getKey()))
 				.thenApply((page) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(page.records()),
-						page.endOffset(), page.hasMore()));
+						page.endOffset(), page.hasMore())
+					.setTimeline(page.timeline()));
 			case APPEND ->
 				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
 		};
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -35,6 +35,8 @@
 
 	private long endOffset;
 
+	private long timeline;
+
 	private long lastReadAtMillis = NEVER;
 
 	/**
@@ -49,6 +51,7 @@
 			this.sizeBytes = 0;
 			this.startOffset = from;
 		}
+		this.timeline = batch.timeline();
 		this.endOffset = batch.nextOffset();
 		this.lastReadAtMillis = nowMillis;
 		batch.records().forEach((entry) -> {
@@ -83,7 +86,7 @@
 
 	Batch batchFrom(long from, long nowMillis) {
 		List<StoredRecord> matching = this.records.stream().filter((entry) -> entry.offset() >= from).toList();
-		return new Batch(matching, this.endOffset, false, nowMillis - this.lastReadAtMillis);
+		return new Batch(matching, this.endOffset, false, nowMillis - this.lastReadAtMillis, this.timeline);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/ForwardingStore.java
@@ -53,4 +53,9 @@
 		return this.delegate.leave(member);
 	}
 
+	@Override
+	public long timeline() {
+		return this.delegate.timeline();
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -139,7 +139,9 @@
 					.log("%s",
 							LogLine.of("records dropped by the store")
 								.with("stream", this.stream.name())
-								.with("offset", from));
+								.with("offset", from)
+								.with("timeline", this.store.timeline())
+								.with("reason", String.valueOf(StoreException.of(failure).getMessage())));
 				start();
 			}
 			else if (failure != null) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -10,9 +10,16 @@
  * nodes, the one that holds the duties: the tasks that one node carries out for all, such
  * as reporting usage and ordering servers. Futures complete on the event loop; those of
  * failed calls complete with a {@link StoreException}.
+ * <p>
+ * The store may return from an earlier copy of itself. It then has lost the newest
+ * records and gives their offsets to others, so only offsets of one timeline can be
+ * compared. The number of the timeline rises with each return.
  */
 public interface RecordStore {
 
+	/** The timeline of a store that doesn't number its timelines. */
+	long UNNUMBERED_TIMELINE = 0;
+
 	/**
 	 * Read the records from an offset on. If there are none yet, wait for the next one.
 	 * @param stream the stream
@@ -68,6 +75,12 @@
 	 */
 	CompletableFuture<Void> leave(String member);
 
+	/**
+	 * Return the newest timeline of the store that an answer has shown.
+	 * @return the number, or {@link #UNNUMBERED_TIMELINE}
+	 */
+	long timeline();
+
 	/**
 	 * The result of a read.
 	 *
@@ -78,17 +91,19 @@
 	 * for this one
 	 * @param ageMillis how long ago the store itself answered, in milliseconds; records
 	 * that were appended since may be missing
+	 * @param timeline the timeline of the offsets
 	 */
-	record Batch(List<StoredRecord> records, long nextOffset, boolean fromZoneRelay, long ageMillis) {
+	record Batch(List<StoredRecord> records, long nextOffset, boolean fromZoneRelay, long ageMillis, long timeline) {
 
 		/**
 		 * Create a batch that the store itself has just returned.
 		 * @param records the records, in order of their offsets; may be empty
 		 * @param nextOffset the offset to continue from
+		 * @param timeline the timeline of the offsets
 		 * @return the batch
 		 */
-		public static Batch fromStore(List<StoredRecord> records, long nextOffset) {
-			return new Batch(records, nextOffset, false, 0);
+		public static Batch fromStore(List<StoredRecord> records, long nextOffset, long timeline) {
+			return new Batch(records, nextOffset, false, 0, timeline);
 		}
 
 	}
@@ -108,8 +123,9 @@
 	 * @param records the newest records of some keys
 	 * @param hasMore whether there is another page
 	 * @param endOffset the offset of the end of the stream when the page was read
+	 * @param timeline the timeline of the offsets
 	 */
-	record Page(List<StoredRecord> records, boolean hasMore, long endOffset) {
+	record Page(List<StoredRecord> records, boolean hasMore, long endOffset, long timeline) {
 	}
 
 	/**
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
@@ -149,7 +149,7 @@
 		}
 
 		private void list() {
-			this.listing.complete(new Page(List.copyOf(this.newest.values()), false, this.end));
+			this.listing.complete(new Page(List.copyOf(this.newest.values()), false, this.end, 0));
 		}
 
 		@Override
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -184,7 +184,8 @@
 				return super.read(stream, from, waitMillis);
 			}
 			return this.relay.readForPeer(stream, from, waitMillis)
-				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true, batch.ageMillis()))
+				.thenApply((batch) -> new Batch(batch.records(), batch.nextOffset(), true, batch.ageMillis(),
+						batch.timeline()))
 				.exceptionallyCompose((failure) -> (StoreException.of(failure).reason() == Reason.DROPPED)
 						? CompletableFuture.failedFuture(failure) : super.read(stream, from, 0));
 		}
@@ -263,7 +264,7 @@
 				result.completeExceptionally(new StoreException(Reason.DROPPED, "gone"));
 			}
 			else {
-				result.complete(Batch.fromStore(List.copyOf(this.records.tailMap(from).values()), this.endOffset));
+				result.complete(Batch.fromStore(List.copyOf(this.records.tailMap(from).values()), this.endOffset, 0));
 			}
 		}
 
@@ -273,7 +274,7 @@
 				return CompletableFuture.failedFuture(new StoreException(Reason.UNAVAILABLE, "down"));
 			}
 			List<StoredRecord> page = this.newest.values().stream().map(this.records::get).toList();
-			return CompletableFuture.completedFuture(new Page(page, false, this.endOffset));
+			return CompletableFuture.completedFuture(new Page(page, false, this.endOffset, 0));
 		}
 
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -49,7 +49,7 @@
 	@BeforeEach
 	void fillCache() {
 		this.cache.read(StoreStream.SERVERS, 7, WAIT_MILLIS);
-		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(7), entry(8)), 9));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(7), entry(8)), 9, 0));
 		this.cache.read(StoreStream.SERVERS, 9, WAIT_MILLIS);
 	}
 
@@ -63,7 +63,7 @@
 	void answersWaitingPeerWhenARecordArrives() {
 		CompletableFuture<Batch> peer = readForPeer(9);
 		assertThat(peer.isDone(), is(false));
-		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(9)), 10));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(9)), 10, 0));
 		assertThat(offsets(peer), contains(9L));
 		assertThat(peer.join().nextOffset(), is(10L));
 	}
@@ -73,7 +73,7 @@
 		CompletableFuture<Batch> peer = readForPeer(9);
 		this.channel.advanceTimeBy(WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
-		assertThat(peer.join(), is(new Batch(List.of(), 9, false, 0)));
+		assertThat(peer.join(), is(new Batch(List.of(), 9, false, 0, 0)));
 	}
 
 	@Test
@@ -146,7 +146,7 @@
 	@Test
 	void dropsCachedRecordsBeforeAGap() {
 		this.cache.read(StoreStream.SERVERS, 20, WAIT_MILLIS);
-		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(20)), 21));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(20)), 21, 0));
 		assertThat(offsets(readForPeer(20)), contains(20L));
 		readForPeer(8);
 		assertThat(this.store.readOffsets(), contains(7L, 9L, 20L, 8L));
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -78,7 +78,7 @@
 		this.channel.runPendingTasks();
 		this.store.pendingRead()
 			.complete(RecordStore.Batch.fromStore(List.of(new StoredRecord("odd", Optional.empty(), 7),
-					new StoredRecord("next", Optional.empty(), 8)), 9));
+					new StoredRecord("next", Optional.empty(), 8)), 9, 0));
 		this.channel.runPendingTasks();
 		assertThat(this.receivedOffsets, contains(6L, 8L));
 		assertThat(this.store.readOffsets(), contains(7L, 9L));
@@ -187,7 +187,7 @@
 					result.completeExceptionally(new StoreException(StoreException.Reason.UNAVAILABLE, "cut"));
 				}
 				else {
-					result.complete(Batch.fromStore(List.of(), from));
+					result.complete(Batch.fromStore(List.of(), from, 0));
 				}
 			}, disrupted ? CONNECT_TIMEOUT_MILLIS : waitMillis, TimeUnit.MILLISECONDS);
 			return result;
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -77,7 +77,7 @@
 	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
 		this.listingCount++;
 		return CompletableFuture
-			.completedFuture(new Page(List.of(new StoredRecord("a", Optional.of(new byte[1]), 6)), false, 7));
+			.completedFuture(new Page(List.of(new StoredRecord("a", Optional.of(new byte[1]), 6)), false, 7, 0));
 	}
 
 	@Override
@@ -102,4 +102,9 @@
 		return new CompletableFuture<>();
 	}
 
+	@Override
+	public long timeline() {
+		return UNNUMBERED_TIMELINE;
+	}
+
 }
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField WAIT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("waitMillis", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField KEY_FIELD_DESC = new org.apache.thrift.protocol.TField("key", org.apache.thrift.protocol.TType.STRING, (short)5);
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField TIMELINE_FIELD_DESC = new org.apache.thrift.protocol.TField("timeline", org.apache.thrift.protocol.TType.I64, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerCallStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerCallTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private long waitMillis; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String key; // optional
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content; // optional
+  private long timeline; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -54,7 +56,11 @@
     /**
      * APPEND: the content; absent to remove the key.
      */
-    CONTENT((short)6, "content");
+    CONTENT((short)6, "content"),
+    /**
+     * READ: the timeline of the store that fromOffset belongs to; absent if it has no number.
+     */
+    TIMELINE((short)7, "timeline");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -82,6 +88,8 @@
           return KEY;
         case 6: // CONTENT
           return CONTENT;
+        case 7: // TIMELINE
+          return TIMELINE;
         default:
           return null;
       }
@@ -127,8 +135,9 @@
   // isset id assignments
   private static final int __FROMOFFSET_ISSET_ID = 0;
   private static final int __WAITMILLIS_ISSET_ID = 1;
+  private static final int __TIMELINE_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.KEY,_Fields.CONTENT};
+  private static final _Fields optionals[] = {_Fields.KEY,_Fields.CONTENT,_Fields.TIMELINE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -144,6 +153,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.CONTENT, new org.apache.thrift.meta_data.FieldMetaData("content", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.TIMELINE, new org.apache.thrift.meta_data.FieldMetaData("timeline", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerCall.class, metaDataMap);
   }
@@ -185,6 +196,7 @@
     if (other.isSetContent()) {
       this.content = org.apache.thrift.TBaseHelper.copyBinary(other.content);
     }
+    this.timeline = other.timeline;
   }
 
   @Override
@@ -202,6 +214,8 @@
     this.waitMillis = 0;
     this.key = null;
     this.content = null;
+    setTimelineIsSet(false);
+    this.timeline = 0;
   }
 
   /**
@@ -393,6 +407,35 @@
     }
   }
 
+  /**
+   * READ: the timeline of the store that fromOffset belongs to; absent if it has no number.
+   */
+  public long getTimeline() {
+    return this.timeline;
+  }
+
+  /**
+   * READ: the timeline of the store that fromOffset belongs to; absent if it has no number.
+   */
+  public PeerCall setTimeline(long timeline) {
+    this.timeline = timeline;
+    setTimelineIsSet(true);
+    return this;
+  }
+
+  public void unsetTimeline() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TIMELINE_ISSET_ID);
+  }
+
+  /** Returns true if field timeline is set (has been assigned a value) and false otherwise */
+  public boolean isSetTimeline() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TIMELINE_ISSET_ID);
+  }
+
+  public void setTimelineIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMELINE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -448,6 +491,14 @@
       }
       break;
 
+    case TIMELINE:
+      if (value == null) {
+        unsetTimeline();
+      } else {
+        setTimeline((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -473,6 +524,9 @@
     case CONTENT:
       return getContent();
 
+    case TIMELINE:
+      return getTimeline();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -497,6 +551,8 @@
       return isSetKey();
     case CONTENT:
       return isSetContent();
+    case TIMELINE:
+      return isSetTimeline();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -568,6 +624,15 @@
         return false;
     }
 
+    boolean this_present_timeline = true && this.isSetTimeline();
+    boolean that_present_timeline = true && that.isSetTimeline();
+    if (this_present_timeline || that_present_timeline) {
+      if (!(this_present_timeline && that_present_timeline))
+        return false;
+      if (this.timeline != that.timeline)
+        return false;
+    }
+
     return true;
   }
 
@@ -595,6 +660,10 @@
     if (isSetContent())
       hashCode = hashCode * 8191 + content.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetTimeline()) ? 131071 : 524287);
+    if (isSetTimeline())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timeline);
+
     return hashCode;
   }
 
@@ -666,6 +735,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTimeline(), other.isSetTimeline());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTimeline()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.timeline, other.timeline);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -733,6 +812,12 @@
       }
       first = false;
     }
+    if (isSetTimeline()) {
+      if (!first) sb.append(", ");
+      sb.append("timeline:");
+      sb.append(this.timeline);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -836,6 +921,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // TIMELINE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.timeline = iprot.readI64();
+              struct.setTimelineIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -888,6 +981,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetTimeline()) {
+        oprot.writeFieldBegin(TIMELINE_FIELD_DESC);
+        oprot.writeI64(struct.timeline);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -917,13 +1015,19 @@
       if (struct.isSetContent()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetTimeline()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetKey()) {
         oprot.writeString(struct.key);
       }
       if (struct.isSetContent()) {
         oprot.writeBinary(struct.content);
       }
+      if (struct.isSetTimeline()) {
+        oprot.writeI64(struct.timeline);
+      }
     }
 
     @Override
@@ -937,7 +1041,7 @@
       struct.setFromOffsetIsSet(true);
       struct.waitMillis = iprot.readI64();
       struct.setWaitMillisIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.key = iprot.readString();
         struct.setKeyIsSet(true);
@@ -946,6 +1050,10 @@
         struct.content = iprot.readBinary();
         struct.setContentIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.timeline = iprot.readI64();
+        struct.setTimelineIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField HAS_MORE_FIELD_DESC = new org.apache.thrift.protocol.TField("hasMore", org.apache.thrift.protocol.TType.BOOL, (short)4);
   private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField TIMELINE_FIELD_DESC = new org.apache.thrift.protocol.TField("timeline", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerReplyTupleSchemeFactory();
@@ -27,6 +28,7 @@
   private long position; // required
   private boolean hasMore; // required
   private long ageMillis; // optional
+  private long timeline; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +51,11 @@
      * READ: how long ago the store itself last answered the sender, in milliseconds; absent if it
      * answered this call.
      */
-    AGE_MILLIS((short)5, "ageMillis");
+    AGE_MILLIS((short)5, "ageMillis"),
+    /**
+     * READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number.
+     */
+    TIMELINE((short)6, "timeline");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -75,6 +81,8 @@
           return HAS_MORE;
         case 5: // AGE_MILLIS
           return AGE_MILLIS;
+        case 6: // TIMELINE
+          return TIMELINE;
         default:
           return null;
       }
@@ -121,8 +129,9 @@
   private static final int __POSITION_ISSET_ID = 0;
   private static final int __HASMORE_ISSET_ID = 1;
   private static final int __AGEMILLIS_ISSET_ID = 2;
+  private static final int __TIMELINE_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.AGE_MILLIS};
+  private static final _Fields optionals[] = {_Fields.AGE_MILLIS,_Fields.TIMELINE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -137,6 +146,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TIMELINE, new org.apache.thrift.meta_data.FieldMetaData("timeline", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerReply.class, metaDataMap);
   }
@@ -177,6 +188,7 @@
     this.position = other.position;
     this.hasMore = other.hasMore;
     this.ageMillis = other.ageMillis;
+    this.timeline = other.timeline;
   }
 
   @Override
@@ -194,6 +206,8 @@
     this.hasMore = false;
     setAgeMillisIsSet(false);
     this.ageMillis = 0;
+    setTimelineIsSet(false);
+    this.timeline = 0;
   }
 
   /**
@@ -361,6 +375,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number.
+   */
+  public long getTimeline() {
+    return this.timeline;
+  }
+
+  /**
+   * READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number.
+   */
+  public PeerReply setTimeline(long timeline) {
+    this.timeline = timeline;
+    setTimelineIsSet(true);
+    return this;
+  }
+
+  public void unsetTimeline() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TIMELINE_ISSET_ID);
+  }
+
+  /** Returns true if field timeline is set (has been assigned a value) and false otherwise */
+  public boolean isSetTimeline() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TIMELINE_ISSET_ID);
+  }
+
+  public void setTimelineIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMELINE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -404,6 +447,14 @@
       }
       break;
 
+    case TIMELINE:
+      if (value == null) {
+        unsetTimeline();
+      } else {
+        setTimeline((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -426,6 +477,9 @@
     case AGE_MILLIS:
       return getAgeMillis();
 
+    case TIMELINE:
+      return getTimeline();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -448,6 +502,8 @@
       return isSetHasMore();
     case AGE_MILLIS:
       return isSetAgeMillis();
+    case TIMELINE:
+      return isSetTimeline();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -510,6 +566,15 @@
         return false;
     }
 
+    boolean this_present_timeline = true && this.isSetTimeline();
+    boolean that_present_timeline = true && that.isSetTimeline();
+    if (this_present_timeline || that_present_timeline) {
+      if (!(this_present_timeline && that_present_timeline))
+        return false;
+      if (this.timeline != that.timeline)
+        return false;
+    }
+
     return true;
   }
 
@@ -533,6 +598,10 @@
     if (isSetAgeMillis())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMillis);
 
+    hashCode = hashCode * 8191 + ((isSetTimeline()) ? 131071 : 524287);
+    if (isSetTimeline())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timeline);
+
     return hashCode;
   }
 
@@ -594,6 +663,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTimeline(), other.isSetTimeline());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTimeline()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.timeline, other.timeline);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -647,6 +726,12 @@
       sb.append(this.ageMillis);
       first = false;
     }
+    if (isSetTimeline()) {
+      if (!first) sb.append(", ");
+      sb.append("timeline:");
+      sb.append(this.timeline);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -753,6 +838,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // TIMELINE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.timeline = iprot.readI64();
+              struct.setTimelineIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -803,6 +896,11 @@
         oprot.writeI64(struct.ageMillis);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetTimeline()) {
+        oprot.writeFieldBegin(TIMELINE_FIELD_DESC);
+        oprot.writeI64(struct.timeline);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -835,10 +933,16 @@
       if (struct.isSetAgeMillis()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetTimeline()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetAgeMillis()) {
         oprot.writeI64(struct.ageMillis);
       }
+      if (struct.isSetTimeline()) {
+        oprot.writeI64(struct.timeline);
+      }
     }
 
     @Override
@@ -862,11 +966,15 @@
       struct.setPositionIsSet(true);
       struct.hasMore = iprot.readBool();
       struct.setHasMoreIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.ageMillis = iprot.readI64();
         struct.setAgeMillisIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.timeline = iprot.readI64();
+        struct.setTimelineIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -36,6 +36,8 @@
   5: optional string key
   /** APPEND: the content; absent to remove the key. */
   6: optional binary content
+  /** READ: the timeline of the store that fromOffset belongs to; absent if it has no number. */
+  7: optional i64 timeline
 }
 
 /** Record of a stream. */
@@ -61,6 +63,8 @@
    * answered this call.
    */
   5: optional i64 ageMillis
+  /** READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number. */
+  6: optional i64 timeline
 }
 
 /** Open requests and unread tokens of one node at a backend server. */
