Let the fake metadata store return from an older copy

FakeMetadataStore copies its topics and groups and can be taken back to a copy: it loses what came later, gives the offsets out again and counts the era in the header Store-Era of every answer, which can be left out. A read past the end gets 410, or waits until the end has passed it. Reads that wait across a return get no answer. The caller gets the lost records of operators and servers, to write them again.

StoreFault.UNREACHABLE closes the connections of all calls, open reads too. FakeCloudDuties also keeps the calls that it refuses, and FakeBackendServer returns when its requests arrived. reassignTo renews the membership.

--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeBackendServer.java
@@ -507,6 +507,14 @@
 		return List.copyOf(this.requests);
 	}
 
+	/**
+	 * Return when the requests arrived that were read completely.
+	 * @return the times of {@link System#nanoTime()}, in any order
+	 */
+	public List<Long> arrivalNanos() {
+		return List.copyOf(this.arrivalNanos);
+	}
+
 	/**
 	 * Return the greatest number of requests that have arrived within a second.
 	 * @return the number, over all seconds since the start
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeCloudDuties.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeCloudDuties.java
@@ -22,6 +22,8 @@
 
 	private final List<Call> accepted = new CopyOnWriteArrayList<>();
 
+	private final List<Call> received = new CopyOnWriteArrayList<>();
+
 	private final Map<String, Long> highestToken = new ConcurrentHashMap<>();
 
 	private final LoopbackHttpServer server;
@@ -44,13 +46,15 @@
 		JsonNode body = Json.parse(Json.body(exchange));
 		long token = Long.parseLong(exchange.getRequestHeaders().getFirst("Fence-Token"));
 		String fencedResource = path + "/" + body.path("service").asText() + "/" + body.path("zone").asText();
+		Call call = new Call(path, token, exchange.getRequestHeaders().getFirst("Duty-Holder"),
+				TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), body);
+		this.received.add(call);
 		if (this.checksTokens && token < this.highestToken.getOrDefault(fencedResource, 0L)) {
 			Json.answer(exchange, 409, Map.of("reason", "fenced"));
 			return;
 		}
 		this.highestToken.put(fencedResource, token);
-		this.accepted.add(new Call(path, token, exchange.getRequestHeaders().getFirst("Duty-Holder"),
-				TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), body));
+		this.accepted.add(call);
 		if (this.answersLost) {
 			exchange.close();
 		}
@@ -106,6 +110,22 @@
 		return this.accepted.stream().filter((call) -> call.path().equals(path)).toList();
 	}
 
+	/**
+	 * Return all calls, refused ones too.
+	 * @return the calls in the order of their arrival
+	 */
+	public List<Call> received() {
+		return List.copyOf(this.received);
+	}
+
+	/**
+	 * Return the accepted calls of all paths.
+	 * @return the calls in the order of their arrival
+	 */
+	public List<Call> accepted() {
+		return List.copyOf(this.accepted);
+	}
+
 	/**
 	 * Return the address on which the API listens.
 	 * @return the address as {@code IP:PORT}
@@ -120,7 +140,7 @@
 	}
 
 	/**
-	 * An accepted call.
+	 * A call.
 	 *
 	 * @param path the path
 	 * @param token the fencing token
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/FakeMetadataStore.java
@@ -26,7 +26,8 @@
 
 /**
  * Fake of the platform's metadata store: a log of topics whose partition 0 keeps the
- * newest record of each key, with long polling, conditional appends, and groups.
+ * newest record of each key, with long polling, conditional appends, and groups. It can
+ * be taken back to an earlier copy of itself, as in a drill of the platform.
  */
 public final class FakeMetadataStore implements AutoCloseable {
 
@@ -36,6 +37,11 @@
 
 	private static final long SILENT_MILLIS = 60_000;
 
+	private static final String ERA_HEADER = "Store-Era";
+
+	/** The topics whose writers repeat what a restored store has lost. */
+	private static final List<String> REPEATED_TOPICS = List.of("keyed.op", "keyed.servers");
+
 	private final Map<String, Topic> topics = new HashMap<>();
 
 	private final Set<String> refusedMembers = ConcurrentHashMap.newKeySet();
@@ -48,6 +54,12 @@
 
 	private StoreFault fault = StoreFault.NONE;
 
+	private long era = 1;
+
+	private boolean eraSent = true;
+
+	private boolean readsPastTheEndWait;
+
 	/**
 	 * Start a store on a free port.
 	 */
@@ -69,12 +81,80 @@
 	 */
 	public synchronized void setFault(StoreFault newFault) {
 		this.fault = newFault;
+		notifyAll();
 	}
 
 	private synchronized StoreFault fault() {
 		return this.fault;
 	}
 
+	/**
+	 * Set whether the answers name the era.
+	 * @param sent {@code false} for a store that doesn't count its restores
+	 */
+	public synchronized void setEraSent(boolean sent) {
+		this.eraSent = sent;
+	}
+
+	/**
+	 * Set what happens to reads from an offset past the end of a topic.
+	 * @param wait {@code true} if they wait like those from the end, {@code false} if
+	 * they are answered with status 410
+	 */
+	public synchronized void setReadsPastTheEndWait(boolean wait) {
+		this.readsPastTheEndWait = wait;
+	}
+
+	/**
+	 * Copy all topics and groups.
+	 * @return the copy, which doesn't change any more
+	 */
+	public synchronized Copy copy() {
+		Map<String, Topic> copiedTopics = new HashMap<>();
+		this.topics.forEach((name, topic) -> copiedTopics.put(name, topic.copy()));
+		Map<String, Group> copiedGroups = new HashMap<>();
+		long nowNanos = System.nanoTime();
+		this.groups.forEach((name, group) -> copiedGroups.put(name, group.shiftedBy(-nowNanos)));
+		return new Copy(copiedTopics, copiedGroups);
+	}
+
+	/**
+	 * Return to a copy in a new era. Records that were appended after the copy are lost,
+	 * and their offsets are given out again. Memberships last as long as they would have
+	 * lasted from the copy on. Reads that are waiting get no answer.
+	 * @param copy the copy, which can be restored again
+	 * @return the lost records of operators and backend servers, in their order
+	 */
+	public synchronized List<LostRecord> restore(Copy copy) {
+		List<LostRecord> lost = new ArrayList<>();
+		for (String name : REPEATED_TOPICS) {
+			long keptEnd = copy.topics.containsKey(name) ? copy.topics.get(name).end() : 0;
+			Topic topic = findOrCreateTopic(name);
+			topic.records.subList((int) keptEnd, (int) topic.end())
+				.forEach((content) -> lost.add(new LostRecord(name, decodeKey(content),
+						new String(decodeValue(content), StandardCharsets.UTF_8))));
+		}
+		this.topics.clear();
+		copy.topics.forEach((name, topic) -> this.topics.put(name, topic.copy()));
+		this.groups.clear();
+		long nowNanos = System.nanoTime();
+		copy.groups.forEach((name, group) -> this.groups.put(name, group.shiftedBy(nowNanos)));
+		this.era++;
+		notifyAll();
+		return lost;
+	}
+
+	/**
+	 * Write the newest lost record of each key again, as operators and backend servers
+	 * do. Faults don't apply.
+	 * @param lost the lost records, in their order
+	 */
+	public synchronized void writeAgain(List<LostRecord> lost) {
+		Map<List<String>, LostRecord> newestByKey = new LinkedHashMap<>();
+		lost.forEach((each) -> newestByKey.put(List.of(each.topic(), each.key()), each));
+		newestByKey.values().forEach((each) -> write(each.topic(), each.key(), each.json()));
+	}
+
 	/**
 	 * Write a record as operators and backend servers do. Faults don't apply.
 	 * @param topic the name of the topic
@@ -141,12 +221,21 @@
 		return ByteBuffer.allocate(1 + name.length + value.length).put((byte) name.length).put(name).put(value).array();
 	}
 
+	private static String decodeKey(byte[] content) {
+		return new String(content, 1, Byte.toUnsignedInt(content[0]), StandardCharsets.UTF_8);
+	}
+
+	private static byte[] decodeValue(byte[] content) {
+		return Arrays.copyOfRange(content, 1 + Byte.toUnsignedInt(content[0]), content.length);
+	}
+
 	private void handle(HttpExchange exchange) throws IOException {
 		byte[] body = exchange.getRequestBody().readAllBytes();
 		try {
 			switch (fault()) {
 				case NONE -> answer(exchange, body);
-				case DOWN -> exchange.sendResponseHeaders(503, -1);
+				case DOWN -> writeReply(exchange, refusal());
+				case UNREACHABLE -> exchange.close();
 				case SILENT -> TimeUnit.MILLISECONDS.sleep(SILENT_MILLIS);
 				case SLOW -> {
 					TimeUnit.MILLISECONDS.sleep(SLOW_MILLIS);
@@ -163,12 +252,20 @@
 				}
 			}
 		}
+		catch (CallEndedException ex) {
+			exchange.close();
+		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
-	private void answer(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
+	private synchronized Reply refusal() {
+		return new Reply(503, new byte[0]).inEra(this.era);
+	}
+
+	private void answer(HttpExchange exchange, byte[] body)
+			throws IOException, InterruptedException, CallEndedException {
 		String topic = query(exchange).getOrDefault("topic", "");
 		boolean isRead = exchange.getRequestURI().getPath().equals("/v1/log-read");
 		if (isRead) {
@@ -184,7 +281,10 @@
 		}
 	}
 
-	private static void writeReply(HttpExchange exchange, Reply reply) throws IOException {
+	private void writeReply(HttpExchange exchange, Reply reply) throws IOException {
+		if (isEraSent()) {
+			exchange.getResponseHeaders().set(ERA_HEADER, String.valueOf(reply.era()));
+		}
 		exchange.sendResponseHeaders(reply.status(), (reply.body().length > 0) ? reply.body().length : -1);
 		if (reply.body().length > 0) {
 			try (OutputStream out = exchange.getResponseBody()) {
@@ -193,9 +293,14 @@
 		}
 	}
 
-	private Reply execute(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
+	private synchronized boolean isEraSent() {
+		return this.eraSent;
+	}
+
+	private synchronized Reply execute(HttpExchange exchange, byte[] body)
+			throws IOException, InterruptedException, CallEndedException {
 		Map<String, String> query = query(exchange);
-		return switch (exchange.getRequestURI().getPath()) {
+		Reply reply = switch (exchange.getRequestURI().getPath()) {
 			case "/v1/log-append" -> append(query, body);
 			case "/v1/log-read" -> read(query);
 			case "/v1/log-newest" -> newest(query);
@@ -203,6 +308,7 @@
 			case "/v1/log-leave" -> leave(Json.parse(new String(body, StandardCharsets.UTF_8)));
 			default -> new Reply(404, new byte[0]);
 		};
+		return reply.inEra(this.era);
 	}
 
 	private static Map<String, String> query(HttpExchange exchange) {
@@ -234,15 +340,21 @@
 		return Reply.json(200, Map.of("offset", offset, "end", topic.end()));
 	}
 
-	private synchronized Reply read(Map<String, String> query) throws IOException, InterruptedException {
+	private synchronized Reply read(Map<String, String> query)
+			throws IOException, InterruptedException, CallEndedException {
 		Topic topic = findOrCreateTopic(query.get("topic"));
+		long startEra = this.era;
 		long from = Long.parseLong(query.get("from"));
 		long deadlineNanos = System.nanoTime()
 				+ TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.getOrDefault("waitMs", "0")));
-		while (topic.end() <= from && from >= topic.first && System.nanoTime() < deadlineNanos) {
+		boolean refused = from > topic.end() && !this.readsPastTheEndWait;
+		while (!refused && topic.end() <= from && from >= topic.first && System.nanoTime() < deadlineNanos) {
 			TimeUnit.NANOSECONDS.timedWait(this, deadlineNanos - System.nanoTime());
+			if (this.era != startEra || this.fault == StoreFault.UNREACHABLE) {
+				throw new CallEndedException();
+			}
 		}
-		if (from < topic.first) {
+		if (refused || from < topic.first) {
 			return Reply.json(410, Map.of("first", topic.first));
 		}
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -277,7 +389,8 @@
 			group.generation++;
 		}
 		if (group.holder.equals(member)) {
-			group.expiresAtNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(body.get("ttlMs").asLong());
+			group.ttlNanos = TimeUnit.MILLISECONDS.toNanos(body.get("ttlMs").asLong());
+			group.expiresAtNanos = nowNanos + group.ttlNanos;
 		}
 		List<Object> parts = group.holder.equals(member) ? List.of(List.of(body.get("topics").get(0).asText(), 0, 0))
 				: List.of();
@@ -307,6 +420,7 @@
 		this.groups.values().forEach((group) -> {
 			group.holder = member;
 			group.generation++;
+			group.expiresAtNanos = System.nanoTime() + group.ttlNanos;
 		});
 	}
 
@@ -323,10 +437,54 @@
 		this.server.close();
 	}
 
+	/**
+	 * A copy of all topics and groups.
+	 */
+	public static final class Copy {
+
+		private final Map<String, Topic> topics;
+
+		/** The memberships end at a time that counts from the copy. */
+		private final Map<String, Group> groups;
+
+		private Copy(Map<String, Topic> topics, Map<String, Group> groups) {
+			this.topics = topics;
+			this.groups = groups;
+		}
+
+	}
+
+	/**
+	 * A record that the store had acknowledged and has lost.
+	 *
+	 * @param topic the name of the topic
+	 * @param key the key
+	 * @param json the content; empty if the record removed the key
+	 */
+	public record LostRecord(String topic, String key, String json) {
+	}
+
+	/**
+	 * Thrown to close the connection of a call without an answer.
+	 */
+	private static final class CallEndedException extends Exception {
+
+		private static final long serialVersionUID = 1L;
+
+	}
+
 	private record Entry(byte[] value, long offset) {
 	}
 
-	private record Reply(int status, byte[] body) {
+	private record Reply(int status, byte[] body, long era) {
+
+		private Reply(int status, byte[] body) {
+			this(status, body, 0);
+		}
+
+		private Reply inEra(long newEra) {
+			return new Reply(this.status, this.body, newEra);
+		}
 
 		private static Reply json(int status, Map<String, ?> fields) {
 			return new Reply(status, Json.write(new LinkedHashMap<>(fields)).getBytes(StandardCharsets.UTF_8));
@@ -340,8 +498,19 @@
 
 		private long expiresAtNanos;
 
+		private long ttlNanos;
+
 		private long generation;
 
+		private Group shiftedBy(long nanos) {
+			Group shifted = new Group();
+			shifted.holder = this.holder;
+			shifted.expiresAtNanos = this.expiresAtNanos + nanos;
+			shifted.ttlNanos = this.ttlNanos;
+			shifted.generation = this.generation;
+			return shifted;
+		}
+
 	}
 
 	private static final class Topic {
@@ -352,14 +521,21 @@
 
 		private long first;
 
+		private Topic copy() {
+			Topic copy = new Topic();
+			copy.records.addAll(this.records);
+			copy.newest.putAll(this.newest);
+			copy.first = this.first;
+			return copy;
+		}
+
 		private long end() {
 			return this.records.size();
 		}
 
 		private void append(byte[] content) {
-			int keyLength = Byte.toUnsignedInt(content[0]);
-			String key = new String(content, 1, keyLength, StandardCharsets.UTF_8);
-			byte[] value = Arrays.copyOfRange(content, 1 + keyLength, content.length);
+			String key = decodeKey(content);
+			byte[] value = decodeValue(content);
 			if (value.length > 0) {
 				this.newest.put(key, new Entry(value, end()));
 			}
--- a/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/StoreFault.java
+++ b/flamingogap-testkit/src/main/java/io/flamingogap/testkit/metadata/StoreFault.java
@@ -11,6 +11,9 @@
 	/** Answers 503 and does not execute the call. */
 	DOWN,
 
+	/** Closes the connections of all calls, also of open reads, and executes none. */
+	UNREACHABLE,
+
 	/** Sends no answer and does not execute the call. */
 	SILENT,
 
