Apply the record at the end of a listing of the servers

After a listing of the store that lacked a server, the first record of that server could be ignored: a server that had registered again got no requests until its next record, and one that said that it was leaving went on getting them. A listing that ends at offset 5 has the records up to offset 4, but the end of a registration that it lacked was remembered with offset 5, so that the record at offset 5 counted as an older one.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -142,7 +142,7 @@
 		List.copyOf(this.servers.keySet())
 			.stream()
 			.filter((id) -> !listed.contains(id))
-			.forEach((id) -> unregister(id, offset, suspectUntilMillis, nowMillis));
+			.forEach((id) -> unregister(id, offset - 1, suspectUntilMillis, nowMillis));
 	}
 
 	/**
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -246,6 +246,17 @@
 			assertThat(ServerTableTests.this.table.find("b").isPresent(), is(true));
 		}
 
+		// The first record after a listing was taken for an older one: a server that had
+		// registered again was not used, or one that was leaving got requests.
+		@Test
+		void recordAtTheEndOfTheListingIsNewer() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 1);
+			ServerTableTests.this.table.retain(Set.of(), 5, 2_600, 100);
+			assertThat(ServerTableTests.this.table.register(registration("a", true, 1, 2), 5),
+					is(RegistrationOutcome.CHANGED));
+			assertThat(takesRequests("a"), is(false));
+		}
+
 	}
 
 }
