List a stream anew when the store returns from an earlier copy

RecordFollower went on at its offset, which may lie past the end of the store that returned, or belong to another record.

The follower now keeps the timeline of its position. An answer of a later timeline isn't used: the stream is listed anew, and listeners learn of the return before its first record, through RecordListener.onStoreRestored(). An answer of an earlier timeline, or of none once numbers are known, comes from a node that is behind; it counts as a failed call and is repeated. Without numbers, a stream that ends before an offset that the store didn't have has returned. A return counts as a disruption, since live servers have to register again. It is logged as "store restored" and counted as store.restored.

RecordFollowerTests.Returns failed in 10 of 11 tests before, for instance listsAgainWhenARecordOfALaterTimelineArrives with "Expected: iterable containing ["restored", "record 80", "record 89", "listed to 90"] but: item 0: was "record 100"", and readOfAnEarlierTimelineIsRepeated with "Expected: is an empty collection but: <[record 100, record 101]>".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -297,4 +297,8 @@
 		}
 	}
 
+	@Override
+	public void onStoreRestored() {
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -206,4 +206,8 @@
 		this.readinessListener.run();
 	}
 
+	@Override
+	public void onStoreRestored() {
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -201,4 +201,10 @@
 		this.readinessListener.run();
 	}
 
+	@Override
+	public void onStoreRestored() {
+		this.metrics.increment("store.restored");
+		this.servers.forgetOffsets();
+	}
+
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -13,8 +14,10 @@
 
 /**
  * Follows a stream: lists the newest record of each key, then reads every record that is
- * appended later. Lists again if the store has dropped records that weren't read yet.
- * Used on the event loop only.
+ * appended later. Lists again if the store has dropped records that weren't read yet, or
+ * has returned from an earlier copy of itself. A return is recognized by the number of
+ * the timeline; if there is none, by a stream that ends before an offset that was read
+ * from and that the store doesn't have. Used on the event loop only.
  */
 public final class RecordFollower {
 
@@ -64,6 +67,22 @@
 
 	private boolean listingCompleted;
 
+	/** The newest timeline of all answers that were used. */
+	private long timeline = RecordStore.UNNUMBERED_TIMELINE;
+
+	private boolean recordsDelivered;
+
+	/** The last offset that was read from. */
+	private long offset;
+
+	/**
+	 * The offset that the store didn't have, until the next listing; otherwise empty.
+	 */
+	private OptionalLong missingOffset = OptionalLong.empty();
+
+	/** The timeline before a return that the listener doesn't know of yet. */
+	private OptionalLong timelineBeforeReturn = OptionalLong.empty();
+
 	/**
 	 * Create a follower.
 	 * @param loop the event loop that runs the reads and the listener
@@ -113,7 +132,22 @@
 				onFailure(failure, this::start);
 				return;
 			}
+			if (page.timeline() < this.timeline) {
+				onFailure(outdated(page.timeline()), this::start);
+				return;
+			}
 			onSuccess(0);
+			boolean isLaterTimeline = page.timeline() > this.timeline;
+			if (isLaterTimeline || page.endOffset() < this.missingOffset.orElse(0)) {
+				recordReturn(page.timeline());
+			}
+			if (isLaterTimeline && after.isPresent()) {
+				start();
+				return;
+			}
+			tellOfReturn(page.endOffset());
+			this.missingOffset = OptionalLong.empty();
+			this.recordsDelivered = true;
 			page.records().forEach((entry) -> {
 				keys.add(entry.key());
 				process(entry);
@@ -131,7 +165,37 @@
 		});
 	}
 
+	private static StoreException outdated(long timeline) {
+		return new StoreException(StoreException.Reason.UNAVAILABLE,
+				"the answer is of the earlier timeline " + timeline);
+	}
+
+	private void recordReturn(long newTimeline) {
+		if (this.recordsDelivered && this.timelineBeforeReturn.isEmpty()) {
+			this.timelineBeforeReturn = OptionalLong.of(this.timeline);
+		}
+		this.timeline = newTimeline;
+	}
+
+	private void tellOfReturn(long newEndOffset) {
+		if (this.timelineBeforeReturn.isEmpty()) {
+			return;
+		}
+		this.lastDisruptionAtMillis = this.steadyMillis.getAsLong();
+		logger.atWarning()
+			.log("%s",
+					LogLine.of("store restored")
+						.with("stream", this.stream.name())
+						.with("fromTimeline", this.timelineBeforeReturn.getAsLong())
+						.with("toTimeline", this.timeline)
+						.with("offset", this.offset)
+						.with("endOffset", newEndOffset));
+		this.timelineBeforeReturn = OptionalLong.empty();
+		this.listener.onStoreRestored();
+	}
+
 	private void readFrom(long from) {
+		this.offset = from;
 		long waitMillis = Math.min(READ_WAIT_MILLIS, MAX_READ_CYCLE_MILLIS - this.readPauseMillis);
 		this.store.read(this.stream, from, this.reachable ? waitMillis : 0).whenComplete((batch, failure) -> {
 			if (failure != null && StoreException.of(failure).reason() == StoreException.Reason.DROPPED) {
@@ -142,11 +206,20 @@
 								.with("offset", from)
 								.with("timeline", this.store.timeline())
 								.with("reason", String.valueOf(StoreException.of(failure).getMessage())));
+				this.missingOffset = OptionalLong.of(from);
 				start();
 			}
 			else if (failure != null) {
 				onFailure(failure, () -> readFrom(from));
 			}
+			else if (batch.timeline() < this.timeline) {
+				onFailure(outdated(batch.timeline()), () -> readFrom(from));
+			}
+			else if (batch.timeline() > this.timeline) {
+				onSuccess(batch.ageMillis());
+				recordReturn(batch.timeline());
+				start();
+			}
 			else {
 				onSuccess(batch.ageMillis());
 				batch.records().forEach(this::process);
@@ -207,9 +280,10 @@
 	}
 
 	/**
-	 * Return when a call last failed, or when the first call after failures succeeded.
-	 * @return the time in milliseconds of the monotonic clock; far in the past if no call
-	 * has failed
+	 * Return when a call last failed, when the first call after failures succeeded, or
+	 * when the store was listed after a return from an earlier copy.
+	 * @return the time in milliseconds of the monotonic clock; far in the past if there
+	 * was no such disruption
 	 */
 	public long lastDisruptionAtMillis() {
 		return this.lastDisruptionAtMillis;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordListener.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordListener.java
@@ -20,4 +20,12 @@
 	 */
 	void onListed(Set<String> keys, long endOffset);
 
+	/**
+	 * Handle the return of the store from an earlier copy of itself, before any record of
+	 * its new timeline is delivered. The offsets that were delivered before can't be
+	 * compared with those that follow, and records that were delivered before may be
+	 * missing from the store. A complete listing follows.
+	 */
+	void onStoreRestored();
+
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -136,6 +136,11 @@
 		public void onListed(Set<String> keys, long endOffset) {
 		}
 
+		@Override
+		public void onStoreRestored() {
+			this.newestOffsetByKey.clear();
+		}
+
 	}
 
 	/** A store that doesn't answer one node; its calls end with the client's timeout. */
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -1,6 +1,7 @@
 package io.flamingogap.gateway.store;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -8,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,6 +19,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -38,8 +41,12 @@
 
 	private final List<Long> receivedOffsets = new ArrayList<>();
 
+	private final List<String> events = new ArrayList<>();
+
 	private int listingCount;
 
+	private long nowMillis;
+
 	private long unprocessableOffset = -1;
 
 	private RecordFollower follower() {
@@ -54,13 +61,20 @@
 					throw new IllegalStateException("test");
 				}
 				RecordFollowerTests.this.receivedOffsets.add(entry.offset());
+				RecordFollowerTests.this.events.add("record " + entry.offset());
 			}
 
 			@Override
 			public void onListed(Set<String> keys, long endOffset) {
 				RecordFollowerTests.this.listingCount++;
+				RecordFollowerTests.this.events.add("listed to " + endOffset);
 			}
-		}, () -> 0);
+
+			@Override
+			public void onStoreRestored() {
+				RecordFollowerTests.this.events.add("restored");
+			}
+		}, () -> this.nowMillis);
 	}
 
 	@Test
@@ -126,6 +140,10 @@
 					@Override
 					public void onListed(Set<String> keys, long endOffset) {
 					}
+
+					@Override
+					public void onStoreRestored() {
+					}
 				}, () -> disrupted.nowMillis);
 		follower.start();
 		while (disrupted.nowMillis < disruptionEndMillis + 4_000) {
@@ -152,6 +170,162 @@
 		assertThat(follower.hasCompletedListing(), is(true));
 	}
 
+	private static RecordStore.Page page(long timeline, boolean hasMore, long endOffset, long... offsets) {
+		List<StoredRecord> records = Arrays.stream(offsets)
+			.mapToObj((offset) -> new StoredRecord("key-" + offset, Optional.of(new byte[1]), offset))
+			.toList();
+		return new RecordStore.Page(records, hasMore, endOffset, timeline);
+	}
+
+	private RecordFollower followToOffset100(long timeline) {
+		this.store.answerNextListing(page(timeline, false, 100, 99));
+		RecordFollower follower = follower();
+		follower.start();
+		this.channel.runPendingTasks();
+		this.events.clear();
+		return follower;
+	}
+
+	private void answerRead(long timeline, long nextOffset, long... offsets) {
+		this.store.pendingRead()
+			.complete(RecordStore.Batch.fromStore(page(timeline, false, 0, offsets).records(), nextOffset, timeline));
+		this.channel.runPendingTasks();
+	}
+
+	private void passTime(long millis) {
+		this.channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		this.channel.runPendingTasks();
+	}
+
+	@Nested
+	class Returns {
+
+		// Records that a store had lost and written again at lower offsets were never
+		// read, because the follower went on at its old offset.
+		@Test
+		void listsAgainWhenARecordOfALaterTimelineArrives() {
+			followToOffset100(1);
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 90, 80, 89));
+			answerRead(2, 102, 100, 101);
+			assertThat(RecordFollowerTests.this.events, contains("restored", "record 80", "record 89", "listed to 90"));
+			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 90L));
+		}
+
+		@Test
+		void listsAgainWhenAnEmptyReadOfALaterTimelineArrives() {
+			followToOffset100(1);
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 100, 80));
+			answerRead(2, 100);
+			assertThat(RecordFollowerTests.this.events, contains("restored", "record 80", "listed to 100"));
+		}
+
+		// The first pages of a listing came from before the return of the store, and the
+		// records that had changed since were not read.
+		@Test
+		void listingBeginsAnewWhenTheStoreReturnsDuringIt() {
+			RecordFollowerTests.this.store.answerNextListing(page(1, true, 100, 10));
+			RecordFollowerTests.this.store.answerNextListing(page(2, true, 90, 20));
+			RecordFollowerTests.this.store.answerNextListing(page(2, true, 90, 10));
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 90, 20));
+			follower().start();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			assertThat(RecordFollowerTests.this.store.listedAfter(),
+					contains(Optional.empty(), Optional.of("key-10"), Optional.empty(), Optional.of("key-10")));
+			assertThat(RecordFollowerTests.this.events,
+					contains("record 10", "restored", "record 10", "record 20", "listed to 90"));
+		}
+
+		// A node whose view of the store was older handed out records that the store had
+		// lost.
+		@Test
+		void readOfAnEarlierTimelineIsRepeated() {
+			RecordFollower follower = followToOffset100(2);
+			RecordFollowerTests.this.nowMillis = 5_000;
+			answerRead(1, 102, 100, 101);
+			assertThat(RecordFollowerTests.this.events, is(empty()));
+			assertThat(follower.lastDisruptionAtMillis(), is(5_000L));
+			passTime(100);
+			answerRead(2, 101, 100);
+			assertThat(RecordFollowerTests.this.events, contains("record 100"));
+			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 100L, 101L));
+		}
+
+		@Test
+		void readWithoutATimelineIsRepeatedOnceTimelinesAreKnown() {
+			followToOffset100(1);
+			answerRead(0, 102, 100, 101);
+			passTime(100);
+			assertThat(RecordFollowerTests.this.events, is(empty()));
+			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 100L));
+		}
+
+		@Test
+		void listingOfAnEarlierTimelineIsRepeated() {
+			followToOffset100(1);
+			RecordFollowerTests.this.store.answerNextListing(page(1, false, 100, 99));
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 90, 89));
+			answerRead(2, 90);
+			assertThat(RecordFollowerTests.this.events, is(empty()));
+			passTime(100);
+			assertThat(RecordFollowerTests.this.events, contains("restored", "record 89", "listed to 90"));
+		}
+
+		@Test
+		void followerFindsOutThatAStoreBeginsToNumberItsTimelines() {
+			followToOffset100(0);
+			RecordFollowerTests.this.store.answerNextListing(page(1, false, 100, 99));
+			answerRead(1, 101, 100);
+			assertThat(RecordFollowerTests.this.events, contains("restored", "record 99", "listed to 100"));
+		}
+
+		@Test
+		void storeWithoutTimelinesHasReturnedWhenItEndsBeforeTheOffsetThatItLacks() {
+			RecordFollowerTests.this.store
+				.failNextRead(new StoreException(StoreException.Reason.DROPPED, "past the end"));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 100, 99));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 90, 89));
+			follower().start();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			assertThat(RecordFollowerTests.this.events,
+					contains("record 99", "listed to 100", "restored", "record 89", "listed to 90"));
+		}
+
+		@Test
+		void storeThatHasDroppedItsHistoryHasNotReturned() {
+			RecordFollowerTests.this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "expired"));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 100, 99));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 100, 99));
+			follower().start();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			assertThat(RecordFollowerTests.this.events,
+					contains("record 99", "listed to 100", "record 99", "listed to 100"));
+		}
+
+		// Live servers whose registration the store had lost were removed before they had
+		// registered again.
+		@Test
+		void returnCountsAsDisruption() {
+			RecordFollower follower = followToOffset100(1);
+			RecordFollowerTests.this.nowMillis = 5_000;
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 90));
+			answerRead(2, 100);
+			assertThat(follower.lastDisruptionAtMillis(), is(5_000L));
+		}
+
+		@Test
+		void twoReturnsDuringOneListingAreToldOnceEachTimeRecordsWereDelivered() {
+			followToOffset100(1);
+			RecordFollowerTests.this.store.answerNextListing(page(3, true, 90, 10));
+			RecordFollowerTests.this.store.answerNextListing(page(4, false, 80, 20));
+			RecordFollowerTests.this.store.answerNextListing(page(4, false, 80, 10));
+			answerRead(2, 100);
+			assertThat(RecordFollowerTests.this.events,
+					contains("restored", "record 10", "restored", "record 10", "listed to 80"));
+		}
+
+	}
+
 	/**
 	 * Store whose calls fail after the time to connect if they begin during a disruption.
 	 */
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -16,9 +16,11 @@
 
 	private final Deque<StoreException> failures = new ArrayDeque<>();
 
-	private final List<Long> readOffsets = new ArrayList<>();
+	private final Deque<Page> pages = new ArrayDeque<>();
+
+	private final List<Optional<String>> listedAfter = new ArrayList<>();
 
-	private int listingCount;
+	private final List<Long> readOffsets = new ArrayList<>();
 
 	private final List<List<NewRecord>> appendedBatches = new ArrayList<>();
 
@@ -32,6 +34,14 @@
 		this.failures.add(failure);
 	}
 
+	/**
+	 * Answer the next listing. Several pages answer the next listings in turn.
+	 * @param page the page
+	 */
+	public void answerNextListing(Page page) {
+		this.pages.add(page);
+	}
+
 	/**
 	 * Return the offset that each read started from.
 	 * @return the offsets, in the order of the calls
@@ -45,7 +55,15 @@
 	 * @return the number of calls
 	 */
 	public int listingCount() {
-		return this.listingCount;
+		return this.listedAfter.size();
+	}
+
+	/**
+	 * Return the key after which each listing began.
+	 * @return the keys, in the order of the calls; empty for the first page
+	 */
+	public List<Optional<String>> listedAfter() {
+		return this.listedAfter;
 	}
 
 	/**
@@ -75,9 +93,10 @@
 
 	@Override
 	public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
-		this.listingCount++;
-		return CompletableFuture
-			.completedFuture(new Page(List.of(new StoredRecord("a", Optional.of(new byte[1]), 6)), false, 7, 0));
+		this.listedAfter.add(after);
+		Page page = this.pages.poll();
+		return CompletableFuture.completedFuture((page != null) ? page
+				: new Page(List.of(new StoredRecord("a", Optional.of(new byte[1]), 6)), false, 7, 0));
 	}
 
 	@Override
