Test that records written again after a return of the store are read

A property test with random moments of copy, loss and return: a follower knows the newest record of each key within the time allowed for a configuration once the lost ones have been written again. 300 tries.

--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -82,6 +83,40 @@
 		assertThat(relay.newestOffsetByKey, is(store.newest));
 	}
 
+	// Records that were written again after a return of the store, at offsets that had
+	// been given out before, were never read.
+	@Property(tries = 300, seed = "20261207")
+	void newestRecordArrivesWithinTheBoundAfterReturnsOfTheStore(@ForAll @LongRange(max = 1_000_000) long seed) {
+		this.nowMillis = 0;
+		SplittableRandom random = new SplittableRandom(seed);
+		FaultyStore store = new FaultyStore();
+		store.timeline = 1;
+		NewestOffsets reader = new NewestOffsets();
+		follow(store, reader);
+		runWithReturns(store, random);
+		assertThat(reader.newestOffsetByKey, is(store.newest));
+	}
+
+	private void runWithReturns(FaultyStore store, SplittableRandom random) {
+		while (this.nowMillis < FAULTS_UNTIL_MILLIS) {
+			store.down = random.nextInt(8) == 0;
+			store.relayAnswers = random.nextInt(4) != 0;
+			if (random.nextInt(4) == 0) {
+				store.append(random.nextInt(3));
+			}
+			if (random.nextInt(20) == 0) {
+				store.returnFromCopy(random.nextInt(6));
+			}
+			if (random.nextInt(4) == 0) {
+				store.writeAgain();
+			}
+			advanceTime(STEP_MILLIS);
+		}
+		store.down = false;
+		store.writeAgain();
+		advanceTime(APPLY_MILLIS);
+	}
+
 	// Nodes took the silence of a relay that had lost the store for "no new records", and
 	// sent requests to servers that had left.
 	@ParameterizedTest
@@ -214,6 +249,10 @@
 
 		private final List<WaitingRead> waitingReads = new ArrayList<>();
 
+		private final Set<String> lostKeys = new TreeSet<>();
+
+		private long timeline = RecordStore.UNNUMBERED_TIMELINE;
+
 		private long firstOffset;
 
 		private long endOffset;
@@ -227,7 +266,12 @@
 		}
 
 		private void append(int key) {
-			StoredRecord entry = new StoredRecord("key-" + key, Optional.of(new byte[1]), this.endOffset++);
+			append("key-" + key);
+		}
+
+		private void append(String key) {
+			StoredRecord entry = new StoredRecord(key, Optional.of(new byte[1]), this.endOffset++);
+			this.lostKeys.remove(key);
 			this.records.put(entry.offset(), entry);
 			this.newest.put(entry.key(), entry.offset());
 			List<WaitingRead> completed = List.copyOf(this.waitingReads);
@@ -237,6 +281,26 @@
 
 		private void dropHistory() {
 			this.firstOffset = this.endOffset;
+			cutWaitingReads();
+		}
+
+		/** Return from a copy that lacks the last records. */
+		private void returnFromCopy(int lostRecords) {
+			this.timeline++;
+			this.endOffset = Math.max(this.firstOffset, this.endOffset - lostRecords);
+			Map<Long, StoredRecord> lost = this.records.tailMap(this.endOffset);
+			lost.values().forEach((entry) -> this.lostKeys.add(entry.key()));
+			lost.clear();
+			this.newest.clear();
+			this.records.values().forEach((entry) -> this.newest.put(entry.key(), entry.offset()));
+			cutWaitingReads();
+		}
+
+		private void writeAgain() {
+			List.copyOf(this.lostKeys).forEach(this::append);
+		}
+
+		private void cutWaitingReads() {
 			List<WaitingRead> failed = List.copyOf(this.waitingReads);
 			this.waitingReads.clear();
 			failed.forEach(
@@ -265,11 +329,12 @@
 			if (this.down) {
 				result.completeExceptionally(new StoreException(Reason.UNAVAILABLE, "down"));
 			}
-			else if (from < this.firstOffset) {
+			else if (from < this.firstOffset || from > this.endOffset) {
 				result.completeExceptionally(new StoreException(Reason.DROPPED, "gone"));
 			}
 			else {
-				result.complete(Batch.fromStore(List.copyOf(this.records.tailMap(from).values()), this.endOffset, 0));
+				result.complete(Batch.fromStore(List.copyOf(this.records.tailMap(from).values()), this.endOffset,
+						this.timeline));
 			}
 		}
 
@@ -279,7 +344,7 @@
 				return CompletableFuture.failedFuture(new StoreException(Reason.UNAVAILABLE, "down"));
 			}
 			List<StoredRecord> page = this.newest.values().stream().map(this.records::get).toList();
-			return CompletableFuture.completedFuture(new Page(page, false, this.endOffset, 0));
+			return CompletableFuture.completedFuture(new Page(page, false, this.endOffset, this.timeline));
 		}
 
 	}
