Give claims of the duties tokens that rise across returns of the store

Cause: the token of a claim was the end of the stream of the duties. A store that returns from an older copy loses claims that it acknowledged and gives their offsets out again, so two claims get one token. Its holder also went on with a claim, a generation of the group and an end of the stream that the store no longer had. Change: the token holds the number of the store's timeline, then the corrected time of day, and is higher than each token that the node used or saw; the claim's record says who claimed with which token in which timeline. A claim counts only if its listing and its append were answered in the same timeline, and a term ends when an answer shows another one. Where the cloud checks nothing, a node acts at once without an earlier claim only in the first lease of a first start: a copy from before the first claim shows none.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -1,6 +1,5 @@
 package io.flamingogap.gateway.cloud;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -8,8 +7,10 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 
+import io.flamingogap.core.duty.DutyClaim;
 import io.flamingogap.core.duty.DutyTerm;
 import io.flamingogap.core.duty.Fencing;
+import io.flamingogap.core.duty.FencingTokens;
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.node.ReportCodec;
@@ -45,10 +46,10 @@
 	 */
 	private static final long SUSPENSION_THRESHOLD_MILLIS = 500;
 
-	private static final String HOLDER_KEY = "holder";
-
 	private static final String USAGE_KEY = "usage";
 
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private final DutyDependencies dependencies;
 
 	private final EventLoop loop;
@@ -59,20 +60,30 @@
 
 	private final DutyTerm term;
 
+	private final FencingTokens tokens = new FencingTokens();
+
+	private final long leaseMillis;
+
 	private final UsageReportSchedule usageReports;
 
 	private final ServerOrderPlanner serverOrders;
 
 	private long generation;
 
-	private long lastJoinAtMillis = Long.MIN_VALUE / 2;
+	private long lastJoinAtMillis = NEVER;
 
-	/**
-	 * The end of the stream of duty records after this node's last append. Also used as
-	 * the fencing token of a claim, because it rises with every record.
-	 */
+	/** The end of the stream of duty records after this node's last append. */
 	private long endOffset;
 
+	private long startedAtMillis;
+
+	private long timeline = RecordStore.UNNUMBERED_TIMELINE;
+
+	private boolean storeAnswered;
+
+	/** Whether the store has lost records since this node first heard from it. */
+	private boolean storeReturned;
+
 	private long lastClockDifferenceMillis;
 
 	private boolean joinPending;
@@ -99,6 +110,7 @@
 		this.store = dependencies.store();
 		this.clock = dependencies.clock();
 		this.term = new DutyTerm(leaseMillis, fencing);
+		this.leaseMillis = leaseMillis;
 		this.usageReports = new UsageReportSchedule(usageWindowMillis, dependencies.totals()::usageInWindow,
 				dependencies.totals()::allNodesReportedWithin);
 		this.serverOrders = new ServerOrderPlanner(dependencies.servers(), dependencies.rollouts()::runningMillis,
@@ -109,6 +121,7 @@
 	 * Start taking part in the group.
 	 */
 	public void start() {
+		this.startedAtMillis = this.clock.steadyMillis();
 		this.lastClockDifferenceMillis = clockDifferenceMillis();
 		this.loop.scheduleWithFixedDelay(LoggedTask.of("duties", this::tick), 0, TICK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -140,6 +153,7 @@
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
+		endTermIfStoreReturned();
 		endTermIfSuspended();
 		if (this.dutyInProgress && this.term.mustEndCalls(nowMillis)) {
 			this.dependencies.cloud().abortCalls();
@@ -169,9 +183,54 @@
 		this.lastClockDifferenceMillis = difference;
 	}
 
+	/**
+	 * End the term if an answer of the store has shown a new timeline. The claim and the
+	 * state of the group may be lost, and what is known of the end of the stream is
+	 * wrong.
+	 */
+	private void endTermIfStoreReturned() {
+		long newTimeline = this.store.timeline();
+		if (newTimeline == this.timeline) {
+			return;
+		}
+		long oldTimeline = this.timeline;
+		this.timeline = newTimeline;
+		if (!this.storeAnswered) {
+			return;
+		}
+		long nowMillis = this.clock.steadyMillis();
+		this.term.validToken(nowMillis)
+			.ifPresent((token) -> logger.atInfo()
+				.log("%s",
+						LogLine.of("duty term ended")
+							.with("reason", "the store returned from a copy")
+							.with("token", token)
+							.with("fromTimeline", oldTimeline)
+							.with("toTimeline", newTimeline)));
+		this.storeReturned = true;
+		this.generation = 0;
+		this.endOffset = 0;
+		this.lastJoinAtMillis = NEVER;
+		this.term.recordLost();
+		if (this.dutyInProgress && this.term.mustEndCalls(nowMillis)) {
+			this.dependencies.cloud().abortCalls();
+		}
+	}
+
+	/**
+	 * Evaluate an answer of the store.
+	 * @param timelineAtCall the timeline when the call was made
+	 * @return whether the answer is of the same timeline
+	 */
+	private boolean isOfTimeline(long timelineAtCall) {
+		endTermIfStoreReturned();
+		return this.timeline == timelineAtCall;
+	}
+
 	private void join(long nowMillis) {
 		this.joinPending = true;
 		this.lastJoinAtMillis = nowMillis;
+		long timelineAtCall = this.timeline;
 		this.store.join(this.dependencies.memberName(), this.generation, MEMBERSHIP_TTL_MILLIS)
 			.whenComplete((view, failure) -> {
 				this.joinPending = false;
@@ -182,6 +241,13 @@
 					logFailure("membership not kept", failure);
 					return;
 				}
+				boolean isCurrent = isOfTimeline(timelineAtCall);
+				this.storeAnswered = true;
+				if (!isCurrent) {
+					this.lastJoinAtMillis = NEVER;
+					this.loop.execute(this::tick);
+					return;
+				}
 				this.generation = view.generation();
 				this.term.recordHolderStatus(view.holdsDuties(), nowMillis);
 			});
@@ -189,58 +255,73 @@
 
 	private void claim() {
 		this.dutyInProgress = true;
+		long timelineAtCall = this.timeline;
 		this.store.listNewest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
+			this.dutyInProgress = false;
 			if (failure != null) {
-				this.dutyInProgress = false;
 				logFailure("duties not listed before a claim", failure);
-				return;
 			}
-			Optional<UsageReportSchedule.Report> lastReport = page.records()
-				.stream()
-				.filter((entry) -> entry.key().equals(USAGE_KEY))
-				.findFirst()
-				.flatMap(DutyRunner::decodeUsage);
-			boolean claimedBefore = page.records().stream().anyMatch((entry) -> entry.key().equals(HOLDER_KEY));
-			appendRecord(HOLDER_KEY, this.dependencies.memberName().getBytes(StandardCharsets.UTF_8), page.endOffset(),
-					() -> {
-						this.term.recordClaim(this.endOffset, claimedBefore, this.clock.steadyMillis());
-						this.usageReports.takeOver(lastReport,
-								this.dependencies.correctedTimeOfDayMillis().getAsLong());
-						this.serverOrders.forgetAcceptedOrders();
-						logger.atInfo()
-							.log("%s",
-									LogLine.of("duties claimed")
-										.with("token", this.endOffset)
-										.with("offset", this.endOffset - 1)
-										.with("timeline", this.store.timeline())
-										.with("claimedBefore", claimedBefore)
-										.with("generation", this.generation));
-						this.loop.execute(this::tick);
-					});
+			else if (isOfTimeline(timelineAtCall)) {
+				claim(DutyListing.of(page), page.endOffset());
+			}
 		});
 	}
 
-	private static Optional<UsageReportSchedule.Report> decodeUsage(StoredRecord entry) {
-		return ReportCodec.decodeUsageReport(entry.value().orElse(new byte[0]))
-			.peekLeft((reason) -> logger.atWarning()
+	private void claim(DutyListing listing, long expectedOffset) {
+		if (expectedOffset < this.endOffset) {
+			this.storeReturned = true;
+		}
+		listing.highestToken().ifPresent(this.tokens::recordSeen);
+		long timeOfDayMillis = this.dependencies.correctedTimeOfDayMillis().getAsLong();
+		OptionalLong token = this.tokens.next(this.timeline, timeOfDayMillis);
+		if (token.isEmpty()) {
+			logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("%s", LogLine.of("no fencing token left"));
+			return;
+		}
+		boolean claimedBefore = listing.hasClaim() || !isFirstOfAll();
+		DutyClaim claim = new DutyClaim(this.dependencies.memberName(), token.getAsLong(), this.timeline);
+		this.dutyInProgress = true;
+		appendRecord(DutyListing.claimKey(this.timeline), ReportCodec.encodeClaim(claim), expectedOffset, () -> {
+			this.term.recordClaim(claim.token(), claimedBefore, this.clock.steadyMillis());
+			this.usageReports.takeOver(listing.lastUsageReport(),
+					this.dependencies.correctedTimeOfDayMillis().getAsLong());
+			this.serverOrders.forgetAcceptedOrders();
+			logger.atInfo()
 				.log("%s",
-						LogLine.of("usage record unreadable")
-							.with("reason", reason + " (record at offset " + entry.offset() + ")")))
-			.map((decoded) -> new UsageReportSchedule.Report(decoded.getKey(), decoded.getValue()))
-			.toJavaOptional();
+						LogLine.of("duties claimed")
+							.with("token", claim.token())
+							.with("offset", expectedOffset)
+							.with("timeline", claim.timeline())
+							.with("claimedBefore", claimedBefore)
+							.with("generation", this.generation));
+			this.loop.execute(this::tick);
+		});
+	}
+
+	/**
+	 * Return whether no node can have claimed the duties if the store shows no claim. A
+	 * copy from before the first claim doesn't show it either.
+	 * @return {@code true} if all nodes have just started for the first time
+	 */
+	private boolean isFirstOfAll() {
+		return this.dependencies.firstStart() && !this.storeReturned
+				&& this.clock.steadyMillis() - this.startedAtMillis <= this.leaseMillis;
 	}
 
 	private void appendRecord(String key, byte[] value, long expectedOffset, Runnable onAppended) {
+		long timelineAtCall = this.timeline;
 		this.store.append(StoreStream.DUTIES, key, Optional.of(value), OptionalLong.of(expectedOffset))
 			.whenComplete((offset, failure) -> {
 				this.dutyInProgress = false;
-				if (failure != null) {
+				boolean isCurrent = isOfTimeline(timelineAtCall);
+				if (failure != null || !isCurrent) {
+					String reason = (failure != null) ? StoreException.of(failure).getMessage()
+							: "the store returned from a copy";
 					logger.atInfo()
 						.log("%s",
 								LogLine.of("duty record not kept")
 									.with("key", key)
-									.with("reason", StoreException.of(failure).getMessage() + " (expected offset "
-											+ expectedOffset + ")"));
+									.with("reason", reason + " (expected offset " + expectedOffset + ")"));
 					this.term.recordLost();
 					return;
 				}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -8,6 +8,7 @@
 import io.vavr.control.Either;
 import org.apache.thrift.TException;
 
+import io.flamingogap.core.duty.DutyClaim;
 import io.flamingogap.core.fleet.NodeReport;
 import io.flamingogap.core.node.Address;
 import io.flamingogap.core.node.NodeId;
@@ -20,8 +21,8 @@
 
 /**
  * Encodes and decodes, with Thrift, the records that nodes write to the store for each
- * other: node reports, and the usage reports that a node stores before it sends them to
- * the cloud.
+ * other: node reports, claims of the duties, and the usage reports that a node stores
+ * before it sends them to the cloud.
  */
 public final class ReportCodec {
 
@@ -99,6 +100,32 @@
 			.toList();
 	}
 
+	/**
+	 * Encode a claim of the duties.
+	 * @param claim the claim
+	 * @return the content of its record
+	 */
+	public static byte[] encodeClaim(DutyClaim claim) {
+		return ThriftSerializer
+			.serialize(new io.flamingogap.wire.report.DutyClaim(claim.holder(), claim.token(), claim.timeline()));
+	}
+
+	/**
+	 * Decode a claim of the duties.
+	 * @param bytes the content of its record
+	 * @return the claim, or why it can't be decoded
+	 */
+	public static Either<String, DutyClaim> decodeClaim(byte[] bytes) {
+		try {
+			io.flamingogap.wire.report.DutyClaim wire = ThriftSerializer.deserialize(bytes,
+					new io.flamingogap.wire.report.DutyClaim());
+			return Either.right(new DutyClaim(wire.getHolder(), wire.getToken(), wire.getTimeline()));
+		}
+		catch (TException ex) {
+			return Either.left(String.valueOf(ex));
+		}
+	}
+
 	/**
 	 * Encode a usage report before it is sent to the cloud.
 	 * @param window the number of the window
--- a/flamingogap-wire/src/main/thrift/report.thrift
+++ b/flamingogap-wire/src/main/thrift/report.thrift
@@ -42,6 +42,15 @@
   11: optional i64 sequence
 }
 
+/** Claim of the duties that one node performs for all. */
+struct DutyClaim {
+  1: required string holder
+  /** The fencing token of the claim. */
+  2: required i64 token
+  /** The number of the store's timeline in which the node claimed. */
+  3: required i64 timeline
+}
+
 /**
  * Usage report, stored before it is sent because its content must not change once it may have
  * been sent.
