Begin the cache of a zone's relay anew when the store has returned

After a return of the store from an older copy, a relay cached the records of both timelines as one range, answered peers that waited at an offset of the earlier one with records of the later one, and handed on a listing of the earlier one for 0.3 s. The offset of a lost record counted as dropped for all peers: each read beyond the end made all nodes of the zone list the stream again.

KnownTimeline is the newest number that a node has seen. As soon as any answer of the store shows a later one, ZoneReadCache forgets the records, listings and dropped offsets of all streams, and fails all open reads as dropped, those of this node included. Readers so list their streams again at once, peers in one shared call, instead of after the end of their wait. Nodes without the number understand this answer too. An answer of an earlier number fails. A read beyond the end that the cache knows no longer says anything about the offsets of others.

After a listing, the end that it has shown counts as an answer of the store, and peers wait for the relay's own first read. Before, each of them called the store.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/RecordCache.java
@@ -40,18 +40,35 @@
 	private long lastReadAtMillis = NEVER;
 
 	/**
-	 * Add the records that a read returned. Drops the earlier ones if there is a gap.
+	 * Keep nothing but the knowledge that a stream has ended at an offset.
+	 * @param offset the offset of the end
+	 * @param atTimeline the timeline of the offset
+	 * @param atMillis when the store was asked, on the monotonic clock
+	 */
+	void startAt(long offset, long atTimeline, long atMillis) {
+		clear(offset, atTimeline);
+		this.endOffset = offset;
+		this.lastReadAtMillis = atMillis;
+	}
+
+	private void clear(long offset, long atTimeline) {
+		this.records.clear();
+		this.sizeBytes = 0;
+		this.startOffset = offset;
+		this.timeline = atTimeline;
+	}
+
+	/**
+	 * Add the records that a read returned. Drops the earlier ones if there is a gap, or
+	 * if they are of another timeline.
 	 * @param from the offset that the read started from
 	 * @param batch the result of the read
 	 * @param nowMillis the current time on the monotonic clock
 	 */
 	void add(long from, Batch batch, long nowMillis) {
-		if (from != this.endOffset) {
-			this.records.clear();
-			this.sizeBytes = 0;
-			this.startOffset = from;
+		if (from != this.endOffset || batch.timeline() != this.timeline) {
+			clear(from, batch.timeline());
 		}
-		this.timeline = batch.timeline();
 		this.endOffset = batch.nextOffset();
 		this.lastReadAtMillis = nowMillis;
 		batch.records().forEach((entry) -> {
@@ -84,6 +101,10 @@
 		return from >= this.startOffset && from <= this.endOffset;
 	}
 
+	boolean endsBefore(long offset) {
+		return this.endOffset < offset;
+	}
+
 	Batch batchFrom(long from, long nowMillis) {
 		List<StoredRecord> matching = this.records.stream().filter((entry) -> entry.offset() >= from).toList();
 		return new Batch(matching, this.endOffset, false, nowMillis - this.lastReadAtMillis, this.timeline);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/SharedListings.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/SharedListings.java
@@ -57,6 +57,13 @@
 			.removeIf((entry) -> entry.getKey().stream == stream && entry.getValue().endsAtOrBefore(offset));
 	}
 
+	/**
+	 * Forget all listings, also those that are not answered yet.
+	 */
+	void forgetAll() {
+		this.listings.clear();
+	}
+
 	private record Question(StoreStream stream, Optional<String> after) {
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -22,6 +23,9 @@
  * other nodes of the zone read from the cache instead of calling the store. The cache
  * only has records that came from the store itself, never those that another node
  * relayed, so that nodes can't confirm each other's stale records.
+ * <p>
+ * When the store has returned in a later timeline, open reads fail as dropped and the
+ * cache begins anew, so that every reader lists its stream again.
  */
 public final class ZoneReadCache extends ForwardingStore {
 
@@ -44,8 +48,17 @@
 
 	private final Map<StoreStream, Long> droppedOffsets = new EnumMap<>(StoreStream.class);
 
+	private final Map<StoreStream, ListedEnd> listedEnds = new EnumMap<>(StoreStream.class);
+
+	/** The offset from which this node reads each stream for itself at the moment. */
+	private final Map<StoreStream, Long> ownReadOffsets = new EnumMap<>(StoreStream.class);
+
 	private final SharedListings listings;
 
+	private final KnownTimeline knownTimeline = new KnownTimeline();
+
+	private final OpenReads openReads = new OpenReads();
+
 	/**
 	 * Create a store with an empty cache.
 	 * @param loop the event loop
@@ -56,17 +69,61 @@
 		super(store);
 		this.loop = loop;
 		this.steadyMillis = steadyMillis;
-		this.listings = new SharedListings(store);
+		this.listings = new SharedListings(new ForwardingStore(store) {
+			@Override
+			public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+				return listDirectly(stream, after);
+			}
+		});
+		this.knownTimeline.whenChanged(this::beginAnew);
 		for (StoreStream stream : StoreStream.values()) {
 			this.caches.put(stream, new RecordCache());
 			this.waitingReads.put(stream, new ArrayList<>());
 		}
 	}
 
+	/**
+	 * Return the newest timeline that this node knows of.
+	 * @return the timeline, to be shared with the other ways to reach the store
+	 */
+	KnownTimeline knownTimeline() {
+		return this.knownTimeline;
+	}
+
+	@Override
+	public long timeline() {
+		return this.knownTimeline.number();
+	}
+
+	private void beginAnew() {
+		this.caches.values().forEach(RecordCache::markStale);
+		this.ownReadOffsets.clear();
+		this.listedEnds.clear();
+		this.droppedOffsets.clear();
+		this.listings.forgetAll();
+		StoreException failure = new StoreException(Reason.DROPPED,
+				"the store has returned in timeline " + this.knownTimeline.number());
+		for (StoreStream stream : StoreStream.values()) {
+			removeWaiting(stream).forEach((each) -> each.result.completeExceptionally(failure));
+		}
+		this.openReads.failAll(failure);
+	}
+
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-		return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
-			RecordCache cache = this.caches.get(stream);
+		RecordCache cache = this.caches.get(stream);
+		ListedEnd listed = this.listedEnds.remove(stream);
+		boolean isUsable = cache.isFresh(this.steadyMillis.getAsLong(), MAX_AGE_MILLIS) && cache.covers(from);
+		if (!isUsable && listed != null && listed.offset == from) {
+			cache.startAt(from, listed.timeline, listed.askedAtMillis);
+		}
+		this.ownReadOffsets.put(stream, from);
+		long timelineAtCall = this.knownTimeline.number();
+		return readDirectly(stream, from, waitMillis).whenComplete((batch, failure) -> {
+			if (this.knownTimeline.number() != timelineAtCall) {
+				return;
+			}
+			this.ownReadOffsets.remove(stream);
 			if (failure != null) {
 				cache.markStale();
 				onFailure(stream, from, StoreException.of(failure));
@@ -79,6 +136,74 @@
 		});
 	}
 
+	private CompletableFuture<Batch> readDirectly(StoreStream stream, long from, long waitMillis) {
+		return this.openReads.add(super.read(stream, from, waitMillis).handle((batch, failure) -> {
+			learnTimeline();
+			if (failure != null) {
+				throw StoreException.of(failure);
+			}
+			requireCurrent(batch.timeline(), Reason.UNAVAILABLE);
+			return batch;
+		}));
+	}
+
+	private CompletableFuture<Page> listDirectly(StoreStream stream, Optional<String> after) {
+		long askedAtMillis = this.steadyMillis.getAsLong();
+		return super.listNewest(stream, after).handle((page, failure) -> {
+			learnTimeline();
+			if (failure != null) {
+				throw StoreException.of(failure);
+			}
+			requireCurrent(page.timeline(), Reason.UNAVAILABLE);
+			this.listedEnds.put(stream, new ListedEnd(page.endOffset(), page.timeline(), askedAtMillis));
+			return page;
+		});
+	}
+
+	private <T> CompletableFuture<T> write(CompletableFuture<T> answer) {
+		return answer.handle((value, failure) -> {
+			learnTimeline();
+			if (failure != null) {
+				throw StoreException.of(failure);
+			}
+			requireCurrent(super.timeline(), Reason.UNKNOWN);
+			return value;
+		});
+	}
+
+	private void learnTimeline() {
+		this.knownTimeline.learn(super.timeline());
+	}
+
+	private void requireCurrent(long timeline, Reason reasonIfPast) {
+		this.knownTimeline.learn(timeline);
+		if (this.knownTimeline.isPast(timeline)) {
+			throw new StoreException(reasonIfPast,
+					"the store answered in timeline " + timeline + " after " + this.knownTimeline.number());
+		}
+	}
+
+	@Override
+	public CompletableFuture<Long> append(StoreStream stream, String key, Optional<byte[]> value,
+			OptionalLong expectedOffset) {
+		return write(super.append(stream, key, value, expectedOffset));
+	}
+
+	@Override
+	public CompletableFuture<Long> appendAll(StoreStream stream, List<NewRecord> records) {
+		return write(super.appendAll(stream, records));
+	}
+
+	@Override
+	public CompletableFuture<GroupView> join(String member, long generation, long ttlMillis) {
+		return write(super.join(member, generation, ttlMillis));
+	}
+
+	@Override
+	public CompletableFuture<Void> leave(String member) {
+		return write(super.leave(member));
+	}
+
 	private void onFailure(StoreStream stream, long from, StoreException failure) {
 		List<WaitingRead> failed = removeWaiting(stream);
 		if (failure.reason() == Reason.DROPPED) {
@@ -122,15 +247,14 @@
 		}
 		RecordCache cache = this.caches.get(stream);
 		long nowMillis = this.steadyMillis.getAsLong();
-		if (!cache.isFresh(nowMillis, MAX_AGE_MILLIS) || !cache.covers(from)) {
-			return super.read(stream, from, waitMillis).whenComplete((batch, failure) -> {
-				if (failure != null && StoreException.of(failure).reason() == Reason.DROPPED) {
-					recordDropped(stream, from);
-				}
-			});
+		boolean isFresh = cache.isFresh(nowMillis, MAX_AGE_MILLIS);
+		boolean awaitsOwnRead = isFresh && waitMillis > 0 && cache.endsBefore(from)
+				&& this.ownReadOffsets.getOrDefault(stream, Long.MAX_VALUE) <= from;
+		if (!awaitsOwnRead && !(isFresh && cache.covers(from))) {
+			return readDirectlyForPeer(stream, from, waitMillis);
 		}
 		Batch cached = cache.batchFrom(from, nowMillis);
-		if (!cached.records().isEmpty() || waitMillis <= 0) {
+		if (!awaitsOwnRead && (!cached.records().isEmpty() || waitMillis <= 0)) {
 			return CompletableFuture.completedFuture(cached);
 		}
 		WaitingRead waitingRead = new WaitingRead(from, new CompletableFuture<>());
@@ -143,6 +267,17 @@
 		return waitingRead.result;
 	}
 
+	private CompletableFuture<Batch> readDirectlyForPeer(StoreStream stream, long from, long waitMillis) {
+		long timelineAtCall = this.knownTimeline.number();
+		return readDirectly(stream, from, waitMillis).whenComplete((batch, failure) -> {
+			// Beyond the end that this node knows, only the peer's offset is outdated.
+			if (failure != null && StoreException.of(failure).reason() == Reason.DROPPED
+					&& this.knownTimeline.number() == timelineAtCall && !this.caches.get(stream).endsBefore(from)) {
+				recordDropped(stream, from);
+			}
+		});
+	}
+
 	private List<WaitingRead> removeWaiting(StoreStream stream) {
 		List<WaitingRead> removed = List.copyOf(this.waitingReads.get(stream));
 		this.waitingReads.get(stream).clear();
@@ -152,15 +287,29 @@
 	private void complete(StoreStream stream, WaitingRead waitingRead) {
 		RecordCache cache = this.caches.get(stream);
 		long nowMillis = this.steadyMillis.getAsLong();
-		if (cache.isFresh(nowMillis, MAX_AGE_MILLIS) && cache.covers(waitingRead.from)) {
+		if (!cache.isFresh(nowMillis, MAX_AGE_MILLIS)) {
+			waitingRead.fail("the relay node got no answer from the store within the last " + MAX_AGE_MILLIS
+					+ " ms that covers offset " + waitingRead.from);
+		}
+		else if (cache.covers(waitingRead.from)) {
 			waitingRead.result.complete(cache.batchFrom(waitingRead.from, nowMillis));
 		}
 		else {
-			waitingRead.fail("the relay node got no answer from the store within the last " + MAX_AGE_MILLIS
-					+ " ms that covers offset " + waitingRead.from);
+			readDirectlyForPeer(stream, waitingRead.from, 0).whenComplete((batch, failure) -> {
+				if (failure != null) {
+					waitingRead.result.completeExceptionally(failure);
+				}
+				else {
+					waitingRead.result.complete(batch);
+				}
+			});
 		}
 	}
 
+	/** The end of a stream as a listing has shown it. */
+	private record ListedEnd(long offset, long timeline, long askedAtMillis) {
+	}
+
 	private record WaitingRead(long from, CompletableFuture<Batch> result) {
 
 		private void fail(String reason) {
