Show the store's timeline in all calls and replies between nodes

A node that had not noticed the store's return read at a relay from an offset of the earlier timeline: the relay answered as if it were of the current one, or called the store for it. A relay that was behind was asked again and again, and a node that can't reach the store took the reply of a node that is behind for news.

Each call now shows the newest timeline that its sender knows, and each reply, also that of a failure, shows the one that it belongs to. The side that is behind learns of the return: a relay begins its cache anew; a peer's open reads fail as dropped, so that it lists its streams again. A read of a sender that is behind is dropped without a call of the store. A reply of an earlier timeline than is known fails: a relay is left for a while, and a node that is cut off asks the next one; a record that was appended with it may be lost and is appended again. Nodes of an earlier release show no timeline and count as behind once there is one; their own reads are answered. The field of PeerCall is the sender's newest timeline instead of that of the offset, which RecordStore.read doesn't know; a reader whose position is older lists anew.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -57,7 +57,7 @@
 	 * @param peers returns the addresses of other nodes
 	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	public PeerFallbackStore(PeerStoreClient client, RecordStore store, Supplier<List<Address>> peers,
+	PeerFallbackStore(PeerStoreClient client, RecordStore store, Supplier<List<Address>> peers,
 			LongSupplier steadyMillis) {
 		super(store);
 		this.client = client;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -1,27 +1,24 @@
 package io.flamingogap.gateway.peers;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpMethod;
 import org.apache.thrift.TException;
 
 import io.flamingogap.core.node.Address;
 import io.flamingogap.gateway.http.HttpCallResponse;
-import io.flamingogap.gateway.http.PooledHttpClient;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.wire.peer.PeerCall;
 import io.flamingogap.wire.peer.PeerReply;
+import io.flamingogap.wire.peer.StoreCall;
 import io.flamingogap.wire.peer.StoreOutcome;
 
 /**
- * Sends store calls to other nodes, which make them in place of this one. Used on the
- * event loop only.
+ * Sends store calls to other nodes, which make them in place of this one. Calls and
+ * replies show the store's timeline, so that a node learns of the store's return from the
+ * first of its peers that knows of it. Used on the event loop only.
  */
 public final class PeerStoreClient {
 
@@ -33,16 +30,18 @@
 	 */
 	private static final long TIMEOUT_MARGIN_MILLIS = 700;
 
-	private final EventLoop loop;
+	private final PeerTransport transport;
 
-	private final Map<Address, PooledHttpClient> clients = new HashMap<>();
+	private final KnownTimeline knownTimeline;
 
 	/**
-	 * Create a client without connections.
-	 * @param loop the event loop
+	 * Create a client.
+	 * @param transport sends the calls
+	 * @param knownTimeline the newest timeline that this node knows of
 	 */
-	public PeerStoreClient(EventLoop loop) {
-		this.loop = loop;
+	PeerStoreClient(PeerTransport transport, KnownTimeline knownTimeline) {
+		this.transport = transport;
+		this.knownTimeline = knownTimeline;
 	}
 
 	/**
@@ -54,12 +53,11 @@
 	 */
 	CompletableFuture<PeerReply> call(Address peer, PeerCall call) {
 		CompletableFuture<PeerReply> result = new CompletableFuture<>();
-		this.clients.computeIfAbsent(peer, (address) -> new PooledHttpClient(this.loop, address))
-			.call(HttpMethod.POST, "/store", Map.of(), ThriftSerializer.serialize(call),
-					call.getWaitMillis() + TIMEOUT_MARGIN_MILLIS)
+		call.setTimeline(this.knownTimeline.number());
+		this.transport.send(peer, ThriftSerializer.serialize(call), call.getWaitMillis() + TIMEOUT_MARGIN_MILLIS)
 			.whenComplete((reply, failure) -> {
 				try {
-					result.complete(requireDone(peer, reply, failure));
+					result.complete(requireDone(peer, call, reply, failure));
 				}
 				catch (StoreException ex) {
 					result.completeExceptionally(ex);
@@ -68,15 +66,22 @@
 		return result;
 	}
 
-	private static PeerReply requireDone(Address peer, HttpCallResponse reply, Throwable failure) {
+	private PeerReply requireDone(Address peer, PeerCall call, HttpCallResponse reply, Throwable failure) {
 		if (failure != null) {
 			throw new StoreException(Reason.UNKNOWN, "call through node " + peer + ": " + failure.getMessage());
 		}
 		PeerReply storeReply = decode(peer, reply);
+		this.knownTimeline.learn(storeReply.getTimeline());
 		if (storeReply.getOutcome() != StoreOutcome.DONE) {
 			throw new StoreException(PeerCodec.reasonOf(storeReply.getOutcome()),
 					"call through node " + peer + ": " + storeReply.getOutcome());
 		}
+		if (this.knownTimeline.isPast(storeReply.getTimeline())) {
+			// What was appended may be lost.
+			throw new StoreException((call.getCall() == StoreCall.APPEND) ? Reason.UNKNOWN : Reason.UNAVAILABLE,
+					"call through node " + peer + ": answered in timeline " + storeReply.getTimeline() + " after "
+							+ this.knownTimeline.number());
+		}
 		return storeReply;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreService.java
@@ -8,6 +8,9 @@
 import org.apache.thrift.TException;
 
 import io.flamingogap.gateway.http.SimpleHttpServer;
+import io.flamingogap.gateway.store.RecordStore;
+import io.flamingogap.gateway.store.StoreException;
+import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.wire.peer.PeerCall;
 import io.flamingogap.wire.peer.PeerReply;
@@ -41,7 +44,11 @@
 	public CompletableFuture<SimpleHttpServer.Response> answer(SimpleHttpServer.Request request) {
 		try {
 			PeerCall call = ThriftSerializer.deserialize(request.body(), new PeerCall());
-			return execute(call, StoreStream.valueOf(call.getStreamName())).exceptionally(PeerCodec::failureReply)
+			StoreStream stream = StoreStream.valueOf(call.getStreamName());
+			KnownTimeline knownTimeline = this.store.knownTimeline();
+			knownTimeline.learn(call.getTimeline());
+			return execute(call, stream)
+				.exceptionally((failure) -> PeerCodec.failureReply(failure).setTimeline(knownTimeline.number()))
 				.thenApply((reply) -> new SimpleHttpServer.Response(200, "application/vnd.apache.thrift.compact",
 						ThriftSerializer.serialize(reply)));
 		}
@@ -52,7 +59,7 @@
 
 	private CompletableFuture<PeerReply> execute(PeerCall call, StoreStream stream) {
 		return switch (call.getCall()) {
-			case READ -> this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis())
+			case READ -> read(call, stream)
 				.thenApply((batch) -> new PeerReply(StoreOutcome.DONE, PeerCodec.toPeerRecords(batch.records()),
 						batch.nextOffset(), false)
 					.setAgeMillis(batch.ageMillis())
@@ -62,10 +69,19 @@
 						page.endOffset(), page.hasMore())
 					.setTimeline(page.timeline()));
 			case APPEND ->
-				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false));
+				append(call, stream).thenApply((offset) -> new PeerReply(StoreOutcome.DONE, List.of(), offset, false)
+					.setTimeline(this.store.timeline()));
 		};
 	}
 
+	private CompletableFuture<RecordStore.Batch> read(PeerCall call, StoreStream stream) {
+		if (call.isSetTimeline() && this.store.knownTimeline().isPast(call.getTimeline())) {
+			return CompletableFuture.failedFuture(new StoreException(Reason.DROPPED,
+					"offset " + call.getFromOffset() + " is of timeline " + call.getTimeline() + " or an earlier one"));
+		}
+		return this.store.readForPeer(stream, call.getFromOffset(), call.getWaitMillis());
+	}
+
 	/**
 	 * Append a record. A node report is appended together with others if its sender
 	 * allows the delay.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -29,11 +29,16 @@
 	 */
 	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relaySelector,
 			Supplier<List<Address>> peers, LongSupplier steadyMillis) {
+		this(loop, direct, relaySelector, peers, new HttpPeerTransport(loop), steadyMillis);
+	}
+
+	StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relaySelector, Supplier<List<Address>> peers,
+			PeerTransport transport, LongSupplier steadyMillis) {
 		ZoneReadCache cache = new ZoneReadCache(loop, direct, steadyMillis);
 		ReportBatcher batcher = new ReportBatcher(loop, cache);
-		PeerStoreClient client = new PeerStoreClient(loop);
+		PeerStoreClient client = new PeerStoreClient(transport, cache.knownTimeline());
 		RecordStore fallback = new PeerFallbackStore(client, cache, peers, steadyMillis);
-		this.store = new ZoneRelayedStore(client, fallback, relaySelector, batcher);
+		this.store = new ZoneRelayedStore(client, fallback, relaySelector, batcher, cache.knownTimeline());
 		this.peerService = new PeerStoreService(cache, batcher);
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -33,6 +33,10 @@
 
 	private final ReportBatcher batcher;
 
+	private final KnownTimeline knownTimeline;
+
+	private final OpenReads openReads = new OpenReads();
+
 	/**
 	 * Create a store that uses a relay.
 	 * @param client calls other nodes
@@ -40,20 +44,27 @@
 	 * if the call is not relayed
 	 * @param relaySelector selects the relay
 	 * @param batcher collects the reports of the zone while this node is the relay
+	 * @param knownTimeline the newest timeline that this node knows of
 	 */
-	public ZoneRelayedStore(PeerStoreClient client, RecordStore store, ZoneRelaySelector relaySelector,
-			ReportBatcher batcher) {
+	ZoneRelayedStore(PeerStoreClient client, RecordStore store, ZoneRelaySelector relaySelector, ReportBatcher batcher,
+			KnownTimeline knownTimeline) {
 		super(store);
 		this.client = client;
 		this.relaySelector = relaySelector;
 		this.batcher = batcher;
+		this.knownTimeline = knownTimeline;
+		knownTimeline.whenChanged(() -> this.openReads.failAll(returned()));
+	}
+
+	private StoreException returned() {
+		return new StoreException(Reason.DROPPED, "the store has returned in timeline " + this.knownTimeline.number());
 	}
 
 	@Override
 	public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
-		return callRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
+		return this.openReads.add(callRelay(new PeerCall(StoreCall.READ, stream.name(), from, waitMillis),
 				(reply) -> PeerCodec.toBatch(reply, true), () -> super.read(stream, from, waitMillis),
-				() -> super.read(stream, from, 0));
+				() -> super.read(stream, from, 0)));
 	}
 
 	@Override
@@ -95,6 +106,7 @@
 		if (relay.isEmpty()) {
 			return asRelay.get();
 		}
+		long timelineAtCall = this.knownTimeline.number();
 		return this.client.call(relay.get().address(), call).handle((reply, failure) -> {
 			if (failure == null) {
 				return CompletableFuture.completedFuture(decoder.apply(reply));
@@ -102,6 +114,9 @@
 			if (failure instanceof StoreException storeFailure && storeFailure.reason() == Reason.DROPPED) {
 				return CompletableFuture.<T>failedFuture(storeFailure);
 			}
+			if (call.getCall() == StoreCall.READ && this.knownTimeline.number() != timelineAtCall) {
+				return CompletableFuture.<T>failedFuture(returned());
+			}
 			this.relaySelector.avoid(relay.get());
 			logger.atInfo()
 				.log("%s",
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerCall.java
@@ -58,7 +58,7 @@
      */
     CONTENT((short)6, "content"),
     /**
-     * READ: the timeline of the store that fromOffset belongs to; absent if it has no number.
+     * The newest timeline of the store that the sender knows of; fromOffset is of no later one.
      */
     TIMELINE((short)7, "timeline");
 
@@ -408,14 +408,14 @@
   }
 
   /**
-   * READ: the timeline of the store that fromOffset belongs to; absent if it has no number.
+   * The newest timeline of the store that the sender knows of; fromOffset is of no later one.
    */
   public long getTimeline() {
     return this.timeline;
   }
 
   /**
-   * READ: the timeline of the store that fromOffset belongs to; absent if it has no number.
+   * The newest timeline of the store that the sender knows of; fromOffset is of no later one.
    */
   public PeerCall setTimeline(long timeline) {
     this.timeline = timeline;
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/PeerReply.java
@@ -53,7 +53,8 @@
      */
     AGE_MILLIS((short)5, "ageMillis"),
     /**
-     * READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number.
+     * The timeline of the store that the positions belong to. After a failure, the newest one that
+     * the sender knows of.
      */
     TIMELINE((short)6, "timeline");
 
@@ -376,14 +377,16 @@
   }
 
   /**
-   * READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number.
+   * The timeline of the store that the positions belong to. After a failure, the newest one that
+   * the sender knows of.
    */
   public long getTimeline() {
     return this.timeline;
   }
 
   /**
-   * READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number.
+   * The timeline of the store that the positions belong to. After a failure, the newest one that
+   * the sender knows of.
    */
   public PeerReply setTimeline(long timeline) {
     this.timeline = timeline;
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -36,7 +36,7 @@
   5: optional string key
   /** APPEND: the content; absent to remove the key. */
   6: optional binary content
-  /** READ: the timeline of the store that fromOffset belongs to; absent if it has no number. */
+  /** The newest timeline of the store that the sender knows of; fromOffset is of no later one. */
   7: optional i64 timeline
 }
 
@@ -63,7 +63,10 @@
    * answered this call.
    */
   5: optional i64 ageMillis
-  /** READ, NEWEST: the timeline of the store that the positions belong to; absent if it has no number. */
+  /**
+   * The timeline of the store that the positions belong to. After a failure, the newest one that
+   * the sender knows of.
+   */
   6: optional i64 timeline
 }
 
