Never count a usage window anew whose report a return of the store may have lost

Cause: a holder stores a report before it sends it, and its successor repeats the stored one. A store that returns from an older copy loses a report that was sent; the next holder, or the same one, took the older record for the last report, dropped its own pending report for it, and counted the window again. An append without an answer can also take effect seconds later, in the next timeline, behind the claim of another holder. Change: the record of a report carries the token and the timeline of its holder, and a claim names the window up to which all are reported or left out. The records are certain only if a node has claimed in this timeline and the last report is older than that claim or bears its token. Otherwise the windows that ended before the claim are left out; only a report that this process stored itself is repeated, unchanged, unless the store shows that its window is settled. Without any claim, the windows that ended before the node first heard from the store are left out. The claim is logged with the certainty and the settled window, and the windows that are left out are logged. A store that doesn't number its timelines can still lose a report without notice to a node that has appended nothing behind it.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyListing.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyListing.java
@@ -1,12 +1,15 @@
 package io.flamingogap.gateway.cloud;
 
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import com.google.common.flogger.FluentLogger;
 
 import io.flamingogap.core.duty.DutyClaim;
+import io.flamingogap.gateway.cloud.UsageHistory.Certainty;
 import io.flamingogap.gateway.log.LogLine;
 import io.flamingogap.gateway.node.ReportCodec;
 import io.flamingogap.gateway.store.RecordStore;
@@ -28,7 +31,8 @@
 
 	private static final String CLAIM_KEY_PREFIX = "holder/";
 
-	private static final String USAGE_KEY = "usage";
+	/** The key of the usage report that was stored last. */
+	static final String USAGE_KEY = "usage";
 
 	private final RecordStore.Page page;
 
@@ -96,24 +100,67 @@
 	}
 
 	/**
-	 * Return the usage report that was stored last.
-	 * @return the report; empty if there is none or it is unreadable
+	 * Return what the records tell about the usage reports of earlier holders.
+	 * @param returnSeen whether the store has lost records since this node first heard
+	 * from it
+	 * @param shortened whether the stream is shorter than this node knew it
+	 * @return the history
 	 */
-	Optional<UsageReportSchedule.Report> lastUsageReport() {
-		return this.page.records()
+	UsageHistory usageHistory(boolean returnSeen, boolean shortened) {
+		Optional<StoredRecord> usageRecord = this.page.records()
 			.stream()
 			.filter((entry) -> entry.key().equals(USAGE_KEY))
-			.findFirst()
-			.flatMap(DutyListing::decodeUsage);
+			.findFirst();
+		Optional<ReportCodec.StoredUsage> usage = usageRecord.flatMap(DutyListing::decodeUsage);
+		OptionalLong settledWindow = claimRecords().flatMap((entry) -> decodeClaim(entry).stream())
+			.flatMapToLong((claim) -> claim.settledWindow().stream())
+			.max();
+		return new UsageHistory(
+				usage.map((stored) -> new UsageReportSchedule.Report(stored.window(), stored.requests())),
+				settledWindow, shortened ? Certainty.STREAM_SHORTENED : certaintyOf(usageRecord, usage, returnSeen));
+	}
+
+	private Certainty certaintyOf(Optional<StoredRecord> usageRecord, Optional<ReportCodec.StoredUsage> usage,
+			boolean returnSeen) {
+		if (!hasClaim()) {
+			return returnSeen ? Certainty.NO_CLAIM_AFTER_RETURN : Certainty.NO_CLAIM;
+		}
+		Optional<StoredRecord> lastClaim = claimRecords()
+			.filter((entry) -> timelineKeys(this.page.timeline()).contains(entry.key()))
+			.max(Comparator.comparingLong(StoredRecord::offset));
+		if (lastClaim.isEmpty()) {
+			return Certainty.EARLIER_TIMELINE;
+		}
+		Optional<DutyClaim> claim = decodeClaim(lastClaim.get());
+		if (claim.isEmpty() && !lastClaim.get().key().equals(NAME_ONLY_CLAIM_KEY)) {
+			return Certainty.UNREADABLE;
+		}
+		if (usageRecord.isEmpty()) {
+			return Certainty.CERTAIN;
+		}
+		if (usage.isEmpty()) {
+			return Certainty.UNREADABLE;
+		}
+		boolean isOfLastHolder = usage.get().token().equals(tokenIn(claim));
+		return (usageRecord.get().offset() < lastClaim.get().offset() || isOfLastHolder) ? Certainty.CERTAIN
+				: Certainty.LATE_REPORT;
+	}
+
+	private static Set<String> timelineKeys(long timeline) {
+		return (timeline == RecordStore.UNNUMBERED_TIMELINE) ? Set.of(NAME_ONLY_CLAIM_KEY, claimKey(timeline))
+				: Set.of(claimKey(timeline));
+	}
+
+	private static OptionalLong tokenIn(Optional<DutyClaim> claim) {
+		return claim.map((present) -> OptionalLong.of(present.token())).orElse(OptionalLong.empty());
 	}
 
-	private static Optional<UsageReportSchedule.Report> decodeUsage(StoredRecord entry) {
+	private static Optional<ReportCodec.StoredUsage> decodeUsage(StoredRecord entry) {
 		return ReportCodec.decodeUsageReport(entry.value().orElse(new byte[0]))
 			.peekLeft((reason) -> logger.atWarning()
 				.log("%s",
 						LogLine.of("usage record unreadable")
 							.with("reason", reason + " (record at offset " + entry.offset() + ")")))
-			.map((decoded) -> new UsageReportSchedule.Report(decoded.getKey(), decoded.getValue()))
 			.toJavaOptional();
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -46,8 +46,6 @@
 	 */
 	private static final long SUSPENSION_THRESHOLD_MILLIS = 500;
 
-	private static final String USAGE_KEY = "usage";
-
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final DutyDependencies dependencies;
@@ -79,7 +77,8 @@
 
 	private long timeline = RecordStore.UNNUMBERED_TIMELINE;
 
-	private boolean storeAnswered;
+	/** When the store first answered, by the monotonic clock. */
+	private OptionalLong storeAnsweredAtMillis = OptionalLong.empty();
 
 	/** Whether the store has lost records since this node first heard from it. */
 	private boolean storeReturned;
@@ -195,7 +194,7 @@
 		}
 		long oldTimeline = this.timeline;
 		this.timeline = newTimeline;
-		if (!this.storeAnswered) {
+		if (this.storeAnsweredAtMillis.isEmpty()) {
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
@@ -242,7 +241,9 @@
 					return;
 				}
 				boolean isCurrent = isOfTimeline(timelineAtCall);
-				this.storeAnswered = true;
+				if (this.storeAnsweredAtMillis.isEmpty()) {
+					this.storeAnsweredAtMillis = OptionalLong.of(this.clock.steadyMillis());
+				}
 				if (!isCurrent) {
 					this.lastJoinAtMillis = NEVER;
 					this.loop.execute(this::tick);
@@ -268,9 +269,8 @@
 	}
 
 	private void claim(DutyListing listing, long expectedOffset) {
-		if (expectedOffset < this.endOffset) {
-			this.storeReturned = true;
-		}
+		boolean shortened = expectedOffset < this.endOffset;
+		this.storeReturned |= shortened;
 		listing.highestToken().ifPresent(this.tokens::recordSeen);
 		long timeOfDayMillis = this.dependencies.correctedTimeOfDayMillis().getAsLong();
 		OptionalLong token = this.tokens.next(this.timeline, timeOfDayMillis);
@@ -278,22 +278,28 @@
 			logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("%s", LogLine.of("no fencing token left"));
 			return;
 		}
+		long nowMillis = this.clock.steadyMillis();
+		long heardForMillis = nowMillis - this.storeAnsweredAtMillis.orElse(nowMillis);
+		UsageHistory history = listing.usageHistory(this.storeReturned, shortened);
+		UsageReportSchedule.TakeOver plan = this.usageReports.planTakeOver(history, timeOfDayMillis - heardForMillis,
+				timeOfDayMillis);
 		boolean claimedBefore = listing.hasClaim() || !isFirstOfAll();
-		DutyClaim claim = new DutyClaim(this.dependencies.memberName(), token.getAsLong(), this.timeline);
+		DutyClaim claim = new DutyClaim(this.dependencies.memberName(), token.getAsLong(), this.timeline,
+				plan.knownSettledWindow());
 		this.dutyInProgress = true;
 		appendRecord(DutyListing.claimKey(this.timeline), ReportCodec.encodeClaim(claim), expectedOffset, () -> {
 			this.term.recordClaim(claim.token(), claimedBefore, this.clock.steadyMillis());
-			this.usageReports.takeOver(listing.lastUsageReport(),
-					this.dependencies.correctedTimeOfDayMillis().getAsLong());
 			this.serverOrders.forgetAcceptedOrders();
-			logger.atInfo()
-				.log("%s",
-						LogLine.of("duties claimed")
-							.with("token", claim.token())
-							.with("offset", expectedOffset)
-							.with("timeline", claim.timeline())
-							.with("claimedBefore", claimedBefore)
-							.with("generation", this.generation));
+			LogLine line = LogLine.of("duties claimed")
+				.with("token", claim.token())
+				.with("offset", expectedOffset)
+				.with("timeline", claim.timeline())
+				.with("claimedBefore", claimedBefore)
+				.with("generation", this.generation)
+				.with("usageHistory", history.certainty().name());
+			claim.settledWindow().ifPresent((window) -> line.with("settledWindow", window));
+			logger.atInfo().log("%s", line);
+			this.usageReports.takeOver(plan);
 			this.loop.execute(this::tick);
 		});
 	}
@@ -342,7 +348,7 @@
 		Optional<UsageReportSchedule.Report> due = pending.isPresent() ? Optional.empty()
 				: this.usageReports.nextReport(this.dependencies.correctedTimeOfDayMillis().getAsLong());
 		if (due.isPresent()) {
-			storeUsage(due.get());
+			storeUsage(token, due.get());
 			return;
 		}
 		Optional<RecordCodec.RolloutStatus> unpublished = this.dependencies.rollouts()
@@ -360,14 +366,15 @@
 			.ifPresent((plan) -> orderServers(token, plan));
 	}
 
-	private void storeUsage(UsageReportSchedule.Report report) {
+	private void storeUsage(long token, UsageReportSchedule.Report report) {
 		this.dutyInProgress = true;
-		appendRecord(USAGE_KEY, ReportCodec.encodeUsageReport(report.window(), report.requests()), this.endOffset,
-				() -> {
-					this.usageReports.recordStored(report);
-					logUsage("usage stored", report, this.endOffset);
-					this.loop.execute(this::tick);
-				});
+		ReportCodec.StoredUsage record = new ReportCodec.StoredUsage(report.window(), report.requests(),
+				OptionalLong.of(token), this.timeline);
+		appendRecord(DutyListing.USAGE_KEY, ReportCodec.encodeUsageReport(record), this.endOffset, () -> {
+			this.usageReports.recordStored(report);
+			logUsage("usage stored", report, this.endOffset);
+			this.loop.execute(this::tick);
+		});
 	}
 
 	private void sendUsage(long token, UsageReportSchedule.Report report) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongFunction;
 import java.util.function.LongPredicate;
 
@@ -13,6 +14,11 @@
 /**
  * Decides which usage report is due. A report is stored before it is sent, so that the
  * next holder of the duties can send exactly the same report again.
+ * <p>
+ * A window whose report may have been sent is never counted again. If the store may have
+ * lost a report, the windows that ended until then are left out, except that a holder
+ * repeats the report that it has stored itself. A store that doesn't number its timelines
+ * can lose a report without notice; its records are then taken to be complete.
  */
 final class UsageReportSchedule {
 
@@ -67,15 +73,56 @@
 	}
 
 	/**
-	 * Continue the schedule of the previous holder.
-	 * @param lastReport the report that the previous holder stored last, if any; it may
-	 * not have been sent
+	 * Decide how this node would continue the schedule of the previous holders. Changes
+	 * nothing until {@link #takeOver}.
+	 * @param history what the store shows of their reports
+	 * @param heardSinceMillis the corrected time of day at which this node first heard
+	 * from the store, in milliseconds since 1970 UTC
 	 * @param timeOfDayMillis the corrected time of day in milliseconds since 1970 UTC
+	 * @return the windows to leave out and the report to repeat
 	 */
-	void takeOver(Optional<Report> lastReport, long timeOfDayMillis) {
-		this.pendingReport = lastReport.filter((report) -> !isTooLate(report.window(), timeOfDayMillis)).orElse(null);
-		long lastWindow = lastReport.map(Report::window).orElse(NO_WINDOW);
-		this.reportedWindow = Math.max(this.reportedWindow, (this.pendingReport != null) ? lastWindow - 1 : lastWindow);
+	TakeOver planTakeOver(UsageHistory history, long heardSinceMillis, long timeOfDayMillis) {
+		if (this.windowMillis == 0) {
+			return new TakeOver(NO_WINDOW, NO_WINDOW + 1, NO_WINDOW, Optional.empty());
+		}
+		long namedWindow = history.settledWindow().orElse(NO_WINDOW);
+		long storedWindow = history.lastReport().map(Report::window).orElse(NO_WINDOW);
+		long knownWindow = Math.max(namedWindow, this.reportedWindow);
+		Optional<Report> own = Optional.ofNullable(this.pendingReport)
+			.filter((report) -> report.window() > namedWindow && !isTooLate(report.window(), timeOfDayMillis))
+			.filter((report) -> report.window() > storedWindow || history.lastReport().equals(Optional.of(report)));
+		OptionalLong uncertainUntilMillis = history.certainty().uncertainUntilMillis(heardSinceMillis, timeOfDayMillis);
+		if (uncertainUntilMillis.isPresent()) {
+			long lastEndedWindow = Math.floorDiv(uncertainUntilMillis.getAsLong(), this.windowMillis) - 1;
+			long settledWindow = Math.max(Math.max(knownWindow, storedWindow), lastEndedWindow);
+			long firstLeftOutWindow = (knownWindow != NO_WINDOW) ? knownWindow + 1 : lastEndedWindow;
+			return new TakeOver(settledWindow, firstLeftOutWindow, settledWindow, own);
+		}
+		boolean hasTwoReports = this.pendingReport != null && this.pendingReport.window() == storedWindow
+				&& !history.lastReport().equals(Optional.of(this.pendingReport));
+		long settledWindow = hasTwoReports ? Math.max(knownWindow, storedWindow) : knownWindow;
+		Optional<Report> pending = own.or(history::lastReport)
+			.filter((report) -> report.window() > settledWindow && !isTooLate(report.window(), timeOfDayMillis));
+		long reportedWindow = Math.max(settledWindow,
+				pending.map((report) -> report.window() - 1).orElse(storedWindow));
+		return new TakeOver(settledWindow, settledWindow + 1, reportedWindow, pending);
+	}
+
+	/**
+	 * Continue the schedule of the previous holders.
+	 * @param plan the decision that the node's claim in the store names
+	 */
+	void takeOver(TakeOver plan) {
+		this.reportedWindow = plan.reportedWindow;
+		this.pendingReport = plan.pendingReport.orElse(null);
+		if (plan.firstLeftOutWindow <= plan.settledWindow) {
+			logger.atInfo()
+				.log("%s",
+						LogLine.of("usage windows left out")
+							.with("first", plan.firstLeftOutWindow)
+							.with("last", plan.settledWindow)
+							.with("repeatsOwnReport", plan.pendingReport.isPresent()));
+		}
 	}
 
 	private boolean isTooLate(long window, long timeOfDayMillis) {
@@ -141,6 +188,28 @@
 		}
 	}
 
+	/**
+	 * How a node continues the schedule of the previous holders.
+	 *
+	 * @param settledWindow the newest window that no holder may count or report from now
+	 * on, except for the pending report of this node
+	 * @param firstLeftOutWindow the first window that is left out; after the settled one
+	 * if none is
+	 * @param reportedWindow the newest window that this node doesn't count
+	 * @param pendingReport the report that this node sends unchanged
+	 */
+	record TakeOver(long settledWindow, long firstLeftOutWindow, long reportedWindow, Optional<Report> pendingReport) {
+
+		/**
+		 * Return the window up to which all are reported or left out.
+		 * @return the number of the window; empty if none is
+		 */
+		OptionalLong knownSettledWindow() {
+			return (this.settledWindow != NO_WINDOW) ? OptionalLong.of(this.settledWindow) : OptionalLong.empty();
+		}
+
+	}
+
 	/**
 	 * The usage of one window.
 	 *
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ReportCodec.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import io.vavr.control.Either;
 import org.apache.thrift.TException;
@@ -106,8 +107,10 @@
 	 * @return the content of its record
 	 */
 	public static byte[] encodeClaim(DutyClaim claim) {
-		return ThriftSerializer
-			.serialize(new io.flamingogap.wire.report.DutyClaim(claim.holder(), claim.token(), claim.timeline()));
+		io.flamingogap.wire.report.DutyClaim wire = new io.flamingogap.wire.report.DutyClaim(claim.holder(),
+				claim.token(), claim.timeline());
+		claim.settledWindow().ifPresent(wire::setSettledWindow);
+		return ThriftSerializer.serialize(wire);
 	}
 
 	/**
@@ -119,7 +122,8 @@
 		try {
 			io.flamingogap.wire.report.DutyClaim wire = ThriftSerializer.deserialize(bytes,
 					new io.flamingogap.wire.report.DutyClaim());
-			return Either.right(new DutyClaim(wire.getHolder(), wire.getToken(), wire.getTimeline()));
+			return Either.right(new DutyClaim(wire.getHolder(), wire.getToken(), wire.getTimeline(),
+					wire.isSetSettledWindow() ? OptionalLong.of(wire.getSettledWindow()) : OptionalLong.empty()));
 		}
 		catch (TException ex) {
 			return Either.left(String.valueOf(ex));
@@ -128,28 +132,42 @@
 
 	/**
 	 * Encode a usage report before it is sent to the cloud.
-	 * @param window the number of the window
-	 * @param requests the number of requests by account
+	 * @param usage the report
 	 * @return the content of its record
 	 */
-	public static byte[] encodeUsageReport(long window, Map<String, Long> requests) {
-		return ThriftSerializer.serialize(new UsageIntent(window, requests));
+	public static byte[] encodeUsageReport(StoredUsage usage) {
+		UsageIntent wire = new UsageIntent(usage.window(), usage.requests()).setTimeline(usage.timeline());
+		usage.token().ifPresent(wire::setToken);
+		return ThriftSerializer.serialize(wire);
 	}
 
 	/**
 	 * Decode a usage report that was stored before it was sent to the cloud.
 	 * @param bytes the content of its record
-	 * @return the number of the window with the number of requests by account, or why the
-	 * record can't be decoded
+	 * @return the report, or why the record can't be decoded
 	 */
-	public static Either<String, Map.Entry<Long, Map<String, Long>>> decodeUsageReport(byte[] bytes) {
+	public static Either<String, StoredUsage> decodeUsageReport(byte[] bytes) {
 		try {
 			UsageIntent wire = ThriftSerializer.deserialize(bytes, new UsageIntent());
-			return Either.right(Map.entry(wire.getWindow(), wire.getRequests()));
+			return Either.right(new StoredUsage(wire.getWindow(), wire.getRequests(),
+					wire.isSetToken() ? OptionalLong.of(wire.getToken()) : OptionalLong.empty(), wire.getTimeline()));
 		}
 		catch (TException ex) {
 			return Either.left(String.valueOf(ex));
 		}
 	}
 
+	/**
+	 * A usage report that was stored before it was sent to the cloud.
+	 *
+	 * @param window the number of the window
+	 * @param requests the number of requests by account
+	 * @param token the fencing token of the holder that stored it; empty in records that
+	 * don't name it
+	 * @param timeline the number of the store's timeline in which the holder claimed the
+	 * duties
+	 */
+	public record StoredUsage(long window, Map<String, Long> requests, OptionalLong token, long timeline) {
+	}
+
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
@@ -107,6 +107,18 @@
 		}
 	}
 
+	// A return of the store lost a usage report that had been sent, and the window was
+	// counted
+	// anew.
+	@Property(tries = 300, seed = "20261207")
+	void windowsHaveOneReportEachAcrossReturnsOfTheStore(@ForAll @LongRange(max = 10_000_000) long seed) {
+		for (Fencing fencing : Fencing.values()) {
+			Simulation simulation = run(seed, fencing, true, true);
+			simulation.assertOneReportForEachWindow();
+			simulation.assertWindowsReportedOnceCalm();
+		}
+	}
+
 	@Property(tries = 300, seed = "20261207")
 	void holdersStayApartWhileTheStoreKeepsWhatItAcknowledged(@ForAll @LongRange(max = 10_000_000) long seed) {
 		for (Fencing fencing : Fencing.values()) {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
@@ -2,15 +2,21 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import io.flamingogap.gateway.cloud.UsageHistory.Certainty;
+import io.flamingogap.gateway.cloud.UsageReportSchedule.Report;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
 /**
  * Tests of {@link UsageReportSchedule}: when the report of a window is due, and how long
- * it waits for nodes that don't report.
+ * it waits for nodes that don't report, and what a new holder repeats and leaves out.
  */
 class UsageReportScheduleTests {
 
@@ -32,8 +38,21 @@
 		return this.schedule.nextReport(END_MILLIS + sinceEndMillis).map(UsageReportSchedule.Report::window);
 	}
 
+	private UsageReportSchedule.TakeOver takeOver(Certainty certainty, Optional<Report> stored,
+			OptionalLong settledWindow, long sinceEndMillis) {
+		UsageReportSchedule.TakeOver plan = this.schedule.planTakeOver(
+				new UsageHistory(stored, settledWindow, certainty), END_MILLIS - WINDOW_MILLIS,
+				END_MILLIS + sinceEndMillis);
+		this.schedule.takeOver(plan);
+		return plan;
+	}
+
+	private static Optional<Report> report(long window, long requests) {
+		return Optional.of(new Report(window, Map.of("growers", requests)));
+	}
+
 	private void reportEarlierWindows() {
-		this.schedule.takeOver(Optional.of(new UsageReportSchedule.Report(WINDOW - 1, Map.of())), END_MILLIS);
+		takeOver(Certainty.CERTAIN, Optional.of(new Report(WINDOW - 1, Map.of())), OptionalLong.empty(), 0);
 		this.schedule.recordSent();
 	}
 
@@ -60,4 +79,88 @@
 		assertThat(dueWindowAt(DUE_MILLIS - 2_000), is(Optional.of(WINDOW)));
 	}
 
+	@Test
+	void reportOfThePreviousHolderIsRepeatedUnchanged() {
+		takeOver(Certainty.CERTAIN, report(WINDOW, 7), OptionalLong.of(WINDOW - 1), 4_000);
+		assertThat(this.schedule.pendingReport(), is(report(WINDOW, 7)));
+	}
+
+	@Test
+	void reportStaysPendingWhenItsHolderClaimsAgain() {
+		takeOver(Certainty.CERTAIN, report(WINDOW, 7), OptionalLong.empty(), 4_000);
+		takeOver(Certainty.CERTAIN, report(WINDOW, 7), OptionalLong.empty(), 5_000);
+		assertThat(this.schedule.pendingReport(), is(report(WINDOW, 7)));
+	}
+
+	// A report that had been sent was lost by the store, and the window was counted anew.
+	@ParameterizedTest
+	@EnumSource(mode = EnumSource.Mode.EXCLUDE, names = { "CERTAIN", "NO_CLAIM" })
+	void windowsThatEndedBeforeAnUncertainClaimAreLeftOut(Certainty certainty) {
+		UsageReportSchedule.TakeOver plan = takeOver(certainty, report(WINDOW - 2, 7), OptionalLong.empty(), 1_000);
+		assertThat(plan.knownSettledWindow(), is(OptionalLong.of(WINDOW)));
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+		assertThat(dueWindowAt(4_000), is(Optional.empty()));
+		assertThat(dueWindowAt(WINDOW_MILLIS + 4_000), is(Optional.of(WINDOW + 1)));
+	}
+
+	// An older report in a store that had returned replaced the one that had been sent.
+	@Test
+	void ownReportThatTheStoreLostIsRepeatedUnchanged() {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		takeOver(Certainty.EARLIER_TIMELINE, report(WINDOW - 1, 7), OptionalLong.of(WINDOW - 1), 4_000);
+		assertThat(this.schedule.pendingReport(), is(report(WINDOW, 8)));
+		this.schedule.recordSent();
+		assertThat(dueWindowAt(4_000), is(Optional.empty()));
+	}
+
+	@Test
+	void ownReportIsNotReplacedByAnOlderOne() {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		takeOver(Certainty.CERTAIN, report(WINDOW - 1, 7), OptionalLong.empty(), 4_000);
+		assertThat(this.schedule.pendingReport(), is(report(WINDOW, 8)));
+	}
+
+	@ParameterizedTest
+	@EnumSource(Certainty.class)
+	void ownReportIsDroppedIfAnotherHolderHasSettledItsWindow(Certainty certainty) {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		takeOver(certainty, report(WINDOW - 1, 7), OptionalLong.of(WINDOW), 4_000);
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+		assertThat(dueWindowAt(4_000), is(Optional.empty()));
+	}
+
+	@ParameterizedTest
+	@EnumSource(Certainty.class)
+	void windowOfWhichTwoReportsWereStoredIsLeftOut(Certainty certainty) {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		UsageReportSchedule.TakeOver plan = takeOver(certainty, report(WINDOW, 7), OptionalLong.empty(), 4_000);
+		assertThat(plan.knownSettledWindow(), is(OptionalLong.of(WINDOW)));
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+		assertThat(dueWindowAt(4_000), is(Optional.empty()));
+	}
+
+	@Test
+	void storedReportOfASettledWindowIsNotSent() {
+		takeOver(Certainty.CERTAIN, report(WINDOW, 7), OptionalLong.of(WINDOW), 4_000);
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+		assertThat(dueWindowAt(4_000), is(Optional.empty()));
+	}
+
+	@Test
+	void firstHolderLeavesOutWindowsThatEndedBeforeItHeardFromTheStore() {
+		UsageReportSchedule.TakeOver plan = takeOver(Certainty.NO_CLAIM, Optional.empty(), OptionalLong.empty(), 0);
+		assertThat(plan.knownSettledWindow(), is(OptionalLong.of(WINDOW - 1)));
+		assertThat(dueWindowAt(4_000), is(Optional.of(WINDOW)));
+	}
+
+	@Test
+	void nothingIsReportedOrSettledWithoutWindows() {
+		UsageReportSchedule withoutWindows = new UsageReportSchedule(0, (window) -> Map.of(), (millis) -> true);
+		UsageReportSchedule.TakeOver plan = withoutWindows
+			.planTakeOver(new UsageHistory(report(WINDOW, 7), OptionalLong.empty(), Certainty.LATE_REPORT), 0, 1);
+		withoutWindows.takeOver(plan);
+		assertThat(plan.knownSettledWindow(), is(OptionalLong.empty()));
+		assertThat(withoutWindows.pendingReport(), is(Optional.empty()));
+	}
+
 }
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/DutyClaim.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/DutyClaim.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField HOLDER_FIELD_DESC = new org.apache.thrift.protocol.TField("holder", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField TIMELINE_FIELD_DESC = new org.apache.thrift.protocol.TField("timeline", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SETTLED_WINDOW_FIELD_DESC = new org.apache.thrift.protocol.TField("settledWindow", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DutyClaimStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DutyClaimTupleSchemeFactory();
@@ -23,6 +24,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String holder; // required
   private long token; // required
   private long timeline; // required
+  private long settledWindow; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,11 @@
     /**
      * The number of the store's timeline in which the node claimed.
      */
-    TIMELINE((short)3, "timeline");
+    TIMELINE((short)3, "timeline"),
+    /**
+     * Usage of this window and earlier ones is reported or left out; absent if unknown.
+     */
+    SETTLED_WINDOW((short)4, "settledWindow");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -56,6 +62,8 @@
           return TOKEN;
         case 3: // TIMELINE
           return TIMELINE;
+        case 4: // SETTLED_WINDOW
+          return SETTLED_WINDOW;
         default:
           return null;
       }
@@ -101,7 +109,9 @@
   // isset id assignments
   private static final int __TOKEN_ISSET_ID = 0;
   private static final int __TIMELINE_ISSET_ID = 1;
+  private static final int __SETTLEDWINDOW_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SETTLED_WINDOW};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -111,6 +121,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.TIMELINE, new org.apache.thrift.meta_data.FieldMetaData("timeline", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SETTLED_WINDOW, new org.apache.thrift.meta_data.FieldMetaData("settledWindow", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DutyClaim.class, metaDataMap);
   }
@@ -141,6 +153,7 @@
     }
     this.token = other.token;
     this.timeline = other.timeline;
+    this.settledWindow = other.settledWindow;
   }
 
   @Override
@@ -155,6 +168,8 @@
     this.token = 0;
     setTimelineIsSet(false);
     this.timeline = 0;
+    setSettledWindowIsSet(false);
+    this.settledWindow = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -240,6 +255,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMELINE_ISSET_ID, value);
   }
 
+  /**
+   * Usage of this window and earlier ones is reported or left out; absent if unknown.
+   */
+  public long getSettledWindow() {
+    return this.settledWindow;
+  }
+
+  /**
+   * Usage of this window and earlier ones is reported or left out; absent if unknown.
+   */
+  public DutyClaim setSettledWindow(long settledWindow) {
+    this.settledWindow = settledWindow;
+    setSettledWindowIsSet(true);
+    return this;
+  }
+
+  public void unsetSettledWindow() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SETTLEDWINDOW_ISSET_ID);
+  }
+
+  /** Returns true if field settledWindow is set (has been assigned a value) and false otherwise */
+  public boolean isSetSettledWindow() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SETTLEDWINDOW_ISSET_ID);
+  }
+
+  public void setSettledWindowIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SETTLEDWINDOW_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -267,6 +311,14 @@
       }
       break;
 
+    case SETTLED_WINDOW:
+      if (value == null) {
+        unsetSettledWindow();
+      } else {
+        setSettledWindow((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -283,6 +335,9 @@
     case TIMELINE:
       return getTimeline();
 
+    case SETTLED_WINDOW:
+      return getSettledWindow();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -301,6 +356,8 @@
       return isSetToken();
     case TIMELINE:
       return isSetTimeline();
+    case SETTLED_WINDOW:
+      return isSetSettledWindow();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -345,6 +402,15 @@
         return false;
     }
 
+    boolean this_present_settledWindow = true && this.isSetSettledWindow();
+    boolean that_present_settledWindow = true && that.isSetSettledWindow();
+    if (this_present_settledWindow || that_present_settledWindow) {
+      if (!(this_present_settledWindow && that_present_settledWindow))
+        return false;
+      if (this.settledWindow != that.settledWindow)
+        return false;
+    }
+
     return true;
   }
 
@@ -360,6 +426,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timeline);
 
+    hashCode = hashCode * 8191 + ((isSetSettledWindow()) ? 131071 : 524287);
+    if (isSetSettledWindow())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(settledWindow);
+
     return hashCode;
   }
 
@@ -401,6 +471,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSettledWindow(), other.isSetSettledWindow());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSettledWindow()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.settledWindow, other.settledWindow);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -440,6 +520,12 @@
     sb.append("timeline:");
     sb.append(this.timeline);
     first = false;
+    if (isSetSettledWindow()) {
+      if (!first) sb.append(", ");
+      sb.append("settledWindow:");
+      sb.append(this.settledWindow);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -516,6 +602,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // SETTLED_WINDOW
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.settledWindow = iprot.readI64();
+              struct.setSettledWindowIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -549,6 +643,11 @@
       oprot.writeFieldBegin(TIMELINE_FIELD_DESC);
       oprot.writeI64(struct.timeline);
       oprot.writeFieldEnd();
+      if (struct.isSetSettledWindow()) {
+        oprot.writeFieldBegin(SETTLED_WINDOW_FIELD_DESC);
+        oprot.writeI64(struct.settledWindow);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -570,6 +669,14 @@
       oprot.writeString(struct.holder);
       oprot.writeI64(struct.token);
       oprot.writeI64(struct.timeline);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSettledWindow()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSettledWindow()) {
+        oprot.writeI64(struct.settledWindow);
+      }
     }
 
     @Override
@@ -581,6 +688,11 @@
       struct.setTokenIsSet(true);
       struct.timeline = iprot.readI64();
       struct.setTimelineIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.settledWindow = iprot.readI64();
+        struct.setSettledWindowIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/report/UsageIntent.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/report/UsageIntent.java
@@ -16,17 +16,29 @@
 
   private static final org.apache.thrift.protocol.TField WINDOW_FIELD_DESC = new org.apache.thrift.protocol.TField("window", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("requests", org.apache.thrift.protocol.TType.MAP, (short)2);
+  private static final org.apache.thrift.protocol.TField TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("token", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField TIMELINE_FIELD_DESC = new org.apache.thrift.protocol.TField("timeline", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UsageIntentStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UsageIntentTupleSchemeFactory();
 
   private long window; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> requests; // required
+  private long token; // optional
+  private long timeline; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     WINDOW((short)1, "window"),
-    REQUESTS((short)2, "requests");
+    REQUESTS((short)2, "requests"),
+    /**
+     * The fencing token of the holder that stored the report.
+     */
+    TOKEN((short)3, "token"),
+    /**
+     * The number of the store's timeline in which that holder claimed the duties.
+     */
+    TIMELINE((short)4, "timeline");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -46,6 +58,10 @@
           return WINDOW;
         case 2: // REQUESTS
           return REQUESTS;
+        case 3: // TOKEN
+          return TOKEN;
+        case 4: // TIMELINE
+          return TIMELINE;
         default:
           return null;
       }
@@ -90,7 +106,10 @@
 
   // isset id assignments
   private static final int __WINDOW_ISSET_ID = 0;
+  private static final int __TOKEN_ISSET_ID = 1;
+  private static final int __TIMELINE_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.TOKEN,_Fields.TIMELINE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -100,6 +119,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.TOKEN, new org.apache.thrift.meta_data.FieldMetaData("token", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TIMELINE, new org.apache.thrift.meta_data.FieldMetaData("timeline", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UsageIntent.class, metaDataMap);
   }
@@ -127,6 +150,8 @@
       java.util.Map<java.lang.String,java.lang.Long> __this__requests = new java.util.HashMap<java.lang.String,java.lang.Long>(other.requests);
       this.requests = __this__requests;
     }
+    this.token = other.token;
+    this.timeline = other.timeline;
   }
 
   @Override
@@ -139,6 +164,10 @@
     setWindowIsSet(false);
     this.window = 0;
     this.requests = null;
+    setTokenIsSet(false);
+    this.token = 0;
+    setTimelineIsSet(false);
+    this.timeline = 0;
   }
 
   public long getWindow() {
@@ -200,6 +229,64 @@
     }
   }
 
+  /**
+   * The fencing token of the holder that stored the report.
+   */
+  public long getToken() {
+    return this.token;
+  }
+
+  /**
+   * The fencing token of the holder that stored the report.
+   */
+  public UsageIntent setToken(long token) {
+    this.token = token;
+    setTokenIsSet(true);
+    return this;
+  }
+
+  public void unsetToken() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKEN_ISSET_ID);
+  }
+
+  /** Returns true if field token is set (has been assigned a value) and false otherwise */
+  public boolean isSetToken() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKEN_ISSET_ID);
+  }
+
+  public void setTokenIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKEN_ISSET_ID, value);
+  }
+
+  /**
+   * The number of the store's timeline in which that holder claimed the duties.
+   */
+  public long getTimeline() {
+    return this.timeline;
+  }
+
+  /**
+   * The number of the store's timeline in which that holder claimed the duties.
+   */
+  public UsageIntent setTimeline(long timeline) {
+    this.timeline = timeline;
+    setTimelineIsSet(true);
+    return this;
+  }
+
+  public void unsetTimeline() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TIMELINE_ISSET_ID);
+  }
+
+  /** Returns true if field timeline is set (has been assigned a value) and false otherwise */
+  public boolean isSetTimeline() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TIMELINE_ISSET_ID);
+  }
+
+  public void setTimelineIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMELINE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -219,6 +306,22 @@
       }
       break;
 
+    case TOKEN:
+      if (value == null) {
+        unsetToken();
+      } else {
+        setToken((java.lang.Long)value);
+      }
+      break;
+
+    case TIMELINE:
+      if (value == null) {
+        unsetTimeline();
+      } else {
+        setTimeline((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -232,6 +335,12 @@
     case REQUESTS:
       return getRequests();
 
+    case TOKEN:
+      return getToken();
+
+    case TIMELINE:
+      return getTimeline();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -248,6 +357,10 @@
       return isSetWindow();
     case REQUESTS:
       return isSetRequests();
+    case TOKEN:
+      return isSetToken();
+    case TIMELINE:
+      return isSetTimeline();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -283,6 +396,24 @@
         return false;
     }
 
+    boolean this_present_token = true && this.isSetToken();
+    boolean that_present_token = true && that.isSetToken();
+    if (this_present_token || that_present_token) {
+      if (!(this_present_token && that_present_token))
+        return false;
+      if (this.token != that.token)
+        return false;
+    }
+
+    boolean this_present_timeline = true && this.isSetTimeline();
+    boolean that_present_timeline = true && that.isSetTimeline();
+    if (this_present_timeline || that_present_timeline) {
+      if (!(this_present_timeline && that_present_timeline))
+        return false;
+      if (this.timeline != that.timeline)
+        return false;
+    }
+
     return true;
   }
 
@@ -296,6 +427,14 @@
     if (isSetRequests())
       hashCode = hashCode * 8191 + requests.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetToken()) ? 131071 : 524287);
+    if (isSetToken())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(token);
+
+    hashCode = hashCode * 8191 + ((isSetTimeline()) ? 131071 : 524287);
+    if (isSetTimeline())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timeline);
+
     return hashCode;
   }
 
@@ -327,6 +466,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetToken(), other.isSetToken());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetToken()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.token, other.token);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTimeline(), other.isSetTimeline());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTimeline()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.timeline, other.timeline);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -362,6 +521,18 @@
       sb.append(this.requests);
     }
     first = false;
+    if (isSetToken()) {
+      if (!first) sb.append(", ");
+      sb.append("token:");
+      sb.append(this.token);
+      first = false;
+    }
+    if (isSetTimeline()) {
+      if (!first) sb.append(", ");
+      sb.append("timeline:");
+      sb.append(this.timeline);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -441,6 +612,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // TOKEN
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.token = iprot.readI64();
+              struct.setTokenIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // TIMELINE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.timeline = iprot.readI64();
+              struct.setTimelineIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -476,6 +663,16 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetToken()) {
+        oprot.writeFieldBegin(TOKEN_FIELD_DESC);
+        oprot.writeI64(struct.token);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetTimeline()) {
+        oprot.writeFieldBegin(TIMELINE_FIELD_DESC);
+        oprot.writeI64(struct.timeline);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -503,6 +700,20 @@
           oprot.writeI64(_iter49.getValue());
         }
       }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetToken()) {
+        optionals.set(0);
+      }
+      if (struct.isSetTimeline()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetToken()) {
+        oprot.writeI64(struct.token);
+      }
+      if (struct.isSetTimeline()) {
+        oprot.writeI64(struct.timeline);
+      }
     }
 
     @Override
@@ -523,6 +734,15 @@
         }
       }
       struct.setRequestsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.token = iprot.readI64();
+        struct.setTokenIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.timeline = iprot.readI64();
+        struct.setTimelineIsSet(true);
+      }
     }
   }
 
--- a/flamingogap-wire/src/main/thrift/report.thrift
+++ b/flamingogap-wire/src/main/thrift/report.thrift
@@ -49,6 +49,8 @@
   2: required i64 token
   /** The number of the store's timeline in which the node claimed. */
   3: required i64 timeline
+  /** Usage of this window and earlier ones is reported or left out; absent if unknown. */
+  4: optional i64 settledWindow
 }
 
 /**
@@ -58,6 +60,10 @@
 struct UsageIntent {
   1: required i64 window
   2: required map<string, i64> requests
+  /** The fencing token of the holder that stored the report. */
+  3: optional i64 token
+  /** The number of the store's timeline in which that holder claimed the duties. */
+  4: optional i64 timeline
 }
 
 /** Quarantine of prompt parts. Stored beside the node reports, under a key of its own. */
