Keep rollouts when the store returns from an earlier copy

After a return of the store, the order of a completed rollout that was written again at a higher offset than before began the rollout anew, so that requests went to servers of the old version, which had stopped; at a lower offset, a new order was ignored. The lost status of a rollout was never published again, since the node that holds the duties remembered it as published.

RolloutController.forgetStoredRecords() makes the offsets of orders lower than any and forgets what was published. An order that equals the followed one counts as written again. Ended rollouts stay ended whatever older status is read, and the current statuses are published again. A listing of statuses from an earlier timeline isn't used.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -379,6 +379,10 @@
 			return;
 		}
 		this.store.listNewest(StoreStream.STATUS, Optional.empty()).thenAccept((page) -> {
+			if (page.timeline() < this.store.timeline()) {
+				// The store may have lost what the page lists.
+				return;
+			}
 			page.records()
 				.forEach((entry) -> this.adapters.recordCodec()
 					.decodeStatus(entry)
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -232,7 +232,9 @@
 
 	@Override
 	public void onStoreRestored() {
-		this.evacuatedZones.forgetOffsets(this.clock.steadyMillis() + REWRITE_MILLIS);
+		long heldUntilMillis = this.clock.steadyMillis() + REWRITE_MILLIS;
+		this.evacuatedZones.forgetOffsets(heldUntilMillis);
+		this.rollouts.forgetStoredRecords(heldUntilMillis);
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/RolloutController.java
@@ -36,8 +36,16 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Lower than the offset of any record. */
+	private static final long UNKNOWN_OFFSET = -1;
+
 	private final Map<String, ServiceRollout> rolloutsByService = new HashMap<>();
 
+	/** Orders that may be older than those that this node follows. */
+	private final Map<String, HeldOrder> heldOrders = new HashMap<>();
+
+	private long ordersHeldUntilMillis = Long.MIN_VALUE;
+
 	private final Map<String, RolloutStatus> publishedStatuses = new HashMap<>();
 
 	private boolean publishedStatusesLoaded;
@@ -72,7 +80,8 @@
 	 * was read before; otherwise {@link #recordPublishedStatus} ends the rollout later.
 	 * @param order the order
 	 * @param offset the offset of its record in the store; an order at or before the
-	 * offset of the service's current order is ignored
+	 * offset of the service's current order is ignored, as is the current order that is
+	 * written again after a return of the store
 	 * @param nowMillis the current time on the monotonic clock
 	 */
 	public void applyOrder(RolloutOrder order, long offset, long nowMillis) {
@@ -80,6 +89,30 @@
 		if (previous != null && offset <= previous.offset) {
 			return;
 		}
+		boolean mayBeWrittenAgain = nowMillis < this.ordersHeldUntilMillis;
+		if (previous != null && order.equals(previous.order)
+				&& (mayBeWrittenAgain || previous.offset == UNKNOWN_OFFSET)) {
+			previous.offset = offset;
+			this.heldOrders.remove(order.service());
+		}
+		else if (previous != null && mayBeWrittenAgain && previous.offset == UNKNOWN_OFFSET) {
+			this.heldOrders.put(order.service(), new HeldOrder(order, offset));
+			logger.atInfo()
+				.log("%s",
+						LogLine.of("rollout order held")
+							.with("service", order.service())
+							.with("target", order.target())
+							.with("offset", offset)
+							.with("followed", previous.order.target()));
+		}
+		else {
+			begin(order, offset, nowMillis);
+		}
+	}
+
+	private void begin(RolloutOrder order, long offset, long nowMillis) {
+		ServiceRollout previous = this.rolloutsByService.get(order.service());
+		this.heldOrders.remove(order.service());
 		ServiceRollout rollout = new ServiceRollout(order, offset, nowMillis);
 		RolloutStatus published = this.publishedStatuses.get(order.service());
 		if (previous == null && published != null && published.target().equals(order.target())) {
@@ -95,6 +128,21 @@
 						.with("offset", offset));
 	}
 
+	/**
+	 * Forget the offsets of all orders and what was published, because the store has
+	 * returned from an earlier copy and may have lost both. Rollouts go on, or stay
+	 * ended.
+	 * @param heldUntilMillis the time by the monotonic clock, in milliseconds, by which
+	 * operators have written the lost orders again. Until then, another order for a
+	 * service isn't followed unless the known one has been read before it
+	 */
+	public void forgetStoredRecords(long heldUntilMillis) {
+		this.rolloutsByService.values().forEach((rollout) -> rollout.offset = UNKNOWN_OFFSET);
+		this.publishedStatuses.clear();
+		this.heldOrders.clear();
+		this.ordersHeldUntilMillis = heldUntilMillis;
+	}
+
 	/**
 	 * Return whether any rollout is running, so that the published statuses have to be
 	 * read again.
@@ -145,12 +193,15 @@
 	}
 
 	/**
-	 * Evaluate the running rollouts on the counts of all nodes: revert, adapt the share
-	 * of the target version, or propose to complete. Does nothing before the published
-	 * statuses were read.
+	 * Begin rollouts whose orders were held long enough. Then evaluate the running ones
+	 * on the counts of all nodes: revert, adapt the share of the target version, or
+	 * propose to complete; not before the published statuses were read.
 	 * @param nowMillis the current time on the monotonic clock
 	 */
 	public void evaluate(long nowMillis) {
+		if (nowMillis >= this.ordersHeldUntilMillis) {
+			List.copyOf(this.heldOrders.values()).forEach((held) -> begin(held.order, held.offset, nowMillis));
+		}
 		if (!this.publishedStatusesLoaded) {
 			return;
 		}
@@ -275,11 +326,14 @@
 				? rollout.outcomes.observe(server, route, nowMillis) : DispatchObservation.NONE;
 	}
 
+	private record HeldOrder(RolloutOrder order, long offset) {
+	}
+
 	private static final class ServiceRollout {
 
 		private final RolloutOrder order;
 
-		private final long offset;
+		private long offset;
 
 		/**
 		 * When this node read the order. A node that starts during a rollout counts the
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import io.flamingogap.core.fleet.FleetView;
@@ -116,4 +117,87 @@
 		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()), is(true));
 	}
 
+	@Nested
+	class Returns {
+
+		private static final long HELD_UNTIL_MILLIS = 20_000;
+
+		private final RolloutController controller = RolloutControllerTests.this.controller;
+
+		private void order(String target, long offset, long nowMillis) {
+			this.controller.applyOrder(new RolloutOrder("desk", target, WITHIN_MILLIS), offset, nowMillis);
+		}
+
+		private RolloutStatus runningStatus(String target) {
+			return new RolloutStatus("desk", target, RolloutStatus.State.RUNNING);
+		}
+
+		@BeforeEach
+		void completeRolloutOrderedAtOffset50() {
+			order("v1", 40, 0);
+			order("v2", 50, 0);
+			this.controller.recordPublishedStatus(status(RolloutStatus.State.DONE));
+			assertThat(this.controller.unpublishedStatuses(), is(List.of()));
+			this.controller.forgetStoredRecords(HELD_UNTIL_MILLIS);
+		}
+
+		// A service that had been moved to a new version went back to the old one, whose
+		// servers had stopped, while its order was being written again.
+		@Test
+		void orderThatIsWrittenAgainDoesNotBeginTheRolloutAnew() {
+			order("v2", 45, 10_000);
+			assertThat(this.controller.hasRunningRollout(), is(false));
+			order("v2", 60, 11_000);
+			assertThat(this.controller.hasRunningRollout(), is(false));
+		}
+
+		@Test
+		void orderThatIsWrittenAgainLateDoesNotBeginTheRolloutAnew() {
+			order("v2", 45, HELD_UNTIL_MILLIS + 1);
+			assertThat(this.controller.hasRunningRollout(), is(false));
+		}
+
+		@Test
+		void olderOrderOfTheCopyDoesNotReplaceANewerOne() {
+			order("v1", 40, 10_000);
+			order("v2", 45, 11_000);
+			this.controller.evaluate(HELD_UNTIL_MILLIS);
+			assertThat(this.controller.hasRunningRollout(), is(false));
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(status(RolloutStatus.State.DONE))));
+		}
+
+		@Test
+		void laterOrderCountsAtALowerOffset() {
+			order("v2", 41, 10_000);
+			order("v3", 42, 11_000);
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(runningStatus("v3"))));
+		}
+
+		@Test
+		void orderThatOnlyTheReturnedStoreHasCountsOnceOthersHadTimeToBeWrittenAgain() {
+			order("v1", 40, 10_000);
+			order("v3", 41, 11_000);
+			this.controller.evaluate(HELD_UNTIL_MILLIS - 1);
+			assertThat(this.controller.hasRunningRollout(), is(false));
+			this.controller.evaluate(HELD_UNTIL_MILLIS);
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(runningStatus("v3"))));
+		}
+
+		// Operators never learnt that a rollout was complete, because the status was
+		// lost.
+		@Test
+		void statusIsPublishedAgain() {
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(status(RolloutStatus.State.DONE))));
+		}
+
+		@Test
+		void olderStatusOfTheCopyChangesNothing() {
+			this.controller.recordPublishedStatus(status(RolloutStatus.State.RUNNING));
+			this.controller.recordPublishedStatus(status(RolloutStatus.State.REVERTED));
+			assertThat(this.controller.hasRunningRollout(), is(false));
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(status(RolloutStatus.State.DONE))));
+		}
+
+	}
+
 }
