Read node reports of a restored copy by their age

NodeReportExchange compared their offsets with the end of a listing of the earlier timeline.

All records now count as written before the listing until the listing after the return is complete. The exchange also tells the quarantine, whose rules are in the same stream, of the return.

NodeReportExchangeTests.reportOfACopyIsAsOldAsItSays failed before with "Expected: is <0> but: was <1>".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -230,7 +230,7 @@
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
 				this.fleetClock, clock, this::createReport, this::isReady, this.quotas::recordPreviousRun,
-				this.quotas::onFleetListed, quarantineStore::accept);
+				this.quotas::onFleetListed, quarantineStore::accept, quarantineStore::onStoreRestored);
 		this.coldStartMembers = new ColdStartMembers(loop, coldStartLimiter, this.fleet, this.reportExchange,
 				this.config, this::isReady, clock);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -94,12 +94,15 @@
 
 	private final Predicate<StoredRecord> otherRecords;
 
+	private final Runnable restoredListener;
+
 	private final RecordFollower follower;
 
 	/**
 	 * The end of the stream when it was last listed. Records before it were written
 	 * before the listing, so their age is computed from the time of day that they report.
-	 * Until the first listing is complete, all records count as written before it.
+	 * Until the first listing is complete, and that after each return of the store from
+	 * an earlier copy, all records count as written before it.
 	 */
 	private long listingEndOffset = Long.MAX_VALUE;
 
@@ -130,10 +133,13 @@
 	 * the first time
 	 * @param otherRecords accepts the records of the stream that aren't reports, and
 	 * returns {@code false} for those that are
+	 * @param restoredListener runs when the store has returned from an earlier copy,
+	 * before the records of the copy are read
 	 */
 	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reportSink, FleetView fleet,
 			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReportSupplier, BooleanSupplier serving,
-			LongConsumer previousRunListener, Runnable listedListener, Predicate<StoredRecord> otherRecords) {
+			LongConsumer previousRunListener, Runnable listedListener, Predicate<StoredRecord> otherRecords,
+			Runnable restoredListener) {
 		this.loop = loop;
 		this.store = store;
 		this.reportSink = reportSink;
@@ -145,6 +151,7 @@
 		this.previousRunListener = previousRunListener;
 		this.listedListener = listedListener;
 		this.otherRecords = otherRecords;
+		this.restoredListener = restoredListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
 			.replaying(REPLAYED_REPORTS);
 	}
@@ -299,6 +306,8 @@
 
 	@Override
 	public void onStoreRestored() {
+		this.listingEndOffset = Long.MAX_VALUE;
+		this.restoredListener.run();
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
@@ -29,7 +29,7 @@
 
 /**
  * Tests of {@link NodeReportExchange} at the start of a node, when all nodes may have
- * been lost.
+ * been lost, and after a return of the store from an earlier copy.
  */
 class NodeReportExchangeTests {
 
@@ -55,6 +55,8 @@
 
 	private boolean serving = true;
 
+	private int returnsTold;
+
 	private final NodeReportExchange exchange = new NodeReportExchange(this.channel.eventLoop(), this.store,
 			(key, value) -> {
 				NodeReport report = ReportCodec.decodeNodeReport(value).get();
@@ -63,7 +65,7 @@
 				return CompletableFuture.completedFuture(0L);
 			}, this.fleet, new FleetClock(), clock(), () -> report("self", RUN, 1, TIME_OF_DAY_MILLIS + this.nowMillis),
 			() -> this.serving, this.previousReports::add, () -> {
-			}, (entry) -> false);
+			}, (entry) -> false, () -> this.returnsTold++);
 
 	private NodeClock clock() {
 		return new NodeClock(() -> TimeUnit.MILLISECONDS.toNanos(this.nowMillis),
@@ -128,28 +130,113 @@
 		assertThat(this.fleet.nodes(), is(1));
 	}
 
+	private void readOthersReport(long sequence) {
+		this.store.write(report("other", PREVIOUS_RUN, sequence, TIME_OF_DAY_MILLIS + this.nowMillis));
+		this.store.answerRead();
+		runFor(1_000);
+	}
+
+	// A report that was read again from a copy counted as just received, and callers were
+	// directed to a node that had ended.
+	@Test
+	void reportOfACopyIsAsOldAsItSays() {
+		this.exchange.start();
+		this.store.list();
+		runFor(2_000);
+		readOthersReport(7);
+		runFor(3_000);
+		this.store.returnFromCopy(0);
+		runFor(2_000);
+		assertThat(this.fleet.recentReports().size(), is(0));
+	}
+
+	@Test
+	void olderReportOfACopyDoesNotUndoANewerOne() {
+		this.exchange.start();
+		this.store.list();
+		runFor(2_000);
+		readOthersReport(7);
+		readOthersReport(8);
+		this.store.returnFromCopy(1);
+		runFor(100);
+		assertThat(this.fleet.knownReports().get(0).sequence(), is(8L));
+	}
+
+	// Live nodes whose reports the store had lost were removed from the fleet.
+	@Test
+	void nodesThatTheCopyLacksAreNotRemovedAtOnce() {
+		this.exchange.start();
+		this.store.list();
+		runFor(8_000);
+		readOthersReport(7);
+		runFor(6_000);
+		this.store.returnFromCopy(1);
+		runFor(7_000);
+		assertThat(this.fleet.nodes(), is(2));
+		readOthersReport(8);
+		runFor(4_000);
+		assertThat(this.fleet.nodes(), is(2));
+	}
+
+	@Test
+	void returnIsTold() {
+		this.exchange.start();
+		this.store.list();
+		runFor(100);
+		this.store.returnFromCopy(0);
+		runFor(100);
+		assertThat(this.returnsTold, is(1));
+	}
+
 	/**
 	 * A store that answers the listing when the test says so.
 	 */
 	private static final class ListedLater extends ForwardingStore {
 
-		private final Map<String, StoredRecord> newest = new TreeMap<>();
+		private final List<StoredRecord> log = new ArrayList<>();
+
+		private CompletableFuture<Page> listing = new CompletableFuture<>();
+
+		private CompletableFuture<Batch> pendingRead = new CompletableFuture<>();
 
-		private final CompletableFuture<Page> listing = new CompletableFuture<>();
+		private long readFrom;
 
-		private long end;
+		private long timeline = 1;
 
 		private ListedLater() {
 			super(new ScriptedStore());
 		}
 
 		private void write(NodeReport report) {
-			this.newest.put(report.node().name(), new StoredRecord(report.node().name(),
-					Optional.of(ReportCodec.encodeNodeReport(report)), this.end++));
+			this.log.add(new StoredRecord(report.node().name(), Optional.of(ReportCodec.encodeNodeReport(report)),
+					this.log.size()));
 		}
 
 		private void list() {
-			this.listing.complete(new Page(List.copyOf(this.newest.values()), false, this.end, 0));
+			Map<String, StoredRecord> newest = new TreeMap<>();
+			this.log.forEach((entry) -> newest.put(entry.key(), entry));
+			this.listing.complete(new Page(List.copyOf(newest.values()), false, this.log.size(), this.timeline));
+		}
+
+		private void answerRead() {
+			this.pendingRead
+				.complete(Batch.fromStore(List.copyOf(this.log.subList((int) this.readFrom, this.log.size())),
+						this.log.size(), this.timeline));
+		}
+
+		private void returnFromCopy(int lostRecords) {
+			this.timeline++;
+			this.log.subList(this.log.size() - lostRecords, this.log.size()).clear();
+			this.listing = new CompletableFuture<>();
+			list();
+			this.pendingRead.complete(Batch.fromStore(List.of(), this.readFrom, this.timeline));
+		}
+
+		@Override
+		public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
+			this.readFrom = from;
+			this.pendingRead = new CompletableFuture<>();
+			return this.pendingRead;
 		}
 
 		@Override
