Use no older listing once the store's return is known

After a read that the returned store couldn't answer, a follower accepted the listing of another node that didn't know of the return yet, read again from its end and listed again at once, as often as the calls allowed. When a read finds its record missing, the follower now takes the newest timeline that any answer to this node has shown as known; an older listing counts as a failed call and is repeated after a delay.

olderListingIsNotUsedOnceOtherCallsHaveShownTheReturn failed before with "Expected: iterable containing ["record 99", "listed to 100", "restored", "record 89", "listed to 90"] but: item 2: was "record 99"".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -207,6 +207,9 @@
 								.with("timeline", this.store.timeline())
 								.with("reason", String.valueOf(StoreException.of(failure).getMessage())));
 				this.missingOffset = OptionalLong.of(from);
+				if (this.store.timeline() > this.timeline) {
+					recordReturn(this.store.timeline());
+				}
 				start();
 			}
 			else if (failure != null) {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -271,6 +271,23 @@
 			assertThat(RecordFollowerTests.this.events, contains("restored", "record 89", "listed to 90"));
 		}
 
+		// After a read that the returned store couldn't answer, another node that didn't
+		// know of the return handed out an older listing again and again.
+		@Test
+		void olderListingIsNotUsedOnceOtherCallsHaveShownTheReturn() {
+			RecordFollowerTests.this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "no record"));
+			RecordFollowerTests.this.store.answerNextListing(page(1, false, 100, 99));
+			RecordFollowerTests.this.store.answerNextListing(page(1, false, 100, 99));
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 90, 89));
+			RecordFollower follower = follower();
+			RecordFollowerTests.this.store.showTimeline(2);
+			follower.start();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			passTime(100);
+			assertThat(RecordFollowerTests.this.events,
+					contains("record 99", "listed to 100", "restored", "record 89", "listed to 90"));
+		}
+
 		@Test
 		void followerFindsOutThatAStoreBeginsToNumberItsTimelines() {
 			followToOffset100(0);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/ScriptedStore.java
@@ -24,6 +24,8 @@
 
 	private final List<List<NewRecord>> appendedBatches = new ArrayList<>();
 
+	private long timeline = UNNUMBERED_TIMELINE;
+
 	private CompletableFuture<Batch> pendingRead = new CompletableFuture<>();
 
 	/**
@@ -34,6 +36,14 @@
 		this.failures.add(failure);
 	}
 
+	/**
+	 * Set the newest timeline that answers to any calls have shown.
+	 * @param newTimeline the number
+	 */
+	public void showTimeline(long newTimeline) {
+		this.timeline = newTimeline;
+	}
+
 	/**
 	 * Answer the next listing. Several pages answer the next listings in turn.
 	 * @param page the page
@@ -123,7 +133,7 @@
 
 	@Override
 	public long timeline() {
-		return UNNUMBERED_TIMELINE;
+		return this.timeline;
 	}
 
 }
