Share one call among peers that read from the same offset of the store

After a return of the store, the nodes of a zone list their streams in one call, but while the relay itself pauses between two reads, each of them then called the store to read on: 135 reads in 2.5 s for 95 nodes in 5 zones, 45 before the return.

StoreReturnCallTests plays fleets in simulated time; their readers take a batch of another timeline than their listing's for dropped. Before: "Expected: a value less than or equal to <105> but: <135> was greater than <105>"; ZoneReadCacheTests: "Expected: iterable containing [<7L>, <9L>, <8L>] but: not matched: <8L>".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,6 +54,9 @@
 	/** The offset from which this node reads each stream for itself at the moment. */
 	private final Map<StoreStream, Long> ownReadOffsets = new EnumMap<>(StoreStream.class);
 
+	/** Waiting reads of the store that were made for peers, by what they read. */
+	private final Map<PeerRead, CompletableFuture<Batch>> openPeerReads = new HashMap<>();
+
 	private final SharedListings listings;
 
 	private final KnownTimeline knownTimeline = new KnownTimeline();
@@ -100,6 +104,7 @@
 		this.ownReadOffsets.clear();
 		this.listedEnds.clear();
 		this.droppedOffsets.clear();
+		this.openPeerReads.clear();
 		this.listings.forgetAll();
 		StoreException failure = new StoreException(Reason.DROPPED,
 				"the store has returned in timeline " + this.knownTimeline.number());
@@ -268,6 +273,21 @@
 	}
 
 	private CompletableFuture<Batch> readDirectlyForPeer(StoreStream stream, long from, long waitMillis) {
+		if (waitMillis <= 0) {
+			return callForPeer(stream, from, waitMillis);
+		}
+		PeerRead key = new PeerRead(stream, from);
+		CompletableFuture<Batch> open = this.openPeerReads.get(key);
+		if (open != null) {
+			return open;
+		}
+		CompletableFuture<Batch> answer = callForPeer(stream, from, waitMillis);
+		this.openPeerReads.put(key, answer);
+		answer.whenComplete((batch, failure) -> this.openPeerReads.remove(key, answer));
+		return answer;
+	}
+
+	private CompletableFuture<Batch> callForPeer(StoreStream stream, long from, long waitMillis) {
 		long timelineAtCall = this.knownTimeline.number();
 		return readDirectly(stream, from, waitMillis).whenComplete((batch, failure) -> {
 			// Beyond the end that this node knows, only the peer's offset is outdated.
@@ -306,6 +326,9 @@
 		}
 	}
 
+	private record PeerRead(StoreStream stream, long from) {
+	}
+
 	/** The end of a stream as a listing has shown it. */
 	private record ListedEnd(long offset, long timeline, long askedAtMillis) {
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -247,6 +247,27 @@
 		assertThat(this.store.readOffsets(), contains(7L, 9L, 7L));
 	}
 
+	@Test
+	void peersThatReadFromOneOffsetShareAStoreCall() {
+		this.nowMillis += 3_000;
+		CompletableFuture<Batch> first = readForPeer(8);
+		CompletableFuture<Batch> second = readForPeer(8);
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 8L));
+		this.store.pendingRead().complete(Batch.fromStore(List.of(entry(8)), 9, 0));
+		assertThat(offsets(first), contains(8L));
+		assertThat(offsets(second), contains(8L));
+		readForPeer(8);
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 8L, 8L));
+	}
+
+	@Test
+	void peerThatDoesNotWaitSharesNoCall() {
+		this.nowMillis += 3_000;
+		readForPeer(8);
+		this.cache.readForPeer(StoreStream.SERVERS, 8, 0);
+		assertThat(this.store.readOffsets(), contains(7L, 9L, 8L, 8L));
+	}
+
 	@Test
 	void peerThatWaitsForTheFirstReadAfterAListingFailsWithIt() {
 		this.store.pendingRead().completeExceptionally(new StoreException(StoreException.Reason.DROPPED, "gone"));
