Make a restarted node wait for a lease before it claims the duties

Cause: a node waits for a lease after its last action before it claims again, but a new run of it doesn't know when the run before it acted last. Change: unless the whole system starts for the first time, the start of a run counts as its last action. The property now tells holders apart by machine, and in one of four runs the cloud answers so.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -121,6 +121,10 @@
 	 */
 	public void start() {
 		this.startedAtMillis = this.clock.steadyMillis();
+		if (!this.dependencies.firstStart()) {
+			// An earlier run of this node may have acted until now.
+			this.term.recordAction(this.startedAtMillis);
+		}
 		this.lastClockDifferenceMillis = clockDifferenceMillis();
 		this.loop.scheduleWithFixedDelay(LoggedTask.of("duties", this::tick), 0, TICK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
@@ -1,6 +1,5 @@
 package io.flamingogap.gateway.cloud;
 
-import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,17 +21,9 @@
 
 import io.flamingogap.core.duty.Fencing;
 import io.flamingogap.core.duty.UsageCounts;
-import io.flamingogap.core.fleet.FleetView;
 import io.flamingogap.core.fleet.ServerPlan;
-import io.flamingogap.core.node.NodeId;
-import io.flamingogap.core.servers.EvacuatedZones;
-import io.flamingogap.core.servers.ServerTable;
-import io.flamingogap.core.serving.ConfigHolder;
 import io.flamingogap.gateway.node.ReportCodec;
-import io.flamingogap.gateway.node.RolloutController;
 import io.flamingogap.gateway.peers.ChannelWithFrozenTime;
-import io.flamingogap.gateway.relay.ServiceDemandTracker;
-import io.flamingogap.gateway.store.RecordCodec;
 import io.flamingogap.gateway.time.NodeClock;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -251,18 +242,18 @@
 		 */
 		private void assertHoldersDoNotAlternate() {
 			boolean cloudRefusesLowerTokens = this.fencing == Fencing.CHECKED_BY_CLOUD;
-			Map<Process, Long> lastCallAtMillis = new HashMap<>();
+			Map<String, Long> lastCallAtMillis = new HashMap<>();
 			Call previous = null;
 			for (Call call : cloudRefusesLowerTokens ? this.cloud.accepted : this.cloud.sent) {
-				if (previous != null && previous.sender != call.sender) {
-					long lastCall = lastCallAtMillis.getOrDefault(call.sender, Long.MIN_VALUE / 2);
+				if (previous != null && !previous.sender.name.equals(call.sender.name)) {
+					long lastCall = lastCallAtMillis.getOrDefault(call.sender.name, Long.MIN_VALUE / 2);
 					assertThat("milliseconds between two calls with another holder's in between",
 							call.sentAtMillis - lastCall, greaterThanOrEqualTo(LEASE_MILLIS));
 				}
 				if (previous != null) {
 					assertThat("token of a call", call.token, greaterThanOrEqualTo(previous.token));
 				}
-				lastCallAtMillis.put(call.sender, call.sentAtMillis);
+				lastCallAtMillis.put(call.sender.name, call.sentAtMillis);
 				previous = call;
 			}
 		}
@@ -304,21 +295,12 @@
 				this.name = name;
 				this.skewMillis = simulation.random.nextLong(2 * simulation.maxSkewMillis + 1)
 						- simulation.maxSkewMillis;
-				FleetView fleet = new FleetView(new NodeId(name, this.number), 1_500);
-				ServerTable servers = new ServerTable();
 				NodeClock clock = new NodeClock(() -> TimeUnit.MILLISECONDS.toNanos(simulation.nowMillis),
 						this::timeOfDayMillis);
-				RecordCodec noCodec = (RecordCodec) Proxy.newProxyInstance(RecordCodec.class.getClassLoader(),
-						new Class<?>[] { RecordCodec.class }, (proxy, method, arguments) -> {
-							throw new UnsupportedOperationException(method.getName());
-						});
 				new DutyRunner(
-						new DutyDependencies(simulation.channel.eventLoop(),
-								simulation.store.clientOf(name, () -> this.alive), noCodec,
-								simulation.cloud.clientOf(this), clock, this::timeOfDayMillis, new ConfigHolder(),
-								new RolloutController(servers, fleet, new SplittableRandom(1), 0.1), servers,
-								() -> false, new FleetTotals(fleet, this.usage, new ServiceDemandTracker(), clock),
-								name, simulation.nowMillis < 1_000, new EvacuatedZones(Set.of())),
+						DutyRunnerDependencies.create(simulation.channel.eventLoop(),
+								simulation.store.clientOf(name, () -> this.alive), simulation.cloud.clientOf(this),
+								clock, this.usage, name, simulation.nowMillis < 1_000),
 						LEASE_MILLIS, simulation.fencing, WINDOW_MILLIS)
 					.start();
 			}
@@ -372,6 +354,9 @@
 
 		private final List<Call> accepted = new ArrayList<>();
 
+		/** Whether calls that took effect are answered like refused ones while faulty. */
+		private final boolean failing;
+
 		private long highestToken = Long.MIN_VALUE;
 
 		private boolean faulty;
@@ -380,6 +365,7 @@
 			this.random = random;
 			this.channel = channel;
 			this.checksTokens = checksTokens;
+			this.failing = random.nextInt(4) == 0;
 		}
 
 		private CloudApi clientOf(Simulation.Process sender) {
@@ -416,8 +402,12 @@
 				cloud.sent.add(call);
 				this.open.add(result);
 				int kind = cloud.faulty ? cloud.random.nextInt(10) : 9;
+				if (cloud.faulty && cloud.failing) {
+					kind = 0;
+				}
 				if (kind == 0) {
-					after(50, () -> answer(result, Verdict.REFUSED));
+					after(50, () -> answer(result,
+							(cloud.receive(call) != Verdict.FENCED) ? Verdict.REFUSED : Verdict.FENCED));
 				}
 				else if (kind <= 3) {
 					after(TIMEOUT_MILLIS, () -> answer(result, Verdict.UNKNOWN));
