Show the store's timeline on the metrics page

A return of the store from an older copy could only be told from an outage by a log line. flamingogap_store_timeline is the newest number that the node knows of, from the store or from other nodes, and rises with each return.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -352,6 +352,11 @@
 				return Gateway.this.clock.steadyMillis() - Gateway.this.serverWatcher.lastContactAtMillis();
 			}
 
+			@Override
+			public long storeTimeline() {
+				return Gateway.this.store.timeline();
+			}
+
 			@Override
 			public long answerBytes() {
 				return Gateway.this.answerMemory.totalBytes();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/MetricsPage.java
@@ -79,6 +79,9 @@
 		Gauge.builder("flamingogap.store.silent.millis", this.nodeMetrics, NodeMetrics::millisSinceStoreContact)
 			.description("Time since the store last answered, in milliseconds")
 			.register(prometheus);
+		Gauge.builder("flamingogap.store.timeline", this.nodeMetrics, NodeMetrics::storeTimeline)
+			.description("Timeline of the store, which rises when it returns from an earlier copy; 0 if not numbered")
+			.register(prometheus);
 		Gauge.builder("flamingogap.answers.bytes", this.nodeMetrics, NodeMetrics::answerBytes)
 			.description("Memory for answers that are incomplete or that callers have not read, in bytes")
 			.register(prometheus);
@@ -185,6 +188,12 @@
 		 */
 		long millisSinceStoreContact();
 
+		/**
+		 * Return the newest timeline of the store that this node knows of.
+		 * @return the number; 0 if the store doesn't number its timelines
+		 */
+		long storeTimeline();
+
 		/**
 		 * Return the memory for answers that servers have not completed or callers have
 		 * not read.
