Test that the headers of a response outlive the next one of its connection

HttpCallResponse keeps the headers. Netty copies names and values out of the buffer of the decoder, so that they neither change nor hold it; nobody keeps a response longer than its call. The test passes without a change of the code.

--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/PooledHttpClientTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/http/PooledHttpClientTests.java
@@ -92,6 +92,38 @@
 		assertThat(outcome, instanceOf(HttpCallException.class));
 	}
 
+	// Headers that shared the decoder's memory would change with the next response.
+	@Test
+	void headersOfAResponseOutliveTheNextResponseOfTheConnection() throws Exception {
+		PooledHttpClient client = new PooledHttpClient(this.loop, new Address("127.0.0.1", this.server.getLocalPort()));
+		CompletableFuture<HttpCallResponse> first = callOf(client);
+		try (Socket connection = this.server.accept()) {
+			respond(connection, "Note: first");
+			assertThat(first.get(5, TimeUnit.SECONDS).header("note").orElseThrow(), is("first"));
+			CompletableFuture<HttpCallResponse> second = callOf(client);
+			respond(connection, "Noon: other");
+			assertThat(second.get(5, TimeUnit.SECONDS).header("noon").orElseThrow(), is("other"));
+		}
+		assertThat(first.get().header("note").orElseThrow(), is("first"));
+		assertThat(first.get().header("noon").isPresent(), is(false));
+	}
+
+	private CompletableFuture<HttpCallResponse> callOf(PooledHttpClient client) {
+		return CompletableFuture
+			.supplyAsync(() -> client.call(HttpMethod.GET, "/records", Map.of(), new byte[0], 5_000), this.loop)
+			.thenCompose((response) -> response);
+	}
+
+	private static void respond(Socket connection, String header) throws IOException {
+		StringBuilder request = new StringBuilder();
+		while (request.indexOf("\r\n\r\n") < 0) {
+			request.append((char) connection.getInputStream().read());
+		}
+		connection.getOutputStream()
+			.write(("HTTP/1.1 200 OK\r\n" + header + "\r\nContent-Length: 0\r\n\r\n")
+				.getBytes(StandardCharsets.US_ASCII));
+	}
+
 	// A write with status 000 would count as refused, although the store may have
 	// executed
 	// it, and part of a page as the whole page.
