--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/StoreReturnCallTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/StoreReturnCallTests.java
@@ -199,6 +199,10 @@
 						public void onRecord(StoredRecord entry) {
 						}
 
+						@Override
+						public void onStoreRestored() {
+						}
+
 						@Override
 						public void onListed(Set<String> keys, long endOffset) {
 							Node.this.listedAtMillis.put(stream, StoreReturnCallTests.this.nowMillis);
