Tell the duties of a return that isn't numbered

The follower of the registrations notices such a return by the end of its stream. It now tells the runner, which ends its term and leaves out the windows that ended before its next claim. A claim that is made before the follower notices isn't covered.

windowsAreLeftOutIfAnotherStreamOfAnUnnumberedStoreIsShortened failed before with "Expected: a value equal to or greater than <1796600006L> but: <1796600002L>".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -234,7 +234,8 @@
 		this.coldStartMembers = new ColdStartMembers(loop, coldStartLimiter, this.fleet, this.reportExchange,
 				this.config, this::isReady, clock);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
-				this.coldServers, this.metrics, clock, this.reportExchange::publishFirstReportIfReady);
+				this.coldServers, this.metrics, clock, this.reportExchange::publishFirstReportIfReady,
+				this::onStoreRestored);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
 				this.rollouts, this.evacuatedZones, placementRules, this.metrics, clock,
 				this.reportExchange::publishFirstReportIfReady);
@@ -401,6 +402,10 @@
 		});
 	}
 
+	private void onStoreRestored() {
+		this.dutyRunner.ifPresent(DutyRunner::onStoreRestored);
+	}
+
 	private boolean isFleetListed() {
 		return this.reportExchange.hasCompletedListing();
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -83,6 +83,12 @@
 	/** Whether the store has lost records since this node first heard from it. */
 	private boolean storeReturned;
 
+	/** The number of returns of a store that doesn't number its timelines. */
+	private int unnumberedReturns;
+
+	/** The {@link #unnumberedReturns} before this node's last claim. */
+	private int claimedUnnumberedReturns;
+
 	private long lastClockDifferenceMillis;
 
 	private boolean joinPending;
@@ -210,6 +216,24 @@
 							.with("token", token)
 							.with("fromTimeline", oldTimeline)
 							.with("toTimeline", newTimeline)));
+		endTerm(nowMillis);
+	}
+
+	/**
+	 * End the term if the store doesn't number its timelines and another of its streams
+	 * has turned out to be shorter than it was. A return that is numbered shows in the
+	 * answers to this runner's own calls.
+	 */
+	public void onStoreRestored() {
+		if (this.stopped || this.timeline != RecordStore.UNNUMBERED_TIMELINE) {
+			return;
+		}
+		this.unnumberedReturns++;
+		logger.atInfo().log("%s", LogLine.of("duty term ended").with("reason", "a stream of the store was shortened"));
+		endTerm(this.clock.steadyMillis());
+	}
+
+	private void endTerm(long nowMillis) {
 		this.storeReturned = true;
 		this.generation = 0;
 		this.endOffset = 0;
@@ -273,7 +297,7 @@
 	}
 
 	private void claim(DutyListing listing, long expectedOffset) {
-		boolean shortened = expectedOffset < this.endOffset;
+		boolean shortened = this.unnumberedReturns != this.claimedUnnumberedReturns || expectedOffset < this.endOffset;
 		this.storeReturned |= shortened;
 		listing.highestToken().ifPresent(this.tokens::recordSeen);
 		long timeOfDayMillis = this.dependencies.correctedTimeOfDayMillis().getAsLong();
@@ -292,6 +316,7 @@
 				plan.knownSettledWindow());
 		this.dutyInProgress = true;
 		appendRecord(DutyListing.claimKey(this.timeline), ReportCodec.encodeClaim(claim), expectedOffset, () -> {
+			this.claimedUnnumberedReturns = this.unnumberedReturns;
 			this.term.recordClaim(claim.token(), claimedBefore, this.clock.steadyMillis());
 			this.serverOrders.forgetAcceptedOrders();
 			LogLine line = LogLine.of("duties claimed")
@@ -320,10 +345,11 @@
 
 	private void appendRecord(String key, byte[] value, long expectedOffset, Runnable onAppended) {
 		long timelineAtCall = this.timeline;
+		int returnsAtCall = this.unnumberedReturns;
 		this.store.append(StoreStream.DUTIES, key, Optional.of(value), OptionalLong.of(expectedOffset))
 			.whenComplete((offset, failure) -> {
 				this.dutyInProgress = false;
-				boolean isCurrent = isOfTimeline(timelineAtCall);
+				boolean isCurrent = isOfTimeline(timelineAtCall) && this.unnumberedReturns == returnsAtCall;
 				if (failure != null || !isCurrent) {
 					String reason = (failure != null) ? StoreException.of(failure).getMessage()
 							: "the store returned from a copy";
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageHistory.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageHistory.java
@@ -44,7 +44,7 @@
 		/** The store has lost records since the last claim. */
 		EARLIER_TIMELINE,
 
-		/** The stream is shorter than this node knew it. */
+		/** A stream of the store is shorter than this node knew it. */
 		STREAM_SHORTENED,
 
 		/** An earlier holder's report was stored after a later claim. */
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -55,6 +55,8 @@
 
 	private final Runnable readinessListener;
 
+	private final Runnable returnListener;
+
 	private final RecordFollower follower;
 
 	/**
@@ -68,9 +70,11 @@
 	 * @param clock the clocks of this process
 	 * @param readinessListener runs when what the node serves callers with may have
 	 * become complete
+	 * @param returnListener runs when the store has returned from an earlier copy
 	 */
 	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
-			ColdServers coldServers, RelayMetrics metrics, NodeClock clock, Runnable readinessListener) {
+			ColdServers coldServers, RelayMetrics metrics, NodeClock clock, Runnable readinessListener,
+			Runnable returnListener) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
@@ -78,6 +82,7 @@
 		this.metrics = metrics;
 		this.clock = clock;
 		this.readinessListener = readinessListener;
+		this.returnListener = returnListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.SERVERS, READ_PAUSE_MILLIS, this,
 				clock::steadyMillis);
 	}
@@ -205,6 +210,7 @@
 	public void onStoreRestored() {
 		this.metrics.increment("store.restored");
 		this.servers.forgetOffsets();
+		this.returnListener.run();
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
@@ -16,6 +16,7 @@
 import io.flamingogap.core.fleet.ServerPlan;
 import io.flamingogap.gateway.peers.ChannelWithFrozenTime;
 import io.flamingogap.gateway.store.ForwardingStore;
+import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.ScriptedStore;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
@@ -49,12 +50,13 @@
 
 	private long nowMillis;
 
-	private void startNode(Fencing fencing, boolean firstStart) {
+	private DutyRunner startNode(Fencing fencing, boolean firstStart) {
 		NodeClock clock = new NodeClock(() -> TimeUnit.MILLISECONDS.toNanos(this.nowMillis),
 				() -> START_OF_DAY_MILLIS + this.nowMillis);
-		new DutyRunner(DutyRunnerDependencies.create(this.channel.eventLoop(), this.store, this.cloud, clock,
-				new UsageCounts(), "node-1", firstStart), LEASE_MILLIS, fencing, WINDOW_MILLIS)
-			.start();
+		DutyRunner runner = new DutyRunner(DutyRunnerDependencies.create(this.channel.eventLoop(), this.store,
+				this.cloud, clock, new UsageCounts(), "node-1", firstStart), LEASE_MILLIS, fencing, WINDOW_MILLIS);
+		runner.start();
+		return runner;
 	}
 
 	private void advanceTime(long millis) {
@@ -80,8 +82,7 @@
 	}
 
 	// A copy from before the first claim shows none; the next holder acted at once beside
-	// the
-	// earlier one, and the cloud refused neither.
+	// the earlier one, and the cloud refused neither.
 	@Test
 	void holderWaitsForALeaseIfTheStoreHasReturnedWithoutAnyClaim() {
 		this.store.assignsDuties = false;
@@ -109,9 +110,24 @@
 		assertThat(this.store.generations.get(this.store.joinsBeforeReturn), is(0L));
 	}
 
+	// A window was counted anew by a node that had appended nothing behind the lost
+	// report.
+	@Test
+	void windowsAreLeftOutIfAnotherStreamOfAnUnnumberedStoreIsShortened() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		this.store.records.add(new StoredRecord("holder", Optional.of(new byte[] { 'n' }), 0));
+		this.store.assignsDuties = false;
+		DutyRunner runner = startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		this.store.assignsDuties = true;
+		long returnedAtMillis = START_OF_DAY_MILLIS + this.nowMillis;
+		runner.onStoreRestored();
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.cloud.windows.get(0), greaterThanOrEqualTo(returnedAtMillis / WINDOW_MILLIS));
+	}
+
 	// A claim that was answered in a later timeline than it was made in isn't in order
-	// with
-	// the claims of that timeline.
+	// with the claims of that timeline.
 	@Test
 	void claimThatIsAnsweredInAnotherTimelineDoesNotCount() {
 		this.store.returnsDuringNextAppend = true;
@@ -122,8 +138,7 @@
 	}
 
 	// A node that was killed and restarted claimed within the lease, so that its machine
-	// acted
-	// before and after another one.
+	// acted before and after another one.
 	@Test
 	void restartedNodeWaitsForALeaseBeforeItClaims() {
 		startNode(Fencing.CHECKED_BY_CLOUD, false);
@@ -200,8 +215,11 @@
 
 		private final List<Long> sentAtMillis = new ArrayList<>();
 
+		private final List<Long> windows = new ArrayList<>();
+
 		@Override
 		public CompletableFuture<Verdict> reportUsage(long token, long window, Map<String, Long> requests) {
+			this.windows.add(window);
 			this.tokens.add(token);
 			this.sentAtMillis.add(DutyRunnerTests.this.nowMillis);
 			return CompletableFuture.completedFuture(Verdict.ACCEPTED);
