Let tests choose the nodes that a cut-off node asks

StoreReturnCallTests plays outages, in which nodes ask others in random order; its result depended on chance. No change in behaviour.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerFallbackStore.java
@@ -46,7 +46,7 @@
 
 	private final LongSupplier steadyMillis;
 
-	private final Random random = new Random();
+	private final Random random;
 
 	private long failedAtMillis = Long.MIN_VALUE / 2;
 
@@ -55,13 +55,15 @@
 	 * @param client calls other nodes
 	 * @param store this node's direct access to the store
 	 * @param peers returns the addresses of other nodes
+	 * @param random chooses the nodes to try
 	 * @param steadyMillis the monotonic clock, in milliseconds
 	 */
-	PeerFallbackStore(PeerStoreClient client, RecordStore store, Supplier<List<Address>> peers,
+	PeerFallbackStore(PeerStoreClient client, RecordStore store, Supplier<List<Address>> peers, Random random,
 			LongSupplier steadyMillis) {
 		super(store);
 		this.client = client;
 		this.peers = peers;
+		this.random = random;
 		this.steadyMillis = steadyMillis;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -1,6 +1,7 @@
 package io.flamingogap.gateway.peers;
 
 import java.util.List;
+import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -29,15 +30,15 @@
 	 */
 	public StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relaySelector,
 			Supplier<List<Address>> peers, LongSupplier steadyMillis) {
-		this(loop, direct, relaySelector, peers, new HttpPeerTransport(loop), steadyMillis);
+		this(loop, direct, relaySelector, peers, new HttpPeerTransport(loop), new Random(), steadyMillis);
 	}
 
 	StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relaySelector, Supplier<List<Address>> peers,
-			PeerTransport transport, LongSupplier steadyMillis) {
+			PeerTransport transport, Random random, LongSupplier steadyMillis) {
 		ZoneReadCache cache = new ZoneReadCache(loop, direct, steadyMillis);
 		ReportBatcher batcher = new ReportBatcher(loop, cache);
 		PeerStoreClient client = new PeerStoreClient(transport, cache.knownTimeline());
-		RecordStore fallback = new PeerFallbackStore(client, cache, peers, steadyMillis);
+		RecordStore fallback = new PeerFallbackStore(client, cache, peers, random, steadyMillis);
 		this.store = new ZoneRelayedStore(client, fallback, relaySelector, batcher, cache.knownTimeline());
 		this.peerService = new PeerStoreService(cache, batcher);
 	}
