Don't let a copy's report of an earlier run replace the current one

Callers weren't directed to a node that had restarted, for 8 s or more after a return of the store, by each node that hadn't read the reports of its previous run.

Cause: a report of an unknown run counts as one of a later run. A copy from before the restart shows the earlier run, whose age made the node look silent; then all reports of the current run counted as outdated, because its usage was known, until the node was removed as silent. A node that starts reads the last 100 reports, which is little more than one of each in a large fleet.

Evidence: found by reading; NodeReportExchangeTests.reportOfAnEarlierRunInACopyDoesNotReplaceTheCurrentRun failed before.

While the copy is listed, reports of another run than the known one are skipped. The current run reports again within 1.5 s, and a run that only the copy shows counted usage of windows that the next claim leaves out.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -95,6 +95,16 @@
 		return report.sequence() < last.report.sequence();
 	}
 
+	/**
+	 * Return whether a report is of another run than the last known report of its node.
+	 * @param report a report of any node
+	 * @return {@code false} if there is no known report of the node
+	 */
+	public boolean isOfOtherRun(NodeReport report) {
+		TimedReport last = this.lastReports.get(report.node().name());
+		return last != null && !last.report.node().equals(report.node());
+	}
+
 	/**
 	 * Return whether a report is of an earlier run of this node.
 	 * @param report a report of any node
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -273,6 +273,11 @@
 							.with("reason", "record at offset " + entry.offset() + ": " + report.getLeft()));
 			return;
 		}
+		boolean isOfCopy = this.listingCompleted && this.listingEndOffset == Long.MAX_VALUE;
+		if (isOfCopy && this.fleet.isOfOtherRun(report.get())) {
+			// The copy doesn't tell which run is the later one; that one reports again.
+			return;
+		}
 		long nowMillis = this.clock.steadyMillis();
 		boolean isAfterListing = entry.offset() >= this.listingEndOffset;
 		long ageMillis = isAfterListing ? 0
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
@@ -19,6 +19,8 @@
 import io.flamingogap.gateway.peers.ChannelWithFrozenTime;
 import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.ScriptedStore;
+import io.flamingogap.gateway.store.StoreException;
+import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
 import io.flamingogap.gateway.time.NodeClock;
@@ -162,6 +164,24 @@
 		assertThat(this.fleet.knownReports().get(0).sequence(), is(8L));
 	}
 
+	// A node that had restarted got no callers for 8 s, because the copy's report of its
+	// previous run, which this node hadn't read, took the place of the newer one.
+	@Test
+	void reportOfAnEarlierRunInACopyDoesNotReplaceTheCurrentRun() {
+		this.store.write(report("other", PREVIOUS_RUN, 40, TIME_OF_DAY_MILLIS - 60_000));
+		this.store.write(report("other", RUN, 1, TIME_OF_DAY_MILLIS));
+		this.store.forgetBefore(1);
+		this.exchange.start();
+		this.store.list();
+		runFor(2_000);
+		this.store.returnFromCopy(this.store.log.size() - 1);
+		runFor(1_000);
+		this.store.write(report("other", RUN, 2, TIME_OF_DAY_MILLIS + this.nowMillis));
+		this.store.answerRead();
+		runFor(100);
+		assertThat(this.fleet.recentReports().stream().map(NodeReport::sequence).toList(), contains(2L));
+	}
+
 	// Live nodes whose reports the store had lost were removed from the fleet.
 	@Test
 	void nodesThatTheCopyLacksAreNotRemovedAtOnce() {
@@ -201,6 +221,8 @@
 
 		private long readFrom;
 
+		private long firstRetained;
+
 		private long timeline = 1;
 
 		private ListedLater() {
@@ -218,6 +240,10 @@
 			this.listing.complete(new Page(List.copyOf(newest.values()), false, this.log.size(), this.timeline));
 		}
 
+		private void forgetBefore(long offset) {
+			this.firstRetained = offset;
+		}
+
 		private void answerRead() {
 			this.pendingRead
 				.complete(Batch.fromStore(List.copyOf(this.log.subList((int) this.readFrom, this.log.size())),
@@ -234,6 +260,9 @@
 
 		@Override
 		public CompletableFuture<Batch> read(StoreStream stream, long from, long waitMillis) {
+			if (from < this.firstRetained) {
+				return CompletableFuture.failedFuture(new StoreException(Reason.DROPPED, "expired"));
+			}
 			this.readFrom = from;
 			this.pendingRead = new CompletableFuture<>();
 			return this.pendingRead;
