Use a suspect server again when the copy shows its registration

Callers saw a backend server without requests although it was registered and alive, on the nodes that had run through the return.

Cause: a registration that expires while the store is disrupted ends the run, and forgetOffset marked only runs that hadn't ended as possibly registered. The copy's record has the number that is known, so it counted as one from before the end. The store's entry changes only when more than the number does, so no newer record follows, and the server was removed for good after the grace period.

Evidence: found by reading; ServerTableTests.suspectServerIsUsedAgainOnceTheCopyShowsItsRegistration failed before.

A server that is still in the table may be registered, since only a disruption keeps it there after its end. Runs that ended without a disruption, or whose grace period has passed, still need a newer record, so that a copy doesn't bring back a server that has left.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
@@ -97,11 +97,13 @@
 
 	/**
 	 * Forget the offset, because the store has returned from an earlier copy.
+	 * @param maybeRegistered whether the run may be registered: it hasn't ended, or ended
+	 * while the store was disrupted
 	 * @return the run, whose last record may be missing from the store
 	 */
-	ServerRun forgetOffset() {
+	ServerRun forgetOffset(boolean maybeRegistered) {
 		return new ServerRun(this.startedAtMillis, this.sequence, this.departed, this.ended, this.pause, UNKNOWN_OFFSET,
-				!this.ended);
+				maybeRegistered);
 	}
 
 }
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -159,8 +159,8 @@
 	 * their servers become suspects.
 	 */
 	public void forgetOffsets() {
-		this.servers.values().forEach((known) -> known.setRun(known.run().forgetOffset()));
-		this.endedRuns.replaceAll((id, run) -> run.forgetOffset());
+		this.servers.values().forEach((known) -> known.setRun(known.run().forgetOffset(true)));
+		this.endedRuns.replaceAll((id, run) -> run.forgetOffset(!run.ended()));
 	}
 
 	/**
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -353,6 +353,23 @@
 			assertThat(takesRequests("a"), is(true));
 		}
 
+		// A server whose registration had expired while the store was away was dropped
+		// for
+		// good, because the copy's record of it, which is not written again, counted as
+		// one
+		// from before the end.
+		@Test
+		void suspectServerIsUsedAgainOnceTheCopyShowsItsRegistration() {
+			this.table.register(registration("a", false, 1, 7), 50);
+			this.table.unregister("a", 51, GRACE_UNTIL_MILLIS, NOW_MILLIS);
+			this.table.forgetOffsets();
+			this.table.register(registration("a", false, 1, 7), 40);
+			this.table.retain(Set.of("a"), 45, GRACE_UNTIL_MILLIS, NOW_MILLIS);
+			assertThat(this.table.find("a").get().isSuspect(), is(false));
+			assertThat(this.table.expire(GRACE_UNTIL_MILLIS), hasSize(0));
+			assertThat(takesRequests("a"), is(true));
+		}
+
 		// A copy brought an older record of a server, which expired; the lost record that
 		// was
 		// written again then counted as one from before that end.
