Ignore a timeline that no return of the store explains

One wrong number that was far too high, such as, in one answer of the store made each later answer count as one of an earlier timeline: no record was read and no duty done until all nodes had been restarted at once, since nodes tell each other the newest timeline.

Cause: any higher number was believed, and a number is never taken back.

The number rises by one with each return. The first number that a node reads is still believed.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/KnownTimeline.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/KnownTimeline.java
@@ -30,11 +30,12 @@
 	}
 
 	/**
-	 * Learn a timeline. An earlier one than is known changes nothing.
+	 * Learn a timeline. An earlier one than is known changes nothing, nor does one that
+	 * returns of the store don't explain.
 	 * @param learned the number of the timeline
 	 */
 	void learn(long learned) {
-		if (learned > this.number) {
+		if (RecordStore.isLaterTimeline(this.number, learned)) {
 			logger.atInfo()
 				.log("%s", LogLine.of("store timeline learnt").with("from", this.number).with("to", learned));
 			this.number = learned;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerStoreClient.java
@@ -76,11 +76,11 @@
 			throw new StoreException(PeerCodec.reasonOf(storeReply.getOutcome()),
 					"call through node " + peer + ": " + storeReply.getOutcome());
 		}
-		if (this.knownTimeline.isPast(storeReply.getTimeline())) {
+		if (storeReply.getTimeline() != this.knownTimeline.number()) {
 			// What was appended may be lost.
 			throw new StoreException((call.getCall() == StoreCall.APPEND) ? Reason.UNKNOWN : Reason.UNAVAILABLE,
-					"call through node " + peer + ": answered in timeline " + storeReply.getTimeline() + " after "
-							+ this.knownTimeline.number());
+					"call through node " + peer + ": answered in timeline " + storeReply.getTimeline()
+							+ " while the known one is " + this.knownTimeline.number());
 		}
 		return storeReply;
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordStore.java
@@ -20,6 +20,20 @@
 	/** The timeline of a store that doesn't number its timelines. */
 	long UNNUMBERED_TIMELINE = 0;
 
+	/** Between two answers the store doesn't return more often than this. */
+	long MAX_TIMELINE_RISE = 1_000;
+
+	/**
+	 * Return whether a number shows that the store has returned.
+	 * @param known the newest known timeline
+	 * @param shown the number that an answer shows
+	 * @return {@code false} if the number isn't higher, or so much higher that it can
+	 * only be wrong
+	 */
+	static boolean isLaterTimeline(long known, long shown) {
+		return shown > known && (known == UNNUMBERED_TIMELINE || shown - known <= MAX_TIMELINE_RISE);
+	}
+
 	/**
 	 * Read the records from an offset on. If there are none yet, wait for the next one.
 	 * @param stream the stream
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/PeerTimelineTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/PeerTimelineTests.java
@@ -130,6 +130,16 @@
 		assertThat(this.store.readOffsets(), contains(5L, 5L));
 	}
 
+	@Test
+	void relayWithATimelineThatNoReturnExplainsIsLeft() {
+		relayThroughAnotherNode();
+		learn(2);
+		replyWith(emptyReply().setTimeline(Long.MAX_VALUE));
+		read();
+		assertThat(this.store.readOffsets(), contains(5L));
+		assertThat(this.access.store().timeline(), is(2L));
+	}
+
 	// A node of an earlier release hands on records of two timelines as one stream.
 	@Test
 	void relayThatDoesNotKnowTimelinesIsLeftOnceThereAreSeveral() {
