Don't lower tokens by a correction of the time of day that lags

Cause, inferred from the code: the time of day is replaced by the median of the clocks that other nodes report once they differ by 1.5 s, and reports that arrive late make that median late. The token now takes the later one of the node's own and the corrected time of day. If a node's clock is ahead, later tokens still rise above the ones they see. tokenIsNotLowerThanTheTimeOfDayIfTheCorrectionLags failed before with "Expected: a value equal to or greater than <1796600000050L> but: <1796599998050L>". Logs of usage reports name the offset and the token instead of a position.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -301,7 +301,8 @@
 		this.storeReturned |= shortened;
 		listing.highestToken().ifPresent(this.tokens::recordSeen);
 		long timeOfDayMillis = this.dependencies.correctedTimeOfDayMillis().getAsLong();
-		OptionalLong token = this.tokens.next(this.timeline, timeOfDayMillis);
+		// A correction that lags behind must not lower the token.
+		OptionalLong token = this.tokens.next(this.timeline, Math.max(timeOfDayMillis, this.clock.timeOfDayMillis()));
 		if (token.isEmpty()) {
 			logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("%s", LogLine.of("no fencing token left"));
 			return;
@@ -402,14 +403,14 @@
 				OptionalLong.of(token), this.timeline);
 		appendRecord(DutyListing.USAGE_KEY, ReportCodec.encodeUsageReport(record), this.endOffset, () -> {
 			this.usageReports.recordStored(report);
-			logUsage("usage stored", report, this.endOffset);
+			logUsage("usage stored", report, "offset", this.endOffset - 1);
 			this.loop.execute(this::tick);
 		});
 	}
 
 	private void sendUsage(long token, UsageReportSchedule.Report report) {
 		this.dutyInProgress = true;
-		logUsage("usage sent", report, token);
+		logUsage("usage sent", report, "token", token);
 		this.dependencies.cloud()
 			.reportUsage(token, report.window(), report.requests())
 			.whenComplete((verdict, failure) -> {
@@ -425,13 +426,13 @@
 			});
 	}
 
-	private static void logUsage(String event, UsageReportSchedule.Report report, long position) {
+	private static void logUsage(String event, UsageReportSchedule.Report report, String positionName, long position) {
 		logger.atInfo()
 			.log("%s",
 					LogLine.of(event)
 						.with("window", report.window())
 						.with("requests", report.totalRequests())
-						.with("position", position));
+						.with(positionName, position));
 	}
 
 	private void publishStatus(RecordCodec.RolloutStatus status) {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerDependencies.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerDependencies.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Proxy;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 
@@ -27,14 +28,14 @@
 	}
 
 	static DutyDependencies create(EventLoop loop, RecordStore store, CloudApi cloud, NodeClock clock,
-			UsageCounts usage, String memberName, boolean firstStart) {
+			LongSupplier correctedTimeOfDayMillis, UsageCounts usage, String memberName, boolean firstStart) {
 		FleetView fleet = new FleetView(new NodeId(memberName, 1), 1_500);
 		ServerTable servers = new ServerTable();
 		RecordCodec noCodec = (RecordCodec) Proxy.newProxyInstance(RecordCodec.class.getClassLoader(),
 				new Class<?>[] { RecordCodec.class }, (proxy, method, arguments) -> {
 					throw new UnsupportedOperationException(method.getName());
 				});
-		return new DutyDependencies(loop, store, noCodec, cloud, clock, clock::timeOfDayMillis, new ConfigHolder(),
+		return new DutyDependencies(loop, store, noCodec, cloud, clock, correctedTimeOfDayMillis, new ConfigHolder(),
 				new RolloutController(servers, fleet, new SplittableRandom(1), 0.1), servers, () -> false,
 				new FleetTotals(fleet, usage, new ServiceDemandTracker(), clock), memberName, firstStart,
 				new EvacuatedZones(Set.of()));
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
@@ -98,9 +98,8 @@
 		}
 	}
 
-	// A return of the store lost a usage report that had been sent, and the window was
-	// counted
-	// anew.
+	// A return of the store lost a usage report that had been sent, and the window
+	// was counted anew.
 	@Property(tries = 300, seed = "20261207")
 	void windowsHaveOneReportEachAcrossReturnsOfTheStore(@ForAll @LongRange(max = 10_000_000) long seed) {
 		for (Fencing fencing : Fencing.values()) {
@@ -300,7 +299,7 @@
 				new DutyRunner(
 						DutyRunnerDependencies.create(simulation.channel.eventLoop(),
 								simulation.store.clientOf(name, () -> this.alive), simulation.cloud.clientOf(this),
-								clock, this.usage, name, simulation.nowMillis < 1_000),
+								clock, clock::timeOfDayMillis, this.usage, name, simulation.nowMillis < 1_000),
 						LEASE_MILLIS, simulation.fencing, WINDOW_MILLIS)
 					.start();
 			}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
@@ -50,11 +50,14 @@
 
 	private long nowMillis;
 
+	private long correctionLagMillis;
+
 	private DutyRunner startNode(Fencing fencing, boolean firstStart) {
 		NodeClock clock = new NodeClock(() -> TimeUnit.MILLISECONDS.toNanos(this.nowMillis),
 				() -> START_OF_DAY_MILLIS + this.nowMillis);
 		DutyRunner runner = new DutyRunner(DutyRunnerDependencies.create(this.channel.eventLoop(), this.store,
-				this.cloud, clock, new UsageCounts(), "node-1", firstStart), LEASE_MILLIS, fencing, WINDOW_MILLIS);
+				this.cloud, clock, () -> clock.timeOfDayMillis() - this.correctionLagMillis, new UsageCounts(),
+				"node-1", firstStart), LEASE_MILLIS, fencing, WINDOW_MILLIS);
 		runner.start();
 		return runner;
 	}
@@ -110,6 +113,19 @@
 		assertThat(this.store.generations.get(this.store.joinsBeforeReturn), is(0L));
 	}
 
+	// The token fell after a return of a store that sends no number of its timeline, as
+	// the
+	// clocks of other nodes had been reported late.
+	@Test
+	void tokenIsNotLowerThanTheTimeOfDayIfTheCorrectionLags() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		this.correctionLagMillis = 2_000;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.cloud.tokens.get(0),
+				greaterThanOrEqualTo(START_OF_DAY_MILLIS + this.store.claimedAtMillis.get(0)));
+	}
+
 	// A window was counted anew by a node that had appended nothing behind the lost
 	// report.
 	@Test
