--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -268,9 +268,9 @@
 
 		private final ServerTable table = ServerTableTests.this.table;
 
-		// Requests reached a server that had said that it was leaving, because the store
-		// had
-		// lost its record and gave it a lower offset when it was written again.
+		// Requests reached a server that had said that it was leaving, because the
+		// store had lost its record and gave it a lower offset when it was written
+		// again.
 		@Test
 		void departureCountsWhenItIsWrittenAgainAtALowerOffset() {
 			this.table.register(registration("a", false, 1, 7), 50);
@@ -280,9 +280,7 @@
 		}
 
 		// Requests reached a server that had left without a departure, because its
-		// removal
-		// was
-		// written again at a lower offset.
+		// removal was written again at a lower offset.
 		@Test
 		void removalCountsWhenItIsWrittenAgainAtALowerOffset() {
 			this.table.register(registration("a", false, 1, 7), 50);
@@ -353,11 +351,9 @@
 			assertThat(takesRequests("a"), is(true));
 		}
 
-		// A server whose registration had expired while the store was away was dropped
-		// for
-		// good, because the copy's record of it, which is not written again, counted as
-		// one
-		// from before the end.
+		// A server whose registration had expired while the store was away was
+		// dropped for good, because the copy's record of it, which is not written
+		// again, counted as one from before the end.
 		@Test
 		void suspectServerIsUsedAgainOnceTheCopyShowsItsRegistration() {
 			this.table.register(registration("a", false, 1, 7), 50);
@@ -370,9 +366,8 @@
 			assertThat(takesRequests("a"), is(true));
 		}
 
-		// A copy brought an older record of a server, which expired; the lost record that
-		// was
-		// written again then counted as one from before that end.
+		// A copy brought an older record of a server, which expired; the lost record
+		// that was written again then counted as one from before that end.
 		@Test
 		void lostRecordCountsWhenItIsWrittenAgainAfterTheEndOfAnOlderOne() {
 			this.table.register(registration("a", false, 1, 7), 50);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/ZoneReadCacheTests.java
@@ -159,8 +159,7 @@
 	}
 
 	// Records of the time after the store's return were handed on as if they followed
-	// those
-	// that it had lost.
+	// those that it had lost.
 	@Test
 	void readsOpenAcrossAReturnOfTheStoreFailAsDropped() {
 		CompletableFuture<Batch> peer = readForPeer(9);
