Pause before listing again when the new listing leads nowhere

If the store lacked the record after a listing too, as it does when the listing comes from a node that is behind, RecordFollower listed and read again without a pause: calls without bound, and an event loop that does nothing else if both are answered at once. The second listing in a row now waits 100 ms.

pausesWhenTheRecordsAfterANewListingAreMissingToo failed before with "Expected: is <2> but: was <4>".

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -80,6 +80,9 @@
 	 */
 	private OptionalLong missingOffset = OptionalLong.empty();
 
+	/** Whether no read has succeeded since the store lacked the record of one. */
+	private boolean missingAfterListing;
+
 	/** The timeline before a return that the listener doesn't know of yet. */
 	private OptionalLong timelineBeforeReturn = OptionalLong.empty();
 
@@ -210,7 +213,9 @@
 				if (this.store.timeline() > this.timeline) {
 					recordReturn(this.store.timeline());
 				}
-				start();
+				// The listing may have come from a node that is behind.
+				runAfter(this::start, this.missingAfterListing ? MIN_RETRY_DELAY_MILLIS : 0);
+				this.missingAfterListing = true;
 			}
 			else if (failure != null) {
 				onFailure(failure, () -> readFrom(from));
@@ -225,6 +230,7 @@
 			}
 			else {
 				onSuccess(batch.ageMillis());
+				this.missingAfterListing = false;
 				batch.records().forEach(this::process);
 				boolean isReadFromStore = !batch.records().isEmpty() && !batch.fromZoneRelay();
 				runAfter(() -> readFrom(batch.nextOffset()), isReadFromStore ? this.readPauseMillis : 0);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -116,6 +116,21 @@
 		assertThat(this.store.readOffsets(), contains(7L, 7L));
 	}
 
+	// While another node handed out a listing that the returned store couldn't follow,
+	// the
+	// stream was listed again without a pause.
+	@Test
+	void pausesWhenTheRecordsAfterANewListingAreMissingToo() {
+		for (int i = 0; i < 3; i++) {
+			this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
+		}
+		follower().start();
+		this.channel.runPendingTasks();
+		assertThat(this.listingCount, is(2));
+		passTime(100);
+		assertThat(this.listingCount, is(3));
+	}
+
 	@Test
 	void listsAgainWhenReadingThroughTheZoneCache() {
 		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
