--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -97,6 +97,25 @@
 		assertThat(reader.newestOffsetByKey, is(store.newest));
 	}
 
+	// A relay handed out records that the store had lost, as if they followed those of
+	// the
+	// store that had returned.
+	@Property(tries = 300, seed = "20261207")
+	void newestRecordArrivesThroughTheRelayAfterReturnsOfTheStore(@ForAll @LongRange(max = 1_000_000) long seed) {
+		this.nowMillis = 0;
+		SplittableRandom random = new SplittableRandom(seed);
+		FaultyStore store = new FaultyStore();
+		store.timeline = 1;
+		ZoneReadCache cache = new ZoneReadCache(this.channel.eventLoop(), store, () -> this.nowMillis);
+		NewestOffsets relay = new NewestOffsets();
+		NewestOffsets reader = new NewestOffsets();
+		follow(cache, relay);
+		follow(new RelayedReads(store, cache), reader);
+		runWithReturns(store, random);
+		assertThat(reader.newestOffsetByKey, is(store.newest));
+		assertThat(relay.newestOffsetByKey, is(store.newest));
+	}
+
 	private void runWithReturns(FaultyStore store, SplittableRandom random) {
 		while (this.nowMillis < FAULTS_UNTIL_MILLIS) {
 			store.down = random.nextInt(8) == 0;
@@ -340,11 +359,18 @@
 
 		@Override
 		public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+			CompletableFuture<Page> result = new CompletableFuture<>();
+			RelayedStreamPropertyTests.this.channel.eventLoop().execute(() -> completeListing(result));
+			return result;
+		}
+
+		private void completeListing(CompletableFuture<Page> result) {
 			if (this.down) {
-				return CompletableFuture.failedFuture(new StoreException(Reason.UNAVAILABLE, "down"));
+				result.completeExceptionally(new StoreException(Reason.UNAVAILABLE, "down"));
+				return;
 			}
 			List<StoredRecord> page = this.newest.values().stream().map(this.records::get).toList();
-			return CompletableFuture.completedFuture(new Page(page, false, this.endOffset, this.timeline));
+			result.complete(new Page(page, false, this.endOffset, this.timeline));
 		}
 
 	}
