--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerRun.java
@@ -15,11 +15,11 @@
  * @param pause the last pause that the run asked for
  * @param offset the offset of the last record in the store, or of its end;
  * {@link #UNKNOWN_OFFSET} if the store has returned from an earlier copy since
- * @param awaited whether the run was registered when the store returned and its newest
- * record hasn't been read since; the same record may be written again
+ * @param unconfirmed whether the run was registered when the store returned and its
+ * newest record hasn't been read since; the same record may be written again
  */
 record ServerRun(long startedAtMillis, long sequence, boolean departed, boolean ended, ServerPause pause, long offset,
-		boolean awaited) {
+		boolean unconfirmed) {
 
 	/** Lower than the offset of any record. */
 	static final long UNKNOWN_OFFSET = -1;
@@ -49,7 +49,7 @@
 		if (registration.draining()) {
 			return true;
 		}
-		return !this.departed && ((this.ended && !this.awaited) ? registration.sequence() > this.sequence
+		return !this.departed && ((this.ended && !this.unconfirmed) ? registration.sequence() > this.sequence
 				: registration.sequence() >= this.sequence);
 	}
 
@@ -72,7 +72,7 @@
 	 */
 	ServerRun depart() {
 		return new ServerRun(this.startedAtMillis, this.sequence, true, this.ended, this.pause, this.offset,
-				this.awaited);
+				this.unconfirmed);
 	}
 
 	/**
@@ -82,7 +82,7 @@
 	 */
 	ServerRun withPause(ServerPause newPause) {
 		return new ServerRun(this.startedAtMillis, this.sequence, this.departed, this.ended, newPause, this.offset,
-				this.awaited);
+				this.unconfirmed);
 	}
 
 	/**
@@ -92,7 +92,7 @@
 	 */
 	ServerRun end(long endOffset) {
 		return new ServerRun(this.startedAtMillis, this.sequence, this.departed, true, this.pause,
-				Math.max(this.offset, endOffset), this.awaited);
+				Math.max(this.offset, endOffset), this.unconfirmed);
 	}
 
 	/**
--- a/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/servers/ServerTable.java
@@ -143,7 +143,7 @@
 	public void retain(Set<String> listed, long offset, long suspectUntilMillis, long nowMillis) {
 		List.copyOf(this.servers.keySet()).stream().filter((id) -> !listed.contains(id)).forEach((id) -> {
 			KnownServer known = this.servers.get(id);
-			if (known.run().awaited() && !known.run().ended() && !known.run().departed()) {
+			if (known.run().unconfirmed() && !known.run().ended() && !known.run().departed()) {
 				known.markMissing(suspectUntilMillis);
 			}
 			else {
@@ -175,7 +175,7 @@
 				expired.add(id);
 			}
 		});
-		expired.forEach((id) -> takeOut(id).ifPresent((run) -> rememberEnd(id, run.awaited() ? run : endOf(run))));
+		expired.forEach((id) -> takeOut(id).ifPresent((run) -> rememberEnd(id, run.unconfirmed() ? run : endOf(run))));
 		return expired;
 	}
 
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -79,7 +79,7 @@
 				return listDirectly(stream, after);
 			}
 		});
-		this.knownTimeline.whenChanged(this::beginAnew);
+		this.knownTimeline.whenChanged(this::resetForNewTimeline);
 		for (StoreStream stream : StoreStream.values()) {
 			this.caches.put(stream, new RecordCache());
 			this.waitingReads.put(stream, new ArrayList<>());
@@ -99,7 +99,7 @@
 		return this.knownTimeline.number();
 	}
 
-	private void beginAnew() {
+	private void resetForNewTimeline() {
 		this.caches.values().forEach(RecordCache::markStale);
 		this.ownReadOffsets.clear();
 		this.listedEnds.clear();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -148,7 +148,7 @@
 				start();
 				return;
 			}
-			tellOfReturn(page.endOffset());
+			notifyOfReturn(page.endOffset());
 			this.missingOffset = OptionalLong.empty();
 			this.recordsDelivered = true;
 			page.records().forEach((entry) -> {
@@ -180,7 +180,7 @@
 		this.timeline = newTimeline;
 	}
 
-	private void tellOfReturn(long newEndOffset) {
+	private void notifyOfReturn(long newEndOffset) {
 		if (this.timelineBeforeReturn.isEmpty()) {
 			return;
 		}
