Notice a return without a number on all streams, and before a claim

Cause: each follower looked for the return on its own stream only, where records that had been written since could hide it, and the next holder of the duties claimed before any follower had read.

A follower that notices a return without a number now tells the others of its node: they ignore answers to earlier calls and list anew, and what was cached for the zone is forgotten. Before a claim in such a store, a node checks that the stream of the node reports doesn't end below what it has read; otherwise it lists first. That is one more call for each claim.

Failed before: listsAgainWhenAnotherStreamShowsAReturnWithoutANumber with "Expected: iterable containing ["restored", ...] but: item 0: was "record 120"", answersToCallsFromBeforeTheListingAreIgnored, and doesNotClaimBeforeItsReportsAreReadAgainIfTheStoreHasLostSome.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -61,6 +61,7 @@
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreStream;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 import io.flamingogap.gateway.time.LoggedTask;
 import io.flamingogap.gateway.time.NodeClock;
 
@@ -211,6 +212,8 @@
 		this.storeAccess = new StoreAccess(loop, adapters.store(), createZoneRelaySelector(), this::peerAddresses,
 				clock::steadyMillis);
 		this.store = this.storeAccess.store();
+		UnnumberedReturns unnumberedReturns = new UnnumberedReturns();
+		unnumberedReturns.addListener(this.storeAccess::forgetRecords);
 		QuarantineStore quarantineStore = new QuarantineStore(this.store, clock);
 		this.quarantine = new QuarantineExchange(loop, this.datagrams, this::peerAddresses, this.connectionPool,
 				(server) -> !this.evacuatedZones.contains(server.zone()), quarantineStore, clock, this.metrics, random);
@@ -230,15 +233,16 @@
 		this.relay = new RequestRelay(relayDependencies, settings.relayLimits(), this::onRequestStarted);
 		this.reportExchange = new NodeReportExchange(loop, this.store, this.storeAccess.reports(), this.fleet,
 				this.fleetClock, clock, this::createReport, this::isReady, this.quotas::recordPreviousRun,
-				this.quotas::onFleetListed, quarantineStore::accept, quarantineStore::onStoreRestored);
+				this.quotas::onFleetListed, quarantineStore::accept, quarantineStore::onStoreRestored,
+				unnumberedReturns);
 		this.coldStartMembers = new ColdStartMembers(loop, coldStartLimiter, this.fleet, this.reportExchange,
 				this.config, this::isReady, clock);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
 				this.coldServers, this.metrics, clock, this.reportExchange::publishFirstReportIfReady,
-				this::onStoreRestored);
+				this::onStoreRestored, unnumberedReturns);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
 				this.rollouts, this.evacuatedZones, placementRules, this.metrics, clock,
-				this.reportExchange::publishFirstReportIfReady);
+				this.reportExchange::publishFirstReportIfReady, unnumberedReturns);
 		this.dutyRunner = adapters.cloud()
 			.map((cloud) -> new DutyRunner(createDutyDependencies(cloud), settings.duties().leaseMillis(),
 					settings.duties().fencing(), settings.duties().usageWindowMillis()));
@@ -257,7 +261,7 @@
 				this::correctedTimeOfDayMillis, this.config, this.rollouts, this.servers,
 				this.serverWatcher::hasCompletedListing,
 				new FleetTotals(this.fleet, this.usage, this.demandTracker, this.clock), this.self.name(),
-				this.settings.firstStart(), this.evacuatedZones);
+				this.settings.firstStart(), this.evacuatedZones, this.reportExchange::nextOffset);
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyDependencies.java
@@ -33,9 +33,11 @@
  * restarted node keeps the duties it held
  * @param firstStart whether the whole system starts for the first time
  * @param evacuatedZones the zones in which no servers are ordered
+ * @param nextReportOffset returns the offset up to which this node has read the reports
+ * of the nodes
  */
 public record DutyDependencies(EventLoop loop, RecordStore store, RecordCodec codec, CloudApi cloud, NodeClock clock,
 		LongSupplier correctedTimeOfDayMillis, ConfigHolder config, RolloutController rollouts, ServerTable servers,
 		BooleanSupplier serversListed, FleetTotals totals, String memberName, boolean firstStart,
-		EvacuatedZones evacuatedZones) {
+		EvacuatedZones evacuatedZones, LongSupplier nextReportOffset) {
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -284,6 +284,37 @@
 
 	private void claim() {
 		this.dutyInProgress = true;
+		if (this.timeline == RecordStore.UNNUMBERED_TIMELINE) {
+			claimUnlessStoreReturned();
+		}
+		else {
+			listAndClaim();
+		}
+	}
+
+	/**
+	 * Claim the duties if the store still has the reports of the nodes that this node has
+	 * read. Otherwise it has returned from an earlier copy, and the records of the duties
+	 * may look complete.
+	 */
+	private void claimUnlessStoreReturned() {
+		long nextReportOffset = this.dependencies.nextReportOffset().getAsLong();
+		this.store.listNewest(StoreStream.NODES, Optional.empty()).whenComplete((page, failure) -> {
+			if (failure == null && page.endOffset() >= nextReportOffset) {
+				listAndClaim();
+				return;
+			}
+			this.dutyInProgress = false;
+			if (failure != null) {
+				logFailure("reports not listed before a claim", failure);
+			}
+			else {
+				onStoreRestored();
+			}
+		});
+	}
+
+	private void listAndClaim() {
 		long timelineAtCall = this.timeline;
 		this.store.listNewest(StoreStream.DUTIES, Optional.empty()).whenComplete((page, failure) -> {
 			this.dutyInProgress = false;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -25,6 +25,7 @@
 import io.flamingogap.gateway.store.StoreException;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 import io.flamingogap.gateway.time.LoggedTask;
 import io.flamingogap.gateway.time.NodeClock;
 
@@ -135,11 +136,12 @@
 	 * returns {@code false} for those that are
 	 * @param restoredListener runs when the store has returned from an earlier copy,
 	 * before the records of the copy are read
+	 * @param unnumberedReturns tells of returns of the store that another stream shows
 	 */
 	public NodeReportExchange(EventLoop loop, RecordStore store, ReportSink reportSink, FleetView fleet,
 			FleetClock fleetClock, NodeClock clock, Supplier<NodeReport> ownReportSupplier, BooleanSupplier serving,
 			LongConsumer previousRunListener, Runnable listedListener, Predicate<StoredRecord> otherRecords,
-			Runnable restoredListener) {
+			Runnable restoredListener, UnnumberedReturns unnumberedReturns) {
 		this.loop = loop;
 		this.store = store;
 		this.reportSink = reportSink;
@@ -152,7 +154,8 @@
 		this.listedListener = listedListener;
 		this.otherRecords = otherRecords;
 		this.restoredListener = restoredListener;
-		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis)
+		this.follower = new RecordFollower(loop, store, StoreStream.NODES, READ_PAUSE_MILLIS, this, clock::steadyMillis,
+				unnumberedReturns)
 			.replaying(REPLAYED_REPORTS);
 	}
 
@@ -247,6 +250,14 @@
 		return this.follower.lastContactAtMillis();
 	}
 
+	/**
+	 * Return up to which offset reports have been read.
+	 * @return the offset that is read next
+	 */
+	public long nextOffset() {
+		return this.follower.nextOffset();
+	}
+
 	/**
 	 * Return whether the last reports of all nodes were read at least once.
 	 * @return {@code true} once the first listing of the store is complete
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/OperatorRecordWatcher.java
@@ -22,6 +22,7 @@
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 import io.flamingogap.gateway.time.LoggedTask;
 import io.flamingogap.gateway.time.NodeClock;
 
@@ -86,10 +87,11 @@
 	 * @param clock the clocks of this process
 	 * @param readinessListener runs when what the node serves callers with may have
 	 * become complete
+	 * @param unnumberedReturns tells of returns of the store that another stream shows
 	 */
 	public OperatorRecordWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ConfigHolder config,
 			RolloutController rollouts, EvacuatedZones evacuatedZones, PlacementRules placementRules,
-			RelayMetrics metrics, NodeClock clock, Runnable readinessListener) {
+			RelayMetrics metrics, NodeClock clock, Runnable readinessListener, UnnumberedReturns unnumberedReturns) {
 		this.loop = loop;
 		this.codec = codec;
 		this.config = config;
@@ -99,7 +101,8 @@
 		this.metrics = metrics;
 		this.clock = clock;
 		this.readinessListener = readinessListener;
-		this.follower = new RecordFollower(loop, store, StoreStream.OPERATOR, 0, this, clock::steadyMillis);
+		this.follower = new RecordFollower(loop, store, StoreStream.OPERATOR, 0, this, clock::steadyMillis,
+				unnumberedReturns);
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -19,6 +19,7 @@
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 import io.flamingogap.gateway.time.LoggedTask;
 import io.flamingogap.gateway.time.NodeClock;
 
@@ -71,10 +72,11 @@
 	 * @param readinessListener runs when what the node serves callers with may have
 	 * become complete
 	 * @param returnListener runs when the store has returned from an earlier copy
+	 * @param unnumberedReturns tells of returns of the store that another stream shows
 	 */
 	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
 			ColdServers coldServers, RelayMetrics metrics, NodeClock clock, Runnable readinessListener,
-			Runnable returnListener) {
+			Runnable returnListener, UnnumberedReturns unnumberedReturns) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
@@ -84,7 +86,7 @@
 		this.readinessListener = readinessListener;
 		this.returnListener = returnListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.SERVERS, READ_PAUSE_MILLIS, this,
-				clock::steadyMillis);
+				clock::steadyMillis, unnumberedReturns);
 	}
 
 	/**
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/StoreAccess.java
@@ -16,6 +16,8 @@
  */
 public final class StoreAccess {
 
+	private final ZoneReadCache cache;
+
 	private final ZoneRelayedStore store;
 
 	private final PeerStoreService peerService;
@@ -35,12 +37,12 @@
 
 	StoreAccess(EventLoop loop, RecordStore direct, ZoneRelaySelector relaySelector, Supplier<List<Address>> peers,
 			PeerTransport transport, Random random, LongSupplier steadyMillis) {
-		ZoneReadCache cache = new ZoneReadCache(loop, direct, steadyMillis);
-		ReportBatcher batcher = new ReportBatcher(loop, cache);
-		PeerStoreClient client = new PeerStoreClient(transport, cache.knownTimeline());
-		RecordStore fallback = new PeerFallbackStore(client, cache, peers, random, steadyMillis);
-		this.store = new ZoneRelayedStore(client, fallback, relaySelector, batcher, cache.knownTimeline());
-		this.peerService = new PeerStoreService(cache, batcher);
+		this.cache = new ZoneReadCache(loop, direct, steadyMillis);
+		ReportBatcher batcher = new ReportBatcher(loop, this.cache);
+		PeerStoreClient client = new PeerStoreClient(transport, this.cache.knownTimeline());
+		RecordStore fallback = new PeerFallbackStore(client, this.cache, peers, random, steadyMillis);
+		this.store = new ZoneRelayedStore(client, fallback, relaySelector, batcher, this.cache.knownTimeline());
+		this.peerService = new PeerStoreService(this.cache, batcher);
 	}
 
 	/**
@@ -60,6 +62,14 @@
 		return this.store;
 	}
 
+	/**
+	 * Forget what was read for this node and others, because the store has returned from
+	 * an earlier copy and its answers don't show it.
+	 */
+	public void forgetRecords() {
+		this.cache.reset();
+	}
+
 	/**
 	 * Return the service that makes store calls for other nodes.
 	 * @return the service
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -79,7 +79,7 @@
 				return listDirectly(stream, after);
 			}
 		});
-		this.knownTimeline.whenChanged(this::resetForNewTimeline);
+		this.knownTimeline.whenChanged(this::reset);
 		for (StoreStream stream : StoreStream.values()) {
 			this.caches.put(stream, new RecordCache());
 			this.waitingReads.put(stream, new ArrayList<>());
@@ -99,7 +99,11 @@
 		return this.knownTimeline.number();
 	}
 
-	private void resetForNewTimeline() {
+	/**
+	 * Forget what was read and listed, and fail open reads as dropped, because the store
+	 * has returned from an earlier copy.
+	 */
+	void reset() {
 		this.caches.values().forEach(RecordCache::markStale);
 		this.ownReadOffsets.clear();
 		this.listedEnds.clear();
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -17,7 +17,8 @@
  * appended later. Lists again if the store has dropped records that weren't read yet, or
  * has returned from an earlier copy of itself. A return is recognized by the number of
  * the timeline; if there is none, by a stream that ends before an offset that was read
- * from and that the store doesn't have. Used on the event loop only.
+ * from and that the store doesn't have, on this or another stream. Used on the event loop
+ * only.
  */
 public final class RecordFollower {
 
@@ -57,6 +58,8 @@
 
 	private final LongSupplier steadyMillis;
 
+	private final UnnumberedReturns unnumberedReturns;
+
 	private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
 	private long lastContactAtMillis;
@@ -83,6 +86,15 @@
 	/** Whether no read has succeeded since the store lacked the record of one. */
 	private boolean missingAfterListing;
 
+	/** Whether this follower itself has noticed the return that listeners are told of. */
+	private boolean notifyingOthers;
+
+	/**
+	 * Rises whenever the stream is listed anew from outside; answers to earlier calls and
+	 * delayed retries are then ignored.
+	 */
+	private int restarts;
+
 	/** The timeline before a return that the listener doesn't know of yet. */
 	private OptionalLong timelineBeforeReturn = OptionalLong.empty();
 
@@ -97,9 +109,11 @@
 	 * records that the relay of the zone returned
 	 * @param listener receives the records
 	 * @param steadyMillis the monotonic clock, in milliseconds
+	 * @param unnumberedReturns tells the followers of this node of returns that only one
+	 * of them has noticed
 	 */
 	public RecordFollower(EventLoop loop, RecordStore store, StoreStream stream, long readPauseMillis,
-			RecordListener listener, LongSupplier steadyMillis) {
+			RecordListener listener, LongSupplier steadyMillis, UnnumberedReturns unnumberedReturns) {
 		if (readPauseMillis < 0 || readPauseMillis >= MAX_READ_CYCLE_MILLIS) {
 			throw new IllegalArgumentException(
 					"readPauseMillis must be 0 to " + (MAX_READ_CYCLE_MILLIS - 1) + " but was " + readPauseMillis);
@@ -110,6 +124,8 @@
 		this.readPauseMillis = readPauseMillis;
 		this.listener = listener;
 		this.steadyMillis = steadyMillis;
+		this.unnumberedReturns = unnumberedReturns;
+		unnumberedReturns.addListener(this::restartAfterUnnumberedReturn);
 	}
 
 	/**
@@ -129,8 +145,21 @@
 		listFrom(Optional.empty(), new HashSet<>(), Long.MAX_VALUE);
 	}
 
+	private void restartAfterUnnumberedReturn() {
+		if (this.notifyingOthers || !this.recordsDelivered || this.timeline != RecordStore.UNNUMBERED_TIMELINE) {
+			return;
+		}
+		this.restarts++;
+		recordReturn(this.timeline);
+		runAfter(this::start, 0);
+	}
+
 	private void listFrom(Optional<String> after, Set<String> keys, long smallestEnd) {
+		int restartsAtCall = this.restarts;
 		this.store.listNewest(this.stream, after).whenComplete((page, failure) -> {
+			if (this.restarts != restartsAtCall) {
+				return;
+			}
 			if (failure != null) {
 				onFailure(failure, this::start);
 				return;
@@ -141,9 +170,13 @@
 			}
 			onSuccess(0);
 			boolean isLaterTimeline = page.timeline() > this.timeline;
-			if (isLaterTimeline || page.endOffset() < this.missingOffset.orElse(0)) {
+			if (isLaterTimeline) {
 				recordReturn(page.timeline());
 			}
+			else if (page.endOffset() < this.missingOffset.orElse(0)) {
+				recordReturn(page.timeline());
+				notifyOthersIfUnnumbered();
+			}
 			if (isLaterTimeline && after.isPresent()) {
 				start();
 				return;
@@ -180,6 +213,14 @@
 		this.timeline = newTimeline;
 	}
 
+	private void notifyOthersIfUnnumbered() {
+		if (this.timeline == RecordStore.UNNUMBERED_TIMELINE) {
+			this.notifyingOthers = true;
+			this.unnumberedReturns.notifyListeners();
+			this.notifyingOthers = false;
+		}
+	}
+
 	private void notifyOfReturn(long newEndOffset) {
 		if (this.timelineBeforeReturn.isEmpty()) {
 			return;
@@ -199,8 +240,12 @@
 
 	private void readFrom(long from) {
 		this.offset = from;
+		int restartsAtCall = this.restarts;
 		long waitMillis = Math.min(READ_WAIT_MILLIS, MAX_READ_CYCLE_MILLIS - this.readPauseMillis);
 		this.store.read(this.stream, from, this.reachable ? waitMillis : 0).whenComplete((batch, failure) -> {
+			if (this.restarts != restartsAtCall) {
+				return;
+			}
 			if (failure != null && StoreException.of(failure).reason() == StoreException.Reason.DROPPED) {
 				logger.atInfo()
 					.log("%s",
@@ -280,14 +325,28 @@
 	}
 
 	private void runAfter(Runnable task, long delayMillis) {
+		int restartsNow = this.restarts;
+		Runnable unlessRestarted = () -> {
+			if (this.restarts == restartsNow) {
+				task.run();
+			}
+		};
 		if (delayMillis == 0) {
-			this.loop.execute(task);
+			this.loop.execute(unlessRestarted);
 		}
 		else {
-			this.loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+			this.loop.schedule(unlessRestarted, delayMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
+	/**
+	 * Return the offset up to which records have been read.
+	 * @return the offset that is read next
+	 */
+	public long nextOffset() {
+		return this.offset;
+	}
+
 	/**
 	 * Return when a call last failed, when the first call after failures succeeded, or
 	 * when the store was listed after a return from an earlier copy.
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerDependencies.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerDependencies.java
@@ -28,7 +28,8 @@
 	}
 
 	static DutyDependencies create(EventLoop loop, RecordStore store, CloudApi cloud, NodeClock clock,
-			LongSupplier correctedTimeOfDayMillis, UsageCounts usage, String memberName, boolean firstStart) {
+			LongSupplier correctedTimeOfDayMillis, LongSupplier nextReportOffset, UsageCounts usage, String memberName,
+			boolean firstStart) {
 		FleetView fleet = new FleetView(new NodeId(memberName, 1), 1_500);
 		ServerTable servers = new ServerTable();
 		RecordCodec noCodec = (RecordCodec) Proxy.newProxyInstance(RecordCodec.class.getClassLoader(),
@@ -38,7 +39,7 @@
 		return new DutyDependencies(loop, store, noCodec, cloud, clock, correctedTimeOfDayMillis, new ConfigHolder(),
 				new RolloutController(servers, fleet, new SplittableRandom(1), 0.1), servers, () -> false,
 				new FleetTotals(fleet, usage, new ServiceDemandTracker(), clock), memberName, firstStart,
-				new EvacuatedZones(Set.of()));
+				new EvacuatedZones(Set.of()), nextReportOffset);
 	}
 
 }
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerPropertyTests.java
@@ -299,7 +299,7 @@
 				new DutyRunner(
 						DutyRunnerDependencies.create(simulation.channel.eventLoop(),
 								simulation.store.clientOf(name, () -> this.alive), simulation.cloud.clientOf(this),
-								clock, clock::timeOfDayMillis, this.usage, name, simulation.nowMillis < 1_000),
+								clock, clock::timeOfDayMillis, () -> 0, this.usage, name, simulation.nowMillis < 1_000),
 						LEASE_MILLIS, simulation.fencing, WINDOW_MILLIS)
 					.start();
 			}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
@@ -52,12 +52,15 @@
 
 	private long correctionLagMillis;
 
+	private long nextReportOffset;
+
 	private DutyRunner startNode(Fencing fencing, boolean firstStart) {
 		NodeClock clock = new NodeClock(() -> TimeUnit.MILLISECONDS.toNanos(this.nowMillis),
 				() -> START_OF_DAY_MILLIS + this.nowMillis);
 		DutyRunner runner = new DutyRunner(DutyRunnerDependencies.create(this.channel.eventLoop(), this.store,
-				this.cloud, clock, () -> clock.timeOfDayMillis() - this.correctionLagMillis, new UsageCounts(),
-				"node-1", firstStart), LEASE_MILLIS, fencing, WINDOW_MILLIS);
+				this.cloud, clock, () -> clock.timeOfDayMillis() - this.correctionLagMillis,
+				() -> this.nextReportOffset, new UsageCounts(), "node-1", firstStart), LEASE_MILLIS, fencing,
+				WINDOW_MILLIS);
 		runner.start();
 		return runner;
 	}
@@ -142,6 +145,24 @@
 		assertThat(this.cloud.windows.get(0), greaterThanOrEqualTo(returnedAtMillis / WINDOW_MILLIS));
 	}
 
+	// The next holder claimed before it had noticed that a store without numbers had lost
+	// a report, and counted its window anew.
+	@Test
+	void doesNotClaimBeforeItsReportsAreReadAgainIfTheStoreHasLostSome() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		this.store.records.add(new StoredRecord("holder", Optional.of(new byte[] { 'n' }), 0));
+		this.store.reportsEndOffset = 20;
+		this.nextReportOffset = 30;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.isEmpty(), is(true));
+		long returnedAtMillis = START_OF_DAY_MILLIS + this.nowMillis;
+		this.nextReportOffset = 20;
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(1));
+		assertThat(this.cloud.windows.get(0), greaterThanOrEqualTo(returnedAtMillis / WINDOW_MILLIS));
+	}
+
 	// A claim that was answered in a later timeline than it was made in isn't in order
 	// with the claims of that timeline.
 	@Test
@@ -173,6 +194,8 @@
 
 		private int joinsBeforeReturn;
 
+		private long reportsEndOffset;
+
 		private long timeline = 1;
 
 		private long knownTimeline;
@@ -192,6 +215,9 @@
 
 		@Override
 		public CompletableFuture<Page> listNewest(StoreStream stream, Optional<String> after) {
+			if (stream == StoreStream.NODES) {
+				return answer(new Page(List.of(), false, this.reportsEndOffset, this.timeline));
+			}
 			return answer(new Page(List.copyOf(this.records), false, this.records.size(), this.timeline));
 		}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
@@ -23,6 +23,7 @@
 import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 import io.flamingogap.gateway.time.NodeClock;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -67,7 +68,7 @@
 				return CompletableFuture.completedFuture(0L);
 			}, this.fleet, new FleetClock(), clock(), () -> report("self", RUN, 1, TIME_OF_DAY_MILLIS + this.nowMillis),
 			() -> this.serving, this.previousReports::add, () -> {
-			}, (entry) -> false, () -> this.returnsTold++);
+			}, (entry) -> false, () -> this.returnsTold++, new UnnumberedReturns());
 
 	private NodeClock clock() {
 		return new NodeClock(() -> TimeUnit.MILLISECONDS.toNanos(this.nowMillis),
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/OperatorRecordWatcherTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/OperatorRecordWatcherTests.java
@@ -27,6 +27,7 @@
 import io.flamingogap.gateway.store.RecordStore;
 import io.flamingogap.gateway.store.ScriptedStore;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 import io.flamingogap.gateway.time.NodeClock;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -60,7 +61,7 @@
 		new OperatorRecordWatcher(this.channel.eventLoop(), this.store, new TextCodec(), this.config, this.rollouts,
 				this.evacuatedZones, new PlacementRules(Map.of("z1", "r1"), this.evacuatedZones), new RelayMetrics(),
 				clock, () -> {
-				})
+				}, new UnnumberedReturns())
 			.start();
 		this.channel.runPendingTasks();
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/RelayedStreamPropertyTests.java
@@ -28,6 +28,7 @@
 import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -163,7 +164,7 @@
 
 	private void follow(RecordStore store, NewestOffsets listener, long pauseMillis) {
 		new RecordFollower(this.channel.eventLoop(), store, StoreStream.OPERATOR, pauseMillis, listener,
-				() -> this.nowMillis)
+				() -> this.nowMillis, new UnnumberedReturns())
 			.start();
 		this.channel.runPendingTasks();
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/StoreReturnCallTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/peers/StoreReturnCallTests.java
@@ -32,6 +32,7 @@
 import io.flamingogap.gateway.store.StoreException.Reason;
 import io.flamingogap.gateway.store.StoreStream;
 import io.flamingogap.gateway.store.StoredRecord;
+import io.flamingogap.gateway.store.UnnumberedReturns;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -208,7 +209,7 @@
 						public void onListed(Set<String> keys, long endOffset) {
 							Node.this.listedAtMillis.put(stream, StoreReturnCallTests.this.nowMillis);
 						}
-					}, () -> StoreReturnCallTests.this.nowMillis)
+					}, () -> StoreReturnCallTests.this.nowMillis, new UnnumberedReturns())
 				.start();
 		}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -43,6 +43,8 @@
 
 	private final List<String> events = new ArrayList<>();
 
+	private final UnnumberedReturns unnumberedReturns = new UnnumberedReturns();
+
 	private int listingCount;
 
 	private long nowMillis;
@@ -74,7 +76,7 @@
 			public void onStoreRestored() {
 				RecordFollowerTests.this.events.add("restored");
 			}
-		}, () -> this.nowMillis);
+		}, () -> this.nowMillis, this.unnumberedReturns);
 	}
 
 	@Test
@@ -159,7 +161,7 @@
 					@Override
 					public void onStoreRestored() {
 					}
-				}, () -> disrupted.nowMillis);
+				}, () -> disrupted.nowMillis, new UnnumberedReturns());
 		follower.start();
 		while (disrupted.nowMillis < disruptionEndMillis + 4_000) {
 			disrupted.advance(20);
@@ -266,6 +268,61 @@
 			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 100L, 101L));
 		}
 
+		// Requests reached a server that had left, since its stream had grown past the
+		// offset
+		// that was read next, and only another stream of the node showed the return.
+		@Test
+		void listsAgainWhenAnotherStreamShowsAReturnWithoutANumber() {
+			followToOffset100(0);
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 120, 80, 119));
+			RecordFollowerTests.this.unnumberedReturns.notifyListeners();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			answerRead(0, 121, 120);
+			assertThat(RecordFollowerTests.this.events,
+					contains("restored", "record 80", "record 119", "listed to 120", "record 120"));
+			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 120L, 121L));
+		}
+
+		// The answer to a read of the time before the return would be taken for one that
+		// follows the new listing.
+		@Test
+		void answersToCallsFromBeforeTheListingAreIgnored() {
+			followToOffset100(0);
+			CompletableFuture<RecordStore.Batch> earlierRead = RecordFollowerTests.this.store.pendingRead();
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 120, 119));
+			RecordFollowerTests.this.unnumberedReturns.notifyListeners();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			earlierRead.complete(RecordStore.Batch
+				.fromStore(List.of(new StoredRecord("key-100", Optional.of(new byte[1]), 100)), 101, 0));
+			RecordFollowerTests.this.channel.runPendingTasks();
+			assertThat(RecordFollowerTests.this.events, contains("restored", "record 119", "listed to 120"));
+			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 120L));
+		}
+
+		@Test
+		void tellsOthersOfAReturnThatItNoticesWithoutANumber() {
+			followToOffset100(0);
+			List<String> told = new ArrayList<>();
+			RecordFollowerTests.this.unnumberedReturns.addListener(() -> told.add("told"));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 90, 89));
+			RecordFollowerTests.this.store.pendingRead()
+				.completeExceptionally(new StoreException(StoreException.Reason.DROPPED, "beyond the end"));
+			RecordFollowerTests.this.channel.runPendingTasks();
+			assertThat(told, contains("told"));
+			assertThat(RecordFollowerTests.this.events, contains("restored", "record 89", "listed to 90"));
+			assertThat(RecordFollowerTests.this.store.readOffsets(), contains(100L, 90L));
+		}
+
+		@Test
+		void returnThatIsNumberedIsNotPassedOn() {
+			followToOffset100(1);
+			List<String> told = new ArrayList<>();
+			RecordFollowerTests.this.unnumberedReturns.addListener(() -> told.add("told"));
+			RecordFollowerTests.this.store.answerNextListing(page(2, false, 90, 89));
+			answerRead(2, 100);
+			assertThat(told, is(empty()));
+		}
+
 		@Test
 		void readWithoutATimelineIsRepeatedOnceTimelinesAreKnown() {
 			followToOffset100(1);
