Don't let replayed reports of an earlier run hide the current one

A node that had just restarted got no callers from one that started within some 15 s after it, and held up usage reports there: the starting node lists the newest reports, then replays earlier ones, took that of the previous run for a later run's, and all reports of the current run for outdated until the node had been silent for 8 s.

The listing shows the newest report of each node, so a replayed one of another run counts for the usage only. replayedReportOfAnEarlierRunDoesNotReplaceTheCurrentRun failed before with 40 instead of 2.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetView.java
@@ -77,6 +77,15 @@
 		if (!report.node().name().equals(this.self.name()) && !isOutdated(report)) {
 			this.lastReports.put(report.node().name(), new TimedReport(report, reportedAtMillis, reportedAtMillis));
 		}
+		recordUsage(report);
+	}
+
+	/**
+	 * Record only the usage of a report, which is of an earlier run of its node than the
+	 * known one.
+	 * @param report a report of any run of any node, which may be this node
+	 */
+	public void recordUsage(NodeReport report) {
 		if (!report.node().equals(this.self)) {
 			UsageCounts counts = this.usage.computeIfAbsent(report.node(), (node) -> new UsageCounts());
 			report.usage().forEach(counts::merge);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/NodeReportExchange.java
@@ -289,6 +289,12 @@
 			// The copy doesn't tell which run is the later one; that one reports again.
 			return;
 		}
+		boolean isReplayed = this.listingCompleted && !isOfCopy && entry.offset() < this.listingEndOffset;
+		if (isReplayed && this.fleet.isOfOtherRun(report.get())) {
+			// The listing has shown the newest report of each node.
+			this.fleet.recordUsage(report.get());
+			return;
+		}
 		long nowMillis = this.clock.steadyMillis();
 		boolean isAfterListing = entry.offset() >= this.listingEndOffset;
 		long ageMillis = isAfterListing ? 0
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
@@ -183,6 +183,23 @@
 		assertThat(this.fleet.recentReports().stream().map(NodeReport::sequence).toList(), contains(2L));
 	}
 
+	// A node that had just restarted was unknown for 8 s to one that started after it and
+	// read the reports of both runs.
+	@Test
+	void replayedReportOfAnEarlierRunDoesNotReplaceTheCurrentRun() {
+		this.store.write(report("other", PREVIOUS_RUN, 40, TIME_OF_DAY_MILLIS - 3_000));
+		this.store.write(report("other", RUN, 1, TIME_OF_DAY_MILLIS));
+		this.exchange.start();
+		this.store.list();
+		runFor(100);
+		this.store.answerRead();
+		runFor(1_000);
+		this.store.write(report("other", RUN, 2, TIME_OF_DAY_MILLIS + this.nowMillis));
+		this.store.answerRead();
+		runFor(100);
+		assertThat(this.fleet.recentReports().stream().map(NodeReport::sequence).toList(), contains(2L));
+	}
+
 	// Live nodes whose reports the store had lost were removed from the fleet.
 	@Test
 	void nodesThatTheCopyLacksAreNotRemovedAtOnce() {
