Don't settle windows or make tokens by a clock that may be wrong

Two reports of one window (ONE) were possible after a return of the store at a node whose machine had been suspended so that its monotonic clock stood still: the time of day as corrected by the other nodes lagged by the suspension, and a window that another holder had reported counted as not ended. A claim that leaves out windows waits up to 5 s while the two clocks differ; reports that are read meanwhile renew the correction.

A claim by a node whose clock was ahead settled windows that hadn't ended, and no holder reported usage until they had (settledWindowThatHasNotEndedDoesNotStopTheReports failed). A settled window counts only once it has ended.

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
@@ -1,7 +1,9 @@
 package io.flamingogap.core.fleet;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +26,13 @@
 	/** Mean delay of a report: half of the interval at which reports are read. */
 	private static final long REPORT_DELAY_MILLIS = 500;
 
-	private final Map<String, Long> offsetMillisByNode = new HashMap<>();
+	/**
+	 * The number of reports of a node that count. A report that arrives late makes its
+	 * clock seem late, so the earliest of several tells most.
+	 */
+	private static final int REPORTS_PER_NODE = 4;
+
+	private final Map<String, Deque<Long>> offsetsMillisByNode = new HashMap<>();
 
 	/**
 	 * Record the time of day that another node reported.
@@ -34,7 +42,11 @@
 	 * clock
 	 */
 	public void record(String node, long timeOfDayMillis, long monotonicMillis) {
-		this.offsetMillisByNode.put(node, timeOfDayMillis + REPORT_DELAY_MILLIS - monotonicMillis);
+		Deque<Long> offsets = this.offsetsMillisByNode.computeIfAbsent(node, (name) -> new ArrayDeque<>());
+		offsets.addLast(timeOfDayMillis + REPORT_DELAY_MILLIS - monotonicMillis);
+		if (offsets.size() > REPORTS_PER_NODE) {
+			offsets.removeFirst();
+		}
 	}
 
 	/**
@@ -42,7 +54,7 @@
 	 * @param node the name of the node, which may be unknown
 	 */
 	public void forget(String node) {
-		this.offsetMillisByNode.remove(node);
+		this.offsetsMillisByNode.remove(node);
 	}
 
 	/**
@@ -53,10 +65,10 @@
 	 * the median or too few clocks are known
 	 */
 	public long correctedTimeOfDayMillis(long timeOfDayMillis, long monotonicMillis) {
-		if (this.offsetMillisByNode.size() < MIN_CLOCKS) {
+		if (this.offsetsMillisByNode.size() < MIN_CLOCKS) {
 			return timeOfDayMillis;
 		}
-		List<Long> sorted = new ArrayList<>(this.offsetMillisByNode.values());
+		List<Long> sorted = new ArrayList<>(this.offsetsMillisByNode.values().stream().map(Collections::max).toList());
 		Collections.sort(sorted);
 		long median = sorted.get(sorted.size() / 2) + monotonicMillis;
 		return (Math.abs(median - timeOfDayMillis) > MAX_CLOCK_DIFFERENCE_MILLIS) ? median : timeOfDayMillis;
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/DutyRunner.java
@@ -46,6 +46,12 @@
 	 */
 	private static final long SUSPENSION_THRESHOLD_MILLIS = 500;
 
+	/**
+	 * How long a claim waits for this node's clock and those of the other nodes to agree.
+	 * Reports that are read meanwhile renew what is known of the others' clocks.
+	 */
+	private static final long MAX_CLOCK_WAIT_MILLIS = 5_000;
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final DutyDependencies dependencies;
@@ -91,6 +97,9 @@
 
 	private long lastClockDifferenceMillis;
 
+	/** Since when a claim waits for the clocks to agree; empty if none does. */
+	private OptionalLong clocksDifferSinceMillis = OptionalLong.empty();
+
 	private boolean joinPending;
 
 	private boolean dutyInProgress;
@@ -331,16 +340,18 @@
 		boolean shortened = this.unnumberedReturns != this.claimedUnnumberedReturns || expectedOffset < this.endOffset;
 		this.storeReturned |= shortened;
 		listing.highestToken().ifPresent(this.tokens::recordSeen);
+		UsageHistory history = listing.usageHistory(this.storeReturned, shortened);
 		long timeOfDayMillis = this.dependencies.correctedTimeOfDayMillis().getAsLong();
-		// A correction that lags behind must not lower the token.
-		OptionalLong token = this.tokens.next(this.timeline, Math.max(timeOfDayMillis, this.clock.timeOfDayMillis()));
+		if (history.certainty() != UsageHistory.Certainty.CERTAIN && mustWaitForClocks(timeOfDayMillis)) {
+			return;
+		}
+		OptionalLong token = this.tokens.next(this.timeline, timeOfDayMillis);
 		if (token.isEmpty()) {
 			logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("%s", LogLine.of("no fencing token left"));
 			return;
 		}
 		long nowMillis = this.clock.steadyMillis();
 		long heardForMillis = nowMillis - this.storeAnsweredAtMillis.orElse(nowMillis);
-		UsageHistory history = listing.usageHistory(this.storeReturned, shortened);
 		UsageReportSchedule.TakeOver plan = this.usageReports.planTakeOver(history, timeOfDayMillis - heardForMillis,
 				timeOfDayMillis);
 		boolean claimedBefore = listing.hasClaim() || !isFirstOfAll();
@@ -349,6 +360,7 @@
 		this.dutyInProgress = true;
 		appendRecord(DutyListing.claimKey(this.timeline), ReportCodec.encodeClaim(claim), expectedOffset, () -> {
 			this.claimedUnnumberedReturns = this.unnumberedReturns;
+			this.clocksDifferSinceMillis = OptionalLong.empty();
 			this.term.recordClaim(claim.token(), claimedBefore, this.clock.steadyMillis());
 			this.serverOrders.forgetAcceptedOrders();
 			LogLine line = LogLine.of("duties claimed")
@@ -365,6 +377,29 @@
 		});
 	}
 
+	/**
+	 * Return whether a claim that leaves out windows must wait, because it isn't known
+	 * which windows have ended: after a suspension of the machine, the clocks of the
+	 * other nodes seem to be late until they have reported again, and after a step of the
+	 * time of day this node's own clock is wrong.
+	 * @param correctedMillis the corrected time of day in milliseconds since 1970 UTC
+	 * @return {@code true} if the clocks differ and the claim hasn't waited long enough
+	 */
+	private boolean mustWaitForClocks(long correctedMillis) {
+		long nowMillis = this.clock.steadyMillis();
+		if (correctedMillis == this.clock.timeOfDayMillis()) {
+			this.clocksDifferSinceMillis = OptionalLong.empty();
+			return false;
+		}
+		if (this.clocksDifferSinceMillis.isEmpty()) {
+			this.clocksDifferSinceMillis = OptionalLong.of(nowMillis);
+			logger.atInfo()
+				.log("%s", LogLine.of("claim waits for clocks")
+					.with("correctedByMillis", correctedMillis - this.clock.timeOfDayMillis()));
+		}
+		return nowMillis - this.clocksDifferSinceMillis.getAsLong() < MAX_CLOCK_WAIT_MILLIS;
+	}
+
 	/**
 	 * Return whether no node can have claimed the duties if the store shows no claim. A
 	 * copy from before the first claim doesn't show it either.
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/cloud/UsageReportSchedule.java
@@ -55,6 +55,9 @@
 
 	private long reportedWindow = NO_WINDOW;
 
+	/** The newest window that a claim names as settled: reported, or left out. */
+	private long settledWindow = NO_WINDOW;
+
 	private @Nullable Report pendingReport;
 
 	/**
@@ -85,27 +88,30 @@
 		if (this.windowMillis == 0) {
 			return new TakeOver(NO_WINDOW, NO_WINDOW + 1, NO_WINDOW, Optional.empty());
 		}
-		long namedWindow = history.settledWindow().orElse(NO_WINDOW);
+		// A claim names a later window if the clock of its node was ahead.
+		long lastEndedWindow = lastEndedWindow(timeOfDayMillis);
+		long namedWindow = Math.min(history.settledWindow().orElse(NO_WINDOW), lastEndedWindow);
 		long storedWindow = history.lastReport().map(Report::window).orElse(NO_WINDOW);
-		long knownWindow = Math.max(namedWindow, this.reportedWindow);
+		long knownWindow = Math.max(namedWindow,
+				Math.max(Math.min(this.settledWindow, lastEndedWindow), this.reportedWindow));
 		Optional<Report> own = Optional.ofNullable(this.pendingReport)
 			.filter((report) -> report.window() > namedWindow && !isTooLate(report.window(), timeOfDayMillis))
 			.filter((report) -> report.window() > storedWindow || history.lastReport().equals(Optional.of(report)));
 		OptionalLong uncertainUntilMillis = history.certainty().uncertainUntilMillis(heardSinceMillis, timeOfDayMillis);
 		if (uncertainUntilMillis.isPresent()) {
-			long lastEndedWindow = Math.floorDiv(uncertainUntilMillis.getAsLong(), this.windowMillis) - 1;
-			long settledWindow = Math.max(Math.max(knownWindow, storedWindow), lastEndedWindow);
-			long firstLeftOutWindow = (knownWindow != NO_WINDOW) ? knownWindow + 1 : lastEndedWindow;
-			return new TakeOver(settledWindow, firstLeftOutWindow, settledWindow, own);
+			long lastUncertainWindow = lastEndedWindow(uncertainUntilMillis.getAsLong());
+			long newSettledWindow = Math.max(Math.max(knownWindow, storedWindow), lastUncertainWindow);
+			long firstLeftOutWindow = (knownWindow != NO_WINDOW) ? knownWindow + 1 : lastUncertainWindow;
+			return new TakeOver(newSettledWindow, firstLeftOutWindow, this.reportedWindow, own);
 		}
 		boolean hasTwoReports = this.pendingReport != null && this.pendingReport.window() == storedWindow
 				&& !history.lastReport().equals(Optional.of(this.pendingReport));
-		long settledWindow = hasTwoReports ? Math.max(knownWindow, storedWindow) : knownWindow;
+		long newSettledWindow = hasTwoReports ? Math.max(knownWindow, storedWindow) : knownWindow;
 		Optional<Report> pending = own.or(history::lastReport)
-			.filter((report) -> report.window() > settledWindow && !isTooLate(report.window(), timeOfDayMillis));
-		long reportedWindow = Math.max(settledWindow,
+			.filter((report) -> report.window() > newSettledWindow && !isTooLate(report.window(), timeOfDayMillis));
+		long newReportedWindow = Math.max(this.reportedWindow,
 				pending.map((report) -> report.window() - 1).orElse(storedWindow));
-		return new TakeOver(settledWindow, settledWindow + 1, reportedWindow, pending);
+		return new TakeOver(newSettledWindow, newSettledWindow + 1, newReportedWindow, pending);
 	}
 
 	/**
@@ -113,6 +119,7 @@
 	 * @param plan the decision that the node's claim in the store names
 	 */
 	void takeOver(TakeOver plan) {
+		this.settledWindow = plan.settledWindow;
 		this.reportedWindow = plan.reportedWindow;
 		this.pendingReport = plan.pendingReport.orElse(null);
 		if (plan.firstLeftOutWindow <= plan.settledWindow) {
@@ -129,6 +136,10 @@
 		return this.windowMillis == 0 || window < lastCompleteWindow(timeOfDayMillis) - MAX_LATE_WINDOWS;
 	}
 
+	private long lastEndedWindow(long timeOfDayMillis) {
+		return Math.floorDiv(timeOfDayMillis, this.windowMillis) - 1;
+	}
+
 	private long lastCompleteWindow(long timeOfDayMillis) {
 		long lastEnded = Math.floorDiv(timeOfDayMillis - MAX_NODE_REPORT_DELAY_MILLIS, this.windowMillis) - 1;
 		long endedAtMillis = (lastEnded + 1) * this.windowMillis;
@@ -155,11 +166,11 @@
 		if (this.windowMillis == 0) {
 			return Optional.empty();
 		}
+		// The clock was ahead when a window was settled that hasn't ended yet.
+		this.settledWindow = Math.min(this.settledWindow, lastEndedWindow(timeOfDayMillis));
 		long lastComplete = lastCompleteWindow(timeOfDayMillis);
-		long next = Math.max(this.reportedWindow + 1, lastComplete - MAX_LATE_WINDOWS);
-		if (this.reportedWindow == NO_WINDOW) {
-			next = lastComplete;
-		}
+		long last = Math.max(this.settledWindow, this.reportedWindow);
+		long next = (last != NO_WINDOW) ? Math.max(last + 1, lastComplete - MAX_LATE_WINDOWS) : lastComplete;
 		return (next <= lastComplete) ? Optional.of(new Report(next, this.requestsInWindow.apply(next)))
 				: Optional.empty();
 	}
@@ -195,7 +206,7 @@
 	 * on, except for the pending report of this node
 	 * @param firstLeftOutWindow the first window that is left out; after the settled one
 	 * if none is
-	 * @param reportedWindow the newest window that this node doesn't count
+	 * @param reportedWindow the newest window that is known to be reported
 	 * @param pendingReport the report that this node sends unchanged
 	 */
 	record TakeOver(long settledWindow, long firstLeftOutWindow, long reportedWindow, Optional<Report> pendingReport) {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
@@ -146,6 +146,13 @@
 		assertThat(dueWindowAt(4_000), is(Optional.empty()));
 	}
 
+	// No holder reported a window any more after a claim by a node whose clock was ahead.
+	@Test
+	void settledWindowThatHasNotEndedDoesNotStopTheReports() {
+		takeOver(Certainty.CERTAIN, report(WINDOW - 1, 7), OptionalLong.of(WINDOW + 720), 4_000);
+		assertThat(dueWindowAt(2 * WINDOW_MILLIS + 4_000).isPresent(), is(true));
+	}
+
 	@Test
 	void firstHolderLeavesOutWindowsThatEndedBeforeItHeardFromTheStore() {
 		UsageReportSchedule.TakeOver plan = takeOver(Certainty.NO_CLAIM, Optional.empty(), OptionalLong.empty(), 0);
