Keep the proof of a return that isn't numbered, and list after gaps

Requests could reach servers that had left (DRAIN) after returns of a store that sends no number. A node that got no answer until all streams had passed its offsets never noticed (listsAgainAfterASuspensionIfTimelinesAreNotNumbered).

The follower of the servers lists anew after 3 s without an answer in a store without numbers, and its table forgets the order as after a return. The duties learn of proved returns only, since a gap would cost them usage windows.

--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/Gateway.java
@@ -239,13 +239,14 @@
 				this.config, this::isReady, clock);
 		this.serverWatcher = new ServerRegistrationWatcher(loop, this.store, adapters.recordCodec(), this.servers,
 				this.coldServers, this.metrics, clock, this.reportExchange::publishFirstReportIfReady,
-				this::onStoreRestored, unnumberedReturns);
+				unnumberedReturns);
 		this.operatorWatcher = new OperatorRecordWatcher(loop, this.store, adapters.recordCodec(), this.config,
 				this.rollouts, this.evacuatedZones, placementRules, this.metrics, clock,
 				this.reportExchange::publishFirstReportIfReady, unnumberedReturns);
 		this.dutyRunner = adapters.cloud()
 			.map((cloud) -> new DutyRunner(createDutyDependencies(cloud), settings.duties().leaseMillis(),
 					settings.duties().fencing(), settings.duties().usageWindowMillis()));
+		this.dutyRunner.ifPresent((runner) -> unnumberedReturns.addListener(runner::onStoreRestored));
 	}
 
 	private ZoneRelaySelector createZoneRelaySelector() {
@@ -406,10 +407,6 @@
 		});
 	}
 
-	private void onStoreRestored() {
-		this.dutyRunner.ifPresent(DutyRunner::onStoreRestored);
-	}
-
 	private boolean isFleetListed() {
 		return this.reportExchange.hasCompletedListing();
 	}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/node/ServerRegistrationWatcher.java
@@ -42,6 +42,12 @@
 
 	private static final long EXPIRY_INTERVAL_MILLIS = 200;
 
+	/**
+	 * The longest time without an answer of the store within which it can't have returned
+	 * from an earlier copy unnoticed: a copy lacks more than that.
+	 */
+	private static final long MAX_READ_GAP_MILLIS = 3_000;
+
 	private final EventLoop loop;
 
 	private final RecordCodec codec;
@@ -56,8 +62,6 @@
 
 	private final Runnable readinessListener;
 
-	private final Runnable returnListener;
-
 	private final RecordFollower follower;
 
 	/**
@@ -71,12 +75,11 @@
 	 * @param clock the clocks of this process
 	 * @param readinessListener runs when what the node serves callers with may have
 	 * become complete
-	 * @param returnListener runs when the store has returned from an earlier copy
 	 * @param unnumberedReturns tells of returns of the store that another stream shows
 	 */
 	public ServerRegistrationWatcher(EventLoop loop, RecordStore store, RecordCodec codec, ServerTable servers,
 			ColdServers coldServers, RelayMetrics metrics, NodeClock clock, Runnable readinessListener,
-			Runnable returnListener, UnnumberedReturns unnumberedReturns) {
+			UnnumberedReturns unnumberedReturns) {
 		this.loop = loop;
 		this.codec = codec;
 		this.servers = servers;
@@ -84,9 +87,9 @@
 		this.metrics = metrics;
 		this.clock = clock;
 		this.readinessListener = readinessListener;
-		this.returnListener = returnListener;
 		this.follower = new RecordFollower(loop, store, StoreStream.SERVERS, READ_PAUSE_MILLIS, this,
-				clock::steadyMillis, unnumberedReturns);
+				clock::steadyMillis, unnumberedReturns)
+			.listingAfterGaps(MAX_READ_GAP_MILLIS);
 	}
 
 	/**
@@ -212,7 +215,6 @@
 	public void onStoreRestored() {
 		this.metrics.increment("store.restored");
 		this.servers.forgetOffsets();
-		this.returnListener.run();
 	}
 
 }
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/PeerCodec.java
@@ -29,6 +29,7 @@
 			case UNAVAILABLE -> StoreOutcome.UNAVAILABLE;
 			case UNKNOWN -> StoreOutcome.UNKNOWN;
 			case DROPPED -> StoreOutcome.DROPPED;
+			case SHORTENED -> StoreOutcome.SHORTENED;
 			case CONFLICT -> StoreOutcome.CONFLICT;
 		};
 	}
@@ -37,6 +38,7 @@
 		return switch (outcome) {
 			case UNAVAILABLE -> Reason.UNAVAILABLE;
 			case DROPPED -> Reason.DROPPED;
+			case SHORTENED -> Reason.SHORTENED;
 			case CONFLICT -> Reason.CONFLICT;
 			case DONE, UNKNOWN -> Reason.UNKNOWN;
 		};
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneReadCache.java
@@ -215,7 +215,7 @@
 
 	private void onFailure(StoreStream stream, long from, StoreException failure) {
 		List<WaitingRead> failed = removeWaiting(stream);
-		if (failure.reason() == Reason.DROPPED) {
+		if (failure.reason().areRecordsMissing()) {
 			recordDropped(stream, from);
 			failed.forEach((each) -> each.result.completeExceptionally(failure));
 		}
@@ -295,7 +295,7 @@
 		long timelineAtCall = this.knownTimeline.number();
 		return readDirectly(stream, from, waitMillis).whenComplete((batch, failure) -> {
 			// Beyond the end that this node knows, only the peer's offset is outdated.
-			if (failure != null && StoreException.of(failure).reason() == Reason.DROPPED
+			if (failure != null && StoreException.of(failure).reason().areRecordsMissing()
 					&& this.knownTimeline.number() == timelineAtCall && !this.caches.get(stream).endsBefore(from)) {
 				recordDropped(stream, from);
 			}
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/peers/ZoneRelayedStore.java
@@ -111,7 +111,7 @@
 			if (failure == null) {
 				return CompletableFuture.completedFuture(decoder.apply(reply));
 			}
-			if (failure instanceof StoreException storeFailure && storeFailure.reason() == Reason.DROPPED) {
+			if (failure instanceof StoreException storeFailure && storeFailure.reason().areRecordsMissing()) {
 				return CompletableFuture.<T>failedFuture(storeFailure);
 			}
 			if (call.getCall() == StoreCall.READ && this.knownTimeline.number() != timelineAtCall) {
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/RecordFollower.java
@@ -54,6 +54,8 @@
 
 	private long replayOffsets;
 
+	private long maxGapMillis = Long.MAX_VALUE;
+
 	private final RecordListener listener;
 
 	private final LongSupplier steadyMillis;
@@ -138,6 +140,19 @@
 		return this;
 	}
 
+	/**
+	 * Also list the stream anew if the store didn't answer for a time and doesn't number
+	 * its timelines. It may have returned meanwhile, and other records may have got the
+	 * offsets of the lost ones. The listener is told as of a return.
+	 * @param newMaxGapMillis the longest time between two answers after which records are
+	 * read on, in milliseconds
+	 * @return this follower
+	 */
+	public RecordFollower listingAfterGaps(long newMaxGapMillis) {
+		this.maxGapMillis = newMaxGapMillis;
+		return this;
+	}
+
 	/**
 	 * Start following the stream.
 	 */
@@ -246,7 +261,7 @@
 			if (this.restarts != restartsAtCall) {
 				return;
 			}
-			if (failure != null && StoreException.of(failure).reason() == StoreException.Reason.DROPPED) {
+			if (failure != null && StoreException.of(failure).reason().areRecordsMissing()) {
 				logger.atInfo()
 					.log("%s",
 							LogLine.of("records dropped by the store")
@@ -258,6 +273,12 @@
 				if (this.store.timeline() > this.timeline) {
 					recordReturn(this.store.timeline());
 				}
+				else if (StoreException.of(failure).reason() == StoreException.Reason.SHORTENED) {
+					// Until the listing, other records may have got the missing offsets.
+					this.missingOffset = OptionalLong.empty();
+					recordReturn(this.timeline);
+					notifyOthersIfUnnumbered();
+				}
 				// The listing may have come from a node that is behind.
 				runAfter(this::start, this.missingAfterListing ? MIN_RETRY_DELAY_MILLIS : 0);
 				this.missingAfterListing = true;
@@ -273,6 +294,11 @@
 				recordReturn(batch.timeline());
 				start();
 			}
+			else if (mayHaveMissedReturn()) {
+				onSuccess(batch.ageMillis());
+				recordReturn(this.timeline);
+				start();
+			}
 			else {
 				onSuccess(batch.ageMillis());
 				this.missingAfterListing = false;
@@ -283,6 +309,11 @@
 		});
 	}
 
+	private boolean mayHaveMissedReturn() {
+		return this.timeline == RecordStore.UNNUMBERED_TIMELINE
+				&& this.steadyMillis.getAsLong() - this.lastContactAtMillis > this.maxGapMillis;
+	}
+
 	private void process(StoredRecord entry) {
 		try {
 			this.listener.onRecord(entry);
--- a/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
+++ b/flamingogap-gateway/src/main/java/io/flamingogap/gateway/store/StoreException.java
@@ -57,8 +57,22 @@
 		/** The store no longer has the requested records. */
 		DROPPED,
 
+		/**
+		 * The stream ends before the offset to read from, so the store has returned from
+		 * an earlier copy if that offset has been read before.
+		 */
+		SHORTENED,
+
 		/** The stream doesn't end at the offset that the append expected. */
-		CONFLICT
+		CONFLICT;
+
+		/**
+		 * Return whether the store answered that it doesn't have the requested records.
+		 * @return {@code true} if the stream has to be listed
+		 */
+		public boolean areRecordsMissing() {
+			return this == DROPPED || this == SHORTENED;
+		}
 
 	}
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -380,6 +380,28 @@
 					contains("record 99", "listed to 100", "restored", "record 89", "listed to 90"));
 		}
 
+		// A node that was suspended while the store returned skipped the records that had
+		// got its offset anew.
+		@Test
+		void listsAgainAfterASuspensionIfTimelinesAreNotNumbered() {
+			followToOffset100(0).listingAfterGaps(3_000);
+			RecordFollowerTests.this.nowMillis = 20_000;
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 103, 60, 102));
+			answerRead(0, 103, 100, 101, 102);
+			passTime(100);
+			assertThat(RecordFollowerTests.this.store.listingCount(), is(2));
+			assertThat(RecordFollowerTests.this.events,
+					contains("restored", "record 60", "record 102", "listed to 103"));
+		}
+
+		@Test
+		void readsOnAfterAShortGap() {
+			followToOffset100(0).listingAfterGaps(3_000);
+			RecordFollowerTests.this.nowMillis = 3_000;
+			answerRead(0, 101, 100);
+			assertThat(RecordFollowerTests.this.events, contains("record 100"));
+		}
+
 		@Test
 		void storeThatHasDroppedItsHistoryHasNotReturned() {
 			RecordFollowerTests.this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "expired"));
--- a/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/StoreOutcome.java
+++ b/flamingogap-wire/src/main/java/io/flamingogap/wire/peer/StoreOutcome.java
@@ -15,7 +15,8 @@
   UNAVAILABLE(2),
   UNKNOWN(3),
   DROPPED(4),
-  CONFLICT(5);
+  CONFLICT(5),
+  SHORTENED(6);
 
   private final int value;
 
@@ -48,6 +49,8 @@
         return DROPPED;
       case 5:
         return CONFLICT;
+      case 6:
+        return SHORTENED;
       default:
         return null;
     }
--- a/flamingogap-wire/src/main/thrift/peer.thrift
+++ b/flamingogap-wire/src/main/thrift/peer.thrift
@@ -19,6 +19,7 @@
   UNKNOWN = 3
   DROPPED = 4
   CONFLICT = 5
+  SHORTENED = 6
 }
 
 /** Call to the store. Streams have the names that the nodes use for them. */
