Tests of tables and tokens that notice each forgotten part of a return

Cause: single lines of the change could be broken without a failing test. Before: each of these mutations of the product code passed ServerTableTests, EvacuatedZonesTests, FencingTokensTests and the property tests of the tables (and OperatorRecordWatcherTests for zones). After: each fails with the message below. The tests pass on unchanged product code. No product code changes.

- ServerTable, "&& !known.run().ended() && !known.run().departed()" -> "&& !known.run().ended()" departedServerThatTheCopyLacksIsRemovedAtOnce: Expected: is <0> but: was <1>
- KnownServer, "this.suspectUntilMillis = Math.min(this.suspectUntilMillis, untilMillis); } void setRun" -> "this.suspectUntilMillis = untilMillis; } void setRun" secondListingThatLacksARunDoesNotProlongItsGracePeriod: Expected: a collection with size <1> but: collection size was <0>
- EvacuatedZones, "if (!this.copyListed) { this" -> "if (true) { this" orderBehindTheFirstListingCountsAtOnceAfterASecondOne: Expected: is <CHANGED> but: was <HELD>
- EvacuatedZones, "!this.copyListed || nowMillis" -> "nowMillis" orderIsHeldThoughTheTimeHasPassedBeforeTheCopyWasListed: Expected: is <[]> but: was <[z1]>
- EvacuatedZones, "this.offset == UNKNOWN_OFFSET && this.was" -> "this.was" laterOrderOfTheCopyCountsAtOnceBehindTheKnownOne: Expected: is <CHANGED> but: was <HELD>
- EvacuatedZones, "&& this.isEvacuated != other.isEvacuated;" -> ";" laterOrderOfTheCopyCountsAtOnceBehindTheKnownOne: Expected: is <UNCHANGED> but: was <HELD>
- FencingTokens, "Math.min(Math.max(timeline, 0), MAX_TIMELINE)" -> "Math.max(timeline, 0)" timelineThatDoesNotFitCountsAsTheHighestOne, 1048576: Expected: is <4611683417006307484L> but: was <4611687815052818588L>
- FencingTokens, "Math.max(this.highestToken, token)" -> "token" tokenIsHigherThanTheOnesThisNodeUsedThoughItHasSeenALowerOneSince: Expected: a value greater than <19388811475100L> but: <19388811415100L> was less than <19388811475100L>

--- a/flamingogap-core/src/test/java/io/flamingogap/core/duty/FencingTokensTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/duty/FencingTokensTests.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -59,6 +60,21 @@
 		assertThat(this.tokens.next(4, NOW_MILLIS).getAsLong(), greaterThan(first));
 	}
 
+	// Otherwise an earlier holder's claim lowers the token of the next one.
+	@Test
+	void tokenIsHigherThanTheOnesThisNodeUsedThoughItHasSeenALowerOneSince() {
+		long first = this.tokens.next(4, NOW_MILLIS).getAsLong();
+		this.tokens.recordSeen(firstToken(3, NOW_MILLIS));
+		assertThat(this.tokens.next(4, NOW_MILLIS - 60_000).getAsLong(), greaterThan(first));
+	}
+
+	// Otherwise the number of a timeline that does not fit reaches the sign of the token.
+	@ParameterizedTest
+	@ValueSource(longs = { 1L << 20, 1L << 21, 1L << 22, Long.MAX_VALUE })
+	void timelineThatDoesNotFitCountsAsTheHighestOne(long timeline) {
+		assertThat(firstToken(timeline, NOW_MILLIS), is(firstToken((1L << 20) - 1, NOW_MILLIS)));
+	}
+
 	@Test
 	void noTokenFollowsTheHighestOne() {
 		this.tokens.recordSeen(Long.MAX_VALUE - 1);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/EvacuatedZonesTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/EvacuatedZonesTests.java
@@ -98,6 +98,36 @@
 			assertThat(this.zones.contains("z1"), is(false));
 		}
 
+		// Otherwise a later order of the copy is held against an earlier one of it.
+		@Test
+		void laterOrderOfTheCopyCountsAtOnceBehindTheKnownOne() {
+			this.zones.apply("z1", true, 50);
+			this.zones.forgetOffsets(HELD_UNTIL_MILLIS);
+			assertThat(this.zones.apply("z1", true, 30), is(EvacuatedZones.Outcome.UNCHANGED));
+			assertThat(this.zones.apply("z1", false, 35), is(EvacuatedZones.Outcome.CHANGED));
+		}
+
+		// Otherwise an evacuation is taken back at once if the copy is listed late.
+		@Test
+		void orderIsHeldThoughTheTimeHasPassedBeforeTheCopyWasListed() {
+			this.zones.apply("z1", true, 50);
+			this.zones.forgetOffsets(HELD_UNTIL_MILLIS);
+			assertThat(this.zones.applyHeld(HELD_UNTIL_MILLIS), is(Set.of()));
+			assertThat(this.zones.retain(Set.of(), 40), is(Set.of()));
+			assertThat(this.zones.contains("z1"), is(true));
+		}
+
+		// Otherwise a second listing makes orders count as old that are of after the
+		// return.
+		@Test
+		void orderBehindTheFirstListingCountsAtOnceAfterASecondOne() {
+			this.zones.apply("z1", true, 50);
+			this.zones.forgetOffsets(HELD_UNTIL_MILLIS);
+			this.zones.retain(Set.of(), 40);
+			this.zones.retain(Set.of(), 60);
+			assertThat(this.zones.apply("z1", false, 45), is(EvacuatedZones.Outcome.CHANGED));
+		}
+
 		@Test
 		void evacuationThatOnlyTheCopyHasComesIntoForceAtOnce() {
 			this.zones.retain(Set.of(), 20);
--- a/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
+++ b/flamingogap-core/src/test/java/io/flamingogap/core/servers/ServerTableTests.java
@@ -186,6 +186,17 @@
 			assertThat(mayBeSentRequests(300), is(true));
 		}
 
+		// Otherwise a server that wants nothing is sent requests when the store returns.
+		@Test
+		void pauseOutlivesAReturnOfTheStore() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 50);
+			ServerTableTests.this.table.pause(registration("a", false, 1), 9_000, 100);
+			ServerTableTests.this.table.forgetOffsets();
+			assertThat(mayBeSentRequests(300), is(false));
+			ServerTableTests.this.table.register(registration("a", false, 1), 40);
+			assertThat(mayBeSentRequests(300), is(false));
+		}
+
 	}
 
 	@Nested
@@ -246,6 +257,15 @@
 			assertThat(ServerTableTests.this.table.find("b").isPresent(), is(true));
 		}
 
+		// Otherwise a server whose removal is the last record before a listing stays in
+		// use.
+		@Test
+		void listingRightBehindTheRemovalEndsTheRegistration() {
+			ServerTableTests.this.table.register(registration("a", false, 1), 3);
+			ServerTableTests.this.table.retain(Set.of(), 5, PAST_MILLIS, 100);
+			assertThat(ServerTableTests.this.table.size(), is(0));
+		}
+
 		// The first record after a listing was taken for an older one: a server that had
 		// registered again was not used, or one that was leaving got requests.
 		@Test
@@ -351,6 +371,38 @@
 			assertThat(takesRequests("a"), is(true));
 		}
 
+		// Otherwise a server that has left counts as present for a grace period.
+		@Test
+		void departedServerThatTheCopyLacksIsRemovedAtOnce() {
+			this.table.register(registration("a", false, 1, 7), 50);
+			this.table.depart("a", 1);
+			this.table.forgetOffsets();
+			this.table.retain(Set.of(), 40, GRACE_UNTIL_MILLIS, NOW_MILLIS);
+			assertThat(this.table.size(), is(0));
+		}
+
+		// Otherwise a lost server gets requests for as long as listings are repeated.
+		@Test
+		void secondListingThatLacksARunDoesNotProlongItsGracePeriod() {
+			this.table.register(registration("a", false, 1, 7), 50);
+			this.table.forgetOffsets();
+			this.table.retain(Set.of(), 40, GRACE_UNTIL_MILLIS, NOW_MILLIS);
+			this.table.retain(Set.of(), 45, GRACE_UNTIL_MILLIS + 2_000, NOW_MILLIS + 2_000);
+			assertThat(this.table.expire(GRACE_UNTIL_MILLIS), hasSize(1));
+		}
+
+		// Otherwise a server that pauses before the listing is refused for good.
+		@Test
+		void runThatTheCopyLacksIsUsedAgainThoughItHasPausedSince() {
+			this.table.register(registration("a", false, 1, 7), 50);
+			this.table.forgetOffsets();
+			this.table.pause(registration("a", false, 1, 7), 200, NOW_MILLIS);
+			this.table.retain(Set.of(), 40, GRACE_UNTIL_MILLIS, NOW_MILLIS);
+			assertThat(this.table.expire(GRACE_UNTIL_MILLIS), hasSize(1));
+			this.table.register(registration("a", false, 1, 7), 41);
+			assertThat(takesRequests("a"), is(true));
+		}
+
 		// A server whose registration had expired while the store was away was
 		// dropped for good, because the copy's record of it, which is not written
 		// again, counted as one from before the end.
