Tests of followers and watchers that notice each forgotten part of a return

Cause: single lines of the change could be broken without a failing test. Before: each of these mutations of the product code passed RecordFollowerTests (with the relayed streams and the calls after a return), OperatorRecordWatcherTests, RolloutControllerTests, RolloutReturnPropertyTests, NodeReportExchangeTests and QuarantineStoreTests. After: each fails with the message below. KEY is the key of the rule.

- RecordFollower, without "this.missingOffset = OptionalLong.empty();" returnWithoutANumberIsToldOnceIfTheListingHasTwoPages: Expected: iterable containing ["record 99", "listed to 100", "restored", "record 10", "record 89", "listed to 90"] but: item 4: was "restored"
- RecordFollower, without "this.missingAfterListing = false;" listsAtOnceWhenRecordsAreMissingAfterAReadThatSucceeded: Expected: is <3> but: was <2>
- RecordFollower, "long listingEnd = Math.min(smallestEnd, page.endOffset());" -> "long listingEnd = page.endOffset();" readsFromTheEndOfTheFirstPageOfTheListing: Expected: iterable containing ["record 10", "record 20", "listed to 100"] but: item 2: was "listed to 105"
- OperatorRecordWatcher, without "this.rollouts.forgetStoredRecords(heldUntilMillis);" laterRolloutOrderCountsAtALowerOffset: Expected: is <[RolloutStatus[service=desk, target=v3, state=RUNNING]]> but: was <[RolloutStatus[service=desk, target=v2, state=RUNNING]]>
- RolloutController, "boolean mayBeWrittenAgain = nowMillis < this.ordersHeldUntilMillis;" -> "boolean mayBeWrittenAgain = true;" sameOrderBeginsTheRolloutAnewIfTheStoreHasNotReturned: Expected: is <true> but: was <false>
- RolloutController, "previous != null && mayBeWrittenAgain && previous.offset == UNKNOWN_OFFSET" -> "previous != null && previous.offset == UNKNOWN_OFFSET" otherOrderCountsAtOnceAfterTheTime: Expected: is <[RolloutStatus[service=desk, target=v3, state=RUNNING]]> but: was <[RolloutStatus[service=desk, target=v2, state=DONE]]>
- RolloutController, without "this.heldOrders.clear();" orderThatWasHeldIsForgottenWhenTheStoreReturnsAgain: Expected: is <false> but: was <true>
- RolloutController, "begin(held.order, held.offset, nowMillis)" -> "begin(held.order, UNKNOWN_OFFSET, nowMillis)" olderOrderDoesNotReplaceOneThatWasHeld: Expected: is <[RolloutStatus[service=desk, target=v3, state=RUNNING]]> but: was <[RolloutStatus[service=desk, target=v1, state=RUNNING]]>
- NodeReportExchange, "this.listingCompleted && this.listingEndOffset == Long.MAX_VALUE" -> "this.listingCompleted" restartedNodeTakesThePlaceOfItsPreviousRun: Expected: is <1L> but: was <7L>
- NodeReportExchange, "if (isOfCopy && this.fleet.isOfOtherRun(report.get())) {" -> "if (isOfCopy) {" newerReportOfTheKnownRunInACopyCounts: Expected: is <8L> but: was <7L>
- FleetView, "return last != null && !last.report.node().equals(report.node());" -> "return last == null || !last.report.node().equals(report.node());" nodeThatOnlyTheCopyShowsIsKnown: Expected: is <2> but: was <1>
- FleetView, "return last != null && !last.report.node().equals(report.node());" -> "return last != null;" newerReportOfTheKnownRunInACopyCounts: Expected: is <8L> but: was <7L>
- QuarantineStore, without "this.removals.remove(key);" removalIsNotStoredAgainOnceTheRuleHasBegunAgain: Expected: iterable containing ["KEY lasts 60000"] but: not matched: "KEY removed"
- QuarantineStore, "this.storedHere.remove(rule); String key" -> "String key" ruleThatThisNodeRemovedIsNotStoredAgain: Expected: iterable containing ["KEY removed"] but: item 0: was "KEY lasts 60000"
- QuarantineStore, "earlier.here || later.here" -> "later.here" removalIsStoredAgainAfterItWasRead: Expected: iterable containing ["KEY removed"] but: no item was "KEY removed"
- QuarantineStore, "earlier.here || later.here" -> "earlier.here" removalIsStoredAgainThoughAnotherNodeRemovedTheRuleBefore: Expected: iterable containing ["KEY removed"] but: no item was "KEY removed"
- QuarantineStore, "if (removal.here && removal.endsAtMillis > nowMillis) {" -> "if (removal.here) {" removalOfARuleThatHasEndedIsNotStoredAgain: Expected: is an empty collection but: <[KEY removed]>
- QuarantineStore, without "rememberRemoval(entry.key(), false);" ruleThatAnotherNodeRemovedDoesNotComeIntoForceFromTheCopy: Expected: is an empty collection but: <[60000]>
- QuarantineStore, without "this.storedHere.remove(removed.rule());" ruleOfAnotherNodeIsNotStoredAgainByOneThatStoredItBefore: Expected: is an empty collection but: <[KEY lasts 60000]>

--- a/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
+++ b/flamingogap-core/src/main/java/io/flamingogap/core/fleet/FleetClock.java
@@ -28,7 +28,7 @@
 
 	/**
 	 * The number of reports of a node that count. A report that arrives late makes its
-	 * clock seem late, so the earliest of several tells most.
+	 * clock seem late, so the least late of several tells most.
 	 */
 	private static final int REPORTS_PER_NODE = 4;
 
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/NodeReportExchangeTests.java
@@ -200,6 +200,45 @@
 		assertThat(this.fleet.recentReports().stream().map(NodeReport::sequence).toList(), contains(2L));
 	}
 
+	// Otherwise reports of a restarted node are skipped though the store has not
+	// returned.
+	@Test
+	void restartedNodeTakesThePlaceOfItsPreviousRun() {
+		this.exchange.start();
+		this.store.list();
+		runFor(2_000);
+		readOthersReport(7);
+		this.store.write(report("other", RUN, 1, TIME_OF_DAY_MILLIS + this.nowMillis));
+		this.store.answerRead();
+		runFor(100);
+		assertThat(this.fleet.knownReports().get(0).sequence(), is(1L));
+	}
+
+	// Otherwise a node that is known only from the copy is skipped like an earlier run.
+	@Test
+	void nodeThatOnlyTheCopyShowsIsKnown() {
+		this.exchange.start();
+		this.store.list();
+		runFor(2_000);
+		this.store.write(report("other", PREVIOUS_RUN, 7, TIME_OF_DAY_MILLIS + this.nowMillis));
+		this.store.returnFromCopy(0);
+		runFor(100);
+		assertThat(this.fleet.nodes(), is(2));
+	}
+
+	// Otherwise a newer report of the known run is skipped like one of another run.
+	@Test
+	void newerReportOfTheKnownRunInACopyCounts() {
+		this.exchange.start();
+		this.store.list();
+		runFor(2_000);
+		readOthersReport(7);
+		this.store.write(report("other", PREVIOUS_RUN, 8, TIME_OF_DAY_MILLIS + this.nowMillis));
+		this.store.returnFromCopy(0);
+		runFor(100);
+		assertThat(this.fleet.knownReports().get(0).sequence(), is(8L));
+	}
+
 	// Live nodes whose reports the store had lost were removed from the fleet.
 	@Test
 	void nodesThatTheCopyLacksAreNotRemovedAtOnce() {
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/OperatorRecordWatcherTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/OperatorRecordWatcherTests.java
@@ -131,6 +131,17 @@
 		assertThat(this.evacuatedZones.zones(), is(Set.of("z1")));
 	}
 
+	// Otherwise a rollout is ignored until its offset has passed that of the order
+	// before.
+	@Test
+	void laterRolloutOrderCountsAtALowerOffset() {
+		returnFromCopy(page(2, 40, configuration(9, 39), rollout("v2", 38)));
+		read(rollout("v3", 40));
+		this.rollouts.markStatusesLoaded();
+		assertThat(this.rollouts.unpublishedStatuses(),
+				is(List.of(new RecordCodec.RolloutStatus("desk", "v3", RecordCodec.RolloutStatus.State.RUNNING))));
+	}
+
 	/**
 	 * Codec of records whose values are one number or a name.
 	 */
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/node/RolloutControllerTests.java
@@ -117,6 +117,15 @@
 		assertThat(this.controller.versionFilter("desk", ROUTE).test(this.servers.find("new").orElseThrow()), is(true));
 	}
 
+	// Otherwise an order that an operator gives again after a revert does nothing.
+	@Test
+	void sameOrderBeginsTheRolloutAnewIfTheStoreHasNotReturned() {
+		this.controller.recordPublishedStatus(status(RolloutStatus.State.REVERTED));
+		assertThat(this.controller.hasRunningRollout(), is(false));
+		this.controller.applyOrder(new RolloutOrder("desk", "v2", WITHIN_MILLIS), 2, 100);
+		assertThat(this.controller.hasRunningRollout(), is(true));
+	}
+
 	@Nested
 	class Returns {
 
@@ -183,6 +192,41 @@
 			assertThat(this.controller.unpublishedStatuses(), is(List.of(runningStatus("v3"))));
 		}
 
+		// Otherwise orders wait for the next evaluation long after the return.
+		@Test
+		void otherOrderCountsAtOnceAfterTheTime() {
+			order("v3", 41, HELD_UNTIL_MILLIS);
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(runningStatus("v3"))));
+		}
+
+		// Otherwise an order that is held from one copy begins though the next one lacks
+		// it.
+		@Test
+		void orderThatWasHeldIsForgottenWhenTheStoreReturnsAgain() {
+			order("v1", 40, 10_000);
+			this.controller.forgetStoredRecords(2 * HELD_UNTIL_MILLIS);
+			this.controller.evaluate(2 * HELD_UNTIL_MILLIS);
+			assertThat(this.controller.hasRunningRollout(), is(false));
+		}
+
+		// Otherwise an order that was held is replaced by an older one that is listed
+		// again.
+		@Test
+		void olderOrderDoesNotReplaceOneThatWasHeld() {
+			order("v3", 41, 11_000);
+			this.controller.evaluate(HELD_UNTIL_MILLIS);
+			order("v1", 40, HELD_UNTIL_MILLIS + 1);
+			assertThat(this.controller.unpublishedStatuses(), is(List.of(runningStatus("v3"))));
+		}
+
+		// Otherwise an order with more time for the same version is ignored.
+		@Test
+		void orderWithAnotherTimeIsALaterOne() {
+			order("v2", 45, 10_000);
+			this.controller.applyOrder(new RolloutOrder("desk", "v2", 2 * WITHIN_MILLIS), 46, 11_000);
+			assertThat(this.controller.hasRunningRollout(), is(true));
+		}
+
 		// Operators never learnt that a rollout was complete, because the status was
 		// lost.
 		@Test
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/quarantine/QuarantineStoreTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/quarantine/QuarantineStoreTests.java
@@ -115,6 +115,85 @@
 		assertThat(this.storedMillis, contains(60_000L));
 	}
 
+	// Otherwise a rule that has begun again is removed by the removal before it.
+	@Test
+	void removalIsNotStoredAgainOnceTheRuleHasBegunAgain() {
+		this.quarantine.put(RULE, 60_000);
+		this.quarantine.remove(RULE);
+		this.quarantine.put(RULE, 60_000);
+		this.store.appended.clear();
+		this.quarantine.onStoreRestored();
+		assertThat(this.store.appended, contains(KEY + " lasts 60000"));
+	}
+
+	// Otherwise a removed rule is stored again until the removal has been read.
+	@Test
+	void ruleThatThisNodeRemovedIsNotStoredAgain() {
+		this.quarantine.put(RULE, 60_000);
+		this.quarantine.remove(RULE);
+		this.store.appended.clear();
+		this.quarantine.onStoreRestored();
+		assertThat(this.store.appended, contains(KEY + " removed"));
+	}
+
+	// Otherwise a node forgets its own removal when it reads it.
+	@Test
+	void removalIsStoredAgainAfterItWasRead() {
+		this.quarantine.accept(ruleRecord(60_000));
+		this.quarantine.remove(RULE);
+		this.quarantine.accept(removal());
+		this.store.appended.clear();
+		this.quarantine.onStoreRestored();
+		assertThat(this.store.appended, contains(KEY + " removed"));
+	}
+
+	// Otherwise another node's removal of an earlier rule hides the one by this node.
+	@Test
+	void removalIsStoredAgainThoughAnotherNodeRemovedTheRuleBefore() {
+		this.quarantine.accept(ruleRecord(60_000));
+		this.quarantine.accept(removal());
+		this.nowMillis += 1_000;
+		this.quarantine.accept(ruleRecord(60_000));
+		this.quarantine.remove(RULE);
+		this.store.appended.clear();
+		this.quarantine.onStoreRestored();
+		assertThat(this.store.appended, contains(KEY + " removed"));
+	}
+
+	// Otherwise each return adds records for rules that ended long ago.
+	@Test
+	void removalOfARuleThatHasEndedIsNotStoredAgain() {
+		this.quarantine.put(RULE, 60_000);
+		this.quarantine.remove(RULE);
+		this.store.appended.clear();
+		this.nowMillis += 60_000;
+		this.quarantine.onStoreRestored();
+		assertThat(this.store.appended, is(empty()));
+	}
+
+	// Otherwise a rule that another node removed comes into force from the copy.
+	@Test
+	void ruleThatAnotherNodeRemovedDoesNotComeIntoForceFromTheCopy() {
+		StoredRecord copied = ruleRecord(60_000);
+		this.quarantine.accept(copied);
+		this.quarantine.accept(removal());
+		this.storedMillis.clear();
+		this.quarantine.accept(copied);
+		assertThat(this.storedMillis, is(empty()));
+	}
+
+	// Otherwise a node that once stored a rule stores another node's again.
+	@Test
+	void ruleOfAnotherNodeIsNotStoredAgainByOneThatStoredItBefore() {
+		this.quarantine.put(RULE, 60_000);
+		this.quarantine.accept(removal());
+		this.nowMillis += 1_000;
+		this.quarantine.accept(ruleRecord(60_000));
+		this.store.appended.clear();
+		this.quarantine.onStoreRestored();
+		assertThat(this.store.appended, is(empty()));
+	}
+
 	/**
 	 * A store that describes what is appended.
 	 */
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/store/RecordFollowerTests.java
@@ -133,6 +133,28 @@
 		assertThat(this.listingCount, is(3));
 	}
 
+	// Otherwise each loss of records after the first one costs a pause.
+	@Test
+	void listsAtOnceWhenRecordsAreMissingAfterAReadThatSucceeded() {
+		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
+		follower().start();
+		this.channel.runPendingTasks();
+		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
+		answerRead(0, 8, 7);
+		assertThat(this.listingCount, is(3));
+	}
+
+	// Otherwise records that are appended between the pages of a listing are never read.
+	@Test
+	void readsFromTheEndOfTheFirstPageOfTheListing() {
+		this.store.answerNextListing(page(0, true, 100, 10));
+		this.store.answerNextListing(page(0, false, 105, 20));
+		follower().start();
+		this.channel.runPendingTasks();
+		assertThat(this.events, contains("record 10", "record 20", "listed to 100"));
+		assertThat(this.store.readOffsets(), contains(100L));
+	}
+
 	@Test
 	void listsAgainWhenReadingThroughTheZoneCache() {
 		this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "gone"));
@@ -402,6 +424,20 @@
 			assertThat(RecordFollowerTests.this.events, contains("record 100"));
 		}
 
+		// Otherwise the order of the first page is forgotten again at the second one.
+		@Test
+		void returnWithoutANumberIsToldOnceIfTheListingHasTwoPages() {
+			RecordFollowerTests.this.store
+				.failNextRead(new StoreException(StoreException.Reason.DROPPED, "past the end"));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 100, 99));
+			RecordFollowerTests.this.store.answerNextListing(page(0, true, 90, 10));
+			RecordFollowerTests.this.store.answerNextListing(page(0, false, 90, 89));
+			follower().start();
+			RecordFollowerTests.this.channel.runPendingTasks();
+			assertThat(RecordFollowerTests.this.events,
+					contains("record 99", "listed to 100", "restored", "record 10", "record 89", "listed to 90"));
+		}
+
 		@Test
 		void storeThatHasDroppedItsHistoryHasNotReturned() {
 			RecordFollowerTests.this.store.failNextRead(new StoreException(StoreException.Reason.DROPPED, "expired"));
