Tests of the duties that notice each forgotten part of a return

Cause: single lines of DutyRunner, DutyListing and UsageReportSchedule could be broken without a failing test. DutyRunnerTests.claimThatIsAnsweredInAnotherTimelineDoesNotCount passes without the check of the timeline, because the next tick ends the term; the claim whose answer is held until the node is the holder again shows the check. Before: each of these mutations passed DutyRunnerTests, DutyListingTests, UsageReportScheduleTests and DutyRunnerPropertyTests. After: each fails with the message below. The tests pass on unchanged product code. No product code changes.

- DutyRunner, "endTermIfStoreReturned(); endTermIfSuspended" -> "endTermIfSuspended" nodeJoinsAtOnceWhenAnotherAnswerShowsTheReturn: Expected: is <9> but: was <8>
- DutyRunner, "if (this.stopped || this.timeline != RecordStore.UNNUMBERED_TIMELINE) {" -> "if (this.stopped) {" termGoesOnWhenAnotherStreamOfANumberedStoreIsListedAgain: Expected: is <1> but: was <2>
- DutyRunner, without "endTerm(this.clock.steadyMillis());" windowsAreNotLeftOutBySecondClaimAfterAnotherStreamWasShortened: Expected: is <3> but: was <2>
- DutyRunner, without "this.endOffset = 0;" windowsAreNotLeftOutOnceAnotherNodeHasClaimedInTheNewTimeline: Expected: a value less than <1796600010L> but: <1796600011L> was greater than <1796600010L>
- DutyRunner, "this.endOffset = 0; this.lastJoinAtMillis = NEVER;" -> "this.endOffset = 0;" nodeJoinsAtOnceWhenAnotherAnswerShowsTheReturn: Expected: is <9> but: was <8>
- DutyRunner, "this.lastJoinAtMillis = NEVER; this.term.recordLost();" -> "this.lastJoinAtMillis = NEVER;" windowsAreNotLeftOutBySecondClaimAfterAnotherStreamWasShortened: Expected: is <3> but: was <2>
- DutyRunner, "if (this.dutyInProgress && this.term.mustEndCalls(nowMillis)) { this.dependencies.cloud().abortCalls(); } }" -> "}" callInProgressIsEndedWhenAnotherStreamIsShortened: Expected: is <1> but: was <0>
- DutyRunner, "if (this.storeAnsweredAtMillis.isEmpty()) {" -> "if (true) {" firstHolderReportsTheWindowsSinceItHeardFromTheStore: Expected: is <1796600000L> but: was <1796600004L>
- DutyRunner, "else if (isOfTimeline(timelineAtCall)) {" -> "else {" nodeDoesNotClaimOnAListingThatIsAnsweredInAnotherTimeline: Expected: is <1> but: was <2>
- DutyRunner, "else if (isOfTimeline(timelineAtCall)) {" -> "else if (isOfTimeline(timelineAtCall) || true) {" nodeDoesNotClaimOnAListingThatIsAnsweredInAnotherTimeline: Expected: is <1> but: was <2>
- DutyRunner, "|| expectedOffset < this.endOffset;" -> ";" windowsAreLeftOutIfTheStreamOfTheDutiesIsShortened: Expected: a value equal to or greater than <1796600011L> but: <1796600004L> was less than <1796600011L>
- DutyRunner, without "this.storeReturned |= shortened;" holderWaitsForALeaseIfTheStreamOfTheDutiesHasLostItsClaim: Expected: a value equal to or greater than <6000L> but: <4050L> was less than <6000L>
- DutyRunner, "Math.max(timeOfDayMillis, this.clock.timeOfDayMillis())" -> "this.clock.timeOfDayMillis()" tokenIsNotLowerThanTheCorrectedTimeOfDay: Expected: a value equal to or greater than <1796600002050L> but: <1796600000050L> was less than <1796600002050L>
- DutyRunner, "timeOfDayMillis - heardForMillis," -> "timeOfDayMillis," firstHolderReportsTheWindowsSinceItHeardFromTheStore: Expected: is <1796600000L> but: was <1796600004L>
- DutyRunner, "listing.hasClaim() || !isFirstOfAll()" -> "!isFirstOfAll()" holderWaitsForALeaseIfAnotherNodeHasClaimedBefore: Expected: a value equal to or greater than <6000L> but: <5000L> was less than <6000L>
- DutyRunner, without "this.claimedUnnumberedReturns = this.unnumberedReturns;" windowsAreNotLeftOutBySecondClaimAfterAnotherStreamWasShortened: Expected: a value less than <1796600017L> but: <1796600018L> was greater than <1796600017L>
- DutyRunner, "&& this.clock.steadyMillis() - this.startedAtMillis <= this.leaseMillis;" -> ";" holderWaitsForALeaseIfItHasStartedLongAgo: Expected: a value equal to or greater than <6000L> but: <50L> was less than <6000L>
- DutyRunner, "isOfTimeline(timelineAtCall) && this.unnumberedReturns == returnsAtCall" -> "this.unnumberedReturns == returnsAtCall" claimThatIsAnsweredAfterAnotherTimelineWasShownDoesNotCount: Expected: is <2> but: was <1>
- DutyRunner, "isOfTimeline(timelineAtCall) && this.unnumberedReturns == returnsAtCall" -> "isOfTimeline(timelineAtCall)" claimThatIsAnsweredAfterAnotherStreamWasShortenedDoesNotCount: Expected: is <2> but: was <1>
- DutyRunner, "if (failure != null || !isCurrent) {" -> "if (failure != null) {" claimThatIsAnsweredAfterAnotherTimelineWasShownDoesNotCount: Expected: is <2> but: was <1>
- DutyRunner, without "this.startedAtMillis = this.clock.steadyMillis();" firstHolderActsAtOnceHoweverLongItsMachineHasRun: Expected: is <false> but: was <true>
- DutyListing, "if (usageRecord.isEmpty()) {" -> "if (false) {" claimWithoutAReportIsCertain: Expected: is <CERTAIN> but: was <UNREADABLE>
- DutyListing, "if (usage.isEmpty()) { return Certainty.UNREADABLE" -> "if (usage.isEmpty()) { return Certainty.CERTAIN" unreadableReportIsUncertain: Expected: is <UNREADABLE> but: was <CERTAIN>
- DutyListing, "if (lastClaim.isEmpty()) {" -> "if (lastClaim.isEmpty() || returnSeen) {" recordsOfTheTimelineAreCertainThoughTheStoreHasReturned: Expected: is <CERTAIN> but: was <EARLIER_TIMELINE>
- UsageReportSchedule, "Math.max(namedWindow, this.reportedWindow)" -> "namedWindow" windowThatThisNodeReportedIsNotCountedAgainThoughTheStoreLostItsReport: Expected: is <Optional.empty> but: was <Optional[Report[window=999, requests={growers=7}]]>
- UsageReportSchedule, "report.window() > namedWindow && !isTooLate(report.window(), timeOfDayMillis)" -> "report.window() > namedWindow" ownReportThatIsTooLateIsDropped: Expected: is <Optional.empty> but: was <Optional[Report[window=990, requests={growers=8}]]>
- UsageReportSchedule, without "|| history.lastReport().equals(Optional.of(report))" ownReportThatTheStoreHasIsRepeated: Expected: is <Optional[Report[window=1000, requests={growers=8}]]> but: was <Optional.empty>
- UsageReportSchedule, "(knownWindow != NO_WINDOW) ? knownWindow + 1 : lastEndedWindow" -> "knownWindow + 1" leftOutWindowsBeginWithTheLastOneThatEndedIfNoneIsKnown: Expected: is <1000L> but: was <-9223372036854775807L>
- UsageReportSchedule, without "&& this.pendingReport.window() == storedWindow" laterReportOfAnotherHolderTakesThePlaceOfTheOwnOne: Expected: is <Optional[Report[window=1001, requests={growers=7}]]> but: was <Optional.empty>
- UsageReportSchedule, "report.window() > settledWindow && !isTooLate(report.window(), timeOfDayMillis)" -> "report.window() > settledWindow" storedReportThatIsTooLateIsNotSentAndTheNextWindowsAre: Expected: is <Optional.empty> but: was <Optional[Report[window=990, requests={growers=7}]]>
- UsageReportSchedule, "new TakeOver(settledWindow, settledWindow + 1, reportedWindow, pending)" -> "new TakeOver(reportedWindow, settledWindow + 1, reportedWindow, pending)" claimSettlesNothingIfAReportIsPendingAndNoneIsSettled: Expected: is <OptionalLong.empty> but: was <OptionalLong[999]>

--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyListingTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyListingTests.java
@@ -115,6 +115,43 @@
 		assertThat(listing(4).highestToken(), is(OptionalLong.of(6)));
 	}
 
+	// Otherwise a stored report that nobody can read counts as none.
+	@Test
+	void unreadableReportIsUncertain() {
+		claim(4, 70, WINDOW - 1, 5);
+		this.records.add(new StoredRecord(DutyListing.USAGE_KEY, Optional.of("?".getBytes(StandardCharsets.UTF_8)), 6));
+		assertThat(certainty(4), is(Certainty.UNREADABLE));
+	}
+
+	// Otherwise windows are left out because no report was stored yet.
+	@Test
+	void claimWithoutAReportIsCertain() {
+		claim(4, 70, WINDOW - 1, 5);
+		assertThat(certainty(4), is(Certainty.CERTAIN));
+	}
+
+	// Otherwise each claim of a node that has seen a return leaves windows out.
+	@Test
+	void recordsOfTheTimelineAreCertainThoughTheStoreHasReturned() {
+		claim(4, 70, WINDOW - 1, 5);
+		usage(OptionalLong.of(70), 4, 6);
+		assertThat(listing(4).usageHistory(true, false).certainty(), is(Certainty.CERTAIN));
+	}
+
+	// Otherwise the last claim of a node of the former release hides the ones after it.
+	@Test
+	void lastClaimDecidesWhicheverReleaseMadeIt() {
+		nameOnlyClaim(5);
+		claim(0, 90, WINDOW - 1, 8);
+		usage(OptionalLong.empty(), 0, 9);
+		assertThat(certainty(0), is(Certainty.LATE_REPORT));
+		this.records.clear();
+		claim(0, 90, WINDOW - 1, 5);
+		nameOnlyClaim(8);
+		usage(OptionalLong.of(90), 0, 9);
+		assertThat(certainty(0), is(Certainty.LATE_REPORT));
+	}
+
 	@Test
 	void recordsWithoutTokensAreTrustedInAStoreWithoutTimelines() {
 		nameOnlyClaim(5);
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/DutyRunnerTests.java
@@ -13,9 +13,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.flamingogap.core.duty.DutyClaim;
 import io.flamingogap.core.duty.Fencing;
 import io.flamingogap.core.duty.UsageCounts;
 import io.flamingogap.core.fleet.ServerPlan;
+import io.flamingogap.gateway.node.ReportCodec;
 import io.flamingogap.gateway.peers.ChannelWithFrozenTime;
 import io.flamingogap.gateway.store.ForwardingStore;
 import io.flamingogap.gateway.store.RecordStore;
@@ -28,6 +30,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests of {@link DutyRunner} with one node that the store names as the holder: when it
@@ -216,6 +219,267 @@
 		assertThat(this.store.claimedAtMillis.get(0), greaterThanOrEqualTo(LEASE_MILLIS));
 	}
 
+	// Otherwise a claim counts that is answered after a return which other answers have
+	// shown, once the node has been named as the holder again.
+	@Test
+	void claimThatIsAnsweredAfterAnotherTimelineWasShownDoesNotCount() {
+		this.store.holdsNextAppend = true;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(1_000);
+		returnFromEmptyCopy();
+		advanceTime(2_000);
+		this.store.heldAppend.complete(0L);
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+	}
+
+	// Otherwise a claim counts that a return without a number may have lost.
+	@Test
+	void claimThatIsAnsweredAfterAnotherStreamWasShortenedDoesNotCount() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		this.store.holdsNextAppend = true;
+		DutyRunner runner = startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(1_000);
+		runner.onStoreRestored();
+		advanceTime(2_000);
+		this.store.heldAppend.complete(0L);
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+	}
+
+	// Otherwise a node claims beside what a listing of another timeline shows.
+	@Test
+	void nodeDoesNotClaimOnAListingThatIsAnsweredInAnotherTimeline() {
+		this.store.returnsDuringNextListing = true;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(1));
+	}
+
+	// Otherwise a report is sent that the store may not have.
+	@Test
+	void reportThatIsStoredInAnotherTimelineIsNotSent() {
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(1_000);
+		this.store.returnsDuringNextAppend = true;
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+		assertThat(this.cloud.windows.get(0),
+				greaterThanOrEqualTo((START_OF_DAY_MILLIS + this.store.claimedAtMillis.get(1)) / WINDOW_MILLIS));
+	}
+
+	// Otherwise a holder whose report is pending goes on with a claim that is lost.
+	@Test
+	void reportIsNotRepeatedWithTheTokenOfAnEarlierTimeline() {
+		this.cloud.answer = CompletableFuture.completedFuture(CloudApi.Verdict.UNKNOWN);
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		int calls = this.cloud.tokens.size();
+		assertThat(calls, greaterThan(0));
+		this.store.assignsDuties = false;
+		this.store.knownTimeline = ++this.store.timeline;
+		advanceTime(2_000);
+		assertThat(this.cloud.tokens.size(), is(calls));
+	}
+
+	// Otherwise a holder is without the duties for another second after each return.
+	@Test
+	void nodeJoinsAtOnceWhenAnotherAnswerShowsTheReturn() {
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		int joins = 0;
+		while (this.store.generations.size() == joins || this.nowMillis < LEASE_MILLIS) {
+			joins = this.store.generations.size();
+			advanceTime(STEP_MILLIS);
+		}
+		joins = this.store.generations.size();
+		this.store.knownTimeline = ++this.store.timeline;
+		advanceTime(500);
+		assertThat(this.store.generations.size(), is(joins + 1));
+	}
+
+	// Otherwise a call goes on beside the next holder's until the next tick.
+	@Test
+	void callInProgressIsEndedWhenAnotherStreamIsShortened() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		this.cloud.answer = new CompletableFuture<>();
+		DutyRunner runner = startNode(Fencing.KEPT_BY_HOLDERS, true);
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.cloud.tokens.size(), is(1));
+		assertThat(this.cloud.aborts, is(0));
+		runner.onStoreRestored();
+		assertThat(this.cloud.aborts, is(1));
+	}
+
+	// Otherwise a holder goes on with a claim that a return without a number has lost.
+	@Test
+	void termEndsWhenAnotherStreamOfAnUnnumberedStoreIsShortened() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		DutyRunner runner = startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		runner.onStoreRestored();
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+	}
+
+	// Otherwise each stream that is listed again after a numbered return ends the term.
+	@Test
+	void termGoesOnWhenAnotherStreamOfANumberedStoreIsListedAgain() {
+		DutyRunner runner = startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		runner.onStoreRestored();
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(1));
+	}
+
+	private void otherNodeClaims() {
+		this.store.records.add(
+				new StoredRecord(DutyListing.claimKey(this.store.timeline),
+						Optional.of(ReportCodec.encodeClaim(new DutyClaim("node-2", Long.MAX_VALUE / 2,
+								this.store.timeline, OptionalLong.of(START_OF_DAY_MILLIS / WINDOW_MILLIS)))),
+						this.store.records.size()));
+	}
+
+	private long windowOfClaim(int number) {
+		return (START_OF_DAY_MILLIS + this.store.claimedAtMillis.get(number)) / WINDOW_MILLIS;
+	}
+
+	// Otherwise each claim after a return leaves windows out, since the end of the stream
+	// of the earlier timeline counts as that of the new one.
+	@Test
+	void windowsAreNotLeftOutOnceAnotherNodeHasClaimedInTheNewTimeline() {
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		int calls = this.cloud.windows.size();
+		this.store.assignsDuties = false;
+		returnFromEmptyCopy();
+		this.store.knownTimeline = this.store.timeline;
+		otherNodeClaims();
+		advanceTime(2_000);
+		this.store.assignsDuties = true;
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+		assertThat(this.cloud.windows.get(calls), lessThan(windowOfClaim(1) - 1));
+	}
+
+	// Otherwise each claim after a return without a number leaves windows out.
+	@Test
+	void windowsAreNotLeftOutBySecondClaimAfterAnotherStreamWasShortened() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		DutyRunner runner = startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(1_000);
+		runner.onStoreRestored();
+		advanceTime(2 * LEASE_MILLIS);
+		int calls = this.cloud.windows.size();
+		this.store.assignsDuties = false;
+		advanceTime(2_000);
+		this.store.assignsDuties = true;
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(3));
+		assertThat(this.cloud.windows.get(calls), lessThan(windowOfClaim(2) - 1));
+	}
+
+	// Otherwise a window is counted anew whose report a return without a number has lost.
+	@Test
+	void windowsAreLeftOutIfTheStreamOfTheDutiesIsShortened() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		int calls = this.cloud.windows.size();
+		assertThat(calls, greaterThan(0));
+		this.store.assignsDuties = false;
+		advanceTime(2_000);
+		this.store.records.subList(1, this.store.records.size()).clear();
+		this.store.assignsDuties = true;
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+		assertThat(this.cloud.windows.get(calls), greaterThanOrEqualTo(windowOfClaim(1)));
+	}
+
+	// Otherwise a holder acts beside the one whose claim a return without a number has
+	// lost.
+	@Test
+	void holderWaitsForALeaseIfTheStreamOfTheDutiesHasLostItsClaim() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		startNode(Fencing.KEPT_BY_HOLDERS, true);
+		advanceTime(1_000);
+		this.store.assignsDuties = false;
+		this.store.records.clear();
+		advanceTime(1_000);
+		this.store.assignsDuties = true;
+		advanceTime(3 * LEASE_MILLIS);
+		assertThat(this.store.claimedAtMillis.size(), is(2));
+		assertThat(this.cloud.sentAtMillis.get(0) - this.store.claimedAtMillis.get(1),
+				greaterThanOrEqualTo(LEASE_MILLIS));
+	}
+
+	// Otherwise a node that joins later acts beside the holder whose claim it reads.
+	@Test
+	void holderWaitsForALeaseIfAnotherNodeHasClaimedBefore() {
+		otherNodeClaims();
+		startNode(Fencing.KEPT_BY_HOLDERS, true);
+		advanceTime(3 * LEASE_MILLIS);
+		assertThat(this.cloud.sentAtMillis.get(0) - this.store.claimedAtMillis.get(0),
+				greaterThanOrEqualTo(LEASE_MILLIS));
+	}
+
+	// Otherwise a node that gets the duties long after its start acts beside a holder
+	// whose claim is lost.
+	@Test
+	void holderWaitsForALeaseIfItHasStartedLongAgo() {
+		this.store.assignsDuties = false;
+		startNode(Fencing.KEPT_BY_HOLDERS, true);
+		advanceTime(2 * LEASE_MILLIS);
+		this.store.assignsDuties = true;
+		advanceTime(3 * LEASE_MILLIS);
+		assertThat(this.cloud.sentAtMillis.get(0) - this.store.claimedAtMillis.get(0),
+				greaterThanOrEqualTo(LEASE_MILLIS));
+	}
+
+	// Otherwise the first holder waits for a lease on a machine that has run for longer.
+	@Test
+	void firstHolderActsAtOnceHoweverLongItsMachineHasRun() {
+		this.nowMillis = 100_000;
+		startNode(Fencing.KEPT_BY_HOLDERS, true);
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.cloud.sentAtMillis.isEmpty(), is(false));
+	}
+
+	// Otherwise the first holder leaves out the windows in which no node held the duties.
+	@Test
+	void firstHolderReportsTheWindowsSinceItHeardFromTheStore() {
+		this.store.assignsDuties = false;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(4_000);
+		this.store.assignsDuties = true;
+		advanceTime(LEASE_MILLIS);
+		assertThat(this.cloud.windows.get(0), is(START_OF_DAY_MILLIS / WINDOW_MILLIS));
+	}
+
+	// Otherwise a node whose clock is behind claims with a token of the past.
+	@Test
+	void tokenIsNotLowerThanTheCorrectedTimeOfDay() {
+		this.store.timeline = RecordStore.UNNUMBERED_TIMELINE;
+		this.correctionLagMillis = -2_000;
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(2 * LEASE_MILLIS);
+		assertThat(this.cloud.tokens.get(0),
+				greaterThanOrEqualTo(START_OF_DAY_MILLIS + 2_000 + this.store.claimedAtMillis.get(0)));
+	}
+
+	// Otherwise the next holder can't tell the report from one that was stored late.
+	@Test
+	void claimAndReportAreStoredWithTimelineAndToken() {
+		startNode(Fencing.CHECKED_BY_CLOUD, true);
+		advanceTime(LEASE_MILLIS);
+		StoredRecord claim = this.store.records.get(0);
+		StoredRecord usage = this.store.records.get(1);
+		assertThat(claim.key(), is(DutyListing.claimKey(1)));
+		assertThat(usage.key(), is(DutyListing.USAGE_KEY));
+		ReportCodec.StoredUsage stored = ReportCodec.decodeUsageReport(usage.value().orElseThrow()).get();
+		assertThat(stored.token(), is(OptionalLong.of(this.cloud.tokens.get(0))));
+		assertThat(stored.timeline(), is(1L));
+	}
+
 	/** A store without records at first, which names the node as the holder. */
 	private final class EmptyStore extends ForwardingStore {
 
@@ -237,6 +501,13 @@
 
 		private boolean returnsDuringNextAppend;
 
+		private boolean returnsDuringNextListing;
+
+		private boolean holdsNextAppend;
+
+		/** The answer to the append that was held. */
+		private final CompletableFuture<Long> heldAppend = new CompletableFuture<>();
+
 		private EmptyStore() {
 			super(new ScriptedStore());
 		}
@@ -251,6 +522,10 @@
 			if (stream == StoreStream.NODES) {
 				return answer(new Page(List.of(), false, this.reportsEndOffset, this.timeline));
 			}
+			if (this.returnsDuringNextListing) {
+				this.returnsDuringNextListing = false;
+				returnFromEmptyCopy();
+			}
 			return answer(new Page(List.copyOf(this.records), false, this.records.size(), this.timeline));
 		}
 
@@ -260,6 +535,10 @@
 			if (!key.equals(DutyListing.USAGE_KEY)) {
 				this.claimedAtMillis.add(DutyRunnerTests.this.nowMillis);
 			}
+			if (this.holdsNextAppend) {
+				this.holdsNextAppend = false;
+				return this.heldAppend;
+			}
 			if (this.returnsDuringNextAppend) {
 				this.returnsDuringNextAppend = false;
 				returnFromEmptyCopy();
@@ -292,12 +571,16 @@
 
 		private final List<Long> windows = new ArrayList<>();
 
+		private CompletableFuture<Verdict> answer = CompletableFuture.completedFuture(Verdict.ACCEPTED);
+
+		private int aborts;
+
 		@Override
 		public CompletableFuture<Verdict> reportUsage(long token, long window, Map<String, Long> requests) {
 			this.windows.add(window);
 			this.tokens.add(token);
 			this.sentAtMillis.add(DutyRunnerTests.this.nowMillis);
-			return CompletableFuture.completedFuture(Verdict.ACCEPTED);
+			return this.answer;
 		}
 
 		@Override
@@ -307,7 +590,7 @@
 
 		@Override
 		public void abortCalls() {
-			// Calls are answered at once.
+			this.aborts++;
 		}
 
 	}
--- a/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
+++ b/flamingogap-gateway/src/test/java/io/flamingogap/gateway/cloud/UsageReportScheduleTests.java
@@ -160,6 +160,66 @@
 		assertThat(dueWindowAt(4_000), is(Optional.of(WINDOW)));
 	}
 
+	// Otherwise a window is counted anew whose report the cloud has accepted.
+	@Test
+	void windowThatThisNodeReportedIsNotCountedAgainThoughTheStoreLostItsReport() {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		this.schedule.recordSent();
+		takeOver(Certainty.CERTAIN, report(WINDOW - 1, 7), OptionalLong.empty(), 4_000);
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+		assertThat(dueWindowAt(4_000), is(Optional.empty()));
+	}
+
+	// Otherwise a report is sent long after it was due.
+	@ParameterizedTest
+	@EnumSource(Certainty.class)
+	void ownReportThatIsTooLateIsDropped(Certainty certainty) {
+		this.schedule.recordStored(report(WINDOW - 10, 8).get());
+		takeOver(certainty, Optional.empty(), OptionalLong.empty(), 4_000);
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+	}
+
+	// Otherwise a window is lost whose report both the store and its holder still have.
+	@ParameterizedTest
+	@EnumSource(Certainty.class)
+	void ownReportThatTheStoreHasIsRepeated(Certainty certainty) {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		takeOver(certainty, report(WINDOW, 8), OptionalLong.empty(), 4_000);
+		assertThat(this.schedule.pendingReport(), is(report(WINDOW, 8)));
+	}
+
+	// Otherwise the report of a later holder isn't sent because of an older one of this
+	// node.
+	@Test
+	void laterReportOfAnotherHolderTakesThePlaceOfTheOwnOne() {
+		this.schedule.recordStored(report(WINDOW, 8).get());
+		takeOver(Certainty.CERTAIN, report(WINDOW + 1, 7), OptionalLong.empty(), WINDOW_MILLIS + 4_000);
+		assertThat(this.schedule.pendingReport(), is(report(WINDOW + 1, 7)));
+	}
+
+	// Otherwise an old report is sent, or the windows between it and the last one are
+	// skipped.
+	@Test
+	void storedReportThatIsTooLateIsNotSentAndTheNextWindowsAre() {
+		takeOver(Certainty.CERTAIN, report(WINDOW - 10, 7), OptionalLong.empty(), 4_000);
+		assertThat(this.schedule.pendingReport(), is(Optional.empty()));
+		assertThat(dueWindowAt(4_000), is(Optional.of(WINDOW - 3)));
+	}
+
+	// Otherwise a claim settles windows that no record shows as reported or left out.
+	@Test
+	void claimSettlesNothingIfAReportIsPendingAndNoneIsSettled() {
+		assertThat(takeOver(Certainty.CERTAIN, report(WINDOW, 7), OptionalLong.empty(), 4_000).knownSettledWindow(),
+				is(OptionalLong.empty()));
+	}
+
+	// Otherwise the log names all windows since the beginning of time as left out.
+	@Test
+	void leftOutWindowsBeginWithTheLastOneThatEndedIfNoneIsKnown() {
+		assertThat(takeOver(Certainty.EARLIER_TIMELINE, Optional.empty(), OptionalLong.empty(), 1_000)
+			.firstLeftOutWindow(), is(WINDOW));
+	}
+
 	@Test
 	void nothingIsReportedOrSettledWithoutWindows() {
 		UsageReportSchedule withoutWindows = new UsageReportSchedule(0, (window) -> Map.of(), (millis) -> true);
